--- /dev/null
+++ b/include/crocusspur/action.h
@@ -0,0 +1,164 @@
+// Actions: everything that the decision core asks the threads around it to do.
+#ifndef CROCUSSPUR_ACTION_H
+#define CROCUSSPUR_ACTION_H
+
+#include "crocusspur/errors.h"
+#include "crocusspur/event.h"
+#include "crocusspur/peer_message.h"
+#include "crocusspur/types.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocusspur {
+
+// For the Start actions: the relay checks NotAfter on the monotonic clock
+// directly before it writes the first byte, and reports NotSent when it has
+// passed. Timeout bounds the time without progress.
+struct StartPrefill {
+  RequestId Id;
+  uint32_t Attempt = 0;
+  std::string Server;
+  uint64_t Fence = 0;
+  TimePoint NotAfter;
+  Milliseconds Timeout{0};
+};
+
+// Imports the result of the prefill attempt from PrefillServer (no import when
+// both are the same) and streams tokens from the next index that the relay has
+// not yet sent.
+struct StartDecode {
+  RequestId Id;
+  uint32_t Attempt = 0;
+  std::string Server;
+  std::string PrefillServer;
+  uint64_t Fence = 0;
+  TimePoint NotAfter;
+  Milliseconds Timeout{0};
+};
+
+struct StartService {
+  RequestId Id;
+  uint32_t Attempt = 0;
+  std::string Server;
+  uint64_t Fence = 0;
+  TimePoint NotAfter;
+  Milliseconds Timeout{0};
+};
+
+// Send the request with its body to the home of its key and copy the answer.
+struct ForwardToHome {
+  RequestId Id;
+  std::string Home;
+  Milliseconds Timeout{0};
+};
+
+// Final answer of a request that failed. After output has begun the relay
+// ends the stream with an error event instead.
+struct AnswerError {
+  RequestId Id;
+  ErrorKind Kind = ErrorKind::Internal;
+  RunState Run = RunState::No;
+  Milliseconds RetryAfter{0}; // 0: no Retry-After
+  std::string Detail;
+};
+
+// The remembered outcome of an earlier request with the same key.
+struct AnswerStored {
+  RequestId Id;
+  uint32_t HttpStatus = 0;
+  std::string ContentType;
+  std::string Body;
+};
+
+// Cancel at the server, whether or not the relay still talks to it.
+struct CancelAtServer {
+  RequestId Id;
+  std::string Server;
+  uint64_t Fence = 0;
+};
+
+struct SendToPeer {
+  std::string Instance;
+  PeerMessage Message;
+};
+
+enum class OrderKind : uint8_t { LoadModel, LoadAdapter, SetRole };
+
+struct OrderServer {
+  std::string Server;
+  OrderKind Kind = OrderKind::LoadModel;
+  std::string Argument;
+  uint64_t Fence = 0;
+};
+
+// Whether this instance watches the platform itself or learns from peers.
+struct SetPlatformReading {
+  bool Watch = true;
+};
+
+// Servers whose load reports and cache events this instance polls.
+struct SetPolledServers {
+  std::vector<std::string> Servers;
+};
+
+struct SetReadiness {
+  bool Ready = false;
+};
+
+// All requests have ended and what this instance owned is handed over.
+struct ShutdownComplete {
+  uint32_t Abandoned = 0; // requests still open at the limit
+};
+
+enum class NoteKind : uint8_t {
+  Admitted,
+  Shed,
+  PrefillStarted,
+  PrefillWasted,
+  DecodeStarted,
+  Completed,
+  Cancelled,
+  Failed,
+  Replaced, // a slot was lost and the request placed again
+  LeaseLapsed,
+  OrphanCancelled,
+  OwnershipGained,
+  OwnershipLost,
+  ConfigInForce,
+  ConfigRefused,
+  ListInForce,
+  KeyRefused,
+  KeyReplayed,
+  ServerCrashed,
+  SuspectRefused,
+  PeerUp,
+  PeerDown,
+  PauseDetected,
+  Drained,
+};
+
+const char *toString(NoteKind Kind);
+
+// A decision worth a metric and, by kind, a log line.
+struct Note {
+  NoteKind Kind = NoteKind::Admitted;
+  RequestId Id;
+  std::string Group;
+  std::string Subject; // backend server, instance, shard or version
+  ErrorKind Error = ErrorKind::Internal; // Shed, Failed
+  double Value = 0;                      // by kind: seconds or a count
+};
+
+using Action =
+    std::variant<StartPrefill, StartDecode, StartService, ForwardToHome,
+                 AnswerError, AnswerStored, CancelAtServer, SendToPeer,
+                 OrderServer, SetPlatformReading, SetPolledServers,
+                 SetReadiness, ShutdownComplete, Note>;
+
+using ActionList = std::vector<Action>;
+
+} // namespace crocusspur
+
+#endif
--- /dev/null
+++ b/include/crocusspur/kernel.h
@@ -0,0 +1,88 @@
+// The kernel starts and stops the parts of a process. Parts are plug-ins that
+// register themselves at load time; the kernel knows none of them by name.
+#ifndef CROCUSSPUR_KERNEL_H
+#define CROCUSSPUR_KERNEL_H
+
+#include "crocusspur/settings.h"
+#include "crocusspur/timer_service.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <typeinfo>
+
+namespace crocusspur {
+
+class Kernel;
+
+// Order of start; stop runs in reverse.
+enum class Phase : uint8_t { Foundation, Core, Links, Fronts };
+
+class Plugin {
+public:
+  virtual ~Plugin() = default;
+  // Throws nothing; returns false after logging the reason when it can't start.
+  virtual bool start(Kernel &Owner) = 0;
+  // Called once if start() returned true. Must join the plug-in's threads.
+  virtual void stop() = 0;
+};
+
+struct PluginEntry {
+  std::string Name;
+  Phase Start = Phase::Foundation;
+  std::function<std::unique_ptr<Plugin>()> Make;
+};
+
+// Registers a plug-in from a namespace-scope object:
+//   const PluginRegistration Registration{{"peer_link", Phase::Links, ...}};
+class PluginRegistration {
+public:
+  explicit PluginRegistration(PluginEntry Entry);
+};
+
+class Kernel {
+public:
+  explicit Kernel(Settings Values);
+  ~Kernel();
+
+  const Settings &settings() const { return Values; }
+  TimerService &timers() { return Timers; }
+
+  // Interfaces between plug-ins, keyed by type. provide() is called in start(),
+  // before any plug-in of a later phase starts; find() returns null if nobody
+  // provides the type. The provider keeps ownership until its stop().
+  template <typename T> void provide(T *Interface);
+  template <typename T> T *find() const;
+
+  // Starts all registered plug-ins. On failure stops those started, in reverse
+  // order, and returns false.
+  bool start();
+  void stop();
+
+  // Blocks until requestExit() is called.
+  void waitForExit();
+  // Thread-safe; `Code` becomes the exit code of the process.
+  void requestExit(int Code);
+  int exitCode() const;
+
+private:
+  void provideAny(const std::string &TypeName, void *Interface);
+  void *findAny(const std::string &TypeName) const;
+
+  struct State;
+  Settings Values;
+  TimerService Timers;
+  std::unique_ptr<State> Impl;
+};
+
+template <typename T> void Kernel::provide(T *Interface) {
+  provideAny(typeid(T).name(), Interface);
+}
+
+template <typename T> T *Kernel::find() const {
+  return static_cast<T *>(findAny(typeid(T).name()));
+}
+
+} // namespace crocusspur
+
+#endif
--- /dev/null
+++ b/src/core_context.h
@@ -0,0 +1,29 @@
+// What the decision core hands to each of its parts with every event.
+#ifndef CROCUSSPUR_CORE_CONTEXT_H
+#define CROCUSSPUR_CORE_CONTEXT_H
+
+#include "crocusspur/action.h"
+#include "crocusspur/decision_core.h"
+
+#include <string>
+#include <utility>
+
+namespace crocusspur::internal {
+
+struct CoreContext {
+  TimePoint Now;
+  WallTime Wall;
+  const CoreOptions &Options;
+  const ConfigDocument &Config; // version in force; empty document before one
+  const InstanceList &List;     // newest list; empty before one
+  ActionList &Out;
+
+  void send(std::string Instance, PeerMessage Message) {
+    Out.push_back(SendToPeer{std::move(Instance), std::move(Message)});
+  }
+  void note(Note Entry) { Out.push_back(std::move(Entry)); }
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/ring.h
@@ -0,0 +1,93 @@
+// A bounded ring for many producers and one consumer, with a wake-up for the
+// consumer. A full ring refuses the item, so the producer can shed with an
+// answer instead of blocking.
+#ifndef CROCUSSPUR_RING_H
+#define CROCUSSPUR_RING_H
+
+#include "crocusspur/types.h"
+
+#include <atomic>
+#include <boost/lockfree/queue.hpp>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+namespace crocusspur::internal {
+
+template <typename T> class Ring {
+public:
+  explicit Ring(size_t Capacity) : Items(Capacity) {}
+  ~Ring() {
+    Items.consume_all([](T *It) { delete It; });
+  }
+  Ring(const Ring &) = delete;
+  Ring &operator=(const Ring &) = delete;
+
+  // Returns false and leaves `Item` unchanged if the ring is full.
+  // Thread-safe.
+  bool tryPush(T &Item) {
+    auto it = std::make_unique<T>(std::move(Item));
+    if (!Items.bounded_push(it.get())) {
+      Item = std::move(*it);
+      return false;
+    }
+    it.release();
+    // The fence pairs with the one in pop(): either the consumer sees the item
+    // or this thread sees that the consumer is about to sleep.
+    std::atomic_thread_fence(std::memory_order_seq_cst);
+    if (Sleeping.load(std::memory_order_relaxed)) {
+      std::lock_guard lock(Mutex);
+      WakeUp.notify_one();
+    }
+    return true;
+  }
+  bool tryPush(T &&Item) { return tryPush(Item); }
+
+  // Takes the oldest item; waits at most `Wait` for one. Returns false if none
+  // came or the ring was closed and is empty. One consumer only.
+  bool pop(T &Item, Milliseconds Wait) {
+    if (take(Item))
+      return true;
+    std::unique_lock lock(Mutex);
+    Sleeping.store(true, std::memory_order_relaxed);
+    std::atomic_thread_fence(std::memory_order_seq_cst);
+    auto end = std::chrono::steady_clock::now() + Wait;
+    bool got = take(Item);
+    while (!got && !Closed.load()) {
+      auto timedOut = WakeUp.wait_until(lock, end) == std::cv_status::timeout;
+      got = take(Item);
+      if (timedOut)
+        break;
+    }
+    Sleeping.store(false, std::memory_order_relaxed);
+    return got;
+  }
+
+  // Wakes the consumer for good. Items already in the ring can be taken.
+  void close() {
+    std::lock_guard lock(Mutex);
+    Closed.store(true);
+    WakeUp.notify_all();
+  }
+  bool closed() const { return Closed.load(); }
+
+private:
+  bool take(T &Item) {
+    T *it = nullptr;
+    if (!Items.pop(it))
+      return false;
+    Item = std::move(*it);
+    delete it;
+    return true;
+  }
+
+  boost::lockfree::queue<T *> Items;
+  std::mutex Mutex;
+  std::condition_variable WakeUp;
+  std::atomic<bool> Sleeping{false};
+  std::atomic<bool> Closed{false};
+};
+
+} // namespace crocusspur::internal
+
+#endif
