Add the foundation: errors, kernel, timers, lists, checks and internal interfaces

Cause: modules that are written in parallel need their shared parts, the interfaces between them and one check that gives the same verdict for all.

--- a/include/crocusspur/action.h
+++ b/include/crocusspur/action.h
@@ -93,9 +93,22 @@
   uint64_t Fence = 0;
 };
 
-// Whether this instance watches the platform itself or learns from peers.
+// Whether this instance watches the platform itself or learns from peers. The
+// reader continues with the first document after AfterVersion; 0 lets it start
+// at the newest.
 struct SetPlatformReading {
   bool Watch = true;
+  uint64_t AfterVersion = 0;
+};
+
+// The configuration in force has changed.
+struct UseConfig {
+  ConfigPtr Document;
+};
+
+// A newer instance list is in use.
+struct UseList {
+  ListPtr List;
 };
 
 // Servers whose load reports and cache events this instance polls.
@@ -154,8 +167,8 @@
 using Action =
     std::variant<StartPrefill, StartDecode, StartService, ForwardToHome,
                  AnswerError, AnswerStored, CancelAtServer, SendToPeer,
-                 OrderServer, SetPlatformReading, SetPolledServers,
-                 SetReadiness, ShutdownComplete, Note>;
+                 OrderServer, SetPlatformReading, UseConfig, UseList,
+                 SetPolledServers, SetReadiness, ShutdownComplete, Note>;
 
 using ActionList = std::vector<Action>;
 
--- a/include/crocusspur/config_document.h
+++ b/include/crocusspur/config_document.h
@@ -23,8 +23,8 @@
   RequestClass Class = RequestClass::Normal;
   Milliseconds FirstOutputTarget{2000}; // deadline of the first output
   Milliseconds OutputPace{100};         // longest mean time between tokens
-  bool MayWait = false; // queued past FirstOutputTarget instead of refused
-  uint32_t MaxQueued = 1000;             // bound of the group's queue
+  bool MayWait = false;      // queued past FirstOutputTarget instead of refused
+  uint32_t MaxQueued = 1000; // bound of the group's queue
   std::vector<std::string> Regions;        // empty: any
   std::vector<std::string> FailureDomains; // empty: any
   std::vector<std::string> TokenDigests;   // SHA-256, lower-case hexadecimal
--- a/include/crocusspur/decision_core.h
+++ b/include/crocusspur/decision_core.h
@@ -15,11 +15,11 @@
 // How requests are placed on a model's servers. The first four exist to be
 // compared with Pool.
 enum class PlacementPolicy : uint8_t {
-  RoundRobin,  // next server in turn, no reservation, no owner
-  LeastLoad,   // least reported load, no reservation, no owner
-  SplitSlots,  // each instance has its own part of the slots, no owner
-  HoldSlot,    // owner; a slot is held from the start of the prefill
-  Pool,        // owner of the pool; starts by the expected free slots
+  RoundRobin, // next server in turn, no reservation, no owner
+  LeastLoad,  // least reported load, no reservation, no owner
+  SplitSlots, // each instance has its own part of the slots, no owner
+  HoldSlot,   // owner; a slot is held from the start of the prefill
+  Pool,       // owner of the pool; starts by the expected free slots
 };
 
 struct CoreOptions {
@@ -32,7 +32,7 @@
   PlacementPolicy Policy = PlacementPolicy::Pool;
   double PrefillWasteBound = 0.01; // probability that a result finds no slot
   Milliseconds InteractiveWaitBound{250};
-  double RetryBudgetRatio = 0.1; // retries to first attempts
+  double RetryBudgetRatio = 0.1;  // retries to first attempts
   uint32_t RetryBudgetFloor = 10; // retries always allowed per 10 s
 
   Milliseconds HeartbeatPeriod{500};
--- a/include/crocusspur/errors.h
+++ b/include/crocusspur/errors.h
@@ -12,34 +12,34 @@
 namespace crocusspur {
 
 enum class ErrorKind : uint8_t {
-  BadRequest,          // malformed request; nothing was sent anywhere
-  Unauthorized,        // missing or unknown bearer token
-  Forbidden,           // the group may not use this target or instance
-  NotFound,            // unknown path, model or service
-  BodyTooLarge,        // body over the configured limit
-  HeaderTooLarge,      // header over the configured limit
-  CallerTimeout,       // the caller sent its request too slowly
-  Overloaded,          // a bounded queue or ring is full
-  DeadlineUnreachable, // admission found that the deadline can't be met
-  GroupQueueFull,      // the group's bounded queue is full
-  NoServer,            // no usable backend server for the target
-  ShuttingDown,        // this instance is draining
-  NotReady,            // no configuration or instance list yet
-  ResidencyViolation,  // the instance is outside the group's domains
+  BadRequest,            // malformed request; nothing was sent anywhere
+  Unauthorized,          // missing or unknown bearer token
+  Forbidden,             // the group may not use this target or instance
+  NotFound,              // unknown path, model or service
+  BodyTooLarge,          // body over the configured limit
+  HeaderTooLarge,        // header over the configured limit
+  CallerTimeout,         // the caller sent its request too slowly
+  Overloaded,            // a bounded queue or ring is full
+  DeadlineUnreachable,   // admission found that the deadline can't be met
+  GroupQueueFull,        // the group's bounded queue is full
+  NoServer,              // no usable backend server for the target
+  ShuttingDown,          // this instance is draining
+  NotReady,              // no configuration or instance list yet
+  ResidencyViolation,    // the instance is outside the group's domains
   RequestCrashesServers, // refused: the request crashed two backend servers
-  HomeUnreachable,     // the home instance of the key can't be reached
-  KeyLeaseMissing,     // no valid home lease for the key on this side
-  KeyInProgress,       // the same key is being executed now
-  KeyReused,           // the same key came with a different request
-  OutcomeUnknown,      // an earlier attempt may have run
-  BackendRefused,      // the server refused before execution
-  BackendUnreachable,  // no connection; nothing was sent
-  BackendFailed,       // the connection broke after a byte may have left
-  BackendTimeout,      // no progress within the timeout
-  StaleBase,           // a patch names a base that is not in force
-  BadPatch,            // a patch doesn't give a valid document
-  PeerProtocol,        // malformed or unauthenticated peer traffic
-  Internal,            // a bug; logged with detail
+  HomeUnreachable,       // the home instance of the key can't be reached
+  KeyLeaseMissing,       // no valid home lease for the key on this side
+  KeyInProgress,         // the same key is being executed now
+  KeyReused,             // the same key came with a different request
+  OutcomeUnknown,        // an earlier attempt may have run
+  BackendRefused,        // the server refused before execution
+  BackendUnreachable,    // no connection; nothing was sent
+  BackendFailed,         // the connection broke after a byte may have left
+  BackendTimeout,        // no progress within the timeout
+  StaleBase,             // a patch names a base that is not in force
+  BadPatch,              // a patch doesn't give a valid document
+  PeerProtocol,          // malformed or unauthenticated peer traffic
+  Internal,              // a bug; logged with detail
 };
 
 inline constexpr size_t ErrorKindCount =
@@ -47,11 +47,11 @@
 
 // The answer to a caller for one kind.
 struct ErrorAnswer {
-  const char *Name;     // stable identifier, used in problem documents and logs
-  int Status;           // HTTP status
-  const char *Title;    // one plain sentence
-  RunState Run;         // default; a request's state machine may raise it
-  bool RetryAdvised;    // whether Retry-After accompanies the answer
+  const char *Name;  // stable identifier, used in problem documents and logs
+  int Status;        // HTTP status
+  const char *Title; // one plain sentence
+  RunState Run;      // default; a request's state machine may raise it
+  bool RetryAdvised; // whether Retry-After accompanies the answer
 };
 
 // Total: every kind has an entry.
--- a/include/crocusspur/event.h
+++ b/include/crocusspur/event.h
@@ -19,7 +19,7 @@
 struct RequestSpec {
   std::string Group;
   RequestKind Kind = RequestKind::Model;
-  std::string Target; // model or service
+  std::string Target;     // model or service
   bool Idempotent = true; // may be sent again after a byte may have left
   std::string IdempotencyKey;
   uint32_t PromptTokens = 0;
@@ -45,12 +45,12 @@
 
 enum class StageOutcome : uint8_t {
   Ok,
-  NotSent,    // nothing left this instance (no connection, or too late)
-  RefusedFull,   // refused before execution: no capacity
-  RefusedFence,  // refused before execution: old fencing number
-  RefusedOther,  // refused before execution: other reason, e.g. result evicted
-  Failed,  // broke off after a byte may have left
-  TimedOut, // no progress within the timeout, after a byte may have left
+  NotSent,      // nothing left this instance (no connection, or too late)
+  RefusedFull,  // refused before execution: no capacity
+  RefusedFence, // refused before execution: old fencing number
+  RefusedOther, // refused before execution: other reason, e.g. result evicted
+  Failed,       // broke off after a byte may have left
+  TimedOut,     // no progress within the timeout, after a byte may have left
 };
 
 // A relay reports the end of one attempt of one stage. The first report of an
@@ -88,7 +88,7 @@
   uint32_t Running = 0;
   uint32_t Queued = 0;
   uint32_t Slots = 0;
-  Milliseconds Age{0}; // of the figures, as the server states it
+  Milliseconds Age{0};               // of the figures, as the server states it
   std::vector<RequestId> RequestIds; // running or holding memory
 };
 
--- a/include/crocusspur/peer_message.h
+++ b/include/crocusspur/peer_message.h
@@ -23,8 +23,8 @@
 struct Heartbeat {
   uint64_t ConfigVersion = 0;
   uint64_t ConfigDigest = 0;
-  uint64_t ListSequence = 0;  // newest list seen
-  uint64_t ListDigest = 0;    // list that the sender confirms; 0 = none
+  uint64_t ListSequence = 0;   // newest list seen
+  uint64_t ListDigest = 0;     // list that the sender confirms; 0 = none
   uint64_t PreviousDigest = 0; // list that it confirmed before that; 0 = none
   uint64_t MembershipEpoch = 0;
   bool Draining = false;
@@ -55,8 +55,9 @@
   RequestId Id;
   std::string Shard;
   uint32_t Attempt = 0;
-  std::string PrefillServer; // equal to DecodeServer: prefill there, no transfer
-  std::string DecodeServer;  // empty until the decode grant
+  std::string
+      PrefillServer;        // equal to DecodeServer: prefill there, no transfer
+  std::string DecodeServer; // empty until the decode grant
   uint64_t Fence = 0;
   uint32_t QueueLength = 0; // of the shard, for the choice between shards
 };
--- /dev/null
+++ b/src/config_state.h
@@ -0,0 +1,55 @@
+// The configuration version in force: judges published documents in the order
+// of their numbers, adopts what peers have in force, and never goes back.
+#ifndef CROCUSSPUR_CONFIG_STATE_H
+#define CROCUSSPUR_CONFIG_STATE_H
+
+#include "crocusspur/config_document.h"
+#include "crocusspur/errors.h"
+
+#include <string>
+
+namespace crocusspur::internal {
+
+enum class ConfigVerdict : uint8_t {
+  InForce, // accepted and now in force
+  Refused, // its base is not the highest accepted number below its own
+  Old,     // already judged
+  Gap,     // numbers between the last judged and this one are missing
+};
+
+class ConfigState {
+public:
+  // A document read from the platform.
+  ConfigVerdict judgePublished(const ConfigPtr &Document);
+  // A document that a peer has in force. Older ones are ignored.
+  ConfigVerdict adoptFromPeer(const ConfigPtr &Document);
+
+  // Null until one is in force.
+  const ConfigPtr &current() const { return Current; }
+  // Highest number with a verdict; the next to read is the one after it.
+  uint64_t judged() const { return Judged; }
+
+private:
+  ConfigPtr Current;
+  uint64_t Judged = 0;
+};
+
+// What a patch would give, by the rule that judges published documents.
+struct PatchVerdict {
+  bool Accepted = false;
+  ErrorKind Error = ErrorKind::BadPatch; // StaleBase or BadPatch
+  uint64_t CurrentVersion = 0;
+  ConfigPtr Result; // the document to publish, if accepted
+  MistakeList Mistakes;
+};
+
+// The patch is {"base":N,"patch_id":TEXT,"changes":OBJECT}. `changes` is merged
+// into the document in force as by RFC 7396, except that the arrays groups,
+// models, services and servers are merged by the `name` of their elements, and
+// an element {"name":X,"remove":true} is removed.
+PatchVerdict checkPatch(const ConfigDocument &InForce,
+                        const std::string &PatchText);
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/crash_guard.h
@@ -0,0 +1,49 @@
+// Recognises requests that crash backend servers. A request that ran on a
+// server when it crashed is a suspect and runs alone; one that crashes a
+// server while it runs alone is refused from then on, at every instance.
+#ifndef CROCUSSPUR_CRASH_GUARD_H
+#define CROCUSSPUR_CRASH_GUARD_H
+
+#include "core_context.h"
+
+#include <memory>
+#include <string>
+
+namespace crocusspur::internal {
+
+enum class CrashAdvice : uint8_t { Run, RunAlone, Refuse };
+
+class CrashGuard {
+public:
+  CrashGuard();
+  ~CrashGuard();
+
+  CrashAdvice advise(TimePoint Now, uint64_t Fingerprint) const;
+
+  // Requests of this entry that run on a backend server.
+  void onStarted(const RequestId &Id, const std::string &Server,
+                 uint64_t Fingerprint, bool Alone);
+  // `Broken`: the connection broke or the server stopped answering, which
+  // counts as a crash only once a crash of that server is reported.
+  void onEnded(CoreContext &Context, const RequestId &Id, bool Broken);
+
+  // This instance polls the server and saw it crash (unreachable after it
+  // had answered, or a new epoch). Tells every peer.
+  void onServerCrashed(CoreContext &Context, const std::string &Server,
+                       uint64_t Epoch);
+  // A peer saw a crash, or names fingerprints that ran there. Adds the own
+  // fingerprints and tells every peer of them once.
+  void onReport(CoreContext &Context, const std::string &From,
+                const CrashReport &Message);
+  void onTimer(CoreContext &Context);
+
+  std::string dump(TimePoint Now) const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/entry_requests.h
@@ -0,0 +1,59 @@
+// The entry's part: the state machine of each request whose caller is connected
+// to this instance, or that was forwarded here as home of its key.
+#ifndef CROCUSSPUR_ENTRY_REQUESTS_H
+#define CROCUSSPUR_ENTRY_REQUESTS_H
+
+#include "core_context.h"
+#include "crash_guard.h"
+#include "key_home.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+// Which instance owns a shard now, from this instance's view.
+using OwnerLookup = std::function<std::string(const std::string &Shard)>;
+
+class EntryRequests {
+public:
+  EntryRequests(KeyHome &Keys, CrashGuard &Crashes, OwnerLookup Owner);
+  ~EntryRequests();
+
+  void onArrived(CoreContext &Context, const RequestArrived &Body);
+  void onCancelled(CoreContext &Context, const RequestCancelled &Body);
+  void onStageFinished(CoreContext &Context, const StageFinished &Body);
+  void onStageProgress(CoreContext &Context, const StageProgress &Body);
+  void onClosed(CoreContext &Context, const RequestClosed &Body);
+
+  void onPrefillGrant(CoreContext &Context, const std::string &From,
+                      const PrefillGrant &Message);
+  void onDecodeGrant(CoreContext &Context, const std::string &From,
+                     const DecodeGrant &Message);
+  void onRefusal(CoreContext &Context, const std::string &From,
+                 const Refusal &Message);
+  void onLeaseListRequest(CoreContext &Context, const std::string &From,
+                          const LeaseListRequest &Message);
+
+  // The owner of some shard may have changed: moves waiting requests and
+  // re-asserts leases.
+  void onOwnersChanged(CoreContext &Context);
+  void onTimer(CoreContext &Context);
+  // No new requests from now on; see openRequests().
+  void drain(CoreContext &Context);
+
+  // Leases held from the owner, by shard, for the heartbeat to that owner.
+  std::vector<LeaseSummary> leasesFrom(const std::string &Owner) const;
+  uint32_t openRequests() const;
+  std::string dump(TimePoint Now) const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/errors.cc
@@ -0,0 +1,90 @@
+#include "crocusspur/errors.h"
+
+#include <array>
+
+namespace crocusspur {
+namespace {
+
+constexpr std::array<ErrorAnswer, ErrorKindCount> Answers{{
+    {"bad_request", 400, "The request is malformed.", RunState::No, false},
+    {"unauthorized", 401, "The bearer token is missing or unknown.",
+     RunState::No, false},
+    {"forbidden", 403, "The group may not use this target.", RunState::No,
+     false},
+    {"not_found", 404, "The path, model or service does not exist.",
+     RunState::No, false},
+    {"body_too_large", 413, "The body exceeds the limit.", RunState::No, false},
+    {"header_too_large", 431, "The header exceeds the limit.", RunState::No,
+     false},
+    {"caller_timeout", 408, "The request was not received in time.",
+     RunState::No, false},
+    {"overloaded", 503, "The router is overloaded.", RunState::No, true},
+    {"deadline_unreachable", 503,
+     "The request can't be served before its deadline.", RunState::No, true},
+    {"group_queue_full", 429, "The group's queue is full.", RunState::No, true},
+    {"no_server", 503, "No backend server can take the request.", RunState::No,
+     true},
+    {"shutting_down", 503, "This instance is shutting down.", RunState::No,
+     true},
+    {"not_ready", 503, "This instance has no configuration yet.", RunState::No,
+     true},
+    {"residency_violation", 403,
+     "This instance is outside the group's regions or failure domains.",
+     RunState::No, false},
+    {"request_crashes_servers", 422,
+     "The request crashed backend servers and is refused.", RunState::Unknown,
+     false},
+    {"home_unreachable", 503,
+     "The instance responsible for the idempotency key can't be reached.",
+     RunState::No, true},
+    {"key_lease_missing", 503,
+     "This side can't confirm responsibility for the idempotency key.",
+     RunState::No, true},
+    {"key_in_progress", 409,
+     "A request with this idempotency key is being executed.", RunState::Yes,
+     true},
+    {"key_reused", 422,
+     "The idempotency key was used with a different request.", RunState::No,
+     false},
+    {"outcome_unknown", 409,
+     "An earlier attempt with this idempotency key may have run.",
+     RunState::Unknown, false},
+    {"backend_refused", 503, "The backend server refused the request.",
+     RunState::No, true},
+    {"backend_unreachable", 503, "No backend server could be reached.",
+     RunState::No, true},
+    {"backend_failed", 502,
+     "The connection to the backend server broke after the request was sent.",
+     RunState::Unknown, false},
+    {"backend_timeout", 504, "The backend server made no progress in time.",
+     RunState::Unknown, false},
+    {"stale_base", 409, "The patch was written against an older version.",
+     RunState::No, false},
+    {"bad_patch", 422, "The patch doesn't give a valid configuration.",
+     RunState::No, false},
+    {"peer_protocol", 502, "A peer sent a malformed or unauthenticated frame.",
+     RunState::Unknown, false},
+    {"internal", 500, "Internal error.", RunState::Unknown, false},
+}};
+
+} // namespace
+
+const ErrorAnswer &answerFor(ErrorKind Kind) {
+  return Answers[static_cast<size_t>(Kind)];
+}
+
+ErrorKind errorKindFromName(const std::string &Name) {
+  for (size_t i = 0; i < Answers.size(); ++i)
+    if (Name == Answers[i].Name)
+      return static_cast<ErrorKind>(i);
+  return ErrorKind::Internal;
+}
+
+std::string Mistake::str() const {
+  std::string text = File;
+  if (Line > 0)
+    text += ":" + std::to_string(Line);
+  return text + ": " + Key + ": expected " + Expected;
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/instance_list.cc
@@ -0,0 +1,98 @@
+#include "crocusspur/instance_list.h"
+
+#include "crocusspur/errors.h"
+#include "json_reader.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace crocusspur {
+namespace {
+
+using internal::JsonReader;
+
+MemberState readState(JsonReader &Reader) {
+  std::string state = Reader.text("state");
+  if (state != "live" && state != "leaving")
+    Reader.mistake("state", "\"live\" or \"leaving\"");
+  return state == "leaving" ? MemberState::Leaving : MemberState::Live;
+}
+
+uint64_t digestOfLiveNames(const InstanceList &List) {
+  std::vector<std::string> names;
+  for (const InstanceEntry &it : List.Instances)
+    if (it.State == MemberState::Live)
+      names.push_back(it.Name);
+  std::sort(names.begin(), names.end());
+  std::string joined;
+  for (const std::string &it : names)
+    joined += it + '\n';
+  return XXH64(joined.data(), joined.size(), 0);
+}
+
+} // namespace
+
+const InstanceEntry *InstanceList::findInstance(const std::string &Name) const {
+  for (const InstanceEntry &it : Instances)
+    if (it.Name == Name)
+      return &it;
+  return nullptr;
+}
+
+bool InstanceList::isLive(const std::string &Instance) const {
+  const InstanceEntry *it = findInstance(Instance);
+  return it && it->State == MemberState::Live;
+}
+
+bool InstanceList::serverIsLive(const std::string &Server) const {
+  for (const ServerEntry &it : Servers)
+    if (it.Name == Server)
+      return it.State == MemberState::Live;
+  return false;
+}
+
+boost::leaf::result<ListPtr> parseInstanceList(const std::string &Text) {
+  auto list = std::make_shared<InstanceList>();
+  list->Text = Text;
+  MistakeList mistakes;
+  JsonReader root(Text, "instances", mistakes);
+  list->Sequence = root.number("sequence");
+  root.forEach("instances", [&](JsonReader &Reader) {
+    InstanceEntry entry;
+    entry.Name = Reader.text("name");
+    entry.State = readState(Reader);
+    entry.Region = Reader.text("region");
+    entry.FailureDomain = Reader.text("failure_domain");
+    entry.PeerAddress = Reader.text("peer_address");
+    list->Instances.push_back(std::move(entry));
+  });
+  root.forEach("servers", [&](JsonReader &Reader) {
+    ServerEntry entry;
+    entry.Name = Reader.text("name");
+    entry.State = readState(Reader);
+    list->Servers.push_back(std::move(entry));
+  });
+  if (!mistakes.Mistakes.empty())
+    return boost::leaf::new_error(std::move(mistakes));
+  list->Digest = digestOfLiveNames(*list);
+  return ListPtr(std::move(list));
+}
+
+std::vector<std::string> rankByRendezvous(const std::string &Key,
+                                          std::vector<std::string> Names) {
+  std::vector<std::pair<uint64_t, std::string>> weighted;
+  weighted.reserve(Names.size());
+  uint64_t seed = XXH64(Key.data(), Key.size(), 0);
+  for (std::string &it : Names) {
+    uint64_t weight = XXH64(it.data(), it.size(), seed);
+    weighted.emplace_back(weight, std::move(it));
+  }
+  std::sort(weighted.begin(), weighted.end(), std::greater<>());
+  Names.clear();
+  for (auto &it : weighted)
+    Names.push_back(std::move(it.second));
+  return Names;
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/json_reader.cc
@@ -0,0 +1,154 @@
+#include "json_reader.h"
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <utility>
+
+namespace crocusspur::internal {
+
+struct JsonReader::State {
+  std::string File;
+  std::string Path;
+  MistakeList &Mistakes;
+  Poco::JSON::Object::Ptr Object;
+};
+
+JsonReader::JsonReader(const std::string &Text, std::string File,
+                       MistakeList &Mistakes)
+    : Impl(new State{std::move(File), "", Mistakes, nullptr}) {
+  try {
+    Poco::JSON::Parser parser;
+    Impl->Object = parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
+  } catch (const Poco::Exception &) {
+    Impl->Object = nullptr;
+  }
+  if (!Impl->Object) {
+    Impl->Object = new Poco::JSON::Object;
+    mistake("(document)", "a JSON object");
+  }
+}
+
+JsonReader::JsonReader(std::unique_ptr<State> Inner) : Impl(std::move(Inner)) {}
+
+JsonReader::~JsonReader() = default;
+
+bool JsonReader::has(const std::string &Key) const {
+  return Impl->Object->has(Key) && !Impl->Object->isNull(Key);
+}
+
+void JsonReader::mistake(const std::string &Key, const std::string &Expected) {
+  Impl->Mistakes.Mistakes.push_back(
+      {Impl->File, 0, Impl->Path + Key, Expected});
+}
+
+std::string JsonReader::text(const std::string &Key) {
+  if (!has(Key)) {
+    mistake(Key, "a string");
+    return "";
+  }
+  std::string value = text(Key, "");
+  if (value.empty())
+    mistake(Key, "a string that isn't empty");
+  return value;
+}
+
+std::string JsonReader::text(const std::string &Key,
+                             const std::string &Default) {
+  if (!has(Key))
+    return Default;
+  Poco::Dynamic::Var value = Impl->Object->get(Key);
+  if (!value.isString()) {
+    mistake(Key, "a string");
+    return Default;
+  }
+  return value.convert<std::string>();
+}
+
+uint64_t JsonReader::number(const std::string &Key) {
+  if (!has(Key)) {
+    mistake(Key, "a whole number of 0 or more");
+    return 0;
+  }
+  return number(Key, 0);
+}
+
+uint64_t JsonReader::number(const std::string &Key, uint64_t Default) {
+  if (!has(Key))
+    return Default;
+  Poco::Dynamic::Var value = Impl->Object->get(Key);
+  try {
+    if (value.isInteger())
+      return value.convert<uint64_t>();
+  } catch (const Poco::Exception &) {
+    // Negative or too large; noted below.
+  }
+  mistake(Key, "a whole number of 0 or more");
+  return Default;
+}
+
+double JsonReader::real(const std::string &Key, double Default) {
+  if (!has(Key))
+    return Default;
+  Poco::Dynamic::Var value = Impl->Object->get(Key);
+  if (!value.isNumeric() || value.isBoolean()) {
+    mistake(Key, "a number");
+    return Default;
+  }
+  return value.convert<double>();
+}
+
+bool JsonReader::flag(const std::string &Key, bool Default) {
+  if (!has(Key))
+    return Default;
+  Poco::Dynamic::Var value = Impl->Object->get(Key);
+  if (!value.isBoolean()) {
+    mistake(Key, "true or false");
+    return Default;
+  }
+  return value.convert<bool>();
+}
+
+std::vector<std::string> JsonReader::texts(const std::string &Key) {
+  std::vector<std::string> values;
+  if (!has(Key))
+    return values;
+  Poco::JSON::Array::Ptr array = Impl->Object->getArray(Key);
+  if (!array) {
+    mistake(Key, "an array of strings");
+    return values;
+  }
+  for (size_t i = 0; i < array->size(); ++i) {
+    Poco::Dynamic::Var value = array->get(static_cast<unsigned>(i));
+    if (value.isString())
+      values.push_back(value.convert<std::string>());
+    else
+      mistake(Key + "[" + std::to_string(i) + "]", "a string");
+  }
+  return values;
+}
+
+void JsonReader::forEach(const std::string &Key,
+                         const std::function<void(JsonReader &)> &Each) {
+  Poco::JSON::Array::Ptr array =
+      has(Key) ? Impl->Object->getArray(Key) : nullptr;
+  if (!array) {
+    mistake(Key, "an array of objects");
+    return;
+  }
+  for (size_t i = 0; i < array->size(); ++i) {
+    std::string path = Impl->Path + Key + "[" + std::to_string(i) + "]";
+    Poco::JSON::Object::Ptr object = array->getObject(static_cast<unsigned>(i));
+    if (!object) {
+      Impl->Mistakes.Mistakes.push_back({Impl->File, 0, path, "an object"});
+      continue;
+    }
+    JsonReader reader(std::unique_ptr<State>(
+        new State{Impl->File, path + ".", Impl->Mistakes, object}));
+    Each(reader);
+  }
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/kernel.cc
@@ -0,0 +1,90 @@
+#include "crocusspur/kernel.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace crocusspur {
+namespace {
+
+std::vector<PluginEntry> &registry() {
+  static std::vector<PluginEntry> Entries;
+  return Entries;
+}
+
+} // namespace
+
+PluginRegistration::PluginRegistration(PluginEntry Entry) {
+  registry().push_back(std::move(Entry));
+}
+
+struct Kernel::State {
+  std::vector<std::unique_ptr<Plugin>> Started;
+  std::map<std::string, void *> Interfaces;
+  std::mutex Mutex;
+  std::condition_variable Exit;
+  bool ExitRequested = false;
+  int ExitCode = 0;
+};
+
+Kernel::Kernel(Settings Values)
+    : Values(std::move(Values)), Impl(std::make_unique<State>()) {}
+
+Kernel::~Kernel() { stop(); }
+
+bool Kernel::start() {
+  // Link order differs between builds; phase and name give a fixed order.
+  std::vector<PluginEntry> entries = registry();
+  std::sort(entries.begin(), entries.end(),
+            [](const PluginEntry &Left, const PluginEntry &Right) {
+              return std::pair(Left.Start, Left.Name) <
+                     std::pair(Right.Start, Right.Name);
+            });
+  for (const PluginEntry &it : entries) {
+    std::unique_ptr<Plugin> plugin = it.Make();
+    if (!plugin->start(*this)) {
+      stop();
+      return false;
+    }
+    Impl->Started.push_back(std::move(plugin));
+  }
+  return true;
+}
+
+void Kernel::stop() {
+  while (!Impl->Started.empty()) {
+    Impl->Started.back()->stop();
+    Impl->Started.pop_back();
+  }
+}
+
+void Kernel::waitForExit() {
+  std::unique_lock lock(Impl->Mutex);
+  Impl->Exit.wait(lock, [this] { return Impl->ExitRequested; });
+}
+
+void Kernel::requestExit(int Code) {
+  std::lock_guard lock(Impl->Mutex);
+  if (!Impl->ExitRequested)
+    Impl->ExitCode = Code;
+  Impl->ExitRequested = true;
+  Impl->Exit.notify_all();
+}
+
+int Kernel::exitCode() const {
+  std::lock_guard lock(Impl->Mutex);
+  return Impl->ExitCode;
+}
+
+void Kernel::provideAny(const std::string &TypeName, void *Interface) {
+  Impl->Interfaces[TypeName] = Interface;
+}
+
+void *Kernel::findAny(const std::string &TypeName) const {
+  auto it = Impl->Interfaces.find(TypeName);
+  return it == Impl->Interfaces.end() ? nullptr : it->second;
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/key_home.h
@@ -0,0 +1,84 @@
+// At-most-once execution by idempotency key: which instance may execute a key,
+// the home lease that lets it, and the memory of keys it has executed.
+#ifndef CROCUSSPUR_KEY_HOME_H
+#define CROCUSSPUR_KEY_HOME_H
+
+#include "core_context.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+enum class KeyVerdict : uint8_t {
+  Execute, // here, with every first byte sent before NotAfter
+  Forward, // to Home
+  Replay,  // answer with the stored outcome
+  Refuse,  // with Error, Run and RetryAfter
+  Wait,    // former homes are being asked; see takeResolved()
+};
+
+struct KeyDecision {
+  KeyVerdict Verdict = KeyVerdict::Refuse;
+  std::string Home;
+  TimePoint NotAfter;
+  ErrorKind Error = ErrorKind::KeyLeaseMissing;
+  RunState Run = RunState::No;
+  Milliseconds RetryAfter{0};
+  uint32_t HttpStatus = 0; // Replay
+  std::string ContentType;
+  std::string Body;
+};
+
+class KeyHome {
+public:
+  explicit KeyHome(const CoreOptions &Options);
+  ~KeyHome();
+
+  // Decides on a request that has an idempotency key. `Forwarded`: it came
+  // from another instance and is not forwarded again.
+  KeyDecision admit(CoreContext &Context, const RequestId &Id,
+                    const RequestSpec &Spec, bool Forwarded);
+
+  // The moment after which no first byte of a request with this key may be
+  // sent; in the past if there is no home lease now. Tickets have no limit.
+  TimePoint dispatchLimit(const CoreContext &Context,
+                          const std::string &Key) const;
+
+  // Course of a request that was admitted with Execute. A request that ends
+  // with onNotRun leaves no record, so its key can be executed later.
+  void onDispatched(CoreContext &Context, const RequestId &Id);
+  void onNotRun(CoreContext &Context, const RequestId &Id);
+  void onOutcome(CoreContext &Context, const RequestId &Id, uint32_t HttpStatus,
+                 const std::string &ContentType, const std::string &Body);
+  void onUnknown(CoreContext &Context, const RequestId &Id);
+
+  // Requests that waited for former homes and can be decided now.
+  std::vector<std::pair<RequestId, KeyDecision>>
+  takeResolved(CoreContext &Context);
+
+  void onKeyQuery(CoreContext &Context, const std::string &From,
+                  const KeyQuery &Message);
+  void onKeyAnswer(CoreContext &Context, const std::string &From,
+                   const KeyAnswer &Message);
+
+  // Confirmation of lists. fillHeartbeat sets ListDigest, PreviousDigest and
+  // MembershipEpoch; onHeartbeat takes those of a peer.
+  void fillHeartbeat(CoreContext &Context, Heartbeat &Message);
+  void onHeartbeat(CoreContext &Context, const std::string &From,
+                   uint64_t Incarnation, const Heartbeat &Message);
+  void onListChanged(CoreContext &Context);
+  void onTimer(CoreContext &Context);
+
+  std::string makeTicket(uint64_t Nonce) const;
+  std::string dump(TimePoint Now) const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,31 @@
+// Structured logs: one JSON object a line, written by log4cxx's asynchronous
+// appender to standard error.
+#ifndef CROCUSSPUR_LOG_H
+#define CROCUSSPUR_LOG_H
+
+#include "crocusspur/types.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusspur::internal {
+
+enum class LogLevel : uint8_t { Debug, Info, Warn, Error };
+
+using LogFields = std::vector<std::pair<const char *, std::string>>;
+
+// Call once before any thread logs. `Level` is debug, info, warn or error.
+void startLogging(const std::string &Level, const std::string &Instance);
+
+// Flushes and ends logging.
+void stopLogging();
+
+// Writes one line with the message and the fields as JSON strings. Fields must
+// never hold prompt text, answers, tokens or keys. Thread-safe.
+void log(LogLevel Level, const char *Module, const std::string &Message,
+         const LogFields &Fields = {});
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,6 @@
+#include <iostream>
+
+int main() {
+  std::cerr << "crocusspur: no command given; see crocusspur --help\n";
+  return 2;
+}
--- /dev/null
+++ b/src/timer_service.cc
@@ -0,0 +1,110 @@
+#include "crocusspur/timer_service.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace crocusspur {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Subscription {
+  Milliseconds Period{0}; // 0: once
+  TimerService::Hook Callback;
+  TimePoint Due;
+};
+
+} // namespace
+
+struct TimerService::State {
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::map<uint64_t, Subscription> Subscriptions;
+  uint64_t Next = 1;
+  uint64_t Running = 0; // number of the subscription whose hook runs
+  bool Stopping = false;
+  std::thread Thread;
+
+  uint64_t add(Milliseconds Delay, Milliseconds Period, Hook Callback);
+  void run();
+  std::map<uint64_t, Subscription>::iterator nextDue();
+};
+
+uint64_t TimerService::State::add(Milliseconds Delay, Milliseconds Period,
+                                  Hook Callback) {
+  std::lock_guard lock(Mutex);
+  uint64_t number = Next++;
+  Subscriptions[number] = {Period, std::move(Callback), Clock::now() + Delay};
+  Changed.notify_all();
+  return number;
+}
+
+std::map<uint64_t, Subscription>::iterator TimerService::State::nextDue() {
+  auto best = Subscriptions.begin();
+  for (auto it = Subscriptions.begin(); it != Subscriptions.end(); ++it)
+    if (it->second.Due < best->second.Due)
+      best = it;
+  return best;
+}
+
+void TimerService::State::run() {
+  std::unique_lock lock(Mutex);
+  while (!Stopping) {
+    auto it = nextDue();
+    if (it == Subscriptions.end()) {
+      Changed.wait(lock);
+      continue;
+    }
+    TimePoint now = Clock::now();
+    if (it->second.Due > now) {
+      Changed.wait_until(lock, it->second.Due);
+      continue;
+    }
+    Running = it->first;
+    Hook hook = it->second.Callback;
+    if (it->second.Period.count() > 0)
+      it->second.Due = now + it->second.Period;
+    else
+      Subscriptions.erase(it);
+    lock.unlock();
+    hook();
+    lock.lock();
+    Running = 0;
+    Changed.notify_all();
+  }
+}
+
+TimerService::TimerService() : Impl(std::make_unique<State>()) {
+  Impl->Thread = std::thread([this] { Impl->run(); });
+}
+
+TimerService::~TimerService() {
+  {
+    std::lock_guard lock(Impl->Mutex);
+    Impl->Stopping = true;
+    Impl->Changed.notify_all();
+  }
+  Impl->Thread.join();
+}
+
+uint64_t TimerService::every(Milliseconds Period, Hook Callback) {
+  return Impl->add(Period, Period, std::move(Callback));
+}
+
+uint64_t TimerService::once(Milliseconds Delay, Hook Callback) {
+  return Impl->add(Delay, Milliseconds(0), std::move(Callback));
+}
+
+void TimerService::cancel(uint64_t Number) {
+  std::unique_lock lock(Impl->Mutex);
+  Impl->Subscriptions.erase(Number);
+  Impl->Changed.notify_all();
+  if (std::this_thread::get_id() == Impl->Thread.get_id())
+    return;
+  Impl->Changed.wait(lock, [&] { return Impl->Running != Number; });
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/test/instance_list_test.cc
@@ -0,0 +1,84 @@
+#include "crocusspur/instance_list.h"
+
+#include "crocusspur/errors.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+
+namespace {
+
+std::string listText(const std::string &State) {
+  return R"({"sequence":7,"instances":[{"name":"e1","state":"live",)"
+         R"("region":"r","failure_domain":"d","peer_address":"127.0.0.1:1"}],)"
+         R"("servers":[{"name":"p1","state":")" +
+         State + R"("}]})";
+}
+
+ListPtr parsed(const std::string &Text) {
+  ListPtr list;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(list, parseInstanceList(Text));
+        return {};
+      },
+      [] {});
+  return list;
+}
+
+std::vector<Mistake> mistakesOf(const std::string &Text) {
+  std::vector<Mistake> found;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(parseInstanceList(Text));
+        return {};
+      },
+      [&](const MistakeList &List) { found = List.Mistakes; }, [] {});
+  return found;
+}
+
+} // namespace
+
+// Guards against giving work to a server that the list no longer names.
+TEST_CASE("InstanceList treats absent and leaving servers as not live") {
+  ListPtr live = parsed(listText("live"));
+  REQUIRE(live);
+  CHECK(live->serverIsLive("p1"));
+  CHECK_FALSE(live->serverIsLive("p2"));
+  ListPtr leaving = parsed(listText("leaving"));
+  REQUIRE(leaving);
+  CHECK_FALSE(leaving->serverIsLive("p1"));
+}
+
+// Guards against a reader that stops at the first mistake.
+TEST_CASE("InstanceList reports every mistake with its path") {
+  auto found =
+      mistakesOf(R"({"instances":[{"name":1,"state":"gone"}],"servers":5})");
+  std::vector<std::string> keys;
+  for (const Mistake &it : found)
+    keys.push_back(it.Key);
+  std::vector<std::string> expected = {"sequence",
+                                       "instances[0].name",
+                                       "instances[0].name",
+                                       "instances[0].state",
+                                       "instances[0].region",
+                                       "instances[0].failure_domain",
+                                       "instances[0].peer_address",
+                                       "servers"};
+  CHECK(keys == expected);
+}
+
+// Guards against keys that move although the instance they map to stays.
+TEST_CASE("RankByRendezvous moves only the keys of a removed name") {
+  std::vector<std::string> names = {"e1", "e2", "e3", "e4"};
+  for (int i = 0; i < 200; ++i) {
+    std::string key = "key-" + std::to_string(i);
+    auto before = rankByRendezvous(key, names);
+    auto after = rankByRendezvous(key, {"e1", "e2", "e3"});
+    if (before.front() != "e4")
+      CHECK(after.front() == before.front());
+    else
+      CHECK(after.front() == before[1]);
+  }
+}
