--- /dev/null
+++ b/src/config_patch.cc
@@ -0,0 +1,214 @@
+#include "config_state.h"
+
+#include "json_reader.h"
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <sstream>
+
+namespace crocusspur::internal {
+namespace {
+
+using Poco::Dynamic::Var;
+using ObjectPtr = Poco::JSON::Object::Ptr;
+using ArrayPtr = Poco::JSON::Array::Ptr;
+
+const char *const InputName = "patch";
+
+ObjectPtr asObject(const Var &Value) {
+  return Value.type() == typeid(ObjectPtr) ? Value.extract<ObjectPtr>()
+                                           : ObjectPtr();
+}
+
+ArrayPtr asArray(const Var &Value) {
+  return Value.type() == typeid(ArrayPtr) ? Value.extract<ArrayPtr>()
+                                          : ArrayPtr();
+}
+
+ObjectPtr parseObject(const std::string &Text) {
+  try {
+    Poco::JSON::Parser parser;
+    return asObject(parser.parse(Text));
+  } catch (const Poco::Exception &) {
+    return {};
+  }
+}
+
+// Returns the name of an array's element, or an empty string.
+std::string nameOf(const ObjectPtr &Element) {
+  Var name = Element ? Element->get("name") : Var();
+  return name.isString() ? name.convert<std::string>() : "";
+}
+
+// MergePatch of RFC 7396 for objects.
+ObjectPtr merged(const ObjectPtr &Target, const ObjectPtr &Changes) {
+  ObjectPtr result = new Poco::JSON::Object;
+  if (Target)
+    *result = *Target;
+  for (const auto &[key, value] : *Changes) {
+    if (value.isEmpty()) {
+      result->remove(key);
+      continue;
+    }
+    ObjectPtr inner = asObject(value);
+    if (inner)
+      result->set(key, merged(asObject(result->get(key)), inner));
+    else
+      result->set(key, value);
+  }
+  return result;
+}
+
+class ArrayMerge {
+public:
+  ArrayMerge(std::string Path, MistakeList &Mistakes)
+      : Path(std::move(Path)), Mistakes(Mistakes) {}
+
+  ArrayPtr apply(const ArrayPtr &Target, const ArrayPtr &Changes) {
+    if (Target)
+      for (const Var &it : *Target)
+        Elements.push_back(asObject(it));
+    for (size_t i = 0; i < Changes->size(); ++i)
+      applyOne(i, Changes->getObject(static_cast<unsigned>(i)));
+    ArrayPtr result = new Poco::JSON::Array;
+    for (const ObjectPtr &it : Elements)
+      result->add(it);
+    return result;
+  }
+
+private:
+  void applyOne(size_t Index, const ObjectPtr &Change) {
+    std::string name = nameOf(Change);
+    if (name.empty())
+      return mistake(Index, "an object with a name");
+    auto it = std::find_if(
+        Elements.begin(), Elements.end(),
+        [&](const ObjectPtr &Element) { return nameOf(Element) == name; });
+    bool found = it != Elements.end();
+    if (Change->has("remove"))
+      return remove(Index, Change, found ? it : Elements.end());
+    if (found)
+      *it = merged(*it, Change);
+    else
+      Elements.push_back(merged(nullptr, Change));
+  }
+
+  void remove(size_t Index, const ObjectPtr &Change,
+              std::vector<ObjectPtr>::iterator It) {
+    Var flag = Change->get("remove");
+    if (!flag.isBoolean() || !flag.convert<bool>())
+      return mistake(Index, "true as the value of remove");
+    if (It == Elements.end())
+      return mistake(Index, "the name of an existing element to remove");
+    Elements.erase(It);
+  }
+
+  void mistake(size_t Index, const char *Expected) {
+    Mistakes.Mistakes.push_back(
+        {InputName, 0, Path + "[" + std::to_string(Index) + "]", Expected});
+  }
+
+  std::string Path;
+  MistakeList &Mistakes;
+  std::vector<ObjectPtr> Elements;
+};
+
+// Moves the arrays that are merged by name out of `Changes` into `Document`.
+void mergeNamedArrays(ObjectPtr &Document, ObjectPtr &Changes,
+                      MistakeList &Mistakes) {
+  for (const char *key : {"groups", "models", "services", "servers"}) {
+    ArrayPtr changes = asArray(Changes->get(key));
+    if (!changes)
+      continue;
+    ArrayMerge merge(std::string("changes.") + key, Mistakes);
+    Document->set(key, merge.apply(asArray(Document->get(key)), changes));
+    Changes->remove(key);
+  }
+}
+
+void refuseHeadFields(const ObjectPtr &Changes, MistakeList &Mistakes) {
+  for (const char *key : {"version", "base", "patch_id"})
+    if (Changes->has(key))
+      Mistakes.Mistakes.push_back({InputName, 0, std::string("changes.") + key,
+                                   "no such field; the router sets it"});
+}
+
+struct Patch {
+  uint64_t Base = 0;
+  std::string Id;
+  ObjectPtr Changes;
+};
+
+Patch parsePatch(const std::string &Text, MistakeList &Mistakes) {
+  Patch patch;
+  JsonReader reader(Text, InputName, Mistakes);
+  patch.Base = reader.number("base");
+  patch.Id = reader.text("patch_id");
+  ObjectPtr root = parseObject(Text);
+  patch.Changes = root ? asObject(root->get("changes")) : ObjectPtr();
+  if (!patch.Changes)
+    reader.mistake("changes", "an object");
+  else
+    refuseHeadFields(patch.Changes, Mistakes);
+  return patch;
+}
+
+std::string resultText(const ConfigDocument &InForce, Patch &Patch,
+                       uint64_t Version, MistakeList &Mistakes) {
+  ObjectPtr document = parseObject(InForce.Text);
+  if (!document)
+    document = new Poco::JSON::Object;
+  mergeNamedArrays(document, Patch.Changes, Mistakes);
+  document = merged(document, Patch.Changes);
+  document->set("version", Version);
+  document->set("base", InForce.Version);
+  document->set("patch_id", Patch.Id);
+  std::ostringstream out;
+  document->stringify(out);
+  return out.str();
+}
+
+ConfigPtr parseResult(const std::string &Text, MistakeList &Mistakes) {
+  ConfigPtr result;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(result, parseConfigDocument(Text));
+        return {};
+      },
+      [&](const MistakeList &Found) { Mistakes = Found; },
+      [&] {
+        Mistakes.Mistakes.push_back(
+            {InputName, 0, "(document)", "a valid configuration"});
+      });
+  return result;
+}
+
+} // namespace
+
+PatchVerdict checkPatch(const ConfigDocument &InForce,
+                        const std::string &PatchText, uint64_t Judged) {
+  PatchVerdict verdict;
+  verdict.CurrentVersion = InForce.Version;
+  MistakeList &mistakes = verdict.Mistakes;
+  Patch patch = parsePatch(PatchText, mistakes);
+  if (!mistakes.Mistakes.empty())
+    return verdict;
+  if (patch.Base != InForce.Version) {
+    verdict.Error = ErrorKind::StaleBase;
+    return verdict;
+  }
+  uint64_t version = std::max(InForce.Version, Judged) + 1;
+  std::string text = resultText(InForce, patch, version, mistakes);
+  if (!mistakes.Mistakes.empty())
+    return verdict;
+  verdict.Result = parseResult(text, mistakes);
+  verdict.Accepted = verdict.Result != nullptr;
+  return verdict;
+}
+
+} // namespace crocusspur::internal
--- a/src/config_state.h
+++ b/src/config_state.h
@@ -28,10 +28,18 @@
   const ConfigPtr &current() const { return Current; }
   // Highest number with a verdict; the next to read is the one after it.
   uint64_t judged() const { return Judged; }
+  // Documents seen that have the number in force but another text. This breaks
+  // the platform's contract; the one with the lower digest stays in force.
+  uint64_t conflicts() const { return Conflicts; }
 
 private:
+  ConfigVerdict putInForce(const ConfigPtr &Document);
+  // `Acceptable`: it would have been accepted in place of the one in force.
+  ConfigVerdict resolveConflict(const ConfigPtr &Document, bool Acceptable);
+
   ConfigPtr Current;
   uint64_t Judged = 0;
+  uint64_t Conflicts = 0;
 };
 
 // What a patch would give, by the rule that judges published documents.
@@ -46,9 +54,11 @@
 // The patch is {"base":N,"patch_id":TEXT,"changes":OBJECT}. `changes` is merged
 // into the document in force as by RFC 7396, except that the arrays groups,
 // models, services and servers are merged by the `name` of their elements, and
-// an element {"name":X,"remove":true} is removed.
+// an element {"name":X,"remove":true} is removed. The result's number is the
+// one after the version in force, or after `Judged` if that is higher because
+// documents after the one in force were refused.
 PatchVerdict checkPatch(const ConfigDocument &InForce,
-                        const std::string &PatchText);
+                        const std::string &PatchText, uint64_t Judged = 0);
 
 } // namespace crocusspur::internal
 
--- a/src/json_reader.cc
+++ b/src/json_reader.cc
@@ -39,9 +39,12 @@
   return Impl->Object->has(Key) && !Impl->Object->isNull(Key);
 }
 
+std::string JsonReader::path(const std::string &Key) const {
+  return Impl->Path + Key;
+}
+
 void JsonReader::mistake(const std::string &Key, const std::string &Expected) {
-  Impl->Mistakes.Mistakes.push_back(
-      {Impl->File, 0, Impl->Path + Key, Expected});
+  Impl->Mistakes.Mistakes.push_back({Impl->File, 0, path(Key), Expected});
 }
 
 std::string JsonReader::text(const std::string &Key) {
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -36,6 +36,9 @@
 
   bool has(const std::string &Key) const;
 
+  // Path of this key in the document, as mistakes name it.
+  std::string path(const std::string &Key) const;
+
   // Notes a mistake at this key.
   void mistake(const std::string &Key, const std::string &Expected);
 
--- /dev/null
+++ b/test/config_state_test.cc
@@ -0,0 +1,152 @@
+#include "config_state.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+ConfigPtr document(uint64_t Version, uint64_t Base, uint64_t Digest = 0) {
+  auto made = std::make_shared<ConfigDocument>();
+  made->Version = Version;
+  made->Base = Base;
+  made->Digest = Digest ? Digest : Version;
+  return made;
+}
+
+ConfigPtr inForce() {
+  ConfigPtr result;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(
+            result,
+            parseConfigDocument(
+                R"({"version":4,"base":3,"groups":[{"name":"a","share":2,)"
+                R"("class":"batch","token_digests":[]},{"name":"b",)"
+                R"("class":"normal","token_digests":[]}],"models":[],)"
+                R"("services":[{"name":"v","servers":["s"]}],"servers":[)"
+                R"({"name":"s","role":"service","address":"10.0.0.1:1"}]})"));
+        return {};
+      },
+      [] {});
+  REQUIRE(result);
+  return result;
+}
+
+} // namespace
+
+// Guards against instances that disagree on which of two racing patches won.
+TEST_CASE("ConfigState puts the same racing patch in force on every instance") {
+  // 6 and 7 race on 5, 8 and 9 race on 6, 10 was written against refused 7.
+  std::vector<ConfigPtr> published = {document(5, 4), document(6, 5),
+                                      document(7, 5), document(8, 6),
+                                      document(9, 6), document(10, 7)};
+  for (unsigned seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    std::vector<ConfigState> instances(4);
+    for (ConfigState &it : instances)
+      it.judgePublished(published[0]);
+    for (int step = 0; step < 60; ++step) {
+      ConfigState &to = instances[random() % 4];
+      uint64_t before = to.current()->Version;
+      if (random() % 2)
+        to.judgePublished(published[random() % published.size()]);
+      else
+        to.adoptFromPeer(instances[random() % 4].current());
+      uint64_t after = to.current()->Version;
+      REQUIRE(after >= before);
+      REQUIRE((after == 5 || after == 6 || after == 8));
+    }
+    // The reader goes on after the last document that was judged.
+    for (ConfigState &it : instances)
+      while (it.judged() < 10)
+        REQUIRE(it.judgePublished(published[it.judged() - 4]) !=
+                ConfigVerdict::Gap);
+    for (ConfigState &it : instances)
+      REQUIRE(it.current()->Version == 8);
+  }
+}
+
+// Guards against a stale service that takes back an accepted version.
+TEST_CASE("ConfigState never returns to an older version") {
+  ConfigState state;
+  CHECK(state.adoptFromPeer(document(9, 8)) == ConfigVerdict::InForce);
+  CHECK(state.judgePublished(document(8, 7)) == ConfigVerdict::Old);
+  CHECK(state.adoptFromPeer(document(8, 7)) == ConfigVerdict::Old);
+  CHECK(state.judgePublished(document(11, 9)) == ConfigVerdict::Gap);
+  CHECK(state.judgePublished(document(10, 8)) == ConfigVerdict::Refused);
+  CHECK(state.judged() == 10);
+  CHECK(state.judgePublished(document(11, 9)) == ConfigVerdict::InForce);
+}
+
+// Guards against a lasting split if the platform reuses a number.
+TEST_CASE("ConfigState settles two documents of one number by digest") {
+  ConfigPtr low = document(5, 4, 100), high = document(5, 4, 200);
+  ConfigState first, second;
+  first.judgePublished(low);
+  second.judgePublished(high);
+  CHECK(first.adoptFromPeer(high) == ConfigVerdict::Old);
+  CHECK(second.adoptFromPeer(low) == ConfigVerdict::InForce);
+  CHECK(first.current()->Digest == 100);
+  CHECK(second.current()->Digest == 100);
+  CHECK(first.conflicts() == 1);
+  CHECK(second.conflicts() == 1);
+  CHECK(second.adoptFromPeer(low) == ConfigVerdict::Old);
+  CHECK(second.conflicts() == 1);
+}
+
+// Guards against patches that drop what they don't name.
+TEST_CASE("CheckPatch merges named elements and keeps the rest") {
+  PatchVerdict verdict = checkPatch(
+      *inForce(),
+      R"({"base":4,"patch_id":"p","changes":{"membership_epoch":2,"groups":[)"
+      R"({"name":"a","share":5},{"name":"b","remove":true},)"
+      R"({"name":"c","class":"interactive","token_digests":[]}]}})",
+      6);
+  REQUIRE(verdict.Accepted);
+  const ConfigDocument &result = *verdict.Result;
+  CHECK(result.Version == 7);
+  CHECK(result.Base == 4);
+  CHECK(result.PatchId == "p");
+  CHECK(result.MembershipEpoch == 2);
+  REQUIRE(result.Groups.size() == 2);
+  CHECK(result.findGroup("a")->Share == 5);
+  CHECK(std::string(toString(result.findGroup("a")->Class)) == "batch");
+  CHECK(result.findGroup("c"));
+  CHECK(result.Services.size() == 1);
+}
+
+// Guards against publishing a patch that every instance would refuse.
+TEST_CASE("CheckPatch refuses stale bases and invalid results") {
+  auto check = [](const std::string &Text) {
+    return checkPatch(*inForce(), Text);
+  };
+  PatchVerdict stale = check(R"({"base":3,"patch_id":"p","changes":{}})");
+  CHECK_FALSE(stale.Accepted);
+  CHECK(stale.Error == ErrorKind::StaleBase);
+  CHECK(stale.CurrentVersion == 4);
+  PatchVerdict dangling =
+      check(R"({"base":4,"patch_id":"p","changes":{"servers":[)"
+            R"({"name":"s","remove":true}]}})");
+  CHECK(dangling.Error == ErrorKind::BadPatch);
+  REQUIRE(dangling.Mistakes.Mistakes.size() == 1);
+  CHECK(dangling.Mistakes.Mistakes[0].Key == "services[0].servers[0]");
+  for (const char *bad :
+       {R"({"base":4,"patch_id":"p","changes":[]})", R"({"base":4})", "x",
+        R"({"base":4,"patch_id":"p","changes":{"version":9}})",
+        R"({"base":4,"patch_id":"p","changes":{"groups":[{"share":1}]}})",
+        R"({"base":4,"patch_id":"p","changes":{"groups":[{"name":null}]}})",
+        R"({"base":4,"patch_id":"p","changes":{"groups":null}})",
+        R"({"base":4,"patch_id":"p","changes":{"groups":)"
+        R"([{"name":"z","remove":true}]}})"}) {
+    PatchVerdict verdict = check(bad);
+    CHECK_FALSE(verdict.Accepted);
+    CHECK(verdict.Error == ErrorKind::BadPatch);
+    CHECK_FALSE(verdict.Mistakes.Mistakes.empty());
+  }
+}
