Add the crash guard

Cause: crash_guard.h had no implementation.

Change: each crash of a server's run is a record with the fingerprints that ran on it, as a set that only grows, so instances agree in whatever order reports arrive. A request is refused if it is the only one in a record and ran alone; a later report of another request takes that back. CrashReport has a new field RanAlone, and CrashGuard::onEnded a new argument Completed: a cancelled or refused run must not clear a suspect. Only runs whose connection broke near a reported crash count. Tables are bounded and records expire after ten minutes.

Conclusion: a second crash refuses only a request that ran alone; requests that ran beside others are suspects at most.

--- a/include/crocusspur/peer_message.h
+++ b/include/crocusspur/peer_message.h
@@ -217,6 +217,8 @@
   std::string Server;
   uint64_t ServerEpoch = 0; // identifies the server's run, to count it once
   std::vector<uint64_t> Fingerprints;
+  // Those of the above that ran alone because they were suspected before.
+  std::vector<uint64_t> RanAlone;
 };
 
 // The sender stops; what it owned moves to the next in rank at once.
--- /dev/null
+++ b/src/crash_guard.cc
@@ -0,0 +1,303 @@
+#include "crash_guard.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <set>
+#include <sstream>
+#include <unordered_map>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr std::chrono::minutes Expiry{10};
+
+// Reports of several crashes of one server that arrive within this time may
+// have been delayed, and a server does not restart and crash again so fast. A
+// broken run then counts for all of them: this can only prevent a refusal.
+constexpr Milliseconds Batch{500};
+
+// Bounds of the tables; the oldest entries make room.
+constexpr size_t MaxCrashes = 1024;
+constexpr size_t MaxFingerprints = 4096; // of one crash
+constexpr size_t MaxBroken = 4096;
+constexpr size_t MaxRunning = 65536;
+constexpr size_t MaxCleared = 4096;
+
+struct Run {
+  std::string Server;
+  uint64_t Fingerprint = 0;
+  bool Alone = false;
+  TimePoint Started;
+};
+
+// A run whose connection broke, and until when a crash can explain it.
+struct BrokenRun {
+  Run What;
+  TimePoint Until;
+};
+
+// One crash of one run of a server. The sets only grow, so instances that got
+// the same reports in any order reach the same verdict.
+struct Crash {
+  std::string Server;
+  uint64_t Epoch = 0;
+  TimePoint FirstSeen;
+  std::set<uint64_t> Fingerprints;
+  std::set<uint64_t> RanAlone;
+
+  // The request that ran alone and is therefore the cause, or 0.
+  uint64_t cause() const {
+    return Fingerprints.size() == 1 && RanAlone == Fingerprints
+               ? *Fingerprints.begin()
+               : 0;
+  }
+};
+
+struct Suspicion {
+  TimePoint SuspectUntil;
+  TimePoint RefuseUntil;
+};
+
+} // namespace
+
+struct CrashGuard::State {
+  TimePoint Now; // of the latest event that carried a time
+  std::unordered_map<RequestId, Run> Running;
+  std::deque<BrokenRun> Broken;
+  std::list<Crash> Crashes; // oldest first
+  std::unordered_map<uint64_t, TimePoint> Cleared;
+  std::unordered_map<uint64_t, Suspicion> Suspects; // derived from the above
+
+  Crash *findCrash(const std::string &Server, uint64_t Epoch);
+  Crash &addCrash(const std::string &Server, uint64_t Epoch);
+  std::vector<Crash *> crashesOf(const Run &Item, Milliseconds Window);
+  std::vector<Run> brokenAt(const std::string &Server);
+  void count(CoreContext &Context, Crash &Item, std::vector<Run> Runs);
+  void clear(uint64_t Fingerprint);
+  void rebuild();
+  void expire();
+};
+
+namespace {
+
+// A connection to a dead machine breaks at the progress time-out at the latest,
+// before or after the report of the crash. Twice that covers both orders.
+Milliseconds windowOf(const CoreContext &Context) {
+  return 2 * Context.Options.ProgressTimeout;
+}
+
+void tellPeers(CoreContext &Context, const CrashReport &Report) {
+  for (const InstanceEntry &it : Context.List.Instances)
+    if (it.Name != Context.Options.Instance)
+      Context.send(it.Name, Report);
+}
+
+CrashReport reportOf(const Crash &Item, const std::vector<Run> &Runs) {
+  CrashReport report{Item.Server, Item.Epoch, {}, {}};
+  for (const Run &it : Runs) {
+    report.Fingerprints.push_back(it.Fingerprint);
+    if (it.Alone)
+      report.RanAlone.push_back(it.Fingerprint);
+  }
+  return report;
+}
+
+void merge(Crash &Item, const CrashReport &Report) {
+  for (uint64_t it : Report.Fingerprints)
+    if (Item.Fingerprints.size() < MaxFingerprints)
+      Item.Fingerprints.insert(it);
+  for (uint64_t it : Report.RanAlone)
+    if (Item.Fingerprints.count(it))
+      Item.RanAlone.insert(it);
+}
+
+} // namespace
+
+Crash *CrashGuard::State::findCrash(const std::string &Server, uint64_t Epoch) {
+  for (Crash &it : Crashes)
+    if (it.Server == Server && it.Epoch == Epoch)
+      return &it;
+  return nullptr;
+}
+
+Crash &CrashGuard::State::addCrash(const std::string &Server, uint64_t Epoch) {
+  if (Crashes.size() >= MaxCrashes)
+    Crashes.pop_front();
+  Crashes.push_back({Server, Epoch, Now, {}, {}});
+  return Crashes.back();
+}
+
+// The newest known crash that can have broken this run, with those that came
+// together with it.
+std::vector<Crash *> CrashGuard::State::crashesOf(const Run &Item,
+                                                  Milliseconds Window) {
+  std::vector<Crash *> found;
+  for (auto it = Crashes.rbegin(); it != Crashes.rend(); ++it) {
+    bool possible = it->Server == Item.Server && Item.Started < it->FirstSeen &&
+                    it->FirstSeen + Window >= Now;
+    if (possible &&
+        (found.empty() || it->FirstSeen + Batch >= found.front()->FirstSeen))
+      found.push_back(&*it);
+  }
+  return found;
+}
+
+std::vector<Run> CrashGuard::State::brokenAt(const std::string &Server) {
+  std::vector<Run> runs;
+  for (BrokenRun &it : Broken) {
+    if (it.What.Server != Server || it.Until < Now)
+      continue;
+    runs.push_back(it.What);
+    it.Until = std::min(it.Until, Now + Batch);
+  }
+  return runs;
+}
+
+// Adds those runs that the crash doesn't have yet and tells the peers of them.
+void CrashGuard::State::count(CoreContext &Context, Crash &Item,
+                              std::vector<Run> Runs) {
+  std::erase_if(Runs, [&](const Run &It) {
+    return Item.Fingerprints.count(It.Fingerprint) &&
+           (!It.Alone || Item.RanAlone.count(It.Fingerprint));
+  });
+  CrashReport report = reportOf(Item, Runs);
+  merge(Item, report);
+  rebuild();
+  if (!Runs.empty())
+    tellPeers(Context, report);
+}
+
+void CrashGuard::State::clear(uint64_t Fingerprint) {
+  auto it = Suspects.find(Fingerprint);
+  if (it == Suspects.end() || Cleared.size() >= MaxCleared)
+    return;
+  Cleared[Fingerprint] = Now;
+  rebuild();
+}
+
+void CrashGuard::State::rebuild() {
+  Suspects.clear();
+  for (const Crash &it : Crashes) {
+    for (uint64_t fingerprint : it.Fingerprints) {
+      auto cleared = Cleared.find(fingerprint);
+      if (cleared == Cleared.end() || cleared->second < it.FirstSeen)
+        Suspects[fingerprint].SuspectUntil = it.FirstSeen + Expiry;
+    }
+    if (uint64_t cause = it.cause())
+      Suspects[cause].RefuseUntil = it.FirstSeen + Expiry;
+  }
+}
+
+void CrashGuard::State::expire() {
+  std::erase_if(Broken, [&](const BrokenRun &It) { return It.Until < Now; });
+  std::erase_if(Cleared,
+                [&](const auto &Item) { return Item.second + Expiry < Now; });
+  bool changed = false;
+  while (!Crashes.empty() && Crashes.front().FirstSeen + Expiry < Now) {
+    Crashes.pop_front();
+    changed = true;
+  }
+  if (changed)
+    rebuild();
+}
+
+CrashGuard::CrashGuard() : Impl(std::make_unique<State>()) {}
+
+CrashGuard::~CrashGuard() = default;
+
+CrashAdvice CrashGuard::advise(TimePoint Now, uint64_t Fingerprint) const {
+  auto it = Impl->Suspects.find(Fingerprint);
+  if (it == Impl->Suspects.end())
+    return CrashAdvice::Run;
+  if (Now < it->second.RefuseUntil)
+    return CrashAdvice::Refuse;
+  return Now < it->second.SuspectUntil ? CrashAdvice::RunAlone
+                                       : CrashAdvice::Run;
+}
+
+void CrashGuard::onStarted(const RequestId &Id, const std::string &Server,
+                           uint64_t Fingerprint, bool Alone) {
+  if (Impl->Running.size() < MaxRunning || Impl->Running.count(Id))
+    Impl->Running[Id] = {Server, Fingerprint, Alone, Impl->Now};
+}
+
+void CrashGuard::onEnded(CoreContext &Context, const RequestId &Id, bool Broken,
+                         bool Completed) {
+  Impl->Now = Context.Now;
+  auto node = Impl->Running.extract(Id);
+  if (node.empty())
+    return;
+  Run &run = node.mapped();
+  if (!Broken) {
+    if (run.Alone && Completed)
+      Impl->clear(run.Fingerprint);
+    return;
+  }
+  std::vector<Crash *> crashes = Impl->crashesOf(run, windowOf(Context));
+  for (Crash *it : crashes)
+    Impl->count(Context, *it, {run});
+  if (Impl->Broken.size() >= MaxBroken)
+    Impl->Broken.pop_front();
+  Milliseconds wait = crashes.empty() ? windowOf(Context) : Batch;
+  Impl->Broken.push_back({std::move(run), Context.Now + wait});
+}
+
+void CrashGuard::onServerCrashed(CoreContext &Context,
+                                 const std::string &Server, uint64_t Epoch) {
+  Impl->Now = Context.Now;
+  if (Impl->findCrash(Server, Epoch))
+    return;
+  Crash &crash = Impl->addCrash(Server, Epoch);
+  std::vector<Run> runs = Impl->brokenAt(Server);
+  if (runs.empty())
+    tellPeers(Context, reportOf(crash, runs));
+  Impl->count(Context, crash, std::move(runs));
+  Note entry;
+  entry.Kind = NoteKind::ServerCrashed;
+  entry.Subject = Server;
+  entry.Value = static_cast<double>(crash.Fingerprints.size());
+  Context.note(std::move(entry));
+}
+
+void CrashGuard::onReport(CoreContext &Context, const std::string &,
+                          const CrashReport &Message) {
+  Impl->Now = Context.Now;
+  Crash *crash = Impl->findCrash(Message.Server, Message.ServerEpoch);
+  if (!crash)
+    crash = &Impl->addCrash(Message.Server, Message.ServerEpoch);
+  merge(*crash, Message);
+  Impl->count(Context, *crash, Impl->brokenAt(Message.Server));
+}
+
+void CrashGuard::onTimer(CoreContext &Context) {
+  Impl->Now = Context.Now;
+  Impl->expire();
+}
+
+std::string CrashGuard::dump(TimePoint Now) const {
+  using Seconds = std::chrono::seconds;
+  Poco::JSON::Array crashes;
+  for (const Crash &it : Impl->Crashes) {
+    Poco::JSON::Object item;
+    auto age = std::chrono::duration_cast<Seconds>(Now - it.FirstSeen);
+    item.set("server", it.Server);
+    item.set("epoch", it.Epoch);
+    item.set("age_s", static_cast<int64_t>(age.count()));
+    item.set("requests", it.Fingerprints.size());
+    item.set("cause_known", it.cause() != 0);
+    crashes.add(item);
+  }
+  Poco::JSON::Object root;
+  root.set("running", Impl->Running.size());
+  root.set("suspects", Impl->Suspects.size());
+  root.set("crashes", crashes);
+  std::ostringstream out;
+  root.stringify(out);
+  return out.str();
+}
+
+} // namespace crocusspur::internal
--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -1,6 +1,8 @@
 // Recognises requests that crash backend servers. A request that ran on a
 // server when it crashed is a suspect and runs alone; one that crashes a
-// server while it runs alone is refused from then on, at every instance.
+// server while it runs alone is refused from then on, at every instance. If
+// another request turns out to have run on that server in that crash, neither
+// is refused. Crashes are forgotten after ten minutes.
 #ifndef CROCUSSPUR_CRASH_GUARD_H
 #define CROCUSSPUR_CRASH_GUARD_H
 
@@ -25,10 +27,14 @@
                  uint64_t Fingerprint, bool Alone);
   // `Broken`: the connection broke or the server stopped answering, which
   // counts as a crash only once a crash of that server is reported.
-  void onEnded(CoreContext &Context, const RequestId &Id, bool Broken);
+  // `Completed`: the server finished the work. Only this clears a suspect that
+  // ran alone; a cancelled or refused run says nothing about it.
+  void onEnded(CoreContext &Context, const RequestId &Id, bool Broken,
+               bool Completed = true);
 
   // This instance polls the server and saw it crash (unreachable after it
-  // had answered, or a new epoch). Tells every peer.
+  // had answered, or a new epoch). `Epoch` is that of the run that crashed,
+  // so that both signs of one crash count once. Tells every peer.
   void onServerCrashed(CoreContext &Context, const std::string &Server,
                        uint64_t Epoch);
   // A peer saw a crash, or names fingerprints that ran there. Adds the own
