Add key homes: tickets, key records and the confirmation of lists

Cause: key_home.h had no implementation.

Two rules go beyond section 7, because its rules allow two active lists: - A confirmer names every list that it confirmed since the last one that it saw active, not only the last one. Otherwise a list that never became active hides the active one before it. - An instance that has just started confirms only a list that others make active, or, with all instances of a list, a first list. Otherwise restarts give an abandoned list its majority back. An instance stays home of a key through a list change if a majority went straight from the old list to the new one. Heartbeat has the new fields EarlierDigests, FirstDigest, ListChanges, Number and Echo; KeyAnswer has Fingerprint; fillHeartbeat takes the receiver.

--- a/include/crocusspur/decision_core.h
+++ b/include/crocusspur/decision_core.h
@@ -61,7 +61,7 @@
   std::string dumpState(TimePoint Now) const;
 
   // Makes a ticket: an idempotency key that only this incarnation of this
-  // instance executes. `Nonce` must be unique within the incarnation.
+  // instance executes. `Nonce` must rise within the incarnation.
   std::string makeTicket(uint64_t Nonce) const;
 
 private:
--- a/include/crocusspur/peer_message.h
+++ b/include/crocusspur/peer_message.h
@@ -23,9 +23,20 @@
 struct Heartbeat {
   uint64_t ConfigVersion = 0;
   uint64_t ConfigDigest = 0;
-  uint64_t ListSequence = 0;   // newest list seen
-  uint64_t ListDigest = 0;     // list that the sender confirms; 0 = none
-  uint64_t PreviousDigest = 0; // list that it confirmed before that; 0 = none
+  uint64_t ListSequence = 0; // newest list seen
+  uint64_t ListDigest = 0;   // list that the sender confirms; 0 = none
+  // Lists that it confirmed before that one, as far back as one of them may
+  // still be active: the last one, and those before it. 0 and empty once the
+  // sender has seen ListDigest active.
+  uint64_t PreviousDigest = 0;
+  std::vector<uint64_t> EarlierDigests;
+  uint64_t FirstDigest = 0; // list that it offers to confirm as the first one
+                            // since its start; 0 = has confirmed an active one
+  uint64_t ListChanges = 0; // lists that it has confirmed since its start
+  // Numbers of heartbeats, to bound the age of what they say: `Echo` is the
+  // highest Number that the sender has received from the receiver.
+  uint64_t Number = 0;
+  uint64_t Echo = 0;
   uint64_t MembershipEpoch = 0;
   bool Draining = false;
   bool ReadsPlatform = false;
@@ -191,6 +202,7 @@
   RequestId Id;
   std::string Key;
   KeyStatus Status = KeyStatus::Unknown;
+  uint64_t Fingerprint = 0; // Done: of the request that was executed
   uint32_t HttpStatus = 0;
   std::string ContentType;
   std::string Body;
--- a/src/key_home.h
+++ b/src/key_home.h
@@ -42,7 +42,9 @@
                     const RequestSpec &Spec, bool Forwarded);
 
   // The moment after which no first byte of a request with this key may be
-  // sent; in the past if there is no home lease now. Tickets have no limit.
+  // sent. In the past if there is no home lease now, if no admitted request
+  // has this key, or if another instance may have been its home since the
+  // admission. Tickets have no limit.
   TimePoint dispatchLimit(const CoreContext &Context,
                           const std::string &Key) const;
 
@@ -63,14 +65,18 @@
   void onKeyAnswer(CoreContext &Context, const std::string &From,
                    const KeyAnswer &Message);
 
-  // Confirmation of lists. fillHeartbeat sets ListDigest, PreviousDigest and
-  // MembershipEpoch; onHeartbeat takes those of a peer.
-  void fillHeartbeat(CoreContext &Context, Heartbeat &Message);
+  // Confirmation of lists. fillHeartbeat sets the fields of lists, numbers and
+  // MembershipEpoch, and is called once for each heartbeat, as the numbers
+  // differ by receiver; onHeartbeat takes those of a peer.
+  void fillHeartbeat(CoreContext &Context, const std::string &To,
+                     Heartbeat &Message);
   void onHeartbeat(CoreContext &Context, const std::string &From,
                    uint64_t Incarnation, const Heartbeat &Message);
   void onListChanged(CoreContext &Context);
   void onTimer(CoreContext &Context);
 
+  // Nonces must rise: once a used ticket is forgotten, an unused one with a
+  // lower nonce is answered as unknown.
   std::string makeTicket(uint64_t Nonce) const;
   std::string dump(TimePoint Now) const;
 
--- /dev/null
+++ b/src/key_records.cc
@@ -0,0 +1,117 @@
+#include "key_records.h"
+
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+// Bound of all remembered bodies. Beyond it an outcome is remembered without
+// its body: a repeat is then told that the request ran, and is not run again.
+constexpr size_t MaxBodyBytes = size_t(64) << 20;
+
+} // namespace
+
+const KeyRecord *KeyRecords::find(const std::string &Group,
+                                  const std::string &Key) const {
+  auto it = Records.find(nameOf(Group, Key));
+  return it == Records.end() ? nullptr : &it->second;
+}
+
+void KeyRecords::touch(TimePoint Now, const std::string &Group,
+                       const std::string &Key) {
+  auto it = Records.find(nameOf(Group, Key));
+  if (it == Records.end() || it->second.open())
+    return;
+  it->second.LastUse = Now;
+  ByUse.splice(ByUse.end(), ByUse, it->second.ByUse);
+}
+
+bool KeyRecords::open(TimePoint Now, const std::string &Group,
+                      const std::string &Key, const RequestId &Id,
+                      uint64_t Fingerprint) {
+  if (full())
+    return false;
+  std::string name = nameOf(Group, Key);
+  KeyRecord record;
+  record.Fingerprint = Fingerprint;
+  record.Id = Id;
+  record.AdmittedAt = record.LastUse = Now;
+  if (!Records.emplace(name, std::move(record)).second)
+    return false;
+  NameOfId[Id] = std::move(name);
+  return true;
+}
+
+KeyRecord *KeyRecords::byId(const RequestId &Id) {
+  auto it = NameOfId.find(Id);
+  return it == NameOfId.end() ? nullptr : &Records.at(it->second);
+}
+
+void KeyRecords::dispatched(const RequestId &Id) {
+  if (KeyRecord *record = byId(Id))
+    record->State = KeyState::Dispatched;
+}
+
+void KeyRecords::notRun(const RequestId &Id) {
+  auto it = NameOfId.find(Id);
+  if (it == NameOfId.end())
+    return;
+  Records.erase(it->second);
+  NameOfId.erase(it);
+}
+
+void KeyRecords::done(TimePoint Now, const RequestId &Id, KeyOutcome Outcome) {
+  if (KeyRecord *record = byId(Id))
+    setOutcome(*record, std::move(Outcome));
+  close(Now, Id, KeyState::Done);
+}
+
+void KeyRecords::unknown(TimePoint Now, const RequestId &Id) {
+  close(Now, Id, KeyState::Unknown);
+}
+
+void KeyRecords::close(TimePoint Now, const RequestId &Id, KeyState State) {
+  KeyRecord *record = byId(Id);
+  if (!record)
+    return;
+  record->State = State;
+  record->LastUse = Now;
+  record->ByUse = ByUse.insert(ByUse.end(), NameOfId.at(Id));
+  NameOfId.erase(Id);
+}
+
+void KeyRecords::setOutcome(KeyRecord &Record, KeyOutcome Outcome) {
+  Record.HasBody = Outcome.Body.size() <= MaxBody &&
+                   BodyBytes + Outcome.Body.size() <= MaxBodyBytes;
+  Record.Outcome.HttpStatus = Outcome.HttpStatus;
+  if (!Record.HasBody)
+    return;
+  BodyBytes += Outcome.Body.size();
+  Record.Outcome = std::move(Outcome);
+}
+
+void KeyRecords::adopt(TimePoint Now, const std::string &Group,
+                       const std::string &Key, uint64_t Fingerprint,
+                       KeyOutcome Outcome) {
+  if (full())
+    return;
+  std::string name = nameOf(Group, Key);
+  auto [it, added] = Records.emplace(name, KeyRecord());
+  if (!added)
+    return;
+  KeyRecord &record = it->second;
+  record.State = KeyState::Done;
+  record.Fingerprint = Fingerprint;
+  record.LastUse = Now;
+  setOutcome(record, std::move(Outcome));
+  record.ByUse = ByUse.insert(ByUse.end(), std::move(name));
+}
+
+void KeyRecords::erase(const std::string &Name) {
+  auto it = Records.find(Name);
+  BodyBytes -= it->second.Outcome.Body.size();
+  ByUse.erase(it->second.ByUse);
+  Records.erase(it);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/list_confirmation.cc
@@ -0,0 +1,362 @@
+#include "list_confirmation.h"
+
+#include <Poco/JSON/Object.h>
+#include <algorithm>
+#include <sstream>
+#include <utility>
+#include <xxhash.h>
+
+namespace crocusspur::internal {
+namespace {
+
+// Silence after which a peer counts as unreachable (section 4).
+constexpr Milliseconds PeerSilence{1500};
+
+constexpr size_t MaxKnownLists = 32;
+constexpr size_t MaxPeriods = 64;
+constexpr size_t MaxSent = 64;
+
+// An instance that has to name more lists starts anew instead: forgetting is
+// safe, and this bounds the heartbeat.
+constexpr size_t MaxPrevious = 8;
+
+template <typename Names>
+size_t countMembers(const MemberList &List, const Names &Of) {
+  return static_cast<size_t>(std::count_if(
+      List.Members.begin(), List.Members.end(),
+      [&](const InstanceEntry &It) { return Of.count(It.Name); }));
+}
+
+} // namespace
+
+bool MemberList::contains(const std::string &Name) const {
+  return std::any_of(Members.begin(), Members.end(),
+                     [&](const InstanceEntry &It) { return It.Name == Name; });
+}
+
+ListConfirmation::ListConfirmation(const CoreOptions &Options)
+    : Options(Options) {}
+
+ListConfirmation::Peer &ListConfirmation::peer(const std::string &Name) {
+  auto [it, added] = Peers.try_emplace(Name);
+  // Numbers of different runs must not be mistaken for each other.
+  if (added)
+    it->second.NextNumber =
+        XXH64(Name.data(), Name.size(), Options.Incarnation);
+  return it->second;
+}
+
+bool ListConfirmation::reachable(const std::string &Instance,
+                                 TimePoint At) const {
+  auto it = Peers.find(Instance);
+  return it != Peers.end() && it->second.Heard &&
+         it->second.LastHeard + PeerSilence >= At;
+}
+
+void ListConfirmation::learnList(const InstanceList &List) {
+  if (List.Instances.empty() || (Newest && Newest->Digest == List.Digest))
+    return;
+  auto made = std::make_shared<MemberList>();
+  made->Digest = List.Digest;
+  for (const InstanceEntry &it : List.Instances)
+    if (it.State == MemberState::Live)
+      made->Members.push_back(it);
+  Newest = made;
+  std::erase_if(Known, [&](const MemberListPtr &It) {
+    return It->Digest == made->Digest;
+  });
+  Known.push_back(made);
+  if (Known.size() > MaxKnownLists)
+    Known.pop_front();
+  std::erase_if(Peers, [&](const auto &Item) {
+    return !List.findInstance(Item.first) &&
+           Item.second.LastHeard + 2 * Options.LeasePeriod < Now;
+  });
+}
+
+MemberListPtr ListConfirmation::findKnown(uint64_t Digest) const {
+  for (const MemberListPtr &it : Known)
+    if (it->Digest == Digest)
+      return it;
+  return Confirmed && Confirmed->Digest == Digest ? Confirmed : nullptr;
+}
+
+void ListConfirmation::startAnew(TimePoint Silence) {
+  SilentUntil = Silence;
+  Confirmed = nullptr;
+  Confirming = First = SeenActive = false;
+  Previous.clear();
+  Periods.clear();
+  ActiveUntil = TimePoint();
+}
+
+void ListConfirmation::advance(CoreContext &Context) {
+  Now = Context.Now;
+  if (!Started)
+    startAnew(Now + Options.LeasePeriod);
+  Started = true;
+  learnList(Context.List);
+  if (Context.Config.MembershipEpoch > Epoch) {
+    Epoch = Context.Config.MembershipEpoch;
+    startAnew(Now + Options.LeasePeriod);
+  }
+  if (!Newest)
+    return;
+  if (isFresh())
+    beginFirst(Now);
+  else
+    followNewest(Now);
+  noteActivity(Context);
+}
+
+void ListConfirmation::beginFirst(TimePoint At) {
+  if (At < SilentUntil)
+    return;
+  if (activeEnd(*Newest) > At) {
+    confirm(Newest, At);
+    SeenActive = true;
+  } else if (allOffer(*Newest, At)) {
+    confirm(Newest, At);
+    First = true;
+  }
+}
+
+void ListConfirmation::confirm(const MemberListPtr &List, TimePoint At) {
+  Confirmed = List;
+  Confirming = true;
+  SeenActive = First = false;
+  ++Changes;
+  LastConfirmed = At;
+}
+
+// Whether the statement is that of an instance that has confirmed an active
+// list, and may be part of one now.
+bool ListConfirmation::isOldHand(const Statement &Said, TimePoint At) const {
+  return Said.ValidUntil > At && Said.Epoch >= Epoch && Said.Digest != 0 &&
+         Said.First == 0;
+}
+
+bool ListConfirmation::allOffer(const MemberList &List, TimePoint At) const {
+  if (!List.contains(Options.Instance))
+    return false;
+  for (const auto &[name, peer] : Peers)
+    if (isOldHand(peer.Said, At))
+      return false;
+  return std::all_of(List.Members.begin(), List.Members.end(),
+                     [&](const InstanceEntry &It) {
+                       if (It.Name == Options.Instance)
+                         return true;
+                       auto peer = Peers.find(It.Name);
+                       if (peer == Peers.end())
+                         return false;
+                       const Statement &said = peer->second.Said;
+                       return said.ValidUntil > At && said.Epoch == Epoch &&
+                              said.First == List.Digest;
+                     });
+}
+
+void ListConfirmation::followNewest(TimePoint At) {
+  Confirming = Newest->Digest == Confirmed->Digest;
+  if (Confirming)
+    LastConfirmed = At;
+  else if (At >= LastConfirmed + Options.LeasePeriod)
+    changeList(At);
+}
+
+void ListConfirmation::changeList(TimePoint At) {
+  if (First)
+    return startAnew(At);
+  if (SeenActive)
+    Previous.clear();
+  Previous.insert(Previous.begin(), Confirmed->Digest);
+  std::erase(Previous, Newest->Digest);
+  if (Previous.size() > MaxPrevious)
+    return startAnew(At);
+  confirm(Newest, At);
+}
+
+ListConfirmation::Statement ListConfirmation::own() const {
+  Statement said;
+  said.Incarnation = Options.Incarnation;
+  said.Digest = Confirmed ? Confirmed->Digest : 0;
+  said.Epoch = Epoch;
+  said.Changes = Changes;
+  said.Previous = Previous;
+  said.ValidUntil =
+      Confirmed ? LastConfirmed + Options.LeasePeriod : TimePoint();
+  return said;
+}
+
+std::map<std::string, ListConfirmation::Statement>
+ListConfirmation::confirmers(uint64_t Digest) const {
+  std::map<std::string, Statement> found;
+  for (const auto &[name, peer] : Peers)
+    if (peer.Said.Digest == Digest && peer.Said.Epoch == Epoch &&
+        peer.Said.ValidUntil > Now)
+      found.emplace(name, peer.Said);
+  Statement self = own();
+  if (self.Digest == Digest && self.ValidUntil > Now)
+    found[Options.Instance] = self;
+  return found;
+}
+
+bool ListConfirmation::supported(const Set &Names,
+                                 const Statement &Said) const {
+  return std::all_of(
+      Said.Previous.begin(), Said.Previous.end(), [&](uint64_t Digest) {
+        MemberListPtr list = findKnown(Digest);
+        return list && countMembers(*list, Names) >= list->majority();
+      });
+}
+
+// Whether a set of confirmers, valid until `At`, makes the list active: finds
+// the largest set in which every named list has its majority.
+bool ListConfirmation::holds(const MemberList &List,
+                             const std::map<std::string, Statement> &All,
+                             TimePoint At) const {
+  Set names;
+  for (const auto &[name, said] : All)
+    if (said.ValidUntil >= At)
+      names.insert(name);
+  for (bool changed = true; changed;) {
+    size_t before = names.size();
+    std::erase_if(names, [&](const std::string &It) {
+      return !supported(names, All.at(It));
+    });
+    changed = names.size() != before;
+  }
+  return countMembers(List, names) >= List.majority();
+}
+
+TimePoint ListConfirmation::activeEnd(const MemberList &List) const {
+  std::map<std::string, Statement> all = confirmers(List.Digest);
+  if (countMembers(List, all) < List.majority())
+    return TimePoint();
+  std::vector<TimePoint> ends;
+  for (const auto &[name, said] : all)
+    ends.push_back(said.ValidUntil);
+  std::sort(ends.begin(), ends.end(), std::greater<>());
+  for (size_t i = List.majority() - 1; i < ends.size(); ++i)
+    if (holds(List, all, ends[i]))
+      return ends[i];
+  return TimePoint();
+}
+
+void ListConfirmation::noteActivity(CoreContext &Context) {
+  TimePoint end = Confirmed ? activeEnd(*Confirmed) : TimePoint();
+  bool unbroken = ActiveUntil >= Now && !Periods.empty() && Confirmed &&
+                  Periods.back().List->Digest == Confirmed->Digest;
+  ActiveUntil = end;
+  if (end <= Now)
+    return;
+  SeenActive = true;
+  First = false;
+  Previous.clear();
+  if (!unbroken) {
+    bool continuous = continuousWithLast();
+    bool same =
+        !Periods.empty() && Periods.back().List->Digest == Confirmed->Digest;
+    if (!(same && continuous))
+      Periods.push_back({Confirmed, Now, Context.Wall, continuous, {}});
+    if (Periods.size() > MaxPeriods) {
+      Periods.pop_front();
+      Periods.front().Continuous = false;
+    }
+  }
+  for (const auto &[name, said] : confirmers(Confirmed->Digest))
+    Periods.back().Stays[name] = {said.Incarnation, said.Changes};
+}
+
+// Another list can have been active since the last period only if a majority
+// of that period's list confirmed it. This is excluded if a majority stayed
+// with the list or went from it straight to the present one.
+bool ListConfirmation::continuousWithLast() const {
+  if (Periods.empty())
+    return false;
+  const ActivePeriod &last = Periods.back();
+  auto stays =
+      std::count_if(last.List->Members.begin(), last.List->Members.end(),
+                    [&](const InstanceEntry &It) {
+                      auto stay = last.Stays.find(It.Name);
+                      return stay != last.Stays.end() &&
+                             stayed(It.Name, stay->second, last.List->Digest);
+                    });
+  return static_cast<size_t>(stays) >= last.List->majority();
+}
+
+bool ListConfirmation::stayed(const std::string &Name,
+                              const ActivePeriod::Stay &Stay,
+                              uint64_t LastDigest) const {
+  auto all = confirmers(Confirmed->Digest);
+  auto it = all.find(Name);
+  if (it == all.end() || it->second.Incarnation != Stay.Incarnation)
+    return false;
+  uint64_t expected = Stay.Changes + (Confirmed->Digest == LastDigest ? 0 : 1);
+  return it->second.Changes == expected;
+}
+
+void ListConfirmation::fill(CoreContext &Context, const std::string &To,
+                            Heartbeat &Message) {
+  advance(Context);
+  Peer &to = peer(To);
+  Message.Number = ++to.NextNumber;
+  Message.Echo = to.LastNumber;
+  to.Sent.emplace_back(Message.Number, Now);
+  if (to.Sent.size() > MaxSent)
+    to.Sent.pop_front();
+  Message.MembershipEpoch = Epoch;
+  Message.ListChanges = Changes;
+  bool offers = isFresh() && Newest && Now >= SilentUntil;
+  Message.FirstDigest = offers ? Newest->Digest : First ? Confirmed->Digest : 0;
+  Message.ListDigest = Confirming ? Confirmed->Digest : 0;
+  Message.PreviousDigest = Previous.empty() ? 0 : Previous.front();
+  Message.EarlierDigests.clear();
+  if (Previous.size() > 1)
+    Message.EarlierDigests.assign(Previous.begin() + 1, Previous.end());
+}
+
+void ListConfirmation::onHeartbeat(CoreContext &Context,
+                                   const std::string &From,
+                                   uint64_t Incarnation,
+                                   const Heartbeat &Message) {
+  Now = Context.Now;
+  Peer &from = peer(From);
+  from.LastHeard = Now;
+  bool sameRun = from.Heard && from.Said.Incarnation == Incarnation;
+  from.Heard = true;
+  // Late frames of an older connection say nothing new.
+  if (sameRun && static_cast<int64_t>(Message.Number - from.LastNumber) <= 0)
+    return;
+  from.LastNumber = Message.Number;
+  Statement said{Incarnation,         Message.ListDigest,
+                 Message.FirstDigest, Message.MembershipEpoch,
+                 Message.ListChanges, Message.EarlierDigests,
+                 TimePoint()};
+  if (Message.PreviousDigest)
+    said.Previous.insert(said.Previous.begin(), Message.PreviousDigest);
+  for (const auto &[number, sent] : from.Sent)
+    if (number == Message.Echo)
+      said.ValidUntil = sent + Options.LeasePeriod;
+  const Statement &old = from.Said;
+  if (sameRun && old.Digest == said.Digest && old.First == said.First &&
+      old.Epoch == said.Epoch && old.Changes == said.Changes)
+    said.ValidUntil = std::max(said.ValidUntil, old.ValidUntil);
+  from.Said = std::move(said);
+  advance(Context);
+}
+
+std::string ListConfirmation::dump(TimePoint At) const {
+  Poco::JSON::Object root;
+  root.set("confirmed", Confirmed ? Confirmed->Digest : 0);
+  root.set("confirming", Confirming);
+  root.set("active", ActiveUntil > At);
+  root.set("newest", Newest ? Newest->Digest : 0);
+  root.set("epoch", Epoch);
+  root.set("changes", Changes);
+  root.set("previous", Previous.size());
+  std::ostringstream out;
+  root.stringify(out);
+  return out.str();
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/test/key_home_test.cc
@@ -0,0 +1,473 @@
+#include "key_home.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+const Milliseconds Lease{2000};
+
+std::string timedKey(Milliseconds Issued, uint64_t Number) {
+  char buf[64];
+  auto ms = static_cast<unsigned long long>(Issued.count());
+  std::snprintf(buf, sizeof buf, "%08llx-%04llx-7000-8000-%012llx", ms >> 16,
+                ms & 0xffff, static_cast<unsigned long long>(Number));
+  return buf;
+}
+
+// Instances that share one clock and exchange messages at once, unless one of
+// them is down or cut off.
+struct Fleet {
+  struct Node {
+    CoreOptions Options;
+    InstanceList List;
+    ActionList Out;
+    std::unique_ptr<KeyHome> Keys;
+    bool Up = true;
+    int Side = 0; // of a partition
+  };
+
+  std::vector<Node> Nodes;
+  ConfigDocument Config;
+  Milliseconds Now{1000000};
+  uint64_t NextId = 1;
+
+  explicit Fleet(int Count) {
+    Config.Groups.resize(2);
+    Config.Groups[0].Name = "g";
+    Config.Groups[1].Name = "h";
+    Nodes.resize(static_cast<size_t>(Count));
+    std::vector<std::string> names;
+    for (size_t i = 0; i < Nodes.size(); ++i) {
+      Nodes[i].Options.Instance = "e" + std::to_string(i);
+      Nodes[i].Options.FailureDomain = i == 0 ? "d0" : "d";
+      Nodes[i].Options.TicketKey = 99;
+      names.push_back(Nodes[i].Options.Instance);
+      start(i);
+    }
+    publish(names);
+  }
+
+  void start(size_t Index) {
+    Node &node = Nodes[Index];
+    node.Options.Incarnation = 1000 + NextId++;
+    node.Keys = std::make_unique<KeyHome>(node.Options);
+    node.Up = true;
+  }
+  void publish(const std::vector<std::string> &Names) {
+    for (Node &it : Nodes)
+      giveList(it, Names);
+  }
+  void giveList(Node &To, const std::vector<std::string> &Names) {
+    To.List = {};
+    To.List.Sequence = 1;
+    for (const std::string &it : Names) {
+      To.List.Digest = To.List.Digest * 31 + std::hash<std::string>()(it);
+      To.List.Instances.push_back(
+          {it, MemberState::Live, "r", it == "e0" ? "d0" : "d", ""});
+    }
+  }
+
+  CoreContext context(Node &Of) {
+    return {TimePoint(Now), WallTime(Now), Of.Options, Config, Of.List, Of.Out};
+  }
+  Node *find(const std::string &Name) {
+    for (Node &it : Nodes)
+      if (it.Options.Instance == Name)
+        return &it;
+    return nullptr;
+  }
+  bool linked(const Node &A, const Node &B) const {
+    return A.Up && B.Up && A.Side == B.Side;
+  }
+  void deliver(Node &From, Node &To, const PeerMessage &Message) {
+    CoreContext context = this->context(To);
+    const std::string &name = From.Options.Instance;
+    if (const auto *it = std::get_if<Heartbeat>(&Message))
+      To.Keys->onHeartbeat(context, name, From.Options.Incarnation, *it);
+    if (const auto *it = std::get_if<KeyQuery>(&Message))
+      To.Keys->onKeyQuery(context, name, *it);
+    if (const auto *it = std::get_if<KeyAnswer>(&Message))
+      To.Keys->onKeyAnswer(context, name, *it);
+  }
+  void deliverQueued() {
+    for (int round = 0; round < 2; ++round)
+      for (Node &from : Nodes) {
+        ActionList out;
+        out.swap(from.Out);
+        for (const Action &it : out)
+          if (const auto *sent = std::get_if<SendToPeer>(&it)) {
+            Node *to = find(sent->Instance);
+            if (to && linked(from, *to))
+              deliver(from, *to, sent->Message);
+          }
+      }
+  }
+  void heartbeats() {
+    for (Node &from : Nodes)
+      for (Node &to : Nodes) {
+        if (&from == &to || !linked(from, to))
+          continue;
+        CoreContext context = this->context(from);
+        Heartbeat message;
+        from.Keys->fillHeartbeat(context, to.Options.Instance, message);
+        deliver(from, to, message);
+      }
+  }
+  void run(Milliseconds Time) {
+    for (Milliseconds end = Now + Time; Now < end; Now += Milliseconds(250)) {
+      heartbeats();
+      for (Node &it : Nodes) {
+        if (!it.Up)
+          continue;
+        CoreContext context = this->context(it);
+        it.Keys->onTimer(context);
+      }
+    }
+  }
+
+  RequestId LastId;
+  KeyDecision admit(size_t At, const std::string &Key, bool Forwarded = false,
+                    uint64_t Fingerprint = 1, const char *Group = "g") {
+    LastId = {7, NextId++};
+    RequestSpec spec;
+    spec.Group = Group;
+    spec.IdempotencyKey = Key;
+    spec.Fingerprint = Fingerprint;
+    CoreContext context = this->context(Nodes[At]);
+    return Nodes[At].Keys->admit(context, LastId, spec, Forwarded);
+  }
+  // Index of the home of the key; all listed instances must agree.
+  size_t homeOf(const std::string &Key) {
+    std::vector<std::string> homes;
+    for (size_t i = 0; i < Nodes.size(); ++i) {
+      if (!Nodes[0].List.isLive(Nodes[i].Options.Instance))
+        continue; // answers from its own records
+      KeyDecision decision = admit(i, Key);
+      homes.push_back(decision.Verdict == KeyVerdict::Forward
+                          ? decision.Home
+                          : Nodes[i].Options.Instance);
+      CoreContext context = this->context(Nodes[i]);
+      Nodes[i].Keys->onNotRun(context, LastId);
+    }
+    CHECK(std::count(homes.begin(), homes.end(), homes[0]) ==
+          static_cast<long>(homes.size()));
+    return static_cast<size_t>(find(homes[0]) - Nodes.data());
+  }
+  std::string newKey(Milliseconds Before = Milliseconds(0)) {
+    return timedKey(Now - Before, NextId++);
+  }
+  // A key that is new now and whose home is this node.
+  std::string newKeyAt(size_t Home) {
+    for (;;) {
+      std::string key = newKey();
+      if (homeOf(key) == Home)
+        return key;
+    }
+  }
+  void outcome(size_t At, const std::string &Body) {
+    CoreContext context = this->context(Nodes[At]);
+    Nodes[At].Keys->onDispatched(context, LastId);
+    Nodes[At].Keys->onOutcome(context, LastId, 200, "text/plain", Body);
+  }
+  TimePoint limit(size_t At, const std::string &Key) {
+    CoreContext context = this->context(Nodes[At]);
+    return Nodes[At].Keys->dispatchLimit(context, Key);
+  }
+  std::vector<std::pair<RequestId, KeyDecision>> resolved(size_t At) {
+    CoreContext context = this->context(Nodes[At]);
+    return Nodes[At].Keys->takeResolved(context);
+  }
+};
+
+// Long enough for the first list and for the margin of new timed keys.
+const Milliseconds Settled{20000};
+
+bool executes(const KeyDecision &Decision) {
+  return Decision.Verdict == KeyVerdict::Execute;
+}
+
+bool refusedAs(const KeyDecision &Decision, ErrorKind Kind) {
+  return Decision.Verdict == KeyVerdict::Refuse && Decision.Error == Kind;
+}
+
+} // namespace
+
+// Guards against an instance that executes keys right after a restart, while a
+// confirmation of its earlier run is still valid.
+TEST_CASE("KeyHome keeps silent for one lease after its start") {
+  Fleet fleet(1);
+  fleet.run(Lease - Milliseconds(250));
+  CHECK(refusedAs(fleet.admit(0, "k"), ErrorKind::KeyLeaseMissing));
+  fleet.run(Settled);
+  std::string key = fleet.newKey();
+  KeyDecision decision = fleet.admit(0, key);
+  REQUIRE(executes(decision));
+  CHECK(decision.NotAfter > TimePoint(fleet.Now));
+  CHECK(decision.NotAfter <= TimePoint(fleet.Now + Lease * 3 / 4));
+  CHECK(fleet.limit(0, key) == decision.NotAfter);
+  CHECK(fleet.limit(0, "other") < TimePoint(fleet.Now));
+}
+
+// Guards against repeats that run again or get another request's answer.
+TEST_CASE("KeyHome remembers the course and outcome of a key by group") {
+  Fleet fleet(1);
+  fleet.run(Settled);
+  std::string key = fleet.newKey();
+  REQUIRE(executes(fleet.admit(0, key)));
+  RequestId first = fleet.LastId;
+  CHECK(refusedAs(fleet.admit(0, key), ErrorKind::KeyInProgress));
+  CHECK(refusedAs(fleet.admit(0, key, false, 2), ErrorKind::KeyReused));
+  CHECK(executes(fleet.admit(0, key, false, 1, "h")));
+  fleet.LastId = first;
+  fleet.outcome(0, "answer");
+  KeyDecision repeat = fleet.admit(0, key);
+  CHECK(repeat.Verdict == KeyVerdict::Replay);
+  CHECK(repeat.HttpStatus == 200);
+  CHECK(repeat.Body == "answer");
+  CHECK(refusedAs(fleet.admit(0, key, false, 2), ErrorKind::KeyReused));
+}
+
+// Guards against a second run after a request that was not run, or is unknown.
+TEST_CASE("KeyHome forgets what was not run and keeps what may have run") {
+  Fleet fleet(1);
+  fleet.run(Settled);
+  std::string key = fleet.newKey();
+  CoreContext context = fleet.context(fleet.Nodes[0]);
+  REQUIRE(executes(fleet.admit(0, key)));
+  fleet.Nodes[0].Keys->onNotRun(context, fleet.LastId);
+  REQUIRE(executes(fleet.admit(0, key)));
+  fleet.Nodes[0].Keys->onDispatched(context, fleet.LastId);
+  fleet.Nodes[0].Keys->onUnknown(context, fleet.LastId);
+  CHECK(refusedAs(fleet.admit(0, key), ErrorKind::OutcomeUnknown));
+}
+
+// Guards against running a key whose record may have expired.
+TEST_CASE("KeyHome answers unknown for timed keys older than the retention") {
+  Fleet fleet(1);
+  fleet.Nodes[0].Options.KeyRetention = Milliseconds(30000);
+  fleet.start(0);
+  fleet.run(Settled);
+  std::string key = fleet.newKey();
+  REQUIRE(executes(fleet.admit(0, key)));
+  fleet.outcome(0, "x");
+  CHECK(refusedAs(fleet.admit(0, "untimed"), ErrorKind::OutcomeUnknown));
+  fleet.run(Milliseconds(31000));
+  CHECK(refusedAs(fleet.admit(0, key), ErrorKind::OutcomeUnknown));
+  CHECK(executes(fleet.admit(0, "untimed")));
+  CHECK(refusedAs(fleet.admit(0, timedKey(fleet.Now + Milliseconds(6000), 1)),
+                  ErrorKind::BadRequest));
+}
+
+// Guards against a table without bound, and against dropping records to make
+// room, which would let keys run again.
+TEST_CASE("KeyHome refuses new keys as not run when its table is full") {
+  Fleet fleet(1);
+  fleet.Nodes[0].Options.MaxRememberedKeys = 2;
+  fleet.start(0);
+  fleet.run(Settled);
+  std::string first = fleet.newKey();
+  CHECK(executes(fleet.admit(0, first)));
+  fleet.outcome(0, std::string(70000, 'x'));
+  CHECK(executes(fleet.admit(0, fleet.newKey())));
+  KeyDecision full = fleet.admit(0, fleet.newKey());
+  CHECK(refusedAs(full, ErrorKind::Overloaded));
+  CHECK(std::string(toString(full.Run)) == "no");
+  KeyDecision tooLong = fleet.admit(0, first);
+  CHECK(refusedAs(tooLong, ErrorKind::OutcomeUnknown));
+  CHECK(std::string(toString(tooLong.Run)) == "yes");
+}
+
+// Guards against a ticket that runs elsewhere, again, or after its executor's
+// restart.
+TEST_CASE("KeyHome executes a ticket once, at its incarnation only") {
+  Fleet fleet(3);
+  fleet.Nodes[1].Options.KeyRetention = Milliseconds(5000);
+  fleet.start(1);
+  fleet.run(Settled);
+  std::string ticket = fleet.Nodes[1].Keys->makeTicket(1);
+  std::string later = fleet.Nodes[1].Keys->makeTicket(2);
+  KeyDecision forward = fleet.admit(0, ticket);
+  CHECK(forward.Verdict == KeyVerdict::Forward);
+  CHECK(forward.Home == "e1");
+  CHECK(refusedAs(fleet.admit(0, ticket, true), ErrorKind::OutcomeUnknown));
+  CHECK(refusedAs(fleet.admit(0, ticket + "0"), ErrorKind::BadRequest));
+  KeyDecision decision = fleet.admit(1, ticket, true);
+  REQUIRE(executes(decision));
+  CHECK(decision.NotAfter == TimePoint::max());
+  CHECK(fleet.limit(1, ticket) == TimePoint::max());
+  fleet.outcome(1, "x");
+  CHECK(fleet.admit(1, ticket).Verdict == KeyVerdict::Replay);
+  fleet.run(Milliseconds(6000));
+  CHECK(refusedAs(fleet.admit(1, ticket), ErrorKind::OutcomeUnknown));
+  CHECK(executes(fleet.admit(1, later)));
+  fleet.start(1);
+  CHECK(refusedAs(fleet.admit(1, later), ErrorKind::OutcomeUnknown));
+  fleet.Nodes[1].Up = false;
+  fleet.run(Lease);
+  CHECK(refusedAs(fleet.admit(0, ticket), ErrorKind::OutcomeUnknown));
+}
+
+// Guards against prompts and answers that leave their group's domains.
+TEST_CASE("KeyHome chooses homes only where the group may be") {
+  Fleet fleet(4);
+  fleet.Config.Groups[0].FailureDomains = {"d"};
+  fleet.run(Settled);
+  for (int i = 0; i < 50; ++i) {
+    KeyDecision decision = fleet.admit(1, fleet.newKey());
+    if (decision.Verdict == KeyVerdict::Forward)
+      CHECK(decision.Home != "e0");
+    else
+      CHECK(executes(decision));
+  }
+  CHECK(
+      refusedAs(fleet.admit(0, fleet.newKey()), ErrorKind::ResidencyViolation));
+  CoreContext context = fleet.context(fleet.Nodes[1]);
+  fleet.Nodes[1].Out.clear();
+  fleet.Nodes[1].Keys->onKeyQuery(context, "e0", {{1, 1}, "g", "k"});
+  const auto &sent = std::get<SendToPeer>(fleet.Nodes[1].Out.at(0));
+  CHECK(std::get<KeyAnswer>(sent.Message).Status == KeyStatus::Unknown);
+}
+
+// Guards against both sides of a partition running the same key.
+TEST_CASE("KeyHome runs keys on the majority's side of a partition only") {
+  Fleet fleet(5);
+  fleet.run(Settled);
+  std::string small = fleet.newKeyAt(0), large = fleet.newKeyAt(4);
+  REQUIRE(executes(fleet.admit(0, small)));
+  TimePoint limit = fleet.limit(0, small);
+  for (size_t i : {2, 3, 4})
+    fleet.Nodes[i].Side = 1;
+  fleet.run(Lease);
+  CHECK(limit < TimePoint(fleet.Now));
+  CHECK(fleet.limit(0, small) < TimePoint(fleet.Now));
+  CHECK(refusedAs(fleet.admit(0, fleet.newKey(), true),
+                  ErrorKind::KeyLeaseMissing));
+  CHECK(refusedAs(fleet.admit(2, small), ErrorKind::HomeUnreachable));
+  CHECK(executes(fleet.admit(4, large)));
+}
+
+// Guards against keys that become unknown with every change of the list.
+TEST_CASE("KeyHome stays home of a key through a change of the list") {
+  Fleet fleet(5);
+  fleet.run(Settled);
+  std::string kept = fleet.newKeyAt(1), moved = fleet.newKeyAt(4);
+  REQUIRE(executes(fleet.admit(1, kept)));
+  REQUIRE(executes(fleet.admit(4, moved)));
+  fleet.outcome(4, "done at e4");
+  std::string unused = fleet.newKeyAt(1);
+  fleet.publish({"e0", "e1", "e2", "e3"});
+  fleet.run(Lease / 2);
+  CHECK(refusedAs(fleet.admit(1, unused), ErrorKind::KeyLeaseMissing));
+  fleet.run(2 * Lease);
+  CHECK(fleet.limit(1, kept) > TimePoint(fleet.Now));
+  CHECK(executes(fleet.admit(1, unused)));
+  // e4 is off the list but not gone: its own lease is over.
+  CHECK(refusedAs(fleet.admit(4, unused, true), ErrorKind::KeyLeaseMissing));
+  fleet.publish({"e0", "e1", "e2", "e3", "e4"});
+  fleet.run(3 * Lease);
+  CHECK(fleet.limit(1, kept) > TimePoint(fleet.Now));
+}
+
+// Guards against a takeover that repeats what the former home has executed.
+TEST_CASE("KeyHome takes records of former homes over, or answers unknown") {
+  Fleet fleet(5);
+  fleet.run(Settled);
+  std::string done = fleet.newKeyAt(4), never = fleet.newKeyAt(4);
+  REQUIRE(executes(fleet.admit(4, done)));
+  fleet.outcome(4, "done at e4");
+  std::string running = fleet.newKeyAt(4);
+  REQUIRE(executes(fleet.admit(4, running)));
+  // e4 stays listed as leaving, so that it may be asked.
+  fleet.publish({"e0", "e1", "e2", "e3"});
+  for (Fleet::Node &it : fleet.Nodes)
+    it.List.Instances.push_back({"e4", MemberState::Leaving, "r", "d", ""});
+  fleet.run(3 * Lease);
+  for (const std::string &key : {done, never, running}) {
+    size_t home = fleet.homeOf(key);
+    fleet.deliverQueued();
+    fleet.resolved(home);
+    KeyDecision decision = fleet.admit(home, key);
+    if (decision.Verdict == KeyVerdict::Wait) {
+      fleet.deliverQueued();
+      auto resolved = fleet.resolved(home);
+      REQUIRE(resolved.size() == 1);
+      decision = resolved[0].second;
+    }
+    CAPTURE(key);
+    if (key == done) {
+      CHECK(decision.Verdict == KeyVerdict::Replay);
+      CHECK(decision.Body == "done at e4");
+    } else {
+      CHECK(refusedAs(decision, key == never ? ErrorKind::OutcomeUnknown
+                                             : ErrorKind::KeyInProgress));
+    }
+  }
+  fleet.run(Settled);
+  std::string fresh = fleet.newKey();
+  CHECK(executes(fleet.admit(fleet.homeOf(fresh), fresh)));
+}
+
+// Guards against waiting for a former home that does not answer.
+TEST_CASE("KeyHome answers unknown when former homes stay silent") {
+  Fleet fleet(3);
+  fleet.run(Lease * 3);
+  std::string key = fleet.newKey(Milliseconds(60000));
+  size_t home = fleet.homeOf(key);
+  fleet.run(Lease);
+  fleet.resolved(home);
+  REQUIRE(fleet.admit(home, key).Verdict == KeyVerdict::Wait);
+  CHECK(fleet.resolved(home).empty());
+  fleet.run(Lease / 2);
+  auto resolved = fleet.resolved(home);
+  REQUIRE(resolved.size() == 1);
+  CHECK(refusedAs(resolved[0].second, ErrorKind::OutcomeUnknown));
+}
+
+// Guards against a fleet that never serves keys again after losing a majority,
+// and against serving them before the operators' declaration.
+TEST_CASE("KeyHome needs a new membership epoch after losing a majority") {
+  Fleet fleet(5);
+  fleet.run(Settled);
+  for (size_t i : {2, 3, 4})
+    fleet.Nodes[i].Up = false;
+  fleet.publish({"e0", "e1"});
+  fleet.run(Settled);
+  CHECK(refusedAs(fleet.admit(0, fleet.newKey(), true),
+                  ErrorKind::KeyLeaseMissing));
+  fleet.Config.MembershipEpoch = 1;
+  fleet.run(Lease);
+  CHECK(refusedAs(fleet.admit(0, fleet.newKey(), true),
+                  ErrorKind::KeyLeaseMissing));
+  fleet.run(Settled);
+  std::string key = fleet.newKey();
+  KeyDecision decision = fleet.admit(0, key);
+  CHECK(executes(decision.Verdict == KeyVerdict::Forward
+                     ? fleet.admit(1, key, true)
+                     : decision));
+}
+
+// Guards against two restarted instances that give an abandoned list its
+// majority back while the newer list is still active elsewhere.
+TEST_CASE("KeyHome does not revive an abandoned list after restarts") {
+  Fleet fleet(5);
+  fleet.run(Settled);
+  std::vector<std::string> smaller = {"e0", "e1", "e2"};
+  fleet.publish(smaller);
+  fleet.run(3 * Lease);
+  fleet.publish({"e0", "e1", "e2", "e3", "e4"});
+  fleet.run(3 * Lease);
+  // e1 and e2 restart with the old list, cut off with e0.
+  for (size_t i : {1, 2}) {
+    fleet.start(i);
+    fleet.giveList(fleet.Nodes[i], smaller);
+    fleet.Nodes[i].Side = 1;
+  }
+  fleet.run(Settled);
+  CHECK(refusedAs(fleet.admit(1, fleet.newKey(), true),
+                  ErrorKind::KeyLeaseMissing));
+}
--- /dev/null
+++ b/test/ticket_test.cc
@@ -0,0 +1,30 @@
+#include "ticket.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur::internal;
+
+// Guards against names with dots or dashes that shift the fields.
+TEST_CASE("Ticket keeps instance, incarnation and nonce") {
+  std::string text = formatTicket({"e-1.hall.a", 0xabcdef, 77}, 5);
+  Ticket parsed;
+  REQUIRE(parseTicket(text, 5, parsed));
+  CHECK(parsed.Instance == "e-1.hall.a");
+  CHECK(parsed.Incarnation == 0xabcdef);
+  CHECK(parsed.Nonce == 77);
+}
+
+// Guards against callers that make their own tickets or alter one.
+TEST_CASE("Ticket is refused when altered or signed with another key") {
+  std::string text = formatTicket({"e1", 1, 2}, 5);
+  Ticket parsed;
+  CHECK_FALSE(parseTicket(text, 6, parsed));
+  for (size_t i = 0; i < text.size(); ++i) {
+    std::string altered = text;
+    altered[i] = altered[i] == '1' ? '2' : '1';
+    CHECK_MESSAGE(!parseTicket(altered, 5, parsed), altered);
+    CHECK_MESSAGE(!parseTicket(text.substr(0, i), 5, parsed), i);
+  }
+  CHECK(looksLikeTicket(text));
+  CHECK_FALSE(looksLikeTicket("order-1"));
+}
