--- /dev/null
+++ b/src/fair_queue.cc
@@ -0,0 +1,129 @@
+#include "fair_queue.h"
+
+#include <algorithm>
+
+namespace crocusspur::internal {
+
+void FairQueue::setGroup(const std::string &Name, double Share,
+                         RequestClass Class) {
+  Group &group = Groups[Name];
+  group.Share = Share > 0 ? Share : 1;
+  group.Class = Class;
+}
+
+void FairQueue::push(QueuedItem &Item) {
+  Group &group = Groups[Item.Group];
+  // A group that was idle starts at the present virtual time, so the time
+  // that it left unused gives it no credit.
+  if (group.Queue.empty())
+    group.Tag = std::max(group.Tag, VirtualTime[group.batch()]);
+  group.Queue.push_back(Item);
+  group.Waiting.add(Item.Cost);
+  ++Count;
+}
+
+void FairQueue::remove(QueuedItem &Item) {
+  Group &group = Groups[Item.Group];
+  group.Queue.erase(group.Queue.iterator_to(Item));
+  group.Waiting.add(Item.Cost, -1);
+  if (group.Queue.empty())
+    group.Waiting = {};
+  --Count;
+}
+
+QueuedItem *
+FairQueue::next(const std::function<bool(const QueuedItem &)> &Eligible) const {
+  const Group *best = nullptr;
+  for (const auto &[name, group] : Groups) {
+    if (group.Queue.empty() || !Eligible(group.Queue.front()))
+      continue;
+    auto rank = [&](const Group &It) {
+      return std::make_pair(It.batch(), key(It));
+    };
+    if (!best || rank(group) < rank(*best))
+      best = &group;
+  }
+  return best ? const_cast<QueuedItem *>(&best->Queue.front()) : nullptr;
+}
+
+void FairQueue::take(QueuedItem &Item) {
+  Group &group = Groups[Item.Group];
+  double &now = VirtualTime[group.batch()];
+  now = std::max(now, key(group));
+  remove(Item);
+  group.Tag += Item.Cost.total() / group.Share;
+}
+
+void FairQueue::correct(const std::string &Name, double SlotSeconds) {
+  auto it = Groups.find(Name);
+  if (it != Groups.end())
+    it->second.Tag += SlotSeconds / it->second.Share;
+}
+
+size_t FairQueue::size(const std::string &Name) const {
+  auto it = Groups.find(Name);
+  return it == Groups.end() ? 0 : it->second.Queue.size();
+}
+
+Work FairQueue::backlog(const std::string &Name) const {
+  auto it = Groups.find(Name);
+  return it == Groups.end() ? Work{} : it->second.Waiting;
+}
+
+double FairQueue::activeShare(const std::string &Name) const {
+  auto own = Groups.find(Name);
+  if (own == Groups.end())
+    return 1;
+  double sum = 0;
+  for (const auto &[name, group] : Groups)
+    if (group.batch() == own->second.batch() &&
+        (name == Name || !group.Queue.empty()))
+      sum += group.Share;
+  return own->second.Share / sum;
+}
+
+double FairQueue::lead(const Group &Of) const {
+  if (Of.Class != RequestClass::Interactive || Lead <= 0)
+    return 0;
+  double sum = 0;
+  for (const auto &[name, group] : Groups)
+    if (!group.batch() && (&group == &Of || !group.Queue.empty()))
+      sum += group.Share;
+  return Lead / sum;
+}
+
+Work FairQueue::aheadOf(const Group &Of, const Work &OwnAhead) const {
+  double tag =
+      Of.Queue.empty() ? std::max(Of.Tag, VirtualTime[Of.batch()]) : Of.Tag;
+  double reached = tag + OwnAhead.total() / Of.Share - lead(Of);
+  Work sum = OwnAhead;
+  for (const auto &[name, group] : Groups) {
+    if (&group == &Of || group.Queue.empty() || (group.batch() && !Of.batch()))
+      continue;
+    double waiting = group.Waiting.total();
+    double served = std::max(0.0, (reached - key(group)) * group.Share);
+    double part = group.batch() == Of.batch() && waiting > 0
+                      ? std::min(1.0, served / waiting)
+                      : 1.0;
+    sum.add(group.Waiting, part);
+  }
+  return sum;
+}
+
+Work FairQueue::ahead(const std::string &Name) const {
+  auto it = Groups.find(Name);
+  return it == Groups.end() ? Work{} : aheadOf(it->second, it->second.Waiting);
+}
+
+void FairQueue::forEach(
+    const std::function<void(QueuedItem &, const Work &)> &Each) {
+  for (auto &[name, group] : Groups) {
+    Work own;
+    for (QueuedItem &it : group.Queue) {
+      Each(it, aheadOf(group, own));
+      own.add(it.Cost);
+    }
+  }
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/fair_queue.h
@@ -0,0 +1,96 @@
+// Weighted fair queueing between the groups of one shard by estimated cost,
+// with a bounded wait of the interactive class and batch work last.
+#ifndef CROCUSSPUR_FAIR_QUEUE_H
+#define CROCUSSPUR_FAIR_QUEUE_H
+
+#include "crocusspur/types.h"
+
+#include <boost/intrusive/list.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace crocusspur::internal {
+
+// Cost of a request in seconds of one prefill slot and of one decode slot.
+struct Work {
+  double Prefill = 0;
+  double Decode = 0;
+
+  double total() const { return Prefill + Decode; }
+  void add(const Work &Other, double Factor = 1) {
+    Prefill += Factor * Other.Prefill;
+    Decode += Factor * Other.Decode;
+  }
+};
+
+// Base of everything that can wait in a FairQueue. Leaves its queue when it is
+// destroyed only if take() or remove() was called before.
+struct QueuedItem {
+  boost::intrusive::list_member_hook<> QueueHook;
+  std::string Group;
+  Work Cost;
+
+  bool queued() const { return QueueHook.is_linked(); }
+};
+
+class FairQueue {
+public:
+  // Creates or changes a group. `Share` is its weight, greater than 0.
+  void setGroup(const std::string &Name, double Share, RequestClass Class);
+  // Work, in slot seconds of all groups, that an interactive group may be
+  // served ahead of its virtual time.
+  void setInteractiveLead(double SlotSeconds) { Lead = SlotSeconds; }
+
+  // Appends to the queue of Item.Group, which setGroup() has created.
+  void push(QueuedItem &Item);
+  // Takes an item out without charging its group.
+  void remove(QueuedItem &Item);
+  // The first item, in the order of service, that the function accepts; only
+  // the head of each group is offered. Null if there is none.
+  QueuedItem *
+  next(const std::function<bool(const QueuedItem &)> &Eligible) const;
+  // Removes the item and charges its cost to its group.
+  void take(QueuedItem &Item);
+  // Adds the difference between measured and estimated cost to the group.
+  void correct(const std::string &Group, double SlotSeconds);
+
+  size_t size() const { return Count; }
+  size_t size(const std::string &Group) const;
+  Work backlog(const std::string &Group) const;
+  // Part of the capacity that the group gets while all that wait now wait.
+  double activeShare(const std::string &Group) const;
+  // Work that is served before a new item of the group.
+  Work ahead(const std::string &Group) const;
+  // Calls the function for each item with the work that is served before it.
+  void forEach(const std::function<void(QueuedItem &, const Work &)> &Each);
+
+private:
+  using Items = boost::intrusive::list<
+      QueuedItem, boost::intrusive::member_hook<
+                      QueuedItem, boost::intrusive::list_member_hook<>,
+                      &QueuedItem::QueueHook>>;
+  struct Group {
+    double Share = 1;
+    RequestClass Class = RequestClass::Normal;
+    double Tag = 0; // virtual time at which the head starts
+    Work Waiting;
+    Items Queue;
+
+    bool batch() const { return Class == RequestClass::Batch; }
+  };
+
+  double lead(const Group &Of) const;
+  // Virtual time by which items are ordered: smaller is served first.
+  double key(const Group &Of) const { return Of.Tag - lead(Of); }
+  Work aheadOf(const Group &Of, const Work &OwnAhead) const;
+
+  std::map<std::string, Group> Groups;
+  double VirtualTime[2] = {0, 0}; // of batch and of all other groups
+  double Lead = 0;
+  size_t Count = 0;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/output_lengths.h
@@ -0,0 +1,42 @@
+// Learned distribution of the output lengths of one group and class.
+#ifndef CROCUSSPUR_OUTPUT_LENGTHS_H
+#define CROCUSSPUR_OUTPUT_LENGTHS_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace crocusspur::internal {
+
+class OutputLengths {
+public:
+  // Notes the length of a completed output.
+  void add(uint32_t Tokens);
+
+  // Probability that an output of at most MaxTokens that has reached `SoFar`
+  // tokens ends by `Until` tokens. Until something is learned, lengths are
+  // taken as evenly spread up to MaxTokens.
+  double endsBy(uint32_t MaxTokens, double SoFar, double Until) const;
+  // Expected length of an output of at most MaxTokens.
+  double mean(uint32_t MaxTokens) const;
+  double samples() const { return Total; }
+
+private:
+  static constexpr size_t Exact = 16;    // one bucket for each length below
+  static constexpr size_t PerOctave = 8; // buckets for each doubling above
+  static constexpr size_t Octaves = 12;  // up to 65536 tokens
+  static constexpr size_t Buckets = Exact + PerOctave * Octaves;
+
+  static double position(double Tokens);
+  double below(double Tokens) const;
+  double distribution(uint32_t MaxTokens, double Tokens) const;
+
+  // Below[i] is the weight of lengths in buckets before i.
+  std::array<double, Buckets + 1> Below{};
+  double Total = 0;
+  double Sum = 0; // of lengths
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/shard_lease.h
@@ -0,0 +1,70 @@
+// One request that an entry holds from the owner of a shard, from its arrival
+// in the queue to the end of its decode.
+#ifndef CROCUSSPUR_SHARD_LEASE_H
+#define CROCUSSPUR_SHARD_LEASE_H
+
+#include "crocusspur/peer_message.h"
+#include "fair_queue.h"
+
+#include <algorithm>
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+struct ShardLease
+    : QueuedItem,
+      boost::intrusive_ref_counter<ShardLease, boost::thread_unsafe_counter> {
+  boost::intrusive::list_member_hook<> StageHook;
+  RequestId Id;
+  std::string Entry; // instance that holds the request
+  uint32_t Attempt = 1;
+  LeaseStage Stage = LeaseStage::Waiting;
+  RequestClass Class = RequestClass::Normal;
+  uint32_t PromptTokens = 0;
+  uint32_t MaxOutputTokens = 1;
+  std::vector<uint64_t> PrefixHashes;
+  bool MayWait = false;
+  bool RunAlone = false;
+
+  TimePoint ArrivedAt;
+  TimePoint Deadline; // of the first output
+  TimePoint PrefillStart;
+  TimePoint PrefillEnd; // expected while the prefill runs, then measured
+  TimePoint EvictAt;    // of the prefill's result
+  TimePoint DecodeGranted;
+  TimePoint DecodeStart; // expected end of the transfer
+  std::string PrefillServer;
+  std::string DecodeServer; // also set while a slot is held for the request
+  uint64_t KvBytes = 0;
+  uint32_t OutputTokens = 0;  // of earlier placements
+  uint32_t Tries = 0;         // decode placements since the last timer event
+  double PrefillEstimate = 0; // seconds, before correction by measurements
+  Work Measured;              // slot seconds used so far
+  bool Charged = false;       // the group has paid Cost
+  bool PrefillUnused = false; // started, and not known to be used
+  // Servers that may hold something for the request.
+  std::vector<std::string> Touched;
+
+  void touch(const std::string &Server) {
+    if (std::find(Touched.begin(), Touched.end(), Server) == Touched.end())
+      Touched.push_back(Server);
+  }
+  bool prefillsOnDecodeServer() const {
+    return !DecodeServer.empty() && PrefillServer == DecodeServer;
+  }
+};
+
+using StageList =
+    boost::intrusive::list<ShardLease,
+                           boost::intrusive::member_hook<
+                               ShardLease, boost::intrusive::list_member_hook<>,
+                               &ShardLease::StageHook>>;
+
+using ShardLeasePtr = boost::intrusive_ptr<ShardLease>;
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/shard_owner.cc
@@ -0,0 +1,431 @@
+#include "shard_owner.h"
+
+#include "shard_scheduler.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <algorithm>
+#include <sstream>
+
+namespace crocusspur::internal {
+
+// A cancelled request that a server still reports after this time is cancelled
+// again, since the first cancel may have been lost.
+static constexpr Milliseconds CancelPatience{500};
+
+// Cancelled requests are remembered for this long.
+static constexpr Milliseconds CancelMemory{10000};
+
+struct ShardOwner::State {
+  explicit State(std::string Shard)
+      : Shard(Shard), Scheduler(std::move(Shard),
+                                [this](const ShardLease &Lease, bool Begins) {
+                                  count(Lease, Begins);
+                                }) {}
+
+  // What is known of an instance that holds leases.
+  struct EntryInstance {
+    TimePoint RenewedAt;
+    uint32_t Count = 0;
+    uint64_t Digest = 0;
+    uint32_t Mismatches = 0; // in a row
+  };
+
+  void count(const ShardLease &Lease, bool Begins);
+  // Runs the function between bringing the servers up to date and scheduling.
+  template <typename F> void handle(CoreContext &Context, F Body);
+  ShardLeasePtr findOrAsk(CoreContext &Context, const std::string &From,
+                          const RequestId &Id);
+  void lapseAll(CoreContext &Context, const std::string &Instance);
+  void lapseOverdue(CoreContext &Context);
+  void endTakeOver(CoreContext &Context);
+  void sweep(CoreContext &Context, ShardServer &Server);
+  void cancelAgain(CoreContext &Context, const ShardServer &Server);
+  ShardLeasePtr makeLease(CoreContext &Context, const std::string &From,
+                          const AcquireRequest &Message) const;
+  ShardLeasePtr makeLease(CoreContext &Context, const std::string &From,
+                          const LeaseEntry &Entry) const;
+  void reconcile(CoreContext &Context, ShardLease &Lease,
+                 const LeaseEntry &Entry);
+
+  std::string Shard;
+  ShardScheduler Scheduler;
+  uint64_t Fence = 0;
+  TimePoint GraceEnd{}; // of a takeover; zero when there is none
+  std::map<std::string, EntryInstance> Entries;
+  std::map<RequestId, TimePoint> Cancelled;
+};
+
+void ShardOwner::State::count(const ShardLease &Lease, bool Begins) {
+  EntryInstance &entry = Entries[Lease.Entry];
+  // The first lease counts as a renewal: the entry has just sent it.
+  if (Begins && entry.Count == 0)
+    entry.RenewedAt = std::max(entry.RenewedAt, Lease.ArrivedAt);
+  entry.Count += Begins ? 1 : -1;
+  entry.Digest ^= std::hash<RequestId>()(Lease.Id);
+}
+
+template <typename F>
+void ShardOwner::State::handle(CoreContext &Context, F Body) {
+  Scheduler.sync(Context);
+  Body();
+  Scheduler.schedule(Context);
+}
+
+// A message about a request that this owner doesn't know is answered with a
+// question for all leases of the sender, which brings the request back.
+ShardLeasePtr ShardOwner::State::findOrAsk(CoreContext &Context,
+                                           const std::string &From,
+                                           const RequestId &Id) {
+  ShardLeasePtr lease = Scheduler.find(Id);
+  if (!lease)
+    Context.send(From, LeaseListRequest{Shard});
+  return lease;
+}
+
+ShardLeasePtr
+ShardOwner::State::makeLease(CoreContext &Context, const std::string &From,
+                             const AcquireRequest &Message) const {
+  ShardLeasePtr lease = new ShardLease;
+  lease->Id = Message.Id;
+  lease->Entry = From;
+  lease->Attempt = Message.Attempt;
+  lease->Group = Message.Group;
+  lease->Class = Message.Class;
+  lease->PromptTokens = Message.PromptTokens;
+  lease->MaxOutputTokens = std::max(1U, Message.MaxOutputTokens);
+  lease->PrefixHashes = Message.PrefixHashes;
+  lease->MayWait = Message.MayWait;
+  lease->RunAlone = Message.RunAlone;
+  lease->ArrivedAt = Context.Now;
+  lease->Deadline = Context.Now + Message.TimeLeft;
+  // A request placed again after its first output has no deadline left.
+  if (Message.IsRetry && Message.TimeLeft <= Microseconds(0))
+    lease->MayWait = true;
+  return lease;
+}
+
+// A lease list doesn't tell all that the first request told; the rest comes
+// from the group's configuration.
+ShardLeasePtr ShardOwner::State::makeLease(CoreContext &Context,
+                                           const std::string &From,
+                                           const LeaseEntry &Entry) const {
+  const GroupConfig &group = Scheduler.servers().group(Entry.Group);
+  AcquireRequest request;
+  request.Id = Entry.Id;
+  request.Group = Entry.Group;
+  request.Class = group.Class;
+  request.Attempt = Entry.Attempt;
+  request.PromptTokens = Entry.PromptTokens;
+  request.MaxOutputTokens = Entry.MaxOutputTokens;
+  request.TimeLeft = group.FirstOutputTarget;
+  request.MayWait = group.MayWait;
+  return makeLease(Context, From, request);
+}
+
+void ShardOwner::State::lapseAll(CoreContext &Context,
+                                 const std::string &Instance) {
+  std::vector<ShardLeasePtr> held;
+  for (const auto &[id, lease] : Scheduler.leases())
+    if (lease->Entry == Instance)
+      held.push_back(lease);
+  for (const ShardLeasePtr &it : held) {
+    Cancelled[it->Id] = Context.Now;
+    Scheduler.lapse(Context, *it);
+  }
+}
+
+void ShardOwner::State::lapseOverdue(CoreContext &Context) {
+  std::vector<std::string> overdue;
+  for (const auto &[name, entry] : Entries)
+    // This instance's own requests live and end with this owner.
+    if (name != Context.Options.Instance && entry.Count > 0 &&
+        Context.Now >= entry.RenewedAt + Context.Options.LeasePeriod)
+      overdue.push_back(name);
+  for (const std::string &it : overdue)
+    lapseAll(Context, it);
+}
+
+void ShardOwner::State::sweep(CoreContext &Context, ShardServer &Server) {
+  for (const RequestId &it : Server.Estimate.unknownIds()) {
+    if (!Cancelled.emplace(it, Context.Now).second)
+      continue;
+    Context.Out.push_back(CancelAtServer{it, Server.Config.Name, Fence});
+    Note entry;
+    entry.Kind = NoteKind::OrphanCancelled;
+    entry.Id = it;
+    entry.Subject = Server.Config.Name;
+    Context.note(std::move(entry));
+  }
+}
+
+void ShardOwner::State::endTakeOver(CoreContext &Context) {
+  if (GraceEnd == TimePoint{} || Context.Now < GraceEnd)
+    return;
+  GraceEnd = {};
+  for (auto &[name, server] : Scheduler.servers().all()) {
+    server.Estimate.endHold();
+    sweep(Context, server);
+  }
+}
+
+void ShardOwner::State::cancelAgain(CoreContext &Context,
+                                    const ShardServer &Server) {
+  for (const RequestId &it : Server.Estimate.unknownIds()) {
+    auto found = Cancelled.find(it);
+    if (found == Cancelled.end() ||
+        Context.Now < found->second + CancelPatience)
+      continue;
+    found->second = Context.Now;
+    Context.Out.push_back(CancelAtServer{it, Server.Config.Name, Fence});
+  }
+}
+
+void ShardOwner::State::reconcile(CoreContext &Context, ShardLease &Lease,
+                                  const LeaseEntry &Entry) {
+  Lease.Attempt = std::max(Lease.Attempt, Entry.Attempt);
+  if (Lease.Stage == LeaseStage::Prefilling && Entry.Stage == LeaseStage::Ready)
+    Scheduler.prefillDone(Context, Lease, Lease.KvBytes);
+  else if (Entry.Stage < Lease.Stage)
+    Scheduler.repeatGrant(Context, Lease);
+}
+
+ShardOwner::ShardOwner(std::string Shard)
+    : Impl(std::make_unique<State>(std::move(Shard))) {}
+
+ShardOwner::~ShardOwner() = default;
+
+void ShardOwner::begin(CoreContext &Context, bool TakeOver) {
+  auto wall =
+      std::chrono::duration_cast<Milliseconds>(Context.Wall.time_since_epoch());
+  Impl->Fence = std::max(static_cast<uint64_t>(wall.count()), Impl->Fence + 1);
+  Impl->Scheduler.setFence(Impl->Fence);
+  Impl->Scheduler.sync(Context);
+  if (!TakeOver)
+    return;
+  Impl->GraceEnd = Context.Now + Context.Options.LeasePeriod;
+  for (auto &[name, server] : Impl->Scheduler.servers().all()) {
+    server.Estimate.holdUntilReport();
+    server.Sweep = true;
+  }
+}
+
+void ShardOwner::onAcquire(CoreContext &Context, const std::string &From,
+                           const AcquireRequest &Message) {
+  Impl->handle(Context, [&] {
+    ShardLeasePtr lease = Impl->Scheduler.find(Message.Id);
+    if (!lease) {
+      Impl->Scheduler.admit(Context, Impl->makeLease(Context, From, Message));
+    } else if (Message.Attempt > lease->Attempt) {
+      lease->Attempt = Message.Attempt;
+      lease->RunAlone |= Message.RunAlone;
+      lease->Deadline = Context.Now + Message.TimeLeft;
+      Impl->Scheduler.placeAgain(Context, *lease);
+    } else if (Message.Attempt == lease->Attempt) {
+      Impl->Scheduler.repeatGrant(Context, *lease);
+    }
+  });
+}
+
+void ShardOwner::onPrefillDone(CoreContext &Context, const std::string &From,
+                               const PrefillDone &Message) {
+  Impl->handle(Context, [&] {
+    ShardLeasePtr lease = Impl->findOrAsk(Context, From, Message.Id);
+    if (!lease || Message.Attempt < lease->Attempt)
+      return;
+    lease->Attempt = Message.Attempt;
+    Impl->Scheduler.prefillDone(Context, *lease, Message.KvBytes);
+  });
+}
+
+void ShardOwner::onPrefillLost(CoreContext &Context, const std::string &From,
+                               const PrefillLost &Message) {
+  Impl->handle(Context, [&] {
+    ShardLeasePtr lease = Impl->findOrAsk(Context, From, Message.Id);
+    if (!lease || Message.Attempt < lease->Attempt ||
+        lease->PrefillServer != Message.Server)
+      return;
+    lease->Attempt = Message.Attempt;
+    Impl->Scheduler.prefillLost(Context, *lease, Message.ServerFull);
+  });
+}
+
+void ShardOwner::onDecodeLost(CoreContext &Context, const std::string &From,
+                              const DecodeLost &Message) {
+  Impl->handle(Context, [&] {
+    ShardLeasePtr lease = Impl->findOrAsk(Context, From, Message.Id);
+    if (!lease || Message.Attempt < lease->Attempt)
+      return;
+    lease->Attempt = Message.Attempt;
+    Impl->Scheduler.decodeLost(Context, *lease, Message);
+  });
+}
+
+void ShardOwner::onFinished(CoreContext &Context, const std::string &,
+                            const Finished &Message) {
+  Impl->handle(Context, [&] {
+    ShardLeasePtr lease = Impl->Scheduler.find(Message.Id);
+    if (lease && Message.Attempt >= lease->Attempt)
+      Impl->Scheduler.finished(Context, *lease, Message);
+  });
+}
+
+void ShardOwner::onLeaseList(CoreContext &Context, const std::string &From,
+                             const LeaseList &Message) {
+  Impl->handle(Context, [&] {
+    Impl->Entries[From].RenewedAt = Context.Now;
+    Impl->Entries[From].Mismatches = 0;
+    std::map<RequestId, const LeaseEntry *> named;
+    for (const LeaseEntry &it : Message.Leases)
+      named[it.Id] = &it;
+    std::vector<ShardLeasePtr> gone;
+    for (const auto &[id, lease] : Impl->Scheduler.leases())
+      if (lease->Entry == From && !named.count(id))
+        gone.push_back(lease);
+    for (const ShardLeasePtr &it : gone) {
+      Impl->Cancelled[it->Id] = Context.Now;
+      Impl->Scheduler.lapse(Context, *it);
+    }
+    for (const auto &[id, entry] : named) {
+      Impl->Cancelled.erase(id);
+      if (ShardLeasePtr lease = Impl->Scheduler.find(id))
+        Impl->reconcile(Context, *lease, *entry);
+      else
+        Impl->Scheduler.adopt(Context, Impl->makeLease(Context, From, *entry),
+                              *entry);
+    }
+  });
+}
+
+void ShardOwner::onHeartbeat(CoreContext &Context, const std::string &From,
+                             const LeaseSummary &Summary) {
+  State::EntryInstance &entry = Impl->Entries[From];
+  entry.RenewedAt = Context.Now;
+  if (entry.Count == Summary.Count && entry.Digest == Summary.Digest) {
+    entry.Mismatches = 0;
+    return;
+  }
+  // One mismatch is usual while messages are under way.
+  if (++entry.Mismatches < 2)
+    return;
+  entry.Mismatches = 0;
+  Context.send(From, LeaseListRequest{Impl->Shard});
+}
+
+void ShardOwner::onInstanceGone(CoreContext &Context,
+                                const std::string &Instance) {
+  Impl->handle(Context, [&] { Impl->lapseAll(Context, Instance); });
+}
+
+void ShardOwner::onLoad(CoreContext &Context, const LoadReported &Report) {
+  Impl->handle(Context, [&] {
+    ShardServer *server = Impl->Scheduler.servers().find(Report.Server);
+    if (!server)
+      return;
+    auto known = [&](const RequestId &Id) {
+      return Impl->Scheduler.find(Id) != nullptr;
+    };
+    if (server->Estimate.report(Report, known, Context.Now))
+      Impl->Scheduler.onServerRestarted(Report.Server);
+    if (!Report.Reachable)
+      return;
+    if (Impl->GraceEnd != TimePoint{})
+      return;
+    if (server->Sweep)
+      Impl->sweep(Context, *server);
+    server->Sweep = false;
+    Impl->cancelAgain(Context, *server);
+  });
+}
+
+void ShardOwner::onCacheEvents(CoreContext &Context,
+                               const CacheEventsReported &Report) {
+  Impl->Scheduler.sync(Context);
+  Impl->Scheduler.onCacheEvents(Report);
+}
+
+void ShardOwner::onTimer(CoreContext &Context) {
+  Impl->handle(Context, [&] {
+    Impl->lapseOverdue(Context);
+    Impl->endTakeOver(Context);
+    std::erase_if(Impl->Entries, [&](const auto &It) {
+      return It.second.Count == 0 &&
+             Context.Now > It.second.RenewedAt + CancelMemory;
+    });
+    std::erase_if(Impl->Cancelled, [&](const auto &It) {
+      return Context.Now > It.second + CancelMemory;
+    });
+    Impl->Scheduler.onTimer(Context);
+  });
+}
+
+uint32_t ShardOwner::queueLength() const {
+  return Impl->Scheduler.queueLength();
+}
+
+static const char *stageName(LeaseStage Stage) {
+  switch (Stage) {
+  case LeaseStage::Waiting:
+    return "waiting";
+  case LeaseStage::Prefilling:
+    return "prefilling";
+  case LeaseStage::Ready:
+    return "ready";
+  case LeaseStage::Decoding:
+    return "decoding";
+  }
+  return "";
+}
+
+static Poco::JSON::Array dumpServers(const ShardServers &Servers,
+                                     TimePoint Now) {
+  Poco::JSON::Array all;
+  for (const auto &[name, server] : Servers.all()) {
+    Poco::JSON::Object item;
+    item.set("name", name);
+    item.set("role", server.decodes() ? "decode" : "prefill");
+    item.set("live", server.Live);
+    item.set("reachable", server.Estimate.reachable(Now));
+    item.set("slots", server.Estimate.slots());
+    item.set("own", server.Estimate.own());
+    item.set("foreign", server.Estimate.foreign(Now));
+    item.set("link_bytes_in_flight", server.Link.bytesInFlight(Now));
+    item.set("reserved", server.reserved());
+    all.add(item);
+  }
+  return all;
+}
+
+static Poco::JSON::Array
+dumpLeases(const std::map<RequestId, ShardLeasePtr> &Leases, TimePoint Now) {
+  Poco::JSON::Array all;
+  for (const auto &[id, lease] : Leases) {
+    Poco::JSON::Object item;
+    item.set("request", id.str());
+    item.set("entry", lease->Entry);
+    item.set("group", lease->Group);
+    item.set("attempt", lease->Attempt);
+    item.set("stage", stageName(lease->Stage));
+    item.set("prefill_server", lease->PrefillServer);
+    item.set("decode_server", lease->DecodeServer);
+    auto age = std::chrono::duration_cast<Milliseconds>(Now - lease->ArrivedAt);
+    item.set("age_ms", static_cast<int64_t>(age.count()));
+    all.add(item);
+  }
+  return all;
+}
+
+std::string ShardOwner::dump(TimePoint Now) const {
+  Poco::JSON::Object root;
+  root.set("shard", Impl->Shard);
+  root.set("fence", Impl->Fence);
+  root.set("takeover", Impl->GraceEnd != TimePoint{});
+  root.set("queued", queueLength());
+  root.set("servers", dumpServers(Impl->Scheduler.servers(), Now));
+  root.set("leases", dumpLeases(Impl->Scheduler.leases(), Now));
+  std::ostringstream text;
+  root.stringify(text);
+  return text.str();
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/shard_scheduler.h
@@ -0,0 +1,177 @@
+// Admission, start of prefills and placement of results on the servers of one
+// shard. ShardOwner feeds it with messages and keeps the leases alive.
+#ifndef CROCUSSPUR_SHARD_SCHEDULER_H
+#define CROCUSSPUR_SHARD_SCHEDULER_H
+
+#include "core_context.h"
+#include "fair_queue.h"
+#include "output_lengths.h"
+#include "prefix_affinity.h"
+#include "shard_lease.h"
+#include "shard_servers.h"
+#include "start_rule.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusspur::internal {
+
+class ShardScheduler {
+public:
+  // Called when a lease begins and when it ends.
+  using LeaseHook = std::function<void(const ShardLease &Lease, bool Begins)>;
+
+  ShardScheduler(std::string Shard, LeaseHook OnLease)
+      : Servers(Shard), Shard(std::move(Shard)), OnLease(std::move(OnLease)) {}
+  ~ShardScheduler();
+  ShardScheduler(const ShardScheduler &) = delete;
+  ShardScheduler &operator=(const ShardScheduler &) = delete;
+
+  void setFence(uint64_t Number) { Fence = Number; }
+  // Takes over changes of the configuration and the list.
+  void sync(const CoreContext &Context);
+
+  ShardServers &servers() { return Servers; }
+  const ShardServers &servers() const { return Servers; }
+  const std::map<RequestId, ShardLeasePtr> &leases() const { return Leases; }
+  ShardLeasePtr find(const RequestId &Id) const;
+  uint32_t queueLength() const;
+
+  // A new request: grants, queues or refuses it.
+  void admit(CoreContext &Context, ShardLeasePtr Lease);
+  // A lease that another owner gave, in the stage that the entry reports.
+  void adopt(CoreContext &Context, ShardLeasePtr Lease, const LeaseEntry &From);
+  // The last grant again, for an entry that may have missed it.
+  void repeatGrant(CoreContext &Context, const ShardLease &Lease);
+
+  void prefillDone(CoreContext &Context, ShardLease &Lease, uint64_t KvBytes);
+  void prefillLost(CoreContext &Context, ShardLease &Lease, bool ServerFull);
+  void decodeLost(CoreContext &Context, ShardLease &Lease,
+                  const DecodeLost &Message);
+  // The entry gave the present placement up and asks for another.
+  void placeAgain(CoreContext &Context, ShardLease &Lease);
+  void finished(CoreContext &Context, ShardLease &Lease,
+                const Finished &Message);
+  // Ends the lease and cancels the request wherever it may be held.
+  void lapse(CoreContext &Context, ShardLease &Lease);
+  // Ends the lease without a cancel.
+  void drop(CoreContext &Context, ShardLease &Lease);
+
+  // Starts and places what may start now.
+  void schedule(CoreContext &Context);
+  void onTimer(CoreContext &Context);
+  void onCacheEvents(const CacheEventsReported &Report) {
+    Affinity.onEvents(Report);
+  }
+  void onServerRestarted(const std::string &Server) { Affinity.forget(Server); }
+
+private:
+  // Where a prefill can start now.
+  struct Plan {
+    ShardServer *Prefill = nullptr;
+    ShardServer *Decode = nullptr; // set if its slot is taken from the start
+  };
+  // What a group's next request has to expect, without the queue.
+  struct Outlook {
+    double SlotWait = 0;    // seconds until a decode slot is free
+    double PrefillWait = 0; // seconds until a prefill slot is free
+    double DecodeSlots = 0;
+    double PrefillSlots = 0;
+  };
+
+  static bool ownerPolicy(PlacementPolicy Policy) {
+    return Policy != PlacementPolicy::RoundRobin &&
+           Policy != PlacementPolicy::LeastLoad;
+  }
+
+  void begin(const ShardLeasePtr &Lease);
+  void setStage(ShardLease &Lease, LeaseStage Stage);
+  void unlink(ShardLease &Lease);
+  void reserve(ShardServer &Server, const RequestId &Id);
+  void release(const RequestId &Id);
+
+  // Costs and times.
+  double prefillSeconds(const ShardServer &On, const ShardLease &Lease) const;
+  double kvBytes(const ShardLease &Lease) const;
+  Work cost(const ShardLease &Lease) const;
+  OutputLengths &lengths(const ShardLease &Lease);
+  std::vector<RunningDecode> running(const std::vector<ShardServer *> &On,
+                                     TimePoint Now);
+  std::vector<double> pending(const std::string &Group, TimePoint Now) const;
+  double dueSeconds(const ShardLease &Lease, TimePoint Now) const;
+  uint32_t unknownResults() const;
+  StartQuestion question(const std::string &Group, TimePoint Now);
+
+  // Admission.
+  Outlook outlook(const std::string &Group, TimePoint Now);
+  double firstOutputSeconds(const Outlook &At, const ShardLease &Lease,
+                            const Work &Ahead, TimePoint Now);
+  double aloneWait(const ShardLease &Lease, TimePoint Now);
+  double firstOutputAgain(const ShardLease &Lease, TimePoint Now);
+  Milliseconds drainTime(const std::string &Group, TimePoint Now);
+  bool refuseIfLate(CoreContext &Context, ShardLease &Lease,
+                    double FirstOutput);
+  void refuseUnreachable(CoreContext &Context);
+  void refuse(CoreContext &Context, ShardLease &Lease, ErrorKind Kind,
+              Milliseconds RetryAfter);
+
+  // Start of prefills.
+  std::optional<Plan> plan(CoreContext &Context, ShardLease &Lease);
+  std::optional<Plan> planOnDecode(CoreContext &Context, ShardLease &Lease,
+                                   const std::vector<ShardServer *> &Decodes);
+  std::optional<Plan> planAlone(CoreContext &Context, ShardLease &Lease);
+  std::optional<Plan> planUnreserved(CoreContext &Context, ShardLease &Lease);
+  ShardServer *choosePrefill(CoreContext &Context, const ShardLease &Lease,
+                             const std::vector<ShardServer *> &Of) const;
+  ShardServer *chooseUnreserved(CoreContext &Context,
+                                const std::vector<ShardServer *> &Of);
+  bool mayStartPrefill(CoreContext &Context, const ShardLease &Lease,
+                       double Due);
+  bool leavesRoomForInteractive(CoreContext &Context, const ShardLease &Lease,
+                                StartQuestion Question);
+  bool eligible(CoreContext &Context, const QueuedItem &Item);
+  void start(CoreContext &Context, ShardLease &Lease, const Plan &With);
+  void startWaiting(CoreContext &Context);
+
+  // Placement of results.
+  void placeResults(CoreContext &Context);
+  bool placeResult(CoreContext &Context, ShardLease &Lease);
+  void grantDecode(CoreContext &Context, ShardLease &Lease, ShardServer &On);
+  void expireResult(CoreContext &Context, ShardLease &Lease);
+  void queueAgain(CoreContext &Context, ShardLease &Lease);
+
+  // Ends of stages.
+  void leavePrefill(CoreContext &Context, ShardLease &Lease);
+  void leaveDecode(CoreContext &Context, ShardLease &Lease);
+  void usedIfImported(ShardLease &Lease, TimePoint Now) const;
+  void wastePrefill(CoreContext &Context, ShardLease &Lease);
+  void note(CoreContext &Context, NoteKind Kind, const ShardLease &Lease,
+            const std::string &Subject, double Value = 0) const;
+
+  ShardServers Servers;
+  std::string Shard;
+  uint64_t Fence = 0;
+  LeaseHook OnLease;
+  std::map<RequestId, ShardLeasePtr> Leases;
+  StageList Prefilling;
+  StageList Ready;
+  StageList Decoding;
+  FairQueue Queue;
+  // Placed again before anything in the queue; their groups have paid.
+  std::vector<ShardLeasePtr> Again;
+  std::map<std::pair<std::string, RequestClass>, OutputLengths> Lengths;
+  PrefixAffinity Affinity;
+  double PrefillRatio = 1; // measured to estimated prefill time
+  RequestId AloneId;       // the one request that may reserve a server
+  uint64_t Turn = 0;       // RoundRobin, and ties of LeastLoad
+  TimePoint LastInteractive{};
+  double InteractivePrefill = 0.1; // seconds, of the last interactive request
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/shard_servers.h
@@ -0,0 +1,80 @@
+// The backend servers and groups of one shard as configuration, list and
+// estimates show them, and the choice between servers.
+#ifndef CROCUSSPUR_SHARD_SERVERS_H
+#define CROCUSSPUR_SHARD_SERVERS_H
+
+#include "core_context.h"
+#include "prefix_affinity.h"
+#include "server_estimate.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+struct ShardServer {
+  ServerConfig Config;
+  bool Live = false;
+  ServerEstimate Estimate;
+  LinkEstimate Link;
+  // The request that runs here alone, or for which the server is drained.
+  RequestId ReservedFor;
+  bool Sweep = false; // unknown requests are to be cancelled
+
+  bool reserved() const { return ReservedFor != RequestId{}; }
+  bool decodes() const { return Config.Role == ServerRole::Decode; }
+};
+
+class ShardServers {
+public:
+  explicit ShardServers(std::string Shard) : Shard(std::move(Shard)) {}
+
+  // Takes over changes of the configuration and the list. Returns true if
+  // there were any.
+  bool sync(const CoreContext &Context);
+
+  ShardServer *find(const std::string &Name);
+  std::map<std::string, ShardServer> &all() { return Servers; }
+  const std::map<std::string, ShardServer> &all() const { return Servers; }
+  // The group's configuration; defaults for an unknown group.
+  const GroupConfig &group(const std::string &Name) const;
+  const std::map<std::string, GroupConfig> &groups() const { return Groups; }
+  uint32_t kvBytesPerToken() const { return KvBytesPerToken; }
+  Milliseconds evictionTime() const { return EvictionTime; }
+
+  // Live, reachable servers of the role where the group may run. `Reserved`
+  // includes the ones that are reserved for a request that runs alone.
+  std::vector<ShardServer *> usable(const std::string &Group, ServerRole Role,
+                                    TimePoint Now, bool Reserved = false);
+  // True if the group may use every server of the shard.
+  bool unrestricted(const std::string &Group) const;
+
+  uint32_t freeSlots(const std::vector<ShardServer *> &Of, TimePoint Now) const;
+  // The server with a free slot that can start soonest: shortest transfer from
+  // the source (may be null), then lowest part of slots used. Null if no slot
+  // is free.
+  ShardServer *bestDecode(const std::vector<ShardServer *> &Of,
+                          const ShardServer *Source, double Bytes,
+                          TimePoint Now) const;
+  // Seconds for the KV cache to get from one server to the other.
+  double transferSeconds(const ShardServer &From, const ShardServer &To,
+                         double Bytes, TimePoint Now) const;
+
+private:
+  uint32_t slotsFor(const CoreContext &Context,
+                    const ServerConfig &Config) const;
+
+  std::string Shard;
+  std::map<std::string, ShardServer> Servers;
+  std::map<std::string, GroupConfig> Groups;
+  uint32_t KvBytesPerToken = 131072;
+  Milliseconds EvictionTime{800};
+  uint64_t Version = 0;
+  uint64_t Sequence = 0;
+  bool Synced = false;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/start_rule.cc
@@ -0,0 +1,82 @@
+#include "start_rule.h"
+
+#include <algorithm>
+
+namespace crocusspur::internal {
+
+double endsWithin(const RunningDecode &Decode, double Seconds) {
+  return Decode.Lengths->endsBy(Decode.MaxTokens, Decode.Tokens,
+                                Decode.Tokens +
+                                    Seconds * Decode.TokensPerSecond);
+}
+
+double shortageChance(const std::vector<double> &Chances, size_t Needed) {
+  if (Needed == 0)
+    return 0;
+  if (Needed > Chances.size())
+    return 1;
+  // exactly[k]: probability that k of the events seen so far happen, k below
+  // Needed. Larger counts aren't needed, which bounds the cost.
+  std::vector<double> exactly(Needed, 0);
+  exactly[0] = 1;
+  for (double chance : Chances) {
+    for (size_t k = Needed - 1; k > 0; --k)
+      exactly[k] += chance * (exactly[k - 1] - exactly[k]);
+    exactly[0] *= 1 - chance;
+  }
+  double sum = 0;
+  for (double it : exactly)
+    sum += it;
+  return sum;
+}
+
+static bool slotsSuffice(const StartQuestion &Question, double Due,
+                         size_t Results) {
+  if (Results <= Question.FreeSlots)
+    return true;
+  size_t needed = Results - Question.FreeSlots;
+  if (needed > Question.Running.size())
+    return false;
+  std::vector<double> chances;
+  chances.reserve(Question.Running.size());
+  for (const RunningDecode &it : Question.Running)
+    chances.push_back(endsWithin(it, Due));
+  return shortageChance(chances, needed) <= Question.Bound;
+}
+
+bool mayStart(const StartQuestion &Question) {
+  std::vector<double> due = Question.Pending;
+  std::sort(due.begin(), due.end());
+  auto at = std::upper_bound(due.begin(), due.end(), Question.NewDue);
+  auto first = static_cast<size_t>(at - due.begin());
+  due.insert(at, Question.NewDue);
+  // Results due earlier take their slots first and aren't affected. The ones
+  // due later each need one more slot, and the last of them needs the most,
+  // so it is checked first.
+  for (size_t i = due.size(); i > first; --i)
+    if (!slotsSuffice(Question, due[i - 1], i))
+      return false;
+  return true;
+}
+
+double secondsUntilFree(const std::vector<RunningDecode> &Running, double Count,
+                        double Limit) {
+  if (Count <= 0)
+    return 0;
+  auto expected = [&](double Seconds) {
+    double sum = 0;
+    for (const RunningDecode &it : Running)
+      sum += endsWithin(it, Seconds);
+    return sum;
+  };
+  if (expected(Limit) < Count)
+    return Limit;
+  double low = 0, high = Limit;
+  for (int i = 0; i < 12; ++i) {
+    double middle = (low + high) / 2;
+    (expected(middle) < Count ? low : high) = middle;
+  }
+  return high;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/start_rule.h
@@ -0,0 +1,47 @@
+// Decides whether one more prefill may start now, from the probability that
+// its result, or one started before it, finds no decode slot before eviction.
+#ifndef CROCUSSPUR_START_RULE_H
+#define CROCUSSPUR_START_RULE_H
+
+#include "output_lengths.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace crocusspur::internal {
+
+struct RunningDecode {
+  const OutputLengths *Lengths = nullptr;
+  uint32_t MaxTokens = 1;
+  double Tokens = 0; // expected so far
+  double TokensPerSecond = 40;
+};
+
+struct StartQuestion {
+  uint32_t FreeSlots = 0;
+  std::vector<RunningDecode> Running;
+  // Seconds from now until each result of a prefill under way has to have a
+  // slot, in any order.
+  std::vector<double> Pending;
+  double NewDue = 0; // the same for the prefill in question
+  double Bound = 0.01;
+};
+
+// Probability that the decode ends within so many seconds.
+double endsWithin(const RunningDecode &Decode, double Seconds);
+
+// Probability that fewer than `Needed` of independent events with these
+// chances happen (tail of the Poisson binomial distribution).
+double shortageChance(const std::vector<double> &Chances, size_t Needed);
+
+bool mayStart(const StartQuestion &Question);
+
+// Seconds until the expected number of decodes that have ended reaches
+// `Count`; `Limit` if it doesn't before.
+double secondsUntilFree(const std::vector<RunningDecode> &Running, double Count,
+                        double Limit);
+
+} // namespace crocusspur::internal
+
+#endif
