--- /dev/null
+++ b/src/core_duties.cc
@@ -0,0 +1,161 @@
+#include "core_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusspur {
+
+using internal::CoreContext;
+using internal::ShardOwner;
+
+// Recomputes the owners when the view or the set of reachable peers changed.
+void DecisionCore::State::updateOwners(ActionList &Out) {
+  const ConfigDocument &config =
+      *(Config.current() ? Config.current() : NoConfig);
+  if (std::exchange(ViewChanged, false))
+    Shards.setView(config, List ? *List : *NoList);
+  bool changed = Shards.choose([this](const std::string &Instance) {
+    return Peers.isReachable(Instance, Now);
+  });
+  if (Paused || !List || !Config.current())
+    return;
+  stopOwning(Out);
+  for (const auto &it : Shards.owners())
+    if (it.second == Options.Instance && !Owned.count(it.first))
+      beginOwning(it.first, Out);
+  if (changed) {
+    CoreContext context = this->context(Out);
+    Requests.onOwnersChanged(context);
+  }
+}
+
+void DecisionCore::State::beginOwning(const std::string &Shard,
+                                      ActionList &Out) {
+  CoreContext context = this->context(Out);
+  auto owner = std::make_unique<ShardOwner>(Shard);
+  // A predecessor must always be assumed, even with nobody else in the list:
+  // it may have been stopped before this instance started. Without owners each
+  // instance only knows its own requests and must not cancel the others'.
+  owner->begin(context, internal::hasOwners(Options.Policy));
+  Owned[Shard] = std::move(owner);
+  Out.push_back(
+      Note{NoteKind::OwnershipGained, {}, "", Shard, ErrorKind::Internal, 0});
+}
+
+void DecisionCore::State::stopOwning(ActionList &Out) {
+  std::erase_if(Owned, [&](const auto &Item) {
+    if (Shards.ownerOf(Item.first) == Options.Instance)
+      return false;
+    Out.push_back(Note{
+        NoteKind::OwnershipLost, {}, "", Item.first, ErrorKind::Internal, 0});
+    return true;
+  });
+}
+
+void DecisionCore::State::updatePolled(ActionList &Out) {
+  if (!Config.current())
+    return;
+  std::vector<std::string> servers = Shards.polledServers(*Config.current());
+  if (PolledSent && servers == Polled)
+    return;
+  PolledSent = true;
+  Polled = std::move(servers);
+  std::erase_if(Watched, [&](const auto &Item) {
+    return !std::binary_search(Polled.begin(), Polled.end(), Item.first);
+  });
+  Out.push_back(SetPolledServers{Polled});
+}
+
+void DecisionCore::State::onHeartbeat(const std::string &From,
+                                      uint64_t Incarnation,
+                                      const Heartbeat &Message,
+                                      ActionList &Out) {
+  Peers.onHeartbeat(From, Message, Now);
+  CoreContext context = this->context(Out);
+  Keys.onHeartbeat(context, From, Incarnation, Message);
+  for (const LeaseSummary &it : Message.Leases) {
+    auto owner = Owned.find(it.Shard);
+    if (owner != Owned.end())
+      owner->second->onHeartbeat(context, From, it);
+  }
+  askPeer(From, Out);
+}
+
+void DecisionCore::State::sendHeartbeat(const std::string &To,
+                                        ActionList &Out) {
+  CoreContext context = this->context(Out);
+  Heartbeat message;
+  if (Config.current()) {
+    message.ConfigVersion = Config.current()->Version;
+    message.ConfigDigest = Config.current()->Digest;
+  }
+  message.ListSequence = List ? List->Sequence : 0;
+  message.Draining = Draining;
+  message.ReadsPlatform = Reading.value_or(false);
+  message.Leases = Requests.leasesFrom(To);
+  Keys.fillHeartbeat(context, message);
+  Out.push_back(SendToPeer{To, std::move(message)});
+}
+
+void DecisionCore::State::sendHeartbeats(ActionList &Out) {
+  for (const std::string &it : Peers.linked())
+    sendHeartbeat(it, Out);
+  // The own leases are renewed like those of the peers.
+  CoreContext context = this->context(Out);
+  for (const LeaseSummary &it : Requests.leasesFrom(Options.Instance)) {
+    auto owner = Owned.find(it.Shard);
+    if (owner != Owned.end())
+      owner->second->onHeartbeat(context, Options.Instance, it);
+  }
+}
+
+void DecisionCore::State::onInstanceGone(const std::string &Instance,
+                                         ActionList &Out) {
+  CoreContext context = this->context(Out);
+  for (auto &it : Owned)
+    it.second->onInstanceGone(context, Instance);
+}
+
+void DecisionCore::State::onLoad(const LoadReported &Report, ActionList &Out) {
+  watchServer(Report, Out);
+  CoreContext context = this->context(Out);
+  for (auto &it : Owned) {
+    const ModelConfig *model = context.Config.findModelOfShard(it.first);
+    if (!model)
+      continue;
+    for (const ShardConfig &shard : model->Shards)
+      if (shard.Name == it.first &&
+          std::count(shard.Servers.begin(), shard.Servers.end(),
+                     Report.Server) > 0)
+        it.second->onLoad(context, Report);
+  }
+}
+
+// Recognises a crash: the server stops answering, or answers as another run.
+void DecisionCore::State::watchServer(const LoadReported &Report,
+                                      ActionList &Out) {
+  CoreContext context = this->context(Out);
+  ServerWatch &watch = Watched[Report.Server];
+  bool restarted =
+      Report.Reachable && watch.Epoch != 0 && Report.Epoch != watch.Epoch;
+  bool vanished = !Report.Reachable && watch.Reachable;
+  if ((restarted || vanished) && !watch.CrashCounted) {
+    watch.CrashCounted = true;
+    Crashes.onServerCrashed(context, Report.Server, watch.Epoch);
+  }
+  watch.Reachable = Report.Reachable;
+  if (!Report.Reachable)
+    return;
+  if (Report.Epoch != watch.Epoch)
+    watch.CrashCounted = false;
+  watch.Epoch = Report.Epoch;
+}
+
+void DecisionCore::State::onCacheEvents(const CacheEventsReported &Report,
+                                        ActionList &Out) {
+  CoreContext context = this->context(Out);
+  for (auto &it : Owned)
+    it.second->onCacheEvents(context, Report);
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/core_lifecycle.cc
@@ -0,0 +1,132 @@
+#include "core_state.h"
+
+namespace crocusspur {
+namespace {
+
+// A gap between two timer events that shows that the process did not run.
+constexpr Milliseconds PauseGap{1000};
+// Longest wait for the peers of the list before this instance serves.
+constexpr Milliseconds PeerWait{1000};
+
+} // namespace
+
+using internal::CoreContext;
+
+void DecisionCore::State::onTimer(ActionList &Out) {
+  if (LastTimer && Now - *LastTimer > PauseGap)
+    onPause(std::chrono::duration_cast<Milliseconds>(Now - *LastTimer), Out);
+  LastTimer = Now;
+  DutiesDue = true;
+  if (Peers.linked().empty())
+    endPause(Out);
+  CoreContext context = this->context(Out);
+  if (!LastHeartbeat || Now - *LastHeartbeat >= Options.HeartbeatPeriod) {
+    LastHeartbeat = Now;
+    sendHeartbeats(Out);
+  }
+  Keys.onTimer(context);
+  Crashes.onTimer(context);
+  if (!Paused)
+    for (auto &it : Owned)
+      it.second->onTimer(context);
+  Requests.onTimer(context);
+}
+
+// The view of this instance is as old as the gap. Shards are given up without
+// cancelling anything, since the leases only look lapsed; they begin again
+// with a new fencing number when the pause has ended.
+void DecisionCore::State::onPause(Milliseconds Gap, ActionList &Out) {
+  Out.push_back(Note{NoteKind::PauseDetected,
+                     {},
+                     "",
+                     Options.Instance,
+                     ErrorKind::Internal,
+                     std::chrono::duration<double>(Gap).count()});
+  Paused = true;
+  Requests.holdDispatch();
+  if (!internal::hasOwners(Options.Policy))
+    return;
+  for (const auto &it : Owned)
+    Out.push_back(Note{
+        NoteKind::OwnershipLost, {}, "", it.first, ErrorKind::Internal, 0});
+  Owned.clear();
+}
+
+void DecisionCore::State::endPause(ActionList &Out) {
+  if (!Paused)
+    return;
+  Paused = false;
+  updateOwners(Out);
+  CoreContext context = this->context(Out);
+  Requests.releaseDispatch(context);
+  // The own owner starts without leases; the peers hear from it.
+  Requests.onPeerUp(context, Options.Instance);
+  for (const auto &it : Owned)
+    for (const std::string &peer : Peers.linked())
+      Out.push_back(SendToPeer{peer, LeaseListRequest{it.first}});
+}
+
+bool DecisionCore::State::peersHeard() const {
+  for (const InstanceEntry &it : List->Instances)
+    if (it.State == MemberState::Live && it.Name != Options.Instance &&
+        !Peers.hasHeartbeat(it.Name))
+      return false;
+  // A heard peer may have a newer version on its way.
+  uint64_t version = Config.current()->Version;
+  for (const auto &it : Peers.all())
+    if (it.second.Up && (it.second.Last.ConfigVersion > version ||
+                         it.second.Last.ListSequence > List->Sequence))
+      return false;
+  return true;
+}
+
+// A fresh instance hears its peers before it serves, so that a stale platform
+// can't make it use an old version. Dead peers in the list hold it for 1 s.
+void DecisionCore::State::updateReadiness(ActionList &Out) {
+  if (Ready || Draining || !List || !Config.current())
+    return;
+  if (!ServableSince)
+    ServableSince = Now;
+  if (!peersHeard() && Now - *ServableSince < PeerWait)
+    return;
+  Ready = true;
+  Out.push_back(SetReadiness{true});
+}
+
+void DecisionCore::State::beginShutdown(const ShutdownRequested &Body,
+                                        ActionList &Out) {
+  if (Draining)
+    return;
+  Draining = true;
+  Ready = false;
+  ShutdownBy = Now + Body.Limit;
+  Out.push_back(SetReadiness{false});
+  CoreContext context = this->context(Out);
+  Requests.drain(context);
+}
+
+void DecisionCore::State::updateShutdown(ActionList &Out) {
+  if (!Draining || Stopped)
+    return;
+  if (Requests.openRequests() == 0) {
+    stop(0, Out);
+  } else if (Now >= ShutdownBy) {
+    CoreContext context = this->context(Out);
+    stop(Requests.abandonAll(context), Out);
+  }
+}
+
+void DecisionCore::State::stop(uint32_t Abandoned, ActionList &Out) {
+  Stopped = true;
+  for (const std::string &it : Peers.linked())
+    Out.push_back(SendToPeer{it, Goodbye{}});
+  Out.push_back(Note{NoteKind::Drained,
+                     {},
+                     "",
+                     Options.Instance,
+                     ErrorKind::Internal,
+                     static_cast<double>(Abandoned)});
+  Out.push_back(ShutdownComplete{Abandoned});
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/core_state.h
@@ -0,0 +1,121 @@
+// State of the decision core, shared by the files that implement it. Not used
+// outside them.
+#ifndef CROCUSSPUR_CORE_STATE_H
+#define CROCUSSPUR_CORE_STATE_H
+
+#include "config_state.h"
+#include "core_context.h"
+#include "crash_guard.h"
+#include "entry_requests.h"
+#include "key_home.h"
+#include "peer_table.h"
+#include "shard_map.h"
+#include "shard_owner.h"
+
+#include "crocusspur/decision_core.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusspur {
+
+struct DecisionCore::State {
+  explicit State(CoreOptions Given);
+
+  // decision_core.cc: events, messages and routing
+  void handle(const Event &Item, ActionList &Actions);
+  void dispatch(const Event &Item, ActionList &Out);
+  void drainOwn(ActionList &Queue, ActionList &Actions);
+  void onPeerReceived(const PeerReceived &Body, ActionList &Out);
+  void onLinkChanged(const PeerLinkChanged &Body, ActionList &Out);
+  void onMessage(const std::string &From, uint64_t Incarnation,
+                 const PeerMessage &Message, ActionList &Out);
+  void toOwner(const std::string &From, const PeerMessage &Message,
+               ActionList &Out);
+  void onPublished(const ListPublished &Body, ActionList &Out);
+  void onPublished(const ConfigPublished &Body, ActionList &Out);
+  void onArrived(const RequestArrived &Body, ActionList &Out);
+  internal::CoreContext context(ActionList &Out);
+
+  // core_versions.cc: configuration, lists and the platform
+  void onConfigPublished(const ConfigPtr &Document, ActionList &Out);
+  void onConfigOffer(const std::string &From, const ConfigOffer &Message,
+                     ActionList &Out);
+  void useConfig(ActionList &Out);
+  void onList(const ListPtr &Newer, ActionList &Out);
+  void onListOffer(const ListOffer &Message, ActionList &Out);
+  void answerRequest(const std::string &To, const PeerMessage &Message,
+                     ActionList &Out);
+  void askPeer(const std::string &From, ActionList &Out);
+  void updateReading(ActionList &Out);
+
+  // core_duties.cc: owned shards, polled servers, heartbeats and load
+  void updateOwners(ActionList &Out);
+  void beginOwning(const std::string &Shard, ActionList &Out);
+  void stopOwning(ActionList &Out);
+  void updatePolled(ActionList &Out);
+  void onHeartbeat(const std::string &From, uint64_t Incarnation,
+                   const Heartbeat &Message, ActionList &Out);
+  void sendHeartbeats(ActionList &Out);
+  void sendHeartbeat(const std::string &To, ActionList &Out);
+  void onInstanceGone(const std::string &Instance, ActionList &Out);
+  void onLoad(const LoadReported &Report, ActionList &Out);
+  void watchServer(const LoadReported &Report, ActionList &Out);
+  void onCacheEvents(const CacheEventsReported &Report, ActionList &Out);
+
+  // core_lifecycle.cc: time, readiness, pauses and shutdown
+  void onTimer(ActionList &Out);
+  void onPause(Milliseconds Gap, ActionList &Out);
+  void endPause(ActionList &Out);
+  void updateReadiness(ActionList &Out);
+  bool peersHeard() const;
+  void beginShutdown(const ShutdownRequested &Body, ActionList &Out);
+  void updateShutdown(ActionList &Out);
+  void stop(uint32_t Abandoned, ActionList &Out);
+
+  CoreOptions Options;
+  TimePoint Now;
+  WallTime Wall;
+  internal::ConfigState Config;
+  ConfigPtr NoConfig = std::make_shared<ConfigDocument>();
+  ListPtr List;
+  ListPtr NoList = std::make_shared<InstanceList>();
+  internal::KeyHome Keys;
+  internal::CrashGuard Crashes;
+  internal::ShardMap Shards;
+  internal::EntryRequests Requests;
+  internal::PeerTable Peers;
+  std::map<std::string, std::unique_ptr<internal::ShardOwner>> Owned;
+  ActionList Deferred; // own messages over the bound of one handle() call
+
+  struct ServerWatch {
+    uint64_t Epoch = 0;
+    bool Reachable = false;
+    bool CrashCounted = false; // of this epoch
+  };
+  std::map<std::string, ServerWatch> Watched;
+
+  // Owners, polled servers and platform reading are only recomputed after
+  // events that can change them, since requests make most of the events.
+  bool DutiesDue = true;
+  bool ViewChanged = true; // configuration or list since the last ranking
+  std::vector<std::string> Polled;
+  bool PolledSent = false;
+  std::optional<bool> Reading; // last order to the platform reader
+  std::optional<TimePoint> LastTimer;
+  std::optional<TimePoint> LastHeartbeat;
+  std::optional<TimePoint> NoReaderSince;
+  std::optional<TimePoint> ServableSince; // configuration and list in force
+  bool Ready = false;
+  bool Paused = false;
+  bool Draining = false;
+  bool Stopped = false;
+  TimePoint ShutdownBy;
+};
+
+} // namespace crocusspur
+
+#endif
--- /dev/null
+++ b/src/core_versions.cc
@@ -0,0 +1,139 @@
+#include "core_state.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace crocusspur {
+namespace {
+
+// A peer is asked again for a version after this time, in case the answer was
+// lost with a link; every heartbeat of every peer would ask otherwise.
+constexpr Milliseconds AskAgain{400};
+
+// Runs a parse function; a text that doesn't parse gives null.
+template <typename Pointer>
+Pointer parsedOrNull(boost::leaf::result<Pointer> (*Parse)(const std::string &),
+                     const std::string &Text) {
+  return boost::leaf::try_handle_all([&] { return Parse(Text); },
+                                     [] { return Pointer(); });
+}
+
+Note versionNote(NoteKind Kind, uint64_t Version) {
+  return {Kind,
+          {},
+          "",
+          std::to_string(Version),
+          ErrorKind::Internal,
+          static_cast<double>(Version)};
+}
+
+} // namespace
+
+using internal::ConfigVerdict;
+using internal::CoreContext;
+using internal::Peer;
+
+void DecisionCore::State::onConfigPublished(const ConfigPtr &Document,
+                                            ActionList &Out) {
+  switch (Config.judgePublished(Document)) {
+  case ConfigVerdict::InForce:
+    useConfig(Out);
+    break;
+  case ConfigVerdict::Refused:
+    Out.push_back(versionNote(NoteKind::ConfigRefused, Document->Version));
+    break;
+  case ConfigVerdict::Gap:
+    Out.push_back(SetPlatformReading{Reading.value_or(true), Config.judged()});
+    break;
+  case ConfigVerdict::Old:
+    break;
+  }
+}
+
+void DecisionCore::State::onConfigOffer(const std::string &,
+                                        const ConfigOffer &Message,
+                                        ActionList &Out) {
+  ConfigPtr document = parsedOrNull(parseConfigDocument, Message.Text);
+  if (!document)
+    return;
+  if (Config.adoptFromPeer(document) == ConfigVerdict::InForce)
+    useConfig(Out);
+}
+
+void DecisionCore::State::useConfig(ActionList &Out) {
+  ViewChanged = true;
+  DutiesDue = true;
+  Out.push_back(UseConfig{Config.current()});
+  Out.push_back(
+      versionNote(NoteKind::ConfigInForce, Config.current()->Version));
+}
+
+void DecisionCore::State::onList(const ListPtr &Newer, ActionList &Out) {
+  if (!Newer || (List && Newer->Sequence <= List->Sequence))
+    return;
+  List = Newer;
+  ViewChanged = true;
+  DutiesDue = true;
+  Out.push_back(UseList{List});
+  Out.push_back(versionNote(NoteKind::ListInForce, List->Sequence));
+  CoreContext context = this->context(Out);
+  Keys.onListChanged(context);
+}
+
+void DecisionCore::State::onListOffer(const ListOffer &Message,
+                                      ActionList &Out) {
+  onList(parsedOrNull(parseInstanceList, Message.Text), Out);
+}
+
+void DecisionCore::State::answerRequest(const std::string &To,
+                                        const PeerMessage &Message,
+                                        ActionList &Out) {
+  if (auto *config = std::get_if<ConfigRequest>(&Message)) {
+    if (Config.current() && Config.current()->Version > config->HaveVersion)
+      Out.push_back(SendToPeer{To, ConfigOffer{Config.current()->Text}});
+  } else if (auto *list = std::get_if<ListRequest>(&Message)) {
+    if (List && List->Sequence > list->HaveSequence)
+      Out.push_back(SendToPeer{To, ListOffer{List->Text}});
+  }
+}
+
+// Asks the peer for what its last heartbeat says that it has newer.
+void DecisionCore::State::askPeer(const std::string &From, ActionList &Out) {
+  Peer *peer = Peers.find(From);
+  if (!peer)
+    return;
+  uint64_t version = Config.current() ? Config.current()->Version : 0;
+  uint64_t digest = Config.current() ? Config.current()->Digest : 0;
+  const Heartbeat &last = peer->Last;
+  // Of two documents under one number the lower digest wins everywhere.
+  bool conflict = version != 0 && last.ConfigVersion == version &&
+                  last.ConfigDigest < digest;
+  if ((last.ConfigVersion > version || conflict) &&
+      Now - peer->AskedConfig >= AskAgain) {
+    peer->AskedConfig = Now;
+    Out.push_back(
+        SendToPeer{From, ConfigRequest{conflict ? version - 1 : version}});
+  }
+  uint64_t sequence = List ? List->Sequence : 0;
+  if (last.ListSequence > sequence && Now - peer->AskedList >= AskAgain) {
+    peer->AskedList = Now;
+    Out.push_back(SendToPeer{From, ListRequest{sequence}});
+  }
+}
+
+// An elected reader always reads; the others only while no reader is heard.
+void DecisionCore::State::updateReading(ActionList &Out) {
+  bool watch = !List || Shards.isReader();
+  if (!watch && !Peers.readerHeard(Now)) {
+    if (!NoReaderSince)
+      NoReaderSince = Now;
+    watch = Now - *NoReaderSince >= internal::PeerSilence;
+  } else {
+    NoReaderSince.reset();
+  }
+  if (Reading == watch)
+    return;
+  Reading = watch;
+  Out.push_back(SetPlatformReading{watch, Config.judged()});
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/decision_core.cc
@@ -0,0 +1,338 @@
+#include "crocusspur/decision_core.h"
+
+#include "core_state.h"
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+
+namespace crocusspur {
+namespace {
+
+// Messages from this instance to itself that one event may cause. A request
+// needs five; the bound only stops a fault from looping for ever.
+constexpr uint32_t MaxOwnMessages = 20000;
+// Time after which an instance that is not the owner should be asked again:
+// about two timer periods.
+constexpr Milliseconds AskOwnerAgain{100};
+
+template <typename T> bool holds(const PeerMessage &Message) {
+  return std::holds_alternative<T>(Message);
+}
+
+bool isForOwner(const PeerMessage &Message) {
+  return holds<AcquireRequest>(Message) || holds<PrefillDone>(Message) ||
+         holds<PrefillLost>(Message) || holds<DecodeLost>(Message) ||
+         holds<Finished>(Message) || holds<LeaseList>(Message);
+}
+
+template <typename T> Refusal notOwner(const T &Message) {
+  return {Message.Id,          Message.Shard, Message.Attempt,
+          ErrorKind::NotReady, AskOwnerAgain, 0};
+}
+
+} // namespace
+
+using internal::CoreContext;
+using internal::ShardOwner;
+
+DecisionCore::State::State(CoreOptions Given)
+    : Options(std::move(Given)), Keys(Options), Shards(Options),
+      Requests(Keys, Crashes, [this](const std::string &Shard) {
+        return Shards.ownerOf(Shard);
+      }) {}
+
+DecisionCore::DecisionCore(CoreOptions Options)
+    : Impl(std::make_unique<State>(std::move(Options))) {}
+
+DecisionCore::~DecisionCore() = default;
+
+void DecisionCore::handle(const Event &Event, ActionList &Actions) {
+  Impl->handle(Event, Actions);
+}
+
+std::string DecisionCore::makeTicket(uint64_t Nonce) const {
+  return Impl->Keys.makeTicket(Nonce);
+}
+
+CoreContext DecisionCore::State::context(ActionList &Out) {
+  return CoreContext{Now,
+                     Wall,
+                     Options,
+                     Config.current() ? *Config.current() : *NoConfig,
+                     List ? *List : *NoList,
+                     Out};
+}
+
+void DecisionCore::State::handle(const Event &Item, ActionList &Actions) {
+  if (Stopped)
+    return;
+  Now = Item.At;
+  Wall = Item.Wall;
+  ActionList queue = std::exchange(Deferred, {});
+  dispatch(Item, queue);
+  drainOwn(queue, Actions);
+  if (std::exchange(DutiesDue, false)) {
+    updateOwners(queue);
+    updatePolled(queue);
+    updateReading(queue);
+    drainOwn(queue, Actions);
+  }
+  updateReadiness(queue);
+  updateShutdown(queue);
+  drainOwn(queue, Actions);
+}
+
+// Hands messages to this instance itself to their receiver, in order, and
+// passes everything else on.
+void DecisionCore::State::drainOwn(ActionList &Queue, ActionList &Actions) {
+  uint32_t own = 0;
+  for (size_t i = 0; i < Queue.size(); ++i) {
+    auto *message = std::get_if<SendToPeer>(&Queue[i]);
+    if (!message || message->Instance != Options.Instance) {
+      Actions.push_back(std::move(Queue[i]));
+    } else if (++own > MaxOwnMessages) {
+      Deferred.push_back(std::move(Queue[i]));
+    } else {
+      PeerMessage body = std::move(message->Message);
+      onMessage(Options.Instance, Options.Incarnation, body, Queue);
+    }
+  }
+  Queue.clear();
+}
+
+void DecisionCore::State::dispatch(const Event &Item, ActionList &Out) {
+  CoreContext context = this->context(Out);
+  std::visit(
+      [&](const auto &Body) {
+        using T = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<T, RequestArrived>)
+          onArrived(Body, Out);
+        else if constexpr (std::is_same_v<T, RequestCancelled>)
+          Requests.onCancelled(context, Body);
+        else if constexpr (std::is_same_v<T, StageFinished>)
+          Requests.onStageFinished(context, Body);
+        else if constexpr (std::is_same_v<T, StageProgress>)
+          Requests.onStageProgress(context, Body);
+        else if constexpr (std::is_same_v<T, RequestClosed>)
+          Requests.onClosed(context, Body);
+        else if constexpr (std::is_same_v<T, LoadReported>)
+          onLoad(Body, Out);
+        else if constexpr (std::is_same_v<T, CacheEventsReported>)
+          onCacheEvents(Body, Out);
+        else if constexpr (std::is_same_v<T, PeerReceived>)
+          onPeerReceived(Body, Out);
+        else if constexpr (std::is_same_v<T, PeerLinkChanged>)
+          onLinkChanged(Body, Out);
+        else if constexpr (std::is_same_v<T, ListPublished>)
+          onPublished(Body, Out);
+        else if constexpr (std::is_same_v<T, ConfigPublished>)
+          onPublished(Body, Out);
+        else if constexpr (std::is_same_v<T, TimerFired>)
+          onTimer(Out);
+        else
+          beginShutdown(Body, Out);
+      },
+      Item.Body);
+}
+
+void DecisionCore::State::onPublished(const ListPublished &Body,
+                                      ActionList &Out) {
+  endPause(Out);
+  onList(Body.List, Out);
+}
+
+void DecisionCore::State::onPublished(const ConfigPublished &Body,
+                                      ActionList &Out) {
+  endPause(Out);
+  onConfigPublished(Body.Document, Out);
+}
+
+void DecisionCore::State::onArrived(const RequestArrived &Body,
+                                    ActionList &Out) {
+  if (!Ready && !Draining) {
+    const ErrorAnswer &answer = answerFor(ErrorKind::NotReady);
+    Out.push_back(AnswerError{Body.Id, ErrorKind::NotReady, answer.Run,
+                              Milliseconds{1000}, ""});
+    Out.push_back(Note{NoteKind::Shed, Body.Id, Body.Spec.Group, "",
+                       ErrorKind::NotReady, 0});
+    return;
+  }
+  CoreContext context = this->context(Out);
+  Requests.onArrived(context, Body);
+}
+
+void DecisionCore::State::onPeerReceived(const PeerReceived &Body,
+                                         ActionList &Out) {
+  if (Peers.isStale(Body.From, Body.Incarnation))
+    return;
+  if (Peers.onHeard(Body.From, Body.Incarnation, Now))
+    onInstanceGone(Body.From, Out);
+  endPause(Out);
+  onMessage(Body.From, Body.Incarnation, Body.Message, Out);
+}
+
+void DecisionCore::State::onLinkChanged(const PeerLinkChanged &Body,
+                                        ActionList &Out) {
+  Out.push_back(Note{Body.Up ? NoteKind::PeerUp : NoteKind::PeerDown,
+                     {},
+                     "",
+                     Body.Instance,
+                     ErrorKind::Internal,
+                     0});
+  DutiesDue = true;
+  if (Peers.onLink(Body.Instance, Body.Incarnation, Body.Up, Now))
+    onInstanceGone(Body.Instance, Out);
+  if (!Body.Up)
+    return;
+  sendHeartbeat(Body.Instance, Out);
+  // The peer may have what this instance lacks, also before its first
+  // heartbeat is here.
+  if (!Config.current())
+    Out.push_back(SendToPeer{Body.Instance, ConfigRequest{0}});
+  if (!List)
+    Out.push_back(SendToPeer{Body.Instance, ListRequest{0}});
+  CoreContext context = this->context(Out);
+  Requests.onPeerUp(context, Body.Instance);
+}
+
+void DecisionCore::State::onMessage(const std::string &From,
+                                    uint64_t Incarnation,
+                                    const PeerMessage &Message,
+                                    ActionList &Out) {
+  if (isForOwner(Message)) {
+    toOwner(From, Message, Out);
+    return;
+  }
+  CoreContext context = this->context(Out);
+  std::visit(
+      [&](const auto &Body) {
+        using T = std::decay_t<decltype(Body)>;
+        if constexpr (std::is_same_v<T, Heartbeat>)
+          onHeartbeat(From, Incarnation, Body, Out);
+        else if constexpr (std::is_same_v<T, PrefillGrant>)
+          Requests.onPrefillGrant(context, From, Body);
+        else if constexpr (std::is_same_v<T, DecodeGrant>)
+          Requests.onDecodeGrant(context, From, Body);
+        else if constexpr (std::is_same_v<T, Refusal>)
+          Requests.onRefusal(context, From, Body);
+        else if constexpr (std::is_same_v<T, LeaseListRequest>)
+          Requests.onLeaseListRequest(context, From, Body);
+        else if constexpr (std::is_same_v<T, KeyQuery>)
+          Keys.onKeyQuery(context, From, Body);
+        else if constexpr (std::is_same_v<T, KeyAnswer>)
+          Keys.onKeyAnswer(context, From, Body);
+        else if constexpr (std::is_same_v<T, ConfigOffer>)
+          onConfigOffer(From, Body, Out);
+        else if constexpr (std::is_same_v<T, ListOffer>)
+          onListOffer(Body, Out);
+        else if constexpr (std::is_same_v<T, ConfigRequest> ||
+                           std::is_same_v<T, ListRequest>)
+          answerRequest(From, Body, Out);
+        else if constexpr (std::is_same_v<T, CrashReport>)
+          Crashes.onReport(context, From, Body);
+        else if constexpr (std::is_same_v<T, Goodbye>) {
+          Peers.onGoodbye(From);
+          DutiesDue = true;
+          onInstanceGone(From, Out);
+        }
+        // Forwarded requests and their answers are data between relays.
+      },
+      Message);
+}
+
+// A message to an owner that this instance is not, in its own view, is refused
+// as NotReady: the entry asks again until both views agree.
+void DecisionCore::State::toOwner(const std::string &From,
+                                  const PeerMessage &Message, ActionList &Out) {
+  CoreContext context = this->context(Out);
+  std::visit(
+      [&](const auto &Body) {
+        using T = std::decay_t<decltype(Body)>;
+        if constexpr (requires { Body.Shard; }) {
+          auto it = Owned.find(Body.Shard);
+          ShardOwner *owner = it == Owned.end() ? nullptr : it->second.get();
+          if constexpr (std::is_same_v<T, Finished>) {
+            if (owner)
+              owner->onFinished(context, From, Body);
+          } else if constexpr (std::is_same_v<T, LeaseList>) {
+            if (owner)
+              owner->onLeaseList(context, From, Body);
+          } else if constexpr (requires { Body.Attempt; }) {
+            if (!owner)
+              context.send(From, notOwner(Body));
+            else if constexpr (std::is_same_v<T, AcquireRequest>)
+              owner->onAcquire(context, From, Body);
+            else if constexpr (std::is_same_v<T, PrefillDone>)
+              owner->onPrefillDone(context, From, Body);
+            else if constexpr (std::is_same_v<T, PrefillLost>)
+              owner->onPrefillLost(context, From, Body);
+            else if constexpr (std::is_same_v<T, DecodeLost>)
+              owner->onDecodeLost(context, From, Body);
+          }
+        }
+      },
+      Message);
+}
+
+namespace {
+
+Poco::Dynamic::Var parsed(const std::string &Json) {
+  return Poco::JSON::Parser().parse(Json);
+}
+
+int64_t millisecondsBetween(TimePoint From, TimePoint To) {
+  return std::chrono::duration_cast<Milliseconds>(To - From).count();
+}
+
+} // namespace
+
+std::string DecisionCore::dumpState(TimePoint Now) const {
+  Poco::JSON::Object root(Poco::JSON_PRESERVE_KEY_ORDER);
+  root.set("instance", Impl->Options.Instance);
+  root.set("incarnation", RequestId{Impl->Options.Incarnation, 0}.str());
+  root.set("ready", Impl->Ready);
+  root.set("paused", Impl->Paused);
+  root.set("draining", Impl->Draining);
+  root.set("stopped", Impl->Stopped);
+  const ConfigPtr &config = Impl->Config.current();
+  root.set("config_version", config ? config->Version : 0);
+  root.set("config_judged", Impl->Config.judged());
+  root.set("list_sequence", Impl->List ? Impl->List->Sequence : 0);
+  root.set("reads_platform", Impl->Reading.value_or(false));
+  Poco::JSON::Object peers;
+  for (const auto &it : Impl->Peers.all()) {
+    Poco::JSON::Object peer;
+    peer.set("linked", it.second.Up);
+    peer.set("reachable", Impl->Peers.isReachable(it.first, Now));
+    peer.set("heard_ms_ago", millisecondsBetween(it.second.LastHeard, Now));
+    peer.set("config_version", it.second.Last.ConfigVersion);
+    peer.set("list_sequence", it.second.Last.ListSequence);
+    peers.set(it.first, peer);
+  }
+  root.set("peers", peers);
+  Poco::JSON::Object owners;
+  for (const auto &it : Impl->Shards.owners())
+    owners.set(it.first, it.second);
+  root.set("owners", owners);
+  Poco::JSON::Object owned;
+  for (const auto &it : Impl->Owned)
+    owned.set(it.first, parsed(it.second->dump(Now)));
+  root.set("owned", owned);
+  Poco::JSON::Array polled;
+  for (const std::string &it : Impl->Polled)
+    polled.add(it);
+  root.set("polled_servers", polled);
+  root.set("requests", parsed(Impl->Requests.dump(Now)));
+  root.set("keys", parsed(Impl->Keys.dump(Now)));
+  root.set("crashes", parsed(Impl->Crashes.dump(Now)));
+  std::ostringstream out;
+  root.stringify(out);
+  return out.str();
+}
+
+} // namespace crocusspur
--- /dev/null
+++ b/src/entry_end.cc
@@ -0,0 +1,104 @@
+#include "entry_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusspur::internal {
+
+void EntryRequests::State::note(CoreContext &Context,
+                                const OpenRequest &Request, NoteKind Kind,
+                                const std::string &Subject, ErrorKind Error,
+                                double Value) {
+  Context.note({Kind, Request.Id, Request.Spec.Group, Subject, Error, Value});
+}
+
+// A prefill result that no decode server imported.
+void EntryRequests::State::noteWaste(CoreContext &Context,
+                                     OpenRequest &Request) {
+  note(Context, Request, NoteKind::PrefillWasted, Request.PrefillServer);
+}
+
+// What a caller is told: No only if nothing was dispatched, or each attempt was
+// refused before execution.
+RunState EntryRequests::State::runState(const OpenRequest &Request) const {
+  if (Request.OutputTokens > 0)
+    return RunState::Yes;
+  bool forwarded = Request.At == Phase::Forwarded && Request.MayHaveRun;
+  if (Request.InFlight || Request.MayHaveRun || forwarded)
+    return RunState::Unknown;
+  return RunState::No;
+}
+
+void EntryRequests::State::cancelAt(CoreContext &Context, OpenRequest &Request,
+                                    const std::string &Server) {
+  if (std::erase(Request.Holders, Server) > 0)
+    Context.Out.push_back(CancelAtServer{Request.Id, Server, Request.Fence});
+}
+
+// Frees everything that is held for the request: servers, the owner's slot and
+// lease, and the record of its key.
+void EntryRequests::State::release(CoreContext &Context, OpenRequest &Request,
+                                   FinishReason Reason) {
+  for (const std::string &it : std::vector<std::string>(Request.Holders))
+    cancelAt(Context, Request, it);
+  if (Request.ResultReady)
+    noteWaste(Context, Request);
+  Request.ResultReady = false;
+  finishAtOwner(Context, Request, Reason);
+  if (Request.InFlight) {
+    Crashes.onEnded(Context, Request.Id, false);
+    if (Request.At == Phase::Calling)
+      releaseService(Request);
+  }
+  if (!Request.KeyExecuting)
+    return;
+  Request.KeyExecuting = false;
+  if (runState(Request) == RunState::No)
+    Keys.onNotRun(Context, Request.Id);
+  else
+    Keys.onUnknown(Context, Request.Id);
+}
+
+void EntryRequests::State::fail(CoreContext &Context, OpenRequest &Request,
+                                ErrorKind Error, Milliseconds RetryAfter) {
+  RunState run = runState(Request);
+  bool dispatched = Request.Dispatch > 0;
+  release(Context, Request, FinishReason::Failed);
+  Request.StartPending = false;
+  setPhase(Context, Request, Phase::Answered);
+  if (RetryAfter.count() == 0 && answerFor(Error).RetryAdvised)
+    RetryAfter = DefaultRetryAfter;
+  Context.Out.push_back(AnswerError{Request.Id, Error, run, RetryAfter, ""});
+  note(Context, Request, dispatched ? NoteKind::Failed : NoteKind::Shed, "",
+       Error);
+}
+
+void EntryRequests::State::complete(CoreContext &Context, OpenRequest &Request,
+                                    const StageFinished &Body) {
+  if (Body.At == Stage::Decode) {
+    Request.ResultUsed = true;
+    Request.ResultReady = false;
+  }
+  Request.Holders.clear();
+  finishAtOwner(Context, Request, FinishReason::Completed);
+  if (std::exchange(Request.KeyExecuting, false))
+    Keys.onOutcome(Context, Request.Id,
+                   Body.HttpStatus == 0 ? 200 : Body.HttpStatus,
+                   Body.ContentType, Body.Body);
+  setPhase(Context, Request, Phase::Answered);
+  std::chrono::duration<double> took = Context.Now - Request.ArrivedAt;
+  note(Context, Request, NoteKind::Completed, Request.Server,
+       ErrorKind::Internal, took.count());
+}
+
+// The caller is gone: nothing may stay held for the request.
+void EntryRequests::State::cancel(CoreContext &Context, OpenRequest &Request) {
+  if (Request.At == Phase::Forwarded)
+    Context.send(Request.Home, ForwardCancel{Request.Id});
+  release(Context, Request, FinishReason::Cancelled);
+  Request.StartPending = false;
+  setPhase(Context, Request, Phase::Cancelled);
+  note(Context, Request, NoteKind::Cancelled);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/entry_leases.cc
@@ -0,0 +1,113 @@
+#include "entry_state.h"
+
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+bool holdsLease(const OpenRequest &Request) {
+  return isActive(Request) && Request.AtOwner;
+}
+
+LeaseStage leaseStageOf(Phase At) {
+  switch (At) {
+  case Phase::Prefilling:
+    return LeaseStage::Prefilling;
+  case Phase::Ready:
+    return LeaseStage::Ready;
+  case Phase::Decoding:
+    return LeaseStage::Decoding;
+  default:
+    return LeaseStage::Waiting;
+  }
+}
+
+LeaseEntry leaseOf(const OpenRequest &Request) {
+  LeaseEntry lease;
+  lease.Id = Request.Id;
+  lease.Attempt = Request.Placement;
+  lease.Stage = leaseStageOf(Request.At);
+  lease.Group = Request.Spec.Group;
+  lease.PrefillServer = Request.PrefillServer;
+  if (lease.Stage == LeaseStage::Decoding)
+    lease.DecodeServer = Request.Server;
+  lease.PromptTokens = Request.Spec.PromptTokens;
+  lease.MaxOutputTokens = Request.Spec.MaxOutputTokens;
+  return lease;
+}
+
+} // namespace
+
+void EntryRequests::State::sendLeases(CoreContext &Context,
+                                      const std::string &Owner,
+                                      const std::string &Shard) {
+  LeaseList message;
+  message.Shard = Shard;
+  for (const auto &it : Requests)
+    if (holdsLease(it.second) && it.second.Owner == Owner &&
+        it.second.Shard == Shard)
+      message.Leases.push_back(leaseOf(it.second));
+  Context.send(Owner, std::move(message));
+}
+
+// Sends the leases and repeats every question that the owner may not know.
+void EntryRequests::State::reassert(CoreContext &Context,
+                                    const std::string &Owner,
+                                    const std::string &Shard) {
+  sendLeases(Context, Owner, Shard);
+  for (auto &it : Requests)
+    if (isActive(it.second) && it.second.Owner == Owner &&
+        it.second.Shard == Shard)
+      askAgain(Context, it.second);
+}
+
+void EntryRequests::onLeaseListRequest(CoreContext &Context,
+                                       const std::string &From,
+                                       const LeaseListRequest &Message) {
+  Impl->reassert(Context, From, Message.Shard);
+}
+
+std::vector<LeaseSummary>
+EntryRequests::leasesFrom(const std::string &Owner) const {
+  std::map<std::string, LeaseSummary> summaries;
+  for (const auto &it : Impl->Requests) {
+    const OpenRequest &request = it.second;
+    if (!holdsLease(request) || request.Owner != Owner)
+      continue;
+    LeaseSummary &summary = summaries[request.Shard];
+    summary.Shard = request.Shard;
+    ++summary.Count;
+    summary.Digest ^= std::hash<RequestId>()(request.Id);
+  }
+  std::vector<LeaseSummary> list;
+  for (auto &it : summaries)
+    list.push_back(std::move(it.second));
+  return list;
+}
+
+void EntryRequests::State::moveToOwner(CoreContext &Context,
+                                       OpenRequest &Request,
+                                       const std::string &Owner) {
+  // The former owner may still be there, with a different view.
+  finishAtOwner(Context, Request, FinishReason::Cancelled);
+  Request.Owner = Owner;
+  Request.AtOwner = true;
+}
+
+void EntryRequests::onOwnersChanged(CoreContext &Context) {
+  std::map<std::string, std::string> moved; // shard to new owner
+  for (auto &it : Impl->Requests) {
+    OpenRequest &request = it.second;
+    if (!isActive(request) || request.Shard.empty())
+      continue;
+    std::string owner = Impl->Owner(request.Shard);
+    if (owner == request.Owner)
+      continue;
+    Impl->moveToOwner(Context, request, owner);
+    moved[request.Shard] = owner;
+  }
+  for (const auto &it : moved)
+    Impl->reassert(Context, it.second, it.first);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/entry_placement.cc
@@ -0,0 +1,255 @@
+#include "entry_state.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <xxhash.h>
+
+namespace crocusspur::internal {
+namespace {
+
+bool hasUsableDecode(const CoreContext &Context, const std::string &Group,
+                     const ShardConfig &Shard) {
+  return std::any_of(
+      Shard.Servers.begin(), Shard.Servers.end(), [&](const std::string &Name) {
+        const ServerConfig *server = Context.Config.findServer(Name);
+        return server && server->Role == ServerRole::Decode &&
+               isUsable(Context, Group, Name);
+      });
+}
+
+} // namespace
+
+bool isUsable(const CoreContext &Context, const std::string &Group,
+              const std::string &Server) {
+  const ServerConfig *server = Context.Config.findServer(Server);
+  const GroupConfig *group = Context.Config.findGroup(Group);
+  return server && group && Context.List.serverIsLive(Server) &&
+         allowedIn(*group, server->Region, server->FailureDomain);
+}
+
+// Chooses between two shards of the model by their last known queue length.
+// Two candidates spread the load without every entry choosing the same shard.
+std::string EntryRequests::State::chooseShard(CoreContext &Context,
+                                              const OpenRequest &Request) {
+  const ModelConfig *model = Context.Config.findModel(Request.Spec.Target);
+  std::vector<std::string> usable;
+  for (const ShardConfig &it : model->Shards)
+    if (hasUsableDecode(Context, Request.Spec.Group, it))
+      usable.push_back(it.Name);
+  if (usable.size() < 2)
+    return usable.empty() ? "" : usable.front();
+  uint64_t hash = XXH64(&Request.Id.Sequence, sizeof Request.Id.Sequence,
+                        Request.Id.Incarnation);
+  size_t first = hash % usable.size();
+  size_t offset = 1 + (hash >> 32) % (usable.size() - 1);
+  size_t second = (first + offset) % usable.size();
+  return QueueLengths[usable[second]] < QueueLengths[usable[first]]
+             ? usable[second]
+             : usable[first];
+}
+
+void EntryRequests::State::place(CoreContext &Context, OpenRequest &Request) {
+  Request.Shard = chooseShard(Context, Request);
+  if (Request.Shard.empty()) {
+    shed(Context, Request, ErrorKind::NoServer);
+    return;
+  }
+  note(Context, Request, NoteKind::Admitted, Request.Shard);
+  Request.Owner = Owner(Request.Shard);
+  Request.Placement = 1;
+  acquire(Context, Request);
+}
+
+void EntryRequests::State::acquire(CoreContext &Context, OpenRequest &Request) {
+  setPhase(Context, Request, Phase::Waiting);
+  Request.AtOwner = true;
+  AcquireRequest message;
+  message.Id = Request.Id;
+  message.Shard = Request.Shard;
+  message.Group = Request.Spec.Group;
+  message.Class = Request.Class;
+  message.Attempt = Request.Placement;
+  message.PromptTokens = Request.Spec.PromptTokens;
+  message.MaxOutputTokens = Request.Spec.MaxOutputTokens;
+  message.PrefixHashes = Request.Spec.PrefixHashes;
+  message.TimeLeft =
+      std::chrono::duration_cast<Microseconds>(Request.Deadline - Context.Now);
+  message.MayWait = Request.MayWait;
+  message.IsRetry = Request.IsRetry;
+  message.Fingerprint = Request.Spec.Fingerprint;
+  message.RunAlone = Request.RunAlone;
+  Context.send(Request.Owner, std::move(message));
+}
+
+void EntryRequests::State::askForDecode(CoreContext &Context,
+                                        OpenRequest &Request) {
+  setPhase(Context, Request, Phase::Ready);
+  Context.send(Request.Owner, PrefillDone{Request.Id, Request.Shard,
+                                          Request.Placement, Request.KvBytes});
+}
+
+void EntryRequests::State::askAgain(CoreContext &Context,
+                                    OpenRequest &Request) {
+  if (Request.At == Phase::Waiting)
+    acquire(Context, Request);
+  else if (Request.At == Phase::Ready)
+    askForDecode(Context, Request);
+}
+
+void EntryRequests::onPrefillGrant(CoreContext &Context,
+                                   const std::string &From,
+                                   const PrefillGrant &Message) {
+  Impl->QueueLengths[Message.Shard] = Message.QueueLength;
+  OpenRequest *request = Impl->find(Message.Id);
+  bool asked = request && isActive(*request) && request->Owner == From &&
+               request->Shard == Message.Shard &&
+               Message.Attempt >= request->Placement;
+  if (!asked) {
+    Impl->rejectGrant(Context, From, Message.Id, Message.Shard,
+                      Message.Attempt);
+    return;
+  }
+  if (request->At != Phase::Waiting && request->At != Phase::Ready)
+    return; // a repeated grant
+  request->Placement = Message.Attempt;
+  if (request->At == Phase::Ready && !request->Spec.Idempotent) {
+    // The prefill was executed once and must not be repeated.
+    Impl->fail(Context, *request, ErrorKind::BackendRefused);
+    return;
+  }
+  request->Fence = Message.Fence;
+  request->PrefillServer = Message.PrefillServer;
+  request->Server = Message.DecodeServer;
+  if (Message.PrefillServer == Message.DecodeServer)
+    Impl->startDecode(Context, *request);
+  else
+    Impl->startPrefill(Context, *request);
+}
+
+void EntryRequests::onDecodeGrant(CoreContext &Context, const std::string &From,
+                                  const DecodeGrant &Message) {
+  OpenRequest *request = Impl->find(Message.Id);
+  bool asked = request && isActive(*request) && request->Owner == From &&
+               request->Shard == Message.Shard &&
+               Message.Attempt >= request->Placement;
+  if (!asked) {
+    Impl->rejectGrant(Context, From, Message.Id, Message.Shard,
+                      Message.Attempt);
+    return;
+  }
+  if (request->At != Phase::Ready)
+    return; // a repeated grant
+  request->Placement = Message.Attempt;
+  request->Fence = Message.Fence;
+  request->Server = Message.DecodeServer;
+  Impl->startDecode(Context, *request);
+}
+
+void EntryRequests::State::rejectGrant(CoreContext &Context,
+                                       const std::string &From,
+                                       const RequestId &Id,
+                                       const std::string &Shard,
+                                       uint32_t Attempt) {
+  Context.send(From,
+               Finished{Id, Shard, Attempt, FinishReason::Cancelled, 0, false});
+}
+
+void EntryRequests::onRefusal(CoreContext &Context, const std::string &From,
+                              const Refusal &Message) {
+  Impl->QueueLengths[Message.Shard] = Message.QueueLength;
+  OpenRequest *request = Impl->find(Message.Id);
+  if (!request || request->Owner != From || request->Shard != Message.Shard ||
+      Message.Attempt < request->Placement)
+    return;
+  if (request->At != Phase::Waiting && request->At != Phase::Ready)
+    return;
+  if (Message.Kind == ErrorKind::NotReady) {
+    // The receiver doesn't own the shard in its own view; views converge.
+    request->AskAgainAt = Context.Now + Message.RetryAfter;
+    return;
+  }
+  request->AtOwner = false;
+  Impl->fail(Context, *request, Message.Kind, Message.RetryAfter);
+}
+
+// Whether a lost placement may be replaced, by the retry budget of the group.
+bool EntryRequests::State::mayPlaceAgain(CoreContext &Context,
+                                         OpenRequest &Request) {
+  bool allowed = ++Request.Placements < MaxPlacements &&
+                 Budgets[Request.Spec.Group].takeRetry(
+                     Context.Now, Context.Options.RetryBudgetRatio,
+                     Context.Options.RetryBudgetFloor);
+  if (allowed) {
+    Request.IsRetry = true;
+    note(Context, Request, NoteKind::Replaced, Request.Shard);
+  }
+  return allowed;
+}
+
+// Tells the owner that the prefill gave no result, and waits for another one.
+void EntryRequests::State::losePrefill(CoreContext &Context,
+                                       OpenRequest &Request, bool ServerFull) {
+  Context.send(Request.Owner,
+               PrefillLost{Request.Id, Request.Shard, Request.Placement,
+                           Request.PrefillServer, ServerFull});
+  setPhase(Context, Request, Phase::Waiting);
+}
+
+// Tells the owner that the decode server gave no (complete) output.
+void EntryRequests::State::loseDecode(CoreContext &Context,
+                                      OpenRequest &Request, bool ServerFull) {
+  Context.send(Request.Owner,
+               DecodeLost{Request.Id, Request.Shard, Request.Placement,
+                          Request.Server, Request.ResultReady, ServerFull,
+                          Request.OutputTokens});
+  setPhase(Context, Request,
+           Request.ResultReady ? Phase::Ready : Phase::Waiting);
+}
+
+void EntryRequests::State::finishAtOwner(CoreContext &Context,
+                                         OpenRequest &Request,
+                                         FinishReason Reason) {
+  if (!Request.AtOwner)
+    return;
+  Request.AtOwner = false;
+  Context.send(Request.Owner,
+               Finished{Request.Id, Request.Shard, Request.Placement, Reason,
+                        Request.OutputTokens, Request.ResultUsed});
+}
+
+// The owner granted a server that this entry's newer list no longer has live.
+void EntryRequests::State::offerList(CoreContext &Context,
+                                     const std::string &To) {
+  uint64_t &offered = OfferedList[To];
+  if (offered >= Context.List.Sequence || To == Context.Options.Instance)
+    return;
+  offered = Context.List.Sequence;
+  Context.send(To, ListOffer{Context.List.Text});
+}
+
+// Ends or repeats what has waited too long for the owner.
+void EntryRequests::State::watchWaiting(CoreContext &Context,
+                                        OpenRequest &Request) {
+  if (Request.At != Phase::Waiting && Request.At != Phase::Ready)
+    return;
+  bool late = Context.Now >= Request.Deadline && !Request.MayWait;
+  if (Request.At == Phase::Waiting && late && Request.OutputTokens == 0) {
+    fail(Context, Request, ErrorKind::DeadlineUnreachable);
+    return;
+  }
+  if (Context.Now >= Request.AskAgainAt)
+    askAgain(Context, Request);
+}
+
+void EntryRequests::onPeerUp(CoreContext &Context,
+                             const std::string &Instance) {
+  std::set<std::string> shards;
+  for (const auto &it : Impl->Requests)
+    if (it.second.Owner == Instance && isActive(it.second))
+      shards.insert(it.second.Shard);
+  for (const std::string &it : shards)
+    Impl->reassert(Context, Instance, it);
+}
+
+} // namespace crocusspur::internal
--- a/src/entry_requests.h
+++ b/src/entry_requests.h
@@ -40,12 +40,23 @@
   // The owner of some shard may have changed: moves waiting requests and
   // re-asserts leases.
   void onOwnersChanged(CoreContext &Context);
+  // A link came up. Messages sent before may be lost, so what this entry still
+  // expects from the instance is asked for again.
+  void onPeerUp(CoreContext &Context, const std::string &Instance);
+  // Called at least every 50 ms: deadlines, answers of former homes, retries.
   void onTimer(CoreContext &Context);
   // No new requests from now on; see openRequests().
   void drain(CoreContext &Context);
+  // Answers every open request and cancels its work. Returns their number.
+  uint32_t abandonAll(CoreContext &Context);
+
+  // While held, no Start action is made; releasing makes those that are due.
+  void holdDispatch();
+  void releaseDispatch(CoreContext &Context);
 
   // Leases held from the owner, by shard, for the heartbeat to that owner.
   std::vector<LeaseSummary> leasesFrom(const std::string &Owner) const;
+  // Requests whose relay has not closed them, without cancelled ones.
   uint32_t openRequests() const;
   std::string dump(TimePoint Now) const;
 
--- /dev/null
+++ b/src/entry_service.cc
@@ -0,0 +1,99 @@
+#include "entry_state.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace crocusspur::internal {
+namespace {
+
+// A server that refused the connection is tried last for this long, so that a
+// dead server doesn't use up the retry budget of its callers.
+constexpr Milliseconds AvoidUnreachable{1000};
+// A full server frees a place within about one call.
+constexpr Milliseconds AvoidFull{100};
+
+} // namespace
+
+// Fewest outstanding calls of this entry; least recently used among equals.
+std::string EntryRequests::State::chooseServer(CoreContext &Context,
+                                               const OpenRequest &Request) {
+  const ServiceConfig *service =
+      Context.Config.findService(Request.Spec.Target);
+  if (!service)
+    return "";
+  std::string best;
+  std::tuple<bool, uint32_t, uint64_t> bestRank;
+  for (const std::string &it : service->Servers) {
+    bool tried = std::find(Request.Tried.begin(), Request.Tried.end(), it) !=
+                 Request.Tried.end();
+    if (tried || !isUsable(Context, Request.Spec.Group, it))
+      continue;
+    const ServiceServer &state = Services[it];
+    std::tuple rank(Context.Now < state.AvoidUntil, state.Outstanding,
+                    state.LastUse);
+    if (best.empty() || rank < bestRank) {
+      best = it;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+void EntryRequests::State::startService(CoreContext &Context,
+                                        OpenRequest &Request) {
+  TimePoint notAfter;
+  if (!mayStart(Context, Request, notAfter))
+    return;
+  Request.Server = chooseServer(Context, Request);
+  if (Request.Server.empty()) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
+  if (Request.Dispatch == 0)
+    note(Context, Request, NoteKind::Admitted, Request.Server);
+  ServiceServer &server = Services[Request.Server];
+  // Other entries' calls on the server are not known, so a suspect counts as
+  // alone if this entry has no other call there.
+  Request.RunAlone = Request.RunAlone && server.Outstanding == 0;
+  ++server.Outstanding;
+  server.LastUse = ++ServiceUses;
+  Request.Tried.push_back(Request.Server);
+  noteStart(Context, Request, Request.Server);
+  Context.Out.push_back(StartService{Request.Id, Request.Dispatch,
+                                     Request.Server, Request.Fence, notAfter,
+                                     Context.Options.ProgressTimeout});
+}
+
+void EntryRequests::State::serviceFinished(CoreContext &Context,
+                                           OpenRequest &Request,
+                                           const StageFinished &Body) {
+  releaseService(Request);
+  if (Body.Outcome == StageOutcome::Ok) {
+    complete(Context, Request, Body);
+    return;
+  }
+  ServiceServer &server = Services[Request.Server];
+  if (Body.Outcome == StageOutcome::RefusedFull)
+    server.AvoidUntil = Context.Now + AvoidFull;
+  else
+    server.AvoidUntil = Context.Now + AvoidUnreachable;
+  Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
+  if (Body.Outcome == StageOutcome::Failed ||
+      Body.Outcome == StageOutcome::TimedOut)
+    cancelAt(Context, Request, Request.Server);
+  bool repeatable = (Request.Spec.Idempotent || !Request.MayHaveRun) &&
+                    Request.OutputTokens == 0;
+  bool another = !chooseServer(Context, Request).empty();
+  if (repeatable && another && mayPlaceAgain(Context, Request))
+    startService(Context, Request);
+  else
+    fail(Context, Request, errorOf(Body.Outcome));
+}
+
+void EntryRequests::State::releaseService(OpenRequest &Request) {
+  auto it = Services.find(Request.Server);
+  if (it != Services.end() && it->second.Outstanding > 0)
+    --it->second.Outstanding;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/entry_stages.cc
@@ -0,0 +1,250 @@
+#include "entry_state.h"
+
+#include <algorithm>
+
+namespace crocusspur::internal {
+namespace {
+
+bool wasRefused(StageOutcome Outcome) {
+  return Outcome == StageOutcome::NotSent ||
+         Outcome == StageOutcome::RefusedFull ||
+         Outcome == StageOutcome::RefusedFence ||
+         Outcome == StageOutcome::RefusedOther;
+}
+
+bool isBroken(StageOutcome Outcome) {
+  return Outcome == StageOutcome::Failed || Outcome == StageOutcome::TimedOut;
+}
+
+Phase phaseOf(Stage At) {
+  switch (At) {
+  case Stage::Prefill:
+    return Phase::Prefilling;
+  case Stage::Decode:
+    return Phase::Decoding;
+  case Stage::Service:
+    return Phase::Calling;
+  }
+  return Phase::Calling;
+}
+
+} // namespace
+
+ErrorKind errorOf(StageOutcome Outcome) {
+  switch (Outcome) {
+  case StageOutcome::NotSent:
+    return ErrorKind::BackendUnreachable;
+  case StageOutcome::Failed:
+    return ErrorKind::BackendFailed;
+  case StageOutcome::TimedOut:
+    return ErrorKind::BackendTimeout;
+  default:
+    return ErrorKind::BackendRefused;
+  }
+}
+
+// Checks directly before a Start action that it may be made. Answers the
+// request itself if its key may not be dispatched any more.
+bool EntryRequests::State::mayStart(CoreContext &Context, OpenRequest &Request,
+                                    TimePoint &NotAfter) {
+  NotAfter = Context.Now + DispatchWindow;
+  Request.StartPending = Held;
+  if (Held)
+    return false;
+  if (!Request.KeyExecuting)
+    return true;
+  NotAfter = std::min(NotAfter,
+                      Keys.dispatchLimit(Context, Request.Spec.IdempotencyKey));
+  if (NotAfter > Context.Now)
+    return true;
+  fail(Context, Request, ErrorKind::KeyLeaseMissing,
+       Context.Options.LeasePeriod);
+  return false;
+}
+
+void EntryRequests::State::noteStart(CoreContext &Context, OpenRequest &Request,
+                                     const std::string &Server) {
+  ++Request.Dispatch;
+  Request.InFlight = true;
+  if (std::find(Request.Holders.begin(), Request.Holders.end(), Server) ==
+      Request.Holders.end())
+    Request.Holders.push_back(Server);
+  Crashes.onStarted(Request.Id, Server, Request.Spec.Fingerprint,
+                    Request.RunAlone);
+  if (Request.KeyExecuting)
+    Keys.onDispatched(Context, Request.Id);
+}
+
+void EntryRequests::State::startPrefill(CoreContext &Context,
+                                        OpenRequest &Request) {
+  setPhase(Context, Request, Phase::Prefilling);
+  TimePoint notAfter;
+  if (!mayStart(Context, Request, notAfter))
+    return;
+  if (!isUsable(Context, Request.Spec.Group, Request.PrefillServer)) {
+    offerList(Context, Request.Owner);
+    if (++Request.Placements < MaxPlacements)
+      losePrefill(Context, Request, false);
+    else
+      fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
+  noteStart(Context, Request, Request.PrefillServer);
+  note(Context, Request, NoteKind::PrefillStarted, Request.PrefillServer);
+  Context.Out.push_back(
+      StartPrefill{Request.Id, Request.Dispatch, Request.PrefillServer,
+                   Request.Fence, notAfter, Context.Options.ProgressTimeout});
+}
+
+void EntryRequests::State::startDecode(CoreContext &Context,
+                                       OpenRequest &Request) {
+  setPhase(Context, Request, Phase::Decoding);
+  TimePoint notAfter;
+  if (!mayStart(Context, Request, notAfter))
+    return;
+  if (!isUsable(Context, Request.Spec.Group, Request.Server)) {
+    offerList(Context, Request.Owner);
+    if (++Request.Placements < MaxPlacements)
+      loseDecode(Context, Request, false);
+    else
+      fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
+  noteStart(Context, Request, Request.Server);
+  note(Context, Request, NoteKind::DecodeStarted, Request.Server);
+  Context.Out.push_back(StartDecode{
+      Request.Id, Request.Dispatch, Request.Server, Request.PrefillServer,
+      Request.Fence, notAfter, Context.Options.ProgressTimeout});
+}
+
+void EntryRequests::State::startPending(CoreContext &Context,
+                                        OpenRequest &Request) {
+  Request.StartPending = false;
+  if (Request.At == Phase::Prefilling)
+    startPrefill(Context, Request);
+  else if (Request.At == Phase::Decoding)
+    startDecode(Context, Request);
+  else if (Request.At == Phase::Calling)
+    startService(Context, Request);
+}
+
+void EntryRequests::State::stageFinished(CoreContext &Context,
+                                         OpenRequest &Request,
+                                         const StageFinished &Body) {
+  if (Request.At == Phase::Forwarded) {
+    forwardFinished(Context, Request, Body);
+    return;
+  }
+  if (!Request.InFlight || Body.Attempt != Request.Dispatch)
+    return;
+  if (Request.At == Phase::Cancelled) {
+    // The first cancel may have reached the server before the request did.
+    Request.InFlight = false;
+    if (!wasRefused(Body.Outcome))
+      Context.Out.push_back(
+          CancelAtServer{Request.Id, Body.Server, Request.Fence});
+    return;
+  }
+  if (Request.At != phaseOf(Body.At))
+    return;
+  Request.InFlight = false;
+  Crashes.onEnded(Context, Request.Id, isBroken(Body.Outcome));
+  if (wasRefused(Body.Outcome))
+    std::erase(Request.Holders, Body.Server);
+  else
+    Request.MayHaveRun = true;
+  if (Body.At == Stage::Prefill)
+    prefillFinished(Context, Request, Body);
+  else if (Body.At == Stage::Decode)
+    decodeFinished(Context, Request, Body);
+  else
+    serviceFinished(Context, Request, Body);
+}
+
+void EntryRequests::State::prefillFinished(CoreContext &Context,
+                                           OpenRequest &Request,
+                                           const StageFinished &Body) {
+  if (Body.Outcome == StageOutcome::Ok) {
+    Request.ResultReady = true;
+    Request.ResultUsed = false;
+    Request.KvBytes = Body.KvBytes;
+    askForDecode(Context, Request);
+    return;
+  }
+  if (isBroken(Body.Outcome))
+    cancelAt(Context, Request, Request.PrefillServer);
+  bool repeatable = Request.Spec.Idempotent || !Request.MayHaveRun;
+  if (repeatable && mayPlaceAgain(Context, Request))
+    losePrefill(Context, Request, Body.Outcome == StageOutcome::RefusedFull);
+  else
+    fail(Context, Request, errorOf(Body.Outcome));
+}
+
+void EntryRequests::State::decodeFinished(CoreContext &Context,
+                                          OpenRequest &Request,
+                                          const StageFinished &Body) {
+  Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
+  if (Body.Outcome == StageOutcome::Ok) {
+    complete(Context, Request, Body);
+    return;
+  }
+  if (isBroken(Body.Outcome)) {
+    decodeBroke(Context, Request, Body);
+    return;
+  }
+  if (Body.Outcome == StageOutcome::RefusedOther && Request.ResultReady) {
+    // The result is evicted, or its server can't be read.
+    Request.ResultReady = false;
+    noteWaste(Context, Request);
+    cancelAt(Context, Request, Request.PrefillServer);
+  }
+  // Without the result the next placement repeats the prefill.
+  bool repeatable =
+      Request.Spec.Idempotent || !Request.MayHaveRun || Request.ResultReady;
+  if (repeatable && mayPlaceAgain(Context, Request))
+    loseDecode(Context, Request, Body.Outcome == StageOutcome::RefusedFull);
+  else
+    fail(Context, Request, errorOf(Body.Outcome));
+}
+
+// The decode broke off after a byte may have left.
+void EntryRequests::State::decodeBroke(CoreContext &Context,
+                                       OpenRequest &Request,
+                                       const StageFinished &Body) {
+  if (Request.OutputTokens > 0) {
+    Request.ResultUsed = true;
+    Request.ResultReady = false;
+  }
+  cancelAt(Context, Request, Request.Server);
+  // A stalled transfer holds memory at both ends.
+  bool stalled = Body.Outcome == StageOutcome::TimedOut;
+  if (stalled || Request.Server == Request.PrefillServer) {
+    cancelAt(Context, Request, Request.PrefillServer);
+    if (Request.ResultReady)
+      noteWaste(Context, Request);
+    Request.ResultReady = false;
+  }
+  if (Request.Spec.Idempotent && mayPlaceAgain(Context, Request))
+    loseDecode(Context, Request, false);
+  else
+    fail(Context, Request, errorOf(Body.Outcome));
+}
+
+// The relay reports here only if the home could not be reached or the link
+// broke; the home's own answer is copied and ends with RequestClosed.
+void EntryRequests::State::forwardFinished(CoreContext &Context,
+                                           OpenRequest &Request,
+                                           const StageFinished &Body) {
+  if (Body.Outcome == StageOutcome::Ok)
+    return;
+  if (Body.Outcome == StageOutcome::NotSent) {
+    fail(Context, Request, ErrorKind::HomeUnreachable,
+         Context.Options.LeasePeriod);
+    return;
+  }
+  Request.MayHaveRun = !wasRefused(Body.Outcome);
+  Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
+  fail(Context, Request, ErrorKind::OutcomeUnknown);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/entry_state.h
@@ -0,0 +1,195 @@
+// State of the requests of one entry, shared by the files that implement
+// EntryRequests. Not used outside them.
+#ifndef CROCUSSPUR_ENTRY_STATE_H
+#define CROCUSSPUR_ENTRY_STATE_H
+
+#include "entry_requests.h"
+#include "retry_budget.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+// Time for which a relay may hold a Start action before the first byte leaves.
+// Placement decisions are older than that only after a stall.
+inline constexpr Milliseconds DispatchWindow{500};
+// New placements of one request for reasons that the retry budget does not
+// count, such as a grant for a server that has begun to leave.
+inline constexpr uint32_t MaxPlacements = 8;
+// Retry-After where nothing better is known: callers round up to seconds.
+inline constexpr Milliseconds DefaultRetryAfter{1000};
+// A cancelled request is remembered this long for late reports of its relay.
+inline constexpr Milliseconds CancelledMemory{10000};
+
+enum class Phase : uint8_t {
+  KeyWait,    // former homes of the key are being asked
+  Forwarded,  // the home of the key serves it
+  Waiting,    // the owner was asked for a prefill
+  Prefilling, // a prefill was started
+  Ready,      // the result is there; the owner was asked for a decode slot
+  Decoding,   // a decode was started
+  Calling,    // a service call was started
+  Answered,   // finally answered; the relay has not closed it yet
+  Cancelled,  // the caller is gone; kept for late reports
+};
+
+const char *toString(Phase At);
+
+struct OpenRequest {
+  RequestId Id;
+  RequestSpec Spec;
+  std::string ForwardedBy;
+  TimePoint ArrivedAt;
+  TimePoint Deadline; // of the first output
+  TimePoint PhaseSince;
+  Phase At = Phase::Waiting;
+  RequestClass Class = RequestClass::Normal;
+  bool MayWait = false;
+  bool RunAlone = false;
+  bool KeyExecuting = false; // admitted by KeyHome with Execute
+
+  std::string Home; // of a forwarded request
+  std::string Shard;
+  std::string Owner;
+  bool AtOwner = false;   // the owner may have a record of the request
+  uint32_t Placement = 0; // attempt number in messages with the owner
+  uint32_t Placements = 0;
+  bool IsRetry = false;
+  TimePoint AskAgainAt = TimePoint::max();
+
+  std::string PrefillServer;
+  std::string Server; // that decodes or serves the call
+  uint64_t Fence = 0;
+  uint64_t KvBytes = 0;
+  uint32_t Dispatch = 0;            // number of the latest Start action
+  bool InFlight = false;            // it has not been reported as finished
+  bool StartPending = false;        // dispatch is held; see holdDispatch()
+  std::vector<std::string> Holders; // servers that may hold work or memory
+  std::vector<std::string> Tried;   // service: servers already called
+
+  bool MayHaveRun = false;  // some attempt was executed or may have been
+  bool ResultReady = false; // an unused prefill result exists
+  bool ResultUsed = false;  // a decode server imported it
+  uint32_t OutputTokens = 0;
+};
+
+// What this entry knows of a service server from its own calls.
+struct ServiceServer {
+  uint32_t Outstanding = 0;
+  uint64_t LastUse = 0;   // orders servers with equally many calls
+  TimePoint AvoidUntil{}; // taken only when no other server is left
+};
+
+struct EntryRequests::State {
+  State(KeyHome &Keys, CrashGuard &Crashes, OwnerLookup Owner);
+
+  // entry_requests.cc: arrival
+  void arrive(CoreContext &Context, OpenRequest &Request);
+  bool checkArrival(CoreContext &Context, OpenRequest &Request,
+                    ErrorKind &Error);
+  void applyKeyDecision(CoreContext &Context, OpenRequest &Request,
+                        const KeyDecision &Decision);
+  void execute(CoreContext &Context, OpenRequest &Request);
+  void shed(CoreContext &Context, OpenRequest &Request, ErrorKind Error,
+            Milliseconds RetryAfter = Milliseconds{0});
+  OpenRequest *find(const RequestId &Id);
+  void setPhase(CoreContext &Context, OpenRequest &Request, Phase At);
+  void takeResolvedKeys(CoreContext &Context);
+
+  // entry_placement.cc: conversation with the owner of a shard
+  void place(CoreContext &Context, OpenRequest &Request);
+  void acquire(CoreContext &Context, OpenRequest &Request);
+  void askForDecode(CoreContext &Context, OpenRequest &Request);
+  void askAgain(CoreContext &Context, OpenRequest &Request);
+  std::string chooseShard(CoreContext &Context, const OpenRequest &Request);
+  void losePrefill(CoreContext &Context, OpenRequest &Request, bool ServerFull);
+  void loseDecode(CoreContext &Context, OpenRequest &Request, bool ServerFull);
+  bool mayPlaceAgain(CoreContext &Context, OpenRequest &Request);
+  void rejectGrant(CoreContext &Context, const std::string &From,
+                   const RequestId &Id, const std::string &Shard,
+                   uint32_t Attempt);
+  void finishAtOwner(CoreContext &Context, OpenRequest &Request,
+                     FinishReason Reason);
+  void offerList(CoreContext &Context, const std::string &To);
+  void watchWaiting(CoreContext &Context, OpenRequest &Request);
+
+  // entry_stages.cc: dispatch and outcome of one attempt
+  bool mayStart(CoreContext &Context, OpenRequest &Request,
+                TimePoint &NotAfter);
+  void noteStart(CoreContext &Context, OpenRequest &Request,
+                 const std::string &Server);
+  void startPrefill(CoreContext &Context, OpenRequest &Request);
+  void startDecode(CoreContext &Context, OpenRequest &Request);
+  void startPending(CoreContext &Context, OpenRequest &Request);
+  void stageFinished(CoreContext &Context, OpenRequest &Request,
+                     const StageFinished &Body);
+  void prefillFinished(CoreContext &Context, OpenRequest &Request,
+                       const StageFinished &Body);
+  void decodeFinished(CoreContext &Context, OpenRequest &Request,
+                      const StageFinished &Body);
+  void decodeBroke(CoreContext &Context, OpenRequest &Request,
+                   const StageFinished &Body);
+  void forwardFinished(CoreContext &Context, OpenRequest &Request,
+                       const StageFinished &Body);
+
+  // entry_service.cc: plain services
+  void startService(CoreContext &Context, OpenRequest &Request);
+  std::string chooseServer(CoreContext &Context, const OpenRequest &Request);
+  void serviceFinished(CoreContext &Context, OpenRequest &Request,
+                       const StageFinished &Body);
+  void releaseService(OpenRequest &Request);
+
+  // entry_end.cc: final answers
+  RunState runState(const OpenRequest &Request) const;
+  void fail(CoreContext &Context, OpenRequest &Request, ErrorKind Error,
+            Milliseconds RetryAfter = Milliseconds{0});
+  void complete(CoreContext &Context, OpenRequest &Request,
+                const StageFinished &Body);
+  void cancel(CoreContext &Context, OpenRequest &Request);
+  void cancelAt(CoreContext &Context, OpenRequest &Request,
+                const std::string &Server);
+  void release(CoreContext &Context, OpenRequest &Request, FinishReason Reason);
+  void note(CoreContext &Context, const OpenRequest &Request, NoteKind Kind,
+            const std::string &Subject = "",
+            ErrorKind Error = ErrorKind::Internal, double Value = 0);
+  void noteWaste(CoreContext &Context, OpenRequest &Request);
+
+  // entry_leases.cc: leases held from owners
+  void moveToOwner(CoreContext &Context, OpenRequest &Request,
+                   const std::string &Owner);
+  void sendLeases(CoreContext &Context, const std::string &Owner,
+                  const std::string &Shard);
+  void reassert(CoreContext &Context, const std::string &Owner,
+                const std::string &Shard);
+
+  KeyHome &Keys;
+  CrashGuard &Crashes;
+  OwnerLookup Owner;
+  // Ordered, so that equal histories give equal actions.
+  std::map<RequestId, OpenRequest> Requests;
+  std::map<std::string, RetryBudget> Budgets;    // by group
+  std::map<std::string, uint32_t> QueueLengths;  // by shard, last heard
+  std::map<std::string, uint64_t> OfferedList;   // by owner: list sequence
+  std::map<std::string, ServiceServer> Services; // by server
+  uint64_t ServiceUses = 0;
+  bool Draining = false;
+  bool Held = false;
+};
+
+// True while the request may still need its owner, servers or key.
+inline bool isActive(const OpenRequest &Request) {
+  return Request.At != Phase::Answered && Request.At != Phase::Cancelled;
+}
+
+// The error of a request that ends with this outcome of a stage.
+ErrorKind errorOf(StageOutcome Outcome);
+
+// True if the group's requests may reach this server and it takes new work.
+bool isUsable(const CoreContext &Context, const std::string &Group,
+              const std::string &Server);
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/peer_table.cc
@@ -0,0 +1,82 @@
+#include "peer_table.h"
+
+namespace crocusspur::internal {
+
+bool PeerTable::onLink(const std::string &Name, uint64_t Incarnation, bool Up,
+                       TimePoint Now) {
+  Peer &peer = Peers[Name];
+  if (!Up) {
+    peer.Up = false;
+    peer.HeartbeatHeard = false;
+    return false;
+  }
+  bool replaced = peer.Incarnation != 0 && peer.Incarnation != Incarnation;
+  if (replaced)
+    peer = Peer();
+  peer.Up = true;
+  peer.Incarnation = Incarnation;
+  peer.LastHeard = Now;
+  return replaced;
+}
+
+bool PeerTable::onHeard(const std::string &Name, uint64_t Incarnation,
+                        TimePoint Now) {
+  Peer &peer = Peers[Name];
+  bool replaced = peer.Incarnation != 0 && peer.Incarnation != Incarnation;
+  if (replaced)
+    peer = Peer();
+  peer.Incarnation = Incarnation;
+  peer.LastHeard = Now;
+  return replaced;
+}
+
+bool PeerTable::isStale(const std::string &Name, uint64_t Incarnation) const {
+  auto it = Peers.find(Name);
+  return it != Peers.end() && it->second.Up &&
+         it->second.Incarnation != Incarnation;
+}
+
+void PeerTable::onHeartbeat(const std::string &Name, const Heartbeat &Message,
+                            TimePoint Now) {
+  Peer &peer = Peers[Name];
+  peer.HeartbeatHeard = true;
+  peer.Last = Message;
+  if (Message.ReadsPlatform)
+    peer.LastReading = Now;
+}
+
+void PeerTable::onGoodbye(const std::string &Name) { Peers[Name].Gone = true; }
+
+bool PeerTable::isReachable(const std::string &Name, TimePoint Now) const {
+  auto it = Peers.find(Name);
+  return it != Peers.end() && it->second.Up && !it->second.Gone &&
+         Now - it->second.LastHeard < PeerSilence;
+}
+
+bool PeerTable::hasHeartbeat(const std::string &Name) const {
+  auto it = Peers.find(Name);
+  return it != Peers.end() && it->second.Up && it->second.HeartbeatHeard;
+}
+
+bool PeerTable::readerHeard(TimePoint Now) const {
+  for (const auto &it : Peers)
+    if (it.second.Up && it.second.Last.ReadsPlatform &&
+        Now - it.second.LastReading < PeerSilence)
+      return true;
+  return false;
+}
+
+std::vector<std::string> PeerTable::linked() const {
+  std::vector<std::string> names;
+  for (const auto &it : Peers)
+    if (it.second.Up)
+      names.push_back(it.first);
+  return names;
+}
+
+Peer *PeerTable::find(const std::string &Name) {
+  auto it = Peers.find(Name);
+  return it == Peers.end() ? nullptr : &it->second;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/shard_map.cc
@@ -0,0 +1,95 @@
+#include "shard_map.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+std::vector<std::string> liveInstances(const InstanceList &List) {
+  std::vector<std::string> names;
+  for (const InstanceEntry &it : List.Instances)
+    if (it.State == MemberState::Live)
+      names.push_back(it.Name);
+  return names;
+}
+
+} // namespace
+
+bool hasOwners(PlacementPolicy Policy) {
+  return Policy == PlacementPolicy::HoldSlot || Policy == PlacementPolicy::Pool;
+}
+
+void ShardMap::setView(const ConfigDocument &Config, const InstanceList &List) {
+  Reader = ranksAsReader(List);
+  std::vector<std::string> live = liveInstances(List);
+  Ranks.clear();
+  ServiceRanks.clear();
+  for (const ModelConfig &model : Config.Models)
+    for (const ShardConfig &it : model.Shards)
+      Ranks[it.Name] = rankByRendezvous(it.Name, live);
+  for (const ServiceConfig &it : Config.Services)
+    ServiceRanks[it.Name] = rankByRendezvous("service:" + it.Name, live);
+}
+
+// Without any reachable listed instance this one takes the duty: ownership
+// only serves efficiency, and refusing would serve nobody.
+std::string ShardMap::firstIn(
+    const std::vector<std::string> &Rank,
+    const std::function<bool(const std::string &)> &Reachable) const {
+  for (const std::string &it : Rank)
+    if (it == Options.Instance || Reachable(it))
+      return it;
+  return Options.Instance;
+}
+
+bool ShardMap::choose(
+    const std::function<bool(const std::string &)> &Reachable) {
+  bool shared = hasOwners(Options.Policy);
+  std::map<std::string, std::string> owners;
+  for (const auto &it : Ranks)
+    owners[it.first] =
+        shared ? firstIn(it.second, Reachable) : Options.Instance;
+  ServicePollers.clear();
+  for (const auto &it : ServiceRanks)
+    ServicePollers[it.first] = firstIn(it.second, Reachable);
+  bool changed = owners != Owners;
+  Owners = std::move(owners);
+  return changed;
+}
+
+std::string ShardMap::ownerOf(const std::string &Shard) const {
+  auto it = Owners.find(Shard);
+  return it == Owners.end() ? "" : it->second;
+}
+
+std::vector<std::string>
+ShardMap::polledServers(const ConfigDocument &Config) const {
+  std::set<std::string> names;
+  for (const ModelConfig &model : Config.Models)
+    for (const ShardConfig &it : model.Shards)
+      if (ownerOf(it.Name) == Options.Instance)
+        names.insert(it.Servers.begin(), it.Servers.end());
+  for (const ServiceConfig &it : Config.Services) {
+    auto poller = ServicePollers.find(it.Name);
+    if (poller != ServicePollers.end() && poller->second == Options.Instance)
+      names.insert(it.Servers.begin(), it.Servers.end());
+  }
+  return {names.begin(), names.end()};
+}
+
+bool ShardMap::ranksAsReader(const InstanceList &List) const {
+  std::vector<std::string> names;
+  const InstanceEntry *self = List.findInstance(Options.Instance);
+  const std::string &domain =
+      self ? self->FailureDomain : Options.FailureDomain;
+  for (const InstanceEntry &it : List.Instances)
+    if (it.State == MemberState::Live && it.FailureDomain == domain)
+      names.push_back(it.Name);
+  names = rankByRendezvous("platform:" + domain, std::move(names));
+  names.resize(std::min<size_t>(names.size(), Options.WatchersPerDomain));
+  return std::find(names.begin(), names.end(), Options.Instance) != names.end();
+}
+
+} // namespace crocusspur::internal
