--- a/src/entry_end.cc
+++ b/src/entry_end.cc
@@ -12,12 +12,6 @@
   Context.note({Kind, Request.Id, Request.Spec.Group, Subject, Error, Value});
 }
 
-// A prefill result that no decode server imported.
-void EntryRequests::State::noteWaste(CoreContext &Context,
-                                     OpenRequest &Request) {
-  note(Context, Request, NoteKind::PrefillWasted, Request.PrefillServer);
-}
-
 // What a caller is told: No only if nothing was dispatched, or each attempt was
 // refused before execution.
 RunState EntryRequests::State::runState(const OpenRequest &Request) const {
@@ -41,8 +35,6 @@
                                    FinishReason Reason) {
   for (const std::string &it : std::vector<std::string>(Request.Holders))
     cancelAt(Context, Request, it);
-  if (Request.ResultReady)
-    noteWaste(Context, Request);
   Request.ResultReady = false;
   finishAtOwner(Context, Request, Reason);
   if (Request.InFlight) {
@@ -69,8 +61,11 @@
   if (RetryAfter.count() == 0 && answerFor(Error).RetryAdvised)
     RetryAfter = DefaultRetryAfter;
   Context.Out.push_back(AnswerError{Request.Id, Error, run, RetryAfter, ""});
-  note(Context, Request, dispatched ? NoteKind::Failed : NoteKind::Shed, "",
-       Error);
+  // The owner has noted its refusal of a request that never started.
+  if (dispatched)
+    note(Context, Request, NoteKind::Failed, "", Error);
+  else if (!Request.RefusedByOwner)
+    note(Context, Request, NoteKind::Shed, "", Error);
 }
 
 void EntryRequests::State::complete(CoreContext &Context, OpenRequest &Request,
--- a/src/entry_leases.cc
+++ b/src/entry_leases.cc
@@ -28,7 +28,8 @@
   lease.Attempt = Request.Placement;
   lease.Stage = leaseStageOf(Request.At);
   lease.Group = Request.Spec.Group;
-  lease.PrefillServer = Request.PrefillServer;
+  if (lease.Stage != LeaseStage::Waiting)
+    lease.PrefillServer = Request.PrefillServer;
   if (lease.Stage == LeaseStage::Decoding)
     lease.DecodeServer = Request.Server;
   lease.PromptTokens = Request.Spec.PromptTokens;
@@ -51,14 +52,19 @@
 }
 
 // Sends the leases and repeats every question that the owner may not know.
+// Waiting requests go first: AcquireRequest tells more of them than the list.
 void EntryRequests::State::reassert(CoreContext &Context,
                                     const std::string &Owner,
                                     const std::string &Shard) {
+  auto repeat = [&](Phase At) {
+    for (auto &it : Requests)
+      if (it.second.At == At && it.second.Owner == Owner &&
+          it.second.Shard == Shard)
+        askAgain(Context, it.second);
+  };
+  repeat(Phase::Waiting);
   sendLeases(Context, Owner, Shard);
-  for (auto &it : Requests)
-    if (isActive(it.second) && it.second.Owner == Owner &&
-        it.second.Shard == Shard)
-      askAgain(Context, it.second);
+  repeat(Phase::Ready);
 }
 
 void EntryRequests::onLeaseListRequest(CoreContext &Context,
--- a/src/entry_placement.cc
+++ b/src/entry_placement.cc
@@ -170,6 +170,7 @@
     return;
   }
   request->AtOwner = false;
+  request->RefusedByOwner = true;
   Impl->fail(Context, *request, Message.Kind, Message.RetryAfter);
 }
 
@@ -182,14 +183,19 @@
                      Context.Options.RetryBudgetFloor);
   if (allowed) {
     Request.IsRetry = true;
-    note(Context, Request, NoteKind::Replaced, Request.Shard);
+    // The owner of a shard notes new placements itself.
+    if (Request.Spec.Kind == RequestKind::Service)
+      note(Context, Request, NoteKind::Replaced, Request.Server);
   }
   return allowed;
 }
 
 // Tells the owner that the prefill gave no result, and waits for another one.
+// The message already has the next number, so that a grant for the lost
+// placement can be told from the answer.
 void EntryRequests::State::losePrefill(CoreContext &Context,
                                        OpenRequest &Request, bool ServerFull) {
+  ++Request.Placement;
   Context.send(Request.Owner,
                PrefillLost{Request.Id, Request.Shard, Request.Placement,
                            Request.PrefillServer, ServerFull});
@@ -199,6 +205,7 @@
 // Tells the owner that the decode server gave no (complete) output.
 void EntryRequests::State::loseDecode(CoreContext &Context,
                                       OpenRequest &Request, bool ServerFull) {
+  ++Request.Placement;
   Context.send(Request.Owner,
                DecodeLost{Request.Id, Request.Shard, Request.Placement,
                           Request.Server, Request.ResultReady, ServerFull,
--- a/src/entry_stages.cc
+++ b/src/entry_stages.cc
@@ -90,7 +90,6 @@
     return;
   }
   noteStart(Context, Request, Request.PrefillServer);
-  note(Context, Request, NoteKind::PrefillStarted, Request.PrefillServer);
   Context.Out.push_back(
       StartPrefill{Request.Id, Request.Dispatch, Request.PrefillServer,
                    Request.Fence, notAfter, Context.Options.ProgressTimeout});
@@ -111,7 +110,6 @@
     return;
   }
   noteStart(Context, Request, Request.Server);
-  note(Context, Request, NoteKind::DecodeStarted, Request.Server);
   Context.Out.push_back(StartDecode{
       Request.Id, Request.Dispatch, Request.Server, Request.PrefillServer,
       Request.Fence, notAfter, Context.Options.ProgressTimeout});
@@ -195,7 +193,6 @@
   if (Body.Outcome == StageOutcome::RefusedOther && Request.ResultReady) {
     // The result is evicted, or its server can't be read.
     Request.ResultReady = false;
-    noteWaste(Context, Request);
     cancelAt(Context, Request, Request.PrefillServer);
   }
   // Without the result the next placement repeats the prefill.
@@ -220,8 +217,6 @@
   bool stalled = Body.Outcome == StageOutcome::TimedOut;
   if (stalled || Request.Server == Request.PrefillServer) {
     cancelAt(Context, Request, Request.PrefillServer);
-    if (Request.ResultReady)
-      noteWaste(Context, Request);
     Request.ResultReady = false;
   }
   if (Request.Spec.Idempotent && mayPlaceAgain(Context, Request))
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -53,7 +53,8 @@
   std::string Home; // of a forwarded request
   std::string Shard;
   std::string Owner;
-  bool AtOwner = false;   // the owner may have a record of the request
+  bool AtOwner = false; // the owner may have a record of the request
+  bool RefusedByOwner = false;
   uint32_t Placement = 0; // attempt number in messages with the owner
   uint32_t Placements = 0;
   bool IsRetry = false;
@@ -154,7 +155,6 @@
   void note(CoreContext &Context, const OpenRequest &Request, NoteKind Kind,
             const std::string &Subject = "",
             ErrorKind Error = ErrorKind::Internal, double Value = 0);
-  void noteWaste(CoreContext &Context, OpenRequest &Request);
 
   // entry_leases.cc: leases held from owners
   void moveToOwner(CoreContext &Context, OpenRequest &Request,
--- a/test/core_samples.cc
+++ b/test/core_samples.cc
@@ -69,7 +69,8 @@
         R"({"name":")" + it.Name + R"(","role":")" + it.Role +
         R"(","address":"127.0.0.1:)" + std::to_string(9100 + index) +
         R"(","region":"ie-west","failure_domain":")" + domainOf(index) +
-        R"(","slots":)" + std::to_string(it.Slots) + "}");
+        R"(","slots":)" + std::to_string(it.Slots) +
+        R"(,"link_bytes_per_second":10000000000})");
     ++index;
     (it.Role == "service" ? service : shard).push_back(quoted(it.Name));
   }
