--- a/src/core_duties.cc
+++ b/src/core_duties.cc
@@ -93,7 +93,7 @@
   message.Draining = Draining;
   message.ReadsPlatform = Reading.value_or(false);
   message.Leases = Requests.leasesFrom(To);
-  Keys.fillHeartbeat(context, message);
+  Keys.fillHeartbeat(context, To, message);
   Out.push_back(SendToPeer{To, std::move(message)});
 }
 
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -37,6 +37,8 @@
                ActionList &Out);
   void onPublished(const ListPublished &Body, ActionList &Out);
   void onPublished(const ConfigPublished &Body, ActionList &Out);
+  void onKeyAnswer(const std::string &From, const KeyAnswer &Message,
+                   ActionList &Out);
   void onArrived(const RequestArrived &Body, ActionList &Out);
   internal::CoreContext context(ActionList &Out);
 
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -225,7 +225,7 @@
         else if constexpr (std::is_same_v<T, KeyQuery>)
           Keys.onKeyQuery(context, From, Body);
         else if constexpr (std::is_same_v<T, KeyAnswer>)
-          Keys.onKeyAnswer(context, From, Body);
+          onKeyAnswer(From, Body, Out);
         else if constexpr (std::is_same_v<T, ConfigOffer>)
           onConfigOffer(From, Body, Out);
         else if constexpr (std::is_same_v<T, ListOffer>)
@@ -245,6 +245,14 @@
       Message);
 }
 
+void DecisionCore::State::onKeyAnswer(const std::string &From,
+                                      const KeyAnswer &Message,
+                                      ActionList &Out) {
+  CoreContext context = this->context(Out);
+  Keys.onKeyAnswer(context, From, Message);
+  Requests.takeResolvedKeys(context);
+}
+
 // A message to an owner that this instance is not, in its own view, is refused
 // as NotReady: the entry asks again until both views agree.
 void DecisionCore::State::toOwner(const std::string &From,
--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -211,16 +211,16 @@
   Impl->Requests.erase(Body.Id);
 }
 
-void EntryRequests::State::takeResolvedKeys(CoreContext &Context) {
-  for (auto &it : Keys.takeResolved(Context)) {
-    OpenRequest *request = find(it.first);
+void EntryRequests::takeResolvedKeys(CoreContext &Context) {
+  for (auto &it : Impl->Keys.takeResolved(Context)) {
+    OpenRequest *request = Impl->find(it.first);
     if (request && request->At == Phase::KeyWait)
-      applyKeyDecision(Context, *request, it.second);
+      Impl->applyKeyDecision(Context, *request, it.second);
   }
 }
 
 void EntryRequests::onTimer(CoreContext &Context) {
-  Impl->takeResolvedKeys(Context);
+  takeResolvedKeys(Context);
   for (auto it = Impl->Requests.begin(); it != Impl->Requests.end();) {
     OpenRequest &request = it->second;
     if (request.At == Phase::Cancelled &&
--- a/src/entry_requests.h
+++ b/src/entry_requests.h
@@ -37,6 +37,9 @@
   void onLeaseListRequest(CoreContext &Context, const std::string &From,
                           const LeaseListRequest &Message);
 
+  // Decides on requests that waited for former homes of their key.
+  void takeResolvedKeys(CoreContext &Context);
+
   // The owner of some shard may have changed: moves waiting requests and
   // re-asserts leases.
   void onOwnersChanged(CoreContext &Context);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -97,7 +97,6 @@
             Milliseconds RetryAfter = Milliseconds{0});
   OpenRequest *find(const RequestId &Id);
   void setPhase(CoreContext &Context, OpenRequest &Request, Phase At);
-  void takeResolvedKeys(CoreContext &Context);
 
   // entry_placement.cc: conversation with the owner of a shard
   void place(CoreContext &Context, OpenRequest &Request);
--- a/src/trace_describe.h
+++ b/src/trace_describe.h
@@ -185,6 +185,11 @@
   Field("list_sequence", It.ListSequence);
   Field("list_digest", It.ListDigest);
   Field("previous_digest", It.PreviousDigest);
+  Field("earlier_digests", It.EarlierDigests);
+  Field("first_digest", It.FirstDigest);
+  Field("list_changes", It.ListChanges);
+  Field("number", It.Number);
+  Field("echo", It.Echo);
   Field("membership_epoch", It.MembershipEpoch);
   Field("draining", It.Draining);
   Field("reads_platform", It.ReadsPlatform);
@@ -329,6 +334,7 @@
   Field("id", It.Id);
   Field("key", It.Key);
   Field("status", It.Status);
+  Field("fingerprint", It.Fingerprint);
   Field("http_status", It.HttpStatus);
   Field("content_type", It.ContentType);
   Field("body_bytes", HiddenText{It.Body});
--- /dev/null
+++ b/test/core_network.h
@@ -0,0 +1,210 @@
+// Several decision cores in virtual time, joined by ordered links, in front of
+// fake engines that keep books of what ran and what is held. Events of equal
+// time are processed in the order in which they were made, and all randomness
+// comes from the seed, so a schedule repeats exactly.
+#ifndef CROCUSSPUR_TEST_CORE_NETWORK_H
+#define CROCUSSPUR_TEST_CORE_NETWORK_H
+
+#include "core_samples.h"
+
+#include "crocusspur/decision_core.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusspur::test {
+
+struct NetworkOptions {
+  int Instances = 3;
+  uint64_t Seed = 1;
+  SampleOptions Sample;
+  CoreOptions Core;        // instance, domain and incarnation are filled in
+  Milliseconds Latency{1}; // of links, and to engines
+  Milliseconds PrefillTime{60};   // of an engine, plus up to a half
+  Milliseconds DecodeTime{200};   // of an engine, plus up to a half
+  Milliseconds ServiceTime{30};   // of a service, plus up to a half
+  Milliseconds EvictionTime{800}; // of an unused prefill result
+  Milliseconds LoadPeriod{250};   // of the polls of load reports
+  Milliseconds LinkTimeout{1500}; // silence after which a link is closed
+};
+
+// The end of one request as its caller sees it.
+struct CallerAnswer {
+  bool Complete = false; // the whole answer of a backend server
+  bool Stored = false;   // AnswerStored
+  ErrorKind Error = ErrorKind::Internal;
+  RunState Run = RunState::No;
+  Milliseconds RetryAfter{0};
+  TimePoint At;
+};
+
+struct CallerRequest {
+  RequestId Id;
+  RequestSpec Spec;
+  std::string Entry;
+  TimePoint SentAt;
+  std::optional<TimePoint> CancelledAt;
+  bool EntryDied = false;
+  std::vector<CallerAnswer> Answers; // more than one breaks P2
+};
+
+// One execution at a backend server: a prefill, decode or call that began.
+struct Execution {
+  RequestId Id;
+  Stage At = Stage::Prefill;
+  std::string Server;
+  TimePoint Began;
+  std::optional<TimePoint> Ended; // complete, cancelled or crashed
+  bool Complete = false;
+};
+
+// A request that a backend server works for or holds memory for.
+struct Holding {
+  RequestId Id;
+  std::string Server;
+  TimePoint Since;
+};
+
+class CoreNetwork {
+public:
+  explicit CoreNetwork(NetworkOptions Options = {});
+  ~CoreNetwork();
+
+  // Instances are e1 to eN, servers as in core_samples.h.
+  TimePoint now() const { return Now; }
+  void runFor(Milliseconds Duration);
+  // Runs until the condition holds; false if it doesn't within the limit.
+  bool runUntil(const std::function<bool()> &Condition, Milliseconds Limit);
+  bool runUntilReady(Milliseconds Limit = Milliseconds{5000});
+
+  // Callers.
+  RequestId submit(const std::string &Instance, RequestSpec Spec);
+  void cancel(const RequestId &Id);
+  const CallerRequest &request(const RequestId &Id) const;
+  const std::map<RequestId, CallerRequest> &requests() const { return Callers; }
+
+  // The platform. A document is read by every instance that watches and can
+  // reach the platform.
+  void publishConfig(const std::string &Text);
+  void publishList(const std::string &Text);
+  void cutPlatform(const std::string &Instance, bool Cut = true);
+
+  // Faults. A cut link loses what is under way and is seen as down after the
+  // link time-out; a killed process is seen at once.
+  void cut(const std::string &A, const std::string &B);
+  void heal(const std::string &A, const std::string &B);
+  void kill(const std::string &Instance);
+  void restart(const std::string &Instance);
+  // The process stands still and then takes all events that waited.
+  void pause(const std::string &Instance, Milliseconds Duration);
+  void shutdown(const std::string &Instance, Milliseconds Limit);
+  bool stopped(const std::string &Instance) const; // shutdown is complete
+  void killServer(const std::string &Server);
+  void restartServer(const std::string &Server);
+  // The server stays silent: requests get no answer until their timeout.
+  void stallServer(const std::string &Server, bool Stalled = true);
+  // A request with this fingerprint kills each server that runs it.
+  void addCrasher(uint64_t Fingerprint);
+
+  // Books.
+  const std::vector<Execution> &executions() const { return Ran; }
+  size_t executionsOf(const RequestId &Id, Stage At) const;
+  std::vector<Holding> held() const;
+  uint64_t configVersion(const std::string &Instance) const; // in force
+  uint64_t listSequence(const std::string &Instance) const;
+  bool isReady(const std::string &Instance) const;
+  // All notes of all instances, in order.
+  const std::vector<std::pair<std::string, Note>> &notes() const {
+    return Notes;
+  }
+  size_t countNotes(NoteKind Kind) const;
+  std::string dump(const std::string &Instance) const;
+
+private:
+  struct Node;
+  struct Server;
+  using Pair = std::pair<std::string, std::string>; // in alphabetical order
+  struct Due {
+    TimePoint At;
+    uint64_t Order;
+    std::function<void()> Run;
+  };
+  struct Later {
+    bool operator()(const Due &A, const Due &B) const {
+      return A.At != B.At ? A.At > B.At : A.Order > B.Order;
+    }
+  };
+  struct Link {
+    uint64_t Epoch = 0; // 0: down
+    bool Cut = false;
+    TimePoint SilentSince = TimePoint::max();
+    std::vector<std::pair<std::string, SendToPeer>> Stuck; // sender, message
+  };
+  // One stage that a relay waits for.
+  struct Call {
+    std::string Instance;
+    uint64_t Incarnation = 0;
+    RequestId Id;
+    uint32_t Attempt = 0;
+    Stage At = Stage::Prefill;
+    std::string Server;
+    std::string Source; // of the prefill result
+    Milliseconds Timeout{0};
+  };
+
+  void after(Milliseconds Delay, std::function<void()> Run);
+  Milliseconds spread(Milliseconds Base);
+  Node &node(const std::string &Instance) const;
+  void start(Node &Of);
+  void everyTick(const std::string &Instance, uint64_t Incarnation);
+  void everyPoll(const std::string &Instance, uint64_t Incarnation);
+  void give(Node &To, EventBody Body);
+  void giveLater(const std::string &Instance, uint64_t Incarnation,
+                 EventBody Body);
+  void handle(Node &To, EventBody Body);
+  void carryOut(Node &Of, const Action &Item);
+  void readPlatform(Node &Of);
+  void send(const std::string &From, const SendToPeer &Item);
+  void watchLinks();
+  void setLink(const Pair &Names, bool Up);
+  void forward(Node &Of, const ForwardToHome &Item);
+  void begin(const Call &Item, TimePoint NotAfter);
+  void arriveAt(Server &On, const Call &Item);
+  void run(Server &On, const Call &Item);
+  void finish(size_t Index);
+  void end(Server &On, size_t Index, StageOutcome Outcome);
+  void report(const Call &Item, StageOutcome Outcome, uint32_t Tokens = 0);
+  void cancelAt(const CancelAtServer &Item);
+  void answer(const std::string &Instance, const RequestId &Id,
+              CallerAnswer Answer);
+
+  NetworkOptions Options;
+  std::mt19937_64 Random;
+  TimePoint Now = TimePoint(std::chrono::hours(24));
+  uint64_t Orders = 0;
+  uint64_t Counter = 0; // incarnations, epochs of links and servers
+  uint64_t Sequences = 0;
+  std::priority_queue<Due, std::vector<Due>, Later> Agenda;
+  std::map<std::string, std::unique_ptr<Node>> Nodes;
+  std::map<std::string, std::unique_ptr<Server>> Servers;
+  std::map<uint64_t, ConfigPtr> Configs; // published, by version
+  ListPtr List;
+  std::map<Pair, Link> Links;
+  std::map<RequestId, std::string> Homes; // of forwarded requests
+  std::set<uint64_t> Crashers;
+  std::map<RequestId, CallerRequest> Callers;
+  std::vector<Execution> Ran;
+  std::vector<Call> Calls; // that began Ran
+  std::vector<std::pair<std::string, Note>> Notes;
+};
+
+} // namespace crocusspur::test
+
+#endif
--- /dev/null
+++ b/test/core_network_servers.cc
@@ -0,0 +1,189 @@
+#include "core_network_state.h"
+
+#include <algorithm>
+
+namespace crocusspur::test {
+
+void CoreNetwork::begin(const Call &Item, TimePoint NotAfter) {
+  if (Now > NotAfter)
+    report(Item, StageOutcome::NotSent);
+  else
+    after(Options.Latency,
+          [this, Item] { arriveAt(*Servers.at(Item.Server), Item); });
+}
+
+void CoreNetwork::arriveAt(Server &On, const Call &Item) {
+  if (!On.Alive) {
+    report(Item, StageOutcome::NotSent);
+    return;
+  }
+  // A request that is sent again after a lost connection replaces its former
+  // run; a different one finds the server full.
+  if (!On.Running.count(Item.Id) && On.Running.size() >= On.Slots) {
+    report(Item, StageOutcome::RefusedFull);
+    return;
+  }
+  if (Item.At == Stage::Decode && Item.Source != On.Name &&
+      Servers.at(Item.Source)->Results.erase(Item.Id) == 0) {
+    report(Item, StageOutcome::RefusedOther);
+    return;
+  }
+  run(On, Item);
+}
+
+void CoreNetwork::run(Server &On, const Call &Item) {
+  On.Results.erase(Item.Id);
+  size_t index = Ran.size();
+  Ran.push_back({Item.Id, Item.At, On.Name, Now, {}, false});
+  Calls.push_back(Item);
+  On.Running[Item.Id] = index;
+  uint64_t epoch = On.Epoch;
+  if (On.Stalled) {
+    after(Item.Timeout, [this, Item] { report(Item, StageOutcome::TimedOut); });
+    return;
+  }
+  if (Crashers.count(Callers.at(Item.Id).Spec.Fingerprint))
+    after(Milliseconds(5), [this, Item, epoch] {
+      if (Servers.at(Item.Server)->Epoch == epoch)
+        killServer(Item.Server);
+    });
+  Milliseconds base = Item.At == Stage::Prefill  ? Options.PrefillTime
+                      : Item.At == Stage::Decode ? Options.DecodeTime
+                                                 : Options.ServiceTime;
+  Milliseconds time = spread(base);
+  if (Item.At == Stage::Decode)
+    after(time / 2, [this, Item, index] {
+      if (!Ran[index].Ended)
+        giveLater(Item.Instance, Item.Incarnation,
+                  StageProgress{Item.Id, Item.Attempt, 1});
+    });
+  after(time, [this, index] { finish(index); });
+}
+
+void CoreNetwork::finish(size_t Index) {
+  if (Ran[Index].Ended)
+    return;
+  Server &on = *Servers.at(Ran[Index].Server);
+  Ran[Index].Complete = true;
+  const RequestId id = Ran[Index].Id;
+  if (Ran[Index].At == Stage::Prefill) {
+    on.Results[id] = Now;
+    after(Options.EvictionTime, [this, &on, id, since = Now] {
+      auto it = on.Results.find(id);
+      if (it != on.Results.end() && it->second == since)
+        on.Results.erase(it);
+    });
+  }
+  end(on, Index, StageOutcome::Ok);
+}
+
+void CoreNetwork::end(Server &On, size_t Index, StageOutcome Outcome) {
+  Ran[Index].Ended = Now;
+  auto it = On.Running.find(Ran[Index].Id);
+  if (it != On.Running.end() && it->second == Index)
+    On.Running.erase(it);
+  uint32_t tokens =
+      Outcome == StageOutcome::Ok && Ran[Index].At == Stage::Decode
+          ? Callers.at(Ran[Index].Id).Spec.MaxOutputTokens
+          : 0;
+  report(Calls[Index], Outcome, tokens);
+}
+
+void CoreNetwork::report(const Call &Item, StageOutcome Outcome,
+                         uint32_t Tokens) {
+  StageFinished body;
+  body.Id = Item.Id;
+  body.Attempt = Item.Attempt;
+  body.At = Item.At;
+  body.Outcome = Outcome;
+  body.Server = Item.Server;
+  body.OutputTokens = Tokens;
+  body.KvBytes = Item.At == Stage::Prefill ? 1000000 : 0;
+  body.HttpStatus = Item.At == Stage::Service ? 200 : 0;
+  after(Options.Latency, [=, this] {
+    Node &to = node(Item.Instance);
+    if (!to.Alive || to.Options.Incarnation != Item.Incarnation)
+      return;
+    bool whole = Outcome == StageOutcome::Ok && Item.At != Stage::Prefill;
+    // A relay that has ended its answer copies nothing more to the caller.
+    if (whole && Callers.at(Item.Id).Answers.empty())
+      answer(Item.Instance, Item.Id,
+             {true, false, ErrorKind::Internal, RunState::Yes, {}, Now});
+    give(to, body);
+  });
+}
+
+void CoreNetwork::cancelAt(const CancelAtServer &Item) {
+  Server &on = *Servers.at(Item.Server);
+  on.Results.erase(Item.Id);
+  auto it = on.Running.find(Item.Id);
+  if (it != on.Running.end())
+    end(on, it->second, StageOutcome::Failed);
+}
+
+void CoreNetwork::killServer(const std::string &Name) {
+  Server &of = *Servers.at(Name);
+  of.Alive = false;
+  of.Epoch = ++Counter;
+  of.Results.clear();
+  for (const auto &it : std::map<RequestId, size_t>(of.Running))
+    end(of, it.second, StageOutcome::Failed);
+}
+
+void CoreNetwork::restartServer(const std::string &Name) {
+  if (Servers.at(Name)->Alive)
+    killServer(Name);
+  Servers.at(Name)->Alive = true;
+}
+
+void CoreNetwork::stallServer(const std::string &Name, bool Stalled) {
+  Servers.at(Name)->Stalled = Stalled;
+}
+
+void CoreNetwork::addCrasher(uint64_t Fingerprint) {
+  Crashers.insert(Fingerprint);
+}
+
+// Books.
+
+size_t CoreNetwork::executionsOf(const RequestId &Id, Stage At) const {
+  return static_cast<size_t>(
+      std::count_if(Ran.begin(), Ran.end(), [&](const Execution &It) {
+        return It.Id == Id && It.At == At;
+      }));
+}
+
+std::vector<Holding> CoreNetwork::held() const {
+  std::vector<Holding> found;
+  for (const auto &it : Servers) {
+    for (const auto &run : it.second->Running)
+      found.push_back({run.first, it.first, Ran[run.second].Began});
+    for (const auto &result : it.second->Results)
+      found.push_back({result.first, it.first, result.second});
+  }
+  return found;
+}
+
+uint64_t CoreNetwork::configVersion(const std::string &Instance) const {
+  return node(Instance).ConfigVersion;
+}
+
+uint64_t CoreNetwork::listSequence(const std::string &Instance) const {
+  return node(Instance).ListSequence;
+}
+
+bool CoreNetwork::isReady(const std::string &Instance) const {
+  return node(Instance).Ready;
+}
+
+size_t CoreNetwork::countNotes(NoteKind Kind) const {
+  return static_cast<size_t>(
+      std::count_if(Notes.begin(), Notes.end(),
+                    [&](const auto &It) { return It.second.Kind == Kind; }));
+}
+
+std::string CoreNetwork::dump(const std::string &Instance) const {
+  return node(Instance).Core->dumpState(Now);
+}
+
+} // namespace crocusspur::test
--- /dev/null
+++ b/test/core_network_test.cc
@@ -0,0 +1,60 @@
+#include "core_network.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+// Sends requests of both kinds to all instances for a while.
+void sendLoad(CoreNetwork &Net, int Count, Milliseconds Gap) {
+  for (int i = 0; i < Count; ++i) {
+    std::string entry = "e" + std::to_string(1 + i % 3);
+    Net.submit(entry, i % 4 == 3 ? serviceSpec(true) : modelSpec());
+    Net.runFor(Gap);
+  }
+}
+
+size_t countAnswers(const CoreNetwork &Net, bool Complete) {
+  size_t n = 0;
+  for (const auto &it : Net.requests())
+    for (const CallerAnswer &answer : it.second.Answers)
+      n += answer.Complete == Complete;
+  return n;
+}
+
+} // namespace
+
+// Guards against instances that don't work together: every request of a light
+// load has to be answered whole, once, whichever instance it reached.
+TEST_CASE("CoreNetwork serves a light load over three instances") {
+  CoreNetwork net;
+  REQUIRE(net.runUntilReady());
+  net.runFor(Milliseconds(2500));
+  sendLoad(net, 40, Milliseconds(150));
+  net.runFor(Milliseconds(3000));
+  CHECK(countAnswers(net, true) == 40);
+  CHECK(countAnswers(net, false) == 0);
+  CHECK(net.held().empty());
+}
+
+// Guards against a fixture whose runs can't be repeated.
+TEST_CASE("CoreNetwork repeats a run exactly from its seed") {
+  auto run = [](uint64_t Seed) {
+    NetworkOptions options;
+    options.Seed = Seed;
+    CoreNetwork net(options);
+    net.runUntilReady();
+    sendLoad(net, 30, Milliseconds(40));
+    net.kill("e2");
+    net.runFor(Milliseconds(4000));
+    std::string text;
+    for (const Execution &it : net.executions())
+      text += it.Id.str() + it.Server +
+              std::to_string(it.Began.time_since_epoch().count()) + "\n";
+    return text;
+  };
+  CHECK(run(5) == run(5));
+  CHECK(run(5) != run(6));
+}
--- a/test/trace_test.cc
+++ b/test/trace_test.cc
@@ -1,8 +1,10 @@
 #include "crocusspur/trace.h"
 
 #include "core_samples.h"
+#include "trace_describe.h"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/pfr.hpp>
 #include <doctest/doctest.h>
 #include <limits>
 #include <optional>
@@ -45,8 +47,13 @@
 const RequestId Id{0xfedcba9876543210, 17};
 
 std::vector<Event> peerEvents() {
-  Heartbeat beat{
-      3, Large, 5, Large - 3, 7, 8, true, true, {{"summary-0", 2, Large - 9}}};
+  Heartbeat beat{3,    Large,
+                 5,    Large - 3,
+                 7,    {Large - 5, 6},
+                 11,   12,
+                 13,   14,
+                 8,    true,
+                 true, {{"summary-0", 2, Large - 9}}};
   AcquireRequest acquire{
       Id,   "summary-0", "drivers",  RequestClass::Batch, 3,
       10,   20,          {Large, 1}, Microseconds(-5),    true,
@@ -71,8 +78,8 @@
           fromPeer(ForwardEnd{Id, true}),
           fromPeer(ForwardCancel{Id}),
           fromPeer(KeyQuery{Id, "drivers", "key"}),
-          fromPeer(KeyAnswer{Id, "key", KeyStatus::Done, 201, "text/plain",
-                             "stored"}),
+          fromPeer(KeyAnswer{Id, "key", KeyStatus::Done, Large, 201,
+                             "text/plain", "stored"}),
           fromPeer(ConfigRequest{4}),
           fromPeer(ConfigOffer{sampleConfigText()}),
           fromPeer(ListRequest{6}),
@@ -131,6 +138,25 @@
   return result;
 }
 
+// Counts the fields that a description names.
+struct FieldCounter {
+  size_t Count = 0;
+  template <typename T> void operator()(const char *, T &&) { ++Count; }
+};
+
+template <typename T> void checkAllFieldsDescribed(const char *Type) {
+  T value{};
+  FieldCounter counter;
+  internal::describe(counter, value);
+  CAPTURE(Type);
+  CHECK(counter.Count == boost::pfr::tuple_size_v<T>);
+}
+
+template <typename V, size_t... I>
+void checkAlternatives(const char *const *Names, std::index_sequence<I...>) {
+  (checkAllFieldsDescribed<std::variant_alternative_t<I, V>>(Names[I]), ...);
+}
+
 // Records a plain service call as a trace.
 std::string recordedSession() {
   CoreOptions options = sampleCoreOptions("e1", 7);
@@ -186,6 +212,21 @@
   CHECK(std::count(seenMessage.begin(), seenMessage.end(), false) == 0);
 }
 
+// Guards against a field that is added to a type and left out of its traces.
+TEST_CASE("Trace describes every field of every event and message") {
+  checkAlternatives<EventBody>(
+      internal::EventNames,
+      std::make_index_sequence<std::variant_size_v<EventBody>>());
+  checkAlternatives<PeerMessage>(
+      internal::MessageNames,
+      std::make_index_sequence<std::variant_size_v<PeerMessage>>());
+  checkAllFieldsDescribed<RequestSpec>("RequestSpec");
+  checkAllFieldsDescribed<LeaseEntry>("LeaseEntry");
+  checkAllFieldsDescribed<LeaseSummary>("LeaseSummary");
+  checkAllFieldsDescribed<CacheChange>("CacheChange");
+  checkAllFieldsDescribed<CoreOptions>("CoreOptions");
+}
+
 // Guards against losing digits of large numbers and odd characters of keys.
 TEST_CASE("Trace keeps large numbers and escaped text") {
   auto back = parsedEvent(formatEvent(allEvents()[0], Start));
