Test the entry's requests and the decision core

Cause: the state machines were only covered by two end-to-end cases.

Change: entry_requests_test and decision_core_test check each rule of the entry and of the core by the failure it guards against.

--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -2,6 +2,9 @@
 
 #include "core_samples.h"
 
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <utility>
 
@@ -58,6 +61,48 @@
     return nullptr;
   }
 
+  // Last message of the type, to the instance unless it is empty.
+  template <typename T> const T *sent(const std::string &To = "") const {
+    const T *found = nullptr;
+    for (const Action &it : Last)
+      if (auto *item = std::get_if<SendToPeer>(&it))
+        if (To.empty() || item->Instance == To)
+          if (auto *message = std::get_if<T>(&item->Message))
+            found = message;
+    return found;
+  }
+
+  void link(const std::string &Peer, bool Up = true) {
+    give(PeerLinkChanged{Peer, 20, Up});
+  }
+
+  void hear(const std::string &Peer, PeerMessage Message = Heartbeat{}) {
+    give(PeerReceived{Peer, 20, std::move(Message)});
+  }
+
+  // Timer events during which the peers are heard every 200 ms.
+  void passHearing(Milliseconds Duration,
+                   const std::vector<std::string> &Peers) {
+    ActionList seen;
+    for (Milliseconds it{0}; it < Duration; it += Milliseconds{200}) {
+      for (const std::string &peer : Peers) {
+        hear(peer);
+        seen.insert(seen.end(), Last.begin(), Last.end());
+      }
+      pass(Milliseconds{200});
+      seen.insert(seen.end(), Last.begin(), Last.end());
+    }
+    Last = std::move(seen);
+  }
+
+  size_t countNotes(NoteKind Kind) const {
+    return static_cast<size_t>(
+        std::count_if(Last.begin(), Last.end(), [&](const Action &It) {
+          auto *note = std::get_if<Note>(&It);
+          return note && note->Kind == Kind;
+        }));
+  }
+
   template <typename T> size_t count() const {
     size_t n = 0;
     for (const Action &it : Last)
@@ -129,3 +174,414 @@
   REQUIRE(note);
   CHECK(kindOf(note) == "completed");
 }
+
+namespace {
+
+// The instances of a list of three in rendezvous order of the sample's shard.
+std::vector<std::string> shardRank() {
+  return rankByRendezvous("summary-0", {"e1", "e2", "e3"});
+}
+
+AcquireRequest acquireFromPeer() {
+  AcquireRequest message;
+  message.Id = {9, 1};
+  message.Shard = "summary-0";
+  message.Group = "drivers";
+  message.PromptTokens = 400;
+  message.MaxOutputTokens = 64;
+  message.TimeLeft = std::chrono::seconds(2);
+  return message;
+}
+
+CoreOptions optionsFor(const std::string &Instance) {
+  CoreOptions options = sampleCoreOptions(Instance, 7);
+  int index = Instance.back() - '1';
+  options.FailureDomain = std::string("hall-") + "abc"[index];
+  return options;
+}
+
+std::vector<std::string> others(const std::string &Instance) {
+  std::vector<std::string> names = {"e1", "e2", "e3"};
+  names.erase(std::find(names.begin(), names.end(), Instance));
+  return names;
+}
+
+// A core of three that has heard both peers and is ready.
+struct LinkedCore : CoreDriver {
+  explicit LinkedCore(const std::string &Instance)
+      : CoreDriver(optionsFor(Instance)), Peers(others(Instance)) {
+    give(TimerFired{});
+    for (const std::string &it : Peers) {
+      link(it);
+      hear(it);
+    }
+    start(3);
+    pass(Milliseconds{100});
+  }
+
+  std::vector<std::string> Peers;
+};
+
+} // namespace
+
+// Guards against an instance that serves before it knows anything.
+TEST_CASE("DecisionCore refuses requests before it is ready") {
+  CoreDriver core;
+  core.give(RequestArrived{{7, 1}, modelSpec(), ""});
+  const AnswerError *answer = core.last<AnswerError>();
+  REQUIRE(answer);
+  CHECK(std::string(answerFor(answer->Kind).Name) == "not_ready");
+  CHECK(answer->RetryAfter > Milliseconds{0});
+}
+
+// Guards against a fresh instance that serves an old version of a stale
+// platform although its peers have a newer one (P7).
+TEST_CASE("DecisionCore hears its peers before it is ready") {
+  CoreDriver core(optionsFor("e1"));
+  core.start(3);
+  CHECK_FALSE(core.last<SetReadiness>());
+  SUBCASE("ready once every peer was heard") {
+    core.link("e2");
+    core.link("e3");
+    core.hear("e2");
+    CHECK_FALSE(core.last<SetReadiness>());
+    core.hear("e3");
+    REQUIRE(core.last<SetReadiness>());
+    CHECK(core.last<SetReadiness>()->Ready);
+  }
+  SUBCASE("waits for a newer version that a peer has") {
+    Heartbeat newer;
+    newer.ConfigVersion = 5;
+    core.link("e2");
+    core.link("e3");
+    core.hear("e3");
+    core.hear("e2", newer);
+    REQUIRE(core.sent<ConfigRequest>("e2"));
+    CHECK(core.sent<ConfigRequest>("e2")->HaveVersion == 1);
+    CHECK_FALSE(core.last<SetReadiness>());
+    SampleOptions sample;
+    sample.Version = 5;
+    sample.Base = 4;
+    core.hear("e2", ConfigOffer{sampleConfigText(sample)});
+    REQUIRE(core.last<UseConfig>());
+    CHECK(core.last<UseConfig>()->Document->Version == 5);
+    CHECK(core.last<SetReadiness>());
+  }
+  SUBCASE("ready after a second without them") {
+    core.pass(Milliseconds{900});
+    CHECK_FALSE(core.last<SetReadiness>());
+    core.pass(Milliseconds{150});
+    CHECK(core.last<SetReadiness>());
+  }
+}
+
+// Guards against a configuration that reverts to what a stale reader gives.
+TEST_CASE("DecisionCore never reverts the version in force") {
+  CoreDriver core;
+  core.start();
+  SampleOptions sample;
+  sample.Version = 5;
+  sample.Base = 4;
+  core.hear("e2", ConfigOffer{sampleConfigText(sample)});
+  CHECK(core.last<UseConfig>());
+  sample.Version = 2;
+  sample.Base = 1;
+  core.give(ConfigPublished{parsedConfig(sampleConfigText(sample))});
+  CHECK_FALSE(core.last<UseConfig>());
+  core.hear("e2", ConfigOffer{sampleConfigText(sample)});
+  CHECK_FALSE(core.last<UseConfig>());
+  core.hear("e2", ConfigOffer{"{"});
+  CHECK(core.Last.empty());
+}
+
+// Guards against a reader that skips a document, so that a later verdict is
+// taken without it.
+TEST_CASE("DecisionCore sends the reader back after a gap") {
+  CoreDriver core;
+  core.start();
+  SampleOptions sample;
+  sample.Version = 3;
+  sample.Base = 2;
+  core.give(ConfigPublished{parsedConfig(sampleConfigText(sample))});
+  CHECK_FALSE(core.last<UseConfig>());
+  REQUIRE(core.last<SetPlatformReading>());
+  CHECK(core.last<SetPlatformReading>()->AfterVersion == 1);
+  sample.Version = 2;
+  sample.Base = 0;
+  core.give(ConfigPublished{parsedConfig(sampleConfigText(sample))});
+  CHECK(core.countNotes(NoteKind::ConfigRefused) == 1);
+}
+
+// Guards against lists that go back, and against peers left with old ones.
+TEST_CASE("DecisionCore takes the newest list and passes it on") {
+  CoreDriver core;
+  core.start();
+  core.hear("e2", ListOffer{sampleListText(4, 2)});
+  REQUIRE(core.last<UseList>());
+  CHECK(core.last<UseList>()->List->Sequence == 4);
+  core.give(ListPublished{parsedList(sampleListText(3, 2))});
+  CHECK_FALSE(core.last<UseList>());
+  core.hear("e2", ListRequest{3});
+  CHECK(core.sent<ListOffer>("e2"));
+  core.hear("e2", ListRequest{4});
+  CHECK_FALSE(core.sent<ListOffer>());
+  core.hear("e2", ConfigRequest{0});
+  CHECK(core.sent<ConfigOffer>("e2"));
+  core.hear("e2", ConfigRequest{1});
+  CHECK_FALSE(core.sent<ConfigOffer>());
+  Heartbeat newer;
+  newer.ListSequence = 9;
+  core.pass(Milliseconds{500});
+  core.hear("e2", newer);
+  REQUIRE(core.sent<ListRequest>("e2"));
+  CHECK(core.sent<ListRequest>("e2")->HaveSequence == 4);
+}
+
+// Guards against heartbeats that fail to reach a peer each period.
+TEST_CASE("DecisionCore sends a heartbeat to each linked peer") {
+  LinkedCore core("e1");
+  core.passHearing(Milliseconds{2000}, core.Peers);
+  size_t n = 0;
+  for (const Action &it : core.Last)
+    if (auto *item = std::get_if<SendToPeer>(&it))
+      n += item->Instance == "e2" &&
+           std::holds_alternative<Heartbeat>(item->Message);
+  CHECK(n == 4);
+  REQUIRE(core.sent<Heartbeat>("e2"));
+  CHECK(core.sent<Heartbeat>("e2")->ConfigVersion == 1);
+  CHECK(core.sent<Heartbeat>("e2")->ListSequence == 1);
+}
+
+// Guards against shards without an owner after an instance dies.
+TEST_CASE("DecisionCore takes a shard over from a silent owner") {
+  std::string first = shardRank()[0];
+  std::string second = shardRank()[1];
+  LinkedCore core(second);
+  auto owns = [&] {
+    core.hear(shardRank()[2], acquireFromPeer());
+    const Refusal *refusal = core.sent<Refusal>();
+    return !refusal || refusal->Kind != ErrorKind::NotReady;
+  };
+  CHECK_FALSE(owns());
+  SUBCASE("after 1.5 s of silence") {
+    core.passHearing(Milliseconds{1200}, {shardRank()[2]});
+    CHECK(core.countNotes(NoteKind::OwnershipGained) == 0);
+    core.passHearing(Milliseconds{600}, {shardRank()[2]});
+    CHECK(core.countNotes(NoteKind::OwnershipGained) == 1);
+  }
+  SUBCASE("at once when its link goes down") {
+    core.link(first, false);
+    CHECK(core.countNotes(NoteKind::OwnershipGained) == 1);
+  }
+  SUBCASE("at once when it says goodbye") {
+    core.hear(first, Goodbye{});
+    CHECK(core.countNotes(NoteKind::OwnershipGained) == 1);
+  }
+  SUBCASE("at once when the list says that it leaves") {
+    core.give(ListPublished{parsedList(sampleListText(2, 3, {}, {first}))});
+    CHECK(core.countNotes(NoteKind::OwnershipGained) == 1);
+  }
+  CHECK(owns());
+}
+
+// Guards against instances that cancel each other's work when no shard has one
+// owner.
+TEST_CASE("DecisionCore owns every shard for itself without shared owners") {
+  CoreOptions options = optionsFor(shardRank()[2]);
+  options.Policy = PlacementPolicy::RoundRobin;
+  CoreDriver core(options);
+  core.give(TimerFired{});
+  for (const std::string &it : others(options.Instance)) {
+    core.link(it);
+    core.hear(it);
+  }
+  core.start(3);
+  core.give(RequestArrived{{7, 1}, modelSpec(), ""});
+  CHECK(core.count<SendToPeer>() == 0);
+  CHECK(core.last<StartPrefill>());
+}
+
+// Guards against too many callers of the platform, and against none.
+TEST_CASE("DecisionCore reads the platform if elected or without a reader") {
+  std::vector<std::string> names;
+  for (int i = 1; i <= 12; i += 3)
+    names.push_back("e" + std::to_string(i)); // those in hall-a
+  auto rank = rankByRendezvous("platform:hall-a", names);
+  CoreOptions options = sampleCoreOptions(rank[3], 7);
+  CoreDriver core(options);
+  core.give(TimerFired{});
+  REQUIRE(core.last<SetPlatformReading>());
+  CHECK(core.last<SetPlatformReading>()->Watch);
+  Heartbeat reading;
+  reading.ReadsPlatform = true;
+  core.link(rank[0]);
+  core.hear(rank[0], reading);
+  core.start(12);
+  core.pass(Milliseconds{50});
+  core.give(TimerFired{});
+  CHECK(core.Core.dumpState(core.Now).find("\"reads_platform\":false") !=
+        std::string::npos);
+  core.pass(Milliseconds{1300});
+  CHECK_FALSE(core.last<SetPlatformReading>());
+  core.pass(Milliseconds{1800});
+  REQUIRE(core.last<SetPlatformReading>());
+  CHECK(core.last<SetPlatformReading>()->Watch);
+  CHECK(core.last<SetPlatformReading>()->AfterVersion == 1);
+  core.hear(rank[0], reading);
+  core.pass(Milliseconds{50});
+  REQUIRE(core.last<SetPlatformReading>());
+  CHECK_FALSE(core.last<SetPlatformReading>()->Watch);
+}
+
+// Guards against a process that wakes up and dispatches by its old view.
+TEST_CASE("DecisionCore dispatches nothing after a pause until it is heard") {
+  LinkedCore core("e1");
+  core.give(TimerFired{}, Milliseconds{1001});
+  CHECK(core.countNotes(NoteKind::PauseDetected) == 1);
+  core.give(RequestArrived{{7, 1}, serviceSpec(false), ""});
+  CHECK_FALSE(core.last<StartService>());
+  SUBCASE("a peer is heard") {
+    core.hear("e2");
+    CHECK(core.last<StartService>());
+  }
+  SUBCASE("the platform is heard") {
+    core.give(ListPublished{parsedList(sampleListText(2, 3))});
+    CHECK(core.last<StartService>());
+  }
+  SUBCASE("no peer is left") {
+    core.link("e2", false);
+    core.link("e3", false);
+    CHECK_FALSE(core.last<StartService>());
+    core.pass(Milliseconds{50});
+    CHECK(core.last<StartService>());
+  }
+  SUBCASE("cancelled meanwhile") {
+    core.give(RequestCancelled{{7, 1}});
+    core.hear("e2");
+    CHECK_FALSE(core.last<StartService>());
+  }
+}
+
+// Guards against an owner that wakes up and takes every lease for lapsed.
+TEST_CASE("DecisionCore gives its shards up when it was paused") {
+  LinkedCore core(shardRank()[0]);
+  core.hear(core.Peers[0], acquireFromPeer());
+  REQUIRE(core.sent<PrefillGrant>());
+  core.give(TimerFired{}, Milliseconds{3000});
+  CHECK(core.countNotes(NoteKind::OwnershipLost) == 1);
+  CHECK(core.count<CancelAtServer>() == 0);
+  core.hear(core.Peers[0]);
+  CHECK(core.countNotes(NoteKind::OwnershipGained) == 1);
+  CHECK(core.sent<LeaseListRequest>(core.Peers[0]));
+  CHECK(core.count<CancelAtServer>() == 0);
+}
+
+// Guards against servers that nobody polls, or that everybody polls.
+TEST_CASE("DecisionCore polls the servers of its shards and services") {
+  std::string serviceFirst =
+      rankByRendezvous("service:bays", {"e1", "e2", "e3"})[0];
+  for (const char *name : {"e1", "e2", "e3"}) {
+    LinkedCore core(name);
+    std::vector<std::string> expected;
+    if (name == shardRank()[0])
+      expected = {"d1", "d2", "p1", "p2"};
+    if (name == serviceFirst)
+      expected.insert(expected.end(), {"s1", "s2"});
+    const SetPolledServers *polled = nullptr;
+    for (const Action &it : core.All)
+      if (auto *item = std::get_if<SetPolledServers>(&it))
+        polled = item;
+    REQUIRE(polled);
+    CAPTURE(name);
+    CHECK(polled->Servers == expected);
+  }
+}
+
+// Guards against a crash that is missed, or counted once for each poll.
+TEST_CASE("DecisionCore reports each crash of a server once") {
+  LinkedCore core(shardRank()[0]);
+  auto load = [&](bool Reachable, uint64_t Epoch) {
+    LoadReported report;
+    report.Server = "d1";
+    report.Reachable = Reachable;
+    report.Epoch = Epoch;
+    core.give(report);
+    return core.sent<CrashReport>();
+  };
+  REQUIRE(load(false, 0));
+  CHECK(core.sent<CrashReport>()->ServerEpoch == 1);
+  CHECK_FALSE(load(false, 0));
+  CHECK_FALSE(load(true, 2));
+  CHECK_FALSE(load(true, 2));
+  REQUIRE(load(true, 3));
+  CHECK(core.sent<CrashReport>()->ServerEpoch == 2);
+}
+
+// Guards against a shutdown that cuts off requests (P6) or never ends.
+TEST_CASE("DecisionCore drains before it stops") {
+  LinkedCore core("e1");
+  RequestId id{7, 1};
+  core.give(RequestArrived{id, serviceSpec(true), ""});
+  const StartService *call = core.last<StartService>();
+  REQUIRE(call);
+  StageFinished done = finished(id, call->Attempt, Stage::Service,
+                                StageOutcome::Ok, call->Server);
+  core.give(ShutdownRequested{Milliseconds{3000}});
+  REQUIRE(std::holds_alternative<SetReadiness>(core.Last.front()));
+  CHECK_FALSE(std::get<SetReadiness>(core.Last.front()).Ready);
+  core.give(RequestArrived{{7, 2}, serviceSpec(true), ""});
+  REQUIRE(core.last<AnswerError>());
+  CHECK(std::string(answerFor(core.last<AnswerError>()->Kind).Name) ==
+        "shutting_down");
+  core.give(RequestClosed{{7, 2}, true});
+  core.passHearing(Milliseconds{1000}, core.Peers);
+  CHECK_FALSE(core.last<ShutdownComplete>());
+  REQUIRE(core.sent<Heartbeat>());
+  CHECK(core.sent<Heartbeat>()->Draining);
+  SUBCASE("complete when the last request is closed") {
+    core.give(done);
+    CHECK_FALSE(core.last<ShutdownComplete>());
+    core.give(RequestClosed{id, true});
+    REQUIRE(core.last<ShutdownComplete>());
+    CHECK(core.last<ShutdownComplete>()->Abandoned == 0);
+  }
+  SUBCASE("abandons at the limit") {
+    core.passHearing(Milliseconds{2200}, core.Peers);
+    REQUIRE(core.last<ShutdownComplete>());
+    CHECK(core.last<ShutdownComplete>()->Abandoned == 1);
+    CHECK(core.last<AnswerError>());
+    CHECK(core.count<CancelAtServer>() == 1);
+  }
+  CHECK(core.sent<Goodbye>("e2"));
+  CHECK(core.sent<Goodbye>("e3"));
+  core.give(TimerFired{});
+  CHECK(core.Last.empty());
+}
+
+// Guards against frames of a replaced process that arrive late.
+TEST_CASE("DecisionCore ignores frames of a former incarnation") {
+  LinkedCore core("e1");
+  core.give(PeerLinkChanged{"e2", 21, true});
+  Heartbeat newer;
+  newer.ListSequence = 9;
+  core.give(PeerReceived{"e2", 20, newer});
+  CHECK(core.Last.empty());
+  core.give(PeerReceived{"e2", 21, newer});
+  CHECK(core.sent<ListRequest>("e2"));
+}
+
+// Guards against a dump that is no JSON or shows a key.
+TEST_CASE("DecisionCore dumps its state as one JSON object") {
+  LinkedCore core("e1");
+  RequestSpec spec = serviceSpec(false);
+  spec.IdempotencyKey = "private-key-1";
+  core.give(RequestArrived{{7, 1}, spec, ""});
+  core.give(RequestArrived{{7, 2}, modelSpec(), ""});
+  std::string text = core.Core.dumpState(core.Now);
+  auto root = Poco::JSON::Parser().parse(text);
+  auto object = root.extract<Poco::JSON::Object::Ptr>();
+  CHECK(object->getValue<std::string>("instance") == "e1");
+  CHECK(object->getObject("requests")->getValue<int>("open") == 2);
+  CHECK(object->getObject("peers")->size() == 2);
+  CHECK(text.find("private-key") == std::string::npos);
+}
--- /dev/null
+++ b/test/entry_requests_test.cc
@@ -0,0 +1,846 @@
+#include "entry_requests.h"
+
+#include "core_samples.h"
+#include "retry_budget.h"
+
+#include <doctest/doctest.h>
+#include <utility>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+using namespace crocusspur::test;
+
+namespace {
+
+const RequestId Id{7, 1};
+
+// Requests of the entry "e1"; the test plays the owner "o1" of every shard.
+struct EntryDriver {
+  explicit EntryDriver(const SampleOptions &Sample = {})
+      : Config(parsedConfig(sampleConfigText(Sample))),
+        List(parsedList(sampleListText(1, 1, Sample))) {}
+
+  CoreContext context() {
+    Out.clear();
+    return {Now, WallTime(std::chrono::hours(1)), Options, *Config, *List, Out};
+  }
+
+  void arrive(const RequestId &Of = Id, RequestSpec Spec = modelSpec()) {
+    CoreContext at = context();
+    Requests.onArrived(at, RequestArrived{Of, std::move(Spec), ""});
+  }
+
+  void grantPrefill(const std::string &Server = "p1",
+                    const std::string &Decode = "") {
+    attempt();
+    CoreContext at = context();
+    Requests.onPrefillGrant(
+        at, "o1", PrefillGrant{Id, "summary-0", Attempt, Server, Decode, 5, 0});
+  }
+
+  void grantDecode(const std::string &Server = "d1") {
+    attempt();
+    CoreContext at = context();
+    Requests.onDecodeGrant(at, "o1",
+                           DecodeGrant{Id, "summary-0", Attempt, Server, 5});
+  }
+
+  void finish(Stage At, StageOutcome Outcome, const std::string &Server,
+              uint32_t Tokens = 0, const RequestId &Of = Id) {
+    StageFinished body;
+    body.Id = Of;
+    body.Attempt = Dispatched;
+    body.At = At;
+    body.Outcome = Outcome;
+    body.Server = Server;
+    body.OutputTokens = Tokens;
+    body.HttpStatus = At == Stage::Service ? 200 : 0;
+    CoreContext at = context();
+    Requests.onStageFinished(at, body);
+    attempt();
+    started();
+  }
+
+  void progress(uint32_t Tokens) {
+    CoreContext at = context();
+    Requests.onStageProgress(at, StageProgress{Id, Dispatched, Tokens});
+  }
+
+  void cancel(const RequestId &Of = Id) {
+    CoreContext at = context();
+    Requests.onCancelled(at, RequestCancelled{Of});
+  }
+
+  void close(const RequestId &Of) {
+    CoreContext at = context();
+    Requests.onClosed(at, RequestClosed{Of, true});
+  }
+
+  void timer(Milliseconds After = Milliseconds{50}) {
+    Now += After;
+    CoreContext at = context();
+    Requests.onTimer(at);
+  }
+
+  // A model request in the given stage, as a starting point.
+  void runTo(Stage At) {
+    arrive();
+    attempt();
+    grantPrefill();
+    started();
+    if (At == Stage::Prefill)
+      return;
+    finish(Stage::Prefill, StageOutcome::Ok, "p1");
+    grantDecode();
+    started();
+  }
+
+  // Takes the numbers that the owner and the relay would answer with.
+  void attempt() {
+    if (auto *message = sent<AcquireRequest>())
+      Attempt = message->Attempt;
+    if (auto *message = sent<PrefillLost>())
+      Attempt = message->Attempt;
+    if (auto *message = sent<DecodeLost>())
+      Attempt = message->Attempt;
+  }
+  void started() {
+    if (auto *start = made<StartPrefill>())
+      Dispatched = start->Attempt;
+    if (auto *start = made<StartDecode>())
+      Dispatched = start->Attempt;
+    if (auto *start = made<StartService>())
+      Dispatched = start->Attempt;
+  }
+
+  template <typename T> const T *made() const {
+    for (const Action &it : Out)
+      if (auto *item = std::get_if<T>(&it))
+        return item;
+    return nullptr;
+  }
+  template <typename T> const T *sent() const {
+    for (const Action &it : Out)
+      if (auto *item = std::get_if<SendToPeer>(&it))
+        if (auto *message = std::get_if<T>(&item->Message))
+          return message;
+    return nullptr;
+  }
+  std::vector<std::string> cancelledAt() const {
+    std::vector<std::string> servers;
+    for (const Action &it : Out)
+      if (auto *item = std::get_if<CancelAtServer>(&it))
+        servers.push_back(item->Server);
+    return servers;
+  }
+  // "kind run" of the error answer, or "none".
+  std::string error() const {
+    const AnswerError *item = made<AnswerError>();
+    return item ? std::string(answerFor(item->Kind).Name) + " " +
+                      toString(item->Run)
+                : "none";
+  }
+  std::string noted() const {
+    const Note *item = made<Note>();
+    return item ? toString(item->Kind) : "none";
+  }
+
+  CoreOptions Options = sampleCoreOptions("e1", 7);
+  ConfigPtr Config;
+  ListPtr List;
+  TimePoint Now = TimePoint(std::chrono::hours(24));
+  ActionList Out;
+  uint32_t Attempt = 1;
+  uint32_t Dispatched = 1;
+  std::string OwnerName = "o1";
+  KeyHome Keys{Options};
+  CrashGuard Crashes;
+  EntryRequests Requests{Keys, Crashes,
+                         [this](const std::string &) { return OwnerName; }};
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+// Guards against requests that get through without the right to a target.
+TEST_CASE("EntryRequests refuses what it may not serve") {
+  EntryDriver entry;
+  RequestSpec spec = modelSpec();
+  spec.Group = "unknown";
+  entry.arrive({7, 1}, spec);
+  CHECK(entry.error() == "forbidden no");
+  spec.Group = "bound";
+  entry.arrive({7, 2}, spec);
+  CHECK(entry.error() == "residency_violation no");
+  spec = modelSpec();
+  spec.Target = "unknown";
+  entry.arrive({7, 3}, spec);
+  CHECK(entry.error() == "not_found no");
+  spec = serviceSpec(true);
+  spec.Target = "unknown";
+  entry.arrive({7, 4}, spec);
+  CHECK(entry.error() == "not_found no");
+}
+
+// Guards against queues without a bound at the entry.
+TEST_CASE("EntryRequests sheds over MaxRequests with a time to retry") {
+  EntryDriver entry;
+  entry.Options.MaxRequests = 2;
+  entry.arrive({7, 1});
+  entry.arrive({7, 2});
+  CHECK(entry.error() == "none");
+  entry.arrive({7, 3});
+  CHECK(entry.error() == "overloaded no");
+  CHECK(entry.made<AnswerError>()->RetryAfter > Milliseconds{0});
+  CHECK(entry.noted() == "shed");
+  entry.close({7, 3});
+  entry.close({7, 1});
+  entry.cancel({7, 2});
+  entry.arrive({7, 4});
+  CHECK(entry.error() == "none");
+}
+
+// Guards against work that is sent to servers that all leave.
+TEST_CASE("EntryRequests refuses at once when no server is live") {
+  EntryDriver entry;
+  entry.List = parsedList(sampleListText(2, 1, {}, {"d1", "d2", "s1", "s2"}));
+  entry.arrive({7, 1});
+  CHECK(entry.error() == "no_server no");
+  entry.arrive({7, 2}, serviceSpec(true));
+  CHECK(entry.error() == "no_server no");
+}
+
+// Guards against a wrong order of the five messages of a plain request.
+TEST_CASE("EntryRequests runs a model request through both stages") {
+  EntryDriver entry;
+  entry.arrive();
+  const AcquireRequest *acquire = entry.sent<AcquireRequest>();
+  REQUIRE(acquire);
+  CHECK(acquire->Attempt == 1);
+  CHECK(acquire->TimeLeft == Milliseconds{2000});
+  CHECK(entry.noted() == "admitted");
+  entry.grantPrefill();
+  const StartPrefill *prefill = entry.made<StartPrefill>();
+  REQUIRE(prefill);
+  CHECK(prefill->Server == "p1");
+  CHECK(prefill->Fence == 5);
+  CHECK(prefill->NotAfter == entry.Now + Milliseconds{500});
+  entry.started();
+  entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+  REQUIRE(entry.sent<PrefillDone>());
+  entry.grantDecode();
+  const StartDecode *decode = entry.made<StartDecode>();
+  REQUIRE(decode);
+  CHECK(decode->Server == "d1");
+  CHECK(decode->PrefillServer == "p1");
+  CHECK(decode->Attempt > 1);
+  entry.started();
+  entry.progress(3);
+  entry.finish(Stage::Decode, StageOutcome::Ok, "d1", 64);
+  const Finished *finished = entry.sent<Finished>();
+  REQUIRE(finished);
+  CHECK(finished->OutputTokens == 64);
+  CHECK(finished->PrefillUsed);
+  CHECK(int(finished->Reason) == int(FinishReason::Completed));
+  CHECK(entry.noted() == "completed");
+  CHECK(entry.cancelledAt().empty());
+  CHECK(entry.Requests.openRequests() == 1);
+  entry.close(Id);
+  CHECK(entry.Requests.openRequests() == 0);
+}
+
+// Guards against a transfer from a server to itself.
+TEST_CASE("EntryRequests decodes at once when one server does both") {
+  EntryDriver entry;
+  entry.arrive();
+  entry.grantPrefill("d1", "d1");
+  CHECK_FALSE(entry.made<StartPrefill>());
+  const StartDecode *decode = entry.made<StartDecode>();
+  REQUIRE(decode);
+  CHECK(decode->Server == "d1");
+  CHECK(decode->PrefillServer == "d1");
+}
+
+// Guards against slots that stay reserved for grants nobody uses.
+TEST_CASE("EntryRequests hands back grants that it did not ask for") {
+  EntryDriver entry;
+  auto rejected = [&](const std::string &From, const RequestId &Of,
+                      uint32_t Attempt) {
+    CoreContext at = entry.context();
+    entry.Requests.onPrefillGrant(
+        at, From, PrefillGrant{Of, "summary-0", Attempt, "p1", "", 5, 0});
+    const Finished *finished = entry.sent<Finished>();
+    return finished && finished->Attempt == Attempt &&
+           finished->Reason == FinishReason::Cancelled &&
+           !entry.made<StartPrefill>();
+  };
+  entry.arrive();
+  CHECK(rejected("o2", Id, 1));
+  CHECK(rejected("o1", {7, 9}, 1));
+  entry.grantPrefill();
+  entry.started();
+  entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+  CHECK(rejected("o1", Id, 1));
+  entry.grantPrefill("p2");
+  CHECK(entry.made<StartPrefill>());
+  entry.cancel();
+  CHECK(rejected("o1", Id, 2));
+}
+
+// Guards against a repeated grant that frees the placement under way.
+TEST_CASE("EntryRequests ignores a repeated grant") {
+  EntryDriver entry;
+  entry.runTo(Stage::Prefill);
+  entry.grantPrefill();
+  CHECK(entry.Out.empty());
+}
+
+// Guards against a refused prefill that ends the request.
+TEST_CASE("EntryRequests asks for a new placement of a refused prefill") {
+  EntryDriver entry;
+  entry.runTo(Stage::Prefill);
+  entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+  const PrefillLost *lost = entry.sent<PrefillLost>();
+  REQUIRE(lost);
+  CHECK(lost->ServerFull);
+  CHECK(lost->Server == "p1");
+  CHECK(lost->Attempt == 2);
+  CHECK(entry.error() == "none");
+  entry.grantPrefill("p2");
+  REQUIRE(entry.made<StartPrefill>());
+  CHECK(entry.made<StartPrefill>()->Server == "p2");
+}
+
+// Guards against repeating a prefill whose result is still there.
+TEST_CASE("EntryRequests keeps the result of a decode refused as full") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  entry.finish(Stage::Decode, StageOutcome::RefusedFull, "d1");
+  const DecodeLost *lost = entry.sent<DecodeLost>();
+  REQUIRE(lost);
+  CHECK(lost->ResultAlive);
+  CHECK(lost->ServerFull);
+  CHECK(entry.cancelledAt().empty());
+  entry.grantDecode("d2");
+  REQUIRE(entry.made<StartDecode>());
+  CHECK(entry.made<StartDecode>()->Server == "d2");
+  CHECK(entry.made<StartDecode>()->PrefillServer == "p1");
+}
+
+// Guards against waiting for a result that its server has evicted.
+TEST_CASE("EntryRequests reports an evicted result as lost") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  entry.finish(Stage::Decode, StageOutcome::RefusedOther, "d1");
+  REQUIRE(entry.sent<DecodeLost>());
+  CHECK_FALSE(entry.sent<DecodeLost>()->ResultAlive);
+  CHECK(entry.cancelledAt() == Names{"p1"});
+}
+
+// Guards against memory held at both ends of a stalled transfer.
+TEST_CASE("EntryRequests cancels both servers of a stalled transfer") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  entry.finish(Stage::Decode, StageOutcome::TimedOut, "d1");
+  CHECK(entry.cancelledAt() == Names{"d1", "p1"});
+  REQUIRE(entry.sent<DecodeLost>());
+  CHECK_FALSE(entry.sent<DecodeLost>()->ResultAlive);
+}
+
+// Guards against a broken stream that loses the tokens already sent.
+TEST_CASE("EntryRequests resumes an idempotent decode after its output") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  entry.progress(10);
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d1", 12);
+  const DecodeLost *lost = entry.sent<DecodeLost>();
+  REQUIRE(lost);
+  CHECK(lost->OutputTokens == 12);
+  CHECK_FALSE(lost->ResultAlive);
+  CHECK(entry.cancelledAt() == Names{"d1"});
+  // The deadline was met by the output that the caller has.
+  entry.timer(Milliseconds{5000});
+  CHECK(entry.error() == "none");
+  entry.grantPrefill("d2", "d2");
+  CHECK(entry.made<StartDecode>());
+}
+
+// Guards against a wrong statement about execution (P3).
+TEST_CASE("EntryRequests states exactly whether a request ran") {
+  EntryDriver entry;
+  entry.Options.RetryBudgetFloor = 0;
+  SUBCASE("nothing sent") {
+    entry.runTo(Stage::Prefill);
+    entry.finish(Stage::Prefill, StageOutcome::NotSent, "p1");
+    CHECK(entry.error() == "backend_unreachable no");
+  }
+  SUBCASE("refused before execution") {
+    entry.runTo(Stage::Prefill);
+    entry.finish(Stage::Prefill, StageOutcome::RefusedFence, "p1");
+    CHECK(entry.error() == "backend_refused no");
+  }
+  SUBCASE("dispatched without outcome") {
+    entry.runTo(Stage::Prefill);
+    entry.finish(Stage::Prefill, StageOutcome::Failed, "p1");
+    CHECK(entry.error() == "backend_failed unknown");
+  }
+  SUBCASE("prefilled, decode refused") {
+    entry.runTo(Stage::Decode);
+    entry.finish(Stage::Decode, StageOutcome::RefusedFull, "d1");
+    CHECK(entry.error() == "backend_refused unknown");
+    CHECK(entry.cancelledAt() == Names{"p1"});
+  }
+  SUBCASE("output reached the caller") {
+    entry.runTo(Stage::Decode);
+    entry.finish(Stage::Decode, StageOutcome::TimedOut, "d1", 3);
+    CHECK(entry.error() == "backend_timeout yes");
+  }
+  CHECK(entry.noted() == "failed");
+  CHECK(entry.sent<Finished>());
+}
+
+// Guards against a second execution of what may run only once (P4).
+TEST_CASE("EntryRequests never repeats a non-idempotent model request") {
+  EntryDriver entry;
+  RequestSpec spec = modelSpec();
+  spec.Idempotent = false;
+  entry.arrive(Id, spec);
+  entry.grantPrefill();
+  entry.started();
+  SUBCASE("a broken prefill ends it") {
+    entry.finish(Stage::Prefill, StageOutcome::Failed, "p1");
+    CHECK(entry.error() == "backend_failed unknown");
+  }
+  SUBCASE("a refused prefill is placed again") {
+    entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+    CHECK(entry.error() == "none");
+  }
+  SUBCASE("a refused decode keeps the result, a second prefill is refused") {
+    entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+    entry.grantDecode();
+    entry.started();
+    entry.finish(Stage::Decode, StageOutcome::RefusedFull, "d1");
+    CHECK(entry.error() == "none");
+    entry.grantPrefill("p2");
+    CHECK_FALSE(entry.made<StartPrefill>());
+    CHECK(entry.error() == "backend_refused unknown");
+  }
+  SUBCASE("an evicted result ends it") {
+    entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+    entry.grantDecode();
+    entry.started();
+    entry.finish(Stage::Decode, StageOutcome::RefusedOther, "d1");
+    CHECK(entry.error() == "backend_refused unknown");
+  }
+}
+
+// Guards against memory that stays held for a caller who has gone (P1).
+TEST_CASE("EntryRequests frees everything when the caller cancels") {
+  EntryDriver entry;
+  SUBCASE("waiting") {
+    entry.arrive();
+    entry.cancel();
+    CHECK(entry.cancelledAt().empty());
+  }
+  SUBCASE("prefilling") {
+    entry.runTo(Stage::Prefill);
+    entry.cancel();
+    CHECK(entry.cancelledAt() == Names{"p1"});
+  }
+  SUBCASE("between the stages") {
+    entry.runTo(Stage::Prefill);
+    entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+    entry.cancel();
+    CHECK(entry.cancelledAt() == Names{"p1"});
+  }
+  SUBCASE("decoding") {
+    entry.runTo(Stage::Decode);
+    entry.cancel();
+    CHECK(entry.cancelledAt() == Names{"p1", "d1"});
+  }
+  REQUIRE(entry.sent<Finished>());
+  CHECK(int(entry.sent<Finished>()->Reason) == int(FinishReason::Cancelled));
+  CHECK(entry.error() == "none");
+  CHECK(entry.Requests.openRequests() == 0);
+  CHECK(entry.Requests.leasesFrom("o1").empty());
+}
+
+// Guards against a cancel that overtook the request on its way to the server.
+TEST_CASE("EntryRequests cancels again when a cancelled attempt reports") {
+  EntryDriver entry;
+  entry.runTo(Stage::Prefill);
+  entry.cancel();
+  entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+  CHECK(entry.cancelledAt() == Names{"p1"});
+  entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+  CHECK(entry.Out.empty());
+}
+
+// Guards against late reports that change a request twice (P2).
+TEST_CASE("EntryRequests counts only the first report of an attempt") {
+  EntryDriver entry;
+  entry.runTo(Stage::Prefill);
+  entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+  CHECK(entry.sent<PrefillDone>());
+  entry.finish(Stage::Prefill, StageOutcome::Failed, "p1");
+  CHECK(entry.Out.empty());
+  entry.grantDecode();
+  entry.started();
+  uint32_t decode = std::exchange(entry.Dispatched, 1);
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d1");
+  CHECK(entry.Out.empty());
+  entry.Dispatched = decode;
+  entry.finish(Stage::Decode, StageOutcome::Ok, "d1");
+  CHECK(entry.noted() == "completed");
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d1");
+  CHECK(entry.Out.empty());
+}
+
+// Guards against retries that multiply the load on a failing fleet.
+TEST_CASE("EntryRequests stops placing again when the budget is used up") {
+  EntryDriver entry;
+  entry.Options.RetryBudgetFloor = 2;
+  entry.runTo(Stage::Prefill);
+  for (int i = 0; i < 2; ++i) {
+    entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+    CHECK(entry.error() == "none");
+    entry.grantPrefill();
+    entry.started();
+  }
+  entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+  CHECK(entry.error() == "backend_refused no");
+  CHECK(entry.made<AnswerError>()->RetryAfter > Milliseconds{0});
+}
+
+// Guards against a floor or a window that lets more retries pass.
+TEST_CASE("RetryBudget allows a share of first attempts in ten seconds") {
+  RetryBudget budget;
+  TimePoint now(std::chrono::hours(24));
+  for (int i = 0; i < 200; ++i)
+    budget.onFirstAttempt(now);
+  int taken = 0;
+  while (budget.takeRetry(now, 0.1, 10))
+    ++taken;
+  CHECK(taken == 20);
+  now += std::chrono::seconds(9);
+  CHECK_FALSE(budget.takeRetry(now, 0.1, 10));
+  now += std::chrono::seconds(1);
+  CHECK(budget.firstAttempts(now) == 0);
+  taken = 0;
+  while (budget.takeRetry(now, 0.1, 10))
+    ++taken;
+  CHECK(taken == 10);
+}
+
+// Guards against an answer that is held back when the owner is silent.
+TEST_CASE("EntryRequests answers at the deadline when nothing was granted") {
+  EntryDriver entry;
+  entry.arrive();
+  entry.timer(Milliseconds{1950});
+  CHECK(entry.error() == "none");
+  entry.timer();
+  CHECK(entry.error() == "deadline_unreachable no");
+  CHECK(entry.made<AnswerError>()->RetryAfter > Milliseconds{0});
+  CHECK(entry.sent<Finished>());
+}
+
+// Guards against the loss of requests that may wait.
+TEST_CASE("EntryRequests keeps a request that may wait past its target") {
+  EntryDriver entry;
+  RequestSpec spec = modelSpec();
+  spec.Group = "dispatch";
+  entry.arrive(Id, spec);
+  entry.timer(Milliseconds{60000});
+  CHECK(entry.error() == "none");
+  entry.grantPrefill();
+  CHECK(entry.made<StartPrefill>());
+}
+
+// Guards against a refusal that is delayed or loses its time to retry.
+TEST_CASE("EntryRequests passes an owner's refusal on at once") {
+  EntryDriver entry;
+  entry.arrive();
+  CoreContext at = entry.context();
+  entry.Requests.onRefusal(at, "o1",
+                           Refusal{Id, "summary-0", 1,
+                                   ErrorKind::GroupQueueFull,
+                                   Milliseconds{3400}, 9});
+  CHECK(entry.error() == "group_queue_full no");
+  CHECK(entry.made<AnswerError>()->RetryAfter == Milliseconds{3400});
+  CHECK_FALSE(entry.sent<Finished>());
+}
+
+// Guards against failures while two instances disagree about an owner.
+TEST_CASE("EntryRequests asks again after a refusal as not ready") {
+  EntryDriver entry;
+  entry.arrive();
+  CoreContext at = entry.context();
+  entry.Requests.onRefusal(
+      at, "o1",
+      Refusal{Id, "summary-0", 1, ErrorKind::NotReady, Milliseconds{100}, 0});
+  CHECK(entry.error() == "none");
+  entry.timer();
+  CHECK_FALSE(entry.sent<AcquireRequest>());
+  entry.timer();
+  CHECK(entry.sent<AcquireRequest>());
+  entry.timer(Milliseconds{2000});
+  CHECK(entry.error() == "deadline_unreachable no");
+}
+
+// Guards against new work on a leaving server (P5) when the owner's list lags.
+TEST_CASE("EntryRequests starts nothing on a server that leaves") {
+  EntryDriver entry;
+  entry.arrive();
+  entry.List = parsedList(sampleListText(2, 1, {}, {"p1", "d1"}));
+  entry.grantPrefill();
+  CHECK_FALSE(entry.made<StartPrefill>());
+  CHECK(entry.sent<ListOffer>());
+  REQUIRE(entry.sent<PrefillLost>());
+  entry.grantPrefill("p2");
+  entry.started();
+  entry.finish(Stage::Prefill, StageOutcome::Ok, "p2");
+  entry.grantDecode("d1");
+  CHECK_FALSE(entry.made<StartDecode>());
+  REQUIRE(entry.sent<DecodeLost>());
+  CHECK(entry.sent<DecodeLost>()->ResultAlive);
+  entry.grantDecode("d2");
+  CHECK(entry.made<StartDecode>());
+}
+
+// Guards against prompts that leave the group's domains by an owner's mistake.
+TEST_CASE("EntryRequests starts nothing on a server outside the group") {
+  EntryDriver entry;
+  entry.arrive();
+  std::string text = sampleConfigText();
+  std::string from = R"("name":"drivers")";
+  text.replace(text.find(from), from.size(),
+               from + R"(,"failure_domains":["hall-a"])");
+  entry.Config = parsedConfig(text);
+  entry.grantPrefill("p2"); // in hall-b
+  CHECK_FALSE(entry.made<StartPrefill>());
+  CHECK(entry.sent<PrefillLost>());
+}
+
+// Guards against requests that are lost with their owner.
+TEST_CASE("EntryRequests moves to a new owner") {
+  EntryDriver entry;
+  auto change = [&] {
+    entry.OwnerName = "o2";
+    CoreContext at = entry.context();
+    entry.Requests.onOwnersChanged(at);
+  };
+  auto receiver = [&](size_t Index) {
+    return std::get<SendToPeer>(entry.Out.at(Index)).Instance;
+  };
+  SUBCASE("waiting requests are acquired again") {
+    entry.arrive();
+    change();
+    CHECK(entry.sent<Finished>()); // to the former owner
+    CHECK(receiver(0) == "o1");
+    REQUIRE(entry.sent<AcquireRequest>());
+    CHECK(receiver(1) == "o2");
+  }
+  SUBCASE("the others are re-asserted") {
+    entry.runTo(Stage::Decode);
+    change();
+    const LeaseList *list = entry.sent<LeaseList>();
+    REQUIRE(list);
+    REQUIRE(list->Leases.size() == 1);
+    CHECK(int(list->Leases[0].Stage) == int(LeaseStage::Decoding));
+    CHECK(list->Leases[0].DecodeServer == "d1");
+    CHECK_FALSE(entry.sent<AcquireRequest>());
+    entry.finish(Stage::Decode, StageOutcome::Ok, "d1");
+    CHECK(receiver(0) == "o2");
+  }
+  SUBCASE("a result without a slot is announced") {
+    entry.runTo(Stage::Prefill);
+    entry.finish(Stage::Prefill, StageOutcome::Ok, "p1");
+    change();
+    CHECK(entry.sent<LeaseList>());
+    CHECK(entry.sent<PrefillDone>());
+  }
+  CHECK(entry.Requests.leasesFrom("o1").empty());
+}
+
+// Guards against a digest that the owner can't compare.
+TEST_CASE("EntryRequests sums its leases by owner and shard") {
+  EntryDriver entry;
+  entry.arrive({7, 1});
+  entry.arrive({7, 2});
+  auto leases = entry.Requests.leasesFrom("o1");
+  REQUIRE(leases.size() == 1);
+  CHECK(leases[0].Shard == "summary-0");
+  CHECK(leases[0].Count == 2);
+  std::hash<RequestId> hash;
+  CHECK(leases[0].Digest == (hash({7, 1}) ^ hash({7, 2})));
+  CHECK(entry.Requests.leasesFrom("o2").empty());
+}
+
+// Guards against dispatch by a process that has just woken up.
+TEST_CASE("EntryRequests starts nothing while dispatch is held") {
+  EntryDriver entry;
+  entry.arrive();
+  entry.Requests.holdDispatch();
+  entry.grantPrefill();
+  CHECK_FALSE(entry.made<StartPrefill>());
+  entry.arrive({7, 2}, serviceSpec(true));
+  CHECK_FALSE(entry.made<StartService>());
+  entry.arrive({7, 3}, serviceSpec(true));
+  entry.cancel({7, 3});
+  entry.Now += Milliseconds{700};
+  CoreContext at = entry.context();
+  entry.Requests.releaseDispatch(at);
+  REQUIRE(entry.made<StartPrefill>());
+  CHECK(entry.made<StartPrefill>()->NotAfter == entry.Now + Milliseconds{500});
+  REQUIRE(entry.made<StartService>());
+  CHECK(entry.made<StartService>()->Id == RequestId{7, 2});
+}
+
+// Guards against calls that pile up on one server of a service.
+TEST_CASE("EntryRequests calls the server with fewest calls") {
+  EntryDriver entry;
+  entry.arrive({7, 1}, serviceSpec(true));
+  std::string first = entry.made<StartService>()->Server;
+  entry.arrive({7, 2}, serviceSpec(true));
+  std::string second = entry.made<StartService>()->Server;
+  CHECK(first != second);
+  entry.Dispatched = 1;
+  entry.finish(Stage::Service, StageOutcome::Ok, second, 0, {7, 2});
+  entry.arrive({7, 3}, serviceSpec(true));
+  CHECK(entry.made<StartService>()->Server == second);
+}
+
+// Guards against a double call, and against giving up too early (P4).
+TEST_CASE("EntryRequests tries a service call again only where it may") {
+  EntryDriver entry;
+  auto run = [&](bool Idempotent, StageOutcome Outcome) {
+    entry.arrive(Id, serviceSpec(Idempotent));
+    entry.started();
+    entry.finish(Stage::Service, Outcome, entry.made<StartService>()->Server);
+  };
+  SUBCASE("not sent") {
+    run(false, StageOutcome::NotSent);
+    CHECK(entry.made<StartService>());
+    entry.finish(Stage::Service, StageOutcome::NotSent, "s2");
+    CHECK(entry.error() == "backend_unreachable no");
+  }
+  SUBCASE("refused as full") {
+    run(false, StageOutcome::RefusedFull);
+    CHECK(entry.made<StartService>());
+  }
+  SUBCASE("failed, may not be repeated") {
+    run(false, StageOutcome::Failed);
+    CHECK_FALSE(entry.made<StartService>());
+    CHECK(entry.error() == "backend_failed unknown");
+    CHECK(entry.cancelledAt().size() == 1);
+  }
+  SUBCASE("failed, may be repeated") {
+    run(true, StageOutcome::Failed);
+    CHECK(entry.made<StartService>());
+    entry.finish(Stage::Service, StageOutcome::RefusedFull, "s2");
+    CHECK(entry.error() == "backend_refused unknown");
+  }
+}
+
+// Guards against a dead server that uses up the retry budget of a service.
+TEST_CASE("EntryRequests avoids a service server that can't be reached") {
+  EntryDriver entry;
+  entry.arrive(Id, serviceSpec(false));
+  std::string dead = entry.made<StartService>()->Server;
+  entry.started();
+  entry.finish(Stage::Service, StageOutcome::NotSent, dead);
+  for (uint64_t i = 2; i < 6; ++i) {
+    entry.arrive({7, i}, serviceSpec(false));
+    CHECK(entry.made<StartService>()->Server != dead);
+  }
+  entry.Now += Milliseconds{1000};
+  entry.arrive({7, 6}, serviceSpec(false));
+  CHECK(entry.made<StartService>()->Server == dead);
+}
+
+// Guards against a repeated execution of a ticket at its own instance.
+TEST_CASE("EntryRequests answers a repeated ticket from memory") {
+  EntryDriver entry;
+  RequestSpec spec = serviceSpec(false);
+  spec.IdempotencyKey = entry.Keys.makeTicket(1);
+  entry.arrive({7, 1}, spec);
+  REQUIRE(entry.made<StartService>());
+  entry.started();
+  entry.arrive({7, 2}, spec);
+  CHECK(entry.error() == "key_in_progress yes");
+  entry.finish(Stage::Service, StageOutcome::Ok, "s1", 0, {7, 1});
+  entry.arrive({7, 3}, spec);
+  CHECK_FALSE(entry.made<StartService>());
+  REQUIRE(entry.made<AnswerStored>());
+  CHECK(entry.made<AnswerStored>()->HttpStatus == 200);
+  CHECK(entry.noted() == "key_replayed");
+}
+
+// Guards against keys that stay blocked after a request that did not run, and
+// against a second run of one whose outcome is unknown.
+TEST_CASE("EntryRequests tells the key's record how the request ended") {
+  EntryDriver entry;
+  entry.Options.RetryBudgetFloor = 0;
+  RequestSpec spec = serviceSpec(false);
+  spec.IdempotencyKey = entry.Keys.makeTicket(1);
+  entry.arrive({7, 1}, spec);
+  entry.started();
+  SUBCASE("not run") {
+    entry.finish(Stage::Service, StageOutcome::NotSent, "s1");
+    CHECK(entry.error() == "backend_unreachable no");
+    entry.arrive({7, 2}, spec);
+    CHECK(entry.made<StartService>());
+  }
+  SUBCASE("unknown") {
+    entry.finish(Stage::Service, StageOutcome::Failed, "s1");
+    entry.arrive({7, 2}, spec);
+    CHECK(entry.error() == "outcome_unknown unknown");
+  }
+  SUBCASE("cancelled while it runs") {
+    entry.cancel({7, 1});
+    entry.arrive({7, 2}, spec);
+    CHECK(entry.error() == "outcome_unknown unknown");
+  }
+}
+
+// Guards against a first byte that leaves without a home lease.
+TEST_CASE("EntryRequests refuses a key without a home lease as not run") {
+  EntryDriver entry;
+  RequestSpec spec = serviceSpec(false);
+  spec.IdempotencyKey = "booking-1";
+  entry.arrive(Id, spec);
+  CHECK_FALSE(entry.made<StartService>());
+  CHECK(entry.error() == "key_lease_missing no");
+  CHECK(entry.noted() == "key_refused");
+}
+
+// Guards against entries that all choose the same shard of a model.
+TEST_CASE("EntryRequests prefers the shorter queue of two shards") {
+  SampleOptions sample;
+  EntryDriver entry(sample);
+  std::string text = sampleConfigText(sample);
+  std::string from = R"("servers":["p1","p2","d1","d2"]})";
+  text.replace(text.find(from), from.size(),
+               R"("servers":["p1","d1"]},{"name":"summary-1",)"
+               R"("servers":["p2","d2"]})");
+  entry.Config = parsedConfig(text);
+  CoreContext at = entry.context();
+  entry.Requests.onRefusal(
+      at, "o1", Refusal{{7, 99}, "summary-0", 1, ErrorKind::Overloaded, {}, 8});
+  for (uint64_t i = 1; i < 20; ++i) {
+    entry.arrive({7, i});
+    REQUIRE(entry.sent<AcquireRequest>());
+    CHECK(entry.sent<AcquireRequest>()->Shard == "summary-1");
+  }
+}
+
+// Guards against a shutdown limit that leaves work on servers behind.
+TEST_CASE("EntryRequests abandons what is open at the limit") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  CoreContext at = entry.context();
+  CHECK(entry.Requests.abandonAll(at) == 1);
+  CHECK(entry.error() == "shutting_down unknown");
+  CHECK(entry.cancelledAt() == Names{"p1", "d1"});
+}
