Link instances over TCP with a handshake, one poll loop and backoff

Cause: the decision cores of the instances need links that prove their ends, notice silence and connect again. CrashReport carries RanAlone. Conclusion: wrong keys, other versions, garbage, oversized frames, silence and full queues close one link and leave the others up.

--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -265,9 +265,11 @@
 Packed pack(Builder &Out, const CrashReport &It) {
   auto server = pack(Out, It.Server);
   auto fingerprints = pack(Out, It.Fingerprints);
-  return {wire::Body::CrashReport,
-          wire::CreateCrashReport(Out, server, It.ServerEpoch, fingerprints)
-              .Union()};
+  auto alone = pack(Out, It.RanAlone);
+  return {
+      wire::Body::CrashReport,
+      wire::CreateCrashReport(Out, server, It.ServerEpoch, fingerprints, alone)
+          .Union()};
 }
 
 Packed pack(Builder &Out, const Goodbye &) {
@@ -540,7 +542,7 @@
 
 CrashReport unpack(Unpacker &In, const wire::CrashReport &It) {
   return {In.text(It.server()), It.server_epoch(),
-          In.numbers(It.fingerprints())};
+          In.numbers(It.fingerprints()), In.numbers(It.ran_alone())};
 }
 
 Goodbye unpack(Unpacker &, const wire::Goodbye &) { return {}; }
--- /dev/null
+++ b/src/peer_connection.cc
@@ -0,0 +1,151 @@
+#include "peer_connection.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr size_t PrefixBytes = 4;
+
+// A stranger can't make this instance buffer more than this. A handshake frame
+// has at most some 350 bytes.
+constexpr uint32_t MaxGreetingBytes = 1024;
+
+// Buffers that a large frame has grown beyond this are released afterwards.
+constexpr size_t KeptBufferBytes = 65536;
+
+uint32_t readLength(std::span<const uint8_t> Data) {
+  return uint32_t(Data[0]) | uint32_t(Data[1]) << 8 | uint32_t(Data[2]) << 16 |
+         uint32_t(Data[3]) << 24;
+}
+
+void eraseFront(Bytes &Buffer, size_t Count) {
+  Buffer.erase(Buffer.begin(), Buffer.begin() + static_cast<ptrdiff_t>(Count));
+  if (Buffer.empty() && Buffer.capacity() > KeptBufferBytes)
+    Bytes().swap(Buffer);
+}
+
+// Runs a function that returns a result and takes the reason of a failure.
+template <typename F> bool succeeds(F Run, std::string &Reason) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(Run());
+        return true;
+      },
+      [&](const FrameFault &It) {
+        Reason = It.Reason;
+        return false;
+      },
+      [&] {
+        Reason = "internal error";
+        return false;
+      });
+}
+
+} // namespace
+
+void appendFrame(Bytes &Out, const Bytes &Frame) {
+  uint32_t size = static_cast<uint32_t>(Frame.size());
+  for (int shift = 0; shift < 32; shift += 8)
+    Out.push_back(static_cast<uint8_t>(size >> shift));
+  Out.insert(Out.end(), Frame.begin(), Frame.end());
+}
+
+PeerConnection::PeerConnection(LinkLimits Limits, PeerHandshake Handshake,
+                               TimePoint Now)
+    : Limits(Limits), Greeting(std::move(Handshake)), StartedAt(Now),
+      ReceivedAt(Now) {
+  if (Bytes first = Greeting.start(); !first.empty())
+    send(first);
+}
+
+bool PeerConnection::receive(std::span<const uint8_t> Data, TimePoint Now,
+                             const LinkHooks &Hooks) {
+  ReceivedAt = Now;
+  Input.insert(Input.end(), Data.begin(), Data.end());
+  size_t at = 0;
+  while (Input.size() - at >= PrefixBytes) {
+    std::span<const uint8_t> rest = std::span(Input).subspan(at);
+    uint32_t size = readLength(rest);
+    uint32_t limit =
+        Up ? Limits.MaxFrameBytes
+           : std::min<uint32_t>(MaxGreetingBytes, Limits.MaxFrameBytes);
+    if (size == 0 || size > limit)
+      return close("frame of " + std::to_string(size) +
+                   " bytes; allowed are 1 to " + std::to_string(limit));
+    if (rest.size() - PrefixBytes < size)
+      break;
+    if (!takeFrame(rest.subspan(PrefixBytes, size), Hooks))
+      return false;
+    at += PrefixBytes + size;
+  }
+  eraseFront(Input, at);
+  return true;
+}
+
+bool PeerConnection::takeFrame(std::span<const uint8_t> Frame,
+                               const LinkHooks &Hooks) {
+  // FlatBuffers need alignment, which a frame in the middle of a buffer lacks.
+  Bytes aligned(Frame.begin(), Frame.end());
+  if (!Up)
+    return takeGreeting(aligned, Hooks);
+  PeerMessage message;
+  auto read = [&]() -> boost::leaf::result<void> {
+    BOOST_LEAF_ASSIGN(message, decode(aligned));
+    return {};
+  };
+  std::string reason;
+  if (!succeeds(read, reason))
+    return close(reason);
+  Hooks.OnMessage(std::move(message));
+  return true;
+}
+
+bool PeerConnection::takeGreeting(std::span<const uint8_t> Frame,
+                                  const LinkHooks &Hooks) {
+  Bytes answer;
+  auto read = [&]() -> boost::leaf::result<void> {
+    BOOST_LEAF_ASSIGN(answer, Greeting.onFrame(Frame));
+    return {};
+  };
+  std::string reason;
+  if (!succeeds(read, reason))
+    return close(reason);
+  if (!answer.empty())
+    send(answer);
+  if (!Greeting.done())
+    return true;
+  Up = true;
+  return Hooks.OnUp() || close("another link to this instance is kept");
+}
+
+bool PeerConnection::checkTime(TimePoint Now) {
+  if (!Up && Now - StartedAt > Limits.Handshake)
+    return close("handshake took too long");
+  if (Up && Now - ReceivedAt > Limits.Silence)
+    return close("peer is silent");
+  return true;
+}
+
+std::span<const uint8_t> PeerConnection::unsent() const {
+  return std::span(Output).subspan(OutputStart);
+}
+
+void PeerConnection::markSent(size_t Count) {
+  OutputStart += Count;
+  // Moving the rest only when it is the smaller part keeps the cost per byte
+  // constant.
+  if (OutputStart < Output.size() && OutputStart < Output.size() / 2)
+    return;
+  eraseFront(Output, OutputStart);
+  OutputStart = 0;
+}
+
+bool PeerConnection::close(std::string Reason) {
+  Fault = std::move(Reason);
+  return false;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/peer_connection.h
@@ -0,0 +1,68 @@
+// One link between two instances without its socket: frames, handshake, time
+// limits and the bytes still to be sent. Whoever owns the socket passes bytes
+// and the time in, so the logic doesn't depend on how sockets are waited for.
+#ifndef CROCUSSPUR_PEER_CONNECTION_H
+#define CROCUSSPUR_PEER_CONNECTION_H
+
+#include "peer_handshake.h"
+
+#include <functional>
+#include <span>
+#include <string>
+
+namespace crocusspur::internal {
+
+struct LinkLimits {
+  uint32_t MaxFrameBytes = 2097152;
+  Milliseconds Handshake{2000}; // from the start of the connection
+  Milliseconds Silence{1500};   // between received bytes
+};
+
+struct LinkHooks {
+  // The handshake is done. Returning false closes the link.
+  std::function<bool()> OnUp;
+  std::function<void(PeerMessage)> OnMessage;
+};
+
+// Prefixes a frame with its length in 4 bytes, little-endian.
+void appendFrame(Bytes &Out, const Bytes &Frame);
+
+class PeerConnection {
+public:
+  PeerConnection(LinkLimits Limits, PeerHandshake Handshake, TimePoint Now);
+
+  // Takes received bytes. Returns false if the link has to be closed; fault()
+  // says why.
+  bool receive(std::span<const uint8_t> Data, TimePoint Now,
+               const LinkHooks &Hooks);
+
+  // Returns false if the handshake takes too long or the peer is silent.
+  bool checkTime(TimePoint Now);
+
+  void send(const Bytes &Frame) { appendFrame(Output, Frame); }
+  std::span<const uint8_t> unsent() const;
+  void markSent(size_t Count);
+
+  bool up() const { return Up; }
+  const PeerHandshake &handshake() const { return Greeting; }
+  const std::string &fault() const { return Fault; }
+
+private:
+  bool takeFrame(std::span<const uint8_t> Frame, const LinkHooks &Hooks);
+  bool takeGreeting(std::span<const uint8_t> Frame, const LinkHooks &Hooks);
+  bool close(std::string Reason);
+
+  LinkLimits Limits;
+  PeerHandshake Greeting;
+  TimePoint StartedAt;
+  TimePoint ReceivedAt;
+  bool Up = false;
+  Bytes Input;
+  Bytes Output;
+  size_t OutputStart = 0;
+  std::string Fault;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -2669,7 +2669,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVER = 4,
     VT_SERVER_EPOCH = 6,
-    VT_FINGERPRINTS = 8
+    VT_FINGERPRINTS = 8,
+    VT_RAN_ALONE = 10
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -2680,6 +2681,9 @@
   const flatbuffers::Vector<uint64_t> *fingerprints() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_FINGERPRINTS);
   }
+  const flatbuffers::Vector<uint64_t> *ran_alone() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_RAN_ALONE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
@@ -2687,6 +2691,8 @@
            VerifyField<uint64_t>(verifier, VT_SERVER_EPOCH, 8) &&
            VerifyOffset(verifier, VT_FINGERPRINTS) &&
            verifier.VerifyVector(fingerprints()) &&
+           VerifyOffset(verifier, VT_RAN_ALONE) &&
+           verifier.VerifyVector(ran_alone()) &&
            verifier.EndTable();
   }
 };
@@ -2704,6 +2710,9 @@
   void add_fingerprints(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints) {
     fbb_.AddOffset(CrashReport::VT_FINGERPRINTS, fingerprints);
   }
+  void add_ran_alone(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ran_alone) {
+    fbb_.AddOffset(CrashReport::VT_RAN_ALONE, ran_alone);
+  }
   explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2719,9 +2728,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint64_t server_epoch = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> fingerprints = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ran_alone = 0) {
   CrashReportBuilder builder_(_fbb);
   builder_.add_server_epoch(server_epoch);
+  builder_.add_ran_alone(ran_alone);
   builder_.add_fingerprints(fingerprints);
   builder_.add_server(server);
   return builder_.Finish();
@@ -2731,14 +2742,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *server = nullptr,
     uint64_t server_epoch = 0,
-    const std::vector<uint64_t> *fingerprints = nullptr) {
+    const std::vector<uint64_t> *fingerprints = nullptr,
+    const std::vector<uint64_t> *ran_alone = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto fingerprints__ = fingerprints ? _fbb.CreateVector<uint64_t>(*fingerprints) : 0;
+  auto ran_alone__ = ran_alone ? _fbb.CreateVector<uint64_t>(*ran_alone) : 0;
   return crocusspur::wire::CreateCrashReport(
       _fbb,
       server__,
       server_epoch,
-      fingerprints__);
+      fingerprints__,
+      ran_alone__);
 }
 
 struct Goodbye FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/src/peer_loop.cc
@@ -0,0 +1,576 @@
+#include "peer_loop.h"
+
+#include "address.h"
+#include "poller.h"
+#include "ring.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Thread.h>
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr uint64_t ListenerKey = 1;
+constexpr Milliseconds HousekeepingPeriod{25};
+constexpr Milliseconds FlushLimit{250};
+constexpr int ThreadStackBytes = 262144;
+constexpr size_t ReadBytes = 65536;
+
+// The producers' view of a live link.
+struct Outlet {
+  uint64_t Link = 0;
+  std::atomic<size_t> Queued{0};
+  std::atomic<bool> Overflow{false};
+};
+using OutletPtr = std::shared_ptr<Outlet>;
+
+struct OutgoingFrame {
+  uint64_t Link = 0;
+  Bytes Frame;
+};
+
+struct Link {
+  Link(PeerConnection Logic, Poco::Net::StreamSocket Socket, LinkRole Role,
+       std::string Label)
+      : Logic(std::move(Logic)), Socket(std::move(Socket)), Role(Role),
+        Label(std::move(Label)) {}
+
+  PeerConnection Logic;
+  Poco::Net::StreamSocket Socket;
+  LinkRole Role;
+  std::string Label;  // for the log: address, later the peer's name
+  std::string Dialed; // name of the peer that this side dialled
+  bool Connecting = false;
+  bool WaitsToWrite = false;
+  OutletPtr Out; // set while this is the link of its peer
+};
+
+// A listed instance.
+struct Peer {
+  std::string Address;
+  TimePoint NextDial;
+  Milliseconds Backoff{0};
+  uint64_t Dialing = 0; // link that is being set up, or 0
+};
+
+Hello freshHello(const std::string &Name, uint64_t Incarnation) {
+  Hello hello{Name, Incarnation, {}};
+  std::random_device random;
+  for (uint8_t &it : hello.Nonce)
+    it = static_cast<uint8_t>(random());
+  return hello;
+}
+
+} // namespace
+
+struct PeerLoop::State {
+  State(PeerLoopOptions Options, PeerLoopHooks Hooks)
+      : Options(std::move(Options)), Hooks(std::move(Hooks)),
+        Outgoing(this->Options.RingCapacity), Random(this->Options.Incarnation),
+        Thread("peer-loop") {}
+
+  PeerLoopOptions Options;
+  PeerLoopHooks Hooks;
+  Poller Poll;
+  Poco::Net::ServerSocket Listener;
+  bool ListenerPaused = false;
+  Ring<OutgoingFrame> Outgoing;
+  std::atomic<bool> Woken{false};
+  std::atomic<bool> Stopping{false};
+  bool Running = false;
+
+  std::mutex Mutex; // guards the two members below
+  std::map<std::string, OutletPtr> Outlets;
+  std::optional<std::map<std::string, std::string>> NewPeers;
+
+  // Members from here on belong to the loop's thread.
+  std::unordered_map<uint64_t, std::unique_ptr<Link>> Links;
+  std::map<std::string, uint64_t> LiveLinks; // by the peer's name
+  std::set<uint64_t> Strangers;              // accepted, without proof; by age
+  std::map<std::string, Peer> Peers;
+  std::vector<uint64_t> Touched; // links that have got something to send
+  uint64_t LastKey = ListenerKey;
+  std::mt19937_64 Random;
+  TimePoint NextHousekeeping;
+  Poco::Thread Thread;
+
+  bool listen();
+  void run();
+  void runOnce(bool Accepting);
+  void wake();
+
+  void acceptLink();
+  void pauseListener(bool Pause);
+  void dial(const std::string &Name, Peer &Entry);
+  uint64_t addLink(std::unique_ptr<Link> It);
+  void closeLink(uint64_t Key, const std::string &Reason);
+  void detach(Link &It);
+
+  void onReady(const PollEvent &Event);
+  bool finishConnect(uint64_t Key, Link &It);
+  void readLink(uint64_t Key, Link &It);
+  void writeLink(uint64_t Key, Link &It);
+  void markSent(Link &It, size_t Count);
+  bool onUp(uint64_t Key, Link &It);
+  bool keepsOther(const Link &Old, const Link &New) const;
+  void takeOutgoing();
+  void flushTouched();
+
+  void housekeep(TimePoint Now);
+  void applyPeers(TimePoint Now);
+  void dialDue(TimePoint Now);
+  Milliseconds jittered(Milliseconds Longest);
+  void scheduleDial(const std::string &Name, Peer &Entry, TimePoint Now);
+  void flushBeforeStop();
+};
+
+// --- Interface, called on other threads ---
+
+PeerLoop::PeerLoop(PeerLoopOptions Options, PeerLoopHooks Hooks)
+    : Impl(std::make_unique<State>(std::move(Options), std::move(Hooks))) {}
+
+PeerLoop::~PeerLoop() { stop(); }
+
+bool PeerLoop::start() {
+  if (!Impl->Poll.usable() || !Impl->listen())
+    return false;
+  Impl->Thread.setStackSize(ThreadStackBytes);
+  Impl->Thread.startFunc([this] { Impl->run(); });
+  Impl->Running = true;
+  return true;
+}
+
+void PeerLoop::stop() {
+  if (!Impl->Running)
+    return;
+  Impl->Stopping = true;
+  Impl->Poll.wake();
+  Impl->Thread.join();
+  Impl->Running = false;
+}
+
+bool PeerLoop::send(const std::string &Instance, const PeerMessage &Message) {
+  OutletPtr out;
+  {
+    std::lock_guard lock(Impl->Mutex);
+    auto it = Impl->Outlets.find(Instance);
+    if (it == Impl->Outlets.end() || it->second->Overflow)
+      return false;
+    out = it->second;
+  }
+  OutgoingFrame item{out->Link, encode(Message)};
+  size_t size = item.Frame.size();
+  if (size > Impl->Options.Limits.MaxFrameBytes)
+    return false;
+  size_t before = out->Queued.fetch_add(size);
+  bool fits = before == 0 || before + size <= Impl->Options.MaxQueuedBytes;
+  fits = fits && Impl->Outgoing.tryPush(item);
+  if (!fits)
+    out->Overflow = true;
+  Impl->wake();
+  return fits;
+}
+
+void PeerLoop::setPeers(const std::vector<InstanceEntry> &Peers) {
+  std::map<std::string, std::string> addresses;
+  for (const InstanceEntry &it : Peers)
+    if (it.Name != Impl->Options.Name)
+      addresses[it.Name] = it.PeerAddress;
+  {
+    std::lock_guard lock(Impl->Mutex);
+    Impl->NewPeers = std::move(addresses);
+  }
+  Impl->wake();
+}
+
+uint16_t PeerLoop::port() const { return Impl->Listener.address().port(); }
+
+// One system call wakes the loop for all frames queued until it runs.
+void PeerLoop::State::wake() {
+  if (!Woken.exchange(true))
+    Poll.wake();
+}
+
+// --- Loop ---
+
+bool PeerLoop::State::listen() {
+  try {
+    if (!isAddress(Options.Address, true))
+      throw Poco::InvalidArgumentException("expected IP:port");
+    // Without SO_REUSEPORT, which would let two processes share the port.
+    Listener.bind(Poco::Net::SocketAddress(Options.Address), true, false);
+    Listener.listen(512);
+    Listener.setBlocking(false);
+    return Poll.add(Listener.impl()->sockfd(), ListenerKey, true, false);
+  } catch (const Poco::Exception &error) {
+    Hooks.OnFault(Options.Address, "can't listen: " + error.displayText());
+    return false;
+  }
+}
+
+void PeerLoop::State::run() {
+  while (!Stopping)
+    runOnce(true);
+  flushBeforeStop();
+  while (!Links.empty())
+    closeLink(Links.begin()->first, "");
+}
+
+void PeerLoop::State::runOnce(bool Accepting) {
+  auto left = std::chrono::ceil<Milliseconds>(NextHousekeeping - Clock::now());
+  std::vector<PollEvent> events =
+      Poll.wait(std::clamp(left, Milliseconds(0), HousekeepingPeriod));
+  // Cleared before the ring is read: a frame pushed later wakes again.
+  Woken.exchange(false);
+  for (const PollEvent &it : events)
+    if (it.Key != ListenerKey)
+      onReady(it);
+    else if (Accepting)
+      acceptLink();
+  takeOutgoing();
+  flushTouched();
+  // After reading, so that a process that was paused doesn't take links for
+  // silent whose bytes are waiting.
+  if (TimePoint now = Clock::now(); now >= NextHousekeeping)
+    housekeep(now);
+}
+
+void PeerLoop::State::flushBeforeStop() {
+  TimePoint end = Clock::now() + FlushLimit;
+  auto pending = [&] {
+    return std::any_of(Links.begin(), Links.end(), [](const auto &It) {
+      return It.second->Out && !It.second->Logic.unsent().empty();
+    });
+  };
+  takeOutgoing();
+  flushTouched();
+  while (pending() && Clock::now() < end)
+    runOnce(false);
+}
+
+// --- Opening and closing links ---
+
+void PeerLoop::State::acceptLink() {
+  try {
+    Poco::Net::SocketAddress from;
+    Poco::Net::StreamSocket socket = Listener.acceptConnection(from);
+    if (Strangers.size() >= Options.MaxStrangers)
+      closeLink(*Strangers.begin(), "too many connections without proof");
+    PeerHandshake greeting(LinkRole::Acceptor,
+                           freshHello(Options.Name, Options.Incarnation),
+                           Options.Key, "");
+    PeerConnection logic(Options.Limits, std::move(greeting), Clock::now());
+    uint64_t key = addLink(std::make_unique<Link>(
+        std::move(logic), socket, LinkRole::Acceptor, from.toString()));
+    if (key)
+      Strangers.insert(key);
+  } catch (const Poco::Exception &error) {
+    // Without a pause a lack of file descriptors would keep the loop busy.
+    pauseListener(true);
+    Hooks.OnFault(Options.Address, "can't accept: " + error.displayText());
+  }
+}
+
+void PeerLoop::State::pauseListener(bool Pause) {
+  if (ListenerPaused == Pause)
+    return;
+  ListenerPaused = Pause;
+  Poll.update(Listener.impl()->sockfd(), ListenerKey, !Pause, false);
+}
+
+void PeerLoop::State::dial(const std::string &Name, Peer &Entry) {
+  try {
+    if (!isAddress(Entry.Address, false))
+      throw Poco::InvalidArgumentException("bad address " + Entry.Address);
+    Poco::Net::StreamSocket socket;
+    socket.connectNB(Poco::Net::SocketAddress(Entry.Address));
+    PeerHandshake greeting(LinkRole::Dialer,
+                           freshHello(Options.Name, Options.Incarnation),
+                           Options.Key, Name);
+    PeerConnection logic(Options.Limits, std::move(greeting), Clock::now());
+    auto link = std::make_unique<Link>(std::move(logic), socket,
+                                       LinkRole::Dialer, Name);
+    link->Dialed = Name;
+    link->Connecting = true;
+    Entry.Dialing = addLink(std::move(link));
+  } catch (const Poco::Exception &error) {
+    Hooks.OnFault(Name, "can't connect: " + error.displayText());
+  }
+  if (!Entry.Dialing)
+    scheduleDial(Name, Entry, Clock::now());
+}
+
+uint64_t PeerLoop::State::addLink(std::unique_ptr<Link> It) {
+  It->Socket.setBlocking(false);
+  if (!It->Connecting)
+    It->Socket.setNoDelay(true);
+  uint64_t key = LastKey + 1;
+  It->WaitsToWrite = It->Connecting;
+  if (!Poll.add(It->Socket.impl()->sockfd(), key, true, It->Connecting)) {
+    Hooks.OnFault(It->Label, "can't watch the connection");
+    return 0;
+  }
+  LastKey = key;
+  Links[key] = std::move(It);
+  return key;
+}
+
+// An empty reason is not logged.
+void PeerLoop::State::closeLink(uint64_t Key, const std::string &Reason) {
+  auto it = Links.find(Key);
+  if (it == Links.end())
+    return;
+  std::unique_ptr<Link> link = std::move(it->second);
+  Links.erase(it);
+  Strangers.erase(Key);
+  Poll.remove(link->Socket.impl()->sockfd());
+  link->Socket.close();
+  if (!Reason.empty())
+    Hooks.OnFault(link->Label, Reason);
+  if (auto peer = Peers.find(link->Dialed);
+      peer != Peers.end() && peer->second.Dialing == Key) {
+    peer->second.Dialing = 0;
+    scheduleDial(peer->first, peer->second, Clock::now());
+  }
+  if (link->Out)
+    detach(*link);
+}
+
+// The link stops being the one of its peer.
+void PeerLoop::State::detach(Link &It) {
+  const Hello &hello = It.Logic.handshake().peer();
+  {
+    std::lock_guard lock(Mutex);
+    Outlets.erase(hello.Name);
+  }
+  LiveLinks.erase(hello.Name);
+  It.Out = nullptr;
+  if (auto peer = Peers.find(hello.Name); peer != Peers.end())
+    scheduleDial(peer->first, peer->second, Clock::now());
+  Hooks.OnDown(hello.Name, hello.Incarnation);
+}
+
+// Two links arise when both sides dial at about the same time. Both sides then
+// keep the one that the name that sorts first has dialled. Any other second
+// link means that the peer has given up the first.
+bool PeerLoop::State::keepsOther(const Link &Old, const Link &New) const {
+  const Hello &before = Old.Logic.handshake().peer();
+  const Hello &after = New.Logic.handshake().peer();
+  if (before.Incarnation != after.Incarnation || Old.Role == New.Role)
+    return false;
+  bool sortsFirst = Options.Name < after.Name;
+  return (Old.Role == LinkRole::Dialer) == sortsFirst;
+}
+
+bool PeerLoop::State::onUp(uint64_t Key, Link &It) {
+  Strangers.erase(Key);
+  const Hello &hello = It.Logic.handshake().peer();
+  It.Label = hello.Name;
+  if (auto live = LiveLinks.find(hello.Name); live != LiveLinks.end()) {
+    if (keepsOther(*Links[live->second], It))
+      return false;
+    closeLink(live->second, "replaced by a newer link");
+  }
+  It.Out = std::make_shared<Outlet>();
+  It.Out->Link = Key;
+  LiveLinks[hello.Name] = Key;
+  if (auto peer = Peers.find(hello.Name); peer != Peers.end()) {
+    peer->second.Backoff = Milliseconds(0);
+    if (peer->second.Dialing == Key)
+      peer->second.Dialing = 0;
+  }
+  {
+    std::lock_guard lock(Mutex);
+    Outlets[hello.Name] = It.Out;
+  }
+  Hooks.OnUp(hello.Name, hello.Incarnation);
+  return true;
+}
+
+// --- Reading and writing ---
+
+void PeerLoop::State::onReady(const PollEvent &Event) {
+  // An earlier event of the same round may have closed the link.
+  auto it = Links.find(Event.Key);
+  if (it == Links.end())
+    return;
+  Link &link = *it->second;
+  try {
+    if (link.Connecting && !finishConnect(Event.Key, link))
+      return;
+    if (Event.Writable)
+      writeLink(Event.Key, link);
+    if (Event.Readable && Links.count(Event.Key))
+      readLink(Event.Key, link);
+  } catch (const Poco::Exception &error) {
+    closeLink(Event.Key, "connection broke: " + error.displayText());
+  }
+}
+
+bool PeerLoop::State::finishConnect(uint64_t Key, Link &It) {
+  int error = It.Socket.impl()->socketError();
+  if (error != 0) {
+    closeLink(Key, "can't connect, error " + std::to_string(error));
+    return false;
+  }
+  It.Connecting = false;
+  It.Socket.setNoDelay(true);
+  return true;
+}
+
+void PeerLoop::State::readLink(uint64_t Key, Link &It) {
+  static thread_local std::array<uint8_t, ReadBytes> Buffer;
+  int n = It.Socket.receiveBytes(Buffer.data(), static_cast<int>(ReadBytes));
+  if (n < 0)
+    return;
+  if (n == 0)
+    return closeLink(Key, It.Logic.up() ? "peer closed the link"
+                                        : "peer closed before its proof");
+  LinkHooks hooks;
+  hooks.OnUp = [&] { return onUp(Key, It); };
+  hooks.OnMessage = [&](PeerMessage Message) {
+    const Hello &hello = It.Logic.handshake().peer();
+    Hooks.OnMessage(hello.Name, hello.Incarnation, std::move(Message));
+  };
+  std::span data(Buffer.data(), static_cast<size_t>(n));
+  if (!It.Logic.receive(data, Clock::now(), hooks))
+    return closeLink(Key, It.Logic.fault());
+  if (!It.Logic.unsent().empty())
+    writeLink(Key, It);
+}
+
+void PeerLoop::State::writeLink(uint64_t Key, Link &It) {
+  std::span<const uint8_t> rest = It.Logic.unsent();
+  if (!rest.empty()) {
+    int n = It.Socket.sendBytes(rest.data(), static_cast<int>(rest.size()));
+    if (n > 0)
+      markSent(It, static_cast<size_t>(n));
+  }
+  bool wait = !It.Logic.unsent().empty();
+  if (wait != It.WaitsToWrite)
+    Poll.update(It.Socket.impl()->sockfd(), Key, true, wait);
+  It.WaitsToWrite = wait;
+}
+
+void PeerLoop::State::markSent(Link &It, size_t Count) {
+  It.Logic.markSent(Count);
+  // Length prefixes and the handshake's end are sent but not in the queue's
+  // count. Only this thread subtracts.
+  if (It.Out)
+    It.Out->Queued -= std::min(Count, It.Out->Queued.load());
+}
+
+void PeerLoop::State::takeOutgoing() {
+  // Bounded, so that producers can't keep the loop from reading.
+  OutgoingFrame item;
+  for (size_t i = 0; i < Options.RingCapacity; ++i) {
+    if (!Outgoing.pop(item, Milliseconds(0)))
+      return;
+    auto it = Links.find(item.Link);
+    if (it == Links.end())
+      continue;
+    it->second->Logic.send(item.Frame);
+    Touched.push_back(item.Link);
+  }
+  wake();
+}
+
+void PeerLoop::State::flushTouched() {
+  std::sort(Touched.begin(), Touched.end());
+  Touched.erase(std::unique(Touched.begin(), Touched.end()), Touched.end());
+  for (uint64_t key : Touched) {
+    auto it = Links.find(key);
+    if (it == Links.end() || it->second->WaitsToWrite)
+      continue;
+    try {
+      writeLink(key, *it->second);
+    } catch (const Poco::Exception &error) {
+      closeLink(key, "connection broke: " + error.displayText());
+    }
+  }
+  Touched.clear();
+}
+
+// --- Time ---
+
+void PeerLoop::State::housekeep(TimePoint Now) {
+  NextHousekeeping = Now + HousekeepingPeriod;
+  pauseListener(false);
+  std::vector<std::pair<uint64_t, std::string>> faults;
+  for (auto &[key, link] : Links) {
+    if (link->Out && link->Out->Overflow)
+      faults.emplace_back(key, "queue of outgoing frames is full");
+    else if (!link->Logic.checkTime(Now))
+      faults.emplace_back(key, link->Logic.fault());
+  }
+  for (const auto &[key, reason] : faults)
+    closeLink(key, reason);
+  applyPeers(Now);
+  dialDue(Now);
+}
+
+void PeerLoop::State::applyPeers(TimePoint Now) {
+  std::optional<std::map<std::string, std::string>> wanted;
+  {
+    std::lock_guard lock(Mutex);
+    wanted.swap(NewPeers);
+  }
+  if (!wanted)
+    return;
+  std::erase_if(Peers,
+                [&](const auto &It) { return !wanted->count(It.first); });
+  for (const auto &[name, address] : *wanted) {
+    Peer &peer = Peers[name];
+    if (peer.Address == address)
+      continue;
+    peer.Address = address;
+    bool first = Options.Name < name;
+    peer.NextDial = Now + (first ? Milliseconds(0) : Options.DialGrace);
+  }
+  std::vector<uint64_t> dropped;
+  for (const auto &[key, link] : Links) {
+    const std::string &name =
+        link->Out ? link->Logic.handshake().peer().Name : link->Dialed;
+    if (!name.empty() && !Peers.count(name))
+      dropped.push_back(key);
+  }
+  for (uint64_t key : dropped)
+    closeLink(key, "instance is no longer listed");
+}
+
+void PeerLoop::State::dialDue(TimePoint Now) {
+  for (auto &[name, peer] : Peers)
+    if (!peer.Dialing && !LiveLinks.count(name) && Now >= peer.NextDial)
+      dial(name, peer);
+}
+
+// Between half of the longest delay and all of it.
+Milliseconds PeerLoop::State::jittered(Milliseconds Longest) {
+  std::uniform_int_distribution<int64_t> spread(Longest.count() / 2,
+                                                Longest.count());
+  return Milliseconds(spread(Random));
+}
+
+void PeerLoop::State::scheduleDial(const std::string &Name, Peer &Entry,
+                                   TimePoint Now) {
+  Entry.Backoff =
+      std::clamp(Entry.Backoff * 2, Options.LeastBackoff, Options.MostBackoff);
+  Entry.NextDial = Now + jittered(Entry.Backoff);
+  if (Options.Name > Name)
+    Entry.NextDial =
+        std::max(Entry.NextDial, Now + jittered(Options.DialGrace));
+}
+
+} // namespace crocusspur::internal
--- a/test/peer_codec_test.cc
+++ b/test/peer_codec_test.cc
@@ -56,7 +56,7 @@
       ConfigOffer{"{\"version\":8}"},
       ListRequest{7},
       ListOffer{"{\"sequence\":7}"},
-      CrashReport{"d1", 4, {5, 6}},
+      CrashReport{"d1", 4, {5, 6}, {6}},
       Goodbye{},
   };
 }
@@ -160,6 +160,9 @@
   CHECK(forward.TimeLeft == Microseconds(-5));
   auto lost = std::get<DecodeLost>(
       *decoded(encode(DecodeLost{Id, "s", 1, "d1", true, false, 7})).Message);
+  auto crash = std::get<CrashReport>(*decoded(encode(samples()[22])).Message);
+  CHECK(crash.Fingerprints == std::vector<uint64_t>{5, 6});
+  CHECK(crash.RanAlone == std::vector<uint64_t>{6});
   CHECK(lost.ResultAlive);
   CHECK_FALSE(lost.ServerFull);
 }
--- /dev/null
+++ b/test/peer_handshake_test.cc
@@ -0,0 +1,244 @@
+#include "peer_connection.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+const std::string Key = "0123456789abcdef";
+const TimePoint Start = TimePoint() + Milliseconds(1000);
+
+Hello helloOf(const std::string &Name, uint8_t Fill) {
+  Hello hello{Name, Fill, {}};
+  hello.Nonce.fill(Fill);
+  return hello;
+}
+
+PeerHandshake dialer(const std::string &WithKey = Key,
+                     const std::string &Expected = "b") {
+  return PeerHandshake(LinkRole::Dialer, helloOf("a", 1), WithKey, Expected);
+}
+
+PeerHandshake acceptor() {
+  return PeerHandshake(LinkRole::Acceptor, helloOf("b", 2), Key, "");
+}
+
+struct Step {
+  bool Ok = false;
+  Bytes Answer;
+  std::string Reason;
+};
+
+Step feed(PeerHandshake &To, const Bytes &Frame) {
+  Step step;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(step.Answer, To.onFrame(Frame));
+        step.Ok = true;
+        return {};
+      },
+      [&](ErrorKind Kind, const FrameFault &Fault) {
+        CHECK(static_cast<int>(Kind) ==
+              static_cast<int>(ErrorKind::PeerProtocol));
+        step.Reason = Fault.Reason;
+      },
+      [] { FAIL("the error carries no reason"); });
+  return step;
+}
+
+// A connection with a record of what it reports.
+struct Side {
+  explicit Side(PeerHandshake Handshake, LinkLimits Limits = {})
+      : Link(Limits, std::move(Handshake), Start) {
+    Hooks.OnUp = [this] {
+      ++Ups;
+      return Accepts;
+    };
+    Hooks.OnMessage = [this](PeerMessage It) { Got.push_back(std::move(It)); };
+  }
+  bool receive(const Bytes &Data, TimePoint Now = Start) {
+    return Link.receive(Data, Now, Hooks);
+  }
+  Bytes takeOutput() {
+    Bytes out(Link.unsent().begin(), Link.unsent().end());
+    Link.markSent(out.size());
+    return out;
+  }
+
+  PeerConnection Link;
+  LinkHooks Hooks;
+  int Ups = 0;
+  bool Accepts = true;
+  std::vector<PeerMessage> Got;
+};
+
+void connect(Side &Left, Side &Right) {
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(Right.receive(Left.takeOutput()));
+    REQUIRE(Left.receive(Right.takeOutput()));
+  }
+  REQUIRE(Left.Link.up());
+  REQUIRE(Right.Link.up());
+}
+
+Bytes framed(const PeerMessage &Message) {
+  Bytes out;
+  appendFrame(out, encode(Message));
+  return out;
+}
+
+} // namespace
+
+// Guards against an HMAC that only agrees with itself (RFC 4231, cases 2 and
+// 6, the second with a key longer than a block).
+TEST_CASE("HmacSha256 gives the published values") {
+  auto hex = [](const Mac &It) {
+    std::string text;
+    for (uint8_t byte : It) {
+      text += "0123456789abcdef"[byte >> 4];
+      text += "0123456789abcdef"[byte & 15];
+    }
+    return text;
+  };
+  auto mac = [&](const std::string &WithKey, const std::string &Data) {
+    return hex(hmacSha256(WithKey, Bytes(Data.begin(), Data.end())));
+  };
+  CHECK(mac("Jefe", "what do ya want for nothing?") ==
+        "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  CHECK(mac(std::string(131, '\xaa'),
+            "Test Using Larger Than Block-Size Key - Hash Key First") ==
+        "60e431591ee0b67f0d8a26aacbf5b77f8e0bc6213728c5140546040f0ee37f54");
+}
+
+// Guards against comparisons that miss a difference in some byte.
+TEST_CASE("EqualInConstantTime sees every byte") {
+  Mac mac{};
+  CHECK(equalInConstantTime(mac, Mac{}));
+  for (size_t i = 0; i < mac.size(); ++i) {
+    Mac other{};
+    other[i] = 0x80;
+    CHECK_FALSE(equalInConstantTime(mac, other));
+  }
+}
+
+// Guards against an acceptor that proves itself to strangers.
+TEST_CASE("PeerHandshake proves the dialer first") {
+  PeerHandshake a = dialer(), b = acceptor();
+  CHECK(b.start().empty());
+  Step hello = feed(b, a.start());
+  Step proof = feed(a, hello.Answer);
+  CHECK_FALSE(b.done());
+  Step reply = feed(b, proof.Answer);
+  CHECK(b.done());
+  CHECK_FALSE(a.done());
+  Step end = feed(a, reply.Answer);
+  CHECK(a.done());
+  CHECK(end.Answer.empty());
+  CHECK(a.peer().Name == "b");
+  CHECK(a.peer().Incarnation == 2);
+  CHECK(b.peer().Name == "a");
+}
+
+// Guards against links to processes without the key or with another name.
+TEST_CASE("PeerHandshake refuses wrong keys and names") {
+  PeerHandshake wrong = dialer("another key 12345"), b = acceptor();
+  Step hello = feed(b, wrong.start());
+  CHECK(feed(b, feed(wrong, hello.Answer).Answer).Reason ==
+        "wrong proof; the peer has another key");
+  CHECK_FALSE(b.done());
+  PeerHandshake other = dialer(Key, "c"), b2 = acceptor();
+  CHECK(feed(other, feed(b2, other.start()).Answer).Reason ==
+        "expected instance c, found b");
+  PeerHandshake b3 = acceptor();
+  CHECK(feed(b3, encode(helloOf("b", 9))).Reason ==
+        "peer has this instance's own name");
+  PeerHandshake b4 = acceptor();
+  CHECK(feed(b4, encode(helloOf("", 9))).Reason ==
+        "name of 0 or more than 256 bytes");
+}
+
+// Guards against replays: a proof is only good for one pair of nonces, and not
+// for the side that made it.
+TEST_CASE("PeerHandshake refuses replayed and reflected proofs") {
+  PeerHandshake a = dialer(), b = acceptor();
+  Bytes proof = feed(a, feed(b, a.start()).Answer).Answer;
+  PeerHandshake later(LinkRole::Acceptor, helloOf("b", 3), Key, "");
+  REQUIRE(feed(later, a.start()).Ok);
+  CHECK(feed(later, proof).Reason == "wrong proof; the peer has another key");
+  CHECK(feed(a, proof).Reason == "wrong proof; the peer has another key");
+}
+
+// Guards against messages that are read before the proof.
+TEST_CASE("PeerHandshake takes nothing but its own messages") {
+  PeerHandshake b = acceptor();
+  CHECK(feed(b, encode(Goodbye{})).Reason == "expected a Hello");
+  PeerHandshake a = dialer(), b2 = acceptor();
+  Step hello = feed(b2, a.start());
+  CHECK(feed(b2, a.start()).Reason == "expected a HelloProof");
+}
+
+// Guards against frames that are lost or doubled when they arrive in pieces or
+// together.
+TEST_CASE("PeerConnection takes frames byte by byte and in one piece") {
+  Side a(dialer()), b(acceptor());
+  connect(a, b);
+  CHECK(a.Ups == 1);
+  Bytes data = framed(ConfigRequest{1});
+  for (uint8_t it : data)
+    REQUIRE(b.receive({it}));
+  Bytes both = framed(ConfigRequest{2});
+  appendFrame(both, encode(Goodbye{}));
+  REQUIRE(b.receive(both));
+  REQUIRE(b.Got.size() == 3);
+  CHECK(std::get<ConfigRequest>(b.Got[1]).HaveVersion == 2);
+  CHECK(std::holds_alternative<Goodbye>(b.Got[2]));
+}
+
+// Guards against memory that a peer makes this instance reserve.
+TEST_CASE("PeerConnection refuses oversized and empty frames") {
+  Side stranger(acceptor());
+  CHECK_FALSE(stranger.receive({0x01, 0x04, 0, 0}));
+  CHECK(stranger.Link.fault() == "frame of 1025 bytes; allowed are 1 to 1024");
+  Side a(dialer()), b(acceptor());
+  connect(a, b);
+  CHECK_FALSE(b.receive({0x01, 0x00, 0x20, 0x00}));
+  CHECK(b.Link.fault() == "frame of 2097153 bytes; allowed are 1 to 2097152");
+  Side c(dialer()), d(acceptor());
+  connect(c, d);
+  CHECK_FALSE(d.receive({0, 0, 0, 0}));
+}
+
+// Guards against connections that stay open without a proof or without life.
+TEST_CASE("PeerConnection limits the handshake and the silence") {
+  Side stranger(acceptor());
+  CHECK(stranger.Link.checkTime(Start + Milliseconds(2000)));
+  CHECK_FALSE(stranger.Link.checkTime(Start + Milliseconds(2001)));
+  CHECK(stranger.Link.fault() == "handshake took too long");
+  Side a(dialer()), b(acceptor());
+  connect(a, b);
+  REQUIRE(b.receive(framed(Goodbye{}), Start + Milliseconds(1000)));
+  CHECK(b.Link.checkTime(Start + Milliseconds(2500)));
+  CHECK_FALSE(b.Link.checkTime(Start + Milliseconds(2501)));
+  CHECK(b.Link.fault() == "peer is silent");
+}
+
+// Guards against output that is lost or repeated by partial writes.
+TEST_CASE("PeerConnection keeps the order of output over partial writes") {
+  Side a(dialer()), b(acceptor());
+  connect(a, b);
+  for (uint64_t i = 0; i < 2000; ++i)
+    a.Link.send(encode(ConfigRequest{i}));
+  while (!a.Link.unsent().empty()) {
+    auto rest = a.Link.unsent();
+    size_t n = std::min<size_t>(rest.size(), 777);
+    REQUIRE(b.receive(Bytes(rest.begin(), rest.begin() + ptrdiff_t(n))));
+    a.Link.markSent(n);
+  }
+  REQUIRE(b.Got.size() == 2000);
+  for (uint64_t i = 0; i < 2000; ++i)
+    REQUIRE(std::get<ConfigRequest>(b.Got[i]).HaveVersion == i);
+}
