Make interfaces of the kernel safe while plug-ins start and stop

Cause: the core's thread looks interfaces up while later phases still provide theirs, and calls plug-ins that the kernel stops and destroys before the core. Change: the table of interfaces has a lock; find() returns null from the start of stop(); plug-ins are destroyed only after all of them have been stopped. Conclusion: a plug-in may call another one at any time, and a call that arrives after stop() meets a live object.

--- a/include/crocusspur/kernel.h
+++ b/include/crocusspur/kernel.h
@@ -50,7 +50,9 @@
 
   // Interfaces between plug-ins, keyed by type. provide() is called in start(),
   // before any plug-in of a later phase starts; find() returns null if nobody
-  // provides the type. The provider keeps ownership until its stop().
+  // provides the type and after stop() has begun. The provider keeps ownership.
+  // It isn't destroyed before all plug-ins have been stopped, and a call that
+  // arrives after its stop() must do no harm. Both are thread-safe.
   template <typename T> void provide(T *Interface);
   template <typename T> T *find() const;
 
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -23,7 +23,8 @@
 struct Kernel::State {
   std::vector<std::unique_ptr<Plugin>> Started;
   std::map<std::string, void *> Interfaces;
-  std::mutex Mutex;
+  bool Stopping = false;
+  std::mutex Mutex; // guards all but Started
   std::condition_variable Exit;
   bool ExitRequested = false;
   int ExitCode = 0;
@@ -53,11 +54,18 @@
   return true;
 }
 
+// Threads of a plug-in that is still running may be inside a call to one that
+// has been stopped, so no plug-in is destroyed before all have been stopped,
+// and no interface is found from the start of the stop.
 void Kernel::stop() {
-  while (!Impl->Started.empty()) {
-    Impl->Started.back()->stop();
-    Impl->Started.pop_back();
+  {
+    std::lock_guard lock(Impl->Mutex);
+    Impl->Stopping = true;
   }
+  for (auto it = Impl->Started.rbegin(); it != Impl->Started.rend(); ++it)
+    (*it)->stop();
+  while (!Impl->Started.empty())
+    Impl->Started.pop_back();
 }
 
 void Kernel::waitForExit() {
@@ -79,10 +87,14 @@
 }
 
 void Kernel::provideAny(const std::string &TypeName, void *Interface) {
+  std::lock_guard lock(Impl->Mutex);
   Impl->Interfaces[TypeName] = Interface;
 }
 
 void *Kernel::findAny(const std::string &TypeName) const {
+  std::lock_guard lock(Impl->Mutex);
+  if (Impl->Stopping)
+    return nullptr;
   auto it = Impl->Interfaces.find(TypeName);
   return it == Impl->Interfaces.end() ? nullptr : it->second;
 }
