--- /dev/null
+++ b/src/backend_client.cc
@@ -0,0 +1,367 @@
+#include "backend_client.h"
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Idle connections per server. A prefill server runs a handful of prefills at
+// a time, and control calls to one server are made one after another.
+constexpr size_t MaxIdlePerServer = 8;
+// Shorter than the idle time after which common HTTP servers close (5 s), so
+// that a reused connection is rarely one that is being closed.
+constexpr Milliseconds MaxIdleTime{4000};
+constexpr size_t MaxControlAnswer = 4 * 1024 * 1024;
+constexpr size_t MaxRefusalBytes = 65536;
+constexpr size_t MaxEventBytes = 1024 * 1024;
+
+StageOutcome toOutcome(ExchangeStatus Status, bool ByteSent) {
+  switch (Status) {
+  case ExchangeStatus::Ok:
+    return StageOutcome::Ok;
+  case ExchangeStatus::TimedOut:
+    return ByteSent ? StageOutcome::TimedOut : StageOutcome::NotSent;
+  case ExchangeStatus::NotSent:
+    return StageOutcome::NotSent;
+  case ExchangeStatus::Failed:
+  case ExchangeStatus::Interrupted:
+    break;
+  }
+  return ByteSent ? StageOutcome::Failed : StageOutcome::NotSent;
+}
+
+CallEnd toEnd(ExchangeStatus Status, const HttpExchange &Exchange) {
+  return {toOutcome(Status, Exchange.byteSent()),
+          Status == ExchangeStatus::Interrupted};
+}
+
+StageOutcome refusalOutcome(const std::string &Reason) {
+  if (Reason == "full")
+    return StageOutcome::RefusedFull;
+  if (Reason == "fence")
+    return StageOutcome::RefusedFence;
+  return Reason.empty() ? StageOutcome::Failed : StageOutcome::RefusedOther;
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string &Text) {
+  try {
+    Poco::JSON::Parser parser;
+    parser.setDepth(8);
+    return parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
+  } catch (const Poco::Exception &) {
+    return nullptr;
+  }
+}
+
+std::string requestHead(const std::string &Method, const std::string &Path,
+                        const std::string &Address, bool KeepAlive) {
+  return Method + " " + Path + " HTTP/1.1\r\nHost: " + Address +
+         (KeepAlive ? "\r\n" : "\r\nConnection: close\r\n");
+}
+
+std::string jsonCall(const std::string &Method, const std::string &Path,
+                     const std::string &Address, bool KeepAlive,
+                     const std::string &Body) {
+  std::string text = requestHead(Method, Path, Address, KeepAlive);
+  text.reserve(text.size() + Body.size() + 80);
+  if (!Body.empty())
+    text += "Content-Type: application/json\r\nContent-Length: " +
+            std::to_string(Body.size()) + "\r\n";
+  return text + "\r\n" + Body;
+}
+
+// The fields that engine calls share, without the closing brace.
+std::string commonFields(const EngineWork &Work) {
+  std::string text = "{\"request\":\"" + Work.Id.str() +
+                     "\",\"attempt\":" + std::to_string(Work.Attempt) +
+                     ",\"fence\":" + std::to_string(Work.Fence) + ",\"model\":";
+  appendJsonString(text, Work.Model);
+  text += ",\"group\":";
+  appendJsonString(text, Work.Group);
+  return text + ",\"priority\":" + std::to_string(Work.Priority);
+}
+
+std::string prefillBody(const PrefillWork &Work) {
+  std::string text = commonFields(Work.Common);
+  text += ",\"prompt_tokens\":" + std::to_string(Work.PromptTokens);
+  text += ",\"prefix_hashes\":[";
+  for (size_t i = 0; i < Work.PrefixHashes->size(); ++i) {
+    char buf[24];
+    std::snprintf(buf, sizeof buf, "%s\"%016llx\"", i ? "," : "",
+                  static_cast<unsigned long long>((*Work.PrefixHashes)[i]));
+    text += buf;
+  }
+  return text + "],\"prompt\":" + *Work.PromptJson + "}";
+}
+
+std::string decodeBody(const DecodeWork &Work) {
+  std::string text = commonFields(Work.Common);
+  text += ",\"source\":";
+  appendJsonString(text, Work.Source);
+  text += ",\"max_tokens\":" + std::to_string(Work.MaxTokens);
+  text += ",\"first_index\":" + std::to_string(Work.FirstIndex);
+  if (Work.PromptJson)
+    text += ",\"prompt\":" + *Work.PromptJson;
+  return text + "}";
+}
+
+std::string serviceCall(const ServiceWork &Work, const std::string &Address) {
+  std::string text = requestHead(Work.Method, Work.Path, Address, false);
+  auto add = [&](const char *Name, const std::string &Value) {
+    if (!Value.empty())
+      text += std::string(Name) + ": " + Value + "\r\n";
+  };
+  add("Content-Type", Work.ContentType);
+  add("Accept", Work.Accept);
+  add("Idempotency-Key", Work.IdempotencyKey);
+  add("Crocusspur-Request", Work.Id.str());
+  add("Crocusspur-Fence", std::to_string(Work.Fence));
+  bool hasBody =
+      !Work.Body->empty() || (Work.Method != "GET" && Work.Method != "HEAD");
+  if (hasBody)
+    add("Content-Length", std::to_string(Work.Body->size()));
+  return text + "\r\n" + *Work.Body;
+}
+
+// Reads the body of an answer other than 200 and tells a refusal before
+// execution from everything else, which says nothing about execution.
+CallEnd readRefusal(HttpExchange &Exchange, Milliseconds Timeout) {
+  uint32_t status = Exchange.head().Status;
+  if (status != 409 && status != 503)
+    return {StageOutcome::Failed, false};
+  std::string body;
+  ExchangeStatus read = Exchange.readWholeBody(body, MaxRefusalBytes, Timeout);
+  if (read != ExchangeStatus::Ok)
+    return toEnd(read, Exchange);
+  Poco::JSON::Object::Ptr object = parseObject(body);
+  std::string reason =
+      object ? object->optValue<std::string>("refused", "") : "";
+  return {refusalOutcome(reason), false};
+}
+
+ExchangeStatus open(HttpExchange &Exchange, const BackendCall &Call) {
+  return Exchange.connect(
+      Call.Address,
+      std::min(Clock::now() + Call.ConnectTimeout, Call.NotAfter));
+}
+
+ExchangeStatus sendAndReadHead(HttpExchange &Exchange, const BackendCall &Call,
+                               const std::string &Request,
+                               const std::string &Method) {
+  ExchangeStatus status = Exchange.send(Request, Call.NotAfter, Call.Timeout);
+  return status == ExchangeStatus::Ok ? Exchange.readHead(Method, Call.Timeout)
+                                      : status;
+}
+
+// Splits server-sent events and hands them to the handler.
+class EventReader {
+public:
+  EventReader(HttpExchange &Exchange, DecodeHandler &Handler)
+      : Exchange(Exchange), Handler(Handler) {}
+
+  CallEnd run(Milliseconds Timeout) {
+    bool end = false;
+    while (true) {
+      ExchangeStatus status = Exchange.readBody(Text, end, Timeout);
+      if (status != ExchangeStatus::Ok) {
+        Handler.onBatch(); // keeps what came before the break
+        return toEnd(status, Exchange);
+      }
+      if (!takeLines() || Text.size() > MaxEventBytes) {
+        Handler.onBatch();
+        return {StageOutcome::Failed, false};
+      }
+      if (!Handler.onBatch())
+        return {Done ? StageOutcome::Ok : StageOutcome::Failed, true};
+      if (Done || end)
+        return {Done ? StageOutcome::Ok : StageOutcome::Failed, false};
+    }
+  }
+
+private:
+  bool takeLines() {
+    size_t begin = 0;
+    size_t n;
+    while (!Done && (n = Text.find('\n', begin)) != std::string::npos) {
+      std::string_view line(Text.data() + begin, n - begin);
+      begin = n + 1;
+      if (line.starts_with("data:") && !takeEvent(line.substr(5)))
+        return false;
+    }
+    Text.erase(0, begin);
+    return true;
+  }
+
+  bool takeEvent(std::string_view Data) {
+    EngineEvent event;
+    if (!parseEngineEvent(Data, event) || !Handler.onEvent(event))
+      return false;
+    Done = event.Done;
+    return true;
+  }
+
+  HttpExchange &Exchange;
+  DecodeHandler &Handler;
+  std::string Text;
+  bool Done = false;
+};
+
+CallEnd copyServiceAnswer(HttpExchange &Exchange, ServiceHandler &Handler,
+                          Milliseconds Timeout) {
+  if (!Handler.onHead(Exchange.head()))
+    return {StageOutcome::Failed, true};
+  std::string data;
+  bool end = false;
+  while (!end) {
+    data.clear();
+    ExchangeStatus status = Exchange.readBody(data, end, Timeout);
+    if (status != ExchangeStatus::Ok)
+      return toEnd(status, Exchange);
+    if (!data.empty() && !Handler.onBody(data))
+      return {StageOutcome::Failed, true};
+  }
+  return {};
+}
+
+} // namespace
+
+BackendSocketPtr BackendClient::takeIdle(const std::string &Address) {
+  std::lock_guard lock(Mutex);
+  std::vector<IdleSocket> &sockets = Idle[Address];
+  TimePoint oldest = Clock::now() - MaxIdleTime;
+  while (!sockets.empty()) {
+    IdleSocket item = std::move(sockets.back());
+    sockets.pop_back();
+    if (item.Since >= oldest && item.Socket->idleAndOpen())
+      return std::move(item.Socket);
+  }
+  return nullptr;
+}
+
+void BackendClient::keepIdle(const std::string &Address,
+                             BackendSocketPtr Socket) {
+  if (!Socket)
+    return;
+  std::lock_guard lock(Mutex);
+  std::vector<IdleSocket> &sockets = Idle[Address];
+  if (sockets.size() < MaxIdlePerServer)
+    sockets.push_back({std::move(Socket), Clock::now()});
+}
+
+// A reused connection that breaks before the answer counts as Failed like a new
+// one: the server may have taken the request and crashed on it, and sending it
+// again unseen would hide that from the crash guard.
+PrefillEnd BackendClient::prefill(const BackendCall &Call,
+                                  const PrefillWork &Work,
+                                  SocketWaiter &Waiter) {
+  HttpExchange exchange(Waiter);
+  ExchangeStatus status = ExchangeStatus::Ok;
+  if (BackendSocketPtr socket = takeIdle(Call.Address))
+    exchange.adopt(std::move(socket));
+  else
+    status = open(exchange, Call);
+  if (status == ExchangeStatus::Ok)
+    status = sendAndReadHead(
+        exchange, Call,
+        jsonCall("POST", "/v1/prefill", Call.Address, true, prefillBody(Work)),
+        "POST");
+  if (status != ExchangeStatus::Ok)
+    return {toEnd(status, exchange)};
+  if (exchange.head().Status != 200) {
+    PrefillEnd end{readRefusal(exchange, Call.Timeout)};
+    keepIdle(Call.Address, exchange.release());
+    return end;
+  }
+  std::string body;
+  status = exchange.readWholeBody(body, MaxRefusalBytes, Call.Timeout);
+  Poco::JSON::Object::Ptr object =
+      status == ExchangeStatus::Ok ? parseObject(body) : nullptr;
+  if (!object)
+    return {
+        toEnd(status == ExchangeStatus::Ok ? ExchangeStatus::Failed : status,
+              exchange)};
+  keepIdle(Call.Address, exchange.release());
+  PrefillEnd end;
+  end.KvBytes = object->optValue<Poco::UInt64>("kv_bytes", 0);
+  return end;
+}
+
+CallEnd BackendClient::decode(const BackendCall &Call, const DecodeWork &Work,
+                              SocketWaiter &Waiter, DecodeHandler &Handler) {
+  HttpExchange exchange(Waiter);
+  ExchangeStatus status = open(exchange, Call);
+  if (status == ExchangeStatus::Ok)
+    status = sendAndReadHead(
+        exchange, Call,
+        jsonCall("POST", "/v1/decode", Call.Address, false, decodeBody(Work)),
+        "POST");
+  if (status != ExchangeStatus::Ok)
+    return toEnd(status, exchange);
+  if (exchange.head().Status != 200)
+    return readRefusal(exchange, Call.Timeout);
+  return EventReader(exchange, Handler).run(Call.Timeout);
+}
+
+CallEnd BackendClient::service(const BackendCall &Call, const ServiceWork &Work,
+                               SocketWaiter &Waiter, ServiceHandler &Handler) {
+  HttpExchange exchange(Waiter);
+  ExchangeStatus status = open(exchange, Call);
+  if (status == ExchangeStatus::Ok)
+    status = sendAndReadHead(exchange, Call, serviceCall(Work, Call.Address),
+                             Work.Method);
+  if (status != ExchangeStatus::Ok)
+    return toEnd(status, exchange);
+  const std::string *refused = exchange.head().find("Crocusspur-Refused");
+  if (exchange.head().Status == 503 && refused)
+    return {refusalOutcome(*refused), false};
+  return copyServiceAnswer(exchange, Handler, Call.Timeout);
+}
+
+bool BackendClient::tryControl(const BackendCall &Call,
+                               const std::string &Request,
+                               const std::string &Method, bool Reuse,
+                               bool &Retry, uint32_t &Status,
+                               std::string &Answer) {
+  PlainWaiter waiter;
+  HttpExchange exchange(waiter);
+  BackendSocketPtr socket = Reuse ? takeIdle(Call.Address) : nullptr;
+  bool reused = socket != nullptr;
+  ExchangeStatus status = ExchangeStatus::Ok;
+  if (reused)
+    exchange.adopt(std::move(socket));
+  else
+    status = open(exchange, Call);
+  if (status == ExchangeStatus::Ok)
+    status = sendAndReadHead(exchange, Call, Request, Method);
+  if (status == ExchangeStatus::Ok)
+    status = exchange.readWholeBody(Answer, MaxControlAnswer, Call.Timeout);
+  Retry =
+      reused && !exchange.byteReceived() && status != ExchangeStatus::TimedOut;
+  if (status != ExchangeStatus::Ok)
+    return false;
+  Status = exchange.head().Status;
+  keepIdle(Call.Address, exchange.release());
+  return true;
+}
+
+bool BackendClient::control(const BackendCall &Call, const std::string &Method,
+                            const std::string &Path, const std::string &Body,
+                            uint32_t &Status, std::string &Answer) {
+  std::string request = jsonCall(Method, Path, Call.Address, true, Body);
+  bool retry = false;
+  if (tryControl(Call, request, Method, true, retry, Status, Answer))
+    return true;
+  Answer.clear();
+  return retry &&
+         tryControl(Call, request, Method, false, retry, Status, Answer);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/backend_client.h
@@ -0,0 +1,128 @@
+// The protocol of engines and services: builds the calls of docs/PROTOCOLS.md
+// and classifies their ends. Thread-safe; one object serves the whole process.
+#ifndef CROCUSSPUR_BACKEND_CLIENT_H
+#define CROCUSSPUR_BACKEND_CLIENT_H
+
+#include "crocusspur/event.h"
+#include "http_exchange.h"
+#include "json_text.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+
+// Where and until when a call may be sent. `Timeout` bounds the time without
+// progress.
+struct BackendCall {
+  std::string Address; // "IP:port"
+  TimePoint NotAfter = TimePoint::max();
+  Milliseconds ConnectTimeout{500};
+  Milliseconds Timeout{5000};
+};
+
+// What the engine calls of one attempt share.
+struct EngineWork {
+  RequestId Id;
+  uint32_t Attempt = 0;
+  uint64_t Fence = 0;
+  std::string Model;
+  std::string Group;
+  uint32_t Priority = 1;
+};
+
+struct PrefillWork {
+  EngineWork Common;
+  const std::string *PromptJson = nullptr; // with quotes
+  uint32_t PromptTokens = 0;
+  const std::vector<uint64_t> *PrefixHashes = nullptr;
+};
+
+struct DecodeWork {
+  EngineWork Common;
+  std::string Source; // "IP:port" of the prefill server; empty: held there
+  uint32_t MaxTokens = 0;
+  uint64_t FirstIndex = 0;
+  const std::string *PromptJson = nullptr; // null: not sent
+};
+
+struct ServiceWork {
+  RequestId Id;
+  uint64_t Fence = 0;
+  std::string Method;
+  std::string Path; // with query
+  std::string ContentType;
+  std::string Accept;
+  std::string IdempotencyKey;
+  const std::string *Body = nullptr;
+};
+
+// End of a call. `Interrupted` says that the waiter ended it; the outcome then
+// tells whether a byte may have left (Failed) or not (NotSent).
+struct CallEnd {
+  StageOutcome Outcome = StageOutcome::Ok;
+  bool Interrupted = false;
+};
+
+struct PrefillEnd : CallEnd {
+  uint64_t KvBytes = 0;
+};
+
+// Takes the events of a decode stream.
+class DecodeHandler {
+public:
+  virtual ~DecodeHandler() = default;
+  // Returns false if the stream breaks its contract, which ends the call as
+  // Failed.
+  virtual bool onEvent(const EngineEvent &Event) = 0;
+  // All events that were received together have been handled. Returns false
+  // to interrupt the call.
+  virtual bool onBatch() = 0;
+};
+
+// Takes the answer of a service.
+class ServiceHandler {
+public:
+  virtual ~ServiceHandler() = default;
+  // Both return false to interrupt the call.
+  virtual bool onHead(const HttpHead &Head) = 0;
+  virtual bool onBody(std::string_view Data) = 0;
+};
+
+class BackendClient {
+public:
+  PrefillEnd prefill(const BackendCall &Call, const PrefillWork &Work,
+                     SocketWaiter &Waiter);
+  CallEnd decode(const BackendCall &Call, const DecodeWork &Work,
+                 SocketWaiter &Waiter, DecodeHandler &Handler);
+  CallEnd service(const BackendCall &Call, const ServiceWork &Work,
+                  SocketWaiter &Waiter, ServiceHandler &Handler);
+
+  // A short control call that may be repeated: cancel, load, cache events and
+  // orders. A reused connection that breaks before the answer is replaced by a
+  // new one once. Returns false unless a whole answer came.
+  bool control(const BackendCall &Call, const std::string &Method,
+               const std::string &Path, const std::string &Body,
+               uint32_t &Status, std::string &Answer);
+
+private:
+  struct IdleSocket {
+    BackendSocketPtr Socket;
+    TimePoint Since;
+  };
+
+  BackendSocketPtr takeIdle(const std::string &Address);
+  void keepIdle(const std::string &Address, BackendSocketPtr Socket);
+  bool tryControl(const BackendCall &Call, const std::string &Request,
+                  const std::string &Method, bool Reuse, bool &Retry,
+                  uint32_t &Status, std::string &Answer);
+
+  std::mutex Mutex;
+  std::map<std::string, std::vector<IdleSocket>> Idle; // by address
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/caller_reader.cc
@@ -0,0 +1,100 @@
+#include "caller_reader.h"
+
+#include "socket_io.h"
+
+#include <cerrno>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr size_t ReadBytes = 16384;
+constexpr Milliseconds LingerTime{1000};
+constexpr size_t LingerBytes = 4 * 1024 * 1024;
+
+} // namespace
+
+ReadVerdict CallerReader::fill(TimePoint Until) {
+  PlainWaiter waiter;
+  while (true) {
+    if (waiter.wait(Fd, POLLIN, Until) == WaitResult::TimedOut)
+      return ReadVerdict::TimedOut;
+    char buf[ReadBytes];
+    ssize_t n = ::recv(Fd, buf, sizeof buf, MSG_DONTWAIT);
+    if (n > 0) {
+      Pending.append(buf, static_cast<size_t>(n));
+      return ReadVerdict::Ok;
+    }
+    if (n == 0 || (errno != EAGAIN && errno != EINTR))
+      return ReadVerdict::Closed;
+  }
+}
+
+ReadVerdict CallerReader::readHead(HttpHead &Head) {
+  TimePoint until = Clock::now() + Limits.IdleTimeout;
+  bool started = !Pending.empty();
+  size_t end;
+  while ((end = Pending.find("\r\n\r\n")) == std::string::npos) {
+    if (Pending.size() > MaxHeadBytes)
+      return ReadVerdict::TooLarge;
+    ReadVerdict verdict = fill(until);
+    if (verdict == ReadVerdict::TimedOut && !started)
+      return ReadVerdict::Closed;
+    if (verdict != ReadVerdict::Ok)
+      return verdict;
+    if (!started)
+      until = Clock::now() + Limits.IdleTimeout;
+    started = true;
+  }
+  if (end > MaxHeadBytes)
+    return ReadVerdict::TooLarge;
+  std::string text = Pending.substr(0, end + 4);
+  Pending.erase(0, end + 4);
+  switch (parseRequestHead(text, Limits.MaxHeaderFields, Head)) {
+  case HeadVerdict::Malformed:
+    return ReadVerdict::Malformed;
+  case HeadVerdict::TooLarge:
+    return ReadVerdict::TooLarge;
+  case HeadVerdict::Ok:
+    break;
+  }
+  return ReadVerdict::Ok;
+}
+
+ReadVerdict CallerReader::readBody(const BodyFraming &Framing,
+                                   std::string &Body) {
+  if (Framing.Form == BodyForm::Length && Framing.Length > Limits.MaxBodyBytes)
+    return ReadVerdict::TooLarge;
+  TimePoint until = Clock::now() + Limits.IdleTimeout;
+  BodyDecoder decoder;
+  decoder.reset(Framing);
+  while (true) {
+    std::string_view input(Pending);
+    if (!decoder.feed(input, Body))
+      return ReadVerdict::Malformed;
+    Pending.erase(0, Pending.size() - input.size());
+    if (Body.size() > Limits.MaxBodyBytes)
+      return ReadVerdict::TooLarge;
+    if (decoder.complete())
+      return ReadVerdict::Ok;
+    ReadVerdict verdict = fill(until);
+    if (verdict != ReadVerdict::Ok)
+      return verdict;
+  }
+}
+
+void CallerReader::closeGently() {
+  ::shutdown(Fd, SHUT_WR);
+  TimePoint until = Clock::now() + LingerTime;
+  size_t dropped = 0;
+  Pending.clear();
+  while (dropped < LingerBytes && fill(until) == ReadVerdict::Ok) {
+    dropped += Pending.size();
+    Pending.clear();
+  }
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/command_serve.cc
@@ -0,0 +1,75 @@
+#include "command.h"
+#include "crocusspur/kernel.h"
+#include "log.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/leaf.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <pthread.h>
+#include <string>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr int BadSettings = 2;
+
+// Threads inherit the mask, so it is set before the first one starts; the
+// plug-in core_thread takes the signals with sigwait.
+void blockSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+std::optional<Settings> readSettings(const std::string &File) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::optional<Settings>> {
+        BOOST_LEAF_AUTO(values, loadSettings(File));
+        return std::optional<Settings>(std::move(values));
+      },
+      [](const MistakeList &Mistakes) -> std::optional<Settings> {
+        for (const Mistake &it : Mistakes.Mistakes)
+          std::cerr << it.str() << '\n';
+        return std::nullopt;
+      },
+      [&]() -> std::optional<Settings> {
+        std::cerr << File << ": could not be read\n";
+        return std::nullopt;
+      });
+}
+
+int serve(const std::string &File) {
+  std::optional<Settings> values = readSettings(File);
+  if (!values)
+    return BadSettings;
+  blockSignals();
+  startLogging(values->LogLevel, values->Instance);
+  int code = 1;
+  {
+    Kernel kernel(std::move(*values));
+    if (kernel.start()) {
+      kernel.waitForExit();
+      code = kernel.exitCode();
+    }
+    kernel.stop();
+  }
+  stopLogging();
+  return code;
+}
+
+const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *command = Program.add_subcommand("serve", "Run one instance");
+  auto file = std::make_shared<std::string>();
+  command->add_option("--settings", *file, "Settings file (TOML)")->required();
+  command->callback([file, &ExitCode] { ExitCode = serve(*file); });
+}};
+
+} // namespace
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/core_thread.cc
@@ -0,0 +1,309 @@
+#include "crocusspur/kernel.h"
+#include "log.h"
+#include "ring.h"
+#include "runtime.h"
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <type_traits>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr size_t RingCapacity = 16384;
+constexpr Milliseconds TimerPeriod{50};
+constexpr Milliseconds LongestWait{1000};
+constexpr Milliseconds DumpWait{2000};
+
+// A task runs on the core's thread between two events.
+using CoreTask = std::function<void(DecisionCore &)>;
+using CoreItem = std::variant<EventBody, CoreTask>;
+
+uint64_t randomIncarnation() {
+  std::random_device device;
+  uint64_t value = 0;
+  while (value == 0) // a zero request id stands for none
+    value = (static_cast<uint64_t>(device()) << 32) | device();
+  return value;
+}
+
+LogLevel levelOf(NoteKind Kind) {
+  switch (Kind) {
+  case NoteKind::OwnershipGained:
+  case NoteKind::OwnershipLost:
+  case NoteKind::ConfigInForce:
+  case NoteKind::ListInForce:
+  case NoteKind::PeerUp:
+  case NoteKind::PeerDown:
+  case NoteKind::Drained:
+    return LogLevel::Info;
+  case NoteKind::Failed:
+  case NoteKind::LeaseLapsed:
+  case NoteKind::OrphanCancelled:
+  case NoteKind::ConfigRefused:
+  case NoteKind::ServerCrashed:
+  case NoteKind::SuspectRefused:
+  case NoteKind::PauseDetected:
+    return LogLevel::Warn;
+  default:
+    return LogLevel::Debug;
+  }
+}
+
+void logNote(const Note &Item) {
+  LogFields fields{{"subject", Item.Subject}, {"group", Item.Group}};
+  if (Item.Id != RequestId())
+    fields.emplace_back("request", Item.Id.str());
+  if (Item.Kind == NoteKind::Failed || Item.Kind == NoteKind::Shed)
+    fields.emplace_back("error", answerFor(Item.Error).Name);
+  if (Item.Value != 0)
+    fields.emplace_back("value", std::to_string(Item.Value));
+  log(levelOf(Item.Kind), "core", toString(Item.Kind), fields);
+}
+
+class CoreThread : public Plugin, public EventSink {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+
+  bool tryPost(EventBody Body) override;
+  void post(EventBody Body) override;
+  std::string dumpState(Milliseconds Wait) override;
+  std::string makeTicket() override;
+  RequestId nextRequestId() override;
+  ConfigPtr config() const override;
+  ListPtr list() const override;
+  bool ready() const override { return Ready.load(); }
+
+private:
+  void run();
+  void handle(EventBody Body);
+  void carryOut(Action Item);
+  template <typename T> bool perform(T &Item);
+  void performDeferred();
+  void pushItem(CoreItem Item);
+  void watchSignals();
+  void logState();
+
+  Kernel *Owner = nullptr;
+  std::unique_ptr<DecisionCore> Core;
+  Ring<CoreItem> Items{RingCapacity};
+  ActionList Actions;  // reused, so that its memory is allocated once
+  ActionList Deferred; // for plug-ins that have not started yet
+  uint64_t Timer = 0;
+  std::thread Worker;
+  std::thread Signals;
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Ready{false};
+  std::atomic<uint64_t> LastSequence{0};
+  std::atomic<uint64_t> LastNonce{0};
+  uint64_t Incarnation = 0;
+  bool Completed = false; // core's thread: ShutdownComplete has been seen
+  mutable std::mutex Mutex;
+  ConfigPtr Config = std::make_shared<ConfigDocument>();
+  ListPtr List = std::make_shared<InstanceList>();
+};
+
+bool CoreThread::start(Kernel &Kernel) {
+  Owner = &Kernel;
+  CoreOptions options = Kernel.settings().Core;
+  Incarnation = randomIncarnation();
+  options.Incarnation = Incarnation;
+  Core = std::make_unique<DecisionCore>(options);
+  Kernel.provide<EventSink>(this);
+  Worker = std::thread([this] { run(); });
+  Signals = std::thread([this] { watchSignals(); });
+  // A full ring holds enough events; the next period comes anyway.
+  Timer = Kernel.timers().every(TimerPeriod, [this] { tryPost(TimerFired{}); });
+  return true;
+}
+
+void CoreThread::stop() {
+  Stopping.store(true);
+  Owner->timers().cancel(Timer);
+  Items.close();
+  Worker.join();
+  Signals.join();
+}
+
+bool CoreThread::tryPost(EventBody Body) {
+  return Items.tryPush(CoreItem(std::move(Body)));
+}
+
+void CoreThread::post(EventBody Body) { pushItem(std::move(Body)); }
+
+void CoreThread::pushItem(CoreItem Item) {
+  constexpr Microseconds pause{100};
+  while (!Items.tryPush(Item) && !Stopping.load())
+    std::this_thread::sleep_for(pause);
+}
+
+std::string CoreThread::dumpState(Milliseconds Wait) {
+  auto text = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> result = text->get_future();
+  pushItem(CoreTask([text](DecisionCore &Target) {
+    text->set_value(Target.dumpState(Clock::now()));
+  }));
+  if (result.wait_for(Wait) != std::future_status::ready)
+    return "";
+  return result.get();
+}
+
+std::string CoreThread::makeTicket() {
+  auto text = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> result = text->get_future();
+  uint64_t nonce = ++LastNonce;
+  pushItem(CoreTask([text, nonce](DecisionCore &Target) {
+    text->set_value(Target.makeTicket(nonce));
+  }));
+  if (result.wait_for(DumpWait) != std::future_status::ready)
+    return "";
+  return result.get();
+}
+
+RequestId CoreThread::nextRequestId() { return {Incarnation, ++LastSequence}; }
+
+ConfigPtr CoreThread::config() const {
+  std::lock_guard lock(Mutex);
+  return Config;
+}
+
+ListPtr CoreThread::list() const {
+  std::lock_guard lock(Mutex);
+  return List;
+}
+
+void CoreThread::run() {
+  while (!Stopping.load()) {
+    CoreItem item;
+    if (!Items.pop(item, LongestWait))
+      continue;
+    if (auto *body = std::get_if<EventBody>(&item))
+      handle(std::move(*body));
+    else
+      std::get<CoreTask>(item)(*Core);
+  }
+}
+
+void CoreThread::handle(EventBody Body) {
+  Event event{Clock::now(), WallTime::clock::now(), std::move(Body)};
+  TraceSink *trace = Owner->find<TraceSink>();
+  if (trace)
+    trace->onEvent(event);
+  Actions.clear();
+  Core->handle(event, Actions);
+  if (!Deferred.empty())
+    performDeferred();
+  for (Action &it : Actions) {
+    if (trace)
+      trace->onAction(it, event.At);
+    carryOut(std::move(it));
+  }
+}
+
+// Lasting settings of a plug-in that starts after the core are kept for it; a
+// newer one replaces an older one of the same kind.
+void CoreThread::carryOut(Action Item) {
+  if (Completed) // the other plug-ins may be stopping
+    return;
+  bool done = std::visit([this](auto &It) { return perform(It); }, Item);
+  std::erase_if(Deferred,
+                [&](const Action &It) { return It.index() == Item.index(); });
+  if (!done)
+    Deferred.push_back(std::move(Item));
+}
+
+void CoreThread::performDeferred() {
+  ActionList items = std::move(Deferred);
+  Deferred.clear();
+  for (Action &it : items)
+    carryOut(std::move(it));
+}
+
+// Hands the action to the plug-in that carries it out, if there is one.
+// Returns false if it has to be kept until that plug-in starts.
+template <typename T> bool CoreThread::perform(T &Item) {
+  if constexpr (std::is_same_v<T, Note>) {
+    if (MetricsSink *metrics = Owner->find<MetricsSink>())
+      metrics->onNote(Item);
+    logNote(Item);
+  } else if constexpr (std::is_same_v<T, SendToPeer>) {
+    if (PeerSender *peers = Owner->find<PeerSender>())
+      peers->send(Item.Instance, Item.Message);
+  } else if constexpr (std::is_same_v<T, CancelAtServer>) {
+    if (BackendControl *control = Owner->find<BackendControl>())
+      control->cancel(Item);
+  } else if constexpr (std::is_same_v<T, OrderServer>) {
+    if (BackendControl *control = Owner->find<BackendControl>())
+      control->order(Item);
+  } else if constexpr (std::is_same_v<T, SetPolledServers>) {
+    BackendControl *control = Owner->find<BackendControl>();
+    if (control)
+      control->setPolled(Item.Servers);
+    return control != nullptr;
+  } else if constexpr (std::is_same_v<T, SetPlatformReading>) {
+    PlatformControl *platform = Owner->find<PlatformControl>();
+    if (platform)
+      platform->setReading(Item);
+    return platform != nullptr;
+  } else if constexpr (std::is_same_v<T, UseConfig>) {
+    std::lock_guard lock(Mutex);
+    Config = Item.Document;
+  } else if constexpr (std::is_same_v<T, UseList>) {
+    PeerSender *peers = Owner->find<PeerSender>();
+    if (peers)
+      peers->setPeers(*Item.List);
+    std::lock_guard lock(Mutex);
+    List = Item.List;
+    return peers != nullptr;
+  } else if constexpr (std::is_same_v<T, SetReadiness>) {
+    Ready.store(Item.Ready);
+  } else if constexpr (std::is_same_v<T, ShutdownComplete>) {
+    Completed = true;
+    log(LogLevel::Info, "core", "shutdown complete",
+        {{"abandoned", std::to_string(Item.Abandoned)}});
+    Owner->requestExit(0);
+  } else if (RelayRegistry *relays = Owner->find<RelayRegistry>()) {
+    RequestId id = Item.Id;
+    relays->deliver(id, std::move(Item));
+  }
+  return true;
+}
+
+void CoreThread::logState() {
+  std::string state = dumpState(DumpWait);
+  log(LogLevel::Info, "core", state.empty() ? "state dump timed out" : "state",
+      {{"state", state}});
+}
+
+// The signals are blocked in every thread, so sigtimedwait() gets them.
+void CoreThread::watchSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (int it : {SIGTERM, SIGINT, SIGUSR1})
+    sigaddset(&set, it);
+  timespec wait{0, 100 * 1000 * 1000}; // bounds the time that stop() takes
+  while (!Stopping.load()) {
+    int number = sigtimedwait(&set, nullptr, &wait);
+    if (number == SIGUSR1)
+      logState();
+    if (number == SIGTERM || number == SIGINT) {
+      log(LogLevel::Info, "core", "shutdown requested");
+      post(ShutdownRequested{Owner->settings().ShutdownLimit});
+    }
+  }
+}
+
+const PluginRegistration Registration{{"core_thread", Phase::Core, [] {
+                                         return std::make_unique<CoreThread>();
+                                       }}};
+
+} // namespace
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/http_exchange.cc
@@ -0,0 +1,194 @@
+#include "http_exchange.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+ExchangeStatus fromWait(WaitResult Result, ExchangeStatus OnTimeout) {
+  return Result == WaitResult::TimedOut ? OnTimeout
+                                        : ExchangeStatus::Interrupted;
+}
+
+// Starts a connection without blocking. Returns -1 if that fails at once.
+int startConnect(const std::string &Address) {
+  try {
+    Poco::Net::SocketAddress target(Address);
+    int fd =
+        ::socket(target.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+      return -1;
+    int one = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    if (::connect(fd, target.addr(), target.length()) == 0 ||
+        errno == EINPROGRESS)
+      return fd;
+    ::close(fd);
+  } catch (const Poco::Exception &) {
+    // Not an address; counts as unreachable.
+  }
+  return -1;
+}
+
+} // namespace
+
+BackendSocket::~BackendSocket() { ::close(Fd); }
+
+bool BackendSocket::idleAndOpen() const {
+  pollfd item{Fd, POLLIN | POLLRDHUP, 0};
+  return ::poll(&item, 1, 0) == 0;
+}
+
+ExchangeStatus HttpExchange::connect(const std::string &Address,
+                                     TimePoint Until) {
+  int fd = startConnect(Address);
+  if (fd < 0)
+    return ExchangeStatus::NotSent;
+  Socket = std::make_unique<BackendSocket>(fd);
+  WaitResult result = Waiter.wait(fd, POLLOUT, Until);
+  if (result != WaitResult::Ready)
+    return fromWait(result, ExchangeStatus::NotSent);
+  int error = 0;
+  socklen_t length = sizeof error;
+  ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length);
+  return error == 0 ? ExchangeStatus::Ok : ExchangeStatus::NotSent;
+}
+
+void HttpExchange::adopt(BackendSocketPtr Connected) {
+  Socket = std::move(Connected);
+}
+
+ExchangeStatus HttpExchange::send(const std::string &Request,
+                                  TimePoint NotAfter, Milliseconds Timeout) {
+  size_t done = 0;
+  while (done < Request.size()) {
+    if (!ByteSent && Clock::now() > NotAfter)
+      return ExchangeStatus::NotSent;
+    ssize_t n = ::send(Socket->fd(), Request.data() + done,
+                       Request.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n > 0) {
+      ByteSent = true;
+      done += static_cast<size_t>(n);
+      continue;
+    }
+    if (n < 0 && errno == EINTR)
+      continue;
+    if (n < 0 && errno != EAGAIN)
+      return ByteSent ? ExchangeStatus::Ok : ExchangeStatus::NotSent;
+    WaitResult result =
+        Waiter.wait(Socket->fd(), POLLOUT, Clock::now() + Timeout);
+    if (result != WaitResult::Ready)
+      return fromWait(result, ByteSent ? ExchangeStatus::TimedOut
+                                       : ExchangeStatus::NotSent);
+  }
+  return ExchangeStatus::Ok;
+}
+
+// Receives what is there; waits for something first.
+ExchangeStatus HttpExchange::fill(Milliseconds Timeout) {
+  if (Offset == Pending.size()) {
+    Pending.clear();
+    Offset = 0;
+  }
+  while (true) {
+    WaitResult result =
+        Waiter.wait(Socket->fd(), POLLIN, Clock::now() + Timeout);
+    if (result != WaitResult::Ready)
+      return fromWait(result, ExchangeStatus::TimedOut);
+    char buf[16384];
+    ssize_t n = ::recv(Socket->fd(), buf, sizeof buf, MSG_DONTWAIT);
+    if (n > 0) {
+      ByteReceived = true;
+      Pending.append(buf, static_cast<size_t>(n));
+      return ExchangeStatus::Ok;
+    }
+    if (n == 0) {
+      EndOfInput = true;
+      return ExchangeStatus::Ok;
+    }
+    if (errno != EAGAIN && errno != EINTR)
+      return ExchangeStatus::Failed;
+  }
+}
+
+ExchangeStatus HttpExchange::readHead(const std::string &Method,
+                                      Milliseconds Timeout) {
+  while (true) {
+    size_t end = Pending.find("\r\n\r\n", Offset);
+    if (end == std::string::npos) {
+      if (EndOfInput || Pending.size() - Offset > MaxHeadBytes)
+        return ExchangeStatus::Failed;
+      ExchangeStatus status = fill(Timeout);
+      if (status != ExchangeStatus::Ok)
+        return status;
+      continue;
+    }
+    Head = HttpHead();
+    std::string_view text(Pending.data() + Offset, end + 4 - Offset);
+    if (parseResponseHead(text, Head) != HeadVerdict::Ok)
+      return ExchangeStatus::Failed;
+    Offset = end + 4;
+    if (Head.Status >= 200) // interim responses are skipped
+      break;
+  }
+  BodyFraming framing;
+  if (!responseFraming(Head, Method, framing))
+    return ExchangeStatus::Failed;
+  SelfDelimited = framing.Form != BodyForm::UntilClose;
+  Decoder.reset(framing);
+  return ExchangeStatus::Ok;
+}
+
+ExchangeStatus HttpExchange::readBody(std::string &Out, bool &End,
+                                      Milliseconds Timeout) {
+  size_t before = Out.size();
+  while (true) {
+    std::string_view input(Pending.data() + Offset, Pending.size() - Offset);
+    size_t given = input.size();
+    if (!Decoder.feed(input, Out))
+      return ExchangeStatus::Failed;
+    Offset += given - input.size();
+    if (EndOfInput)
+      Decoder.endOfInput();
+    End = Decoder.complete();
+    if (End || Out.size() > before)
+      return ExchangeStatus::Ok;
+    if (EndOfInput)
+      return ExchangeStatus::Failed;
+    ExchangeStatus status = fill(Timeout);
+    if (status != ExchangeStatus::Ok)
+      return status;
+  }
+}
+
+ExchangeStatus HttpExchange::readWholeBody(std::string &Out, size_t MaxBytes,
+                                           Milliseconds Timeout) {
+  bool end = false;
+  while (!end) {
+    ExchangeStatus status = readBody(Out, end, Timeout);
+    if (status != ExchangeStatus::Ok)
+      return status;
+    if (Out.size() > MaxBytes)
+      return ExchangeStatus::Failed;
+  }
+  return ExchangeStatus::Ok;
+}
+
+BackendSocketPtr HttpExchange::release() {
+  bool reusable = Socket && Decoder.complete() && SelfDelimited &&
+                  !EndOfInput && Offset == Pending.size() && ByteReceived &&
+                  Head.wantsKeepAlive();
+  return reusable ? std::move(Socket) : nullptr;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/http_header.cc
@@ -0,0 +1,271 @@
+#include "http_header.h"
+
+#include <algorithm>
+#include <charconv>
+#include <strings.h>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr size_t MaxLineBytes = 8192;
+constexpr uint32_t MaxTrailerLines = 32;
+
+bool isTokenChar(char C) {
+  return std::isalnum(static_cast<unsigned char>(C)) ||
+         std::string_view("!#$%&'*+-.^_`|~").find(C) != std::string_view::npos;
+}
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenChar);
+}
+
+bool isFieldText(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char It) {
+    auto c = static_cast<unsigned char>(It);
+    return c == '\t' || (c >= 0x20 && c != 0x7f);
+  });
+}
+
+std::string_view trim(std::string_view Text) {
+  while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
+    Text.remove_prefix(1);
+  while (!Text.empty() && (Text.back() == ' ' || Text.back() == '\t'))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+bool equalNoCase(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+template <typename T>
+bool parseNumber(std::string_view Text, T &Value, int Base = 10) {
+  const char *end = Text.data() + Text.size();
+  auto result = std::from_chars(Text.data(), end, Value, Base);
+  return result.ec == std::errc() && result.ptr == end && !Text.empty();
+}
+
+// Takes one line without its CRLF from the front of the text.
+bool nextLine(std::string_view &Text, std::string_view &Line) {
+  size_t n = Text.find("\r\n");
+  if (n == std::string_view::npos)
+    return false;
+  Line = Text.substr(0, n);
+  Text.remove_prefix(n + 2);
+  return true;
+}
+
+bool parseVersion(std::string_view Text, int &Minor) {
+  if (Text != "HTTP/1.1" && Text != "HTTP/1.0")
+    return false;
+  Minor = Text.back() - '0';
+  return true;
+}
+
+bool parseRequestLine(std::string_view Line, HttpHead &Head) {
+  size_t first = Line.find(' ');
+  size_t second = Line.rfind(' ');
+  if (first == std::string_view::npos || second <= first)
+    return false;
+  std::string_view target = Line.substr(first + 1, second - first - 1);
+  bool printable = std::all_of(target.begin(), target.end(),
+                               [](char It) { return It > 0x20 && It != 0x7f; });
+  if (!isToken(Line.substr(0, first)) || !printable || target.empty() ||
+      target.front() != '/')
+    return false;
+  Head.Method = Line.substr(0, first);
+  Head.Target = target;
+  return parseVersion(Line.substr(second + 1), Head.MinorVersion);
+}
+
+HeadVerdict parseFields(std::string_view Text, size_t MaxFields,
+                        HttpHead &Head) {
+  std::string_view line;
+  while (nextLine(Text, line)) {
+    if (line.empty())
+      return Text.empty() ? HeadVerdict::Ok : HeadVerdict::Malformed;
+    if (line.size() > MaxLineBytes || Head.Fields.size() >= MaxFields)
+      return HeadVerdict::TooLarge;
+    size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) ||
+        !isFieldText(line))
+      return HeadVerdict::Malformed;
+    Head.Fields.emplace_back(line.substr(0, colon),
+                             trim(line.substr(colon + 1)));
+  }
+  return HeadVerdict::Malformed;
+}
+
+// Returns false on a bad or contradictory Content-Length.
+bool findLength(const HttpHead &Head, bool &Found, uint64_t &Length) {
+  Found = false;
+  for (const auto &it : Head.Fields) {
+    if (!equalNoCase(it.first, "Content-Length"))
+      continue;
+    uint64_t value = 0;
+    if (!parseNumber(it.second, value) || (Found && value != Length))
+      return false;
+    Found = true;
+    Length = value;
+  }
+  return true;
+}
+
+} // namespace
+
+const std::string *HttpHead::find(std::string_view Name) const {
+  for (const auto &it : Fields)
+    if (equalNoCase(it.first, Name))
+      return &it.second;
+  return nullptr;
+}
+
+size_t HttpHead::count(std::string_view Name) const {
+  return static_cast<size_t>(
+      std::count_if(Fields.begin(), Fields.end(), [&](const auto &It) {
+        return equalNoCase(It.first, Name);
+      }));
+}
+
+bool HttpHead::wantsKeepAlive() const {
+  const std::string *value = find("Connection");
+  if (value && equalNoCase(*value, "close"))
+    return false;
+  return MinorVersion >= 1 || (value && equalNoCase(*value, "keep-alive"));
+}
+
+HeadVerdict parseRequestHead(std::string_view Text, size_t MaxFields,
+                             HttpHead &Head) {
+  std::string_view line;
+  if (!nextLine(Text, line))
+    return HeadVerdict::Malformed;
+  if (line.size() > MaxLineBytes)
+    return HeadVerdict::TooLarge;
+  if (!parseRequestLine(line, Head))
+    return HeadVerdict::Malformed;
+  return parseFields(Text, MaxFields, Head);
+}
+
+HeadVerdict parseResponseHead(std::string_view Text, HttpHead &Head) {
+  constexpr size_t maxFields = 256;
+  std::string_view line;
+  if (!nextLine(Text, line) || line.size() < 12 || line[8] != ' ' ||
+      !parseVersion(line.substr(0, 8), Head.MinorVersion) ||
+      !parseNumber(line.substr(9, 3), Head.Status))
+    return HeadVerdict::Malformed;
+  return parseFields(Text, maxFields, Head);
+}
+
+bool requestFraming(const HttpHead &Head, BodyFraming &Framing) {
+  bool found = false;
+  if (!findLength(Head, found, Framing.Length))
+    return false;
+  const std::string *coding = Head.find("Transfer-Encoding");
+  if (coding) {
+    // Both fields together are the usual means of request smuggling.
+    if (found || Head.count("Transfer-Encoding") != 1 ||
+        !equalNoCase(*coding, "chunked"))
+      return false;
+    Framing.Form = BodyForm::Chunked;
+    return true;
+  }
+  Framing.Form =
+      found && Framing.Length > 0 ? BodyForm::Length : BodyForm::None;
+  return true;
+}
+
+bool responseFraming(const HttpHead &Head, const std::string &Method,
+                     BodyFraming &Framing) {
+  bool found = false;
+  if (!findLength(Head, found, Framing.Length))
+    return false;
+  if (Method == "HEAD" || Head.Status == 204 || Head.Status == 304)
+    Framing.Form = BodyForm::None;
+  else if (const std::string *coding = Head.find("Transfer-Encoding")) {
+    if (!equalNoCase(*coding, "chunked"))
+      return false;
+    Framing.Form = BodyForm::Chunked;
+  } else
+    Framing.Form = found ? BodyForm::Length : BodyForm::UntilClose;
+  return true;
+}
+
+void BodyDecoder::reset(const BodyFraming &Framing) {
+  UntilClose = Framing.Form == BodyForm::UntilClose;
+  Left = UntilClose ? UINT64_MAX : Framing.Length;
+  TrailerLines = 0;
+  Line.clear();
+  if (Framing.Form == BodyForm::Chunked)
+    At = State::Size;
+  else if (UntilClose || (Framing.Form == BodyForm::Length && Left > 0))
+    At = State::Data;
+  else
+    At = State::Done;
+}
+
+void BodyDecoder::endOfInput() {
+  if (At == State::Data && UntilClose)
+    At = State::Done;
+}
+
+void BodyDecoder::takeData(std::string_view &Input, std::string &Out) {
+  size_t n = static_cast<size_t>(std::min<uint64_t>(Left, Input.size()));
+  Out.append(Input.data(), n);
+  Input.remove_prefix(n);
+  if (UntilClose)
+    return;
+  Left -= n;
+  if (Left == 0)
+    At = At == State::Data ? State::Done : State::ChunkEnd;
+}
+
+bool BodyDecoder::takeLine(std::string_view &Input, bool &GotLine) {
+  size_t n = Input.find('\n');
+  GotLine = n != std::string_view::npos;
+  size_t used = GotLine ? n + 1 : Input.size();
+  Line.append(Input.data(), used);
+  Input.remove_prefix(used);
+  return Line.size() <= MaxLineBytes;
+}
+
+// Handles the complete line in `Line`.
+bool BodyDecoder::onLine() {
+  std::string_view text(Line);
+  if (text.size() < 2 || text[text.size() - 2] != '\r')
+    return false;
+  text.remove_suffix(2);
+  if (At == State::ChunkEnd) {
+    At = State::Size;
+    return text.empty();
+  }
+  if (At == State::Trailer) {
+    if (text.empty())
+      At = State::Done;
+    return ++TrailerLines <= MaxTrailerLines;
+  }
+  if (!parseNumber(trim(text.substr(0, text.find(';'))), Left, 16))
+    return false;
+  At = Left == 0 ? State::Trailer : State::ChunkData;
+  return true;
+}
+
+bool BodyDecoder::feed(std::string_view &Input, std::string &Out) {
+  while (!Input.empty() && At != State::Done) {
+    if (At == State::Data || At == State::ChunkData) {
+      takeData(Input, Out);
+      continue;
+    }
+    bool gotLine = false;
+    if (!takeLine(Input, gotLine))
+      return false;
+    if (!gotLine)
+      continue;
+    if (!onLine())
+      return false;
+    Line.clear();
+  }
+  return true;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/http_header.h
@@ -0,0 +1,77 @@
+// Parses HTTP/1.x message heads and decodes message bodies from bytes that the
+// caller has read. Strict where leniency would let two parsers disagree on the
+// end of a message.
+#ifndef CROCUSSPUR_HTTP_HEADER_H
+#define CROCUSSPUR_HTTP_HEADER_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crocusspur::internal {
+
+// Longest head that is read, from callers and from backend servers.
+inline constexpr size_t MaxHeadBytes = 32768;
+
+struct HttpHead {
+  std::string Method; // requests
+  std::string Target;
+  uint32_t Status = 0; // responses
+  int MinorVersion = 1;
+  std::vector<std::pair<std::string, std::string>> Fields;
+
+  // Names are compared without case. Returns null if there is none.
+  const std::string *find(std::string_view Name) const;
+  size_t count(std::string_view Name) const;
+  bool wantsKeepAlive() const;
+};
+
+enum class HeadVerdict : uint8_t { Ok, Malformed, TooLarge };
+
+// `Text` is the head up to and including the empty line.
+HeadVerdict parseRequestHead(std::string_view Text, size_t MaxFields,
+                             HttpHead &Head);
+HeadVerdict parseResponseHead(std::string_view Text, HttpHead &Head);
+
+enum class BodyForm : uint8_t { None, Length, Chunked, UntilClose };
+
+struct BodyFraming {
+  BodyForm Form = BodyForm::None;
+  uint64_t Length = 0;
+};
+
+// Returns false if the fields contradict each other or can't be understood.
+bool requestFraming(const HttpHead &Head, BodyFraming &Framing);
+bool responseFraming(const HttpHead &Head, const std::string &Method,
+                     BodyFraming &Framing);
+
+// Takes a body apart, in pieces of any size.
+class BodyDecoder {
+public:
+  void reset(const BodyFraming &Framing);
+  // Consumes bytes from the front of `Input` and appends the content to `Out`.
+  // Stops at the end of the body. Returns false if the body is malformed.
+  bool feed(std::string_view &Input, std::string &Out);
+  // The peer has closed; completes a body that is delimited by that.
+  void endOfInput();
+  bool complete() const { return At == State::Done; }
+
+private:
+  enum class State : uint8_t { Data, Size, ChunkData, ChunkEnd, Trailer, Done };
+
+  bool takeLine(std::string_view &Input, bool &GotLine);
+  bool onLine();
+  void takeData(std::string_view &Input, std::string &Out);
+
+  State At = State::Done;
+  bool UntilClose = false;
+  uint64_t Left = 0;
+  uint32_t TrailerLines = 0;
+  std::string Line;
+};
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/http_sink.cc
@@ -0,0 +1,135 @@
+#include "http_sink.h"
+
+#include "socket_io.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+namespace crocusspur::internal {
+namespace {
+
+using Pieces = std::array<iovec, 4>;
+
+iovec piece(std::string_view Text) {
+  return {const_cast<char *>(Text.data()), Text.size()};
+}
+
+// Drops the bytes that have been sent from the front.
+void advance(Pieces &Items, size_t Sent) {
+  for (iovec &it : Items) {
+    size_t n = std::min(Sent, it.iov_len);
+    it.iov_base = static_cast<char *>(it.iov_base) + n;
+    it.iov_len -= n;
+    Sent -= n;
+  }
+}
+
+size_t leftIn(const Pieces &Items) {
+  size_t n = 0;
+  for (const iovec &it : Items)
+    n += it.iov_len;
+  return n;
+}
+
+// Waits until the caller takes more. Returns false if it has left or takes
+// nothing until the time.
+bool waitForRoom(int Fd, TimePoint Until) {
+  while (true) {
+    pollfd item{Fd, POLLOUT | POLLRDHUP, 0};
+    int n = ::poll(&item, 1, pollTimeout(Until));
+    if (n == 0)
+      return false;
+    if (n > 0)
+      return !(item.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    if (errno != EINTR)
+      return false;
+  }
+}
+
+bool sendAll(int Fd, Pieces &Items, Milliseconds StallLimit) {
+  while (leftIn(Items) > 0) {
+    msghdr message{};
+    message.msg_iov = Items.data();
+    message.msg_iovlen = Items.size();
+    ssize_t n = ::sendmsg(Fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n >= 0) {
+      advance(Items, static_cast<size_t>(n));
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN ||
+        !waitForRoom(Fd, std::chrono::steady_clock::now() + StallLimit))
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+const char *reasonPhrase(uint32_t Status) {
+  using Poco::Net::HTTPResponse;
+  return HTTPResponse::getReasonForStatus(
+             static_cast<HTTPResponse::HTTPStatus>(Status))
+      .c_str();
+}
+
+bool HttpSink::begin(const AnswerHead &Head) {
+  Begun = true;
+  bool noBody = Options.HeadOnly || Head.Status == 204 || Head.Status == 304;
+  Chunked = !Head.HasLength && Options.MayChunk && !noBody;
+  if (!Head.HasLength && !Chunked && !noBody)
+    KeepAlive = false;
+  HeadText = "HTTP/1.1 " + std::to_string(Head.Status) + " " +
+             reasonPhrase(Head.Status) + "\r\n";
+  if (!Head.ContentType.empty())
+    HeadText += "Content-Type: " + Head.ContentType + "\r\n";
+  if (Head.HasLength && Head.Status != 204 && Head.Status != 304)
+    HeadText += "Content-Length: " + std::to_string(Head.Length) + "\r\n";
+  if (Chunked)
+    HeadText += "Transfer-Encoding: chunked\r\n";
+  if (Head.RetryAfter.count() > 0)
+    HeadText +=
+        "Retry-After: " + std::to_string(retryAfterSeconds(Head.RetryAfter)) +
+        "\r\n";
+  if (Head.Status == 401)
+    HeadText += "WWW-Authenticate: Bearer\r\n";
+  HeadText += KeepAlive ? "Connection: keep-alive\r\n\r\n"
+                        : "Connection: close\r\n\r\n";
+  return !Gone;
+}
+
+// One system call for the head, the frame and the data.
+bool HttpSink::flush(std::string_view Data, bool Framed) {
+  if (Gone)
+    return false;
+  char size[24];
+  int n = Framed ? std::snprintf(size, sizeof size, "%zx\r\n", Data.size()) : 0;
+  Pieces items{piece(HeadText),
+               piece(std::string_view(size, static_cast<size_t>(n))),
+               piece(Data), piece(Framed ? "\r\n" : "")};
+  Gone = !sendAll(Fd, items, Options.StallLimit);
+  HeadText.clear();
+  return !Gone;
+}
+
+bool HttpSink::write(std::string_view Data) {
+  if (Options.HeadOnly || Data.empty())
+    return !Gone;
+  return flush(Data, Chunked);
+}
+
+bool HttpSink::end(bool Complete) {
+  if (!Complete)
+    KeepAlive = false;
+  if (Complete && Chunked)
+    return flush("0\r\n\r\n", false);
+  return HeadText.empty() ? !Gone : flush("", false);
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/http_sink.h
@@ -0,0 +1,50 @@
+// Writes an answer to a caller's HTTP connection.
+#ifndef CROCUSSPUR_HTTP_SINK_H
+#define CROCUSSPUR_HTTP_SINK_H
+
+#include "response_sink.h"
+
+namespace crocusspur::internal {
+
+struct HttpSinkOptions {
+  bool KeepAlive = true;          // the caller wants the connection kept
+  bool MayChunk = true;           // HTTP/1.1
+  bool HeadOnly = false;          // answer to HEAD
+  Milliseconds StallLimit{30000}; // a caller that takes nothing for this long
+                                  // counts as gone
+};
+
+class HttpSink : public ResponseSink {
+public:
+  HttpSink(int Fd, const HttpSinkOptions &Options)
+      : Fd(Fd), Options(Options), KeepAlive(Options.KeepAlive) {}
+
+  bool begin(const AnswerHead &Head) override;
+  bool write(std::string_view Data) override;
+  bool end(bool Complete) override;
+  int watchedSocket() const override { return Fd; }
+
+  // Closes the connection after this answer.
+  void closeAfterwards() { KeepAlive = false; }
+  // Whether another request can follow on the connection.
+  bool keepsAlive() const { return KeepAlive && !Gone; }
+  bool begun() const { return Begun; }
+
+private:
+  bool flush(std::string_view Data, bool Framed);
+
+  int Fd;
+  HttpSinkOptions Options;
+  std::string HeadText; // not yet sent
+  bool KeepAlive;
+  bool Begun = false;
+  bool Chunked = false;
+  bool Gone = false;
+};
+
+// Reason phrase of a status.
+const char *reasonPhrase(uint32_t Status);
+
+} // namespace crocusspur::internal
+
+#endif
--- /dev/null
+++ b/src/operator_front.cc
@@ -0,0 +1,161 @@
+#include "crocusspur/kernel.h"
+#include "digest.h"
+#include "log.h"
+#include "problem_document.h"
+#include "runtime.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int MaxThreads = 8;
+constexpr int MaxQueued = 64;
+constexpr int IdleSeconds = 60;
+constexpr int StackBytes = 524288;
+constexpr Milliseconds DumpWait{2000};
+
+struct OperatorAnswer {
+  int Status = 200;
+  std::string ContentType = "application/json";
+  std::string Body;
+};
+
+OperatorAnswer problemAnswer(ErrorKind Kind, const std::string &Detail) {
+  return {answerFor(Kind).Status, ProblemType,
+          formatProblem(problemFor(Kind, Detail, RequestId()))};
+}
+
+class OperatorFront : public Plugin {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+
+  OperatorAnswer answer(HTTPServerRequest &Request);
+
+private:
+  bool authorized(const HTTPServerRequest &Request) const;
+  OperatorAnswer answerAdmin(const std::string &Path);
+
+  EventSink *Events = nullptr;
+  const Settings *Values = nullptr;
+  std::unique_ptr<Poco::ThreadPool> Pool;
+  std::unique_ptr<Poco::Net::HTTPServer> Server;
+};
+
+class Handler : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit Handler(OperatorFront &Owner) : Owner(Owner) {}
+
+  void handleRequest(HTTPServerRequest &Request,
+                     HTTPServerResponse &Response) override {
+    OperatorAnswer answer = Owner.answer(Request);
+    Response.setStatusAndReason(
+        static_cast<HTTPResponse::HTTPStatus>(answer.Status));
+    Response.setContentType(answer.ContentType);
+    Response.sendBuffer(answer.Body.data(), answer.Body.size());
+  }
+
+private:
+  OperatorFront &Owner;
+};
+
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+  explicit HandlerFactory(OperatorFront &Owner) : Owner(Owner) {}
+
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const HTTPServerRequest &) override {
+    return new Handler(Owner);
+  }
+
+private:
+  OperatorFront &Owner;
+};
+
+bool OperatorFront::start(Kernel &Owner) {
+  Events = Owner.find<EventSink>();
+  Values = &Owner.settings();
+  if (!Events) {
+    log(LogLevel::Error, "operator_front", "there is no decision core");
+    return false;
+  }
+  try {
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(Values->OperatorAddress), true);
+    socket.listen();
+    Pool = std::make_unique<Poco::ThreadPool>("operators", 1, MaxThreads,
+                                              IdleSeconds, StackBytes);
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(MaxThreads);
+    params->setMaxQueued(MaxQueued);
+    params->setTimeout(Poco::Timespan(Values->IdleTimeout.count() * 1000));
+    Server = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(*this),
+                                                     *Pool, socket, params);
+    Server->start();
+    log(LogLevel::Info, "operator_front", "listening",
+        {{"front", "operators"}, {"address", socket.address().toString()}});
+  } catch (const Poco::Exception &error) {
+    log(LogLevel::Error, "operator_front", "could not listen",
+        {{"address", Values->OperatorAddress},
+         {"reason", error.displayText()}});
+    return false;
+  }
+  return true;
+}
+
+void OperatorFront::stop() {
+  Server->stopAll(true);
+  Pool->joinAll();
+  Server.reset();
+}
+
+bool OperatorFront::authorized(const HTTPServerRequest &Request) const {
+  std::string token = bearerToken(Request.get("Authorization", ""));
+  return !token.empty() && sha256Hex(token) == Values->OperatorTokenDigest;
+}
+
+OperatorAnswer OperatorFront::answer(HTTPServerRequest &Request) {
+  std::string path = Request.getURI();
+  path = path.substr(0, path.find('?'));
+  if (path == "/healthz")
+    return {200, "text/plain", "ok\n"};
+  if (path == "/readyz")
+    return Events->ready() ? OperatorAnswer{200, "text/plain", "ready\n"}
+                           : OperatorAnswer{503, "text/plain", "not ready\n"};
+  if (path.compare(0, 7, "/admin/") != 0)
+    return problemAnswer(ErrorKind::NotFound, "");
+  if (!authorized(Request))
+    return problemAnswer(ErrorKind::Unauthorized, "");
+  return answerAdmin(path);
+}
+
+OperatorAnswer OperatorFront::answerAdmin(const std::string &Path) {
+  if (Path != "/admin/v1/state")
+    return problemAnswer(ErrorKind::NotFound, "");
+  std::string state = Events->dumpState(DumpWait);
+  if (state.empty())
+    return problemAnswer(ErrorKind::Overloaded,
+                         "the core did not answer in time");
+  return {200, "application/json", state};
+}
+
+const PluginRegistration Registration{
+    {"operator_front", Phase::Fronts,
+     [] { return std::make_unique<OperatorFront>(); }}};
+
+} // namespace
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/peer_sink.cc
@@ -0,0 +1,40 @@
+#include "peer_sink.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+// Well below the limit of a frame, so that other frames of the link don't wait
+// long behind a large answer.
+constexpr size_t MaxPiece = 65536;
+
+} // namespace
+
+PeerSink::PeerSink(PeerSender *Peers, std::string Instance, const RequestId &Id)
+    : Peers(Peers), Instance(std::move(Instance)), Id(Id) {}
+
+bool PeerSink::send(const PeerMessage &Message) {
+  if (!Gone)
+    Gone = !Peers || !Peers->send(Instance, Message);
+  return !Gone;
+}
+
+bool PeerSink::begin(const AnswerHead &Head) {
+  return send(ForwardHead{Id, Head.Status, Head.ContentType});
+}
+
+bool PeerSink::write(std::string_view Data) {
+  while (!Data.empty()) {
+    size_t n = std::min(Data.size(), MaxPiece);
+    if (!send(ForwardBody{Id, std::string(Data.substr(0, n))}))
+      return false;
+    Data.remove_prefix(n);
+  }
+  return !Gone;
+}
+
+bool PeerSink::end(bool Complete) { return send(ForwardEnd{Id, Complete}); }
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/token_sequence.h
@@ -0,0 +1,37 @@
+// Puts the token events of decode streams into the order of their indexes, over
+// any number of attempts.
+#ifndef CROCUSSPUR_TOKEN_SEQUENCE_H
+#define CROCUSSPUR_TOKEN_SEQUENCE_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace crocusspur::internal {
+
+class TokenSequence {
+public:
+  using Sink = std::function<void(std::string_view RawToken)>;
+
+  // Calls the function for each token that is next in order. Drops tokens that
+  // have been taken before and keeps a bounded number of later ones. Returns
+  // false if an index is too far ahead, which means that tokens are missing.
+  bool take(uint64_t Index, std::string_view RawToken, const Sink &Take);
+
+  // Drops kept tokens before a new attempt, which sends them again.
+  void restart() { Early.clear(); }
+
+  // Index of the first token that has not been taken.
+  uint64_t next() const { return Next; }
+  bool complete() const { return Early.empty(); }
+
+private:
+  uint64_t Next = 0;
+  std::map<uint64_t, std::string> Early;
+};
+
+} // namespace crocusspur::internal
+
+#endif
