Report a caller's leave before the stage that it ended

Cause: when a caller left, the relay reported the broken stage first, so the core could place the request again before it heard that nobody waits.

--- a/src/caller_front.cc
+++ b/src/caller_front.cc
@@ -13,6 +13,7 @@
 #include <Poco/ThreadPool.h>
 #include <atomic>
 #include <boost/leaf.hpp>
+#include <condition_variable>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -35,6 +36,8 @@
 constexpr uint32_t SpareThreads = 32;
 constexpr Milliseconds RefusalReadLimit{500};
 constexpr int Backlog = 1024;
+// For the last answers of requests that the core has given up at shutdown.
+constexpr Milliseconds LastAnswerTime{1000};
 
 // One request of a connection: from its head to its answer.
 struct Exchange {
@@ -62,6 +65,7 @@
   class Filter;
 
   bool serveOne(CallerReader &Reader, int Fd);
+  void countRunning(int Change);
   void refuse(int Fd);
   void answerUnreadable(ReadVerdict Verdict, HttpSink &Sink);
   void handle(Exchange &Item, CallerReader &Reader, HttpSink &Sink);
@@ -83,7 +87,9 @@
   std::atomic<uint32_t> Open{0};
   std::atomic<bool> Stopping{false};
   std::mutex Mutex;
-  std::set<int> Sockets; // of open connections
+  std::condition_variable Idle; // the last running request has ended
+  std::set<int> Sockets;        // of open connections
+  uint32_t Running = 0;         // requests between their head and answer
 };
 
 class CallerFront::Connection : public Poco::Net::TCPServerConnection {
@@ -191,7 +197,8 @@
   Stopping.store(true);
   Server->stop();
   {
-    std::lock_guard lock(Mutex);
+    std::unique_lock lock(Mutex);
+    Idle.wait_for(lock, LastAnswerTime, [this] { return Running == 0; });
     for (int it : Sockets)
       ::shutdown(it, SHUT_RD);
   }
@@ -272,10 +279,21 @@
     answerUnreadable(verdict, sink);
     return false;
   }
+  if (!Events->ready())
+    sink.closeAfterwards(); // a draining instance lets its connections go
+  countRunning(1);
   handle(item, Reader, sink);
+  countRunning(-1);
   return sink.keepsAlive();
 }
 
+void CallerFront::countRunning(int Change) {
+  std::lock_guard lock(Mutex);
+  Running += static_cast<uint32_t>(Change);
+  if (Running == 0)
+    Idle.notify_all();
+}
+
 void CallerFront::handle(Exchange &Item, CallerReader &Reader, HttpSink &Sink) {
   Item.Id = Events->nextRequestId();
   Item.Config = Events->config();
--- a/src/mailbox.cc
+++ b/src/mailbox.cc
@@ -48,6 +48,14 @@
   return Broken;
 }
 
+void Mailbox::detach() {
+  std::lock_guard lock(Mutex);
+  Peer.clear();
+  Broken = false;
+  if (Items.empty())
+    Signal.clear();
+}
+
 void Mailbox::setPeer(const std::string &Instance) {
   std::lock_guard lock(Mutex);
   Peer = Instance;
--- a/src/mailbox.h
+++ b/src/mailbox.h
@@ -34,6 +34,9 @@
   void breakOff();
   bool broken();
 
+  // Forgets the instance at the other end and that it is gone.
+  void detach();
+
   // Instance that the request was forwarded to or came from.
   void setPeer(const std::string &Instance);
   bool hasPeer(const std::string &Instance);
--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -148,7 +148,10 @@
     leave();
   Result.Id = Request.Id;
   Result.Outcome = End.Outcome;
-  Result.OutputTokens = static_cast<uint32_t>(Sequence.next());
+  // For a service: whether a part of the answer has gone to the caller.
+  Result.OutputTokens = Result.At == Stage::Service
+                            ? (Begun ? 1 : 0)
+                            : static_cast<uint32_t>(Sequence.next());
   Context.Events->post(std::move(Result));
 }
 
@@ -169,7 +172,7 @@
     end = Context.Backends->prefill(call, work, *this);
   }
   if (end.Outcome == StageOutcome::Ok)
-    ResultUsed = false;
+    ResultAt = Item.Server;
   result.KvBytes = end.KvBytes;
   report(std::move(result), end);
 }
@@ -193,7 +196,8 @@
       work.Source = source->Address;
     work.MaxTokens = Request.Spec.MaxOutputTokens;
     work.FirstIndex = FirstIndex;
-    if (ResultUsed || Item.PrefillServer.empty())
+    // Without a prefill's result the decode server prefills the prompt itself.
+    if (ResultAt.empty() || ResultAt != Item.PrefillServer)
       work.PromptJson = &Request.PromptJson;
     end = Context.Backends->decode(call, work, *this, *this);
   }
@@ -217,12 +221,12 @@
 
 bool RelaySession::onEvent(const EngineEvent &Event) {
   if (Event.Imported) {
-    ResultUsed = true;
+    ResultAt.clear();
     Context.Events->post(StageProgress{Request.Id, Attempt,
                                        static_cast<uint32_t>(Sequence.next())});
   }
   if (Event.HasIndex && Event.HasToken) {
-    ResultUsed = true;
+    ResultAt.clear();
     return Sequence.take(Event.Index, Event.RawToken, TakeToken) &&
            PlainText.size() <= MaxPlainText;
   }
@@ -329,8 +333,9 @@
     result.HttpStatus = ServiceHead.Status;
     result.ContentType = ServiceHead.ContentType;
     result.Body = Remembered;
-  } else if (!Begun)
+  } else {
     Remembered.clear();
+  }
   report(std::move(result), end);
   if (Ended)
     return;
@@ -418,6 +423,7 @@
 }
 
 struct RelaySession::ForwardState {
+  bool Broken = false; // the link is lost or the answer broke off
   bool HeadSeen = false;
   bool Collect = false; // an error answer, whose Retry-After is in its body
   AnswerHead Head;
@@ -445,56 +451,51 @@
   return peers->send(Home, std::move(message));
 }
 
-void RelaySession::cancelForward() {
-  PeerSender *peers = Context.Peers ? Context.Peers() : nullptr;
-  if (peers)
-    peers->send(Home, ForwardCancel{Request.Id});
-}
-
+// The time without progress is not bounded here: a request may wait at the home
+// or be answered as a whole after minutes. The link's own heartbeat finds a
+// home that is gone, and the home bounds the stages that it runs.
 void RelaySession::forward(const ForwardToHome &Item) {
   if (!sendForward(Item)) {
-    Problem problem = problemFor(ErrorKind::HomeUnreachable,
-                                 "there is no link to the home", Request.Id);
-    problem.RetryAfter = Context.Values->Core.LeasePeriod;
-    answerProblem(problem);
+    reportForward(StageOutcome::NotSent);
     return;
   }
-  Milliseconds timeout = Item.Timeout.count() > 0
-                             ? Item.Timeout
-                             : Context.Values->Core.ProgressTimeout;
   ForwardState state;
-  while (!Ended) {
+  while (!Ended && !state.Broken) {
     MailboxItem next;
-    switch (nextItem(next, Clock::now() + timeout)) {
+    switch (nextItem(next, TimePoint::max())) {
     case Next::Item:
       onForwardItem(next, state);
       break;
-    case Next::CallerGone:
-      cancelForward();
-      leave();
-      break;
     case Next::Broken:
-      answerProblem(
-          problemFor(ErrorKind::OutcomeUnknown,
-                     "the link to the home broke before the whole answer came",
-                     Request.Id));
+      state.Broken = true;
       break;
+    case Next::CallerGone:
     case Next::TimedOut:
-      cancelForward();
-      answerProblem(problemFor(ErrorKind::BackendTimeout,
-                               "the home sent nothing in time", Request.Id));
+      leave(); // the core cancels at the home
       break;
     }
   }
+  if (!Ended)
+    reportForward(StageOutcome::Failed);
+}
+
+// The home's answer did not come; the core decides what the caller is told.
+void RelaySession::reportForward(StageOutcome Outcome) {
+  Mail.detach();
+  StageFinished result;
+  result.Id = Request.Id;
+  result.At = Stage::Service;
+  result.Outcome = Outcome;
+  result.Server = Home;
+  result.OutputTokens = Begun ? 1 : 0;
+  Context.Events->post(std::move(result));
 }
 
 void RelaySession::onForwardItem(const MailboxItem &Item, ForwardState &State) {
-  if (const auto *action = std::get_if<Action>(&Item)) {
-    cancelForward();
+  if (const auto *action = std::get_if<Action>(&Item))
     carryOut(*action);
-    return;
-  }
-  onForwardFrame(std::get<PeerMessage>(Item), State);
+  else
+    onForwardFrame(std::get<PeerMessage>(Item), State);
 }
 
 void RelaySession::onForwardFrame(const PeerMessage &Message,
@@ -519,8 +520,7 @@
 
 void RelaySession::endForward(bool Complete, ForwardState &State) {
   if (!Complete)
-    answerProblem(problemFor(ErrorKind::OutcomeUnknown,
-                             "the home's answer broke off", Request.Id));
+    State.Broken = true;
   else if (!State.Collect)
     finish(Sink.end(true));
   else {
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -69,7 +69,7 @@
   void onForwardItem(const MailboxItem &Item, ForwardState &State);
   void onForwardFrame(const PeerMessage &Message, ForwardState &State);
   void endForward(bool Complete, ForwardState &State);
-  void cancelForward();
+  void reportForward(StageOutcome Outcome);
 
   bool callFor(const std::string &Server, TimePoint NotAfter,
                Milliseconds Timeout, BackendCall &Call) const;
@@ -96,9 +96,9 @@
   uint32_t Attempt = 0;    // of the running stage
   uint64_t FirstIndex = 0; // of the running decode
   uint64_t ReportedTokens = 0;
-  bool ResultUsed = false; // a decode has imported the prefill's result
-  std::string Batch;       // stream events not yet written
-  std::string PlainText;   // text of a plain answer, escaped
+  std::string ResultAt;  // server that holds a prefill's result; empty: none
+  std::string Batch;     // stream events not yet written
+  std::string PlainText; // text of a plain answer, escaped
 
   AnswerHead ServiceHead;
   bool CollectService = false;
