Add stand-ins of the platform, engines and services

Cause: the whole path can only be tested and measured against outside systems, and none exist in this repository.

Change: three test programs on POCO Net. standin_platform serves numbered documents and lists with watches, old views for chosen readers and counts of calls. standin_engine models prefill, KV transfer, decode, eviction, lagging reports and a prefix cache, and keeps books of what ran and what is held. standin_service echoes calls and keeps books of what it executed. All have control calls for faults. Tokens of all streams are written by one thread with a timer wheel; each token carries a hash of its prompt, so a test sees mixed, missing and repeated tokens in the answer itself.

--- /dev/null
+++ b/standin/engine_books.h
@@ -0,0 +1,55 @@
+// What a stand-in engine ran, for tests and benchmarks. Not thread-safe.
+#ifndef STANDIN_ENGINE_BOOKS_H
+#define STANDIN_ENGINE_BOOKS_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace standin {
+
+struct RunRecord {
+  uint64_t Number = 0; // from 1 in the order of starts
+  std::string Kind;    // prefill or decode
+  std::string Request;
+  uint64_t Attempt = 0;
+  std::string Group;
+  uint64_t Priority = 0;
+  uint64_t Fence = 0;
+  uint32_t PromptTokens = 0;
+  uint32_t CachedTokens = 0;
+  uint32_t OutputTokens = 0; // written
+  uint32_t FirstIndex = 0;
+  int64_t StartedMs = 0;
+  int64_t EndedMs = 0; // 0: still running
+  // Prefill: running, done, imported, evicted, cancelled, superseded.
+  // Decode: running, done, cancelled, closed, superseded.
+  std::string Outcome = "running";
+};
+
+class EngineBooks {
+public:
+  // Returns the number of the record.
+  uint64_t begin(RunRecord Record);
+  // Null if the record is so old that it was dropped.
+  RunRecord *find(uint64_t Number);
+  void end(uint64_t Number, const std::string &Outcome, int64_t NowMs);
+  void refuse(const std::string &Reason) { ++Refused[Reason]; }
+  void order(const std::string &Kind, const std::string &Argument,
+             uint64_t Fence);
+
+  // JSON of the records after a number; `Held` is inserted as it is.
+  std::string json(uint64_t After, const std::string &Held) const;
+
+private:
+  std::deque<RunRecord> Records;
+  uint64_t LastNumber = 0;
+  std::map<std::string, uint64_t> Totals; // "prefill_done" and so on
+  std::map<std::string, uint64_t> Refused;
+  std::string Orders;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/standin/platform_store.h
@@ -0,0 +1,74 @@
+// What the stand-in platform publishes: configuration documents by number and
+// the newest list of instances, with old views for chosen readers.
+#ifndef STANDIN_PLATFORM_STORE_H
+#define STANDIN_PLATFORM_STORE_H
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace standin {
+
+using Published = std::map<uint64_t, std::string>; // by number
+
+// Thread-safe.
+class PlatformStore {
+public:
+  // Stores the text under its number, also over an older text. With `Strict`,
+  // refuses a number that isn't the highest plus one. A named reader gets the
+  // text instead of the one that everybody gets under this number.
+  bool publishConfig(uint64_t Version, const std::string &Text, bool Strict,
+                     const std::string &Reader);
+  void publishList(uint64_t Sequence, const std::string &Text);
+  uint64_t lastConfig() const;
+
+  // The reader sees nothing published later than these numbers.
+  void setStale(const std::string &Reader, uint64_t Config, uint64_t List);
+  void clearStale(const std::string &Reader);
+
+  // Without `After`, the newest. With it, waits for up to `Wait`.
+  std::optional<std::string> config(const std::string &Reader,
+                                    std::optional<uint64_t> After,
+                                    std::chrono::milliseconds Wait);
+  std::optional<std::string> list(const std::string &Reader,
+                                  std::optional<uint64_t> After,
+                                  std::chrono::milliseconds Wait);
+
+  std::string countsJson() const;
+
+private:
+  struct View {
+    uint64_t Config = UINT64_MAX;
+    uint64_t List = UINT64_MAX;
+  };
+  struct Counts {
+    uint64_t Config = 0;
+    uint64_t List = 0;
+    uint64_t Waiting = 0;
+  };
+
+  View viewOf(const std::string &Reader) const;
+  std::optional<std::string> findConfig(const std::string &Reader,
+                                        std::optional<uint64_t> After) const;
+  std::optional<std::string> findList(const std::string &Reader,
+                                      std::optional<uint64_t> After) const;
+  template <typename Find>
+  std::optional<std::string> await(const std::string &Reader,
+                                   std::chrono::milliseconds Wait, Find Lookup);
+
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  Published Configs;
+  Published Lists;
+  std::map<std::string, Published> ConfigsFor;
+  std::map<std::string, View> Views;
+  std::map<std::string, Counts> Calls;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/standin/prefix_cache.h
@@ -0,0 +1,63 @@
+// Model of an engine's cache of prompt prefixes: limited memory, least recently
+// used blocks go first, and change events that are published late and with
+// gaps. Not thread-safe.
+#ifndef STANDIN_PREFIX_CACHE_H
+#define STANDIN_PREFIX_CACHE_H
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace standin {
+
+struct PrefixCacheOptions {
+  uint64_t MemoryBytes = 8000000000;
+  std::chrono::milliseconds EventLag{500};
+  double EventLoss = 0.02; // part of the events that are never shown
+  uint64_t Seed = 1;       // chooses the lost events
+};
+
+class PrefixCache {
+public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  explicit PrefixCache(PrefixCacheOptions Options) : Options(Options) {}
+
+  // Number of leading blocks of the prompt that are cached.
+  size_t match(const std::vector<std::string> &Blocks) const;
+  // Caches all blocks, each of this size.
+  void insert(const std::vector<std::string> &Blocks, uint64_t BlockBytes,
+              TimePoint Now);
+  // Answer of GET /v1/cache_events.
+  std::string eventsJson(uint64_t After, TimePoint Now) const;
+
+private:
+  struct Block {
+    std::string Prefix;
+    uint64_t Bytes = 0;
+  };
+  struct Event {
+    uint64_t Sequence = 0;
+    TimePoint Time;
+    std::string Prefix;
+    bool Added = false;
+  };
+
+  void note(const std::string &Prefix, bool Added, TimePoint Now);
+  bool isLost(uint64_t Sequence) const;
+
+  PrefixCacheOptions Options;
+  std::list<Block> Blocks; // least recently used first
+  std::unordered_map<std::string, std::list<Block>::iterator> Index;
+  uint64_t UsedBytes = 0;
+  std::deque<Event> Events;
+  uint64_t LastSequence = 0;
+};
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/standin/server_flags.h
@@ -0,0 +1,20 @@
+// Command-line flags that every stand-in has.
+#ifndef STANDIN_SERVER_FLAGS_H
+#define STANDIN_SERVER_FLAGS_H
+
+#include "standin_server.h"
+
+#include <CLI/CLI.hpp>
+
+namespace standin {
+
+inline void addServerFlags(CLI::App &App, ServerOptions &Options) {
+  App.add_option("--listen", Options.Address, "IP address to listen on");
+  App.add_option("--port", Options.Port, "TCP port; 0: chosen by the kernel");
+  App.add_option("--lifetime-s", Options.LifetimeSeconds,
+                 "seconds after which the process ends by itself");
+}
+
+} // namespace standin
+
+#endif
--- /dev/null
+++ b/standin/token_pacer.h
@@ -0,0 +1,93 @@
+// Writes the tokens of many decode streams at their pace from one thread, with
+// a timer wheel of one-millisecond ticks.
+#ifndef STANDIN_TOKEN_PACER_H
+#define STANDIN_TOKEN_PACER_H
+
+#include <atomic>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace standin {
+
+enum class StreamEnd : uint8_t {
+  Running,
+  Done,    // all tokens and the end event are written
+  Stopped, // stop() was called
+  Closed,  // the client closed the connection
+};
+
+struct TokenStream : boost::intrusive_ref_counter<TokenStream> {
+  int Descriptor = -1;
+  std::string Mark; // in each token, so that mixed answers show
+  uint32_t NextIndex = 0;
+  uint32_t EndIndex = 0;
+  std::chrono::microseconds Interval{25000};
+  // True while a fault keeps the connection from writing.
+  std::function<bool()> Muted;
+  std::atomic<uint32_t> Sent{0}; // tokens written
+
+  // Thread-safe. The pacer gives the stream up at its next token.
+  void stop();
+  bool stopped() const;
+  // Waits until stop() is called or the time is over; true if stopped.
+  bool stoppedWithin(std::chrono::microseconds Time);
+  StreamEnd waitForEnd();
+  void end(StreamEnd Reason);
+
+  std::string Pending; // bytes that the socket didn't take yet
+
+private:
+  mutable std::mutex Mutex;
+  std::condition_variable Changed;
+  bool StopAsked = false;
+  StreamEnd Reason = StreamEnd::Running;
+};
+
+using StreamPtr = boost::intrusive_ptr<TokenStream>;
+
+// A chunk of HTTP's chunked encoding that holds one server-sent event.
+std::string eventChunk(const std::string &Json);
+
+class TokenPacer {
+public:
+  TokenPacer();
+  ~TokenPacer();
+
+  // The first token is due after one interval. The descriptor must stay open
+  // until waitForEnd() returns.
+  void add(StreamPtr Stream);
+
+private:
+  using Clock = std::chrono::steady_clock;
+  struct Due {
+    Clock::time_point Time;
+    StreamPtr Stream;
+  };
+
+  void run();
+  void runTick(uint64_t Tick);
+  // Writes what is due; false if the stream has ended.
+  bool advance(Due &Entry);
+  void schedule(Due Entry);
+  uint64_t tickOf(Clock::time_point Time) const;
+
+  const Clock::time_point Start = Clock::now();
+  std::mutex Mutex;
+  std::vector<Due> Added;
+  std::vector<std::vector<Due>> Wheel;
+  uint64_t CurrentTick = 0;
+  std::atomic<bool> Ending{false};
+  std::thread Thread;
+};
+
+} // namespace standin
+
+#endif
