Test the callers' front, the relay and the backend calls

Cause: request parsing, limits, token indexes and outcomes of backend calls had no tests. Change: unit tests against a small socket server in the test process.

--- /dev/null
+++ b/test/backend_client_test.cc
@@ -0,0 +1,342 @@
+#include "backend_client.h"
+
+#include "test_socket.h"
+
+#include <atomic>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <mutex>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+const std::string Prompt = "\"hello\"";
+const std::vector<uint64_t> NoHashes;
+
+BackendCall callTo(const std::string &Address,
+                   int TimeoutMilliseconds = 10000) {
+  BackendCall call;
+  call.Address = Address;
+  call.ConnectTimeout = Milliseconds(10000);
+  call.Timeout = Milliseconds(TimeoutMilliseconds);
+  return call;
+}
+
+PrefillEnd prefill(BackendClient &Client, const BackendCall &Call) {
+  PrefillWork work;
+  work.Common.Id = {1, 2};
+  work.Common.Model = "m";
+  work.Common.Group = "g";
+  work.PromptJson = &Prompt;
+  work.PromptTokens = 1;
+  work.PrefixHashes = &NoHashes;
+  PlainWaiter waiter;
+  return Client.prefill(Call, work, waiter);
+}
+
+// Collects what a decode stream gives.
+struct Collector : DecodeHandler {
+  std::string Text;
+  bool Imported = false;
+  bool Done = false;
+  int Batches = 0;
+
+  bool onEvent(const EngineEvent &Event) override {
+    Imported = Imported || Event.Imported;
+    Done = Done || Event.Done;
+    Text += Event.RawToken;
+    return true;
+  }
+  bool onBatch() override {
+    ++Batches;
+    return true;
+  }
+};
+
+CallEnd decode(BackendClient &Client, const BackendCall &Call,
+               Collector &Events) {
+  DecodeWork work;
+  work.Common.Id = {1, 2};
+  work.MaxTokens = 3;
+  PlainWaiter waiter;
+  return Client.decode(Call, work, waiter, Events);
+}
+
+struct ServiceCollector : ServiceHandler {
+  uint32_t Status = 0;
+  std::string Body;
+
+  bool onHead(const HttpHead &Head) override {
+    Status = Head.Status;
+    return true;
+  }
+  bool onBody(std::string_view Data) override {
+    Body += Data;
+    return true;
+  }
+};
+
+std::string chunk(const std::string &Text) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", Text.size());
+  return size + Text + "\r\n";
+}
+
+const std::string StreamHead = "HTTP/1.1 200 OK\r\nContent-Type: "
+                               "text/event-stream\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n";
+
+// Address of a port on which nobody listens.
+std::string closedAddress() {
+  ScriptServer server([](int, int) {});
+  return server.address();
+}
+
+} // namespace
+
+TEST_CASE("A refused connection means that nothing was sent") {
+  BackendClient client;
+  PrefillEnd end = prefill(client, callTo(closedAddress()));
+  CHECK(end.Outcome == StageOutcome::NotSent);
+  CHECK(prefill(client, callTo("no address")).Outcome == StageOutcome::NotSent);
+}
+
+TEST_CASE("A call whose time has passed sends nothing") {
+  // Guards against a process that wakes late and dispatches under a lease that
+  // it no longer has.
+  std::atomic<int> bytes{0};
+  ScriptServer server(
+      [&](int Fd, int) { bytes += static_cast<int>(readAll(Fd).size()); });
+  BackendClient client;
+  BackendCall call = callTo(server.address());
+  call.NotAfter = std::chrono::steady_clock::now() - Milliseconds(1);
+  CHECK(prefill(client, call).Outcome == StageOutcome::NotSent);
+  CHECK(bytes.load() == 0);
+}
+
+TEST_CASE("A finished prefill gives its size and the connection is reused") {
+  std::string first;
+  ScriptServer server([&](int Fd, int) {
+    for (int i = 0; i < 2; ++i) {
+      std::string text = readRequest(Fd);
+      if (i == 0)
+        first = text;
+      sendText(Fd, httpAnswer(200, R"({"kv_bytes":77,"cached_tokens":0})"));
+    }
+  });
+  BackendClient client;
+  PrefillEnd end = prefill(client, callTo(server.address()));
+  CHECK(end.Outcome == StageOutcome::Ok);
+  CHECK(end.KvBytes == 77);
+  CHECK(prefill(client, callTo(server.address())).Outcome == StageOutcome::Ok);
+  CHECK(server.connections() == 1);
+  CHECK(first.find("\"request\":\"1-2\"") != std::string::npos);
+  CHECK(first.find("\"prompt\":\"hello\"") != std::string::npos);
+}
+
+TEST_CASE("Only refusals that the protocol names count as not run") {
+  struct Case {
+    int Status;
+    const char *Body;
+    StageOutcome Expected;
+  };
+  const Case cases[] = {
+      {503, R"({"refused":"full"})", StageOutcome::RefusedFull},
+      {409, R"({"refused":"fence"})", StageOutcome::RefusedFence},
+      {409, R"({"refused":"evicted"})", StageOutcome::RefusedOther},
+      {503, R"({"error":"x"})", StageOutcome::Failed},
+      {503, "not JSON", StageOutcome::Failed},
+      {500, R"({"refused":"full"})", StageOutcome::Failed},
+      {404, "", StageOutcome::Failed},
+  };
+  for (const Case &it : cases) {
+    ScriptServer server([&](int Fd, int) {
+      readRequest(Fd);
+      sendText(Fd, httpAnswer(it.Status, it.Body));
+    });
+    BackendClient client;
+    CHECK_MESSAGE(prefill(client, callTo(server.address())).Outcome ==
+                      it.Expected,
+                  it.Status, " ", it.Body);
+    Collector events;
+    CHECK_MESSAGE(decode(client, callTo(server.address()), events).Outcome ==
+                      it.Expected,
+                  it.Status, " ", it.Body);
+  }
+}
+
+TEST_CASE("A connection that breaks before or within the answer is a failure") {
+  // Guards against reporting "not run" for a request that the server has.
+  const std::string answers[] = {
+      "", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{",
+      "nonsense\r\n\r\n"};
+  for (bool reset : {false, true})
+    for (const std::string &it : answers) {
+      ScriptServer server([&](int Fd, int) {
+        readRequest(Fd);
+        sendText(Fd, it);
+        if (reset)
+          resetOnClose(Fd);
+      });
+      BackendClient client;
+      CHECK_MESSAGE(prefill(client, callTo(server.address())).Outcome ==
+                        StageOutcome::Failed,
+                    it);
+    }
+}
+
+TEST_CASE("A server that stays silent is timed out") {
+  ScriptServer server([](int Fd, int) {
+    readRequest(Fd);
+    readAll(Fd);
+  });
+  BackendClient client;
+  CHECK(prefill(client, callTo(server.address(), 50)).Outcome ==
+        StageOutcome::TimedOut);
+}
+
+TEST_CASE("A stalled stream is timed out after its last token") {
+  ScriptServer server([](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, StreamHead + chunk("data: {\"index\":0,\"token\":\"a\"}\n\n"));
+    readAll(Fd);
+  });
+  BackendClient client;
+  Collector events;
+  CallEnd end = decode(client, callTo(server.address(), 50), events);
+  CHECK(end.Outcome == StageOutcome::TimedOut);
+  CHECK(events.Text == "a");
+}
+
+TEST_CASE("A stream is whole only with its last event") {
+  // Guards against a cut-off answer that looks complete.
+  auto run = [](const std::string &Rest, Collector &Events) {
+    ScriptServer server([&](int Fd, int) {
+      readRequest(Fd);
+      sendText(Fd, StreamHead + chunk("data: {\"imported\":true}\n\n") +
+                       chunk("data: {\"index\":0,\"tok") +
+                       chunk("en\":\"a\"}\r\n\r\ndata: "
+                             "{\"index\":1,\"token\":\"b\"}\n\n") +
+                       Rest);
+    });
+    BackendClient client;
+    return decode(client, callTo(server.address()), Events).Outcome;
+  };
+  Collector whole;
+  CHECK(run(chunk("data: {\"done\":true,\"tokens\":2}\n\n"), whole) ==
+        StageOutcome::Ok);
+  CHECK(whole.Text == "ab");
+  CHECK(whole.Imported);
+  CHECK(whole.Done);
+  Collector cut;
+  CHECK(run("", cut) == StageOutcome::Failed);
+  CHECK(cut.Text == "ab");
+  Collector ended;
+  CHECK(run("0\r\n\r\n", ended) == StageOutcome::Failed);
+  Collector bad;
+  CHECK(run(chunk("data: {\"index\":x}\n\n"), bad) == StageOutcome::Failed);
+}
+
+TEST_CASE("A service's answer is passed on, and its refusals are recognised") {
+  const std::string body = "in";
+  ServiceWork work;
+  work.Id = {1, 2};
+  work.Fence = 9;
+  work.Method = "POST";
+  work.Path = "/x?y=1";
+  work.ContentType = "text/plain";
+  work.IdempotencyKey = "k";
+  work.Body = &body;
+  auto run = [&](const std::string &Answer, ServiceCollector &Out,
+                 std::string &Request) {
+    ScriptServer server([&](int Fd, int) {
+      Request = readRequest(Fd);
+      sendText(Fd, Answer);
+    });
+    BackendClient client;
+    PlainWaiter waiter;
+    return client.service(callTo(server.address()), work, waiter, Out).Outcome;
+  };
+  ServiceCollector ok;
+  std::string request;
+  CHECK(run(httpAnswer(201, "out"), ok, request) == StageOutcome::Ok);
+  CHECK(ok.Status == 201);
+  CHECK(ok.Body == "out");
+  CHECK(request.starts_with("POST /x?y=1 HTTP/1.1\r\n"));
+  for (const char *it :
+       {"\r\nCrocusspur-Request: 1-2\r\n", "\r\nCrocusspur-Fence: 9\r\n",
+        "\r\nIdempotency-Key: k\r\n", "\r\nContent-Type: text/plain\r\n",
+        "\r\n\r\nin"})
+    CHECK_MESSAGE(request.find(it) != std::string::npos, it);
+  ServiceCollector out;
+  CHECK(run("HTTP/1.1 503 X\r\nCrocusspur-Refused: full\r\nContent-Length: "
+            "0\r\n\r\n",
+            out, request) == StageOutcome::RefusedFull);
+  CHECK(run("HTTP/1.1 503 X\r\nCrocusspur-Refused: fence\r\nContent-Length: "
+            "0\r\n\r\n",
+            out, request) == StageOutcome::RefusedFence);
+  // A 503 of the service itself may come after execution.
+  ServiceCollector own;
+  CHECK(run(httpAnswer(503, "busy"), own, request) == StageOutcome::Ok);
+  CHECK(own.Status == 503);
+  ServiceCollector cut;
+  CHECK(run("HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nabc", cut, request) ==
+        StageOutcome::Failed);
+}
+
+TEST_CASE(
+    "A control call is repeated once when a reused connection has broken") {
+  // Guards against lost cancels after a server closed an idle connection.
+  ScriptServer server([](int Fd, int Number) {
+    readRequest(Fd);
+    sendText(Fd, httpAnswer(200, "{}"));
+    if (Number == 0)
+      readRequest(Fd); // closes without an answer
+  });
+  BackendClient client;
+  uint32_t status = 0;
+  for (int i = 0; i < 2; ++i) {
+    std::string answer;
+    CHECK(client.control(callTo(server.address()), "POST", "/v1/cancel",
+                         "{\"request\":\"1-2\"}", status, answer));
+    CHECK(status == 200);
+  }
+  CHECK(server.connections() == 2);
+}
+
+TEST_CASE("A prefill on a reused connection that breaks is a failure") {
+  // Guards against sending a request twice that has crashed its server.
+  ScriptServer server([](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, httpAnswer(200, "{\"kv_bytes\":1}"));
+    readRequest(Fd);
+  });
+  BackendClient client;
+  CHECK(prefill(client, callTo(server.address())).Outcome == StageOutcome::Ok);
+  CHECK(prefill(client, callTo(server.address())).Outcome ==
+        StageOutcome::Failed);
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("A connection that the server closed while idle is not reused") {
+  std::atomic<bool> closed{false};
+  ScriptServer server([&](int Fd, int Number) {
+    readRequest(Fd);
+    sendText(Fd, httpAnswer(200, "{\"kv_bytes\":1}"));
+    if (Number == 0) {
+      resetOnClose(Fd);
+      closed.store(true);
+    }
+  });
+  BackendClient client;
+  CHECK(prefill(client, callTo(server.address())).Outcome == StageOutcome::Ok);
+  CHECK(eventually([&] { return closed.load(); }));
+  // The reset needs a moment to arrive; until it has, the call may fail.
+  CHECK(eventually([&] {
+    return prefill(client, callTo(server.address())).Outcome ==
+           StageOutcome::Ok;
+  }));
+  CHECK(server.connections() >= 2);
+}
--- /dev/null
+++ b/test/caller_reader_test.cc
@@ -0,0 +1,120 @@
+#include "caller_reader.h"
+
+#include "test_socket.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+CallerLimits limits(int IdleMilliseconds) {
+  CallerLimits values;
+  values.MaxHeaderFields = 8;
+  values.MaxBodyBytes = 100;
+  values.IdleTimeout = Milliseconds(IdleMilliseconds);
+  return values;
+}
+
+} // namespace
+
+TEST_CASE("Requests that arrive together are read one after the other") {
+  SocketPair sockets;
+  CallerLimits values = limits(10000);
+  CallerReader reader(sockets.near(), values);
+  sendText(sockets.far(), "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nxyPOST "
+                          "/b HTTP/1.1\r\n\r\n");
+  HttpHead head;
+  REQUIRE(reader.readHead(head) == ReadVerdict::Ok);
+  std::string body;
+  REQUIRE(reader.readBody({BodyForm::Length, 2}, body) == ReadVerdict::Ok);
+  CHECK(body == "xy");
+  HttpHead next;
+  REQUIRE(reader.readHead(next) == ReadVerdict::Ok);
+  CHECK(next.Target == "/b");
+}
+
+TEST_CASE("A caller that sends its head bit by bit is timed out in total") {
+  // Guards against a slow sender that holds a thread by sending one byte within
+  // each idle time.
+  SocketPair sockets;
+  CallerLimits values = limits(100);
+  CallerReader reader(sockets.near(), values);
+  std::atomic<bool> done{false};
+  std::thread sender([&] {
+    sendText(sockets.far(), "GET / HTTP/1.1\r\nA: ");
+    while (!done.load()) {
+      sendText(sockets.far(), "x");
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+  });
+  HttpHead head;
+  ReadVerdict verdict = reader.readHead(head);
+  done.store(true);
+  sender.join();
+  CHECK(verdict == ReadVerdict::TimedOut);
+}
+
+TEST_CASE("A connection that stays idle between requests is closed silently") {
+  SocketPair sockets;
+  CallerLimits values = limits(50);
+  CallerReader reader(sockets.near(), values);
+  HttpHead head;
+  CHECK(reader.readHead(head) == ReadVerdict::Closed);
+}
+
+TEST_CASE("A head without end is refused at the limit") {
+  SocketPair sockets;
+  CallerLimits values = limits(10000);
+  CallerReader reader(sockets.near(), values);
+  std::thread sender([&] {
+    sendText(sockets.far(), "GET / HTTP/1.1\r\n" + std::string(40000, 'a'));
+  });
+  HttpHead head;
+  CHECK(reader.readHead(head) == ReadVerdict::TooLarge);
+  sender.join();
+}
+
+TEST_CASE("Bodies over the limit are refused, by length before they are read") {
+  SocketPair sockets;
+  CallerLimits values = limits(10000);
+  CallerReader reader(sockets.near(), values);
+  std::string body;
+  CHECK(reader.readBody({BodyForm::Length, 101}, body) ==
+        ReadVerdict::TooLarge);
+  sendText(sockets.far(), "80\r\n" + std::string(128, 'a') + "\r\n0\r\n\r\n");
+  CHECK(reader.readBody({BodyForm::Chunked, 0}, body) == ReadVerdict::TooLarge);
+}
+
+TEST_CASE("A body that stops midway is timed out, and one that is cut off is "
+          "noticed") {
+  SocketPair sockets;
+  CallerLimits values = limits(50);
+  CallerReader reader(sockets.near(), values);
+  sendText(sockets.far(), "abc");
+  std::string body;
+  CHECK(reader.readBody({BodyForm::Length, 10}, body) == ReadVerdict::TimedOut);
+  sockets.closeFar();
+  CHECK(reader.readBody({BodyForm::Length, 10}, body) == ReadVerdict::Closed);
+}
+
+TEST_CASE("A gentle close lets the caller read the answer before the end") {
+  // Guards against a reset that destroys the answer while the caller still
+  // sends its body.
+  SocketPair sockets;
+  CallerLimits values = limits(10000);
+  CallerReader reader(sockets.near(), values);
+  std::string received;
+  std::thread caller([&] {
+    sendText(sockets.far(), std::string(300000, 'b'));
+    ::shutdown(sockets.far(), SHUT_WR);
+    received = readAll(sockets.far());
+  });
+  sendText(sockets.near(), "answer");
+  reader.closeGently();
+  caller.join();
+  CHECK(received == "answer");
+}
--- /dev/null
+++ b/test/caller_request_test.cc
@@ -0,0 +1,199 @@
+#include "caller_request.h"
+
+#include <boost/leaf.hpp>
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace crocusspur;
+using namespace crocusspur::internal;
+
+namespace {
+
+ConfigDocument config() {
+  ConfigDocument document;
+  document.Version = 1;
+  document.Models.push_back({"m", 1, Milliseconds(800), {}});
+  document.Services.push_back({"bays", {}, {"GET"}});
+  return document;
+}
+
+struct Outcome {
+  std::optional<CallerRequest> Request;
+  RequestFault Fault;
+};
+
+Outcome parsed(RequestInput Input) {
+  Outcome outcome;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(outcome.Request,
+                          parseCallerRequest(std::move(Input), config()));
+        return {};
+      },
+      [&](const RequestFault &Fault) { outcome.Fault = Fault; },
+      [] { FAIL("the error carries no fault"); });
+  return outcome;
+}
+
+Outcome completion(const std::string &Body) {
+  RequestInput input;
+  input.Method = "POST";
+  input.Target = "/v1/completions";
+  input.Group = "g";
+  input.Body = Body;
+  return parsed(input);
+}
+
+Outcome chat(const std::string &Body) {
+  RequestInput input;
+  input.Method = "POST";
+  input.Target = "/v1/chat/completions";
+  input.Body = Body;
+  return parsed(input);
+}
+
+} // namespace
+
+TEST_CASE("A completion request has defaults for what it leaves out") {
+  Outcome outcome = completion(R"({"model":"m","prompt":"a \"b\"","x":1})");
+  REQUIRE(outcome.Request);
+  const CallerRequest &request = *outcome.Request;
+  CHECK(request.Spec.Group == "g");
+  CHECK((request.Spec.Kind == RequestKind::Model));
+  CHECK(request.Spec.Target == "m");
+  CHECK(request.Spec.Idempotent);
+  CHECK(request.Spec.MaxOutputTokens == 256);
+  CHECK(request.Spec.PromptTokens == 1);
+  CHECK(request.Spec.PrefixHashes.empty());
+  CHECK_FALSE(request.Stream);
+  CHECK(request.PromptJson == "\"a \\\"b\\\"\"");
+}
+
+TEST_CASE("Chat messages become one prompt") {
+  Outcome outcome = chat(
+      R"({"model":"m","stream":true,"messages":[{"role":"system","content":"s"},
+          {"role":"user","content":[{"type":"text","text":"a"},
+          {"type":"text","text":"b"}]}]})");
+  REQUIRE(outcome.Request);
+  CHECK(outcome.Request->PromptJson == "\"system: s\\nuser: ab\\n\"");
+  CHECK(outcome.Request->Stream);
+}
+
+TEST_CASE("Bad bodies are refused as bad requests") {
+  for (const char *it :
+       {"", "[]", "{", "null", "\"x\"", R"({"prompt":"a"})", R"({"model":"m"})",
+        R"({"model":5,"prompt":"a"})", R"({"model":"m","prompt":["a"]})",
+        R"({"model":"m","prompt":"a","max_tokens":0})",
+        R"({"model":"m","prompt":"a","max_tokens":-1})",
+        R"({"model":"m","prompt":"a","max_tokens":32769})",
+        R"({"model":"m","prompt":"a","max_tokens":1.5})",
+        R"({"model":"m","prompt":"a","max_tokens":true})",
+        R"({"model":"m","prompt":"a","max_tokens":99999999999999999999})",
+        R"({"model":"m","prompt":"a","stream":"yes"})",
+        R"({"model":"m","prompt":"a","prompt_tokens":0})"}) {
+    Outcome outcome = completion(it);
+    CHECK_MESSAGE(!outcome.Request, it);
+    CHECK_MESSAGE(outcome.Fault.Kind == ErrorKind::BadRequest, it);
+  }
+  for (
+      const char *it :
+      {R"({"model":"m","messages":[]})", R"({"model":"m","messages":"a"})",
+       R"({"model":"m","messages":[1]})",
+       R"({"model":"m","messages":[{"role":"user"}]})",
+       R"({"model":"m","messages":[{"content":"a"}]})",
+       R"({"model":"m","messages":[{"role":"u","content":[{"type":"image"}]}]})"})
+    CHECK_MESSAGE(!chat(it).Request, it);
+}
+
+TEST_CASE("A deeply nested body is refused without exhausting the stack") {
+  // Guards against a crash on a thread with a small stack.
+  std::string deep(400000, '[');
+  CHECK_FALSE(completion(deep).Request);
+  CHECK_FALSE(completion("{\"model\":\"m\",\"prompt\":" + deep).Request);
+}
+
+TEST_CASE("The prompt never shows in the reason of a refusal") {
+  Outcome outcome = completion(R"({"model":"m","prompt":"secret",)");
+  CHECK(outcome.Fault.Detail.find("secret") == std::string::npos);
+}
+
+TEST_CASE("Unknown models and services are not found") {
+  CHECK(completion(R"({"model":"x","prompt":"a"})").Fault.Kind ==
+        ErrorKind::NotFound);
+  RequestInput input;
+  input.Method = "GET";
+  input.Target = "/services/none/x";
+  CHECK(parsed(input).Fault.Kind == ErrorKind::NotFound);
+}
+
+TEST_CASE(
+    "Service requests keep path and query, and the method decides whether "
+    "they may be repeated") {
+  RequestInput input;
+  input.Method = "POST";
+  input.Target = "/services/bays/slots/7?from=1";
+  Outcome outcome = parsed(input);
+  REQUIRE(outcome.Request);
+  CHECK(outcome.Request->Path.ServicePath == "/slots/7?from=1");
+  CHECK_FALSE(outcome.Request->Spec.Idempotent);
+  input.Method = "GET";
+  input.Target = "/services/bays?from=1";
+  outcome = parsed(input);
+  REQUIRE(outcome.Request);
+  CHECK(outcome.Request->Path.ServicePath == "/?from=1");
+  CHECK(outcome.Request->Spec.Idempotent);
+}
+
+TEST_CASE("Routes are found by the whole path") {
+  CHECK(findRoute("/v1/completions?x=1"));
+  CHECK(findRoute("/v1/tickets")->Kind == RouteKind::Ticket);
+  for (const char *it : {"/", "/v1/completionsx", "/v1", "/services/",
+                         "/services//x", "/services"})
+    CHECK_MESSAGE(!findRoute(it), it);
+}
+
+TEST_CASE("Idempotency keys are printable, without spaces and bounded") {
+  CHECK(isIdempotencyKey("a"));
+  CHECK(isIdempotencyKey(std::string(128, '~')));
+  CHECK_FALSE(isIdempotencyKey(""));
+  CHECK_FALSE(isIdempotencyKey(std::string(129, 'a')));
+  CHECK_FALSE(isIdempotencyKey("a b"));
+  CHECK_FALSE(isIdempotencyKey("a\x7f"));
+  CHECK_FALSE(isIdempotencyKey("\xc3\xa9"));
+}
+
+TEST_CASE("Prefix hashes cover whole blocks and depend on all text before") {
+  std::string text(1024 * 3 + 100, 'a');
+  std::vector<uint64_t> hashes = prefixHashes(text);
+  REQUIRE(hashes.size() == 3);
+  CHECK(hashes[0] != hashes[1]);
+  std::string other = text;
+  other[0] = 'b';
+  CHECK(prefixHashes(other)[2] != hashes[2]);
+  other = text;
+  other[2048] = 'b';
+  CHECK(prefixHashes(other)[1] == hashes[1]);
+  CHECK(prefixHashes(std::string(1024 * 40, 'a')).size() == 16);
+  CHECK(prefixHashes(std::string(1023, 'a')).empty());
+}
+
+TEST_CASE("Fingerprints tell groups, targets and bodies apart") {
+  // Guards against one group's crashing request punishing another's.
+  RequestInput input;
+  input.Method = "POST";
+  input.Target = "/v1/completions";
+  input.Group = "g";
+  input.Body = R"({"model":"m","prompt":"a"})";
+  uint64_t first = parsed(input).Request->Spec.Fingerprint;
+  CHECK(parsed(input).Request->Spec.Fingerprint == first);
+  input.Group = "h";
+  CHECK(parsed(input).Request->Spec.Fingerprint != first);
+  input.Group = "g";
+  input.Body = R"({"model":"m","prompt":"b"})";
+  CHECK(parsed(input).Request->Spec.Fingerprint != first);
+}
+
+TEST_CASE("Tokens are estimated from bytes, at least one") {
+  CHECK(estimateTokens("") == 1);
+  CHECK(estimateTokens("abcdefgh") == 2);
+}
--- /dev/null
+++ b/test/http_header_test.cc
@@ -0,0 +1,109 @@
+#include "http_header.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur::internal;
+
+namespace {
+
+HeadVerdict verdictOf(const std::string &Text) {
+  HttpHead head;
+  return parseRequestHead(Text, 4, head);
+}
+
+// Feeds the body in pieces of one size and returns the content, or "bad".
+std::string decoded(const BodyFraming &Framing, const std::string &Text,
+                    size_t PieceSize) {
+  BodyDecoder decoder;
+  decoder.reset(Framing);
+  std::string out;
+  for (size_t i = 0; i < Text.size(); i += PieceSize) {
+    std::string piece = Text.substr(i, PieceSize);
+    std::string_view input(piece);
+    if (!decoder.feed(input, out))
+      return "bad";
+  }
+  return decoder.complete() ? out : "incomplete";
+}
+
+} // namespace
+
+TEST_CASE("A request head gives its method, target and fields without case") {
+  HttpHead head;
+  REQUIRE(
+      parseRequestHead("POST /a?b=c HTTP/1.1\r\nHost: x\r\nX-Y:  v \r\n\r\n", 4,
+                       head) == HeadVerdict::Ok);
+  CHECK(head.Method == "POST");
+  CHECK(head.Target == "/a?b=c");
+  REQUIRE(head.find("x-y"));
+  CHECK(*head.find("x-y") == "v");
+  CHECK(head.wantsKeepAlive());
+}
+
+TEST_CASE("Malformed request heads are told from those over a limit") {
+  // Guards against a head that another parser would read differently.
+  for (const char *it :
+       {"GET / HTTP/2.0\r\n\r\n", "GET  HTTP/1.1\r\n\r\n", "\r\n\r\n",
+        "GET x HTTP/1.1\r\n\r\n", "G@T / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nA : b\r\n\r\n", "GET / HTTP/1.1\r\nA\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\x01\r\n\r\n",
+        "GET / HTTP/1.1\nA: b\n\n\r\n\r\n"})
+    CHECK_MESSAGE(verdictOf(it) == HeadVerdict::Malformed, it);
+  CHECK(verdictOf(
+            "GET / HTTP/1.1\r\nA: 1\r\nB: 2\r\nC: 3\r\nD: 4\r\nE: 5\r\n\r\n") ==
+        HeadVerdict::TooLarge);
+  CHECK(verdictOf("GET / HTTP/1.1\r\nA: " + std::string(9000, 'x') +
+                  "\r\n\r\n") == HeadVerdict::TooLarge);
+  CHECK(verdictOf("GET /" + std::string(9000, 'x') + " HTTP/1.1\r\n\r\n") ==
+        HeadVerdict::TooLarge);
+}
+
+TEST_CASE("A request whose end is ambiguous is refused") {
+  // Guards against request smuggling through a load balancer.
+  auto usable = [](const std::string &Fields) {
+    HttpHead head;
+    BodyFraming framing;
+    REQUIRE(parseRequestHead("POST / HTTP/1.1\r\n" + Fields + "\r\n", 8,
+                             head) == HeadVerdict::Ok);
+    return requestFraming(head, framing);
+  };
+  CHECK(usable("Content-Length: 3\r\n"));
+  CHECK(usable("Transfer-Encoding: chunked\r\n"));
+  CHECK(usable("Content-Length: 3\r\nContent-Length: 3\r\n"));
+  CHECK_FALSE(usable("Content-Length: 3\r\nContent-Length: 4\r\n"));
+  CHECK_FALSE(usable("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"));
+  CHECK_FALSE(usable("Transfer-Encoding: gzip, chunked\r\n"));
+  CHECK_FALSE(usable("Content-Length: -3\r\n"));
+  CHECK_FALSE(usable("Content-Length: 99999999999999999999999\r\n"));
+}
+
+TEST_CASE("A chunked body is decoded whatever the size of the pieces") {
+  BodyFraming framing{BodyForm::Chunked, 0};
+  const std::string text =
+      "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: x\r\n\r\n";
+  for (size_t i = 1; i <= text.size(); ++i)
+    CHECK_MESSAGE(decoded(framing, text, i) == "hello world", i);
+  CHECK(decoded(framing, "5\r\nhel", 2) == "incomplete");
+  CHECK(decoded(framing, "zz\r\nhello\r\n", 3) == "bad");
+  CHECK(decoded(framing, "5\r\nhelloXX\r\n0\r\n\r\n", 3) == "bad");
+  CHECK(decoded(framing, std::string(9000, '1'), 100) == "bad");
+}
+
+TEST_CASE("A body that ends with the connection is complete only then") {
+  // Guards against taking a broken connection for the end of a known length.
+  BodyDecoder decoder;
+  std::string out;
+  std::string_view input = "abc";
+  decoder.reset({BodyForm::UntilClose, 0});
+  REQUIRE(decoder.feed(input, out));
+  CHECK_FALSE(decoder.complete());
+  decoder.endOfInput();
+  CHECK(decoder.complete());
+
+  decoder.reset({BodyForm::Length, 10});
+  input = "abc";
+  REQUIRE(decoder.feed(input, out));
+  decoder.endOfInput();
+  CHECK_FALSE(decoder.complete());
+}
--- /dev/null
+++ b/test/test_socket.h
@@ -0,0 +1,69 @@
+// Sockets on loopback for tests: a pair, and a server whose connections run a
+// script on their own threads. Ports are chosen by the kernel.
+#ifndef CROCUSSPUR_TEST_SOCKET_H
+#define CROCUSSPUR_TEST_SOCKET_H
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+// Two connected TCP sockets.
+class SocketPair {
+public:
+  SocketPair();
+  ~SocketPair();
+  SocketPair(const SocketPair &) = delete;
+  SocketPair &operator=(const SocketPair &) = delete;
+
+  int near() const { return Near; }
+  int far() const { return Far; }
+  void closeFar();
+
+private:
+  int Near = -1;
+  int Far = -1;
+};
+
+// Runs the script for each connection; `Number` counts connections from 0. The
+// socket is closed when the script returns.
+class ScriptServer {
+public:
+  using Script = std::function<void(int Fd, int Number)>;
+
+  explicit ScriptServer(Script Run);
+  ~ScriptServer();
+  ScriptServer(const ScriptServer &) = delete;
+  ScriptServer &operator=(const ScriptServer &) = delete;
+
+  std::string address() const;
+  int connections() const { return Count.load(); }
+
+private:
+  void accept();
+
+  Script Run;
+  int Listener = -1;
+  uint16_t Port = 0;
+  std::atomic<int> Count{0};
+  std::vector<std::thread> Threads;
+  std::thread Acceptor;
+};
+
+void sendText(int Fd, std::string_view Text);
+// Reads until the text has this ending or the peer closes.
+std::string readUntil(int Fd, std::string_view Ending);
+// Reads until the peer closes.
+std::string readAll(int Fd);
+// Reads a request with a Content-Length body and returns it whole.
+std::string readRequest(int Fd);
+// Closes with a reset instead of an end of stream.
+void resetOnClose(int Fd);
+// An HTTP answer with a length.
+std::string httpAnswer(int Status, const std::string &Body);
+// Polls the condition until it holds; false after a generous limit.
+bool eventually(const std::function<bool()> &Condition);
+
+#endif
--- /dev/null
+++ b/test/token_sequence_test.cc
@@ -0,0 +1,67 @@
+#include "token_sequence.h"
+
+#include <doctest/doctest.h>
+#include <utility>
+#include <vector>
+
+using namespace crocusspur::internal;
+
+namespace {
+
+struct Collected {
+  TokenSequence Sequence;
+  std::string Text;
+
+  bool take(uint64_t Index, const std::string &Token) {
+    return Sequence.take(Index, Token,
+                         [&](std::string_view It) { Text += It; });
+  }
+};
+
+} // namespace
+
+TEST_CASE("Tokens are taken once and in order") {
+  // Guards against doubled or swapped text when an engine repeats or reorders
+  // events.
+  Collected out;
+  for (auto it : std::vector<std::pair<uint64_t, std::string>>{{0, "a"},
+                                                               {0, "a"},
+                                                               {2, "c"},
+                                                               {3, "d"},
+                                                               {2, "c"},
+                                                               {1, "b"},
+                                                               {1, "b"}})
+    REQUIRE(out.take(it.first, it.second));
+  CHECK(out.Text == "abcd");
+  CHECK(out.Sequence.next() == 4);
+  CHECK(out.Sequence.complete());
+}
+
+TEST_CASE("A gap leaves the sequence incomplete") {
+  // Guards against a whole answer with a hole in it.
+  Collected out;
+  REQUIRE(out.take(0, "a"));
+  REQUIRE(out.take(2, "c"));
+  CHECK(out.Text == "a");
+  CHECK(out.Sequence.next() == 1);
+  CHECK_FALSE(out.Sequence.complete());
+}
+
+TEST_CASE("An index far ahead ends the stream") {
+  Collected out;
+  CHECK(out.take(64, "x"));
+  CHECK_FALSE(out.take(65, "y"));
+}
+
+TEST_CASE("A new attempt continues after the last token taken") {
+  // Guards against tokens kept from a broken stream standing in for those of
+  // the resumed one.
+  Collected out;
+  REQUIRE(out.take(0, "a"));
+  REQUIRE(out.take(2, "old"));
+  out.Sequence.restart();
+  REQUIRE(out.take(1, "b"));
+  CHECK(out.Text == "ab");
+  REQUIRE(out.take(2, "c"));
+  CHECK(out.Text == "abc");
+}
