Simplify how the relay ends a forwarded request and test it

Cause: the relay ended forwarded requests on several paths. Change: one path for the end of a forward; a test of forwarding.

--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -41,8 +41,7 @@
     : Context(Context), Request(Request), Sink(Sink), Mail(Mail),
       Format(Request.Id, Request.Spec.Target,
              Request.Path.Kind == RouteKind::Chat, secondsNow()),
-      TakeToken([this](std::string_view RawToken) { takeToken(RawToken); }),
-      RememberAll(!Request.Spec.IdempotencyKey.empty()) {}
+      TakeToken([this](std::string_view RawToken) { takeToken(RawToken); }) {}
 
 void RelaySession::run() {
   RequestArrived arrived{Request.Id, Request.Spec, Request.ForwardedBy};
@@ -202,10 +201,8 @@
     end = Context.Backends->decode(call, work, *this, *this);
   }
   bool whole = end.Outcome == StageOutcome::Ok;
-  if (whole && RememberAll && !Request.Stream)
-    remember(Format.plainAnswer(
-        PlainText, finishReason(Sequence.next(), Request.Spec.MaxOutputTokens),
-        Request.Spec.PromptTokens, Sequence.next()));
+  std::string last = whole ? lastPiece() : "";
+  remember(last);
   if (whole) {
     result.HttpStatus = 200;
     result.ContentType =
@@ -216,7 +213,7 @@
   // write may wait for the caller.
   report(std::move(result), end);
   if (whole && !Ended)
-    finishDecode();
+    finishDecode(last);
 }
 
 bool RelaySession::onEvent(const EngineEvent &Event) {
@@ -275,36 +272,35 @@
       StageProgress{Request.Id, Attempt, static_cast<uint32_t>(next)});
 }
 
-void RelaySession::finishDecode() {
-  const char *reason =
-      finishReason(Sequence.next(), Request.Spec.MaxOutputTokens);
+// The end of a stream, or the whole plain answer.
+std::string RelaySession::lastPiece() const {
+  uint64_t n = Sequence.next();
+  const char *reason = finishReason(n, Request.Spec.MaxOutputTokens);
+  if (!Request.Stream)
+    return Format.plainAnswer(PlainText, reason, Request.Spec.PromptTokens, n);
+  std::string text;
+  Format.appendEnd(text, reason);
+  return text;
+}
+
+void RelaySession::finishDecode(const std::string &Last) {
+  AnswerHead head;
   if (!Request.Stream) {
-    AnswerHead head;
     head.ContentType = "application/json";
-    finish(writeAnswer(Sink, head,
-                       Format.plainAnswer(PlainText, reason,
-                                          Request.Spec.PromptTokens,
-                                          Sequence.next())));
+    finish(writeAnswer(Sink, head, Last));
     return;
   }
-  if (!Begun) {
-    AnswerHead head;
-    head.ContentType = "text/event-stream";
+  head.ContentType = "text/event-stream";
+  if (!Begun)
     Sink.begin(head);
-  }
-  Format.appendEnd(Batch, reason);
-  finish(Sink.write(Batch) && Sink.end(true));
+  finish(Sink.write(Last) && Sink.end(true));
 }
 
-// Keeps the answer as long as it is small enough to be remembered.
+// Keeps the answer for its idempotency key. The core takes a body over the
+// limit as one that can't be remembered, so a byte more than that is enough.
 void RelaySession::remember(std::string_view Data) {
-  if (!RememberAll)
-    return;
-  Remembered += Data;
-  if (Remembered.size() > MaxRemembered) {
-    RememberAll = false;
-    Remembered.clear();
-  }
+  if (!Request.Spec.IdempotencyKey.empty())
+    Remembered += Data.substr(0, MaxRemembered + 1 - Remembered.size());
 }
 
 void RelaySession::service(const StartService &Item) {
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -57,7 +57,8 @@
   bool onDone(const EngineEvent &Event) const;
   void takeToken(std::string_view RawToken);
   void reportProgress();
-  void finishDecode();
+  std::string lastPiece() const;
+  void finishDecode(const std::string &Last);
 
   // ServiceHandler
   bool onHead(const HttpHead &Head) override;
@@ -105,8 +106,7 @@
   std::string ServiceBody;
 
   std::string Remembered; // answer to remember under the idempotency key
-  bool RememberAll = false;
-  std::string Home; // while forwarded
+  std::string Home;       // while forwarded
 };
 
 } // namespace crocusspur::internal
--- a/test/relay_session_test.cc
+++ b/test/relay_session_test.cc
@@ -209,6 +209,42 @@
   CHECK(relay.Events.count<StageProgress>() == 2); // import and first token
 }
 
+TEST_CASE("The remembered answer of a keyed stream is the whole stream") {
+  // Guards against a replay without the end, which callers take for a break.
+  ScriptServer engine([](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, StreamHead + token(0, "a") + done(1));
+  });
+  Fixture relay;
+  relay.Request.Spec.IdempotencyKey = "k";
+  relay.addServer("d1", engine.address());
+  relay.start();
+  relay.decode(1, "d1");
+  auto result = relay.Events.await<StageFinished>();
+  CHECK(result.HttpStatus == 200);
+  CHECK(result.ContentType == "text/event-stream");
+  CHECK(textOf(result.Body) == "a");
+  CHECK(result.Body.ends_with("data: [DONE]\n\n"));
+}
+
+TEST_CASE("A keyed answer over 64 KiB is reported as too large to remember") {
+  // Guards against a replay of an empty or cut-off body.
+  const std::string body(100000, 'x');
+  ScriptServer server([&](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, httpAnswer(200, body));
+  });
+  Fixture relay(false);
+  relay.service();
+  relay.Request.Spec.IdempotencyKey = "k";
+  relay.addServer("s1", server.address());
+  relay.start();
+  relay.Mail->push(Action(StartService{relay.Request.Id, 1, "s1", 1,
+                                       TimePoint::max(), Milliseconds(10000)}));
+  CHECK(relay.received().ends_with(body));
+  CHECK(relay.Events.await<StageFinished>().Body.size() == 65537);
+}
+
 TEST_CASE("A stream with a missing token is not whole and is resumed from it") {
   // Guards against an answer with a hole that ends with [DONE].
   std::string second;
