--- /dev/null
+++ b/test/http_caller.h
@@ -0,0 +1,56 @@
+// Plain HTTP client of the process tests, with streamed answers.
+#ifndef CROCUSSPUR_TEST_HTTP_CALLER_H
+#define CROCUSSPUR_TEST_HTTP_CALLER_H
+
+#include "crocusspur/types.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace crocusspur::test {
+
+struct HttpRequest {
+  std::string Address; // IP:port
+  std::string Method = "GET";
+  std::string Path = "/"; // with the query
+  std::string Body;
+  std::map<std::string, std::string> Headers;
+  Milliseconds Timeout{30000}; // of each read
+};
+
+struct HttpAnswer {
+  int Status = 0; // 0: no answer; Body then holds the reason
+  std::map<std::string, std::string> Headers; // names in lower case
+  std::string Body;
+};
+
+HttpAnswer send(const HttpRequest &Request);
+
+struct StreamEvent {
+  std::string Name; // "" for plain data
+  std::string Data;
+};
+
+// A streamed answer that is read event by event. Not thread-safe.
+class EventStream {
+public:
+  explicit EventStream(const HttpRequest &Request);
+  ~EventStream();
+
+  int status() const; // 0: no answer
+  // Body of an answer that isn't a stream.
+  std::string body();
+  // False at the end of the answer, when it breaks off, or at the timeout.
+  bool next(StreamEvent &Event);
+  // Closes the connection at once.
+  void close();
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace crocusspur::test
+
+#endif
--- /dev/null
+++ b/test/path_process_test.cc
@@ -0,0 +1,200 @@
+// Tests of the whole path with real processes on loopback.
+#include "process_fixture.h"
+
+#include <Poco/JSON/Array.h>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <list>
+#include <sstream>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct StreamResult {
+  std::string Text;
+  bool Done = false; // [DONE] came
+  std::string Error; // data of an error event
+};
+
+void addEvent(StreamResult &Result, const StreamEvent &Event) {
+  if (Event.Name == "error")
+    Result.Error = Event.Data;
+  else if (Event.Data == "[DONE]")
+    Result.Done = true;
+  else
+    Result.Text += parseJson(Event.Data)
+                       ->getArray("choices")
+                       ->getObject(0)
+                       ->optValue<std::string>("text", "");
+}
+
+StreamResult readAll(EventStream &Stream) {
+  StreamResult result;
+  StreamEvent event;
+  while (Stream.next(event))
+    addEvent(result, event);
+  return result;
+}
+
+std::string plainText(const HttpAnswer &Answer) {
+  return parseJson(Answer.Body)
+      ->getArray("choices")
+      ->getObject(0)
+      ->getValue<std::string>("text");
+}
+
+std::string joined(const std::vector<std::string> &Texts) {
+  std::string all;
+  for (const std::string &it : Texts)
+    all += it + " ";
+  return all;
+}
+
+// Reads the first token, so that the decode is known to run.
+void awaitFirstToken(EventStream &Stream) {
+  StreamEvent event;
+  REQUIRE(Stream.status() == 200);
+  REQUIRE(Stream.next(event));
+}
+
+Milliseconds since(Clock::time_point Start) {
+  return std::chrono::duration_cast<Milliseconds>(Clock::now() - Start);
+}
+
+} // namespace
+
+// Guards against an instance that can't place requests because it isn't the
+// owner of the shard, and against lost, repeated or mixed tokens.
+TEST_CASE("Path completes plain and streamed requests through every router") {
+  ProcessFixture fleet;
+  for (size_t i = 0; i < fleet.routers(); ++i) {
+    CAPTURE(fleet.router(i).Name);
+    std::string prompt = "manifest " + std::to_string(i);
+    HttpAnswer plain = send(fleet.completion(i, prompt, 20, false));
+    REQUIRE_MESSAGE(plain.Status == 200, plain.Body);
+    CHECK(plainText(plain) == expectedTokens(prompt, 20));
+    EventStream stream(fleet.completion(i, prompt + " s", 20, true));
+    REQUIRE_MESSAGE(stream.status() == 200, stream.body());
+    StreamResult result = readAll(stream);
+    CHECK(result.Text == expectedTokens(prompt + " s", 20));
+    CHECK(result.Done);
+  }
+  CHECK(fleet.countRuns("decode", "done") == 2 * fleet.routers());
+  CHECK(fleet.countRuns("prefill", "imported") == 2 * fleet.routers());
+}
+
+// Guards against calls that change on the way or run more than once.
+TEST_CASE("Path forwards a service call unchanged and once") {
+  ProcessFixture fleet;
+  HttpRequest request =
+      fleet.call(1, "POST", "/services/bays/book?hall=7", R"({"bay":3})");
+  request.Headers["Idempotency-Key"] = "key-1";
+  HttpAnswer answer = send(request);
+  REQUIRE_MESSAGE(answer.Status == 200, answer.Body);
+  auto echo = parseJson(answer.Body);
+  CHECK(echo->getValue<std::string>("method") == "POST");
+  CHECK(echo->getValue<std::string>("path") == "/book");
+  CHECK(echo->getValue<std::string>("query") == "hall=7");
+  CHECK(echo->getValue<std::string>("body") == R"({"bay":3})");
+  CHECK(echo->getValue<std::string>("key") == "key-1");
+  size_t calls = 0;
+  for (const char *name : {"s1", "s2"})
+    calls += fleet.books(name)->getArray("calls")->size();
+  CHECK(calls == 1);
+}
+
+// Guards against engine memory that stays held for a caller who has gone (P1).
+// The engines keep memory for 10 s after a close, so only a cancel frees it.
+TEST_CASE("Path frees the engines within 1 s of a cancel by the caller") {
+  ProcessFixture fleet;
+  std::list<EventStream> streams;
+  for (size_t i = 0; i < fleet.routers(); ++i) {
+    streams.emplace_back(fleet.completion(i, "long", 4000, true));
+    awaitFirstToken(streams.back());
+  }
+  REQUIRE(fleet.held().size() == fleet.routers());
+  Clock::time_point start = Clock::now();
+  for (EventStream &it : streams)
+    it.close();
+  bool freed =
+      eventually([&] { return fleet.held().empty(); }, Milliseconds(1000));
+  MESSAGE("freed after " << since(start).count() << " ms");
+  CHECK_MESSAGE(freed, "still held: " << joined(fleet.held()));
+}
+
+// Guards against a graceful shutdown that cuts off requests in progress (P6).
+TEST_CASE("Path cuts no stream when a router gets SIGTERM") {
+  ProcessFixture fleet;
+  std::list<EventStream> streams;
+  for (int i = 0; i < 4; ++i) {
+    streams.emplace_back(fleet.completion(0, "stream", 200, true));
+    awaitFirstToken(streams.back());
+  }
+  fleet.router(0).Process->signal(SIGTERM);
+  for (EventStream &it : streams) {
+    StreamResult result = readAll(it);
+    CHECK_MESSAGE(result.Done, "error event: " << result.Error);
+  }
+  auto code = fleet.router(0).Process->waitForExit(GenerousLimit);
+  REQUIRE_MESSAGE(code, fleet.router(0).Process->output());
+  CHECK(*code == 0);
+  CHECK(fleet.countRuns("decode", "done") == 4);
+}
+
+// Guards against engine memory that stays held for a dead instance (P1).
+TEST_CASE("Path frees the engines within 5 s of the death of a router") {
+  for (size_t victim = 0; victim < 3; ++victim) {
+    ProcessFixture fleet;
+    CAPTURE(fleet.router(victim).Name);
+    std::list<EventStream> streams;
+    for (int i = 0; i < 3; ++i) {
+      streams.emplace_back(fleet.completion(victim, "stream", 4000, true));
+      awaitFirstToken(streams.back());
+    }
+    REQUIRE(fleet.held().size() == 3);
+    Clock::time_point start = Clock::now();
+    fleet.router(victim).Process->signal(SIGKILL);
+    bool freed =
+        eventually([&] { return fleet.held().empty(); }, Milliseconds(5000));
+    MESSAGE("freed after " << since(start).count() << " ms");
+    CHECK_MESSAGE(freed, "still held: " << joined(fleet.held()));
+  }
+}
+
+// Guards against a check that stops at the first mistake.
+TEST_CASE("Path check names all five mistakes of a settings file") {
+  FleetOptions options;
+  options.Routers = 1;
+  ProcessFixture fleet(options);
+  std::string file = fleet.directory() + "/wrong.toml";
+  std::ofstream(file) << "[instance]\n"
+                         "name = \"e 1\"\n"
+                         "region = 5\n"
+                         "failure_domain = \"hall-a\"\n"
+                         "[operators]\n"
+                         "token_digest = \"short\"\n"
+                         "[peers]\n"
+                         "key = \"key-shared-by-the-test-fleet\"\n"
+                         "[platform]\n"
+                         "address = \"nowhere\"\n"
+                         "[timing]\n"
+                         "heartbeat = 500\n";
+  ChildProcess check(
+      {std::string(CROCUSSPUR_BUILD_DIR) + "/crocusspur", "check", file});
+  CHECK(check.waitForExit(GenerousLimit) == 2);
+  // Waits for the end of the output.
+  check.waitForLine([](const std::string &) { return false; }, GenerousLimit);
+  std::string output = check.output();
+  for (const char *key :
+       {"instance.name", "instance.region", "operators.token_digest",
+        "platform.address", "timing.heartbeat"})
+    CHECK_MESSAGE(output.find(key) != std::string::npos,
+                  key << " is missing in:\n"
+                      << output);
+}
--- /dev/null
+++ b/test/process_fixture.cc
@@ -0,0 +1,429 @@
+#include "process_fixture.h"
+
+#include "digest.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <xxhash.h>
+
+namespace crocusspur::test {
+namespace {
+
+const char OperatorToken[] = "operator-token";
+const char Region[] = "ie-west";
+
+std::string program(const std::string &Name) {
+  return std::string(CROCUSSPUR_BUILD_DIR) + "/" + Name;
+}
+
+std::string textOf(const Poco::JSON::Object &Object) {
+  std::ostringstream text;
+  Object.stringify(text);
+  return text.str();
+}
+
+Poco::JSON::Array arrayOf(const std::vector<std::string> &Texts) {
+  Poco::JSON::Array array;
+  for (const std::string &it : Texts)
+    array.add(it);
+  return array;
+}
+
+std::string domainOf(size_t Index) {
+  static const char *const Domains[] = {"hall-a", "hall-b", "hall-c"};
+  return Domains[Index % 3];
+}
+
+Poco::JSON::Object groupJson(const FleetGroup &Group) {
+  Poco::JSON::Object object;
+  object.set("name", Group.Name);
+  object.set("share", Group.Share);
+  object.set("class", Group.Class);
+  object.set("first_output_ms", Group.FirstOutputMs);
+  object.set("may_wait", Group.MayWait);
+  object.set("token_digests",
+             arrayOf({crocusspur::internal::sha256Hex(Group.Token)}));
+  return object;
+}
+
+std::string makeDirectory() {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "crocusspur-test-XXXXXX")
+          .string();
+  if (!mkdtemp(name.data()))
+    throw std::runtime_error("can't make " + name);
+  return name;
+}
+
+} // namespace
+
+Poco::JSON::Object::Ptr parseJson(const std::string &Text) {
+  try {
+    Poco::JSON::Parser parser;
+    return parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
+  } catch (const Poco::Exception &) {
+    throw std::runtime_error("not a JSON object: " + Text);
+  }
+}
+
+std::string expectedTokens(const std::string &Prompt, uint32_t Count) {
+  char mark[9];
+  std::snprintf(mark, sizeof mark, "%08x",
+                XXH32(Prompt.data(), Prompt.size(), 0));
+  std::string text;
+  for (uint32_t i = 0; i < Count; ++i)
+    text += std::to_string(i) + ":" + mark + " ";
+  return text;
+}
+
+ProcessFixture::ProcessFixture(FleetOptions Values)
+    : Options(std::move(Values)), Directory(makeDirectory()) {
+  startPlatform();
+  startServers();
+  for (uint32_t i = 0; i < Options.Routers; ++i) {
+    Routers.push_back(std::make_unique<FleetRouter>());
+    Routers.back()->Name = "e" + std::to_string(i + 1);
+    Routers.back()->SettingsFile =
+        Directory + "/" + Routers.back()->Name + ".toml";
+    startRouter(*Routers.back());
+  }
+  publishConfig();
+  publishList();
+  for (size_t i = 0; i < Routers.size(); ++i)
+    if (!waitForReady(i))
+      throw std::runtime_error(Routers[i]->Name + " doesn't become ready:\n" +
+                               Routers[i]->Process->output());
+}
+
+ProcessFixture::~ProcessFixture() {
+  Routers.clear();
+  Servers.clear();
+  Platform.Process.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(Directory, ignored);
+}
+
+void ProcessFixture::startPlatform() {
+  Platform.Name = "platform";
+  Platform.Role = "platform";
+  startServer(Platform, 0);
+}
+
+void ProcessFixture::startServers() {
+  auto add = [this](const char *Prefix, const char *Role, uint32_t Count) {
+    for (uint32_t i = 1; i <= Count; ++i) {
+      Servers.push_back(std::make_unique<FleetServer>());
+      Servers.back()->Name = Prefix + std::to_string(i);
+      Servers.back()->Role = Role;
+      startServer(*Servers.back(), 0);
+    }
+  };
+  add("p", "prefill", Options.PrefillServers);
+  add("d", "decode", Options.DecodeServers);
+  add("s", "service", Options.ServiceServers);
+}
+
+std::vector<std::string>
+ProcessFixture::serverArguments(const FleetServer &Server) const {
+  if (Server.Role == "platform")
+    return {program("standin_platform")};
+  if (Server.Role == "service") {
+    std::vector<std::string> arguments = {program("standin_service")};
+    if (Options.ChecksFencing)
+      arguments.push_back("--checks-fencing");
+    arguments.insert(arguments.end(), Options.ServiceFlags.begin(),
+                     Options.ServiceFlags.end());
+    return arguments;
+  }
+  std::vector<std::string> arguments = {
+      program("standin_engine"),
+      "--role",
+      Server.Role,
+      "--model",
+      "summary",
+      "--slots",
+      std::to_string(Options.Slots),
+      "--prefill-tokens-per-second",
+      std::to_string(Options.PrefillTokensPerSecond),
+      "--token-interval-ms",
+      std::to_string(Options.TokenIntervalMs),
+      "--link-bytes-per-second",
+      std::to_string(Options.LinkBytesPerSecond),
+      "--eviction-ms",
+      std::to_string(Options.EvictionMs),
+      "--kv-bytes-per-token",
+      std::to_string(Options.KvBytesPerToken),
+      "--report-lag-ms",
+      std::to_string(Options.ReportLagMs)};
+  if (Options.ChecksFencing)
+    arguments.push_back("--checks-fencing");
+  arguments.insert(arguments.end(), Options.EngineFlags.begin(),
+                   Options.EngineFlags.end());
+  return arguments;
+}
+
+void ProcessFixture::startServer(FleetServer &Server, uint16_t Port) {
+  std::vector<std::string> arguments = serverArguments(Server);
+  arguments.insert(arguments.end(), {"--port", std::to_string(Port)});
+  Server.Process = std::make_unique<ChildProcess>(std::move(arguments));
+  auto line = Server.Process->waitForLine(
+      [](const std::string &Line) { return Line.rfind("listening ", 0) == 0; },
+      GenerousLimit);
+  if (!line)
+    throw std::runtime_error(Server.Name + " doesn't come up:\n" +
+                             Server.Process->output());
+  Server.Address = line->substr(10);
+}
+
+std::string ProcessFixture::settingsText(const FleetRouter &Router) const {
+  size_t index = std::stoul(Router.Name.substr(1)) - 1;
+  std::ostringstream text;
+  text << "[instance]\nname = \"" << Router.Name << "\"\nregion = \"" << Region
+       << "\"\nfailure_domain = \"" << domainOf(index) << "\"\n"
+       << "[callers]\naddress = \"127.0.0.1:0\"\n"
+       << "[operators]\naddress = \"127.0.0.1:0\"\ntoken_digest = \""
+       << crocusspur::internal::sha256Hex(OperatorToken) << "\"\n"
+       << "[peers]\naddress = \"127.0.0.1:0\"\n"
+       << "key = \"key-shared-by-the-test-fleet\"\n"
+       << "[platform]\naddress = \"" << Platform.Address << "\"\n"
+       << "[timing]\nheartbeat_period_ms = " << Options.Heartbeat.count()
+       << "\nlease_period_ms = " << Options.Lease.count()
+       << "\nprogress_timeout_ms = " << Options.ProgressTimeout.count()
+       << "\n[log]\nlevel = \"" << Options.LogLevel << "\"\n"
+       << Options.ExtraSettings;
+  return text.str();
+}
+
+void ProcessFixture::startRouter(FleetRouter &Router) {
+  std::ofstream(Router.SettingsFile) << settingsText(Router);
+  Router.Process = std::make_unique<ChildProcess>(std::vector<std::string>{
+      program("crocusspur"), "serve", "--settings", Router.SettingsFile});
+  Router.CallerAddress = awaitFront(Router, "callers");
+  Router.OperatorAddress = awaitFront(Router, "operators");
+  Router.PeerAddress = awaitFront(Router, "peers");
+}
+
+std::string ProcessFixture::awaitFront(FleetRouter &Router,
+                                       const std::string &Front) {
+  auto matches = [&](const std::string &Line) {
+    return Line.find("\"listening\"") != std::string::npos &&
+           Line.find("\"" + Front + "\"") != std::string::npos;
+  };
+  auto line = Router.Process->waitForLine(matches, GenerousLimit);
+  if (!line)
+    throw std::runtime_error(Router.Name + " doesn't listen for " + Front +
+                             ":\n" + Router.Process->output());
+  auto object = parseJson(*line);
+  auto fields = object->getObject("context_map");
+  return (fields ? fields : object)->getValue<std::string>("address");
+}
+
+void ProcessFixture::restartRouter(size_t Index) { startRouter(router(Index)); }
+
+void ProcessFixture::restartServer(const std::string &Name) {
+  FleetServer &server = Name == "platform" ? Platform : this->server(Name);
+  server.Process.reset();
+  size_t colon = server.Address.rfind(':');
+  startServer(server, static_cast<uint16_t>(
+                          std::stoul(server.Address.substr(colon + 1))));
+}
+
+FleetServer &ProcessFixture::server(const std::string &Name) {
+  for (const auto &it : Servers)
+    if (it->Name == Name)
+      return *it;
+  throw std::runtime_error("no server " + Name);
+}
+
+std::string ProcessFixture::configText(uint64_t Version, uint64_t Base) const {
+  Poco::JSON::Array groups;
+  for (const FleetGroup &it : Options.Groups)
+    groups.add(groupJson(it));
+  Poco::JSON::Array servers;
+  std::vector<std::string> engines;
+  std::vector<std::string> services;
+  for (const auto &it : Servers) {
+    Poco::JSON::Object server;
+    server.set("name", it->Name);
+    server.set("role", it->Role);
+    server.set("address", it->Address);
+    server.set("region", Region);
+    server.set("failure_domain", domainOf(std::stoul(it->Name.substr(1)) - 1));
+    server.set("slots", it->Role == "service" ? 16 : Options.Slots);
+    server.set("checks_fencing", Options.ChecksFencing);
+    server.set("prefill_tokens_per_second", Options.PrefillTokensPerSecond);
+    server.set("link_bytes_per_second", Options.LinkBytesPerSecond);
+    server.set("token_interval_ms", Options.TokenIntervalMs);
+    servers.add(server);
+    (it->Role == "service" ? services : engines).push_back(it->Name);
+  }
+  Poco::JSON::Object shard;
+  shard.set("name", "summary-0");
+  shard.set("servers", arrayOf(engines));
+  Poco::JSON::Array shards;
+  shards.add(shard);
+  Poco::JSON::Object model;
+  model.set("name", "summary");
+  model.set("kv_bytes_per_token", Options.KvBytesPerToken);
+  model.set("eviction_ms", Options.EvictionMs);
+  model.set("shards", shards);
+  Poco::JSON::Array models;
+  models.add(model);
+  Poco::JSON::Object service;
+  service.set("name", "bays");
+  service.set("servers", arrayOf(services));
+  service.set("idempotent_methods", arrayOf(Options.IdempotentMethods));
+  Poco::JSON::Array serviceList;
+  serviceList.add(service);
+  Poco::JSON::Object document;
+  document.set("version", Version);
+  document.set("base", Base);
+  document.set("patch_id", "fixture-" + std::to_string(Version));
+  document.set("groups", groups);
+  document.set("models", models);
+  document.set("services", serviceList);
+  document.set("servers", servers);
+  return textOf(document);
+}
+
+std::string ProcessFixture::listText(uint64_t Sequence) const {
+  Poco::JSON::Array instances;
+  for (size_t i = 0; i < Routers.size(); ++i) {
+    Poco::JSON::Object instance;
+    instance.set("name", Routers[i]->Name);
+    instance.set("state", Routers[i]->State);
+    instance.set("region", Region);
+    instance.set("failure_domain", domainOf(i));
+    instance.set("peer_address", Routers[i]->PeerAddress);
+    instances.add(instance);
+  }
+  Poco::JSON::Array servers;
+  for (const auto &it : Servers) {
+    Poco::JSON::Object server;
+    server.set("name", it->Name);
+    server.set("state", it->State);
+    servers.add(server);
+  }
+  Poco::JSON::Object list;
+  list.set("sequence", Sequence);
+  list.set("instances", instances);
+  list.set("servers", servers);
+  return textOf(list);
+}
+
+uint64_t ProcessFixture::publishConfig() {
+  uint64_t version = LastVersion + 1;
+  publishConfigText(configText(version, LastVersion));
+  return LastVersion = version;
+}
+
+HttpAnswer ProcessFixture::publishConfigText(const std::string &Text,
+                                             const std::string &Query) {
+  return send({Platform.Address, "POST", "/control/config" + Query, Text, {}});
+}
+
+uint64_t ProcessFixture::publishList() {
+  ++LastSequence;
+  send({Platform.Address,
+        "POST",
+        "/control/instances",
+        listText(LastSequence),
+        {}});
+  return LastSequence;
+}
+
+bool ProcessFixture::waitForReady(size_t Index, Milliseconds Limit) {
+  return eventually(
+      [&] {
+        return send({router(Index).OperatorAddress, "GET", "/readyz", "", {}})
+                   .Status == 200;
+      },
+      Limit);
+}
+
+HttpRequest ProcessFixture::call(size_t Router, const std::string &Method,
+                                 const std::string &Path,
+                                 const std::string &Body) const {
+  HttpRequest request;
+  request.Address = Routers.at(Router)->CallerAddress;
+  request.Method = Method;
+  request.Path = Path;
+  request.Body = Body;
+  request.Headers["Authorization"] = "Bearer " + Options.Groups.front().Token;
+  if (!Body.empty())
+    request.Headers["Content-Type"] = "application/json";
+  return request;
+}
+
+HttpRequest ProcessFixture::completion(size_t Router, const std::string &Prompt,
+                                       uint32_t MaxTokens, bool Stream) const {
+  Poco::JSON::Object body;
+  body.set("model", "summary");
+  body.set("prompt", Prompt);
+  body.set("max_tokens", MaxTokens);
+  body.set("stream", Stream);
+  return call(Router, "POST", "/v1/completions", textOf(body));
+}
+
+HttpAnswer ProcessFixture::control(const std::string &Server,
+                                   const std::string &Path) {
+  const std::string &address =
+      Server == "platform" ? Platform.Address : server(Server).Address;
+  return send({address, "POST", "/control/" + Path, "", {}});
+}
+
+Poco::JSON::Object::Ptr ProcessFixture::books(const std::string &Server) {
+  HttpAnswer answer = control(Server, "books");
+  return answer.Status == 200 ? parseJson(answer.Body) : nullptr;
+}
+
+void ProcessFixture::forEachEngineEntry(
+    const std::string &List,
+    const std::function<void(const std::string &, Poco::JSON::Object &)>
+        &Each) {
+  for (const auto &it : Servers) {
+    auto books = it->Role == "service" ? nullptr : this->books(it->Name);
+    if (!books)
+      continue;
+    auto array = books->getArray(List);
+    for (size_t i = 0; i < array->size(); ++i)
+      Each(it->Name, *array->getObject(static_cast<unsigned>(i)));
+  }
+}
+
+std::vector<std::string> ProcessFixture::held() {
+  std::vector<std::string> found;
+  forEachEngineEntry(
+      "held", [&](const std::string &Server, Poco::JSON::Object &Entry) {
+        found.push_back(Server + ":" + Entry.getValue<std::string>("kind") +
+                        ":" + Entry.getValue<std::string>("request"));
+      });
+  return found;
+}
+
+size_t ProcessFixture::countRuns(const std::string &Kind,
+                                 const std::string &Outcome) {
+  size_t count = 0;
+  forEachEngineEntry("runs", [&](const std::string &, Poco::JSON::Object &Run) {
+    if ((Kind.empty() || Run.getValue<std::string>("kind") == Kind) &&
+        (Outcome.empty() || Run.getValue<std::string>("outcome") == Outcome))
+      ++count;
+  });
+  return count;
+}
+
+Poco::JSON::Object::Ptr ProcessFixture::state(size_t Router) {
+  HttpRequest request;
+  request.Address = router(Router).OperatorAddress;
+  request.Path = "/admin/v1/state";
+  request.Headers["Authorization"] = std::string("Bearer ") + OperatorToken;
+  return parseJson(send(request).Body);
+}
+
+} // namespace crocusspur::test
--- /dev/null
+++ b/test/process_fixture.h
@@ -0,0 +1,157 @@
+// A fleet of real processes for tests: stand-ins of the outside systems and
+// routers with generated settings, all on loopback ports that the kernel
+// chooses.
+#ifndef CROCUSSPUR_TEST_PROCESS_FIXTURE_H
+#define CROCUSSPUR_TEST_PROCESS_FIXTURE_H
+
+#include "child_process.h"
+#include "http_caller.h"
+
+#include <Poco/JSON/Object.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusspur::test {
+
+// Longest wait for anything that has to happen but isn't itself measured.
+constexpr Milliseconds GenerousLimit{30000};
+
+struct FleetGroup {
+  std::string Name;
+  std::string Class = "normal"; // as in the configuration document
+  std::string Token;
+  double Share = 1;
+  uint32_t FirstOutputMs = 5000;
+  bool MayWait = false;
+};
+
+struct FleetOptions {
+  uint32_t Routers = 3;
+  uint32_t PrefillServers = 2;
+  uint32_t DecodeServers = 3;
+  uint32_t ServiceServers = 2;
+
+  uint32_t Slots = 4;
+  double PrefillTokensPerSecond = 20000;
+  uint32_t TokenIntervalMs = 10;
+  double LinkBytesPerSecond = 1e9;
+  uint32_t EvictionMs = 2000;
+  uint32_t KvBytesPerToken = 1000;
+  uint32_t ReportLagMs = 100;
+  bool ChecksFencing = true;
+  std::vector<std::string> EngineFlags;  // further ones, of all engines
+  std::vector<std::string> ServiceFlags; // of all service servers
+  std::vector<std::string> IdempotentMethods = {"GET"};
+
+  Milliseconds Heartbeat{500};
+  Milliseconds Lease{2000};
+  Milliseconds ProgressTimeout{5000};
+  std::string LogLevel = "info";
+  // Further TOML sections of the routers' settings.
+  std::string ExtraSettings;
+
+  std::vector<FleetGroup> Groups = {
+      {"drivers", "interactive", "drivers-token", 3, 5000, false},
+      {"planners", "batch", "planners-token", 1, 5000, true}};
+};
+
+// A stand-in: an engine, a service server or the platform.
+struct FleetServer {
+  std::string Name;
+  std::string Role;
+  std::string Address;
+  std::string State = "live"; // in the published list
+  std::unique_ptr<ChildProcess> Process;
+};
+
+struct FleetRouter {
+  std::string Name;
+  std::string CallerAddress;
+  std::string OperatorAddress;
+  std::string PeerAddress;
+  std::string State = "live";
+  std::string SettingsFile;
+  std::unique_ptr<ChildProcess> Process;
+};
+
+class ProcessFixture {
+public:
+  // Starts everything, publishes a configuration and a list, and waits until
+  // all routers are ready. Throws std::runtime_error with the output of the
+  // process concerned if one doesn't come up.
+  explicit ProcessFixture(FleetOptions Options = {});
+  ~ProcessFixture();
+
+  FleetRouter &router(size_t Index) { return *Routers.at(Index); }
+  FleetServer &server(const std::string &Name);
+  FleetServer &platform() { return Platform; }
+  size_t routers() const { return Routers.size(); }
+
+  // Starts router Index again with its settings; it gets new ports.
+  void restartRouter(size_t Index);
+  // Starts a stand-in again at its old address.
+  void restartServer(const std::string &Name);
+
+  // Publish what the fixture holds now, under the next number, and return the
+  // number.
+  uint64_t publishConfig();
+  uint64_t publishList();
+  // Publishes a text as it is.
+  HttpAnswer publishConfigText(const std::string &Text,
+                               const std::string &Query = "");
+  std::string configText(uint64_t Version, uint64_t Base) const;
+  std::string listText(uint64_t Sequence) const;
+
+  bool waitForReady(size_t Index, Milliseconds Limit = GenerousLimit);
+
+  // A call with the token of the first group.
+  HttpRequest call(size_t Router, const std::string &Method,
+                   const std::string &Path, const std::string &Body = "") const;
+  HttpRequest completion(size_t Router, const std::string &Prompt,
+                         uint32_t MaxTokens, bool Stream) const;
+
+  // Control call of a stand-in; `Path` with query, as in "freeze?on=1".
+  HttpAnswer control(const std::string &Server, const std::string &Path);
+  // Null if the stand-in doesn't answer.
+  Poco::JSON::Object::Ptr books(const std::string &Server);
+  // Requests that hold memory or run at an engine, as "server:kind:request".
+  std::vector<std::string> held();
+  // Runs of all engines with this kind and outcome; "" matches all.
+  size_t countRuns(const std::string &Kind, const std::string &Outcome);
+  Poco::JSON::Object::Ptr state(size_t Router);
+
+  const std::string &directory() const { return Directory; }
+
+private:
+  void startPlatform();
+  void startServers();
+  void startServer(FleetServer &Server, uint16_t Port);
+  void startRouter(FleetRouter &Router);
+  std::string settingsText(const FleetRouter &Router) const;
+  std::vector<std::string> serverArguments(const FleetServer &Server) const;
+  // Calls the function for the entries of this list in the books of each engine
+  // that answers.
+  void forEachEngineEntry(
+      const std::string &List,
+      const std::function<void(const std::string &Server,
+                               Poco::JSON::Object &Entry)> &Each);
+  std::string awaitFront(FleetRouter &Router, const std::string &Front);
+
+  FleetOptions Options;
+  std::string Directory;
+  FleetServer Platform;
+  std::vector<std::unique_ptr<FleetServer>> Servers;
+  std::vector<std::unique_ptr<FleetRouter>> Routers;
+  uint64_t LastVersion = 0;
+  uint64_t LastSequence = 0;
+};
+
+// Text that an engine gives for this prompt.
+std::string expectedTokens(const std::string &Prompt, uint32_t Count);
+
+Poco::JSON::Object::Ptr parseJson(const std::string &Text);
+
+} // namespace crocusspur::test
+
+#endif
