Add metrics with histograms by group

Cause: every decision has to be countable, and goodput needs the time to first output per group. Change: counters by decision and by refusal reason, gauges, Boost.Histogram distributions with logarithmic buckets, Prometheus text; docs/METRICS.md gives the unit of each. Conclusion: the sink is ready for the core thread and the relays to report to.

--- /dev/null
+++ b/src/metrics.cc
@@ -0,0 +1,173 @@
+#include "metrics.h"
+
+#include "crocusspur/kernel.h"
+
+#include <boost/histogram.hpp>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+namespace bh = boost::histogram;
+
+// Half a millisecond resolves the router's own share of a first output; 100 s
+// is longer than any deadline that a group may set.
+constexpr double SmallestBucketSeconds = 0.0005;
+constexpr double LargestBucketSeconds = 100;
+constexpr unsigned BucketCount = 36;
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Buckets = decltype(bh::make_histogram(LogAxis(1, 1.0, 2.0)));
+
+struct Distribution {
+  Buckets Counts = bh::make_histogram(
+      LogAxis(BucketCount, SmallestBucketSeconds, LargestBucketSeconds));
+  double Sum = 0;
+  uint64_t Count = 0;
+};
+
+constexpr const char *HistogramNames[] = {
+    "first_output_seconds", "output_gap_seconds", "prefill_wait_seconds",
+    "core_event_seconds"};
+
+using Labels = std::pair<std::string, std::string>;
+
+std::string escaped(const std::string &Text) {
+  std::string out;
+  for (char it : Text) {
+    if (it == '"' || it == '\\')
+      out += '\\';
+    out += it == '\n' ? ' ' : it;
+  }
+  return out;
+}
+
+std::string formatted(double Value) {
+  char buf[32];
+  std::snprintf(buf, sizeof buf, "%.9g", Value);
+  return buf;
+}
+
+void renderType(std::string &Out, const std::string &Name, const char *Type) {
+  Out += "# TYPE crocusspur_" + Name + ' ' + Type + '\n';
+}
+
+void renderCounters(std::string &Out, const std::string &Name,
+                    const char *FirstLabel,
+                    const std::map<Labels, uint64_t> &Values) {
+  renderType(Out, Name, "counter");
+  for (const auto &[labels, value] : Values)
+    Out += "crocusspur_" + Name + '{' + FirstLabel + "=\"" +
+           escaped(labels.first) + "\",group=\"" + escaped(labels.second) +
+           "\"} " + std::to_string(value) + '\n';
+}
+
+void renderDistribution(std::string &Out, const Labels &Key,
+                        const Distribution &Values) {
+  std::string name = "crocusspur_" + Key.first;
+  std::string group = "group=\"" + escaped(Key.second) + '"';
+  auto bucket = [&](const std::string &Limit, uint64_t N) {
+    Out += name + "_bucket{" + group + ",le=\"" + Limit + "\"} " +
+           std::to_string(N) + '\n';
+  };
+  // Index -1 is the underflow bucket, which lies below the first limit.
+  auto sum = static_cast<uint64_t>(Values.Counts.at(-1));
+  bucket(formatted(SmallestBucketSeconds), sum);
+  for (unsigned i = 0; i < BucketCount; ++i) {
+    sum += static_cast<uint64_t>(Values.Counts.at(static_cast<int>(i)));
+    bucket(formatted(Values.Counts.axis().value(i + 1)), sum);
+  }
+  bucket("+Inf", Values.Count);
+  Out += name + "_sum{" + group + "} " + formatted(Values.Sum) + '\n';
+  Out += name + "_count{" + group + "} " + std::to_string(Values.Count) + '\n';
+}
+
+} // namespace
+
+struct Metrics::State {
+  mutable std::mutex Mutex;
+  std::map<Labels, uint64_t> Decisions;         // kind, group
+  std::map<Labels, uint64_t> Refusals;          // reason, group
+  std::map<Labels, double> Gauges;              // name, label
+  std::map<Labels, Distribution> Distributions; // name, group
+};
+
+Metrics::Metrics() : Impl(std::make_unique<State>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::onNote(const Note &Entry) {
+  std::lock_guard lock(Impl->Mutex);
+  ++Impl->Decisions[{toString(Entry.Kind), Entry.Group}];
+  if (Entry.Kind == NoteKind::Shed || Entry.Kind == NoteKind::Failed)
+    ++Impl->Refusals[{answerFor(Entry.Error).Name, Entry.Group}];
+}
+
+void Metrics::observe(const std::string &Name, const std::string &Group,
+                      double Value) {
+  bool known = false;
+  for (const char *it : HistogramNames)
+    known = known || Name == it;
+  if (!known)
+    return;
+  std::lock_guard lock(Impl->Mutex);
+  Distribution &values = Impl->Distributions[{Name, Group}];
+  values.Counts(Value);
+  values.Sum += Value;
+  ++values.Count;
+}
+
+void Metrics::setGauge(const std::string &Name, const std::string &Label,
+                       double Value) {
+  std::lock_guard lock(Impl->Mutex);
+  Impl->Gauges[{Name, Label}] = Value;
+}
+
+std::string Metrics::render() const {
+  std::lock_guard lock(Impl->Mutex);
+  std::string out;
+  renderCounters(out, "decisions_total", "kind", Impl->Decisions);
+  renderCounters(out, "refusals_total", "reason", Impl->Refusals);
+  std::string last;
+  for (const auto &[key, value] : Impl->Gauges) {
+    if (key.first != last)
+      renderType(out, key.first, "gauge");
+    last = key.first;
+    out += "crocusspur_" + key.first;
+    if (!key.second.empty())
+      out += "{name=\"" + escaped(key.second) + "\"}";
+    out += ' ' + formatted(value) + '\n';
+  }
+  last.clear();
+  for (const auto &[key, values] : Impl->Distributions) {
+    if (key.first != last)
+      renderType(out, key.first, "histogram");
+    last = key.first;
+    renderDistribution(out, key, values);
+  }
+  return out;
+}
+
+namespace {
+
+class MetricsPlugin final : public Plugin {
+public:
+  bool start(Kernel &Owner) override {
+    Owner.provide<MetricsSink>(&Values);
+    return true;
+  }
+  void stop() override {}
+
+private:
+  Metrics Values;
+};
+
+const PluginRegistration Registration{
+    {"metrics", Phase::Foundation,
+     [] { return std::make_unique<MetricsPlugin>(); }}};
+
+} // namespace
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,35 @@
+// Counters, gauges and histograms of the process, rendered as Prometheus text.
+// docs/METRICS.md lists every metric with its unit.
+#ifndef CROCUSSPUR_METRICS_H
+#define CROCUSSPUR_METRICS_H
+
+#include "runtime.h"
+
+#include <memory>
+#include <string>
+
+namespace crocusspur::internal {
+
+class Metrics final : public MetricsSink {
+public:
+  Metrics();
+  ~Metrics() override;
+
+  void onNote(const Note &Entry) override;
+  // `Name` is "first_output_seconds", "output_gap_seconds",
+  // "prefill_wait_seconds" or "core_event_seconds"; others are ignored, so
+  // that a metric can't come into being by a typing error.
+  void observe(const std::string &Name, const std::string &Group,
+               double Value) override;
+  void setGauge(const std::string &Name, const std::string &Label,
+                double Value) override;
+  std::string render() const override;
+
+private:
+  struct State;
+  std::unique_ptr<State> Impl;
+};
+
+} // namespace crocusspur::internal
+
+#endif
