Add the commands of operators and the rest of their HTTP interface

Cause: operators need to see state, metrics and the version in force, and to try a patch before they publish it.

--- /dev/null
+++ b/src/command_patch.cc
@@ -0,0 +1,106 @@
+// The command `patch check`: says what a patch would give, against a document
+// in a file or against the version in force at a running process.
+#include "command.h"
+#include "operator_client.h"
+#include "patch_report.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <sstream>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr int BadInput = 2;
+constexpr int Refused = 3;
+
+struct PatchArguments {
+  std::string PatchFile;
+  std::string DocumentFile;
+  std::string Address;
+};
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream in(Path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) {
+    std::cerr << "crocusspur: " << Path << ": can't be read\n";
+    return std::nullopt;
+  }
+  return text.str();
+}
+
+ConfigPtr readDocument(const std::string &Path) {
+  std::optional<std::string> text = readFile(Path);
+  if (!text)
+    return nullptr;
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<ConfigPtr> {
+        return parseConfigDocument(*text);
+      },
+      [&](const MistakeList &List) -> ConfigPtr {
+        for (const Mistake &it : List.Mistakes)
+          std::cerr << Path << ": " << it.str() << '\n';
+        return nullptr;
+      },
+      []() -> ConfigPtr { return nullptr; });
+}
+
+int checkAgainstFile(const std::string &Patch, const std::string &Path) {
+  ConfigPtr inForce = readDocument(Path);
+  if (!inForce)
+    return BadInput;
+  PatchVerdict verdict = checkPatch(*inForce, Patch);
+  if (!verdict.Accepted) {
+    std::cerr << describePatchRefusal(verdict) << '\n';
+    return Refused;
+  }
+  std::cout << verdict.Result->Text << '\n';
+  return 0;
+}
+
+int checkAgainstProcess(const std::string &Patch, const std::string &Address) {
+  OperatorReply reply =
+      callOperator(Address, operatorToken(), "/admin/v1/config/patches", Patch);
+  (reply.Status == 200 ? std::cout : std::cerr) << reply.Body << '\n';
+  if (reply.Status == 200)
+    return 0;
+  return reply.Status == 409 || reply.Status == 422 ? Refused : 1;
+}
+
+int check(const PatchArguments &Arguments) {
+  std::optional<std::string> patch = readFile(Arguments.PatchFile);
+  if (!patch)
+    return BadInput;
+  return Arguments.DocumentFile.empty()
+             ? checkAgainstProcess(*patch, Arguments.Address)
+             : checkAgainstFile(*patch, Arguments.DocumentFile);
+}
+
+const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *patch = Program.add_subcommand("patch", "Work with patches");
+  patch->require_subcommand(1);
+  CLI::App *command = patch->add_subcommand(
+      "check", "Print the document that a patch would give, or why it is "
+               "refused (exit code 3)");
+  auto values = std::make_shared<PatchArguments>();
+  values->Address = "127.0.0.1:8081";
+  command->add_option("patch", values->PatchFile, "Patch file (JSON)")
+      ->required();
+  command->add_option("--against", values->DocumentFile,
+                      "Configuration document to patch (JSON)");
+  command
+      ->add_option("--address", values->Address,
+                   "Operators' address of a running process, used without "
+                   "--against")
+      ->capture_default_str();
+  command->callback([values, &ExitCode] { ExitCode = check(*values); });
+}};
+
+} // namespace
+} // namespace crocusspur::internal
--- a/src/command_serve.cc
+++ b/src/command_serve.cc
@@ -45,10 +45,13 @@
       });
 }
 
-int serve(const std::string &File) {
+// `Trace`: file to record a trace to; empty: as the settings say.
+int serve(const std::string &File, const std::string &Trace) {
   std::optional<Settings> values = readSettings(File);
   if (!values)
     return BadSettings;
+  if (!Trace.empty())
+    values->RecordPath = Trace;
   blockSignals();
   startLogging(values->LogLevel, values->Instance);
   int code = 1;
@@ -64,11 +67,27 @@
   return code;
 }
 
-const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
-  CLI::App *command = Program.add_subcommand("serve", "Run one instance");
+std::shared_ptr<std::string> addSettingsOption(CLI::App *Command) {
   auto file = std::make_shared<std::string>();
-  command->add_option("--settings", *file, "Settings file (TOML)")->required();
-  command->callback([file, &ExitCode] { ExitCode = serve(*file); });
+  Command->add_option("--settings", *file, "Settings file (TOML)")->required();
+  return file;
+}
+
+const CommandRegistration Serve{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *command = Program.add_subcommand(
+      "serve", "Run one instance (exit code 2: the settings have mistakes)");
+  auto file = addSettingsOption(command);
+  command->callback([file, &ExitCode] { ExitCode = serve(*file, ""); });
+}};
+
+const CommandRegistration Record{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *command = Program.add_subcommand(
+      "record", "Run one instance and record a trace for replay");
+  auto file = addSettingsOption(command);
+  auto trace = std::make_shared<std::string>();
+  command->add_option("--trace", *trace, "File to write")->required();
+  command->callback(
+      [file, trace, &ExitCode] { ExitCode = serve(*file, *trace); });
 }};
 
 } // namespace
--- a/src/command_version.cc
+++ b/src/command_version.cc
@@ -1,5 +1,8 @@
 #include "command_version.h"
 
+#include "command.h"
+
+#include <CLI/CLI.hpp>
 #include <iostream>
 
 namespace crocusspur::internal {
@@ -9,4 +12,13 @@
   return 0;
 }
 
+namespace {
+
+const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
+  Program.add_subcommand("version", "Print the version")->callback([&ExitCode] {
+    ExitCode = runVersion();
+  });
+}};
+
+} // namespace
 } // namespace crocusspur::internal
--- a/src/operator_front.cc
+++ b/src/operator_front.cc
@@ -1,6 +1,7 @@
 #include "crocusspur/kernel.h"
 #include "digest.h"
 #include "log.h"
+#include "patch_report.h"
 #include "problem_document.h"
 #include "runtime.h"
 
@@ -49,7 +50,12 @@
 private:
   bool authorized(const HTTPServerRequest &Request) const;
   OperatorAnswer answerAdmin(const std::string &Path);
+  OperatorAnswer answerMetrics();
+  OperatorAnswer answerState();
+  OperatorAnswer answerConfig();
+  OperatorAnswer answerPatch(HTTPServerRequest &Request);
 
+  Kernel *Owner = nullptr;
   EventSink *Events = nullptr;
   const Settings *Values = nullptr;
   std::unique_ptr<Poco::ThreadPool> Pool;
@@ -87,6 +93,7 @@
 };
 
 bool OperatorFront::start(Kernel &Owner) {
+  this->Owner = &Owner;
   Events = Owner.find<EventSink>();
   Values = &Owner.settings();
   if (!Events) {
@@ -136,16 +143,38 @@
   if (path == "/readyz")
     return Events->ready() ? OperatorAnswer{200, "text/plain", "ready\n"}
                            : OperatorAnswer{503, "text/plain", "not ready\n"};
-  if (path.compare(0, 7, "/admin/") != 0)
+  if (path != "/metrics" && path.compare(0, 7, "/admin/") != 0)
     return problemAnswer(ErrorKind::NotFound, "");
   if (!authorized(Request))
     return problemAnswer(ErrorKind::Unauthorized, "");
+  if (path == "/admin/v1/config/patches")
+    return answerPatch(Request);
   return answerAdmin(path);
 }
 
 OperatorAnswer OperatorFront::answerAdmin(const std::string &Path) {
-  if (Path != "/admin/v1/state")
-    return problemAnswer(ErrorKind::NotFound, "");
+  if (Path == "/metrics")
+    return answerMetrics();
+  if (Path == "/admin/v1/state")
+    return answerState();
+  if (Path == "/admin/v1/config")
+    return answerConfig();
+  return problemAnswer(ErrorKind::NotFound, "");
+}
+
+OperatorAnswer OperatorFront::answerMetrics() {
+  MetricsSink *metrics = Owner->find<MetricsSink>();
+  if (!metrics)
+    return problemAnswer(ErrorKind::NotReady, "");
+  metrics->setGauge("config_version", "",
+                    static_cast<double>(Events->config()->Version));
+  metrics->setGauge("list_sequence", "",
+                    static_cast<double>(Events->list()->Sequence));
+  metrics->setGauge("ready", "", Events->ready() ? 1 : 0);
+  return {200, "text/plain; version=0.0.4", metrics->render()};
+}
+
+OperatorAnswer OperatorFront::answerState() {
   std::string state = Events->dumpState(DumpWait);
   if (state.empty())
     return problemAnswer(ErrorKind::Overloaded,
@@ -153,6 +182,34 @@
   return {200, "application/json", state};
 }
 
+OperatorAnswer OperatorFront::answerConfig() {
+  ConfigPtr config = Events->config();
+  if (config->Version == 0)
+    return problemAnswer(ErrorKind::NotReady, "no version is in force");
+  return {200, "application/json", config->Text};
+}
+
+// Reads at most one byte more than allowed, so that a longer body shows.
+std::string readBounded(std::istream &In, size_t MaxBytes) {
+  std::string body(MaxBytes + 1, '\0');
+  In.read(body.data(), static_cast<std::streamsize>(body.size()));
+  body.resize(static_cast<size_t>(In.gcount()));
+  return body;
+}
+
+OperatorAnswer OperatorFront::answerPatch(HTTPServerRequest &Request) {
+  if (Request.getMethod() != "POST")
+    return problemAnswer(ErrorKind::BadRequest, "patches are sent with POST");
+  std::string body = readBounded(Request.stream(), Values->MaxBodyBytes);
+  if (body.size() > Values->MaxBodyBytes)
+    return problemAnswer(ErrorKind::BodyTooLarge, "");
+  PatchVerdict verdict = checkPatch(*Events->config(), body);
+  if (verdict.Accepted)
+    return {200, "application/json", verdict.Result->Text};
+  return {answerFor(verdict.Error).Status, ProblemType,
+          formatPatchRefusal(verdict)};
+}
+
 const PluginRegistration Registration{
     {"operator_front", Phase::Fronts,
      [] { return std::make_unique<OperatorFront>(); }}};
--- /dev/null
+++ b/src/patch_report.cc
@@ -0,0 +1,28 @@
+#include "patch_report.h"
+
+#include "problem_document.h"
+
+namespace crocusspur::internal {
+
+std::string describePatchRefusal(const PatchVerdict &Verdict) {
+  std::string current = std::to_string(Verdict.CurrentVersion);
+  if (Verdict.Error == ErrorKind::StaleBase)
+    return "the patch was written against an older version; version " +
+           current + " is in force";
+  std::string text;
+  for (const Mistake &it : Verdict.Mistakes.Mistakes)
+    text += (text.empty() ? "" : "\n") + it.str();
+  return text;
+}
+
+std::string formatPatchRefusal(const PatchVerdict &Verdict) {
+  Problem problem =
+      problemFor(Verdict.Error, describePatchRefusal(Verdict), RequestId());
+  std::string text = formatProblem(problem);
+  size_t end = text.rfind('}');
+  text.insert(end,
+              ",\"current_version\":" + std::to_string(Verdict.CurrentVersion));
+  return text;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/patch_report.h
@@ -0,0 +1,20 @@
+// Presents the verdict on a patch to operators, over HTTP and on the command
+// line.
+#ifndef CROCUSSPUR_PATCH_REPORT_H
+#define CROCUSSPUR_PATCH_REPORT_H
+
+#include "config_state.h"
+
+#include <string>
+
+namespace crocusspur::internal {
+
+// Problem document of a refused patch, with the field `current_version`.
+std::string formatPatchRefusal(const PatchVerdict &Verdict);
+
+// One line for each reason of the refusal.
+std::string describePatchRefusal(const PatchVerdict &Verdict);
+
+} // namespace crocusspur::internal
+
+#endif
