Wait for the news of a crash before a broken request is placed again

Cause: a request that crashed a server was placed on the next one at once, before the crash showed in a load report.

Change: a request whose connection broke waits until its crash is known, at most 350 ms, and then runs alone. A grant for a request that became a suspect while it waited is exchanged for a placement of its own.

Conclusion: a repeat after a broken connection costs up to 350 ms more, except after a time-out, where a crash would be known already.

--- a/src/entry_leases.cc
+++ b/src/entry_leases.cc
@@ -9,8 +9,11 @@
   return isActive(Request) && Request.AtOwner;
 }
 
-LeaseStage leaseStageOf(Phase At) {
-  switch (At) {
+LeaseStage leaseStageOf(const OpenRequest &Request) {
+  switch (Request.At) {
+  case Phase::Broken:
+    return Request.BrokenAt == Stage::Prefill ? LeaseStage::Prefilling
+                                              : LeaseStage::Decoding;
   case Phase::Prefilling:
     return LeaseStage::Prefilling;
   case Phase::Ready:
@@ -26,7 +29,7 @@
   LeaseEntry lease;
   lease.Id = Request.Id;
   lease.Attempt = Request.Placement;
-  lease.Stage = leaseStageOf(Request.At);
+  lease.Stage = leaseStageOf(Request);
   lease.Group = Request.Spec.Group;
   if (lease.Stage != LeaseStage::Waiting)
     lease.PrefillServer = Request.PrefillServer;
--- a/src/entry_placement.cc
+++ b/src/entry_placement.cc
@@ -235,9 +235,22 @@
   Context.send(To, ListOffer{Context.List.Text});
 }
 
+// Places a broken request again as soon as its crash is known, or when none
+// has shown in time.
+void EntryRequests::State::watchBroken(CoreContext &Context,
+                                       OpenRequest &Request) {
+  CrashAdvice advice = Crashes.advise(Context.Now, Request.Spec.Fingerprint);
+  bool known = advice == CrashAdvice::Refuse ||
+               (advice == CrashAdvice::RunAlone && !Request.RunAlone);
+  if (known || Context.Now - Request.PhaseSince >= CrashWait)
+    resumeBroken(Context, Request);
+}
+
 // Ends or repeats what has waited too long for the owner.
 void EntryRequests::State::watchWaiting(CoreContext &Context,
                                         OpenRequest &Request) {
+  if (Request.At == Phase::Broken)
+    watchBroken(Context, Request);
   if (Request.At != Phase::Waiting && Request.At != Phase::Ready)
     return;
   bool late = Context.Now >= Request.Deadline && !Request.MayWait;
--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -24,6 +24,8 @@
     return "decoding";
   case Phase::Calling:
     return "calling";
+  case Phase::Broken:
+    return "broken";
   case Phase::Answered:
     return "answered";
   case Phase::Cancelled:
--- a/src/entry_service.cc
+++ b/src/entry_service.cc
@@ -49,12 +49,11 @@
     fail(Context, Request, ErrorKind::NoServer);
     return;
   }
+  if (becameSuspect(Context, Request))
+    return;
   if (Request.Dispatch == 0)
     note(Context, Request, NoteKind::Admitted, Request.Server);
   ServiceServer &server = Services[Request.Server];
-  // Other entries' calls on the server are not known, so a suspect counts as
-  // alone if this entry has no other call there.
-  Request.RunAlone = Request.RunAlone && server.Outstanding == 0;
   ++server.Outstanding;
   server.LastUse = ++ServiceUses;
   Request.Tried.push_back(Request.Server);
@@ -78,12 +77,18 @@
   else
     server.AvoidUntil = Context.Now + AvoidUnreachable;
   Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
+  bool another =
+      !chooseServer(Context, Request).empty() && Request.OutputTokens == 0;
   if (Body.Outcome == StageOutcome::Failed ||
-      Body.Outcome == StageOutcome::TimedOut)
+      Body.Outcome == StageOutcome::TimedOut) {
     cancelAt(Context, Request, Request.Server);
-  bool repeatable = (Request.Spec.Idempotent || !Request.MayHaveRun) &&
-                    Request.OutputTokens == 0;
-  bool another = !chooseServer(Context, Request).empty();
+    if (another)
+      breakOff(Context, Request, Body);
+    else
+      fail(Context, Request, errorOf(Body.Outcome));
+    return;
+  }
+  bool repeatable = Request.Spec.Idempotent || !Request.MayHaveRun;
   if (repeatable && another && mayPlaceAgain(Context, Request))
     startService(Context, Request);
   else
--- a/src/entry_stages.cc
+++ b/src/entry_stages.cc
@@ -62,6 +62,29 @@
   return false;
 }
 
+// Other requests of the same content may have crashed a server since this one
+// was placed. Such a request asks for a server of its own instead.
+bool EntryRequests::State::becameSuspect(CoreContext &Context,
+                                         OpenRequest &Request) {
+  CrashAdvice advice = Crashes.advise(Context.Now, Request.Spec.Fingerprint);
+  if (advice == CrashAdvice::Refuse) {
+    note(Context, Request, NoteKind::SuspectRefused);
+    fail(Context, Request, ErrorKind::RequestCrashesServers);
+    return true;
+  }
+  bool repeatable = Request.Spec.Idempotent || !Request.MayHaveRun;
+  if (advice == CrashAdvice::Run || Request.RunAlone || !repeatable)
+    return false;
+  Request.RunAlone = true;
+  if (Request.Spec.Kind == RequestKind::Service)
+    return false;
+  cancelAt(Context, Request, Request.PrefillServer);
+  Request.ResultReady = false;
+  ++Request.Placement;
+  acquire(Context, Request);
+  return true;
+}
+
 void EntryRequests::State::noteStart(CoreContext &Context, OpenRequest &Request,
                                      const std::string &Server) {
   ++Request.Dispatch;
@@ -69,8 +92,11 @@
   if (std::find(Request.Holders.begin(), Request.Holders.end(), Server) ==
       Request.Holders.end())
     Request.Holders.push_back(Server);
-  Crashes.onStarted(Request.Id, Server, Request.Spec.Fingerprint,
-                    Request.RunAlone);
+  // Other entries' calls on a service's server are not known, so a suspect
+  // counts as alone if this entry has no other call there.
+  bool alone = Request.RunAlone && (Request.At != Phase::Calling ||
+                                    Services[Server].Outstanding == 1);
+  Crashes.onStarted(Request.Id, Server, Request.Spec.Fingerprint, alone);
   if (Request.KeyExecuting)
     Keys.onDispatched(Context, Request.Id);
 }
@@ -89,6 +115,8 @@
       fail(Context, Request, ErrorKind::NoServer);
     return;
   }
+  if (becameSuspect(Context, Request))
+    return;
   noteStart(Context, Request, Request.PrefillServer);
   Context.Out.push_back(
       StartPrefill{Request.Id, Request.Dispatch, Request.PrefillServer,
@@ -109,6 +137,8 @@
       fail(Context, Request, ErrorKind::NoServer);
     return;
   }
+  if (becameSuspect(Context, Request))
+    return;
   noteStart(Context, Request, Request.Server);
   Context.Out.push_back(StartDecode{
       Request.Id, Request.Dispatch, Request.Server, Request.PrefillServer,
@@ -169,8 +199,11 @@
     askForDecode(Context, Request);
     return;
   }
-  if (isBroken(Body.Outcome))
+  if (isBroken(Body.Outcome)) {
     cancelAt(Context, Request, Request.PrefillServer);
+    breakOff(Context, Request, Body);
+    return;
+  }
   bool repeatable = Request.Spec.Idempotent || !Request.MayHaveRun;
   if (repeatable && mayPlaceAgain(Context, Request))
     losePrefill(Context, Request, Body.Outcome == StageOutcome::RefusedFull);
@@ -219,10 +252,36 @@
     cancelAt(Context, Request, Request.PrefillServer);
     Request.ResultReady = false;
   }
-  if (Request.Spec.Idempotent && mayPlaceAgain(Context, Request))
-    loseDecode(Context, Request, false);
-  else
+  breakOff(Context, Request, Body);
+}
+
+// An attempt ended after a byte may have left. It is repeated if it may be,
+// once it is known whether the server crashed.
+void EntryRequests::State::breakOff(CoreContext &Context, OpenRequest &Request,
+                                    const StageFinished &Body) {
+  if (!Request.Spec.Idempotent || !mayPlaceAgain(Context, Request)) {
     fail(Context, Request, errorOf(Body.Outcome));
+    return;
+  }
+  Request.BrokenAt = Body.At;
+  setPhase(Context, Request, Phase::Broken);
+  // A server that crashed would not have kept silent for the whole timeout.
+  if (Body.Outcome == StageOutcome::TimedOut)
+    resumeBroken(Context, Request);
+}
+
+void EntryRequests::State::resumeBroken(CoreContext &Context,
+                                        OpenRequest &Request) {
+  if (becameSuspect(Context, Request))
+    return;
+  if (Request.BrokenAt == Stage::Service) {
+    setPhase(Context, Request, Phase::Calling);
+    startService(Context, Request);
+  } else if (Request.BrokenAt == Stage::Prefill) {
+    losePrefill(Context, Request, false);
+  } else {
+    loseDecode(Context, Request, false);
+  }
 }
 
 // The relay reports here only if the home could not be reached or the link
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -20,6 +20,11 @@
 inline constexpr uint32_t MaxPlacements = 8;
 // Retry-After where nothing better is known: callers round up to seconds.
 inline constexpr Milliseconds DefaultRetryAfter{1000};
+// A request whose connection broke waits this long before it is placed again,
+// so that one that crashes servers is recognised before the next one: a crash
+// shows in the next load report, 250 ms later at most, and is told to the
+// peers.
+inline constexpr Milliseconds CrashWait{350};
 // A cancelled request is remembered this long for late reports of its relay.
 inline constexpr Milliseconds CancelledMemory{10000};
 
@@ -31,6 +36,7 @@
   Ready,      // the result is there; the owner was asked for a decode slot
   Decoding,   // a decode was started
   Calling,    // a service call was started
+  Broken,     // an attempt broke off; waits to learn if the server crashed
   Answered,   // finally answered; the relay has not closed it yet
   Cancelled,  // the caller is gone; kept for late reports
 };
@@ -64,9 +70,10 @@
   std::string Server; // that decodes or serves the call
   uint64_t Fence = 0;
   uint64_t KvBytes = 0;
-  uint32_t Dispatch = 0;            // number of the latest Start action
-  bool InFlight = false;            // it has not been reported as finished
-  bool StartPending = false;        // dispatch is held; see holdDispatch()
+  uint32_t Dispatch = 0;     // number of the latest Start action
+  bool InFlight = false;     // it has not been reported as finished
+  bool StartPending = false; // dispatch is held; see holdDispatch()
+  Stage BrokenAt = Stage::Prefill;
   std::vector<std::string> Holders; // servers that may hold work or memory
   std::vector<std::string> Tried;   // service: servers already called
 
@@ -113,6 +120,7 @@
   void finishAtOwner(CoreContext &Context, OpenRequest &Request,
                      FinishReason Reason);
   void offerList(CoreContext &Context, const std::string &To);
+  void watchBroken(CoreContext &Context, OpenRequest &Request);
   void watchWaiting(CoreContext &Context, OpenRequest &Request);
 
   // entry_stages.cc: dispatch and outcome of one attempt
@@ -125,6 +133,10 @@
   void startPending(CoreContext &Context, OpenRequest &Request);
   void stageFinished(CoreContext &Context, OpenRequest &Request,
                      const StageFinished &Body);
+  bool becameSuspect(CoreContext &Context, OpenRequest &Request);
+  void breakOff(CoreContext &Context, OpenRequest &Request,
+                const StageFinished &Body);
+  void resumeBroken(CoreContext &Context, OpenRequest &Request);
   void prefillFinished(CoreContext &Context, OpenRequest &Request,
                        const StageFinished &Body);
   void decodeFinished(CoreContext &Context, OpenRequest &Request,
--- a/test/core_network.cc
+++ b/test/core_network.cc
@@ -158,12 +158,15 @@
   });
 }
 
-void CoreNetwork::handle(Node &To, EventBody Body) {
-  // The wall clock runs with the monotonic one; its start doesn't matter.
-  WallTime wall(std::chrono::duration_cast<WallTime::duration>(
+WallTime CoreNetwork::wall() const {
+  // It runs with the monotonic clock; its start doesn't matter.
+  return WallTime(std::chrono::duration_cast<WallTime::duration>(
       Now.time_since_epoch() + std::chrono::hours(480000)));
+}
+
+void CoreNetwork::handle(Node &To, EventBody Body) {
   ActionList actions;
-  To.Core->handle(Event{Now, wall, std::move(Body)}, actions);
+  To.Core->handle(Event{Now, wall(), std::move(Body)}, actions);
   for (const Action &it : actions)
     carryOut(To, it);
 }
@@ -393,6 +396,10 @@
   giveLater(home->second, incarnation, RequestClosed{Id, false});
 }
 
+std::string CoreNetwork::makeTicket(const std::string &Instance) {
+  return node(Instance).Core->makeTicket(++Counter);
+}
+
 const CallerRequest &CoreNetwork::request(const RequestId &Id) const {
   return Callers.at(Id);
 }
--- a/test/core_network.h
+++ b/test/core_network.h
@@ -79,6 +79,7 @@
 
   // Instances are e1 to eN, servers as in core_samples.h.
   TimePoint now() const { return Now; }
+  WallTime wall() const; // of all instances
   void runFor(Milliseconds Duration);
   // Runs until the condition holds; false if it doesn't within the limit.
   bool runUntil(const std::function<bool()> &Condition, Milliseconds Limit);
@@ -87,6 +88,8 @@
   // Callers.
   RequestId submit(const std::string &Instance, RequestSpec Spec);
   void cancel(const RequestId &Id);
+  // A ticket of the instance as it runs now.
+  std::string makeTicket(const std::string &Instance);
   const CallerRequest &request(const RequestId &Id) const;
   const std::map<RequestId, CallerRequest> &requests() const { return Callers; }
 
--- a/test/core_network_test.cc
+++ b/test/core_network_test.cc
@@ -11,7 +11,9 @@
 void sendLoad(CoreNetwork &Net, int Count, Milliseconds Gap) {
   for (int i = 0; i < Count; ++i) {
     std::string entry = "e" + std::to_string(1 + i % 3);
-    Net.submit(entry, i % 4 == 3 ? serviceSpec(true) : modelSpec());
+    RequestSpec spec = i % 4 == 3 ? serviceSpec(true) : modelSpec();
+    spec.Fingerprint = static_cast<uint64_t>(1000 + i);
+    Net.submit(entry, spec);
     Net.runFor(Gap);
   }
 }
@@ -58,3 +60,50 @@
   CHECK(run(5) == run(5));
   CHECK(run(5) != run(6));
 }
+
+// Guards against requests that hang when a decode server is lost that also did
+// their prefill: the owner has then never seen a separate result.
+TEST_CASE("CoreNetwork places requests again that were prefilled locally") {
+  NetworkOptions options;
+  options.Sample.Prefills = 0;
+  CoreNetwork net(options);
+  REQUIRE(net.runUntilReady());
+  net.runFor(Milliseconds(2500));
+  RequestSpec spec = modelSpec();
+  spec.Group = "dispatch"; // waits without a deadline
+  for (int i = 0; i < 4; ++i) {
+    spec.Fingerprint = static_cast<uint64_t>(1000 + i);
+    net.submit("e" + std::to_string(1 + i % 3), spec);
+  }
+  net.runFor(Milliseconds(100));
+  net.killServer("d1");
+  net.runFor(Milliseconds(6000));
+  CHECK(countAnswers(net, true) == 4);
+  CHECK(net.held().empty());
+}
+
+// Guards against a suspect that is never placed again, or crashes a third
+// server (P8).
+TEST_CASE("CoreNetwork stops a request that crashes servers at the second") {
+  NetworkOptions options;
+  options.Sample.Decodes = 4;
+  CoreNetwork net(options);
+  REQUIRE(net.runUntilReady());
+  net.runFor(Milliseconds(2500));
+  RequestSpec killer = modelSpec();
+  killer.Fingerprint = 666;
+  killer.Group = "dispatch";
+  net.addCrasher(666);
+  size_t refused = 0;
+  for (int i = 0; i < 6; ++i) {
+    RequestId id = net.submit("e" + std::to_string(1 + i % 3), killer);
+    net.runFor(Milliseconds(4000));
+    REQUIRE(net.request(id).Answers.size() == 1);
+    refused +=
+        net.request(id).Answers[0].Error == ErrorKind::RequestCrashesServers;
+    for (const char *it : {"p1", "p2", "d1", "d2", "d3", "d4"})
+      net.restartServer(it);
+  }
+  CHECK(refused >= 4);
+  CHECK(net.countNotes(NoteKind::SuspectRefused) >= 4);
+}
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -354,11 +354,13 @@
   entry.runTo(Stage::Decode);
   entry.progress(10);
   entry.finish(Stage::Decode, StageOutcome::Failed, "d1", 12);
+  CHECK(entry.cancelledAt() == Names{"d1"});
+  entry.timer(Milliseconds{350});
+  entry.attempt();
   const DecodeLost *lost = entry.sent<DecodeLost>();
   REQUIRE(lost);
   CHECK(lost->OutputTokens == 12);
   CHECK_FALSE(lost->ResultAlive);
-  CHECK(entry.cancelledAt() == Names{"d1"});
   // The deadline was met by the output that the caller has.
   entry.timer(Milliseconds{5000});
   CHECK(entry.error() == "none");
@@ -737,12 +739,48 @@
   }
   SUBCASE("failed, may be repeated") {
     run(true, StageOutcome::Failed);
+    CHECK_FALSE(entry.made<StartService>());
+    entry.timer(Milliseconds{350});
     CHECK(entry.made<StartService>());
+    entry.started();
     entry.finish(Stage::Service, StageOutcome::RefusedFull, "s2");
     CHECK(entry.error() == "backend_refused unknown");
   }
 }
 
+// Guards against a request that crashes one server after the other before the
+// first crash is known (P8).
+TEST_CASE("EntryRequests waits for the news of a crash before it repeats") {
+  EntryDriver entry;
+  auto crash = [&](const std::string &Server, uint64_t Epoch) {
+    CoreContext at = entry.context();
+    entry.Crashes.onServerCrashed(at, Server, Epoch);
+  };
+  entry.runTo(Stage::Decode);
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d1");
+  CHECK_FALSE(entry.sent<DecodeLost>());
+  entry.timer();
+  CHECK(entry.Out.empty());
+  crash("d1", 1);
+  entry.timer();
+  CHECK_FALSE(entry.sent<DecodeLost>());
+  REQUIRE(entry.sent<AcquireRequest>());
+  CHECK(entry.sent<AcquireRequest>()->RunAlone);
+  CHECK(entry.sent<AcquireRequest>()->Attempt == 2);
+  CHECK(entry.cancelledAt() == Names{"p1"});
+  entry.grantPrefill("d2", "d2");
+  REQUIRE(entry.made<StartDecode>());
+  entry.started();
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d2");
+  entry.timer();
+  CHECK(entry.Out.empty());
+  crash("d2", 1);
+  entry.timer();
+  CHECK(entry.error() == "request_crashes_servers unknown");
+  entry.arrive({7, 2});
+  CHECK(entry.error() == "request_crashes_servers no");
+}
+
 // Guards against a dead server that uses up the retry budget of a service.
 TEST_CASE("EntryRequests avoids a service server that can't be reached") {
   EntryDriver entry;
