Let the owner take a lost decode that prefilled on the same server

Cause: a grant that names one server for both stages leaves the lease in the stage of its prefill, and DecodeLost was only taken in the decode stage. A request that may wait then waited for ever.

Change: decodeLost also accepts a lease that prefills on its decode server.

--- a/src/shard_scheduler.cc
+++ b/src/shard_scheduler.cc
@@ -834,10 +834,17 @@
 
 void ShardScheduler::decodeLost(CoreContext &Context, ShardLease &Lease,
                                 const DecodeLost &Message) {
-  if (Lease.Stage != LeaseStage::Decoding ||
+  // Of a request that also prefills on its decode server, the entry only knows
+  // the decode.
+  bool local =
+      Lease.Stage == LeaseStage::Prefilling && Lease.prefillsOnDecodeServer();
+  if ((Lease.Stage != LeaseStage::Decoding && !local) ||
       Lease.DecodeServer != Message.Server)
     return;
   ShardServer *server = Servers.find(Lease.DecodeServer);
+  if (local && Message.ServerFull)
+    Lease.PrefillUnused = false; // refused before it ran
+  leavePrefill(Context, Lease);
   leaveDecode(Context, Lease);
   // A result that is gone though the server was not full was evicted or
   // imported; only the latter can have given output.
--- a/test/core_network_test.cc
+++ b/test/core_network_test.cc
@@ -107,3 +107,26 @@
   CHECK(refused >= 4);
   CHECK(net.countNotes(NoteKind::SuspectRefused) >= 4);
 }
+
+// Guards against requests that wait for ever when a server that does both
+// stages goes silent without a crash.
+TEST_CASE("CoreNetwork replaces a silent server that prefills locally") {
+  NetworkOptions options;
+  options.Sample.Prefills = 0;
+  options.Core.ProgressTimeout = Milliseconds(1000);
+  CoreNetwork net(options);
+  REQUIRE(net.runUntilReady());
+  net.runFor(Milliseconds(2500));
+  net.stallServer("d1");
+  for (int i = 0; i < 4; ++i) {
+    RequestSpec spec = modelSpec();
+    spec.Group = "dispatch";
+    spec.Fingerprint = static_cast<uint64_t>(1000 + i);
+    net.submit("e" + std::to_string(1 + i % 3), spec);
+  }
+  net.runFor(Milliseconds(500));
+  net.stallServer("d1", false);
+  net.runFor(Milliseconds(6000));
+  CHECK(countAnswers(net, true) == 4);
+  CHECK(net.held().empty());
+}
