--- a/src/core_lifecycle.cc
+++ b/src/core_lifecycle.cc
@@ -106,18 +106,18 @@
 }
 
 void DecisionCore::State::updateShutdown(ActionList &Out) {
-  if (!Draining || Stopped)
+  if (!Draining || Requests.openRequests() == 0 || Now < ShutdownBy)
     return;
-  if (Requests.openRequests() == 0) {
-    stop(0, Out);
-  } else if (Now >= ShutdownBy) {
-    CoreContext context = this->context(Out);
-    stop(Requests.abandonAll(context), Out);
-  }
+  CoreContext context = this->context(Out);
+  Abandoned = Requests.abandonAll(context);
 }
 
-void DecisionCore::State::stop(uint32_t Abandoned, ActionList &Out) {
+// Comes after every other action, since the process may end with the last one.
+void DecisionCore::State::stopIfDrained(ActionList &Out) {
+  if (!Draining || (Requests.openRequests() > 0 && !Abandoned))
+    return;
   Stopped = true;
+  uint32_t abandoned = Abandoned.value_or(0);
   for (const std::string &it : Peers.linked())
     Out.push_back(SendToPeer{it, Goodbye{}});
   Out.push_back(Note{NoteKind::Drained,
@@ -125,8 +125,8 @@
                      "",
                      Options.Instance,
                      ErrorKind::Internal,
-                     static_cast<double>(Abandoned)});
-  Out.push_back(ShutdownComplete{Abandoned});
+                     static_cast<double>(abandoned)});
+  Out.push_back(ShutdownComplete{abandoned});
 }
 
 } // namespace crocusspur
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -76,7 +76,7 @@
   bool peersHeard() const;
   void beginShutdown(const ShutdownRequested &Body, ActionList &Out);
   void updateShutdown(ActionList &Out);
-  void stop(uint32_t Abandoned, ActionList &Out);
+  void stopIfDrained(ActionList &Out);
 
   CoreOptions Options;
   TimePoint Now;
@@ -116,6 +116,7 @@
   bool Draining = false;
   bool Stopped = false;
   TimePoint ShutdownBy;
+  std::optional<uint32_t> Abandoned; // requests open at the limit
 };
 
 } // namespace crocusspur
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -85,6 +85,7 @@
   updateReadiness(queue);
   updateShutdown(queue);
   drainOwn(queue, Actions);
+  stopIfDrained(Actions);
 }
 
 // Hands messages to this instance itself to their receiver, in order, and
