Handle removed shards, unreachable ticket executors and forgotten peers

Cause: reading the core through again showed messages to an empty owner when the configuration drops a shard, "not run" for a ticket whose executor can't be reached although an earlier request may have run there, and a peer table that grows with every replaced instance.

Change: what waits for a removed shard is answered as NoServer and what runs may end; an unreachable executor of a ticket gives OutcomeUnknown; unlinked peers are forgotten after a minute.

--- a/src/core_lifecycle.cc
+++ b/src/core_lifecycle.cc
@@ -5,6 +5,8 @@
 
 // A gap between two timer events that shows that the process did not run.
 constexpr Milliseconds PauseGap{1000};
+// Instances are replaced under new names; old ones are forgotten after this.
+constexpr Milliseconds PeerMemory{60000};
 // Longest wait for the peers of the list before this instance serves.
 constexpr Milliseconds PeerWait{1000};
 
@@ -23,6 +25,7 @@
   if (!LastHeartbeat || Now - *LastHeartbeat >= Options.HeartbeatPeriod) {
     LastHeartbeat = Now;
     sendHeartbeats(Out);
+    Peers.forgetOlderThan(Now - PeerMemory);
   }
   Keys.onTimer(context);
   Crashes.onTimer(context);
--- a/src/entry_leases.cc
+++ b/src/entry_leases.cc
@@ -100,7 +100,12 @@
   // The former owner may still be there, with a different view.
   finishAtOwner(Context, Request, FinishReason::Cancelled);
   Request.Owner = Owner;
-  Request.AtOwner = true;
+  Request.AtOwner = !Owner.empty();
+  // The configuration has no such shard any more: what runs may end, the rest
+  // has no place.
+  if (Owner.empty() &&
+      (Request.At == Phase::Waiting || Request.At == Phase::Ready))
+    fail(Context, Request, ErrorKind::NoServer);
 }
 
 void EntryRequests::onOwnersChanged(CoreContext &Context) {
@@ -113,7 +118,8 @@
     if (owner == request.Owner)
       continue;
     Impl->moveToOwner(Context, request, owner);
-    moved[request.Shard] = owner;
+    if (!owner.empty())
+      moved[request.Shard] = owner;
   }
   for (const auto &it : moved)
     Impl->reassert(Context, it.second, it.first);
--- a/src/entry_placement.cc
+++ b/src/entry_placement.cc
@@ -63,6 +63,10 @@
 
 void EntryRequests::State::acquire(CoreContext &Context, OpenRequest &Request) {
   setPhase(Context, Request, Phase::Waiting);
+  if (Request.Owner.empty()) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
   Request.AtOwner = true;
   AcquireRequest message;
   message.Id = Request.Id;
@@ -85,6 +89,10 @@
 void EntryRequests::State::askForDecode(CoreContext &Context,
                                         OpenRequest &Request) {
   setPhase(Context, Request, Phase::Ready);
+  if (Request.Owner.empty()) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
   Context.send(Request.Owner, PrefillDone{Request.Id, Request.Shard,
                                           Request.Placement, Request.KvBytes});
 }
@@ -195,6 +203,10 @@
 // placement can be told from the answer.
 void EntryRequests::State::losePrefill(CoreContext &Context,
                                        OpenRequest &Request, bool ServerFull) {
+  if (Request.Owner.empty()) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
   ++Request.Placement;
   Context.send(Request.Owner,
                PrefillLost{Request.Id, Request.Shard, Request.Placement,
@@ -205,6 +217,10 @@
 // Tells the owner that the decode server gave no (complete) output.
 void EntryRequests::State::loseDecode(CoreContext &Context,
                                       OpenRequest &Request, bool ServerFull) {
+  if (Request.Owner.empty()) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
   ++Request.Placement;
   Context.send(Request.Owner,
                DecodeLost{Request.Id, Request.Shard, Request.Placement,
@@ -228,10 +244,11 @@
 // The owner granted a server that this entry's newer list no longer has live.
 void EntryRequests::State::offerList(CoreContext &Context,
                                      const std::string &To) {
-  uint64_t &offered = OfferedList[To];
-  if (offered >= Context.List.Sequence || To == Context.Options.Instance)
+  if (OfferedSequence != Context.List.Sequence)
+    OfferedTo.clear();
+  OfferedSequence = Context.List.Sequence;
+  if (To == Context.Options.Instance || !OfferedTo.insert(To).second)
     return;
-  offered = Context.List.Sequence;
   Context.send(To, ListOffer{Context.List.Text});
 }
 
--- a/src/entry_stages.cc
+++ b/src/entry_stages.cc
@@ -1,4 +1,5 @@
 #include "entry_state.h"
+#include "ticket.h"
 
 #include <algorithm>
 
@@ -165,7 +166,7 @@
   }
   if (!Request.InFlight || Body.Attempt != Request.Dispatch)
     return;
-  if (Request.At == Phase::Cancelled) {
+  if (!isActive(Request)) {
     // The first cancel may have reached the server before the request did.
     Request.InFlight = false;
     if (!wasRefused(Body.Outcome))
@@ -291,12 +292,15 @@
                                            const StageFinished &Body) {
   if (Body.Outcome == StageOutcome::Ok)
     return;
-  if (Body.Outcome == StageOutcome::NotSent) {
+  // An earlier request with the same ticket may have run at its executor, which
+  // may be gone for good; the homes of other keys move to another instance.
+  bool ticket = looksLikeTicket(Request.Spec.IdempotencyKey);
+  if (wasRefused(Body.Outcome) && !ticket) {
     fail(Context, Request, ErrorKind::HomeUnreachable,
          Context.Options.LeasePeriod);
     return;
   }
-  Request.MayHaveRun = !wasRefused(Body.Outcome);
+  Request.MayHaveRun = true;
   Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
   fail(Context, Request, ErrorKind::OutcomeUnknown);
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -7,6 +7,7 @@
 #include "retry_budget.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -180,9 +181,10 @@
   OwnerLookup Owner;
   // Ordered, so that equal histories give equal actions.
   std::map<RequestId, OpenRequest> Requests;
-  std::map<std::string, RetryBudget> Budgets;    // by group
-  std::map<std::string, uint32_t> QueueLengths;  // by shard, last heard
-  std::map<std::string, uint64_t> OfferedList;   // by owner: list sequence
+  std::map<std::string, RetryBudget> Budgets;   // by group
+  std::map<std::string, uint32_t> QueueLengths; // by shard, last heard
+  std::set<std::string> OfferedTo; // owners that were sent this list
+  uint64_t OfferedSequence = 0;
   std::map<std::string, ServiceServer> Services; // by server
   uint64_t ServiceUses = 0;
   bool Draining = false;
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -47,6 +47,12 @@
 
 void PeerTable::onGoodbye(const std::string &Name) { Peers[Name].Gone = true; }
 
+void PeerTable::forgetOlderThan(TimePoint Limit) {
+  std::erase_if(Peers, [&](const auto &Item) {
+    return !Item.second.Up && Item.second.LastHeard < Limit;
+  });
+}
+
 bool PeerTable::isReachable(const std::string &Name, TimePoint Now) const {
   auto it = Peers.find(Name);
   return it != Peers.end() && it->second.Up && !it->second.Gone &&
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -40,6 +40,9 @@
                    TimePoint Now);
   void onGoodbye(const std::string &Name);
 
+  // Forgets unlinked peers that were not heard for longer than this.
+  void forgetOlderThan(TimePoint Limit);
+
   bool isReachable(const std::string &Name, TimePoint Now) const;
   bool hasHeartbeat(const std::string &Name) const;
   bool readerHeard(TimePoint Now) const;
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -665,6 +665,71 @@
   CHECK(entry.Requests.leasesFrom("o1").empty());
 }
 
+// Guards against messages to nobody when an operator removes a shard.
+TEST_CASE("EntryRequests ends what waits for a removed shard") {
+  EntryDriver entry;
+  auto remove = [&] {
+    entry.OwnerName = "";
+    CoreContext at = entry.context();
+    entry.Requests.onOwnersChanged(at);
+  };
+  SUBCASE("waiting") {
+    entry.arrive();
+    remove();
+    CHECK(entry.error() == "no_server no");
+  }
+  SUBCASE("decoding goes on") {
+    entry.runTo(Stage::Decode);
+    remove();
+    CHECK(entry.error() == "none");
+    entry.finish(Stage::Decode, StageOutcome::Ok, "d1");
+    CHECK(entry.noted() == "completed");
+    CHECK_FALSE(entry.sent<Finished>());
+  }
+  SUBCASE("a lost decode ends") {
+    entry.runTo(Stage::Decode);
+    remove();
+    entry.finish(Stage::Decode, StageOutcome::RefusedFull, "d1");
+    CHECK(entry.error() == "no_server unknown");
+  }
+}
+
+// Guards against "not run" for a ticket whose executor may have run it.
+TEST_CASE("EntryRequests answers for a home that it can't reach") {
+  EntryDriver entry;
+  CoreOptions other = sampleCoreOptions("e2", 9);
+  KeyHome executor(other);
+  // The executor is heard, so that the ticket is forwarded.
+  entry.List = parsedList(sampleListText(1, 2));
+  Heartbeat beat;
+  CoreContext at = entry.context();
+  entry.Keys.onListChanged(at);
+  executor.fillHeartbeat(at, "e1", beat);
+  entry.Keys.onHeartbeat(at, "e2", 9, beat);
+  RequestSpec spec = serviceSpec(false);
+  spec.IdempotencyKey = executor.makeTicket(1);
+  entry.arrive(Id, spec);
+  REQUIRE(entry.made<ForwardToHome>());
+  CHECK(entry.made<ForwardToHome>()->Home == "e2");
+  SUBCASE("not sent") {
+    entry.finish(Stage::Service, StageOutcome::NotSent, "");
+    CHECK(entry.error() == "outcome_unknown unknown");
+  }
+  SUBCASE("broken") {
+    entry.finish(Stage::Service, StageOutcome::Failed, "");
+    CHECK(entry.error() == "outcome_unknown unknown");
+  }
+  SUBCASE("cancelled") {
+    entry.cancel();
+    CHECK(entry.sent<ForwardCancel>());
+  }
+  SUBCASE("answered by the home") {
+    entry.close(Id);
+    CHECK(entry.noted() == "completed");
+    CHECK(entry.Requests.openRequests() == 0);
+  }
+}
+
 // Guards against a digest that the owner can't compare.
 TEST_CASE("EntryRequests sums its leases by owner and shard") {
   EntryDriver entry;
