--- a/src/entry_leases.cc
+++ b/src/entry_leases.cc
@@ -9,8 +9,11 @@
   return isActive(Request) && Request.AtOwner;
 }
 
-LeaseStage leaseStageOf(Phase At) {
-  switch (At) {
+LeaseStage leaseStageOf(const OpenRequest &Request) {
+  switch (Request.At) {
+  case Phase::Broken:
+    return Request.BrokenAt == Stage::Prefill ? LeaseStage::Prefilling
+                                              : LeaseStage::Decoding;
   case Phase::Prefilling:
     return LeaseStage::Prefilling;
   case Phase::Ready:
@@ -26,7 +29,7 @@
   LeaseEntry lease;
   lease.Id = Request.Id;
   lease.Attempt = Request.Placement;
-  lease.Stage = leaseStageOf(Request.At);
+  lease.Stage = leaseStageOf(Request);
   lease.Group = Request.Spec.Group;
   if (lease.Stage != LeaseStage::Waiting)
     lease.PrefillServer = Request.PrefillServer;
@@ -97,7 +100,12 @@
   // The former owner may still be there, with a different view.
   finishAtOwner(Context, Request, FinishReason::Cancelled);
   Request.Owner = Owner;
-  Request.AtOwner = true;
+  Request.AtOwner = !Owner.empty();
+  // The configuration has no such shard any more: what runs may end, the rest
+  // has no place.
+  if (Owner.empty() &&
+      (Request.At == Phase::Waiting || Request.At == Phase::Ready))
+    fail(Context, Request, ErrorKind::NoServer);
 }
 
 void EntryRequests::onOwnersChanged(CoreContext &Context) {
@@ -110,7 +118,8 @@
     if (owner == request.Owner)
       continue;
     Impl->moveToOwner(Context, request, owner);
-    moved[request.Shard] = owner;
+    if (!owner.empty())
+      moved[request.Shard] = owner;
   }
   for (const auto &it : moved)
     Impl->reassert(Context, it.second, it.first);
