Carry the new fields of Heartbeat and KeyAnswer between instances

Cause: five fields of Heartbeat and one of KeyAnswer were added to the C++ types after the schema was written, and the codec dropped the former without an error. Change: the fields are in the schema and the codec; the build now fails when the number of fields of a message differs from what the codec carries. Conclusion: a field can no longer be forgotten silently.

--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -18,6 +18,49 @@
 // overflow whatever a peer sends.
 constexpr int64_t MaxTimeUs = int64_t(366) * 24 * 3600 * 1000000;
 
+// --- Completeness ---
+
+struct AnyField {
+  template <typename T> operator T() const; // NOLINT: never defined
+};
+
+template <typename T, typename... Fields> constexpr size_t fieldCount() {
+  if constexpr (requires { T{Fields{}..., AnyField{}}; })
+    return fieldCount<T, Fields..., AnyField>();
+  else
+    return sizeof...(Fields);
+}
+
+// A field that is added to a message but not to the schema would be lost
+// without any error. Whoever changes one of these numbers has to extend
+// schema/peer.fbs, pack(), unpack() and the samples of the test.
+static_assert(fieldCount<LeaseSummary>() == 3);
+static_assert(fieldCount<Heartbeat>() == 14);
+static_assert(fieldCount<AcquireRequest>() == 13);
+static_assert(fieldCount<PrefillGrant>() == 7);
+static_assert(fieldCount<DecodeGrant>() == 5);
+static_assert(fieldCount<Refusal>() == 6);
+static_assert(fieldCount<PrefillDone>() == 4);
+static_assert(fieldCount<Finished>() == 6);
+static_assert(fieldCount<DecodeLost>() == 7);
+static_assert(fieldCount<PrefillLost>() == 5);
+static_assert(fieldCount<LeaseListRequest>() == 1);
+static_assert(fieldCount<LeaseEntry>() == 8);
+static_assert(fieldCount<LeaseList>() == 2);
+static_assert(fieldCount<ForwardRequest>() == 8);
+static_assert(fieldCount<ForwardHead>() == 3);
+static_assert(fieldCount<ForwardBody>() == 2);
+static_assert(fieldCount<ForwardEnd>() == 2);
+static_assert(fieldCount<ForwardCancel>() == 1);
+static_assert(fieldCount<KeyQuery>() == 3);
+static_assert(fieldCount<KeyAnswer>() == 7);
+static_assert(fieldCount<ConfigRequest>() == 1);
+static_assert(fieldCount<ConfigOffer>() == 1);
+static_assert(fieldCount<ListRequest>() == 1);
+static_assert(fieldCount<ListOffer>() == 1);
+static_assert(fieldCount<CrashReport>() == 4);
+static_assert(fieldCount<Goodbye>() == 0);
+
 // --- Encoding ---
 
 // An empty string takes no space beyond the table's own.
@@ -69,11 +112,13 @@
       list;
   if (!leases.empty())
     list = Out.CreateVector(leases);
+  auto earlier = pack(Out, It.EarlierDigests);
   return {wire::Body::Heartbeat,
-          wire::CreateHeartbeat(Out, It.ConfigVersion, It.ConfigDigest,
-                                It.ListSequence, It.ListDigest,
-                                It.PreviousDigest, It.MembershipEpoch,
-                                It.Draining, It.ReadsPlatform, list)
+          wire::CreateHeartbeat(
+              Out, It.ConfigVersion, It.ConfigDigest, It.ListSequence,
+              It.ListDigest, It.PreviousDigest, It.MembershipEpoch, It.Draining,
+              It.ReadsPlatform, list, earlier, It.FirstDigest, It.ListChanges,
+              It.Number, It.Echo)
               .Union()};
 }
 
@@ -237,8 +282,8 @@
   auto type = pack(Out, It.ContentType);
   auto body = packOctets(Out, It.Body);
   return {wire::Body::KeyAnswer,
-          wire::CreateKeyAnswer(Out, &id, key, number(It.Status), It.HttpStatus,
-                                type, body)
+          wire::CreateKeyAnswer(Out, &id, key, number(It.Status),
+                                It.Fingerprint, It.HttpStatus, type, body)
               .Union()};
 }
 
@@ -384,6 +429,11 @@
   out.ListSequence = It.list_sequence();
   out.ListDigest = It.list_digest();
   out.PreviousDigest = It.previous_digest();
+  out.EarlierDigests = In.numbers(It.earlier_digests());
+  out.FirstDigest = It.first_digest();
+  out.ListChanges = It.list_changes();
+  out.Number = It.number();
+  out.Echo = It.echo();
   out.MembershipEpoch = It.membership_epoch();
   out.Draining = It.draining();
   out.ReadsPlatform = It.reads_platform();
@@ -519,6 +569,7 @@
   return {In.id(It.id()),
           In.text(It.key()),
           In.choice(It.status(), KeyStatus::Done),
+          It.fingerprint(),
           In.status(It.http_status(), true),
           In.text(It.content_type()),
           In.octets(It.body())};
--- a/src/peer_generated.h
+++ b/src/peer_generated.h
@@ -558,7 +558,12 @@
     VT_MEMBERSHIP_EPOCH = 14,
     VT_DRAINING = 16,
     VT_READS_PLATFORM = 18,
-    VT_LEASES = 20
+    VT_LEASES = 20,
+    VT_EARLIER_DIGESTS = 22,
+    VT_FIRST_DIGEST = 24,
+    VT_LIST_CHANGES = 26,
+    VT_NUMBER = 28,
+    VT_ECHO = 30
   };
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
@@ -587,6 +592,21 @@
   const flatbuffers::Vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>> *leases() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>> *>(VT_LEASES);
   }
+  const flatbuffers::Vector<uint64_t> *earlier_digests() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_EARLIER_DIGESTS);
+  }
+  uint64_t first_digest() const {
+    return GetField<uint64_t>(VT_FIRST_DIGEST, 0);
+  }
+  uint64_t list_changes() const {
+    return GetField<uint64_t>(VT_LIST_CHANGES, 0);
+  }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t echo() const {
+    return GetField<uint64_t>(VT_ECHO, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
@@ -600,6 +620,12 @@
            VerifyOffset(verifier, VT_LEASES) &&
            verifier.VerifyVector(leases()) &&
            verifier.VerifyVectorOfTables(leases()) &&
+           VerifyOffset(verifier, VT_EARLIER_DIGESTS) &&
+           verifier.VerifyVector(earlier_digests()) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIST_CHANGES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            verifier.EndTable();
   }
 };
@@ -635,6 +661,21 @@
   void add_leases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>>> leases) {
     fbb_.AddOffset(Heartbeat::VT_LEASES, leases);
   }
+  void add_earlier_digests(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> earlier_digests) {
+    fbb_.AddOffset(Heartbeat::VT_EARLIER_DIGESTS, earlier_digests);
+  }
+  void add_first_digest(uint64_t first_digest) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_FIRST_DIGEST, first_digest, 0);
+  }
+  void add_list_changes(uint64_t list_changes) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_LIST_CHANGES, list_changes, 0);
+  }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_NUMBER, number, 0);
+  }
+  void add_echo(uint64_t echo) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO, echo, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -656,14 +697,24 @@
     uint64_t membership_epoch = 0,
     bool draining = false,
     bool reads_platform = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>>> leases = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>>> leases = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> earlier_digests = 0,
+    uint64_t first_digest = 0,
+    uint64_t list_changes = 0,
+    uint64_t number = 0,
+    uint64_t echo = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_echo(echo);
+  builder_.add_number(number);
+  builder_.add_list_changes(list_changes);
+  builder_.add_first_digest(first_digest);
   builder_.add_membership_epoch(membership_epoch);
   builder_.add_previous_digest(previous_digest);
   builder_.add_list_digest(list_digest);
   builder_.add_list_sequence(list_sequence);
   builder_.add_config_digest(config_digest);
   builder_.add_config_version(config_version);
+  builder_.add_earlier_digests(earlier_digests);
   builder_.add_leases(leases);
   builder_.add_reads_platform(reads_platform);
   builder_.add_draining(draining);
@@ -680,8 +731,14 @@
     uint64_t membership_epoch = 0,
     bool draining = false,
     bool reads_platform = false,
-    const std::vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>> *leases = nullptr) {
+    const std::vector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>> *leases = nullptr,
+    const std::vector<uint64_t> *earlier_digests = nullptr,
+    uint64_t first_digest = 0,
+    uint64_t list_changes = 0,
+    uint64_t number = 0,
+    uint64_t echo = 0) {
   auto leases__ = leases ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::wire::LeaseSummary>>(*leases) : 0;
+  auto earlier_digests__ = earlier_digests ? _fbb.CreateVector<uint64_t>(*earlier_digests) : 0;
   return crocusspur::wire::CreateHeartbeat(
       _fbb,
       config_version,
@@ -692,7 +749,12 @@
       membership_epoch,
       draining,
       reads_platform,
-      leases__);
+      leases__,
+      earlier_digests__,
+      first_digest,
+      list_changes,
+      number,
+      echo);
 }
 
 struct AcquireRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2371,9 +2433,10 @@
     VT_ID = 4,
     VT_KEY = 6,
     VT_STATUS = 8,
-    VT_HTTP_STATUS = 10,
-    VT_CONTENT_TYPE = 12,
-    VT_BODY = 14
+    VT_FINGERPRINT = 10,
+    VT_HTTP_STATUS = 12,
+    VT_CONTENT_TYPE = 14,
+    VT_BODY = 16
   };
   const crocusspur::wire::RequestId *id() const {
     return GetStruct<const crocusspur::wire::RequestId *>(VT_ID);
@@ -2384,6 +2447,9 @@
   uint8_t status() const {
     return GetField<uint8_t>(VT_STATUS, 0);
   }
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
   uint32_t http_status() const {
     return GetField<uint32_t>(VT_HTTP_STATUS, 0);
   }
@@ -2399,6 +2465,7 @@
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            VerifyField<uint32_t>(verifier, VT_HTTP_STATUS, 4) &&
            VerifyOffset(verifier, VT_CONTENT_TYPE) &&
            verifier.VerifyString(content_type()) &&
@@ -2421,6 +2488,9 @@
   void add_status(uint8_t status) {
     fbb_.AddElement<uint8_t>(KeyAnswer::VT_STATUS, status, 0);
   }
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(KeyAnswer::VT_FINGERPRINT, fingerprint, 0);
+  }
   void add_http_status(uint32_t http_status) {
     fbb_.AddElement<uint32_t>(KeyAnswer::VT_HTTP_STATUS, http_status, 0);
   }
@@ -2446,10 +2516,12 @@
     const crocusspur::wire::RequestId *id = nullptr,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     uint8_t status = 0,
+    uint64_t fingerprint = 0,
     uint32_t http_status = 0,
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   KeyAnswerBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_body(body);
   builder_.add_content_type(content_type);
   builder_.add_http_status(http_status);
@@ -2464,6 +2536,7 @@
     const crocusspur::wire::RequestId *id = nullptr,
     const char *key = nullptr,
     uint8_t status = 0,
+    uint64_t fingerprint = 0,
     uint32_t http_status = 0,
     const char *content_type = nullptr,
     const std::vector<uint8_t> *body = nullptr) {
@@ -2475,6 +2548,7 @@
       id,
       key__,
       status,
+      fingerprint,
       http_status,
       content_type__,
       body__);
