--- /dev/null
+++ b/src/document_reader.cc
@@ -0,0 +1,194 @@
+#include "document_reader.h"
+
+#include "log.h"
+#include "platform_client.h"
+
+#include <Poco/Thread.h>
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr char Module[] = "platform_reader";
+constexpr int ThreadStackBytes = 524288; // parses JSON of up to a mebibyte
+
+enum class Mode : uint8_t { ReadOnce, Watch, Idle };
+
+} // namespace
+
+struct DocumentReader::State {
+  State(DocumentReaderOptions Options, TakeFunction Take)
+      : Options(std::move(Options)), Take(std::move(Take)),
+        Client(this->Options.Address, this->Options.Timeout),
+        Random(this->Options.Seed), Thread("reader-" + this->Options.Name) {}
+
+  DocumentReaderOptions Options;
+  TakeFunction Take;
+  PlatformClient Client;
+  std::mt19937_64 Random;
+  Poco::Thread Thread;
+  bool Running = false;
+
+  std::mutex Mutex; // guards the members up to Changed
+  std::condition_variable Changed;
+  Mode Reading = Mode::ReadOnce;
+  uint64_t After = 0;    // number of the last document that was read
+  uint64_t Revision = 0; // rises when a call under way has lost its purpose
+  bool Stopping = false;
+
+  Milliseconds Backoff{0}; // reader's thread only
+  bool Failing = false;
+
+  void run();
+  bool awaitWork(uint64_t &From, uint64_t &AtRevision, bool &Watch);
+  void readNext(uint64_t From, uint64_t AtRevision, bool Watch);
+  void takeDocument(const std::string &Text, uint64_t From);
+  void succeed();
+  void fail(const std::string &Reason);
+  void pause(uint64_t AtRevision);
+  bool outdated(uint64_t AtRevision);
+};
+
+DocumentReader::DocumentReader(DocumentReaderOptions Options, TakeFunction Take)
+    : Impl(std::make_unique<State>(std::move(Options), std::move(Take))) {}
+
+DocumentReader::~DocumentReader() { stop(); }
+
+void DocumentReader::start() {
+  Impl->Thread.setStackSize(ThreadStackBytes);
+  Impl->Thread.startFunc([this] { Impl->run(); });
+  Impl->Running = true;
+}
+
+void DocumentReader::stop() {
+  if (!Impl->Running)
+    return;
+  {
+    std::lock_guard lock(Impl->Mutex);
+    Impl->Stopping = true;
+    Impl->Changed.notify_all();
+  }
+  Impl->Thread.join();
+  Impl->Running = false;
+}
+
+void DocumentReader::setReading(bool Watch, uint64_t After) {
+  std::lock_guard lock(Impl->Mutex);
+  Mode wanted = Watch ? Mode::Watch : Mode::Idle;
+  // While watching, an older number is one that the core has judged while
+  // later documents were on their way to it.
+  bool continues = wanted == Mode::Watch && Impl->Reading == Mode::Watch;
+  if (After > Impl->After || (After > 0 && Watch && !continues)) {
+    Impl->Revision += After != Impl->After;
+    Impl->After = After;
+  }
+  Impl->Revision += wanted != Impl->Reading;
+  Impl->Reading = wanted;
+  Impl->Changed.notify_all();
+}
+
+uint64_t DocumentReader::calls() const { return Impl->Client.calls(); }
+
+void DocumentReader::State::run() {
+  uint64_t from = 0, revision = 0;
+  bool watch = false;
+  while (awaitWork(from, revision, watch))
+    readNext(from, revision, watch);
+}
+
+// Returns false when the reader has to stop.
+bool DocumentReader::State::awaitWork(uint64_t &From, uint64_t &AtRevision,
+                                      bool &Watch) {
+  std::unique_lock lock(Mutex);
+  Changed.wait(lock, [this] { return Stopping || Reading != Mode::Idle; });
+  From = After;
+  AtRevision = Revision;
+  Watch = Reading == Mode::Watch;
+  return !Stopping;
+}
+
+void DocumentReader::State::readNext(uint64_t From, uint64_t AtRevision,
+                                     bool Watch) {
+  bool waits = Watch && From > 0;
+  Milliseconds wait = waits ? Options.WatchWait : Milliseconds(0);
+  std::string path = Options.Path;
+  if (waits)
+    path += "?after=" + std::to_string(From) +
+            "&wait_ms=" + std::to_string(wait.count());
+  TimePoint begin = Clock::now();
+  PlatformAnswer answer =
+      Client.get(path, wait, [&] { return outdated(AtRevision); });
+  if (answer.GivenUp || outdated(AtRevision))
+    return;
+  if (answer.Status == 200)
+    takeDocument(answer.Body, From);
+  else if (answer.Status == 304 && Clock::now() - begin >= wait / 2)
+    succeed();
+  else if (answer.Status == 404 && !waits)
+    fail("nothing is published yet");
+  else if (answer.Status == 304)
+    // A service that doesn't wait would otherwise be asked without a pause.
+    fail("watch ended early");
+  else
+    fail(answer.Status ? "status " + std::to_string(answer.Status)
+                       : answer.Fault);
+  if (Backoff.count() > 0)
+    pause(AtRevision);
+}
+
+void DocumentReader::State::takeDocument(const std::string &Text,
+                                         uint64_t From) {
+  uint64_t number = Take(Text);
+  if (number == 0)
+    return fail("document without a number");
+  // A replica behind the others; its documents have been read before.
+  if (number <= From)
+    return fail("document " + std::to_string(number) + " after " +
+                std::to_string(From));
+  {
+    std::lock_guard lock(Mutex);
+    After = std::max(After, number);
+    if (Reading == Mode::ReadOnce)
+      Reading = Mode::Idle;
+  }
+  succeed();
+}
+
+void DocumentReader::State::succeed() {
+  if (Failing)
+    log(LogLevel::Info, Module, "reading again", {{"what", Options.Name}});
+  Failing = false;
+  Backoff = Milliseconds(0);
+}
+
+// Logs the first of several failures in a row.
+void DocumentReader::State::fail(const std::string &Reason) {
+  if (!Failing)
+    log(LogLevel::Warn, Module, "can't read from the platform",
+        {{"what", Options.Name}, {"reason", Reason}});
+  Failing = true;
+  Backoff = std::clamp(Backoff * 2, Options.LeastBackoff, Options.MostBackoff);
+}
+
+void DocumentReader::State::pause(uint64_t AtRevision) {
+  std::uniform_int_distribution<int64_t> spread(Backoff.count() / 2,
+                                                Backoff.count());
+  Milliseconds delay(spread(Random));
+  std::unique_lock lock(Mutex);
+  Changed.wait_for(lock, delay,
+                   [&] { return Stopping || Revision != AtRevision; });
+}
+
+bool DocumentReader::State::outdated(uint64_t AtRevision) {
+  std::lock_guard lock(Mutex);
+  return Stopping || Revision != AtRevision;
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/peer_link.cc
@@ -0,0 +1,139 @@
+#include "peer_link.h"
+
+#include "log.h"
+#include "peer_loop.h"
+#include "runtime.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr char Module[] = "peer_link";
+
+bool belongsToForward(const PeerMessage &Message) {
+  return std::visit(
+      [](const auto &It) {
+        using T = std::decay_t<decltype(It)>;
+        return std::is_same_v<T, ForwardRequest> ||
+               std::is_same_v<T, ForwardHead> ||
+               std::is_same_v<T, ForwardBody> ||
+               std::is_same_v<T, ForwardEnd> ||
+               std::is_same_v<T, ForwardCancel>;
+      },
+      Message);
+}
+
+PeerLoopOptions optionsFrom(const Settings &Values) {
+  PeerLoopOptions options;
+  options.Name = Values.Instance;
+  options.Incarnation = Values.Core.Incarnation;
+  options.Key = Values.PeerKey;
+  options.Address = Values.PeerAddress;
+  options.Limits.MaxFrameBytes = Values.MaxFrameBytes;
+  return options;
+}
+
+class PeerLink : public Plugin, public PeerSender {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+
+  bool send(const std::string &Instance, const PeerMessage &Message) override {
+    return Loop->send(Instance, Message);
+  }
+  void setPeers(const InstanceList &List) override {
+    Loop->setPeers(List.Instances);
+  }
+
+private:
+  PeerLoopHooks hooks();
+  void onDown(const std::string &Name, uint64_t Incarnation);
+  void onMessage(const std::string &Name, uint64_t Incarnation,
+                 PeerMessage Message);
+  ForwardHandler *forwards();
+
+  Kernel *Owner = nullptr;
+  EventSink *Events = nullptr;
+  ForwardHandler *Forwards = nullptr; // loop's thread only
+  std::unique_ptr<PeerLoop> Loop;
+};
+
+bool PeerLink::start(Kernel &Owner) {
+  this->Owner = &Owner;
+  Events = Owner.find<EventSink>();
+  if (!Events) {
+    log(LogLevel::Error, Module, "no event sink; can't start");
+    return false;
+  }
+  Loop = std::make_unique<PeerLoop>(optionsFrom(Owner.settings()), hooks());
+  if (!Loop->start()) {
+    log(LogLevel::Error, Module, "can't listen for peers");
+    return false;
+  }
+  Owner.provide<PeerSender>(this);
+  log(LogLevel::Info, Module, "listening for peers",
+      {{"port", std::to_string(Loop->port())}});
+  return true;
+}
+
+void PeerLink::stop() { Loop->stop(); }
+
+PeerLoopHooks PeerLink::hooks() {
+  PeerLoopHooks it;
+  it.OnUp = [this](const std::string &Name, uint64_t Incarnation) {
+    log(LogLevel::Info, Module, "link up", {{"peer", Name}});
+    Events->post(PeerLinkChanged{Name, Incarnation, true});
+  };
+  it.OnDown = [this](const std::string &Name, uint64_t Incarnation) {
+    onDown(Name, Incarnation);
+  };
+  it.OnMessage = [this](const std::string &Name, uint64_t Incarnation,
+                        PeerMessage Message) {
+    onMessage(Name, Incarnation, std::move(Message));
+  };
+  it.OnFault = [](const std::string &Peer, const std::string &Reason) {
+    log(LogLevel::Warn, Module, "closed a connection",
+        {{"peer", Peer},
+         {"kind", answerFor(ErrorKind::PeerProtocol).Name},
+         {"reason", Reason}});
+  };
+  return it;
+}
+
+void PeerLink::onDown(const std::string &Name, uint64_t Incarnation) {
+  log(LogLevel::Info, Module, "link down", {{"peer", Name}});
+  Events->post(PeerLinkChanged{Name, Incarnation, false});
+  if (ForwardHandler *handler = forwards())
+    handler->onLinkLost(Name);
+}
+
+void PeerLink::onMessage(const std::string &Name, uint64_t Incarnation,
+                         PeerMessage Message) {
+  if (!belongsToForward(Message)) {
+    Events->post(PeerReceived{Name, Incarnation, std::move(Message)});
+    return;
+  }
+  if (ForwardHandler *handler = forwards())
+    handler->onForward(Name, std::move(Message));
+  else
+    log(LogLevel::Warn, Module, "dropped a frame of a forwarded request",
+        {{"peer", Name}, {"reason", "nothing handles forwarded requests"}});
+}
+
+// Looked up when needed, since its plug-in may start after this one.
+ForwardHandler *PeerLink::forwards() {
+  if (!Forwards)
+    Forwards = Owner->find<ForwardHandler>();
+  return Forwards;
+}
+
+const PluginRegistration Registration{
+    {"peer_link", Phase::Links, [] { return makePeerLink(); }}};
+
+} // namespace
+
+std::unique_ptr<Plugin> makePeerLink() { return std::make_unique<PeerLink>(); }
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/platform_client.cc
@@ -0,0 +1,122 @@
+#include "platform_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr size_t MaxBodyBytes = 1048576;
+constexpr Milliseconds GiveUpPeriod{50};
+
+Poco::Timespan timespan(Milliseconds Time) {
+  return Poco::Timespan(std::chrono::microseconds(Time).count());
+}
+
+// Returns false if the body is larger than allowed.
+bool readBody(std::istream &In, std::string &Body) {
+  std::array<char, 16384> buf;
+  while (In.good()) {
+    In.read(buf.data(), buf.size());
+    Body.append(buf.data(), static_cast<size_t>(In.gcount()));
+    if (Body.size() > MaxBodyBytes)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+struct PlatformClient::State {
+  std::string Address;
+  Milliseconds Timeout;
+  std::unique_ptr<Poco::Net::HTTPClientSession> Session;
+
+  Poco::Net::HTTPClientSession &session();
+  bool awaitAnswer(Milliseconds Wait, const std::function<bool()> &GivesUp,
+                   PlatformAnswer &Answer);
+  void readAnswer(PlatformAnswer &Answer);
+};
+
+PlatformClient::PlatformClient(std::string Address, Milliseconds Timeout)
+    : Impl(new State{std::move(Address), Timeout, nullptr}) {}
+
+PlatformClient::~PlatformClient() = default;
+
+PlatformAnswer PlatformClient::get(const std::string &Path, Milliseconds Wait,
+                                   const std::function<bool()> &GivesUp) {
+  PlatformAnswer answer;
+  try {
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, Path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    request.set("Accept", "application/json");
+    ++Calls;
+    Impl->session().sendRequest(request).flush();
+    if (Impl->awaitAnswer(Wait, GivesUp, answer))
+      Impl->readAnswer(answer);
+  } catch (const Poco::Exception &error) {
+    answer.Fault = error.displayText();
+  } catch (const std::exception &error) {
+    answer.Fault = error.what();
+  }
+  if (!answer.Fault.empty())
+    answer.Status = 0;
+  // An answer that was not read to its end leaves the connection unusable.
+  if (answer.Status == 0)
+    Impl->Session.reset();
+  return answer;
+}
+
+Poco::Net::HTTPClientSession &PlatformClient::State::session() {
+  if (!Session) {
+    Session = std::make_unique<Poco::Net::HTTPClientSession>(
+        Poco::Net::SocketAddress(Address));
+    Session->setKeepAlive(true);
+    Session->setTimeout(timespan(Timeout), timespan(Timeout),
+                        timespan(Timeout));
+  }
+  return *Session;
+}
+
+bool PlatformClient::State::awaitAnswer(Milliseconds Wait,
+                                        const std::function<bool()> &GivesUp,
+                                        PlatformAnswer &Answer) {
+  TimePoint end = Clock::now() + Wait + Timeout;
+  while (!Session->socket().poll(timespan(GiveUpPeriod),
+                                 Poco::Net::Socket::SELECT_READ)) {
+    if (GivesUp()) {
+      Answer.GivenUp = true;
+      return false;
+    }
+    if (Clock::now() > end) {
+      Answer.Fault = "no answer in time";
+      return false;
+    }
+  }
+  return true;
+}
+
+void PlatformClient::State::readAnswer(PlatformAnswer &Answer) {
+  Poco::Net::HTTPResponse response;
+  std::istream &in = Session->receiveResponse(response);
+  Answer.Status = static_cast<int>(response.getStatus());
+  if (!readBody(in, Answer.Body))
+    Answer.Fault = "answer of more than 1048576 bytes";
+  // A connection that breaks early must not pass for a short document.
+  else if (response.hasContentLength() &&
+           Answer.Body.size() !=
+               static_cast<size_t>(response.getContentLength64()) &&
+           Answer.Status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
+    Answer.Fault = "answer is shorter than its stated length";
+}
+
+} // namespace crocusspur::internal
--- /dev/null
+++ b/src/platform_reader.cc
@@ -0,0 +1,134 @@
+#include "platform_reader.h"
+
+#include "crocusspur/config_document.h"
+#include "crocusspur/instance_list.h"
+#include "document_reader.h"
+#include "json_reader.h"
+#include "log.h"
+#include "runtime.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr char Module[] = "platform_reader";
+
+// Parses a document, posts it and returns its number. A document with mistakes
+// is refused by every instance alike: the mistakes are logged, and reading
+// continues after it if at least its number can be read.
+template <typename Parse, typename Publish>
+uint64_t takeDocument(const std::string &Text, const char *What,
+                      const char *NumberKey, Parse ParseText,
+                      Publish PublishResult) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<uint64_t> {
+        BOOST_LEAF_AUTO(document, ParseText(Text));
+        return PublishResult(std::move(document));
+      },
+      [&](const MistakeList &List) {
+        for (const Mistake &it : List.Mistakes)
+          log(LogLevel::Error, Module, "mistake in a published document",
+              {{"what", What}, {"mistake", it.str()}});
+        MistakeList ignored;
+        return JsonReader(Text, What, ignored).number(NumberKey, 0);
+      },
+      [&] {
+        log(LogLevel::Error, Module, "can't parse a published document",
+            {{"what", What}});
+        return uint64_t(0);
+      });
+}
+
+class PlatformReader : public Plugin, public PlatformControl {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+  void setReading(const SetPlatformReading &Item) override;
+
+private:
+  std::unique_ptr<DocumentReader> make(const Settings &Values,
+                                       const std::string &Name,
+                                       const std::string &Path,
+                                       DocumentReader::TakeFunction Take);
+  uint64_t takeConfig(const std::string &Text);
+  uint64_t takeList(const std::string &Text);
+
+  EventSink *Events = nullptr;
+  std::unique_ptr<DocumentReader> Config;
+  std::unique_ptr<DocumentReader> List;
+};
+
+bool PlatformReader::start(Kernel &Owner) {
+  Events = Owner.find<EventSink>();
+  if (!Events) {
+    log(LogLevel::Error, Module, "no event sink; can't start");
+    return false;
+  }
+  const Settings &values = Owner.settings();
+  Config = make(values, "config", "/v1/config",
+                [this](const std::string &Text) { return takeConfig(Text); });
+  List = make(values, "instances", "/v1/instances",
+              [this](const std::string &Text) { return takeList(Text); });
+  Owner.provide<PlatformControl>(this);
+  Config->start();
+  List->start();
+  return true;
+}
+
+void PlatformReader::stop() {
+  Config->stop();
+  List->stop();
+  log(LogLevel::Info, Module, "stopped",
+      {{"config_calls", std::to_string(Config->calls())},
+       {"list_calls", std::to_string(List->calls())}});
+}
+
+void PlatformReader::setReading(const SetPlatformReading &Item) {
+  Config->setReading(Item.Watch, Item.AfterVersion);
+  List->setReading(Item.Watch, 0);
+}
+
+std::unique_ptr<DocumentReader>
+PlatformReader::make(const Settings &Values, const std::string &Name,
+                     const std::string &Path,
+                     DocumentReader::TakeFunction Take) {
+  DocumentReaderOptions options;
+  options.Name = Name;
+  options.Address = Values.PlatformAddress;
+  options.Path = Path;
+  options.Timeout = Values.PlatformTimeout;
+  options.WatchWait = Values.WatchWait;
+  options.Seed = Values.Core.Incarnation + Name.size();
+  return std::make_unique<DocumentReader>(std::move(options), std::move(Take));
+}
+
+uint64_t PlatformReader::takeConfig(const std::string &Text) {
+  return takeDocument(Text, "config", "version", parseConfigDocument,
+                      [this](ConfigPtr Document) {
+                        uint64_t number = Document->Version;
+                        Events->post(ConfigPublished{std::move(Document)});
+                        return number;
+                      });
+}
+
+uint64_t PlatformReader::takeList(const std::string &Text) {
+  return takeDocument(Text, "instances", "sequence", parseInstanceList,
+                      [this](ListPtr Document) {
+                        uint64_t number = Document->Sequence;
+                        Events->post(ListPublished{std::move(Document)});
+                        return number;
+                      });
+}
+
+const PluginRegistration Registration{
+    {"platform_reader", Phase::Links, [] { return makePlatformReader(); }}};
+
+} // namespace
+
+std::unique_ptr<Plugin> makePlatformReader() {
+  return std::make_unique<PlatformReader>();
+}
+
+} // namespace crocusspur::internal
