Tell an evicted result from a failed decode server

Cause: a decode that was refused because its result had been evicted marked the decode server as failed, so it got no work for up to a second. A request known only from a lease list kept a guessed deadline when its entry sent it again. Change: the time of the eviction decides; the repeated request sets deadline, prefixes and whether it may wait. Figures: none measured; a test covers the attempt of the answer after a lost decode with and without a living result. Conclusion: a healthy server stays in use after an eviction.

--- a/src/shard_owner.cc
+++ b/src/shard_owner.cc
@@ -224,6 +224,12 @@
       lease->Deadline = Context.Now + Message.TimeLeft;
       Impl->Scheduler.placeAgain(Context, *lease);
     } else if (Message.Attempt == lease->Attempt) {
+      // A lease list told less of a request that waits.
+      if (lease->Stage == LeaseStage::Waiting) {
+        lease->Deadline = Context.Now + Message.TimeLeft;
+        lease->PrefixHashes = Message.PrefixHashes;
+        lease->MayWait = Message.MayWait;
+      }
       Impl->Scheduler.repeatGrant(Context, *lease);
     }
   });
--- a/src/shard_scheduler.cc
+++ b/src/shard_scheduler.cc
@@ -48,6 +48,10 @@
 // Samples below which a group's mean output length isn't relied on.
 static constexpr double FewSamples = 20;
 
+// Greatest difference between the server's and this owner's time of an
+// eviction.
+static constexpr Milliseconds EvictionMargin{100};
+
 // A measured prefill time changes the correction of estimates by this part.
 static constexpr double RatioGain = 0.1;
 
@@ -981,13 +985,14 @@
     return;
   ShardServer *server = Servers.find(Lease.DecodeServer);
   leaveDecode(Context, Lease);
-  // A result that is gone though the server was not full was evicted or
-  // imported; only the latter can have given output.
-  bool evicted =
-      !Message.ServerFull && !Message.ResultAlive && Message.OutputTokens == 0;
+  // The message doesn't tell an evicted result from a server that failed after
+  // the import; the time of the eviction does.
+  bool evicted = !Message.ServerFull && !Message.ResultAlive &&
+                 Message.OutputTokens == 0 &&
+                 Context.Now + EvictionMargin >= Lease.EvictAt;
   if (server && Message.ServerFull)
     server->Estimate.refusedFull(Context.Now);
-  else if (server)
+  else if (server && !evicted)
     server->Estimate.failed(Context.Now);
   Lease.OutputTokens = Message.OutputTokens;
   if (Message.ResultAlive && Context.Now < Lease.EvictAt) {
--- a/test/shard_owner_test.cc
+++ b/test/shard_owner_test.cc
@@ -303,6 +303,42 @@
   CHECK(driver.count(NoteKind::Replaced) >= 1);
 }
 
+// Guards against an answer that the entry takes for one of an older placement,
+// and against a dead server that is chosen again.
+TEST_CASE("ShardOwner answers a lost decode with the attempt of the message") {
+  for (bool resultAlive : {false, true}) {
+    CAPTURE(resultAlive);
+    ShardDriver driver(1, 2);
+    driver.addGroup("g", 1, RequestClass::Normal);
+    driver.KeepSent = true;
+    driver.begin();
+    RequestId id = driver.submit("g", 1000, 1000, 1000, 5);
+    driver.runUntil(0.3);
+    auto decode = std::get<DecodeGrant>(driver.Sent.back().second.Message);
+    DecodeLost lost{id, "s0", 2, decode.DecodeServer, resultAlive, false, 0};
+    auto send = [&] {
+      driver.call([&](CoreContext &Context) {
+        driver.Owner.onDecodeLost(Context, "e2", lost);
+      });
+    };
+    send();
+    size_t count = driver.Sent.size();
+    if (resultAlive) {
+      auto again = std::get<DecodeGrant>(driver.Sent.back().second.Message);
+      CHECK(again.Attempt == 2);
+      CHECK(again.DecodeServer != decode.DecodeServer);
+    } else {
+      auto again = std::get<PrefillGrant>(driver.Sent.back().second.Message);
+      CHECK(again.Attempt == 2);
+      CHECK(driver.count(NoteKind::PrefillStarted) == 2);
+    }
+    lost.Attempt = 1;
+    send(); // older than the placement that was answered
+    CHECK(driver.Sent.size() == count);
+    CHECK(driver.count(NoteKind::Replaced) == 1);
+  }
+}
+
 // Guards against new work on a server that leaves (P5).
 TEST_CASE("ShardOwner gives nothing to servers that are not listed as live") {
   ShardDriver driver(2, 2);
