Use the incarnation that the core draws in handshakes and jitter

Cause: core_thread draws the incarnation, while peer_link and platform_reader took the default from the settings: every instance would have announced incarnation 1, so a restart could not be told from a reconnection, and all readers would have tried again at the same moments. Change: both take the incarnation from a request id of the EventSink.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -25,10 +25,10 @@
       Message);
 }
 
-PeerLoopOptions optionsFrom(const Settings &Values) {
+PeerLoopOptions optionsFrom(const Settings &Values, uint64_t Incarnation) {
   PeerLoopOptions options;
   options.Name = Values.Instance;
-  options.Incarnation = Values.Core.Incarnation;
+  options.Incarnation = Incarnation;
   options.Key = Values.PeerKey;
   options.Address = Values.PeerAddress;
   options.Limits.MaxFrameBytes = Values.MaxFrameBytes;
@@ -67,7 +67,12 @@
     log(LogLevel::Error, Module, "no event sink; can't start");
     return false;
   }
-  Loop = std::make_unique<PeerLoop>(optionsFrom(Owner.settings()), hooks());
+  // The core's thread draws the incarnation, and its request ids carry it. The
+  // handshake has to name the same one: peers compare it with tickets and
+  // leases.
+  uint64_t incarnation = Events->nextRequestId().Incarnation;
+  Loop = std::make_unique<PeerLoop>(optionsFrom(Owner.settings(), incarnation),
+                                    hooks());
   if (!Loop->start()) {
     log(LogLevel::Error, Module, "can't listen for peers");
     return false;
--- a/src/peer_loop.cc
+++ b/src/peer_loop.cc
@@ -14,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
@@ -454,7 +455,8 @@
 void PeerLoop::State::writeLink(uint64_t Key, Link &It) {
   std::span<const uint8_t> rest = It.Logic.unsent();
   if (!rest.empty()) {
-    int n = It.Socket.sendBytes(rest.data(), static_cast<int>(rest.size()));
+    int n = It.Socket.sendBytes(rest.data(), static_cast<int>(rest.size()),
+                                MSG_NOSIGNAL);
     if (n > 0)
       markSent(It, static_cast<size_t>(n));
   }
--- a/src/platform_reader.cc
+++ b/src/platform_reader.cc
@@ -100,7 +100,8 @@
   options.Path = Path;
   options.Timeout = Values.PlatformTimeout;
   options.WatchWait = Values.WatchWait;
-  options.Seed = Values.Core.Incarnation + Name.size();
+  // Differs between instances, or all would try again at the same moments.
+  options.Seed = Events->nextRequestId().Incarnation + Name.size();
   return std::make_unique<DocumentReader>(std::move(options), std::move(Take));
 }
 
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -41,7 +41,8 @@
 };
 
 // Takes frames of forwarded requests and their answers, which are data and not
-// seen by the core. Provided by `relay`; called on a peer link's reader.
+// seen by the core. Provided by `relay`; called on the one thread of all peer
+// links, so it must not block.
 class ForwardHandler {
 public:
   virtual ~ForwardHandler() = default;
--- a/test/fake_event_sink.h
+++ b/test/fake_event_sink.h
@@ -14,6 +14,8 @@
 
 class FakeEventSink : public EventSink {
 public:
+  explicit FakeEventSink(uint64_t Incarnation = 1) : Incarnation(Incarnation) {}
+
   bool tryPost(EventBody Body) override {
     post(std::move(Body));
     return true;
@@ -25,7 +27,7 @@
   }
   std::string dumpState(Milliseconds) override { return ""; }
   std::string makeTicket() override { return ""; }
-  RequestId nextRequestId() override { return {}; }
+  RequestId nextRequestId() override { return {Incarnation, 1}; }
   ConfigPtr config() const override { return nullptr; }
   ListPtr list() const override { return nullptr; }
   bool ready() const override { return false; }
@@ -52,6 +54,7 @@
     return found;
   }
 
+  uint64_t Incarnation;
   mutable std::mutex Mutex;
   mutable std::condition_variable Changed;
   std::vector<EventBody> Events;
--- a/test/peer_link_test.cc
+++ b/test/peer_link_test.cc
@@ -42,7 +42,7 @@
 // One instance with the plug-in and stand-ins for what it needs.
 struct Instance {
   Instance(const std::string &Name, uint64_t Incarnation, uint16_t Port)
-      : Owner(settingsOf(Name, Incarnation, Port)) {
+      : Events(Incarnation), Owner(settingsOf(Name, Port)) {
     Owner.provide<EventSink>(&Events);
     Plug = makePeerLink();
     Started = Plug->start(Owner);
@@ -56,13 +56,11 @@
   }
   PeerSender &sender() { return *Owner.find<PeerSender>(); }
 
-  static Settings settingsOf(const std::string &Name, uint64_t Incarnation,
-                             uint16_t Port) {
+  static Settings settingsOf(const std::string &Name, uint16_t Port) {
     Settings values;
     values.Instance = Name;
     values.PeerKey = "0123456789abcdef";
     values.PeerAddress = "127.0.0.1:" + std::to_string(Port);
-    values.Core.Incarnation = Incarnation;
     return values;
   }
 
@@ -121,6 +119,6 @@
   Poco::Net::ServerSocket taken(Poco::Net::SocketAddress("127.0.0.1", 0));
   Instance late("a", 1, taken.address().port());
   CHECK_FALSE(late.Started);
-  Kernel bare(Instance::settingsOf("a", 1, 0));
+  Kernel bare(Instance::settingsOf("a", 0));
   CHECK_FALSE(makePeerLink()->start(bare));
 }
