Log an unreachable peer once until it is back

Cause: dialling is repeated at least every second, so a lost failure domain of 80 instances would write 80 log lines a second on every instance. Change: peer_link logs the first failure to connect to a peer, and again only after a link to it was up; the reason is text instead of a number. Conclusion: the log stays readable while peers are gone.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -4,6 +4,7 @@
 #include "peer_loop.h"
 #include "runtime.h"
 
+#include <set>
 #include <type_traits>
 #include <utility>
 
@@ -49,6 +50,7 @@
 
 private:
   PeerLoopHooks hooks();
+  void onFault(const std::string &Peer, const std::string &Reason);
   void onDown(const std::string &Name, uint64_t Incarnation);
   void onMessage(const std::string &Name, uint64_t Incarnation,
                  PeerMessage Message);
@@ -57,6 +59,7 @@
   Kernel *Owner = nullptr;
   EventSink *Events = nullptr;
   ForwardHandler *Forwards = nullptr; // loop's thread only
+  std::set<std::string> Unreachable;  // loop's thread only
   std::unique_ptr<PeerLoop> Loop;
 };
 
@@ -89,6 +92,7 @@
   PeerLoopHooks it;
   it.OnUp = [this](const std::string &Name, uint64_t Incarnation) {
     log(LogLevel::Info, Module, "link up", {{"peer", Name}});
+    Unreachable.erase(Name);
     Events->post(PeerLinkChanged{Name, Incarnation, true});
   };
   it.OnDown = [this](const std::string &Name, uint64_t Incarnation) {
@@ -98,15 +102,23 @@
                         PeerMessage Message) {
     onMessage(Name, Incarnation, std::move(Message));
   };
-  it.OnFault = [](const std::string &Peer, const std::string &Reason) {
-    log(LogLevel::Warn, Module, "closed a connection",
-        {{"peer", Peer},
-         {"kind", answerFor(ErrorKind::PeerProtocol).Name},
-         {"reason", Reason}});
+  it.OnFault = [this](const std::string &Peer, const std::string &Reason) {
+    onFault(Peer, Reason);
   };
   return it;
 }
 
+void PeerLink::onFault(const std::string &Peer, const std::string &Reason) {
+  // Dialling is repeated every second for as long as a peer is gone; a line for
+  // each attempt would bury the others.
+  if (Reason.starts_with("can't connect") && !Unreachable.insert(Peer).second)
+    return;
+  log(LogLevel::Warn, Module, "closed a connection",
+      {{"peer", Peer},
+       {"kind", answerFor(ErrorKind::PeerProtocol).Name},
+       {"reason", Reason}});
+}
+
 void PeerLink::onDown(const std::string &Name, uint64_t Incarnation) {
   log(LogLevel::Info, Module, "link down", {{"peer", Name}});
   Events->post(PeerLinkChanged{Name, Incarnation, false});
--- a/src/peer_loop.cc
+++ b/src/peer_loop.cc
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <sys/socket.h>
+#include <system_error>
 #include <unordered_map>
 #include <utility>
 
@@ -423,7 +424,7 @@
 bool PeerLoop::State::finishConnect(uint64_t Key, Link &It) {
   int error = It.Socket.impl()->socketError();
   if (error != 0) {
-    closeLink(Key, "can't connect, error " + std::to_string(error));
+    closeLink(Key, "can't connect: " + std::generic_category().message(error));
     return false;
   }
   It.Connecting = false;
