--- a/src/peer_loop.cc
+++ b/src/peer_loop.cc
@@ -14,6 +14,8 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sys/socket.h>
+#include <system_error>
 #include <unordered_map>
 #include <utility>
 
@@ -422,7 +424,7 @@
 bool PeerLoop::State::finishConnect(uint64_t Key, Link &It) {
   int error = It.Socket.impl()->socketError();
   if (error != 0) {
-    closeLink(Key, "can't connect, error " + std::to_string(error));
+    closeLink(Key, "can't connect: " + std::generic_category().message(error));
     return false;
   }
   It.Connecting = false;
@@ -454,7 +456,8 @@
 void PeerLoop::State::writeLink(uint64_t Key, Link &It) {
   std::span<const uint8_t> rest = It.Logic.unsent();
   if (!rest.empty()) {
-    int n = It.Socket.sendBytes(rest.data(), static_cast<int>(rest.size()));
+    int n = It.Socket.sendBytes(rest.data(), static_cast<int>(rest.size()),
+                                MSG_NOSIGNAL);
     if (n > 0)
       markSent(It, static_cast<size_t>(n));
   }
