Keep requests and owners in step after pauses

Change: owners are not recomputed during a pause but at its end. A grant that names another server than the one under way is answered with the lease list, and a lost placement is asked for again every lease period.

Conclusion: each fault has its own test besides the schedule.

--- a/src/core_duties.cc
+++ b/src/core_duties.cc
@@ -14,11 +14,13 @@
       *(Config.current() ? Config.current() : NoConfig);
   if (std::exchange(ViewChanged, false))
     Shards.setView(config, List ? *List : *NoList);
+  // After a pause the owners are chosen when it ends: the requests have to
+  // learn of every change, and a paused instance tells them nothing.
+  if (Paused || !List || !Config.current())
+    return;
   bool changed = Shards.choose([this](const std::string &Instance) {
     return Peers.isReachable(Instance, Now);
   });
-  if (Paused || !List || !Config.current())
-    return;
   stopOwning(Out);
   for (const auto &it : Shards.owners())
     if (it.second == Options.Instance && !Owned.count(it.first))
--- a/src/entry_placement.cc
+++ b/src/entry_placement.cc
@@ -68,6 +68,10 @@
     return;
   }
   Request.AtOwner = true;
+  // An owner whose record differs may ignore the report of a loss, so a lost
+  // placement is asked for until there is a new one. Such requests are few.
+  if (Request.IsRetry)
+    Request.AskAgainAt = Context.Now + Context.Options.LeasePeriod;
   AcquireRequest message;
   message.Id = Request.Id;
   message.Shard = Request.Shard;
@@ -118,8 +122,11 @@
                       Message.Attempt);
     return;
   }
-  if (request->At != Phase::Waiting && request->At != Phase::Ready)
+  if (request->At != Phase::Waiting && request->At != Phase::Ready) {
+    if (request->PrefillServer != Message.PrefillServer)
+      Impl->correctOwner(Context, *request);
     return; // a repeated grant
+  }
   request->Placement = Message.Attempt;
   if (request->At == Phase::Ready && !request->Spec.Idempotent) {
     // The prefill was executed once and must not be repeated.
@@ -146,14 +153,28 @@
                       Message.Attempt);
     return;
   }
-  if (request->At != Phase::Ready)
+  if (request->At != Phase::Ready) {
+    if (request->At == Phase::Decoding &&
+        request->Server != Message.DecodeServer)
+      Impl->correctOwner(Context, *request);
     return; // a repeated grant
+  }
   request->Placement = Message.Attempt;
   request->Fence = Message.Fence;
   request->Server = Message.DecodeServer;
   Impl->startDecode(Context, *request);
 }
 
+// The owner has placed the request elsewhere than where it runs. That happens
+// when an AcquireRequest from before a pause of the owner is taken together
+// with the lease list of the time after it.
+void EntryRequests::State::correctOwner(CoreContext &Context,
+                                        OpenRequest &Request) {
+  rejectGrant(Context, Request.Owner, Request.Id, Request.Shard,
+              Request.Placement);
+  sendLeases(Context, Request.Owner, Request.Shard);
+}
+
 void EntryRequests::State::rejectGrant(CoreContext &Context,
                                        const std::string &From,
                                        const RequestId &Id,
@@ -212,6 +233,7 @@
                PrefillLost{Request.Id, Request.Shard, Request.Placement,
                            Request.PrefillServer, ServerFull});
   setPhase(Context, Request, Phase::Waiting);
+  Request.AskAgainAt = Context.Now + Context.Options.LeasePeriod;
 }
 
 // Tells the owner that the decode server gave no (complete) output.
@@ -228,6 +250,7 @@
                           Request.OutputTokens});
   setPhase(Context, Request,
            Request.ResultReady ? Phase::Ready : Phase::Waiting);
+  Request.AskAgainAt = Context.Now + Context.Options.LeasePeriod;
 }
 
 void EntryRequests::State::finishAtOwner(CoreContext &Context,
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -118,6 +118,7 @@
   void rejectGrant(CoreContext &Context, const std::string &From,
                    const RequestId &Id, const std::string &Shard,
                    uint32_t Attempt);
+  void correctOwner(CoreContext &Context, OpenRequest &Request);
   void finishAtOwner(CoreContext &Context, OpenRequest &Request,
                      FinishReason Reason);
   void offerList(CoreContext &Context, const std::string &To);
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -462,6 +462,21 @@
   }
 }
 
+// Guards against requests that stay with a former owner because it changed
+// during the pause.
+TEST_CASE("DecisionCore tells requests of owners that changed in a pause") {
+  std::string first = shardRank()[0];
+  LinkedCore core(shardRank()[2]);
+  core.give(RequestArrived{{7, 1}, modelSpec(), ""});
+  CHECK(core.sent<AcquireRequest>(first));
+  core.link(first, false);
+  CHECK(core.sent<AcquireRequest>(shardRank()[1]));
+  core.give(TimerFired{}, Milliseconds{1200});
+  core.give(PeerLinkChanged{first, 21, true});
+  core.give(PeerReceived{first, 21, Heartbeat{}});
+  CHECK(core.sent<AcquireRequest>(first));
+}
+
 // Guards against an owner that wakes up and takes every lease for lapsed.
 TEST_CASE("DecisionCore gives its shards up when it was paused") {
   LinkedCore core(shardRank()[0]);
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -296,6 +296,47 @@
   CHECK(entry.Out.empty());
 }
 
+// Guards against a request that waits for ever because its owner thinks that
+// it runs on another server.
+TEST_CASE("EntryRequests corrects an owner with another placement") {
+  EntryDriver entry;
+  auto corrected = [&] {
+    const Finished *finished = entry.sent<Finished>();
+    const LeaseList *list = entry.sent<LeaseList>();
+    return finished && list && list->Leases.size() == 1 &&
+           list->Leases[0].PrefillServer == "p1";
+  };
+  SUBCASE("of the prefill") {
+    entry.runTo(Stage::Prefill);
+    entry.grantPrefill("p2");
+  }
+  SUBCASE("of the decode") {
+    entry.runTo(Stage::Decode);
+    entry.grantDecode("d2");
+  }
+  CHECK(corrected());
+  CHECK_FALSE(entry.made<StartPrefill>());
+  CHECK_FALSE(entry.made<StartDecode>());
+}
+
+// Guards against a report of a loss that the owner ignored or never got.
+TEST_CASE("EntryRequests asks again for a lost placement") {
+  EntryDriver entry;
+  RequestSpec spec = modelSpec();
+  spec.Group = "dispatch";
+  entry.arrive(Id, spec);
+  entry.grantPrefill();
+  entry.started();
+  entry.finish(Stage::Prefill, StageOutcome::RefusedFull, "p1");
+  for (int i = 0; i < 2; ++i) {
+    entry.timer(Milliseconds{1950});
+    CHECK_FALSE(entry.sent<AcquireRequest>());
+    entry.timer();
+    REQUIRE(entry.sent<AcquireRequest>());
+    CHECK(entry.sent<AcquireRequest>()->Attempt == 2);
+  }
+}
+
 // Guards against a refused prefill that ends the request.
 TEST_CASE("EntryRequests asks for a new placement of a refused prefill") {
   EntryDriver entry;
