--- a/src/key_home.cc
+++ b/src/key_home.cc
@@ -353,6 +353,11 @@
   return limit;
 }
 
+uint64_t KeyHome::leasedList(TimePoint Now) const {
+  return Impl->leaseEnd(Now) > Now ? Impl->Lists.periods().back().List->Digest
+                                   : 0;
+}
+
 void KeyHome::onDispatched(CoreContext &, const RequestId &Id) {
   Impl->Records.dispatched(Id);
 }
--- a/src/key_home.h
+++ b/src/key_home.h
@@ -48,6 +48,10 @@
   TimePoint dispatchLimit(const CoreContext &Context,
                           const std::string &Key) const;
 
+  // Digest of the list under which this instance may execute keys now; 0
+  // without a home lease.
+  uint64_t leasedList(TimePoint Now) const;
+
   // Course of a request that was admitted with Execute. A request that ends
   // with onNotRun leaves no record, so its key can be executed later.
   void onDispatched(CoreContext &Context, const RequestId &Id);
--- a/test/key_home_test.cc
+++ b/test/key_home_test.cc
@@ -178,6 +178,9 @@
     CoreContext context = this->context(Nodes[At]);
     return Nodes[At].Keys->dispatchLimit(context, Key);
   }
+  uint64_t leased(size_t At) {
+    return Nodes[At].Keys->leasedList(TimePoint(Now));
+  }
   std::vector<std::pair<RequestId, KeyDecision>> resolved(size_t At) {
     CoreContext context = this->context(Nodes[At]);
     return Nodes[At].Keys->takeResolved(context);
@@ -358,7 +361,6 @@
   std::string kept = fleet.newKeyAt(1), moved = fleet.newKeyAt(4);
   REQUIRE(executes(fleet.admit(1, kept)));
   REQUIRE(executes(fleet.admit(4, moved)));
-  fleet.outcome(4, "done at e4");
   std::string unused = fleet.newKeyAt(1);
   fleet.publish({"e0", "e1", "e2", "e3"});
   fleet.run(Lease / 2);
@@ -366,11 +368,26 @@
   fleet.run(2 * Lease);
   CHECK(fleet.limit(1, kept) > TimePoint(fleet.Now));
   CHECK(executes(fleet.admit(1, unused)));
-  // e4 is off the list but not gone: its own lease is over.
+  // e4 is off the list but not gone: it is no longer home.
+  CHECK(fleet.limit(4, moved) < TimePoint(fleet.Now));
   CHECK(refusedAs(fleet.admit(4, unused, true), ErrorKind::KeyLeaseMissing));
   fleet.publish({"e0", "e1", "e2", "e3", "e4"});
   fleet.run(3 * Lease);
   CHECK(fleet.limit(1, kept) > TimePoint(fleet.Now));
+  // It is home again, but another instance was home in between.
+  CHECK(fleet.limit(4, moved) < TimePoint(fleet.Now));
+}
+
+// Guards against wall clocks that differ by the margin, twice: between the
+// caller and the former home, and between that one and the new home.
+TEST_CASE("KeyHome leaves two clock margins after a takeover") {
+  Fleet fleet(1);
+  while (!fleet.leased(0))
+    fleet.run(Milliseconds(250));
+  fleet.run(Milliseconds(9500));
+  CHECK(refusedAs(fleet.admit(0, fleet.newKey()), ErrorKind::OutcomeUnknown));
+  fleet.run(Milliseconds(1000));
+  CHECK(executes(fleet.admit(0, fleet.newKey())));
 }
 
 // Guards against a takeover that repeats what the former home has executed.
@@ -437,12 +454,12 @@
     fleet.Nodes[i].Up = false;
   fleet.publish({"e0", "e1"});
   fleet.run(Settled);
+  CHECK(fleet.leased(0) == 0);
   CHECK(refusedAs(fleet.admit(0, fleet.newKey(), true),
                   ErrorKind::KeyLeaseMissing));
   fleet.Config.MembershipEpoch = 1;
   fleet.run(Lease);
-  CHECK(refusedAs(fleet.admit(0, fleet.newKey(), true),
-                  ErrorKind::KeyLeaseMissing));
+  CHECK(fleet.leased(0) == 0);
   fleet.run(Settled);
   std::string key = fleet.newKey();
   KeyDecision decision = fleet.admit(0, key);
@@ -451,6 +468,27 @@
                      : decision));
 }
 
+// Guards against a list that never became active and hides the active one
+// before it: only its own majority would then be asked.
+TEST_CASE("KeyHome names every list since the last active one") {
+  Fleet fleet(7);
+  fleet.publish({"e0", "e1", "e2", "e3", "e4"});
+  fleet.run(Settled);
+  std::string key = fleet.newKeyAt(4);
+  for (size_t i : {0, 5, 6}) {
+    fleet.Nodes[i].Side = 1;
+    fleet.giveList(fleet.Nodes[i], {"e0", "e5", "e6"});
+  }
+  fleet.run(3 * Lease);
+  for (size_t i : {0, 5, 6})
+    fleet.giveList(fleet.Nodes[i], {"e0", "e5"});
+  fleet.run(3 * Lease);
+  CHECK(fleet.leased(4) != 0);
+  CHECK(fleet.leased(0) == 0);
+  CHECK(fleet.leased(5) == 0);
+  CHECK(executes(fleet.admit(4, key)));
+}
+
 // Guards against two restarted instances that give an abandoned list its
 // majority back while the newer list is still active elsewhere.
 TEST_CASE("KeyHome does not revive an abandoned list after restarts") {
@@ -461,13 +499,15 @@
   fleet.run(3 * Lease);
   fleet.publish({"e0", "e1", "e2", "e3", "e4"});
   fleet.run(3 * Lease);
-  // e1 and e2 restart with the old list, cut off with e0.
+  // e1 and e2, a majority of the old list, restart with it and are cut off.
   for (size_t i : {1, 2}) {
     fleet.start(i);
     fleet.giveList(fleet.Nodes[i], smaller);
     fleet.Nodes[i].Side = 1;
   }
   fleet.run(Settled);
-  CHECK(refusedAs(fleet.admit(1, fleet.newKey(), true),
-                  ErrorKind::KeyLeaseMissing));
+  for (size_t i : {1, 2})
+    CHECK(fleet.leased(i) == 0);
+  for (size_t i : {0, 3, 4})
+    CHECK(fleet.leased(i) != 0);
 }
