--- a/test/peer_codec_test.cc
+++ b/test/peer_codec_test.cc
@@ -18,7 +18,20 @@
 // One message of each type with every field set.
 std::vector<PeerMessage> samples() {
   return {
-      Heartbeat{8, 9, 10, 11, 12, 13, true, true, {{"summary-0", 3, 77}}},
+      Heartbeat{8,
+                9,
+                10,
+                11,
+                12,
+                {1, 2},
+                14,
+                15,
+                16,
+                17,
+                13,
+                true,
+                true,
+                {{"summary-0", 3, 77}}},
       AcquireRequest{Id,
                      "summary-0",
                      "drivers",
@@ -51,12 +64,13 @@
       ForwardEnd{Id, true},
       ForwardCancel{Id},
       KeyQuery{Id, "drivers", "key-1"},
-      KeyAnswer{Id, "key-1", KeyStatus::Done, 201, "application/json", "{}"},
+      KeyAnswer{Id, "key-1", KeyStatus::Done, 88, 201, "application/json",
+                "{}"},
       ConfigRequest{8},
       ConfigOffer{"{\"version\":8}"},
       ListRequest{7},
       ListOffer{"{\"sequence\":7}"},
-      CrashReport{"d1", 4, {5, 6}},
+      CrashReport{"d1", 4, {5, 6}, {6}},
       Goodbye{},
   };
 }
@@ -160,6 +174,9 @@
   CHECK(forward.TimeLeft == Microseconds(-5));
   auto lost = std::get<DecodeLost>(
       *decoded(encode(DecodeLost{Id, "s", 1, "d1", true, false, 7})).Message);
+  auto crash = std::get<CrashReport>(*decoded(encode(samples()[22])).Message);
+  CHECK(crash.Fingerprints == std::vector<uint64_t>{5, 6});
+  CHECK(crash.RanAlone == std::vector<uint64_t>{6});
   CHECK(lost.ResultAlive);
   CHECK_FALSE(lost.ServerFull);
 }
