--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -7,6 +7,7 @@
 #include "retry_budget.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,11 @@
 inline constexpr uint32_t MaxPlacements = 8;
 // Retry-After where nothing better is known: callers round up to seconds.
 inline constexpr Milliseconds DefaultRetryAfter{1000};
+// A request whose connection broke waits this long before it is placed again,
+// so that one that crashes servers is recognised before the next one: a crash
+// shows in the next load report, 250 ms later at most, and is told to the
+// peers.
+inline constexpr Milliseconds CrashWait{350};
 // A cancelled request is remembered this long for late reports of its relay.
 inline constexpr Milliseconds CancelledMemory{10000};
 
@@ -31,6 +37,7 @@
   Ready,      // the result is there; the owner was asked for a decode slot
   Decoding,   // a decode was started
   Calling,    // a service call was started
+  Broken,     // an attempt broke off; waits to learn if the server crashed
   Answered,   // finally answered; the relay has not closed it yet
   Cancelled,  // the caller is gone; kept for late reports
 };
@@ -64,9 +71,10 @@
   std::string Server; // that decodes or serves the call
   uint64_t Fence = 0;
   uint64_t KvBytes = 0;
-  uint32_t Dispatch = 0;            // number of the latest Start action
-  bool InFlight = false;            // it has not been reported as finished
-  bool StartPending = false;        // dispatch is held; see holdDispatch()
+  uint32_t Dispatch = 0;     // number of the latest Start action
+  bool InFlight = false;     // it has not been reported as finished
+  bool StartPending = false; // dispatch is held; see holdDispatch()
+  Stage BrokenAt = Stage::Prefill;
   std::vector<std::string> Holders; // servers that may hold work or memory
   std::vector<std::string> Tried;   // service: servers already called
 
@@ -113,6 +121,7 @@
   void finishAtOwner(CoreContext &Context, OpenRequest &Request,
                      FinishReason Reason);
   void offerList(CoreContext &Context, const std::string &To);
+  void watchBroken(CoreContext &Context, OpenRequest &Request);
   void watchWaiting(CoreContext &Context, OpenRequest &Request);
 
   // entry_stages.cc: dispatch and outcome of one attempt
@@ -125,6 +134,10 @@
   void startPending(CoreContext &Context, OpenRequest &Request);
   void stageFinished(CoreContext &Context, OpenRequest &Request,
                      const StageFinished &Body);
+  bool becameSuspect(CoreContext &Context, OpenRequest &Request);
+  void breakOff(CoreContext &Context, OpenRequest &Request,
+                const StageFinished &Body);
+  void resumeBroken(CoreContext &Context, OpenRequest &Request);
   void prefillFinished(CoreContext &Context, OpenRequest &Request,
                        const StageFinished &Body);
   void decodeFinished(CoreContext &Context, OpenRequest &Request,
@@ -168,9 +181,10 @@
   OwnerLookup Owner;
   // Ordered, so that equal histories give equal actions.
   std::map<RequestId, OpenRequest> Requests;
-  std::map<std::string, RetryBudget> Budgets;    // by group
-  std::map<std::string, uint32_t> QueueLengths;  // by shard, last heard
-  std::map<std::string, uint64_t> OfferedList;   // by owner: list sequence
+  std::map<std::string, RetryBudget> Budgets;   // by group
+  std::map<std::string, uint32_t> QueueLengths; // by shard, last heard
+  std::set<std::string> OfferedTo; // owners that were sent this list
+  uint64_t OfferedSequence = 0;
   std::map<std::string, ServiceServer> Services; // by server
   uint64_t ServiceUses = 0;
   bool Draining = false;
