Log the peers' address in the form of the other fronts

Cause: peer_link logged its port under another message, so scripts that read the three addresses found two. Change: the line is `listening` with the fields front and address. Conclusion: all three fronts log their real addresses alike.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -78,8 +78,10 @@
     return false;
   }
   Owner.provide<PeerSender>(this);
-  log(LogLevel::Info, Module, "listening for peers",
-      {{"port", std::to_string(Loop->port())}});
+  const std::string &asked = Owner.settings().PeerAddress;
+  std::string host = asked.substr(0, asked.rfind(':') + 1);
+  log(LogLevel::Info, Module, "listening",
+      {{"front", "peers"}, {"address", host + std::to_string(Loop->port())}});
   return true;
 }
 
