Log the peer address like the other listening addresses

Cause: the log line of the peer front had another message and only the port, so tools that read the addresses of an instance from its log found two of three.

Change: message "listening" with the fields front = peers and address.

Conclusion: all three fronts log one shape.

--- a/src/peer_link.cc
+++ b/src/peer_link.cc
@@ -73,8 +73,12 @@
     return false;
   }
   Owner.provide<PeerSender>(this);
-  log(LogLevel::Info, Module, "listening for peers",
-      {{"port", std::to_string(Loop->port())}});
+  // The configured port may be 0, so the line names the one in use.
+  const std::string &address = Owner.settings().PeerAddress;
+  log(LogLevel::Info, Module, "listening",
+      {{"front", "peers"},
+       {"address", address.substr(0, address.rfind(':') + 1) +
+                       std::to_string(Loop->port())}});
   return true;
 }
 
