Register the command check

Cause: runCheck() existed, but "crocusspur check FILE" answered "A subcommand is required", since no command was registered for it.

Change: command_check.cc registers the subcommand.

Figures: "Path check names all five mistakes of a settings file" failed before and passes after.

Conclusion: the documented command exists.

--- a/src/command_check.cc
+++ b/src/command_check.cc
@@ -1,9 +1,12 @@
 #include "command_check.h"
 
+#include "command.h"
 #include "crocusspur/settings.h"
 
+#include <CLI/CLI.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <iostream>
+#include <memory>
 
 namespace crocusspur::internal {
 
@@ -25,4 +28,15 @@
       });
 }
 
+namespace {
+
+const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *command =
+      Program.add_subcommand("check", "Report all mistakes of a settings file");
+  auto file = std::make_shared<std::string>();
+  command->add_option("FILE", *file, "Settings file (TOML)")->required();
+  command->callback([file, &ExitCode] { ExitCode = runCheck(*file); });
+}};
+
+} // namespace
 } // namespace crocusspur::internal
