Wait for key homes and repeat a keyed call in the path test

Cause: a caller key that is issued before its home is active is refused, which is right but failed the test of the service call on a fresh fleet.

Change: the fixture waits until a router may be home of keys and makes keys with a time of issue; the test also repeats the call at another router, and the cancel test checks that the engines saw cancels.

--- a/test/path_process_test.cc
+++ b/test/path_process_test.cc
@@ -92,9 +92,12 @@
 // Guards against calls that change on the way or run more than once.
 TEST_CASE("Path forwards a service call unchanged and once") {
   ProcessFixture fleet;
+  for (size_t i = 0; i < fleet.routers(); ++i)
+    REQUIRE(fleet.waitForKeyHome(i));
+  std::string key = timedKey();
   HttpRequest request =
       fleet.call(1, "POST", "/services/bays/book?hall=7", R"({"bay":3})");
-  request.Headers["Idempotency-Key"] = "key-1";
+  request.Headers["Idempotency-Key"] = key;
   HttpAnswer answer = send(request);
   REQUIRE_MESSAGE(answer.Status == 200, answer.Body);
   auto echo = parseJson(answer.Body);
@@ -102,7 +105,12 @@
   CHECK(echo->getValue<std::string>("path") == "/book");
   CHECK(echo->getValue<std::string>("query") == "hall=7");
   CHECK(echo->getValue<std::string>("body") == R"({"bay":3})");
-  CHECK(echo->getValue<std::string>("key") == "key-1");
+  CHECK(echo->getValue<std::string>("key") == key);
+  // A repeat at another router gets the remembered answer.
+  request.Address = fleet.router(2).CallerAddress;
+  HttpAnswer repeat = send(request);
+  CHECK(repeat.Status == 200);
+  CHECK(repeat.Body == answer.Body);
   size_t calls = 0;
   for (const char *name : {"s1", "s2"})
     calls += fleet.books(name)->getArray("calls")->size();
@@ -126,6 +134,7 @@
       eventually([&] { return fleet.held().empty(); }, Milliseconds(1000));
   MESSAGE("freed after " << since(start).count() << " ms");
   CHECK_MESSAGE(freed, "still held: " << joined(fleet.held()));
+  CHECK(fleet.countRuns("decode", "cancelled") == fleet.routers());
 }
 
 // Guards against a graceful shutdown that cuts off requests in progress (P6).
@@ -195,6 +204,6 @@
        {"instance.name", "instance.region", "operators.token_digest",
         "platform.address", "timing.heartbeat"})
     CHECK_MESSAGE(output.find(key) != std::string::npos,
-                  key << " is missing in:\n"
-                      << output);
+                  std::string(key) << " is missing in:\n"
+                                   << output);
 }
--- a/test/process_fixture.cc
+++ b/test/process_fixture.cc
@@ -5,6 +5,9 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -72,6 +75,19 @@
   }
 }
 
+std::string timedKey() {
+  // Unique within a run; the time is what matters to the router.
+  static std::atomic<unsigned> Count{0};
+  auto now = std::chrono::duration_cast<Milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+                 .count();
+  char text[40];
+  std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x",
+                static_cast<unsigned long long>(now) >> 16,
+                static_cast<unsigned long long>(now) & 0xffff, ++Count);
+  return text;
+}
+
 std::string expectedTokens(const std::string &Prompt, uint32_t Count) {
   char mark[9];
   std::snprintf(mark, sizeof mark, "%08x",
@@ -195,6 +211,7 @@
        << "[timing]\nheartbeat_period_ms = " << Options.Heartbeat.count()
        << "\nlease_period_ms = " << Options.Lease.count()
        << "\nprogress_timeout_ms = " << Options.ProgressTimeout.count()
+       << "\nclock_margin_ms = " << Options.ClockMargin.count()
        << "\n[log]\nlevel = \"" << Options.LogLevel << "\"\n"
        << Options.ExtraSettings;
   return text.str();
@@ -347,6 +364,15 @@
       Limit);
 }
 
+bool ProcessFixture::waitForKeyHome(size_t Index, Milliseconds Limit) {
+  return eventually(
+      [&] {
+        return state(Index)->getObject("keys")->getObject("list")->optValue(
+            "active", false);
+      },
+      Limit);
+}
+
 HttpRequest ProcessFixture::call(size_t Router, const std::string &Method,
                                  const std::string &Path,
                                  const std::string &Body) const {
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -47,6 +47,7 @@
   Milliseconds Heartbeat{500};
   Milliseconds Lease{2000};
   Milliseconds ProgressTimeout{5000};
+  Milliseconds ClockMargin{0}; // all processes share one clock
   std::string LogLevel = "info";
   // Further TOML sections of the routers' settings.
   std::string ExtraSettings;
@@ -104,6 +105,9 @@
   std::string listText(uint64_t Sequence) const;
 
   bool waitForReady(size_t Index, Milliseconds Limit = GenerousLimit);
+  // Waits until the router may be home of callers' idempotency keys. Keys that
+  // were issued before are refused as unknown.
+  bool waitForKeyHome(size_t Index, Milliseconds Limit = GenerousLimit);
 
   // A call with the token of the first group.
   HttpRequest call(size_t Router, const std::string &Method,
@@ -147,6 +151,9 @@
   uint64_t LastSequence = 0;
 };
 
+// An idempotency key that holds the time of its issue (UUID version 7).
+std::string timedKey();
+
 // Text that an engine gives for this prompt.
 std::string expectedTokens(const std::string &Prompt, uint32_t Count);
 
