--- a/src/command_check.cc
+++ b/src/command_check.cc
@@ -32,9 +32,9 @@
 
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
-      "check", "Check a settings file (exit code 2: it has mistakes)");
+      "check", "Report all mistakes of a settings file (exit code 2)");
   auto file = std::make_shared<std::string>();
-  command->add_option("settings", *file, "Settings file (TOML)")->required();
+  command->add_option("FILE", *file, "Settings file (TOML)")->required();
   command->callback([file, &ExitCode] { ExitCode = runCheck(*file); });
 }};
 
