Evaluate the home lease at a fixed period and number heartbeats per run

Cause: every heartbeat evaluated the confirmations of all instances. Heartbeat numbers were kept per peer and began again when a peer that had been off the list returned, so that its heartbeats were ignored as old and an old echo could have been taken for a new one.

Change: the confirmations are evaluated at most every 50 ms and at once after an own change of the list; a result stays true until its end. One count of heartbeats serves all peers for the whole run.

With numbers that begin again (trial), the new case fails.

--- a/src/list_confirmation.cc
+++ b/src/list_confirmation.cc
@@ -12,6 +12,11 @@
 // Silence after which a peer counts as unreachable (section 4).
 constexpr Milliseconds PeerSilence{1500};
 
+// Period of the evaluation. Its cost grows with the square of the list, and a
+// result stays true until its end whatever heartbeats follow, so a late one
+// only shortens the lease by this time.
+constexpr Milliseconds EvaluationPeriod{50};
+
 constexpr size_t MaxKnownLists = 32;
 constexpr size_t MaxPeriods = 64;
 constexpr size_t MaxSent = 64;
@@ -34,17 +39,13 @@
                      [&](const InstanceEntry &It) { return It.Name == Name; });
 }
 
+// Numbers of different runs must not be mistaken for each other, so each run
+// counts from its own start. One count serves all peers and never goes back,
+// also when a peer leaves and returns.
 ListConfirmation::ListConfirmation(const CoreOptions &Options)
-    : Options(Options) {}
-
-ListConfirmation::Peer &ListConfirmation::peer(const std::string &Name) {
-  auto [it, added] = Peers.try_emplace(Name);
-  // Numbers of different runs must not be mistaken for each other.
-  if (added)
-    it->second.NextNumber =
-        XXH64(Name.data(), Name.size(), Options.Incarnation);
-  return it->second;
-}
+    : Options(Options),
+      LastSent(XXH64(Options.Instance.data(), Options.Instance.size(),
+                     Options.Incarnation)) {}
 
 bool ListConfirmation::reachable(const std::string &Instance,
                                  TimePoint At) const {
@@ -83,6 +84,7 @@
 
 void ListConfirmation::startAnew(TimePoint Silence) {
   SilentUntil = Silence;
+  NextEvaluation = TimePoint();
   Confirmed = nullptr;
   Confirming = First = SeenActive = false;
   Previous.clear();
@@ -102,17 +104,20 @@
   }
   if (!Newest)
     return;
+  if (!isFresh())
+    followNewest(Now);
+  if (Now < NextEvaluation)
+    return;
+  NextEvaluation = Now + EvaluationPeriod;
   if (isFresh())
     beginFirst(Now);
-  else
-    followNewest(Now);
   noteActivity(Context);
 }
 
 void ListConfirmation::beginFirst(TimePoint At) {
   if (At < SilentUntil)
     return;
-  if (activeEnd(*Newest) > At) {
+  if (activeEnd(*Newest, confirmers(Newest->Digest)) > At) {
     confirm(Newest, At);
     SeenActive = true;
   } else if (allOffer(*Newest, At)) {
@@ -124,6 +129,7 @@
 void ListConfirmation::confirm(const MemberListPtr &List, TimePoint At) {
   Confirmed = List;
   Confirming = true;
+  ActiveUntil = NextEvaluation = TimePoint();
   SeenActive = First = false;
   ++Changes;
   LastConfirmed = At;
@@ -187,9 +193,9 @@
   return said;
 }
 
-std::map<std::string, ListConfirmation::Statement>
+ListConfirmation::Statements
 ListConfirmation::confirmers(uint64_t Digest) const {
-  std::map<std::string, Statement> found;
+  Statements found;
   for (const auto &[name, peer] : Peers)
     if (peer.Said.Digest == Digest && peer.Said.Epoch == Epoch &&
         peer.Said.ValidUntil > Now)
@@ -211,8 +217,7 @@
 
 // Whether a set of confirmers, valid until `At`, makes the list active: finds
 // the largest set in which every named list has its majority.
-bool ListConfirmation::holds(const MemberList &List,
-                             const std::map<std::string, Statement> &All,
+bool ListConfirmation::holds(const MemberList &List, const Statements &All,
                              TimePoint At) const {
   Set names;
   for (const auto &[name, said] : All)
@@ -228,23 +233,26 @@
   return countMembers(List, names) >= List.majority();
 }
 
-TimePoint ListConfirmation::activeEnd(const MemberList &List) const {
-  std::map<std::string, Statement> all = confirmers(List.Digest);
-  if (countMembers(List, all) < List.majority())
+TimePoint ListConfirmation::activeEnd(const MemberList &List,
+                                      const Statements &All) const {
+  if (countMembers(List, All) < List.majority())
     return TimePoint();
   std::vector<TimePoint> ends;
-  for (const auto &[name, said] : all)
+  for (const auto &[name, said] : All)
     ends.push_back(said.ValidUntil);
   std::sort(ends.begin(), ends.end(), std::greater<>());
   for (size_t i = List.majority() - 1; i < ends.size(); ++i)
-    if (holds(List, all, ends[i]))
+    if (holds(List, All, ends[i]))
       return ends[i];
   return TimePoint();
 }
 
 void ListConfirmation::noteActivity(CoreContext &Context) {
-  TimePoint end = Confirmed ? activeEnd(*Confirmed) : TimePoint();
-  bool unbroken = ActiveUntil >= Now && !Periods.empty() && Confirmed &&
+  if (!Confirmed)
+    return;
+  Statements all = confirmers(Confirmed->Digest);
+  TimePoint end = activeEnd(*Confirmed, all);
+  bool unbroken = ActiveUntil >= Now && !Periods.empty() &&
                   Periods.back().List->Digest == Confirmed->Digest;
   ActiveUntil = end;
   if (end <= Now)
@@ -253,7 +261,7 @@
   First = false;
   Previous.clear();
   if (!unbroken) {
-    bool continuous = continuousWithLast();
+    bool continuous = continuousWithLast(all);
     bool same =
         !Periods.empty() && Periods.back().List->Digest == Confirmed->Digest;
     if (!(same && continuous))
@@ -263,33 +271,32 @@
       Periods.front().Continuous = false;
     }
   }
-  for (const auto &[name, said] : confirmers(Confirmed->Digest))
+  for (const auto &[name, said] : all)
     Periods.back().Stays[name] = {said.Incarnation, said.Changes};
 }
 
 // Another list can have been active since the last period only if a majority
 // of that period's list confirmed it. This is excluded if a majority stayed
 // with the list or went from it straight to the present one.
-bool ListConfirmation::continuousWithLast() const {
+bool ListConfirmation::continuousWithLast(const Statements &All) const {
   if (Periods.empty())
     return false;
   const ActivePeriod &last = Periods.back();
-  auto stays =
-      std::count_if(last.List->Members.begin(), last.List->Members.end(),
-                    [&](const InstanceEntry &It) {
-                      auto stay = last.Stays.find(It.Name);
-                      return stay != last.Stays.end() &&
-                             stayed(It.Name, stay->second, last.List->Digest);
-                    });
+  auto stays = std::count_if(
+      last.List->Members.begin(), last.List->Members.end(),
+      [&](const InstanceEntry &It) {
+        auto stay = last.Stays.find(It.Name);
+        return stay != last.Stays.end() &&
+               stayed(All, It.Name, stay->second, last.List->Digest);
+      });
   return static_cast<size_t>(stays) >= last.List->majority();
 }
 
-bool ListConfirmation::stayed(const std::string &Name,
+bool ListConfirmation::stayed(const Statements &All, const std::string &Name,
                               const ActivePeriod::Stay &Stay,
                               uint64_t LastDigest) const {
-  auto all = confirmers(Confirmed->Digest);
-  auto it = all.find(Name);
-  if (it == all.end() || it->second.Incarnation != Stay.Incarnation)
+  auto it = All.find(Name);
+  if (it == All.end() || it->second.Incarnation != Stay.Incarnation)
     return false;
   uint64_t expected = Stay.Changes + (Confirmed->Digest == LastDigest ? 0 : 1);
   return it->second.Changes == expected;
@@ -298,8 +305,8 @@
 void ListConfirmation::fill(CoreContext &Context, const std::string &To,
                             Heartbeat &Message) {
   advance(Context);
-  Peer &to = peer(To);
-  Message.Number = ++to.NextNumber;
+  Peer &to = Peers[To];
+  Message.Number = ++LastSent;
   Message.Echo = to.LastNumber;
   to.Sent.emplace_back(Message.Number, Now);
   if (to.Sent.size() > MaxSent)
@@ -320,7 +327,7 @@
                                    uint64_t Incarnation,
                                    const Heartbeat &Message) {
   Now = Context.Now;
-  Peer &from = peer(From);
+  Peer &from = Peers[From];
   from.LastHeard = Now;
   bool sameRun = from.Heard && from.Said.Incarnation == Incarnation;
   from.Heard = true;
--- a/src/list_confirmation.h
+++ b/src/list_confirmation.h
@@ -103,16 +103,16 @@
     TimePoint ValidUntil;
   };
 
+  using Statements = std::map<std::string, Statement>;
+
   struct Peer {
     std::deque<std::pair<uint64_t, TimePoint>> Sent; // numbers and times
-    uint64_t NextNumber = 0;
-    uint64_t LastNumber = 0; // received
+    uint64_t LastNumber = 0;                         // received
     bool Heard = false;
     TimePoint LastHeard;
     Statement Said;
   };
 
-  Peer &peer(const std::string &Name);
   bool isFresh() const { return !Confirmed; }
   void learnList(const InstanceList &List);
   void startAnew(TimePoint Silence);
@@ -123,21 +123,21 @@
   bool allOffer(const MemberList &List, TimePoint Now) const;
   bool isOldHand(const Statement &Said, TimePoint Now) const;
   void noteActivity(CoreContext &Context);
-  bool continuousWithLast() const;
-  bool stayed(const std::string &Name, const ActivePeriod::Stay &Stay,
-              uint64_t LastDigest) const;
+  bool continuousWithLast(const Statements &All) const;
+  bool stayed(const Statements &All, const std::string &Name,
+              const ActivePeriod::Stay &Stay, uint64_t LastDigest) const;
 
   Statement own() const;
   MemberListPtr findKnown(uint64_t Digest) const;
   using Set = std::set<std::string>;
-  std::map<std::string, Statement> confirmers(uint64_t Digest) const;
-  bool holds(const MemberList &List,
-             const std::map<std::string, Statement> &All, TimePoint At) const;
+  Statements confirmers(uint64_t Digest) const;
+  bool holds(const MemberList &List, const Statements &All, TimePoint At) const;
   bool supported(const Set &Names, const Statement &Said) const;
-  TimePoint activeEnd(const MemberList &List) const;
+  TimePoint activeEnd(const MemberList &List, const Statements &All) const;
 
   const CoreOptions &Options;
-  TimePoint Now; // of the latest event
+  TimePoint Now;     // of the latest event
+  uint64_t LastSent; // number of the last heartbeat
   std::map<std::string, Peer> Peers;
   std::deque<MemberListPtr> Known;
   MemberListPtr Newest;
@@ -153,6 +153,7 @@
   uint64_t Changes = 0;
   std::vector<uint64_t> Previous;
 
+  TimePoint NextEvaluation;
   TimePoint ActiveUntil;
   std::deque<ActivePeriod> Periods;
 };
--- a/test/key_home_test.cc
+++ b/test/key_home_test.cc
@@ -378,6 +378,28 @@
   CHECK(fleet.limit(4, moved) < TimePoint(fleet.Now));
 }
 
+// Guards against heartbeat numbers that start again when a peer returns: its
+// old echoes would then count as new, or its heartbeats be taken for old.
+TEST_CASE("KeyHome confirms with an instance that was off the list for long") {
+  Fleet fleet(3);
+  fleet.run(Settled);
+  fleet.Nodes[2].Side = 1;
+  fleet.publish({"e0", "e1"});
+  fleet.run(4 * Lease);
+  fleet.publish({"e1", "e0"});
+  fleet.run(4 * Lease);
+  fleet.Nodes[2].Side = 0;
+  fleet.publish({"e0", "e1", "e2"});
+  fleet.run(3 * Lease);
+  for (size_t i : {0, 1, 2})
+    CHECK(fleet.leased(i) != 0);
+  // The return counts: without e1, e0 and e2 are the majority.
+  fleet.Nodes[1].Up = false;
+  fleet.run(2 * Lease);
+  CHECK(fleet.leased(0) != 0);
+  CHECK(fleet.leased(2) != 0);
+}
+
 // Guards against wall clocks that differ by the margin, twice: between the
 // caller and the former home, and between that one and the new home.
 TEST_CASE("KeyHome leaves two clock margins after a takeover") {
