Test that late confirmations don't extend the home lease

Cause: a lease counted from the receipt of a confirmation was only found by the random histories.

Change: a case delivers a heartbeat late to an instance that was cut off.

With the lease counted from the receipt (trial), the new case fails; as committed it passes.

Conclusion: delays and pauses of a receiver only shorten its lease.

--- a/test/key_home_test.cc
+++ b/test/key_home_test.cc
@@ -378,6 +378,25 @@
   CHECK(fleet.limit(4, moved) < TimePoint(fleet.Now));
 }
 
+// Guards against a confirmation that lives longer because it was on the way, or
+// in the queue of a paused process, for long.
+TEST_CASE("KeyHome does not count a confirmation from its receipt") {
+  Fleet fleet(3);
+  fleet.run(Settled);
+  Fleet::Node &from = fleet.Nodes[1], &to = fleet.Nodes[0];
+  CoreContext context = fleet.context(from);
+  Heartbeat late;
+  from.Keys->fillHeartbeat(context, "e0", late);
+  fleet.Nodes[0].Side = 1;
+  fleet.run(Lease * 3 / 4);
+  REQUIRE(fleet.leased(0) == 0);
+  fleet.deliver(from, to, late);
+  fleet.Now += Milliseconds(100);
+  CoreContext later = fleet.context(to);
+  to.Keys->onTimer(later);
+  CHECK(fleet.leased(0) == 0);
+}
+
 // Guards against heartbeat numbers that start again when a peer returns: its
 // old echoes would then count as new, or its heartbeats be taken for old.
 TEST_CASE("KeyHome confirms with an instance that was off the list for long") {
