Read lists of 64-bit numbers in damaged frames without misaligned loads

Cause: the FlatBuffers verifier does not check the alignment of the elements of a list, so a damaged frame made the codec load 64-bit numbers from addresses that are multiples of 4 only. Change: the elements are copied bytewise.

--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
+#include <cstring>
 #include <utility>
 
 namespace crocusspur::internal {
@@ -361,7 +362,14 @@
   std::vector<uint64_t> numbers(const flatbuffers::Vector<uint64_t> *It) {
     if (!It || !spend(size_t(It->size()) * sizeof(uint64_t)))
       return {};
-    return std::vector<uint64_t>(It->begin(), It->end());
+    // The verifier checks the alignment of a list's length but not that of its
+    // elements, so a damaged frame can have them at any multiple of 4.
+    std::vector<uint64_t> out(It->size());
+    if (!out.empty())
+      std::memcpy(out.data(), It->Data(), out.size() * sizeof(uint64_t));
+    for (uint64_t &value : out)
+      value = flatbuffers::EndianScalar(value);
+    return out;
   }
   template <typename E> E choice(uint8_t Value, E Last) {
     if (Value <= static_cast<uint8_t>(Last))
