State exactly what became of a forwarded request that is abandoned

Cause: the random schedule, with orderly stops and list changes added, made an entry reach its shutdown limit while the home of a key still served the request; the caller was told that it had not run.

Change: a forwarded request counts as possibly run until it is known not to have been sent, and its home is told when the entry gives it up. The relays of the network of cores ignore an error that comes after the end of their answer, as the real ones have to. Tests cover each placement policy and an orderly stop over three instances.

Conclusion: the schedule covers kills, restarts, pauses, cuts, server crashes, silent servers, orderly stops and leaving servers.

--- a/src/entry_end.cc
+++ b/src/entry_end.cc
@@ -17,8 +17,7 @@
 RunState EntryRequests::State::runState(const OpenRequest &Request) const {
   if (Request.OutputTokens > 0)
     return RunState::Yes;
-  bool forwarded = Request.At == Phase::Forwarded && Request.MayHaveRun;
-  if (Request.InFlight || Request.MayHaveRun || forwarded)
+  if (Request.InFlight || Request.MayHaveRun)
     return RunState::Unknown;
   return RunState::No;
 }
@@ -33,6 +32,8 @@
 // lease, and the record of its key.
 void EntryRequests::State::release(CoreContext &Context, OpenRequest &Request,
                                    FinishReason Reason) {
+  if (Request.At == Phase::Forwarded)
+    Context.send(Request.Home, ForwardCancel{Request.Id});
   for (const std::string &it : std::vector<std::string>(Request.Holders))
     cancelAt(Context, Request, it);
   Request.ResultReady = false;
@@ -54,7 +55,7 @@
 void EntryRequests::State::fail(CoreContext &Context, OpenRequest &Request,
                                 ErrorKind Error, Milliseconds RetryAfter) {
   RunState run = runState(Request);
-  bool dispatched = Request.Dispatch > 0;
+  bool dispatched = Request.Dispatch > 0 || Request.MayHaveRun;
   release(Context, Request, FinishReason::Failed);
   Request.StartPending = false;
   setPhase(Context, Request, Phase::Answered);
@@ -88,8 +89,6 @@
 
 // The caller is gone: nothing may stay held for the request.
 void EntryRequests::State::cancel(CoreContext &Context, OpenRequest &Request) {
-  if (Request.At == Phase::Forwarded)
-    Context.send(Request.Home, ForwardCancel{Request.Id});
   release(Context, Request, FinishReason::Cancelled);
   Request.StartPending = false;
   setPhase(Context, Request, Phase::Cancelled);
--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -140,6 +140,7 @@
   case KeyVerdict::Forward:
     setPhase(Context, Request, Phase::Forwarded);
     Request.Home = Decision.Home;
+    Request.MayHaveRun = true; // at the home, until it is known not to
     note(Context, Request, NoteKind::Admitted, Decision.Home);
     Context.Out.push_back(ForwardToHome{Request.Id, Decision.Home,
                                         Context.Options.ProgressTimeout});
--- a/src/entry_stages.cc
+++ b/src/entry_stages.cc
@@ -296,11 +296,11 @@
   // may be gone for good; the homes of other keys move to another instance.
   bool ticket = looksLikeTicket(Request.Spec.IdempotencyKey);
   if (wasRefused(Body.Outcome) && !ticket) {
+    Request.MayHaveRun = false;
     fail(Context, Request, ErrorKind::HomeUnreachable,
          Context.Options.LeasePeriod);
     return;
   }
-  Request.MayHaveRun = true;
   Request.OutputTokens = std::max(Request.OutputTokens, Body.OutputTokens);
   fail(Context, Request, ErrorKind::OutcomeUnknown);
 }
--- a/test/core_chaos_test.cc
+++ b/test/core_chaos_test.cc
@@ -46,7 +46,7 @@
   std::string b = anyInstance(Random);
   std::string server = anyServer(Random);
   auto length = Milliseconds(static_cast<int64_t>(100 + Random() % 3000));
-  switch (Random() % 6) {
+  switch (Random() % 8) {
   case 0:
     Net.kill(a);
     Net.runFor(length);
@@ -70,6 +70,16 @@
     Net.runFor(length);
     Net.restartServer(server);
     break;
+  case 5:
+    Net.shutdown(a, length);
+    Net.runFor(length + Milliseconds(500));
+    Net.restart(a);
+    break;
+  case 6:
+    Net.publishList(sampleListText(Net.newestList() + 1, 3, {}, {server}));
+    Net.runFor(length);
+    Net.publishList(sampleListText(Net.newestList() + 1, 3));
+    break;
   default:
     Net.stallServer(server);
     Net.runFor(length);
--- a/test/core_network.cc
+++ b/test/core_network.cc
@@ -165,6 +165,10 @@
 }
 
 void CoreNetwork::handle(Node &To, EventBody Body) {
+  if (auto *finished = std::get_if<StageFinished>(&Body))
+    Unreported.erase({To.Name, finished->Id});
+  if (auto *closed = std::get_if<RequestClosed>(&Body))
+    Unreported.erase({To.Name, closed->Id});
   ActionList actions;
   To.Core->handle(Event{Now, wall(), std::move(Body)}, actions);
   for (const Action &it : actions)
@@ -420,6 +424,8 @@
 // Both a relay's own end of an answer and the core's final answers come here.
 void CoreNetwork::answer(const std::string &Instance, const RequestId &Id,
                          CallerAnswer Answer) {
+  if (!Answer.Complete && Unreported.count({Instance, Id}))
+    return;
   CallerRequest &caller = Callers.at(Id);
   Answer.At = Now;
   giveLater(Instance, node(Instance).Options.Incarnation,
@@ -427,6 +433,9 @@
   if (caller.Entry != Instance) {
     if (Homes.erase(Id) == 0)
       return; // the link to the entry broke
+    if (Unreported.count({caller.Entry, Id}))
+      return;
+    Unreported.insert({caller.Entry, Id});
     giveLater(caller.Entry, node(caller.Entry).Options.Incarnation,
               RequestClosed{Id, true});
   }
--- a/test/core_network.h
+++ b/test/core_network.h
@@ -97,6 +97,7 @@
   // reach the platform.
   void publishConfig(const std::string &Text);
   void publishList(const std::string &Text);
+  uint64_t newestList() const { return List->Sequence; }
   void cutPlatform(const std::string &Instance, bool Cut = true);
 
   // Faults. A cut link loses what is under way and is seen as down after the
@@ -201,6 +202,9 @@
   ListPtr List;
   std::map<Pair, Link> Links;
   std::map<RequestId, std::string> Homes; // of forwarded requests
+  // Answers that the relays of an instance have ended, until its core takes the
+  // report. Such a relay ignores an error from the core.
+  std::set<std::pair<std::string, RequestId>> Unreported;
   std::set<uint64_t> Crashers;
   std::map<RequestId, CallerRequest> Callers;
   std::vector<Execution> Ran;
--- a/test/core_network_servers.cc
+++ b/test/core_network_servers.cc
@@ -106,9 +106,11 @@
       return;
     bool whole = Outcome == StageOutcome::Ok && Item.At != Stage::Prefill;
     // A relay that has ended its answer copies nothing more to the caller.
-    if (whole && Callers.at(Item.Id).Answers.empty())
+    if (whole && Callers.at(Item.Id).Answers.empty()) {
       answer(Item.Instance, Item.Id,
              {true, false, ErrorKind::Internal, RunState::Yes, {}, Now});
+      Unreported.insert({Item.Instance, Item.Id});
+    }
     give(to, body);
   });
 }
--- a/test/core_network_test.cc
+++ b/test/core_network_test.cc
@@ -130,3 +130,36 @@
   CHECK(countAnswers(net, true) == 4);
   CHECK(net.held().empty());
 }
+
+// Guards against a placement policy that only works in part.
+TEST_CASE("CoreNetwork serves a light load under each placement policy") {
+  for (PlacementPolicy policy :
+       {PlacementPolicy::RoundRobin, PlacementPolicy::LeastLoad,
+        PlacementPolicy::SplitSlots, PlacementPolicy::HoldSlot,
+        PlacementPolicy::Pool}) {
+    CAPTURE(static_cast<int>(policy));
+    NetworkOptions options;
+    options.Core.Policy = policy;
+    options.Sample.Slots = 6;
+    CoreNetwork net(options);
+    REQUIRE(net.runUntilReady());
+    net.runFor(Milliseconds(2500));
+    sendLoad(net, 20, Milliseconds(150));
+    net.runFor(Milliseconds(3000));
+    CHECK(countAnswers(net, true) == 20);
+    CHECK(net.held().empty());
+  }
+}
+
+// Guards against an orderly stop that cuts off requests (P6).
+TEST_CASE("CoreNetwork cuts off no request when an instance stops") {
+  CoreNetwork net;
+  REQUIRE(net.runUntilReady());
+  net.runFor(Milliseconds(2500));
+  sendLoad(net, 9, Milliseconds(30));
+  net.shutdown("e2", Milliseconds(10000));
+  CHECK(net.runUntil([&] { return net.stopped("e2"); }, Milliseconds(5000)));
+  net.runFor(Milliseconds(3000));
+  CHECK(countAnswers(net, true) == 9);
+  CHECK(net.held().empty());
+}
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -764,6 +764,12 @@
     entry.cancel();
     CHECK(entry.sent<ForwardCancel>());
   }
+  SUBCASE("abandoned at the limit of a shutdown") {
+    CoreContext context = entry.context();
+    entry.Requests.abandonAll(context);
+    CHECK(entry.error() == "shutting_down unknown");
+    CHECK(entry.sent<ForwardCancel>());
+  }
   SUBCASE("answered by the home") {
     entry.close(Id);
     CHECK(entry.noted() == "completed");
