Test the whole path with faults of engines and services

Cause: no test with real processes met a killed or silent engine, a service connection that breaks after execution, or a request that crashes engines.

Change: four tests. Streams must come back whole with the exact tokens, a booking must run once with run = unknown, and crashes must stop after the second one.

--- /dev/null
+++ b/test/path_fault_process_test.cc
@@ -0,0 +1,137 @@
+// Tests of the whole path with real processes and faults of the outside
+// systems.
+#include "process_fixture.h"
+
+#include <Poco/JSON/Array.h>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <list>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+struct OpenStream {
+  std::string Prompt;
+  std::unique_ptr<EventStream> Stream;
+  std::string Text;
+  std::string End; // "[DONE]", the data of an error event, or ""
+};
+
+std::string tokenText(const StreamEvent &Event) {
+  return parseJson(Event.Data)
+      ->getArray("choices")
+      ->getObject(0)
+      ->optValue<std::string>("text", "");
+}
+
+// Starts streams through all routers in turn and reads the first token of each.
+std::list<OpenStream> openStreams(ProcessFixture &Fleet, int Count,
+                                  uint32_t MaxTokens) {
+  std::list<OpenStream> streams;
+  for (int i = 0; i < Count; ++i) {
+    OpenStream entry;
+    entry.Prompt = "stream " + std::to_string(i);
+    entry.Stream = std::make_unique<EventStream>(
+        Fleet.completion(i % Fleet.routers(), entry.Prompt, MaxTokens, true));
+    StreamEvent event;
+    REQUIRE(entry.Stream->status() == 200);
+    REQUIRE(entry.Stream->next(event));
+    entry.Text = tokenText(event);
+    streams.push_back(std::move(entry));
+  }
+  return streams;
+}
+
+void readToEnd(OpenStream &Stream) {
+  StreamEvent event;
+  while (Stream.Stream->next(event)) {
+    if (event.Name == "error" || event.Data == "[DONE]")
+      Stream.End = event.Data;
+    else
+      Stream.Text += tokenText(event);
+  }
+}
+
+// A decode server that runs at least one stream.
+std::string busyDecodeServer(ProcessFixture &Fleet) {
+  for (const std::string &it : Fleet.held())
+    if (it.find(":decode:") != std::string::npos)
+      return it.substr(0, it.find(':'));
+  return "";
+}
+
+void checkWhole(std::list<OpenStream> &Streams, uint32_t Tokens) {
+  for (OpenStream &it : Streams) {
+    CAPTURE(it.Prompt);
+    readToEnd(it);
+    CHECK(it.End == "[DONE]");
+    CHECK(it.Text == expectedTokens(it.Prompt, Tokens));
+  }
+}
+
+size_t executedCalls(ProcessFixture &Fleet) {
+  size_t calls = 0;
+  for (const char *name : {"s1", "s2"})
+    calls += Fleet.books(name)->getArray("calls")->size();
+  return calls;
+}
+
+} // namespace
+
+// Guards against streams that are lost, or resumed with missing or repeated
+// tokens, when their engine dies (P2).
+TEST_CASE("Path resumes the streams of a decode engine that is killed") {
+  ProcessFixture fleet;
+  auto streams = openStreams(fleet, 6, 200);
+  std::string victim = busyDecodeServer(fleet);
+  REQUIRE(!victim.empty());
+  fleet.server(victim).Process->signal(SIGKILL);
+  checkWhole(streams, 200);
+}
+
+// Guards against silent connections that are never found, and against a resume
+// over the silent connection (P9).
+TEST_CASE("Path resumes streams whose connections go silent") {
+  FleetOptions options;
+  options.ProgressTimeout = Milliseconds(1000);
+  ProcessFixture fleet(options);
+  auto streams = openStreams(fleet, 6, 200);
+  std::string victim = busyDecodeServer(fleet);
+  REQUIRE(!victim.empty());
+  fleet.control(victim, "silence");
+  checkWhole(streams, 200);
+}
+
+// Guards against a repeat of a call that may have run (P4), and against telling
+// the caller that it was not run (P3).
+TEST_CASE("Path repeats no booking whose connection broke after execution") {
+  ProcessFixture fleet;
+  for (const char *name : {"s1", "s2"})
+    fleet.control(name, "close?when=after&count=100");
+  HttpAnswer answer =
+      send(fleet.call(0, "POST", "/services/bays/book", R"({"bay":3})"));
+  CHECK(answer.Status >= 400);
+  std::string run = parseJson(answer.Body)->getValue<std::string>("run");
+  CHECK_MESSAGE(run == "unknown", answer.Body);
+  CHECK(executedCalls(fleet) == 1);
+}
+
+// Guards against a request that takes one engine after the other down (P8).
+TEST_CASE("Path stops a request that crashes engines after the second crash") {
+  FleetOptions options;
+  options.PrefillServers = 3;
+  ProcessFixture fleet(options);
+  for (const char *name : {"p1", "p2", "p3", "d1", "d2", "d3"})
+    fleet.control(name, "crash?text=deadly");
+  for (int i = 0; i < 9; ++i)
+    send(fleet.completion(i % fleet.routers(), "[[deadly]]", 5, false));
+  int crashed = 0;
+  for (const char *name : {"p1", "p2", "p3", "d1", "d2", "d3"})
+    crashed += fleet.books(name) ? 0 : 1;
+  CHECK(crashed >= 1);
+  CHECK(crashed <= 2);
+  HttpAnswer innocent = send(fleet.completion(0, "innocent", 5, false));
+  CHECK_MESSAGE(innocent.Status == 200, innocent.Body);
+}
