Spend fewer system calls for each token on a relay

Cause: with 160 requests and 34,880 tokens a second one instance used 28.6 us of processor time for each token, 1.2 cores at the target rate of 42,500 tokens a second; three quarters of it in the kernel. Each wait registered three descriptors anew, and each read of a token sent an acknowledgement of its own. Change: a relay registers the caller's socket, its mailbox and the server's socket once (epoll), and connections to servers delay acknowledgements. What remains is mostly the wake-up and the write of each token.

--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -140,9 +140,9 @@
 void CoreThread::post(EventBody Body) { pushItem(std::move(Body)); }
 
 void CoreThread::pushItem(CoreItem Item) {
-  constexpr Microseconds pause{100};
+  constexpr Microseconds Pause{100};
   while (!Items.tryPush(Item) && !Stopping.load())
-    std::this_thread::sleep_for(pause);
+    std::this_thread::sleep_for(Pause);
 }
 
 std::string CoreThread::dumpState(Milliseconds Wait) {
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -29,7 +29,10 @@
     if (fd < 0)
       return -1;
     int one = 1;
+    int zero = 0;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    // Without this, each read of a token sends an acknowledgement of its own.
+    ::setsockopt(fd, IPPROTO_TCP, TCP_QUICKACK, &zero, sizeof zero);
     if (::connect(fd, target.addr(), target.length()) == 0 ||
         errno == EINPROGRESS)
       return fd;
--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -148,13 +148,13 @@
 }
 
 HeadVerdict parseResponseHead(std::string_view Text, HttpHead &Head) {
-  constexpr size_t maxFields = 256;
+  constexpr size_t ResponseFieldLimit = 256;
   std::string_view line;
   if (!nextLine(Text, line) || line.size() < 12 || line[8] != ' ' ||
       !parseVersion(line.substr(0, 8), Head.MinorVersion) ||
       !parseNumber(line.substr(9, 3), Head.Status))
     return HeadVerdict::Malformed;
-  return parseFields(Text, maxFields, Head);
+  return parseFields(Text, ResponseFieldLimit, Head);
 }
 
 bool requestFraming(const HttpHead &Head, BodyFraming &Framing) {
--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -3,7 +3,6 @@
 #include "json_reader.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <poll.h>
 #include <type_traits>
 #include <utility>
@@ -41,7 +40,11 @@
     : Context(Context), Request(Request), Sink(Sink), Mail(Mail),
       Format(Request.Id, Request.Spec.Target,
              Request.Path.Kind == RouteKind::Chat, secondsNow()),
-      TakeToken([this](std::string_view RawToken) { takeToken(RawToken); }) {}
+      TakeToken([this](std::string_view RawToken) { takeToken(RawToken); }) {
+  if (Sink.watchedSocket() >= 0)
+    Watched.add(Sink.watchedSocket(), POLLRDHUP);
+  Watched.add(Mail.fd(), POLLIN);
+}
 
 void RelaySession::run() {
   RequestArrived arrived{Request.Id, Request.Spec, Request.ForwardedBy};
@@ -65,20 +68,12 @@
 }
 
 WaitResult RelaySession::wait(int Fd, short Events, TimePoint Until) {
-  while (true) {
-    pollfd items[3] = {{Sink.watchedSocket(), POLLRDHUP, 0},
-                       {Mail.fd(), POLLIN, 0},
-                       {Fd, Events, 0}};
-    int n = ::poll(items, 3, pollTimeout(Until));
-    if (n < 0 && errno == EINTR)
-      continue;
-    if (n == 0)
-      return WaitResult::TimedOut;
-    CallerGone = CallerGone || items[0].revents != 0;
-    if (items[0].revents != 0 || items[1].revents != 0)
-      return WaitResult::Interrupted;
-    return WaitResult::Ready;
-  }
+  WaitSet::Result ready = Watched.wait(Fd, Events, Until);
+  if (ready.TimedOut)
+    return WaitResult::TimedOut;
+  if (ready.Lasting >= 0 && ready.Lasting == Sink.watchedSocket())
+    CallerGone = true;
+  return ready.Lasting >= 0 ? WaitResult::Interrupted : WaitResult::Ready;
 }
 
 RelaySession::Next RelaySession::nextItem(MailboxItem &Item, TimePoint Until) {
@@ -143,6 +138,7 @@
 // A caller that has left is reported first, so that the core doesn't place the
 // request again because of the stage that this has ended.
 void RelaySession::report(StageFinished Result, const CallEnd &End) {
+  Watched.forget();
   if (CallerGone || Mail.broken())
     leave();
   Result.Id = Request.Id;
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -85,6 +85,7 @@
   const CallerRequest &Request;
   ResponseSink &Sink;
   Mailbox &Mail;
+  WaitSet Watched; // caller, mailbox and the stage's server
   OpenAiFormat Format;
   TokenSequence Sequence;
   TokenSequence::Sink TakeToken;
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -5,6 +5,7 @@
 #include <climits>
 #include <poll.h>
 #include <stdexcept>
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -29,6 +30,55 @@
   }
 }
 
+WaitSet::WaitSet() : Set(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (Set < 0)
+    throw std::runtime_error("no descriptor left to wait with");
+}
+
+WaitSet::~WaitSet() { ::close(Set); }
+
+// The event bits of epoll have the values of those of poll.
+void WaitSet::add(int Fd, short Events) {
+  epoll_event event{};
+  event.events = static_cast<uint16_t>(Events);
+  event.data.fd = Fd;
+  ::epoll_ctl(Set, EPOLL_CTL_ADD, Fd, &event);
+}
+
+void WaitSet::forget() {
+  if (Changing >= 0)
+    ::epoll_ctl(Set, EPOLL_CTL_DEL, Changing, nullptr);
+  Changing = -1;
+}
+
+void WaitSet::change(int Fd, short Events) {
+  if (Fd == Changing && Events == ChangingEvents)
+    return;
+  forget();
+  if (Fd < 0)
+    return;
+  add(Fd, Events);
+  Changing = Fd;
+  ChangingEvents = Events;
+}
+
+WaitSet::Result WaitSet::wait(int Fd, short Events, TimePoint Until) {
+  change(Fd, Events);
+  Result result;
+  epoll_event ready[4];
+  int n;
+  do
+    n = ::epoll_wait(Set, ready, 4, pollTimeout(Until));
+  while (n < 0 && errno == EINTR);
+  result.TimedOut = n <= 0;
+  for (int i = 0; i < n; ++i)
+    if (ready[i].data.fd == Changing)
+      result.Changing = true;
+    else
+      result.Lasting = ready[i].data.fd;
+  return result;
+}
+
 WakeUp::WakeUp() : Fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
   if (Fd < 0)
     throw std::runtime_error("no descriptor left for a wake-up");
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -26,6 +26,37 @@
 // Milliseconds for poll(2) until the time, rounded up; 0 if it has passed.
 int pollTimeout(TimePoint Until);
 
+// Waits for some lasting descriptors and one that changes. Registered once and
+// not with each wait, because waits happen once for every token.
+class WaitSet {
+public:
+  WaitSet();
+  ~WaitSet();
+  WaitSet(const WaitSet &) = delete;
+  WaitSet &operator=(const WaitSet &) = delete;
+
+  // Adds a lasting descriptor. `Events` as for poll(2).
+  void add(int Fd, short Events);
+  // Forgets the changing descriptor. Required before its number may stand for
+  // another socket.
+  void forget();
+
+  struct Result {
+    bool TimedOut = false;
+    bool Changing = false; // the changing descriptor is ready
+    int Lasting = -1;      // a lasting descriptor that is ready
+  };
+  // Waits for the lasting descriptors and, unless it is -1, for `Fd`.
+  Result wait(int Fd, short Events, TimePoint Until);
+
+private:
+  void change(int Fd, short Events);
+
+  int Set = -1;
+  int Changing = -1;
+  short ChangingEvents = 0;
+};
+
 // A level-triggered wake-up with a descriptor that is readable while it is set.
 // Thread-safe.
 class WakeUp {
