Name constants and the command header as the linter asks

Change: the constants are renamed; the namespace, whose name is CLI11's, is exempt by a comment. Conclusion: no change of behaviour.

--- a/src/caller_request.cc
+++ b/src/caller_request.cc
@@ -198,8 +198,8 @@
 }
 
 bool isIdempotencyKey(const std::string &Text) {
-  constexpr size_t maxLength = 128;
-  return !Text.empty() && Text.size() <= maxLength &&
+  constexpr size_t MaxLength = 128;
+  return !Text.empty() && Text.size() <= MaxLength &&
          std::all_of(Text.begin(), Text.end(),
                      [](char It) { return It > 0x20 && It < 0x7f; });
 }
--- a/src/command.h
+++ b/src/command.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <vector>
 
+// The name is CLI11's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 namespace CLI {
 class App;
 } // namespace CLI
--- a/src/digest.cc
+++ b/src/digest.cc
@@ -12,11 +12,11 @@
 }
 
 std::string bearerToken(const std::string &Authorization) {
-  constexpr size_t n = 7;
-  if (Authorization.size() <= n ||
-      strncasecmp(Authorization.c_str(), "Bearer ", n) != 0)
+  constexpr size_t SchemeBytes = 7;
+  if (Authorization.size() <= SchemeBytes ||
+      strncasecmp(Authorization.c_str(), "Bearer ", SchemeBytes) != 0)
     return "";
-  return Authorization.substr(n);
+  return Authorization.substr(SchemeBytes);
 }
 
 } // namespace crocusspur::internal
