Add a failing test of streams after the death of a busy engine

Cause: with all decode slots busy, a stream of a killed engine ends with an error event (deadline_unreachable, run = yes) although its output had begun. Its request is suspected and waits for an idle decode server, which full load never gives; without load the suspects run one after the other (gaps of 1.5 and 3.0 s).

The router is unchanged.

Conclusion: the scheduler has to make room for suspects, and a deadline for the first output must not end a stream that has begun.

--- a/test/path_fault_process_test.cc
+++ b/test/path_fault_process_test.cc
@@ -3,9 +3,11 @@
 #include "process_fixture.h"
 
 #include <Poco/JSON/Array.h>
+#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <list>
+#include <thread>
 
 using namespace crocusspur;
 using namespace crocusspur::test;
@@ -71,6 +73,27 @@
   }
 }
 
+// Keeps this many plain completions running through all routers.
+class SteadyLoad {
+public:
+  SteadyLoad(ProcessFixture &Fleet, size_t Callers) {
+    for (size_t i = 0; i < Callers; ++i)
+      Threads.emplace_back([this, &Fleet, i] {
+        while (!Ending)
+          send(Fleet.completion(i % Fleet.routers(), "load", 60, false));
+      });
+  }
+  ~SteadyLoad() {
+    Ending = true;
+    for (std::thread &it : Threads)
+      it.join();
+  }
+
+private:
+  std::atomic<bool> Ending{false};
+  std::vector<std::thread> Threads;
+};
+
 size_t executedCalls(ProcessFixture &Fleet) {
   size_t calls = 0;
   for (const char *name : {"s1", "s2"})
@@ -135,3 +158,16 @@
   HttpAnswer innocent = send(fleet.completion(0, "innocent", 5, false));
   CHECK_MESSAGE(innocent.Status == 200, innocent.Body);
 }
+
+// Guards against punishing innocent requests (P8): streams that have begun must
+// come back after their engine's death also when no other engine is idle.
+TEST_CASE("Path resumes streams of a killed engine under full load") {
+  ProcessFixture fleet;
+  auto streams = openStreams(fleet, 6, 300);
+  std::string victim = busyDecodeServer(fleet);
+  REQUIRE(!victim.empty());
+  SteadyLoad load(fleet, 14);
+  REQUIRE(eventually([&] { return fleet.held().size() >= 12; }, GenerousLimit));
+  fleet.server(victim).Process->signal(SIGKILL);
+  checkWhole(streams, 300);
+}
