--- a/test/token_sequence_test.cc
+++ b/test/token_sequence_test.cc
@@ -24,13 +24,13 @@
   // Guards against doubled or swapped text when an engine repeats or reorders
   // events.
   Collected out;
-  for (auto it : std::vector<std::pair<uint64_t, std::string>>{{0, "a"},
-                                                               {0, "a"},
-                                                               {2, "c"},
-                                                               {3, "d"},
-                                                               {2, "c"},
-                                                               {1, "b"},
-                                                               {1, "b"}})
+  for (const auto &it : std::vector<std::pair<uint64_t, std::string>>{{0, "a"},
+                                                                      {0, "a"},
+                                                                      {2, "c"},
+                                                                      {3, "d"},
+                                                                      {2, "c"},
+                                                                      {1, "b"},
+                                                                      {1, "b"}})
     REQUIRE(out.take(it.first, it.second));
   CHECK(out.Text == "abcd");
   CHECK(out.Sequence.next() == 4);
