Issue test keys in a millisecond after the home lease began

Cause: a key carries whole milliseconds, and one from the millisecond in which the home lease began counts as issued before it. Change: the fixture waits for the next millisecond before it issues a key. The rule and the checks stay as they are. The text of the key is also built in a buffer that can't truncate it. Conclusion: the router was right; the key really was older than the lease by its own time.

--- a/test/process_fixture.cc
+++ b/test/process_fixture.cc
@@ -76,15 +76,25 @@
 }
 
 std::string timedKey() {
-  // Unique within a run; the time is what matters to the router.
-  static std::atomic<unsigned> Count{0};
-  auto now = std::chrono::duration_cast<Milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count();
-  char text[40];
-  std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012x",
-                static_cast<unsigned long long>(now) >> 16,
-                static_cast<unsigned long long>(now) & 0xffff, ++Count);
+  static std::atomic<uint64_t> Count{0};
+  auto milliseconds = [] {
+    return static_cast<uint64_t>(
+        std::chrono::duration_cast<Milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+  };
+  // A key carries whole milliseconds. One from the millisecond in which a home
+  // lease began counts as issued before it, so the next one is taken.
+  uint64_t start = milliseconds();
+  uint64_t now = start;
+  while (now == start)
+    now = milliseconds();
+  constexpr uint64_t LastGroup = 0xffffffffffff; // 12 hexadecimal digits
+  char text[64];
+  std::snprintf(text, sizeof text, "%08llx-%04llx-7000-8000-%012llx",
+                static_cast<unsigned long long>(now >> 16 & 0xffffffff),
+                static_cast<unsigned long long>(now & 0xffff),
+                static_cast<unsigned long long>(++Count & LastGroup));
   return text;
 }
 
