Send the home's fencing number with keyed service calls

Cause: the design has the home's number sent along with a call whose first byte may leave late, but the key home gave no number, so services that check fencing numbers saw 0 from everyone. A number alone would not help either, since two homes could choose different servers. Change: the highest sequence of a published list with the members of the confirmed list is the home's number. Calls with a caller's key go to a service's servers in rendezvous order of the key; other calls still go to the server with fewest calls. The new tests were not run against the former code, which had no field for the number.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -123,7 +123,8 @@
   add("Accept", Work.Accept);
   add("Idempotency-Key", Work.IdempotencyKey);
   add("Crocusspur-Request", Work.Id.str());
-  add("Crocusspur-Fence", std::to_string(Work.Fence));
+  if (Work.Fence != 0)
+    add("Crocusspur-Fence", std::to_string(Work.Fence));
   bool hasBody =
       !Work.Body->empty() || (Work.Method != "GET" && Work.Method != "HEAD");
   if (hasBody)
--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -135,6 +135,7 @@
   switch (Decision.Verdict) {
   case KeyVerdict::Execute:
     Request.KeyExecuting = true;
+    Request.Fence = Decision.Fence;
     execute(Context, Request);
     return;
   case KeyVerdict::Forward:
--- a/src/entry_service.cc
+++ b/src/entry_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace crocusspur::internal {
 namespace {
@@ -15,22 +16,29 @@
 } // namespace
 
 // Fewest outstanding calls of this entry; least recently used among equals.
+// Calls with a key go to the servers in rendezvous order of the key, so that a
+// home that lost its key to another meets the other's fencing number.
 std::string EntryRequests::State::chooseServer(CoreContext &Context,
                                                const OpenRequest &Request) {
   const ServiceConfig *service =
       Context.Config.findService(Request.Spec.Target);
   if (!service)
     return "";
+  bool byKey = Request.KeyExecuting && Request.Fence != 0;
+  std::vector<std::string> names = service->Servers;
+  if (byKey)
+    names = rankByRendezvous(Request.Spec.IdempotencyKey, std::move(names));
   std::string best;
   std::tuple<bool, uint32_t, uint64_t> bestRank;
-  for (const std::string &it : service->Servers) {
+  for (const std::string &it : names) {
     bool tried = std::find(Request.Tried.begin(), Request.Tried.end(), it) !=
                  Request.Tried.end();
     if (tried || !isUsable(Context, Request.Spec.Group, it))
       continue;
     const ServiceServer &state = Services[it];
-    std::tuple rank(Context.Now < state.AvoidUntil, state.Outstanding,
-                    state.LastUse);
+    std::tuple rank(Context.Now < state.AvoidUntil,
+                    byKey ? uint32_t(0) : state.Outstanding,
+                    byKey ? uint64_t(0) : state.LastUse);
     if (best.empty() || rank < bestRank) {
       best = it;
       bestRank = rank;
--- a/src/key_home.cc
+++ b/src/key_home.cc
@@ -239,8 +239,11 @@
   std::optional<WallTime> issued = issueTime(key);
   if (issued && *issued > Context.Wall + Options.ClockMargin)
     return refusal(ErrorKind::BadRequest);
-  if (mayBeNew(Context, *since, key))
-    return execute(Context, Id, Spec, limit);
+  if (mayBeNew(Context, *since, key)) {
+    KeyDecision decision = execute(Context, Id, Spec, limit);
+    decision.Fence = Lists.fence();
+    return decision;
+  }
   return askFormerHomes(Context, Id, Spec, Group);
 }
 
--- a/src/key_home.h
+++ b/src/key_home.h
@@ -23,6 +23,7 @@
   KeyVerdict Verdict = KeyVerdict::Refuse;
   std::string Home;
   TimePoint NotAfter;
+  uint64_t Fence = 0; // Execute: of the home; 0 for tickets, which never move
   ErrorKind Error = ErrorKind::KeyLeaseMissing;
   RunState Run = RunState::No;
   Milliseconds RetryAfter{0};
--- a/src/list_confirmation.cc
+++ b/src/list_confirmation.cc
@@ -55,7 +55,12 @@
 }
 
 void ListConfirmation::learnList(const InstanceList &List) {
-  if (List.Instances.empty() || (Newest && Newest->Digest == List.Digest))
+  if (List.Instances.empty())
+    return;
+  NewestSequence = std::max(NewestSequence, List.Sequence);
+  if (Confirmed && Confirmed->Digest == List.Digest)
+    ConfirmedSequence = NewestSequence;
+  if (Newest && Newest->Digest == List.Digest)
     return;
   auto made = std::make_shared<MemberList>();
   made->Digest = List.Digest;
@@ -128,6 +133,7 @@
 
 void ListConfirmation::confirm(const MemberListPtr &List, TimePoint At) {
   Confirmed = List;
+  ConfirmedSequence = NewestSequence;
   Confirming = true;
   ActiveUntil = NextEvaluation = TimePoint();
   SeenActive = First = false;
--- a/src/list_confirmation.h
+++ b/src/list_confirmation.h
@@ -83,6 +83,11 @@
   // Periods of active lists, the current one last. Empty if none was active.
   const std::deque<ActivePeriod> &periods() const { return Periods; }
 
+  // Highest sequence number of a published list with the members of the list
+  // that is confirmed. It rises from one active list to the next, so it serves
+  // as fencing number of a home; 0 before a list is confirmed.
+  uint64_t fence() const { return ConfirmedSequence; }
+
   // Lists seen lately, newest last.
   const std::deque<MemberListPtr> &knownLists() const { return Known; }
 
@@ -141,11 +146,13 @@
   std::map<std::string, Peer> Peers;
   std::deque<MemberListPtr> Known;
   MemberListPtr Newest;
+  uint64_t NewestSequence = 0;
   uint64_t Epoch = 0;
   bool Started = false;
   TimePoint SilentUntil; // after a start
 
   MemberListPtr Confirmed;
+  uint64_t ConfirmedSequence = 0;
   bool Confirming = false;
   bool First = false;      // confirmed as first list, not yet seen active
   bool SeenActive = false; // Confirmed
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -909,6 +909,33 @@
   CHECK(entry.made<StartService>()->Server == dead);
 }
 
+// Guards against two homes that call different servers, so that neither meets
+// the other's fencing number (P4).
+TEST_CASE("EntryRequests calls a key's own server with the home's number") {
+  EntryDriver entry;
+  CoreContext start = entry.context();
+  entry.Keys.onListChanged(start);
+  auto settle = [&](Milliseconds Time) {
+    for (TimePoint end = entry.Now + Time; entry.Now < end;
+         entry.Now += entry.Options.HeartbeatPeriod) {
+      CoreContext at = entry.context();
+      entry.Keys.onTimer(at);
+    }
+  };
+  settle(entry.Options.KeyRetention + Milliseconds(10000));
+  for (uint64_t i = 1; i <= 8; ++i) {
+    RequestSpec spec = serviceSpec(false);
+    spec.IdempotencyKey = "booking-" + std::to_string(i);
+    CAPTURE(spec.IdempotencyKey);
+    std::string ranked =
+        rankByRendezvous(spec.IdempotencyKey, {"s1", "s2"}).front();
+    entry.arrive({7, i}, spec);
+    REQUIRE(entry.made<StartService>());
+    CHECK(entry.made<StartService>()->Server == ranked);
+    CHECK(entry.made<StartService>()->Fence == entry.List->Sequence);
+  }
+}
+
 // Guards against a repeated execution of a ticket at its own instance.
 TEST_CASE("EntryRequests answers a repeated ticket from memory") {
   EntryDriver entry;
