Let a recorded session replay to its recorded actions

Cause: a trace holds whole microseconds and the header of the settings, while the core saw nanoseconds and drew its incarnation after the header had been written, so request ids and times of a replay differed.

Change: the command draws the incarnation before the parts start, and the core and the recorder's start use whole microseconds.

--- a/src/command_serve.cc
+++ b/src/command_serve.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <pthread.h>
+#include <random>
 #include <string>
 
 namespace crocusspur::internal {
@@ -28,6 +29,14 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+uint64_t randomIncarnation() {
+  std::random_device device;
+  uint64_t value = 0;
+  while (value == 0) // a zero request id stands for none
+    value = (static_cast<uint64_t>(device()) << 32) | device();
+  return value;
+}
+
 std::optional<Settings> readSettings(const std::string &File) {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<Settings>> {
@@ -52,6 +61,8 @@
     return BadSettings;
   if (!Trace.empty())
     values->RecordPath = Trace;
+  // Drawn before the parts start: the trace's header holds it for the replay.
+  values->Core.Incarnation = randomIncarnation();
   blockSignals();
   startLogging(values->LogLevel, values->Instance);
   int code = 1;
--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <future>
 #include <mutex>
-#include <random>
 #include <thread>
 #include <type_traits>
 #include <utility>
@@ -26,12 +25,10 @@
 using CoreTask = std::function<void(DecisionCore &)>;
 using CoreItem = std::variant<EventBody, CoreTask>;
 
-uint64_t randomIncarnation() {
-  std::random_device device;
-  uint64_t value = 0;
-  while (value == 0) // a zero request id stands for none
-    value = (static_cast<uint64_t>(device()) << 32) | device();
-  return value;
+// Traces hold microseconds. The core gets no finer times, since a replay
+// could then differ from the recorded session.
+template <typename ClockType> auto microsecondsNow() {
+  return std::chrono::floor<Microseconds>(ClockType::now());
 }
 
 LogLevel levelOf(NoteKind Kind) {
@@ -113,10 +110,8 @@
 
 bool CoreThread::start(Kernel &Kernel) {
   Owner = &Kernel;
-  CoreOptions options = Kernel.settings().Core;
-  Incarnation = randomIncarnation();
-  options.Incarnation = Incarnation;
-  Core = std::make_unique<DecisionCore>(options);
+  Incarnation = Kernel.settings().Core.Incarnation;
+  Core = std::make_unique<DecisionCore>(Kernel.settings().Core);
   Kernel.provide<EventSink>(this);
   Worker = std::thread([this] { run(); });
   Signals = std::thread([this] { watchSignals(); });
@@ -193,7 +188,8 @@
 }
 
 void CoreThread::handle(EventBody Body) {
-  Event event{Clock::now(), WallTime::clock::now(), std::move(Body)};
+  Event event{microsecondsNow<Clock>(), microsecondsNow<WallTime::clock>(),
+              std::move(Body)};
   TraceSink *trace = Owner->find<TraceSink>();
   if (trace)
     trace->onEvent(event);
--- a/src/trace_recorder.cc
+++ b/src/trace_recorder.cc
@@ -58,7 +58,9 @@
         {{"path", values.RecordPath}});
     return false;
   }
-  StartedAt = std::chrono::steady_clock::now();
+  // Whole microseconds, as the times of the events, so that none is rounded.
+  StartedAt =
+      std::chrono::floor<Microseconds>(std::chrono::steady_clock::now());
   Out << formatOptions(values.Core, std::chrono::system_clock::now()) << '\n';
   Recording = true;
   Thread.setStackSize(ThreadStackBytes);
