--- a/src/command_check.cc
+++ b/src/command_check.cc
@@ -32,7 +32,8 @@
 
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
-      "check", "Report all mistakes of a settings file (exit code 2)");
+      "check", "Report all mistakes of a settings file, one a line\n"
+               "(exit code 0: none; 2: mistakes, or the file can't be read)");
   auto file = std::make_shared<std::string>();
   command->add_option("FILE", *file, "Settings file (TOML)")->required();
   command->callback([file, &ExitCode] { ExitCode = runCheck(*file); });
--- a/src/command_patch.cc
+++ b/src/command_patch.cc
@@ -67,9 +67,11 @@
 int checkAgainstProcess(const std::string &Patch, const std::string &Address) {
   OperatorReply reply =
       callOperator(Address, operatorToken(), "/admin/v1/config/patches", Patch);
-  (reply.Status == 200 ? std::cout : std::cerr) << reply.Body << '\n';
-  if (reply.Status == 200)
+  if (reply.Status == 200) {
+    std::cout << reply.Body << '\n';
     return 0;
+  }
+  std::cerr << "crocusspur: " << Address << ": " << reply.Body << '\n';
   return reply.Status == 409 || reply.Status == 422 ? Refused : 1;
 }
 
@@ -83,11 +85,15 @@
 }
 
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
-  CLI::App *patch = Program.add_subcommand("patch", "Work with patches");
+  CLI::App *patch =
+      Program.add_subcommand("patch", "Work with patches of the configuration");
   patch->require_subcommand(1);
   CLI::App *command = patch->add_subcommand(
-      "check", "Print the document that a patch would give, or why it is "
-               "refused (exit code 3)");
+      "check",
+      "Print the document that a patch would give, or why it is "
+      "refused\n(exit code 0: accepted; 1: no answer from the process; "
+      "2: a file\ncan't be read; 3: refused. Token from "
+      "CROCUSSPUR_OPERATOR_TOKEN)");
   auto values = std::make_shared<PatchArguments>();
   values->Address = "127.0.0.1:8081";
   command->add_option("patch", values->PatchFile, "Patch file (JSON)")
--- a/src/command_state.cc
+++ b/src/command_state.cc
@@ -25,7 +25,8 @@
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
       "state", "Print the state dump of a running process\n"
-               "(token from CROCUSSPUR_OPERATOR_TOKEN)");
+               "(token from CROCUSSPUR_OPERATOR_TOKEN; exit code 1: the "
+               "process\ndid not give it)");
   auto address = std::make_shared<std::string>("127.0.0.1:8081");
   command->add_option("--address", *address, "Operators' address, IP:port")
       ->capture_default_str();
--- a/src/command_version.cc
+++ b/src/command_version.cc
@@ -15,9 +15,8 @@
 namespace {
 
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
-  Program.add_subcommand("version", "Print the version")->callback([&ExitCode] {
-    ExitCode = runVersion();
-  });
+  Program.add_subcommand("version", "Print the version (exit code 0)")
+      ->callback([&ExitCode] { ExitCode = runVersion(); });
 }};
 
 } // namespace
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,11 +1,25 @@
 #include "command.h"
 
 #include <CLI/CLI.hpp>
+#include <string>
 
 int main(int Argc, char **Argv) {
   CLI::App program("Router for separate prefill and decode pools",
                    "crocusspur");
   program.require_subcommand(1);
+  program.footer(
+      "Exit codes: 0 done; 1 the process or call failed; 2 wrong usage, or a\n"
+      "file that can't be read or has mistakes; 3 the patch is refused, or a\n"
+      "replay differs from the recorded actions.\n"
+      "\n"
+      "First steps: write a settings file (docs/example-settings.toml), test "
+      "it\n"
+      "with 'crocusspur check FILE', run 'crocusspur serve --settings FILE'.");
+  // One line; the help would hide the mistake.
+  program.failure_message([](const CLI::App *, const CLI::Error &Error) {
+    return std::string("crocusspur: ") + Error.what() +
+           " (see crocusspur --help)\n";
+  });
   int exitCode = 0;
   for (const auto &it : crocusspur::internal::registeredCommands())
     it(program, exitCode);
--- a/test/process_fixture.cc
+++ b/test/process_fixture.cc
@@ -202,7 +202,8 @@
   std::ostringstream text;
   text << "[instance]\nname = \"" << Router.Name << "\"\nregion = \"" << Region
        << "\"\nfailure_domain = \"" << domainOf(index) << "\"\n"
-       << "[callers]\naddress = \"127.0.0.1:0\"\n"
+       << "[callers]\naddress = \"127.0.0.1:0\"\nidle_timeout_ms = "
+       << Options.CallerIdleTimeout.count() << "\n"
        << "[operators]\naddress = \"127.0.0.1:0\"\ntoken_digest = \""
        << crocusspur::internal::sha256Hex(OperatorToken) << "\"\n"
        << "[peers]\naddress = \"127.0.0.1:0\"\n"
@@ -364,13 +365,22 @@
       Limit);
 }
 
+// Keys have whole milliseconds, and one from the millisecond in which the list
+// became active counts as older than that. So the next two have to begin.
 bool ProcessFixture::waitForKeyHome(size_t Index, Milliseconds Limit) {
-  return eventually(
+  bool active = eventually(
       [&] {
         return state(Index)->getObject("keys")->getObject("list")->optValue(
             "active", false);
       },
       Limit);
+  auto seen = std::chrono::system_clock::now();
+  return active &&
+         eventually(
+             [&] {
+               return std::chrono::system_clock::now() - seen > Milliseconds(2);
+             },
+             Limit);
 }
 
 HttpRequest ProcessFixture::call(size_t Router, const std::string &Method,
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -47,6 +47,7 @@
   Milliseconds Heartbeat{500};
   Milliseconds Lease{2000};
   Milliseconds ProgressTimeout{5000};
+  Milliseconds CallerIdleTimeout{30000};
   Milliseconds ClockMargin{0}; // all processes share one clock
   std::string LogLevel = "info";
   // Further TOML sections of the routers' settings.
