Set every declared metric and log each finished request

Cause: seven metrics of docs/METRICS.md were never set, and a request could only be followed in the logs at level debug.

Change: the relay takes times at a request's arrival, first prefill, first output, first and last token, and reports them once, after the core has been told of the end: one log line and three histograms. Nothing is added per token; a batch of tokens costs one comparison. The core's thread observes each event without allocating. Gauges are read when metrics are rendered. New are platform_calls_total, platform_age_seconds and queue_length. config_age_seconds alone doesn't show a platform that is down, since peers go on naming the version; platform_age_seconds does.

Conclusion: a process renders all 15 metrics of the page, where 5 were rendered before.

--- a/include/crocusspur/decision_core.h
+++ b/include/crocusspur/decision_core.h
@@ -9,6 +9,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace crocusspur {
 
@@ -60,6 +62,9 @@
   // idempotency key in clear.
   std::string dumpState(TimePoint Now) const;
 
+  // Requests that wait at this instance, by shard that it owns.
+  std::vector<std::pair<std::string, uint32_t>> queueLengths() const;
+
   // Makes a ticket: an idempotency key that only this incarnation of this
   // instance executes. `Nonce` must rise within the incarnation.
   std::string makeTicket(uint64_t Nonce) const;
--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <future>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <thread>
 #include <type_traits>
 #include <utility>
@@ -31,6 +33,10 @@
   return std::chrono::floor<Microseconds>(ClockType::now());
 }
 
+double secondsBetween(TimePoint From, TimePoint To) {
+  return std::chrono::duration<double>(To - From).count();
+}
+
 LogLevel levelOf(NoteKind Kind) {
   switch (Kind) {
   case NoteKind::OwnershipGained:
@@ -55,6 +61,8 @@
 }
 
 void logNote(const Note &Item) {
+  if (!logged(levelOf(Item.Kind)))
+    return;
   LogFields fields{{"subject", Item.Subject}, {"group", Item.Group}};
   if (Item.Id != RequestId())
     fields.emplace_back("request", Item.Id.str());
@@ -65,7 +73,7 @@
   log(levelOf(Item.Kind), "core", toString(Item.Kind), fields);
 }
 
-class CoreThread : public Plugin, public EventSink {
+class CoreThread : public Plugin, public EventSink, public CoreMonitor {
 public:
   bool start(Kernel &Owner) override;
   void stop() override;
@@ -78,10 +86,12 @@
   ConfigPtr config() const override;
   ListPtr list() const override;
   bool ready() const override { return Ready.load(); }
+  std::optional<CoreFigures> figures(Milliseconds Wait) override;
 
 private:
   void run();
   void handle(EventBody Body);
+  void countPeers(const EventBody &Body);
   void carryOut(Action Item);
   template <typename T> bool perform(T &Item);
   void performDeferred();
@@ -102,6 +112,8 @@
   std::atomic<uint64_t> LastSequence{0};
   std::atomic<uint64_t> LastNonce{0};
   uint64_t Incarnation = 0;
+  std::set<std::string> LinkedPeers; // core's thread, as the next
+  std::optional<TimePoint> PeerToldVersion;
   bool Completed = false; // core's thread: ShutdownComplete has been seen
   mutable std::mutex Mutex;
   ConfigPtr Config = std::make_shared<ConfigDocument>();
@@ -113,6 +125,7 @@
   Incarnation = Kernel.settings().Core.Incarnation;
   Core = std::make_unique<DecisionCore>(Kernel.settings().Core);
   Kernel.provide<EventSink>(this);
+  Kernel.provide<CoreMonitor>(this);
   Worker = std::thread([this] { run(); });
   Signals = std::thread([this] { watchSignals(); });
   // A full ring holds enough events; the next period comes anyway.
@@ -163,6 +176,18 @@
   return result.get();
 }
 
+std::optional<CoreFigures> CoreThread::figures(Milliseconds Wait) {
+  auto values = std::make_shared<std::promise<CoreFigures>>();
+  std::future<CoreFigures> result = values->get_future();
+  pushItem(CoreTask([this, values](DecisionCore &Target) {
+    values->set_value({LinkedPeers.size(),
+                       PeerToldVersion, Target.queueLengths()});
+  }));
+  if (result.wait_for(Wait) != std::future_status::ready)
+    return std::nullopt;
+  return result.get();
+}
+
 RequestId CoreThread::nextRequestId() { return {Incarnation, ++LastSequence}; }
 
 ConfigPtr CoreThread::config() const {
@@ -193,8 +218,13 @@
   TraceSink *trace = Owner->find<TraceSink>();
   if (trace)
     trace->onEvent(event);
+  countPeers(event.Body);
   Actions.clear();
+  TimePoint begin = Clock::now();
   Core->handle(event, Actions);
+  if (MetricsSink *metrics = Owner->find<MetricsSink>())
+    metrics->observe("core_event_seconds", "",
+                     secondsBetween(begin, Clock::now()));
   if (!Deferred.empty())
     performDeferred();
   for (Action &it : Actions) {
@@ -204,6 +234,19 @@
   }
 }
 
+void CoreThread::countPeers(const EventBody &Body) {
+  if (const auto *link = std::get_if<PeerLinkChanged>(&Body)) {
+    if (link->Up)
+      LinkedPeers.insert(link->Instance);
+    else
+      LinkedPeers.erase(link->Instance);
+  } else if (const auto *peer = std::get_if<PeerReceived>(&Body)) {
+    const auto *beat = std::get_if<Heartbeat>(&peer->Message);
+    if (beat && beat->ConfigVersion > 0)
+      PeerToldVersion = Clock::now();
+  }
+}
+
 // Lasting settings of a plug-in that starts after the core are kept for it; a
 // newer one replaces an older one of the same kind.
 void CoreThread::carryOut(Action Item) {
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -300,6 +300,14 @@
 
 } // namespace
 
+std::vector<std::pair<std::string, uint32_t>>
+DecisionCore::queueLengths() const {
+  std::vector<std::pair<std::string, uint32_t>> lengths;
+  for (const auto &it : Impl->Owned)
+    lengths.emplace_back(it.first, it.second->queueLength());
+  return lengths;
+}
+
 std::string DecisionCore::dumpState(TimePoint Now) const {
   Poco::JSON::Object root(Poco::JSON_PRESERVE_KEY_ORDER);
   root.set("instance", Impl->Options.Instance);
--- a/src/document_reader.cc
+++ b/src/document_reader.cc
@@ -43,6 +43,8 @@
   uint64_t Revision = 0; // rises when a call under way has lost its purpose
   bool Stopping = false;
 
+  std::atomic<TimePoint> AnsweredAt{TimePoint()}; // zero: none yet
+
   Milliseconds Backoff{0}; // reader's thread only
   bool Failing = false;
 
@@ -96,6 +98,11 @@
 
 uint64_t DocumentReader::calls() const { return Impl->Client.calls(); }
 
+std::optional<TimePoint> DocumentReader::answeredAt() const {
+  TimePoint at = Impl->AnsweredAt.load();
+  return at == TimePoint() ? std::nullopt : std::optional(at);
+}
+
 void DocumentReader::State::run() {
   uint64_t from = 0, revision = 0;
   bool watch = false;
@@ -162,6 +169,7 @@
 }
 
 void DocumentReader::State::succeed() {
+  AnsweredAt.store(Clock::now());
   if (Failing)
     log(LogLevel::Info, Module, "reading again", {{"what", Options.Name}});
   Failing = false;
--- a/src/document_reader.h
+++ b/src/document_reader.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace crocusspur::internal {
@@ -46,6 +47,8 @@
 
   // Calls made so far. Thread-safe.
   uint64_t calls() const;
+  // Time of the last answer, also one without a newer document. Thread-safe.
+  std::optional<TimePoint> answeredAt() const;
 
 private:
   struct State;
--- /dev/null
+++ b/src/gauges.cc
@@ -0,0 +1,70 @@
+#include "gauges.h"
+
+#include "crocusspur/kernel.h"
+
+#include <algorithm>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr Milliseconds CoreWait{2000};
+
+double secondsSince(TimePoint At) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - At)
+      .count();
+}
+
+void setVersions(const EventSink &Events, MetricsSink &Metrics) {
+  Metrics.setGauge("config_version", "",
+                   static_cast<double>(Events.config()->Version));
+  Metrics.setGauge("list_sequence", "",
+                   static_cast<double>(Events.list()->Sequence));
+  Metrics.setGauge("ready", "", Events.ready() ? 1 : 0);
+}
+
+void setQueues(const CoreFigures &Core, MetricsSink &Metrics) {
+  // Shards that this instance has stopped owning disappear.
+  Metrics.clearGauge("queue_length");
+  for (const auto &[shard, length] : Core.QueueLengths)
+    Metrics.setGauge("queue_length", shard, length);
+}
+
+void setPlatform(const PlatformFigures &Platform, MetricsSink &Metrics) {
+  Metrics.setGauge("platform_calls_total", "config",
+                   static_cast<double>(Platform.ConfigCalls));
+  Metrics.setGauge("platform_calls_total", "instances",
+                   static_cast<double>(Platform.ListCalls));
+  if (Platform.ConfigAnswered)
+    Metrics.setGauge("platform_age_seconds", "",
+                     secondsSince(*Platform.ConfigAnswered));
+}
+
+} // namespace
+
+void setGauges(const Kernel &Owner, MetricsSink &Metrics) {
+  if (const auto *events = Owner.find<EventSink>())
+    setVersions(*events, Metrics);
+  if (auto *relays = Owner.find<RelayRegistry>())
+    Metrics.setGauge("open_requests", "",
+                     static_cast<double>(relays->openRequests()));
+  std::optional<TimePoint> told;
+  if (const auto *platform = Owner.find<PlatformControl>()) {
+    PlatformFigures figures = platform->figures();
+    setPlatform(figures, Metrics);
+    told = figures.ConfigAnswered;
+  }
+  auto *monitor = Owner.find<CoreMonitor>();
+  std::optional<CoreFigures> core =
+      monitor ? monitor->figures(CoreWait) : std::nullopt;
+  if (core) {
+    setQueues(*core, Metrics);
+    Metrics.setGauge("peers_linked", "",
+                     static_cast<double>(core->PeersLinked));
+    // An empty optional is less than any time.
+    told = std::max(told, core->PeerToldVersion);
+  }
+  if (told)
+    Metrics.setGauge("config_age_seconds", "", secondsSince(*told));
+}
+
+} // namespace crocusspur::internal
--- a/src/log.cc
+++ b/src/log.cc
@@ -60,11 +60,15 @@
   log4cxx::LogManager::shutdown();
 }
 
+bool logged(LogLevel Level) {
+  return static_cast<int>(Level) >= Threshold.load(std::memory_order_relaxed);
+}
+
 // JSONLayout writes the mapped diagnostic context as the object `context_map`,
 // which is how the fields reach the line.
 void log(LogLevel Level, const char *Module, const std::string &Message,
          const LogFields &Fields) {
-  if (static_cast<int>(Level) < Threshold.load(std::memory_order_relaxed))
+  if (!logged(Level))
     return;
   log4cxx::MDC::put("instance", InstanceName);
   for (const auto &it : Fields)
--- a/src/log.h
+++ b/src/log.h
@@ -21,6 +21,9 @@
 // Flushes and ends logging.
 void stopLogging();
 
+// Whether lines of this level are written; saves the making of fields.
+bool logged(LogLevel Level);
+
 // Writes one line with the message and the fields as JSON strings. Fields must
 // never hold prompt text, answers, tokens or keys. Thread-safe.
 void log(LogLevel Level, const char *Module, const std::string &Message,
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -2,6 +2,8 @@
 
 #include "crocusspur/kernel.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/histogram.hpp>
 #include <cstdio>
 #include <map>
@@ -29,10 +31,13 @@
   uint64_t Count = 0;
 };
 
-constexpr const char *HistogramNames[] = {
+constexpr std::array<std::string_view, 4> HistogramNames = {
     "first_output_seconds", "output_gap_seconds", "prefill_wait_seconds",
     "core_event_seconds"};
 
+// By group. Found without making a string, since the core observes each event.
+using Distributions = std::map<std::string, Distribution, std::less<>>;
+
 using Labels = std::pair<std::string, std::string>;
 
 std::string escaped(const std::string &Text) {
@@ -65,10 +70,21 @@
            "\"} " + std::to_string(value) + '\n';
 }
 
-void renderDistribution(std::string &Out, const Labels &Key,
-                        const Distribution &Values) {
-  std::string name = "crocusspur_" + Key.first;
-  std::string group = "group=\"" + escaped(Key.second) + '"';
+void renderGauge(std::string &Out, const std::string &Name,
+                 const std::map<std::string, double> &Values) {
+  renderType(Out, Name, Name.ends_with("_total") ? "counter" : "gauge");
+  for (const auto &[label, value] : Values) {
+    Out += "crocusspur_" + Name;
+    if (!label.empty())
+      Out += "{name=\"" + escaped(label) + "\"}";
+    Out += ' ' + formatted(value) + '\n';
+  }
+}
+
+void renderDistribution(std::string &Out, std::string_view Name,
+                        const std::string &Group, const Distribution &Values) {
+  std::string name = "crocusspur_" + std::string(Name);
+  std::string group = "group=\"" + escaped(Group) + '"';
   auto bucket = [&](const std::string &Limit, uint64_t N) {
     Out += name + "_bucket{" + group + ",le=\"" + Limit + "\"} " +
            std::to_string(N) + '\n';
@@ -89,10 +105,11 @@
 
 struct Metrics::State {
   mutable std::mutex Mutex;
-  std::map<Labels, uint64_t> Decisions;         // kind, group
-  std::map<Labels, uint64_t> Refusals;          // reason, group
-  std::map<Labels, double> Gauges;              // name, label
-  std::map<Labels, Distribution> Distributions; // name, group
+  std::map<Labels, uint64_t> Decisions; // kind, group
+  std::map<Labels, uint64_t> Refusals;  // reason, group
+  // By name and label. A name without labels is rendered without a sample.
+  std::map<std::string, std::map<std::string, double>> Gauges;
+  std::array<Distributions, HistogramNames.size()> Histograms;
 };
 
 Metrics::Metrics() : Impl(std::make_unique<State>()) {}
@@ -106,24 +123,32 @@
     ++Impl->Refusals[{answerFor(Entry.Error).Name, Entry.Group}];
 }
 
-void Metrics::observe(const std::string &Name, const std::string &Group,
+void Metrics::observe(std::string_view Name, std::string_view Group,
                       double Value) {
-  bool known = false;
-  for (const char *it : HistogramNames)
-    known = known || Name == it;
-  if (!known)
+  const auto *name =
+      std::find(HistogramNames.begin(), HistogramNames.end(), Name);
+  if (name == HistogramNames.end())
     return;
   std::lock_guard lock(Impl->Mutex);
-  Distribution &values = Impl->Distributions[{Name, Group}];
-  values.Counts(Value);
-  values.Sum += Value;
-  ++values.Count;
+  Distributions &groups = Impl->Histograms[static_cast<size_t>(
+      std::distance(HistogramNames.begin(), name))];
+  auto it = groups.find(Group);
+  if (it == groups.end())
+    it = groups.try_emplace(std::string(Group)).first;
+  it->second.Counts(Value);
+  it->second.Sum += Value;
+  ++it->second.Count;
 }
 
 void Metrics::setGauge(const std::string &Name, const std::string &Label,
                        double Value) {
   std::lock_guard lock(Impl->Mutex);
-  Impl->Gauges[{Name, Label}] = Value;
+  Impl->Gauges[Name][Label] = Value;
+}
+
+void Metrics::clearGauge(const std::string &Name) {
+  std::lock_guard lock(Impl->Mutex);
+  Impl->Gauges[Name].clear();
 }
 
 std::string Metrics::render() const {
@@ -131,22 +156,12 @@
   std::string out;
   renderCounters(out, "decisions_total", "kind", Impl->Decisions);
   renderCounters(out, "refusals_total", "reason", Impl->Refusals);
-  std::string last;
-  for (const auto &[key, value] : Impl->Gauges) {
-    if (key.first != last)
-      renderType(out, key.first, "gauge");
-    last = key.first;
-    out += "crocusspur_" + key.first;
-    if (!key.second.empty())
-      out += "{name=\"" + escaped(key.second) + "\"}";
-    out += ' ' + formatted(value) + '\n';
-  }
-  last.clear();
-  for (const auto &[key, values] : Impl->Distributions) {
-    if (key.first != last)
-      renderType(out, key.first, "histogram");
-    last = key.first;
-    renderDistribution(out, key, values);
+  for (const auto &[name, values] : Impl->Gauges)
+    renderGauge(out, name, values);
+  for (size_t i = 0; i < HistogramNames.size(); ++i) {
+    renderType(out, std::string(HistogramNames[i]), "histogram");
+    for (const auto &[group, values] : Impl->Histograms[i])
+      renderDistribution(out, HistogramNames[i], group, values);
   }
   return out;
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -19,10 +19,12 @@
   // `Name` is "first_output_seconds", "output_gap_seconds",
   // "prefill_wait_seconds" or "core_event_seconds"; others are ignored, so
   // that a metric can't come into being by a typing error.
-  void observe(const std::string &Name, const std::string &Group,
+  void observe(std::string_view Name, std::string_view Group,
                double Value) override;
+  // A name that ends in "_total" is rendered as a counter.
   void setGauge(const std::string &Name, const std::string &Label,
                 double Value) override;
+  void clearGauge(const std::string &Name) override;
   std::string render() const override;
 
 private:
--- a/src/operator_front.cc
+++ b/src/operator_front.cc
@@ -1,5 +1,6 @@
 #include "crocusspur/kernel.h"
 #include "digest.h"
+#include "gauges.h"
 #include "log.h"
 #include "patch_report.h"
 #include "problem_document.h"
@@ -166,11 +167,7 @@
   MetricsSink *metrics = Owner->find<MetricsSink>();
   if (!metrics)
     return problemAnswer(ErrorKind::NotReady, "");
-  metrics->setGauge("config_version", "",
-                    static_cast<double>(Events->config()->Version));
-  metrics->setGauge("list_sequence", "",
-                    static_cast<double>(Events->list()->Sequence));
-  metrics->setGauge("ready", "", Events->ready() ? 1 : 0);
+  setGauges(*Owner, *metrics);
   return {200, "text/plain; version=0.0.4", metrics->render()};
 }
 
--- a/src/platform_reader.cc
+++ b/src/platform_reader.cc
@@ -46,6 +46,7 @@
   bool start(Kernel &Owner) override;
   void stop() override;
   void setReading(const SetPlatformReading &Item) override;
+  PlatformFigures figures() const override;
 
 private:
   std::unique_ptr<DocumentReader> make(const Settings &Values,
@@ -90,6 +91,10 @@
   List->setReading(Item.Watch, 0);
 }
 
+PlatformFigures PlatformReader::figures() const {
+  return {Config->calls(), List->calls(), Config->answeredAt()};
+}
+
 std::unique_ptr<DocumentReader>
 PlatformReader::make(const Settings &Values, const std::string &Name,
                      const std::string &Path,
--- a/src/relay.cc
+++ b/src/relay.cc
@@ -29,6 +29,7 @@
 
   void run(CallerRequest Request, ResponseSink &Sink) override;
   bool deliver(const RequestId &Id, Action Item) override;
+  size_t openRequests() override { return Mailboxes.all().size(); }
   void onForward(const std::string &From, PeerMessage Message) override;
   void onLinkLost(const std::string &Instance) override;
 
@@ -84,6 +85,7 @@
   }
   Context.Backends = &Backends;
   Context.Values = &Owner.settings();
+  Context.Metrics = Owner.find<MetricsSink>();
   Context.Peers = [&Owner] { return Owner.find<PeerSender>(); };
   Owner.provide<RelayRunner>(this);
   Owner.provide<RelayRegistry>(this);
--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -47,16 +47,40 @@
 }
 
 void RelaySession::run() {
+  Summary.ArrivedAt = Clock::now();
   RequestArrived arrived{Request.Id, Request.Spec, Request.ForwardedBy};
   if (!Context.Events->tryPost(std::move(arrived))) {
     writeProblem(Sink,
                  problemFor(ErrorKind::Overloaded,
                             "the queue of new requests is full", Request.Id));
+    Summary.Outcome = answerFor(ErrorKind::Overloaded).Name;
+    Summary.Run = RunState::No;
+    summarize();
     return;
   }
   while (!Ended)
     step();
   Context.Events->post(RequestClosed{Request.Id, Delivered});
+  summarize();
+}
+
+// After the core has been told, so that the line delays nobody.
+void RelaySession::summarize() {
+  Summary.EndedAt = Clock::now();
+  Summary.Id = Request.Id;
+  Summary.Group = Request.Spec.Group;
+  Summary.Target = Request.Spec.Target;
+  Summary.ForwardedBy = Request.ForwardedBy;
+  Summary.Home = Home;
+  Summary.Tokens = Sequence.next();
+  if (ConfigPtr config = Context.Events->config())
+    Summary.ConfigVersion = config->Version;
+  reportFinished(Summary, Context.Metrics);
+}
+
+void RelaySession::noteFirstOutput() {
+  if (!Summary.FirstOutputAt)
+    Summary.FirstOutputAt = Clock::now();
 }
 
 void RelaySession::step() {
@@ -151,6 +175,10 @@
 }
 
 void RelaySession::prefill(const StartPrefill &Item) {
+  if (!Summary.PrefillAt)
+    Summary.PrefillAt = Clock::now();
+  Summary.Attempt = Item.Attempt;
+  Summary.Server = Item.Server;
   StageFinished result;
   result.Attempt = Item.Attempt;
   result.At = Stage::Prefill;
@@ -178,6 +206,10 @@
   result.At = Stage::Decode;
   result.Server = Item.Server;
   Attempt = Item.Attempt;
+  if (!Summary.PrefillAt) // a short prompt's prefill is part of the decode
+    Summary.PrefillAt = Clock::now();
+  Summary.Attempt = Item.Attempt;
+  Summary.Server = Item.Server;
   FirstIndex = Sequence.next();
   Sequence.restart();
   CallEnd end{StageOutcome::NotSent, false};
@@ -196,6 +228,7 @@
       work.PromptJson = &Request.PromptJson;
     end = Context.Backends->decode(call, work, *this, *this);
   }
+  Summary.LastTokenAt = Clock::now();
   bool whole = end.Outcome == StageOutcome::Ok;
   std::string last = whole ? lastPiece() : "";
   remember(last);
@@ -247,6 +280,7 @@
       AnswerHead head;
       head.ContentType = "text/event-stream";
       Begun = true;
+      noteFirstOutput();
       Sink.begin(head);
     }
     remember(Batch);
@@ -261,6 +295,8 @@
 void RelaySession::reportProgress() {
   uint64_t next = Sequence.next();
   bool first = ReportedTokens == 0 && next > 0;
+  if (first && !Summary.FirstTokenAt)
+    Summary.FirstTokenAt = Clock::now();
   if (!first && next < ReportedTokens + ProgressEvery)
     return;
   ReportedTokens = next;
@@ -280,6 +316,7 @@
 }
 
 void RelaySession::finishDecode(const std::string &Last) {
+  noteFirstOutput();
   AnswerHead head;
   if (!Request.Stream) {
     head.ContentType = "application/json";
@@ -304,6 +341,8 @@
   result.Attempt = Item.Attempt;
   result.At = Stage::Service;
   result.Server = Item.Server;
+  Summary.Attempt = Item.Attempt;
+  Summary.Server = Item.Server;
   CallEnd end{StageOutcome::NotSent, false};
   BackendCall call;
   ServiceHead = AnswerHead();
@@ -352,6 +391,7 @@
   if (CollectService)
     return true;
   Begun = true;
+  noteFirstOutput();
   CallerGone = CallerGone || !Sink.begin(ServiceHead);
   return !CallerGone;
 }
@@ -366,6 +406,7 @@
 }
 
 void RelaySession::finishService() {
+  noteFirstOutput();
   if (!CollectService) {
     finish(Sink.end(true));
     return;
@@ -380,6 +421,8 @@
 }
 
 void RelaySession::answerProblem(const Problem &Item) {
+  Summary.Outcome = answerFor(Item.Kind).Name;
+  Summary.Run = Item.Run;
   if (!Begun) {
     finish(writeProblem(Sink, Item));
     return;
@@ -395,6 +438,7 @@
 }
 
 void RelaySession::answerStored(const AnswerStored &Item) {
+  Summary.Outcome = "repeated"; // the remembered answer
   AnswerHead head;
   head.Status = Item.HttpStatus;
   head.ContentType = Item.ContentType;
@@ -404,6 +448,8 @@
 void RelaySession::finish(bool Written) {
   Ended = true;
   Delivered = Written;
+  if (!Written && std::string_view(Summary.Outcome) == "completed")
+    Summary.Outcome = "not_delivered";
 }
 
 void RelaySession::leave() {
@@ -411,6 +457,10 @@
     return;
   Ended = true;
   Delivered = false;
+  Summary.Outcome = "cancelled";
+  // What has reached a backend server or the home may have run.
+  Summary.Run =
+      Summary.Attempt > 0 || !Home.empty() ? RunState::Unknown : RunState::No;
   Context.Events->post(RequestCancelled{Request.Id});
 }
 
@@ -500,6 +550,7 @@
     if (State.Collect)
       return;
     Begun = true;
+    noteFirstOutput();
     CallerGone = CallerGone || !Sink.begin(State.Head);
   } else if (const auto *body = std::get_if<ForwardBody>(&Message)) {
     if (State.Collect)
@@ -519,6 +570,9 @@
     MistakeList mistakes;
     JsonReader reader(State.Body, "problem", mistakes);
     State.Head.RetryAfter = Milliseconds(reader.number("retry_after_ms", 0));
+    Summary.Outcome = "refused_by_home"; // its log line has the kind
+    Summary.Run = reader.text("run", "unknown") == "no" ? RunState::No
+                                                        : RunState::Unknown;
     finish(writeAnswer(Sink, State.Head, State.Body));
   }
 }
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -8,6 +8,7 @@
 #include "crocusspur/settings.h"
 #include "mailbox.h"
 #include "openai_format.h"
+#include "request_log.h"
 #include "response_sink.h"
 #include "runtime.h"
 #include "token_sequence.h"
@@ -23,6 +24,7 @@
   BackendClient *Backends = nullptr;
   const Settings *Values = nullptr;
   std::function<PeerSender *()> Peers; // may return null
+  MetricsSink *Metrics = nullptr;      // may be null
 };
 
 class RelaySession : private SocketWaiter,
@@ -78,6 +80,8 @@
   void report(StageFinished Result, const CallEnd &End);
   void answerProblem(const Problem &Item);
   void finish(bool Written);
+  void noteFirstOutput();
+  void summarize();
   void leave();
   void remember(std::string_view Data);
 
@@ -108,6 +112,7 @@
 
   std::string Remembered; // answer to remember under the idempotency key
   std::string Home;       // while forwarded
+  RequestSummary Summary;
 };
 
 } // namespace crocusspur::internal
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -7,7 +7,11 @@
 #include "crocusspur/event.h"
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace crocusspur::internal {
 
@@ -30,6 +34,23 @@
   virtual bool ready() const = 0;
 };
 
+// Figures of the decision core for metrics.
+struct CoreFigures {
+  size_t PeersLinked = 0;
+  std::optional<TimePoint> PeerToldVersion; // last time a peer stated a version
+  // Requests that wait, by shard that this instance owns.
+  std::vector<std::pair<std::string, uint32_t>> QueueLengths;
+};
+
+// Provided by `core_thread`.
+class CoreMonitor {
+public:
+  virtual ~CoreMonitor() = default;
+  // Asks the core's thread and waits for it at most for `Wait`; nothing on
+  // timeout.
+  virtual std::optional<CoreFigures> figures(Milliseconds Wait) = 0;
+};
+
 // Takes the actions that concern one request: Start*, ForwardToHome, Answer*.
 // Provided by `relay`.
 class RelayRegistry {
@@ -38,6 +59,8 @@
   // Called on the core's thread; must not block. Returns false if no relay
   // holds the request any more.
   virtual bool deliver(const RequestId &Id, Action Item) = 0;
+  // Requests whose relay is running.
+  virtual size_t openRequests() = 0;
 };
 
 // Takes frames of forwarded requests and their answers, which are data and not
@@ -72,11 +95,21 @@
   virtual void setPolled(std::vector<std::string> Servers) = 0;
 };
 
+// Calls to the platform since the start of the process.
+struct PlatformFigures {
+  uint64_t ConfigCalls = 0;
+  uint64_t ListCalls = 0;
+  // Last answer about the configuration, also one that says that there is
+  // nothing newer.
+  std::optional<TimePoint> ConfigAnswered;
+};
+
 // Provided by `platform_reader`.
 class PlatformControl {
 public:
   virtual ~PlatformControl() = default;
   virtual void setReading(const SetPlatformReading &Item) = 0;
+  virtual PlatformFigures figures() const = 0;
 };
 
 // Counts decisions and renders them. Provided by `metrics`.
@@ -85,10 +118,12 @@
   virtual ~MetricsSink() = default;
   virtual void onNote(const Note &Entry) = 0;
   // `Name` is a metric declared in metrics.cc; `Value` in seconds or a count.
-  virtual void observe(const std::string &Name, const std::string &Group,
+  virtual void observe(std::string_view Name, std::string_view Group,
                        double Value) = 0;
   virtual void setGauge(const std::string &Name, const std::string &Label,
                         double Value) = 0;
+  // Forgets the values of the gauge for all labels.
+  virtual void clearGauge(const std::string &Name) = 0;
   // Prometheus text format.
   virtual std::string render() const = 0;
 };
