Keep a stalled reader of the log from stalling the router

Cause: the asynchronous appender blocked when its 128 lines were full, so the core's thread and the relays waited for whoever reads standard error.

Change: up to 8,192 lines wait, and further ones are dropped.

--- a/src/log.cc
+++ b/src/log.cc
@@ -19,6 +19,10 @@
 std::atomic<int> Threshold{static_cast<int>(LogLevel::Error) + 1};
 std::string InstanceName;
 
+// Lines that wait for the writer; further ones are dropped. An instance's 160
+// requests a second fill this in some 50 s.
+constexpr int BufferedLines = 8192;
+
 LogLevel levelFromName(const std::string &Name) {
   if (Name == "debug")
     return LogLevel::Debug;
@@ -49,6 +53,9 @@
       std::make_shared<log4cxx::JSONLayout>(),
       log4cxx::ConsoleAppender::getSystemErr());
   auto appender = std::make_shared<log4cxx::AsyncAppender>();
+  // A reader of the log that stops must not stop the core and the relays.
+  appender->setBlocking(false);
+  appender->setBufferSize(BufferedLines);
   appender->addAppender(console);
   log4cxx::BasicConfigurator::configure(appender);
   log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getDebug());
