--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -180,7 +180,7 @@
   auto values = std::make_shared<std::promise<CoreFigures>>();
   std::future<CoreFigures> result = values->get_future();
   pushItem(CoreTask([this, values](DecisionCore &Target) {
-    values->set_value({LinkedPeers.size(),
+    values->set_value({LinkedPeers.size(), Target.configJudged(),
                        PeerToldVersion, Target.queueLengths()});
   }));
   if (result.wait_for(Wait) != std::future_status::ready)
--- a/src/operator_front.cc
+++ b/src/operator_front.cc
@@ -15,6 +15,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
+#include <optional>
 #include <utility>
 
 namespace crocusspur::internal {
@@ -200,7 +201,15 @@
   std::string body = readBounded(Request.stream(), Values->MaxBodyBytes);
   if (body.size() > Values->MaxBodyBytes)
     return problemAnswer(ErrorKind::BodyTooLarge, "");
-  PatchVerdict verdict = checkPatch(*Events->config(), body);
+  // Numbers of refused documents are used up as well.
+  auto *monitor = Owner->find<CoreMonitor>();
+  std::optional<CoreFigures> core =
+      monitor ? monitor->figures(DumpWait) : std::nullopt;
+  if (!core)
+    return problemAnswer(ErrorKind::Overloaded,
+                         "the core did not answer in time");
+  PatchVerdict verdict =
+      checkPatch(*Events->config(), body, core->ConfigJudged);
   if (verdict.Accepted)
     return {200, "application/json", verdict.Result->Text};
   return {answerFor(verdict.Error).Status, ProblemType,
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -37,6 +37,7 @@
 // Figures of the decision core for metrics.
 struct CoreFigures {
   size_t PeersLinked = 0;
+  uint64_t ConfigJudged = 0; // last published document, in force or refused
   std::optional<TimePoint> PeerToldVersion; // last time a peer stated a version
   // Requests that wait, by shard that this instance owns.
   std::vector<std::pair<std::string, uint32_t>> QueueLengths;
