Name group and configuration version on request lines of the log

Cause: lines of the core and of the callers' front named the request, but not the version that was in force, and refusals not the group.

Change: both are added where they are known.

--- a/src/caller_front.cc
+++ b/src/caller_front.cc
@@ -311,7 +311,10 @@
     if (Item.Framing.Form != BodyForm::None)
       Sink.closeAfterwards();
     log(LogLevel::Debug, "caller_front", "request refused",
-        {{"request", Item.Id.str()}, {"kind", answerFor(fault->Kind).Name}});
+        {{"request", Item.Id.str()},
+         {"group", Item.Group},
+         {"kind", answerFor(fault->Kind).Name},
+         {"config_version", std::to_string(Item.Config->Version)}});
     writeProblem(Sink, problemFor(fault->Kind, fault->Detail, Item.Id));
     return;
   }
--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -60,12 +60,14 @@
   }
 }
 
-void logNote(const Note &Item) {
+void logNote(const Note &Item, uint64_t ConfigVersion) {
   if (!logged(levelOf(Item.Kind)))
     return;
   LogFields fields{{"subject", Item.Subject}, {"group", Item.Group}};
-  if (Item.Id != RequestId())
+  if (Item.Id != RequestId()) {
     fields.emplace_back("request", Item.Id.str());
+    fields.emplace_back("config_version", std::to_string(ConfigVersion));
+  }
   if (Item.Kind == NoteKind::Failed || Item.Kind == NoteKind::Shed)
     fields.emplace_back("error", answerFor(Item.Error).Name);
   if (Item.Value != 0)
@@ -272,7 +274,7 @@
   if constexpr (std::is_same_v<T, Note>) {
     if (MetricsSink *metrics = Owner->find<MetricsSink>())
       metrics->onNote(Item);
-    logNote(Item);
+    logNote(Item, Config->Version); // only this thread replaces it
   } else if constexpr (std::is_same_v<T, SendToPeer>) {
     if (PeerSender *peers = Owner->find<PeerSender>())
       peers->send(Item.Instance, Item.Message);
