--- a/src/command_serve.cc
+++ b/src/command_serve.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <pthread.h>
+#include <random>
 #include <string>
 
 namespace crocusspur::internal {
@@ -28,6 +29,14 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+uint64_t randomIncarnation() {
+  std::random_device device;
+  uint64_t value = 0;
+  while (value == 0) // a zero request id stands for none
+    value = (static_cast<uint64_t>(device()) << 32) | device();
+  return value;
+}
+
 std::optional<Settings> readSettings(const std::string &File) {
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<std::optional<Settings>> {
@@ -52,6 +61,8 @@
     return BadSettings;
   if (!Trace.empty())
     values->RecordPath = Trace;
+  // Drawn before the parts start: the trace's header holds it for the replay.
+  values->Core.Incarnation = randomIncarnation();
   blockSignals();
   startLogging(values->LogLevel, values->Instance);
   int code = 1;
@@ -75,14 +86,17 @@
 
 const CommandRegistration Serve{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
-      "serve", "Run one instance (exit code 2: the settings have mistakes)");
+      "serve", "Run one instance until SIGTERM or SIGINT, which let its\n"
+               "requests end; SIGUSR1 logs the state (exit code 0: shut down;\n"
+               "1: a part could not start; 2: the settings have mistakes)");
   auto file = addSettingsOption(command);
   command->callback([file, &ExitCode] { ExitCode = serve(*file, ""); });
 }};
 
 const CommandRegistration Record{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
-      "record", "Run one instance and record a trace for replay");
+      "record", "Run one instance as serve does and record a trace for replay\n"
+                "(no prompts or answers; idempotency keys are in it)");
   auto file = addSettingsOption(command);
   auto trace = std::make_shared<std::string>();
   command->add_option("--trace", *trace, "File to write")->required();
--- a/src/operator_front.cc
+++ b/src/operator_front.cc
@@ -1,5 +1,6 @@
 #include "crocusspur/kernel.h"
 #include "digest.h"
+#include "gauges.h"
 #include "log.h"
 #include "patch_report.h"
 #include "problem_document.h"
@@ -14,6 +15,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
+#include <optional>
 #include <utility>
 
 namespace crocusspur::internal {
@@ -166,11 +168,7 @@
   MetricsSink *metrics = Owner->find<MetricsSink>();
   if (!metrics)
     return problemAnswer(ErrorKind::NotReady, "");
-  metrics->setGauge("config_version", "",
-                    static_cast<double>(Events->config()->Version));
-  metrics->setGauge("list_sequence", "",
-                    static_cast<double>(Events->list()->Sequence));
-  metrics->setGauge("ready", "", Events->ready() ? 1 : 0);
+  setGauges(*Owner, *metrics);
   return {200, "text/plain; version=0.0.4", metrics->render()};
 }
 
@@ -203,7 +201,15 @@
   std::string body = readBounded(Request.stream(), Values->MaxBodyBytes);
   if (body.size() > Values->MaxBodyBytes)
     return problemAnswer(ErrorKind::BodyTooLarge, "");
-  PatchVerdict verdict = checkPatch(*Events->config(), body);
+  // Numbers of refused documents are used up as well.
+  auto *monitor = Owner->find<CoreMonitor>();
+  std::optional<CoreFigures> core =
+      monitor ? monitor->figures(DumpWait) : std::nullopt;
+  if (!core)
+    return problemAnswer(ErrorKind::Overloaded,
+                         "the core did not answer in time");
+  PatchVerdict verdict =
+      checkPatch(*Events->config(), body, core->ConfigJudged);
   if (verdict.Accepted)
     return {200, "application/json", verdict.Result->Text};
   return {answerFor(verdict.Error).Status, ProblemType,
