Tell the owner when a request that prefills on its decode server decodes

Cause: such a request stayed in stage Prefilling for its whole decode, so the start rule did not see its remaining time. Change: the entry sends PrefillDone at the first output of each such dispatch; the owner moves the lease to Decoding and answers nothing. shard_driver plays this case as an engine does. Figures: one message for each local prefill. Conclusion: local decodes count like others. Requests whose PrefillDone is lost with a link stay in Prefilling at the owner, as all did before.

--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -193,7 +193,8 @@
     Impl->stageFinished(Context, *request, Body);
 }
 
-void EntryRequests::onStageProgress(CoreContext &, const StageProgress &Body) {
+void EntryRequests::onStageProgress(CoreContext &Context,
+                                    const StageProgress &Body) {
   OpenRequest *request = Impl->find(Body.Id);
   if (!request || request->At != Phase::Decoding ||
       Body.Attempt != request->Dispatch || !request->InFlight)
@@ -201,6 +202,14 @@
   request->ResultUsed = true;
   request->ResultReady = false;
   request->OutputTokens = std::max(request->OutputTokens, Body.OutputTokens);
+  // Of a prefill on the decode server the owner has seen no end; it needs one
+  // to estimate the remaining time.
+  bool local =
+      !request->Server.empty() && request->Server == request->PrefillServer;
+  if (local && std::exchange(request->ToldDispatch, request->Dispatch) !=
+                   request->Dispatch)
+    Context.send(request->Owner, PrefillDone{request->Id, request->Shard,
+                                             request->Placement, 0});
 }
 
 void EntryRequests::onClosed(CoreContext &Context, const RequestClosed &Body) {
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -72,6 +72,7 @@
   uint64_t Fence = 0;
   uint64_t KvBytes = 0;
   uint32_t Dispatch = 0;     // number of the latest Start action
+  uint32_t ToldDispatch = 0; // the owner knows that its local prefill ended
   bool InFlight = false;     // it has not been reported as finished
   bool StartPending = false; // dispatch is held; see holdDispatch()
   Stage BrokenAt = Stage::Prefill;
--- a/src/shard_scheduler.cc
+++ b/src/shard_scheduler.cc
@@ -254,11 +254,23 @@
        Lease.Measured.Prefill);
 }
 
+// The request prefilled on its decode server and has given its first output.
+void ShardScheduler::beginLocalDecode(ShardLease &Lease, TimePoint Now) {
+  Lease.PrefillUnused = false;
+  Lease.PrefillEnd = Lease.EvictAt = Now;
+  Lease.DecodeGranted = Lease.DecodeStart = Now;
+  setStage(Lease, LeaseStage::Decoding);
+}
+
 void ShardScheduler::prefillDone(CoreContext &Context, ShardLease &Lease,
                                  uint64_t KvBytes) {
   if (Lease.Stage != LeaseStage::Prefilling)
     return;
   leavePrefill(Context, Lease);
+  if (Lease.prefillsOnDecodeServer()) {
+    beginLocalDecode(Lease, Context.Now);
+    return;
+  }
   double measured = seconds(Lease.PrefillStart, Context.Now);
   if (Lease.PrefillEstimate > 0) {
     double ratio = std::clamp(measured / Lease.PrefillEstimate, 0.1, 10.0);
--- a/src/shard_scheduler.h
+++ b/src/shard_scheduler.h
@@ -154,6 +154,7 @@
   void queueAgain(CoreContext &Context, ShardLease &Lease);
 
   // Ends of stages.
+  void beginLocalDecode(ShardLease &Lease, TimePoint Now);
   void leavePrefill(CoreContext &Context, ShardLease &Lease);
   void leaveDecode(CoreContext &Context, ShardLease &Lease);
   void usedIfImported(ShardLease &Lease, TimePoint Now) const;
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -1034,3 +1034,17 @@
   CHECK_FALSE(entry.sent<AcquireRequest>()->RunAlone);
   CHECK(entry.sent<AcquireRequest>()->Attempt > first);
 }
+
+// Guards against an owner that takes a request for prefilling during its whole
+// decode, and against a message for each token.
+TEST_CASE("EntryRequests tells the owner once that a local decode has begun") {
+  EntryDriver entry;
+  entry.arrive();
+  entry.grantPrefill("d1", "d1");
+  entry.started();
+  entry.progress(1);
+  REQUIRE(entry.sent<PrefillDone>());
+  CHECK(entry.sent<PrefillDone>()->Attempt == 1);
+  entry.progress(2);
+  CHECK_FALSE(entry.sent<PrefillDone>());
+}
--- a/test/shard_driver.h
+++ b/test/shard_driver.h
@@ -292,12 +292,32 @@
       if (!server.Running.erase(Grant.Id))
         return;
       record(Grant.PrefillServer);
+      if (Grant.DecodeServer == Grant.PrefillServer) {
+        decodeHere(Grant);
+        return;
+      }
       server.Results[Grant.Id] = Now + EvictionSeconds;
       toOwner(PrefillDone{Grant.Id, "s0", Grant.Attempt,
                           Requests[Grant.Id].Ask.PromptTokens * 20000ULL},
               &ShardOwner::onPrefillDone);
     });
   }
+  // The prefill was done on the decode server, which goes on with the output.
+  void decodeHere(const PrefillGrant &Grant) {
+    FakeRequest &request = Requests[Grant.Id];
+    double token = 0.025;
+    Engines[Grant.DecodeServer].Running.insert(Grant.Id);
+    record(Grant.DecodeServer);
+    request.DecodeFrom = Now;
+    request.FirstOutput = Now + token;
+    at(Now + token, [this, Grant] {
+      toOwner(PrefillDone{Grant.Id, "s0", Grant.Attempt, 0},
+              &ShardOwner::onPrefillDone);
+    });
+    at(Now + token * request.Output, [this, Grant] {
+      end({Grant.Id, "s0", Grant.Attempt, Grant.DecodeServer, Grant.Fence});
+    });
+  }
   void decode(const DecodeGrant &Grant) {
     FakeRequest &request = Requests[Grant.Id];
     FakeServer &server = Engines[Grant.DecodeServer];
--- a/test/shard_owner_test.cc
+++ b/test/shard_owner_test.cc
@@ -495,3 +495,20 @@
   }
   CHECK(started == 8);
 }
+
+// Guards against slots that seem to stay taken: the start rule estimates the
+// remaining time of decodes only, not of prefills.
+TEST_CASE("ShardOwner counts a local decode from its first output") {
+  ShardDriver driver(0, 1);
+  driver.addGroup("g", 1, RequestClass::Normal);
+  driver.KeepSent = true;
+  driver.begin();
+  RequestId id = driver.submit("g", 100, 100, 100, 5);
+  driver.runUntil(1);
+  CHECK(driver.Owner.dump(driver.time()).find("\"decoding\"") !=
+        std::string::npos);
+  for (const auto &[when, it] : driver.Sent)
+    CHECK_FALSE(std::holds_alternative<DecodeGrant>(it.Message));
+  driver.runUntil(5);
+  CHECK(driver.Requests[id].Completed);
+}
