Keep a fresh instance's first document provisional until it is ready

Cause: a fresh instance took the newest document of the platform as accepted. After two racing patches the newest one is refused everywhere, but the fresh instance put it in force and told its peers, which adopted the higher number: the refused patch came into force in the whole fleet. Change: until the instance is ready, its first document is provisional. Peers are not told of it, and what a peer has in force replaces it, even with a lower number; the reader then goes on after that. Conclusion: a refused version no longer spreads from a fresh instance that can reach a peer.

--- a/src/config_state.cc
+++ b/src/config_state.cc
@@ -1,6 +1,7 @@
 #include "config_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusspur::internal {
 
@@ -19,6 +20,11 @@
 }
 
 ConfigVerdict ConfigState::adoptFromPeer(const ConfigPtr &Document) {
+  if (std::exchange(Provisional, false) &&
+      Document->Digest != Current->Digest) {
+    Judged = Document->Version; // what follows it is judged anew
+    return putInForce(Document);
+  }
   if (!Current || Document->Version > Current->Version)
     return putInForce(Document);
   if (Document->Version == Current->Version)
--- a/src/config_state.h
+++ b/src/config_state.h
@@ -24,6 +24,13 @@
   // A document that a peer has in force. Older ones are ignored.
   ConfigVerdict adoptFromPeer(const ConfigPtr &Document);
 
+  // The first document of a fresh instance may be one that its peers have
+  // refused. Until it is confirmed, any version that a peer has in force
+  // replaces it, and peers must not be told of it.
+  void setProvisional() { Provisional = Current != nullptr; }
+  void confirm() { Provisional = false; }
+  bool provisional() const { return Provisional; }
+
   // Null until one is in force.
   const ConfigPtr &current() const { return Current; }
   // Highest number with a verdict; the next to read is the one after it.
@@ -40,6 +47,7 @@
   ConfigPtr Current;
   uint64_t Judged = 0;
   uint64_t Conflicts = 0;
+  bool Provisional = false;
 };
 
 // What a patch would give, by the rule that judges published documents.
--- a/src/core_duties.cc
+++ b/src/core_duties.cc
@@ -87,7 +87,7 @@
                                         ActionList &Out) {
   CoreContext context = this->context(Out);
   Heartbeat message;
-  if (Config.current()) {
+  if (versionInForce() != 0) {
     message.ConfigVersion = Config.current()->Version;
     message.ConfigDigest = Config.current()->Digest;
   }
--- a/src/core_lifecycle.cc
+++ b/src/core_lifecycle.cc
@@ -75,7 +75,7 @@
         !Peers.hasHeartbeat(it.Name))
       return false;
   // A heard peer may have a newer version on its way.
-  uint64_t version = Config.current()->Version;
+  uint64_t version = versionInForce();
   for (const auto &it : Peers.all())
     if (it.second.Up && (it.second.Last.ConfigVersion > version ||
                          it.second.Last.ListSequence > List->Sequence))
@@ -92,6 +92,7 @@
     ServableSince = Now;
   if (!peersHeard() && Now - *ServableSince < PeerWait)
     return;
+  Config.confirm();
   Ready = true;
   Out.push_back(SetReadiness{true});
 }
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -47,6 +47,7 @@
   void onConfigOffer(const std::string &From, const ConfigOffer &Message,
                      ActionList &Out);
   void useConfig(ActionList &Out);
+  uint64_t versionInForce() const;
   void onList(const ListPtr &Newer, ActionList &Out);
   void onListOffer(const ListOffer &Message, ActionList &Out);
   void answerRequest(const std::string &To, const PeerMessage &Message,
--- a/src/core_versions.cc
+++ b/src/core_versions.cc
@@ -34,8 +34,11 @@
 
 void DecisionCore::State::onConfigPublished(const ConfigPtr &Document,
                                             ActionList &Out) {
+  bool first = !Config.current();
   switch (Config.judgePublished(Document)) {
   case ConfigVerdict::InForce:
+    if (first && !Ready)
+      Config.setProvisional();
     useConfig(Out);
     break;
   case ConfigVerdict::Refused:
@@ -55,8 +58,18 @@
   ConfigPtr document = parsedOrNull(parseConfigDocument, Message.Text);
   if (!document)
     return;
-  if (Config.adoptFromPeer(document) == ConfigVerdict::InForce)
-    useConfig(Out);
+  bool restart = Config.provisional();
+  if (Config.adoptFromPeer(document) != ConfigVerdict::InForce)
+    return;
+  useConfig(Out);
+  if (restart)
+    Out.push_back(SetPlatformReading{Reading.value_or(true), Config.judged()});
+}
+
+// Zero while there is none that a peer may be told of.
+uint64_t DecisionCore::State::versionInForce() const {
+  return Config.current() && !Config.provisional() ? Config.current()->Version
+                                                   : 0;
 }
 
 void DecisionCore::State::useConfig(ActionList &Out) {
@@ -88,7 +101,8 @@
                                         const PeerMessage &Message,
                                         ActionList &Out) {
   if (auto *config = std::get_if<ConfigRequest>(&Message)) {
-    if (Config.current() && Config.current()->Version > config->HaveVersion)
+    if (Config.current() && !Config.provisional() &&
+        Config.current()->Version > config->HaveVersion)
       Out.push_back(SendToPeer{To, ConfigOffer{Config.current()->Text}});
   } else if (auto *list = std::get_if<ListRequest>(&Message)) {
     if (List && List->Sequence > list->HaveSequence)
@@ -101,7 +115,7 @@
   Peer *peer = Peers.find(From);
   if (!peer)
     return;
-  uint64_t version = Config.current() ? Config.current()->Version : 0;
+  uint64_t version = versionInForce();
   uint64_t digest = Config.current() ? Config.current()->Digest : 0;
   const Heartbeat &last = peer->Last;
   // Of two documents under one number the lower digest wins everywhere.
