--- a/test/core_network.cc
+++ b/test/core_network.cc
@@ -236,16 +236,26 @@
   node(Instance).PlatformCut = Cut;
 }
 
+void CoreNetwork::freezePlatform(const std::string &Instance, bool Frozen) {
+  Node &of = node(Instance);
+  of.FrozenList = Frozen ? List : nullptr;
+  of.FrozenVersion = std::prev(Configs.end())->first;
+}
+
 void CoreNetwork::readPlatform(Node &Of) {
   if (!Of.Watch || Of.PlatformCut)
     return;
-  if (List->Sequence > Of.ReadSequence) {
-    Of.ReadSequence = List->Sequence;
-    give(Of, ListPublished{List});
+  const ListPtr &list = Of.FrozenList ? Of.FrozenList : List;
+  if (list->Sequence > Of.ReadSequence) {
+    Of.ReadSequence = list->Sequence;
+    give(Of, ListPublished{list});
   }
-  auto next = Of.AfterVersion == 0 ? std::prev(Configs.end())
+  auto end =
+      Of.FrozenList ? Configs.upper_bound(Of.FrozenVersion) : Configs.end();
+  auto next = Of.AfterVersion == 0 ? std::prev(end)
                                    : Configs.upper_bound(Of.AfterVersion);
-  if (next == Configs.end())
+  if (next == Configs.end() ||
+      (end != Configs.end() && next->first >= end->first))
     return;
   Of.AfterVersion = next->first;
   give(Of, ConfigPublished{next->second});
--- a/test/core_network.h
+++ b/test/core_network.h
@@ -79,6 +79,7 @@
 
   // Instances are e1 to eN, servers as in core_samples.h.
   TimePoint now() const { return Now; }
+  const NetworkOptions &options() const { return Options; }
   WallTime wall() const; // of all instances
   void runFor(Milliseconds Duration);
   // Runs until the condition holds; false if it doesn't within the limit.
@@ -99,6 +100,8 @@
   void publishList(const std::string &Text);
   uint64_t newestList() const { return List->Sequence; }
   void cutPlatform(const std::string &Instance, bool Cut = true);
+  // The platform goes on showing the instance what is newest now.
+  void freezePlatform(const std::string &Instance, bool Frozen = true);
 
   // Faults. A cut link loses what is under way and is seen as down after the
   // link time-out; a killed process is seen at once.
@@ -112,10 +115,13 @@
   bool stopped(const std::string &Instance) const; // shutdown is complete
   void killServer(const std::string &Server);
   void restartServer(const std::string &Server);
+  bool serverAlive(const std::string &Server) const;
   // The server stays silent: requests get no answer until their timeout.
   void stallServer(const std::string &Server, bool Stalled = true);
   // A request with this fingerprint kills each server that runs it.
   void addCrasher(uint64_t Fingerprint);
+  // Servers that it has killed.
+  size_t crashesBy(uint64_t Fingerprint) const;
 
   // Books.
   const std::vector<Execution> &executions() const { return Ran; }
@@ -205,7 +211,7 @@
   // Answers that the relays of an instance have ended, until its core takes the
   // report. Such a relay ignores an error from the core.
   std::set<std::pair<std::string, RequestId>> Unreported;
-  std::set<uint64_t> Crashers;
+  std::map<uint64_t, size_t> Crashers; // with the servers killed
   std::map<RequestId, CallerRequest> Callers;
   std::vector<Execution> Ran;
   std::vector<Call> Calls; // that began Ran
--- a/test/core_network_servers.cc
+++ b/test/core_network_servers.cc
@@ -42,10 +42,13 @@
     after(Item.Timeout, [this, Item] { report(Item, StageOutcome::TimedOut); });
     return;
   }
-  if (Crashers.count(Callers.at(Item.Id).Spec.Fingerprint))
-    after(Milliseconds(5), [this, Item, epoch] {
-      if (Servers.at(Item.Server)->Epoch == epoch)
-        killServer(Item.Server);
+  auto crasher = Crashers.find(Callers.at(Item.Id).Spec.Fingerprint);
+  if (crasher != Crashers.end())
+    after(Milliseconds(5), [this, Item, epoch, crasher] {
+      if (Servers.at(Item.Server)->Epoch != epoch)
+        return;
+      ++crasher->second;
+      killServer(Item.Server);
     });
   Milliseconds base = Item.At == Stage::Prefill  ? Options.PrefillTime
                       : Item.At == Stage::Decode ? Options.DecodeTime
@@ -138,12 +141,20 @@
   Servers.at(Name)->Alive = true;
 }
 
+bool CoreNetwork::serverAlive(const std::string &Name) const {
+  return Servers.at(Name)->Alive;
+}
+
 void CoreNetwork::stallServer(const std::string &Name, bool Stalled) {
   Servers.at(Name)->Stalled = Stalled;
 }
 
 void CoreNetwork::addCrasher(uint64_t Fingerprint) {
-  Crashers.insert(Fingerprint);
+  Crashers.emplace(Fingerprint, 0);
+}
+
+size_t CoreNetwork::crashesBy(uint64_t Fingerprint) const {
+  return Crashers.at(Fingerprint);
 }
 
 // Books.
--- /dev/null
+++ b/test/core_promises_test.cc
@@ -0,0 +1,266 @@
+// The promises P5, P7 and P8 as invariants of random schedules of faults, each
+// made from a seed.
+#include "core_network.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+constexpr int Instances = 5;
+constexpr Milliseconds Step{50};
+
+uint64_t lastSeed() {
+  const char *given = std::getenv("SEEDS");
+  return given ? std::stoull(given) : 8;
+}
+
+std::string nameOf(int Index) { return "e" + std::to_string(1 + Index); }
+
+// A fleet under short faults: silent links, pauses, and readers of the
+// platform that are stale or stopped.
+class FaultyFleet {
+public:
+  explicit FaultyFleet(uint64_t Seed) : Net(optionsFor(Seed)), Random(Seed) {
+    REQUIRE(Net.runUntilReady());
+    Net.runFor(Milliseconds(2500));
+  }
+
+  CoreNetwork Net;
+  std::mt19937_64 Random;
+
+  uint64_t below(uint64_t Bound) { return Random() % Bound; }
+  std::string anyInstance() {
+    return nameOf(static_cast<int>(below(Instances)));
+  }
+  // At least one reader stays fresh.
+  void spoilReaders() {
+    auto fresh = static_cast<int>(below(Instances));
+    for (int i = 0; i < Instances; ++i) {
+      uint64_t kind = i == fresh ? 0 : below(3);
+      Net.freezePlatform(nameOf(i), kind == 1);
+      Net.cutPlatform(nameOf(i), kind == 2);
+    }
+  }
+  // Also sends a request now and then.
+  void step() {
+    if (below(2) == 0)
+      send(1000 + Random() % 1000000);
+    if (below(40) == 0)
+      injectFault();
+    Net.runFor(Step);
+  }
+  RequestId send(uint64_t Fingerprint) {
+    RequestSpec spec = below(4) == 0 ? serviceSpec(true) : modelSpec();
+    spec.Fingerprint = Fingerprint;
+    return Net.submit(anyInstance(), spec);
+  }
+  RequestId sendModel(uint64_t Fingerprint) {
+    RequestSpec spec = modelSpec();
+    spec.Group = "dispatch";
+    spec.Fingerprint = Fingerprint;
+    return Net.submit(anyInstance(), spec);
+  }
+  static SampleOptions sample() {
+    SampleOptions sample;
+    sample.Prefills = 3;
+    sample.Decodes = 4;
+    return sample;
+  }
+
+private:
+  static NetworkOptions optionsFor(uint64_t Seed) {
+    NetworkOptions options;
+    options.Seed = Seed;
+    options.Instances = Instances;
+    options.Sample = sample();
+    return options;
+  }
+  void injectFault() {
+    std::string a = anyInstance(), b = anyInstance();
+    auto length = Milliseconds(static_cast<int64_t>(100 + below(1900)));
+    if (a == b) {
+      Net.pause(a, std::min(length, Milliseconds(1200)));
+      return;
+    }
+    Net.cut(a, b);
+    Net.runFor(length);
+    Net.heal(a, b);
+  }
+};
+
+bool beganAfter(const CoreNetwork &Net, const std::string &Server,
+                TimePoint Limit) {
+  const auto &all = Net.executions();
+  return std::any_of(all.begin(), all.end(), [&](const Execution &It) {
+    return It.Server == Server && It.Began > Limit;
+  });
+}
+
+// One server leaves, and comes back at the end.
+void checkLeaving(FaultyFleet &Fleet, const std::string &Server) {
+  CAPTURE(Server);
+  CoreNetwork &net = Fleet.Net;
+  Fleet.spoilReaders();
+  uint64_t sequence = net.newestList() + 1;
+  net.publishList(
+      sampleListText(sequence, Instances, FaultyFleet::sample(), {Server}));
+  auto isRead = [&] {
+    for (int i = 0; i < Instances; ++i)
+      if (net.listSequence(nameOf(i)) >= sequence)
+        return true;
+    return false;
+  };
+  std::optional<TimePoint> read;
+  for (TimePoint end = net.now() + Milliseconds(7000); net.now() < end;) {
+    Fleet.step();
+    if (!read && isRead())
+      read = net.now();
+  }
+  if (read)
+    CHECK_FALSE(beganAfter(net, Server, *read + Milliseconds(3000)));
+  net.publishList(
+      sampleListText(sequence + 1, Instances, FaultyFleet::sample()));
+  for (int i = 0; i < Instances; ++i) {
+    net.freezePlatform(nameOf(i), false);
+    net.cutPlatform(nameOf(i), false);
+  }
+  net.runFor(Milliseconds(3000));
+}
+
+// Publishes configurations and compares what is in force with what must be.
+class ConfigWatch {
+public:
+  explicit ConfigWatch(CoreNetwork &Net) : Net(Net) {}
+
+  // Sometimes two patches with one base; the second is refused everywhere.
+  void publish(bool Racing) {
+    SampleOptions sample = FaultyFleet::sample();
+    sample.Base = Accepted;
+    sample.Version = ++Newest;
+    Net.publishConfig(sampleConfigText(sample));
+    Accepted = Newest;
+    AcceptedVersions.insert(Newest);
+    if (!Racing)
+      return;
+    sample.Version = ++Newest;
+    Net.publishConfig(sampleConfigText(sample));
+  }
+  void restarted(const std::string &Instance) { Last[Instance] = 0; }
+  // Each instance rises from one accepted version to another, and has what
+  // was in force anywhere 7 s ago.
+  void check() {
+    uint64_t due = 0;
+    for (const auto &it : FirstInForce)
+      if (it.second + Milliseconds(7000) < Net.now())
+        due = it.first;
+    for (int i = 0; i < Instances; ++i) {
+      std::string name = nameOf(i);
+      uint64_t version = Net.configVersion(name);
+      if (!Net.isReady(name))
+        continue; // it serves nobody yet
+      if (version != 0)
+        FirstInForce.emplace(version, Net.now());
+      bool reverted = version < Last[name];
+      bool late = version < due;
+      bool refused = version != 0 && !AcceptedVersions.count(version);
+      Last[name] = version;
+      if (!reverted && !late && !refused)
+        continue;
+      CAPTURE(name);
+      CAPTURE(version);
+      CAPTURE(due);
+      CHECK_FALSE(reverted);
+      CHECK_FALSE(late);
+      CHECK_FALSE(refused);
+    }
+  }
+  uint64_t accepted() const { return Accepted; }
+
+private:
+  CoreNetwork &Net;
+  uint64_t Accepted = 1;
+  uint64_t Newest = 1;
+  std::set<uint64_t> AcceptedVersions{1};
+  std::map<uint64_t, TimePoint> FirstInForce;
+  std::map<std::string, uint64_t> Last;
+};
+
+} // namespace
+
+// Guards against new work for servers that are leaving (P5), with stale and
+// stopped readers, silent links and pauses.
+TEST_CASE("Cores give leaving servers nothing new under a random schedule") {
+  for (uint64_t seed = 1; seed <= lastSeed(); ++seed) {
+    CAPTURE(seed);
+    FaultyFleet fleet(seed);
+    const char *servers[] = {"p1", "p2", "p3", "d1", "d2", "d3", "s1"};
+    for (int round = 0; round < 4; ++round)
+      checkLeaving(fleet, servers[fleet.below(7)]);
+  }
+}
+
+// Guards against versions that revert, spread late, or differ after two racing
+// patches (P7), while all instances are replaced one after another.
+TEST_CASE("Cores keep accepted versions in force under a random schedule") {
+  for (uint64_t seed = 1; seed <= lastSeed(); ++seed) {
+    CAPTURE(seed);
+    FaultyFleet fleet(seed);
+    ConfigWatch watch(fleet.Net);
+    for (int round = 0; round < 2 * Instances; ++round) {
+      fleet.spoilReaders();
+      watch.publish(fleet.below(2) == 0);
+      std::string replaced = nameOf(round % Instances);
+      fleet.Net.restart(replaced);
+      watch.restarted(replaced);
+      for (TimePoint end = fleet.Net.now() + Milliseconds(3000);
+           fleet.Net.now() < end;) {
+        fleet.step();
+        watch.check();
+      }
+    }
+    for (TimePoint end = fleet.Net.now() + Milliseconds(8000);
+         fleet.Net.now() < end; watch.check())
+      fleet.Net.runFor(Step);
+    for (int i = 0; i < Instances; ++i)
+      CHECK(fleet.Net.configVersion(nameOf(i)) == watch.accepted());
+  }
+}
+
+// Guards against requests that crash servers a third time when callers repeat
+// them through other entries, and against punishing others (P8).
+TEST_CASE("Cores stop crashing requests under a random schedule") {
+  const std::vector<uint64_t> crashers = {666, 667, 668};
+  for (uint64_t seed = 1; seed <= lastSeed(); ++seed) {
+    CAPTURE(seed);
+    FaultyFleet fleet(seed);
+    CoreNetwork &net = fleet.Net;
+    for (uint64_t it : crashers)
+      net.addCrasher(it);
+    for (int round = 0; round < 15; ++round) {
+      RequestId id = fleet.sendModel(crashers[fleet.below(crashers.size())]);
+      for (int i = 0; i < 100 && net.request(id).Answers.empty() &&
+                      !net.request(id).EntryDied;
+           ++i)
+        fleet.step();
+      for (const char *it : {"p1", "p2", "p3", "d1", "d2", "d3", "d4"})
+        if (!net.serverAlive(it))
+          net.restartServer(it);
+      if (fleet.below(4) == 0)
+        net.restart(fleet.anyInstance());
+      net.runFor(Milliseconds(1000));
+    }
+    for (uint64_t it : crashers) {
+      CAPTURE(it);
+      CHECK(net.crashesBy(it) <= 2);
+    }
+    for (const auto &it : net.requests())
+      for (const CallerAnswer &answer : it.second.Answers)
+        if (it.second.Spec.Fingerprint >= 1000)
+          CHECK(answer.Error != ErrorKind::RequestCrashesServers);
+  }
+}
