--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -27,20 +27,25 @@
                  uint64_t Fingerprint, bool Alone);
   // `Broken`: the connection broke or the server stopped answering, which
   // counts as a crash only once a crash of that server is reported.
-  // `Completed`: the server finished the work. Only this clears a suspect that
-  // ran alone; a cancelled or refused run says nothing about it.
+  // `Completed`: the server gave the whole output. This clears a suspect also
+  // when others ran beside it, since its content would have crashed the server
+  // then. A prefill, a cancelled run or a refused one says nothing about it.
   void onEnded(CoreContext &Context, const RequestId &Id, bool Broken,
-               bool Completed = true);
+               bool Completed);
 
   // This instance polls the server and saw it crash (unreachable after it
   // had answered, or a new epoch). `Epoch` is that of the run that crashed,
   // so that both signs of one crash count once. Tells every peer.
   void onServerCrashed(CoreContext &Context, const std::string &Server,
                        uint64_t Epoch);
+  // Whether a run of this entry broke there that no known crash explains.
+  bool hasBrokenRun(const std::string &Server, TimePoint Now) const;
   // A peer saw a crash, or names fingerprints that ran there. Adds the own
   // fingerprints and tells every peer of them once.
   void onReport(CoreContext &Context, const std::string &From,
                 const CrashReport &Message);
+  // Reports are lost with a link, and a fresh instance knows of no crash.
+  void onPeerUp(CoreContext &Context, const std::string &Instance) const;
   void onTimer(CoreContext &Context);
 
   std::string dump(TimePoint Now) const;
--- a/src/shard_owner.cc
+++ b/src/shard_owner.cc
@@ -220,8 +220,9 @@
       Impl->Scheduler.admit(Context, Impl->makeLease(Context, From, Message));
     } else if (Message.Attempt > lease->Attempt) {
       lease->Attempt = Message.Attempt;
-      lease->RunAlone |= Message.RunAlone;
+      Impl->Scheduler.setRunAlone(*lease, Message.RunAlone);
       lease->Deadline = Context.Now + Message.TimeLeft;
+      lease->MayWait = Message.MayWait;
       Impl->Scheduler.placeAgain(Context, *lease);
     } else if (Message.Attempt == lease->Attempt) {
       // A lease list told less of a request that waits.
@@ -330,6 +331,7 @@
     ShardServer *server = Impl->Scheduler.servers().find(Report.Server);
     if (!server)
       return;
+    server->ReportedAt = Context.Now;
     auto known = [&](const RequestId &Id) {
       return Impl->Scheduler.find(Id) != nullptr;
     };
--- a/src/shard_scheduler.cc
+++ b/src/shard_scheduler.cc
@@ -19,6 +19,10 @@
 // they were off by up to 6% and 11%.
 static constexpr double Lookahead = 0.5;
 
+// Load reports are polled every 250 ms. Waiting for one ends after a second.
+static constexpr Milliseconds ReportPeriod{300};
+static constexpr Milliseconds LongestReportWait{1000};
+
 // A measured prefill time changes the correction of estimates by this part.
 static constexpr double RatioGain = 0.1;
 
@@ -140,6 +144,26 @@
   queueAgain(Context, Lease);
 }
 
+void ShardScheduler::noteLoss(ShardLease &Lease, const ShardServer &On,
+                              TimePoint Now) {
+  Lease.LostOn = On.Config.Name;
+  Lease.LostAt = Now;
+}
+
+// An entry reports a loss 350 ms after the connection broke, when the poll of
+// the server has shown a crash and the entry knows it. After a pause of this
+// owner there was no such poll; the request could crash the next server first.
+bool ShardScheduler::awaitsReport(ShardLease &Lease, TimePoint Now) {
+  ShardServer *server =
+      Lease.LostOn.empty() ? nullptr : Servers.find(Lease.LostOn);
+  if (server && server->ReportedAt != TimePoint{} &&
+      Now < Lease.LostAt + LongestReportWait &&
+      Now > server->ReportedAt + ReportPeriod)
+    return true;
+  Lease.LostOn.clear();
+  return false;
+}
+
 void ShardScheduler::placeResults(CoreContext &Context) {
   std::vector<ShardLeasePtr> ready;
   for (ShardLease &it : Ready)
@@ -151,7 +175,7 @@
   for (const ShardLeasePtr &it : ready) {
     if (Context.Now >= it->EvictAt)
       expireResult(Context, *it);
-    else
+    else if (!awaitsReport(*it, Context.Now))
       placeResult(Context, *it);
   }
 }
@@ -254,11 +278,23 @@
        Lease.Measured.Prefill);
 }
 
+// The request prefilled on its decode server and has given its first output.
+void ShardScheduler::beginLocalDecode(ShardLease &Lease, TimePoint Now) {
+  Lease.PrefillUnused = false;
+  Lease.PrefillEnd = Lease.EvictAt = Now;
+  Lease.DecodeGranted = Lease.DecodeStart = Now;
+  setStage(Lease, LeaseStage::Decoding);
+}
+
 void ShardScheduler::prefillDone(CoreContext &Context, ShardLease &Lease,
                                  uint64_t KvBytes) {
   if (Lease.Stage != LeaseStage::Prefilling)
     return;
   leavePrefill(Context, Lease);
+  if (Lease.prefillsOnDecodeServer()) {
+    beginLocalDecode(Lease, Context.Now);
+    return;
+  }
   double measured = seconds(Lease.PrefillStart, Context.Now);
   if (Lease.PrefillEstimate > 0) {
     double ratio = std::clamp(measured / Lease.PrefillEstimate, 0.1, 10.0);
@@ -282,8 +318,10 @@
   leaveDecode(Context, Lease);
   if (server && ServerFull)
     server->Estimate.refusedFull(Context.Now);
-  else if (server)
+  else if (server) {
     server->Estimate.failed(Context.Now);
+    noteLoss(Lease, *server, Context.Now);
+  }
   if (ServerFull)
     Lease.PrefillUnused = false; // refused before it ran
   wastePrefill(Context, Lease);
@@ -313,6 +351,9 @@
     server->Estimate.refusedFull(Context.Now);
   else if (server && !evicted)
     server->Estimate.failed(Context.Now);
+  // After a pause a crash looks like an eviction.
+  if (server && !Message.ServerFull)
+    noteLoss(Lease, *server, Context.Now);
   Lease.OutputTokens = Message.OutputTokens;
   if (Message.ResultAlive && Context.Now < Lease.EvictAt) {
     setStage(Lease, LeaseStage::Ready);
@@ -325,6 +366,12 @@
   queueAgain(Context, Lease);
 }
 
+void ShardScheduler::setRunAlone(ShardLease &Lease, bool Alone) {
+  if (!Alone)
+    release(Lease.Id); // a server that was being drained for it
+  Lease.RunAlone = Alone;
+}
+
 void ShardScheduler::placeAgain(CoreContext &Context, ShardLease &Lease) {
   if (Lease.queued() || Lease.Stage == LeaseStage::Waiting)
     return;
--- a/src/shard_scheduler.h
+++ b/src/shard_scheduler.h
@@ -54,6 +54,7 @@
   void prefillLost(CoreContext &Context, ShardLease &Lease, bool ServerFull);
   void decodeLost(CoreContext &Context, ShardLease &Lease,
                   const DecodeLost &Message);
+  void setRunAlone(ShardLease &Lease, bool Alone);
   // The entry gave the present placement up and asks for another.
   void placeAgain(CoreContext &Context, ShardLease &Lease);
   void finished(CoreContext &Context, ShardLease &Lease,
@@ -146,6 +147,8 @@
   void startWaiting(CoreContext &Context);
 
   // Placement of results.
+  void noteLoss(ShardLease &Lease, const ShardServer &On, TimePoint Now);
+  bool awaitsReport(ShardLease &Lease, TimePoint Now);
   void placeResults(CoreContext &Context);
   bool placeResult(CoreContext &Context, ShardLease &Lease);
   void grantDecode(CoreContext &Context, ShardLease &Lease, ShardServer &On);
@@ -153,6 +156,7 @@
   void queueAgain(CoreContext &Context, ShardLease &Lease);
 
   // Ends of stages.
+  void beginLocalDecode(ShardLease &Lease, TimePoint Now);
   void leavePrefill(CoreContext &Context, ShardLease &Lease);
   void leaveDecode(CoreContext &Context, ShardLease &Lease);
   void usedIfImported(ShardLease &Lease, TimePoint Now) const;
