Add a load benchmark over real processes

Change: bench_load replays a seeded open-loop trace against four routers for each scenario and placement policy, reads wasted prefill and slot time from the engines' books, and prints one JSON object a line. scripts/run-bench builds and starts it. It reuses the fixture of the process tests, which gains the process id of a child. Scenario paired compares calls through an idle router with direct ones; one-core measures processor time a token.

--- /dev/null
+++ b/bench/load_client.cc
@@ -0,0 +1,231 @@
+#include "load_client.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string_view>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace crocusspur::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+std::string fieldOf(std::string_view Text, const std::string &Name) {
+  std::string key = "\"" + Name + "\":\"";
+  size_t at = Text.find(key);
+  if (at == std::string_view::npos)
+    return "";
+  at += key.size();
+  return std::string(Text.substr(at, Text.find('"', at) - at));
+}
+
+// One request and its answer as far as it has come.
+struct Exchange {
+  size_t Index = 0;
+  int Fd = -1;
+  std::string Out;
+  std::string In;
+  bool Done = false; // [DONE] was seen
+
+  ~Exchange() {
+    if (Fd >= 0)
+      ::close(Fd);
+  }
+};
+
+sockaddr_in socketAddress(const std::string &Address) {
+  size_t colon = Address.rfind(':');
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port =
+      htons(static_cast<uint16_t>(std::stoul(Address.substr(colon + 1))));
+  inet_pton(AF_INET, Address.substr(0, colon).c_str(), &to.sin_addr);
+  return to;
+}
+
+class Replayer {
+public:
+  Replayer(const std::vector<PlannedRequest> &Trace, ReplayOptions Options)
+      : Trace(Trace), Options(std::move(Options)), Epoll(epoll_create1(0)) {
+    for (const auto &it : this->Options.Addresses)
+      Targets.push_back(socketAddress(it));
+    std::stable_sort(this->Options.Steps.begin(), this->Options.Steps.end(),
+                     [](const auto &A, const auto &B) { return A.At < B.At; });
+  }
+  ~Replayer() { ::close(Epoll); }
+
+  Replay run() {
+    Found.Results.resize(Trace.size());
+    Found.StartedMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    Begin = Clock::now();
+    Microseconds end = Options.Drain;
+    if (!Trace.empty())
+      end += Trace.back().At;
+    while (now() < end && !(Next == Trace.size() && Open.empty())) {
+      startDue();
+      poll();
+    }
+    if (Options.BeforeCut)
+      Options.BeforeCut();
+    Open.clear();
+    return std::move(Found);
+  }
+
+private:
+  Microseconds now() const {
+    return std::chrono::duration_cast<Microseconds>(Clock::now() - Begin);
+  }
+
+  void startDue() {
+    while (NextStep < Options.Steps.size() &&
+           Options.Steps[NextStep].At <= now())
+      Options.Steps[NextStep++].Run();
+    while (Next < Trace.size() && Trace[Next].At <= now())
+      start(Next++);
+  }
+
+  void start(size_t Index) {
+    const PlannedRequest &plan = Trace[Index];
+    RequestResult &result = Found.Results[Index];
+    result.Group = plan.Group;
+    result.At = plan.At;
+    Found.LargestDelay = std::max(Found.LargestDelay, now() - plan.At);
+    auto exchange = std::make_unique<Exchange>();
+    exchange->Index = Index;
+    exchange->Fd = connectNext();
+    if (exchange->Fd < 0) {
+      result.Ended = true;
+      return;
+    }
+    exchange->Out = requestText(plan);
+    // Loopback sockets take a whole request at once.
+    ssize_t sent = ::send(exchange->Fd, exchange->Out.data(),
+                          exchange->Out.size(), MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(exchange->Out.size())) {
+      result.Ended = true;
+      return;
+    }
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = exchange->Fd;
+    epoll_ctl(Epoll, EPOLL_CTL_ADD, exchange->Fd, &event);
+    Open[exchange->Fd] = std::move(exchange);
+  }
+
+  // Connecting over loopback doesn't wait, so the socket is blocking.
+  int connectNext() {
+    for (size_t i = 0; i < Targets.size(); ++i) {
+      size_t at = Turn++ % Targets.size();
+      int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      if (::connect(fd, reinterpret_cast<const sockaddr *>(&Targets[at]),
+                    sizeof Targets[at]) == 0) {
+        int on = 1;
+        ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        return fd;
+      }
+      ::close(fd);
+    }
+    return -1;
+  }
+
+  std::string requestText(const PlannedRequest &Plan) const {
+    std::string body =
+        R"({"model":"summary","stream":true,"prompt":")" + Plan.Prompt +
+        "\",\"prompt_tokens\":" + std::to_string(Plan.PromptTokens) +
+        ",\"max_tokens\":" + std::to_string(Plan.MaxTokens) + "}";
+    return "POST /v1/completions HTTP/1.1\r\nHost: bench\r\n"
+           "Connection: close\r\nContent-Type: application/json\r\n"
+           "Authorization: Bearer " +
+           Options.Tokens.at(Plan.Group) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  void poll() {
+    epoll_event events[256];
+    int n = epoll_wait(Epoll, events, 256, 1);
+    for (int i = 0; i < n; ++i)
+      receive(events[i].data.fd);
+  }
+
+  void receive(int Fd) {
+    auto it = Open.find(Fd);
+    if (it == Open.end())
+      return;
+    char buffer[65536];
+    ssize_t n = ::recv(Fd, buffer, sizeof buffer, MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR))
+      return;
+    if (n > 0) {
+      it->second->In.append(buffer, static_cast<size_t>(n));
+      readLines(*it->second);
+      return;
+    }
+    finish(*it->second);
+    Open.erase(it);
+  }
+
+  void readLines(Exchange &On) {
+    size_t from = 0;
+    for (size_t end; (end = On.In.find('\n', from)) != std::string::npos;
+         from = end + 1)
+      readLine(On, std::string_view(On.In).substr(from, end - from));
+    On.In.erase(0, from);
+  }
+
+  void readLine(Exchange &On, std::string_view Line) {
+    RequestResult &result = Found.Results[On.Index];
+    if (result.Status == 0 && Line.rfind("HTTP/1.1 ", 0) == 0) {
+      result.Status = std::stoi(std::string(Line.substr(9, 3)));
+      return;
+    }
+    if (Line.find("\"kind\":\"") != std::string_view::npos) {
+      result.Kind = fieldOf(Line, "kind");
+      result.Run = fieldOf(Line, "run");
+      return;
+    }
+    if (Line.rfind("data: ", 0) != 0)
+      return;
+    if (Line.rfind("data: [DONE]", 0) == 0) {
+      On.Done = true;
+    } else if (Line.find("\"finish_reason\":null") != std::string_view::npos) {
+      result.Last = now();
+      if (result.Tokens++ == 0)
+        result.First = result.Last;
+    }
+  }
+
+  void finish(Exchange &On) {
+    readLine(On, On.In); // a problem document has no line end
+    RequestResult &result = Found.Results[On.Index];
+    result.Ended = true;
+    result.Whole = On.Done && result.Tokens == Trace[On.Index].OutputTokens;
+  }
+
+  const std::vector<PlannedRequest> &Trace;
+  ReplayOptions Options;
+  int Epoll;
+  std::vector<sockaddr_in> Targets;
+  Clock::time_point Begin;
+  std::map<int, std::unique_ptr<Exchange>> Open;
+  Replay Found;
+  size_t Next = 0;
+  size_t NextStep = 0;
+  size_t Turn = 0;
+};
+
+} // namespace
+
+Replay replay(const std::vector<PlannedRequest> &Trace, ReplayOptions Options) {
+  return Replayer(Trace, std::move(Options)).run();
+}
+
+} // namespace crocusspur::bench
--- /dev/null
+++ b/bench/load_fleet.h
@@ -0,0 +1,47 @@
+// Scenarios of the load benchmark and the fleet of real processes they run on.
+#ifndef CROCUSSPUR_BENCH_LOAD_FLEET_H
+#define CROCUSSPUR_BENCH_LOAD_FLEET_H
+
+#include "load_client.h"
+#include "process_fixture.h"
+
+namespace crocusspur::bench {
+
+// A process to disturb during the replay, by a signal.
+struct Disturbance {
+  Microseconds At{0};
+  std::string Process; // server, "platform" or router ("e1")
+  int Signal = 0;
+};
+
+struct Scenario {
+  std::string Name;
+  std::vector<Traffic> Kinds;
+  std::map<std::string, GroupTarget> Targets;
+  std::vector<Disturbance> Disturbances;
+  Microseconds Length{0};
+  Microseconds Drain{0};
+  // Slot seconds count from here, when the slots have been filled.
+  Microseconds Warm{0};
+  test::FleetOptions Fleet;
+};
+
+std::vector<std::string> scenarioNames();
+// Throws std::invalid_argument for an unknown name.
+Scenario makeScenario(const std::string &Name, double Seconds);
+
+struct RunFigures {
+  Replay Replayed;
+  std::vector<EngineRun> Runs;
+  TimeWindow Window; // of the slot seconds
+  // Processor time of all routers during the replay.
+  double RouterSeconds = 0;
+};
+
+// `Placement` as in the settings.
+RunFigures runScenario(const Scenario &Values, const std::string &Placement,
+                       uint64_t Seed);
+
+} // namespace crocusspur::bench
+
+#endif
--- /dev/null
+++ b/bench/load_trace.cc
@@ -0,0 +1,69 @@
+#include "load_trace.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace crocusspur::bench {
+namespace {
+
+// The standard distributions differ between libraries; the engine does not.
+double uniform(std::mt19937_64 &Random) {
+  return (static_cast<double>(Random() >> 11) + 0.5) * 0x1p-53;
+}
+
+double exponential(std::mt19937_64 &Random, double Mean) {
+  return -Mean * std::log(uniform(Random));
+}
+
+std::string prefixText(uint32_t Number, uint32_t Bytes) {
+  std::string text;
+  std::string word = "manifest-" + std::to_string(Number) + " ";
+  while (text.size() < Bytes)
+    text += word;
+  text.resize(Bytes);
+  return text;
+}
+
+PlannedRequest plan(const Traffic &Kind, std::mt19937_64 &Random) {
+  PlannedRequest request;
+  request.Group = Kind.Group;
+  uint32_t spread = Kind.PromptTokensHigh - Kind.PromptTokensLow + 1;
+  request.PromptTokens =
+      Kind.PromptTokensLow + static_cast<uint32_t>(uniform(Random) * spread);
+  request.MaxTokens = static_cast<uint32_t>(4 * Kind.MeanOutputTokens);
+  request.OutputTokens = std::clamp(
+      static_cast<uint32_t>(exponential(Random, Kind.MeanOutputTokens)), 1U,
+      request.MaxTokens);
+  if (Kind.SharedPrefixes > 0) {
+    auto number = static_cast<uint32_t>(uniform(Random) * Kind.SharedPrefixes);
+    request.Prompt = prefixText(number, Kind.PrefixBytes);
+  }
+  return request;
+}
+
+} // namespace
+
+std::vector<PlannedRequest> makeTrace(const std::vector<Traffic> &Kinds,
+                                      uint64_t Seed) {
+  std::vector<PlannedRequest> trace;
+  for (size_t i = 0; i < Kinds.size(); ++i) {
+    const Traffic &kind = Kinds[i];
+    std::mt19937_64 random(Seed * 1000003 + i);
+    double mean = 1e6 / kind.RequestsPerSecond;
+    double at = static_cast<double>(kind.From.count());
+    auto end = static_cast<double>(kind.Until.count());
+    while ((at += exponential(random, mean)) < end) {
+      trace.push_back(plan(kind, random));
+      trace.back().At = Microseconds(static_cast<int64_t>(at));
+    }
+  }
+  std::stable_sort(trace.begin(), trace.end(),
+                   [](const auto &A, const auto &B) { return A.At < B.At; });
+  for (size_t i = 0; i < trace.size(); ++i)
+    trace[i].Prompt += "[[output:" + std::to_string(trace[i].OutputTokens) +
+                       "]] request " + std::to_string(i);
+  return trace;
+}
+
+} // namespace crocusspur::bench
--- /dev/null
+++ b/bench/load_trace.h
@@ -0,0 +1,45 @@
+// Open-loop request traces for the load benchmark.
+#ifndef CROCUSSPUR_BENCH_LOAD_TRACE_H
+#define CROCUSSPUR_BENCH_LOAD_TRACE_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace crocusspur::bench {
+
+using Microseconds = std::chrono::microseconds;
+
+// Poisson arrivals of one kind of request between two times.
+struct Traffic {
+  std::string Group;
+  double RequestsPerSecond = 1;
+  Microseconds From{0};
+  Microseconds Until{0};
+  // Uniform in [Low, High].
+  uint32_t PromptTokensLow = 500;
+  uint32_t PromptTokensHigh = 500;
+  // Exponential with this mean, from 1 to four times the mean.
+  double MeanOutputTokens = 20;
+  // Number of texts that the prompts begin with; 0: prompts share nothing.
+  uint32_t SharedPrefixes = 0;
+  uint32_t PrefixBytes = 0;
+};
+
+struct PlannedRequest {
+  Microseconds At{0}; // from the start of the replay
+  std::string Group;
+  std::string Prompt;
+  uint32_t PromptTokens = 0;
+  uint32_t OutputTokens = 0; // what the engine will give
+  uint32_t MaxTokens = 0;    // what the caller allows
+};
+
+// Sorted by time. The same arguments give the same trace.
+std::vector<PlannedRequest> makeTrace(const std::vector<Traffic> &Kinds,
+                                      uint64_t Seed);
+
+} // namespace crocusspur::bench
+
+#endif
--- /dev/null
+++ b/bench/paired_calls.cc
@@ -0,0 +1,95 @@
+#include "paired_calls.h"
+
+#include "process_fixture.h"
+
+#include <algorithm>
+#include <chrono>
+#include <stdexcept>
+
+namespace crocusspur::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Costs a prefill of 1 ms.
+const char Prompt[] = R"("prompt":"next free bay","prompt_tokens":20)";
+const char MaxTokens[] = R"("max_tokens":2)";
+
+double sinceMs(Clock::time_point From) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - From).count();
+}
+
+// Reads to the end, so that the next call meets an idle engine.
+double firstToken(test::EventStream &Stream, Clock::time_point Start,
+                  const char *Mark) {
+  double first = -1;
+  test::StreamEvent event;
+  while (Stream.next(event))
+    if (first < 0 && event.Data.find(Mark) != std::string::npos)
+      first = sinceMs(Start);
+  if (first < 0)
+    throw std::runtime_error("no token: status " +
+                             std::to_string(Stream.status()));
+  return first;
+}
+
+double directCall(test::ProcessFixture &Fleet, size_t Number) {
+  const std::string &prefill = Fleet.server("p1").Address;
+  std::string common = R"({"request":"ffffffff-)" + std::to_string(Number + 1) +
+                       R"(","attempt":1,"fence":9007199254740991,)"
+                       R"("model":"summary","group":"drivers","priority":0,)";
+  Clock::time_point start = Clock::now();
+  test::HttpAnswer answer =
+      test::send({prefill, "POST", "/v1/prefill", common + Prompt + "}", {}});
+  if (answer.Status != 200)
+    throw std::runtime_error("direct prefill: " + answer.Body);
+  test::HttpRequest decode{Fleet.server("d1").Address,
+                           "POST",
+                           "/v1/decode",
+                           common + "\"source\":\"" + prefill +
+                               "\",\"first_index\":0," + MaxTokens + "}",
+                           {}};
+  test::EventStream stream(decode);
+  return firstToken(stream, start, "\"token\"");
+}
+
+double routedCall(test::ProcessFixture &Fleet) {
+  test::HttpRequest request =
+      Fleet.call(0, "POST", "/v1/completions",
+                 std::string(R"({"model":"summary","stream":true,)") + Prompt +
+                     "," + MaxTokens + "}");
+  Clock::time_point start = Clock::now();
+  test::EventStream stream(request);
+  return firstToken(stream, start, "\"finish_reason\":null");
+}
+
+} // namespace
+
+PairedTimes measurePairs(size_t Count) {
+  test::FleetOptions options;
+  options.Routers = 1;
+  options.PrefillServers = 1;
+  options.DecodeServers = 1;
+  options.ServiceServers = 0;
+  options.TokenIntervalMs = 5;
+  // Direct calls name a fencing number of their own.
+  options.ChecksFencing = false;
+  test::ProcessFixture fleet(options);
+  PairedTimes times;
+  for (size_t i = 0; i < Count; ++i) {
+    double direct = 0, routed = 0;
+    // In turn, so that neither always meets the caches of the other.
+    if (i % 2 == 0)
+      direct = directCall(fleet, i);
+    routed = routedCall(fleet);
+    if (i % 2 != 0)
+      direct = directCall(fleet, i);
+    times.Direct.push_back(direct);
+    times.Added.push_back(routed - direct);
+  }
+  std::sort(times.Direct.begin(), times.Direct.end());
+  std::sort(times.Added.begin(), times.Added.end());
+  return times;
+}
+
+} // namespace crocusspur::bench
--- a/test/child_process.h
+++ b/test/child_process.h
@@ -32,6 +32,7 @@
   // All lines up to now, for messages of failed checks.
   std::string output() const;
 
+  int pid() const { return Pid; }
   // No effect after the process has ended.
   void signal(int Number);
   // Returns the exit code, 128 + N after signal N, or nothing after the limit.
