--- a/bench/bench_load_main.cc
+++ b/bench/bench_load_main.cc
@@ -113,20 +113,19 @@
     To.set("share_deviation", *worst);
 }
 
+// A router that was killed within the window has no processor time at its end.
 void addCost(const RunFigures &Figures, Poco::JSON::Object &To) {
-  double tokens = 0, last = 0;
   std::map<std::string, uint32_t> kinds;
-  for (const RequestResult &it : Figures.Replayed.Results) {
-    tokens += it.Tokens;
-    last = std::max(last, static_cast<double>(it.Last.count()) / 1e6);
+  for (const RequestResult &it : Figures.Replayed.Results)
     if (it.Ended && !it.Whole)
       ++kinds[it.Kind.empty() ? "broken" : it.Kind + "/" + it.Run];
-  }
+  double tokens = tokensWithin(Figures.Replayed.Results, Figures.Window);
+  double seconds = (Figures.Window.Until - Figures.Window.From) / 1e3;
   To.set("router_seconds", Figures.RouterSeconds);
   To.set("tokens", tokens);
   To.set("router_us_per_token", ratio(Figures.RouterSeconds * 1e6, tokens));
-  To.set("router_cores", ratio(Figures.RouterSeconds, last));
-  To.set("tokens_per_second", ratio(tokens, last));
+  To.set("router_cores", ratio(Figures.RouterSeconds, seconds));
+  To.set("tokens_per_second", ratio(tokens, seconds));
   To.set("largest_start_delay_ms",
          static_cast<double>(Figures.Replayed.LargestDelay.count()) / 1e3);
   Poco::JSON::Object answers;
--- a/bench/load_account.cc
+++ b/bench/load_account.cc
@@ -111,6 +111,17 @@
   return sum;
 }
 
+double tokensWithin(const std::vector<RequestResult> &Results,
+                    const TimeWindow &Window) {
+  double sum = 0;
+  for (const RequestResult &it : Results) {
+    double first = milliseconds(it.First), last = milliseconds(it.Last);
+    if (it.Tokens > 1 && last > first)
+      sum += it.Tokens * overlap(first, last, Window) / (last - first);
+  }
+  return sum;
+}
+
 std::optional<double>
 shareDeviation(const std::vector<EngineRun> &Runs,
                const std::map<std::string, GroupTarget> &Targets,
--- a/bench/load_account.h
+++ b/bench/load_account.h
@@ -83,6 +83,10 @@
                      Microseconds TokenInterval, const TimeWindow &Window,
                      const std::string &Group);
 
+// Tokens that came within the window, as if each answer had an even pace.
+double tokensWithin(const std::vector<RequestResult> &Results,
+                    const TimeWindow &Window);
+
 // Largest relative deviation of a waiting group from its share of the waiting
 // groups' slot seconds, over all ten-second windows that start at whole
 // seconds; nothing if the window is shorter.
--- a/bench/load_client.cc
+++ b/bench/load_client.cc
@@ -69,7 +69,7 @@
     Microseconds end = Options.Drain;
     if (!Trace.empty())
       end += Trace.back().At;
-    while (now() < end && !(Next == Trace.size() && Open.empty())) {
+    while (now() < end && !finished()) {
       startDue();
       poll();
     }
@@ -84,6 +84,11 @@
     return std::chrono::duration_cast<Microseconds>(Clock::now() - Begin);
   }
 
+  bool finished() const {
+    return Next == Trace.size() && Open.empty() &&
+           NextStep == Options.Steps.size();
+  }
+
   void startDue() {
     while (NextStep < Options.Steps.size() &&
            Options.Steps[NextStep].At <= now())
--- a/bench/load_fleet.cc
+++ b/bench/load_fleet.cc
@@ -98,6 +98,13 @@
   To.Drain = micros(0.5);
 }
 
+// The smallest pool: single long outputs weigh most with few slots.
+void makeSmallOverload(Scenario &To, double Seconds) {
+  To.Fleet.PrefillServers = 1;
+  To.Fleet.DecodeServers = 3;
+  makeOverload(To, Seconds);
+}
+
 // The platform answers nothing for a third of the time; the burst comes as it
 // wakes.
 void makeOutage(Scenario &To, double Seconds) {
@@ -116,8 +123,9 @@
                      {micros(Seconds / 2), "e1", SIGKILL}};
 }
 
-// A transfer takes as long as the prefill of its prompt, a fifth of the time
-// between two transfers of one server.
+// The transfer of a prompt takes a quarter of its prefill. Three prefill
+// servers send to nine decode servers, so their links are busy for part of the
+// time.
 void makeSlowLink(Scenario &To, double Seconds) {
   To.Fleet.LinkBytesPerSecond = 4 * PrefillRate * To.Fleet.KvBytesPerToken;
   addSteady(To, Seconds);
@@ -142,17 +150,22 @@
   Traffic kind = longRequests("planners", 1, 0, Seconds);
   kind.PromptTokensLow = kind.PromptTokensHigh = 200;
   kind.RequestsPerSecond = 160;
-  // An exponential that is cut at four times its mean and rounded down.
+  // The exponential lengths are cut at four times their mean and rounded down.
   kind.MeanOutputTokens = 42500.0 / 160 / 0.9817 + 0.5;
   To.Kinds.push_back(kind);
-  To.Warm = micros(3);
+  // Until then fewer streams are open than at the full rate.
+  To.Warm = micros(6);
 }
 
 using Maker = void (*)(Scenario &, double);
 const std::pair<const char *, Maker> Makers[] = {
-    {"steady", addSteady},       {"overload", makeOverload},
-    {"outage", makeOutage},      {"kill", makeKill},
-    {"slow-link", makeSlowLink}, {"prefixes", makePrefixes},
+    {"steady", addSteady},
+    {"overload", makeOverload},
+    {"overload-small", makeSmallOverload},
+    {"outage", makeOutage},
+    {"kill", makeKill},
+    {"slow-link", makeSlowLink},
+    {"prefixes", makePrefixes},
     {"one-core", makeOneCore}};
 
 // User and system time of a process in seconds; 0 once it has ended.
@@ -261,11 +274,11 @@
   replaying.Drain = Values.Drain;
   std::vector<Poco::JSON::Object::Ptr> books;
   RunFigures figures;
-  replaying.BeforeCut = [&] {
-    figures.RouterSeconds += routerSeconds(fleet);
-    books = allBooks(fleet, Values);
-  };
-  figures.RouterSeconds = -routerSeconds(fleet);
+  replaying.Steps.push_back(
+      {Values.Warm, [&] { figures.RouterSeconds -= routerSeconds(fleet); }});
+  replaying.Steps.push_back(
+      {Values.Length, [&] { figures.RouterSeconds += routerSeconds(fleet); }});
+  replaying.BeforeCut = [&] { books = allBooks(fleet, Values); };
   figures.Replayed = replay(makeTrace(Values.Kinds, Seed), replaying);
   for (const auto &it : books)
     addRuns(*it, figures.Replayed.StartedMs, figures.Runs);
--- a/bench/load_fleet.h
+++ b/bench/load_fleet.h
@@ -33,8 +33,8 @@
 struct RunFigures {
   Replay Replayed;
   std::vector<EngineRun> Runs;
-  TimeWindow Window; // of the slot seconds
-  // Processor time of all routers during the replay.
+  TimeWindow Window; // of slot seconds and processor time
+  // Processor time of all routers within the window.
   double RouterSeconds = 0;
 };
 
--- a/test/bench_load_test.cc
+++ b/test/bench_load_test.cc
@@ -169,6 +169,13 @@
         doctest::Approx(0.05));
 }
 
+// Guards against a cost a token that counts tokens outside of the window.
+TEST_CASE("Tokens within a window are counted by the pace of the answer") {
+  std::vector<RequestResult> results = {answer("drivers", 100)};
+  CHECK(tokensWithin(results, {0, 100000}) == doctest::Approx(11));
+  CHECK(tokensWithin(results, {1150, 100000}) == doctest::Approx(5.5));
+}
+
 // Guards against a deviation that is averaged away over the whole run.
 TEST_CASE("Share deviation is the worst of all ten seconds") {
   std::vector<EngineRun> runs = {
