Revert "Read streams with blocking reads in slices of 50 ms"

Change: takes the blocking reads back; callers that leave are noticed at once again instead of within 50 ms.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -307,7 +307,6 @@
     return toEnd(status, exchange);
   if (exchange.head().Status != 200)
     return readRefusal(exchange, Call.Timeout);
-  exchange.readInSlices();
   return EventReader(exchange, Handler).run(Call.Timeout);
 }
 
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -3,12 +3,10 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <cerrno>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 #include <utility>
 
@@ -99,58 +97,12 @@
   return ExchangeStatus::Ok;
 }
 
-void HttpExchange::readInSlices() {
-  Slice = Waiter.readSlice();
-  if (Slice.count() == 0)
-    return;
-  timeval limit{Slice.count() / 1000, Slice.count() % 1000 * 1000};
-  ::setsockopt(Socket->fd(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  ::fcntl(Socket->fd(), F_SETFL, 0); // clears O_NONBLOCK
-  SelfDelimited = false;
-}
-
-// Takes what a read has returned; false if it is no data and no end.
-bool HttpExchange::take(const char *Data, ssize_t Size) {
-  if (Size < 0)
-    return false;
-  if (Size == 0) {
-    EndOfInput = true;
-    return true;
-  }
-  ByteReceived = true;
-  Pending.append(Data, static_cast<size_t>(Size));
-  return true;
-}
-
-ExchangeStatus HttpExchange::fillInSlices(Milliseconds Timeout) {
-  TimePoint now = Clock::now();
-  TimePoint end = now + Timeout;
-  while (true) {
-    if (now >= NextLook) {
-      if (Waiter.wait(-1, 0, now) == WaitResult::Interrupted)
-        return ExchangeStatus::Interrupted;
-      NextLook = now + Slice;
-    }
-    if (now >= end)
-      return ExchangeStatus::TimedOut;
-    char buf[16384];
-    ssize_t n = ::recv(Socket->fd(), buf, sizeof buf, 0);
-    if (take(buf, n))
-      return ExchangeStatus::Ok;
-    if (errno != EAGAIN && errno != EINTR)
-      return ExchangeStatus::Failed;
-    now = Clock::now();
-  }
-}
-
 // Receives what is there; waits for something first.
 ExchangeStatus HttpExchange::fill(Milliseconds Timeout) {
   if (Offset == Pending.size()) {
     Pending.clear();
     Offset = 0;
   }
-  if (Slice.count() > 0)
-    return fillInSlices(Timeout);
   while (true) {
     WaitResult result =
         Waiter.wait(Socket->fd(), POLLIN, Clock::now() + Timeout);
@@ -158,8 +110,15 @@
       return fromWait(result, ExchangeStatus::TimedOut);
     char buf[16384];
     ssize_t n = ::recv(Socket->fd(), buf, sizeof buf, MSG_DONTWAIT);
-    if (take(buf, n))
+    if (n > 0) {
+      ByteReceived = true;
+      Pending.append(buf, static_cast<size_t>(n));
+      return ExchangeStatus::Ok;
+    }
+    if (n == 0) {
+      EndOfInput = true;
       return ExchangeStatus::Ok;
+    }
     if (errno != EAGAIN && errno != EINTR)
       return ExchangeStatus::Failed;
   }
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -58,10 +58,6 @@
   // Appends what is there of the body, waiting for at least one byte or the
   // end.
   ExchangeStatus readBody(std::string &Out, bool &End, Milliseconds Timeout);
-  // Lets later reads block in the socket itself, with a look at what else the
-  // waiter watches after each slice. Spares one system call a read. The
-  // connection can't be used again.
-  void readInSlices();
   // Reads the rest. Failed if it is longer than `MaxBytes`.
   ExchangeStatus readWholeBody(std::string &Out, size_t MaxBytes,
                                Milliseconds Timeout);
@@ -74,8 +70,6 @@
 
 private:
   ExchangeStatus fill(Milliseconds Timeout);
-  ExchangeStatus fillInSlices(Milliseconds Timeout);
-  bool take(const char *Data, ssize_t Size);
 
   SocketWaiter &Waiter;
   BackendSocketPtr Socket;
@@ -87,8 +81,6 @@
   bool ByteReceived = false;
   bool EndOfInput = false;
   bool SelfDelimited = false;
-  Milliseconds Slice{0};
-  TimePoint NextLook{}; // at what else the waiter watches
 };
 
 } // namespace crocusspur::internal
--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -12,9 +12,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-// A caller that has left has to be noticed within 100 ms; see docs/design.md,
-// section 12.
-constexpr Milliseconds LookPeriod{50};
 constexpr uint64_t ProgressEvery = 64; // tokens between two reports
 constexpr size_t MaxRemembered = 65536;
 constexpr size_t MaxPlainText = 16 * 1024 * 1024;
@@ -79,8 +76,6 @@
   return ready.Lasting >= 0 ? WaitResult::Interrupted : WaitResult::Ready;
 }
 
-Milliseconds RelaySession::readSlice() const { return LookPeriod; }
-
 RelaySession::Next RelaySession::nextItem(MailboxItem &Item, TimePoint Until) {
   while (!CallerGone) {
     if (Mail.pop(Item))
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -40,7 +40,6 @@
 
   // Watches the caller, the mailbox and the socket together.
   WaitResult wait(int Fd, short Events, TimePoint Until) override;
-  Milliseconds readSlice() const override;
   Next nextItem(MailboxItem &Item, TimePoint Until);
   void step();
   void carryOut(const Action &Item);
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -15,9 +15,6 @@
   virtual ~SocketWaiter() = default;
   // `Events` as for poll(2). An error on the socket counts as ready.
   virtual WaitResult wait(int Fd, short Events, TimePoint Until) = 0;
-  // Longest time that a stream may be read without a call of wait(); 0 if each
-  // read needs one.
-  virtual Milliseconds readSlice() const { return Milliseconds(0); }
 };
 
 // Watches nothing but the socket.
