Start paired calls apart from the ticks of the token pacer

Cause: a call that ends wakes on a millisecond tick of the stand-in's token pacer, and the next one began at once. Change: each call starts after a seeded random time below 2 ms.

--- a/bench/paired_calls.cc
+++ b/bench/paired_calls.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <random>
 #include <stdexcept>
+#include <thread>
 
 namespace crocusspur::bench {
 namespace {
@@ -63,6 +65,13 @@
   return firstToken(stream, start, "\"finish_reason\":null");
 }
 
+// A call that ends wakes on a millisecond tick of the engine's token pacer.
+// Starting the next one at once would lock its start to the ticks and round the
+// difference of a pair to whole milliseconds.
+void leaveTick(std::mt19937_64 &Random) {
+  std::this_thread::sleep_for(std::chrono::microseconds(Random() % 2000));
+}
+
 } // namespace
 
 PairedTimes measurePairs(size_t Count) {
@@ -76,14 +85,15 @@
   options.ChecksFencing = false;
   test::ProcessFixture fleet(options);
   PairedTimes times;
+  std::mt19937_64 random(Count);
   for (size_t i = 0; i < Count; ++i) {
     double direct = 0, routed = 0;
     // In turn, so that neither always meets the caches of the other.
-    if (i % 2 == 0)
-      direct = directCall(fleet, i);
-    routed = routedCall(fleet);
-    if (i % 2 != 0)
-      direct = directCall(fleet, i);
+    for (bool routes : {i % 2 != 0, i % 2 == 0}) {
+      leaveTick(random);
+      (routes ? routed : direct) =
+          routes ? routedCall(fleet) : directCall(fleet, i);
+    }
     times.Direct.push_back(direct);
     times.Added.push_back(routed - direct);
   }
