--- a/src/shard_start.cc
+++ b/src/shard_start.cc
@@ -126,7 +126,7 @@
     if (it.Live && it.decodes())
       slots += it.Estimate.slots();
   double most = sum > 0 ? slots * share / sum : slots;
-  double expected = std::round(InteractiveRate * 2 * window);
+  double expected = std::ceil(InteractiveRate * 2 * window);
   return static_cast<size_t>(std::max(1.0, std::min(expected, most)));
 }
 
