Add a benchmark of the control work of one instance

Cause: the design has figures for the target size that no run shows.

Change: bench_capacity feeds one decision core in virtual time as one of N instances, with simulated peers, callers and servers.

--- /dev/null
+++ b/bench/capacity_documents.cc
@@ -0,0 +1,120 @@
+#include "capacity_documents.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdio>
+#include <stdexcept>
+
+namespace crocusspur::bench {
+namespace {
+
+constexpr int DomainCount = 5;
+
+std::string numbered(const char *Format, int Index) {
+  char text[160];
+  std::snprintf(text, sizeof text, Format, Index);
+  return text;
+}
+
+std::string placeOf(int Index) {
+  int domain = Index % DomainCount;
+  return std::string(R"("region":")") +
+         (domain < 3 ? "ie-west" : "kr-central") +
+         R"(","failure_domain":"fd-)" + std::to_string(domain) + '"';
+}
+
+std::string serverName(int Index) { return numbered("srv-%03d", Index); }
+
+// The members of a shard stand in one failure domain.
+std::string serverText(int Index) {
+  bool prefill = Index % 4 == 0;
+  return R"({"name":")" + serverName(Index) + R"(","role":")" +
+         (prefill ? "prefill" : "decode") + R"(","address":"10.20.)" +
+         std::to_string(Index / 250) + "." + std::to_string(1 + Index % 250) +
+         R"(:9100",)" + placeOf(Index / 4) + R"(,"slots":)" +
+         (prefill ? "16" : "128") +
+         R"(,"checks_fencing":true,"prefill_tokens_per_second":100000)"
+         R"(,"link_bytes_per_second":20000000000,"token_interval_ms":29})";
+}
+
+// One token for each account. A tenth of them are interactive, a tenth batch.
+std::string groupText(int Index) {
+  const char *className = Index % 10 == 0   ? "interactive"
+                          : Index % 10 == 1 ? "batch"
+                                            : "normal";
+  return R"({"name":")" + groupName(Index) + R"(","class":")" + className +
+         R"(","first_output_ms":510,"pace_ms":29,"token_digests":[")" +
+         numbered("%064x", Index + 1) + R"("]})";
+}
+
+std::string modelText(const Fleet &Of, int Index) {
+  std::string shards;
+  for (int i = Index; i < Of.shards(); i += Of.models()) {
+    std::string servers;
+    for (int k = 0; k < 4; ++k)
+      servers += (k ? ",\"" : "\"") + serverName(4 * i + k) + '"';
+    shards += (shards.empty() ? "" : ",") +
+              numbered(R"({"name":"shard-%03d")", i) + R"(,"servers":[)" +
+              servers + "]}";
+  }
+  return R"({"name":")" + modelName(Index) +
+         R"(","kv_bytes_per_token":131072,"shards":[)" + shards + "]}";
+}
+
+template <typename F> std::string joined(int Count, F Make) {
+  std::string text;
+  for (int i = 0; i < Count; ++i)
+    text += (i ? "," : "") + Make(i);
+  return text;
+}
+
+template <typename Pointer>
+Pointer checked(boost::leaf::result<Pointer> (*Parse)(const std::string &),
+                const std::string &Text) {
+  return boost::leaf::try_handle_all(
+      [&] { return Parse(Text); },
+      [](const MistakeList &List) -> Pointer {
+        throw std::runtime_error(List.Mistakes.front().str());
+      },
+      []() -> Pointer { throw std::runtime_error("document doesn't parse"); });
+}
+
+} // namespace
+
+std::string instanceName(int Index) { return numbered("node-%03d", Index); }
+std::string groupName(int Index) { return numbered("account-%04d", Index); }
+std::string modelName(int Index) { return numbered("model-%02d", Index); }
+
+std::string configText(const Fleet &Of, uint64_t Version) {
+  return R"({"version":)" + std::to_string(Version) + R"(,"base":)" +
+         std::to_string(Version - 1) + R"(,"patch_id":"change-)" +
+         std::to_string(Version) + R"(","groups":[)" +
+         joined(Of.Groups, groupText) + R"(],"models":[)" +
+         joined(Of.models(), [&](int I) { return modelText(Of, I); }) +
+         R"(],"services":[],"servers":[)" + joined(Of.servers(), serverText) +
+         "]}";
+}
+
+std::string listText(const Fleet &Of, uint64_t Sequence, int Leaving) {
+  auto instance = [&](int I) {
+    return R"({"name":")" + instanceName(I) + R"(","state":")" +
+           (I == Leaving ? "leaving" : "live") + R"(",)" + placeOf(I) +
+           R"(,"peer_address":"10.10.)" + std::to_string(I / 250) + "." +
+           std::to_string(1 + I % 250) + R"(:8082"})";
+  };
+  auto server = [](int I) {
+    return R"({"name":")" + serverName(I) + R"(","state":"live"})";
+  };
+  return R"({"sequence":)" + std::to_string(Sequence) + R"(,"instances":[)" +
+         joined(Of.Instances, instance) + R"(],"servers":[)" +
+         joined(Of.servers(), server) + "]}";
+}
+
+ConfigPtr parsedConfig(const std::string &Text) {
+  return checked(parseConfigDocument, Text);
+}
+
+ListPtr parsedList(const std::string &Text) {
+  return checked(parseInstanceList, Text);
+}
+
+} // namespace crocusspur::bench
--- /dev/null
+++ b/bench/capacity_documents.h
@@ -0,0 +1,37 @@
+// Published documents of a fleet of a given size, for the capacity benchmark.
+#ifndef CROCUSSPUR_BENCH_CAPACITY_DOCUMENTS_H
+#define CROCUSSPUR_BENCH_CAPACITY_DOCUMENTS_H
+
+#include "crocusspur/config_document.h"
+#include "crocusspur/instance_list.h"
+
+#include <string>
+
+namespace crocusspur::bench {
+
+// Servers and shards per instance are those of the target size: 600 servers
+// in 150 shards of one prefill and three decode servers at 400 instances.
+struct Fleet {
+  int Instances = 400;
+  int Groups = 5200;
+
+  int shards() const { return Instances * 150 / 400; }
+  int servers() const { return shards() * 4; }
+  int models() const { return shards() < 22 ? shards() : 22; }
+};
+
+std::string instanceName(int Index);
+std::string groupName(int Index);
+std::string modelName(int Index);
+
+std::string configText(const Fleet &Of, uint64_t Version);
+// With `Leaving` at least 0, that instance is listed as leaving.
+std::string listText(const Fleet &Of, uint64_t Sequence, int Leaving = -1);
+
+// Throw std::runtime_error if the text doesn't parse.
+ConfigPtr parsedConfig(const std::string &Text);
+ListPtr parsedList(const std::string &Text);
+
+} // namespace crocusspur::bench
+
+#endif
--- /dev/null
+++ b/bench/capacity_driver.cc
@@ -0,0 +1,379 @@
+#include "capacity_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusspur::bench {
+namespace {
+
+constexpr double OneWay = 0.0005; // seconds between failure domains
+constexpr double TickPeriod = 0.05;
+constexpr double HeartbeatSeconds = 0.5;
+constexpr double PollPeriod = 0.25;
+constexpr double TokenSeconds = 0.029;
+constexpr double PrefillTokensPerSecond = 100000;
+constexpr uint32_t BlockTokens = 256;
+constexpr uint32_t MaxBlocks = 16;
+constexpr uint64_t PeerIncarnation = 1000; // plus the index of the peer
+
+uint64_t incarnationOf(int Index) {
+  return PeerIncarnation + static_cast<uint64_t>(Index);
+}
+
+} // namespace
+
+CapacityDriver::CapacityDriver(DriverOptions Given)
+    : Options(Given), Random(Given.Seed) {
+  CoreSettings.Instance = instanceName(Options.Self);
+  CoreSettings.Region = Options.Self % 5 < 3 ? "ie-west" : "kr-central";
+  CoreSettings.FailureDomain = "fd-" + std::to_string(Options.Self % 5);
+  CoreSettings.Incarnation = incarnationOf(Options.Self);
+  CoreSettings.TicketKey = 1;
+  Config = parsedConfig(configText(Options.Size, 1));
+  List = parsedList(listText(Options.Size, 1));
+  for (const ModelConfig &model : Config->Models)
+    for (const ShardConfig &it : model.Shards)
+      Shards[it.Name] = &it;
+  for (int i = 0; i < Options.Size.Instances; ++i)
+    if (i != Options.Self) {
+      PeerNames.push_back(instanceName(i));
+      Peers[PeerNames.back()].Number = 1000;
+    }
+  Core = std::make_unique<DecisionCore>(CoreSettings);
+  start();
+}
+
+CapacityDriver::~CapacityDriver() = default;
+
+void CapacityDriver::after(double Seconds, std::function<void()> Run) {
+  auto delay = std::chrono::duration_cast<TimePoint::duration>(
+      std::chrono::duration<double>(Seconds));
+  Agenda.push({Now + delay, ++Orders, std::move(Run)});
+}
+
+void CapacityDriver::every(double Seconds, double First,
+                           std::function<void()> Run) {
+  after(First, [this, Seconds, Run] {
+    Run();
+    every(Seconds, Seconds, Run);
+  });
+}
+
+double CapacityDriver::arrivalGap(double Rate) {
+  return std::exponential_distribution<>(Rate)(Random);
+}
+
+void CapacityDriver::start() {
+  give("ConfigPublished", ConfigPublished{Config});
+  give("ListPublished", ListPublished{List});
+  every(TickPeriod, TickPeriod, [this] { give("TimerFired", TimerFired{}); });
+  every(PollPeriod, PollPeriod, [this] { poll(); });
+  for (size_t i = 0; i < PeerNames.size(); ++i) {
+    const std::string &peer = PeerNames[i];
+    int index = static_cast<int>(i) + (static_cast<int>(i) >= Options.Self);
+    give("PeerLinkChanged", PeerLinkChanged{peer, incarnationOf(index), true});
+    double phase = HeartbeatSeconds * static_cast<double>(i) /
+                   static_cast<double>(PeerNames.size());
+    every(HeartbeatSeconds, 0.001 + phase, [this, peer] { beat(peer); });
+  }
+  if (Options.EntryRate > 0)
+    after(2, [this] { arrive(); });
+  if (Options.ShardRate > 0)
+    after(2.5, [this] {
+      for (const auto &[name, shard] : Shards)
+        if (std::binary_search(Polled.begin(), Polled.end(),
+                               shard->Servers.front()))
+          acquireFrom(name);
+    });
+}
+
+void CapacityDriver::runFor(Milliseconds Duration) {
+  TimePoint end = Now + Duration;
+  while (!Agenda.empty() && Agenda.top().At <= end) {
+    Due next = Agenda.top();
+    Agenda.pop();
+    Now = std::max(Now, next.At);
+    next.Run();
+  }
+  Now = end;
+}
+
+void CapacityDriver::give(const std::string &Kind, EventBody Body) {
+  Event event{Now, WallTime(Now.time_since_epoch()), std::move(Body)};
+  ActionList actions;
+  double from = processorSeconds();
+  Core->handle(event, actions);
+  Counts.addEvent(Kind, processorSeconds() - from);
+  for (Action &it : actions)
+    carryOut(it);
+}
+
+// Heartbeats of a peer: it has confirmed the same list and renews the leases
+// of its requests.
+void CapacityDriver::beat(const std::string &Peer) {
+  PeerState &state = Peers.at(Peer);
+  Heartbeat message;
+  message.ConfigVersion = Config->Version;
+  message.ConfigDigest = Config->Digest;
+  message.ListSequence = List->Sequence;
+  if (Options.PeersConfirm)
+    message.ListDigest = List->Digest;
+  message.ListChanges = List->Sequence;
+  message.Number = ++state.Number;
+  message.Echo = state.Echo;
+  message.ReadsPlatform = Peer < instanceName(10);
+  for (const auto &[shard, summary] : state.Leases)
+    if (summary.Count > 0)
+      message.Leases.push_back(summary);
+  fromPeer(Peer, std::move(message));
+}
+
+void CapacityDriver::fromPeer(const std::string &Peer, PeerMessage Message) {
+  int index = std::stoi(Peer.substr(5));
+  std::string kind = kindOf(Message);
+  give(kind, PeerReceived{Peer, incarnationOf(index), std::move(Message)});
+}
+
+void CapacityDriver::poll() {
+  for (const std::string &it : Polled) {
+    LoadReported report;
+    report.Server = it;
+    report.Epoch = 7;
+    report.RequestIds = Running[it];
+    report.Running = static_cast<uint32_t>(report.RequestIds.size());
+    report.Slots = 128;
+    report.Age = Milliseconds{100};
+    give("LoadReported", std::move(report));
+  }
+}
+
+uint32_t CapacityDriver::promptTokens() {
+  // Median 400 and mean about 1,700 tokens, from tens to tens of thousands.
+  double tokens = std::lognormal_distribution<>(6.0, 1.7)(Random);
+  return static_cast<uint32_t>(std::clamp(tokens, 10.0, 40000.0));
+}
+
+uint32_t CapacityDriver::outputTokens() {
+  // 1.7 million tokens a second of 6,300 requests a second.
+  double tokens = std::exponential_distribution<>(1 / 270.0)(Random);
+  return static_cast<uint32_t>(std::clamp(tokens, 1.0, 1024.0));
+}
+
+RequestSpec CapacityDriver::makeSpec() {
+  RequestSpec spec;
+  spec.Group = groupName(
+      static_cast<int>(Random() % static_cast<uint64_t>(Options.Size.Groups)));
+  spec.Target = modelName(static_cast<int>(
+      Random() % static_cast<uint64_t>(Options.Size.models())));
+  spec.PromptTokens = promptTokens();
+  spec.MaxOutputTokens = 1024;
+  spec.PrefixHashes.resize(
+      std::min(spec.PromptTokens / BlockTokens, MaxBlocks));
+  for (uint64_t &it : spec.PrefixHashes)
+    it = Random();
+  spec.Fingerprint = Random();
+  return spec;
+}
+
+void CapacityDriver::arrive() {
+  after(arrivalGap(Options.EntryRate), [this] { arrive(); });
+  RequestId id{CoreSettings.Incarnation, ++Sequence};
+  Open[id].Tokens = outputTokens();
+  give("RequestArrived", RequestArrived{id, makeSpec(), ""});
+}
+
+// A peer's entry asks for one of its requests.
+void CapacityDriver::acquireFrom(const std::string &Shard) {
+  after(arrivalGap(Options.ShardRate), [this, Shard] { acquireFrom(Shard); });
+  size_t peer = Random() % PeerNames.size();
+  RequestSpec spec = makeSpec();
+  AcquireRequest message;
+  message.Id = {incarnationOf(std::stoi(PeerNames[peer].substr(5))),
+                ++Sequence};
+  message.Shard = Shard;
+  message.Group = spec.Group;
+  message.Class = Config->findGroup(spec.Group)->Class;
+  message.PromptTokens = spec.PromptTokens;
+  message.MaxOutputTokens = spec.MaxOutputTokens;
+  message.PrefixHashes = spec.PrefixHashes;
+  message.TimeLeft = Microseconds{510000};
+  message.Fingerprint = spec.Fingerprint;
+  Held[message.Id] = {PeerNames[peer], Shard, outputTokens()};
+  lease(message.Id, true);
+  fromPeer(PeerNames[peer], std::move(message));
+}
+
+// Keeps the summary that the peer's heartbeats carry.
+void CapacityDriver::lease(const RequestId &Id, bool Begins) {
+  const Request &request = Held.at(Id);
+  LeaseSummary &summary = Peers.at(request.Entry).Leases[request.Shard];
+  summary.Shard = request.Shard;
+  summary.Count += Begins ? 1 : -1;
+  summary.Digest ^= std::hash<RequestId>()(Id);
+  if (!Begins)
+    Held.erase(Id);
+}
+
+void CapacityDriver::carryOut(Action &Item) {
+  if (auto *send = std::get_if<SendToPeer>(&Item))
+    perform(*send);
+  else if (auto *prefill = std::get_if<StartPrefill>(&Item))
+    perform(*prefill);
+  else if (auto *decode = std::get_if<StartDecode>(&Item))
+    perform(*decode);
+  else if (auto *polled = std::get_if<SetPolledServers>(&Item))
+    Polled = polled->Servers;
+  else if (auto *config = std::get_if<UseConfig>(&Item))
+    ConfigInForce = config->Document->Version;
+  else if (auto *error = std::get_if<AnswerError>(&Item)) {
+    ++Failed;
+    after(0, [this, id = error->Id] { close(id, false); });
+  }
+}
+
+void CapacityDriver::perform(const StartPrefill &Item) {
+  double tokens = promptTokens();
+  after(OneWay + tokens / PrefillTokensPerSecond, [this, Item] {
+    finish(Item.Id, Item.Attempt, Stage::Prefill, Item.Server, 0);
+  });
+}
+
+void CapacityDriver::perform(const StartDecode &Item) {
+  auto open = Open.find(Item.Id);
+  if (open == Open.end())
+    return;
+  uint32_t tokens = open->second.Tokens;
+  Running[Item.Server].push_back(Item.Id);
+  after(0.05, [this, Item] {
+    give("StageProgress", StageProgress{Item.Id, Item.Attempt, 1});
+  });
+  after(0.05 + TokenSeconds * tokens, [this, Item, tokens] {
+    std::erase(Running[Item.Server], Item.Id);
+    finish(Item.Id, Item.Attempt, Stage::Decode, Item.Server, tokens);
+    close(Item.Id, true);
+  });
+}
+
+void CapacityDriver::finish(const RequestId &Id, uint32_t Attempt, Stage At,
+                            const std::string &Server, uint32_t Tokens) {
+  StageFinished body;
+  body.Id = Id;
+  body.Attempt = Attempt;
+  body.At = At;
+  body.Server = Server;
+  body.KvBytes = At == Stage::Prefill ? 200000000 : 0;
+  body.OutputTokens = Tokens;
+  give("StageFinished", std::move(body));
+}
+
+void CapacityDriver::close(const RequestId &Id, bool Delivered) {
+  if (Open.erase(Id) == 0)
+    return;
+  Completed += Delivered;
+  give("RequestClosed", RequestClosed{Id, Delivered});
+}
+
+void CapacityDriver::perform(SendToPeer &Item) {
+  Counts.addSent(Item.Message);
+  auto peer = Peers.find(Item.Instance);
+  if (peer == Peers.end())
+    return;
+  if (auto *beat = std::get_if<Heartbeat>(&Item.Message)) {
+    peer->second.Echo = beat->Number;
+    return;
+  }
+  if (std::holds_alternative<ConfigRequest>(Item.Message)) {
+    ++Questions;
+    after(std::chrono::duration<double>(OfferDelay).count(),
+          [this, to = Item.Instance] {
+            fromPeer(to, ConfigOffer{Config->Text});
+          });
+    return;
+  }
+  if (std::holds_alternative<ListRequest>(Item.Message)) {
+    ++Questions;
+    after(std::chrono::duration<double>(OfferDelay).count(),
+          [this, to = Item.Instance] { fromPeer(to, ListOffer{List->Text}); });
+    return;
+  }
+  after(2 * OneWay,
+        [this, to = Item.Instance, message = std::move(Item.Message)] {
+          answerAsOwner(to, message);
+          answerAsEntry(to, message);
+        });
+}
+
+// The peer owns the shard and grants at once.
+void CapacityDriver::answerAsOwner(const std::string &Peer,
+                                   const PeerMessage &Message) {
+  if (auto *ask = std::get_if<AcquireRequest>(&Message)) {
+    const ShardConfig &shard = *Shards.at(ask->Shard);
+    fromPeer(Peer, PrefillGrant{ask->Id, ask->Shard, ask->Attempt,
+                                shard.Servers[0], "", 1700000000000, 0});
+  } else if (auto *done = std::get_if<PrefillDone>(&Message)) {
+    const ShardConfig &shard = *Shards.at(done->Shard);
+    fromPeer(Peer, DecodeGrant{done->Id, done->Shard, done->Attempt,
+                               shard.Servers[1 + Random() % 3], 1700000000000});
+  }
+}
+
+// The peer is the entry of a request at a shard of this instance.
+void CapacityDriver::answerAsEntry(const std::string &Peer,
+                                   const PeerMessage &Message) {
+  if (auto *prefill = std::get_if<PrefillGrant>(&Message)) {
+    double seconds = promptTokens() / PrefillTokensPerSecond;
+    after(seconds, [this, Peer, grant = *prefill] {
+      if (Held.count(grant.Id))
+        fromPeer(Peer,
+                 PrefillDone{grant.Id, grant.Shard, grant.Attempt, 200000000});
+    });
+  } else if (auto *decode = std::get_if<DecodeGrant>(&Message)) {
+    auto held = Held.find(decode->Id);
+    if (held == Held.end())
+      return;
+    uint32_t tokens = held->second.Tokens;
+    Running[decode->DecodeServer].push_back(decode->Id);
+    after(0.05 + TokenSeconds * tokens, [this, Peer, tokens, grant = *decode] {
+      std::erase(Running[grant.DecodeServer], grant.Id);
+      if (!Held.count(grant.Id))
+        return;
+      lease(grant.Id, false);
+      ++Completed;
+      fromPeer(Peer, Finished{grant.Id, grant.Shard, grant.Attempt,
+                              FinishReason::Completed, tokens, true});
+    });
+  } else if (auto *refusal = std::get_if<Refusal>(&Message)) {
+    ++Failed;
+    if (Held.count(refusal->Id))
+      lease(refusal->Id, false);
+  }
+}
+
+void CapacityDriver::announceConfig(const ConfigPtr &Document,
+                                    Milliseconds Delay) {
+  Config = Document;
+  OfferDelay = Delay;
+  Shards.clear();
+  for (const ModelConfig &model : Config->Models)
+    for (const ShardConfig &it : model.Shards)
+      Shards[it.Name] = &it;
+}
+
+void CapacityDriver::announceList(const ListPtr &Newer, Milliseconds Delay) {
+  List = Newer;
+  OfferDelay = Delay;
+}
+
+uint64_t CapacityDriver::dropCore() {
+  // The documents are the core's as well; the driver's references keep them.
+  uint64_t before = heapBytes();
+  Core.reset();
+  uint64_t held = before - heapBytes();
+  before = heapBytes();
+  Shards.clear();
+  Config.reset();
+  List.reset();
+  return held + before - heapBytes();
+}
+
+} // namespace crocusspur::bench
--- /dev/null
+++ b/bench/capacity_driver.h
@@ -0,0 +1,130 @@
+// One decision core in virtual time among simulated peers, callers and backend
+// servers: what an instance meets in a fleet of the given size. All randomness
+// comes from the seed.
+#ifndef CROCUSSPUR_BENCH_CAPACITY_DRIVER_H
+#define CROCUSSPUR_BENCH_CAPACITY_DRIVER_H
+
+#include "capacity_documents.h"
+#include "capacity_meter.h"
+
+#include "crocusspur/decision_core.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace crocusspur::bench {
+
+struct DriverOptions {
+  Fleet Size;
+  int Self = 0;             // index of the instance that runs the core
+  double EntryRate = 0;     // requests a second of its own callers
+  double ShardRate = 0;     // requests a second that peers send to each shard
+  bool PeersConfirm = true; // the list; false: they are silent about lists
+  uint64_t Seed = 1;
+};
+
+class CapacityDriver {
+public:
+  explicit CapacityDriver(DriverOptions Given);
+  ~CapacityDriver();
+
+  void runFor(Milliseconds Duration);
+  // Gives the event to the core and carries out what it answers.
+  void give(const std::string &Kind, EventBody Body);
+  // Peers name these versions on their heartbeats from now on. They answer
+  // each question for a newer version after the delay, which stands for the
+  // time on the wire.
+  void announceConfig(const ConfigPtr &Document, Milliseconds Delay);
+  void announceList(const ListPtr &Newer, Milliseconds Delay);
+
+  Meter &meter() { return Counts; }
+  size_t openRequests() const { return Open.size(); }
+  size_t ownedRequests() const { return Held.size(); }
+  size_t ownedShards() const { return Polled.size() / 4; }
+  uint64_t questions() const { return Questions; } // for newer versions
+  uint64_t completed() const { return Completed; }
+  uint64_t failed() const { return Failed; }
+  uint64_t configInForce() const { return ConfigInForce; }
+  // Bytes that the core holds; destroys it.
+  uint64_t dropCore();
+
+private:
+  struct Due {
+    TimePoint At;
+    uint64_t Order;
+    std::function<void()> Run;
+  };
+  struct Later {
+    bool operator()(const Due &A, const Due &B) const {
+      return A.At != B.At ? A.At > B.At : A.Order > B.Order;
+    }
+  };
+  // A request of the own callers or, with an entry, of a peer's.
+  struct Request {
+    std::string Entry;
+    std::string Shard;
+    uint32_t Tokens = 0;
+  };
+  struct PeerState {
+    uint64_t Number = 0; // of its last heartbeat
+    uint64_t Echo = 0;   // highest number received from the core
+    std::map<std::string, LeaseSummary> Leases;
+  };
+
+  void after(double Seconds, std::function<void()> Run);
+  void every(double Seconds, double First, std::function<void()> Run);
+  double arrivalGap(double Rate);
+  void start();
+  void tick();
+  void beat(const std::string &Peer);
+  void poll();
+  void arrive();
+  void acquireFrom(const std::string &Shard);
+  void carryOut(Action &Item);
+  void perform(SendToPeer &Item);
+  void perform(const StartPrefill &Item);
+  void perform(const StartDecode &Item);
+  void answerAsOwner(const std::string &Peer, const PeerMessage &Message);
+  void answerAsEntry(const std::string &Peer, const PeerMessage &Message);
+  void fromPeer(const std::string &Peer, PeerMessage Message);
+  void finish(const RequestId &Id, uint32_t Attempt, Stage At,
+              const std::string &Server, uint32_t Tokens);
+  void close(const RequestId &Id, bool Delivered);
+  void lease(const RequestId &Id, bool Begins);
+  RequestSpec makeSpec();
+  uint32_t promptTokens();
+  uint32_t outputTokens();
+
+  DriverOptions Options;
+  CoreOptions CoreSettings;
+  std::mt19937_64 Random;
+  TimePoint Now = TimePoint(std::chrono::hours(24));
+  uint64_t Orders = 0;
+  uint64_t Sequence = 0;
+  std::priority_queue<Due, std::vector<Due>, Later> Agenda;
+  std::unique_ptr<DecisionCore> Core;
+  Meter Counts;
+  ConfigPtr Config; // that the peers have
+  ListPtr List;
+  Milliseconds OfferDelay{0};
+  std::map<std::string, PeerState> Peers;
+  std::vector<std::string> PeerNames;
+  std::map<std::string, const ShardConfig *> Shards;
+  std::map<RequestId, Request> Open; // of the own callers
+  std::map<RequestId, Request> Held; // of peers, at shards of this instance
+  std::map<std::string, std::vector<RequestId>> Running; // by polled server
+  std::vector<std::string> Polled;
+  uint64_t Questions = 0;
+  uint64_t Completed = 0;
+  uint64_t Failed = 0;
+  uint64_t ConfigInForce = 0;
+};
+
+} // namespace crocusspur::bench
+
+#endif
--- /dev/null
+++ b/bench/capacity_meter.h
@@ -0,0 +1,53 @@
+// Processor time for each kind of event and bytes for each kind of message, as
+// the capacity benchmark counts them.
+#ifndef CROCUSSPUR_BENCH_CAPACITY_METER_H
+#define CROCUSSPUR_BENCH_CAPACITY_METER_H
+
+#include "crocusspur/peer_message.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace crocusspur::bench {
+
+// Processor time of this process in seconds.
+double processorSeconds();
+// Bytes that the allocator has given out.
+uint64_t heapBytes();
+// Resident memory of this process in bytes.
+uint64_t residentBytes();
+
+struct Cost {
+  uint64_t Count = 0;
+  double Seconds = 0;
+  double Longest = 0;
+};
+
+class Meter {
+public:
+  void clear() { *this = Meter(); }
+  void addEvent(const std::string &Kind, double Seconds);
+  // Encodes the message as the peer links do and counts its frame.
+  void addSent(const PeerMessage &Message);
+  double handlingSeconds() const;
+
+  // Prints one JSON line for each kind of event and message, and the totals.
+  // `Head` is the start of each line, without the opening brace.
+  void print(const std::string &Head, double VirtualSeconds) const;
+
+private:
+  std::map<std::string, Cost> Events;
+  struct Traffic {
+    uint64_t Count = 0;
+    uint64_t Bytes = 0;
+    double Seconds = 0; // of encoding
+  };
+  std::map<std::string, Traffic> Sent;
+};
+
+std::string kindOf(const PeerMessage &Message);
+
+} // namespace crocusspur::bench
+
+#endif
