Visit only groups that wait in the fair queue

Cause: a shard knows all 5,200 groups of the configuration, and every search for the next request, its wait and the interactive lead walked all of them.

Change: the queue keeps the groups with waiting requests in order of name and visits these only.

Conclusion: the owner's cost no longer grows with the number of groups.

--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -21,6 +21,7 @@
     double now = VirtualTime[group.batch()];
     double most = now + lead(group) + Item.Cost.total() / group.Share;
     group.Tag = std::clamp(group.Tag, now, most);
+    WaitingGroups.emplace(Item.Group, &group);
   }
   group.Queue.push_back(Item);
   group.Waiting.add(Item.Cost);
@@ -31,22 +32,24 @@
   Group &group = Groups[Item.Group];
   group.Queue.erase(group.Queue.iterator_to(Item));
   group.Waiting.add(Item.Cost, -1);
-  if (group.Queue.empty())
+  if (group.Queue.empty()) {
     group.Waiting = {};
+    WaitingGroups.erase(Item.Group);
+  }
   --Count;
 }
 
 QueuedItem *
 FairQueue::next(const std::function<bool(const QueuedItem &)> &Eligible) const {
   const Group *best = nullptr;
-  for (const auto &[name, group] : Groups) {
-    if (group.Queue.empty() || !Eligible(group.Queue.front()))
+  for (const auto &[name, group] : WaitingGroups) {
+    if (!Eligible(group->Queue.front()))
       continue;
     auto rank = [&](const Group &It) {
       return std::make_pair(It.batch(), key(It));
     };
-    if (!best || rank(group) < rank(*best))
-      best = &group;
+    if (!best || rank(*group) < rank(*best))
+      best = group;
   }
   return best ? const_cast<QueuedItem *>(&best->Queue.front()) : nullptr;
 }
@@ -65,11 +68,11 @@
 }
 
 void FairQueue::reprice(const std::function<Work(const QueuedItem &)> &Price) {
-  for (auto &[name, group] : Groups) {
-    group.Waiting = {};
-    for (QueuedItem &it : group.Queue) {
+  for (auto &[name, group] : WaitingGroups) {
+    group->Waiting = {};
+    for (QueuedItem &it : group->Queue) {
       it.Cost = Price(it);
-      group.Waiting.add(it.Cost);
+      group->Waiting.add(it.Cost);
     }
   }
 }
@@ -94,21 +97,20 @@
   auto own = Groups.find(Name);
   if (own == Groups.end())
     return 1;
-  double sum = 0;
-  for (const auto &[name, group] : Groups)
-    if (group.batch() == own->second.batch() &&
-        (name == Name || !group.Queue.empty()))
-      sum += group.Share;
+  double sum = own->second.Queue.empty() ? own->second.Share : 0;
+  for (const auto &[name, group] : WaitingGroups)
+    if (group->batch() == own->second.batch())
+      sum += group->Share;
   return own->second.Share / sum;
 }
 
 double FairQueue::lead(const Group &Of) const {
   if (Of.Class != RequestClass::Interactive || Lead <= 0)
     return 0;
-  double sum = 0;
-  for (const auto &[name, group] : Groups)
-    if (!group.batch() && (&group == &Of || !group.Queue.empty()))
-      sum += group.Share;
+  double sum = Of.Queue.empty() ? Of.Share : 0;
+  for (const auto &[name, group] : WaitingGroups)
+    if (!group->batch())
+      sum += group->Share;
   return Lead / sum;
 }
 
@@ -117,15 +119,15 @@
       Of.Queue.empty() ? std::max(Of.Tag, VirtualTime[Of.batch()]) : Of.Tag;
   double reached = tag + OwnAhead.total() / Of.Share - lead(Of);
   Work sum = OwnAhead;
-  for (const auto &[name, group] : Groups) {
-    if (&group == &Of || group.Queue.empty() || (group.batch() && !Of.batch()))
+  for (const auto &[name, group] : WaitingGroups) {
+    if (group == &Of || (group->batch() && !Of.batch()))
       continue;
-    double waiting = group.Waiting.total();
-    double served = std::max(0.0, (reached - key(group)) * group.Share);
-    double part = group.batch() == Of.batch() && waiting > 0
+    double waiting = group->Waiting.total();
+    double served = std::max(0.0, (reached - key(*group)) * group->Share);
+    double part = group->batch() == Of.batch() && waiting > 0
                       ? std::min(1.0, served / waiting)
                       : 1.0;
-    sum.add(group.Waiting, part);
+    sum.add(group->Waiting, part);
   }
   return sum;
 }
@@ -137,10 +139,10 @@
 
 void FairQueue::forEach(
     const std::function<void(QueuedItem &, const Work &)> &Each) {
-  for (auto &[name, group] : Groups) {
+  for (auto &[name, group] : WaitingGroups) {
     Work own;
-    for (QueuedItem &it : group.Queue) {
-      Each(it, aheadOf(group, own));
+    for (QueuedItem &it : group->Queue) {
+      Each(it, aheadOf(*group, own));
       own.add(it.Cost);
     }
   }
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -91,6 +91,9 @@
   Work aheadOf(const Group &Of, const Work &OwnAhead) const;
 
   std::map<std::string, Group> Groups;
+  // Groups whose queue isn't empty. A shard knows every group of the
+  // configuration, thousands of them, while few have work that waits.
+  std::map<std::string, Group *> WaitingGroups;
   double VirtualTime[2] = {0, 0}; // of batch and of all other groups
   double Lead = 0;
   double Lookahead = 1e9;
