Look up output lengths and shares once in the shard scheduler

Cause: each question for the start of a prefill looked up the output lengths and the token rate for each of some 310 running decodes by name, and summed the shares of all groups. Each owned shard copied all token digests, and all groups again with each list change.

Change: a lease keeps its histogram, rates are computed once for each server, shares are summed when the configuration changes, digests aren't copied.

--- a/src/shard_admission.cc
+++ b/src/shard_admission.cc
@@ -34,8 +34,10 @@
   return static_cast<double>(Lease.PromptTokens) * Servers.kvBytesPerToken();
 }
 
-OutputLengths &ShardScheduler::lengths(const ShardLease &Lease) {
-  return Lengths[{Lease.Group, Lease.Class}];
+OutputLengths &ShardScheduler::lengths(ShardLease &Lease) {
+  if (!Lease.Learned)
+    Lease.Learned = &Lengths[{Lease.Group, Lease.Class}];
+  return *Lease.Learned;
 }
 
 Work ShardScheduler::cost(const ShardLease &Lease) const {
@@ -90,14 +92,18 @@
 
 std::vector<RunningDecode>
 ShardScheduler::running(const std::vector<ShardServer *> &On, TimePoint Now) {
+  std::vector<double> rates;
+  for (const ShardServer *it : On)
+    rates.push_back(tokenRate(it->Config.Name));
   std::vector<RunningDecode> found;
-  for (const ShardLease &lease : Decoding) {
+  found.reserve(Decoding.size());
+  for (ShardLease &lease : Decoding) {
     auto at = std::find_if(On.begin(), On.end(), [&](const ShardServer *It) {
       return It->Config.Name == lease.DecodeServer;
     });
     if (at == On.end())
       continue;
-    double rate = tokenRate(lease.DecodeServer);
+    double rate = rates[static_cast<size_t>(at - On.begin())];
     // Negative while the transfer lasts.
     double tokens = seconds(lease.DecodeStart, Now) * rate;
     found.push_back(
@@ -181,8 +187,8 @@
           {&NothingLearned, TypicalMaxTokens, 0, tokenRate(it->Config.Name)});
   }
   // Prefills under way will decode and end as well.
-  for (const StageList *list : {&Prefilling, &Ready})
-    for (const ShardLease &it : *list) {
+  for (StageList *list : {&Prefilling, &Ready})
+    for (ShardLease &it : *list) {
       double rate = tokenRate(it.DecodeServer);
       double wait = std::max(0.0, seconds(Now, it.PrefillEnd));
       ask.Running.push_back(
--- a/src/shard_lease.h
+++ b/src/shard_lease.h
@@ -5,6 +5,7 @@
 
 #include "crocusspur/peer_message.h"
 #include "fair_queue.h"
+#include "output_lengths.h"
 
 #include <algorithm>
 #include <boost/intrusive_ptr.hpp>
@@ -47,6 +48,7 @@
   double Paid = 0;            // slot seconds charged so far
   double Lookahead = 0;       // part of Paid for use that is still to come
   bool PrefillUnused = false; // started, and not known to be used
+  OutputLengths *Learned = nullptr; // of its group and class, once looked up
   // Servers that may hold something for the request.
   std::vector<std::string> Touched;
 
--- a/src/shard_scheduler.h
+++ b/src/shard_scheduler.h
@@ -101,7 +101,7 @@
   double kvBytes(const ShardLease &Lease) const;
   double slotsPerDecodeServer() const;
   Work cost(const ShardLease &Lease) const;
-  OutputLengths &lengths(const ShardLease &Lease);
+  OutputLengths &lengths(ShardLease &Lease);
   double tokenRate(const std::string &Server) const;
   std::vector<RunningDecode> running(const std::vector<ShardServer *> &On,
                                      TimePoint Now);
@@ -174,6 +174,7 @@
   FairQueue Queue;
   // Placed again before anything in the queue; their groups have paid.
   std::vector<ShardLeasePtr> Again;
+  // Leases point at their entries, so none is erased.
   std::map<std::pair<std::string, RequestClass>, OutputLengths> Lengths;
   OutputLengths AllLengths;
   PrefixAffinity Affinity;
--- a/src/shard_servers.cc
+++ b/src/shard_servers.cc
@@ -37,16 +37,33 @@
   return Config.Slots / count + (rank < Config.Slots % count ? 1 : 0);
 }
 
+void ShardServers::syncGroups(const ConfigDocument &Config) {
+  Groups.clear();
+  InteractiveShare = OnlineShare = 0;
+  for (const GroupConfig &it : Config.Groups) {
+    GroupConfig &group = Groups[it.Name];
+    group = it;
+    // Only entries check tokens, and they are most of a group's text.
+    group.TokenDigests = {};
+    if (it.Class == RequestClass::Batch)
+      continue;
+    OnlineShare += it.Share;
+    InteractiveShare += it.Class == RequestClass::Interactive ? it.Share : 0;
+  }
+}
+
 bool ShardServers::sync(const CoreContext &Context) {
   if (Synced && Version == Context.Config.Version &&
       Sequence == Context.List.Sequence)
     return false;
+  bool configChanged = !Synced || Version != Context.Config.Version ||
+                       Digest != Context.Config.Digest;
   Synced = true;
+  Digest = Context.Config.Digest;
   Version = Context.Config.Version;
   Sequence = Context.List.Sequence;
-  Groups.clear();
-  for (const GroupConfig &it : Context.Config.Groups)
-    Groups[it.Name] = it;
+  if (configChanged)
+    syncGroups(Context.Config);
   for (auto &[name, server] : Servers)
     server.Live = false;
   std::vector<std::string> members;
--- a/src/shard_servers.h
+++ b/src/shard_servers.h
@@ -40,6 +40,9 @@
   // The group's configuration; defaults for an unknown group.
   const GroupConfig &group(const std::string &Name) const;
   const std::map<std::string, GroupConfig> &groups() const { return Groups; }
+  // Sum of the shares of the interactive groups, and of all but batch groups.
+  double interactiveShare() const { return InteractiveShare; }
+  double onlineShare() const { return OnlineShare; }
   uint32_t kvBytesPerToken() const { return KvBytesPerToken; }
   Milliseconds evictionTime() const { return EvictionTime; }
 
@@ -62,15 +65,19 @@
                          double Bytes, TimePoint Now) const;
 
 private:
+  void syncGroups(const ConfigDocument &Config);
   uint32_t slotsFor(const CoreContext &Context,
                     const ServerConfig &Config) const;
 
   std::string Shard;
   std::map<std::string, ShardServer> Servers;
   std::map<std::string, GroupConfig> Groups;
+  double InteractiveShare = 0;
+  double OnlineShare = 0;
   uint32_t KvBytesPerToken = 131072;
   Milliseconds EvictionTime{800};
   uint64_t Version = 0;
+  uint64_t Digest = 0;
   uint64_t Sequence = 0;
   bool Synced = false;
 };
--- a/src/shard_start.cc
+++ b/src/shard_start.cc
@@ -115,17 +115,12 @@
 // slots in use.
 size_t ShardScheduler::expectedInteractive(CoreContext &Context) const {
   double window = Seconds(Context.Options.InteractiveWaitBound).count();
-  double share = 0, sum = 0, slots = 0;
-  for (const auto &[name, group] : Servers.groups()) {
-    if (group.Class == RequestClass::Batch)
-      continue;
-    sum += group.Share;
-    share += group.Class == RequestClass::Interactive ? group.Share : 0;
-  }
+  double slots = 0;
   for (const auto &[name, it] : Servers.all())
     if (it.Live && it.decodes())
       slots += it.Estimate.slots();
-  double most = sum > 0 ? slots * share / sum : slots;
+  double sum = Servers.onlineShare();
+  double most = sum > 0 ? slots * Servers.interactiveShare() / sum : slots;
   double expected = std::ceil(InteractiveRate * 2 * window);
   return static_cast<size_t>(std::max(1.0, std::min(expected, most)));
 }
