Find groups, servers and tokens by binary search

Cause: the choice of a shard searched 5,200 groups and 600 servers linearly for each shard of the model, and authentication searched all token digests.

Change: documents and lists keep their positions in order of name. Positions survive copies. A document that was made without an index is searched as before.

--- a/include/crocusspur/config_document.h
+++ b/include/crocusspur/config_document.h
@@ -9,6 +9,7 @@
 #include <boost/leaf/result.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocusspur {
@@ -72,6 +73,15 @@
   std::vector<ServerConfig> Servers;
   uint64_t Digest = 0; // xxHash64 of Text
   std::string Text;    // the document as published
+  // Positions in Groups and Servers in order of name, and of every token
+  // digest (group, position) in order of digest. Filled by buildIndex(); while
+  // their sizes differ from what they index, the find functions search all.
+  std::vector<uint32_t> GroupsByName;
+  std::vector<uint32_t> ServersByName;
+  std::vector<std::pair<uint32_t, uint32_t>> DigestsInOrder;
+
+  // To be called again after a name or digest has changed.
+  void buildIndex();
 
   const GroupConfig *findGroup(const std::string &Name) const;
   const GroupConfig *findGroupByTokenDigest(const std::string &Digest) const;
--- a/include/crocusspur/instance_list.h
+++ b/include/crocusspur/instance_list.h
@@ -33,7 +33,13 @@
   std::vector<InstanceEntry> Instances;
   std::vector<ServerEntry> Servers;
   std::string Text;
+  // Positions in order of name. Filled by buildIndex(); while their sizes
+  // differ from what they index, the find functions search all.
+  std::vector<uint32_t> InstancesByName;
+  std::vector<uint32_t> ServersByName;
 
+  // To be called again after a name has changed.
+  void buildIndex();
   const InstanceEntry *findInstance(const std::string &Name) const;
   bool isLive(const std::string &Instance) const;
   // Servers absent from the list count as leaving: they get no new work.
--- a/src/config_document.cc
+++ b/src/config_document.cc
@@ -1,6 +1,7 @@
 #include "crocusspur/config_document.h"
 
 #include "json_reader.h"
+#include "name_order.h"
 
 #include <Poco/Net/IPAddress.h>
 #include <algorithm>
@@ -152,6 +153,7 @@
   Root.forEach("models", [&](JsonReader &Reader) { readModel(Reader); });
   Root.forEach("services", [&](JsonReader &Reader) { readService(Reader); });
   Root.forEach("servers", [&](JsonReader &Reader) { readServer(Reader); });
+  Document.buildIndex();
   for (const ServerReference &it : References)
     checkReference(it);
   checkDecodeServers();
@@ -331,16 +333,41 @@
   return "service";
 }
 
+void ConfigDocument::buildIndex() {
+  GroupsByName = internal::orderByName(Groups);
+  ServersByName = internal::orderByName(Servers);
+  DigestsInOrder.clear();
+  for (uint32_t i = 0; i < Groups.size(); ++i)
+    for (uint32_t k = 0; k < Groups[i].TokenDigests.size(); ++k)
+      DigestsInOrder.emplace_back(i, k);
+  std::sort(DigestsInOrder.begin(), DigestsInOrder.end(),
+            [this](const auto &A, const auto &B) {
+              return Groups[A.first].TokenDigests[A.second] <
+                     Groups[B.first].TokenDigests[B.second];
+            });
+}
+
 const GroupConfig *ConfigDocument::findGroup(const std::string &Name) const {
-  return findByName(Groups, Name);
+  return internal::findOrdered(Groups, GroupsByName, Name);
 }
 
 const GroupConfig *
 ConfigDocument::findGroupByTokenDigest(const std::string &Digest) const {
-  for (const GroupConfig &it : Groups)
-    if (contains(it.TokenDigests, Digest))
-      return &it;
-  return nullptr;
+  if (DigestsInOrder.empty()) {
+    for (const GroupConfig &it : Groups)
+      if (contains(it.TokenDigests, Digest))
+        return &it;
+    return nullptr;
+  }
+  auto digestAt = [this](const auto &At) -> const std::string & {
+    return Groups[At.first].TokenDigests[At.second];
+  };
+  auto it = std::lower_bound(DigestsInOrder.begin(), DigestsInOrder.end(),
+                             Digest, [&](const auto &At, const auto &Wanted) {
+                               return digestAt(At) < Wanted;
+                             });
+  bool found = it != DigestsInOrder.end() && digestAt(*it) == Digest;
+  return found ? &Groups[it->first] : nullptr;
 }
 
 const ModelConfig *ConfigDocument::findModel(const std::string &Name) const {
@@ -353,7 +380,7 @@
 }
 
 const ServerConfig *ConfigDocument::findServer(const std::string &Name) const {
-  return findByName(Servers, Name);
+  return internal::findOrdered(Servers, ServersByName, Name);
 }
 
 const ModelConfig *
--- a/src/instance_list.cc
+++ b/src/instance_list.cc
@@ -2,6 +2,7 @@
 
 #include "crocusspur/errors.h"
 #include "json_reader.h"
+#include "name_order.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,11 +34,13 @@
 
 } // namespace
 
+void InstanceList::buildIndex() {
+  InstancesByName = internal::orderByName(Instances);
+  ServersByName = internal::orderByName(Servers);
+}
+
 const InstanceEntry *InstanceList::findInstance(const std::string &Name) const {
-  for (const InstanceEntry &it : Instances)
-    if (it.Name == Name)
-      return &it;
-  return nullptr;
+  return internal::findOrdered(Instances, InstancesByName, Name);
 }
 
 bool InstanceList::isLive(const std::string &Instance) const {
@@ -46,10 +49,8 @@
 }
 
 bool InstanceList::serverIsLive(const std::string &Server) const {
-  for (const ServerEntry &it : Servers)
-    if (it.Name == Server)
-      return it.State == MemberState::Live;
-  return false;
+  const ServerEntry *it = internal::findOrdered(Servers, ServersByName, Server);
+  return it && it->State == MemberState::Live;
 }
 
 boost::leaf::result<ListPtr> parseInstanceList(const std::string &Text) {
@@ -76,6 +77,7 @@
   if (!mistakes.Mistakes.empty())
     return boost::leaf::new_error(std::move(mistakes));
   list->Digest = digestOfLiveNames(*list);
+  list->buildIndex();
   return ListPtr(std::move(list));
 }
 
--- a/test/config_document_test.cc
+++ b/test/config_document_test.cc
@@ -139,3 +139,37 @@
   expected.insert(expected.begin(), "(document)");
   CHECK(mistakeKeys("[1") == expected);
 }
+
+// Guards against an index that finds a neighbour, or nothing, in a document of
+// many groups, and against one that goes wrong when the document is copied.
+TEST_CASE("ConfigDocument finds groups and servers among many and in copies") {
+  ConfigDocument original;
+  for (int i = 0; i < 100; ++i) {
+    GroupConfig group;
+    group.Name = "g" + std::to_string(i * 37 % 100);
+    for (const char *it : {"x", "a"})
+      group.TokenDigests.push_back(it + group.Name);
+    original.Groups.push_back(group);
+    original.Servers.push_back({"s" + std::to_string(i * 37 % 100)});
+  }
+  for (bool indexed : {false, true}) {
+    if (indexed)
+      original.buildIndex();
+    ConfigDocument copy = original;
+    for (int i = 0; i < 100; ++i) {
+      std::string name = "g" + std::to_string(i);
+      REQUIRE(copy.findGroup(name));
+      CHECK(copy.findGroup(name)->Name == name);
+      REQUIRE(copy.findGroupByTokenDigest("a" + name));
+      CHECK(copy.findGroupByTokenDigest("a" + name)->Name == name);
+      REQUIRE(copy.findServer("s" + std::to_string(i)));
+      CHECK(copy.findServer("s" + std::to_string(i))->Name ==
+            "s" + std::to_string(i));
+    }
+    for (const char *it : {"", "g100", "h"}) {
+      CHECK_FALSE(copy.findGroup(it));
+      CHECK_FALSE(copy.findServer(it));
+      CHECK_FALSE(copy.findGroupByTokenDigest(it));
+    }
+  }
+}
