Evaluate list confirmations without copying names

Cause: the evaluation runs every 50 ms over all instances and copied their names and statements into maps several times. A list named by several confirmers was counted once for each of them.

Change: confirmers are pointers in order of name, members are counted by merging, and each named list is counted once a round. The largest set in which every named list has its majority is the same.

--- a/src/list_confirmation.cc
+++ b/src/list_confirmation.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/JSON/Object.h>
 #include <algorithm>
+#include <iterator>
 #include <sstream>
 #include <utility>
 #include <xxhash.h>
@@ -25,13 +26,6 @@
 // safe, and this bounds the heartbeat.
 constexpr size_t MaxPrevious = 8;
 
-template <typename Names>
-size_t countMembers(const MemberList &List, const Names &Of) {
-  return static_cast<size_t>(std::count_if(
-      List.Members.begin(), List.Members.end(),
-      [&](const InstanceEntry &It) { return Of.count(It.Name); }));
-}
-
 } // namespace
 
 bool MemberList::contains(const std::string &Name) const {
@@ -62,6 +56,10 @@
   for (const InstanceEntry &it : List.Instances)
     if (it.State == MemberState::Live)
       made->Members.push_back(it);
+  std::sort(made->Members.begin(), made->Members.end(),
+            [](const InstanceEntry &A, const InstanceEntry &B) {
+              return A.Name < B.Name;
+            });
   Newest = made;
   std::erase_if(Known, [&](const MemberListPtr &It) {
     return It->Digest == made->Digest;
@@ -117,7 +115,8 @@
 void ListConfirmation::beginFirst(TimePoint At) {
   if (At < SilentUntil)
     return;
-  if (activeEnd(*Newest, confirmers(Newest->Digest)) > At) {
+  Statement self = own();
+  if (activeEnd(*Newest, confirmers(Newest->Digest, self)) > At) {
     confirm(Newest, At);
     SeenActive = true;
   } else if (allOffer(*Newest, At)) {
@@ -193,53 +192,76 @@
   return said;
 }
 
-ListConfirmation::Statements
-ListConfirmation::confirmers(uint64_t Digest) const {
-  Statements found;
+ListConfirmation::Confirmers
+ListConfirmation::confirmers(uint64_t Digest, const Statement &Self) const {
+  Confirmers found;
+  found.reserve(Peers.size() + 1);
   for (const auto &[name, peer] : Peers)
-    if (peer.Said.Digest == Digest && peer.Said.Epoch == Epoch &&
-        peer.Said.ValidUntil > Now)
-      found.emplace(name, peer.Said);
-  Statement self = own();
-  if (self.Digest == Digest && self.ValidUntil > Now)
-    found[Options.Instance] = self;
+    if (name != Options.Instance && peer.Said.Digest == Digest &&
+        peer.Said.Epoch == Epoch && peer.Said.ValidUntil > Now)
+      found.push_back({&name, &peer.Said});
+  if (Self.Digest != Digest || Self.ValidUntil <= Now)
+    return found;
+  auto at = std::lower_bound(found.begin(), found.end(), Options.Instance,
+                             [](const Confirmer &It, const std::string &Name) {
+                               return *It.Name < Name;
+                             });
+  found.insert(at, {&Options.Instance, &Self});
   return found;
 }
 
-bool ListConfirmation::supported(const Set &Names,
-                                 const Statement &Said) const {
-  return std::all_of(
-      Said.Previous.begin(), Said.Previous.end(), [&](uint64_t Digest) {
-        MemberListPtr list = findKnown(Digest);
-        return list && countMembers(*list, Names) >= list->majority();
-      });
+size_t ListConfirmation::countMembers(const MemberList &List,
+                                      const Confirmers &Of) {
+  size_t count = 0;
+  auto it = Of.begin();
+  for (const InstanceEntry &member : List.Members) {
+    while (it != Of.end() && *it->Name < member.Name)
+      ++it;
+    count += it != Of.end() && *it->Name == member.Name;
+  }
+  return count;
+}
+
+// Removes those that name a list of which the set has no majority. Returns true
+// if there were any. Most name the same few lists, so each is counted once.
+bool ListConfirmation::dropUnsupported(Confirmers &Set) const {
+  std::map<uint64_t, bool> counted;
+  auto hasMajority = [&](uint64_t Digest) {
+    auto [it, added] = counted.try_emplace(Digest, false);
+    MemberListPtr list = added ? findKnown(Digest) : nullptr;
+    if (list)
+      it->second = countMembers(*list, Set) >= list->majority();
+    return it->second;
+  };
+  Confirmers kept;
+  for (const Confirmer &it : Set)
+    if (std::all_of(it.Said->Previous.begin(), it.Said->Previous.end(),
+                    hasMajority))
+      kept.push_back(it);
+  bool changed = kept.size() != Set.size();
+  Set = std::move(kept);
+  return changed;
 }
 
 // Whether a set of confirmers, valid until `At`, makes the list active: finds
 // the largest set in which every named list has its majority.
-bool ListConfirmation::holds(const MemberList &List, const Statements &All,
+bool ListConfirmation::holds(const MemberList &List, const Confirmers &All,
                              TimePoint At) const {
-  Set names;
-  for (const auto &[name, said] : All)
-    if (said.ValidUntil >= At)
-      names.insert(name);
-  for (bool changed = true; changed;) {
-    size_t before = names.size();
-    std::erase_if(names, [&](const std::string &It) {
-      return !supported(names, All.at(It));
-    });
-    changed = names.size() != before;
+  Confirmers set;
+  std::copy_if(All.begin(), All.end(), std::back_inserter(set),
+               [&](const Confirmer &It) { return It.Said->ValidUntil >= At; });
+  while (dropUnsupported(set)) {
   }
-  return countMembers(List, names) >= List.majority();
+  return countMembers(List, set) >= List.majority();
 }
 
 TimePoint ListConfirmation::activeEnd(const MemberList &List,
-                                      const Statements &All) const {
+                                      const Confirmers &All) const {
   if (countMembers(List, All) < List.majority())
     return TimePoint();
   std::vector<TimePoint> ends;
-  for (const auto &[name, said] : All)
-    ends.push_back(said.ValidUntil);
+  for (const Confirmer &it : All)
+    ends.push_back(it.Said->ValidUntil);
   std::sort(ends.begin(), ends.end(), std::greater<>());
   for (size_t i = List.majority() - 1; i < ends.size(); ++i)
     if (holds(List, All, ends[i]))
@@ -250,7 +272,8 @@
 void ListConfirmation::noteActivity(CoreContext &Context) {
   if (!Confirmed)
     return;
-  Statements all = confirmers(Confirmed->Digest);
+  Statement self = own();
+  Confirmers all = confirmers(Confirmed->Digest, self);
   TimePoint end = activeEnd(*Confirmed, all);
   bool unbroken = ActiveUntil >= Now && !Periods.empty() &&
                   Periods.back().List->Digest == Confirmed->Digest;
@@ -271,14 +294,25 @@
       Periods.front().Continuous = false;
     }
   }
-  for (const auto &[name, said] : all)
-    Periods.back().Stays[name] = {said.Incarnation, said.Changes};
+  noteStays(all);
+}
+
+void ListConfirmation::noteStays(const Confirmers &All) {
+  auto &stays = Periods.back().Stays;
+  auto it = stays.begin();
+  for (const Confirmer &confirmer : All) {
+    while (it != stays.end() && it->first < *confirmer.Name)
+      ++it;
+    if (it == stays.end() || it->first != *confirmer.Name)
+      it = stays.emplace_hint(it, *confirmer.Name, ActivePeriod::Stay());
+    it->second = {confirmer.Said->Incarnation, confirmer.Said->Changes};
+  }
 }
 
 // Another list can have been active since the last period only if a majority
 // of that period's list confirmed it. This is excluded if a majority stayed
 // with the list or went from it straight to the present one.
-bool ListConfirmation::continuousWithLast(const Statements &All) const {
+bool ListConfirmation::continuousWithLast(const Confirmers &All) const {
   if (Periods.empty())
     return false;
   const ActivePeriod &last = Periods.back();
@@ -292,14 +326,18 @@
   return static_cast<size_t>(stays) >= last.List->majority();
 }
 
-bool ListConfirmation::stayed(const Statements &All, const std::string &Name,
+bool ListConfirmation::stayed(const Confirmers &All, const std::string &Name,
                               const ActivePeriod::Stay &Stay,
                               uint64_t LastDigest) const {
-  auto it = All.find(Name);
-  if (it == All.end() || it->second.Incarnation != Stay.Incarnation)
+  auto it = std::lower_bound(All.begin(), All.end(), Name,
+                             [](const Confirmer &A, const std::string &Wanted) {
+                               return *A.Name < Wanted;
+                             });
+  if (it == All.end() || *it->Name != Name ||
+      it->Said->Incarnation != Stay.Incarnation)
     return false;
   uint64_t expected = Stay.Changes + (Confirmed->Digest == LastDigest ? 0 : 1);
-  return it->second.Changes == expected;
+  return it->Said->Changes == expected;
 }
 
 void ListConfirmation::fill(CoreContext &Context, const std::string &To,
--- a/src/list_confirmation.h
+++ b/src/list_confirmation.h
@@ -32,7 +32,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -41,7 +40,7 @@
 // The live instances of a published list.
 struct MemberList {
   uint64_t Digest = 0;
-  std::vector<InstanceEntry> Members;
+  std::vector<InstanceEntry> Members; // in order of name
 
   bool contains(const std::string &Name) const;
   size_t majority() const { return Members.size() / 2 + 1; }
@@ -103,7 +102,14 @@
     TimePoint ValidUntil;
   };
 
-  using Statements = std::map<std::string, Statement>;
+  // An instance and what it says; both live in Peers or with the caller.
+  struct Confirmer {
+    const std::string *Name;
+    const Statement *Said;
+  };
+  // In order of name, each name once. The evaluation runs 20 times a second
+  // over every instance, so it copies no names.
+  using Confirmers = std::vector<Confirmer>;
 
   struct Peer {
     std::deque<std::pair<uint64_t, TimePoint>> Sent; // numbers and times
@@ -123,17 +129,19 @@
   bool allOffer(const MemberList &List, TimePoint Now) const;
   bool isOldHand(const Statement &Said, TimePoint Now) const;
   void noteActivity(CoreContext &Context);
-  bool continuousWithLast(const Statements &All) const;
-  bool stayed(const Statements &All, const std::string &Name,
+  void noteStays(const Confirmers &All);
+  bool continuousWithLast(const Confirmers &All) const;
+  bool stayed(const Confirmers &All, const std::string &Name,
               const ActivePeriod::Stay &Stay, uint64_t LastDigest) const;
 
   Statement own() const;
   MemberListPtr findKnown(uint64_t Digest) const;
-  using Set = std::set<std::string>;
-  Statements confirmers(uint64_t Digest) const;
-  bool holds(const MemberList &List, const Statements &All, TimePoint At) const;
-  bool supported(const Set &Names, const Statement &Said) const;
-  TimePoint activeEnd(const MemberList &List, const Statements &All) const;
+  // `Self` is what own() gives.
+  Confirmers confirmers(uint64_t Digest, const Statement &Self) const;
+  static size_t countMembers(const MemberList &List, const Confirmers &Of);
+  bool holds(const MemberList &List, const Confirmers &All, TimePoint At) const;
+  bool dropUnsupported(Confirmers &Set) const;
+  TimePoint activeEnd(const MemberList &List, const Confirmers &All) const;
 
   const CoreOptions &Options;
   TimePoint Now;     // of the latest event
