Sum up leases once for all heartbeats

Cause: each heartbeat to each peer searched all open requests for its owner, 399 times 124 requests twice a second.

Change: one pass gives the summaries for every owner.

Conclusion: the cost of heartbeats no longer grows with the product of peers and requests.

--- a/src/core_duties.cc
+++ b/src/core_duties.cc
@@ -84,6 +84,7 @@
 }
 
 void DecisionCore::State::sendHeartbeat(const std::string &To,
+                                        std::vector<LeaseSummary> Leases,
                                         ActionList &Out) {
   CoreContext context = this->context(Out);
   Heartbeat message;
@@ -94,17 +95,22 @@
   message.ListSequence = List ? List->Sequence : 0;
   message.Draining = Draining;
   message.ReadsPlatform = Reading.value_or(false);
-  message.Leases = Requests.leasesFrom(To);
+  message.Leases = std::move(Leases);
   Keys.fillHeartbeat(context, To, message);
   Out.push_back(SendToPeer{To, std::move(message)});
 }
 
 void DecisionCore::State::sendHeartbeats(ActionList &Out) {
-  for (const std::string &it : Peers.linked())
-    sendHeartbeat(it, Out);
+  auto leases = Requests.leasesByOwner();
+  for (const std::string &it : Peers.linked()) {
+    auto held = leases.find(it);
+    sendHeartbeat(
+        it, held == leases.end() ? std::vector<LeaseSummary>() : held->second,
+        Out);
+  }
   // The own leases are renewed like those of the peers.
   CoreContext context = this->context(Out);
-  for (const LeaseSummary &it : Requests.leasesFrom(Options.Instance)) {
+  for (const LeaseSummary &it : leases[Options.Instance]) {
     auto owner = Owned.find(it.Shard);
     if (owner != Owned.end())
       owner->second->onHeartbeat(context, Options.Instance, it);
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -62,7 +62,8 @@
   void onHeartbeat(const std::string &From, uint64_t Incarnation,
                    const Heartbeat &Message, ActionList &Out);
   void sendHeartbeats(ActionList &Out);
-  void sendHeartbeat(const std::string &To, ActionList &Out);
+  void sendHeartbeat(const std::string &To, std::vector<LeaseSummary> Leases,
+                     ActionList &Out);
   void onInstanceGone(const std::string &Instance, ActionList &Out);
   void onLoad(const LoadReported &Report, ActionList &Out);
   void watchServer(const LoadReported &Report, ActionList &Out);
@@ -103,6 +104,9 @@
   // Owners, polled servers and platform reading are only recomputed after
   // events that can change them, since requests make most of the events.
   bool DutiesDue = true;
+  // When a peer was last asked for a newer configuration or list.
+  std::optional<TimePoint> AskedConfig;
+  std::optional<TimePoint> AskedList;
   bool ViewChanged = true; // configuration or list since the last ranking
   std::vector<std::string> Polled;
   bool PolledSent = false;
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -190,7 +190,7 @@
     onInstanceGone(Body.Instance, Out);
   if (!Body.Up)
     return;
-  sendHeartbeat(Body.Instance, Out);
+  sendHeartbeat(Body.Instance, Requests.leasesFrom(Body.Instance), Out);
   // The peer may have what this instance lacks, also before its first
   // heartbeat is here.
   if (!Config.current())
--- a/src/entry_leases.cc
+++ b/src/entry_leases.cc
@@ -78,20 +78,27 @@
 
 std::vector<LeaseSummary>
 EntryRequests::leasesFrom(const std::string &Owner) const {
-  std::map<std::string, LeaseSummary> summaries;
+  auto all = leasesByOwner();
+  auto it = all.find(Owner);
+  return it == all.end() ? std::vector<LeaseSummary>() : std::move(it->second);
+}
+
+std::map<std::string, std::vector<LeaseSummary>>
+EntryRequests::leasesByOwner() const {
+  std::map<std::pair<std::string, std::string>, LeaseSummary> summaries;
   for (const auto &it : Impl->Requests) {
     const OpenRequest &request = it.second;
-    if (!holdsLease(request) || request.Owner != Owner)
+    if (!holdsLease(request))
       continue;
-    LeaseSummary &summary = summaries[request.Shard];
+    LeaseSummary &summary = summaries[{request.Owner, request.Shard}];
     summary.Shard = request.Shard;
     ++summary.Count;
     summary.Digest ^= std::hash<RequestId>()(request.Id);
   }
-  std::vector<LeaseSummary> list;
+  std::map<std::string, std::vector<LeaseSummary>> lists;
   for (auto &it : summaries)
-    list.push_back(std::move(it.second));
-  return list;
+    lists[it.first.first].push_back(std::move(it.second));
+  return lists;
 }
 
 void EntryRequests::State::moveToOwner(CoreContext &Context,
--- a/src/entry_requests.h
+++ b/src/entry_requests.h
@@ -8,6 +8,7 @@
 #include "key_home.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -59,6 +60,8 @@
 
   // Leases held from the owner, by shard, for the heartbeat to that owner.
   std::vector<LeaseSummary> leasesFrom(const std::string &Owner) const;
+  // The same for every owner at once, in one pass over the requests.
+  std::map<std::string, std::vector<LeaseSummary>> leasesByOwner() const;
   // Requests whose relay has not closed them, without cancelled ones.
   uint32_t openRequests() const;
   std::string dump(TimePoint Now) const;
