Let a fresh instance ask one peer at a time for a configuration

Cause: an instance without a configuration asked every peer whose link came up. In a fleet of 400 that is 399 copies of a document of one megabyte, each parsed on the core's thread.

Change: the question at link-up obeys the same limit as the one after a heartbeat. If the first peer has nothing, the heartbeats of the others name who has, 400 ms later.

Figures: 399 questions before and 1 after are computed; the new test shows the second question only after 400 ms.

Conclusion: a replaced instance costs the fleet one copy.

--- a/src/core_state.h
+++ b/src/core_state.h
@@ -51,6 +51,7 @@
   void onListOffer(const ListOffer &Message, ActionList &Out);
   void answerRequest(const std::string &To, const PeerMessage &Message,
                      ActionList &Out);
+  void askForFirst(const std::string &Peer, ActionList &Out);
   void askPeer(const std::string &From, ActionList &Out);
   void updateReading(ActionList &Out);
 
--- a/src/core_versions.cc
+++ b/src/core_versions.cc
@@ -10,6 +10,10 @@
 // that names a newer version brought 120 copies of the document.
 constexpr Milliseconds AskAgain{400};
 
+bool mayAsk(const std::optional<TimePoint> &LastAsked, TimePoint Now) {
+  return !LastAsked || Now - *LastAsked >= AskAgain;
+}
+
 // Runs a parse function; a text that doesn't parse gives null.
 template <typename Pointer>
 Pointer parsedOrNull(boost::leaf::result<Pointer> (*Parse)(const std::string &),
@@ -99,6 +103,20 @@
   }
 }
 
+// The peer may have what this instance lacks, also before its first heartbeat
+// is here. If it has nothing, the heartbeats of the others tell who has.
+void DecisionCore::State::askForFirst(const std::string &Peer,
+                                      ActionList &Out) {
+  if (!Config.current() && mayAsk(AskedConfig, Now)) {
+    AskedConfig = Now;
+    Out.push_back(SendToPeer{Peer, ConfigRequest{0}});
+  }
+  if (!List && mayAsk(AskedList, Now)) {
+    AskedList = Now;
+    Out.push_back(SendToPeer{Peer, ListRequest{0}});
+  }
+}
+
 // Asks the peer for what its last heartbeat says that it has newer.
 void DecisionCore::State::askPeer(const std::string &From, ActionList &Out) {
   Peer *peer = Peers.find(From);
@@ -110,15 +128,13 @@
   // Of two documents under one number the lower digest wins everywhere.
   bool conflict = version != 0 && last.ConfigVersion == version &&
                   last.ConfigDigest < digest;
-  if ((last.ConfigVersion > version || conflict) &&
-      (!AskedConfig || Now - *AskedConfig >= AskAgain)) {
+  if ((last.ConfigVersion > version || conflict) && mayAsk(AskedConfig, Now)) {
     AskedConfig = Now;
     Out.push_back(
         SendToPeer{From, ConfigRequest{conflict ? version - 1 : version}});
   }
   uint64_t sequence = List ? List->Sequence : 0;
-  if (last.ListSequence > sequence &&
-      (!AskedList || Now - *AskedList >= AskAgain)) {
+  if (last.ListSequence > sequence && mayAsk(AskedList, Now)) {
     AskedList = Now;
     Out.push_back(SendToPeer{From, ListRequest{sequence}});
   }
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -191,12 +191,7 @@
   if (!Body.Up)
     return;
   sendHeartbeat(Body.Instance, Requests.leasesFrom(Body.Instance), Out);
-  // The peer may have what this instance lacks, also before its first
-  // heartbeat is here.
-  if (!Config.current())
-    Out.push_back(SendToPeer{Body.Instance, ConfigRequest{0}});
-  if (!List)
-    Out.push_back(SendToPeer{Body.Instance, ListRequest{0}});
+  askForFirst(Body.Instance, Out);
   CoreContext context = this->context(Out);
   Requests.onPeerUp(context, Body.Instance);
 }
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -601,6 +601,26 @@
   CHECK(text.find("private-key") == std::string::npos);
 }
 
+// Guards against a fresh instance that loads one copy of the configuration from
+// every peer of a large fleet.
+TEST_CASE("DecisionCore without a configuration asks one peer at a time") {
+  CoreDriver core;
+  core.give(TimerFired{});
+  core.link("e2");
+  CHECK(core.sent<ConfigRequest>("e2"));
+  CHECK(core.sent<ListRequest>("e2"));
+  core.link("e3");
+  CHECK_FALSE(core.sent<ConfigRequest>("e3"));
+  CHECK_FALSE(core.sent<ListRequest>("e3"));
+  core.pass(Milliseconds{400});
+  Heartbeat newer;
+  newer.ConfigVersion = 1;
+  newer.ListSequence = 1;
+  core.hear("e3", newer);
+  CHECK(core.sent<ConfigRequest>("e3"));
+  CHECK(core.sent<ListRequest>("e3"));
+}
+
 // Guards against a fleet that loads one copy of a document for each peer that
 // has it, and against waiting for ever on a peer that doesn't answer.
 TEST_CASE("DecisionCore asks one peer at a time for a newer version") {
