Share the configuration's groups between owned shards

Cause: each owned shard copied all 5,200 groups. An instance that has no peers yet, at its start or in a partition, owns every shard: 150 copies.

Change: a shard reads the groups of the configuration that it was handed with the event, and its queue knows only groups that had a request.

Conclusion: memory no longer grows with the product of shards and accounts.

--- a/src/fair_queue.cc
+++ b/src/fair_queue.cc
@@ -11,6 +11,12 @@
   group.Class = Class;
 }
 
+void FairQueue::forEachGroup(
+    const std::function<void(const std::string &)> &Each) const {
+  for (const auto &[name, group] : Groups)
+    Each(name);
+}
+
 void FairQueue::push(QueuedItem &Item) {
   Group &group = Groups[Item.Group];
   // A group that was idle starts at the present virtual time, so the time
--- a/src/fair_queue.h
+++ b/src/fair_queue.h
@@ -36,8 +36,11 @@
 
 class FairQueue {
 public:
-  // Creates or changes a group. `Share` is its weight, greater than 0.
+  // Creates or changes a group. `Share` is its weight, greater than 0. A group
+  // that is created late starts like one that was idle.
   void setGroup(const std::string &Name, double Share, RequestClass Class);
+  // Calls the function with the name of each group that was created.
+  void forEachGroup(const std::function<void(const std::string &)> &Each) const;
   // Work, in slot seconds of all groups, that an interactive group may be
   // served ahead of its virtual time.
   void setInteractiveLead(double SlotSeconds) { Lead = SlotSeconds; }
--- a/src/shard_admission.cc
+++ b/src/shard_admission.cc
@@ -332,8 +332,7 @@
       refuse(Context, *Lease, ErrorKind::NoServer, Context.Options.LeasePeriod);
     return;
   }
-  if (!Servers.groups().count(Lease->Group))
-    Queue.setGroup(Lease->Group, 1, Lease->Class);
+  setGroup(Lease->Group, Lease->Class);
   if (Servers.usable(Lease->Group, ServerRole::Decode, Context.Now, true)
           .empty() &&
       !Lease->MayWait) {
--- a/src/shard_scheduler.cc
+++ b/src/shard_scheduler.cc
@@ -37,8 +37,10 @@
 void ShardScheduler::sync(const CoreContext &Context) {
   if (!Servers.sync(Context))
     return;
-  for (const auto &[name, group] : Servers.groups())
-    Queue.setGroup(name, group.Share, group.Class);
+  Queue.forEachGroup([this](const std::string &Name) {
+    if (Servers.knowsGroup(Name))
+      setGroup(Name, RequestClass::Normal);
+  });
   double slots = 0;
   for (const auto &[name, server] : Servers.all())
     if (server.Live && server.decodes())
@@ -48,6 +50,14 @@
       slots * Seconds(Context.Options.InteractiveWaitBound).count());
 }
 
+// Brings the queue's group up to date. `Class` counts for a group that the
+// configuration doesn't know.
+void ShardScheduler::setGroup(const std::string &Name, RequestClass Class) {
+  const GroupConfig &group = Servers.group(Name);
+  bool known = Servers.knowsGroup(Name);
+  Queue.setGroup(Name, known ? group.Share : 1, known ? group.Class : Class);
+}
+
 ShardLeasePtr ShardScheduler::find(const RequestId &Id) const {
   auto it = Leases.find(Id);
   return it == Leases.end() ? nullptr : it->second;
@@ -387,8 +397,7 @@
   ShardServer *decode = Servers.find(From.DecodeServer);
   switch (From.Stage) {
   case LeaseStage::Waiting:
-    if (!Servers.groups().count(Lease->Group))
-      Queue.setGroup(Lease->Group, 1, Lease->Class);
+    setGroup(Lease->Group, Lease->Class);
     Queue.push(*Lease);
     break;
   case LeaseStage::Prefilling:
--- a/src/shard_scheduler.h
+++ b/src/shard_scheduler.h
@@ -91,6 +91,7 @@
   }
 
   void begin(const ShardLeasePtr &Lease);
+  void setGroup(const std::string &Name, RequestClass Class);
   void setStage(ShardLease &Lease, LeaseStage Stage);
   void unlink(ShardLease &Lease);
   void reserve(ShardServer &Server, const RequestId &Id);
--- a/src/shard_servers.cc
+++ b/src/shard_servers.cc
@@ -37,14 +37,9 @@
   return Config.Slots / count + (rank < Config.Slots % count ? 1 : 0);
 }
 
-void ShardServers::syncGroups(const ConfigDocument &Config) {
-  Groups.clear();
+void ShardServers::sumShares() {
   InteractiveShare = OnlineShare = 0;
-  for (const GroupConfig &it : Config.Groups) {
-    GroupConfig &group = Groups[it.Name];
-    group = it;
-    // Only entries check tokens, and they are most of a group's text.
-    group.TokenDigests = {};
+  for (const GroupConfig &it : Config->Groups) {
     if (it.Class == RequestClass::Batch)
       continue;
     OnlineShare += it.Share;
@@ -53,17 +48,14 @@
 }
 
 bool ShardServers::sync(const CoreContext &Context) {
+  Config = &Context.Config;
   if (Synced && Version == Context.Config.Version &&
       Sequence == Context.List.Sequence)
     return false;
-  bool configChanged = !Synced || Version != Context.Config.Version ||
-                       Digest != Context.Config.Digest;
   Synced = true;
-  Digest = Context.Config.Digest;
   Version = Context.Config.Version;
   Sequence = Context.List.Sequence;
-  if (configChanged)
-    syncGroups(Context.Config);
+  sumShares();
   for (auto &[name, server] : Servers)
     server.Live = false;
   std::vector<std::string> members;
@@ -99,8 +91,12 @@
 
 const GroupConfig &ShardServers::group(const std::string &Name) const {
   static const GroupConfig Unknown;
-  auto it = Groups.find(Name);
-  return it == Groups.end() ? Unknown : it->second;
+  const GroupConfig *it = Config ? Config->findGroup(Name) : nullptr;
+  return it ? *it : Unknown;
+}
+
+bool ShardServers::knowsGroup(const std::string &Name) const {
+  return Config && Config->findGroup(Name);
 }
 
 std::vector<ShardServer *> ShardServers::usable(const std::string &Group,
--- a/src/shard_servers.h
+++ b/src/shard_servers.h
@@ -31,7 +31,7 @@
   explicit ShardServers(std::string Shard) : Shard(std::move(Shard)) {}
 
   // Takes over changes of the configuration and the list. Returns true if
-  // there were any.
+  // there were any. The configuration must last until the next call.
   bool sync(const CoreContext &Context);
 
   ShardServer *find(const std::string &Name);
@@ -39,7 +39,7 @@
   const std::map<std::string, ShardServer> &all() const { return Servers; }
   // The group's configuration; defaults for an unknown group.
   const GroupConfig &group(const std::string &Name) const;
-  const std::map<std::string, GroupConfig> &groups() const { return Groups; }
+  bool knowsGroup(const std::string &Name) const;
   // Sum of the shares of the interactive groups, and of all but batch groups.
   double interactiveShare() const { return InteractiveShare; }
   double onlineShare() const { return OnlineShare; }
@@ -65,19 +65,20 @@
                          double Bytes, TimePoint Now) const;
 
 private:
-  void syncGroups(const ConfigDocument &Config);
+  void sumShares();
   uint32_t slotsFor(const CoreContext &Context,
                     const ServerConfig &Config) const;
 
   std::string Shard;
   std::map<std::string, ShardServer> Servers;
-  std::map<std::string, GroupConfig> Groups;
+  // Of the last sync(), which comes before every use. A copy of all groups in
+  // each shard took 2 MB; an instance without peers owns every shard.
+  const ConfigDocument *Config = nullptr;
   double InteractiveShare = 0;
   double OnlineShare = 0;
   uint32_t KvBytesPerToken = 131072;
   Milliseconds EvictionTime{800};
   uint64_t Version = 0;
-  uint64_t Digest = 0;
   uint64_t Sequence = 0;
   bool Synced = false;
 };
