Name the instance in calls to the platform

Cause: docs/PROTOCOLS.md says that readers name themselves in the header Crocusspur-Instance, but PlatformClient never sent it. The platform could not attribute calls to a reader, and the stand-in's lists and documents that are held back for one reader had no effect on any router.

Change: DocumentReader passes the instance's name to PlatformClient, which sends it with each call.

Conclusion: the header is sent; per-reader stale views now work on routers.

--- a/src/document_reader.cc
+++ b/src/document_reader.cc
@@ -26,7 +26,8 @@
 struct DocumentReader::State {
   State(DocumentReaderOptions Options, TakeFunction Take)
       : Options(std::move(Options)), Take(std::move(Take)),
-        Client(this->Options.Address, this->Options.Timeout),
+        Client(this->Options.Address, this->Options.Timeout,
+               this->Options.Reader),
         Random(this->Options.Seed), Thread("reader-" + this->Options.Name) {}
 
   DocumentReaderOptions Options;
--- a/src/document_reader.h
+++ b/src/document_reader.h
@@ -15,6 +15,7 @@
   std::string Name;    // for the log
   std::string Address; // "IP:port" of the platform's service
   std::string Path;    // such as "/v1/config"
+  std::string Reader;  // name of this instance, sent with each call
   Milliseconds Timeout{2000};
   Milliseconds WatchWait{5000};
   Milliseconds LeastBackoff{100};
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -39,6 +39,7 @@
 struct PlatformClient::State {
   std::string Address;
   Milliseconds Timeout;
+  std::string Reader;
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
 
   Poco::Net::HTTPClientSession &session();
@@ -47,8 +48,10 @@
   void readAnswer(PlatformAnswer &Answer);
 };
 
-PlatformClient::PlatformClient(std::string Address, Milliseconds Timeout)
-    : Impl(new State{std::move(Address), Timeout, nullptr}) {}
+PlatformClient::PlatformClient(std::string Address, Milliseconds Timeout,
+                               std::string Reader)
+    : Impl(new State{std::move(Address), Timeout, std::move(Reader), nullptr}) {
+}
 
 PlatformClient::~PlatformClient() = default;
 
@@ -59,6 +62,7 @@
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, Path,
                                    Poco::Net::HTTPMessage::HTTP_1_1);
     request.set("Accept", "application/json");
+    request.set("Crocusspur-Instance", Impl->Reader);
     ++Calls;
     Impl->session().sendRequest(request).flush();
     if (Impl->awaitAnswer(Wait, GivesUp, answer))
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -23,7 +23,8 @@
 public:
   // `Address` is "IP:port". `Timeout` bounds connecting, sending, reading and
   // the time that an answer takes beyond the wait that was asked for.
-  PlatformClient(std::string Address, Milliseconds Timeout);
+  // `Reader` is the instance's name, by which the service counts its calls.
+  PlatformClient(std::string Address, Milliseconds Timeout, std::string Reader);
   ~PlatformClient();
 
   // Calls GET on the path. `GivesUp` is asked every 50 ms while no answer has
--- a/src/platform_reader.cc
+++ b/src/platform_reader.cc
@@ -98,6 +98,7 @@
   options.Name = Name;
   options.Address = Values.PlatformAddress;
   options.Path = Path;
+  options.Reader = Values.Instance;
   options.Timeout = Values.PlatformTimeout;
   options.WatchWait = Values.WatchWait;
   // Differs between instances, or all would try again at the same moments.
--- a/test/platform_reader_test.cc
+++ b/test/platform_reader_test.cc
@@ -3,6 +3,7 @@
 #include "document_reader.h"
 #include "fake_event_sink.h"
 #include "platform_client.h"
+#include "test_socket.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -291,11 +292,26 @@
   CHECK(reader.versions() == std::vector<uint64_t>{1, 2});
 }
 
+// Guards against calls that the platform can't attribute to an instance.
+TEST_CASE("PlatformClient names its instance in each call") {
+  std::string head;
+  {
+    ScriptServer platform([&](int Fd, int) {
+      head = readRequest(Fd);
+      sendText(Fd, httpAnswer(200, "{}"));
+    });
+    PlatformClient client(platform.address(), Milliseconds(10000), "e1");
+    client.get("/v1/config", Milliseconds(0), [] { return false; });
+  }
+  CHECK_MESSAGE(head.find("Crocusspur-Instance: e1\r\n") != std::string::npos,
+                head);
+}
+
 // Guards against memory that an oversized answer takes.
 TEST_CASE("PlatformClient refuses answers above the limit") {
   FakePlatform platform;
   platform.publish("/v1/config", 1, std::string(1048576, 'x'));
-  PlatformClient client(platform.address(), Milliseconds(10000));
+  PlatformClient client(platform.address(), Milliseconds(10000), "e1");
   auto never = [] { return false; };
   PlatformAnswer fits = client.get("/v1/config", Milliseconds(0), never);
   CHECK(fits.Status == 200);
@@ -313,7 +329,7 @@
 // unreachable service that looks like an answer.
 TEST_CASE("PlatformClient gives up a wait and reports a dead service") {
   FakePlatform platform;
-  PlatformClient client(platform.address(), Milliseconds(10000));
+  PlatformClient client(platform.address(), Milliseconds(10000), "e1");
   PlatformAnswer answer = client.get("/v1/config?after=1&wait_ms=20000",
                                      Milliseconds(20000), [] { return true; });
   CHECK(answer.GivenUp);
@@ -323,7 +339,7 @@
     Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
     dead = socket.address().toString();
   }
-  PlatformClient lost(dead, Milliseconds(1000));
+  PlatformClient lost(dead, Milliseconds(1000), "e1");
   PlatformAnswer none =
       lost.get("/v1/config", Milliseconds(0), [] { return false; });
   CHECK(none.Status == 0);
