--- /dev/null
+++ b/test/peer_network.h
@@ -0,0 +1,79 @@
+// TCP forwarders in front of the peer addresses of instances, so that tests can
+// cut or silence the links between them.
+#ifndef CROCUSSPUR_TEST_PEER_NETWORK_H
+#define CROCUSSPUR_TEST_PEER_NETWORK_H
+
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace crocusspur::test {
+
+// Thread-safe. One thread forwards for all instances.
+class PeerNetwork {
+public:
+  PeerNetwork();
+  ~PeerNetwork();
+  PeerNetwork(const PeerNetwork &) = delete;
+  PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+  // Address to publish for the instance; it stays the same when the instance
+  // gets a new target.
+  std::string addressOf(const std::string &Name);
+  void setTarget(const std::string &Name, const std::string &Address);
+
+  // Closes the links between the two and refuses new ones.
+  void cut(const std::string &One, const std::string &Other);
+  // Links between the two stay open, and new ones open, but carry nothing.
+  void freeze(const std::string &One, const std::string &Other);
+  // Open links of the instance carry nothing more; new ones work.
+  void silenceOpen(const std::string &Name);
+  // Ends cuts and freezes. Links that were frozen close, since bytes between
+  // instances were lost.
+  void heal();
+  // Links that forward for this instance now.
+  size_t openLinks(const std::string &Name);
+
+private:
+  enum class Fault { Cut, Freeze };
+  struct Listener {
+    int Fd = -1;
+    std::string Address;
+    std::string Target;
+  };
+  struct Link {
+    std::string Dialer; // "" until its first frame has come
+    std::string Dialed;
+    int Near = -1; // the dialer's side
+    int Far = -1;
+    bool Silent = false;
+  };
+  using Pair = std::pair<std::string, std::string>;
+
+  static Pair pairOf(const std::string &One, const std::string &Other);
+  Listener &listenerOf(const std::string &Name);
+  void setFault(const std::string &One, const std::string &Other, Fault Kind);
+  void run();
+  void forwardOnce();
+  void acceptOn(const std::string &Name, Listener &It);
+  bool forward(Link &It, bool FromNear);
+  std::string dialerIn(const std::string &Bytes, const std::string &Dialed);
+  static void close(Link &It);
+
+  std::mutex Mutex;
+  std::map<std::string, Listener> Listeners;
+  std::list<Link> Links;
+  std::map<Pair, Fault> Faults;
+  std::atomic<bool> Ending{false};
+  std::thread Forwarder;
+};
+
+} // namespace crocusspur::test
+
+#endif
--- a/test/process_fixture.cc
+++ b/test/process_fixture.cc
@@ -100,6 +100,8 @@
 
 ProcessFixture::ProcessFixture(FleetOptions Values)
     : Options(std::move(Values)), Directory(makeDirectory()) {
+  if (Options.ForwardPeers)
+    Network = std::make_unique<PeerNetwork>();
   startPlatform();
   startServers();
   for (uint32_t i = 0; i < Options.Routers; ++i) {
@@ -211,6 +213,7 @@
        << "[timing]\nheartbeat_period_ms = " << Options.Heartbeat.count()
        << "\nlease_period_ms = " << Options.Lease.count()
        << "\nprogress_timeout_ms = " << Options.ProgressTimeout.count()
+       << "\nshutdown_limit_ms = " << Options.ShutdownLimit.count()
        << "\nclock_margin_ms = " << Options.ClockMargin.count()
        << "\n[log]\nlevel = \"" << Options.LogLevel << "\"\n"
        << Options.ExtraSettings;
@@ -224,6 +227,10 @@
   Router.CallerAddress = awaitFront(Router, "callers");
   Router.OperatorAddress = awaitFront(Router, "operators");
   Router.PeerAddress = awaitFront(Router, "peers");
+  if (Network) {
+    Network->setTarget(Router.Name, Router.PeerAddress);
+    Router.PeerAddress = Network->addressOf(Router.Name);
+  }
 }
 
 std::string ProcessFixture::awaitFront(FleetRouter &Router,
@@ -312,6 +319,8 @@
 std::string ProcessFixture::listText(uint64_t Sequence) const {
   Poco::JSON::Array instances;
   for (size_t i = 0; i < Routers.size(); ++i) {
+    if (Routers[i]->State.empty())
+      continue;
     Poco::JSON::Object instance;
     instance.set("name", Routers[i]->Name);
     instance.set("state", Routers[i]->State);
@@ -444,12 +453,20 @@
   return count;
 }
 
-Poco::JSON::Object::Ptr ProcessFixture::state(size_t Router) {
+HttpAnswer ProcessFixture::operate(size_t Router, const std::string &Method,
+                                   const std::string &Path,
+                                   const std::string &Body) {
   HttpRequest request;
   request.Address = router(Router).OperatorAddress;
-  request.Path = "/admin/v1/state";
+  request.Method = Method;
+  request.Path = Path;
+  request.Body = Body;
   request.Headers["Authorization"] = std::string("Bearer ") + OperatorToken;
-  return parseJson(send(request).Body);
+  return send(request);
+}
+
+Poco::JSON::Object::Ptr ProcessFixture::state(size_t Router) {
+  return parseJson(operate(Router, "GET", "/admin/v1/state").Body);
 }
 
 } // namespace crocusspur::test
--- a/test/process_fixture.h
+++ b/test/process_fixture.h
@@ -6,6 +6,7 @@
 
 #include "child_process.h"
 #include "http_caller.h"
+#include "peer_network.h"
 
 #include <Poco/JSON/Object.h>
 #include <memory>
@@ -47,8 +48,11 @@
   Milliseconds Heartbeat{500};
   Milliseconds Lease{2000};
   Milliseconds ProgressTimeout{5000};
+  Milliseconds ShutdownLimit{30000};
   Milliseconds ClockMargin{0}; // all processes share one clock
   std::string LogLevel = "info";
+  // The list names forwarders in place of the routers' peer addresses.
+  bool ForwardPeers = false;
   // Further TOML sections of the routers' settings.
   std::string ExtraSettings;
 
@@ -71,7 +75,7 @@
   std::string CallerAddress;
   std::string OperatorAddress;
   std::string PeerAddress;
-  std::string State = "live";
+  std::string State = "live"; // "": not in the published list
   std::string SettingsFile;
   std::unique_ptr<ChildProcess> Process;
 };
@@ -88,6 +92,8 @@
   FleetServer &server(const std::string &Name);
   FleetServer &platform() { return Platform; }
   size_t routers() const { return Routers.size(); }
+  // Only with ForwardPeers.
+  PeerNetwork &network() { return *Network; }
 
   // Starts router Index again with its settings; it gets new ports.
   void restartRouter(size_t Index);
@@ -124,6 +130,9 @@
   // Runs of all engines with this kind and outcome; "" matches all.
   size_t countRuns(const std::string &Kind, const std::string &Outcome);
   Poco::JSON::Object::Ptr state(size_t Router);
+  // A call at the router's operators' address.
+  HttpAnswer operate(size_t Router, const std::string &Method,
+                     const std::string &Path, const std::string &Body = "");
 
   const std::string &directory() const { return Directory; }
 
@@ -144,6 +153,7 @@
 
   FleetOptions Options;
   std::string Directory;
+  std::unique_ptr<PeerNetwork> Network;
   FleetServer Platform;
   std::vector<std::unique_ptr<FleetServer>> Servers;
   std::vector<std::unique_ptr<FleetRouter>> Routers;
