Test with processes that a shutdown cuts nothing

Cause: P6 was checked for the streams of one router only.

Change: proof_shutdown_process_test.cc sends SIGTERM to each router in turn with streams and service calls running, and checks readiness, refusals, ownership, the limit and the log.

--- /dev/null
+++ b/test/proof_shutdown_process_test.cc
@@ -0,0 +1,118 @@
+// Proofs of P6: a graceful shutdown cuts off no request in progress.
+#include "proof_support.h"
+
+#include <Poco/JSON/Array.h>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <list>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+struct StreamEnd {
+  std::string Text;
+  std::string End; // "[DONE]", the data of an error event, or ""
+};
+
+StreamEnd readToEnd(EventStream &Stream) {
+  StreamEnd result;
+  StreamEvent event;
+  while (Stream.next(event)) {
+    if (event.Name == "error" || event.Data == "[DONE]")
+      result.End = event.Data;
+    else
+      result.Text += parseJson(event.Data)
+                         ->getArray("choices")
+                         ->getObject(0)
+                         ->optValue<std::string>("text", "");
+  }
+  return result;
+}
+
+int readyStatus(ProcessFixture &Fleet, size_t Router) {
+  return send({Fleet.router(Router).OperatorAddress, "GET", "/readyz", "", {}})
+      .Status;
+}
+
+void checkRefusedNow(ProcessFixture &Fleet, size_t Router) {
+  HttpAnswer answer = send(Fleet.completion(Router, "late", 5, false));
+  CHECK_MESSAGE(answer.Status == 503, answer.Body);
+  CHECK(answer.Headers.count("retry-after") == 1);
+  CHECK(runOf(answer) == "no");
+}
+
+void checkOwnerMoves(ProcessFixture &Fleet, size_t Router) {
+  for (size_t i = 0; i < Fleet.routers(); ++i)
+    if (i != Router)
+      CHECK(eventually([&] { return ownerOf(Fleet, i) != Router; },
+                       GenerousLimit));
+}
+
+} // namespace
+
+// Guards against streams and service calls that a shutdown cuts, and against a
+// shutdown that goes on taking work or keeps its shards (P6).
+TEST_CASE("Proof P6 cuts nothing when each router in turn gets SIGTERM") {
+  FleetOptions options;
+  options.ServiceFlags = {"--latency-ms", "1500"};
+  for (size_t victim = 0; victim < 3; ++victim) {
+    CAPTURE(victim);
+    ProcessFixture fleet(options);
+    std::list<EventStream> streams;
+    StreamEvent event;
+    for (size_t i = 0; i < 6; ++i) {
+      streams.emplace_back(
+          fleet.completion(i % 3, "stream " + std::to_string(i), 200, true));
+      REQUIRE(streams.back().status() == 200);
+    }
+    std::vector<std::future<HttpAnswer>> calls;
+    for (size_t i = 0; i < 3; ++i)
+      calls.push_back(std::async(
+          std::launch::async,
+          [request = fleet.call(i, "POST", "/services/bays/x", "{}")] {
+            return send(request);
+          }));
+    REQUIRE(
+        eventually([&] { return runningCalls(fleet) == 3; }, GenerousLimit));
+    fleet.router(victim).Process->signal(SIGTERM);
+    CHECK(eventually([&] { return readyStatus(fleet, victim) == 503; },
+                     GenerousLimit));
+    checkRefusedNow(fleet, victim);
+    for (auto &it : calls)
+      CHECK(it.get().Status == 200);
+    int number = 0;
+    for (EventStream &it : streams) {
+      StreamEnd end = readToEnd(it);
+      CHECK(end.End == "[DONE]");
+      CHECK(end.Text ==
+            expectedTokens("stream " + std::to_string(number++), 200));
+    }
+    auto code = fleet.router(victim).Process->waitForExit(GenerousLimit);
+    REQUIRE_MESSAGE(code, fleet.router(victim).Process->output());
+    CHECK(*code == 0);
+    checkOwnerMoves(fleet, victim);
+  }
+}
+
+// Guards against a shutdown without end, and against one that is silent about
+// what it gave up (P6).
+TEST_CASE("Proof P6 ends a shutdown at its limit and logs what remains") {
+  FleetOptions options;
+  options.ShutdownLimit = Milliseconds(1000);
+  ProcessFixture fleet(options);
+  EventStream stream(fleet.completion(0, "long", 4000, true));
+  REQUIRE(stream.status() == 200);
+  fleet.router(0).Process->signal(SIGTERM);
+  StreamEnd end = readToEnd(stream);
+  CHECK(end.End != "[DONE]");
+  CHECK_MESSAGE(end.End.find("\"kind\"") != std::string::npos, end.End);
+  auto code = fleet.router(0).Process->waitForExit(GenerousLimit);
+  REQUIRE_MESSAGE(code, fleet.router(0).Process->output());
+  std::string log = fleet.router(0).Process->output();
+  CHECK_MESSAGE(log.find("\"abandoned\": \"1\"") != std::string::npos, log);
+  CHECK(eventually([&] { return fleet.held().empty(); }, GenerousLimit));
+}
