Test with processes that each caller gets its own whole answer

Cause: P2 was not checked with many callers at once.

Change: proof_answers_process_test.cc sends 60 concurrent requests, one key at three entries, and kills all engines in mid-stream.

Conclusion: partial; these tests have not been shown to be able to fail.

--- /dev/null
+++ b/test/proof_answers_process_test.cc
@@ -0,0 +1,99 @@
+// Proofs of P2: every request is answered at most once, and each caller gets
+// the whole answer to its own request.
+#include "proof_support.h"
+
+#include <Poco/JSON/Array.h>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <list>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+std::string textOf(const HttpAnswer &Answer) {
+  return parseJson(Answer.Body)
+      ->getArray("choices")
+      ->getObject(0)
+      ->getValue<std::string>("text");
+}
+
+std::future<HttpAnswer> sendLater(const HttpRequest &Request) {
+  return std::async(std::launch::async, [Request] { return send(Request); });
+}
+
+} // namespace
+
+// Guards against answers that reach another caller, or parts of two answers in
+// one, when many callers wait at the same time (P2).
+TEST_CASE("Proof P2 gives each of many concurrent callers its own answer") {
+  FleetOptions options;
+  options.Groups[0].FirstOutputMs = 30000;
+  options.Groups[0].MayWait = true;
+  ProcessFixture fleet(options);
+  std::vector<std::future<HttpAnswer>> answers;
+  auto promptOf = [](size_t Number) {
+    return "own prompt " + std::to_string(Number);
+  };
+  for (size_t i = 0; i < 60; ++i)
+    answers.push_back(
+        sendLater(fleet.completion(i % 3, promptOf(i), 30, false)));
+  for (size_t i = 0; i < answers.size(); ++i) {
+    HttpAnswer answer = answers[i].get();
+    REQUIRE_MESSAGE(answer.Status == 200, answer.Body);
+    CHECK(textOf(answer) == expectedTokens(promptOf(i), 30));
+  }
+}
+
+// Guards against two answers of one key that differ or are mixed (P2).
+TEST_CASE("Proof P2 answers two requests with one key at two entries") {
+  ProcessFixture fleet;
+  for (size_t i = 0; i < fleet.routers(); ++i)
+    REQUIRE(fleet.waitForKeyHome(i));
+  for (int round = 0; round < 5; ++round) {
+    std::string key = timedKey();
+    std::vector<std::future<HttpAnswer>> answers;
+    for (size_t entry : {0, 1, 2}) {
+      HttpRequest request = fleet.completion(entry, "same", 20, false);
+      request.Headers["Idempotency-Key"] = key;
+      answers.push_back(sendLater(request));
+    }
+    int whole = 0;
+    for (auto &it : answers) {
+      HttpAnswer answer = it.get();
+      if (answer.Status == 200) {
+        ++whole;
+        CHECK(textOf(answer) == expectedTokens("same", 20));
+      } else {
+        CHECK_MESSAGE(answer.Status == 409, answer.Body);
+      }
+    }
+    CHECK(whole >= 1);
+  }
+}
+
+// Guards against a stream that ends as if it were whole when no engine is left
+// to go on with it (P2).
+TEST_CASE("Proof P2 ends a stream that can't be completed with an error") {
+  ProcessFixture fleet;
+  std::list<EventStream> streams;
+  StreamEvent event;
+  for (size_t i = 0; i < 3; ++i) {
+    streams.emplace_back(fleet.completion(i, "broken", 4000, true));
+    REQUIRE(streams.back().next(event));
+  }
+  for (const char *name : {"d1", "d2", "d3", "p1", "p2"})
+    fleet.server(name).Process->signal(SIGKILL);
+  for (EventStream &it : streams) {
+    std::string last;
+    std::string name;
+    while (it.next(event)) {
+      CHECK(event.Data != "[DONE]");
+      last = event.Data;
+      name = event.Name;
+    }
+    CHECK_MESSAGE(name == "error", last);
+  }
+}
