Test with processes that silent connections are replaced

Cause: P9 was checked for engine streams only.

Change: proof_silence_process_test.cc silences service connections and all peer links.

Conclusion: silent links were replaced and no call was sent twice.

--- /dev/null
+++ b/test/proof_silence_process_test.cc
@@ -0,0 +1,83 @@
+// Proofs of P9: connections that go silent are found and replaced.
+#include "proof_support.h"
+
+#include <Poco/JSON/Array.h>
+#include <doctest/doctest.h>
+#include <future>
+#include <list>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+std::string readWhole(EventStream &Stream, std::string &End) {
+  std::string text;
+  StreamEvent event;
+  while (Stream.next(event)) {
+    if (event.Name == "error" || event.Data == "[DONE]")
+      End = event.Data;
+    else
+      text += parseJson(event.Data)
+                  ->getArray("choices")
+                  ->getObject(0)
+                  ->optValue<std::string>("text", "");
+  }
+  return text;
+}
+
+} // namespace
+
+// Guards against a second dispatch of a call whose connection went silent (P9).
+TEST_CASE("Proof P9 repeats no call whose connection goes silent") {
+  FleetOptions options;
+  options.ProgressTimeout = Milliseconds(500);
+  options.ServiceFlags = {"--latency-ms", "300"};
+  ProcessFixture fleet(options);
+  std::vector<std::future<HttpAnswer>> calls;
+  for (size_t i = 0; i < 6; ++i)
+    calls.push_back(std::async(
+        std::launch::async,
+        [request = fleet.call(i % 3, "POST", "/services/bays/x", "{}")] {
+          return send(request);
+        }));
+  REQUIRE(eventually([&] { return runningCalls(fleet) == 6; }, GenerousLimit));
+  for (const char *name : {"s1", "s2"})
+    fleet.control(name, "silence");
+  for (auto &it : calls)
+    CHECK(runOf(it.get()) == "unknown");
+  CHECK(executions(fleet, "") == 6);
+  // New connections work.
+  for (size_t i = 0; i < 3; ++i)
+    CHECK(send(fleet.call(i, "POST", "/services/bays/x", "{}")).Status == 200);
+  CHECK(executions(fleet, "") == 9);
+}
+
+// Guards against peer links that stay silent for good, and against streams that
+// break because their owner's link is replaced (P9).
+TEST_CASE("Proof P9 replaces silent peer links and keeps streams whole") {
+  FleetOptions options;
+  options.ForwardPeers = true;
+  ProcessFixture fleet(options);
+  PeerNetwork &network = fleet.network();
+  REQUIRE(
+      eventually([&] { return network.openLinks("e1") == 2; }, GenerousLimit));
+  std::list<EventStream> streams;
+  for (size_t i = 0; i < 6; ++i)
+    streams.emplace_back(
+        fleet.completion(i % 3, "s" + std::to_string(i), 300, true));
+  for (const char *name : {"e1", "e2", "e3"})
+    network.silenceOpen(name);
+  REQUIRE(network.openLinks("e1") == 0);
+  CHECK(
+      eventually([&] { return network.openLinks("e1") == 2; }, GenerousLimit));
+  int number = 0;
+  for (EventStream &it : streams) {
+    std::string end;
+    std::string text = readWhole(it, end);
+    CHECK(end == "[DONE]");
+    CHECK(text == expectedTokens("s" + std::to_string(number++), 300));
+  }
+  for (size_t i = 0; i < 3; ++i)
+    CHECK(send(fleet.completion(i, "after", 5, false)).Status == 200);
+}
