Test with processes that a crashing request is refused everywhere

Cause: P8 was checked without restarts and without requests beside the crash.

Change: proof_crash_process_test.cc sends a crashing prompt through all entries, restarts the engines and runs other requests beside it.

--- /dev/null
+++ b/test/proof_crash_process_test.cc
@@ -0,0 +1,68 @@
+// Proofs of P8: a request that crashes engines is refused at the latest after
+// the second crash, and the requests beside it are served.
+#include "proof_support.h"
+
+#include <Poco/JSON/Array.h>
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+const char *const EngineNames[] = {"p1", "p2", "p3", "d1", "d2", "d3"};
+
+void armCrash(ProcessFixture &Fleet, const std::string &Server) {
+  Fleet.control(Server, "crash?text=deadly");
+}
+
+// Starts the engines that have crashed and returns their number.
+int restartCrashed(ProcessFixture &Fleet) {
+  int crashed = 0;
+  for (const char *it : EngineNames)
+    if (!Fleet.books(it)) {
+      ++crashed;
+      Fleet.restartServer(it);
+      armCrash(Fleet, it);
+    }
+  return crashed;
+}
+
+} // namespace
+
+// Guards against a fingerprint that only the entry knows which saw the crash,
+// and against refusing what ran beside the crash (P8).
+TEST_CASE("Proof P8 refuses a deadly request everywhere and no other") {
+  FleetOptions options;
+  options.PrefillServers = 3;
+  ProcessFixture fleet(options);
+  for (const char *it : EngineNames)
+    armCrash(fleet, it);
+  int crashes = 0;
+  for (size_t attempt = 0; attempt < 6; ++attempt) {
+    CAPTURE(attempt);
+    std::vector<std::future<HttpAnswer>> beside;
+    for (size_t i = 0; i < 6; ++i)
+      beside.push_back(std::async(
+          std::launch::async,
+          [request = fleet.completion(
+               i % 3, "beside " + std::to_string(attempt * 6 + i), 60, false)] {
+            return send(request);
+          }));
+    REQUIRE(eventually([&] { return !fleet.held().empty(); }, GenerousLimit));
+    HttpAnswer answer =
+        send(fleet.completion(attempt % 3, "[[deadly]]", 5, false));
+    CHECK(answer.Status >= 400);
+    for (auto &it : beside) {
+      HttpAnswer other = it.get();
+      CHECK_MESSAGE(other.Status == 200, other.Body);
+    }
+    crashes += restartCrashed(fleet);
+    if (crashes >= 2 && attempt >= 2)
+      CHECK_MESSAGE(answer.Status == 422, answer.Body);
+  }
+  MESSAGE(crashes << " crashes");
+  CHECK(crashes >= 1);
+  CHECK(crashes <= 2);
+}
