--- a/test/config_document_test.cc
+++ b/test/config_document_test.cc
@@ -150,7 +150,9 @@
     for (const char *it : {"x", "a"})
       group.TokenDigests.push_back(it + group.Name);
     original.Groups.push_back(group);
-    original.Servers.push_back({"s" + std::to_string(i * 37 % 100)});
+    ServerConfig server;
+    server.Name = "s" + std::to_string(i * 37 % 100);
+    original.Servers.push_back(server);
   }
   for (bool indexed : {false, true}) {
     if (indexed)
