End a broken stream that no server resumes, and wait for the minority's leases in a test

Cause: (1) Output that has begun has no deadline any more. Change: (1) A stream that has broken after output ends with no_server, run = yes, when nothing has resumed it within four progress timeouts. (2) The test waits until the minority's instances report no home lease; its checks are the same. Conclusion: a caller gets an explicit end also when every engine is gone.

--- a/src/entry_placement.cc
+++ b/src/entry_placement.cc
@@ -312,6 +312,10 @@
     fail(Context, Request, ErrorKind::DeadlineUnreachable);
     return;
   }
+  if (Context.Now >= Request.ResumeBy) {
+    fail(Context, Request, ErrorKind::NoServer);
+    return;
+  }
   if (wasCleared(Context, Request))
     return;
   if (Context.Now >= Request.AskAgainAt)
--- a/src/entry_requests.cc
+++ b/src/entry_requests.cc
@@ -202,6 +202,8 @@
     return;
   request->ResultUsed = true;
   request->ResultReady = false;
+  if (Body.OutputTokens > request->OutputTokens)
+    request->ResumeBy = TimePoint::max();
   request->OutputTokens = std::max(request->OutputTokens, Body.OutputTokens);
   // Of a prefill on the decode server the owner has seen no end; it needs one
   // to estimate the remaining time.
--- a/src/entry_stages.cc
+++ b/src/entry_stages.cc
@@ -6,6 +6,11 @@
 namespace crocusspur::internal {
 namespace {
 
+// Progress timeouts that a broken stream waits for a server that goes on. It
+// has no deadline any more, so its caller would wait for ever if no server is
+// left; with 5 s each, suspects have 20 s to resume one after the other.
+constexpr int ResumeTimeouts = 4;
+
 bool wasRefused(StageOutcome Outcome) {
   return Outcome == StageOutcome::NotSent ||
          Outcome == StageOutcome::RefusedFull ||
@@ -246,6 +251,9 @@
   if (Request.OutputTokens > 0) {
     Request.ResultUsed = true;
     Request.ResultReady = false;
+    if (Request.ResumeBy == TimePoint::max())
+      Request.ResumeBy =
+          Context.Now + ResumeTimeouts * Context.Options.ProgressTimeout;
   }
   cancelAt(Context, Request, Request.Server);
   // A stalled transfer holds memory at both ends.
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -51,6 +51,7 @@
   TimePoint ArrivedAt;
   TimePoint Deadline; // of the first output
   TimePoint PhaseSince;
+  TimePoint ResumeBy = TimePoint::max(); // of a stream that has broken
   Phase At = Phase::Waiting;
   RequestClass Class = RequestClass::Normal;
   bool MayWait = false;
--- a/src/shard_lease.h
+++ b/src/shard_lease.h
@@ -49,7 +49,7 @@
   double Lookahead = 0;       // part of Paid for use that is still to come
   std::string LostOn; // server that failed under it, until a report shows why
   TimePoint LostAt;
-  bool PrefillUnused = false; // started, and not known to be used
+  bool PrefillUnused = false;       // started, and not known to be used
   OutputLengths *Learned = nullptr; // of its group and class, once looked up
   // Servers that may hold something for the request.
   std::vector<std::string> Touched;
--- a/test/entry_requests_test.cc
+++ b/test/entry_requests_test.cc
@@ -409,6 +409,19 @@
   CHECK(entry.made<StartDecode>());
 }
 
+// Guards against a caller that waits for ever when no server is left (P2).
+TEST_CASE("EntryRequests ends a broken stream that nothing resumes in time") {
+  EntryDriver entry;
+  entry.runTo(Stage::Decode);
+  entry.progress(10);
+  entry.finish(Stage::Decode, StageOutcome::Failed, "d1", 12);
+  entry.timer(Milliseconds{350});
+  entry.timer(4 * entry.Options.ProgressTimeout - Milliseconds{351});
+  CHECK(entry.error() == "none");
+  entry.timer(Milliseconds{1});
+  CHECK(entry.error() == "no_server yes");
+}
+
 // Guards against a wrong statement about execution (P3).
 TEST_CASE("EntryRequests states exactly whether a request ran") {
   EntryDriver entry;
--- a/test/proof_keys_process_test.cc
+++ b/test/proof_keys_process_test.cc
@@ -87,6 +87,11 @@
   CHECK(keyedCallsWork(Fleet, 0));
 }
 
+bool hasHomeLease(ProcessFixture &Fleet, size_t Router) {
+  return Fleet.state(Router)->getObject("keys")->getObject("list")->optValue(
+      "active", false);
+}
+
 } // namespace
 
 // Guards against a second execution when callers repeat a key through another
@@ -184,8 +189,12 @@
     for (const char *other : {"e3", "e4", "e5"})
       fleet.network().cut(one, other);
   setListed(fleet, {0, 1}, false);
+  // The minority's list has no majority, so its leases end. Until then both
+  // sides may still run keys under the one list that they share.
+  for (size_t entry : {0, 1})
+    REQUIRE(
+        eventually([&] { return !hasHomeLease(fleet, entry); }, GenerousLimit));
   REQUIRE(keyedCallsWork(fleet, 2));
-  // The minority's leases are over by now: its list has no majority.
   for (size_t entry : {0, 1}) {
     std::string key = timedKey();
     CHECK(runOf(send(booking(fleet, entry, key))) == "no");
