--- a/include/crocusspur/kernel.h
+++ b/include/crocusspur/kernel.h
@@ -27,10 +27,15 @@
   virtual void stop() = 0;
 };
 
+// The programs of the binary that run a kernel; a plug-in names those that it
+// is part of.
+enum class Program : uint8_t { Serve, Gateway, Both };
+
 struct PluginEntry {
   std::string Name;
   Phase Start = Phase::Foundation;
   std::function<std::unique_ptr<Plugin>()> Make;
+  Program PartOf = Program::Serve;
 };
 
 // Registers a plug-in from a namespace-scope object:
@@ -56,9 +61,9 @@
   template <typename T> void provide(T *Interface);
   template <typename T> T *find() const;
 
-  // Starts all registered plug-ins. On failure stops those started, in reverse
-  // order, and returns false.
-  bool start();
+  // Starts all registered plug-ins of the program. On failure stops those
+  // started, in reverse order, and returns false.
+  bool start(Program Run = Program::Serve);
   void stop();
 
   // Blocks until requestExit() is called.
--- a/src/caller_front.cc
+++ b/src/caller_front.cc
@@ -167,7 +167,9 @@
     log(LogLevel::Error, "caller_front", "core or relay is missing");
     return false;
   }
-  Limits = {Values->MaxHeaderFields, Values->MaxBodyBytes, Values->IdleTimeout};
+  Limits.MaxHeaderFields = Values->MaxHeaderFields;
+  Limits.MaxBodyBytes = Values->MaxBodyBytes;
+  Limits.IdleTimeout = Values->IdleTimeout;
   auto threads = static_cast<int>(Values->MaxConnections + SpareThreads);
   try {
     Poco::Net::ServerSocket socket;
--- a/src/caller_reader.cc
+++ b/src/caller_reader.cc
@@ -34,11 +34,13 @@
 }
 
 ReadVerdict CallerReader::readHead(HttpHead &Head) {
-  TimePoint until = Clock::now() + Limits.IdleTimeout;
+  Milliseconds headTime = Limits.HeadTimeout.value_or(Limits.IdleTimeout);
+  TimePoint until =
+      Clock::now() + (Pending.empty() ? Limits.IdleTimeout : headTime);
   bool started = !Pending.empty();
   size_t end;
   while ((end = Pending.find("\r\n\r\n")) == std::string::npos) {
-    if (Pending.size() > MaxHeadBytes)
+    if (Pending.size() > Limits.MaxHeadBytes)
       return ReadVerdict::TooLarge;
     ReadVerdict verdict = fill(until);
     if (verdict == ReadVerdict::TimedOut && !started)
@@ -46,10 +48,10 @@
     if (verdict != ReadVerdict::Ok)
       return verdict;
     if (!started)
-      until = Clock::now() + Limits.IdleTimeout;
+      until = Clock::now() + headTime;
     started = true;
   }
-  if (end > MaxHeadBytes)
+  if (end > Limits.MaxHeadBytes)
     return ReadVerdict::TooLarge;
   std::string text = Pending.substr(0, end + 4);
   Pending.erase(0, end + 4);
--- a/src/caller_reader.h
+++ b/src/caller_reader.h
@@ -5,6 +5,7 @@
 #include "crocusspur/types.h"
 #include "http_header.h"
 
+#include <optional>
 #include <string>
 
 namespace crocusspur::internal {
@@ -12,9 +13,12 @@
 struct CallerLimits {
   uint32_t MaxHeaderFields = 64;
   uint32_t MaxBodyBytes = 1048576;
-  // Bounds the wait for a request, and the time that its head and its body may
-  // each take from the first byte, so that a slow sender can't hold a thread.
+  size_t MaxHeadBytes = internal::MaxHeadBytes;
+  // Bounds the wait for a request and, unless HeadTimeout is set, the time that
+  // its head and its body may each take from the first byte, so that a slow
+  // sender can't hold a thread.
   Milliseconds IdleTimeout{30000};
+  std::optional<Milliseconds> HeadTimeout;
 };
 
 enum class ReadVerdict : uint8_t {
--- /dev/null
+++ b/src/gateway/decisions/repeat_budget.h
@@ -0,0 +1,38 @@
+// The budget of repeated sends that all instances share, without messages: each
+// instance spends the part that its own requests earn and its share of the
+// fixed allowance. Pure.
+#ifndef CROCUSSPUR_GATEWAY_REPEAT_BUDGET_H
+#define CROCUSSPUR_GATEWAY_REPEAT_BUDGET_H
+
+#include "retry_budget.h"
+
+#include <map>
+#include <string>
+
+namespace crocusspur::gateway {
+
+struct RepeatAllowance {
+  double Ratio = 0.1;  // of the requests for a service
+  uint32_t Fixed = 10; // for all instances together, in one window
+
+  bool operator==(const RepeatAllowance &) const = default;
+};
+
+class RepeatBudget {
+public:
+  explicit RepeatBudget(RepeatAllowance Allowance) : Allowance(Allowance) {}
+
+  void setAllowance(RepeatAllowance Value) { Allowance = Value; }
+  void onRequest(const std::string &Service, TimePoint Now);
+  // Counts one repeat and returns true if it is within the budget.
+  bool takeRepeat(const std::string &Service, uint32_t Instances,
+                  TimePoint Now);
+
+private:
+  RepeatAllowance Allowance;
+  std::map<std::string, internal::RetryBudget> Services;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/decisions/route_table.cc
@@ -0,0 +1,44 @@
+#include "gateway/decisions/route_table.h"
+
+#include <strings.h>
+
+namespace crocusspur::gateway {
+namespace {
+
+std::string_view withoutPort(std::string_view Host) {
+  return Host.substr(0, Host.find(':'));
+}
+
+bool sameHost(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+} // namespace
+
+const PathRoute *findRoute(const RouteDocument &Document, std::string_view Host,
+                           std::string_view Path) {
+  Host = withoutPort(Host);
+  Path = Path.substr(0, Path.find('?'));
+  const PathRoute *best = nullptr;
+  for (const PathRoute &it : Document.Routes)
+    if (sameHost(it.Host, Host) && Path.starts_with(it.PathPrefix) &&
+        (!best || it.PathPrefix.size() > best->PathPrefix.size()))
+      best = &it;
+  return best;
+}
+
+const std::string &chooseService(const PathRoute &Route, uint64_t Draw) {
+  uint64_t sum = 0;
+  for (const ServiceShare &it : Route.Services)
+    sum += it.Weight;
+  uint64_t left = sum ? Draw % sum : 0;
+  for (const ServiceShare &it : Route.Services) {
+    if (left < it.Weight)
+      return it.Service;
+    left -= it.Weight;
+  }
+  return Route.Services.front().Service;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/server_book.cc
@@ -0,0 +1,206 @@
+#include "gateway/decisions/server_book.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace crocusspur::gateway {
+namespace {
+
+// A reported load says little after the time in which most calls end.
+constexpr Milliseconds LoadMemory{400};
+// Weight of the newest call in the moving average of failures: about the last
+// six calls count.
+constexpr double FailureWeight = 0.16;
+// A server whose calls all fail looks nine times as loaded.
+constexpr double FailurePenalty = 8;
+// Pause after an unreachable or silent server, doubled with each further one.
+constexpr Milliseconds LeastPause{250};
+constexpr Milliseconds MostPause{4000};
+// Pause after a server refused because it is full, short since slots free
+// within tens of milliseconds.
+constexpr Milliseconds ShedPause{25};
+// Added to the score of a server in another failure domain, in requests: it
+// decides between equal servers only.
+constexpr double OtherDomainPenalty = 0.05;
+// Spread of the draw that separates equal servers, in requests.
+constexpr double DrawSpread = 0.04;
+
+Milliseconds pauseAfter(uint32_t FailuresInRow) {
+  auto factor = 1U << std::min(FailuresInRow - 1, 5U);
+  return std::min(LeastPause * factor, MostPause);
+}
+
+ServerChoice choiceOf(const ServerEntry &Entry) {
+  return {Entry.Id, Entry.Address, Entry.FailureDomain, Entry.StartedAt};
+}
+
+} // namespace
+
+void ServerBook::apply(const ServerEntry &Entry, TimePoint) {
+  auto it = Servers.find(Entry.Id);
+  bool restarted =
+      it != Servers.end() && (it->second.Entry.StartedAt != Entry.StartedAt ||
+                              it->second.Entry.Address != Entry.Address);
+  if (restarted)
+    Servers.erase(it);
+  Server &server = Servers[Entry.Id];
+  if (server.Entry.Stage != Entry.Stage)
+    server.Load.reset();
+  server.Entry = Entry;
+  server.LastUse.reset();
+}
+
+void ServerBook::remove(const std::string &Id, TimePoint LastUse) {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return;
+  if (it->second.Entry.Leaving)
+    Servers.erase(it);
+  else
+    it->second.LastUse = LastUse;
+}
+
+void ServerBook::expire(TimePoint Now) {
+  std::erase_if(Servers, [&](const auto &It) {
+    return It.second.LastUse && *It.second.LastUse < Now;
+  });
+}
+
+const ServerEntry *ServerBook::find(const std::string &Id) const {
+  auto it = Servers.find(Id);
+  return it == Servers.end() ? nullptr : &it->second.Entry;
+}
+
+std::vector<ServerEntry> ServerBook::entries() const {
+  std::vector<ServerEntry> all;
+  for (const auto &[id, server] : Servers)
+    if (!server.LastUse)
+      all.push_back(server.Entry);
+  return all;
+}
+
+bool ServerBook::usable(const std::string &Id, int64_t StartedAt,
+                        TimePoint Now) const {
+  auto it = Servers.find(Id);
+  return it != Servers.end() && !it->second.Entry.Leaving &&
+         it->second.Entry.StartedAt == StartedAt &&
+         (!it->second.LastUse || *it->second.LastUse >= Now);
+}
+
+bool ServerBook::fits(const Server &Item, const ServerQuery &Query) const {
+  const ServerEntry &entry = Item.Entry;
+  return entry.Service == Query.Service && !entry.Leaving &&
+         entry.Stage == Query.Stage && !Query.Excluded.contains(entry.Id);
+}
+
+double ServerBook::score(const Server &Item, TimePoint Now) const {
+  double load = Item.OwnLoad;
+  if (Item.Load && Now - Item.LoadAt < LoadMemory) {
+    // What others have there, and what this instance sent since.
+    double others = static_cast<double>(Item.Load->Running) +
+                    Item.Load->Waiting - Item.OwnCallsAtLoad;
+    double age = std::chrono::duration<double>(Now - Item.LoadAt) / LoadMemory;
+    load += std::max(0.0, others) * (1 - age);
+  }
+  load += 1;
+  if (Item.Entry.Slots > 0 && Item.Entry.Stage == ServerStage::Whole)
+    load = load / Item.Entry.Slots;
+  load *= 1 + FailurePenalty * Item.FailureShare;
+  if (Item.Entry.FailureDomain != OwnDomain)
+    load += OtherDomainPenalty;
+  return load;
+}
+
+std::vector<ServerChoice> ServerBook::rank(const ServerQuery &Query,
+                                           TimePoint Now) {
+  struct Candidate {
+    int Class; // 0: sound, 1: avoided, 2: entry gone
+    double Score;
+    const Server *Item;
+  };
+  std::uniform_real_distribution<double> draw(0, DrawSpread);
+  std::vector<Candidate> found;
+  for (const auto &[id, server] : Servers) {
+    if (!fits(server, Query) || (server.LastUse && *server.LastUse < Now))
+      continue;
+    int rankClass = server.LastUse ? 2 : server.AvoidUntil > Now ? 1 : 0;
+    found.push_back({rankClass, score(server, Now) + draw(Random), &server});
+  }
+  std::sort(found.begin(), found.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return std::pair(Left.Class, Left.Score) <
+                     std::pair(Right.Class, Right.Score);
+            });
+  std::vector<ServerChoice> choices;
+  for (const Candidate &it : found)
+    choices.push_back(choiceOf(it.Item->Entry));
+  return choices;
+}
+
+std::optional<ServerChoice> ServerBook::choose(const ServerQuery &Query,
+                                               TimePoint Now) {
+  std::vector<ServerChoice> all = rank(Query, Now);
+  if (all.empty())
+    return std::nullopt;
+  return all.front();
+}
+
+void ServerBook::callStarted(const std::string &Id, double Weight) {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return;
+  it->second.OwnLoad += Weight;
+  ++it->second.OwnCalls;
+}
+
+void ServerBook::callEnded(const std::string &Id, double Weight,
+                           CallResult Result, TimePoint Now) {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return;
+  Server &server = it->second;
+  server.OwnLoad = std::max(0.0, server.OwnLoad - Weight);
+  if (server.OwnCalls > 0)
+    --server.OwnCalls;
+  switch (Result) {
+  case CallResult::Abandoned:
+    return;
+  case CallResult::Served:
+    server.FailureShare *= 1 - FailureWeight;
+    server.FailuresInRow = 0;
+    server.AvoidUntil = TimePoint();
+    return;
+  case CallResult::Shed:
+    server.AvoidUntil = std::max(server.AvoidUntil, Now + ShedPause);
+    return;
+  case CallResult::Failed:
+    server.FailureShare += FailureWeight * (1 - server.FailureShare);
+    return;
+  case CallResult::Unreachable:
+  case CallResult::Silent:
+    server.FailureShare += FailureWeight * (1 - server.FailureShare);
+    ++server.FailuresInRow;
+    server.AvoidUntil = Now + pauseAfter(server.FailuresInRow);
+    return;
+  }
+}
+
+void ServerBook::loadSeen(const std::string &Id, const ServerLoad &Load,
+                          TimePoint Now) {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return;
+  it->second.Load = Load;
+  it->second.LoadAt = Now;
+  it->second.OwnCallsAtLoad = it->second.OwnCalls;
+}
+
+std::vector<ServerBook::Estimate> ServerBook::estimates(TimePoint Now) const {
+  std::vector<Estimate> all;
+  for (const auto &[id, server] : Servers)
+    all.push_back({id, server.OwnLoad, server.FailureShare,
+                   server.AvoidUntil > Now || server.LastUse.has_value()});
+  return all;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/waiting_line.h
@@ -0,0 +1,75 @@
+// Requests of one instance that wait for memory at the decode servers of a
+// service: which may try next, and until when waiting makes sense. Pure.
+//
+// The load that it answers: a burst of about twice what the decode servers can
+// hold, with every instance competing for the memory that becomes free.
+#ifndef CROCUSSPUR_GATEWAY_WAITING_LINE_H
+#define CROCUSSPUR_GATEWAY_WAITING_LINE_H
+
+#include "crocusspur/types.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace crocusspur::gateway {
+
+struct LineEntry {
+  uint32_t Priority = 0; // 0 is first
+  TimePoint OnTimeUntil; // latest grant with which the answer is on time
+  TimePoint GiveUpAt;    // the request leaves the line then
+  uint64_t Tokens = 0;   // memory that it asks for
+};
+
+class WaitingLine {
+public:
+  // `Tries` bounds the requests that ask servers at the same time.
+  explicit WaitingLine(uint32_t Tries) : Tries(Tries) {}
+
+  uint64_t join(const LineEntry &Item, TimePoint Now);
+  void leave(uint64_t Ticket);
+
+  // Whether the request may ask the servers now; it must call tried() after.
+  // Requests that can still be on time go first, by priority, then by the end
+  // of their time.
+  bool mayTry(uint64_t Ticket, TimePoint Now);
+  // All servers refused. The request waits for memory to become free.
+  void tried(uint64_t Ticket, TimePoint Now);
+
+  // Whether a request that joins now can expect to be granted by `Latest`,
+  // judged by the grants of the last seconds.
+  bool hopeless(TimePoint Latest, TimePoint Now) const;
+  // Notes that a waiting request got its memory.
+  void granted(TimePoint Now);
+  // Time in which the line drains at the present rate.
+  Milliseconds drainTime(TimePoint Now) const;
+
+  size_t size() const { return Waiters.size(); }
+
+private:
+  struct State {
+    LineEntry Item;
+    TimePoint NextTry;
+    bool Trying = false;
+  };
+
+  bool before(uint64_t LeftTicket, const State &Left, uint64_t RightTicket,
+              const State &Right, TimePoint Now) const;
+  double grantsPerSecond(TimePoint Now) const;
+
+  uint32_t Tries;
+  uint64_t LastTicket = 0;
+  std::map<uint64_t, State> Waiters;
+  double Rate = 0; // grants a second, moving average
+  TimePoint RateAt;
+};
+
+// When a refused caller should come back: the line's drain time within these
+// bounds, spread so that callers don't return together. `Draw` is in [0, 1).
+// `Longest` is the longest wait that the caller honours.
+Milliseconds comeBackAfter(Milliseconds Drain, Milliseconds Longest,
+                           double Draw);
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/dialect.h
@@ -0,0 +1,93 @@
+// How callers and backend servers are spoken to. The gateway holds requests and
+// answers in these types; an adapter turns them into bytes and back. The hooks
+// decide nothing, keep no state and may be called from any thread.
+#ifndef CROCUSSPUR_GATEWAY_DIALECT_H
+#define CROCUSSPUR_GATEWAY_DIALECT_H
+
+#include "gateway/decisions/server_book.h"
+#include "http_header.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
+// Size of a request to a model, in tokens.
+struct GenerationSize {
+  uint64_t PromptTokens = 0;
+  uint64_t MaxOutputTokens = 0;
+};
+
+struct CallerRequest {
+  std::string Id; // the caller's; each attempt of a caller has its own
+  std::string Host;
+  std::string Method;
+  std::string Target;     // path and query as sent
+  HeaderFields Forwarded; // fields that reach the server unchanged
+  std::string Body;
+  std::optional<Milliseconds> TimeLeft; // how long the caller waits
+  std::optional<GenerationSize> Generation;
+  std::string LastEventId; // the caller resumes a stream after this event
+};
+
+// What one call asks of a server, beside the caller's request.
+struct RunOrder {
+  std::string ServerId; // any other server at the address must refuse
+  std::string Address;
+  Milliseconds TimeLeft{0};
+  bool PrefillOnly = false;
+  std::string MemoryAt;      // where the prompt's memory lies; empty: nowhere
+  std::string Reservation;   // made before; empty: none
+  std::string ContinueAfter; // id of the last event that the caller has
+};
+
+// What the head of a server's answer says, beside status and length.
+struct AnswerFacts {
+  bool NotRun = false;  // the server states that it didn't run the request
+  bool Signed = false;  // the bytes are a server's
+  bool Encoded = false; // the body isn't the server's own bytes
+  std::string RequestId;
+  std::optional<ServerLoad> Load;
+  std::optional<Milliseconds> KeepOpen; // idle time of the connection
+  HeaderFields Returned; // fields that reach the caller unchanged
+};
+
+struct PrefillDone {
+  std::string Handle; // of the prompt's memory at the prefill server
+  uint64_t Tokens = 0;
+};
+
+struct Dialect {
+  std::function<CallerRequest(const internal::HttpHead &Head)> ReadCaller;
+  std::function<std::string(const CallerRequest &, const RunOrder &)> FormatRun;
+  std::function<AnswerFacts(const internal::HttpHead &Head)> ReadAnswer;
+  std::function<std::optional<PrefillDone>(const std::string &Body)>
+      ReadPrefill;
+  // Names the memory of a prompt at a server for RunOrder::MemoryAt.
+  std::function<std::string(const std::string &Address,
+                            const std::string &Handle)>
+      MemoryName;
+  std::function<std::string(const ServerChoice &Server, uint64_t Tokens,
+                            Milliseconds Lifetime)>
+      FormatReserve;
+  // Returns the reservation's name, or nothing.
+  std::function<std::optional<std::string>(const std::string &Body)>
+      ReadReservation;
+  std::function<std::string(const ServerChoice &Server,
+                            const std::string &Reservation)>
+      FormatReleaseReservation;
+  std::function<std::string(const ServerChoice &Server,
+                            const std::string &Handle)>
+      FormatReleaseMemory;
+  // Returns the id of an event, or an empty text if it has none.
+  std::function<std::string(std::string_view Event)> EventId;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/directory.cc
@@ -0,0 +1,284 @@
+#include "gateway/directory.h"
+
+#include "json_text.h"
+#include "log.h"
+
+#include <algorithm>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using internal::log;
+using internal::LogLevel;
+
+// Shares of the allowed output are learned in thousandths.
+constexpr uint32_t WholeShare = 1000;
+// Part of the outputs that the reservation covers. Covering all of them leaves
+// memory idle; outputs beyond it take free memory as they grow.
+constexpr double CoveredPart = 0.6;
+// Until something is learned. The trial in docs/design.md found the fewest
+// preemptions without idle memory between 0.45 and 0.6.
+constexpr double FirstShare = 0.45;
+constexpr double EnoughSamples = 20;
+// First attempts of callers differ by less than this in the time they give.
+constexpr Milliseconds ReturnMargin{300};
+
+const char *toString(NewsOrigin Origin) {
+  return Origin == NewsOrigin::Store ? "store" : "peer";
+}
+
+const char *toString(ServerStage Stage) {
+  switch (Stage) {
+  case ServerStage::Prefill:
+    return "prefill";
+  case ServerStage::Decode:
+    return "decode";
+  case ServerStage::Whole:
+    break;
+  }
+  return "whole";
+}
+
+} // namespace
+
+Directory::Directory(const GatewaySettings &Values, uint64_t Seed)
+    : Values(Values), Document(std::make_shared<RouteDocument>()),
+      Book(Values.FailureDomain, Seed), Repeats(Values.Repeats),
+      Random(Seed ^ 0x9E3779B97F4A7C15ULL) {}
+
+void Directory::applyRoutes(RouteDocumentPtr News, NewsOrigin Origin) {
+  std::lock_guard lock(Mutex);
+  if (News->Version <= Document->Version)
+    return;
+  log(LogLevel::Info, "directory", "configuration in force",
+      {{"version", std::to_string(News->Version)},
+       {"former_version", std::to_string(Document->Version)},
+       {"routes", std::to_string(News->Routes.size())},
+       {"origin", toString(Origin)}});
+  Document = std::move(News);
+}
+
+RouteDocumentPtr Directory::routes() const {
+  std::lock_guard lock(Mutex);
+  return Document;
+}
+
+void Directory::logServer(const ServerChange &Change, NewsOrigin Origin) const {
+  internal::LogFields fields{{"server", Change.Id},
+                             {"revision", std::to_string(Change.Revision)},
+                             {"origin", toString(Origin)}};
+  if (Change.Entry) {
+    fields.emplace_back("service", Change.Entry->Service);
+    fields.emplace_back("address", Change.Entry->Address);
+    fields.emplace_back("stage", toString(Change.Entry->Stage));
+    fields.emplace_back("leaving", Change.Entry->Leaving ? "true" : "false");
+    fields.emplace_back("started_at", std::to_string(Change.Entry->StartedAt));
+  }
+  log(LogLevel::Info, "directory",
+      Change.Entry ? "server entry changed" : "server entry gone", fields);
+}
+
+void Directory::applyLocked(const ServerChange &Change, NewsOrigin Origin,
+                            TimePoint Now) {
+  uint64_t &known = Revisions[Change.Id];
+  if (Change.Revision <= known)
+    return;
+  known = Change.Revision;
+  ListRevision = std::max(ListRevision, Change.Revision);
+  const ServerEntry *former = Book.find(Change.Id);
+  if (Change.Entry || former)
+    logServer(Change, Origin);
+  if (Change.Entry) {
+    Book.apply(*Change.Entry, Now);
+    return;
+  }
+  // Three quarters of the limit leave time for requests under way to it.
+  TimePoint lastUse = Now + Values.LeavingLimit * 3 / 4;
+  bool serversRead =
+      StoreUp[static_cast<size_t>(PublishedKind::Servers)].load();
+  if (!serversRead || Now - StoreBackAt < Values.LapsedEntryTime)
+    lastUse = (serversRead ? StoreBackAt : Now) + Values.LapsedEntryTime;
+  Book.remove(Change.Id, lastUse);
+}
+
+void Directory::applyServer(const ServerChange &Change, NewsOrigin Origin) {
+  std::lock_guard lock(Mutex);
+  applyLocked(Change, Origin, Clock::now());
+}
+
+void Directory::applyServerList(const std::vector<ServerChange> &Entries,
+                                uint64_t Revision, NewsOrigin Origin) {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  std::set<std::string> listed;
+  for (const ServerChange &it : Entries) {
+    listed.insert(it.Id);
+    applyLocked(it, Origin, now);
+  }
+  for (const ServerEntry &it : Book.entries())
+    if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
+      applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
+  ListRevision = std::max(ListRevision, Revision);
+  ListKnown = true;
+}
+
+std::vector<ServerChange> Directory::servers() const {
+  std::lock_guard lock(Mutex);
+  std::vector<ServerChange> all;
+  for (ServerEntry &it : Book.entries()) {
+    uint64_t revision = Revisions.at(it.Id);
+    std::string id = it.Id;
+    all.push_back({id, revision, std::move(it)});
+  }
+  return all;
+}
+
+uint64_t Directory::serversRevision() const {
+  std::lock_guard lock(Mutex);
+  return ListKnown ? ListRevision : 0;
+}
+
+void Directory::storeReachable(PublishedKind Kind, bool Reachable) {
+  std::lock_guard lock(Mutex);
+  if (StoreUp[static_cast<size_t>(Kind)].exchange(Reachable) == Reachable)
+    return;
+  log(Reachable ? LogLevel::Info : LogLevel::Warn, "directory",
+      Reachable ? "store reachable again" : "store lost",
+      {{"store", Values.StoreAddress},
+       {"documents", Kind == PublishedKind::Servers ? "servers" : "routes"}});
+  if (Kind == PublishedKind::Servers)
+    StoreBackAt = Clock::now();
+}
+
+bool Directory::storeIsReachable() const {
+  return StoreUp[0].load() && StoreUp[1].load();
+}
+
+bool Directory::complete() const {
+  std::lock_guard lock(Mutex);
+  return Document->Version > 0 && ListKnown;
+}
+
+std::optional<ServerChoice> Directory::choose(const ServerQuery &Query) {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  Book.expire(now);
+  return Book.choose(Query, now);
+}
+
+std::vector<ServerChoice> Directory::rank(const ServerQuery &Query) {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  Book.expire(now);
+  return Book.rank(Query, now);
+}
+
+bool Directory::usable(const ServerChoice &Server) const {
+  std::lock_guard lock(Mutex);
+  return Book.usable(Server.Id, Server.StartedAt, Clock::now());
+}
+
+bool Directory::hasStage(const std::string &Service, ServerStage Stage) const {
+  std::lock_guard lock(Mutex);
+  std::vector<ServerEntry> all = Book.entries();
+  return std::any_of(all.begin(), all.end(), [&](const ServerEntry &It) {
+    return It.Service == Service && It.Stage == Stage && !It.Leaving;
+  });
+}
+
+void Directory::callStarted(const std::string &Id, double Weight) {
+  std::lock_guard lock(Mutex);
+  Book.callStarted(Id, Weight);
+}
+
+void Directory::callEnded(const std::string &Id, double Weight,
+                          CallResult Result) {
+  std::lock_guard lock(Mutex);
+  Book.callEnded(Id, Weight, Result, Clock::now());
+}
+
+void Directory::loadSeen(const std::string &Id, const ServerLoad &Load) {
+  std::lock_guard lock(Mutex);
+  Book.loadSeen(Id, Load, Clock::now());
+}
+
+void Directory::onRequest(const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  Repeats.onRequest(Service, Clock::now());
+}
+
+bool Directory::takeRepeat(const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  return Repeats.takeRepeat(Service, Instances.load(), Clock::now());
+}
+
+void Directory::setRepeats(RepeatAllowance Value) {
+  std::lock_guard lock(Mutex);
+  Repeats.setAllowance(Value);
+}
+
+uint64_t Directory::reservedTokens(const std::string &Service,
+                                   uint64_t PromptTokens,
+                                   uint64_t MaxOutputTokens) const {
+  std::lock_guard lock(Mutex);
+  double share = FirstShare;
+  auto it = OutputShares.find(Service);
+  if (it != OutputShares.end() && it->second.samples() >= EnoughSamples) {
+    constexpr double Step = 0.05;
+    share = Step;
+    while (share < 1 &&
+           it->second.endsBy(WholeShare, 0, share * WholeShare) < CoveredPart)
+      share += Step;
+  }
+  return PromptTokens +
+         static_cast<uint64_t>(share * static_cast<double>(MaxOutputTokens));
+}
+
+void Directory::outputEnded(const std::string &Service, uint64_t Tokens,
+                            uint64_t MaxOutputTokens) {
+  if (MaxOutputTokens == 0)
+    return;
+  std::lock_guard lock(Mutex);
+  OutputShares[Service].add(static_cast<uint32_t>(
+      std::min(Tokens, MaxOutputTokens) * WholeShare / MaxOutputTokens));
+}
+
+bool Directory::cameBefore(const std::string &RouteName,
+                           Milliseconds TimeLeft) {
+  std::lock_guard lock(Mutex);
+  Milliseconds &usual = UsualTimes[RouteName];
+  usual = std::max(usual, TimeLeft);
+  return TimeLeft < usual - ReturnMargin;
+}
+
+double Directory::draw() {
+  std::lock_guard lock(Mutex);
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
+uint64_t Directory::drawNumber() {
+  std::lock_guard lock(Mutex);
+  return Random();
+}
+
+std::string Directory::dump() const {
+  std::lock_guard lock(Mutex);
+  std::string out =
+      "{\"config_version\":" + std::to_string(Document->Version) +
+      ",\"routes\":" + std::to_string(Document->Routes.size()) +
+      ",\"servers_revision\":" + std::to_string(ListRevision) +
+      ",\"store_reachable\":" + (storeIsReachable() ? "true" : "false") +
+      ",\"instances\":" + std::to_string(Instances.load()) + ",\"servers\":[";
+  const char *separator = "";
+  for (const ServerBook::Estimate &it : Book.estimates(Clock::now())) {
+    out += separator + std::string("{\"id\":") + internal::jsonString(it.Id) +
+           ",\"own_load\":" + std::to_string(it.OwnLoad) +
+           ",\"failure_share\":" + std::to_string(it.FailureShare) +
+           ",\"avoided\":" + (it.Avoided ? "true" : "false") + "}";
+    separator = ",";
+  }
+  return out + "]}";
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/directory.h
@@ -0,0 +1,113 @@
+// What an instance knows of routes and servers, shared by its threads, with the
+// decisions that depend on it. All functions are thread-safe.
+#ifndef CROCUSSPUR_GATEWAY_DIRECTORY_H
+#define CROCUSSPUR_GATEWAY_DIRECTORY_H
+
+#include "gateway/decisions/repeat_budget.h"
+#include "gateway/decisions/route_table.h"
+#include "gateway/decisions/server_book.h"
+#include "gateway/gateway_settings.h"
+#include "output_lengths.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace crocusspur::gateway {
+
+// One change of what is published, from the store or from a peer.
+struct ServerChange {
+  std::string Id;
+  uint64_t Revision = 0;            // of the store, when it changed
+  std::optional<ServerEntry> Entry; // nothing: the entry is gone
+};
+
+enum class PublishedKind : uint8_t { Servers, Routes };
+
+// Where a change was learned, for the log.
+enum class NewsOrigin : uint8_t { Store, Peer };
+
+class Directory {
+public:
+  Directory(const GatewaySettings &Values, uint64_t Seed);
+
+  // Takes a document unless its version is older than the one in force.
+  void applyRoutes(RouteDocumentPtr Document, NewsOrigin Origin);
+  RouteDocumentPtr routes() const;
+
+  // Takes a change unless a newer one of the same server is known.
+  void applyServer(const ServerChange &Change, NewsOrigin Origin);
+  // Takes a complete list: servers that it lacks and that changed no later than
+  // `Revision` are gone.
+  void applyServerList(const std::vector<ServerChange> &Entries,
+                       uint64_t Revision, NewsOrigin Origin);
+  std::vector<ServerChange> servers() const;
+  uint64_t serversRevision() const;
+
+  // The store answers the reader of this kind (or not). While it doesn't, and
+  // for some time after its return, servers that vanish are kept as a last
+  // resort.
+  void storeReachable(PublishedKind Kind, bool Reachable);
+  // Whether it answers the readers of both kinds.
+  bool storeIsReachable() const;
+  // Whether routes and servers are known, so that requests can be served.
+  bool complete() const;
+
+  // Decisions on servers; see ServerBook.
+  std::optional<ServerChoice> choose(const ServerQuery &Query);
+  std::vector<ServerChoice> rank(const ServerQuery &Query);
+  bool usable(const ServerChoice &Server) const;
+  bool hasStage(const std::string &Service, ServerStage Stage) const;
+  void callStarted(const std::string &Id, double Weight);
+  void callEnded(const std::string &Id, double Weight, CallResult Result);
+  void loadSeen(const std::string &Id, const ServerLoad &Load);
+
+  // Decisions on repeats; see RepeatBudget.
+  void onRequest(const std::string &Service);
+  bool takeRepeat(const std::string &Service);
+  void setRepeats(RepeatAllowance Value);
+  void setInstances(uint32_t Count) { Instances.store(Count); }
+
+  // Memory to reserve for a request: its prompt and as much output as most
+  // requests of the service make.
+  uint64_t reservedTokens(const std::string &Service, uint64_t PromptTokens,
+                          uint64_t MaxOutputTokens) const;
+  void outputEnded(const std::string &Service, uint64_t Tokens,
+                   uint64_t MaxOutputTokens);
+
+  // Whether a caller that gives this much time has likely been refused before:
+  // callers of the route usually give more.
+  bool cameBefore(const std::string &RouteName, Milliseconds TimeLeft);
+
+  double draw(); // uniform in [0, 1)
+  uint64_t drawNumber();
+
+  // State of all parts as a JSON text.
+  std::string dump() const;
+
+private:
+  void logServer(const ServerChange &Change, NewsOrigin Origin) const;
+  void applyLocked(const ServerChange &Change, NewsOrigin Origin,
+                   TimePoint Now);
+
+  const GatewaySettings &Values;
+  mutable std::mutex Mutex;
+  RouteDocumentPtr Document;
+  ServerBook Book;
+  std::map<std::string, uint64_t> Revisions; // of each server's last change
+  uint64_t ListRevision = 0;
+  bool ListKnown = false;
+  RepeatBudget Repeats;
+  std::map<std::string, internal::OutputLengths> OutputShares;
+  std::map<std::string, Milliseconds> UsualTimes; // by route, the most seen
+  std::mt19937_64 Random;
+  std::atomic<uint32_t> Instances{8};
+  std::array<std::atomic<bool>, 2> StoreUp{true, true}; // by kind
+  TimePoint StoreBackAt; // last change between reachable and not
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/directory_reader.cc
@@ -0,0 +1,120 @@
+// Plug-in: keeps the directory up to date from the store. One thread for the
+// servers and one for the routes, each with a connection of its own.
+#include "crocusspur/kernel.h"
+#include "gateway/gateway_runtime.h"
+#include "log.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace crocusspur::gateway {
+namespace {
+
+using internal::log;
+using internal::LogLevel;
+
+// Longest wait of one watch call. With the time of a call it bounds how long a
+// connection that has gone silent stays unnoticed, and must stay below the
+// time in which changes have to be in force after a fault.
+constexpr Milliseconds WatchWait{2500};
+// Pause after a failed call, doubled up to the longest, with a random part.
+constexpr Milliseconds LeastPause{100};
+constexpr Milliseconds MostPause{800};
+
+class DirectoryReader final : public Plugin {
+public:
+  bool start(Kernel &Owner) override {
+    Runtime = Owner.find<GatewayRuntime>();
+    if (!Runtime)
+      return false;
+    for (PublishedKind kind : {PublishedKind::Servers, PublishedKind::Routes})
+      Threads.emplace_back([this, kind] { read(kind); });
+    return true;
+  }
+
+  void stop() override {
+    Stopping.store(true);
+    { std::lock_guard lock(Mutex); }
+    Wake.notify_all();
+    for (std::thread &it : Threads)
+      it.join();
+  }
+
+private:
+  void read(PublishedKind Kind);
+  void take(const PublishedNews &News, PublishedKind Kind, bool Whole);
+  void pause(Milliseconds Time);
+
+  GatewayRuntime *Runtime = nullptr;
+  std::atomic<bool> Stopping{false};
+  std::mutex Mutex;
+  std::condition_variable Wake;
+  std::vector<std::thread> Threads;
+};
+
+void DirectoryReader::pause(Milliseconds Time) {
+  std::unique_lock lock(Mutex);
+  Wake.wait_for(lock, Time, [this] { return Stopping.load(); });
+}
+
+void DirectoryReader::take(const PublishedNews &News, PublishedKind Kind,
+                           bool Whole) {
+  if (News.Routes)
+    Runtime->Known.applyRoutes(News.Routes, NewsOrigin::Store);
+  if (Kind != PublishedKind::Servers)
+    return;
+  if (Whole)
+    Runtime->Known.applyServerList(News.Servers, News.Revision,
+                                   NewsOrigin::Store);
+  else
+    for (const ServerChange &it : News.Servers)
+      Runtime->Known.applyServer(it, NewsOrigin::Store);
+}
+
+void DirectoryReader::read(PublishedKind Kind) {
+  const char *name = Kind == PublishedKind::Servers ? "servers" : "routes";
+  PublishedReader reader = Runtime->Source.MakeReader(Kind);
+  GiveUp givesUp = [this] { return Stopping.load(); };
+  std::mt19937_64 random(Runtime->Incarnation + static_cast<uint64_t>(Kind));
+  uint64_t revision = 0; // 0: everything has to be read
+  uint32_t failures = 0;
+  while (!Stopping.load()) {
+    bool whole = revision == 0;
+    PublishedNews news = whole ? reader.ReadAll(givesUp)
+                               : reader.Watch(revision, WatchWait, givesUp);
+    if (Stopping.load())
+      break;
+    if (news.Status == ReadStatus::Ok) {
+      failures = 0;
+      Runtime->Known.storeReachable(Kind, true);
+      take(news, Kind, whole);
+      revision = news.Revision;
+      continue;
+    }
+    if (news.Status == ReadStatus::HistoryGone) {
+      log(LogLevel::Info, "directory_reader", "history gone; reading anew",
+          {{"documents", name}, {"revision", std::to_string(revision)}});
+      revision = 0;
+      continue;
+    }
+    if (++failures == 1)
+      log(LogLevel::Warn, "directory_reader", "store doesn't answer",
+          {{"documents", name}, {"why", news.Fault}});
+    Runtime->Known.storeReachable(Kind, false);
+    Milliseconds most =
+        std::min(MostPause, LeastPause * (1U << std::min(failures - 1, 8U)));
+    pause(most / 2 + Milliseconds(static_cast<int64_t>(
+                         random() % static_cast<uint64_t>(most.count()))));
+  }
+}
+
+const PluginRegistration Registration{
+    {"directory_reader", Phase::Links,
+     [] { return std::make_unique<DirectoryReader>(); }, Program::Gateway}};
+
+} // namespace
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,24 @@
+// The parts that a request's run uses.
+#ifndef CROCUSSPUR_GATEWAY_GATEWAY_H
+#define CROCUSSPUR_GATEWAY_GATEWAY_H
+
+#include "gateway/dialect.h"
+#include "gateway/directory.h"
+#include "gateway/place_line.h"
+#include "gateway/server_link.h"
+#include "runtime.h"
+
+namespace crocusspur::gateway {
+
+struct GatewayParts {
+  const GatewaySettings &Values;
+  const Dialect &Wire;
+  Directory &Known;
+  ConnectionPool &Connections;
+  PlaceLines &Lines;
+  internal::MetricsSink &Metrics;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/gateway_front.cc
@@ -0,0 +1,287 @@
+// Plug-in: callers' connections. Each has a thread of its own, which reads
+// requests, finds their routes and runs them.
+#include "caller_reader.h"
+#include "crocusspur/kernel.h"
+#include "gateway/gateway_runtime.h"
+#include "gateway/request_run.h"
+#include "log.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/ThreadPool.h>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <set>
+#include <sys/socket.h>
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using internal::CallerLimits;
+using internal::CallerReader;
+using internal::HttpHead;
+using internal::HttpSink;
+using internal::log;
+using internal::LogLevel;
+using internal::ReadVerdict;
+using Poco::Net::StreamSocket;
+
+// The deepest call of a connection's thread needs some 50 KiB.
+constexpr int StackBytes = 262144;
+constexpr int MinThreads = 8;
+constexpr int ThreadIdleSeconds = 60;
+constexpr int MaxConnections = 768; // of callers; each holds a thread
+constexpr int Backlog = 1024;
+constexpr uint32_t MaxHeaderFields = 128;
+// A caller that takes nothing for this long counts as gone.
+constexpr Milliseconds StallLimit{10000};
+// A stream lasts some seconds. One that comes later than this before the end of
+// the process is sent to another instance.
+constexpr Milliseconds StreamTime{4500};
+// Callers that come back at once reach another instance.
+constexpr Milliseconds OtherInstanceReturn{100};
+// Until this instance has learned the configuration.
+constexpr Milliseconds NotReadyReturn{500};
+// For the last answers when the process ends.
+constexpr Milliseconds LastAnswerTime{200};
+
+class GatewayFront final : public Plugin {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+  // Serves one connection on its thread.
+  void serve(int Fd);
+
+private:
+  class Connection;
+  class Factory;
+
+  CallerLimits limits() const;
+  bool serveOne(CallerReader &Reader, int Fd);
+  void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
+              HttpSink &Sink);
+  bool readBody(const HttpHead &Head, CallerReader &Reader, HttpSink &Sink,
+                std::string &Body);
+  void answer(HttpSink &Sink, const std::string &Request, ErrorKind Kind,
+              const std::string &Why, Milliseconds RetryAfter);
+
+  GatewayRuntime *Runtime = nullptr;
+  std::optional<GatewayParts> Parts;
+  std::unique_ptr<Poco::ThreadPool> Pool;
+  std::unique_ptr<Poco::Net::TCPServer> Server;
+  std::mutex Mutex;
+  std::condition_variable Idle; // the last running request has ended
+  std::set<int> Sockets;        // of open connections
+};
+
+class GatewayFront::Connection : public Poco::Net::TCPServerConnection {
+public:
+  Connection(const StreamSocket &Socket, GatewayFront &Owner)
+      : TCPServerConnection(Socket), Owner(Owner) {}
+  void run() override { Owner.serve(socket().impl()->sockfd()); }
+
+private:
+  GatewayFront &Owner;
+};
+
+class GatewayFront::Factory : public Poco::Net::TCPServerConnectionFactory {
+public:
+  explicit Factory(GatewayFront &Owner) : Owner(Owner) {}
+  Poco::Net::TCPServerConnection *
+  createConnection(const StreamSocket &Socket) override {
+    return new Connection(Socket, Owner);
+  }
+
+private:
+  GatewayFront &Owner;
+};
+
+bool GatewayFront::start(Kernel &Owner) {
+  Runtime = Owner.find<GatewayRuntime>();
+  auto *metrics = Owner.find<internal::MetricsSink>();
+  if (!Runtime || !metrics)
+    return false;
+  Parts.emplace(GatewayParts{Runtime->Values, Runtime->Wire, Runtime->Known,
+                             Runtime->Connections, Runtime->Lines, *metrics});
+  try {
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(Runtime->Values.CallerAddress), true);
+    socket.listen(Backlog);
+    Pool = std::make_unique<Poco::ThreadPool>(
+        "callers", MinThreads, MaxConnections, ThreadIdleSeconds, StackBytes);
+    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
+    params->setMaxThreads(MaxConnections);
+    params->setMaxQueued(MaxConnections);
+    params->setThreadIdleTime(Poco::Timespan(ThreadIdleSeconds, 0));
+    Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
+                                                    socket, params);
+    Server->start();
+  } catch (const Poco::Exception &error) {
+    log(LogLevel::Error, "gateway_front", "could not listen",
+        {{"address", Runtime->Values.CallerAddress},
+         {"reason", error.displayText()}});
+    return false;
+  }
+  return true;
+}
+
+void GatewayFront::stop() {
+  Server->stop();
+  {
+    std::unique_lock lock(Mutex);
+    Idle.wait_for(lock, LastAnswerTime,
+                  [this] { return Runtime->OpenRequests.load() == 0; });
+    for (int it : Sockets)
+      ::shutdown(it, SHUT_RDWR);
+  }
+  Pool->joinAll();
+  Server.reset();
+}
+
+void GatewayFront::serve(int Fd) {
+  {
+    std::lock_guard lock(Mutex);
+    Sockets.insert(Fd);
+  }
+  int one = 1;
+  ::setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  try {
+    CallerLimits values = limits();
+    CallerReader reader(Fd, values);
+    while (serveOne(reader, Fd))
+      values = limits();
+    reader.closeGently();
+  } catch (const std::exception &error) {
+    log(LogLevel::Error, "gateway_front", "connection failed",
+        {{"reason", error.what()}});
+  }
+  std::lock_guard lock(Mutex);
+  Sockets.erase(Fd);
+}
+
+CallerLimits GatewayFront::limits() const {
+  CallerBounds bounds = Runtime->Known.routes()->Bounds;
+  CallerLimits values;
+  values.MaxHeaderFields = MaxHeaderFields;
+  values.MaxBodyBytes = bounds.BodyBytes;
+  values.MaxHeadBytes = bounds.HeaderBytes;
+  values.IdleTimeout = bounds.IdleTime;
+  values.HeadTimeout = bounds.HeaderTime;
+  return values;
+}
+
+void GatewayFront::answer(HttpSink &Sink, const std::string &Request,
+                          ErrorKind Kind, const std::string &Why,
+                          Milliseconds RetryAfter) {
+  log(LogLevel::Info, "gateway_front", "request turned away",
+      {{"request", Request},
+       {"kind", answerFor(Kind).Name},
+       {"why", Why},
+       {"config_version", std::to_string(Runtime->Known.routes()->Version)}});
+  internal::Problem item = internal::problemFor(Kind, Why, RequestId());
+  item.RetryAfter = RetryAfter;
+  writeProblem(Sink, item);
+}
+
+bool GatewayFront::serveOne(CallerReader &Reader, int Fd) {
+  HttpHead head;
+  ReadVerdict verdict = Reader.readHead(head);
+  if (verdict == ReadVerdict::Closed)
+    return false;
+  internal::HttpSinkOptions options;
+  options.KeepAlive = verdict == ReadVerdict::Ok && head.wantsKeepAlive();
+  options.MayChunk = head.MinorVersion >= 1;
+  options.HeadOnly = head.Method == "HEAD";
+  options.StallLimit = StallLimit;
+  HttpSink sink(Fd, options);
+  if (verdict != ReadVerdict::Ok) {
+    sink.closeAfterwards();
+    answer(sink, "",
+           verdict == ReadVerdict::TooLarge   ? ErrorKind::HeaderTooLarge
+           : verdict == ReadVerdict::TimedOut ? ErrorKind::CallerTimeout
+                                              : ErrorKind::BadRequest,
+           "the head could not be read", Milliseconds(0));
+    return false;
+  }
+  if (Runtime->Stopping.load())
+    sink.closeAfterwards();
+  ++Runtime->OpenRequests;
+  handle(head, Clock::now(), Reader, sink);
+  if (--Runtime->OpenRequests == 0) {
+    std::lock_guard lock(Mutex);
+    Idle.notify_all();
+  }
+  return sink.keepsAlive() && !Runtime->Stopping.load();
+}
+
+// Returns false after answering that the body can't be read.
+bool GatewayFront::readBody(const HttpHead &Head, CallerReader &Reader,
+                            HttpSink &Sink, std::string &Body) {
+  internal::BodyFraming framing;
+  std::string id = Runtime->Wire.ReadCaller(Head).Id;
+  if (!requestFraming(Head, framing)) {
+    Sink.closeAfterwards();
+    answer(Sink, id, ErrorKind::BadRequest, "the body's length is unclear",
+           Milliseconds(0));
+    return false;
+  }
+  const std::string *expect = Head.find("Expect");
+  if (expect && framing.Form != internal::BodyForm::None) {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    ::send(Sink.watchedSocket(), interim.data(), interim.size(), MSG_NOSIGNAL);
+  }
+  ReadVerdict verdict = Reader.readBody(framing, Body);
+  if (verdict == ReadVerdict::Ok)
+    return true;
+  Sink.closeAfterwards();
+  if (verdict != ReadVerdict::Closed)
+    answer(Sink, id,
+           verdict == ReadVerdict::TooLarge   ? ErrorKind::BodyTooLarge
+           : verdict == ReadVerdict::TimedOut ? ErrorKind::CallerTimeout
+                                              : ErrorKind::BadRequest,
+           "the body could not be read", Milliseconds(0));
+  return false;
+}
+
+void GatewayFront::handle(const HttpHead &Head, TimePoint Arrived,
+                          CallerReader &Reader, HttpSink &Sink) {
+  std::string body;
+  if (!readBody(Head, Reader, Sink, body))
+    return;
+  CallerRequest request = Runtime->Wire.ReadCaller(Head);
+  request.Body = std::move(body);
+  if (!Runtime->Known.complete()) {
+    answer(Sink, request.Id, ErrorKind::NotReady, "routes or servers unknown",
+           NotReadyReturn);
+    return;
+  }
+  RouteDocumentPtr document = Runtime->Known.routes();
+  const PathRoute *route = findRoute(*document, request.Host, request.Target);
+  if (!route) {
+    answer(Sink, request.Id, ErrorKind::NotFound, "no route matches",
+           Milliseconds(0));
+    return;
+  }
+  if (route->Kind == RouteKind::Stream && Runtime->Stopping.load() &&
+      Clock::now() + StreamTime > Runtime->StopAt.load()) {
+    answer(Sink, request.Id, ErrorKind::ShuttingDown,
+           "the stream would outlast this instance", OtherInstanceReturn);
+    return;
+  }
+  RequestRun(*Parts, document, *route, std::move(request), Sink, Arrived).run();
+}
+
+const PluginRegistration Registration{
+    {"gateway_front", Phase::Fronts,
+     [] { return std::make_unique<GatewayFront>(); }, Program::Gateway}};
+
+} // namespace
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/gateway_runtime.h
@@ -0,0 +1,60 @@
+// What the plug-ins of a gateway process share. Provided to the kernel before
+// they start; outlives them.
+#ifndef CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
+#define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
+
+#include "gateway/adapter.h"
+#include "gateway/directory.h"
+#include "gateway/place_line.h"
+#include "gateway/server_link.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+struct GatewayRuntime {
+  GatewayRuntime(const Adapter &Edge, GatewaySettings Values, std::string File,
+                 uint64_t Incarnation)
+      : Edge(Edge), Values(std::move(Values)), SettingsFile(std::move(File)),
+        Incarnation(Incarnation), Wire(Edge.MakeDialect()),
+        Source(Edge.MakeSource(this->Values)), Known(this->Values, Incarnation),
+        Seeds(this->Values.SeedAddresses), Repeats(this->Values.Repeats) {}
+
+  const Adapter &Edge;
+  const GatewaySettings Values; // as read at the start
+  const std::string SettingsFile;
+  const uint64_t Incarnation; // random, of this process
+  const Dialect Wire;
+  const PublishedSource Source;
+  Directory Known;
+  ConnectionPool Connections;
+  PlaceLines Lines;
+
+  // Set by the first SIGTERM; the instance finishes what it has.
+  std::atomic<bool> Stopping{false};
+  std::atomic<TimePoint> StopAt{TimePoint::max()}; // the process ends then
+  std::atomic<uint32_t> OpenRequests{0};
+  std::atomic<uint64_t> PeersKnown{0};
+
+  // Takes the parts of changed settings that can change while the process
+  // runs: seeds, the budget of repeats. Others need a restart.
+  void takeSettings(const GatewaySettings &News, const char *Why);
+  // Keeps what is in force; logs each set of mistakes once.
+  void noteBadSettings(const MistakeList &Mistakes, const char *Why);
+  std::vector<std::string> seedAddresses() const;
+
+  bool ready() const { return !Stopping.load() && Known.complete(); }
+
+private:
+  mutable std::mutex Mutex;
+  std::vector<std::string> Seeds;
+  RepeatAllowance Repeats;
+  std::string LastMistakes;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/lifecycle.cc
@@ -0,0 +1,133 @@
+// Plug-in: signals of the process, its shutdown and changes of its settings.
+#include "crocusspur/kernel.h"
+#include "gateway/gateway_runtime.h"
+#include "log.h"
+
+#include <boost/leaf.hpp>
+#include <csignal>
+#include <optional>
+#include <pthread.h>
+#include <thread>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using internal::log;
+using internal::LogLevel;
+
+// Part of the time from SIGTERM to SIGKILL after which the process ends. Work
+// that lasts into the last sixth is cut off in any case.
+constexpr double UsedPart = 0.82;
+// The balancer takes an instance out after two misses, a second apart. Until
+// then new connections arrive, and are served.
+constexpr Milliseconds BalancerTime{2600};
+constexpr Milliseconds LookPeriod{100};
+// The settings file may change without a signal.
+constexpr Milliseconds SettingsPeriod{1000};
+
+class Lifecycle final : public Plugin {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+
+private:
+  void handleSignals();
+  void beginShutdown();
+  void lookAtShutdown();
+  void readSettings(const char *Why);
+
+  Kernel *Owner = nullptr;
+  GatewayRuntime *Runtime = nullptr;
+  std::thread Thread;
+  TimePoint StopBegan;
+  uint64_t ShutdownTimer = 0;
+  uint64_t SettingsTimer = 0;
+};
+
+bool Lifecycle::start(Kernel &Owner) {
+  this->Owner = &Owner;
+  Runtime = Owner.find<GatewayRuntime>();
+  if (!Runtime)
+    return false;
+  Thread = std::thread([this] { handleSignals(); });
+  SettingsTimer =
+      Owner.timers().every(SettingsPeriod, [this] { readSettings("period"); });
+  log(LogLevel::Info, "lifecycle", "started",
+      {{"incarnation", std::to_string(Runtime->Incarnation)},
+       {"failure_domain", Runtime->Values.FailureDomain},
+       {"callers", Runtime->Values.CallerAddress},
+       {"store", Runtime->Values.StoreAddress},
+       {"peers", Runtime->Values.PeerAddress}});
+  return true;
+}
+
+void Lifecycle::stop() {
+  Owner->timers().cancel(SettingsTimer);
+  Owner->timers().cancel(ShutdownTimer);
+  pthread_kill(Thread.native_handle(), SIGUSR2);
+  Thread.join();
+  log(LogLevel::Info, "lifecycle", "stopped", {});
+}
+
+void Lifecycle::handleSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (int it : {SIGTERM, SIGINT, SIGHUP, SIGUSR1, SIGUSR2})
+    sigaddset(&set, it);
+  int signal = 0;
+  while (sigwait(&set, &signal) == 0 && signal != SIGUSR2) {
+    if (signal == SIGHUP)
+      readSettings("signal");
+    else if (signal == SIGUSR1)
+      log(LogLevel::Info, "lifecycle", "state",
+          {{"state", Runtime->Known.dump()}});
+    else if (!Runtime->Stopping.load())
+      beginShutdown();
+  }
+}
+
+void Lifecycle::beginShutdown() {
+  StopBegan = Clock::now();
+  auto limit = std::chrono::duration_cast<Milliseconds>(
+      Runtime->Values.ShutdownLimit * UsedPart);
+  Runtime->StopAt.store(StopBegan + limit);
+  Runtime->Stopping.store(true);
+  log(LogLevel::Info, "lifecycle", "shutting down",
+      {{"open_requests", std::to_string(Runtime->OpenRequests.load())},
+       {"limit_ms", std::to_string(limit.count())}});
+  ShutdownTimer =
+      Owner->timers().every(LookPeriod, [this] { lookAtShutdown(); });
+}
+
+void Lifecycle::lookAtShutdown() {
+  TimePoint now = Clock::now();
+  bool idle = Runtime->OpenRequests.load() == 0;
+  if (now < Runtime->StopAt.load() && !(idle && now - StopBegan > BalancerTime))
+    return;
+  if (!idle)
+    log(LogLevel::Warn, "lifecycle", "requests are cut off",
+        {{"open_requests", std::to_string(Runtime->OpenRequests.load())}});
+  Owner->requestExit(0);
+}
+
+void Lifecycle::readSettings(const char *Why) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(values,
+                        Runtime->Edge.LoadSettings(Runtime->SettingsFile));
+        Runtime->takeSettings(values, Why);
+        return {};
+      },
+      [&](const MistakeList &Mistakes) {
+        Runtime->noteBadSettings(Mistakes, Why);
+      },
+      [] {});
+}
+
+const PluginRegistration Registration{
+    {"lifecycle", Phase::Core, [] { return std::make_unique<Lifecycle>(); },
+     Program::Gateway}};
+
+} // namespace
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/server_link.h
@@ -0,0 +1,102 @@
+// Kept connections to backend servers, and single calls on them.
+#ifndef CROCUSSPUR_GATEWAY_SERVER_LINK_H
+#define CROCUSSPUR_GATEWAY_SERVER_LINK_H
+
+#include "gateway/dialect.h"
+#include "http_exchange.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace crocusspur::gateway {
+
+// Idle connections by address. Thread-safe.
+class ConnectionPool {
+public:
+  // Returns a connection that is idle and open, or null.
+  internal::BackendSocketPtr take(const std::string &Address);
+  // `KeepOpen`: how long the server keeps it, if it has said so.
+  void give(const std::string &Address, internal::BackendSocketPtr Connection,
+            std::optional<Milliseconds> KeepOpen);
+  void drop(const std::string &Address);
+  uint64_t opened() const { return Opened.load(); }
+  void countOpened() { ++Opened; }
+
+private:
+  struct Idle {
+    internal::BackendSocketPtr Connection;
+    TimePoint UsableUntil;
+  };
+  std::mutex Mutex;
+  std::map<std::string, std::deque<Idle>> Connections;
+  std::atomic<uint64_t> Opened{0};
+};
+
+// Watches the caller while a call waits for a server.
+class CallerWaiter final : public internal::SocketWaiter {
+public:
+  // `CallerFd` may be -1: nobody is watched. No wait lasts beyond `End`.
+  CallerWaiter(int CallerFd, TimePoint End) : CallerFd(CallerFd), End(End) {}
+  internal::WaitResult wait(int Fd, short Events, TimePoint Until) override;
+  // Waits for the time, or less if the caller leaves or the end comes.
+  void pause(Milliseconds Time);
+  // Whether the caller has left; looks without waiting.
+  bool callerLeft();
+  bool pastEnd() const;
+
+private:
+  int CallerFd;
+  TimePoint End;
+  bool Left = false;
+};
+
+enum class CallStatus : uint8_t {
+  Answered, // a head has been read
+  NotSent,  // no byte has left
+  Broken,   // a byte may have left, and there is no usable answer
+  Silent,   // the same, without any answer in time
+  CallerLeft,
+  OutOfTime, // the end of the request's time
+};
+
+// One call: connect, send, read the head. The body is then read through
+// exchange().
+class ServerCall {
+public:
+  ServerCall(ConnectionPool &Pool, const Dialect &Wire, CallerWaiter &Waiter)
+      : Pool(Pool), Wire(Wire), Waiter(Waiter), Http(Waiter) {}
+
+  // `RequestId`: answers that carry another id are late answers to earlier
+  // requests and are skipped. `AnswerTime` bounds the wait for the head.
+  CallStatus start(const std::string &Address, const std::string &Bytes,
+                   const std::string &Method, const std::string &RequestId,
+                   Milliseconds AnswerTime);
+  CallStatus readWhole(std::string &Body, size_t MaxBytes);
+  // Reads what is there of a stream; see HttpExchange::readBody.
+  CallStatus readSome(std::string &Out, bool &End, Milliseconds Pause);
+  // Keeps the connection for others if the answer was read to its end.
+  void finish();
+
+  // Whether a byte of the request may have left.
+  bool maySent() const { return Http.byteSent(); }
+  const internal::HttpHead &head() const { return Http.head(); }
+  const AnswerFacts &facts() const { return Facts; }
+
+private:
+  CallStatus fromExchange(internal::ExchangeStatus Status) const;
+  bool connect(const std::string &Address, CallStatus &Status);
+
+  ConnectionPool &Pool;
+  const Dialect &Wire;
+  CallerWaiter &Waiter;
+  internal::HttpExchange Http;
+  std::string Address;
+  AnswerFacts Facts;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/status_front.cc
@@ -0,0 +1,157 @@
+// Plug-in: readiness for the balancer, and metrics and state for operators.
+#include "crocusspur/kernel.h"
+#include "gateway/gateway_runtime.h"
+#include "log.h"
+#include "runtime.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
+#include <vector>
+
+namespace crocusspur::gateway {
+namespace {
+
+using internal::log;
+using internal::LogLevel;
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr int MaxThreads = 4;
+constexpr int MaxQueued = 32;
+constexpr int IdleSeconds = 60;
+constexpr int StackBytes = 262144;
+
+struct StatusAnswer {
+  int Status = 200;
+  std::string ContentType = "text/plain";
+  std::string Body;
+};
+
+class StatusFront final : public Plugin {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+  StatusAnswer answer(const std::string &Path);
+
+private:
+  bool listen(const std::string &Address);
+  void setGauges();
+
+  GatewayRuntime *Runtime = nullptr;
+  internal::MetricsSink *Metrics = nullptr;
+  std::unique_ptr<Poco::ThreadPool> Pool;
+  std::vector<std::unique_ptr<Poco::Net::HTTPServer>> Servers;
+};
+
+class Handler : public Poco::Net::HTTPRequestHandler {
+public:
+  explicit Handler(StatusFront &Owner) : Owner(Owner) {}
+  void handleRequest(HTTPServerRequest &Request,
+                     HTTPServerResponse &Response) override {
+    std::string path = Request.getURI();
+    StatusAnswer answer = Owner.answer(path.substr(0, path.find('?')));
+    Response.setStatusAndReason(
+        static_cast<HTTPResponse::HTTPStatus>(answer.Status));
+    Response.setContentType(answer.ContentType);
+    Response.sendBuffer(answer.Body.data(), answer.Body.size());
+  }
+
+private:
+  StatusFront &Owner;
+};
+
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
+public:
+  explicit HandlerFactory(StatusFront &Owner) : Owner(Owner) {}
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const HTTPServerRequest &) override {
+    return new Handler(Owner);
+  }
+
+private:
+  StatusFront &Owner;
+};
+
+bool StatusFront::listen(const std::string &Address) {
+  if (Address.empty())
+    return true;
+  try {
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(Address), true);
+    socket.listen();
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(MaxThreads);
+    params->setMaxQueued(MaxQueued);
+    Servers.push_back(std::make_unique<Poco::Net::HTTPServer>(
+        new HandlerFactory(*this), *Pool, socket, params));
+    Servers.back()->start();
+  } catch (const Poco::Exception &error) {
+    log(LogLevel::Error, "status_front", "could not listen",
+        {{"address", Address}, {"reason", error.displayText()}});
+    return false;
+  }
+  return true;
+}
+
+bool StatusFront::start(Kernel &Owner) {
+  Runtime = Owner.find<GatewayRuntime>();
+  Metrics = Owner.find<internal::MetricsSink>();
+  if (!Runtime || !Metrics)
+    return false;
+  Pool = std::make_unique<Poco::ThreadPool>("status", 1, 2 * MaxThreads,
+                                            IdleSeconds, StackBytes);
+  return listen(Runtime->Values.ReadyAddress) &&
+         listen(Runtime->Values.MetricsAddress);
+}
+
+void StatusFront::stop() {
+  for (auto &it : Servers)
+    it->stopAll(true);
+  Pool->joinAll();
+  Servers.clear();
+}
+
+void StatusFront::setGauges() {
+  Metrics->setGauge("ready", "", Runtime->ready() ? 1 : 0);
+  Metrics->setGauge("open_requests", "", Runtime->OpenRequests.load());
+  Metrics->setGauge("config_version", "",
+                    static_cast<double>(Runtime->Known.routes()->Version));
+  Metrics->setGauge("peers_linked", "",
+                    static_cast<double>(Runtime->PeersKnown.load()));
+  Metrics->setGauge("server_connections_total", "",
+                    static_cast<double>(Runtime->Connections.opened()));
+  Metrics->setGauge("store_reachable", "",
+                    Runtime->Known.storeIsReachable() ? 1 : 0);
+  for (const auto &[service, size] : Runtime->Lines.sizes())
+    Metrics->setGauge("queue_length", service, static_cast<double>(size));
+}
+
+StatusAnswer StatusFront::answer(const std::string &Path) {
+  if (Path == Runtime->Edge.ReadyPath || Path == "/readyz")
+    return Runtime->ready() ? StatusAnswer{200, "text/plain", "ready\n"}
+                            : StatusAnswer{503, "text/plain", "not ready\n"};
+  if (Path == "/healthz")
+    return {200, "text/plain", "ok\n"};
+  if (Path == "/metrics") {
+    setGauges();
+    return {200, "text/plain; version=0.0.4", Metrics->render()};
+  }
+  if (Path == "/state")
+    return {200, "application/json", Runtime->Known.dump()};
+  return {404, "text/plain", "not found\n"};
+}
+
+const PluginRegistration Registration{
+    {"status_front", Phase::Fronts,
+     [] { return std::make_unique<StatusFront>(); }, Program::Gateway}};
+
+} // namespace
+} // namespace crocusspur::gateway
--- a/src/http_sink.cc
+++ b/src/http_sink.cc
@@ -91,6 +91,8 @@
     HeadText += "Content-Type: " + Head.ContentType + "\r\n";
   if (Head.HasLength && Head.Status != 204 && Head.Status != 304)
     HeadText += "Content-Length: " + std::to_string(Head.Length) + "\r\n";
+  for (const auto &it : Head.Fields)
+    HeadText += it.first + ": " + it.second + "\r\n";
   if (Chunked)
     HeadText += "Transfer-Encoding: chunked\r\n";
   if (Head.RetryAfter.count() > 0)
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -35,7 +35,7 @@
 
 Kernel::~Kernel() { stop(); }
 
-bool Kernel::start() {
+bool Kernel::start(Program Run) {
   // Link order differs between builds; phase and name give a fixed order.
   std::vector<PluginEntry> entries = registry();
   std::sort(entries.begin(), entries.end(),
@@ -44,6 +44,8 @@
                      std::pair(Right.Start, Right.Name);
             });
   for (const PluginEntry &it : entries) {
+    if (it.PartOf != Run && it.PartOf != Program::Both)
+      continue;
     std::unique_ptr<Plugin> plugin = it.Make();
     if (!plugin->start(*this)) {
       stop();
--- a/src/log.cc
+++ b/src/log.cc
@@ -47,11 +47,14 @@
 
 } // namespace
 
-void startLogging(const std::string &Level, const std::string &Instance) {
+void startLogging(const std::string &Level, const std::string &Instance,
+                  LogStream Stream) {
   InstanceName = Instance;
   auto console = std::make_shared<log4cxx::ConsoleAppender>(
       std::make_shared<log4cxx::JSONLayout>(),
-      log4cxx::ConsoleAppender::getSystemErr());
+      Stream == LogStream::StandardOutput
+          ? log4cxx::ConsoleAppender::getSystemOut()
+          : log4cxx::ConsoleAppender::getSystemErr());
   auto appender = std::make_shared<log4cxx::AsyncAppender>();
   // A reader of the log that stops must not stop the core and the relays.
   appender->setBlocking(false);
--- a/src/log.h
+++ b/src/log.h
@@ -1,5 +1,6 @@
 // Structured logs: one JSON object a line, written by log4cxx's asynchronous
-// appender to standard error.
+// appender. Lines that its reader is too slow for are dropped; log4cxx writes a
+// line with their number.
 #ifndef CROCUSSPUR_LOG_H
 #define CROCUSSPUR_LOG_H
 
@@ -11,12 +12,16 @@
 
 namespace crocusspur::internal {
 
+enum class LogStream : uint8_t { StandardError, StandardOutput };
+
 enum class LogLevel : uint8_t { Debug, Info, Warn, Error };
 
 using LogFields = std::vector<std::pair<const char *, std::string>>;
 
 // Call once before any thread logs. `Level` is debug, info, warn or error.
-void startLogging(const std::string &Level, const std::string &Instance);
+void startLogging(const std::string &Level, const std::string &Instance,
+                  LogStream Stream = LogStream::StandardError);
+
 
 // Flushes and ends logging.
 void stopLogging();
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -31,9 +31,9 @@
   uint64_t Count = 0;
 };
 
-constexpr std::array<std::string_view, 4> HistogramNames = {
-    "first_output_seconds", "output_gap_seconds", "prefill_wait_seconds",
-    "core_event_seconds"};
+constexpr std::array<std::string_view, 6> HistogramNames = {
+    "first_output_seconds", "output_gap_seconds",       "prefill_wait_seconds",
+    "core_event_seconds",   "reservation_wait_seconds", "request_seconds"};
 
 // By group. Found without making a string, since the core observes each event.
 using Distributions = std::map<std::string, Distribution, std::less<>>;
@@ -182,7 +182,7 @@
 
 const PluginRegistration Registration{
     {"metrics", Phase::Foundation,
-     [] { return std::make_unique<MetricsPlugin>(); }}};
+     [] { return std::make_unique<MetricsPlugin>(); }, Program::Both}};
 
 } // namespace
 } // namespace crocusspur::internal
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -15,7 +15,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr size_t MaxBodyBytes = 1048576;
 constexpr Milliseconds GiveUpPeriod{50};
 
 Poco::Timespan timespan(Milliseconds Time) {
@@ -23,7 +22,7 @@
 }
 
 // Returns false if the body is larger than allowed.
-bool readBody(std::istream &In, std::string &Body) {
+bool readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
   std::array<char, 16384> buf;
   while (In.good()) {
     In.read(buf.data(), buf.size());
@@ -40,6 +39,7 @@
   std::string Address;
   Milliseconds Timeout;
   std::string Reader;
+  size_t MaxBodyBytes;
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
 
   Poco::Net::HTTPClientSession &session();
@@ -49,9 +49,9 @@
 };
 
 PlatformClient::PlatformClient(std::string Address, Milliseconds Timeout,
-                               std::string Reader)
-    : Impl(new State{std::move(Address), Timeout, std::move(Reader), nullptr}) {
-}
+                               std::string Reader, size_t MaxBodyBytes)
+    : Impl(new State{std::move(Address), Timeout, std::move(Reader),
+                     MaxBodyBytes, nullptr}) {}
 
 PlatformClient::~PlatformClient() = default;
 
@@ -113,8 +113,9 @@
   Poco::Net::HTTPResponse response;
   std::istream &in = Session->receiveResponse(response);
   Answer.Status = static_cast<int>(response.getStatus());
-  if (!readBody(in, Answer.Body))
-    Answer.Fault = "answer of more than 1048576 bytes";
+  if (!readBody(in, Answer.Body, MaxBodyBytes))
+    Answer.Fault =
+        "answer of more than " + std::to_string(MaxBodyBytes) + " bytes";
   // A connection that breaks early must not pass for a short document.
   else if (response.hasContentLength() &&
            Answer.Body.size() !=
--- a/src/response_sink.h
+++ b/src/response_sink.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace crocusspur::internal {
 
@@ -17,6 +19,8 @@
   bool HasLength = false; // otherwise the length is not known beforehand
   uint64_t Length = 0;
   Milliseconds RetryAfter{0}; // 0: none
+  // Further fields, written as they are.
+  std::vector<std::pair<std::string, std::string>> Fields;
 };
 
 // Used by one thread. Every function returns false once the receiver is gone.
