Find instances from seeds and pass routes and servers to those cut off from the store

Cause: an instance that the store turns away learned nothing new.

Ruled out: asking peers for every change. All instances whose reading works learn at the same time from the store; only the others need news.

--- /dev/null
+++ b/src/gateway/decisions/member_table.cc
@@ -0,0 +1,100 @@
+#include "gateway/decisions/member_table.h"
+
+#include <algorithm>
+
+namespace crocusspur::gateway {
+namespace {
+
+// A member that nobody has heard for this long is gone. Ten rounds, so that
+// news of a living one arrive in time over random contacts.
+constexpr Milliseconds Memory{10000};
+// A member that didn't answer isn't contacted again for a while.
+constexpr Milliseconds SilentPause{2000};
+// Every so many rounds a seed is contacted even if members are known.
+constexpr uint32_t SeedRounds = 10;
+// Assumed while nobody is known: about the largest fleet that is planned for
+// soon, so that a lone instance doesn't spend what others may spend too.
+constexpr uint32_t CautiousSharers = 64;
+constexpr Milliseconds SharerMemory{60000};
+
+} // namespace
+
+void MemberTable::setSeeds(std::vector<std::string> Addresses) {
+  std::erase(Addresses, OwnAddress);
+  Seeds = std::move(Addresses);
+}
+
+void MemberTable::heard(const Member &Item, TimePoint Now) {
+  if (Item.Name == OwnName || Item.Address == OwnAddress ||
+      Item.HeardAgo >= Memory)
+    return;
+  EverHeard = true;
+  TimePoint at = Now - Item.HeardAgo;
+  State &state = Members[Item.Name];
+  if (at <= state.HeardAt)
+    return;
+  if (state.Item.Incarnation != Item.Incarnation)
+    state.SilentUntil = TimePoint();
+  state.Item = Item;
+  state.HeardAt = at;
+}
+
+void MemberTable::silent(const std::string &Address, TimePoint Now) {
+  for (auto &[name, state] : Members)
+    if (state.Item.Address == Address)
+      state.SilentUntil = Now + SilentPause;
+}
+
+std::vector<std::string> MemberTable::contacts(size_t Count, TimePoint Now) {
+  ++Round;
+  std::vector<std::string> ring;
+  // From the own name on, then from the start.
+  auto add = [&](auto From, auto To) {
+    for (auto it = From; it != To; ++it)
+      if (Now - it->second.HeardAt < Memory && it->second.SilentUntil <= Now)
+        ring.push_back(it->second.Item.Address);
+  };
+  auto own = Members.upper_bound(OwnName);
+  add(own, Members.end());
+  add(Members.begin(), own);
+  std::vector<std::string> chosen;
+  if (!ring.empty() && Count > 0) {
+    chosen.push_back(ring.front());
+    ring.erase(ring.begin());
+  }
+  std::shuffle(ring.begin(), ring.end(), Random);
+  bool seedTurn = chosen.empty() || Round % SeedRounds == 0;
+  if (seedTurn && !Seeds.empty())
+    chosen.push_back(Seeds[Random() % Seeds.size()]);
+  for (const std::string &it : ring) {
+    if (chosen.size() >= Count)
+      break;
+    chosen.push_back(it);
+  }
+  return chosen;
+}
+
+std::vector<Member> MemberTable::alive(TimePoint Now) const {
+  std::vector<Member> all;
+  for (const auto &[name, state] : Members) {
+    if (Now - state.HeardAt >= Memory)
+      continue;
+    all.push_back(state.Item);
+    all.back().HeardAgo =
+        std::chrono::duration_cast<Milliseconds>(Now - state.HeardAt);
+  }
+  return all;
+}
+
+uint32_t MemberTable::sharers(TimePoint Now) {
+  if (!EverHeard)
+    return CautiousSharers;
+  auto now = static_cast<uint32_t>(alive(Now).size() + 1);
+  if (now >= MostSharers || Now - MostSharersAt > SharerMemory) {
+    MostSharers = now;
+    MostSharersAt = Now;
+  }
+  return MostSharers;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/member_table.h
@@ -0,0 +1,73 @@
+// The other instances, as seeds and peers have told of them: who is alive, whom
+// to contact next, and how many share what is limited for all. Pure.
+//
+// Contacts are few whatever the number of instances: the next one on a ring of
+// names, which finds every failure, and a random one, which spreads news within
+// a logarithmic number of rounds.
+#ifndef CROCUSSPUR_GATEWAY_MEMBER_TABLE_H
+#define CROCUSSPUR_GATEWAY_MEMBER_TABLE_H
+
+#include "crocusspur/types.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+struct Member {
+  std::string Name;
+  std::string Address;      // "IP:port" for exchanges
+  uint64_t Incarnation = 0; // random for each start of its process
+  Milliseconds HeardAgo{0}; // since it was last heard by anyone
+  bool Leaving = false;
+};
+
+class MemberTable {
+public:
+  MemberTable(std::string OwnName, std::string OwnAddress, uint64_t Seed)
+      : OwnName(std::move(OwnName)), OwnAddress(std::move(OwnAddress)),
+        Random(Seed) {}
+
+  // Seeds are contacted until members are known, and now and then after, so
+  // that parts of the fleet that never heard of each other meet.
+  void setSeeds(std::vector<std::string> Addresses);
+
+  // A member was heard, directly or through a peer. News that are older than
+  // what is known change nothing; a new incarnation replaces the former one.
+  void heard(const Member &Item, TimePoint Now);
+  // An exchange with the address failed.
+  void silent(const std::string &Address, TimePoint Now);
+
+  // Addresses for one round, at most `Count`.
+  std::vector<std::string> contacts(size_t Count, TimePoint Now);
+
+  // Members heard within the memory, without this instance.
+  std::vector<Member> alive(TimePoint Now) const;
+
+  // Instances that may share a budget, this one included: the most known at
+  // once in the last minute, or a cautious number until members are known.
+  uint32_t sharers(TimePoint Now);
+
+private:
+  struct State {
+    Member Item;
+    TimePoint HeardAt;
+    TimePoint SilentUntil;
+  };
+
+  std::string OwnName;
+  std::string OwnAddress;
+  std::mt19937_64 Random;
+  std::vector<std::string> Seeds;
+  std::map<std::string, State> Members; // by name
+  uint32_t Round = 0;
+  uint32_t MostSharers = 0;
+  TimePoint MostSharersAt;
+  bool EverHeard = false;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -103,7 +103,7 @@
   std::map<std::string, internal::OutputLengths> OutputShares;
   std::map<std::string, Milliseconds> UsualTimes; // by route, the most seen
   std::mt19937_64 Random;
-  std::atomic<uint32_t> Instances{8};
+  std::atomic<uint32_t> Instances{64}; // until members are known
   std::array<std::atomic<bool>, 2> StoreUp{true, true}; // by kind
   TimePoint StoreBackAt; // last change between reachable and not
 };
--- /dev/null
+++ b/src/gateway/member_codec.cc
@@ -0,0 +1,74 @@
+#include "gateway/member_codec.h"
+
+#include "gateway_peer_generated.h"
+
+namespace crocusspur::gateway {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
+  return wire::CreateMember(Out, Out.CreateString(Item.Name),
+                            Out.CreateString(Item.Address), Item.Incarnation,
+                            static_cast<uint32_t>(Item.HeardAgo.count()),
+                            Item.Leaving);
+}
+
+std::string textOf(const flatbuffers::String *Text) {
+  return Text ? Text->str() : std::string();
+}
+
+Member unpack(const wire::Member &Item) {
+  return {textOf(Item.name()), textOf(Item.address()), Item.incarnation(),
+          Milliseconds(Item.heard_ago_ms()), Item.leaving()};
+}
+
+} // namespace
+
+std::vector<uint8_t> encode(const MemberFrame &Frame) {
+  Builder out;
+  std::vector<flatbuffers::Offset<wire::Member>> members;
+  for (const Member &it : Frame.Members)
+    members.push_back(pack(out, it));
+  std::vector<flatbuffers::Offset<wire::PublishedServer>> servers;
+  for (const PublishedText &it : Frame.Servers)
+    servers.push_back(wire::CreatePublishedServer(out, out.CreateString(it.Id),
+                                                  it.Revision, it.Gone,
+                                                  out.CreateString(it.Text)));
+  auto sender = pack(out, Frame.Sender);
+  auto memberList = out.CreateVector(members);
+  auto routes = out.CreateString(Frame.RoutesText);
+  auto serverList = out.CreateVector(servers);
+  out.Finish(wire::CreateFrame(out, MemberProtocol, sender, memberList,
+                               Frame.WantsRoutes, Frame.WantsServers,
+                               Frame.ConfigVersion, Frame.ServersRevision,
+                               routes, Frame.HasServers, serverList));
+  return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
+}
+
+std::optional<MemberFrame> decodeMemberFrame(std::span<const uint8_t> Bytes) {
+  flatbuffers::Verifier verifier(Bytes.data(), Bytes.size());
+  if (!wire::VerifyFrameBuffer(verifier))
+    return std::nullopt;
+  const wire::Frame &in = *wire::GetFrame(Bytes.data());
+  if (in.protocol() != MemberProtocol || !in.sender())
+    return std::nullopt;
+  MemberFrame frame;
+  frame.Sender = unpack(*in.sender());
+  if (in.members())
+    for (const wire::Member *it : *in.members())
+      frame.Members.push_back(unpack(*it));
+  frame.WantsRoutes = in.wants_routes();
+  frame.WantsServers = in.wants_servers();
+  frame.ConfigVersion = in.config_version();
+  frame.ServersRevision = in.servers_revision();
+  frame.RoutesText = textOf(in.routes_text());
+  frame.HasServers = in.has_servers();
+  if (in.servers())
+    for (const wire::PublishedServer *it : *in.servers())
+      frame.Servers.push_back(
+          {textOf(it->id()), it->revision(), it->gone(), textOf(it->text())});
+  return frame;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/member_links.cc
@@ -0,0 +1,327 @@
+// Plug-in: exchanges with other instances. Each exchange is one connection with
+// one frame each way, so that a silent connection costs one round at most.
+// Membership spreads in every round; routes and servers pass only to instances
+// whose own reading of the store fails or that have just started.
+#include "crocusspur/kernel.h"
+#include "gateway/gateway_runtime.h"
+#include "gateway/member_codec.h"
+#include "log.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/ThreadPool.h>
+#include <algorithm>
+#include <array>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using internal::log;
+using internal::LogLevel;
+using Poco::Net::StreamSocket;
+
+constexpr int MaxThreads = 8;
+constexpr int MaxQueued = 64;
+constexpr int StackBytes = 262144;
+constexpr size_t ContactsPerRound = 2;
+constexpr Milliseconds UsualRound{1000};
+// While something is missing: well below the time in which changes have to be
+// in force.
+constexpr Milliseconds UrgentRound{250};
+constexpr size_t UrgentContacts = 3;
+// Peers answer from memory; within a region that takes some milliseconds.
+constexpr Milliseconds ExchangeTime{400};
+constexpr uint32_t MaxFrameBytes = 8388608;
+
+Poco::Timespan timespan(Milliseconds Time) {
+  return Poco::Timespan(std::chrono::microseconds(Time).count());
+}
+
+void sendFrame(StreamSocket &Socket, const std::vector<uint8_t> &Bytes) {
+  std::vector<uint8_t> out(4);
+  auto size = static_cast<uint32_t>(Bytes.size());
+  for (size_t i = 0; i < out.size(); ++i)
+    out[i] = static_cast<uint8_t>(size >> (8 * i));
+  out.insert(out.end(), Bytes.begin(), Bytes.end());
+  size_t done = 0;
+  while (done < out.size())
+    done += static_cast<size_t>(Socket.sendBytes(
+        out.data() + done, static_cast<int>(out.size() - done)));
+}
+
+bool receiveAll(StreamSocket &Socket, uint8_t *Data, size_t Size,
+                TimePoint Until) {
+  while (Size > 0) {
+    if (Clock::now() > Until)
+      return false;
+    int n = Socket.receiveBytes(Data, static_cast<int>(Size));
+    if (n <= 0)
+      return false;
+    Data += n;
+    Size -= static_cast<size_t>(n);
+  }
+  return true;
+}
+
+std::optional<MemberFrame> receiveFrame(StreamSocket &Socket) {
+  TimePoint until = Clock::now() + ExchangeTime;
+  std::array<uint8_t, 4> prefix{};
+  if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
+    return std::nullopt;
+  uint32_t size = 0;
+  for (size_t i = 0; i < prefix.size(); ++i)
+    size |= static_cast<uint32_t>(prefix[i]) << (8 * i);
+  if (size > MaxFrameBytes)
+    return std::nullopt;
+  std::vector<uint8_t> bytes(size);
+  if (!receiveAll(Socket, bytes.data(), bytes.size(), until))
+    return std::nullopt;
+  return decodeMemberFrame(bytes);
+}
+
+class MemberLinks final : public Plugin {
+public:
+  bool start(Kernel &Owner) override;
+  void stop() override;
+  void serve(StreamSocket &Socket);
+
+private:
+  class Connection;
+  class Factory;
+
+  void runRounds();
+  bool exchange(const std::string &Address);
+  MemberFrame ownFrame(bool Asking);
+  void addNews(const MemberFrame &Asked, MemberFrame &Answer);
+  void take(const MemberFrame &Frame);
+  void noteMembers();
+
+  GatewayRuntime *Runtime = nullptr;
+  std::unique_ptr<Poco::ThreadPool> Pool;
+  std::unique_ptr<Poco::Net::TCPServer> Server;
+  std::mutex Mutex; // guards all below
+  std::condition_variable Wake;
+  bool Stopping = false;
+  std::optional<MemberTable> Table;
+  std::set<std::string> LoggedMembers;
+  std::thread Thread;
+};
+
+class MemberLinks::Connection : public Poco::Net::TCPServerConnection {
+public:
+  Connection(const StreamSocket &Socket, MemberLinks &Owner)
+      : TCPServerConnection(Socket), Owner(Owner) {}
+  void run() override { Owner.serve(socket()); }
+
+private:
+  MemberLinks &Owner;
+};
+
+class MemberLinks::Factory : public Poco::Net::TCPServerConnectionFactory {
+public:
+  explicit Factory(MemberLinks &Owner) : Owner(Owner) {}
+  Poco::Net::TCPServerConnection *
+  createConnection(const StreamSocket &Socket) override {
+    return new Connection(Socket, Owner);
+  }
+
+private:
+  MemberLinks &Owner;
+};
+
+bool MemberLinks::start(Kernel &Owner) {
+  Runtime = Owner.find<GatewayRuntime>();
+  if (!Runtime)
+    return false;
+  const GatewaySettings &values = Runtime->Values;
+  Table.emplace(values.Instance, values.PeerAddress, Runtime->Incarnation);
+  if (values.PeerAddress.empty()) {
+    log(LogLevel::Warn, "member_links", "no peer address; serving alone", {});
+    return true;
+  }
+  try {
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress(values.PeerAddress), true);
+    socket.listen();
+    Pool = std::make_unique<Poco::ThreadPool>("members", 1, MaxThreads, 60,
+                                              StackBytes);
+    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
+    params->setMaxThreads(MaxThreads);
+    params->setMaxQueued(MaxQueued);
+    Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
+                                                    socket, params);
+    Server->start();
+  } catch (const Poco::Exception &error) {
+    log(LogLevel::Error, "member_links", "could not listen",
+        {{"address", values.PeerAddress}, {"reason", error.displayText()}});
+    return false;
+  }
+  log(LogLevel::Warn, "member_links",
+      "exchanges are not authenticated: the settings hold no key", {});
+  Thread = std::thread([this] { runRounds(); });
+  return true;
+}
+
+void MemberLinks::stop() {
+  {
+    std::lock_guard lock(Mutex);
+    Stopping = true;
+  }
+  Wake.notify_all();
+  if (Thread.joinable())
+    Thread.join();
+  if (Server) {
+    Server->stop();
+    Pool->joinAll();
+    Server.reset();
+  }
+}
+
+MemberFrame MemberLinks::ownFrame(bool Asking) {
+  MemberFrame frame;
+  frame.ConfigVersion = Runtime->Known.routes()->Version;
+  frame.ServersRevision = Runtime->Known.serversRevision();
+  bool missing = Asking && (!Runtime->Known.complete() ||
+                            !Runtime->Known.storeIsReachable());
+  frame.WantsRoutes = missing;
+  frame.WantsServers = missing;
+  std::lock_guard lock(Mutex);
+  frame.Sender = {Runtime->Values.Instance, Runtime->Values.PeerAddress,
+                  Runtime->Incarnation, Milliseconds(0),
+                  Runtime->Stopping.load()};
+  frame.Members = Table->alive(Clock::now());
+  return frame;
+}
+
+// Adds what the other side asked for, if this instance knows more.
+void MemberLinks::addNews(const MemberFrame &Asked, MemberFrame &Answer) {
+  if (Asked.WantsRoutes && Asked.ConfigVersion < Answer.ConfigVersion)
+    Answer.RoutesText = Runtime->Known.routes()->Text;
+  if (!Asked.WantsServers || Asked.ServersRevision >= Answer.ServersRevision)
+    return;
+  Answer.HasServers = true;
+  for (const ServerChange &it : Runtime->Known.servers())
+    Answer.Servers.push_back(
+        {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
+}
+
+void MemberLinks::take(const MemberFrame &Frame) {
+  {
+    std::lock_guard lock(Mutex);
+    TimePoint now = Clock::now();
+    Table->heard(Frame.Sender, now);
+    for (const Member &it : Frame.Members)
+      Table->heard(it, now);
+    Runtime->Known.setInstances(Table->sharers(now));
+    Runtime->PeersKnown.store(Table->alive(now).size());
+  }
+  if (!Frame.RoutesText.empty()) {
+    RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Frame.RoutesText);
+    if (routes)
+      Runtime->Known.applyRoutes(std::move(routes), NewsOrigin::Peer);
+    else
+      log(LogLevel::Warn, "member_links", "a peer's routes are not usable",
+          {{"peer", Frame.Sender.Name}});
+  }
+  if (!Frame.HasServers)
+    return;
+  std::vector<ServerChange> changes;
+  for (const PublishedText &it : Frame.Servers)
+    changes.push_back(
+        {it.Id, it.Revision,
+         it.Gone ? std::nullopt : Runtime->Source.ParseServer(it.Id, it.Text)});
+  Runtime->Known.applyServerList(changes, Frame.ServersRevision,
+                                 NewsOrigin::Peer);
+}
+
+void MemberLinks::serve(StreamSocket &Socket) {
+  try {
+    Socket.setReceiveTimeout(timespan(ExchangeTime));
+    Socket.setSendTimeout(timespan(ExchangeTime));
+    std::optional<MemberFrame> asked = receiveFrame(Socket);
+    if (!asked) {
+      log(LogLevel::Warn, "member_links", "unreadable frame; closed",
+          {{"from", Socket.peerAddress().toString()}});
+      return;
+    }
+    MemberFrame answer = ownFrame(/*Asking=*/false);
+    addNews(*asked, answer);
+    sendFrame(Socket, encode(answer));
+    take(*asked);
+  } catch (const Poco::Exception &) {
+    // The other side has gone or is too slow; it asks again in its next round.
+  }
+}
+
+bool MemberLinks::exchange(const std::string &Address) {
+  try {
+    StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(Address), timespan(ExchangeTime));
+    socket.setReceiveTimeout(timespan(ExchangeTime));
+    socket.setSendTimeout(timespan(ExchangeTime));
+    sendFrame(socket, encode(ownFrame(/*Asking=*/true)));
+    std::optional<MemberFrame> answer = receiveFrame(socket);
+    if (!answer)
+      return false;
+    take(*answer);
+    return true;
+  } catch (const Poco::Exception &) {
+    return false; // noted as silent by the caller
+  }
+}
+
+// One line for each member that comes or goes.
+void MemberLinks::noteMembers() {
+  std::set<std::string> now;
+  {
+    std::lock_guard lock(Mutex);
+    for (const Member &it : Table->alive(Clock::now()))
+      now.insert(it.Name);
+  }
+  for (const std::string &it : now)
+    if (!LoggedMembers.contains(it))
+      log(LogLevel::Info, "member_links", "member found", {{"member", it}});
+  for (const std::string &it : LoggedMembers)
+    if (!now.contains(it))
+      log(LogLevel::Warn, "member_links", "member lost", {{"member", it}});
+  LoggedMembers = std::move(now);
+}
+
+void MemberLinks::runRounds() {
+  while (true) {
+    bool urgent =
+        !Runtime->Known.complete() || !Runtime->Known.storeIsReachable();
+    std::vector<std::string> contacts;
+    {
+      std::unique_lock lock(Mutex);
+      Wake.wait_for(lock, urgent ? UrgentRound : UsualRound,
+                    [this] { return Stopping; });
+      if (Stopping)
+        return;
+      Table->setSeeds(Runtime->seedAddresses());
+      contacts = Table->contacts(urgent ? UrgentContacts : ContactsPerRound,
+                                 Clock::now());
+    }
+    for (const std::string &it : contacts)
+      if (!exchange(it)) {
+        std::lock_guard lock(Mutex);
+        Table->silent(it, Clock::now());
+      }
+    noteMembers();
+  }
+}
+
+const PluginRegistration Registration{
+    {"member_links", Phase::Links,
+     [] { return std::make_unique<MemberLinks>(); }, Program::Gateway}};
+
+} // namespace
+} // namespace crocusspur::gateway
