Close idle connections and pass nothing on shortly before the process ends

Ruled out: a longer stop. The kernel stops the status front first, and during that time the callers' front still served.

Change: a closing phase of 600 ms before the end: idle connections are closed, and requests that still arrive are refused as not run.

--- a/src/gateway/directory_reader.cc
+++ b/src/gateway/directory_reader.cc
@@ -23,7 +23,7 @@
 constexpr Milliseconds WatchWait{2500};
 // Pause after a failed call, doubled up to the longest, with a random part.
 constexpr Milliseconds LeastPause{100};
-constexpr Milliseconds MostPause{800};
+constexpr Milliseconds MostPause{400};
 
 class DirectoryReader final : public Plugin {
 public:
--- a/src/gateway/gateway_front.cc
+++ b/src/gateway/gateway_front.cc
@@ -50,6 +50,7 @@
 constexpr Milliseconds OtherInstanceReturn{100};
 // Until this instance has learned the configuration.
 constexpr Milliseconds NotReadyReturn{500};
+constexpr Milliseconds ClosingPeriod{50}; // between two looks at the shutdown
 // For the last answers when the process ends.
 constexpr Milliseconds LastAnswerTime{200};
 
@@ -66,6 +67,8 @@
 
   CallerLimits limits() const;
   bool serveOne(CallerReader &Reader, int Fd);
+  void setIdle(int Fd, bool Idle);
+  void closeIdle();
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
               HttpSink &Sink);
   bool readBody(const HttpHead &Head, CallerReader &Reader, HttpSink &Sink,
@@ -73,6 +76,7 @@
   void answer(HttpSink &Sink, const std::string &Request, ErrorKind Kind,
               const std::string &Why, Milliseconds RetryAfter);
 
+  Kernel *Owner = nullptr;
   GatewayRuntime *Runtime = nullptr;
   std::optional<GatewayParts> Parts;
   std::unique_ptr<Poco::ThreadPool> Pool;
@@ -80,6 +84,8 @@
   std::mutex Mutex;
   std::condition_variable Idle; // the last running request has ended
   std::set<int> Sockets;        // of open connections
+  std::set<int> IdleSockets;    // those that wait for a request
+  uint64_t ClosingTimer = 0;
 };
 
 class GatewayFront::Connection : public Poco::Net::TCPServerConnection {
@@ -105,6 +111,7 @@
 };
 
 bool GatewayFront::start(Kernel &Owner) {
+  this->Owner = &Owner;
   Runtime = Owner.find<GatewayRuntime>();
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
@@ -124,6 +131,7 @@
     Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
                                                     socket, params);
     Server->start();
+    ClosingTimer = Owner.timers().every(ClosingPeriod, [this] { closeIdle(); });
   } catch (const Poco::Exception &error) {
     log(LogLevel::Error, "gateway_front", "could not listen",
         {{"address", Runtime->Values.CallerAddress},
@@ -134,6 +142,7 @@
 }
 
 void GatewayFront::stop() {
+  Owner->timers().cancel(ClosingTimer);
   Server->stop();
   {
     std::unique_lock lock(Mutex);
@@ -167,6 +176,26 @@
   Sockets.erase(Fd);
 }
 
+void GatewayFront::setIdle(int Fd, bool Idle) {
+  std::lock_guard lock(Mutex);
+  if (!Idle)
+    IdleSockets.erase(Fd);
+  else if (Runtime->Closing.load())
+    ::shutdown(Fd, SHUT_RD);
+  else
+    IdleSockets.insert(Fd);
+}
+
+// What has arrived on such a connection can still be read, and is refused.
+void GatewayFront::closeIdle() {
+  if (!Runtime->Closing.load())
+    return;
+  std::lock_guard lock(Mutex);
+  for (int it : IdleSockets)
+    ::shutdown(it, SHUT_RD);
+  IdleSockets.clear();
+}
+
 CallerLimits GatewayFront::limits() const {
   CallerBounds bounds = Runtime->Known.routes()->Bounds;
   CallerLimits values;
@@ -193,7 +222,9 @@
 
 bool GatewayFront::serveOne(CallerReader &Reader, int Fd) {
   HttpHead head;
+  setIdle(Fd, true);
   ReadVerdict verdict = Reader.readHead(head);
+  setIdle(Fd, false);
   if (verdict == ReadVerdict::Closed)
     return false;
   internal::HttpSinkOptions options;
@@ -270,10 +301,12 @@
            Milliseconds(0));
     return;
   }
-  if (route->Kind == RouteKind::Stream && Runtime->Stopping.load() &&
-      Clock::now() + StreamTime > Runtime->StopAt.load()) {
+  bool tooLate = Runtime->Closing.load() ||
+                 (route->Kind == RouteKind::Stream &&
+                  Clock::now() + StreamTime > Runtime->StopAt.load());
+  if (Runtime->Stopping.load() && tooLate) {
     answer(Sink, request.Id, ErrorKind::ShuttingDown,
-           "the stream would outlast this instance", OtherInstanceReturn);
+           "the request would outlast this instance", OtherInstanceReturn);
     return;
   }
   RequestRun(*Parts, document, *route, std::move(request), Sink, Arrived).run();
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -36,6 +36,9 @@
   // Set by the first SIGTERM; the instance finishes what it has.
   std::atomic<bool> Stopping{false};
   std::atomic<TimePoint> StopAt{TimePoint::max()}; // the process ends then
+  // Set shortly before the end: nothing more is passed on to servers, and idle
+  // connections are closed.
+  std::atomic<bool> Closing{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
 
--- a/src/gateway/lifecycle.cc
+++ b/src/gateway/lifecycle.cc
@@ -23,6 +23,9 @@
 // then new connections arrive, and are served.
 constexpr Milliseconds BalancerTime{2600};
 constexpr Milliseconds LookPeriod{100};
+// From the last request that is passed on to the end of the process. Plain
+// calls end in less, so that none is cut off.
+constexpr Milliseconds ClosingTime{600};
 // The settings file may change without a signal.
 constexpr Milliseconds SettingsPeriod{1000};
 
@@ -43,6 +46,7 @@
   TimePoint StopBegan;
   uint64_t ShutdownTimer = 0;
   uint64_t SettingsTimer = 0;
+  bool ExitRequested = false;
 };
 
 bool Lifecycle::start(Kernel &Owner) {
@@ -103,8 +107,17 @@
 void Lifecycle::lookAtShutdown() {
   TimePoint now = Clock::now();
   bool idle = Runtime->OpenRequests.load() == 0;
-  if (now < Runtime->StopAt.load() && !(idle && now - StopBegan > BalancerTime))
+  if (!Runtime->Closing.load()) {
+    if (now < Runtime->StopAt.load() - ClosingTime &&
+        !(idle && now - StopBegan > BalancerTime))
+      return;
+    Runtime->StopAt.store(now + ClosingTime);
+    Runtime->Closing.store(true);
     return;
+  }
+  if (now < Runtime->StopAt.load() || ExitRequested)
+    return;
+  ExitRequested = true;
   if (!idle)
     log(LogLevel::Warn, "lifecycle", "requests are cut off",
         {{"open_requests", std::to_string(Runtime->OpenRequests.load())}});
