--- a/src/gateway/directory_reader.cc
+++ b/src/gateway/directory_reader.cc
@@ -84,8 +84,13 @@
   uint32_t failures = 0;
   while (!Stopping.load()) {
     bool whole = revision == 0;
-    PublishedNews news = whole ? reader.ReadAll(givesUp)
-                               : reader.Watch(revision, WatchWait, givesUp);
+    PublishedNews news;
+    try {
+      news = whole ? reader.ReadAll(givesUp)
+                   : reader.Watch(revision, WatchWait, givesUp);
+    } catch (const std::exception &error) {
+      news.Fault = error.what(); // whatever the store sends ends no process
+    }
     if (Stopping.load())
       break;
     if (news.Status == ReadStatus::Ok) {
--- /dev/null
+++ b/test/gateway_member_codec_test.cc
@@ -0,0 +1,60 @@
+#include "gateway/member_codec.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+MemberFrame sample() {
+  MemberFrame frame;
+  frame.Sender = {"n1", "10.0.0.1:1", 77, Milliseconds(0), true};
+  frame.Members = {{"n2", "10.0.0.2:1", 78, Milliseconds(1200), false}};
+  frame.WantsRoutes = true;
+  frame.ConfigVersion = 9;
+  frame.ServersRevision = 412;
+  frame.RoutesText = "{}";
+  frame.HasServers = true;
+  frame.Servers = {{"i-1", 400, false, "{\"a\":1}"}, {"i-2", 410, true, ""}};
+  return frame;
+}
+
+} // namespace
+
+TEST_CASE("A member frame keeps all its fields") {
+  std::optional<MemberFrame> back = decodeMemberFrame(encode(sample()));
+  REQUIRE(back.has_value());
+  CHECK(back->Sender.Name == "n1");
+  CHECK(back->Sender.Incarnation == 77);
+  CHECK(back->Sender.Leaving);
+  REQUIRE(back->Members.size() == 1);
+  CHECK(back->Members[0].HeardAgo == Milliseconds(1200));
+  CHECK(back->WantsRoutes);
+  CHECK_FALSE(back->WantsServers);
+  CHECK(back->ConfigVersion == 9);
+  CHECK(back->ServersRevision == 412);
+  CHECK(back->RoutesText == "{}");
+  CHECK(back->HasServers);
+  REQUIRE(back->Servers.size() == 2);
+  CHECK(back->Servers[0].Text == "{\"a\":1}");
+  CHECK(back->Servers[1].Gone);
+}
+
+TEST_CASE("Damaged member frames are refused without harm") {
+  std::vector<uint8_t> good = encode(sample());
+  std::mt19937_64 random(11);
+  for (int i = 0; i < 20000; ++i) {
+    std::vector<uint8_t> bytes = good;
+    size_t changes = 1 + random() % 4;
+    for (size_t n = 0; n < changes; ++n)
+      bytes[random() % bytes.size()] = static_cast<uint8_t>(random());
+    if (random() % 3 == 0)
+      bytes.resize(random() % bytes.size());
+    decodeMemberFrame(bytes); // must neither crash nor read out of bounds
+  }
+  CHECK_FALSE(decodeMemberFrame({}).has_value());
+  std::vector<uint8_t> noise(64, 0xff);
+  CHECK_FALSE(decodeMemberFrame(noise).has_value());
+}
--- /dev/null
+++ b/test/gateway_member_table_test.cc
@@ -0,0 +1,98 @@
+#include "gateway/decisions/member_table.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
+
+Member memberOf(int Number, uint64_t Incarnation = 1) {
+  return {"n" + std::to_string(Number),
+          "10.0.0." + std::to_string(Number) + ":1", Incarnation,
+          Milliseconds(0), false};
+}
+
+} // namespace
+
+TEST_CASE("Without members the seeds are contacted, but not itself") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  table.setSeeds({"10.0.0.1:1", "10.0.0.2:1"});
+  for (int i = 0; i < 20; ++i)
+    CHECK(table.contacts(2, at(i)) == std::vector<std::string>{"10.0.0.2:1"});
+}
+
+TEST_CASE("Once members are known, dead seeds aren't needed") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  table.setSeeds({"10.0.0.99:1"});
+  table.heard(memberOf(2), Start);
+  int seeds = 0;
+  for (int i = 0; i < 100; ++i) {
+    std::vector<std::string> contacts = table.contacts(2, at(i));
+    REQUIRE_FALSE(contacts.empty());
+    CHECK(contacts.front() == "10.0.0.2:1");
+    seeds += static_cast<int>(
+        std::count(contacts.begin(), contacts.end(), "10.0.0.99:1"));
+  }
+  CHECK(seeds == 10); // so that separated parts of the fleet meet
+}
+
+TEST_CASE("The number of contacts doesn't grow with the fleet") {
+  MemberTable table("n0", "10.0.0.0:1", 7);
+  for (int i = 1; i < 400; ++i)
+    table.heard(memberOf(i), Start);
+  std::set<std::string> seen;
+  for (int i = 0; i < 2000; ++i) {
+    std::vector<std::string> contacts = table.contacts(2, at(i));
+    CHECK(contacts.size() == 2);
+    seen.insert(contacts.begin(), contacts.end());
+  }
+  CHECK(seen.size() > 350);
+}
+
+TEST_CASE("A member that nobody has heard for ten seconds is gone") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  table.heard(memberOf(2), Start);
+  CHECK(table.alive(at(9999)).size() == 1);
+  CHECK(table.alive(at(10000)).empty());
+}
+
+TEST_CASE("Old news from a peer don't bring a dead member back") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  table.heard(memberOf(2), Start);
+  Member old = memberOf(2);
+  old.HeardAgo = Milliseconds(9600); // before the news that are known
+  table.heard(old, at(9500));
+  CHECK(table.alive(at(10000)).empty());
+}
+
+TEST_CASE("A restarted member is contacted again at once") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  table.heard(memberOf(2), Start);
+  table.silent("10.0.0.2:1", at(10));
+  CHECK(table.contacts(2, at(20)).empty());
+  table.heard(memberOf(2, /*Incarnation=*/2), at(30));
+  CHECK(table.contacts(2, at(40)).size() == 1);
+}
+
+TEST_CASE("Sharers are assumed many until members are known") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  CHECK(table.sharers(Start) == 64);
+  table.heard(memberOf(2), Start);
+  CHECK(table.sharers(Start) == 2);
+}
+
+TEST_CASE("After a partition the former number of sharers still counts") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  for (int i = 2; i < 9; ++i)
+    table.heard(memberOf(i), Start);
+  REQUIRE(table.sharers(Start) == 8);
+  CHECK(table.sharers(at(30000)) == 8);
+  CHECK(table.sharers(at(70000)) == 1);
+}
--- /dev/null
+++ b/test/gateway_repeat_budget_test.cc
@@ -0,0 +1,52 @@
+#include "gateway/decisions/repeat_budget.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+uint32_t takeAll(RepeatBudget &Budget, const std::string &Service,
+                 uint32_t Instances, TimePoint Now) {
+  uint32_t n = 0;
+  while (n < 1000 && Budget.takeRepeat(Service, Instances, Now))
+    ++n;
+  return n;
+}
+
+} // namespace
+
+TEST_CASE("Instances that each spend their share stay within the allowance") {
+  // 56 repeats in ten seconds for all, as the smaller deployments allow.
+  uint32_t sum = 0;
+  for (int i = 0; i < 8; ++i) {
+    RepeatBudget budget({0.2, 56});
+    sum += takeAll(budget, "bays", 8, Start);
+  }
+  CHECK(sum > 0);
+  CHECK(sum <= 56);
+}
+
+TEST_CASE("A lone instance without members spends next to nothing") {
+  RepeatBudget budget({0.2, 56});
+  CHECK(takeAll(budget, "bays", 64, Start) == 0);
+}
+
+TEST_CASE("Own requests earn repeats within the ratio") {
+  RepeatBudget budget({0.2, 0});
+  for (int i = 0; i < 100; ++i)
+    budget.onRequest("bays", Start);
+  uint32_t n = takeAll(budget, "bays", 8, Start);
+  CHECK(n > 0);
+  CHECK(n <= 20);
+}
+
+TEST_CASE("Services have budgets of their own") {
+  RepeatBudget budget({0.2, 0});
+  for (int i = 0; i < 100; ++i)
+    budget.onRequest("bays", Start);
+  CHECK(takeAll(budget, "summaries", 8, Start) == 0);
+}
--- /dev/null
+++ b/test/gateway_waiting_line_test.cc
@@ -0,0 +1,182 @@
+#include "gateway/decisions/waiting_line.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
+
+LineEntry entryOf(int64_t OnTimeMs, uint32_t Priority = 0) {
+  LineEntry entry;
+  entry.Priority = Priority;
+  entry.OnTimeUntil = at(OnTimeMs);
+  entry.GiveUpAt = at(OnTimeMs);
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("The request with the nearest end of its time asks first") {
+  WaitingLine line(1);
+  uint64_t later = line.join(entryOf(600), Start);
+  uint64_t sooner = line.join(entryOf(500), Start);
+  CHECK_FALSE(line.mayTry(later, Start));
+  CHECK(line.mayTry(sooner, Start));
+}
+
+TEST_CASE("Priority goes before the end of the time") {
+  WaitingLine line(1);
+  uint64_t lower = line.join(entryOf(500, 1), Start);
+  uint64_t higher = line.join(entryOf(600, 0), Start);
+  CHECK_FALSE(line.mayTry(lower, Start));
+  CHECK(line.mayTry(higher, Start));
+}
+
+TEST_CASE("Requests that are late anyway let the others go first") {
+  WaitingLine line(1);
+  uint64_t late = line.join(entryOf(-100), Start);
+  uint64_t fresh = line.join(entryOf(600), Start);
+  CHECK_FALSE(line.mayTry(late, Start));
+  CHECK(line.mayTry(fresh, Start));
+}
+
+TEST_CASE("A bounded number of requests asks at the same time") {
+  WaitingLine line(2);
+  std::vector<uint64_t> tickets;
+  for (int i = 0; i < 4; ++i)
+    tickets.push_back(line.join(entryOf(600), Start));
+  int trying = 0;
+  for (uint64_t it : tickets)
+    trying += line.mayTry(it, Start) ? 1 : 0;
+  CHECK(trying == 2);
+}
+
+TEST_CASE("After a refused try another request has its turn") {
+  WaitingLine line(1);
+  uint64_t first = line.join(entryOf(500), Start);
+  uint64_t second = line.join(entryOf(600), Start);
+  REQUIRE(line.mayTry(first, Start));
+  line.tried(first, Start);
+  CHECK_FALSE(line.mayTry(first, at(1)));
+  CHECK(line.mayTry(second, at(1)));
+  line.tried(second, at(1));
+  CHECK(line.mayTry(first, at(100)));
+}
+
+TEST_CASE("A request that has no time left is hopeless at once") {
+  WaitingLine line(1);
+  CHECK(line.hopeless(at(-1), Start));
+  CHECK_FALSE(line.hopeless(at(500), Start));
+}
+
+TEST_CASE("A long line without grants is hopeless for a newcomer") {
+  WaitingLine line(1);
+  for (int i = 0; i < 12; ++i)
+    line.join(entryOf(600), Start);
+  CHECK(line.hopeless(at(500), Start));
+}
+
+TEST_CASE("Refused callers return spread and within what they honour") {
+  CHECK(comeBackAfter(Milliseconds(0), Milliseconds(9000), 0) ==
+        Milliseconds(2500));
+  CHECK(comeBackAfter(Milliseconds(90000), Milliseconds(9000), 0) ==
+        Milliseconds(5000));
+  CHECK(comeBackAfter(Milliseconds(0), Milliseconds(9000), 0.99) >
+        comeBackAfter(Milliseconds(0), Milliseconds(9000), 0));
+  CHECK(comeBackAfter(Milliseconds(90000), Milliseconds(700), 0.5) ==
+        Milliseconds(700));
+}
+
+namespace {
+
+// Replays a burst in virtual time: prompts arrive at twice the rate at which
+// the decode servers free memory, for four seconds, as on the days of high
+// load. Grants come one by one; a grant is on time if it comes before the end
+// of the request's time.
+struct BurstResult {
+  int OnTime = 0;
+  int Late = 0;
+  Milliseconds LongestWait{0};
+};
+
+constexpr int64_t BurstMs = 4000;
+constexpr int64_t ArrivalGapMs = 25; // 40 prompts a second
+constexpr int64_t GrantGapMs = 50;   // memory for 20 prompts a second
+constexpr int64_t OnTimeMs = 600;    // grant time that keeps the target
+
+// The earlier rule: everyone waits in order of arrival until served.
+BurstResult replayArrivalOrder() {
+  BurstResult result;
+  std::deque<int64_t> waiting;
+  for (int64_t ms = 0; ms < 4 * BurstMs; ++ms) {
+    if (ms < BurstMs && ms % ArrivalGapMs == 0)
+      waiting.push_back(ms);
+    if (ms % GrantGapMs == 0 && !waiting.empty()) {
+      int64_t waited = ms - waiting.front();
+      waiting.pop_front();
+      ++(waited <= OnTimeMs ? result.OnTime : result.Late);
+      result.LongestWait = std::max(result.LongestWait, Milliseconds(waited));
+    }
+  }
+  return result;
+}
+
+BurstResult replayLine() {
+  BurstResult result;
+  WaitingLine line(1);
+  std::map<uint64_t, int64_t> waiting; // ticket, arrival
+  for (int64_t ms = 0; ms < 4 * BurstMs; ++ms) {
+    if (ms < BurstMs && ms % ArrivalGapMs == 0) {
+      LineEntry entry = entryOf(ms + OnTimeMs);
+      if (!line.hopeless(entry.GiveUpAt, at(ms)))
+        waiting[line.join(entry, at(ms))] = ms;
+    }
+    for (auto it = waiting.begin(); it != waiting.end();) {
+      if (ms - it->second < OnTimeMs) {
+        ++it;
+        continue;
+      }
+      line.leave(it->first); // refused with when to come back
+      it = waiting.erase(it);
+    }
+    if (ms % GrantGapMs != 0)
+      continue;
+    for (const auto &[ticket, arrived] : waiting) {
+      if (!line.mayTry(ticket, at(ms)))
+        continue;
+      line.granted(at(ms));
+      line.leave(ticket);
+      ++(ms - arrived <= OnTimeMs ? result.OnTime : result.Late);
+      result.LongestWait =
+          std::max(result.LongestWait, Milliseconds(ms - arrived));
+      waiting.erase(ticket);
+      break;
+    }
+  }
+  return result;
+}
+
+} // namespace
+
+// Serving everyone in turn makes nearly all late once the backlog is longer
+// than the target; refusing those that can't be on time keeps the rest on time.
+TEST_CASE("In a burst of twice the capacity all grants are on time") {
+  BurstResult line = replayLine();
+  BurstResult arrival = replayArrivalOrder();
+  int capacity = static_cast<int>(BurstMs / GrantGapMs);
+  CHECK(line.Late == 0);
+  CHECK_MESSAGE(line.OnTime >= capacity * 95 / 100, "on time: ", line.OnTime,
+                " of ", capacity);
+  CHECK_MESSAGE(line.OnTime > 2 * arrival.OnTime, "line: ", line.OnTime,
+                ", order of arrival: ", arrival.OnTime);
+  CHECK(line.LongestWait <= Milliseconds(OnTimeMs));
+}
--- /dev/null
+++ b/test/platform_entries_test.cc
@@ -0,0 +1,111 @@
+#include "platform/published_entries.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+using namespace crocusspur::platform;
+
+namespace {
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  size_t n = Text.find(From);
+  REQUIRE(n != std::string::npos);
+  return Text.replace(n, From.size(), To);
+}
+
+const std::string GoodServer =
+    R"({"service":"bays","address":"10.128.0.9:8080","zone":"hall-a",)"
+    R"("version":"v1","slots":64,"state":"ready","cold-left-ms":0,)"
+    R"("phase":"decode","models":[{"name":"m"}],"sequence":4,)"
+    R"("born":1764000000123})";
+
+const std::string GoodRoutes =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example",)"
+    R"("path-prefix":"/x/","type":"streaming","timeout-ms":14000,)"
+    R"("latency-target-ms":900,"priority":1,"split":[)"
+    R"({"service":"s1","weight":90},{"service":"s2","weight":10}],)"
+    R"("max-attempts":2,"resumable":true,"itl-target-ms":300}],)"
+    R"("services":[{"name":"s1","health-path":"/healthz","max-conns":370,)"
+    R"("runtime":{"slots":64,"kv-capacity":66998,"stride":11,)"
+    R"("kv-ttl-s":0.5,"hold-ms":2000.0}},)"
+    R"({"name":"s2","health-path":"/h","max-conns":110}],)"
+    R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
+    R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+
+} // namespace
+
+TEST_CASE("A server's entry becomes the product's own type") {
+  auto entry = parseServerEntry("i-1", GoodServer);
+  REQUIRE(entry.has_value());
+  CHECK(entry->Id == "i-1");
+  CHECK(entry->Service == "bays");
+  CHECK(entry->FailureDomain == "hall-a");
+  CHECK(entry->Stage == ServerStage::Decode);
+  CHECK(entry->StartedAt == 1764000000123);
+  CHECK_FALSE(entry->Leaving);
+}
+
+TEST_CASE("Entries of other writers name no server") {
+  const std::pair<const char *, const char *> mistakes[] = {
+      {"\"state\":\"ready\"", "\"state\":\"resting\""},
+      {"\"state\":\"ready\"", "\"state\":3"},
+      {"\"service\":\"bays\"", "\"service\":[\"bays\"]"},
+      {"\"service\":\"bays\",", ""},
+      {"10.128.0.9:8080", "server.example:8080"},
+      {"\"slots\":64", "\"slots\":\"64\""},
+      {"\"slots\":64", "\"slots\":-1"},
+      {"\"phase\":\"decode\"", "\"phase\":\"dreaming\""},
+      {"\"born\":1764000000123", "\"born\":\"now\""},
+      {"\"born\":1764000000123", "\"born\":12.5"},
+      {"\"zone\":\"hall-a\"", "\"zone\":null"}};
+  for (const auto &[from, to] : mistakes) {
+    CAPTURE(to);
+    CHECK_FALSE(
+        parseServerEntry("i-1", replaced(GoodServer, from, to)).has_value());
+  }
+  CHECK_FALSE(parseServerEntry("i-1", "").has_value());
+  CHECK_FALSE(parseServerEntry("i-1", "\xff\xfe{").has_value());
+  CHECK_FALSE(parseServerEntry("i-1", "[]").has_value());
+}
+
+TEST_CASE("Fields that aren't known are ignored") {
+  CHECK(parseServerEntry("i-1", replaced(GoodServer, "{", "{\"new-field\":{},"))
+            .has_value());
+}
+
+TEST_CASE("A configuration becomes routes, services and bounds") {
+  RouteDocumentPtr document = parseRouteDocument(GoodRoutes);
+  REQUIRE(document);
+  CHECK(document->Version == 7);
+  REQUIRE(document->Routes.size() == 1);
+  const PathRoute &route = document->Routes[0];
+  CHECK(route.Kind == RouteKind::Stream);
+  CHECK(route.TimeLimit == Milliseconds(14000));
+  CHECK(route.OutputTarget == Milliseconds(900));
+  CHECK(route.GapTarget == Milliseconds(300));
+  CHECK(route.MaxServers == 2);
+  CHECK(route.Resumable);
+  REQUIRE(route.Services.size() == 2);
+  CHECK(route.Services[1].Weight == 10);
+  const ServiceRule &service = document->Services.at("s1");
+  REQUIRE(service.Engine.has_value());
+  CHECK(service.Engine->CapacityTokens == 66998);
+  CHECK(service.Engine->TokensPerEvent == 11);
+  CHECK(service.Engine->HandleLifetime == Milliseconds(500));
+  CHECK(service.Engine->LongestReservation == Milliseconds(2000));
+  CHECK_FALSE(document->Services.at("s2").Engine.has_value());
+  CHECK(document->Bounds.HeaderBytes == 16384);
+  CHECK(document->Bounds.IdleTime == Milliseconds(15000));
+}
+
+TEST_CASE("A damaged configuration is refused as a whole") {
+  CHECK_FALSE(parseRouteDocument("{}"));
+  CHECK_FALSE(parseRouteDocument(
+      replaced(GoodRoutes, "\"version\":7", "\"version\":0")));
+  CHECK_FALSE(parseRouteDocument(
+      replaced(GoodRoutes, "\"streaming\"", "\"dreaming\"")));
+  CHECK_FALSE(
+      parseRouteDocument(replaced(GoodRoutes, "[{\"name\"", "[3,{\"name\"")));
+}
--- /dev/null
+++ b/test/platform_settings_test.cc
@@ -0,0 +1,80 @@
+#include "platform/settings_file.h"
+
+#include <boost/leaf.hpp>
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+const std::string Good = R"(
+node-name = "edge-hall-a-1"
+zone = "hall-a"
+seed-nodes = ["10.1.0.38:8144", "10.2.0.40:8144"]
+unknown-field = { x = 1 }
+[listen]
+frontend = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+control-plane = "10.1.0.38:8144"
+[limits]
+memory-mb = 110
+[bounds]
+grace-s = 8
+drain-ms = 2000
+retry-budget-ratio = 0.2
+budget-slack = 56
+[platform]
+address = "10.200.1.7:8142"
+)";
+
+struct Outcome {
+  std::optional<GatewaySettings> Values;
+  std::vector<std::string> Keys; // of the mistakes
+};
+
+Outcome parse(const std::string &Text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<Outcome> {
+        BOOST_LEAF_AUTO(values, platform::parseSettings(Text, "s.toml"));
+        return Outcome{std::move(values), {}};
+      },
+      [](const MistakeList &List) {
+        Outcome outcome;
+        for (const Mistake &it : List.Mistakes)
+          outcome.Keys.push_back(it.Key);
+        return outcome;
+      },
+      [] { return Outcome(); });
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings become the gateway's") {
+  Outcome outcome = parse(Good);
+  REQUIRE(outcome.Values.has_value());
+  const GatewaySettings &values = *outcome.Values;
+  CHECK(values.Instance == "edge-hall-a-1");
+  CHECK(values.FailureDomain == "hall-a");
+  CHECK(values.CallerAddress == "10.1.0.38:8149");
+  CHECK(values.StoreAddress == "10.200.1.7:8142");
+  CHECK(values.SeedAddresses.size() == 2);
+  CHECK(values.ShutdownLimit == Milliseconds(8000));
+  CHECK(values.Repeats.Ratio == doctest::Approx(0.2));
+  CHECK(values.Repeats.Fixed == 56);
+}
+
+TEST_CASE("All mistakes of a settings file are named at once") {
+  Outcome outcome =
+      parse("node-name = 3\nseed-nodes = [\"x\"]\n[bounds]\n"
+            "grace-s = \"eight\"\n[listen]\nfrontend = \"here\"\n");
+  CHECK_FALSE(outcome.Values.has_value());
+  CHECK(outcome.Keys ==
+        std::vector<std::string>{"node-name", "zone", "listen.frontend",
+                                 "seed-nodes", "platform.address",
+                                 "bounds.grace-s"});
+}
+
+TEST_CASE("A file that isn't TOML is one mistake") {
+  CHECK(parse("node-name = ").Keys == std::vector<std::string>{"file"});
+}
