--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -86,6 +86,18 @@
   return all;
 }
 
+bool MemberTable::leads(Milliseconds ForAtLeast, TimePoint Now) {
+  std::vector<Member> others = alive(Now);
+  bool first = EverHeard && 2 * (others.size() + 1) > sharers(Now);
+  for (const Member &it : others)
+    first = first && (it.Leaving || OwnName < it.Name);
+  if (!first)
+    FirstSince.reset();
+  else if (!FirstSince)
+    FirstSince = Now;
+  return FirstSince && Now - *FirstSince >= ForAtLeast;
+}
+
 uint32_t MemberTable::sharers(TimePoint Now) {
   if (!EverHeard)
     return CautiousSharers;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -8,20 +8,39 @@
 #define CROCUSSPUR_GATEWAY_MEMBER_TABLE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/demand_meter.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace crocusspur::gateway {
 
+// The last order that an instance gave to a server of a service.
+struct GivenOrder {
+  std::string Service;
+  std::string ServerId;
+  uint64_t Fence = 0;
+  Milliseconds Ago{0};
+};
+
+// What an instance tells of one service, for decisions on all of it.
+struct ServiceFigures {
+  std::string Service;
+  StageDemand Demand;
+  double PrefillRate = 0; // prompt tokens a second of one server; 0: unknown
+};
+
 struct Member {
   std::string Name;
   std::string Address;      // "IP:port" for exchanges
   uint64_t Incarnation = 0; // random for each start of its process
   Milliseconds HeardAgo{0}; // since it was last heard by anyone
   bool Leaving = false;
+  std::vector<ServiceFigures> Figures;
+  std::vector<GivenOrder> Orders; // the last of each service
 };
 
 class MemberTable {
@@ -46,6 +65,12 @@
   // Members heard within the memory, without this instance.
   std::vector<Member> alive(TimePoint Now) const;
 
+  // Whether this instance is the one that gives orders: the first by name of
+  // those that aren't leaving, for the whole time given, with at least half of
+  // the fleet in sight. Two may hold this for a moment when the fleet is split;
+  // servers then tell them apart by their fences.
+  bool leads(Milliseconds ForAtLeast, TimePoint Now);
+
   // Instances that may share a budget, this one included: the most known at
   // once in the last minute, or a cautious number until members are known.
   uint32_t sharers(TimePoint Now);
@@ -66,6 +91,7 @@
   uint32_t MostSharers = 0;
   TimePoint MostSharersAt;
   bool EverHeard = false;
+  std::optional<TimePoint> FirstSince; // first by name since then
 };
 
 } // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/role_control.cc
@@ -0,0 +1,52 @@
+#include "gateway/decisions/role_control.h"
+
+namespace crocusspur::gateway {
+namespace {
+
+// Part of the requests that find no decode memory in time from which on it
+// counts as short.
+constexpr double ShortPart = 0.2;
+// Fewer requests than this a second say little.
+constexpr double LeastWanted = 1;
+// How long it has to be short: a burst's edge alone isn't a reason.
+constexpr Milliseconds ShortTime{1500};
+// Most of the remaining prefill servers' rate that the highest demand of the
+// last half minute may need. The rest is for the loss of a server's neighbour
+// and for uneven arrivals.
+constexpr double UsedPart = 0.9;
+// One prefill server is kept as a spare against a loss.
+constexpr uint32_t LeastPrefill = 2;
+constexpr uint32_t LeastDecode = 2;
+// Between two orders: a change takes some six seconds, and its effect has to be
+// seen before the next.
+constexpr Milliseconds OrderPause{10000};
+
+} // namespace
+
+std::optional<ServerStage>
+RoleControl::decide(const PoolView &Pool, std::optional<TimePoint> LastOrder,
+                    TimePoint Now) {
+  const StageDemand &demand = Pool.Demand;
+  bool isShort = demand.PlacesWanted >= LeastWanted &&
+                 demand.PlacesStarved >= ShortPart * demand.PlacesWanted;
+  if (!isShort)
+    ShortSince.reset();
+  else if (!ShortSince)
+    ShortSince = Now;
+  if (Pool.PrefillRate <= 0 || (LastOrder && Now - *LastOrder < OrderPause))
+    return std::nullopt;
+  double needed = demand.PromptTokens / (Pool.PrefillRate * UsedPart);
+  bool prefillSpare =
+      Pool.PrefillServers > LeastPrefill && needed <= Pool.PrefillServers - 1.0;
+  if (ShortSince && Now - *ShortSince >= ShortTime && prefillSpare)
+    return ServerStage::Decode;
+  // Prompts that the prefill servers can't read in time are the dearer lack:
+  // the decode servers then read them slowly, between the tokens of others.
+  constexpr double OverUsed = 1 / UsedPart;
+  if (needed > Pool.PrefillServers * OverUsed && !isShort &&
+      Pool.DecodeServers > LeastDecode)
+    return ServerStage::Prefill;
+  return std::nullopt;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/role_control.h
@@ -0,0 +1,41 @@
+// Decides when a server of a model changes its stage. Pure.
+//
+// The load that it answers: decode memory is short for seconds on end while the
+// prefill servers have room, or prompts wait while decode memory is free. A
+// change takes a server away for some seconds, so it is rare, one at a time,
+// and only made where the demand of the last half minute would have fitted.
+#ifndef CROCUSSPUR_GATEWAY_ROLE_CONTROL_H
+#define CROCUSSPUR_GATEWAY_ROLE_CONTROL_H
+
+#include "gateway/decisions/demand_meter.h"
+#include "gateway/decisions/server_book.h"
+
+#include <optional>
+#include <string>
+
+namespace crocusspur::gateway {
+
+// A service as all instances together see it.
+struct PoolView {
+  uint32_t PrefillServers = 0;
+  uint32_t DecodeServers = 0;
+  StageDemand Demand;
+  // Prompt tokens that one prefill server reads a second; 0: not known yet.
+  double PrefillRate = 0;
+};
+
+class RoleControl {
+public:
+  // Returns the stage that one more server should have, or nothing.
+  // `LastOrder`: when any instance last gave an order for the service.
+  std::optional<ServerStage> decide(const PoolView &Pool,
+                                    std::optional<TimePoint> LastOrder,
+                                    TimePoint Now);
+
+private:
+  std::optional<TimePoint> ShortSince; // of decode memory
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/decisions/server_book.cc
+++ b/src/gateway/decisions/server_book.cc
@@ -44,8 +44,10 @@
   if (restarted)
     Servers.erase(it);
   Server &server = Servers[Entry.Id];
-  if (server.Entry.Stage != Entry.Stage)
+  if (server.Entry.Stage != Entry.Stage) {
     server.Load.reset();
+    server.AvoidUntil = TimePoint();
+  }
   server.Entry = Entry;
   server.LastUse.reset();
 }
@@ -66,6 +68,12 @@
   });
 }
 
+void ServerBook::avoid(const std::string &Id, TimePoint Until) {
+  auto it = Servers.find(Id);
+  if (it != Servers.end())
+    it->second.AvoidUntil = std::max(it->second.AvoidUntil, Until);
+}
+
 const ServerEntry *ServerBook::find(const std::string &Id) const {
   auto it = Servers.find(Id);
   return it == Servers.end() ? nullptr : &it->second.Entry;
--- a/src/gateway/decisions/server_book.h
+++ b/src/gateway/decisions/server_book.h
@@ -76,6 +76,9 @@
   // Drops servers whose last use has passed.
   void expire(TimePoint Now);
 
+  // Gives the server nothing until the time, if there is another.
+  void avoid(const std::string &Id, TimePoint Until);
+
   const ServerEntry *find(const std::string &Id) const;
   std::vector<ServerEntry> entries() const;
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -62,6 +62,19 @@
   uint64_t Tokens = 0;
 };
 
+struct ServerReport {
+  ServerStage Stage = ServerStage::Whole;
+  uint64_t OrdersTaken = 0; // since its start
+  bool OrderRunning = false;
+};
+
+struct StageOrder {
+  ServerStage Stage = ServerStage::Decode;
+  std::string Holder;       // the instance that gives the order
+  uint64_t Fence = 0;       // rises with each order, whoever gives it
+  uint64_t OrdersTaken = 0; // as reported
+};
+
 struct Dialect {
   std::function<CallerRequest(const internal::HttpHead &Head)> ReadCaller;
   std::function<std::string(const CallerRequest &, const RunOrder &)> FormatRun;
@@ -84,6 +97,13 @@
   std::function<std::string(const ServerChoice &Server,
                             const std::string &Handle)>
       FormatReleaseMemory;
+  // A server's report of itself, and an order to change its stage that it
+  // refuses if it has accepted another since the report.
+  std::function<std::string(const ServerChoice &Server)> FormatReport;
+  std::function<std::optional<ServerReport>(const std::string &Body)>
+      ReadReport;
+  std::function<std::string(const ServerChoice &Server, const StageOrder &)>
+      FormatStageOrder;
   // Returns the id of an event, or an empty text if it has none.
   std::function<std::string(std::string_view Event)> EventId;
 };
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -21,6 +21,8 @@
 // preemptions without idle memory between 0.45 and 0.6.
 constexpr double FirstShare = 0.45;
 constexpr double EnoughSamples = 20;
+// Prompts of fewer tokens say little about a server's rate.
+constexpr uint64_t RatedPrompt = 3000;
 // First attempts of callers differ by less than this in the time they give.
 constexpr Milliseconds ReturnMargin{300};
 
@@ -244,6 +246,48 @@
       std::min(Tokens, MaxOutputTokens) * WholeShare / MaxOutputTokens));
 }
 
+void Directory::promptRead(const std::string &Service, uint64_t Tokens,
+                           Milliseconds Taken) {
+  std::lock_guard lock(Mutex);
+  StageFigures &stage = Stages[Service];
+  stage.Meter.onPrompt(Tokens, Clock::now());
+  if (Tokens < RatedPrompt)
+    return;
+  double rate = 1000.0 * static_cast<double>(Tokens) /
+                static_cast<double>(std::max<int64_t>(Taken.count(), 1));
+  stage.PrefillRate = std::max(stage.PrefillRate, rate);
+}
+
+void Directory::placeEnded(const std::string &Service, Milliseconds Waited,
+                           bool Got) {
+  std::lock_guard lock(Mutex);
+  Stages[Service].Meter.onPlace(Waited, Got, Clock::now());
+}
+
+std::vector<ServiceFigures> Directory::figures() {
+  std::lock_guard lock(Mutex);
+  std::vector<ServiceFigures> all;
+  for (auto &[service, stage] : Stages)
+    all.push_back(
+        {service, stage.Meter.rates(Clock::now()), stage.PrefillRate});
+  return all;
+}
+
+std::vector<ServerEntry> Directory::stageServers(const std::string &Service,
+                                                 ServerStage Stage) const {
+  std::lock_guard lock(Mutex);
+  std::vector<ServerEntry> found;
+  for (const ServerEntry &it : Book.entries())
+    if (it.Service == Service && it.Stage == Stage && !it.Leaving)
+      found.push_back(it);
+  return found;
+}
+
+void Directory::changing(const std::string &ServerId, Milliseconds Time) {
+  std::lock_guard lock(Mutex);
+  Book.avoid(ServerId, Clock::now() + Time);
+}
+
 bool Directory::cameBefore(const std::string &RouteName,
                            Milliseconds TimeLeft) {
   std::lock_guard lock(Mutex);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -3,6 +3,8 @@
 #ifndef CROCUSSPUR_GATEWAY_DIRECTORY_H
 #define CROCUSSPUR_GATEWAY_DIRECTORY_H
 
+#include "gateway/decisions/demand_meter.h"
+#include "gateway/decisions/member_table.h"
 #include "gateway/decisions/repeat_budget.h"
 #include "gateway/decisions/route_table.h"
 #include "gateway/decisions/server_book.h"
@@ -70,6 +72,17 @@
   void setRepeats(RepeatAllowance Value);
   void setInstances(uint32_t Count) { Instances.store(Count); }
 
+  // Figures of each service for decisions on all instances' demand.
+  void promptRead(const std::string &Service, uint64_t Tokens,
+                  Milliseconds Taken);
+  void placeEnded(const std::string &Service, Milliseconds Waited, bool Got);
+  std::vector<ServiceFigures> figures();
+  // Servers of a service in a stage that aren't leaving.
+  std::vector<ServerEntry> stageServers(const std::string &Service,
+                                        ServerStage Stage) const;
+  // A server changes its stage: it gets nothing new for a while.
+  void changing(const std::string &ServerId, Milliseconds Time);
+
   // Memory to reserve for a request: its prompt and as much output as most
   // requests of the service make.
   uint64_t reservedTokens(const std::string &Service, uint64_t PromptTokens,
@@ -101,6 +114,11 @@
   bool ListKnown = false;
   RepeatBudget Repeats;
   std::map<std::string, internal::OutputLengths> OutputShares;
+  struct StageFigures {
+    DemandMeter Meter;
+    double PrefillRate = 0; // of one server, from its fastest calls
+  };
+  std::map<std::string, StageFigures> Stages;     // by service
   std::map<std::string, Milliseconds> UsualTimes; // by route, the most seen
   std::mt19937_64 Random;
   std::atomic<uint32_t> Instances{64}; // until members are known
--- /dev/null
+++ b/src/gateway/fleet.h
@@ -0,0 +1,48 @@
+// The other instances and what they tell of services, shared by the plug-ins.
+// All functions are thread-safe.
+#ifndef CROCUSSPUR_GATEWAY_FLEET_H
+#define CROCUSSPUR_GATEWAY_FLEET_H
+
+#include "gateway/decisions/member_table.h"
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+class Fleet {
+public:
+  Fleet(std::string OwnName, std::string OwnAddress, uint64_t Seed)
+      : Table(std::move(OwnName), std::move(OwnAddress), Seed) {}
+
+  void setSeeds(std::vector<std::string> Addresses);
+  void heard(const Member &Item);
+  void silent(const std::string &Address);
+  std::vector<std::string> contacts(size_t Count);
+  std::vector<Member> alive() const;
+  uint32_t sharers();
+  bool leads(Milliseconds ForAtLeast);
+
+  // An order that this instance gave; told to the others for a while.
+  void ordered(const std::string &Service, const std::string &ServerId,
+               uint64_t Fence);
+  std::vector<GivenOrder> ownOrders() const;
+  // The last order of any instance for the service, if there was one.
+  std::optional<GivenOrder> lastOrder(const std::string &Service) const;
+
+private:
+  struct OwnOrder {
+    GivenOrder Item;
+    TimePoint At;
+  };
+  std::vector<GivenOrder> ownOrdersLocked() const;
+
+  mutable std::mutex Mutex;
+  MemberTable Table;
+  std::vector<OwnOrder> Orders; // the last of each service
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -5,6 +5,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/directory.h"
+#include "gateway/fleet.h"
 #include "gateway/place_line.h"
 #include "gateway/server_link.h"
 
@@ -21,6 +22,7 @@
       : Edge(Edge), Values(std::move(Values)), SettingsFile(std::move(File)),
         Incarnation(Incarnation), Wire(Edge.MakeDialect()),
         Source(Edge.MakeSource(this->Values)), Known(this->Values, Incarnation),
+        Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Seeds(this->Values.SeedAddresses), Repeats(this->Values.Repeats) {}
 
   const Adapter &Edge;
@@ -41,6 +43,7 @@
   std::atomic<bool> Closing{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
+  Fleet Peers;
 
   // Takes the parts of changed settings that can change while the process
   // runs: seeds, the budget of repeats. Others need a restart.
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -2,25 +2,57 @@
 
 #include "gateway_peer_generated.h"
 
+#include <cmath>
+
 namespace crocusspur::gateway {
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
 flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
+  std::vector<flatbuffers::Offset<wire::ServiceFigures>> figures;
+  for (const ServiceFigures &it : Item.Figures)
+    figures.push_back(wire::CreateServiceFigures(
+        Out, Out.CreateString(it.Service), it.Demand.PromptTokens,
+        it.Demand.PlacesWanted, it.Demand.PlacesStarved, it.PrefillRate));
+  std::vector<flatbuffers::Offset<wire::GivenOrder>> orders;
+  for (const GivenOrder &it : Item.Orders)
+    orders.push_back(wire::CreateGivenOrder(
+        Out, Out.CreateString(it.Service), Out.CreateString(it.ServerId),
+        it.Fence, static_cast<uint32_t>(it.Ago.count())));
+  auto figureList = Out.CreateVector(figures);
+  auto orderList = Out.CreateVector(orders);
   return wire::CreateMember(Out, Out.CreateString(Item.Name),
                             Out.CreateString(Item.Address), Item.Incarnation,
                             static_cast<uint32_t>(Item.HeardAgo.count()),
-                            Item.Leaving);
+                            Item.Leaving, figureList, orderList);
 }
 
 std::string textOf(const flatbuffers::String *Text) {
   return Text ? Text->str() : std::string();
 }
 
+double finite(double Value) { return std::isfinite(Value) ? Value : 0; }
+
 Member unpack(const wire::Member &Item) {
-  return {textOf(Item.name()), textOf(Item.address()), Item.incarnation(),
-          Milliseconds(Item.heard_ago_ms()), Item.leaving()};
+  Member member;
+  member.Name = textOf(Item.name());
+  member.Address = textOf(Item.address());
+  member.Incarnation = Item.incarnation();
+  member.HeardAgo = Milliseconds(Item.heard_ago_ms());
+  member.Leaving = Item.leaving();
+  if (Item.figures())
+    for (const wire::ServiceFigures *it : *Item.figures())
+      member.Figures.push_back(
+          {textOf(it->service()),
+           {finite(it->prompt_tokens()), finite(it->places_wanted()),
+            finite(it->places_starved())},
+           finite(it->prefill_rate())});
+  if (Item.orders())
+    for (const wire::GivenOrder *it : *Item.orders())
+      member.Orders.push_back({textOf(it->service()), textOf(it->server()),
+                               it->fence(), Milliseconds(it->ago_ms())});
+  return member;
 }
 
 } // namespace
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -107,10 +107,9 @@
   GatewayRuntime *Runtime = nullptr;
   std::unique_ptr<Poco::ThreadPool> Pool;
   std::unique_ptr<Poco::Net::TCPServer> Server;
-  std::mutex Mutex; // guards all below
+  std::mutex Mutex; // guards Stopping
   std::condition_variable Wake;
   bool Stopping = false;
-  std::optional<MemberTable> Table;
   std::set<std::string> LoggedMembers;
   std::thread Thread;
 };
@@ -142,7 +141,6 @@
   if (!Runtime)
     return false;
   const GatewaySettings &values = Runtime->Values;
-  Table.emplace(values.Instance, values.PeerAddress, Runtime->Incarnation);
   if (values.PeerAddress.empty()) {
     log(LogLevel::Warn, "member_links", "no peer address; serving alone", {});
     return true;
@@ -193,11 +191,13 @@
                             !Runtime->Known.storeIsReachable());
   frame.WantsRoutes = missing;
   frame.WantsServers = missing;
-  std::lock_guard lock(Mutex);
-  frame.Sender = {Runtime->Values.Instance, Runtime->Values.PeerAddress,
-                  Runtime->Incarnation, Milliseconds(0),
-                  Runtime->Stopping.load()};
-  frame.Members = Table->alive(Clock::now());
+  frame.Sender.Name = Runtime->Values.Instance;
+  frame.Sender.Address = Runtime->Values.PeerAddress;
+  frame.Sender.Incarnation = Runtime->Incarnation;
+  frame.Sender.Leaving = Runtime->Stopping.load();
+  frame.Sender.Figures = Runtime->Known.figures();
+  frame.Sender.Orders = Runtime->Peers.ownOrders();
+  frame.Members = Runtime->Peers.alive();
   return frame;
 }
 
@@ -214,15 +214,11 @@
 }
 
 void MemberLinks::take(const MemberFrame &Frame) {
-  {
-    std::lock_guard lock(Mutex);
-    TimePoint now = Clock::now();
-    Table->heard(Frame.Sender, now);
-    for (const Member &it : Frame.Members)
-      Table->heard(it, now);
-    Runtime->Known.setInstances(Table->sharers(now));
-    Runtime->PeersKnown.store(Table->alive(now).size());
-  }
+  Runtime->Peers.heard(Frame.Sender);
+  for (const Member &it : Frame.Members)
+    Runtime->Peers.heard(it);
+  Runtime->Known.setInstances(Runtime->Peers.sharers());
+  Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty()) {
     RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Frame.RoutesText);
     if (routes)
@@ -281,11 +277,8 @@
 // One line for each member that comes or goes.
 void MemberLinks::noteMembers() {
   std::set<std::string> now;
-  {
-    std::lock_guard lock(Mutex);
-    for (const Member &it : Table->alive(Clock::now()))
-      now.insert(it.Name);
-  }
+  for (const Member &it : Runtime->Peers.alive())
+    now.insert(it.Name);
   for (const std::string &it : now)
     if (!LoggedMembers.contains(it))
       log(LogLevel::Info, "member_links", "member found", {{"member", it}});
@@ -299,22 +292,18 @@
   while (true) {
     bool urgent =
         !Runtime->Known.complete() || !Runtime->Known.storeIsReachable();
-    std::vector<std::string> contacts;
     {
       std::unique_lock lock(Mutex);
       Wake.wait_for(lock, urgent ? UrgentRound : UsualRound,
                     [this] { return Stopping; });
       if (Stopping)
         return;
-      Table->setSeeds(Runtime->seedAddresses());
-      contacts = Table->contacts(urgent ? UrgentContacts : ContactsPerRound,
-                                 Clock::now());
     }
-    for (const std::string &it : contacts)
-      if (!exchange(it)) {
-        std::lock_guard lock(Mutex);
-        Table->silent(it, Clock::now());
-      }
+    Runtime->Peers.setSeeds(Runtime->seedAddresses());
+    for (const std::string &it :
+         Runtime->Peers.contacts(urgent ? UrgentContacts : ContactsPerRound))
+      if (!exchange(it))
+        Runtime->Peers.silent(it);
     noteMembers();
   }
 }
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -160,6 +160,8 @@
   if (place)
     Parts.Lines.granted(Service);
   auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - joined);
+  if (!Returning)
+    Parts.Known.placeEnded(Service, waited, place.has_value());
   Parts.Metrics.observe("reservation_wait_seconds", Service,
                         static_cast<double>(waited.count()) / 1000);
   internal::LogFields all = fields();
@@ -280,6 +282,10 @@
     return std::nullopt;
   }
   end(CallResult::Served, "answered_" + code);
+  if (Request.Generation)
+    Parts.Known.promptRead(
+        Service, Request.Generation->PromptTokens,
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
   return PromptMemory{Server, done->Handle};
 }
 
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -17,6 +17,12 @@
 namespace gateway {
 namespace wire {
 
+struct ServiceFigures;
+struct ServiceFiguresBuilder;
+
+struct GivenOrder;
+struct GivenOrderBuilder;
+
 struct Member;
 struct MemberBuilder;
 
@@ -26,6 +32,194 @@
 struct Frame;
 struct FrameBuilder;
 
+struct ServiceFigures FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceFiguresBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PROMPT_TOKENS = 6,
+    VT_PLACES_WANTED = 8,
+    VT_PLACES_STARVED = 10,
+    VT_PREFILL_RATE = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  double prompt_tokens() const {
+    return GetField<double>(VT_PROMPT_TOKENS, 0.0);
+  }
+  double places_wanted() const {
+    return GetField<double>(VT_PLACES_WANTED, 0.0);
+  }
+  double places_starved() const {
+    return GetField<double>(VT_PLACES_STARVED, 0.0);
+  }
+  double prefill_rate() const {
+    return GetField<double>(VT_PREFILL_RATE, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<double>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyField<double>(verifier, VT_PLACES_WANTED, 8) &&
+           VerifyField<double>(verifier, VT_PLACES_STARVED, 8) &&
+           VerifyField<double>(verifier, VT_PREFILL_RATE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServiceFiguresBuilder {
+  typedef ServiceFigures Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceFigures::VT_SERVICE, service);
+  }
+  void add_prompt_tokens(double prompt_tokens) {
+    fbb_.AddElement<double>(ServiceFigures::VT_PROMPT_TOKENS, prompt_tokens, 0.0);
+  }
+  void add_places_wanted(double places_wanted) {
+    fbb_.AddElement<double>(ServiceFigures::VT_PLACES_WANTED, places_wanted, 0.0);
+  }
+  void add_places_starved(double places_starved) {
+    fbb_.AddElement<double>(ServiceFigures::VT_PLACES_STARVED, places_starved, 0.0);
+  }
+  void add_prefill_rate(double prefill_rate) {
+    fbb_.AddElement<double>(ServiceFigures::VT_PREFILL_RATE, prefill_rate, 0.0);
+  }
+  explicit ServiceFiguresBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceFigures> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceFigures>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceFigures> CreateServiceFigures(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    double prompt_tokens = 0.0,
+    double places_wanted = 0.0,
+    double places_starved = 0.0,
+    double prefill_rate = 0.0) {
+  ServiceFiguresBuilder builder_(_fbb);
+  builder_.add_prefill_rate(prefill_rate);
+  builder_.add_places_starved(places_starved);
+  builder_.add_places_wanted(places_wanted);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServiceFigures> CreateServiceFiguresDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    double prompt_tokens = 0.0,
+    double places_wanted = 0.0,
+    double places_starved = 0.0,
+    double prefill_rate = 0.0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return crocusspur::gateway::wire::CreateServiceFigures(
+      _fbb,
+      service__,
+      prompt_tokens,
+      places_wanted,
+      places_starved,
+      prefill_rate);
+}
+
+struct GivenOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GivenOrderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_SERVER = 6,
+    VT_FENCE = 8,
+    VT_AGO_MS = 10
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct GivenOrderBuilder {
+  typedef GivenOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(GivenOrder::VT_SERVICE, service);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(GivenOrder::VT_SERVER, server);
+  }
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(GivenOrder::VT_FENCE, fence, 0);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(GivenOrder::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit GivenOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GivenOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GivenOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GivenOrder> CreateGivenOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t fence = 0,
+    uint32_t ago_ms = 0) {
+  GivenOrderBuilder builder_(_fbb);
+  builder_.add_fence(fence);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_server(server);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<GivenOrder> CreateGivenOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *server = nullptr,
+    uint64_t fence = 0,
+    uint32_t ago_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocusspur::gateway::wire::CreateGivenOrder(
+      _fbb,
+      service__,
+      server__,
+      fence,
+      ago_ms);
+}
+
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -33,7 +227,9 @@
     VT_ADDRESS = 6,
     VT_INCARNATION = 8,
     VT_HEARD_AGO_MS = 10,
-    VT_LEAVING = 12
+    VT_LEAVING = 12,
+    VT_FIGURES = 14,
+    VT_ORDERS = 16
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -50,6 +246,12 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>> *figures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>> *>(VT_FIGURES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *>(VT_ORDERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -59,6 +261,12 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint32_t>(verifier, VT_HEARD_AGO_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_FIGURES) &&
+           verifier.VerifyVector(figures()) &&
+           verifier.VerifyVectorOfTables(figures()) &&
+           VerifyOffset(verifier, VT_ORDERS) &&
+           verifier.VerifyVector(orders()) &&
+           verifier.VerifyVectorOfTables(orders()) &&
            verifier.EndTable();
   }
 };
@@ -82,6 +290,12 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(Member::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
+  void add_figures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>> figures) {
+    fbb_.AddOffset(Member::VT_FIGURES, figures);
+  }
+  void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders) {
+    fbb_.AddOffset(Member::VT_ORDERS, orders);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -99,9 +313,13 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint64_t incarnation = 0,
     uint32_t heard_ago_ms = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>> figures = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_orders(orders);
+  builder_.add_figures(figures);
   builder_.add_heard_ago_ms(heard_ago_ms);
   builder_.add_address(address);
   builder_.add_name(name);
@@ -115,16 +333,22 @@
     const char *address = nullptr,
     uint64_t incarnation = 0,
     uint32_t heard_ago_ms = 0,
-    bool leaving = false) {
+    bool leaving = false,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>> *figures = nullptr,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto figures__ = figures ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>(*figures) : 0;
+  auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>(*orders) : 0;
   return crocusspur::gateway::wire::CreateMember(
       _fbb,
       name__,
       address__,
       incarnation,
       heard_ago_ms,
-      leaving);
+      leaving,
+      figures__,
+      orders__);
 }
 
 struct PublishedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/test/gateway_fixture.cc
@@ -0,0 +1,140 @@
+#include "gateway_fixture.h"
+
+#include <sys/socket.h>
+#include <thread>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+FakeServer::FakeServer(Answer Reply)
+    : Reply(std::move(Reply)), Server([this](int Fd, int) {
+        {
+          std::lock_guard lock(Mutex);
+          Open.insert(Fd);
+        }
+        while (true) {
+          std::string request = readRequest(Fd);
+          if (request.empty())
+            break;
+          int number = 0;
+          {
+            std::lock_guard lock(Mutex);
+            number = static_cast<int>(Seen.size());
+            Seen.push_back(request);
+          }
+          std::string answer = this->Reply(request, number);
+          if (answer.empty())
+            break;
+          sendText(Fd, answer);
+          if (answer.find("Connection: close") != std::string::npos)
+            break;
+        }
+        std::lock_guard lock(Mutex);
+        Open.erase(Fd);
+      }) {}
+
+// Connections that the gateway keeps would hold up the join of their threads.
+FakeServer::~FakeServer() {
+  std::lock_guard lock(Mutex);
+  for (int it : Open)
+    ::shutdown(it, SHUT_RDWR);
+}
+
+std::vector<std::string> FakeServer::requests() const {
+  std::lock_guard lock(Mutex);
+  return Seen;
+}
+
+size_t FakeServer::count(const std::string &Part) const {
+  std::lock_guard lock(Mutex);
+  size_t n = 0;
+  for (const std::string &it : Seen)
+    n += it.find(Part) != std::string::npos ? 1 : 0;
+  return n;
+}
+
+std::string signedAnswer(int Status, const std::string &Body,
+                         const std::string &RequestId) {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " X\r\nServer-Signature: sig\r\nAttempt-Id: " + RequestId +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+std::string refusal(int Status) {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+GatewayFixture::GatewayFixture()
+    : Wire(platform::makeDialect()),
+      Document(std::make_shared<RouteDocument>()), Known(Values, 7) {
+  Values.FailureDomain = "hall-a";
+  Values.Repeats = {1, 1000};
+  Known.setRepeats(Values.Repeats);
+  Known.setInstances(1);
+  Document->Version = 1;
+  EngineTraits engine;
+  engine.CapacityTokens = 60000;
+  engine.TokensPerEvent = 11;
+  engine.HandleLifetime = Milliseconds(500);
+  engine.LongestReservation = Milliseconds(2000);
+  Document->Services["summaries"] = {"summaries", "/h", 10, engine};
+  Document->Services["bays"] = {"bays", "/h", 10, std::nullopt};
+}
+
+void GatewayFixture::addServer(const std::string &Id, const FakeServer &Server,
+                               ServerStage Stage) {
+  crocusspur::gateway::ServerEntry entry;
+  entry.Id = Id;
+  entry.Service = Stage == ServerStage::Whole ? "bays" : "summaries";
+  entry.Address = Server.address();
+  entry.FailureDomain = "hall-a";
+  entry.Slots = 4;
+  entry.Stage = Stage;
+  Known.applyServer({Id, ++Revision, entry}, NewsOrigin::Store);
+}
+
+PathRoute GatewayFixture::route(RouteKind Kind) const {
+  PathRoute route;
+  route.Name = "r";
+  route.Kind = Kind;
+  route.TimeLimit = Milliseconds(20000);
+  route.OutputTarget = Milliseconds(900);
+  route.GapTarget = Milliseconds(300);
+  route.MaxServers = 2;
+  route.Services = {{Kind == RouteKind::Stream ? "summaries" : "bays", 1}};
+  return route;
+}
+
+CallerRequest GatewayFixture::request() const {
+  CallerRequest request;
+  request.Id = "a1";
+  request.Method = "POST";
+  request.Target = "/x/y";
+  request.Forwarded = {{"Host", "a.example"}, {"Attempt-Id", "a1"}};
+  request.Body = "body";
+  request.TimeLeft = Milliseconds(20000);
+  request.Generation = GenerationSize{5000, 800};
+  return request;
+}
+
+std::string GatewayFixture::run(const PathRoute &Route) {
+  return run(Route, request());
+}
+
+std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
+  SocketPair sockets;
+  internal::HttpSink sink(sockets.near(), {});
+  GatewayParts parts{Values, Wire, Known, Connections, Lines, Counters};
+  std::thread helper([&] {
+    if (WhileRunning)
+      WhileRunning(sockets);
+  });
+  RequestRun(parts, Document, Route, std::move(Request), sink,
+             std::chrono::steady_clock::now())
+      .run();
+  helper.join();
+  ::shutdown(sockets.near(), SHUT_WR);
+  return WhileRunning ? "" : readAll(sockets.far());
+}
--- /dev/null
+++ b/test/gateway_fixture.h
@@ -0,0 +1,73 @@
+// A gateway's parts in the test process, with scripted servers and a caller's
+// connection.
+#ifndef CROCUSSPUR_TEST_GATEWAY_FIXTURE_H
+#define CROCUSSPUR_TEST_GATEWAY_FIXTURE_H
+
+#include "gateway/gateway.h"
+#include "gateway/request_run.h"
+#include "metrics.h"
+#include "platform/http_dialect.h"
+#include "test_socket.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+// A server whose answers are scripted. Records the requests that it was sent.
+class FakeServer {
+public:
+  // Returns the bytes to answer with; empty: close without an answer.
+  using Answer =
+      std::function<std::string(const std::string &Request, int Number)>;
+
+  explicit FakeServer(Answer Reply);
+  ~FakeServer();
+  std::string address() const { return Server.address(); }
+  std::vector<std::string> requests() const;
+  size_t count(const std::string &Part) const; // requests that contain it
+
+private:
+  Answer Reply;
+  mutable std::mutex Mutex;
+  std::vector<std::string> Seen;
+  std::set<int> Open; // connections
+  ScriptServer Server;
+};
+
+// A whole, signed answer of a server to the request with this id.
+std::string signedAnswer(int Status, const std::string &Body,
+                         const std::string &RequestId = "a1");
+// A refusal that states that the request didn't run.
+std::string refusal(int Status = 503);
+
+struct GatewayFixture {
+  GatewayFixture();
+
+  void addServer(const std::string &Id, const FakeServer &Server,
+                 crocusspur::gateway::ServerStage Stage =
+                     crocusspur::gateway::ServerStage::Whole);
+  // Runs a request on the route and returns all that the caller gets.
+  std::string run(const crocusspur::gateway::PathRoute &Route,
+                  crocusspur::gateway::CallerRequest Request);
+  // The same with an id, a body and a minute of time.
+  std::string run(const crocusspur::gateway::PathRoute &Route);
+
+  crocusspur::gateway::PathRoute
+  route(crocusspur::gateway::RouteKind Kind) const;
+  crocusspur::gateway::CallerRequest request() const;
+
+  crocusspur::gateway::GatewaySettings Values;
+  crocusspur::gateway::Dialect Wire;
+  std::shared_ptr<crocusspur::gateway::RouteDocument> Document;
+  crocusspur::gateway::Directory Known;
+  crocusspur::gateway::ConnectionPool Connections;
+  crocusspur::gateway::PlaceLines Lines;
+  crocusspur::internal::Metrics Counters;
+  uint64_t Revision = 0;
+  std::function<void(SocketPair &)> WhileRunning; // on another thread
+};
+
+#endif
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -14,9 +14,11 @@
 TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
 
 Member memberOf(int Number, uint64_t Incarnation = 1) {
-  return {"n" + std::to_string(Number),
-          "10.0.0." + std::to_string(Number) + ":1", Incarnation,
-          Milliseconds(0), false};
+  Member member;
+  member.Name = "n" + std::to_string(Number);
+  member.Address = "10.0.0." + std::to_string(Number) + ":1";
+  member.Incarnation = Incarnation;
+  return member;
 }
 
 } // namespace
@@ -96,3 +98,29 @@
   CHECK(table.sharers(at(30000)) == 8);
   CHECK(table.sharers(at(70000)) == 1);
 }
+
+TEST_CASE("The first by name leads after it has been first for a while") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  CHECK_FALSE(table.leads(Milliseconds(0), Start));
+  for (int i = 2; i < 9; ++i)
+    table.heard(memberOf(i), Start);
+  CHECK_FALSE(table.leads(Milliseconds(6000), Start));
+  CHECK(table.leads(Milliseconds(6000), at(6000)));
+  Member first = memberOf(0);
+  table.heard(first, at(6100));
+  CHECK_FALSE(table.leads(Milliseconds(6000), at(6100)));
+  first.Leaving = true;
+  table.heard(first, at(6200));
+  CHECK_FALSE(table.leads(Milliseconds(6000), at(6200)));
+}
+
+TEST_CASE("An instance that sees less than half of the fleet doesn't lead") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  for (int i = 2; i < 9; ++i)
+    table.heard(memberOf(i), Start);
+  REQUIRE(table.leads(Milliseconds(0), Start));
+  for (int i = 2; i < 5; ++i)
+    table.heard(memberOf(i), at(9000));
+  CHECK(table.alive(at(11000)).size() == 3);
+  CHECK_FALSE(table.leads(Milliseconds(0), at(11000)));
+}
--- /dev/null
+++ b/test/gateway_request_run_test.cc
@@ -0,0 +1,165 @@
+#include "gateway_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+FakeServer::Answer always(const std::string &Bytes) {
+  return [Bytes](const std::string &, int) { return Bytes; };
+}
+
+} // namespace
+
+TEST_CASE("A plain answer is the server's own") {
+  GatewayFixture gateway;
+  FakeServer server(always(signedAnswer(200, "bay 7")));
+  gateway.addServer("s1", server);
+  std::string answer = gateway.run(gateway.route(RouteKind::NonIdempotent));
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(contains(answer, "Server-Signature: sig\r\n"));
+  CHECK(answer.ends_with("\r\n\r\nbay 7"));
+  CHECK(server.count("Target-Instance: s1") == 1);
+}
+
+TEST_CASE("A request that may not be repeated is sent to one server") {
+  GatewayFixture gateway;
+  FakeServer broken(always(""));
+  FakeServer other(always(signedAnswer(200, "x")));
+  gateway.addServer("s1", broken);
+  std::string answer = gateway.run(gateway.route(RouteKind::NonIdempotent));
+  // The server may have run it, so the answer promises nothing.
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(contains(answer, "Retry-After"));
+  CHECK(broken.requests().size() == 1);
+}
+
+TEST_CASE("A stated refusal is passed on as not run, with when to return") {
+  GatewayFixture gateway;
+  FakeServer full(always(refusal()));
+  gateway.addServer("s1", full);
+  PathRoute route = gateway.route(RouteKind::NonIdempotent);
+  route.MaxServers = 1;
+  std::string answer = gateway.run(route);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(contains(answer, "Retry-After: "));
+  CHECK(contains(answer, "\"run\":\"no\""));
+}
+
+TEST_CASE("No more servers than the route allows are sent a request") {
+  GatewayFixture gateway;
+  FakeServer first(always(refusal()));
+  FakeServer second(always(refusal()));
+  gateway.addServer("s1", first);
+  gateway.addServer("s2", second);
+  PathRoute route = gateway.route(RouteKind::Idempotent);
+  route.MaxServers = 1;
+  gateway.run(route);
+  CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
+TEST_CASE("A failed idempotent request is repeated at another server") {
+  GatewayFixture gateway;
+  FakeServer bad(always(signedAnswer(500, "oops")));
+  FakeServer good(always(signedAnswer(200, "bay 7")));
+  gateway.addServer("s1", bad);
+  gateway.addServer("s2", good);
+  for (int i = 0; i < 6; ++i)
+    CHECK(contains(gateway.run(gateway.route(RouteKind::Idempotent)), "bay 7"));
+}
+
+TEST_CASE("Without a budget a failure is passed on and not repeated") {
+  GatewayFixture gateway;
+  gateway.Known.setRepeats({0, 0});
+  FakeServer first(always(""));
+  FakeServer second(always(""));
+  gateway.addServer("s1", first);
+  gateway.addServer("s2", second);
+  std::string answer = gateway.run(gateway.route(RouteKind::Idempotent));
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
+TEST_CASE("A late answer to an earlier request is skipped") {
+  GatewayFixture gateway;
+  FakeServer server(always(signedAnswer(200, "stray", "earlier") +
+                           signedAnswer(200, "bay 7", "a1")));
+  gateway.addServer("s1", server);
+  std::string answer = gateway.run(gateway.route(RouteKind::NonIdempotent));
+  CHECK(answer.ends_with("\r\n\r\nbay 7"));
+  CHECK_FALSE(contains(answer, "stray"));
+}
+
+TEST_CASE("Answers that aren't the server's own whole bytes never pass") {
+  const std::string answers[] = {
+      "HTTP/1.1 200 X\r\nAttempt-Id: a1\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
+      "a1\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
+      "a1\r\nConnection: close\r\nContent-Length: 9\r\n\r\nx",
+      "noise\r\n\r\nConnection: close"};
+  for (const std::string &bytes : answers) {
+    CAPTURE(bytes);
+    GatewayFixture gateway;
+    FakeServer server(always(bytes));
+    gateway.addServer("s1", server);
+    std::string answer = gateway.run(gateway.route(RouteKind::NonIdempotent));
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("Bytes after an answer don't reach the next request") {
+  GatewayFixture gateway;
+  FakeServer server([](const std::string &, int Number) {
+    return signedAnswer(200, "answer " + std::to_string(Number)) +
+           (Number == 0 ? "HTTP/1.1 200 X\r\nServer-Signature: "
+                          "sig\r\nContent-Length: 5\r\n\r\nstray"
+                        : "");
+  });
+  gateway.addServer("s1", server);
+  PathRoute route = gateway.route(RouteKind::NonIdempotent);
+  CHECK(gateway.run(route).ends_with("answer 0"));
+  CHECK(gateway.run(route).ends_with("answer 1"));
+}
+
+TEST_CASE("Without a server the request is refused as not run") {
+  GatewayFixture gateway;
+  std::string answer = gateway.run(gateway.route(RouteKind::NonIdempotent));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(contains(answer, "\"run\":\"no\""));
+}
+
+TEST_CASE("A server is never given more time than the caller has left") {
+  GatewayFixture gateway;
+  FakeServer server(always(signedAnswer(200, "x")));
+  gateway.addServer("s1", server);
+  CallerRequest request = gateway.request();
+  request.TimeLeft = Milliseconds(1500);
+  gateway.run(gateway.route(RouteKind::NonIdempotent), request);
+  REQUIRE(server.requests().size() == 1);
+  std::string sent = server.requests()[0];
+  size_t n = sent.find("Deadline-Ms: ");
+  REQUIRE(n != std::string::npos);
+  CHECK(std::stoi(sent.substr(n + 13)) <= 1500);
+}
+
+TEST_CASE("At the route's time limit the caller gets an answer") {
+  GatewayFixture gateway;
+  std::atomic<bool> done{false};
+  FakeServer silent([&](const std::string &, int) {
+    eventually([&] { return done.load(); });
+    return std::string();
+  });
+  gateway.addServer("s1", silent);
+  PathRoute route = gateway.route(RouteKind::NonIdempotent);
+  route.TimeLimit = Milliseconds(100);
+  std::string answer = gateway.run(route);
+  done.store(true);
+  CHECK(answer.starts_with("HTTP/1.1 504"));
+}
--- /dev/null
+++ b/test/gateway_role_control_test.cc
@@ -0,0 +1,109 @@
+#include "gateway/decisions/role_control.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
+
+// Four prefill and five decode servers in a burst of 22 prompts of 5,200 tokens
+// a second; a prefill server reads 55,000 tokens a second.
+PoolView burst() {
+  PoolView pool;
+  pool.PrefillServers = 4;
+  pool.DecodeServers = 5;
+  pool.Demand.PromptTokens = 22 * 5200;
+  pool.Demand.PlacesWanted = 22;
+  pool.Demand.PlacesStarved = 9;
+  pool.PrefillRate = 55000;
+  return pool;
+}
+
+// Decides each half second and returns the first order.
+std::optional<ServerStage> firstOrder(RoleControl &Control,
+                                      const PoolView &Pool, int64_t FromMs,
+                                      int64_t ToMs) {
+  for (int64_t ms = FromMs; ms <= ToMs; ms += 500)
+    if (auto to = Control.decide(Pool, std::nullopt, at(ms)))
+      return to;
+  return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("A spare prefill server turns to decode while memory is short") {
+  RoleControl control;
+  CHECK(firstOrder(control, burst(), 0, 3000) == ServerStage::Decode);
+}
+
+TEST_CASE("The edge of a burst alone is no reason") {
+  RoleControl control;
+  CHECK_FALSE(firstOrder(control, burst(), 0, 1000).has_value());
+  PoolView calm = burst();
+  calm.Demand.PlacesStarved = 0;
+  CHECK_FALSE(control.decide(calm, std::nullopt, at(1500)).has_value());
+  CHECK_FALSE(firstOrder(control, burst(), 2000, 3000).has_value());
+}
+
+TEST_CASE("Prefill servers that the burst needs stay") {
+  RoleControl control;
+  PoolView pool = burst();
+  pool.PrefillServers = 3;
+  CHECK_FALSE(firstOrder(control, pool, 0, 10000).has_value());
+}
+
+TEST_CASE("A spare prefill server is kept however little is read") {
+  RoleControl control;
+  PoolView pool = burst();
+  pool.PrefillServers = 2;
+  pool.Demand.PromptTokens = 100;
+  CHECK_FALSE(firstOrder(control, pool, 0, 10000).has_value());
+}
+
+TEST_CASE("Orders keep their distance") {
+  RoleControl control;
+  REQUIRE(firstOrder(control, burst(), 0, 3000).has_value());
+  for (int64_t ms = 3500; ms < 11500; ms += 500)
+    CHECK_FALSE(control.decide(burst(), at(1500), at(ms)).has_value());
+  CHECK(control.decide(burst(), at(1500), at(11500)).has_value());
+}
+
+TEST_CASE("A decode server turns to prefill when prompts can't be read") {
+  RoleControl control;
+  PoolView pool = burst();
+  pool.PrefillServers = 1;
+  pool.DecodeServers = 8;
+  pool.Demand.PlacesStarved = 0;
+  CHECK(control.decide(pool, std::nullopt, Start) == ServerStage::Prefill);
+}
+
+TEST_CASE("Nothing is ordered before a server's rate is known") {
+  RoleControl control;
+  PoolView pool = burst();
+  pool.PrefillRate = 0;
+  CHECK_FALSE(firstOrder(control, pool, 0, 10000).has_value());
+}
+
+TEST_CASE("Demand counts the most of the last half minute") {
+  DemandMeter meter;
+  for (int64_t ms = 0; ms < 4000; ms += 100)
+    meter.onPrompt(5200, at(ms));
+  CHECK(meter.rates(at(3999)).PromptTokens == doctest::Approx(52000));
+  CHECK(meter.rates(at(20000)).PromptTokens == doctest::Approx(52000));
+  CHECK(meter.rates(at(60000)).PromptTokens == doctest::Approx(0));
+}
+
+TEST_CASE("Long waits for memory and waits in vain count as starved") {
+  DemandMeter meter;
+  meter.onPlace(Milliseconds(1), true, Start);
+  meter.onPlace(Milliseconds(200), true, Start);
+  meter.onPlace(Milliseconds(1), false, Start);
+  StageDemand demand = meter.rates(Start);
+  CHECK(demand.PlacesWanted == doctest::Approx(0.75));
+  CHECK(demand.PlacesStarved == doctest::Approx(0.5));
+}
--- /dev/null
+++ b/test/gateway_stream_run_test.cc
@@ -0,0 +1,234 @@
+#include "gateway_fixture.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+std::string json(int Status, const std::string &Body) {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " X\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+std::string chunk(const std::string &Data) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
+  return size + Data + "\r\n";
+}
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
+         "\n\n";
+}
+
+const std::string StreamHead =
+    "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
+    "a1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n";
+
+// Events From to To; without its end if it breaks off.
+std::string stream(int From, int To, bool Whole = true) {
+  std::string out = StreamHead;
+  for (int i = From; i <= To; ++i)
+    out += chunk(event(i));
+  return Whole ? out + "0\r\n\r\n" : out;
+}
+
+bool isReserve(const std::string &Request) {
+  return Request.starts_with("POST /api/hold-take");
+}
+
+bool isPrefill(const std::string &Request) {
+  return contains(Request, "Inference-Phase: prefill");
+}
+
+std::string prefillAnswer(const std::string &, int) {
+  return json(200, R"({"kv-handle":"h1","token-count":5000,"version":1})");
+}
+
+// A decode server that grants reservations and answers runs as told.
+FakeServer::Answer decode(FakeServer::Answer Run) {
+  return [Run](const std::string &Request, int Number) {
+    if (isReserve(Request))
+      return json(200, R"({"retention":"res1"})");
+    if (Request.starts_with("DELETE"))
+      return json(200, "{}");
+    return Run(Request, Number);
+  };
+}
+
+std::string events(int From, int To) {
+  std::string all;
+  for (int i = From; i <= To; ++i)
+    all += chunk(event(i));
+  return all;
+}
+
+} // namespace
+
+TEST_CASE("A place is reserved before the prompt is read, and then used") {
+  GatewayFixture gateway;
+  FakeServer prefill(prefillAnswer);
+  FakeServer decoder(
+      decode([](const std::string &, int) { return stream(1, 3); }));
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  std::string answer = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(contains(answer, "Server-Signature: sig"));
+  CHECK(contains(answer, "id: 3\ndata: e3"));
+  CHECK(answer.ends_with("0\r\n\r\n"));
+  REQUIRE(decoder.requests().size() == 2);
+  CHECK(isReserve(decoder.requests()[0]));
+  CHECK(contains(decoder.requests()[1], "Retention: res1"));
+  CHECK(contains(decoder.requests()[1],
+                 "Kv-Source: " + prefill.address() + "/h1"));
+  CHECK(prefill.count("Inference-Phase: prefill") == 1);
+}
+
+// Reading prompts that find no memory is the dearest loss of all.
+TEST_CASE("Without memory at any decode server no prompt is read") {
+  GatewayFixture gateway;
+  FakeServer prefill(prefillAnswer);
+  FakeServer full([](const std::string &, int) { return refusal(); });
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", full, ServerStage::Decode);
+  std::string answer = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(contains(answer, "Retry-After: "));
+  CHECK(contains(answer, "\"run\":\"no\""));
+  CHECK(prefill.requests().empty());
+}
+
+TEST_CASE("Without a prefill server the decode server reads the prompt") {
+  GatewayFixture gateway;
+  FakeServer decoder(
+      decode([](const std::string &, int) { return stream(1, 2); }));
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  std::string answer = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(contains(answer, "data: e2"));
+  CHECK(decoder.count("Kv-Source") == 0);
+}
+
+TEST_CASE("A lost prompt memory is read again at the decode server") {
+  GatewayFixture gateway;
+  FakeServer prefill(prefillAnswer);
+  FakeServer decoder(decode([](const std::string &Request, int) {
+    return contains(Request, "Kv-Source") ? refusal() : stream(1, 2);
+  }));
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.MaxServers = 1; // the same server may be asked again
+  std::string answer = gateway.run(route);
+  CHECK(contains(answer, "data: e2"));
+  CHECK(prefill.count("Inference-Phase: prefill") == 1);
+}
+
+TEST_CASE("A broken stream that can't be resumed never looks complete") {
+  GatewayFixture gateway;
+  FakeServer decoder(decode([](const std::string &, int) {
+    return stream(1, 2, false) + "X-Ignored: Connection: close";
+  }));
+  FakeServer other(
+      decode([](const std::string &, int) { return stream(1, 5); }));
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  std::string answer = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(contains(answer, "data: e2"));
+  CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+  CHECK(decoder.count("Retention") == 1);
+}
+
+TEST_CASE("A resumable stream continues after the last whole event") {
+  GatewayFixture gateway;
+  int runs = 0;
+  FakeServer decoder(decode([&](const std::string &Request, int) {
+    ++runs;
+    if (runs == 1) // breaks off in the middle of the third event
+      return StreamHead + events(1, 2) + "f\r\nid: 3\ndata: e" +
+             " Connection: close";
+    CHECK(contains(Request, "Last-Event-Id: 2"));
+    return stream(3, 5);
+  }));
+  FakeServer second(decode([&](const std::string &Request, int) {
+    CHECK(contains(Request, "Last-Event-Id: 2"));
+    return stream(3, 5);
+  }));
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  gateway.WhileRunning = nullptr;
+  // The second server is known only once the first has broken off.
+  gateway.addServer("d2", second, ServerStage::Decode);
+  std::string answer = gateway.run(route);
+  CHECK(answer.ends_with("0\r\n\r\n"));
+  std::string all;
+  for (int i = 1; i <= 5; ++i) {
+    size_t first = answer.find(event(i));
+    CHECK(first != std::string::npos);
+    CHECK(answer.find(event(i), first + 1) == std::string::npos);
+  }
+}
+
+TEST_CASE("A caller that leaves ends the server's work at once") {
+  GatewayFixture gateway;
+  std::atomic<bool> closed{false};
+  ScriptServer decoder([&](int Fd, int) {
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty())
+        return;
+      if (isReserve(request)) {
+        sendText(Fd, json(200, R"({"retention":"res1"})"));
+        continue;
+      }
+      sendText(Fd, StreamHead + chunk(event(1)));
+      readAll(Fd); // until the gateway closes
+      closed.store(true);
+      return;
+    }
+  });
+  crocusspur::gateway::ServerEntry entry;
+  entry.Id = "d1";
+  entry.Service = "summaries";
+  entry.Address = decoder.address();
+  entry.Stage = ServerStage::Decode;
+  gateway.Known.applyServer({"d1", 1, entry}, NewsOrigin::Store);
+  gateway.WhileRunning = [](SocketPair &Sockets) {
+    readUntil(Sockets.far(), "data: e1\n\n\r\n");
+    Sockets.closeFar();
+  };
+  gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(eventually([&] { return closed.load(); }));
+}
+
+TEST_CASE("A reservation that isn't used is given back") {
+  GatewayFixture gateway;
+  FakeServer decoder(
+      decode([](const std::string &, int) { return stream(1, 2); }));
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  std::atomic<bool> reading{false};
+  FakeServer prefill([&](const std::string &Request, int) {
+    if (isPrefill(Request)) {
+      reading.store(true);
+      eventually(
+          [&] { return decoder.count("DELETE /api/hold-drop/res1") > 0; });
+    }
+    return prefillAnswer(Request, 0);
+  });
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.WhileRunning = [&](SocketPair &Sockets) {
+    eventually([&] { return reading.load(); });
+    Sockets.closeFar();
+  };
+  gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(decoder.count("DELETE /api/hold-drop/res1") == 1);
+  CHECK(decoder.count("Retention: ") == 0);
+}
