--- /dev/null
+++ b/src/command_explain.cc
@@ -0,0 +1,49 @@
+#include "command.h"
+#include "request_story.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusspur::internal {
+namespace {
+
+constexpr int NothingFound = 1;
+constexpr int Unreadable = 2;
+
+int explain(const std::vector<std::string> &Files,
+            const std::string &RequestId) {
+  std::vector<StoryLine> story;
+  for (const std::string &it : Files) {
+    std::ifstream in(it);
+    if (!in) {
+      std::cerr << it << ": could not be read\n";
+      return Unreadable;
+    }
+    collectStory(in, RequestId, story);
+  }
+  sortStory(story);
+  std::cout << formatStory(story);
+  if (!story.empty())
+    return 0;
+  std::cerr << "no line names the request " << RequestId << '\n';
+  return NothingFound;
+}
+
+const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
+  CLI::App *command = Program.add_subcommand(
+      "explain", "Print what the logs of all instances say of one request, in\n"
+                 "order of time (exit code 1: nothing)");
+  auto files = std::make_shared<std::vector<std::string>>();
+  auto request = std::make_shared<std::string>();
+  command->add_option("logs", *files, "Log files")->required();
+  command->add_option("--request", *request, "Id of the request")->required();
+  command->callback(
+      [files, request, &ExitCode] { ExitCode = explain(*files, *request); });
+}};
+
+} // namespace
+} // namespace crocusspur::internal
--- /dev/null
+++ b/test/request_story_test.cc
@@ -0,0 +1,29 @@
+#include "request_story.h"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace crocusspur::internal;
+
+TEST_CASE("A request's lines of several logs come in order of time") {
+  std::istringstream first(
+      "  12.1 e1 { \"timestamp\": \"10:00:02\", \"logger\": \"request\", "
+      "\"message\": \"finished\", \"context_map\": { \"instance\": \"e1\", "
+      "\"request\": \"a1\", \"status\": \"200\" } }\n"
+      "{ \"timestamp\": \"10:00:00\", \"message\": \"other\", "
+      "\"context_map\": { \"request\": \"a12\" } }\n"
+      "not json a1 {\n");
+  std::istringstream second(
+      "{ \"timestamp\": \"10:00:01\", \"message\": \"sent\", "
+      "\"context_map\": { \"instance\": \"e2\", \"request\": \"a1\" } }\n"
+      "{ \"timestamp\": \"10:00:01\", \"message\": \"no request: a1\" }\n");
+  std::vector<StoryLine> story;
+  collectStory(first, "a1", story);
+  collectStory(second, "a1", story);
+  sortStory(story);
+  REQUIRE(story.size() == 2);
+  CHECK(story[0].Message == "sent");
+  CHECK(story[0].Instance == "e2");
+  CHECK(story[1].Message == "finished");
+  CHECK(story[1].Fields == "status=200");
+}
