Turn a spare prefill server to decode before bursts where usual demand fills the memory

Cause: orders came only after a burst had starved requests for seconds. Change: the leader reads the decode servers' reports every 2 s (8 servers at most); at 55% in use for 3 s, and with prefill servers left for twice the demand seen, it orders one more to decode.

--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -12,6 +12,13 @@
 constexpr double LeastWanted = 1;
 // How long it has to be short: a burst's edge alone isn't a reason.
 constexpr Milliseconds ShortTime{1500};
+// Part of the decode memory in use from which on a burst of twice the usual
+// demand doesn't fit, and how long it has to be so: longer than a burst's edge.
+constexpr double FullPart = 0.55;
+constexpr Milliseconds FullTime{3000};
+// The burst that the prefill servers must be able to read then, as a multiple
+// of the demand that has been seen.
+constexpr double ExpectedBurst = 2;
 // Most of the remaining prefill servers' rate that the highest demand of the
 // last half minute may need. The rest is for the loss of a server's neighbour
 // and for uneven arrivals.
@@ -38,6 +45,10 @@
     ShortSince.reset();
   else if (!ShortSince)
     ShortSince = Now;
+  if (Pool.DecodeUse < FullPart)
+    FullSince.reset();
+  else if (!FullSince)
+    FullSince = Now;
   uint32_t servers = Pool.PrefillServers + Pool.DecodeServers;
   Milliseconds pause =
       OrderPause * OrderPausePool / std::max(servers, OrderPausePool);
@@ -49,6 +60,9 @@
       Pool.PrefillServers > LeastPrefill && needed <= Pool.PrefillServers - 1.0;
   if (ShortSince && Now - *ShortSince >= ShortTime && prefillSpare)
     return ServerStage::Decode;
+  if (FullSince && Now - *FullSince >= FullTime && prefillSpare &&
+      ExpectedBurst * needed <= Pool.PrefillServers - 1.0)
+    return ServerStage::Decode;
   // Prompts that the prefill servers can't read in time are the dearer lack:
   // the decode servers then read them slowly, between the tokens of others.
   constexpr double OverUsed = 1 / UsedPart;
--- a/src/gateway/decisions/role_control.h
+++ b/src/gateway/decisions/role_control.h
@@ -1,7 +1,8 @@
 // Decides when a server of a model changes its stage. Pure.
 //
-// The load that it answers: decode memory is short for seconds on end while the
-// prefill servers have room, or prompts wait while decode memory is free. A
+// The load that it answers: decode memory is short for seconds on end, or
+// filled by usual demand so that the next burst will find none, while the
+// prefill servers have room; or prompts wait while decode memory is free. A
 // change takes a server away for some seconds, so it is rare, one at a time,
 // and only made where the demand of the last half minute would have fitted.
 #ifndef CROCUSSPUR_GATEWAY_ROLE_CONTROL_H
@@ -22,6 +23,8 @@
   StageDemand Demand;
   // Prompt tokens that one prefill server reads a second; 0: not known yet.
   double PrefillRate = 0;
+  // Part of the decode servers' memory that is in use; 0: not known.
+  double DecodeUse = 0;
 };
 
 class RoleControl {
@@ -34,6 +37,7 @@
 
 private:
   std::optional<TimePoint> ShortSince; // of decode memory
+  std::optional<TimePoint> FullSince;  // of decode memory, by usual demand
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -66,6 +66,8 @@
   ServerStage Stage = ServerStage::Whole;
   uint64_t OrdersTaken = 0; // since its start
   bool OrderRunning = false;
+  uint64_t TokensInUse = 0; // memory that can't yield
+  uint64_t TokensInAll = 0;
 };
 
 struct StageOrder {
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -23,8 +23,14 @@
 // holder that has just lost its place has stopped.
 constexpr Milliseconds LeadTime{6000};
 constexpr Milliseconds CallTime{400};
+// Between two readings of the decode servers' memory, which only the leader
+// makes: each costs a call.
+constexpr Milliseconds ReportPeriod{2000};
 // A server that changes its stage is back after this, if nothing is said.
 constexpr Milliseconds ChangeTime{8000};
+// Servers that are asked for it: the least loaded by the leader's own calls, a
+// sample where there are many.
+constexpr size_t MostReports = 8;
 constexpr size_t MostAnswerBytes = 262144;
 constexpr uint32_t Accepted = 202;
 
@@ -34,9 +40,17 @@
   void stop() override;
 
 private:
+  struct ServiceState {
+    RoleControl Control;
+    double DecodeUse = 0;
+    TimePoint ReportedAt;
+  };
+
   void run();
   void look(const std::string &Service);
   PoolView poolOf(const std::string &Service);
+  void readDecodeUse(const std::string &Service, ServiceState &State);
+  std::optional<ServerReport> report(const ServerChoice &Server);
   void order(const std::string &Service, ServerStage To);
   // Status of the answer, 0 without one.
   uint32_t call(const ServerChoice &Server, const std::string &Bytes,
@@ -45,8 +59,8 @@
   void avoidChanging(const std::string &Service);
 
   GatewayRuntime *Runtime = nullptr;
-  std::map<std::string, RoleControl> Controls; // by service
-  std::mutex Mutex;                            // guards Stopping
+  std::map<std::string, ServiceState> Services; // by name
+  std::mutex Mutex;                             // guards Stopping
   std::condition_variable Wake;
   bool Stopping = false;
   std::thread Thread;
@@ -125,8 +139,11 @@
   std::vector<GivenOrder> given = Runtime->Peers.orders(Service);
   if (!given.empty())
     last = now - given.front().Ago;
+  ServiceState &state = Services[Service];
+  readDecodeUse(Service, state);
   PoolView pool = poolOf(Service);
-  std::optional<ServerStage> to = Controls[Service].decide(pool, last, now);
+  pool.DecodeUse = state.DecodeUse;
+  std::optional<ServerStage> to = state.Control.decide(pool, last, now);
   if (!to)
     return;
   log(LogLevel::Info, "role_orders", "a server should change its stage",
@@ -136,6 +153,7 @@
        {"decode_servers", std::to_string(pool.DecodeServers)},
        {"prompt_tokens_per_s", std::to_string(pool.Demand.PromptTokens)},
        {"prefill_rate", std::to_string(pool.PrefillRate)},
+       {"decode_use", std::to_string(pool.DecodeUse)},
        {"places_wanted_per_s", std::to_string(pool.Demand.PlacesWanted)},
        {"places_starved_per_s", std::to_string(pool.Demand.PlacesStarved)}});
   order(Service, *to);
@@ -154,6 +172,35 @@
   return call.head().Status;
 }
 
+std::optional<ServerReport> RoleOrders::report(const ServerChoice &Server) {
+  std::string body;
+  if (call(Server, Runtime->Wire.FormatReport(Server), "GET", body) != 200)
+    return std::nullopt;
+  return Runtime->Wire.ReadReport(body);
+}
+
+void RoleOrders::readDecodeUse(const std::string &Service,
+                               ServiceState &State) {
+  TimePoint now = Clock::now();
+  if (now - State.ReportedAt < ReportPeriod)
+    return;
+  State.ReportedAt = now;
+  uint64_t used = 0;
+  uint64_t all = 0;
+  size_t asked = 0;
+  for (const ServerChoice &it :
+       Runtime->Known.rank({Service, ServerStage::Decode, {}})) {
+    if (++asked > MostReports)
+      break;
+    if (std::optional<ServerReport> found = report(it)) {
+      used += found->TokensInUse;
+      all += found->TokensInAll;
+    }
+  }
+  State.DecodeUse =
+      all ? static_cast<double>(used) / static_cast<double>(all) : 0;
+}
+
 // Rises with the time of day, and past every order that is known, so that a
 // clock that was put back doesn't lower it. The last digits tell instances
 // apart that give an order in the same millisecond.
@@ -176,24 +223,19 @@
   if (servers.empty())
     return;
   const ServerChoice &server = servers.front();
-  std::string body;
-  uint32_t status =
-      call(server, Runtime->Wire.FormatReport(server), "GET", body);
-  std::optional<ServerReport> report;
-  if (status == 200)
-    report = Runtime->Wire.ReadReport(body);
-  if (!report || report->Stage != from || report->OrderRunning) {
+  std::optional<ServerReport> known = report(server);
+  if (!known || known->Stage != from || known->OrderRunning) {
     log(LogLevel::Warn, "role_orders", "no order: the server's report differs",
-        {{"server", server.Id}, {"status", std::to_string(status)}});
+        {{"server", server.Id}, {"answered", known ? "true" : "false"}});
     return;
   }
   StageOrder item{To, Runtime->Values.Instance, nextFence(Service),
-                  report->OrdersTaken};
+                  known->OrdersTaken};
   // Noted before it is sent: an order without an answer may have been taken.
   Runtime->Peers.ordered(Service, server.Id, item.Fence);
   Runtime->Known.changing(server.Id, item.Fence, ChangeTime);
-  body.clear();
-  status =
+  std::string body;
+  uint32_t status =
       call(server, Runtime->Wire.FormatStageOrder(server, item), "POST", body);
   log(status == Accepted ? LogLevel::Info : LogLevel::Warn, "role_orders",
       "stage ordered",
--- a/src/gateway/status_front.cc
+++ b/src/gateway/status_front.cc
@@ -56,7 +56,7 @@
   explicit Handler(StatusFront &Owner) : Owner(Owner) {}
   void handleRequest(HTTPServerRequest &Request,
                      HTTPServerResponse &Response) override {
-    std::string path = Request.getURI();
+    const std::string &path = Request.getURI();
     StatusAnswer answer = Owner.answer(path.substr(0, path.find('?')));
     Response.setStatusAndReason(
         static_cast<HTTPResponse::HTTPStatus>(answer.Status));
--- a/test/gateway_role_control_test.cc
+++ b/test/gateway_role_control_test.cc
@@ -107,3 +107,23 @@
   CHECK(demand.PlacesWanted == doctest::Approx(0.75));
   CHECK(demand.PlacesStarved == doctest::Approx(0.5));
 }
+
+TEST_CASE("Usual demand that fills the decode memory is acted on in time") {
+  RoleControl control;
+  PoolView calm = burst();
+  calm.Demand.PromptTokens = 10 * 5200;
+  calm.Demand.PlacesStarved = 0;
+  calm.DecodeUse = 0.6;
+  CHECK_FALSE(firstOrder(control, calm, 0, 2500).has_value());
+  CHECK(control.decide(calm, std::nullopt, at(3000)) == ServerStage::Decode);
+}
+
+TEST_CASE("Prefill servers that a burst will need stay in calm times") {
+  RoleControl control;
+  PoolView calm = burst();
+  calm.PrefillServers = 3;
+  calm.Demand.PromptTokens = 10 * 5200;
+  calm.Demand.PlacesStarved = 0;
+  calm.DecodeUse = 0.6;
+  CHECK_FALSE(firstOrder(control, calm, 0, 10000).has_value());
+}
--- a/test/platform_entries_test.cc
+++ b/test/platform_entries_test.cc
@@ -60,7 +60,9 @@
       {"\"born\":1764000000123", "\"born\":\"now\""},
       {"\"born\":1764000000123", "\"born\":12.5"},
       {"\"zone\":\"hall-a\"", "\"zone\":null"}};
-  for (const auto &[from, to] : mistakes) {
+  for (const auto &it : mistakes) {
+    const char *from = it.first;
+    const char *to = it.second;
     CAPTURE(to);
     CHECK_FALSE(
         parseServerEntry("i-1", replaced(GoodServer, from, to)).has_value());
