Give a server that changes its stage nothing, and order prefill only where bursts can't be read

A decode server ordered to prefill went on granting reservations and refused 30 runs; ranked last, it was chosen as soon as the others were full. 19 requests ended refused and their prompts were read for nothing. The order itself answered a burst of four seconds.

Ruled out: the earlier turn of a prefill server (its order came after the burst, as before).

Change: a changing server is excluded, not only ranked last; a server that refuses in spite of its reservation is excluded for 2 s and doesn't count as used; prefill is ordered only for 1.5 times what can be read. Three tests that failed before.

--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -23,6 +23,9 @@
 // last half minute may need. The rest is for the loss of a server's neighbour
 // and for uneven arrivals.
 constexpr double UsedPart = 0.9;
+// Demand that the prefill servers can't read even if it is spread over a second
+// and a half: bursts of some seconds only make prompts wait.
+constexpr double OverUsed = 1.5;
 // One prefill server is kept as a spare against a loss.
 constexpr uint32_t LeastPrefill = 2;
 constexpr uint32_t LeastDecode = 2;
@@ -65,7 +68,6 @@
     return ServerStage::Decode;
   // Prompts that the prefill servers can't read in time are the dearer lack:
   // the decode servers then read them slowly, between the tokens of others.
-  constexpr double OverUsed = 1 / UsedPart;
   if (needed > Pool.PrefillServers * OverUsed && !isShort &&
       Pool.DecodeServers > LeastDecode)
     return ServerStage::Prefill;
--- a/src/gateway/decisions/server_book.cc
+++ b/src/gateway/decisions/server_book.cc
@@ -46,7 +46,7 @@
   Server &server = Servers[Entry.Id];
   if (server.Entry.Stage != Entry.Stage) {
     server.Load.reset();
-    server.AvoidUntil = TimePoint();
+    server.ExcludedUntil = TimePoint();
   }
   server.Entry = Entry;
   server.LastUse.reset();
@@ -68,10 +68,10 @@
   });
 }
 
-void ServerBook::avoid(const std::string &Id, TimePoint Until) {
+void ServerBook::exclude(const std::string &Id, TimePoint Until) {
   auto it = Servers.find(Id);
   if (it != Servers.end())
-    it->second.AvoidUntil = std::max(it->second.AvoidUntil, Until);
+    it->second.ExcludedUntil = std::max(it->second.ExcludedUntil, Until);
 }
 
 const ServerEntry *ServerBook::find(const std::string &Id) const {
@@ -95,10 +95,12 @@
          (!it->second.LastUse || *it->second.LastUse >= Now);
 }
 
-bool ServerBook::fits(const Server &Item, const ServerQuery &Query) const {
+bool ServerBook::fits(const Server &Item, const ServerQuery &Query,
+                      TimePoint Now) const {
   const ServerEntry &entry = Item.Entry;
   return entry.Service == Query.Service && !entry.Leaving &&
-         entry.Stage == Query.Stage && !Query.Excluded.contains(entry.Id);
+         entry.Stage == Query.Stage && Item.ExcludedUntil <= Now &&
+         !Query.Excluded.contains(entry.Id);
 }
 
 double ServerBook::score(const Server &Item, TimePoint Now) const {
@@ -129,7 +131,7 @@
   std::uniform_real_distribution<double> draw(0, DrawSpread);
   std::vector<Candidate> found;
   for (const auto &[id, server] : Servers) {
-    if (!fits(server, Query) || (server.LastUse && *server.LastUse < Now))
+    if (!fits(server, Query, Now) || (server.LastUse && *server.LastUse < Now))
       continue;
     int rankClass = server.LastUse ? 2 : server.AvoidUntil > Now ? 1 : 0;
     found.push_back({rankClass, score(server, Now) + draw(Random), &server});
@@ -207,7 +209,8 @@
   std::vector<Estimate> all;
   for (const auto &[id, server] : Servers)
     all.push_back({id, server.OwnLoad, server.FailureShare,
-                   server.AvoidUntil > Now || server.LastUse.has_value()});
+                   server.AvoidUntil > Now || server.ExcludedUntil > Now ||
+                       server.LastUse.has_value()});
   return all;
 }
 
--- a/src/gateway/decisions/server_book.h
+++ b/src/gateway/decisions/server_book.h
@@ -76,8 +76,9 @@
   // Drops servers whose last use has passed.
   void expire(TimePoint Now);
 
-  // Gives the server nothing until the time, if there is another.
-  void avoid(const std::string &Id, TimePoint Until);
+  // Gives the server nothing until the time, or until it registers another
+  // stage: it changes its stage, or refuses what it has reserved memory for.
+  void exclude(const std::string &Id, TimePoint Until);
 
   const ServerEntry *find(const std::string &Id) const;
   std::vector<ServerEntry> entries() const;
@@ -117,11 +118,12 @@
     TimePoint LoadAt;
     double FailureShare = 0; // moving average
     uint32_t FailuresInRow = 0;
-    TimePoint AvoidUntil;
+    TimePoint AvoidUntil;    // a last resort until then
+    TimePoint ExcludedUntil; // not chosen at all until then
   };
 
   double score(const Server &Item, TimePoint Now) const;
-  bool fits(const Server &Item, const ServerQuery &Query) const;
+  bool fits(const Server &Item, const ServerQuery &Query, TimePoint Now) const;
 
   std::string OwnDomain;
   std::mt19937_64 Random;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -23,6 +23,9 @@
 constexpr double EnoughSamples = 20;
 // Prompts of fewer tokens say little about a server's rate.
 constexpr uint64_t RatedPrompt = 3000;
+// A server that refuses a request in spite of its reservation is changing its
+// stage, as peers tell within two rounds.
+constexpr Milliseconds RefusedReservedPause{2000};
 // First attempts of callers differ by less than this in the time they give.
 constexpr Milliseconds ReturnMargin{300};
 
@@ -290,7 +293,12 @@
   if (Fence <= known)
     return;
   known = Fence;
-  Book.avoid(ServerId, Clock::now() + Time);
+  Book.exclude(ServerId, Clock::now() + Time);
+}
+
+void Directory::refusedReserved(const std::string &ServerId) {
+  std::lock_guard lock(Mutex);
+  Book.exclude(ServerId, Clock::now() + RefusedReservedPause);
 }
 
 bool Directory::cameBefore(const std::string &RouteName,
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -83,6 +83,8 @@
   // A server was ordered to change its stage: it gets nothing new for a while,
   // or until its entry changes. Repeated news of an order change nothing.
   void changing(const std::string &ServerId, uint64_t Fence, Milliseconds Time);
+  // A server refused a request for which it had reserved memory.
+  void refusedReserved(const std::string &ServerId);
 
   // Memory to reserve for a request: its prompt and as much output as most
   // requests of the service make.
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -393,6 +393,12 @@
   if (facts.NotRun) {
     if (From)
       release(*From);
+    // Without the prompt's memory nothing but the server itself can be the
+    // cause. It has not run the request, so it doesn't count as used.
+    if (!Where.Reservation.empty() && !From) {
+      Parts.Known.refusedReserved(server.Id);
+      Used.erase(server.Id);
+    }
     return end(CallResult::Shed, "refused_" + code, Next::NotRun);
   }
   if (status != CallStatus::Answered || !facts.Signed || facts.Encoded ||
--- a/test/gateway_server_book_test.cc
+++ b/test/gateway_server_book_test.cc
@@ -143,3 +143,19 @@
   auto choice = book.choose({"bays", ServerStage::Prefill, {}}, Start);
   CHECK_FALSE(choice.has_value());
 }
+
+TEST_CASE("An excluded server isn't chosen even as the last one") {
+  ServerBook book = bookOf({"s1"});
+  book.exclude("s1", at(8000));
+  CHECK(chosen(book, at(7999)) == "none");
+  CHECK(chosen(book, at(8001)) == "s1");
+}
+
+TEST_CASE("A server that registers another stage is no longer excluded") {
+  ServerBook book = bookOf({"s1"});
+  book.exclude("s1", at(8000));
+  ServerEntry changed = entryOf("s1");
+  changed.Stage = ServerStage::Decode;
+  book.apply(changed, at(6000));
+  CHECK(book.choose({"bays", ServerStage::Decode, {}}, at(6000)).has_value());
+}
--- a/test/gateway_stream_run_test.cc
+++ b/test/gateway_stream_run_test.cc
@@ -232,3 +232,21 @@
   CHECK(decoder.count("DELETE /api/hold-drop/res1") == 1);
   CHECK(decoder.count("Retention: ") == 0);
 }
+
+// A server that changes its stage goes on reserving memory and refuses runs.
+TEST_CASE("A server that refuses in spite of its reservation is left alone") {
+  GatewayFixture gateway;
+  FakeServer changing(
+      decode([](const std::string &, int) { return refusal(); }));
+  FakeServer sound(
+      decode([](const std::string &, int) { return stream(1, 2); }));
+  gateway.addServer("d1", changing, ServerStage::Decode);
+  gateway.addServer("d2", sound, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.MaxServers = 1;
+  for (int i = 0; i < 8; ++i) {
+    CAPTURE(i);
+    CHECK(contains(gateway.run(route), "data: e2"));
+  }
+  CHECK(changing.count("Retention") <= 1);
+}
