Add earned repeats to the fixed share, and pass on a server's own failure

The budget took the larger of the fixed share (4 in ten seconds) and the earned part (14% of some 25 requests) where the rule adds them up, and the server's own answer was thrown away.

Ruled out: servers to avoid; each server failed its usual part.

--- a/src/gateway/decisions/repeat_budget.cc
+++ b/src/gateway/decisions/repeat_budget.cc
@@ -6,8 +6,12 @@
 namespace {
 
 // Part of the allowance that is spent. The rest covers windows that don't
-// align and instances that have ended with their counts.
+// align.
 constexpr double SpentPart = 0.7;
+// Part of the fixed allowance in a process's first window: the one that it
+// replaces may have spent its own just before.
+constexpr double FirstWindowPart = 0.5;
+constexpr Milliseconds Window{10000};
 
 } // namespace
 
@@ -17,9 +21,12 @@
 
 bool RepeatBudget::takeRepeat(const std::string &Service, uint32_t Instances,
                               TimePoint Now) {
-  auto floor = static_cast<uint32_t>(SpentPart * Allowance.Fixed /
-                                     std::max(Instances, 1U));
-  return Services[Service].takeRetry(Now, SpentPart * Allowance.Ratio, floor);
+  internal::RetryBudget &service = Services[Service];
+  double fixed = SpentPart * Allowance.Fixed / std::max(Instances, 1U);
+  if (Now - Start < Window)
+    fixed *= FirstWindowPart;
+  double earned = SpentPart * Allowance.Ratio * service.firstAttempts(Now);
+  return service.takeRetry(Now, 0, static_cast<uint32_t>(fixed + earned));
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/repeat_budget.h
+++ b/src/gateway/decisions/repeat_budget.h
@@ -20,7 +20,8 @@
 
 class RepeatBudget {
 public:
-  explicit RepeatBudget(RepeatAllowance Allowance) : Allowance(Allowance) {}
+  RepeatBudget(RepeatAllowance Allowance, TimePoint Start)
+      : Allowance(Allowance), Start(Start) {}
 
   void setAllowance(RepeatAllowance Value) { Allowance = Value; }
   void onRequest(const std::string &Service, TimePoint Now);
@@ -30,6 +31,7 @@
 
 private:
   RepeatAllowance Allowance;
+  TimePoint Start; // of this process
   std::map<std::string, internal::RetryBudget> Services;
 };
 
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -49,7 +49,7 @@
 
 Directory::Directory(const GatewaySettings &Values, uint64_t Seed)
     : Values(Values), Document(std::make_shared<RouteDocument>()),
-      Book(Values.FailureDomain, Seed), Repeats(Values.Repeats),
+      Book(Values.FailureDomain, Seed), Repeats(Values.Repeats, Clock::now()),
       Random(Seed ^ 0x9E3779B97F4A7C15ULL) {}
 
 void Directory::applyRoutes(RouteDocumentPtr News, NewsOrigin Origin) {
--- a/src/gateway/request_run.cc
+++ b/src/gateway/request_run.cc
@@ -172,7 +172,11 @@
   }
   if (Waiter.callerLeft())
     finish("caller_left", "the caller closed its connection");
-  else if (mayHaveRun)
+  else if (Failure) {
+    Status = Failure->Head.Status;
+    internal::writeAnswer(Sink, Failure->Head, Failure->Body);
+    finish("answered", "the server failed, and no other took a repeat");
+  } else if (mayHaveRun)
     fail(Waiter.pastEnd() ? ErrorKind::BackendTimeout
                           : ErrorKind::BackendFailed,
          "no server gave a usable answer");
@@ -233,8 +237,10 @@
   if (!facts.Signed || facts.Encoded)
     return end(CallResult::Failed, "unusable_" + code, Next::MayHaveRun);
   bool failure = call.head().Status >= 500;
-  if (failure && !LastTry)
+  if (failure && !LastTry) {
+    Failure = ServerFailure{headOf(call), std::move(body)};
     return end(CallResult::Failed, "failure_" + code, Next::MayHaveRun);
+  }
   end(failure ? CallResult::Failed : CallResult::Served, "answered_" + code,
       Next::Done);
   FirstOutput = Clock::now();
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -47,7 +47,11 @@
 
   void runPlain();
   Next tryPlain(const ServerChoice &Server, bool LastTry);
-  bool passWhole(ServerCall &Call, const std::string &Body);
+  // The server's own failure, kept while the request is repeated elsewhere.
+  struct ServerFailure {
+    internal::AnswerHead Head;
+    std::string Body;
+  };
 
   void runStream();
   // One round: a place, the prompt, the stream. `ReadAtDecode`: the decode
@@ -100,6 +104,7 @@
   bool FirstPrefillSent = false;
   bool HeadPassed = false; // the caller has the head of an answer
   std::optional<TimePoint> FirstOutput;
+  std::optional<ServerFailure> Failure;
   bool PassFailed = false; // the caller takes nothing any more
   std::string LastEventId; // of the last event passed on
   uint64_t EventsPassed = 0;
--- a/test/gateway_request_run_test.cc
+++ b/test/gateway_request_run_test.cc
@@ -164,3 +164,16 @@
   CAPTURE(answer);
   CHECK(answer.starts_with("HTTP/1.1 504"));
 }
+
+TEST_CASE("A server's own failure is passed on when no repeat is allowed") {
+  GatewayFixture gateway;
+  gateway.Known.setRepeats({0, 0});
+  FakeServer first(always(signedAnswer(500, "oops")));
+  FakeServer second(always(signedAnswer(500, "oops")));
+  gateway.addServer("s1", first);
+  gateway.addServer("s2", second);
+  std::string answer = gateway.run(gateway.route(RouteKind::Idempotent));
+  CHECK(answer.starts_with("HTTP/1.1 500"));
+  CHECK(contains(answer, "Server-Signature: sig"));
+  CHECK(answer.ends_with("oops"));
+}
