Announce orders before they are given, count changing servers for their new stage, and charge refused prefills

The trace: 16 of 21 prefill servers were ordered to decode within ten seconds, because a server stands in its former stage until it has changed and was counted there; 572 prefills were refused by changing servers, and a refused first prefill was not charged.

Change: changing servers count for the stage that they will have; an order is told to the other instances two to four seconds before it is given; every prefill that isn't accepted is charged, and without a budget the request ends as not run. Large pools turn several servers at once. Reservations cover more where few requests share a server.

--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -18,12 +18,14 @@
 
 namespace crocusspur::gateway {
 
-// The last order that an instance gave to a server of a service.
+// An order to change its stage that an instance gives, or is about to give, to
+// a server of a service.
 struct GivenOrder {
   std::string Service;
   std::string ServerId;
   uint64_t Fence = 0;
   Milliseconds Ago{0};
+  bool ToDecode = false; // otherwise to prefill
 };
 
 // What an instance tells of one service, for decisions on all of it.
--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -29,18 +29,31 @@
 // One prefill server is kept as a spare against a loss.
 constexpr uint32_t LeastPrefill = 2;
 constexpr uint32_t LeastDecode = 2;
-// Between two orders for a pool of this size: a change takes some six seconds,
-// and its effect has to be seen before the next. In a larger pool one server is
-// a smaller part, and orders follow each other sooner.
+// Between two orders: a change takes some six seconds, and its effect has to be
+// seen before the next. In a larger pool one server is a smaller part: several
+// change at once, and orders follow each other sooner.
 constexpr Milliseconds OrderPause{10000};
 constexpr uint32_t OrderPausePool = 9;
-constexpr Milliseconds LeastOrderPause{1000};
+constexpr Milliseconds LeastOrderPause{3000};
+constexpr uint32_t ServersPerChange = 12; // one of so many at once
+
+Milliseconds orderPause(uint32_t Servers) {
+  Milliseconds pause =
+      OrderPause * OrderPausePool / std::max(Servers, OrderPausePool);
+  return std::max(pause, LeastOrderPause);
+}
+
+// Prefill servers that can be spared if the others have to read what `Needed`
+// servers can.
+uint32_t spare(uint32_t PrefillServers, double Needed) {
+  double kept = std::max(Needed, static_cast<double>(LeastPrefill));
+  return kept >= PrefillServers ? 0
+                                : static_cast<uint32_t>(PrefillServers - kept);
+}
 
 } // namespace
 
-std::optional<ServerStage>
-RoleControl::decide(const PoolView &Pool, std::optional<TimePoint> LastOrder,
-                    TimePoint Now) {
+void RoleControl::observe(const PoolView &Pool, TimePoint Now) {
   const StageDemand &demand = Pool.Demand;
   bool isShort = demand.PlacesWanted >= LeastWanted &&
                  demand.PlacesStarved >= ShortPart * demand.PlacesWanted;
@@ -52,25 +65,30 @@
     FullSince.reset();
   else if (!FullSince)
     FullSince = Now;
+}
+
+std::optional<StageChange>
+RoleControl::decide(const PoolView &Pool, std::optional<TimePoint> LastOrder,
+                    TimePoint Now) {
+  observe(Pool, Now);
   uint32_t servers = Pool.PrefillServers + Pool.DecodeServers;
-  Milliseconds pause =
-      OrderPause * OrderPausePool / std::max(servers, OrderPausePool);
   if (Pool.PrefillRate <= 0 ||
-      (LastOrder && Now - *LastOrder < std::max(pause, LeastOrderPause)))
+      (LastOrder && Now - *LastOrder < orderPause(servers)))
     return std::nullopt;
-  double needed = demand.PromptTokens / (Pool.PrefillRate * UsedPart);
-  bool prefillSpare =
-      Pool.PrefillServers > LeastPrefill && needed <= Pool.PrefillServers - 1.0;
-  if (ShortSince && Now - *ShortSince >= ShortTime && prefillSpare)
-    return ServerStage::Decode;
-  if (FullSince && Now - *FullSince >= FullTime && prefillSpare &&
-      ExpectedBurst * needed <= Pool.PrefillServers - 1.0)
-    return ServerStage::Decode;
+  double needed = Pool.Demand.PromptTokens / (Pool.PrefillRate * UsedPart);
+  uint32_t most = std::max(1U, servers / ServersPerChange);
+  uint32_t change = 0;
+  if (ShortSince && Now - *ShortSince >= ShortTime)
+    change = spare(Pool.PrefillServers, needed);
+  else if (FullSince && Now - *FullSince >= FullTime)
+    change = spare(Pool.PrefillServers, ExpectedBurst * needed);
+  if (change > 0)
+    return StageChange{ServerStage::Decode, std::min(change, most)};
   // Prompts that the prefill servers can't read in time are the dearer lack:
   // the decode servers then read them slowly, between the tokens of others.
-  if (needed > Pool.PrefillServers * OverUsed && !isShort &&
+  if (needed > Pool.PrefillServers * OverUsed && !ShortSince &&
       Pool.DecodeServers > LeastDecode)
-    return ServerStage::Prefill;
+    return StageChange{ServerStage::Prefill, 1};
   return std::nullopt;
 }
 
--- a/src/gateway/decisions/role_control.h
+++ b/src/gateway/decisions/role_control.h
@@ -27,15 +27,22 @@
   double DecodeUse = 0;
 };
 
+// Servers that should change to a stage now.
+struct StageChange {
+  ServerStage To = ServerStage::Decode;
+  uint32_t Servers = 1;
+};
+
 class RoleControl {
 public:
-  // Returns the stage that one more server should have, or nothing.
   // `LastOrder`: when any instance last gave an order for the service.
-  std::optional<ServerStage> decide(const PoolView &Pool,
+  std::optional<StageChange> decide(const PoolView &Pool,
                                     std::optional<TimePoint> LastOrder,
                                     TimePoint Now);
 
 private:
+  void observe(const PoolView &Pool, TimePoint Now);
+
   std::optional<TimePoint> ShortSince; // of decode memory
   std::optional<TimePoint> FullSince;  // of decode memory, by usual demand
 };
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -4,6 +4,7 @@
 #include "log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocusspur::gateway {
 namespace {
@@ -15,12 +16,25 @@
 // Shares of the allowed output are learned in thousandths.
 constexpr uint32_t WholeShare = 1000;
 // Part of the outputs that the reservation covers. Covering all of them leaves
-// memory idle; outputs beyond it take free memory as they grow.
-constexpr double CoveredPart = 0.6;
+// memory idle; outputs beyond it take what shorter ones leave. The fewer
+// requests share a server, the less that evens out: the part rises with the
+// spread of their mean, from 0.6 at twelve to 0.74 at seven.
+constexpr double LeastCovered = 0.18;
+constexpr double CoveredSpread = 1.46;
+constexpr double MostCovered = 0.95;
+
+double coveredPart(uint64_t PromptTokens, uint64_t Capacity) {
+  double requests = static_cast<double>(Capacity) /
+                    static_cast<double>(std::max<uint64_t>(PromptTokens, 1));
+  return std::min(MostCovered,
+                  LeastCovered + CoveredSpread / std::sqrt(requests));
+}
+
 // Until something is learned. The trial in docs/design.md found the fewest
 // preemptions without idle memory between 0.45 and 0.6.
 constexpr double FirstShare = 0.45;
 constexpr double EnoughSamples = 20;
+constexpr uint64_t UsualPrompt = 5600; // tokens, with a usual output's
 // Prompts of fewer tokens say little about a server's rate.
 constexpr uint64_t RatedPrompt = 3000;
 // A server that refuses a request in spite of its reservation is changing its
@@ -225,15 +239,18 @@
 
 uint64_t Directory::reservedTokens(const std::string &Service,
                                    uint64_t PromptTokens,
-                                   uint64_t MaxOutputTokens) const {
+                                   uint64_t MaxOutputTokens,
+                                   uint64_t Capacity) const {
   std::lock_guard lock(Mutex);
   double share = FirstShare;
   auto it = OutputShares.find(Service);
   if (it != OutputShares.end() && it->second.samples() >= EnoughSamples) {
     constexpr double Step = 0.05;
+    // The usual prompt, so that long ones aren't treated worse.
+    double covered = coveredPart(UsualPrompt, Capacity);
     share = Step;
     while (share < 1 &&
-           it->second.endsBy(WholeShare, 0, share * WholeShare) < CoveredPart)
+           it->second.endsBy(WholeShare, 0, share * WholeShare) < covered)
       share += Step;
   }
   return PromptTokens +
@@ -286,6 +303,13 @@
   return found;
 }
 
+std::optional<ServerStage>
+Directory::stageOf(const std::string &ServerId) const {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Book.find(ServerId);
+  return entry ? std::optional(entry->Stage) : std::nullopt;
+}
+
 void Directory::changing(const std::string &ServerId, uint64_t Fence,
                          Milliseconds Time) {
   std::lock_guard lock(Mutex);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -80,16 +80,17 @@
   // Servers of a service in a stage that aren't leaving.
   std::vector<ServerEntry> stageServers(const std::string &Service,
                                         ServerStage Stage) const;
+  std::optional<ServerStage> stageOf(const std::string &ServerId) const;
   // A server was ordered to change its stage: it gets nothing new for a while,
   // or until its entry changes. Repeated news of an order change nothing.
   void changing(const std::string &ServerId, uint64_t Fence, Milliseconds Time);
   // A server refused a request for which it had reserved memory.
   void refusedReserved(const std::string &ServerId);
 
-  // Memory to reserve for a request: its prompt and as much output as most
-  // requests of the service make.
+  // Memory to reserve for a request at a server with this capacity: its prompt
+  // and as much output as most requests of the service make.
   uint64_t reservedTokens(const std::string &Service, uint64_t PromptTokens,
-                          uint64_t MaxOutputTokens) const;
+                          uint64_t MaxOutputTokens, uint64_t Capacity) const;
   void outputEnded(const std::string &Service, uint64_t Tokens,
                    uint64_t MaxOutputTokens);
 
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -48,12 +48,12 @@
   return Table.leads(ForAtLeast, Clock::now());
 }
 
-void Fleet::ordered(const std::string &Service, const std::string &ServerId,
-                    uint64_t Fence) {
+void Fleet::ordered(const GivenOrder &Item) {
   std::lock_guard lock(Mutex);
-  std::erase_if(Orders,
-                [&](const OwnOrder &It) { return It.Item.Service == Service; });
-  Orders.push_back({{Service, ServerId, Fence, Milliseconds(0)}, Clock::now()});
+  std::erase_if(Orders, [&](const OwnOrder &It) {
+    return Clock::now() - It.At > OrderMemory;
+  });
+  Orders.push_back({Item, Clock::now()});
 }
 
 std::vector<GivenOrder> Fleet::ownOrdersLocked() const {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -24,9 +24,9 @@
   uint32_t sharers();
   bool leads(Milliseconds ForAtLeast);
 
-  // An order that this instance gave; told to the others for a while.
-  void ordered(const std::string &Service, const std::string &ServerId,
-               uint64_t Fence);
+  // An order that this instance gives or announces; told to the others for a
+  // while.
+  void ordered(const GivenOrder &Item);
   std::vector<GivenOrder> ownOrders() const;
   // Orders of all instances for the service that are told of, newest first.
   std::vector<GivenOrder> orders(const std::string &Service) const;
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -19,7 +19,7 @@
   for (const GivenOrder &it : Item.Orders)
     orders.push_back(wire::CreateGivenOrder(
         Out, Out.CreateString(it.Service), Out.CreateString(it.ServerId),
-        it.Fence, static_cast<uint32_t>(it.Ago.count())));
+        it.Fence, static_cast<uint32_t>(it.Ago.count()), it.ToDecode));
   auto figureList = Out.CreateVector(figures);
   auto orderList = Out.CreateVector(orders);
   return wire::CreateMember(Out, Out.CreateString(Item.Name),
@@ -51,7 +51,8 @@
   if (Item.orders())
     for (const wire::GivenOrder *it : *Item.orders())
       member.Orders.push_back({textOf(it->service()), textOf(it->server()),
-                               it->fence(), Milliseconds(it->ago_ms())});
+                               it->fence(), Milliseconds(it->ago_ms()),
+                               it->to_decode()});
   return member;
 }
 
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -62,8 +62,7 @@
   std::optional<Place> askForPlace(uint64_t Tokens);
   std::optional<Place> unreservedPlace();
   std::optional<PromptMemory> readPrompt();
-  std::optional<PromptMemory> tryPrefill(const ServerChoice &Server,
-                                         bool &Refused);
+  std::optional<PromptMemory> tryPrefill(const ServerChoice &Server);
   Next startStream(const Place &Where, const std::optional<PromptMemory> &From);
   Next relayStream(ServerCall &Call, const ServerChoice &Server);
   bool passEvents(EventSplitter &Events);
@@ -101,8 +100,9 @@
   std::set<std::string> Used;  // servers that were sent the request to run it
   uint32_t Status = 0;         // of the answer; 0: none was given
   bool Returning = false;      // the caller has been refused before
-  bool FirstPrefillSent = false;
-  bool HeadPassed = false; // the caller has the head of an answer
+  bool PrefillSent = false;    // the last prefill call may have arrived
+  bool BudgetSpent = false;    // no repeat is allowed any more
+  bool HeadPassed = false;     // the caller has the head of an answer
   std::optional<TimePoint> FirstOutput;
   std::optional<ServerFailure> Failure;
   bool PassFailed = false; // the caller takes nothing any more
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -26,8 +26,14 @@
 // Between two readings of the decode servers' memory, which only the leader
 // makes: each costs a call.
 constexpr Milliseconds ReportPeriod{2000};
-// A server that changes its stage is back after this, if nothing is said.
-constexpr Milliseconds ChangeTime{8000};
+// A server that changes its stage is back after this, if nothing is said; from
+// the announcement on.
+constexpr Milliseconds ChangeTime{10000};
+// From the announcement of an order to the order itself: news spread over two
+// exchanges a second. Until all instances know, they send the server requests,
+// which it would refuse, and each refusal counts as a repeat.
+constexpr Milliseconds LeastAnnounceTime{2000};
+constexpr Milliseconds AnnounceTimePerMember{30};
 // Servers that are asked for it: the least loaded by the leader's own calls, a
 // sample where there are many.
 constexpr size_t MostReports = 8;
@@ -45,13 +51,24 @@
     double DecodeUse = 0;
     TimePoint ReportedAt;
   };
+  // An order that the others have been told of and that is not sent yet.
+  struct Announced {
+    std::string Service;
+    ServerChoice Server;
+    ServerStage To = ServerStage::Decode;
+    uint64_t Fence = 0;
+    TimePoint SendAt;
+  };
 
   void run();
   void look(const std::string &Service);
   PoolView poolOf(const std::string &Service);
   void readDecodeUse(const std::string &Service, ServiceState &State);
   std::optional<ServerReport> report(const ServerChoice &Server);
-  void order(const std::string &Service, ServerStage To);
+  void order(const std::string &Service, const StageChange &Change);
+  void sendAnnounced();
+  void orderServer(const Announced &Item);
+  Milliseconds announceTime() const;
   // Status of the answer, 0 without one.
   uint32_t call(const ServerChoice &Server, const std::string &Bytes,
                 const char *Method, std::string &Body);
@@ -60,7 +77,8 @@
 
   GatewayRuntime *Runtime = nullptr;
   std::map<std::string, ServiceState> Services; // by name
-  std::mutex Mutex;                             // guards Stopping
+  std::vector<Announced> Pending;
+  std::mutex Mutex; // guards Stopping
   std::condition_variable Wake;
   bool Stopping = false;
   std::thread Thread;
@@ -93,6 +111,10 @@
     }
     bool leads = Runtime->Peers.leads(LeadTime) && !Runtime->Stopping.load() &&
                  Runtime->Known.storeIsReachable();
+    if (leads)
+      sendAnnounced();
+    else
+      Pending.clear();
     RouteDocumentPtr routes = Runtime->Known.routes();
     for (const auto &[service, rule] : routes->Services) {
       if (!rule.Engine)
@@ -117,6 +139,15 @@
       Runtime->Known.stageServers(Service, ServerStage::Prefill).size());
   pool.DecodeServers = static_cast<uint32_t>(
       Runtime->Known.stageServers(Service, ServerStage::Decode).size());
+  // Servers that are changing still stand in their former stage.
+  for (const GivenOrder &it : Runtime->Peers.orders(Service)) {
+    std::optional<ServerStage> stage = Runtime->Known.stageOf(it.ServerId);
+    if (it.Ago >= ChangeTime || !stage ||
+        it.ToDecode == (*stage == ServerStage::Decode))
+      continue;
+    (it.ToDecode ? pool.PrefillServers : pool.DecodeServers) -= 1;
+    (it.ToDecode ? pool.DecodeServers : pool.PrefillServers) += 1;
+  }
   auto add = [&](const std::vector<ServiceFigures> &Figures) {
     for (const ServiceFigures &it : Figures) {
       if (it.Service != Service)
@@ -143,12 +174,13 @@
   readDecodeUse(Service, state);
   PoolView pool = poolOf(Service);
   pool.DecodeUse = state.DecodeUse;
-  std::optional<ServerStage> to = state.Control.decide(pool, last, now);
-  if (!to)
+  std::optional<StageChange> change = state.Control.decide(pool, last, now);
+  if (!change)
     return;
-  log(LogLevel::Info, "role_orders", "a server should change its stage",
+  log(LogLevel::Info, "role_orders", "servers should change their stage",
       {{"service", Service},
-       {"to", *to == ServerStage::Decode ? "decode" : "prefill"},
+       {"to", change->To == ServerStage::Decode ? "decode" : "prefill"},
+       {"servers", std::to_string(change->Servers)},
        {"prefill_servers", std::to_string(pool.PrefillServers)},
        {"decode_servers", std::to_string(pool.DecodeServers)},
        {"prompt_tokens_per_s", std::to_string(pool.Demand.PromptTokens)},
@@ -156,7 +188,7 @@
        {"decode_use", std::to_string(pool.DecodeUse)},
        {"places_wanted_per_s", std::to_string(pool.Demand.PlacesWanted)},
        {"places_starved_per_s", std::to_string(pool.Demand.PlacesStarved)}});
-  order(Service, *to);
+  order(Service, *change);
 }
 
 uint32_t RoleOrders::call(const ServerChoice &Server, const std::string &Bytes,
@@ -216,32 +248,57 @@
   return fence;
 }
 
-void RoleOrders::order(const std::string &Service, ServerStage To) {
-  ServerStage from =
-      To == ServerStage::Decode ? ServerStage::Prefill : ServerStage::Decode;
+void RoleOrders::order(const std::string &Service, const StageChange &Change) {
+  ServerStage from = Change.To == ServerStage::Decode ? ServerStage::Prefill
+                                                      : ServerStage::Decode;
   std::vector<ServerChoice> servers = Runtime->Known.rank({Service, from, {}});
-  if (servers.empty())
-    return;
-  const ServerChoice &server = servers.front();
-  std::optional<ServerReport> known = report(server);
-  if (!known || known->Stage != from || known->OrderRunning) {
+  if (servers.size() > Change.Servers)
+    servers.resize(Change.Servers);
+  for (const ServerChoice &it : servers) {
+    uint64_t fence = nextFence(Service);
+    Runtime->Peers.ordered({Service, it.Id, fence, Milliseconds(0),
+                            Change.To == ServerStage::Decode});
+    Runtime->Known.changing(it.Id, fence, ChangeTime);
+    Pending.push_back(
+        {Service, it, Change.To, fence, Clock::now() + announceTime()});
+  }
+}
+
+Milliseconds RoleOrders::announceTime() const {
+  return LeastAnnounceTime +
+         AnnounceTimePerMember *
+             static_cast<int64_t>(Runtime->PeersKnown.load());
+}
+
+void RoleOrders::sendAnnounced() {
+  std::vector<Announced> due;
+  for (const Announced &it : Pending)
+    if (it.SendAt <= Clock::now())
+      due.push_back(it);
+  std::erase_if(Pending,
+                [](const Announced &It) { return It.SendAt <= Clock::now(); });
+  for (const Announced &it : due)
+    orderServer(it);
+}
+
+void RoleOrders::orderServer(const Announced &Item) {
+  std::optional<ServerReport> known = report(Item.Server);
+  if (!known || known->Stage == Item.To || known->OrderRunning) {
     log(LogLevel::Warn, "role_orders", "no order: the server's report differs",
-        {{"server", server.Id}, {"answered", known ? "true" : "false"}});
+        {{"server", Item.Server.Id}, {"answered", known ? "true" : "false"}});
     return;
   }
-  StageOrder item{To, Runtime->Values.Instance, nextFence(Service),
-                  known->OrdersTaken};
-  // Noted before it is sent: an order without an answer may have been taken.
-  Runtime->Peers.ordered(Service, server.Id, item.Fence);
-  Runtime->Known.changing(server.Id, item.Fence, ChangeTime);
+  StageOrder order{Item.To, Runtime->Values.Instance, Item.Fence,
+                   known->OrdersTaken};
   std::string body;
   uint32_t status =
-      call(server, Runtime->Wire.FormatStageOrder(server, item), "POST", body);
+      call(Item.Server, Runtime->Wire.FormatStageOrder(Item.Server, order),
+           "POST", body);
   log(status == Accepted ? LogLevel::Info : LogLevel::Warn, "role_orders",
       "stage ordered",
-      {{"service", Service},
-       {"server", server.Id},
-       {"fence", std::to_string(item.Fence)},
+      {{"service", Item.Service},
+       {"server", Item.Server.Id},
+       {"fence", std::to_string(Item.Fence)},
        {"status", std::to_string(status)}});
 }
 
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -15,6 +15,7 @@
 // Rounds of place, prompt and stream for one request. Each after the first is
 // a repeat and draws on the budget.
 constexpr int MostRounds = 4;
+constexpr int MostPrefills = 2; // in one round
 // From a place to the first event: calls and queue, and the prompt's tokens at
 // about half of the rate at which an idle prefill server reads.
 constexpr Milliseconds StartTime{100};
@@ -49,7 +50,7 @@
 void RequestRun::runStream() {
   Next next = Next::NotRun;
   bool mayHaveRun = false;
-  for (int round = 0; round < MostRounds && !ended(); ++round) {
+  for (int round = 0; round < MostRounds && !ended() && !BudgetSpent; ++round) {
     if (round > 0 && !mayRepeat())
       break;
     // After a refusal the prompt's memory is the most likely cause.
@@ -105,7 +106,7 @@
   std::optional<PromptMemory> memory;
   if (!ReadAtDecode)
     memory = readPrompt();
-  if (ended()) {
+  if (ended() || BudgetSpent) {
     release(*place);
     if (memory)
       release(*memory);
@@ -129,10 +130,10 @@
       !Request.Generation)
     return unreservedPlace();
   const GenerationSize &size = *Request.Generation;
-  uint64_t tokens =
-      std::min(Parts.Known.reservedTokens(Service, size.PromptTokens,
-                                          size.MaxOutputTokens),
-               Engine->CapacityTokens);
+  uint64_t tokens = std::min(
+      Parts.Known.reservedTokens(Service, size.PromptTokens,
+                                 size.MaxOutputTokens, Engine->CapacityTokens),
+      Engine->CapacityTokens);
   auto start =
       StartTime +
       Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
@@ -216,25 +217,30 @@
   return std::nullopt;
 }
 
-// Returns nothing if the decode server has to read the prompt itself.
+// Returns nothing if the decode server has to read the prompt itself. The first
+// prefill that a server accepts is no repeat. After one that wasn't accepted,
+// the next call is, whether to another prefill server or to the decode server.
 std::optional<RequestRun::PromptMemory> RequestRun::readPrompt() {
   std::set<std::string> excluded = Tried;
-  for (int i = 0; i < 2 && !ended(); ++i) {
+  for (int i = 0; i < MostPrefills && !ended(); ++i) {
     std::optional<ServerChoice> server =
         Parts.Known.choose({Service, ServerStage::Prefill, excluded});
-    if (!server || (FirstPrefillSent && !mayRepeat()))
+    if (!server)
       return std::nullopt;
     excluded.insert(server->Id);
-    bool refused = false;
-    std::optional<PromptMemory> memory = tryPrefill(*server, refused);
+    std::optional<PromptMemory> memory = tryPrefill(*server);
     if (memory)
       return memory;
+    if (PrefillSent && !mayRepeat()) {
+      BudgetSpent = true;
+      return std::nullopt;
+    }
   }
   return std::nullopt;
 }
 
 std::optional<RequestRun::PromptMemory>
-RequestRun::tryPrefill(const ServerChoice &Server, bool &Refused) {
+RequestRun::tryPrefill(const ServerChoice &Server) {
   TimePoint started = Clock::now();
   double weight = Request.Generation
                       ? static_cast<double>(Request.Generation->PromptTokens) /
@@ -247,7 +253,7 @@
   CallStatus status =
       call.start(Server.Address, Parts.Wire.FormatRun(Request, order),
                  Request.Method, Request.Id, PrefillTime);
-  FirstPrefillSent = FirstPrefillSent || call.maySent();
+  PrefillSent = call.maySent();
   std::string body;
   if (status == CallStatus::Answered)
     status = call.readWhole(body, MostPrefillAnswer);
@@ -277,12 +283,12 @@
     Parts.Known.loadSeen(Server.Id, *call.facts().Load);
   call.finish();
   std::string code = std::to_string(call.head().Status);
-  Refused = call.facts().NotRun;
   std::optional<PrefillDone> done;
   if (call.head().Status == 200)
     done = Parts.Wire.ReadPrefill(body);
   if (!done) {
-    end(Refused ? CallResult::Shed : CallResult::Failed, "refused_" + code);
+    end(call.facts().NotRun ? CallResult::Shed : CallResult::Failed,
+        "refused_" + code);
     return std::nullopt;
   }
   end(CallResult::Served, "answered_" + code);
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -137,7 +137,8 @@
     VT_SERVICE = 4,
     VT_SERVER = 6,
     VT_FENCE = 8,
-    VT_AGO_MS = 10
+    VT_AGO_MS = 10,
+    VT_TO_DECODE = 12
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -151,6 +152,9 @@
   uint32_t ago_ms() const {
     return GetField<uint32_t>(VT_AGO_MS, 0);
   }
+  bool to_decode() const {
+    return GetField<uint8_t>(VT_TO_DECODE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -159,6 +163,7 @@
            verifier.VerifyString(server()) &&
            VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_TO_DECODE, 1) &&
            verifier.EndTable();
   }
 };
@@ -179,6 +184,9 @@
   void add_ago_ms(uint32_t ago_ms) {
     fbb_.AddElement<uint32_t>(GivenOrder::VT_AGO_MS, ago_ms, 0);
   }
+  void add_to_decode(bool to_decode) {
+    fbb_.AddElement<uint8_t>(GivenOrder::VT_TO_DECODE, static_cast<uint8_t>(to_decode), 0);
+  }
   explicit GivenOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -195,12 +203,14 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> server = 0,
     uint64_t fence = 0,
-    uint32_t ago_ms = 0) {
+    uint32_t ago_ms = 0,
+    bool to_decode = false) {
   GivenOrderBuilder builder_(_fbb);
   builder_.add_fence(fence);
   builder_.add_ago_ms(ago_ms);
   builder_.add_server(server);
   builder_.add_service(service);
+  builder_.add_to_decode(to_decode);
   return builder_.Finish();
 }
 
@@ -209,7 +219,8 @@
     const char *service = nullptr,
     const char *server = nullptr,
     uint64_t fence = 0,
-    uint32_t ago_ms = 0) {
+    uint32_t ago_ms = 0,
+    bool to_decode = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto server__ = server ? _fbb.CreateString(server) : 0;
   return crocusspur::gateway::wire::CreateGivenOrder(
@@ -217,7 +228,8 @@
       service__,
       server__,
       fence,
-      ago_ms);
+      ago_ms,
+      to_decode);
 }
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_role_control_test.cc
+++ b/test/gateway_role_control_test.cc
@@ -29,8 +29,8 @@
                                       const PoolView &Pool, int64_t FromMs,
                                       int64_t ToMs) {
   for (int64_t ms = FromMs; ms <= ToMs; ms += 500)
-    if (auto to = Control.decide(Pool, std::nullopt, at(ms)))
-      return to;
+    if (auto change = Control.decide(Pool, std::nullopt, at(ms)))
+      return change->To;
   return std::nullopt;
 }
 
@@ -79,7 +79,9 @@
   pool.PrefillServers = 1;
   pool.DecodeServers = 8;
   pool.Demand.PlacesStarved = 0;
-  CHECK(control.decide(pool, std::nullopt, Start) == ServerStage::Prefill);
+  auto change = control.decide(pool, std::nullopt, Start);
+  REQUIRE(change.has_value());
+  CHECK(change->To == ServerStage::Prefill);
 }
 
 TEST_CASE("Nothing is ordered before a server's rate is known") {
@@ -115,7 +117,9 @@
   calm.Demand.PlacesStarved = 0;
   calm.DecodeUse = 0.6;
   CHECK_FALSE(firstOrder(control, calm, 0, 2500).has_value());
-  CHECK(control.decide(calm, std::nullopt, at(3000)) == ServerStage::Decode);
+  auto change = control.decide(calm, std::nullopt, at(3000));
+  REQUIRE(change.has_value());
+  CHECK(change->To == ServerStage::Decode);
 }
 
 TEST_CASE("Prefill servers that a burst will need stay in calm times") {
@@ -127,3 +131,22 @@
   calm.DecodeUse = 0.6;
   CHECK_FALSE(firstOrder(control, calm, 0, 10000).has_value());
 }
+
+// 21 prefill and 39 decode servers with memory for some six requests each.
+TEST_CASE("In a large pool several spare servers turn at once") {
+  RoleControl control;
+  PoolView pool = burst();
+  pool.PrefillServers = 21;
+  pool.DecodeServers = 39;
+  pool.Demand.PromptTokens = 63 * 5200;
+  pool.Demand.PlacesWanted = 63;
+  pool.Demand.PlacesStarved = 25;
+  for (int64_t ms = 0; ms < 1500; ms += 500)
+    CHECK_FALSE(control.decide(pool, std::nullopt, at(ms)).has_value());
+  auto change = control.decide(pool, std::nullopt, at(1500));
+  REQUIRE(change.has_value());
+  CHECK(change->To == ServerStage::Decode);
+  CHECK(change->Servers == 5);
+  CHECK_FALSE(control.decide(pool, at(1500), at(4000)).has_value());
+  CHECK(control.decide(pool, at(1500), at(4500)).has_value());
+}
--- a/test/gateway_stream_run_test.cc
+++ b/test/gateway_stream_run_test.cc
@@ -250,3 +250,21 @@
   }
   CHECK(changing.count("Retention") <= 1);
 }
+
+// Each refused prefill makes the next call a repeat, also that to the decode
+// server; the fleet's budget of repeats is a rule.
+TEST_CASE("A refused prefill without a budget ends as not run") {
+  GatewayFixture gateway;
+  gateway.Known.setRepeats({0, 0});
+  FakeServer prefill([](const std::string &, int) { return refusal(); });
+  FakeServer decoder(
+      decode([](const std::string &, int) { return stream(1, 2); }));
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", decoder, ServerStage::Decode);
+  std::string answer = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(contains(answer, "\"run\":\"no\""));
+  CHECK(prefill.requests().size() == 1);
+  CHECK(decoder.count("Retention") == 0);
+  CHECK(decoder.count("DELETE /api/hold-drop/res1") == 1);
+}
