--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -392,3 +392,21 @@
        {"node-name", "zone", "listen.frontend", "platform.address"})
     CHECK_MESSAGE(output.find(it) != std::string::npos, output);
 }
+
+TEST_CASE("The gateway serves the metrics that its page lists") {
+  GatewayFleet fleet(1);
+  Instance &gateway = fleet.Instances[0];
+  fleet.start(gateway);
+  REQUIRE(test::eventually(
+      [&] { return GatewayFleet::readiness(gateway) != 0; }, Generous));
+  std::string metrics = GatewayFleet::get(gateway.Ready, "/metrics", "");
+  for (const char *it :
+       {"server_connections_total", "store_reachable", "config_version",
+        "peers_linked", "open_requests", "ready", "request_seconds",
+        "reservation_wait_seconds", "first_output_seconds"})
+    CHECK_MESSAGE(metrics.find("# TYPE crocusspur_" + std::string(it) + " ") !=
+                      std::string::npos,
+                  it);
+  std::string state = GatewayFleet::get(gateway.Ready, "/state", "");
+  CHECK(state.find("\"config_version\":") != std::string::npos);
+}
