Add a soak of gateway processes under injected faults

Change: soak/ with a loopback proxy that delays, silences, cuts one way, refuses and resets; servers that lose, cut, double and spoil answers and keep the books; callers that keep their connections; SIGSTOP, SIGCONT, SIGKILL, SIGTERM and SIGHUP, the store that turns instances away and new configurations, in overlapping series. Checked: nothing non-idempotent runs twice, not run is true, answers and streams are whole and the caller's own, versions never go back, and all serve again after. scripts/run-soak. The fixture of the process tests moved to gateway_fleet.

Ruled out: faults inside the processes; all come from outside.

Conclusion: to be shown able to fail.

--- /dev/null
+++ b/soak/soak_servers.h
@@ -0,0 +1,60 @@
+// Servers of the soak: they misbehave at random and keep the books that the
+// promises are checked against.
+#ifndef CROCUSSPUR_SOAK_SOAK_SERVERS_H
+#define CROCUSSPUR_SOAK_SOAK_SERVERS_H
+
+#include "test_socket.h"
+
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+
+namespace crocusspur::soak {
+
+// Runs by request id, over all servers. Thread-safe.
+class RunBook {
+public:
+  void ran(const std::string &Id);
+  int runs(const std::string &Id) const;
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, int> Runs;
+};
+
+// Answer of a plain service to the request; what a caller has to get.
+std::string expectedAnswer(const std::string &Id);
+constexpr int StreamEvents = 12;
+std::string expectedEvent(int Number, const std::string &Id);
+
+// A plain server, or a decode server that also reads prompts.
+class SoakServer {
+public:
+  SoakServer(RunBook &Book, uint64_t Seed);
+  ~SoakServer();
+  std::string address() const { return Server.address(); }
+  size_t openConnections();
+
+private:
+  void serve(int Fd);
+  bool answer(int Fd, const std::string &Request);
+  bool answerPlain(int Fd, const std::string &Id);
+  bool answerStream(int Fd, const std::string &Request, const std::string &Id);
+  unsigned draw(unsigned Below);
+
+  RunBook &Book;
+  std::mutex Mutex;
+  std::mt19937_64 Random;
+  std::set<int> Open;
+  bool Stopping = false;
+  ScriptServer Server;
+};
+
+// Value of a header field, or an empty text.
+std::string fieldOf(const std::string &Message, const std::string &Name);
+
+} // namespace crocusspur::soak
+
+#endif
--- /dev/null
+++ b/test/gateway_fleet.cc
@@ -0,0 +1,233 @@
+#include "gateway_fleet.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <fstream>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace crocusspur::test {
+namespace {
+
+std::string base64(const std::string &Text) {
+  static const char *Digits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  for (size_t i = 0; i < Text.size(); i += 3) {
+    uint32_t bits = 0;
+    for (size_t n = 0; n < 3; ++n)
+      bits = bits << 8 |
+             (i + n < Text.size() ? static_cast<uint8_t>(Text[i + n]) : 0);
+    for (size_t n = 0; n < 4; ++n)
+      out += i + n > Text.size() ? '=' : Digits[bits >> (18 - 6 * n) & 63];
+  }
+  return out;
+}
+
+} // namespace
+
+FakeStore::FakeStore() : Server([this](int Fd, int) { serve(Fd); }) {}
+
+FakeStore::~FakeStore() {
+  std::lock_guard lock(Mutex);
+  Stopping = true;
+  for (int it : Open)
+    ::shutdown(it, SHUT_RDWR);
+}
+
+void FakeStore::put(const std::string &Key, const std::string &Value) {
+  std::lock_guard lock(Mutex);
+  Items[Key] = {++Revision, Value};
+}
+
+void FakeStore::turnAway(const std::string &Instance, bool Away) {
+  std::lock_guard lock(Mutex);
+  TurnedAway[Instance] = Away;
+}
+
+void FakeStore::serve(int Fd) {
+  {
+    std::lock_guard lock(Mutex);
+    Open.insert(Fd);
+  }
+  while (true) {
+    std::string request = readRequest(Fd);
+    if (request.empty())
+      break;
+    sendText(Fd, answer(request));
+  }
+  std::lock_guard lock(Mutex);
+  Open.erase(Fd);
+}
+
+bool FakeStore::away(const std::string &Request) {
+  std::lock_guard lock(Mutex);
+  for (const auto &[name, isAway] : TurnedAway)
+    if (isAway && Request.find(": " + name + "\r\n") != std::string::npos)
+      return true;
+  return Stopping;
+}
+
+std::string FakeStore::list(const std::string &Prefix, uint64_t After,
+                            bool &Any) {
+  std::lock_guard lock(Mutex);
+  std::string all;
+  for (const auto &[key, item] : Items) {
+    if (!key.starts_with(Prefix) || item.Revision <= After)
+      continue;
+    all += (all.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
+           "\",\"value\":\"" + base64(item.Value) +
+           "\",\"revision\":" + std::to_string(item.Revision) + "}";
+  }
+  Any = !all.empty();
+  return "[" + all + "],\"at\":" + std::to_string(Revision);
+}
+
+std::string FakeStore::answer(const std::string &Request) {
+  if (away(Request))
+    return httpAnswer(503, "");
+  bool watch = Request.find("/api/kv-watch") != std::string::npos;
+  std::string prefix =
+      Request.find("servers/") != std::string::npos ? "servers/" : "op/";
+  bool any = false;
+  if (!watch)
+    return httpAnswer(
+        200, "{\"has-more\":false,\"items\":" + list(prefix, 0, any) + "}");
+  uint64_t after = std::stoull(Request.substr(Request.find("after=") + 6));
+  std::string events;
+  auto end = std::chrono::steady_clock::now() + Milliseconds(1000);
+  do {
+    events = list(prefix, after, any);
+    if (any || away(Request))
+      break;
+    std::this_thread::sleep_for(Milliseconds(5));
+  } while (std::chrono::steady_clock::now() < end);
+  return httpAnswer(200, "{\"events\":" + events + "}");
+}
+
+std::string freeAddress() {
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof address;
+  ::bind(fd, reinterpret_cast<sockaddr *>(&address), length);
+  ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
+  ::close(fd);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+int connectTo(const std::string &Address) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  to.sin_port = htons(
+      static_cast<uint16_t>(std::stoi(Address.substr(Address.find(':') + 1))));
+  int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (::connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0)
+    return fd;
+  ::close(fd);
+  return -1;
+}
+
+std::string configOf(int Version, const std::string &Prefix) {
+  return "{\"version\":" + std::to_string(Version) +
+         ",\"routes\":[{\"name\":\"r\",\"host\":\"a.example\",\"path-prefix\":"
+         "\"" +
+         Prefix +
+         "\",\"type\":\"non_idempotent\",\"timeout-ms\":20000,"
+         "\"latency-target-ms\":150,\"priority\":1,\"service\":\"bays\","
+         "\"max-attempts\":1}],\"services\":[{\"name\":\"bays\","
+         "\"health-path\":\"/h\",\"max-conns\":100}]}";
+}
+
+std::string serverEntry(const std::string &Service, const std::string &Address,
+                        const std::string &More) {
+  return "{\"service\":\"" + Service + "\",\"address\":\"" + Address +
+         "\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":6," +
+         (More.empty() ? std::string("\"state\":\"ready\"") : More) +
+         ",\"cold-left-ms\":0,\"sequence\":1,\"born\":1764000000123}";
+}
+
+GatewayFleet::GatewayFleet(int Count, const std::string &StoreAddress) {
+  char name[] = "/tmp/crocusspur-gateway-XXXXXX";
+  const char *folder = ::mkdtemp(name);
+  if (!folder)
+    throw std::runtime_error("no folder for settings");
+  Folder = folder;
+  Store.put("op/config", configOf(1, "/x/"));
+  Instances.resize(static_cast<size_t>(Count));
+  for (size_t i = 0; i < Instances.size(); ++i) {
+    Instances[i].Name = "g" + std::to_string(i + 1);
+    Instances[i].File = Folder / (Instances[i].Name + ".toml");
+    writeSettings(Instances[i],
+                  StoreAddress.empty() ? Store.address() : StoreAddress);
+  }
+}
+
+GatewayFleet::~GatewayFleet() {
+  Instances.clear();
+  std::filesystem::remove_all(Folder);
+}
+
+void GatewayFleet::addServer(const std::string &Id, const FakeServer &Server) {
+  Store.put("servers/" + Id, serverEntry("bays", Server.address()));
+}
+
+void GatewayFleet::start(GatewayInstance &Item) {
+  Item.Process = std::make_unique<ChildProcess>(std::vector<std::string>{
+      std::string(CROCUSSPUR_BUILD_DIR) + "/crocusspur", "gateway",
+      "--settings", Item.File.string()});
+}
+
+void GatewayFleet::startAll() {
+  for (GatewayInstance &it : Instances)
+    start(it);
+  for (GatewayInstance &it : Instances)
+    if (!waitForReady(it))
+      throw std::runtime_error(it.Name + " was not ready in time:\n" +
+                               it.Process->output());
+}
+
+int GatewayFleet::readiness(const GatewayInstance &Item) {
+  std::string answer = get(Item.Ready, "/api/readyz", "");
+  return answer.size() > 12 ? std::atoi(answer.c_str() + 9) : 0;
+}
+
+bool GatewayFleet::waitForReady(const GatewayInstance &Item) {
+  return eventually([&] { return readiness(Item) == 200; }, Generous);
+}
+
+std::string GatewayFleet::get(const std::string &Address,
+                              const std::string &Path,
+                              const std::string &Fields) {
+  int fd = connectTo(Address);
+  if (fd < 0)
+    return "";
+  sendText(fd, "GET " + Path + " HTTP/1.1\r\nHost: a.example\r\n" + Fields +
+                   "Connection: close\r\n\r\n");
+  std::string answer = readAll(fd);
+  ::close(fd);
+  return answer;
+}
+
+std::string GatewayFleet::ask(const GatewayInstance &Item,
+                              const std::string &Path) {
+  return get(Item.Callers, Path, "Attempt-Id: a1\r\nDeadline-Ms: 20000\r\n");
+}
+
+void GatewayFleet::writeSettings(const GatewayInstance &Item,
+                                 const std::string &StoreAddress) {
+  std::ofstream out(Item.File);
+  out << "node-name = \"" << Item.Name << "\"\nzone = \"hall-a\"\n"
+      << "seed-nodes = [\"" << Instances[0].Peers << "\"]\n[listen]\n"
+      << "frontend = \"" << Item.Callers << "\"\nready = \"" << Item.Ready
+      << "\"\ncontrol-plane = \"" << Item.Peers << "\"\n[bounds]\n"
+      << "grace-s = 8\nretry-budget-ratio = 0.2\nbudget-slack = 56\n"
+      << "[platform]\naddress = \"" << StoreAddress << "\"\n";
+}
+
+} // namespace crocusspur::test
--- /dev/null
+++ b/test/gateway_fleet.h
@@ -0,0 +1,102 @@
+// Gateway processes before a store in the test process, for process tests and
+// the soak.
+#ifndef CROCUSSPUR_TEST_GATEWAY_FLEET_H
+#define CROCUSSPUR_TEST_GATEWAY_FLEET_H
+
+#include "child_process.h"
+#include "gateway_fixture.h"
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusspur::test {
+
+constexpr Milliseconds Generous{30000};
+
+// The platform's store, as far as the gateway calls it. It can turn callers
+// away by the name that they state.
+class FakeStore {
+public:
+  FakeStore();
+  ~FakeStore();
+
+  std::string address() const { return Server.address(); }
+  void put(const std::string &Key, const std::string &Value);
+  void turnAway(const std::string &Instance, bool Away);
+
+private:
+  struct Item {
+    uint64_t Revision = 0;
+    std::string Value;
+  };
+
+  void serve(int Fd);
+  bool away(const std::string &Request);
+  std::string list(const std::string &Prefix, uint64_t After, bool &Any);
+  std::string answer(const std::string &Request);
+
+  std::mutex Mutex;
+  uint64_t Revision = 1;
+  bool Stopping = false;
+  std::map<std::string, Item> Items;
+  std::map<std::string, bool> TurnedAway;
+  std::set<int> Open;
+  ScriptServer Server;
+};
+
+// An address of the loopback interface that was free a moment ago.
+std::string freeAddress();
+// A connected socket, or -1.
+int connectTo(const std::string &Address);
+
+// A configuration with one route of non-idempotent calls under the prefix.
+std::string configOf(int Version, const std::string &Prefix);
+// The entry of a ready server of the service.
+std::string serverEntry(const std::string &Service, const std::string &Address,
+                        const std::string &More = "");
+
+struct GatewayInstance {
+  std::string Name;
+  std::string Callers = freeAddress();
+  std::string Ready = freeAddress();
+  std::string Peers = freeAddress();
+  std::filesystem::path File;
+  std::unique_ptr<ChildProcess> Process;
+};
+
+class GatewayFleet {
+public:
+  // `StoreAddress`: what the instances take for the store; empty: the store.
+  explicit GatewayFleet(int Count, const std::string &StoreAddress = "");
+  ~GatewayFleet();
+
+  void addServer(const std::string &Id, const FakeServer &Server);
+  void start(GatewayInstance &Item);
+  void startAll();
+
+  // Status of the readiness call; 0 without an answer.
+  static int readiness(const GatewayInstance &Item);
+  static bool waitForReady(const GatewayInstance &Item);
+  // Sends a request on a connection of its own and returns all that comes.
+  static std::string get(const std::string &Address, const std::string &Path,
+                         const std::string &Fields);
+  static std::string ask(const GatewayInstance &Item, const std::string &Path);
+
+  FakeStore Store;
+  std::vector<GatewayInstance> Instances;
+
+private:
+  void writeSettings(const GatewayInstance &Item,
+                     const std::string &StoreAddress);
+
+  std::filesystem::path Folder;
+};
+
+} // namespace crocusspur::test
+
+#endif
