Let the soak kill what outlasts its time, log slow stops, close idle connections, reset broken answers

(3) Connections to servers that are gone stayed open for good. (4) A broken answer to an HTTP/1.0 caller looked complete.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -27,6 +27,8 @@
 constexpr int DecodeServers = 3;
 constexpr int Callers = 8;
 constexpr Milliseconds CallerPatience{6000};
+// From SIGTERM to SIGKILL, as the instances' settings say.
+constexpr Milliseconds GraceTime{8000};
 
 enum class Kind : uint8_t { NonIdempotent, Idempotent, Stream, Resumable };
 
@@ -67,8 +69,8 @@
 
 class Soak {
 public:
-  Soak(uint64_t Seed, std::chrono::seconds Length)
-      : Random(Seed), Length(Length) {}
+  Soak(uint64_t Seed, std::chrono::seconds Length, bool KeepLogs)
+      : Random(Seed), Length(Length), KeepLogs(KeepLogs) {}
   bool run();
 
 private:
@@ -78,6 +80,8 @@
              bool &KeepOpen);
   void injectFaults(test::GatewayFleet &Fleet);
   void injectOne(test::GatewayFleet &Fleet);
+  void restartEnded(test::GatewayFleet &Fleet);
+  void resume(GatewayInstance &Item);
   void watchVersions(test::GatewayFleet &Fleet);
   void heal(test::GatewayFleet &Fleet);
   unsigned draw(unsigned Below) {
@@ -86,13 +90,16 @@
 
   std::mt19937_64 Random; // of the faults
   std::chrono::seconds Length;
+  bool KeepLogs; // writes the instances' logs also where nothing is broken
   RunBook Book;
   Violations Broken;
   Totals Sum;
   std::vector<std::unique_ptr<SoakServer>> Servers;
   std::vector<std::unique_ptr<FaultProxy>> Proxies;
-  std::mutex FleetMutex;          // guards the processes' pointers
-  std::set<std::string> Refusals; // ids that were said not to have run
+  std::mutex FleetMutex;               // guards the processes' pointers
+  std::map<int, TimePoint> Terminated; // when a process got SIGTERM, by id
+  std::set<int> Stopped;               // processes that got SIGSTOP, by id
+  std::set<std::string> Refusals;      // ids that were said not to have run
   std::mutex RefusalMutex;
   uint64_t Version = 1;
   std::atomic<bool> Stop{false};
@@ -200,16 +207,18 @@
   switch (draw(12)) {
   case 0:
     instance.Process->signal(SIGSTOP);
+    Stopped.insert(instance.Process->pid());
     break;
   case 1:
   case 2:
-    instance.Process->signal(SIGCONT);
+    resume(instance);
     break;
   case 3:
     instance.Process->signal(SIGKILL);
     break;
   case 4:
     instance.Process->signal(SIGTERM);
+    Terminated.try_emplace(instance.Process->pid(), Clock::now());
     break;
   case 5:
     instance.Process->signal(SIGHUP);
@@ -232,17 +241,39 @@
   }
 }
 
-// Restarts what has ended, as the platform does.
 void Soak::injectFaults(test::GatewayFleet &Fleet) {
   TimePoint end = Clock::now() + Length;
   while (Clock::now() < end) {
     std::this_thread::sleep_for(Milliseconds(30 + draw(200)));
     for (unsigned n = 1 + draw(3); n > 0; --n)
       injectOne(Fleet);
-    std::lock_guard lock(FleetMutex);
-    for (GatewayInstance &it : Fleet.Instances)
-      if (it.Process->waitForExit(Milliseconds(0)))
-        Fleet.start(it);
+    restartEnded(Fleet);
+  }
+}
+
+// A process that stood still has its time to end anew.
+void Soak::resume(GatewayInstance &Item) {
+  Item.Process->signal(SIGCONT);
+  Stopped.erase(Item.Process->pid());
+  auto it = Terminated.find(Item.Process->pid());
+  if (it != Terminated.end())
+    it->second = Clock::now();
+}
+
+// Does what the platform does: kills what hasn't ended in time after SIGTERM,
+// and starts again what has ended.
+void Soak::restartEnded(test::GatewayFleet &Fleet) {
+  std::lock_guard lock(FleetMutex);
+  for (GatewayInstance &it : Fleet.Instances) {
+    auto since = Terminated.find(it.Process->pid());
+    if (since != Terminated.end() && !Stopped.contains(it.Process->pid()) &&
+        Clock::now() - since->second > GraceTime) {
+      Broken.add(it.Name + " did not end in time after SIGTERM");
+      it.Process->signal(SIGKILL);
+      Terminated.erase(since);
+    }
+    if (it.Process->waitForExit(Milliseconds(0)))
+      Fleet.start(it);
   }
 }
 
@@ -289,13 +320,15 @@
     it->set(ProxyFault::None);
   for (GatewayInstance &it : Fleet.Instances) {
     Fleet.Store.turnAway(it.Name, false);
-    it.Process->signal(SIGCONT);
+    resume(it);
   }
   // Processes that have been told to stop end first.
-  std::this_thread::sleep_for(std::chrono::seconds(8));
+  TimePoint end = Clock::now() + GraceTime + Milliseconds(500);
+  while (Clock::now() < end) {
+    restartEnded(Fleet);
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
   for (GatewayInstance &it : Fleet.Instances) {
-    if (it.Process->waitForExit(Milliseconds(0)))
-      Fleet.start(it);
     if (!test::GatewayFleet::waitForReady(it)) {
       Broken.add(it.Name + " is not ready after the faults");
       continue;
@@ -323,7 +356,7 @@
   {
     std::lock_guard lock(FleetMutex);
     for (GatewayInstance &it : fleet.Instances)
-      it.Process->signal(SIGCONT);
+      resume(it);
   }
   Stop.store(true);
   for (std::thread &it : threads)
@@ -337,7 +370,7 @@
             << ", violations " << Broken.Found.size() << "\n";
   for (size_t i = 0; i < std::min<size_t>(Broken.Found.size(), 10); ++i)
     std::cout << "  " << Broken.Found[i].substr(0, 300) << "\n";
-  if (!Broken.Found.empty())
+  if (!Broken.Found.empty() || KeepLogs)
     for (GatewayInstance &it : fleet.Instances)
       std::cerr << it.Process->output() << "\n";
   return Broken.Found.empty();
@@ -352,9 +385,12 @@
   int seconds = 6;
   program.add_option("--seed", seed, "Seed of faults, callers and servers");
   program.add_option("--seconds", seconds, "Length of the faults");
+  bool logs = false;
+  program.add_flag("--logs", logs, "Write the instances' logs in any case");
   CLI11_PARSE(program, Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
   std::cout << "seed " << seed << ": " << std::flush;
-  return crocusspur::soak::Soak(seed, std::chrono::seconds(seconds)).run() ? 0
-                                                                           : 1;
+  return crocusspur::soak::Soak(seed, std::chrono::seconds(seconds), logs).run()
+             ? 0
+             : 1;
 }
--- a/src/gateway/gateway_front.cc
+++ b/src/gateway/gateway_front.cc
@@ -54,6 +54,11 @@
 // For the last answers when the process ends.
 constexpr Milliseconds LastAnswerTime{200};
 
+void resetOnClose(int Fd) {
+  linger value{1, 0};
+  ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
 class GatewayFront final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
@@ -66,7 +71,8 @@
   class Factory;
 
   CallerLimits limits() const;
-  bool serveOne(CallerReader &Reader, int Fd);
+  // Returns whether the connection is kept. `Reset` is set if it must be reset.
+  bool serveOne(CallerReader &Reader, int Fd, bool &Reset);
   void setIdle(int Fd, bool Idle);
   void closeIdle();
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
@@ -165,9 +171,13 @@
   try {
     CallerLimits values = limits();
     CallerReader reader(Fd, values);
-    while (serveOne(reader, Fd))
+    bool reset = false;
+    while (serveOne(reader, Fd, reset))
       values = limits();
-    reader.closeGently();
+    if (reset)
+      resetOnClose(Fd);
+    else
+      reader.closeGently();
   } catch (const std::exception &error) {
     log(LogLevel::Error, "gateway_front", "connection failed",
         {{"reason", error.what()}});
@@ -220,7 +230,7 @@
   writeProblem(Sink, item);
 }
 
-bool GatewayFront::serveOne(CallerReader &Reader, int Fd) {
+bool GatewayFront::serveOne(CallerReader &Reader, int Fd, bool &Reset) {
   HttpHead head;
   setIdle(Fd, true);
   ReadVerdict verdict = Reader.readHead(head);
@@ -250,6 +260,7 @@
     std::lock_guard lock(Mutex);
     Idle.notify_all();
   }
+  Reset = sink.needsReset();
   return sink.keepsAlive() && !Runtime->Stopping.load();
 }
 
--- a/src/gateway/server_link.cc
+++ b/src/gateway/server_link.cc
@@ -52,11 +52,26 @@
   Milliseconds keep = KeepOpen ? *KeepOpen - CloseMargin : UsualIdleTime;
   if (keep <= Milliseconds(0))
     return;
+  TimePoint now = Clock::now();
   std::lock_guard lock(Mutex);
   auto &idle = Connections[Address];
-  idle.push_back({std::move(Connection), Clock::now() + keep});
+  idle.push_back({std::move(Connection), now + keep});
   if (idle.size() > MostIdle)
     idle.pop_front();
+  // Servers that are gone are never asked for again; their connections would
+  // stay open for good.
+  for (auto &it : Connections)
+    std::erase_if(it.second,
+                  [&](const Idle &It) { return It.UsableUntil <= now; });
+  std::erase_if(Connections, [](const auto &It) { return It.second.empty(); });
+}
+
+size_t ConnectionPool::idleCount() {
+  std::lock_guard lock(Mutex);
+  size_t n = 0;
+  for (const auto &it : Connections)
+    n += it.second.size();
+  return n;
 }
 
 void ConnectionPool::drop(const std::string &Address) {
--- a/src/gateway/server_link.h
+++ b/src/gateway/server_link.h
@@ -22,6 +22,7 @@
   void give(const std::string &Address, internal::BackendSocketPtr Connection,
             std::optional<Milliseconds> KeepOpen);
   void drop(const std::string &Address);
+  size_t idleCount();
   uint64_t opened() const { return Opened.load(); }
   void countOpened() { ++Opened; }
 
--- a/src/http_sink.cc
+++ b/src/http_sink.cc
@@ -83,7 +83,8 @@
   Begun = true;
   bool noBody = Options.HeadOnly || Head.Status == 204 || Head.Status == 304;
   Chunked = !Head.HasLength && Options.MayChunk && !noBody;
-  if (!Head.HasLength && !Chunked && !noBody)
+  UntilClose = !Head.HasLength && !Chunked && !noBody;
+  if (UntilClose)
     KeepAlive = false;
   HeadText = "HTTP/1.1 " + std::to_string(Head.Status) + " " +
              reasonPhrase(Head.Status) + "\r\n";
@@ -127,8 +128,10 @@
 }
 
 bool HttpSink::end(bool Complete) {
-  if (!Complete)
+  if (!Complete) {
     KeepAlive = false;
+    NeedsReset = UntilClose;
+  }
   if (Complete && Chunked)
     return flush("0\r\n\r\n", false);
   return HeadText.empty() ? !Gone : flush("", false);
--- a/src/http_sink.h
+++ b/src/http_sink.h
@@ -29,6 +29,9 @@
   // Whether another request can follow on the connection.
   bool keepsAlive() const { return KeepAlive && !Gone; }
   bool begun() const { return Begun; }
+  // The answer broke off and its end would be shown by the end of the
+  // connection alone: only a reset tells the caller.
+  bool needsReset() const { return NeedsReset; }
 
 private:
   bool flush(std::string_view Data, bool Framed);
@@ -39,6 +42,8 @@
   bool KeepAlive;
   bool Begun = false;
   bool Chunked = false;
+  bool UntilClose = false; // the end of the connection ends the answer
+  bool NeedsReset = false;
   bool Gone = false;
 };
 
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -1,5 +1,7 @@
 #include "crocusspur/kernel.h"
 
+#include "log.h"
+
 #include <algorithm>
 #include <condition_variable>
 #include <map>
@@ -9,6 +11,9 @@
 namespace crocusspur {
 namespace {
 
+// A plug-in that takes longer to stop can cost the process its last answers.
+constexpr Milliseconds SlowStop{500};
+
 std::vector<PluginEntry> &registry() {
   static std::vector<PluginEntry> Entries;
   return Entries;
@@ -21,7 +26,11 @@
 }
 
 struct Kernel::State {
-  std::vector<std::unique_ptr<Plugin>> Started;
+  struct Running {
+    std::string Name;
+    std::unique_ptr<Plugin> Part;
+  };
+  std::vector<Running> Started;
   std::map<std::string, void *> Interfaces;
   bool Stopping = false;
   std::mutex Mutex; // guards all but Started
@@ -51,7 +60,7 @@
       stop();
       return false;
     }
-    Impl->Started.push_back(std::move(plugin));
+    Impl->Started.push_back({it.Name, std::move(plugin)});
   }
   return true;
 }
@@ -64,8 +73,16 @@
     std::lock_guard lock(Impl->Mutex);
     Impl->Stopping = true;
   }
-  for (auto it = Impl->Started.rbegin(); it != Impl->Started.rend(); ++it)
-    (*it)->stop();
+  for (auto it = Impl->Started.rbegin(); it != Impl->Started.rend(); ++it) {
+    auto began = std::chrono::steady_clock::now();
+    it->Part->stop();
+    auto taken = std::chrono::duration_cast<Milliseconds>(
+        std::chrono::steady_clock::now() - began);
+    if (taken >= SlowStop)
+      internal::log(
+          internal::LogLevel::Warn, "kernel", "a plug-in was slow to stop",
+          {{"plugin", it->Name}, {"taken_ms", std::to_string(taken.count())}});
+  }
   while (!Impl->Started.empty())
     Impl->Started.pop_back();
 }
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <fstream>
 #include <thread>
+#include <unistd.h>
 
 using namespace crocusspur;
 using crocusspur::test::ChildProcess;
@@ -170,3 +171,25 @@
   std::string state = GatewayFleet::get(gateway.Ready, "/state", "");
   CHECK(state.find("\"config_version\":") != std::string::npos);
 }
+
+// The platform kills what hasn't ended when its time is over.
+TEST_CASE("Idle connections don't hold up the end of a shutdown") {
+  FakeServer server(
+      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
+  GatewayFleet fleet(1);
+  fleet.addServer("s1", server);
+  fleet.startAll();
+  Instance &gateway = fleet.Instances[0];
+  std::vector<int> idle;
+  for (const std::string &it :
+       {gateway.Ready, gateway.Callers, gateway.Peers, gateway.Ready}) {
+    idle.push_back(test::connectTo(it));
+    REQUIRE(idle.back() >= 0);
+  }
+  sendText(idle[0], "GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+  readUntil(idle[0], "ready\n");
+  gateway.Process->signal(SIGTERM);
+  CHECK(gateway.Process->waitForExit(Milliseconds(8000)) == 0);
+  for (int it : idle)
+    ::close(it);
+}
--- a/test/gateway_request_run_test.cc
+++ b/test/gateway_request_run_test.cc
@@ -1,6 +1,8 @@
 #include "gateway_fixture.h"
 
 #include <doctest/doctest.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
@@ -177,3 +179,18 @@
   CHECK(contains(answer, "Server-Signature: sig"));
   CHECK(answer.ends_with("oops"));
 }
+
+// Servers come and go; what is kept for those that are gone must not pile up.
+TEST_CASE("Connections to servers that aren't asked again are closed in time") {
+  ConnectionPool pool;
+  SocketPair first;
+  SocketPair second;
+  auto owned = [](int Fd) {
+    return std::make_unique<internal::BackendSocket>(::dup(Fd));
+  };
+  pool.give("10.0.0.1:1", owned(first.near()), Milliseconds(1010));
+  CHECK(pool.idleCount() == 1);
+  std::this_thread::sleep_for(Milliseconds(20)); // it is usable for 10 ms
+  pool.give("10.0.0.2:1", owned(second.near()), Milliseconds(9000));
+  CHECK(pool.idleCount() == 1);
+}
