Never refuse as not run after an unknown run, and share the listener of the gateway's plug-ins

Cause: a resumable stream whose first server broke off before its head was repeated; if no decode server had memory then, the caller got a 503 that says it has not run. Found on reading the change. gateway_front and member_links each had a listener with its own connection classes.

Ruled out: ending such a request without a repeat; a resumable stream may run again.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 namespace crocusspur::soak {
 namespace {
@@ -170,7 +171,7 @@
     std::string id = "c" + std::to_string(Number) + "-" + std::to_string(i);
     HttpExchange http(waiter);
     if (kept && kept->idleAndOpen())
-      http.adopt(std::move(kept));
+      http.adopt(std::exchange(kept, nullptr));
     else {
       kept.reset();
       keptAt = Fleet.Instances[random() % Gateways].Callers;
--- a/src/gateway/gateway_front.cc
+++ b/src/gateway/gateway_front.cc
@@ -1,16 +1,13 @@
 // Plug-in: callers' connections. Each has a thread of its own, which reads
 // requests, finds their routes and runs them.
 #include "caller_reader.h"
+#include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/request_run.h"
 #include "log.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/ThreadPool.h>
+#include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -37,7 +34,6 @@
 // The deepest call of a connection's thread needs some 50 KiB.
 constexpr int StackBytes = 262144;
 constexpr int MinThreads = 8;
-constexpr int ThreadIdleSeconds = 60;
 constexpr int MaxConnections = 768; // of callers; each holds a thread
 constexpr int Backlog = 1024;
 constexpr uint32_t MaxHeaderFields = 128;
@@ -67,9 +63,6 @@
   void serve(int Fd);
 
 private:
-  class Connection;
-  class Factory;
-
   CallerLimits limits() const;
   // Returns whether the connection is kept. `Reset` is set if it must be reset.
   bool serveOne(CallerReader &Reader, int Fd, bool &Reset);
@@ -85,8 +78,7 @@
   Kernel *Owner = nullptr;
   GatewayRuntime *Runtime = nullptr;
   std::optional<GatewayParts> Parts;
-  std::unique_ptr<Poco::ThreadPool> Pool;
-  std::unique_ptr<Poco::Net::TCPServer> Server;
+  internal::ConnectionServer Server;
   std::mutex Mutex;
   std::condition_variable Idle; // the last running request has ended
   std::set<int> Sockets;        // of open connections
@@ -94,28 +86,6 @@
   uint64_t ClosingTimer = 0;
 };
 
-class GatewayFront::Connection : public Poco::Net::TCPServerConnection {
-public:
-  Connection(const StreamSocket &Socket, GatewayFront &Owner)
-      : TCPServerConnection(Socket), Owner(Owner) {}
-  void run() override { Owner.serve(socket().impl()->sockfd()); }
-
-private:
-  GatewayFront &Owner;
-};
-
-class GatewayFront::Factory : public Poco::Net::TCPServerConnectionFactory {
-public:
-  explicit Factory(GatewayFront &Owner) : Owner(Owner) {}
-  Poco::Net::TCPServerConnection *
-  createConnection(const StreamSocket &Socket) override {
-    return new Connection(Socket, Owner);
-  }
-
-private:
-  GatewayFront &Owner;
-};
-
 bool GatewayFront::start(Kernel &Owner) {
   this->Owner = &Owner;
   Runtime = Owner.find<GatewayRuntime>();
@@ -124,32 +94,28 @@
     return false;
   Parts.emplace(GatewayParts{Runtime->Values, Runtime->Wire, Runtime->Known,
                              Runtime->Connections, Runtime->Lines, *metrics});
-  try {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(Runtime->Values.CallerAddress), true);
-    socket.listen(Backlog);
-    Pool = std::make_unique<Poco::ThreadPool>(
-        "callers", MinThreads, MaxConnections, ThreadIdleSeconds, StackBytes);
-    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
-    params->setMaxThreads(MaxConnections);
-    params->setMaxQueued(MaxConnections);
-    params->setThreadIdleTime(Poco::Timespan(ThreadIdleSeconds, 0));
-    Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
-                                                    socket, params);
-    Server->start();
-    ClosingTimer = Owner.timers().every(ClosingPeriod, [this] { closeIdle(); });
-  } catch (const Poco::Exception &error) {
+  internal::ConnectionServerOptions options;
+  options.Name = "callers";
+  options.Address = Runtime->Values.CallerAddress;
+  options.MinThreads = MinThreads;
+  options.MaxThreads = MaxConnections;
+  options.Backlog = Backlog;
+  options.StackBytes = StackBytes;
+  std::string fault = Server.start(options, [this](StreamSocket &Socket) {
+    serve(Socket.impl()->sockfd());
+  });
+  if (!fault.empty()) {
     log(LogLevel::Error, "gateway_front", "could not listen",
-        {{"address", Runtime->Values.CallerAddress},
-         {"reason", error.displayText()}});
+        {{"address", options.Address}, {"reason", fault}});
     return false;
   }
+  ClosingTimer = Owner.timers().every(ClosingPeriod, [this] { closeIdle(); });
   return true;
 }
 
 void GatewayFront::stop() {
   Owner->timers().cancel(ClosingTimer);
-  Server->stop();
+  Server.stopAccepting();
   {
     std::unique_lock lock(Mutex);
     Idle.wait_for(lock, LastAnswerTime,
@@ -157,8 +123,7 @@
     for (int it : Sockets)
       ::shutdown(it, SHUT_RDWR);
   }
-  Pool->joinAll();
-  Server.reset();
+  Server.join();
 }
 
 void GatewayFront::serve(int Fd) {
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -2,17 +2,15 @@
 // one frame each way, so that a silent connection costs one round at most.
 // Membership spreads in every round; routes and servers pass only to instances
 // whose own reading of the store fails or that have just started.
+#include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/member_codec.h"
 #include "log.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/ThreadPool.h>
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -29,9 +27,6 @@
 using internal::LogLevel;
 using Poco::Net::StreamSocket;
 
-constexpr int MaxThreads = 8;
-constexpr int MaxQueued = 64;
-constexpr int StackBytes = 262144;
 constexpr size_t ContactsPerRound = 2;
 constexpr Milliseconds UsualRound{1000};
 // While something is missing: well below the time in which changes have to be
@@ -105,9 +100,6 @@
   void serve(StreamSocket &Socket);
 
 private:
-  class Connection;
-  class Factory;
-
   void runRounds();
   bool exchange(const std::string &Address);
   // Whether the store's news don't reach this instance, or reach it late.
@@ -118,8 +110,7 @@
   void noteMembers();
 
   GatewayRuntime *Runtime = nullptr;
-  std::unique_ptr<Poco::ThreadPool> Pool;
-  std::unique_ptr<Poco::Net::TCPServer> Server;
+  internal::ConnectionServer Server;
   std::mutex Mutex; // guards Stopping
   std::condition_variable Wake;
   bool Stopping = false;
@@ -131,28 +122,6 @@
   std::thread Thread;
 };
 
-class MemberLinks::Connection : public Poco::Net::TCPServerConnection {
-public:
-  Connection(const StreamSocket &Socket, MemberLinks &Owner)
-      : TCPServerConnection(Socket), Owner(Owner) {}
-  void run() override { Owner.serve(socket()); }
-
-private:
-  MemberLinks &Owner;
-};
-
-class MemberLinks::Factory : public Poco::Net::TCPServerConnectionFactory {
-public:
-  explicit Factory(MemberLinks &Owner) : Owner(Owner) {}
-  Poco::Net::TCPServerConnection *
-  createConnection(const StreamSocket &Socket) override {
-    return new Connection(Socket, Owner);
-  }
-
-private:
-  MemberLinks &Owner;
-};
-
 bool MemberLinks::start(Kernel &Owner) {
   Runtime = Owner.find<GatewayRuntime>();
   if (!Runtime)
@@ -162,21 +131,14 @@
     log(LogLevel::Warn, "member_links", "no peer address; serving alone", {});
     return true;
   }
-  try {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(values.PeerAddress), true);
-    socket.listen();
-    Pool = std::make_unique<Poco::ThreadPool>("members", 1, MaxThreads, 60,
-                                              StackBytes);
-    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
-    params->setMaxThreads(MaxThreads);
-    params->setMaxQueued(MaxQueued);
-    Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
-                                                    socket, params);
-    Server->start();
-  } catch (const Poco::Exception &error) {
+  internal::ConnectionServerOptions options;
+  options.Name = "members";
+  options.Address = values.PeerAddress;
+  std::string fault =
+      Server.start(options, [this](StreamSocket &Socket) { serve(Socket); });
+  if (!fault.empty()) {
     log(LogLevel::Error, "member_links", "could not listen",
-        {{"address", values.PeerAddress}, {"reason", error.displayText()}});
+        {{"address", values.PeerAddress}, {"reason", fault}});
     return false;
   }
   log(LogLevel::Warn, "member_links",
@@ -193,11 +155,8 @@
   Wake.notify_all();
   if (Thread.joinable())
     Thread.join();
-  if (Server) {
-    Server->stop();
-    Pool->joinAll();
-    Server.reset();
-  }
+  Server.stopAccepting();
+  Server.join();
 }
 
 MemberFrame MemberLinks::ownFrame(bool Asking) {
--- a/src/gateway/request_run.cc
+++ b/src/gateway/request_run.cc
@@ -152,7 +152,6 @@
 // server only if no byte of them can have arrived.
 void RequestRun::runPlain() {
   bool repeatable = Route.Kind == RouteKind::Idempotent;
-  bool mayHaveRun = false;
   while (!ended()) {
     std::optional<ServerChoice> server =
         Parts.Known.choose({Service, ServerStage::Whole, Tried});
@@ -166,8 +165,8 @@
     Next next = tryPlain(*server, last);
     if (next == Next::Done)
       return;
-    mayHaveRun = mayHaveRun || next == Next::MayHaveRun;
-    if (next == Next::MayHaveRun && !repeatable)
+    MayHaveRun = MayHaveRun || next == Next::Unknown;
+    if (next == Next::Unknown && !repeatable)
       break;
   }
   if (Waiter.callerLeft())
@@ -176,7 +175,7 @@
     Status = Failure->Head.Status;
     internal::writeAnswer(Sink, Failure->Head, Failure->Body);
     finish("answered", "the server failed, and no other took a repeat");
-  } else if (mayHaveRun)
+  } else if (MayHaveRun)
     fail(Waiter.pastEnd() ? ErrorKind::BackendTimeout
                           : ErrorKind::BackendFailed,
          "no server gave a usable answer");
@@ -216,14 +215,14 @@
     Parts.Connections.drop(Server.Address);
     return end(CallResult::Unreachable, "not_sent", Next::NotRun);
   case CallStatus::Broken:
-    return end(CallResult::Failed, "broken", Next::MayHaveRun);
+    return end(CallResult::Failed, "broken", Next::Unknown);
   case CallStatus::Silent:
-    return end(CallResult::Silent, "silent", Next::MayHaveRun);
+    return end(CallResult::Silent, "silent", Next::Unknown);
   case CallStatus::CallerLeft:
-    return end(CallResult::Abandoned, "caller_left", Next::MayHaveRun);
+    return end(CallResult::Abandoned, "caller_left", Next::Unknown);
   case CallStatus::OutOfTime:
     return end(CallResult::Silent, "out_of_time",
-               call.maySent() ? Next::MayHaveRun : Next::NotRun);
+               call.maySent() ? Next::Unknown : Next::NotRun);
   case CallStatus::Answered:
     break;
   }
@@ -235,11 +234,11 @@
   if (facts.NotRun)
     return end(CallResult::Shed, "refused_" + code, Next::NotRun);
   if (!facts.Signed || facts.Encoded)
-    return end(CallResult::Failed, "unusable_" + code, Next::MayHaveRun);
+    return end(CallResult::Failed, "unusable_" + code, Next::Unknown);
   bool failure = call.head().Status >= 500;
   if (failure && !LastTry) {
     Failure = ServerFailure{headOf(call), std::move(body)};
-    return end(CallResult::Failed, "failure_" + code, Next::MayHaveRun);
+    return end(CallResult::Failed, "failure_" + code, Next::Unknown);
   }
   end(failure ? CallResult::Failed : CallResult::Served, "answered_" + code,
       Next::Done);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -38,20 +38,20 @@
     ServerChoice Server;
     std::string Handle;
   };
+  // A server's own failure, kept while the request is repeated elsewhere.
+  struct ServerFailure {
+    internal::AnswerHead Head;
+    std::string Body;
+  };
   // What follows a call that hasn't given the caller its answer.
   enum class Next : uint8_t {
-    Done,      // the caller has its answer, or has left
-    NotRun,    // no server has run the request
-    MayHaveRun // unknown, or a server failed it
+    Done,   // the caller has its answer, or has left
+    NotRun, // no server has run the request
+    Unknown // a server may have run it, or failed it
   };
 
   void runPlain();
   Next tryPlain(const ServerChoice &Server, bool LastTry);
-  // The server's own failure, kept while the request is repeated elsewhere.
-  struct ServerFailure {
-    internal::AnswerHead Head;
-    std::string Body;
-  };
 
   void runStream();
   // One round: a place, the prompt, the stream. `ReadAtDecode`: the decode
@@ -102,6 +102,7 @@
   bool Returning = false;      // the caller has been refused before
   bool PrefillSent = false;    // the last prefill call may have arrived
   bool BudgetSpent = false;    // no repeat is allowed any more
+  bool MayHaveRun = false;     // some server may have run the request
   bool HeadPassed = false;     // the caller has the head of an answer
   std::optional<TimePoint> FirstOutput;
   std::optional<ServerFailure> Failure;
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -49,7 +49,6 @@
 
 void RequestRun::runStream() {
   Next next = Next::NotRun;
-  bool mayHaveRun = false;
   for (int round = 0; round < MostRounds && !ended() && !BudgetSpent; ++round) {
     if (round > 0 && !mayRepeat())
       break;
@@ -57,8 +56,8 @@
     next = tryStream(/*ReadAtDecode=*/round > 0 && next == Next::NotRun);
     if (next == Next::Done)
       return;
-    mayHaveRun = mayHaveRun || next == Next::MayHaveRun;
-    if (next == Next::MayHaveRun && !Route.Resumable)
+    MayHaveRun = MayHaveRun || next == Next::Unknown;
+    if (next == Next::Unknown && !Route.Resumable)
       break;
   }
   if (HeadPassed) {
@@ -67,7 +66,7 @@
   }
   if (Waiter.callerLeft())
     finish("caller_left", "the caller closed its connection");
-  else if (mayHaveRun)
+  else if (MayHaveRun)
     fail(Waiter.pastEnd() ? ErrorKind::BackendTimeout
                           : ErrorKind::BackendFailed,
          "the server's answer broke off");
@@ -92,6 +91,10 @@
       endBrokenStream("no place to continue the stream");
       return Next::Done;
     }
+    if (MayHaveRun) {
+      fail(ErrorKind::BackendFailed, "no place for a repeat");
+      return Next::Done;
+    }
     bool known = Parts.Known.hasStage(Service, ServerStage::Decode) ||
                  Parts.Known.hasStage(Service, ServerStage::Whole);
     Milliseconds drain = Parts.Lines.drainTime(Service);
@@ -369,17 +372,17 @@
     return end(CallResult::Unreachable, "not_sent", Next::NotRun);
   case CallStatus::Broken:
     Tried.insert(server.Id);
-    return end(CallResult::Failed, "broken", Next::MayHaveRun);
+    return end(CallResult::Failed, "broken", Next::Unknown);
   case CallStatus::Silent:
     Tried.insert(server.Id);
-    return end(CallResult::Silent, "silent", Next::MayHaveRun);
+    return end(CallResult::Silent, "silent", Next::Unknown);
   case CallStatus::CallerLeft:
   case CallStatus::OutOfTime:
     if (From && !call.maySent())
       giveBack();
     return end(CallResult::Abandoned,
                status == CallStatus::CallerLeft ? "caller_left" : "out_of_time",
-               call.maySent() ? Next::MayHaveRun : Next::NotRun);
+               call.maySent() ? Next::Unknown : Next::NotRun);
   case CallStatus::Answered:
     break;
   }
@@ -410,7 +413,7 @@
   if (status != CallStatus::Answered || !facts.Signed || facts.Encoded ||
       HeadPassed || (Route.Resumable && Used.size() < Route.MaxServers)) {
     Tried.insert(server.Id);
-    return end(CallResult::Failed, "unusable_" + code, Next::MayHaveRun);
+    return end(CallResult::Failed, "unusable_" + code, Next::Unknown);
   }
   end(CallResult::Failed, "failure_" + code, Next::Done);
   Status = call.head().Status;
@@ -419,7 +422,7 @@
   return Next::Done;
 }
 
-// Passes whole events on. Returns MayHaveRun if the stream broke off and the
+// Passes whole events on. Returns Unknown if the stream broke off and the
 // caller still waits.
 RequestRun::Next RequestRun::relayStream(ServerCall &Call,
                                          const ServerChoice &Server) {
@@ -456,7 +459,7 @@
     return Next::Done;
   }
   Tried.insert(Server.Id);
-  return Next::MayHaveRun;
+  return Next::Unknown;
 }
 
 bool RequestRun::passEvents(EventSplitter &Events) {
--- a/src/log.h
+++ b/src/log.h
@@ -22,7 +22,6 @@
 void startLogging(const std::string &Level, const std::string &Instance,
                   LogStream Stream = LogStream::StandardError);
 
-
 // Flushes and ends logging.
 void stopLogging();
 
--- a/test/gateway_stream_run_test.cc
+++ b/test/gateway_stream_run_test.cc
@@ -268,3 +268,17 @@
   CHECK(decoder.count("Retention") == 0);
   CHECK(decoder.count("DELETE /api/hold-drop/res1") == 1);
 }
+
+// The first server may have run the request, so no later refusal may say that
+// it has not run.
+TEST_CASE("A repeat that finds no place doesn't end as not run") {
+  GatewayFixture gateway;
+  FakeServer lost(decode([](const std::string &, int) { return ""; }));
+  gateway.addServer("d1", lost, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  std::string answer = gateway.run(route);
+  CHECK(lost.count("Retention") == 1);
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(contains(answer, "\"run\":\"no\""));
+}
