--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -1,4 +1,4 @@
-// An adapter makes the gateway speak with the machines, callers, servers and
+// An adapter makes the gateway speak with the instances, callers, servers and
 // store of one kind of deployment. It registers itself and is chosen by name.
 #ifndef CROCUSSPUR_GATEWAY_ADAPTER_H
 #define CROCUSSPUR_GATEWAY_ADAPTER_H
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -1,5 +1,5 @@
 // Settings of a gateway process. An adapter fills the first part from what the
-// machine's operators give; the second part are the product's own.
+// operators give; the second part is the product's own.
 #ifndef CROCUSSPUR_GATEWAY_SETTINGS_H
 #define CROCUSSPUR_GATEWAY_SETTINGS_H
 
