--- a/src/caller_front.cc
+++ b/src/caller_front.cc
@@ -1,4 +1,5 @@
 #include "caller_reader.h"
+#include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "digest.h"
 #include "http_sink.h"
@@ -6,11 +7,7 @@
 #include "relay.h"
 #include "runtime.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServer.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/ThreadPool.h>
+#include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <boost/leaf.hpp>
 #include <condition_variable>
@@ -31,7 +28,6 @@
 // of 16 KiB and the parsers); 1,024 threads then reserve 256 MiB of addresses.
 constexpr int StackBytes = 262144;
 constexpr int MinThreads = 16;
-constexpr int ThreadIdleSeconds = 60;
 // Threads that answer connections over the limit with 503.
 constexpr uint32_t SpareThreads = 32;
 constexpr Milliseconds RefusalReadLimit{500};
@@ -60,10 +56,7 @@
   void serve(int Fd);
 
 private:
-  class Connection;
-  class Factory;
-  class Filter;
-
+  bool admit(const StreamSocket &Socket);
   bool serveOne(CallerReader &Reader, int Fd);
   void countRunning(int Change);
   void refuse(int Fd);
@@ -82,8 +75,7 @@
   RelayRunner *Relays = nullptr;
   const Settings *Values = nullptr;
   CallerLimits Limits;
-  std::unique_ptr<Poco::ThreadPool> Pool;
-  std::unique_ptr<Poco::Net::TCPServer> Server;
+  ConnectionServer Server;
   std::atomic<uint32_t> Open{0};
   std::atomic<bool> Stopping{false};
   std::mutex Mutex;
@@ -92,30 +84,6 @@
   uint32_t Running = 0;         // requests between their head and answer
 };
 
-class CallerFront::Connection : public Poco::Net::TCPServerConnection {
-public:
-  Connection(const StreamSocket &Socket, CallerFront &Owner)
-      : TCPServerConnection(Socket), Owner(Owner) {}
-
-  void run() override { Owner.serve(socket().impl()->sockfd()); }
-
-private:
-  CallerFront &Owner;
-};
-
-class CallerFront::Factory : public Poco::Net::TCPServerConnectionFactory {
-public:
-  explicit Factory(CallerFront &Owner) : Owner(Owner) {}
-
-  Poco::Net::TCPServerConnection *
-  createConnection(const StreamSocket &Socket) override {
-    return new Connection(Socket, Owner);
-  }
-
-private:
-  CallerFront &Owner;
-};
-
 std::string overloadAnswer() {
   std::string body = formatProblem(
       problemFor(ErrorKind::Overloaded, "too many connections", RequestId()));
@@ -125,26 +93,17 @@
          "\r\nRetry-After: 1\r\nConnection: close\r\n\r\n" + body;
 }
 
-// Runs on the acceptor's thread, so it must not wait. It refuses connections
-// that not even a spare thread can answer.
-class CallerFront::Filter : public Poco::Net::TCPServerConnectionFilter {
-public:
-  explicit Filter(CallerFront &Owner) : Owner(Owner) {}
-
-  bool accept(const StreamSocket &Socket) override {
-    if (Owner.Open.load() < Owner.Values->MaxConnections + SpareThreads) {
-      ++Owner.Open;
-      return true;
-    }
-    std::string text = overloadAnswer();
-    ::send(Socket.impl()->sockfd(), text.data(), text.size(),
-           MSG_NOSIGNAL | MSG_DONTWAIT);
-    return false;
+// Refuses connections that not even a spare thread can answer.
+bool CallerFront::admit(const StreamSocket &Socket) {
+  if (Open.load() < Values->MaxConnections + SpareThreads) {
+    ++Open;
+    return true;
   }
-
-private:
-  CallerFront &Owner;
-};
+  std::string text = overloadAnswer();
+  ::send(Socket.impl()->sockfd(), text.data(), text.size(),
+         MSG_NOSIGNAL | MSG_DONTWAIT);
+  return false;
+}
 
 // Finds callers that have gone silent without closing: four probes, each five
 // seconds apart.
@@ -170,42 +129,37 @@
   Limits.MaxHeaderFields = Values->MaxHeaderFields;
   Limits.MaxBodyBytes = Values->MaxBodyBytes;
   Limits.IdleTimeout = Values->IdleTimeout;
-  auto threads = static_cast<int>(Values->MaxConnections + SpareThreads);
-  try {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(Values->CallerAddress), true);
-    socket.listen(Backlog);
-    Pool = std::make_unique<Poco::ThreadPool>("callers", MinThreads, threads,
-                                              ThreadIdleSeconds, StackBytes);
-    Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
-    params->setMaxThreads(threads);
-    params->setMaxQueued(threads);
-    params->setThreadIdleTime(Poco::Timespan(ThreadIdleSeconds, 0));
-    Server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this), *Pool,
-                                                    socket, params);
-    Server->setConnectionFilter(new Filter(*this));
-    Server->start();
-    log(LogLevel::Info, "caller_front", "listening",
-        {{"front", "callers"}, {"address", socket.address().toString()}});
-  } catch (const Poco::Exception &error) {
+  ConnectionServerOptions options;
+  options.Name = "callers";
+  options.Address = Values->CallerAddress;
+  options.MinThreads = MinThreads;
+  options.MaxThreads = static_cast<int>(Values->MaxConnections + SpareThreads);
+  options.MaxQueued = options.MaxThreads;
+  options.Backlog = Backlog;
+  options.StackBytes = StackBytes;
+  std::string fault = Server.start(
+      options, [this](StreamSocket &Socket) { serve(Socket.impl()->sockfd()); },
+      [this](const StreamSocket &Socket) { return admit(Socket); });
+  if (!fault.empty()) {
     log(LogLevel::Error, "caller_front", "could not listen",
-        {{"address", Values->CallerAddress}, {"reason", error.displayText()}});
+        {{"address", options.Address}, {"reason", fault}});
     return false;
   }
+  log(LogLevel::Info, "caller_front", "listening",
+      {{"front", "callers"}, {"address", Server.address()}});
   return true;
 }
 
 void CallerFront::stop() {
   Stopping.store(true);
-  Server->stop();
+  Server.stopAccepting();
   {
     std::unique_lock lock(Mutex);
     Idle.wait_for(lock, LastAnswerTime, [this] { return Running == 0; });
     for (int it : Sockets)
       ::shutdown(it, SHUT_RD);
   }
-  Pool->joinAll();
-  Server.reset();
+  Server.join();
 }
 
 void CallerFront::serve(int Fd) {
--- a/src/connection_server.cc
+++ b/src/connection_server.cc
@@ -1,7 +1,5 @@
 #include "connection_server.h"
 
-#include "crocusspur/types.h"
-
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
@@ -16,9 +14,6 @@
 using Poco::Net::TCPServerConnection;
 
 constexpr int ThreadIdleSeconds = 60;
-// A thread of POCO's dispatcher that is about to wait misses the wake-up of a
-// stop and then waits for this long.
-constexpr Milliseconds DispatcherWait{500};
 
 class Connection : public TCPServerConnection {
 public:
@@ -43,10 +38,20 @@
   const ConnectionServer::Serve &Function;
 };
 
+class Filter : public Poco::Net::TCPServerConnectionFilter {
+public:
+  explicit Filter(const ConnectionServer::Accept &Admits) : Admits(Admits) {}
+  bool accept(const StreamSocket &Socket) override { return Admits(Socket); }
+
+private:
+  const ConnectionServer::Accept &Admits;
+};
+
 } // namespace
 
 struct ConnectionServer::State {
   Serve Function;
+  Accept Admits;
   std::unique_ptr<Poco::ThreadPool> Pool;
   std::unique_ptr<Poco::Net::TCPServer> Server;
 };
@@ -56,8 +61,9 @@
 ConnectionServer::~ConnectionServer() = default;
 
 std::string ConnectionServer::start(const ConnectionServerOptions &Options,
-                                    Serve Function) {
+                                    Serve Function, Accept Admits) {
   Impl->Function = std::move(Function);
+  Impl->Admits = std::move(Admits);
   try {
     Poco::Net::ServerSocket socket;
     socket.bind(Poco::Net::SocketAddress(Options.Address), true);
@@ -67,11 +73,13 @@
         Options.StackBytes);
     Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
     params->setMaxThreads(Options.MaxThreads);
-    params->setMaxQueued(Options.Backlog);
+    params->setMaxQueued(Options.MaxQueued);
     params->setThreadIdleTime(
         Poco::Timespan(std::chrono::microseconds(DispatcherWait).count()));
     Impl->Server = std::make_unique<Poco::Net::TCPServer>(
         new Factory(Impl->Function), *Impl->Pool, socket, params);
+    if (Impl->Admits)
+      Impl->Server->setConnectionFilter(new Filter(Impl->Admits));
     Impl->Server->start();
   } catch (const Poco::Exception &error) {
     return error.displayText();
@@ -79,6 +87,10 @@
   return "";
 }
 
+std::string ConnectionServer::address() const {
+  return Impl->Server ? Impl->Server->socket().address().toString() : "";
+}
+
 void ConnectionServer::stopAccepting() {
   if (Impl->Server)
     Impl->Server->stop();
--- a/src/connection_server.h
+++ b/src/connection_server.h
@@ -2,6 +2,8 @@
 #ifndef CROCUSSPUR_CONNECTION_SERVER_H
 #define CROCUSSPUR_CONNECTION_SERVER_H
 
+#include "crocusspur/types.h"
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,12 +16,17 @@
 
 namespace crocusspur::internal {
 
+// Idle time of the threads of POCO's dispatchers. One that is about to wait
+// when its listener stops misses the wake-up and ends only after this time.
+inline constexpr Milliseconds DispatcherWait{500};
+
 struct ConnectionServerOptions {
   std::string Name;    // of the threads
   std::string Address; // "IP:port"
   int MinThreads = 1;
   int MaxThreads = 8; // connections that are served at the same time
-  int Backlog = 64;
+  int MaxQueued = 64; // accepted connections that wait for a thread
+  int Backlog = 64;   // of the listening socket
   int StackBytes = 262144;
 };
 
@@ -28,12 +35,18 @@
   // Called on the connection's thread; the connection is closed afterwards.
   // Must throw nothing.
   using Serve = std::function<void(Poco::Net::StreamSocket &)>;
+  // Called on the acceptor's thread, so it must not wait. Connections for which
+  // it returns false are closed.
+  using Accept = std::function<bool(const Poco::Net::StreamSocket &)>;
 
   ConnectionServer();
   ~ConnectionServer();
 
   // Returns an empty text, or why it can't listen.
-  std::string start(const ConnectionServerOptions &Options, Serve Function);
+  std::string start(const ConnectionServerOptions &Options, Serve Function,
+                    Accept Admits = nullptr);
+  // The address that it listens on, with the port that the kernel chose.
+  std::string address() const;
   // Takes no more connections.
   void stopAccepting();
   // Waits for the threads; their connections must be ending.
--- a/src/gateway/decisions/waiting_line.h
+++ b/src/gateway/decisions/waiting_line.h
@@ -18,7 +18,6 @@
   uint32_t Priority = 0; // 0 is first
   TimePoint OnTimeUntil; // latest grant with which the answer is on time
   TimePoint GiveUpAt;    // the request leaves the line then
-  uint64_t Tokens = 0;   // memory that it asks for
 };
 
 class WaitingLine {
--- a/src/gateway/gateway_front.cc
+++ b/src/gateway/gateway_front.cc
@@ -71,7 +71,7 @@
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
               HttpSink &Sink);
   bool readBody(const HttpHead &Head, CallerReader &Reader, HttpSink &Sink,
-                std::string &Body);
+                CallerRequest &Request);
   void answer(HttpSink &Sink, const std::string &Request, ErrorKind Kind,
               const std::string &Why, Milliseconds RetryAfter);
 
@@ -99,6 +99,7 @@
   options.Address = Runtime->Values.CallerAddress;
   options.MinThreads = MinThreads;
   options.MaxThreads = MaxConnections;
+  options.MaxQueued = MaxConnections;
   options.Backlog = Backlog;
   options.StackBytes = StackBytes;
   std::string fault = Server.start(options, [this](StreamSocket &Socket) {
@@ -231,13 +232,12 @@
 
 // Returns false after answering that the body can't be read.
 bool GatewayFront::readBody(const HttpHead &Head, CallerReader &Reader,
-                            HttpSink &Sink, std::string &Body) {
+                            HttpSink &Sink, CallerRequest &Request) {
   internal::BodyFraming framing;
-  std::string id = Runtime->Wire.ReadCaller(Head).Id;
   if (!requestFraming(Head, framing)) {
     Sink.closeAfterwards();
-    answer(Sink, id, ErrorKind::BadRequest, "the body's length is unclear",
-           Milliseconds(0));
+    answer(Sink, Request.Id, ErrorKind::BadRequest,
+           "the body's length is unclear", Milliseconds(0));
     return false;
   }
   const std::string *expect = Head.find("Expect");
@@ -245,12 +245,12 @@
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     ::send(Sink.watchedSocket(), interim.data(), interim.size(), MSG_NOSIGNAL);
   }
-  ReadVerdict verdict = Reader.readBody(framing, Body);
+  ReadVerdict verdict = Reader.readBody(framing, Request.Body);
   if (verdict == ReadVerdict::Ok)
     return true;
   Sink.closeAfterwards();
   if (verdict != ReadVerdict::Closed)
-    answer(Sink, id,
+    answer(Sink, Request.Id,
            verdict == ReadVerdict::TooLarge   ? ErrorKind::BodyTooLarge
            : verdict == ReadVerdict::TimedOut ? ErrorKind::CallerTimeout
                                               : ErrorKind::BadRequest,
@@ -260,11 +260,9 @@
 
 void GatewayFront::handle(const HttpHead &Head, TimePoint Arrived,
                           CallerReader &Reader, HttpSink &Sink) {
-  std::string body;
-  if (!readBody(Head, Reader, Sink, body))
-    return;
   CallerRequest request = Runtime->Wire.ReadCaller(Head);
-  request.Body = std::move(body);
+  if (!readBody(Head, Reader, Sink, request))
+    return;
   if (!Runtime->Known.complete()) {
     answer(Sink, request.Id, ErrorKind::NotReady, "routes or servers unknown",
            NotReadyReturn);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -21,7 +21,6 @@
   std::string MetricsAddress;             // empty: not served
   std::vector<std::string> SeedAddresses; // peers to contact first
   std::string StoreAddress;               // of the published documents
-  uint32_t MemoryLimitMb = 0;             // 0: none
   Milliseconds ShutdownLimit{8000}; // from SIGTERM to the end of the process
   RepeatAllowance Repeats;
   // Time after the store's return in which lapsed entries come back.
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -37,7 +37,6 @@
   std::function<PublishedNews(uint64_t After, Milliseconds Wait,
                               const GiveUp &)>
       Watch;
-  std::function<uint64_t()> Calls; // made so far; thread-safe
 };
 
 struct PublishedSource {
--- a/src/gateway/status_front.cc
+++ b/src/gateway/status_front.cc
@@ -1,4 +1,5 @@
 // Plug-in: readiness for the balancer, and metrics and state for operators.
+#include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "log.h"
@@ -28,8 +29,6 @@
 constexpr int MaxQueued = 32;
 constexpr int IdleSeconds = 60;
 constexpr int StackBytes = 262144;
-// As in connection_server.cc: bounds what a missed wake-up costs at the stop.
-constexpr Milliseconds DispatcherWait{500};
 
 struct StatusAnswer {
   int Status = 200;
@@ -92,8 +91,8 @@
     Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
     params->setMaxThreads(MaxThreads);
     params->setMaxQueued(MaxQueued);
-    params->setThreadIdleTime(
-        Poco::Timespan(std::chrono::microseconds(DispatcherWait).count()));
+    params->setThreadIdleTime(Poco::Timespan(
+        std::chrono::microseconds(internal::DispatcherWait).count()));
     Servers.push_back(std::make_unique<Poco::Net::HTTPServer>(
         new HandlerFactory(*this), *Pool, socket, params));
     Servers.back()->start();
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -146,7 +146,6 @@
   entry.GiveUpAt = entry.OnTimeUntil;
   if (HeadPassed || Returning)
     entry.GiveUpAt = std::min(End, Clock::now() + ReturningPatience);
-  entry.Tokens = tokens;
   TimePoint joined = Clock::now();
   if (Parts.Lines.hopeless(Service, entry.GiveUpAt))
     return std::nullopt;
