Turn prefill servers only as far as demand allows, and know returning callers

The rate of a prefill server was the fastest call that any instance had seen. Three prompts that callers repeated met a server that still kept them, and the pool counted with 221,000 tokens a second instead of 40,000. Demand counted only prompts that had been read, so it fell with the prefill servers, and nothing turned back while decode memory was short, which waiting prompts hold.

Change: a rate is the ninth decile of an instance's latest 64 calls, the pool's the median of the instances. Demand counts prompts as they are wanted. Usual demand that fills decode memory turns servers until a burst would fill both stages alike, and prefill servers come back, several at once, although decode memory is short. A caller counts as returning if it gives at least the shortest Retry-After less than the most that callers of the route gave.

Tests: read rate (2 that fail with the fastest call), role control (2), and callers' patience (2, seen to fail with the former margin).

--- /dev/null
+++ b/src/gateway/decisions/read_rate.cc
@@ -0,0 +1,47 @@
+#include "gateway/decisions/read_rate.h"
+
+#include <algorithm>
+
+namespace crocusspur::gateway {
+namespace {
+
+// A short prompt's time is mostly that of the call.
+constexpr uint64_t LeastTokens = 3000;
+// Part of the calls that may be faster than the estimate: more than the usual
+// part of prompts that the server had kept, and little enough that calls which
+// waited don't count.
+constexpr double FasterPart = 0.1;
+
+} // namespace
+
+void ReadRate::add(uint64_t Tokens, Milliseconds Taken) {
+  if (Tokens < LeastTokens)
+    return;
+  Latest[Count % Latest.size()] =
+      1000.0 * static_cast<double>(Tokens) /
+      static_cast<double>(std::max<int64_t>(Taken.count(), 1));
+  ++Count;
+}
+
+double ReadRate::value() const {
+  size_t n = std::min(Count, Latest.size());
+  if (n == 0)
+    return 0;
+  std::vector<double> sorted(Latest.begin(),
+                             Latest.begin() + static_cast<std::ptrdiff_t>(n));
+  auto faster = static_cast<size_t>(FasterPart * static_cast<double>(n));
+  auto it = sorted.begin() + static_cast<std::ptrdiff_t>(faster);
+  std::nth_element(sorted.begin(), it, sorted.end(), std::greater<>());
+  return *it;
+}
+
+double pooledReadRate(std::vector<double> Rates) {
+  std::erase(Rates, 0.0);
+  if (Rates.empty())
+    return 0;
+  auto middle = Rates.begin() + static_cast<std::ptrdiff_t>(Rates.size() / 2);
+  std::nth_element(Rates.begin(), middle, Rates.end());
+  return *middle;
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -16,9 +16,9 @@
 // demand doesn't fit, and how long it has to be so: longer than a burst's edge.
 constexpr double FullPart = 0.55;
 constexpr Milliseconds FullTime{3000};
-// The burst that the prefill servers must be able to read then, as a multiple
-// of the demand that has been seen.
-constexpr double ExpectedBurst = 2;
+// The most memory in use is taken over the same time as the highest demand of
+// prompts, so that the two can be compared.
+constexpr Milliseconds UsedMemory{32000};
 // Most of the remaining prefill servers' rate that the highest demand of the
 // last half minute may need. The rest is for the loss of a server's neighbour
 // and for uneven arrivals.
@@ -51,6 +51,14 @@
                                 : static_cast<uint32_t>(PrefillServers - kept);
 }
 
+// Prefill servers at which a burst fills both stages to the same part: each
+// stage has servers in proportion to those that demand needs of it.
+double balancedPrefill(const PoolView &Pool, double PrefillNeeded,
+                       double DecodeNeeded) {
+  double servers = Pool.PrefillServers + Pool.DecodeServers;
+  return servers * PrefillNeeded / (PrefillNeeded + DecodeNeeded);
+}
+
 } // namespace
 
 void RoleControl::observe(const PoolView &Pool, TimePoint Now) {
@@ -65,6 +73,11 @@
     FullSince.reset();
   else if (!FullSince)
     FullSince = Now;
+  double used = Pool.DecodeUse * Pool.DecodeServers;
+  if (used >= MostUsed || Now - MostUsedAt > UsedMemory) {
+    MostUsed = used;
+    MostUsedAt = Now;
+  }
 }
 
 std::optional<StageChange>
@@ -81,14 +94,20 @@
   if (ShortSince && Now - *ShortSince >= ShortTime)
     change = spare(Pool.PrefillServers, needed);
   else if (FullSince && Now - *FullSince >= FullTime)
-    change = spare(Pool.PrefillServers, ExpectedBurst * needed);
+    change =
+        spare(Pool.PrefillServers, balancedPrefill(Pool, needed, MostUsed));
   if (change > 0)
     return StageChange{ServerStage::Decode, std::min(change, most)};
   // Prompts that the prefill servers can't read in time are the dearer lack:
-  // the decode servers then read them slowly, between the tokens of others.
-  if (needed > Pool.PrefillServers * OverUsed && !ShortSince &&
-      Pool.DecodeServers > LeastDecode)
-    return StageChange{ServerStage::Prefill, 1};
+  // each holds its decode memory while it waits, so decode memory is short too.
+  if (needed > Pool.PrefillServers * OverUsed &&
+      Pool.DecodeServers > LeastDecode) {
+    auto missing = static_cast<uint32_t>(needed) - Pool.PrefillServers;
+    return StageChange{
+        ServerStage::Prefill,
+        std::clamp(missing, 1U,
+                   std::min(most, Pool.DecodeServers - LeastDecode))};
+  }
   return std::nullopt;
 }
 
--- a/src/gateway/decisions/role_control.h
+++ b/src/gateway/decisions/role_control.h
@@ -45,6 +45,8 @@
 
   std::optional<TimePoint> ShortSince; // of decode memory
   std::optional<TimePoint> FullSince;  // of decode memory, by usual demand
+  double MostUsed = 0; // decode servers' worth of memory in use, lately
+  TimePoint MostUsedAt;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/waiting_line.cc
+++ b/src/gateway/decisions/waiting_line.cc
@@ -16,6 +16,9 @@
 // seconds, and an early return meets the same load.
 constexpr Milliseconds LeastReturn{2500};
 constexpr Milliseconds MostReturn{5000};
+// Callers honour a wait of up to a third of their time, so where time is short
+// they may be back sooner; a little less leaves room for what the call took.
+constexpr int ReturnPart = 4;
 
 } // namespace
 
@@ -100,4 +103,8 @@
   return std::max(Milliseconds(0), std::min(base + spread, Longest));
 }
 
+bool cameBack(Milliseconds TimeLeft, Milliseconds Most) {
+  return TimeLeft < Most - std::min(LeastReturn, Most / ReturnPart);
+}
+
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/waiting_line.h
+++ b/src/gateway/decisions/waiting_line.h
@@ -69,6 +69,11 @@
 Milliseconds comeBackAfter(Milliseconds Drain, Milliseconds Longest,
                            double Draw);
 
+// Whether a caller that gives `TimeLeft` has been refused before and come back
+// as it was told. `Most` is the most that callers of the route have given;
+// first attempts may give less, since callers differ in patience.
+bool cameBack(Milliseconds TimeLeft, Milliseconds Most);
+
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -1,5 +1,6 @@
 #include "gateway/directory.h"
 
+#include "gateway/decisions/waiting_line.h"
 #include "json_text.h"
 #include "log.h"
 
@@ -35,13 +36,9 @@
 constexpr double FirstShare = 0.45;
 constexpr double EnoughSamples = 20;
 constexpr uint64_t UsualPrompt = 5600; // tokens, with a usual output's
-// Prompts of fewer tokens say little about a server's rate.
-constexpr uint64_t RatedPrompt = 3000;
 // A server that refuses a request in spite of its reservation is changing its
 // stage, as peers tell within two rounds.
 constexpr Milliseconds RefusedReservedPause{2000};
-// First attempts of callers differ by less than this in the time they give.
-constexpr Milliseconds ReturnMargin{300};
 
 const char *toString(NewsOrigin Origin) {
   return Origin == NewsOrigin::Store ? "store" : "peer";
@@ -266,16 +263,15 @@
       std::min(Tokens, MaxOutputTokens) * WholeShare / MaxOutputTokens));
 }
 
+void Directory::promptWanted(const std::string &Service, uint64_t Tokens) {
+  std::lock_guard lock(Mutex);
+  Stages[Service].Meter.onPrompt(Tokens, Clock::now());
+}
+
 void Directory::promptRead(const std::string &Service, uint64_t Tokens,
                            Milliseconds Taken) {
   std::lock_guard lock(Mutex);
-  StageFigures &stage = Stages[Service];
-  stage.Meter.onPrompt(Tokens, Clock::now());
-  if (Tokens < RatedPrompt)
-    return;
-  double rate = 1000.0 * static_cast<double>(Tokens) /
-                static_cast<double>(std::max<int64_t>(Taken.count(), 1));
-  stage.PrefillRate = std::max(stage.PrefillRate, rate);
+  Stages[Service].Rate.add(Tokens, Taken);
 }
 
 void Directory::placeEnded(const std::string &Service, Milliseconds Waited,
@@ -289,7 +285,7 @@
   std::vector<ServiceFigures> all;
   for (auto &[service, stage] : Stages)
     all.push_back(
-        {service, stage.Meter.rates(Clock::now()), stage.PrefillRate});
+        {service, stage.Meter.rates(Clock::now()), stage.Rate.value()});
   return all;
 }
 
@@ -328,9 +324,9 @@
 bool Directory::cameBefore(const std::string &RouteName,
                            Milliseconds TimeLeft) {
   std::lock_guard lock(Mutex);
-  Milliseconds &usual = UsualTimes[RouteName];
-  usual = std::max(usual, TimeLeft);
-  return TimeLeft < usual - ReturnMargin;
+  Milliseconds &most = MostTimes[RouteName];
+  most = std::max(most, TimeLeft);
+  return cameBack(TimeLeft, most);
 }
 
 double Directory::draw() {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -5,6 +5,7 @@
 
 #include "gateway/decisions/demand_meter.h"
 #include "gateway/decisions/member_table.h"
+#include "gateway/decisions/read_rate.h"
 #include "gateway/decisions/repeat_budget.h"
 #include "gateway/decisions/route_table.h"
 #include "gateway/decisions/server_book.h"
@@ -73,6 +74,7 @@
   void setInstances(uint32_t Count) { Instances.store(Count); }
 
   // Figures of each service for decisions on all instances' demand.
+  void promptWanted(const std::string &Service, uint64_t Tokens);
   void promptRead(const std::string &Service, uint64_t Tokens,
                   Milliseconds Taken);
   void placeEnded(const std::string &Service, Milliseconds Waited, bool Got);
@@ -94,8 +96,7 @@
   void outputEnded(const std::string &Service, uint64_t Tokens,
                    uint64_t MaxOutputTokens);
 
-  // Whether a caller that gives this much time has likely been refused before:
-  // callers of the route usually give more.
+  // Whether a caller that gives this much time has been refused before.
   bool cameBefore(const std::string &RouteName, Milliseconds TimeLeft);
 
   double draw(); // uniform in [0, 1)
@@ -120,11 +121,11 @@
   std::map<std::string, internal::OutputLengths> OutputShares;
   struct StageFigures {
     DemandMeter Meter;
-    double PrefillRate = 0; // of one server, from its fastest calls
+    ReadRate Rate;
   };
-  std::map<std::string, StageFigures> Stages;     // by service
-  std::map<std::string, uint64_t> OrderFences;    // last known, by server
-  std::map<std::string, Milliseconds> UsualTimes; // by route, the most seen
+  std::map<std::string, StageFigures> Stages;    // by service
+  std::map<std::string, uint64_t> OrderFences;   // last known, by server
+  std::map<std::string, Milliseconds> MostTimes; // callers gave, by route
   std::mt19937_64 Random;
   std::atomic<uint32_t> Instances{64}; // until members are known
   std::array<std::atomic<bool>, 2> StoreUp{true, true}; // by kind
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -1,6 +1,7 @@
 // Plug-in: gives orders to change the stage of a server, where role_control
 // decides so and this instance leads.
 #include "crocusspur/kernel.h"
+#include "gateway/decisions/read_rate.h"
 #include "gateway/decisions/role_control.h"
 #include "gateway/gateway_runtime.h"
 #include "log.h"
@@ -148,6 +149,7 @@
     (it.ToDecode ? pool.PrefillServers : pool.DecodeServers) -= 1;
     (it.ToDecode ? pool.DecodeServers : pool.PrefillServers) += 1;
   }
+  std::vector<double> rates;
   auto add = [&](const std::vector<ServiceFigures> &Figures) {
     for (const ServiceFigures &it : Figures) {
       if (it.Service != Service)
@@ -155,12 +157,13 @@
       pool.Demand.PromptTokens += it.Demand.PromptTokens;
       pool.Demand.PlacesWanted += it.Demand.PlacesWanted;
       pool.Demand.PlacesStarved += it.Demand.PlacesStarved;
-      pool.PrefillRate = std::max(pool.PrefillRate, it.PrefillRate);
+      rates.push_back(it.PrefillRate);
     }
   };
   add(Runtime->Known.figures());
   for (const Member &it : Runtime->Peers.alive())
     add(it.Figures);
+  pool.PrefillRate = pooledReadRate(std::move(rates));
   return pool;
 }
 
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -224,6 +224,8 @@
 // the next call is, whether to another prefill server or to the decode server.
 std::optional<RequestRun::PromptMemory> RequestRun::readPrompt() {
   std::set<std::string> excluded = Tried;
+  if (Request.Generation)
+    Parts.Known.promptWanted(Service, Request.Generation->PromptTokens);
   for (int i = 0; i < MostPrefills && !ended(); ++i) {
     std::optional<ServerChoice> server =
         Parts.Known.choose({Service, ServerStage::Prefill, excluded});
--- /dev/null
+++ b/test/gateway_read_rate_test.cc
@@ -0,0 +1,37 @@
+#include "gateway/decisions/read_rate.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+TEST_CASE("Calls that waited don't lower the read rate") {
+  ReadRate rate;
+  for (int i = 0; i < 60; ++i)
+    rate.add(5000, Milliseconds(i % 5 == 0 ? 125 : 400));
+  CHECK(rate.value() == doctest::Approx(40000));
+}
+
+// A caller's repeat reaches a server that still keeps its prompt.
+TEST_CASE("A prompt that the server had kept doesn't raise the read rate") {
+  ReadRate rate;
+  for (int i = 0; i < 60; ++i)
+    rate.add(5000, Milliseconds(125));
+  for (int i = 0; i < 5; ++i)
+    rate.add(5000, Milliseconds(12));
+  CHECK(rate.value() == doctest::Approx(40000));
+}
+
+TEST_CASE("Short prompts say nothing about the read rate") {
+  ReadRate rate;
+  rate.add(300, Milliseconds(20));
+  CHECK(rate.value() == 0);
+}
+
+TEST_CASE("A few instances' wrong read rates don't move the pool's") {
+  std::vector<double> rates(60, 40000);
+  rates.insert(rates.end(), {220000, 220000, 220000, 0, 0, 0, 0, 0});
+  CHECK(pooledReadRate(rates) == doctest::Approx(40000));
+  CHECK(pooledReadRate({0, 0}) == 0);
+  CHECK(pooledReadRate({}) == 0);
+}
--- a/test/gateway_role_control_test.cc
+++ b/test/gateway_role_control_test.cc
@@ -150,3 +150,45 @@
   CHECK_FALSE(control.decide(pool, at(1500), at(4000)).has_value());
   CHECK(control.decide(pool, at(1500), at(4500)).has_value());
 }
+
+// The usual demand of 90 servers: 82 prompts a second, which need 12 servers to
+// read and the memory of 41 to decode.
+TEST_CASE("Spare servers turn until a burst fills both stages alike") {
+  RoleControl control;
+  PoolView pool;
+  pool.PrefillServers = 31;
+  pool.DecodeServers = 59;
+  pool.Demand.PromptTokens = 82 * 5200;
+  pool.Demand.PlacesWanted = 82;
+  pool.PrefillRate = 40000;
+  pool.DecodeUse = 0.69;
+  for (int64_t ms = 0; ms < 3000; ms += 500)
+    CHECK_FALSE(control.decide(pool, std::nullopt, at(ms)).has_value());
+  auto change = control.decide(pool, std::nullopt, at(3000));
+  REQUIRE(change.has_value());
+  CHECK(change->To == ServerStage::Decode);
+  CHECK(change->Servers == 7);
+  pool.PrefillServers = 20;
+  pool.DecodeServers = 70;
+  pool.DecodeUse = 0.58;
+  for (int64_t ms = 6000; ms < 20000; ms += 500)
+    CHECK_FALSE(control.decide(pool, at(3000), at(ms)).has_value());
+}
+
+// Five prefill servers are left for a demand that needs 20. Prompts hold their
+// decode memory while they wait, so that it is short as well.
+TEST_CASE("Prefill servers come back although decode memory is short") {
+  RoleControl control;
+  PoolView pool;
+  pool.PrefillServers = 5;
+  pool.DecodeServers = 85;
+  pool.Demand.PromptTokens = 150 * 5200;
+  pool.Demand.PlacesWanted = 150;
+  pool.Demand.PlacesStarved = 75;
+  pool.PrefillRate = 40000;
+  pool.DecodeUse = 0.97;
+  auto change = control.decide(pool, std::nullopt, Start);
+  REQUIRE(change.has_value());
+  CHECK(change->To == ServerStage::Prefill);
+  CHECK(change->Servers == 7);
+}
--- a/test/gateway_waiting_line_test.cc
+++ b/test/gateway_waiting_line_test.cc
@@ -167,6 +167,27 @@
 
 } // namespace
 
+// Callers of a route that give 11.9 to 14 seconds. One that was refused is back
+// 2.5 seconds later at the least. Taking everyone who gives 300 ms less than
+// the most for a returning caller lets most first attempts wait until they are
+// late.
+TEST_CASE("Impatient callers aren't taken for returning ones") {
+  constexpr Milliseconds most{14000};
+  int earlier = 0;
+  for (Milliseconds first{11900}; first <= most; first += Milliseconds(100)) {
+    CHECK_FALSE(cameBack(first, most));
+    earlier += first < most - Milliseconds(300) ? 1 : 0;
+  }
+  CHECK(earlier > 15); // of 22
+  CHECK(cameBack(most - Milliseconds(2600), most));
+}
+
+TEST_CASE("Where callers give little time, refused ones are back sooner") {
+  constexpr Milliseconds most{6000};
+  CHECK_FALSE(cameBack(Milliseconds(5000), most));
+  CHECK(cameBack(Milliseconds(4000), most));
+}
+
 // Serving everyone in turn makes nearly all late once the backlog is longer
 // than the target; refusing those that can't be on time keeps the rest on time.
 TEST_CASE("In a burst of twice the capacity all grants are on time") {
