Turn servers at 0.4 of decode memory in use, and read the store less in large fleets

Change: the limit is 0.4. Changes of servers and of configurations are gathered for 10 ms per known instance, at least 0.4 s as before and at most 1 s; pauses after failed calls grow to the same time.

What is left of the calls falls only if fewer instances read.

--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -14,7 +14,7 @@
 constexpr Milliseconds ShortTime{1500};
 // Part of the decode memory in use from which on a burst of twice the usual
 // demand doesn't fit, and how long it has to be so: longer than a burst's edge.
-constexpr double FullPart = 0.55;
+constexpr double FullPart = 0.4;
 constexpr Milliseconds FullTime{3000};
 // The most memory in use is taken over the same time as the highest demand of
 // prompts, so that the two can be compared.
--- a/src/gateway/directory_reader.cc
+++ b/src/gateway/directory_reader.cc
@@ -24,11 +24,15 @@
 constexpr Milliseconds LeastWatchWait{2500};
 constexpr Milliseconds WatchWaitPerMember{160};
 constexpr Milliseconds MostWatchWait{10000};
-// Servers often change together; later changes come with the next call.
-constexpr Milliseconds GatherTime{400};
-// Pause after a failed call, doubled up to the longest, with a random part.
+// Changes often come together; later ones come with the next call. The more
+// instances read, the sooner some peer tells of a change, and the longer each
+// may gather. The longest leaves half of two seconds, the shortest bound known
+// for a leaving server and for a configuration, for the call and the peers.
+constexpr Milliseconds LeastGatherTime{400};
+constexpr Milliseconds GatherTimePerMember{10};
+constexpr Milliseconds MostGatherTime{1000};
+// Pause after a failed call, doubled up to the gather time, with a random part.
 constexpr Milliseconds LeastPause{100};
-constexpr Milliseconds MostPause{400};
 
 class DirectoryReader final : public Plugin {
 public:
@@ -54,6 +58,7 @@
   void take(const PublishedNews &News, PublishedKind Kind, bool Whole);
   void pause(Milliseconds Time);
   Milliseconds watchWait() const;
+  Milliseconds gatherTime() const;
 
   GatewayRuntime *Runtime = nullptr;
   std::atomic<bool> Stopping{false};
@@ -73,6 +78,12 @@
                     MostWatchWait);
 }
 
+Milliseconds DirectoryReader::gatherTime() const {
+  auto members = static_cast<int64_t>(Runtime->PeersKnown.load());
+  return std::clamp(GatherTimePerMember * members, LeastGatherTime,
+                    MostGatherTime);
+}
+
 void DirectoryReader::take(const PublishedNews &News, PublishedKind Kind,
                            bool Whole) {
   if (News.Routes)
@@ -110,8 +121,8 @@
       Runtime->Known.storeReachable(Kind, true);
       take(news, Kind, whole);
       revision = news.Revision;
-      if (Kind == PublishedKind::Servers && !whole && !news.Servers.empty())
-        pause(GatherTime);
+      if (!whole && (news.Routes || !news.Servers.empty()))
+        pause(gatherTime());
       continue;
     }
     if (news.Status == ReadStatus::HistoryGone) {
@@ -125,7 +136,7 @@
           {{"documents", name}, {"why", news.Fault}});
     Runtime->Known.storeReachable(Kind, false);
     Milliseconds most =
-        std::min(MostPause, LeastPause * (1U << std::min(failures - 1, 8U)));
+        std::min(gatherTime(), LeastPause * (1U << std::min(failures - 1, 8U)));
     pause(most / 2 + Milliseconds(static_cast<int64_t>(
                          random() % static_cast<uint64_t>(most.count()))));
   }
