Leave small pools without lanes by size

Change: a lane has twelve servers at least, and a pool of no more has no lanes. Conclusion: kept for large pools only.

--- a/src/gateway/decisions/size_lanes.cc
+++ b/src/gateway/decisions/size_lanes.cc
@@ -15,6 +15,8 @@
 constexpr double MostTokens = 6e6;
 // Part of the servers that a lane has.
 constexpr double LanePart = 0.5;
+// A lane of fewer servers too often has none with room for its next request.
+constexpr double LeastLane = 12;
 
 } // namespace
 
@@ -53,15 +55,15 @@
   for (const ServerChoice &it : Ranked)
     if (!it.Failing)
       ids.push_back(it.Id);
-  if (!Position || ids.size() <= Count)
+  auto all = static_cast<double>(ids.size());
+  double width = std::max(
+      {static_cast<double>(Count), LeastLane, std::round(LanePart * all)});
+  if (!Position || width >= all)
     return {Ranked.begin(),
             Ranked.begin() +
                 static_cast<std::ptrdiff_t>(std::min(Count, Ranked.size()))};
   std::sort(ids.begin(), ids.end());
   // The neighbours whose middle is nearest to the position.
-  auto all = static_cast<double>(ids.size());
-  double width =
-      std::max(static_cast<double>(Count), std::round(LanePart * all));
   double first = std::clamp(*Position * all - width / 2, 0.0, all - width);
   auto from = ids.begin() + static_cast<std::ptrdiff_t>(std::round(first));
   std::set<std::string> lane(from, from + static_cast<std::ptrdiff_t>(width));
