--- a/src/command_check.h
+++ b/src/command_check.h
@@ -7,8 +7,9 @@
 namespace crocusspur::internal {
 
 // Prints "FILE: ok" on standard output and returns 0, or prints every mistake
-// on standard error and returns 2.
-int runCheck(const std::string &File);
+// on standard error and returns 2. `AdapterName` names the gateway's adapter
+// whose format the file has; empty: the file is one for serve.
+int runCheck(const std::string &File, const std::string &AdapterName = "");
 
 } // namespace crocusspur::internal
 
--- a/test/command_test.cc
+++ b/test/command_test.cc
@@ -152,6 +152,31 @@
   CHECK_MESSAGE(good.Code == 0, good.Output);
 }
 
+// Guards against a settings file of the gateway that check accepts although the
+// gateway refuses it, or the reverse.
+TEST_CASE("Command check reads the gateway's settings as the gateway does") {
+  Scratch scratch;
+  std::string good = scratch.write("good.toml", R"(
+node-name = "edge-1"
+zone = "hall-a"
+[listen]
+frontend = "127.0.0.1:8149"
+ready = "127.0.0.1:8141"
+[platform]
+address = "127.0.0.1:8142"
+)");
+  CommandResult ok = runCommand({"check", "--adapter", "platform", good});
+  CHECK_MESSAGE(ok.Code == 0, ok.Output);
+  std::string wrong = scratch.write("wrong.toml", "node-name = 5\n");
+  CommandResult check = runCommand({"check", "--adapter", "platform", wrong});
+  CHECK(check.Code == 2);
+  CHECK_MESSAGE(linesIn(check.Output) > 1, check.Output);
+  CommandResult run = runCommand({"gateway", "--settings", wrong});
+  CHECK(run.Code == 2);
+  CHECK(run.Output == check.Output);
+  CHECK(runCommand({"check", "--adapter", "none", good}).Code == 2);
+}
+
 // Guards against a replay that accepts another decision than the recorded one.
 TEST_CASE("Command replay tells a trace that was changed") {
   std::string golden = Data + "/golden/plain_model_request.jsonl";
