Bound the gathering of changes by the deployment's own limit, and bear nonsense sizes

The gather time of large fleets, up to 1 s, took the shortest bound that is known for granted; a deployment that gives a leaving server less would have been served late. Sizes that no request can have overflowed a conversion, and requests without a size divided by zero. Ruled out: refusing such requests; servers refuse what they can't run. Change: half of the settings' own limit at most; token counts are capped; a lane needs a size.

--- a/src/gateway/decisions/output_estimate.cc
+++ b/src/gateway/decisions/output_estimate.cc
@@ -18,6 +18,8 @@
 // deviation, in the users' site files; this covers three of four outputs.
 constexpr double FirstOfExpected = 1.4;
 constexpr double EnoughSamples = 20;
+// Callers' numbers beyond this are nonsense: no model makes as much.
+constexpr uint64_t MostTokens = 1'000'000'000;
 
 // Covering all outputs leaves memory idle; outputs beyond it take what shorter
 // ones leave. The fewer requests share a server, the less that evens out: the
@@ -41,7 +43,8 @@
 }
 
 uint64_t partOf(uint64_t Tokens, double Share) {
-  return static_cast<uint64_t>(Share * static_cast<double>(Tokens));
+  return static_cast<uint64_t>(
+      Share * static_cast<double>(std::min(Tokens, MostTokens)));
 }
 
 } // namespace
--- a/src/gateway/decisions/read_rate.cc
+++ b/src/gateway/decisions/read_rate.cc
@@ -1,6 +1,7 @@
 #include "gateway/decisions/read_rate.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace crocusspur::gateway {
 namespace {
--- a/src/gateway/decisions/role_control.cc
+++ b/src/gateway/decisions/role_control.cc
@@ -18,7 +18,7 @@
 constexpr Milliseconds FullTime{3000};
 // The most memory in use is taken over the same time as the highest demand of
 // prompts, so that the two can be compared.
-constexpr Milliseconds UsedMemory{32000};
+constexpr Milliseconds MostUsedTime{32000};
 // Most of the remaining prefill servers' rate that the highest demand of the
 // last half minute may need. The rest is for the loss of a server's neighbour
 // and for uneven arrivals.
@@ -74,7 +74,7 @@
   else if (!FullSince)
     FullSince = Now;
   double used = Pool.DecodeUse * Pool.DecodeServers;
-  if (used >= MostUsed || Now - MostUsedAt > UsedMemory) {
+  if (used >= MostUsed || Now - MostUsedAt > MostUsedTime) {
     MostUsed = used;
     MostUsedAt = Now;
   }
--- a/src/gateway/decisions/size_lanes.cc
+++ b/src/gateway/decisions/size_lanes.cc
@@ -40,7 +40,7 @@
 }
 
 std::optional<double> SizeLanes::position(uint64_t Tokens) const {
-  if (Count < EnoughRequests)
+  if (Count < EnoughRequests || Total <= 0)
     return std::nullopt;
   size_t bucket = bucketOf(Tokens);
   double below = 0;
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -2,21 +2,27 @@
 
 #include "log.h"
 
+#include <algorithm>
+
 namespace crocusspur::gateway {
 namespace {
 
 constexpr Milliseconds LeastGatherTime{400};
 constexpr Milliseconds GatherTimePerMember{10};
-// Half of two seconds, the shortest bound that is known for a leaving server
-// and for a configuration; the rest is for the call itself.
 constexpr Milliseconds MostGatherTime{1000};
 
 } // namespace
 
+Milliseconds gatherTimeFor(uint64_t Members, Milliseconds LeavingLimit) {
+  // The other half of the bound is for the call itself and a repeat of it.
+  Milliseconds most = std::min(MostGatherTime, LeavingLimit / 2);
+  Milliseconds least = std::min(LeastGatherTime, most);
+  return std::clamp(GatherTimePerMember * static_cast<int64_t>(Members), least,
+                    most);
+}
+
 Milliseconds GatewayRuntime::gatherTime() const {
-  auto members = static_cast<int64_t>(PeersKnown.load());
-  return std::clamp(GatherTimePerMember * members, LeastGatherTime,
-                    MostGatherTime);
+  return gatherTimeFor(PeersKnown.load(), Values.LeavingLimit);
 }
 
 using internal::log;
--- a/test/gateway_output_estimate_test.cc
+++ b/test/gateway_output_estimate_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cmath>
+#include <limits>
 #include <random>
 #include <vector>
 
@@ -36,6 +37,14 @@
   CHECK(estimate.reserve({5000, 150, 100}, 0.7) == 150);
 }
 
+TEST_CASE("Numbers that no output can have are borne") {
+  OutputEstimate estimate;
+  constexpr uint64_t Nonsense = std::numeric_limits<uint64_t>::max();
+  estimate.ended({5000, Nonsense, Nonsense}, 300);
+  CHECK(estimate.reserve({5000, 1000, Nonsense}, 0.7) == 1000);
+  CHECK(estimate.reserve({5000, Nonsense, 0}, 0.7) <= 1'000'000'000);
+}
+
 namespace {
 
 struct Reserved {
--- a/test/gateway_size_lanes_test.cc
+++ b/test/gateway_size_lanes_test.cc
@@ -38,6 +38,15 @@
   CHECK(lanes.position(9000) == doctest::Approx(1));
 }
 
+// Half of the servers, in the order of their rank, of which the first are
+// asked.
+TEST_CASE("Requests without a size have no position") {
+  SizeLanes lanes;
+  for (int i = 0; i < 100; ++i)
+    lanes.asked(0);
+  CHECK_FALSE(lanes.position(0).has_value());
+}
+
 // Half of the servers, in the order of their rank, of which the first are
 // asked.
 TEST_CASE("A lane is a part of the servers in the order of their rank") {
