Use one piece where the gateway had two, and drop what nothing reads

Cause: read as a newcomer, the gateway's diff held twins and remains. - A call that no caller waits for was written in role_orders and in stream_run. - A call without an answer was mapped to its result twice, for reservations and prefills. - Registered servers of a stage were copied out whole, once to see whether there are any and once to count them. - The stage's name stood in directory and, as a literal, in role_orders; the line for an unknown adapter in two commands. - Tests had four copies of their virtual time and six of a fleet before one server. - Nothing read RunOrder::Address, EngineTraits::Slots, ServiceRule::HealthPath and MaxConnections, GatewayParts::Values or EventSplitter::clear.

Change: callServer, unanswered, ServerBook::count, nameOf(ServerStage) and a findAdapter that says what is missing; test/virtual_time.h and BayFleet.

Conclusion: behaviour as before, about as many lines less as more.

--- a/src/command_check.cc
+++ b/src/command_check.cc
@@ -18,8 +18,6 @@
   } else if (const gateway::Adapter *edge = gateway::findAdapter(AdapterName)) {
     ok = settingsOrMistakes<gateway::GatewaySettings>(edge->LoadSettings, File)
              .has_value();
-  } else {
-    std::cerr << "crocusspur: there is no adapter " << AdapterName << '\n';
   }
   if (ok)
     std::cout << File << ": ok\n";
--- a/src/gateway/adapter.cc
+++ b/src/gateway/adapter.cc
@@ -1,5 +1,6 @@
 #include "gateway/adapter.h"
 
+#include <iostream>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,7 @@
   for (const Adapter &it : registry())
     if (it.Name == Name)
       return &it;
+  std::cerr << "crocusspur: there is no adapter " << Name << '\n';
   return nullptr;
 }
 
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -32,7 +32,8 @@
   explicit AdapterRegistration(Adapter Entry);
 };
 
-// Returns null if there is no adapter of the name.
+// Returns null, with a line on standard error, if there is no adapter of the
+// name.
 const Adapter *findAdapter(const std::string &Name);
 
 } // namespace crocusspur::gateway
--- a/src/gateway/command_gateway.cc
+++ b/src/gateway/command_gateway.cc
@@ -8,7 +8,6 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <iostream>
 #include <memory>
 #include <optional>
 
@@ -24,11 +23,8 @@
 
 int run(GatewayOptions Options) {
   const Adapter *edge = findAdapter(Options.AdapterName);
-  if (!edge) {
-    std::cerr << "crocusspur: there is no adapter " << Options.AdapterName
-              << '\n';
+  if (!edge)
     return internal::BadSettings;
-  }
   if (Options.SettingsFile.empty())
     if (const char *path = std::getenv(edge->SettingsVariable.c_str()))
       Options.SettingsFile = path;
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -40,7 +40,6 @@
 // What a service whose servers run a model can do.
 struct EngineTraits {
   uint64_t CapacityTokens = 0;        // memory of one server
-  uint32_t Slots = 0;                 // requests that one server runs at once
   uint32_t TokensPerEvent = 1;        // most tokens in one event of a stream
   Milliseconds HandleLifetime{0};     // of a prompt's memory after its prefill
   Milliseconds LongestReservation{0}; // 0: servers take no reservations
@@ -48,8 +47,6 @@
 
 struct ServiceRule {
   std::string Name;
-  std::string HealthPath;
-  uint32_t MaxConnections = 0; // of one server, over all instances
   std::optional<EngineTraits> Engine;
 };
 
--- a/src/gateway/decisions/server_book.cc
+++ b/src/gateway/decisions/server_book.cc
@@ -36,6 +36,18 @@
 
 } // namespace
 
+const char *nameOf(ServerStage Stage) {
+  switch (Stage) {
+  case ServerStage::Prefill:
+    return "prefill";
+  case ServerStage::Decode:
+    return "decode";
+  case ServerStage::Whole:
+    break;
+  }
+  return "whole";
+}
+
 void ServerBook::apply(const ServerEntry &Entry, TimePoint) {
   auto it = Servers.find(Entry.Id);
   bool restarted =
@@ -87,6 +99,16 @@
   return all;
 }
 
+uint32_t ServerBook::count(const std::string &Service,
+                           ServerStage Stage) const {
+  return static_cast<uint32_t>(
+      std::count_if(Servers.begin(), Servers.end(), [&](const auto &It) {
+        const ServerEntry &entry = It.second.Entry;
+        return !It.second.LastUse && entry.Service == Service &&
+               entry.Stage == Stage && !entry.Leaving;
+      }));
+}
+
 bool ServerBook::usable(const std::string &Id, int64_t StartedAt,
                         TimePoint Now) const {
   auto it = Servers.find(Id);
--- a/src/gateway/decisions/server_book.h
+++ b/src/gateway/decisions/server_book.h
@@ -17,6 +17,8 @@
 // Part of a request that a server of a model takes.
 enum class ServerStage : uint8_t { Whole, Prefill, Decode };
 
+const char *nameOf(ServerStage Stage); // as logs name it
+
 // A server as it registered itself.
 struct ServerEntry {
   std::string Id;
@@ -83,6 +85,8 @@
 
   const ServerEntry *find(const std::string &Id) const;
   std::vector<ServerEntry> entries() const;
+  // Registered servers of a service in a stage that aren't leaving.
+  uint32_t count(const std::string &Service, ServerStage Stage) const;
 
   // Whether a new request may be sent to the server.
   bool usable(const std::string &Id, int64_t StartedAt, TimePoint Now) const;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -33,7 +33,6 @@
 // What one call asks of a server, beside the caller's request.
 struct RunOrder {
   std::string ServerId; // any other server at the address must refuse
-  std::string Address;
   Milliseconds TimeLeft{0};
   bool PrefillOnly = false;
   std::string MemoryAt;      // where the prompt's memory lies; empty: nowhere
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -24,18 +24,6 @@
   return Origin == NewsOrigin::Store ? "store" : "peer";
 }
 
-const char *toString(ServerStage Stage) {
-  switch (Stage) {
-  case ServerStage::Prefill:
-    return "prefill";
-  case ServerStage::Decode:
-    return "decode";
-  case ServerStage::Whole:
-    break;
-  }
-  return "whole";
-}
-
 } // namespace
 
 Directory::Directory(const GatewaySettings &Values, uint64_t Seed)
@@ -67,7 +55,7 @@
   if (Change.Entry) {
     fields.emplace_back("service", Change.Entry->Service);
     fields.emplace_back("address", Change.Entry->Address);
-    fields.emplace_back("stage", toString(Change.Entry->Stage));
+    fields.emplace_back("stage", nameOf(Change.Entry->Stage));
     fields.emplace_back("leaving", Change.Entry->Leaving ? "true" : "false");
     fields.emplace_back("started_at", std::to_string(Change.Entry->StartedAt));
   }
@@ -175,12 +163,10 @@
   return Book.usable(Server.Id, Server.StartedAt, Clock::now());
 }
 
-bool Directory::hasStage(const std::string &Service, ServerStage Stage) const {
+uint32_t Directory::serversIn(const std::string &Service,
+                              ServerStage Stage) const {
   std::lock_guard lock(Mutex);
-  std::vector<ServerEntry> all = Book.entries();
-  return std::any_of(all.begin(), all.end(), [&](const ServerEntry &It) {
-    return It.Service == Service && It.Stage == Stage && !It.Leaving;
-  });
+  return Book.count(Service, Stage);
 }
 
 void Directory::callStarted(const std::string &Id, double Weight) {
@@ -254,16 +240,6 @@
   return all;
 }
 
-std::vector<ServerEntry> Directory::stageServers(const std::string &Service,
-                                                 ServerStage Stage) const {
-  std::lock_guard lock(Mutex);
-  std::vector<ServerEntry> found;
-  for (const ServerEntry &it : Book.entries())
-    if (it.Service == Service && it.Stage == Stage && !it.Leaving)
-      found.push_back(it);
-  return found;
-}
-
 std::optional<ServerStage>
 Directory::stageOf(const std::string &ServerId) const {
   std::lock_guard lock(Mutex);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -63,7 +63,7 @@
   std::optional<ServerChoice> choose(const ServerQuery &Query);
   std::vector<ServerChoice> rank(const ServerQuery &Query);
   bool usable(const ServerChoice &Server) const;
-  bool hasStage(const std::string &Service, ServerStage Stage) const;
+  uint32_t serversIn(const std::string &Service, ServerStage Stage) const;
   void callStarted(const std::string &Id, double Weight);
   void callEnded(const std::string &Id, double Weight, CallResult Result);
   void loadSeen(const std::string &Id, const ServerLoad &Load);
@@ -80,9 +80,6 @@
                   Milliseconds Taken);
   void placeEnded(const std::string &Service, Milliseconds Waited, bool Got);
   std::vector<ServiceFigures> figures();
-  // Servers of a service in a stage that aren't leaving.
-  std::vector<ServerEntry> stageServers(const std::string &Service,
-                                        ServerStage Stage) const;
   std::optional<ServerStage> stageOf(const std::string &ServerId) const;
   // A server was ordered to change its stage: it gets nothing new for a while,
   // or until its entry changes. Repeated news of an order change nothing.
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -15,7 +15,6 @@
   bool next(std::string &Event);
   // What follows the last whole event.
   const std::string &rest() const { return Pending; }
-  void clear() { Pending.clear(); }
 
 private:
   std::string Pending;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,7 +11,6 @@
 namespace crocusspur::gateway {
 
 struct GatewayParts {
-  const GatewaySettings &Values;
   const Dialect &Wire;
   Directory &Known;
   ConnectionPool &Connections;
--- a/src/gateway/gateway_front.cc
+++ b/src/gateway/gateway_front.cc
@@ -92,7 +92,7 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
     return false;
-  Parts.emplace(GatewayParts{Runtime->Values, Runtime->Wire, Runtime->Known,
+  Parts.emplace(GatewayParts{Runtime->Wire, Runtime->Known,
                              Runtime->Connections, Runtime->Lines, *metrics});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
--- a/src/gateway/request_run.cc
+++ b/src/gateway/request_run.cc
@@ -113,7 +113,6 @@
 RunOrder RequestRun::orderFor(const ServerChoice &Server) const {
   RunOrder order;
   order.ServerId = Server.Id;
-  order.Address = Server.Address;
   order.TimeLeft = timeLeft();
   order.ContinueAfter = LastEventId;
   return order;
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -136,10 +136,8 @@
 
 PoolView RoleOrders::poolOf(const std::string &Service) {
   PoolView pool;
-  pool.PrefillServers = static_cast<uint32_t>(
-      Runtime->Known.stageServers(Service, ServerStage::Prefill).size());
-  pool.DecodeServers = static_cast<uint32_t>(
-      Runtime->Known.stageServers(Service, ServerStage::Decode).size());
+  pool.PrefillServers = Runtime->Known.serversIn(Service, ServerStage::Prefill);
+  pool.DecodeServers = Runtime->Known.serversIn(Service, ServerStage::Decode);
   // Servers that are changing still stand in their former stage.
   for (const GivenOrder &it : Runtime->Peers.orders(Service)) {
     std::optional<ServerStage> stage = Runtime->Known.stageOf(it.ServerId);
@@ -182,7 +180,7 @@
     return;
   log(LogLevel::Info, "role_orders", "servers should change their stage",
       {{"service", Service},
-       {"to", change->To == ServerStage::Decode ? "decode" : "prefill"},
+       {"to", nameOf(change->To)},
        {"servers", std::to_string(change->Servers)},
        {"prefill_servers", std::to_string(pool.PrefillServers)},
        {"decode_servers", std::to_string(pool.DecodeServers)},
@@ -196,15 +194,8 @@
 
 uint32_t RoleOrders::call(const ServerChoice &Server, const std::string &Bytes,
                           const char *Method, std::string &Body) {
-  CallerWaiter nobody(-1, Clock::now() + CallTime);
-  ServerCall call(Runtime->Connections, Runtime->Wire, nobody);
-  CallStatus status = call.start(Server.Address, Bytes, Method, "", CallTime);
-  if (status == CallStatus::Answered)
-    status = call.readWhole(Body, MostAnswerBytes);
-  if (status != CallStatus::Answered)
-    return 0;
-  call.finish();
-  return call.head().Status;
+  return callServer(Runtime->Connections, Runtime->Wire, Server, Bytes, Method,
+                    CallTime, MostAnswerBytes, Body);
 }
 
 std::optional<ServerReport> RoleOrders::report(const ServerChoice &Server) {
--- a/src/gateway/server_link.cc
+++ b/src/gateway/server_link.cc
@@ -182,4 +182,19 @@
     Pool.give(Address, std::move(kept), Facts.KeepOpen);
 }
 
+uint32_t callServer(ConnectionPool &Pool, const Dialect &Wire,
+                    const ServerChoice &Server, const std::string &Bytes,
+                    const std::string &Method, Milliseconds Time,
+                    size_t MaxBytes, std::string &Body) {
+  CallerWaiter nobody(-1, Clock::now() + Time);
+  ServerCall call(Pool, Wire, nobody);
+  CallStatus status = call.start(Server.Address, Bytes, Method, "", Time);
+  if (status == CallStatus::Answered)
+    status = call.readWhole(Body, MaxBytes);
+  if (status != CallStatus::Answered)
+    return 0;
+  call.finish();
+  return call.head().Status;
+}
+
 } // namespace crocusspur::gateway
--- a/src/gateway/server_link.h
+++ b/src/gateway/server_link.h
@@ -98,6 +98,13 @@
   AnswerFacts Facts;
 };
 
+// One call that no caller waits for. Returns the status and fills `Body`; 0 if
+// there is no whole answer within the time.
+uint32_t callServer(ConnectionPool &Pool, const Dialect &Wire,
+                    const ServerChoice &Server, const std::string &Bytes,
+                    const std::string &Method, Milliseconds Time,
+                    size_t MaxBytes, std::string &Body);
+
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway/stream_run.cc
+++ b/src/gateway/stream_run.cc
@@ -45,6 +45,28 @@
 constexpr size_t MostPrefillAnswer = 65536;
 constexpr size_t MostAnswerBytes = 16777216;
 
+struct CallEnd {
+  CallResult Result;
+  const char *Outcome; // as the log names it
+};
+
+// How a call without an answer ended that costs nothing but its time.
+CallEnd unanswered(CallStatus Status) {
+  switch (Status) {
+  case CallStatus::NotSent:
+    return {CallResult::Unreachable, "not_sent"};
+  case CallStatus::Broken:
+    return {CallResult::Failed, "broken"};
+  case CallStatus::Silent:
+    return {CallResult::Silent, "silent"};
+  case CallStatus::Answered:
+  case CallStatus::CallerLeft:
+  case CallStatus::OutOfTime:
+    break;
+  }
+  return {CallResult::Abandoned, "abandoned"};
+}
+
 } // namespace
 
 void RequestRun::runStream() {
@@ -95,8 +117,8 @@
       fail(ErrorKind::BackendFailed, "no place for a repeat");
       return Next::Done;
     }
-    bool known = Parts.Known.hasStage(Service, ServerStage::Decode) ||
-                 Parts.Known.hasStage(Service, ServerStage::Whole);
+    bool known = Parts.Known.serversIn(Service, ServerStage::Decode) > 0 ||
+                 Parts.Known.serversIn(Service, ServerStage::Whole) > 0;
     Milliseconds drain = Parts.Lines.drainTime(Service);
     // Callers honour a wait of up to a third of what they have left.
     refuse(known ? ErrorKind::DeadlineUnreachable : ErrorKind::NoServer,
@@ -199,12 +221,7 @@
     if (status == CallStatus::Answered)
       status = call.readWhole(body, MostPrefillAnswer);
     if (status != CallStatus::Answered) {
-      Parts.Known.callEnded(
-          server.Id, 0,
-          status == CallStatus::NotSent  ? CallResult::Unreachable
-          : status == CallStatus::Silent ? CallResult::Silent
-          : status == CallStatus::Broken ? CallResult::Failed
-                                         : CallResult::Abandoned);
+      Parts.Known.callEnded(server.Id, 0, unanswered(status).Result);
       continue;
     }
     call.finish();
@@ -266,21 +283,9 @@
     logCall("prefill", Server, Outcome, started);
   };
   if (status != CallStatus::Answered) {
-    switch (status) {
-    case CallStatus::NotSent:
+    if (status == CallStatus::NotSent)
       Parts.Connections.drop(Server.Address);
-      end(CallResult::Unreachable, "not_sent");
-      break;
-    case CallStatus::Broken:
-      end(CallResult::Failed, "broken");
-      break;
-    case CallStatus::Silent:
-      end(CallResult::Silent, "silent");
-      break;
-    default:
-      end(CallResult::Abandoned, "abandoned");
-      break;
-    }
+    end(unanswered(status).Result, unanswered(status).Outcome);
     return std::nullopt;
   }
   if (call.facts().Load)
@@ -305,16 +310,9 @@
 
 void RequestRun::sendRelease(const ServerChoice &Server,
                              const std::string &Bytes) {
-  CallerWaiter nobody(-1, Clock::now() + ReleaseTime);
-  ServerCall call(Parts.Connections, Parts.Wire, nobody);
-  CallStatus status =
-      call.start(Server.Address, Bytes, "DELETE", "", ReleaseTime);
   std::string body;
-  if (status == CallStatus::Answered)
-    status = call.readWhole(body, MostPrefillAnswer);
-  if (status == CallStatus::Answered)
-    call.finish();
-  else
+  if (callServer(Parts.Connections, Parts.Wire, Server, Bytes, "DELETE",
+                 ReleaseTime, MostPrefillAnswer, body) == 0)
     log(LogLevel::Warn, "request", "memory at a server was not released",
         {{"request", Request.Id},
          {"server", Server.Id},
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -79,8 +79,8 @@
   engine.TokensPerEvent = 11;
   engine.HandleLifetime = Milliseconds(500);
   engine.LongestReservation = Milliseconds(2000);
-  Document->Services["summaries"] = {"summaries", "/h", 10, engine};
-  Document->Services["bays"] = {"bays", "/h", 10, std::nullopt};
+  Document->Services["summaries"] = {"summaries", engine};
+  Document->Services["bays"] = {"bays", std::nullopt};
 }
 
 void GatewayFixture::addServer(const std::string &Id, const FakeServer &Server,
@@ -126,7 +126,7 @@
 std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
-  GatewayParts parts{Values, Wire, Known, Connections, Lines, Counters};
+  GatewayParts parts{Wire, Known, Connections, Lines, Counters};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -1,4 +1,5 @@
 #include "gateway/decisions/member_table.h"
+#include "virtual_time.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -6,13 +7,11 @@
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using test::at;
+using test::Start;
 
 namespace {
 
-const TimePoint Start = TimePoint() + std::chrono::hours(1);
-
-TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
-
 Member memberOf(int Number, uint64_t Incarnation = 1) {
   Member member;
   member.Name = "n" + std::to_string(Number);
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -20,14 +20,23 @@
   return Answer.starts_with("HTTP/1.1 200");
 }
 
+// A running fleet before one server that answers every call with "bay 7".
+struct BayFleet {
+  explicit BayFleet(int Count) : Fleet(Count) {
+    Fleet.addServer("s1", Server);
+    Fleet.startAll();
+  }
+
+  FakeServer Server{
+      [](const std::string &, int) { return signedAnswer(200, "bay 7"); }};
+  GatewayFleet Fleet;
+};
+
 } // namespace
 
 TEST_CASE("A gateway alone serves a calm day in miniature") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(1);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(1);
+  GatewayFleet &fleet = bays.Fleet;
   Instance &gateway = fleet.Instances[0];
   for (int i = 0; i < 20; ++i) {
     std::string answer = GatewayFleet::ask(gateway, "/x/slot");
@@ -55,11 +64,8 @@
 }
 
 TEST_CASE("An instance that the store turns away learns from its peers") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(3);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(3);
+  GatewayFleet &fleet = bays.Fleet;
   fleet.Store.turnAway("g3", true);
   fleet.Store.put("op/config", configOf(2, "/y/"));
   CHECK(test::eventually(
@@ -74,11 +80,8 @@
 }
 
 TEST_CASE("Stopped and dead peers hold up no request") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(3);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(3);
+  GatewayFleet &fleet = bays.Fleet;
   fleet.Instances[0].Process->signal(SIGSTOP); // also the only seed
   fleet.Instances[1].Process->signal(SIGKILL);
   for (int i = 0; i < 20; ++i)
@@ -87,11 +90,8 @@
 }
 
 TEST_CASE("All instances that are killed at once serve again after") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(3);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(3);
+  GatewayFleet &fleet = bays.Fleet;
   for (Instance &it : fleet.Instances)
     it.Process->signal(SIGKILL);
   for (Instance &it : fleet.Instances)
@@ -124,11 +124,8 @@
 }
 
 TEST_CASE("Changed settings with mistakes keep what is in force") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(1);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(1);
+  GatewayFleet &fleet = bays.Fleet;
   Instance &gateway = fleet.Instances[0];
   std::ofstream(gateway.File) << "node-name = 3\n";
   gateway.Process->signal(SIGHUP);
@@ -174,11 +171,8 @@
 
 // The platform kills what hasn't ended when its time is over.
 TEST_CASE("Idle connections don't hold up the end of a shutdown") {
-  FakeServer server(
-      [](const std::string &, int) { return signedAnswer(200, "bay 7"); });
-  GatewayFleet fleet(1);
-  fleet.addServer("s1", server);
-  fleet.startAll();
+  BayFleet bays(1);
+  GatewayFleet &fleet = bays.Fleet;
   Instance &gateway = fleet.Instances[0];
   std::vector<int> idle;
   for (const std::string &it :
--- a/test/gateway_role_control_test.cc
+++ b/test/gateway_role_control_test.cc
@@ -1,16 +1,15 @@
 #include "gateway/decisions/role_control.h"
+#include "virtual_time.h"
 
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using test::at;
+using test::Start;
 
 namespace {
 
-const TimePoint Start = TimePoint() + std::chrono::hours(1);
-
-TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
-
 // Four prefill and five decode servers in a burst of 22 prompts of 5,200 tokens
 // a second; a prefill server reads 55,000 tokens a second.
 PoolView burst() {
@@ -175,6 +174,21 @@
     CHECK_FALSE(control.decide(pool, at(3000), at(ms)).has_value());
 }
 
+// Usual demand that takes the memory of 63 of 70 decode servers, and 12 of 20
+// prefill servers. Room for a burst of twice the usual in the prefill servers
+// alone is of no use.
+TEST_CASE("Servers turn while decode is the fuller stage") {
+  RoleControl control;
+  PoolView pool;
+  pool.PrefillServers = 20;
+  pool.DecodeServers = 70;
+  pool.Demand.PromptTokens = 82 * 5200;
+  pool.Demand.PlacesWanted = 82;
+  pool.PrefillRate = 40000;
+  pool.DecodeUse = 0.9;
+  CHECK(firstOrder(control, pool, 0, 5000) == ServerStage::Decode);
+}
+
 // Five prefill servers are left for a demand that needs 20. Prompts hold their
 // decode memory while they wait, so that it is short as well.
 TEST_CASE("Prefill servers come back although decode memory is short") {
--- a/test/gateway_server_book_test.cc
+++ b/test/gateway_server_book_test.cc
@@ -1,16 +1,15 @@
 #include "gateway/decisions/server_book.h"
+#include "virtual_time.h"
 
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using test::at;
+using test::Start;
 
 namespace {
 
-const TimePoint Start = TimePoint() + std::chrono::hours(1);
-
-TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
-
 ServerEntry entryOf(const std::string &Id, int64_t StartedAt = 1) {
   ServerEntry entry;
   entry.Id = Id;
--- a/test/gateway_waiting_line_test.cc
+++ b/test/gateway_waiting_line_test.cc
@@ -1,4 +1,5 @@
 #include "gateway/decisions/waiting_line.h"
+#include "virtual_time.h"
 
 #include <deque>
 #include <doctest/doctest.h>
@@ -8,13 +9,11 @@
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using test::at;
+using test::Start;
 
 namespace {
 
-const TimePoint Start = TimePoint() + std::chrono::hours(1);
-
-TimePoint at(int64_t Ms) { return Start + Milliseconds(Ms); }
-
 LineEntry entryOf(int64_t OnTimeMs, uint32_t Priority = 0) {
   LineEntry entry;
   entry.Priority = Priority;
--- a/test/platform_dialect_test.cc
+++ b/test/platform_dialect_test.cc
@@ -23,7 +23,6 @@
 RunOrder order() {
   RunOrder order;
   order.ServerId = "i-1";
-  order.Address = "10.0.0.9:80";
   order.TimeLeft = Milliseconds(950);
   return order;
 }
