--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -1,5 +1,7 @@
 #include "gateway/request_handler.h"
 
+#include "gateway/decisions/content_fingerprint.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <utility>
@@ -28,6 +30,11 @@
   return buf;
 }
 
+uint64_t contentOf(const CallerRequest &Request) {
+  return fingerprintOf(
+      {Request.Host, Request.Method, Request.Target, Request.Body});
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(const GatewayContext &Context,
@@ -35,7 +42,8 @@
                                const PathRoute &Route, CallerRequest Request,
                                internal::HttpSink &Sink, TimePoint Arrived)
     : Context(Context), Document(std::move(Document)), Route(Route),
-      Request(std::move(Request)), Sink(Sink), Arrived(Arrived),
+      Request(std::move(Request)), Content(contentOf(this->Request)),
+      Sink(Sink), Arrived(Arrived),
       Deadline(Arrived +
                std::min(Route.Timeout,
                         this->Request.TimeLeft.value_or(Route.Timeout))),
@@ -65,14 +73,19 @@
 }
 
 void RequestHandler::logCall(const char *Stage, const ServerChoice &Server,
-                             const std::string &Outcome,
-                             TimePoint Started) const {
+                             const ServerCall &Call, const std::string &Outcome,
+                             TimePoint Started) {
+  if (Call.maySent())
+    ++Sends;
   if (!internal::isLogged(LogLevel::Info))
     return;
   auto taken = std::chrono::duration_cast<Milliseconds>(Clock::now() - Started);
   internal::LogFields all = fields();
   all.emplace_back("stage", Stage);
   all.emplace_back("server", Server.Id);
+  all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
+  all.emplace_back("content", fingerprintText(Content));
+  all.emplace_back("send", std::to_string(Sends));
   all.emplace_back("outcome", Outcome);
   all.emplace_back("taken_ms", std::to_string(taken.count()));
   all.emplace_back("left_ms", std::to_string(timeLeft().count()));
@@ -85,6 +98,8 @@
   Context.Metrics.observe("request_seconds", Outcome,
                           static_cast<double>(taken.count()) / 1000);
   internal::LogFields all = fields();
+  all.emplace_back("content", fingerprintText(Content));
+  all.emplace_back("sends", std::to_string(Sends));
   all.emplace_back("outcome", Outcome);
   all.emplace_back("why", Why);
   all.emplace_back("status", std::to_string(Status));
@@ -218,7 +233,7 @@
   auto end = [&](CallResult Result, const std::string &Outcome,
                  AttemptResult After) {
     Context.Directory.callEnded(Server.Id, 1, Result);
-    logCall("run", Server, Outcome, started);
+    logCall("run", Server, call, Outcome, started);
     return After;
   };
   switch (status) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -87,7 +87,8 @@
   void fail(ErrorKind Kind, const std::string &Why);
   void sendProblem(const internal::Problem &Item);
   void logCall(const char *Stage, const ServerChoice &Server,
-               const std::string &Outcome, TimePoint Started) const;
+               const ServerCall &Call, const std::string &Outcome,
+               TimePoint Started);
   void finish(const std::string &Outcome, const std::string &Why);
   internal::LogFields fields() const;
 
@@ -95,6 +96,7 @@
   RouteDocumentPtr Document;
   const PathRoute &Route;
   CallerRequest Request;
+  const uint64_t Content; // see fingerprintOf()
   internal::HttpSink &Sink;
   TimePoint Arrived;
   TimePoint Deadline; // the caller's deadline or the route's timeout
@@ -105,6 +107,7 @@
   std::set<std::string> Used;  // servers sent the request, except prefills
   uint32_t Status = 0;         // of the response; 0: none sent
   bool Returning = false;      // the caller was refused before
+  uint32_t Sends = 0;          // calls that may have reached a server
   bool PrefillSent = false;    // the last prefill call may have arrived
   bool RetryBudgetExhausted = false; // no further retry is allowed
   bool MayHaveExecuted = false;      // a server may have executed the request
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -200,7 +200,17 @@
 
 bool ServiceDirectory::tryConsumeRetry(const std::string &Service) {
   std::lock_guard lock(Mutex);
-  return Retries.tryConsumeRetry(Service, Instances.load(), Clock::now());
+  bool granted =
+      Retries.tryConsumeRetry(Service, Instances.load(), Clock::now());
+  RetryCounts &counts = RetriesCounted[Service];
+  ++(granted ? counts.Granted : counts.Denied);
+  return granted;
+}
+
+std::map<std::string, ServiceDirectory::RetryCounts>
+ServiceDirectory::retryCounts() const {
+  std::lock_guard lock(Mutex);
+  return RetriesCounted;
 }
 
 void ServiceDirectory::setRetryAllowance(RetryAllowance Value) {
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -74,6 +74,11 @@
   void onRequest(const std::string &Service);
   bool tryConsumeRetry(const std::string &Service);
   void setRetryAllowance(RetryAllowance Value);
+  struct RetryCounts {
+    uint64_t Granted = 0;
+    uint64_t Denied = 0;
+  };
+  std::map<std::string, RetryCounts> retryCounts() const; // by service
   void setInstances(uint32_t Count) { Instances.store(Count); }
 
   // Statistics of each service, from which the demand on all instances is
@@ -130,6 +135,7 @@
   uint64_t ListRevision = 0;
   bool ListReceived = false;
   SharedRetryBudget Retries;
+  std::map<std::string, RetryCounts> RetriesCounted;  // by service
   std::map<std::string, OutputEstimator> Outputs;     // by service
   std::map<std::string, SizeAffinity> SizeAffinities; // by service
   struct StageStats {
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -134,6 +134,12 @@
                     static_cast<double>(Runtime->Connections.opened()));
   Metrics->setGauge("store_reachable", "",
                     Runtime->Directory.isStoreReachable() ? 1 : 0);
+  for (const auto &[service, counts] : Runtime->Directory.retryCounts()) {
+    Metrics->setGauge("retries_total", service,
+                      static_cast<double>(counts.Granted));
+    Metrics->setGauge("retries_denied_total", service,
+                      static_cast<double>(counts.Denied));
+  }
   for (const auto &[service, size] : Runtime->Queues.sizes())
     Metrics->setGauge("queue_length", service, static_cast<double>(size));
 }
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -296,7 +296,7 @@
     status = call.readWhole(body, MaxPrefillResponseBytes);
   auto end = [&](CallResult Result, const std::string &Outcome) {
     Context.Directory.callEnded(Server.Id, weight, Result);
-    logCall("prefill", Server, Outcome, started);
+    logCall("prefill", Server, call, Outcome, started);
   };
   if (status != CallStatus::Responded) {
     if (status == CallStatus::NotSent)
@@ -380,7 +380,7 @@
   auto end = [&](CallResult Result, const std::string &Outcome,
                  AttemptResult After) {
     Context.Directory.callEnded(server.Id, 1, Result);
-    logCall("run", server, Outcome, started);
+    logCall("run", server, call, Outcome, started);
     return After;
   };
   switch (status) {
