Reproduce a request that is sent on after it crashed three servers

Change: three process tests with a fake server that ends under one content, refuses connections for 1.5 s and starts again under its id. A caller sends that content to each of four instances in turn with a new id. The bound is the platform's: at most three sends later than 3 s after the third crash.

--- /dev/null
+++ b/test/crashing_server.cc
@@ -0,0 +1,172 @@
+#include "crashing_server.h"
+
+#include "gateway_fixture.h"
+
+#include <algorithm>
+#include <sys/socket.h>
+#include <utility>
+
+namespace crocusspur::test {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int StreamEvents = 8;
+constexpr Milliseconds EventInterval{5};
+
+std::string fieldOf(const std::string &Request, const std::string &Name) {
+  size_t n = Request.find("\r\n" + Name + ": ");
+  if (n == std::string::npos)
+    return "";
+  n += Name.size() + 4;
+  return Request.substr(n, Request.find("\r\n", n) - n);
+}
+
+std::string chunk(const std::string &Data) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
+  return size + Data + "\r\n";
+}
+
+} // namespace
+
+void CrashLog::onArrival() {
+  std::lock_guard lock(Mutex);
+  Arrivals.push_back(Clock::now());
+}
+
+void CrashLog::onCrash() {
+  std::lock_guard lock(Mutex);
+  Crashes.push_back(Clock::now());
+}
+
+size_t CrashLog::crashes() const {
+  std::lock_guard lock(Mutex);
+  return Crashes.size();
+}
+
+std::optional<TimePoint> CrashLog::crashTime(size_t N) const {
+  std::lock_guard lock(Mutex);
+  return Crashes.size() < N ? std::nullopt : std::optional(Crashes[N - 1]);
+}
+
+size_t CrashLog::arrivalsAfter(TimePoint Time) const {
+  std::lock_guard lock(Mutex);
+  return static_cast<size_t>(
+      std::count_if(Arrivals.begin(), Arrivals.end(),
+                    [&](TimePoint It) { return It > Time; }));
+}
+
+CrashingServer::CrashingServer(FakeStore &Store, CrashLog &Log,
+                               CrashingServerOptions Options)
+    : Store(Store), Log(Log), Options(std::move(Options)) {
+  start();
+  Supervisor = std::thread([this] { supervise(); });
+}
+
+CrashingServer::~CrashingServer() {
+  {
+    std::lock_guard lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  Supervisor.join();
+}
+
+void CrashingServer::start() {
+  Process =
+      std::make_unique<ScriptServer>([this](int Fd, int) { serve(Fd); }, Port);
+  Port = Process->port();
+  std::string stage =
+      Options.Stage.empty() ? "" : ",\"phase\":\"" + Options.Stage + "\"";
+  Store.put("servers/" + Options.Id,
+            serverEntry(Options.Service, Process->address(),
+                        "\"state\":\"ready\"" + stage, ++StartedAt));
+}
+
+// Ends and restarts the process, since its own threads can't join themselves.
+void CrashingServer::supervise() {
+  std::unique_lock lock(Mutex);
+  while (true) {
+    Changed.wait(lock, [this] { return Crashed || Stopping; });
+    for (int it : Open)
+      ::shutdown(it, SHUT_RDWR);
+    lock.unlock();
+    Process.reset();
+    lock.lock();
+    if (Changed.wait_for(lock, Options.DownTime, [this] { return Stopping; }))
+      return;
+    Crashed = false;
+    start();
+  }
+}
+
+void CrashingServer::crash() {
+  std::lock_guard lock(Mutex);
+  if (Crashed || Stopping)
+    return;
+  Crashed = true;
+  // A process's sockets vanish together, so no peer that sees a closed
+  // connection can open another one.
+  Process->stopListening();
+  Changed.notify_all();
+}
+
+void CrashingServer::serve(int Fd) {
+  {
+    std::lock_guard lock(Mutex);
+    if (Crashed || Stopping)
+      return;
+    Open.insert(Fd);
+  }
+  while (true) {
+    std::string request = readRequest(Fd);
+    if (request.empty() || !respond(Fd, request))
+      break;
+  }
+  std::lock_guard lock(Mutex);
+  Open.erase(Fd);
+}
+
+// Returns whether the connection stays open.
+bool CrashingServer::respond(int Fd, const std::string &Request) {
+  if (Request.starts_with("POST /api/hold-take")) {
+    sendText(Fd, httpResponse(200, "{\"retention\":\"r1\"}"));
+    return true;
+  }
+  if (Request.starts_with("DELETE ")) {
+    sendText(Fd, httpResponse(200, "{}"));
+    return true;
+  }
+  bool crashes = Request.ends_with("\r\n\r\n" + CrashingBody);
+  if (crashes)
+    Log.onArrival();
+  if (!fieldOf(Request, "Inference-Phase").empty()) {
+    sendText(Fd, httpResponse(200, "{\"kv-handle\":\"h\",\"token-count\":9,"
+                                   "\"version\":1}"));
+    return true;
+  }
+  if (crashes) {
+    crash();
+    Log.onCrash();
+    return false;
+  }
+  std::string id = fieldOf(Request, "Attempt-Id");
+  if (!Options.Stage.empty())
+    return respondStream(Fd, id);
+  sendText(Fd, signedResponse(200, "answer", id));
+  return true;
+}
+
+bool CrashingServer::respondStream(int Fd, const std::string &Id) {
+  sendText(Fd, "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: " + Id +
+                   "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 1; i <= StreamEvents; ++i) {
+    sendText(Fd, chunk("id: " + std::to_string(i) + "\ndata: x\n\n"));
+    std::this_thread::sleep_for(EventInterval);
+  }
+  sendText(Fd, "0\r\n\r\n");
+  return true;
+}
+
+} // namespace crocusspur::test
--- /dev/null
+++ b/test/crashing_server.h
@@ -0,0 +1,78 @@
+// A fake backend server whose process ends when it runs a request with a given
+// content. It refuses connections for some time, then starts again under its id
+// with a new start time. Serves plain requests, prefills and streams.
+#ifndef CROCUSSPUR_TEST_CRASHING_SERVER_H
+#define CROCUSSPUR_TEST_CRASHING_SERVER_H
+
+#include "crocusspur/types.h"
+#include "gateway_fleet.h"
+#include "test_socket.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace crocusspur::test {
+
+// Requests whose body contains this end the server that runs them.
+inline const std::string CrashingBody = "crash the server";
+
+// What all servers of a test received with CrashingBody. Thread-safe.
+class CrashLog {
+public:
+  void onArrival();
+  void onCrash();
+  size_t crashes() const;
+  // Time of the Nth crash, counted from 1; nothing before it happened.
+  std::optional<TimePoint> crashTime(size_t N) const;
+  size_t arrivalsAfter(TimePoint Time) const;
+
+private:
+  mutable std::mutex Mutex;
+  std::vector<TimePoint> Arrivals;
+  std::vector<TimePoint> Crashes;
+};
+
+struct CrashingServerOptions {
+  std::string Id;
+  std::string Service;
+  std::string Stage;           // as registered; empty: a plain service
+  Milliseconds DownTime{1500}; // from a crash to the next start
+};
+
+class CrashingServer {
+public:
+  CrashingServer(FakeStore &Store, CrashLog &Log,
+                 CrashingServerOptions Options);
+  ~CrashingServer();
+  // Ends the process as a crash does, whatever it runs.
+  void crash();
+
+private:
+  void start();
+  void supervise();
+  void serve(int Fd);
+  bool respond(int Fd, const std::string &Request);
+  bool respondStream(int Fd, const std::string &Id);
+
+  FakeStore &Store;
+  CrashLog &Log;
+  const CrashingServerOptions Options;
+  uint16_t Port = 0;
+  int64_t StartedAt = 1764000000000;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Crashed = false;
+  bool Stopping = false;
+  std::set<int> Open;
+  std::unique_ptr<ScriptServer> Process;
+  std::thread Supervisor;
+};
+
+} // namespace crocusspur::test
+
+#endif
--- /dev/null
+++ b/test/gateway_crash_process_test.cc
@@ -0,0 +1,117 @@
+// Tests gateway instances as processes whose servers crash under one request.
+#include "crashing_server.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// The platform's bounds: from this long after the third crash on, at most three
+// sends of the request may still reach servers.
+constexpr Milliseconds ContactTime{3000};
+constexpr size_t AllowedSends = 3;
+constexpr int InstanceCount = 4;
+constexpr int ServerCount = 6;
+constexpr Milliseconds ReturnInterval{20}; // between two attempts of the caller
+
+std::string makeRoute(const std::string &Prefix, const std::string &Type,
+                      const std::string &Service) {
+  return R"({"name":"r)" + Prefix.substr(1, 1) +
+         R"(","host":"a.example","path-prefix":")" + Prefix + R"(","type":")" +
+         Type + R"(","timeout-ms":5000,"latency-target-ms":150,"priority":1,)" +
+         R"("service":")" + Service +
+         R"(","max-attempts":2,"resumable":true,"itl-target-ms":300})";
+}
+
+std::string makeConfig() {
+  return R"({"version":2,"routes":[)" +
+         makeRoute("/n/", "non_idempotent", "bays") + "," +
+         makeRoute("/i/", "idempotent", "bays") + "," +
+         makeRoute("/t/", "streaming", "llm") +
+         R"(],"services":[{"name":"bays"},{"name":"llm","runtime":{"slots":64,)"
+         R"("kv-capacity":60000,"stride":11,"kv-ttl-s":0.5,"hold-ms":2000}}]})";
+}
+
+// A fleet with servers of a plain service and of a model.
+struct CrashFleet {
+  explicit CrashFleet(int Instances = InstanceCount) : Fleet(Instances) {
+    Fleet.Store.put("op/config", makeConfig());
+    for (int i = 0; i < ServerCount; ++i) {
+      std::string n = std::to_string(i);
+      Servers.push_back(std::make_unique<CrashingServer>(
+          Fleet.Store, Log, CrashingServerOptions{"bay-" + n, "bays", ""}));
+      Servers.push_back(std::make_unique<CrashingServer>(
+          Fleet.Store, Log,
+          CrashingServerOptions{"llm-" + n, "llm", "decode"}));
+    }
+    Fleet.startAll();
+  }
+
+  // Sends a request with a new id and returns everything received.
+  std::string send(int Instance, const std::string &Path,
+                   const std::string &Body) {
+    int fd = connectTo(Fleet.Instances[static_cast<size_t>(Instance)].Callers);
+    REQUIRE(fd >= 0);
+    sendText(fd, "POST " + Path +
+                     " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + "a" +
+                     std::to_string(++LastId) +
+                     "\r\nToken-Usage: 500,100\r\nDeadline-Ms: 4000\r\n"
+                     "Connection: close\r\nContent-Length: " +
+                     std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    std::string response = readAll(fd);
+    ::close(fd);
+    return response;
+  }
+
+  // Sends the crashing request to each instance in turn until the time.
+  void sendCrashingUntil(const std::string &Path,
+                         const std::function<bool()> &Done) {
+    for (int i = 0; !Done(); ++i) {
+      send(i % static_cast<int>(Fleet.Instances.size()), Path, CrashingBody);
+      std::this_thread::sleep_for(ReturnInterval);
+    }
+  }
+
+  GatewayFleet Fleet;
+  CrashLog Log;
+  std::vector<std::unique_ptr<CrashingServer>> Servers;
+  std::atomic<int> LastId{0};
+};
+
+// Sends the request for two bounds after the third crash and returns how many
+// sends reached servers in the second.
+size_t lateArrivals(CrashFleet &Setup, const std::string &Path) {
+  auto third = [&] { return Setup.Log.crashTime(3); };
+  TimePoint limit = Clock::now() + WaitTimeout;
+  Setup.sendCrashingUntil(Path, [&] {
+    return third() ? Clock::now() > *third() + 2 * ContactTime
+                   : Clock::now() > limit;
+  });
+  REQUIRE(third().has_value());
+  return Setup.Log.arrivalsAfter(*third() + ContactTime);
+}
+
+} // namespace
+
+// Each attempt of the caller has a new id, so the instances took it for another
+// request each time.
+TEST_CASE("A call that crashed three servers reaches no more") {
+  CrashFleet setup;
+  CHECK(lateArrivals(setup, "/n/x") <= AllowedSends);
+}
+
+TEST_CASE("A repeatable call that crashed three servers reaches no more") {
+  CrashFleet setup;
+  CHECK(lateArrivals(setup, "/i/x") <= AllowedSends);
+}
+
+TEST_CASE("A stream that crashed three servers reaches no more") {
+  CrashFleet setup;
+  CHECK(lateArrivals(setup, "/t/x") <= AllowedSends);
+}
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -162,11 +162,12 @@
 }
 
 std::string serverEntry(const std::string &Service, const std::string &Address,
-                        const std::string &More) {
+                        const std::string &More, int64_t StartedAt) {
   return "{\"service\":\"" + Service + "\",\"address\":\"" + Address +
          "\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":6," +
          (More.empty() ? std::string("\"state\":\"ready\"") : More) +
-         ",\"cold-left-ms\":0,\"sequence\":1,\"born\":1764000000123}";
+         ",\"cold-left-ms\":0,\"sequence\":1,\"born\":" +
+         std::to_string(StartedAt) + "}";
 }
 
 GatewayFleet::GatewayFleet(int Count, const std::string &StoreAddress) {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -59,7 +59,8 @@
 std::string configOf(int Version, const std::string &Prefix);
 // Returns the entry of a ready server of the service.
 std::string serverEntry(const std::string &Service, const std::string &Address,
-                        const std::string &More = "");
+                        const std::string &More = "",
+                        int64_t StartedAt = 1764000000123);
 
 struct GatewayInstance {
   std::string Name;
@@ -79,6 +80,7 @@
 
   void addServer(const std::string &Id, const FakeServer &Server);
   void start(GatewayInstance &Item);
+  // Starts all instances and waits until they are ready.
   void startAll();
 
   // Status of the readiness probe; 0 without a response.
--- a/test/test_socket.cc
+++ b/test/test_socket.cc
@@ -13,8 +13,11 @@
 
 int listenOnLoopback(uint16_t &Port) {
   int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  int one = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(Port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   auto *plain = reinterpret_cast<sockaddr *>(&address);
   socklen_t length = sizeof address;
@@ -56,13 +59,16 @@
     ::close(std::exchange(Far, -1));
 }
 
-ScriptServer::ScriptServer(Script Run) : Run(std::move(Run)) {
-  Listener = listenOnLoopback(Port);
+ScriptServer::ScriptServer(Script Run, uint16_t Port)
+    : Run(std::move(Run)), Port(Port) {
+  Listener = listenOnLoopback(this->Port);
   Acceptor = std::thread([this] { accept(); });
 }
 
+void ScriptServer::stopListening() { ::shutdown(Listener, SHUT_RDWR); }
+
 ScriptServer::~ScriptServer() {
-  ::shutdown(Listener, SHUT_RDWR);
+  stopListening();
   Acceptor.join();
   for (std::thread &it : Threads)
     it.join();
--- a/test/test_socket.h
+++ b/test/test_socket.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_TEST_SOCKET_H
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -33,12 +34,16 @@
 public:
   using Script = std::function<void(int Fd, int Number)>;
 
-  explicit ScriptServer(Script Run);
+  // `Port` 0: chosen by the kernel.
+  explicit ScriptServer(Script Run, uint16_t Port = 0);
   ~ScriptServer();
   ScriptServer(const ScriptServer &) = delete;
   ScriptServer &operator=(const ScriptServer &) = delete;
 
   std::string address() const;
+  uint16_t port() const { return Port; }
+  // From now on connections are refused. May be called by a script.
+  void stopListening();
   int connections() const { return Count.load(); }
 
 private:
