--- a/include/crocusspur/errors.h
+++ b/include/crocusspur/errors.h
@@ -40,10 +40,12 @@
   BadPatch,              // a patch doesn't result in a valid document
   PeerProtocol,          // malformed or unauthenticated peer traffic
   Internal,              // a bug; logged with detail
+  // The kinds are numbered in messages between instances, so new ones follow.
+  ContentRefused, // not run: earlier requests like it crashed backend servers
 };
 
 inline constexpr size_t ErrorKindCount =
-    static_cast<size_t>(ErrorKind::Internal) + 1;
+    static_cast<size_t>(ErrorKind::ContentRefused) + 1;
 
 // The response to a caller for one error kind.
 struct ErrorResponse {
--- a/src/command_explain.cc
+++ b/src/command_explain.cc
@@ -17,6 +17,7 @@
 int explain(const std::vector<std::string> &Files,
             const std::string &RequestId) {
   std::vector<HistoryEntry> history;
+  std::set<std::string> contents;
   for (const std::string &it : Files) {
     std::ifstream in(it);
     if (!in) {
@@ -25,6 +26,14 @@
     }
     collectHistory(in, RequestId, history);
   }
+  for (const HistoryEntry &it : history)
+    if (!it.Content.empty())
+      contents.insert(it.Content);
+  for (const std::string &it : Files) {
+    std::ifstream in(it);
+    if (!contents.empty())
+      collectCrashes(in, contents, RequestId, history);
+  }
   sortHistory(history);
   std::cout << formatHistory(history);
   if (!history.empty())
@@ -36,7 +45,8 @@
 const CommandRegistration Registration{[](CLI::App &Program, int &ExitCode) {
   CLI::App *command = Program.add_subcommand(
       "explain", "Print the log lines of all instances about one request,\n"
-                 "ordered by time (exit code 1: none found)");
+                 "and about crashes of servers under its content, ordered by\n"
+                 "time (exit code 1: none found)");
   auto files = std::make_shared<std::vector<std::string>>();
   auto request = std::make_shared<std::string>();
   command->add_option("logs", *files, "Log files")->required();
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -69,6 +69,9 @@
     {"peer_protocol", 502, "A peer sent a malformed or unauthenticated frame.",
      ExecutionState::Unknown, false},
     {"internal", 500, "Internal error.", ExecutionState::Unknown, false},
+    {"content_refused", 503,
+     "Requests like this one crashed backend servers and are refused.",
+     ExecutionState::No, true},
 }};
 
 } // namespace
--- /dev/null
+++ b/src/gateway/decisions/run_tracker.cc
@@ -0,0 +1,69 @@
+#include "gateway/decisions/run_tracker.h"
+
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+// A server's entry expires after three missed heartbeats, and a restarted one
+// registers after some seconds.
+constexpr Milliseconds BrokenRetention{12000};
+constexpr size_t MaxRuns = 4096; // beyond it, the oldest is dropped
+
+} // namespace
+
+RunTracker::Id RunTracker::start(TrackedRun Run) {
+  if (Runs.size() >= MaxRuns)
+    Runs.erase(Runs.begin());
+  Runs.emplace(++LastId, std::move(Run));
+  return LastId;
+}
+
+std::optional<TrackedRun> RunTracker::end(Id Run) {
+  auto node = Runs.extract(Run);
+  return node.empty() ? std::nullopt : std::optional(std::move(node.mapped()));
+}
+
+void RunTracker::breakOff(Id Run, TimePoint Now) {
+  expire(Now);
+  auto it = Runs.find(Run);
+  if (it != Runs.end())
+    it->second.BrokenAt = Now;
+}
+
+void RunTracker::expire(TimePoint Now) {
+  std::erase_if(Runs, [&](const auto &It) {
+    return It.second.BrokenAt && *It.second.BrokenAt + BrokenRetention < Now;
+  });
+}
+
+std::vector<TrackedRun> RunTracker::onRestarted(const std::string &ServerId,
+                                                int64_t StartedAt,
+                                                TimePoint Now) {
+  expire(Now);
+  std::vector<TrackedRun> ended;
+  std::erase_if(Runs, [&](auto &It) {
+    bool found = It.second.ServerId == ServerId &&
+                 It.second.ServerStartedAt != 0 &&
+                 It.second.ServerStartedAt != StartedAt;
+    if (found)
+      ended.push_back(std::move(It.second));
+    return found;
+  });
+  return ended;
+}
+
+std::vector<TrackedRun> RunTracker::onVanished(const std::string &ServerId,
+                                               TimePoint Now) {
+  expire(Now);
+  std::vector<TrackedRun> ended;
+  std::erase_if(Runs, [&](auto &It) {
+    bool found = It.second.ServerId == ServerId && It.second.BrokenAt;
+    if (found)
+      ended.push_back(std::move(It.second));
+    return found;
+  });
+  return ended;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/run_tracker.h
@@ -0,0 +1,54 @@
+// Runs of this instance's requests at backend servers, to find those that a
+// server's process ended with. A broken connection alone doesn't show that the
+// server ended, so a broken run is kept until a later sign or its expiry. Does
+// no I/O; callers pass the time.
+#ifndef CROCUSSPUR_GATEWAY_RUN_TRACKER_H
+#define CROCUSSPUR_GATEWAY_RUN_TRACKER_H
+
+#include "crocusspur/types.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+struct TrackedRun {
+  uint64_t Content = 0; // see fingerprintOf()
+  std::string RequestId;
+  std::string ServerId;
+  int64_t ServerStartedAt = 0; // Unix milliseconds; 0: unknown
+  // When the run broke off; nothing while it is running.
+  std::optional<TimePoint> BrokenAt;
+};
+
+class RunTracker {
+public:
+  using Id = uint64_t;
+
+  Id start(TrackedRun Run);
+  // Ends a run that says nothing about the server's process. Returns it.
+  std::optional<TrackedRun> end(Id Run);
+  // Records that a run broke off or got no response.
+  void breakOff(Id Run, TimePoint Now);
+
+  // Removes and returns the runs that ended with the process of a server that
+  // has restarted: those sent to an earlier process.
+  std::vector<TrackedRun> onRestarted(const std::string &ServerId,
+                                      int64_t StartedAt, TimePoint Now);
+  // The same for a server that vanished from the list. It may still be alive,
+  // so only broken runs are returned.
+  std::vector<TrackedRun> onVanished(const std::string &ServerId,
+                                     TimePoint Now);
+
+private:
+  void expire(TimePoint Now);
+
+  std::map<Id, TrackedRun> Runs;
+  Id LastId = 0;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 
+#include "gateway/crash_monitor.h"
 #include "gateway/http_codec.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
@@ -15,6 +16,7 @@
   ServiceDirectory &Directory;
   ConnectionPool &Connections;
   ReservationQueues &Queues;
+  CrashMonitor &Crashes;
   internal::MetricsSink &Metrics;
 };
 
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -94,7 +94,7 @@
     return false;
   Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
                                  Runtime->Connections, Runtime->Queues,
-                                 *metrics});
+                                 Runtime->Crashes, *metrics});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
 #include "gateway/adapter.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/membership.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
@@ -29,9 +30,17 @@
         SettingsFile(std::move(File)), Incarnation(Incarnation),
         Codec(ActiveAdapter.MakeCodec()),
         Source(ActiveAdapter.MakeSource(this->Values)),
-        Directory(this->Values, Incarnation),
+        Directory(this->Values, Incarnation), Crashes(this->Values.Instance),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
-        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {}
+        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
+    Directory.setServerEndListener(
+        [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
+          if (StartedAt)
+            Crashes.onServerRestarted(ServerId, *StartedAt);
+          else
+            Crashes.onServerVanished(ServerId);
+        });
+  }
 
   const Adapter &ActiveAdapter;
   const GatewaySettings Values; // as read at startup
@@ -42,6 +51,7 @@
   ServiceDirectory Directory;
   ConnectionPool Connections;
   ReservationQueues Queues;
+  CrashMonitor Crashes;
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -69,14 +69,26 @@
     servers.push_back(wire::CreatePublishedServer(out, out.CreateString(it.Id),
                                                   it.Revision, it.Removed,
                                                   out.CreateString(it.Text)));
+  std::vector<flatbuffers::Offset<wire::Crash>> crashes;
+  for (const CrashRecord &it : Frame.Crashes.Crashes)
+    crashes.push_back(wire::CreateCrash(
+        out, it.Content, out.CreateString(it.ServerId),
+        out.CreateString(it.Witness), static_cast<uint32_t>(it.Age.count())));
+  std::vector<flatbuffers::Offset<wire::ClearedContent>> cleared;
+  for (const ClearedContent &it : Frame.Crashes.Cleared)
+    cleared.push_back(wire::CreateClearedContent(
+        out, it.Content, static_cast<uint32_t>(it.Age.count())));
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
   auto serverList = out.CreateVector(servers);
-  out.Finish(wire::CreateFrame(out, MemberProtocol, sender, memberList,
-                               Frame.WantsRoutes, Frame.WantsServers,
-                               Frame.ConfigVersion, Frame.ServersRevision,
-                               routes, Frame.HasServers, serverList));
+  auto crashList = out.CreateVector(crashes);
+  auto clearedList = out.CreateVector(cleared);
+  out.Finish(wire::CreateFrame(
+      out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
+      Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
+      Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
+      Frame.OnlyCrashes));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -102,6 +114,17 @@
     for (const wire::PublishedServer *it : *in.servers())
       frame.Servers.push_back(
           {textOf(it->id()), it->revision(), it->gone(), textOf(it->text())});
+  frame.CrashDigest = in.crash_digest();
+  if (in.crashes())
+    for (const wire::Crash *it : *in.crashes())
+      frame.Crashes.Crashes.push_back({it->content(), textOf(it->server()),
+                                       textOf(it->witness()),
+                                       Milliseconds(it->ago_ms())});
+  if (in.cleared())
+    for (const wire::ClearedContent *it : *in.cleared())
+      frame.Crashes.Cleared.push_back(
+          {it->content(), Milliseconds(it->ago_ms())});
+  frame.OnlyCrashes = in.only_crashes();
   return frame;
 }
 
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_MEMBER_CODEC_H
 #define CROCUSSPUR_GATEWAY_MEMBER_CODEC_H
 
+#include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
 
 #include <cstdint>
@@ -34,6 +35,11 @@
   std::string RoutesText; // empty: not in this frame
   bool HasServers = false;
   std::vector<PublishedText> Servers;
+  uint64_t CrashDigest = 0; // see CrashHistory::digest()
+  CrashHistory::Update Crashes;
+  // A request to learn of crashes at once: neither it nor its response lists
+  // the members.
+  bool OnlyCrashes = false;
 };
 
 // Returns the frame without its length prefix.
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -1,7 +1,9 @@
 // Plug-in: exchanges frames with other instances. Each exchange uses one
 // connection with one frame each way, so that an unresponsive connection costs
 // one round at most. Membership spreads in every round; routes and servers are
-// sent only to instances that can't read the store or have just started.
+// sent only to instances that can't read the store or have just started. What
+// an instance learns about crashes of servers it sends on at once, and its
+// rounds fetch what it has missed.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
@@ -18,6 +20,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -32,6 +35,13 @@
 // While updates are missing; well below the time limit for activating changes.
 constexpr Milliseconds CatchUpRoundPeriod{250};
 constexpr size_t CatchUpContacts = 3;
+// Contacts that are told of a crash at once. Each instance that learns of it
+// tells as many, the next one by name among them, so it spreads in few steps.
+constexpr size_t CrashContacts = 3;
+// Crashes of one server are seen within milliseconds by all its callers.
+constexpr Milliseconds CrashBatchDelay{20};
+// Shorter than for rounds, so that silent peers don't delay the others.
+constexpr Milliseconds CrashExchangeTimeout{150};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
 constexpr uint32_t MaxFrameBytes = 8388608;
@@ -77,8 +87,9 @@
   return true;
 }
 
-std::optional<MemberFrame> receiveFrame(StreamSocket &Socket) {
-  TimePoint until = Clock::now() + ExchangeTimeout;
+std::optional<MemberFrame> receiveFrame(StreamSocket &Socket,
+                                        Milliseconds Timeout) {
+  TimePoint until = Clock::now() + Timeout;
   std::array<uint8_t, 4> prefix{};
   if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
     return std::nullopt;
@@ -101,23 +112,31 @@
 
 private:
   void runRounds();
-  bool exchange(const std::string &Address);
+  bool waitForRound(TimePoint Until);
+  void runRound(bool CatchUp);
+  void sendCrashes();
+  bool exchange(const std::string &Address, const MemberFrame &Request,
+                Milliseconds Timeout);
   // Whether updates from the store don't reach this instance, or arrive late.
   bool needsUpdates();
-  MemberFrame ownFrame(bool Asking);
+  // The part that all frames have.
+  MemberFrame basicFrame();
+  MemberFrame requestFrame();
   void addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
   void applyFrame(const MemberFrame &Frame);
   void logMembershipChanges();
 
   GatewayRuntime *Runtime = nullptr;
   internal::ConnectionServer Server;
-  std::mutex Mutex; // guards Stopping
+  std::mutex Mutex; // guards Stopping and HasCrashes
   std::condition_variable Wake;
   bool Stopping = false;
+  bool HasCrashes = false; // that contacts haven't been told of
   // The newest that any peer has reported.
   std::atomic<uint64_t> NewestVersion{0};
   std::atomic<uint64_t> NewestRevision{0};
   std::optional<TimePoint> BehindSince; // used by the rounds' thread only
+  uint64_t SentCrashChange = 0;         // used by the rounds' thread only
   std::set<std::string> LoggedMembers;
   std::thread Thread;
 };
@@ -144,11 +163,19 @@
   }
   log(LogLevel::Warn, "member_links",
       "peer exchanges aren't authenticated: no key in the settings", {});
+  Runtime->Crashes.setChangeListener([this] {
+    {
+      std::lock_guard lock(Mutex);
+      HasCrashes = true;
+    }
+    Wake.notify_all();
+  });
   Thread = std::thread([this] { runRounds(); });
   return true;
 }
 
 void MemberLinks::stop() {
+  Runtime->Crashes.setChangeListener(nullptr);
   {
     std::lock_guard lock(Mutex);
     Stopping = true;
@@ -160,20 +187,25 @@
   Server.join();
 }
 
-MemberFrame MemberLinks::ownFrame(bool Asking) {
+MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
   frame.ServersRevision = Runtime->Directory.serversRevision();
-  bool missing = Asking && needsUpdates();
-  frame.WantsRoutes = missing;
-  frame.WantsServers = missing;
+  frame.CrashDigest = Runtime->Crashes.digest();
   frame.Sender.Name = Runtime->Values.Instance;
   frame.Sender.Address = Runtime->Values.PeerAddress;
   frame.Sender.Incarnation = Runtime->Incarnation;
   frame.Sender.Leaving = Runtime->Stopping.load();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
+  return frame;
+}
+
+MemberFrame MemberLinks::requestFrame() {
+  MemberFrame frame = basicFrame();
   frame.Members = Runtime->Peers.alive();
+  frame.WantsRoutes = needsUpdates();
+  frame.WantsServers = frame.WantsRoutes;
   return frame;
 }
 
@@ -208,6 +240,7 @@
 void MemberLinks::applyFrame(const MemberFrame &Frame) {
   raiseTo(NewestVersion, Frame.ConfigVersion);
   raiseTo(NewestRevision, Frame.ServersRevision);
+  Runtime->Crashes.merge(Frame.Crashes, Frame.Sender.Name);
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
@@ -237,15 +270,20 @@
   try {
     Socket.setReceiveTimeout(timespan(ExchangeTimeout));
     Socket.setSendTimeout(timespan(ExchangeTimeout));
-    std::optional<MemberFrame> request = receiveFrame(Socket);
+    std::optional<MemberFrame> request = receiveFrame(Socket, ExchangeTimeout);
     if (!request) {
       log(LogLevel::Warn, "member_links",
           "closed a connection after an invalid frame",
           {{"from", Socket.peerAddress().toString()}});
       return;
     }
-    MemberFrame response = ownFrame(/*Asking=*/false);
-    addRequestedUpdates(*request, response);
+    MemberFrame response = basicFrame();
+    if (!request->OnlyCrashes) {
+      response.Members = Runtime->Peers.alive();
+      addRequestedUpdates(*request, response);
+      if (request->CrashDigest != response.CrashDigest)
+        response.Crashes = Runtime->Crashes.changesAfter(0);
+    }
     sendFrame(Socket, encode(response));
     applyFrame(*request);
   } catch (const Poco::Exception &) {
@@ -253,15 +291,15 @@
   }
 }
 
-bool MemberLinks::exchange(const std::string &Address) {
+bool MemberLinks::exchange(const std::string &Address,
+                           const MemberFrame &Request, Milliseconds Timeout) {
   try {
     StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(Address),
-                   timespan(ExchangeTimeout));
-    socket.setReceiveTimeout(timespan(ExchangeTimeout));
-    socket.setSendTimeout(timespan(ExchangeTimeout));
-    sendFrame(socket, encode(ownFrame(/*Asking=*/true)));
-    std::optional<MemberFrame> response = receiveFrame(socket);
+    socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
+    socket.setReceiveTimeout(timespan(Timeout));
+    socket.setSendTimeout(timespan(Timeout));
+    sendFrame(socket, encode(Request));
+    std::optional<MemberFrame> response = receiveFrame(socket, Timeout);
     if (!response)
       return false;
     applyFrame(*response);
@@ -285,27 +323,59 @@
   LoggedMembers = std::move(now);
 }
 
-void MemberLinks::runRounds() {
-  while (true) {
-    bool catchUp = needsUpdates();
+void MemberLinks::runRound(bool CatchUp) {
+  Runtime->Peers.setSeeds(Runtime->seedAddresses());
+  // Exchanges with unresponsive peers take most of a second each; they must
+  // not delay the end of a shutdown.
+  for (const std::string &it : Runtime->Peers.selectContacts(
+           CatchUp ? CatchUpContacts : ContactsPerRound)) {
+    if (Runtime->Closing.load())
+      return;
+    if (!exchange(it, requestFrame(), ExchangeTimeout))
+      Runtime->Peers.onContactFailed(it);
+  }
+  logMembershipChanges();
+}
+
+void MemberLinks::sendCrashes() {
+  MemberFrame frame = basicFrame();
+  frame.OnlyCrashes = true;
+  uint64_t change = Runtime->Crashes.lastChange();
+  frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
+  SentCrashChange = change;
+  if (frame.Crashes.empty())
+    return;
+  for (const std::string &it : Runtime->Peers.selectContacts(CrashContacts))
+    if (!exchange(it, frame, CrashExchangeTimeout))
+      log(LogLevel::Info, "member_links", "peer was not told of a crash",
+          {{"peer", it}, {"why", "no response; its next round fetches it"}});
+}
+
+// Sends on what is known of crashes until the time of the next round. Returns
+// false if this instance stops.
+bool MemberLinks::waitForRound(TimePoint Until) {
+  do {
     {
       std::unique_lock lock(Mutex);
-      Wake.wait_for(lock, catchUp ? CatchUpRoundPeriod : RoundPeriod,
-                    [this] { return Stopping; });
+      Wake.wait_until(lock, Until, [this] { return Stopping || HasCrashes; });
       if (Stopping)
-        return;
-    }
-    Runtime->Peers.setSeeds(Runtime->seedAddresses());
-    // Exchanges with unresponsive peers take most of a second each; they must
-    // not delay the end of a shutdown.
-    for (const std::string &it : Runtime->Peers.selectContacts(
-             catchUp ? CatchUpContacts : ContactsPerRound)) {
-      if (Runtime->Closing.load())
-        return;
-      if (!exchange(it))
-        Runtime->Peers.onContactFailed(it);
+        return false;
+      if (!std::exchange(HasCrashes, false))
+        return true;
     }
-    logMembershipChanges();
+    std::this_thread::sleep_for(CrashBatchDelay);
+    sendCrashes();
+  } while (Clock::now() < Until);
+  return true;
+}
+
+void MemberLinks::runRounds() {
+  while (true) {
+    bool catchUp = needsUpdates();
+    if (!waitForRound(Clock::now() +
+                      (catchUp ? CatchUpRoundPeriod : RoundPeriod)))
+      return;
+    runRound(catchUp);
   }
 }
 
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -122,7 +122,28 @@
 }
 
 bool RequestHandler::shouldStop() {
-  return Waiter.callerLeft() || Waiter.pastDeadline();
+  if (!ContentRefusedFor)
+    ContentRefusedFor = Context.Crashes.refusedFor(Content);
+  return ContentRefusedFor || Waiter.callerLeft() || Waiter.pastDeadline();
+}
+
+RunTracker::Id RequestHandler::trackRun(const ServerChoice &Server) {
+  return Context.Crashes.runStarted(
+      {Content, Request.Id, Server.Id, Server.StartedAt, std::nullopt});
+}
+
+void RequestHandler::endRun(RunTracker::Id Run, const ServerChoice &Server,
+                            CallStatus Status, RunEnd End) {
+  // The end of a server that announced its leaving isn't a crash.
+  if (Status == CallStatus::ConnectionBroken &&
+      !Context.Directory.isLeaving(Server.Id) &&
+      refusesConnections(Context.Connections, Waiter, Server.Address))
+    End = RunEnd::ServerNotFound;
+  else if (Status == CallStatus::ConnectionBroken ||
+           Status == CallStatus::TimedOut ||
+           Status == CallStatus::DeadlineExceeded)
+    End = RunEnd::Broken;
+  Context.Crashes.runEnded(Run, End);
 }
 
 bool RequestHandler::mayUse(const std::string &ServerId) const {
@@ -168,6 +189,12 @@
   finish("refused", Why);
 }
 
+void RequestHandler::refuseContent() {
+  Context.Crashes.onRefused();
+  refuse(ErrorKind::ContentRefused, "the content crashes servers",
+         *ContentRefusedFor);
+}
+
 void RequestHandler::fail(ErrorKind Kind, const std::string &Why) {
   sendProblem(internal::makeProblem(Kind, Why, RequestId()));
   finish("failed", Why);
@@ -204,6 +231,8 @@
     fail(Waiter.pastDeadline() ? ErrorKind::BackendTimeout
                                : ErrorKind::BackendFailed,
          "no server gave a usable answer");
+  else if (ContentRefusedFor)
+    refuseContent();
   else
     refuse(Tried.empty() ? ErrorKind::NoServer : ErrorKind::BackendRefused,
            Tried.empty() ? "no server is known" : "no server took the request",
@@ -222,6 +251,8 @@
                                 Route.LatencyTarget * AttemptTimeoutInTargets));
   ServerCall call(Context.Connections, Context.Codec, Waiter);
   Context.Directory.callStarted(Server.Id, 1);
+  RunTracker::Id run = trackRun(Server);
+  RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status = call.start(
       Server.Address, Context.Codec.FormatRequest(Request, optionsFor(Server)),
       Request.Method, Request.Id, timeout);
@@ -234,6 +265,7 @@
                  AttemptResult After) {
     Context.Directory.callEnded(Server.Id, 1, Result);
     logCall("run", Server, call, Outcome, started);
+    endRun(run, Server, status, runEnd);
     return After;
   };
   switch (status) {
@@ -263,6 +295,7 @@
                AttemptResult::NotExecuted);
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
+  runEnd = RunEnd::RanWhole;
   bool failure = call.head().Status >= 500;
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call), std::move(body)};
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -75,13 +75,20 @@
 
   bool mayUse(const std::string &ServerId) const;
   bool tryConsumeRetry();
+  // Tracks a call to a server as a run of this request's content.
+  RunTracker::Id trackRun(const ServerChoice &Server);
+  void endRun(RunTracker::Id Run, const ServerChoice &Server, CallStatus Status,
+              RunEnd End);
   Milliseconds timeLeft() const;
+  // Whether nothing may be sent to servers any more.
   bool shouldStop();
   ForwardOptions optionsFor(const ServerChoice &Server) const;
   internal::ResponseHead responseHead(const ServerCall &Call) const;
   // Sends a response that states that no server has executed the request, with
   // the time after which to retry.
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
+  // The same for a content that crashes servers.
+  void refuseContent();
   // Sends a response that doesn't state whether a server has executed the
   // request.
   void fail(ErrorKind Kind, const std::string &Why);
@@ -110,8 +117,10 @@
   uint32_t Sends = 0;          // calls that may have reached a server
   bool PrefillSent = false;    // the last prefill call may have arrived
   bool RetryBudgetExhausted = false; // no further retry is allowed
-  bool MayHaveExecuted = false;      // a server may have executed the request
-  bool HeadSent = false;             // a response head was sent to the caller
+  // Set once the content is refused: for how long.
+  std::optional<Milliseconds> ContentRefusedFor;
+  bool MayHaveExecuted = false; // a server may have executed the request
+  bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
   std::optional<TimePoint> LastOutput; // of a stream
   Milliseconds LongestPause{0};        // between two writes of a stream
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -21,6 +21,9 @@
 // Connections within a region open within milliseconds; a lost first packet is
 // retransmitted after a second.
 constexpr Milliseconds ConnectTimeout{250};
+// A refusal arrives within one round trip. Requests wait for it before they are
+// sent elsewhere.
+constexpr Milliseconds RefusalTimeout{50};
 constexpr Milliseconds TransferTimeout{2000};
 // The remaining time is passed on in whole milliseconds, rounded down, so a
 // wait for it can end this much before the deadline.
@@ -184,6 +187,17 @@
     Pool.give(Address, std::move(kept), Info.KeepAliveTimeout);
 }
 
+bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
+                        const std::string &Address) {
+  internal::HttpExchange http(Waiter);
+  Pool.countOpened();
+  ExchangeStatus status = http.connect(Address, Clock::now() + RefusalTimeout);
+  if (status == ExchangeStatus::Ok)
+    if (BackendSocketPtr opened = http.releaseUnused())
+      Pool.give(Address, std::move(opened), std::nullopt);
+  return http.connectionRefused();
+}
+
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
                     const ServerChoice &Server, const std::string &Bytes,
                     const std::string &Method, Milliseconds Time,
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -100,6 +100,11 @@
   ResponseInfo Info;
 };
 
+// Whether the server's address refuses a new connection, as it does once the
+// server's process has ended. A connection that opens is kept in the pool.
+bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
+                        const std::string &Address);
+
 // Makes a call on behalf of no caller. Returns the status and fills `Body`, or
 // returns 0 if there is no complete response within `Time`.
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -33,6 +33,10 @@
       Retries(Values.Retries, Clock::now()),
       Random(Seed ^ 0x9E3779B97F4A7C15ULL) {}
 
+void ServiceDirectory::setServerEndListener(ServerEndListener Listener) {
+  OnServerEnd = std::move(Listener);
+}
+
 void ServiceDirectory::applyRoutes(RouteDocumentPtr NewDocument,
                                    UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
@@ -78,16 +82,24 @@
   if (Change.Entry || former)
     logServer(Change, Origin);
   if (Change.Entry) {
+    bool restarted = former && former->StartedAt != Change.Entry->StartedAt;
     Registry.apply(*Change.Entry, Now);
+    if (restarted && OnServerEnd)
+      OnServerEnd(Change.Id, Change.Entry->StartedAt);
     return;
   }
   // The last quarter of the limit is left for requests in flight to the server.
   TimePoint lastUse = Now + Values.MaxDrainTime * 3 / 4;
   bool serversRead =
       StoreReachable[static_cast<size_t>(PublishedKind::Servers)].load();
-  if (!serversRead || Now - StoreStateChangedAt < Values.RestoredEntryGrace)
+  // Entries of servers that are alive expire as well while the store is away.
+  bool reliable =
+      serversRead && Now - StoreStateChangedAt >= Values.RestoredEntryGrace;
+  if (!reliable)
     lastUse =
         (serversRead ? StoreStateChangedAt : Now) + Values.RestoredEntryGrace;
+  else if (former && !former->Leaving && OnServerEnd)
+    OnServerEnd(Change.Id, std::nullopt);
   Registry.remove(Change.Id, lastUse);
 }
 
@@ -170,6 +182,12 @@
   return Registry.usable(Server.Id, Server.StartedAt, Clock::now());
 }
 
+bool ServiceDirectory::isLeaving(const std::string &ServerId) const {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Registry.find(ServerId);
+  return entry && entry->Leaving;
+}
+
 uint32_t ServiceDirectory::serversIn(const std::string &Service,
                                      ServerStage Stage) const {
   std::lock_guard lock(Mutex);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -51,6 +51,14 @@
   std::vector<ServerChange> servers() const;
   uint64_t serversRevision() const;
 
+  // Called when a server's process seems to have ended: it registered with a
+  // new start time (`StartedAt`), or its entry expired without an announced
+  // leaving (nothing). Set before the directory is used by several threads. It
+  // must not call back.
+  using ServerEndListener = std::function<void(
+      const std::string &ServerId, std::optional<int64_t> StartedAt)>;
+  void setServerEndListener(ServerEndListener Listener);
+
   // Reports whether the store responds to the reader of this kind. While it
   // doesn't, and for some time after it recovers, removed servers are kept as a
   // last resort.
@@ -65,6 +73,7 @@
   std::optional<ServerChoice> choose(const ServerQuery &Query);
   std::vector<ServerChoice> rank(const ServerQuery &Query);
   bool usable(const ServerChoice &Server) const;
+  bool isLeaving(const std::string &ServerId) const;
   uint32_t serversIn(const std::string &Service, ServerStage Stage) const;
   void callStarted(const std::string &Id, double Weight);
   void callEnded(const std::string &Id, double Weight, CallResult Result);
@@ -128,6 +137,7 @@
                    TimePoint Now);
 
   const GatewaySettings &Values;
+  ServerEndListener OnServerEnd;
   mutable std::mutex Mutex;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -134,6 +134,14 @@
                     static_cast<double>(Runtime->Connections.opened()));
   Metrics->setGauge("store_reachable", "",
                     Runtime->Directory.isStoreReachable() ? 1 : 0);
+  CrashMonitor::Counters crashes = Runtime->Crashes.counters();
+  Metrics->setGauge("content_crashes_total", "seen",
+                    static_cast<double>(crashes.CrashesSeen));
+  Metrics->setGauge("content_crashes_total", "reported",
+                    static_cast<double>(crashes.CrashesReported));
+  Metrics->setGauge("content_refusals_total", "",
+                    static_cast<double>(crashes.RequestsRefused));
+  Metrics->setGauge("contents_refused", "", crashes.ContentsRefused);
   for (const auto &[service, counts] : Runtime->Directory.retryCounts()) {
     Metrics->setGauge("retries_total", service,
                       static_cast<double>(counts.Granted));
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -88,7 +88,8 @@
       break;
   }
   if (HeadSent) {
-    abortStream("no server could continue the stream");
+    abortStream(ContentRefusedFor ? "the content crashes servers"
+                                  : "no server could continue the stream");
     return;
   }
   if (Waiter.callerLeft())
@@ -97,6 +98,8 @@
     fail(Waiter.pastDeadline() ? ErrorKind::BackendTimeout
                                : ErrorKind::BackendFailed,
          "the server's answer broke off");
+  else if (ContentRefusedFor)
+    refuseContent();
   else
     refuse(ErrorKind::BackendRefused, "no server took the request",
            NoServerRetryAfter);
@@ -122,6 +125,10 @@
       fail(ErrorKind::BackendFailed, "no place for a repeat");
       return AttemptResult::Done;
     }
+    if (ContentRefusedFor) {
+      refuseContent();
+      return AttemptResult::Done;
+    }
     bool known =
         Context.Directory.serversIn(Service, ServerStage::Decode) > 0 ||
         Context.Directory.serversIn(Service, ServerStage::Whole) > 0;
@@ -287,6 +294,7 @@
   order.PrefillOnly = true;
   ServerCall call(Context.Connections, Context.Codec, Waiter);
   Context.Directory.callStarted(Server.Id, weight);
+  RunTracker::Id run = trackRun(Server);
   CallStatus status =
       call.start(Server.Address, Context.Codec.FormatRequest(Request, order),
                  Request.Method, Request.Id, PrefillTimeout);
@@ -297,6 +305,7 @@
   auto end = [&](CallResult Result, const std::string &Outcome) {
     Context.Directory.callEnded(Server.Id, weight, Result);
     logCall("prefill", Server, call, Outcome, started);
+    endRun(run, Server, status, RunEnd::NoEvidence);
   };
   if (status != CallStatus::Responded) {
     if (status == CallStatus::NotSent)
@@ -372,6 +381,8 @@
                                                         StallTimeoutInGaps));
   ServerCall call(Context.Connections, Context.Codec, Waiter);
   Context.Directory.callStarted(server.Id, 1);
+  RunTracker::Id run = trackRun(server);
+  RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status =
       call.start(server.Address, Context.Codec.FormatRequest(Request, order),
                  Request.Method, Request.Id, timeout);
@@ -381,6 +392,7 @@
                  AttemptResult After) {
     Context.Directory.callEnded(server.Id, 1, Result);
     logCall("run", server, call, Outcome, started);
+    endRun(run, server, status, runEnd);
     return After;
   };
   switch (status) {
@@ -411,6 +423,10 @@
   std::string code = std::to_string(call.head().Status);
   if (call.head().Status == 200 && info.Signed && !info.Encoded) {
     AttemptResult result = relayStream(call, server);
+    if (result != AttemptResult::Done)
+      status = CallStatus::ConnectionBroken;
+    else if (!CallerWriteFailed && !Waiter.callerLeft())
+      runEnd = RunEnd::RanWhole;
     return end(result == AttemptResult::Done ? CallResult::Succeeded
                                              : CallResult::Failed,
                result == AttemptResult::Done ? "streamed" : "broken_in_stream",
@@ -437,6 +453,7 @@
     Tried.insert(server.Id);
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   }
+  runEnd = RunEnd::RanWhole;
   end(CallResult::Failed, "failure_" + code, AttemptResult::Done);
   Status = call.head().Status;
   internal::writeResponse(Sink, responseHead(call), body);
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -29,6 +29,12 @@
 struct PublishedServer;
 struct PublishedServerBuilder;
 
+struct Crash;
+struct CrashBuilder;
+
+struct ClearedContent;
+struct ClearedContentBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -452,6 +458,146 @@
       text__);
 }
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_SERVER = 6,
+    VT_WITNESS = 8,
+    VT_AGO_MS = 10
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  const flatbuffers::String *witness() const {
+    return GetPointer<const flatbuffers::String *>(VT_WITNESS);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyOffset(verifier, VT_WITNESS) &&
+           verifier.VerifyString(witness()) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(Crash::VT_CONTENT, content, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(Crash::VT_SERVER, server);
+  }
+  void add_witness(flatbuffers::Offset<flatbuffers::String> witness) {
+    fbb_.AddOffset(Crash::VT_WITNESS, witness);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    flatbuffers::Offset<flatbuffers::String> witness = 0,
+    uint32_t ago_ms = 0) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_content(content);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_witness(witness);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    const char *server = nullptr,
+    const char *witness = nullptr,
+    uint32_t ago_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto witness__ = witness ? _fbb.CreateString(witness) : 0;
+  return crocusspur::gateway::wire::CreateCrash(
+      _fbb,
+      content,
+      server__,
+      witness__,
+      ago_ms);
+}
+
+struct ClearedContent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClearedContentBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_AGO_MS = 6
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ClearedContentBuilder {
+  typedef ClearedContent Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(ClearedContent::VT_CONTENT, content, 0);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(ClearedContent::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit ClearedContentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClearedContent> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClearedContent>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClearedContent> CreateClearedContent(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    uint32_t ago_ms = 0) {
+  ClearedContentBuilder builder_(_fbb);
+  builder_.add_content(content);
+  builder_.add_ago_ms(ago_ms);
+  return builder_.Finish();
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -464,7 +610,11 @@
     VT_SERVERS_REVISION = 16,
     VT_ROUTES_TEXT = 18,
     VT_HAS_SERVERS = 20,
-    VT_SERVERS = 22
+    VT_SERVERS = 22,
+    VT_CRASH_DIGEST = 24,
+    VT_CRASHES = 26,
+    VT_CLEARED = 28,
+    VT_ONLY_CRASHES = 30
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -496,6 +646,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>> *>(VT_SERVERS);
   }
+  uint64_t crash_digest() const {
+    return GetField<uint64_t>(VT_CRASH_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>> *cleared() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>> *>(VT_CLEARED);
+  }
+  bool only_crashes() const {
+    return GetField<uint8_t>(VT_ONLY_CRASHES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -514,6 +676,14 @@
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfTables(servers()) &&
+           VerifyField<uint64_t>(verifier, VT_CRASH_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_CLEARED) &&
+           verifier.VerifyVector(cleared()) &&
+           verifier.VerifyVectorOfTables(cleared()) &&
+           VerifyField<uint8_t>(verifier, VT_ONLY_CRASHES, 1) &&
            verifier.EndTable();
   }
 };
@@ -552,6 +722,18 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>> servers) {
     fbb_.AddOffset(Frame::VT_SERVERS, servers);
   }
+  void add_crash_digest(uint64_t crash_digest) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CRASH_DIGEST, crash_digest, 0);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>> crashes) {
+    fbb_.AddOffset(Frame::VT_CRASHES, crashes);
+  }
+  void add_cleared(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>> cleared) {
+    fbb_.AddOffset(Frame::VT_CLEARED, cleared);
+  }
+  void add_only_crashes(bool only_crashes) {
+    fbb_.AddElement<uint8_t>(Frame::VT_ONLY_CRASHES, static_cast<uint8_t>(only_crashes), 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -574,15 +756,23 @@
     uint64_t servers_revision = 0,
     flatbuffers::Offset<flatbuffers::String> routes_text = 0,
     bool has_servers = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>> servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>> servers = 0,
+    uint64_t crash_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>> cleared = 0,
+    bool only_crashes = false) {
   FrameBuilder builder_(_fbb);
+  builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_cleared(cleared);
+  builder_.add_crashes(crashes);
   builder_.add_servers(servers);
   builder_.add_routes_text(routes_text);
   builder_.add_members(members);
   builder_.add_sender(sender);
   builder_.add_protocol(protocol);
+  builder_.add_only_crashes(only_crashes);
   builder_.add_has_servers(has_servers);
   builder_.add_wants_servers(wants_servers);
   builder_.add_wants_routes(wants_routes);
@@ -600,10 +790,16 @@
     uint64_t servers_revision = 0,
     const char *routes_text = nullptr,
     bool has_servers = false,
-    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>> *servers = nullptr) {
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>> *servers = nullptr,
+    uint64_t crash_digest = 0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>> *cleared = nullptr,
+    bool only_crashes = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>(*crashes) : 0;
+  auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>(*cleared) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -615,7 +811,11 @@
       servers_revision,
       routes_text__,
       has_servers,
-      servers__);
+      servers__,
+      crash_digest,
+      crashes__,
+      cleared__,
+      only_crashes);
 }
 
 inline const crocusspur::gateway::wire::Frame *GetFrame(const void *buf) {
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -20,8 +20,9 @@
                                         : ExchangeStatus::Interrupted;
 }
 
-// Starts a non-blocking connect. Returns -1 if that fails immediately.
-int startConnect(const std::string &Address) {
+// Starts a non-blocking connect. Returns -1 if that fails immediately; sets
+// `Refused` if the reason is that nothing listens at the address.
+int startConnect(const std::string &Address, bool &Refused) {
   try {
     Poco::Net::SocketAddress target(Address);
     int fd =
@@ -36,6 +37,7 @@
     if (::connect(fd, target.addr(), target.length()) == 0 ||
         errno == EINPROGRESS)
       return fd;
+    Refused = errno == ECONNREFUSED;
     ::close(fd);
   } catch (const Poco::Exception &) {
     // An invalid address counts as unreachable.
@@ -54,7 +56,7 @@
 
 ExchangeStatus HttpExchange::connect(const std::string &Address,
                                      TimePoint Until) {
-  int fd = startConnect(Address);
+  int fd = startConnect(Address, ConnectionRefused);
   if (fd < 0)
     return ExchangeStatus::NotSent;
   Socket = std::make_unique<BackendSocket>(fd);
@@ -64,6 +66,7 @@
   int error = 0;
   socklen_t length = sizeof error;
   ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length);
+  ConnectionRefused = error == ECONNREFUSED;
   return error == 0 ? ExchangeStatus::Ok : ExchangeStatus::NotSent;
 }
 
@@ -194,4 +197,8 @@
   return reusable ? std::move(Socket) : nullptr;
 }
 
+BackendSocketPtr HttpExchange::releaseUnused() {
+  return ByteSent ? nullptr : std::move(Socket);
+}
+
 } // namespace crocusspur::internal
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -64,11 +64,15 @@
   ExchangeStatus readWholeBody(std::string &Out, size_t MaxBytes,
                                Milliseconds Timeout);
 
+  // Whether connect() failed because nothing listens at the address.
+  bool connectionRefused() const { return ConnectionRefused; }
   bool byteSent() const { return ByteSent; }
   // Whether any byte of a response has been received.
   bool byteReceived() const { return ByteReceived; }
   // Returns the connection if another exchange can use it, else null.
   BackendSocketPtr release();
+  // Returns a connection on which nothing was sent, else null.
+  BackendSocketPtr releaseUnused();
 
 private:
   ExchangeStatus fill(Milliseconds Timeout);
@@ -79,6 +83,7 @@
   BodyDecoder Decoder;
   std::string Pending; // received; not yet decoded from Offset on
   size_t Offset = 0;
+  bool ConnectionRefused = false;
   bool ByteSent = false;
   bool ByteReceived = false;
   bool EndOfInput = false;
--- a/src/request_history.cc
+++ b/src/request_history.cc
@@ -4,12 +4,15 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 #include <algorithm>
+#include <functional>
 
 namespace crocusspur::internal {
 namespace {
 
 using Poco::JSON::Object;
 
+constexpr const char *CrashModule = "crash_monitor"; // as logger
+
 // Fields that aren't listed in HistoryEntry::Fields.
 bool isShownSeparately(const std::string &Name) {
   return Name == "request" || Name == "instance";
@@ -21,6 +24,7 @@
   item.Module = Line.optValue<std::string>("logger", "");
   item.Message = Line.optValue<std::string>("message", "");
   item.Instance = Fields.optValue<std::string>("instance", "");
+  item.Content = Fields.optValue<std::string>("content", "");
   for (const auto &[name, value] : Fields)
     if (!isShownSeparately(name))
       item.Fields += (item.Fields.empty() ? "" : " ") + name + "=" +
@@ -28,21 +32,23 @@
   return item;
 }
 
-} // namespace
-
-void collectHistory(std::istream &Log, const std::string &RequestId,
-                    std::vector<HistoryEntry> &History) {
+// Appends the lines that the predicate accepts. Parsing is slow and most lines
+// are about other requests, so only lines that may match are parsed.
+void collectLines(std::istream &Log,
+                  const std::function<bool(const std::string &Text)> &MayMatch,
+                  const std::function<bool(const Object &Line,
+                                           const Object &Fields)> &Matches,
+                  std::vector<HistoryEntry> &History) {
   std::string text;
   while (std::getline(Log, text)) {
-    // Parsing is slow, and most lines are about other requests.
     size_t start = text.find('{');
-    if (start == std::string::npos || text.find(RequestId) == std::string::npos)
+    if (start == std::string::npos || !MayMatch(text))
       continue;
     try {
       auto line =
           Poco::JSON::Parser().parse(text.substr(start)).extract<Object::Ptr>();
       Object::Ptr fields = line->getObject("context_map");
-      if (fields && fields->optValue<std::string>("request", "") == RequestId)
+      if (fields && Matches(*line, *fields))
         History.push_back(entryOf(*line, *fields));
     } catch (const std::exception &) {
       // Not a log line of this program.
@@ -50,6 +56,37 @@
   }
 }
 
+} // namespace
+
+void collectHistory(std::istream &Log, const std::string &RequestId,
+                    std::vector<HistoryEntry> &History) {
+  collectLines(
+      Log,
+      [&](const std::string &Text) {
+        return Text.find(RequestId) != std::string::npos;
+      },
+      [&](const Object &, const Object &Fields) {
+        return Fields.optValue<std::string>("request", "") == RequestId;
+      },
+      History);
+}
+
+void collectCrashes(std::istream &Log, const std::set<std::string> &Contents,
+                    const std::string &RequestId,
+                    std::vector<HistoryEntry> &History) {
+  collectLines(
+      Log,
+      [](const std::string &Text) {
+        return Text.find(CrashModule) != std::string::npos;
+      },
+      [&](const Object &Line, const Object &Fields) {
+        return Line.optValue<std::string>("logger", "") == CrashModule &&
+               Contents.contains(Fields.optValue<std::string>("content", "")) &&
+               Fields.optValue<std::string>("request", "") != RequestId;
+      },
+      History);
+}
+
 void sortHistory(std::vector<HistoryEntry> &History) {
   std::stable_sort(History.begin(), History.end(),
                    [](const HistoryEntry &Left, const HistoryEntry &Right) {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -127,7 +127,8 @@
 std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
-  GatewayContext context{Codec, Directory, Connections, Queues, Counters};
+  GatewayContext context{Codec,  Directory, Connections,
+                         Queues, Crashes,   Counters};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -27,6 +27,8 @@
   explicit FakeServer(Responder Reply);
   ~FakeServer();
   std::string address() const { return Server.address(); }
+  // From now on connections are refused. May be called by the responder.
+  void stopListening() { Server.stopListening(); }
   std::vector<std::string> requests() const;
   size_t count(const std::string &Part) const; // requests that contain it
 
@@ -66,6 +68,7 @@
   crocusspur::gateway::ServiceDirectory Directory;
   crocusspur::gateway::ConnectionPool Connections;
   crocusspur::gateway::ReservationQueues Queues;
+  crocusspur::gateway::CrashMonitor Crashes{"g1"};
   crocusspur::internal::Metrics Counters;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -19,6 +19,10 @@
   frame.ServersRevision = 412;
   frame.RoutesText = "{}";
   frame.HasServers = true;
+  frame.CrashDigest = 99;
+  frame.Crashes.Crashes = {{71, "i-2", "n3", Milliseconds(250)}};
+  frame.Crashes.Cleared = {{72, Milliseconds(900)}};
+  frame.OnlyCrashes = true;
   frame.Servers = {{"i-1", 400, false, "{\"a\":1}"}, {"i-2", 410, true, ""}};
   return frame;
 }
@@ -49,6 +53,16 @@
   REQUIRE(back->Servers.size() == 2);
   CHECK(back->Servers[0].Text == "{\"a\":1}");
   CHECK(back->Servers[1].Removed);
+  CHECK(back->CrashDigest == 99);
+  REQUIRE(back->Crashes.Crashes.size() == 1);
+  CHECK(back->Crashes.Crashes[0].Content == 71);
+  CHECK(back->Crashes.Crashes[0].ServerId == "i-2");
+  CHECK(back->Crashes.Crashes[0].Witness == "n3");
+  CHECK(back->Crashes.Crashes[0].Age == Milliseconds(250));
+  REQUIRE(back->Crashes.Cleared.size() == 1);
+  CHECK(back->Crashes.Cleared[0].Content == 72);
+  CHECK(back->Crashes.Cleared[0].Age == Milliseconds(900));
+  CHECK(back->OnlyCrashes);
 }
 
 TEST_CASE("decodeMemberFrame rejects damaged frames safely") {
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -169,7 +169,8 @@
   for (const char *it :
        {"server_connections_total", "store_reachable", "config_version",
         "peers_linked", "open_requests", "ready", "request_seconds",
-        "reservation_wait_seconds", "first_output_seconds"})
+        "reservation_wait_seconds", "first_output_seconds",
+        "content_crashes_total", "content_refusals_total", "contents_refused"})
     CHECK_MESSAGE(metrics.find("# TYPE crocusspur_" + std::string(it) + " ") !=
                       std::string::npos,
                   it);
