Charge a stream's repeated prefill to the retry budget

Cause: a resumable stream that breaks off begins a new round: one retry is taken from the budget, then the prompt is read again and the run sent again. Both are arrivals beyond the first; only one was charged.

Evidence: a stream that breaks twice made six sends, two of them free, and was charged two retries instead of four.

Change: a prefill after an accepted one takes a retry of its own. Without one, the decode server reads the prompt, which the round's retry covers.

Measured: the two new tests failed before (2 charged of 4; a second prefill in spite of an empty budget) and pass.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -110,12 +110,13 @@
   CallerWaiter Waiter;
   std::string Service;
   const EngineTraits *Engine = nullptr;
-  std::set<std::string> Tried; // servers that retries avoid
-  std::set<std::string> Used;  // servers sent the request, except prefills
-  uint32_t Status = 0;         // of the response; 0: none sent
-  bool Returning = false;      // the caller was refused before
-  uint32_t Sends = 0;          // calls that may have reached a server
-  bool PrefillSent = false;    // the last prefill call may have arrived
+  std::set<std::string> Tried;  // servers that retries avoid
+  std::set<std::string> Used;   // servers sent the request, except prefills
+  uint32_t Status = 0;          // of the response; 0: none sent
+  bool Returning = false;       // the caller was refused before
+  uint32_t Sends = 0;           // calls that may have reached a server
+  bool PrefillSent = false;     // the last prefill call may have arrived
+  bool PrefillAccepted = false; // by a server, in any round
   bool RetryBudgetExhausted = false; // no further retry is allowed
   // Set once the content is refused: for how long.
   std::optional<Milliseconds> ContentRefusedFor;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -143,7 +143,8 @@
     return AttemptResult::Done;
   }
   std::optional<PromptKvCache> kvCache;
-  if (!ReadAtDecode)
+  // Without a retry for it, the decode server reads the prompt.
+  if (!ReadAtDecode && (!PrefillAccepted || tryConsumeRetry()))
     kvCache = runPrefill();
   if (shouldStop() || RetryBudgetExhausted) {
     release(*reservation);
@@ -259,7 +260,8 @@
 }
 
 // Returns nullopt if the decode server has to read the prompt itself. The first
-// prefill that a server accepts isn't a retry. After a prefill that wasn't
+// prefill that a server accepts isn't a retry; later ones are, which the caller
+// of this function charges. After a prefill that wasn't
 // accepted, the next call is one, whether to another prefill server or to the
 // decode server.
 std::optional<RequestHandler::PromptKvCache> RequestHandler::runPrefill() {
@@ -325,6 +327,7 @@
         "refused_" + code);
     return std::nullopt;
   }
+  PrefillAccepted = true;
   end(CallResult::Succeeded, "answered_" + code);
   if (Request.Generation)
     Context.Directory.onPrefillFinished(
--- a/test/gateway_stream_handler_test.cc
+++ b/test/gateway_stream_handler_test.cc
@@ -283,3 +283,53 @@
   CHECK(response.starts_with("HTTP/1.1 502"));
   CHECK_FALSE(contains(response, "\"run\":\"no\""));
 }
+
+// The shared budget covers all sends after the first of each stage, so a repeat
+// that has its prompt read again costs two.
+TEST_CASE("A stream's repeated prefill is charged to the retry budget") {
+  GatewayFixture gateway;
+  gateway.Directory.setRetryAllowance({0, 100});
+  std::atomic<int> runs{0};
+  auto breakTwice = [&](const std::string &, int) {
+    return ++runs <= 2 ? std::string() : stream(1, 3);
+  };
+  FakeServer prefill(prefillResponse);
+  FakeServer first(decode(breakTwice));
+  FakeServer second(decode(breakTwice));
+  FakeServer third(decode(breakTwice));
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", first, ServerStage::Decode);
+  gateway.addServer("d2", second, ServerStage::Decode);
+  gateway.addServer("d3", third, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  route.MaxServers = 3;
+  CHECK(contains(gateway.run(route), "data: e3"));
+  size_t sends = prefill.count("POST /x/y") + first.count("POST /x/y") +
+                 second.count("POST /x/y") + third.count("POST /x/y");
+  CHECK(sends == 6);
+  // The first prefill and the first run are free.
+  CHECK(gateway.Directory.retryCounts()["summaries"].Granted == sends - 2);
+}
+
+TEST_CASE(
+    "Without a retry for its prefill a repeat is read at the decode server") {
+  GatewayFixture gateway;
+  // With its usable part, one retry in the first window.
+  gateway.Directory.setRetryAllowance({0, 4});
+  std::atomic<int> runs{0};
+  auto breakOnce = [&](const std::string &, int) {
+    return ++runs <= 1 ? std::string() : stream(1, 3);
+  };
+  FakeServer prefill(prefillResponse);
+  FakeServer first(decode(breakOnce));
+  FakeServer second(decode(breakOnce));
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", first, ServerStage::Decode);
+  gateway.addServer("d2", second, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  CHECK(contains(gateway.run(route), "data: e3"));
+  CHECK(prefill.count("POST /x/y") == 1);
+  CHECK(first.count("POST /x/y") + second.count("POST /x/y") == 2);
+}
