Put a crashing content into the soak and test who knows of it

Cause: the process tests run without faults, and nobody had tried an instance alone, without the store, frozen or just started.

Change: the soak has three more servers, which end under one content, and a caller that sends it every 100 ms to random instances until the recovery is over. It checks the platform's bound on sends after the third crash, counted at instances that were undisturbed for 3 s, and that no other content is refused. The faults of a seed stay what they were. Four process tests cover an instance alone, a store that rejects all, an instance that was frozen and one that has just started.

The trace shows a send to a server that had just ended at another instance: not_sent, no retry in an instance's first window, 503 as not run, which is right; the set-up now sends until three servers ended.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -2,15 +2,18 @@
 // what callers and servers observe, that no non-idempotent request runs twice,
 // that requests reported as not run didn't run, that responses are complete and
 // belong to their request, that streams contain each event exactly once, that
-// configuration versions never decrease, and that the fleet serves requests
-// again after the faults. Prints the seed and the violations found; exits with
+// configuration versions never decrease, that a content which crashes servers
+// is refused in time and no other is, and that the fleet serves requests again
+// after the faults. Prints the seed and the violations found; exits with
 // 1 if there are any.
+#include "crashing_server.h"
 #include "fault_proxy.h"
 #include "gateway_fleet.h"
 #include "http_exchange.h"
 #include "soak_servers.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <iostream>
@@ -28,7 +31,13 @@
 constexpr int GatewayCount = 4;
 constexpr int PlainServerCount = 3;
 constexpr int DecodeServerCount = 3;
+constexpr int FragileServerCount = 3;
 constexpr int CallerCount = 8;
+constexpr Milliseconds CrashingInterval{100}; // between two crashing requests
+// The platform's bounds: from this long after the third crash on, at most three
+// more sends of a crashing content, by instances undisturbed for as long.
+constexpr Milliseconds ContactTime{3000};
+constexpr size_t AllowedLateSends = 3;
 constexpr Milliseconds CallerTimeout{6000};
 // Time from SIGTERM to SIGKILL, as in the instances' settings.
 constexpr Milliseconds GraceTime{8000};
@@ -69,8 +78,10 @@
          makeRoute("/n/", "non_idempotent", "bays", false) + "," +
          makeRoute("/i/", "idempotent", "bays", false) + "," +
          makeRoute("/s/", "streaming", "llm", false) + "," +
-         makeRoute("/t/", "streaming", "llm", true) +
-         "],\"services\":[{\"name\":\"bays\"},{\"name\":\"llm\",\"runtime\":{"
+         makeRoute("/t/", "streaming", "llm", true) + "," +
+         makeRoute("/c/", "idempotent", "fragile", false) +
+         "],\"services\":[{\"name\":\"bays\"},{\"name\":\"fragile\"},{\"name\":"
+         "\"llm\",\"runtime\":{"
          "\"slots\":64,\"kv-capacity\":60000,\"stride\":11,\"kv-ttl-s\":0.5,"
          "\"hold-ms\":2000}}]}";
 }
@@ -86,6 +97,10 @@
   void runCaller(test::GatewayFleet &Fleet, int Number, uint64_t Seed);
   void checkResponse(RequestKind Kind, const std::string &Id,
                      HttpExchange &Http, bool &KeepAlive);
+  void runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed);
+  void checkCrashingSends();
+  // Records that an instance can't be expected to know what others know.
+  void disturb(const GatewayInstance &Item);
   void injectFaults(test::GatewayFleet &Fleet);
   void injectRandomFault(test::GatewayFleet &Fleet);
   void restartExited(test::GatewayFleet &Fleet);
@@ -104,13 +119,19 @@
   RequestTotals Totals;
   std::vector<std::unique_ptr<SoakServer>> Servers;
   std::vector<std::unique_ptr<FaultProxy>> Proxies;
+  test::CrashLog Crashes;
+  std::vector<std::unique_ptr<test::CrashingServer>> FragileServers;
   std::mutex FleetMutex; // guards the instances' Process pointers
   std::map<int, TimePoint> TerminatedAt; // time of SIGTERM by process id
   std::set<int> PausedPids;              // ids of processes that got SIGSTOP
-  std::set<std::string> RejectedIds;     // ids of requests reported as not run
+  std::set<std::string> RejectingFor;    // instances that the store rejects
+  std::map<std::string, std::vector<TimePoint>> Disturbed; // by instance
+  std::map<std::string, std::string> CrashingSentTo; // instance, by request
+  std::set<std::string> RejectedIds; // ids of requests reported as not run
   std::mutex RejectedMutex;
   uint64_t Version = 1;
   std::atomic<bool> StopRequested{false};
+  std::atomic<bool> CrashingDone{false};
 };
 
 void Soak::startServers(test::GatewayFleet &Fleet) {
@@ -124,9 +145,62 @@
                           decode ? "\"state\":\"ready\",\"phase\":\"decode\""
                                  : ""));
   }
+  for (int i = 0; i < FragileServerCount; ++i)
+    FragileServers.push_back(std::make_unique<test::CrashingServer>(
+        Fleet.Store, Crashes,
+        test::CrashingServerOptions{"f-" + std::to_string(i), "fragile", ""}));
   Fleet.Store.put("op/config", makeConfig(Version));
 }
 
+// Sends a content that crashes servers to all instances, until the end.
+void Soak::runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int i = 0; !CrashingDone.load(); ++i) {
+    std::this_thread::sleep_for(CrashingInterval);
+    const GatewayInstance &instance = Fleet.Instances[random() % GatewayCount];
+    std::string id = "crash-" + std::to_string(i);
+    {
+      std::lock_guard lock(FleetMutex);
+      CrashingSentTo[id] = instance.Name;
+    }
+    internal::PollWaiter waiter;
+    HttpExchange http(waiter);
+    std::string text =
+        "POST /c/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
+        "\r\nDeadline-Ms: 1000\r\nContent-Length: " +
+        std::to_string(test::CrashingBody.size()) + "\r\n\r\n" +
+        test::CrashingBody;
+    if (http.connect(instance.Callers, Clock::now() + Milliseconds(200)) ==
+            ExchangeStatus::Ok &&
+        http.send(text, TimePoint::max(), Milliseconds(500)) ==
+            ExchangeStatus::Ok)
+      http.readHead("POST", Milliseconds(1500));
+  }
+}
+
+void Soak::disturb(const GatewayInstance &Item) {
+  Disturbed[Item.Name].push_back(Clock::now());
+}
+
+void Soak::checkCrashingSends() {
+  std::optional<TimePoint> third = Crashes.crashTime(3);
+  if (!third) {
+    Violations.add("the crashing content reached fewer than three servers");
+    return;
+  }
+  size_t late = 0;
+  for (const auto &it : Crashes.arrivalsAfter(*third + ContactTime)) {
+    const std::vector<TimePoint> &times =
+        Disturbed[CrashingSentTo[it.RequestId]];
+    late += std::none_of(times.begin(), times.end(), [&](TimePoint Time) {
+      return Time <= it.At && Time > it.At - ContactTime;
+    });
+  }
+  if (late > AllowedLateSends)
+    Violations.add("a content reached servers " + std::to_string(late) +
+                   " times late after it crashed the third");
+}
+
 void Soak::checkResponse(RequestKind Kind, const std::string &Id,
                          HttpExchange &Http, bool &KeepAlive) {
   uint32_t status = Http.head().Status;
@@ -136,6 +210,9 @@
   KeepAlive = wholeBody;
   if (status == 503 || status == 429 || status == 408 || status == 421) {
     ++Totals.Refused;
+    if (body.find("\"content_refused\"") != std::string::npos)
+      Violations.add(Id +
+                     " was refused for its content, which crashes nothing");
     std::lock_guard lock(RejectedMutex);
     RejectedIds.insert(Id);
     return;
@@ -213,6 +290,7 @@
   GatewayInstance &instance = Fleet.Instances[randomBelow(GatewayCount)];
   FaultProxy &proxy =
       *Proxies[randomBelow(static_cast<unsigned>(Proxies.size()))];
+  disturb(instance);
   switch (randomBelow(12)) {
   case 0:
     instance.Process->signal(SIGSTOP);
@@ -233,7 +311,12 @@
     instance.Process->signal(SIGHUP);
     break;
   case 6:
-    Fleet.Store.setRejecting(instance.Name, randomBelow(2) == 0);
+    if (randomBelow(2) == 0)
+      RejectingFor.insert(instance.Name);
+    else
+      RejectingFor.erase(instance.Name);
+    Fleet.Store.setRejecting(instance.Name,
+                             RejectingFor.contains(instance.Name));
     break;
   case 7:
     Fleet.Store.put("op/config", makeConfig(++Version));
@@ -275,6 +358,10 @@
 void Soak::restartExited(test::GatewayFleet &Fleet) {
   std::lock_guard lock(FleetMutex);
   for (GatewayInstance &it : Fleet.Instances) {
+    if (TerminatedAt.contains(it.Process->pid()) ||
+        PausedPids.contains(it.Process->pid()) ||
+        RejectingFor.contains(it.Name))
+      disturb(it);
     auto since = TerminatedAt.find(it.Process->pid());
     if (since != TerminatedAt.end() &&
         !PausedPids.contains(it.Process->pid()) &&
@@ -284,8 +371,10 @@
       it.Process->signal(SIGKILL);
       TerminatedAt.erase(since);
     }
-    if (it.Process->waitForExit(Milliseconds(0)))
+    if (it.Process->waitForExit(Milliseconds(0))) {
+      disturb(it);
       Fleet.start(it);
+    }
   }
 }
 
@@ -331,8 +420,11 @@
   for (auto &it : Proxies)
     it->setFault(ProxyFault::None);
   for (GatewayInstance &it : Fleet.Instances) {
+    std::lock_guard lock(FleetMutex);
     Fleet.Store.setRejecting(it.Name, false);
+    RejectingFor.erase(it.Name);
     resumeProcess(it);
+    disturb(it);
   }
   // Processes that got SIGTERM exit and are restarted first.
   TimePoint end = Clock::now() + GraceTime + Milliseconds(500);
@@ -365,6 +457,10 @@
     threads.emplace_back(
         [&, i, seed = Random()] { runCaller(fleet, i, seed); });
   threads.emplace_back([&] { watchVersions(fleet); });
+  // A copy, since the faults of each seed must stay what they are.
+  std::thread crashing([&, seed = std::mt19937_64(Random)()] {
+    runCrashingCaller(fleet, seed);
+  });
   injectFaults(fleet);
   {
     std::lock_guard lock(FleetMutex);
@@ -375,13 +471,17 @@
   for (std::thread &it : threads)
     it.join();
   recoverFleet(fleet);
+  CrashingDone.store(true);
+  crashing.join();
+  checkCrashingSends();
+  FragileServers.clear(); // they use the fleet's store
   for (const std::string &it : RejectedIds)
     if (Executions.count(it) > 0)
       Violations.add(it + " was said not to have run, and ran");
   std::cout << "sent " << Totals.Sent << ", served " << Totals.Served
             << ", refused " << Totals.Refused << ", failed " << Totals.Failed
-            << ", cut " << Totals.Cut << ", violations "
-            << Violations.Texts.size() << "\n";
+            << ", cut " << Totals.Cut << ", crashes " << Crashes.crashes()
+            << ", violations " << Violations.Texts.size() << "\n";
   for (size_t i = 0; i < std::min<size_t>(Violations.Texts.size(), 10); ++i)
     std::cout << "  " << Violations.Texts[i].substr(0, 300) << "\n";
   if (!Violations.Texts.empty() || KeepLogs)
--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -3,6 +3,7 @@
 #include "gateway_fixture.h"
 
 #include <algorithm>
+#include <iterator>
 #include <sys/socket.h>
 #include <utility>
 
@@ -30,9 +31,9 @@
 
 } // namespace
 
-void CrashLog::onArrival() {
+void CrashLog::onArrival(const std::string &RequestId) {
   std::lock_guard lock(Mutex);
-  Arrivals.push_back(Clock::now());
+  Arrivals.push_back({Clock::now(), RequestId});
 }
 
 void CrashLog::onCrash() {
@@ -50,11 +51,12 @@
   return Crashes.size() < N ? std::nullopt : std::optional(Crashes[N - 1]);
 }
 
-size_t CrashLog::arrivalsAfter(TimePoint Time) const {
+std::vector<CrashLog::Arrival> CrashLog::arrivalsAfter(TimePoint Time) const {
   std::lock_guard lock(Mutex);
-  return static_cast<size_t>(
-      std::count_if(Arrivals.begin(), Arrivals.end(),
-                    [&](TimePoint It) { return It > Time; }));
+  std::vector<Arrival> late;
+  std::copy_if(Arrivals.begin(), Arrivals.end(), std::back_inserter(late),
+               [&](const Arrival &It) { return It.At > Time; });
+  return late;
 }
 
 CrashingServer::CrashingServer(FakeStore &Store, CrashLog &Log,
@@ -140,15 +142,15 @@
   }
   bool crashes = Request.ends_with("\r\n\r\n" + CrashingBody);
   if (crashes)
-    Log.onArrival();
+    Log.onArrival(fieldOf(Request, "Attempt-Id"));
   if (!fieldOf(Request, "Inference-Phase").empty()) {
     sendText(Fd, httpResponse(200, "{\"kv-handle\":\"h\",\"token-count\":9,"
                                    "\"version\":1}"));
     return true;
   }
   if (crashes) {
+    Log.onCrash(); // before a caller can see the crash
     crash();
-    Log.onCrash();
     return false;
   }
   std::string id = fieldOf(Request, "Attempt-Id");
--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -24,16 +24,20 @@
 // What all servers of a test received with CrashingBody. Thread-safe.
 class CrashLog {
 public:
-  void onArrival();
+  void onArrival(const std::string &RequestId);
   void onCrash();
   size_t crashes() const;
   // Time of the Nth crash, counted from 1; nothing before it happened.
   std::optional<TimePoint> crashTime(size_t N) const;
-  size_t arrivalsAfter(TimePoint Time) const;
+  struct Arrival {
+    TimePoint At;
+    std::string RequestId;
+  };
+  std::vector<Arrival> arrivalsAfter(TimePoint Time) const;
 
 private:
   mutable std::mutex Mutex;
-  std::vector<TimePoint> Arrivals;
+  std::vector<Arrival> Arrivals;
   std::vector<TimePoint> Crashes;
 };
 
--- a/test/gateway_crash_process_test.cc
+++ b/test/gateway_crash_process_test.cc
@@ -1,6 +1,7 @@
 // Tests gateway instances as processes whose servers crash under one request.
 #include "crashing_server.h"
 
+#include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
 #include <unistd.h>
@@ -84,6 +85,25 @@
   std::atomic<int> LastId{0};
 };
 
+// Makes the content crash three servers through the first instances. One that
+// doesn't know yet that a server ended may choose it and send nothing.
+void crashThreeServers(CrashFleet &Setup, int Instances) {
+  TimePoint limit = Clock::now() + WaitTimeout;
+  for (int i = 0; Setup.Log.crashes() < 3 && Clock::now() < limit; ++i)
+    Setup.send(i % Instances, "/n/x", CrashingBody);
+  REQUIRE(Setup.Log.crashes() == 3);
+}
+
+// Whether the instance refuses the content within the platform's bound.
+bool refusesInTime(CrashFleet &Setup, int Instance) {
+  return test::eventually(
+      [&] {
+        return Setup.send(Instance, "/n/x", CrashingBody)
+                   .find("\"content_refused\"") != std::string::npos;
+      },
+      ContactTime);
+}
+
 // Sends the request for two bounds after the third crash and returns how many
 // sends reached servers in the second.
 size_t lateArrivals(CrashFleet &Setup, const std::string &Path) {
@@ -94,7 +114,7 @@
                    : Clock::now() > limit;
   });
   REQUIRE(third().has_value());
-  return Setup.Log.arrivalsAfter(*third() + ContactTime);
+  return Setup.Log.arrivalsAfter(*third() + ContactTime).size();
 }
 
 } // namespace
@@ -115,3 +135,40 @@
   CrashFleet setup;
   CHECK(lateArrivals(setup, "/t/x") <= AllowedSends);
 }
+
+TEST_CASE("An instance alone refuses a content after its third crash") {
+  CrashFleet setup(1);
+  crashThreeServers(setup, 1);
+  CHECK(refusesInTime(setup, 0));
+  CHECK(setup.Log.crashes() == 3);
+  CHECK(setup.send(0, "/n/x", "other body").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE(
+    "Without the store all instances refuse a content after its crashes") {
+  CrashFleet setup(3);
+  for (const GatewayInstance &it : setup.Fleet.Instances)
+    setup.Fleet.Store.setRejecting(it.Name, true);
+  crashThreeServers(setup, 3);
+  for (int i = 0; i < 3; ++i)
+    CHECK(refusesInTime(setup, i));
+}
+
+TEST_CASE("An instance that was frozen refuses what its peers refuse") {
+  CrashFleet setup(3);
+  setup.Fleet.Instances[2].Process->signal(SIGSTOP);
+  crashThreeServers(setup, 2);
+  setup.Fleet.Instances[2].Process->signal(SIGCONT);
+  CHECK(refusesInTime(setup, 2));
+}
+
+TEST_CASE("An instance that has just started refuses what its peers refuse") {
+  CrashFleet setup(3);
+  crashThreeServers(setup, 3);
+  GatewayInstance &last = setup.Fleet.Instances[2];
+  last.Process->signal(SIGKILL);
+  last.Process->waitForExit(WaitTimeout);
+  setup.Fleet.start(last);
+  REQUIRE(GatewayFleet::waitForReady(last));
+  CHECK(refusesInTime(setup, 2));
+}
