Name the end of a server's process plainly and stop telling peers at exit

Cause: read-through of the change.

Change: ServerEnded; no further peer is told once the instance is closing; two comments say who charges a repeated prefill and what the arguments of endRun() mean.

Measured: the tests whose names contain crash, refuse, gateway, retry or stream pass on this state.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -59,7 +59,7 @@
     if (run && End == RunEnd::RanWhole)
       cleared = History.onRanWhole(run->Content, Clock::now());
   }
-  if (run && End == RunEnd::ServerNotFound)
+  if (run && End == RunEnd::ServerEnded)
     addSeen({*run}, "connection_refused");
   if (cleared) {
     log(LogLevel::Info, "crash_monitor", "suspected content ran whole",
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -112,6 +112,8 @@
 
 private:
   void runRounds();
+  // Sends on what becomes known of crashes until the time of the next round.
+  // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
   void runRound(bool CatchUp);
   void sendCrashes();
@@ -344,14 +346,15 @@
   SentCrashChange = change;
   if (frame.Crashes.empty())
     return;
-  for (const std::string &it : Runtime->Peers.selectContacts(CrashContacts))
+  for (const std::string &it : Runtime->Peers.selectContacts(CrashContacts)) {
+    if (Runtime->Closing.load())
+      return;
     if (!exchange(it, frame, CrashExchangeTimeout))
       log(LogLevel::Info, "member_links", "peer was not told of a crash",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
+  }
 }
 
-// Sends on what is known of crashes until the time of the next round. Returns
-// false if this instance stops.
 bool MemberLinks::waitForRound(TimePoint Until) {
   do {
     {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -138,7 +138,7 @@
   if (Status == CallStatus::ConnectionBroken &&
       !Context.Directory.isLeaving(Server.Id) &&
       refusesConnections(Context.Connections, Waiter, Server.Address))
-    End = RunEnd::ServerNotFound;
+    End = RunEnd::ServerEnded;
   else if (Status == CallStatus::ConnectionBroken ||
            Status == CallStatus::TimedOut ||
            Status == CallStatus::DeadlineExceeded)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -77,6 +77,8 @@
   bool tryConsumeRetry();
   // Tracks a call to a server as a run of this request's content.
   RunTracker::Id trackRun(const ServerChoice &Server);
+  // `Status`: of the call. `End`: what its response shows; used if there is
+  // one.
   void endRun(RunTracker::Id Run, const ServerChoice &Server, CallStatus Status,
               RunEnd End);
   Milliseconds timeLeft() const;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -260,10 +260,9 @@
 }
 
 // Returns nullopt if the decode server has to read the prompt itself. The first
-// prefill that a server accepts isn't a retry; later ones are, which the caller
-// of this function charges. After a prefill that wasn't
-// accepted, the next call is one, whether to another prefill server or to the
-// decode server.
+// prefill that a server accepts isn't a retry; in a later round, tryStream() has
+// charged it. After a prefill that wasn't accepted, the next call is one,
+// whether to another prefill server or to the decode server.
 std::optional<RequestHandler::PromptKvCache> RequestHandler::runPrefill() {
   std::set<std::string> excluded = Tried;
   if (Request.Generation)
