--- a/test/gateway_crash_spread_test.cc
+++ b/test/gateway_crash_spread_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
@@ -27,7 +28,9 @@
 constexpr int64_t ExchangeMs = 8; // of an exchange that succeeds
 
 struct Node {
-  Node(const std::string &Name, uint64_t Seed) : Table(Name, Name, Seed) {}
+  Node(const std::string &Name, uint64_t Seed)
+      : Name(Name), Table(Name, Name, Seed) {}
+  std::string Name;
   MemberTable Table;
   CrashHistory History;
   uint64_t SentChange = 0;
@@ -54,6 +57,12 @@
     }
   }
 
+  // Exchanges need both directions, so a link that is cut one way carries none.
+  void cutLink(size_t One, size_t Other) {
+    CutLinks.insert({Names[One], Names[Other]});
+    CutLinks.insert({Names[Other], Names[One]});
+  }
+
   Node &node(size_t Index) { return *Nodes[Names[Index]]; }
 
   void crashAt(int64_t Ms, size_t Witness, const std::string &Server) {
@@ -104,7 +113,8 @@
   }
 
   bool reaches(const Node &From, const std::string &To) {
-    return !From.Unreachable && !Nodes[To]->Unreachable;
+    return !From.Unreachable && !Nodes[To]->Unreachable &&
+           !CutLinks.contains({From.Name, To});
   }
 
   void sendCrashes(Node &From) {
@@ -139,6 +149,7 @@
   }
 
   int64_t Now = 0;
+  std::set<std::pair<std::string, std::string>> CutLinks;
   std::vector<std::string> Names;
   std::map<std::string, std::unique_ptr<Node>> Nodes;
   std::multimap<int64_t, std::function<void()>> Events;
@@ -171,16 +182,23 @@
       Fleet.node(i).InTouch = false;
     }
   });
+  // The witness of one crash reaches neither of its neighbours by name.
+  int64_t links = slowestSpread(Count, [](FleetModel &Fleet) {
+    Fleet.cutLink(2, 3);
+    Fleet.cutLink(2, 1);
+  });
   // It knows nothing of what was told while it was frozen or before it started.
   int64_t absent = slowestSpread(Count, [](FleetModel &Fleet) {
     Fleet.node(3).Unreachable = true;
     Fleet.schedule(1500, [&Fleet] { Fleet.node(3).Unreachable = false; });
   });
   MESSAGE(Count << " instances refuse after " << calm
-                << " ms, with two cut off " << cut
-                << " ms, one back 500 ms after the crash " << absent << " ms");
+                << " ms, with two cut off " << cut << " ms, with two links cut "
+                << links << " ms, one back 500 ms after the crash " << absent
+                << " ms");
   CHECK(calm < ContactMs);
   CHECK(cut < ContactMs);
+  CHECK(links < ContactMs);
   CHECK(absent < 500 + ContactMs);
 }
 
