Call contents completed, not ran whole

Cause: read-through of the change. "Ran whole" was a term of its own for what the field calls completed.

No behaviour changes.

--- a/bench/bench_crash_monitor_main.cc
+++ b/bench/bench_crash_monitor_main.cc
@@ -59,7 +59,7 @@
     RunTracker::Id run =
         monitor.runStarted({content, "9c41d07be2a35f68", "i-7f3a91c2aa",
                             1764000000123, std::nullopt});
-    monitor.runEnded(run, RunEnd::RanWhole);
+    monitor.runEnded(run, RunEnd::Completed);
   });
   std::cout << "{\"what\":\"run\",\"records\":" << Records << ",\"ns\":" << time
             << "}\n";
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -56,13 +56,13 @@
   {
     std::lock_guard lock(Mutex);
     run = Runs.end(Run);
-    if (run && End == RunEnd::RanWhole)
-      cleared = History.onRanWhole(run->Content, Clock::now());
+    if (run && End == RunEnd::Completed)
+      cleared = History.onCompleted(run->Content, Clock::now());
   }
   if (run && End == RunEnd::ServerEnded)
     addSeen({*run}, "connection_refused");
   if (cleared) {
-    log(LogLevel::Info, "crash_monitor", "suspected content ran whole",
+    log(LogLevel::Info, "crash_monitor", "suspected content completed",
         {{"content", fingerprintText(run->Content)},
          {"request", run->RequestId},
          {"server", run->ServerId}});
@@ -161,7 +161,7 @@
     for (const ClearedContent &it : Update.Cleared)
       if (History.addCleared(it, now))
         log(LogLevel::Info, "crash_monitor",
-            "peer reported that a content ran whole",
+            "peer reported that a content completed",
             {{"content", fingerprintText(it.Content)},
              {"from", Peer},
              {"age_ms", std::to_string(it.Age.count())}});
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -17,7 +17,7 @@
 
 // How a run ended, as evidence about the server's process.
 enum class RunEnd : uint8_t {
-  RanWhole,    // the server responded in full
+  Completed,   // the server responded in full
   Broken,      // broke off or got no response; the server may have ended
   ServerEnded, // broke off, and the server's address refuses connections
   NoEvidence   // refused, cancelled, or only a prefill
--- a/src/gateway/decisions/crash_history.cc
+++ b/src/gateway/decisions/crash_history.cc
@@ -17,13 +17,13 @@
 // silent one after a timeout. A server takes seconds to restart, so it can't
 // crash twice within this time.
 constexpr Milliseconds SameCrashWindow{2000};
-// A content that ran whole up to this long before a crash isn't its cause.
-constexpr std::chrono::seconds RanWholeValidity{60};
+// A content that completed up to this long before a crash isn't its cause.
+constexpr std::chrono::seconds CompletionValidity{60};
 // Table limits. A full table drops the oldest content with the fewest crashes.
 constexpr size_t MaxRecords = 2048;
 constexpr size_t MaxRecordsPerContent = 8;
 constexpr size_t MaxCleared = 1024;
-constexpr size_t MaxRanWhole = 2048;
+constexpr size_t MaxCompleted = 2048;
 // Changes sent to a peer that differs, about 10 KB.
 constexpr uint64_t MaxMissedChanges = 128;
 
@@ -50,7 +50,7 @@
 
 bool CrashHistory::isCleared(uint64_t Content, TimePoint CrashedAt) const {
   auto it = Cleared.find(Content);
-  return it != Cleared.end() && it->second.At + RanWholeValidity >= CrashedAt;
+  return it != Cleared.end() && it->second.At + CompletionValidity >= CrashedAt;
 }
 
 void CrashHistory::eraseContent(CrashMap::iterator Item) {
@@ -73,9 +73,10 @@
   TimePoint at = Now - Item.Age;
   if (Item.Age >= Retention)
     return false;
-  auto whole = RanWhole.find(Item.Content);
-  if (whole != RanWhole.end() && whole->second + RanWholeValidity >= at)
-    clear(Item.Content, whole->second);
+  auto completed = Completed.find(Item.Content);
+  if (completed != Completed.end() &&
+      completed->second + CompletionValidity >= at)
+    clear(Item.Content, completed->second);
   if (isCleared(Item.Content, at))
     return false;
   auto known = Crashes.find(Item.Content);
@@ -108,12 +109,12 @@
   Cleared[Content] = {At, ++LastChange};
 }
 
-bool CrashHistory::onRanWhole(uint64_t Content, TimePoint Now) {
-  if (RanWhole.insert_or_assign(Content, Now).second) {
-    RanWholeOrder.push_back(Content);
-    if (RanWholeOrder.size() > MaxRanWhole) {
-      RanWhole.erase(RanWholeOrder.front());
-      RanWholeOrder.pop_front();
+bool CrashHistory::onCompleted(uint64_t Content, TimePoint Now) {
+  if (Completed.insert_or_assign(Content, Now).second) {
+    CompletedOrder.push_back(Content);
+    if (CompletedOrder.size() > MaxCompleted) {
+      Completed.erase(CompletedOrder.front());
+      CompletedOrder.pop_front();
     }
   }
   if (!Crashes.contains(Content))
@@ -131,7 +132,7 @@
     return false;
   auto crashed = Crashes.find(Item.Content);
   if (crashed != Crashes.end() &&
-      crashed->second.front().At > at + RanWholeValidity)
+      crashed->second.front().At > at + CompletionValidity)
     return false;
   clear(Item.Content, at);
   return true;
@@ -208,10 +209,10 @@
   }
   std::erase_if(
       Cleared, [&](const auto &It) { return It.second.At + Retention <= Now; });
-  while (!RanWholeOrder.empty() &&
-         RanWhole.at(RanWholeOrder.front()) + RanWholeValidity <= Now) {
-    RanWhole.erase(RanWholeOrder.front());
-    RanWholeOrder.pop_front();
+  while (!CompletedOrder.empty() &&
+         Completed.at(CompletedOrder.front()) + CompletionValidity <= Now) {
+    Completed.erase(CompletedOrder.front());
+    CompletedOrder.pop_front();
   }
 }
 
--- a/src/gateway/decisions/crash_history.h
+++ b/src/gateway/decisions/crash_history.h
@@ -1,7 +1,7 @@
 // Crashes of backend servers by the content of the requests that they ran,
 // merged from all instances. A content that has crashed three servers is
 // refused. A server ends with about ten requests running, so a crash alone
-// proves nothing about one of them; a content that ran whole isn't the cause.
+// proves nothing about one of them; a content that completed isn't the cause.
 // Does no I/O; callers pass the time.
 #ifndef CROCUSSPUR_GATEWAY_CRASH_HISTORY_H
 #define CROCUSSPUR_GATEWAY_CRASH_HISTORY_H
@@ -24,21 +24,21 @@
   Milliseconds Age{0};
 };
 
-// A content that ran whole although it was a suspect.
+// A content that completed although it was a suspect.
 struct ClearedContent {
   uint64_t Content = 0;
-  Milliseconds Age{0}; // since it last ran whole
+  Milliseconds Age{0}; // since it last completed
 };
 
 class CrashHistory {
 public:
   // Adds a crash seen by this instance or reported by a peer. Returns whether
   // it is new and counts: an equal record is known at most once, and one of a
-  // content that ran whole lately is dropped.
+  // content that completed lately is dropped.
   bool addCrash(const CrashRecord &Item, TimePoint Now);
-  // Records that a request of this instance ran whole. Returns whether the
+  // Records that a request of this instance completed. Returns whether the
   // content was a suspect until then.
-  bool onRanWhole(uint64_t Content, TimePoint Now);
+  bool onCompleted(uint64_t Content, TimePoint Now);
   // Adds what a peer has cleared. Returns whether that was new.
   bool addCleared(const ClearedContent &Item, TimePoint Now);
 
@@ -87,9 +87,9 @@
   CrashMap Crashes; // by content; those of one content by time
   size_t RecordCount = 0;
   std::unordered_map<uint64_t, Clearance> Cleared;
-  // Contents that ran whole here lately, with a queue to drop the oldest.
-  std::unordered_map<uint64_t, TimePoint> RanWhole;
-  std::deque<uint64_t> RanWholeOrder;
+  // Contents that completed here lately, with a queue to drop the oldest.
+  std::unordered_map<uint64_t, TimePoint> Completed;
+  std::deque<uint64_t> CompletedOrder;
   uint64_t LastChange = 0;
 };
 
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -295,7 +295,7 @@
                AttemptResult::NotExecuted);
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
-  runEnd = RunEnd::RanWhole;
+  runEnd = RunEnd::Completed;
   bool failure = call.head().Status >= 500;
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call), std::move(body)};
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -260,8 +260,8 @@
 }
 
 // Returns nullopt if the decode server has to read the prompt itself. The first
-// prefill that a server accepts isn't a retry; in a later round, tryStream() has
-// charged it. After a prefill that wasn't accepted, the next call is one,
+// prefill that a server accepts isn't a retry; in a later round, tryStream()
+// has charged it. After a prefill that wasn't accepted, the next call is one,
 // whether to another prefill server or to the decode server.
 std::optional<RequestHandler::PromptKvCache> RequestHandler::runPrefill() {
   std::set<std::string> excluded = Tried;
@@ -428,7 +428,7 @@
     if (result != AttemptResult::Done)
       status = CallStatus::ConnectionBroken;
     else if (!CallerWriteFailed && !Waiter.callerLeft())
-      runEnd = RunEnd::RanWhole;
+      runEnd = RunEnd::Completed;
     return end(result == AttemptResult::Done ? CallResult::Succeeded
                                              : CallResult::Failed,
                result == AttemptResult::Done ? "streamed" : "broken_in_stream",
@@ -455,7 +455,7 @@
     Tried.insert(server.Id);
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   }
-  runEnd = RunEnd::RanWhole;
+  runEnd = RunEnd::Completed;
   end(CallResult::Failed, "failure_" + code, AttemptResult::Done);
   Status = call.head().Status;
   internal::writeResponse(Sink, responseHead(call), body);
--- a/test/gateway_crash_history_test.cc
+++ b/test/gateway_crash_history_test.cc
@@ -82,9 +82,9 @@
 }
 
 // Servers end with about ten requests running, which are sent again.
-TEST_CASE("CrashHistory drops the crashes of a content that ran whole") {
+TEST_CASE("CrashHistory drops the crashes of a content that completed") {
   CrashHistory history = refusing();
-  CHECK(history.onRanWhole(Cause, at(400)));
+  CHECK(history.onCompleted(Cause, at(400)));
   CHECK_FALSE(history.refusedFor(Cause, at(400)).has_value());
   CHECK(history.size() == 0);
   // A late report of the same crashes counts no more.
@@ -95,9 +95,9 @@
 // One body that many callers send runs on all servers of a failure domain when
 // they are lost together.
 TEST_CASE(
-    "CrashHistory ignores crashes of a content that runs whole elsewhere") {
+    "CrashHistory ignores crashes of a content that completes elsewhere") {
   CrashHistory history;
-  history.onRanWhole(Cause, at(0));
+  history.onCompleted(Cause, at(0));
   for (int i = 0; i < 9; ++i)
     addCrash(history, "s" + std::to_string(i), 1000 + i);
   CHECK_FALSE(history.refusedFor(Cause, at(2000)).has_value());
@@ -111,9 +111,9 @@
 }
 
 // A new version of a server may crash under a content that ran before.
-TEST_CASE("CrashHistory counts crashes long after a content ran whole") {
+TEST_CASE("CrashHistory counts crashes long after a content completed") {
   CrashHistory history;
-  history.onRanWhole(Cause, at(0));
+  history.onCompleted(Cause, at(0));
   for (int i = 0; i < 3; ++i)
     addCrash(history, "s" + std::to_string(i), 2 * MinuteMs + i);
   CHECK(history.refusedFor(Cause, at(2 * MinuteMs + 10)).has_value());
@@ -126,7 +126,7 @@
   addCrash(right, "s2", 100);
   addCrash(right, "s3", 200);
   addCrash(left, "s1", 300, Cause + 1);
-  right.onRanWhole(Cause + 1, at(400));
+  right.onCompleted(Cause + 1, at(400));
   CHECK(left.digest() != right.digest());
   exchange(left, right, 500);
   exchange(left, right, 510);
--- a/test/gateway_crash_innocents_test.cc
+++ b/test/gateway_crash_innocents_test.cc
@@ -134,7 +134,7 @@
       std::erase_if(server.Runs, [&](const Run &It) {
         if (It.EndsAt > Now)
           return false;
-        History.onRanWhole(It.Content, at(Now));
+        History.onCompleted(It.Content, at(Now));
         return true;
       });
   }
