Reproduce a crashing request that runs on after a server's error

Cause: a signed response of any status counts as a completed run. It drops the content's crashes and ignores new ones for a minute, at all instances.

--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -148,6 +148,10 @@
                                    "\"version\":1}"));
     return true;
   }
+  if (Options.FailsAll) {
+    sendText(Fd, signedResponse(500, "error", fieldOf(Request, "Attempt-Id")));
+    return true;
+  }
   if (crashes) {
     Log.onCrash(); // before a caller can see the crash
     crash();
--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -46,6 +46,7 @@
   std::string Service;
   std::string Stage;           // as registered; empty: a plain service
   Milliseconds DownTime{1500}; // from a crash to the next start
+  bool FailsAll = false; // responds to every request with an error of its own
 };
 
 class CrashingServer {
--- a/test/gateway_crash_process_test.cc
+++ b/test/gateway_crash_process_test.cc
@@ -41,15 +41,22 @@
 
 // A fleet with servers of a plain service and of a model.
 struct CrashFleet {
-  explicit CrashFleet(int Instances = InstanceCount) : Fleet(Instances) {
+  // `Change` may change the options of each server before it starts.
+  explicit CrashFleet(
+      int Instances = InstanceCount,
+      const std::function<void(CrashingServerOptions &, int Number)> &Change =
+          [](CrashingServerOptions &, int) {})
+      : Fleet(Instances) {
     Fleet.Store.put("op/config", makeConfig());
     for (int i = 0; i < ServerCount; ++i) {
       std::string n = std::to_string(i);
-      Servers.push_back(std::make_unique<CrashingServer>(
-          Fleet.Store, Log, CrashingServerOptions{"bay-" + n, "bays", ""}));
-      Servers.push_back(std::make_unique<CrashingServer>(
-          Fleet.Store, Log,
-          CrashingServerOptions{"llm-" + n, "llm", "decode"}));
+      for (CrashingServerOptions options :
+           {CrashingServerOptions{"bay-" + n, "bays", ""},
+            CrashingServerOptions{"llm-" + n, "llm", "decode"}}) {
+        Change(options, i);
+        Servers.push_back(
+            std::make_unique<CrashingServer>(Fleet.Store, Log, options));
+      }
     }
     Fleet.startAll();
   }
@@ -136,6 +143,14 @@
   CHECK(lateArrivals(setup, "/t/x") <= AllowedSends);
 }
 
+// Any response of a server, also an error, used to clear a suspected content.
+TEST_CASE("A content that crashed three servers is refused despite an error") {
+  CrashFleet setup(InstanceCount, [](CrashingServerOptions &Options, int N) {
+    Options.FailsAll = N % 2 == 0;
+  });
+  CHECK(lateArrivals(setup, "/n/x") <= AllowedSends);
+}
+
 TEST_CASE("An instance alone refuses a content after its third crash") {
   CrashFleet setup(1);
   crashThreeServers(setup, 1);
--- a/test/gateway_crash_refusal_test.cc
+++ b/test/gateway_crash_refusal_test.cc
@@ -179,3 +179,20 @@
   reportCrashes(setup, 3);
   CHECK_FALSE(setup.Crashes.refusedFor(contentOf(setup.request())).has_value());
 }
+
+// A server that fails part of its requests may fail the crashing one before it
+// runs.
+TEST_CASE("A server's error doesn't clear a suspected content") {
+  for (RouteKind kind :
+       {RouteKind::NonIdempotent, RouteKind::Idempotent, RouteKind::Stream}) {
+    CAPTURE(static_cast<int>(kind));
+    GatewayFixture setup;
+    FakeServer server(
+        [](const std::string &, int) { return signedResponse(500, "error"); });
+    setup.addServer("s1", server, stageFor(kind));
+    reportCrashes(setup, 2);
+    setup.run(setup.route(kind));
+    reportCrashes(setup, 3);
+    CHECK(setup.Crashes.refusedFor(contentOf(setup.request())).has_value());
+  }
+}
