Keep suspecting a content that a server failed with an error

Cause: RequestHandler reported every signed response as a completed run, a 500 as well, and a completed run clears the content. A server that fails part of its requests may fail the crashing one before it runs.

Change: a server error is no evidence; only a response below 500 clears.

--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -17,12 +17,20 @@
 
 // How a run ended, as evidence about the server's process.
 enum class RunEnd : uint8_t {
-  Completed,   // the server responded in full
+  Completed,   // the server responded in full, without a server error
   Broken,      // broke off or got no response; the server may have ended
   ServerEnded, // broke off, and the server's address refuses connections
-  NoEvidence   // refused, cancelled, or only a prefill
+  NoEvidence   // refused, failed, cancelled, or only a prefill
 };
 
+inline bool isServerError(uint32_t Status) { return Status >= 500; }
+
+// Evidence of a server's own complete response. A server error shows nothing:
+// the server may have failed the request before running what crashes others.
+inline RunEnd endOfResponse(uint32_t Status) {
+  return isServerError(Status) ? RunEnd::NoEvidence : RunEnd::Completed;
+}
+
 class CrashMonitor {
 public:
   explicit CrashMonitor(std::string Instance) : Instance(std::move(Instance)) {}
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -295,8 +295,8 @@
                AttemptResult::NotExecuted);
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
-  runEnd = RunEnd::Completed;
-  bool failure = call.head().Status >= 500;
+  runEnd = endOfResponse(call.head().Status);
+  bool failure = isServerError(call.head().Status);
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call), std::move(body)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -455,7 +455,7 @@
     Tried.insert(server.Id);
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   }
-  runEnd = RunEnd::Completed;
+  runEnd = endOfResponse(call.head().Status);
   end(CallResult::Failed, "failure_" + code, AttemptResult::Done);
   Status = call.head().Status;
   internal::writeResponse(Sink, responseHead(call), body);
