Reproduce crashes of servers that start again under new ids

Cause: an instance takes a server's process as ended if its address refuses connections, if its id gets a new start time, or if its entry expires. A server's successor has a new id at the same address in the published protocol, so the second sign can't occur there. If the address doesn't refuse connections, only the expiry remains.

The fake server can start under a new id and can keep its address open while it is down.

--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -76,12 +76,16 @@
 }
 
 void CrashingServer::start() {
-  Process =
-      std::make_unique<ScriptServer>([this](int Fd, int) { serve(Fd); }, Port);
+  if (!Process)
+    Process = std::make_unique<ScriptServer>([this](int Fd, int) { serve(Fd); },
+                                             Port);
   Port = Process->port();
   std::string stage =
       Options.Stage.empty() ? "" : ",\"phase\":\"" + Options.Stage + "\"";
-  Store.put("servers/" + Options.Id,
+  std::string id = Options.Id;
+  if (Options.NewIdOnStart)
+    id += "-" + std::to_string(++Starts);
+  Store.put("servers/" + id,
             serverEntry(Options.Service, Process->address(),
                         "\"state\":\"ready\"" + stage, ++StartedAt));
 }
@@ -93,9 +97,11 @@
     Changed.wait(lock, [this] { return Crashed || Stopping; });
     for (int it : Open)
       ::shutdown(it, SHUT_RDWR);
-    lock.unlock();
-    Process.reset();
-    lock.lock();
+    if (Options.RefusesWhileDown) {
+      lock.unlock();
+      Process.reset();
+      lock.lock();
+    }
     if (Changed.wait_for(lock, Options.DownTime, [this] { return Stopping; }))
       return;
     Crashed = false;
@@ -110,7 +116,8 @@
   Crashed = true;
   // A process's sockets vanish together, so no peer that sees a closed
   // connection can open another one.
-  Process->stopListening();
+  if (Options.RefusesWhileDown)
+    Process->stopListening();
   Changed.notify_all();
 }
 
--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -1,6 +1,7 @@
 // A fake backend server whose process ends when it runs a request with a given
-// content. It refuses connections for some time, then starts again under its id
-// with a new start time. Serves plain requests, prefills and streams.
+// content. After some time it starts again at its address, under its id with a
+// new start time or under a new id. Serves plain requests, prefills and
+// streams.
 #ifndef CROCUSSPUR_TEST_CRASHING_SERVER_H
 #define CROCUSSPUR_TEST_CRASHING_SERVER_H
 
@@ -47,6 +48,10 @@
   std::string Stage;           // as registered; empty: a plain service
   Milliseconds DownTime{1500}; // from a crash to the next start
   bool FailsAll = false; // responds to every request with an error of its own
+  bool NewIdOnStart = false; // the entry of the ended process stays
+  // While it is down, connections are refused; otherwise they are opened and
+  // closed at once.
+  bool RefusesWhileDown = true;
 };
 
 class CrashingServer {
@@ -69,6 +74,7 @@
   const CrashingServerOptions Options;
   uint16_t Port = 0;
   int64_t StartedAt = 1764000000000;
+  int Starts = 0;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Crashed = false;
--- a/test/gateway_crash_process_test.cc
+++ b/test/gateway_crash_process_test.cc
@@ -143,6 +143,17 @@
   CHECK(lateArrivals(setup, "/t/x") <= AllowedSends);
 }
 
+// A server's successor has another id at the same address. Until the entry of
+// the ended process expires, it may be the only sign of the end.
+TEST_CASE(
+    "A content is refused when servers that crashed start under new ids") {
+  CrashFleet setup(InstanceCount, [](CrashingServerOptions &Options, int) {
+    Options.NewIdOnStart = true;
+    Options.RefusesWhileDown = false;
+  });
+  CHECK(lateArrivals(setup, "/i/x") <= AllowedSends);
+}
+
 // Any response of a server, also an error, used to clear a suspected content.
 TEST_CASE("A content that crashed three servers is refused despite an error") {
   CrashFleet setup(InstanceCount, [](CrashingServerOptions &Options, int N) {
--- a/test/gateway_crash_refusal_test.cc
+++ b/test/gateway_crash_refusal_test.cc
@@ -196,3 +196,47 @@
     CHECK(setup.Crashes.refusedFor(contentOf(setup.request())).has_value());
   }
 }
+
+TEST_CASE("A broken connection counts once another server has the address") {
+  for (bool leaving : {false, true}) {
+    CAPTURE(leaving);
+    GatewayFixture setup;
+    setup.Directory.setServerEndListener(
+        [&](const std::string &Id, std::optional<int64_t>) {
+          setup.Crashes.onServerVanished(Id);
+        });
+    FakeServer server([](const std::string &, int) { return std::string(); });
+    setup.addServer("s1", server);
+    setup.run(setup.route(RouteKind::NonIdempotent));
+    crocusspur::gateway::ServerEntry entry;
+    entry.Id = "s1";
+    entry.Service = "bays";
+    entry.Address = server.address();
+    entry.Leaving = leaving;
+    setup.Directory.applyServer({"s1", ++setup.Revision, entry},
+                                UpdateOrigin::Store);
+    CHECK(crashesSeen(setup) == 0);
+    setup.addServer("s2", server);
+    CHECK(crashesSeen(setup) == (leaving ? 0 : 1));
+    CHECK(setup.Directory.serversIn("bays", ServerStage::Whole) == 1);
+  }
+}
+
+// A full list may name the ended server after its successor.
+TEST_CASE("The latest entry at an address is the server that runs there") {
+  GatewayFixture setup;
+  FakeServer server(
+      [](const std::string &, int) { return signedResponse(200, "x"); });
+  setup.addServer("s1", server);
+  setup.addServer("s2", server);
+  crocusspur::gateway::ServerEntry ended;
+  ended.Id = "s3";
+  ended.Service = "bays";
+  ended.Address = server.address();
+  setup.Directory.applyServer({"s3", 1, ended}, UpdateOrigin::Peer);
+  std::optional<ServerChoice> choice =
+      setup.Directory.choose({"bays", ServerStage::Whole, {}});
+  REQUIRE(choice.has_value());
+  CHECK(choice->Id == "s2");
+  CHECK(setup.Directory.serversIn("bays", ServerStage::Whole) == 1);
+}
