Take a new id at an address as the end of the server there

Cause: signs of an end were a refused connection, a new start time under the same id, and an expired entry. A process that starts again has a new id at the same address, and its predecessor's entry stays for seconds, so with an address that doesn't refuse connections the crash was seen too late.

Change: among entries with one address the one that was registered last is the server that runs there. The others are forgotten at once and reported as ended, unless they had announced their leaving. Requests are no longer sent to the ended id either, which the successor refuses with 421.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -92,6 +92,15 @@
   return it == Servers.end() ? nullptr : &it->second.Entry;
 }
 
+std::vector<ServerEntry>
+ServerRegistry::sharingAddress(const ServerEntry &Entry) const {
+  std::vector<ServerEntry> all;
+  for (const auto &[id, server] : Servers)
+    if (id != Entry.Id && server.Entry.Address == Entry.Address)
+      all.push_back(server.Entry);
+  return all;
+}
+
 std::vector<ServerEntry> ServerRegistry::entries() const {
   std::vector<ServerEntry> all;
   for (const auto &[id, server] : Servers)
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -77,6 +77,8 @@
   // leaving stays usable as a last resort until `UsableUntil`, since entries
   // also expire while the store is unavailable.
   void remove(const std::string &Id, TimePoint UsableUntil);
+  // Forgets a server whose process has ended.
+  void erase(const std::string &Id) { Servers.erase(Id); }
   // Removes servers whose `UsableUntil` has passed.
   void expire(TimePoint Now);
 
@@ -86,6 +88,8 @@
   void exclude(const std::string &Id, TimePoint Until);
 
   const ServerEntry *find(const std::string &Id) const;
+  // Other servers whose entries name this server's address.
+  std::vector<ServerEntry> sharingAddress(const ServerEntry &Entry) const;
   std::vector<ServerEntry> entries() const;
   // Number of registered servers of a service in a stage, without those that
   // are leaving.
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -86,6 +86,7 @@
     Registry.apply(*Change.Entry, Now);
     if (restarted && OnServerEnd)
       OnServerEnd(Change.Id, Change.Entry->StartedAt);
+    removeEndedAt(*Change.Entry);
     return;
   }
   // The last quarter of the limit is left for requests in flight to the server.
@@ -103,6 +104,29 @@
   Registry.remove(Change.Id, lastUse);
 }
 
+void ServiceDirectory::removeEndedAt(const ServerEntry &Entry) {
+  std::vector<ServerEntry> all = Registry.sharingAddress(Entry);
+  if (all.empty())
+    return;
+  all.push_back(Entry);
+  auto revisionOf = [this](const ServerEntry &It) {
+    return Revisions.at(It.Id);
+  };
+  auto latest = std::ranges::max_element(all, {}, revisionOf);
+  for (const ServerEntry &it : all) {
+    if (it.Id == latest->Id)
+      continue;
+    log(LogLevel::Info, "directory", "server replaced at its address",
+        {{"server", it.Id},
+         {"address", it.Address},
+         {"successor", latest->Id},
+         {"leaving", it.Leaving ? "true" : "false"}});
+    if (!it.Leaving && OnServerEnd)
+      OnServerEnd(it.Id, std::nullopt);
+    Registry.erase(it.Id);
+  }
+}
+
 void ServiceDirectory::applyServer(const ServerChange &Change,
                                    UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -52,9 +52,9 @@
   uint64_t serversRevision() const;
 
   // Called when a server's process seems to have ended: it registered with a
-  // new start time (`StartedAt`), or its entry expired without an announced
-  // leaving (nothing). Set before the directory is used by several threads. It
-  // must not call back.
+  // new start time (`StartedAt`), or without an announced leaving (nothing) its
+  // entry expired or another server registered at its address. Set before the
+  // directory is used by several threads. It must not call back.
   using ServerEndListener = std::function<void(
       const std::string &ServerId, std::optional<int64_t> StartedAt)>;
   void setServerEndListener(ServerEndListener Listener);
@@ -135,6 +135,10 @@
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
                    TimePoint Now);
+  // Removes all servers at the entry's address but the one registered last. A
+  // process that starts there has a new id, and the entry of the one that ended
+  // stays until it expires.
+  void removeEndedAt(const ServerEntry &Entry);
 
   const GatewaySettings &Values;
   ServerEndListener OnServerEnd;
