Don't blame a run for the end of a server that responded after it

Change: a response to a call that was sent after such a run broke off shows that the server's process has outlived it; the run is dropped. Responses to calls from before the break prove nothing, since they may overtake it.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -45,6 +45,11 @@
   return Runs.start(std::move(Run));
 }
 
+void CrashMonitor::onResponded(RunTracker::Id Run) {
+  std::lock_guard lock(Mutex);
+  Runs.onResponded(Run);
+}
+
 void CrashMonitor::runEnded(RunTracker::Id Run, RunEnd End) {
   if (End == RunEnd::Broken) {
     std::lock_guard lock(Mutex);
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -45,6 +45,8 @@
 
   RunTracker::Id runStarted(TrackedRun Run);
   void runEnded(RunTracker::Id Run, RunEnd End);
+  // See RunTracker::onResponded(). Called before the run ends.
+  void onResponded(RunTracker::Id Run);
 
   // The server registered with a new start time.
   void onServerRestarted(const std::string &ServerId, int64_t StartedAt);
--- a/src/gateway/decisions/run_tracker.cc
+++ b/src/gateway/decisions/run_tracker.cc
@@ -31,6 +31,19 @@
     it->second.BrokenAt = Now;
 }
 
+void RunTracker::onResponded(Id Run) {
+  auto found = Runs.find(Run);
+  if (found == Runs.end())
+    return;
+  const TrackedRun &run = found->second;
+  std::erase_if(Runs, [&](const auto &It) {
+    const TrackedRun &it = It.second;
+    return it.ServerId == run.ServerId &&
+           it.ServerStartedAt == run.ServerStartedAt && it.BrokenAt &&
+           *it.BrokenAt <= run.SentAt;
+  });
+}
+
 void RunTracker::expire(TimePoint Now) {
   std::erase_if(Runs, [&](const auto &It) {
     return It.second.BrokenAt && *It.second.BrokenAt + BrokenRetention < Now;
--- a/src/gateway/decisions/run_tracker.h
+++ b/src/gateway/decisions/run_tracker.h
@@ -19,6 +19,7 @@
   std::string RequestId;
   std::string ServerId;
   int64_t ServerStartedAt = 0; // Unix milliseconds; 0: unknown
+  TimePoint SentAt;            // before its first byte
   // When the run broke off; nothing while it is running.
   std::optional<TimePoint> BrokenAt;
 };
@@ -32,6 +33,9 @@
   std::optional<TrackedRun> end(Id Run);
   // Records that a run broke off or got no response.
   void breakOff(Id Run, TimePoint Now);
+  // Records that the server responded to a run. Its process has outlived runs
+  // that broke off before this one was sent, so they are removed.
+  void onResponded(Id Run);
 
   // Removes and returns the runs that ended with the process of a server that
   // has restarted: those sent to an earlier process.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -129,11 +129,13 @@
 
 RunTracker::Id RequestHandler::trackRun(const ServerChoice &Server) {
   return Context.Crashes.runStarted(
-      {Content, Request.Id, Server.Id, Server.StartedAt, std::nullopt});
+      {Content, Request.Id, Server.Id, Server.StartedAt, Clock::now(), {}});
 }
 
 void RequestHandler::endRun(RunTracker::Id Run, const ServerChoice &Server,
                             CallStatus Status, RunEnd End) {
+  if (Status == CallStatus::Responded)
+    Context.Crashes.onResponded(Run);
   // The end of a server that announced its leaving isn't a crash.
   if (Status == CallStatus::ConnectionBroken &&
       !Context.Directory.isLeaving(Server.Id) &&
--- a/test/gateway_crash_refusal_test.cc
+++ b/test/gateway_crash_refusal_test.cc
@@ -240,3 +240,18 @@
   CHECK(choice->Id == "s2");
   CHECK(setup.Directory.serversIn("bays", ServerStage::Whole) == 1);
 }
+
+TEST_CASE("A lost response isn't a crash if the server responds afterwards") {
+  GatewayFixture setup;
+  FakeServer server([](const std::string &, int Number) {
+    return Number == 0 ? std::string() : signedResponse(200, "x");
+  });
+  setup.addServer("s1", server);
+  setup.run(setup.route(RouteKind::NonIdempotent));
+  CallerRequest other = setup.request();
+  other.Body = "other body";
+  CHECK(setup.run(setup.route(RouteKind::NonIdempotent), other)
+            .starts_with("HTTP/1.1 200"));
+  setup.Crashes.onServerVanished("s1");
+  CHECK(crashesSeen(setup) == 0);
+}
--- a/test/gateway_run_tracker_test.cc
+++ b/test/gateway_run_tracker_test.cc
@@ -10,8 +10,8 @@
 namespace {
 
 TrackedRun runOn(const std::string &Server, int64_t StartedAt,
-                 uint64_t Content = 7) {
-  return {Content, "a1", Server, StartedAt, std::nullopt};
+                 uint64_t Content = 7, TimePoint SentAt = at(0)) {
+  return {Content, "a1", Server, StartedAt, SentAt, std::nullopt};
 }
 
 } // namespace
@@ -53,3 +53,27 @@
   tracker.start(runOn("s1", 0));
   CHECK(tracker.onRestarted("s1", 200, at(10)).empty());
 }
+
+// Responses are also lost without a crash, seconds before another request ends
+// the server.
+TEST_CASE(
+    "A run isn't blamed for the end of a server that responded after it") {
+  RunTracker tracker;
+  tracker.breakOff(tracker.start(runOn("s1", 100, 1)), at(0));
+  tracker.breakOff(tracker.start(runOn("s2", 100, 2)), at(0));
+  tracker.breakOff(tracker.start(runOn("s1", 100, 3)), at(20));
+  tracker.onResponded(tracker.start(runOn("s1", 100, 4, at(10))));
+  std::vector<TrackedRun> ended = tracker.onVanished("s1", at(3600));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].Content == 3);
+  CHECK(tracker.onVanished("s2", at(3600)).size() == 1);
+}
+
+// Responses on different connections may overtake each other.
+TEST_CASE("A response to a call from before a break doesn't prove its server") {
+  RunTracker tracker;
+  tracker.breakOff(tracker.start(runOn("s1", 100)), at(10));
+  tracker.onResponded(tracker.start(runOn("s1", 100, 8, at(9))));
+  tracker.onResponded(tracker.start(runOn("s1", 200, 9, at(20))));
+  CHECK(tracker.onVanished("s1", at(3600)).size() == 1);
+}
