--- a/bench/bench_crash_monitor_main.cc
+++ b/bench/bench_crash_monitor_main.cc
@@ -5,6 +5,7 @@
 #include "gateway/decisions/content_fingerprint.h"
 #include "gateway/member_codec.h"
 
+#include <chrono>
 #include <functional>
 #include <iostream>
 #include <string>
@@ -56,9 +57,10 @@
   double time = nanosecondsOf([&] {
     ++content;
     monitor.refusedFor(content);
-    RunTracker::Id run =
-        monitor.runStarted({content, "9c41d07be2a35f68", "i-7f3a91c2aa",
-                            1764000000123, std::nullopt});
+    RunTracker::Id run = monitor.runStarted(
+        {content, "9c41d07be2a35f68", "i-7f3a91c2aa", 1764000000123,
+         std::chrono::steady_clock::now(), std::nullopt});
+    monitor.onResponded(run);
     monitor.runEnded(run, RunEnd::Completed);
   });
   std::cout << "{\"what\":\"run\",\"records\":" << Records << ",\"ns\":" << time
