Read, log and count the request limits that servers state

Change: the adapter decodes the header into the product's type: a decimal number; of several the lowest valid one; a malformed one changes nothing and is logged at most once in ten seconds. ServerLimitTable keeps the latest statement of each server. ServerCall, through which every call to a server passes, reports each response head with the time of its call, so that a late response doesn't lift a limit. Each ended call logs the limit with its age and source; /state lists the active limits and the gauge servers_limited counts them. No decision is changed.

--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -14,6 +14,7 @@
 struct GatewayContext {
   const HttpCodec &Codec;
   ServiceDirectory &Directory;
+  ServerLimits &Limits;
   ConnectionPool &Connections;
   ReservationQueues &Queues;
   CrashMonitor &Crashes;
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -93,8 +93,8 @@
   if (!Runtime || !metrics)
     return false;
   Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
-                                 Runtime->Connections, Runtime->Queues,
-                                 Runtime->Crashes, *metrics});
+                                 Runtime->Limits, Runtime->Connections,
+                                 Runtime->Queues, Runtime->Crashes, *metrics});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -30,7 +30,8 @@
         SettingsFile(std::move(File)), Incarnation(Incarnation),
         Codec(ActiveAdapter.MakeCodec()),
         Source(ActiveAdapter.MakeSource(this->Values)),
-        Directory(this->Values, Incarnation), Crashes(this->Values.Instance),
+        Directory(this->Values, Incarnation), Limits(this->Values.Instance),
+        Crashes(this->Values.Instance),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
     Directory.setServerEndListener(
@@ -49,6 +50,7 @@
   const HttpCodec Codec;
   const PublishedSource Source;
   ServiceDirectory Directory;
+  ServerLimits Limits;
   ConnectionPool Connections;
   ReservationQueues Queues;
   CrashMonitor Crashes;
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -6,6 +6,7 @@
 #define CROCUSSPUR_GATEWAY_HTTP_CODEC_H
 
 #include "gateway/decisions/output_estimator.h"
+#include "gateway/decisions/server_limit_table.h"
 #include "gateway/decisions/server_registry.h"
 #include "http_header.h"
 
@@ -48,6 +49,7 @@
   bool Encoded = false;     // the body has a content encoding
   std::string RequestId;
   std::optional<ServerLoad> Load;
+  StatedLimit Limit;
   std::optional<Milliseconds> KeepAliveTimeout; // of the connection
   HeaderFields Returned; // fields passed to the caller unchanged
 };
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -89,6 +89,11 @@
   all.emplace_back("outcome", Outcome);
   all.emplace_back("taken_ms", std::to_string(taken.count()));
   all.emplace_back("left_ms", std::to_string(timeLeft().count()));
+  if (std::optional<ServerLimit> limit = Context.Limits.find(Server.Id)) {
+    all.emplace_back("limit_per_s", limitText(*limit->PerSecond));
+    all.emplace_back("limit_age_ms", std::to_string(limit->Age.count()));
+    all.emplace_back("limit_source", limit->Source);
+  }
   log(LogLevel::Info, "request", "call ended", all);
 }
 
@@ -251,12 +256,12 @@
     timeout = std::min(timeout,
                        std::max(MinAttemptTimeout,
                                 Route.LatencyTarget * AttemptTimeoutInTargets));
-  ServerCall call(Context.Connections, Context.Codec, Waiter);
+  ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(Server.Id, 1);
   RunTracker::Id run = trackRun(Server);
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status = call.start(
-      Server.Address, Context.Codec.FormatRequest(Request, optionsFor(Server)),
+      Server, Context.Codec.FormatRequest(Request, optionsFor(Server)),
       Request.Method, Request.Id, timeout);
   std::string body;
   if (status == CallStatus::Responded)
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -200,8 +200,8 @@
 
 uint32_t RoleOrders::call(const ServerChoice &Server, const std::string &Bytes,
                           const char *Method, std::string &Body) {
-  return callServer(Runtime->Connections, Runtime->Codec, Server, Bytes, Method,
-                    CallTimeout, MaxResponseBytes, Body);
+  return callServer(Runtime->Connections, Runtime->Codec, Runtime->Limits,
+                    Server, Bytes, Method, CallTimeout, MaxResponseBytes, Body);
 }
 
 std::optional<ServerReport>
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -146,15 +146,16 @@
   return Status == CallStatus::Responded;
 }
 
-CallStatus ServerCall::start(const std::string &Address,
+CallStatus ServerCall::start(const ServerChoice &Server,
                              const std::string &Bytes,
                              const std::string &Method,
                              const std::string &RequestId,
                              Milliseconds ResponseTimeout) {
-  this->Address = Address;
+  Address = Server.Address;
   CallStatus status = CallStatus::NotSent;
   if (!connect(Address, status))
     return status;
+  TimePoint sentAt = Clock::now();
   status = fromExchange(Http.send(Bytes, TimePoint::max(), TransferTimeout));
   if (status != CallStatus::Responded)
     return status;
@@ -163,8 +164,10 @@
     if (status != CallStatus::Responded)
       return status;
     Info = Codec.ParseResponseHead(Http.head());
-    if (Info.RequestId.empty() || Info.RequestId == RequestId)
+    if (Info.RequestId.empty() || Info.RequestId == RequestId) {
+      Limits.onResponse(Server.Id, Info.Limit, sentAt);
       return status;
+    }
     std::string stray;
     status = readWhole(stray, MaxStrayBytes);
     if (status != CallStatus::Responded)
@@ -199,12 +202,12 @@
 }
 
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
-                    const ServerChoice &Server, const std::string &Bytes,
-                    const std::string &Method, Milliseconds Time,
-                    size_t MaxBytes, std::string &Body) {
+                    ServerLimits &Limits, const ServerChoice &Server,
+                    const std::string &Bytes, const std::string &Method,
+                    Milliseconds Time, size_t MaxBytes, std::string &Body) {
   CallerWaiter noCaller(-1, Clock::now() + Time);
-  ServerCall call(Pool, Codec, noCaller);
-  CallStatus status = call.start(Server.Address, Bytes, Method, "", Time);
+  ServerCall call(Pool, Codec, Limits, noCaller);
+  CallStatus status = call.start(Server, Bytes, Method, "", Time);
   if (status == CallStatus::Responded)
     status = call.readWhole(Body, MaxBytes);
   if (status != CallStatus::Responded)
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -3,6 +3,7 @@
 #define CROCUSSPUR_GATEWAY_SERVER_CALL_H
 
 #include "gateway/http_codec.h"
+#include "gateway/server_limits.h"
 #include "http_exchange.h"
 
 #include <atomic>
@@ -69,12 +70,14 @@
 // with readWhole() or readSome().
 class ServerCall {
 public:
-  ServerCall(ConnectionPool &Pool, const HttpCodec &Codec, CallerWaiter &Waiter)
-      : Pool(Pool), Codec(Codec), Waiter(Waiter), Http(Waiter) {}
+  ServerCall(ConnectionPool &Pool, const HttpCodec &Codec, ServerLimits &Limits,
+             CallerWaiter &Waiter)
+      : Pool(Pool), Codec(Codec), Limits(Limits), Waiter(Waiter), Http(Waiter) {
+  }
 
   // `RequestId`: responses with another id are late responses to earlier
   // requests and are skipped. `ResponseTimeout` bounds the wait for the head.
-  CallStatus start(const std::string &Address, const std::string &Bytes,
+  CallStatus start(const ServerChoice &Server, const std::string &Bytes,
                    const std::string &Method, const std::string &RequestId,
                    Milliseconds ResponseTimeout);
   CallStatus readWhole(std::string &Body, size_t MaxBytes);
@@ -94,6 +97,7 @@
 
   ConnectionPool &Pool;
   const HttpCodec &Codec;
+  ServerLimits &Limits;
   CallerWaiter &Waiter;
   internal::HttpExchange Http;
   std::string Address;
@@ -108,9 +112,9 @@
 // Makes a call on behalf of no caller. Returns the status and fills `Body`, or
 // returns 0 if there is no complete response within `Time`.
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
-                    const ServerChoice &Server, const std::string &Bytes,
-                    const std::string &Method, Milliseconds Time,
-                    size_t MaxBytes, std::string &Body);
+                    ServerLimits &Limits, const ServerChoice &Server,
+                    const std::string &Bytes, const std::string &Method,
+                    Milliseconds Time, size_t MaxBytes, std::string &Body);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -46,6 +46,7 @@
 private:
   bool listen(const std::string &Address);
   void updateGauges();
+  std::string state() const; // as JSON
 
   GatewayRuntime *Runtime = nullptr;
   internal::MetricsSink *Metrics = nullptr;
@@ -142,6 +143,8 @@
   Metrics->setGauge("content_refusals_total", "",
                     static_cast<double>(crashes.RequestsRefused));
   Metrics->setGauge("contents_refused", "", crashes.ContentsRefused);
+  std::vector<ServerLimit> limits = Runtime->Limits.active();
+  Metrics->setGauge("servers_limited", "", static_cast<double>(limits.size()));
   for (const auto &[service, counts] : Runtime->Directory.retryCounts()) {
     Metrics->setGauge("retries_total", service,
                       static_cast<double>(counts.Granted));
@@ -152,6 +155,12 @@
     Metrics->setGauge("queue_length", service, static_cast<double>(size));
 }
 
+std::string StatusListener::state() const {
+  std::string out = Runtime->Directory.dump();
+  out.pop_back(); // the closing brace
+  return out + ",\"limits\":" + Runtime->Limits.dump() + "}";
+}
+
 StatusResponse StatusListener::respond(const std::string &Path) {
   if (Path == Runtime->ActiveAdapter.ReadyPath || Path == "/readyz")
     return Runtime->ready() ? StatusResponse{200, "text/plain", "ready\n"}
@@ -163,7 +172,7 @@
     return {200, "text/plain; version=0.0.4", Metrics->render()};
   }
   if (Path == "/state")
-    return {200, "application/json", Runtime->Directory.dump()};
+    return {200, "application/json", state()};
   return {404, "text/plain", "not found\n"};
 }
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -233,10 +233,10 @@
        Context.Directory.serverSubset(Service, ranked, Tokens, most)) {
     if (shouldStop())
       break;
-    ServerCall call(Context.Connections, Context.Codec, Waiter);
+    ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
     Context.Directory.callStarted(server.Id, 0);
     CallStatus status = call.start(
-        server.Address,
+        server,
         Context.Codec.FormatReserve(server, Tokens, Engine->MaxReservation),
         "POST", "", ReserveTimeout);
     std::string body;
@@ -293,11 +293,11 @@
                       : 1;
   ForwardOptions order = optionsFor(Server);
   order.PrefillOnly = true;
-  ServerCall call(Context.Connections, Context.Codec, Waiter);
+  ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(Server.Id, weight);
   RunTracker::Id run = trackRun(Server);
   CallStatus status =
-      call.start(Server.Address, Context.Codec.FormatRequest(Request, order),
+      call.start(Server, Context.Codec.FormatRequest(Request, order),
                  Request.Method, Request.Id, PrefillTimeout);
   PrefillSent = call.maySent();
   std::string body;
@@ -338,8 +338,9 @@
 void RequestHandler::sendRelease(const ServerChoice &Server,
                                  const std::string &Bytes) {
   std::string body;
-  if (callServer(Context.Connections, Context.Codec, Server, Bytes, "DELETE",
-                 ReleaseTimeout, MaxPrefillResponseBytes, body) == 0)
+  if (callServer(Context.Connections, Context.Codec, Context.Limits, Server,
+                 Bytes, "DELETE", ReleaseTimeout, MaxPrefillResponseBytes,
+                 body) == 0)
     log(LogLevel::Warn, "request", "releasing memory at a server failed",
         {{"request", Request.Id},
          {"server", Server.Id},
@@ -381,12 +382,12 @@
     timeout =
         std::min(timeout, std::max(MinStallTimeout, Route.InterTokenTarget *
                                                         StallTimeoutInGaps));
-  ServerCall call(Context.Connections, Context.Codec, Waiter);
+  ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(server.Id, 1);
   RunTracker::Id run = trackRun(server);
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status =
-      call.start(server.Address, Context.Codec.FormatRequest(Request, order),
+      call.start(server, Context.Codec.FormatRequest(Request, order),
                  Request.Method, Request.Id, timeout);
   if (call.maySent())
     Used.insert(server.Id);
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -127,7 +127,7 @@
 std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
-  GatewayContext context{Codec,  Directory, Connections,
+  GatewayContext context{Codec,  Directory, Limits,  Connections,
                          Queues, Crashes,   Counters};
   std::thread helper([&] {
     if (WhileRunning)
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -66,6 +66,7 @@
   crocusspur::gateway::HttpCodec Codec;
   std::shared_ptr<crocusspur::gateway::RouteDocument> Document;
   crocusspur::gateway::ServiceDirectory Directory;
+  crocusspur::gateway::ServerLimits Limits{"g1"};
   crocusspur::gateway::ConnectionPool Connections;
   crocusspur::gateway::ReservationQueues Queues;
   crocusspur::gateway::CrashMonitor Crashes{"g1"};
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -114,6 +114,42 @@
   CHECK(info.Returned.size() == 3);
 }
 
+TEST_CASE("HttpCodec parses a request limit") {
+  HttpCodec codec = platform::makeHttpCodec();
+  auto parse = [&](const std::vector<std::string> &Values) {
+    HttpHead head;
+    head.Status = 200;
+    for (const std::string &it : Values)
+      head.Fields.emplace_back("server-LIMIT", it);
+    return codec.ParseResponseHead(head).Limit;
+  };
+  CHECK(parse({"2.1"}).PerSecond == 2.1);
+  CHECK(parse({"0"}).PerSecond == 0);
+  CHECK(parse({"30"}).PerSecond == 30);
+  CHECK_FALSE(parse({}).PerSecond.has_value());
+  CHECK_FALSE(parse({}).Malformed);
+  CHECK(parse({"3", "2.5", "3"}).PerSecond == 2.5);
+  CHECK(parse({"x", "2.5"}).PerSecond == 2.5);
+  CHECK(parse({"x", "2.5"}).Malformed);
+}
+
+TEST_CASE("HttpCodec ignores a request limit that isn't a decimal number") {
+  HttpCodec codec = platform::makeHttpCodec();
+  for (const std::string &text :
+       {std::string(), std::string("-1"), std::string("+1"), std::string("1e3"),
+        std::string("inf"), std::string("nan"), std::string("1.2.3"),
+        std::string("."), std::string("2,5"), std::string("2 per second"),
+        std::string(400, '9')}) {
+    CAPTURE(text);
+    HttpHead head;
+    head.Status = 200;
+    head.Fields = {{"Server-Limit", text}};
+    StatedLimit limit = codec.ParseResponseHead(head).Limit;
+    CHECK_FALSE(limit.PerSecond.has_value());
+    CHECK(limit.Malformed);
+  }
+}
+
 TEST_CASE("Only stated refusals and status 421 count as not executed") {
   HttpCodec codec = platform::makeHttpCodec();
   HttpHead head;
