--- /dev/null
+++ b/test/gateway_server_limit_process_test.cc
@@ -0,0 +1,256 @@
+// Tests gateway instances as processes whose servers state request limits.
+#include "gateway_fleet.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// The platform's bounds: from this long after a server first stated a limit on,
+// it may get one and a half times the limit in each window, and some more.
+constexpr Milliseconds ContactTime{3000};
+constexpr Milliseconds Window{4000};
+constexpr double AllowedFactor = 1.5;
+constexpr double AllowedExtra = 5;
+// The part of a limit that is to be used while demand is above it.
+constexpr double UsedPart = 0.9;
+constexpr Milliseconds UsedWindow{10000};
+constexpr Milliseconds SendInterval{40};
+
+// A server that states a limit in its responses, if it has one.
+class LimitedServer {
+public:
+  LimitedServer()
+      : Server([this](const std::string &Request, int) {
+          double limit = Limit.load();
+          {
+            std::lock_guard lock(Mutex);
+            Arrivals.push_back(Clock::now());
+            if (limit >= 0 && !StatedAt)
+              StatedAt = Clock::now();
+          }
+          return respond(Request, limit);
+        }) {}
+
+  void setLimit(double PerSecond) { Limit.store(PerSecond); }
+  // When a limit was first stated.
+  TimePoint statedAt() const {
+    std::lock_guard lock(Mutex);
+    REQUIRE(StatedAt.has_value());
+    return *StatedAt;
+  }
+  size_t arrivals(TimePoint From, TimePoint To) const {
+    std::lock_guard lock(Mutex);
+    return static_cast<size_t>(std::ranges::count_if(
+        Arrivals, [&](TimePoint It) { return It >= From && It < To; }));
+  }
+  // The most requests in one window that begins at `From` or later.
+  size_t mostInWindow(TimePoint From) const {
+    std::vector<TimePoint> all;
+    {
+      std::lock_guard lock(Mutex);
+      all = Arrivals;
+    }
+    size_t most = 0;
+    for (TimePoint it : all)
+      if (it >= From)
+        most = std::max(most, arrivals(it, it + Window));
+    return most;
+  }
+
+  const FakeServer &server() const { return Server; }
+
+private:
+  static std::string field(const std::string &Request,
+                           const std::string &Name) {
+    size_t n = Request.find("\r\n" + Name + ": ");
+    if (n == std::string::npos)
+      return "";
+    n += Name.size() + 4;
+    return Request.substr(n, Request.find("\r\n", n) - n);
+  }
+
+  static std::string respond(const std::string &Request, double Limit) {
+    std::string response;
+    if (Request.starts_with("POST /api/hold-take"))
+      response = httpResponse(200, "{\"retention\":\"r1\"}");
+    else if (Request.starts_with("DELETE "))
+      response = httpResponse(200, "{}");
+    else if (!field(Request, "Inference-Phase").empty())
+      response = httpResponse(
+          200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
+    else
+      response = signedResponse(200, "id: 1\ndata: x\n\n",
+                                field(Request, "Attempt-Id"));
+    if (Limit >= 0)
+      response.insert(response.find("\r\n") + 2,
+                      "Server-Limit: " + std::to_string(Limit) + "\r\n");
+    return response;
+  }
+
+  mutable std::mutex Mutex;
+  std::atomic<double> Limit{-1}; // negative: none
+  std::vector<TimePoint> Arrivals;
+  std::optional<TimePoint> StatedAt;
+  FakeServer Server;
+};
+
+size_t allowedInWindow(double Limit) {
+  return static_cast<size_t>(AllowedFactor * Limit *
+                                 std::chrono::duration<double>(Window).count() +
+                             AllowedExtra);
+}
+
+// Sends requests to the instances from one thread each until the time.
+class Load {
+public:
+  Load(GatewayFleet &Fleet, const std::vector<size_t> &Instances,
+       const std::string &Path = "/x/y") {
+    for (size_t i : Instances)
+      Threads.emplace_back([this, &Fleet, i, Path] {
+        while (!Stopping.load()) {
+          std::string response =
+              GatewayFleet::get(Fleet.Instances[i].Callers, Path,
+                                "Attempt-Id: a1\r\nToken-Usage: "
+                                "500,100\r\nDeadline-Ms: 2000\r\n");
+          ++(response.starts_with("HTTP/1.1 200") ? Served : Refused);
+          std::this_thread::sleep_for(SendInterval);
+        }
+      });
+  }
+  ~Load() { stop(); }
+  void stop() {
+    Stopping.store(true);
+    for (std::thread &it : Threads)
+      if (it.joinable())
+        it.join();
+  }
+  size_t served() const { return Served.load(); }
+  size_t refused() const { return Refused.load(); }
+
+private:
+  std::atomic<bool> Stopping{false};
+  std::atomic<size_t> Served{0};
+  std::atomic<size_t> Refused{0};
+  std::vector<std::thread> Threads;
+};
+
+struct LimitFleet {
+  explicit LimitFleet(int Instances) : Fleet(Instances) {
+    Fleet.addServer("s1", Limited.server());
+    Fleet.addServer("s2", Other.server());
+    Fleet.startAll();
+    // Members find each other within two rounds.
+    std::this_thread::sleep_for(Milliseconds(2500));
+  }
+
+  GatewayFleet Fleet;
+  LimitedServer Limited;
+  LimitedServer Other; // states no limit
+};
+
+} // namespace
+
+TEST_CASE("A server gets at most the requests that it states") {
+  LimitFleet setup(4);
+  setup.Limited.setLimit(2.1);
+  Load load(setup.Fleet, {0, 1, 2, 3});
+  std::this_thread::sleep_for(ContactTime + UsedWindow);
+  load.stop();
+  TimePoint from = setup.Limited.statedAt() + ContactTime;
+  CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(2.1));
+  CHECK(setup.Limited.arrivals(from, from + UsedWindow) >=
+        static_cast<size_t>(UsedPart * 2.1 * 10));
+  CHECK(load.refused() == 0);
+}
+
+// A part for each instance would leave most of the limit unused.
+TEST_CASE("A server's limit is used where one instance has all requests") {
+  LimitFleet setup(4);
+  setup.Limited.setLimit(4);
+  Load load(setup.Fleet, {2});
+  std::this_thread::sleep_for(ContactTime + UsedWindow);
+  load.stop();
+  TimePoint from = setup.Limited.statedAt() + ContactTime;
+  CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(4));
+  CHECK(setup.Limited.arrivals(from, from + UsedWindow) >=
+        static_cast<size_t>(UsedPart * 4 * 10));
+  CHECK(load.refused() == 0);
+}
+
+TEST_CASE("A server's limit changes and ends while requests come in") {
+  LimitFleet setup(4);
+  setup.Limited.setLimit(8);
+  Load load(setup.Fleet, {0, 1, 2, 3});
+  std::this_thread::sleep_for(ContactTime);
+  setup.Limited.setLimit(0.3);
+  TimePoint lowered = Clock::now();
+  std::this_thread::sleep_for(Milliseconds(1000) + Window);
+  CHECK(setup.Limited.arrivals(lowered + Milliseconds(1000),
+                               lowered + Milliseconds(1000) + Window) <=
+        allowedInWindow(0.3));
+  setup.Limited.setLimit(-1);
+  CHECK(eventually(
+      [&] {
+        TimePoint now = Clock::now();
+        return setup.Limited.arrivals(now - Milliseconds(1000), now) > 10;
+      },
+      WaitTimeout));
+}
+
+TEST_CASE("Prefill and decode servers get at most the calls that they state") {
+  GatewayFleet fleet(4);
+  fleet.Store.put(
+      "op/config",
+      R"({"version":2,"routes":[{"name":"t","host":"a.example",)"
+      R"("path-prefix":"/t/","type":"streaming","timeout-ms":5000,)"
+      R"("latency-target-ms":900,"itl-target-ms":300,"priority":1,)"
+      R"("service":"llm","max-attempts":2,"resumable":true}],)"
+      R"("services":[{"name":"llm","runtime":{"slots":64,)"
+      R"("kv-capacity":60000,"stride":11,"kv-ttl-s":0.5,"hold-ms":2000}}]})");
+  LimitedServer prefill;
+  LimitedServer decode;
+  fleet.Store.put("servers/p1",
+                  serverEntry("llm", prefill.server().address(),
+                              R"("state":"ready","phase":"prefill")"));
+  fleet.Store.put("servers/d1",
+                  serverEntry("llm", decode.server().address(),
+                              R"("state":"ready","phase":"decode")"));
+  fleet.startAll();
+  std::this_thread::sleep_for(Milliseconds(2500));
+  prefill.setLimit(2.5);
+  decode.setLimit(4);
+  Load load(fleet, {0, 1, 2, 3}, "/t/x");
+  std::this_thread::sleep_for(ContactTime + 2 * Window);
+  load.stop();
+  CHECK(prefill.mostInWindow(prefill.statedAt() + ContactTime) <=
+        allowedInWindow(2.5));
+  CHECK(decode.mostInWindow(decode.statedAt() + ContactTime) <=
+        allowedInWindow(4));
+  // Each stream takes a reservation and a run.
+  CHECK(load.served() > 0);
+}
+
+TEST_CASE("A limit holds while the instance that divides it is stopped") {
+  LimitFleet setup(4);
+  setup.Limited.setLimit(4);
+  Load load(setup.Fleet, {0, 1, 2, 3});
+  std::this_thread::sleep_for(ContactTime);
+  TimePoint from = Clock::now();
+  // Each is stopped for some time, so that the owner is among them.
+  for (GatewayInstance &it : setup.Fleet.Instances) {
+    it.Process->signal(SIGSTOP);
+    std::this_thread::sleep_for(Milliseconds(1500));
+    it.Process->signal(SIGCONT);
+  }
+  load.stop();
+  CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(4));
+}
