--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -1,6 +1,9 @@
 #include "gateway/decisions/member_table.h"
 
+#include "crocusspur/instance_list.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -102,6 +105,25 @@
   return FirstByNameSince && Now - *FirstByNameSince >= ForAtLeast;
 }
 
+KeyOwner MemberTable::ownerOf(const std::string &Key, bool OwnLeaving,
+                              TimePoint Now) const {
+  // A process that has just started knows nobody yet.
+  if (!EverSeenMember && !Seeds.empty())
+    return {};
+  std::vector<std::string> names;
+  if (!OwnLeaving)
+    names.push_back(OwnName);
+  for (const auto &[name, state] : Members)
+    if (Now - state.LastSeenAt < MemberRetention && !state.Item.Leaving)
+      names.push_back(name);
+  if (names.empty())
+    return {OwnName, "", true};
+  std::string first = rankByRendezvous(Key, std::move(names)).front();
+  if (first == OwnName)
+    return {first, "", true};
+  return {first, Members.at(first).Item.Address, true};
+}
+
 uint32_t MemberTable::budgetSharers(TimePoint Now) {
   if (!EverSeenMember)
     return DefaultSharers;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -47,6 +47,14 @@
   std::vector<IssuedStageOrder> Orders; // latest order of each service
 };
 
+// The instance that decides for the fleet on a key.
+struct KeyOwner {
+  std::string Name;
+  std::string Address; // for exchanges; empty: this instance
+  // Whether enough is known of the fleet to tell the owner.
+  bool Known = false;
+};
+
 class MemberTable {
 public:
   MemberTable(std::string OwnName, std::string OwnAddress, uint64_t Seed)
@@ -76,6 +84,11 @@
   // fencing tokens.
   bool isLeader(Milliseconds ForAtLeast, TimePoint Now);
 
+  // Returns the first of the instances that aren't leaving, in the rendezvous
+  // order of the key. `OwnLeaving`: this instance is leaving.
+  KeyOwner ownerOf(const std::string &Key, bool OwnLeaving,
+                   TimePoint Now) const;
+
   // Number of instances that may share a budget, including this one: the
   // maximum known at once in the last minute, or a conservative default until
   // members are known.
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -2,13 +2,19 @@
 
 #include "gateway_peer_generated.h"
 
+#include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
+// Bounds on what a peer may ask for at once; the gateway asks for two calls.
+constexpr uint32_t MaxCallsPerPermit = 16;
+constexpr int32_t MaxCharged = 64;
+
 flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
   std::vector<flatbuffers::Offset<wire::ServiceFigures>> stats;
   for (const ServiceStats &it : Item.Stats)
@@ -29,6 +35,14 @@
                             Item.Leaving, statsList, orderList);
 }
 
+flatbuffers::Offset<wire::ServerLimit> pack(Builder &Out,
+                                            const ServerLimit &Item) {
+  return wire::CreateServerLimit(
+      Out, Out.CreateString(Item.ServerId), Item.PerSecond.has_value(),
+      Item.PerSecond.value_or(0), static_cast<uint32_t>(Item.Age.count()),
+      Out.CreateString(Item.Source));
+}
+
 std::string textOf(const flatbuffers::String *Text) {
   return Text ? Text->str() : std::string();
 }
@@ -57,6 +71,27 @@
   return member;
 }
 
+// Returns nullopt if the limit isn't a number of requests per second.
+std::optional<ServerLimit> unpack(const wire::ServerLimit &Item) {
+  if (Item.limited() &&
+      (!std::isfinite(Item.per_second()) || Item.per_second() < 0))
+    return std::nullopt;
+  return ServerLimit{textOf(Item.server()),
+                     Item.limited() ? std::optional(Item.per_second())
+                                    : std::nullopt,
+                     Milliseconds(Item.ago_ms()), textOf(Item.source())};
+}
+
+std::optional<PermitRequest> unpack(const wire::PermitRequest &Item) {
+  std::optional<ServerLimit> limit =
+      Item.limit() ? unpack(*Item.limit()) : std::nullopt;
+  if (!limit || Item.calls() > MaxCallsPerPermit)
+    return std::nullopt;
+  return PermitRequest{*limit, Item.calls(),
+                       std::clamp(Item.charged(), -MaxCharged, MaxCharged),
+                       Milliseconds(Item.max_delay_ms())};
+}
+
 } // namespace
 
 std::vector<uint8_t> encode(const MemberFrame &Frame) {
@@ -78,6 +113,23 @@
   for (const ClearedContent &it : Frame.Crashes.Cleared)
     cleared.push_back(wire::CreateClearedContent(
         out, it.Content, static_cast<uint32_t>(it.Age.count())));
+  std::vector<flatbuffers::Offset<wire::ServerLimit>> limits;
+  for (const ServerLimit &it : Frame.Limits)
+    limits.push_back(pack(out, it));
+  flatbuffers::Offset<wire::PermitRequest> wantedPermit;
+  if (const auto &it = Frame.WantedPermit)
+    wantedPermit = wire::CreatePermitRequest(
+        out, pack(out, it->Limit), it->Calls, it->Charged,
+        static_cast<uint32_t>(it->MaxDelay.count()));
+  flatbuffers::Offset<wire::Permit> permit;
+  if (const auto &it = Frame.Permit)
+    permit = wire::CreatePermit(out, it->Granted,
+                                static_cast<uint32_t>(it->Delay.count()));
+  flatbuffers::Offset<
+      flatbuffers::Vector<flatbuffers::Offset<wire::ServerLimit>>>
+      limitList;
+  if (!limits.empty())
+    limitList = out.CreateVector(limits);
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
@@ -88,7 +140,7 @@
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
       Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
-      Frame.OnlyCrashes));
+      Frame.OnlyNews, limitList, wantedPermit, permit));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -124,7 +176,19 @@
     for (const wire::ClearedContent *it : *in.cleared())
       frame.Crashes.Cleared.push_back(
           {it->content(), Milliseconds(it->ago_ms())});
-  frame.OnlyCrashes = in.only_crashes();
+  frame.OnlyNews = in.only_crashes();
+  if (in.limits())
+    for (const wire::ServerLimit *it : *in.limits())
+      if (std::optional<ServerLimit> limit = unpack(*it))
+        frame.Limits.push_back(std::move(*limit));
+  if (in.permit_request()) {
+    frame.WantedPermit = unpack(*in.permit_request());
+    if (!frame.WantedPermit)
+      return std::nullopt;
+  }
+  if (in.permit())
+    frame.Permit = PaceDecision{in.permit()->granted(),
+                                Milliseconds(in.permit()->delay_ms())};
   return frame;
 }
 
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -4,6 +4,7 @@
 
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
+#include "gateway/server_limits.h"
 
 #include <cstdint>
 #include <optional>
@@ -37,9 +38,14 @@
   std::vector<PublishedText> Servers;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
-  // A request to learn of crashes at once: neither it nor its response lists
-  // the members.
-  bool OnlyCrashes = false;
+  // A request to learn of crashes and limits at once: neither it nor its
+  // response lists the members.
+  bool OnlyNews = false;
+  std::vector<ServerLimit> Limits; // that the sender knows
+  // A request to the owner of a server's limit and its response. Such frames
+  // hold nothing else but the sender's name.
+  std::optional<PermitRequest> WantedPermit;
+  std::optional<PaceDecision> Permit;
 };
 
 // Returns the frame without its length prefix.
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -2,8 +2,9 @@
 // connection with one frame each way, so that an unresponsive connection costs
 // one round at most. Membership spreads in every round; routes and servers are
 // sent only to instances that can't read the store or have just started. What
-// an instance learns about crashes of servers it sends on at once, and its
-// rounds fetch what it has missed.
+// an instance learns about crashes of servers and about their request limits it
+// sends on at once, and its rounds fetch what it has missed. Permits for calls
+// to servers with limits are exchanged by the threads of the requests.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
@@ -35,13 +36,16 @@
 // While updates are missing; well below the time limit for activating changes.
 constexpr Milliseconds CatchUpRoundPeriod{250};
 constexpr size_t CatchUpContacts = 3;
-// Contacts that are told of a crash at once. Each instance that learns of it
-// tells as many, the next one by name among them, so it spreads in few steps.
-constexpr size_t CrashContacts = 3;
+// Contacts that are told of a crash or a limit at once. Each instance that
+// learns of it tells as many, the next one by name among them, so it spreads in
+// few steps.
+constexpr size_t NewsContacts = 3;
 // Crashes of one server are seen within milliseconds by all its callers.
-constexpr Milliseconds CrashBatchDelay{20};
+constexpr Milliseconds NewsBatchDelay{20};
 // Shorter than for rounds, so that silent peers don't delay the others.
-constexpr Milliseconds CrashExchangeTimeout{150};
+constexpr Milliseconds NewsExchangeTimeout{150};
+// A request waits for its permit. The owner responds from memory.
+constexpr Milliseconds PermitTimeout{60};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
 constexpr uint32_t MaxFrameBytes = 8388608;
@@ -112,13 +116,23 @@
 
 private:
   void runRounds();
-  // Sends on what becomes known of crashes until the time of the next round.
+  // Sends on what becomes known of crashes and limits until the time of the
+  // next round.
   // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
   void runRound(bool CatchUp);
-  void sendCrashes();
+  void sendNews();
+  std::optional<PaceDecision> askForPermit(const std::string &Address,
+                                           const PermitRequest &Request);
+  // Returns the peer's response, or nothing if there is none in time.
+  std::optional<MemberFrame> call(const std::string &Address,
+                                  const MemberFrame &Request,
+                                  Milliseconds Timeout);
+  // Calls the peer and applies its response.
   bool exchange(const std::string &Address, const MemberFrame &Request,
                 Milliseconds Timeout);
+  // The part that names the sender.
+  Member ownMember() const;
   // Whether updates from the store don't reach this instance, or arrive late.
   bool needsUpdates();
   // The part that all frames have.
@@ -130,10 +144,10 @@
 
   GatewayRuntime *Runtime = nullptr;
   internal::ConnectionServer Server;
-  std::mutex Mutex; // guards Stopping and HasCrashes
+  std::mutex Mutex; // guards Stopping and HasNews
   std::condition_variable Wake;
   bool Stopping = false;
-  bool HasCrashes = false; // that contacts haven't been told of
+  bool HasNews = false; // that contacts haven't been told of
   // The newest that any peer has reported.
   std::atomic<uint64_t> NewestVersion{0};
   std::atomic<uint64_t> NewestRevision{0};
@@ -165,19 +179,31 @@
   }
   log(LogLevel::Warn, "member_links",
       "peer exchanges aren't authenticated: no key in the settings", {});
-  Runtime->Crashes.setChangeListener([this] {
+  auto onNews = [this] {
     {
       std::lock_guard lock(Mutex);
-      HasCrashes = true;
+      HasNews = true;
     }
     Wake.notify_all();
-  });
+  };
+  Runtime->Crashes.setChangeListener(onNews);
+  Runtime->Limits.setChangeListener(onNews);
+  Runtime->Limits.setSharing(
+      {[this](const std::string &ServerId) {
+         return Runtime->Peers.ownerOf("limit:" + ServerId,
+                                       Runtime->Stopping.load());
+       },
+       [this] { return Runtime->Peers.budgetSharers(); },
+       [this](const std::string &Address, const PermitRequest &Request) {
+         return askForPermit(Address, Request);
+       }});
   Thread = std::thread([this] { runRounds(); });
   return true;
 }
 
 void MemberLinks::stop() {
   Runtime->Crashes.setChangeListener(nullptr);
+  Runtime->Limits.setChangeListener(nullptr);
   {
     std::lock_guard lock(Mutex);
     Stopping = true;
@@ -189,15 +215,22 @@
   Server.join();
 }
 
+Member MemberLinks::ownMember() const {
+  Member member;
+  member.Name = Runtime->Values.Instance;
+  member.Address = Runtime->Values.PeerAddress;
+  member.Incarnation = Runtime->Incarnation;
+  member.Leaving = Runtime->Stopping.load();
+  return member;
+}
+
 MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
   frame.ServersRevision = Runtime->Directory.serversRevision();
   frame.CrashDigest = Runtime->Crashes.digest();
-  frame.Sender.Name = Runtime->Values.Instance;
-  frame.Sender.Address = Runtime->Values.PeerAddress;
-  frame.Sender.Incarnation = Runtime->Incarnation;
-  frame.Sender.Leaving = Runtime->Stopping.load();
+  frame.Limits = Runtime->Limits.known();
+  frame.Sender = ownMember();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   return frame;
@@ -243,6 +276,7 @@
   raiseTo(NewestVersion, Frame.ConfigVersion);
   raiseTo(NewestRevision, Frame.ServersRevision);
   Runtime->Crashes.merge(Frame.Crashes, Frame.Sender.Name);
+  Runtime->Limits.merge(Frame.Limits, Frame.Sender.Name);
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
@@ -279,8 +313,15 @@
           {{"from", Socket.peerAddress().toString()}});
       return;
     }
+    if (request->WantedPermit) {
+      MemberFrame permit;
+      permit.Sender = ownMember();
+      permit.Permit = Runtime->Limits.decide(*request->WantedPermit);
+      sendFrame(Socket, encode(permit));
+      return;
+    }
     MemberFrame response = basicFrame();
-    if (!request->OnlyCrashes) {
+    if (!request->OnlyNews) {
       response.Members = Runtime->Peers.alive();
       addRequestedUpdates(*request, response);
       response.Crashes = Runtime->Crashes.updateFor(request->CrashDigest);
@@ -292,24 +333,40 @@
   }
 }
 
-bool MemberLinks::exchange(const std::string &Address,
-                           const MemberFrame &Request, Milliseconds Timeout) {
+std::optional<MemberFrame> MemberLinks::call(const std::string &Address,
+                                             const MemberFrame &Request,
+                                             Milliseconds Timeout) {
   try {
     StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
     socket.setReceiveTimeout(timespan(Timeout));
     socket.setSendTimeout(timespan(Timeout));
     sendFrame(socket, encode(Request));
-    std::optional<MemberFrame> response = receiveFrame(socket, Timeout);
-    if (!response)
-      return false;
-    applyFrame(*response);
-    return true;
+    return receiveFrame(socket, Timeout);
   } catch (const Poco::Exception &) {
-    return false; // the caller records the failed contact
+    return std::nullopt; // the caller records the failed contact
   }
 }
 
+bool MemberLinks::exchange(const std::string &Address,
+                           const MemberFrame &Request, Milliseconds Timeout) {
+  std::optional<MemberFrame> response = call(Address, Request, Timeout);
+  if (response)
+    applyFrame(*response);
+  return response.has_value();
+}
+
+// Runs on the thread of a request.
+std::optional<PaceDecision>
+MemberLinks::askForPermit(const std::string &Address,
+                          const PermitRequest &Request) {
+  MemberFrame frame;
+  frame.Sender = ownMember();
+  frame.WantedPermit = Request;
+  std::optional<MemberFrame> response = call(Address, frame, PermitTimeout);
+  return response ? response->Permit : std::nullopt;
+}
+
 // Logs one line for each member found or lost.
 void MemberLinks::logMembershipChanges() {
   std::set<std::string> now;
@@ -338,19 +395,20 @@
   logMembershipChanges();
 }
 
-void MemberLinks::sendCrashes() {
+void MemberLinks::sendNews() {
   MemberFrame frame = basicFrame();
-  frame.OnlyCrashes = true;
+  frame.OnlyNews = true;
   uint64_t change = Runtime->Crashes.lastChange();
   frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
   SentCrashChange = change;
-  if (frame.Crashes.empty())
+  if (frame.Crashes.empty() && frame.Limits.empty())
     return;
-  for (const std::string &it : Runtime->Peers.selectContacts(CrashContacts)) {
+  for (const std::string &it : Runtime->Peers.selectContacts(NewsContacts)) {
     if (Runtime->Closing.load())
       return;
-    if (!exchange(it, frame, CrashExchangeTimeout))
-      log(LogLevel::Info, "member_links", "peer was not told of a crash",
+    if (!exchange(it, frame, NewsExchangeTimeout))
+      log(LogLevel::Info, "member_links",
+          "peer was not told of a crash or a limit",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
   }
 }
@@ -359,14 +417,14 @@
   do {
     {
       std::unique_lock lock(Mutex);
-      Wake.wait_until(lock, Until, [this] { return Stopping || HasCrashes; });
+      Wake.wait_until(lock, Until, [this] { return Stopping || HasNews; });
       if (Stopping)
         return false;
-      if (!std::exchange(HasCrashes, false))
+      if (!std::exchange(HasNews, false))
         return true;
     }
-    std::this_thread::sleep_for(CrashBatchDelay);
-    sendCrashes();
+    std::this_thread::sleep_for(NewsBatchDelay);
+    sendNews();
   } while (Clock::now() < Until);
   return true;
 }
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -48,6 +48,11 @@
   return Table.isLeader(ForAtLeast, Clock::now());
 }
 
+KeyOwner Membership::ownerOf(const std::string &Key, bool OwnLeaving) const {
+  std::lock_guard lock(Mutex);
+  return Table.ownerOf(Key, OwnLeaving, Clock::now());
+}
+
 void Membership::recordOrder(const IssuedStageOrder &Item) {
   std::lock_guard lock(Mutex);
   std::erase_if(Orders, [&](const OwnOrder &It) {
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -23,6 +23,7 @@
   std::vector<Member> alive() const;
   uint32_t budgetSharers();
   bool isLeader(Milliseconds ForAtLeast);
+  KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
 
   // Records an order that this instance issues or announces. It is sent to the
   // other instances until its retention expires.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -22,6 +22,12 @@
 constexpr Milliseconds MinAttemptTimeout{250};
 // Retry-After for callers of plain services: several service times.
 constexpr Milliseconds PlainRetryAfter{300};
+// Each rank of priority halves the time for which a request may wait for a
+// server's request limit, up to this many times.
+constexpr uint32_t MaxPriorityShift = 8;
+// Servers at their limits that are asked how long a request would wait. Each
+// may cost an exchange with another instance.
+constexpr size_t MaxServersAskedToWait = 3;
 
 std::string seconds(Milliseconds Time) {
   char buf[32];
@@ -207,20 +213,121 @@
   finish("failed", Why);
 }
 
+bool RequestHandler::tryAcquire(const std::string &ServerId, uint32_t Calls) {
+  CallPermit permit = Context.Limits.acquire(ServerId, Calls, Milliseconds(0));
+  if (permit.Granted)
+    LimitedUntil.reset();
+  else
+    onPermitDenied(ServerId, permit);
+  return permit.Granted;
+}
+
+void RequestHandler::onPermitDenied(const std::string &ServerId,
+                                    const CallPermit &Permit) {
+  TimePoint until = Clock::now() + Permit.Delay;
+  if (LimitedUntil && *LimitedUntil <= until)
+    return;
+  LimitedUntil = until;
+  LimitedFields = permitFields(ServerId, Permit);
+}
+
+internal::LogFields
+RequestHandler::permitFields(const std::string &ServerId,
+                             const CallPermit &Permit) const {
+  internal::LogFields all = fields();
+  all.emplace_back("server", ServerId);
+  if (Permit.Limit && Permit.Limit->PerSecond) {
+    all.emplace_back("limit_per_s", limitText(*Permit.Limit->PerSecond));
+    all.emplace_back("limit_age_ms", std::to_string(Permit.Limit->Age.count()));
+    all.emplace_back("limit_source", Permit.Limit->Source);
+  }
+  all.emplace_back("owner", Permit.DecidedBy);
+  all.emplace_back("wait_ms", std::to_string(Permit.Delay.count()));
+  return all;
+}
+
+// Requests that can still be on time go first, and less urgent routes wait for
+// less, so that permits go to the urgent ones when there are too few.
+Milliseconds RequestHandler::maxPermitDelay() const {
+  auto left = std::chrono::duration_cast<Milliseconds>(
+      Arrived + Route.LatencyTarget - Clock::now());
+  int64_t divisor = int64_t(1) << std::min(Route.Priority, MaxPriorityShift);
+  return std::max(Milliseconds(0), std::min(left, timeLeft()) / divisor);
+}
+
+std::optional<ServerChoice>
+RequestHandler::choosePermitted(ServerStage Stage,
+                                const std::set<std::string> &Excluded,
+                                Milliseconds MaxDelay) {
+  LimitedUntil.reset();
+  ServerQuery query{Service, Stage, Excluded};
+  while (std::optional<ServerChoice> server = Context.Directory.choose(query)) {
+    if (tryAcquire(server->Id, 1))
+      return server;
+    query.ExcludedIds.insert(server->Id);
+  }
+  if (!LimitedUntil || MaxDelay <= Milliseconds(0))
+    return std::nullopt;
+  return waitForPermit(Stage, Excluded, MaxDelay);
+}
+
+std::optional<ServerChoice>
+RequestHandler::waitForPermit(ServerStage Stage,
+                              const std::set<std::string> &Excluded,
+                              Milliseconds MaxDelay) {
+  std::vector<ServerChoice> all =
+      Context.Directory.rank({Service, Stage, Excluded});
+  if (all.size() > MaxServersAskedToWait)
+    all.resize(MaxServersAskedToWait);
+  for (const ServerChoice &it : all) {
+    CallPermit permit = Context.Limits.acquire(it.Id, 1, MaxDelay);
+    if (!permit.Granted) {
+      onPermitDenied(it.Id, permit);
+      continue;
+    }
+    LimitedUntil.reset();
+    if (permit.Delay > Milliseconds(0)) {
+      log(LogLevel::Info, "request", "waiting for a server's request limit",
+          permitFields(it.Id, permit));
+      Waiter.pause(permit.Delay);
+    }
+    if (!shouldStop())
+      return it;
+    Context.Limits.release(it.Id, 1);
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+void RequestHandler::refuseForLimits() {
+  log(LogLevel::Info, "request", "server's request limit reached",
+      LimitedFields);
+  auto wait =
+      std::max(PlainRetryAfter,
+               std::chrono::ceil<Milliseconds>(*LimitedUntil - Clock::now()));
+  // Spread over the time in which as many permits become free again.
+  auto spread = Milliseconds(static_cast<int64_t>(
+      static_cast<double>(wait.count()) * Context.Directory.randomFraction()));
+  refuse(ErrorKind::BackendRefused, "all servers are at their request limits",
+         wait + spread);
+}
+
 // Retries go to other servers. Non-idempotent requests go to another server
 // only if none of their bytes can have arrived.
 void RequestHandler::runPlain() {
   bool repeatable = Route.Kind == RouteKind::Idempotent;
   while (!shouldStop()) {
+    bool first = Tried.empty();
     std::optional<ServerChoice> server =
-        Context.Directory.choose({Service, ServerStage::Whole, Tried});
+        choosePermitted(ServerStage::Whole, Tried, maxPermitDelay());
     if (!server)
       break;
     bool last = !repeatable || Used.size() + 1 >= Route.MaxServers;
-    bool first = Tried.empty();
     Tried.insert(server->Id);
-    if (!mayUse(server->Id) || (!first && !tryConsumeRetry()))
+    if (!mayUse(server->Id) || (!first && !tryConsumeRetry())) {
+      Context.Limits.release(server->Id, 1);
       break;
+    }
     AttemptResult result = tryPlain(*server, last);
     if (result == AttemptResult::Done)
       return;
@@ -240,6 +347,8 @@
          "no server gave a usable answer");
   else if (ContentRefusedFor)
     refuseContent();
+  else if (LimitedUntil)
+    refuseForLimits();
   else
     refuse(Tried.empty() ? ErrorKind::NoServer : ErrorKind::BackendRefused,
            Tried.empty() ? "no server is known" : "no server took the request",
@@ -249,8 +358,10 @@
 RequestHandler::AttemptResult
 RequestHandler::tryPlain(const ServerChoice &Server, bool LastTry) {
   TimePoint started = Clock::now();
-  if (!Context.Directory.usable(Server))
+  if (!Context.Directory.usable(Server)) {
+    Context.Limits.release(Server.Id, 1);
     return AttemptResult::NotExecuted;
+  }
   Milliseconds timeout = timeLeft();
   if (!LastTry)
     timeout = std::min(timeout,
@@ -262,7 +373,7 @@
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status = call.start(
       Server, Context.Codec.FormatRequest(Request, optionsFor(Server)),
-      Request.Method, Request.Id, timeout);
+      Request.Method, Request.Id, timeout, /*Permitted=*/true);
   std::string body;
   if (status == CallStatus::Responded)
     status = call.readWhole(body, MaxResponseBytes);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -33,6 +33,8 @@
     ServerChoice Server;
     std::string Reservation; // empty: none
     TimePoint ReservedUntil;
+    // A permit for one more call, that of the run, has been acquired.
+    bool Permitted = false;
   };
   // KV cache of the request's prompt at a prefill server.
   struct PromptKvCache {
@@ -55,6 +57,24 @@
   void runPlain();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
 
+  // Selects a server and acquires a permit for one call to it. If all servers
+  // are at their request limits, waits for at most `MaxDelay` for the first one
+  // that isn't.
+  std::optional<ServerChoice>
+  choosePermitted(ServerStage Stage, const std::set<std::string> &Excluded,
+                  Milliseconds MaxDelay);
+  std::optional<ServerChoice>
+  waitForPermit(ServerStage Stage, const std::set<std::string> &Excluded,
+                Milliseconds MaxDelay);
+  // Acquires permits that are granted at once.
+  bool tryAcquire(const std::string &ServerId, uint32_t Calls);
+  // How long this request may wait for a permit.
+  Milliseconds maxPermitDelay() const;
+  void onPermitDenied(const std::string &ServerId, const CallPermit &Permit);
+  // What a denied or delayed call was decided on.
+  internal::LogFields permitFields(const std::string &ServerId,
+                                   const CallPermit &Permit) const;
+
   void runStream();
   // One round: reservation, prefill and stream. `ReadAtDecode`: the decode
   // server reads the prompt itself.
@@ -71,7 +91,8 @@
   bool forwardEvents(EventSplitter &Events);
   void release(const DecodeReservation &Target);
   void release(const PromptKvCache &Cache);
-  void sendRelease(const ServerChoice &Server, const std::string &Bytes);
+  void sendRelease(const ServerChoice &Server, const std::string &Bytes,
+                   bool Permitted);
 
   bool mayUse(const std::string &ServerId) const;
   bool tryConsumeRetry();
@@ -91,6 +112,8 @@
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
   // The same for a content that crashes servers.
   void refuseContent();
+  // The same if all servers are at their request limits.
+  void refuseForLimits();
   // Sends a response that doesn't state whether a server has executed the
   // request.
   void fail(ErrorKind Kind, const std::string &Why);
@@ -122,6 +145,10 @@
   bool RetryBudgetExhausted = false; // no further retry is allowed
   // Set once the content is refused: for how long.
   std::optional<Milliseconds> ContentRefusedFor;
+  // Set while all servers that were asked are at their request limits: until
+  // when the first one is, and the log fields of its denial.
+  std::optional<TimePoint> LimitedUntil;
+  internal::LogFields LimitedFields;
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -150,7 +150,21 @@
                              const std::string &Bytes,
                              const std::string &Method,
                              const std::string &RequestId,
-                             Milliseconds ResponseTimeout) {
+                             Milliseconds ResponseTimeout, bool Permitted) {
+  CallStatus status =
+      sendAndReadHead(Server, Bytes, Method, RequestId, ResponseTimeout);
+  if (Permitted && !maySent())
+    Limits.release(Server.Id, 1);
+  else if (!Permitted && maySent())
+    Limits.onUnpermittedCall(Server.Id);
+  return status;
+}
+
+CallStatus ServerCall::sendAndReadHead(const ServerChoice &Server,
+                                       const std::string &Bytes,
+                                       const std::string &Method,
+                                       const std::string &RequestId,
+                                       Milliseconds ResponseTimeout) {
   Address = Server.Address;
   CallStatus status = CallStatus::NotSent;
   if (!connect(Address, status))
@@ -204,10 +218,11 @@
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
                     ServerLimits &Limits, const ServerChoice &Server,
                     const std::string &Bytes, const std::string &Method,
-                    Milliseconds Time, size_t MaxBytes, std::string &Body) {
+                    Milliseconds Time, size_t MaxBytes, std::string &Body,
+                    bool Permitted) {
   CallerWaiter noCaller(-1, Clock::now() + Time);
   ServerCall call(Pool, Codec, Limits, noCaller);
-  CallStatus status = call.start(Server, Bytes, Method, "", Time);
+  CallStatus status = call.start(Server, Bytes, Method, "", Time, Permitted);
   if (status == CallStatus::Responded)
     status = call.readWhole(Body, MaxBytes);
   if (status != CallStatus::Responded)
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -77,9 +77,12 @@
 
   // `RequestId`: responses with another id are late responses to earlier
   // requests and are skipped. `ResponseTimeout` bounds the wait for the head.
+  // `Permitted`: the caller has acquired a permit for the call, which is
+  // returned if nothing is sent. Other calls count against the server's limit
+  // afterwards.
   CallStatus start(const ServerChoice &Server, const std::string &Bytes,
                    const std::string &Method, const std::string &RequestId,
-                   Milliseconds ResponseTimeout);
+                   Milliseconds ResponseTimeout, bool Permitted);
   CallStatus readWhole(std::string &Body, size_t MaxBytes);
   // Reads the available part of a stream; see HttpExchange::readBody.
   CallStatus readSome(std::string &Out, bool &End, Milliseconds Pause);
@@ -92,6 +95,11 @@
   const ResponseInfo &info() const { return Info; }
 
 private:
+  CallStatus sendAndReadHead(const ServerChoice &Server,
+                             const std::string &Bytes,
+                             const std::string &Method,
+                             const std::string &RequestId,
+                             Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
   bool connect(const std::string &Address, CallStatus &Status);
 
@@ -114,7 +122,8 @@
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
                     ServerLimits &Limits, const ServerChoice &Server,
                     const std::string &Bytes, const std::string &Method,
-                    Milliseconds Time, size_t MaxBytes, std::string &Body);
+                    Milliseconds Time, size_t MaxBytes, std::string &Body,
+                    bool Permitted = false);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -145,6 +145,17 @@
   Metrics->setGauge("contents_refused", "", crashes.ContentsRefused);
   std::vector<ServerLimit> limits = Runtime->Limits.active();
   Metrics->setGauge("servers_limited", "", static_cast<double>(limits.size()));
+  ServerLimits::Counters permits = Runtime->Limits.counters();
+  Metrics->setGauge("limit_permits_total", "granted",
+                    static_cast<double>(permits.Granted));
+  Metrics->setGauge("limit_permits_total", "delayed",
+                    static_cast<double>(permits.Delayed));
+  Metrics->setGauge("limit_permits_total", "denied",
+                    static_cast<double>(permits.Denied));
+  Metrics->setGauge("limit_own_share_total", "",
+                    static_cast<double>(permits.OwnShare));
+  Metrics->setGauge("limit_unpermitted_total", "",
+                    static_cast<double>(permits.Unpermitted));
   for (const auto &[service, counts] : Runtime->Directory.retryCounts()) {
     Metrics->setGauge("retries_total", service,
                       static_cast<double>(counts.Granted));
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -129,6 +129,10 @@
       refuseContent();
       return AttemptResult::Done;
     }
+    if (LimitedUntil) {
+      refuseForLimits();
+      return AttemptResult::Done;
+    }
     bool known =
         Context.Directory.serversIn(Service, ServerStage::Decode) > 0 ||
         Context.Directory.serversIn(Service, ServerStage::Whole) > 0;
@@ -160,8 +164,8 @@
   for (ServerStage stage : {ServerStage::Decode, ServerStage::Whole})
     for (const ServerChoice &it :
          Context.Directory.rank({Service, stage, Tried}))
-      if (mayUse(it.Id))
-        return DecodeReservation{it, "", TimePoint()};
+      if (mayUse(it.Id) && tryAcquire(it.Id, 1))
+        return DecodeReservation{it, "", TimePoint(), /*Permitted=*/true};
   return std::nullopt;
 }
 
@@ -192,7 +196,9 @@
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
-  while (!reservation && !shouldStop() && Clock::now() < entry.ExpiresAt) {
+  while (!reservation && !shouldStop() &&
+         std::max(Clock::now(), LimitedUntil.value_or(TimePoint())) <
+             entry.ExpiresAt) {
     if (Context.Queues.tryStartAttempt(Service, ticket)) {
       reservation = tryReserveDecode(tokens);
       Context.Queues.onAttemptEnded(Service, ticket);
@@ -229,21 +235,33 @@
   std::erase_if(ranked, [&](const ServerChoice &It) { return !mayUse(It.Id); });
   size_t most =
       std::max(MinServersPerTry, ranked.size() / ServersPerTryDivisor);
-  for (const ServerChoice &server :
-       Context.Directory.serverSubset(Service, ranked, Tokens, most)) {
-    if (shouldStop())
+  std::vector<ServerChoice> order =
+      Context.Directory.serverSubset(Service, ranked, Tokens, most);
+  // Others take the places of servers that are at their request limits.
+  for (const ServerChoice &it : ranked)
+    if (std::ranges::find(order, it.Id, &ServerChoice::Id) == order.end())
+      order.push_back(it);
+  LimitedUntil.reset();
+  size_t asked = 0;
+  for (const ServerChoice &server : order) {
+    if (shouldStop() || asked == most)
       break;
+    // One for the reservation and one for the run.
+    if (!tryAcquire(server.Id, 2))
+      continue;
+    ++asked;
     ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
     Context.Directory.callStarted(server.Id, 0);
     CallStatus status = call.start(
         server,
         Context.Codec.FormatReserve(server, Tokens, Engine->MaxReservation),
-        "POST", "", ReserveTimeout);
+        "POST", "", ReserveTimeout, /*Permitted=*/true);
     std::string body;
     if (status == CallStatus::Responded)
       status = call.readWhole(body, MaxPrefillResponseBytes);
     if (status != CallStatus::Responded) {
       Context.Directory.callEnded(server.Id, 0, failedCall(status).Result);
+      Context.Limits.release(server.Id, 1);
       continue;
     }
     call.finish();
@@ -254,8 +272,12 @@
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
     if (name)
       return DecodeReservation{server, *name,
-                               Clock::now() + Engine->MaxReservation};
+                               Clock::now() + Engine->MaxReservation,
+                               /*Permitted=*/true};
+    Context.Limits.release(server.Id, 1);
   }
+  if (asked > 0)
+    LimitedUntil.reset();
   return std::nullopt;
 }
 
@@ -269,9 +291,11 @@
     Context.Directory.onPrompt(Service, Request.Generation->PromptTokens);
   for (int i = 0; i < MaxPrefillAttempts && !shouldStop(); ++i) {
     std::optional<ServerChoice> server =
-        Context.Directory.choose({Service, ServerStage::Prefill, excluded});
-    if (!server)
+        choosePermitted(ServerStage::Prefill, excluded, Milliseconds(0));
+    if (!server) {
+      LimitedUntil.reset(); // the decode server isn't at its limit
       return std::nullopt;
+    }
     excluded.insert(server->Id);
     std::optional<PromptKvCache> kvCache = tryPrefill(*server);
     if (kvCache)
@@ -298,7 +322,8 @@
   RunTracker::Id run = trackRun(Server);
   CallStatus status =
       call.start(Server, Context.Codec.FormatRequest(Request, order),
-                 Request.Method, Request.Id, PrefillTimeout);
+                 Request.Method, Request.Id, PrefillTimeout,
+                 /*Permitted=*/true);
   PrefillSent = call.maySent();
   std::string body;
   if (status == CallStatus::Responded)
@@ -336,11 +361,11 @@
 }
 
 void RequestHandler::sendRelease(const ServerChoice &Server,
-                                 const std::string &Bytes) {
+                                 const std::string &Bytes, bool Permitted) {
   std::string body;
   if (callServer(Context.Connections, Context.Codec, Context.Limits, Server,
-                 Bytes, "DELETE", ReleaseTimeout, MaxPrefillResponseBytes,
-                 body) == 0)
+                 Bytes, "DELETE", ReleaseTimeout, MaxPrefillResponseBytes, body,
+                 Permitted) == 0)
     log(LogLevel::Warn, "request", "releasing memory at a server failed",
         {{"request", Request.Id},
          {"server", Server.Id},
@@ -349,13 +374,18 @@
 
 void RequestHandler::release(const DecodeReservation &Target) {
   if (!Target.Reservation.empty() && Clock::now() < Target.ReservedUntil)
-    sendRelease(Target.Server, Context.Codec.FormatReleaseReservation(
-                                   Target.Server, Target.Reservation));
+    sendRelease(Target.Server,
+                Context.Codec.FormatReleaseReservation(Target.Server,
+                                                       Target.Reservation),
+                Target.Permitted);
+  else if (Target.Permitted)
+    Context.Limits.release(Target.Server.Id, 1);
 }
 
 void RequestHandler::release(const PromptKvCache &Cache) {
   sendRelease(Cache.Server,
-              Context.Codec.FormatReleaseKvCache(Cache.Server, Cache.Handle));
+              Context.Codec.FormatReleaseKvCache(Cache.Server, Cache.Handle),
+              /*Permitted=*/false);
 }
 
 RequestHandler::AttemptResult
@@ -363,8 +393,10 @@
                             const std::optional<PromptKvCache> &Cache) {
   TimePoint started = Clock::now();
   const ServerChoice &server = Target.Server;
+  // The call takes over the permit.
+  DecodeReservation unused = Target;
   auto releaseAll = [&] {
-    release(Target);
+    release(unused);
     if (Cache)
       release(*Cache);
   };
@@ -388,7 +420,8 @@
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status =
       call.start(server, Context.Codec.FormatRequest(Request, order),
-                 Request.Method, Request.Id, timeout);
+                 Request.Method, Request.Id, timeout, Target.Permitted);
+  unused.Permitted = false;
   if (call.maySent())
     Used.insert(server.Id);
   auto end = [&](CallResult Result, const std::string &Outcome,
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -35,6 +35,15 @@
 struct ClearedContent;
 struct ClearedContentBuilder;
 
+struct ServerLimit;
+struct ServerLimitBuilder;
+
+struct PermitRequest;
+struct PermitRequestBuilder;
+
+struct Permit;
+struct PermitBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -598,6 +607,230 @@
   return builder_.Finish();
 }
 
+struct ServerLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_LIMITED = 6,
+    VT_PER_SECOND = 8,
+    VT_AGO_MS = 10,
+    VT_SOURCE = 12
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  const flatbuffers::String *source() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOURCE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           VerifyOffset(verifier, VT_SOURCE) &&
+           verifier.VerifyString(source()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerLimitBuilder {
+  typedef ServerLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerLimit::VT_SERVER, server);
+  }
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(ServerLimit::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(ServerLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(ServerLimit::VT_AGO_MS, ago_ms, 0);
+  }
+  void add_source(flatbuffers::Offset<flatbuffers::String> source) {
+    fbb_.AddOffset(ServerLimit::VT_SOURCE, source);
+  }
+  explicit ServerLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t ago_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> source = 0) {
+  ServerLimitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_source(source);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_server(server);
+  builder_.add_limited(limited);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerLimit> CreateServerLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t ago_ms = 0,
+    const char *source = nullptr) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto source__ = source ? _fbb.CreateString(source) : 0;
+  return crocusspur::gateway::wire::CreateServerLimit(
+      _fbb,
+      server__,
+      limited,
+      per_second,
+      ago_ms,
+      source__);
+}
+
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMIT = 4,
+    VT_CALLS = 6,
+    VT_CHARGED = 8,
+    VT_MAX_DELAY_MS = 10
+  };
+  const crocusspur::gateway::wire::ServerLimit *limit() const {
+    return GetPointer<const crocusspur::gateway::wire::ServerLimit *>(VT_LIMIT);
+  }
+  uint32_t calls() const {
+    return GetField<uint32_t>(VT_CALLS, 0);
+  }
+  int32_t charged() const {
+    return GetField<int32_t>(VT_CHARGED, 0);
+  }
+  uint32_t max_delay_ms() const {
+    return GetField<uint32_t>(VT_MAX_DELAY_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
+           VerifyField<int32_t>(verifier, VT_CHARGED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_DELAY_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limit(flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit> limit) {
+    fbb_.AddOffset(PermitRequest::VT_LIMIT, limit);
+  }
+  void add_calls(uint32_t calls) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_CALLS, calls, 0);
+  }
+  void add_charged(int32_t charged) {
+    fbb_.AddElement<int32_t>(PermitRequest::VT_CHARGED, charged, 0);
+  }
+  void add_max_delay_ms(uint32_t max_delay_ms) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_MAX_DELAY_MS, max_delay_ms, 0);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit> limit = 0,
+    uint32_t calls = 0,
+    int32_t charged = 0,
+    uint32_t max_delay_ms = 0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_max_delay_ms(max_delay_ms);
+  builder_.add_charged(charged);
+  builder_.add_calls(calls);
+  builder_.add_limit(limit);
+  return builder_.Finish();
+}
+
+struct Permit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GRANTED = 4,
+    VT_DELAY_MS = 6
+  };
+  bool granted() const {
+    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  }
+  uint32_t delay_ms() const {
+    return GetField<uint32_t>(VT_DELAY_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_DELAY_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitBuilder {
+  typedef Permit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_granted(bool granted) {
+    fbb_.AddElement<uint8_t>(Permit::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  }
+  void add_delay_ms(uint32_t delay_ms) {
+    fbb_.AddElement<uint32_t>(Permit::VT_DELAY_MS, delay_ms, 0);
+  }
+  explicit PermitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Permit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Permit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Permit> CreatePermit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool granted = false,
+    uint32_t delay_ms = 0) {
+  PermitBuilder builder_(_fbb);
+  builder_.add_delay_ms(delay_ms);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -614,7 +847,10 @@
     VT_CRASH_DIGEST = 24,
     VT_CRASHES = 26,
     VT_CLEARED = 28,
-    VT_ONLY_CRASHES = 30
+    VT_ONLY_CRASHES = 30,
+    VT_LIMITS = 32,
+    VT_PERMIT_REQUEST = 34,
+    VT_PERMIT = 36
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -658,6 +894,15 @@
   bool only_crashes() const {
     return GetField<uint8_t>(VT_ONLY_CRASHES, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>> *>(VT_LIMITS);
+  }
+  const crocusspur::gateway::wire::PermitRequest *permit_request() const {
+    return GetPointer<const crocusspur::gateway::wire::PermitRequest *>(VT_PERMIT_REQUEST);
+  }
+  const crocusspur::gateway::wire::Permit *permit() const {
+    return GetPointer<const crocusspur::gateway::wire::Permit *>(VT_PERMIT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -684,6 +929,13 @@
            verifier.VerifyVector(cleared()) &&
            verifier.VerifyVectorOfTables(cleared()) &&
            VerifyField<uint8_t>(verifier, VT_ONLY_CRASHES, 1) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
+           VerifyOffset(verifier, VT_PERMIT_REQUEST) &&
+           verifier.VerifyTable(permit_request()) &&
+           VerifyOffset(verifier, VT_PERMIT) &&
+           verifier.VerifyTable(permit()) &&
            verifier.EndTable();
   }
 };
@@ -734,6 +986,15 @@
   void add_only_crashes(bool only_crashes) {
     fbb_.AddElement<uint8_t>(Frame::VT_ONLY_CRASHES, static_cast<uint8_t>(only_crashes), 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>> limits) {
+    fbb_.AddOffset(Frame::VT_LIMITS, limits);
+  }
+  void add_permit_request(flatbuffers::Offset<crocusspur::gateway::wire::PermitRequest> permit_request) {
+    fbb_.AddOffset(Frame::VT_PERMIT_REQUEST, permit_request);
+  }
+  void add_permit(flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit) {
+    fbb_.AddOffset(Frame::VT_PERMIT, permit);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -760,11 +1021,17 @@
     uint64_t crash_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>> cleared = 0,
-    bool only_crashes = false) {
+    bool only_crashes = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>> limits = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::PermitRequest> permit_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_permit(permit);
+  builder_.add_permit_request(permit_request);
+  builder_.add_limits(limits);
   builder_.add_cleared(cleared);
   builder_.add_crashes(crashes);
   builder_.add_servers(servers);
@@ -794,12 +1061,16 @@
     uint64_t crash_digest = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>> *cleared = nullptr,
-    bool only_crashes = false) {
+    bool only_crashes = false,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>> *limits = nullptr,
+    flatbuffers::Offset<crocusspur::gateway::wire::PermitRequest> permit_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>(*cleared) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>(*limits) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -815,7 +1086,10 @@
       crash_digest,
       crashes__,
       cleared__,
-      only_crashes);
+      only_crashes,
+      limits__,
+      permit_request,
+      permit);
 }
 
 inline const crocusspur::gateway::wire::Frame *GetFrame(const void *buf) {
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/member_codec.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <random>
 
 using namespace crocusspur;
@@ -22,7 +23,11 @@
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {{71, "i-2", "n3", Milliseconds(250)}};
   frame.Crashes.Cleared = {{72, Milliseconds(900)}};
-  frame.OnlyCrashes = true;
+  frame.OnlyNews = true;
+  frame.Limits = {{"i-4", 2.1, Milliseconds(30), "n3"},
+                  {"i-5", std::nullopt, Milliseconds(40), "n1"}};
+  frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
+  frame.Permit = PaceDecision{true, Milliseconds(70)};
   frame.Servers = {{"i-1", 400, false, "{\"a\":1}"}, {"i-2", 410, true, ""}};
   return frame;
 }
@@ -62,7 +67,38 @@
   REQUIRE(back->Crashes.Cleared.size() == 1);
   CHECK(back->Crashes.Cleared[0].Content == 72);
   CHECK(back->Crashes.Cleared[0].Age == Milliseconds(900));
-  CHECK(back->OnlyCrashes);
+  CHECK(back->OnlyNews);
+  REQUIRE(back->Limits.size() == 2);
+  CHECK(back->Limits[0].ServerId == "i-4");
+  CHECK(back->Limits[0].PerSecond == 2.1);
+  CHECK(back->Limits[0].Age == Milliseconds(30));
+  CHECK(back->Limits[0].Source == "n3");
+  CHECK_FALSE(back->Limits[1].PerSecond.has_value());
+  REQUIRE(back->WantedPermit.has_value());
+  CHECK(back->WantedPermit->Limit.ServerId == "i-4");
+  CHECK(back->WantedPermit->Calls == 2);
+  CHECK(back->WantedPermit->Charged == -1);
+  CHECK(back->WantedPermit->MaxDelay == Milliseconds(150));
+  REQUIRE(back->Permit.has_value());
+  CHECK(back->Permit->Granted);
+  CHECK(back->Permit->Delay == Milliseconds(70));
+}
+
+TEST_CASE("decodeMemberFrame drops limits that aren't a rate") {
+  MemberFrame frame = sample();
+  frame.WantedPermit.reset();
+  for (double rate : {-1.0, std::numeric_limits<double>::infinity(),
+                      std::numeric_limits<double>::quiet_NaN()}) {
+    frame.Limits[0].PerSecond = rate;
+    std::optional<MemberFrame> back = decodeMemberFrame(encode(frame));
+    REQUIRE(back.has_value());
+    CHECK(back->Limits.size() == 1);
+  }
+  frame.WantedPermit = PermitRequest{frame.Limits[0], 1, 0, Milliseconds(0)};
+  CHECK_FALSE(decodeMemberFrame(encode(frame)).has_value());
+  frame.Limits[0].PerSecond = 2;
+  frame.WantedPermit = PermitRequest{frame.Limits[0], 1000, 0, Milliseconds(0)};
+  CHECK_FALSE(decodeMemberFrame(encode(frame)).has_value());
 }
 
 TEST_CASE("decodeMemberFrame rejects damaged frames safely") {
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <memory>
 #include <set>
 
 using namespace crocusspur;
@@ -125,3 +126,47 @@
   CHECK(table.alive(at(11000)).size() == 3);
   CHECK_FALSE(table.isLeader(Milliseconds(0), at(11000)));
 }
+
+TEST_CASE("All instances find the same owner of a key") {
+  std::vector<std::unique_ptr<MemberTable>> tables;
+  for (int i = 0; i < 8; ++i) {
+    Member own = memberOf(i);
+    tables.push_back(std::make_unique<MemberTable>(own.Name, own.Address, 7));
+    for (int n = 0; n < 8; ++n)
+      tables.back()->onMemberSeen(memberOf(n), Start);
+  }
+  std::set<std::string> owners;
+  for (int key = 0; key < 50; ++key) {
+    std::string name = "limit:i-" + std::to_string(key);
+    KeyOwner first = tables[0]->ownerOf(name, false, Start);
+    owners.insert(first.Name);
+    for (int i = 0; i < 8; ++i) {
+      KeyOwner owner = tables[i]->ownerOf(name, false, Start);
+      CHECK(owner.Known);
+      CHECK(owner.Name == first.Name);
+      CHECK(owner.Address.empty() == (owner.Name == memberOf(i).Name));
+    }
+  }
+  CHECK(owners.size() > 4);
+}
+
+TEST_CASE("An instance that leaves owns no key") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  Member other = memberOf(2);
+  table.onMemberSeen(other, Start);
+  for (int key = 0; key < 20; ++key)
+    CHECK(table.ownerOf(std::to_string(key), true, Start).Name == other.Name);
+  other.Leaving = true;
+  table.onMemberSeen(other, at(10));
+  for (int key = 0; key < 20; ++key)
+    CHECK(table.ownerOf(std::to_string(key), false, at(10)).Name == "n1");
+}
+
+TEST_CASE("An instance that knows nobody yet can't tell the owner of a key") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  CHECK(table.ownerOf("k", false, Start).Known); // it has no peers
+  table.setSeeds({"10.0.0.2:1"});
+  CHECK_FALSE(table.ownerOf("k", false, Start).Known);
+  table.onMemberSeen(memberOf(2), Start);
+  CHECK(table.ownerOf("k", false, Start).Known);
+}
