Put servers with request limits into the soak

Cause: limits under kills, freezes, restarts and lost stores were tested for one freeze of each instance only.

Change: the fake server that states a limit moves from the process test to a file of its own, and the soak has two of them, at 2.1 and 8 requests a second, with four callers that ask for more. It checks each 4 s from 3 s after a limit was first stated, over the requests whose instance was undisturbed for 3 s. The seeds' faults and the crashing caller stay what they were.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -3,13 +3,14 @@
 // that requests reported as not run didn't run, that responses are complete and
 // belong to their request, that streams contain each event exactly once, that
 // configuration versions never decrease, that a content which crashes servers
-// is refused in time and no other is, and that the fleet serves requests again
-// after the faults. Prints the seed and the violations found; exits with
-// 1 if there are any.
+// is refused in time and no other is, that servers get at most the requests
+// that they state, and that the fleet serves requests again after the faults.
+// Prints the seed and the violations found; exits with 1 if there are any.
 #include "crashing_server.h"
 #include "fault_proxy.h"
 #include "gateway_fleet.h"
 #include "http_exchange.h"
+#include "limited_server.h"
 #include "soak_servers.h"
 
 #include <CLI/CLI.hpp>
@@ -33,6 +34,9 @@
 constexpr int DecodeServerCount = 3;
 constexpr int FragileServerCount = 3;
 constexpr int CallerCount = 8;
+constexpr double StatedLimits[] = {2.1, 8}; // of one server each, per second
+constexpr int LimitedCallerCount = 4;
+constexpr Milliseconds LimitedInterval{30};   // between two of their requests
 constexpr Milliseconds CrashingInterval{100}; // between two crashing requests
 // The platform's bounds: from this long after the third crash on, at most three
 // more sends of a crashing content, by instances undisturbed for as long.
@@ -79,9 +83,10 @@
          makeRoute("/i/", "idempotent", "bays", false) + "," +
          makeRoute("/s/", "streaming", "llm", false) + "," +
          makeRoute("/t/", "streaming", "llm", true) + "," +
-         makeRoute("/c/", "idempotent", "fragile", false) +
-         "],\"services\":[{\"name\":\"bays\"},{\"name\":\"fragile\"},{\"name\":"
-         "\"llm\",\"runtime\":{"
+         makeRoute("/c/", "idempotent", "fragile", false) + "," +
+         makeRoute("/l/", "idempotent", "limited", false) +
+         "],\"services\":[{\"name\":\"bays\"},{\"name\":\"fragile\"},"
+         "{\"name\":\"limited\"},{\"name\":\"llm\",\"runtime\":{"
          "\"slots\":64,\"kv-capacity\":60000,\"stride\":11,\"kv-ttl-s\":0.5,"
          "\"hold-ms\":2000}}]}";
 }
@@ -97,8 +102,19 @@
   void runCaller(test::GatewayFleet &Fleet, int Number, uint64_t Seed);
   void checkResponse(RequestKind Kind, const std::string &Id,
                      HttpExchange &Http, bool &KeepAlive);
+  // Sends one request to a random instance and records which.
+  void sendOne(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
+               const std::string &Path, const std::string &Id,
+               const std::string &Body);
+  // Sends a content that crashes servers to all instances, until the end.
   void runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed);
+  // Sends more requests than the limits of their servers allow.
+  void runLimitedCaller(test::GatewayFleet &Fleet, int Number, uint64_t Seed);
+  // Whether the instance that got the request was undisturbed for the contact
+  // time before.
+  bool inTouch(const std::string &RequestId, TimePoint At);
   void checkCrashingSends();
+  void checkLimits();
   // Records that an instance can't be expected to know what others know.
   void disturb(const GatewayInstance &Item);
   void injectFaults(test::GatewayFleet &Fleet);
@@ -126,12 +142,13 @@
   std::set<int> PausedPids;              // ids of processes that got SIGSTOP
   std::set<std::string> RejectingFor;    // instances that the store rejects
   std::map<std::string, std::vector<TimePoint>> Disturbed; // by instance
-  std::map<std::string, std::string> CrashingSentTo; // instance, by request
+  std::map<std::string, std::string> SentTo; // instance, by request
+  std::vector<std::unique_ptr<test::LimitedServer>> LimitedServers;
   std::set<std::string> RejectedIds; // ids of requests reported as not run
   std::mutex RejectedMutex;
   uint64_t Version = 1;
   std::atomic<bool> StopRequested{false};
-  std::atomic<bool> CrashingDone{false};
+  std::atomic<bool> FaultsDone{false};
 };
 
 void Soak::startServers(test::GatewayFleet &Fleet) {
@@ -149,32 +166,80 @@
     FragileServers.push_back(std::make_unique<test::CrashingServer>(
         Fleet.Store, Crashes,
         test::CrashingServerOptions{"f-" + std::to_string(i), "fragile", ""}));
+  for (double limit : StatedLimits) {
+    LimitedServers.push_back(std::make_unique<test::LimitedServer>());
+    LimitedServers.back()->setLimit(limit);
+    Fleet.Store.put("servers/l-" + std::to_string(LimitedServers.size()),
+                    test::serverEntry(
+                        "limited", LimitedServers.back()->server().address()));
+  }
   Fleet.Store.put("op/config", makeConfig(Version));
 }
 
-// Sends a content that crashes servers to all instances, until the end.
+void Soak::sendOne(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
+                   const std::string &Path, const std::string &Id,
+                   const std::string &Body) {
+  const GatewayInstance &instance = Fleet.Instances[Random() % GatewayCount];
+  {
+    std::lock_guard lock(FleetMutex);
+    SentTo[Id] = instance.Name;
+  }
+  internal::PollWaiter waiter;
+  HttpExchange http(waiter);
+  std::string text = "POST " + Path +
+                     " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + Id +
+                     "\r\nDeadline-Ms: 1000\r\nContent-Length: " +
+                     std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  if (http.connect(instance.Callers, Clock::now() + Milliseconds(200)) ==
+          ExchangeStatus::Ok &&
+      http.send(text, TimePoint::max(), Milliseconds(500)) ==
+          ExchangeStatus::Ok)
+    http.readHead("POST", Milliseconds(1500));
+}
+
 void Soak::runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed) {
   std::mt19937_64 random(Seed);
-  for (int i = 0; !CrashingDone.load(); ++i) {
+  for (int i = 0; !FaultsDone.load(); ++i) {
     std::this_thread::sleep_for(CrashingInterval);
-    const GatewayInstance &instance = Fleet.Instances[random() % GatewayCount];
-    std::string id = "crash-" + std::to_string(i);
-    {
-      std::lock_guard lock(FleetMutex);
-      CrashingSentTo[id] = instance.Name;
+    sendOne(Fleet, random, "/c/x", "crash-" + std::to_string(i),
+            test::CrashingBody);
+  }
+}
+
+void Soak::runLimitedCaller(test::GatewayFleet &Fleet, int Number,
+                            uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int i = 0; !FaultsDone.load(); ++i) {
+    std::this_thread::sleep_for(LimitedInterval);
+    sendOne(Fleet, random, "/l/x",
+            "limited-" + std::to_string(Number) + "-" + std::to_string(i),
+            "body");
+  }
+}
+
+bool Soak::inTouch(const std::string &RequestId, TimePoint At) {
+  const std::vector<TimePoint> &times = Disturbed[SentTo[RequestId]];
+  return std::none_of(times.begin(), times.end(), [&](TimePoint Time) {
+    return Time <= At && Time > At - ContactTime;
+  });
+}
+
+void Soak::checkLimits() {
+  for (size_t i = 0; i < LimitedServers.size(); ++i) {
+    std::optional<TimePoint> stated = LimitedServers[i]->statedAt();
+    if (!stated) {
+      Violations.add("no request reached a server with a limit");
+      continue;
     }
-    internal::PollWaiter waiter;
-    HttpExchange http(waiter);
-    std::string text =
-        "POST /c/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
-        "\r\nDeadline-Ms: 1000\r\nContent-Length: " +
-        std::to_string(test::CrashingBody.size()) + "\r\n\r\n" +
-        test::CrashingBody;
-    if (http.connect(instance.Callers, Clock::now() + Milliseconds(200)) ==
-            ExchangeStatus::Ok &&
-        http.send(text, TimePoint::max(), Milliseconds(500)) ==
-            ExchangeStatus::Ok)
-      http.readHead("POST", Milliseconds(1500));
+    auto arrivals = LimitedServers[i]->arrivalsSince(*stated + ContactTime);
+    std::erase_if(arrivals, [&](const auto &It) {
+      return !inTouch(It.RequestId, It.At);
+    });
+    size_t most = test::mostInWindow(arrivals);
+    if (most > test::allowedInWindow(StatedLimits[i]))
+      Violations.add("a server that states " + std::to_string(StatedLimits[i]) +
+                     " requests a second got " + std::to_string(most) +
+                     " in 4 s");
   }
 }
 
@@ -189,13 +254,8 @@
     return;
   }
   size_t late = 0;
-  for (const auto &it : Crashes.arrivalsAfter(*third + ContactTime)) {
-    const std::vector<TimePoint> &times =
-        Disturbed[CrashingSentTo[it.RequestId]];
-    late += std::none_of(times.begin(), times.end(), [&](TimePoint Time) {
-      return Time <= it.At && Time > it.At - ContactTime;
-    });
-  }
+  for (const auto &it : Crashes.arrivalsAfter(*third + ContactTime))
+    late += inTouch(it.RequestId, it.At);
   if (late > AllowedLateSends)
     Violations.add("a content reached servers " + std::to_string(late) +
                    " times late after it crashed the third");
@@ -458,9 +518,13 @@
         [&, i, seed = Random()] { runCaller(fleet, i, seed); });
   threads.emplace_back([&] { watchVersions(fleet); });
   // A copy, since the faults of each seed must stay what they are.
-  std::thread crashing([&, seed = std::mt19937_64(Random)()] {
-    runCrashingCaller(fleet, seed);
-  });
+  std::mt19937_64 seeds(Random);
+  std::vector<std::thread> untilRecovered;
+  untilRecovered.emplace_back(
+      [&, seed = seeds()] { runCrashingCaller(fleet, seed); });
+  for (int i = 0; i < LimitedCallerCount; ++i)
+    untilRecovered.emplace_back(
+        [&, i, seed = seeds()] { runLimitedCaller(fleet, i, seed); });
   injectFaults(fleet);
   {
     std::lock_guard lock(FleetMutex);
@@ -471,9 +535,11 @@
   for (std::thread &it : threads)
     it.join();
   recoverFleet(fleet);
-  CrashingDone.store(true);
-  crashing.join();
+  FaultsDone.store(true);
+  for (std::thread &it : untilRecovered)
+    it.join();
   checkCrashingSends();
+  checkLimits();
   FragileServers.clear(); // they use the fleet's store
   for (const std::string &it : RejectedIds)
     if (Executions.count(it) > 0)
--- a/test/gateway_server_limit_process_test.cc
+++ b/test/gateway_server_limit_process_test.cc
@@ -1,7 +1,7 @@
 // Tests gateway instances as processes whose servers state request limits.
 #include "gateway_fleet.h"
+#include "limited_server.h"
 
-#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -14,101 +14,13 @@
 
 using Clock = std::chrono::steady_clock;
 
-// The platform's bounds: from this long after a server first stated a limit on,
-// it may get one and a half times the limit in each window, and some more.
+// The platform's bound: a limit holds from this long after it was first stated.
 constexpr Milliseconds ContactTime{3000};
-constexpr Milliseconds Window{4000};
-constexpr double AllowedFactor = 1.5;
-constexpr double AllowedExtra = 5;
 // The part of a limit that is to be used while demand is above it.
 constexpr double UsedPart = 0.9;
 constexpr Milliseconds UsedWindow{10000};
 constexpr Milliseconds SendInterval{40};
 
-// A server that states a limit in its responses, if it has one.
-class LimitedServer {
-public:
-  LimitedServer()
-      : Server([this](const std::string &Request, int) {
-          double limit = Limit.load();
-          {
-            std::lock_guard lock(Mutex);
-            Arrivals.push_back(Clock::now());
-            if (limit >= 0 && !StatedAt)
-              StatedAt = Clock::now();
-          }
-          return respond(Request, limit);
-        }) {}
-
-  void setLimit(double PerSecond) { Limit.store(PerSecond); }
-  // When a limit was first stated.
-  TimePoint statedAt() const {
-    std::lock_guard lock(Mutex);
-    REQUIRE(StatedAt.has_value());
-    return *StatedAt;
-  }
-  size_t arrivals(TimePoint From, TimePoint To) const {
-    std::lock_guard lock(Mutex);
-    return static_cast<size_t>(std::ranges::count_if(
-        Arrivals, [&](TimePoint It) { return It >= From && It < To; }));
-  }
-  // The most requests in one window that begins at `From` or later.
-  size_t mostInWindow(TimePoint From) const {
-    std::vector<TimePoint> all;
-    {
-      std::lock_guard lock(Mutex);
-      all = Arrivals;
-    }
-    size_t most = 0;
-    for (TimePoint it : all)
-      if (it >= From)
-        most = std::max(most, arrivals(it, it + Window));
-    return most;
-  }
-
-  const FakeServer &server() const { return Server; }
-
-private:
-  static std::string field(const std::string &Request,
-                           const std::string &Name) {
-    size_t n = Request.find("\r\n" + Name + ": ");
-    if (n == std::string::npos)
-      return "";
-    n += Name.size() + 4;
-    return Request.substr(n, Request.find("\r\n", n) - n);
-  }
-
-  static std::string respond(const std::string &Request, double Limit) {
-    std::string response;
-    if (Request.starts_with("POST /api/hold-take"))
-      response = httpResponse(200, "{\"retention\":\"r1\"}");
-    else if (Request.starts_with("DELETE "))
-      response = httpResponse(200, "{}");
-    else if (!field(Request, "Inference-Phase").empty())
-      response = httpResponse(
-          200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
-    else
-      response = signedResponse(200, "id: 1\ndata: x\n\n",
-                                field(Request, "Attempt-Id"));
-    if (Limit >= 0)
-      response.insert(response.find("\r\n") + 2,
-                      "Server-Limit: " + std::to_string(Limit) + "\r\n");
-    return response;
-  }
-
-  mutable std::mutex Mutex;
-  std::atomic<double> Limit{-1}; // negative: none
-  std::vector<TimePoint> Arrivals;
-  std::optional<TimePoint> StatedAt;
-  FakeServer Server;
-};
-
-size_t allowedInWindow(double Limit) {
-  return static_cast<size_t>(AllowedFactor * Limit *
-                                 std::chrono::duration<double>(Window).count() +
-                             AllowedExtra);
-}
-
 // Sends requests to the instances from one thread each until the time.
 class Load {
 public:
@@ -143,6 +55,12 @@
   std::vector<std::thread> Threads;
 };
 
+TimePoint statedAt(const LimitedServer &Server) {
+  std::optional<TimePoint> time = Server.statedAt();
+  REQUIRE(time.has_value());
+  return *time;
+}
+
 struct LimitFleet {
   explicit LimitFleet(int Instances) : Fleet(Instances) {
     Fleet.addServer("s1", Limited.server());
@@ -165,7 +83,7 @@
   Load load(setup.Fleet, {0, 1, 2, 3});
   std::this_thread::sleep_for(ContactTime + UsedWindow);
   load.stop();
-  TimePoint from = setup.Limited.statedAt() + ContactTime;
+  TimePoint from = statedAt(setup.Limited) + ContactTime;
   CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(2.1));
   CHECK(setup.Limited.arrivals(from, from + UsedWindow) >=
         static_cast<size_t>(UsedPart * 2.1 * 10));
@@ -179,7 +97,7 @@
   Load load(setup.Fleet, {2});
   std::this_thread::sleep_for(ContactTime + UsedWindow);
   load.stop();
-  TimePoint from = setup.Limited.statedAt() + ContactTime;
+  TimePoint from = statedAt(setup.Limited) + ContactTime;
   CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(4));
   CHECK(setup.Limited.arrivals(from, from + UsedWindow) >=
         static_cast<size_t>(UsedPart * 4 * 10));
@@ -193,11 +111,11 @@
   std::this_thread::sleep_for(ContactTime);
   setup.Limited.setLimit(0.3);
   TimePoint lowered = Clock::now();
-  std::this_thread::sleep_for(Milliseconds(1000) + Window);
+  std::this_thread::sleep_for(Milliseconds(1000) + LimitWindow);
   CHECK(setup.Limited.arrivals(lowered + Milliseconds(1000),
-                               lowered + Milliseconds(1000) + Window) <=
+                               lowered + Milliseconds(1000) + LimitWindow) <=
         allowedInWindow(0.3));
-  setup.Limited.setLimit(-1);
+  setup.Limited.liftLimit();
   CHECK(eventually(
       [&] {
         TimePoint now = Clock::now();
@@ -229,11 +147,11 @@
   prefill.setLimit(2.5);
   decode.setLimit(4);
   Load load(fleet, {0, 1, 2, 3}, "/t/x");
-  std::this_thread::sleep_for(ContactTime + 2 * Window);
+  std::this_thread::sleep_for(ContactTime + 2 * LimitWindow);
   load.stop();
-  CHECK(prefill.mostInWindow(prefill.statedAt() + ContactTime) <=
+  CHECK(prefill.mostInWindow(statedAt(prefill) + ContactTime) <=
         allowedInWindow(2.5));
-  CHECK(decode.mostInWindow(decode.statedAt() + ContactTime) <=
+  CHECK(decode.mostInWindow(statedAt(decode) + ContactTime) <=
         allowedInWindow(4));
   // Each stream takes a reservation and a run.
   CHECK(load.served() > 0);
