--- a/test/gateway_server_limit_process_test.cc
+++ b/test/gateway_server_limit_process_test.cc
@@ -2,6 +2,7 @@
 #include "gateway_fleet.h"
 #include "limited_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -172,3 +173,24 @@
   load.stop();
   CHECK(setup.Limited.mostInWindow(from) <= allowedInWindow(4));
 }
+
+// Instances that the server hasn't told send to it as well.
+TEST_CASE("All instances learn a server's limit in time") {
+  LimitFleet setup(8);
+  setup.Limited.setLimit(5);
+  // Until the request goes to the server with the limit.
+  while (!setup.Limited.statedAt())
+    GatewayFleet::sendRequest(setup.Fleet.Instances[5], "/x/y");
+  CHECK(eventually(
+      [&] {
+        return std::ranges::all_of(
+            setup.Fleet.Instances, [](const GatewayInstance &It) {
+              return GatewayFleet::get(It.Ready, "/state", "")
+                         .find("\"limit_per_s\":5.000") != std::string::npos;
+            });
+      },
+      ContactTime));
+  auto taken = std::chrono::duration_cast<Milliseconds>(
+      Clock::now() - statedAt(setup.Limited));
+  MESSAGE("8 instances know the limit after " << taken.count() << " ms");
+}
