Ask more decode servers for memory only if one may be at its limit

Cause: so that servers without a limit take the place of those with one, a request asked all servers in turn until enough had been asked. Where its size points to fewer servers than that, it asked others as well without any limit, against the rule that keeps sizes apart. A denial of an earlier round could also be given as the reason of a later refusal.

Change: others are asked only if one of the servers of the request's size has a limit; each search for a server begins without former denials. Tests that a retry goes to no server at its limit, and that no prompt is read for a decode server at its limit.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -161,6 +161,7 @@
 
 std::optional<RequestHandler::DecodeReservation>
 RequestHandler::selectUnreservedDecode() {
+  LimitedUntil.reset();
   for (ServerStage stage : {ServerStage::Decode, ServerStage::Whole})
     for (const ServerChoice &it :
          Context.Directory.rank({Service, stage, Tried}))
@@ -189,6 +190,7 @@
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
+  LimitedUntil.reset();
   TimePoint joined = Clock::now();
   if (Context.Queues.wouldTimeOut(Service, entry.ExpiresAt))
     return std::nullopt;
@@ -237,9 +239,13 @@
       std::max(MinServersPerTry, ranked.size() / ServersPerTryDivisor);
   std::vector<ServerChoice> order =
       Context.Directory.serverSubset(Service, ranked, Tokens, most);
-  // Others take the places of servers that are at their request limits.
+  // Others take the places of servers that may be at their request limits.
+  bool limited = std::ranges::any_of(order, [&](const ServerChoice &It) {
+    return Context.Limits.find(It.Id).has_value();
+  });
   for (const ServerChoice &it : ranked)
-    if (std::ranges::find(order, it.Id, &ServerChoice::Id) == order.end())
+    if (limited &&
+        std::ranges::find(order, it.Id, &ServerChoice::Id) == order.end())
       order.push_back(it);
   LimitedUntil.reset();
   size_t asked = 0;
--- a/test/gateway_server_limits_test.cc
+++ b/test/gateway_server_limits_test.cc
@@ -257,3 +257,38 @@
               .starts_with("HTTP/1.1 200"));
   CHECK(setup.Limits.active().empty());
 }
+
+// A retry at a server that is at its limit would break it.
+TEST_CASE("A retry goes to no server that is at its limit") {
+  GatewayFixture setup;
+  FakeServer failing(
+      [](const std::string &, int) { return signedResponse(500, "error"); });
+  FakeServer limitedServer(
+      [](const std::string &, int) { return signedResponse(200, "x"); });
+  setup.addServer("s1", failing);
+  setup.addServer("s2", limitedServer);
+  setup.Limits.onResponse("s2", {0.25}, Clock::now());
+  setup.Limits.acquire("s2", 1, NoDelay);
+  CHECK(setup.run(setup.route(RouteKind::Idempotent))
+            .starts_with("HTTP/1.1 500"));
+  CHECK(limitedServer.requests().empty());
+}
+
+// Both calls to a decode server are permitted before a prompt is read for it.
+TEST_CASE("No prompt is read for a decode server that is at its limit") {
+  GatewayFixture setup;
+  auto reply = [](const std::string &Request, int) {
+    if (Request.starts_with("POST /api/hold-take"))
+      return httpResponse(200, "{\"retention\":\"r1\"}");
+    return signedResponse(200, "id: 1\n\n");
+  };
+  FakeServer prefill(reply);
+  FakeServer decode(reply);
+  setup.addServer("p1", prefill, ServerStage::Prefill);
+  setup.addServer("d1", decode, ServerStage::Decode);
+  setup.Limits.onResponse("d1", {0.25}, Clock::now());
+  setup.Limits.acquire("d1", 1, NoDelay);
+  CHECK(setup.run(setup.route(RouteKind::Stream)).starts_with("HTTP/1.1 503"));
+  CHECK(prefill.requests().empty());
+  CHECK(decode.requests().empty());
+}
