Bound the table of request limits

Cause: peers aren't authenticated, and each new server id in a frame or a permit request made an instance keep another entry for a minute.

Change: 1,024 servers at most, the oldest one goes. Calls that are charged back after an owner didn't respond are bounded like others.

--- a/src/gateway/decisions/server_limit_table.cc
+++ b/src/gateway/decisions/server_limit_table.cc
@@ -13,11 +13,21 @@
 constexpr size_t MaxKnown = 64;
 // Receipts by two instances are ordered by ages in whole milliseconds.
 constexpr Milliseconds AgeTolerance{2};
+// Bounds what peers can make an instance keep.
+constexpr size_t MaxServers = 1024;
 // Higher limits have no effect; keeps the arithmetic in range.
 constexpr double MaxPerSecond = 1e6;
 
 } // namespace
 
+ServerLimitTable::StateMap::iterator
+ServerLimitTable::addServer(const std::string &ServerId) {
+  if (Limits.size() >= MaxServers)
+    Limits.erase(std::ranges::min_element(
+        Limits, {}, [](const auto &It) { return It.second.ReceivedAt; }));
+  return Limits.try_emplace(ServerId).first;
+}
+
 bool ServerLimitTable::onResponse(const std::string &ServerId,
                                   const StatedLimit &Limit, TimePoint SentAt,
                                   TimePoint Now) {
@@ -27,7 +37,7 @@
   if (it == Limits.end()) {
     if (!Limit.PerSecond)
       return false;
-    it = Limits.emplace(ServerId, State{}).first;
+    it = addServer(ServerId);
   } else if (SentAt < it->second.SentAt &&
              (!Limit.PerSecond || (it->second.PerSecond &&
                                    *Limit.PerSecond >= *it->second.PerSecond)))
@@ -48,7 +58,7 @@
   if (it == Limits.end()) {
     if (!Item.PerSecond)
       return false;
-    it = Limits.emplace(Item.ServerId, State{}).first;
+    it = addServer(Item.ServerId);
   } else if (at <= it->second.ReceivedAt + AgeTolerance)
     return false;
   std::optional<double> value = Item.PerSecond;
--- a/src/gateway/decisions/server_limit_table.h
+++ b/src/gateway/decisions/server_limit_table.h
@@ -59,11 +59,15 @@
     std::string Source;
   };
 
+  using StateMap = std::map<std::string, State>;
+
+  // Adds a server, in place of the oldest one if there are many.
+  StateMap::iterator addServer(const std::string &ServerId);
   ServerLimit limitOf(const std::string &ServerId, const State &Item,
                       TimePoint Now) const;
 
   std::string Instance;
-  std::map<std::string, State> Limits; // by server
+  StateMap Limits; // by server
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/server_limits.cc
+++ b/src/gateway/server_limits.cc
@@ -172,7 +172,7 @@
   if (decision)
     return permitOf(*decision, Request.Limit, Owner.Name);
   TimePoint now = Clock::now();
-  Servers[server].Charged += Request.Charged;
+  charge(server, Request.Charged);
   if (SilentOwners.insert_or_assign(Owner.Address, now + SilentOwnerPause)
           .second)
     log(LogLevel::Warn, "server_limits",
@@ -249,11 +249,8 @@
 }
 
 void ServerLimits::charge(const std::string &ServerId, int32_t Calls) {
-  auto it = Servers.find(ServerId);
-  if (it == Servers.end())
-    it = Servers.try_emplace(ServerId).first;
-  it->second.Charged =
-      std::clamp(it->second.Charged + Calls, -MaxCharged, MaxCharged);
+  int32_t &charged = Servers[ServerId].Charged;
+  charged = std::clamp(charged + Calls, -MaxCharged, MaxCharged);
 }
 
 void ServerLimits::release(const std::string &ServerId, uint32_t Calls) {
--- a/test/gateway_server_limit_table_test.cc
+++ b/test/gateway_server_limit_table_test.cc
@@ -90,3 +90,14 @@
   for (const ServerLimit &it : all)
     CHECK(it.Age <= Milliseconds(64));
 }
+
+TEST_CASE("The table of limits stays bounded and keeps the latest") {
+  ServerLimitTable table("g1");
+  for (int i = 0; i < 3000; ++i)
+    table.merge({"s" + std::to_string(i), 1, Milliseconds(0), "g2"}, at(i));
+  int kept = 0;
+  for (int i = 0; i < 3000; ++i)
+    kept += table.find("s" + std::to_string(i), at(3000)).has_value();
+  CHECK(kept == 1024);
+  CHECK(table.find("s2999", at(3000)).has_value());
+}
