--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -83,7 +83,7 @@
   std::string stage =
       Options.Stage.empty() ? "" : ",\"phase\":\"" + Options.Stage + "\"";
   std::string id = Options.Id;
-  if (Options.NewIdOnStart)
+  if (!Options.KeepsId)
     id += "-" + std::to_string(++Starts);
   Store.put("servers/" + id,
             serverEntry(Options.Service, Process->address(),
--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -1,6 +1,6 @@
 // A fake backend server whose process ends when it runs a request with a given
-// content. After some time it starts again at its address, under its id with a
-// new start time or under a new id. Serves plain requests, prefills and
+// content. After some time it starts again at its address, under a new id or
+// under its id with a new start time. Serves plain requests, prefills and
 // streams.
 #ifndef CROCUSSPUR_TEST_CRASHING_SERVER_H
 #define CROCUSSPUR_TEST_CRASHING_SERVER_H
@@ -48,7 +48,9 @@
   std::string Stage;           // as registered; empty: a plain service
   Milliseconds DownTime{1500}; // from a crash to the next start
   bool FailsAll = false; // responds to every request with an error of its own
-  bool NewIdOnStart = false; // the entry of the ended process stays
+  // Whether it starts again under its id. Otherwise the entry of the ended
+  // process stays beside that of its successor.
+  bool KeepsId = false;
   // While it is down, connections are refused; otherwise they are opened and
   // closed at once.
   bool RefusesWhileDown = true;
--- a/test/gateway_crash_process_test.cc
+++ b/test/gateway_crash_process_test.cc
@@ -148,7 +148,14 @@
 TEST_CASE(
     "A content is refused when servers that crashed start under new ids") {
   CrashFleet setup(InstanceCount, [](CrashingServerOptions &Options, int) {
-    Options.NewIdOnStart = true;
+    Options.RefusesWhileDown = false;
+  });
+  CHECK(lateArrivals(setup, "/i/x") <= AllowedSends);
+}
+
+TEST_CASE("A content is refused when servers that crashed keep their ids") {
+  CrashFleet setup(InstanceCount, [](CrashingServerOptions &Options, int) {
+    Options.KeepsId = true;
     Options.RefusesWhileDown = false;
   });
   CHECK(lateArrivals(setup, "/i/x") <= AllowedSends);
