--- a/src/gateway/decisions/request_pacer.cc
+++ b/src/gateway/decisions/request_pacer.cc
@@ -10,7 +10,7 @@
 // A server that states almost nothing still gets a call in this time, since
 // only its responses show that the limit has changed.
 constexpr double MinPerSecond = 0.25;
-// Charges put the schedule off by at most this much.
+// Charges delay the schedule by at most this much.
 constexpr Milliseconds MaxDebt{4000};
 constexpr double CautiousFraction = 0.5;
 
--- a/src/gateway/decisions/request_pacer.h
+++ b/src/gateway/decisions/request_pacer.h
@@ -31,8 +31,8 @@
   // now.
   PaceDecision request(double PerSecond, uint32_t Calls, Milliseconds MaxDelay,
                        TimePoint Now);
-  // Counts calls that were sent without being asked for. Negative: calls that
-  // were granted and not sent.
+  // Counts calls that were sent without a request. Negative: calls that were
+  // granted and not sent.
   void charge(double PerSecond, int32_t Calls, TimePoint Now);
 
 private:
--- a/src/gateway/decisions/server_limit_table.cc
+++ b/src/gateway/decisions/server_limit_table.cc
@@ -9,7 +9,7 @@
 // A server that nobody calls states nothing; the next call to it shows whether
 // its limit still holds. After this long it has probably ended.
 constexpr std::chrono::seconds Retention{60};
-// Limits sent to a peer, about 60 bytes each.
+// Limits sent to a peer, about 76 bytes each.
 constexpr size_t MaxKnown = 64;
 // Receipts by two instances are ordered by ages in whole milliseconds.
 constexpr Milliseconds AgeTolerance{2};
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -70,6 +70,7 @@
   bool tryAcquire(const std::string &ServerId, uint32_t Calls);
   // How long this request may wait for a permit.
   Milliseconds maxPermitDelay() const;
+  // Keeps the denial by the server that takes a call first.
   void onPermitDenied(const std::string &ServerId, const CallPermit &Permit);
   // What a denied or delayed call was decided on.
   internal::LogFields permitFields(const std::string &ServerId,
@@ -145,8 +146,9 @@
   bool RetryBudgetExhausted = false; // no further retry is allowed
   // Set once the content is refused: for how long.
   std::optional<Milliseconds> ContentRefusedFor;
-  // Set while all servers that were asked are at their request limits: until
-  // when the first one is, and the log fields of its denial.
+  // Set while all servers that were asked are at their request limits: the
+  // earliest time at which one of them takes a call, and the log fields of its
+  // denial.
   std::optional<TimePoint> LimitedUntil;
   internal::LogFields LimitedFields;
   bool MayHaveExecuted = false; // a server may have executed the request
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -28,8 +28,8 @@
 struct PermitRequest {
   ServerLimit Limit; // as the instance knows it
   uint32_t Calls = 1;
-  // Calls sent without being asked for since the last request; negative: calls
-  // that were granted and not sent.
+  // Calls sent without a permit since the last request; negative: permits that
+  // weren't used.
   int32_t Charged = 0;
   Milliseconds MaxDelay{0};
 };
@@ -73,18 +73,20 @@
                   TimePoint SentAt);
 
   // Asks for permits to send calls to a server, which are granted at once if it
-  // has no limit. Each is used by one call or returned. May ask the owner and
-  // wait for its response.
+  // has no limit. They hold after a delay of at most `MaxDelay`. Each is used
+  // by one call or returned. May ask the owner and wait for its response.
   CallPermit acquire(const std::string &ServerId, uint32_t Calls,
                      Milliseconds MaxDelay);
+  // Returns permits that aren't used.
   void release(const std::string &ServerId, uint32_t Calls);
   // Counts a call that is sent without a permit.
   void onUnpermittedCall(const std::string &ServerId);
   // Decides for another instance, as the owner.
   PaceDecision decide(const PermitRequest &Request);
 
-  // What is known of limits, for peers, and from a peer.
+  // What is known of limits, for peers.
   std::vector<ServerLimit> known() const;
+  // Adds what a peer knows.
   void merge(const std::vector<ServerLimit> &Items, const std::string &Peer);
 
   // The active limits, for logs and metrics.
