Call exchanges that tell of limits and crashes at once notifications

Cause: read as a newcomer would, "news" is a name of this project's own; the glossary lists it among the former ones.

Change: identifiers only; the field on the wire keeps its name.

Measured: builds; the tests of the frames, of crashes and of limits pass.

--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -140,7 +140,7 @@
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
       Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
-      Frame.OnlyNews, limitList, wantedPermit, permit));
+      Frame.IsNotification, limitList, wantedPermit, permit));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -176,7 +176,7 @@
     for (const wire::ClearedContent *it : *in.cleared())
       frame.Crashes.Cleared.push_back(
           {it->content(), Milliseconds(it->ago_ms())});
-  frame.OnlyNews = in.only_crashes();
+  frame.IsNotification = in.only_crashes();
   if (in.limits())
     for (const wire::ServerLimit *it : *in.limits())
       if (std::optional<ServerLimit> limit = unpack(*it))
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -38,9 +38,9 @@
   std::vector<PublishedText> Servers;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
-  // A request to learn of crashes and limits at once: neither it nor its
-  // response lists the members.
-  bool OnlyNews = false;
+  // A request that notifies a peer of crashes and limits at once: neither it
+  // nor its response lists the members.
+  bool IsNotification = false;
   std::vector<ServerLimit> Limits; // that the sender knows
   // A request to the owner of a server's limit and its response. Such frames
   // hold nothing else but the sender's name.
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -39,11 +39,11 @@
 // Contacts that are told of a crash or a limit at once. Each instance that
 // learns of it tells as many, the next one by name among them, so it spreads in
 // few steps.
-constexpr size_t NewsContacts = 3;
+constexpr size_t NotificationContacts = 3;
 // Crashes of one server are seen within milliseconds by all its callers.
-constexpr Milliseconds NewsBatchDelay{20};
+constexpr Milliseconds NotificationBatchDelay{20};
 // Shorter than for rounds, so that silent peers don't delay the others.
-constexpr Milliseconds NewsExchangeTimeout{150};
+constexpr Milliseconds NotificationTimeout{150};
 // A request waits for its permit. The owner responds from memory.
 constexpr Milliseconds PermitTimeout{60};
 // Peers respond from memory, which takes a few milliseconds within a region.
@@ -121,7 +121,7 @@
   // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
   void runRound(bool CatchUp);
-  void sendNews();
+  void sendNotifications();
   std::optional<PaceDecision> askForPermit(const std::string &Address,
                                            const PermitRequest &Request);
   // Returns the peer's response, or nothing if there is none in time.
@@ -144,10 +144,10 @@
 
   GatewayRuntime *Runtime = nullptr;
   internal::ConnectionServer Server;
-  std::mutex Mutex; // guards Stopping and HasNews
+  std::mutex Mutex; // guards Stopping and HasChanges
   std::condition_variable Wake;
   bool Stopping = false;
-  bool HasNews = false; // that contacts haven't been told of
+  bool HasChanges = false; // that contacts haven't been told of
   // The newest that any peer has reported.
   std::atomic<uint64_t> NewestVersion{0};
   std::atomic<uint64_t> NewestRevision{0};
@@ -179,15 +179,15 @@
   }
   log(LogLevel::Warn, "member_links",
       "peer exchanges aren't authenticated: no key in the settings", {});
-  auto onNews = [this] {
+  auto onChange = [this] {
     {
       std::lock_guard lock(Mutex);
-      HasNews = true;
+      HasChanges = true;
     }
     Wake.notify_all();
   };
-  Runtime->Crashes.setChangeListener(onNews);
-  Runtime->Limits.setChangeListener(onNews);
+  Runtime->Crashes.setChangeListener(onChange);
+  Runtime->Limits.setChangeListener(onChange);
   Runtime->Limits.setSharing(
       {[this](const std::string &ServerId) {
          return Runtime->Peers.ownerOf("limit:" + ServerId,
@@ -321,7 +321,7 @@
       return;
     }
     MemberFrame response = basicFrame();
-    if (!request->OnlyNews) {
+    if (!request->IsNotification) {
       response.Members = Runtime->Peers.alive();
       addRequestedUpdates(*request, response);
       response.Crashes = Runtime->Crashes.updateFor(request->CrashDigest);
@@ -395,18 +395,19 @@
   logMembershipChanges();
 }
 
-void MemberLinks::sendNews() {
+void MemberLinks::sendNotifications() {
   MemberFrame frame = basicFrame();
-  frame.OnlyNews = true;
+  frame.IsNotification = true;
   uint64_t change = Runtime->Crashes.lastChange();
   frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
   SentCrashChange = change;
   if (frame.Crashes.empty() && frame.Limits.empty())
     return;
-  for (const std::string &it : Runtime->Peers.selectContacts(NewsContacts)) {
+  for (const std::string &it :
+       Runtime->Peers.selectContacts(NotificationContacts)) {
     if (Runtime->Closing.load())
       return;
-    if (!exchange(it, frame, NewsExchangeTimeout))
+    if (!exchange(it, frame, NotificationTimeout))
       log(LogLevel::Info, "member_links",
           "peer was not told of a crash or a limit",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
@@ -417,14 +418,14 @@
   do {
     {
       std::unique_lock lock(Mutex);
-      Wake.wait_until(lock, Until, [this] { return Stopping || HasNews; });
+      Wake.wait_until(lock, Until, [this] { return Stopping || HasChanges; });
       if (Stopping)
         return false;
-      if (!std::exchange(HasNews, false))
+      if (!std::exchange(HasChanges, false))
         return true;
     }
-    std::this_thread::sleep_for(NewsBatchDelay);
-    sendNews();
+    std::this_thread::sleep_for(NotificationBatchDelay);
+    sendNotifications();
   } while (Clock::now() < Until);
   return true;
 }
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -23,7 +23,7 @@
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {{71, "i-2", "n3", Milliseconds(250)}};
   frame.Crashes.Cleared = {{72, Milliseconds(900)}};
-  frame.OnlyNews = true;
+  frame.IsNotification = true;
   frame.Limits = {{"i-4", 2.1, Milliseconds(30), "n3"},
                   {"i-5", std::nullopt, Milliseconds(40), "n1"}};
   frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
@@ -67,7 +67,7 @@
   REQUIRE(back->Crashes.Cleared.size() == 1);
   CHECK(back->Crashes.Cleared[0].Content == 72);
   CHECK(back->Crashes.Cleared[0].Age == Milliseconds(900));
-  CHECK(back->OnlyNews);
+  CHECK(back->IsNotification);
   REQUIRE(back->Limits.size() == 2);
   CHECK(back->Limits[0].ServerId == "i-4");
   CHECK(back->Limits[0].PerSecond == 2.1);
