--- a/bench/bench_crash_monitor_main.cc
+++ b/bench/bench_crash_monitor_main.cc
@@ -1,12 +1,12 @@
 // Measures what the recognition of crashing requests costs a gateway instance:
 // the fingerprint of a request, the record of its run, and a full table sent to
 // a peer. Prints one JSON line for each; times are in nanoseconds of one core.
+#include "bench_timing.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/content_fingerprint.h"
 #include "gateway/member_codec.h"
 
 #include <chrono>
-#include <functional>
 #include <iostream>
 #include <string>
 
@@ -16,20 +16,8 @@
 using Clock = std::chrono::steady_clock;
 using namespace crocusspur::gateway;
 
-constexpr Milliseconds MeasuringTime{300};
 constexpr uint64_t FullTable = 2048; // crash records
 
-// Returns the mean time of a call.
-double nanosecondsOf(const std::function<void()> &Call) {
-  uint64_t n = 0;
-  TimePoint start = Clock::now();
-  while (Clock::now() - start < MeasuringTime)
-    for (int i = 0; i < 8; ++i, ++n)
-      Call();
-  std::chrono::duration<double, std::nano> taken = Clock::now() - start;
-  return taken.count() / static_cast<double>(n);
-}
-
 void measureFingerprint(size_t BodyBytes) {
   std::string body(BodyBytes, 'x');
   uint64_t sum = 0;
--- a/bench/bench_server_limits_main.cc
+++ b/bench/bench_server_limits_main.cc
@@ -2,11 +2,11 @@
 // call without limits, with limits of other servers, from this instance as the
 // owner and from the own share, and the bytes of the exchanges. Prints one JSON
 // line for each; times are in nanoseconds of one core.
+#include "bench_timing.h"
 #include "gateway/member_codec.h"
 #include "gateway/server_limits.h"
 
 #include <chrono>
-#include <functional>
 #include <iostream>
 #include <string>
 
@@ -16,20 +16,8 @@
 using Clock = std::chrono::steady_clock;
 using namespace crocusspur::gateway;
 
-constexpr Milliseconds MeasuringTime{300};
 constexpr double HighLimit = 1e6; // requests per second
 
-// Returns the mean time of a call.
-double nanosecondsOf(const std::function<void()> &Call) {
-  uint64_t n = 0;
-  TimePoint start = Clock::now();
-  while (Clock::now() - start < MeasuringTime)
-    for (int i = 0; i < 8; ++i, ++n)
-      Call();
-  std::chrono::duration<double, std::nano> taken = Clock::now() - start;
-  return taken.count() / static_cast<double>(n);
-}
-
 std::string serverName(size_t Number) {
   return "i-" + std::to_string(1000000000 + Number);
 }
--- a/soak/soak_servers.cc
+++ b/soak/soak_servers.cc
@@ -50,14 +50,6 @@
   return "id: " + std::to_string(Number) + "\ndata: " + Id + "\n\n";
 }
 
-std::string headerField(const std::string &Message, const std::string &Name) {
-  size_t n = Message.find("\r\n" + Name + ": ");
-  if (n == std::string::npos)
-    return "";
-  n += Name.size() + 4;
-  return Message.substr(n, Message.find("\r\n", n) - n);
-}
-
 SoakServer::SoakServer(RunCounter &Executions, uint64_t Seed)
     : Executions(Executions), Random(Seed),
       Server([this](int Fd, int) { serve(Fd); }) {}
--- a/soak/soak_servers.h
+++ b/soak/soak_servers.h
@@ -53,9 +53,6 @@
   ScriptServer Server;
 };
 
-// Returns the value of a header field, or an empty string.
-std::string headerField(const std::string &Message, const std::string &Name);
-
 } // namespace crocusspur::soak
 
 #endif
--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -15,14 +15,6 @@
 constexpr int StreamEvents = 8;
 constexpr Milliseconds EventInterval{5};
 
-std::string fieldOf(const std::string &Request, const std::string &Name) {
-  size_t n = Request.find("\r\n" + Name + ": ");
-  if (n == std::string::npos)
-    return "";
-  n += Name.size() + 4;
-  return Request.substr(n, Request.find("\r\n", n) - n);
-}
-
 std::string chunk(const std::string &Data) {
   char size[16];
   std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
@@ -149,14 +141,15 @@
   }
   bool crashes = Request.ends_with("\r\n\r\n" + CrashingBody);
   if (crashes)
-    Log.onArrival(fieldOf(Request, "Attempt-Id"));
-  if (!fieldOf(Request, "Inference-Phase").empty()) {
+    Log.onArrival(headerField(Request, "Attempt-Id"));
+  if (!headerField(Request, "Inference-Phase").empty()) {
     sendText(Fd, httpResponse(200, "{\"kv-handle\":\"h\",\"token-count\":9,"
                                    "\"version\":1}"));
     return true;
   }
   if (Options.FailsAll) {
-    sendText(Fd, signedResponse(500, "error", fieldOf(Request, "Attempt-Id")));
+    sendText(Fd,
+             signedResponse(500, "error", headerField(Request, "Attempt-Id")));
     return true;
   }
   if (crashes) {
@@ -164,7 +157,7 @@
     crash();
     return false;
   }
-  std::string id = fieldOf(Request, "Attempt-Id");
+  std::string id = headerField(Request, "Attempt-Id");
   if (!Options.Stage.empty())
     return respondStream(Fd, id);
   sendText(Fd, signedResponse(200, "answer", id));
--- a/test/limited_server.cc
+++ b/test/limited_server.cc
@@ -14,14 +14,6 @@
 constexpr double AllowedFactor = 1.5;
 constexpr double AllowedExtra = 5;
 
-std::string fieldOf(const std::string &Request, const std::string &Name) {
-  size_t n = Request.find("\r\n" + Name + ": ");
-  if (n == std::string::npos)
-    return "";
-  n += Name.size() + 4;
-  return Request.substr(n, Request.find("\r\n", n) - n);
-}
-
 } // namespace
 
 size_t allowedInWindow(double Limit) {
@@ -47,7 +39,7 @@
 
 std::string LimitedServer::respond(const std::string &Request) {
   double limit = Limit.load();
-  std::string id = fieldOf(Request, "Attempt-Id");
+  std::string id = headerField(Request, "Attempt-Id");
   {
     std::lock_guard lock(Mutex);
     Arrivals.push_back({Clock::now(), id});
@@ -59,7 +51,7 @@
     response = httpResponse(200, "{\"retention\":\"r1\"}");
   else if (Request.starts_with("DELETE "))
     response = httpResponse(200, "{}");
-  else if (!fieldOf(Request, "Inference-Phase").empty())
+  else if (!headerField(Request, "Inference-Phase").empty())
     response = httpResponse(
         200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
   else
--- a/test/test_socket.cc
+++ b/test/test_socket.cc
@@ -133,6 +133,14 @@
   ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &value, sizeof value);
 }
 
+std::string headerField(const std::string &Message, const std::string &Name) {
+  size_t n = Message.find("\r\n" + Name + ": ");
+  if (n == std::string::npos)
+    return "";
+  n += Name.size() + 4;
+  return Message.substr(n, Message.find("\r\n", n) - n);
+}
+
 std::string httpResponse(int Status, const std::string &Body) {
   return "HTTP/1.1 " + std::to_string(Status) +
          " X\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
--- a/test/test_socket.h
+++ b/test/test_socket.h
@@ -66,6 +66,8 @@
 std::string readRequest(int Fd);
 // Makes close() reset the connection instead of ending the stream.
 void resetOnClose(int Fd);
+// Value of a header field of a message; empty if there is none.
+std::string headerField(const std::string &Message, const std::string &Name);
 // An HTTP response with a Content-Length.
 std::string httpResponse(int Status, const std::string &Body);
 // Polls the condition until it holds; returns false after 20 s.
