Log how the end of a server's response is marked

Cause: a stream that a server cut and that has neither a length nor chunks is logged as streamed, like a whole one; the logs don't tell the two apart. Change: the line of each call that got a response names its framing. Result: builds; the line's fields are checked by no test.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -93,6 +93,8 @@
   all.emplace_back("content", fingerprintText(Content));
   all.emplace_back("send", std::to_string(Sends));
   all.emplace_back("outcome", Outcome);
+  if (Call.head().Status != 0)
+    all.emplace_back("framing", internal::nameOf(Call.bodyForm()));
   all.emplace_back("taken_ms", std::to_string(taken.count()));
   all.emplace_back("left_ms", std::to_string(timeLeft().count()));
   if (std::optional<ServerLimit> limit = Context.Limits.find(Server.Id)) {
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -92,6 +92,8 @@
   // Whether a byte of the request may have been sent.
   bool maySent() const { return Http.byteSent(); }
   const internal::HttpHead &head() const { return Http.head(); }
+  // How the end of the response's body is marked; see HttpExchange::bodyForm().
+  internal::BodyForm bodyForm() const { return Http.bodyForm(); }
   const ResponseInfo &info() const { return Info; }
 
 private:
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -150,7 +150,7 @@
   BodyFraming framing;
   if (!responseFraming(Head, Method, framing))
     return ExchangeStatus::Failed;
-  SelfDelimited = framing.Form != BodyForm::UntilClose;
+  Form = framing.Form;
   Decoder.reset(framing);
   return ExchangeStatus::Ok;
 }
@@ -191,8 +191,9 @@
 }
 
 BackendSocketPtr HttpExchange::release() {
-  bool reusable = Socket && Decoder.complete() && SelfDelimited &&
-                  !EndOfInput && Offset == Pending.size() && ByteReceived &&
+  bool reusable = Socket && Decoder.complete() &&
+                  Form != BodyForm::UntilClose && !EndOfInput &&
+                  Offset == Pending.size() && ByteReceived &&
                   Head.wantsKeepAlive();
   return reusable ? std::move(Socket) : nullptr;
 }
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -56,6 +56,9 @@
   // Waits for the response head; `Timeout` bounds the time without progress.
   ExchangeStatus readHead(const std::string &Method, Milliseconds Timeout);
   const HttpHead &head() const { return Head; }
+  // How the end of the body is marked. A body of the form UntilClose ends with
+  // the connection, so its end can't be told from a cut.
+  BodyForm bodyForm() const { return Form; }
 
   // Appends the part of the body that is available; waits for at least one byte
   // or the end.
@@ -87,7 +90,7 @@
   bool ByteSent = false;
   bool ByteReceived = false;
   bool EndOfInput = false;
-  bool SelfDelimited = false;
+  BodyForm Form = BodyForm::None;
 };
 
 } // namespace crocusspur::internal
--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -157,6 +157,20 @@
   return parseFields(Text, ResponseFieldLimit, Head);
 }
 
+const char *nameOf(BodyForm Form) {
+  switch (Form) {
+  case BodyForm::Length:
+    return "length";
+  case BodyForm::Chunked:
+    return "chunked";
+  case BodyForm::UntilClose:
+    return "until_close";
+  case BodyForm::None:
+    break;
+  }
+  return "none";
+}
+
 bool requestFraming(const HttpHead &Head, BodyFraming &Framing) {
   bool found = false;
   if (!findLength(Head, found, Framing.Length))
--- a/src/http_header.h
+++ b/src/http_header.h
@@ -38,6 +38,8 @@
 
 enum class BodyForm : uint8_t { None, Length, Chunked, UntilClose };
 
+const char *nameOf(BodyForm Form); // name in logs
+
 struct BodyFraming {
   BodyForm Form = BodyForm::None;
   uint64_t Length = 0;
