Reproduce broken-off streams that look complete

Change: tests of how a server's response ends, for each framing (length, chunks, until the end of the connection) and each end (whole, closed or reset or silent inside an event, closed between events), for streams and plain responses. The caller gets the cut event and the last chunk, and a resumable stream isn't resumed.

--- /dev/null
+++ b/test/gateway_response_end_test.cc
@@ -0,0 +1,251 @@
+// How a server's response ends, by framing and by what ends it, and what the
+// caller gets.
+#include "gateway_fixture.h"
+
+#include <array>
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+enum class Framing : uint8_t { Length, Chunks, UntilClose };
+enum class End : uint8_t {
+  Whole,
+  ClosedInside,  // in the middle of the third event
+  ClosedBetween, // after the second of three events
+  ResetInside,
+  SilentInside
+};
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
+         "\n\n";
+}
+
+std::string events(int From, int To) {
+  std::string all;
+  for (int i = From; i <= To; ++i)
+    all += event(i);
+  return all;
+}
+
+std::string chunk(const std::string &Data) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
+  return size + Data + "\r\n";
+}
+
+std::string headOf(Framing Form, size_t Length) {
+  std::string head = "HTTP/1.1 200 X\r\nServer-Signature: sig\r\n"
+                     "Attempt-Id: a1\r\nContent-Type: text/event-stream\r\n";
+  if (Form == Framing::Length)
+    head += "Content-Length: " + std::to_string(Length) + "\r\n";
+  else if (Form == Framing::Chunks)
+    head += "Transfer-Encoding: chunked\r\n";
+  return head + "\r\n";
+}
+
+// Sends a body of this many bytes with the first `Sent` of them.
+void respond(int Fd, Framing Form, const std::string &Body, size_t Sent) {
+  std::string part = Body.substr(0, Sent);
+  std::string bytes = headOf(Form, Body.size());
+  if (Form == Framing::Chunks) {
+    bytes += chunk(part);
+    if (Sent == Body.size())
+      bytes += "0\r\n\r\n";
+  } else
+    bytes += part;
+  sendText(Fd, bytes);
+}
+
+// Servers that end the first of all their responses in the given way. A stream
+// that is resumed gets the events that are left.
+struct Ending {
+  Framing Form = Framing::Length;
+  End How = End::Whole;
+  std::atomic<int> Runs{0};
+};
+
+class EndingServer {
+public:
+  explicit EndingServer(Ending &Shared)
+      : Shared(Shared), Server([this](int Fd, int) { serve(Fd); }) {}
+  std::string address() const { return Server.address(); }
+
+private:
+  void serve(int Fd) {
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty())
+        return;
+      if (request.starts_with("POST /api/hold-take")) {
+        sendText(Fd, httpResponse(200, R"({"retention":"res1"})"));
+        continue;
+      }
+      if (!request.starts_with("POST /x/y")) {
+        sendText(Fd, httpResponse(200, "{}"));
+        continue;
+      }
+      run(Fd, request);
+      return;
+    }
+  }
+
+  void run(int Fd, const std::string &Request) {
+    bool first = ++Shared.Runs == 1;
+    End how = first ? Shared.How : End::Whole;
+    std::string after = headerField(Request, "Last-Event-Id");
+    std::string body = events(after.empty() ? 1 : std::stoi(after) + 1, 3);
+    size_t sent = body.size();
+    if (how == End::ClosedBetween)
+      sent -= event(3).size();
+    else if (how != End::Whole)
+      sent -= event(3).size() / 2;
+    respond(Fd, first ? Shared.Form : Framing::Chunks, body, sent);
+    if (how == End::SilentInside) {
+      readAll(Fd); // until the gateway gives up
+      return;
+    }
+    if (how == End::ResetInside) {
+      // A reset discards bytes that the gateway hasn't read.
+      std::this_thread::sleep_for(Milliseconds(100));
+      resetOnClose(Fd);
+    }
+  }
+
+  Ending &Shared;
+  ScriptServer Server;
+};
+
+void add(GatewayFixture &Gateway, const std::string &Id,
+         const std::string &Address, ServerStage Stage) {
+  crocusspur::gateway::ServerEntry entry;
+  entry.Id = Id;
+  entry.Service = Stage == ServerStage::Whole ? "bays" : "summaries";
+  entry.Address = Address;
+  entry.Slots = 4;
+  entry.Stage = Stage;
+  Gateway.Directory.applyServer({Id, ++Gateway.Revision, entry},
+                                UpdateOrigin::Store);
+}
+
+// The body of a chunked response, without its last chunk.
+std::string bodyOf(const std::string &Response) {
+  std::string body;
+  size_t at = Response.find("\r\n\r\n");
+  while (at != std::string::npos) {
+    at += at == Response.find("\r\n\r\n") ? 4 : 2;
+    size_t line = Response.find("\r\n", at);
+    if (line == std::string::npos)
+      break;
+    size_t n = std::stoul(Response.substr(at, line - at), nullptr, 16);
+    if (n == 0)
+      break;
+    body += Response.substr(line + 2, n);
+    at = line + 2 + n;
+  }
+  return body;
+}
+
+bool looksComplete(const std::string &Response) {
+  return Response.ends_with("\r\n0\r\n\r\n");
+}
+
+constexpr std::array Framings = {Framing::Length, Framing::Chunks,
+                                 Framing::UntilClose};
+
+} // namespace
+
+// A stream without a length or chunks ends with its connection, so a crash in
+// the middle of an event looked like the end.
+TEST_CASE("A stream that is cut inside an event never looks complete") {
+  for (Framing form : Framings)
+    for (End how : {End::ClosedInside, End::ResetInside, End::SilentInside}) {
+      CAPTURE(static_cast<int>(form));
+      CAPTURE(static_cast<int>(how));
+      GatewayFixture gateway;
+      Ending ending{form, how};
+      EndingServer server(ending);
+      add(gateway, "d1", server.address(), ServerStage::Decode);
+      PathRoute route = gateway.route(RouteKind::Stream);
+      route.Timeout = Milliseconds(1000); // ends the silent stream
+      std::string response = gateway.run(route);
+      CHECK_FALSE(looksComplete(response));
+      CHECK(bodyOf(response) == events(1, 2));
+      CHECK(ending.Runs == 1);
+    }
+}
+
+// The same fault kept such a stream from being resumed at another server.
+TEST_CASE("A resumable stream that is cut inside an event goes on elsewhere") {
+  for (Framing form : Framings)
+    for (End how : {End::ClosedInside, End::ResetInside, End::SilentInside}) {
+      CAPTURE(static_cast<int>(form));
+      CAPTURE(static_cast<int>(how));
+      GatewayFixture gateway;
+      Ending ending{form, how};
+      EndingServer first(ending);
+      EndingServer second(ending);
+      add(gateway, "d1", first.address(), ServerStage::Decode);
+      add(gateway, "d2", second.address(), ServerStage::Decode);
+      PathRoute route = gateway.route(RouteKind::Stream);
+      route.Resumable = true;
+      std::string response = gateway.run(route);
+      CHECK(looksComplete(response));
+      CHECK(bodyOf(response) == events(1, 3));
+      CHECK(ending.Runs == 2);
+    }
+}
+
+TEST_CASE("A whole stream is forwarded in every framing") {
+  for (Framing form : Framings) {
+    CAPTURE(static_cast<int>(form));
+    GatewayFixture gateway;
+    Ending ending{form, End::Whole};
+    EndingServer server(ending);
+    add(gateway, "d1", server.address(), ServerStage::Decode);
+    std::string response = gateway.run(gateway.route(RouteKind::Stream));
+    CHECK(looksComplete(response));
+    CHECK(bodyOf(response) == events(1, 3));
+  }
+}
+
+// Only a length or chunks can show that events are missing.
+TEST_CASE("A stream that is cut between events is broken unless its end is the "
+          "connection's") {
+  for (Framing form : Framings) {
+    CAPTURE(static_cast<int>(form));
+    GatewayFixture gateway;
+    Ending ending{form, End::ClosedBetween};
+    EndingServer server(ending);
+    add(gateway, "d1", server.address(), ServerStage::Decode);
+    std::string response = gateway.run(gateway.route(RouteKind::Stream));
+    CHECK(looksComplete(response) == (form == Framing::UntilClose));
+    CHECK(bodyOf(response) == events(1, 2));
+  }
+}
+
+TEST_CASE("A plain response that is cut is never forwarded") {
+  for (Framing form : Framings)
+    for (End how : {End::ClosedInside, End::ResetInside, End::SilentInside}) {
+      if (form == Framing::UntilClose && how == End::ClosedInside)
+        continue; // can't be told from the end
+      CAPTURE(static_cast<int>(form));
+      CAPTURE(static_cast<int>(how));
+      GatewayFixture gateway;
+      Ending ending{form, how};
+      EndingServer server(ending);
+      add(gateway, "b1", server.address(), ServerStage::Whole);
+      PathRoute route = gateway.route(RouteKind::NonIdempotent);
+      route.Timeout = Milliseconds(1000);
+      std::string response = gateway.run(route);
+      CHECK(response.starts_with(how == End::SilentInside ? "HTTP/1.1 504"
+                                                          : "HTTP/1.1 502"));
+      CHECK(response.find("\"run\":\"no\"") == std::string::npos);
+      CHECK(ending.Runs == 1);
+    }
+}
