Don't take the end of a connection inside an event for the end of a stream

Callers saw: a stream that its server had cut, framed as complete; on routes that may be resumed nobody continued it. Cause: without a length or chunks the end of the connection is the end of the response. relayStream() forwarded what was left, a part of an event, and wrote the last chunk. Change: such a stream has ended only if it ends between events; inside one it is broken off, and is resumed or cut for the caller like every other break. EventSplitter tells the two apart, so it now parses lines as the format has them: CR, LF and both end a line, and comments and empty lines are no part of an event. Event ids are read the same way.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -1,21 +1,39 @@
 #include "gateway/event_splitter.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace crocusspur::gateway {
 
 bool EventSplitter::next(std::string &Event) {
-  size_t plain = Pending.find("\n\n");
-  size_t carriage = Pending.find("\r\n\r\n");
-  size_t end = std::string::npos;
-  if (plain != std::string::npos)
-    end = plain + 2;
-  if (carriage != std::string::npos)
-    end = std::min(end, carriage + 4);
-  if (end == std::string::npos)
-    return false;
-  Event = Pending.substr(0, end);
-  Pending.erase(0, end);
+  while (Scanned < Pending.size()) {
+    char c = Pending[Scanned++];
+    if (c == '\n' && std::exchange(AfterReturn, false))
+      continue;
+    AfterReturn = c == '\r';
+    if (c != '\r' && c != '\n') {
+      HasField = HasField || (LineEmpty && c != ':');
+      HasLine = true;
+      LineEmpty = false;
+    } else if (!std::exchange(LineEmpty, true)) {
+      continue;
+    } else if (HasLine) {
+      return takeEvent(Event);
+    }
+  }
+  return false;
+}
+
+// The examined bytes end with the empty line.
+bool EventSplitter::takeEvent(std::string &Event) {
+  if (AfterReturn && Scanned < Pending.size() && Pending[Scanned] == '\n') {
+    ++Scanned;
+    AfterReturn = false;
+  }
+  Event = Pending.substr(0, Scanned);
+  Pending.erase(0, Scanned);
+  Scanned = 0;
+  HasLine = false;
+  HasField = false;
   return true;
 }
 
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -178,5 +178,6 @@
   HttpCodec codec = platform::makeHttpCodec();
   CHECK(codec.EventId("id: 12\ndata: x\n\n") == "12");
   CHECK(codec.EventId("data: id: 3\nid:4\r\n\r\n") == "4");
+  CHECK(codec.EventId("id: 5\rdata: x\r\r") == "5");
   CHECK(codec.EventId("data: x\n\n").empty());
 }
