Reset the connections of HTTP/1.0 callers whose response isn't complete

Callers saw: a caller of HTTP/1.0 whose stream is cut by a shutdown, by the end of the process or because it reads too slowly sees the connection end as after a complete response. Cause: such a response is delimited by the end of its connection, so only a reset tells that it is incomplete. The connection was reset only after HttpSink::end(false), which these three ways don't reach, and the listener for callers of 'serve' never reset one. Change: the socket of such a response resets on close from its begin until all of it was sent. The gateway's shutdown ends only the reading side of callers' connections, so that it sends no FIN before the handlers end. Result: 'A stream for HTTP/1.0 that outlasts a shutdown is reset', '... is reset when its instance is killed' and '... whose caller stops reading is reset' failed before and pass; a whole stream ends without a reset before and after. The listener of 'serve' is changed by analogy and has no test of its own.

--- a/src/caller_listener.cc
+++ b/src/caller_listener.cc
@@ -58,7 +58,10 @@
 
 private:
   bool admit(const StreamSocket &Socket);
-  bool serveOne(CallerReader &Reader, int Fd);
+  // Returns whether another request can follow on the connection. Sets `Cut` if
+  // the response isn't complete and only a reset shows that; see
+  // HttpSink::needsReset().
+  bool serveOne(CallerReader &Reader, int Fd, bool &Cut);
   void countActive(int Change);
   void rejectConnection(int Fd);
   void rejectUnreadable(RequestReadStatus Status, HttpSink &Sink);
@@ -178,9 +181,11 @@
       rejectConnection(Fd);
     } else {
       CallerReader reader(Fd, Limits);
-      while (!Stopping.load() && serveOne(reader, Fd)) {
+      bool cut = false;
+      while (!Stopping.load() && serveOne(reader, Fd, cut)) {
       }
-      reader.lingeringClose();
+      if (!cut)
+        reader.lingeringClose();
     }
   } catch (const std::exception &error) {
     log(LogLevel::Error, "caller_front", "connection ended by an exception",
@@ -225,8 +230,7 @@
   writeProblem(Sink, makeProblem(kind, detail, Events->nextRequestId()));
 }
 
-// Returns whether another request can follow on the connection.
-bool CallerListener::serveOne(CallerReader &Reader, int Fd) {
+bool CallerListener::serveOne(CallerReader &Reader, int Fd, bool &Cut) {
   PendingRequest pending;
   RequestReadStatus status = Reader.readHead(pending.Head);
   if (status == RequestReadStatus::Closed)
@@ -247,6 +251,7 @@
   countActive(1);
   handle(pending, Reader, sink);
   countActive(-1);
+  Cut = sink.needsReset();
   return sink.keepsAlive();
 }
 
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -50,11 +50,6 @@
 // Time for the last responses before the process exits.
 constexpr Milliseconds FinalResponseTimeout{200};
 
-void resetOnClose(int Fd) {
-  linger value{1, 0};
-  ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &value, sizeof value);
-}
-
 class GatewayListener final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
@@ -64,8 +59,9 @@
 
 private:
   ReadLimits limits() const;
-  // Returns whether to keep the connection. Sets `Reset` if it must be reset.
-  bool serveOne(CallerReader &Reader, int Fd, bool &Reset);
+  // Returns whether to keep the connection. Sets `Cut` if the response isn't
+  // complete and only a reset shows that; see HttpSink::needsReset().
+  bool serveOne(CallerReader &Reader, int Fd, bool &Cut);
   void setIdle(int Fd, bool Idle);
   void closeIdle();
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
@@ -122,8 +118,10 @@
     std::unique_lock lock(Mutex);
     Idle.wait_for(lock, FinalResponseTimeout,
                   [this] { return Runtime->OpenRequests.load() == 0; });
+    // Only the reading side: the handlers stop, and their sinks decide how open
+    // responses end.
     for (int it : Sockets)
-      ::shutdown(it, SHUT_RDWR);
+      ::shutdown(it, SHUT_RD);
   }
   Server.join();
 }
@@ -138,12 +136,10 @@
   try {
     ReadLimits values = limits();
     CallerReader reader(Fd, values);
-    bool reset = false;
-    while (serveOne(reader, Fd, reset))
+    bool cut = false;
+    while (serveOne(reader, Fd, cut))
       values = limits();
-    if (reset)
-      resetOnClose(Fd);
-    else
+    if (!cut)
       reader.lingeringClose();
   } catch (const std::exception &error) {
     log(LogLevel::Error, "gateway_front", "connection failed",
@@ -198,7 +194,7 @@
   writeProblem(Sink, item);
 }
 
-bool GatewayListener::serveOne(CallerReader &Reader, int Fd, bool &Reset) {
+bool GatewayListener::serveOne(CallerReader &Reader, int Fd, bool &Cut) {
   HttpHead head;
   setIdle(Fd, true);
   RequestReadStatus verdict = Reader.readHead(head);
@@ -229,7 +225,7 @@
     std::lock_guard lock(Mutex);
     Idle.notify_all();
   }
-  Reset = sink.needsReset();
+  Cut = sink.needsReset();
   return sink.keepsAlive() && !Runtime->Stopping.load();
 }
 
--- a/src/http_sink.cc
+++ b/src/http_sink.cc
@@ -70,6 +70,11 @@
   return true;
 }
 
+void setResetOnClose(int Fd, bool Enabled) {
+  linger value{Enabled ? 1 : 0, 0};
+  ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &value, sizeof value);
+}
+
 } // namespace
 
 const char *reasonPhrase(uint32_t Status) {
@@ -84,8 +89,10 @@
   bool noBody = Options.HeadOnly || Head.Status == 204 || Head.Status == 304;
   Chunked = !Head.HasLength && Options.MayChunk && !noBody;
   UntilClose = !Head.HasLength && !Chunked && !noBody;
-  if (UntilClose)
+  if (UntilClose) {
     KeepAlive = false;
+    setResetOnClose(Fd, true);
+  }
   PendingHead = "HTTP/1.1 " + std::to_string(Head.Status) + " " +
                 reasonPhrase(Head.Status) + "\r\n";
   if (!Head.ContentType.empty())
@@ -128,13 +135,17 @@
 }
 
 bool HttpSink::end(bool Complete) {
-  if (!Complete) {
+  if (!Complete)
     KeepAlive = false;
-    NeedsReset = UntilClose;
-  }
+  bool sent = !Disconnected;
   if (Complete && Chunked)
-    return flush("0\r\n\r\n", false);
-  return PendingHead.empty() ? !Disconnected : flush("", false);
+    sent = flush("0\r\n\r\n", false);
+  else if (!PendingHead.empty())
+    sent = flush("", false);
+  this->Complete = Complete && sent;
+  if (UntilClose && this->Complete)
+    setResetOnClose(Fd, false);
+  return sent;
 }
 
 } // namespace crocusspur::internal
--- a/src/http_sink.h
+++ b/src/http_sink.h
@@ -29,9 +29,11 @@
   // Whether another request can follow on the connection.
   bool keepsAlive() const { return KeepAlive && !Disconnected; }
   bool started() const { return Started; }
-  // The response was cut off and is delimited only by the end of the
-  // connection, so only a reset shows the caller that it is incomplete.
-  bool needsReset() const { return NeedsReset; }
+  // The response isn't complete and is delimited only by the end of the
+  // connection, so only a reset shows that to the caller. Closing the socket
+  // resets the connection then, also if the process ends; a shutdown() before
+  // would still look like the end.
+  bool needsReset() const { return UntilClose && !Complete; }
 
 private:
   bool flush(std::string_view Data, bool Framed);
@@ -43,7 +45,7 @@
   bool Started = false;
   bool Chunked = false;
   bool UntilClose = false; // the end of the connection ends the response
-  bool NeedsReset = false;
+  bool Complete = false;   // all of the response was sent
   bool Disconnected = false;
 };
 
