Don't trust the end of a connection that ends with the server's process

Callers could see: a response without a length or chunks whose server's process is killed between two events, or in a plain body, taken for complete. Cause: the kernel closes the connections of a process that is gone like those of one that has finished, and such a response has no other mark of its end. Change: after the end of such a response one connection is opened to the server, which is kept for later calls. If the address refuses it, and the server didn't announce its leaving, the response counts as broken off. Result: 'A response whose server's process ended with it isn't complete' (as stream and plain) and 'A resumable stream whose server's process ended goes on elsewhere' failed without the check and pass. What remains: a process that restarts, or goes silent, before the connection is tried can't be told from one that lives; a server that leaves without announcing it and refuses connections right after its last response is taken for one that broke it off.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -161,6 +161,13 @@
   Context.Crashes.runEnded(Run, End);
 }
 
+bool RequestHandler::mayBeCut(const ServerCall &Call,
+                              const ServerChoice &Server) {
+  return Call.bodyForm() == internal::BodyForm::UntilClose &&
+         !Context.Directory.isLeaving(Server.Id) &&
+         refusesConnections(Context.Connections, Waiter, Server.Address);
+}
+
 bool RequestHandler::mayUse(const std::string &ServerId) const {
   return Used.contains(ServerId) || Used.size() < Route.MaxServers;
 }
@@ -379,6 +386,8 @@
   std::string body;
   if (status == CallStatus::Responded)
     status = call.readWhole(body, MaxResponseBytes);
+  if (status == CallStatus::Responded && mayBeCut(call, Server))
+    status = CallStatus::ConnectionBroken;
   if (call.maySent())
     Used.insert(Server.Id);
   auto end = [&](CallResult Result, const std::string &Outcome,
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -103,6 +103,10 @@
   // one.
   void endRun(RunTracker::Id Run, const ServerChoice &Server, CallStatus Status,
               RunEnd End);
+  // Whether a response that ended with its connection may be a part: the
+  // server's process has ended, unless it announced its leaving. The connection
+  // that finds out is kept for later calls.
+  bool mayBeCut(const ServerCall &Call, const ServerChoice &Server);
   Milliseconds timeLeft() const;
   // Whether nothing may be sent to servers any more.
   bool shouldStop();
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -505,7 +505,8 @@
 
 // Forwards whole events. Returns Unknown if the stream broke off and the caller
 // is still connected. The end of a stream without a length or chunks is that of
-// its connection, so an end inside an event shows that the server broke off.
+// its connection, so an end inside an event, or with the server's process,
+// shows that the server broke off.
 RequestHandler::AttemptResult
 RequestHandler::relayStream(ServerCall &Call, const ServerChoice &Server) {
   if (!HeadSent) {
@@ -530,8 +531,8 @@
     finish("caller_left", "the caller closed its connection");
     return AttemptResult::Done;
   }
-  bool cut =
-      Call.bodyForm() == internal::BodyForm::UntilClose && events.insideEvent();
+  bool cut = Call.bodyForm() == internal::BodyForm::UntilClose &&
+             (events.insideEvent() || (end && mayBeCut(Call, Server)));
   if (end && status == CallStatus::Responded && !cut) {
     Call.finish();
     if (!events.rest().empty())
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <doctest/doctest.h>
+#include <functional>
 #include <thread>
 
 using namespace crocusspur;
@@ -67,6 +68,8 @@
 struct Ending {
   Framing Form = Framing::Length;
   End How = End::Whole;
+  bool ProcessEnds = false;        // connections are refused from then on
+  std::function<void()> BeforeEnd; // called before the first response ends
   std::atomic<int> Runs{0};
 };
 
@@ -105,6 +108,10 @@
       sent -= event(3).size();
     else if (how != End::Whole)
       sent -= event(3).size() / 2;
+    if (first && Shared.BeforeEnd)
+      Shared.BeforeEnd();
+    if (first && Shared.ProcessEnds)
+      Server.stopListening();
     respond(Fd, first ? Shared.Form : Framing::Chunks, body, sent);
     if (how == End::SilentInside) {
       readAll(Fd); // until the gateway gives up
@@ -122,13 +129,14 @@
 };
 
 void add(GatewayFixture &Gateway, const std::string &Id,
-         const std::string &Address, ServerStage Stage) {
+         const std::string &Address, ServerStage Stage, bool Leaving = false) {
   crocusspur::gateway::ServerEntry entry;
   entry.Id = Id;
   entry.Service = Stage == ServerStage::Whole ? "bays" : "summaries";
   entry.Address = Address;
   entry.Slots = 4;
   entry.Stage = Stage;
+  entry.Leaving = Leaving;
   Gateway.Directory.applyServer({Id, ++Gateway.Revision, entry},
                                 UpdateOrigin::Store);
 }
@@ -168,7 +176,7 @@
       CAPTURE(static_cast<int>(form));
       CAPTURE(static_cast<int>(how));
       GatewayFixture gateway;
-      Ending ending{form, how};
+      Ending ending{form, how, false};
       EndingServer server(ending);
       add(gateway, "d1", server.address(), ServerStage::Decode);
       PathRoute route = gateway.route(RouteKind::Stream);
@@ -187,7 +195,7 @@
       CAPTURE(static_cast<int>(form));
       CAPTURE(static_cast<int>(how));
       GatewayFixture gateway;
-      Ending ending{form, how};
+      Ending ending{form, how, false};
       EndingServer first(ending);
       EndingServer second(ending);
       add(gateway, "d1", first.address(), ServerStage::Decode);
@@ -237,7 +245,7 @@
       CAPTURE(static_cast<int>(form));
       CAPTURE(static_cast<int>(how));
       GatewayFixture gateway;
-      Ending ending{form, how};
+      Ending ending{form, how, false};
       EndingServer server(ending);
       add(gateway, "b1", server.address(), ServerStage::Whole);
       PathRoute route = gateway.route(RouteKind::NonIdempotent);
@@ -249,3 +257,51 @@
       CHECK(ending.Runs == 1);
     }
 }
+
+// The kernel closes the connections of a process that is gone, so a response
+// without a length or chunks seemed to have ended.
+TEST_CASE("A response whose server's process ended with it isn't complete") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::ClosedBetween, true};
+  EndingServer server(ending);
+  SUBCASE("stream") {
+    add(gateway, "d1", server.address(), ServerStage::Decode);
+    std::string response = gateway.run(gateway.route(RouteKind::Stream));
+    CHECK_FALSE(looksComplete(response));
+    CHECK(bodyOf(response) == events(1, 2));
+  }
+  SUBCASE("plain") {
+    add(gateway, "b1", server.address(), ServerStage::Whole);
+    std::string response = gateway.run(gateway.route(RouteKind::NonIdempotent));
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(response.find("\"run\":\"no\"") == std::string::npos);
+  }
+}
+
+TEST_CASE("A resumable stream whose server's process ended goes on elsewhere") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::ClosedBetween, true};
+  EndingServer first(ending);
+  EndingServer second(ending);
+  add(gateway, "d1", first.address(), ServerStage::Decode);
+  add(gateway, "d2", second.address(), ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  std::string response = gateway.run(route);
+  CHECK(looksComplete(response));
+  CHECK(bodyOf(response) == events(1, 3));
+}
+
+// A server that leaves refuses connections once it has finished its responses.
+TEST_CASE("The last response of a leaving server is complete") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::Whole, true};
+  EndingServer server(ending);
+  add(gateway, "d1", server.address(), ServerStage::Decode);
+  ending.BeforeEnd = [&] {
+    add(gateway, "d1", server.address(), ServerStage::Decode, true);
+  };
+  std::string response = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(looksComplete(response));
+  CHECK(bodyOf(response) == events(1, 3));
+}
