Don't take a service's event stream that ends inside an event for complete

Callers of 'serve' saw: an event stream of a plain service without a length or chunks, cut by its server inside an event, ended with the last chunk. Change: such a response has failed if it ends inside an event. EventSplitter moves to src/, where both programs use it. The end of a server's process right after such a response is not looked for in 'serve'.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -1,5 +1,7 @@
 #include "backend_client.h"
 
+#include "event_splitter.h"
+
 #include <Poco/Dynamic/Var.h>
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
@@ -223,11 +225,22 @@
   bool Done = false;
 };
 
+bool isEventStream(const HttpHead &Head) {
+  const std::string *type = Head.find("Content-Type");
+  return type && type->starts_with("text/event-stream");
+}
+
+// An event stream without a length or chunks ends with its connection. It has
+// broken off if it ends inside an event.
 BackendCallResult relayServiceResponse(HttpExchange &Exchange,
                                        ServiceHandler &Handler,
                                        Milliseconds Timeout) {
   if (!Handler.onHead(Exchange.head()))
     return {StageOutcome::Failed, true};
+  bool checkEvents = Exchange.bodyForm() == BodyForm::UntilClose &&
+                     isEventStream(Exchange.head());
+  EventSplitter events;
+  std::string event;
   std::string data;
   bool end = false;
   while (!end) {
@@ -237,7 +250,14 @@
       return toResult(status, Exchange);
     if (!data.empty() && !Handler.onBody(data))
       return {StageOutcome::Failed, true};
+    if (!checkEvents)
+      continue;
+    events.add(data);
+    while (events.next(event)) {
+    }
   }
+  if (checkEvents && events.insideEvent())
+    return {StageOutcome::Failed, false};
   return {};
 }
 
--- a/src/gateway/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -1,8 +1,8 @@
-#include "gateway/event_splitter.h"
+#include "event_splitter.h"
 
 #include <utility>
 
-namespace crocusspur::gateway {
+namespace crocusspur::internal {
 
 bool EventSplitter::next(std::string &Event) {
   while (Scanned < Pending.size()) {
@@ -37,4 +37,4 @@
   return true;
 }
 
-} // namespace crocusspur::gateway
+} // namespace crocusspur::internal
--- a/src/gateway/event_splitter.h
+++ b/src/event_splitter.h
@@ -1,13 +1,13 @@
 // Splits the bytes of an event stream (text/event-stream) at event boundaries,
 // so that only whole events are forwarded. Lines end with CR, LF or both, as
 // the format allows, and an empty line ends an event.
-#ifndef CROCUSSPUR_GATEWAY_EVENT_SPLITTER_H
-#define CROCUSSPUR_GATEWAY_EVENT_SPLITTER_H
+#ifndef CROCUSSPUR_EVENT_SPLITTER_H
+#define CROCUSSPUR_EVENT_SPLITTER_H
 
 #include <string>
 #include <string_view>
 
-namespace crocusspur::gateway {
+namespace crocusspur::internal {
 
 class EventSplitter {
 public:
@@ -33,6 +33,6 @@
   bool AfterReturn = false; // the last byte was a CR, which an LF may follow
 };
 
-} // namespace crocusspur::gateway
+} // namespace crocusspur::internal
 
 #endif
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -4,7 +4,7 @@
 #ifndef CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
-#include "gateway/event_splitter.h"
+#include "event_splitter.h"
 #include "gateway/gateway_context.h"
 #include "http_sink.h"
 #include "log.h"
@@ -89,7 +89,7 @@
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server);
-  bool forwardEvents(EventSplitter &Events);
+  bool forwardEvents(internal::EventSplitter &Events);
   void release(const DecodeReservation &Target);
   void release(const PromptKvCache &Cache);
   void sendRelease(const ServerChoice &Server, const std::string &Bytes,
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -514,7 +514,7 @@
     Sink.begin(responseHead(Call));
     HeadSent = true;
   }
-  EventSplitter events;
+  internal::EventSplitter events;
   bool end = false;
   CallStatus status = CallStatus::Responded;
   Milliseconds stallTimeout = timeLeft();
@@ -549,7 +549,7 @@
   return AttemptResult::Unknown;
 }
 
-bool RequestHandler::forwardEvents(EventSplitter &Events) {
+bool RequestHandler::forwardEvents(internal::EventSplitter &Events) {
   std::string all;
   std::string event;
   while (Events.next(event)) {
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -290,6 +290,32 @@
         StageOutcome::Failed);
 }
 
+// Without a length or chunks, the end of the connection was taken for the end.
+TEST_CASE("A service's event stream that ends inside an event has failed") {
+  std::string body;
+  ScriptServer server([&](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n\r\n" +
+                     body);
+  });
+  auto outcomeOf = [&](const std::string &Sent) {
+    body = Sent;
+    BackendClient client;
+    ServiceRequest input;
+    input.Method = "GET";
+    input.Path = "/";
+    const std::string none;
+    input.Body = &none;
+    ServiceCollector response;
+    PollWaiter waiter;
+    return client.service(callTo(server.address()), input, waiter, response)
+        .Outcome;
+  };
+  CHECK(outcomeOf("data: a\n\ndata: b\n\n") == StageOutcome::Ok);
+  CHECK(outcomeOf("data: a\n\ndata: b") == StageOutcome::Failed);
+  CHECK(outcomeOf("data: a\n\ndata: b\n") == StageOutcome::Failed);
+}
+
 TEST_CASE("A control call is retried once if a reused connection has broken") {
   // Guards against lost cancels after a server closed an idle connection.
   ScriptServer server([](int Fd, int Number) {
--- a/test/gateway_event_splitter_test.cc
+++ b/test/event_splitter_test.cc
@@ -1,9 +1,9 @@
-#include "gateway/event_splitter.h"
+#include "event_splitter.h"
 
 #include <doctest/doctest.h>
 #include <vector>
 
-using namespace crocusspur::gateway;
+using namespace crocusspur::internal;
 
 namespace {
 
