Put responses without framing into the soak and make its proxy's cuts real

Cause: the soak's servers sent streams in chunks only, so it could not show broken-off streams that look complete. Its proxy ended connections with a FIN where it meant a reset, and passed bytes on after some that it had dropped; TCP does neither, and without framing either looks like a whole stream. Change: a third of the streams has no framing and may be cut inside an event; the draws of the other faults stay. The proxy resets connections, passes resets on, and delivers nothing after a byte that it dropped.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -13,6 +13,14 @@
 constexpr Milliseconds ForwardDelay{30};
 constexpr int PollIntervalMs = 50; // interval at which the mode is checked
 
+// Disconnecting a TCP socket resets its connection. A shutdown() would end it
+// as the peer itself does, whatever SO_LINGER says.
+void resetConnection(int Fd) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  ::connect(Fd, &none, sizeof none);
+}
+
 } // namespace
 
 FaultProxy::FaultProxy(std::string Target)
@@ -27,10 +35,8 @@
 
 void FaultProxy::resetAll() {
   std::lock_guard lock(Mutex);
-  for (int it : OpenSockets) {
-    resetOnClose(it);
-    ::shutdown(it, SHUT_RDWR);
-  }
+  for (int it : OpenSockets)
+    resetConnection(it);
 }
 
 void FaultProxy::serve(int Fd) {
@@ -49,6 +55,8 @@
   }
   pollfd fds[2] = {{Fd, POLLIN, 0}, {upstream, POLLIN, 0}};
   bool open = true;
+  bool broken = false;   // by a reset of one side
+  bool dropping = false; // no byte may follow one that was dropped
   while (open) {
     ProxyFault mode = Mode.load();
     if (mode == ProxyFault::Stall) {
@@ -65,14 +73,20 @@
       char buf[16384];
       ssize_t n = ::recv(fds[i].fd, buf, sizeof buf, 0);
       open = n > 0;
+      broken = broken || n < 0;
       if (mode == ProxyFault::Delay)
         std::this_thread::sleep_for(ForwardDelay);
-      bool drop = i == 1 && mode == ProxyFault::DropResponses;
-      if (open && !drop)
+      dropping =
+          dropping || (open && i == 1 && mode == ProxyFault::DropResponses);
+      if (open && !(i == 1 && dropping))
         sendText(fds[1 - i].fd, {buf, static_cast<size_t>(n)});
     }
   }
   std::lock_guard lock(Mutex);
+  if (broken || dropping) {
+    resetConnection(Fd);
+    resetConnection(upstream);
+  }
   OpenSockets.erase(Fd);
   OpenSockets.erase(upstream);
   ::close(upstream);
--- a/soak/soak_servers.cc
+++ b/soak/soak_servers.cc
@@ -51,7 +51,7 @@
 }
 
 SoakServer::SoakServer(RunCounter &Executions, uint64_t Seed)
-    : Executions(Executions), Random(Seed),
+    : Executions(Executions), Random(Seed), FramingRandom(~Seed),
       Server([this](int Fd, int) { serve(Fd); }) {}
 
 SoakServer::~SoakServer() {
@@ -71,6 +71,11 @@
   return static_cast<unsigned>(Random() % Below);
 }
 
+bool SoakServer::drawUnframed() {
+  std::lock_guard lock(Mutex);
+  return FramingRandom() % 3 == 0;
+}
+
 void SoakServer::serve(int Fd) {
   {
     std::lock_guard lock(Mutex);
@@ -158,17 +163,22 @@
   int to = randomBelow(5) == 0
                ? from + static_cast<int>(randomBelow(StreamEvents)) - 1
                : StreamEvents;
-  sendText(Fd, responseHead(200, Id, "Transfer-Encoding: chunked"));
+  bool unframed = drawUnframed();
+  sendText(Fd, responseHead(200, Id,
+                            unframed ? "Cache-Control: no-store"
+                                     : "Transfer-Encoding: chunked"));
   for (int i = from; i <= std::min(to, StreamEvents); ++i) {
-    sendText(Fd, chunk(expectedEvent(i, Id)));
+    std::string event = expectedEvent(i, Id);
+    sendText(Fd, unframed ? event : chunk(event));
     std::this_thread::sleep_for(Milliseconds(5));
   }
-  if (to < StreamEvents) {
-    sendText(Fd, "9\r\nid: 9"); // in the middle of an event
+  if (to < StreamEvents) { // in the middle of an event
+    sendText(Fd, unframed ? "id: 9" : "9\r\nid: 9");
     return false;
   }
-  sendText(Fd, "0\r\n\r\n");
-  return true;
+  if (!unframed)
+    sendText(Fd, "0\r\n\r\n");
+  return !unframed;
 }
 
 } // namespace crocusspur::soak
--- a/soak/soak_servers.h
+++ b/soak/soak_servers.h
@@ -44,10 +44,14 @@
   bool respondPlain(int Fd, const std::string &Id);
   bool respondStream(int Fd, const std::string &Request, const std::string &Id);
   unsigned randomBelow(unsigned Below);
+  // The framing of responses has draws of its own, so that the other faults of
+  // each seed stay what they are.
+  bool drawUnframed();
 
   RunCounter &Executions;
   std::mutex Mutex;
   std::mt19937_64 Random;
+  std::mt19937_64 FramingRandom;
   std::set<int> OpenSockets;
   bool Stopping = false;
   ScriptServer Server;
