Reproduce streams that go on at another software version

Change: process tests with servers of two versions: a break within an answer, a caller's return to another instance, after the instance's kill, a return of a return, a version without a server, an unknown origin.

--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -162,9 +162,10 @@
 }
 
 std::string serverEntry(const std::string &Service, const std::string &Address,
-                        const std::string &More, int64_t StartedAt) {
+                        const std::string &More, int64_t StartedAt,
+                        const std::string &Version) {
   return "{\"service\":\"" + Service + "\",\"address\":\"" + Address +
-         "\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":6," +
+         "\",\"zone\":\"hall-a\",\"version\":\"" + Version + "\",\"slots\":6," +
          (More.empty() ? std::string("\"state\":\"ready\"") : More) +
          ",\"cold-left-ms\":0,\"sequence\":1,\"born\":" +
          std::to_string(StartedAt) + "}";
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -60,7 +60,8 @@
 // Returns the entry of a ready server of the service.
 std::string serverEntry(const std::string &Service, const std::string &Address,
                         const std::string &More = "",
-                        int64_t StartedAt = 1764000000123);
+                        int64_t StartedAt = 1764000000123,
+                        const std::string &Version = "v1");
 
 struct GatewayInstance {
   std::string Name;
--- /dev/null
+++ b/test/gateway_stream_version_process_test.cc
@@ -0,0 +1,293 @@
+// Streams of a service whose servers run two software versions: each holds
+// events of one version only, whichever way it goes on.
+#include "gateway_fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace crocusspur;
+using crocusspur::test::GatewayFleet;
+using crocusspur::test::GatewayInstance;
+using crocusspur::test::serverEntry;
+using crocusspur::test::WaitTimeout;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr const char *StreamConfig =
+    R"({"version":2,"routes":[{"name":"t","host":"a.example",)"
+    R"("path-prefix":"/t/","type":"streaming","timeout-ms":14000,)"
+    R"("latency-target-ms":900,"itl-target-ms":300,"priority":1,)"
+    R"("service":"llm","max-attempts":2,"resumable":true}],)"
+    R"("services":[{"name":"llm"}]})";
+constexpr int EventCount = 15;
+constexpr Milliseconds EventInterval{15};
+
+// A server whose events name its version.
+class VersionedServer {
+public:
+  explicit VersionedServer(std::string Version)
+      : Version(std::move(Version)), Server([this](int Fd, int) {
+          while (serve(Fd)) {
+          }
+        }) {}
+
+  std::string address() const { return Server.address(); }
+  std::string version() const { return Version; }
+  // Makes the next streams break off after some events.
+  void breakNext(int Streams) { Breaks.store(Streams); }
+  int runs() const { return Runs.load(); }
+
+private:
+  bool serve(int Fd) {
+    std::string request = readRequest(Fd);
+    if (request.empty())
+      return false;
+    ++Runs;
+    bool breaks = Breaks.fetch_sub(1) > 0;
+    std::string id = headerField(request, "Attempt-Id");
+    std::string last = headerField(request, "Last-Event-Id");
+    sendText(Fd, "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: " +
+                     id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    int from = last.empty() ? 1 : std::stoi(last) + 1;
+    for (int i = from; i <= EventCount; ++i) {
+      if (breaks && i == from + 4)
+        return false;
+      std::string event =
+          "id: " + std::to_string(i) + "\ndata: " + Version + "\n\n";
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+      sendText(Fd, size + event + "\r\n");
+      std::this_thread::sleep_for(EventInterval);
+    }
+    sendText(Fd, "0\r\n\r\n");
+    return true;
+  }
+
+  std::string Version;
+  std::atomic<int> Breaks{0};
+  std::atomic<int> Runs{0};
+  ScriptServer Server;
+};
+
+// What a caller has received of one stream, over all its attempts.
+struct ReceivedStream {
+  std::vector<std::pair<int, std::string>> Events; // id and version
+  bool Complete = false;
+  int Status = 0; // of the last attempt
+
+  void add(const std::string &Response) {
+    Status = Response.size() > 12 ? std::atoi(Response.c_str() + 9) : 0;
+    Complete = Response.ends_with("0\r\n\r\n");
+    for (size_t at = Response.find("id: "); at != std::string::npos;
+         at = Response.find("id: ", at + 1)) {
+      size_t data = Response.find("data: ", at);
+      size_t end = Response.find("\n\n", at);
+      if (end == std::string::npos || data > end)
+        break;
+      Events.emplace_back(std::atoi(Response.c_str() + at + 4),
+                          Response.substr(data + 6, end - data - 6));
+    }
+  }
+  std::string lastId() const { return std::to_string(Events.back().first); }
+  bool hasOneVersion() const {
+    return std::ranges::all_of(Events, [&](const auto &It) {
+      return It.second == Events.front().second;
+    });
+  }
+  bool isWhole() const {
+    for (size_t i = 0; i < Events.size(); ++i)
+      if (Events[i].first != static_cast<int>(i) + 1)
+        return false;
+    return Complete && Events.size() == EventCount;
+  }
+};
+
+int openStream(const GatewayInstance &Item, const std::string &Id,
+               const std::string &Fields, const std::string &Path = "/t/x") {
+  int fd = test::connectTo(Item.Callers);
+  sendText(fd, "POST " + Path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " +
+                   Id + "\r\nDeadline-Ms: 14000\r\n" + Fields +
+                   "Content-Length: 4\r\nConnection: close\r\n\r\nbody");
+  return fd;
+}
+
+std::string resumption(const ReceivedStream &Stream, const std::string &First) {
+  return "Last-Event-Id: " + Stream.lastId() + "\r\nResumes: " + First + "\r\n";
+}
+
+// Two servers each of v1 and v1.1 behind some instances.
+struct TwoVersions {
+  explicit TwoVersions(int Count) : Fleet(Count) {
+    Fleet.Store.put("op/config", StreamConfig);
+    for (const char *version : {"v1", "v1", "v1.1", "v1.1"}) {
+      Servers.push_back(std::make_unique<VersionedServer>(version));
+      publish(Servers.size() - 1);
+    }
+    Fleet.startAll();
+  }
+
+  void publish(size_t Server, const std::string &More = "") {
+    Fleet.Store.put("servers/s" + std::to_string(Server),
+                    serverEntry("llm", Servers[Server]->address(), More,
+                                1764000000123, Servers[Server]->version()));
+  }
+
+  // Begins a stream and breaks it off on the caller's side after three events.
+  ReceivedStream begin(size_t Instance, const std::string &Id) {
+    ReceivedStream stream;
+    int fd = openStream(Fleet.Instances[Instance], Id, "");
+    std::string text = readUntil(fd, "\n\n");
+    text += readUntil(fd, "\n\n");
+    text += readUntil(fd, "\n\n");
+    ::close(fd);
+    stream.add(text);
+    return stream;
+  }
+
+  void resume(ReceivedStream &Stream, size_t Instance, const std::string &Id,
+              const std::string &First) {
+    int fd =
+        openStream(Fleet.Instances[Instance], Id, resumption(Stream, First));
+    Stream.add(readAll(fd));
+    ::close(fd);
+  }
+
+  // Outlive the fleet, which keeps connections to them.
+  std::vector<std::unique_ptr<VersionedServer>> Servers;
+  GatewayFleet Fleet;
+};
+
+} // namespace
+
+// A stream went on at any server that had a place.
+TEST_CASE("A stream that its server breaks goes on at the same version") {
+  TwoVersions setup(1);
+  for (int i = 0; i < 12; ++i) {
+    for (auto &it : setup.Servers)
+      it->breakNext(1);
+    int fd = openStream(setup.Fleet.Instances[0], "a" + std::to_string(i), "");
+    ReceivedStream stream;
+    stream.add(readAll(fd));
+    ::close(fd);
+    for (auto &it : setup.Servers)
+      it->breakNext(0);
+    CAPTURE(i);
+    CHECK(stream.hasOneVersion());
+  }
+}
+
+// The instance that a caller returned to didn't know where the stream began.
+TEST_CASE("A stream that is taken up at another instance keeps its version") {
+  TwoVersions setup(3);
+  for (int i = 0; i < 12; ++i) {
+    CAPTURE(i);
+    std::string first = "b" + std::to_string(i);
+    ReceivedStream stream = setup.begin(0, first);
+    setup.resume(stream, 1 + static_cast<size_t>(i % 2), first + "r", first);
+    CHECK(stream.Status == 200);
+    CHECK(stream.hasOneVersion());
+    CHECK(stream.isWhole());
+  }
+}
+
+TEST_CASE("A stream keeps its version after its instance was killed") {
+  TwoVersions setup(4);
+  std::vector<ReceivedStream> streams;
+  for (int i = 0; i < 8; ++i)
+    streams.push_back(setup.begin(0, "k" + std::to_string(i)));
+  setup.Fleet.Instances[0].Process->signal(SIGKILL);
+  for (int i = 0; i < 8; ++i) {
+    CAPTURE(i);
+    std::string first = "k" + std::to_string(i);
+    ReceivedStream &stream = streams[static_cast<size_t>(i)];
+    setup.resume(stream, 1 + static_cast<size_t>(i % 3), first + "r", first);
+    CHECK(stream.Status == 200);
+    CHECK(stream.hasOneVersion());
+    CHECK(stream.isWhole());
+  }
+}
+
+TEST_CASE("A stream that is taken up twice keeps its version") {
+  TwoVersions setup(3);
+  for (int i = 0; i < 6; ++i) {
+    CAPTURE(i);
+    std::string first = "w" + std::to_string(i);
+    ReceivedStream stream = setup.begin(0, first);
+    int fd = openStream(setup.Fleet.Instances[1], first + "r",
+                        resumption(stream, first));
+    std::string text = readUntil(fd, "\n\n");
+    text += readUntil(fd, "\n\n");
+    ::close(fd);
+    stream.add(text);
+    setup.resume(stream, 2, first + "rr", first);
+    CHECK(stream.hasOneVersion());
+    CHECK(stream.isWhole());
+  }
+}
+
+// Waiting for a server of that version would hold callers for their whole time.
+TEST_CASE("A stream whose version has no server left is refused at once") {
+  TwoVersions setup(2);
+  std::string first = "g0";
+  ReceivedStream stream = setup.begin(0, first);
+  for (size_t i = 0; i < setup.Servers.size(); ++i)
+    if (setup.Servers[i]->version() == stream.Events.front().second)
+      setup.publish(i, "\"state\":\"draining\"");
+  std::this_thread::sleep_for(Milliseconds(2500));
+  int runs = 0;
+  for (auto &it : setup.Servers)
+    runs += it->runs();
+  auto start = Clock::now();
+  std::string response;
+  int fd =
+      openStream(setup.Fleet.Instances[1], "g0r", resumption(stream, first));
+  response = readAll(fd);
+  ::close(fd);
+  CHECK(response.starts_with("HTTP/1.1 503"));
+  CHECK(response.find("\"run\":\"no\"") != std::string::npos);
+  CHECK(response.find("Retry-After: ") != std::string::npos);
+  CHECK(Clock::now() - start < Milliseconds(1000));
+  int runsAfter = 0;
+  for (auto &it : setup.Servers)
+    runsAfter += it->runs();
+  CHECK(runsAfter == runs);
+}
+
+// An id that no instance knows is no ground for a guess, nor may an id of
+// another request tell where that one began.
+TEST_CASE("A stream of unknown origin is refused while two versions serve") {
+  TwoVersions setup(2);
+  ReceivedStream stream = setup.begin(0, "u0");
+  for (const std::string &fields :
+       {"Last-Event-Id: 3\r\nResumes: made-up\r\n", "Last-Event-Id: 3\r\n",
+        "Resumes: made-up\r\n"}) {
+    CAPTURE(fields);
+    int fd = openStream(setup.Fleet.Instances[1], "u1", fields);
+    CHECK(readAll(fd).starts_with("HTTP/1.1 503"));
+    ::close(fd);
+  }
+  int fd = openStream(setup.Fleet.Instances[1], "u2", resumption(stream, "u0"),
+                      "/t/other");
+  CHECK(readAll(fd).starts_with("HTTP/1.1 503"));
+  ::close(fd);
+}
+
+// Refusing what can be known would end most streams after a kill.
+TEST_CASE("A stream of unknown origin goes on where one version serves") {
+  VersionedServer server("v1"); // outlives the fleet
+  GatewayFleet fleet(2);
+  fleet.Store.put("op/config", StreamConfig);
+  fleet.Store.put("servers/s0", serverEntry("llm", server.address()));
+  fleet.startAll();
+  // The callers' whole time, in which the stream may have begun.
+  std::this_thread::sleep_for(Milliseconds(2500));
+  int fd = openStream(fleet.Instances[1], "o1",
+                      "Last-Event-Id: 3\r\nResumes: made-up\r\n");
+  CHECK(readAll(fd).ends_with("0\r\n\r\n"));
+  ::close(fd);
+}
