Read and log servers' software versions and the attempt that a stream began with

Change: the version of an entry and the attempt that a caller names are decoded and logged with each call and at the end of a request. No decision uses them. An entry without a version, or with one that isn't text, names no server, like entries that lack another field. Result: the tests of entries pass, two new cases are rejected, empty and long versions are accepted.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -32,7 +32,8 @@
 }
 
 ServerChoice choiceOf(const ServerEntry &Entry) {
-  return {Entry.Id, Entry.Address, Entry.FailureDomain, Entry.StartedAt, false};
+  return {Entry.Id,      Entry.Address,   Entry.FailureDomain,
+          Entry.Version, Entry.StartedAt, false};
 }
 
 } // namespace
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -26,6 +26,7 @@
   std::string Service;
   std::string Address; // "IP:port"
   std::string FailureDomain;
+  std::string Version; // of its software
   uint32_t Slots = 0;
   bool Leaving = false;
   ServerStage Stage = ServerStage::Whole;
@@ -54,6 +55,7 @@
   std::string Id;
   std::string Address;
   std::string FailureDomain;
+  std::string Version; // of its software
   int64_t StartedAt = 0;
   bool Failing = false; // avoided after failures, or its entry was removed
 };
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -30,6 +30,9 @@
   std::optional<Milliseconds> TimeLeft; // until the caller's deadline
   std::optional<GenerationSize> Generation;
   std::string LastEventId; // resume the stream after this event
+  // Id of the caller's attempt that brought the first event of the stream that
+  // this request takes up; empty if it takes up none.
+  std::string ResumedRequestId;
 };
 
 // Options of one call to a server, in addition to the caller's request.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -89,6 +89,7 @@
   internal::LogFields all = fields();
   all.emplace_back("stage", Stage);
   all.emplace_back("server", Server.Id);
+  all.emplace_back("server_version", Server.Version);
   all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
   all.emplace_back("content", fingerprintText(Content));
   all.emplace_back("send", std::to_string(Sends));
@@ -113,6 +114,10 @@
   internal::LogFields all = fields();
   all.emplace_back("content", fingerprintText(Content));
   all.emplace_back("sends", std::to_string(Sends));
+  if (!Request.ResumedRequestId.empty())
+    all.emplace_back("resumes", Request.ResumedRequestId);
+  if (!Request.LastEventId.empty())
+    all.emplace_back("last_event_id", Request.LastEventId);
   all.emplace_back("outcome", Outcome);
   all.emplace_back("why", Why);
   all.emplace_back("status", std::to_string(Status));
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -63,6 +63,7 @@
   if (Change.Entry) {
     fields.emplace_back("service", Change.Entry->Service);
     fields.emplace_back("address", Change.Entry->Address);
+    fields.emplace_back("version", Change.Entry->Version);
     fields.emplace_back("stage", nameOf(Change.Entry->Stage));
     fields.emplace_back("leaving", Change.Entry->Leaving ? "true" : "false");
     fields.emplace_back("started_at", std::to_string(Change.Entry->StartedAt));
--- a/test/platform_entries_test.cc
+++ b/test/platform_entries_test.cc
@@ -42,6 +42,7 @@
   CHECK(entry->Id == "i-1");
   CHECK(entry->Service == "bays");
   CHECK(entry->FailureDomain == "hall-a");
+  CHECK(entry->Version == "v1");
   CHECK(entry->Stage == ServerStage::Decode);
   CHECK(entry->StartedAt == 1764000000123);
   CHECK_FALSE(entry->Leaving);
@@ -59,6 +60,8 @@
       {"\"phase\":\"decode\"", "\"phase\":\"dreaming\""},
       {"\"born\":1764000000123", "\"born\":\"now\""},
       {"\"born\":1764000000123", "\"born\":12.5"},
+      {"\"version\":\"v1\"", "\"version\":1"},
+      {"\"version\":\"v1\",", ""},
       {"\"zone\":\"hall-a\"", "\"zone\":null"}};
   for (const auto &it : invalidFields) {
     const char *from = it.first;
@@ -72,6 +75,18 @@
   CHECK_FALSE(parseServerEntry("i-1", "[]").has_value());
 }
 
+TEST_CASE("parseServerEntry accepts any text as a software version") {
+  for (const std::string &version : {"", "v1.2-rc 3"}) {
+    auto entry = parseServerEntry(
+        "i-1", replaced(GoodServer, "\"v1\"", "\"" + version + "\""));
+    REQUIRE(entry.has_value());
+    CHECK(entry->Version == version);
+  }
+  const std::string longest(400, 'v');
+  CHECK(parseServerEntry("i-1", replaced(GoodServer, "v1", longest))->Version ==
+        longest);
+}
+
 TEST_CASE("parseServerEntry ignores unknown fields") {
   CHECK(parseServerEntry("i-1", replaced(GoodServer, "{", "{\"new-field\":{},"))
             .has_value());
