--- a/include/crocusspur/errors.h
+++ b/include/crocusspur/errors.h
@@ -42,10 +42,11 @@
   Internal,              // a bug; logged with detail
   // The kinds are numbered in messages between instances, so new ones follow.
   ContentRefused, // not run: earlier requests like it crashed backend servers
+  StreamNotResumable, // not run: no server may continue the stream
 };
 
 inline constexpr size_t ErrorKindCount =
-    static_cast<size_t>(ErrorKind::ContentRefused) + 1;
+    static_cast<size_t>(ErrorKind::StreamNotResumable) + 1;
 
 // The response to a caller for one error kind.
 struct ErrorResponse {
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -72,6 +72,9 @@
     {"content_refused", 503,
      "Requests like this one crashed backend servers and are refused.",
      ExecutionState::No, true},
+    {"stream_not_resumable", 503,
+     "No backend server is known that may continue this stream.",
+     ExecutionState::No, true},
 }};
 
 } // namespace
--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -124,6 +124,20 @@
   return {first, Members.at(first).Item.Address, true};
 }
 
+std::vector<std::string> MemberTable::keepersOf(const std::string &Key,
+                                                TimePoint Now) const {
+  std::vector<std::string> names;
+  for (const auto &[name, state] : Members)
+    if (Now - state.LastSeenAt < MemberRetention && state.SkipUntil <= Now)
+      names.push_back(name);
+  if (names.empty())
+    return Seeds; // as after the start
+  std::vector<std::string> addresses;
+  for (const std::string &it : rankByRendezvous(Key, std::move(names)))
+    addresses.push_back(Members.at(it).Item.Address);
+  return addresses;
+}
+
 uint32_t MemberTable::budgetSharers(TimePoint Now) {
   if (!EverSeenMember)
     return DefaultSharers;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -89,6 +89,12 @@
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving,
                    TimePoint Now) const;
 
+  // Returns the addresses of the other instances in the rendezvous order of the
+  // key, without those whose last contact failed recently; the seeds if there
+  // are none.
+  std::vector<std::string> keepersOf(const std::string &Key,
+                                     TimePoint Now) const;
+
   // Number of instances that may share a budget, including this one: the
   // maximum known at once in the last minute, or a conservative default until
   // members are known.
--- /dev/null
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -0,0 +1,62 @@
+#include "gateway/decisions/stream_origin_table.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace crocusspur::gateway {
+namespace {
+
+// Bounds of what a peer or a caller may ask to keep.
+constexpr std::chrono::minutes MaxLifetime{10};
+constexpr size_t MaxStreams = 65536; // beyond it, the next to expire is dropped
+
+} // namespace
+
+StreamKey streamKeyOf(std::string_view Host, std::string_view Target,
+                      std::string_view RequestId) {
+  uint64_t hash = 0;
+  for (std::string_view it : {Host, Target, RequestId})
+    // The size keeps the boundaries between parts.
+    hash = XXH64(it.data(), it.size(), hash + it.size());
+  return hash;
+}
+
+void StreamOriginTable::expire(TimePoint Now) {
+  while (!Expiries.empty() &&
+         (Expiries.begin()->first < Now || Streams.size() > MaxStreams)) {
+    Streams.erase(Expiries.begin()->second);
+    Expiries.erase(Expiries.begin());
+  }
+}
+
+void StreamOriginTable::add(const StreamOrigin &Record, TimePoint Now) {
+  auto [it, isNew] = Streams.try_emplace(Record.Stream);
+  State &state = it->second;
+  bool isOlder =
+      state.Writer == Record.Writer && Record.Sequence <= state.Sequence;
+  if (!isNew && isOlder)
+    return;
+  if (isNew || state.Writer == Record.Writer)
+    state.Version = Record.Version;
+  else if (state.Version != Record.Version)
+    state.Version = 0;
+  state.Writer = Record.Writer;
+  state.Sequence = Record.Sequence;
+  TimePoint expiresAt =
+      Now + std::min<Milliseconds>(Record.Lifetime, MaxLifetime);
+  if (!isNew)
+    Expiries.erase(state.Expiry);
+  state.ExpiresAt = isNew ? expiresAt : std::max(state.ExpiresAt, expiresAt);
+  state.Expiry = Expiries.emplace(state.ExpiresAt, Record.Stream);
+  expire(Now);
+}
+
+std::optional<VersionKey> StreamOriginTable::find(StreamKey Stream,
+                                                  TimePoint Now) const {
+  auto it = Streams.find(Stream);
+  if (it == Streams.end() || it->second.ExpiresAt < Now)
+    return std::nullopt;
+  return it->second.Version;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/stream_origin_table.h
@@ -0,0 +1,59 @@
+// At which software version streams began, as far as an instance knows: from
+// its own runs and from other instances, which keep such records for each
+// other. Does no I/O; callers pass the time.
+#ifndef CROCUSSPUR_GATEWAY_STREAM_ORIGIN_TABLE_H
+#define CROCUSSPUR_GATEWAY_STREAM_ORIGIN_TABLE_H
+
+#include "gateway/decisions/server_registry.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+namespace crocusspur::gateway {
+
+// Identifies a stream on every instance: by the caller's request that brought
+// its first event and by what it asked for, so that the id of a request for
+// something else tells nothing.
+using StreamKey = uint64_t;
+StreamKey streamKeyOf(std::string_view Host, std::string_view Target,
+                      std::string_view RequestId);
+
+// One instance's record of a stream. A later record of the same writer replaces
+// an earlier one, as a request without an event may run again elsewhere.
+struct StreamOrigin {
+  StreamKey Stream = 0;
+  VersionKey Version = 0;
+  uint64_t Writer = 0;      // incarnation of the instance
+  uint64_t Sequence = 0;    // rises with the writer's records
+  Milliseconds Lifetime{0}; // how much longer the stream can be taken up
+};
+
+class StreamOriginTable {
+public:
+  void add(const StreamOrigin &Record, TimePoint Now);
+  // Returns the version, 0 if two instances recorded different ones, or nothing
+  // if there is no record.
+  std::optional<VersionKey> find(StreamKey Stream, TimePoint Now) const;
+  size_t size() const { return Streams.size(); }
+
+private:
+  struct State {
+    VersionKey Version = 0; // 0: different ones
+    uint64_t Writer = 0;
+    uint64_t Sequence = 0;
+    TimePoint ExpiresAt;
+    std::multimap<TimePoint, StreamKey>::iterator Expiry;
+  };
+
+  void expire(TimePoint Now);
+
+  std::unordered_map<StreamKey, State> Streams;
+  std::multimap<TimePoint, StreamKey> Expiries;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
 #include "gateway/service_directory.h"
+#include "gateway/stream_origins.h"
 #include "runtime.h"
 
 namespace crocusspur::gateway {
@@ -18,6 +19,7 @@
   ConnectionPool &Connections;
   ReservationQueues &Queues;
   CrashMonitor &Crashes;
+  StreamOrigins &Origins;
   internal::MetricsSink &Metrics;
 };
 
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -88,9 +88,9 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
     return false;
-  Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
-                                 Runtime->Limits, Runtime->Connections,
-                                 Runtime->Queues, Runtime->Crashes, *metrics});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -64,4 +64,18 @@
   return Seeds;
 }
 
+Member GatewayRuntime::ownMember() const {
+  Member member;
+  member.Name = Values.Instance;
+  member.Address = Values.PeerAddress;
+  member.Incarnation = Incarnation;
+  member.Leaving = Stopping.load();
+  return member;
+}
+
+OriginKnowledge GatewayRuntime::knowledgeOf(const OriginQuery &Query) const {
+  return {Origins.find(Query.Stream),
+          Directory.soleVersion(Query.Service, Query.MaxAge)};
+}
+
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -9,6 +9,7 @@
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
 #include "gateway/service_directory.h"
+#include "gateway/stream_origins.h"
 
 #include <atomic>
 #include <mutex>
@@ -31,7 +32,7 @@
         Codec(ActiveAdapter.MakeCodec()),
         Source(ActiveAdapter.MakeSource(this->Values)),
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
-        Crashes(this->Values.Instance),
+        Crashes(this->Values.Instance), Origins(Incarnation),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
     Directory.setServerEndListener(
@@ -54,6 +55,7 @@
   ConnectionPool Connections;
   ReservationQueues Queues;
   CrashMonitor Crashes;
+  StreamOrigins Origins;
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
@@ -74,6 +76,11 @@
   std::vector<std::string> seedAddresses() const;
   Milliseconds batchDelay() const; // see batchDelayFor
 
+  // The part of a frame to a peer that names this instance.
+  Member ownMember() const;
+  // What this instance can tell a peer of a stream.
+  OriginKnowledge knowledgeOf(const OriginQuery &Query) const;
+
   bool ready() const { return !Stopping.load() && Directory.isComplete(); }
 
 private:
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -92,6 +92,22 @@
                        Milliseconds(Item.max_delay_ms())};
 }
 
+flatbuffers::Offset<wire::OriginAnswer> pack(Builder &Out,
+                                             const OriginKnowledge &Item) {
+  return wire::CreateOriginAnswer(
+      Out, Item.Recorded.has_value(), Item.Recorded.value_or(0),
+      Item.SoleVersion.has_value(), Item.SoleVersion.value_or(0));
+}
+
+OriginKnowledge unpack(const wire::OriginAnswer &Item) {
+  OriginKnowledge known;
+  if (Item.recorded())
+    known.Recorded = Item.version();
+  if (Item.has_sole_version())
+    known.SoleVersion = Item.sole_version();
+  return known;
+}
+
 } // namespace
 
 std::vector<uint8_t> encode(const MemberFrame &Frame) {
@@ -130,6 +146,24 @@
       limitList;
   if (!limits.empty())
     limitList = out.CreateVector(limits);
+  std::vector<flatbuffers::Offset<wire::StreamOrigin>> origins;
+  for (const StreamOrigin &it : Frame.Origins)
+    origins.push_back(wire::CreateStreamOrigin(
+        out, it.Stream, it.Version, it.Writer, it.Sequence,
+        static_cast<uint32_t>(it.Lifetime.count())));
+  flatbuffers::Offset<
+      flatbuffers::Vector<flatbuffers::Offset<wire::StreamOrigin>>>
+      originList;
+  if (!origins.empty())
+    originList = out.CreateVector(origins);
+  flatbuffers::Offset<wire::OriginQuery> wantedOrigin;
+  if (const auto &it = Frame.WantedOrigin)
+    wantedOrigin =
+        wire::CreateOriginQuery(out, it->Stream, out.CreateString(it->Service),
+                                static_cast<uint32_t>(it->MaxAge.count()));
+  flatbuffers::Offset<wire::OriginAnswer> origin;
+  if (Frame.Origin)
+    origin = pack(out, *Frame.Origin);
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
@@ -140,7 +174,8 @@
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
       Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
-      Frame.IsNotification, limitList, wantedPermit, permit));
+      Frame.IsNotification, limitList, wantedPermit, permit, originList,
+      wantedOrigin, origin));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -189,6 +224,16 @@
   if (in.permit())
     frame.Permit = PaceDecision{in.permit()->granted(),
                                 Milliseconds(in.permit()->delay_ms())};
+  if (in.origins())
+    for (const wire::StreamOrigin *it : *in.origins())
+      frame.Origins.push_back({it->stream(), it->version(), it->writer(),
+                               it->sequence(),
+                               Milliseconds(it->lifetime_ms())});
+  if (const wire::OriginQuery *it = in.origin_query())
+    frame.WantedOrigin = OriginQuery{it->stream(), textOf(it->service()),
+                                     Milliseconds(it->max_age_ms())};
+  if (in.origin_answer())
+    frame.Origin = unpack(*in.origin_answer());
   return frame;
 }
 
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -5,6 +5,7 @@
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/server_limits.h"
+#include "gateway/stream_origins.h"
 
 #include <cstdint>
 #include <optional>
@@ -46,6 +47,12 @@
   // hold nothing else but the sender's name.
   std::optional<PermitRequest> WantedPermit;
   std::optional<PaceDecision> Permit;
+  // Records of streams that the receiver keeps, or what an instance asks a
+  // keeper and its response. Such frames hold nothing else but the sender's
+  // name.
+  std::vector<StreamOrigin> Origins;
+  std::optional<OriginQuery> WantedOrigin;
+  std::optional<OriginKnowledge> Origin;
 };
 
 // Returns the frame without its length prefix.
--- /dev/null
+++ b/src/gateway/member_exchange.cc
@@ -0,0 +1,83 @@
+#include "gateway/member_exchange.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Poco::Net::StreamSocket;
+
+constexpr uint32_t MaxFrameBytes = 8388608;
+
+Poco::Timespan timespan(Milliseconds Time) {
+  return Poco::Timespan(std::chrono::microseconds(Time).count());
+}
+
+bool receiveAll(StreamSocket &Socket, uint8_t *Data, size_t Size,
+                TimePoint Until) {
+  while (Size > 0) {
+    if (Clock::now() > Until)
+      return false;
+    int n = Socket.receiveBytes(Data, static_cast<int>(Size));
+    if (n <= 0)
+      return false;
+    Data += n;
+    Size -= static_cast<size_t>(n);
+  }
+  return true;
+}
+
+} // namespace
+
+void setTimeouts(StreamSocket &Socket, Milliseconds Timeout) {
+  Socket.setReceiveTimeout(timespan(Timeout));
+  Socket.setSendTimeout(timespan(Timeout));
+}
+
+void sendFrame(StreamSocket &Socket, const std::vector<uint8_t> &Bytes) {
+  std::vector<uint8_t> out(4);
+  auto size = static_cast<uint32_t>(Bytes.size());
+  for (size_t i = 0; i < out.size(); ++i)
+    out[i] = static_cast<uint8_t>(size >> (8 * i));
+  out.insert(out.end(), Bytes.begin(), Bytes.end());
+  size_t done = 0;
+  while (done < out.size())
+    done += static_cast<size_t>(Socket.sendBytes(
+        out.data() + done, static_cast<int>(out.size() - done)));
+}
+
+std::optional<MemberFrame> receiveFrame(StreamSocket &Socket,
+                                        Milliseconds Timeout) {
+  TimePoint until = Clock::now() + Timeout;
+  std::array<uint8_t, 4> prefix{};
+  if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
+    return std::nullopt;
+  uint32_t size = 0;
+  for (size_t i = 0; i < prefix.size(); ++i)
+    size |= static_cast<uint32_t>(prefix[i]) << (8 * i);
+  if (size > MaxFrameBytes)
+    return std::nullopt;
+  std::vector<uint8_t> bytes(size);
+  if (!receiveAll(Socket, bytes.data(), bytes.size(), until))
+    return std::nullopt;
+  return decodeMemberFrame(bytes);
+}
+
+std::optional<MemberFrame> callMember(const std::string &Address,
+                                      const MemberFrame &Request,
+                                      Milliseconds Timeout) {
+  try {
+    StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
+    setTimeouts(socket, Timeout);
+    sendFrame(socket, encode(Request));
+    return receiveFrame(socket, Timeout);
+  } catch (const Poco::Exception &) {
+    return std::nullopt; // the caller records the failed contact
+  }
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -8,14 +8,12 @@
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
-#include "gateway/member_codec.h"
+#include "gateway/member_exchange.h"
 #include "log.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -48,7 +46,6 @@
 constexpr Milliseconds PermitTimeout{60};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
-constexpr uint32_t MaxFrameBytes = 8388608;
 
 // If peers stay ahead for longer than the batch delay of this instance's reader
 // plus this margin for its call, the reader's connection to the store is
@@ -61,53 +58,6 @@
   }
 }
 
-Poco::Timespan timespan(Milliseconds Time) {
-  return Poco::Timespan(std::chrono::microseconds(Time).count());
-}
-
-void sendFrame(StreamSocket &Socket, const std::vector<uint8_t> &Bytes) {
-  std::vector<uint8_t> out(4);
-  auto size = static_cast<uint32_t>(Bytes.size());
-  for (size_t i = 0; i < out.size(); ++i)
-    out[i] = static_cast<uint8_t>(size >> (8 * i));
-  out.insert(out.end(), Bytes.begin(), Bytes.end());
-  size_t done = 0;
-  while (done < out.size())
-    done += static_cast<size_t>(Socket.sendBytes(
-        out.data() + done, static_cast<int>(out.size() - done)));
-}
-
-bool receiveAll(StreamSocket &Socket, uint8_t *Data, size_t Size,
-                TimePoint Until) {
-  while (Size > 0) {
-    if (Clock::now() > Until)
-      return false;
-    int n = Socket.receiveBytes(Data, static_cast<int>(Size));
-    if (n <= 0)
-      return false;
-    Data += n;
-    Size -= static_cast<size_t>(n);
-  }
-  return true;
-}
-
-std::optional<MemberFrame> receiveFrame(StreamSocket &Socket,
-                                        Milliseconds Timeout) {
-  TimePoint until = Clock::now() + Timeout;
-  std::array<uint8_t, 4> prefix{};
-  if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
-    return std::nullopt;
-  uint32_t size = 0;
-  for (size_t i = 0; i < prefix.size(); ++i)
-    size |= static_cast<uint32_t>(prefix[i]) << (8 * i);
-  if (size > MaxFrameBytes)
-    return std::nullopt;
-  std::vector<uint8_t> bytes(size);
-  if (!receiveAll(Socket, bytes.data(), bytes.size(), until))
-    return std::nullopt;
-  return decodeMemberFrame(bytes);
-}
-
 class MemberLinks final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
@@ -124,15 +74,9 @@
   void sendNotifications();
   std::optional<PaceDecision> askForPermit(const std::string &Address,
                                            const PermitRequest &Request);
-  // Returns the peer's response, or nothing if there is none in time.
-  std::optional<MemberFrame> call(const std::string &Address,
-                                  const MemberFrame &Request,
-                                  Milliseconds Timeout);
   // Calls the peer and applies its response.
   bool exchange(const std::string &Address, const MemberFrame &Request,
                 Milliseconds Timeout);
-  // The part that names the sender.
-  Member ownMember() const;
   // Whether updates from the store don't reach this instance, or arrive late.
   bool needsUpdates();
   // The part that all frames have.
@@ -215,22 +159,13 @@
   Server.join();
 }
 
-Member MemberLinks::ownMember() const {
-  Member member;
-  member.Name = Runtime->Values.Instance;
-  member.Address = Runtime->Values.PeerAddress;
-  member.Incarnation = Runtime->Incarnation;
-  member.Leaving = Runtime->Stopping.load();
-  return member;
-}
-
 MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
   frame.ServersRevision = Runtime->Directory.serversRevision();
   frame.CrashDigest = Runtime->Crashes.digest();
   frame.Limits = Runtime->Limits.known();
-  frame.Sender = ownMember();
+  frame.Sender = Runtime->ownMember();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   return frame;
@@ -304,8 +239,7 @@
 
 void MemberLinks::serve(StreamSocket &Socket) {
   try {
-    Socket.setReceiveTimeout(timespan(ExchangeTimeout));
-    Socket.setSendTimeout(timespan(ExchangeTimeout));
+    setTimeouts(Socket, ExchangeTimeout);
     std::optional<MemberFrame> request = receiveFrame(Socket, ExchangeTimeout);
     if (!request) {
       log(LogLevel::Warn, "member_links",
@@ -315,11 +249,21 @@
     }
     if (request->WantedPermit) {
       MemberFrame permit;
-      permit.Sender = ownMember();
+      permit.Sender = Runtime->ownMember();
       permit.Permit = Runtime->Limits.decide(*request->WantedPermit);
       sendFrame(Socket, encode(permit));
       return;
     }
+    for (const StreamOrigin &it : request->Origins)
+      Runtime->Origins.add(it);
+    if (request->WantedOrigin || !request->Origins.empty()) {
+      MemberFrame origin;
+      origin.Sender = Runtime->ownMember();
+      if (request->WantedOrigin)
+        origin.Origin = Runtime->knowledgeOf(*request->WantedOrigin);
+      sendFrame(Socket, encode(origin));
+      return;
+    }
     MemberFrame response = basicFrame();
     if (!request->IsNotification) {
       response.Members = Runtime->Peers.alive();
@@ -333,24 +277,9 @@
   }
 }
 
-std::optional<MemberFrame> MemberLinks::call(const std::string &Address,
-                                             const MemberFrame &Request,
-                                             Milliseconds Timeout) {
-  try {
-    StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
-    socket.setReceiveTimeout(timespan(Timeout));
-    socket.setSendTimeout(timespan(Timeout));
-    sendFrame(socket, encode(Request));
-    return receiveFrame(socket, Timeout);
-  } catch (const Poco::Exception &) {
-    return std::nullopt; // the caller records the failed contact
-  }
-}
-
 bool MemberLinks::exchange(const std::string &Address,
                            const MemberFrame &Request, Milliseconds Timeout) {
-  std::optional<MemberFrame> response = call(Address, Request, Timeout);
+  std::optional<MemberFrame> response = callMember(Address, Request, Timeout);
   if (response)
     applyFrame(*response);
   return response.has_value();
@@ -361,9 +290,10 @@
 MemberLinks::askForPermit(const std::string &Address,
                           const PermitRequest &Request) {
   MemberFrame frame;
-  frame.Sender = ownMember();
+  frame.Sender = Runtime->ownMember();
   frame.WantedPermit = Request;
-  std::optional<MemberFrame> response = call(Address, frame, PermitTimeout);
+  std::optional<MemberFrame> response =
+      callMember(Address, frame, PermitTimeout);
   return response ? response->Permit : std::nullopt;
 }
 
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -48,6 +48,11 @@
   return Table.isLeader(ForAtLeast, Clock::now());
 }
 
+std::vector<std::string> Membership::keepersOf(const std::string &Key) const {
+  std::lock_guard lock(Mutex);
+  return Table.keepersOf(Key, Clock::now());
+}
+
 KeyOwner Membership::ownerOf(const std::string &Key, bool OwnLeaving) const {
   std::lock_guard lock(Mutex);
   return Table.ownerOf(Key, OwnLeaving, Clock::now());
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -24,6 +24,7 @@
   uint32_t budgetSharers();
   bool isLeader(Milliseconds ForAtLeast);
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
+  std::vector<std::string> keepersOf(const std::string &Key) const;
 
   // Records an order that this instance issues or announces. It is sent to the
   // other instances until its retention expires.
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -77,6 +77,19 @@
                                    const CallPermit &Permit) const;
 
   void runStream();
+  // Whether the caller takes up a stream that began in an earlier request.
+  bool takesUpStream() const {
+    return !Request.LastEventId.empty() || !Request.ResumedRequestId.empty();
+  }
+  // Finds the software version at which the stream goes on that the caller
+  // takes up. May ask peers and the store. Returns false if it isn't known.
+  bool resolveStreamVersion();
+  // Whether a server is known that the stream may run at.
+  bool hasOutputServer() const;
+  void refuseResumption(const std::string &Why);
+  // Records for other instances that the run at the server may begin the
+  // stream, or goes on with it.
+  void recordOrigin(const ServerChoice &Server);
   // One round: reservation, prefill and stream. `ReadAtDecode`: the decode
   // server reads the prompt itself.
   AttemptResult tryStream(bool ReadAtDecode);
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -85,6 +85,7 @@
   if (Change.Entry) {
     bool restarted = former && former->StartedAt != Change.Entry->StartedAt;
     Registry.apply(*Change.Entry, Now);
+    Versions.onServer(*Change.Entry, Now);
     if (restarted && OnServerEnd)
       OnServerEnd(Change.Id, Change.Entry->StartedAt);
     removeEndedAt(*Change.Entry);
@@ -103,6 +104,7 @@
   else if (former && !former->Leaving && OnServerEnd)
     OnServerEnd(Change.Id, std::nullopt);
   Registry.remove(Change.Id, lastUse);
+  Versions.onServerGone(Change.Id, lastUse);
 }
 
 void ServiceDirectory::removeEndedAt(const ServerEntry &Entry) {
@@ -125,6 +127,7 @@
     if (!it.Leaving && OnServerEnd)
       OnServerEnd(it.Id, std::nullopt);
     Registry.erase(it.Id);
+    Versions.onServerGone(it.Id, Clock::now());
   }
 }
 
@@ -148,6 +151,7 @@
       applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
   ListRevision = std::max(ListRevision, Revision);
   ListReceived = true;
+  Versions.onListRead(now);
 }
 
 std::vector<ServerChange> ServiceDirectory::servers() const {
@@ -207,6 +211,19 @@
   return Registry.usable(Server.Id, Server.StartedAt, Clock::now());
 }
 
+std::optional<VersionKey>
+ServiceDirectory::soleVersion(const std::string &Service,
+                              Milliseconds MaxAge) const {
+  std::lock_guard lock(Mutex);
+  return Versions.soleVersion(Service, Clock::now() - MaxAge);
+}
+
+Milliseconds ServiceDirectory::maxTimeLeft(const std::string &RouteName) const {
+  std::lock_guard lock(Mutex);
+  auto it = MaxTimeLeft.find(RouteName);
+  return it == MaxTimeLeft.end() ? Milliseconds(0) : it->second;
+}
+
 bool ServiceDirectory::isLeaving(const std::string &ServerId) const {
   std::lock_guard lock(Mutex);
   const ServerEntry *entry = Registry.find(ServerId);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -11,6 +11,7 @@
 #include "gateway/decisions/server_registry.h"
 #include "gateway/decisions/shared_retry_budget.h"
 #include "gateway/decisions/size_affinity.h"
+#include "gateway/decisions/version_history.h"
 #include "gateway/gateway_settings.h"
 
 #include <array>
@@ -69,6 +70,13 @@
   // served.
   bool isComplete() const;
 
+  // The software version of all servers that the service has had in the last
+  // `MaxAge`; see VersionHistory::soleVersion().
+  std::optional<VersionKey> soleVersion(const std::string &Service,
+                                        Milliseconds MaxAge) const;
+  // The most time that a caller of the route has had.
+  Milliseconds maxTimeLeft(const std::string &RouteName) const;
+
   // Server selection; see ServerRegistry.
   std::optional<ServerChoice> choose(const ServerQuery &Query);
   std::vector<ServerChoice> rank(const ServerQuery &Query);
@@ -146,6 +154,7 @@
   RouteDocumentPtr Document;
   ServerRegistry Registry;
   std::map<std::string, uint64_t> Revisions; // last change, by server
+  VersionHistory Versions;
   uint64_t ListRevision = 0;
   bool ListReceived = false;
   SharedRetryBudget Retries;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -2,6 +2,8 @@
 // the prompt at a prefill server, then relays the stream.
 #include "gateway/request_handler.h"
 
+#include "gateway/decisions/content_fingerprint.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -43,6 +45,9 @@
 constexpr Milliseconds MinStallTimeout{1200};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
+// Retry-After for callers whose stream no server may continue. Coming back
+// early can't help them.
+constexpr Milliseconds NotResumableRetryAfter{5000};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
 
@@ -72,6 +77,10 @@
 } // namespace
 
 void RequestHandler::runStream() {
+  if (takesUpStream() && !resolveStreamVersion()) {
+    refuseResumption("the stream's software version isn't known");
+    return;
+  }
   AttemptResult result = AttemptResult::NotExecuted;
   for (int round = 0;
        round < MaxRounds && !shouldStop() && !RetryBudgetExhausted; ++round) {
@@ -110,7 +119,70 @@
   finish(Waiter.callerLeft() ? "caller_left" : "broken", Why);
 }
 
+bool RequestHandler::resolveStreamVersion() {
+  StreamKey stream =
+      streamKeyOf(Request.Host, Request.Target, Request.ResumedRequestId);
+  Milliseconds maxAge = maxStreamAge(
+      std::max(Route.Timeout, Context.Directory.maxTimeLeft(Route.Name)),
+      timeLeft());
+  auto ownKnowledge = [&] {
+    return OriginKnowledge{Request.ResumedRequestId.empty()
+                               ? std::nullopt
+                               : Context.Origins.find(stream),
+                           Context.Directory.soleVersion(Service, maxAge)};
+  };
+  OriginKnowledge own = ownKnowledge();
+  std::vector<OriginKnowledge> peers;
+  std::optional<VersionKey> current;
+  if (!own.Recorded)
+    peers = Context.Origins.askKeepers({stream, Service, maxAge});
+  ResumptionDecision decision = decideResumption(own, peers, current);
+  if (!decision.Version && Context.Origins.confirmServers()) {
+    current = Context.Directory.soleVersion(Service, Milliseconds(0));
+    decision = decideResumption(ownKnowledge(), peers, current);
+  }
+  StreamVersion = decision.Version;
+  internal::LogFields all = fields();
+  all.emplace_back("resumes", Request.ResumedRequestId);
+  all.emplace_back("last_event_id", Request.LastEventId);
+  all.emplace_back("basis", decision.Basis);
+  all.emplace_back("version",
+                   StreamVersion ? fingerprintText(*StreamVersion) : "");
+  all.emplace_back("peers", std::to_string(peers.size()));
+  all.emplace_back("max_age_ms", std::to_string(maxAge.count()));
+  log(LogLevel::Info, "request", "stream taken up", all);
+  return StreamVersion.has_value();
+}
+
+bool RequestHandler::hasOutputServer() const {
+  return !Context.Directory.rank(outputQuery(ServerStage::Decode)).empty() ||
+         !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
+}
+
+void RequestHandler::refuseResumption(const std::string &Why) {
+  refuse(ErrorKind::StreamNotResumable, Why, NotResumableRetryAfter);
+}
+
+void RequestHandler::recordOrigin(const ServerChoice &Server) {
+  if (!Route.Resumable)
+    return;
+  const std::string &first =
+      Request.ResumedRequestId.empty() ? Request.Id : Request.ResumedRequestId;
+  Context.Origins.record(streamKeyOf(Request.Host, Request.Target, first),
+                         versionKeyOf(Server.Version), timeLeft());
+}
+
 RequestHandler::AttemptResult RequestHandler::tryStream(bool ReadAtDecode) {
+  if (StreamVersion && !hasOutputServer()) {
+    const char *why = "no server of the stream's software version is left";
+    if (HeadSent)
+      abortStream(why);
+    else if (MayHaveExecuted)
+      fail(ErrorKind::BackendFailed, why);
+    else
+      refuseResumption(why);
+    return AttemptResult::Done;
+  }
   std::optional<DecodeReservation> reservation = reserveDecode();
   if (!reservation) {
     if (Waiter.callerLeft()) {
@@ -146,6 +218,7 @@
                  : NoServerRetryAfter);
     return AttemptResult::Done;
   }
+  recordOrigin(reservation->Server);
   std::optional<PromptKvCache> kvCache;
   // Without a retry for it, the decode server reads the prompt.
   if (!ReadAtDecode && (!PrefillAccepted || tryConsumeRetry()))
@@ -191,7 +264,7 @@
   entry.Priority = Route.Priority;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
-  if (HeadSent || Returning)
+  if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   LimitedUntil.reset();
   TimePoint joined = Clock::now();
--- /dev/null
+++ b/src/gateway/stream_origins.cc
@@ -0,0 +1,73 @@
+#include "gateway/stream_origins.h"
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Some seconds of streams at one instance. Keepers that are slow for longer
+// miss records; the streams can then only be taken up here.
+constexpr size_t MaxUnsent = 1024;
+
+} // namespace
+
+void StreamOrigins::record(StreamKey Stream, VersionKey Version,
+                           Milliseconds Lifetime) {
+  {
+    std::lock_guard lock(Mutex);
+    StreamOrigin record{Stream, Version, Incarnation, ++LastSequence, Lifetime};
+    Table.add(record, Clock::now());
+    ++Counts.Records;
+    Unsent.push_back(record);
+    if (Unsent.size() > MaxUnsent) {
+      Unsent.pop_front();
+      ++Counts.Dropped;
+    }
+  }
+  Wake.notify_one();
+}
+
+void StreamOrigins::add(const StreamOrigin &Record) {
+  std::lock_guard lock(Mutex);
+  Table.add(Record, Clock::now());
+}
+
+std::optional<VersionKey> StreamOrigins::find(StreamKey Stream) const {
+  std::lock_guard lock(Mutex);
+  return Table.find(Stream, Clock::now());
+}
+
+std::vector<OriginKnowledge>
+StreamOrigins::askKeepers(const OriginQuery &Query) const {
+  return Connected.AskKeepers ? Connected.AskKeepers(Query)
+                              : std::vector<OriginKnowledge>();
+}
+
+bool StreamOrigins::confirmServers() const {
+  return Connected.ConfirmServers && Connected.ConfirmServers();
+}
+
+std::vector<StreamOrigin> StreamOrigins::takeUnsent() {
+  std::unique_lock lock(Mutex);
+  Wake.wait(lock, [this] { return Stopped || !Unsent.empty(); });
+  std::vector<StreamOrigin> all;
+  if (!Stopped)
+    all.assign(Unsent.begin(), Unsent.end());
+  Unsent.clear();
+  return all;
+}
+
+void StreamOrigins::stop() {
+  {
+    std::lock_guard lock(Mutex);
+    Stopped = true;
+  }
+  Wake.notify_all();
+}
+
+StreamOrigins::Counters StreamOrigins::counters() const {
+  std::lock_guard lock(Mutex);
+  return Counts;
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -44,6 +44,15 @@
 struct Permit;
 struct PermitBuilder;
 
+struct StreamOrigin;
+struct StreamOriginBuilder;
+
+struct OriginQuery;
+struct OriginQueryBuilder;
+
+struct OriginAnswer;
+struct OriginAnswerBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -831,6 +840,233 @@
   return builder_.Finish();
 }
 
+struct StreamOrigin FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamOriginBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_VERSION = 6,
+    VT_WRITER = 8,
+    VT_SEQUENCE = 10,
+    VT_LIFETIME_MS = 12
+  };
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t writer() const {
+    return GetField<uint64_t>(VT_WRITER, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint32_t lifetime_ms() const {
+    return GetField<uint32_t>(VT_LIFETIME_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WRITER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamOriginBuilder {
+  typedef StreamOrigin Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_STREAM, stream, 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_VERSION, version, 0);
+  }
+  void add_writer(uint64_t writer) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_WRITER, writer, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_SEQUENCE, sequence, 0);
+  }
+  void add_lifetime_ms(uint32_t lifetime_ms) {
+    fbb_.AddElement<uint32_t>(StreamOrigin::VT_LIFETIME_MS, lifetime_ms, 0);
+  }
+  explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamOrigin> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamOrigin>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamOrigin> CreateStreamOrigin(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    uint64_t version = 0,
+    uint64_t writer = 0,
+    uint64_t sequence = 0,
+    uint32_t lifetime_ms = 0) {
+  StreamOriginBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_writer(writer);
+  builder_.add_version(version);
+  builder_.add_stream(stream);
+  builder_.add_lifetime_ms(lifetime_ms);
+  return builder_.Finish();
+}
+
+struct OriginQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginQueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STREAM = 4,
+    VT_SERVICE = 6,
+    VT_MAX_AGE_MS = 8
+  };
+  uint64_t stream() const {
+    return GetField<uint64_t>(VT_STREAM, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t max_age_ms() const {
+    return GetField<uint32_t>(VT_MAX_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct OriginQueryBuilder {
+  typedef OriginQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_stream(uint64_t stream) {
+    fbb_.AddElement<uint64_t>(OriginQuery::VT_STREAM, stream, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(OriginQuery::VT_SERVICE, service);
+  }
+  void add_max_age_ms(uint32_t max_age_ms) {
+    fbb_.AddElement<uint32_t>(OriginQuery::VT_MAX_AGE_MS, max_age_ms, 0);
+  }
+  explicit OriginQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginQuery> CreateOriginQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t max_age_ms = 0) {
+  OriginQueryBuilder builder_(_fbb);
+  builder_.add_stream(stream);
+  builder_.add_max_age_ms(max_age_ms);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OriginQuery> CreateOriginQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t stream = 0,
+    const char *service = nullptr,
+    uint32_t max_age_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return crocusspur::gateway::wire::CreateOriginQuery(
+      _fbb,
+      stream,
+      service__,
+      max_age_ms);
+}
+
+struct OriginAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDED = 4,
+    VT_VERSION = 6,
+    VT_HAS_SOLE_VERSION = 8,
+    VT_SOLE_VERSION = 10
+  };
+  bool recorded() const {
+    return GetField<uint8_t>(VT_RECORDED, 0) != 0;
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  bool has_sole_version() const {
+    return GetField<uint8_t>(VT_HAS_SOLE_VERSION, 0) != 0;
+  }
+  uint64_t sole_version() const {
+    return GetField<uint64_t>(VT_SOLE_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_SOLE_VERSION, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SOLE_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct OriginAnswerBuilder {
+  typedef OriginAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_recorded(bool recorded) {
+    fbb_.AddElement<uint8_t>(OriginAnswer::VT_RECORDED, static_cast<uint8_t>(recorded), 0);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(OriginAnswer::VT_VERSION, version, 0);
+  }
+  void add_has_sole_version(bool has_sole_version) {
+    fbb_.AddElement<uint8_t>(OriginAnswer::VT_HAS_SOLE_VERSION, static_cast<uint8_t>(has_sole_version), 0);
+  }
+  void add_sole_version(uint64_t sole_version) {
+    fbb_.AddElement<uint64_t>(OriginAnswer::VT_SOLE_VERSION, sole_version, 0);
+  }
+  explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool recorded = false,
+    uint64_t version = 0,
+    bool has_sole_version = false,
+    uint64_t sole_version = 0) {
+  OriginAnswerBuilder builder_(_fbb);
+  builder_.add_sole_version(sole_version);
+  builder_.add_version(version);
+  builder_.add_has_sole_version(has_sole_version);
+  builder_.add_recorded(recorded);
+  return builder_.Finish();
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -850,7 +1086,10 @@
     VT_ONLY_CRASHES = 30,
     VT_LIMITS = 32,
     VT_PERMIT_REQUEST = 34,
-    VT_PERMIT = 36
+    VT_PERMIT = 36,
+    VT_ORIGINS = 38,
+    VT_ORIGIN_QUERY = 40,
+    VT_ORIGIN_ANSWER = 42
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -903,6 +1142,15 @@
   const crocusspur::gateway::wire::Permit *permit() const {
     return GetPointer<const crocusspur::gateway::wire::Permit *>(VT_PERMIT);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>> *origins() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>> *>(VT_ORIGINS);
+  }
+  const crocusspur::gateway::wire::OriginQuery *origin_query() const {
+    return GetPointer<const crocusspur::gateway::wire::OriginQuery *>(VT_ORIGIN_QUERY);
+  }
+  const crocusspur::gateway::wire::OriginAnswer *origin_answer() const {
+    return GetPointer<const crocusspur::gateway::wire::OriginAnswer *>(VT_ORIGIN_ANSWER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -936,6 +1184,13 @@
            verifier.VerifyTable(permit_request()) &&
            VerifyOffset(verifier, VT_PERMIT) &&
            verifier.VerifyTable(permit()) &&
+           VerifyOffset(verifier, VT_ORIGINS) &&
+           verifier.VerifyVector(origins()) &&
+           verifier.VerifyVectorOfTables(origins()) &&
+           VerifyOffset(verifier, VT_ORIGIN_QUERY) &&
+           verifier.VerifyTable(origin_query()) &&
+           VerifyOffset(verifier, VT_ORIGIN_ANSWER) &&
+           verifier.VerifyTable(origin_answer()) &&
            verifier.EndTable();
   }
 };
@@ -995,6 +1250,15 @@
   void add_permit(flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit) {
     fbb_.AddOffset(Frame::VT_PERMIT, permit);
   }
+  void add_origins(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>> origins) {
+    fbb_.AddOffset(Frame::VT_ORIGINS, origins);
+  }
+  void add_origin_query(flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query) {
+    fbb_.AddOffset(Frame::VT_ORIGIN_QUERY, origin_query);
+  }
+  void add_origin_answer(flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer) {
+    fbb_.AddOffset(Frame::VT_ORIGIN_ANSWER, origin_answer);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1024,11 +1288,17 @@
     bool only_crashes = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>> limits = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::PermitRequest> permit_request = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>> origins = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_origin_answer(origin_answer);
+  builder_.add_origin_query(origin_query);
+  builder_.add_origins(origins);
   builder_.add_permit(permit);
   builder_.add_permit_request(permit_request);
   builder_.add_limits(limits);
@@ -1064,13 +1334,17 @@
     bool only_crashes = false,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>> *limits = nullptr,
     flatbuffers::Offset<crocusspur::gateway::wire::PermitRequest> permit_request = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>> *origins = nullptr,
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Crash>>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>(*cleared) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>(*limits) : 0;
+  auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>(*origins) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -1089,7 +1363,10 @@
       only_crashes,
       limits__,
       permit_request,
-      permit);
+      permit,
+      origins__,
+      origin_query,
+      origin_answer);
 }
 
 inline const crocusspur::gateway::wire::Frame *GetFrame(const void *buf) {
--- a/src/peer_codec.cc
+++ b/src/peer_codec.cc
@@ -494,7 +494,7 @@
   return {In.id(It.id()),
           In.text(It.shard()),
           It.attempt(),
-          In.choice(It.kind(), ErrorKind::ContentRefused),
+          In.choice(It.kind(), ErrorKind::StreamNotResumable),
           In.delay(It.retry_after_ms()),
           It.queue_length()};
 }
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -128,7 +128,7 @@
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
   GatewayContext context{Codec,  Directory, Limits,  Connections,
-                         Queues, Crashes,   Counters};
+                         Queues, Crashes,   Origins, Counters};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -70,6 +70,7 @@
   crocusspur::gateway::ConnectionPool Connections;
   crocusspur::gateway::ReservationQueues Queues;
   crocusspur::gateway::CrashMonitor Crashes{"g1"};
+  crocusspur::gateway::StreamOrigins Origins{1};
   crocusspur::internal::Metrics Counters;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -28,6 +28,9 @@
                   {"i-5", std::nullopt, Milliseconds(40), "n1"}};
   frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
   frame.Permit = PaceDecision{true, Milliseconds(70)};
+  frame.Origins = {{1234567890123456789U, 5, 6, 7, Milliseconds(9000)}};
+  frame.WantedOrigin = OriginQuery{77, "s1", Milliseconds(3000)};
+  frame.Origin = OriginKnowledge{VersionKey(0), VersionKey(12)};
   frame.Servers = {{"i-1", 400, false, "{\"a\":1}"}, {"i-2", 410, true, ""}};
   return frame;
 }
@@ -82,6 +85,19 @@
   REQUIRE(back->Permit.has_value());
   CHECK(back->Permit->Granted);
   CHECK(back->Permit->Delay == Milliseconds(70));
+  REQUIRE(back->Origins.size() == 1);
+  CHECK(back->Origins[0].Stream == 1234567890123456789U);
+  CHECK(back->Origins[0].Version == 5);
+  CHECK(back->Origins[0].Writer == 6);
+  CHECK(back->Origins[0].Sequence == 7);
+  CHECK(back->Origins[0].Lifetime == Milliseconds(9000));
+  REQUIRE(back->WantedOrigin.has_value());
+  CHECK(back->WantedOrigin->Stream == 77);
+  CHECK(back->WantedOrigin->Service == "s1");
+  CHECK(back->WantedOrigin->MaxAge == Milliseconds(3000));
+  REQUIRE(back->Origin.has_value());
+  CHECK(back->Origin->Recorded == VersionKey(0));
+  CHECK(back->Origin->SoleVersion == VersionKey(12));
 }
 
 TEST_CASE("decodeMemberFrame drops limits that aren't a rate") {
--- a/test/gateway_server_registry_test.cc
+++ b/test/gateway_server_registry_test.cc
@@ -159,3 +159,20 @@
   CHECK(
       registry.choose({"bays", ServerStage::Decode, {}}, at(6000)).has_value());
 }
+
+TEST_CASE("A query for a software version finds only its servers") {
+  ServerRegistry registry("hall-a", 7);
+  for (const char *version : {"", "v1", "v1.1"}) {
+    ServerEntry entry = entryOf(std::string("s") + version);
+    entry.Version = version;
+    registry.apply(entry, Start);
+  }
+  ServerQuery query{"bays", ServerStage::Whole, {}, versionKeyOf("v1")};
+  REQUIRE(registry.rank(query, Start).size() == 1);
+  CHECK(registry.rank(query, Start)[0].Id == "sv1");
+  query.Version = versionKeyOf("");
+  REQUIRE(registry.rank(query, Start).size() == 1);
+  CHECK(registry.rank(query, Start)[0].Id == "s");
+  query.Version = versionKeyOf("v2");
+  CHECK(registry.rank(query, Start).empty());
+}
--- /dev/null
+++ b/test/gateway_stream_resumption_test.cc
@@ -0,0 +1,129 @@
+#include "gateway/decisions/stream_resumption.h"
+
+#include "gateway/decisions/stream_origin_table.h"
+#include "gateway/decisions/version_history.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+constexpr VersionKey V1 = 11;
+constexpr VersionKey V2 = 22;
+
+TimePoint at(int Seconds) {
+  return TimePoint() + std::chrono::seconds(1000 + Seconds);
+}
+
+crocusspur::gateway::ServerEntry entry(const std::string &Id,
+                                       const std::string &Version) {
+  crocusspur::gateway::ServerEntry item;
+  item.Id = Id;
+  item.Service = "llm";
+  item.Version = Version;
+  return item;
+}
+
+StreamOrigin record(VersionKey Version, uint64_t Writer, uint64_t Sequence) {
+  return {7, Version, Writer, Sequence, Milliseconds(5000)};
+}
+
+} // namespace
+
+TEST_CASE("A recorded version decides, whoever has the record") {
+  CHECK(decideResumption({V1, std::nullopt}, {}, std::nullopt).Version == V1);
+  CHECK(decideResumption({}, {{}, {V2, V1}}, V1).Version == V2);
+  CHECK(
+      decideResumption({V1, std::nullopt}, {{V1, std::nullopt}}, V2).Version ==
+      V1);
+}
+
+TEST_CASE("Contradictory records refuse a stream") {
+  CHECK_FALSE(decideResumption({V1, {}}, {{V2, {}}}, V1).Version);
+  CHECK_FALSE(decideResumption({VersionKey(0), V1}, {}, V1).Version);
+}
+
+TEST_CASE(
+    "Without a record a stream goes on only at a service's sole version") {
+  CHECK(decideResumption({{}, V1}, {}, V1).Version == V1);
+  CHECK(decideResumption({}, {{}, {{}, V1}}, V1).Version == V1);
+  // Nobody has seen the service for long enough, or not with this version.
+  CHECK_FALSE(decideResumption({}, {{}}, V1).Version);
+  CHECK_FALSE(decideResumption({{}, V2}, {{{}, V2}}, V1).Version);
+  // The store hasn't confirmed that there is no other version by now.
+  CHECK_FALSE(decideResumption({{}, V1}, {{{}, V1}}, std::nullopt).Version);
+}
+
+TEST_CASE("The age of a stream is bounded by its caller's time") {
+  CHECK(maxStreamAge(Milliseconds(14000), Milliseconds(9000)) ==
+        Milliseconds(6000));
+  CHECK(maxStreamAge(Milliseconds(2000), Milliseconds(9000)) ==
+        Milliseconds(1000));
+}
+
+TEST_CASE("VersionHistory tells a service's version since a time") {
+  VersionHistory history;
+  history.onServer(entry("a", "v1"), at(0));
+  CHECK_FALSE(history.soleVersion("llm", at(0))); // before the list was read
+  history.onListRead(at(0));
+  CHECK(history.soleVersion("llm", at(0)) == versionKeyOf("v1"));
+  CHECK_FALSE(history.soleVersion("llm", at(-1)));
+  CHECK_FALSE(history.soleVersion("other", at(0)));
+  history.onServer(entry("b", "v2"), at(10));
+  CHECK_FALSE(history.soleVersion("llm", at(10)));
+  history.onServerGone("a", at(20));
+  CHECK_FALSE(history.soleVersion("llm", at(19)));
+  // Other instances may have used the server for some seconds more.
+  CHECK_FALSE(history.soleVersion("llm", at(21)));
+  CHECK(history.soleVersion("llm", at(30)) == versionKeyOf("v2"));
+  history.onServerGone("b", at(40));
+  CHECK_FALSE(history.soleVersion("llm", at(50)));
+}
+
+// An id that starts again at another version, and one that moves.
+TEST_CASE("VersionHistory keeps the former version of a server") {
+  VersionHistory history;
+  history.onListRead(at(0));
+  history.onServer(entry("a", "v1"), at(0));
+  history.onServer(entry("a", ""), at(10));
+  CHECK_FALSE(history.soleVersion("llm", at(5)));
+  CHECK(history.soleVersion("llm", at(20)) == versionKeyOf(""));
+}
+
+TEST_CASE("StreamOriginTable keeps the latest record of a writer") {
+  StreamOriginTable table;
+  table.add(record(V1, 1, 1), at(0));
+  CHECK(table.find(7, at(1)) == V1);
+  CHECK_FALSE(table.find(8, at(1)));
+  table.add(record(V2, 1, 3), at(1));
+  table.add(record(V1, 1, 2), at(2)); // overtaken on its way
+  CHECK(table.find(7, at(2)) == V2);
+  CHECK_FALSE(table.find(7, at(7)));
+}
+
+TEST_CASE("StreamOriginTable refuses to choose between two writers") {
+  StreamOriginTable table;
+  table.add(record(V1, 1, 1), at(0));
+  table.add(record(V1, 2, 1), at(0));
+  CHECK(table.find(7, at(1)) == V1);
+  table.add(record(V2, 3, 1), at(0));
+  CHECK(table.find(7, at(1)) == VersionKey(0));
+}
+
+TEST_CASE("StreamOriginTable is bounded") {
+  StreamOriginTable table;
+  for (uint64_t i = 0; i < 70000; ++i)
+    table.add({i, V1, 1, i + 1, Milliseconds(5000)}, at(0));
+  CHECK(table.size() <= 65536);
+  table.add({99999, V1, 1, 70001, Milliseconds(5000)}, at(60));
+  CHECK(table.size() == 1);
+}
+
+TEST_CASE("A stream's key tells requests for other things apart") {
+  CHECK(streamKeyOf("a", "/x", "1") == streamKeyOf("a", "/x", "1"));
+  CHECK(streamKeyOf("a", "/x", "1") != streamKeyOf("a", "/y", "1"));
+  CHECK(streamKeyOf("a", "/x", "1") != streamKeyOf("b", "/x", "1"));
+  CHECK(streamKeyOf("a", "/x1", "") != streamKeyOf("a", "/x", "1"));
+}
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -129,6 +129,15 @@
       publish(Servers.size() - 1);
     }
     Fleet.startAll();
+    // Until then records reach nobody.
+    const std::string known = "\"instances\":" + std::to_string(Count) + ",";
+    for (const GatewayInstance &it : Fleet.Instances)
+      REQUIRE(test::eventually(
+          [&] {
+            return GatewayFleet::get(it.Ready, "/state", "").find(known) !=
+                   std::string::npos;
+          },
+          WaitTimeout));
   }
 
   void publish(size_t Server, const std::string &More = "") {
