Take a server whose software version changes for another process

Cause: a server may start again under its id, with another version, between its choice and the call; with no start time in its entry the choice stayed usable and the stream would be recorded at the former version. Change: the version is part of what tells a restart, and of what a choice must still match. Result: 'A chosen server isn't usable once its version has changed' is new and passes, it wasn't run without the change.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -60,6 +60,7 @@
   auto it = Servers.find(Entry.Id);
   bool restarted =
       it != Servers.end() && (it->second.Entry.StartedAt != Entry.StartedAt ||
+                              it->second.Entry.Version != Entry.Version ||
                               it->second.Entry.Address != Entry.Address);
   if (restarted)
     Servers.erase(it);
@@ -126,11 +127,11 @@
       }));
 }
 
-bool ServerRegistry::usable(const std::string &Id, int64_t StartedAt,
-                            TimePoint Now) const {
-  auto it = Servers.find(Id);
+bool ServerRegistry::usable(const ServerChoice &Server, TimePoint Now) const {
+  auto it = Servers.find(Server.Id);
   return it != Servers.end() && !it->second.Entry.Leaving &&
-         it->second.Entry.StartedAt == StartedAt &&
+         it->second.Entry.StartedAt == Server.StartedAt &&
+         it->second.Entry.Version == Server.Version &&
          (!it->second.UsableUntil || *it->second.UsableUntil >= Now);
 }
 
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -81,8 +81,9 @@
   ServerRegistry(std::string OwnDomain, uint64_t Seed)
       : OwnDomain(std::move(OwnDomain)), Random(Seed) {}
 
-  // Adds or updates a server. A restart under the same id makes it a new
-  // server, whose observations start empty.
+  // Adds or updates a server. A restart under the same id, which shows in its
+  // start time, address or software version, makes it a new server, whose
+  // observations start empty.
   void apply(const ServerEntry &Entry, TimePoint Now);
   // Records that the entry was removed. A server that didn't announce its
   // leaving stays usable as a last resort until `UsableUntil`, since entries
@@ -106,8 +107,9 @@
   // are leaving.
   uint32_t count(const std::string &Service, ServerStage Stage) const;
 
-  // Whether a new request may be sent to the server.
-  bool usable(const std::string &Id, int64_t StartedAt, TimePoint Now) const;
+  // Whether a new request may be sent to the server, which must be the process
+  // that was chosen.
+  bool usable(const ServerChoice &Server, TimePoint Now) const;
 
   // Returns the best server, if any. Failing servers are avoided and probed
   // with few requests.
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -208,7 +208,7 @@
 
 bool ServiceDirectory::usable(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
-  return Registry.usable(Server.Id, Server.StartedAt, Clock::now());
+  return Registry.usable(Server, Clock::now());
 }
 
 std::optional<VersionKey>
--- a/test/gateway_server_registry_test.cc
+++ b/test/gateway_server_registry_test.cc
@@ -28,6 +28,13 @@
   return registry;
 }
 
+ServerChoice choiceOf(const std::string &Id, int64_t StartedAt) {
+  ServerChoice choice;
+  choice.Id = Id;
+  choice.StartedAt = StartedAt;
+  return choice;
+}
+
 std::string chosen(ServerRegistry &Registry, TimePoint Now) {
   auto choice = Registry.choose({"bays", ServerStage::Whole, {}}, Now);
   return choice ? choice->Id : "none";
@@ -42,7 +49,7 @@
   leaving.Leaving = true;
   registry.apply(leaving, Start);
   CHECK(chosen(registry, Start) == "none");
-  CHECK_FALSE(registry.usable("s1", 1, Start));
+  CHECK_FALSE(registry.usable(choiceOf("s1", 1), Start));
 }
 
 TEST_CASE("An expired entry is a last resort until its grace time ends") {
@@ -76,8 +83,8 @@
   }
   REQUIRE(chosen(registry, at(10)) == "s2");
   registry.apply(entryOf("s1", 2), at(10));
-  CHECK_FALSE(registry.usable("s1", 1, at(10)));
-  CHECK(registry.usable("s1", 2, at(10)));
+  CHECK_FALSE(registry.usable(choiceOf("s1", 1), at(10)));
+  CHECK(registry.usable(choiceOf("s1", 2), at(10)));
   registry.callStarted("s2", 1);
   CHECK(chosen(registry, at(10)) == "s1");
 }
@@ -176,3 +183,17 @@
   query.Version = versionKeyOf("v2");
   CHECK(registry.rank(query, Start).empty());
 }
+
+// Between its choice and the call a server may start again at another version.
+TEST_CASE("A chosen server isn't usable once its version has changed") {
+  ServerRegistry registry("hall-a", 7);
+  ServerEntry entry = entryOf("s1");
+  entry.Version = "v1";
+  registry.apply(entry, Start);
+  ServerChoice choice =
+      *registry.choose({"bays", ServerStage::Whole, {}}, Start);
+  CHECK(registry.usable(choice, Start));
+  entry.Version = "v1.1";
+  registry.apply(entry, at(10));
+  CHECK_FALSE(registry.usable(choice, at(10)));
+}
