Send a request again only on connections that it wasn't sent on before

Callers could see: a 503 that promises that their request hasn't run, though it has, or one request run at two servers. Cause: a server may send a response twice; the second comes where the next response is expected, and its id tells that it belongs to another request. A request that is sent again to the same server, on the same pooled connection, has the same id, so a late duplicate of its first refusal was taken for the response to its second run. Change: a pooled connection remembers the ids of its latest requests and isn't used for one of them again. Result: 'A late duplicate of a refusal isn't taken for the next response' failed (the caller got a refusal, the run was executed) and passes.

--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -1,5 +1,6 @@
 #include "gateway/server_call.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <poll.h>
 
@@ -18,6 +19,9 @@
 // that no request races with the close.
 constexpr Milliseconds CloseMargin{1000};
 constexpr size_t MaxIdlePerServer = 8; // idle connections for one server
+// Requests whose ids a connection remembers. A request is sent again within
+// seconds, after few others on the connection.
+constexpr size_t MaxRememberedRequests = 16;
 // Connections within a region open within milliseconds; a lost first packet is
 // retransmitted after a second.
 constexpr Milliseconds ConnectTimeout{250};
@@ -34,23 +38,31 @@
 
 } // namespace
 
-BackendSocketPtr ConnectionPool::take(const std::string &Address) {
+PooledConnection ConnectionPool::take(const std::string &Address,
+                                      const std::string &RequestId) {
   std::lock_guard lock(Mutex);
-  auto it = Connections.find(Address);
-  if (it == Connections.end())
-    return nullptr;
+  auto found = Connections.find(Address);
+  if (found == Connections.end())
+    return {};
+  auto &idle = found->second;
   TimePoint now = Clock::now();
-  while (!it->second.empty()) {
-    Idle newest = std::move(it->second.back());
-    it->second.pop_back();
-    if (newest.UsableUntil > now && newest.Connection->isIdleAndOpen())
-      return std::move(newest.Connection);
+  for (size_t i = idle.size(); i-- > 0;) {
+    auto it = idle.begin() + static_cast<std::ptrdiff_t>(i);
+    const std::vector<std::string> &ids = it->Connection.RequestIds;
+    bool usable =
+        it->UsableUntil > now && it->Connection.Socket->isIdleAndOpen();
+    if (usable && std::ranges::find(ids, RequestId) != ids.end())
+      continue;
+    PooledConnection connection = std::move(it->Connection);
+    idle.erase(it);
+    if (usable)
+      return connection;
   }
-  return nullptr;
+  return {};
 }
 
 void ConnectionPool::give(const std::string &Address,
-                          BackendSocketPtr Connection,
+                          PooledConnection Connection,
                           std::optional<Milliseconds> KeepAliveTimeout) {
   Milliseconds keep =
       KeepAliveTimeout ? *KeepAliveTimeout - CloseMargin : DefaultIdleTimeout;
@@ -136,9 +148,12 @@
                              : CallStatus::DeadlineExceeded;
 }
 
-bool ServerCall::connect(const std::string &Address, CallStatus &Status) {
-  if (BackendSocketPtr kept = Pool.take(Address)) {
-    Http.adopt(std::move(kept));
+bool ServerCall::connect(const std::string &Address,
+                         const std::string &RequestId, CallStatus &Status) {
+  PooledConnection kept = Pool.take(Address, RequestId);
+  RequestIds = std::move(kept.RequestIds);
+  if (kept.Socket) {
+    Http.adopt(std::move(kept.Socket));
     return true;
   }
   Pool.countOpened();
@@ -167,9 +182,14 @@
                                        Milliseconds ResponseTimeout) {
   Address = Server.Address;
   CallStatus status = CallStatus::NotSent;
-  if (!connect(Address, status))
+  if (!connect(Address, RequestId, status))
     return status;
   TimePoint sentAt = Clock::now();
+  if (!RequestId.empty()) {
+    RequestIds.push_back(RequestId);
+    if (RequestIds.size() > MaxRememberedRequests)
+      RequestIds.erase(RequestIds.begin());
+  }
   status = fromExchange(Http.send(Bytes, TimePoint::max(), TransferTimeout));
   if (status != CallStatus::Responded)
     return status;
@@ -201,7 +221,8 @@
 
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
-    Pool.give(Address, std::move(kept), Info.KeepAliveTimeout);
+    Pool.give(Address, {std::move(kept), std::move(RequestIds)},
+              Info.KeepAliveTimeout);
 }
 
 bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
@@ -211,7 +232,7 @@
   ExchangeStatus status = http.connect(Address, Clock::now() + RefusalTimeout);
   if (status == ExchangeStatus::Ok)
     if (BackendSocketPtr opened = http.releaseUnused())
-      Pool.give(Address, std::move(opened), std::nullopt);
+      Pool.give(Address, {std::move(opened), {}}, std::nullopt);
   return http.connectionRefused();
 }
 
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -11,17 +11,27 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace crocusspur::gateway {
 
+// A connection to a server and the ids of the requests last sent on it.
+struct PooledConnection {
+  internal::BackendSocketPtr Socket;
+  std::vector<std::string> RequestIds; // latest last
+};
+
 // Idle connections by address. Thread-safe.
 class ConnectionPool {
 public:
-  // Returns an idle connection that is still open, or null.
-  internal::BackendSocketPtr take(const std::string &Address);
+  // Returns an idle connection that is still open, or null. A server may send a
+  // response twice, and the id tells which request it belongs to; so a request
+  // that is sent again never gets a connection that it was sent on before.
+  PooledConnection take(const std::string &Address,
+                        const std::string &RequestId);
   // `KeepAliveTimeout`: how long the server keeps the connection, if it has
   // stated it.
-  void give(const std::string &Address, internal::BackendSocketPtr Connection,
+  void give(const std::string &Address, PooledConnection Connection,
             std::optional<Milliseconds> KeepAliveTimeout);
   void drop(const std::string &Address);
   size_t idleCount();
@@ -30,7 +40,7 @@
 
 private:
   struct Idle {
-    internal::BackendSocketPtr Connection;
+    PooledConnection Connection;
     TimePoint UsableUntil;
   };
   std::mutex Mutex;
@@ -103,7 +113,8 @@
                              const std::string &RequestId,
                              Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
-  bool connect(const std::string &Address, CallStatus &Status);
+  bool connect(const std::string &Address, const std::string &RequestId,
+               CallStatus &Status);
 
   ConnectionPool &Pool;
   const HttpCodec &Codec;
@@ -111,6 +122,7 @@
   CallerWaiter &Waiter;
   internal::HttpExchange Http;
   std::string Address;
+  std::vector<std::string> RequestIds; // sent on the connection
   ResponseInfo Info;
 };
 
--- a/test/gateway_stream_handler_test.cc
+++ b/test/gateway_stream_handler_test.cc
@@ -333,3 +333,45 @@
   CHECK(prefill.count("POST /x/y") == 1);
   CHECK(first.count("POST /x/y") + second.count("POST /x/y") == 2);
 }
+
+// A server may send its refusal twice. The second one carries the id of the
+// request too, which is sent again to the same server after the first.
+TEST_CASE("A late duplicate of a refusal isn't taken for the next response") {
+  GatewayFixture gateway;
+  std::atomic<int> executed{0};
+  ScriptServer decoder([&](int Fd, int) {
+    bool refused = false;
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty())
+        return;
+      if (isReserve(request)) {
+        sendText(Fd, json(200, R"({"retention":"res1"})"));
+      } else if (!request.starts_with("POST /x/y")) {
+        sendText(Fd, json(200, "{}"));
+      } else {
+        const std::string refusal = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+                                    "Attempt-Id: a1\r\nContent-Length: "
+                                    "0\r\n\r\n";
+        bool refuses = contains(request, "Kv-Source");
+        executed += !refuses;
+        sendText(Fd,
+                 (refused ? refusal : "") + (refuses ? refusal : stream(1, 3)));
+        refused = refused || refuses;
+      }
+    }
+  });
+  FakeServer prefill(prefillResponse);
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  crocusspur::gateway::ServerEntry entry;
+  entry.Id = "d1";
+  entry.Service = "summaries";
+  entry.Address = decoder.address();
+  entry.Stage = ServerStage::Decode;
+  gateway.Directory.applyServer({"d1", 100, entry}, UpdateOrigin::Store);
+  std::string response = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(contains(response, "data: e3"));
+  CHECK_FALSE(contains(response, "\"run\":\"no\""));
+  CHECK(executed == 1);
+  gateway.Connections.drop(decoder.address()); // ends the server's threads
+}
