Assume a full fleet for limits until its members are likely to be known

Callers' services saw: repeats beyond the allowance for all instances together. Cause: an instance that has just started divides the allowance by the members that it has seen. After a restart of many processes it sees one other first, so that each uses half of what all may use together; processes that restart in a series do so each time. Change: for 3 s after the first member is seen, at least the default of 64 instances is assumed, as before the first. Leadership still counts the members. A test demanded 2 right after the first member, which is the fault; it now demands 64 until 3 s and 2 from then on.

--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -19,7 +19,10 @@
 // Assumed until a member is known: about the largest fleet planned for the near
 // term, so that an isolated instance doesn't use budget that belongs to others.
 constexpr uint32_t DefaultSharers = 64;
-constexpr Milliseconds SharerRetention{60000};
+constexpr Milliseconds FleetSizeRetention{60000};
+// From the first member seen until the others are known too. After a restart of
+// many processes, each finds one first and the rest in its next rounds.
+constexpr Milliseconds DiscoveryTime{3000};
 
 } // namespace
 
@@ -32,7 +35,8 @@
   if (Item.Name == OwnName || Item.Address == OwnAddress ||
       Item.LastSeenAgo >= MemberRetention)
     return;
-  EverSeenMember = true;
+  if (!FirstMemberSeenAt)
+    FirstMemberSeenAt = Now;
   TimePoint at = Now - Item.LastSeenAgo;
   State &state = Members[Item.Name];
   if (at <= state.LastSeenAt)
@@ -95,7 +99,7 @@
 bool MemberTable::isLeader(Milliseconds ForAtLeast, TimePoint Now) {
   std::vector<Member> others = alive(Now);
   bool firstByName =
-      EverSeenMember && 2 * (others.size() + 1) > budgetSharers(Now);
+      FirstMemberSeenAt && 2 * (others.size() + 1) > fleetSize(Now);
   for (const Member &it : others)
     firstByName = firstByName && (it.Leaving || OwnName < it.Name);
   if (!firstByName)
@@ -108,7 +112,7 @@
 KeyOwner MemberTable::ownerOf(const std::string &Key, bool OwnLeaving,
                               TimePoint Now) const {
   // A process that has just started knows nobody yet.
-  if (!EverSeenMember && !Seeds.empty())
+  if (!FirstMemberSeenAt && !Seeds.empty())
     return {};
   std::vector<std::string> names;
   if (!OwnLeaving)
@@ -138,15 +142,20 @@
   return addresses;
 }
 
-uint32_t MemberTable::budgetSharers(TimePoint Now) {
-  if (!EverSeenMember)
-    return DefaultSharers;
+uint32_t MemberTable::fleetSize(TimePoint Now) {
   auto now = static_cast<uint32_t>(alive(Now).size() + 1);
-  if (now >= MaxSharers || Now - MaxSharersAt > SharerRetention) {
-    MaxSharers = now;
-    MaxSharersAt = Now;
+  if (now >= MaxSeen || Now - MaxSeenAt > FleetSizeRetention) {
+    MaxSeen = now;
+    MaxSeenAt = Now;
   }
-  return MaxSharers;
+  return MaxSeen;
+}
+
+uint32_t MemberTable::budgetSharers(TimePoint Now) {
+  bool discovered =
+      FirstMemberSeenAt && Now - *FirstMemberSeenAt >= DiscoveryTime;
+  uint32_t seen = fleetSize(Now);
+  return discovered ? seen : std::max(seen, DefaultSharers);
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -96,11 +96,14 @@
                                      TimePoint Now) const;
 
   // Number of instances that may share a budget, including this one: the
-  // maximum known at once in the last minute, or a conservative default until
-  // members are known.
+  // maximum known at once in the last minute, and at least a conservative
+  // default until the members are likely to be known.
   uint32_t budgetSharers(TimePoint Now);
 
 private:
+  // The maximum of members seen at once in the last minute.
+  uint32_t fleetSize(TimePoint Now);
+
   struct State {
     Member Item;
     TimePoint LastSeenAt;
@@ -113,9 +116,9 @@
   std::vector<std::string> Seeds;
   std::map<std::string, State> Members; // by name
   uint32_t Round = 0;
-  uint32_t MaxSharers = 0;
-  TimePoint MaxSharersAt;
-  bool EverSeenMember = false;
+  uint32_t MaxSeen = 0; // members at once, including this instance
+  TimePoint MaxSeenAt;
+  std::optional<TimePoint> FirstMemberSeenAt;
   std::optional<TimePoint> FirstByNameSince;
 };
 
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -88,7 +88,8 @@
   MemberTable table("n1", "10.0.0.1:1", 7);
   CHECK(table.budgetSharers(Start) == 64);
   table.onMemberSeen(memberOf(2), Start);
-  CHECK(table.budgetSharers(Start) == 2);
+  CHECK(table.budgetSharers(at(2999)) == 64);
+  CHECK(table.budgetSharers(at(3000)) == 2);
 }
 
 TEST_CASE(
@@ -96,7 +97,7 @@
   MemberTable table("n1", "10.0.0.1:1", 7);
   for (int i = 2; i < 9; ++i)
     table.onMemberSeen(memberOf(i), Start);
-  REQUIRE(table.budgetSharers(Start) == 8);
+  REQUIRE(table.budgetSharers(at(3000)) == 8);
   CHECK(table.budgetSharers(at(30000)) == 8);
   CHECK(table.budgetSharers(at(70000)) == 1);
 }
--- a/test/gateway_shared_retry_budget_test.cc
+++ b/test/gateway_shared_retry_budget_test.cc
@@ -1,5 +1,7 @@
 #include "gateway/decisions/shared_retry_budget.h"
 
+#include "gateway/decisions/member_table.h"
+
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
@@ -77,3 +79,51 @@
   }
   CHECK(sum <= 0.2 * Requests + 56);
 }
+
+// Each process meets one other first, then all. With the share of two it would
+// use up what eight may use together.
+TEST_CASE("A fleet stays within the allowance while its members find each "
+          "other") {
+  uint32_t sum = 0;
+  for (int i = 0; i < 8; ++i) {
+    SharedRetryBudget budget({0.2, 56}, Start);
+    MemberTable members("g" + std::to_string(i), "10.0.0.1:1", 7);
+    for (int ms = 0; ms < 10000; ms += 50) {
+      TimePoint now = Start + Milliseconds(ms);
+      for (int other = 0; other < 8; ++other) {
+        bool known = other == (i + 1) % 8 ? ms >= 250 : ms >= 1250;
+        if (other == i || !known)
+          continue;
+        Member member;
+        member.Name = "g" + std::to_string(other);
+        member.Address = "10.0.0.1:" + std::to_string(other + 2);
+        members.onMemberSeen(member, now);
+      }
+      sum += budget.tryConsumeRetry("bays", members.budgetSharers(now), now);
+    }
+  }
+  CHECK(sum > 0);
+  CHECK(sum <= 56);
+}
+
+// Each process starts again every two seconds.
+TEST_CASE("A fleet whose processes keep restarting stays within the "
+          "allowance") {
+  uint32_t sum = 0;
+  for (int i = 0; i < 8; ++i)
+    for (int start = 0; start < 10000; start += 2000) {
+      SharedRetryBudget budget({0.2, 56}, Start + Milliseconds(start));
+      MemberTable members("g" + std::to_string(i), "10.0.0.1:1", 7);
+      for (int ms = start; ms < start + 2000; ms += 50) {
+        TimePoint now = Start + Milliseconds(ms);
+        for (int other = 0; other < 8 && ms >= start + 250; ++other) {
+          Member member;
+          member.Name = "g" + std::to_string(other);
+          member.Address = "10.0.0.1:" + std::to_string(other + 2);
+          members.onMemberSeen(member, now);
+        }
+        sum += budget.tryConsumeRetry("bays", members.budgetSharers(now), now);
+      }
+    }
+  CHECK(sum <= 56);
+}
