Bound heads, interim responses and short responses in time

Callers saw: a call that lasts until their deadline because a server sends interim responses without end, or a reservation's or a late response byte by byte. Cause: waits were bounded between two bytes only, and interim responses in no way. Change: a head arrives within its timeout as a whole, after at most 8 interim responses; a part of a body within its timeout; responses to reservations and prefills, late responses that are skipped, and the short responses that 'serve' reads, within their timeouts as a whole.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -148,8 +148,8 @@
   if (status != 409 && status != 503)
     return {StageOutcome::Failed, false};
   std::string body;
-  ExchangeStatus read =
-      Exchange.readWholeBody(body, MaxJsonResponseBytes, Timeout);
+  ExchangeStatus read = Exchange.readWholeBody(body, MaxJsonResponseBytes,
+                                               Timeout, Clock::now() + Timeout);
   if (read != ExchangeStatus::Ok)
     return toResult(read, Exchange);
   Poco::JSON::Object::Ptr object = parseObject(body);
@@ -312,7 +312,8 @@
     return result;
   }
   std::string body;
-  status = exchange.readWholeBody(body, MaxJsonResponseBytes, Call.Timeout);
+  status = exchange.readWholeBody(body, MaxJsonResponseBytes, Call.Timeout,
+                                  Clock::now() + Call.Timeout);
   Poco::JSON::Object::Ptr object =
       status == ExchangeStatus::Ok ? parseObject(body) : nullptr;
   if (!object)
@@ -379,8 +380,8 @@
   if (status == ExchangeStatus::Ok)
     status = sendAndReadHead(exchange, Call, Request, Method);
   if (status == ExchangeStatus::Ok)
-    status =
-        exchange.readWholeBody(Response, MaxControlResponseBytes, Call.Timeout);
+    status = exchange.readWholeBody(Response, MaxControlResponseBytes,
+                                    Call.Timeout, Clock::now() + Call.Timeout);
   Retry =
       reused && !exchange.byteReceived() && status != ExchangeStatus::TimedOut;
   if (status != ExchangeStatus::Ok)
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -203,15 +203,18 @@
       return status;
     }
     std::string stray;
-    status = readWhole(stray, MaxStrayBytes);
+    status = readWhole(stray, MaxStrayBytes, TransferTimeout);
     if (status != CallStatus::Responded)
       return status;
   }
   return CallStatus::ConnectionBroken;
 }
 
-CallStatus ServerCall::readWhole(std::string &Body, size_t MaxBytes) {
-  return fromExchange(Http.readWholeBody(Body, MaxBytes, TransferTimeout));
+CallStatus ServerCall::readWhole(std::string &Body, size_t MaxBytes,
+                                 std::optional<Milliseconds> MaxTime) {
+  TimePoint until = MaxTime ? Clock::now() + *MaxTime : TimePoint::max();
+  return fromExchange(
+      Http.readWholeBody(Body, MaxBytes, TransferTimeout, until));
 }
 
 CallStatus ServerCall::readSome(std::string &Out, bool &End,
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -93,7 +93,10 @@
   CallStatus start(const ServerChoice &Server, const std::string &Bytes,
                    const std::string &Method, const std::string &RequestId,
                    Milliseconds ResponseTimeout, bool Permitted);
-  CallStatus readWhole(std::string &Body, size_t MaxBytes);
+  // `MaxTime` bounds the time that it takes; without it, only the request's
+  // deadline and the time without progress do.
+  CallStatus readWhole(std::string &Body, size_t MaxBytes,
+                       std::optional<Milliseconds> MaxTime = std::nullopt);
   // Reads the available part of a stream; see HttpExchange::readBody.
   CallStatus readSome(std::string &Out, bool &End, Milliseconds Pause);
   // Returns the connection to the pool if the response was read to its end.
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -340,7 +340,7 @@
         "POST", "", ReserveTimeout, /*Permitted=*/true);
     std::string body;
     if (status == CallStatus::Responded)
-      status = call.readWhole(body, MaxPrefillResponseBytes);
+      status = call.readWhole(body, MaxPrefillResponseBytes, ReserveTimeout);
     if (status != CallStatus::Responded) {
       Context.Directory.callEnded(server.Id, 0, failedCall(status).Result);
       Context.Limits.release(server.Id, 1);
@@ -409,7 +409,7 @@
   PrefillSent = call.maySent();
   std::string body;
   if (status == CallStatus::Responded)
-    status = call.readWhole(body, MaxPrefillResponseBytes);
+    status = call.readWhole(body, MaxPrefillResponseBytes, PrefillTimeout);
   auto end = [&](CallResult Result, const std::string &Outcome) {
     Context.Directory.callEnded(Server.Id, weight, Result);
     logCall("prefill", Server, call, Outcome, started);
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -15,6 +16,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+// Interim responses to one request. Servers send one or two.
+constexpr uint32_t MaxInterimResponses = 8;
+
 ExchangeStatus toStatus(WaitResult Result, ExchangeStatus OnTimeout) {
   return Result == WaitResult::TimedOut ? OnTimeout
                                         : ExchangeStatus::Interrupted;
@@ -101,14 +105,13 @@
 }
 
 // Waits until data is available and receives it.
-ExchangeStatus HttpExchange::fill(Milliseconds Timeout) {
+ExchangeStatus HttpExchange::fill(TimePoint Until) {
   if (Offset == Pending.size()) {
     Pending.clear();
     Offset = 0;
   }
   while (true) {
-    WaitResult result =
-        Waiter.wait(Socket->fd(), POLLIN, Clock::now() + Timeout);
+    WaitResult result = Waiter.wait(Socket->fd(), POLLIN, Until);
     if (result != WaitResult::Ready)
       return toStatus(result, ExchangeStatus::TimedOut);
     char buf[16384];
@@ -129,12 +132,14 @@
 
 ExchangeStatus HttpExchange::readHead(const std::string &Method,
                                       Milliseconds Timeout) {
+  TimePoint until = Clock::now() + Timeout;
+  uint32_t interim = 0;
   while (true) {
     size_t end = Pending.find("\r\n\r\n", Offset);
     if (end == std::string::npos) {
       if (EndOfInput || Pending.size() - Offset > MaxHeadBytes)
         return ExchangeStatus::Failed;
-      ExchangeStatus status = fill(Timeout);
+      ExchangeStatus status = fill(until);
       if (status != ExchangeStatus::Ok)
         return status;
       continue;
@@ -146,6 +151,8 @@
     Offset = end + 4;
     if (Head.Status >= 200) // interim responses are skipped
       break;
+    if (++interim > MaxInterimResponses || Clock::now() >= until)
+      return ExchangeStatus::Failed;
   }
   BodyFraming framing;
   if (!responseFraming(Head, Method, framing))
@@ -157,6 +164,11 @@
 
 ExchangeStatus HttpExchange::readBody(std::string &Out, bool &End,
                                       Milliseconds Timeout) {
+  return readBodyUntil(Out, End, Clock::now() + Timeout);
+}
+
+ExchangeStatus HttpExchange::readBodyUntil(std::string &Out, bool &End,
+                                           TimePoint Until) {
   size_t before = Out.size();
   while (true) {
     std::string_view input(Pending.data() + Offset, Pending.size() - Offset);
@@ -171,21 +183,25 @@
       return ExchangeStatus::Ok;
     if (EndOfInput)
       return ExchangeStatus::Failed;
-    ExchangeStatus status = fill(Timeout);
+    ExchangeStatus status = fill(Until);
     if (status != ExchangeStatus::Ok)
       return status;
   }
 }
 
 ExchangeStatus HttpExchange::readWholeBody(std::string &Out, size_t MaxBytes,
-                                           Milliseconds Timeout) {
+                                           Milliseconds Timeout,
+                                           TimePoint Until) {
   bool end = false;
   while (!end) {
-    ExchangeStatus status = readBody(Out, end, Timeout);
+    ExchangeStatus status =
+        readBodyUntil(Out, end, std::min(Clock::now() + Timeout, Until));
     if (status != ExchangeStatus::Ok)
       return status;
     if (Out.size() > MaxBytes)
       return ExchangeStatus::Failed;
+    if (!end && Clock::now() >= Until)
+      return ExchangeStatus::TimedOut;
   }
   return ExchangeStatus::Ok;
 }
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -53,7 +53,8 @@
   // responded early.
   ExchangeStatus send(const std::string &Request, TimePoint NotAfter,
                       Milliseconds Timeout);
-  // Waits for the response head; `Timeout` bounds the time without progress.
+  // Waits for the response head, at most for `Timeout`. Returns Failed after
+  // too many interim responses.
   ExchangeStatus readHead(const std::string &Method, Milliseconds Timeout);
   const HttpHead &head() const { return Head; }
   // How the end of the body is marked. A body of the form UntilClose ends with
@@ -61,11 +62,13 @@
   BodyForm bodyForm() const { return Form; }
 
   // Appends the part of the body that is available; waits for at least one byte
-  // or the end.
+  // or the end, at most for `Timeout`.
   ExchangeStatus readBody(std::string &Out, bool &End, Milliseconds Timeout);
   // Reads the rest of the body. Returns Failed if `Out` exceeds `MaxBytes`.
+  // `Timeout` bounds the time without progress, `Until` the whole.
   ExchangeStatus readWholeBody(std::string &Out, size_t MaxBytes,
-                               Milliseconds Timeout);
+                               Milliseconds Timeout,
+                               TimePoint Until = TimePoint::max());
 
   // Whether connect() failed because nothing listens at the address.
   bool connectionRefused() const { return ConnectionRefused; }
@@ -78,7 +81,8 @@
   BackendSocketPtr releaseUnused();
 
 private:
-  ExchangeStatus fill(Milliseconds Timeout);
+  ExchangeStatus fill(TimePoint Until);
+  ExchangeStatus readBodyUntil(std::string &Out, bool &End, TimePoint Until);
 
   SocketWaiter &Waiter;
   BackendSocketPtr Socket;
