Leave a server whose event doesn't end

Callers saw: a stream held until their deadline by a server that sends an event without end; the instance kept all of it. Cause: any byte counted as progress of a stream, and nothing bounded an event. Change: only whole events are progress, and an event of more than 1 MiB breaks the stream off, which goes on elsewhere or is cut like after any break.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -50,6 +50,8 @@
 constexpr Milliseconds NotResumableRetryAfter{5000};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
+// Events hold some tokens each. The stream counts as broken beyond it.
+constexpr size_t MaxEventBytes = 1048576;
 
 struct FailedCall {
   CallResult Result;
@@ -597,11 +599,28 @@
   if (Route.Resumable)
     stallTimeout =
         std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps);
+  // Only whole events are progress.
+  TimePoint stalledAt = Clock::now() + stallTimeout;
   while (!end && status == CallStatus::Responded && !CallerWriteFailed) {
     std::string bytes;
-    status = Call.readSome(bytes, end, stallTimeout);
+    uint64_t forwarded = EventsForwarded;
+    TimePoint now = Clock::now();
+    status = Call.readSome(
+        bytes, end,
+        std::chrono::ceil<Milliseconds>(std::max(stalledAt, now) - now));
     events.add(bytes);
     forwardEvents(events, Server);
+    if (EventsForwarded > forwarded)
+      stalledAt = Clock::now() + stallTimeout;
+    else if (!end && Clock::now() >= stalledAt)
+      status = CallStatus::TimedOut;
+    if (events.rest().size() > MaxEventBytes) {
+      log(LogLevel::Warn, "request", "event exceeds the size limit",
+          {{"request", Request.Id},
+           {"server", Server.Id},
+           {"limit_bytes", std::to_string(MaxEventBytes)}});
+      status = CallStatus::ConnectionBroken;
+    }
   }
   if (CallerWriteFailed || status == CallStatus::CallerLeft) {
     finish("caller_left", "the caller closed its connection");
