Move the versions of streams out of the handler of streams

Cause: stream_handler.cc did two jobs. Change: finding, recording and selecting by a stream's software version stands in a file of its own; no behaviour changes.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -2,8 +2,6 @@
 // the prompt at a prefill server, then relays the stream.
 #include "gateway/request_handler.h"
 
-#include "gateway/decisions/content_fingerprint.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -45,9 +43,6 @@
 constexpr Milliseconds MinStallTimeout{1200};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
-// Retry-After for callers whose stream no server may continue. Coming back
-// early can't help them.
-constexpr Milliseconds NotResumableRetryAfter{5000};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
 // Events hold some tokens each. The stream counts as broken beyond it.
@@ -121,59 +116,6 @@
   finish(Waiter.callerLeft() ? "caller_left" : "broken", Why);
 }
 
-bool RequestHandler::resolveStreamVersion() {
-  StreamKey stream =
-      streamKeyOf(Request.Host, Request.Target, Request.ResumedRequestId);
-  Milliseconds maxAge = maxStreamAge(
-      std::max(Route.Timeout, Context.Directory.maxTimeLeft(Route.Name)),
-      timeLeft());
-  auto ownKnowledge = [&] {
-    return OriginKnowledge{Request.ResumedRequestId.empty()
-                               ? std::nullopt
-                               : Context.Origins.find(stream),
-                           Context.Directory.soleVersion(Service, maxAge)};
-  };
-  OriginKnowledge own = ownKnowledge();
-  std::vector<OriginKnowledge> peers;
-  std::optional<VersionKey> current;
-  if (!own.Recorded)
-    peers = Context.Origins.askKeepers({stream, Service, maxAge});
-  ResumptionDecision decision = decideResumption(own, peers, current);
-  if (!decision.Version && Context.Origins.confirmServers()) {
-    current = Context.Directory.soleVersion(Service, Milliseconds(0));
-    decision = decideResumption(ownKnowledge(), peers, current);
-  }
-  StreamVersion = decision.Version;
-  internal::LogFields all = fields();
-  all.emplace_back("resumes", Request.ResumedRequestId);
-  all.emplace_back("last_event_id", Request.LastEventId);
-  all.emplace_back("basis", decision.Basis);
-  all.emplace_back("version",
-                   StreamVersion ? fingerprintText(*StreamVersion) : "");
-  all.emplace_back("peers", std::to_string(peers.size()));
-  all.emplace_back("max_age_ms", std::to_string(maxAge.count()));
-  log(LogLevel::Info, "request", "stream taken up", all);
-  return StreamVersion.has_value();
-}
-
-bool RequestHandler::hasOutputServer() const {
-  return !Context.Directory.rank(outputQuery(ServerStage::Decode)).empty() ||
-         !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
-}
-
-void RequestHandler::refuseResumption(const std::string &Why) {
-  refuse(ErrorKind::StreamNotResumable, Why, NotResumableRetryAfter);
-}
-
-void RequestHandler::recordOrigin(const ServerChoice &Server) {
-  if (!Route.Resumable)
-    return;
-  const std::string &first =
-      Request.ResumedRequestId.empty() ? Request.Id : Request.ResumedRequestId;
-  Context.Origins.record(streamKeyOf(Request.Host, Request.Target, first),
-                         versionKeyOf(Server.Version), timeLeft());
-}
-
 RequestHandler::AttemptResult RequestHandler::tryStream(bool ReadAtDecode) {
   if (StreamVersion && !hasOutputServer()) {
     const char *why = "no server of the stream's software version is left";
@@ -234,10 +176,6 @@
   return startStream(*reservation, kvCache);
 }
 
-ServerQuery RequestHandler::outputQuery(ServerStage Stage) const {
-  return {Service, Stage, Tried, StreamVersion};
-}
-
 std::optional<RequestHandler::DecodeReservation>
 RequestHandler::selectUnreservedDecode() {
   LimitedUntil.reset();
--- /dev/null
+++ b/src/gateway/stream_version_handler.cc
@@ -0,0 +1,79 @@
+// Part of RequestHandler that keeps a stream to the software version that began
+// it: finds the version when a caller takes the stream up, records it for other
+// instances, and selects servers by it.
+#include "gateway/request_handler.h"
+
+#include "gateway/decisions/content_fingerprint.h"
+
+#include <algorithm>
+
+namespace crocusspur::gateway {
+namespace {
+
+using internal::log;
+using internal::LogLevel;
+
+// Retry-After for callers whose stream no server may continue. Coming back
+// early can't help them.
+constexpr Milliseconds NotResumableRetryAfter{5000};
+
+} // namespace
+
+bool RequestHandler::resolveStreamVersion() {
+  StreamKey stream =
+      streamKeyOf(Request.Host, Request.Target, Request.ResumedRequestId);
+  Milliseconds maxAge = maxStreamAge(
+      std::max(Route.Timeout, Context.Directory.maxTimeLeft(Route.Name)),
+      timeLeft());
+  auto ownKnowledge = [&] {
+    return OriginKnowledge{Request.ResumedRequestId.empty()
+                               ? std::nullopt
+                               : Context.Origins.find(stream),
+                           Context.Directory.soleVersion(Service, maxAge)};
+  };
+  OriginKnowledge own = ownKnowledge();
+  std::vector<OriginKnowledge> peers;
+  std::optional<VersionKey> current;
+  if (!own.Recorded)
+    peers = Context.Origins.askKeepers({stream, Service, maxAge});
+  ResumptionDecision decision = decideResumption(own, peers, current);
+  if (!decision.Version && Context.Origins.confirmServers()) {
+    current = Context.Directory.soleVersion(Service, Milliseconds(0));
+    decision = decideResumption(ownKnowledge(), peers, current);
+  }
+  StreamVersion = decision.Version;
+  internal::LogFields all = fields();
+  all.emplace_back("resumes", Request.ResumedRequestId);
+  all.emplace_back("last_event_id", Request.LastEventId);
+  all.emplace_back("basis", decision.Basis);
+  all.emplace_back("version",
+                   StreamVersion ? fingerprintText(*StreamVersion) : "");
+  all.emplace_back("peers", std::to_string(peers.size()));
+  all.emplace_back("max_age_ms", std::to_string(maxAge.count()));
+  log(LogLevel::Info, "request", "stream taken up", all);
+  return StreamVersion.has_value();
+}
+
+bool RequestHandler::hasOutputServer() const {
+  return !Context.Directory.rank(outputQuery(ServerStage::Decode)).empty() ||
+         !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
+}
+
+void RequestHandler::refuseResumption(const std::string &Why) {
+  refuse(ErrorKind::StreamNotResumable, Why, NotResumableRetryAfter);
+}
+
+void RequestHandler::recordOrigin(const ServerChoice &Server) {
+  if (!Route.Resumable)
+    return;
+  const std::string &first =
+      Request.ResumedRequestId.empty() ? Request.Id : Request.ResumedRequestId;
+  Context.Origins.record(streamKeyOf(Request.Host, Request.Target, first),
+                         versionKeyOf(Server.Version), timeLeft());
+}
+
+ServerQuery RequestHandler::outputQuery(ServerStage Stage) const {
+  return {Service, Stage, Tried, StreamVersion};
+}
+
+} // namespace crocusspur::gateway
