--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -6,6 +6,7 @@
 #define CROCUSSPUR_GATEWAY_HTTP_CODEC_H
 
 #include "gateway/decisions/output_estimator.h"
+#include "gateway/decisions/prompt_parts.h"
 #include "gateway/decisions/server_limit_table.h"
 #include "gateway/decisions/server_registry.h"
 #include "http_header.h"
@@ -29,6 +30,7 @@
   std::string Body;
   std::optional<Milliseconds> TimeLeft; // until the caller's deadline
   std::optional<GenerationSize> Generation;
+  std::vector<PromptPartKey> PromptParts; // see sharedPromptParts()
   std::string LastEventId; // resume the stream after this event
   // Id of the caller's attempt that brought the first event of the stream that
   // this request takes up; empty if it takes up none.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -78,6 +78,11 @@
           {"config_version", std::to_string(Document->Version)}};
 }
 
+void RequestHandler::addPromptParts(internal::LogFields &Fields) const {
+  if (!Request.PromptParts.empty())
+    Fields.emplace_back("prompt_parts", promptPartsText(Request.PromptParts));
+}
+
 void RequestHandler::logCall(const char *Stage, const ServerChoice &Server,
                              const ServerCall &Call, const std::string &Outcome,
                              TimePoint Started) {
@@ -92,6 +97,7 @@
   all.emplace_back("server_version", Server.Version);
   all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
   all.emplace_back("content", fingerprintText(Content));
+  addPromptParts(all);
   all.emplace_back("send", std::to_string(Sends));
   all.emplace_back("outcome", Outcome);
   if (Call.head().Status != 0)
@@ -113,6 +119,7 @@
                           static_cast<double>(taken.count()) / 1000);
   internal::LogFields all = fields();
   all.emplace_back("content", fingerprintText(Content));
+  addPromptParts(all);
   all.emplace_back("sends", std::to_string(Sends));
   if (!Request.ResumedRequestId.empty())
     all.emplace_back("resumes", Request.ResumedRequestId);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -144,6 +144,7 @@
                TimePoint Started);
   void finish(const std::string &Outcome, const std::string &Why);
   internal::LogFields fields() const;
+  void addPromptParts(internal::LogFields &Fields) const;
 
   const GatewayContext &Context;
   RouteDocumentPtr Document;
