Reproduce a part of prompts that keeps crashing servers

Requests of which no two are alike share a part that ends each server that begins to answer; nothing recognises it.

--- a/test/crashing_server.cc
+++ b/test/crashing_server.cc
@@ -12,9 +12,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int StreamEvents = 8;
-constexpr Milliseconds EventInterval{5};
-
 std::string chunk(const std::string &Data) {
   char size[16];
   std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
@@ -140,7 +137,11 @@
     return true;
   }
   bool crashes = Request.ends_with("\r\n\r\n" + CrashingBody);
-  if (crashes)
+  bool hasCrashingPart =
+      !Options.CrashingPart.empty() &&
+      headerField(Request, "Prefix-Hash").find(Options.CrashingPart + ":") !=
+          std::string::npos;
+  if (crashes || hasCrashingPart)
     Log.onArrival(headerField(Request, "Attempt-Id"));
   if (!headerField(Request, "Inference-Phase").empty()) {
     sendText(Fd, httpResponse(200, "{\"kv-handle\":\"h\",\"token-count\":9,"
@@ -159,17 +160,31 @@
   }
   std::string id = headerField(Request, "Attempt-Id");
   if (!Options.Stage.empty())
-    return respondStream(Fd, id);
+    return respondStream(Fd, id, hasCrashingPart);
   sendText(Fd, signedResponse(200, "answer", id));
   return true;
 }
 
-bool CrashingServer::respondStream(int Fd, const std::string &Id) {
+bool CrashingServer::pause(Milliseconds Time) {
+  std::unique_lock lock(Mutex);
+  return !Changed.wait_for(lock, Time, [this] { return Crashed || Stopping; });
+}
+
+bool CrashingServer::respondStream(int Fd, const std::string &Id,
+                                   bool Crashes) {
   sendText(Fd, "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: " + Id +
                    "\r\nTransfer-Encoding: chunked\r\n\r\n");
-  for (int i = 1; i <= StreamEvents; ++i) {
+  if (Crashes) {
+    if (!pause(Options.CrashDelay))
+      return false;
+    Log.onCrash(); // before a caller can see the crash
+    crash();
+    return false;
+  }
+  for (int i = 1; i <= Options.StreamEvents; ++i) {
     sendText(Fd, chunk("id: " + std::to_string(i) + "\ndata: x\n\n"));
-    std::this_thread::sleep_for(EventInterval);
+    if (!pause(Options.EventInterval))
+      return false;
   }
   sendText(Fd, "0\r\n\r\n");
   return true;
--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -1,7 +1,7 @@
 // A fake backend server whose process ends when it runs a request with a given
-// content. After some time it starts again at its address, under a new id or
-// under its id with a new start time. Serves plain requests, prefills and
-// streams.
+// content or begins to answer one with a given part in its prompt. After some
+// time it starts again at its address, under a new id or under its id with a
+// new start time. Serves plain requests, prefills and streams.
 #ifndef CROCUSSPUR_TEST_CRASHING_SERVER_H
 #define CROCUSSPUR_TEST_CRASHING_SERVER_H
 
@@ -22,7 +22,7 @@
 // Requests whose body contains this end the server that runs them.
 inline const std::string CrashingBody = "crash the server";
 
-// What all servers of a test received with CrashingBody. Thread-safe.
+// What all servers of a test received that crashes them. Thread-safe.
 class CrashLog {
 public:
   void onArrival(const std::string &RequestId);
@@ -54,6 +54,12 @@
   // While it is down, connections are refused; otherwise they are opened and
   // closed at once.
   bool RefusesWhileDown = true;
+  // Requests with this part in their prompts end the server this long after it
+  // began to answer. Empty: none do.
+  std::string CrashingPart;
+  Milliseconds CrashDelay{50};
+  int StreamEvents = 8;
+  Milliseconds EventInterval{5};
 };
 
 class CrashingServer {
@@ -69,7 +75,9 @@
   void supervise();
   void serve(int Fd);
   bool respond(int Fd, const std::string &Request);
-  bool respondStream(int Fd, const std::string &Id);
+  bool respondStream(int Fd, const std::string &Id, bool Crashes);
+  // Waits. Returns false if the process ends meanwhile.
+  bool pause(Milliseconds Time);
 
   FakeStore &Store;
   CrashLog &Log;
