--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -100,6 +100,8 @@
   addPromptParts(all);
   all.emplace_back("send", std::to_string(Sends));
   all.emplace_back("outcome", Outcome);
+  if (Call.connectFailure() != internal::ConnectFailure::None)
+    all.emplace_back("connect", internal::nameOf(Call.connectFailure()));
   if (Call.head().Status != 0)
     all.emplace_back("framing", internal::nameOf(Call.bodyForm()));
   all.emplace_back("taken_ms", std::to_string(taken.count()));
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -104,6 +104,9 @@
 
   // Whether a byte of the request may have been sent.
   bool maySent() const { return Http.byteSent(); }
+  internal::ConnectFailure connectFailure() const {
+    return Http.connectFailure();
+  }
   const internal::HttpHead &head() const { return Http.head(); }
   // How the end of the response's body is marked; see HttpExchange::bodyForm().
   internal::BodyForm bodyForm() const { return Http.bodyForm(); }
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -24,9 +24,15 @@
                                         : ExchangeStatus::Interrupted;
 }
 
-// Starts a non-blocking connect. Returns -1 if that fails immediately; sets
-// `Refused` if the reason is that nothing listens at the address.
-int startConnect(const std::string &Address, bool &Refused) {
+ConnectFailure failureOf(int Error) {
+  return Error == ECONNREFUSED ? ConnectFailure::Refused
+                               : ConnectFailure::Other;
+}
+
+// Starts a non-blocking connect. Returns -1 and sets `Failure` if that fails
+// immediately.
+int startConnect(const std::string &Address, ConnectFailure &Failure) {
+  Failure = ConnectFailure::Other;
   try {
     Poco::Net::SocketAddress target(Address);
     int fd =
@@ -39,9 +45,11 @@
     // Without this, each token that is read is acknowledged separately.
     ::setsockopt(fd, IPPROTO_TCP, TCP_QUICKACK, &zero, sizeof zero);
     if (::connect(fd, target.addr(), target.length()) == 0 ||
-        errno == EINPROGRESS)
+        errno == EINPROGRESS) {
+      Failure = ConnectFailure::None;
       return fd;
-    Refused = errno == ECONNREFUSED;
+    }
+    Failure = failureOf(errno);
     ::close(fd);
   } catch (const Poco::Exception &) {
     // An invalid address counts as unreachable.
@@ -51,6 +59,20 @@
 
 } // namespace
 
+const char *nameOf(ConnectFailure Failure) {
+  switch (Failure) {
+  case ConnectFailure::None:
+    return "none";
+  case ConnectFailure::Refused:
+    return "refused";
+  case ConnectFailure::Hangs:
+    return "hangs";
+  case ConnectFailure::Other:
+    break;
+  }
+  return "failed";
+}
+
 BackendSocket::~BackendSocket() { ::close(Fd); }
 
 bool BackendSocket::isIdleAndOpen() const {
@@ -60,18 +82,22 @@
 
 ExchangeStatus HttpExchange::connect(const std::string &Address,
                                      TimePoint Until) {
-  int fd = startConnect(Address, ConnectionRefused);
+  int fd = startConnect(Address, Failure);
   if (fd < 0)
     return ExchangeStatus::NotSent;
   Socket = std::make_unique<BackendSocket>(fd);
   WaitResult result = Waiter.wait(fd, POLLOUT, Until);
-  if (result != WaitResult::Ready)
+  if (result != WaitResult::Ready) {
+    Failure = ConnectFailure::Hangs;
     return toStatus(result, ExchangeStatus::NotSent);
+  }
   int error = 0;
   socklen_t length = sizeof error;
   ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length);
-  ConnectionRefused = error == ECONNREFUSED;
-  return error == 0 ? ExchangeStatus::Ok : ExchangeStatus::NotSent;
+  if (error == 0)
+    return ExchangeStatus::Ok;
+  Failure = failureOf(error);
+  return ExchangeStatus::NotSent;
 }
 
 void HttpExchange::adopt(BackendSocketPtr Connected) {
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -19,6 +19,15 @@
   Interrupted, // by the waiter
 };
 
+enum class ConnectFailure : uint8_t {
+  None,
+  Refused, // nothing listens at the address
+  Hangs,   // no response in time
+  Other,   // reset, unreachable, or no socket
+};
+
+const char *nameOf(ConnectFailure Failure); // name in logs
+
 // Owns a connected socket and closes it on destruction.
 class BackendSocket {
 public:
@@ -71,7 +80,9 @@
                                TimePoint Until = TimePoint::max());
 
   // Whether connect() failed because nothing listens at the address.
-  bool connectionRefused() const { return ConnectionRefused; }
+  bool connectionRefused() const { return Failure == ConnectFailure::Refused; }
+  // Why connect() failed, or None.
+  ConnectFailure connectFailure() const { return Failure; }
   bool byteSent() const { return ByteSent; }
   // Whether any byte of a response has been received.
   bool byteReceived() const { return ByteReceived; }
@@ -90,7 +101,7 @@
   BodyDecoder Decoder;
   std::string Pending; // received; not yet decoded from Offset on
   size_t Offset = 0;
-  bool ConnectionRefused = false;
+  ConnectFailure Failure = ConnectFailure::None;
   bool ByteSent = false;
   bool ByteReceived = false;
   bool EndOfInput = false;
