--- a/test/crashing_server.h
+++ b/test/crashing_server.h
@@ -69,6 +69,7 @@
   ~CrashingServer();
   // Ends the process as a crash does, whatever it runs.
   void crash();
+  std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
 
 private:
   void start();
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -80,6 +80,10 @@
   ~GatewayFleet();
 
   void addServer(const std::string &Id, const FakeServer &Server);
+  // Lets the instance use another store; before it is started.
+  void useStore(const GatewayInstance &Item, const FakeStore &Other) {
+    writeSettings(Item, Other.address());
+  }
   void start(GatewayInstance &Item);
   // Starts all instances and waits until they are ready.
   void startAll();
