--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -14,6 +14,11 @@
 constexpr Milliseconds MemberRetention{10000};
 // Time during which a member that didn't respond isn't contacted.
 constexpr Milliseconds FailedContactPause{2000};
+// Responses of servers to a member that are older say nothing about now. What a
+// member reports is itself some seconds old in a large fleet.
+constexpr Milliseconds ReachValidity{10000};
+// Time during which no request is passed on to a member that refused one.
+constexpr Milliseconds RefusedForwardPause{500};
 // A seed is contacted once in this many rounds, even if members are known.
 constexpr uint32_t SeedContactRounds = 10;
 // Assumed until a member is known: about the largest fleet planned for the near
@@ -142,6 +147,32 @@
   return addresses;
 }
 
+std::vector<Member> MemberTable::reaching(const std::string &Service,
+                                          TimePoint Now) {
+  std::vector<Member> found;
+  for (const auto &[name, state] : Members) {
+    auto skip = state.ForwardSkipUntil.find(Service);
+    if (state.Item.Leaving || state.SkipUntil > Now ||
+        (skip != state.ForwardSkipUntil.end() && skip->second > Now))
+      continue;
+    Milliseconds seenAgo =
+        std::chrono::duration_cast<Milliseconds>(Now - state.LastSeenAt);
+    if (std::ranges::any_of(state.Item.Reached, [&](const ServiceReach &It) {
+          return It.Service == Service && It.Age + seenAgo < ReachValidity;
+        }))
+      found.push_back(state.Item);
+  }
+  std::shuffle(found.begin(), found.end(), Random);
+  return found;
+}
+
+void MemberTable::onForwardRefused(const std::string &Name,
+                                   const std::string &Service, TimePoint Now) {
+  auto it = Members.find(Name);
+  if (it != Members.end())
+    it->second.ForwardSkipUntil[Service] = Now + RefusedForwardPause;
+}
+
 uint32_t MemberTable::fleetSize(TimePoint Now) {
   auto now = static_cast<uint32_t>(alive(Now).size() + 1);
   if (now >= MaxSeen || Now - MaxSeenAt > FleetSizeRetention) {
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -10,6 +10,7 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/demand_meter.h"
+#include "gateway/decisions/reachability_table.h"
 
 #include <map>
 #include <optional>
@@ -45,6 +46,8 @@
   bool Leaving = false;
   std::vector<ServiceStats> Stats;
   std::vector<IssuedStageOrder> Orders; // latest order of each service
+  // Services whose servers respond to the instance.
+  std::vector<ServiceReach> Reached{};
 };
 
 // The instance that decides for the fleet on a key.
@@ -95,6 +98,16 @@
   std::vector<std::string> keepersOf(const std::string &Key,
                                      TimePoint Now) const;
 
+  // Returns the instances to which servers of the service have responded within
+  // the last seconds, in random order: those to pass requests on to. Excludes
+  // instances that are leaving, whose last contact failed, or that have refused
+  // such a request lately.
+  std::vector<Member> reaching(const std::string &Service, TimePoint Now);
+  // An instance refused a request for the service, since it doesn't reach its
+  // servers or handles enough of them.
+  void onForwardRefused(const std::string &Name, const std::string &Service,
+                        TimePoint Now);
+
   // Number of instances that may share a budget, including this one: the
   // maximum known at once in the last minute, and at least a conservative
   // default until the members are likely to be known.
@@ -108,6 +121,7 @@
     Member Item;
     TimePoint LastSeenAt;
     TimePoint SkipUntil;
+    std::map<std::string, TimePoint> ForwardSkipUntil; // by service
   };
 
   std::string OwnName;
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -33,8 +33,8 @@
 }
 
 ServerChoice choiceOf(const ServerEntry &Entry) {
-  return {Entry.Id,      Entry.Address,   Entry.FailureDomain,
-          Entry.Version, Entry.StartedAt, false};
+  return {Entry.Id,        Entry.Address, Entry.FailureDomain, Entry.Version,
+          Entry.StartedAt, false,         Entry.Service};
 }
 
 } // namespace
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -64,6 +64,7 @@
   std::string Version; // of its software
   int64_t StartedAt = 0;
   bool Failing = false; // avoided after failures, or its entry was removed
+  std::string Service{};
 };
 
 // Criteria for the selection of a server.
--- /dev/null
+++ b/src/gateway/forward_handler.cc
@@ -0,0 +1,186 @@
+// Passing-on part of RequestHandler: while this instance reaches no server of
+// the request's service, an instance that does handles the request.
+#include "gateway/forward_call.h"
+#include "gateway/request_handler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using internal::log;
+using internal::LogLevel;
+
+// Instances that are asked to handle one request.
+constexpr size_t MaxForwardTargets = 3;
+// Connections to servers that hung before the request is passed on, whether or
+// not this instance is known to be cut off. Each costs ConnectTimeout.
+constexpr int MaxHungConnects = 2;
+// An instance that sends nothing for this long may be frozen. A request that
+// may be repeated goes elsewhere then; others wait for their deadline.
+constexpr Milliseconds SilenceTimeout{3000};
+constexpr size_t MaxResponseBytes = 16777216;
+
+} // namespace
+
+bool RequestHandler::shouldForward() const {
+  return !Origin && !ForwardingRefused && Context.Forwarding &&
+         Context.Forwarding->Select &&
+         (HungConnects >= MaxHungConnects ||
+          Context.Connections.reachability().isCutOff(Service));
+}
+
+RequestHandler::AttemptResult RequestHandler::forward() {
+  AttemptResult result = AttemptResult::NotExecuted;
+  size_t asked = 0;
+  for (const Member &it : Context.Forwarding->Select(Service)) {
+    if (result != AttemptResult::NotExecuted || shouldStop() ||
+        asked++ == MaxForwardTargets)
+      break;
+    if (Sends > 0 && !tryConsumeRetry()) {
+      RetryBudgetExhausted = true;
+      break;
+    }
+    result = forwardTo(it);
+  }
+  // With no instance that takes it, the own servers are tried all the same.
+  ForwardingRefused = result == AttemptResult::NotExecuted;
+  return result;
+}
+
+RequestHandler::AttemptResult RequestHandler::forwardTo(const Member &Peer) {
+  MemberFrame frame;
+  frame.Sender = Context.Forwarding->OwnMember();
+  frame.ConfigVersion = Document->Version;
+  ForwardedRequest forwarded;
+  forwarded.Request = Request;
+  forwarded.Request.LastEventId = LastEventId;
+  forwarded.Service = Service;
+  forwarded.Elapsed =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - Arrived);
+  forwarded.UsedServers = Used;
+  forwarded.MayHaveExecuted = MayHaveExecuted || HeadSent;
+  forwarded.StreamVersion = StreamVersion;
+  frame.Forwarded = std::move(forwarded);
+  bool repeatable = Route.Kind == RouteKind::Idempotent || Route.Resumable;
+  Milliseconds timeout =
+      repeatable ? std::min(SilenceTimeout, timeLeft()) : timeLeft();
+  TimePoint started = Clock::now();
+  ForwardCall call(Waiter);
+  CallStatus status = call.start(Peer.Address, frame);
+  bool sent = status == CallStatus::Responded;
+  ForwardResponse first;
+  if (sent)
+    status = call.read(first, timeout);
+  AttemptResult result =
+      sent ? AttemptResult::Unknown : AttemptResult::NotExecuted;
+  std::string outcome = sent ? "broken" : "not_sent";
+  if (status == CallStatus::Responded) {
+    if (!first.RoutesText.empty())
+      Context.Forwarding->ApplyRoutes(first.RoutesText);
+    if (first.Failure && first.Failure->Elsewhere) {
+      result = AttemptResult::NotExecuted;
+      outcome = "refused";
+    } else {
+      ++Sends;
+      Used.insert(Peer.Name);
+      outcome = first.Failure ? "problem" : "answered";
+    }
+  } else if (sent) {
+    ++Sends;
+    Used.insert(Peer.Name);
+  }
+  if (result == AttemptResult::NotExecuted)
+    Context.Forwarding->OnRefused(Peer, Service);
+  internal::LogFields all = fields();
+  all.emplace_back("peer", Peer.Name);
+  all.emplace_back("outcome", outcome);
+  all.emplace_back("why", first.Failure ? first.Failure->Item.Detail : "");
+  all.emplace_back("taken_ms",
+                   std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                      Clock::now() - started)
+                                      .count()));
+  log(LogLevel::Info, "request", "passed on to a peer", all);
+  if (status != CallStatus::Responded || result == AttemptResult::NotExecuted)
+    return result;
+  if (first.Failure) {
+    returnProblem(first.Failure->Item);
+    return AttemptResult::Done;
+  }
+  return relayForwarded(call, std::move(first), timeout);
+}
+
+void RequestHandler::returnProblem(internal::Problem Item) {
+  if (HeadSent) {
+    abortStream(Item.Detail);
+    return;
+  }
+  bool refused = Item.Run == ExecutionState::No && !MayHaveExecuted;
+  if (!refused)
+    Item.Run = ExecutionState::Unknown;
+  Item.Id = RequestId();
+  sendProblem(Item);
+  finish(refused ? "refused" : "failed", Item.Detail);
+}
+
+RequestHandler::AttemptResult
+RequestHandler::relayForwarded(ForwardCall &Call, ForwardResponse First,
+                               Milliseconds SilenceTime) {
+  if (!First.ResponseHead)
+    return AttemptResult::Unknown;
+  ForwardResponse::Head head = std::move(*First.ResponseHead);
+  bool isStream = Route.Kind == RouteKind::Stream &&
+                  head.Response.Status == 200 && !head.Response.HasLength;
+  if (isStream && !HeadSent) {
+    Status = 200;
+    Sink.begin(head.Response);
+    HeadSent = true;
+  }
+  std::string body;
+  internal::EventSplitter events;
+  ForwardResponse frame = std::move(First);
+  while (true) {
+    if (isStream) {
+      events.add(frame.Data);
+      forwardEvents(events, head.OutputVersion);
+    } else {
+      body += frame.Data;
+    }
+    if (CallerWriteFailed) {
+      finish("caller_left", "the caller closed its connection");
+      return AttemptResult::Done;
+    }
+    if (frame.End || body.size() > MaxResponseBytes)
+      break;
+    frame = ForwardResponse();
+    CallStatus status = Call.read(frame, SilenceTime);
+    if (status == CallStatus::CallerLeft) {
+      finish("caller_left", "the caller closed its connection");
+      return AttemptResult::Done;
+    }
+    if (status != CallStatus::Responded)
+      return AttemptResult::Unknown;
+  }
+  if (!frame.End.value_or(false))
+    return AttemptResult::Unknown;
+  if (isStream) {
+    if (!events.rest().empty())
+      Sink.write(events.rest());
+    Sink.end(true);
+    finish("streamed", "by another instance");
+    return AttemptResult::Done;
+  }
+  if (HeadSent) {
+    abortStream("another server failed to continue the stream");
+    return AttemptResult::Done;
+  }
+  FirstOutput = Clock::now();
+  Status = head.Response.Status;
+  bool passed = internal::writeResponse(Sink, head.Response, body);
+  finish(passed ? "answered" : "caller_left", "by another instance");
+  return AttemptResult::Done;
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #define CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 
 #include "gateway/crash_monitor.h"
+#include "gateway/decisions/member_table.h"
 #include "gateway/http_codec.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
@@ -10,8 +11,23 @@
 #include "gateway/stream_origins.h"
 #include "runtime.h"
 
+#include <functional>
+#include <string>
+#include <vector>
+
 namespace crocusspur::gateway {
 
+// How requests are passed on to other instances. Thread-safe.
+struct ForwardingHooks {
+  // Returns the instances that reach the service's servers, best first.
+  std::function<std::vector<Member>(const std::string &Service)> Select;
+  // The instance didn't take a request.
+  std::function<void(const Member &Peer, const std::string &Service)> OnRefused;
+  // Routes of another instance that are newer.
+  std::function<void(const std::string &Text)> ApplyRoutes;
+  std::function<Member()> OwnMember;
+};
+
 struct GatewayContext {
   const HttpCodec &Codec;
   ServiceDirectory &Directory;
@@ -21,6 +37,7 @@
   CrashMonitor &Crashes;
   StreamOrigins &Origins;
   internal::MetricsSink &Metrics;
+  const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -5,6 +5,7 @@
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/request_handler.h"
+#include "http_sink.h"
 #include "log.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -88,9 +89,10 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
     return false;
-  Context.emplace(GatewayContext{
-      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
+  Context.emplace(
+      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
+                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
+                     Runtime->Origins, *metrics, &Runtime->Forwarding});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -5,6 +5,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/gateway_context.h"
 #include "gateway/membership.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
@@ -42,6 +43,10 @@
           else
             Crashes.onServerVanished(ServerId);
         });
+    Connections.reachability().setHooks({[this](const std::string &Service) {
+                                           return Directory.serversOf(Service);
+                                         },
+                                         nullptr});
   }
 
   const Adapter &ActiveAdapter;
@@ -67,6 +72,8 @@
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
   Membership Peers;
+  // Filled by member_links before callers are served; empty without peers.
+  ForwardingHooks Forwarding;
 
   // Applies the settings that can change at run time: seeds and the retry
   // budget. Others need a restart.
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -1,5 +1,6 @@
 #include "gateway/member_codec.h"
 
+#include "gateway/wire_text.h"
 #include "gateway_peer_generated.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 // Bounds on what a peer may ask for at once; the gateway asks for two calls.
 constexpr uint32_t MaxCallsPerPermit = 16;
 constexpr int32_t MaxCharged = 64;
+constexpr uint64_t MaxForwardedMs = 86400000; // a day
 
 flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
   std::vector<flatbuffers::Offset<wire::ServiceFigures>> stats;
@@ -27,12 +29,18 @@
     orders.push_back(wire::CreateGivenOrder(
         Out, Out.CreateString(it.Service), Out.CreateString(it.ServerId),
         it.Fence, static_cast<uint32_t>(it.Age.count()), it.ToDecode));
+  std::vector<flatbuffers::Offset<wire::ServiceReach>> reached;
+  for (const ServiceReach &it : Item.Reached)
+    reached.push_back(
+        wire::CreateServiceReach(Out, Out.CreateString(it.Service),
+                                 static_cast<uint32_t>(it.Age.count())));
+  auto reachedList = Out.CreateVector(reached);
   auto statsList = Out.CreateVector(stats);
   auto orderList = Out.CreateVector(orders);
   return wire::CreateMember(Out, Out.CreateString(Item.Name),
                             Out.CreateString(Item.Address), Item.Incarnation,
                             static_cast<uint32_t>(Item.LastSeenAgo.count()),
-                            Item.Leaving, statsList, orderList);
+                            Item.Leaving, statsList, orderList, reachedList);
 }
 
 flatbuffers::Offset<wire::ServerLimit> pack(Builder &Out,
@@ -43,10 +51,6 @@
       Out.CreateString(Item.Source));
 }
 
-std::string textOf(const flatbuffers::String *Text) {
-  return Text ? Text->str() : std::string();
-}
-
 double finiteOrZero(double Value) { return std::isfinite(Value) ? Value : 0; }
 
 Member unpack(const wire::Member &Item) {
@@ -68,6 +72,10 @@
       member.Orders.push_back({textOf(it->service()), textOf(it->server()),
                                it->fence(), Milliseconds(it->ago_ms()),
                                it->to_decode()});
+  if (Item.reached())
+    for (const wire::ServiceReach *it : *Item.reached())
+      member.Reached.push_back(
+          {textOf(it->service()), Milliseconds(it->ago_ms())});
   return member;
 }
 
@@ -92,6 +100,88 @@
                        Milliseconds(Item.max_delay_ms())};
 }
 
+flatbuffers::Offset<wire::ForwardRequest> pack(Builder &Out,
+                                               const ForwardedRequest &Item) {
+  const CallerRequest &request = Item.Request;
+  std::vector<flatbuffers::Offset<flatbuffers::String>> used;
+  for (const std::string &it : Item.UsedServers)
+    used.push_back(Out.CreateString(it));
+  auto usedList = Out.CreateVector(used);
+  auto fields = packFields(Out, request.Forwarded);
+  auto parts = Out.CreateVector(request.PromptParts);
+  auto body = packBytes(Out, request.Body);
+  auto id = Out.CreateString(request.Id);
+  auto service = Out.CreateString(Item.Service);
+  auto host = Out.CreateString(request.Host);
+  auto method = Out.CreateString(request.Method);
+  auto target = Out.CreateString(request.Target);
+  auto lastEvent = Out.CreateString(request.LastEventId);
+  auto resumed = Out.CreateString(request.ResumedRequestId);
+  wire::ForwardRequestBuilder out(Out);
+  out.add_id(id);
+  out.add_service(service);
+  out.add_host(host);
+  out.add_method(method);
+  out.add_target(target);
+  out.add_header(fields);
+  out.add_body(body);
+  out.add_has_time_left(request.TimeLeft.has_value());
+  if (request.TimeLeft)
+    out.add_time_left_ms(static_cast<uint64_t>(request.TimeLeft->count()));
+  out.add_elapsed_ms(static_cast<uint64_t>(Item.Elapsed.count()));
+  out.add_has_generation(request.Generation.has_value());
+  if (request.Generation) {
+    out.add_prompt_tokens(request.Generation->PromptTokens);
+    out.add_max_output_tokens(request.Generation->MaxOutputTokens);
+    out.add_expected_output_tokens(request.Generation->ExpectedOutputTokens);
+  }
+  out.add_prompt_parts(parts);
+  out.add_last_event_id(lastEvent);
+  out.add_resumed_request_id(resumed);
+  out.add_used_servers(usedList);
+  out.add_may_have_executed(Item.MayHaveExecuted);
+  out.add_stream_version(Item.StreamVersion.value_or(0));
+  return out.Finish();
+}
+
+// Returns nullopt if the times are beyond any deadline.
+std::optional<ForwardedRequest> unpack(const wire::ForwardRequest &Item) {
+  if (Item.time_left_ms() > MaxForwardedMs ||
+      Item.elapsed_ms() > MaxForwardedMs)
+    return std::nullopt;
+  ForwardedRequest forwarded;
+  CallerRequest &request = forwarded.Request;
+  request.Id = textOf(Item.id());
+  request.Host = textOf(Item.host());
+  request.Method = textOf(Item.method());
+  request.Target = textOf(Item.target());
+  request.Forwarded = unpackFields(Item.header());
+  if (Item.body())
+    request.Body.assign(Item.body()->begin(), Item.body()->end());
+  if (Item.has_time_left())
+    request.TimeLeft = Milliseconds(Item.time_left_ms());
+  if (Item.has_generation())
+    request.Generation =
+        GenerationSize{Item.prompt_tokens(), Item.max_output_tokens(),
+                       Item.expected_output_tokens()};
+  if (Item.prompt_parts())
+    request.PromptParts.assign(
+        Item.prompt_parts()->begin(),
+        Item.prompt_parts()->begin() +
+            std::min<uint32_t>(Item.prompt_parts()->size(), MaxPromptParts));
+  request.LastEventId = textOf(Item.last_event_id());
+  request.ResumedRequestId = textOf(Item.resumed_request_id());
+  forwarded.Service = textOf(Item.service());
+  forwarded.Elapsed = Milliseconds(Item.elapsed_ms());
+  if (Item.used_servers())
+    for (const flatbuffers::String *it : *Item.used_servers())
+      forwarded.UsedServers.insert(it->str());
+  forwarded.MayHaveExecuted = Item.may_have_executed();
+  if (Item.stream_version() != 0)
+    forwarded.StreamVersion = Item.stream_version();
+  return forwarded;
+}
+
 // Returns nullopt for kinds of later versions.
 std::optional<SuspectKind> suspectKind(uint8_t Value) {
   if (Value > static_cast<uint8_t>(SuspectKind::PromptPart))
@@ -173,6 +263,9 @@
   flatbuffers::Offset<wire::OriginAnswer> origin;
   if (Frame.Origin)
     origin = pack(out, *Frame.Origin);
+  flatbuffers::Offset<wire::ForwardRequest> forwarded;
+  if (Frame.Forwarded)
+    forwarded = pack(out, *Frame.Forwarded);
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
@@ -184,7 +277,7 @@
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
       Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
       Frame.IsNotification, limitList, wantedPermit, permit, originList,
-      wantedOrigin, origin));
+      wantedOrigin, origin, forwarded));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -245,6 +338,11 @@
                                      Milliseconds(it->max_age_ms())};
   if (in.origin_answer())
     frame.Origin = unpack(*in.origin_answer());
+  if (in.forward()) {
+    frame.Forwarded = unpack(*in.forward());
+    if (!frame.Forwarded)
+      return std::nullopt;
+  }
   return frame;
 }
 
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -4,6 +4,7 @@
 
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
+#include "gateway/forward_codec.h"
 #include "gateway/server_limits.h"
 #include "gateway/stream_origins.h"
 
@@ -53,6 +54,9 @@
   std::vector<StreamOrigin> Origins;
   std::optional<OriginQuery> WantedOrigin;
   std::optional<OriginKnowledge> Origin;
+  // A request that is passed on. The response are frames of their own; see
+  // ForwardResponse.
+  std::optional<ForwardedRequest> Forwarded;
 };
 
 // Returns the frame without its length prefix.
--- a/src/gateway/member_exchange.cc
+++ b/src/gateway/member_exchange.cc
@@ -10,8 +10,6 @@
 using Clock = std::chrono::steady_clock;
 using Poco::Net::StreamSocket;
 
-constexpr uint32_t MaxFrameBytes = 8388608;
-
 Poco::Timespan timespan(Milliseconds Time) {
   return Poco::Timespan(std::chrono::microseconds(Time).count());
 }
@@ -37,12 +35,26 @@
   Socket.setSendTimeout(timespan(Timeout));
 }
 
-void sendFrame(StreamSocket &Socket, const std::vector<uint8_t> &Bytes) {
-  std::vector<uint8_t> out(4);
+std::vector<uint8_t> framed(const std::vector<uint8_t> &Bytes) {
+  std::vector<uint8_t> out(FramePrefixBytes);
   auto size = static_cast<uint32_t>(Bytes.size());
   for (size_t i = 0; i < out.size(); ++i)
     out[i] = static_cast<uint8_t>(size >> (8 * i));
   out.insert(out.end(), Bytes.begin(), Bytes.end());
+  return out;
+}
+
+std::optional<size_t> frameSize(std::string_view Bytes) {
+  if (Bytes.size() < FramePrefixBytes)
+    return std::nullopt;
+  size_t size = 0;
+  for (size_t i = 0; i < FramePrefixBytes; ++i)
+    size |= static_cast<size_t>(static_cast<uint8_t>(Bytes[i])) << (8 * i);
+  return size;
+}
+
+void sendFrame(StreamSocket &Socket, const std::vector<uint8_t> &Bytes) {
+  std::vector<uint8_t> out = framed(Bytes);
   size_t done = 0;
   while (done < out.size())
     done += static_cast<size_t>(Socket.sendBytes(
@@ -52,12 +64,11 @@
 std::optional<MemberFrame> receiveFrame(StreamSocket &Socket,
                                         Milliseconds Timeout) {
   TimePoint until = Clock::now() + Timeout;
-  std::array<uint8_t, 4> prefix{};
+  std::array<uint8_t, FramePrefixBytes> prefix{};
   if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
     return std::nullopt;
-  uint32_t size = 0;
-  for (size_t i = 0; i < prefix.size(); ++i)
-    size |= static_cast<uint32_t>(prefix[i]) << (8 * i);
+  size_t size = *frameSize(
+      {reinterpret_cast<const char *>(prefix.data()), prefix.size()});
   if (size > MaxFrameBytes)
     return std::nullopt;
   std::vector<uint8_t> bytes(size);
--- a/src/gateway/member_exchange.h
+++ b/src/gateway/member_exchange.h
@@ -8,10 +8,20 @@
 #include <Poco/Net/StreamSocket.h>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace crocusspur::gateway {
 
+inline constexpr uint32_t MaxFrameBytes = 8388608;
+inline constexpr size_t FramePrefixBytes = 4; // the size, little-endian
+
+// Returns the frame with its length prefix.
+std::vector<uint8_t> framed(const std::vector<uint8_t> &Bytes);
+// Returns the size of the frame that the bytes begin with, without its prefix,
+// or nothing if the prefix isn't complete.
+std::optional<size_t> frameSize(std::string_view Bytes);
+
 // These throw Poco exceptions if the connection fails.
 void setTimeouts(Poco::Net::StreamSocket &Socket, Milliseconds Timeout);
 void sendFrame(Poco::Net::StreamSocket &Socket,
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -4,9 +4,12 @@
 // sent only to instances that can't read the store or have just started. What
 // an instance learns about crashes of servers and about their request limits it
 // sends on at once, and its rounds fetch what it has missed. Permits for calls
-// to servers with limits are exchanged by the threads of the requests.
+// to servers with limits are exchanged by the threads of the requests. Requests
+// that another instance passes on are handled on the threads of their
+// connections.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
+#include "gateway/forward_service.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/member_exchange.h"
 #include "log.h"
@@ -29,6 +32,7 @@
 using internal::LogLevel;
 using Poco::Net::StreamSocket;
 
+constexpr int ExchangeThreads = 8;
 constexpr size_t ContactsPerRound = 2;
 constexpr Milliseconds RoundPeriod{1000};
 // While updates are missing; well below the time limit for activating changes.
@@ -84,10 +88,13 @@
   MemberFrame requestFrame();
   void addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
   void applyFrame(const MemberFrame &Frame);
+  void applyRoutes(const std::string &Text, const std::string &From);
   void logMembershipChanges();
 
   GatewayRuntime *Runtime = nullptr;
   internal::ConnectionServer Server;
+  std::optional<GatewayContext> Context; // of requests of other instances
+  std::optional<ForwardService> Forwarded;
   std::mutex Mutex; // guards Stopping and HasChanges
   std::condition_variable Wake;
   bool Stopping = false;
@@ -111,9 +118,18 @@
         "no peer address set; running without peers", {});
     return true;
   }
+  auto *metrics = Owner.find<internal::MetricsSink>();
+  if (!metrics)
+    return false;
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
+  Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
   options.Address = values.PeerAddress;
+  options.MaxThreads =
+      ExchangeThreads + static_cast<int>(ForwardService::MaxRequests);
   std::string fault =
       Server.start(options, [this](StreamSocket &Socket) { serve(Socket); });
   if (!fault.empty()) {
@@ -146,6 +162,15 @@
        [this](const std::string &Address, const PermitRequest &Request) {
          return askForPermit(Address, Request);
        }});
+  Runtime->Forwarding = {
+      [this](const std::string &Service) {
+        return Runtime->Peers.reaching(Service);
+      },
+      [this](const Member &Peer, const std::string &Service) {
+        Runtime->Peers.onForwardRefused(Peer.Name, Service);
+      },
+      [this](const std::string &Text) { applyRoutes(Text, "a peer"); },
+      [this] { return Runtime->ownMember(); }};
   Thread = std::thread([this] { runRounds(); });
   return true;
 }
@@ -161,6 +186,8 @@
   if (Thread.joinable())
     Thread.join();
   Server.stopAccepting();
+  if (Forwarded)
+    Forwarded->stop();
   Server.join();
 }
 
@@ -173,6 +200,7 @@
   frame.Sender = Runtime->ownMember();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
+  frame.Sender.Reached = Runtime->Connections.reachability().reached();
   return frame;
 }
 
@@ -212,6 +240,16 @@
         {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
 }
 
+void MemberLinks::applyRoutes(const std::string &Text,
+                              const std::string &From) {
+  RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Text);
+  if (routes)
+    Runtime->Directory.applyRoutes(std::move(routes), UpdateOrigin::Peer);
+  else
+    log(LogLevel::Warn, "member_links", "ignored invalid routes from a peer",
+        {{"peer", From}});
+}
+
 void MemberLinks::applyFrame(const MemberFrame &Frame) {
   raiseTo(NewestVersion, Frame.ConfigVersion);
   raiseTo(NewestRevision, Frame.ServersRevision);
@@ -222,14 +260,8 @@
     Runtime->Peers.onMemberSeen(it);
   Runtime->Directory.setInstances(Runtime->Peers.budgetSharers());
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
-  if (!Frame.RoutesText.empty()) {
-    RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Frame.RoutesText);
-    if (routes)
-      Runtime->Directory.applyRoutes(std::move(routes), UpdateOrigin::Peer);
-    else
-      log(LogLevel::Warn, "member_links", "ignored invalid routes from a peer",
-          {{"peer", Frame.Sender.Name}});
-  }
+  if (!Frame.RoutesText.empty())
+    applyRoutes(Frame.RoutesText, Frame.Sender.Name);
   if (!Frame.HasServers)
     return;
   std::vector<ServerChange> changes;
@@ -252,6 +284,11 @@
           {{"from", Socket.peerAddress().toString()}});
       return;
     }
+    if (request->Forwarded) {
+      Forwarded->handle(Socket.impl()->sockfd(), request->Sender.Name,
+                        std::move(*request->Forwarded), request->ConfigVersion);
+      return;
+    }
     if (request->WantedPermit) {
       MemberFrame permit;
       permit.Sender = Runtime->ownMember();
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -53,6 +53,17 @@
   return Table.keepersOf(Key, Clock::now());
 }
 
+std::vector<Member> Membership::reaching(const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  return Table.reaching(Service, Clock::now());
+}
+
+void Membership::onForwardRefused(const std::string &Name,
+                                  const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  Table.onForwardRefused(Name, Service, Clock::now());
+}
+
 KeyOwner Membership::ownerOf(const std::string &Key, bool OwnLeaving) const {
   std::lock_guard lock(Mutex);
   return Table.ownerOf(Key, OwnLeaving, Clock::now());
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -25,6 +25,8 @@
   bool isLeader(Milliseconds ForAtLeast);
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
   std::vector<std::string> keepersOf(const std::string &Key) const;
+  std::vector<Member> reaching(const std::string &Service);
+  void onForwardRefused(const std::string &Name, const std::string &Service);
 
   // Records an order that this instance issues or announces. It is sent to the
   // other instances until its retention expires.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -41,30 +41,49 @@
       {Request.Host, Request.Method, Request.Target, Request.Body});
 }
 
+// The service that the first instance chose, if the route still has it.
+const std::string &serviceFor(const PathRoute &Route,
+                              const ForwardedOrigin *Origin,
+                              ServiceDirectory &Directory) {
+  if (Origin)
+    for (const WeightedService &it : Route.Services)
+      if (it.Service == Origin->Request.Service)
+        return it.Service;
+  return chooseService(Route, Directory.randomNumber());
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(const GatewayContext &Context,
                                RouteDocumentPtr Document,
                                const PathRoute &Route, CallerRequest Request,
-                               internal::HttpSink &Sink, TimePoint Arrived)
+                               internal::ResponseSink &Sink, TimePoint Arrived,
+                               const ForwardedOrigin *Origin)
     : Context(Context), Document(std::move(Document)), Route(Route),
       Request(std::move(Request)), Content(contentOf(this->Request)),
-      Sink(Sink), Arrived(Arrived),
+      Sink(Sink), Origin(Origin), Arrived(Arrived),
       Deadline(Arrived +
                std::min(Route.Timeout,
                         this->Request.TimeLeft.value_or(Route.Timeout))),
       Waiter(Sink.watchedSocket(), Deadline),
-      Service(chooseService(Route, Context.Directory.randomNumber())) {
+      Service(serviceFor(Route, Origin, Context.Directory)) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
   LastEventId = this->Request.LastEventId;
   Returning = Context.Directory.isReturning(
       Route.Name, this->Request.TimeLeft.value_or(Route.Timeout));
+  if (!Origin)
+    return;
+  Used = Origin->Request.UsedServers;
+  Tried = Used;
+  MayHaveExecuted = Origin->Request.MayHaveExecuted;
+  StreamVersion = Origin->Request.StreamVersion;
 }
 
 void RequestHandler::run() {
-  Context.Directory.onRequest(Service);
+  if (!Origin) // the first instance has counted it
+    Context.Directory.onRequest(Service);
   if (Route.Kind == RouteKind::Stream)
     runStream();
   else
@@ -199,6 +218,11 @@
   Context.Crashes.runEnded(Run, End);
 }
 
+void RequestHandler::countHungConnect(const ServerCall &Call) {
+  HungConnects +=
+      Call.connectFailure() == internal::ConnectFailure::Hangs ? 1 : 0;
+}
+
 bool RequestHandler::mayBeCut(const ServerCall &Call,
                               const ServerChoice &Server) {
   return Call.bodyForm() == internal::BodyForm::UntilClose &&
@@ -231,6 +255,10 @@
 }
 
 void RequestHandler::sendProblem(const internal::Problem &Item) {
+  if (Origin) {
+    Origin->OnProblem(Item);
+    return;
+  }
   internal::ResponseHead head;
   Status = static_cast<uint32_t>(errorResponse(Item.Kind).Status);
   head.Status = Status;
@@ -363,6 +391,15 @@
 void RequestHandler::runPlain() {
   bool repeatable = Route.Kind == RouteKind::Idempotent;
   while (!shouldStop()) {
+    if (shouldForward() && Used.size() < Route.MaxServers) {
+      AttemptResult result = forward();
+      if (result == AttemptResult::Done)
+        return;
+      MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
+      if (result == AttemptResult::Unknown && !repeatable)
+        break;
+      continue;
+    }
     bool first = Tried.empty();
     std::optional<ServerChoice> server =
         choosePermitted(ServerStage::Whole, Tried, maxPermitDelay());
@@ -437,6 +474,7 @@
     endRun(run, Server, status, runEnd);
     return After;
   };
+  countHungConnect(call);
   switch (status) {
   case CallStatus::NotSent:
     Context.Connections.drop(Server.Address);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -5,24 +5,40 @@
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
 #include "event_splitter.h"
+#include "gateway/forward_codec.h"
 #include "gateway/gateway_context.h"
-#include "http_sink.h"
 #include "log.h"
 #include "problem_document.h"
+#include "response_sink.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
 
 namespace crocusspur::gateway {
 
+class ForwardCall;
+
+// A request that another instance has passed on, with hooks for what the
+// response to that instance says besides.
+struct ForwardedOrigin {
+  ForwardedRequest Request; // without the caller's request itself
+  // Called instead of sending a problem document.
+  std::function<void(const internal::Problem &)> OnProblem;
+  // Software version of the server of a stream; called before the head.
+  std::function<void(VersionKey)> OnOutputVersion;
+};
+
 class RequestHandler {
 public:
   // `Arrived`: when the head was read. Watches the sink's connection and stops
-  // when the caller disconnects.
+  // when the caller disconnects. `Origin`: null if the caller sent the request
+  // to this instance.
   RequestHandler(const GatewayContext &Context, RouteDocumentPtr Document,
                  const PathRoute &Route, CallerRequest Request,
-                 internal::HttpSink &Sink, TimePoint Arrived);
+                 internal::ResponseSink &Sink, TimePoint Arrived,
+                 const ForwardedOrigin *Origin = nullptr);
 
   void run();
 
@@ -103,8 +119,20 @@
                             const std::optional<PromptKvCache> &Cache);
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run);
-  bool forwardEvents(internal::EventSplitter &Events,
-                     const ServerChoice &Server);
+  // `Version`: of the server's software; 0 if it isn't known.
+  bool forwardEvents(internal::EventSplitter &Events, VersionKey Version);
+
+  // Whether the request is passed on to another instance, since this one
+  // reaches no server of its service.
+  bool shouldForward() const;
+  // Passes the request on. Returns NotExecuted if no instance took it.
+  AttemptResult forward();
+  AttemptResult forwardTo(const Member &Peer);
+  AttemptResult relayForwarded(ForwardCall &Call, ForwardResponse First,
+                               Milliseconds SilenceTime);
+  // Answers with the problem that another instance had with the request.
+  void returnProblem(internal::Problem Item);
+  void countHungConnect(const ServerCall &Call);
   void release(const DecodeReservation &Target);
   void release(const PromptKvCache &Cache);
   void sendRelease(const ServerChoice &Server, const std::string &Bytes,
@@ -158,19 +186,22 @@
   const PathRoute &Route;
   CallerRequest Request;
   const uint64_t Content; // see fingerprintOf()
-  internal::HttpSink &Sink;
+  internal::ResponseSink &Sink;
+  const ForwardedOrigin *const Origin;
   TimePoint Arrived;
   TimePoint Deadline; // the caller's deadline or the route's timeout
   CallerWaiter Waiter;
   std::string Service;
   const EngineTraits *Engine = nullptr;
-  std::set<std::string> Tried;  // servers that retries avoid
-  std::set<std::string> Used;   // servers sent the request, except prefills
-  uint32_t Status = 0;          // of the response; 0: none sent
-  bool Returning = false;       // the caller was refused before
-  uint32_t Sends = 0;           // calls that may have reached a server
-  bool PrefillSent = false;     // the last prefill call may have arrived
-  bool PrefillAccepted = false; // by a server, in any round
+  std::set<std::string> Tried;    // servers that retries avoid
+  std::set<std::string> Used;     // servers sent the request, except prefills
+  uint32_t Status = 0;            // of the response; 0: none sent
+  bool Returning = false;         // the caller was refused before
+  uint32_t Sends = 0;             // calls that may have reached a server
+  int HungConnects = 0;           // connections to servers that hung
+  bool ForwardingRefused = false; // no instance took the request
+  bool PrefillSent = false;       // the last prefill call may have arrived
+  bool PrefillAccepted = false;   // by a server, in any round
   bool RetryBudgetExhausted = false; // no further retry is allowed
   // Set once the request is refused since it crashes servers: for how long, and
   // what of it.
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -90,6 +90,11 @@
   return n;
 }
 
+void ConnectionPool::clear() {
+  std::lock_guard lock(Mutex);
+  Connections.clear();
+}
+
 void ConnectionPool::drop(const std::string &Address) {
   std::lock_guard lock(Mutex);
   Connections.erase(Address);
@@ -148,6 +153,23 @@
                              : CallStatus::DeadlineExceeded;
 }
 
+CallEvidence ServerCall::evidenceOf(CallStatus Status) const {
+  if (Status == CallStatus::Responded || Http.byteReceived())
+    return CallEvidence::Responded;
+  switch (Status) {
+  case CallStatus::NotSent:
+  case CallStatus::ConnectionBroken:
+    return CallEvidence::Failed;
+  case CallStatus::TimedOut:
+  case CallStatus::DeadlineExceeded:
+    return CallEvidence::Silent;
+  case CallStatus::Responded:
+  case CallStatus::CallerLeft:
+    break;
+  }
+  return CallEvidence::None;
+}
+
 bool ServerCall::connect(const std::string &Address,
                          const std::string &RequestId, CallStatus &Status) {
   PooledConnection kept = Pool.take(Address, RequestId);
@@ -166,8 +188,10 @@
                              const std::string &Method,
                              const std::string &RequestId,
                              Milliseconds ResponseTimeout, bool Permitted) {
+  TimePoint startedAt = Clock::now();
   CallStatus status =
       sendAndReadHead(Server, Bytes, Method, RequestId, ResponseTimeout);
+  Pool.reachability().onCall(Server, evidenceOf(status), startedAt);
   if (Permitted && !maySent())
     Limits.release(Server.Id, 1);
   else if (!Permitted && maySent())
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -4,6 +4,7 @@
 
 #include "gateway/http_codec.h"
 #include "gateway/server_limits.h"
+#include "gateway/server_reachability.h"
 #include "http_exchange.h"
 
 #include <atomic>
@@ -35,6 +36,10 @@
             std::optional<Milliseconds> KeepAliveTimeout);
   void drop(const std::string &Address);
   size_t idleCount();
+  // Drops all idle connections.
+  void clear();
+  // Which servers the connections reach.
+  ServerReachability &reachability() { return Reach; }
   uint64_t opened() const { return Opened.load(); }
   void countOpened() { ++Opened; }
 
@@ -46,6 +51,7 @@
   std::mutex Mutex;
   std::map<std::string, std::deque<Idle>> Connections;
   std::atomic<uint64_t> Opened{0};
+  ServerReachability Reach;
 };
 
 // Watches the caller's connection while a call waits for a server.
@@ -119,6 +125,8 @@
                              const std::string &RequestId,
                              Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
+  // What a call that ended with this status shows of the way to the server.
+  CallEvidence evidenceOf(CallStatus Status) const;
   bool connect(const std::string &Address, const std::string &RequestId,
                CallStatus &Status);
 
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -369,6 +369,12 @@
   SizeAffinities[Service].add(Tokens);
 }
 
+uint32_t ServiceDirectory::serversOf(const std::string &Service) const {
+  return serversIn(Service, ServerStage::Whole) +
+         serversIn(Service, ServerStage::Prefill) +
+         serversIn(Service, ServerStage::Decode);
+}
+
 double ServiceDirectory::randomFraction() {
   std::lock_guard lock(Mutex);
   return std::uniform_real_distribution<double>(0, 1)(Random);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -83,6 +83,7 @@
   bool usable(const ServerChoice &Server) const;
   bool isLeaving(const std::string &ServerId) const;
   uint32_t serversIn(const std::string &Service, ServerStage Stage) const;
+  uint32_t serversOf(const std::string &Service) const; // in any stage
   void callStarted(const std::string &Id, double Weight);
   void callEnded(const std::string &Id, double Weight, CallResult Result);
   void onLoadReport(const std::string &Id, const ServerLoad &Load);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -74,13 +74,22 @@
 } // namespace
 
 void RequestHandler::runStream() {
-  if (takesUpStream() && !resolveStreamVersion()) {
+  if (takesUpStream() && !StreamVersion && !resolveStreamVersion()) {
     refuseResumption("the stream's software version isn't known");
     return;
   }
   AttemptResult result = AttemptResult::NotExecuted;
   for (int round = 0;
        round < MaxRounds && !shouldStop() && !RetryBudgetExhausted; ++round) {
+    if (shouldForward()) {
+      result = forward();
+      if (result == AttemptResult::Done)
+        return;
+      MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
+      if (result == AttemptResult::Unknown && !Route.Resumable)
+        break;
+      continue;
+    }
     if (round > 0 && !tryConsumeRetry())
       break;
     // After a refusal, the most likely cause is that the prompt's KV cache was
@@ -130,6 +139,8 @@
     return AttemptResult::Done;
   }
   std::optional<DecodeReservation> reservation = reserveDecode();
+  if (!reservation && shouldForward())
+    return AttemptResult::NotExecuted;
   if (!reservation) {
     if (Waiter.callerLeft()) {
       finish("caller_left", "the caller left while waiting for a reservation");
@@ -216,7 +227,7 @@
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
-  while (!reservation && !shouldStop() &&
+  while (!reservation && !shouldStop() && !shouldForward() &&
          std::max(Clock::now(), LimitedUntil.value_or(TimePoint())) <
              entry.ExpiresAt) {
     if (Context.Queues.tryStartAttempt(Service, ticket)) {
@@ -268,7 +279,7 @@
   LimitedUntil.reset();
   size_t asked = 0;
   for (const ServerChoice &server : order) {
-    if (shouldStop() || asked == most)
+    if (shouldStop() || shouldForward() || asked == most)
       break;
     // One for the reservation and one for the run.
     if (!tryAcquire(server.Id, 2))
@@ -280,6 +291,7 @@
         server,
         Context.Codec.FormatReserve(server, Tokens, Engine->MaxReservation),
         "POST", "", ReserveTimeout, /*Permitted=*/true);
+    countHungConnect(call);
     std::string body;
     if (status == CallStatus::Responded)
       status = call.readWhole(body, MaxPrefillResponseBytes, ReserveTimeout);
@@ -533,6 +545,8 @@
                             RunTracker::Id Run) {
   if (!HeadSent) {
     Status = 200;
+    if (Origin)
+      Origin->OnOutputVersion(versionKeyOf(Server.Version));
     Sink.begin(responseHead(Call));
     HeadSent = true;
   }
@@ -554,7 +568,7 @@
         bytes, end,
         std::chrono::ceil<Milliseconds>(std::max(stalledAt, now) - now));
     events.add(bytes);
-    forwardEvents(events, Server);
+    forwardEvents(events, versionKeyOf(Server.Version));
     if (EventsForwarded > forwarded) {
       TimePoint eventAt = Clock::now();
       stalledAt = eventAt + stallTimeout;
@@ -595,7 +609,7 @@
 }
 
 bool RequestHandler::forwardEvents(internal::EventSplitter &Events,
-                                   const ServerChoice &Server) {
+                                   VersionKey Version) {
   std::string all;
   std::string event;
   while (Events.next(event)) {
@@ -607,8 +621,8 @@
   }
   if (all.empty())
     return true;
-  if (!StreamVersion)
-    StreamVersion = versionKeyOf(Server.Version);
+  if (!StreamVersion && Version != 0)
+    StreamVersion = Version;
   TimePoint now = Clock::now();
   if (LastOutput)
     LongestPause =
--- /dev/null
+++ b/src/gateway/wire_text.h
@@ -0,0 +1,46 @@
+// Texts and header fields in FlatBuffers messages between instances.
+#ifndef CROCUSSPUR_GATEWAY_WIRE_TEXT_H
+#define CROCUSSPUR_GATEWAY_WIRE_TEXT_H
+
+#include "gateway/http_codec.h"
+#include "gateway_peer_generated.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+inline std::string textOf(const flatbuffers::String *Text) {
+  return Text ? Text->str() : std::string();
+}
+
+inline flatbuffers::Offset<flatbuffers::Vector<uint8_t>>
+packBytes(flatbuffers::FlatBufferBuilder &Out, std::string_view Bytes) {
+  return Out.CreateVector(reinterpret_cast<const uint8_t *>(Bytes.data()),
+                          Bytes.size());
+}
+
+using WireFields = flatbuffers::Vector<flatbuffers::Offset<wire::HeaderField>>;
+
+inline flatbuffers::Offset<WireFields>
+packFields(flatbuffers::FlatBufferBuilder &Out, const HeaderFields &Fields) {
+  std::vector<flatbuffers::Offset<wire::HeaderField>> all;
+  for (const auto &[name, value] : Fields) {
+    auto key = Out.CreateString(name);
+    all.push_back(wire::CreateHeaderField(Out, key, Out.CreateString(value)));
+  }
+  return Out.CreateVector(all);
+}
+
+inline HeaderFields unpackFields(const WireFields *Fields) {
+  HeaderFields all;
+  if (Fields)
+    for (const wire::HeaderField *it : *Fields)
+      all.emplace_back(textOf(it->name()), textOf(it->value()));
+  return all;
+}
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -23,6 +23,9 @@
 struct GivenOrder;
 struct GivenOrderBuilder;
 
+struct ServiceReach;
+struct ServiceReachBuilder;
+
 struct Member;
 struct MemberBuilder;
 
@@ -53,9 +56,27 @@
 struct OriginAnswer;
 struct OriginAnswerBuilder;
 
+struct HeaderField;
+struct HeaderFieldBuilder;
+
+struct ForwardRequest;
+struct ForwardRequestBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
+struct ForwardHead;
+struct ForwardHeadBuilder;
+
+struct ForwardEnd;
+struct ForwardEndBuilder;
+
+struct ForwardProblem;
+struct ForwardProblemBuilder;
+
+struct ForwardResponse;
+struct ForwardResponseBuilder;
+
 struct ServiceFigures FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceFiguresBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -256,6 +277,69 @@
       to_decode);
 }
 
+struct ServiceReach FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceReachBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_AGO_MS = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServiceReachBuilder {
+  typedef ServiceReach Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceReach::VT_SERVICE, service);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(ServiceReach::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit ServiceReachBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceReach> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceReach>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceReach> CreateServiceReach(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t ago_ms = 0) {
+  ServiceReachBuilder builder_(_fbb);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServiceReach> CreateServiceReachDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint32_t ago_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return crocusspur::gateway::wire::CreateServiceReach(
+      _fbb,
+      service__,
+      ago_ms);
+}
+
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -265,7 +349,8 @@
     VT_HEARD_AGO_MS = 10,
     VT_LEAVING = 12,
     VT_FIGURES = 14,
-    VT_ORDERS = 16
+    VT_ORDERS = 16,
+    VT_REACHED = 18
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -288,6 +373,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *>(VT_ORDERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *>(VT_REACHED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -303,6 +391,9 @@
            VerifyOffset(verifier, VT_ORDERS) &&
            verifier.VerifyVector(orders()) &&
            verifier.VerifyVectorOfTables(orders()) &&
+           VerifyOffset(verifier, VT_REACHED) &&
+           verifier.VerifyVector(reached()) &&
+           verifier.VerifyVectorOfTables(reached()) &&
            verifier.EndTable();
   }
 };
@@ -332,6 +423,9 @@
   void add_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders) {
     fbb_.AddOffset(Member::VT_ORDERS, orders);
   }
+  void add_reached(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached) {
+    fbb_.AddOffset(Member::VT_REACHED, reached);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -351,9 +445,11 @@
     uint32_t heard_ago_ms = 0,
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>> figures = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_reached(reached);
   builder_.add_orders(orders);
   builder_.add_figures(figures);
   builder_.add_heard_ago_ms(heard_ago_ms);
@@ -371,11 +467,13 @@
     uint32_t heard_ago_ms = 0,
     bool leaving = false,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>> *figures = nullptr,
-    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders = nullptr) {
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders = nullptr,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto figures__ = figures ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>(*figures) : 0;
   auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>(*orders) : 0;
+  auto reached__ = reached ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>(*reached) : 0;
   return crocusspur::gateway::wire::CreateMember(
       _fbb,
       name__,
@@ -384,7 +482,8 @@
       heard_ago_ms,
       leaving,
       figures__,
-      orders__);
+      orders__,
+      reached__);
 }
 
 struct PublishedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1089,6 +1188,372 @@
   return builder_.Finish();
 }
 
+struct HeaderField FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeaderFieldBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct HeaderFieldBuilder {
+  typedef HeaderField Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(HeaderField::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(HeaderField::VT_VALUE, value);
+  }
+  explicit HeaderFieldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeaderField> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeaderField>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeaderField> CreateHeaderField(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  HeaderFieldBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HeaderField> CreateHeaderFieldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return crocusspur::gateway::wire::CreateHeaderField(
+      _fbb,
+      name__,
+      value__);
+}
+
+struct ForwardRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVICE = 6,
+    VT_HOST = 8,
+    VT_METHOD = 10,
+    VT_TARGET = 12,
+    VT_HEADER = 14,
+    VT_BODY = 16,
+    VT_HAS_TIME_LEFT = 18,
+    VT_TIME_LEFT_MS = 20,
+    VT_ELAPSED_MS = 22,
+    VT_HAS_GENERATION = 24,
+    VT_PROMPT_TOKENS = 26,
+    VT_MAX_OUTPUT_TOKENS = 28,
+    VT_EXPECTED_OUTPUT_TOKENS = 30,
+    VT_PROMPT_PARTS = 32,
+    VT_LAST_EVENT_ID = 34,
+    VT_RESUMED_REQUEST_ID = 36,
+    VT_USED_SERVERS = 38,
+    VT_MAY_HAVE_EXECUTED = 40,
+    VT_STREAM_VERSION = 42
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *>(VT_HEADER);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool has_time_left() const {
+    return GetField<uint8_t>(VT_HAS_TIME_LEFT, 0) != 0;
+  }
+  uint64_t time_left_ms() const {
+    return GetField<uint64_t>(VT_TIME_LEFT_MS, 0);
+  }
+  uint64_t elapsed_ms() const {
+    return GetField<uint64_t>(VT_ELAPSED_MS, 0);
+  }
+  bool has_generation() const {
+    return GetField<uint8_t>(VT_HAS_GENERATION, 0) != 0;
+  }
+  uint64_t prompt_tokens() const {
+    return GetField<uint64_t>(VT_PROMPT_TOKENS, 0);
+  }
+  uint64_t max_output_tokens() const {
+    return GetField<uint64_t>(VT_MAX_OUTPUT_TOKENS, 0);
+  }
+  uint64_t expected_output_tokens() const {
+    return GetField<uint64_t>(VT_EXPECTED_OUTPUT_TOKENS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *prompt_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PROMPT_PARTS);
+  }
+  const flatbuffers::String *last_event_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_LAST_EVENT_ID);
+  }
+  const flatbuffers::String *resumed_request_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_RESUMED_REQUEST_ID);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *used_servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_USED_SERVERS);
+  }
+  bool may_have_executed() const {
+    return GetField<uint8_t>(VT_MAY_HAVE_EXECUTED, 0) != 0;
+  }
+  uint64_t stream_version() const {
+    return GetField<uint64_t>(VT_STREAM_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_HEADER) &&
+           verifier.VerifyVector(header()) &&
+           verifier.VerifyVectorOfTables(header()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_TIME_LEFT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_LEFT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ELAPSED_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_GENERATION, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAX_OUTPUT_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EXPECTED_OUTPUT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_PROMPT_PARTS) &&
+           verifier.VerifyVector(prompt_parts()) &&
+           VerifyOffset(verifier, VT_LAST_EVENT_ID) &&
+           verifier.VerifyString(last_event_id()) &&
+           VerifyOffset(verifier, VT_RESUMED_REQUEST_ID) &&
+           verifier.VerifyString(resumed_request_id()) &&
+           VerifyOffset(verifier, VT_USED_SERVERS) &&
+           verifier.VerifyVector(used_servers()) &&
+           verifier.VerifyVectorOfStrings(used_servers()) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_HAVE_EXECUTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ForwardRequestBuilder {
+  typedef ForwardRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ForwardRequest::VT_ID, id);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ForwardRequest::VT_SERVICE, service);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(ForwardRequest::VT_HOST, host);
+  }
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(ForwardRequest::VT_METHOD, method);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(ForwardRequest::VT_TARGET, target);
+  }
+  void add_header(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header) {
+    fbb_.AddOffset(ForwardRequest::VT_HEADER, header);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(ForwardRequest::VT_BODY, body);
+  }
+  void add_has_time_left(bool has_time_left) {
+    fbb_.AddElement<uint8_t>(ForwardRequest::VT_HAS_TIME_LEFT, static_cast<uint8_t>(has_time_left), 0);
+  }
+  void add_time_left_ms(uint64_t time_left_ms) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_TIME_LEFT_MS, time_left_ms, 0);
+  }
+  void add_elapsed_ms(uint64_t elapsed_ms) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_ELAPSED_MS, elapsed_ms, 0);
+  }
+  void add_has_generation(bool has_generation) {
+    fbb_.AddElement<uint8_t>(ForwardRequest::VT_HAS_GENERATION, static_cast<uint8_t>(has_generation), 0);
+  }
+  void add_prompt_tokens(uint64_t prompt_tokens) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_max_output_tokens(uint64_t max_output_tokens) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_MAX_OUTPUT_TOKENS, max_output_tokens, 0);
+  }
+  void add_expected_output_tokens(uint64_t expected_output_tokens) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_EXPECTED_OUTPUT_TOKENS, expected_output_tokens, 0);
+  }
+  void add_prompt_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompt_parts) {
+    fbb_.AddOffset(ForwardRequest::VT_PROMPT_PARTS, prompt_parts);
+  }
+  void add_last_event_id(flatbuffers::Offset<flatbuffers::String> last_event_id) {
+    fbb_.AddOffset(ForwardRequest::VT_LAST_EVENT_ID, last_event_id);
+  }
+  void add_resumed_request_id(flatbuffers::Offset<flatbuffers::String> resumed_request_id) {
+    fbb_.AddOffset(ForwardRequest::VT_RESUMED_REQUEST_ID, resumed_request_id);
+  }
+  void add_used_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> used_servers) {
+    fbb_.AddOffset(ForwardRequest::VT_USED_SERVERS, used_servers);
+  }
+  void add_may_have_executed(bool may_have_executed) {
+    fbb_.AddElement<uint8_t>(ForwardRequest::VT_MAY_HAVE_EXECUTED, static_cast<uint8_t>(may_have_executed), 0);
+  }
+  void add_stream_version(uint64_t stream_version) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_STREAM_VERSION, stream_version, 0);
+  }
+  explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardRequest> CreateForwardRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    bool has_time_left = false,
+    uint64_t time_left_ms = 0,
+    uint64_t elapsed_ms = 0,
+    bool has_generation = false,
+    uint64_t prompt_tokens = 0,
+    uint64_t max_output_tokens = 0,
+    uint64_t expected_output_tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompt_parts = 0,
+    flatbuffers::Offset<flatbuffers::String> last_event_id = 0,
+    flatbuffers::Offset<flatbuffers::String> resumed_request_id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> used_servers = 0,
+    bool may_have_executed = false,
+    uint64_t stream_version = 0) {
+  ForwardRequestBuilder builder_(_fbb);
+  builder_.add_stream_version(stream_version);
+  builder_.add_expected_output_tokens(expected_output_tokens);
+  builder_.add_max_output_tokens(max_output_tokens);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_elapsed_ms(elapsed_ms);
+  builder_.add_time_left_ms(time_left_ms);
+  builder_.add_used_servers(used_servers);
+  builder_.add_resumed_request_id(resumed_request_id);
+  builder_.add_last_event_id(last_event_id);
+  builder_.add_prompt_parts(prompt_parts);
+  builder_.add_body(body);
+  builder_.add_header(header);
+  builder_.add_target(target);
+  builder_.add_method(method);
+  builder_.add_host(host);
+  builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_may_have_executed(may_have_executed);
+  builder_.add_has_generation(has_generation);
+  builder_.add_has_time_left(has_time_left);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ForwardRequest> CreateForwardRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *service = nullptr,
+    const char *host = nullptr,
+    const char *method = nullptr,
+    const char *target = nullptr,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    bool has_time_left = false,
+    uint64_t time_left_ms = 0,
+    uint64_t elapsed_ms = 0,
+    bool has_generation = false,
+    uint64_t prompt_tokens = 0,
+    uint64_t max_output_tokens = 0,
+    uint64_t expected_output_tokens = 0,
+    const std::vector<uint64_t> *prompt_parts = nullptr,
+    const char *last_event_id = nullptr,
+    const char *resumed_request_id = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *used_servers = nullptr,
+    bool may_have_executed = false,
+    uint64_t stream_version = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto header__ = header ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>(*header) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto prompt_parts__ = prompt_parts ? _fbb.CreateVector<uint64_t>(*prompt_parts) : 0;
+  auto last_event_id__ = last_event_id ? _fbb.CreateString(last_event_id) : 0;
+  auto resumed_request_id__ = resumed_request_id ? _fbb.CreateString(resumed_request_id) : 0;
+  auto used_servers__ = used_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*used_servers) : 0;
+  return crocusspur::gateway::wire::CreateForwardRequest(
+      _fbb,
+      id__,
+      service__,
+      host__,
+      method__,
+      target__,
+      header__,
+      body__,
+      has_time_left,
+      time_left_ms,
+      elapsed_ms,
+      has_generation,
+      prompt_tokens,
+      max_output_tokens,
+      expected_output_tokens,
+      prompt_parts__,
+      last_event_id__,
+      resumed_request_id__,
+      used_servers__,
+      may_have_executed,
+      stream_version);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1111,7 +1576,8 @@
     VT_PERMIT = 36,
     VT_ORIGINS = 38,
     VT_ORIGIN_QUERY = 40,
-    VT_ORIGIN_ANSWER = 42
+    VT_ORIGIN_ANSWER = 42,
+    VT_FORWARD = 44
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -1173,6 +1639,9 @@
   const crocusspur::gateway::wire::OriginAnswer *origin_answer() const {
     return GetPointer<const crocusspur::gateway::wire::OriginAnswer *>(VT_ORIGIN_ANSWER);
   }
+  const crocusspur::gateway::wire::ForwardRequest *forward() const {
+    return GetPointer<const crocusspur::gateway::wire::ForwardRequest *>(VT_FORWARD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -1213,6 +1682,8 @@
            verifier.VerifyTable(origin_query()) &&
            VerifyOffset(verifier, VT_ORIGIN_ANSWER) &&
            verifier.VerifyTable(origin_answer()) &&
+           VerifyOffset(verifier, VT_FORWARD) &&
+           verifier.VerifyTable(forward()) &&
            verifier.EndTable();
   }
 };
@@ -1281,6 +1752,9 @@
   void add_origin_answer(flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer) {
     fbb_.AddOffset(Frame::VT_ORIGIN_ANSWER, origin_answer);
   }
+  void add_forward(flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward) {
+    fbb_.AddOffset(Frame::VT_FORWARD, forward);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1313,11 +1787,13 @@
     flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>> origins = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_forward(forward);
   builder_.add_origin_answer(origin_answer);
   builder_.add_origin_query(origin_query);
   builder_.add_origins(origins);
@@ -1359,7 +1835,8 @@
     flatbuffers::Offset<crocusspur::gateway::wire::Permit> permit = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>> *origins = nullptr,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -1388,7 +1865,378 @@
       permit,
       origins__,
       origin_query,
-      origin_answer);
+      origin_answer,
+      forward);
+}
+
+struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardHeadBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_CONTENT_TYPE = 6,
+    VT_HAS_LENGTH = 8,
+    VT_LENGTH = 10,
+    VT_HEADER = 12,
+    VT_OUTPUT_VERSION = 14
+  };
+  uint32_t status() const {
+    return GetField<uint32_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::String *content_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONTENT_TYPE);
+  }
+  bool has_length() const {
+    return GetField<uint8_t>(VT_HAS_LENGTH, 0) != 0;
+  }
+  uint64_t length() const {
+    return GetField<uint64_t>(VT_LENGTH, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *>(VT_HEADER);
+  }
+  uint64_t output_version() const {
+    return GetField<uint64_t>(VT_OUTPUT_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
+           VerifyOffset(verifier, VT_CONTENT_TYPE) &&
+           verifier.VerifyString(content_type()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LENGTH, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LENGTH, 8) &&
+           VerifyOffset(verifier, VT_HEADER) &&
+           verifier.VerifyVector(header()) &&
+           verifier.VerifyVectorOfTables(header()) &&
+           VerifyField<uint64_t>(verifier, VT_OUTPUT_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ForwardHeadBuilder {
+  typedef ForwardHead Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(uint32_t status) {
+    fbb_.AddElement<uint32_t>(ForwardHead::VT_STATUS, status, 0);
+  }
+  void add_content_type(flatbuffers::Offset<flatbuffers::String> content_type) {
+    fbb_.AddOffset(ForwardHead::VT_CONTENT_TYPE, content_type);
+  }
+  void add_has_length(bool has_length) {
+    fbb_.AddElement<uint8_t>(ForwardHead::VT_HAS_LENGTH, static_cast<uint8_t>(has_length), 0);
+  }
+  void add_length(uint64_t length) {
+    fbb_.AddElement<uint64_t>(ForwardHead::VT_LENGTH, length, 0);
+  }
+  void add_header(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header) {
+    fbb_.AddOffset(ForwardHead::VT_HEADER, header);
+  }
+  void add_output_version(uint64_t output_version) {
+    fbb_.AddElement<uint64_t>(ForwardHead::VT_OUTPUT_VERSION, output_version, 0);
+  }
+  explicit ForwardHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardHead> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardHead>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardHead> CreateForwardHead(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t status = 0,
+    flatbuffers::Offset<flatbuffers::String> content_type = 0,
+    bool has_length = false,
+    uint64_t length = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header = 0,
+    uint64_t output_version = 0) {
+  ForwardHeadBuilder builder_(_fbb);
+  builder_.add_output_version(output_version);
+  builder_.add_length(length);
+  builder_.add_header(header);
+  builder_.add_content_type(content_type);
+  builder_.add_status(status);
+  builder_.add_has_length(has_length);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ForwardHead> CreateForwardHeadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t status = 0,
+    const char *content_type = nullptr,
+    bool has_length = false,
+    uint64_t length = 0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header = nullptr,
+    uint64_t output_version = 0) {
+  auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
+  auto header__ = header ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>(*header) : 0;
+  return crocusspur::gateway::wire::CreateForwardHead(
+      _fbb,
+      status,
+      content_type__,
+      has_length,
+      length,
+      header__,
+      output_version);
+}
+
+struct ForwardEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardEndBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_COMPLETE = 4
+  };
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct ForwardEndBuilder {
+  typedef ForwardEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(ForwardEnd::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  explicit ForwardEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardEnd> CreateForwardEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool complete = false) {
+  ForwardEndBuilder builder_(_fbb);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+struct ForwardProblem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardProblemBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_RUN = 6,
+    VT_RETRY_AFTER_MS = 8,
+    VT_DETAIL = 10,
+    VT_ELSEWHERE = 12
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint8_t run() const {
+    return GetField<uint8_t>(VT_RUN, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  bool elsewhere() const {
+    return GetField<uint8_t>(VT_ELSEWHERE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RUN, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           VerifyField<uint8_t>(verifier, VT_ELSEWHERE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct ForwardProblemBuilder {
+  typedef ForwardProblem Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(ForwardProblem::VT_KIND, kind, 0);
+  }
+  void add_run(uint8_t run) {
+    fbb_.AddElement<uint8_t>(ForwardProblem::VT_RUN, run, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(ForwardProblem::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(ForwardProblem::VT_DETAIL, detail);
+  }
+  void add_elsewhere(bool elsewhere) {
+    fbb_.AddElement<uint8_t>(ForwardProblem::VT_ELSEWHERE, static_cast<uint8_t>(elsewhere), 0);
+  }
+  explicit ForwardProblemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardProblem> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardProblem>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardProblem> CreateForwardProblem(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint8_t run = 0,
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> detail = 0,
+    bool elsewhere = false) {
+  ForwardProblemBuilder builder_(_fbb);
+  builder_.add_detail(detail);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_elsewhere(elsewhere);
+  builder_.add_run(run);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ForwardProblem> CreateForwardProblemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint8_t run = 0,
+    uint32_t retry_after_ms = 0,
+    const char *detail = nullptr,
+    bool elsewhere = false) {
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  return crocusspur::gateway::wire::CreateForwardProblem(
+      _fbb,
+      kind,
+      run,
+      retry_after_ms,
+      detail__,
+      elsewhere);
+}
+
+struct ForwardResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ForwardResponseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HEAD = 4,
+    VT_DATA = 6,
+    VT_END = 8,
+    VT_PROBLEM = 10,
+    VT_CONFIG_VERSION = 12,
+    VT_ROUTES_TEXT = 14
+  };
+  const crocusspur::gateway::wire::ForwardHead *head() const {
+    return GetPointer<const crocusspur::gateway::wire::ForwardHead *>(VT_HEAD);
+  }
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  const crocusspur::gateway::wire::ForwardEnd *end() const {
+    return GetPointer<const crocusspur::gateway::wire::ForwardEnd *>(VT_END);
+  }
+  const crocusspur::gateway::wire::ForwardProblem *problem() const {
+    return GetPointer<const crocusspur::gateway::wire::ForwardProblem *>(VT_PROBLEM);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  const flatbuffers::String *routes_text() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTES_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HEAD) &&
+           verifier.VerifyTable(head()) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           VerifyOffset(verifier, VT_END) &&
+           verifier.VerifyTable(end()) &&
+           VerifyOffset(verifier, VT_PROBLEM) &&
+           verifier.VerifyTable(problem()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_ROUTES_TEXT) &&
+           verifier.VerifyString(routes_text()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ForwardResponseBuilder {
+  typedef ForwardResponse Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_head(flatbuffers::Offset<crocusspur::gateway::wire::ForwardHead> head) {
+    fbb_.AddOffset(ForwardResponse::VT_HEAD, head);
+  }
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(ForwardResponse::VT_DATA, data);
+  }
+  void add_end(flatbuffers::Offset<crocusspur::gateway::wire::ForwardEnd> end) {
+    fbb_.AddOffset(ForwardResponse::VT_END, end);
+  }
+  void add_problem(flatbuffers::Offset<crocusspur::gateway::wire::ForwardProblem> problem) {
+    fbb_.AddOffset(ForwardResponse::VT_PROBLEM, problem);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(ForwardResponse::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_routes_text(flatbuffers::Offset<flatbuffers::String> routes_text) {
+    fbb_.AddOffset(ForwardResponse::VT_ROUTES_TEXT, routes_text);
+  }
+  explicit ForwardResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ForwardResponse> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ForwardResponse>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ForwardResponse> CreateForwardResponse(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardHead> head = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardEnd> end = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardProblem> problem = 0,
+    uint64_t config_version = 0,
+    flatbuffers::Offset<flatbuffers::String> routes_text = 0) {
+  ForwardResponseBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_routes_text(routes_text);
+  builder_.add_problem(problem);
+  builder_.add_end(end);
+  builder_.add_data(data);
+  builder_.add_head(head);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ForwardResponse> CreateForwardResponseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardHead> head = 0,
+    const std::vector<uint8_t> *data = nullptr,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardEnd> end = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardProblem> problem = 0,
+    uint64_t config_version = 0,
+    const char *routes_text = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
+  return crocusspur::gateway::wire::CreateForwardResponse(
+      _fbb,
+      head,
+      data__,
+      end,
+      problem,
+      config_version,
+      routes_text__);
 }
 
 inline const crocusspur::gateway::wire::Frame *GetFrame(const void *buf) {
--- a/src/http_sink.cc
+++ b/src/http_sink.cc
@@ -6,7 +6,6 @@
 #include <array>
 #include <cerrno>
 #include <cstdio>
-#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -36,21 +35,6 @@
   return n;
 }
 
-// Waits until the socket is writable. Returns false if the caller has
-// disconnected or the time has passed.
-bool waitUntilWritable(int Fd, TimePoint Until) {
-  while (true) {
-    pollfd item{Fd, POLLOUT | POLLRDHUP, 0};
-    int n = ::poll(&item, 1, pollTimeout(Until));
-    if (n == 0)
-      return false;
-    if (n > 0)
-      return !(item.revents & (POLLRDHUP | POLLHUP | POLLERR));
-    if (errno != EINTR)
-      return false;
-  }
-}
-
 bool sendAll(int Fd, IoVectors &Items, Milliseconds WriteTimeout) {
   while (remainingBytes(Items) > 0) {
     msghdr message{};
--- a/src/socket_io.cc
+++ b/src/socket_io.cc
@@ -30,6 +30,19 @@
   }
 }
 
+bool waitUntilWritable(int Fd, TimePoint Until) {
+  while (true) {
+    pollfd item{Fd, POLLOUT | POLLRDHUP, 0};
+    int n = ::poll(&item, 1, pollTimeout(Until));
+    if (n == 0)
+      return false;
+    if (n > 0)
+      return !(item.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    if (errno != EINTR)
+      return false;
+  }
+}
+
 WaitSet::WaitSet() : Set(::epoll_create1(EPOLL_CLOEXEC)) {
   if (Set < 0)
     throw std::runtime_error("can't create an epoll descriptor");
--- a/src/socket_io.h
+++ b/src/socket_io.h
@@ -26,6 +26,10 @@
 // Timeout for poll(2) in milliseconds, rounded up; 0 if `Until` has passed.
 int pollTimeout(TimePoint Until);
 
+// Waits until the socket is writable. Returns false if its peer has
+// disconnected or the time has passed.
+bool waitUntilWritable(int Fd, TimePoint Until);
+
 // Waits for a few persistent descriptors and one transient descriptor. They
 // stay registered between waits, because there is a wait for each token.
 class WaitSet {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -1,5 +1,7 @@
 #include "gateway_fixture.h"
 
+#include "http_sink.h"
+
 #include <sys/socket.h>
 #include <thread>
 
