Don't take servers for crashed by an instance that is cut off

Cause: a run that breaks off while its server refuses connections counted as the server's crash. An instance whose connections to all servers are reset and refused reports a crash of each, and after three cuts contents and parts of prompts that ran there would be refused at all instances. Change: a refusal counts at once only if another server of the service accepts a connection, and otherwise once another server responds to a call that began after the break, within a second. The connection that finds out is kept for the next call. Probes prefer servers that haven't failed.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -128,9 +128,9 @@
 }
 
 void CrashMonitor::runEnded(RunTracker::Id Run, RunEnd End) {
-  if (End == RunEnd::Broken) {
+  if (End == RunEnd::Broken || End == RunEnd::Refused) {
     std::lock_guard lock(Mutex);
-    Runs.breakOff(Run, Clock::now());
+    Runs.breakOff(Run, Clock::now(), End == RunEnd::Refused);
     return;
   }
   std::optional<TrackedRun> run;
@@ -152,6 +152,16 @@
   }
 }
 
+void CrashMonitor::onServerResponded(const std::string &ServerId,
+                                     TimePoint StartedAt) {
+  std::vector<TrackedRun> ended;
+  {
+    std::lock_guard lock(Mutex);
+    ended = Runs.onOtherResponded(ServerId, StartedAt, Clock::now());
+  }
+  addSeen(ended, "connection_refused");
+}
+
 void CrashMonitor::onServerRestarted(const std::string &ServerId,
                                      int64_t StartedAt) {
   std::vector<TrackedRun> ended;
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -21,7 +21,8 @@
 enum class RunEnd : uint8_t {
   Completed,   // the server responded in full, without a server error
   Broken,      // broke off or got no response; the server may have ended
-  ServerEnded, // broke off, and the server's address refuses connections
+  Refused,     // broke off, and the server's address refuses connections
+  ServerEnded, // the same, and another server accepts them
   NoEvidence   // refused, failed, cancelled, or only a prefill
 };
 
@@ -71,6 +72,9 @@
   // See RunTracker::onResponded(). Called before the run ends.
   void onResponded(RunTracker::Id Run);
 
+  // A server responded to a call that began at this time, so connections that
+  // other servers refused before weren't refused to this instance alone.
+  void onServerResponded(const std::string &ServerId, TimePoint StartedAt);
   // The server registered with a new start time.
   void onServerRestarted(const std::string &ServerId, int64_t StartedAt);
   // The server's entry expired though it hadn't announced its leaving.
--- a/src/gateway/decisions/run_tracker.cc
+++ b/src/gateway/decisions/run_tracker.cc
@@ -8,6 +8,9 @@
 // A server's entry expires after three missed heartbeats, and a restarted one
 // registers after some seconds.
 constexpr Milliseconds BrokenRetention{12000};
+// A refused connection is a sign of the server's end for this long. Then the
+// instance may have been cut off in the meantime.
+constexpr Milliseconds RefusalValidity{1000};
 constexpr size_t MaxRuns = 4096; // beyond it, the oldest is dropped
 
 } // namespace
@@ -24,11 +27,29 @@
   return node.empty() ? std::nullopt : std::optional(std::move(node.mapped()));
 }
 
-void RunTracker::breakOff(Id Run, TimePoint Now) {
+void RunTracker::breakOff(Id Run, TimePoint Now, bool Refused) {
   expire(Now);
   auto it = Runs.find(Run);
-  if (it != Runs.end())
-    it->second.BrokenAt = Now;
+  if (it == Runs.end())
+    return;
+  it->second.BrokenAt = Now;
+  it->second.Refused = Refused;
+}
+
+std::vector<TrackedRun>
+RunTracker::onOtherResponded(const std::string &ServerId, TimePoint StartedAt,
+                             TimePoint Now) {
+  std::vector<TrackedRun> ended;
+  std::erase_if(Runs, [&](auto &It) {
+    const TrackedRun &run = It.second;
+    bool found = run.Refused && run.BrokenAt && run.ServerId != ServerId &&
+                 *run.BrokenAt <= StartedAt &&
+                 *run.BrokenAt + RefusalValidity > Now;
+    if (found)
+      ended.push_back(std::move(It.second));
+    return found;
+  });
+  return ended;
 }
 
 void RunTracker::onResponded(Id Run) {
--- a/src/gateway/decisions/run_tracker.h
+++ b/src/gateway/decisions/run_tracker.h
@@ -27,6 +27,8 @@
   std::vector<PromptPartKey> PromptParts{};
   // The answer went on for so long that its beginning didn't end the server.
   bool Survived = false;
+  // The server's address refused connections when the run broke off.
+  bool Refused = false;
 };
 
 class RunTracker {
@@ -36,8 +38,14 @@
   Id start(TrackedRun Run);
   // Ends a run that says nothing about the server's process. Returns it.
   std::optional<TrackedRun> end(Id Run);
-  // Records that a run broke off or got no response.
-  void breakOff(Id Run, TimePoint Now);
+  // Records that a run broke off or got no response. `Refused`: the server's
+  // address refuses connections.
+  void breakOff(Id Run, TimePoint Now, bool Refused = false);
+  // Removes and returns the runs that ended with their servers' processes,
+  // since another server responded to a call that began after they had broken
+  // off. Without that, the instance may be cut off from all servers.
+  std::vector<TrackedRun> onOtherResponded(const std::string &ServerId,
+                                           TimePoint StartedAt, TimePoint Now);
   // Records that the server responded to a run. Its process has outlived runs
   // that broke off before this one was sent, so they are removed.
   void onResponded(Id Run);
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -43,10 +43,13 @@
           else
             Crashes.onServerVanished(ServerId);
         });
-    Connections.reachability().setHooks({[this](const std::string &Service) {
-                                           return Directory.serversOf(Service);
-                                         },
-                                         nullptr});
+    Connections.reachability().setHooks(
+        {[this](const std::string &Service) {
+           return Directory.serversOf(Service);
+         },
+         [this](const std::string &ServerId, TimePoint StartedAt) {
+           Crashes.onServerResponded(ServerId, StartedAt);
+         }});
   }
 
   const Adapter &ActiveAdapter;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -25,6 +25,8 @@
 // Each rank of priority halves the time for which a request may wait for a
 // server's request limit, up to this many times.
 constexpr uint32_t MaxPriorityShift = 8;
+// Servers that may show that a refused connection isn't refused by all.
+constexpr size_t MaxServersToConnect = 2;
 // Servers at their limits that are asked how long a request would wait. Each
 // may cost an exchange with another instance.
 constexpr size_t MaxServersAskedToWait = 3;
@@ -208,16 +210,31 @@
   // The end of a server that announced its leaving isn't a crash.
   if (Status == CallStatus::ConnectionBroken &&
       !Context.Directory.isLeaving(Server.Id) &&
-      refusesConnections(Context.Connections, Waiter, Server.Address))
-    End = RunEnd::ServerEnded;
-  else if (Status == CallStatus::ConnectionBroken ||
-           Status == CallStatus::TimedOut ||
-           Status == CallStatus::DeadlineExceeded)
+      refusesConnections(Context.Connections, Waiter, Server.Address)) {
+    End = reachesAnotherServer(Server) ? RunEnd::ServerEnded : RunEnd::Refused;
+    // Raises a suspicion, so that probes show soon whether others respond.
+    Context.Connections.reachability().onCall(Server, CallEvidence::Failed,
+                                              Clock::now());
+  } else if (Status == CallStatus::ConnectionBroken ||
+             Status == CallStatus::TimedOut ||
+             Status == CallStatus::DeadlineExceeded)
     End = RunEnd::Broken;
-  EndedWithServer = End == RunEnd::ServerEnded && !AnswerSurvived;
+  EndedWithServer =
+      (End == RunEnd::Refused || End == RunEnd::ServerEnded) && !AnswerSurvived;
   Context.Crashes.runEnded(Run, End);
 }
 
+bool RequestHandler::reachesAnotherServer(const ServerChoice &Server) {
+  std::vector<ServerChoice> others = Context.Directory.others(Server);
+  if (others.size() > MaxServersToConnect)
+    others.resize(MaxServersToConnect);
+  return others.empty() ||
+         std::ranges::any_of(others, [this](const ServerChoice &It) {
+           return tryConnect(Context.Connections, Waiter, It.Address) ==
+                  ConnectResult::Opened;
+         });
+}
+
 void RequestHandler::countHungConnect(const ServerCall &Call) {
   HungConnects +=
       Call.connectFailure() == internal::ConnectFailure::Hangs ? 1 : 0;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -133,6 +133,9 @@
   // Answers with the problem that another instance had with the request.
   void returnProblem(internal::Problem Item);
   void countHungConnect(const ServerCall &Call);
+  // Whether another server accepts a connection, or none is known. Otherwise
+  // this instance may be cut off from all of them.
+  bool reachesAnotherServer(const ServerChoice &Server);
   void release(const DecodeReservation &Target);
   void release(const PromptKvCache &Cache);
   void sendRelease(const ServerChoice &Server, const std::string &Bytes,
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -252,15 +252,18 @@
               Info.KeepAliveTimeout);
 }
 
-bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
-                        const std::string &Address) {
+ConnectResult tryConnect(ConnectionPool &Pool, CallerWaiter &Waiter,
+                         const std::string &Address) {
   internal::HttpExchange http(Waiter);
   Pool.countOpened();
-  ExchangeStatus status = http.connect(Address, Clock::now() + RefusalTimeout);
-  if (status == ExchangeStatus::Ok)
+  if (http.connect(Address, Clock::now() + RefusalTimeout) ==
+      ExchangeStatus::Ok) {
     if (BackendSocketPtr opened = http.releaseUnused())
       Pool.give(Address, {std::move(opened), {}}, std::nullopt);
-  return http.connectionRefused();
+    return ConnectResult::Opened;
+  }
+  return http.connectionRefused() ? ConnectResult::Refused
+                                  : ConnectResult::Unknown;
 }
 
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -140,10 +140,19 @@
   ResponseInfo Info;
 };
 
-// Whether the server's address refuses a new connection, as it does once the
-// server's process has ended. A connection that opens is kept in the pool.
-bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
-                        const std::string &Address);
+// What a new connection to a server's address shows.
+enum class ConnectResult : uint8_t {
+  Opened,  // the connection is kept in the pool
+  Refused, // nothing listens there, as once the server's process has ended
+  Unknown
+};
+ConnectResult tryConnect(ConnectionPool &Pool, CallerWaiter &Waiter,
+                         const std::string &Address);
+
+inline bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
+                               const std::string &Address) {
+  return tryConnect(Pool, Waiter, Address) == ConnectResult::Refused;
+}
 
 // Makes a call on behalf of no caller. Returns the status and fills `Body`, or
 // returns 0 if there is no complete response within `Time`.
--- a/src/gateway/server_probes.cc
+++ b/src/gateway/server_probes.cc
@@ -17,7 +17,7 @@
 using Clock = std::chrono::steady_clock;
 
 // A response to another call usually ends a suspicion before a probe is sent.
-constexpr Milliseconds SuspicionDelay{40};
+constexpr Milliseconds SuspicionDelay{20};
 // Interval between probes of a service that doesn't respond.
 constexpr Milliseconds ProbePeriod{300};
 // Servers report from memory.
@@ -37,7 +37,6 @@
   void probeService(const std::string &Service);
   // Returns whether the server responded.
   bool probe(const ServerChoice &Server);
-  std::vector<ServerChoice> serversOf(const std::string &Service);
 
   GatewayRuntime *Runtime = nullptr;
   size_t Round = 0;
@@ -76,31 +75,24 @@
   }
 }
 
-std::vector<ServerChoice> ServerProbes::serversOf(const std::string &Service) {
-  std::vector<ServerChoice> all;
-  for (ServerStage stage :
-       {ServerStage::Whole, ServerStage::Prefill, ServerStage::Decode})
-    for (ServerChoice &it : Runtime->Directory.rank({Service, stage, {}, {}}))
-      all.push_back(std::move(it));
-  return all;
-}
-
 void ServerProbes::probeService(const std::string &Service) {
   ServerReachability &reach = Runtime->Connections.reachability();
-  std::vector<ServerChoice> servers = serversOf(Service);
-  bool wasCutOff = reach.isCutOff(Service);
-  if (wasCutOff && !servers.empty()) {
-    // One in each round, another one each time.
-    probe(servers[Round % servers.size()]);
-    return;
-  }
+  ServerChoice none;
+  none.Service = Service;
+  std::vector<ServerChoice> servers = Runtime->Directory.others(none);
   std::vector<std::string> failed = reach.failedServers(Service);
-  std::erase_if(servers, [&](const ServerChoice &It) {
+  std::vector<ServerChoice> untried = servers;
+  std::erase_if(untried, [&](const ServerChoice &It) {
     return std::ranges::find(failed, It.Id) != failed.end();
   });
-  for (size_t i = 0; i < servers.size() && i < MaxProbes; ++i)
-    if (Stopping.load() || probe(servers[i]) || reach.isCutOff(Service))
+  if (untried.empty() && !servers.empty())
+    untried.push_back(servers[Round % servers.size()]);
+  bool wasCutOff = reach.isCutOff(Service);
+  for (size_t i = 0; i < untried.size() && i < MaxProbes; ++i)
+    if (Stopping.load() || probe(untried[i]))
       break;
+  if (wasCutOff)
+    return;
   // Connections that were open before a cut may stay silent after it.
   if (reach.isCutOff(Service))
     Runtime->Connections.clear();
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -369,6 +369,15 @@
   SizeAffinities[Service].add(Tokens);
 }
 
+std::vector<ServerChoice> ServiceDirectory::others(const ServerChoice &Server) {
+  std::vector<ServerChoice> all;
+  for (ServerStage stage :
+       {ServerStage::Whole, ServerStage::Decode, ServerStage::Prefill})
+    for (ServerChoice &it : rank({Server.Service, stage, {Server.Id}, {}}))
+      all.push_back(std::move(it));
+  return all;
+}
+
 uint32_t ServiceDirectory::serversOf(const std::string &Service) const {
   return serversIn(Service, ServerStage::Whole) +
          serversIn(Service, ServerStage::Prefill) +
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -82,6 +82,8 @@
   std::vector<ServerChoice> rank(const ServerQuery &Query);
   bool usable(const ServerChoice &Server) const;
   bool isLeaving(const std::string &ServerId) const;
+  // The other servers of the server's service, best first by stage.
+  std::vector<ServerChoice> others(const ServerChoice &Server);
   uint32_t serversIn(const std::string &Service, ServerStage Stage) const;
   uint32_t serversOf(const std::string &Service) const; // in any stage
   void callStarted(const std::string &Id, double Weight);
--- a/test/gateway_cut_off_process_test.cc
+++ b/test/gateway_cut_off_process_test.cc
@@ -216,6 +216,26 @@
 
 } // namespace
 
+// A connection that breaks off before its server refuses others looked like the
+// server's end, and the contents that ran there would be refused everywhere.
+TEST_CASE("An instance that is cut off takes no server for crashed") {
+  CutFleet setup(4, 1);
+  setup.startCallers();
+  for (int i = 0; i < 3; ++i) {
+    std::this_thread::sleep_for(CalmTime);
+    setup.setForm(CutForm::Reset);
+    std::this_thread::sleep_for(CalmTime);
+    setup.setForm(CutForm::None);
+  }
+  setup.finish();
+  std::string logs = setup.logs();
+  bool crashSeen = logs.find("\"server ended while running a request\"") !=
+                   std::string::npos;
+  bool refused = logs.find("\"content refused\"") != std::string::npos;
+  CHECK_FALSE(crashSeen);
+  CHECK_FALSE(refused);
+}
+
 TEST_CASE("Callers of an instance whose connections to servers are reset are "
           "served") {
   checkCut(4, 1, CutForm::Reset);
--- a/test/gateway_run_tracker_test.cc
+++ b/test/gateway_run_tracker_test.cc
@@ -77,3 +77,18 @@
   tracker.onResponded(tracker.start(runOn("s1", 200, 9, at(20))));
   CHECK(tracker.onVanished("s1", at(3600)).size() == 1);
 }
+
+// All servers refuse an instance that is cut off from them.
+TEST_CASE("A refused run ended with its server once another server responds") {
+  RunTracker tracker;
+  tracker.breakOff(tracker.start(runOn("s1", 100, 1)), at(100), true);
+  tracker.breakOff(tracker.start(runOn("s1", 100, 2)), at(100));
+  CHECK(tracker.onOtherResponded("s1", at(150), at(160)).empty());
+  CHECK(tracker.onOtherResponded("s2", at(99), at(160)).empty());
+  std::vector<TrackedRun> ended =
+      tracker.onOtherResponded("s2", at(150), at(160));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].Content == 1);
+  tracker.breakOff(tracker.start(runOn("s1", 100, 3)), at(200), true);
+  CHECK(tracker.onOtherResponded("s2", at(1300), at(1301)).empty());
+}
