Pass requests on to members that have called no server yet

Change: members without a report are asked last. Tests of passing on and of reachability, in one process with scripted instances: broken and refused hand-overs, streams that go on elsewhere, callers that leave, truncated and changed frames.

--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -150,19 +150,25 @@
 std::vector<Member> MemberTable::reaching(const std::string &Service,
                                           TimePoint Now) {
   std::vector<Member> found;
+  std::vector<Member> unknown;
   for (const auto &[name, state] : Members) {
     auto skip = state.ForwardSkipUntil.find(Service);
-    if (state.Item.Leaving || state.SkipUntil > Now ||
-        (skip != state.ForwardSkipUntil.end() && skip->second > Now))
-      continue;
     Milliseconds seenAgo =
         std::chrono::duration_cast<Milliseconds>(Now - state.LastSeenAt);
-    if (std::ranges::any_of(state.Item.Reached, [&](const ServiceReach &It) {
-          return It.Service == Service && It.Age + seenAgo < ReachValidity;
-        }))
+    if (seenAgo >= MemberRetention || state.Item.Leaving ||
+        state.SkipUntil > Now ||
+        (skip != state.ForwardSkipUntil.end() && skip->second > Now))
+      continue;
+    const std::vector<ServiceReach> &all = state.Item.Reached;
+    auto it = std::ranges::find(all, Service, &ServiceReach::Service);
+    if (it == all.end())
+      unknown.push_back(state.Item);
+    else if (it->Age + seenAgo < ReachValidity)
       found.push_back(state.Item);
   }
   std::shuffle(found.begin(), found.end(), Random);
+  std::shuffle(unknown.begin(), unknown.end(), Random);
+  found.insert(found.end(), unknown.begin(), unknown.end());
   return found;
 }
 
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -98,10 +98,10 @@
   std::vector<std::string> keepersOf(const std::string &Key,
                                      TimePoint Now) const;
 
-  // Returns the instances to which servers of the service have responded within
-  // the last seconds, in random order: those to pass requests on to. Excludes
-  // instances that are leaving, whose last contact failed, or that have refused
-  // such a request lately.
+  // Returns the instances to pass requests on to: those to which servers of the
+  // service have responded within the last seconds, then those that have called
+  // none, both in random order. Excludes instances that are leaving, whose last
+  // contact failed, or that have refused such a request lately.
   std::vector<Member> reaching(const std::string &Service, TimePoint Now);
   // An instance refused a request for the service, since it doesn't reach its
   // servers or handles enough of them.
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -129,8 +129,8 @@
 std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
-  GatewayContext context{Codec,  Directory, Limits,  Connections,
-                         Queues, Crashes,   Origins, Counters};
+  GatewayContext context{Codec,   Directory, Limits,   Connections, Queues,
+                         Crashes, Origins,   Counters, Forwarding};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -72,6 +72,8 @@
   crocusspur::gateway::CrashMonitor Crashes{"g1"};
   crocusspur::gateway::StreamOrigins Origins{1};
   crocusspur::internal::Metrics Counters;
+  // Null: no request is passed on.
+  const crocusspur::gateway::ForwardingHooks *Forwarding = nullptr;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
--- /dev/null
+++ b/test/gateway_forward_test.cc
@@ -0,0 +1,312 @@
+// Tests requests that an instance which reaches no server passes on, with the
+// other instance in the same process or scripted.
+#include "gateway/forward_call.h"
+#include "gateway/forward_service.h"
+#include "gateway/member_exchange.h"
+#include "gateway_fixture.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+void sendFrameText(int Fd, const ForwardResponse &Frame) {
+  std::vector<uint8_t> bytes = framed(encode(Frame));
+  sendText(Fd, {reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+}
+
+ForwardResponse headFrame(const std::string &Data, bool IsStream) {
+  ForwardResponse frame;
+  ForwardResponse::Head head;
+  head.Response.Status = 200;
+  head.Response.HasLength = !IsStream;
+  head.Response.Length = IsStream ? 0 : Data.size();
+  head.Response.Fields = {{"Server-Signature", "sig"}};
+  head.OutputVersion = 7;
+  frame.ResponseHead = head;
+  frame.Data = Data;
+  return frame;
+}
+
+ForwardResponse endFrame(bool Complete) {
+  ForwardResponse frame;
+  frame.End = Complete;
+  return frame;
+}
+
+ForwardResponse problemFrame(ErrorKind Kind, ExecutionState Run,
+                             bool Elsewhere) {
+  ForwardResponse frame;
+  internal::Problem item = internal::makeProblem(Kind, "why", RequestId());
+  item.Run = Run;
+  frame.Failure = ForwardResponse::Problem{item, Elsewhere};
+  return frame;
+}
+
+// Reads a frame as an instance does that gets a request.
+std::optional<MemberFrame> readRequestFrame(int Fd) {
+  std::string bytes;
+  char c;
+  while (bytes.size() < FramePrefixBytes && ::recv(Fd, &c, 1, 0) == 1)
+    bytes.push_back(c);
+  std::optional<size_t> size = frameSize(bytes);
+  if (!size)
+    return std::nullopt;
+  std::vector<uint8_t> body(*size);
+  if (::recv(Fd, body.data(), body.size(), MSG_WAITALL) !=
+      static_cast<ssize_t>(body.size()))
+    return std::nullopt;
+  return decodeMemberFrame(body);
+}
+
+// Another instance with scripted responses.
+class FakePeer {
+public:
+  using Responder = std::function<void(int Fd, const ForwardedRequest &)>;
+  explicit FakePeer(std::string Name, Responder Reply)
+      : Name(std::move(Name)), Server([this, Reply](int Fd, int) {
+          std::optional<MemberFrame> frame = readRequestFrame(Fd);
+          if (!frame || !frame->Forwarded)
+            return;
+          {
+            std::lock_guard lock(Mutex);
+            Seen.push_back(*frame->Forwarded);
+          }
+          Reply(Fd, *frame->Forwarded);
+        }) {}
+  Member member() const {
+    Member item;
+    item.Name = Name;
+    item.Address = Server.address();
+    return item;
+  }
+  std::vector<ForwardedRequest> seen() const {
+    std::lock_guard lock(Mutex);
+    return Seen;
+  }
+
+private:
+  std::string Name;
+  mutable std::mutex Mutex;
+  std::vector<ForwardedRequest> Seen;
+  ScriptServer Server;
+};
+
+// An instance whose servers all refuse connections, with these peers.
+struct CutOffFixture : GatewayFixture {
+  explicit CutOffFixture(std::vector<const FakePeer *> Peers) {
+    Hooks.Select = [Peers](const std::string &) {
+      std::vector<Member> all;
+      for (const FakePeer *it : Peers)
+        all.push_back(it->member());
+      return all;
+    };
+    Hooks.OnRefused = [](const Member &, const std::string &) {};
+    Hooks.ApplyRoutes = [this](const std::string &Text) { Routes = Text; };
+    Hooks.OwnMember = [] {
+      Member own;
+      own.Name = "g1";
+      return own;
+    };
+    Forwarding = &Hooks;
+    for (const char *service : {"bays", "summaries"})
+      for (int i = 0; i < 3; ++i) {
+        ServerChoice server;
+        server.Id = "gone-" + std::to_string(i);
+        server.Service = service;
+        Connections.reachability().onCall(server, CallEvidence::Failed,
+                                          std::chrono::steady_clock::now());
+      }
+  }
+  ForwardingHooks Hooks;
+  std::string Routes;
+};
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: x\n\n";
+}
+
+PathRoute resumable(const GatewayFixture &Setup) {
+  PathRoute route = Setup.route(RouteKind::Stream);
+  route.Resumable = true;
+  return route;
+}
+
+} // namespace
+
+TEST_CASE("A plain request is passed on and its response returned whole") {
+  FakePeer peer("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame("ans", false));
+    ForwardResponse rest;
+    rest.Data = "wer";
+    sendFrameText(Fd, rest);
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&peer});
+  std::string response = setup.run(setup.route(RouteKind::NonIdempotent));
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(contains(response, "Server-Signature: sig"));
+  CHECK(response.ends_with("\r\n\r\nanswer"));
+  REQUIRE(peer.seen().size() == 1);
+  CHECK(peer.seen()[0].Request.Body == "body");
+  CHECK(peer.seen()[0].Request.Target == "/x/y");
+  CHECK(peer.seen()[0].Service == "bays");
+}
+
+// The other instance may have sent it to a server.
+TEST_CASE("A non-idempotent request isn't passed on twice") {
+  FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame("ans", false));
+  });
+  FakePeer other("g3", [](int, const ForwardedRequest &) {});
+  CutOffFixture setup({&broken, &other});
+  std::string response = setup.run(setup.route(RouteKind::NonIdempotent));
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(other.seen().empty());
+}
+
+TEST_CASE("A request goes to another instance if one refuses to handle it") {
+  FakePeer full("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, problemFrame(ErrorKind::BackendUnreachable,
+                                   ExecutionState::No, true));
+  });
+  FakePeer other("g3", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame("answer", false));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&full, &other});
+  CHECK(setup.run(setup.route(RouteKind::NonIdempotent))
+            .starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("A refusal by the other instance is the caller's") {
+  for (ExecutionState run : {ExecutionState::No, ExecutionState::Unknown}) {
+    FakePeer peer("g2", [run](int Fd, const ForwardedRequest &) {
+      sendFrameText(Fd, problemFrame(run == ExecutionState::No
+                                         ? ErrorKind::DeadlineUnreachable
+                                         : ErrorKind::BackendFailed,
+                                     run, false));
+    });
+    CutOffFixture setup({&peer});
+    std::string response = setup.run(setup.route(RouteKind::NonIdempotent));
+    bool refused = run == ExecutionState::No;
+    CHECK(response.starts_with(refused ? "HTTP/1.1 503" : "HTTP/1.1 502"));
+    CHECK(
+        contains(response, refused ? "\"run\":\"no\"" : "\"run\":\"unknown\""));
+  }
+}
+
+TEST_CASE("Without an instance that takes it a request is tried directly") {
+  CutOffFixture setup({});
+  FakeServer server(
+      [](const std::string &, int) { return signedResponse(200, "x"); });
+  setup.addServer("s1", server);
+  CHECK(setup.run(setup.route(RouteKind::NonIdempotent))
+            .starts_with("HTTP/1.1 200"));
+}
+
+// The other instance is killed in the middle of the stream.
+TEST_CASE("A stream goes on at another instance after the last whole event") {
+  FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(1) + event(2) + "id: 3\nda", true));
+  });
+  FakePeer other("g3", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(3), true));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&broken, &other});
+  int selections = 0;
+  setup.Hooks.Select = [&](const std::string &) {
+    return std::vector{selections++ == 0 ? broken.member() : other.member()};
+  };
+  std::string response = setup.run(resumable(setup));
+  CHECK(contains(response, "id: 2\n"));
+  CHECK(contains(response, "id: 3\ndata: x"));
+  CHECK_FALSE(contains(response, "id: 3\nda\r"));
+  CHECK(response.ends_with("0\r\n\r\n"));
+  REQUIRE(other.seen().size() == 1);
+  CHECK(other.seen()[0].Request.LastEventId == "2");
+  CHECK(other.seen()[0].StreamVersion == VersionKey(7));
+  CHECK(other.seen()[0].MayHaveExecuted);
+}
+
+TEST_CASE("A stream that isn't resumable ends incomplete with its instance") {
+  FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(1), true));
+    sendFrameText(Fd, endFrame(false));
+  });
+  CutOffFixture setup({&broken});
+  std::string response = setup.run(setup.route(RouteKind::Stream));
+  CHECK(contains(response, "id: 1\n"));
+  CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+  CHECK(broken.seen().size() == 1);
+}
+
+TEST_CASE("A caller that leaves closes the connection to the other instance") {
+  std::atomic<bool> closed{false};
+  FakePeer peer("g2", [&](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(1), true));
+    char c;
+    closed = ::recv(Fd, &c, 1, 0) == 0;
+  });
+  CutOffFixture setup({&peer});
+  setup.WhileRunning = [](SocketPair &Sockets) {
+    char buf[4096];
+    ::recv(Sockets.far(), buf, sizeof buf, 0);
+    Sockets.closeFar();
+  };
+  setup.run(resumable(setup));
+  CHECK(closed);
+}
+
+TEST_CASE("Newer routes of the other instance are taken over") {
+  FakePeer peer("g2", [](int Fd, const ForwardedRequest &) {
+    ForwardResponse frame = headFrame("answer", false);
+    frame.ConfigVersion = 9;
+    frame.RoutesText = "{routes}";
+    sendFrameText(Fd, frame);
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&peer});
+  setup.run(setup.route(RouteKind::NonIdempotent));
+  CHECK(setup.Routes == "{routes}");
+}
+
+// A stranger may write anything to the peers' port.
+TEST_CASE("Frames of forwarded requests survive truncated and changed bytes") {
+  MemberFrame frame;
+  frame.Sender.Name = "g1";
+  ForwardedRequest request;
+  request.Request = GatewayFixture().request();
+  request.Service = "bays";
+  request.UsedServers = {"s1"};
+  request.StreamVersion = 5;
+  frame.Forwarded = request;
+  std::vector<uint8_t> bytes = encode(frame);
+  std::optional<MemberFrame> back = decodeMemberFrame(bytes);
+  REQUIRE((back && back->Forwarded));
+  CHECK(back->Forwarded->Request.Body == "body");
+  CHECK(back->Forwarded->Request.Generation->PromptTokens == 5000);
+  CHECK(back->Forwarded->UsedServers == request.UsedServers);
+  CHECK(back->Forwarded->StreamVersion == VersionKey(5));
+  std::vector<uint8_t> response = encode(headFrame("answer", false));
+  for (size_t n = 0; n < bytes.size(); ++n) {
+    decodeMemberFrame({bytes.data(), n});
+    std::vector<uint8_t> changed = bytes;
+    changed[n] ^= 0xff;
+    decodeMemberFrame(changed);
+  }
+  for (size_t n = 0; n < response.size(); ++n) {
+    std::vector<uint8_t> changed = response;
+    changed[n] ^= 0xff;
+    decodeForwardResponse(changed);
+    decodeForwardResponse({response.data(), n});
+  }
+}
