Crash servers by a part of prompts and cut an instance off in the soak

Change: every fourth of a caller's prompts has a part that ends the server that answers it, and the first instance reaches the servers through proxies that cut it off in all forms, again and again. Checked: the bound of late sends, that no sound prompt is refused, and what was checked before, across the hop.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -5,9 +5,13 @@
 // only of one software version, also if their callers take them up again, that
 // configuration versions never decrease, that a content which crashes servers
 // is refused in time and no other is, that servers get at most the requests
-// that they state, and that the fleet serves requests again after the faults.
+// that they state, that a part of prompts which crashes servers is refused in
+// time and sound prompts with the same first part aren't, also while an
+// instance is cut off from servers and passes requests on, and that the fleet
+// serves requests again after the faults.
 // Prints the seed and the violations found; exits with 1 if there are any.
 #include "crashing_server.h"
+#include "cut_proxy.h"
 #include "fault_proxy.h"
 #include "gateway_fleet.h"
 #include "http_exchange.h"
@@ -44,6 +48,11 @@
 // more sends of a crashing content, by instances undisturbed for as long.
 constexpr Milliseconds ContactTime{3000};
 constexpr size_t AllowedLateSends = 3;
+constexpr size_t CrashesOfContent = 3; // from then on its bound holds
+constexpr size_t CrashesOfPart = 5;
+constexpr int PartServerCount = 4;
+const std::string CrashingPart = "bad00bad";
+constexpr Milliseconds SoundPromptInterval{40};
 constexpr Milliseconds CallerTimeout{6000};
 // Time from SIGTERM to SIGKILL, as in the instances' settings.
 constexpr Milliseconds GraceTime{8000};
@@ -95,9 +104,11 @@
          makeRoute("/s/", "streaming", "llm", false) + "," +
          makeRoute("/t/", "streaming", "llm", true) + "," +
          makeRoute("/c/", "idempotent", "fragile", false) + "," +
+         makeRoute("/p/", "streaming", "prompted", true) + "," +
          makeRoute("/l/", "idempotent", "limited", false) +
          "],\"services\":[{\"name\":\"bays\"},{\"name\":\"fragile\"},"
-         "{\"name\":\"limited\"},{\"name\":\"llm\",\"runtime\":{"
+         "{\"name\":\"limited\"},{\"name\":\"prompted\"},"
+         "{\"name\":\"llm\",\"runtime\":{"
          "\"slots\":64,\"kv-capacity\":60000,\"stride\":11,\"kv-ttl-s\":0.5,"
          "\"hold-ms\":2000}}]}";
 }
@@ -124,16 +135,24 @@
   // Sends one request to a random instance and records which.
   void sendOne(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
                const std::string &Path, const std::string &Id,
-               const std::string &Body);
+               const std::string &Body, const std::string &Fields = "");
   // Sends a content that crashes servers to all instances, until the end.
   void runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed);
+  // Sends prompts of which every fourth has a part that crashes servers.
+  void runPromptCaller(test::GatewayFleet &Fleet, uint64_t Seed);
   // Sends more requests than the limits of their servers allow.
   void runLimitedCaller(test::GatewayFleet &Fleet, int Number, uint64_t Seed);
   // Whether the instance that got the request was undisturbed for the contact
   // time before.
   bool inTouch(const std::string &RequestId, TimePoint At);
-  void checkCrashingSends();
+  // `Allowed`: crashes before the bound holds.
+  void checkCrashingSends(const test::CrashLog &Log, size_t Allowed,
+                          const std::string &What);
   void checkLimits();
+  // Gives the first instance a path of its own to some servers, which
+  // cutFirstInstance() cuts again and again.
+  void addCutProxies(test::GatewayFleet &Fleet);
+  void cutFirstInstance(uint64_t Seed);
   // Records that an instance can't be expected to know what others know.
   void disturb(const GatewayInstance &Item);
   void injectFaults(test::GatewayFleet &Fleet);
@@ -156,6 +175,12 @@
   std::vector<std::unique_ptr<FaultProxy>> Proxies;
   test::CrashLog Crashes;
   std::vector<std::unique_ptr<test::CrashingServer>> FragileServers;
+  test::FakeStore FirstInstanceStore;
+  std::vector<std::unique_ptr<test::CutProxy>> CutProxies;
+  std::map<std::string, std::string> CutAddresses; // by server's address
+  test::CrashLog PartCrashes;
+  std::vector<std::unique_ptr<test::CrashingServer>> PartServers;
+  std::atomic<int> SoundPromptsRefused{0};
   std::mutex FleetMutex; // guards the instances' Process pointers
   std::map<int, TimePoint> TerminatedAt; // time of SIGTERM by process id
   std::set<int> PausedPids;              // ids of processes that got SIGSTOP
@@ -177,6 +202,9 @@
     Servers.push_back(
         std::make_unique<SoakServer>(Executions, Random(), version));
     Proxies.push_back(std::make_unique<FaultProxy>(Servers.back()->address()));
+    CutProxies.push_back(
+        std::make_unique<test::CutProxy>(Proxies.back()->address()));
+    CutAddresses[Proxies.back()->address()] = CutProxies.back()->address();
     Fleet.Store.put(
         "servers/i-" + std::to_string(i),
         test::serverEntry(decode ? "llm" : "bays", Proxies.back()->address(),
@@ -188,6 +216,15 @@
     FragileServers.push_back(std::make_unique<test::CrashingServer>(
         Fleet.Store, Crashes,
         test::CrashingServerOptions{"f-" + std::to_string(i), "fragile", ""}));
+  for (int i = 0; i < PartServerCount; ++i) {
+    test::CrashingServerOptions options;
+    options.Id = "p-" + std::to_string(i);
+    options.Service = "prompted";
+    options.Stage = "decode";
+    options.CrashingPart = CrashingPart;
+    PartServers.push_back(std::make_unique<test::CrashingServer>(
+        Fleet.Store, PartCrashes, options));
+  }
   for (double limit : StatedLimits) {
     LimitedServers.push_back(std::make_unique<test::LimitedServer>());
     LimitedServers.back()->setLimit(limit);
@@ -198,9 +235,32 @@
   Fleet.Store.put("op/config", makeConfig(Version));
 }
 
+void Soak::addCutProxies(test::GatewayFleet &Fleet) {
+  FirstInstanceStore.put("op/config", test::configOf(1, "/x/"));
+  Fleet.Store.mirrorTo(FirstInstanceStore, [this](std::string Value) {
+    for (const auto &[address, cut] : CutAddresses)
+      if (size_t n = Value.find(address + "\""); n != std::string::npos)
+        Value.replace(n, address.size(), cut);
+    return Value;
+  });
+  Fleet.useStore(Fleet.Instances[0], FirstInstanceStore);
+}
+
+void Soak::cutFirstInstance(uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  while (!StopRequested.load()) {
+    auto form = static_cast<test::CutForm>(random() % 6);
+    for (auto &it : CutProxies)
+      it->setForm(form);
+    std::this_thread::sleep_for(Milliseconds(200 + random() % 1500));
+  }
+  for (auto &it : CutProxies)
+    it->setForm(test::CutForm::None);
+}
+
 void Soak::sendOne(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
                    const std::string &Path, const std::string &Id,
-                   const std::string &Body) {
+                   const std::string &Body, const std::string &Fields) {
   const GatewayInstance &instance = Fleet.Instances[Random() % GatewayCount];
   {
     std::lock_guard lock(FleetMutex);
@@ -208,15 +268,21 @@
   }
   internal::PollWaiter waiter;
   HttpExchange http(waiter);
-  std::string text = "POST " + Path +
-                     " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + Id +
-                     "\r\nDeadline-Ms: 1000\r\nContent-Length: " +
-                     std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  std::string text =
+      "POST " + Path + " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + Id +
+      "\r\nDeadline-Ms: 1000\r\n" + Fields +
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
   if (http.connect(instance.Callers, Clock::now() + Milliseconds(200)) ==
           ExchangeStatus::Ok &&
       http.send(text, TimePoint::max(), Milliseconds(500)) ==
-          ExchangeStatus::Ok)
-    http.readHead("POST", Milliseconds(1500));
+          ExchangeStatus::Ok &&
+      http.readHead("POST", Milliseconds(1500)) == ExchangeStatus::Ok &&
+      Id.starts_with("sound-") && http.head().Status == 503) {
+    std::string body;
+    http.readWholeBody(body, 1048576, Milliseconds(500));
+    if (body.find("\"content_refused\"") != std::string::npos)
+      ++SoundPromptsRefused;
+  }
 }
 
 void Soak::runCrashingCaller(test::GatewayFleet &Fleet, uint64_t Seed) {
@@ -228,6 +294,19 @@
   }
 }
 
+void Soak::runPromptCaller(test::GatewayFleet &Fleet, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int i = 0; !FaultsDone.load(); ++i) {
+    std::this_thread::sleep_for(SoundPromptInterval);
+    std::string n = std::to_string(i);
+    bool bad = i % 4 == 3;
+    sendOne(Fleet, random, "/p/x", (bad ? "bad-" : "sound-") + n, "prompt " + n,
+            "Prefix-Hash: c0ffee:200," +
+                (bad ? CrashingPart : std::to_string(random() % 5)) +
+                ":200,fe" + n + ":100\r\n");
+  }
+}
+
 void Soak::runLimitedCaller(test::GatewayFleet &Fleet, int Number,
                             uint64_t Seed) {
   std::mt19937_64 random(Seed);
@@ -269,18 +348,20 @@
   Disturbed[Item.Name].push_back(Clock::now());
 }
 
-void Soak::checkCrashingSends() {
-  std::optional<TimePoint> third = Crashes.crashTime(3);
-  if (!third) {
-    Violations.add("the crashing content reached fewer than three servers");
+void Soak::checkCrashingSends(const test::CrashLog &Log, size_t Allowed,
+                              const std::string &What) {
+  std::optional<TimePoint> last = Log.crashTime(Allowed);
+  if (!last) {
+    Violations.add(What + " ended fewer than " + std::to_string(Allowed) +
+                   " servers");
     return;
   }
   size_t late = 0;
-  for (const auto &it : Crashes.arrivalsAfter(*third + ContactTime))
+  for (const auto &it : Log.arrivalsAfter(*last + ContactTime))
     late += inTouch(it.RequestId, it.At);
   if (late > AllowedLateSends)
-    Violations.add("a content reached servers " + std::to_string(late) +
-                   " times late after it crashed the third");
+    Violations.add(What + " reached servers " + std::to_string(late) +
+                   " times late after it ended " + std::to_string(Allowed));
 }
 
 void Soak::checkEvents(const std::string &Id, const std::string &Body,
@@ -576,6 +657,7 @@
 
 bool Soak::run() {
   test::GatewayFleet fleet(GatewayCount);
+  addCutProxies(fleet);
   startServers(fleet);
   fleet.startAll();
   std::vector<std::thread> threads;
@@ -585,12 +667,16 @@
   threads.emplace_back([&] { watchVersions(fleet); });
   // A copy, since the faults of each seed must stay what they are.
   std::mt19937_64 seeds(Random);
+  std::mt19937_64 cutSeeds(Random);
+  threads.emplace_back([&, seed = cutSeeds() + 1] { cutFirstInstance(seed); });
   std::vector<std::thread> untilRecovered;
   untilRecovered.emplace_back(
       [&, seed = seeds()] { runCrashingCaller(fleet, seed); });
   for (int i = 0; i < LimitedCallerCount; ++i)
     untilRecovered.emplace_back(
         [&, i, seed = seeds()] { runLimitedCaller(fleet, i, seed); });
+  untilRecovered.emplace_back(
+      [&, seed = seeds()] { runPromptCaller(fleet, seed); });
   injectFaults(fleet);
   {
     std::lock_guard lock(FleetMutex);
@@ -604,9 +690,14 @@
   FaultsDone.store(true);
   for (std::thread &it : untilRecovered)
     it.join();
-  checkCrashingSends();
+  checkCrashingSends(Crashes, CrashesOfContent, "the crashing content");
+  checkCrashingSends(PartCrashes, CrashesOfPart, "the crashing prompt part");
+  if (SoundPromptsRefused > 0)
+    Violations.add(std::to_string(SoundPromptsRefused) +
+                   " sound prompts were refused for a part");
   checkLimits();
   FragileServers.clear(); // they use the fleet's store
+  PartServers.clear();
   for (const std::string &it : RejectedIds)
     if (Executions.count(it) > 0)
       Violations.add(it + " was said not to have run, and ran");
@@ -614,7 +705,8 @@
             << ", refused " << Totals.Refused << ", failed " << Totals.Failed
             << ", cut " << Totals.Cut << ", resumed " << Totals.Resumed
             << " in " << Totals.Resumptions << " attempts, crashes "
-            << Crashes.crashes() << ", violations " << Violations.Texts.size()
+            << Crashes.crashes() << " and " << PartCrashes.crashes()
+            << " by a prompt part, violations " << Violations.Texts.size()
             << "\n";
   for (size_t i = 0; i < std::min<size_t>(Violations.Texts.size(), 10); ++i)
     std::cout << "  " << Violations.Texts[i].substr(0, 300) << "\n";
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -40,11 +40,15 @@
 
 void FakeStore::put(const std::string &Key, const std::string &Value) {
   std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->put(Key, TranslateValue(Value));
   Items[Key] = {++Revision, Value};
 }
 
 void FakeStore::setRejecting(const std::string &Instance, bool Rejecting) {
   std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->setRejecting(Instance, Rejecting);
   Rejected[Instance] = Rejecting;
 }
 
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -7,6 +7,7 @@
 #include "gateway_fixture.h"
 
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -28,6 +29,13 @@
   std::string address() const { return Server.address(); }
   void put(const std::string &Key, const std::string &Value);
   void setRejecting(const std::string &Instance, bool Rejecting);
+  // From now on `Other` gets all changes too, with values that `Translate`
+  // returns, so that it serves other addresses at the same revisions.
+  void mirrorTo(FakeStore &Other,
+                std::function<std::string(std::string)> Translate) {
+    Mirror = &Other;
+    TranslateValue = std::move(Translate);
+  }
 
 private:
   struct Item {
@@ -45,6 +53,8 @@
   bool Stopping = false;
   std::map<std::string, Item> Items;
   std::map<std::string, bool> Rejected;
+  FakeStore *Mirror = nullptr;
+  std::function<std::string(std::string)> TranslateValue;
   std::set<int> Open;
   ScriptServer Server;
 };
