Name the retry allowance when it ends a stream

Cause: in the first seconds after a start the share of the allowance is small, and streams that break off then ended with 'no server could continue the stream'. Change: the line names the allowance. No decision changes, and no test reads the text.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -90,8 +90,10 @@
         break;
       continue;
     }
-    if (round > 0 && !tryConsumeRetry())
+    if (round > 0 && !tryConsumeRetry()) {
+      RetryBudgetExhausted = true;
       break;
+    }
     // After a refusal, the most likely cause is that the prompt's KV cache was
     // lost.
     result = tryStream(/*ReadAtDecode=*/round > 0 &&
@@ -104,9 +106,10 @@
       break;
   }
   if (HeadSent) {
-    abortStream(CrashRefusedFor      ? CrashRefusalReason
-                : mayEndNextServer() ? "its server ended with it"
-                                     : "no server could continue the stream");
+    abortStream(CrashRefusedFor        ? CrashRefusalReason
+                : mayEndNextServer()   ? "its server ended with it"
+                : RetryBudgetExhausted ? "the retry allowance is used up"
+                                       : "no server could continue the stream");
     return;
   }
   if (Waiter.callerLeft())
