Show services that an instance doesn't reach as a metric

Cause: operators see from the log alone that an instance passes requests on. Change: the gauge service_cut_off, by service. No decision changes.

--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -157,6 +157,10 @@
                     static_cast<double>(permits.OwnShare));
   Metrics->setGauge("limit_unpermitted_total", "",
                     static_cast<double>(permits.Unpermitted));
+  ServerReachability &reach = Runtime->Connections.reachability();
+  Metrics->clearGauge("service_cut_off");
+  for (const std::string &it : reach.unreachedServices())
+    Metrics->setGauge("service_cut_off", it, reach.isCutOff(it) ? 1 : 0);
   for (const auto &[service, counts] : Runtime->Directory.retryCounts()) {
     Metrics->setGauge("retries_total", service,
                       static_cast<double>(counts.Granted));
