--- a/test/cut_proxy.cc
+++ b/test/cut_proxy.cc
@@ -31,6 +31,7 @@
 } // namespace
 
 CutProxy::CutProxy(std::string Target) : Target(std::move(Target)) {
+  Reserved = bindSocket();
   listen();
   Acceptor = std::thread([this] { accept(); });
 }
@@ -46,6 +47,7 @@
   }
   for (std::thread &it : Threads)
     it.join();
+  ::close(Reserved);
 }
 
 std::string CutProxy::address() const {
--- a/test/gateway_prompt_part_blame_test.cc
+++ b/test/gateway_prompt_part_blame_test.cc
@@ -259,20 +259,20 @@
   };
   // With 0.3 of the requests at ten or more on each server, every server ends
   // within a second of its start.
-  for (auto [running, share] : {Case{2, 0.02},
-                                {2, 0.1},
-                                {2, 0.3},
-                                {10, 0.02},
-                                {10, 0.1},
-                                {30, 0.02},
-                                {30, 0.1}})
+  for (const Case &it : {Case{2, 0.02},
+                         {2, 0.1},
+                         {2, 0.3},
+                         {10, 0.02},
+                         {10, 0.1},
+                         {30, 0.02},
+                         {30, 0.1}})
     for (size_t position : {0, 1}) {
-      CAPTURE(running);
-      CAPTURE(share);
+      CAPTURE(it.Running);
+      CAPTURE(it.Share);
       CAPTURE(position);
       Load shape;
-      shape.RunningPerServer = running;
-      shape.BadShare = share;
+      shape.RunningPerServer = it.Running;
+      shape.BadShare = it.Share;
       shape.BadPosition = position;
       Outcome all = replay(80, shape);
       MESSAGE(text(all));
