Refuse a prompt if any of its parts is refused

Cause: found by reading the change: the severest state of a prompt's parts decides, and probation counted as severer than refusal, so a prompt with one part on probation and one refused could run. Change: the order of the states. Result: the new test failed before.

--- a/src/gateway/decisions/crash_history.h
+++ b/src/gateway/decisions/crash_history.h
@@ -70,12 +70,13 @@
   std::optional<Milliseconds> refusedFor(uint64_t Content, TimePoint Now) const;
   uint32_t refusedContents(TimePoint Now) const;
 
-  // What is known of the parts of one request's prompt together.
+  // What is known of the parts of one request's prompt together, in the order
+  // of severity: the severest of its parts decides.
   enum class PartVerdict : uint8_t {
     Unsuspected,
     Suspected, // a run that ended with its server isn't sent to another one
-    Refused,
-    Probation // the refusal is over; few may run until one shows the outcome
+    Probation, // a refusal is over; few may run until one shows the outcome
+    Refused
   };
   struct PartState {
     PartVerdict Verdict = PartVerdict::Unsuspected;
--- a/test/cut_proxy.cc
+++ b/test/cut_proxy.cc
@@ -62,7 +62,10 @@
   sockaddr_in address = loopback(Port);
   socklen_t length = sizeof address;
   auto *plain = reinterpret_cast<sockaddr *>(&address);
-  if (::bind(fd, plain, length) != 0 || ::getsockname(fd, plain, &length) != 0)
+  // A child process holds the listening socket until it starts its program.
+  bool bound =
+      eventually([&] { return ::bind(fd, plain, length) == 0; }, WaitTimeout);
+  if (!bound || ::getsockname(fd, plain, &length) != 0)
     throw std::runtime_error("can't bind a port for the test");
   Port = ntohs(address.sin_port);
   return fd;
--- a/test/gateway_prompt_part_history_test.cc
+++ b/test/gateway_prompt_part_history_test.cc
@@ -126,6 +126,14 @@
   CHECK(verdict(history, 9000, {Bad}) == PartVerdict::Probation);
 }
 
+// A part of a prompt may be on probation while another is still refused.
+TEST_CASE("A prompt is refused if one of its parts is, whatever the others") {
+  CrashHistory history;
+  history.onPartSurvived(First, at(-10));
+  crashes(history, 5, {First, Bad});
+  CHECK(verdict(history, 15000, {First, Bad}) == PartVerdict::Refused);
+}
+
 TEST_CASE("Histories that exchange crashes of parts become equal") {
   CrashHistory left;
   CrashHistory right;
