Count the end of one server's process once, whenever it is reported

A process that was paused sent crashes with ages from before the pause, 2 s too short, and its peers took each for another crash of the same server: four ends of servers counted as eight, and the part was refused after four. Contents had the same fault. Change: a crash has the start time of the process that ended, which identifies it with the server's id; times decide only where it isn't known.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -189,12 +189,13 @@
     TimePoint now = Clock::now();
     auto age = std::chrono::duration_cast<Milliseconds>(
         now - it.BrokenAt.value_or(now));
-    std::vector<CrashRecord> records{
-        {it.Content, it.ServerId, Instance, age, SuspectKind::Content}};
+    std::vector<CrashRecord> records{{it.Content, it.ServerId, Instance, age,
+                                      SuspectKind::Content,
+                                      it.ServerStartedAt}};
     if (!it.Survived)
       for (PromptPartKey part : it.PromptParts)
-        records.push_back(
-            {part, it.ServerId, Instance, age, SuspectKind::PromptPart});
+        records.push_back({part, it.ServerId, Instance, age,
+                           SuspectKind::PromptPart, it.ServerStartedAt});
     std::erase_if(records, [&](const CrashRecord &It) {
       return !History.addCrash(It, now);
     });
--- a/src/gateway/decisions/crash_history.cc
+++ b/src/gateway/decisions/crash_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 #include <xxhash.h>
 
 namespace crocusspur::gateway {
@@ -73,11 +74,6 @@
                                       : Milliseconds(0);
 }
 
-// Whether two records with this difference in time are of one crash.
-bool isSameCrash(TimePoint Left, TimePoint Right) {
-  return Left < Right + SameCrashWindow && Right < Left + SameCrashWindow;
-}
-
 // Drops the entry with the earliest time.
 template <typename Map> void dropOldest(Map &Items) {
   auto oldest = std::min_element(Items.begin(), Items.end(),
@@ -90,6 +86,17 @@
 
 } // namespace
 
+// Ages that a paused process reports are too short, so times decide only if the
+// processes aren't known.
+bool CrashHistory::isSameCrash(const Crash &Left, const Crash &Right) {
+  if (Left.ServerId != Right.ServerId)
+    return false;
+  if (Left.ServerStartedAt != 0 && Right.ServerStartedAt != 0)
+    return Left.ServerStartedAt == Right.ServerStartedAt;
+  return Left.At < Right.At + SameCrashWindow &&
+         Right.At < Left.At + SameCrashWindow;
+}
+
 bool CrashHistory::isCleared(const Suspect &Item, TimePoint CrashedAt) const {
   auto it = Cleared.find(Item);
   return it != Cleared.end() &&
@@ -123,10 +130,11 @@
     clear(suspect, survived->second);
   if (isCleared(suspect, at))
     return false;
+  Crash crash{Item.ServerId, Item.Witness, at, 0, Item.ServerStartedAt};
   auto known = Crashes.find(suspect);
   if (known != Crashes.end())
     for (const Crash &it : known->second)
-      if (it.ServerId == Item.ServerId && isSameCrash(it.At, at))
+      if (isSameCrash(it, crash))
         return false;
   if (known == Crashes.end())
     makeRoom();
@@ -138,7 +146,8 @@
   auto later = std::upper_bound(
       all.begin(), all.end(), at,
       [](TimePoint At, const Crash &It) { return At < It.At; });
-  all.insert(later, {Item.ServerId, Item.Witness, at, ++LastChange});
+  crash.Change = ++LastChange;
+  all.insert(later, std::move(crash));
   ++RecordCount;
   return true;
 }
@@ -341,9 +350,8 @@
     if (hasSurvived(Other.first) && !hasSurvived(Item.first))
       return false;
     auto unexplained = std::ranges::count_if(own, [&](const Crash &It) {
-      return std::ranges::none_of(others, [&](const Crash &Beside) {
-        return Beside.ServerId == It.ServerId && isSameCrash(Beside.At, It.At);
-      });
+      return std::ranges::none_of(
+          others, [&](const Crash &Beside) { return isSameCrash(Beside, It); });
     });
     return static_cast<size_t>(unexplained) <= MaxUnexplainedCrashes;
   });
@@ -382,7 +390,8 @@
     for (const Crash &it : all)
       if (it.Change > Change)
         update.Crashes.push_back({suspect.Key, it.ServerId, it.Witness,
-                                  ageAt(Now, it.At), suspect.Kind});
+                                  ageAt(Now, it.At), suspect.Kind,
+                                  it.ServerStartedAt});
   for (const auto &[suspect, it] : Cleared)
     if (it.Change > Change)
       update.Cleared.push_back({suspect.Key, ageAt(Now, it.At), suspect.Kind});
--- a/src/gateway/decisions/crash_history.h
+++ b/src/gateway/decisions/crash_history.h
@@ -36,6 +36,9 @@
   std::string Witness; // the instance whose request ran there
   Milliseconds Age{0};
   SuspectKind Kind = SuspectKind::Content;
+  // Start of the process that ended, in Unix milliseconds; 0: unknown. With the
+  // server's id it identifies the crash.
+  int64_t ServerStartedAt = 0;
 };
 
 // A suspect that has been shown not to be the cause of earlier crashes.
@@ -116,7 +119,9 @@
     std::string Witness;
     TimePoint At;
     uint64_t Change = 0;
+    int64_t ServerStartedAt = 0;
   };
+  static bool isSameCrash(const Crash &Left, const Crash &Right);
   struct Clearance {
     TimePoint At;
     uint64_t Change = 0;
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -222,7 +222,7 @@
     crashes.push_back(wire::CreateCrash(
         out, it.Key, out.CreateString(it.ServerId),
         out.CreateString(it.Witness), static_cast<uint32_t>(it.Age.count()),
-        static_cast<uint8_t>(it.Kind)));
+        static_cast<uint8_t>(it.Kind), it.ServerStartedAt));
   std::vector<flatbuffers::Offset<wire::ClearedContent>> cleared;
   for (const ClearedSuspect &it : Frame.Crashes.Cleared)
     cleared.push_back(wire::CreateClearedContent(
@@ -307,9 +307,9 @@
   if (in.crashes())
     for (const wire::Crash *it : *in.crashes())
       if (std::optional<SuspectKind> kind = suspectKind(it->kind()))
-        frame.Crashes.Crashes.push_back({it->content(), textOf(it->server()),
-                                         textOf(it->witness()),
-                                         Milliseconds(it->ago_ms()), *kind});
+        frame.Crashes.Crashes.push_back(
+            {it->content(), textOf(it->server()), textOf(it->witness()),
+             Milliseconds(it->ago_ms()), *kind, it->server_started_at()});
   if (in.cleared())
     for (const wire::ClearedContent *it : *in.cleared())
       if (std::optional<SuspectKind> kind = suspectKind(it->kind()))
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -582,7 +582,8 @@
     VT_SERVER = 6,
     VT_WITNESS = 8,
     VT_AGO_MS = 10,
-    VT_KIND = 12
+    VT_KIND = 12,
+    VT_SERVER_STARTED_AT = 14
   };
   uint64_t content() const {
     return GetField<uint64_t>(VT_CONTENT, 0);
@@ -599,6 +600,9 @@
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
   }
+  int64_t server_started_at() const {
+    return GetField<int64_t>(VT_SERVER_STARTED_AT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
@@ -608,6 +612,7 @@
            verifier.VerifyString(witness()) &&
            VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<int64_t>(verifier, VT_SERVER_STARTED_AT, 8) &&
            verifier.EndTable();
   }
 };
@@ -631,6 +636,9 @@
   void add_kind(uint8_t kind) {
     fbb_.AddElement<uint8_t>(Crash::VT_KIND, kind, 0);
   }
+  void add_server_started_at(int64_t server_started_at) {
+    fbb_.AddElement<int64_t>(Crash::VT_SERVER_STARTED_AT, server_started_at, 0);
+  }
   explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -648,8 +656,10 @@
     flatbuffers::Offset<flatbuffers::String> server = 0,
     flatbuffers::Offset<flatbuffers::String> witness = 0,
     uint32_t ago_ms = 0,
-    uint8_t kind = 0) {
+    uint8_t kind = 0,
+    int64_t server_started_at = 0) {
   CrashBuilder builder_(_fbb);
+  builder_.add_server_started_at(server_started_at);
   builder_.add_content(content);
   builder_.add_ago_ms(ago_ms);
   builder_.add_witness(witness);
@@ -664,7 +674,8 @@
     const char *server = nullptr,
     const char *witness = nullptr,
     uint32_t ago_ms = 0,
-    uint8_t kind = 0) {
+    uint8_t kind = 0,
+    int64_t server_started_at = 0) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto witness__ = witness ? _fbb.CreateString(witness) : 0;
   return crocusspur::gateway::wire::CreateCrash(
@@ -673,7 +684,8 @@
       server__,
       witness__,
       ago_ms,
-      kind);
+      kind,
+      server_started_at);
 }
 
 struct ClearedContent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_crash_history_test.cc
+++ b/test/gateway_crash_history_test.cc
@@ -65,6 +65,18 @@
   CHECK(history.refusedFor(Cause, at(10000)).has_value());
 }
 
+// A process that was paused reports with an age from before the pause.
+TEST_CASE(
+    "CrashHistory counts the end of one process once, whenever reported") {
+  CrashHistory history;
+  CrashRecord crash{Cause, "s1", "g1", Milliseconds(0), SuspectKind::Content,
+                    100};
+  CHECK(history.addCrash(crash, at(0)));
+  CHECK_FALSE(history.addCrash(crash, at(20000)));
+  crash.ServerStartedAt = 200; // it started again under its id
+  CHECK(history.addCrash(crash, at(20000)));
+}
+
 TEST_CASE("CrashHistory lets a content run again and then refuses it longer") {
   CrashHistory history = refusing();
   int64_t ended = 200 + 2 * MinuteMs;
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -23,7 +23,7 @@
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {
       {71, "i-2", "n3", Milliseconds(250)},
-      {73, "i-2", "n3", Milliseconds(250), SuspectKind::PromptPart}};
+      {73, "i-2", "n3", Milliseconds(250), SuspectKind::PromptPart, 1764}};
   frame.Crashes.Cleared = {{72, Milliseconds(900)},
                            {74, Milliseconds(90), SuspectKind::PromptPart}};
   frame.IsNotification = true;
@@ -68,6 +68,7 @@
   REQUIRE(back->Crashes.Crashes.size() == 2);
   CHECK(back->Crashes.Crashes[0].Kind == SuspectKind::Content);
   CHECK(back->Crashes.Crashes[1].Kind == SuspectKind::PromptPart);
+  CHECK(back->Crashes.Crashes[1].ServerStartedAt == 1764);
   CHECK(back->Crashes.Crashes[0].Key == 71);
   CHECK(back->Crashes.Crashes[0].ServerId == "i-2");
   CHECK(back->Crashes.Crashes[0].Witness == "n3");
