--- a/test/cut_proxy.h
+++ b/test/cut_proxy.h
@@ -46,7 +46,7 @@
   uint16_t Port = 0;
   std::atomic<CutForm> Form{CutForm::None};
   std::atomic<bool> Stopping{false};
-  std::mutex Mutex; // guards what follows
+  std::mutex Mutex;  // guards what follows
   int Reserved = -1; // keeps the port while nothing listens on it
   int Listener = -1;
   std::vector<int> Fillers; // connections that fill the backlog
