Log which responses say that a server leaves, and the era of revisions

They show the state of a server's entry, but not whether a response said that the server leaves, and revisions without the era of the store that they belong to.

Revisions become a type of two numbers. Comparisons are unchanged: they take the number alone.

--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -55,6 +55,7 @@
   std::string RequestId;
   std::optional<ServerLoad> Load;
   StatedLimit Limit;
+  bool ServerLeaving = false;                   // the server shuts down soon
   std::optional<Milliseconds> KeepAliveTimeout; // of the connection
   HeaderFields Returned; // fields passed to the caller unchanged
 };
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -194,7 +194,7 @@
 MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
-  frame.ServersRevision = Runtime->Directory.serversRevision();
+  frame.ServersRevision = Runtime->Directory.serversRevision().Number;
   frame.CrashDigest = Runtime->Crashes.digest();
   frame.Limits = Runtime->Limits.known();
   frame.Sender = Runtime->ownMember();
@@ -216,8 +216,9 @@
   if (!Runtime->Directory.isComplete() ||
       !Runtime->Directory.isStoreReachable())
     return true;
-  bool behind = NewestVersion.load() > Runtime->Directory.routes()->Version ||
-                NewestRevision.load() > Runtime->Directory.serversRevision();
+  bool behind =
+      NewestVersion.load() > Runtime->Directory.routes()->Version ||
+      NewestRevision.load() > Runtime->Directory.serversRevision().Number;
   if (!behind)
     BehindSince.reset();
   else if (!BehindSince)
@@ -237,14 +238,14 @@
   Response.HasServers = true;
   for (const ServerChange &it : Runtime->Directory.servers())
     Response.Servers.push_back(
-        {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
+        {it.Id, it.Revision.Number, !it.Entry, it.Entry ? it.Entry->Text : ""});
 }
 
 void MemberLinks::applyRoutes(const std::string &Text,
                               const std::string &From) {
   RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Text);
   if (routes)
-    Runtime->Directory.applyRoutes(std::move(routes), UpdateOrigin::Peer);
+    Runtime->Directory.applyRoutes(std::move(routes), {}, UpdateOrigin::Peer);
   else
     log(LogLevel::Warn, "member_links", "ignored invalid routes from a peer",
         {{"peer", From}});
@@ -266,11 +267,12 @@
     return;
   std::vector<ServerChange> changes;
   for (const PublishedText &it : Frame.Servers)
-    changes.push_back({it.Id, it.Revision,
+    changes.push_back({it.Id,
+                       {0, it.Revision},
                        it.Removed
                            ? std::nullopt
                            : Runtime->Source.ParseServer(it.Id, it.Text)});
-  Runtime->Directory.applyServerList(changes, Frame.ServersRevision,
+  Runtime->Directory.applyServerList(changes, {0, Frame.ServersRevision},
                                      UpdateOrigin::Peer);
 }
 
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -21,10 +21,14 @@
 
 struct PublishedUpdate {
   ReadStatus Status = ReadStatus::Unavailable;
-  std::string Error;     // why it is unavailable
-  uint64_t Revision = 0; // watch after this revision
+  std::string Error; // why it is unavailable
+  // The store's era as the response states it, also if it is an error. All
+  // revisions of the update are of that era.
+  std::optional<uint64_t> Era;
+  StoreRevision Revision; // watch after this revision
   std::vector<ServerChange> Servers;
   RouteDocumentPtr Routes; // null: not in the response
+  StoreRevision RoutesRevision;
 };
 
 // Polled while a call waits; returns true to cancel it.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -125,6 +125,8 @@
     all.emplace_back("connect", internal::nameOf(Call.connectFailure()));
   if (Call.head().Status != 0)
     all.emplace_back("framing", internal::nameOf(Call.bodyForm()));
+  if (Call.info().ServerLeaving)
+    all.emplace_back("server_leaving", "true");
   all.emplace_back("taken_ms", std::to_string(taken.count()));
   all.emplace_back("left_ms", std::to_string(timeLeft().count()));
   if (std::optional<ServerLimit> limit = Context.Limits.find(Server.Id)) {
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -38,6 +38,7 @@
 }
 
 void ServiceDirectory::applyRoutes(RouteDocumentPtr NewDocument,
+                                   StoreRevision Revision,
                                    UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
   if (NewDocument->Version <= Document->Version)
@@ -46,6 +47,8 @@
       {{"version", std::to_string(NewDocument->Version)},
        {"former_version", std::to_string(Document->Version)},
        {"routes", std::to_string(NewDocument->Routes.size())},
+       {"revision", std::to_string(Revision.Number)},
+       {"era", std::to_string(Revision.Era)},
        {"origin", toString(Origin)}});
   Document = std::move(NewDocument);
 }
@@ -57,9 +60,11 @@
 
 void ServiceDirectory::logServer(const ServerChange &Change,
                                  UpdateOrigin Origin) const {
-  internal::LogFields fields{{"server", Change.Id},
-                             {"revision", std::to_string(Change.Revision)},
-                             {"origin", toString(Origin)}};
+  internal::LogFields fields{
+      {"server", Change.Id},
+      {"revision", std::to_string(Change.Revision.Number)},
+      {"era", std::to_string(Change.Revision.Era)},
+      {"origin", toString(Origin)}};
   if (Change.Entry) {
     fields.emplace_back("service", Change.Entry->Service);
     fields.emplace_back("address", Change.Entry->Address);
@@ -74,11 +79,12 @@
 
 void ServiceDirectory::applyLocked(const ServerChange &Change,
                                    UpdateOrigin Origin, TimePoint Now) {
-  uint64_t &knownRevision = Revisions[Change.Id];
-  if (Change.Revision <= knownRevision)
+  StoreRevision &known = Revisions[Change.Id];
+  if (Change.Revision.Number <= known.Number)
     return;
-  knownRevision = Change.Revision;
-  ListRevision = std::max(ListRevision, Change.Revision);
+  known = Change.Revision;
+  if (Change.Revision.Number > ListRevision.Number)
+    ListRevision = Change.Revision;
   const ServerEntry *former = Registry.find(Change.Id);
   if (Change.Entry || former)
     logServer(Change, Origin);
@@ -113,7 +119,7 @@
     return;
   all.push_back(Entry);
   auto revisionOf = [this](const ServerEntry &It) {
-    return Revisions.at(It.Id);
+    return Revisions.at(It.Id).Number;
   };
   auto latest = std::ranges::max_element(all, {}, revisionOf);
   for (const ServerEntry &it : all) {
@@ -138,7 +144,8 @@
 }
 
 void ServiceDirectory::applyServerList(const std::vector<ServerChange> &Entries,
-                                       uint64_t Revision, UpdateOrigin Origin) {
+                                       StoreRevision Revision,
+                                       UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
   TimePoint now = Clock::now();
   std::set<std::string> listed;
@@ -147,9 +154,10 @@
     applyLocked(it, Origin, now);
   }
   for (const ServerEntry &it : Registry.entries())
-    if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
+    if (!listed.contains(it.Id) && Revisions[it.Id].Number < Revision.Number)
       applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
-  ListRevision = std::max(ListRevision, Revision);
+  if (Revision.Number > ListRevision.Number)
+    ListRevision = Revision;
   ListReceived = true;
   Versions.onListRead(now);
 }
@@ -158,16 +166,16 @@
   std::lock_guard lock(Mutex);
   std::vector<ServerChange> all;
   for (ServerEntry &it : Registry.entries()) {
-    uint64_t revision = Revisions.at(it.Id);
+    StoreRevision revision = Revisions.at(it.Id);
     std::string id = it.Id;
     all.push_back({id, revision, std::move(it)});
   }
   return all;
 }
 
-uint64_t ServiceDirectory::serversRevision() const {
+StoreRevision ServiceDirectory::serversRevision() const {
   std::lock_guard lock(Mutex);
-  return ListReceived ? ListRevision : 0;
+  return ListReceived ? ListRevision : StoreRevision();
 }
 
 void ServiceDirectory::setStoreReachable(PublishedKind Kind, bool Reachable) {
@@ -399,7 +407,8 @@
   std::string out =
       "{\"config_version\":" + std::to_string(Document->Version) +
       ",\"routes\":" + std::to_string(Document->Routes.size()) +
-      ",\"servers_revision\":" + std::to_string(ListRevision) +
+      ",\"servers_revision\":" + std::to_string(ListRevision.Number) +
+      ",\"servers_era\":" + std::to_string(ListRevision.Era) +
       ",\"store_reachable\":" + (isStoreReachable() ? "true" : "false") +
       ",\"instances\":" + std::to_string(Instances.load()) + ",\"servers\":[";
   const char *separator = "";
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -11,6 +11,7 @@
 #include "gateway/decisions/server_registry.h"
 #include "gateway/decisions/shared_retry_budget.h"
 #include "gateway/decisions/size_affinity.h"
+#include "gateway/decisions/store_revision.h"
 #include "gateway/decisions/version_history.h"
 #include "gateway/gateway_settings.h"
 
@@ -25,7 +26,7 @@
 // One change to a published server entry, received from the store or a peer.
 struct ServerChange {
   std::string Id;
-  uint64_t Revision = 0;            // store revision of the change
+  StoreRevision Revision;           // of the change
   std::optional<ServerEntry> Entry; // nullopt: the entry was removed
 };
 
@@ -39,7 +40,9 @@
   ServiceDirectory(const GatewaySettings &Values, uint64_t Seed);
 
   // Applies a document unless the active version is the same or newer.
-  void applyRoutes(RouteDocumentPtr Document, UpdateOrigin Origin);
+  // `Revision`: of the change that wrote it.
+  void applyRoutes(RouteDocumentPtr Document, StoreRevision Revision,
+                   UpdateOrigin Origin);
   RouteDocumentPtr routes() const;
 
   // Applies a change unless the same or a newer one of the server has been
@@ -48,9 +51,9 @@
   // Applies a complete list: removes servers that aren't listed and whose last
   // change is older than `Revision`.
   void applyServerList(const std::vector<ServerChange> &Entries,
-                       uint64_t Revision, UpdateOrigin Origin);
+                       StoreRevision Revision, UpdateOrigin Origin);
   std::vector<ServerChange> servers() const;
-  uint64_t serversRevision() const;
+  StoreRevision serversRevision() const;
 
   // Called when a server's process seems to have ended: it registered with a
   // new start time (`StartedAt`), or without an announced leaving (nothing) its
@@ -156,9 +159,9 @@
   mutable std::mutex Mutex;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
-  std::map<std::string, uint64_t> Revisions; // last change, by server
+  std::map<std::string, StoreRevision> Revisions; // last change, by server
   VersionHistory Versions;
-  uint64_t ListRevision = 0;
+  StoreRevision ListRevision;
   bool ListReceived = false;
   SharedRetryBudget Retries;
   std::map<std::string, RetryCounts> RetriesCounted;  // by service
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -73,7 +73,8 @@
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
                                    PublishedKind Kind, bool Whole) {
   if (Update.Routes)
-    Runtime->Directory.applyRoutes(Update.Routes, UpdateOrigin::Store);
+    Runtime->Directory.applyRoutes(Update.Routes, Update.RoutesRevision,
+                                   UpdateOrigin::Store);
   if (Kind != PublishedKind::Servers)
     return;
   if (Whole)
@@ -89,20 +90,29 @@
   PublishedReader reader = Runtime->Source.MakeReader(Kind);
   CancelCheck isCancelled = [this] { return Stopping.load(); };
   std::mt19937_64 random(Runtime->Incarnation + static_cast<uint64_t>(Kind));
-  uint64_t revision = 0; // 0: a full read is needed
+  StoreRevision revision; // 0: a full read is needed
+  uint64_t era = 0;       // as last stated
   uint32_t failures = 0;
   while (!Stopping.load()) {
-    bool whole = revision == 0;
+    bool whole = revision.Number == 0;
     PublishedUpdate update;
     try {
       update = whole ? reader.ReadAll(isCancelled)
-                     : reader.Watch(revision, watchWait(), isCancelled);
+                     : reader.Watch(revision.Number, watchWait(), isCancelled);
     } catch (const std::exception &error) {
       // Invalid data from the store must not end the process.
       update.Error = error.what();
     }
     if (Stopping.load())
       break;
+    if (update.Era && *update.Era != era) {
+      log(LogLevel::Info, "directory_reader", "era of the store",
+          {{"documents", name},
+           {"era", std::to_string(*update.Era)},
+           {"former_era", std::to_string(era)},
+           {"revision", std::to_string(revision.Number)}});
+      era = *update.Era;
+    }
     if (update.Status == ReadStatus::Ok) {
       failures = 0;
       Runtime->Directory.setStoreReachable(Kind, true);
@@ -115,8 +125,8 @@
     if (update.Status == ReadStatus::HistoryCompacted) {
       log(LogLevel::Info, "directory_reader",
           "store discarded the history; reading all entries",
-          {{"documents", name}, {"revision", std::to_string(revision)}});
-      revision = 0;
+          {{"documents", name}, {"revision", std::to_string(revision.Number)}});
+      revision = {};
       continue;
     }
     if (++failures == 1)
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -127,6 +127,7 @@
   Poco::Net::HTTPResponse response;
   std::istream &in = Session->receiveResponse(response);
   Response.Status = static_cast<int>(response.getStatus());
+  Response.Fields.assign(response.begin(), response.end());
   if (!readBody(in, Response.Body, MaxBodyBytes))
     Response.Error =
         "response of more than " + std::to_string(MaxBodyBytes) + " bytes";
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -9,12 +9,15 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace crocusspur::internal {
 
 struct PlatformResponse {
   int Status = 0; // 0: no response
   std::string Body;
+  std::vector<std::pair<std::string, std::string>> Fields; // of the header
   std::string Error;      // why there is no response
   bool Cancelled = false; // the caller cancelled the wait
 };
--- a/test/gateway_crash_refusal_test.cc
+++ b/test/gateway_crash_refusal_test.cc
@@ -129,7 +129,7 @@
     entry.Service = "bays";
     entry.Address = process->address();
     entry.Leaving = true;
-    setup.Directory.applyServer({"s1", 50, entry}, UpdateOrigin::Store);
+    setup.Directory.applyServer({"s1", {0, 50}, entry}, UpdateOrigin::Store);
     process->stopListening();
     return std::string();
   });
@@ -158,12 +158,12 @@
     entry.Service = "bays";
     entry.Address = server.address();
     entry.StartedAt = 100;
-    setup.Directory.applyServer({"s1", 50, entry}, UpdateOrigin::Store);
+    setup.Directory.applyServer({"s1", {0, 50}, entry}, UpdateOrigin::Store);
     setup.run(setup.route(RouteKind::NonIdempotent));
     CHECK(crashesSeen(setup) == 0);
     entry.StartedAt = 200;
     setup.Directory.applyServer(
-        {"s1", 51, restarts ? std::optional(entry) : std::nullopt},
+        {"s1", {0, 51}, restarts ? std::optional(entry) : std::nullopt},
         UpdateOrigin::Store);
     CHECK(crashesSeen(setup) == 1);
   }
@@ -213,7 +213,7 @@
     entry.Service = "bays";
     entry.Address = server.address();
     entry.Leaving = leaving;
-    setup.Directory.applyServer({"s1", ++setup.Revision, entry},
+    setup.Directory.applyServer({"s1", {0, ++setup.Revision}, entry},
                                 UpdateOrigin::Store);
     CHECK(crashesSeen(setup) == 0);
     setup.addServer("s2", server);
@@ -233,7 +233,7 @@
   ended.Id = "s3";
   ended.Service = "bays";
   ended.Address = server.address();
-  setup.Directory.applyServer({"s3", 1, ended}, UpdateOrigin::Peer);
+  setup.Directory.applyServer({"s3", {0, 1}, ended}, UpdateOrigin::Peer);
   std::optional<ServerChoice> choice =
       setup.Directory.choose({"bays", ServerStage::Whole, {}});
   REQUIRE(choice.has_value());
--- a/test/gateway_endless_response_test.cc
+++ b/test/gateway_endless_response_test.cc
@@ -58,7 +58,7 @@
   entry.Address = Address;
   entry.Slots = 4;
   entry.Stage = Stage;
-  Gateway.Directory.applyServer({"e1", ++Gateway.Revision, entry},
+  Gateway.Directory.applyServer({"e1", {0, ++Gateway.Revision}, entry},
                                 UpdateOrigin::Store);
 }
 
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -95,7 +95,7 @@
   entry.FailureDomain = "hall-a";
   entry.Slots = 4;
   entry.Stage = Stage;
-  Directory.applyServer({Id, ++Revision, entry}, UpdateOrigin::Store);
+  Directory.applyServer({Id, {0, ++Revision}, entry}, UpdateOrigin::Store);
 }
 
 PathRoute GatewayFixture::route(RouteKind Kind) const {
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -137,7 +137,7 @@
   entry.Slots = 4;
   entry.Stage = Stage;
   entry.Leaving = Leaving;
-  Gateway.Directory.applyServer({Id, ++Gateway.Revision, entry},
+  Gateway.Directory.applyServer({Id, {0, ++Gateway.Revision}, entry},
                                 UpdateOrigin::Store);
 }
 
--- a/test/gateway_stream_handler_test.cc
+++ b/test/gateway_stream_handler_test.cc
@@ -200,7 +200,7 @@
   entry.Service = "summaries";
   entry.Address = decoder.address();
   entry.Stage = ServerStage::Decode;
-  gateway.Directory.applyServer({"d1", 1, entry}, UpdateOrigin::Store);
+  gateway.Directory.applyServer({"d1", {0, 1}, entry}, UpdateOrigin::Store);
   gateway.WhileRunning = [](SocketPair &Sockets) {
     readUntil(Sockets.far(), "data: e1\n\n\r\n");
     Sockets.closeFar();
@@ -368,7 +368,7 @@
   entry.Service = "summaries";
   entry.Address = decoder.address();
   entry.Stage = ServerStage::Decode;
-  gateway.Directory.applyServer({"d1", 100, entry}, UpdateOrigin::Store);
+  gateway.Directory.applyServer({"d1", {0, 100}, entry}, UpdateOrigin::Store);
   std::string response = gateway.run(gateway.route(RouteKind::Stream));
   CHECK(contains(response, "data: e3"));
   CHECK_FALSE(contains(response, "\"run\":\"no\""));
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -181,3 +181,16 @@
   CHECK(codec.EventId("id: 5\rdata: x\r\r") == "5");
   CHECK(codec.EventId("data: x\n\n").empty());
 }
+
+TEST_CASE("HttpCodec takes a server for leaving only if it says so") {
+  HttpCodec codec = platform::makeHttpCodec();
+  for (const auto &[text, leaving] :
+       {std::pair("1", true), {"0", false}, {"", false}, {"yes", false}}) {
+    CAPTURE(text);
+    HttpHead head;
+    head.Status = 200;
+    head.Fields = {{"Server-Leaving", text}};
+    CHECK(codec.ParseResponseHead(head).ServerLeaving == leaving);
+  }
+  CHECK_FALSE(codec.ParseResponseHead(HttpHead()).ServerLeaving);
+}
