--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -42,7 +42,54 @@
   std::lock_guard lock(Mutex);
   if (Mirror)
     Mirror->put(Key, TranslateValue(Value));
-  Items[Key] = {++Revision, Value};
+  Current.Items[Key] = {++Current.Revision, Value};
+}
+
+void FakeStore::remove(const std::string &Key) {
+  std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->remove(Key);
+  Current.Items[Key] = {++Current.Revision, std::nullopt};
+}
+
+void FakeStore::setAway(bool IsAway) {
+  std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->setAway(IsAway);
+  Away = IsAway;
+  if (Away)
+    for (int it : Open)
+      ::shutdown(it, SHUT_RDWR);
+}
+
+void FakeStore::copy() {
+  std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->copy();
+  Copy = Current;
+}
+
+void FakeStore::restore() {
+  std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->restore();
+  Current = Copy;
+  ++Era;
+}
+
+void FakeStore::setRevision(uint64_t Value) {
+  std::lock_guard lock(Mutex);
+  Current.Revision = Value;
+}
+
+uint64_t FakeStore::revision() {
+  std::lock_guard lock(Mutex);
+  return Current.Revision;
+}
+
+void FakeStore::setEraField(std::optional<std::string> Text) {
+  std::lock_guard lock(Mutex);
+  EraText = std::move(Text);
 }
 
 void FakeStore::setRejecting(const std::string &Instance, bool Rejecting) {
@@ -61,7 +108,10 @@
     std::string request = readRequest(Fd);
     if (request.empty())
       break;
-    sendText(Fd, respond(request));
+    std::string response = respond(request);
+    if (response.empty())
+      break;
+    sendText(Fd, response);
   }
   std::lock_guard lock(Mutex);
   Open.erase(Fd);
@@ -79,37 +129,62 @@
                             bool &Any) {
   std::lock_guard lock(Mutex);
   std::string all;
-  for (const auto &[key, item] : Items) {
-    if (!key.starts_with(Prefix) || item.Revision <= After)
+  for (const auto &[key, item] : Current.Items) {
+    // A list of all items has no removed ones.
+    if (!key.starts_with(Prefix) || item.Revision <= After ||
+        (!item.Value && After == 0))
       continue;
-    all += (all.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
-           "\",\"value\":\"" + base64(item.Value) +
-           "\",\"revision\":" + std::to_string(item.Revision) + "}";
+    all += (all.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\"" +
+           (item.Value ? ",\"value\":\"" + base64(*item.Value) + "\""
+                       : ",\"deleted\":true") +
+           ",\"revision\":" + std::to_string(item.Revision) + "}";
   }
   Any = !all.empty();
-  return "[" + all + "],\"at\":" + std::to_string(Revision);
+  return "[" + all + "],\"at\":" + std::to_string(Current.Revision);
+}
+
+std::string FakeStore::withEra(std::string Response) const {
+  std::string text = EraText.value_or(std::to_string(Era));
+  if (!text.empty())
+    Response.insert(Response.find("\r\n") + 2, "Store-Era: " + text + "\r\n");
+  return Response;
 }
 
 std::string FakeStore::respond(const std::string &Request) {
-  if (isRejected(Request))
-    return httpResponse(503, "");
-  bool watch = Request.find("/api/kv-watch") != std::string::npos;
+  ++Calls;
+  bool rejected = isRejected(Request);
   std::string prefix =
       Request.find("servers/") != std::string::npos ? "servers/" : "op/";
+  if (!rejected && Request.find("/api/kv-watch") != std::string::npos)
+    return respondToWatch(Request, prefix);
   bool any = false;
-  if (!watch)
-    return httpResponse(
-        200, "{\"has-more\":false,\"items\":" + list(prefix, 0, any) + "}");
+  std::string response =
+      rejected ? httpResponse(503, "")
+               : httpResponse(200, "{\"has-more\":false,\"items\":" +
+                                       list(prefix, 0, any) + "}");
+  std::lock_guard lock(Mutex);
+  return Away ? "" : withEra(response);
+}
+
+std::string FakeStore::respondToWatch(const std::string &Request,
+                                      const std::string &Prefix) {
   uint64_t after = std::stoull(Request.substr(Request.find("after=") + 6));
+  {
+    std::lock_guard lock(Mutex);
+    if (after > Current.Revision)
+      return Away ? "" : withEra(httpResponse(410, ""));
+  }
   std::string events;
+  bool any = false;
   auto end = std::chrono::steady_clock::now() + Milliseconds(1000);
   do {
-    events = list(prefix, after, any);
+    events = list(Prefix, after, any);
     if (any || isRejected(Request))
       break;
     std::this_thread::sleep_for(Milliseconds(5));
   } while (std::chrono::steady_clock::now() < end);
-  return httpResponse(200, "{\"events\":" + events + "}");
+  std::lock_guard lock(Mutex);
+  return Away ? "" : withEra(httpResponse(200, "{\"events\":" + events + "}"));
 }
 
 // Ports of 127.0.0.1 are also used for outgoing connections, so a free one
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -6,11 +6,13 @@
 #include "child_process.h"
 #include "gateway_fixture.h"
 
+#include <atomic>
 #include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +30,20 @@
 
   std::string address() const { return Server.address(); }
   void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  // While it's away, connections are closed without a response.
+  void setAway(bool IsAway);
+  // Keeps a copy of all items, to which restore() returns.
+  void copy();
+  // Takes back everything since the copy; later changes get revisions that
+  // have been given out before. Raises the era.
+  void restore();
+  void setRevision(uint64_t Value); // as if others had written meanwhile
+  uint64_t revision();
+  // Calls served so far.
+  uint64_t calls() const { return Calls.load(); }
+  // Replaces the statement of the era in responses; empty: none is made.
+  void setEraField(std::optional<std::string> Text);
   void setRejecting(const std::string &Instance, bool Rejecting);
   // From now on `Other` gets all changes too, with values that `Translate`
   // returns, so that it serves other addresses at the same revisions.
@@ -40,18 +56,30 @@
 private:
   struct Item {
     uint64_t Revision = 0;
-    std::string Value;
+    std::optional<std::string> Value; // nothing: removed
+  };
+  struct State {
+    uint64_t Revision = 1;
+    std::map<std::string, Item> Items;
   };
 
   void serve(int Fd);
   bool isRejected(const std::string &Request);
   std::string list(const std::string &Prefix, uint64_t After, bool &Any);
+  // Called with the lock.
+  std::string withEra(std::string Response) const;
   std::string respond(const std::string &Request);
+  std::string respondToWatch(const std::string &Request,
+                             const std::string &Prefix);
 
   std::mutex Mutex;
-  uint64_t Revision = 1;
+  State Current;
+  State Copy;
+  uint64_t Era = 1;
+  std::optional<std::string> EraText;
+  bool Away = false;
   bool Stopping = false;
-  std::map<std::string, Item> Items;
+  std::atomic<uint64_t> Calls{0};
   std::map<std::string, bool> Rejected;
   FakeStore *Mirror = nullptr;
   std::function<std::string(std::string)> TranslateValue;
