Wait for the peer's thread in a test of a caller that leaves

Cause: the test reads a flag that the fake peer's thread sets after its recv() returns, right after the request has ended on the other side of the connection. It failed 1 of 6 runs beside a build; nothing orders the two.

Change: the check waits for the flag. It still fails if the connection stays open.

--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -263,7 +263,8 @@
     Sockets.closeFar();
   };
   setup.run(resumable(setup));
-  CHECK(closed);
+  // The peer's thread notes it after the request has ended here.
+  CHECK(eventually([&] { return closed.load(); }));
 }
 
 TEST_CASE("Newer routes of the other instance are taken over") {
