Send no new request to a server that says in a response that it leaves

Cause: an instance learned from the entry alone that a server leaves.

Change: ServerCall passes the head of every response that belongs to its call on, whatever the call and the status, so there is one reader. The process that leaves (id, start, address, software version) goes into a table of its own in the registry, which every choice asks; entries that announce the leaving go there as well. A process doesn't take it back: not by a ready entry, a later response, an expired entry. A new start is another process. Peers are told at once, and fetch what they missed by a digest; a response that another instance passes on names the process to the first one. Reservations at such a server are given back before they are used, and a request whose servers all leave is refused without a wait.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -51,17 +51,23 @@
   return "whole";
 }
 
+ServerProcess processOf(const ServerEntry &Entry) {
+  return {Entry.Id, Entry.StartedAt, Entry.Address, Entry.Version};
+}
+
+ServerProcess processOf(const ServerChoice &Server) {
+  return {Server.Id, Server.StartedAt, Server.Address, Server.Version};
+}
+
 VersionKey versionKeyOf(std::string_view Version) {
   uint64_t hash = XXH64(Version.data(), Version.size(), 0);
   return hash == 0 ? 1 : hash;
 }
 
-void ServerRegistry::apply(const ServerEntry &Entry, TimePoint) {
+void ServerRegistry::apply(const ServerEntry &Entry, TimePoint Now) {
   auto it = Servers.find(Entry.Id);
   bool restarted =
-      it != Servers.end() && (it->second.Entry.StartedAt != Entry.StartedAt ||
-                              it->second.Entry.Version != Entry.Version ||
-                              it->second.Entry.Address != Entry.Address);
+      it != Servers.end() && processOf(it->second.Entry) != processOf(Entry);
   if (restarted)
     Servers.erase(it);
   Server &server = Servers[Entry.Id];
@@ -71,13 +77,34 @@
   }
   server.Entry = Entry;
   server.UsableUntil.reset();
+  if (Entry.Leaving)
+    Leaving.add({processOf(Entry)}, Now);
+  server.Leaving = Leaving.contains(processOf(Entry));
+  Leaving.expire(Now, [this](const ServerProcess &Process) {
+    const ServerEntry *entry = find(Process.Id);
+    return entry && processOf(*entry) == Process;
+  });
+}
+
+bool ServerRegistry::addLeaving(const LeavingServer &Item, TimePoint Now) {
+  if (!Leaving.add(Item, Now))
+    return false;
+  auto it = Servers.find(Item.Process.Id);
+  if (it != Servers.end() && processOf(it->second.Entry) == Item.Process)
+    it->second.Leaving = true;
+  return true;
+}
+
+bool ServerRegistry::isLeaving(const std::string &Id) const {
+  auto it = Servers.find(Id);
+  return it != Servers.end() && it->second.Leaving;
 }
 
 void ServerRegistry::remove(const std::string &Id, TimePoint UsableUntil) {
   auto it = Servers.find(Id);
   if (it == Servers.end())
     return;
-  if (it->second.Entry.Leaving)
+  if (it->second.Leaving)
     Servers.erase(it);
   else
     it->second.UsableUntil = UsableUntil;
@@ -123,13 +150,23 @@
       std::count_if(Servers.begin(), Servers.end(), [&](const auto &It) {
         const ServerEntry &entry = It.second.Entry;
         return !It.second.UsableUntil && entry.Service == Service &&
-               entry.Stage == Stage && !entry.Leaving;
+               entry.Stage == Stage && !It.second.Leaving;
       }));
 }
 
+bool ServerRegistry::hasServer(const std::string &Service, ServerStage Stage,
+                               TimePoint Now) const {
+  return std::ranges::any_of(Servers, [&](const auto &It) {
+    const auto &[id, server] = It;
+    return server.Entry.Service == Service && server.Entry.Stage == Stage &&
+           !server.Leaving &&
+           (!server.UsableUntil || *server.UsableUntil >= Now);
+  });
+}
+
 bool ServerRegistry::usable(const ServerChoice &Server, TimePoint Now) const {
   auto it = Servers.find(Server.Id);
-  return it != Servers.end() && !it->second.Entry.Leaving &&
+  return it != Servers.end() && !it->second.Leaving &&
          it->second.Entry.StartedAt == Server.StartedAt &&
          it->second.Entry.Version == Server.Version &&
          (!it->second.UsableUntil || *it->second.UsableUntil >= Now);
@@ -138,7 +175,7 @@
 bool ServerRegistry::matches(const Server &Item, const ServerQuery &Query,
                              TimePoint Now) const {
   const ServerEntry &entry = Item.Entry;
-  return entry.Service == Query.Service && !entry.Leaving &&
+  return entry.Service == Query.Service && !Item.Leaving &&
          entry.Stage == Query.Stage && Item.ExcludedUntil <= Now &&
          !Query.ExcludedIds.contains(entry.Id) &&
          (!Query.Version || versionKeyOf(entry.Version) == *Query.Version);
@@ -258,7 +295,8 @@
   for (const auto &[id, server] : Servers)
     all.push_back({id, server.OwnLoad, server.FailureRate,
                    server.AvoidUntil > Now || server.ExcludedUntil > Now ||
-                       server.UsableUntil.has_value()});
+                       server.UsableUntil.has_value(),
+                   server.Leaving});
   return all;
 }
 
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -5,6 +5,7 @@
 #define CROCUSSPUR_GATEWAY_SERVER_REGISTRY_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/leaving_servers.h"
 
 #include <map>
 #include <optional>
@@ -29,7 +30,7 @@
   std::string FailureDomain;
   std::string Version; // of its software
   uint32_t Slots = 0;
-  bool Leaving = false;
+  bool Leaving = false; // as registered; see ServerRegistry::isLeaving()
   ServerStage Stage = ServerStage::Whole;
   int64_t StartedAt = 0; // Unix milliseconds of the process's start; 0: unknown
   std::string Text;      // as registered, for peers
@@ -67,6 +68,9 @@
   std::string Service{};
 };
 
+ServerProcess processOf(const ServerEntry &Entry);
+ServerProcess processOf(const ServerChoice &Server);
+
 // Criteria for the selection of a server.
 struct ServerQuery {
   std::string Service;
@@ -86,6 +90,14 @@
   // start time, address or software version, makes it a new server, whose
   // observations start empty.
   void apply(const ServerEntry &Entry, TimePoint Now);
+  // Records that a process leaves, which it has said in a response or told a
+  // peer. It gets no new request from now on, whatever its entry says. Returns
+  // whether that is new.
+  bool addLeaving(const LeavingServer &Item, TimePoint Now);
+  // Whether the process that the server's entry names has said that it leaves.
+  bool isLeaving(const std::string &Id) const;
+  const LeavingServers &leaving() const { return Leaving; }
+
   // Records that the entry was removed. A server that didn't announce its
   // leaving stays usable as a last resort until `UsableUntil`, since entries
   // also expire while the store is unavailable.
@@ -107,6 +119,10 @@
   // Number of registered servers of a service in a stage, without those that
   // are leaving.
   uint32_t count(const std::string &Service, ServerStage Stage) const;
+  // Whether a server of the service in the stage is known that doesn't leave,
+  // also if it gets no new requests for some time.
+  bool hasServer(const std::string &Service, ServerStage Stage,
+                 TimePoint Now) const;
 
   // Whether a new request may be sent to the server, which must be the process
   // that was chosen.
@@ -131,12 +147,14 @@
     double OwnLoad = 0;
     double FailureRate = 0;
     bool Avoided = false;
+    bool Leaving = false;
   };
   std::vector<Estimate> estimates(TimePoint Now) const;
 
 private:
   struct Server {
     ServerEntry Entry;
+    bool Leaving = false; // whether `LeavingServers` has its process
     std::optional<TimePoint> UsableUntil; // set when the entry is removed
     double OwnLoad = 0;
     uint32_t OwnCalls = 0;
@@ -156,6 +174,7 @@
   std::string OwnDomain;
   std::mt19937_64 Random;
   std::map<std::string, Server> Servers;
+  LeavingServers Leaving;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/forward_call.cc
+++ b/src/gateway/forward_call.cc
@@ -123,7 +123,7 @@
 }
 
 bool ForwardSink::begin(const internal::ResponseHead &Head) {
-  PendingHead = ForwardResponse::Head{Head, OutputVersion};
+  PendingHead = ForwardResponse::Head{Head, OutputVersion, Leaving};
   return !Failed;
 }
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -7,7 +7,9 @@
 #include "gateway/server_call.h"
 #include "response_sink.h"
 
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace crocusspur::gateway {
 
@@ -48,6 +50,7 @@
   // What the first frame says besides.
   void setRoutes(uint64_t ConfigVersion, std::string RoutesText);
   void setOutputVersion(VersionKey Version) { OutputVersion = Version; }
+  void setLeavingServer(ServerProcess Server) { Leaving = std::move(Server); }
 
 private:
   bool send(ForwardResponse Frame);
@@ -55,6 +58,7 @@
   int Fd;
   bool Failed = false;
   VersionKey OutputVersion = 0;
+  std::optional<ServerProcess> Leaving;
   // Sent with the first data.
   std::optional<ForwardResponse::Head> PendingHead;
   uint64_t ConfigVersion = 0;
--- a/src/gateway/forward_codec.cc
+++ b/src/gateway/forward_codec.cc
@@ -14,9 +14,12 @@
   if (const auto &it = Frame.ResponseHead) {
     auto fields = packFields(out, it->Response.Fields);
     auto type = out.CreateString(it->Response.ContentType);
+    flatbuffers::Offset<wire::LeavingServer> leaving;
+    if (it->LeavingServer)
+      leaving = pack(out, {*it->LeavingServer});
     head = wire::CreateForwardHead(out, it->Response.Status, type,
                                    it->Response.HasLength, it->Response.Length,
-                                   fields, it->OutputVersion);
+                                   fields, it->OutputVersion, leaving);
   }
   flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data;
   if (!Frame.Data.empty())
@@ -54,6 +57,8 @@
     head.Response.Length = it->length();
     head.Response.Fields = unpackFields(it->header());
     head.OutputVersion = it->output_version();
+    if (it->leaving_server())
+      head.LeavingServer = unpack(*it->leaving_server()).Process;
     frame.ResponseHead = std::move(head);
   }
   if (in.data())
--- a/src/gateway/forward_codec.h
+++ b/src/gateway/forward_codec.h
@@ -34,6 +34,8 @@
   struct Head {
     internal::ResponseHead Response;
     VersionKey OutputVersion = 0; // of the server of a stream; 0: none
+    // The server of the response, if it has said that it leaves.
+    std::optional<ServerProcess> LeavingServer;
   };
   struct Problem {
     internal::Problem Item;
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -80,6 +80,10 @@
   if (status == CallStatus::Responded) {
     if (!first.RoutesText.empty())
       Context.Forwarding->ApplyRoutes(first.RoutesText);
+    // The caller gets that statement from this instance.
+    if (first.ResponseHead && first.ResponseHead->LeavingServer)
+      Context.Directory.onServerLeaving({*first.ResponseHead->LeavingServer},
+                                        LeavingOrigin::Peer, Peer.Name);
     if (first.Failure && first.Failure->Elsewhere) {
       result = AttemptResult::NotExecuted;
       outcome = "refused";
--- a/src/gateway/forward_service.cc
+++ b/src/gateway/forward_service.cc
@@ -77,7 +77,7 @@
   TimePoint arrived = Clock::now() - Request.Elapsed;
   CallerRequest callerRequest = std::move(Request.Request);
   std::string service = Request.Service;
-  ForwardedOrigin origin{std::move(Request), {}, {}};
+  ForwardedOrigin origin{std::move(Request), {}, {}, {}};
   origin.OnProblem = [&](const internal::Problem &Item) {
     bool elsewhere = Item.Run == ExecutionState::No &&
                      Runtime.Connections.reachability().isCutOff(service);
@@ -86,6 +86,9 @@
   origin.OnOutputVersion = [&](VersionKey Version) {
     Sink.setOutputVersion(Version);
   };
+  origin.OnServerLeaving = [&](const ServerProcess &Server) {
+    Sink.setLeavingServer(Server);
+  };
   RequestHandler(Context, document, *route, std::move(callerRequest), Sink,
                  arrived, &origin)
       .run();
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -9,6 +9,7 @@
 #include "gateway/membership.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
+#include "gateway/server_responses.h"
 #include "gateway/service_directory.h"
 #include "gateway/stream_origins.h"
 
@@ -43,6 +44,7 @@
           else
             Crashes.onServerVanished(ServerId);
         });
+    reportResponses(Connections, Directory);
     Connections.reachability().setHooks(
         {[this](const std::string &Service) {
            return Directory.serversOf(Service);
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -266,6 +266,14 @@
   flatbuffers::Offset<wire::ForwardRequest> forwarded;
   if (Frame.Forwarded)
     forwarded = pack(out, *Frame.Forwarded);
+  std::vector<flatbuffers::Offset<wire::LeavingServer>> leaving;
+  for (const LeavingServer &it : Frame.Leaving)
+    leaving.push_back(pack(out, it));
+  flatbuffers::Offset<
+      flatbuffers::Vector<flatbuffers::Offset<wire::LeavingServer>>>
+      leavingList;
+  if (!leaving.empty())
+    leavingList = out.CreateVector(leaving);
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
@@ -277,7 +285,7 @@
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
       Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
       Frame.IsNotification, limitList, wantedPermit, permit, originList,
-      wantedOrigin, origin, forwarded));
+      wantedOrigin, origin, forwarded, leavingList, Frame.LeavingDigest));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -320,6 +328,10 @@
     for (const wire::ServerLimit *it : *in.limits())
       if (std::optional<ServerLimit> limit = unpack(*it))
         frame.Limits.push_back(std::move(*limit));
+  if (in.leaving())
+    for (const wire::LeavingServer *it : *in.leaving())
+      frame.Leaving.push_back(unpack(*it));
+  frame.LeavingDigest = in.leaving_digest();
   if (in.permit_request()) {
     frame.WantedPermit = unpack(*in.permit_request());
     if (!frame.WantedPermit)
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -40,10 +40,14 @@
   std::vector<PublishedText> Servers;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
-  // A request that notifies a peer of crashes and limits at once: neither it
-  // nor its response lists the members.
+  // A request that notifies a peer at once of crashes, limits and leaving
+  // servers: neither it nor its response lists the members.
   bool IsNotification = false;
   std::vector<ServerLimit> Limits; // that the sender knows
+  // Servers that leave, and LeavingServers::digest() of all that the sender
+  // knows.
+  std::vector<LeavingServer> Leaving;
+  uint64_t LeavingDigest = 0;
   // A request to the owner of a server's limit and its response. Such frames
   // hold nothing else but the sender's name.
   std::optional<PermitRequest> WantedPermit;
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -2,11 +2,11 @@
 // connection with one frame each way, so that an unresponsive connection costs
 // one round at most. Membership spreads in every round; routes and servers are
 // sent only to instances that can't read the store or have just started. What
-// an instance learns about crashes of servers and about their request limits it
-// sends on at once, and its rounds fetch what it has missed. Permits for calls
-// to servers with limits are exchanged by the threads of the requests. Requests
-// that another instance passes on are handled on the threads of their
-// connections.
+// an instance learns about crashes of servers, about their request limits and
+// of servers that leave it sends on at once, and its rounds fetch what it has
+// missed. Permits for calls to servers with limits are exchanged by the threads
+// of the requests. Requests that another instance passes on are handled on the
+// threads of their connections.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/forward_service.h"
@@ -44,6 +44,8 @@
 constexpr size_t NotificationContacts = 3;
 // Crashes of one server are seen within milliseconds by all its callers.
 constexpr Milliseconds NotificationBatchDelay{20};
+// What peers learn of a leaving server later than this they fetch in a round.
+constexpr Milliseconds NotifiedLeavingAge{3000};
 // Shorter than for rounds, so that silent peers don't delay the others.
 constexpr Milliseconds NotificationTimeout{150};
 // A request waits for its permit. The owner responds from memory.
@@ -70,8 +72,8 @@
 
 private:
   void runRounds();
-  // Sends on what becomes known of crashes and limits until the time of the
-  // next round.
+  // Sends on what becomes known of crashes, limits and leaving servers until
+  // the time of the next round.
   // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
   void runRound(bool CatchUp);
@@ -148,6 +150,7 @@
   };
   Runtime->Crashes.setChangeListener(onChange);
   Runtime->Limits.setChangeListener(onChange);
+  Runtime->Directory.setLeavingListener(onChange);
   Runtime->Crashes.setProbationOwner([this](PromptPartKey Part) {
     return Runtime->Peers
         .ownerOf("part:" + promptPartText(Part), Runtime->Stopping.load())
@@ -178,6 +181,7 @@
 void MemberLinks::stop() {
   Runtime->Crashes.setChangeListener(nullptr);
   Runtime->Limits.setChangeListener(nullptr);
+  Runtime->Directory.setLeavingListener(nullptr);
   {
     std::lock_guard lock(Mutex);
     Stopping = true;
@@ -196,6 +200,7 @@
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
   frame.ServersRevision = Runtime->Directory.serversRevision().Number;
   frame.CrashDigest = Runtime->Crashes.digest();
+  frame.LeavingDigest = Runtime->Directory.leavingDigest();
   frame.Limits = Runtime->Limits.known();
   frame.Sender = Runtime->ownMember();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
@@ -256,6 +261,9 @@
   raiseTo(NewestRevision, Frame.ServersRevision);
   Runtime->Crashes.merge(Frame.Crashes, Frame.Sender.Name);
   Runtime->Limits.merge(Frame.Limits, Frame.Sender.Name);
+  for (const LeavingServer &it : Frame.Leaving)
+    Runtime->Directory.onServerLeaving(it, LeavingOrigin::Peer,
+                                       Frame.Sender.Name);
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
@@ -313,6 +321,8 @@
       response.Members = Runtime->Peers.alive();
       addRequestedUpdates(*request, response);
       response.Crashes = Runtime->Crashes.updateFor(request->CrashDigest);
+      if (request->LeavingDigest != response.LeavingDigest)
+        response.Leaving = Runtime->Directory.leavingServers();
     }
     sendFrame(Socket, encode(response));
     applyFrame(*request);
@@ -375,7 +385,8 @@
   uint64_t change = Runtime->Crashes.lastChange();
   frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
   SentCrashChange = change;
-  if (frame.Crashes.empty() && frame.Limits.empty())
+  frame.Leaving = Runtime->Directory.leavingServers(NotifiedLeavingAge);
+  if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty())
     return;
   for (const std::string &it :
        Runtime->Peers.selectContacts(NotificationContacts)) {
@@ -383,7 +394,7 @@
       return;
     if (!exchange(it, frame, NotificationTimeout))
       log(LogLevel::Info, "member_links",
-          "peer was not told of a crash or a limit",
+          "peer was not told of a crash, a limit or a leaving server",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
   }
 }
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -266,7 +266,10 @@
 }
 
 internal::ResponseHead
-RequestHandler::responseHead(const ServerCall &Call) const {
+RequestHandler::responseHead(const ServerCall &Call,
+                             const ServerChoice &Server) const {
+  if (Origin && Call.info().ServerLeaving)
+    Origin->OnServerLeaving(processOf(Server));
   internal::ResponseHead head;
   head.Status = Call.head().Status;
   head.Fields = Call.info().Returned;
@@ -462,6 +465,7 @@
   TimePoint started = Clock::now();
   if (!Context.Directory.usable(Server)) {
     Context.Limits.release(Server.Id, 1);
+    Tried.erase(Server.Id); // the next call isn't a retry
     return AttemptResult::NotExecuted;
   }
   Milliseconds timeout = timeLeft();
@@ -524,14 +528,14 @@
   runEnd = endOfResponse(call.head().Status);
   bool failure = isServerError(call.head().Status);
   if (failure && !LastTry) {
-    Failure = ServerFailure{responseHead(call), std::move(body)};
+    Failure = ServerFailure{responseHead(call, Server), std::move(body)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
   }
   end(failure ? CallResult::Failed : CallResult::Succeeded, "answered_" + code,
       AttemptResult::Done);
   FirstOutput = Clock::now();
   Status = call.head().Status;
-  bool passed = internal::writeResponse(Sink, responseHead(call), body);
+  bool passed = internal::writeResponse(Sink, responseHead(call, Server), body);
   finish(passed ? "answered" : "caller_left", "");
   return AttemptResult::Done;
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -28,6 +28,8 @@
   std::function<void(const internal::Problem &)> OnProblem;
   // Software version of the server of a stream; called before the head.
   std::function<void(VersionKey)> OnOutputVersion;
+  // The server of the response has said that it leaves; called before the head.
+  std::function<void(const ServerProcess &)> OnServerLeaving;
 };
 
 class RequestHandler {
@@ -102,6 +104,9 @@
   bool resolveStreamVersion();
   // Whether a server is known that the stream may run at.
   bool hasOutputServer() const;
+  // Whether the service has a server for the output that doesn't leave, though
+  // it may get no requests at the moment.
+  bool knowsOutputServer() const;
   void refuseResumption(const std::string &Why);
   // Records for other instances that the run at the server may begin the
   // stream, or goes on with it.
@@ -165,7 +170,8 @@
   // that it isn't sent to another server.
   bool mayEndNextServer();
   ForwardOptions optionsFor(const ServerChoice &Server) const;
-  internal::ResponseHead responseHead(const ServerCall &Call) const;
+  internal::ResponseHead responseHead(const ServerCall &Call,
+                                      const ServerChoice &Server) const;
   // Sends a response that states that no server has executed the request, with
   // the time after which to retry.
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -224,6 +224,7 @@
     Info = Codec.ParseResponseHead(Http.head());
     if (Info.RequestId.empty() || Info.RequestId == RequestId) {
       Limits.onResponse(Server.Id, Info.Limit, sentAt);
+      Pool.onResponse(Server, Info);
       return status;
     }
     std::string stray;
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -38,6 +39,17 @@
   size_t idleCount();
   // Drops all idle connections.
   void clear();
+  // Called with the head of each response that belongs to its call. Set before
+  // the pool is used by several threads.
+  using ResponseListener =
+      std::function<void(const ServerChoice &Server, const ResponseInfo &Info)>;
+  void setResponseListener(ResponseListener Listener) {
+    OnResponse = std::move(Listener);
+  }
+  void onResponse(const ServerChoice &Server, const ResponseInfo &Info) const {
+    if (OnResponse)
+      OnResponse(Server, Info);
+  }
   // Which servers the connections reach.
   ServerReachability &reachability() { return Reach; }
   uint64_t opened() const { return Opened.load(); }
@@ -52,6 +64,7 @@
   std::map<std::string, std::deque<Idle>> Connections;
   std::atomic<uint64_t> Opened{0};
   ServerReachability Reach;
+  ResponseListener OnResponse;
 };
 
 // Watches the caller's connection while a call waits for a server.
--- /dev/null
+++ b/src/gateway/server_responses.cc
@@ -0,0 +1,16 @@
+#include "gateway/server_responses.h"
+
+namespace crocusspur::gateway {
+
+void reportResponses(ConnectionPool &Connections, ServiceDirectory &Directory) {
+  Connections.setResponseListener([&Connections,
+                                   &Directory](const ServerChoice &Server,
+                                               const ResponseInfo &Info) {
+    if (!Info.ServerLeaving)
+      return;
+    if (Directory.onServerLeaving({processOf(Server)}, LeavingOrigin::Response))
+      Connections.drop(Server.Address);
+  });
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -71,6 +71,10 @@
     fields.emplace_back("version", Change.Entry->Version);
     fields.emplace_back("stage", nameOf(Change.Entry->Stage));
     fields.emplace_back("leaving", Change.Entry->Leaving ? "true" : "false");
+    fields.emplace_back("known_leaving",
+                        Registry.leaving().contains(processOf(*Change.Entry))
+                            ? "true"
+                            : "false");
     fields.emplace_back("started_at", std::to_string(Change.Entry->StartedAt));
   }
   log(LogLevel::Info, "directory",
@@ -107,7 +111,7 @@
   if (!reliable)
     lastUse =
         (serversRead ? StoreStateChangedAt : Now) + Values.RestoredEntryGrace;
-  else if (former && !former->Leaving && OnServerEnd)
+  else if (former && !Registry.isLeaving(Change.Id) && OnServerEnd)
     OnServerEnd(Change.Id, std::nullopt);
   Registry.remove(Change.Id, lastUse);
   Versions.onServerGone(Change.Id, lastUse);
@@ -129,8 +133,8 @@
         {{"server", it.Id},
          {"address", it.Address},
          {"successor", latest->Id},
-         {"leaving", it.Leaving ? "true" : "false"}});
-    if (!it.Leaving && OnServerEnd)
+         {"leaving", Registry.isLeaving(it.Id) ? "true" : "false"}});
+    if (!Registry.isLeaving(it.Id) && OnServerEnd)
       OnServerEnd(it.Id, std::nullopt);
     Registry.erase(it.Id);
     Versions.onServerGone(it.Id, Clock::now());
@@ -234,8 +238,45 @@
 
 bool ServiceDirectory::isLeaving(const std::string &ServerId) const {
   std::lock_guard lock(Mutex);
-  const ServerEntry *entry = Registry.find(ServerId);
-  return entry && entry->Leaving;
+  return Registry.isLeaving(ServerId);
+}
+
+bool ServiceDirectory::onServerLeaving(const LeavingServer &Item,
+                                       LeavingOrigin Origin,
+                                       const std::string &Peer) {
+  {
+    std::lock_guard lock(Mutex);
+    if (!Registry.addLeaving(Item, Clock::now()))
+      return false;
+    bool told = Origin == LeavingOrigin::Peer;
+    log(LogLevel::Info, "directory", "server leaves",
+        {{"server", Item.Process.Id},
+         {"address", Item.Process.Address},
+         {"started_at", std::to_string(Item.Process.StartedAt)},
+         {"told_by", told ? "peer" : "response"},
+         {"peer", Peer},
+         {"age_ms", std::to_string(Item.Age.count())}});
+  }
+  if (OnLeaving)
+    OnLeaving();
+  return true;
+}
+
+void ServiceDirectory::setLeavingListener(std::function<void()> Listener) {
+  OnLeaving = std::move(Listener);
+}
+
+std::vector<LeavingServer>
+ServiceDirectory::leavingServers(std::optional<Milliseconds> MaxAge) const {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  return MaxAge ? Registry.leaving().known(now, *MaxAge)
+                : Registry.leaving().known(now);
+}
+
+uint64_t ServiceDirectory::leavingDigest() const {
+  std::lock_guard lock(Mutex);
+  return Registry.leaving().digest(Clock::now());
 }
 
 uint32_t ServiceDirectory::serversIn(const std::string &Service,
@@ -392,6 +433,12 @@
          serversIn(Service, ServerStage::Decode);
 }
 
+bool ServiceDirectory::hasServer(const std::string &Service,
+                                 ServerStage Stage) const {
+  std::lock_guard lock(Mutex);
+  return Registry.hasServer(Service, Stage, Clock::now());
+}
+
 double ServiceDirectory::randomFraction() {
   std::lock_guard lock(Mutex);
   return std::uniform_real_distribution<double>(0, 1)(Random);
@@ -416,7 +463,8 @@
     out += separator + std::string("{\"id\":") + internal::jsonString(it.Id) +
            ",\"own_load\":" + std::to_string(it.OwnLoad) +
            ",\"failure_share\":" + std::to_string(it.FailureRate) +
-           ",\"avoided\":" + (it.Avoided ? "true" : "false") + "}";
+           ",\"avoided\":" + (it.Avoided ? "true" : "false") +
+           ",\"leaving\":" + (it.Leaving ? "true" : "false") + "}";
     separator = ",";
   }
   return out + "]}";
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -34,6 +34,7 @@
 
 // Where an update came from, for the log.
 enum class UpdateOrigin : uint8_t { Store, Peer };
+enum class LeavingOrigin : uint8_t { Response, Peer };
 
 class ServiceDirectory {
 public:
@@ -63,6 +64,19 @@
       const std::string &ServerId, std::optional<int64_t> StartedAt)>;
   void setServerEndListener(ServerEndListener Listener);
 
+  // A server has said that it leaves: in a response, or a peer tells. It gets
+  // no new request from now on. Returns whether that is new. `Peer`: who tells.
+  bool onServerLeaving(const LeavingServer &Item, LeavingOrigin Origin,
+                       const std::string &Peer = "");
+  // Called after an instance has learned from a response or a peer that a
+  // server leaves. It must not call back.
+  void setLeavingListener(std::function<void()> Listener);
+  // What is known of leaving servers, for peers: all, or what was learned
+  // within `MaxAge`. See LeavingServers.
+  std::vector<LeavingServer>
+  leavingServers(std::optional<Milliseconds> MaxAge = std::nullopt) const;
+  uint64_t leavingDigest() const;
+
   // Reports whether the store responds to the reader of this kind. While it
   // doesn't, and for some time after it recovers, removed servers are kept as a
   // last resort.
@@ -89,6 +103,8 @@
   std::vector<ServerChoice> others(const ServerChoice &Server);
   uint32_t serversIn(const std::string &Service, ServerStage Stage) const;
   uint32_t serversOf(const std::string &Service) const; // in any stage
+  // Whether a server is known that may get requests now or later.
+  bool hasServer(const std::string &Service, ServerStage Stage) const;
   void callStarted(const std::string &Id, double Weight);
   void callEnded(const std::string &Id, double Weight, CallResult Result);
   void onLoadReport(const std::string &Id, const ServerLoad &Load);
@@ -156,6 +172,7 @@
 
   const GatewaySettings &Values;
   ServerEndListener OnServerEnd;
+  std::function<void()> OnLeaving;
   mutable std::mutex Mutex;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -165,9 +165,7 @@
       refuseForLimits();
       return AttemptResult::Done;
     }
-    bool known =
-        Context.Directory.serversIn(Service, ServerStage::Decode) > 0 ||
-        Context.Directory.serversIn(Service, ServerStage::Whole) > 0;
+    bool known = knowsOutputServer();
     Milliseconds drain = Context.Queues.drainTime(Service);
     // Callers honor a Retry-After of up to a third of their remaining time.
     refuse(known ? ErrorKind::DeadlineUnreachable : ErrorKind::NoServer,
@@ -230,7 +228,8 @@
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
-  while (!reservation && !shouldStop() && !shouldForward() &&
+  while (!reservation && knowsOutputServer() && !shouldStop() &&
+         !shouldForward() &&
          std::max(Clock::now(), LimitedUntil.value_or(TimePoint())) <
              entry.ExpiresAt) {
     if (Context.Queues.tryStartAttempt(Service, ticket)) {
@@ -284,6 +283,9 @@
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
       break;
+    // Earlier calls may have taken long.
+    if (!Context.Directory.usable(server))
+      continue;
     // One for the reservation and one for the run.
     if (!tryAcquire(server.Id, 2))
       continue;
@@ -309,11 +311,13 @@
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
-    if (name)
-      return DecodeReservation{server, *name,
-                               Clock::now() + Engine->MaxReservation,
-                               /*Permitted=*/true};
-    Context.Limits.release(server.Id, 1);
+    DecodeReservation granted{server, name.value_or(""),
+                              Clock::now() + Engine->MaxReservation,
+                              /*Permitted=*/true};
+    // The response may say that the server leaves.
+    if (name && Context.Directory.usable(server))
+      return granted;
+    release(granted);
   }
   if (asked > 0)
     LimitedUntil.reset();
@@ -534,7 +538,7 @@
   runEnd = endOfResponse(call.head().Status);
   end(CallResult::Failed, "failure_" + code, AttemptResult::Done);
   Status = call.head().Status;
-  internal::writeResponse(Sink, responseHead(call), body);
+  internal::writeResponse(Sink, responseHead(call, server), body);
   finish("answered", "the server failed the request");
   return AttemptResult::Done;
 }
@@ -550,7 +554,7 @@
     Status = 200;
     if (Origin)
       Origin->OnOutputVersion(versionKeyOf(Server.Version));
-    Sink.begin(responseHead(Call));
+    Sink.begin(responseHead(Call, Server));
     HeadSent = true;
   }
   internal::EventSplitter events;
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -59,6 +59,11 @@
          !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
 }
 
+bool RequestHandler::knowsOutputServer() const {
+  return Context.Directory.hasServer(Service, ServerStage::Decode) ||
+         Context.Directory.hasServer(Service, ServerStage::Whole);
+}
+
 void RequestHandler::refuseResumption(const std::string &Why) {
   refuse(ErrorKind::StreamNotResumable, Why, NotResumableRetryAfter);
 }
--- a/src/gateway/wire_text.h
+++ b/src/gateway/wire_text.h
@@ -1,4 +1,5 @@
-// Texts and header fields in FlatBuffers messages between instances.
+// Texts, header fields and processes of servers in FlatBuffers messages between
+// instances.
 #ifndef CROCUSSPUR_GATEWAY_WIRE_TEXT_H
 #define CROCUSSPUR_GATEWAY_WIRE_TEXT_H
 
@@ -41,6 +42,22 @@
   return all;
 }
 
+inline flatbuffers::Offset<wire::LeavingServer>
+pack(flatbuffers::FlatBufferBuilder &Out, const LeavingServer &Item) {
+  auto id = Out.CreateString(Item.Process.Id);
+  auto address = Out.CreateString(Item.Process.Address);
+  auto version = Out.CreateString(Item.Process.Version);
+  return wire::CreateLeavingServer(Out, id, Item.Process.StartedAt, address,
+                                   version,
+                                   static_cast<uint32_t>(Item.Age.count()));
+}
+
+inline LeavingServer unpack(const wire::LeavingServer &Item) {
+  return {{textOf(Item.server()), Item.started_at(), textOf(Item.address()),
+           textOf(Item.version())},
+          Milliseconds(Item.ago_ms())};
+}
+
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -62,6 +62,9 @@
 struct ForwardRequest;
 struct ForwardRequestBuilder;
 
+struct LeavingServer;
+struct LeavingServerBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -1566,6 +1569,109 @@
       stream_version);
 }
 
+struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingServerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT = 6,
+    VT_ADDRESS = 8,
+    VT_VERSION = 10,
+    VT_AGO_MS = 12
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LeavingServerBuilder {
+  typedef LeavingServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(LeavingServer::VT_SERVER, server);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(LeavingServer::VT_STARTED_AT, started_at, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(LeavingServer::VT_ADDRESS, address);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(LeavingServer::VT_VERSION, version);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(LeavingServer::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit LeavingServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingServer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingServer> CreateLeavingServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_at = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t ago_ms = 0) {
+  LeavingServerBuilder builder_(_fbb);
+  builder_.add_started_at(started_at);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_version(version);
+  builder_.add_address(address);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LeavingServer> CreateLeavingServerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_at = 0,
+    const char *address = nullptr,
+    const char *version = nullptr,
+    uint32_t ago_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return crocusspur::gateway::wire::CreateLeavingServer(
+      _fbb,
+      server__,
+      started_at,
+      address__,
+      version__,
+      ago_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1589,7 +1695,9 @@
     VT_ORIGINS = 38,
     VT_ORIGIN_QUERY = 40,
     VT_ORIGIN_ANSWER = 42,
-    VT_FORWARD = 44
+    VT_FORWARD = 44,
+    VT_LEAVING = 46,
+    VT_LEAVING_DIGEST = 48
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -1654,6 +1762,12 @@
   const crocusspur::gateway::wire::ForwardRequest *forward() const {
     return GetPointer<const crocusspur::gateway::wire::ForwardRequest *>(VT_FORWARD);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>> *>(VT_LEAVING);
+  }
+  uint64_t leaving_digest() const {
+    return GetField<uint64_t>(VT_LEAVING_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -1696,6 +1810,10 @@
            verifier.VerifyTable(origin_answer()) &&
            VerifyOffset(verifier, VT_FORWARD) &&
            verifier.VerifyTable(forward()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
+           VerifyField<uint64_t>(verifier, VT_LEAVING_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -1767,6 +1885,12 @@
   void add_forward(flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward) {
     fbb_.AddOffset(Frame::VT_FORWARD, forward);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>> leaving) {
+    fbb_.AddOffset(Frame::VT_LEAVING, leaving);
+  }
+  void add_leaving_digest(uint64_t leaving_digest) {
+    fbb_.AddElement<uint64_t>(Frame::VT_LEAVING_DIGEST, leaving_digest, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1800,11 +1924,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>> origins = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>> leaving = 0,
+    uint64_t leaving_digest = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_leaving_digest(leaving_digest);
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_leaving(leaving);
   builder_.add_forward(forward);
   builder_.add_origin_answer(origin_answer);
   builder_.add_origin_query(origin_query);
@@ -1848,7 +1976,9 @@
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>> *origins = nullptr,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginQuery> origin_query = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>> *leaving = nullptr,
+    uint64_t leaving_digest = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -1856,6 +1986,7 @@
   auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ClearedContent>>(*cleared) : 0;
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>(*limits) : 0;
   auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>(*origins) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>(*leaving) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -1878,7 +2009,9 @@
       origins__,
       origin_query,
       origin_answer,
-      forward);
+      forward,
+      leaving__,
+      leaving_digest);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1889,7 +2022,8 @@
     VT_HAS_LENGTH = 8,
     VT_LENGTH = 10,
     VT_HEADER = 12,
-    VT_OUTPUT_VERSION = 14
+    VT_OUTPUT_VERSION = 14,
+    VT_LEAVING_SERVER = 16
   };
   uint32_t status() const {
     return GetField<uint32_t>(VT_STATUS, 0);
@@ -1909,6 +2043,9 @@
   uint64_t output_version() const {
     return GetField<uint64_t>(VT_OUTPUT_VERSION, 0);
   }
+  const crocusspur::gateway::wire::LeavingServer *leaving_server() const {
+    return GetPointer<const crocusspur::gateway::wire::LeavingServer *>(VT_LEAVING_SERVER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
@@ -1920,6 +2057,8 @@
            verifier.VerifyVector(header()) &&
            verifier.VerifyVectorOfTables(header()) &&
            VerifyField<uint64_t>(verifier, VT_OUTPUT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_LEAVING_SERVER) &&
+           verifier.VerifyTable(leaving_server()) &&
            verifier.EndTable();
   }
 };
@@ -1946,6 +2085,9 @@
   void add_output_version(uint64_t output_version) {
     fbb_.AddElement<uint64_t>(ForwardHead::VT_OUTPUT_VERSION, output_version, 0);
   }
+  void add_leaving_server(flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server) {
+    fbb_.AddOffset(ForwardHead::VT_LEAVING_SERVER, leaving_server);
+  }
   explicit ForwardHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1964,10 +2106,12 @@
     bool has_length = false,
     uint64_t length = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header = 0,
-    uint64_t output_version = 0) {
+    uint64_t output_version = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0) {
   ForwardHeadBuilder builder_(_fbb);
   builder_.add_output_version(output_version);
   builder_.add_length(length);
+  builder_.add_leaving_server(leaving_server);
   builder_.add_header(header);
   builder_.add_content_type(content_type);
   builder_.add_status(status);
@@ -1982,7 +2126,8 @@
     bool has_length = false,
     uint64_t length = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header = nullptr,
-    uint64_t output_version = 0) {
+    uint64_t output_version = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto header__ = header ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>(*header) : 0;
   return crocusspur::gateway::wire::CreateForwardHead(
@@ -1992,7 +2137,8 @@
       has_length,
       length,
       header__,
-      output_version);
+      output_version,
+      leaving_server);
 }
 
 struct ForwardEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -1,5 +1,6 @@
 #include "gateway_fixture.h"
 
+#include "gateway/server_responses.h"
 #include "http_sink.h"
 
 #include <sys/socket.h>
@@ -72,6 +73,7 @@
 GatewayFixture::GatewayFixture()
     : Codec(platform::makeHttpCodec()),
       Document(std::make_shared<RouteDocument>()), Directory(Values, 7) {
+  reportResponses(Connections, Directory);
   Values.FailureDomain = "hall-a";
   Values.Retries = {1, 1000};
   Directory.setRetryAllowance(Values.Retries);
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -29,6 +29,8 @@
   frame.IsNotification = true;
   frame.Limits = {{"i-4", 2.1, Milliseconds(30), "n3"},
                   {"i-5", std::nullopt, Milliseconds(40), "n1"}};
+  frame.Leaving = {{{"i-6", 1764, "10.0.0.6:80", "v2"}, Milliseconds(60)}};
+  frame.LeavingDigest = 98;
   frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
   frame.Permit = PaceDecision{true, Milliseconds(70)};
   frame.Origins = {{1234567890123456789U, 5, 6, 7, Milliseconds(9000)}};
@@ -65,6 +67,11 @@
   CHECK(back->Servers[0].Text == "{\"a\":1}");
   CHECK(back->Servers[1].Removed);
   CHECK(back->CrashDigest == 99);
+  REQUIRE(back->Leaving.size() == 1);
+  CHECK(back->Leaving[0].Process ==
+        ServerProcess{"i-6", 1764, "10.0.0.6:80", "v2"});
+  CHECK(back->Leaving[0].Age == Milliseconds(60));
+  CHECK(back->LeavingDigest == 98);
   REQUIRE(back->Crashes.Crashes.size() == 2);
   CHECK(back->Crashes.Crashes[0].Kind == SuspectKind::Content);
   CHECK(back->Crashes.Crashes[1].Kind == SuspectKind::PromptPart);
--- a/test/gateway_server_leaving_process_test.cc
+++ b/test/gateway_server_leaving_process_test.cc
@@ -3,6 +3,7 @@
 #include "announcing_server.h"
 #include "fleet_load.h"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <memory>
@@ -73,6 +74,27 @@
   }
 }
 
+// Instances that the server hasn't told send to it as well.
+TEST_CASE("All instances learn from one that a server leaves") {
+  LeavingFleet setup(8);
+  setup.Servers[0].announceLeaving();
+  // Until a request goes to the server.
+  while (!setup.Servers[0].announcedAt())
+    GatewayFleet::sendRequest(setup.Fleet.Instances[5], "/x/y");
+  CHECK(eventually(
+      [&] {
+        return std::ranges::all_of(
+            setup.Fleet.Instances, [](const GatewayInstance &It) {
+              return GatewayFleet::get(It.Ready, "/state", "")
+                         .find("\"leaving\":true") != std::string::npos;
+            });
+      },
+      DrainTime));
+  auto taken = std::chrono::duration_cast<Milliseconds>(
+      Clock::now() - announcedAt(setup.Servers[0]));
+  MESSAGE("8 instances know it after " << taken.count() << " ms");
+}
+
 // Without the store, responses are all that tells of it.
 TEST_CASE("A server that says it leaves gets no late request without a store") {
   LeavingFleet setup(4);
