Compare revisions of the store within its era, and read it again after a rise

Callers saw a confirmed configuration that was never in force, new servers that got no request and leaving ones that went on getting them, after the store had come back from an older copy.

Cause: revisions were compared across eras. A watch from a revision that the store has given out again meanwhile gets no 410 and misses what was written before it, and applyLocked() dropped entries whose former revision had been higher. After a failed call the next watch waited in full, from a revision of the former era.

Change: a revision is the pair of era and number, compared as such in the directory and in what instances exchange; the header is read from every response. A rise, in any response or told by a peer, makes both readers read everything again, cancels waiting watches and is told to peers at once. The first watch after a failure doesn't wait, and the waits of watches are spread, so that one soon shows a rise. Unlisted servers of the new era stay a last resort for the time in which they register again, and nothing is taken for a crash meanwhile; a process whose entry was removed before isn't used for 5 s when an older copy lists it. A version in force gives way to a higher one, or to the same number written again later with another text. Responses of an earlier era are rejected, missing or unreadable eras are those of the latest response, and a list whose pages differ is read again.

--- a/src/gateway/decisions/store_revision.h
+++ b/src/gateway/decisions/store_revision.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_STORE_REVISION_H
 #define CROCUSSPUR_GATEWAY_STORE_REVISION_H
 
+#include <compare>
 #include <cstdint>
 
 namespace crocusspur::gateway {
@@ -11,6 +12,8 @@
   // out numbers again. 0: the store hasn't stated it.
   uint64_t Era = 0;
   uint64_t Number = 0; // rises with each change
+
+  auto operator<=>(const StoreRevision &) const = default;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -214,9 +214,9 @@
     members.push_back(pack(out, it));
   std::vector<flatbuffers::Offset<wire::PublishedServer>> servers;
   for (const PublishedText &it : Frame.Servers)
-    servers.push_back(wire::CreatePublishedServer(out, out.CreateString(it.Id),
-                                                  it.Revision, it.Removed,
-                                                  out.CreateString(it.Text)));
+    servers.push_back(wire::CreatePublishedServer(
+        out, out.CreateString(it.Id), it.Revision.Number, it.Removed,
+        out.CreateString(it.Text), it.Revision.Era));
   std::vector<flatbuffers::Offset<wire::Crash>> crashes;
   for (const CrashRecord &it : Frame.Crashes.Crashes)
     crashes.push_back(wire::CreateCrash(
@@ -282,10 +282,12 @@
   auto clearedList = out.CreateVector(cleared);
   out.Finish(wire::CreateFrame(
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
-      Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision, routes,
-      Frame.HasServers, serverList, Frame.CrashDigest, crashList, clearedList,
-      Frame.IsNotification, limitList, wantedPermit, permit, originList,
-      wantedOrigin, origin, forwarded, leavingList, Frame.LeavingDigest));
+      Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision.Number,
+      routes, Frame.HasServers, serverList, Frame.CrashDigest, crashList,
+      clearedList, Frame.IsNotification, limitList, wantedPermit, permit,
+      originList, wantedOrigin, origin, forwarded, leavingList,
+      Frame.LeavingDigest, Frame.ServersRevision.Era,
+      Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -304,13 +306,17 @@
   frame.WantsRoutes = in.wants_routes();
   frame.WantsServers = in.wants_servers();
   frame.ConfigVersion = in.config_version();
-  frame.ServersRevision = in.servers_revision();
+  frame.StoreEra = in.store_era();
+  frame.ConfigRevision = {in.config_era(), in.config_revision()};
+  frame.ServersRevision = {in.servers_era(), in.servers_revision()};
   frame.RoutesText = textOf(in.routes_text());
   frame.HasServers = in.has_servers();
   if (in.servers())
     for (const wire::PublishedServer *it : *in.servers())
-      frame.Servers.push_back(
-          {textOf(it->id()), it->revision(), it->gone(), textOf(it->text())});
+      frame.Servers.push_back({textOf(it->id()),
+                               {it->era(), it->revision()},
+                               it->gone(),
+                               textOf(it->text())});
   frame.CrashDigest = in.crash_digest();
   if (in.crashes())
     for (const wire::Crash *it : *in.crashes())
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -4,6 +4,7 @@
 
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
+#include "gateway/decisions/store_revision.h"
 #include "gateway/forward_codec.h"
 #include "gateway/server_limits.h"
 #include "gateway/stream_origins.h"
@@ -22,7 +23,7 @@
 // A server's entry as published; the receiver decodes it.
 struct PublishedText {
   std::string Id;
-  uint64_t Revision = 0;
+  StoreRevision Revision;
   bool Removed = false;
   std::string Text;
 };
@@ -34,14 +35,16 @@
   bool WantsRoutes = false;    // if the receiver has a newer version
   bool WantsServers = false;   // if the receiver has newer changes
   uint64_t ConfigVersion = 0;
-  uint64_t ServersRevision = 0;
+  StoreRevision ConfigRevision; // of the change that wrote it
+  StoreRevision ServersRevision;
+  uint64_t StoreEra = 0;  // the highest that the sender knows
   std::string RoutesText; // empty: not in this frame
   bool HasServers = false;
   std::vector<PublishedText> Servers;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
-  // A request that notifies a peer at once of crashes, limits and leaving
-  // servers: neither it nor its response lists the members.
+  // A request that notifies a peer at once of crashes, limits, leaving servers
+  // or an era: neither it nor its response lists the members.
   bool IsNotification = false;
   std::vector<ServerLimit> Limits; // that the sender knows
   // Servers that leave, and LeavingServers::digest() of all that the sender
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -2,11 +2,11 @@
 // connection with one frame each way, so that an unresponsive connection costs
 // one round at most. Membership spreads in every round; routes and servers are
 // sent only to instances that can't read the store or have just started. What
-// an instance learns about crashes of servers, about their request limits and
-// of servers that leave it sends on at once, and its rounds fetch what it has
-// missed. Permits for calls to servers with limits are exchanged by the threads
-// of the requests. Requests that another instance passes on are handled on the
-// threads of their connections.
+// an instance learns about crashes of servers, their request limits, servers
+// that leave and the store's era it sends on at once, and its rounds fetch what
+// it has missed. Permits for calls to servers with limits are exchanged by the
+// threads of the requests. Requests that another instance passes on are handled
+// on the threads of their connections.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/forward_service.h"
@@ -58,10 +58,11 @@
 // considered dead.
 constexpr Milliseconds LateCallMargin{300};
 
-void raiseTo(std::atomic<uint64_t> &Value, uint64_t To) {
-  uint64_t known = Value.load();
-  while (known < To && !Value.compare_exchange_weak(known, To)) {
-  }
+// What orders configurations: the version, then the change that wrote it.
+using ConfigKey = std::pair<uint64_t, StoreRevision>;
+
+ConfigKey configOf(const MemberFrame &Frame) {
+  return {Frame.ConfigVersion, Frame.ConfigRevision};
 }
 
 class MemberLinks final : public Plugin {
@@ -72,8 +73,8 @@
 
 private:
   void runRounds();
-  // Sends on what becomes known of crashes, limits and leaving servers until
-  // the time of the next round.
+  // Sends on what becomes known of crashes, limits, leaving servers and the
+  // store's era until the time of the next round.
   // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
   void runRound(bool CatchUp);
@@ -90,7 +91,9 @@
   MemberFrame requestFrame();
   void addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
   void applyFrame(const MemberFrame &Frame);
-  void applyRoutes(const std::string &Text, const std::string &From);
+  // `Revision`: of the change that wrote them, if it is known.
+  void applyRoutes(const std::string &Text, StoreRevision Revision,
+                   const std::string &From);
   void logMembershipChanges();
 
   GatewayRuntime *Runtime = nullptr;
@@ -102,10 +105,12 @@
   bool Stopping = false;
   bool HasChanges = false; // that contacts haven't been told of
   // The newest that any peer has reported.
-  std::atomic<uint64_t> NewestVersion{0};
-  std::atomic<uint64_t> NewestRevision{0};
+  std::mutex NewestMutex;
+  ConfigKey NewestConfig;
+  StoreRevision NewestServers;
   std::optional<TimePoint> BehindSince; // used by the rounds' thread only
   uint64_t SentCrashChange = 0;         // used by the rounds' thread only
+  uint64_t SentEra = 0;                 // used by the rounds' thread only
   std::set<std::string> LoggedMembers;
   std::thread Thread;
 };
@@ -150,7 +155,7 @@
   };
   Runtime->Crashes.setChangeListener(onChange);
   Runtime->Limits.setChangeListener(onChange);
-  Runtime->Directory.setLeavingListener(onChange);
+  Runtime->Directory.setChangeListener(onChange);
   Runtime->Crashes.setProbationOwner([this](PromptPartKey Part) {
     return Runtime->Peers
         .ownerOf("part:" + promptPartText(Part), Runtime->Stopping.load())
@@ -172,7 +177,7 @@
       [this](const Member &Peer, const std::string &Service) {
         Runtime->Peers.onForwardRefused(Peer.Name, Service);
       },
-      [this](const std::string &Text) { applyRoutes(Text, "a peer"); },
+      [this](const std::string &Text) { applyRoutes(Text, {}, "a peer"); },
       [this] { return Runtime->ownMember(); }};
   Thread = std::thread([this] { runRounds(); });
   return true;
@@ -181,7 +186,7 @@
 void MemberLinks::stop() {
   Runtime->Crashes.setChangeListener(nullptr);
   Runtime->Limits.setChangeListener(nullptr);
-  Runtime->Directory.setLeavingListener(nullptr);
+  Runtime->Directory.setChangeListener(nullptr);
   {
     std::lock_guard lock(Mutex);
     Stopping = true;
@@ -198,8 +203,10 @@
 MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
-  frame.ServersRevision = Runtime->Directory.serversRevision().Number;
+  frame.ConfigRevision = Runtime->Directory.routesRevision();
+  frame.ServersRevision = Runtime->Directory.serversRevision();
   frame.CrashDigest = Runtime->Crashes.digest();
+  frame.StoreEra = Runtime->Directory.storeEra();
   frame.LeavingDigest = Runtime->Directory.leavingDigest();
   frame.Limits = Runtime->Limits.known();
   frame.Sender = Runtime->ownMember();
@@ -221,9 +228,13 @@
   if (!Runtime->Directory.isComplete() ||
       !Runtime->Directory.isStoreReachable())
     return true;
-  bool behind =
-      NewestVersion.load() > Runtime->Directory.routes()->Version ||
-      NewestRevision.load() > Runtime->Directory.serversRevision().Number;
+  bool behind = false;
+  {
+    std::lock_guard lock(NewestMutex);
+    behind = NewestConfig > ConfigKey(Runtime->Directory.routes()->Version,
+                                      Runtime->Directory.routesRevision()) ||
+             NewestServers > Runtime->Directory.serversRevision();
+  }
   if (!behind)
     BehindSince.reset();
   else if (!BehindSince)
@@ -235,7 +246,7 @@
 // Adds the updates that the peer requested, if this instance has newer ones.
 void MemberLinks::addRequestedUpdates(const MemberFrame &Request,
                                       MemberFrame &Response) {
-  if (Request.WantsRoutes && Request.ConfigVersion < Response.ConfigVersion)
+  if (Request.WantsRoutes && configOf(Request) < configOf(Response))
     Response.RoutesText = Runtime->Directory.routes()->Text;
   if (!Request.WantsServers ||
       Request.ServersRevision >= Response.ServersRevision)
@@ -243,22 +254,27 @@
   Response.HasServers = true;
   for (const ServerChange &it : Runtime->Directory.servers())
     Response.Servers.push_back(
-        {it.Id, it.Revision.Number, !it.Entry, it.Entry ? it.Entry->Text : ""});
+        {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
 }
 
-void MemberLinks::applyRoutes(const std::string &Text,
+void MemberLinks::applyRoutes(const std::string &Text, StoreRevision Revision,
                               const std::string &From) {
   RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Text);
   if (routes)
-    Runtime->Directory.applyRoutes(std::move(routes), {}, UpdateOrigin::Peer);
+    Runtime->Directory.applyRoutes(std::move(routes), Revision,
+                                   UpdateOrigin::Peer);
   else
     log(LogLevel::Warn, "member_links", "ignored invalid routes from a peer",
         {{"peer", From}});
 }
 
 void MemberLinks::applyFrame(const MemberFrame &Frame) {
-  raiseTo(NewestVersion, Frame.ConfigVersion);
-  raiseTo(NewestRevision, Frame.ServersRevision);
+  {
+    std::lock_guard lock(NewestMutex);
+    NewestConfig = std::max(NewestConfig, configOf(Frame));
+    NewestServers = std::max(NewestServers, Frame.ServersRevision);
+  }
+  Runtime->Directory.onStoreEra(Frame.StoreEra, UpdateOrigin::Peer);
   Runtime->Crashes.merge(Frame.Crashes, Frame.Sender.Name);
   Runtime->Limits.merge(Frame.Limits, Frame.Sender.Name);
   for (const LeavingServer &it : Frame.Leaving)
@@ -270,17 +286,16 @@
   Runtime->Directory.setInstances(Runtime->Peers.budgetSharers());
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty())
-    applyRoutes(Frame.RoutesText, Frame.Sender.Name);
+    applyRoutes(Frame.RoutesText, Frame.ConfigRevision, Frame.Sender.Name);
   if (!Frame.HasServers)
     return;
   std::vector<ServerChange> changes;
   for (const PublishedText &it : Frame.Servers)
-    changes.push_back({it.Id,
-                       {0, it.Revision},
+    changes.push_back({it.Id, it.Revision,
                        it.Removed
                            ? std::nullopt
                            : Runtime->Source.ParseServer(it.Id, it.Text)});
-  Runtime->Directory.applyServerList(changes, {0, Frame.ServersRevision},
+  Runtime->Directory.applyServerList(changes, Frame.ServersRevision,
                                      UpdateOrigin::Peer);
 }
 
@@ -386,7 +401,9 @@
   frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
   SentCrashChange = change;
   frame.Leaving = Runtime->Directory.leavingServers(NotifiedLeavingAge);
-  if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty())
+  bool isNewEra = std::exchange(SentEra, frame.StoreEra) != frame.StoreEra;
+  if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty() &&
+      !isNewEra)
     return;
   for (const std::string &it :
        Runtime->Peers.selectContacts(NotificationContacts)) {
@@ -394,7 +411,7 @@
       return;
     if (!exchange(it, frame, NotificationTimeout))
       log(LogLevel::Info, "member_links",
-          "peer was not told of a crash, a limit or a leaving server",
+          "peer was not told of a crash, a limit, a leaving server or an era",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
   }
 }
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -16,7 +16,8 @@
 enum class ReadStatus : uint8_t {
   Ok,
   HistoryCompacted, // changes after the revision were discarded; read all
-  Unavailable,      // no response, or an error status
+  EraChanged,  // the store came back from an older copy meanwhile; read all
+  Unavailable, // no response, or an error status
 };
 
 struct PublishedUpdate {
@@ -43,6 +44,11 @@
       Watch;
 };
 
+// Passes the era that a response states on to the directory, and gives the
+// update that of the latest response if it states none. Returns false for a
+// response of an earlier era, which must not be used.
+bool acceptEra(ServiceDirectory &Directory, PublishedUpdate &Update);
+
 struct PublishedSource {
   std::function<PublishedReader(PublishedKind)> MakeReader;
   // Decode documents that a peer forwards as published.
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -20,6 +20,10 @@
 // A server that refuses a request despite its reservation is changing its
 // stage; peers report that within two rounds.
 constexpr Milliseconds ReservedRefusalExclusion{2000};
+// An entry expires after three heartbeats without its server, some 4 s.
+constexpr Milliseconds ReturnedEntryExclusion{5000};
+// Longer than the age of a copy from which the store comes back.
+constexpr Milliseconds RemovedEntryRetention{120000};
 
 const char *toString(UpdateOrigin Origin) {
   return Origin == UpdateOrigin::Store ? "store" : "peer";
@@ -41,7 +45,22 @@
                                    StoreRevision Revision,
                                    UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
-  if (NewDocument->Version <= Document->Version)
+  if (std::pair(NewDocument->Version, Revision) <=
+      std::pair(Document->Version, RoutesRevision)) {
+    if (NewDocument->Version < Document->Version &&
+        Revision.Era > RoutesRevision.Era)
+      log(LogLevel::Warn, "directory",
+          "store shows an older configuration; keeping the active one",
+          {{"version", std::to_string(NewDocument->Version)},
+           {"active_version", std::to_string(Document->Version)},
+           {"era", std::to_string(Revision.Era)},
+           {"origin", toString(Origin)}});
+    return;
+  }
+  RoutesRevision = Revision;
+  // The same text is written again after the store has lost it.
+  if (NewDocument->Version == Document->Version &&
+      NewDocument->Text == Document->Text)
     return;
   log(LogLevel::Info, "directory", "configuration in force",
       {{"version", std::to_string(NewDocument->Version)},
@@ -58,6 +77,40 @@
   return Document;
 }
 
+StoreRevision ServiceDirectory::routesRevision() const {
+  std::lock_guard lock(Mutex);
+  return RoutesRevision;
+}
+
+bool ServiceDirectory::onStoreEra(uint64_t Era, UpdateOrigin Origin) {
+  bool own = Origin == UpdateOrigin::Store;
+  uint64_t former = 0;
+  {
+    std::lock_guard lock(Mutex);
+    if (own && Era < OwnEra)
+      return false;
+    if (own)
+      OwnEra = Era;
+    former = HighestEra.load();
+    if (Era <= former)
+      return true;
+    HighestEra.store(Era);
+  }
+  log(LogLevel::Info, "directory",
+      former == 0 ? "era of the store" : "store came back from an older copy",
+      {{"era", std::to_string(Era)},
+       {"former_era", std::to_string(former)},
+       {"origin", toString(Origin)}});
+  if (former != 0)
+    notify();
+  return true;
+}
+
+uint64_t ServiceDirectory::ownStoreEra() const {
+  std::lock_guard lock(Mutex);
+  return OwnEra;
+}
+
 void ServiceDirectory::logServer(const ServerChange &Change,
                                  UpdateOrigin Origin) const {
   internal::LogFields fields{
@@ -84,17 +137,25 @@
 void ServiceDirectory::applyLocked(const ServerChange &Change,
                                    UpdateOrigin Origin, TimePoint Now) {
   StoreRevision &known = Revisions[Change.Id];
-  if (Change.Revision.Number <= known.Number)
+  if (Change.Revision <= known)
     return;
+  bool isNewEra = Change.Revision.Era > known.Era;
   known = Change.Revision;
-  if (Change.Revision.Number > ListRevision.Number)
-    ListRevision = Change.Revision;
+  onListEra(Change.Revision.Era, Now);
+  ListRevision = std::max(ListRevision, Change.Revision);
   const ServerEntry *former = Registry.find(Change.Id);
   if (Change.Entry || former)
     logServer(Change, Origin);
   if (Change.Entry) {
     bool restarted = former && former->StartedAt != Change.Entry->StartedAt;
     Registry.apply(*Change.Entry, Now);
+    // An older copy shows servers that have ended since. Their entries expire.
+    auto removed = RemovedProcesses.find(Change.Id);
+    if (removed != RemovedProcesses.end()) {
+      if (isNewEra && removed->second.first == processOf(*Change.Entry))
+        Registry.exclude(Change.Id, Now + ReturnedEntryExclusion);
+      RemovedProcesses.erase(removed);
+    }
     Versions.onServer(*Change.Entry, Now);
     if (restarted && OnServerEnd)
       OnServerEnd(Change.Id, Change.Entry->StartedAt);
@@ -103,27 +164,48 @@
   }
   // The last quarter of the limit is left for requests in flight to the server.
   TimePoint lastUse = Now + Values.MaxDrainTime * 3 / 4;
-  bool serversRead =
-      StoreReachable[static_cast<size_t>(PublishedKind::Servers)].load();
-  // Entries of servers that are alive expire as well while the store is away.
-  bool reliable =
-      serversRead && Now - StoreStateChangedAt >= Values.RestoredEntryGrace;
-  if (!reliable)
-    lastUse =
-        (serversRead ? StoreStateChangedAt : Now) + Values.RestoredEntryGrace;
-  else if (former && !Registry.isLeaving(Change.Id) && OnServerEnd)
-    OnServerEnd(Change.Id, std::nullopt);
+  // Entries of servers that are alive expire as well while the store is away,
+  // and are lost if it comes back from an older copy.
+  if (std::optional<TimePoint> restoredAt = entriesRestoredAt(Now))
+    lastUse = *restoredAt + Values.RestoredEntryGrace;
+  else if (former)
+    onServerGone(*former, Now);
   Registry.remove(Change.Id, lastUse);
   Versions.onServerGone(Change.Id, lastUse);
 }
 
+void ServiceDirectory::onServerGone(const ServerEntry &Entry, TimePoint Now) {
+  std::erase_if(RemovedProcesses, [&](const auto &It) {
+    return Now - It.second.second > RemovedEntryRetention;
+  });
+  RemovedProcesses[Entry.Id] = {processOf(Entry), Now};
+  if (!Registry.isLeaving(Entry.Id) && OnServerEnd)
+    OnServerEnd(Entry.Id, std::nullopt);
+}
+
+std::optional<TimePoint>
+ServiceDirectory::entriesRestoredAt(TimePoint Now) const {
+  if (!StoreReachable[static_cast<size_t>(PublishedKind::Servers)].load())
+    return Now;
+  TimePoint latest =
+      std::max(StoreStateChangedAt, EraChangedAt.value_or(TimePoint()));
+  if (Now - latest >= Values.RestoredEntryGrace)
+    return std::nullopt;
+  return latest;
+}
+
+void ServiceDirectory::onListEra(uint64_t Era, TimePoint Now) {
+  if (Era > ListRevision.Era && ListRevision != StoreRevision())
+    EraChangedAt = Now;
+}
+
 void ServiceDirectory::removeEndedAt(const ServerEntry &Entry) {
   std::vector<ServerEntry> all = Registry.sharingAddress(Entry);
   if (all.empty())
     return;
   all.push_back(Entry);
   auto revisionOf = [this](const ServerEntry &It) {
-    return Revisions.at(It.Id).Number;
+    return Revisions.at(It.Id);
   };
   auto latest = std::ranges::max_element(all, {}, revisionOf);
   for (const ServerEntry &it : all) {
@@ -152,16 +234,16 @@
                                        UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
   TimePoint now = Clock::now();
+  onListEra(Revision.Era, now);
   std::set<std::string> listed;
   for (const ServerChange &it : Entries) {
     listed.insert(it.Id);
     applyLocked(it, Origin, now);
   }
   for (const ServerEntry &it : Registry.entries())
-    if (!listed.contains(it.Id) && Revisions[it.Id].Number < Revision.Number)
+    if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
       applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
-  if (Revision.Number > ListRevision.Number)
-    ListRevision = Revision;
+  ListRevision = std::max(ListRevision, Revision);
   ListReceived = true;
   Versions.onListRead(now);
 }
@@ -257,13 +339,19 @@
          {"peer", Peer},
          {"age_ms", std::to_string(Item.Age.count())}});
   }
-  if (OnLeaving)
-    OnLeaving();
+  notify();
   return true;
 }
 
-void ServiceDirectory::setLeavingListener(std::function<void()> Listener) {
-  OnLeaving = std::move(Listener);
+void ServiceDirectory::notify() {
+  std::lock_guard lock(ListenerMutex);
+  if (OnChange)
+    OnChange();
+}
+
+void ServiceDirectory::setChangeListener(std::function<void()> Listener) {
+  std::lock_guard lock(ListenerMutex);
+  OnChange = std::move(Listener);
 }
 
 std::vector<LeavingServer>
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -40,17 +40,28 @@
 public:
   ServiceDirectory(const GatewaySettings &Values, uint64_t Seed);
 
-  // Applies a document unless the active version is the same or newer.
+  // Applies a document unless the active version is newer, or the same and not
+  // written before it. A version in force is never replaced by a lower one.
   // `Revision`: of the change that wrote it.
   void applyRoutes(RouteDocumentPtr Document, StoreRevision Revision,
                    UpdateOrigin Origin);
   RouteDocumentPtr routes() const;
+  StoreRevision routesRevision() const;
+
+  // A response of the store states its era, or a peer knows a higher one.
+  // Returns false for a response of an earlier era, which must not be used.
+  bool onStoreEra(uint64_t Era, UpdateOrigin Origin);
+  // The highest era that is known, also from peers; 0: none.
+  uint64_t storeEra() const { return HighestEra.load(); }
+  // The era of responses of the store that don't state it.
+  uint64_t ownStoreEra() const;
 
   // Applies a change unless the same or a newer one of the server has been
   // applied.
   void applyServer(const ServerChange &Change, UpdateOrigin Origin);
   // Applies a complete list: removes servers that aren't listed and whose last
-  // change is older than `Revision`.
+  // change is older than `Revision`. Those that a store of a new era has lost
+  // stay a last resort until they had time to register again.
   void applyServerList(const std::vector<ServerChange> &Entries,
                        StoreRevision Revision, UpdateOrigin Origin);
   std::vector<ServerChange> servers() const;
@@ -68,9 +79,10 @@
   // no new request from now on. Returns whether that is new. `Peer`: who tells.
   bool onServerLeaving(const LeavingServer &Item, LeavingOrigin Origin,
                        const std::string &Peer = "");
-  // Called after an instance has learned from a response or a peer that a
-  // server leaves. It must not call back.
-  void setLeavingListener(std::function<void()> Listener);
+  // Called after a change that peers should learn at once: a response or a peer
+  // has told that a server leaves, or the store's era has risen. It must not
+  // call back.
+  void setChangeListener(std::function<void()> Listener);
   // What is known of leaving servers, for peers: all, or what was learned
   // within `MaxAge`. See LeavingServers.
   std::vector<LeavingServer>
@@ -162,6 +174,14 @@
   std::string dump() const;
 
 private:
+  // When expired entries may have been registered again: after the store has
+  // recovered or come back from an older copy. Nothing: long ago, so that a
+  // removed entry shows that its server is gone.
+  std::optional<TimePoint> entriesRestoredAt(TimePoint Now) const;
+  void onListEra(uint64_t Era, TimePoint Now);
+  // A removed entry shows that its server is gone.
+  void onServerGone(const ServerEntry &Entry, TimePoint Now);
+  void notify();
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
                    TimePoint Now);
@@ -172,7 +192,8 @@
 
   const GatewaySettings &Values;
   ServerEndListener OnServerEnd;
-  std::function<void()> OnLeaving;
+  std::function<void()> OnChange;
+  std::mutex ListenerMutex; // guards OnChange
   mutable std::mutex Mutex;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
@@ -180,6 +201,12 @@
   VersionHistory Versions;
   StoreRevision ListRevision;
   bool ListReceived = false;
+  StoreRevision RoutesRevision;
+  uint64_t OwnEra = 0; // of this instance's responses of the store
+  std::atomic<uint64_t> HighestEra{0};
+  std::optional<TimePoint> EraChangedAt; // of the list
+  // Processes whose entries were removed lately, by server, and when.
+  std::map<std::string, std::pair<ServerProcess, TimePoint>> RemovedProcesses;
   SharedRetryBudget Retries;
   std::map<std::string, RetryCounts> RetriesCounted;  // by service
   std::map<std::string, OutputEstimator> Outputs;     // by service
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -23,8 +23,13 @@
 // It grows with the fleet to limit the number of calls; peers then report
 // updates sooner.
 constexpr Milliseconds MinWatchWait{2500};
+// Most of it is random: watches begin together after a change, and one that
+// ends soon shows a change of the store's era to all instances.
 constexpr Milliseconds WatchWaitPerMember{160};
 constexpr Milliseconds MaxWatchWait{10000};
+// After a failure, when the store may have come back from an older copy, which
+// shows in its response. A watch from a revision beyond would wait in vain.
+constexpr Milliseconds RecoveryWatchWait{1};
 // Pause after a failed call, doubled up to the batch delay and randomized.
 constexpr Milliseconds MinRetryPause{100};
 
@@ -51,7 +56,7 @@
   void read(PublishedKind Kind);
   void apply(const PublishedUpdate &Update, PublishedKind Kind, bool Whole);
   void pause(Milliseconds Time);
-  Milliseconds watchWait() const;
+  Milliseconds watchWait(std::mt19937_64 &Random) const;
 
   GatewayRuntime *Runtime = nullptr;
   std::atomic<bool> Stopping{false};
@@ -65,9 +70,12 @@
   Wake.wait_for(lock, Time, [this] { return Stopping.load(); });
 }
 
-Milliseconds ServiceDirectoryReader::watchWait() const {
+Milliseconds ServiceDirectoryReader::watchWait(std::mt19937_64 &Random) const {
   auto members = static_cast<int64_t>(Runtime->PeersKnown.load());
-  return std::clamp(WatchWaitPerMember * members, MinWatchWait, MaxWatchWait);
+  Milliseconds most =
+      std::clamp(WatchWaitPerMember * members, MinWatchWait, MaxWatchWait);
+  return most - Milliseconds(static_cast<int64_t>(
+                    Random() % static_cast<uint64_t>(most.count() * 3 / 4)));
 }
 
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
@@ -87,52 +95,80 @@
 
 void ServiceDirectoryReader::read(PublishedKind Kind) {
   const char *name = Kind == PublishedKind::Servers ? "servers" : "routes";
+  ServiceDirectory &directory = Runtime->Directory;
   PublishedReader reader = Runtime->Source.MakeReader(Kind);
-  CancelCheck isCancelled = [this] { return Stopping.load(); };
   std::mt19937_64 random(Runtime->Incarnation + static_cast<uint64_t>(Kind));
   StoreRevision revision; // 0: a full read is needed
-  uint64_t era = 0;       // as last stated
+  // The highest era known when the last full read began. Revisions of another
+  // one mean nothing to a watch.
+  uint64_t readEra = 0;
+  CancelCheck isCancelled = [this] { return Stopping.load(); };
+  CancelCheck isWatchCancelled = [&] {
+    return Stopping.load() || directory.storeEra() > readEra;
+  };
   uint32_t failures = 0;
   while (!Stopping.load()) {
-    bool whole = revision.Number == 0;
+    bool whole = revision.Number == 0 || directory.storeEra() > readEra;
+    if (whole)
+      readEra = directory.storeEra();
     PublishedUpdate update;
     try {
       update = whole ? reader.ReadAll(isCancelled)
-                     : reader.Watch(revision.Number, watchWait(), isCancelled);
+                     : reader.Watch(revision.Number,
+                                    failures > 0 ? RecoveryWatchWait
+                                                 : watchWait(random),
+                                    isWatchCancelled);
     } catch (const std::exception &error) {
       // Invalid data from the store must not end the process.
       update.Error = error.what();
     }
     if (Stopping.load())
       break;
-    if (update.Era && *update.Era != era) {
-      log(LogLevel::Info, "directory_reader", "era of the store",
+    if (!acceptEra(directory, update)) {
+      update.Status = ReadStatus::Unavailable;
+      update.Error = "response of an earlier era";
+    }
+    // A full read is of the era that its own response shows.
+    if (whole && update.Status == ReadStatus::Ok)
+      readEra = std::max(readEra, update.Era.value_or(0));
+    if (directory.storeEra() > readEra)
+      continue;
+    if (update.Status == ReadStatus::Ok && !whole &&
+        update.Revision.Number < revision.Number) {
+      log(LogLevel::Warn, "directory_reader",
+          "revisions of the store went back; reading all entries",
           {{"documents", name},
-           {"era", std::to_string(*update.Era)},
-           {"former_era", std::to_string(era)},
-           {"revision", std::to_string(revision.Number)}});
-      era = *update.Era;
+           {"revision", std::to_string(update.Revision.Number)},
+           {"former_revision", std::to_string(revision.Number)},
+           {"era", std::to_string(update.Revision.Era)}});
+      revision = {};
+      continue;
     }
     if (update.Status == ReadStatus::Ok) {
       failures = 0;
-      Runtime->Directory.setStoreReachable(Kind, true);
+      directory.setStoreReachable(Kind, true);
       apply(update, Kind, whole);
       revision = update.Revision;
       if (!whole && (update.Routes || !update.Servers.empty()))
         pause(Runtime->batchDelay());
       continue;
     }
-    if (update.Status == ReadStatus::HistoryCompacted) {
+    if (update.Status == ReadStatus::HistoryCompacted ||
+        update.Status == ReadStatus::EraChanged) {
       log(LogLevel::Info, "directory_reader",
-          "store discarded the history; reading all entries",
-          {{"documents", name}, {"revision", std::to_string(revision.Number)}});
+          update.Status == ReadStatus::EraChanged
+              ? "era changed within a list; reading all entries"
+              : "store discarded the history; reading all entries",
+          {{"documents", name},
+           {"revision", std::to_string(revision.Number)},
+           {"era", std::to_string(revision.Era)}});
       revision = {};
       continue;
     }
     if (++failures == 1)
       log(LogLevel::Warn, "directory_reader", "reading from the store failed",
           {{"documents", name}, {"why", update.Error}});
-    Runtime->Directory.setStoreReachable(Kind, false);
+    directory.setStoreReachable(Kind, false);
     Milliseconds most =
         std::min(Runtime->batchDelay(),
                  MinRetryPause * (1U << std::min(failures - 1, 8U)));
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -135,6 +135,8 @@
                     static_cast<double>(Runtime->Connections.opened()));
   Metrics->setGauge("store_reachable", "",
                     Runtime->Directory.isStoreReachable() ? 1 : 0);
+  Metrics->setGauge("store_era", "",
+                    static_cast<double>(Runtime->Directory.storeEra()));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
   Metrics->setGauge("content_crashes_total", "seen",
                     static_cast<double>(crashes.CrashesSeen));
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -135,7 +135,8 @@
   TimePoint started = Clock::now();
   PublishedUpdate update =
       Reader.ReadAll([this] { return Runtime->Closing.load(); });
-  if (update.Status != ReadStatus::Ok) {
+  if (!acceptEra(Runtime->Directory, update) ||
+      update.Status != ReadStatus::Ok) {
     log(LogLevel::Info, "stream_origins", "servers could not be read",
         {{"why", update.Error}});
     return false;
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -495,7 +495,8 @@
     VT_ID = 4,
     VT_REVISION = 6,
     VT_GONE = 8,
-    VT_TEXT = 10
+    VT_TEXT = 10,
+    VT_ERA = 12
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -509,6 +510,9 @@
   const flatbuffers::String *text() const {
     return GetPointer<const flatbuffers::String *>(VT_TEXT);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -517,6 +521,7 @@
            VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
            VerifyOffset(verifier, VT_TEXT) &&
            verifier.VerifyString(text()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -537,6 +542,9 @@
   void add_text(flatbuffers::Offset<flatbuffers::String> text) {
     fbb_.AddOffset(PublishedServer::VT_TEXT, text);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(PublishedServer::VT_ERA, era, 0);
+  }
   explicit PublishedServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -553,8 +561,10 @@
     flatbuffers::Offset<flatbuffers::String> id = 0,
     uint64_t revision = 0,
     bool gone = false,
-    flatbuffers::Offset<flatbuffers::String> text = 0) {
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    uint64_t era = 0) {
   PublishedServerBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_text(text);
   builder_.add_id(id);
@@ -567,7 +577,8 @@
     const char *id = nullptr,
     uint64_t revision = 0,
     bool gone = false,
-    const char *text = nullptr) {
+    const char *text = nullptr,
+    uint64_t era = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto text__ = text ? _fbb.CreateString(text) : 0;
   return crocusspur::gateway::wire::CreatePublishedServer(
@@ -575,7 +586,8 @@
       id__,
       revision,
       gone,
-      text__);
+      text__,
+      era);
 }
 
 struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1697,7 +1709,11 @@
     VT_ORIGIN_ANSWER = 42,
     VT_FORWARD = 44,
     VT_LEAVING = 46,
-    VT_LEAVING_DIGEST = 48
+    VT_LEAVING_DIGEST = 48,
+    VT_SERVERS_ERA = 50,
+    VT_CONFIG_REVISION = 52,
+    VT_CONFIG_ERA = 54,
+    VT_STORE_ERA = 56
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -1768,6 +1784,18 @@
   uint64_t leaving_digest() const {
     return GetField<uint64_t>(VT_LEAVING_DIGEST, 0);
   }
+  uint64_t servers_era() const {
+    return GetField<uint64_t>(VT_SERVERS_ERA, 0);
+  }
+  uint64_t config_revision() const {
+    return GetField<uint64_t>(VT_CONFIG_REVISION, 0);
+  }
+  uint64_t config_era() const {
+    return GetField<uint64_t>(VT_CONFIG_ERA, 0);
+  }
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -1814,6 +1842,10 @@
            verifier.VerifyVector(leaving()) &&
            verifier.VerifyVectorOfTables(leaving()) &&
            VerifyField<uint64_t>(verifier, VT_LEAVING_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SERVERS_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1891,6 +1923,18 @@
   void add_leaving_digest(uint64_t leaving_digest) {
     fbb_.AddElement<uint64_t>(Frame::VT_LEAVING_DIGEST, leaving_digest, 0);
   }
+  void add_servers_era(uint64_t servers_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_SERVERS_ERA, servers_era, 0);
+  }
+  void add_config_revision(uint64_t config_revision) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CONFIG_REVISION, config_revision, 0);
+  }
+  void add_config_era(uint64_t config_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CONFIG_ERA, config_era, 0);
+  }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_STORE_ERA, store_era, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1926,8 +1970,16 @@
     flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>> leaving = 0,
-    uint64_t leaving_digest = 0) {
+    uint64_t leaving_digest = 0,
+    uint64_t servers_era = 0,
+    uint64_t config_revision = 0,
+    uint64_t config_era = 0,
+    uint64_t store_era = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
+  builder_.add_config_era(config_era);
+  builder_.add_config_revision(config_revision);
+  builder_.add_servers_era(servers_era);
   builder_.add_leaving_digest(leaving_digest);
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
@@ -1978,7 +2030,11 @@
     flatbuffers::Offset<crocusspur::gateway::wire::OriginAnswer> origin_answer = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardRequest> forward = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>> *leaving = nullptr,
-    uint64_t leaving_digest = 0) {
+    uint64_t leaving_digest = 0,
+    uint64_t servers_era = 0,
+    uint64_t config_revision = 0,
+    uint64_t config_era = 0,
+    uint64_t store_era = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2011,7 +2067,11 @@
       origin_answer,
       forward,
       leaving__,
-      leaving_digest);
+      leaving_digest,
+      servers_era,
+      config_revision,
+      config_era,
+      store_era);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -176,7 +176,9 @@
   }
   std::string events;
   bool any = false;
-  auto end = std::chrono::steady_clock::now() + Milliseconds(1000);
+  auto end =
+      std::chrono::steady_clock::now() +
+      Milliseconds(std::stoll(Request.substr(Request.find("wait-ms=") + 8)));
   do {
     events = list(Prefix, after, any);
     if (any || isRejected(Request))
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -17,7 +17,8 @@
   frame.Members = {{"n2", "10.0.0.2:1", 78, Milliseconds(1200), false, {}, {}}};
   frame.WantsRoutes = true;
   frame.ConfigVersion = 9;
-  frame.ServersRevision = 412;
+  frame.ServersRevision = {3, 412};
+  frame.ConfigRevision = {3, 408};
   frame.RoutesText = "{}";
   frame.HasServers = true;
   frame.CrashDigest = 99;
@@ -31,12 +32,14 @@
                   {"i-5", std::nullopt, Milliseconds(40), "n1"}};
   frame.Leaving = {{{"i-6", 1764, "10.0.0.6:80", "v2"}, Milliseconds(60)}};
   frame.LeavingDigest = 98;
+  frame.StoreEra = 4;
   frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
   frame.Permit = PaceDecision{true, Milliseconds(70)};
   frame.Origins = {{1234567890123456789U, 5, 6, 7, Milliseconds(9000)}};
   frame.WantedOrigin = OriginQuery{77, "s1", Milliseconds(3000)};
   frame.Origin = OriginKnowledge{VersionKey(0), VersionKey(12)};
-  frame.Servers = {{"i-1", 400, false, "{\"a\":1}"}, {"i-2", 410, true, ""}};
+  frame.Servers = {{"i-1", {3, 400}, false, "{\"a\":1}"},
+                   {"i-2", {2, 410}, true, ""}};
   return frame;
 }
 
@@ -60,18 +63,21 @@
   CHECK(back->WantsRoutes);
   CHECK_FALSE(back->WantsServers);
   CHECK(back->ConfigVersion == 9);
-  CHECK(back->ServersRevision == 412);
+  CHECK(back->ServersRevision == StoreRevision{3, 412});
+  CHECK(back->ConfigRevision == StoreRevision{3, 408});
   CHECK(back->RoutesText == "{}");
   CHECK(back->HasServers);
   REQUIRE(back->Servers.size() == 2);
   CHECK(back->Servers[0].Text == "{\"a\":1}");
   CHECK(back->Servers[1].Removed);
+  CHECK(back->Servers[1].Revision == StoreRevision{2, 410});
   CHECK(back->CrashDigest == 99);
   REQUIRE(back->Leaving.size() == 1);
   CHECK(back->Leaving[0].Process ==
         ServerProcess{"i-6", 1764, "10.0.0.6:80", "v2"});
   CHECK(back->Leaving[0].Age == Milliseconds(60));
   CHECK(back->LeavingDigest == 98);
+  CHECK(back->StoreEra == 4);
   REQUIRE(back->Crashes.Crashes.size() == 2);
   CHECK(back->Crashes.Crashes[0].Kind == SuspectKind::Content);
   CHECK(back->Crashes.Crashes[1].Kind == SuspectKind::PromptPart);
--- a/test/gateway_store_era_process_test.cc
+++ b/test/gateway_store_era_process_test.cc
@@ -86,13 +86,30 @@
   for (bool passesKnown : {false, true}) {
     CAPTURE(passesKnown);
     OlderStore setup(4, passesKnown);
+    uint64_t callsBefore = setup.Fleet.Store.calls();
     setup.comeBack(
         [&] { setup.Fleet.Store.put("op/config", configOf(4, "/y/")); });
     CHECK(setup.allHave("\"config_version\":4", ApplyTime));
-    MESSAGE("version 4 in force after " << setup.sinceReturn() << " ms");
+    MESSAGE("version 4 in force after "
+            << setup.sinceReturn() << " ms, "
+            << setup.Fleet.Store.calls() - callsBefore
+            << " calls of the store");
   }
 }
 
+// The store isn't away, so watches go on, from revisions that it gives out
+// again. Those of few instances end soon.
+TEST_CASE("A configuration is in force though watches survive an older store") {
+  OlderStore setup(8, /*PassesKnown=*/true);
+  uint64_t known = setup.Fleet.Store.revision();
+  setup.Fleet.Store.restore();
+  setup.Fleet.Store.put("op/config", configOf(4, "/y/"));
+  setup.Fleet.Store.setRevision(known + 20);
+  setup.BackAt = Clock::now();
+  CHECK(setup.allHave("\"config_version\":4", ApplyTime));
+  MESSAGE("version 4 in force after " << setup.sinceReturn() << " ms");
+}
+
 TEST_CASE("A server is used that registered at an older store") {
   for (bool passesKnown : {false, true}) {
     CAPTURE(passesKnown);
