Draw the waits of watches from a short time up

Cause: if watches survive while the store comes back from a copy, the first of them to end shows the rise.

Change: waits are drawn evenly from 0.6 s up.

--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -22,9 +22,10 @@
 // stops responding on an open connection. It is short where few instances read.
 // It grows with the fleet to limit the number of calls; peers then report
 // updates sooner.
+// Each wait is drawn from up to this maximum: watches begin together after a
+// change, and one that ends soon shows a rise of the store's era to all.
+constexpr Milliseconds LeastWatchWait{600};
 constexpr Milliseconds MinWatchWait{2500};
-// Most of it is random: watches begin together after a change, and one that
-// ends soon shows a change of the store's era to all instances.
 constexpr Milliseconds WatchWaitPerMember{160};
 constexpr Milliseconds MaxWatchWait{10000};
 // After a failure, when the store may have come back from an older copy, which
@@ -74,8 +75,9 @@
   auto members = static_cast<int64_t>(Runtime->PeersKnown.load());
   Milliseconds most =
       std::clamp(WatchWaitPerMember * members, MinWatchWait, MaxWatchWait);
-  return most - Milliseconds(static_cast<int64_t>(
-                    Random() % static_cast<uint64_t>(most.count() * 3 / 4)));
+  std::uniform_int_distribution<int64_t> draw(LeastWatchWait.count(),
+                                              most.count());
+  return Milliseconds(draw(Random));
 }
 
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
