Leave a server alone for the time that it states in a refusal

Callers saw requests go on to a server that had answered 503 with Retry-After.

Cause: the field was read nowhere; a refused server was avoided for 25 ms.

Change: the reader of responses passes the time on to the registry, which gives the process nothing until it has passed, at this instance alone. One function, sendBar, now says for all choices and right before a send why a server gets nothing: leaving, removed, resting, excluded. Times are at most 60 s and their ends spread by up to a quarter. If all servers of a service rest, a request waits if it can still be on time after the first rest, and is refused at once otherwise, with that rest as Retry-After.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -27,6 +27,9 @@
 // Range of the random tie-breaker between equal servers, in requests.
 constexpr double TieBreakSpread = 0.04;
 
+// Part of a stated rest by which its end is spread.
+constexpr double RestSpread = 0.25;
+
 Milliseconds pauseAfter(uint32_t ConsecutiveFailures) {
   auto factor = 1U << std::min(ConsecutiveFailures - 1, 5U);
   return std::min(MinPause * factor, MaxPause);
@@ -164,19 +167,60 @@
   });
 }
 
+ServerRegistry::SendBar ServerRegistry::sendBar(const Server &Item,
+                                                TimePoint Now) const {
+  if (Item.Leaving)
+    return SendBar::Leaving;
+  if (Item.UsableUntil && *Item.UsableUntil < Now)
+    return SendBar::Removed;
+  if (Item.RestingUntil > Now)
+    return SendBar::Resting;
+  return Item.ExcludedUntil > Now ? SendBar::Excluded : SendBar::None;
+}
+
+// A server that refuses requests while it changes its stage is asked
+// nevertheless by those that hold a reservation there.
 bool ServerRegistry::usable(const ServerChoice &Server, TimePoint Now) const {
   auto it = Servers.find(Server.Id);
-  return it != Servers.end() && !it->second.Leaving &&
-         it->second.Entry.StartedAt == Server.StartedAt &&
-         it->second.Entry.Version == Server.Version &&
-         (!it->second.UsableUntil || *it->second.UsableUntil >= Now);
+  if (it == Servers.end() || it->second.Entry.StartedAt != Server.StartedAt ||
+      it->second.Entry.Version != Server.Version)
+    return false;
+  SendBar bar = sendBar(it->second, Now);
+  return bar == SendBar::None || bar == SendBar::Excluded;
+}
+
+void ServerRegistry::rest(const ServerProcess &Process, Milliseconds Time,
+                          TimePoint Now) {
+  auto it = Servers.find(Process.Id);
+  if (it == Servers.end() || processOf(it->second.Entry) != Process)
+    return;
+  auto time = std::min(Time, MaxRest);
+  std::uniform_real_distribution<double> draw(1, 1 + RestSpread);
+  it->second.RestingUntil =
+      std::max(it->second.RestingUntil,
+               Now + Milliseconds(static_cast<int64_t>(
+                         static_cast<double>(time.count()) * draw(Random))));
+}
+
+std::optional<TimePoint> ServerRegistry::restingUntil(const ServerQuery &Query,
+                                                      TimePoint Now) const {
+  std::optional<TimePoint> first;
+  for (const auto &[id, server] : Servers) {
+    if (!matches(server, Query))
+      continue;
+    SendBar bar = sendBar(server, Now);
+    if (bar == SendBar::None)
+      return std::nullopt;
+    if (bar == SendBar::Resting)
+      first = std::min(first.value_or(TimePoint::max()), server.RestingUntil);
+  }
+  return first;
 }
 
-bool ServerRegistry::matches(const Server &Item, const ServerQuery &Query,
-                             TimePoint Now) const {
+bool ServerRegistry::matches(const Server &Item,
+                             const ServerQuery &Query) const {
   const ServerEntry &entry = Item.Entry;
-  return entry.Service == Query.Service && !Item.Leaving &&
-         entry.Stage == Query.Stage && Item.ExcludedUntil <= Now &&
+  return entry.Service == Query.Service && entry.Stage == Query.Stage &&
          !Query.ExcludedIds.contains(entry.Id) &&
          (!Query.Version || versionKeyOf(entry.Version) == *Query.Version);
 }
@@ -211,8 +255,7 @@
   std::uniform_real_distribution<double> draw(0, TieBreakSpread);
   std::vector<Candidate> found;
   for (const auto &[id, server] : Servers) {
-    if (!matches(server, Query, Now) ||
-        (server.UsableUntil && *server.UsableUntil < Now))
+    if (sendBar(server, Now) != SendBar::None || !matches(server, Query))
       continue;
     int rankClass = server.UsableUntil ? 2 : server.AvoidUntil > Now ? 1 : 0;
     found.push_back({rankClass, score(server, Now) + draw(Random), &server});
@@ -295,6 +338,7 @@
   for (const auto &[id, server] : Servers)
     all.push_back({id, server.OwnLoad, server.FailureRate,
                    server.AvoidUntil > Now || server.ExcludedUntil > Now ||
+                       server.RestingUntil > Now ||
                        server.UsableUntil.has_value(),
                    server.Leaving});
   return all;
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -81,6 +81,10 @@
   std::optional<VersionKey> Version;
 };
 
+// Longest time for which a server can refuse requests in advance. One more
+// request then shows whether it still does.
+constexpr Milliseconds MaxRest{60000};
+
 class ServerRegistry {
 public:
   ServerRegistry(std::string OwnDomain, uint64_t Seed)
@@ -112,6 +116,14 @@
   // refuse requests for which they reserved memory.
   void exclude(const std::string &Id, TimePoint Until);
 
+  // The server wants no request of this instance for some time, which it has
+  // said in a refusal. At most MaxRest; the end is spread by a random part, so
+  // that not all instances return at once.
+  void rest(const ServerProcess &Process, Milliseconds Time, TimePoint Now);
+  // When the first server of a query takes requests again, if all of them rest.
+  std::optional<TimePoint> restingUntil(const ServerQuery &Query,
+                                        TimePoint Now) const;
+
   const ServerEntry *find(const std::string &Id) const;
   // Other servers whose entries name this server's address.
   std::vector<ServerEntry> sharingAddress(const ServerEntry &Entry) const;
@@ -165,11 +177,17 @@
     uint32_t ConsecutiveFailures = 0;
     TimePoint AvoidUntil;    // last resort until then
     TimePoint ExcludedUntil; // never selected until then
+    TimePoint RestingUntil;  // wants no request until then
   };
 
+  // Why a server gets no new request.
+  enum class SendBar : uint8_t { None, Leaving, Removed, Resting, Excluded };
+  // Whether this instance may send to the server now. All choices and the last
+  // check before a send rest on it.
+  SendBar sendBar(const Server &Item, TimePoint Now) const;
+
   double score(const Server &Item, TimePoint Now) const;
-  bool matches(const Server &Item, const ServerQuery &Query,
-               TimePoint Now) const;
+  bool matches(const Server &Item, const ServerQuery &Query) const;
 
   std::string OwnDomain;
   std::mt19937_64 Random;
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -55,7 +55,9 @@
   std::string RequestId;
   std::optional<ServerLoad> Load;
   StatedLimit Limit;
-  bool ServerLeaving = false;                   // the server shuts down soon
+  bool ServerLeaving = false; // the server shuts down soon
+  // With a refusal: for how long the server wants no request of this instance.
+  std::optional<Milliseconds> RetryAfter;
   std::optional<Milliseconds> KeepAliveTimeout; // of the connection
   HeaderFields Returned; // fields passed to the caller unchanged
 };
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -324,6 +324,7 @@
   if (LimitedUntil && *LimitedUntil <= until)
     return;
   LimitedUntil = until;
+  AllRest = false;
   LimitedFields = permitFields(ServerId, Permit);
 }
 
@@ -362,6 +363,8 @@
       return server;
     query.ExcludedIds.insert(server->Id);
   }
+  if (!LimitedUntil)
+    noteResting({Service, Stage, Excluded, {}});
   if (!LimitedUntil || MaxDelay <= Milliseconds(0))
     return std::nullopt;
   return waitForPermit(Stage, Excluded, MaxDelay);
@@ -375,6 +378,15 @@
       Context.Directory.rank({Service, Stage, Excluded});
   if (all.size() > MaxServersAskedToWait)
     all.resize(MaxServersAskedToWait);
+  if (all.empty()) { // they rest
+    auto wait = std::chrono::ceil<Milliseconds>(*LimitedUntil - Clock::now());
+    if (wait > MaxDelay)
+      return std::nullopt;
+    Waiter.pause(wait);
+    if (shouldStop())
+      return std::nullopt;
+    return choosePermitted(Stage, Excluded, Milliseconds(0));
+  }
   for (const ServerChoice &it : all) {
     CallPermit permit = Context.Limits.acquire(it.Id, 1, MaxDelay);
     if (!permit.Granted) {
@@ -395,8 +407,21 @@
   return std::nullopt;
 }
 
+void RequestHandler::noteResting(const ServerQuery &Query) {
+  LimitedUntil = Context.Directory.restingUntil(Query);
+  if (!LimitedUntil)
+    return;
+  LimitedFields = fields();
+  LimitedFields.emplace_back(
+      "wait_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                    *LimitedUntil - Clock::now())
+                                    .count()));
+  AllRest = true;
+}
+
 void RequestHandler::refuseForLimits() {
-  log(LogLevel::Info, "request", "server's request limit reached",
+  log(LogLevel::Info, "request",
+      AllRest ? "all servers want a pause" : "server's request limit reached",
       LimitedFields);
   auto wait =
       std::max(PlainRetryAfter,
@@ -404,7 +429,9 @@
   // Spread over the time in which as many permits become free again.
   auto spread = Milliseconds(static_cast<int64_t>(
       static_cast<double>(wait.count()) * Context.Directory.randomFraction()));
-  refuse(ErrorKind::BackendRefused, "all servers are at their request limits",
+  refuse(ErrorKind::BackendRefused,
+         AllRest ? "all servers want a pause"
+                 : "all servers are at their request limits",
          wait + spread);
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -177,8 +177,10 @@
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
   // The same for a request that crashes servers.
   void refuseAsCrashing();
-  // The same if all servers are at their request limits.
+  // The same if all servers are at their request limits or rest.
   void refuseForLimits();
+  // If all servers of the query rest, notes until when, as for limits.
+  void noteResting(const ServerQuery &Query);
   // Sends a response that doesn't state whether a server has executed the
   // request.
   void fail(ErrorKind Kind, const std::string &Why);
@@ -219,6 +221,7 @@
   bool AnswerSurvived = false; // see onAnswerSurvived(); of the last run
   // The server of the last run ended with it, soon after it began to answer.
   bool EndedWithServer = false;
+  bool AllRest = false; // what `LimitedUntil` is about: rests, not limits
   // Set while all servers that were asked are at their request limits: the
   // earliest time at which one of them takes a call, and the log fields of its
   // denial.
--- a/src/gateway/server_responses.cc
+++ b/src/gateway/server_responses.cc
@@ -6,9 +6,10 @@
   Connections.setResponseListener([&Connections,
                                    &Directory](const ServerChoice &Server,
                                                const ResponseInfo &Info) {
-    if (!Info.ServerLeaving)
-      return;
-    if (Directory.onServerLeaving({processOf(Server)}, LeavingOrigin::Response))
+    if (Info.RetryAfter)
+      Directory.onServerResting(processOf(Server), *Info.RetryAfter);
+    if (Info.ServerLeaving &&
+        Directory.onServerLeaving({processOf(Server)}, LeavingOrigin::Response))
       Connections.drop(Server.Address);
   });
 }
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -349,6 +349,22 @@
     OnChange();
 }
 
+void ServiceDirectory::onServerResting(const ServerProcess &Process,
+                                       Milliseconds Time) {
+  std::lock_guard lock(Mutex);
+  log(LogLevel::Info, "directory", "server wants no request for some time",
+      {{"server", Process.Id},
+       {"started_at", std::to_string(Process.StartedAt)},
+       {"time_ms", std::to_string(Time.count())}});
+  Registry.rest(Process, Time, Clock::now());
+}
+
+std::optional<TimePoint>
+ServiceDirectory::restingUntil(const ServerQuery &Query) const {
+  std::lock_guard lock(Mutex);
+  return Registry.restingUntil(Query, Clock::now());
+}
+
 void ServiceDirectory::setChangeListener(std::function<void()> Listener) {
   std::lock_guard lock(ListenerMutex);
   OnChange = std::move(Listener);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -79,6 +79,11 @@
   // no new request from now on. Returns whether that is new. `Peer`: who tells.
   bool onServerLeaving(const LeavingServer &Item, LeavingOrigin Origin,
                        const std::string &Peer = "");
+  // A server has refused all requests of this instance for some time.
+  void onServerResting(const ServerProcess &Process, Milliseconds Time);
+  // See ServerRegistry::restingUntil().
+  std::optional<TimePoint> restingUntil(const ServerQuery &Query) const;
+
   // Called after a change that peers should learn at once: a response or a peer
   // has told that a server leaves, or the store's era has risen. It must not
   // call back.
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -279,6 +279,8 @@
         std::ranges::find(order, it.Id, &ServerChoice::Id) == order.end())
       order.push_back(it);
   LimitedUntil.reset();
+  if (ranked.empty())
+    noteResting(outputQuery(ServerStage::Decode));
   size_t asked = 0;
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace crocusspur::test {
 namespace {
@@ -73,10 +74,27 @@
   std::lock_guard lock(Mutex);
   if (Mirror)
     Mirror->restore();
+  Lost = Current.Items;
+  std::erase_if(Lost, [this](const auto &It) {
+    return It.second.Revision <= Copy.Revision;
+  });
   Current = Copy;
   ++Era;
 }
 
+void FakeStore::writeLostAgain() {
+  std::map<std::string, Item> lost;
+  {
+    std::lock_guard lock(Mutex);
+    lost = std::exchange(Lost, {});
+  }
+  for (const auto &[key, item] : lost)
+    if (item.Value)
+      put(key, *item.Value);
+    else
+      remove(key);
+}
+
 void FakeStore::setRevision(uint64_t Value) {
   std::lock_guard lock(Mutex);
   Current.Revision = Value;
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -38,6 +38,8 @@
   // Takes back everything since the copy; later changes get revisions that
   // have been given out before. Raises the era.
   void restore();
+  // Writes again what restore() took back, as the operator and the servers do.
+  void writeLostAgain();
   void setRevision(uint64_t Value); // as if others had written meanwhile
   uint64_t revision();
   // Calls served so far.
@@ -75,6 +77,7 @@
   std::mutex Mutex;
   State Current;
   State Copy;
+  std::map<std::string, Item> Lost; // by the last restore()
   uint64_t Era = 1;
   std::optional<std::string> EraText;
   bool Away = false;
