Let servers leave and the store come back older in the soak

Change: three of four servers of a service say one after the other in responses that they leave, and none may get a request later than 2 s after the first such response from an undisturbed instance. The store goes away and comes back from a copy, again and again; what was lost is written again. After the faults the latest configuration must be in force at all instances within 2 s.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -7,9 +7,12 @@
 // is refused in time and no other is, that servers get at most the requests
 // that they state, that a part of prompts which crashes servers is refused in
 // time and sound prompts with the same first part aren't, also while an
-// instance is cut off from servers and passes requests on, and that the fleet
-// serves requests again after the faults.
+// instance is cut off from servers and passes requests on, that servers which
+// say that they leave get no request in time, that the latest configuration is
+// in force everywhere after the faults, also if the store came back from older
+// copies, and that the fleet serves requests again.
 // Prints the seed and the violations found; exits with 1 if there are any.
+#include "announcing_server.h"
 #include "crashing_server.h"
 #include "cut_proxy.h"
 #include "fault_proxy.h"
@@ -53,6 +56,12 @@
 constexpr int PartServerCount = 4;
 const std::string CrashingPart = "bad00bad";
 constexpr Milliseconds SoundPromptInterval{40};
+constexpr int LeavingServerCount = 4; // of which the last one stays
+constexpr Milliseconds LeavingInterval{30};
+// The platform's bounds: for requests to a server that has said that it leaves,
+// and for a configuration to be in force.
+constexpr Milliseconds DrainTime{2000};
+constexpr Milliseconds ApplyTime{2000};
 constexpr Milliseconds CallerTimeout{6000};
 // Time from SIGTERM to SIGKILL, as in the instances' settings.
 constexpr Milliseconds GraceTime{8000};
@@ -105,9 +114,11 @@
          makeRoute("/t/", "streaming", "llm", true) + "," +
          makeRoute("/c/", "idempotent", "fragile", false) + "," +
          makeRoute("/p/", "streaming", "prompted", true) + "," +
-         makeRoute("/l/", "idempotent", "limited", false) +
+         makeRoute("/l/", "idempotent", "limited", false) + "," +
+         makeRoute("/e/", "idempotent", "leaving", false) +
          "],\"services\":[{\"name\":\"bays\"},{\"name\":\"fragile\"},"
          "{\"name\":\"limited\"},{\"name\":\"prompted\"},"
+         "{\"name\":\"leaving\"},"
          "{\"name\":\"llm\",\"runtime\":{"
          "\"slots\":64,\"kv-capacity\":60000,\"stride\":11,\"kv-ttl-s\":0.5,"
          "\"hold-ms\":2000}}]}";
@@ -142,6 +153,12 @@
   void runPromptCaller(test::GatewayFleet &Fleet, uint64_t Seed);
   // Sends more requests than the limits of their servers allow.
   void runLimitedCaller(test::GatewayFleet &Fleet, int Number, uint64_t Seed);
+  // Sends requests to servers that say one after the other that they leave.
+  void runLeavingCaller(test::GatewayFleet &Fleet, uint64_t Seed);
+  void announceLeaving(uint64_t Seed);
+  void checkLeaving();
+  // Lets the store go away again and again and come back from an older copy.
+  void loseWrites(test::GatewayFleet &Fleet, uint64_t Seed);
   // Whether the instance that got the request was undisturbed for the contact
   // time before.
   bool inTouch(const std::string &RequestId, TimePoint At);
@@ -188,6 +205,7 @@
   std::map<std::string, std::vector<TimePoint>> Disturbed; // by instance
   std::map<std::string, std::string> SentTo; // instance, by request
   std::vector<std::unique_ptr<test::LimitedServer>> LimitedServers;
+  std::vector<std::unique_ptr<test::AnnouncingServer>> LeavingServers;
   std::set<std::string> RejectedIds; // ids of requests reported as not run
   std::mutex RejectedMutex;
   uint64_t Version = 1;
@@ -232,6 +250,12 @@
                     test::serverEntry(
                         "limited", LimitedServers.back()->server().address()));
   }
+  for (int i = 0; i < LeavingServerCount; ++i) {
+    LeavingServers.push_back(std::make_unique<test::AnnouncingServer>());
+    Fleet.Store.put(
+        "servers/e-" + std::to_string(i),
+        test::serverEntry("leaving", LeavingServers.back()->address()));
+  }
   Fleet.Store.put("op/config", makeConfig(Version));
 }
 
@@ -318,6 +342,58 @@
   }
 }
 
+void Soak::runLeavingCaller(test::GatewayFleet &Fleet, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int i = 0; !FaultsDone.load(); ++i) {
+    std::this_thread::sleep_for(LeavingInterval);
+    sendOne(Fleet, random, "/e/x", "leaving-" + std::to_string(i), "body");
+  }
+}
+
+void Soak::announceLeaving(uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int i = 0; i + 1 < LeavingServerCount && !StopRequested.load(); ++i) {
+    std::this_thread::sleep_for(Milliseconds(200 + random() % 1500));
+    LeavingServers[static_cast<size_t>(i)]->announceLeaving();
+  }
+}
+
+void Soak::checkLeaving() {
+  for (size_t i = 0; i < LeavingServers.size(); ++i) {
+    std::optional<TimePoint> told = LeavingServers[i]->announcedAt();
+    if (!told)
+      continue;
+    size_t late = 0;
+    for (const auto &it : LeavingServers[i]->arrivalsSince(*told + DrainTime))
+      late += inTouch(it.RequestId, it.At);
+    if (late > 0)
+      Violations.add("server e-" + std::to_string(i) + " got " +
+                     std::to_string(late) +
+                     " requests late after it said that it leaves");
+  }
+}
+
+void Soak::loseWrites(test::GatewayFleet &Fleet, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  auto pause = [&](int Least, unsigned Spread) {
+    std::this_thread::sleep_for(
+        Milliseconds(Least + static_cast<int>(random() % Spread)));
+  };
+  while (!StopRequested.load()) {
+    pause(300, 700);
+    Fleet.Store.copy();
+    pause(200, 1200);
+    Fleet.Store.setAway(true);
+    pause(100, 500);
+    {
+      std::lock_guard lock(FleetMutex); // the configuration is written with it
+      Fleet.Store.restore();
+      Fleet.Store.writeLostAgain();
+    }
+    Fleet.Store.setAway(false);
+  }
+}
+
 bool Soak::inTouch(const std::string &RequestId, TimePoint At) {
   const std::vector<TimePoint> &times = Disturbed[SentTo[RequestId]];
   return std::none_of(times.begin(), times.end(), [&](TimePoint Time) {
@@ -639,6 +715,7 @@
     restartExited(Fleet);
     std::this_thread::sleep_for(Milliseconds(50));
   }
+  std::string latest = "\"config_version\":" + std::to_string(Version) + ",";
   for (GatewayInstance &it : Fleet.Instances) {
     if (!test::GatewayFleet::waitForReady(it)) {
       Violations.add(it.Name + " is not ready after the faults");
@@ -652,6 +729,13 @@
         test::WaitTimeout);
     if (!served)
       Violations.add(it.Name + " serves nothing after the faults");
+    if (!test::eventually(
+            [&] {
+              return test::GatewayFleet::get(it.Ready, "/state", "")
+                         .find(latest) != std::string::npos;
+            },
+            ApplyTime))
+      Violations.add(it.Name + " hasn't the latest configuration in force");
   }
 }
 
@@ -669,7 +753,13 @@
   std::mt19937_64 seeds(Random);
   std::mt19937_64 cutSeeds(Random);
   threads.emplace_back([&, seed = cutSeeds() + 1] { cutFirstInstance(seed); });
+  // Draws of their own, for the same reason.
+  std::mt19937_64 leavingSeeds(cutSeeds());
+  threads.emplace_back([&, seed = leavingSeeds()] { announceLeaving(seed); });
+  threads.emplace_back([&, seed = leavingSeeds()] { loseWrites(fleet, seed); });
   std::vector<std::thread> untilRecovered;
+  untilRecovered.emplace_back(
+      [&, seed = leavingSeeds()] { runLeavingCaller(fleet, seed); });
   untilRecovered.emplace_back(
       [&, seed = seeds()] { runCrashingCaller(fleet, seed); });
   for (int i = 0; i < LimitedCallerCount; ++i)
@@ -696,6 +786,7 @@
     Violations.add(std::to_string(SoundPromptsRefused) +
                    " sound prompts were refused for a part");
   checkLimits();
+  checkLeaving();
   FragileServers.clear(); // they use the fleet's store
   PartServers.clear();
   for (const std::string &it : RejectedIds)
