Pass a reset on in the cut proxy, and keep the logs of replaced processes

A response without a length that is reset isn't complete; one that is closed may be.

Change: the cut proxy resets the other side, as the fault proxy does. The soak writes the output of replaced processes as well.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -198,7 +198,8 @@
   test::CrashLog PartCrashes;
   std::vector<std::unique_ptr<test::CrashingServer>> PartServers;
   std::atomic<int> SoundPromptsRefused{0};
-  std::mutex FleetMutex; // guards the instances' Process pointers
+  std::mutex FleetMutex;   // guards the instances' Process pointers
+  std::string EndedOutput; // of processes that have been replaced
   std::map<int, TimePoint> TerminatedAt; // time of SIGTERM by process id
   std::set<int> PausedPids;              // ids of processes that got SIGSTOP
   std::set<std::string> RejectingFor;    // instances that the store rejects
@@ -656,6 +657,7 @@
     }
     if (it.Process->waitForExit(Milliseconds(0))) {
       disturb(it);
+      EndedOutput += it.Process->output() + "\n";
       Fleet.start(it);
     }
   }
@@ -801,9 +803,11 @@
             << "\n";
   for (size_t i = 0; i < std::min<size_t>(Violations.Texts.size(), 10); ++i)
     std::cout << "  " << Violations.Texts[i].substr(0, 300) << "\n";
-  if (!Violations.Texts.empty() || KeepLogs)
+  if (!Violations.Texts.empty() || KeepLogs) {
+    std::cerr << EndedOutput;
     for (GatewayInstance &it : fleet.Instances)
       std::cerr << it.Process->output() << "\n";
+  }
   return Violations.Texts.empty();
 }
 
--- a/test/cut_proxy.cc
+++ b/test/cut_proxy.cc
@@ -28,6 +28,13 @@
   return address;
 }
 
+void resetConnection(int Fd) {
+  // Disconnecting a TCP socket resets its connection.
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  ::connect(Fd, &none, sizeof none);
+}
+
 } // namespace
 
 CutProxy::CutProxy(std::string Target) : Target(std::move(Target)) {
@@ -110,12 +117,8 @@
       NewForm == CutForm::Silent)
     listen();
   if (NewForm == CutForm::Reset)
-    for (int it : Open) {
-      // Disconnecting a TCP socket resets its connection.
-      sockaddr none{};
-      none.sa_family = AF_UNSPEC;
-      ::connect(it, &none, sizeof none);
-    }
+    for (int it : Open)
+      resetConnection(it);
 }
 
 void CutProxy::accept() {
@@ -146,6 +149,7 @@
     Open.insert(upstream);
   }
   bool open = upstream >= 0;
+  bool broken = false; // by a reset of one side, which the other one must see
   pollfd fds[2] = {{Fd, POLLIN, 0}, {upstream, POLLIN, 0}};
   while (open && !Stopping.load()) {
     waitWhileSilent();
@@ -157,6 +161,7 @@
       char buf[16384];
       ssize_t n = ::recv(fds[i].fd, buf, sizeof buf, 0);
       open = n > 0;
+      broken = broken || n < 0;
       if (open)
         sendText(fds[1 - i].fd, {buf, static_cast<size_t>(n)});
     }
@@ -164,6 +169,8 @@
   std::lock_guard lock(Mutex);
   for (int it : {Fd, upstream}) {
     Open.erase(it);
+    if (it >= 0 && broken)
+      resetConnection(it);
     if (it >= 0)
       ::close(it);
   }
