Share the load, the responses and the wait for states among process tests

Cause: the tests of leaving servers, eras and limits had the same caller threads, the same scripted server and the same wait for the states of all instances twice or thrice.

Change: FleetLoad, modelServerResponse() and GatewayFleet::waitForState() serve all of them. Checks and bounds are unchanged; the soak names the configuration that isn't in force once for the fleet.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -731,14 +731,9 @@
         test::WaitTimeout);
     if (!served)
       Violations.add(it.Name + " serves nothing after the faults");
-    if (!test::eventually(
-            [&] {
-              return test::GatewayFleet::get(it.Ready, "/state", "")
-                         .find(latest) != std::string::npos;
-            },
-            ApplyTime))
-      Violations.add(it.Name + " hasn't the latest configuration in force");
   }
+  if (!Fleet.waitForState(latest, ApplyTime))
+    Violations.add("the latest configuration isn't in force everywhere");
 }
 
 bool Soak::run() {
--- a/test/announcing_server.cc
+++ b/test/announcing_server.cc
@@ -64,22 +64,11 @@
     work = Work;
     refusing = Refusing;
   }
-  std::string response;
-  if (refusing)
-    response = httpResponse(503, "");
-  else if (Request.starts_with("POST /api/hold-take"))
-    response = httpResponse(200, "{\"retention\":\"r1\"}");
-  else if (Request.starts_with("DELETE "))
-    response = httpResponse(200, "{}");
-  else if (Request.starts_with("GET /api/report"))
-    response = httpResponse(200, "{\"phase\":\"unified\",\"sequence\":0}");
-  else if (!headerField(Request, "Inference-Phase").empty())
-    response = httpResponse(
-        200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
-  else {
+  bool run = !id.empty() && headerField(Request, "Inference-Phase").empty();
+  if (run && !refusing)
     std::this_thread::sleep_for(work);
-    response = signedResponse(200, "id: 1\ndata: x\n\n", id);
-  }
+  std::string response =
+      refusing ? httpResponse(503, "") : modelServerResponse(Request);
   std::lock_guard lock(Mutex);
   if (!Fields.empty()) {
     response.insert(response.find("\r\n") + 2, Fields);
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -70,6 +70,20 @@
          " X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string modelServerResponse(const std::string &Request) {
+  if (Request.starts_with("POST /api/hold-take"))
+    return httpResponse(200, "{\"retention\":\"r1\"}");
+  if (Request.starts_with("DELETE "))
+    return httpResponse(200, "{}");
+  if (Request.starts_with("GET /api/report"))
+    return httpResponse(200, "{\"phase\":\"unified\",\"sequence\":0}");
+  if (!headerField(Request, "Inference-Phase").empty())
+    return httpResponse(
+        200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
+  return signedResponse(200, "id: 1\ndata: x\n\n",
+                        headerField(Request, "Attempt-Id"));
+}
+
 GatewayFixture::GatewayFixture()
     : Codec(platform::makeHttpCodec()),
       Document(std::make_shared<RouteDocument>()), Directory(Values, 7) {
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -46,6 +46,10 @@
 // A refusal that states that the request wasn't executed.
 std::string refusal(int Status = 503);
 
+// Response of a server that serves plain requests, prefills, reservations,
+// reports and streams of one event.
+std::string modelServerResponse(const std::string &Request);
+
 struct GatewayFixture {
   GatewayFixture();
 
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -1,5 +1,6 @@
 #include "gateway_fleet.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <fstream>
@@ -319,6 +320,17 @@
   return eventually([&] { return readiness(Item) == 200; }, WaitTimeout);
 }
 
+bool GatewayFleet::waitForState(const std::string &Part,
+                                Milliseconds Limit) const {
+  return eventually(
+      [&] {
+        return std::ranges::all_of(Instances, [&](const GatewayInstance &It) {
+          return get(It.Ready, "/state", "").find(Part) != std::string::npos;
+        });
+      },
+      Limit);
+}
+
 std::string GatewayFleet::get(const std::string &Address,
                               const std::string &Path,
                               const std::string &Fields) {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -132,6 +132,8 @@
   // Status of the readiness probe; 0 without a response.
   static int readiness(const GatewayInstance &Item);
   static bool waitForReady(const GatewayInstance &Item);
+  // Waits until the states of all instances contain the text.
+  bool waitForState(const std::string &Part, Milliseconds Limit) const;
   // Sends a request on a new connection and returns everything received.
   static std::string get(const std::string &Address, const std::string &Path,
                          const std::string &Fields);
--- a/test/gateway_server_leaving_process_test.cc
+++ b/test/gateway_server_leaving_process_test.cc
@@ -3,7 +3,6 @@
 #include "announcing_server.h"
 #include "fleet_load.h"
 
-#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <memory>
@@ -81,15 +80,7 @@
   // Until a request goes to the server.
   while (!setup.Servers[0].announcedAt())
     GatewayFleet::sendRequest(setup.Fleet.Instances[5], "/x/y");
-  CHECK(eventually(
-      [&] {
-        return std::ranges::all_of(
-            setup.Fleet.Instances, [](const GatewayInstance &It) {
-              return GatewayFleet::get(It.Ready, "/state", "")
-                         .find("\"leaving\":true") != std::string::npos;
-            });
-      },
-      DrainTime));
+  CHECK(setup.Fleet.waitForState("\"leaving\":true", DrainTime));
   auto taken = std::chrono::duration_cast<Milliseconds>(
       Clock::now() - announcedAt(setup.Servers[0]));
   MESSAGE("8 instances know it after " << taken.count() << " ms");
--- a/test/gateway_server_limit_process_test.cc
+++ b/test/gateway_server_limit_process_test.cc
@@ -1,9 +1,8 @@
 // Tests gateway instances as processes whose servers state request limits.
+#include "fleet_load.h"
 #include "gateway_fleet.h"
 #include "limited_server.h"
 
-#include <algorithm>
-#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
@@ -20,41 +19,6 @@
 // The part of a limit that is to be used while demand is above it.
 constexpr double UsedPart = 0.9;
 constexpr Milliseconds UsedWindow{10000};
-constexpr Milliseconds SendInterval{40};
-
-// Sends requests to the instances from one thread each until the time.
-class Load {
-public:
-  Load(GatewayFleet &Fleet, const std::vector<size_t> &Instances,
-       const std::string &Path = "/x/y") {
-    for (size_t i : Instances)
-      Threads.emplace_back([this, &Fleet, i, Path] {
-        while (!Stopping.load()) {
-          std::string response =
-              GatewayFleet::get(Fleet.Instances[i].Callers, Path,
-                                "Attempt-Id: a1\r\nToken-Usage: "
-                                "500,100\r\nDeadline-Ms: 2000\r\n");
-          ++(response.starts_with("HTTP/1.1 200") ? Served : Refused);
-          std::this_thread::sleep_for(SendInterval);
-        }
-      });
-  }
-  ~Load() { stop(); }
-  void stop() {
-    Stopping.store(true);
-    for (std::thread &it : Threads)
-      if (it.joinable())
-        it.join();
-  }
-  size_t served() const { return Served.load(); }
-  size_t refused() const { return Refused.load(); }
-
-private:
-  std::atomic<bool> Stopping{false};
-  std::atomic<size_t> Served{0};
-  std::atomic<size_t> Refused{0};
-  std::vector<std::thread> Threads;
-};
 
 TimePoint statedAt(const LimitedServer &Server) {
   std::optional<TimePoint> time = Server.statedAt();
@@ -81,7 +45,7 @@
 TEST_CASE("A server gets at most the requests that it states") {
   LimitFleet setup(4);
   setup.Limited.setLimit(2.1);
-  Load load(setup.Fleet, {0, 1, 2, 3});
+  FleetLoad load(setup.Fleet, {0, 1, 2, 3});
   std::this_thread::sleep_for(ContactTime + UsedWindow);
   load.stop();
   TimePoint from = statedAt(setup.Limited) + ContactTime;
@@ -95,7 +59,7 @@
 TEST_CASE("A server's limit is used where one instance has all requests") {
   LimitFleet setup(4);
   setup.Limited.setLimit(4);
-  Load load(setup.Fleet, {2});
+  FleetLoad load(setup.Fleet, {2});
   std::this_thread::sleep_for(ContactTime + UsedWindow);
   load.stop();
   TimePoint from = statedAt(setup.Limited) + ContactTime;
@@ -108,7 +72,7 @@
 TEST_CASE("A server's limit changes and ends while requests come in") {
   LimitFleet setup(4);
   setup.Limited.setLimit(8);
-  Load load(setup.Fleet, {0, 1, 2, 3});
+  FleetLoad load(setup.Fleet, {0, 1, 2, 3});
   std::this_thread::sleep_for(ContactTime);
   setup.Limited.setLimit(0.3);
   TimePoint lowered = Clock::now();
@@ -147,7 +111,7 @@
   std::this_thread::sleep_for(Milliseconds(2500));
   prefill.setLimit(2.5);
   decode.setLimit(4);
-  Load load(fleet, {0, 1, 2, 3}, "/t/x");
+  FleetLoad load(fleet, {0, 1, 2, 3}, "/t/x");
   std::this_thread::sleep_for(ContactTime + 2 * LimitWindow);
   load.stop();
   CHECK(prefill.mostInWindow(statedAt(prefill) + ContactTime) <=
@@ -161,7 +125,7 @@
 TEST_CASE("A limit holds while the instance that divides it is stopped") {
   LimitFleet setup(4);
   setup.Limited.setLimit(4);
-  Load load(setup.Fleet, {0, 1, 2, 3});
+  FleetLoad load(setup.Fleet, {0, 1, 2, 3});
   std::this_thread::sleep_for(ContactTime);
   TimePoint from = Clock::now();
   // Each is stopped for some time, so that the owner is among them.
@@ -181,15 +145,7 @@
   // Until the request goes to the server with the limit.
   while (!setup.Limited.statedAt())
     GatewayFleet::sendRequest(setup.Fleet.Instances[5], "/x/y");
-  CHECK(eventually(
-      [&] {
-        return std::ranges::all_of(
-            setup.Fleet.Instances, [](const GatewayInstance &It) {
-              return GatewayFleet::get(It.Ready, "/state", "")
-                         .find("\"limit_per_s\":5.000") != std::string::npos;
-            });
-      },
-      ContactTime));
+  CHECK(setup.Fleet.waitForState("\"limit_per_s\":5.000", ContactTime));
   auto taken = std::chrono::duration_cast<Milliseconds>(
       Clock::now() - statedAt(setup.Limited));
   MESSAGE("8 instances know the limit after " << taken.count() << " ms");
--- a/test/gateway_store_era_process_test.cc
+++ b/test/gateway_store_era_process_test.cc
@@ -4,7 +4,6 @@
 #include "announcing_server.h"
 #include "fleet_load.h"
 
-#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <thread>
@@ -38,7 +37,7 @@
     for (int i = 0; i < 20; ++i)
       Fleet.addServer("s1", Servers[0].server());
     Fleet.Store.put("op/config", configOf(2, "/x/"));
-    REQUIRE(allHave("\"config_version\":2"));
+    REQUIRE(Fleet.waitForState("\"config_version\":2", WaitTimeout));
   }
 
   // Comes back from the copy with `WriteAgain` done before any instance reads.
@@ -56,18 +55,6 @@
     Fleet.Store.setAway(false);
   }
 
-  bool allHave(const std::string &Part, Milliseconds Limit = WaitTimeout) {
-    return eventually(
-        [&] {
-          return std::ranges::all_of(
-              Fleet.Instances, [&](const GatewayInstance &It) {
-                return GatewayFleet::get(It.Ready, "/state", "").find(Part) !=
-                       std::string::npos;
-              });
-        },
-        Limit);
-  }
-
   long sinceReturn() const {
     return static_cast<long>(
         std::chrono::duration_cast<Milliseconds>(Clock::now() - BackAt)
@@ -89,7 +76,7 @@
     uint64_t callsBefore = setup.Fleet.Store.calls();
     setup.comeBack(
         [&] { setup.Fleet.Store.put("op/config", configOf(4, "/y/")); });
-    CHECK(setup.allHave("\"config_version\":4", ApplyTime));
+    CHECK(setup.Fleet.waitForState("\"config_version\":4", ApplyTime));
     MESSAGE("version 4 in force after "
             << setup.sinceReturn() << " ms, "
             << setup.Fleet.Store.calls() - callsBefore
@@ -106,7 +93,7 @@
   setup.Fleet.Store.put("op/config", configOf(4, "/y/"));
   setup.Fleet.Store.setRevision(known + 20);
   setup.BackAt = Clock::now();
-  CHECK(setup.allHave("\"config_version\":4", ApplyTime));
+  CHECK(setup.Fleet.waitForState("\"config_version\":4", ApplyTime));
   MESSAGE("version 4 in force after " << setup.sinceReturn() << " ms");
 }
 
@@ -186,5 +173,5 @@
   OlderStore setup(4, /*PassesKnown=*/true);
   setup.comeBack([] {});
   std::this_thread::sleep_for(MeasuredTime);
-  CHECK(setup.allHave("\"config_version\":2", Milliseconds(0)));
+  CHECK(setup.Fleet.waitForState("\"config_version\":2", Milliseconds(0)));
 }
--- a/test/limited_server.cc
+++ b/test/limited_server.cc
@@ -46,16 +46,7 @@
     if (limit != NoLimit && !FirstStatedAt)
       FirstStatedAt = Clock::now();
   }
-  std::string response;
-  if (Request.starts_with("POST /api/hold-take"))
-    response = httpResponse(200, "{\"retention\":\"r1\"}");
-  else if (Request.starts_with("DELETE "))
-    response = httpResponse(200, "{}");
-  else if (!headerField(Request, "Inference-Phase").empty())
-    response = httpResponse(
-        200, "{\"kv-handle\":\"h\",\"token-count\":9,\"version\":1}");
-  else
-    response = signedResponse(200, "id: 1\ndata: x\n\n", id);
+  std::string response = modelServerResponse(Request);
   if (limit != NoLimit)
     response.insert(response.find("\r\n") + 2,
                     "Server-Limit: " + std::to_string(limit) + "\r\n");
