End a pause only once a peer has confirmed the view since

Cause: a paused router can handle a list or a frame before its timer notices the pause.

Change: the first event after a gap detects the pause, whatever it is; the time of the gap doesn't count as silence of peers; the pause ends with a heartbeat that responds to one sent after it, once this instance has the list that it names, or without linked peers. The test of the end of a pause demanded that any frame or list ends it; it is replaced by one that demands more.

--- a/src/core_assignments.cc
+++ b/src/core_assignments.cc
@@ -79,6 +79,10 @@
                                       const Heartbeat &Message,
                                       ActionList &Out) {
   Peers.onHeartbeat(From, Message, Now);
+  // Zero: the peer hasn't received any.
+  if (Paused && Message.Echo != 0 &&
+      static_cast<int64_t>(Message.Echo - LastNumberBeforePause) > 0)
+    ListAfterPause = std::max(ListAfterPause.value_or(0), Message.ListSequence);
   CoreContext context = this->context(Out);
   Keys.onHeartbeat(context, From, Incarnation, Message);
   for (const LeaseSummary &it : Message.Leases) {
--- a/src/core_lifecycle.cc
+++ b/src/core_lifecycle.cc
@@ -15,13 +15,17 @@
 
 using internal::CoreContext;
 
+// Any event can be the first one after a pause, not only a timer's.
+void DecisionCore::State::detectPause(ActionList &Out) {
+  if (!LastTimer || Now - *LastTimer <= PauseThreshold)
+    return;
+  onPause(std::chrono::duration_cast<Milliseconds>(Now - *LastTimer), Out);
+  LastTimer = Now;
+}
+
 void DecisionCore::State::onTimer(ActionList &Out) {
-  if (LastTimer && Now - *LastTimer > PauseThreshold)
-    onPause(std::chrono::duration_cast<Milliseconds>(Now - *LastTimer), Out);
   LastTimer = Now;
   AssignmentsStale = true;
-  if (!Peers.hasLinkedPeer())
-    endPause(Out);
   CoreContext context = this->context(Out);
   if (!LastHeartbeat || Now - *LastHeartbeat >= Options.HeartbeatPeriod) {
     LastHeartbeat = Now;
@@ -47,6 +51,9 @@
                                ErrorKind::Internal,
                                std::chrono::duration<double>(Gap).count()});
   Paused = true;
+  LastNumberBeforePause = Keys.lastHeartbeatNumber();
+  ListAfterPause.reset();
+  Peers.onPause(Gap, Now);
   Requests.holdDispatch();
   if (!internal::usesShardOwners(Options.Policy))
     return;
@@ -56,9 +63,19 @@
   Owned.clear();
 }
 
-void DecisionCore::State::endPause(ActionList &Out) {
+// Frames and lists that were received may have waited since before the pause.
+// The view is current once a peer has responded to a heartbeat sent after it
+// and this instance has that peer's list, or if there is no peer.
+void DecisionCore::State::endPauseIfCurrent(ActionList &Out) {
   if (!Paused)
     return;
+  bool current =
+      ListAfterPause && (List ? List->Sequence : 0) >= *ListAfterPause;
+  if (current || !Peers.hasLinkedPeer())
+    endPause(Out);
+}
+
+void DecisionCore::State::endPause(ActionList &Out) {
   Paused = false;
   updateOwners(Out);
   CoreContext context = this->context(Out);
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -72,7 +72,9 @@
 
   // core_lifecycle.cc: time, readiness, pauses and shutdown
   void onTimer(ActionList &Out);
+  void detectPause(ActionList &Out);
   void onPause(Milliseconds Gap, ActionList &Out);
+  void endPauseIfCurrent(ActionList &Out);
   void endPause(ActionList &Out);
   void updateReadiness(ActionList &Out);
   bool heardFromAllPeers() const;
@@ -119,6 +121,10 @@
   std::optional<TimePoint> ServableSince; // configuration and list active
   bool Ready = false;
   bool Paused = false;
+  uint64_t LastNumberBeforePause = 0; // of this instance's heartbeats
+  // The latest list of a peer that has received a heartbeat sent after the
+  // pause; nothing until there is one.
+  std::optional<uint64_t> ListAfterPause;
   bool Draining = false;
   bool Stopped = false;
   TimePoint ShutdownDeadline;
--- a/src/decision_core.cc
+++ b/src/decision_core.cc
@@ -74,7 +74,9 @@
   Now = Item.At;
   Wall = Item.Wall;
   ActionList queue = std::exchange(Deferred, {});
+  detectPause(queue);
   dispatch(Item, queue);
+  endPauseIfCurrent(queue);
   deliverSelfMessages(queue, Actions);
   if (std::exchange(AssignmentsStale, false)) {
     updateOwners(queue);
@@ -144,13 +146,11 @@
 
 void DecisionCore::State::onPublished(const ListPublished &Body,
                                       ActionList &Out) {
-  endPause(Out);
   onList(Body.List, Out);
 }
 
 void DecisionCore::State::onPublished(const ConfigPublished &Body,
                                       ActionList &Out) {
-  endPause(Out);
   onConfigPublished(Body.Document, Out);
 }
 
@@ -174,7 +174,6 @@
     return;
   if (Peers.onFrameReceived(Body.From, Body.Incarnation, Now))
     onInstanceStopped(Body.From, Out);
-  endPause(Out);
   onMessage(Body.From, Body.Incarnation, Body.Message, Out);
 }
 
--- a/src/key_home.cc
+++ b/src/key_home.cc
@@ -443,6 +443,10 @@
   Impl->Lists.fill(Context, To, Message);
 }
 
+uint64_t KeyHome::lastHeartbeatNumber() const {
+  return Impl->Lists.lastHeartbeatNumber();
+}
+
 void KeyHome::onHeartbeat(CoreContext &Context, const std::string &From,
                           uint64_t Incarnation, const Heartbeat &Message) {
   Impl->Lists.onHeartbeat(Context, From, Incarnation, Message);
--- a/src/key_home.h
+++ b/src/key_home.h
@@ -79,6 +79,7 @@
                      Heartbeat &Message);
   void onHeartbeat(CoreContext &Context, const std::string &From,
                    uint64_t Incarnation, const Heartbeat &Message);
+  uint64_t lastHeartbeatNumber() const;
   void onListChanged(CoreContext &Context);
   void onTimer(CoreContext &Context);
 
--- a/src/list_confirmation.h
+++ b/src/list_confirmation.h
@@ -78,6 +78,8 @@
   void fill(CoreContext &Context, const std::string &To, Heartbeat &Message);
   void onHeartbeat(CoreContext &Context, const std::string &From,
                    uint64_t Incarnation, const Heartbeat &Message);
+  // Number of the last heartbeat that was filled, to any peer.
+  uint64_t lastHeartbeatNumber() const { return LastSent; }
 
   // Time until which the list that this instance confirms is known to be
   // active; in the past if it isn't active.
--- a/src/peer_table.cc
+++ b/src/peer_table.cc
@@ -51,6 +51,13 @@
   Peers[Name].SaidGoodbye = true;
 }
 
+void PeerTable::onPause(Milliseconds Gap, TimePoint Now) {
+  for (auto &[name, peer] : Peers) {
+    peer.LastSeen = std::min(peer.LastSeen + Gap, Now);
+    peer.LastPlatformRead = std::min(peer.LastPlatformRead + Gap, Now);
+  }
+}
+
 void PeerTable::removeNotSeenSince(TimePoint Limit) {
   std::erase_if(Peers, [&](const auto &Item) {
     return !Item.second.Up && Item.second.LastSeen < Limit;
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -37,6 +37,9 @@
   void onHeartbeat(const std::string &Name, const Heartbeat &Message,
                    TimePoint Now);
   void onGoodbye(const std::string &Name);
+  // This process didn't run for `Gap`, so the silence of its peers in that time
+  // doesn't count.
+  void onPause(Milliseconds Gap, TimePoint Now);
 
   // Removes unlinked peers that were last seen before `Limit`.
   void removeNotSeenSince(TimePoint Limit);
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -103,6 +103,34 @@
         }));
   }
 
+  // Number of the last heartbeat sent to the peer since the start.
+  uint64_t lastHeartbeatNumber(const std::string &To) const {
+    uint64_t number = 0;
+    for (const Action &it : AllActions)
+      if (auto *item = std::get_if<SendToPeer>(&it))
+        if (auto *message = std::get_if<Heartbeat>(&item->Message);
+            message && item->Instance == To)
+          number = message->Number;
+    return number;
+  }
+
+  // A heartbeat of the peer that responds to the last one sent to it.
+  Heartbeat confirmation(const std::string &Peer) const {
+    Heartbeat answer;
+    answer.ListSequence = 1;
+    answer.Echo = lastHeartbeatNumber(Peer);
+    return answer;
+  }
+
+  // Counts the decisions since the start.
+  size_t countAllDecisions(DecisionKind Kind) const {
+    return static_cast<size_t>(std::count_if(
+        AllActions.begin(), AllActions.end(), [&](const Action &It) {
+          auto *decision = std::get_if<DecisionRecord>(&It);
+          return decision && decision->Kind == Kind;
+        }));
+  }
+
   template <typename T> size_t count() const {
     size_t n = 0;
     for (const Action &it : Last)
@@ -438,35 +466,103 @@
 }
 
 // Guards against a process that resumes after a pause and dispatches by its old
-// view.
-TEST_CASE("DecisionCore dispatches nothing after a pause until contacted") {
+// view. Frames and lists that waited in its sockets say nothing about now.
+TEST_CASE("DecisionCore dispatches nothing after a pause until its view is "
+          "confirmed") {
   LinkedCore core("e1");
+  uint64_t before = core.lastHeartbeatNumber("e2");
   core.deliver(TimerFired{}, Milliseconds{1001});
   CHECK(core.countDecisions(DecisionKind::PauseDetected) == 1);
+  Heartbeat answer = core.confirmation("e2");
+  REQUIRE(answer.Echo > before);
   core.deliver(RequestArrived{{7, 1}, serviceSpec(false), ""});
   CHECK_FALSE(core.last<StartService>());
-  SUBCASE("a peer is heard from") {
+  SUBCASE("a peer responds to a heartbeat sent after the pause") {
+    core.receive("e2", answer);
+    CHECK(core.last<StartService>());
+  }
+  SUBCASE("a peer's heartbeat waited since before") {
     core.receive("e2");
+    CHECK_FALSE(core.last<StartService>());
+    answer.Echo = before;
+    core.receive("e2", answer);
+    CHECK_FALSE(core.last<StartService>());
+  }
+  SUBCASE("the peer has a newer list") {
+    answer.ListSequence = 2;
+    core.receive("e2", answer);
+    CHECK_FALSE(core.last<StartService>());
+    core.deliver(ListPublished{parsedList(sampleListText(2, 3))});
     CHECK(core.last<StartService>());
   }
-  SUBCASE("the platform is heard from") {
+  SUBCASE("a list may have waited since before") {
     core.deliver(ListPublished{parsedList(sampleListText(2, 3))});
+    CHECK_FALSE(core.last<StartService>());
+    answer.ListSequence = 2;
+    core.receive("e3", answer);
     CHECK(core.last<StartService>());
   }
   SUBCASE("no peer is left") {
     core.link("e2", false);
-    core.link("e3", false);
     CHECK_FALSE(core.last<StartService>());
-    core.advance(Milliseconds{50});
+    core.link("e3", false);
     CHECK(core.last<StartService>());
   }
   SUBCASE("cancelled in the meantime") {
     core.deliver(RequestCancelled{{7, 1}});
-    core.receive("e2");
+    core.receive("e2", answer);
     CHECK_FALSE(core.last<StartService>());
   }
 }
 
+// Guards against an instance that takes its silent peers for gone because it
+// did not run itself: it would own their shards with a higher fence for a
+// moment, and decode servers would refuse the true owner from then on.
+TEST_CASE("DecisionCore takes over no shard on the first event after a pause") {
+  constexpr Milliseconds Pause{2500}; // peers count as gone after 1500 ms
+  for (const char *name : {"e1", "e2", "e3"}) {
+    CAPTURE(name);
+    LinkedCore core(name);
+    size_t owned = core.countAllDecisions(DecisionKind::OwnershipGained);
+    SUBCASE("a list") {
+      core.deliver(ListPublished{parsedList(sampleListText(2, 3))}, Pause);
+    }
+    SUBCASE("a configuration") {
+      SampleOptions newer;
+      newer.Version = 2;
+      newer.Base = 1;
+      core.deliver(ConfigPublished{parsedConfig(sampleConfigText(newer))},
+                   Pause);
+    }
+    SUBCASE("a frame of one peer") {
+      core.Now += Pause;
+      core.receive(core.Peers.front());
+    }
+    SUBCASE("a timer") { core.deliver(TimerFired{}, Pause); }
+    core.deliver(TimerFired{}, Milliseconds{500}); // sends heartbeats
+    core.receive(core.Peers.front(), core.confirmation(core.Peers.front()));
+    CHECK(core.countAllDecisions(DecisionKind::PauseDetected) == 1);
+    // Its own shards begin again with a new fence.
+    CHECK(core.countAllDecisions(DecisionKind::OwnershipGained) == 2 * owned);
+  }
+}
+
+// Guards against a paused instance for which a peer that died meanwhile stays
+// reachable for good.
+TEST_CASE("DecisionCore takes over from a peer that is silent after a pause") {
+  size_t shards = 0;
+  for (const char *name : {"e1", "e2", "e3"}) {
+    LinkedCore core(name);
+    core.deliver(TimerFired{}, Milliseconds{2500});
+    core.receive(core.Peers.front(), core.confirmation(core.Peers.front()));
+    core.advance(Milliseconds{1600}); // none of the peers sends a frame
+    CHECK(core.countAllDecisions(DecisionKind::PauseDetected) == 1);
+    shards += core.countAllDecisions(DecisionKind::OwnershipGained) -
+              core.countAllDecisions(DecisionKind::OwnershipLost);
+  }
+  CHECK(shards == 3); // each alone owns the only shard
+}
+
 // Guards against requests that stay with a former owner because the owner
 // changed during a pause.
 TEST_CASE("DecisionCore moves requests of owners that changed in a pause") {
@@ -478,7 +574,7 @@
   CHECK(core.sent<AcquireRequest>(shardRank()[1]));
   core.deliver(TimerFired{}, Milliseconds{1200});
   core.deliver(PeerLinkChanged{first, 21, true});
-  core.deliver(PeerReceived{first, 21, Heartbeat{}});
+  core.deliver(PeerReceived{first, 21, core.confirmation(first)});
   CHECK(core.sent<AcquireRequest>(first));
 }
 
@@ -491,7 +587,7 @@
   core.deliver(TimerFired{}, Milliseconds{3000});
   CHECK(core.countDecisions(DecisionKind::OwnershipLost) == 1);
   CHECK(core.count<CancelAtServer>() == 0);
-  core.receive(core.Peers[0]);
+  core.receive(core.Peers[0], core.confirmation(core.Peers[0]));
   CHECK(core.countDecisions(DecisionKind::OwnershipGained) == 1);
   CHECK(core.sent<LeaseListRequest>(core.Peers[0]));
   CHECK(core.count<CancelAtServer>() == 0);
