Let few instances of a large fleet read the store

Cause: every instance held two watches at the store, and each change at any server ended all of them.

Change: ReaderElection, a pure decision, lets one instance of each failure domain read, at least four in all, in rendezvous order and without messages of its own. What a reader learns is sent on at once as a difference, and lists are answered with what changed since the asker's revision. A directory that missed a change stays behind until it has it. All fields are added at the end of tables; an older build states no failure domain, reads for itself and gets whole lists.

The tests and the soak whose first instance reads a store of its own make all instances seeds, so that none learns servers from another.

Replays in virtual time and processes: 20 instances have four readers; a change published as all four end is in force within 4 s.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -261,6 +261,8 @@
 }
 
 void Soak::addCutProxies(test::GatewayFleet &Fleet) {
+  // The stores differ, so no instance may learn servers from another.
+  Fleet.makeAllSeeds();
   FirstInstanceStore.put("op/config", test::configOf(1, "/x/"));
   Fleet.Store.mirrorTo(FirstInstanceStore, [this](std::string Value) {
     for (const auto &[address, cut] : CutAddresses)
--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -3,6 +3,7 @@
 #include "crocusspur/instance_list.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace crocusspur::gateway {
@@ -147,6 +148,29 @@
   return addresses;
 }
 
+ReaderView MemberTable::readerView(const std::string &FailureDomain,
+                                   TimePoint Now) const {
+  ReaderView view;
+  std::set<std::string> domains{FailureDomain};
+  for (const auto &[name, state] : Members) {
+    if (Now - state.LastSeenAt >= MemberRetention)
+      continue;
+    ++view.FleetSize;
+    if (!state.Item.FailureDomain.empty())
+      domains.insert(state.Item.FailureDomain);
+    if (!FailureDomain.empty() && state.Item.FailureDomain == FailureDomain &&
+        !state.Item.Leaving && state.SkipUntil <= Now)
+      view.Others.push_back({name, state.Item.StoreFailing});
+  }
+  view.Domains = domains.size();
+  return view;
+}
+
+std::string MemberTable::addressOf(const std::string &Name) const {
+  auto it = Members.find(Name);
+  return it == Members.end() ? "" : it->second.Item.Address;
+}
+
 std::vector<Member> MemberTable::reaching(const std::string &Service,
                                           TimePoint Now) {
   std::vector<Member> found;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -11,6 +11,7 @@
 #include "crocusspur/types.h"
 #include "gateway/decisions/demand_meter.h"
 #include "gateway/decisions/reachability_table.h"
+#include "gateway/decisions/reader_election.h"
 
 #include <map>
 #include <optional>
@@ -48,6 +49,9 @@
   std::vector<IssuedStageOrder> Orders; // latest order of each service
   // Services whose servers respond to the instance.
   std::vector<ServiceReach> Reached{};
+  std::string FailureDomain{}; // empty: of a build that doesn't state it
+  // The store didn't respond to the instance lately.
+  bool StoreFailing = false;
 };
 
 // The instance that decides for the fleet on a key.
@@ -98,6 +102,11 @@
   std::vector<std::string> keepersOf(const std::string &Key,
                                      TimePoint Now) const;
 
+  // Returns the other instances of the failure domain that may read the store.
+  ReaderView readerView(const std::string &FailureDomain, TimePoint Now) const;
+  // Address of a known instance; empty if it isn't known.
+  std::string addressOf(const std::string &Name) const;
+
   // Returns the instances to pass requests on to: those to which servers of the
   // service have responded within the last seconds, then those that have called
   // none, both in random order. Excludes instances that are leaving, whose last
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -70,6 +70,8 @@
   member.Address = Values.PeerAddress;
   member.Incarnation = Incarnation;
   member.Leaving = Stopping.load();
+  member.FailureDomain = Values.FailureDomain;
+  member.StoreFailing = Readers.isStoreFailing();
   return member;
 }
 
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -11,6 +11,7 @@
 #include "gateway/server_call.h"
 #include "gateway/server_responses.h"
 #include "gateway/service_directory.h"
+#include "gateway/store_readers.h"
 #include "gateway/stream_origins.h"
 
 #include <atomic>
@@ -36,6 +37,7 @@
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
         Crashes(this->Values.Instance), Origins(Incarnation),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
+        Readers(this->Values, Incarnation, Peers, Directory),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
@@ -77,6 +79,7 @@
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
   Membership Peers;
+  StoreReaders Readers;
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -37,10 +37,11 @@
   auto reachedList = Out.CreateVector(reached);
   auto statsList = Out.CreateVector(stats);
   auto orderList = Out.CreateVector(orders);
-  return wire::CreateMember(Out, Out.CreateString(Item.Name),
-                            Out.CreateString(Item.Address), Item.Incarnation,
-                            static_cast<uint32_t>(Item.LastSeenAgo.count()),
-                            Item.Leaving, statsList, orderList, reachedList);
+  return wire::CreateMember(
+      Out, Out.CreateString(Item.Name), Out.CreateString(Item.Address),
+      Item.Incarnation, static_cast<uint32_t>(Item.LastSeenAgo.count()),
+      Item.Leaving, statsList, orderList, reachedList,
+      Out.CreateString(Item.FailureDomain), Item.StoreFailing);
 }
 
 flatbuffers::Offset<wire::ServerLimit> pack(Builder &Out,
@@ -76,6 +77,8 @@
     for (const wire::ServiceReach *it : *Item.reached())
       member.Reached.push_back(
           {textOf(it->service()), Milliseconds(it->ago_ms())});
+  member.FailureDomain = textOf(Item.failure_domain());
+  member.StoreFailing = Item.store_failing();
   return member;
 }
 
@@ -280,6 +283,8 @@
   auto serverList = out.CreateVector(servers);
   auto crashList = out.CreateVector(crashes);
   auto clearedList = out.CreateVector(cleared);
+  StoreRevision since = Frame.ChangesSince.value_or(StoreRevision());
+  auto confirmedAgo = Frame.StoreConfirmedAgo.value_or(Milliseconds(0));
   out.Finish(wire::CreateFrame(
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision.Number,
@@ -287,7 +292,10 @@
       clearedList, Frame.IsNotification, limitList, wantedPermit, permit,
       originList, wantedOrigin, origin, forwarded, leavingList,
       Frame.LeavingDigest, Frame.ServersRevision.Era,
-      Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra));
+      Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra,
+      Frame.StoreConfirmedAgo.has_value(),
+      static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
+      Frame.ChangesSince.has_value(), since.Number, since.Era));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -317,6 +325,11 @@
                                {it->era(), it->revision()},
                                it->gone(),
                                textOf(it->text())});
+  frame.AcceptsChanges = in.accepts_changes();
+  if (in.has_changes())
+    frame.ChangesSince = {in.changes_since_era(), in.changes_since_revision()};
+  if (in.store_confirmed())
+    frame.StoreConfirmedAgo = Milliseconds(in.store_confirmed_ago_ms());
   frame.CrashDigest = in.crash_digest();
   if (in.crashes())
     for (const wire::Crash *it : *in.crashes())
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -39,12 +39,19 @@
   StoreRevision ServersRevision;
   uint64_t StoreEra = 0;  // the highest that the sender knows
   std::string RoutesText; // empty: not in this frame
+  // `Servers` is the list of all servers.
   bool HasServers = false;
   std::vector<PublishedText> Servers;
+  // Whether the sender accepts changes in place of the list.
+  bool AcceptsChanges = false;
+  // `Servers` are all changes after this revision up to ServersRevision.
+  std::optional<StoreRevision> ChangesSince;
+  // How long ago the store had what the sender knows; nothing: not known.
+  std::optional<Milliseconds> StoreConfirmedAgo;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
-  // A request that notifies a peer at once of crashes, limits, leaving servers
-  // or an era: neither it nor its response lists the members.
+  // A request that notifies a peer at once of crashes, limits, leaving servers,
+  // an era or published changes: neither it nor its response lists the members.
   bool IsNotification = false;
   std::vector<ServerLimit> Limits; // that the sender knows
   // Servers that leave, and LeavingServers::digest() of all that the sender
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -3,7 +3,8 @@
 // one round at most. Membership spreads in every round; routes and servers are
 // sent only to instances that can't read the store or have just started. What
 // an instance learns about crashes of servers, their request limits, servers
-// that leave and the store's era it sends on at once, and its rounds fetch what
+// that leave, the store's era and, in a large fleet, what the store has
+// published, it sends on at once, and its rounds fetch what
 // it has missed. Permits for calls to servers with limits are exchanged by the
 // threads of the requests. Requests that another instance passes on are handled
 // on the threads of their connections.
@@ -58,6 +59,14 @@
 // considered dead.
 constexpr Milliseconds LateCallMargin{300};
 
+// In a fleet in which few instances read, notifications bring changes to the
+// others within this time.
+constexpr Milliseconds NotificationTime{300};
+// Forwarded changes are batched, since several instances read and forward them.
+constexpr Milliseconds ChangeBatchDelay{80};
+// More changes are left to the rounds.
+constexpr size_t MaxChangesPerNotification = 64;
+
 // What orders configurations: the version, then the change that wrote it.
 using ConfigKey = std::pair<uint64_t, StoreRevision>;
 
@@ -90,7 +99,16 @@
   MemberFrame basicFrame();
   MemberFrame requestFrame();
   void addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
+  static void addServers(const std::vector<ServerChange> &Changes,
+                         MemberFrame &Frame);
+  // Adds what has changed since the last notification, in a fleet in which not
+  // all instances read the store. Returns whether there is something.
+  bool addChanges(MemberFrame &Frame);
+  std::vector<std::string> contactsOfRound(bool CatchUp);
   void applyFrame(const MemberFrame &Frame);
+  // Notes how recent the knowledge is that this instance has in common with the
+  // sender.
+  void noteConfirmation(const MemberFrame &Frame);
   // `Revision`: of the change that wrote them, if it is known.
   void applyRoutes(const std::string &Text, StoreRevision Revision,
                    const std::string &From);
@@ -111,6 +129,8 @@
   std::optional<TimePoint> BehindSince; // used by the rounds' thread only
   uint64_t SentCrashChange = 0;         // used by the rounds' thread only
   uint64_t SentEra = 0;                 // used by the rounds' thread only
+  ConfigKey SentConfig;                 // used by the rounds' thread only
+  StoreRevision SentServers;            // used by the rounds' thread only
   std::set<std::string> LoggedMembers;
   std::thread Thread;
 };
@@ -213,6 +233,7 @@
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   frame.Sender.Reached = Runtime->Connections.reachability().reached();
+  frame.StoreConfirmedAgo = Runtime->Readers.confirmedAgo();
   return frame;
 }
 
@@ -221,6 +242,7 @@
   frame.Members = Runtime->Peers.alive();
   frame.WantsRoutes = needsUpdates();
   frame.WantsServers = frame.WantsRoutes;
+  frame.AcceptsChanges = true;
   return frame;
 }
 
@@ -239,8 +261,10 @@
     BehindSince.reset();
   else if (!BehindSince)
     BehindSince = Clock::now();
-  return BehindSince &&
-         Clock::now() - *BehindSince > Runtime->batchDelay() + LateCallMargin;
+  Milliseconds patience = Runtime->Readers.isSelective()
+                              ? NotificationTime
+                              : Runtime->batchDelay() + LateCallMargin;
+  return BehindSince && Clock::now() - *BehindSince > patience;
 }
 
 // Adds the updates that the peer requested, if this instance has newer ones.
@@ -251,9 +275,21 @@
   if (!Request.WantsServers ||
       Request.ServersRevision >= Response.ServersRevision)
     return;
+  if (Request.AcceptsChanges && Request.ServersRevision.Number > 0 &&
+      Request.ServersRevision.Era == Response.ServersRevision.Era) {
+    addServers(Runtime->Directory.serversChangedAfter(Request.ServersRevision),
+               Response);
+    Response.ChangesSince = Request.ServersRevision;
+    return;
+  }
   Response.HasServers = true;
-  for (const ServerChange &it : Runtime->Directory.servers())
-    Response.Servers.push_back(
+  addServers(Runtime->Directory.servers(), Response);
+}
+
+void MemberLinks::addServers(const std::vector<ServerChange> &Changes,
+                             MemberFrame &Frame) {
+  for (const ServerChange &it : Changes)
+    Frame.Servers.push_back(
         {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
 }
 
@@ -287,16 +323,32 @@
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty())
     applyRoutes(Frame.RoutesText, Frame.ConfigRevision, Frame.Sender.Name);
-  if (!Frame.HasServers)
+  if (!Frame.HasServers && !Frame.ChangesSince) {
+    noteConfirmation(Frame);
     return;
+  }
   std::vector<ServerChange> changes;
   for (const PublishedText &it : Frame.Servers)
     changes.push_back({it.Id, it.Revision,
                        it.Removed
                            ? std::nullopt
                            : Runtime->Source.ParseServer(it.Id, it.Text)});
-  Runtime->Directory.applyServerList(changes, Frame.ServersRevision,
-                                     UpdateOrigin::Peer);
+  if (Frame.HasServers)
+    Runtime->Directory.applyServerList(changes, Frame.ServersRevision,
+                                       UpdateOrigin::Peer);
+  else
+    Runtime->Directory.applyServerChanges(changes, *Frame.ChangesSince,
+                                          Frame.ServersRevision,
+                                          UpdateOrigin::Peer);
+  noteConfirmation(Frame);
+}
+
+void MemberLinks::noteConfirmation(const MemberFrame &Frame) {
+  bool isCurrent =
+      Runtime->Directory.isComplete() &&
+      Runtime->Directory.routes()->Version >= Frame.ConfigVersion &&
+      Runtime->Directory.serversRevision() >= Frame.ServersRevision;
+  Runtime->Readers.onPeerHeard(Frame.StoreConfirmedAgo, isCurrent);
 }
 
 void MemberLinks::serve(StreamSocket &Socket) {
@@ -384,8 +436,7 @@
   Runtime->Peers.setSeeds(Runtime->seedAddresses());
   // Exchanges with unresponsive peers take most of a second each; they must
   // not delay the end of a shutdown.
-  for (const std::string &it : Runtime->Peers.selectContacts(
-           CatchUp ? CatchUpContacts : ContactsPerRound)) {
+  for (const std::string &it : contactsOfRound(CatchUp)) {
     if (Runtime->Closing.load())
       return;
     if (!exchange(it, requestFrame(), ExchangeTimeout))
@@ -394,6 +445,47 @@
   logMembershipChanges();
 }
 
+std::vector<std::string> MemberLinks::contactsOfRound(bool CatchUp) {
+  std::vector<std::string> all = Runtime->Peers.selectContacts(
+      CatchUp ? CatchUpContacts : ContactsPerRound);
+  if (!Runtime->Readers.isSelective() || Runtime->Readers.shouldRead())
+    return all;
+  // One that reads the store, in place of the last.
+  std::vector<std::string> readers = Runtime->Readers.readerAddresses();
+  if (readers.empty())
+    return all;
+  const std::string &reader =
+      readers[Runtime->Directory.randomNumber() % readers.size()];
+  if (std::ranges::find(all, reader) != all.end())
+    return all;
+  if (!all.empty())
+    all.pop_back();
+  all.push_back(reader);
+  return all;
+}
+
+bool MemberLinks::addChanges(MemberFrame &Frame) {
+  StoreRevision servers = std::exchange(SentServers, Frame.ServersRevision);
+  ConfigKey config = std::exchange(SentConfig, configOf(Frame));
+  if (!Runtime->Readers.isSelective())
+    return false;
+  bool found = false;
+  if (configOf(Frame) > config && config.first > 0) {
+    Frame.RoutesText = Runtime->Directory.routes()->Text;
+    found = true;
+  }
+  if (Frame.ServersRevision <= servers || servers.Number == 0 ||
+      servers.Era != Frame.ServersRevision.Era)
+    return found;
+  std::vector<ServerChange> changes =
+      Runtime->Directory.serversChangedAfter(servers);
+  if (changes.size() > MaxChangesPerNotification)
+    return found;
+  addServers(changes, Frame);
+  Frame.ChangesSince = servers;
+  return true;
+}
+
 void MemberLinks::sendNotifications() {
   MemberFrame frame = basicFrame();
   frame.IsNotification = true;
@@ -402,8 +494,9 @@
   SentCrashChange = change;
   frame.Leaving = Runtime->Directory.leavingServers(NotifiedLeavingAge);
   bool isNewEra = std::exchange(SentEra, frame.StoreEra) != frame.StoreEra;
+  bool hasChanges = addChanges(frame);
   if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty() &&
-      !isNewEra)
+      !isNewEra && !hasChanges)
     return;
   for (const std::string &it :
        Runtime->Peers.selectContacts(NotificationContacts)) {
@@ -411,7 +504,8 @@
       return;
     if (!exchange(it, frame, NotificationTimeout))
       log(LogLevel::Info, "member_links",
-          "peer was not told of a crash, a limit, a leaving server or an era",
+          "peer was not told of a crash, a limit, a leaving server, an era or "
+          "a published change",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
   }
 }
@@ -426,7 +520,9 @@
       if (!std::exchange(HasChanges, false))
         return true;
     }
-    std::this_thread::sleep_for(NotificationBatchDelay);
+    std::this_thread::sleep_for(Runtime->Readers.isSelective()
+                                    ? ChangeBatchDelay
+                                    : NotificationBatchDelay);
     sendNotifications();
   } while (Clock::now() < Until);
   return true;
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -53,6 +53,16 @@
   return Table.keepersOf(Key, Clock::now());
 }
 
+ReaderView Membership::readerView(const std::string &FailureDomain) const {
+  std::lock_guard lock(Mutex);
+  return Table.readerView(FailureDomain, Clock::now());
+}
+
+std::string Membership::addressOf(const std::string &Name) const {
+  std::lock_guard lock(Mutex);
+  return Table.addressOf(Name);
+}
+
 std::vector<Member> Membership::reaching(const std::string &Service) {
   std::lock_guard lock(Mutex);
   return Table.reaching(Service, Clock::now());
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -44,7 +44,17 @@
 void ServiceDirectory::applyRoutes(RouteDocumentPtr NewDocument,
                                    StoreRevision Revision,
                                    UpdateOrigin Origin) {
-  std::lock_guard lock(Mutex);
+  {
+    std::lock_guard lock(Mutex);
+    if (!applyRoutesLocked(std::move(NewDocument), Revision, Origin))
+      return;
+  }
+  notify();
+}
+
+bool ServiceDirectory::applyRoutesLocked(RouteDocumentPtr NewDocument,
+                                         StoreRevision Revision,
+                                         UpdateOrigin Origin) {
   if (std::pair(NewDocument->Version, Revision) <=
       std::pair(Document->Version, RoutesRevision)) {
     if (NewDocument->Version < Document->Version &&
@@ -55,13 +65,13 @@
            {"active_version", std::to_string(Document->Version)},
            {"era", std::to_string(Revision.Era)},
            {"origin", toString(Origin)}});
-    return;
+    return false;
   }
   RoutesRevision = Revision;
   // The same text is written again after the store has lost it.
   if (NewDocument->Version == Document->Version &&
       NewDocument->Text == Document->Text)
-    return;
+    return true;
   log(LogLevel::Info, "directory", "configuration in force",
       {{"version", std::to_string(NewDocument->Version)},
        {"former_version", std::to_string(Document->Version)},
@@ -70,6 +80,7 @@
        {"era", std::to_string(Revision.Era)},
        {"origin", toString(Origin)}});
   Document = std::move(NewDocument);
+  return true;
 }
 
 RouteDocumentPtr ServiceDirectory::routes() const {
@@ -142,7 +153,6 @@
   bool isNewEra = Change.Revision.Era > known.Era;
   known = Change.Revision;
   onListEra(Change.Revision.Era, Now);
-  ListRevision = std::max(ListRevision, Change.Revision);
   const ServerEntry *former = Registry.find(Change.Id);
   if (Change.Entry || former)
     logServer(Change, Origin);
@@ -229,23 +239,41 @@
   applyLocked(Change, Origin, Clock::now());
 }
 
+void ServiceDirectory::applyServerChanges(
+    const std::vector<ServerChange> &Changes, StoreRevision Since,
+    StoreRevision Revision, UpdateOrigin Origin) {
+  {
+    std::lock_guard lock(Mutex);
+    TimePoint now = Clock::now();
+    for (const ServerChange &it : Changes)
+      applyLocked(it, Origin, now);
+    if (!ListReceived || ListRevision < Since || Revision <= ListRevision)
+      return;
+    ListRevision = Revision;
+  }
+  notify();
+}
+
 void ServiceDirectory::applyServerList(const std::vector<ServerChange> &Entries,
                                        StoreRevision Revision,
                                        UpdateOrigin Origin) {
-  std::lock_guard lock(Mutex);
-  TimePoint now = Clock::now();
-  onListEra(Revision.Era, now);
-  std::set<std::string> listed;
-  for (const ServerChange &it : Entries) {
-    listed.insert(it.Id);
-    applyLocked(it, Origin, now);
+  {
+    std::lock_guard lock(Mutex);
+    TimePoint now = Clock::now();
+    onListEra(Revision.Era, now);
+    std::set<std::string> listed;
+    for (const ServerChange &it : Entries) {
+      listed.insert(it.Id);
+      applyLocked(it, Origin, now);
+    }
+    for (const ServerEntry &it : Registry.entries())
+      if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
+        applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
+    ListRevision = std::max(ListRevision, Revision);
+    ListReceived = true;
+    Versions.onListRead(now);
   }
-  for (const ServerEntry &it : Registry.entries())
-    if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
-      applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
-  ListRevision = std::max(ListRevision, Revision);
-  ListReceived = true;
-  Versions.onListRead(now);
+  notify();
 }
 
 std::vector<ServerChange> ServiceDirectory::servers() const {
@@ -259,6 +287,21 @@
   return all;
 }
 
+std::vector<ServerChange>
+ServiceDirectory::serversChangedAfter(StoreRevision Since) const {
+  std::vector<ServerChange> all = servers();
+  std::erase_if(all,
+                [&](const ServerChange &It) { return It.Revision <= Since; });
+  std::lock_guard lock(Mutex);
+  std::set<std::string> registered;
+  for (const ServerEntry &it : Registry.entries())
+    registered.insert(it.Id);
+  for (const auto &[id, revision] : Revisions)
+    if (revision > Since && !registered.contains(id))
+      all.push_back({id, revision, std::nullopt});
+  return all;
+}
+
 StoreRevision ServiceDirectory::serversRevision() const {
   std::lock_guard lock(Mutex);
   return ListReceived ? ListRevision : StoreRevision();
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -7,6 +7,7 @@
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/output_estimator.h"
 #include "gateway/decisions/prefill_rate_estimator.h"
+#include "gateway/decisions/reader_election.h"
 #include "gateway/decisions/route_table.h"
 #include "gateway/decisions/server_registry.h"
 #include "gateway/decisions/shared_retry_budget.h"
@@ -30,8 +31,6 @@
   std::optional<ServerEntry> Entry; // nullopt: the entry was removed
 };
 
-enum class PublishedKind : uint8_t { Servers, Routes };
-
 // Where an update came from, for the log.
 enum class UpdateOrigin : uint8_t { Store, Peer };
 enum class LeavingOrigin : uint8_t { Response, Peer };
@@ -57,14 +56,22 @@
   uint64_t ownStoreEra() const;
 
   // Applies a change unless the same or a newer one of the server has been
-  // applied.
+  // applied. Others before it may be missing.
   void applyServer(const ServerChange &Change, UpdateOrigin Origin);
+  // Applies all changes after `Since` up to `Revision`. If this instance has
+  // missed one before `Since`, it stays behind `Revision`.
+  void applyServerChanges(const std::vector<ServerChange> &Changes,
+                          StoreRevision Since, StoreRevision Revision,
+                          UpdateOrigin Origin);
   // Applies a complete list: removes servers that aren't listed and whose last
   // change is older than `Revision`. Those that a store of a new era has lost
   // stay a last resort until they had time to register again.
   void applyServerList(const std::vector<ServerChange> &Entries,
                        StoreRevision Revision, UpdateOrigin Origin);
   std::vector<ServerChange> servers() const;
+  // The latest change of each server that was changed after `Since`.
+  std::vector<ServerChange> serversChangedAfter(StoreRevision Since) const;
+  // Up to which change the servers are complete; 0: no list was received.
   StoreRevision serversRevision() const;
 
   // Called when a server's process seems to have ended: it registered with a
@@ -85,8 +92,8 @@
   std::optional<TimePoint> restingUntil(const ServerQuery &Query) const;
 
   // Called after a change that peers should learn at once: a response or a peer
-  // has told that a server leaves, or the store's era has risen. It must not
-  // call back.
+  // has told that a server leaves, the store's era has risen, or routes or
+  // servers have changed. It must not call back.
   void setChangeListener(std::function<void()> Listener);
   // What is known of leaving servers, for peers: all, or what was learned
   // within `MaxAge`. See LeavingServers.
@@ -188,6 +195,9 @@
   void onServerGone(const ServerEntry &Entry, TimePoint Now);
   void notify();
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
+  // Returns false if the document was not applied.
+  bool applyRoutesLocked(RouteDocumentPtr Document, StoreRevision Revision,
+                         UpdateOrigin Origin);
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
                    TimePoint Now);
   // Removes all servers at the entry's address but the one registered last. A
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -1,5 +1,6 @@
 // Plug-in: updates the directory from the store, with one thread and one
-// connection each for servers and routes.
+// connection each for servers and routes, while this instance is one of those
+// that read it.
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "log.h"
@@ -31,6 +32,12 @@
 // After a failure, when the store may have come back from an older copy, which
 // shows in its response. A watch from a revision beyond would wait in vain.
 constexpr Milliseconds RecoveryWatchWait{1};
+// In a large fleet few instances read, and the others rely on the end of each
+// wait, which confirms what they know.
+constexpr Milliseconds MinSelectiveWatchWait{1000};
+constexpr Milliseconds MaxSelectiveWatchWait{2500};
+// Interval at which an instance that doesn't read decides anew.
+constexpr Milliseconds DecisionPeriod{100};
 // Pause after a failed call, doubled up to the batch delay and randomized.
 constexpr Milliseconds MinRetryPause{100};
 
@@ -56,6 +63,9 @@
 private:
   void read(PublishedKind Kind);
   void apply(const PublishedUpdate &Update, PublishedKind Kind, bool Whole);
+  // Waits until this instance is to read, or stops. Returns the revision up to
+  // which it knows the documents, from which a watch can go on.
+  StoreRevision waitForTurn(PublishedKind Kind);
   void pause(Milliseconds Time);
   Milliseconds watchWait(std::mt19937_64 &Random) const;
 
@@ -73,10 +83,12 @@
 
 Milliseconds ServiceDirectoryReader::watchWait(std::mt19937_64 &Random) const {
   auto members = static_cast<int64_t>(Runtime->PeersKnown.load());
-  Milliseconds most =
-      std::clamp(WatchWaitPerMember * members, MinWatchWait, MaxWatchWait);
-  std::uniform_int_distribution<int64_t> draw(LeastWatchWait.count(),
-                                              most.count());
+  bool selective = Runtime->Readers.isSelective();
+  Milliseconds least = selective ? MinSelectiveWatchWait : LeastWatchWait;
+  Milliseconds most = selective ? MaxSelectiveWatchWait
+                                : std::clamp(WatchWaitPerMember * members,
+                                             MinWatchWait, MaxWatchWait);
+  std::uniform_int_distribution<int64_t> draw(least.count(), most.count());
   return Milliseconds(draw(Random));
 }
 
@@ -90,9 +102,31 @@
   if (Whole)
     Runtime->Directory.applyServerList(Update.Servers, Update.Revision,
                                        UpdateOrigin::Store);
-  else
+  else if (!Update.Servers.empty()) {
+    // Up to the last change and not further, so that instances that have read
+    // the same changes name the same revision to each other.
+    StoreRevision last;
     for (const ServerChange &it : Update.Servers)
-      Runtime->Directory.applyServer(it, UpdateOrigin::Store);
+      last = std::max(last, it.Revision);
+    Runtime->Directory.applyServerChanges(Update.Servers,
+                                          Runtime->Directory.serversRevision(),
+                                          last, UpdateOrigin::Store);
+  }
+}
+
+StoreRevision ServiceDirectoryReader::waitForTurn(PublishedKind Kind) {
+  ServiceDirectory &directory = Runtime->Directory;
+  while (!Runtime->Readers.shouldRead() && !Stopping.load()) {
+    directory.setStoreReachable(Kind, Runtime->Readers.isCurrent() ||
+                                          !directory.isComplete());
+    pause(DecisionPeriod);
+  }
+  StoreRevision known;
+  if (Kind == PublishedKind::Servers)
+    known = directory.serversRevision();
+  else if (directory.routes()->Version > 0)
+    known = directory.routesRevision();
+  return known.Era == directory.storeEra() ? known : StoreRevision();
 }
 
 void ServiceDirectoryReader::read(PublishedKind Kind) {
@@ -110,6 +144,13 @@
   };
   uint32_t failures = 0;
   while (!Stopping.load()) {
+    if (!Runtime->Readers.shouldRead()) {
+      revision = waitForTurn(Kind);
+      readEra = revision.Era;
+      failures = 0;
+      if (Stopping.load())
+        break;
+    }
     bool whole = revision.Number == 0 || directory.storeEra() > readEra;
     if (whole)
       readEra = directory.storeEra();
@@ -148,6 +189,7 @@
     }
     if (update.Status == ReadStatus::Ok) {
       failures = 0;
+      Runtime->Readers.onReadSucceeded(Kind);
       directory.setStoreReachable(Kind, true);
       apply(update, Kind, whole);
       revision = update.Revision;
@@ -171,6 +213,7 @@
       log(LogLevel::Warn, "directory_reader", "reading from the store failed",
           {{"documents", name}, {"why", update.Error}});
     directory.setStoreReachable(Kind, false);
+    Runtime->Readers.onReadFailed();
     Milliseconds most =
         std::min(Runtime->batchDelay(),
                  MinRetryPause * (1U << std::min(failures - 1, 8U)));
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -135,6 +135,7 @@
                     static_cast<double>(Runtime->Connections.opened()));
   Metrics->setGauge("store_reachable", "",
                     Runtime->Directory.isStoreReachable() ? 1 : 0);
+  Metrics->setGauge("store_reader", "", Runtime->Readers.isReading() ? 1 : 0);
   Metrics->setGauge("store_era", "",
                     static_cast<double>(Runtime->Directory.storeEra()));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
@@ -176,6 +177,8 @@
 std::string StatusListener::state() const {
   std::string out = Runtime->Directory.dump();
   out.pop_back(); // the closing brace
+  out += ",\"reads_store\":";
+  out += Runtime->Readers.isReading() ? "true" : "false";
   return out + ",\"limits\":" + Runtime->Limits.dump() + "}";
 }
 
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -353,7 +353,9 @@
     VT_LEAVING = 12,
     VT_FIGURES = 14,
     VT_ORDERS = 16,
-    VT_REACHED = 18
+    VT_REACHED = 18,
+    VT_FAILURE_DOMAIN = 20,
+    VT_STORE_FAILING = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -379,6 +381,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *>(VT_REACHED);
   }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  bool store_failing() const {
+    return GetField<uint8_t>(VT_STORE_FAILING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -397,6 +405,9 @@
            VerifyOffset(verifier, VT_REACHED) &&
            verifier.VerifyVector(reached()) &&
            verifier.VerifyVectorOfTables(reached()) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
            verifier.EndTable();
   }
 };
@@ -429,6 +440,12 @@
   void add_reached(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached) {
     fbb_.AddOffset(Member::VT_REACHED, reached);
   }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(Member::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_store_failing(bool store_failing) {
+    fbb_.AddElement<uint8_t>(Member::VT_STORE_FAILING, static_cast<uint8_t>(store_failing), 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -449,15 +466,19 @@
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>> figures = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    bool store_failing = false) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_failure_domain(failure_domain);
   builder_.add_reached(reached);
   builder_.add_orders(orders);
   builder_.add_figures(figures);
   builder_.add_heard_ago_ms(heard_ago_ms);
   builder_.add_address(address);
   builder_.add_name(name);
+  builder_.add_store_failing(store_failing);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -471,12 +492,15 @@
     bool leaving = false,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>> *figures = nullptr,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders = nullptr,
-    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached = nullptr) {
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached = nullptr,
+    const char *failure_domain = nullptr,
+    bool store_failing = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto figures__ = figures ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>(*figures) : 0;
   auto orders__ = orders ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>(*orders) : 0;
   auto reached__ = reached ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>(*reached) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return crocusspur::gateway::wire::CreateMember(
       _fbb,
       name__,
@@ -486,7 +510,9 @@
       leaving,
       figures__,
       orders__,
-      reached__);
+      reached__,
+      failure_domain__,
+      store_failing);
 }
 
 struct PublishedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1713,7 +1739,13 @@
     VT_SERVERS_ERA = 50,
     VT_CONFIG_REVISION = 52,
     VT_CONFIG_ERA = 54,
-    VT_STORE_ERA = 56
+    VT_STORE_ERA = 56,
+    VT_STORE_CONFIRMED = 58,
+    VT_STORE_CONFIRMED_AGO_MS = 60,
+    VT_ACCEPTS_CHANGES = 62,
+    VT_HAS_CHANGES = 64,
+    VT_CHANGES_SINCE_REVISION = 66,
+    VT_CHANGES_SINCE_ERA = 68
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -1796,6 +1828,24 @@
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
   }
+  bool store_confirmed() const {
+    return GetField<uint8_t>(VT_STORE_CONFIRMED, 0) != 0;
+  }
+  uint32_t store_confirmed_ago_ms() const {
+    return GetField<uint32_t>(VT_STORE_CONFIRMED_AGO_MS, 0);
+  }
+  bool accepts_changes() const {
+    return GetField<uint8_t>(VT_ACCEPTS_CHANGES, 0) != 0;
+  }
+  bool has_changes() const {
+    return GetField<uint8_t>(VT_HAS_CHANGES, 0) != 0;
+  }
+  uint64_t changes_since_revision() const {
+    return GetField<uint64_t>(VT_CHANGES_SINCE_REVISION, 0);
+  }
+  uint64_t changes_since_era() const {
+    return GetField<uint64_t>(VT_CHANGES_SINCE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -1846,6 +1896,12 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_CONFIRMED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_CONFIRMED_AGO_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_CHANGES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_CHANGES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGES_SINCE_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGES_SINCE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1935,6 +1991,24 @@
   void add_store_era(uint64_t store_era) {
     fbb_.AddElement<uint64_t>(Frame::VT_STORE_ERA, store_era, 0);
   }
+  void add_store_confirmed(bool store_confirmed) {
+    fbb_.AddElement<uint8_t>(Frame::VT_STORE_CONFIRMED, static_cast<uint8_t>(store_confirmed), 0);
+  }
+  void add_store_confirmed_ago_ms(uint32_t store_confirmed_ago_ms) {
+    fbb_.AddElement<uint32_t>(Frame::VT_STORE_CONFIRMED_AGO_MS, store_confirmed_ago_ms, 0);
+  }
+  void add_accepts_changes(bool accepts_changes) {
+    fbb_.AddElement<uint8_t>(Frame::VT_ACCEPTS_CHANGES, static_cast<uint8_t>(accepts_changes), 0);
+  }
+  void add_has_changes(bool has_changes) {
+    fbb_.AddElement<uint8_t>(Frame::VT_HAS_CHANGES, static_cast<uint8_t>(has_changes), 0);
+  }
+  void add_changes_since_revision(uint64_t changes_since_revision) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CHANGES_SINCE_REVISION, changes_since_revision, 0);
+  }
+  void add_changes_since_era(uint64_t changes_since_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_CHANGES_SINCE_ERA, changes_since_era, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1974,8 +2048,16 @@
     uint64_t servers_era = 0,
     uint64_t config_revision = 0,
     uint64_t config_era = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    bool store_confirmed = false,
+    uint32_t store_confirmed_ago_ms = 0,
+    bool accepts_changes = false,
+    bool has_changes = false,
+    uint64_t changes_since_revision = 0,
+    uint64_t changes_since_era = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_changes_since_era(changes_since_era);
+  builder_.add_changes_since_revision(changes_since_revision);
   builder_.add_store_era(store_era);
   builder_.add_config_era(config_era);
   builder_.add_config_revision(config_revision);
@@ -1984,6 +2066,7 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_store_confirmed_ago_ms(store_confirmed_ago_ms);
   builder_.add_leaving(leaving);
   builder_.add_forward(forward);
   builder_.add_origin_answer(origin_answer);
@@ -1999,6 +2082,9 @@
   builder_.add_members(members);
   builder_.add_sender(sender);
   builder_.add_protocol(protocol);
+  builder_.add_has_changes(has_changes);
+  builder_.add_accepts_changes(accepts_changes);
+  builder_.add_store_confirmed(store_confirmed);
   builder_.add_only_crashes(only_crashes);
   builder_.add_has_servers(has_servers);
   builder_.add_wants_servers(wants_servers);
@@ -2034,7 +2120,13 @@
     uint64_t servers_era = 0,
     uint64_t config_revision = 0,
     uint64_t config_era = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    bool store_confirmed = false,
+    uint32_t store_confirmed_ago_ms = 0,
+    bool accepts_changes = false,
+    bool has_changes = false,
+    uint64_t changes_since_revision = 0,
+    uint64_t changes_since_era = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2071,7 +2163,13 @@
       servers_era,
       config_revision,
       config_era,
-      store_era);
+      store_era,
+      store_confirmed,
+      store_confirmed_ago_ms,
+      accepts_changes,
+      has_changes,
+      changes_since_revision,
+      changes_since_era);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_cut_off_process_test.cc
+++ b/test/gateway_cut_off_process_test.cc
@@ -69,6 +69,8 @@
 class CutFleet {
 public:
   CutFleet(int Instances, int CutOff) : Fleet(Instances), CutOff(CutOff) {
+    // The stores differ, so no instance may learn servers from another.
+    Fleet.makeAllSeeds();
     OtherStore.put("op/config", configOf(1, "/x/"));
     for (FakeStore *it : {&Fleet.Store, &OtherStore})
       it->put("op/config", makeConfig());
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -349,11 +349,23 @@
   return get(Item.Callers, Path, "Attempt-Id: a1\r\nDeadline-Ms: 20000\r\n");
 }
 
+void GatewayFleet::makeAllSeeds() {
+  AllAreSeeds = true;
+  for (const GatewayInstance &it : Instances)
+    writeSettings(it, Store.address());
+}
+
 void GatewayFleet::writeSettings(const GatewayInstance &Item,
                                  const std::string &StoreAddress) {
   std::ofstream out(Item.File);
+  std::string seeds;
+  for (const GatewayInstance &it : Instances) {
+    seeds += (seeds.empty() ? "\"" : ",\"") + it.Peers + "\"";
+    if (!AllAreSeeds)
+      break;
+  }
   out << "node-name = \"" << Item.Name << "\"\nzone = \"hall-a\"\n"
-      << "seed-nodes = [\"" << Instances[0].Peers << "\"]\n[listen]\n"
+      << "seed-nodes = [" << seeds << "]\n[listen]\n"
       << "frontend = \"" << Item.Callers << "\"\nready = \"" << Item.Ready
       << "\"\ncontrol-plane = \"" << Item.Peers << "\"\n[bounds]\n"
       << "grace-s = 8\nretry-budget-ratio = 0.2\nbudget-slack = 56\n"
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -121,6 +121,9 @@
   ~GatewayFleet();
 
   void addServer(const std::string &Id, const FakeServer &Server);
+  // Makes every instance a seed, so that each reads its store from the start;
+  // before the instances are started.
+  void makeAllSeeds();
   // Lets the instance use another store; before it is started.
   void useStore(const GatewayInstance &Item, const FakeStore &Other) {
     writeSettings(Item, Other.address());
@@ -148,6 +151,7 @@
                      const std::string &StoreAddress);
 
   std::filesystem::path Folder;
+  bool AllAreSeeds = false;
 };
 
 } // namespace crocusspur::test
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -21,6 +21,11 @@
   frame.ConfigRevision = {3, 408};
   frame.RoutesText = "{}";
   frame.HasServers = true;
+  frame.AcceptsChanges = true;
+  frame.ChangesSince = StoreRevision{3, 401};
+  frame.StoreConfirmedAgo = Milliseconds(740);
+  frame.Sender.FailureDomain = "hall-a";
+  frame.Sender.StoreFailing = true;
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {
       {71, "i-2", "n3", Milliseconds(250)},
@@ -67,6 +72,12 @@
   CHECK(back->ConfigRevision == StoreRevision{3, 408});
   CHECK(back->RoutesText == "{}");
   CHECK(back->HasServers);
+  CHECK(back->AcceptsChanges);
+  CHECK(back->ChangesSince == StoreRevision{3, 401});
+  CHECK(back->StoreConfirmedAgo == Milliseconds(740));
+  CHECK(back->Sender.FailureDomain == "hall-a");
+  CHECK(back->Sender.StoreFailing);
+  CHECK_FALSE(back->Members[0].StoreFailing);
   REQUIRE(back->Servers.size() == 2);
   CHECK(back->Servers[0].Text == "{\"a\":1}");
   CHECK(back->Servers[1].Removed);
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -203,3 +203,27 @@
     CHECK_FALSE(update.Era.has_value());
   }
 }
+
+// Guards against an instance that learns changes from peers and counts as
+// complete though it has missed one before them.
+TEST_CASE("A directory that has missed a change stays behind until it has it") {
+  EraFixture setup;
+  setup.Directory.applyServerList({change("s1", {1, 10})}, {1, 10},
+                                  UpdateOrigin::Peer);
+  setup.Directory.applyServerChanges({change("s3", {1, 30})}, {1, 20}, {1, 30},
+                                     UpdateOrigin::Peer);
+  CHECK(setup.Directory.serversRevision() == StoreRevision{1, 10});
+  CHECK(setup.Directory.serversIn("bays", ServerStage::Whole) == 2);
+  // What was removed and what came in between.
+  std::vector<ServerChange> changes = {change("s2", {1, 15}),
+                                       {"s1", {1, 20}, std::nullopt},
+                                       change("s3", {1, 30})};
+  setup.Directory.applyServerChanges(changes, {1, 10}, {1, 30},
+                                     UpdateOrigin::Peer);
+  CHECK(setup.Directory.serversRevision() == StoreRevision{1, 30});
+  std::vector<ServerChange> since =
+      setup.Directory.serversChangedAfter({1, 15});
+  REQUIRE(since.size() == 2);
+  for (const ServerChange &it : since)
+    CHECK(it.Entry.has_value() == (it.Id == "s3"));
+}
--- /dev/null
+++ b/test/gateway_store_readers_process_test.cc
@@ -0,0 +1,100 @@
+// Tests gateway instances as processes in a fleet that is large enough that
+// only some of them read the store.
+#include "gateway_fixture.h"
+#include "gateway_fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace crocusspur;
+using namespace crocusspur::test;
+
+namespace {
+
+constexpr int FleetSize = 20; // all in one failure domain
+constexpr size_t Readers = 4;
+// The platform's bound for fleets of hundreds of instances.
+constexpr Milliseconds ApplyTime{4000};
+// Members find each other, and readers settle.
+constexpr Milliseconds SettlingTime{30000};
+constexpr Milliseconds MeasuredTime{3000};
+// A watch waits for at least a second, and each reader has two.
+constexpr uint64_t MaxCalls = Readers * 2 * 4;
+
+bool readsStore(const GatewayInstance &Item) {
+  return GatewayFleet::get(Item.Ready, "/state", "")
+             .find("\"reads_store\":true") != std::string::npos;
+}
+
+std::string respond(const std::string &, int) {
+  return signedResponse(200, "ok");
+}
+
+struct SelectiveFleet {
+  SelectiveFleet() : Fleet(FleetSize) {
+    Fleet.addServer("s1", Server);
+    Fleet.startAll();
+    REQUIRE(
+        eventually([&] { return countReaders() == Readers; }, SettlingTime));
+  }
+
+  size_t countReaders() const {
+    return static_cast<size_t>(
+        std::ranges::count_if(Fleet.Instances, readsStore));
+  }
+
+  FakeServer Server{respond};
+  GatewayFleet Fleet;
+};
+
+} // namespace
+
+// Guards against calls to the store that grow with the fleet, and against
+// changes that don't reach the instances that don't read.
+TEST_CASE("A large fleet applies published changes with few readers") {
+  SelectiveFleet setup;
+  GatewayFleet &fleet = setup.Fleet;
+  uint64_t before = fleet.Store.calls();
+  std::this_thread::sleep_for(MeasuredTime);
+  CHECK(fleet.Store.calls() - before <= MaxCalls);
+
+  fleet.Store.put("op/config", configOf(2, "/y/"));
+  CHECK(fleet.waitForState("\"config_version\":2", ApplyTime));
+  FakeServer second{respond};
+  fleet.addServer("s2", second);
+  CHECK(fleet.waitForState("\"id\":\"s2\"", ApplyTime));
+  fleet.Store.remove("servers/s1");
+  CHECK(fleet.waitForState(
+      "\"servers_revision\":" + std::to_string(fleet.Store.revision()) + ",",
+      ApplyTime));
+  CHECK(fleet.Store.calls() - before < 4 * MaxCalls);
+}
+
+// Guards against instances that learn nothing new once their readers are gone.
+TEST_CASE("A large fleet applies a change published as its readers end") {
+  SelectiveFleet setup;
+  GatewayFleet &fleet = setup.Fleet;
+  std::erase_if(fleet.Instances, [](GatewayInstance &It) {
+    if (!readsStore(It))
+      return false;
+    It.Process->signal(SIGKILL);
+    return true;
+  });
+  REQUIRE(fleet.Instances.size() == FleetSize - Readers);
+  fleet.Store.put("op/config", configOf(2, "/y/"));
+  CHECK(fleet.waitForState("\"config_version\":2", ApplyTime));
+}
+
+// Guards against a fleet that takes the store for away, or learns nothing, if
+// the store rejects exactly its readers.
+TEST_CASE("A large fleet applies a change if the store rejects its readers") {
+  SelectiveFleet setup;
+  GatewayFleet &fleet = setup.Fleet;
+  for (const GatewayInstance &it : fleet.Instances)
+    if (readsStore(it))
+      fleet.Store.setRejecting(it.Name, true);
+  fleet.Store.put("op/config", configOf(2, "/y/"));
+  CHECK(fleet.waitForState("\"config_version\":2", 2 * ApplyTime));
+}
