Keep a stream at the version that was recorded first

Cause: a stream's record is written before its run.

Change: within a caller's attempt all runs stay at the version that was recorded. If no server of it is left, the attempt is refused as not run, or fails if a run may have happened; a new attempt is a stream of its own. Applies to resumable routes only.

--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -62,7 +62,7 @@
       std::chrono::duration_cast<Milliseconds>(Clock::now() - Arrived);
   forwarded.UsedServers = Used;
   forwarded.MayHaveExecuted = MayHaveExecuted || HeadSent;
-  forwarded.StreamVersion = StreamVersion;
+  forwarded.StreamVersion = requiredVersion();
   frame.Forwarded = std::move(forwarded);
   bool repeatable = Route.Kind == RouteKind::Idempotent || Route.Resumable;
   Milliseconds timeout =
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -104,6 +104,10 @@
   bool resolveStreamVersion();
   // Whether a server is known that the stream may run at.
   bool hasOutputServer() const;
+  // The only software version at which the stream may run, if there is one.
+  std::optional<VersionKey> requiredVersion() const {
+    return StreamVersion ? StreamVersion : RecordedVersion;
+  }
   // Whether the service has a server for the output that doesn't leave, though
   // it may get no requests at the moment.
   bool knowsOutputServer() const;
@@ -238,6 +242,9 @@
   std::string LastEventId;        // of the last event forwarded
   // Software version of the server that sent the stream's first event.
   std::optional<VersionKey> StreamVersion;
+  // The version that other instances were told the stream may begin at. Some
+  // of them may miss a second one, so runs without an event don't change it.
+  std::optional<VersionKey> RecordedVersion;
   uint64_t EventsForwarded = 0;
 };
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -131,14 +131,16 @@
 }
 
 RequestHandler::AttemptResult RequestHandler::tryStream(bool ReadAtDecode) {
-  if (StreamVersion && !hasOutputServer()) {
+  if (requiredVersion() && !hasOutputServer()) {
     const char *why = "no server of the stream's software version is left";
     if (HeadSent)
       abortStream(why);
     else if (MayHaveExecuted)
       fail(ErrorKind::BackendFailed, why);
-    else
+    else if (StreamVersion)
       refuseResumption(why);
+    else // a new attempt of the caller is a stream of its own
+      refuse(ErrorKind::BackendRefused, why, NoServerRetryAfter);
     return AttemptResult::Done;
   }
   std::optional<DecodeReservation> reservation = reserveDecode();
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -73,12 +73,13 @@
     return;
   const std::string &first =
       Request.ResumedRequestId.empty() ? Request.Id : Request.ResumedRequestId;
+  RecordedVersion = versionKeyOf(Server.Version);
   Context.Origins.record(streamKeyOf(Request.Host, Request.Target, first),
-                         versionKeyOf(Server.Version), timeLeft());
+                         *RecordedVersion, timeLeft());
 }
 
 ServerQuery RequestHandler::outputQuery(ServerStage Stage) const {
-  return {Service, Stage, Tried, StreamVersion};
+  return {Service, Stage, Tried, requiredVersion()};
 }
 
 } // namespace crocusspur::gateway
--- a/test/gateway_stream_handler_test.cc
+++ b/test/gateway_stream_handler_test.cc
@@ -1,5 +1,6 @@
 #include "gateway_fixture.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <sys/socket.h>
 
@@ -93,6 +94,37 @@
   CHECK(prefill.count("Inference-Phase: prefill") == 1);
 }
 
+// Guards against a stream that is taken up at another version than it began
+// at: keepers of its record may have missed the second one.
+TEST_CASE("A stream whose first run gave no event stays at its version") {
+  GatewayFixture gateway;
+  FakeServer prefill(prefillResponse);
+  std::atomic<bool> firstRefused{false};
+  FakeServer first(decode([&](const std::string &, int) {
+    firstRefused = true;
+    return refusal();
+  }));
+  FakeServer second([&](const std::string &Request, int Number) {
+    if (isReserve(Request) && !firstRefused)
+      return refusal();
+    return decode([](const std::string &, int) { return stream(1, 3); })(
+        Request, Number);
+  });
+  gateway.addServer("p1", prefill, ServerStage::Prefill);
+  gateway.addServer("d1", first, ServerStage::Decode, "v1");
+  gateway.addServer("d2", second, ServerStage::Decode, "v2");
+  PathRoute route = gateway.route(RouteKind::Stream);
+  SUBCASE("resumable") {
+    route.Resumable = true;
+    std::string response = gateway.run(route);
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(contains(response, "\"run\":\"no\""));
+    CHECK(contains(response, "Retry-After: "));
+  }
+  SUBCASE("not resumable") { CHECK(contains(gateway.run(route), "data: e3")); }
+  CHECK(firstRefused);
+}
+
 // A prefill without decode memory for its output wastes the most work.
 TEST_CASE("Without memory at any decode server there is no prefill") {
   GatewayFixture gateway;
