--- a/src/gateway/decisions/reader_election.cc
+++ b/src/gateway/decisions/reader_election.cc
@@ -23,14 +23,16 @@
 // asks peers every second. Changes must be in force some seconds after the
 // store has them, so knowledge that is older is worth a call.
 constexpr Milliseconds StaleAge{3000};
+constexpr Milliseconds StaleSpread{600};
+// The same age, spread within bounds, if the store is known not to respond to
+// readers.
+constexpr Milliseconds MinOutageDelay{8000};
+constexpr Milliseconds MaxOutageDelay{30000};
 // An instance that hears no peer for so long doesn't wait for its knowledge to
 // become stale.
 constexpr Milliseconds IsolationTime{1600};
-constexpr Milliseconds StaleSpread{600};
+// An instance that reads for itself does so for at least this long.
 constexpr Milliseconds MinReadTime{3000};
-// The same if the store is known not to respond to readers.
-constexpr Milliseconds MinOutageDelay{8000};
-constexpr Milliseconds MaxOutageDelay{30000};
 // A failed call says this much about the time after it.
 constexpr Milliseconds FailureLifetime{3000};
 // Instances of a domain that take the place of readers at once if the store
