Prepare the gateway for accounts, paces and contention

Cause: client accounts, paces of servers, ranks of requests and changes among instances are built side by side, and each adds fields to the same frames.

Result: the program builds; no behaviour changes.

--- a/include/crocusspur/errors.h
+++ b/include/crocusspur/errors.h
@@ -43,10 +43,11 @@
   // The kinds are numbered in messages between instances, so new ones follow.
   ContentRefused, // not run: earlier requests like it crashed backend servers
   StreamNotResumable, // not run: no server may continue the stream
+  QuotaExceeded,      // not run: the client account is over its quota
 };
 
 inline constexpr size_t ErrorKindCount =
-    static_cast<size_t>(ErrorKind::StreamNotResumable) + 1;
+    static_cast<size_t>(ErrorKind::QuotaExceeded) + 1;
 
 // The response to a caller for one error kind.
 struct ErrorResponse {
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -75,6 +75,8 @@
     {"stream_not_resumable", 503,
      "No backend server is known that may continue this stream.",
      ExecutionState::No, true},
+    {"quota_exceeded", 429, "The client account is over its quota.",
+     ExecutionState::No, true},
 }};
 
 } // namespace
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -35,6 +35,9 @@
   // Id of the caller's attempt that brought the first event of the stream that
   // this request takes up; empty if it takes up none.
   std::string ResumedRequestId;
+  // The key as sent; cleared once it is checked, so that nothing passes it on.
+  std::string Key;
+  std::string Account; // name of the client account; empty: none
 };
 
 // Options of one call to a server, in addition to the caller's request.
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -17,6 +17,9 @@
 namespace gateway {
 namespace wire {
 
+struct RankDemand;
+struct RankDemandBuilder;
+
 struct ServiceFigures;
 struct ServiceFiguresBuilder;
 
@@ -65,6 +68,15 @@
 struct LeavingServer;
 struct LeavingServerBuilder;
 
+struct ServerPace;
+struct ServerPaceBuilder;
+
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+
+struct QuotaLease;
+struct QuotaLeaseBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -80,6 +92,77 @@
 struct ForwardResponse;
 struct ForwardResponseBuilder;
 
+struct RankDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RankDemandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PRIORITY = 4,
+    VT_WAITING = 6,
+    VT_GRANTED_PER_S = 8,
+    VT_REFUSED_PER_S = 10
+  };
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  double granted_per_s() const {
+    return GetField<double>(VT_GRANTED_PER_S, 0.0);
+  }
+  double refused_per_s() const {
+    return GetField<double>(VT_REFUSED_PER_S, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<double>(verifier, VT_GRANTED_PER_S, 8) &&
+           VerifyField<double>(verifier, VT_REFUSED_PER_S, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RankDemandBuilder {
+  typedef RankDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(RankDemand::VT_PRIORITY, priority, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(RankDemand::VT_WAITING, waiting, 0);
+  }
+  void add_granted_per_s(double granted_per_s) {
+    fbb_.AddElement<double>(RankDemand::VT_GRANTED_PER_S, granted_per_s, 0.0);
+  }
+  void add_refused_per_s(double refused_per_s) {
+    fbb_.AddElement<double>(RankDemand::VT_REFUSED_PER_S, refused_per_s, 0.0);
+  }
+  explicit RankDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RankDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RankDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RankDemand> CreateRankDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t priority = 0,
+    uint32_t waiting = 0,
+    double granted_per_s = 0.0,
+    double refused_per_s = 0.0) {
+  RankDemandBuilder builder_(_fbb);
+  builder_.add_refused_per_s(refused_per_s);
+  builder_.add_granted_per_s(granted_per_s);
+  builder_.add_waiting(waiting);
+  builder_.add_priority(priority);
+  return builder_.Finish();
+}
+
 struct ServiceFigures FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ServiceFiguresBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -87,7 +170,8 @@
     VT_PROMPT_TOKENS = 6,
     VT_PLACES_WANTED = 8,
     VT_PLACES_STARVED = 10,
-    VT_PREFILL_RATE = 12
+    VT_PREFILL_RATE = 12,
+    VT_RANKS = 14
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -104,6 +188,9 @@
   double prefill_rate() const {
     return GetField<double>(VT_PREFILL_RATE, 0.0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>> *ranks() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>> *>(VT_RANKS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -112,6 +199,9 @@
            VerifyField<double>(verifier, VT_PLACES_WANTED, 8) &&
            VerifyField<double>(verifier, VT_PLACES_STARVED, 8) &&
            VerifyField<double>(verifier, VT_PREFILL_RATE, 8) &&
+           VerifyOffset(verifier, VT_RANKS) &&
+           verifier.VerifyVector(ranks()) &&
+           verifier.VerifyVectorOfTables(ranks()) &&
            verifier.EndTable();
   }
 };
@@ -135,6 +225,9 @@
   void add_prefill_rate(double prefill_rate) {
     fbb_.AddElement<double>(ServiceFigures::VT_PREFILL_RATE, prefill_rate, 0.0);
   }
+  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>>> ranks) {
+    fbb_.AddOffset(ServiceFigures::VT_RANKS, ranks);
+  }
   explicit ServiceFiguresBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -152,12 +245,14 @@
     double prompt_tokens = 0.0,
     double places_wanted = 0.0,
     double places_starved = 0.0,
-    double prefill_rate = 0.0) {
+    double prefill_rate = 0.0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>>> ranks = 0) {
   ServiceFiguresBuilder builder_(_fbb);
   builder_.add_prefill_rate(prefill_rate);
   builder_.add_places_starved(places_starved);
   builder_.add_places_wanted(places_wanted);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_ranks(ranks);
   builder_.add_service(service);
   return builder_.Finish();
 }
@@ -168,15 +263,18 @@
     double prompt_tokens = 0.0,
     double places_wanted = 0.0,
     double places_starved = 0.0,
-    double prefill_rate = 0.0) {
+    double prefill_rate = 0.0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>> *ranks = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::RankDemand>>(*ranks) : 0;
   return crocusspur::gateway::wire::CreateServiceFigures(
       _fbb,
       service__,
       prompt_tokens,
       places_wanted,
       places_starved,
-      prefill_rate);
+      prefill_rate,
+      ranks__);
 }
 
 struct GivenOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -355,7 +453,8 @@
     VT_ORDERS = 16,
     VT_REACHED = 18,
     VT_FAILURE_DOMAIN = 20,
-    VT_STORE_FAILING = 22
+    VT_STORE_FAILING = 22,
+    VT_STATE_VERSION = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -387,6 +486,9 @@
   bool store_failing() const {
     return GetField<uint8_t>(VT_STORE_FAILING, 0) != 0;
   }
+  uint64_t state_version() const {
+    return GetField<uint64_t>(VT_STATE_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -408,6 +510,7 @@
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint8_t>(verifier, VT_STORE_FAILING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STATE_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -446,6 +549,9 @@
   void add_store_failing(bool store_failing) {
     fbb_.AddElement<uint8_t>(Member::VT_STORE_FAILING, static_cast<uint8_t>(store_failing), 0);
   }
+  void add_state_version(uint64_t state_version) {
+    fbb_.AddElement<uint64_t>(Member::VT_STATE_VERSION, state_version, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -468,8 +574,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>>> orders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>>> reached = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    bool store_failing = false) {
+    bool store_failing = false,
+    uint64_t state_version = 0) {
   MemberBuilder builder_(_fbb);
+  builder_.add_state_version(state_version);
   builder_.add_incarnation(incarnation);
   builder_.add_failure_domain(failure_domain);
   builder_.add_reached(reached);
@@ -494,7 +602,8 @@
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::GivenOrder>> *orders = nullptr,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceReach>> *reached = nullptr,
     const char *failure_domain = nullptr,
-    bool store_failing = false) {
+    bool store_failing = false,
+    uint64_t state_version = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto figures__ = figures ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServiceFigures>>(*figures) : 0;
@@ -512,7 +621,8 @@
       orders__,
       reached__,
       failure_domain__,
-      store_failing);
+      store_failing,
+      state_version);
 }
 
 struct PublishedServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1328,7 +1438,8 @@
     VT_RESUMED_REQUEST_ID = 36,
     VT_USED_SERVERS = 38,
     VT_MAY_HAVE_EXECUTED = 40,
-    VT_STREAM_VERSION = 42
+    VT_STREAM_VERSION = 42,
+    VT_ACCOUNT = 44
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1390,6 +1501,9 @@
   uint64_t stream_version() const {
     return GetField<uint64_t>(VT_STREAM_VERSION, 0);
   }
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1425,6 +1539,8 @@
            verifier.VerifyVectorOfStrings(used_servers()) &&
            VerifyField<uint8_t>(verifier, VT_MAY_HAVE_EXECUTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_STREAM_VERSION, 8) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
            verifier.EndTable();
   }
 };
@@ -1493,6 +1609,9 @@
   void add_stream_version(uint64_t stream_version) {
     fbb_.AddElement<uint64_t>(ForwardRequest::VT_STREAM_VERSION, stream_version, 0);
   }
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(ForwardRequest::VT_ACCOUNT, account);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1525,7 +1644,8 @@
     flatbuffers::Offset<flatbuffers::String> resumed_request_id = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> used_servers = 0,
     bool may_have_executed = false,
-    uint64_t stream_version = 0) {
+    uint64_t stream_version = 0,
+    flatbuffers::Offset<flatbuffers::String> account = 0) {
   ForwardRequestBuilder builder_(_fbb);
   builder_.add_stream_version(stream_version);
   builder_.add_expected_output_tokens(expected_output_tokens);
@@ -1533,6 +1653,7 @@
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_elapsed_ms(elapsed_ms);
   builder_.add_time_left_ms(time_left_ms);
+  builder_.add_account(account);
   builder_.add_used_servers(used_servers);
   builder_.add_resumed_request_id(resumed_request_id);
   builder_.add_last_event_id(last_event_id);
@@ -1571,7 +1692,8 @@
     const char *resumed_request_id = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *used_servers = nullptr,
     bool may_have_executed = false,
-    uint64_t stream_version = 0) {
+    uint64_t stream_version = 0,
+    const char *account = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
@@ -1583,6 +1705,7 @@
   auto last_event_id__ = last_event_id ? _fbb.CreateString(last_event_id) : 0;
   auto resumed_request_id__ = resumed_request_id ? _fbb.CreateString(resumed_request_id) : 0;
   auto used_servers__ = used_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*used_servers) : 0;
+  auto account__ = account ? _fbb.CreateString(account) : 0;
   return crocusspur::gateway::wire::CreateForwardRequest(
       _fbb,
       id__,
@@ -1604,7 +1727,8 @@
       resumed_request_id__,
       used_servers__,
       may_have_executed,
-      stream_version);
+      stream_version,
+      account__);
 }
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1710,6 +1834,289 @@
       ago_ms);
 }
 
+struct ServerPace FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerPaceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT = 6,
+    VT_STAGE = 8,
+    VT_PACE = 10,
+    VT_KNEE = 12,
+    VT_SAMPLES = 14,
+    VT_AGO_MS = 16
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  uint8_t stage() const {
+    return GetField<uint8_t>(VT_STAGE, 0);
+  }
+  double pace() const {
+    return GetField<double>(VT_PACE, 0.0);
+  }
+  double knee() const {
+    return GetField<double>(VT_KNEE, 0.0);
+  }
+  double samples() const {
+    return GetField<double>(VT_SAMPLES, 0.0);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STAGE, 1) &&
+           VerifyField<double>(verifier, VT_PACE, 8) &&
+           VerifyField<double>(verifier, VT_KNEE, 8) &&
+           VerifyField<double>(verifier, VT_SAMPLES, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerPaceBuilder {
+  typedef ServerPace Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerPace::VT_SERVER, server);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(ServerPace::VT_STARTED_AT, started_at, 0);
+  }
+  void add_stage(uint8_t stage) {
+    fbb_.AddElement<uint8_t>(ServerPace::VT_STAGE, stage, 0);
+  }
+  void add_pace(double pace) {
+    fbb_.AddElement<double>(ServerPace::VT_PACE, pace, 0.0);
+  }
+  void add_knee(double knee) {
+    fbb_.AddElement<double>(ServerPace::VT_KNEE, knee, 0.0);
+  }
+  void add_samples(double samples) {
+    fbb_.AddElement<double>(ServerPace::VT_SAMPLES, samples, 0.0);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(ServerPace::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit ServerPaceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerPace> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerPace>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerPace> CreateServerPace(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_at = 0,
+    uint8_t stage = 0,
+    double pace = 0.0,
+    double knee = 0.0,
+    double samples = 0.0,
+    uint32_t ago_ms = 0) {
+  ServerPaceBuilder builder_(_fbb);
+  builder_.add_samples(samples);
+  builder_.add_knee(knee);
+  builder_.add_pace(pace);
+  builder_.add_started_at(started_at);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_server(server);
+  builder_.add_stage(stage);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerPace> CreateServerPaceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_at = 0,
+    uint8_t stage = 0,
+    double pace = 0.0,
+    double knee = 0.0,
+    double samples = 0.0,
+    uint32_t ago_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocusspur::gateway::wire::CreateServerPace(
+      _fbb,
+      server__,
+      started_at,
+      stage,
+      pace,
+      knee,
+      samples,
+      ago_ms);
+}
+
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNT = 4,
+    VT_WANTED_TOKENS = 6,
+    VT_DEMAND_PER_S = 8,
+    VT_RETURNED_TOKENS = 10,
+    VT_CONFIG_VERSION = 12
+  };
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  uint64_t wanted_tokens() const {
+    return GetField<uint64_t>(VT_WANTED_TOKENS, 0);
+  }
+  double demand_per_s() const {
+    return GetField<double>(VT_DEMAND_PER_S, 0.0);
+  }
+  uint64_t returned_tokens() const {
+    return GetField<uint64_t>(VT_RETURNED_TOKENS, 0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<uint64_t>(verifier, VT_WANTED_TOKENS, 8) &&
+           VerifyField<double>(verifier, VT_DEMAND_PER_S, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RETURNED_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(QuotaRequest::VT_ACCOUNT, account);
+  }
+  void add_wanted_tokens(uint64_t wanted_tokens) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_WANTED_TOKENS, wanted_tokens, 0);
+  }
+  void add_demand_per_s(double demand_per_s) {
+    fbb_.AddElement<double>(QuotaRequest::VT_DEMAND_PER_S, demand_per_s, 0.0);
+  }
+  void add_returned_tokens(uint64_t returned_tokens) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_RETURNED_TOKENS, returned_tokens, 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_CONFIG_VERSION, config_version, 0);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    uint64_t wanted_tokens = 0,
+    double demand_per_s = 0.0,
+    uint64_t returned_tokens = 0,
+    uint64_t config_version = 0) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_returned_tokens(returned_tokens);
+  builder_.add_demand_per_s(demand_per_s);
+  builder_.add_wanted_tokens(wanted_tokens);
+  builder_.add_account(account);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *account = nullptr,
+    uint64_t wanted_tokens = 0,
+    double demand_per_s = 0.0,
+    uint64_t returned_tokens = 0,
+    uint64_t config_version = 0) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return crocusspur::gateway::wire::CreateQuotaRequest(
+      _fbb,
+      account__,
+      wanted_tokens,
+      demand_per_s,
+      returned_tokens,
+      config_version);
+}
+
+struct QuotaLease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaLeaseBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GRANTED_TOKENS = 4,
+    VT_LIFETIME_MS = 6,
+    VT_RETRY_AFTER_MS = 8
+  };
+  uint64_t granted_tokens() const {
+    return GetField<uint64_t>(VT_GRANTED_TOKENS, 0);
+  }
+  uint32_t lifetime_ms() const {
+    return GetField<uint32_t>(VT_LIFETIME_MS, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_GRANTED_TOKENS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaLeaseBuilder {
+  typedef QuotaLease Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_granted_tokens(uint64_t granted_tokens) {
+    fbb_.AddElement<uint64_t>(QuotaLease::VT_GRANTED_TOKENS, granted_tokens, 0);
+  }
+  void add_lifetime_ms(uint32_t lifetime_ms) {
+    fbb_.AddElement<uint32_t>(QuotaLease::VT_LIFETIME_MS, lifetime_ms, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(QuotaLease::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit QuotaLeaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaLease> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaLease>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaLease> CreateQuotaLease(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t granted_tokens = 0,
+    uint32_t lifetime_ms = 0,
+    uint32_t retry_after_ms = 0) {
+  QuotaLeaseBuilder builder_(_fbb);
+  builder_.add_granted_tokens(granted_tokens);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_lifetime_ms(lifetime_ms);
+  return builder_.Finish();
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1745,7 +2152,11 @@
     VT_ACCEPTS_CHANGES = 62,
     VT_HAS_CHANGES = 64,
     VT_CHANGES_SINCE_REVISION = 66,
-    VT_CHANGES_SINCE_ERA = 68
+    VT_CHANGES_SINCE_ERA = 68,
+    VT_QUOTA_REQUEST = 70,
+    VT_QUOTA_LEASE = 72,
+    VT_PACES = 74,
+    VT_MEMBERS_DIGEST = 76
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -1846,6 +2257,18 @@
   uint64_t changes_since_era() const {
     return GetField<uint64_t>(VT_CHANGES_SINCE_ERA, 0);
   }
+  const crocusspur::gateway::wire::QuotaRequest *quota_request() const {
+    return GetPointer<const crocusspur::gateway::wire::QuotaRequest *>(VT_QUOTA_REQUEST);
+  }
+  const crocusspur::gateway::wire::QuotaLease *quota_lease() const {
+    return GetPointer<const crocusspur::gateway::wire::QuotaLease *>(VT_QUOTA_LEASE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *paces() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *>(VT_PACES);
+  }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -1902,6 +2325,14 @@
            VerifyField<uint8_t>(verifier, VT_HAS_CHANGES, 1) &&
            VerifyField<uint64_t>(verifier, VT_CHANGES_SINCE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CHANGES_SINCE_ERA, 8) &&
+           VerifyOffset(verifier, VT_QUOTA_REQUEST) &&
+           verifier.VerifyTable(quota_request()) &&
+           VerifyOffset(verifier, VT_QUOTA_LEASE) &&
+           verifier.VerifyTable(quota_lease()) &&
+           VerifyOffset(verifier, VT_PACES) &&
+           verifier.VerifyVector(paces()) &&
+           verifier.VerifyVectorOfTables(paces()) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -2009,6 +2440,18 @@
   void add_changes_since_era(uint64_t changes_since_era) {
     fbb_.AddElement<uint64_t>(Frame::VT_CHANGES_SINCE_ERA, changes_since_era, 0);
   }
+  void add_quota_request(flatbuffers::Offset<crocusspur::gateway::wire::QuotaRequest> quota_request) {
+    fbb_.AddOffset(Frame::VT_QUOTA_REQUEST, quota_request);
+  }
+  void add_quota_lease(flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease) {
+    fbb_.AddOffset(Frame::VT_QUOTA_LEASE, quota_lease);
+  }
+  void add_paces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>> paces) {
+    fbb_.AddOffset(Frame::VT_PACES, paces);
+  }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(Frame::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2054,8 +2497,13 @@
     bool accepts_changes = false,
     bool has_changes = false,
     uint64_t changes_since_revision = 0,
-    uint64_t changes_since_era = 0) {
+    uint64_t changes_since_era = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::QuotaRequest> quota_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>> paces = 0,
+    uint64_t members_digest = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
   builder_.add_changes_since_revision(changes_since_revision);
   builder_.add_store_era(store_era);
@@ -2066,6 +2514,9 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_paces(paces);
+  builder_.add_quota_lease(quota_lease);
+  builder_.add_quota_request(quota_request);
   builder_.add_store_confirmed_ago_ms(store_confirmed_ago_ms);
   builder_.add_leaving(leaving);
   builder_.add_forward(forward);
@@ -2126,7 +2577,11 @@
     bool accepts_changes = false,
     bool has_changes = false,
     uint64_t changes_since_revision = 0,
-    uint64_t changes_since_era = 0) {
+    uint64_t changes_since_era = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::QuotaRequest> quota_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *paces = nullptr,
+    uint64_t members_digest = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2135,6 +2590,7 @@
   auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerLimit>>(*limits) : 0;
   auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>(*origins) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>(*leaving) : 0;
+  auto paces__ = paces ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>(*paces) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -2169,7 +2625,11 @@
       accepts_changes,
       has_changes,
       changes_since_revision,
-      changes_since_era);
+      changes_since_era,
+      quota_request,
+      quota_lease,
+      paces__,
+      members_digest);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
