Send no prompts to servers that aren't in their registered stage

Change: a server that answers 421 is excluded until it registers another stage, at most 10 s; a prefill server that refuses a prompt is a last resort for a second.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -21,6 +21,13 @@
 // Backoff for a server that refused because it is full. Short, since slots
 // become free within tens of milliseconds.
 constexpr Milliseconds OverloadPause{25};
+// Exclusion of a server that isn't in its registered stage. It ends earlier
+// with the entry of the new stage, which a store that is away delays by
+// seconds.
+constexpr Milliseconds MisdirectedExclusion{10000};
+// Time for which a prefill server that refuses prompts is a last resort. A
+// change of stage takes seconds, and each refusal costs a request a retry.
+constexpr Milliseconds StageRefusalPause{1000};
 // Penalty for servers in another failure domain, in requests. It only decides
 // between otherwise equal servers.
 constexpr double OtherDomainPenalty = 0.05;
@@ -125,6 +132,18 @@
     it->second.ExcludedUntil = std::max(it->second.ExcludedUntil, Until);
 }
 
+void ServerRegistry::onStageRefused(const std::string &Id, bool Misdirected,
+                                    TimePoint Now) {
+  if (Misdirected) {
+    exclude(Id, Now + MisdirectedExclusion);
+    return;
+  }
+  auto it = Servers.find(Id);
+  if (it != Servers.end())
+    it->second.AvoidUntil =
+        std::max(it->second.AvoidUntil, Now + StageRefusalPause);
+}
+
 const ServerEntry *ServerRegistry::find(const std::string &Id) const {
   auto it = Servers.find(Id);
   return it == Servers.end() ? nullptr : &it->second.Entry;
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -115,6 +115,14 @@
   // registers another stage. Used for servers that change their stage or that
   // refuse requests for which they reserved memory.
   void exclude(const std::string &Id, TimePoint Until);
+  // A server didn't execute a prefill or grant a reservation in the stage that
+  // it is registered with. `Misdirected`: it stated that it isn't in that
+  // stage, or isn't the server of the entry, so it is excluded. Otherwise it
+  // may be changing its stage, and becomes a last resort for a short time.
+  //
+  // Answers the load after a restart of all instances, which forget their
+  // orders while the entries still show the stages before them.
+  void onStageRefused(const std::string &Id, bool Misdirected, TimePoint Now);
 
   // The server wants no request of this instance for some time, which it has
   // said in a refusal. At most MaxRest; the end is spread by a random part, so
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -533,6 +533,17 @@
   Registry.exclude(ServerId, Clock::now() + Time);
 }
 
+void ServiceDirectory::onStageRefused(const ServerChoice &Server,
+                                      ServerStage Stage, bool Misdirected) {
+  if (Misdirected)
+    log(LogLevel::Info, "directory", "server isn't in its registered stage",
+        {{"server", Server.Id},
+         {"started_at", std::to_string(Server.StartedAt)},
+         {"stage", nameOf(Stage)}});
+  std::lock_guard lock(Mutex);
+  Registry.onStageRefused(Server.Id, Misdirected, Clock::now());
+}
+
 void ServiceDirectory::onReservedRequestRefused(const std::string &ServerId) {
   std::lock_guard lock(Mutex);
   Registry.exclude(ServerId, Clock::now() + ReservedRefusalExclusion);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -158,6 +158,9 @@
   // effect.
   void onStageChangeOrdered(const std::string &ServerId, uint64_t Fence,
                             Milliseconds Time);
+  // See ServerRegistry::onStageRefused().
+  void onStageRefused(const ServerChoice &Server, ServerStage Stage,
+                      bool Misdirected);
   // A server refused a request for which it had reserved memory.
   void onReservedRequestRefused(const std::string &ServerId);
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -43,6 +43,8 @@
 constexpr Milliseconds MinStallTimeout{1200};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
+// Status of a server that isn't in the stage, or isn't the one, that was meant.
+constexpr uint32_t MisdirectedStatus = 421;
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
 // Events hold some tokens each. The stream counts as broken beyond it.
@@ -315,6 +317,9 @@
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
+    if (call.head().Status == MisdirectedStatus)
+      Context.Directory.onStageRefused(server, ServerStage::Decode,
+                                       /*Misdirected=*/true);
     DecodeReservation granted{server, name.value_or(""),
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
@@ -396,6 +401,9 @@
   if (!done) {
     end(call.info().NotExecuted ? CallResult::Overloaded : CallResult::Failed,
         "refused_" + code);
+    if (call.info().NotExecuted)
+      Context.Directory.onStageRefused(Server, ServerStage::Prefill,
+                                       call.head().Status == MisdirectedStatus);
     return std::nullopt;
   }
   PrefillAccepted = true;
--- a/test/gateway_server_registry_test.cc
+++ b/test/gateway_server_registry_test.cc
@@ -167,6 +167,32 @@
       registry.choose({"bays", ServerStage::Decode, {}}, at(6000)).has_value());
 }
 
+// After a restart of all instances nobody knows which servers change their
+// stage, and while the store is away each refusal would cost a request.
+TEST_CASE("A server that isn't in its registered stage gets no requests") {
+  ServerRegistry registry = registryOf({"s1", "s2"});
+  registry.onStageRefused("s1", /*Misdirected=*/true, Start);
+  for (int i = 0; i < 20; ++i)
+    CHECK(chosen(registry, at(9999)) == "s2");
+  registry.remove("s2", Start);
+  CHECK(chosen(registry, at(9999)) == "none");
+  ServerEntry changed = entryOf("s1");
+  changed.Stage = ServerStage::Decode;
+  registry.apply(changed, at(100));
+  changed.Stage = ServerStage::Whole;
+  registry.apply(changed, at(200));
+  CHECK(chosen(registry, at(200)) == "s1");
+}
+
+TEST_CASE("A server that may be changing its stage is a last resort") {
+  ServerRegistry registry = registryOf({"s1", "s2"});
+  registry.onStageRefused("s1", /*Misdirected=*/false, Start);
+  for (int i = 0; i < 20; ++i)
+    CHECK(chosen(registry, at(999)) == "s2");
+  registry.onStageRefused("s2", /*Misdirected=*/false, Start);
+  CHECK(chosen(registry, at(999)) != "none");
+}
+
 TEST_CASE("A query for a software version finds only its servers") {
   ServerRegistry registry("hall-a", 7);
   for (const char *version : {"", "v1", "v1.1"}) {
