Exclude servers that change their stage for as long as the change takes

The entry of the new stage takes a heartbeat and an exchange more: 52 prefill calls at second 16 were refused with 421, and 30 streams ended for it.

Change: the exclusion covers the announcement, the change and the time until the entry is known. The entry still ends it earlier.

--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -27,8 +27,9 @@
 // Interval between readings of the decode servers' memory use. Only the leader
 // makes them, since each costs a call.
 constexpr Milliseconds ReportPeriod{2000};
-// Time from the announcement after which a changing server is expected back,
-// unless its entry changes earlier.
+// Time from an order until the entry of the new stage is known, which ends the
+// exclusion earlier: some 6 s for the change, then the server's next heartbeat
+// and the exchanges between instances.
 constexpr Milliseconds StageChangeTime{10000};
 // Time from the announcement of an order until it is sent, in which it spreads
 // to all instances at two exchanges a second. Instances that don't know of it
@@ -71,6 +72,10 @@
   void sendAnnounced();
   void sendOrder(const AnnouncedOrder &Item);
   Milliseconds announceTime() const;
+  // From the announcement of an order until its server is expected back.
+  Milliseconds exclusionTime() const {
+    return announceTime() + StageChangeTime;
+  }
   // Returns the status of the response, or 0 if there is none.
   uint32_t call(const ServerChoice &Server, const std::string &Bytes,
                 const char *Method, std::string &Body);
@@ -132,9 +137,9 @@
 // Excludes servers that are changing their stage, as known from peers.
 void RoleOrders::excludeChangingServers(const std::string &Service) {
   for (const IssuedStageOrder &it : Runtime->Peers.orders(Service))
-    if (it.Age < StageChangeTime)
+    if (it.Age < exclusionTime())
       Runtime->Directory.onStageChangeOrdered(it.ServerId, it.Fence,
-                                              StageChangeTime - it.Age);
+                                              exclusionTime() - it.Age);
 }
 
 PoolView RoleOrders::poolOf(const std::string &Service) {
@@ -146,7 +151,7 @@
   // Servers that are changing are still registered with their old stage.
   for (const IssuedStageOrder &it : Runtime->Peers.orders(Service)) {
     std::optional<ServerStage> stage = Runtime->Directory.stageOf(it.ServerId);
-    if (it.Age >= StageChangeTime || !stage ||
+    if (it.Age >= exclusionTime() || !stage ||
         it.ToDecode == (*stage == ServerStage::Decode))
       continue;
     (it.ToDecode ? pool.PrefillServers : pool.DecodeServers) -= 1;
@@ -261,7 +266,7 @@
     uint64_t fence = nextFence(Service);
     Runtime->Peers.recordOrder({Service, it.Id, fence, Milliseconds(0),
                                 Change.To == ServerStage::Decode});
-    Runtime->Directory.onStageChangeOrdered(it.Id, fence, StageChangeTime);
+    Runtime->Directory.onStageChangeOrdered(it.Id, fence, exclusionTime());
     Pending.push_back(
         {Service, it, Change.To, fence, Clock::now() + announceTime()});
   }
