Replay contention for decode memory in virtual time

Cause: with 61 instances each has about one request waiting, so the order within an instance decides nothing, and all ranks ask for memory at the same intervals. A request finds memory in proportion to the time that it waits.

--- /dev/null
+++ b/test/gateway_contention_test.cc
@@ -0,0 +1,122 @@
+// Replays bursts in virtual time: many instances compete for the memory of the
+// decode servers, each with its own queue and without knowledge of the others.
+#include "gateway/decisions/reservation_queue.h"
+#include "virtual_time.h"
+
+#include <algorithm>
+#include <array>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+using test::at;
+
+namespace {
+
+constexpr size_t InstanceCount = 61;
+constexpr size_t ServerCount = 59;
+constexpr int RequestsPerServer = 7; // that fit into a server's memory
+constexpr size_t ServersPerAttempt = 14;
+constexpr int64_t StepMs = 2; // a call to a server takes as long
+constexpr int64_t WarmUpMs = 5000;
+constexpr int64_t BurstMs = 5000;
+// Requests per second whose output takes 3.5 s that fit into all memory.
+constexpr double Capacity = ServerCount * RequestsPerServer / 3.5;
+
+struct Stream {
+  double Share;     // of all requests on a usual day
+  int64_t OnTimeMs; // from the arrival to the latest grant
+  uint32_t Priority;
+};
+// Targets of 800, 1,000 and 2,000 ms, less the time for a typical prompt.
+constexpr std::array<Stream, 3> Streams{
+    {{0.24, 527, 0}, {0.325, 727, 1}, {0.435, 1727, 2}}};
+
+struct ReplayResult {
+  std::array<int, 3> Arrived{}, OnTime{};
+  int64_t Calls = 0;
+  double share(size_t I) const {
+    return static_cast<double>(OnTime[I]) / Arrived[I];
+  }
+};
+
+struct Waiting {
+  size_t Kind, Instance;
+  uint64_t Ticket;
+  int64_t LatestMs;
+  bool InBurst;
+  std::vector<size_t> ToAsk{}; // servers of the running attempt
+};
+
+// `Loads`: arrivals of each kind during the burst, in multiples of its share of
+// the capacity.
+ReplayResult replay(std::array<double, 3> Loads, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  auto draw = [&](int64_t Low, int64_t High) {
+    return std::uniform_int_distribution<int64_t>(Low, High)(random);
+  };
+  std::vector<ReservationQueue> queues(InstanceCount, ReservationQueue(3));
+  std::array<std::vector<int64_t>, ServerCount> busyUntil;
+  std::vector<Waiting> all;
+  ReplayResult result;
+  for (int64_t ms = 0; ms < WarmUpMs + BurstMs + 2000; ms += StepMs) {
+    bool burst = ms >= WarmUpMs && ms < WarmUpMs + BurstMs;
+    for (size_t kind = 0; kind < Streams.size(); ++kind) {
+      double rate =
+          Capacity * Streams[kind].Share * (burst ? Loads[kind] : 0.9);
+      if (!std::bernoulli_distribution(rate * StepMs / 1000)(random))
+        continue;
+      auto instance = static_cast<size_t>(draw(0, InstanceCount - 1));
+      TimePoint latest = at(ms + Streams[kind].OnTimeMs);
+      QueueEntry entry{Streams[kind].Priority, latest, latest};
+      result.Arrived[kind] += burst ? 1 : 0;
+      if (!queues[instance].wouldTimeOut(latest, at(ms)))
+        all.push_back({kind, instance, queues[instance].join(entry, at(ms)),
+                       ms + Streams[kind].OnTimeMs, burst});
+    }
+    for (auto &it : busyUntil)
+      std::erase_if(it, [ms](int64_t Until) { return Until <= ms; });
+    std::shuffle(all.begin(), all.end(), random);
+    std::erase_if(all, [&](Waiting &It) {
+      ReservationQueue &queue = queues[It.Instance];
+      if (It.ToAsk.empty() && ms >= It.LatestMs) {
+        queue.leave(It.Ticket);
+        return true;
+      }
+      if (It.ToAsk.empty() && queue.tryStartAttempt(It.Ticket, at(ms)))
+        while (It.ToAsk.size() < ServersPerAttempt)
+          It.ToAsk.push_back(static_cast<size_t>(draw(0, ServerCount - 1)));
+      if (It.ToAsk.empty())
+        return false;
+      ++result.Calls;
+      auto &server = busyUntil[It.ToAsk.back()];
+      It.ToAsk.pop_back();
+      bool granted = server.size() < RequestsPerServer;
+      if (granted || It.ToAsk.empty())
+        queue.onAttemptEnded(It.Ticket, at(ms));
+      if (!granted)
+        return false;
+      server.push_back(ms + draw(3000, 4000));
+      queue.onGranted(at(ms));
+      queue.leave(It.Ticket);
+      result.OnTime[It.Kind] += It.InBurst && ms <= It.LatestMs ? 1 : 0;
+      return true;
+    });
+  }
+  return result;
+}
+
+} // namespace
+
+// Guards the replay against a load that doesn't show the fault: with the same
+// interval between attempts for all ranks, the request that waits longest finds
+// memory most often, and this is the one of the least urgent rank.
+TEST_CASE("Contention: with equal intervals the most urgent rank gets least") {
+  ReplayResult all = replay({2.2, 2.2, 2.2}, 1);
+  CHECK(all.share(0) < 0.6 * all.share(2));
+  CHECK(all.share(1) < 0.7 * all.share(2));
+  ReplayResult lowest = replay({0.9, 0.9, 2.4}, 1);
+  CHECK(lowest.share(0) < 0.7 * lowest.share(2));
+}
