Give ranks precedence for decode memory across instances

Cause: all requests asked for memory every 40 ms, so a request found it in proportion to the time that it waits, and the least urgent rank, which has the longest target, got the largest share.

While servers refuse this instance as full, a new request of a lower rank waits for its interval first. A stream that continues elsewhere is among the most urgent. Servers learn the rank in a header field, sent only there. With one rank, intervals and order are as before.

--- a/src/gateway/decisions/reservation_queue.cc
+++ b/src/gateway/decisions/reservation_queue.cc
@@ -7,12 +7,9 @@
 namespace crocusspur::gateway {
 namespace {
 
-// Interval between two attempts of a request. At full load decode servers free
-// memory about every 100 ms; a shorter interval costs more calls than it gains.
-constexpr Milliseconds AttemptInterval{40};
-// Factor on the interval for requests that are already late, so that requests
-// that can still be on time find memory first at all instances.
-constexpr int LateIntervalFactor = 4;
+// Refusals by full servers show contention for this long. During a burst an
+// instance of 60 makes an attempt about every 100 ms.
+constexpr Milliseconds FullEvidenceLifetime{250};
 // Time constant of the grant rate's moving average: half of a typical burst.
 constexpr std::chrono::duration<double> RateTimeConstant{2.0};
 // Bounds of the retry delay for refused callers. Bursts last several seconds,
@@ -27,10 +24,17 @@
 } // namespace
 
 uint64_t ReservationQueue::join(const QueueEntry &Item, TimePoint Now) {
-  Waiters[++LastTicket] = {Item, Now, false};
+  Milliseconds delay =
+      isContended(Now) ? firstAttemptDelay(Item.Rank, Item.OnTimeDeadline, Now)
+                       : Milliseconds(0);
+  Waiters[++LastTicket] = {Item, Now + delay, false};
   return LastTicket;
 }
 
+bool ReservationQueue::isContended(TimePoint Now) const {
+  return FullAt && Now - *FullAt < FullEvidenceLifetime;
+}
+
 void ReservationQueue::leave(uint64_t Ticket) { Waiters.erase(Ticket); }
 
 bool ReservationQueue::before(uint64_t LeftTicket, const Waiter &Left,
@@ -66,9 +70,9 @@
   if (it == Waiters.end())
     return;
   it->second.Attempting = false;
-  bool late = Now > it->second.Item.OnTimeDeadline;
+  const QueueEntry &entry = it->second.Item;
   it->second.NextAttempt =
-      Now + AttemptInterval * (late ? LateIntervalFactor : 1);
+      Now + attemptInterval(entry.Rank, entry.OnTimeDeadline, Now);
 }
 
 double ReservationQueue::grantsPerSecond(TimePoint Now) const {
--- a/src/gateway/decisions/reservation_queue.h
+++ b/src/gateway/decisions/reservation_queue.h
@@ -8,6 +8,7 @@
 #define CROCUSSPUR_GATEWAY_RESERVATION_QUEUE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/attempt_interval.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,7 @@
   uint32_t Priority = 0;    // 0 is the highest
   TimePoint OnTimeDeadline; // latest grant for a response that is on time
   TimePoint ExpiresAt;      // the request leaves the queue then
+  RankPosition Rank{};      // among the ranks of the service
 };
 
 class ReservationQueue {
@@ -36,6 +38,10 @@
   // Ends an attempt. The request may start the next one after an interval that
   // gives memory time to become free.
   void onAttemptEnded(uint64_t Ticket, TimePoint Now);
+  // Records that all servers that were asked are full. For some time, new
+  // requests of lower ranks leave what becomes free to those above.
+  void onAllFull(TimePoint Now) { FullAt = Now; }
+  bool isContended(TimePoint Now) const;
 
   // Whether a request that joins now can't expect a grant by `Deadline` at the
   // rate of the last seconds.
@@ -61,7 +67,8 @@
   uint32_t MaxAttempts;
   uint64_t LastTicket = 0;
   std::map<uint64_t, Waiter> Waiters;
-  double GrantRate = 0; // grants per second, moving average
+  std::optional<TimePoint> FullAt; // the latest refusal by full servers
+  double GrantRate = 0;            // grants per second, moving average
   TimePoint GrantRateAt;
 };
 
--- a/src/gateway/decisions/route_table.cc
+++ b/src/gateway/decisions/route_table.cc
@@ -1,5 +1,7 @@
 #include "gateway/decisions/route_table.h"
 
+#include <algorithm>
+#include <set>
 #include <strings.h>
 
 namespace crocusspur::gateway {
@@ -28,6 +30,21 @@
   return best;
 }
 
+RankPosition rankAmong(const RouteDocument &Document,
+                       const std::string &Service, uint32_t Priority) {
+  std::set<uint32_t> ranks;
+  for (const PathRoute &it : Document.Routes)
+    if (std::ranges::find(it.Services, Service, &WeightedService::Service) !=
+        it.Services.end())
+      ranks.insert(it.Priority);
+  RankPosition position;
+  for (uint32_t it : ranks) {
+    position.Above += it < Priority ? 1 : 0;
+    position.Below += it > Priority ? 1 : 0;
+  }
+  return position;
+}
+
 const std::string &chooseService(const PathRoute &Route, uint64_t Draw) {
   uint64_t sum = 0;
   for (const WeightedService &it : Route.Services)
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_GATEWAY_ROUTE_TABLE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/attempt_interval.h"
 
 #include <map>
 #include <memory>
@@ -73,6 +74,10 @@
 const PathRoute *findRoute(const RouteDocument &Document, std::string_view Host,
                            std::string_view Path);
 
+// Returns where a rank is among the ranks of all routes to the service.
+RankPosition rankAmong(const RouteDocument &Document,
+                       const std::string &Service, uint32_t Priority);
+
 // Selects a service at random by weight. `Draw` is a uniformly distributed
 // random number.
 const std::string &chooseService(const PathRoute &Route, uint64_t Draw);
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -48,6 +48,9 @@
   std::string KvSource;      // location of the prompt's KV cache; empty: none
   std::string Reservation;   // id of a reservation; empty: none
   std::string ContinueAfter; // id of the last event sent to the caller
+  // Rank among the requests of the service, 0 to 9; 0 is the most urgent. The
+  // server admits those first, and preempts the others when memory runs out.
+  std::optional<uint32_t> Priority;
 };
 
 // Contents of a server's response head, except status and length.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -25,6 +25,8 @@
 // Each rank of priority halves the time for which a request may wait for a
 // server's request limit, up to this many times.
 constexpr uint32_t MaxPriorityShift = 8;
+// The least urgent rank that servers distinguish.
+constexpr uint32_t LowestServerPriority = 9;
 // Servers that may show that a refused connection isn't refused by all.
 constexpr size_t MaxServersToConnect = 2;
 // Servers at their limits that are asked how long a request would wait. Each
@@ -257,11 +259,21 @@
   return Context.Directory.tryConsumeRetry(Service);
 }
 
+RankPosition RequestHandler::position() const {
+  RankPosition rank = rankAmong(*Document, Service, Route.Priority);
+  // Its caller has a part of the output already.
+  if (HeadSent)
+    return {0, rank.Above + rank.Below};
+  return rank;
+}
+
 ForwardOptions RequestHandler::optionsFor(const ServerChoice &Server) const {
   ForwardOptions order;
   order.ServerId = Server.Id;
   order.TimeLeft = timeLeft();
   order.ContinueAfter = LastEventId;
+  if (RankPosition rank = position(); rank.differs())
+    order.Priority = std::min(rank.Above, LowestServerPriority);
   return order;
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -173,6 +173,9 @@
   // Whether the last run, which ended with its server, is likely its cause, so
   // that it isn't sent to another server.
   bool mayEndNextServer();
+  // Where this request is among the ranks of its service. A stream that goes on
+  // elsewhere after its server broke is among the most urgent ones.
+  RankPosition position() const;
   ForwardOptions optionsFor(const ServerChoice &Server) const;
   // Also tells the instance that passed the request on if the server leaves.
   internal::ResponseHead responseHead(const ServerCall &Call,
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -38,6 +38,16 @@
   queue(Service).onAttemptEnded(Ticket, Clock::now());
 }
 
+void ReservationQueues::onAllFull(const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  queue(Service).onAllFull(Clock::now());
+}
+
+bool ReservationQueues::isContended(const std::string &Service) {
+  std::lock_guard lock(Mutex);
+  return queue(Service).isContended(Clock::now());
+}
+
 void ReservationQueues::onGranted(const std::string &Service) {
   std::lock_guard lock(Mutex);
   queue(Service).onGranted(Clock::now());
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -17,6 +17,8 @@
   void leave(const std::string &Service, uint64_t Ticket);
   bool tryStartAttempt(const std::string &Service, uint64_t Ticket);
   void onAttemptEnded(const std::string &Service, uint64_t Ticket);
+  void onAllFull(const std::string &Service);
+  bool isContended(const std::string &Service);
   void onGranted(const std::string &Service);
   bool wouldTimeOut(const std::string &Service, TimePoint Latest);
   Milliseconds drainTime(const std::string &Service);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -222,11 +222,17 @@
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
+  entry.Rank = position();
+  if (HeadSent && entry.Rank.differs()) {
+    entry.Priority = 0;
+    entry.OnTimeDeadline = entry.ExpiresAt;
+  }
   LimitedUntil.reset();
   TimePoint joined = Clock::now();
   if (Context.Queues.wouldTimeOut(Service, entry.ExpiresAt))
     return std::nullopt;
   Context.Directory.onMemoryRequested(Service, tokens);
+  bool contended = Context.Queues.isContended(Service); // on arrival
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
@@ -258,6 +264,10 @@
   all.emplace_back("waited_ms", std::to_string(waited.count()));
   all.emplace_back("tries", std::to_string(tries));
   all.emplace_back("returning", Returning ? "true" : "false");
+  all.emplace_back("priority", std::to_string(entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(entry.Rank.Above));
+  all.emplace_back("ranks_below", std::to_string(entry.Rank.Below));
+  all.emplace_back("contended", contended ? "true" : "false");
   log(LogLevel::Info, "request",
       reservation ? "reservation granted" : "no reservation", all);
   return reservation;
@@ -284,6 +294,7 @@
   if (ranked.empty())
     noteResting(outputQuery(ServerStage::Decode));
   size_t asked = 0;
+  size_t full = 0; // of those asked, refused
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
       break;
@@ -315,6 +326,7 @@
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
+    full += name ? 0 : 1;
     DecodeReservation granted{server, name.value_or(""),
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
@@ -325,6 +337,8 @@
   }
   if (asked > 0)
     LimitedUntil.reset();
+  if (full > 0 && full == asked)
+    Context.Queues.onAllFull(Service);
   return std::nullopt;
 }
 
--- a/test/gateway_contention_test.cc
+++ b/test/gateway_contention_test.cc
@@ -50,9 +50,15 @@
   std::vector<size_t> ToAsk{}; // servers of the running attempt
 };
 
-// `Loads`: arrivals of each kind during the burst, in multiples of its share of
-// the capacity.
-ReplayResult replay(std::array<double, 3> Loads, uint64_t Seed) {
+struct Load {
+  // Arrivals of each kind during the burst, in multiples of its share of the
+  // capacity.
+  std::array<double, 3> Arrivals{2.2, 2.2, 2.2};
+  bool ByRank = true;     // whether the instances know that ranks differ
+  size_t ServersGone = 0; // during the burst
+};
+
+ReplayResult replay(const Load &Burst, uint64_t Seed) {
   std::mt19937_64 random(Seed);
   auto draw = [&](int64_t Low, int64_t High) {
     return std::uniform_int_distribution<int64_t>(Low, High)(random);
@@ -65,12 +71,15 @@
     bool burst = ms >= WarmUpMs && ms < WarmUpMs + BurstMs;
     for (size_t kind = 0; kind < Streams.size(); ++kind) {
       double rate =
-          Capacity * Streams[kind].Share * (burst ? Loads[kind] : 0.9);
+          Capacity * Streams[kind].Share * (burst ? Burst.Arrivals[kind] : 0.9);
       if (!std::bernoulli_distribution(rate * StepMs / 1000)(random))
         continue;
       auto instance = static_cast<size_t>(draw(0, InstanceCount - 1));
       TimePoint latest = at(ms + Streams[kind].OnTimeMs);
       QueueEntry entry{Streams[kind].Priority, latest, latest};
+      if (Burst.ByRank)
+        entry.Rank = {static_cast<uint32_t>(kind),
+                      static_cast<uint32_t>(Streams.size() - 1 - kind)};
       result.Arrived[kind] += burst ? 1 : 0;
       if (!queues[instance].wouldTimeOut(latest, at(ms)))
         all.push_back({kind, instance, queues[instance].join(entry, at(ms)),
@@ -93,9 +102,12 @@
       ++result.Calls;
       auto &server = busyUntil[It.ToAsk.back()];
       It.ToAsk.pop_back();
-      bool granted = server.size() < RequestsPerServer;
+      bool gone = burst && &server < &busyUntil[Burst.ServersGone];
+      bool granted = !gone && server.size() < RequestsPerServer;
       if (granted || It.ToAsk.empty())
         queue.onAttemptEnded(It.Ticket, at(ms));
+      if (!granted && It.ToAsk.empty())
+        queue.onAllFull(at(ms));
       if (!granted)
         return false;
       server.push_back(ms + draw(3000, 4000));
@@ -114,9 +126,48 @@
 // interval between attempts for all ranks, the request that waits longest finds
 // memory most often, and this is the one of the least urgent rank.
 TEST_CASE("Contention: with equal intervals the most urgent rank gets least") {
-  ReplayResult all = replay({2.2, 2.2, 2.2}, 1);
+  Load load;
+  load.ByRank = false;
+  ReplayResult all = replay(load, 1);
   CHECK(all.share(0) < 0.6 * all.share(2));
   CHECK(all.share(1) < 0.7 * all.share(2));
-  ReplayResult lowest = replay({0.9, 0.9, 2.4}, 1);
+  load.Arrivals = {0.9, 0.9, 2.4};
+  ReplayResult lowest = replay(load, 1);
   CHECK(lowest.share(0) < 0.7 * lowest.share(2));
 }
+
+// Guards against less urgent requests that take the memory from more urgent
+// ones of other instances, against a lowest rank that gets nothing, and against
+// precedence that costs more calls to servers than equal intervals.
+TEST_CASE("Contention: no rank gets a smaller share than a less urgent one") {
+  for (const Load &load : {Load{}, Load{{0.9, 0.9, 2.4}}, Load{{2.4, 0.9, 0.9}},
+                           Load{{0.9, 2.4, 0.9}}, Load{{1.3, 1.3, 1.3}},
+                           Load{{0.9, 0.9, 0.9}, true, ServerCount / 4}}) {
+    Load equal = load;
+    equal.ByRank = false;
+    ReplayResult sum;
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      ReplayResult result = replay(load, seed);
+      for (size_t kind = 0; kind < Streams.size(); ++kind) {
+        sum.Arrived[kind] += result.Arrived[kind];
+        sum.OnTime[kind] += result.OnTime[kind];
+      }
+      CHECK(result.Calls < replay(equal, seed).Calls);
+    }
+    CAPTURE(load.Arrivals[0]);
+    CAPTURE(load.Arrivals[2]);
+    CHECK(sum.share(0) >= sum.share(1));
+    CHECK(sum.share(1) >= sum.share(2));
+    CHECK(sum.share(0) >= 0.7);
+    CHECK(sum.share(2) >= 0.3);
+    MESSAGE("share ", sum.share(0), " ", sum.share(1), " ", sum.share(2));
+  }
+}
+
+// Guards deployments with one rank against a change of the order of attempts.
+TEST_CASE("Contention: with one rank all requests ask at the former interval") {
+  CHECK(attemptInterval({}, at(900), at(0)) == Milliseconds(40));
+  CHECK(attemptInterval({}, at(900), at(899)) == Milliseconds(40));
+  CHECK(attemptInterval({}, at(900), at(901)) == Milliseconds(160));
+  CHECK(firstAttemptDelay({}, at(900), at(0)) == Milliseconds(0));
+}
--- a/test/gateway_route_table_test.cc
+++ b/test/gateway_route_table_test.cc
@@ -71,3 +71,18 @@
   for (uint64_t draw = 0; draw < 10; ++draw)
     CHECK(chooseService(route, draw) == "on");
 }
+
+// Guards against precedence where it has no place: ranks of other services
+// don't count, and two routes of the same rank are one.
+TEST_CASE("A rank is placed among the routes of its service") {
+  RouteDocument document = documentOf({routeOf("a", "a.example", "/a/"),
+                                       routeOf("b", "a.example", "/b/"),
+                                       routeOf("c", "a.example", "/c/")});
+  document.Routes[1].Priority = 2;
+  document.Routes[2].Priority = 2;
+  CHECK(rankAmong(document, "bays", 0) == RankPosition{0, 1});
+  CHECK(rankAmong(document, "bays", 1) == RankPosition{1, 1});
+  CHECK(rankAmong(document, "bays", 2) == RankPosition{1, 0});
+  document.Routes[0].Services = {{"other", 1}};
+  CHECK_FALSE(rankAmong(document, "bays", 2).differs());
+}
--- a/test/gateway_stream_handler_test.cc
+++ b/test/gateway_stream_handler_test.cc
@@ -209,6 +209,31 @@
   }
 }
 
+// Guards against a broken stream that waits behind new requests while its
+// caller's output pauses, and against a rank that servers don't learn.
+TEST_CASE("A stream that continues elsewhere is among the most urgent") {
+  GatewayFixture gateway;
+  auto respond = decode([](const std::string &Request, int) {
+    if (!contains(Request, "Last-Event-Id")) { // breaks off
+      CHECK(contains(Request, "Request-Priority: 1"));
+      return StreamHead + events(1, 2);
+    }
+    CHECK(contains(Request, "Request-Priority: 0"));
+    return stream(3, 5);
+  });
+  FakeServer first(respond);
+  FakeServer second(respond);
+  gateway.addServer("d1", first, ServerStage::Decode);
+  gateway.addServer("d2", second, ServerStage::Decode);
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  route.Priority = 2;
+  PathRoute urgent = route;
+  urgent.Priority = 0;
+  gateway.Document->Routes = {urgent, route};
+  CHECK(contains(gateway.run(route), event(5)));
+}
+
 TEST_CASE("The server's call is cancelled when the caller disconnects") {
   GatewayFixture gateway;
   std::atomic<bool> closed{false};
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -95,6 +95,20 @@
   CHECK(has(text, "Kv-Source: 10.0.0.8:80/3fa0"));
   CHECK(has(text, "Retention: r7"));
   CHECK(has(text, "Last-Event-Id: 12"));
+  CHECK(text.find("Request-Priority") == std::string::npos);
+}
+
+// Guards against servers that preempt an urgent request since they don't learn
+// its rank, and against a rank that the caller sets itself.
+TEST_CASE("HttpCodec sends the rank that the gateway states") {
+  HttpCodec codec = platform::makeHttpCodec();
+  CallerRequest request =
+      codec.ParseRequestHead(requestHead({{"request-priority", "0"}}));
+  ForwardOptions order = options();
+  order.Priority = 2;
+  std::string text = codec.FormatRequest(request, order);
+  CHECK(has(text, "Request-Priority: 2"));
+  CHECK(text.find("request-priority") == std::string::npos);
 }
 
 TEST_CASE("HttpCodec parses the head of a response") {
