Add the table of client accounts

Cause: callers are to be told apart by keys that the configuration lists, and the check of keys, the quotas and the order of waiting requests need the accounts that the keys name.

--- /dev/null
+++ b/src/gateway/decisions/accounts/account_table.cc
@@ -0,0 +1,71 @@
+#include "gateway/decisions/accounts/account_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+using internal::Sha256Digest;
+
+// The name is sent in a header field, where a line break would begin another
+// field and surrounding spaces are lost.
+bool isValidName(std::string_view Name) {
+  return !Name.empty() && Name.front() != ' ' && Name.back() != ' ' &&
+         std::ranges::all_of(Name, [](char C) { return C >= ' ' && C <= '~'; });
+}
+
+} // namespace
+
+std::vector<FaultyAccount>
+findAccountFaults(const std::vector<AccountEntry> &Entries) {
+  std::vector<FaultyAccount> faults;
+  std::set<std::string_view> names;
+  std::set<Sha256Digest> keys;
+  for (size_t i = 0; i < Entries.size(); ++i) {
+    const AccountEntry &entry = Entries[i];
+    if (!isValidName(entry.Account.Name))
+      faults.push_back({i, AccountFault::InvalidName, 0});
+    else if (!names.insert(entry.Account.Name).second)
+      faults.push_back({i, AccountFault::DuplicateName, 0});
+    for (size_t key = 0; key < entry.Keys.size(); ++key)
+      if (!keys.insert(entry.Keys[key]).second)
+        faults.push_back({i, AccountFault::DuplicateKey, key});
+  }
+  return faults;
+}
+
+AccountTable::AccountTable(std::vector<AccountEntry> Entries) {
+  Accounts.reserve(Entries.size());
+  ByName.reserve(Entries.size());
+  for (AccountEntry &it : Entries) {
+    auto index = static_cast<uint32_t>(Accounts.size());
+    for (const Sha256Digest &key : it.Keys)
+      Keys.push_back({key, index});
+    ByName.emplace(it.Account.Name, index);
+    Accounts.push_back(std::move(it.Account));
+  }
+  std::ranges::sort(Keys, {}, &HeldKey::Digest);
+}
+
+const ClientAccount *AccountTable::findByKey(std::string_view Key) const {
+  if (Keys.empty() || Key.empty())
+    return nullptr;
+  Sha256Digest digest = internal::sha256(Key);
+  auto it = std::ranges::lower_bound(Keys, digest, {}, &HeldKey::Digest);
+  if (it == Keys.end() || !internal::equalInConstantTime(it->Digest, digest))
+    return nullptr;
+  return &Accounts[it->Account];
+}
+
+const ClientAccount *AccountTable::find(std::string_view Name) const {
+  auto it = ByName.find(std::string(Name));
+  return it == ByName.end() ? nullptr : &Accounts[it->second];
+}
+
+uint32_t requestRank(const ClientAccount *Account, uint32_t RoutePriority) {
+  return Account && Account->Priority ? *Account->Priority : RoutePriority;
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_GATEWAY_ROUTE_TABLE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/accounts/account_table.h"
 
 #include <map>
 #include <memory>
@@ -34,6 +35,7 @@
   uint32_t Priority = 0;            // 0 is the highest
   uint32_t MaxServers = 1;          // maximum servers tried for one request
   bool Resumable = false;           // a stream may continue on another server
+  bool Public = false;              // callers need no key
   std::vector<WeightedService> Services; // at least one
 };
 
@@ -63,7 +65,10 @@
   std::vector<PathRoute> Routes;
   std::map<std::string, ServiceConfig> Services;
   RequestLimits Limits;
-  std::string Text; // as published, for peers that can't read it themselves
+  AccountTable Accounts; // empty: callers need no keys
+  // As published, for peers that can't read it themselves. It holds the keys of
+  // accounts, so nothing else may show it.
+  std::string Text;
 };
 
 using RouteDocumentPtr = std::shared_ptr<const RouteDocument>;
--- /dev/null
+++ b/test/gateway_account_table_test.cc
@@ -0,0 +1,112 @@
+#include "gateway/decisions/accounts/account_table.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+AccountEntry entryOf(const std::string &Name,
+                     const std::vector<std::string> &Keys) {
+  AccountEntry entry;
+  entry.Account.Name = Name;
+  for (const std::string &it : Keys)
+    entry.Keys.push_back(internal::sha256(it));
+  return entry;
+}
+
+std::string holderOf(const AccountTable &Table, const std::string &Key) {
+  const ClientAccount *account = Table.findByKey(Key);
+  return account ? account->Name : "none";
+}
+
+} // namespace
+
+// Guards against a key that names the wrong account, or any, which would charge
+// and rank requests as another's.
+TEST_CASE("A key finds the account that holds it, and no other key does") {
+  std::vector<AccountEntry> entries;
+  for (int i = 0; i < 500; ++i) {
+    std::string name = "account-" + std::to_string(i);
+    entries.push_back(entryOf(name, {name + "/first", name + "/second"}));
+  }
+  entries.push_back(entryOf("keyless", {}));
+  AccountTable table(entries);
+  CHECK(table.size() == 501);
+  CHECK(table.keyCount() == 1000);
+  size_t wrong = 0;
+  for (int i = 0; i < 500; ++i) {
+    std::string name = "account-" + std::to_string(i);
+    wrong += holderOf(table, name + "/first") != name;
+    wrong += holderOf(table, name + "/second") != name;
+    wrong += holderOf(table, name) != "none";
+    wrong += holderOf(table, name + "/first ") != "none";
+  }
+  CHECK(wrong == 0);
+  CHECK(holderOf(table, "") == "none");
+  REQUIRE(table.find("keyless"));
+  CHECK(table.find("keyless")->Name == "keyless");
+  CHECK(table.find("account-500") == nullptr);
+}
+
+// Guards against an empty table that rejects or accepts what nobody configured.
+TEST_CASE("A table without accounts is empty and knows no key") {
+  AccountTable table;
+  CHECK(table.empty());
+  CHECK(table.findByKey("a") == nullptr);
+  CHECK(table.findByKey("") == nullptr);
+  AccountTable keyless({entryOf("a", {})});
+  CHECK_FALSE(keyless.empty());
+  CHECK(keyless.findByKey("") == nullptr);
+}
+
+// Guards against a key that two accounts hold, whose requests would count for
+// either, and against names that end or extend a header field.
+TEST_CASE("Faults of accounts are found, all of them and in order") {
+  std::vector<AccountEntry> entries{
+      entryOf("a", {"k1", "k2"}), entryOf("a", {"k3"}),
+      entryOf("", {"k4"}),        entryOf("b\r\nc", {}),
+      entryOf(" d", {}),          entryOf("e", {"k5", "k1", "k5"})};
+  std::vector<FaultyAccount> faults = findAccountFaults(entries);
+  REQUIRE(faults.size() == 6);
+  CHECK(faults[0].Fault == AccountFault::DuplicateName);
+  CHECK(faults[0].Index == 1);
+  for (size_t i = 1; i < 4; ++i) {
+    CHECK(faults[i].Fault == AccountFault::InvalidName);
+    CHECK(faults[i].Index == i + 1);
+  }
+  CHECK(faults[4].Fault == AccountFault::DuplicateKey);
+  CHECK(faults[4].Key == 1);
+  CHECK(faults[5].Key == 2);
+  CHECK(findAccountFaults({entryOf("a", {"k1"}), entryOf("b", {})}).empty());
+}
+
+// Guards against an account whose rank is ignored because the route's is lower,
+// or that loses its route's rank.
+TEST_CASE("The rank of a request is its account's, or else its route's") {
+  ClientAccount ranked;
+  ranked.Priority = 0;
+  ClientAccount unranked;
+  CHECK(requestRank(&ranked, 2) == 0);
+  ranked.Priority = 5;
+  CHECK(requestRank(&ranked, 2) == 5);
+  CHECK(requestRank(&unranked, 2) == 2);
+  CHECK(requestRank(nullptr, 3) == 3);
+}
+
+// Guards against a digest that differs from the standard's, and against a
+// comparison that skips bytes.
+TEST_CASE("SHA-256 digests match the standard's and compare whole") {
+  CHECK(internal::sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223"
+                                      "b00361a396177a9cb410ff61f20015ad");
+  internal::Sha256Digest digest = internal::sha256("abc");
+  CHECK(digest[0] == 0xba);
+  CHECK(digest[31] == 0xad);
+  for (size_t i = 0; i < digest.size(); ++i) {
+    internal::Sha256Digest other = digest;
+    other[i] ^= 1;
+    CHECK_FALSE(internal::equalInConstantTime(digest, other));
+  }
+  CHECK(internal::equalInConstantTime(digest, internal::sha256("abc")));
+}
