--- a/src/digest.h
+++ b/src/digest.h
@@ -1,4 +1,4 @@
-// SHA-256 of bearer tokens.
+// SHA-256 digests, of bearer tokens among others.
 #ifndef CROCUSSPUR_DIGEST_H
 #define CROCUSSPUR_DIGEST_H
 
@@ -16,7 +16,7 @@
 // Returns 64 lower-case hexadecimal digits.
 std::string sha256Hex(const std::string &Text);
 
-// Takes the same time wherever the digests differ.
+// The running time doesn't depend on where the values differ.
 bool equalInConstantTime(const Sha256Digest &Left, const Sha256Digest &Right);
 
 // Returns the token of an `Authorization: Bearer` value, or an empty string.
--- a/src/gateway/decisions/accounts/account_table.cc
+++ b/src/gateway/decisions/accounts/account_table.cc
@@ -9,11 +9,14 @@
 
 using internal::Sha256Digest;
 
-// The name is sent in a header field, where a line break would begin another
-// field and surrounding spaces are lost.
+// The name is sent in a header field, where a control character would end the
+// field or make it invalid, and surrounding spaces are lost.
 bool isValidName(std::string_view Name) {
   return !Name.empty() && Name.front() != ' ' && Name.back() != ' ' &&
-         std::ranges::all_of(Name, [](char C) { return C >= ' ' && C <= '~'; });
+         std::ranges::none_of(Name, [](char It) {
+           auto c = static_cast<unsigned char>(It);
+           return c < 0x20 || c == 0x7f;
+         });
 }
 
 } // namespace
@@ -50,11 +53,14 @@
 }
 
 const ClientAccount *AccountTable::findByKey(std::string_view Key) const {
-  if (Keys.empty() || Key.empty())
-    return nullptr;
-  Sha256Digest digest = internal::sha256(Key);
-  auto it = std::ranges::lower_bound(Keys, digest, {}, &HeldKey::Digest);
-  if (it == Keys.end() || !internal::equalInConstantTime(it->Digest, digest))
+  return Keys.empty() || Key.empty() ? nullptr
+                                     : findByDigest(internal::sha256(Key));
+}
+
+const ClientAccount *
+AccountTable::findByDigest(const Sha256Digest &Digest) const {
+  auto it = std::ranges::lower_bound(Keys, Digest, {}, &HeldKey::Digest);
+  if (it == Keys.end() || !internal::equalInConstantTime(it->Digest, Digest))
     return nullptr;
   return &Accounts[it->Account];
 }
--- a/src/gateway/decisions/accounts/account_table.h
+++ b/src/gateway/decisions/accounts/account_table.h
@@ -56,6 +56,8 @@
   // depends on the digest of `Key`, from which no key can be computed, and
   // digests are compared in constant time.
   const ClientAccount *findByKey(std::string_view Key) const;
+  // The same for a key of which only the SHA-256 digest is kept.
+  const ClientAccount *findByDigest(const internal::Sha256Digest &Digest) const;
   const ClientAccount *find(std::string_view Name) const;
 
   // In the published order.
--- a/src/peer_handshake.cc
+++ b/src/peer_handshake.cc
@@ -46,13 +46,6 @@
   return mac;
 }
 
-bool equalInConstantTime(const Mac &Left, const Mac &Right) {
-  volatile uint8_t difference = 0;
-  for (size_t i = 0; i < Left.size(); ++i)
-    difference = difference | (Left[i] ^ Right[i]);
-  return difference == 0;
-}
-
 PeerHandshake::PeerHandshake(LinkRole Role, Hello Own, std::string Key,
                              std::string Expected)
     : Role(Role), Own(std::move(Own)), Key(std::move(Key)),
--- a/src/peer_handshake.h
+++ b/src/peer_handshake.h
@@ -4,22 +4,19 @@
 #ifndef CROCUSSPUR_PEER_HANDSHAKE_H
 #define CROCUSSPUR_PEER_HANDSHAKE_H
 
+#include "digest.h"
 #include "peer_codec.h"
 
-#include <array>
 #include <boost/leaf/result.hpp>
 #include <span>
 #include <string>
 
 namespace crocusspur::internal {
 
-using Mac = std::array<uint8_t, 32>;
+using Mac = Sha256Digest;
 
 Mac hmacSha256(const std::string &Key, std::span<const uint8_t> Data);
 
-// The running time doesn't depend on where the values differ.
-bool equalInConstantTime(const Mac &Left, const Mac &Right);
-
 enum class LinkRole : uint8_t { Dialer, Acceptor };
 
 class PeerHandshake {
