Decide access by the key of a request

Cause: with accounts in the configuration only callers with a known key may be served, and neither the key nor an account's name that the caller states may reach a server.

The codec takes the credentials and every stated account name out of a request's fields on demand, so that nothing changes where there are no accounts, and writes the account's name.

--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -5,6 +5,7 @@
 #ifndef CROCUSSPUR_GATEWAY_HTTP_CODEC_H
 #define CROCUSSPUR_GATEWAY_HTTP_CODEC_H
 
+#include "gateway/decisions/accounts/access_check.h"
 #include "gateway/decisions/output_estimator.h"
 #include "gateway/decisions/prompt_parts.h"
 #include "gateway/decisions/server_limit_table.h"
@@ -38,6 +39,10 @@
   // The key as sent; cleared once it is checked, so that nothing passes it on.
   std::string Key;
   std::string Account; // name of the client account; empty: none
+  // Set once the key is taken out of the fields; see HttpCodec::TakeKey.
+  std::optional<KeyPresence> KeyState;
+  // Of the key, for checks after the first one.
+  std::optional<internal::Sha256Digest> KeyDigest;
 };
 
 // Options of one call to a server, in addition to the caller's request.
@@ -87,6 +92,10 @@
 
 struct HttpCodec {
   std::function<CallerRequest(const internal::HttpHead &Head)> ParseRequestHead;
+  // Moves the caller's key out of the fields that are passed on to `Key`, and
+  // removes the name of an account that the caller states itself.
+  std::function<KeyPresence(CallerRequest &)> TakeKey;
+  // States the account's name, if there is one.
   std::function<std::string(const CallerRequest &, const ForwardOptions &)>
       FormatRequest;
   std::function<ResponseInfo(const internal::HttpHead &Head)> ParseResponseHead;
--- a/test/gateway_account_table_test.cc
+++ b/test/gateway_account_table_test.cc
@@ -1,4 +1,4 @@
-#include "gateway/decisions/accounts/account_table.h"
+#include "account_samples.h"
 
 #include <doctest/doctest.h>
 
@@ -7,15 +7,6 @@
 
 namespace {
 
-AccountEntry entryOf(const std::string &Name,
-                     const std::vector<std::string> &Keys) {
-  AccountEntry entry;
-  entry.Account.Name = Name;
-  for (const std::string &it : Keys)
-    entry.Keys.push_back(internal::sha256(it));
-  return entry;
-}
-
 std::string holderOf(const AccountTable &Table, const std::string &Key) {
   const ClientAccount *account = Table.findByKey(Key);
   return account ? account->Name : "none";
@@ -29,9 +20,10 @@
   std::vector<AccountEntry> entries;
   for (int i = 0; i < 500; ++i) {
     std::string name = "account-" + std::to_string(i);
-    entries.push_back(entryOf(name, {name + "/first", name + "/second"}));
+    entries.push_back(
+        test::accountOf(name, {name + "/first", name + "/second"}));
   }
-  entries.push_back(entryOf("keyless", {}));
+  entries.push_back(test::accountOf("keyless", {}));
   AccountTable table(entries);
   CHECK(table.size() == 501);
   CHECK(table.keyCount() == 1000);
@@ -45,6 +37,8 @@
   }
   CHECK(wrong == 0);
   CHECK(holderOf(table, "") == "none");
+  CHECK(table.findByDigest(internal::sha256("account-7/first")) ==
+        table.find("account-7"));
   REQUIRE(table.find("keyless"));
   CHECK(table.find("keyless")->Name == "keyless");
   CHECK(table.find("account-500") == nullptr);
@@ -56,7 +50,7 @@
   CHECK(table.empty());
   CHECK(table.findByKey("a") == nullptr);
   CHECK(table.findByKey("") == nullptr);
-  AccountTable keyless({entryOf("a", {})});
+  AccountTable keyless({test::accountOf("a", {})});
   CHECK_FALSE(keyless.empty());
   CHECK(keyless.findByKey("") == nullptr);
 }
@@ -64,10 +58,12 @@
 // Guards against a key that two accounts hold, whose requests would count for
 // either, and against names that end or extend a header field.
 TEST_CASE("Faults of accounts are found, all of them and in order") {
-  std::vector<AccountEntry> entries{
-      entryOf("a", {"k1", "k2"}), entryOf("a", {"k3"}),
-      entryOf("", {"k4"}),        entryOf("b\r\nc", {}),
-      entryOf(" d", {}),          entryOf("e", {"k5", "k1", "k5"})};
+  std::vector<AccountEntry> entries{test::accountOf("a", {"k1", "k2"}),
+                                    test::accountOf("a", {"k3"}),
+                                    test::accountOf("", {"k4"}),
+                                    test::accountOf("b\r\nc", {}),
+                                    test::accountOf(" d", {}),
+                                    test::accountOf("e", {"k5", "k1", "k5"})};
   std::vector<FaultyAccount> faults = findAccountFaults(entries);
   REQUIRE(faults.size() == 6);
   CHECK(faults[0].Fault == AccountFault::DuplicateName);
@@ -79,7 +75,9 @@
   CHECK(faults[4].Fault == AccountFault::DuplicateKey);
   CHECK(faults[4].Key == 1);
   CHECK(faults[5].Key == 2);
-  CHECK(findAccountFaults({entryOf("a", {"k1"}), entryOf("b", {})}).empty());
+  CHECK(findAccountFaults(
+            {test::accountOf("a", {"k1"}), test::accountOf("b", {})})
+            .empty());
 }
 
 // Guards against an account whose rank is ignored because the route's is lower,
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -72,6 +72,59 @@
   CHECK(request.Forwarded.empty());
 }
 
+// Guards against a key or an account's name of the caller's own that reaches a
+// server in another spelling or a second field.
+TEST_CASE("HttpCodec takes keys and account names out of all fields") {
+  HttpCodec codec = platform::makeHttpCodec();
+  auto take = [&](HeaderFields Fields) {
+    Fields.insert(Fields.begin(), {"X-First", "1"});
+    Fields.emplace_back("X-Last", "2");
+    CallerRequest request = codec.ParseRequestHead(requestHead(Fields));
+    KeyPresence presence = codec.TakeKey(request);
+    CHECK(request.Forwarded == HeaderFields{{"X-First", "1"}, {"X-Last", "2"}});
+    CHECK((presence == KeyPresence::Present) == !request.Key.empty());
+    return std::pair(presence, request.Key);
+  };
+  const std::pair present{KeyPresence::Present, std::string("k-1")};
+  const std::pair malformed{KeyPresence::Malformed, std::string()};
+  const std::pair missing{KeyPresence::Missing, std::string()};
+  CHECK(take({{"Authorization", "Bearer k-1"}}) == present);
+  CHECK(take({{"aUTHORIZATION", "bEARER   k-1"}, {"TENANT", "other"}}) ==
+        present);
+  CHECK(take({{"Tenant", "a"},
+              {"authorization", "Bearer k-1"},
+              {"tenant", ""}}) == present);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"AUTHORIZATION", "Bearer k-1"}}) == present);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"authorization", "Bearer k-2"}}) == malformed);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"authorization", "x"},
+              {"authorization", "Bearer k-1"}}) == malformed);
+  for (const char *text : {"k-1", "Bearer", "Bearer ", "Basic k-1", "",
+                           "Bearerk-1", "Bearer\tk-1"})
+    CHECK_MESSAGE(take({{"Authorization", text}}) == malformed, text);
+  CHECK(take({{"Tenant", "a"}, {"tEnAnT", "b"}}) == missing);
+  CHECK(take({}) == missing);
+}
+
+// Guards against changed bytes towards servers of deployments that know no
+// accounts.
+TEST_CASE("HttpCodec passes credentials on unless they are taken") {
+  HttpCodec codec = platform::makeHttpCodec();
+  CallerRequest request = codec.ParseRequestHead(
+      requestHead({{"Authorization", "Bearer k-1"}, {"Tenant", "a"}}));
+  std::string before = codec.FormatRequest(request, options());
+  CHECK(has(before, "Authorization: Bearer k-1"));
+  CHECK(has(before, "Tenant: a"));
+  codec.TakeKey(request);
+  request.Account = "stores";
+  std::string after = codec.FormatRequest(request, options());
+  CHECK(has(after, "Tenant: stores"));
+  CHECK(after.find("k-1") == std::string::npos);
+  CHECK_FALSE(has(after, "Tenant: a"));
+}
+
 TEST_CASE("HttpCodec doesn't forward hop-by-hop fields") {
   HttpCodec codec = platform::makeHttpCodec();
   CallerRequest request =
