Read accounts and their bounds, and check configurations

Cause: accounts, public routes and the bounds of revocation and quotas weren't read, and an operator learned of a faulty configuration only from instances that rejected it, whose log didn't say why.

--- a/src/command_check.h
+++ b/src/command_check.h
@@ -1,4 +1,5 @@
-// The command `check`: reports all errors in a settings file.
+// The command `check`: reports all errors in a settings file or a published
+// configuration.
 #ifndef CROCUSSPUR_COMMAND_CHECK_H
 #define CROCUSSPUR_COMMAND_CHECK_H
 
@@ -11,6 +12,10 @@
 // format the file has; empty: the file holds settings for serve.
 int runCheck(const std::string &File, const std::string &AdapterName = "");
 
+// The same for a file that holds a configuration as the operators publish it
+// for the gateway.
+int runCheckPublished(const std::string &File, const std::string &AdapterName);
+
 } // namespace crocusspur::internal
 
 #endif
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -11,6 +11,7 @@
 #include <boost/leaf/result.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace crocusspur::gateway {
 
@@ -24,6 +25,10 @@
   // field.
   std::function<boost::leaf::result<GatewaySettings>(const std::string &File)>
       LoadSettings;
+  // Returns the faults of a published configuration, as it would be read from
+  // the store. Their files are empty.
+  std::function<std::vector<Diagnostic>(const std::string &Text)>
+      CheckConfiguration;
   std::function<HttpCodec()> MakeCodec;
   std::function<PublishedSource(const GatewaySettings &)> MakeSource;
 };
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include "crocusspur/errors.h"
 #include "crocusspur/types.h"
+#include "gateway/decisions/accounts/access_check.h"
 #include "gateway/decisions/shared_retry_budget.h"
 
 #include <string>
@@ -12,6 +13,15 @@
 
 namespace crocusspur::gateway {
 
+// Bounds of what instances may admit beyond the quotas of accounts.
+struct QuotaBounds {
+  Milliseconds Window{8000}; // in which tokens are counted
+  double Overage = 0.25;     // of what an account may use in the window
+  double ToleranceTokens = 190000;
+
+  bool operator==(const QuotaBounds &) const = default;
+};
+
 struct GatewaySettings {
   std::string Instance;
   std::string FailureDomain;
@@ -28,6 +38,11 @@
   Milliseconds RestoredEntryGrace{2000};
   // Maximum time for which a leaving server may get new requests.
   Milliseconds MaxDrainTime{2000};
+  AccessPolicy Access;
+  // Within which a configuration is in force at instances in touch, from its
+  // acknowledgement by the store.
+  Milliseconds ConfigApplyTime{3000};
+  QuotaBounds Quotas;
 
   std::string LogLevel = "info";
 };
--- a/test/command_test.cc
+++ b/test/command_test.cc
@@ -181,6 +181,37 @@
   CHECK(runCommand({"check", "--adapter", "none", good}).Code == 2);
 }
 
+// Guards against a faulty account that the operator learns of only when
+// instances reject the configuration, and against a key in the output.
+TEST_CASE("Command check reports faulty accounts of a configuration") {
+  ScratchDirectory scratch;
+  const std::string start =
+      R"({"version":1,"routes":[],"services":[],"tenants":[)";
+  std::string good = scratch.write(
+      "good.json", start + R"({"name":"a","api-keys":["secret-1"]}]})");
+  CommandResult ok =
+      runCommand({"check", "--adapter", "platform", "--published", good});
+  CHECK_MESSAGE(ok.Code == 0, ok.Output);
+  std::string wrong = scratch.write(
+      "wrong.json", start + R"({"name":"a","api-keys":["secret-1"]},)"
+                            R"({"name":"a","api-keys":["secret-1"]},)"
+                            R"({"name":"","rate-per-s":-1}]})");
+  CommandResult check =
+      runCommand({"check", "--adapter", "platform", "--published", wrong});
+  CHECK(check.Code == 2);
+  for (const char *it : {"tenants[1].name", "tenants[1].api-keys[0]",
+                         "tenants[2].name", "tenants[2].rate-per-s"})
+    CHECK_MESSAGE(check.Output.find(it) != std::string::npos, check.Output);
+  CHECK(linesIn(check.Output) == 4);
+  CHECK(check.Output.find("secret") == std::string::npos);
+  CHECK(runCommand(
+            {"check", "--adapter", "platform", "--published", "/nonexistent"})
+            .Code == 2);
+  // Settings are no configuration, and the format depends on the adapter.
+  CHECK(runCommand({"check", "--adapter", "platform", good}).Code == 2);
+  CHECK(runCommand({"check", "--published", good}).Code == 2);
+}
+
 // Guards against a replay that accepts a decision other than the recorded one.
 TEST_CASE("Command replay detects a modified trace") {
   std::string golden = Data + "/golden/plain_model_request.jsonl";
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -24,6 +24,12 @@
 drain-ms = 2000
 retry-budget-ratio = 0.2
 budget-slack = 56
+revoke-fail-closed = true
+revoke-ms = 7000
+config-apply-ms = 2500
+quota-window-s = 6
+quota-overage = 0.5
+quota-tolerance = 1000
 [platform]
 address = "10.200.1.7:8142"
 )";
@@ -62,6 +68,31 @@
   CHECK(values.ShutdownLimit == Milliseconds(8000));
   CHECK(values.Retries.Ratio == doctest::Approx(0.2));
   CHECK(values.Retries.Fixed == 56);
+  CHECK(values.Access == AccessPolicy{true, Milliseconds(7000)});
+  CHECK(values.ConfigApplyTime == Milliseconds(2500));
+  CHECK(values.Quotas == QuotaBounds{Milliseconds(6000), 0.5, 1000});
+}
+
+// Guards against an instance that refuses callers, or none, since a bound is
+// absent or of another type.
+TEST_CASE("parseSettings has defaults for the bounds of accounts") {
+  std::string text = Good;
+  size_t from = text.find("revoke-fail-closed");
+  text.erase(from, text.find("[platform]") - from);
+  Outcome outcome = parse(text);
+  REQUIRE(outcome.Values.has_value());
+  CHECK_FALSE(outcome.Values->Access.FailClosed);
+  CHECK(outcome.Values->ConfigApplyTime == Milliseconds(3000));
+  CHECK(outcome.Values->Quotas ==
+        QuotaBounds{Milliseconds(8000), 0.25, 190000});
+  text.insert(from, "revoke-fail-closed = 1\nrevoke-ms = 0\n"
+                    "config-apply-ms = \"3\"\nquota-window-s = -1\n"
+                    "quota-overage = true\nquota-tolerance = -0.5\n");
+  CHECK(parse(text).Keys == std::vector<std::string>{
+                                "bounds.revoke-fail-closed", "bounds.revoke-ms",
+                                "bounds.config-apply-ms",
+                                "bounds.quota-window-s", "bounds.quota-overage",
+                                "bounds.quota-tolerance"});
 }
 
 TEST_CASE("parseSettings reports all errors of a settings file at once") {
