Check keys before requests run and before each send

Cause: requests with unknown keys ran, and keys were passed on to servers. A request may wait for seconds, in which its key is removed, here or at an instance that it was passed on to.

Change: the listener answers 401 to requests without a valid key, 503 while the instance has no configuration, or with fail-closed while its knowledge of the store is too old; the readers of the store then wait for at most a third of that age. The handler asks again before each send, reservation and continuation, by the configuration in force at that time. A request that is passed on carries the account and the digest of its key. The rank of a request is its account's, or else its route's. State and metrics show accounts, keys and refusals by reason.

--- a/src/gateway/forward_service.cc
+++ b/src/gateway/forward_service.cc
@@ -72,8 +72,28 @@
         /*Elsewhere=*/false);
     return;
   }
+  // The first instance has checked the key, but its configuration may be older,
+  // or that of a build without accounts.
+  AccessVerdict verdict =
+      Runtime.Access.check(Request.Request, *document, *route);
+  if (verdict != AccessVerdict::Granted) {
+    bool unconfirmed = verdict == AccessVerdict::Unconfirmed;
+    log(LogLevel::Info, "forward_service", "refused a request of a peer",
+        {{"request", Request.Request.Id},
+         {"from", From},
+         {"why", reasonOf(verdict)},
+         {"config_version", std::to_string(document->Version)}});
+    Sink.sendProblem(internal::makeProblem(unconfirmed
+                                               ? ErrorKind::NotReady
+                                               : ErrorKind::Unauthorized,
+                                           reasonOf(verdict), {}),
+                     /*Elsewhere=*/unconfirmed);
+    return;
+  }
   log(LogLevel::Info, "forward_service", "handling a request of a peer",
-      {{"request", Request.Request.Id}, {"from", From}});
+      {{"request", Request.Request.Id},
+       {"from", From},
+       {"account", Request.Request.Account}});
   TimePoint arrived = Clock::now() - Request.Elapsed;
   CallerRequest callerRequest = std::move(Request.Request);
   std::string service = Request.Service;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 
+#include "gateway/accounts/access_control.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/http_codec.h"
@@ -38,6 +39,7 @@
   StreamOrigins &Origins;
   internal::MetricsSink &Metrics;
   const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
+  AccessControl *Access = nullptr;             // null: no key is checked
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -89,10 +89,10 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
     return false;
-  Context.emplace(
-      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
-                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
-                     Runtime->Origins, *metrics, &Runtime->Forwarding});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics,
+      &Runtime->Forwarding, &Runtime->Access});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
@@ -277,6 +277,15 @@
                 Milliseconds(0));
     return;
   }
+  AccessVerdict verdict = Runtime->Access.check(request, *document, *route);
+  if (verdict != AccessVerdict::Granted) {
+    bool unconfirmed = verdict == AccessVerdict::Unconfirmed;
+    sendProblem(Sink, request.Id,
+                unconfirmed ? ErrorKind::NotReady : ErrorKind::Unauthorized,
+                reasonOf(verdict),
+                unconfirmed ? NotReadyRetryAfter : Milliseconds(0));
+    return;
+  }
   bool tooLate = Runtime->Closing.load() || (route->Kind == RouteKind::Stream &&
                                              Clock::now() + MinTimeForStream >
                                                  Runtime->ExitDeadline.load());
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -34,16 +34,20 @@
   LastDiagnostics.clear();
   bool seedsChanged = NewValues.SeedAddresses != Seeds;
   bool retriesChanged = NewValues.Retries != Retries;
-  if (!seedsChanged && !retriesChanged)
+  bool accessChanged = NewValues.Access != Access.policy();
+  if (!seedsChanged && !retriesChanged && !accessChanged)
     return;
   Seeds = NewValues.SeedAddresses;
   Retries = NewValues.Retries;
   Directory.setRetryAllowance(Retries);
+  Access.setPolicy(NewValues.Access);
   log(LogLevel::Info, "lifecycle", "settings changed",
       {{"trigger", Why},
        {"seeds", std::to_string(Seeds.size())},
        {"repeat_ratio", std::to_string(Retries.Ratio)},
-       {"repeat_allowance", std::to_string(Retries.Fixed)}});
+       {"repeat_allowance", std::to_string(Retries.Fixed)},
+       {"revoke_fail_closed", NewValues.Access.FailClosed ? "true" : "false"},
+       {"revoke_ms", std::to_string(NewValues.Access.MaxAge.count())}});
 }
 
 void GatewayRuntime::logInvalidSettings(const DiagnosticList &Diagnostics,
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
+#include "gateway/accounts/access_control.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/gateway_context.h"
@@ -38,6 +39,8 @@
         Crashes(this->Values.Instance), Origins(Incarnation),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
+        Access(Codec, this->Values.Access,
+               [this] { return Readers.confirmedAgo(); }),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
@@ -80,11 +83,13 @@
   std::atomic<uint64_t> PeersKnown{0};
   Membership Peers;
   StoreReaders Readers;
+  AccessControl Access;
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
-  // Applies the settings that can change at run time: seeds and the retry
-  // budget. Others need a restart.
+  // Applies the settings that can change at run time: seeds, the retry budget
+  // and when callers are refused since keys can't be confirmed. Others need a
+  // restart.
   void applySettings(const GatewaySettings &NewValues, const char *Why);
   // Keeps the active settings. Logs each set of diagnostics once.
   void logInvalidSettings(const DiagnosticList &Diagnostics, const char *Why);
--- a/src/gateway/lifecycle.cc
+++ b/src/gateway/lifecycle.cc
@@ -29,6 +29,10 @@
 // The settings file may change without a signal, so it is polled.
 constexpr Milliseconds SettingsPeriod{1000};
 
+// An instance that learns from peers reads for itself once its knowledge of the
+// store is 3.6 s old, and a slow store takes some hundred milliseconds.
+constexpr Milliseconds UsualKnowledgeAge{4500};
+
 class Lifecycle final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
@@ -62,7 +66,17 @@
        {"failure_domain", Runtime->Values.FailureDomain},
        {"callers", Runtime->Values.CallerAddress},
        {"store", Runtime->Values.StoreAddress},
-       {"peers", Runtime->Values.PeerAddress}});
+       {"peers", Runtime->Values.PeerAddress},
+       {"revoke_fail_closed",
+        Runtime->Values.Access.FailClosed ? "true" : "false"},
+       {"revoke_ms", std::to_string(Runtime->Values.Access.MaxAge.count())}});
+  if (Runtime->Values.Access.FailClosed &&
+      Runtime->Values.Access.MaxAge < UsualKnowledgeAge)
+    log(LogLevel::Warn, "lifecycle",
+        "callers may be refused while the store responds: knowledge of it is "
+        "usually older",
+        {{"revoke_ms", std::to_string(Runtime->Values.Access.MaxAge.count())},
+         {"usual_ms", std::to_string(UsualKnowledgeAge.count())}});
   return true;
 }
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -120,6 +120,13 @@
   auto target = Out.CreateString(request.Target);
   auto lastEvent = Out.CreateString(request.LastEventId);
   auto resumed = Out.CreateString(request.ResumedRequestId);
+  flatbuffers::Offset<flatbuffers::String> account;
+  if (!request.Account.empty())
+    account = Out.CreateString(request.Account);
+  flatbuffers::Offset<flatbuffers::Vector<uint8_t>> keyDigest;
+  if (request.KeyDigest)
+    keyDigest =
+        Out.CreateVector(request.KeyDigest->data(), request.KeyDigest->size());
   wire::ForwardRequestBuilder out(Out);
   out.add_id(id);
   out.add_service(service);
@@ -144,6 +151,10 @@
   out.add_used_servers(usedList);
   out.add_may_have_executed(Item.MayHaveExecuted);
   out.add_stream_version(Item.StreamVersion.value_or(0));
+  if (!account.IsNull())
+    out.add_account(account);
+  if (!keyDigest.IsNull())
+    out.add_key_digest(keyDigest);
   return out.Finish();
 }
 
@@ -174,6 +185,13 @@
             std::min<uint32_t>(Item.prompt_parts()->size(), MaxPromptParts));
   request.LastEventId = textOf(Item.last_event_id());
   request.ResumedRequestId = textOf(Item.resumed_request_id());
+  request.Account = textOf(Item.account());
+  if (Item.key_digest() &&
+      Item.key_digest()->size() == internal::Sha256Digest().size()) {
+    std::copy(Item.key_digest()->begin(), Item.key_digest()->end(),
+              request.KeyDigest.emplace().begin());
+    request.KeyState = KeyPresence::Present;
+  }
   forwarded.Service = textOf(Item.service());
   forwarded.Elapsed = Milliseconds(Item.elapsed_ms());
   if (Item.used_servers())
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -150,7 +150,8 @@
     return false;
   Context.emplace(GatewayContext{
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics,
+      /*Forwarding=*/nullptr, &Runtime->Access});
   Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds MinAttemptTimeout{250};
 // Retry-After for callers of plain services: several service times.
 constexpr Milliseconds PlainRetryAfter{300};
+// Retry-After while this instance can't confirm that keys are still valid. A
+// caller that returns may reach another instance.
+constexpr Milliseconds UnconfirmedRetryAfter{500};
 // Each rank of priority halves the time for which a request may wait for a
 // server's request limit, up to this many times.
 constexpr uint32_t MaxPriorityShift = 8;
@@ -93,10 +96,14 @@
 }
 
 internal::LogFields RequestHandler::fields() const {
-  return {{"request", Request.Id},
-          {"route", Route.Name},
-          {"service", Service},
-          {"config_version", std::to_string(Document->Version)}};
+  internal::LogFields all{
+      {"request", Request.Id},
+      {"route", Route.Name},
+      {"service", Service},
+      {"config_version", std::to_string(Document->Version)}};
+  if (!Request.Account.empty())
+    all.emplace_back("account", Request.Account);
+  return all;
 }
 
 void RequestHandler::addPromptParts(internal::LogFields &Fields) const {
@@ -181,7 +188,35 @@
         Context.Crashes.partsRefusedFor(Request.PromptParts, Request.Id);
     CrashRefusalReason = "a part of the prompt crashes servers";
   }
-  return CrashRefusedFor || Waiter.callerLeft() || Waiter.pastDeadline();
+  return CrashRefusedFor || !hasAccess() || Waiter.callerLeft() ||
+         Waiter.pastDeadline();
+}
+
+bool RequestHandler::hasAccess() {
+  if (AccessRefused)
+    return false;
+  if (!Context.Access)
+    return true;
+  RouteDocumentPtr current = Context.Directory.routes();
+  const PathRoute *route = &Route;
+  // A newer version may make the route public, or no longer so.
+  if (current->Version > Document->Version)
+    if (const PathRoute *found =
+            findRoute(*current, Request.Host, Request.Target))
+      route = found;
+  AccessVerdict verdict = Context.Access->check(Request, *current, *route);
+  if (verdict == AccessVerdict::Granted)
+    return true;
+  AccessRefused = verdict;
+  internal::LogFields all = fields();
+  all.emplace_back("reason", nameOf(verdict));
+  all.emplace_back("current_version", std::to_string(current->Version));
+  log(LogLevel::Info, "request", "the key is no longer valid", all);
+  return false;
+}
+
+uint32_t RequestHandler::rank() const {
+  return requestRank(Document->Accounts.find(Request.Account), Route.Priority);
 }
 
 bool RequestHandler::mayEndNextServer() {
@@ -304,6 +339,14 @@
   refuse(ErrorKind::ContentRefused, CrashRefusalReason, *CrashRefusedFor);
 }
 
+void RequestHandler::refuseAccess() {
+  if (*AccessRefused == AccessVerdict::Unconfirmed)
+    refuse(ErrorKind::NotReady, reasonOf(*AccessRefused),
+           UnconfirmedRetryAfter);
+  else
+    refuse(ErrorKind::Unauthorized, reasonOf(*AccessRefused), Milliseconds(0));
+}
+
 void RequestHandler::fail(ErrorKind Kind, const std::string &Why) {
   sendProblem(internal::makeProblem(Kind, Why, RequestId()));
   finish("failed", Why);
@@ -348,7 +391,7 @@
 Milliseconds RequestHandler::maxPermitDelay() const {
   auto left = std::chrono::duration_cast<Milliseconds>(
       Arrived + Route.LatencyTarget - Clock::now());
-  int64_t divisor = int64_t(1) << std::min(Route.Priority, MaxPriorityShift);
+  int64_t divisor = int64_t(1) << std::min(rank(), MaxPriorityShift);
   return std::max(Milliseconds(0), std::min(left, timeLeft()) / divisor);
 }
 
@@ -483,6 +526,8 @@
          "no server gave a usable answer");
   else if (CrashRefusedFor)
     refuseAsCrashing();
+  else if (AccessRefused)
+    refuseAccess();
   else if (LimitedUntil)
     refuseForLimits();
   else
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -182,6 +182,12 @@
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
   // The same for a request that crashes servers.
   void refuseAsCrashing();
+  // The same for a request whose key isn't valid any more.
+  void refuseAccess();
+  // Whether the request may still be sent, by the configuration in force now.
+  bool hasAccess();
+  // Rank among requests that wait; 0 is the highest.
+  uint32_t rank() const;
   // The same if all servers are at their request limits or rest.
   void refuseForLimits();
   // If all servers of the query rest, notes until when, as for limits.
@@ -223,6 +229,8 @@
   // what of it.
   std::optional<Milliseconds> CrashRefusedFor;
   const char *CrashRefusalReason = "";
+  // Set once the key isn't valid any more.
+  std::optional<AccessVerdict> AccessRefused;
   bool AnswerSurvived = false; // see onAnswerSurvived(); of the last run
   // The server of the last run ended with it, soon after it began to answer.
   bool EndedWithServer = false;
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -76,6 +76,8 @@
       {{"version", std::to_string(NewDocument->Version)},
        {"former_version", std::to_string(Document->Version)},
        {"routes", std::to_string(NewDocument->Routes.size())},
+       {"accounts", std::to_string(NewDocument->Accounts.size())},
+       {"keys", std::to_string(NewDocument->Accounts.keyCount())},
        {"revision", std::to_string(Revision.Number)},
        {"era", std::to_string(Revision.Era)},
        {"origin", toString(Origin)}});
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -36,6 +36,9 @@
 // wait, which confirms what they know.
 constexpr Milliseconds MinSelectiveWatchWait{1000};
 constexpr Milliseconds MaxSelectiveWatchWait{2500};
+// Where callers are refused once the knowledge of the store is too old, a wait
+// takes at most this part of that age, since each end of a wait confirms it.
+constexpr int WaitsPerAccessAge = 3;
 // Interval at which an instance that doesn't read decides anew.
 constexpr Milliseconds DecisionPeriod{100};
 // Pause after a failed call, doubled up to the batch delay and randomized.
@@ -88,6 +91,11 @@
   Milliseconds most = selective ? MaxSelectiveWatchWait
                                 : std::clamp(WatchWaitPerMember * members,
                                              MinWatchWait, MaxWatchWait);
+  AccessPolicy access = Runtime->Access.policy();
+  if (access.FailClosed) {
+    most = std::clamp(access.MaxAge / WaitsPerAccessAge, Milliseconds(1), most);
+    least = std::min(least, most);
+  }
   std::uniform_int_distribution<int64_t> draw(least.count(), most.count());
   return Milliseconds(draw(Random));
 }
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -138,6 +138,19 @@
   Metrics->setGauge("store_reader", "", Runtime->Readers.isReading() ? 1 : 0);
   Metrics->setGauge("store_era", "",
                     static_cast<double>(Runtime->Directory.storeEra()));
+  RouteDocumentPtr document = Runtime->Directory.routes();
+  Metrics->setGauge("accounts", "",
+                    static_cast<double>(document->Accounts.size()));
+  Metrics->setGauge("account_keys", "",
+                    static_cast<double>(document->Accounts.keyCount()));
+  for (AccessVerdict it :
+       {AccessVerdict::KeyMissing, AccessVerdict::KeyMalformed,
+        AccessVerdict::KeyUnknown, AccessVerdict::KeyRemoved})
+    Metrics->setGauge("unauthorized_total", nameOf(it),
+                      static_cast<double>(Runtime->Access.refused(it)));
+  Metrics->setGauge(
+      "access_unconfirmed_total", "",
+      static_cast<double>(Runtime->Access.refused(AccessVerdict::Unconfirmed)));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
   Metrics->setGauge("content_crashes_total", "seen",
                     static_cast<double>(crashes.CrashesSeen));
@@ -179,6 +192,8 @@
   out.pop_back(); // the closing brace
   out += ",\"reads_store\":";
   out += Runtime->Readers.isReading() ? "true" : "false";
+  out += ",\"access\":" +
+         Runtime->Access.dump(Runtime->Directory.routes()->Accounts);
   return out + ",\"limits\":" + Runtime->Limits.dump() + "}";
 }
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -107,6 +107,7 @@
   }
   if (HeadSent) {
     abortStream(CrashRefusedFor        ? CrashRefusalReason
+                : AccessRefused        ? reasonOf(*AccessRefused)
                 : mayEndNextServer()   ? "its server ended with it"
                 : RetryBudgetExhausted ? "the retry allowance is used up"
                                        : "no server could continue the stream");
@@ -120,6 +121,8 @@
          "the server's answer broke off");
   else if (CrashRefusedFor)
     refuseAsCrashing();
+  else if (AccessRefused)
+    refuseAccess();
   else
     refuse(ErrorKind::BackendRefused, "no server took the request",
            NoServerRetryAfter);
@@ -152,7 +155,8 @@
       return AttemptResult::Done;
     }
     if (HeadSent) {
-      abortStream("no reservation to continue the stream");
+      abortStream(AccessRefused ? reasonOf(*AccessRefused)
+                                : "no reservation to continue the stream");
       return AttemptResult::Done;
     }
     if (MayHaveExecuted) {
@@ -163,6 +167,10 @@
       refuseAsCrashing();
       return AttemptResult::Done;
     }
+    if (AccessRefused) {
+      refuseAccess();
+      return AttemptResult::Done;
+    }
     if (LimitedUntil) {
       refuseForLimits();
       return AttemptResult::Done;
@@ -217,7 +225,7 @@
       MinStartTime +
       Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
   QueueEntry entry;
-  entry.Priority = Route.Priority;
+  entry.Priority = rank();
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1439,7 +1439,8 @@
     VT_USED_SERVERS = 38,
     VT_MAY_HAVE_EXECUTED = 40,
     VT_STREAM_VERSION = 42,
-    VT_ACCOUNT = 44
+    VT_ACCOUNT = 44,
+    VT_KEY_DIGEST = 46
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1504,6 +1505,9 @@
   const flatbuffers::String *account() const {
     return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
   }
+  const flatbuffers::Vector<uint8_t> *key_digest() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KEY_DIGEST);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1541,6 +1545,8 @@
            VerifyField<uint64_t>(verifier, VT_STREAM_VERSION, 8) &&
            VerifyOffset(verifier, VT_ACCOUNT) &&
            verifier.VerifyString(account()) &&
+           VerifyOffset(verifier, VT_KEY_DIGEST) &&
+           verifier.VerifyVector(key_digest()) &&
            verifier.EndTable();
   }
 };
@@ -1612,6 +1618,9 @@
   void add_account(flatbuffers::Offset<flatbuffers::String> account) {
     fbb_.AddOffset(ForwardRequest::VT_ACCOUNT, account);
   }
+  void add_key_digest(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest) {
+    fbb_.AddOffset(ForwardRequest::VT_KEY_DIGEST, key_digest);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1645,7 +1654,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> used_servers = 0,
     bool may_have_executed = false,
     uint64_t stream_version = 0,
-    flatbuffers::Offset<flatbuffers::String> account = 0) {
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest = 0) {
   ForwardRequestBuilder builder_(_fbb);
   builder_.add_stream_version(stream_version);
   builder_.add_expected_output_tokens(expected_output_tokens);
@@ -1653,6 +1663,7 @@
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_elapsed_ms(elapsed_ms);
   builder_.add_time_left_ms(time_left_ms);
+  builder_.add_key_digest(key_digest);
   builder_.add_account(account);
   builder_.add_used_servers(used_servers);
   builder_.add_resumed_request_id(resumed_request_id);
@@ -1693,7 +1704,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *used_servers = nullptr,
     bool may_have_executed = false,
     uint64_t stream_version = 0,
-    const char *account = nullptr) {
+    const char *account = nullptr,
+    const std::vector<uint8_t> *key_digest = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
@@ -1706,6 +1718,7 @@
   auto resumed_request_id__ = resumed_request_id ? _fbb.CreateString(resumed_request_id) : 0;
   auto used_servers__ = used_servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*used_servers) : 0;
   auto account__ = account ? _fbb.CreateString(account) : 0;
+  auto key_digest__ = key_digest ? _fbb.CreateVector<uint8_t>(*key_digest) : 0;
   return crocusspur::gateway::wire::CreateForwardRequest(
       _fbb,
       id__,
@@ -1728,7 +1741,8 @@
       used_servers__,
       may_have_executed,
       stream_version,
-      account__);
+      account__,
+      key_digest__);
 }
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -147,7 +147,7 @@
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
   GatewayContext context{Codec,   Directory, Limits,   Connections, Queues,
-                         Crashes, Origins,   Counters, Forwarding};
+                         Crashes, Origins,   Counters, Forwarding,  Access};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -79,6 +79,8 @@
   crocusspur::internal::Metrics Counters;
   // Null: no request is passed on.
   const crocusspur::gateway::ForwardingHooks *Forwarding = nullptr;
+  // Null: no key is checked.
+  crocusspur::gateway::AccessControl *Access = nullptr;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -1,5 +1,6 @@
 // Tests requests that an instance which reaches no server passes on, with the
 // other instance in the same process or scripted.
+#include "account_samples.h"
 #include "gateway/forward_call.h"
 #include "gateway/forward_service.h"
 #include "gateway/member_exchange.h"
@@ -280,6 +281,34 @@
   CHECK(setup.Routes == "{routes}");
 }
 
+// Guards against a key that is sent to another instance, and a request that
+// loses its account there.
+TEST_CASE("A request is passed on with its account and without its key") {
+  FakePeer peer("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame("answer", false));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&peer});
+  AccessControl control(setup.Codec, AccessPolicy(),
+                        [] { return std::optional(Milliseconds(0)); });
+  setup.Access = &control;
+  setup.Document->Accounts = AccountTable({test::accountOf("stores", {"k-1"})});
+  setup.Directory.applyRoutes(setup.Document, {0, 1}, UpdateOrigin::Store);
+  CallerRequest request = setup.request();
+  request.Forwarded.emplace_back("Authorization", "Bearer k-1");
+  request.Forwarded.emplace_back("Tenant", "forged");
+  PathRoute route = setup.route(RouteKind::NonIdempotent);
+  REQUIRE(control.check(request, *setup.Document, route) ==
+          AccessVerdict::Granted);
+  CHECK(setup.run(route, request).starts_with("HTTP/1.1 200"));
+  REQUIRE(peer.seen().size() == 1);
+  const CallerRequest &seen = peer.seen()[0].Request;
+  CHECK(seen.Account == "stores");
+  CHECK(seen.Key.empty());
+  CHECK(seen.KeyDigest == internal::sha256("k-1"));
+  CHECK(seen.Forwarded == setup.request().Forwarded);
+}
+
 // A stranger may write anything to the peers' port.
 TEST_CASE("Frames of forwarded requests survive truncated and changed bytes") {
   MemberFrame frame;
@@ -289,6 +318,8 @@
   request.Service = "bays";
   request.UsedServers = {"s1"};
   request.StreamVersion = 5;
+  request.Request.Account = "stores";
+  request.Request.KeyDigest = internal::sha256("k-1");
   frame.Forwarded = request;
   std::vector<uint8_t> bytes = encode(frame);
   std::optional<MemberFrame> back = decodeMemberFrame(bytes);
