--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -109,6 +109,7 @@
   }
   if (HeadSent) {
     abortStream(CrashRefusedFor        ? CrashRefusalReason
+                : AccessRefused        ? reasonOf(*AccessRefused)
                 : mayEndNextServer()   ? "its server ended with it"
                 : RetryBudgetExhausted ? "the retry allowance is used up"
                                        : "no server could continue the stream");
@@ -122,6 +123,8 @@
          "the server's answer broke off");
   else if (CrashRefusedFor)
     refuseAsCrashing();
+  else if (AccessRefused)
+    refuseAccess();
   else
     refuse(ErrorKind::BackendRefused, "no server took the request",
            NoServerRetryAfter);
@@ -154,7 +157,8 @@
       return AttemptResult::Done;
     }
     if (HeadSent) {
-      abortStream("no reservation to continue the stream");
+      abortStream(AccessRefused ? reasonOf(*AccessRefused)
+                                : "no reservation to continue the stream");
       return AttemptResult::Done;
     }
     if (MayHaveExecuted) {
@@ -165,6 +169,10 @@
       refuseAsCrashing();
       return AttemptResult::Done;
     }
+    if (AccessRefused) {
+      refuseAccess();
+      return AttemptResult::Done;
+    }
     if (LimitedUntil) {
       refuseForLimits();
       return AttemptResult::Done;
@@ -219,7 +227,7 @@
       MinStartTime +
       Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
   QueueEntry entry;
-  entry.Priority = Route.Priority;
+  entry.Priority = rank();
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
