Reject streams on arrival that can't expect memory in time

Cause: requests beyond the capacity waited until they would be late, and only then were refused. The limit by the length of the queue counted requests of lower ranks too, though they ask less often.

Change: where ranks of a service differ, the outcomes of this instance's recent attempts give the chance of a request; the share of a rank that is admitted follows from it. Nothing is rejected on old or scarce evidence or after a grant. Rejections count as demand for decode memory. The limit by length counts only requests that are no less urgent.

--- a/src/gateway/decisions/reservation_queue.cc
+++ b/src/gateway/decisions/reservation_queue.cc
@@ -86,17 +86,25 @@
 }
 
 bool ReservationQueue::wouldTimeOut(TimePoint Deadline, TimePoint Now) const {
-  if (Deadline <= Now)
+  QueueEntry entry;
+  entry.ExpiresAt = Deadline;
+  return wouldTimeOut(entry, Now);
+}
+
+bool ReservationQueue::wouldTimeOut(const QueueEntry &Item,
+                                    TimePoint Now) const {
+  if (Item.ExpiresAt <= Now)
     return true;
   // A short queue says nothing about the rate at which memory becomes free.
   constexpr size_t ShortQueue = 4;
   size_t ahead = 0;
   for (const auto &[ticket, waiter] : Waiters)
-    if (Now <= waiter.Item.OnTimeDeadline)
+    if (Now <= waiter.Item.OnTimeDeadline &&
+        (!Item.Rank.differs() || waiter.Item.Priority <= Item.Priority))
       ++ahead;
   if (ahead < ShortQueue)
     return false;
-  std::chrono::duration<double> left = Deadline - Now;
+  std::chrono::duration<double> left = Item.ExpiresAt - Now;
   return static_cast<double>(ahead) >
          2 * grantsPerSecond(Now) * left.count() + ShortQueue;
 }
--- a/src/gateway/decisions/reservation_queue.h
+++ b/src/gateway/decisions/reservation_queue.h
@@ -46,6 +46,9 @@
   // Whether a request that joins now can't expect a grant by `Deadline` at the
   // rate of the last seconds.
   bool wouldTimeOut(TimePoint Deadline, TimePoint Now) const;
+  // The same by its expiry. Where ranks differ, less urgent requests don't
+  // count.
+  bool wouldTimeOut(const QueueEntry &Item, TimePoint Now) const;
   // Records that a waiting request got its reservation.
   void onGranted(TimePoint Now);
   // Estimated time until the queue is empty at the current grant rate.
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -120,6 +120,8 @@
   AttemptResult tryStream(bool ReadAtDecode);
   void abortStream(const std::string &Why);
   std::optional<DecodeReservation> reserveDecode();
+  // Decides on arrival whether the request waits for a reservation.
+  bool isAdmitted(const QueueEntry &Entry);
   std::optional<DecodeReservation> tryReserveDecode(uint64_t Tokens);
   std::optional<DecodeReservation> selectUnreservedDecode();
   std::optional<PromptKvCache> runPrefill();
@@ -235,6 +237,7 @@
   // denial.
   std::optional<TimePoint> LimitedUntil;
   internal::LogFields LimitedFields;
+  bool Rejected = false;        // on arrival; see isAdmitted()
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -11,64 +11,79 @@
 
 } // namespace
 
-ReservationQueue &ReservationQueues::queue(const std::string &Service) {
-  return Queues.try_emplace(Service, MaxConcurrentTries).first->second;
+ReservationQueues::State &ReservationQueues::state(const std::string &Service) {
+  return Services
+      .try_emplace(Service, State{ReservationQueue(MaxConcurrentTries), {}})
+      .first->second;
 }
 
 uint64_t ReservationQueues::join(const std::string &Service,
                                  const QueueEntry &Item) {
   std::lock_guard lock(Mutex);
-  return queue(Service).join(Item, Clock::now());
+  return state(Service).Queue.join(Item, Clock::now());
 }
 
 void ReservationQueues::leave(const std::string &Service, uint64_t Ticket) {
   std::lock_guard lock(Mutex);
-  queue(Service).leave(Ticket);
+  state(Service).Queue.leave(Ticket);
 }
 
 bool ReservationQueues::tryStartAttempt(const std::string &Service,
                                         uint64_t Ticket) {
   std::lock_guard lock(Mutex);
-  return queue(Service).tryStartAttempt(Ticket, Clock::now());
+  return state(Service).Queue.tryStartAttempt(Ticket, Clock::now());
 }
 
 void ReservationQueues::onAttemptEnded(const std::string &Service,
                                        uint64_t Ticket) {
   std::lock_guard lock(Mutex);
-  queue(Service).onAttemptEnded(Ticket, Clock::now());
+  state(Service).Queue.onAttemptEnded(Ticket, Clock::now());
 }
 
-void ReservationQueues::onAllFull(const std::string &Service) {
+void ReservationQueues::onAttemptAnswered(const std::string &Service,
+                                          bool Granted, Milliseconds Taken) {
   std::lock_guard lock(Mutex);
-  queue(Service).onAllFull(Clock::now());
+  TimePoint now = Clock::now();
+  State &found = state(Service);
+  found.Admission.onAttempt(Granted, Taken, now);
+  if (!Granted)
+    found.Queue.onAllFull(now);
+}
+
+AdmissionDecision ReservationQueues::decide(const std::string &Service,
+                                            const QueueEntry &Item,
+                                            double Draw) {
+  std::lock_guard lock(Mutex);
+  return state(Service).Admission.decide(Item.Rank, Item.OnTimeDeadline, Draw,
+                                         Clock::now());
 }
 
 bool ReservationQueues::isContended(const std::string &Service) {
   std::lock_guard lock(Mutex);
-  return queue(Service).isContended(Clock::now());
+  return state(Service).Queue.isContended(Clock::now());
 }
 
 void ReservationQueues::onGranted(const std::string &Service) {
   std::lock_guard lock(Mutex);
-  queue(Service).onGranted(Clock::now());
+  state(Service).Queue.onGranted(Clock::now());
 }
 
 bool ReservationQueues::wouldTimeOut(const std::string &Service,
-                                     TimePoint Latest) {
+                                     const QueueEntry &Item) {
   std::lock_guard lock(Mutex);
-  return queue(Service).wouldTimeOut(Latest, Clock::now());
+  return state(Service).Queue.wouldTimeOut(Item, Clock::now());
 }
 
 Milliseconds ReservationQueues::drainTime(const std::string &Service) {
   std::lock_guard lock(Mutex);
-  return queue(Service).drainTime(Clock::now());
+  return state(Service).Queue.drainTime(Clock::now());
 }
 
 std::map<std::string, size_t> ReservationQueues::sizes() {
   std::lock_guard lock(Mutex);
   std::map<std::string, size_t> all;
-  for (const auto &[service, queue] : Queues)
-    all[service] = queue.size();
+  for (const auto &[service, found] : Services)
+    all[service] = found.Queue.size();
   return all;
 }
 
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 #define CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 
+#include "gateway/decisions/admission_control.h"
 #include "gateway/decisions/reservation_queue.h"
 
 #include <map>
@@ -17,19 +18,28 @@
   void leave(const std::string &Service, uint64_t Ticket);
   bool tryStartAttempt(const std::string &Service, uint64_t Ticket);
   void onAttemptEnded(const std::string &Service, uint64_t Ticket);
-  void onAllFull(const std::string &Service);
+  // All servers that were asked in an attempt are full, or one has granted it.
+  void onAttemptAnswered(const std::string &Service, bool Granted,
+                         Milliseconds Taken);
+  // Whether a request may join; see AdmissionControl.
+  AdmissionDecision decide(const std::string &Service, const QueueEntry &Item,
+                           double Draw);
   bool isContended(const std::string &Service);
   void onGranted(const std::string &Service);
-  bool wouldTimeOut(const std::string &Service, TimePoint Latest);
+  bool wouldTimeOut(const std::string &Service, const QueueEntry &Item);
   Milliseconds drainTime(const std::string &Service);
   // Waiting requests, by service.
   std::map<std::string, size_t> sizes();
 
 private:
-  ReservationQueue &queue(const std::string &Service);
+  struct State {
+    ReservationQueue Queue;
+    AdmissionControl Admission;
+  };
+  State &state(const std::string &Service);
 
   std::mutex Mutex;
-  std::map<std::string, ReservationQueue> Queues;
+  std::map<std::string, State> Services;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -171,8 +171,9 @@
     Milliseconds drain = Context.Queues.drainTime(Service);
     // Callers honor a Retry-After of up to a third of their remaining time.
     refuse(known ? ErrorKind::DeadlineUnreachable : ErrorKind::NoServer,
-           known ? "no memory for the output became free in time"
-                 : "no server is known",
+           Rejected ? "no memory for the output is expected in time"
+           : known  ? "no memory for the output became free in time"
+                    : "no server is known",
            known ? retryAfter(drain, timeLeft() / 3,
                               Context.Directory.randomFraction())
                  : NoServerRetryAfter);
@@ -202,6 +203,24 @@
   return std::nullopt;
 }
 
+bool RequestHandler::isAdmitted(const QueueEntry &Entry) {
+  AdmissionDecision decision =
+      Context.Queues.decide(Service, Entry, Context.Directory.randomFraction());
+  if (decision.Admitted)
+    return true;
+  Rejected = true;
+  // Role decisions must see the demand.
+  Context.Directory.onReservationEnded(Service, Milliseconds(0),
+                                       /*Got=*/false);
+  internal::LogFields all = fields();
+  all.emplace_back("priority", std::to_string(Entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(Entry.Rank.Above));
+  all.emplace_back("chance", std::to_string(decision.Chance));
+  all.emplace_back("admitted_share", std::to_string(decision.AdmittedShare));
+  log(LogLevel::Info, "request", "request rejected on arrival", all);
+  return false;
+}
+
 // Waits in the queue until a decode server reserves memory for the request or
 // the queue entry expires.
 std::optional<RequestHandler::DecodeReservation>
@@ -229,9 +248,12 @@
   }
   LimitedUntil.reset();
   TimePoint joined = Clock::now();
-  if (Context.Queues.wouldTimeOut(Service, entry.ExpiresAt))
+  if (Context.Queues.wouldTimeOut(Service, entry))
     return std::nullopt;
   Context.Directory.onMemoryRequested(Service, tokens);
+  if (entry.Rank.differs() && !HeadSent && !Returning && !StreamVersion &&
+      !isAdmitted(entry))
+    return std::nullopt;
   bool contended = Context.Queues.isContended(Service); // on arrival
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
@@ -295,6 +317,9 @@
     noteResting(outputQuery(ServerStage::Decode));
   size_t asked = 0;
   size_t full = 0; // of those asked, refused
+  auto taken = [started = Clock::now()] {
+    return std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+  };
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
       break;
@@ -331,14 +356,16 @@
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
     // The response may say that the server leaves.
-    if (name && Context.Directory.usable(server))
+    if (name && Context.Directory.usable(server)) {
+      Context.Queues.onAttemptAnswered(Service, /*Granted=*/true, taken());
       return granted;
+    }
     release(granted);
   }
   if (asked > 0)
     LimitedUntil.reset();
   if (full > 0 && full == asked)
-    Context.Queues.onAllFull(Service);
+    Context.Queues.onAttemptAnswered(Service, /*Granted=*/false, taken());
   return std::nullopt;
 }
 
--- a/test/gateway_contention_test.cc
+++ b/test/gateway_contention_test.cc
@@ -1,5 +1,6 @@
 // Replays bursts in virtual time: many instances compete for the memory of the
 // decode servers, each with its own queue and without knowledge of the others.
+#include "gateway/decisions/admission_control.h"
 #include "gateway/decisions/reservation_queue.h"
 #include "virtual_time.h"
 
@@ -36,6 +37,7 @@
 
 struct ReplayResult {
   std::array<int, 3> Arrived{}, OnTime{};
+  int RefusedEarly = 0, RefusedLate = 0; // on arrival; after a wait
   int64_t Calls = 0;
   double share(size_t I) const {
     return static_cast<double>(OnTime[I]) / Arrived[I];
@@ -56,6 +58,7 @@
   std::array<double, 3> Arrivals{2.2, 2.2, 2.2};
   bool ByRank = true;     // whether the instances know that ranks differ
   size_t ServersGone = 0; // during the burst
+  bool Admission = false;
 };
 
 ReplayResult replay(const Load &Burst, uint64_t Seed) {
@@ -65,6 +68,7 @@
   };
   std::vector<ReservationQueue> queues(InstanceCount, ReservationQueue(3));
   std::array<std::vector<int64_t>, ServerCount> busyUntil;
+  std::vector<AdmissionControl> admissions(InstanceCount);
   std::vector<Waiting> all;
   ReplayResult result;
   for (int64_t ms = 0; ms < WarmUpMs + BurstMs + 2000; ms += StepMs) {
@@ -81,7 +85,13 @@
         entry.Rank = {static_cast<uint32_t>(kind),
                       static_cast<uint32_t>(Streams.size() - 1 - kind)};
       result.Arrived[kind] += burst ? 1 : 0;
-      if (!queues[instance].wouldTimeOut(latest, at(ms)))
+      double chance = std::uniform_real_distribution<double>(0, 1)(random);
+      if (queues[instance].wouldTimeOut(entry, at(ms)) ||
+          (Burst.Admission && !admissions[instance]
+                                   .decide(entry.Rank, latest, chance, at(ms))
+                                   .Admitted))
+        result.RefusedEarly += burst ? 1 : 0;
+      else
         all.push_back({kind, instance, queues[instance].join(entry, at(ms)),
                        ms + Streams[kind].OnTimeMs, burst});
     }
@@ -92,6 +102,7 @@
       ReservationQueue &queue = queues[It.Instance];
       if (It.ToAsk.empty() && ms >= It.LatestMs) {
         queue.leave(It.Ticket);
+        result.RefusedLate += It.InBurst ? 1 : 0;
         return true;
       }
       if (It.ToAsk.empty() && queue.tryStartAttempt(It.Ticket, at(ms)))
@@ -106,6 +117,9 @@
       bool granted = !gone && server.size() < RequestsPerServer;
       if (granted || It.ToAsk.empty())
         queue.onAttemptEnded(It.Ticket, at(ms));
+      if (granted || It.ToAsk.empty())
+        admissions[It.Instance].onAttempt(
+            granted, Milliseconds(StepMs * ServersPerAttempt), at(ms));
       if (!granted && It.ToAsk.empty())
         queue.onAllFull(at(ms));
       if (!granted)
@@ -160,10 +174,56 @@
     CHECK(sum.share(1) >= sum.share(2));
     CHECK(sum.share(0) >= 0.7);
     CHECK(sum.share(2) >= 0.3);
-    MESSAGE("share ", sum.share(0), " ", sum.share(1), " ", sum.share(2));
   }
 }
 
+// Guards against requests beyond the capacity that wait until they are late
+// before they are refused, and against rejections that cost the urgent ranks
+// their share or that leave memory unused.
+TEST_CASE("Contention: requests without a chance are refused on arrival") {
+  for (const Load &load : {Load{}, Load{{1.3, 1.3, 1.3}}}) {
+    Load admission = load;
+    admission.Admission = true;
+    ReplayResult without, with;
+    auto add = [](ReplayResult &Sum, const ReplayResult &Item) {
+      for (size_t kind = 0; kind < Streams.size(); ++kind) {
+        Sum.Arrived[kind] += Item.Arrived[kind];
+        Sum.OnTime[kind] += Item.OnTime[kind];
+      }
+      Sum.RefusedEarly += Item.RefusedEarly;
+      Sum.RefusedLate += Item.RefusedLate;
+    };
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+      add(without, replay(load, seed));
+      add(with, replay(admission, seed));
+    }
+    CAPTURE(load.Arrivals[0]);
+    CHECK(with.RefusedEarly > without.RefusedEarly);
+    CHECK(with.RefusedLate < without.RefusedLate);
+    CHECK(with.share(0) >= without.share(0) - 0.01);
+    CHECK(with.share(0) >= with.share(1));
+    CHECK(with.share(1) >= with.share(2));
+  }
+}
+
+// Guards against rejections on old evidence and while memory is free.
+TEST_CASE("Admission needs recent refusals") {
+  AdmissionControl admission;
+  RankPosition lowest{2, 0};
+  auto admitted = [&](int64_t Ms) {
+    return admission.decide(lowest, at(Ms + 300), 0.99, at(Ms)).Admitted;
+  };
+  CHECK(admitted(0));
+  for (int64_t ms = 0; ms < 1000; ms += 100)
+    admission.onAttempt(false, Milliseconds(30), at(ms));
+  CHECK_FALSE(admitted(1000));
+  CHECK(admitted(1500)); // the latest refusal is too old
+  admission.onAttempt(false, Milliseconds(30), at(1600));
+  CHECK_FALSE(admitted(1610));
+  admission.onAttempt(true, Milliseconds(30), at(1620));
+  CHECK(admitted(1630));
+}
+
 // Guards deployments with one rank against a change of the order of attempts.
 TEST_CASE("Contention: with one rank all requests ask at the former interval") {
   CHECK(attemptInterval({}, at(900), at(0)) == Milliseconds(40));
