Serve again soon after all instances were killed

After all instances of a fleet of 300 were killed at once, it wasn't serving after 30 s. All instances read the store beyond its rate, began lists anew when one page was rejected, tried again soon for as long as nothing confirmed what they knew, and asked seeds that sent whole lists to each that asked.

Instances without documents now ask peers that have them. Each sends few lists at a time and names those that it has served, so that the holders multiply. A frame with a list gets more time than 400 ms. An instance of a small fleet reads the store 1.5 s after it has heard a peer and has the documents, not after 5 s.

--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -82,6 +82,11 @@
   bool contactSeed = chosen.empty() || Round % SeedContactRounds == 0;
   if (contactSeed && !Seeds.empty())
     chosen.push_back(Seeds[Random() % Seeds.size()]);
+  // Others may be up while one isn't.
+  if (ring.empty() && Members.empty())
+    for (const std::string &it : Seeds)
+      if (chosen.size() < Count && it != chosen.front())
+        chosen.push_back(it);
   for (const std::string &it : ring) {
     if (chosen.size() >= Count)
       break;
--- a/src/gateway/decisions/reader_election.cc
+++ b/src/gateway/decisions/reader_election.cc
@@ -15,10 +15,23 @@
 constexpr size_t MaxUnselectiveFleet = 16;
 // Time after the start within which the fleet's size isn't known yet.
 constexpr Milliseconds DiscoveryTime{5000};
-// Bounds of the time for which a new instance waits for peers to send it the
-// documents. Spread, since all instances may start at once.
+// The same from the first frame of a peer on, for an instance that has the
+// documents. An instance of a large fleet knows more than a small one by then,
+// and those of a small fleet mustn't depend on one reader for longer.
+constexpr Milliseconds SmallFleetDiscoveryTime{1500};
+// A new instance waits for peers to send it the documents, at least for this
+// time. The rest is spread over a time that grows with the known fleet, since
+// all instances may start at once: each reads the whole list, and a store that
+// rejects most calls serves nobody.
 constexpr Milliseconds MinStartDelay{500};
-constexpr Milliseconds MaxStartDelay{2000};
+constexpr Milliseconds StartSpreadPerMember{50};
+constexpr Milliseconds MinStartSpread{1500};
+constexpr Milliseconds MaxStartSpread{4500};
+// Bounds of the pause of an instance that the store has rejected and that reads
+// in place of others. It is short while documents are missing.
+constexpr Milliseconds MinRejectedPause{400};
+constexpr Milliseconds MaxRejectedPause{8000};
+constexpr Milliseconds MaxStartPause{2000};
 // Readers confirm their knowledge every 2 s at different times, and an instance
 // asks peers every second. Changes must be in force some seconds after the
 // store has them, so knowledge that is older is worth a call.
@@ -56,14 +69,27 @@
                                bool IsSeed, uint64_t Seed, TimePoint Now)
     : OwnName(std::move(OwnName)), Key("store-reader:" + FailureDomain),
       IsSeed(IsSeed), Random(Seed), StartedAt(Now),
-      StartDelay(draw(Random, MinStartDelay, MaxStartDelay)),
+      StartFraction(std::uniform_real_distribution<double>(0, 1)(Random)),
       StaleDelay(StaleAge + draw(Random, Milliseconds(0), StaleSpread)),
       OutageDelay(draw(Random, MinOutageDelay, MaxOutageDelay)),
       ProbePhase(draw(Random, Milliseconds(0), ProbePeriod)) {}
 
 bool ReaderElection::isSelective(const ReaderView &View, TimePoint Now) const {
-  return View.FleetSize > MaxUnselectiveFleet ||
-         Now - StartedAt < DiscoveryTime;
+  if (View.FleetSize > MaxUnselectiveFleet)
+    return true;
+  if (View.Complete && FirstPeerHeardAt &&
+      Now - *FirstPeerHeardAt >= SmallFleetDiscoveryTime)
+    return false;
+  return Now - StartedAt < DiscoveryTime;
+}
+
+TimePoint ReaderElection::startReadAt(const ReaderView &View) const {
+  Milliseconds spread =
+      std::clamp(StartSpreadPerMember * static_cast<int64_t>(View.FleetSize),
+                 MinStartSpread, MaxStartSpread);
+  return StartedAt + MinStartDelay +
+         Milliseconds(static_cast<int64_t>(
+             StartFraction * static_cast<double>(spread.count())));
 }
 
 // The first of those to which the store responds read. The first of all keep
@@ -98,14 +124,19 @@
 }
 
 bool ReaderElection::shouldRead(const ReaderView &View, TimePoint Now) {
-  if (!isSelective(View, Now) || Now < ReadUntil)
+  if (Now < ReadUntil)
     return true;
+  // One that knows nobody may be one of hundreds whose seeds are down.
   if (!View.Complete)
-    return IsSeed || Now - StartedAt >= StartDelay;
+    return IsSeed || (Now >= startReadAt(View) && Now >= PausedUntil);
+  if (!isSelective(View, Now))
+    return true;
   // The others of the domain aren't known yet, so ranks say nothing.
   bool discovering = Now - StartedAt < DiscoveryTime;
   if (discovering ? IsSeed : isRanked(View, Now))
     return true;
+  if (Now < PausedUntil)
+    return false;
   bool isolated = !PeerHeardAt || Now - *PeerHeardAt > IsolationTime;
   if (isolated) {
     ReadUntil = Now + MinReadTime;
@@ -134,6 +165,7 @@
 void ReaderElection::onReadSucceeded(PublishedKind Kind, TimePoint Now) {
   Confirmed[static_cast<size_t>(Kind)] = Now;
   ReadFailedAt.reset();
+  Rejections = 0;
 }
 
 void ReaderElection::onPeerConfirmed(TimePoint At) {
@@ -141,9 +173,23 @@
     it = std::max(it.value_or(At), At);
 }
 
-void ReaderElection::onReadFailed(TimePoint Now) { ReadFailedAt = Now; }
+void ReaderElection::onReadFailed(TimePoint Now) {
+  ReadFailedAt = Now;
+  ReadUntil = TimePoint();
+  if (Now < PausedUntil) // the reads of both kinds fail together
+    return;
+  Milliseconds most = confirmedAt() ? MaxRejectedPause : MaxStartPause;
+  Milliseconds pause =
+      std::min(most, MinRejectedPause * (1U << std::min(Rejections, 8U)));
+  ++Rejections;
+  PausedUntil = Now + draw(Random, pause / 2, pause);
+}
 
-void ReaderElection::onPeerHeard(TimePoint Now) { PeerHeardAt = Now; }
+void ReaderElection::onPeerHeard(TimePoint Now) {
+  PeerHeardAt = Now;
+  if (!FirstPeerHeardAt)
+    FirstPeerHeardAt = Now;
+}
 
 std::optional<TimePoint> ReaderElection::confirmedAt() const {
   if (!Confirmed[0] || !Confirmed[1])
--- a/src/gateway/decisions/reader_election.h
+++ b/src/gateway/decisions/reader_election.h
@@ -70,6 +70,9 @@
 
 private:
   bool isRanked(const ReaderView &View, TimePoint Now) const;
+  // When an instance that has just started reads if peers haven't told it
+  // enough.
+  TimePoint startReadAt(const ReaderView &View) const;
   bool isProbeTime(TimePoint Now) const;
 
   std::string OwnName;
@@ -77,14 +80,19 @@
   bool IsSeed;
   std::mt19937_64 Random;
   TimePoint StartedAt;
-  Milliseconds StartDelay;  // until it reads if peers haven't told it enough
+  double StartFraction;     // of the spread of the first reads
   Milliseconds StaleDelay;  // until it reads if it hears nothing of the store
   Milliseconds OutageDelay; // the same while the store fails for readers
   Milliseconds ProbePhase;
   TimePoint ReadUntil; // it reads at least until then
   std::array<std::optional<TimePoint>, 2> Confirmed; // by kind
   std::optional<TimePoint> ReadFailedAt;
+  // Until then it doesn't read in place of readers, as the store has rejected
+  // it; the pause doubles with each rejection.
+  TimePoint PausedUntil;
+  uint32_t Rejections = 0;
   std::optional<TimePoint> PeerHeardAt;
+  std::optional<TimePoint> FirstPeerHeardAt;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_exchange.cc
+++ b/src/gateway/member_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <array>
 
 namespace crocusspur::gateway {
@@ -10,6 +11,12 @@
 using Clock = std::chrono::steady_clock;
 using Poco::Net::StreamSocket;
 
+// A frame with a whole list takes longer than the time limit of an exchange if
+// its sender shares a link of 10 Mbit/s with others. An instance that is slower
+// than this isn't worth the wait.
+constexpr uint32_t MinBytesPerMs = 200;
+constexpr Milliseconds MaxTransferTime{1500};
+
 Poco::Timespan timespan(Milliseconds Time) {
   return Poco::Timespan(std::chrono::microseconds(Time).count());
 }
@@ -72,6 +79,7 @@
   if (size > MaxFrameBytes)
     return std::nullopt;
   std::vector<uint8_t> bytes(size);
+  until += std::min(MaxTransferTime, Milliseconds(size / MinBytesPerMs));
   if (!receiveAll(Socket, bytes.data(), bytes.size(), until))
     return std::nullopt;
   return decodeMemberFrame(bytes);
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -10,6 +10,7 @@
 // on the threads of their connections.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
+#include "gateway/decisions/fleet/document_sources.h"
 #include "gateway/forward_service.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/member_exchange.h"
@@ -36,9 +37,10 @@
 constexpr int ExchangeThreads = 8;
 constexpr size_t ContactsPerRound = 2;
 constexpr Milliseconds RoundPeriod{1000};
-// While updates are missing; well below the time limit for activating changes.
-constexpr Milliseconds CatchUpRoundPeriod{250};
 constexpr size_t CatchUpContacts = 3;
+// An instance that reads from the start asks peers for documents after this
+// time at the earliest, so that it doesn't get them twice.
+constexpr Milliseconds FirstReadTime{1000};
 // Contacts that are told of a crash or a limit at once. Each instance that
 // learns of it tells as many, the next one by name among them, so it spreads in
 // few steps.
@@ -93,12 +95,21 @@
   // Calls the peer and applies its response.
   bool exchange(const std::string &Address, const MemberFrame &Request,
                 Milliseconds Timeout);
+  // Asks for missing documents until they are here or the contacts are used up.
+  void runCatchUpRound();
   // Whether updates from the store don't reach this instance, or arrive late.
   bool needsUpdates();
   // The part that all frames have.
   MemberFrame basicFrame();
   MemberFrame requestFrame();
-  void addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
+  // Returns whether the response holds a whole list, whose end is to be
+  // reported to Serving.
+  bool addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
+  // The members that a response names.
+  std::vector<Member> membersFor(const MemberFrame &Request);
+  void respond(StreamSocket &Socket, const MemberFrame &Request);
+  // Notes whether the sender has the documents.
+  void noteHolder(const MemberFrame &Frame);
   static void addServers(const std::vector<ServerChange> &Changes,
                          MemberFrame &Frame);
   // Adds what has changed since the last notification, in a fleet in which not
@@ -126,6 +137,11 @@
   std::mutex NewestMutex;
   ConfigKey NewestConfig;
   StoreRevision NewestServers;
+  // Guards the two objects below.
+  std::mutex SourcesMutex;
+  std::optional<DocumentSources> Sources;
+  std::optional<DocumentServing> Serving;
+  TimePoint StartedAt;
   std::optional<TimePoint> BehindSince; // used by the rounds' thread only
   uint64_t SentCrashChange = 0;         // used by the rounds' thread only
   uint64_t SentEra = 0;                 // used by the rounds' thread only
@@ -148,6 +164,9 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!metrics)
     return false;
+  StartedAt = Clock::now();
+  Sources.emplace(Runtime->Incarnation);
+  Serving.emplace(Runtime->Incarnation);
   Context.emplace(GatewayContext{
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
@@ -239,7 +258,9 @@
 
 MemberFrame MemberLinks::requestFrame() {
   MemberFrame frame = basicFrame();
-  frame.Members = Runtime->Peers.alive();
+  // One that lacks the documents has nothing to tell but itself.
+  if (Runtime->Directory.isComplete())
+    frame.Members = Runtime->Peers.alive();
   frame.WantsRoutes = needsUpdates();
   frame.WantsServers = frame.WantsRoutes;
   frame.AcceptsChanges = true;
@@ -247,8 +268,10 @@
 }
 
 bool MemberLinks::needsUpdates() {
-  if (!Runtime->Directory.isComplete() ||
-      !Runtime->Directory.isStoreReachable())
+  if (!Runtime->Directory.isComplete())
+    return !Runtime->Readers.isReading() || Runtime->Readers.isStoreFailing() ||
+           Clock::now() - StartedAt >= FirstReadTime;
+  if (!Runtime->Directory.isStoreReachable())
     return true;
   bool behind = false;
   {
@@ -268,22 +291,41 @@
 }
 
 // Adds the updates that the peer requested, if this instance has newer ones.
-void MemberLinks::addRequestedUpdates(const MemberFrame &Request,
+bool MemberLinks::addRequestedUpdates(const MemberFrame &Request,
                                       MemberFrame &Response) {
-  if (Request.WantsRoutes && configOf(Request) < configOf(Response))
+  bool wantsList = Request.WantsServers &&
+                   Request.ServersRevision < Response.ServersRevision;
+  bool wantsRoutes =
+      Request.WantsRoutes && configOf(Request) < configOf(Response);
+  bool acceptsChanges =
+      Request.AcceptsChanges && Request.ServersRevision.Number > 0 &&
+      Request.ServersRevision.Era == Response.ServersRevision.Era;
+  if (wantsList && !acceptsChanges) {
+    std::lock_guard lock(SourcesMutex);
+    if (!Serving->tryBegin(Clock::now()))
+      return false; // the response names instances that have the documents
+  }
+  if (wantsRoutes)
     Response.RoutesText = Runtime->Directory.routes()->Text;
-  if (!Request.WantsServers ||
-      Request.ServersRevision >= Response.ServersRevision)
-    return;
-  if (Request.AcceptsChanges && Request.ServersRevision.Number > 0 &&
-      Request.ServersRevision.Era == Response.ServersRevision.Era) {
+  if (!wantsList)
+    return false;
+  if (acceptsChanges) {
     addServers(Runtime->Directory.serversChangedAfter(Request.ServersRevision),
                Response);
     Response.ChangesSince = Request.ServersRevision;
-    return;
+    return false;
   }
   Response.HasServers = true;
   addServers(Runtime->Directory.servers(), Response);
+  return true;
+}
+
+std::vector<Member> MemberLinks::membersFor(const MemberFrame &Request) {
+  std::vector<Member> all = Runtime->Peers.alive();
+  if (!Request.WantsServers || Request.ServersRevision.Number > 0)
+    return all;
+  std::lock_guard lock(SourcesMutex);
+  return Serving->membersForNewcomer(std::move(all), Clock::now());
 }
 
 void MemberLinks::addServers(const std::vector<ServerChange> &Changes,
@@ -316,6 +358,7 @@
   for (const LeavingServer &it : Frame.Leaving)
     Runtime->Directory.onServerLeaving(it, LeavingOrigin::Peer,
                                        Frame.Sender.Name);
+  noteHolder(Frame);
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
@@ -343,6 +386,14 @@
   noteConfirmation(Frame);
 }
 
+void MemberLinks::noteHolder(const MemberFrame &Frame) {
+  if (Frame.ConfigVersion == 0 || Frame.ServersRevision.Number == 0 ||
+      Runtime->Directory.isComplete())
+    return;
+  std::lock_guard lock(SourcesMutex);
+  Sources->onHolder(Frame.Sender.Address, Clock::now());
+}
+
 void MemberLinks::noteConfirmation(const MemberFrame &Frame) {
   bool isCurrent =
       Runtime->Directory.isComplete() &&
@@ -383,26 +434,56 @@
       sendFrame(Socket, encode(origin));
       return;
     }
-    MemberFrame response = basicFrame();
-    if (!request->IsNotification) {
-      response.Members = Runtime->Peers.alive();
-      addRequestedUpdates(*request, response);
-      response.Crashes = Runtime->Crashes.updateFor(request->CrashDigest);
-      if (request->LeavingDigest != response.LeavingDigest)
-        response.Leaving = Runtime->Directory.leavingServers();
-    }
-    sendFrame(Socket, encode(response));
+    respond(Socket, *request);
     applyFrame(*request);
   } catch (const Poco::Exception &) {
     // The peer disconnected or is too slow; it asks again in its next round.
   }
 }
 
+void MemberLinks::respond(StreamSocket &Socket, const MemberFrame &Request) {
+  MemberFrame response = basicFrame();
+  bool isServing = false;
+  if (!Request.IsNotification) {
+    response.Members = membersFor(Request);
+    isServing = addRequestedUpdates(Request, response);
+    response.Crashes = Runtime->Crashes.updateFor(Request.CrashDigest);
+    if (Request.LeavingDigest != response.LeavingDigest)
+      response.Leaving = Runtime->Directory.leavingServers();
+  }
+  auto end = [&](bool Sent) {
+    std::lock_guard lock(SourcesMutex);
+    if (isServing)
+      Serving->onEnd(Request.Sender.Name, Sent, Clock::now());
+  };
+  try {
+    sendFrame(Socket, encode(response));
+  } catch (const Poco::Exception &) {
+    end(false);
+    throw;
+  }
+  end(true);
+}
+
 bool MemberLinks::exchange(const std::string &Address,
                            const MemberFrame &Request, Milliseconds Timeout) {
   std::optional<MemberFrame> response = callMember(Address, Request, Timeout);
   if (response)
     applyFrame(*response);
+  if (Request.WantsServers && !Request.IsNotification) {
+    TimePoint now = Clock::now();
+    std::lock_guard lock(SourcesMutex);
+    bool isGiven = response && (response->HasServers || response->ChangesSince);
+    if (!isGiven)
+      Sources->onRefused(Address, now);
+    // A peer that has the documents and serves others names those that it has
+    // served.
+    if (response && !isGiven && response->ServersRevision.Number > 0 &&
+        response->ServersRevision > Request.ServersRevision)
+      for (const Member &it : response->Members)
+        if (it.Address != Runtime->Values.PeerAddress)
+          Sources->onHolder(it.Address, now);
+  }
   return response.has_value();
 }
 
@@ -432,8 +513,39 @@
   LoggedMembers = std::move(now);
 }
 
+void MemberLinks::runCatchUpRound() {
+  std::vector<std::string> contacts;
+  {
+    std::lock_guard lock(SourcesMutex);
+    contacts = Sources->choose(CatchUpContacts, Clock::now());
+  }
+  bool hasSource = !contacts.empty();
+  if (!hasSource)
+    contacts = Runtime->Peers.selectContacts(CatchUpContacts);
+  bool hasResponse = false;
+  for (const std::string &it : contacts) {
+    if (Runtime->Closing.load() || Runtime->Directory.isComplete())
+      break;
+    bool responds = exchange(it, requestFrame(), ExchangeTimeout);
+    hasResponse = hasResponse || responds;
+    if (!responds)
+      Runtime->Peers.onContactFailed(it);
+    // Peers without the documents are asked one at a time, so that seeds that
+    // have just started aren't overrun.
+    if (responds && !hasSource)
+      break;
+  }
+  std::lock_guard lock(SourcesMutex);
+  Sources->onRound(hasResponse);
+}
+
 void MemberLinks::runRound(bool CatchUp) {
   Runtime->Peers.setSeeds(Runtime->seedAddresses());
+  if (CatchUp && !Runtime->Directory.isComplete()) {
+    runCatchUpRound();
+    logMembershipChanges();
+    return;
+  }
   // Exchanges with unresponsive peers take most of a second each; they must
   // not delay the end of a shutdown.
   for (const std::string &it : contactsOfRound(CatchUp)) {
@@ -531,8 +643,12 @@
 void MemberLinks::runRounds() {
   while (true) {
     bool catchUp = needsUpdates();
-    if (!waitForRound(Clock::now() +
-                      (catchUp ? CatchUpRoundPeriod : RoundPeriod)))
+    Milliseconds period = RoundPeriod;
+    if (catchUp || !Runtime->Directory.isComplete()) {
+      std::lock_guard lock(SourcesMutex);
+      period = Sources->nextRound();
+    }
+    if (!waitForRound(Clock::now() + period))
       return;
     runRound(catchUp);
   }
--- a/test/gateway_reader_election_test.cc
+++ b/test/gateway_reader_election_test.cc
@@ -227,6 +227,45 @@
   CHECK(early < 50);
 }
 
+// Guards against instances of a small fleet that learn of a change late, since
+// all depend on the seed for the first 5 s and the seed has lost the store.
+TEST_CASE("Instances of a small fleet read the store soon after the start") {
+  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, at(0));
+  ReaderView view;
+  view.FleetSize = 4;
+  view.Others = {{"d0-0"}, {"d0-2"}, {"d0-3"}};
+  other.onPeerHeard(at(300));
+  view.Complete = true;
+  other.onPeerConfirmed(at(300));
+  CHECK_FALSE(other.shouldRead(view, at(1000)));
+  other.onPeerHeard(at(1800));
+  CHECK(other.shouldRead(view, at(1800)));
+  view.FleetSize = 17;
+  other.onPeerConfirmed(at(1800));
+  CHECK_FALSE(other.shouldRead(view, at(1800)));
+}
+
+// Guards against a fleet all of whose instances read from a store that rejects
+// them, again and again, so that it serves nobody.
+TEST_CASE("An instance that the store has rejected waits longer each time") {
+  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, at(0));
+  ReaderView alone;
+  int now = 2500;
+  std::vector<int> pauses;
+  for (int i = 0; i < 6; ++i) {
+    REQUIRE(other.shouldRead(alone, at(now)));
+    other.onReadFailed(at(now));
+    other.onReadFailed(at(now)); // of the other kind
+    int begin = now;
+    while (!other.shouldRead(alone, at(now)))
+      now += 10;
+    pauses.push_back(now - begin);
+  }
+  CHECK(pauses.front() <= 400);
+  CHECK(pauses.back() >= 1000);
+  CHECK(pauses.back() <= 2010);
+}
+
 // Instances of former builds state no failure domain and read for themselves.
 TEST_CASE("Instances without a failure domain are no candidates") {
   MemberTable table("e1", "10.0.0.1:1", 1);
