--- a/test/gateway_cut_off_process_test.cc
+++ b/test/gateway_cut_off_process_test.cc
@@ -29,6 +29,7 @@
 constexpr int ModelServers = 4;
 constexpr int CallersPerInstance = 3;
 constexpr Milliseconds CallerPause{60};
+constexpr size_t MaxProblem = 400;
 
 std::string makeRoute(const std::string &Prefix, const std::string &Type,
                       const std::string &Service, int TargetMs) {
@@ -53,6 +54,7 @@
   Milliseconds Taken;
   bool CutOff; // sent to an instance that is cut off
   bool Served;
+  std::string Problem; // the beginning of the response, if it wasn't served
 };
 
 struct Share {
@@ -100,7 +102,14 @@
 
   ~CutFleet() { finish(); }
 
+  // No connection breaks before all servers refuse new ones: an instance that
+  // is cut off loses all at the same instant. Otherwise the first server whose
+  // connections are reset looks like one that has ended, since the next one
+  // still accepts connections.
   void setForm(CutForm Form) {
+    if (Form == CutForm::Reset)
+      for (auto &it : Proxies)
+        it->setForm(CutForm::RefusedNew);
     for (auto &it : Proxies)
       it->setForm(Form);
   }
@@ -131,6 +140,17 @@
     return share;
   }
 
+  // What callers that weren't served have received.
+  std::string problems(bool AtCutOff, TimePoint From, TimePoint To) {
+    std::lock_guard lock(Mutex);
+    std::string all;
+    for (const Attempt &it : Attempts)
+      if (it.CutOff == AtCutOff && it.Sent >= From && it.Sent < To &&
+          !it.Served)
+        all += std::to_string(it.Taken.count()) + " ms " + it.Problem + "\n";
+    return all;
+  }
+
   std::string logs() {
     std::string all;
     for (GatewayInstance &it : Fleet.Instances)
@@ -168,7 +188,8 @@
         Attempts.push_back(
             {sent,
              std::chrono::duration_cast<Milliseconds>(Clock::now() - sent),
-             static_cast<int>(Instance) < CutOff, served});
+             static_cast<int>(Instance) < CutOff, served,
+             served ? "" : id + ": " + response.substr(0, MaxProblem)});
       }
       std::this_thread::sleep_for(CallerPause);
     }
@@ -210,6 +231,8 @@
   MESSAGE("cut off: " << text(early) << " in the first 3 s, " << text(during)
                       << " after, others " << text(others) << "; after the cut "
                       << text(after));
+  if (during.Served < during.Sent)
+    MESSAGE(setup.problems(true, cutAt + ContactTime, healedAt));
   CHECK(during.Sent >= 20);
   CHECK(others.Sent >= 20);
   CHECK(during.value() >= LeastShareOfOthers * others.value());
