Read load reports with more than three figures

Servers may state how long work takes at the moment as a fourth figure of their load report. The parser wanted exactly three figures and dropped the whole report otherwise. It now reads the fourth as a slowdown factor, ignores figures beyond it, and treats an invalid fourth figure as absent.

--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -41,6 +41,9 @@
   uint32_t Running = 0;
   uint32_t Waiting = 0;
   uint32_t Slots = 0;
+  // How long work takes at the server at this moment, as a multiple of the
+  // usual time; nothing: not reported.
+  std::optional<double> Slowdown{};
 };
 
 // How a call to a server ended, for the assessment of the server.
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -114,6 +114,37 @@
   CHECK(info.Returned.size() == 3);
 }
 
+// Servers that state a fourth figure lost their whole load report, so that
+// instances chose among them by their own calls only.
+TEST_CASE("HttpCodec parses load reports of three and more figures") {
+  HttpCodec codec = platform::makeHttpCodec();
+  auto parse = [&](const std::string &Value) {
+    HttpHead head;
+    head.Status = 200;
+    head.Fields = {{"Server-Load", Value}};
+    return codec.ParseResponseHead(head).Load;
+  };
+  for (const char *it : {"3,1,8", "3,1,8,x", "3,1,8,", "3,1,8,0", "3,1,8,-5",
+                         "3,1,8,nan", "3,1,8,1e9", "3,1,8,99999999"}) {
+    CAPTURE(it);
+    REQUIRE(parse(it).has_value());
+    CHECK(parse(it)->Slots == 8);
+    CHECK_FALSE(parse(it)->Slowdown.has_value());
+  }
+  for (const char *it : {"3,1,8,250", " 3, 1, 8, 250 ", "3,1,8,250.0,7,x"}) {
+    CAPTURE(it);
+    REQUIRE(parse(it).has_value());
+    CHECK(parse(it)->Running == 3);
+    CHECK(parse(it)->Waiting == 1);
+    CHECK(parse(it)->Slowdown == 2.5);
+  }
+  for (const char *it : {"", ",", ",,,", "3,1", "x,1,8,250", "3,,8,250",
+                         "3,1,-8", "3,1,8x", "99999999999,1,8"}) {
+    CAPTURE(it);
+    CHECK_FALSE(parse(it).has_value());
+  }
+}
+
 TEST_CASE("HttpCodec parses a request limit") {
   HttpCodec codec = platform::makeHttpCodec();
   auto parse = [&](const std::vector<std::string> &Values) {
