Estimate the pace of each server and choose servers by it

Choices among servers knew their load but not how fast they work, so servers that take 0.6 and 1.6 times the usual time got equally many calls, also while they took five times as long.

PaceTable keeps a moving average of the time for a unit of work of each server process, from calls of this instance, summaries of peers and what servers report. ServerRegistry draws two servers by pace and takes the one with the shorter wait if paces differ by more than a dead band; otherwise the choice is as before. The score, by which decode servers are asked for memory, includes the pace.

--- /dev/null
+++ b/src/gateway/decisions/placement/pace_choice.h
@@ -0,0 +1,30 @@
+// Selects a server among candidates of different pace. Does no I/O.
+//
+// Intended for many instances that hold load reports of the same age: each
+// draws two candidates, so they don't all take the same server. The draws
+// follow the pace, so that a slow server still gets the few calls that show
+// its recovery.
+#ifndef CROCUSSPUR_GATEWAY_PACE_CHOICE_H
+#define CROCUSSPUR_GATEWAY_PACE_CHOICE_H
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+struct PaceCandidate {
+  double Pace = 1; // time per unit of work; 1: as most servers
+  double Load = 0; // that a further call waits for or runs beside
+};
+
+// Returns the index of the selected candidate; there must be at least one.
+// Draws two, each with a probability that falls with the square of its pace,
+// and returns the one at which the load takes less time, or else the first.
+// `Draw` returns uniform numbers in [0, 1).
+size_t chooseByPace(const std::vector<PaceCandidate> &Candidates,
+                    const std::function<double()> &Draw);
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -1,5 +1,7 @@
 #include "gateway/decisions/server_registry.h"
 
+#include "gateway/decisions/placement/pace_choice.h"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -27,6 +29,9 @@
 // Range of the random tie-breaker between equal servers, in requests.
 constexpr double TieBreakSpread = 0.04;
 
+// Pace of a server that has just started while others are known, so that it
+// gets about half as many calls as they until some have ended.
+constexpr double UnknownPace = 1.4;
 // Part of a stated rest by which its end is spread.
 constexpr double RestSpread = 0.25;
 
@@ -225,7 +230,7 @@
          (!Query.Version || versionKeyOf(entry.Version) == *Query.Version);
 }
 
-double ServerRegistry::score(const Server &Item, TimePoint Now) const {
+double ServerRegistry::loadOf(const Server &Item, TimePoint Now) const {
   double load = Item.OwnLoad;
   if (Item.Load && Now - Item.LoadAt < LoadReportLifetime) {
     // Requests of other instances at the time of the report, in addition to
@@ -236,7 +241,18 @@
         std::chrono::duration<double>(Now - Item.LoadAt) / LoadReportLifetime;
     load += std::max(0.0, others) * (1 - age);
   }
-  load += 1;
+  return load;
+}
+
+double ServerRegistry::placementPace(const Server &Item, TimePoint Now) const {
+  auto it = Paces.find(Item.Entry.Service);
+  return it == Paces.end()
+             ? 1
+             : it->second.placementPace(Item.Entry.Id, Item.Entry.Stage, Now);
+}
+
+double ServerRegistry::score(const Server &Item, TimePoint Now) const {
+  double load = (loadOf(Item, Now) + 1) * placementPace(Item, Now);
   if (Item.Entry.Slots > 0 && Item.Entry.Stage == ServerStage::Whole)
     load = load / Item.Entry.Slots;
   load *= 1 + FailurePenalty * Item.FailureRate;
@@ -276,12 +292,122 @@
 
 std::optional<ServerChoice> ServerRegistry::choose(const ServerQuery &Query,
                                                    TimePoint Now) {
+  if (std::optional<ServerChoice> choice = chooseByPace(Query, Now))
+    return choice;
   std::vector<ServerChoice> all = rank(Query, Now);
   if (all.empty())
     return std::nullopt;
   return all.front();
 }
 
+std::optional<ServerChoice>
+ServerRegistry::chooseByPace(const ServerQuery &Query, TimePoint Now) {
+  auto table = Paces.find(Query.Service);
+  if (table == Paces.end())
+    return std::nullopt;
+  std::vector<PaceCandidate> candidates;
+  std::vector<const Server *> found;
+  bool differ = false;
+  for (const auto &[id, server] : Servers) {
+    if (sendBar(server, Now) != SendBar::None || !matches(server, Query) ||
+        server.UsableUntil || server.AvoidUntil > Now)
+      continue;
+    double pace = placementPace(server, Now);
+    differ = differ || pace != 1;
+    if (table->second.isUnknown(id, server.Entry.Stage))
+      pace = std::max(pace, UnknownPace);
+    pace *= 1 + FailurePenalty * server.FailureRate;
+    double load = loadOf(server, Now);
+    if (server.Entry.Slots > 0 && server.Entry.Stage == ServerStage::Whole)
+      load /= server.Entry.Slots;
+    candidates.push_back({pace, load});
+    found.push_back(&server);
+  }
+  if (!differ)
+    return std::nullopt;
+  std::uniform_real_distribution<double> draw(0, 1);
+  size_t i = gateway::chooseByPace(candidates, [&] { return draw(Random); });
+  return choiceOf(found[i]->Entry);
+}
+
+PaceTable &ServerRegistry::pacesOf(const std::string &Service) {
+  auto [it, added] = Paces.try_emplace(Service);
+  if (added)
+    it->second.setSettings(PaceValues);
+  return it->second;
+}
+
+void ServerRegistry::onCallTimed(const ServerChoice &Server, double Work,
+                                 Milliseconds Taken, TimePoint Now) {
+  auto it = Servers.find(Server.Id);
+  if (it == Servers.end() || processOf(it->second.Entry) != processOf(Server))
+    return;
+  const auto &item = it->second;
+  PaceSample sample{processOf(item.Entry), item.Entry.Stage, Work, Taken, 0};
+  if (item.Load && Now - item.LoadAt < LoadReportLifetime)
+    sample.Running = item.Load->Running + item.Load->Waiting;
+  pacesOf(item.Entry.Service).add(sample, Now);
+}
+
+void ServerRegistry::onReportedSlowdown(const ServerProcess &Process,
+                                        double Factor, TimePoint Now) {
+  auto it = Servers.find(Process.Id);
+  if (it == Servers.end() || processOf(it->second.Entry) != Process)
+    return;
+  const ServerEntry &entry = it->second.Entry;
+  pacesOf(entry.Service).onReportedSlowdown(Process, entry.Stage, Factor, Now);
+}
+
+bool ServerRegistry::mergePace(const PaceSummary &Item, TimePoint Now) {
+  auto it = Servers.find(Item.ServerId);
+  if (it == Servers.end() || it->second.Entry.StartedAt != Item.StartedAt ||
+      it->second.Entry.Stage != Item.Stage)
+    return false;
+  return pacesOf(it->second.Entry.Service).merge(Item, Now);
+}
+
+std::vector<PaceSummary>
+ServerRegistry::pacesChangedSince(TimePoint Since, TimePoint Now,
+                                  size_t MaxCount) const {
+  std::vector<PaceSummary> all;
+  for (const auto &[service, table] : Paces)
+    for (PaceSummary &it : table.changedSince(Since, Now, MaxCount))
+      all.push_back(std::move(it));
+  std::ranges::sort(all, isMoreUseful);
+  if (all.size() > MaxCount)
+    all.resize(MaxCount);
+  return all;
+}
+
+void ServerRegistry::setPaceSettings(const PaceSettings &Value) {
+  PaceValues = Value;
+  for (auto &[service, table] : Paces)
+    table.setSettings(Value);
+}
+
+std::optional<Milliseconds>
+ServerRegistry::expectedDuration(const std::string &Id, double Work,
+                                 TimePoint Now) const {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return std::nullopt;
+  auto table = Paces.find(it->second.Entry.Service);
+  if (table == Paces.end())
+    return std::nullopt;
+  return table->second.expected(Id, it->second.Entry.Stage, Work, Now,
+                                loadOf(it->second, Now));
+}
+
+std::vector<PaceChange> ServerRegistry::takePaceChanges(TimePoint Now) {
+  std::vector<PaceChange> all;
+  for (auto &[service, table] : Paces) {
+    table.expire(Now);
+    for (PaceChange &it : table.takeChanges(Now))
+      all.push_back(std::move(it));
+  }
+  return all;
+}
+
 void ServerRegistry::callStarted(const std::string &Id, double Weight) {
   auto it = Servers.find(Id);
   if (it == Servers.end())
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -6,6 +6,8 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/leaving_servers.h"
+#include "gateway/decisions/placement/pace_table.h"
+#include "gateway/decisions/server_stage.h"
 
 #include <map>
 #include <optional>
@@ -17,11 +19,6 @@
 
 namespace crocusspur::gateway {
 
-// Part of a request that a model server handles; `Whole` is both stages.
-enum class ServerStage : uint8_t { Whole, Prefill, Decode };
-
-const char *nameOf(ServerStage Stage); // name in logs
-
 // Registration of a server.
 struct ServerEntry {
   std::string Id;
@@ -144,7 +141,7 @@
   bool usable(const ServerChoice &Server, TimePoint Now) const;
 
   // Returns the best server, if any. Failing servers are avoided and probed
-  // with few requests.
+  // with few requests. If the paces of servers differ, see chooseByPace().
   std::optional<ServerChoice> choose(const ServerQuery &Query, TimePoint Now);
   // Returns all usable servers, best first.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
@@ -157,6 +154,26 @@
   void onLoadReport(const std::string &Id, const ServerLoad &Load,
                     TimePoint Now);
 
+  // Paces of servers; see PaceTable. A call to a known process took this long
+  // for this much work; its load report, if any, was recorded before.
+  void onCallTimed(const ServerChoice &Server, double Work, Milliseconds Taken,
+                   TimePoint Now);
+  void onReportedSlowdown(const ServerProcess &Process, double Factor,
+                          TimePoint Now);
+  // Adds what a peer knows of a process that is registered here. Returns
+  // whether it is new.
+  bool mergePace(const PaceSummary &Item, TimePoint Now);
+  std::vector<PaceSummary> pacesChangedSince(TimePoint Since, TimePoint Now,
+                                             size_t MaxCount) const;
+  void setPaceSettings(const PaceSettings &Value);
+  // Expected duration of a call with this much work beside the load that is
+  // known of the server; nothing if no pace is known.
+  std::optional<Milliseconds>
+  expectedDuration(const std::string &Id, double Work, TimePoint Now) const;
+  // By service.
+  const std::map<std::string, PaceTable> &paces() const { return Paces; }
+  std::vector<PaceChange> takePaceChanges(TimePoint Now);
+
   struct Estimate {
     std::string Id;
     double OwnLoad = 0;
@@ -189,13 +206,23 @@
   // check before a send rest on it.
   SendBar sendBar(const Server &Item, TimePoint Now) const;
 
+  // Requests at the server, those of this instance and what is known of others.
+  double loadOf(const Server &Item, TimePoint Now) const;
   double score(const Server &Item, TimePoint Now) const;
+  double placementPace(const Server &Item, TimePoint Now) const;
+  // Selects among the healthy servers by pace; nothing if their paces are equal
+  // or there are none.
+  std::optional<ServerChoice> chooseByPace(const ServerQuery &Query,
+                                           TimePoint Now);
+  PaceTable &pacesOf(const std::string &Service);
   bool matches(const Server &Item, const ServerQuery &Query) const;
 
   std::string OwnDomain;
   std::mt19937_64 Random;
   std::map<std::string, Server> Servers;
   LeavingServers Leaving;
+  std::map<std::string, PaceTable> Paces; // by service
+  PaceSettings PaceValues;
 };
 
 } // namespace crocusspur::gateway
