--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include "crocusspur/errors.h"
 #include "crocusspur/types.h"
+#include "gateway/decisions/placement/pace_table.h"
 #include "gateway/decisions/shared_retry_budget.h"
 
 #include <string>
@@ -23,6 +24,7 @@
   std::string StoreAddress;               // of the published documents
   Milliseconds ShutdownLimit{8000}; // from SIGTERM to the end of the process
   RetryAllowance Retries;
+  PaceSettings Pace; // of servers
   // Time after the store recovers in which expired entries may be registered
   // again.
   Milliseconds RestoredEntryGrace{2000};
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -20,6 +20,9 @@
 // that.
 constexpr int AttemptTimeoutInTargets = 2;
 constexpr Milliseconds MinAttemptTimeout{250};
+// A slow server gets this many times the time that is expected there, since a
+// repeat elsewhere costs another arrival.
+constexpr int AttemptTimeoutFactor = 4;
 // Retry-After for callers of plain services: several service times.
 constexpr Milliseconds PlainRetryAfter{300};
 // Each rank of priority halves the time for which a request may wait for a
@@ -491,6 +494,14 @@
            PlainRetryAfter);
 }
 
+Milliseconds RequestHandler::attemptTimeout(const ServerChoice &Server) const {
+  return std::max({MinAttemptTimeout,
+                   Route.LatencyTarget * AttemptTimeoutInTargets,
+                   Context.Directory.expectedDuration(Server.Id, 1)
+                           .value_or(Milliseconds(0)) *
+                       AttemptTimeoutFactor});
+}
+
 RequestHandler::AttemptResult
 RequestHandler::tryPlain(const ServerChoice &Server, bool LastTry) {
   TimePoint started = Clock::now();
@@ -501,9 +512,7 @@
   }
   Milliseconds timeout = timeLeft();
   if (!LastTry)
-    timeout = std::min(timeout,
-                       std::max(MinAttemptTimeout,
-                                Route.LatencyTarget * AttemptTimeoutInTargets));
+    timeout = std::min(timeout, attemptTimeout(Server));
   ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(Server.Id, 1);
   RunTracker::Id run = trackRun(Server, /*Answers=*/true);
@@ -536,6 +545,7 @@
   case CallStatus::ConnectionBroken:
     return end(CallResult::Failed, "broken", AttemptResult::Unknown);
   case CallStatus::TimedOut:
+    Context.Directory.onCallTimed(Server, 1, timeout); // at least this long
     return end(CallResult::TimedOut, "silent", AttemptResult::Unknown);
   case CallStatus::CallerLeft:
     return end(CallResult::Abandoned, "caller_left", AttemptResult::Unknown);
@@ -558,6 +568,10 @@
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   runEnd = endOfResponse(call.head().Status);
   bool failure = isServerError(call.head().Status);
+  if (!failure)
+    Context.Directory.onCallTimed(
+        Server, 1,
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call, Server), std::move(body)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -74,6 +74,8 @@
 
   void runPlain();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
+  // Of an attempt that may be repeated, from what is expected at the server.
+  Milliseconds attemptTimeout(const ServerChoice &Server) const;
 
   // Selects a server and acquires a permit for one call to it. If all servers
   // are at their request limits, waits for at most `MaxDelay` for the first one
@@ -124,6 +126,8 @@
   std::optional<DecodeReservation> selectUnreservedDecode();
   std::optional<PromptKvCache> runPrefill();
   std::optional<PromptKvCache> tryPrefill(const ServerChoice &Server);
+  // From the duration that is expected at the server, at most the time left.
+  Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
--- a/src/gateway/server_responses.cc
+++ b/src/gateway/server_responses.cc
@@ -6,6 +6,8 @@
   Connections.setResponseListener([&Connections,
                                    &Directory](const ServerChoice &Server,
                                                const ResponseInfo &Info) {
+    if (Info.Load && Info.Load->Slowdown)
+      Directory.onReportedSlowdown(processOf(Server), *Info.Load->Slowdown);
     if (Info.RetryAfter)
       Directory.onServerResting(processOf(Server), *Info.RetryAfter);
     if (Info.ServerLeaving &&
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -25,17 +25,36 @@
 // Longer than the age of a copy from which the store comes back.
 constexpr Milliseconds RemovedEntryRetention{120000};
 
+// Bounds of the work and the log lines for changes of servers' paces.
+constexpr Milliseconds PaceCheckPeriod{100};
+constexpr Milliseconds PaceLogPeriod{1000};
+constexpr uint32_t MaxPaceLines = 5;
+
 const char *toString(UpdateOrigin Origin) {
   return Origin == UpdateOrigin::Store ? "store" : "peer";
 }
 
+std::string paceText(const PaceEstimate &Item) {
+  std::string out =
+      "{\"value\":" + std::to_string(Item.Pace) +
+      ",\"placement\":" + std::to_string(Item.Placement) +
+      ",\"unit_ms\":" + std::to_string(Item.UnitMs) +
+      ",\"reported_slowdown\":" + std::to_string(Item.Slowdown) +
+      ",\"samples\":" + std::to_string(std::llround(Item.Samples));
+  if (Item.Samples >= 1)
+    out += ",\"age_ms\":" + std::to_string(Item.Age.count());
+  return out + "}";
+}
+
 } // namespace
 
 ServiceDirectory::ServiceDirectory(const GatewaySettings &Values, uint64_t Seed)
     : Values(Values), Document(std::make_shared<RouteDocument>()),
       Registry(Values.FailureDomain, Seed),
       Retries(Values.Retries, Clock::now()),
-      Random(Seed ^ 0x9E3779B97F4A7C15ULL) {}
+      Random(Seed ^ 0x9E3779B97F4A7C15ULL) {
+  Registry.setPaceSettings(Values.Pace);
+}
 
 void ServiceDirectory::setServerEndListener(ServerEndListener Listener) {
   OnServerEnd = std::move(Listener);
@@ -449,6 +468,92 @@
   Registry.onLoadReport(Id, Load, Clock::now());
 }
 
+void ServiceDirectory::onCallTimed(const ServerChoice &Server, double Work,
+                                   Milliseconds Taken) {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  ++PacesCounted.Samples;
+  Registry.onCallTimed(Server, Work, Taken, now);
+  logPaceChanges("own calls", now);
+}
+
+void ServiceDirectory::onReportedSlowdown(const ServerProcess &Process,
+                                          double Factor) {
+  std::lock_guard lock(Mutex);
+  Registry.onReportedSlowdown(Process, Factor, Clock::now());
+}
+
+void ServiceDirectory::mergePaces(const std::vector<PaceSummary> &Items) {
+  if (Items.empty())
+    return;
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  for (const PaceSummary &it : Items)
+    PacesCounted.Merged += Registry.mergePace(it, now) ? 1 : 0;
+  logPaceChanges("a peer's evidence", now);
+}
+
+std::vector<PaceSummary>
+ServiceDirectory::pacesChangedSince(TimePoint Since, size_t MaxCount) const {
+  std::lock_guard lock(Mutex);
+  return Registry.pacesChangedSince(Since, Clock::now(), MaxCount);
+}
+
+std::optional<Milliseconds>
+ServiceDirectory::expectedDuration(const std::string &ServerId,
+                                   double Work) const {
+  std::lock_guard lock(Mutex);
+  return Registry.expectedDuration(ServerId, Work, Clock::now());
+}
+
+void ServiceDirectory::setPaceSettings(const PaceSettings &Value) {
+  std::lock_guard lock(Mutex);
+  Registry.setPaceSettings(Value);
+}
+
+ServiceDirectory::PaceCounts ServiceDirectory::paceCounts() const {
+  std::lock_guard lock(Mutex);
+  return PacesCounted;
+}
+
+std::map<std::string, uint32_t> ServiceDirectory::slowServers() const {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  std::map<std::string, uint32_t> slow;
+  for (const auto &[service, table] : Registry.paces())
+    for (const PaceEstimate &it : table.estimates(now))
+      slow[service] += it.Placement > 1 ? 1 : 0;
+  return slow;
+}
+
+void ServiceDirectory::logPaceChanges(const char *Reason, TimePoint Now) {
+  if (Now - PacesCheckedAt < PaceCheckPeriod)
+    return;
+  PacesCheckedAt = Now;
+  for (const PaceChange &it : Registry.takePaceChanges(Now)) {
+    ++PacesCounted.Changes;
+    if (Now - PacesLoggedAt >= PaceLogPeriod) {
+      PacesLoggedAt = Now;
+      PacesLogged = 0;
+    }
+    if (++PacesLogged > MaxPaceLines)
+      continue;
+    internal::LogFields fields = {
+        {"server", it.Now.ServerId},
+        {"stage", nameOf(it.Now.Stage)},
+        {"placement_pace", std::to_string(it.Now.Placement)},
+        {"former", std::to_string(it.Former)},
+        {"pace", std::to_string(it.Now.Pace)},
+        {"unit_ms", std::to_string(it.Now.UnitMs)},
+        {"reported_slowdown", std::to_string(it.Now.Slowdown)},
+        {"samples", std::to_string(std::llround(it.Now.Samples))},
+        {"age_ms", std::to_string(it.Now.Age.count())},
+        {"reason", Reason}};
+    log(LogLevel::Info, "service_directory", "pace of a server changed",
+        fields);
+  }
+}
+
 void ServiceDirectory::onRequest(const std::string &Service) {
   std::lock_guard lock(Mutex);
   Retries.onRequest(Service, Clock::now());
@@ -606,12 +711,22 @@
       ",\"store_reachable\":" + (isStoreReachable() ? "true" : "false") +
       ",\"instances\":" + std::to_string(Instances.load()) + ",\"servers\":[";
   const char *separator = "";
-  for (const ServerRegistry::Estimate &it : Registry.estimates(Clock::now())) {
+  TimePoint now = Clock::now();
+  std::map<std::pair<std::string, ServerStage>, PaceEstimate> paces;
+  for (const auto &[service, table] : Registry.paces())
+    for (PaceEstimate &it : table.estimates(now))
+      paces[{it.ServerId, it.Stage}] = it;
+  for (const ServerRegistry::Estimate &it : Registry.estimates(now)) {
     out += separator + std::string("{\"id\":") + internal::jsonString(it.Id) +
            ",\"own_load\":" + std::to_string(it.OwnLoad) +
            ",\"failure_share\":" + std::to_string(it.FailureRate) +
            ",\"avoided\":" + (it.Avoided ? "true" : "false") +
-           ",\"leaving\":" + (it.Leaving ? "true" : "false") + "}";
+           ",\"leaving\":" + (it.Leaving ? "true" : "false");
+    const ServerEntry *entry = Registry.find(it.Id);
+    auto pace = entry ? paces.find({it.Id, entry->Stage}) : paces.end();
+    if (pace != paces.end())
+      out += ",\"pace\":" + paceText(pace->second);
+    out += "}";
     separator = ",";
   }
   return out + "]}";
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -133,6 +133,24 @@
   void callEnded(const std::string &Id, double Weight, CallResult Result);
   void onLoadReport(const std::string &Id, const ServerLoad &Load);
 
+  // Paces of servers; see ServerRegistry and PaceTable. Changes are logged.
+  void onCallTimed(const ServerChoice &Server, double Work, Milliseconds Taken);
+  void onReportedSlowdown(const ServerProcess &Process, double Factor);
+  void mergePaces(const std::vector<PaceSummary> &Items);
+  std::vector<PaceSummary> pacesChangedSince(TimePoint Since,
+                                             size_t MaxCount) const;
+  std::optional<Milliseconds> expectedDuration(const std::string &ServerId,
+                                               double Work) const;
+  void setPaceSettings(const PaceSettings &Value);
+  struct PaceCounts {
+    uint64_t Samples = 0; // of this instance
+    uint64_t Merged = 0;  // summaries of peers that were new
+    uint64_t Changes = 0; // of servers' paces for placement
+  };
+  PaceCounts paceCounts() const;
+  // Servers whose pace for placement is slower than at the median, by service.
+  std::map<std::string, uint32_t> slowServers() const;
+
   // Retry budget; see SharedRetryBudget.
   void onRequest(const std::string &Service);
   bool tryConsumeRetry(const std::string &Service);
@@ -194,6 +212,8 @@
   // A removed entry shows that its server is gone.
   void onServerGone(const ServerEntry &Entry, TimePoint Now);
   void notify();
+  // Logs changes of servers' paces, at most a few in a second.
+  void logPaceChanges(const char *Reason, TimePoint Now);
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
   // Returns false if the document was not applied.
   bool applyRoutesLocked(RouteDocumentPtr Document, StoreRevision Revision,
@@ -233,6 +253,10 @@
   std::map<std::string, StageStats> Stages;        // by service
   std::map<std::string, uint64_t> OrderFences;     // highest known, by server
   std::map<std::string, Milliseconds> MaxTimeLeft; // of callers, by route
+  PaceCounts PacesCounted;
+  TimePoint PacesCheckedAt;
+  TimePoint PacesLoggedAt; // start of the second in which lines are counted
+  uint32_t PacesLogged = 0;
   std::mt19937_64 Random;
   std::atomic<uint32_t> Instances{64}; // default until members are known
   std::array<std::atomic<bool>, 2> StoreReachable{true, true}; // by kind
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -30,8 +30,13 @@
 // Servers grant reservations from memory; one that is slower than this is
 // overloaded or down.
 constexpr Milliseconds ReserveTimeout{150};
-// A prefill that takes longer is retried at another server.
-constexpr Milliseconds PrefillTimeout{1000};
+// A prefill that takes longer than this many times the time expected at its
+// server is retried at another one. A prompt that is read slowly is left to
+// finish, since a repeat reads it all again.
+constexpr int PrefillTimeoutFactor = 6;
+// Lower bound, and the time-out at a server of unknown pace. Expectations lag
+// behind a burst of requests, in which prompts queue.
+constexpr Milliseconds MinPrefillTimeout{1000};
 constexpr Milliseconds ReleaseTimeout{200};
 constexpr Milliseconds QueuePollPeriod{10};
 // Prompt tokens for which a prefill call counts as one unit of load; the size
@@ -43,6 +48,8 @@
 constexpr Milliseconds MinStallTimeout{1200};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
+// Streams last many seconds, and a server may become slow within one of them.
+constexpr Milliseconds DecodeSampleTime{500};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
 // Events hold some tokens each. The stream counts as broken beyond it.
@@ -355,6 +362,16 @@
   return std::nullopt;
 }
 
+Milliseconds RequestHandler::prefillTimeout(const ServerChoice &Server) const {
+  std::optional<Milliseconds> expected;
+  if (Request.Generation)
+    expected = Context.Directory.expectedDuration(
+        Server.Id, static_cast<double>(Request.Generation->PromptTokens));
+  return std::min(timeLeft(), std::max(MinPrefillTimeout,
+                                       expected.value_or(Milliseconds(0)) *
+                                           PrefillTimeoutFactor));
+}
+
 std::optional<RequestHandler::PromptKvCache>
 RequestHandler::tryPrefill(const ServerChoice &Server) {
   TimePoint started = Clock::now();
@@ -364,17 +381,18 @@
                       : 1;
   ForwardOptions order = optionsFor(Server);
   order.PrefillOnly = true;
+  Milliseconds timeout = prefillTimeout(Server);
   ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(Server.Id, weight);
   RunTracker::Id run = trackRun(Server, /*Answers=*/false);
   CallStatus status =
       call.start(Server, Context.Codec.FormatRequest(Request, order),
-                 Request.Method, Request.Id, PrefillTimeout,
+                 Request.Method, Request.Id, timeout,
                  /*Permitted=*/true);
   PrefillSent = call.maySent();
   std::string body;
   if (status == CallStatus::Responded)
-    status = call.readWhole(body, MaxPrefillResponseBytes, PrefillTimeout);
+    status = call.readWhole(body, MaxPrefillResponseBytes, timeout);
   auto end = [&](CallResult Result, const std::string &Outcome) {
     Context.Directory.callEnded(Server.Id, weight, Result);
     logCall("prefill", Server, call, Outcome, started);
@@ -383,6 +401,11 @@
   if (status != CallStatus::Responded) {
     if (status == CallStatus::NotSent)
       Context.Connections.drop(Server.Address);
+    // It takes at least this long.
+    if (status == CallStatus::TimedOut && Request.Generation)
+      Context.Directory.onCallTimed(
+          Server, static_cast<double>(Request.Generation->PromptTokens),
+          timeout);
     end(failedCall(status).Result, failedCall(status).Outcome);
     return std::nullopt;
   }
@@ -400,10 +423,14 @@
   }
   PrefillAccepted = true;
   end(CallResult::Succeeded, "answered_" + code);
-  if (Request.Generation)
+  if (Request.Generation) {
+    auto taken =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
     Context.Directory.onPrefillFinished(
-        Service, Request.Generation->PromptTokens,
-        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
+        Service, Request.Generation->PromptTokens, taken);
+    Context.Directory.onCallTimed(
+        Server, static_cast<double>(Request.Generation->PromptTokens), taken);
+  }
   return PromptKvCache{Server, done->Handle};
 }
 
@@ -569,6 +596,9 @@
     stallTimeout =
         std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps);
   std::optional<TimePoint> begunAt; // the first event of this run
+  // Start of the latest sample of the server's pace, and the events before.
+  std::optional<TimePoint> timedAt;
+  uint64_t timedEvents = 0;
   // Only whole events are progress.
   TimePoint stalledAt = Clock::now() + stallTimeout;
   while (!end && status == CallStatus::Responded && !CallerWriteFailed) {
@@ -583,6 +613,16 @@
     if (EventsForwarded > forwarded) {
       TimePoint eventAt = Clock::now();
       stalledAt = eventAt + stallTimeout;
+      if (!timedAt)
+        timedAt = eventAt;
+      else if (eventAt - *timedAt >= DecodeSampleTime) {
+        Context.Directory.onCallTimed(
+            Server, static_cast<double>(EventsForwarded - timedEvents),
+            std::chrono::duration_cast<Milliseconds>(eventAt - *timedAt));
+        timedAt = eventAt;
+      }
+      if (timedAt == eventAt)
+        timedEvents = EventsForwarded;
       if (!begunAt)
         begunAt = eventAt;
       else if (eventAt >= *begunAt + AnswerSurvivalTime)
