Let ranks of accounts go before those of routes, which decide among equals

Cause: the rank of an account replaced that of the route, so that accounts of one rank would have lost the precedence among kinds of request, and precedence among instances knew the ranks of routes only.

Change: a rank is a pair, the account's first. Its place among the ranks of a service counts those that its routes and the accounts make possible.

--- a/src/gateway/decisions/accounts/account_table.cc
+++ b/src/gateway/decisions/accounts/account_table.cc
@@ -47,6 +47,7 @@
     for (const Sha256Digest &key : it.Keys)
       Keys.push_back({key, index});
     ByName.emplace(it.Account.Name, index);
+    Priorities.insert(it.Account.Priority);
     Accounts.push_back(std::move(it.Account));
   }
   std::ranges::sort(Keys, {}, &HeldKey::Digest);
@@ -70,8 +71,9 @@
   return it == ByName.end() ? nullptr : &Accounts[it->second];
 }
 
-uint32_t requestRank(const ClientAccount *Account, uint32_t RoutePriority) {
-  return Account && Account->Priority ? *Account->Priority : RoutePriority;
+RequestRank requestRank(std::optional<uint32_t> AccountPriority,
+                        uint32_t RoutePriority) {
+  return {AccountPriority.value_or(RoutePriority), RoutePriority};
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/accounts/account_table.h
+++ b/src/gateway/decisions/accounts/account_table.h
@@ -8,8 +8,10 @@
 #include "digest.h"
 #include "gateway/decisions/accounts/client_account.h"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -63,6 +65,11 @@
   // In the published order.
   const std::vector<ClientAccount> &all() const { return Accounts; }
 
+  // The different ranks of accounts; nothing stands for those without one.
+  const std::set<std::optional<uint32_t>> &priorities() const {
+    return Priorities;
+  }
+
 private:
   struct HeldKey {
     internal::Sha256Digest Digest;
@@ -72,11 +79,22 @@
   std::vector<ClientAccount> Accounts;
   std::vector<HeldKey> Keys; // in the digests' order
   std::unordered_map<std::string, uint32_t> ByName;
+  std::set<std::optional<uint32_t>> Priorities;
+};
+
+// Rank of a request; lower ones are more urgent. The account's rank goes before
+// the route's, which decides among accounts of one rank.
+struct RequestRank {
+  uint32_t Account = 0; // that of the route if the account has none
+  uint32_t Route = 0;
+
+  auto operator<=>(const RequestRank &) const = default;
 };
 
-// Returns the rank of a request, 0 being the highest: its account's, or that of
-// its route if the account has none.
-uint32_t requestRank(const ClientAccount *Account, uint32_t RoutePriority);
+// `AccountPriority`: nothing if the request has no account, or its account has
+// no rank.
+RequestRank requestRank(std::optional<uint32_t> AccountPriority,
+                        uint32_t RoutePriority);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/decisions/route_table.cc
+++ b/src/gateway/decisions/route_table.cc
@@ -31,16 +31,21 @@
 }
 
 RankPosition rankAmong(const RouteDocument &Document,
-                       const std::string &Service, uint32_t Priority) {
-  std::set<uint32_t> ranks;
-  for (const PathRoute &it : Document.Routes)
-    if (std::ranges::find(it.Services, Service, &WeightedService::Service) !=
+                       const std::string &Service, const RequestRank &Rank) {
+  std::set<RequestRank> ranks;
+  for (const PathRoute &it : Document.Routes) {
+    if (std::ranges::find(it.Services, Service, &WeightedService::Service) ==
         it.Services.end())
-      ranks.insert(it.Priority);
+      continue;
+    if (Document.Accounts.empty() || it.Public)
+      ranks.insert(requestRank(std::nullopt, it.Priority));
+    for (std::optional<uint32_t> priority : Document.Accounts.priorities())
+      ranks.insert(requestRank(priority, it.Priority));
+  }
   RankPosition position;
-  for (uint32_t it : ranks) {
-    position.Above += it < Priority ? 1 : 0;
-    position.Below += it > Priority ? 1 : 0;
+  for (const RequestRank &it : ranks) {
+    position.Above += it < Rank ? 1 : 0;
+    position.Below += it > Rank ? 1 : 0;
   }
   return position;
 }
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -79,9 +79,10 @@
 const PathRoute *findRoute(const RouteDocument &Document, std::string_view Host,
                            std::string_view Path);
 
-// Returns where a rank is among the ranks of all routes to the service.
+// Returns where a rank is among the ranks that requests to the service may
+// have, by the ranks of its routes and of the accounts.
 RankPosition rankAmong(const RouteDocument &Document,
-                       const std::string &Service, uint32_t Priority);
+                       const std::string &Service, const RequestRank &Rank);
 
 // Selects a service at random by weight. `Draw` is a uniformly distributed
 // random number.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -220,8 +220,10 @@
   return false;
 }
 
-uint32_t RequestHandler::rank() const {
-  return requestRank(Document->Accounts.find(Request.Account), Route.Priority);
+RequestRank RequestHandler::rank() const {
+  const ClientAccount *account = Document->Accounts.find(Request.Account);
+  return requestRank(account ? account->Priority : std::nullopt,
+                     Route.Priority);
 }
 
 bool RequestHandler::mayEndNextServer() {
@@ -298,7 +300,7 @@
 }
 
 RankPosition RequestHandler::position() const {
-  RankPosition rank = rankAmong(*Document, Service, Route.Priority);
+  RankPosition rank = rankAmong(*Document, Service, this->rank());
   // Its caller has a part of the output already.
   if (HeadSent)
     return {0, rank.Above + rank.Below};
@@ -406,7 +408,7 @@
 Milliseconds RequestHandler::maxPermitDelay() const {
   auto left = std::chrono::duration_cast<Milliseconds>(
       Arrived + Route.LatencyTarget - Clock::now());
-  int64_t divisor = int64_t(1) << std::min(rank(), MaxPriorityShift);
+  int64_t divisor = int64_t(1) << std::min(rank().Account, MaxPriorityShift);
   return std::max(Milliseconds(0), std::min(left, timeLeft()) / divisor);
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -195,8 +195,8 @@
   void refuseAccess();
   // Whether the request may still be sent, by the configuration in force now.
   bool hasAccess();
-  // Rank among requests that wait; 0 is the highest.
-  uint32_t rank() const;
+  // By its account and its route.
+  RequestRank rank() const;
   // The same if all servers are at their request limits or rest.
   void refuseForLimits();
   // If all servers of the query rest, notes until when, as for limits.
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -253,12 +253,12 @@
       MinStartTime +
       Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
   QueueEntry entry;
-  entry.Priority = rank();
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   entry.Rank = position();
+  entry.Priority = entry.Rank.Above;
   if (HeadSent && entry.Rank.differs()) {
     entry.Priority = 0;
     entry.OnTimeDeadline = entry.ExpiresAt;
