Let plain requests wait for room instead of a refusal

Cause: a plain request was sent to a full server, refused and, after a second try, refused to its caller, although slots become free within milliseconds.

Change: a server looks full after a refusal, and while its report or this instance's calls reach the number at which it refused one. While all do, plain requests wait at the instance in order of rank and deadline as long as they can be on time. A refusal by a full server sends a request back to the wait, within the retry budget. The final refusal says when to come back, from the drain of the queue.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -282,6 +282,23 @@
   return all.front();
 }
 
+ServerRegistry::Fullness ServerRegistry::fullness(const ServerQuery &Query,
+                                                  TimePoint Now) const {
+  Fullness found;
+  bool room = false;
+  for (const auto &[id, server] : Servers) {
+    if (!matches(server, Query) || sendBar(server, Now) != SendBar::None ||
+        (server.AvoidUntil > Now && server.ConsecutiveFailures > 0))
+      continue;
+    if (server.Fullness.isFull(server.OwnCalls, Now))
+      found.Full.insert(id);
+    else
+      room = true;
+  }
+  found.All = !room && !found.Full.empty();
+  return found;
+}
+
 void ServerRegistry::callStarted(const std::string &Id, double Weight) {
   auto it = Servers.find(Id);
   if (it == Servers.end())
@@ -306,8 +323,10 @@
     server.FailureRate *= 1 - FailureWeight;
     server.ConsecutiveFailures = 0;
     server.AvoidUntil = TimePoint();
+    server.Fullness.onSucceeded();
     return;
   case CallResult::Overloaded:
+    server.Fullness.onRefused(Now);
     server.AvoidUntil = std::max(server.AvoidUntil, Now + OverloadPause);
     return;
   case CallResult::Failed:
@@ -330,6 +349,7 @@
   it->second.Load = Load;
   it->second.LoadAt = Now;
   it->second.OwnCallsAtLoad = it->second.OwnCalls;
+  it->second.Fullness.onReport(Load.Running + Load.Waiting, Now);
 }
 
 std::vector<ServerRegistry::Estimate>
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -6,6 +6,7 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/leaving_servers.h"
+#include "gateway/decisions/server_fullness.h"
 
 #include <map>
 #include <optional>
@@ -146,6 +147,14 @@
   // Returns all usable servers, best first.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
+  // The servers of a query that look full. Failing ones neither count as full
+  // nor as having room.
+  struct Fullness {
+    std::set<std::string> Full;
+    bool All = false; // at least one is full, and no other has room
+  };
+  Fullness fullness(const ServerQuery &Query, TimePoint Now) const;
+
   // `Weight` is the load that the call adds: 1 for a plain request, the number
   // of tokens for a call to a model.
   void callStarted(const std::string &Id, double Weight);
@@ -173,6 +182,7 @@
     std::optional<ServerLoad> Load;
     uint32_t OwnCallsAtLoad = 0;
     TimePoint LoadAt;
+    ServerFullness Fullness;
     double FailureRate = 0; // moving average
     uint32_t ConsecutiveFailures = 0;
     TimePoint AvoidUntil;    // last resort until then
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -27,6 +27,10 @@
 constexpr uint32_t MaxPriorityShift = 8;
 // The least urgent rank that servers distinguish.
 constexpr uint32_t LowestServerPriority = 9;
+// Status of a refusal by a server that is full.
+constexpr uint32_t FullStatus = 503;
+// A slot becomes free every few milliseconds; a shorter period costs wake-ups.
+constexpr Milliseconds RoomPollPeriod{10};
 // Servers that may show that a refused connection isn't refused by all.
 constexpr size_t MaxServersToConnect = 2;
 // Servers at their limits that are asked how long a request would wait. Each
@@ -451,6 +455,69 @@
          wait + spread);
 }
 
+ServerQuery RequestHandler::plainQuery() const {
+  ServerQuery query{Service, ServerStage::Whole, Tried, {}};
+  // After refusals, only servers that it was sent to are left.
+  if (RefusedByFull && Used.size() >= Route.MaxServers)
+    for (const ServerChoice &it : Context.Directory.rank(query))
+      if (!Used.contains(it.Id))
+        query.ExcludedIds.insert(it.Id);
+  return query;
+}
+
+bool RequestHandler::awaitRoom() {
+  bool full = Context.Directory.fullness(plainQuery()).All;
+  bool others = Context.Queues.withPlain(
+      Service, [](const PlainQueue &It, TimePoint) { return It.size() > 0; });
+  // Waiting doesn't help a request that is late already.
+  bool late = Clock::now() >= Arrived + Route.LatencyTarget;
+  if (!full && (!others || late))
+    return true;
+  FoundFull = true;
+  return waitForRoom();
+}
+
+bool RequestHandler::waitForRoom() {
+  TimePoint started = Clock::now();
+  PlainEntry entry;
+  entry.Priority = Route.Priority;
+  entry.OnTimeDeadline = Arrived + Route.LatencyTarget;
+  std::optional<uint64_t> ticket =
+      Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
+        // Where servers alone take longer than half of the target, waiting for
+        // half of it isn't what makes responses late.
+        entry.LatestSend = entry.OnTimeDeadline -
+                           std::min(It.answerTime(), Route.LatencyTarget / 2);
+        return It.join(entry, Now);
+      });
+  ServerQuery query = plainQuery();
+  bool sent = false;
+  while (ticket && !sent && !shouldStop() && Clock::now() < entry.LatestSend) {
+    sent =
+        !Context.Directory.fullness(query).All &&
+        Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
+          return It.trySend(*ticket, Now);
+        });
+    if (!sent)
+      Waiter.pause(RoomPollPeriod);
+  }
+  size_t waiting =
+      Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint) {
+        if (ticket)
+          It.leave(*ticket);
+        return It.size();
+      });
+  auto waited =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+  internal::LogFields all = fields();
+  all.emplace_back("priority", std::to_string(entry.Priority));
+  all.emplace_back("outcome", sent ? "sent" : ticket ? "too_late" : "rejected");
+  all.emplace_back("waiting", std::to_string(waiting));
+  all.emplace_back("waited_ms", std::to_string(waited.count()));
+  log(LogLevel::Info, "request", "waited for room at a server", all);
+  return sent;
+}
+
 // Retries go to other servers. Non-idempotent requests go to another server
 // only if none of their bytes can have arrived.
 void RequestHandler::runPlain() {
@@ -465,9 +532,17 @@
         break;
       continue;
     }
-    bool first = Tried.empty();
+    if (!awaitRoom())
+      break;
+    bool first = Tried.empty() && !RefusedByFull;
+    ServerQuery query = plainQuery();
+    std::set<std::string> excluded = Context.Directory.fullness(query).Full;
+    excluded.insert(query.ExcludedIds.begin(), query.ExcludedIds.end());
     std::optional<ServerChoice> server =
-        choosePermitted(ServerStage::Whole, Tried, maxPermitDelay());
+        choosePermitted(ServerStage::Whole, excluded, maxPermitDelay());
+    if (!server && excluded.size() > query.ExcludedIds.size())
+      server = choosePermitted(ServerStage::Whole, query.ExcludedIds,
+                               maxPermitDelay());
     if (!server)
       break;
     bool last = !repeatable || Used.size() + 1 >= Route.MaxServers;
@@ -497,6 +572,13 @@
     refuseAsCrashing();
   else if (LimitedUntil)
     refuseForLimits();
+  else if (FoundFull)
+    refuse(
+        ErrorKind::BackendRefused, "all servers are full",
+        plainRetryAfter(Context.Queues.withPlain(
+                            Service, [](const PlainQueue &It,
+                                        TimePoint) { return It.drainTime(); }),
+                        timeLeft(), Context.Directory.randomFraction()));
   else
     refuse(Tried.empty() ? ErrorKind::NoServer : ErrorKind::BackendRefused,
            Tried.empty() ? "no server is known" : "no server took the request",
@@ -563,9 +645,22 @@
     Context.Directory.onLoadReport(Server.Id, *info.Load);
   call.finish();
   std::string code = std::to_string(call.head().Status);
-  if (info.NotExecuted)
+  if (info.NotExecuted) {
+    // Once room shows, the same server may be asked again. A route that allows
+    // one server allows one send.
+    if (call.head().Status == FullStatus && Route.MaxServers > 1) {
+      FoundFull = RefusedByFull = true;
+      Tried.erase(Server.Id);
+    }
+    Context.Queues.withPlain(Service,
+                             [](PlainQueue &It, TimePoint) { It.onRefused(); });
     return end(CallResult::Overloaded, "refused_" + code,
                AttemptResult::NotExecuted);
+  }
+  Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint) {
+    It.onAnswered(
+        std::chrono::duration_cast<Milliseconds>(answeredAt - started));
+  });
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   runEnd = endOfResponse(call.head().Status);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -73,6 +73,13 @@
   };
 
   void runPlain();
+  // Waits until a server may have room, while the response can still be on
+  // time. Returns false if the request is to be refused.
+  bool awaitRoom();
+  // Candidates for the next send of a plain request.
+  ServerQuery plainQuery() const;
+  // The same once it has to wait.
+  bool waitForRoom();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
 
   // Selects a server and acquires a permit for one call to it. If all servers
@@ -237,7 +244,9 @@
   // denial.
   std::optional<TimePoint> LimitedUntil;
   internal::LogFields LimitedFields;
-  bool Rejected = false;        // on arrival; see isAdmitted()
+  bool RefusedByFull = false; // a full server refused it; the next is a retry
+  bool FoundFull = false;     // all servers looked full, or a full one refused
+  bool Rejected = false;      // on arrival; see isAdmitted()
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -13,7 +13,7 @@
 
 ReservationQueues::State &ReservationQueues::state(const std::string &Service) {
   return Services
-      .try_emplace(Service, State{ReservationQueue(MaxConcurrentTries), {}})
+      .try_emplace(Service, State{ReservationQueue(MaxConcurrentTries), {}, {}})
       .first->second;
 }
 
@@ -83,7 +83,7 @@
   std::lock_guard lock(Mutex);
   std::map<std::string, size_t> all;
   for (const auto &[service, found] : Services)
-    all[service] = found.Queue.size();
+    all[service] = found.Queue.size() + found.Plain.size();
   return all;
 }
 
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -1,8 +1,10 @@
-// The reservation queues of all services, shared by the request threads.
+// The queues of waiting requests of all services, shared by the request
+// threads.
 #ifndef CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 #define CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 
 #include "gateway/decisions/admission_control.h"
+#include "gateway/decisions/plain_queue.h"
 #include "gateway/decisions/reservation_queue.h"
 
 #include <map>
@@ -11,7 +13,7 @@
 
 namespace crocusspur::gateway {
 
-// Thread-safe; see ReservationQueue.
+// Thread-safe; see ReservationQueue and PlainQueue.
 class ReservationQueues {
 public:
   uint64_t join(const std::string &Service, const QueueEntry &Item);
@@ -28,6 +30,13 @@
   void onGranted(const std::string &Service);
   bool wouldTimeOut(const std::string &Service, const QueueEntry &Item);
   Milliseconds drainTime(const std::string &Service);
+
+  // Calls `Use` with the queue of the service's plain requests and the time.
+  template <typename F> auto withPlain(const std::string &Service, F Use) {
+    std::lock_guard lock(Mutex);
+    return Use(state(Service).Plain, std::chrono::steady_clock::now());
+  }
+
   // Waiting requests, by service.
   std::map<std::string, size_t> sizes();
 
@@ -35,6 +44,7 @@
   struct State {
     ReservationQueue Queue;
     AdmissionControl Admission;
+    PlainQueue Plain;
   };
   State &state(const std::string &Service);
 
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -343,6 +343,12 @@
   return Registry.rank(Query, now);
 }
 
+ServerRegistry::Fullness
+ServiceDirectory::fullness(const ServerQuery &Query) const {
+  std::lock_guard lock(Mutex);
+  return Registry.fullness(Query, Clock::now());
+}
+
 bool ServiceDirectory::usable(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
   return Registry.usable(Server, Clock::now());
