--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -73,6 +73,13 @@
   };
 
   void runPlain();
+  // Waits until a server may have room, while the response can still be on
+  // time. Returns false if the request is to be refused.
+  bool awaitRoom();
+  // Candidates for the next send of a plain request.
+  ServerQuery plainQuery() const;
+  // The same once it has to wait.
+  bool waitForRoom();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
   // Of an attempt that may be repeated, from what is expected at the server.
   Milliseconds attemptTimeout(const ServerChoice &Server) const;
@@ -122,6 +129,8 @@
   AttemptResult tryStream(bool ReadAtDecode);
   void abortStream(const std::string &Why);
   std::optional<DecodeReservation> reserveDecode();
+  // Decides on arrival whether the request waits for a reservation.
+  bool isAdmitted(const QueueEntry &Entry);
   std::optional<DecodeReservation> tryReserveDecode(uint64_t Tokens);
   std::optional<DecodeReservation> selectUnreservedDecode();
   std::optional<PromptKvCache> runPrefill();
@@ -177,6 +186,9 @@
   // Whether the last run, which ended with its server, is likely its cause, so
   // that it isn't sent to another server.
   bool mayEndNextServer();
+  // Where this request is among the ranks of its service. A stream that goes on
+  // elsewhere after its server broke is among the most urgent ones.
+  RankPosition position() const;
   ForwardOptions optionsFor(const ServerChoice &Server) const;
   // Also tells the instance that passed the request on if the server leaves.
   internal::ResponseHead responseHead(const ServerCall &Call,
@@ -244,6 +256,9 @@
   // denial.
   std::optional<TimePoint> LimitedUntil;
   internal::LogFields LimitedFields;
+  bool RefusedByFull = false; // a full server refused it; the next is a retry
+  bool FoundFull = false;     // all servers looked full, or a full one refused
+  bool Rejected = false;      // on arrival; see isAdmitted()
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -186,8 +186,9 @@
     Milliseconds drain = Context.Queues.drainTime(Service);
     // Callers honor a Retry-After of up to a third of their remaining time.
     refuse(known ? ErrorKind::DeadlineUnreachable : ErrorKind::NoServer,
-           known ? "no memory for the output became free in time"
-                 : "no server is known",
+           Rejected ? "no memory for the output is expected in time"
+           : known  ? "no memory for the output became free in time"
+                    : "no server is known",
            known ? retryAfter(drain, timeLeft() / 3,
                               Context.Directory.randomFraction())
                  : NoServerRetryAfter);
@@ -217,6 +218,24 @@
   return std::nullopt;
 }
 
+bool RequestHandler::isAdmitted(const QueueEntry &Entry) {
+  AdmissionDecision decision =
+      Context.Queues.decide(Service, Entry, Context.Directory.randomFraction());
+  if (decision.Admitted)
+    return true;
+  Rejected = true;
+  // Role decisions must see the demand.
+  Context.Directory.onReservationEnded(Service, Milliseconds(0),
+                                       /*Got=*/false);
+  internal::LogFields all = fields();
+  all.emplace_back("priority", std::to_string(Entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(Entry.Rank.Above));
+  all.emplace_back("chance", std::to_string(decision.Chance));
+  all.emplace_back("admitted_share", std::to_string(decision.AdmittedShare));
+  log(LogLevel::Info, "request", "request rejected on arrival", all);
+  return false;
+}
+
 // Waits in the queue until a decode server reserves memory for the request or
 // the queue entry expires.
 std::optional<RequestHandler::DecodeReservation>
@@ -237,11 +256,20 @@
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
+  entry.Rank = position();
+  if (HeadSent && entry.Rank.differs()) {
+    entry.Priority = 0;
+    entry.OnTimeDeadline = entry.ExpiresAt;
+  }
   LimitedUntil.reset();
   TimePoint joined = Clock::now();
-  if (Context.Queues.wouldTimeOut(Service, entry.ExpiresAt))
+  if (Context.Queues.wouldTimeOut(Service, entry))
     return std::nullopt;
   Context.Directory.onMemoryRequested(Service, tokens);
+  if (entry.Rank.differs() && !HeadSent && !Returning && !StreamVersion &&
+      !isAdmitted(entry))
+    return std::nullopt;
+  bool contended = Context.Queues.isContended(Service); // on arrival
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
@@ -273,6 +301,10 @@
   all.emplace_back("waited_ms", std::to_string(waited.count()));
   all.emplace_back("tries", std::to_string(tries));
   all.emplace_back("returning", Returning ? "true" : "false");
+  all.emplace_back("priority", std::to_string(entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(entry.Rank.Above));
+  all.emplace_back("ranks_below", std::to_string(entry.Rank.Below));
+  all.emplace_back("contended", contended ? "true" : "false");
   log(LogLevel::Info, "request",
       reservation ? "reservation granted" : "no reservation", all);
   return reservation;
@@ -299,6 +331,10 @@
   if (ranked.empty())
     noteResting(outputQuery(ServerStage::Decode));
   size_t asked = 0;
+  size_t full = 0; // of those asked, refused
+  auto taken = [started = Clock::now()] {
+    return std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+  };
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
       break;
@@ -330,16 +366,21 @@
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
+    full += name ? 0 : 1;
     DecodeReservation granted{server, name.value_or(""),
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
     // The response may say that the server leaves.
-    if (name && Context.Directory.usable(server))
+    if (name && Context.Directory.usable(server)) {
+      Context.Queues.onAttemptAnswered(Service, /*Granted=*/true, taken());
       return granted;
+    }
     release(granted);
   }
   if (asked > 0)
     LimitedUntil.reset();
+  if (full > 0 && full == asked)
+    Context.Queues.onAttemptAnswered(Service, /*Granted=*/false, taken());
   return std::nullopt;
 }
 
