Order plain requests by their place among the ranks of a service

Cause: the wait of plain requests took one number for a rank, which is a pair since accounts have ranks. Change: the number of more urgent ranks, as for reservations. Result: builds; the queue's tests take any order of numbers.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -528,7 +528,7 @@
 bool RequestHandler::waitForRoom() {
   TimePoint started = Clock::now();
   PlainEntry entry;
-  entry.Priority = rank();
+  entry.Priority = position().Above;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget;
   std::optional<uint64_t> ticket =
       Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
