Let routes decide between accounts of equal rank

Cause: the rank of a request was its account's alone where the account had one, so that the ranks of routes were lost between accounts of equal rank, and accounts' ranks were compared with routes' of requests without an account.

Change: requestRank() orders by the account's rank first and then by the route's; accounts without a rank, and requests without an account, come after those with one. rankAmong() counts the ranks that accounts add. Where no account has a rank, or all have the same, ranks are those of the routes as before.

--- a/src/gateway/decisions/accounts/account_table.cc
+++ b/src/gateway/decisions/accounts/account_table.cc
@@ -47,9 +47,15 @@
     for (const Sha256Digest &key : it.Keys)
       Keys.push_back({key, index});
     ByName.emplace(it.Account.Name, index);
+    if (it.Account.Priority)
+      Ranks.push_back(*it.Account.Priority);
+    else
+      Unranked = true;
     Accounts.push_back(std::move(it.Account));
   }
   std::ranges::sort(Keys, {}, &HeldKey::Digest);
+  std::ranges::sort(Ranks);
+  Ranks.erase(std::unique(Ranks.begin(), Ranks.end()), Ranks.end());
 }
 
 const ClientAccount *AccountTable::findByKey(std::string_view Key) const {
@@ -70,8 +76,16 @@
   return it == ByName.end() ? nullptr : &Accounts[it->second];
 }
 
-uint32_t requestRank(const ClientAccount *Account, uint32_t RoutePriority) {
-  return Account && Account->Priority ? *Account->Priority : RoutePriority;
+uint32_t AccountTable::level(const ClientAccount *Account) const {
+  auto it = Account && Account->Priority
+                ? std::ranges::lower_bound(Ranks, *Account->Priority)
+                : Ranks.end();
+  return static_cast<uint32_t>(it - Ranks.begin());
+}
+
+uint32_t AccountTable::levels() const {
+  auto ranked = static_cast<uint32_t>(Ranks.size());
+  return Unranked || ranked == 0 ? ranked + 1 : ranked;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/accounts/account_table.h
+++ b/src/gateway/decisions/accounts/account_table.h
@@ -60,6 +60,13 @@
   const ClientAccount *findByDigest(const internal::Sha256Digest &Digest) const;
   const ClientAccount *find(std::string_view Name) const;
 
+  // Place of the account's rank among those of all accounts, 0 being the
+  // highest. Accounts without a rank come last, as does no account (null).
+  // Where no account has a rank, all have place 0.
+  uint32_t level(const ClientAccount *Account) const;
+  // Number of places that accounts have; 1 if there are none.
+  uint32_t levels() const;
+
   // In the published order.
   const std::vector<ClientAccount> &all() const { return Accounts; }
 
@@ -72,12 +79,10 @@
   std::vector<ClientAccount> Accounts;
   std::vector<HeldKey> Keys; // in the digests' order
   std::unordered_map<std::string, uint32_t> ByName;
+  std::vector<uint32_t> Ranks; // that accounts have, each once, in order
+  bool Unranked = false;       // an account has no rank
 };
 
-// Returns the rank of a request, 0 being the highest: its account's, or that of
-// its route if the account has none.
-uint32_t requestRank(const ClientAccount *Account, uint32_t RoutePriority);
-
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway/decisions/accounts/client_account.h
+++ b/src/gateway/decisions/accounts/client_account.h
@@ -23,7 +23,7 @@
 
 struct ClientAccount {
   std::string Name;
-  // Goes before the rank of the route; 0 is the highest.
+  // Goes before the rank of the route; 0 is the highest. See requestRank().
   std::optional<uint32_t> Priority;
   AccountQuota Quota;
 };
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -79,9 +79,17 @@
 const PathRoute *findRoute(const RouteDocument &Document, std::string_view Host,
                            std::string_view Path);
 
-// Returns where a rank is among the ranks of all routes to the service.
+// Returns the rank of a request in all queues and rejections, 0 being the
+// highest. The account's rank decides first (null: no account), and the route's
+// among accounts of equal rank or without one. Where no account has a rank, or
+// all have the same, it is the route's.
+uint32_t requestRank(const RouteDocument &Document,
+                     const ClientAccount *Account, uint32_t RoutePriority);
+
+// Returns where the rank of a request is among those that requests to the
+// service can have.
 RankPosition rankAmong(const RouteDocument &Document,
-                       const std::string &Service, uint32_t Priority);
+                       const std::string &Service, uint32_t Rank);
 
 // Selects a service at random by weight. `Draw` is a uniformly distributed
 // random number.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -225,7 +225,8 @@
 }
 
 uint32_t RequestHandler::rank() const {
-  return requestRank(Document->Accounts.find(Request.Account), Route.Priority);
+  return requestRank(*Document, Document->Accounts.find(Request.Account),
+                     Route.Priority);
 }
 
 bool RequestHandler::mayEndNextServer() {
--- a/test/gateway_route_table_test.cc
+++ b/test/gateway_route_table_test.cc
@@ -1,3 +1,4 @@
+#include "account_samples.h"
 #include "gateway/decisions/route_table.h"
 
 #include <doctest/doctest.h>
@@ -86,3 +87,52 @@
   document.Routes[0].Services = {{"other", 1}};
   CHECK_FALSE(rankAmong(document, "bays", 2).differs());
 }
+
+// Guards against a route's rank that decides between accounts of different
+// rank, and against one that is lost between accounts of equal rank.
+TEST_CASE("A request's rank is its account's first and then its route's") {
+  RouteDocument document = documentOf({routeOf("urgent", "a.example", "/"),
+                                       routeOf("other", "a.example", "/x/")});
+  document.Routes[1].Priority = 2;
+  auto rank = [&](const char *Account, uint32_t RoutePriority) {
+    return requestRank(document, document.Accounts.find(Account),
+                       RoutePriority);
+  };
+  // No accounts, or none with a rank: only the route's rank decides.
+  CHECK(rank("a", 0) == 0);
+  CHECK(rank("a", 2) == 2);
+  document.Accounts = AccountTable({test::accountOf("a", {})});
+  CHECK(rank("a", 2) == 2);
+  CHECK(rankAmong(document, "bays", 2) == RankPosition{1, 0});
+  // All of equal rank: the same.
+  document.Accounts =
+      AccountTable({test::accountOf("a", {}, 7), test::accountOf("b", {}, 7)});
+  CHECK(rank("a", 0) == 0);
+  CHECK(rank("b", 2) == 2);
+  CHECK(rankAmong(document, "bays", 0) == RankPosition{0, 1});
+  // Of different rank, and one without.
+  document.Accounts = AccountTable({test::accountOf("low", {}, 9),
+                                    test::accountOf("high", {}, 3),
+                                    test::accountOf("none", {})});
+  CHECK(rank("high", 0) < rank("high", 2));
+  CHECK(rank("high", 2) < rank("low", 0));
+  CHECK(rank("low", 0) < rank("low", 2));
+  CHECK(rank("low", 2) < rank("none", 0));
+  CHECK(rank("none", 2) == rank("unknown", 2));
+  CHECK(rankAmong(document, "bays", rank("high", 2)) == RankPosition{1, 4});
+  CHECK(rankAmong(document, "bays", rank("none", 2)) == RankPosition{5, 0});
+  // Ranks that don't fit saturate instead of wrapping to the highest.
+  document.Routes[1].Priority = 4294967295;
+  CHECK(rank("low", 4294967295) == 4294967295);
+}
+
+// Guards against public requests that count as the most urgent, since they
+// name no account.
+TEST_CASE("Requests without an account rank behind accounts with a rank") {
+  RouteDocument document = documentOf({routeOf("open", "a.example", "/")});
+  document.Accounts = AccountTable({test::accountOf("a", {}, 1)});
+  CHECK(requestRank(document, nullptr, 0) == 1);
+  CHECK(rankAmong(document, "bays", 0) == RankPosition{0, 0});
+  document.Routes[0].Public = true;
+  CHECK(rankAmong(document, "bays", 0) == RankPosition{0, 1});
+}
