--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #define CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 
 #include "gateway/accounts/access_control.h"
+#include "gateway/accounts/account_quotas.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/http_codec.h"
@@ -37,6 +38,7 @@
   ReservationQueues &Queues;
   CrashMonitor &Crashes;
   StreamOrigins &Origins;
+  AccountQuotas &Quotas;
   internal::MetricsSink &Metrics;
   const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
   AccessControl *Access = nullptr;             // null: no key is checked
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -91,8 +91,8 @@
     return false;
   Context.emplace(GatewayContext{
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics,
-      &Runtime->Forwarding, &Runtime->Access});
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
+      *metrics, &Runtime->Forwarding, &Runtime->Access});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
 #include "gateway/accounts/access_control.h"
+#include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/gateway_context.h"
@@ -37,6 +38,7 @@
         Source(ActiveAdapter.MakeSource(this->Values)),
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
         Crashes(this->Values.Instance), Origins(Incarnation),
+        Quotas(this->Values.Instance, this->Values.Quotas),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
         Access(Codec, this->Values.Access,
@@ -71,6 +73,7 @@
   ReservationQueues Queues;
   CrashMonitor Crashes;
   StreamOrigins Origins;
+  AccountQuotas Quotas;
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include "crocusspur/errors.h"
 #include "crocusspur/types.h"
 #include "gateway/decisions/accounts/access_check.h"
+#include "gateway/decisions/accounts/quota_bucket.h"
 #include "gateway/decisions/placement/pace_table.h"
 #include "gateway/decisions/shared_retry_budget.h"
 
@@ -14,15 +15,6 @@
 
 namespace crocusspur::gateway {
 
-// Bounds of what instances may admit beyond the quotas of accounts.
-struct QuotaBounds {
-  Milliseconds Window{8000}; // in which tokens are counted
-  double Overage = 0.25;     // of what an account may use in the window
-  double ToleranceTokens = 190000;
-
-  bool operator==(const QuotaBounds &) const = default;
-};
-
 struct GatewaySettings {
   std::string Instance;
   std::string FailureDomain;
@@ -44,7 +36,7 @@
   // Within which a configuration is in force at instances in touch, from its
   // acknowledgement by the store.
   Milliseconds ConfigApplyTime{3000};
-  QuotaBounds Quotas;
+  QuotaRules Quotas;
 
   std::string LogLevel = "info";
 };
