Order waiting requests of one rank by what their accounts received

Cause: an account that sends far above its usual had most of the requests in a queue, and so most of what became free, at the cost of accounts of its rank.

Change: in both queues the account that has received least, by weight, goes first within its rank. Requests without an account count as one, so their order is as before. The order holds within one instance; weights are 1 until the configuration holds accounts.

--- a/src/gateway/decisions/plain_queue.cc
+++ b/src/gateway/decisions/plain_queue.cc
@@ -1,7 +1,7 @@
 #include "gateway/decisions/plain_queue.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -23,17 +23,23 @@
 
 } // namespace
 
+PlainQueue::Order PlainQueue::orderOf(const PlainEntry &Item) const {
+  auto it = Shares.find(Item.Priority);
+  return {Item.Priority,
+          it == Shares.end() ? 0 : it->second.received(Item.Account),
+          Item.OnTimeDeadline};
+}
+
 std::map<uint64_t, PlainEntry>::const_iterator PlainQueue::first() const {
-  return std::ranges::min_element(Waiters, {}, [](const auto &It) {
-    return std::tuple(It.second.Priority, It.second.OnTimeDeadline, It.first);
+  return std::ranges::min_element(Waiters, {}, [this](const auto &It) {
+    return std::pair(orderOf(It.second), It.first);
   });
 }
 
 std::optional<uint64_t> PlainQueue::join(const PlainEntry &Item,
                                          TimePoint Now) {
   auto ahead = std::ranges::count_if(Waiters, [&](const auto &It) {
-    return std::tuple(It.second.Priority, It.second.OnTimeDeadline) <=
-           std::tuple(Item.Priority, Item.OnTimeDeadline);
+    return orderOf(It.second) <= orderOf(Item);
   });
   if (Waiters.size() >= MaxWaiting ||
       Now + Interval * static_cast<int64_t>(ahead) >= Item.LatestSend)
@@ -48,6 +54,8 @@
   auto it = first();
   if (it == Waiters.end() || it->first != Ticket || Now < SentAt + Interval)
     return false;
+  if (!it->second.Account.empty())
+    Shares[it->second.Priority].onServed(it->second.Account, it->second.Weight);
   Waiters.erase(it);
   SentAt = Now;
   return true;
--- a/src/gateway/decisions/plain_queue.h
+++ b/src/gateway/decisions/plain_queue.h
@@ -10,10 +10,13 @@
 #define CROCUSSPUR_GATEWAY_PLAIN_QUEUE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/account_shares.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <tuple>
 
 namespace crocusspur::gateway {
 
@@ -21,6 +24,8 @@
   uint32_t Priority = 0;    // 0 is the highest
   TimePoint OnTimeDeadline; // of the response
   TimePoint LatestSend;     // for a response that is on time
+  std::string Account{};    // empty: none; these count as one
+  double Weight = 1;        // of the account
 };
 
 class PlainQueue {
@@ -31,9 +36,9 @@
   void leave(uint64_t Ticket);
 
   // Returns true and removes the request if it may be sent now that a server
-  // has room: it is of the most urgent rank, then the one with the earliest
-  // deadline, and the interval since the latest waiting one was sent has
-  // passed.
+  // has room: it is of the most urgent rank, then of the account that has
+  // received least, then the one with the earliest deadline, and the interval
+  // since the latest waiting one was sent has passed.
   bool trySend(uint64_t Ticket, TimePoint Now);
 
   // A full server refused a request: the interval grows.
@@ -50,13 +55,16 @@
   size_t size() const { return Waiters.size(); }
 
 private:
+  using Order = std::tuple<uint32_t, double, TimePoint>;
+  Order orderOf(const PlainEntry &Item) const;
   std::map<uint64_t, PlainEntry>::const_iterator first() const;
 
   uint64_t LastTicket = 0;
   std::map<uint64_t, PlainEntry> Waiters;
-  Milliseconds Interval{0}; // 0: no refusal lately
-  double AnswerMs = 0;      // moving average; 0: unknown
-  TimePoint SentAt;         // the latest that waited
+  std::map<uint32_t, AccountShares> Shares; // by priority
+  Milliseconds Interval{0};                 // 0: no refusal lately
+  double AnswerMs = 0;                      // moving average; 0: unknown
+  TimePoint SentAt;                         // the latest that waited
 };
 
 // Returns the retry delay for the caller of a plain request that was refused:
--- a/src/gateway/decisions/reservation_queue.cc
+++ b/src/gateway/decisions/reservation_queue.cc
@@ -42,11 +42,16 @@
                               TimePoint Now) const {
   auto key = [&](uint64_t Ticket, const Waiter &It) {
     return std::tuple(Now > It.Item.OnTimeDeadline, It.Item.Priority,
-                      It.Item.OnTimeDeadline, Ticket);
+                      received(It.Item), It.Item.OnTimeDeadline, Ticket);
   };
   return key(LeftTicket, Left) < key(RightTicket, Right);
 }
 
+double ReservationQueue::received(const QueueEntry &Item) const {
+  auto it = Shares.find(Item.Priority);
+  return it == Shares.end() ? 0 : it->second.received(Item.Account);
+}
+
 bool ReservationQueue::tryStartAttempt(uint64_t Ticket, TimePoint Now) {
   auto own = Waiters.find(Ticket);
   if (own == Waiters.end() || own->second.Attempting ||
@@ -85,6 +90,14 @@
   GrantRateAt = Now;
 }
 
+void ReservationQueue::onGranted(uint64_t Ticket, TimePoint Now) {
+  onGranted(Now);
+  auto it = Waiters.find(Ticket);
+  if (it != Waiters.end() && !it->second.Item.Account.empty())
+    Shares[it->second.Item.Priority].onServed(it->second.Item.Account,
+                                              it->second.Item.Weight);
+}
+
 bool ReservationQueue::wouldTimeOut(TimePoint Deadline, TimePoint Now) const {
   QueueEntry entry;
   entry.ExpiresAt = Deadline;
--- a/src/gateway/decisions/reservation_queue.h
+++ b/src/gateway/decisions/reservation_queue.h
@@ -8,11 +8,13 @@
 #define CROCUSSPUR_GATEWAY_RESERVATION_QUEUE_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/account_shares.h"
 #include "gateway/decisions/attempt_interval.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 namespace crocusspur::gateway {
 
@@ -21,6 +23,8 @@
   TimePoint OnTimeDeadline; // latest grant for a response that is on time
   TimePoint ExpiresAt;      // the request leaves the queue then
   RankPosition Rank{};      // among the ranks of the service
+  std::string Account{};    // empty: none; these count as one
+  double Weight = 1;        // of the account
 };
 
 class ReservationQueue {
@@ -33,7 +37,8 @@
 
   // Returns true and starts an attempt if the request may ask the servers now;
   // onAttemptEnded() must end the attempt. Requests that can still be on time
-  // go first, ordered by priority, then by deadline.
+  // go first, ordered by priority, then by what their accounts have received,
+  // then by deadline.
   bool tryStartAttempt(uint64_t Ticket, TimePoint Now);
   // Ends an attempt. The request may start the next one after an interval that
   // gives memory time to become free.
@@ -51,6 +56,8 @@
   bool wouldTimeOut(const QueueEntry &Item, TimePoint Now) const;
   // Records that a waiting request got its reservation.
   void onGranted(TimePoint Now);
+  // The same, and charges its account.
+  void onGranted(uint64_t Ticket, TimePoint Now);
   // Estimated time until the queue is empty at the current grant rate.
   Milliseconds drainTime(TimePoint Now) const;
 
@@ -67,7 +74,10 @@
               const Waiter &Right, TimePoint Now) const;
   double grantsPerSecond(TimePoint Now) const;
 
+  double received(const QueueEntry &Item) const;
+
   uint32_t MaxAttempts;
+  std::map<uint32_t, AccountShares> Shares; // by priority
   uint64_t LastTicket = 0;
   std::map<uint64_t, Waiter> Waiters;
   std::optional<TimePoint> FullAt; // the latest refusal by full servers
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -482,6 +482,7 @@
   PlainEntry entry;
   entry.Priority = Route.Priority;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget;
+  entry.Account = Request.Account;
   std::optional<uint64_t> ticket =
       Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
         // Where servers alone take longer than half of the target, waiting for
@@ -511,6 +512,8 @@
       std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
   internal::LogFields all = fields();
   all.emplace_back("priority", std::to_string(entry.Priority));
+  if (!entry.Account.empty())
+    all.emplace_back("account", entry.Account);
   all.emplace_back("outcome", sent ? "sent" : ticket ? "too_late" : "rejected");
   all.emplace_back("waiting", std::to_string(waiting));
   all.emplace_back("waited_ms", std::to_string(waited.count()));
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -63,9 +63,9 @@
   return state(Service).Queue.isContended(Clock::now());
 }
 
-void ReservationQueues::onGranted(const std::string &Service) {
+void ReservationQueues::onGranted(const std::string &Service, uint64_t Ticket) {
   std::lock_guard lock(Mutex);
-  state(Service).Queue.onGranted(Clock::now());
+  state(Service).Queue.onGranted(Ticket, Clock::now());
 }
 
 bool ReservationQueues::wouldTimeOut(const std::string &Service,
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -27,7 +27,7 @@
   AdmissionDecision decide(const std::string &Service, const QueueEntry &Item,
                            double Draw);
   bool isContended(const std::string &Service);
-  void onGranted(const std::string &Service);
+  void onGranted(const std::string &Service, uint64_t Ticket);
   bool wouldTimeOut(const std::string &Service, const QueueEntry &Item);
   Milliseconds drainTime(const std::string &Service);
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -242,6 +242,7 @@
   if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   entry.Rank = position();
+  entry.Account = Request.Account;
   if (HeadSent && entry.Rank.differs()) {
     entry.Priority = 0;
     entry.OnTimeDeadline = entry.ExpiresAt;
@@ -270,9 +271,9 @@
     if (!reservation)
       Waiter.pause(QueuePollPeriod);
   }
-  Context.Queues.leave(Service, ticket);
   if (reservation)
-    Context.Queues.onGranted(Service);
+    Context.Queues.onGranted(Service, ticket);
+  Context.Queues.leave(Service, ticket);
   auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - joined);
   if (!Returning)
     Context.Directory.onReservationEnded(Service, waited,
@@ -287,6 +288,8 @@
   all.emplace_back("tries", std::to_string(tries));
   all.emplace_back("returning", Returning ? "true" : "false");
   all.emplace_back("priority", std::to_string(entry.Priority));
+  if (!entry.Account.empty())
+    all.emplace_back("account", entry.Account);
   all.emplace_back("ranks_above", std::to_string(entry.Rank.Above));
   all.emplace_back("ranks_below", std::to_string(entry.Rank.Below));
   all.emplace_back("contended", contended ? "true" : "false");
--- a/test/gateway_plain_queue_test.cc
+++ b/test/gateway_plain_queue_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
@@ -34,6 +35,33 @@
   CHECK(queue.trySend(low, at(60)));
 }
 
+// Guards against an account that sends far above its usual and takes all the
+// room from another one of its rank.
+TEST_CASE("An account's plain requests wait behind each other") {
+  PlainQueue queue;
+  auto join = [&](const char *Account, int64_t OnTimeMs, double Weight) {
+    PlainEntry entry = entryOf(1, OnTimeMs);
+    entry.Account = Account;
+    entry.Weight = Weight;
+    return *queue.join(entry, at(0));
+  };
+  std::vector<uint64_t> flood;
+  for (int64_t i = 0; i < 8; ++i)
+    flood.push_back(join("large", 300 + i, 1));
+  REQUIRE(queue.trySend(flood[0], at(0)));
+  uint64_t other = join("small", 900, 1);
+  CHECK_FALSE(queue.trySend(flood[1], at(0)));
+  CHECK(queue.trySend(other, at(0)));
+  // With equal receipts the deadline decides; with twice the weight, an account
+  // goes first twice.
+  CHECK(queue.trySend(flood[1], at(0)));
+  uint64_t heavy = join("heavy", 900, 2);
+  uint64_t second = join("heavy", 901, 2);
+  CHECK(queue.trySend(heavy, at(0)));
+  CHECK(queue.trySend(second, at(0)));
+  CHECK(queue.trySend(flood[2], at(0)));
+}
+
 // Guards against requests that wait although those ahead make them late.
 TEST_CASE("A plain request that can't be on time doesn't wait") {
   PlainQueue queue;
--- a/test/gateway_reservation_queue_test.cc
+++ b/test/gateway_reservation_queue_test.cc
@@ -40,6 +40,29 @@
   CHECK(queue.tryStartAttempt(higher, Start));
 }
 
+// Guards against an account whose many requests keep the memory from another
+// account of the same rank, and against fairness that overrides the rank.
+TEST_CASE("The account that has received least goes first in its rank") {
+  ReservationQueue queue(1);
+  auto join = [&](const char *Account, int64_t OnTimeMs, uint32_t Priority) {
+    QueueEntry entry = entryOf(OnTimeMs, Priority);
+    entry.Account = Account;
+    return queue.join(entry, Start);
+  };
+  uint64_t first = join("large", 500, 1);
+  uint64_t second = join("large", 501, 1);
+  REQUIRE(queue.tryStartAttempt(first, Start));
+  queue.onGranted(first, Start);
+  queue.leave(first);
+  uint64_t other = join("small", 900, 1);
+  CHECK_FALSE(queue.tryStartAttempt(second, Start));
+  uint64_t urgent = join("large", 900, 0);
+  CHECK_FALSE(queue.tryStartAttempt(other, Start));
+  REQUIRE(queue.tryStartAttempt(urgent, Start));
+  queue.leave(urgent);
+  CHECK(queue.tryStartAttempt(other, Start));
+}
+
 TEST_CASE("Late requests let the others go first") {
   ReservationQueue queue(1);
   uint64_t late = queue.join(entryOf(-100), Start);
