Show waiting, granted and rejected requests by rank

Cause: operators couldn't see whether an urgent rank is served before others, or why a plain request was refused as all servers were full.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -514,7 +514,9 @@
   all.emplace_back("priority", std::to_string(entry.Priority));
   if (!entry.Account.empty())
     all.emplace_back("account", entry.Account);
-  all.emplace_back("outcome", sent ? "sent" : ticket ? "too_late" : "rejected");
+  const char *outcome = sent ? "sent" : ticket ? "too_late" : "rejected";
+  Context.Queues.countPlain(Service, outcome);
+  all.emplace_back("outcome", outcome);
   all.emplace_back("waiting", std::to_string(waiting));
   all.emplace_back("waited_ms", std::to_string(waited.count()));
   log(LogLevel::Info, "request", "waited for room at a server", all);
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -1,10 +1,18 @@
 #include "gateway/reservation_queues.h"
 
+#include "json_text.h"
+
+#include <algorithm>
+
 namespace crocusspur::gateway {
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
+// By QueueOutcome.
+constexpr std::array<const char *, 3> OutcomeNames = {"granted", "refused",
+                                                      "rejected"};
+
 // Requests of one service that ask servers concurrently. With one at a time, an
 // unresponsive server would block the queue.
 constexpr uint32_t MaxConcurrentTries = 3;
@@ -13,7 +21,8 @@
 
 ReservationQueues::State &ReservationQueues::state(const std::string &Service) {
   return Services
-      .try_emplace(Service, State{ReservationQueue(MaxConcurrentTries), {}, {}})
+      .try_emplace(Service,
+                   State{ReservationQueue(MaxConcurrentTries), {}, {}, {}, {}})
       .first->second;
 }
 
@@ -79,6 +88,63 @@
   return state(Service).Queue.drainTime(Clock::now());
 }
 
+void ReservationQueues::countStream(const std::string &Service,
+                                    uint32_t Priority, QueueOutcome Outcome) {
+  std::lock_guard lock(Mutex);
+  ++state(Service).Streams[std::min<size_t>(Priority, RankCount - 1)]
+                          [static_cast<size_t>(Outcome)];
+}
+
+void ReservationQueues::countPlain(const std::string &Service,
+                                   const std::string &Outcome) {
+  std::lock_guard lock(Mutex);
+  ++state(Service).PlainWaits[Outcome];
+}
+
+void ReservationQueues::forEachCounter(const CounterVisitor &Visit) {
+  std::lock_guard lock(Mutex);
+  for (const auto &[service, found] : Services) {
+    for (size_t rank = 0; rank < RankCount; ++rank)
+      for (size_t i = 0; i < OutcomeNames.size(); ++i)
+        if (found.Streams[rank][i] > 0)
+          Visit("reservations_" + std::string(OutcomeNames[i]) + "_total",
+                service + "/" + std::to_string(rank), found.Streams[rank][i]);
+    for (const auto &[outcome, n] : found.PlainWaits)
+      Visit("plain_waits_total", service + "/" + outcome, n);
+  }
+}
+
+std::string ReservationQueues::dump() {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  std::string out = "[";
+  const char *separator = "";
+  for (const auto &[service, found] : Services) {
+    out +=
+        separator + std::string("{\"service\":") +
+        internal::jsonString(service) +
+        ",\"streams\":" + std::to_string(found.Queue.size()) +
+        ",\"plain\":" + std::to_string(found.Plain.size()) +
+        ",\"contended\":" + (found.Queue.isContended(now) ? "true" : "false") +
+        ",\"ranks\":[";
+    const char *inner = "";
+    for (size_t rank = 0; rank < RankCount; ++rank) {
+      const auto &counts = found.Streams[rank];
+      if (std::ranges::all_of(counts, [](uint64_t It) { return It == 0; }))
+        continue;
+      out += inner + std::string("{\"rank\":") + std::to_string(rank);
+      for (size_t i = 0; i < OutcomeNames.size(); ++i)
+        out += std::string(",\"") + OutcomeNames[i] +
+               "\":" + std::to_string(counts[i]);
+      out += "}";
+      inner = ",";
+    }
+    out += "]}";
+    separator = ",";
+  }
+  return out + "]";
+}
+
 std::map<std::string, size_t> ReservationQueues::sizes() {
   std::lock_guard lock(Mutex);
   std::map<std::string, size_t> all;
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -7,6 +7,8 @@
 #include "gateway/decisions/plain_queue.h"
 #include "gateway/decisions/reservation_queue.h"
 
+#include <array>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -37,14 +39,31 @@
     return Use(state(Service).Plain, std::chrono::steady_clock::now());
   }
 
+  // How requests left the queues, for metrics and the state.
+  enum class QueueOutcome : uint8_t { Granted, Refused, Rejected };
+  void countStream(const std::string &Service, uint32_t Priority,
+                   QueueOutcome Outcome);
+  // `Outcome`: "sent", "too_late" or "rejected".
+  void countPlain(const std::string &Service, const std::string &Outcome);
+  // Calls the function with each counter. Labels are bounded by the number of
+  // services.
+  using CounterVisitor = std::function<void(
+      const std::string &Name, const std::string &Label, uint64_t Value)>;
+  void forEachCounter(const CounterVisitor &Visit);
+  std::string dump(); // as JSON
+
   // Waiting requests, by service.
   std::map<std::string, size_t> sizes();
 
 private:
+  static constexpr size_t RankCount = 10;
   struct State {
     ReservationQueue Queue;
     AdmissionControl Admission;
     PlainQueue Plain;
+    // By rank, the last for all below, and by outcome.
+    std::array<std::array<uint64_t, 3>, RankCount> Streams{};
+    std::map<std::string, uint64_t> PlainWaits; // by outcome
   };
   State &state(const std::string &Service);
 
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -172,6 +172,11 @@
   }
   for (const auto &[service, size] : Runtime->Queues.sizes())
     Metrics->setGauge("queue_length", service, static_cast<double>(size));
+  Runtime->Queues.forEachCounter([this](const std::string &Name,
+                                        const std::string &Label,
+                                        uint64_t Value) {
+    Metrics->setGauge(Name, Label, static_cast<double>(Value));
+  });
 }
 
 std::string StatusListener::state() const {
@@ -179,7 +184,8 @@
   out.pop_back(); // the closing brace
   out += ",\"reads_store\":";
   out += Runtime->Readers.isReading() ? "true" : "false";
-  return out + ",\"limits\":" + Runtime->Limits.dump() + "}";
+  return out + ",\"limits\":" + Runtime->Limits.dump() +
+         ",\"queues\":" + Runtime->Queues.dump() + "}";
 }
 
 StatusResponse StatusListener::respond(const std::string &Path) {
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -209,6 +209,8 @@
   if (decision.Admitted)
     return true;
   Rejected = true;
+  Context.Queues.countStream(Service, Entry.Priority,
+                             ReservationQueues::QueueOutcome::Rejected);
   // Role decisions must see the demand.
   Context.Directory.onReservationEnded(Service, Milliseconds(0),
                                        /*Got=*/false);
@@ -274,6 +276,10 @@
   if (reservation)
     Context.Queues.onGranted(Service, ticket);
   Context.Queues.leave(Service, ticket);
+  Context.Queues.countStream(Service, entry.Priority,
+                             reservation
+                                 ? ReservationQueues::QueueOutcome::Granted
+                                 : ReservationQueues::QueueOutcome::Refused);
   auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - joined);
   if (!Returning)
     Context.Directory.onReservationEnded(Service, waited,
--- a/test/gateway_plain_queue_test.cc
+++ b/test/gateway_plain_queue_test.cc
@@ -118,6 +118,13 @@
   SUBCASE("within the retry budget") {
     CHECK(gateway.run(route).ends_with("paid"));
     CHECK(calls == 4);
+    bool counted = false;
+    gateway.Queues.forEachCounter(
+        [&](const std::string &Name, const std::string &Label, uint64_t Value) {
+          counted = counted || (Name == "plain_waits_total" &&
+                                Label == "bays/sent" && Value > 0);
+        });
+    CHECK(counted);
   }
   SUBCASE("not beyond it") {
     gateway.Directory.setRetryAllowance({0, 0});
