Reject a share of plain requests while full servers refuse

Cause: beyond the capacity, plain requests filled the queues of the servers until every answer was late, and each refusal used up retry budget.

Change: while full servers have refused this instance within the last second, the admitted share of new requests follows the share of answers on time, as for streams. The rest is refused at once with a Retry-After.

--- a/src/gateway/decisions/admission_control.cc
+++ b/src/gateway/decisions/admission_control.cc
@@ -16,14 +16,6 @@
 constexpr double PriorGrants = 0.3;
 // Without an attempt for this long, the evidence is old.
 constexpr Milliseconds EvidenceLifetime{500};
-// Requests that are admitted for each one that is expected to be granted. The
-// surplus finds out when more memory becomes free.
-constexpr double AdmittedPerGrant = 1.3;
-constexpr double MinAdmittedShare = 0.125;
-// By which part a share moves towards what is wanted with each request. The
-// chance rises only after a lower share has taken effect, so larger steps make
-// the share oscillate.
-constexpr double Step = 0.5;
 // Attempts that are counted for one request.
 constexpr int MaxAttemptsCounted = 100;
 
@@ -59,20 +51,18 @@
 AdmissionDecision AdmissionControl::decide(const RankPosition &Rank,
                                            TimePoint OnTimeDeadline,
                                            double Draw, TimePoint Now) {
-  double &share = AdmittedShares.try_emplace(Rank.Above, 1).first->second;
+  AdmittedShare &share = AdmittedShares[Rank.Above];
   if (Now - UpdatedAt > EvidenceLifetime) {
-    share = 1;
+    share.reset();
     return {};
   }
   if (LastGranted || decayed(Attempts, Now) < MinAttempts)
     return {};
   AdmissionDecision decision;
   decision.Chance = chance(Rank, OnTimeDeadline, Now);
-  double wanted = std::clamp(AdmittedPerGrant * share * decision.Chance,
-                             MinAdmittedShare, 1.0);
-  share += Step * (wanted - share);
-  decision.AdmittedShare = share;
-  decision.Admitted = Draw < share;
+  share.move(decision.Chance);
+  decision.AdmittedShare = share.value();
+  decision.Admitted = Draw < share.value();
   return decision;
 }
 
--- a/src/gateway/decisions/admission_control.h
+++ b/src/gateway/decisions/admission_control.h
@@ -11,6 +11,7 @@
 #define CROCUSSPUR_GATEWAY_ADMISSION_CONTROL_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/admitted_share.h"
 #include "gateway/decisions/attempt_interval.h"
 
 #include <map>
@@ -47,7 +48,7 @@
   Milliseconds LastTaken{0};
   TimePoint UpdatedAt;
   bool LastGranted = true;
-  std::map<uint32_t, double> AdmittedShares; // by ranks above
+  std::map<uint32_t, AdmittedShare> AdmittedShares; // by ranks above
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/plain_queue.cc
+++ b/src/gateway/decisions/plain_queue.cc
@@ -1,6 +1,7 @@
 #include "gateway/decisions/plain_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace crocusspur::gateway {
@@ -15,6 +16,15 @@
 constexpr Milliseconds MaxInterval{100};
 // Weight of the latest answer in the moving average.
 constexpr double AnswerWeight = 0.1;
+// Time constant of the weights of outcomes; a fifth of a typical burst.
+constexpr std::chrono::duration<double> OutcomeTimeConstant{1.0};
+// With a smaller weight of all outcomes, they are chance.
+constexpr double MinOutcomes = 2;
+// Assumed in addition, so that no share is 0.
+constexpr double PriorOnTime = 0.5;
+// Without a refusal for this long, servers have room. An instance of 60 gets an
+// outcome about every 150 ms during a burst.
+constexpr Milliseconds RefusalLifetime{1000};
 // Retry-After for refused callers: at least several service times, and with the
 // spread no more than the third of their time that callers honour.
 constexpr Milliseconds MinPlainRetryAfter{300};
@@ -61,11 +71,38 @@
   return true;
 }
 
-void PlainQueue::onRefused() {
+double PlainQueue::weightAt(TimePoint Now) const {
+  std::chrono::duration<double> age = Now - OutcomesAt;
+  return std::exp(-age / OutcomeTimeConstant);
+}
+
+void PlainQueue::addOutcome(bool OnTime, TimePoint Now) {
+  double weight = weightAt(Now);
+  Outcomes = Outcomes * weight + 1;
+  OnTimes = OnTimes * weight + (OnTime ? 1 : 0);
+  OutcomesAt = Now;
+}
+
+bool PlainQueue::admits(double Draw, TimePoint Now) {
+  if (!RefusedAt || Now - *RefusedAt > RefusalLifetime) {
+    Share.reset();
+    return true;
+  }
+  double weight = weightAt(Now);
+  if (Outcomes * weight >= MinOutcomes)
+    Share.move((OnTimes * weight + PriorOnTime) /
+               (Outcomes * weight + PriorOnTime));
+  return Draw < Share.value();
+}
+
+void PlainQueue::onRefused(TimePoint Now) {
+  RefusedAt = Now;
+  addOutcome(false, Now);
   Interval = std::clamp(Interval * 2, MinInterval, MaxInterval);
 }
 
-void PlainQueue::onAnswered(Milliseconds Taken) {
+void PlainQueue::onAnswered(Milliseconds Taken, bool OnTime, TimePoint Now) {
+  addOutcome(OnTime, Now);
   auto taken = static_cast<double>(Taken.count());
   AnswerMs =
       AnswerMs == 0 ? taken : AnswerMs + AnswerWeight * (taken - AnswerMs);
--- a/src/gateway/decisions/plain_queue.h
+++ b/src/gateway/decisions/plain_queue.h
@@ -11,6 +11,7 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/account_shares.h"
+#include "gateway/decisions/admitted_share.h"
 
 #include <cstdint>
 #include <map>
@@ -42,9 +43,14 @@
   bool trySend(uint64_t Ticket, TimePoint Now);
 
   // A full server refused a request: the interval grows.
-  void onRefused();
-  // A server answered a request `Taken` after it was sent.
-  void onAnswered(Milliseconds Taken);
+  void onRefused(TimePoint Now);
+  // A server answered a request `Taken` after it was sent. `OnTime`: within the
+  // target of its route.
+  void onAnswered(Milliseconds Taken, bool OnTime, TimePoint Now);
+  // Whether a new request may be sent or wait. While full servers refuse, the
+  // admitted share follows the share of answers on time: more requests would
+  // only wait at the servers until all answers are late. `Draw` is in [0, 1).
+  bool admits(double Draw, TimePoint Now);
 
   // Time from the sending of a request to its response; 0: unknown.
   Milliseconds answerTime() const {
@@ -55,6 +61,9 @@
   size_t size() const { return Waiters.size(); }
 
 private:
+  void addOutcome(bool OnTime, TimePoint Now);
+  double weightAt(TimePoint Now) const;
+
   using Order = std::tuple<uint32_t, double, TimePoint>;
   Order orderOf(const PlainEntry &Item) const;
   std::map<uint64_t, PlainEntry>::const_iterator first() const;
@@ -64,7 +73,12 @@
   std::map<uint32_t, AccountShares> Shares; // by priority
   Milliseconds Interval{0};                 // 0: no refusal lately
   double AnswerMs = 0;                      // moving average; 0: unknown
-  TimePoint SentAt;                         // the latest that waited
+  AdmittedShare Share;
+  double Outcomes = 0; // answers and refusals, weighted by age
+  double OnTimes = 0;
+  TimePoint OutcomesAt;
+  std::optional<TimePoint> RefusedAt; // the latest by a full server
+  TimePoint SentAt;                   // the latest that waited
 };
 
 // Returns the retry delay for the caller of a plain request that was refused:
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -465,6 +465,18 @@
   return query;
 }
 
+bool RequestHandler::isPlainAdmitted() {
+  double draw = Context.Directory.randomFraction();
+  if (Context.Queues.withPlain(Service, [draw](PlainQueue &It, TimePoint Now) {
+        return It.admits(draw, Now);
+      }))
+    return true;
+  FoundFull = true;
+  Context.Queues.countPlain(Service, "shed");
+  log(LogLevel::Info, "request", "request rejected on arrival", fields());
+  return false;
+}
+
 bool RequestHandler::awaitRoom() {
   bool full = Context.Directory.fullness(plainQuery()).All;
   bool others = Context.Queues.withPlain(
@@ -537,9 +549,9 @@
         break;
       continue;
     }
-    if (!awaitRoom())
-      break;
     bool first = Tried.empty() && !RefusedByFull;
+    if ((first && !Returning && !isPlainAdmitted()) || !awaitRoom())
+      break;
     ServerQuery query = plainQuery();
     std::set<std::string> excluded = Context.Directory.fullness(query).Full;
     excluded.insert(query.ExcludedIds.begin(), query.ExcludedIds.end());
@@ -657,14 +669,15 @@
       FoundFull = RefusedByFull = true;
       Tried.erase(Server.Id);
     }
-    Context.Queues.withPlain(Service,
-                             [](PlainQueue &It, TimePoint) { It.onRefused(); });
+    Context.Queues.withPlain(
+        Service, [](PlainQueue &It, TimePoint Now) { It.onRefused(Now); });
     return end(CallResult::Overloaded, "refused_" + code,
                AttemptResult::NotExecuted);
   }
-  Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint) {
+  Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
     It.onAnswered(
-        std::chrono::duration_cast<Milliseconds>(answeredAt - started));
+        std::chrono::duration_cast<Milliseconds>(answeredAt - started),
+        Now - Arrived <= Route.LatencyTarget, Now);
   });
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -76,6 +76,8 @@
   // Waits until a server may have room, while the response can still be on
   // time. Returns false if the request is to be refused.
   bool awaitRoom();
+  // Decides on arrival whether the request is sent or waits.
+  bool isPlainAdmitted();
   // Candidates for the next send of a plain request.
   ServerQuery plainQuery() const;
   // The same once it has to wait.
--- a/test/gateway_plain_queue_test.cc
+++ b/test/gateway_plain_queue_test.cc
@@ -23,7 +23,7 @@
 // one, and against all waiting requests being sent into the first free slot.
 TEST_CASE("Plain requests wait in order of rank and deadline") {
   PlainQueue queue;
-  queue.onRefused();
+  queue.onRefused(at(0));
   uint64_t low = *queue.join(entryOf(2, 300), at(0));
   uint64_t late = *queue.join(entryOf(1, 300), at(0));
   uint64_t soon = *queue.join(entryOf(1, 200), at(0));
@@ -66,7 +66,7 @@
 TEST_CASE("A plain request that can't be on time doesn't wait") {
   PlainQueue queue;
   for (int i = 0; i < 3; ++i) // the interval is 100 ms
-    queue.onRefused();
+    queue.onRefused(at(0));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
@@ -75,6 +75,24 @@
   CHECK(queue.drainTime() == Milliseconds(500));
 }
 
+// Guards against an overloaded service whose answers are all late since every
+// instance sends more, and against rejections without a recent refusal.
+TEST_CASE("Plain requests are rejected on arrival while servers refuse") {
+  PlainQueue queue;
+  auto answer = [&](int64_t Ms, bool OnTime) {
+    queue.onAnswered(Milliseconds(60), OnTime, at(Ms));
+  };
+  for (int64_t ms = 0; ms < 500; ms += 100)
+    answer(ms, false); // late without a refusal: the target may be too short
+  CHECK(queue.admits(0.99, at(500)));
+  queue.onRefused(at(500));
+  CHECK_FALSE(queue.admits(0.99, at(510)));
+  for (int i = 0; i < 20; ++i)
+    queue.admits(0.99, at(520));
+  CHECK(queue.admits(0.12, at(520)));  // some find out when there is room
+  CHECK(queue.admits(0.99, at(1600))); // the refusal is too old
+}
+
 TEST_CASE("Retry delays of plain requests are spread within a third") {
   CHECK(plainRetryAfter(Milliseconds(0), Milliseconds(3000), 0) ==
         Milliseconds(300));
