--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -519,6 +519,18 @@
   return query;
 }
 
+bool RequestHandler::isPlainAdmitted() {
+  double draw = Context.Directory.randomFraction();
+  if (Context.Queues.withPlain(Service, [draw](PlainQueue &It, TimePoint Now) {
+        return It.admits(draw, Now);
+      }))
+    return true;
+  FoundFull = true;
+  Context.Queues.countPlain(Service, "shed");
+  log(LogLevel::Info, "request", "request rejected on arrival", fields());
+  return false;
+}
+
 bool RequestHandler::awaitRoom() {
   bool full = Context.Directory.fullness(plainQuery()).All;
   bool others = Context.Queues.withPlain(
@@ -536,6 +548,7 @@
   PlainEntry entry;
   entry.Priority = position().Above;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget;
+  entry.Account = Request.Account;
   std::optional<uint64_t> ticket =
       Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
         // Where servers alone take longer than half of the target, waiting for
@@ -565,7 +578,11 @@
       std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
   internal::LogFields all = fields();
   all.emplace_back("priority", std::to_string(entry.Priority));
-  all.emplace_back("outcome", sent ? "sent" : ticket ? "too_late" : "rejected");
+  if (!entry.Account.empty())
+    all.emplace_back("account", entry.Account);
+  const char *outcome = sent ? "sent" : ticket ? "too_late" : "rejected";
+  Context.Queues.countPlain(Service, outcome);
+  all.emplace_back("outcome", outcome);
   all.emplace_back("waiting", std::to_string(waiting));
   all.emplace_back("waited_ms", std::to_string(waited.count()));
   log(LogLevel::Info, "request", "waited for room at a server", all);
@@ -586,9 +603,9 @@
         break;
       continue;
     }
-    if (!awaitRoom())
-      break;
     bool first = Tried.empty() && !RefusedByFull;
+    if ((first && !Returning && !isPlainAdmitted()) || !awaitRoom())
+      break;
     ServerQuery query = plainQuery();
     std::set<std::string> excluded = Context.Directory.fullness(query).Full;
     excluded.insert(query.ExcludedIds.begin(), query.ExcludedIds.end());
@@ -715,14 +732,15 @@
       FoundFull = RefusedByFull = true;
       Tried.erase(Server.Id);
     }
-    Context.Queues.withPlain(Service,
-                             [](PlainQueue &It, TimePoint) { It.onRefused(); });
+    Context.Queues.withPlain(
+        Service, [](PlainQueue &It, TimePoint Now) { It.onRefused(Now); });
     return end(CallResult::Overloaded, "refused_" + code,
                AttemptResult::NotExecuted);
   }
-  Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint) {
+  Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
     It.onAnswered(
-        std::chrono::duration_cast<Milliseconds>(answeredAt - started));
+        std::chrono::duration_cast<Milliseconds>(answeredAt - started),
+        Now - Arrived <= Route.LatencyTarget, Now);
   });
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -199,6 +199,11 @@
   }
   for (const auto &[service, size] : Runtime->Queues.sizes())
     Metrics->setGauge("queue_length", service, static_cast<double>(size));
+  Runtime->Queues.forEachCounter([this](const std::string &Name,
+                                        const std::string &Label,
+                                        uint64_t Value) {
+    Metrics->setGauge(Name, Label, static_cast<double>(Value));
+  });
   updateQuotaGauges();
 }
 
@@ -246,6 +251,7 @@
   out += ",\"access\":" +
          Runtime->Access.dump(Runtime->Directory.routes()->Accounts);
   out += ",\"limits\":" + Runtime->Limits.dump();
+  out += ",\"queues\":" + Runtime->Queues.dump();
   return out + ",\"quotas\":" + Runtime->Quotas.dump() + "}";
 }
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -226,6 +226,8 @@
   if (decision.Admitted)
     return true;
   Rejected = true;
+  Context.Queues.countStream(Service, Entry.Priority,
+                             ReservationQueues::QueueOutcome::Rejected);
   // Role decisions must see the demand.
   Context.Directory.onReservationEnded(Service, Milliseconds(0),
                                        /*Got=*/false);
@@ -259,6 +261,7 @@
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   entry.Rank = position();
   entry.Priority = entry.Rank.Above;
+  entry.Account = Request.Account;
   if (HeadSent && entry.Rank.differs()) {
     entry.Priority = 0;
     entry.OnTimeDeadline = entry.ExpiresAt;
@@ -287,9 +290,13 @@
     if (!reservation)
       Waiter.pause(QueuePollPeriod);
   }
-  Context.Queues.leave(Service, ticket);
   if (reservation)
-    Context.Queues.onGranted(Service);
+    Context.Queues.onGranted(Service, ticket);
+  Context.Queues.leave(Service, ticket);
+  Context.Queues.countStream(Service, entry.Priority,
+                             reservation
+                                 ? ReservationQueues::QueueOutcome::Granted
+                                 : ReservationQueues::QueueOutcome::Refused);
   auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - joined);
   if (!Returning)
     Context.Directory.onReservationEnded(Service, waited,
@@ -304,6 +311,8 @@
   all.emplace_back("tries", std::to_string(tries));
   all.emplace_back("returning", Returning ? "true" : "false");
   all.emplace_back("priority", std::to_string(entry.Priority));
+  if (!entry.Account.empty())
+    all.emplace_back("account", entry.Account);
   all.emplace_back("ranks_above", std::to_string(entry.Rank.Above));
   all.emplace_back("ranks_below", std::to_string(entry.Rank.Below));
   all.emplace_back("contended", contended ? "true" : "false");
--- a/test/gateway_plain_queue_test.cc
+++ b/test/gateway_plain_queue_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
@@ -22,7 +23,7 @@
 // one, and against all waiting requests being sent into the first free slot.
 TEST_CASE("Plain requests wait in order of rank and deadline") {
   PlainQueue queue;
-  queue.onRefused();
+  queue.onRefused(at(0));
   uint64_t low = *queue.join(entryOf(2, 300), at(0));
   uint64_t late = *queue.join(entryOf(1, 300), at(0));
   uint64_t soon = *queue.join(entryOf(1, 200), at(0));
@@ -34,11 +35,38 @@
   CHECK(queue.trySend(low, at(60)));
 }
 
+// Guards against an account that sends far above its usual and takes all the
+// room from another one of its rank.
+TEST_CASE("An account's plain requests wait behind each other") {
+  PlainQueue queue;
+  auto join = [&](const char *Account, int64_t OnTimeMs, double Weight) {
+    PlainEntry entry = entryOf(1, OnTimeMs);
+    entry.Account = Account;
+    entry.Weight = Weight;
+    return *queue.join(entry, at(0));
+  };
+  std::vector<uint64_t> flood;
+  for (int64_t i = 0; i < 8; ++i)
+    flood.push_back(join("large", 300 + i, 1));
+  REQUIRE(queue.trySend(flood[0], at(0)));
+  uint64_t other = join("small", 900, 1);
+  CHECK_FALSE(queue.trySend(flood[1], at(0)));
+  CHECK(queue.trySend(other, at(0)));
+  // With equal receipts the deadline decides; with twice the weight, an account
+  // goes first twice.
+  CHECK(queue.trySend(flood[1], at(0)));
+  uint64_t heavy = join("heavy", 900, 2);
+  uint64_t second = join("heavy", 901, 2);
+  CHECK(queue.trySend(heavy, at(0)));
+  CHECK(queue.trySend(second, at(0)));
+  CHECK(queue.trySend(flood[2], at(0)));
+}
+
 // Guards against requests that wait although those ahead make them late.
 TEST_CASE("A plain request that can't be on time doesn't wait") {
   PlainQueue queue;
   for (int i = 0; i < 3; ++i) // the interval is 100 ms
-    queue.onRefused();
+    queue.onRefused(at(0));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
   REQUIRE(queue.join(entryOf(1, 300), at(0)));
@@ -47,6 +75,24 @@
   CHECK(queue.drainTime() == Milliseconds(500));
 }
 
+// Guards against an overloaded service whose answers are all late since every
+// instance sends more, and against rejections without a recent refusal.
+TEST_CASE("Plain requests are rejected on arrival while servers refuse") {
+  PlainQueue queue;
+  auto answer = [&](int64_t Ms, bool OnTime) {
+    queue.onAnswered(Milliseconds(60), OnTime, at(Ms));
+  };
+  for (int64_t ms = 0; ms < 500; ms += 100)
+    answer(ms, false); // late without a refusal: the target may be too short
+  CHECK(queue.admits(0.99, at(500)));
+  queue.onRefused(at(500));
+  CHECK_FALSE(queue.admits(0.99, at(510)));
+  for (int i = 0; i < 20; ++i)
+    queue.admits(0.99, at(520));
+  CHECK(queue.admits(0.12, at(520)));  // some find out when there is room
+  CHECK(queue.admits(0.99, at(1600))); // the refusal is too old
+}
+
 TEST_CASE("Retry delays of plain requests are spread within a third") {
   CHECK(plainRetryAfter(Milliseconds(0), Milliseconds(3000), 0) ==
         Milliseconds(300));
@@ -90,6 +136,13 @@
   SUBCASE("within the retry budget") {
     CHECK(gateway.run(route).ends_with("paid"));
     CHECK(calls == 4);
+    bool counted = false;
+    gateway.Queues.forEachCounter(
+        [&](const std::string &Name, const std::string &Label, uint64_t Value) {
+          counted = counted || (Name == "plain_waits_total" &&
+                                Label == "bays/sent" && Value > 0);
+        });
+    CHECK(counted);
   }
   SUBCASE("not beyond it") {
     gateway.Directory.setRetryAllowance({0, 0});
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -70,7 +70,7 @@
   CHECK(values.Retries.Fixed == 56);
   CHECK(values.Access == AccessPolicy{true, Milliseconds(7000)});
   CHECK(values.ConfigApplyTime == Milliseconds(2500));
-  CHECK(values.Quotas == QuotaBounds{Milliseconds(6000), 0.5, 1000});
+  CHECK(values.Quotas == QuotaRules{Milliseconds(6000), 0.5, 1000});
 }
 
 // Guards against an instance that refuses callers, or none, since a bound is
@@ -83,8 +83,7 @@
   REQUIRE(outcome.Values.has_value());
   CHECK_FALSE(outcome.Values->Access.FailClosed);
   CHECK(outcome.Values->ConfigApplyTime == Milliseconds(3000));
-  CHECK(outcome.Values->Quotas ==
-        QuotaBounds{Milliseconds(8000), 0.25, 190000});
+  CHECK(outcome.Values->Quotas == QuotaRules{Milliseconds(8000), 0.25, 190000});
   text.insert(from, "revoke-fail-closed = 1\nrevoke-ms = 0\n"
                     "config-apply-ms = \"3\"\nquota-window-s = -1\n"
                     "quota-overage = true\nquota-tolerance = -0.5\n");
