Name only what changed of members in exchanges

Each frame of a round named every member with its figures: 140 kB at 400 members, and most of the bytes between failure domains.

In a fleet that knows more than 16 members, frames now say in six bytes of each member when it was heard and which version of its state is known; a response holds the states that the requester lacks, 12 at most, or 48 after its start. Peers of earlier builds, which state no digest, get and send all members. Contacts are mostly within the failure domain, and those of seeds are rarer in a large fleet, where they were what made a seed the busiest instance. Metrics count the bytes that are sent by kind, and those between failure domains.

--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 #include <utility>
+#include <xxhash.h>
 
 namespace crocusspur::gateway {
 namespace {
@@ -20,8 +22,10 @@
 constexpr Milliseconds ReachValidity{10000};
 // Time during which no request is passed on to a member that refused one.
 constexpr Milliseconds RefusedForwardPause{500};
-// A seed is contacted once in this many rounds, even if members are known.
-constexpr uint32_t SeedContactRounds = 10;
+// A seed is contacted once in this many rounds, even if members are known, and
+// less often in a large fleet, so that it gets less than one such contact in a
+// second.
+constexpr size_t SeedContactRounds = 10;
 // Assumed until a member is known: about the largest fleet planned for the near
 // term, so that an isolated instance doesn't use budget that belongs to others.
 constexpr uint32_t DefaultSharers = 64;
@@ -29,9 +33,19 @@
 // From the first member seen until the others are known too. After a restart of
 // many processes, each finds one first and the rest in its next rounds.
 constexpr Milliseconds DiscoveryTime{3000};
+// In a fleet that knows more members, contacts are mostly within the failure
+// domain: bytes between domains are dear. One contact in this many is chosen
+// from all, so that a domain of ten hears of a change within a round or two.
+constexpr size_t MinFleetWithDomains = 16;
+constexpr size_t MinDomainMembers = 4;
+constexpr uint64_t AnyDomainShare = 4;
 
 } // namespace
 
+uint32_t memberKey(const std::string &Name, uint64_t Incarnation) {
+  return static_cast<uint32_t>(XXH64(Name.data(), Name.size(), Incarnation));
+}
+
 void MemberTable::setSeeds(std::vector<std::string> Addresses) {
   std::erase(Addresses, OwnAddress);
   Seeds = std::move(Addresses);
@@ -45,12 +59,37 @@
     FirstMemberSeenAt = Now;
   TimePoint at = Now - Item.LastSeenAgo;
   State &state = Members[Item.Name];
-  if (at <= state.LastSeenAt)
+  bool isSame = state.Item.Incarnation == Item.Incarnation;
+  bool isNewState = isSame && Item.StateVersion > state.Item.StateVersion;
+  bool isLater = at > state.LastSeenAt;
+  if (!isLater && !isNewState)
     return;
-  if (state.Item.Incarnation != Item.Incarnation)
+  if (!isSame)
     state.SkipUntil = TimePoint();
+  state.LastSeenAt = std::max(state.LastSeenAt, at);
+  if (isSame && Item.StateVersion < state.Item.StateVersion)
+    return; // from a peer that lacks the latest state
   state.Item = Item;
-  state.LastSeenAt = at;
+  state.Key = memberKey(Item.Name, Item.Incarnation);
+  state.StateAt = at;
+  state.ConfirmedAt = at;
+}
+
+void MemberTable::onMembersHeard(const std::vector<MemberHeard> &Items,
+                                 TimePoint Now) {
+  std::unordered_map<uint32_t, State *> byKey;
+  for (auto &[name, state] : Members)
+    byKey[state.Key] = &state;
+  for (const MemberHeard &it : Items) {
+    auto found = byKey.find(it.Key);
+    if (found == byKey.end() || it.Ago >= MemberRetention)
+      continue;
+    State &state = *found->second;
+    TimePoint at = Now - it.Ago;
+    state.LastSeenAt = std::max(state.LastSeenAt, at);
+    if (it.Version == static_cast<uint8_t>(state.Item.StateVersion))
+      state.ConfirmedAt = std::max(state.ConfirmedAt, at);
+  }
 }
 
 void MemberTable::onContactFailed(const std::string &Address, TimePoint Now) {
@@ -63,11 +102,22 @@
                                                      TimePoint Now) {
   ++Round;
   std::vector<std::string> ring;
+  auto isContact = [&](const State &It) {
+    return Now - It.LastSeenAt < MemberRetention && It.SkipUntil <= Now;
+  };
+  size_t members = 0;
+  size_t inDomain = 0;
+  for (const auto &[name, state] : Members) {
+    members += isContact(state);
+    inDomain += isContact(state) && state.Item.FailureDomain == OwnDomain;
+  }
+  bool within = !OwnDomain.empty() && members >= MinFleetWithDomains &&
+                inDomain >= MinDomainMembers && Random() % AnyDomainShare != 0;
   // Members after the own name in name order, then those before it.
   auto add = [&](auto From, auto To) {
     for (auto it = From; it != To; ++it)
-      if (Now - it->second.LastSeenAt < MemberRetention &&
-          it->second.SkipUntil <= Now)
+      if (isContact(it->second) &&
+          (!within || it->second.Item.FailureDomain == OwnDomain))
         ring.push_back(it->second.Item.Address);
   };
   auto own = Members.upper_bound(OwnName);
@@ -79,7 +129,11 @@
     ring.erase(ring.begin());
   }
   std::shuffle(ring.begin(), ring.end(), Random);
-  bool contactSeed = chosen.empty() || Round % SeedContactRounds == 0;
+  size_t seedRounds = std::max(SeedContactRounds,
+                               2 * members / std::max<size_t>(Seeds.size(), 1));
+  // Instances that start together don't contact seeds in the same round.
+  bool contactSeed =
+      chosen.empty() || Round % seedRounds == SeedPhase % seedRounds;
   if (contactSeed && !Seeds.empty())
     chosen.push_back(Seeds[Random() % Seeds.size()]);
   // Others may be up while one isn't.
@@ -103,6 +157,14 @@
     all.push_back(state.Item);
     all.back().LastSeenAgo =
         std::chrono::duration_cast<Milliseconds>(Now - state.LastSeenAt);
+    // Ages are relative to the time of the latest sign of life.
+    auto since = [seenAt = state.LastSeenAt](TimePoint At) {
+      return std::chrono::duration_cast<Milliseconds>(seenAt - At);
+    };
+    for (IssuedStageOrder &it : all.back().Orders)
+      it.Age += since(state.StateAt);
+    for (ServiceReach &it : all.back().Reached)
+      it.Age += since(state.ConfirmedAt);
   }
   return all;
 }
@@ -192,7 +254,9 @@
     auto it = std::ranges::find(all, Service, &ServiceReach::Service);
     if (it == all.end())
       unknown.push_back(state.Item);
-    else if (it->Age + seenAgo < ReachValidity)
+    else if (it->Age + std::chrono::duration_cast<Milliseconds>(
+                           Now - state.ConfirmedAt) <
+             ReachValidity)
       found.push_back(state.Item);
   }
   std::shuffle(found.begin(), found.end(), Random);
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -52,8 +52,22 @@
   std::string FailureDomain{}; // empty: of a build that doesn't state it
   // The store didn't respond to the instance lately.
   bool StoreFailing = false;
+  // Rises with each change of the above that peers should learn; 0: of a build
+  // that states none.
+  uint64_t StateVersion = 0;
 };
 
+// When a member was heard, without its state.
+struct MemberHeard {
+  uint32_t Key = 0;    // see memberKey()
+  uint8_t Version = 0; // the lowest byte of its state's
+  Milliseconds Ago{0};
+};
+
+// Identifies a process of a member. Two of 400 have the same key once in 50,000
+// fleets; then one is taken for alive for as long as the other is.
+uint32_t memberKey(const std::string &Name, uint64_t Incarnation);
+
 // The instance that decides for the fleet on a key.
 struct KeyOwner {
   std::string Name;
@@ -66,7 +80,7 @@
 public:
   MemberTable(std::string OwnName, std::string OwnAddress, uint64_t Seed)
       : OwnName(std::move(OwnName)), OwnAddress(std::move(OwnAddress)),
-        Random(Seed) {}
+        Random(Seed), SeedPhase(Seed % 1000) {}
 
   // Seeds are contacted until members are known and occasionally afterwards, so
   // that separated parts of the fleet discover each other.
@@ -75,9 +89,15 @@
   // Records a member seen directly or reported by a peer. Ignores updates older
   // than the known state. A new incarnation replaces the previous one.
   void onMemberSeen(const Member &Item, TimePoint Now);
+  // The same for known members, without their state.
+  void onMembersHeard(const std::vector<MemberHeard> &Items, TimePoint Now);
   // Records a failed exchange with the address.
   void onContactFailed(const std::string &Address, TimePoint Now);
 
+  // This instance's failure domain. In a large fleet most contacts are within
+  // it.
+  void setFailureDomain(std::string Name) { OwnDomain = std::move(Name); }
+
   // Returns the addresses to contact in this round, at most `Count`.
   std::vector<std::string> selectContacts(size_t Count, TimePoint Now);
 
@@ -128,17 +148,22 @@
 
   struct State {
     Member Item;
+    uint32_t Key = 0;
     TimePoint LastSeenAt;
+    TimePoint StateAt;     // of which the item's ages are
+    TimePoint ConfirmedAt; // when it was last known to have this state
     TimePoint SkipUntil;
     std::map<std::string, TimePoint> ForwardSkipUntil; // by service
   };
 
   std::string OwnName;
   std::string OwnAddress;
+  std::string OwnDomain;
   std::mt19937_64 Random;
   std::vector<std::string> Seeds;
   std::map<std::string, State> Members; // by name
   uint32_t Round = 0;
+  size_t SeedPhase;
   uint32_t MaxSeen = 0; // members at once, including this instance
   TimePoint MaxSeenAt;
   std::optional<TimePoint> FirstMemberSeenAt;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -5,6 +5,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/frame_traffic.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership.h"
 #include "gateway/reservation_queues.h"
@@ -78,6 +79,7 @@
   std::atomic<bool> Closing{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
+  FrameTraffic Traffic; // to other instances
   Membership Peers;
   StoreReaders Readers;
   // Filled by member_links before callers are served; empty without peers.
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -1,5 +1,6 @@
 #include "gateway/member_codec.h"
 
+#include "gateway/decisions/fleet/member_deltas.h"
 #include "gateway/wire_text.h"
 #include "gateway_peer_generated.h"
 
@@ -37,11 +38,12 @@
   auto reachedList = Out.CreateVector(reached);
   auto statsList = Out.CreateVector(stats);
   auto orderList = Out.CreateVector(orders);
-  return wire::CreateMember(
-      Out, Out.CreateString(Item.Name), Out.CreateString(Item.Address),
-      Item.Incarnation, static_cast<uint32_t>(Item.LastSeenAgo.count()),
-      Item.Leaving, statsList, orderList, reachedList,
-      Out.CreateString(Item.FailureDomain), Item.StoreFailing);
+  return wire::CreateMember(Out, Out.CreateString(Item.Name),
+                            Out.CreateString(Item.Address), Item.Incarnation,
+                            static_cast<uint32_t>(Item.LastSeenAgo.count()),
+                            Item.Leaving, statsList, orderList, reachedList,
+                            Out.CreateString(Item.FailureDomain),
+                            Item.StoreFailing, Item.StateVersion);
 }
 
 flatbuffers::Offset<wire::ServerLimit> pack(Builder &Out,
@@ -79,6 +81,7 @@
           {textOf(it->service()), Milliseconds(it->ago_ms())});
   member.FailureDomain = textOf(Item.failure_domain());
   member.StoreFailing = Item.store_failing();
+  member.StateVersion = Item.state_version();
   return member;
 }
 
@@ -277,6 +280,9 @@
       leavingList;
   if (!leaving.empty())
     leavingList = out.CreateVector(leaving);
+  flatbuffers::Offset<flatbuffers::Vector<uint8_t>> heard;
+  if (!Frame.Heard.empty())
+    heard = out.CreateVector(packHeard(Frame.Heard));
   auto sender = pack(out, Frame.Sender);
   auto memberList = out.CreateVector(members);
   auto routes = out.CreateString(Frame.RoutesText);
@@ -295,7 +301,8 @@
       Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra,
       Frame.StoreConfirmedAgo.has_value(),
       static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
-      Frame.ChangesSince.has_value(), since.Number, since.Era));
+      Frame.ChangesSince.has_value(), since.Number, since.Era, {}, {}, {},
+      Frame.MembersDigest, heard));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -325,6 +332,10 @@
                                {it->era(), it->revision()},
                                it->gone(),
                                textOf(it->text())});
+  frame.MembersDigest = in.members_digest();
+  if (in.members_heard())
+    frame.Heard =
+        unpackHeard({in.members_heard()->data(), in.members_heard()->size()});
   frame.AcceptsChanges = in.accepts_changes();
   if (in.has_changes())
     frame.ChangesSince = {in.changes_since_era(), in.changes_since_revision()};
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -31,9 +31,13 @@
 // An exchange is one request and one response of this type.
 struct MemberFrame {
   Member Sender;
-  std::vector<Member> Members; // known to the sender
-  bool WantsRoutes = false;    // if the receiver has a newer version
-  bool WantsServers = false;   // if the receiver has newer changes
+  std::vector<Member> Members; // known to the sender; all or some of them
+  // digestOf() the sender's members and itself; 0: of an earlier build, which
+  // expects and sends all members.
+  uint64_t MembersDigest = 0;
+  std::vector<MemberHeard> Heard; // members without their state
+  bool WantsRoutes = false;       // if the receiver has a newer version
+  bool WantsServers = false;      // if the receiver has newer changes
   uint64_t ConfigVersion = 0;
   StoreRevision ConfigRevision; // of the change that wrote it
   StoreRevision ServersRevision;
--- a/src/gateway/member_exchange.cc
+++ b/src/gateway/member_exchange.cc
@@ -88,11 +88,17 @@
 std::optional<MemberFrame> callMember(const std::string &Address,
                                       const MemberFrame &Request,
                                       Milliseconds Timeout) {
+  return callMemberEncoded(Address, encode(Request), Timeout);
+}
+
+std::optional<MemberFrame>
+callMemberEncoded(const std::string &Address,
+                  const std::vector<uint8_t> &Request, Milliseconds Timeout) {
   try {
     StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
     setTimeouts(socket, Timeout);
-    sendFrame(socket, encode(Request));
+    sendFrame(socket, Request);
     return receiveFrame(socket, Timeout);
   } catch (const Poco::Exception &) {
     return std::nullopt; // the caller records the failed contact
--- a/src/gateway/member_exchange.h
+++ b/src/gateway/member_exchange.h
@@ -35,6 +35,10 @@
 std::optional<MemberFrame> callMember(const std::string &Address,
                                       const MemberFrame &Request,
                                       Milliseconds Timeout);
+// The same with an encoded request.
+std::optional<MemberFrame>
+callMemberEncoded(const std::string &Address,
+                  const std::vector<uint8_t> &Request, Milliseconds Timeout);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -11,6 +11,7 @@
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/fleet/document_sources.h"
+#include "gateway/decisions/fleet/member_deltas.h"
 #include "gateway/forward_service.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/member_exchange.h"
@@ -22,6 +23,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <random>
 #include <set>
 #include <thread>
 #include <utility>
@@ -101,12 +103,17 @@
   bool needsUpdates();
   // The part that all frames have.
   MemberFrame basicFrame();
-  MemberFrame requestFrame();
+  MemberFrame requestFrame(const std::string &Address);
   // Returns whether the response holds a whole list, whose end is to be
   // reported to Serving.
   bool addRequestedUpdates(const MemberFrame &Request, MemberFrame &Response);
-  // The members that a response names.
-  std::vector<Member> membersFor(const MemberFrame &Request);
+  // Adds what the request's sender lacks of the members.
+  void addMembers(const MemberFrame &Request, MemberFrame &Response);
+  // Adds what this instance knows of the members.
+  void addKnownMembers(const std::string &Address, MemberFrame &Request);
+  static void setNews(MemberNews News, MemberFrame &Frame);
+  // The bytes of a frame to an instance of this domain were sent.
+  void count(FrameKind Kind, size_t Bytes, const std::string &Domain);
   void respond(StreamSocket &Socket, const MemberFrame &Request);
   // Notes whether the sender has the documents.
   void noteHolder(const MemberFrame &Frame);
@@ -137,8 +144,9 @@
   std::mutex NewestMutex;
   ConfigKey NewestConfig;
   StoreRevision NewestServers;
-  // Guards the two objects below.
-  std::mutex SourcesMutex;
+  std::mutex SourcesMutex; // guards the objects below
+  StateVersion OwnState;
+  std::mt19937_64 Random;
   std::optional<DocumentSources> Sources;
   std::optional<DocumentServing> Serving;
   TimePoint StartedAt;
@@ -165,6 +173,8 @@
   if (!metrics)
     return false;
   StartedAt = Clock::now();
+  Runtime->Peers.setFailureDomain(values.FailureDomain);
+  Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
   Context.emplace(GatewayContext{
@@ -253,14 +263,26 @@
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   frame.Sender.Reached = Runtime->Connections.reachability().reached();
   frame.StoreConfirmedAgo = Runtime->Readers.confirmedAgo();
+  std::lock_guard lock(SourcesMutex);
+  frame.Sender.StateVersion = OwnState.versionOf(
+      frame.Sender, Runtime->PeersKnown.load(), Clock::now());
   return frame;
 }
 
-MemberFrame MemberLinks::requestFrame() {
+void MemberLinks::addKnownMembers(const std::string &Address,
+                                  MemberFrame &Request) {
+  std::vector<Member> all = Runtime->Peers.alive();
+  auto peer = std::ranges::find(all, Address, &Member::Address);
+  bool isEarlierBuild = peer != all.end() && peer->StateVersion == 0;
+  setNews(newsForRequest(std::move(all), Request.Sender, isEarlierBuild),
+          Request);
+}
+
+MemberFrame MemberLinks::requestFrame(const std::string &Address) {
   MemberFrame frame = basicFrame();
   // One that lacks the documents has nothing to tell but itself.
   if (Runtime->Directory.isComplete())
-    frame.Members = Runtime->Peers.alive();
+    addKnownMembers(Address, frame);
   frame.WantsRoutes = needsUpdates();
   frame.WantsServers = frame.WantsRoutes;
   frame.AcceptsChanges = true;
@@ -320,12 +342,32 @@
   return true;
 }
 
-std::vector<Member> MemberLinks::membersFor(const MemberFrame &Request) {
+void MemberLinks::addMembers(const MemberFrame &Request,
+                             MemberFrame &Response) {
   std::vector<Member> all = Runtime->Peers.alive();
-  if (!Request.WantsServers || Request.ServersRevision.Number > 0)
-    return all;
   std::lock_guard lock(SourcesMutex);
-  return Serving->membersForNewcomer(std::move(all), Clock::now());
+  if (Request.WantsServers && Request.ServersRevision.Number == 0)
+    Response.Members =
+        Serving->membersForNewcomer(std::move(all), Clock::now());
+  else
+    setNews(
+        newsForResponse(std::move(all), Response.Sender,
+                        {Request.MembersDigest, Request.Members, Request.Heard},
+                        Request.Sender, Random),
+        Response);
+}
+
+void MemberLinks::setNews(MemberNews News, MemberFrame &Frame) {
+  Frame.MembersDigest = News.Digest;
+  Frame.Members = std::move(News.Members);
+  Frame.Heard = std::move(News.Heard);
+}
+
+void MemberLinks::count(FrameKind Kind, size_t Bytes,
+                        const std::string &Domain) {
+  Runtime->Traffic.add(Kind, Bytes + FramePrefixBytes,
+                       !Domain.empty() &&
+                           Domain != Runtime->Values.FailureDomain);
 }
 
 void MemberLinks::addServers(const std::vector<ServerChange> &Changes,
@@ -362,6 +404,8 @@
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
+  if (!Frame.Heard.empty())
+    Runtime->Peers.onMembersHeard(Frame.Heard);
   Runtime->Directory.setInstances(Runtime->Peers.budgetSharers());
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty())
@@ -421,7 +465,9 @@
       MemberFrame permit;
       permit.Sender = Runtime->ownMember();
       permit.Permit = Runtime->Limits.decide(*request->WantedPermit);
-      sendFrame(Socket, encode(permit));
+      std::vector<uint8_t> bytes = encode(permit);
+      count(FrameKind::Permit, bytes.size(), request->Sender.FailureDomain);
+      sendFrame(Socket, bytes);
       return;
     }
     for (const StreamOrigin &it : request->Origins)
@@ -445,7 +491,7 @@
   MemberFrame response = basicFrame();
   bool isServing = false;
   if (!Request.IsNotification) {
-    response.Members = membersFor(Request);
+    addMembers(Request, response);
     isServing = addRequestedUpdates(Request, response);
     response.Crashes = Runtime->Crashes.updateFor(Request.CrashDigest);
     if (Request.LeavingDigest != response.LeavingDigest)
@@ -456,8 +502,14 @@
     if (isServing)
       Serving->onEnd(Request.Sender.Name, Sent, Clock::now());
   };
+  std::vector<uint8_t> bytes = encode(response);
+  response = {}; // a list isn't kept twice while it is sent
+  count(isServing                ? FrameKind::List
+        : Request.IsNotification ? FrameKind::Notification
+                                 : FrameKind::Round,
+        bytes.size(), Request.Sender.FailureDomain);
   try {
-    sendFrame(Socket, encode(response));
+    sendFrame(Socket, bytes);
   } catch (const Poco::Exception &) {
     end(false);
     throw;
@@ -467,7 +519,11 @@
 
 bool MemberLinks::exchange(const std::string &Address,
                            const MemberFrame &Request, Milliseconds Timeout) {
-  std::optional<MemberFrame> response = callMember(Address, Request, Timeout);
+  std::vector<uint8_t> bytes = encode(Request);
+  std::optional<MemberFrame> response =
+      callMemberEncoded(Address, bytes, Timeout);
+  count(Request.IsNotification ? FrameKind::Notification : FrameKind::Round,
+        bytes.size(), response ? response->Sender.FailureDomain : "");
   if (response)
     applyFrame(*response);
   if (Request.WantsServers && !Request.IsNotification) {
@@ -494,8 +550,11 @@
   MemberFrame frame;
   frame.Sender = Runtime->ownMember();
   frame.WantedPermit = Request;
+  std::vector<uint8_t> bytes = encode(frame);
   std::optional<MemberFrame> response =
-      callMember(Address, frame, PermitTimeout);
+      callMemberEncoded(Address, bytes, PermitTimeout);
+  count(FrameKind::Permit, bytes.size(),
+        response ? response->Sender.FailureDomain : "");
   return response ? response->Permit : std::nullopt;
 }
 
@@ -526,7 +585,7 @@
   for (const std::string &it : contacts) {
     if (Runtime->Closing.load() || Runtime->Directory.isComplete())
       break;
-    bool responds = exchange(it, requestFrame(), ExchangeTimeout);
+    bool responds = exchange(it, requestFrame(it), ExchangeTimeout);
     hasResponse = hasResponse || responds;
     if (!responds)
       Runtime->Peers.onContactFailed(it);
@@ -551,7 +610,7 @@
   for (const std::string &it : contactsOfRound(CatchUp)) {
     if (Runtime->Closing.load())
       return;
-    if (!exchange(it, requestFrame(), ExchangeTimeout))
+    if (!exchange(it, requestFrame(it), ExchangeTimeout))
       Runtime->Peers.onContactFailed(it);
   }
   logMembershipChanges();
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -23,6 +23,16 @@
   Table.onMemberSeen(Item, Clock::now());
 }
 
+void Membership::onMembersHeard(const std::vector<MemberHeard> &Items) {
+  std::lock_guard lock(Mutex);
+  Table.onMembersHeard(Items, Clock::now());
+}
+
+void Membership::setFailureDomain(std::string Name) {
+  std::lock_guard lock(Mutex);
+  Table.setFailureDomain(std::move(Name));
+}
+
 void Membership::onContactFailed(const std::string &Address) {
   std::lock_guard lock(Mutex);
   Table.onContactFailed(Address, Clock::now());
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -16,8 +16,10 @@
   Membership(std::string OwnName, std::string OwnAddress, uint64_t Seed)
       : Table(std::move(OwnName), std::move(OwnAddress), Seed) {}
 
+  void setFailureDomain(std::string Name);
   void setSeeds(std::vector<std::string> Addresses);
   void onMemberSeen(const Member &Item);
+  void onMembersHeard(const std::vector<MemberHeard> &Items);
   void onContactFailed(const std::string &Address);
   std::vector<std::string> selectContacts(size_t Count);
   std::vector<Member> alive() const;
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -131,6 +131,11 @@
                     static_cast<double>(Runtime->Directory.routes()->Version));
   Metrics->setGauge("peers_linked", "",
                     static_cast<double>(Runtime->PeersKnown.load()));
+  for (size_t i = 0; i < FrameKindNames.size(); ++i)
+    Metrics->setGauge("member_bytes_sent_total", FrameKindNames[i],
+                      static_cast<double>(Runtime->Traffic.sent(i)));
+  Metrics->setGauge("member_bytes_between_domains_total", "",
+                    static_cast<double>(Runtime->Traffic.betweenDomains()));
   Metrics->setGauge("server_connections_total", "",
                     static_cast<double>(Runtime->Connections.opened()));
   Metrics->setGauge("store_reachable", "",
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -2156,7 +2156,8 @@
     VT_QUOTA_REQUEST = 70,
     VT_QUOTA_LEASE = 72,
     VT_PACES = 74,
-    VT_MEMBERS_DIGEST = 76
+    VT_MEMBERS_DIGEST = 76,
+    VT_MEMBERS_HEARD = 78
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -2269,6 +2270,9 @@
   uint64_t members_digest() const {
     return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
   }
+  const flatbuffers::Vector<uint8_t> *members_heard() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MEMBERS_HEARD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -2333,6 +2337,8 @@
            verifier.VerifyVector(paces()) &&
            verifier.VerifyVectorOfTables(paces()) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_MEMBERS_HEARD) &&
+           verifier.VerifyVector(members_heard()) &&
            verifier.EndTable();
   }
 };
@@ -2452,6 +2458,9 @@
   void add_members_digest(uint64_t members_digest) {
     fbb_.AddElement<uint64_t>(Frame::VT_MEMBERS_DIGEST, members_digest, 0);
   }
+  void add_members_heard(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard) {
+    fbb_.AddOffset(Frame::VT_MEMBERS_HEARD, members_heard);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2501,7 +2510,8 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaRequest> quota_request = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>> paces = 0,
-    uint64_t members_digest = 0) {
+    uint64_t members_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
@@ -2514,6 +2524,7 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_members_heard(members_heard);
   builder_.add_paces(paces);
   builder_.add_quota_lease(quota_lease);
   builder_.add_quota_request(quota_request);
@@ -2581,7 +2592,8 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaRequest> quota_request = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *paces = nullptr,
-    uint64_t members_digest = 0) {
+    uint64_t members_digest = 0,
+    const std::vector<uint8_t> *members_heard = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2591,6 +2603,7 @@
   auto origins__ = origins ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::StreamOrigin>>(*origins) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer>>(*leaving) : 0;
   auto paces__ = paces ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>(*paces) : 0;
+  auto members_heard__ = members_heard ? _fbb.CreateVector<uint8_t>(*members_heard) : 0;
   return crocusspur::gateway::wire::CreateFrame(
       _fbb,
       protocol,
@@ -2629,7 +2642,8 @@
       quota_request,
       quota_lease,
       paces__,
-      members_digest);
+      members_digest,
+      members_heard__);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -26,6 +26,9 @@
   frame.StoreConfirmedAgo = Milliseconds(740);
   frame.Sender.FailureDomain = "hall-a";
   frame.Sender.StoreFailing = true;
+  frame.Sender.StateVersion = 300;
+  frame.MembersDigest = 97;
+  frame.Heard = {{4000000000U, 44, Milliseconds(1250)}};
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {
       {71, "i-2", "n3", Milliseconds(250)},
@@ -77,6 +80,12 @@
   CHECK(back->StoreConfirmedAgo == Milliseconds(740));
   CHECK(back->Sender.FailureDomain == "hall-a");
   CHECK(back->Sender.StoreFailing);
+  CHECK(back->Sender.StateVersion == 300);
+  CHECK(back->MembersDigest == 97);
+  REQUIRE(back->Heard.size() == 1);
+  CHECK(back->Heard[0].Key == 4000000000U);
+  CHECK(back->Heard[0].Version == 44);
+  CHECK(back->Heard[0].Ago == Milliseconds(1250));
   CHECK_FALSE(back->Members[0].StoreFailing);
   REQUIRE(back->Servers.size() == 2);
   CHECK(back->Servers[0].Text == "{\"a\":1}");
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -59,6 +59,27 @@
   CHECK(seen.size() > 350);
 }
 
+// Guards against rounds that cross failure domains whatever the fleet's size,
+// and against domains that don't hear of each other.
+TEST_CASE("In a large fleet most contacts are within the failure domain") {
+  MemberTable table("n0", "10.0.0.0:1", 7);
+  table.setFailureDomain("d0");
+  for (int i = 1; i < 61; ++i) {
+    Member member = memberOf(i);
+    member.FailureDomain = "d" + std::to_string(i % 4);
+    table.onMemberSeen(member, Start);
+  }
+  int within = 0;
+  int all = 0;
+  for (int i = 0; i < 500; ++i)
+    for (const std::string &it : table.selectContacts(2, at(i))) {
+      ++all;
+      within += std::stoi(it.substr(7)) % 4 == 0;
+    }
+  CHECK(within > all * 7 / 10);
+  CHECK(within < all * 9 / 10);
+}
+
 TEST_CASE("A member that isn't seen for ten seconds is removed") {
   MemberTable table("n1", "10.0.0.1:1", 7);
   table.onMemberSeen(memberOf(2), Start);
