--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -7,6 +7,7 @@
 #include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/frame_traffic.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership.h"
 #include "gateway/reservation_queues.h"
@@ -84,6 +85,7 @@
   std::atomic<bool> Closing{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
+  FrameTraffic Traffic; // to other instances
   Membership Peers;
   StoreReaders Readers;
   AccessControl Access;
