Bound placement by pace in the settings and show it to operators

The optional table [pace] of the settings switches placement by pace off or bounds it, and takes effect when the settings are reloaded.

Tested: platform_settings_test passes, with the new case for invalid values.

--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -34,16 +34,22 @@
   LastDiagnostics.clear();
   bool seedsChanged = NewValues.SeedAddresses != Seeds;
   bool retriesChanged = NewValues.Retries != Retries;
-  if (!seedsChanged && !retriesChanged)
+  bool paceChanged = NewValues.Pace != Pace;
+  if (!seedsChanged && !retriesChanged && !paceChanged)
     return;
   Seeds = NewValues.SeedAddresses;
   Retries = NewValues.Retries;
+  Pace = NewValues.Pace;
   Directory.setRetryAllowance(Retries);
+  Directory.setPaceSettings(Pace);
   log(LogLevel::Info, "lifecycle", "settings changed",
       {{"trigger", Why},
        {"seeds", std::to_string(Seeds.size())},
        {"repeat_ratio", std::to_string(Retries.Ratio)},
-       {"repeat_allowance", std::to_string(Retries.Fixed)}});
+       {"repeat_allowance", std::to_string(Retries.Fixed)},
+       {"pace_enabled", Pace.Enabled ? "true" : "false"},
+       {"pace_dead_band", std::to_string(Pace.DeadBand)},
+       {"pace_max_ratio", std::to_string(Pace.MaxRatio)}});
 }
 
 void GatewayRuntime::logInvalidSettings(const DiagnosticList &Diagnostics,
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -38,7 +38,8 @@
         Crashes(this->Values.Instance), Origins(Incarnation),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
-        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
+        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries),
+        Pace(this->Values.Pace) {
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
           if (StartedAt)
@@ -83,8 +84,8 @@
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
-  // Applies the settings that can change at run time: seeds and the retry
-  // budget. Others need a restart.
+  // Applies the settings that can change at run time: seeds, the retry budget
+  // and the use of servers' paces. Others need a restart.
   void applySettings(const GatewaySettings &NewValues, const char *Why);
   // Keeps the active settings. Logs each set of diagnostics once.
   void logInvalidSettings(const DiagnosticList &Diagnostics, const char *Why);
@@ -102,6 +103,7 @@
   mutable std::mutex Mutex;
   std::vector<std::string> Seeds;
   RetryAllowance Retries;
+  PaceSettings Pace;
   std::string LastDiagnostics;
 };
 
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -160,6 +160,15 @@
                     static_cast<double>(permits.OwnShare));
   Metrics->setGauge("limit_unpermitted_total", "",
                     static_cast<double>(permits.Unpermitted));
+  ServiceDirectory::PaceCounts paces = Runtime->Directory.paceCounts();
+  Metrics->setGauge("pace_evidence_total", "own",
+                    static_cast<double>(paces.Samples));
+  Metrics->setGauge("pace_evidence_total", "peers",
+                    static_cast<double>(paces.Merged));
+  Metrics->setGauge("pace_changes_total", "",
+                    static_cast<double>(paces.Changes));
+  for (const auto &[service, count] : Runtime->Directory.slowServers())
+    Metrics->setGauge("servers_slow", service, count);
   ServerReachability &reach = Runtime->Connections.reachability();
   Metrics->clearGauge("service_cut_off");
   for (const std::string &it : reach.unreachedServices())
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -78,3 +78,20 @@
 TEST_CASE("parseSettings reports a file that isn't TOML as one error") {
   CHECK(parse("node-name = ").Keys == std::vector<std::string>{"file"});
 }
+
+// A misspelt bound would switch placement by pace off, or unbind it.
+TEST_CASE("parseSettings checks the table of servers' paces") {
+  Outcome without = parse(Good);
+  REQUIRE(without.Values.has_value());
+  CHECK(without.Values->Pace == PaceSettings());
+  Outcome outcome =
+      parse(Good + "[pace]\nenabled = false\ndead-band = 1.5\nmax-ratio = 4\n");
+  REQUIRE(outcome.Values.has_value());
+  CHECK(outcome.Values->Pace == PaceSettings{false, 1.5, 4});
+  using Keys = std::vector<std::string>;
+  CHECK(parse(Good + "[pace]\nenabled = 1\n").Keys == Keys{"pace.enabled"});
+  for (const char *it : {"0.9", "nan", "inf", "\"2\"", "5.1"})
+    CHECK(parse(Good + "[pace]\ndead-band = " + it + "\n").Keys ==
+          Keys{"pace.dead-band"});
+  CHECK(parse(Good + "[pace]\nmax-ratio = 0\n").Keys == Keys{"pace.max-ratio"});
+}
