--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -35,19 +35,25 @@
   bool seedsChanged = NewValues.SeedAddresses != Seeds;
   bool retriesChanged = NewValues.Retries != Retries;
   bool accessChanged = NewValues.Access != Access.policy();
-  if (!seedsChanged && !retriesChanged && !accessChanged)
+  bool paceChanged = NewValues.Pace != Pace;
+  if (!seedsChanged && !retriesChanged && !accessChanged && !paceChanged)
     return;
   Seeds = NewValues.SeedAddresses;
   Retries = NewValues.Retries;
+  Pace = NewValues.Pace;
   Directory.setRetryAllowance(Retries);
   Access.setPolicy(NewValues.Access);
+  Directory.setPaceSettings(Pace);
   log(LogLevel::Info, "lifecycle", "settings changed",
       {{"trigger", Why},
        {"seeds", std::to_string(Seeds.size())},
        {"repeat_ratio", std::to_string(Retries.Ratio)},
        {"repeat_allowance", std::to_string(Retries.Fixed)},
        {"revoke_fail_closed", NewValues.Access.FailClosed ? "true" : "false"},
-       {"revoke_ms", std::to_string(NewValues.Access.MaxAge.count())}});
+       {"revoke_ms", std::to_string(NewValues.Access.MaxAge.count())},
+       {"pace_enabled", Pace.Enabled ? "true" : "false"},
+       {"pace_dead_band", std::to_string(Pace.DeadBand)},
+       {"pace_max_ratio", std::to_string(Pace.MaxRatio)}});
 }
 
 void GatewayRuntime::logInvalidSettings(const DiagnosticList &Diagnostics,
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -44,7 +44,8 @@
         Readers(this->Values, Incarnation, Peers, Directory),
         Access(Codec, this->Values.Access,
                [this] { return Readers.confirmedAgo(); }),
-        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
+        Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries),
+        Pace(this->Values.Pace) {
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
           if (StartedAt)
@@ -92,9 +93,9 @@
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
-  // Applies the settings that can change at run time: seeds, the retry budget
-  // and when callers are refused since keys can't be confirmed. Others need a
-  // restart.
+  // Applies the settings that can change at run time: seeds, the retry budget,
+  // the use of servers' paces, and when callers are refused since keys can't be
+  // confirmed. Others need a restart.
   void applySettings(const GatewaySettings &NewValues, const char *Why);
   // Keeps the active settings. Logs each set of diagnostics once.
   void logInvalidSettings(const DiagnosticList &Diagnostics, const char *Why);
@@ -112,6 +113,7 @@
   mutable std::mutex Mutex;
   std::vector<std::string> Seeds;
   RetryAllowance Retries;
+  PaceSettings Pace;
   std::string LastDiagnostics;
 };
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -3,8 +3,8 @@
 // one round at most. Membership spreads in every round; routes and servers are
 // sent only to instances that can't read the store or have just started. What
 // an instance learns about crashes of servers, their request limits, servers
-// that leave, the store's era and, in a large fleet, what the store has
-// published, it sends on at once, and its rounds fetch what
+// that leave, changed paces of servers, the store's era and, in a large fleet,
+// what the store has published, it sends on at once, and its rounds fetch what
 // it has missed. Permits for calls to servers with limits are exchanged by the
 // threads of the requests, leases of accounts' tokens by these or in advance.
 // Requests that another instance passes on are handled on the threads of their
@@ -72,6 +72,12 @@
 constexpr Milliseconds ChangeBatchDelay{80};
 // More changes are left to the rounds.
 constexpr size_t MaxChangesPerNotification = 64;
+// Rounds carry what has become known of paces since the round before, with a
+// margin for late ones.
+constexpr Milliseconds PaceRoundAge{1500};
+// Notifications carry a few changes only; the rounds carry the rest.
+constexpr Milliseconds PaceNotificationAge{600};
+constexpr size_t MaxPacesPerNotification = 8;
 
 // What orders configurations: the version, then the change that wrote it.
 using ConfigKey = std::pair<uint64_t, StoreRevision>;
@@ -123,6 +129,7 @@
   void respond(StreamSocket &Socket, const MemberFrame &Request);
   // Notes whether the sender has the documents.
   void noteHolder(const MemberFrame &Frame);
+  void addPaces(MemberFrame &Frame);
   static void addServers(const std::vector<ServerChange> &Changes,
                          MemberFrame &Frame);
   // Adds what has changed since the last notification, in a fleet in which not
@@ -328,6 +335,7 @@
 
 MemberFrame MemberLinks::requestFrame(const std::string &Address) {
   MemberFrame frame = basicFrame();
+  addPaces(frame);
   // One that lacks the documents has nothing to tell but itself.
   if (Runtime->Directory.isComplete())
     addKnownMembers(Address, frame);
@@ -337,6 +345,11 @@
   return frame;
 }
 
+void MemberLinks::addPaces(MemberFrame &Frame) {
+  Frame.Paces = Runtime->Directory.pacesChangedSince(
+      Clock::now() - PaceRoundAge, MaxPacesPerFrame);
+}
+
 bool MemberLinks::needsUpdates() {
   if (!Runtime->Directory.isComplete())
     return !Runtime->Readers.isReading() || Runtime->Readers.isStoreFailing() ||
@@ -449,6 +462,7 @@
     Runtime->Directory.onServerLeaving(it, LeavingOrigin::Peer,
                                        Frame.Sender.Name);
   noteHolder(Frame);
+  Runtime->Directory.mergePaces(Frame.Paces);
   Runtime->Peers.onMemberSeen(Frame.Sender);
   for (const Member &it : Frame.Members)
     Runtime->Peers.onMemberSeen(it);
@@ -546,6 +560,7 @@
   MemberFrame response = basicFrame();
   bool isServing = false;
   if (!Request.IsNotification) {
+    addPaces(response);
     addMembers(Request, response);
     isServing = addRequestedUpdates(Request, response);
     response.Crashes = Runtime->Crashes.updateFor(Request.CrashDigest);
@@ -734,10 +749,14 @@
   frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
   SentCrashChange = change;
   frame.Leaving = Runtime->Directory.leavingServers(NotifiedLeavingAge);
+  frame.Paces = Runtime->Directory.pacesChangedSince(
+      Clock::now() - PaceNotificationAge, MaxPacesPerNotification);
+  std::erase_if(frame.Paces,
+                [](const PaceSummary &It) { return !It.IsChange; });
   bool isNewEra = std::exchange(SentEra, frame.StoreEra) != frame.StoreEra;
   bool hasChanges = addChanges(frame);
   if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty() &&
-      !isNewEra && !hasChanges)
+      frame.Paces.empty() && !isNewEra && !hasChanges)
     return;
   for (const std::string &it :
        Runtime->Peers.selectContacts(NotificationContacts)) {
@@ -745,8 +764,8 @@
       return;
     if (!exchange(it, frame, NotificationTimeout))
       log(LogLevel::Info, "member_links",
-          "peer was not told of a crash, a limit, a leaving server, an era or "
-          "a published change",
+          "peer was not told of a crash, a limit, a leaving server, a pace, an "
+          "era or a published change",
           {{"peer", it}, {"why", "no response; its next round fetches it"}});
   }
 }
