--- /dev/null
+++ b/src/gateway/accounts/account_quotas.cc
@@ -0,0 +1,490 @@
+#include "gateway/accounts/account_quotas.h"
+
+#include "json_text.h"
+#include "log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <random>
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+using internal::log;
+using internal::LogLevel;
+
+// For how long the home of an account is looked up only once. Ranking a fleet
+// of 400 takes some 50 microseconds.
+constexpr Milliseconds HomeCheckPeriod{500};
+// A home that didn't respond isn't asked again for this long, which doubles
+// with each further failure: instances with a small processor share are
+// suspended for up to 90 ms at a time, and a single late response doesn't show
+// that one is gone.
+constexpr Milliseconds MinSilentHomePause{100};
+constexpr Milliseconds MaxSilentHomePause{1600};
+// While one request asks a silent home again, others don't wait for it.
+constexpr Milliseconds SilentHomeProbeTime{100};
+// An instance that isn't the home by its own view grants at most this part of
+// the rate to those that still ask it, since the new home grants as well.
+constexpr double FormerHomePart = 0.5;
+// The same for one that never was the home: it is asked by instances that know
+// a part of the fleet.
+constexpr double NeverHomePart = 0.25;
+// The same for a process that has just started. While many start at once, each
+// takes one for the home that others don't: with 300 added to 100, accounts had
+// up to six homes for two seconds.
+constexpr double NewProcessPart = 0.4;
+// Retry-After while the home is silent: it is asked again by then.
+constexpr Milliseconds LocalShareRetryAfter{1000};
+constexpr Milliseconds MinRetryAfter{100};
+// How often unused tokens are looked for.
+constexpr Milliseconds ReturnPeriod{500};
+constexpr Milliseconds LogPeriod{10000};
+constexpr uint32_t MaxLinesPerPeriod = 20;
+
+std::function<double()> randomDraw() {
+  auto random = std::make_shared<std::mt19937_64>(std::random_device{}());
+  return [random] {
+    return std::uniform_real_distribution<double>(0, 1)(*random);
+  };
+}
+
+std::string number(double Value) {
+  char buf[32];
+  std::snprintf(buf, sizeof buf, "%.0f", Value);
+  return buf;
+}
+
+} // namespace
+
+const char *nameOf(QuotaSource Source) {
+  switch (Source) {
+  case QuotaSource::NoLimit:
+    return "no limit";
+  case QuotaSource::Home:
+    return "home";
+  case QuotaSource::LocalShare:
+    return "local share";
+  }
+  return "";
+}
+
+TimePoint quotaNow() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<TimePoint::duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+AccountQuotas::AccountQuotas(std::string Instance, QuotaRules Rules,
+                             std::function<double()> Draw,
+                             std::function<TimePoint()> Now)
+    : Instance(std::move(Instance)), Rules(Rules),
+      Draw(Draw ? std::move(Draw) : randomDraw()), Now(std::move(Now)) {}
+
+void AccountQuotas::setSharing(QuotaSharing Value, bool StartThread) {
+  std::lock_guard lock(Mutex);
+  Sharing = std::move(Value);
+  if (StartThread)
+    Thread = std::thread([this] { run(); });
+}
+
+void AccountQuotas::stop() {
+  {
+    std::lock_guard lock(Mutex);
+    Stopping = true;
+  }
+  Wake.notify_all();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+FleetView AccountQuotas::fleet(TimePoint Now) {
+  if (Sharing.Fleet && Now - FleetCheckedAt >= HomeCheckPeriod) {
+    Fleet = Sharing.Fleet();
+    FleetCheckedAt = Now;
+  }
+  return Fleet;
+}
+
+const KeyOwner &AccountQuotas::homeOf(const std::string &Account, State &Item,
+                                      TimePoint Now) {
+  if (Item.Home.Known && Now - Item.HomeCheckedAt < HomeCheckPeriod)
+    return Item.Home;
+  Item.HomeCheckedAt = Now;
+  KeyOwner home{Instance, "", true};
+  if (Sharing.FindHome)
+    home = Sharing.FindHome(Account);
+  if (home.Name != Item.Home.Name)
+    Item.Leases.onHomeChanged();
+  Item.Home = std::move(home);
+  return Item.Home;
+}
+
+QuotaGrant AccountQuotas::grantAsHome(State &Item, const AccountQuota &Quota,
+                                      const QuotaAsk &Ask, TimePoint Now) {
+  const KeyOwner &home = homeOf(Ask.Account, Item, Now);
+  bool isHome = home.Known && home.Address.empty();
+  // A new bucket must not rest on what was known before this instance became
+  // the home.
+  if (!Item.Bucket || isHome != Item.WasHome)
+    FleetCheckedAt = TimePoint();
+  FleetView view = fleet(Now);
+  // Without peers nobody else grants tokens, so the time before this instance
+  // was started doesn't count.
+  TimePoint since =
+      Sharing.FindHome ? view.ChangedAt : TimePoint() + Milliseconds(1);
+  if (!Item.Bucket || (isHome && !Item.WasHome))
+    Item.Bucket =
+        std::make_unique<QuotaBucket>(Item.Bucket || !isHome ? Now : since);
+  Item.WasHome = isHome;
+  double part = std::min(1.0, view.knownPart());
+  if (isHome)
+    Item.BeenHome = true;
+  if (!view.Discovered)
+    part *= NewProcessPart;
+  else if (!isHome)
+    part *= Item.BeenHome ? FormerHomePart : NeverHomePart;
+  return Item.Bucket->grant(Quota, Rules, Ask, part, Now);
+}
+
+bool AccountQuotas::isSilent(const std::string &Address, TimePoint Now) const {
+  auto it = SilentHomes.find(Address);
+  return it != SilentHomes.end() && it->second.Until > Now;
+}
+
+std::optional<QuotaGrant> AccountQuotas::ask(std::unique_lock<std::mutex> &Lock,
+                                             const KeyOwner &Home,
+                                             const QuotaAsk &Ask) {
+  std::string address = Home.Address;
+  auto silent = SilentHomes.find(address);
+  if (silent != SilentHomes.end())
+    silent->second.Until = Now() + SilentHomeProbeTime;
+  ++Counts.Asked;
+  std::optional<QuotaGrant> grant;
+  if (Sharing.AskHome && !Stopping) {
+    Lock.unlock();
+    grant = Sharing.AskHome(address, Ask);
+    Lock.lock();
+  }
+  if (grant) {
+    SilentHomes.erase(address);
+    return grant;
+  }
+  ++Counts.Unanswered;
+  TimePoint now = Now();
+  std::erase_if(SilentHomes, [&](const auto &It) {
+    return now - It.second.Until > 10 * MaxSilentHomePause;
+  });
+  SilentHome &home = SilentHomes[address];
+  home.Pause =
+      std::clamp(2 * home.Pause, MinSilentHomePause, MaxSilentHomePause);
+  home.Until = now + home.Pause;
+  return std::nullopt;
+}
+
+std::optional<Milliseconds> AccountQuotas::heardAgo(const State &Item,
+                                                    TimePoint Now) {
+  if (Item.HomeHeardAt == TimePoint())
+    return std::nullopt;
+  return std::chrono::duration_cast<Milliseconds>(Now - Item.HomeHeardAt);
+}
+
+void AccountQuotas::setLocalShare(const std::string &Account, State &Item,
+                                  bool Value, const char *Why, TimePoint Now) {
+  if (Item.Use.UsesLocalShare == Value)
+    return;
+  Item.Use.UsesLocalShare = Value;
+  if (Now - LogPeriodStart >= LogPeriod) {
+    LogPeriodStart = Now;
+    LoggedInPeriod = 0;
+  }
+  if (++LoggedInPeriod > MaxLinesPerPeriod) {
+    ++SuppressedLines;
+    return;
+  }
+  double part = Item.Leases.localPart(Item.Use.Quota, Fleet.Expected, Now);
+  std::optional<Milliseconds> heard = heardAgo(Item, Now);
+  log(Value ? LogLevel::Warn : LogLevel::Info, "account_quotas",
+      Value ? "using the local share of an account's quota"
+            : "leasing tokens from the account's home again",
+      {{"account", Account},
+       {"why", Why},
+       {"home", Item.Home.Name},
+       {"home_heard_ms",
+        heard ? std::to_string(heard->count()) : std::string()},
+       {"rate_per_s", number(Item.Use.Quota.TokensPerSecond)},
+       {"demand_per_s", number(Item.Leases.demandPerSecond(Now))},
+       {"account_demand_per_s", number(Item.Leases.accountDemand(Now))},
+       {"admitted_percent", number(part * 100)},
+       {"instances", std::to_string(Fleet.Expected)},
+       {"lines_left_out", std::to_string(std::exchange(SuppressedLines, 0))}});
+}
+
+// The accounts' callers come back spread over the time in which tokens for all
+// of them become available.
+Milliseconds AccountQuotas::spread(Milliseconds Time, const State &Item,
+                                   const AccountQuota &Quota, TimePoint Now) {
+  Time = std::clamp(Time, MinRetryAfter, std::max(Rules.Window, MinRetryAfter));
+  double demand = Item.Bucket && Item.WasHome
+                      ? Item.Bucket->demandPerSecond(Now)
+                      : Item.Leases.accountDemand(Now);
+  double excess = std::max(1.0, demand / Quota.TokensPerSecond);
+  auto more = Milliseconds(static_cast<int64_t>(
+      static_cast<double>(Time.count()) * excess * Draw()));
+  return std::min(Time + more, std::max(Rules.Window, MinRetryAfter));
+}
+
+void AccountQuotas::decideByShare(State &Item, const AccountQuota &Quota,
+                                  QuotaDecision &Decision, TimePoint Now) {
+  ++Counts.LocalShare;
+  Decision.Source = QuotaSource::LocalShare;
+  FleetView view = fleet(Now);
+  double part = Item.Leases.localPart(Quota, view.Expected, Now);
+  Decision.Admitted = Draw() < (view.Discovered ? part : part * NewProcessPart);
+  Decision.RetryAfter = LocalShareRetryAfter;
+}
+
+void AccountQuotas::queue(const std::string &Account, State &Item) {
+  if (std::exchange(Item.Queued, true))
+    return;
+  Due.push_back(Account);
+  Wake.notify_one();
+}
+
+QuotaDecision AccountQuotas::admit(const ClientAccount &Account,
+                                   uint64_t Tokens) {
+  QuotaDecision unlimited;
+  unlimited.Admitted = true;
+  if (Account.Name.empty() || Account.Quota.TokensPerSecond <= 0)
+    return unlimited;
+  std::unique_lock lock(Mutex);
+  TimePoint now = Now();
+  State &state = Accounts[Account.Name];
+  state.Use.Quota = Account.Quota;
+  state.Leases.onRequest(Tokens, now);
+  KeyOwner home = homeOf(Account.Name, state, now);
+  QuotaDecision decision;
+  decision.Source = QuotaSource::Home;
+  decision.Home = home.Name;
+  if (home.Known && home.Address.empty()) {
+    QuotaAsk ask = state.Leases.ask(Tokens, now);
+    ask.ExtraTokens = 0;
+    ask.Account = Account.Name;
+    QuotaGrant grant = grantAsHome(state, Account.Quota, ask, now);
+    decision.Admitted = grant.Tokens >= Tokens;
+    decision.RetryAfter = grant.RetryAfter;
+    decision.TokensLeft = static_cast<int64_t>(state.Bucket->level());
+    state.HomeHeardAt = now;
+    setLocalShare(Account.Name, state, false, "this instance is the home", now);
+  } else if (state.Leases.take(Tokens, now)) {
+    decision.Admitted = true;
+    if (home.Known && !isSilent(home.Address, now) &&
+        state.Leases.needsLease(now))
+      queue(Account.Name, state);
+  } else if (Milliseconds wait = state.Leases.deniedFor(Tokens, now);
+             wait > Milliseconds(0)) {
+    decision.RetryAfter = wait;
+  } else if (!home.Known || isSilent(home.Address, now)) {
+    setLocalShare(Account.Name, state, true,
+                  home.Known ? "the home didn't respond" : "no peer is known",
+                  now);
+    decideByShare(state, Account.Quota, decision, now);
+  } else {
+    QuotaAsk request = state.Leases.ask(Tokens, now);
+    request.Account = Account.Name;
+    std::optional<QuotaGrant> grant = ask(lock, home, request);
+    TimePoint asked = std::exchange(now, Now());
+    if (grant && grant->Known) {
+      state.HomeHeardAt = now;
+      setLocalShare(Account.Name, state, false, "the home responded", now);
+      decision.Admitted =
+          state.Leases.onLease(Tokens, *grant, fleet(now).Expected, asked, now);
+      decision.RetryAfter = grant->RetryAfter;
+      if (!state.Leases.isIdle(now)) {
+        Watched.insert(Account.Name);
+        Wake.notify_one();
+      }
+    } else {
+      setLocalShare(Account.Name, state, true,
+                    grant ? "the home doesn't know the account"
+                          : "the home didn't respond",
+                    now);
+      decideByShare(state, Account.Quota, decision, now);
+    }
+  }
+  decision.At = now;
+  decision.HomeHeardAgo = heardAgo(state, now);
+  if (decision.Source == QuotaSource::Home && !state.WasHome)
+    decision.TokensLeft = static_cast<int64_t>(state.Leases.leased(now));
+  if (decision.Admitted) {
+    decision.RetryAfter = Milliseconds(0);
+    ++Counts.Admitted;
+    ++state.Use.Admitted;
+    state.Use.AdmittedTokens += Tokens;
+  } else {
+    decision.RetryAfter =
+        spread(decision.RetryAfter, state, Account.Quota, now);
+    ++Counts.Refused;
+    ++state.Use.Refused;
+  }
+  return decision;
+}
+
+void AccountQuotas::giveBack(const std::string &Account, uint64_t Tokens,
+                             const QuotaDecision &Decision) {
+  if (!Decision.Admitted || Decision.Source == QuotaSource::NoLimit)
+    return;
+  std::lock_guard lock(Mutex);
+  auto it = Accounts.find(Account);
+  if (it == Accounts.end())
+    return;
+  State &state = it->second;
+  state.Use.ReturnedTokens += Tokens;
+  TimePoint now = Now();
+  // Local shares have no tokens to return to, and a new home hasn't granted
+  // these.
+  if (Decision.Source != QuotaSource::Home ||
+      homeOf(Account, state, now).Name != Decision.Home)
+    return;
+  if (state.Home.Address.empty()) {
+    if (state.Bucket)
+      state.Bucket->giveBack(
+          Tokens, std::chrono::ceil<Milliseconds>(now - Decision.At), now);
+    return;
+  }
+  state.Leases.giveBack(Tokens, Decision.At, now);
+  Watched.insert(Account);
+  Wake.notify_one();
+}
+
+std::optional<QuotaGrant> AccountQuotas::decide(const QuotaAsk &Ask) {
+  std::lock_guard lock(Mutex);
+  std::optional<AccountQuota> quota;
+  if (Sharing.FindQuota)
+    quota = Sharing.FindQuota(Ask.Account);
+  if (!quota)
+    return std::nullopt;
+  TimePoint now = Now();
+  State &state = Accounts[Ask.Account];
+  state.Use.Quota = *quota;
+  if (quota->TokensPerSecond <= 0) // the limit was lifted
+    return QuotaGrant{Ask.WantedTokens + Ask.ExtraTokens, Rules.leaseTime()};
+  QuotaGrant grant = grantAsHome(state, *quota, Ask, now);
+  if (Ask.WantedTokens > 0)
+    ++(grant.Tokens > 0 ? Counts.Granted : Counts.Denied);
+  return grant;
+}
+
+void AccountQuotas::sendDue() {
+  std::unique_lock lock(Mutex);
+  std::vector<std::string> names = std::exchange(Due, {});
+  for (const std::string &it : names)
+    Accounts[it].Queued = false;
+  TimePoint now = Now();
+  std::erase_if(Watched, [&](const std::string &It) {
+    State &state = Accounts[It];
+    if (state.Leases.hasReturn(now) &&
+        std::ranges::find(names, It) == names.end())
+      names.push_back(It);
+    return state.Leases.isIdle(now);
+  });
+  for (const std::string &name : names) {
+    if (Stopping)
+      return;
+    now = Now();
+    State &state = Accounts[name];
+    KeyOwner home = homeOf(name, state, now);
+    if (!home.Known || home.Address.empty() || isSilent(home.Address, now))
+      continue;
+    QuotaAsk request = state.Leases.ask(0, now);
+    request.Account = name;
+    std::optional<QuotaGrant> grant = ask(lock, home, request);
+    TimePoint asked = std::exchange(now, Now());
+    if (!grant || !grant->Known)
+      continue;
+    state.HomeHeardAt = now;
+    state.Leases.onLease(0, *grant, fleet(now).Expected, asked, now);
+    if (!state.Leases.isIdle(now))
+      Watched.insert(name);
+  }
+}
+
+void AccountQuotas::run() {
+  std::unique_lock lock(Mutex);
+  while (!Stopping) {
+    if (Due.empty() && Watched.empty())
+      Wake.wait(lock, [this] {
+        return Stopping || !Due.empty() || !Watched.empty();
+      });
+    if (Due.empty())
+      Wake.wait_for(lock, ReturnPeriod,
+                    [this] { return Stopping || !Due.empty(); });
+    if (Stopping)
+      return;
+    lock.unlock();
+    sendDue();
+    lock.lock();
+  }
+}
+
+AccountQuotas::Counters AccountQuotas::counters() const {
+  std::lock_guard lock(Mutex);
+  return Counts;
+}
+
+std::vector<AccountUse> AccountQuotas::uses() const {
+  std::vector<AccountUse> all;
+  {
+    std::lock_guard lock(Mutex);
+    TimePoint now = Now();
+    for (const auto &[name, state] : Accounts) {
+      AccountUse use = state.Use;
+      use.Account = name;
+      use.DemandPerSecond = state.Leases.demandPerSecond(now);
+      use.AccountDemand = state.Leases.accountDemand(now);
+      use.LeasedTokens = state.Leases.leased(now);
+      use.Home = state.Home.Name;
+      use.HomeHeardAgo = heardAgo(state, now);
+      if (state.Bucket && state.WasHome) {
+        use.BucketLevel = state.Bucket->level();
+        use.AccountDemand = state.Bucket->demandPerSecond(now);
+      }
+      all.push_back(std::move(use));
+    }
+  }
+  std::ranges::stable_sort(all, std::greater<>(), &AccountUse::AdmittedTokens);
+  return all;
+}
+
+std::string AccountQuotas::dump() const {
+  std::string out = "[";
+  const char *separator = "";
+  for (const AccountUse &it : uses()) {
+    out += separator + std::string("{\"account\":") +
+           internal::jsonString(it.Account) +
+           ",\"rate_per_s\":" + number(it.Quota.TokensPerSecond) +
+           ",\"burst\":" + number(it.Quota.BurstTokens) +
+           ",\"admitted\":" + std::to_string(it.Admitted) +
+           ",\"admitted_tokens\":" + std::to_string(it.AdmittedTokens) +
+           ",\"refused\":" + std::to_string(it.Refused) +
+           ",\"returned_tokens\":" + std::to_string(it.ReturnedTokens) +
+           ",\"demand_per_s\":" + number(it.DemandPerSecond) +
+           ",\"account_demand_per_s\":" + number(it.AccountDemand) +
+           ",\"leased_tokens\":" + std::to_string(it.LeasedTokens) +
+           ",\"home\":" + internal::jsonString(it.Home) +
+           ",\"local_share\":" + (it.UsesLocalShare ? "true" : "false");
+    if (it.HomeHeardAgo)
+      out += ",\"home_heard_ms\":" + std::to_string(it.HomeHeardAgo->count());
+    if (it.BucketLevel)
+      out += ",\"bucket_tokens\":" + number(*it.BucketLevel);
+    out += "}";
+    separator = ",";
+  }
+  return out + "]";
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -0,0 +1,50 @@
+// Remembers the instances of the fleet, to tell which part of it this instance
+// still knows. Does no I/O; callers pass the time.
+//
+// Answers the loss of many instances at once, which looks the same whether they
+// ended or are cut off: in the second case they use quotas as well.
+#ifndef CROCUSSPUR_GATEWAY_FLEET_MEMORY_H
+#define CROCUSSPUR_GATEWAY_FLEET_MEMORY_H
+
+#include "gateway/decisions/member_table.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace crocusspur::gateway {
+
+struct FleetView {
+  uint32_t Alive = 1;    // instances known to run, including this one
+  uint32_t Expected = 1; // those and the ones that may run out of reach
+  TimePoint ChangedAt;   // when one was found or lost
+  // Whether this process has had time to find the others.
+  bool Discovered = true;
+
+  double knownPart() const {
+    return Expected == 0 ? 1 : static_cast<double>(Alive) / Expected;
+  }
+};
+
+class FleetMemory {
+public:
+  explicit FleetMemory(TimePoint Now) { View.ChangedAt = Now; }
+
+  // `Others`: the other instances known to run.
+  void update(const std::vector<Member> &Others, TimePoint Now);
+  // `MinExpected`: the least number of instances to expect.
+  FleetView view(uint32_t MinExpected, bool Discovered) const;
+
+private:
+  struct State {
+    TimePoint SeenAt;
+    bool Leaving = false;
+    bool Alive = false;
+  };
+  std::map<std::string, State> Members; // by name
+  FleetView View;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -0,0 +1,131 @@
+#include "gateway/decisions/accounts/quota_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace crocusspur::gateway {
+namespace {
+
+// Parts of the slack. The bucket holds more than the burst, since requests of
+// an account that stays below its rate don't come evenly: with a burst of 0 and
+// six requests a second, 1 in 100 would find an empty bucket.
+constexpr double DepthPart = 0.4;
+// What the home grants in a window and a lease time. The rest is left for the
+// time in which an account has two homes or instances use local shares.
+constexpr double GrantedPart = 0.5;
+// The rate of a new home at first.
+constexpr double NewHomeFraction = 0.25;
+// Tokens for expected requests are at most this part of the bucket, so that
+// leases shrink to what one request needs as it empties.
+constexpr double ExtraPart = 0.125;
+
+double seconds(TimePoint From, TimePoint To) {
+  return std::max(0.0, std::chrono::duration<double>(To - From).count());
+}
+
+} // namespace
+
+QuotaBucket::QuotaBucket(TimePoint HomeSince)
+    : HomeSince(HomeSince), RefilledAt(HomeSince) {}
+
+void QuotaBucket::advance(TimePoint Now) {
+  int64_t slot = Now.time_since_epoch() / SlotTime;
+  int64_t passed = std::clamp<int64_t>(slot - Slot, 0, SlotCount);
+  for (int64_t i = 1; i <= passed; ++i)
+    Granted[static_cast<size_t>(slot - passed + i) % SlotCount] = 0;
+  Slot = std::max(Slot, slot);
+}
+
+double QuotaBucket::granted() const {
+  return std::accumulate(Granted.begin(), Granted.end(), 0.0);
+}
+
+void QuotaBucket::refill(const AccountQuota &Quota, const QuotaRules &Rules,
+                         double RateFraction, TimePoint Now) {
+  if (!(Quota == LastQuota)) {
+    // What was granted under a higher limit doesn't count in full against a
+    // lower one, which would refuse all requests for a window.
+    double former = Rules.quota(LastQuota);
+    if (former > 0 && Rules.quota(Quota) < former)
+      for (double &it : Granted)
+        it *= Rules.quota(Quota) / former;
+    LastQuota = Quota;
+  }
+  SlotTime = std::max(Milliseconds(1), Rules.Window / SlotsPerWindow);
+  advance(Now);
+  double known = seconds(HomeSince, Now) /
+                 std::chrono::duration<double>(Rules.Window).count();
+  double rate = Quota.TokensPerSecond * std::clamp(RateFraction, 0.0, 1.0) *
+                std::min(1.0, NewHomeFraction + (1 - NewHomeFraction) * known);
+  double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
+  Level = std::min(depth, Level + rate * seconds(RefilledAt, Now));
+  RefilledAt = std::max(RefilledAt, Now);
+}
+
+void QuotaBucket::giveBack(uint64_t Tokens, Milliseconds GrantedAgo,
+                           TimePoint Now) {
+  advance(Now);
+  auto left = static_cast<double>(Tokens);
+  int64_t age = std::max<int64_t>(0, GrantedAgo / SlotTime);
+  // Older slots first: what is taken from them is counted for a shorter time.
+  for (int64_t i = std::min<int64_t>(age + 1, SlotCount - 1);
+       i >= 0 && i + 1 >= age && left > 0; --i) {
+    if (i > Slot)
+      continue;
+    double &slot = Granted[static_cast<size_t>(Slot - i) % SlotCount];
+    double taken = std::min(slot, left);
+    slot -= taken;
+    left -= taken;
+    Level += taken; // the next refill applies the depth
+  }
+}
+
+Milliseconds QuotaBucket::timeUntil(double Tokens, double MaxGranted,
+                                    double PerSecond, TimePoint Now) const {
+  double wait = PerSecond > 0 ? std::max(0.0, Tokens - Level) / PerSecond : 0;
+  auto time = Milliseconds(static_cast<int64_t>(wait * 1000) + 1);
+  double excess = granted() + Tokens - MaxGranted;
+  auto inSlot = std::chrono::duration_cast<Milliseconds>(
+      Now.time_since_epoch() % SlotTime);
+  for (int64_t i = 1; excess > 0 && i <= static_cast<int64_t>(SlotCount); ++i) {
+    excess -= Granted[static_cast<size_t>(Slot + i) % SlotCount];
+    time = std::max(time, SlotTime * i - inSlot);
+  }
+  return time;
+}
+
+QuotaGrant QuotaBucket::grant(const AccountQuota &Quota,
+                              const QuotaRules &Rules, const QuotaAsk &Ask,
+                              double RateFraction, TimePoint Now) {
+  if (Ask.ReturnedTokens > 0)
+    giveBack(Ask.ReturnedTokens, Ask.ReturnedAgo, Now);
+  refill(Quota, Rules, RateFraction, Now);
+  Demand.add(static_cast<double>(Ask.OfferedTokens), Now);
+  QuotaGrant result;
+  result.Lifetime = Rules.leaseTime();
+  double demand = Demand.perSecond(Now);
+  result.DemandShare =
+      demand > 0 ? std::clamp(Ask.DemandPerSecond / demand, 0.0, 1.0) : 0;
+  double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
+  double maxGranted = Rules.quota(Quota) + Rules.slack(Quota) * GrantedPart;
+  double free = maxGranted - granted();
+  auto wanted = static_cast<double>(Ask.WantedTokens);
+  // One that is larger than the bucket is granted from a full one.
+  double needed = std::min(wanted, depth);
+  if (Level < needed || free < wanted) {
+    result.RetryAfter = timeUntil(needed, maxGranted,
+                                  Quota.TokensPerSecond * RateFraction, Now);
+    return result;
+  }
+  double extra =
+      std::max(0.0, std::min({static_cast<double>(Ask.ExtraTokens),
+                              (Level - wanted) * ExtraPart, free - wanted}));
+  result.Tokens = Ask.WantedTokens + static_cast<uint64_t>(extra);
+  Level -= static_cast<double>(result.Tokens);
+  Granted[static_cast<size_t>(Slot) % SlotCount] +=
+      static_cast<double>(result.Tokens);
+  return result;
+}
+
+} // namespace crocusspur::gateway
--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -212,11 +212,13 @@
   return MaxSeen;
 }
 
+bool MemberTable::isDiscovered(TimePoint Now) const {
+  return FirstMemberSeenAt && Now - *FirstMemberSeenAt >= DiscoveryTime;
+}
+
 uint32_t MemberTable::budgetSharers(TimePoint Now) {
-  bool discovered =
-      FirstMemberSeenAt && Now - *FirstMemberSeenAt >= DiscoveryTime;
   uint32_t seen = fleetSize(Now);
-  return discovered ? seen : std::max(seen, DefaultSharers);
+  return isDiscovered(Now) ? seen : std::max(seen, DefaultSharers);
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -117,6 +117,8 @@
   void onForwardRefused(const std::string &Name, const std::string &Service,
                         TimePoint Now);
 
+  // Whether the other instances are likely to be known.
+  bool isDiscovered(TimePoint Now) const;
   // Number of instances that may share a budget, including this one: the
   // maximum known at once in the last minute, and at least a conservative
   // default until the members are likely to be known.
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -125,6 +125,8 @@
   if (!refused)
     Item.Run = ExecutionState::Unknown;
   Item.Id = RequestId();
+  if (refused)
+    refundQuota();
   sendProblem(Item);
   finish(refused ? "refused" : "failed", Item.Detail);
 }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_CONTEXT_H
 
+#include "gateway/accounts/account_quotas.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/http_codec.h"
@@ -36,6 +37,7 @@
   ReservationQueues &Queues;
   CrashMonitor &Crashes;
   StreamOrigins &Origins;
+  AccountQuotas &Quotas;
   internal::MetricsSink &Metrics;
   const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
 };
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -89,10 +89,10 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!Runtime || !metrics)
     return false;
-  Context.emplace(
-      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
-                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
-                     Runtime->Origins, *metrics, &Runtime->Forwarding});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
+      *metrics, &Runtime->Forwarding});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
+#include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/gateway_context.h"
@@ -36,6 +37,7 @@
         Source(ActiveAdapter.MakeSource(this->Values)),
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
         Crashes(this->Values.Instance), Origins(Incarnation),
+        Quotas(this->Values.Instance),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
@@ -68,6 +70,7 @@
   ReservationQueues Queues;
   CrashMonitor Crashes;
   StreamOrigins Origins;
+  AccountQuotas Quotas;
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -16,6 +16,8 @@
 constexpr uint32_t MaxCallsPerPermit = 16;
 constexpr int32_t MaxCharged = 64;
 constexpr uint64_t MaxForwardedMs = 86400000; // a day
+// Far above the tokens of any account, and small enough to add up.
+constexpr uint64_t MaxQuotaTokens = 1000000000000;
 
 flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
   std::vector<flatbuffers::Offset<wire::ServiceFigures>> stats;
@@ -103,6 +105,35 @@
                        Milliseconds(Item.max_delay_ms())};
 }
 
+flatbuffers::Offset<wire::QuotaRequest> pack(Builder &Out,
+                                             const QuotaAsk &Item) {
+  auto account = Out.CreateString(Item.Account);
+  wire::QuotaRequestBuilder out(Out);
+  out.add_account(account);
+  out.add_wanted_tokens(Item.WantedTokens);
+  out.add_extra_tokens(Item.ExtraTokens);
+  out.add_offered_tokens(Item.OfferedTokens);
+  out.add_demand_per_s(Item.DemandPerSecond);
+  out.add_returned_tokens(Item.ReturnedTokens);
+  out.add_returned_ago_ms(static_cast<uint32_t>(Item.ReturnedAgo.count()));
+  return out.Finish();
+}
+
+// Returns nullopt if the request names no account.
+std::optional<QuotaAsk> unpack(const wire::QuotaRequest &Item) {
+  QuotaAsk ask;
+  ask.Account = textOf(Item.account());
+  if (ask.Account.empty())
+    return std::nullopt;
+  ask.WantedTokens = std::min(Item.wanted_tokens(), MaxQuotaTokens);
+  ask.ExtraTokens = std::min(Item.extra_tokens(), MaxQuotaTokens);
+  ask.OfferedTokens = std::min(Item.offered_tokens(), MaxQuotaTokens);
+  ask.DemandPerSecond = std::max(0.0, finiteOrZero(Item.demand_per_s()));
+  ask.ReturnedTokens = std::min(Item.returned_tokens(), MaxQuotaTokens);
+  ask.ReturnedAgo = Milliseconds(Item.returned_ago_ms());
+  return ask;
+}
+
 flatbuffers::Offset<wire::ForwardRequest> pack(Builder &Out,
                                                const ForwardedRequest &Item) {
   const CallerRequest &request = Item.Request;
@@ -243,6 +274,14 @@
   if (const auto &it = Frame.Permit)
     permit = wire::CreatePermit(out, it->Granted,
                                 static_cast<uint32_t>(it->Delay.count()));
+  flatbuffers::Offset<wire::QuotaRequest> wantedLease;
+  if (Frame.WantedLease)
+    wantedLease = pack(out, *Frame.WantedLease);
+  flatbuffers::Offset<wire::QuotaLease> lease;
+  if (const auto &it = Frame.Lease)
+    lease = wire::CreateQuotaLease(
+        out, it->Tokens, static_cast<uint32_t>(it->Lifetime.count()),
+        static_cast<uint32_t>(it->RetryAfter.count()), it->DemandShare);
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::ServerLimit>>>
       limitList;
@@ -295,7 +334,8 @@
       Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra,
       Frame.StoreConfirmedAgo.has_value(),
       static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
-      Frame.ChangesSince.has_value(), since.Number, since.Era));
+      Frame.ChangesSince.has_value(), since.Number, since.Era, wantedLease,
+      lease));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -359,6 +399,16 @@
   if (in.permit())
     frame.Permit = PaceDecision{in.permit()->granted(),
                                 Milliseconds(in.permit()->delay_ms())};
+  if (in.quota_request()) {
+    frame.WantedLease = unpack(*in.quota_request());
+    if (!frame.WantedLease)
+      return std::nullopt;
+  }
+  if (const wire::QuotaLease *it = in.quota_lease())
+    frame.Lease = QuotaGrant{
+        std::min(it->granted_tokens(), MaxQuotaTokens),
+        Milliseconds(it->lifetime_ms()), Milliseconds(it->retry_after_ms()),
+        std::clamp(finiteOrZero(it->demand_share()), 0.0, 1.0)};
   if (in.origins())
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_MEMBER_CODEC_H
 #define CROCUSSPUR_GATEWAY_MEMBER_CODEC_H
 
+#include "gateway/decisions/accounts/quota_bucket.h"
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/store_revision.h"
@@ -62,6 +63,11 @@
   // hold nothing else but the sender's name.
   std::optional<PermitRequest> WantedPermit;
   std::optional<PaceDecision> Permit;
+  // A request to the home of a client account and its response, which has no
+  // lease if the home doesn't know the account. Such frames hold nothing else
+  // but the sender's name.
+  std::optional<QuotaAsk> WantedLease;
+  std::optional<QuotaGrant> Lease;
   // Records of streams that the receiver keeps, or what an instance asks a
   // keeper and its response. Such frames hold nothing else but the sender's
   // name.
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -6,8 +6,9 @@
 // that leave, the store's era and, in a large fleet, what the store has
 // published, it sends on at once, and its rounds fetch what
 // it has missed. Permits for calls to servers with limits are exchanged by the
-// threads of the requests. Requests that another instance passes on are handled
-// on the threads of their connections.
+// threads of the requests, leases of accounts' tokens by these or in advance.
+// Requests that another instance passes on are handled on the threads of their
+// connections.
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/forward_service.h"
@@ -49,7 +50,8 @@
 constexpr Milliseconds NotifiedLeavingAge{3000};
 // Shorter than for rounds, so that silent peers don't delay the others.
 constexpr Milliseconds NotificationTimeout{150};
-// A request waits for its permit. The owner responds from memory.
+// A request waits for its permit or its lease. The other instance responds from
+// memory.
 constexpr Milliseconds PermitTimeout{60};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
@@ -90,6 +92,10 @@
   void sendNotifications();
   std::optional<PaceDecision> askForPermit(const std::string &Address,
                                            const PermitRequest &Request);
+  std::optional<QuotaGrant> askForLease(const std::string &Address,
+                                        const QuotaAsk &Ask);
+  FleetView fleetView();
+  void shareQuotas();
   // Calls the peer and applies its response.
   bool exchange(const std::string &Address, const MemberFrame &Request,
                 Milliseconds Timeout);
@@ -132,6 +138,7 @@
   ConfigKey SentConfig;                 // used by the rounds' thread only
   StoreRevision SentServers;            // used by the rounds' thread only
   std::set<std::string> LoggedMembers;
+  std::optional<FleetMemory> Fleet; // guarded by the lock of AccountQuotas
   std::thread Thread;
 };
 
@@ -148,9 +155,10 @@
   auto *metrics = Owner.find<internal::MetricsSink>();
   if (!metrics)
     return false;
-  Context.emplace(GatewayContext{
-      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, *metrics});
+  Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
+                                 Runtime->Limits, Runtime->Connections,
+                                 Runtime->Queues, Runtime->Crashes,
+                                 Runtime->Origins, Runtime->Quotas, *metrics});
   Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
@@ -190,6 +198,7 @@
        [this](const std::string &Address, const PermitRequest &Request) {
          return askForPermit(Address, Request);
        }});
+  shareQuotas();
   Runtime->Forwarding = {
       [this](const std::string &Service) {
         return Runtime->Peers.reaching(Service);
@@ -203,7 +212,45 @@
   return true;
 }
 
+void MemberLinks::shareQuotas() {
+  QuotaSharing sharing;
+  sharing.FindHome = [this](const std::string &Account) {
+    return Runtime->Peers.ownerOf("account:" + Account,
+                                  Runtime->Stopping.load());
+  };
+  sharing.Fleet = [this] { return fleetView(); };
+  sharing.AskHome = [this](const std::string &Address, const QuotaAsk &Ask) {
+    return askForLease(Address, Ask);
+  };
+  sharing.FindQuota =
+      [this](const std::string &Account) -> std::optional<AccountQuota> {
+    RouteDocumentPtr routes = Runtime->Directory.routes();
+    const ClientAccount *found = routes->Accounts.find(Account);
+    return found ? std::optional(found->Quota) : std::nullopt;
+  };
+  Runtime->Quotas.setSharing(std::move(sharing));
+}
+
+// Called by AccountQuotas with its lock.
+FleetView MemberLinks::fleetView() {
+  TimePoint now = quotaNow();
+  if (!Fleet)
+    Fleet.emplace(now);
+  Fleet->update(Runtime->Peers.alive(), now);
+  // An instance without others to look for knows all of its fleet.
+  std::vector<std::string> seeds = Runtime->seedAddresses();
+  bool isAlone = std::ranges::all_of(seeds,
+                                     [this](const std::string &It) {
+                                       return It == Runtime->Values.PeerAddress;
+                                     }) &&
+                 Fleet->view(1, true).Alive == 1;
+  return isAlone ? Fleet->view(1, true)
+                 : Fleet->view(Runtime->Peers.budgetSharers(),
+                               Runtime->Peers.isDiscovered());
+}
+
 void MemberLinks::stop() {
+  Runtime->Quotas.stop();
   Runtime->Crashes.setChangeListener(nullptr);
   Runtime->Limits.setChangeListener(nullptr);
   Runtime->Directory.setChangeListener(nullptr);
@@ -373,6 +420,13 @@
       sendFrame(Socket, encode(permit));
       return;
     }
+    if (request->WantedLease) {
+      MemberFrame lease;
+      lease.Sender = Runtime->ownMember();
+      lease.Lease = Runtime->Quotas.decide(*request->WantedLease);
+      sendFrame(Socket, encode(lease));
+      return;
+    }
     for (const StreamOrigin &it : request->Origins)
       Runtime->Origins.add(it);
     if (request->WantedOrigin || !request->Origins.empty()) {
@@ -418,6 +472,21 @@
   return response ? response->Permit : std::nullopt;
 }
 
+// Runs on the thread of a request or that of AccountQuotas.
+std::optional<QuotaGrant> MemberLinks::askForLease(const std::string &Address,
+                                                   const QuotaAsk &Ask) {
+  MemberFrame frame;
+  frame.Sender = Runtime->ownMember();
+  frame.WantedLease = Ask;
+  std::optional<MemberFrame> response =
+      callMember(Address, frame, PermitTimeout);
+  if (!response)
+    return std::nullopt;
+  QuotaGrant unknown;
+  unknown.Known = false;
+  return response->Lease.value_or(unknown);
+}
+
 // Logs one line for each member found or lost.
 void MemberLinks::logMembershipChanges() {
   std::set<std::string> now;
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -43,6 +43,11 @@
   return Table.budgetSharers(Clock::now());
 }
 
+bool Membership::isDiscovered() const {
+  std::lock_guard lock(Mutex);
+  return Table.isDiscovered(Clock::now());
+}
+
 bool Membership::isLeader(Milliseconds ForAtLeast) {
   std::lock_guard lock(Mutex);
   return Table.isLeader(ForAtLeast, Clock::now());
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -84,6 +84,8 @@
 }
 
 void RequestHandler::run() {
+  if (!admitByQuota())
+    return;
   if (!Origin) // the first instance has counted it
     Context.Directory.onRequest(Service);
   if (Route.Kind == RouteKind::Stream)
@@ -139,6 +141,9 @@
 
 void RequestHandler::finish(const std::string &Outcome,
                             const std::string &Why) {
+  // As after a caller that left while the request waited.
+  if (Sends == 0 && !MayHaveExecuted && !HeadSent && Status == 0)
+    refundQuota();
   auto taken = std::chrono::duration_cast<Milliseconds>(Clock::now() - Arrived);
   Context.Metrics.observe("request_seconds", Outcome,
                           static_cast<double>(taken.count()) / 1000);
@@ -292,6 +297,7 @@
 
 void RequestHandler::refuse(ErrorKind Kind, const std::string &Why,
                             Milliseconds RetryAfter) {
+  refundQuota();
   internal::Problem item = internal::makeProblem(Kind, Why, RequestId());
   item.Run = ExecutionState::No;
   item.RetryAfter = RetryAfter;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -45,6 +45,12 @@
   void run();
 
 private:
+  // Takes the request's tokens from its account's quota. Returns false if the
+  // request was refused.
+  bool admitByQuota();
+  // Gives the tokens back, once: no server has run the request.
+  void refundQuota();
+
   // A decode server selected for the request's output, with its reservation if
   // there is one.
   struct DecodeReservation {
@@ -238,6 +244,10 @@
   std::optional<TimePoint> LastOutput; // of a stream
   Milliseconds LongestPause{0};        // between two writes of a stream
   std::optional<ServerFailure> Failure;
+  // How its account's quota admitted the request; Admitted is false if it took
+  // no tokens, or gave them back.
+  QuotaDecision Quota;
+  uint64_t QuotaTokens = 0;
   bool CallerWriteFailed = false; // the caller disconnected or stalled
   std::string LastEventId;        // of the last event forwarded
   // Software version of the server that sent the stream's first event.
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -27,6 +27,8 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr int MaxThreads = 4;
+// Accounts with metrics of their own.
+constexpr size_t MaxAccountLabels = 32;
 constexpr int MaxQueued = 32;
 constexpr int IdleSeconds = 60;
 constexpr int StackBytes = 262144;
@@ -46,6 +48,7 @@
 private:
   bool listen(const std::string &Address);
   void updateGauges();
+  void updateQuotaGauges();
   std::string state() const; // as JSON
 
   GatewayRuntime *Runtime = nullptr;
@@ -54,6 +57,17 @@
   std::vector<std::unique_ptr<Poco::Net::HTTPServer>> Servers;
 };
 
+// Labels of accounts begin with "account ", which "others" can't be.
+void setQuotaGauges(internal::MetricsSink &Metrics, const std::string &Label,
+                    const AccountUse &Use) {
+  Metrics.setGauge("account_tokens_total", Label,
+                   static_cast<double>(Use.AdmittedTokens));
+  Metrics.setGauge("account_refusals_total", Label,
+                   static_cast<double>(Use.Refused));
+  Metrics.setGauge("account_demand_per_s", Label, Use.DemandPerSecond);
+  Metrics.setGauge("account_rate_per_s", Label, Use.Quota.TokensPerSecond);
+}
+
 class Handler : public Poco::Net::HTTPRequestHandler {
 public:
   explicit Handler(StatusListener &Owner) : Owner(Owner) {}
@@ -172,6 +186,43 @@
   }
   for (const auto &[service, size] : Runtime->Queues.sizes())
     Metrics->setGauge("queue_length", service, static_cast<double>(size));
+  updateQuotaGauges();
+}
+
+void StatusListener::updateQuotaGauges() {
+  AccountQuotas::Counters counts = Runtime->Quotas.counters();
+  Metrics->setGauge("quota_requests_total", "admitted",
+                    static_cast<double>(counts.Admitted));
+  Metrics->setGauge("quota_requests_total", "refused",
+                    static_cast<double>(counts.Refused));
+  Metrics->setGauge("quota_local_share_total", "",
+                    static_cast<double>(counts.LocalShare));
+  Metrics->setGauge("quota_exchanges_total", "asked",
+                    static_cast<double>(counts.Asked));
+  Metrics->setGauge("quota_exchanges_total", "unanswered",
+                    static_cast<double>(counts.Unanswered));
+  Metrics->setGauge("quota_leases_total", "granted",
+                    static_cast<double>(counts.Granted));
+  Metrics->setGauge("quota_leases_total", "denied",
+                    static_cast<double>(counts.Denied));
+  for (const char *it : {"account_tokens_total", "account_refusals_total",
+                         "account_demand_per_s", "account_rate_per_s"})
+    Metrics->clearGauge(it);
+  std::vector<AccountUse> uses = Runtime->Quotas.uses();
+  AccountUse rest;
+  for (size_t i = 0; i < uses.size(); ++i) {
+    const AccountUse &it = uses[i];
+    if (i >= MaxAccountLabels) {
+      rest.AdmittedTokens += it.AdmittedTokens;
+      rest.Refused += it.Refused;
+      rest.DemandPerSecond += it.DemandPerSecond;
+      rest.Quota.TokensPerSecond += it.Quota.TokensPerSecond;
+      continue;
+    }
+    setQuotaGauges(*Metrics, "account " + it.Account, it);
+  }
+  if (uses.size() > MaxAccountLabels)
+    setQuotaGauges(*Metrics, "others", rest);
 }
 
 std::string StatusListener::state() const {
@@ -179,7 +230,8 @@
   out.pop_back(); // the closing brace
   out += ",\"reads_store\":";
   out += Runtime->Readers.isReading() ? "true" : "false";
-  return out + ",\"limits\":" + Runtime->Limits.dump() + "}";
+  out += ",\"limits\":" + Runtime->Limits.dump();
+  return out + ",\"quotas\":" + Runtime->Quotas.dump() + "}";
 }
 
 StatusResponse StatusListener::respond(const std::string &Path) {
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1964,7 +1964,10 @@
     VT_WANTED_TOKENS = 6,
     VT_DEMAND_PER_S = 8,
     VT_RETURNED_TOKENS = 10,
-    VT_CONFIG_VERSION = 12
+    VT_CONFIG_VERSION = 12,
+    VT_RETURNED_AGO_MS = 14,
+    VT_EXTRA_TOKENS = 16,
+    VT_OFFERED_TOKENS = 18
   };
   const flatbuffers::String *account() const {
     return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
@@ -1981,6 +1984,15 @@
   uint64_t config_version() const {
     return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
   }
+  uint32_t returned_ago_ms() const {
+    return GetField<uint32_t>(VT_RETURNED_AGO_MS, 0);
+  }
+  uint64_t extra_tokens() const {
+    return GetField<uint64_t>(VT_EXTRA_TOKENS, 0);
+  }
+  uint64_t offered_tokens() const {
+    return GetField<uint64_t>(VT_OFFERED_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ACCOUNT) &&
@@ -1989,6 +2001,9 @@
            VerifyField<double>(verifier, VT_DEMAND_PER_S, 8) &&
            VerifyField<uint64_t>(verifier, VT_RETURNED_TOKENS, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETURNED_AGO_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EXTRA_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFERED_TOKENS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2012,6 +2027,15 @@
   void add_config_version(uint64_t config_version) {
     fbb_.AddElement<uint64_t>(QuotaRequest::VT_CONFIG_VERSION, config_version, 0);
   }
+  void add_returned_ago_ms(uint32_t returned_ago_ms) {
+    fbb_.AddElement<uint32_t>(QuotaRequest::VT_RETURNED_AGO_MS, returned_ago_ms, 0);
+  }
+  void add_extra_tokens(uint64_t extra_tokens) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_EXTRA_TOKENS, extra_tokens, 0);
+  }
+  void add_offered_tokens(uint64_t offered_tokens) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_OFFERED_TOKENS, offered_tokens, 0);
+  }
   explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2029,12 +2053,18 @@
     uint64_t wanted_tokens = 0,
     double demand_per_s = 0.0,
     uint64_t returned_tokens = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    uint32_t returned_ago_ms = 0,
+    uint64_t extra_tokens = 0,
+    uint64_t offered_tokens = 0) {
   QuotaRequestBuilder builder_(_fbb);
+  builder_.add_offered_tokens(offered_tokens);
+  builder_.add_extra_tokens(extra_tokens);
   builder_.add_config_version(config_version);
   builder_.add_returned_tokens(returned_tokens);
   builder_.add_demand_per_s(demand_per_s);
   builder_.add_wanted_tokens(wanted_tokens);
+  builder_.add_returned_ago_ms(returned_ago_ms);
   builder_.add_account(account);
   return builder_.Finish();
 }
@@ -2045,7 +2075,10 @@
     uint64_t wanted_tokens = 0,
     double demand_per_s = 0.0,
     uint64_t returned_tokens = 0,
-    uint64_t config_version = 0) {
+    uint64_t config_version = 0,
+    uint32_t returned_ago_ms = 0,
+    uint64_t extra_tokens = 0,
+    uint64_t offered_tokens = 0) {
   auto account__ = account ? _fbb.CreateString(account) : 0;
   return crocusspur::gateway::wire::CreateQuotaRequest(
       _fbb,
@@ -2053,7 +2086,10 @@
       wanted_tokens,
       demand_per_s,
       returned_tokens,
-      config_version);
+      config_version,
+      returned_ago_ms,
+      extra_tokens,
+      offered_tokens);
 }
 
 struct QuotaLease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2061,7 +2097,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GRANTED_TOKENS = 4,
     VT_LIFETIME_MS = 6,
-    VT_RETRY_AFTER_MS = 8
+    VT_RETRY_AFTER_MS = 8,
+    VT_DEMAND_SHARE = 10
   };
   uint64_t granted_tokens() const {
     return GetField<uint64_t>(VT_GRANTED_TOKENS, 0);
@@ -2072,11 +2109,15 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  double demand_share() const {
+    return GetField<double>(VT_DEMAND_SHARE, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GRANTED_TOKENS, 8) &&
            VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<double>(verifier, VT_DEMAND_SHARE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2094,6 +2135,9 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(QuotaLease::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_demand_share(double demand_share) {
+    fbb_.AddElement<double>(QuotaLease::VT_DEMAND_SHARE, demand_share, 0.0);
+  }
   explicit QuotaLeaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2109,8 +2153,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t granted_tokens = 0,
     uint32_t lifetime_ms = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    double demand_share = 0.0) {
   QuotaLeaseBuilder builder_(_fbb);
+  builder_.add_demand_share(demand_share);
   builder_.add_granted_tokens(granted_tokens);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_lifetime_ms(lifetime_ms);
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -146,8 +146,8 @@
 std::string GatewayFixture::run(const PathRoute &Route, CallerRequest Request) {
   SocketPair sockets;
   internal::HttpSink sink(sockets.near(), {});
-  GatewayContext context{Codec,   Directory, Limits,   Connections, Queues,
-                         Crashes, Origins,   Counters, Forwarding};
+  GatewayContext context{Codec,   Directory, Limits, Connections, Queues,
+                         Crashes, Origins,   Quotas, Counters,    Forwarding};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -76,6 +76,7 @@
   crocusspur::gateway::ReservationQueues Queues;
   crocusspur::gateway::CrashMonitor Crashes{"g1"};
   crocusspur::gateway::StreamOrigins Origins{1};
+  crocusspur::gateway::AccountQuotas Quotas{"g1"};
   crocusspur::internal::Metrics Counters;
   // Null: no request is passed on.
   const crocusspur::gateway::ForwardingHooks *Forwarding = nullptr;
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -40,6 +40,9 @@
   frame.StoreEra = 4;
   frame.WantedPermit = PermitRequest{frame.Limits[0], 2, -1, Milliseconds(150)};
   frame.Permit = PaceDecision{true, Milliseconds(70)};
+  frame.WantedLease =
+      QuotaAsk{"acme", 6000, 800, 12600, 5100.5, 250, Milliseconds(900)};
+  frame.Lease = QuotaGrant{6500, Milliseconds(1250), Milliseconds(40), 0.25};
   frame.Origins = {{1234567890123456789U, 5, 6, 7, Milliseconds(9000)}};
   frame.WantedOrigin = OriginQuery{77, "s1", Milliseconds(3000)};
   frame.Origin = OriginKnowledge{VersionKey(0), VersionKey(12)};
@@ -117,6 +120,19 @@
   REQUIRE(back->Permit.has_value());
   CHECK(back->Permit->Granted);
   CHECK(back->Permit->Delay == Milliseconds(70));
+  REQUIRE(back->WantedLease.has_value());
+  CHECK(back->WantedLease->Account == "acme");
+  CHECK(back->WantedLease->WantedTokens == 6000);
+  CHECK(back->WantedLease->ExtraTokens == 800);
+  CHECK(back->WantedLease->OfferedTokens == 12600);
+  CHECK(back->WantedLease->DemandPerSecond == 5100.5);
+  CHECK(back->WantedLease->ReturnedTokens == 250);
+  CHECK(back->WantedLease->ReturnedAgo == Milliseconds(900));
+  REQUIRE(back->Lease.has_value());
+  CHECK(back->Lease->Tokens == 6500);
+  CHECK(back->Lease->Lifetime == Milliseconds(1250));
+  CHECK(back->Lease->RetryAfter == Milliseconds(40));
+  CHECK(back->Lease->DemandShare == 0.25);
   REQUIRE(back->Origins.size() == 1);
   CHECK(back->Origins[0].Stream == 1234567890123456789U);
   CHECK(back->Origins[0].Version == 5);
--- /dev/null
+++ b/test/gateway_quota_fleet_test.cc
@@ -0,0 +1,202 @@
+// Replays the loads and failures of client-account quotas in virtual time, with
+// fleets of 8 to 400 instances behind an uneven load balancer, and checks the
+// rule in each window: no account uses more tokens than allowed, whatever
+// fails. The number of seeds for each case is small in CI;
+// CROCUSSPUR_QUOTA_SEEDS sets another.
+#include "quota_fleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace crocusspur::test;
+
+namespace {
+
+constexpr size_t Sizes[] = {8, 61, 90, 295, 400};
+constexpr uint64_t DefaultSeeds = 25;
+constexpr int64_t FailureMs = 6000;
+
+uint64_t seeds() {
+  const char *text = std::getenv("CROCUSSPUR_QUOTA_SEEDS");
+  return text ? std::stoull(text) : DefaultSeeds;
+}
+
+struct QuotaCase {
+  QuotaScenario Scenario;
+  std::function<void(QuotaFleet &, size_t Instances, uint64_t Seed)> Prepare =
+      [](QuotaFleet &, size_t, uint64_t) {};
+  int64_t FromMs = 0; // of the windows that are checked
+  // Bounds on the refused part of the requests of accounts that stay below
+  // their rate: of one account in one run, and over all.
+  double MaxRefusedOfOne = 1;
+  double MaxRefused = 1;
+};
+
+// Demand of the last account beyond its rate for the whole run.
+QuotaScenario above(QuotaScenario Scenario = {}) {
+  Scenario.Peak = 7.5;
+  Scenario.PeakToMs = Scenario.EndMs;
+  return Scenario;
+}
+
+void check(const QuotaCase &Case) {
+  double sent = 0;
+  double refused = 0;
+  double most = 0;
+  double mostRefused = 0;
+  for (uint64_t seed = 1; seed <= seeds(); ++seed) {
+    QuotaScenario scenario = Case.Scenario;
+    scenario.Seed = seed;
+    scenario.Instances = Sizes[seed % std::size(Sizes)];
+    QuotaFleet fleet(scenario);
+    Case.Prepare(fleet, scenario.Instances, seed);
+    fleet.run();
+    CAPTURE(seed);
+    for (size_t i = 0; i < fleet.accounts(); ++i) {
+      CAPTURE(i);
+      QuotaOutcome result = fleet.outcome(i, Case.FromMs, scenario.EndMs);
+      CHECK(result.MostOfAllowed <= 1);
+      most = std::max(most, result.MostOfAllowed);
+      bool isAbove = i + 1 == fleet.accounts() && scenario.Peak > 1;
+      if (isAbove)
+        continue;
+      sent += result.Sent;
+      refused += result.Refused;
+      mostRefused = std::max(mostRefused, result.Refused / result.Sent);
+    }
+  }
+  MESSAGE("most of the allowed tokens in a window: "
+          << most << ", refused below the limit: " << refused / sent
+          << ", of one account in one run: " << mostRefused);
+  CHECK(refused / sent <= Case.MaxRefused);
+  CHECK(mostRefused <= Case.MaxRefusedOfOne);
+}
+
+void killHomes(QuotaFleet &Fleet, size_t, uint64_t) {
+  Fleet.at(FailureMs, [&Fleet] {
+    for (size_t i = 0; i < Fleet.accounts(); ++i)
+      Fleet.kill(Fleet.homeOf(i));
+  });
+}
+
+void cutOffHalf(QuotaFleet &Fleet, size_t Instances, uint64_t) {
+  Fleet.at(FailureMs, [&Fleet, Instances] {
+    for (size_t i = 1; i < Instances; i += 2)
+      Fleet.cutOff(i);
+  });
+}
+
+void killAll(QuotaFleet &Fleet, size_t Instances, uint64_t) {
+  for (size_t i = 0; i < Instances; ++i) {
+    Fleet.at(FailureMs, [&Fleet, i] { Fleet.kill(i); });
+    Fleet.at(FailureMs + 1000 + static_cast<int64_t>(1500 * i / Instances),
+             [&Fleet, i] { Fleet.start(i); });
+  }
+}
+
+// The homes and a quarter of the others, for 2 to 12 s.
+void freezeHomes(QuotaFleet &Fleet, size_t Instances, uint64_t Seed) {
+  Fleet.at(FailureMs, [&Fleet, Instances] {
+    for (size_t i = 0; i < Instances; i += 4)
+      Fleet.freeze(i);
+    for (size_t i = 0; i < Fleet.accounts(); ++i)
+      Fleet.freeze(Fleet.homeOf(i));
+  });
+  Fleet.at(FailureMs + 2000 + static_cast<int64_t>(Seed % 5) * 2500,
+           [&Fleet, Instances] {
+             for (size_t i = 0; i < Instances; ++i)
+               Fleet.thaw(i);
+           });
+}
+
+void addThreeQuarters(QuotaFleet &Fleet, size_t Instances, uint64_t) {
+  size_t first = std::max<size_t>(2, Instances / 4);
+  Fleet.absentUntilStarted(first);
+  for (size_t i = first; i < Instances; ++i)
+    Fleet.at(FailureMs + static_cast<int64_t>(i % 500),
+             [&Fleet, i] { Fleet.start(i); });
+}
+
+} // namespace
+
+TEST_CASE("Quotas: accounts below their rate are hardly ever refused") {
+  check({.MaxRefusedOfOne = 0.02, .MaxRefused = 0.002});
+}
+
+TEST_CASE("Quotas hold for an account that sends far above its rate") {
+  check({.Scenario = above(), .MaxRefusedOfOne = 0.02});
+}
+
+TEST_CASE("Quotas hold while an account sends 7.5 times its usual demand") {
+  QuotaScenario peak;
+  peak.Peak = 7.5;
+  peak.PeakFromMs = 8000;
+  peak.PeakToMs = 14500;
+  check({.Scenario = peak, .MaxRefusedOfOne = 0.02});
+}
+
+TEST_CASE("Quotas hold while accounts' homes are dead") {
+  check({.Prepare = killHomes, .MaxRefused = 0.2});
+  check({.Scenario = above(), .Prepare = killHomes});
+}
+
+// Demand rises after the home's death, so that nobody knows the account's sum.
+TEST_CASE("Quotas hold while demand rises without the home") {
+  QuotaScenario peak;
+  peak.Peak = 7.5;
+  peak.PeakFromMs = FailureMs;
+  peak.PeakToMs = FailureMs + 6500;
+  check({.Scenario = peak, .Prepare = killHomes});
+}
+
+TEST_CASE("Quotas hold while half of the fleet is cut off") {
+  check({.Prepare = cutOffHalf, .MaxRefused = 0.12});
+  check({.Scenario = above(), .Prepare = cutOffHalf});
+}
+
+TEST_CASE("Quotas hold after all instances are killed") {
+  check({.Prepare = killAll, .MaxRefused = 0.06});
+  check({.Scenario = above(), .Prepare = killAll});
+}
+
+TEST_CASE("Quotas hold while homes and other instances are frozen") {
+  check({.Prepare = freezeHomes, .MaxRefused = 0.15});
+  check({.Scenario = above(), .Prepare = freezeHomes});
+}
+
+TEST_CASE("Quotas hold while three quarters of the fleet are added") {
+  check({.Prepare = addThreeQuarters, .MaxRefused = 0.08});
+  check({.Scenario = above(), .Prepare = addThreeQuarters});
+}
+
+TEST_CASE("A quota lowered to a fifth of the demand holds within its time") {
+  QuotaScenario scenario;
+  scenario.Peak = 1.0001; // the last account isn't below its rate
+  check({.Scenario = scenario,
+         .Prepare =
+             [](QuotaFleet &Fleet, size_t, uint64_t) {
+               Fleet.at(4000,
+                        [&Fleet] { Fleet.setRate(2, Fleet.demandOf(2) / 5); });
+             },
+         .FromMs = 7000,
+         .MaxRefusedOfOne = 0.02});
+}
+
+// Without refunds, 0.4 of the tokens would be lost and 0.2 of the requests
+// refused.
+TEST_CASE("Tokens of requests that didn't run are used by others") {
+  QuotaScenario scenario;
+  scenario.Load = 1.2;
+  scenario.NotRunPart = 0.4;
+  check({.Scenario = scenario, .MaxRefused = 0.03});
+}
+
+// A late response doesn't show that the home is gone.
+TEST_CASE("Quotas hold while one in ten responses of homes is lost") {
+  QuotaScenario scenario;
+  scenario.LostResponses = 0.1;
+  check({.Scenario = scenario, .MaxRefused = 0.06});
+  check({.Scenario = above(scenario)});
+}
