--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
+#include "gateway/accounts/access_control.h"
 #include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
@@ -37,9 +38,13 @@
         Source(ActiveAdapter.MakeSource(this->Values)),
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
         Crashes(this->Values.Instance), Origins(Incarnation),
-        Quotas(this->Values.Instance),
+        Quotas(this->Values.Instance,
+               {this->Values.Quotas.Window, this->Values.Quotas.Overage,
+                this->Values.Quotas.ToleranceTokens}),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
+        Access(Codec, this->Values.Access,
+               [this] { return Readers.confirmedAgo(); }),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries) {
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
@@ -83,11 +88,13 @@
   std::atomic<uint64_t> PeersKnown{0};
   Membership Peers;
   StoreReaders Readers;
+  AccessControl Access;
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
-  // Applies the settings that can change at run time: seeds and the retry
-  // budget. Others need a restart.
+  // Applies the settings that can change at run time: seeds, the retry budget
+  // and when callers are refused since keys can't be confirmed. Others need a
+  // restart.
   void applySettings(const GatewaySettings &NewValues, const char *Why);
   // Keeps the active settings. Logs each set of diagnostics once.
   void logInvalidSettings(const DiagnosticList &Diagnostics, const char *Why);
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -158,7 +158,8 @@
   Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
                                  Runtime->Limits, Runtime->Connections,
                                  Runtime->Queues, Runtime->Crashes,
-                                 Runtime->Origins, Runtime->Quotas, *metrics});
+                                 Runtime->Origins, Runtime->Quotas, *metrics,
+                                 /*Forwarding=*/nullptr, &Runtime->Access});
   Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -79,7 +79,16 @@
   };
 
   void runPlain();
+  // Waits until a server may have room, while the response can still be on
+  // time. Returns false if the request is to be refused.
+  bool awaitRoom();
+  // Candidates for the next send of a plain request.
+  ServerQuery plainQuery() const;
+  // The same once it has to wait.
+  bool waitForRoom();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
+  // Of an attempt that may be repeated, from what is expected at the server.
+  Milliseconds attemptTimeout(const ServerChoice &Server) const;
 
   // Selects a server and acquires a permit for one call to it. If all servers
   // are at their request limits, waits for at most `MaxDelay` for the first one
@@ -126,10 +135,14 @@
   AttemptResult tryStream(bool ReadAtDecode);
   void abortStream(const std::string &Why);
   std::optional<DecodeReservation> reserveDecode();
+  // Decides on arrival whether the request waits for a reservation.
+  bool isAdmitted(const QueueEntry &Entry);
   std::optional<DecodeReservation> tryReserveDecode(uint64_t Tokens);
   std::optional<DecodeReservation> selectUnreservedDecode();
   std::optional<PromptKvCache> runPrefill();
   std::optional<PromptKvCache> tryPrefill(const ServerChoice &Server);
+  // From the duration that is expected at the server, at most the time left.
+  Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
@@ -179,6 +192,9 @@
   // Whether the last run, which ended with its server, is likely its cause, so
   // that it isn't sent to another server.
   bool mayEndNextServer();
+  // Where this request is among the ranks of its service. A stream that goes on
+  // elsewhere after its server broke is among the most urgent ones.
+  RankPosition position() const;
   ForwardOptions optionsFor(const ServerChoice &Server) const;
   // Also tells the instance that passed the request on if the server leaves.
   internal::ResponseHead responseHead(const ServerCall &Call,
@@ -188,6 +204,12 @@
   void refuse(ErrorKind Kind, const std::string &Why, Milliseconds RetryAfter);
   // The same for a request that crashes servers.
   void refuseAsCrashing();
+  // The same for a request whose key isn't valid any more.
+  void refuseAccess();
+  // Whether the request may still be sent, by the configuration in force now.
+  bool hasAccess();
+  // Rank among requests that wait; 0 is the highest.
+  uint32_t rank() const;
   // The same if all servers are at their request limits or rest.
   void refuseForLimits();
   // If all servers of the query rest, notes until when, as for limits.
@@ -229,6 +251,8 @@
   // what of it.
   std::optional<Milliseconds> CrashRefusedFor;
   const char *CrashRefusalReason = "";
+  // Set once the key isn't valid any more.
+  std::optional<AccessVerdict> AccessRefused;
   bool AnswerSurvived = false; // see onAnswerSurvived(); of the last run
   // The server of the last run ended with it, soon after it began to answer.
   bool EndedWithServer = false;
@@ -238,6 +262,9 @@
   // denial.
   std::optional<TimePoint> LimitedUntil;
   internal::LogFields LimitedFields;
+  bool RefusedByFull = false; // a full server refused it; the next is a retry
+  bool FoundFull = false;     // all servers looked full, or a full one refused
+  bool Rejected = false;      // on arrival; see isAdmitted()
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
   std::optional<TimePoint> FirstOutput;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -30,8 +30,13 @@
 // Servers grant reservations from memory; one that is slower than this is
 // overloaded or down.
 constexpr Milliseconds ReserveTimeout{150};
-// A prefill that takes longer is retried at another server.
-constexpr Milliseconds PrefillTimeout{1000};
+// A prefill that takes longer than this many times the time expected at its
+// server is retried at another one. A prompt that is read slowly is left to
+// finish, since a repeat reads it all again.
+constexpr int PrefillTimeoutFactor = 6;
+// Lower bound, and the time-out at a server of unknown pace. Expectations lag
+// behind a burst of requests, in which prompts queue.
+constexpr Milliseconds MinPrefillTimeout{1000};
 constexpr Milliseconds ReleaseTimeout{200};
 constexpr Milliseconds QueuePollPeriod{10};
 // Prompt tokens for which a prefill call counts as one unit of load; the size
@@ -43,6 +48,8 @@
 constexpr Milliseconds MinStallTimeout{1200};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
+// Streams last many seconds, and a server may become slow within one of them.
+constexpr Milliseconds DecodeSampleTime{500};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
 // Events hold some tokens each. The stream counts as broken beyond it.
@@ -107,6 +114,7 @@
   }
   if (HeadSent) {
     abortStream(CrashRefusedFor        ? CrashRefusalReason
+                : AccessRefused        ? reasonOf(*AccessRefused)
                 : mayEndNextServer()   ? "its server ended with it"
                 : RetryBudgetExhausted ? "the retry allowance is used up"
                                        : "no server could continue the stream");
@@ -120,6 +128,8 @@
          "the server's answer broke off");
   else if (CrashRefusedFor)
     refuseAsCrashing();
+  else if (AccessRefused)
+    refuseAccess();
   else
     refuse(ErrorKind::BackendRefused, "no server took the request",
            NoServerRetryAfter);
@@ -152,7 +162,8 @@
       return AttemptResult::Done;
     }
     if (HeadSent) {
-      abortStream("no reservation to continue the stream");
+      abortStream(AccessRefused ? reasonOf(*AccessRefused)
+                                : "no reservation to continue the stream");
       return AttemptResult::Done;
     }
     if (MayHaveExecuted) {
@@ -163,6 +174,10 @@
       refuseAsCrashing();
       return AttemptResult::Done;
     }
+    if (AccessRefused) {
+      refuseAccess();
+      return AttemptResult::Done;
+    }
     if (LimitedUntil) {
       refuseForLimits();
       return AttemptResult::Done;
@@ -171,8 +186,9 @@
     Milliseconds drain = Context.Queues.drainTime(Service);
     // Callers honor a Retry-After of up to a third of their remaining time.
     refuse(known ? ErrorKind::DeadlineUnreachable : ErrorKind::NoServer,
-           known ? "no memory for the output became free in time"
-                 : "no server is known",
+           Rejected ? "no memory for the output is expected in time"
+           : known  ? "no memory for the output became free in time"
+                    : "no server is known",
            known ? retryAfter(drain, timeLeft() / 3,
                               Context.Directory.randomFraction())
                  : NoServerRetryAfter);
@@ -202,6 +218,24 @@
   return std::nullopt;
 }
 
+bool RequestHandler::isAdmitted(const QueueEntry &Entry) {
+  AdmissionDecision decision =
+      Context.Queues.decide(Service, Entry, Context.Directory.randomFraction());
+  if (decision.Admitted)
+    return true;
+  Rejected = true;
+  // Role decisions must see the demand.
+  Context.Directory.onReservationEnded(Service, Milliseconds(0),
+                                       /*Got=*/false);
+  internal::LogFields all = fields();
+  all.emplace_back("priority", std::to_string(Entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(Entry.Rank.Above));
+  all.emplace_back("chance", std::to_string(decision.Chance));
+  all.emplace_back("admitted_share", std::to_string(decision.AdmittedShare));
+  log(LogLevel::Info, "request", "request rejected on arrival", all);
+  return false;
+}
+
 // Waits in the queue until a decode server reserves memory for the request or
 // the queue entry expires.
 std::optional<RequestHandler::DecodeReservation>
@@ -217,16 +251,25 @@
       MinStartTime +
       Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
   QueueEntry entry;
-  entry.Priority = Route.Priority;
+  entry.Priority = rank();
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
   if (HeadSent || Returning || StreamVersion)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
+  entry.Rank = position();
+  if (HeadSent && entry.Rank.differs()) {
+    entry.Priority = 0;
+    entry.OnTimeDeadline = entry.ExpiresAt;
+  }
   LimitedUntil.reset();
   TimePoint joined = Clock::now();
-  if (Context.Queues.wouldTimeOut(Service, entry.ExpiresAt))
+  if (Context.Queues.wouldTimeOut(Service, entry))
     return std::nullopt;
   Context.Directory.onMemoryRequested(Service, tokens);
+  if (entry.Rank.differs() && !HeadSent && !Returning && !StreamVersion &&
+      !isAdmitted(entry))
+    return std::nullopt;
+  bool contended = Context.Queues.isContended(Service); // on arrival
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
@@ -258,6 +301,10 @@
   all.emplace_back("waited_ms", std::to_string(waited.count()));
   all.emplace_back("tries", std::to_string(tries));
   all.emplace_back("returning", Returning ? "true" : "false");
+  all.emplace_back("priority", std::to_string(entry.Priority));
+  all.emplace_back("ranks_above", std::to_string(entry.Rank.Above));
+  all.emplace_back("ranks_below", std::to_string(entry.Rank.Below));
+  all.emplace_back("contended", contended ? "true" : "false");
   log(LogLevel::Info, "request",
       reservation ? "reservation granted" : "no reservation", all);
   return reservation;
@@ -284,6 +331,10 @@
   if (ranked.empty())
     noteResting(outputQuery(ServerStage::Decode));
   size_t asked = 0;
+  size_t full = 0; // of those asked, refused
+  auto taken = [started = Clock::now()] {
+    return std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+  };
   for (const ServerChoice &server : order) {
     if (shouldStop() || shouldForward() || asked == most)
       break;
@@ -315,16 +366,21 @@
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
         server.Id, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
+    full += name ? 0 : 1;
     DecodeReservation granted{server, name.value_or(""),
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
     // The response may say that the server leaves.
-    if (name && Context.Directory.usable(server))
+    if (name && Context.Directory.usable(server)) {
+      Context.Queues.onAttemptAnswered(Service, /*Granted=*/true, taken());
       return granted;
+    }
     release(granted);
   }
   if (asked > 0)
     LimitedUntil.reset();
+  if (full > 0 && full == asked)
+    Context.Queues.onAttemptAnswered(Service, /*Granted=*/false, taken());
   return std::nullopt;
 }
 
@@ -355,6 +411,16 @@
   return std::nullopt;
 }
 
+Milliseconds RequestHandler::prefillTimeout(const ServerChoice &Server) const {
+  std::optional<Milliseconds> expected;
+  if (Request.Generation)
+    expected = Context.Directory.expectedDuration(
+        Server.Id, static_cast<double>(Request.Generation->PromptTokens));
+  return std::min(timeLeft(), std::max(MinPrefillTimeout,
+                                       expected.value_or(Milliseconds(0)) *
+                                           PrefillTimeoutFactor));
+}
+
 std::optional<RequestHandler::PromptKvCache>
 RequestHandler::tryPrefill(const ServerChoice &Server) {
   TimePoint started = Clock::now();
@@ -364,17 +430,18 @@
                       : 1;
   ForwardOptions order = optionsFor(Server);
   order.PrefillOnly = true;
+  Milliseconds timeout = prefillTimeout(Server);
   ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(Server.Id, weight);
   RunTracker::Id run = trackRun(Server, /*Answers=*/false);
   CallStatus status =
       call.start(Server, Context.Codec.FormatRequest(Request, order),
-                 Request.Method, Request.Id, PrefillTimeout,
+                 Request.Method, Request.Id, timeout,
                  /*Permitted=*/true);
   PrefillSent = call.maySent();
   std::string body;
   if (status == CallStatus::Responded)
-    status = call.readWhole(body, MaxPrefillResponseBytes, PrefillTimeout);
+    status = call.readWhole(body, MaxPrefillResponseBytes, timeout);
   auto end = [&](CallResult Result, const std::string &Outcome) {
     Context.Directory.callEnded(Server.Id, weight, Result);
     logCall("prefill", Server, call, Outcome, started);
@@ -383,6 +450,11 @@
   if (status != CallStatus::Responded) {
     if (status == CallStatus::NotSent)
       Context.Connections.drop(Server.Address);
+    // It takes at least this long.
+    if (status == CallStatus::TimedOut && Request.Generation)
+      Context.Directory.onCallTimed(
+          Server, static_cast<double>(Request.Generation->PromptTokens),
+          timeout);
     end(failedCall(status).Result, failedCall(status).Outcome);
     return std::nullopt;
   }
@@ -400,10 +472,14 @@
   }
   PrefillAccepted = true;
   end(CallResult::Succeeded, "answered_" + code);
-  if (Request.Generation)
+  if (Request.Generation) {
+    auto taken =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
     Context.Directory.onPrefillFinished(
-        Service, Request.Generation->PromptTokens,
-        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
+        Service, Request.Generation->PromptTokens, taken);
+    Context.Directory.onCallTimed(
+        Server, static_cast<double>(Request.Generation->PromptTokens), taken);
+  }
   return PromptKvCache{Server, done->Handle};
 }
 
@@ -569,6 +645,9 @@
     stallTimeout =
         std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps);
   std::optional<TimePoint> begunAt; // the first event of this run
+  // Start of the latest sample of the server's pace, and the events before.
+  std::optional<TimePoint> timedAt;
+  uint64_t timedEvents = 0;
   // Only whole events are progress.
   TimePoint stalledAt = Clock::now() + stallTimeout;
   while (!end && status == CallStatus::Responded && !CallerWriteFailed) {
@@ -583,6 +662,16 @@
     if (EventsForwarded > forwarded) {
       TimePoint eventAt = Clock::now();
       stalledAt = eventAt + stallTimeout;
+      if (!timedAt)
+        timedAt = eventAt;
+      else if (eventAt - *timedAt >= DecodeSampleTime) {
+        Context.Directory.onCallTimed(
+            Server, static_cast<double>(EventsForwarded - timedEvents),
+            std::chrono::duration_cast<Milliseconds>(eventAt - *timedAt));
+        timedAt = eventAt;
+      }
+      if (timedAt == eventAt)
+        timedEvents = EventsForwarded;
       if (!begunAt)
         begunAt = eventAt;
       else if (eventAt >= *begunAt + AnswerSurvivalTime)
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -72,6 +72,59 @@
   CHECK(request.Forwarded.empty());
 }
 
+// Guards against a key or an account's name of the caller's own that reaches a
+// server in another spelling or a second field.
+TEST_CASE("HttpCodec takes keys and account names out of all fields") {
+  HttpCodec codec = platform::makeHttpCodec();
+  auto take = [&](HeaderFields Fields) {
+    Fields.insert(Fields.begin(), {"X-First", "1"});
+    Fields.emplace_back("X-Last", "2");
+    CallerRequest request = codec.ParseRequestHead(requestHead(Fields));
+    KeyPresence presence = codec.TakeKey(request);
+    CHECK(request.Forwarded == HeaderFields{{"X-First", "1"}, {"X-Last", "2"}});
+    CHECK((presence == KeyPresence::Present) == !request.Key.empty());
+    return std::pair(presence, request.Key);
+  };
+  const std::pair present{KeyPresence::Present, std::string("k-1")};
+  const std::pair malformed{KeyPresence::Malformed, std::string()};
+  const std::pair missing{KeyPresence::Missing, std::string()};
+  CHECK(take({{"Authorization", "Bearer k-1"}}) == present);
+  CHECK(take({{"aUTHORIZATION", "bEARER   k-1"}, {"TENANT", "other"}}) ==
+        present);
+  CHECK(take({{"Tenant", "a"},
+              {"authorization", "Bearer k-1"},
+              {"tenant", ""}}) == present);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"AUTHORIZATION", "Bearer k-1"}}) == present);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"authorization", "Bearer k-2"}}) == malformed);
+  CHECK(take({{"Authorization", "Bearer k-1"},
+              {"authorization", "x"},
+              {"authorization", "Bearer k-1"}}) == malformed);
+  for (const char *text : {"k-1", "Bearer", "Bearer ", "Basic k-1", "",
+                           "Bearerk-1", "Bearer\tk-1"})
+    CHECK_MESSAGE(take({{"Authorization", text}}) == malformed, text);
+  CHECK(take({{"Tenant", "a"}, {"tEnAnT", "b"}}) == missing);
+  CHECK(take({}) == missing);
+}
+
+// Guards against changed bytes towards servers of deployments that know no
+// accounts.
+TEST_CASE("HttpCodec passes credentials on unless they are taken") {
+  HttpCodec codec = platform::makeHttpCodec();
+  CallerRequest request = codec.ParseRequestHead(
+      requestHead({{"Authorization", "Bearer k-1"}, {"Tenant", "a"}}));
+  std::string before = codec.FormatRequest(request, options());
+  CHECK(has(before, "Authorization: Bearer k-1"));
+  CHECK(has(before, "Tenant: a"));
+  codec.TakeKey(request);
+  request.Account = "stores";
+  std::string after = codec.FormatRequest(request, options());
+  CHECK(has(after, "Tenant: stores"));
+  CHECK(after.find("k-1") == std::string::npos);
+  CHECK_FALSE(has(after, "Tenant: a"));
+}
+
 TEST_CASE("HttpCodec doesn't forward hop-by-hop fields") {
   HttpCodec codec = platform::makeHttpCodec();
   CallerRequest request =
@@ -95,6 +148,20 @@
   CHECK(has(text, "Kv-Source: 10.0.0.8:80/3fa0"));
   CHECK(has(text, "Retention: r7"));
   CHECK(has(text, "Last-Event-Id: 12"));
+  CHECK(text.find("Request-Priority") == std::string::npos);
+}
+
+// Guards against servers that preempt an urgent request since they don't learn
+// its rank, and against a rank that the caller sets itself.
+TEST_CASE("HttpCodec sends the rank that the gateway states") {
+  HttpCodec codec = platform::makeHttpCodec();
+  CallerRequest request =
+      codec.ParseRequestHead(requestHead({{"request-priority", "0"}}));
+  ForwardOptions order = options();
+  order.Priority = 2;
+  std::string text = codec.FormatRequest(request, order);
+  CHECK(has(text, "Request-Priority: 2"));
+  CHECK(text.find("request-priority") == std::string::npos);
 }
 
 TEST_CASE("HttpCodec parses the head of a response") {
@@ -114,6 +181,37 @@
   CHECK(info.Returned.size() == 3);
 }
 
+// Servers that state a fourth figure lost their whole load report, so that
+// instances chose among them by their own calls only.
+TEST_CASE("HttpCodec parses load reports of three and more figures") {
+  HttpCodec codec = platform::makeHttpCodec();
+  auto parse = [&](const std::string &Value) {
+    HttpHead head;
+    head.Status = 200;
+    head.Fields = {{"Server-Load", Value}};
+    return codec.ParseResponseHead(head).Load;
+  };
+  for (const char *it : {"3,1,8", "3,1,8,x", "3,1,8,", "3,1,8,0", "3,1,8,-5",
+                         "3,1,8,nan", "3,1,8,1e9", "3,1,8,99999999"}) {
+    CAPTURE(it);
+    REQUIRE(parse(it).has_value());
+    CHECK(parse(it)->Slots == 8);
+    CHECK_FALSE(parse(it)->Slowdown.has_value());
+  }
+  for (const char *it : {"3,1,8,250", " 3, 1, 8, 250 ", "3,1,8,250.0,7,x"}) {
+    CAPTURE(it);
+    REQUIRE(parse(it).has_value());
+    CHECK(parse(it)->Running == 3);
+    CHECK(parse(it)->Waiting == 1);
+    CHECK(parse(it)->Slowdown == 2.5);
+  }
+  for (const char *it : {"", ",", ",,,", "3,1", "x,1,8,250", "3,,8,250",
+                         "3,1,-8", "3,1,8x", "99999999999,1,8"}) {
+    CAPTURE(it);
+    CHECK_FALSE(parse(it).has_value());
+  }
+}
+
 TEST_CASE("HttpCodec parses a request limit") {
   HttpCodec codec = platform::makeHttpCodec();
   auto parse = [&](const std::vector<std::string> &Values) {
