--- a/src/gateway/decisions/accounts/quota_bucket.h
+++ b/src/gateway/decisions/accounts/quota_bucket.h
@@ -23,7 +23,7 @@
   Milliseconds Window{8000};
   double Overage = 0.25; // part of the quota of a window by which it may be
                          // exceeded
-  double ToleranceTokens = 190000; // besides
+  double ToleranceTokens = 0; // besides
 
   bool operator==(const QuotaRules &) const = default;
 
--- a/src/gateway/decisions/accounts/token_rate.h
+++ b/src/gateway/decisions/accounts/token_rate.h
@@ -5,6 +5,7 @@
 
 #include "crocusspur/types.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace crocusspur::gateway {
@@ -16,10 +17,19 @@
       : MemorySeconds(std::chrono::duration<double>(Memory).count()) {}
 
   void add(double Amount, TimePoint Now) {
+    if (FirstAt == TimePoint())
+      FirstAt = Now;
     Sum = decayed(Now) + Amount;
     At = Now;
   }
-  double perSecond(TimePoint Now) const { return decayed(Now) / MemorySeconds; }
+  // Soon after the first amount the rate is that of the time since then, which
+  // counts as a second at least.
+  double perSecond(TimePoint Now) const {
+    double known =
+        std::max(1.0, std::chrono::duration<double>(Now - FirstAt).count());
+    return decayed(Now) /
+           (MemorySeconds * (1 - std::exp(-known / MemorySeconds)));
+  }
 
 private:
   double decayed(TimePoint Now) const {
@@ -29,6 +39,7 @@
 
   double MemorySeconds;
   double Sum = 0;
+  TimePoint FirstAt;
   TimePoint At;
 };
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -36,7 +36,7 @@
   // Within which a configuration is in force at instances in touch, from its
   // acknowledgement by the store.
   Milliseconds ConfigApplyTime{3000};
-  QuotaRules Quotas;
+  QuotaRules Quotas{.ToleranceTokens = 190000};
 
   std::string LogLevel = "info";
 };
--- a/src/gateway/quota_handler.cc
+++ b/src/gateway/quota_handler.cc
@@ -22,7 +22,6 @@
   if (Quota.Admitted)
     return true;
   internal::LogFields all = fields();
-  all.emplace_back("account", account->Name);
   all.emplace_back("tokens", std::to_string(QuotaTokens));
   all.emplace_back("rate_per_s",
                    std::to_string(account->Quota.TokensPerSecond));
