--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -650,21 +650,6 @@
   return response->Lease.value_or(unknown);
 }
 
-// Runs on the thread of a request or that of AccountQuotas.
-std::optional<QuotaGrant> MemberLinks::askForLease(const std::string &Address,
-                                                   const QuotaAsk &Ask) {
-  MemberFrame frame;
-  frame.Sender = Runtime->ownMember();
-  frame.WantedLease = Ask;
-  std::optional<MemberFrame> response =
-      callMember(Address, frame, PermitTimeout);
-  if (!response)
-    return std::nullopt;
-  QuotaGrant unknown;
-  unknown.Known = false;
-  return response->Lease.value_or(unknown);
-}
-
 // Logs one line for each member found or lost.
 void MemberLinks::logMembershipChanges() {
   std::set<std::string> now;
