Use the tolerance of quotas, and fill buckets from the start

Change: the view of the fleet begins with the process, and only losses and returns of instances make homes new: a new instance can only take accounts away. The home grants eight tenths of the tolerance besides, by the part of the fleet that it knows.

--- a/src/gateway/decisions/accounts/fleet_memory.cc
+++ b/src/gateway/decisions/accounts/fleet_memory.cc
@@ -1,6 +1,7 @@
 #include "gateway/decisions/accounts/fleet_memory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -14,13 +15,15 @@
 
 void FleetMemory::update(const std::vector<Member> &Others, TimePoint Now) {
   for (auto &[name, state] : Members)
-    state.Alive = false;
+    state.WasAlive = std::exchange(state.Alive, false);
   bool changed = false;
   for (const Member &it : Others) {
     auto [place, added] = Members.try_emplace(it.Name);
     State &state = place->second;
-    changed = changed || added || state.Leaving != it.Leaving ||
-              Now - state.SeenAt > LostMemberRetention;
+    // One that is found for the first time can only take accounts away from
+    // this instance, so it doesn't count.
+    changed =
+        changed || (!added && (state.Leaving != it.Leaving || !state.WasAlive));
     state.SeenAt = Now;
     state.Leaving = it.Leaving;
     state.Alive = true;
@@ -33,7 +36,10 @@
   auto alive = static_cast<uint32_t>(std::ranges::count_if(
                    Members, [](const auto &It) { return It.second.Alive; })) +
                1;
-  if (changed || alive != View.Alive)
+  changed = changed || std::ranges::any_of(Members, [](const auto &It) {
+              return It.second.WasAlive && !It.second.Alive;
+            });
+  if (changed)
     View.ChangedAt = Now;
   View.Alive = alive;
   View.Expected = static_cast<uint32_t>(Members.size()) + 1;
--- a/src/gateway/decisions/accounts/fleet_memory.h
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -17,7 +17,9 @@
 struct FleetView {
   uint32_t Alive = 1;    // instances known to run, including this one
   uint32_t Expected = 1; // those and the ones that may run out of reach
-  TimePoint ChangedAt;   // when one was found or lost
+  // When one was lost, announced its leaving or came back, so that accounts may
+  // have got another home; at first the start of this process.
+  TimePoint ChangedAt;
   // Whether this process has had time to find the others.
   bool Discovered = true;
 
@@ -40,6 +42,7 @@
     TimePoint SeenAt;
     bool Leaving = false;
     bool Alive = false;
+    bool WasAlive = false; // at the update before
   };
   std::map<std::string, State> Members; // by name
   FleetView View;
--- a/src/gateway/decisions/accounts/quota_bucket.cc
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -11,15 +11,25 @@
 // an account that stays below its rate don't come evenly: with a burst of 0 and
 // six requests a second, 1 in 100 would find an empty bucket.
 constexpr double DepthPart = 0.4;
-// What the home grants in a window and a lease time. The rest is left for the
-// time in which an account has two homes or instances use local shares.
+// Of the overage, what the home grants. The rest is left for the time in which
+// an account has two homes or instances use local shares.
 constexpr double GrantedPart = 0.5;
+// Part of the tolerance that is granted as well: operators permit it, and a
+// request that is refused within it is refused for nothing.
+constexpr double TolerancePart = 0.8;
 // The rate of a new home at first.
 constexpr double NewHomeFraction = 0.25;
 // Tokens for expected requests are at most this part of the bucket, so that
 // leases shrink to what one request needs as it empties.
 constexpr double ExtraPart = 0.125;
 
+// What the home grants in a window and a lease time.
+double maxGranted(const AccountQuota &Quota, const QuotaRules &Rules,
+                  double RateFraction) {
+  return Rules.quota(Quota) + Rules.quota(Quota) * Rules.Overage * GrantedPart +
+         Rules.ToleranceTokens * TolerancePart * RateFraction;
+}
+
 double seconds(TimePoint From, TimePoint To) {
   return std::max(0.0, std::chrono::duration<double>(To - From).count());
 }
@@ -56,7 +66,10 @@
   advance(Now);
   double known = seconds(HomeSince, Now) /
                  std::chrono::duration<double>(Rules.Window).count();
-  double rate = Quota.TokensPerSecond * std::clamp(RateFraction, 0.0, 1.0) *
+  double perSecond = Quota.TokensPerSecond +
+                     Rules.ToleranceTokens * TolerancePart /
+                         std::chrono::duration<double>(Rules.Window).count();
+  double rate = perSecond * std::clamp(RateFraction, 0.0, 1.0) *
                 std::min(1.0, NewHomeFraction + (1 - NewHomeFraction) * known);
   double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
   Level = std::min(depth, Level + rate * seconds(RefilledAt, Now));
@@ -108,14 +121,14 @@
   result.DemandShare =
       demand > 0 ? std::clamp(Ask.DemandPerSecond / demand, 0.0, 1.0) : 0;
   double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
-  double maxGranted = Rules.quota(Quota) + Rules.slack(Quota) * GrantedPart;
-  double free = maxGranted - granted();
+  double most = maxGranted(Quota, Rules, std::clamp(RateFraction, 0.0, 1.0));
+  double free = most - granted();
   auto wanted = static_cast<double>(Ask.WantedTokens);
   // One that is larger than the bucket is granted from a full one.
   double needed = std::min(wanted, depth);
   if (Level < needed || free < wanted) {
-    result.RetryAfter = timeUntil(needed, maxGranted,
-                                  Quota.TokensPerSecond * RateFraction, Now);
+    result.RetryAfter =
+        timeUntil(needed, most, Quota.TokensPerSecond * RateFraction, Now);
     return result;
   }
   double extra =
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -250,6 +250,9 @@
 }
 
 void MemberLinks::shareQuotas() {
+  // From the start on, so that the buckets of accounts fill before the first
+  // requests come.
+  Fleet.emplace(quotaNow());
   QuotaSharing sharing;
   sharing.FindHome = [this](const std::string &Account) {
     return Runtime->Peers.ownerOf("account:" + Account,
@@ -271,8 +274,6 @@
 // Called by AccountQuotas with its lock.
 FleetView MemberLinks::fleetView() {
   TimePoint now = quotaNow();
-  if (!Fleet)
-    Fleet.emplace(now);
   Fleet->update(Runtime->Peers.alive(), now);
   // An instance without others to look for knows all of its fleet.
   std::vector<std::string> seeds = Runtime->seedAddresses();
