Keep the intervals of routes where accounts have ranks

Change: ranks that differ by the route only share the steps between the shortest and the longest interval; the most urgent accounts ask as often as any.

--- a/src/gateway/decisions/attempt_interval.cc
+++ b/src/gateway/decisions/attempt_interval.cc
@@ -35,7 +35,7 @@
   if (!Rank.differs())
     return UniformInterval * (late ? LateIntervalFactor : 1);
   Milliseconds interval = UrgentInterval;
-  for (uint32_t n = 0; n < Rank.Above && interval < MaxInterval; ++n)
+  for (uint32_t n = 0; n < Rank.intervalSteps() && interval < MaxInterval; ++n)
     interval *= RankFactor;
   if (late)
     return std::min(std::max(interval, UniformInterval) * LateIntervalFactor,
@@ -47,8 +47,8 @@
 
 Milliseconds firstAttemptDelay(const RankPosition &Rank,
                                TimePoint OnTimeDeadline, TimePoint Now) {
-  return Rank.Above == 0 ? Milliseconds(0)
-                         : attemptInterval(Rank, OnTimeDeadline, Now);
+  return Rank.intervalSteps() == 0 ? Milliseconds(0)
+                                   : attemptInterval(Rank, OnTimeDeadline, Now);
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/attempt_interval.h
+++ b/src/gateway/decisions/attempt_interval.h
@@ -12,6 +12,7 @@
 #include "crocusspur/types.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace crocusspur::gateway {
 
@@ -19,6 +20,12 @@
 struct RankPosition {
   uint32_t Above = 0; // ranks that are more urgent
   uint32_t Below = 0; // ranks that are less urgent
+  // Steps by which the interval between attempts grows; nothing: `Above`. Few
+  // steps fit between the shortest and the longest interval, so where accounts
+  // have ranks, the kinds of request of each rank share them.
+  std::optional<uint32_t> IntervalSteps{};
+
+  uint32_t intervalSteps() const { return IntervalSteps.value_or(Above); }
 
   // Whether requests of the service have different ranks.
   bool differs() const { return Above + Below > 0; }
--- a/src/gateway/decisions/route_table.cc
+++ b/src/gateway/decisions/route_table.cc
@@ -43,10 +43,18 @@
       ranks.insert(requestRank(priority, it.Priority));
   }
   RankPosition position;
+  uint32_t sameAccount = 0;      // ranks that differ by the route only
+  uint32_t sameAccountAbove = 0; // of them, those that are more urgent
   for (const RequestRank &it : ranks) {
     position.Above += it < Rank ? 1 : 0;
     position.Below += it > Rank ? 1 : 0;
+    sameAccount += it.Account == Rank.Account ? 1 : 0;
+    sameAccountAbove += it.Account == Rank.Account && it < Rank ? 1 : 0;
   }
+  // The most urgent accounts go first with all kinds of request.
+  bool isFirstAccount = position.Above == sameAccountAbove;
+  if (sameAccount > 1 && sameAccount < ranks.size())
+    position.IntervalSteps = isFirstAccount ? 0 : sameAccountAbove;
   return position;
 }
 
