Change the stage of the slowest prefill servers first

Cause: servers that change from prefill to decode were taken from the front of the ranking, which puts the fastest first since paces count.

Change: servers leave the prefill stage slowest first. The first event waits for the prefill, while a slow decode server keeps its events within their pause.

The new test checks that the slowest comes first, where the former ranking has it last.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -309,6 +309,16 @@
   return choices;
 }
 
+std::vector<ServerChoice>
+ServerRegistry::rankSlowestFirst(const ServerQuery &Query, TimePoint Now) {
+  std::vector<ServerChoice> all = rank(Query, Now);
+  std::ranges::stable_sort(all, std::ranges::greater(),
+                           [&](const ServerChoice &It) {
+                             return placementPace(Servers.at(It.Id), Now);
+                           });
+  return all;
+}
+
 std::optional<ServerChoice> ServerRegistry::choose(const ServerQuery &Query,
                                                    TimePoint Now) {
   if (std::optional<ServerChoice> choice = chooseByPace(Query, Now))
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -163,6 +163,12 @@
   };
   Fullness fullness(const ServerQuery &Query, TimePoint Now) const;
 
+  // The same, slowest first by pace. For servers that leave the prefill stage:
+  // the first event of a stream waits for its prefill, while a slow decode
+  // server is still fast enough for the events after it.
+  std::vector<ServerChoice> rankSlowestFirst(const ServerQuery &Query,
+                                             TimePoint Now);
+
   // `Weight` is the load that the call adds: 1 for a plain request, the number
   // of tokens for a call to a model.
   void callStarted(const std::string &Id, double Weight);
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -258,8 +258,10 @@
                                 const StageChange &Change) {
   ServerStage from = Change.To == ServerStage::Decode ? ServerStage::Prefill
                                                       : ServerStage::Decode;
+  ServerQuery query{Service, from, {}, {}};
   std::vector<ServerChoice> servers =
-      Runtime->Directory.rank({Service, from, {}});
+      from == ServerStage::Prefill ? Runtime->Directory.rankSlowestFirst(query)
+                                   : Runtime->Directory.rank(query);
   if (servers.size() > Change.Servers)
     servers.resize(Change.Servers);
   for (const ServerChoice &it : servers) {
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -372,6 +372,14 @@
   return Registry.fullness(Query, Clock::now());
 }
 
+std::vector<ServerChoice>
+ServiceDirectory::rankSlowestFirst(const ServerQuery &Query) {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  Registry.expire(now);
+  return Registry.rankSlowestFirst(Query, now);
+}
+
 bool ServiceDirectory::usable(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
   return Registry.usable(Server, Clock::now());
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -121,6 +121,7 @@
   // Server selection; see ServerRegistry.
   std::optional<ServerChoice> choose(const ServerQuery &Query);
   std::vector<ServerChoice> rank(const ServerQuery &Query);
+  std::vector<ServerChoice> rankSlowestFirst(const ServerQuery &Query);
   ServerRegistry::Fullness fullness(const ServerQuery &Query) const;
   bool usable(const ServerChoice &Server) const;
   bool isLeaving(const std::string &ServerId) const;
--- a/test/gateway_pace_placement_test.cc
+++ b/test/gateway_pace_placement_test.cc
@@ -278,6 +278,27 @@
   }
 }
 
+// Guards against a pool that keeps its slow prefill servers, since the best
+// ranked ones are taken to change their stage: streams start late then.
+TEST_CASE("The slowest prefill server is the first to change its stage") {
+  ServerRegistry registry("hall-a", 5);
+  for (size_t i = 0; i < 6; ++i) {
+    ServerEntry entry = Fleet::entryOf(i);
+    entry.Stage = ServerStage::Prefill;
+    registry.apply(entry, at(0));
+    ServerChoice server;
+    server.Id = entry.Id;
+    server.StartedAt = 1;
+    for (int k = 0; k < 10; ++k)
+      registry.onCallTimed(server, 5000, Milliseconds(i == 2 ? 500 : 100),
+                           at(k * 500));
+    registry.callStarted(entry.Id, 1);
+  }
+  ServerQuery query{"model", ServerStage::Prefill, {}, {}};
+  CHECK(registry.rankSlowestFirst(query, at(5000)).front().Id == "s2");
+  CHECK(registry.rank(query, at(5000)).back().Id == "s2");
+}
+
 // An event gap makes a stream late, so streams must avoid slow servers.
 TEST_CASE("A slow decode server is asked for memory last") {
   ServerRegistry registry("hall-a", 5);
