Let requests wait for routes and servers shortly after the start

Cause: in the 0.9 s after all 61 instances of deployment A were killed and started again, 290 requests were rejected as "routes or servers unknown", while documents arrive 0.45 s after the start at the median.

Change: such a request waits for them in the first 3 s of the process, for 600 ms and a quarter of its caller's time at most; at most 64 wait.

Result: four tests of the decision and the process tests of the gateway pass (14 cases).

--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -3,6 +3,7 @@
 #include "caller_reader.h"
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
+#include "gateway/decisions/start_wait.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/request_handler.h"
 #include "http_sink.h"
@@ -48,6 +49,8 @@
 // Until this instance has received the configuration.
 constexpr Milliseconds NotReadyRetryAfter{500};
 constexpr Milliseconds ClosingPeriod{50}; // of the check for closing
+// Of the check for documents while requests wait for them.
+constexpr Milliseconds DocumentsPollPeriod{10};
 // Time for the last responses before the process exits.
 constexpr Milliseconds FinalResponseTimeout{200};
 
@@ -69,6 +72,9 @@
               HttpSink &Sink);
   bool readBody(const HttpHead &Head, CallerReader &Reader, HttpSink &Sink,
                 CallerRequest &Request);
+  // Waits for routes and servers shortly after the start. Returns whether they
+  // are known.
+  bool awaitDocuments(const CallerRequest &Request, int Fd);
   void sendProblem(HttpSink &Sink, const std::string &Request, ErrorKind Kind,
                    const std::string &Why, Milliseconds RetryAfter);
 
@@ -80,6 +86,7 @@
   std::condition_variable Idle; // signals that no request is open
   std::set<int> Sockets;        // of open connections
   std::set<int> IdleSockets;    // waiting for a request
+  std::optional<StartWait> Start;
   uint64_t ClosingTimer = 0;
 };
 
@@ -101,6 +108,7 @@
   options.MaxQueued = MaxConnections;
   options.Backlog = Backlog;
   options.StackBytes = StackBytes;
+  Start.emplace(Clock::now());
   std::string fault = Server.start(options, [this](StreamSocket &Socket) {
     serve(Socket.impl()->sockfd());
   });
@@ -260,12 +268,40 @@
   return false;
 }
 
+bool GatewayListener::awaitDocuments(const CallerRequest &Request, int Fd) {
+  TimePoint started = Clock::now();
+  std::optional<TimePoint> until;
+  {
+    std::lock_guard lock(Mutex);
+    until = Start->join(Request.TimeLeft, started);
+  }
+  if (!until)
+    return false;
+  CallerWaiter waiter(Fd, *until);
+  while (!Runtime->Directory.isComplete() && !waiter.pastDeadline() &&
+         !waiter.callerLeft() && !Runtime->Stopping.load())
+    waiter.pause(DocumentsPollPeriod);
+  bool complete = Runtime->Directory.isComplete();
+  {
+    std::lock_guard lock(Mutex);
+    Start->leave();
+  }
+  auto waited =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+  log(LogLevel::Info, "gateway_front", "request waited for routes and servers",
+      {{"request", Request.Id},
+       {"waited_ms", std::to_string(waited.count())},
+       {"outcome", complete ? "handled" : "rejected"}});
+  return complete;
+}
+
 void GatewayListener::handle(const HttpHead &Head, TimePoint Arrived,
                              CallerReader &Reader, HttpSink &Sink) {
   CallerRequest request = Runtime->Codec.ParseRequestHead(Head);
   if (!readBody(Head, Reader, Sink, request))
     return;
-  if (!Runtime->Directory.isComplete()) {
+  if (!Runtime->Directory.isComplete() &&
+      !awaitDocuments(request, Sink.watchedSocket())) {
     sendProblem(Sink, request.Id, ErrorKind::NotReady,
                 "routes or servers unknown", NotReadyRetryAfter);
     return;
