Admit a like part of small and large requests of an account above its quota

Cause: tokens of a nearly empty bucket go to requests that ask for few.

Change: while its bucket is below half of its depth, the home states the part of the account's requests that may ask for tokens; instances refuse the others by a random draw, whatever their size. The new field of the lease is at its end; without it all may ask.

--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -39,6 +39,9 @@
 // Retry-After while the home is silent: it is asked again by then.
 constexpr Milliseconds LocalShareRetryAfter{1000};
 constexpr Milliseconds MinRetryAfter{100};
+// Part of a window after which a request comes back that wasn't among the
+// admitted part of its account's requests.
+constexpr int RetryAfterDivisor = 8;
 // How often unused tokens are looked for.
 constexpr Milliseconds ReturnPeriod{500};
 constexpr Milliseconds LogPeriod{10000};
@@ -67,6 +70,8 @@
     return "home";
   case QuotaSource::LocalShare:
     return "local share";
+  case QuotaSource::AdmittedPart:
+    return "part of the demand";
   }
   return "";
 }
@@ -270,11 +275,17 @@
   QuotaDecision decision;
   decision.Source = QuotaSource::Home;
   decision.Home = home.Name;
-  if (home.Known && home.Address.empty()) {
+  if (double part = state.Leases.admittedPart(now);
+      part < 1 && Draw() >= part) {
+    decision.Source = QuotaSource::AdmittedPart;
+    decision.RetryAfter = Rules.Window / RetryAfterDivisor;
+    ++Counts.RefusedByPart;
+  } else if (home.Known && home.Address.empty()) {
     QuotaAsk ask = state.Leases.ask(Tokens, now);
     ask.ExtraTokens = 0;
     ask.Account = Account.Name;
     QuotaGrant grant = grantAsHome(state, Account.Quota, ask, now);
+    state.Leases.setAdmittedPart(grant.AdmittedPart, now);
     decision.Admitted = grant.Tokens >= Tokens;
     decision.RetryAfter = grant.RetryAfter;
     decision.TokensLeft = static_cast<int64_t>(state.Bucket->level());
--- a/src/gateway/accounts/account_quotas.h
+++ b/src/gateway/accounts/account_quotas.h
@@ -27,7 +27,9 @@
 namespace crocusspur::gateway {
 
 // Who admitted a request.
-enum class QuotaSource : uint8_t { NoLimit, Home, LocalShare };
+// AdmittedPart: refused without asking the home, since the account wants far
+// more than it may use.
+enum class QuotaSource : uint8_t { NoLimit, Home, LocalShare, AdmittedPart };
 
 // As logged.
 const char *nameOf(QuotaSource Source);
@@ -117,6 +119,7 @@
     uint64_t Unanswered = 0; // of these
     uint64_t Granted = 0;    // to other instances, as their home
     uint64_t Denied = 0;
+    uint64_t RefusedByPart = 0; // of those refused, without asking the home
   };
   Counters counters() const;
   // Accounts with a limit that had requests here, those with most tokens first.
--- a/src/gateway/decisions/accounts/lease_account.cc
+++ b/src/gateway/decisions/accounts/lease_account.cc
@@ -30,6 +30,9 @@
 // after a single late response.
 constexpr double LateHomePart = 0.1;
 constexpr Milliseconds LateHomeTime{2000};
+// For how long the home's statement on the admitted part is used. Then a
+// request asks the home again, which shows the end of a peak.
+constexpr Milliseconds AdmittedPartValidity{2000};
 // For how long the home's statement on the demand is used.
 constexpr Milliseconds ShareValidity{30000};
 
@@ -110,6 +113,7 @@
                            TimePoint Now) {
   Share = Grant.DemandShare;
   ShareAt = Now;
+  setAdmittedPart(Grant.AdmittedPart, Now);
   if (Grant.Tokens < Tokens || Grant.Tokens == 0) {
     if (Tokens == 0)
       return false;
@@ -129,6 +133,10 @@
   return true;
 }
 
+double LeaseAccount::admittedPart(TimePoint Now) const {
+  return Now - AdmittedPartAt <= AdmittedPartValidity ? AdmittedPart : 1;
+}
+
 bool LeaseAccount::needsLease(TimePoint Now) const {
   double demand = Recent.perSecond(Now);
   return demand * LeasedSeconds >=
--- a/src/gateway/decisions/accounts/lease_account.h
+++ b/src/gateway/decisions/accounts/lease_account.h
@@ -35,6 +35,13 @@
   bool onLease(uint64_t Tokens, const QuotaGrant &Grant, uint32_t Instances,
                TimePoint AskedAt, TimePoint Now);
 
+  // What the home has lately said; see QuotaBucket::admittedPart().
+  void setAdmittedPart(double Value, TimePoint Now) {
+    AdmittedPart = Value;
+    AdmittedPartAt = Now;
+  }
+  double admittedPart(TimePoint Now) const;
+
   // Whether the leases will be used up soon, so that the home is to be asked
   // before a request has to wait.
   bool needsLease(TimePoint Now) const;
@@ -77,6 +84,8 @@
   TimePoint AskedAt;
   TimePoint DeniedUntil;
   uint64_t DeniedTokens = 0;
+  double AdmittedPart = 1;
+  TimePoint AdmittedPartAt;
   double Share = 0; // of the account's demand
   TimePoint ShareAt;
   TokenRate Recent{Milliseconds(2000)};
--- a/src/gateway/decisions/accounts/quota_bucket.cc
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -22,6 +22,11 @@
 // Tokens for expected requests are at most this part of the bucket, so that
 // leases shrink to what one request needs as it empties.
 constexpr double ExtraPart = 0.125;
+// Below this part of its depth the bucket counts as nearly empty.
+constexpr double LowLevelPart = 0.5;
+// Requests that may ask for tokens, for each that is expected to get them, so
+// that what the account may use is used although demand is uneven.
+constexpr double AskingSurplus = 1.2;
 
 // What the home grants in a window and a lease time.
 double maxGranted(const AccountQuota &Quota, const QuotaRules &Rules,
@@ -108,6 +113,18 @@
   return time;
 }
 
+double QuotaBucket::admittedPart(const AccountQuota &Quota,
+                                 const QuotaRules &Rules, double RateFraction,
+                                 TimePoint Now) const {
+  double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
+  double demand = RecentDemand.perSecond(Now);
+  if (Level >= depth * LowLevelPart || demand <= 0)
+    return 1;
+  std::chrono::duration<double> span = Rules.Window + Rules.leaseTime();
+  double usable = maxGranted(Quota, Rules, RateFraction) / span.count();
+  return std::min(1.0, AskingSurplus * usable / demand);
+}
+
 QuotaGrant QuotaBucket::grant(const AccountQuota &Quota,
                               const QuotaRules &Rules, const QuotaAsk &Ask,
                               double RateFraction, TimePoint Now) {
@@ -115,7 +132,9 @@
     giveBack(Ask.ReturnedTokens, Ask.ReturnedAgo, Now);
   refill(Quota, Rules, RateFraction, Now);
   Demand.add(static_cast<double>(Ask.OfferedTokens), Now);
+  RecentDemand.add(static_cast<double>(Ask.OfferedTokens), Now);
   QuotaGrant result;
+  result.AdmittedPart = admittedPart(Quota, Rules, RateFraction, Now);
   result.Lifetime = Rules.leaseTime();
   double demand = Demand.perSecond(Now);
   result.DemandShare =
--- a/src/gateway/decisions/accounts/quota_bucket.h
+++ b/src/gateway/decisions/accounts/quota_bucket.h
@@ -69,6 +69,9 @@
   double DemandShare = 0;
   // False: the asked instance doesn't know the account, so nothing was decided.
   bool Known = true;
+  // The part of the account's requests that may ask for tokens at all; see
+  // QuotaBucket::admittedPart().
+  double AdmittedPart = 1;
 };
 
 class QuotaBucket {
@@ -86,6 +89,12 @@
   void giveBack(uint64_t Tokens, Milliseconds GrantedAgo, TimePoint Now);
 
   double level() const { return Level; } // at the last call
+  // While the bucket is nearly empty: what the account may use as a part of
+  // what it wants, with a surplus. Else 1. Without this, small requests take
+  // all tokens before a large one finds enough, so that an account far above
+  // its quota fills the services of its small requests.
+  double admittedPart(const AccountQuota &Quota, const QuotaRules &Rules,
+                      double RateFraction, TimePoint Now) const;
   double demandPerSecond(TimePoint Now) const { return Demand.perSecond(Now); }
 
 private:
@@ -108,6 +117,7 @@
   std::array<double, SlotCount> Granted{};
   int64_t Slot = 0; // number of the current one
   TokenRate Demand{Milliseconds(5000)};
+  TokenRate RecentDemand{Milliseconds(2000)}; // a peak lasts some seconds
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -325,7 +325,8 @@
   if (const auto &it = Frame.Lease)
     lease = wire::CreateQuotaLease(
         out, it->Tokens, static_cast<uint32_t>(it->Lifetime.count()),
-        static_cast<uint32_t>(it->RetryAfter.count()), it->DemandShare);
+        static_cast<uint32_t>(it->RetryAfter.count()), it->DemandShare,
+        it->AdmittedPart);
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::ServerLimit>>>
       limitList;
@@ -469,10 +470,13 @@
       return std::nullopt;
   }
   if (const wire::QuotaLease *it = in.quota_lease())
-    frame.Lease = QuotaGrant{
-        std::min(it->granted_tokens(), MaxQuotaTokens),
-        Milliseconds(it->lifetime_ms()), Milliseconds(it->retry_after_ms()),
-        std::clamp(finiteOrZero(it->demand_share()), 0.0, 1.0)};
+    frame.Lease =
+        QuotaGrant{std::min(it->granted_tokens(), MaxQuotaTokens),
+                   Milliseconds(it->lifetime_ms()),
+                   Milliseconds(it->retry_after_ms()),
+                   std::clamp(finiteOrZero(it->demand_share()), 0.0, 1.0),
+                   /*Known=*/true,
+                   std::clamp(finiteOrZero(it->admitted_part()), 0.0, 1.0)};
   if (in.origins())
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -227,6 +227,8 @@
                     static_cast<double>(counts.Admitted));
   Metrics->setGauge("quota_requests_total", "refused",
                     static_cast<double>(counts.Refused));
+  Metrics->setGauge("quota_requests_total", "refused_by_part",
+                    static_cast<double>(counts.RefusedByPart));
   Metrics->setGauge("quota_local_share_total", "",
                     static_cast<double>(counts.LocalShare));
   Metrics->setGauge("quota_exchanges_total", "asked",
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -2112,7 +2112,8 @@
     VT_GRANTED_TOKENS = 4,
     VT_LIFETIME_MS = 6,
     VT_RETRY_AFTER_MS = 8,
-    VT_DEMAND_SHARE = 10
+    VT_DEMAND_SHARE = 10,
+    VT_ADMITTED_PART = 12
   };
   uint64_t granted_tokens() const {
     return GetField<uint64_t>(VT_GRANTED_TOKENS, 0);
@@ -2126,12 +2127,16 @@
   double demand_share() const {
     return GetField<double>(VT_DEMAND_SHARE, 0.0);
   }
+  double admitted_part() const {
+    return GetField<double>(VT_ADMITTED_PART, 1.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GRANTED_TOKENS, 8) &&
            VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyField<double>(verifier, VT_DEMAND_SHARE, 8) &&
+           VerifyField<double>(verifier, VT_ADMITTED_PART, 8) &&
            verifier.EndTable();
   }
 };
@@ -2152,6 +2157,9 @@
   void add_demand_share(double demand_share) {
     fbb_.AddElement<double>(QuotaLease::VT_DEMAND_SHARE, demand_share, 0.0);
   }
+  void add_admitted_part(double admitted_part) {
+    fbb_.AddElement<double>(QuotaLease::VT_ADMITTED_PART, admitted_part, 1.0);
+  }
   explicit QuotaLeaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2168,8 +2176,10 @@
     uint64_t granted_tokens = 0,
     uint32_t lifetime_ms = 0,
     uint32_t retry_after_ms = 0,
-    double demand_share = 0.0) {
+    double demand_share = 0.0,
+    double admitted_part = 1.0) {
   QuotaLeaseBuilder builder_(_fbb);
+  builder_.add_admitted_part(admitted_part);
   builder_.add_demand_share(demand_share);
   builder_.add_granted_tokens(granted_tokens);
   builder_.add_retry_after_ms(retry_after_ms);
