Say in frames whether an instance has discovered the fleet

Quotas need to know whether a home's process started together with the fleet. An instance took the fleet for discovered 3 s after its first contact, and nothing told a restart of all from one in a running fleet.

FleetDiscovery decides it: an instance has discovered the fleet once it knows what a peer that has discovered it knows, or after 3 s. Frames get the fields discovered and members_omitted at their end. FleetView gets StartedWithFleet. An instance that hasn't discovered the fleet chooses contacts from all failure domains and asks a peer that has first.

--- a/src/gateway/decisions/accounts/fleet_memory.cc
+++ b/src/gateway/decisions/accounts/fleet_memory.cc
@@ -45,9 +45,11 @@
   View.Expected = static_cast<uint32_t>(Members.size()) + 1;
 }
 
-FleetView FleetMemory::view(uint32_t MinExpected, bool Discovered) const {
+FleetView FleetMemory::view(uint32_t MinExpected, bool Discovered,
+                            bool StartedWithFleet) const {
   FleetView view = View;
   view.Discovered = Discovered;
+  view.StartedWithFleet = StartedWithFleet;
   view.Expected = std::max(view.Expected, MinExpected);
   return view;
 }
--- a/src/gateway/decisions/accounts/fleet_memory.h
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -20,8 +20,12 @@
   // When one was lost, announced its leaving or came back, so that accounts may
   // have got another home; at first the start of this process.
   TimePoint ChangedAt;
-  // Whether this process has had time to find the others.
+  // Whether this process has discovered the fleet; see FleetDiscovery.
   bool Discovered = true;
+  // No peer that had discovered the fleet was heard before this process
+  // discovered it, so that all instances have started together. False until a
+  // peer is heard.
+  bool StartedWithFleet = false;
 
   double knownPart() const {
     return Expected == 0 ? 1 : static_cast<double>(Alive) / Expected;
@@ -35,7 +39,8 @@
   // `Others`: the other instances known to run.
   void update(const std::vector<Member> &Others, TimePoint Now);
   // `MinExpected`: the least number of instances to expect.
-  FleetView view(uint32_t MinExpected, bool Discovered) const;
+  FleetView view(uint32_t MinExpected, bool Discovered,
+                 bool StartedWithFleet = false) const;
 
 private:
   struct State {
--- a/src/gateway/decisions/fleet/member_deltas.cc
+++ b/src/gateway/decisions/fleet/member_deltas.cc
@@ -122,6 +122,12 @@
   return news;
 }
 
+bool namesAllMembers(uint64_t Digest, size_t States,
+                     std::optional<uint32_t> Omitted) {
+  // Earlier builds hold back states only beyond the most that they send.
+  return Omitted ? *Omitted == 0 : Digest != 0 && States < MaxStates;
+}
+
 std::vector<MemberHeard> heardOf(const std::vector<Member> &Members) {
   std::vector<MemberHeard> all;
   all.reserve(Members.size());
--- a/src/gateway/decisions/fleet/member_deltas.h
+++ b/src/gateway/decisions/fleet/member_deltas.h
@@ -11,6 +11,7 @@
 #include "gateway/decisions/member_table.h"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <vector>
@@ -37,6 +38,11 @@
                            const MemberNews &Request, const Member &Requester,
                            std::mt19937_64 &Random);
 
+// Whether a response holds every member that its receiver lacked. `Omitted`: as
+// the response says; earlier builds don't.
+bool namesAllMembers(uint64_t Digest, size_t States,
+                     std::optional<uint32_t> Omitted);
+
 std::vector<MemberHeard> heardOf(const std::vector<Member> &Members);
 
 // Those of `Members` that were heard later than the peer says that it has.
--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -30,9 +30,6 @@
 // term, so that an isolated instance doesn't use budget that belongs to others.
 constexpr uint32_t DefaultSharers = 64;
 constexpr Milliseconds FleetSizeRetention{60000};
-// From the first member seen until the others are known too. After a restart of
-// many processes, each finds one first and the rest in its next rounds.
-constexpr Milliseconds DiscoveryTime{3000};
 // In a fleet that knows more members, contacts are mostly within the failure
 // domain: bytes between domains are dear. One contact in this many is chosen
 // from all, so that a domain of ten hears of a change within a round or two.
@@ -55,8 +52,7 @@
   if (Item.Name == OwnName || Item.Address == OwnAddress ||
       Item.LastSeenAgo >= MemberRetention)
     return;
-  if (!FirstMemberSeenAt)
-    FirstMemberSeenAt = Now;
+  Discovery.onMemberSeen(Now);
   TimePoint at = Now - Item.LastSeenAgo;
   State &state = Members[Item.Name];
   bool isSame = state.Item.Incarnation == Item.Incarnation;
@@ -93,6 +89,7 @@
 }
 
 void MemberTable::onContactFailed(const std::string &Address, TimePoint Now) {
+  Discovery.onContactFailed(Address);
   for (auto &[name, state] : Members)
     if (state.Item.Address == Address)
       state.SkipUntil = Now + FailedContactPause;
@@ -111,7 +108,10 @@
     members += isContact(state);
     inDomain += isContact(state) && state.Item.FailureDomain == OwnDomain;
   }
-  bool within = !OwnDomain.empty() && members >= MinFleetWithDomains &&
+  // What a part of the domain knows is no more than it.
+  bool discovered = isDiscovered(Now);
+  bool within = discovered && !OwnDomain.empty() &&
+                members >= MinFleetWithDomains &&
                 inDomain >= MinDomainMembers && Random() % AnyDomainShare != 0;
   // Members after the own name in name order, then those before it.
   auto add = [&](auto From, auto To) {
@@ -124,7 +124,11 @@
   add(own, Members.end());
   add(Members.begin(), own);
   std::vector<std::string> chosen;
-  if (!ring.empty() && Count > 0) {
+  if (!discovered && !Discovery.source().empty()) {
+    chosen.push_back(Discovery.source());
+    std::erase(ring, Discovery.source());
+  }
+  if (!ring.empty() && Count > chosen.size()) {
     chosen.push_back(ring.front());
     ring.erase(ring.begin());
   }
@@ -172,7 +176,7 @@
 bool MemberTable::isLeader(Milliseconds ForAtLeast, TimePoint Now) {
   std::vector<Member> others = alive(Now);
   bool firstByName =
-      FirstMemberSeenAt && 2 * (others.size() + 1) > fleetSize(Now);
+      Discovery.hasBegun() && 2 * (others.size() + 1) > fleetSize(Now);
   for (const Member &it : others)
     firstByName = firstByName && (it.Leaving || OwnName < it.Name);
   if (!firstByName)
@@ -185,7 +189,7 @@
 KeyOwner MemberTable::ownerOf(const std::string &Key, bool OwnLeaving,
                               TimePoint Now) const {
   // A process that has just started knows nobody yet.
-  if (!FirstMemberSeenAt && !Seeds.empty())
+  if (!Discovery.hasBegun() && !Seeds.empty())
     return {};
   std::vector<std::string> names;
   if (!OwnLeaving)
@@ -281,10 +285,6 @@
   return MaxSeen;
 }
 
-bool MemberTable::isDiscovered(TimePoint Now) const {
-  return FirstMemberSeenAt && Now - *FirstMemberSeenAt >= DiscoveryTime;
-}
-
 uint32_t MemberTable::budgetSharers(TimePoint Now) {
   uint32_t seen = fleetSize(Now);
   return isDiscovered(Now) ? seen : std::max(seen, DefaultSharers);
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -10,6 +10,7 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/demand_meter.h"
+#include "gateway/decisions/fleet/fleet_discovery.h"
 #include "gateway/decisions/reachability_table.h"
 #include "gateway/decisions/reader_election.h"
 
@@ -137,8 +138,14 @@
   void onForwardRefused(const std::string &Name, const std::string &Service,
                         TimePoint Now);
 
+  // A frame of a peer was received.
+  void onPeerHeard(const PeerDiscovery &Peer, TimePoint Now) {
+    Discovery.onPeerHeard(Peer, Now);
+  }
   // Whether the other instances are likely to be known.
-  bool isDiscovered(TimePoint Now) const;
+  bool isDiscovered(TimePoint Now) const { return Discovery.isDone(Now); }
+  // See FleetDiscovery.
+  bool startedWithFleet() const { return Discovery.startedWithFleet(); }
   // Number of instances that may share a budget, including this one: the
   // maximum known at once in the last minute, and at least a conservative
   // default until the members are likely to be known.
@@ -168,7 +175,7 @@
   size_t SeedPhase;
   uint32_t MaxSeen = 0; // members at once, including this instance
   TimePoint MaxSeenAt;
-  std::optional<TimePoint> FirstMemberSeenAt;
+  FleetDiscovery Discovery;
   std::optional<TimePoint> FirstByNameSince;
 };
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -390,7 +390,8 @@
       Frame.StoreConfirmedAgo.has_value(),
       static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
       Frame.ChangesSince.has_value(), since.Number, since.Era, wantedLease,
-      lease, paceList, Frame.MembersDigest, heard));
+      lease, paceList, Frame.MembersDigest, heard, Frame.Discovered,
+      Frame.MembersOmitted ? static_cast<int32_t>(*Frame.MembersOmitted) : -1));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -424,6 +425,9 @@
   if (in.members_heard())
     frame.Heard =
         unpackHeard({in.members_heard()->data(), in.members_heard()->size()});
+  frame.Discovered = in.discovered();
+  if (in.members_omitted() >= 0)
+    frame.MembersOmitted = static_cast<uint32_t>(in.members_omitted());
   frame.AcceptsChanges = in.accepts_changes();
   if (in.has_changes())
     frame.ChangesSince = {in.changes_since_era(), in.changes_since_revision()};
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -41,8 +41,14 @@
   // expects and sends all members.
   uint64_t MembersDigest = 0;
   std::vector<MemberHeard> Heard; // members without their state
-  bool WantsRoutes = false;       // if the receiver has a newer version
-  bool WantsServers = false;      // if the receiver has newer changes
+  // Whether the sender has discovered the fleet; see FleetDiscovery. True for
+  // earlier builds.
+  bool Discovered = true;
+  // How many members the receiver lacks that aren't in this response; nothing:
+  // not known.
+  std::optional<uint32_t> MembersOmitted;
+  bool WantsRoutes = false;  // if the receiver has a newer version
+  bool WantsServers = false; // if the receiver has newer changes
   uint64_t ConfigVersion = 0;
   StoreRevision ConfigRevision; // of the change that wrote it
   StoreRevision ServersRevision;
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -136,7 +136,7 @@
   // all instances read the store. Returns whether there is something.
   bool addChanges(MemberFrame &Frame);
   std::vector<std::string> contactsOfRound(bool CatchUp);
-  void applyFrame(const MemberFrame &Frame);
+  void applyFrame(const MemberFrame &Frame, bool IsResponse);
   // Notes how recent the knowledge is that this instance has in common with the
   // sender.
   void noteConfirmation(const MemberFrame &Frame);
@@ -284,7 +284,8 @@
                  Fleet->view(1, true).Alive == 1;
   return isAlone ? Fleet->view(1, true)
                  : Fleet->view(Runtime->Peers.budgetSharers(),
-                               Runtime->Peers.isDiscovered());
+                               Runtime->Peers.isDiscovered(),
+                               Runtime->Peers.startedWithFleet());
 }
 
 void MemberLinks::stop() {
@@ -319,6 +320,7 @@
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   frame.Sender.Reached = Runtime->Connections.reachability().reached();
   frame.StoreConfirmedAgo = Runtime->Readers.confirmedAgo();
+  frame.Discovered = Runtime->Peers.isDiscovered();
   std::lock_guard lock(SourcesMutex);
   frame.Sender.StateVersion = OwnState.versionOf(
       frame.Sender, Runtime->PeersKnown.load(), Clock::now());
@@ -450,7 +452,7 @@
         {{"peer", From}});
 }
 
-void MemberLinks::applyFrame(const MemberFrame &Frame) {
+void MemberLinks::applyFrame(const MemberFrame &Frame, bool IsResponse) {
   {
     std::lock_guard lock(NewestMutex);
     NewestConfig = std::max(NewestConfig, configOf(Frame));
@@ -469,6 +471,10 @@
     Runtime->Peers.onMemberSeen(it);
   if (!Frame.Heard.empty())
     Runtime->Peers.onMembersHeard(Frame.Heard);
+  Runtime->Peers.onPeerHeard(
+      {Frame.Sender.Address, Frame.Discovered,
+       IsResponse && namesAllMembers(Frame.MembersDigest, Frame.Members.size(),
+                                     Frame.MembersOmitted)});
   Runtime->Directory.setInstances(Runtime->Peers.budgetSharers());
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty())
@@ -558,7 +564,7 @@
       return;
     }
     respond(Socket, *request);
-    applyFrame(*request);
+    applyFrame(*request, /*IsResponse=*/false);
   } catch (const Poco::Exception &) {
     // The peer disconnected or is too slow; it asks again in its next round.
   }
@@ -603,7 +609,7 @@
   count(Request.IsNotification ? FrameKind::Notification : FrameKind::Round,
         bytes.size(), response ? response->Sender.FailureDomain : "");
   if (response)
-    applyFrame(*response);
+    applyFrame(*response, /*IsResponse=*/true);
   if (Request.WantsServers && !Request.IsNotification) {
     TimePoint now = Clock::now();
     std::lock_guard lock(SourcesMutex);
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -53,6 +53,16 @@
   return Table.budgetSharers(Clock::now());
 }
 
+void Membership::onPeerHeard(const PeerDiscovery &Peer) {
+  std::lock_guard lock(Mutex);
+  Table.onPeerHeard(Peer, Clock::now());
+}
+
+bool Membership::startedWithFleet() const {
+  std::lock_guard lock(Mutex);
+  return Table.startedWithFleet();
+}
+
 bool Membership::isDiscovered() const {
   std::lock_guard lock(Mutex);
   return Table.isDiscovered(Clock::now());
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -24,7 +24,9 @@
   std::vector<std::string> selectContacts(size_t Count);
   std::vector<Member> alive() const;
   uint32_t budgetSharers();
+  void onPeerHeard(const PeerDiscovery &Peer);
   bool isDiscovered() const;
+  bool startedWithFleet() const;
   bool isLeader(Milliseconds ForAtLeast);
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
   std::vector<std::string> keepersOf(const std::string &Key) const;
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -2217,7 +2217,9 @@
     VT_QUOTA_LEASE = 72,
     VT_PACES = 74,
     VT_MEMBERS_DIGEST = 76,
-    VT_MEMBERS_HEARD = 78
+    VT_MEMBERS_HEARD = 78,
+    VT_DISCOVERED = 80,
+    VT_MEMBERS_OMITTED = 82
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -2333,6 +2335,12 @@
   const flatbuffers::Vector<uint8_t> *members_heard() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MEMBERS_HEARD);
   }
+  bool discovered() const {
+    return GetField<uint8_t>(VT_DISCOVERED, 1) != 0;
+  }
+  int32_t members_omitted() const {
+    return GetField<int32_t>(VT_MEMBERS_OMITTED, -1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -2399,6 +2407,8 @@
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyOffset(verifier, VT_MEMBERS_HEARD) &&
            verifier.VerifyVector(members_heard()) &&
+           VerifyField<uint8_t>(verifier, VT_DISCOVERED, 1) &&
+           VerifyField<int32_t>(verifier, VT_MEMBERS_OMITTED, 4) &&
            verifier.EndTable();
   }
 };
@@ -2521,6 +2531,12 @@
   void add_members_heard(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard) {
     fbb_.AddOffset(Frame::VT_MEMBERS_HEARD, members_heard);
   }
+  void add_discovered(bool discovered) {
+    fbb_.AddElement<uint8_t>(Frame::VT_DISCOVERED, static_cast<uint8_t>(discovered), 1);
+  }
+  void add_members_omitted(int32_t members_omitted) {
+    fbb_.AddElement<int32_t>(Frame::VT_MEMBERS_OMITTED, members_omitted, -1);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2571,7 +2587,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>> paces = 0,
     uint64_t members_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard = 0,
+    bool discovered = true,
+    int32_t members_omitted = -1) {
   FrameBuilder builder_(_fbb);
   builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
@@ -2584,6 +2602,7 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_members_omitted(members_omitted);
   builder_.add_members_heard(members_heard);
   builder_.add_paces(paces);
   builder_.add_quota_lease(quota_lease);
@@ -2604,6 +2623,7 @@
   builder_.add_members(members);
   builder_.add_sender(sender);
   builder_.add_protocol(protocol);
+  builder_.add_discovered(discovered);
   builder_.add_has_changes(has_changes);
   builder_.add_accepts_changes(accepts_changes);
   builder_.add_store_confirmed(store_confirmed);
@@ -2653,7 +2673,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *paces = nullptr,
     uint64_t members_digest = 0,
-    const std::vector<uint8_t> *members_heard = nullptr) {
+    const std::vector<uint8_t> *members_heard = nullptr,
+    bool discovered = true,
+    int32_t members_omitted = -1) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2703,7 +2725,9 @@
       quota_lease,
       paces__,
       members_digest,
-      members_heard__);
+      members_heard__,
+      discovered,
+      members_omitted);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -29,6 +29,8 @@
   frame.Sender.StateVersion = 300;
   frame.MembersDigest = 97;
   frame.Heard = {{4000000000U, 44, Milliseconds(1250)}};
+  frame.Discovered = false;
+  frame.MembersOmitted = 31;
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {
       {71, "i-2", "n3", Milliseconds(250)},
@@ -77,6 +79,8 @@
   CHECK(back->ServersRevision == StoreRevision{3, 412});
   CHECK(back->ConfigRevision == StoreRevision{3, 408});
   CHECK(back->RoutesText == "{}");
+  CHECK_FALSE(back->Discovered);
+  CHECK(back->MembersOmitted == 31);
   CHECK(back->HasServers);
   CHECK(back->AcceptsChanges);
   CHECK(back->ChangesSince == StoreRevision{3, 401});
@@ -157,6 +161,15 @@
   CHECK(back->Origin->SoleVersion == VersionKey(12));
 }
 
+// Guards against instances of earlier builds that are never believed to know
+// the fleet.
+TEST_CASE("A frame that doesn't speak of discovery is of a peer that has") {
+  std::optional<MemberFrame> back = decodeMemberFrame(encode(MemberFrame()));
+  REQUIRE(back.has_value());
+  CHECK(back->Discovered);
+  CHECK_FALSE(back->MembersOmitted.has_value());
+}
+
 TEST_CASE("decodeMemberFrame drops limits that aren't a rate") {
   MemberFrame frame = sample();
   frame.WantedPermit.reset();
