Ask more peers when those that are cut off refuse at once

A request of an instance that reaches no server is passed on to at most three others. While five of eight instances are cut off, four of the seven others refuse within a millisecond, and three of these in a row used up the tries; the request then went to the own servers, which don't respond, and was refused with "no server took the request" after 0.75 s or "no memory for the output became free in time" after 1.05 s.

An instance stated a service as reached by the age of its latest response, for 10 s after a cut, so peers took it for one that reaches it. It no longer states a service that it is cut off from. More than three peers, up to 16, are asked while this takes less than 0.3 s.

--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -47,7 +47,8 @@
   bool Leaving = false;
   std::vector<ServiceStats> Stats;
   std::vector<IssuedStageOrder> Orders; // latest order of each service
-  // Services whose servers respond to the instance.
+  // Services whose servers respond to the instance; none that it is cut off
+  // from.
   std::vector<ServiceReach> Reached{};
   std::string FailureDomain{}; // empty: of a build that doesn't state it
   // The store didn't respond to the instance lately.
@@ -128,8 +129,9 @@
   std::string addressOf(const std::string &Name) const;
 
   // Returns the instances to pass requests on to: those to which servers of the
-  // service have responded within the last seconds, then those that have called
-  // none, both in random order. Excludes instances that are leaving, whose last
+  // service have responded within the last seconds, then those that state
+  // nothing about it (they have called none, or are cut off from them), both in
+  // random order. Excludes instances that are leaving, whose last
   // contact failed, or that have refused such a request lately.
   std::vector<Member> reaching(const std::string &Service, TimePoint Now);
   // An instance refused a request for the service, since it doesn't reach its
--- a/src/gateway/decisions/reachability_table.cc
+++ b/src/gateway/decisions/reachability_table.cc
@@ -78,10 +78,13 @@
              : Reachability::Reached;
 }
 
-std::vector<ServiceReach> ReachabilityTable::reached(TimePoint Now) const {
+std::vector<ServiceReach> ReachabilityTable::reached(
+    const std::function<size_t(const std::string &Service)> &CountServers,
+    TimePoint Now) const {
   std::vector<ServiceReach> all;
   for (const auto &[name, service] : Services)
-    if (service.RespondedAt)
+    if (service.RespondedAt &&
+        stateOf(name, CountServers(name), Now) != Reachability::CutOff)
       all.push_back({name, std::chrono::duration_cast<Milliseconds>(
                                Now - *service.RespondedAt)});
   return all;
--- a/src/gateway/decisions/reachability_table.h
+++ b/src/gateway/decisions/reachability_table.h
@@ -6,6 +6,7 @@
 
 #include "crocusspur/types.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,8 +47,11 @@
   // Servers whose failures count now.
   std::vector<std::string> failedServers(const std::string &Service,
                                          TimePoint Now) const;
-  // When each service last responded.
-  std::vector<ServiceReach> reached(TimePoint Now) const;
+  // When each service that isn't cut off last responded. `CountServers` returns
+  // the number of known servers of a service.
+  std::vector<ServiceReach>
+  reached(const std::function<size_t(const std::string &Service)> &CountServers,
+          TimePoint Now) const;
   std::vector<std::string> services() const;
 
 private:
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -13,8 +13,14 @@
 using internal::log;
 using internal::LogLevel;
 
-// Instances that are asked to handle one request.
-constexpr size_t MaxForwardTargets = 3;
+// Instances that are asked to handle one request in any case. One that accepts
+// no connection costs a tenth of a second.
+constexpr size_t MinForwardTargets = 3;
+// More are asked only within this time. An instance that is cut off itself
+// refuses within a millisecond, and after a cut of many, three in a row are
+// likely to be such ones.
+constexpr Milliseconds ExtraTargetsTime{300};
+constexpr size_t MaxForwardTargets = 16;
 // Connections to servers that hung before the request is passed on, whether or
 // not this instance is known to be cut off. Each costs ConnectTimeout.
 constexpr int MaxHungConnects = 2;
@@ -35,10 +41,13 @@
 RequestHandler::AttemptResult RequestHandler::forward() {
   AttemptResult result = AttemptResult::NotExecuted;
   size_t asked = 0;
+  TimePoint extraUntil = Clock::now() + ExtraTargetsTime;
   for (const Member &it : Context.Forwarding->Select(Service)) {
     if (result != AttemptResult::NotExecuted || shouldStop() ||
-        asked++ == MaxForwardTargets)
+        asked == MaxForwardTargets ||
+        (asked >= MinForwardTargets && Clock::now() >= extraUntil))
       break;
+    ++asked;
     if (Sends > 0 && !tryConsumeRetry()) {
       RetryBudgetExhausted = true;
       break;
--- a/src/gateway/server_reachability.cc
+++ b/src/gateway/server_reachability.cc
@@ -103,8 +103,22 @@
 }
 
 std::vector<ServiceReach> ServerReachability::reached() const {
+  std::vector<std::string> names;
+  {
+    std::lock_guard lock(Mutex);
+    names = Table.services();
+  }
+  std::map<std::string, size_t> servers;
+  for (const std::string &it : names)
+    servers[it] = countServers(it);
   std::lock_guard lock(Mutex);
-  return Table.reached(Clock::now());
+  return Table.reached(
+      [&](const std::string &Service) {
+        auto it = servers.find(Service);
+        return it == servers.end() ? std::numeric_limits<size_t>::max()
+                                   : it->second;
+      },
+      Clock::now());
 }
 
 } // namespace crocusspur::gateway
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -187,6 +187,35 @@
             .starts_with("HTTP/1.1 200"));
 }
 
+// Of eight instances five were cut off at once. A request that met three of
+// them first was tried at servers that don't respond, and refused.
+TEST_CASE("Instances that refuse at once don't use up the tries of a request") {
+  FakePeer cutOff("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, problemFrame(ErrorKind::BackendUnreachable,
+                                   ExecutionState::No, true));
+  });
+  FakePeer other("g3", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame("answer", false));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&cutOff, &cutOff, &cutOff, &cutOff, &other});
+  CHECK(setup.run(setup.route(RouteKind::NonIdempotent))
+            .starts_with("HTTP/1.1 200"));
+  CHECK(cutOff.seen().size() == 4);
+}
+
+// In a large fleet a request must not ask all others.
+TEST_CASE("A request asks a bounded number of instances that refuse") {
+  FakePeer cutOff("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, problemFrame(ErrorKind::BackendUnreachable,
+                                   ExecutionState::No, true));
+  });
+  CutOffFixture setup(std::vector<const FakePeer *>(40, &cutOff));
+  CHECK(setup.run(setup.route(RouteKind::NonIdempotent))
+            .starts_with("HTTP/1.1 503"));
+  CHECK(cutOff.seen().size() <= 16);
+}
+
 TEST_CASE("A refusal by the other instance is the caller's") {
   for (ExecutionState run : {ExecutionState::No, ExecutionState::Unknown}) {
     FakePeer peer("g2", [run](int Fd, const ForwardedRequest &) {
--- a/test/gateway_reachability_table_test.cc
+++ b/test/gateway_reachability_table_test.cc
@@ -74,6 +74,27 @@
   CHECK(stateAt(table, 5101) == Reachability::Reached);
 }
 
+// A member that has lost its servers looked like one that reaches them until
+// its latest response was ten seconds old, and was asked to handle requests.
+TEST_CASE("A service that is cut off isn't stated as reached") {
+  ReachabilityTable table;
+  auto names = [&](int64_t Ms) {
+    std::vector<std::string> all;
+    for (const ServiceReach &it :
+         table.reached([](const std::string &) { return Servers; }, at(Ms)))
+      all.push_back(it.Service);
+    return all;
+  };
+  table.onResponded("other", at(0), at(50));
+  table.onResponded("s", at(0), at(50));
+  fail(table, 2, 100);
+  CHECK(names(100) == std::vector<std::string>{"other", "s"});
+  fail(table, 3, 200);
+  CHECK(names(200) == std::vector<std::string>{"other"});
+  table.onResponded("s", at(201), at(210));
+  CHECK(names(210) == std::vector<std::string>{"other", "s"});
+}
+
 TEST_CASE("Requests are passed on to members that reach the service") {
   MemberTable table("n0", "a0", 1);
   auto see = [&](const std::string &Name, Milliseconds Age, bool Leaving) {
