Start no stage for a caller that has disconnected

The relay's thread takes actions from its mailbox before it looks at its caller's connection. If a request's start and its caller's disconnect came while the thread waited for a processor, it sent the start and then cancelled at once. The cancel has a connection of its own; when it reached the server first, the server ran the stage until the owner saw it in a load report and cancelled it again, up to 0.75 s later plus the age of the report. The relay now checks the caller's connection, and a cancel by the instance that forwarded the request, before it sends a stage's request.

"Proof P1 frees engine memory within 1 s of a close at each stage" started both calls of its queued case at once and closed them in the order of their start. Either could be the running one, so the call that waited could still be open when the slot became free, and could rightly start. The second call is now sent once the first one runs, and is closed first. The checks are as before.

--- a/src/relay_session.cc
+++ b/src/relay_session.cc
@@ -134,11 +134,21 @@
       Item);
 }
 
+bool RelaySession::callerLeft() {
+  pollfd item{Sink.watchedSocket(), POLLRDHUP, 0};
+  if (item.fd >= 0 && ::poll(&item, 1, 0) > 0)
+    CallerDisconnected = true;
+  return CallerDisconnected || Mail.disconnected();
+}
+
+// A start that is in the mailbox is read before the caller's disconnect. If it
+// were sent, the cancel, which has a connection of its own, might reach the
+// server first and have no effect.
 bool RelaySession::makeCall(const std::string &Server, TimePoint NotAfter,
-                            Milliseconds Timeout, BackendCall &Call) const {
+                            Milliseconds Timeout, BackendCall &Call) {
   ConfigPtr config = Context.Events->config();
   const ServerConfig *server = config->findServer(Server);
-  if (!server)
+  if (!server || callerLeft())
     return false;
   Call.Address = server->Address;
   Call.NotAfter = NotAfter;
--- a/src/relay_session.h
+++ b/src/relay_session.h
@@ -79,8 +79,13 @@
   void endForward(bool Complete, ForwardState &State);
   void reportForwardFailure(StageOutcome Outcome);
 
+  // Returns whether the caller has disconnected, or the instance that forwarded
+  // the request has cancelled it. Doesn't wait.
+  bool callerLeft();
+  // Returns false if nothing may be sent: the server isn't configured any more,
+  // or the caller has left.
   bool makeCall(const std::string &Server, TimePoint NotAfter,
-                Milliseconds Timeout, BackendCall &Call) const;
+                Milliseconds Timeout, BackendCall &Call);
   EngineRequest makeEngineRequest(uint32_t Attempt, uint64_t Fence) const;
   void report(StageFinished Result, const BackendCallResult &CallResult);
   void sendProblem(const Problem &Item);
--- a/test/proof_release_process_test.cc
+++ b/test/proof_release_process_test.cc
@@ -71,9 +71,14 @@
         Fleet.control(it, "link?factor=0");
     std::string prompt(80, 'x');
     size_t count = At == Stage::Queued ? 2 : 1;
-    for (size_t i = 0; i < count; ++i)
+    for (size_t i = 0; i < count; ++i) {
+      // The last call is the one that waits.
+      REQUIRE(
+          eventually([&] { return Fleet.countRuns("prefill", "running") == i; },
+                     WaitTimeout));
       Calls.push_back(std::make_unique<RawCall>(
           Fleet.completion(Entry, prompt, 4000, true)));
+    }
     bool reached =
         eventually([&] { return hasReached(Fleet, Entry, At); }, WaitTimeout);
     REQUIRE_MESSAGE(reached, "held: " << joined(Fleet.heldRequests())
@@ -82,7 +87,12 @@
       REQUIRE(Calls.front()->waitForText("\"text\""));
     REQUIRE(!Fleet.heldRequests().empty());
   }
-  void close() { Calls.clear(); }
+  // Closes the waiting call before the running one: a call that is still open
+  // may start once the running one has freed its slot.
+  void close() {
+    while (!Calls.empty())
+      Calls.pop_back();
+  }
 
 private:
   std::vector<std::unique_ptr<RawCall>> Calls;
--- a/test/relay_session_test.cc
+++ b/test/relay_session_test.cc
@@ -360,6 +360,39 @@
   CHECK(relay.Events.count<StageFinished>() == 0);
 }
 
+// The thread of a relay may learn at once that its caller has disconnected and
+// that its request may start. The cancel that followed such a start could reach
+// the server first, so the server held memory until it was cancelled again.
+TEST_CASE("A request whose caller has disconnected starts at no server") {
+  ScriptServer engine([](int Fd, int) { readAll(Fd); });
+  const std::vector<std::pair<Stage, Action>> starts = {
+      {Stage::Prefill, StartPrefill{{1, 2}, 1, "s", 0, TimePoint::max(), {}}},
+      {Stage::Decode,
+       StartDecode{{1, 2}, 1, "s", "s", 0, TimePoint::max(), {}}},
+      {Stage::Service, StartService{{1, 2}, 1, "s", 0, TimePoint::max(), {}}}};
+  for (const auto &[stage, action] : starts)
+    for (bool isForwarded : {false, true}) {
+      CAPTURE(isForwarded);
+      Fixture relay;
+      relay.addServer("s", engine.address());
+      relay.Mail->push(action);
+      if (isForwarded)
+        relay.Mail->disconnect(); // its entry instance has cancelled it
+      else
+        relay.Caller.closeFar();
+      relay.start();
+      StageFinished finished = relay.Events.await<StageFinished>();
+      CHECK(finished.FinishedStage == stage);
+      CHECK(finished.Outcome == StageOutcome::NotSent);
+      CHECK_FALSE(relay.Events.await<RequestClosed>().Delivered);
+      // If the stage ended first, the core would retry the request.
+      CHECK(relay.Events.position<RequestCancelled>() >= 0);
+      CHECK(relay.Events.position<RequestCancelled>() <
+            relay.Events.position<StageFinished>());
+    }
+  CHECK(engine.connections() == 0);
+}
+
 TEST_CASE("A new action ends the running stage, which is reported once") {
   ScriptServer engine([](int Fd, int) {
     readRequest(Fd);
