Add the division of prefill servers into shards and their dispatcher

Cause: each instance places its prefills without sight of the queues at the servers. The owner of a shard assigns each prompt to the server that ends it first. Not used by instances yet.

--- a/src/gateway/decisions/placement/pace_table.cc
+++ b/src/gateway/decisions/placement/pace_table.cc
@@ -305,19 +305,28 @@
   return it == Records.end() || !isKnown(it->second);
 }
 
-std::optional<Milliseconds> PaceTable::expected(const std::string &ServerId,
-                                                ServerStage Stage, double Work,
-                                                TimePoint Now,
-                                                double Others) const {
+std::optional<double> PaceTable::unitMs(const std::string &ServerId,
+                                        ServerStage Stage,
+                                        TimePoint Now) const {
   auto it = Records.find(std::pair(std::string_view(ServerId), Stage));
   std::optional<double> unit = median(Stage, Now);
   if (it != Records.end() && isKnown(it->second))
     unit = unitNow(it->second, Stage, Now);
   else if (it != Records.end() && unit)
     *unit += slowdownChange(it->second, Now);
-  if (!Settings.Enabled || !unit || !(Work > 0))
+  if (!Settings.Enabled || !unit)
+    return std::nullopt;
+  return std::exp(*unit);
+}
+
+std::optional<Milliseconds> PaceTable::expected(const std::string &ServerId,
+                                                ServerStage Stage, double Work,
+                                                TimePoint Now,
+                                                double Others) const {
+  std::optional<double> unit = unitMs(ServerId, Stage, Now);
+  if (!unit || !(Work > 0))
     return std::nullopt;
-  double ms = Work * std::exp(*unit + loadPower(Stage) * std::log1p(Others));
+  double ms = Work * *unit * std::exp(loadPower(Stage) * std::log1p(Others));
   return Milliseconds(static_cast<int64_t>(std::min(ms, 1e8)));
 }
 
--- a/src/gateway/decisions/placement/pace_table.h
+++ b/src/gateway/decisions/placement/pace_table.h
@@ -101,6 +101,10 @@
                        TimePoint Now) const;
   // Whether too little is known of the server's pace.
   bool isUnknown(const std::string &ServerId, ServerStage Stage) const;
+  // Milliseconds for one unit of work of a request alone. That of a server at
+  // the median if the server is unknown; nothing if all are.
+  std::optional<double> unitMs(const std::string &ServerId, ServerStage Stage,
+                               TimePoint Now) const;
   // Expected duration of a call beside `Others` requests at the server. That of
   // a server at the median if the server is unknown; nothing if all are.
   std::optional<Milliseconds> expected(const std::string &ServerId,
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -338,8 +338,7 @@
   std::vector<const Server *> found;
   bool differ = false;
   for (const auto &[id, server] : Servers) {
-    if (sendBar(server, Now) != SendBar::None || !matches(server, Query) ||
-        server.UsableUntil || server.AvoidUntil > Now)
+    if (!isHealthy(server, Now) || !matches(server, Query))
       continue;
     double pace = placementPace(server, Now);
     differ = differ || pace != 1;
@@ -359,6 +358,45 @@
   return choiceOf(found[i]->Entry);
 }
 
+bool ServerRegistry::isHealthy(const Server &Item, TimePoint Now) const {
+  return sendBar(Item, Now) == SendBar::None && !Item.UsableUntil &&
+         Item.AvoidUntil <= Now;
+}
+
+DispatchServers ServerRegistry::dispatchServers(const std::string &Service,
+                                                TimePoint Now) const {
+  DispatchServers found;
+  auto table = Paces.find(Service);
+  if (table == Paces.end())
+    return found;
+  const PaceTable &paces = table->second;
+  for (const auto &[id, server] : Servers) {
+    const ServerEntry &entry = server.Entry;
+    if (entry.Service != Service || entry.Stage != ServerStage::Prefill ||
+        server.Leaving || server.UsableUntil)
+      continue;
+    found.Differ =
+        found.Differ || paces.placementPace(id, ServerStage::Prefill, Now) != 1;
+    double unit = paces.unitMs(id, ServerStage::Prefill, Now).value_or(0);
+    if (paces.isUnknown(id, ServerStage::Prefill))
+      unit *= UnknownPace;
+    unit *= 1 + FailurePenalty * server.FailureRate;
+    found.All.push_back({id, entry.StartedAt, unit, isHealthy(server, Now)});
+  }
+  return found;
+}
+
+std::optional<ServerChoice> ServerRegistry::chosen(const ServerQuery &Query,
+                                                   const std::string &Id,
+                                                   int64_t StartedAt,
+                                                   TimePoint Now) const {
+  auto it = Servers.find(Id);
+  if (it == Servers.end() || it->second.Entry.StartedAt != StartedAt ||
+      !isHealthy(it->second, Now) || !matches(it->second, Query))
+    return std::nullopt;
+  return choiceOf(it->second.Entry);
+}
+
 PaceTable &ServerRegistry::pacesOf(const std::string &Service) {
   auto [it, added] = Paces.try_emplace(Service);
   if (added)
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -7,6 +7,7 @@
 #include "crocusspur/types.h"
 #include "gateway/decisions/leaving_servers.h"
 #include "gateway/decisions/placement/pace_table.h"
+#include "gateway/decisions/placement/prefill_shards.h"
 #include "gateway/decisions/server_fullness.h"
 #include "gateway/decisions/server_stage.h"
 
@@ -155,6 +156,15 @@
   // Returns all usable servers, best first.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
+  // The prefill servers of a service for their division into shards: those
+  // registered that don't leave.
+  DispatchServers dispatchServers(const std::string &Service,
+                                  TimePoint Now) const;
+  // The server if it is this process and choose() may return it for the query.
+  std::optional<ServerChoice> chosen(const ServerQuery &Query,
+                                     const std::string &Id, int64_t StartedAt,
+                                     TimePoint Now) const;
+
   // The servers of a query that look full. Failing ones neither count as full
   // nor as having room.
   struct Fullness {
@@ -234,6 +244,8 @@
   double loadOf(const Server &Item, TimePoint Now) const;
   double score(const Server &Item, TimePoint Now) const;
   double placementPace(const Server &Item, TimePoint Now) const;
+  // Whether the server is neither barred nor a last resort.
+  bool isHealthy(const Server &Item, TimePoint Now) const;
   // Selects among the healthy servers by pace; nothing if their paces are equal
   // or there are none.
   std::optional<ServerChoice> chooseByPace(const ServerQuery &Query,
