--- a/src/gateway/decisions/placement/pace_table.h
+++ b/src/gateway/decisions/placement/pace_table.h
@@ -28,6 +28,8 @@
   // Servers whose pace, or its reciprocal, is below this count as equal.
   double DeadBand = 1.3;
   double MaxRatio = 10; // bound of the pace, and of its reciprocal
+  // Whether the owners of shards dispatch prefills; see PrefillDispatcher.
+  bool Dispatch = true;
   bool operator==(const PaceSettings &) const = default;
 };
 
--- a/src/gateway/decisions/placement/prefill_dispatcher.cc
+++ b/src/gateway/decisions/placement/prefill_dispatcher.cc
@@ -14,11 +14,18 @@
 // An assignment reaches its server this much later: the response to the
 // instance and its call, between failure domains.
 constexpr Milliseconds TransferTime{6};
+// What was assigned since the latest report counts as taking this much longer,
+// since a server may have become slow meanwhile. In the replay with 17 servers,
+// 95 in 100 prefills took 649 ms with a factor of 1, 548 ms with 1.7, 691 ms
+// with 2.5.
+constexpr double UnreportedFactor = 1.5;
 constexpr double CorrectionWeight = 0.3;
+// Older reports say less of the present pace.
+constexpr Milliseconds AgeTime{1000};
 // PaceTable learns of a change within some seconds.
 constexpr Milliseconds CorrectionTime{2000};
 // One report can't show more of a change than this factor.
-const double MaxCorrection = std::log(6.0);
+const double MaxChange = std::log(6.0);
 // The time for a shorter prompt is mostly call overhead.
 constexpr uint64_t MinReportTokens = 1000;
 constexpr double TokenWeight = 0.1;
@@ -37,11 +44,9 @@
                                   Item.Latest.size() > MaxAssigned))
     Item.Latest.pop_front();
   while (!Item.Completions.empty() &&
-         (Now - Item.Completions.front() > Retention ||
+         (Now - Item.Completions.front().At > Retention ||
           Item.Completions.size() > MaxCompletions))
     Item.Completions.pop_front();
-  if (Item.ReportAt && Now - *Item.ReportAt > Retention)
-    Item.ReportAt.reset();
 }
 
 void PrefillDispatcher::addTokens(Server &Item, uint64_t Tokens) {
@@ -49,47 +54,54 @@
                      (static_cast<double>(Tokens) - Item.MeanTokens);
 }
 
-double PrefillDispatcher::correction(const Server &Item, TimePoint Now) {
-  return Item.Correction *
-         std::exp(-FloatMs(std::max(Now, Item.CorrectedAt) - Item.CorrectedAt) /
-                  CorrectionTime);
+double PrefillDispatcher::unitOf(const Server &Item, double KnownMs,
+                                 TimePoint Now) {
+  if (!Item.UnitAt)
+    return KnownMs;
+  double weight = std::exp(-FloatMs(Now - *Item.UnitAt) / CorrectionTime);
+  double known = std::log(KnownMs);
+  return std::exp(known + weight * (Item.Unit - known));
 }
 
 void PrefillDispatcher::addReport(Server &Item, const PrefillReport &Report,
-                                  double UnitMs, TimePoint Now) {
+                                  double KnownMs, TimePoint Now) {
   if (Report.Age > Retention)
     return;
   TimePoint end = Now - Report.Age;
-  auto next = std::ranges::lower_bound(Item.Completions, end);
-  double service =
+  auto next =
+      std::ranges::lower_bound(Item.Completions, end, {}, &Completion::At);
+  double taken =
       static_cast<double>(std::max<int64_t>(Report.Taken.count(), 1));
+  double service = taken;
   if (next != Item.Completions.begin())
-    service = std::clamp(FloatMs(end - *std::prev(next)).count(), 1.0, service);
-  Item.Completions.insert(next, end);
-  if (Report.Remaining && (!Item.ReportAt || end > *Item.ReportAt)) {
-    Item.ReportAt = end;
-    Item.Remaining = *Report.Remaining;
-  }
-  if (Report.Tokens < MinReportTokens || UnitMs <= 0)
+    service =
+        std::clamp(FloatMs(end - std::prev(next)->At).count(), 1.0, service);
+  Item.Completions.insert(next, {end, Report.Remaining});
+  if (Report.Tokens < MinReportTokens || KnownMs <= 0)
     return;
   addTokens(Item, Report.Tokens);
-  double known = correction(Item, Now);
-  double seen =
-      std::log(service / (static_cast<double>(Report.Tokens) * UnitMs));
-  Item.Correction =
-      known + CorrectionWeight *
-                  (std::clamp(seen, -MaxCorrection, MaxCorrection) - known);
-  Item.CorrectedAt = Now;
+  double unit = unitOf(Item, KnownMs, Now);
+  double alone = static_cast<double>(Report.Tokens) * unit;
+  double weight =
+      CorrectionWeight * std::exp(-FloatMs(Report.Age) / FloatMs(AgeTime));
+  Item.Unit = std::log(unit) + weight * std::clamp(std::log(service / alone),
+                                                   -MaxChange, MaxChange);
+  Item.UnitAt = Now;
 }
 
 TimePoint PrefillDispatcher::freeAt(const Server &Item, double UnitMs,
-                                    TimePoint Now) {
+                                    double Factor, TimePoint Now) {
+  const Completion *report = nullptr;
+  for (const Completion &it : Item.Completions)
+    if (it.Remaining)
+      report = &it;
   TimePoint free;
-  if (Item.ReportAt)
-    free = *Item.ReportAt + ofMs(Item.Remaining * Item.MeanTokens * UnitMs);
+  if (report)
+    free = report->At + ofMs(*report->Remaining * Item.MeanTokens * UnitMs);
   for (const Assigned &it : Item.Latest)
-    if (!Item.ReportAt || it.At + TransferTime > *Item.ReportAt)
-      free = std::max(free, it.At + TransferTime) + ofMs(it.Tokens * UnitMs);
+    if (!report || it.At + TransferTime > report->At)
+      free = std::max(free, it.At + TransferTime) +
+             ofMs(it.Tokens * UnitMs * Factor);
   return std::max(free, Now);
 }
 
@@ -109,20 +121,22 @@
   }
   const DispatchServer *best = nullptr;
   TimePoint bestEnd = TimePoint::max();
-  TimePoint bestFree;
+  TimePoint::duration wait{0};
+  TimePoint::duration duration{0};
   for (const DispatchServer &it : Candidates) {
     if (!it.Usable || it.UnitMs <= 0 ||
         std::ranges::find(Ask.Excluded, it.Id) != Ask.Excluded.end())
       continue;
     const Server &server = Servers[it.Id];
-    double unit = it.UnitMs * std::exp(correction(server, Now));
-    TimePoint free = freeAt(server, unit, Now);
-    TimePoint end = free + ofMs(static_cast<double>(Ask.Tokens) * unit);
+    double unit = unitOf(server, it.UnitMs, Now);
+    auto alone = ofMs(static_cast<double>(Ask.Tokens) * unit);
+    TimePoint end = freeAt(server, unit, UnreportedFactor, Now) + alone;
     if (end >= bestEnd)
       continue;
     best = &it;
     bestEnd = end;
-    bestFree = free;
+    wait = freeAt(server, unit, 1, Now) - Now;
+    duration = alone;
   }
   std::erase_if(Servers, [&](const auto &It) {
     const Server &server = It.second;
@@ -135,18 +149,16 @@
   addTokens(server, Ask.Tokens);
   server.Latest.push_back({Now, static_cast<double>(Ask.Tokens)});
   return {best->Id, best->StartedAt,
-          std::chrono::duration_cast<Milliseconds>(bestFree - Now),
-          std::chrono::duration_cast<Milliseconds>(bestEnd - bestFree)};
+          std::chrono::duration_cast<Milliseconds>(wait),
+          std::chrono::duration_cast<Milliseconds>(duration)};
 }
 
 std::vector<PrefillDispatcher::Queue>
 PrefillDispatcher::queues(TimePoint Now) const {
   std::vector<Queue> all;
   for (const auto &[id, server] : Servers) {
-    Queue queue{id, server.Latest.size(), std::exp(correction(server, Now))};
-    if (server.ReportAt)
-      queue.ReportAge =
-          std::chrono::duration_cast<Milliseconds>(Now - *server.ReportAt);
+    Queue queue{id, server.Latest.size(),
+                server.UnitAt ? std::exp(server.Unit) : 0};
     all.push_back(queue);
   }
   return all;
--- a/src/gateway/decisions/placement/prefill_dispatcher.h
+++ b/src/gateway/decisions/placement/prefill_dispatcher.h
@@ -61,7 +61,7 @@
   struct Queue {
     std::string ServerId;
     size_t Assigned = 0;        // lately
-    double Correction = 1;      // factor on the known pace
+    double UnitMs = 0;          // time for one token, by the reports; 0: none
     Milliseconds ReportAge{-1}; // of the latest report; -1: none
   };
   std::vector<Queue> queues(TimePoint Now) const;
@@ -71,24 +71,29 @@
     TimePoint At;
     double Tokens = 0;
   };
+  struct Completion {
+    TimePoint At;
+    std::optional<uint32_t> Remaining; // requests, then
+  };
   struct Server {
     int64_t StartedAt = 0;
     std::deque<Assigned> Latest;
-    std::deque<TimePoint> Completions; // in order of time
-    std::optional<TimePoint> ReportAt;
-    uint32_t Remaining = 0; // at that time
-    double MeanTokens = 0;  // of a prompt
-    double Correction = 0;  // logarithm of a factor on the known pace
-    TimePoint CorrectedAt;
+    std::deque<Completion> Completions; // in order of time
+    double MeanTokens = 0;              // of a prompt
+    double Unit = 0; // logarithm of milliseconds per token, by the reports
+    std::optional<TimePoint> UnitAt; // when it was last corrected
   };
 
   static void expire(Server &Item, TimePoint Now);
   static void addTokens(Server &Item, uint64_t Tokens);
   static void addReport(Server &Item, const PrefillReport &Report,
-                        double UnitMs, TimePoint Now);
-  static double correction(const Server &Item, TimePoint Now);
-  // When the server is expected to have completed all its work.
-  static TimePoint freeAt(const Server &Item, double UnitMs, TimePoint Now);
+                        double KnownMs, TimePoint Now);
+  // Time for one token now, by the reports and by what is known without them.
+  static double unitOf(const Server &Item, double KnownMs, TimePoint Now);
+  // When the server is expected to have completed all its work. `Factor`: on
+  // the time for what was assigned since the latest report.
+  static TimePoint freeAt(const Server &Item, double UnitMs, double Factor,
+                          TimePoint Now);
 
   std::map<std::string, Server> Servers;
 };
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -367,7 +367,7 @@
                                                 TimePoint Now) const {
   DispatchServers found;
   auto table = Paces.find(Service);
-  if (table == Paces.end())
+  if (table == Paces.end() || !PaceValues.Enabled || !PaceValues.Dispatch)
     return found;
   const PaceTable &paces = table->second;
   for (const auto &[id, server] : Servers) {
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -157,7 +157,7 @@
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
   // The prefill servers of a service for their division into shards: those
-  // registered that don't leave.
+  // registered that don't leave. None if dispatch is switched off.
   DispatchServers dispatchServers(const std::string &Service,
                                   TimePoint Now) const;
   // The server if it is this process and choose() may return it for the query.
--- a/src/gateway/frame_traffic.h
+++ b/src/gateway/frame_traffic.h
@@ -13,11 +13,12 @@
   Round,        // of the regular exchanges
   List,         // with the list of all servers
   Notification, // of a change that peers are to learn at once
-  Permit        // for calls to a server with a request limit
+  Permit,       // for calls to a server with a request limit
+  Dispatch      // of a prefill to a server of a shard
 };
 
-inline constexpr std::array<const char *, 4> FrameKindNames{
-    "round", "list", "notification", "permit"}; // in metrics
+inline constexpr std::array<const char *, 5> FrameKindNames{
+    "round", "list", "notification", "permit", "dispatch"}; // in metrics
 
 class FrameTraffic {
 public:
@@ -30,7 +31,7 @@
   uint64_t betweenDomains() const { return BetweenDomains.load(); }
 
 private:
-  std::array<std::atomic<uint64_t>, 4> Sent{};
+  std::array<std::atomic<uint64_t>, FrameKindNames.size()> Sent{};
   std::atomic<uint64_t> BetweenDomains{0};
 };
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/http_codec.h"
+#include "gateway/prefill_dispatch.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
 #include "gateway/service_directory.h"
@@ -42,6 +43,7 @@
   internal::MetricsSink &Metrics;
   const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
   AccessControl *Access = nullptr;             // null: no key is checked
+  PrefillDispatch *Dispatch = nullptr;         // null: prefills are placed here
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -92,7 +92,7 @@
   Context.emplace(GatewayContext{
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
-      *metrics, &Runtime->Forwarding, &Runtime->Access});
+      *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -40,6 +40,7 @@
         Directory(this->Values, Incarnation), Limits(this->Values.Instance),
         Crashes(this->Values.Instance), Origins(Incarnation),
         Quotas(this->Values.Instance, this->Values.Quotas),
+        Dispatch(Directory),
         Peers(this->Values.Instance, this->Values.PeerAddress, Incarnation),
         Readers(this->Values, Incarnation, Peers, Directory),
         Access(Codec, this->Values.Access,
@@ -76,6 +77,7 @@
   CrashMonitor Crashes;
   StreamOrigins Origins;
   AccountQuotas Quotas;
+  PrefillDispatch Dispatch;
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -19,6 +19,8 @@
 constexpr uint64_t MaxForwardedMs = 86400000; // a day
 // Far above the tokens of any account, and small enough to add up.
 constexpr uint64_t MaxQuotaTokens = 1000000000000;
+// Far above any prompt, and small enough to compute with.
+constexpr uint64_t MaxPromptTokens = 1000000000;
 
 flatbuffers::Offset<wire::Member> pack(Builder &Out, const Member &Item) {
   std::vector<flatbuffers::Offset<wire::ServiceFigures>> stats;
@@ -160,6 +162,49 @@
   return ask;
 }
 
+flatbuffers::Offset<wire::PrefillRequest> pack(Builder &Out,
+                                               const PrefillAsk &Item) {
+  std::vector<flatbuffers::Offset<flatbuffers::String>> excluded;
+  for (const std::string &it : Item.Excluded)
+    excluded.push_back(Out.CreateString(it));
+  std::vector<flatbuffers::Offset<wire::PrefillReport>> reports;
+  for (const PrefillReport &it : Item.Reports)
+    reports.push_back(wire::CreatePrefillReport(
+        Out, Out.CreateString(it.ServerId), it.StartedAt, it.Tokens,
+        static_cast<uint32_t>(it.Taken.count()),
+        static_cast<uint32_t>(it.Age.count()), it.Remaining.has_value(),
+        it.Remaining.value_or(0)));
+  auto excludedList = Out.CreateVector(excluded);
+  auto reportList = Out.CreateVector(reports);
+  return wire::CreatePrefillRequest(Out, Out.CreateString(Item.Service),
+                                    Item.Shard, Item.Tokens, excludedList,
+                                    reportList);
+}
+
+// Returns nullopt if the request names no service.
+std::optional<PrefillAsk> unpack(const wire::PrefillRequest &Item) {
+  PrefillAsk ask;
+  ask.Service = textOf(Item.service());
+  if (ask.Service.empty())
+    return std::nullopt;
+  ask.Shard = Item.shard();
+  ask.Tokens = std::min(Item.tokens(), MaxPromptTokens);
+  if (Item.excluded())
+    for (const flatbuffers::String *it : *Item.excluded())
+      if (ask.Excluded.size() < MaxPrefillReports)
+        ask.Excluded.push_back(it->str());
+  if (Item.reports())
+    for (const wire::PrefillReport *it : *Item.reports())
+      if (ask.Reports.size() < MaxPrefillReports)
+        ask.Reports.push_back(
+            {textOf(it->server()), it->started_at(),
+             std::min(it->tokens(), MaxPromptTokens),
+             Milliseconds(it->taken_ms()), Milliseconds(it->ago_ms()),
+             it->has_remaining() ? std::optional(it->remaining())
+                                 : std::nullopt});
+  return ask;
+}
+
 flatbuffers::Offset<wire::ForwardRequest> pack(Builder &Out,
                                                const ForwardedRequest &Item) {
   const CallerRequest &request = Item.Request;
@@ -326,6 +371,15 @@
     lease = wire::CreateQuotaLease(
         out, it->Tokens, static_cast<uint32_t>(it->Lifetime.count()),
         static_cast<uint32_t>(it->RetryAfter.count()), it->DemandShare);
+  flatbuffers::Offset<wire::PrefillRequest> wantedPrefill;
+  if (Frame.WantedPrefill)
+    wantedPrefill = pack(out, *Frame.WantedPrefill);
+  flatbuffers::Offset<wire::PrefillAssignment> prefill;
+  if (const auto &it = Frame.Prefill)
+    prefill = wire::CreatePrefillAssignment(
+        out, out.CreateString(it->ServerId), it->StartedAt,
+        static_cast<uint32_t>(it->Wait.count()),
+        static_cast<uint32_t>(it->Duration.count()));
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::ServerLimit>>>
       limitList;
@@ -390,7 +444,7 @@
       Frame.StoreConfirmedAgo.has_value(),
       static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
       Frame.ChangesSince.has_value(), since.Number, since.Era, wantedLease,
-      lease, paceList, Frame.MembersDigest, heard));
+      lease, paceList, Frame.MembersDigest, heard, wantedPrefill, prefill));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -473,6 +527,15 @@
         std::min(it->granted_tokens(), MaxQuotaTokens),
         Milliseconds(it->lifetime_ms()), Milliseconds(it->retry_after_ms()),
         std::clamp(finiteOrZero(it->demand_share()), 0.0, 1.0)};
+  if (in.prefill_request()) {
+    frame.WantedPrefill = unpack(*in.prefill_request());
+    if (!frame.WantedPrefill)
+      return std::nullopt;
+  }
+  if (const wire::PrefillAssignment *it = in.prefill_assignment())
+    frame.Prefill = PrefillAssignment{textOf(it->server()), it->started_at(),
+                                      Milliseconds(it->wait_ms()),
+                                      Milliseconds(it->duration_ms())};
   if (in.origins())
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -6,6 +6,7 @@
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/placement/pace_table.h"
+#include "gateway/decisions/placement/prefill_dispatcher.h"
 #include "gateway/decisions/store_revision.h"
 #include "gateway/forward_codec.h"
 #include "gateway/server_limits.h"
@@ -25,6 +26,9 @@
 // Summaries of servers' paces in one frame, some 70 bytes each.
 inline constexpr size_t MaxPacesPerFrame = 32;
 
+// Reports and excluded servers in one request for a prefill, each.
+inline constexpr size_t MaxPrefillReports = 16;
+
 // A server's entry as published; the receiver decodes it.
 struct PublishedText {
   std::string Id;
@@ -80,6 +84,11 @@
   // but the sender's name.
   std::optional<QuotaAsk> WantedLease;
   std::optional<QuotaGrant> Lease;
+  // A request to the owner of a shard of prefill servers and its response. Such
+  // frames hold nothing else but the sender's name. A response without an
+  // assignment is of an earlier build.
+  std::optional<PrefillAsk> WantedPrefill;
+  std::optional<PrefillAssignment> Prefill;
   // Records of streams that the receiver keeps, or what an instance asks a
   // keeper and its response. Such frames hold nothing else but the sender's
   // name.
--- a/src/gateway/member_exchange.cc
+++ b/src/gateway/member_exchange.cc
@@ -91,6 +91,27 @@
   return callMemberEncoded(Address, encode(Request), Timeout);
 }
 
+std::optional<MemberFrame> callMemberWithin(const std::string &Address,
+                                            const std::vector<uint8_t> &Request,
+                                            Milliseconds Limit) {
+  TimePoint until = Clock::now() + Limit;
+  // A time-out of 0 would be none.
+  auto left = [&] {
+    return std::max(Milliseconds(1), std::chrono::duration_cast<Milliseconds>(
+                                         until - Clock::now()));
+  };
+  try {
+    StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(Address), timespan(Limit));
+    setTimeouts(socket, left());
+    sendFrame(socket, Request);
+    setTimeouts(socket, left());
+    return receiveFrame(socket, left());
+  } catch (const Poco::Exception &) {
+    return std::nullopt;
+  }
+}
+
 std::optional<MemberFrame>
 callMemberEncoded(const std::string &Address,
                   const std::vector<uint8_t> &Request, Milliseconds Timeout) {
--- a/src/gateway/member_exchange.h
+++ b/src/gateway/member_exchange.h
@@ -39,6 +39,11 @@
 std::optional<MemberFrame>
 callMemberEncoded(const std::string &Address,
                   const std::vector<uint8_t> &Request, Milliseconds Timeout);
+// The same with a limit on the time from the connection to the response.
+// Callers above limit each of its steps.
+std::optional<MemberFrame> callMemberWithin(const std::string &Address,
+                                            const std::vector<uint8_t> &Request,
+                                            Milliseconds Limit);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -57,6 +57,8 @@
 // A request waits for its permit or its lease. The other instance responds from
 // memory.
 constexpr Milliseconds PermitTimeout{60};
+// A prefill waits for its assignment, which gains some tens of milliseconds.
+constexpr Milliseconds DispatchTimeout{15};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
 
@@ -104,6 +106,8 @@
                                            const PermitRequest &Request);
   std::optional<QuotaGrant> askForLease(const std::string &Address,
                                         const QuotaAsk &Ask);
+  std::optional<PrefillAssignment> askForPrefill(const std::string &Address,
+                                                 const PrefillAsk &Ask);
   FleetView fleetView();
   void shareQuotas();
   // Calls the peer and applies its response.
@@ -191,11 +195,11 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
-                                 Runtime->Limits, Runtime->Connections,
-                                 Runtime->Queues, Runtime->Crashes,
-                                 Runtime->Origins, Runtime->Quotas, *metrics,
-                                 /*Forwarding=*/nullptr, &Runtime->Access});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
+      *metrics,
+      /*Forwarding=*/nullptr, &Runtime->Access, &Runtime->Dispatch});
   Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
@@ -236,6 +240,14 @@
          return askForPermit(Address, Request);
        }});
   shareQuotas();
+  Runtime->Dispatch.setSharing(
+      {[this](const std::string &Key) {
+         return Runtime->Peers.ownerOf(Key, Runtime->Stopping.load());
+       },
+       [this] { return Runtime->PeersKnown.load() + 1; },
+       [this](const std::string &Address, const PrefillAsk &Ask) {
+         return askForPrefill(Address, Ask);
+       }});
   Runtime->Forwarding = {
       [this](const std::string &Service) {
         return Runtime->Peers.reaching(Service);
@@ -533,6 +545,15 @@
       sendFrame(Socket, bytes);
       return;
     }
+    if (request->WantedPrefill) {
+      MemberFrame assignment;
+      assignment.Sender = Runtime->ownMember();
+      assignment.Prefill = Runtime->Dispatch.decide(*request->WantedPrefill);
+      std::vector<uint8_t> bytes = encode(assignment);
+      count(FrameKind::Dispatch, bytes.size(), request->Sender.FailureDomain);
+      sendFrame(Socket, bytes);
+      return;
+    }
     if (request->WantedLease) {
       MemberFrame lease;
       lease.Sender = Runtime->ownMember();
@@ -651,6 +672,20 @@
   return response->Lease.value_or(unknown);
 }
 
+// Runs on the thread of a request.
+std::optional<PrefillAssignment>
+MemberLinks::askForPrefill(const std::string &Address, const PrefillAsk &Ask) {
+  MemberFrame frame;
+  frame.Sender = Runtime->ownMember();
+  frame.WantedPrefill = Ask;
+  std::vector<uint8_t> bytes = encode(frame);
+  std::optional<MemberFrame> response =
+      callMemberWithin(Address, bytes, DispatchTimeout);
+  count(FrameKind::Dispatch, bytes.size(),
+        response ? response->Sender.FailureDomain : "");
+  return response ? response->Prefill : std::nullopt;
+}
+
 // Logs one line for each member found or lost.
 void MemberLinks::logMembershipChanges() {
   std::set<std::string> now;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -147,6 +147,18 @@
     all.emplace_back("server_leaving", "true");
   all.emplace_back("taken_ms", std::to_string(taken.count()));
   all.emplace_back("left_ms", std::to_string(timeLeft().count()));
+  if (std::string_view(Stage) == "prefill") {
+    all.emplace_back("placed_by", Placement.Server ? "owner" : "instance");
+    all.emplace_back("dispatch", nameOf(Placement.Outcome));
+    if (!Placement.Owner.empty())
+      all.emplace_back("owner", Placement.Owner);
+    if (Placement.Server)
+      all.emplace_back("expected_wait_ms",
+                       std::to_string(Placement.Wait.count()));
+    if (Placement.Duration)
+      all.emplace_back("expected_ms",
+                       std::to_string(Placement.expected().count()));
+  }
   if (std::optional<ServerLimit> limit = Context.Limits.find(Server.Id)) {
     all.emplace_back("limit_per_s", limitText(*limit->PerSecond));
     all.emplace_back("limit_age_ms", std::to_string(limit->Age.count()));
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -101,6 +101,10 @@
   std::optional<ServerChoice>
   waitForPermit(ServerStage Stage, const std::set<std::string> &Excluded,
                 Milliseconds MaxDelay);
+  // Selects the server of the request's prefill with a permit for it: the one
+  // that the owner of its shard assigns, in the first attempt, or as above.
+  std::optional<ServerChoice>
+  choosePrefill(const std::set<std::string> &Excluded);
   // Acquires permits that are granted at once.
   bool tryAcquire(const std::string &ServerId, uint32_t Calls);
   // How long this request may wait for a permit.
@@ -246,6 +250,8 @@
   uint32_t Sends = 0;             // calls that may have reached a server
   int HungConnects = 0;           // connections to servers that hung
   bool ForwardingRefused = false; // no instance took the request
+  bool DispatchTried = false;     // an owner was asked for a prefill server
+  DispatchedPrefill Placement;    // of the last prefill call
   bool PrefillSent = false;       // the last prefill call may have arrived
   bool PrefillAccepted = false;   // by a server, in any round
   bool RetryBudgetExhausted = false; // no further retry is allowed
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -534,6 +534,19 @@
   return Registry.expectedDuration(ServerId, Work, Clock::now());
 }
 
+DispatchServers
+ServiceDirectory::dispatchServers(const std::string &Service) const {
+  std::lock_guard lock(Mutex);
+  return Registry.dispatchServers(Service, Clock::now());
+}
+
+std::optional<ServerChoice>
+ServiceDirectory::chosen(const ServerQuery &Query, const std::string &ServerId,
+                         int64_t StartedAt) const {
+  std::lock_guard lock(Mutex);
+  return Registry.chosen(Query, ServerId, StartedAt, Clock::now());
+}
+
 void ServiceDirectory::setPaceSettings(const PaceSettings &Value) {
   std::lock_guard lock(Mutex);
   Registry.setPaceSettings(Value);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -153,6 +153,12 @@
   // Servers whose pace for placement is slower than at the median, by service.
   std::map<std::string, uint32_t> slowServers() const;
 
+  // See ServerRegistry.
+  DispatchServers dispatchServers(const std::string &Service) const;
+  std::optional<ServerChoice> chosen(const ServerQuery &Query,
+                                     const std::string &ServerId,
+                                     int64_t StartedAt) const;
+
   // Retry budget; see SharedRetryBudget.
   void onRequest(const std::string &Service);
   bool tryConsumeRetry(const std::string &Service);
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -49,6 +49,7 @@
   bool listen(const std::string &Address);
   void updateGauges();
   void updateQuotaGauges();
+  void updateDispatchGauges();
   std::string state() const; // as JSON
 
   GatewayRuntime *Runtime = nullptr;
@@ -219,6 +220,25 @@
     Metrics->setGauge(Name, Label, static_cast<double>(Value));
   });
   updateQuotaGauges();
+  updateDispatchGauges();
+}
+
+void StatusListener::updateDispatchGauges() {
+  PrefillDispatch::Counters counts = Runtime->Dispatch.counters();
+  for (auto [label, value] : {std::pair{"asked", counts.Asked},
+                              {"answered", counts.Answered},
+                              {"unanswered", counts.Unanswered},
+                              {"decided", counts.Decided}})
+    Metrics->setGauge("prefill_dispatch_requests_total", label,
+                      static_cast<double>(value));
+  Metrics->setGauge("prefills_placed_total", "owner",
+                    static_cast<double>(counts.ByOwner));
+  Metrics->setGauge("prefills_placed_total", "instance",
+                    static_cast<double>(counts.ByInstance));
+  Metrics->setGauge("prefill_dispatched_ms_total", "expected",
+                    static_cast<double>(counts.Expected.count()));
+  Metrics->setGauge("prefill_dispatched_ms_total", "measured",
+                    static_cast<double>(counts.Measured.count()));
 }
 
 void StatusListener::updateQuotaGauges() {
@@ -266,6 +286,7 @@
          Runtime->Access.dump(Runtime->Directory.routes()->Accounts);
   out += ",\"limits\":" + Runtime->Limits.dump();
   out += ",\"queues\":" + Runtime->Queues.dump();
+  out += ",\"prefill_dispatch\":" + Runtime->Dispatch.dump();
   return out + ",\"quotas\":" + Runtime->Quotas.dump() + "}";
 }
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -407,8 +407,7 @@
   if (Request.Generation)
     Context.Directory.onPrompt(Service, Request.Generation->PromptTokens);
   for (int i = 0; i < MaxPrefillAttempts && !shouldStop(); ++i) {
-    std::optional<ServerChoice> server =
-        choosePermitted(ServerStage::Prefill, excluded, Milliseconds(0));
+    std::optional<ServerChoice> server = choosePrefill(excluded);
     if (!server) {
       LimitedUntil.reset(); // the decode server isn't at its limit
       return std::nullopt;
@@ -425,6 +424,33 @@
   return std::nullopt;
 }
 
+std::optional<ServerChoice>
+RequestHandler::choosePrefill(const std::set<std::string> &Excluded) {
+  Placement = {};
+  uint64_t tokens = Request.Generation ? Request.Generation->PromptTokens : 0;
+  if (Context.Dispatch && tokens > 0 && !DispatchTried) {
+    DispatchTried = true;
+    Placement =
+        Context.Dispatch->choose({Service, ServerStage::Prefill, Excluded, {}},
+                                 tokens, Context.Directory.randomFraction());
+    if (Placement.Server && tryAcquire(Placement.Server->Id, 1)) {
+      Context.Dispatch->onPlaced(/*ByOwner=*/true);
+      return Placement.Server;
+    }
+    if (Placement.Server)
+      Placement.Outcome = DispatchOutcome::AtLimit;
+    Placement.Server.reset();
+    Context.Dispatch->onPlaced(/*ByOwner=*/false);
+  }
+  std::optional<ServerChoice> server =
+      choosePermitted(ServerStage::Prefill, Excluded, Milliseconds(0));
+  Placement.Duration.reset();
+  if (server && tokens > 0)
+    Placement.Duration = Context.Directory.expectedDuration(
+        server->Id, static_cast<double>(tokens));
+  return server;
+}
+
 Milliseconds RequestHandler::prefillTimeout(const ServerChoice &Server) const {
   std::optional<Milliseconds> expected;
   if (Request.Generation)
@@ -472,8 +498,9 @@
     end(failedCall(status).Result, failedCall(status).Outcome);
     return std::nullopt;
   }
-  if (call.info().Load)
-    Context.Directory.onLoadReport(Server.Id, *call.info().Load);
+  std::optional<ServerLoad> load = call.info().Load;
+  if (load)
+    Context.Directory.onLoadReport(Server.Id, *load);
   call.finish();
   std::string code = std::to_string(call.head().Status);
   std::optional<PrefillResult> done;
@@ -496,6 +523,9 @@
         Service, Request.Generation->PromptTokens, taken);
     Context.Directory.onCallTimed(
         Server, static_cast<double>(Request.Generation->PromptTokens), taken);
+    if (Context.Dispatch)
+      Context.Dispatch->onPrefillEnded(Server, Request.Generation->PromptTokens,
+                                       taken, load, Placement);
   }
   return PromptKvCache{Server, done->Handle};
 }
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -77,6 +77,15 @@
 struct QuotaLease;
 struct QuotaLeaseBuilder;
 
+struct PrefillReport;
+struct PrefillReportBuilder;
+
+struct PrefillRequest;
+struct PrefillRequestBuilder;
+
+struct PrefillAssignment;
+struct PrefillAssignmentBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -2177,6 +2186,321 @@
   return builder_.Finish();
 }
 
+struct PrefillReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PrefillReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT = 6,
+    VT_TOKENS = 8,
+    VT_TAKEN_MS = 10,
+    VT_AGO_MS = 12,
+    VT_HAS_REMAINING = 14,
+    VT_REMAINING = 16
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  uint32_t taken_ms() const {
+    return GetField<uint32_t>(VT_TAKEN_MS, 0);
+  }
+  uint32_t ago_ms() const {
+    return GetField<uint32_t>(VT_AGO_MS, 0);
+  }
+  bool has_remaining() const {
+    return GetField<uint8_t>(VT_HAS_REMAINING, 0) != 0;
+  }
+  uint32_t remaining() const {
+    return GetField<uint32_t>(VT_REMAINING, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TAKEN_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_REMAINING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REMAINING, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PrefillReportBuilder {
+  typedef PrefillReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PrefillReport::VT_SERVER, server);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(PrefillReport::VT_STARTED_AT, started_at, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(PrefillReport::VT_TOKENS, tokens, 0);
+  }
+  void add_taken_ms(uint32_t taken_ms) {
+    fbb_.AddElement<uint32_t>(PrefillReport::VT_TAKEN_MS, taken_ms, 0);
+  }
+  void add_ago_ms(uint32_t ago_ms) {
+    fbb_.AddElement<uint32_t>(PrefillReport::VT_AGO_MS, ago_ms, 0);
+  }
+  void add_has_remaining(bool has_remaining) {
+    fbb_.AddElement<uint8_t>(PrefillReport::VT_HAS_REMAINING, static_cast<uint8_t>(has_remaining), 0);
+  }
+  void add_remaining(uint32_t remaining) {
+    fbb_.AddElement<uint32_t>(PrefillReport::VT_REMAINING, remaining, 0);
+  }
+  explicit PrefillReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PrefillReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PrefillReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PrefillReport> CreatePrefillReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_at = 0,
+    uint64_t tokens = 0,
+    uint32_t taken_ms = 0,
+    uint32_t ago_ms = 0,
+    bool has_remaining = false,
+    uint32_t remaining = 0) {
+  PrefillReportBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_started_at(started_at);
+  builder_.add_remaining(remaining);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_taken_ms(taken_ms);
+  builder_.add_server(server);
+  builder_.add_has_remaining(has_remaining);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PrefillReport> CreatePrefillReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_at = 0,
+    uint64_t tokens = 0,
+    uint32_t taken_ms = 0,
+    uint32_t ago_ms = 0,
+    bool has_remaining = false,
+    uint32_t remaining = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocusspur::gateway::wire::CreatePrefillReport(
+      _fbb,
+      server__,
+      started_at,
+      tokens,
+      taken_ms,
+      ago_ms,
+      has_remaining,
+      remaining);
+}
+
+struct PrefillRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PrefillRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_SHARD = 6,
+    VT_TOKENS = 8,
+    VT_EXCLUDED = 10,
+    VT_REPORTS = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t shard() const {
+    return GetField<uint32_t>(VT_SHARD, 0);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>> *>(VT_REPORTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_EXCLUDED) &&
+           verifier.VerifyVector(excluded()) &&
+           verifier.VerifyVectorOfStrings(excluded()) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PrefillRequestBuilder {
+  typedef PrefillRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PrefillRequest::VT_SERVICE, service);
+  }
+  void add_shard(uint32_t shard) {
+    fbb_.AddElement<uint32_t>(PrefillRequest::VT_SHARD, shard, 0);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(PrefillRequest::VT_TOKENS, tokens, 0);
+  }
+  void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
+    fbb_.AddOffset(PrefillRequest::VT_EXCLUDED, excluded);
+  }
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>>> reports) {
+    fbb_.AddOffset(PrefillRequest::VT_REPORTS, reports);
+  }
+  explicit PrefillRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PrefillRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PrefillRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PrefillRequest> CreatePrefillRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t shard = 0,
+    uint64_t tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>>> reports = 0) {
+  PrefillRequestBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_reports(reports);
+  builder_.add_excluded(excluded);
+  builder_.add_shard(shard);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PrefillRequest> CreatePrefillRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint32_t shard = 0,
+    uint64_t tokens = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
+    const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>> *reports = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PrefillReport>>(*reports) : 0;
+  return crocusspur::gateway::wire::CreatePrefillRequest(
+      _fbb,
+      service__,
+      shard,
+      tokens,
+      excluded__,
+      reports__);
+}
+
+struct PrefillAssignment FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PrefillAssignmentBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT = 6,
+    VT_WAIT_MS = 8,
+    VT_DURATION_MS = 10
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PrefillAssignmentBuilder {
+  typedef PrefillAssignment Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PrefillAssignment::VT_SERVER, server);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(PrefillAssignment::VT_STARTED_AT, started_at, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(PrefillAssignment::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(PrefillAssignment::VT_DURATION_MS, duration_ms, 0);
+  }
+  explicit PrefillAssignmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PrefillAssignment> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PrefillAssignment>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PrefillAssignment> CreatePrefillAssignment(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    int64_t started_at = 0,
+    uint32_t wait_ms = 0,
+    uint32_t duration_ms = 0) {
+  PrefillAssignmentBuilder builder_(_fbb);
+  builder_.add_started_at(started_at);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PrefillAssignment> CreatePrefillAssignmentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    int64_t started_at = 0,
+    uint32_t wait_ms = 0,
+    uint32_t duration_ms = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return crocusspur::gateway::wire::CreatePrefillAssignment(
+      _fbb,
+      server__,
+      started_at,
+      wait_ms,
+      duration_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2217,7 +2541,9 @@
     VT_QUOTA_LEASE = 72,
     VT_PACES = 74,
     VT_MEMBERS_DIGEST = 76,
-    VT_MEMBERS_HEARD = 78
+    VT_MEMBERS_HEARD = 78,
+    VT_PREFILL_REQUEST = 80,
+    VT_PREFILL_ASSIGNMENT = 82
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -2333,6 +2659,12 @@
   const flatbuffers::Vector<uint8_t> *members_heard() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_MEMBERS_HEARD);
   }
+  const crocusspur::gateway::wire::PrefillRequest *prefill_request() const {
+    return GetPointer<const crocusspur::gateway::wire::PrefillRequest *>(VT_PREFILL_REQUEST);
+  }
+  const crocusspur::gateway::wire::PrefillAssignment *prefill_assignment() const {
+    return GetPointer<const crocusspur::gateway::wire::PrefillAssignment *>(VT_PREFILL_ASSIGNMENT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -2399,6 +2731,10 @@
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyOffset(verifier, VT_MEMBERS_HEARD) &&
            verifier.VerifyVector(members_heard()) &&
+           VerifyOffset(verifier, VT_PREFILL_REQUEST) &&
+           verifier.VerifyTable(prefill_request()) &&
+           VerifyOffset(verifier, VT_PREFILL_ASSIGNMENT) &&
+           verifier.VerifyTable(prefill_assignment()) &&
            verifier.EndTable();
   }
 };
@@ -2521,6 +2857,12 @@
   void add_members_heard(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard) {
     fbb_.AddOffset(Frame::VT_MEMBERS_HEARD, members_heard);
   }
+  void add_prefill_request(flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request) {
+    fbb_.AddOffset(Frame::VT_PREFILL_REQUEST, prefill_request);
+  }
+  void add_prefill_assignment(flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment) {
+    fbb_.AddOffset(Frame::VT_PREFILL_ASSIGNMENT, prefill_assignment);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2571,7 +2913,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>>> paces = 0,
     uint64_t members_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> members_heard = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
@@ -2584,6 +2928,8 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_prefill_assignment(prefill_assignment);
+  builder_.add_prefill_request(prefill_request);
   builder_.add_members_heard(members_heard);
   builder_.add_paces(paces);
   builder_.add_quota_lease(quota_lease);
@@ -2653,7 +2999,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::QuotaLease> quota_lease = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::ServerPace>> *paces = nullptr,
     uint64_t members_digest = 0,
-    const std::vector<uint8_t> *members_heard = nullptr) {
+    const std::vector<uint8_t> *members_heard = nullptr,
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -2703,7 +3051,9 @@
       quota_lease,
       paces__,
       members_digest,
-      members_heard__);
+      members_heard__,
+      prefill_request,
+      prefill_assignment);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -148,7 +148,7 @@
   internal::HttpSink sink(sockets.near(), {});
   GatewayContext context{Codec,    Directory,  Limits,  Connections,
                          Queues,   Crashes,    Origins, Quotas,
-                         Counters, Forwarding, Access};
+                         Counters, Forwarding, Access,  Dispatch};
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -82,6 +82,8 @@
   const crocusspur::gateway::ForwardingHooks *Forwarding = nullptr;
   // Null: no key is checked.
   crocusspur::gateway::AccessControl *Access = nullptr;
+  // Null: prefills are placed without owners of shards.
+  crocusspur::gateway::PrefillDispatch *Dispatch = nullptr;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -216,3 +216,42 @@
   frame.Paces.clear();
   CHECK(withPaces - encode(frame).size() < 80 * MaxPacesPerFrame);
 }
+
+// An owner would assign by wrong reports, or a peer could fill its memory. A
+// response without an assignment is that of an earlier build.
+TEST_CASE("MemberFrame carries a request for a prefill and its assignment") {
+  MemberFrame frame;
+  frame.Sender.Name = "n1";
+  CHECK_FALSE(decodeMemberFrame(encode(frame))->Prefill.has_value());
+  PrefillAsk ask{"model", 2, 5200, {"i-7"}, {}};
+  for (size_t i = 0; i <= MaxPrefillReports; ++i)
+    ask.Reports.push_back({"i-1", 1764, 5100, Milliseconds(205),
+                           Milliseconds(700),
+                           i > 0 ? std::optional(3U) : std::nullopt});
+  frame.WantedPrefill = ask;
+  frame.Prefill =
+      PrefillAssignment{"i-1", 1764, Milliseconds(40), Milliseconds(95)};
+  std::optional<MemberFrame> back = decodeMemberFrame(encode(frame));
+  REQUIRE(back.has_value());
+  REQUIRE(back->WantedPrefill.has_value());
+  CHECK(back->WantedPrefill->Service == "model");
+  CHECK(back->WantedPrefill->Shard == 2);
+  CHECK(back->WantedPrefill->Tokens == 5200);
+  CHECK(back->WantedPrefill->Excluded == ask.Excluded);
+  REQUIRE(back->WantedPrefill->Reports.size() == MaxPrefillReports);
+  CHECK_FALSE(back->WantedPrefill->Reports[0].Remaining.has_value());
+  const PrefillReport &report = back->WantedPrefill->Reports[1];
+  CHECK(report.ServerId == "i-1");
+  CHECK(report.StartedAt == 1764);
+  CHECK(report.Tokens == 5100);
+  CHECK(report.Taken == Milliseconds(205));
+  CHECK(report.Age == Milliseconds(700));
+  CHECK(report.Remaining == 3U);
+  REQUIRE(back->Prefill.has_value());
+  CHECK(back->Prefill->ServerId == "i-1");
+  CHECK(back->Prefill->StartedAt == 1764);
+  CHECK(back->Prefill->Wait == Milliseconds(40));
+  CHECK(back->Prefill->Duration == Milliseconds(95));
+  frame.WantedPrefill->Service = "";
+  CHECK_FALSE(decodeMemberFrame(encode(frame)).has_value());
+}
--- a/test/gateway_prefill_dispatch_test.cc
+++ b/test/gateway_prefill_dispatch_test.cc
@@ -7,9 +7,8 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <doctest/doctest.h>
-#include <functional>
+#include <map>
 #include <queue>
 #include <random>
 
@@ -132,7 +131,7 @@
       pass(From, anInstance(), true);
   }
 
-  // Owners are killed (their shards get others), frozen or cut off in turn.
+  // Owners are killed, frozen or cut off for a second in three.
   bool isFailing(size_t Owner) const {
     return Values.Failure == Fault::OwnersFail &&
            (static_cast<size_t>(NowMs / 1000) + Owner) % 3 == 0;
@@ -275,13 +274,77 @@
        {std::pair<size_t, double>{17, 110}, {32, 110}, {32, 180}, {32, 250}}) {
     Percentiles before = replay({servers, rate, false});
     Percentiles after = replay({servers, rate, true});
-    CHECK(after.P95 < before.P95);
+    CHECK(after.Median < 0.9 * before.Median);
+    CHECK(after.P95 < 0.9 * before.P95);
+    CHECK(after.P99 < 0.9 * before.P99);
   }
 }
 
-TEST_CASE("Failing owners and lost responses leave prefills as fast") {
+// Requests would wait for owners that don't respond, or queues would grow by
+// assignments that nobody uses.
+TEST_CASE("Failing owners and lost responses are no worse than no owners") {
+  Percentiles before = replay({17, 110, false});
   for (Fault it : {Fault::OwnersFail, Fault::ResponsesLost}) {
     Percentiles after = replay({17, 110, true, it});
-    CHECK(after.P95 < 1000);
+    CHECK(after.Median < before.Median);
+    CHECK(after.P95 < before.P95);
   }
 }
+
+// Guards against shards above the bound and against instances that disagree on
+// most of them after a server has come.
+TEST_CASE("Shards are bounded and a further server moves few others") {
+  std::vector<DispatchServer> servers;
+  for (int i = 0; i < 31; ++i)
+    servers.push_back({"s" + std::to_string(i), 1, 0.02, true});
+  auto shardOf = [](const std::vector<DispatchServer> &All) {
+    std::map<std::string, size_t> found;
+    std::vector<std::vector<size_t>> shards = shardsOf(All);
+    for (size_t k = 0; k < shards.size(); ++k) {
+      CHECK(shards[k].size() <= MaxServersPerShard);
+      for (size_t i : shards[k])
+        found[All[i].Id] = k;
+    }
+    return found;
+  };
+  std::map<std::string, size_t> before = shardOf(servers);
+  servers.push_back({"t", 1, 0.02, true});
+  size_t moved = 0;
+  for (auto [id, shard] : shardOf(servers))
+    moved += id != "t" && before.at(id) != shard ? 1 : 0;
+  CHECK(moved <= 4);
+}
+
+// A restarted or excluded server would get prompts, or one whose assignments
+// have ended would get none.
+TEST_CASE("An owner assigns only usable servers and forgets ended work") {
+  std::vector<DispatchServer> servers{
+      {"a", 1, 0.02, true}, {"b", 1, 0.03, true}, {"c", 1, 0.01, false}};
+  PrefillDispatcher owner;
+  PrefillAsk ask{"model", 0, PromptTokens, {}, {}};
+  CHECK(owner.assign(ask, servers, at(0)).ServerId == "a");
+  PrefillAssignment second = owner.assign(ask, servers, at(1));
+  CHECK(second.ServerId == "b");
+  CHECK(second.Wait == Milliseconds(0));
+  CHECK(second.Duration == Milliseconds(156));
+  ask.Excluded = {"a"};
+  CHECK(owner.assign(ask, servers, at(1000)).ServerId == "b");
+  ask.Excluded = {"a", "b"};
+  CHECK(owner.assign(ask, servers, at(1000)).ServerId.empty());
+  ask.Excluded = {};
+  CHECK(owner.assign(ask, servers, at(1001)).ServerId == "a");
+  servers[0].StartedAt = 2;
+  CHECK(owner.assign(ask, servers, at(1002)).StartedAt == 2);
+}
+
+// An owner that misses assignments or completions would fill a busy server.
+TEST_CASE("A report of waiting requests moves prefills to another server") {
+  std::vector<DispatchServer> servers{{"a", 1, 0.02, true},
+                                      {"b", 1, 0.03, true}};
+  PrefillDispatcher owner;
+  PrefillAsk ask{"model", 0, PromptTokens, {}, {}};
+  ask.Reports = {{"a", 1, PromptTokens, Milliseconds(104), Milliseconds(5), 4}};
+  CHECK(owner.assign(ask, servers, at(0)).ServerId == "b");
+  ask.Reports = {{"a", 1, PromptTokens, Milliseconds(104), Milliseconds(2), 0}};
+  CHECK(owner.assign(ask, servers, at(10)).ServerId == "a");
+}
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -115,11 +115,13 @@
   REQUIRE(without.Values.has_value());
   CHECK(without.Values->Pace == PaceSettings());
   Outcome outcome =
-      parse(Good + "[pace]\nenabled = false\ndead-band = 1.5\nmax-ratio = 4\n");
+      parse(Good + "[pace]\nenabled = false\ndead-band = 1.5\nmax-ratio = 4\n"
+                   "dispatch = false\n");
   REQUIRE(outcome.Values.has_value());
-  CHECK(outcome.Values->Pace == PaceSettings{false, 1.5, 4});
+  CHECK(outcome.Values->Pace == PaceSettings{false, 1.5, 4, false});
   using Keys = std::vector<std::string>;
   CHECK(parse(Good + "[pace]\nenabled = 1\n").Keys == Keys{"pace.enabled"});
+  CHECK(parse(Good + "[pace]\ndispatch = 1\n").Keys == Keys{"pace.dispatch"});
   for (const char *it : {"0.9", "nan", "inf", "\"2\"", "5.1"})
     CHECK(parse(Good + "[pace]\ndead-band = " + it + "\n").Keys ==
           Keys{"pace.dead-band"});
