--- a/src/gateway/decisions/placement/pace_choice.cc
+++ b/src/gateway/decisions/placement/pace_choice.cc
@@ -38,7 +38,9 @@
   size_t best = drawOne();
   for (int i = 1; i < Draws; ++i) {
     size_t other = drawOne();
-    if (wait(other) + MinWaitDifference < wait(best))
+    if (Candidates[other].AboveKnee != Candidates[best].AboveKnee)
+      best = Candidates[best].AboveKnee ? other : best;
+    else if (wait(other) + MinWaitDifference < wait(best))
       best = other;
   }
   return best;
--- a/src/gateway/decisions/placement/pace_choice.h
+++ b/src/gateway/decisions/placement/pace_choice.h
@@ -14,14 +14,15 @@
 namespace crocusspur::gateway {
 
 struct PaceCandidate {
-  double Pace = 1; // time per unit of work; 1: as most servers
-  double Load = 0; // that a further call waits for or runs beside
+  double Pace = 1;        // time per unit of work; 1: as most servers
+  double Load = 0;        // that a further call waits for or runs beside
+  bool AboveKnee = false; // whether it has more load than it handles well
 };
 
 // Returns the index of the selected candidate; there must be at least one.
 // Draws some, each with a probability that falls with the square of its pace,
 // and returns the one at which the load takes the least time; of several with
-// about the same, the first that was drawn.
+// about the same, the first that was drawn. Prefers those below their knee.
 // `Draw` returns uniform numbers in [0, 1).
 size_t chooseByPace(const std::vector<PaceCandidate> &Candidates,
                     const std::function<double()> &Draw);
--- a/src/gateway/decisions/placement/pace_table.cc
+++ b/src/gateway/decisions/placement/pace_table.cc
@@ -70,6 +70,11 @@
 
 } // namespace
 
+bool showsPace(const PaceSample &Item) {
+  return Item.Work > 0 && std::isfinite(Item.Work) &&
+         (Item.Stage != ServerStage::Prefill || Item.Work >= MinPrefillTokens);
+}
+
 bool isMoreUseful(const PaceSummary &Left, const PaceSummary &Right) {
   return std::pair(!Left.IsChange, Left.Age) <
          std::pair(!Right.IsChange, Right.Age);
@@ -110,8 +115,7 @@
 }
 
 void PaceTable::add(const PaceSample &Item, TimePoint Now) {
-  if (!(Item.Work > 0) || !std::isfinite(Item.Work) ||
-      (Item.Stage == ServerStage::Prefill && Item.Work < MinPrefillTokens))
+  if (!showsPace(Item))
     return;
   double taken = static_cast<double>(std::max<int64_t>(Item.Taken.count(), 1));
   double unit = std::log(taken / Item.Work);
@@ -205,9 +209,15 @@
     if (record.Samples >= 1 && record.ChangedAt > Since &&
         elapsed(record.At, Now) <= MaxEvidenceAge) {
       double unit = record.Unit - loadPower(key.second) * record.Load;
-      all.push_back({key.first, record.StartedAt, key.second, std::exp(unit),
-                     record.Samples, elapsed(record.At, Now),
-                     std::abs(unit - record.LongTerm) > LoggedChange});
+      all.push_back({key.first,
+                     record.StartedAt,
+                     key.second,
+                     std::exp(unit),
+                     record.Samples,
+                     elapsed(record.At, Now),
+                     std::abs(unit - record.LongTerm) > LoggedChange,
+                     0,
+                     {}});
     }
   std::ranges::sort(all, isMoreUseful);
   if (all.size() > MaxCount)
--- a/src/gateway/decisions/placement/pace_table.h
+++ b/src/gateway/decisions/placement/pace_table.h
@@ -28,6 +28,8 @@
   // Servers whose pace, or its reciprocal, is below this count as equal.
   double DeadBand = 1.3;
   double MaxRatio = 10; // bound of the pace, and of its reciprocal
+  bool Knee = true;     // whether servers above their knee are avoided
+  double MinKnee = 2;   // lower bound of a knee, in requests at the server
   bool operator==(const PaceSettings &) const = default;
 };
 
@@ -40,6 +42,18 @@
   uint32_t Running = 0; // requests at the server, as reported
 };
 
+// Whether the duration of the call is of use: there is work, and enough of it.
+bool showsPace(const PaceSample &Item);
+
+// Durations at a range of load of a server, see KneeTable.
+struct LoadBand {
+  double Unit = 0;     // mean logarithm of milliseconds per unit of work
+  double Weight = 0;   // number of samples as of the latest; halves with time
+  Milliseconds Age{0}; // of the latest sample
+};
+constexpr size_t LoadBandCount = 12;
+using LoadBands = std::array<LoadBand, LoadBandCount>;
+
 // What is known of one process of a server, for peers.
 struct PaceSummary {
   std::string ServerId;
@@ -50,6 +64,8 @@
   Milliseconds Age{0}; // of the latest sample of any instance
   // Whether the time differs from the process's long-term average. Not sent.
   bool IsChange = false;
+  double Knee = 0; // see KneeTable; 0: none known
+  LoadBands Bands{};
 };
 
 // Orders summaries by what peers need first: changes, then late evidence.
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <xxhash.h>
 
 namespace crocusspur::gateway {
@@ -39,6 +40,11 @@
 // Pace of a server that has just started while others are known, so that it
 // gets about half as many calls as they until some have ended.
 constexpr double UnknownPace = 1.4;
+// Around its knee a server counts as above it with a probability that grows
+// from 0 to 1 within this part of the knee, to both sides.
+constexpr double KneeSpread = 0.15;
+// The same in addition where the server's load is taken from the others'.
+constexpr double UnknownLoadSpread = 0.35;
 // Part of a stated rest by which its end is spread.
 constexpr double RestSpread = 0.25;
 
@@ -249,18 +255,22 @@
          (!Query.Version || versionKeyOf(entry.Version) == *Query.Version);
 }
 
+double ServerRegistry::reportWeight(const Server &Item, TimePoint Now) {
+  if (!Item.Load || Now - Item.LoadAt >= LoadReportLifetime)
+    return 0;
+  return 1 -
+         std::chrono::duration<double>(Now - Item.LoadAt) / LoadReportLifetime;
+}
+
+double ServerRegistry::othersAtReport(const Server &Item) {
+  return std::max(0.0, static_cast<double>(Item.Load->Running) +
+                           Item.Load->Waiting - Item.OwnCallsAtLoad);
+}
+
 double ServerRegistry::loadOf(const Server &Item, TimePoint Now) const {
-  double load = Item.OwnLoad;
-  if (Item.Load && Now - Item.LoadAt < LoadReportLifetime) {
-    // Requests of other instances at the time of the report, in addition to
-    // this instance's current ones.
-    double others = static_cast<double>(Item.Load->Running) +
-                    Item.Load->Waiting - Item.OwnCallsAtLoad;
-    double age =
-        std::chrono::duration<double>(Now - Item.LoadAt) / LoadReportLifetime;
-    load += std::max(0.0, others) * (1 - age);
-  }
-  return load;
+  double weight = reportWeight(Item, Now);
+  return weight > 0 ? Item.OwnLoad + othersAtReport(Item) * weight
+                    : Item.OwnLoad;
 }
 
 double ServerRegistry::placementPace(const Server &Item, TimePoint Now) const {
@@ -270,6 +280,73 @@
              : it->second.placementPace(Item.Entry.Id, Item.Entry.Stage, Now);
 }
 
+bool ServerRegistry::usesKnees(const ServerQuery &Query, TimePoint Now) const {
+  auto table = Knees.find(Query.Service);
+  if (!PaceValues.Enabled || !PaceValues.Knee || table == Knees.end() ||
+      table->second.countKnown(Now) == 0)
+    return false;
+  if (table->second.differ(Query.Stage, Now))
+    return true;
+  return std::ranges::any_of(Servers, [&](const auto &It) {
+    const Server &server = It.second;
+    return sendBar(server, Now) == SendBar::None && matches(server, Query) &&
+           !server.UsableUntil && server.AvoidUntil <= Now &&
+           placementPace(server, Now) != 1;
+  });
+}
+
+double ServerRegistry::meanOthers(const ServerQuery &Query,
+                                  TimePoint Now) const {
+  double sum = 0;
+  double weights = 0;
+  for (const auto &[id, server] : Servers) {
+    double weight = matches(server, Query) ? reportWeight(server, Now) : 0;
+    if (weight > 0)
+      sum += weight * othersAtReport(server);
+    weights += weight;
+  }
+  return weights > 0 ? sum / weights : 0;
+}
+
+bool ServerRegistry::drawAboveKnee(const Server &Item, double MeanOthers,
+                                   TimePoint Now) {
+  double knee = capacity(Item.Entry.Id, Now).Knee;
+  if (knee <= 0)
+    return false;
+  double weight = reportWeight(Item, Now);
+  double load = Item.OwnCalls + (1 - weight) * MeanOthers;
+  if (weight > 0)
+    load += weight * othersAtReport(Item);
+  double spread = KneeSpread + (1 - weight) * UnknownLoadSpread;
+  double excess = load / knee - 1;
+  if (std::abs(excess) >= spread)
+    return excess > 0;
+  std::uniform_real_distribution<double> draw(-spread, spread);
+  return draw(Random) < excess;
+}
+
+ServerCapacity ServerRegistry::capacity(const std::string &Id,
+                                        TimePoint Now) const {
+  auto it = Servers.find(Id);
+  if (it == Servers.end())
+    return {};
+  const ServerEntry &entry = it->second.Entry;
+  ServerCapacity capacity{static_cast<double>(entry.Slots), 0, {}, false};
+  auto table = Knees.find(entry.Service);
+  if (table == Knees.end())
+    return capacity;
+  std::optional<KneeEstimate> found =
+      table->second.estimate(Id, entry.StartedAt, entry.Stage, Now);
+  if (!found)
+    return capacity;
+  capacity.Samples = found->Samples;
+  capacity.Age = found->Age;
+  capacity.Known = found->Knee > 0;
+  if (capacity.Known)
+    capacity.Knee = found->Knee;
+  return capacity;
+}
+
 double ServerRegistry::score(const Server &Item, TimePoint Now) const {
   double load = (loadOf(Item, Now) + 1) * placementPace(Item, Now);
   if (Item.Entry.Slots > 0 && Item.Entry.Stage == ServerStage::Whole)
@@ -284,21 +361,26 @@
                                                TimePoint Now) {
   struct Candidate {
     int Class; // 0: healthy, 1: avoided, 2: entry removed
+    bool AboveKnee;
     double Score;
     const Server *Item;
   };
   std::uniform_real_distribution<double> draw(0, TieBreakSpread);
+  bool useKnees = usesKnees(Query, Now);
+  double others = useKnees ? meanOthers(Query, Now) : 0;
   std::vector<Candidate> found;
   for (const auto &[id, server] : Servers) {
     if (sendBar(server, Now) != SendBar::None || !matches(server, Query))
       continue;
     int rankClass = server.UsableUntil ? 2 : server.AvoidUntil > Now ? 1 : 0;
-    found.push_back({rankClass, score(server, Now) + draw(Random), &server});
+    bool above = useKnees && drawAboveKnee(server, others, Now);
+    found.push_back(
+        {rankClass, above, score(server, Now) + draw(Random), &server});
   }
   std::sort(found.begin(), found.end(),
             [](const Candidate &Left, const Candidate &Right) {
-              return std::pair(Left.Class, Left.Score) <
-                     std::pair(Right.Class, Right.Score);
+              return std::tuple(Left.Class, Left.AboveKnee, Left.Score) <
+                     std::tuple(Right.Class, Right.AboveKnee, Right.Score);
             });
   std::vector<ServerChoice> choices;
   for (const Candidate &it : found) {
@@ -336,7 +418,9 @@
     return std::nullopt;
   std::vector<PaceCandidate> candidates;
   std::vector<const Server *> found;
-  bool differ = false;
+  bool useKnees = usesKnees(Query, Now);
+  double others = useKnees ? meanOthers(Query, Now) : 0;
+  bool differ = useKnees;
   for (const auto &[id, server] : Servers) {
     if (sendBar(server, Now) != SendBar::None || !matches(server, Query) ||
         server.UsableUntil || server.AvoidUntil > Now)
@@ -349,7 +433,8 @@
     double load = loadOf(server, Now);
     if (server.Entry.Slots > 0 && server.Entry.Stage == ServerStage::Whole)
       load /= server.Entry.Slots;
-    candidates.push_back({pace, load});
+    candidates.push_back(
+        {pace, load, useKnees && drawAboveKnee(server, others, Now)});
     found.push_back(&server);
   }
   if (!differ)
@@ -366,6 +451,13 @@
   return it->second;
 }
 
+KneeTable &ServerRegistry::kneesOf(const std::string &Service) {
+  auto [it, added] = Knees.try_emplace(Service);
+  if (added)
+    it->second.setSettings(PaceValues);
+  return it->second;
+}
+
 void ServerRegistry::onCallTimed(const ServerChoice &Server, double Work,
                                  Milliseconds Taken, TimePoint Now) {
   auto it = Servers.find(Server.Id);
@@ -373,8 +465,13 @@
     return;
   const auto &item = it->second;
   PaceSample sample{processOf(item.Entry), item.Entry.Stage, Work, Taken, 0};
-  if (item.Load && Now - item.LoadAt < LoadReportLifetime)
+  if (item.Load && Now - item.LoadAt < LoadReportLifetime) {
     sample.Running = item.Load->Running + item.Load->Waiting;
+    uint32_t since = std::max(item.OwnCalls, item.OwnCallsAtLoad);
+    since -= item.OwnCallsAtLoad;
+    kneesOf(item.Entry.Service)
+        .add(sample, static_cast<double>(sample.Running) + since, Now);
+  }
   pacesOf(item.Entry.Service).add(sample, Now);
 }
 
@@ -392,6 +489,7 @@
   if (it == Servers.end() || it->second.Entry.StartedAt != Item.StartedAt ||
       it->second.Entry.Stage != Item.Stage)
     return false;
+  kneesOf(it->second.Entry.Service).merge(Item, Now);
   return pacesOf(it->second.Entry.Service).merge(Item, Now);
 }
 
@@ -399,9 +497,14 @@
 ServerRegistry::pacesChangedSince(TimePoint Since, TimePoint Now,
                                   size_t MaxCount) const {
   std::vector<PaceSummary> all;
-  for (const auto &[service, table] : Paces)
-    for (PaceSummary &it : table.changedSince(Since, Now, MaxCount))
+  for (const auto &[service, table] : Paces) {
+    auto knees = Knees.find(service);
+    for (PaceSummary &it : table.changedSince(Since, Now, MaxCount)) {
+      if (knees != Knees.end())
+        knees->second.fill(it, Now);
       all.push_back(std::move(it));
+    }
+  }
   std::ranges::sort(all, isMoreUseful);
   if (all.size() > MaxCount)
     all.resize(MaxCount);
@@ -412,6 +515,8 @@
   PaceValues = Value;
   for (auto &[service, table] : Paces)
     table.setSettings(Value);
+  for (auto &[service, table] : Knees)
+    table.setSettings(Value);
 }
 
 std::optional<Milliseconds>
@@ -437,6 +542,16 @@
   return all;
 }
 
+std::vector<KneeChange> ServerRegistry::takeKneeChanges(TimePoint Now) {
+  std::vector<KneeChange> all;
+  for (auto &[service, table] : Knees) {
+    table.expire(Now);
+    for (KneeChange &it : table.takeChanges(Now))
+      all.push_back(std::move(it));
+  }
+  return all;
+}
+
 ServerRegistry::Fullness ServerRegistry::fullness(const ServerQuery &Query,
                                                   TimePoint Now) const {
   Fullness found;
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -6,6 +6,7 @@
 
 #include "crocusspur/types.h"
 #include "gateway/decisions/leaving_servers.h"
+#include "gateway/decisions/placement/knee_table.h"
 #include "gateway/decisions/placement/pace_table.h"
 #include "gateway/decisions/server_fullness.h"
 #include "gateway/decisions/server_stage.h"
@@ -72,6 +73,17 @@
 ServerProcess processOf(const ServerEntry &Entry);
 ServerProcess processOf(const ServerChoice &Server);
 
+// How much load a server handles well.
+struct ServerCapacity {
+  // Requests at the server up to which a request takes at most 1.5 times as
+  // long as at low load. Without evidence its number of slots, 0 if it
+  // registers none: no limit is known.
+  double Knee = 0;
+  double Samples = 0;
+  Milliseconds Age{0}; // of the latest sample
+  bool Known = false;  // whether the knee is estimated
+};
+
 // Criteria for the selection of a server.
 struct ServerQuery {
   std::string Service;
@@ -150,9 +162,11 @@
   bool usable(const ServerChoice &Server, TimePoint Now) const;
 
   // Returns the best server, if any. Failing servers are avoided and probed
-  // with few requests. If the paces of servers differ, see chooseByPace().
+  // with few requests. If the paces or knees of servers differ, see
+  // chooseByPace().
   std::optional<ServerChoice> choose(const ServerQuery &Query, TimePoint Now);
-  // Returns all usable servers, best first.
+  // Returns all usable servers, best first; those above their knee after the
+  // others of their class if paces or knees differ.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
   // The servers of a query that look full. Failing ones neither count as full
@@ -197,6 +211,12 @@
   const std::map<std::string, PaceTable> &paces() const { return Paces; }
   std::vector<PaceChange> takePaceChanges(TimePoint Now);
 
+  // The load that the process of the server's entry handles well.
+  ServerCapacity capacity(const std::string &Id, TimePoint Now) const;
+  // By service.
+  const std::map<std::string, KneeTable> &knees() const { return Knees; }
+  std::vector<KneeChange> takeKneeChanges(TimePoint Now);
+
   struct Estimate {
     std::string Id;
     double OwnLoad = 0;
@@ -230,15 +250,30 @@
   // check before a send rest on it.
   SendBar sendBar(const Server &Item, TimePoint Now) const;
 
+  // Weight of the server's latest load report, 0 if there is none; falls with
+  // its age.
+  static double reportWeight(const Server &Item, TimePoint Now);
+  // Requests of other instances at the time of the report.
+  static double othersAtReport(const Server &Item);
   // Requests at the server, those of this instance and what is known of others.
   double loadOf(const Server &Item, TimePoint Now) const;
   double score(const Server &Item, TimePoint Now) const;
   double placementPace(const Server &Item, TimePoint Now) const;
+  // Whether knees count for the choice among the servers of a stage.
+  bool usesKnees(const ServerQuery &Query, TimePoint Now) const;
+  // Mean number of other instances' requests at a server of a query, by the
+  // reports that are recent.
+  double meanOthers(const ServerQuery &Query, TimePoint Now) const;
+  // Whether the server has more requests than it handles well. Near the knee
+  // that is drawn, so that instances don't leave a server together.
+  // `MeanOthers` stands for what isn't known of the server's load.
+  bool drawAboveKnee(const Server &Item, double MeanOthers, TimePoint Now);
   // Selects among the healthy servers by pace; nothing if their paces are equal
   // or there are none.
   std::optional<ServerChoice> chooseByPace(const ServerQuery &Query,
                                            TimePoint Now);
   PaceTable &pacesOf(const std::string &Service);
+  KneeTable &kneesOf(const std::string &Service);
   bool matches(const Server &Item, const ServerQuery &Query) const;
 
   std::string OwnDomain;
@@ -246,6 +281,7 @@
   std::map<std::string, Server> Servers;
   LeavingServers Leaving;
   std::map<std::string, PaceTable> Paces; // by service
+  std::map<std::string, KneeTable> Knees; // by service
   PaceSettings PaceValues;
 };
 
