--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -40,8 +40,11 @@
 // Pace of a server that has just started while others are known, so that it
 // gets about half as many calls as they until some have ended.
 constexpr double UnknownPace = 1.4;
-// Around its knee a server counts as above it with a probability that grows
-// from 0 to 1 within this part of the knee, to both sides.
+// Around this part of its knee a server counts as above it with a probability
+// that grows from 0 to 1 within the spread, to both sides. Below 1, since loads
+// are known late, and since the load at the end of a slow call is nearer to the
+// mean than that at its start, which makes knees look higher.
+constexpr double KneeCenter = 0.8;
 constexpr double KneeSpread = 0.15;
 // The same in addition where the server's load is taken from the others'.
 constexpr double UnknownLoadSpread = 0.35;
@@ -318,7 +321,7 @@
   if (weight > 0)
     load += weight * othersAtReport(Item);
   double spread = KneeSpread + (1 - weight) * UnknownLoadSpread;
-  double excess = load / knee - 1;
+  double excess = load / knee - KneeCenter;
   if (std::abs(excess) >= spread)
     return excess > 0;
   std::uniform_real_distribution<double> draw(-spread, spread);
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -53,7 +53,9 @@
        {"revoke_ms", std::to_string(NewValues.Access.MaxAge.count())},
        {"pace_enabled", Pace.Enabled ? "true" : "false"},
        {"pace_dead_band", std::to_string(Pace.DeadBand)},
-       {"pace_max_ratio", std::to_string(Pace.MaxRatio)}});
+       {"pace_max_ratio", std::to_string(Pace.MaxRatio)},
+       {"pace_knee", Pace.Knee ? "true" : "false"},
+       {"pace_min_knee", std::to_string(Pace.MinKnee)}});
 }
 
 void GatewayRuntime::logInvalidSettings(const DiagnosticList &Diagnostics,
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -1,6 +1,7 @@
 #include "gateway/member_codec.h"
 
 #include "gateway/decisions/fleet/member_deltas.h"
+#include "gateway/knee_codec.h"
 #include "gateway/wire_text.h"
 #include "gateway_peer_generated.h"
 
@@ -87,13 +88,17 @@
   return member;
 }
 
-// A frame without a knee says that none is known.
+// A frame without a knee or bands says that none are known.
 flatbuffers::Offset<wire::ServerPace> pack(Builder &Out,
                                            const PaceSummary &Item) {
+  std::vector<uint8_t> bytes = packLoadBands(Item.Bands, Item.UnitMs);
+  flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bands;
+  if (!bytes.empty())
+    bands = Out.CreateVector(bytes);
   return wire::CreateServerPace(
       Out, Out.CreateString(Item.ServerId), Item.StartedAt,
-      static_cast<uint8_t>(Item.Stage), Item.UnitMs, /*knee=*/0, Item.Samples,
-      static_cast<uint32_t>(Item.Age.count()));
+      static_cast<uint8_t>(Item.Stage), Item.UnitMs, Item.Knee, Item.Samples,
+      static_cast<uint32_t>(Item.Age.count()), bands);
 }
 
 // Returns nullopt for stages of later versions.
@@ -107,6 +112,10 @@
   summary.UnitMs = Item.pace();
   summary.Samples = Item.samples();
   summary.Age = Milliseconds(Item.ago_ms());
+  summary.Knee = std::max(0.0, finiteOrZero(Item.knee()));
+  if (Item.bands())
+    summary.Bands = unpackLoadBands(
+        {Item.bands()->data(), Item.bands()->size()}, summary.UnitMs);
   return summary;
 }
 
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -48,6 +48,13 @@
   return out + "}";
 }
 
+std::string kneeText(const ServerCapacity &Item) {
+  return "{\"value\":" + std::to_string(Item.Knee) +
+         ",\"known\":" + (Item.Known ? "true" : "false") +
+         ",\"samples\":" + std::to_string(Item.Samples) +
+         ",\"age_ms\":" + std::to_string(Item.Age.count()) + "}";
+}
+
 } // namespace
 
 ServiceDirectory::ServiceDirectory(const GatewaySettings &Values, uint64_t Seed)
@@ -558,6 +565,7 @@
   if (Now - PacesCheckedAt < PaceCheckPeriod)
     return false;
   PacesCheckedAt = Now;
+  logKneeChanges(Reason, Now);
   bool changed = false;
   for (const PaceChange &it : Registry.takePaceChanges(Now)) {
     ++PacesCounted.Changes;
@@ -587,6 +595,41 @@
   return true;
 }
 
+void ServiceDirectory::logKneeChanges(const char *Source, TimePoint Now) {
+  for (const KneeChange &it : Registry.takeKneeChanges(Now)) {
+    ++PacesCounted.KneeChanges;
+    if (Now - KneesLoggedAt >= PaceLogPeriod) {
+      KneesLoggedAt = Now;
+      KneesLogged = 0;
+    }
+    if (++KneesLogged > MaxPaceLines)
+      continue;
+    log(LogLevel::Info, "directory", "knee of a server changed",
+        {{"server", it.Now.ServerId},
+         {"stage", nameOf(it.Now.Stage)},
+         {"knee", std::to_string(it.Now.Knee)},
+         {"former", std::to_string(it.Former)},
+         {"fast_up_to", std::to_string(it.Now.FastUpTo)},
+         {"samples", std::to_string(it.Now.Samples)},
+         {"age_ms", std::to_string(it.Now.Age.count())},
+         {"reason", it.Reason},
+         {"source", Source}});
+  }
+}
+
+std::map<std::string, ServiceDirectory::KneeCounts>
+ServiceDirectory::kneeCounts() const {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  std::map<std::string, KneeCounts> counts;
+  for (const auto &[service, table] : Registry.knees())
+    counts[service] = {table.countKnown(now),
+                       table.differ(ServerStage::Whole, now) ||
+                           table.differ(ServerStage::Prefill, now) ||
+                           table.differ(ServerStage::Decode, now)};
+  return counts;
+}
+
 void ServiceDirectory::onRequest(const std::string &Service) {
   std::lock_guard lock(Mutex);
   Retries.onRequest(Service, Clock::now());
@@ -770,6 +813,9 @@
     auto pace = entry ? paces.find({it.Id, entry->Stage}) : paces.end();
     if (pace != paces.end())
       out += ",\"pace\":" + paceText(pace->second);
+    if (ServerCapacity capacity = Registry.capacity(it.Id, now);
+        capacity.Samples > 0)
+      out += ",\"knee\":" + kneeText(capacity);
     out += "}";
     separator = ",";
   }
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -148,10 +148,17 @@
     uint64_t Samples = 0; // of this instance
     uint64_t Merged = 0;  // summaries of peers that were new
     uint64_t Changes = 0; // of servers' paces for placement
+    uint64_t KneeChanges = 0;
   };
   PaceCounts paceCounts() const;
   // Servers whose pace for placement is slower than at the median, by service.
   std::map<std::string, uint32_t> slowServers() const;
+  // Servers with a knee, and whether knees of a stage differ, by service.
+  struct KneeCounts {
+    size_t Known = 0;
+    bool Differ = false;
+  };
+  std::map<std::string, KneeCounts> kneeCounts() const;
 
   // Retry budget; see SharedRetryBudget.
   void onRequest(const std::string &Service);
@@ -220,6 +227,7 @@
   // Logs changes of servers' paces, at most a few in a second. Returns whether
   // peers should learn of them at once, which is limited in rate.
   bool logPaceChanges(const char *Reason, TimePoint Now);
+  void logKneeChanges(const char *Source, TimePoint Now);
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
   // Returns false if the document was not applied.
   bool applyRoutesLocked(RouteDocumentPtr Document, StoreRevision Revision,
@@ -264,6 +272,8 @@
   TimePoint PacesNotifiedAt;
   TimePoint PacesLoggedAt; // start of the second in which lines are counted
   uint32_t PacesLogged = 0;
+  TimePoint KneesLoggedAt; // start of the second in which lines are counted
+  uint32_t KneesLogged = 0;
   std::mt19937_64 Random;
   std::atomic<uint32_t> Instances{64}; // default until members are known
   std::array<std::atomic<bool>, 2> StoreReachable{true, true}; // by kind
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -201,6 +201,13 @@
                     static_cast<double>(paces.Changes));
   for (const auto &[service, count] : Runtime->Directory.slowServers())
     Metrics->setGauge("servers_slow", service, count);
+  Metrics->setGauge("knee_changes_total", "",
+                    static_cast<double>(paces.KneeChanges));
+  for (const auto &[service, counts] : Runtime->Directory.kneeCounts()) {
+    Metrics->setGauge("servers_with_knee", service,
+                      static_cast<double>(counts.Known));
+    Metrics->setGauge("knees_differ", service, counts.Differ ? 1 : 0);
+  }
   ServerReachability &reach = Runtime->Connections.reachability();
   Metrics->clearGauge("service_cut_off");
   for (const std::string &it : reach.unreachedServices())
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1857,7 +1857,8 @@
     VT_PACE = 10,
     VT_KNEE = 12,
     VT_SAMPLES = 14,
-    VT_AGO_MS = 16
+    VT_AGO_MS = 16,
+    VT_BANDS = 18
   };
   const flatbuffers::String *server() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVER);
@@ -1880,6 +1881,9 @@
   uint32_t ago_ms() const {
     return GetField<uint32_t>(VT_AGO_MS, 0);
   }
+  const flatbuffers::Vector<uint8_t> *bands() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVER) &&
@@ -1890,6 +1894,8 @@
            VerifyField<double>(verifier, VT_KNEE, 8) &&
            VerifyField<double>(verifier, VT_SAMPLES, 8) &&
            VerifyField<uint32_t>(verifier, VT_AGO_MS, 4) &&
+           VerifyOffset(verifier, VT_BANDS) &&
+           verifier.VerifyVector(bands()) &&
            verifier.EndTable();
   }
 };
@@ -1919,6 +1925,9 @@
   void add_ago_ms(uint32_t ago_ms) {
     fbb_.AddElement<uint32_t>(ServerPace::VT_AGO_MS, ago_ms, 0);
   }
+  void add_bands(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bands) {
+    fbb_.AddOffset(ServerPace::VT_BANDS, bands);
+  }
   explicit ServerPaceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1938,12 +1947,14 @@
     double pace = 0.0,
     double knee = 0.0,
     double samples = 0.0,
-    uint32_t ago_ms = 0) {
+    uint32_t ago_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bands = 0) {
   ServerPaceBuilder builder_(_fbb);
   builder_.add_samples(samples);
   builder_.add_knee(knee);
   builder_.add_pace(pace);
   builder_.add_started_at(started_at);
+  builder_.add_bands(bands);
   builder_.add_ago_ms(ago_ms);
   builder_.add_server(server);
   builder_.add_stage(stage);
@@ -1958,8 +1969,10 @@
     double pace = 0.0,
     double knee = 0.0,
     double samples = 0.0,
-    uint32_t ago_ms = 0) {
+    uint32_t ago_ms = 0,
+    const std::vector<uint8_t> *bands = nullptr) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
+  auto bands__ = bands ? _fbb.CreateVector<uint8_t>(*bands) : 0;
   return crocusspur::gateway::wire::CreateServerPace(
       _fbb,
       server__,
@@ -1968,7 +1981,8 @@
       pace,
       knee,
       samples,
-      ago_ms);
+      ago_ms,
+      bands__);
 }
 
 struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
