--- a/src/gateway/decisions/placement/knee_table.cc
+++ b/src/gateway/decisions/placement/knee_table.cc
@@ -34,11 +34,24 @@
 // back from a peer doesn't look newer.
 constexpr Milliseconds TransferTolerance{20};
 constexpr Milliseconds DifferenceLifetime{50};
-// Knees differ by more than this factor, or by less after they once did.
-constexpr double DifferentRatio = 1.5;
-constexpr double StillDifferentRatio = 1.3;
-constexpr double SingleRatio = 2;
-constexpr size_t MinCompared = 3;
+// Knees differ if, at equal load in two bands, the slowdowns of servers do: by
+// more than KneeSlowdown and by as many standard errors as this. Comparing the
+// estimated knees isn't enough: among equal prefill servers at 82 % of their
+// capacity these differ by chance.
+constexpr double DifferentErrors = 3;
+constexpr size_t MinDifferentBands = 2;
+// Part of it that keeps a difference which was seen.
+constexpr double StillDifferent = 0.75;
+constexpr size_t MinCompared = 5;
+constexpr double ComparedPart = 0.15; // left out at both ends
+
+// The lowest bands that together have enough samples.
+struct LowLoad {
+  double Unit = 0; // mean
+  double Weight = 0;
+  double Load = 0;
+  size_t Next = 0; // first band of higher load
+};
 
 double centerOf(size_t Band) {
   return Band + 1 < LoadBandCount ? (Lowest[Band] + Lowest[Band + 1] - 1) / 2
@@ -55,6 +68,19 @@
                    static_cast<double>(WeightHalfLife.count()));
 }
 
+LowLoad lowLoadOf(const LoadBands &Bands) {
+  LowLoad low;
+  for (; low.Next < Bands.size() && low.Weight < MinLowWeight; ++low.Next) {
+    const LoadBand &band = Bands[low.Next];
+    if (band.Weight <= 0)
+      continue;
+    low.Weight += band.Weight;
+    low.Unit += (band.Unit - low.Unit) * band.Weight / low.Weight;
+    low.Load = centerOf(low.Next);
+  }
+  return low;
+}
+
 // Neighbouring bands with one mean.
 struct Block {
   double Unit;
@@ -95,22 +121,13 @@
   KneeFit fit;
   for (const LoadBand &it : Bands)
     fit.Samples += it.Weight;
-  double low = 0;
-  double lowWeight = 0;
-  double lowLoad = 0;
-  size_t next = 0;
-  for (; next < Bands.size() && lowWeight < MinLowWeight; ++next) {
-    if (Bands[next].Weight <= 0)
-      continue;
-    lowWeight += Bands[next].Weight;
-    low += (Bands[next].Unit - low) * Bands[next].Weight / lowWeight;
-    lowLoad = centerOf(next);
-  }
-  if (lowWeight < MinLowWeight)
+  LowLoad lowLoad = lowLoadOf(Bands);
+  double low = lowLoad.Unit;
+  if (lowLoad.Weight < MinLowWeight)
     return fit;
-  fit.FastUpTo = lowLoad;
-  std::vector<Block> blocks = monotonic(Bands, next);
-  double fastLoad = lowLoad;
+  fit.FastUpTo = lowLoad.Load;
+  std::vector<Block> blocks = monotonic(Bands, lowLoad.Next);
+  double fastLoad = lowLoad.Load;
   double fastUnit = low;
   for (size_t i = 0; i < blocks.size(); ++i) {
     double weight = 0;
@@ -122,8 +139,8 @@
     if (weight < MinHighWeight)
       break;
     fit.Known = true;
-    double error =
-        DeviationFactor * Deviation * std::sqrt(1 / lowWeight + 1 / weight);
+    double error = DeviationFactor * Deviation *
+                   std::sqrt(1 / lowLoad.Weight + 1 / weight);
     double limit = low + std::max(KneeSlowdown, MinErrors * error);
     if (blocks[i].Unit > low + KneeSlowdown && unit > limit) {
       double slowLoad = centerOf(blocks[i].First);
@@ -156,14 +173,19 @@
   return record;
 }
 
-void KneeTable::update(Record &Item, ServerStage Stage) {
+LoadBands KneeTable::bandsAt(const Record &Item, TimePoint Now) {
   LoadBands bands;
   for (size_t i = 0; i < bands.size(); ++i) {
     const Band &band = Item.Bands[i];
-    Milliseconds age = elapsed(band.At, Item.At);
+    Milliseconds age = elapsed(band.At, Now);
     if (band.Weight > 0 && age <= MaxBandAge)
       bands[i] = {band.Unit, band.Weight * decay(age), age};
   }
+  return bands;
+}
+
+void KneeTable::update(Record &Item, ServerStage Stage) {
+  LoadBands bands = bandsAt(Item, Item.At);
   Item.Fit = fitKnee(bands, Deviations[static_cast<size_t>(Stage)]);
   if (Item.Fit.Knee > 0) {
     // Only slow calls confirm a knee: its bands age while others are sampled.
@@ -260,31 +282,41 @@
   Difference &kept = Differences[static_cast<size_t>(Stage)];
   if (kept.At && Now >= *kept.At && Now - *kept.At < DifferenceLifetime)
     return kept.Value;
-  // Load up to which each server is fast, and whether that is a knee.
-  std::vector<std::pair<double, bool>> loads;
+  // By band: slowdowns compared with low load, and the sum of their variances
+  // for a deviation of 1.
+  std::array<std::vector<double>, LoadBandCount> slowdowns;
+  std::array<double, LoadBandCount> variances{};
+  bool known = false;
   for (const auto &[key, record] : Records) {
     if (key.second != Stage || elapsed(record.At, Now) > MaxBandAge)
       continue;
-    double knee = kneeOf(record, Now);
-    if (knee > 0)
-      loads.push_back({knee, true});
-    else if (record.Fit.Known)
-      loads.push_back({record.Fit.FastUpTo, false});
+    known = known || kneeOf(record, Now) > 0;
+    LoadBands bands = bandsAt(record, record.At);
+    LowLoad low = lowLoadOf(bands);
+    for (size_t i = low.Next; i < bands.size(); ++i)
+      if (bands[i].Weight >= MinHighWeight) {
+        slowdowns[i].push_back(bands[i].Unit - low.Unit);
+        variances[i] += 1 / low.Weight + 1 / bands[i].Weight;
+      }
+  }
+  double factor = kept.Value ? StillDifferent : 1;
+  double deviation = DeviationFactor * Deviations[static_cast<size_t>(Stage)];
+  size_t different = 0;
+  for (size_t i = 0; i < slowdowns.size(); ++i) {
+    std::vector<double> &values = slowdowns[i];
+    if (values.size() < MinCompared)
+      continue;
+    std::ranges::sort(values);
+    auto left =
+        static_cast<size_t>(ComparedPart * static_cast<double>(values.size()));
+    double range = values[values.size() - 1 - left] - values[left];
+    double error = deviation *
+                   std::sqrt(variances[i] / static_cast<double>(values.size()));
+    different +=
+        range > factor * std::max(KneeSlowdown, DifferentErrors * error) ? 1
+                                                                         : 0;
   }
-  double ratio = kept.Value ? StillDifferentRatio : DifferentRatio;
-  kept = {false, Now};
-  if (loads.size() < MinCompared)
-    return false;
-  std::ranges::sort(loads);
-  auto at = [&](double Part) {
-    return loads[static_cast<size_t>(Part *
-                                     static_cast<double>(loads.size() - 1))];
-  };
-  auto lowest = std::ranges::find_if(loads, [](auto &It) { return It.second; });
-  if (lowest == loads.end())
-    return false;
-  kept.Value = (at(0.15).second && at(0.85).first > ratio * at(0.15).first) ||
-               at(0.5).first > SingleRatio * lowest->first;
+  kept = {known && different >= MinDifferentBands, Now};
   return kept.Value;
 }
 
--- a/src/gateway/decisions/placement/knee_table.h
+++ b/src/gateway/decisions/placement/knee_table.h
@@ -66,7 +66,8 @@
   // Adds what is known of the summary's process to it.
   void fill(PaceSummary &Item, TimePoint Now) const;
 
-  // Whether the knees of the stage's servers differ enough to prefer some.
+  // Whether some of the stage's servers slow down at a load at which others
+  // don't.
   bool differ(ServerStage Stage, TimePoint Now) const;
 
   // What is known of a process of a server.
@@ -107,6 +108,8 @@
   };
 
   Record &recordOf(const std::string &Id, ServerStage Stage, int64_t StartedAt);
+  // Bands with the weights of this time.
+  static LoadBands bandsAt(const Record &Item, TimePoint Now);
   void update(Record &Item, ServerStage Stage);
   // The knee as used, 0 if none.
   double kneeOf(const Record &Item, TimePoint Now) const;
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -285,17 +285,8 @@
 
 bool ServerRegistry::usesKnees(const ServerQuery &Query, TimePoint Now) const {
   auto table = Knees.find(Query.Service);
-  if (!PaceValues.Enabled || !PaceValues.Knee || table == Knees.end() ||
-      table->second.countKnown(Now) == 0)
-    return false;
-  if (table->second.differ(Query.Stage, Now))
-    return true;
-  return std::ranges::any_of(Servers, [&](const auto &It) {
-    const Server &server = It.second;
-    return sendBar(server, Now) == SendBar::None && matches(server, Query) &&
-           !server.UsableUntil && server.AvoidUntil <= Now &&
-           placementPace(server, Now) != 1;
-  });
+  return PaceValues.Enabled && PaceValues.Knee && table != Knees.end() &&
+         table->second.differ(Query.Stage, Now);
 }
 
 double ServerRegistry::meanOthers(const ServerQuery &Query,
--- a/test/gateway_knee_table_test.cc
+++ b/test/gateway_knee_table_test.cc
@@ -85,6 +85,8 @@
   // Older evidence of a peer replaces nothing.
   addCalls(other, 4, 1, 1000, 5000);
   double knee = kneeOf(other, 9000);
+  for (LoadBand &it : summary.Bands)
+    it.Age += Milliseconds(5000);
   other.merge(summary, at(9000));
   CHECK(kneeOf(other, 9000) == knee);
   PaceSettings off;
