--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -440,6 +440,7 @@
     if (Placement.Server)
       Placement.Outcome = DispatchOutcome::AtLimit;
     Placement.Server.reset();
+    Placement.Wait = Milliseconds(0);
     Context.Dispatch->onPlaced(/*ByOwner=*/false);
   }
   std::optional<ServerChoice> server =
