Keep the cryptographic library initialised between digests

POCO's digest engine initialises OpenSSL when it is made and shuts it down when the last engine ends, which frees an array of mutexes without clearing its pointer. If a thread loses the processor between its last decrement of the count and the free, and another thread makes and ends an engine meanwhile, the array is freed twice and the process crashes. Each request of serve computes digests (its token, its fingerprint, its ticket). One initialiser now exists until the process ends, and tickets use the digest function of digest.h.

--- a/src/digest.cc
+++ b/src/digest.cc
@@ -1,13 +1,28 @@
 #include "digest.h"
 
 #include <Poco/Crypto/DigestEngine.h>
+#include <Poco/Crypto/OpenSSLInitializer.h>
 #include <algorithm>
 #include <strings.h>
 
 namespace crocusspur::internal {
 
+namespace {
+
+// Each engine of POCO initialises OpenSSL, and the last one that ends frees
+// what the first one has allocated. Neither is safe while another thread does
+// the same: memory is freed twice. So one initialiser exists until the process
+// ends, also while the destructors of static objects run.
+Poco::Crypto::DigestEngine makeEngine() {
+  [[maybe_unused]] static const auto *const initializer =
+      new Poco::Crypto::OpenSSLInitializer;
+  return Poco::Crypto::DigestEngine("SHA256");
+}
+
+} // namespace
+
 Sha256Digest sha256(std::string_view Text) {
-  Poco::Crypto::DigestEngine engine("SHA256");
+  Poco::Crypto::DigestEngine engine = makeEngine();
   engine.update(Text.data(), Text.size());
   Sha256Digest digest{};
   const Poco::DigestEngine::Digest &bytes = engine.digest();
@@ -17,7 +32,7 @@
 }
 
 std::string sha256Hex(const std::string &Text) {
-  Poco::Crypto::DigestEngine engine("SHA256");
+  Poco::Crypto::DigestEngine engine = makeEngine();
   engine.update(Text);
   return Poco::DigestEngine::digestToHex(engine.digest());
 }
--- a/src/ticket.cc
+++ b/src/ticket.cc
@@ -1,6 +1,7 @@
 #include "ticket.h"
 
-#include <Poco/Crypto/DigestEngine.h>
+#include "digest.h"
+
 #include <charconv>
 #include <cstdio>
 
@@ -11,10 +12,8 @@
 constexpr size_t SignatureDigits = 32;
 constexpr size_t HashBlock = 64; // SHA-256's block size in bytes
 
-std::string sha256(const std::string &Text) {
-  Poco::Crypto::DigestEngine engine("SHA256");
-  engine.update(Text);
-  const Poco::DigestEngine::Digest &digest = engine.digest();
+std::string digestOf(const std::string &Text) {
+  Sha256Digest digest = sha256(Text);
   return std::string(digest.begin(), digest.end());
 }
 
@@ -27,8 +26,8 @@
 
 // HMAC of RFC 2104.
 std::string signature(const std::string &Text, uint64_t Secret) {
-  std::string inner = sha256(padded(Secret, 0x36) + Text);
-  std::string digest = sha256(padded(Secret, 0x5c) + inner);
+  std::string inner = digestOf(padded(Secret, 0x36) + Text);
+  std::string digest = digestOf(padded(Secret, 0x5c) + inner);
   std::string digits;
   for (size_t i = 0; i < SignatureDigits / 2; ++i) {
     char buf[3];
