Wait for peers to link again before a pause ends without them

Peers close their links to an instance that is silent. After a pause the core saw both links go down, found no linked peer, ended the pause at once, owned the shard with a higher fence 1 ms later and lost it 32 ms later when the links were back. A pause now ends without a linked peer only 1 s after it was detected.

decision_core_test: a new case (peers close their links in the pause and return) is red before, green after. Its case "no peer is left" required a start at the moment when the last link goes down, which is this fault; it now requires none for 0.9 s and one after 1.1 s. core_*_test.cc (18 cases) and decision_core_test (24) pass.

--- a/src/core_lifecycle.cc
+++ b/src/core_lifecycle.cc
@@ -51,6 +51,7 @@
                                ErrorKind::Internal,
                                std::chrono::duration<double>(Gap).count()});
   Paused = true;
+  PauseDetectedAt = Now;
   LastNumberBeforePause = Keys.lastHeartbeatNumber();
   ListAfterPause.reset();
   Peers.onPause(Gap, Now);
@@ -65,13 +66,16 @@
 
 // Frames and lists that were received may have waited since before the pause.
 // The view is current once a peer has responded to a heartbeat sent after it
-// and this instance has that peer's list, or if there is no peer.
+// and this instance has that peer's list, or if no peer has a link for some
+// time. Peers close their links to an instance that is silent, so right after a
+// pause there may be none although all peers run.
 void DecisionCore::State::endPauseIfCurrent(ActionList &Out) {
   if (!Paused)
     return;
   bool current =
       ListAfterPause && (List ? List->Sequence : 0) >= *ListAfterPause;
-  if (current || !Peers.hasLinkedPeer())
+  bool alone = !Peers.hasLinkedPeer() && Now - PauseDetectedAt >= MaxPeerWait;
+  if (current || alone)
     endPause(Out);
 }
 
--- a/src/core_state.h
+++ b/src/core_state.h
@@ -121,6 +121,7 @@
   std::optional<TimePoint> ServableSince; // configuration and list active
   bool Ready = false;
   bool Paused = false;
+  TimePoint PauseDetectedAt;
   uint64_t LastNumberBeforePause = 0; // of this instance's heartbeats
   // The latest list of a peer that has received a heartbeat sent after the
   // pause; nothing until there is one.
--- a/test/decision_core_test.cc
+++ b/test/decision_core_test.cc
@@ -506,6 +506,23 @@
     core.link("e2", false);
     CHECK_FALSE(core.last<StartService>());
     core.link("e3", false);
+    CHECK_FALSE(core.last<StartService>());
+    core.deliver(TimerFired{}, Milliseconds{900});
+    CHECK_FALSE(core.last<StartService>());
+    core.deliver(TimerFired{}, Milliseconds{200});
+    CHECK(core.last<StartService>());
+  }
+  // The resumed instance owned their shards with a higher fence for a moment,
+  // and engines refused the true owner from then on.
+  SUBCASE("its peers closed their links in the pause and return") {
+    size_t gained = core.countDecisions(DecisionKind::OwnershipGained);
+    core.link("e2", false);
+    core.link("e3", false);
+    core.deliver(TimerFired{}, Milliseconds{50});
+    core.link("e2");
+    CHECK_FALSE(core.last<StartService>());
+    CHECK(core.countDecisions(DecisionKind::OwnershipGained) == gained);
+    core.receive("e2", core.confirmation("e2"));
     CHECK(core.last<StartService>());
   }
   SUBCASE("cancelled in the meantime") {
