Take seeds as homes of accounts until the fleet is discovered

Cause: after a start of all instances they disagree on homes, since each knows a part of the fleet, and refuse requests of accounts below their rate.

--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -18,6 +18,14 @@
 // For how long the home of an account is looked up only once. Ranking a fleet
 // of 400 takes some 50 microseconds.
 constexpr Milliseconds HomeCheckPeriod{500};
+// The same for what is known of the fleet while it isn't discovered: instances
+// that notice it late keep asking the seeds.
+constexpr Milliseconds DiscoveryCheckPeriod{100};
+// A process that has discovered the fleet this long ago at most becomes a home
+// after seeds, later after another instance.
+constexpr Milliseconds SeedHandover{2000};
+// Seeds that don't respond are asked within this time of the first.
+constexpr Milliseconds MaxSeedsTime{40};
 // A home that didn't respond isn't asked again for this long, which doubles
 // with each further failure: instances with a small processor share are
 // suspended for up to 90 ms at a time, and a single late response doesn't show
@@ -103,20 +111,44 @@
 }
 
 FleetView AccountQuotas::fleet(TimePoint Now) {
-  if (Sharing.Fleet && Now - FleetCheckedAt >= HomeCheckPeriod) {
+  Milliseconds period =
+      Fleet.Discovered ? HomeCheckPeriod : DiscoveryCheckPeriod;
+  if (Sharing.Fleet && Now - FleetCheckedAt >= period) {
     Fleet = Sharing.Fleet();
     FleetCheckedAt = Now;
+    if (!Fleet.Discovered)
+      DiscoveredAt = TimePoint();
+    else if (DiscoveredAt == TimePoint())
+      DiscoveredAt = Now;
   }
   return Fleet;
 }
 
+std::optional<KeyOwner> AccountQuotas::seedHome(const std::string &Account,
+                                                State &Item, TimePoint Now) {
+  if (!Sharing.FindSeeds || fleet(Now).Discovered)
+    return std::nullopt;
+  std::vector<KeyOwner> seeds = Sharing.FindSeeds(Account);
+  Item.IsFirstSeed = !seeds.empty() && seeds.front().Address.empty();
+  auto found = std::ranges::find_if(seeds, [&](const KeyOwner &It) {
+    return It.Address.empty() || !isSilent(It.Address, Now);
+  });
+  return found == seeds.end() ? std::nullopt : std::optional(*found);
+}
+
 const KeyOwner &AccountQuotas::homeOf(const std::string &Account, State &Item,
                                       TimePoint Now) {
-  if (Item.Home.Known && Now - Item.HomeCheckedAt < HomeCheckPeriod)
+  bool discovered = fleet(Now).Discovered;
+  if (discovered && Item.Home.Known && !Item.HomeIsSeed &&
+      Now - Item.HomeCheckedAt < HomeCheckPeriod)
     return Item.Home;
   Item.HomeCheckedAt = Now;
   KeyOwner home{Instance, "", true};
-  if (Sharing.FindHome)
+  std::optional<KeyOwner> seed = seedHome(Account, Item, Now);
+  Item.HomeIsSeed = seed.has_value();
+  if (seed)
+    home = std::move(*seed);
+  else if (Sharing.FindHome)
     home = Sharing.FindHome(Account);
   if (home.Name != Item.Home.Name)
     Item.Leases.onHomeChanged();
@@ -124,31 +156,61 @@
   return Item.Home;
 }
 
+double AccountQuotas::grantedPart(const State &Item, const FleetView &View,
+                                  bool IsHome) {
+  // A process that has started with the fleet doesn't remember instances that
+  // it misses, but knows the seeds.
+  double part = std::min(1.0, View.knownPart());
+  if (View.StartedWithFleet)
+    part = std::min(View.Discovered ? part : 1.0, View.SeedPart);
+  if (IsHome && (View.Discovered || View.StartedWithFleet))
+    return part;
+  if (!View.Discovered)
+    return part * NewProcessPart;
+  return part * (Item.BeenHome ? FormerHomePart : NeverHomePart);
+}
+
+std::unique_ptr<QuotaBucket> AccountQuotas::newBucket(const State &Item,
+                                                      const FleetView &View,
+                                                      bool IsHome,
+                                                      TimePoint Now) const {
+  if (View.StartedWithFleet && !View.Discovered)
+    return std::make_unique<QuotaBucket>(Now, IsHome && Item.IsFirstSeed
+                                                  ? QuotaStart::WithFleet
+                                                  : QuotaStart::AfterSeeds);
+  if (View.StartedWithFleet && Now - DiscoveredAt < SeedHandover)
+    return std::make_unique<QuotaBucket>(Now, QuotaStart::AfterSeeds);
+  if (Item.Bucket || !IsHome)
+    return std::make_unique<QuotaBucket>(Now);
+  // Without peers nobody else grants tokens, so the time before this instance
+  // was started doesn't count.
+  return std::make_unique<QuotaBucket>(
+      Sharing.FindHome ? View.ChangedAt : TimePoint() + Milliseconds(1));
+}
+
 QuotaGrant AccountQuotas::grantAsHome(State &Item, const AccountQuota &Quota,
                                       const QuotaAsk &Ask, TimePoint Now) {
-  const KeyOwner &home = homeOf(Ask.Account, Item, Now);
-  bool isHome = home.Known && home.Address.empty();
   // A new bucket must not rest on what was known before this instance became
   // the home.
+  const KeyOwner &home = homeOf(Ask.Account, Item, Now);
+  bool isHome = home.Known && home.Address.empty();
   if (!Item.Bucket || isHome != Item.WasHome)
     FleetCheckedAt = TimePoint();
   FleetView view = fleet(Now);
-  // Without peers nobody else grants tokens, so the time before this instance
-  // was started doesn't count.
-  TimePoint since =
-      Sharing.FindHome ? view.ChangedAt : TimePoint() + Milliseconds(1);
-  if (!Item.Bucket || (isHome && !Item.WasHome))
-    Item.Bucket =
-        std::make_unique<QuotaBucket>(Item.Bucket || !isHome ? Now : since);
+  // While seeds are the homes, and while others take over from them, instances
+  // become homes and cease to be as they find others silent. Tokens to start
+  // with are given once.
+  bool keeps = view.StartedWithFleet &&
+               (!view.Discovered || Now - DiscoveredAt < SeedHandover);
+  if (!Item.Bucket || Item.WithFleet != view.StartedWithFleet ||
+      (isHome && !Item.WasHome && !keeps))
+    Item.Bucket = newBucket(Item, view, isHome, Now);
+  Item.WithFleet = view.StartedWithFleet;
   Item.WasHome = isHome;
-  double part = std::min(1.0, view.knownPart());
   if (isHome)
     Item.BeenHome = true;
-  if (!view.Discovered)
-    part *= NewProcessPart;
-  else if (!isHome)
-    part *= Item.BeenHome ? FormerHomePart : NeverHomePart;
-  return Item.Bucket->grant(Quota, Rules, Ask, part, Now);
+  return Item.Bucket->grant(Quota, Rules, Ask, grantedPart(Item, view, isHome),
+                            Now);
 }
 
 bool AccountQuotas::isSilent(const std::string &Address, TimePoint Now) const {
@@ -175,15 +237,43 @@
     return grant;
   }
   ++Counts.Unanswered;
-  TimePoint now = Now();
+  onHomeSilent(address, Now());
+  return std::nullopt;
+}
+
+void AccountQuotas::onHomeSilent(const std::string &Address, TimePoint Now) {
   std::erase_if(SilentHomes, [&](const auto &It) {
-    return now - It.second.Until > 10 * MaxSilentHomePause;
+    return Now - It.second.Until > 10 * MaxSilentHomePause;
   });
-  SilentHome &home = SilentHomes[address];
-  home.Pause =
-      std::clamp(2 * home.Pause, MinSilentHomePause, MaxSilentHomePause);
-  home.Until = now + home.Pause;
-  return std::nullopt;
+  SilentHome &home = SilentHomes[Address];
+  // A seed that starts is to be found soon, since others take it for the home.
+  home.Pause = std::clamp(2 * home.Pause, MinSilentHomePause,
+                          Fleet.Discovered ? MaxSilentHomePause
+                                           : 2 * MinSilentHomePause);
+  home.Until = Now + home.Pause;
+}
+
+std::optional<QuotaGrant>
+AccountQuotas::askInTurn(std::unique_lock<std::mutex> &Lock,
+                         const ClientAccount &Account, State &Item,
+                         QuotaAsk Ask) {
+  TimePoint first = Now();
+  std::optional<QuotaGrant> grant = ask(Lock, Item.Home, Ask);
+  while ((!grant || !grant->Known) && Item.HomeIsSeed &&
+         Now() - first < MaxSeedsTime) {
+    // One without the documents has only just started.
+    if (grant)
+      onHomeSilent(Item.Home.Address, Now());
+    const KeyOwner &next = homeOf(Account.Name, Item, Now());
+    if (!next.Known || isSilent(next.Address, Now()))
+      break;
+    if (next.Address.empty()) {
+      Ask.ExtraTokens = 0;
+      return grantAsHome(Item, Account.Quota, Ask, Now());
+    }
+    grant = ask(Lock, next, Ask);
+  }
+  return grant;
 }
 
 std::optional<Milliseconds> AccountQuotas::heardAgo(const State &Item,
@@ -296,8 +386,10 @@
   } else {
     QuotaAsk request = state.Leases.ask(Tokens, now);
     request.Account = Account.Name;
-    std::optional<QuotaGrant> grant = ask(lock, home, request);
-    TimePoint asked = std::exchange(now, Now());
+    TimePoint asked = now;
+    std::optional<QuotaGrant> grant = askInTurn(lock, Account, state, request);
+    now = Now();
+    decision.Home = state.Home.Name;
     if (grant && grant->Known) {
       state.HomeHeardAt = now;
       setLocalShare(Account.Name, state, false, "the home responded", now);
--- a/src/gateway/accounts/account_quotas.h
+++ b/src/gateway/accounts/account_quotas.h
@@ -53,6 +53,10 @@
 struct QuotaSharing {
   // Returns the home of an account.
   std::function<KeyOwner(const std::string &Account)> FindHome;
+  // Returns the configured seeds in the rendezvous order of the account, those
+  // with an empty address are this instance. They are homes of accounts until
+  // this instance has discovered the fleet.
+  std::function<std::vector<KeyOwner>(const std::string &Account)> FindSeeds;
   std::function<FleetView()> Fleet;
   // Asks the home at the address; takes at most 60 ms. Returns nothing without
   // a response.
@@ -129,6 +133,9 @@
     std::unique_ptr<QuotaBucket> Bucket; // of this instance as the home
     bool WasHome = false;                // at the last call of the bucket
     bool BeenHome = false;               // at any call of the bucket
+    bool WithFleet = false;   // FleetView::StartedWithFleet of the bucket
+    bool IsFirstSeed = false; // of the account's rendezvous order
+    bool HomeIsSeed = false;
     AccountUse Use;
     KeyOwner Home;
     TimePoint HomeCheckedAt;
@@ -145,7 +152,18 @@
 
   const KeyOwner &homeOf(const std::string &Account, State &Item,
                          TimePoint Now);
+  // The first seed that isn't silent, while the fleet isn't discovered; nothing
+  // if there is none.
+  std::optional<KeyOwner> seedHome(const std::string &Account, State &Item,
+                                   TimePoint Now);
   FleetView fleet(TimePoint Now);
+  // The part of the rate that this instance may grant as the home, or as an
+  // instance that others take for it.
+  static double grantedPart(const State &Item, const FleetView &View,
+                            bool IsHome);
+  std::unique_ptr<QuotaBucket> newBucket(const State &Item,
+                                         const FleetView &View, bool IsHome,
+                                         TimePoint Now) const;
   QuotaGrant grantAsHome(State &Item, const AccountQuota &Quota,
                          const QuotaAsk &Ask, TimePoint Now);
   static std::optional<Milliseconds> heardAgo(const State &Item, TimePoint Now);
@@ -153,6 +171,11 @@
   // Called with the lock, which it gives up while it asks.
   std::optional<QuotaGrant> ask(std::unique_lock<std::mutex> &Lock,
                                 const KeyOwner &Home, const QuotaAsk &Ask);
+  // Asks the home and, while it is a seed that doesn't decide, the next one.
+  std::optional<QuotaGrant> askInTurn(std::unique_lock<std::mutex> &Lock,
+                                      const ClientAccount &Account, State &Item,
+                                      QuotaAsk Ask);
+  void onHomeSilent(const std::string &Address, TimePoint Now);
   void decideByShare(State &Item, const AccountQuota &Quota,
                      QuotaDecision &Decision, TimePoint Now);
   void setLocalShare(const std::string &Account, State &Item, bool Value,
@@ -177,6 +200,7 @@
   std::map<std::string, SilentHome> SilentHomes; // by address
   FleetView Fleet;
   TimePoint FleetCheckedAt;
+  TimePoint DiscoveredAt; // when this process had discovered the fleet
   TimePoint LogPeriodStart;
   uint32_t LoggedInPeriod = 0;
   uint32_t SuppressedLines = 0;
--- a/src/gateway/decisions/accounts/fleet_memory.h
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -20,8 +20,17 @@
   // When one was lost, announced its leaving or came back, so that accounts may
   // have got another home; at first the start of this process.
   TimePoint ChangedAt;
-  // Whether this process has had time to find the others.
+  // This process knows what a peer that has discovered the fleet knows, or 3 s
+  // passed since its first contact without such a peer.
   bool Discovered = true;
+  // No peer that had discovered the fleet answered this process before it
+  // discovered the fleet itself, so that all instances have started together.
+  // False until a peer is heard.
+  bool StartedWithFleet = false;
+  // Part of the configured seeds that this process has heard of, itself
+  // included. Both halves of a fleet that is partitioned while it starts know
+  // nothing else of each other, and their parts add up to 1.
+  double SeedPart = 1;
 
   double knownPart() const {
     return Expected == 0 ? 1 : static_cast<double>(Alive) / Expected;
--- a/src/gateway/decisions/accounts/quota_bucket.cc
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -19,6 +20,11 @@
 constexpr double TolerancePart = 0.8;
 // The rate of a new home at first.
 constexpr double NewHomeFraction = 0.25;
+// After a start of the whole fleet: the part of what the former home can't have
+// granted. The rest is a margin for instances that disagree on the home.
+constexpr double FleetStartPart = 0.5;
+// What a home has at first that follows a seed, in seconds of the rate.
+constexpr double AfterSeedsSeconds = 0.25;
 // Tokens for expected requests are at most this part of the bucket, so that
 // leases shrink to what one request needs as it empties.
 constexpr double ExtraPart = 0.125;
@@ -36,8 +42,8 @@
 
 } // namespace
 
-QuotaBucket::QuotaBucket(TimePoint HomeSince)
-    : HomeSince(HomeSince), RefilledAt(HomeSince) {}
+QuotaBucket::QuotaBucket(TimePoint HomeSince, QuotaStart Start)
+    : HomeSince(HomeSince), Start(Start), RefilledAt(HomeSince) {}
 
 void QuotaBucket::advance(TimePoint Now) {
   int64_t slot = Now.time_since_epoch() / SlotTime;
@@ -64,8 +70,18 @@
   }
   SlotTime = std::max(Milliseconds(1), Rules.Window / SlotsPerWindow);
   advance(Now);
-  double known = seconds(HomeSince, Now) /
-                 std::chrono::duration<double>(Rules.Window).count();
+  if (!std::exchange(Started, true)) {
+    if (Start == QuotaStart::WithFleet)
+      Level = (Rules.allowed(Quota) - maxGranted(Quota, Rules, 1)) *
+              FleetStartPart * std::clamp(RateFraction, 0.0, 1.0);
+    else if (Start == QuotaStart::AfterSeeds)
+      Level = Quota.TokensPerSecond * AfterSeedsSeconds *
+              std::clamp(RateFraction, 0.0, 1.0);
+  }
+  double known = Start == QuotaStart::AfterHome
+                     ? seconds(HomeSince, Now) /
+                           std::chrono::duration<double>(Rules.Window).count()
+                     : 1;
   double perSecond = Quota.TokensPerSecond +
                      Rules.ToleranceTokens * TolerancePart /
                          std::chrono::duration<double>(Rules.Window).count();
--- a/src/gateway/decisions/accounts/quota_bucket.h
+++ b/src/gateway/decisions/accounts/quota_bucket.h
@@ -71,13 +71,27 @@
   bool Known = true;
 };
 
+// What a home knows of the grants of the home before it.
+enum class QuotaStart : uint8_t {
+  // It may still grant tokens, as instances that don't know the new home yet
+  // ask it. The bucket starts empty, and for the length of a window the rate
+  // rises from a part of it.
+  AfterHome,
+  // It was a seed that served until the fleet was discovered. The bucket starts
+  // with at most a quarter of a second's worth of the rate, and refills at the
+  // full rate.
+  AfterSeeds,
+  // It has ended with all instances. The bucket starts with half of what it
+  // can't have granted, and refills at the full rate.
+  WithFleet,
+};
+
 class QuotaBucket {
 public:
   // `HomeSince`: since when this instance has been the account's home, as far
-  // as it knows. The bucket was empty then, since another home may have granted
-  // the tokens before. For the length of a window the rate rises from a part of
-  // it, since instances that don't know the new home yet still ask the old one.
-  explicit QuotaBucket(TimePoint HomeSince);
+  // as it knows.
+  explicit QuotaBucket(TimePoint HomeSince,
+                       QuotaStart Start = QuotaStart::AfterHome);
 
   // `RateFraction`: part of the rate that this instance may grant, at most 1.
   QuotaGrant grant(const AccountQuota &Quota, const QuotaRules &Rules,
@@ -101,6 +115,8 @@
                          TimePoint Now) const;
 
   TimePoint HomeSince;
+  QuotaStart Start;
+  bool Started = false; // whether the first tokens were added
   TimePoint RefilledAt;
   Milliseconds SlotTime{500};
   AccountQuota LastQuota;
--- a/test/gateway_quota_fleet_test.cc
+++ b/test/gateway_quota_fleet_test.cc
@@ -32,8 +32,16 @@
   // their rate: of one account in one run, and over all.
   double MaxRefusedOfOne = 1;
   double MaxRefused = 1;
+  // Requests to which these bounds apply; 0: all.
+  int64_t RefusedFromMs = 0;
+  int64_t RefusedToMs = 0;
 };
 
+// The time in which an instance of a fleet that starts knows the others.
+int64_t discoveryMs(size_t Instances) {
+  return Instances <= 61 ? 1500 : Instances <= 100 ? 2000 : 3000;
+}
+
 // Demand of the last account beyond its rate for the whole run.
 QuotaScenario above(QuotaScenario Scenario = {}) {
   Scenario.Peak = 7.5;
@@ -50,6 +58,8 @@
     QuotaScenario scenario = Case.Scenario;
     scenario.Seed = seed;
     scenario.Instances = Sizes[seed % std::size(Sizes)];
+    if (scenario.JoinSpreadMs == 0)
+      scenario.JoinSpreadMs = discoveryMs(scenario.Instances);
     QuotaFleet fleet(scenario);
     Case.Prepare(fleet, scenario.Instances, seed);
     fleet.run();
@@ -62,6 +72,8 @@
       bool isAbove = i + 1 == fleet.accounts() && scenario.Peak > 1;
       if (isAbove)
         continue;
+      if (Case.RefusedToMs > 0)
+        result = fleet.outcome(i, Case.RefusedFromMs, Case.RefusedToMs);
       sent += result.Sent;
       refused += result.Refused;
       mostRefused = std::max(mostRefused, result.Refused / result.Sent);
@@ -96,6 +108,34 @@
   }
 }
 
+// All are killed and start again within 1.5 s; their running streams are
+// retried in the second after the first start.
+constexpr int64_t FirstStartMs = FailureMs + 600;
+
+void restartAll(QuotaFleet &Fleet, size_t Instances, uint64_t) {
+  Fleet.at(FailureMs, [&Fleet] { Fleet.retryStreams(FirstStartMs); });
+  for (size_t i = 0; i < Instances; ++i) {
+    // Seeds aren't the first to start.
+    size_t place = (i * 7 + 3) % Instances;
+    Fleet.at(FailureMs, [&Fleet, i] { Fleet.kill(i); });
+    Fleet.at(FirstStartMs + static_cast<int64_t>(900 * place / Instances),
+             [&Fleet, i] { Fleet.start(i); });
+  }
+}
+
+// With the discovery of docs/design/hard-load-2.md, section 8.
+QuotaScenario discovering(QuotaScenario Scenario = {}) {
+  Scenario.JoinSpreadMs = 0; // by the fleet's size
+  Scenario.LearnsFromPeers = true;
+  Scenario.AwaitsDocuments = true;
+  return Scenario;
+}
+
+QuotaScenario tolerant(QuotaScenario Scenario) {
+  Scenario.ToleranceTokens = 190000; // the default
+  return Scenario;
+}
+
 // The homes and a quarter of the others, for 2 to 12 s.
 void freezeHomes(QuotaFleet &Fleet, size_t Instances, uint64_t Seed) {
   Fleet.at(FailureMs, [&Fleet, Instances] {
@@ -161,6 +201,22 @@
   check({.Scenario = above(), .Prepare = killAll});
 }
 
+// With empty buckets at a quarter of the rate, accounts below their rate were
+// refused a third of their requests for four seconds.
+TEST_CASE("Accounts below their rate are served after a restart of all") {
+  auto bounded = [](QuotaScenario Scenario, double MaxRefused) {
+    check({.Scenario = Scenario,
+           .Prepare = restartAll,
+           .MaxRefused = MaxRefused,
+           .RefusedFromMs = FirstStartMs,
+           .RefusedToMs = FirstStartMs + 10000});
+  };
+  bounded(tolerant(discovering()), 0.02);
+  bounded(discovering(), 0.02);
+  check({.Scenario = above(discovering()), .Prepare = restartAll});
+  check({.Scenario = above(tolerant(discovering())), .Prepare = restartAll});
+}
+
 TEST_CASE("Quotas hold while homes and other instances are frozen") {
   check({.Prepare = freezeHomes, .MaxRefused = 0.15});
   check({.Scenario = above(), .Prepare = freezeHomes});
--- a/test/quota_fleet.cc
+++ b/test/quota_fleet.cc
@@ -4,6 +4,7 @@
 #include "virtual_time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace crocusspur::test {
@@ -16,12 +17,19 @@
 // long news about members takes.
 constexpr int64_t MemberRetentionMs = 10000;
 constexpr int64_t MaxLossSpreadMs = 1500;
-constexpr int64_t MaxJoinSpreadMs = 3000;
+// Seeds are contacted first.
+constexpr int64_t MaxSeedJoinSpreadMs = 800;
 constexpr int64_t ConfigApplyMs = 3000;
 constexpr int64_t WorkerPeriodMs = 250;
 // Assumed until a member is known and for 3 s afterwards.
 constexpr uint32_t DefaultSharers = 64;
 constexpr int64_t DiscoveryMs = 3000;
+// As in FleetDiscovery: peers that have discovered the fleet later are no
+// evidence of a fleet that ran before.
+constexpr int64_t ElderMs = 1500;
+constexpr int64_t DiscoverPeriodMs = 20;
+// For at most this long a request waits for the documents.
+constexpr int64_t MaxDocumentWaitMs = 600;
 
 std::string nameOf(size_t Index) { return "edge-" + std::to_string(Index); }
 
@@ -80,6 +88,15 @@
         return {nameOf(it), nameOf(it), true};
     return {};
   };
+  sharing.FindSeeds = [this, Index](const std::string &Name) {
+    auto account = std::ranges::find(
+        Accounts, Name, [](const auto &It) { return It.Record.Name; });
+    std::vector<KeyOwner> seeds;
+    for (size_t it : account->Rank)
+      if (it < Scenario.Seeds)
+        seeds.push_back({nameOf(it), it == Index ? "" : nameOf(it), true});
+    return seeds;
+  };
   sharing.Fleet = [this, Index] { return fleetOf(Index); };
   sharing.AskHome = [this,
                      Index](const std::string &Address,
@@ -88,6 +105,11 @@
     ++Exchanges;
     if (!reaches(Index, home))
       return std::nullopt;
+    if (Instances[home].ReadyMs > NowMs) {
+      QuotaGrant unknown;
+      unknown.Known = false;
+      return unknown;
+    }
     std::optional<QuotaGrant> grant = Instances[home].Quotas->decide(Ask);
     return uniform(0, 1) < Scenario.LostResponses ? std::nullopt : grant;
   };
@@ -121,14 +143,16 @@
   it.MaxSeen = std::max(it.MaxSeen, static_cast<uint32_t>(seen));
   FleetView view;
   view.Alive = static_cast<uint32_t>(seen);
-  int64_t first = Never;
-  for (size_t i = 0; i < Instances.size(); ++i)
-    if (i != Index)
-      first = std::min(first, it.VisibleFrom[i]);
-  bool discovered = NowMs - DiscoveryMs >= first;
+  bool discovered = it.DiscoveredMs <= NowMs;
   view.Expected = std::max(it.MaxSeen, discovered ? 1 : DefaultSharers);
   view.ChangedAt = test::at(it.ChangedMs);
   view.Discovered = discovered;
+  view.StartedWithFleet = it.FirstHeardMs <= NowMs && !it.HasElder;
+  for (size_t i = 0; i < Scenario.Seeds; ++i)
+    if (i == Index || sees(Index, i))
+      it.SeenSeeds.insert(i);
+  view.SeedPart = static_cast<double>(it.SeenSeeds.size()) /
+                  static_cast<double>(Scenario.Seeds);
   return view;
 }
 
@@ -158,6 +182,14 @@
   hide(Index, [](size_t) { return true; });
 }
 
+void QuotaFleet::meet(size_t From, size_t To) {
+  int64_t spread = To < Scenario.Seeds || From < Scenario.Seeds
+                       ? std::min(Scenario.JoinSpreadMs, MaxSeedJoinSpreadMs)
+                       : Scenario.JoinSpreadMs;
+  Instances[From].VisibleFrom[To] =
+      NowMs + static_cast<int64_t>(uniform(50, static_cast<double>(spread)));
+}
+
 void QuotaFleet::start(size_t Index) {
   Instance &it = Instances[Index];
   it.Running = true;
@@ -165,22 +197,70 @@
   it.MaxSeen = 1;
   it.Seen = 1;
   it.ChangedMs = NowMs;
+  it.ReadyMs = Scenario.AwaitsDocuments
+                   ? NowMs + 200 +
+                         static_cast<int64_t>(
+                             std::min(900., -360 * std::log(uniform(0.001, 1))))
+                   : NowMs;
+  it.FirstHeardMs = Never;
+  it.DiscoveredMs = Never;
+  it.HasElder = false;
+  it.LearnDelay = static_cast<int64_t>(uniform(50, 500));
+  it.SeenSeeds.clear();
   for (size_t i = 0; i < Instances.size(); ++i) {
-    if (i == Index || !Instances[i].Running)
+    if (i == Index)
       continue;
-    auto spread = [&] {
-      return NowMs + static_cast<int64_t>(uniform(50, MaxJoinSpreadMs));
-    };
-    it.VisibleFrom[i] = spread();
+    // A new process knows nobody, and hears of those that ended from peers that
+    // haven't noticed it.
+    it.VisibleFrom[i] = Never;
     it.HiddenFrom[i] = Never;
+    if (!Instances[i].Running) {
+      for (size_t peer = 0; peer < Instances.size(); ++peer)
+        if (peer != Index && Instances[peer].Running &&
+            Instances[peer].CutOff == it.CutOff && sees(peer, i)) {
+          meet(Index, i);
+          it.HiddenFrom[i] = Instances[peer].HiddenFrom[i];
+          break;
+        }
+      continue;
+    }
+    if (Instances[i].CutOff != it.CutOff)
+      continue;
+    meet(Index, i);
     // Those that haven't noticed its end still know it.
     if (!sees(i, Index))
-      Instances[i].VisibleFrom[Index] = spread();
+      meet(i, Index);
     Instances[i].HiddenFrom[Index] = Never;
   }
   make(Index);
 }
 
+void QuotaFleet::discover() {
+  for (size_t i = 0; i < Instances.size(); ++i) {
+    Instance &it = Instances[i];
+    if (!it.Running || it.DiscoveredMs <= NowMs)
+      continue;
+    for (size_t j = 0; j < Instances.size(); ++j) {
+      if (i == j || !sees(i, j) || !reaches(i, j))
+        continue;
+      it.FirstHeardMs = std::min(it.FirstHeardMs, NowMs);
+      const Instance &peer = Instances[j];
+      if (!Scenario.LearnsFromPeers || peer.DiscoveredMs > NowMs)
+        continue;
+      it.HasElder = it.HasElder || NowMs - it.FirstHeardMs < ElderMs;
+      it.DiscoveredMs = std::min(
+          it.DiscoveredMs, std::max(NowMs, peer.DiscoveredMs) + it.LearnDelay);
+      for (size_t k = 0; k < Instances.size(); ++k)
+        if (k != i && sees(j, k))
+          it.VisibleFrom[k] = std::min(it.VisibleFrom[k], it.DiscoveredMs);
+      break;
+    }
+    if (it.FirstHeardMs != Never)
+      it.DiscoveredMs =
+          std::min(it.DiscoveredMs, it.FirstHeardMs + DiscoveryMs);
+  }
+}
+
 void QuotaFleet::freeze(size_t Index) {
   Instances[Index].Frozen = true;
   hide(Index, [](size_t) { return true; });
@@ -193,8 +273,7 @@
     if (i == Index)
       continue;
     if (!sees(i, Index))
-      Instances[i].VisibleFrom[Index] =
-          NowMs + static_cast<int64_t>(uniform(50, MaxJoinSpreadMs));
+      meet(i, Index);
     Instances[i].HiddenFrom[Index] = Never;
   }
 }
@@ -213,6 +292,27 @@
   }
 }
 
+void QuotaFleet::heal() {
+  for (size_t i = 0; i < Instances.size(); ++i)
+    for (size_t j = 0; j < Instances.size(); ++j) {
+      if (i == j || Instances[i].CutOff == Instances[j].CutOff)
+        continue;
+      if (!sees(i, j))
+        meet(i, j);
+      Instances[i].HiddenFrom[j] = Never;
+    }
+  for (Instance &it : Instances)
+    it.CutOff = false;
+}
+
+void QuotaFleet::retryStreams(int64_t FromMs) {
+  for (size_t i = 0; i < Accounts.size(); ++i)
+    for (const Request &it : Accounts[i].Requests)
+      if (it.Run && it.EndsMs > NowMs)
+        at(FromMs + static_cast<int64_t>(uniform(0, 1000)),
+           [this, i, tokens = it.Tokens] { submit(i, tokens); });
+}
+
 void QuotaFleet::setRate(size_t Account, double TokensPerSecond) {
   Accounts[Account].Changes.emplace_back(NowMs, TokensPerSecond);
 }
@@ -224,6 +324,8 @@
     Instances[i].MaxSeen = static_cast<uint32_t>(From);
     for (size_t j = From; j < Instances.size(); ++j)
       Instances[i].VisibleFrom[j] = Never;
+    for (size_t j = 0; j < Scenario.Seeds; ++j)
+      Instances[i].SeenSeeds.insert(j);
   }
 }
 
@@ -248,6 +350,10 @@
   constexpr double MeanTokens = 0.3 * 6000 + 0.7 * 200;
   double perMs = demandOf(Account) / MeanTokens / 1000;
   account.NextMs += std::exponential_distribution<double>(perMs)(Random);
+  submit(Account, tokens);
+}
+
+void QuotaFleet::submit(size_t Account, uint64_t Tokens) {
   double sum = 0;
   for (const Instance &it : Instances)
     sum += it.Running && !it.Frozen ? it.Weight : 0;
@@ -262,22 +368,37 @@
     }
   if (chosen == Instances.size())
     return; // nobody runs
+  int64_t wait = Instances[chosen].ReadyMs - NowMs;
+  if (wait > MaxDocumentWaitMs)
+    return; // refused, but not for its quota
+  if (wait > 0)
+    at(NowMs + wait,
+       [this, Account, Tokens, chosen] { decide(Account, Tokens, chosen); });
+  else
+    decide(Account, Tokens, chosen);
+}
+
+void QuotaFleet::decide(size_t Account, uint64_t Tokens, size_t Chosen) {
+  AccountState &account = Accounts[Account];
   ClientAccount record = account.Record;
-  record.Quota = quotaAt(Account, chosen);
-  QuotaDecision decision = Instances[chosen].Quotas->admit(record, tokens);
+  record.Quota = quotaAt(Account, Chosen);
+  QuotaDecision decision = Instances[Chosen].Quotas->admit(record, Tokens);
+  int64_t runs = Tokens > 200 ? static_cast<int64_t>(uniform(1000, 4000)) : 0;
   account.Requests.push_back(
-      {NowMs, tokens, decision.Admitted, decision.Admitted});
+      {NowMs, Tokens, decision.Admitted, decision.Admitted, NowMs + runs});
   if (!decision.Admitted || uniform(0, 1) >= Scenario.NotRunPart)
     return;
   account.Requests.back().Run = false;
   at(NowMs + static_cast<int64_t>(uniform(100, 3000)),
-     [this, chosen, tokens, decision, name = record.Name] {
-       Instances[chosen].Quotas->giveBack(name, tokens, decision);
+     [this, Chosen, Tokens, decision, name = record.Name] {
+       Instances[Chosen].Quotas->giveBack(name, Tokens, decision);
      });
 }
 
 void QuotaFleet::run() {
   for (NowMs = 0; NowMs < Scenario.EndMs; ++NowMs) {
+    if (NowMs % DiscoverPeriodMs == 0)
+      discover();
     for (size_t i = 0; i < Events.size(); ++i)
       if (Events[i].first == NowMs) {
         std::function<void()> event = std::move(Events[i].second);
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,16 @@
   // 0.1 to 3 s later.
   double NotRunPart = 0;
   double LostResponses = 0; // part of the exchanges
+  // The first instances are the seeds.
+  size_t Seeds = 4;
+  // Within this time after both run, two instances know each other.
+  int64_t JoinSpreadMs = 3000;
+  // A process that meets one that has discovered the fleet knows what that one
+  // knows within half a second. Otherwise it takes 3 s to discover the fleet.
+  bool LearnsFromPeers = false;
+  // Time from the start of a process until it has the documents that hold the
+  // accounts: 0.45 s at the median and 1.1 s at most.
+  bool AwaitsDocuments = false;
 };
 
 // What became of one account's requests.
@@ -57,6 +68,10 @@
   void freeze(size_t Instance);
   void thaw(size_t Instance);
   void cutOff(size_t Instance); // from those that aren't
+  void heal();                  // ends all cuts
+  // The callers of all streams that run now send them again at a time from
+  // `FromMs` to a second later.
+  void retryStreams(int64_t FromMs);
   // Each instance knows the quota within 3 s.
   void setRate(size_t Account, double TokensPerSecond);
   // Instances that don't run yet.
@@ -80,6 +95,7 @@
     uint64_t Tokens;
     bool Admitted;
     bool Run;
+    int64_t EndsMs; // of a stream
   };
   struct AccountState {
     gateway::ClientAccount Record;
@@ -101,6 +117,12 @@
     uint32_t MaxSeen = 1;
     size_t Seen = 0;
     int64_t ChangedMs = -60000;
+    int64_t ReadyMs = -60000; // when it has the documents
+    int64_t FirstHeardMs = -60000;
+    int64_t DiscoveredMs = -60000;
+    bool HasElder = true;
+    int64_t LearnDelay = 0; // from a peer that has discovered the fleet
+    std::set<size_t> SeenSeeds;
   };
 
   void make(size_t Index);
@@ -110,6 +132,11 @@
   gateway::AccountQuota quotaAt(size_t Account, size_t Instance) const;
   gateway::FleetView fleetOf(size_t Index);
   void send(size_t Account);
+  void submit(size_t Account, uint64_t Tokens);
+  void decide(size_t Account, uint64_t Tokens, size_t Chosen);
+  // Makes `From` learn of `To` within the time that exchanges take.
+  void meet(size_t From, size_t To);
+  void discover();
   double uniform(double From, double To) {
     return std::uniform_real_distribution<double>(From, To)(Random);
   }
