Wait for homes of accounts shortly after the start

Cause: a request that arrives before its home responds is refused. Change: it is decided again for up to 600 ms in the first 3 s.

--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -26,6 +26,14 @@
 constexpr Milliseconds SeedHandover{2000};
 // Seeds that don't respond are asked within this time of the first.
 constexpr Milliseconds MaxSeedsTime{40};
+// After a start of all instances, homes start and get the documents up to a
+// second later than others, and many streams are sent again at once. Then a
+// request waits for its home: for at most MaxHomeWait, in the first
+// MaxStartTime of a process.
+constexpr Milliseconds HomeWaitPeriod{50};
+constexpr Milliseconds MaxHomeWait{600};
+constexpr Milliseconds MaxStartTime{3000};
+constexpr uint32_t MaxWaiting = 64;
 // A home that didn't respond isn't asked again for this long, which doubles
 // with each further failure: instances with a small processor share are
 // suspended for up to 90 ms at a time, and a single late response doesn't show
@@ -96,6 +104,7 @@
 void AccountQuotas::setSharing(QuotaSharing Value, bool StartThread) {
   std::lock_guard lock(Mutex);
   Sharing = std::move(Value);
+  StartedAt = Now();
   if (StartThread)
     Thread = std::thread([this] { run(); });
 }
@@ -106,6 +115,7 @@
     Stopping = true;
   }
   Wake.notify_all();
+  WakeWaiting.notify_all();
   if (Thread.joinable())
     Thread.join();
 }
@@ -345,8 +355,36 @@
   Wake.notify_one();
 }
 
+bool AccountQuotas::waitsForHome(Milliseconds Waited, TimePoint Now) {
+  return !Stopping && Sharing.FindSeeds &&
+         Waited + HomeWaitPeriod <= MaxHomeWait &&
+         Now - StartedAt < MaxStartTime && !fleet(Now).Discovered;
+}
+
 QuotaDecision AccountQuotas::admit(const ClientAccount &Account,
                                    uint64_t Tokens) {
+  QuotaDecision decision = tryAdmit(Account, Tokens);
+  if (decision.AskAgain == Milliseconds(0))
+    return decision;
+  std::unique_lock lock(Mutex);
+  bool waits = ++Waiting <= MaxWaiting;
+  Milliseconds waited{0};
+  while (decision.AskAgain > Milliseconds(0)) {
+    if (waits)
+      WakeWaiting.wait_for(lock, decision.AskAgain,
+                           [this] { return Stopping; });
+    waited += decision.AskAgain;
+    lock.unlock();
+    decision = tryAdmit(Account, Tokens, waited, waits);
+    lock.lock();
+  }
+  --Waiting;
+  return decision;
+}
+
+QuotaDecision AccountQuotas::tryAdmit(const ClientAccount &Account,
+                                      uint64_t Tokens, Milliseconds Waited,
+                                      bool MayWait) {
   QuotaDecision unlimited;
   unlimited.Admitted = true;
   if (Account.Name.empty() || Account.Quota.TokensPerSecond <= 0)
@@ -355,7 +393,9 @@
   TimePoint now = Now();
   State &state = Accounts[Account.Name];
   state.Use.Quota = Account.Quota;
-  state.Leases.onRequest(Tokens, now);
+  if (Waited == Milliseconds(0))
+    state.Leases.onRequest(Tokens, now);
+  bool mayWait = MayWait && waitsForHome(Waited, now);
   KeyOwner home = homeOf(Account.Name, state, now);
   QuotaDecision decision;
   decision.Source = QuotaSource::Home;
@@ -378,6 +418,8 @@
   } else if (Milliseconds wait = state.Leases.deniedFor(Tokens, now);
              wait > Milliseconds(0)) {
     decision.RetryAfter = wait;
+  } else if (mayWait && (!home.Known || isSilent(home.Address, now))) {
+    decision.AskAgain = HomeWaitPeriod;
   } else if (!home.Known || isSilent(home.Address, now)) {
     setLocalShare(Account.Name, state, true,
                   home.Known ? "the home didn't respond" : "no peer is known",
@@ -400,6 +442,8 @@
         Watched.insert(Account.Name);
         Wake.notify_one();
       }
+    } else if (mayWait) {
+      decision.AskAgain = HomeWaitPeriod;
     } else {
       setLocalShare(Account.Name, state, true,
                     grant ? "the home doesn't know the account"
@@ -408,6 +452,11 @@
       decideByShare(state, Account.Quota, decision, now);
     }
   }
+  if (mayWait && !decision.Admitted &&
+      Waited + decision.RetryAfter <= MaxHomeWait)
+    decision.AskAgain = HomeWaitPeriod;
+  if (decision.AskAgain > Milliseconds(0))
+    return decision;
   decision.At = now;
   decision.HomeHeardAgo = heardAgo(state, now);
   if (decision.Source == QuotaSource::Home && !state.WasHome)
--- a/src/gateway/accounts/account_quotas.h
+++ b/src/gateway/accounts/account_quotas.h
@@ -43,6 +43,8 @@
   int64_t TokensLeft = 0;
   // How long ago the home had last responded.
   std::optional<Milliseconds> HomeHeardAgo;
+  // More than 0: not decided yet, and to be asked again after this time.
+  Milliseconds AskAgain{0};
 };
 
 // Time for leases: monotonic, and it goes on while the machine is suspended, so
@@ -100,8 +102,15 @@
   void stop();
 
   // Decides on a request of so many tokens. May ask the home and wait for its
-  // response.
+  // response. In the first 3 s of a process that hasn't discovered the fleet, a
+  // request waits up to 600 ms for a home that decides and has the tokens;
+  // beyond 64 such requests others don't wait.
   QuotaDecision admit(const ClientAccount &Account, uint64_t Tokens);
+  // The same without that wait. `Waited`: for how long the request has waited
+  // by earlier decisions. Unless `MayWait`, this decision is the last.
+  QuotaDecision tryAdmit(const ClientAccount &Account, uint64_t Tokens,
+                         Milliseconds Waited = Milliseconds(0),
+                         bool MayWait = true);
   // Takes back the tokens of an admitted request that has not run.
   void giveBack(const std::string &Account, uint64_t Tokens,
                 const QuotaDecision &Decision);
@@ -185,6 +194,8 @@
   void queue(const std::string &Account, State &Item);
   void run();
 
+  bool waitsForHome(Milliseconds Waited, TimePoint Now);
+
   const std::string Instance;
   const QuotaRules Rules;
   const std::function<double()> Draw;
@@ -192,6 +203,9 @@
   QuotaSharing Sharing;
   mutable std::mutex Mutex;
   std::condition_variable Wake;
+  std::condition_variable WakeWaiting; // requests that wait for a home
+  uint32_t Waiting = 0;
+  TimePoint StartedAt;
   bool Stopping = false;
   // Entries aren't removed, since requests use theirs while they ask.
   std::map<std::string, State> Accounts;
--- a/src/gateway/decisions/accounts/fleet_memory.cc
+++ b/src/gateway/decisions/accounts/fleet_memory.cc
@@ -24,6 +24,7 @@
     // this instance, so it doesn't count.
     changed =
         changed || (!added && (state.Leaving != it.Leaving || !state.WasAlive));
+    state.Address = it.Address;
     state.SeenAt = Now;
     state.Leaving = it.Leaving;
     state.Alive = true;
@@ -45,9 +46,26 @@
   View.Expected = static_cast<uint32_t>(Members.size()) + 1;
 }
 
-FleetView FleetMemory::view(uint32_t MinExpected, bool Discovered) const {
+double FleetMemory::seedPart(const std::vector<std::string> &Seeds,
+                             const std::string &OwnAddress, TimePoint Now) {
+  if (Seeds.empty() || Now - StartedAt > LostMemberRetention)
+    return 1;
+  size_t known = 0;
+  for (const std::string &seed : Seeds) {
+    if (seed == OwnAddress || std::ranges::any_of(Members, [&](const auto &It) {
+          return It.second.Address == seed;
+        }))
+      KnownSeeds.insert(seed);
+    known += KnownSeeds.count(seed);
+  }
+  return static_cast<double>(known) / static_cast<double>(Seeds.size());
+}
+
+FleetView FleetMemory::view(uint32_t MinExpected, bool Discovered,
+                            bool StartedWithFleet) const {
   FleetView view = View;
   view.Discovered = Discovered;
+  view.StartedWithFleet = StartedWithFleet;
   view.Expected = std::max(view.Expected, MinExpected);
   return view;
 }
--- a/src/gateway/decisions/accounts/fleet_memory.h
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -9,6 +9,7 @@
 #include "gateway/decisions/member_table.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,15 +40,22 @@
 
 class FleetMemory {
 public:
-  explicit FleetMemory(TimePoint Now) { View.ChangedAt = Now; }
+  explicit FleetMemory(TimePoint Now) : StartedAt(Now) { View.ChangedAt = Now; }
 
   // `Others`: the other instances known to run.
   void update(const std::vector<Member> &Others, TimePoint Now);
   // `MinExpected`: the least number of instances to expect.
-  FleetView view(uint32_t MinExpected, bool Discovered) const;
+  FleetView view(uint32_t MinExpected, bool Discovered,
+                 bool StartedWithFleet = false) const;
+  // The part of the seeds that were known at an update so far, this instance
+  // included; 1 without seeds, or once the retention of a lost instance has
+  // passed since the start.
+  double seedPart(const std::vector<std::string> &Seeds,
+                  const std::string &OwnAddress, TimePoint Now);
 
 private:
   struct State {
+    std::string Address;
     TimePoint SeenAt;
     bool Leaving = false;
     bool Alive = false;
@@ -55,6 +63,8 @@
   };
   std::map<std::string, State> Members; // by name
   FleetView View;
+  TimePoint StartedAt;
+  std::set<std::string> KnownSeeds; // addresses
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -10,6 +10,7 @@
 // Requests that another instance passes on are handled on the threads of their
 // connections.
 #include "connection_server.h"
+#include "crocusspur/instance_list.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/fleet/document_sources.h"
 #include "gateway/decisions/fleet/member_deltas.h"
@@ -258,6 +259,16 @@
     return Runtime->Peers.ownerOf("account:" + Account,
                                   Runtime->Stopping.load());
   };
+  sharing.FindSeeds = [this](const std::string &Account) {
+    std::vector<KeyOwner> seeds;
+    for (const std::string &it :
+         rankByRendezvous("account:" + Account, Runtime->seedAddresses()))
+      if (it != Runtime->Values.PeerAddress)
+        seeds.push_back({it, it, true});
+      else if (!Runtime->Stopping.load())
+        seeds.push_back({Runtime->Values.Instance, "", true});
+    return seeds;
+  };
   sharing.Fleet = [this] { return fleetView(); };
   sharing.AskHome = [this](const std::string &Address, const QuotaAsk &Ask) {
     return askForLease(Address, Ask);
@@ -282,9 +293,12 @@
                                        return It == Runtime->Values.PeerAddress;
                                      }) &&
                  Fleet->view(1, true).Alive == 1;
-  return isAlone ? Fleet->view(1, true)
-                 : Fleet->view(Runtime->Peers.budgetSharers(),
+  if (isAlone)
+    return Fleet->view(1, true);
+  FleetView view = Fleet->view(Runtime->Peers.budgetSharers(),
                                Runtime->Peers.isDiscovered());
+  view.SeedPart = Fleet->seedPart(seeds, Runtime->Values.PeerAddress, now);
+  return view;
 }
 
 void MemberLinks::stop() {
--- a/test/gateway_quota_fleet_test.cc
+++ b/test/gateway_quota_fleet_test.cc
@@ -123,6 +123,40 @@
   }
 }
 
+// Those of four that `IsChosen` selects are killed and start again as above.
+void restart(QuotaFleet &Fleet, size_t Instances,
+             const std::function<bool(size_t)> &IsChosen) {
+  for (size_t i = 0; i < Instances; ++i) {
+    if (!IsChosen(i))
+      continue;
+    size_t place = (i * 7 + 3) % Instances;
+    Fleet.at(FailureMs, [&Fleet, i] { Fleet.kill(i); });
+    Fleet.at(FirstStartMs + static_cast<int64_t>(900 * place / Instances),
+             [&Fleet, i] { Fleet.start(i); });
+  }
+}
+
+void restartQuarter(QuotaFleet &Fleet, size_t Instances, uint64_t Seed) {
+  restart(Fleet, Instances, [Seed](size_t It) { return (It + Seed) % 4 == 0; });
+}
+
+void restartThreeQuarters(QuotaFleet &Fleet, size_t Instances, uint64_t Seed) {
+  restart(Fleet, Instances, [Seed](size_t It) { return (It + Seed) % 4 != 0; });
+}
+
+void restartSeeds(QuotaFleet &Fleet, size_t Instances, uint64_t) {
+  restart(Fleet, Instances, [](size_t It) { return It < 4; });
+}
+
+void restartPartitioned(QuotaFleet &Fleet, size_t Instances, uint64_t Seed) {
+  restartAll(Fleet, Instances, Seed);
+  Fleet.at(FailureMs, [&Fleet, Instances] {
+    for (size_t i = 1; i < Instances; i += 2)
+      Fleet.cutOff(i);
+  });
+  Fleet.at(FailureMs + 12000, [&Fleet] { Fleet.heal(); });
+}
+
 // With the discovery of docs/design/hard-load-2.md, section 8.
 QuotaScenario discovering(QuotaScenario Scenario = {}) {
   Scenario.JoinSpreadMs = 0; // by the fleet's size
@@ -217,6 +251,22 @@
   check({.Scenario = above(tolerant(discovering())), .Prepare = restartAll});
 }
 
+// A process that wrongly takes itself for started with the fleet would grant
+// tokens beside the home.
+TEST_CASE("Quotas hold while a part of the fleet is restarted") {
+  for (auto prepare : {restartQuarter, restartThreeQuarters, restartSeeds}) {
+    check({.Scenario = discovering(), .Prepare = prepare, .MaxRefused = 0.12});
+    check({.Scenario = above(discovering()), .Prepare = prepare});
+  }
+  check({.Scenario = above(discovering()), .Prepare = addThreeQuarters});
+}
+
+// Both halves would take themselves for all of the fleet.
+TEST_CASE("Quotas hold while a fleet is partitioned as it starts") {
+  check({.Scenario = discovering(), .Prepare = restartPartitioned});
+  check({.Scenario = above(discovering()), .Prepare = restartPartitioned});
+}
+
 TEST_CASE("Quotas hold while homes and other instances are frozen") {
   check({.Prepare = freezeHomes, .MaxRefused = 0.15});
   check({.Scenario = above(), .Prepare = freezeHomes});
--- a/test/quota_fleet.cc
+++ b/test/quota_fleet.cc
@@ -378,11 +378,19 @@
     decide(Account, Tokens, chosen);
 }
 
-void QuotaFleet::decide(size_t Account, uint64_t Tokens, size_t Chosen) {
+void QuotaFleet::decide(size_t Account, uint64_t Tokens, size_t Chosen,
+                        int64_t WaitedMs) {
   AccountState &account = Accounts[Account];
   ClientAccount record = account.Record;
   record.Quota = quotaAt(Account, Chosen);
-  QuotaDecision decision = Instances[Chosen].Quotas->admit(record, Tokens);
+  QuotaDecision decision = Instances[Chosen].Quotas->tryAdmit(
+      record, Tokens, Milliseconds(WaitedMs));
+  if (int64_t wait = decision.AskAgain.count(); wait > 0) {
+    at(NowMs + wait, [this, Account, Tokens, Chosen, WaitedMs, wait] {
+      decide(Account, Tokens, Chosen, WaitedMs + wait);
+    });
+    return;
+  }
   int64_t runs = Tokens > 200 ? static_cast<int64_t>(uniform(1000, 4000)) : 0;
   account.Requests.push_back(
       {NowMs, Tokens, decision.Admitted, decision.Admitted, NowMs + runs});
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -133,7 +133,8 @@
   gateway::FleetView fleetOf(size_t Index);
   void send(size_t Account);
   void submit(size_t Account, uint64_t Tokens);
-  void decide(size_t Account, uint64_t Tokens, size_t Chosen);
+  void decide(size_t Account, uint64_t Tokens, size_t Chosen,
+              int64_t WaitedMs = 0);
   // Makes `From` learn of `To` within the time that exchanges take.
   void meet(size_t From, size_t To);
   void discover();
