Grant by the part of the seeds that is known

Cause: seeds that haven't met yet would each grant the whole rate. Change: a process that started with the fleet grants the part of the configured seeds that it has known, at least 0.7 in the first second.

--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -34,6 +34,11 @@
 constexpr Milliseconds MaxHomeWait{600};
 constexpr Milliseconds MaxStartTime{3000};
 constexpr uint32_t MaxWaiting = 64;
+// Seeds that start within a second of each other have met by then. Until then
+// a home grants at least this part of the rate: in two halves of a fleet that
+// are cut off from each other it adds up to all of it.
+constexpr Milliseconds MeetingTime{1000};
+constexpr double MinPartWhileMeeting = 0.7;
 // A home that didn't respond isn't asked again for this long, which doubles
 // with each further failure: instances with a small processor share are
 // suspended for up to 90 ms at a time, and a single late response doesn't show
@@ -207,6 +212,8 @@
   if (!Item.Bucket || isHome != Item.WasHome)
     FleetCheckedAt = TimePoint();
   FleetView view = fleet(Now);
+  if (Now - StartedAt < MeetingTime)
+    view.SeedPart = std::max(view.SeedPart, MinPartWhileMeeting);
   // While seeds are the homes, and while others take over from them, instances
   // become homes and cease to be as they find others silent. Tokens to start
   // with are given once.
@@ -452,8 +459,7 @@
       decideByShare(state, Account.Quota, decision, now);
     }
   }
-  if (mayWait && !decision.Admitted &&
-      Waited + decision.RetryAfter <= MaxHomeWait)
+  if (mayWait && !decision.Admitted && decision.RetryAfter <= MaxHomeWait)
     decision.AskAgain = HomeWaitPeriod;
   if (decision.AskAgain > Milliseconds(0))
     return decision;
