--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -18,6 +18,29 @@
 // For how long the home of an account is looked up only once. Ranking a fleet
 // of 400 takes some 50 microseconds.
 constexpr Milliseconds HomeCheckPeriod{500};
+// The same for what is known of the fleet while it isn't discovered: instances
+// that notice it late keep asking the seeds.
+constexpr Milliseconds DiscoveryCheckPeriod{100};
+// A process that has discovered the fleet this long ago at most becomes a home
+// after seeds, later after another instance.
+constexpr Milliseconds SeedHandover{2000};
+// Seeds that don't respond are asked within this time of the first.
+constexpr Milliseconds MaxSeedsTime{40};
+// After a start of all instances, homes start and get the documents up to a
+// second later than others, and many streams are sent again at once. Then a
+// request waits for its home: for at most MaxHomeWait, in the first
+// MaxStartTime of a process.
+constexpr Milliseconds HomeWaitPeriod{50};
+constexpr Milliseconds MaxHomeWait{600};
+constexpr Milliseconds MaxStartTime{3000};
+constexpr uint32_t MaxWaiting = 64;
+// Seeds that start within a second of each other have met by then. Until then
+// a home grants at least this part of the rate: with all of it, the two halves
+// of a fleet that is partitioned as it starts used 1.01 of the allowed tokens;
+// with 0.5, 0.026 of the requests below the rate were refused after a restart
+// of all.
+constexpr Milliseconds MeetingTime{1000};
+constexpr double MinPartWhileMeeting = 0.7;
 // A home that didn't respond isn't asked again for this long, which doubles
 // with each further failure: instances with a small processor share are
 // suspended for up to 90 ms at a time, and a single late response doesn't show
@@ -93,6 +116,7 @@
 void AccountQuotas::setSharing(QuotaSharing Value, bool StartThread) {
   std::lock_guard lock(Mutex);
   Sharing = std::move(Value);
+  StartedAt = Now();
   if (StartThread)
     Thread = std::thread([this] { run(); });
 }
@@ -103,25 +127,50 @@
     Stopping = true;
   }
   Wake.notify_all();
+  WakeWaiting.notify_all();
   if (Thread.joinable())
     Thread.join();
 }
 
 FleetView AccountQuotas::fleet(TimePoint Now) {
-  if (Sharing.Fleet && Now - FleetCheckedAt >= HomeCheckPeriod) {
+  Milliseconds period =
+      Fleet.Discovered ? HomeCheckPeriod : DiscoveryCheckPeriod;
+  if (Sharing.Fleet && Now - FleetCheckedAt >= period) {
     Fleet = Sharing.Fleet();
     FleetCheckedAt = Now;
+    if (!Fleet.Discovered)
+      DiscoveredAt = TimePoint();
+    else if (DiscoveredAt == TimePoint())
+      DiscoveredAt = Now;
   }
   return Fleet;
 }
 
+std::optional<KeyOwner> AccountQuotas::seedHome(const std::string &Account,
+                                                State &Item, TimePoint Now) {
+  if (!Sharing.FindSeeds || fleet(Now).Discovered)
+    return std::nullopt;
+  std::vector<KeyOwner> seeds = Sharing.FindSeeds(Account);
+  Item.IsFirstSeed = !seeds.empty() && seeds.front().Address.empty();
+  auto found = std::ranges::find_if(seeds, [&](const KeyOwner &It) {
+    return It.Address.empty() || !isSilent(It.Address, Now);
+  });
+  return found == seeds.end() ? std::nullopt : std::optional(*found);
+}
+
 const KeyOwner &AccountQuotas::homeOf(const std::string &Account, State &Item,
                                       TimePoint Now) {
-  if (Item.Home.Known && Now - Item.HomeCheckedAt < HomeCheckPeriod)
+  bool discovered = fleet(Now).Discovered;
+  if (discovered && Item.Home.Known && !Item.HomeIsSeed &&
+      Now - Item.HomeCheckedAt < HomeCheckPeriod)
     return Item.Home;
   Item.HomeCheckedAt = Now;
   KeyOwner home{Instance, "", true};
-  if (Sharing.FindHome)
+  std::optional<KeyOwner> seed = seedHome(Account, Item, Now);
+  Item.HomeIsSeed = seed.has_value();
+  if (seed)
+    home = std::move(*seed);
+  else if (Sharing.FindHome)
     home = Sharing.FindHome(Account);
   if (home.Name != Item.Home.Name)
     Item.Leases.onHomeChanged();
@@ -129,31 +178,63 @@
   return Item.Home;
 }
 
+double AccountQuotas::grantedPart(const State &Item, const FleetView &View,
+                                  bool IsHome) {
+  // A process that has started with the fleet doesn't remember instances that
+  // it misses, but knows the seeds.
+  double part = std::min(1.0, View.knownPart());
+  if (View.StartedWithFleet)
+    part = std::min(View.Discovered ? part : 1.0, View.SeedPart);
+  if (IsHome && (View.Discovered || View.StartedWithFleet))
+    return part;
+  if (!View.Discovered)
+    return part * NewProcessPart;
+  return part * (Item.BeenHome ? FormerHomePart : NeverHomePart);
+}
+
+std::unique_ptr<QuotaBucket> AccountQuotas::newBucket(const State &Item,
+                                                      const FleetView &View,
+                                                      bool IsHome,
+                                                      TimePoint Now) const {
+  if (View.StartedWithFleet && !View.Discovered)
+    return std::make_unique<QuotaBucket>(Now, IsHome && Item.IsFirstSeed
+                                                  ? QuotaStart::WithFleet
+                                                  : QuotaStart::AfterSeeds);
+  if (View.StartedWithFleet && Now - DiscoveredAt < SeedHandover)
+    return std::make_unique<QuotaBucket>(Now, QuotaStart::AfterSeeds);
+  if (Item.Bucket || !IsHome)
+    return std::make_unique<QuotaBucket>(Now);
+  // Without peers nobody else grants tokens, so the time before this instance
+  // was started doesn't count.
+  return std::make_unique<QuotaBucket>(
+      Sharing.FindHome ? View.ChangedAt : TimePoint() + Milliseconds(1));
+}
+
 QuotaGrant AccountQuotas::grantAsHome(State &Item, const AccountQuota &Quota,
                                       const QuotaAsk &Ask, TimePoint Now) {
-  const KeyOwner &home = homeOf(Ask.Account, Item, Now);
-  bool isHome = home.Known && home.Address.empty();
   // A new bucket must not rest on what was known before this instance became
   // the home.
+  const KeyOwner &home = homeOf(Ask.Account, Item, Now);
+  bool isHome = home.Known && home.Address.empty();
   if (!Item.Bucket || isHome != Item.WasHome)
     FleetCheckedAt = TimePoint();
   FleetView view = fleet(Now);
-  // Without peers nobody else grants tokens, so the time before this instance
-  // was started doesn't count.
-  TimePoint since =
-      Sharing.FindHome ? view.ChangedAt : TimePoint() + Milliseconds(1);
-  if (!Item.Bucket || (isHome && !Item.WasHome))
-    Item.Bucket =
-        std::make_unique<QuotaBucket>(Item.Bucket || !isHome ? Now : since);
+  if (Now - StartedAt < MeetingTime)
+    view.SeedPart = std::max(view.SeedPart, MinPartWhileMeeting);
+  // While seeds are the homes, and while others take over from them, instances
+  // become homes and cease to be as they find others silent. Tokens to start
+  // with are given once.
+  bool keeps = view.StartedWithFleet &&
+               (!view.Discovered || Now - DiscoveredAt < SeedHandover);
+  if (!Item.Bucket || Item.WithFleet != view.StartedWithFleet ||
+      (isHome && !Item.WasHome && !keeps))
+    Item.Bucket = newBucket(Item, view, isHome, Now);
+  Item.WithFleet = view.StartedWithFleet;
   Item.WasHome = isHome;
-  double part = std::min(1.0, view.knownPart());
   if (isHome)
     Item.BeenHome = true;
-  if (!view.Discovered)
-    part *= NewProcessPart;
-  else if (!isHome)
-    part *= Item.BeenHome ? FormerHomePart : NeverHomePart;
-  return Item.Bucket->grant(Quota, Rules, Ask, part, Now);
+  return Item.Bucket->grant(Quota, Rules, Ask, grantedPart(Item, view, isHome),
+                            Now);
 }
 
 bool AccountQuotas::isSilent(const std::string &Address, TimePoint Now) const {
@@ -180,15 +261,43 @@
     return grant;
   }
   ++Counts.Unanswered;
-  TimePoint now = Now();
+  onHomeSilent(address, Now());
+  return std::nullopt;
+}
+
+void AccountQuotas::onHomeSilent(const std::string &Address, TimePoint Now) {
   std::erase_if(SilentHomes, [&](const auto &It) {
-    return now - It.second.Until > 10 * MaxSilentHomePause;
+    return Now - It.second.Until > 10 * MaxSilentHomePause;
   });
-  SilentHome &home = SilentHomes[address];
-  home.Pause =
-      std::clamp(2 * home.Pause, MinSilentHomePause, MaxSilentHomePause);
-  home.Until = now + home.Pause;
-  return std::nullopt;
+  SilentHome &home = SilentHomes[Address];
+  // A seed that starts is to be found soon, since others take it for the home.
+  home.Pause = std::clamp(2 * home.Pause, MinSilentHomePause,
+                          Fleet.Discovered ? MaxSilentHomePause
+                                           : 2 * MinSilentHomePause);
+  home.Until = Now + home.Pause;
+}
+
+std::optional<QuotaGrant>
+AccountQuotas::askInTurn(std::unique_lock<std::mutex> &Lock,
+                         const ClientAccount &Account, State &Item,
+                         QuotaAsk Ask) {
+  TimePoint first = Now();
+  std::optional<QuotaGrant> grant = ask(Lock, Item.Home, Ask);
+  while ((!grant || !grant->Known) && Item.HomeIsSeed &&
+         Now() - first < MaxSeedsTime) {
+    // One without the documents has only just started.
+    if (grant)
+      onHomeSilent(Item.Home.Address, Now());
+    const KeyOwner &next = homeOf(Account.Name, Item, Now());
+    if (!next.Known || isSilent(next.Address, Now()))
+      break;
+    if (next.Address.empty()) {
+      Ask.ExtraTokens = 0;
+      return grantAsHome(Item, Account.Quota, Ask, Now());
+    }
+    grant = ask(Lock, next, Ask);
+  }
+  return grant;
 }
 
 std::optional<Milliseconds> AccountQuotas::heardAgo(const State &Item,
@@ -260,8 +369,36 @@
   Wake.notify_one();
 }
 
+bool AccountQuotas::waitsForHome(Milliseconds Waited, TimePoint Now) {
+  return !Stopping && Sharing.FindSeeds &&
+         Waited + HomeWaitPeriod <= MaxHomeWait &&
+         Now - StartedAt < MaxStartTime && !fleet(Now).Discovered;
+}
+
 QuotaDecision AccountQuotas::admit(const ClientAccount &Account,
                                    uint64_t Tokens) {
+  QuotaDecision decision = tryAdmit(Account, Tokens);
+  if (decision.AskAgain == Milliseconds(0))
+    return decision;
+  std::unique_lock lock(Mutex);
+  bool waits = ++Waiting <= MaxWaiting;
+  Milliseconds waited{0};
+  while (decision.AskAgain > Milliseconds(0)) {
+    if (waits)
+      WakeWaiting.wait_for(lock, decision.AskAgain,
+                           [this] { return Stopping; });
+    waited += decision.AskAgain;
+    lock.unlock();
+    decision = tryAdmit(Account, Tokens, waited, waits);
+    lock.lock();
+  }
+  --Waiting;
+  return decision;
+}
+
+QuotaDecision AccountQuotas::tryAdmit(const ClientAccount &Account,
+                                      uint64_t Tokens, Milliseconds Waited,
+                                      bool MayWait) {
   QuotaDecision unlimited;
   unlimited.Admitted = true;
   if (Account.Name.empty() || Account.Quota.TokensPerSecond <= 0)
@@ -270,7 +407,9 @@
   TimePoint now = Now();
   State &state = Accounts[Account.Name];
   state.Use.Quota = Account.Quota;
-  state.Leases.onRequest(Tokens, now);
+  if (Waited == Milliseconds(0))
+    state.Leases.onRequest(Tokens, now);
+  bool mayWait = MayWait && waitsForHome(Waited, now);
   KeyOwner home = homeOf(Account.Name, state, now);
   QuotaDecision decision;
   decision.Source = QuotaSource::Home;
@@ -299,6 +438,8 @@
   } else if (Milliseconds wait = state.Leases.deniedFor(Tokens, now);
              wait > Milliseconds(0)) {
     decision.RetryAfter = wait;
+  } else if (mayWait && (!home.Known || isSilent(home.Address, now))) {
+    decision.AskAgain = HomeWaitPeriod;
   } else if (!home.Known || isSilent(home.Address, now)) {
     setLocalShare(Account.Name, state, true,
                   home.Known ? "the home didn't respond" : "no peer is known",
@@ -307,8 +448,10 @@
   } else {
     QuotaAsk request = state.Leases.ask(Tokens, now);
     request.Account = Account.Name;
-    std::optional<QuotaGrant> grant = ask(lock, home, request);
-    TimePoint asked = std::exchange(now, Now());
+    TimePoint asked = now;
+    std::optional<QuotaGrant> grant = askInTurn(lock, Account, state, request);
+    now = Now();
+    decision.Home = state.Home.Name;
     if (grant && grant->Known) {
       state.HomeHeardAt = now;
       setLocalShare(Account.Name, state, false, "the home responded", now);
@@ -319,6 +462,8 @@
         Watched.insert(Account.Name);
         Wake.notify_one();
       }
+    } else if (mayWait) {
+      decision.AskAgain = HomeWaitPeriod;
     } else {
       setLocalShare(Account.Name, state, true,
                     grant ? "the home doesn't know the account"
@@ -327,6 +472,10 @@
       decideByShare(state, Account.Quota, decision, now);
     }
   }
+  if (mayWait && !decision.Admitted && decision.RetryAfter <= MaxHomeWait)
+    decision.AskAgain = HomeWaitPeriod;
+  if (decision.AskAgain > Milliseconds(0))
+    return decision;
   decision.At = now;
   decision.HomeHeardAgo = heardAgo(state, now);
   if (decision.Source == QuotaSource::Home && !state.WasHome)
--- a/src/gateway/accounts/account_quotas.h
+++ b/src/gateway/accounts/account_quotas.h
@@ -45,6 +45,8 @@
   int64_t TokensLeft = 0;
   // How long ago the home had last responded.
   std::optional<Milliseconds> HomeHeardAgo;
+  // More than 0: not decided yet, and to be asked again after this time.
+  Milliseconds AskAgain{0};
 };
 
 // Time for leases: monotonic, and it goes on while the machine is suspended, so
@@ -55,6 +57,10 @@
 struct QuotaSharing {
   // Returns the home of an account.
   std::function<KeyOwner(const std::string &Account)> FindHome;
+  // Returns the configured seeds in the rendezvous order of the account, those
+  // with an empty address are this instance. They are homes of accounts until
+  // this instance has discovered the fleet.
+  std::function<std::vector<KeyOwner>(const std::string &Account)> FindSeeds;
   std::function<FleetView()> Fleet;
   // Asks the home at the address; takes at most 60 ms. Returns nothing without
   // a response.
@@ -98,8 +104,15 @@
   void stop();
 
   // Decides on a request of so many tokens. May ask the home and wait for its
-  // response.
+  // response. In the first 3 s of a process that hasn't discovered the fleet, a
+  // request waits up to 600 ms for a home that decides and has the tokens;
+  // beyond 64 such requests others don't wait.
   QuotaDecision admit(const ClientAccount &Account, uint64_t Tokens);
+  // The same without that wait. `Waited`: for how long the request has waited
+  // by earlier decisions. Unless `MayWait`, this decision is the last.
+  QuotaDecision tryAdmit(const ClientAccount &Account, uint64_t Tokens,
+                         Milliseconds Waited = Milliseconds(0),
+                         bool MayWait = true);
   // Takes back the tokens of an admitted request that has not run.
   void giveBack(const std::string &Account, uint64_t Tokens,
                 const QuotaDecision &Decision);
@@ -132,6 +145,9 @@
     std::unique_ptr<QuotaBucket> Bucket; // of this instance as the home
     bool WasHome = false;                // at the last call of the bucket
     bool BeenHome = false;               // at any call of the bucket
+    bool WithFleet = false;   // FleetView::StartedWithFleet of the bucket
+    bool IsFirstSeed = false; // of the account's rendezvous order
+    bool HomeIsSeed = false;
     AccountUse Use;
     KeyOwner Home;
     TimePoint HomeCheckedAt;
@@ -148,7 +164,18 @@
 
   const KeyOwner &homeOf(const std::string &Account, State &Item,
                          TimePoint Now);
+  // The first seed that isn't silent, while the fleet isn't discovered; nothing
+  // if there is none.
+  std::optional<KeyOwner> seedHome(const std::string &Account, State &Item,
+                                   TimePoint Now);
   FleetView fleet(TimePoint Now);
+  // The part of the rate that this instance may grant as the home, or as an
+  // instance that others take for it.
+  static double grantedPart(const State &Item, const FleetView &View,
+                            bool IsHome);
+  std::unique_ptr<QuotaBucket> newBucket(const State &Item,
+                                         const FleetView &View, bool IsHome,
+                                         TimePoint Now) const;
   QuotaGrant grantAsHome(State &Item, const AccountQuota &Quota,
                          const QuotaAsk &Ask, TimePoint Now);
   static std::optional<Milliseconds> heardAgo(const State &Item, TimePoint Now);
@@ -156,6 +183,11 @@
   // Called with the lock, which it gives up while it asks.
   std::optional<QuotaGrant> ask(std::unique_lock<std::mutex> &Lock,
                                 const KeyOwner &Home, const QuotaAsk &Ask);
+  // Asks the home and, while it is a seed that doesn't decide, the next one.
+  std::optional<QuotaGrant> askInTurn(std::unique_lock<std::mutex> &Lock,
+                                      const ClientAccount &Account, State &Item,
+                                      QuotaAsk Ask);
+  void onHomeSilent(const std::string &Address, TimePoint Now);
   void decideByShare(State &Item, const AccountQuota &Quota,
                      QuotaDecision &Decision, TimePoint Now);
   void setLocalShare(const std::string &Account, State &Item, bool Value,
@@ -165,6 +197,8 @@
   void queue(const std::string &Account, State &Item);
   void run();
 
+  bool waitsForHome(Milliseconds Waited, TimePoint Now);
+
   const std::string Instance;
   const QuotaRules Rules;
   const std::function<double()> Draw;
@@ -172,6 +206,9 @@
   QuotaSharing Sharing;
   mutable std::mutex Mutex;
   std::condition_variable Wake;
+  std::condition_variable WakeWaiting; // requests that wait for a home
+  uint32_t Waiting = 0;
+  TimePoint StartedAt;
   bool Stopping = false;
   // Entries aren't removed, since requests use theirs while they ask.
   std::map<std::string, State> Accounts;
@@ -180,6 +217,7 @@
   std::map<std::string, SilentHome> SilentHomes; // by address
   FleetView Fleet;
   TimePoint FleetCheckedAt;
+  TimePoint DiscoveredAt; // when this process had discovered the fleet
   TimePoint LogPeriodStart;
   uint32_t LoggedInPeriod = 0;
   uint32_t SuppressedLines = 0;
