--- a/src/gateway/decisions/accounts/fleet_memory.h
+++ b/src/gateway/decisions/accounts/fleet_memory.h
@@ -9,6 +9,7 @@
 #include "gateway/decisions/member_table.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
   // discovered it, so that all instances have started together. False until a
   // peer is heard.
   bool StartedWithFleet = false;
+  // Part of the configured seeds that this process has heard of, itself
+  // included. Both halves of a fleet that is partitioned while it starts know
+  // nothing else of each other, and their parts add up to 1.
+  double SeedPart = 1;
 
   double knownPart() const {
     return Expected == 0 ? 1 : static_cast<double>(Alive) / Expected;
@@ -34,16 +39,22 @@
 
 class FleetMemory {
 public:
-  explicit FleetMemory(TimePoint Now) { View.ChangedAt = Now; }
+  explicit FleetMemory(TimePoint Now) : StartedAt(Now) { View.ChangedAt = Now; }
 
   // `Others`: the other instances known to run.
   void update(const std::vector<Member> &Others, TimePoint Now);
   // `MinExpected`: the least number of instances to expect.
   FleetView view(uint32_t MinExpected, bool Discovered,
                  bool StartedWithFleet = false) const;
+  // The part of the seeds that were known at an update so far, this instance
+  // included; 1 without seeds, or once the retention of a lost instance has
+  // passed since the start.
+  double seedPart(const std::vector<std::string> &Seeds,
+                  const std::string &OwnAddress, TimePoint Now);
 
 private:
   struct State {
+    std::string Address;
     TimePoint SeenAt;
     bool Leaving = false;
     bool Alive = false;
@@ -51,6 +62,8 @@
   };
   std::map<std::string, State> Members; // by name
   FleetView View;
+  TimePoint StartedAt;
+  std::set<std::string> KnownSeeds; // addresses
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -10,6 +10,7 @@
 // Requests that another instance passes on are handled on the threads of their
 // connections.
 #include "connection_server.h"
+#include "crocusspur/instance_list.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/fleet/document_sources.h"
 #include "gateway/decisions/fleet/member_deltas.h"
@@ -273,6 +274,16 @@
     return Runtime->Peers.ownerOf("account:" + Account,
                                   Runtime->Stopping.load());
   };
+  sharing.FindSeeds = [this](const std::string &Account) {
+    std::vector<KeyOwner> seeds;
+    for (const std::string &it :
+         rankByRendezvous("account:" + Account, Runtime->seedAddresses()))
+      if (it != Runtime->Values.PeerAddress)
+        seeds.push_back({it, it, true});
+      else if (!Runtime->Stopping.load())
+        seeds.push_back({Runtime->Values.Instance, "", true});
+    return seeds;
+  };
   sharing.Fleet = [this] { return fleetView(); };
   sharing.AskHome = [this](const std::string &Address, const QuotaAsk &Ask) {
     return askForLease(Address, Ask);
@@ -297,10 +308,13 @@
                                        return It == Runtime->Values.PeerAddress;
                                      }) &&
                  Fleet->view(1, true).Alive == 1;
-  return isAlone ? Fleet->view(1, true)
-                 : Fleet->view(Runtime->Peers.budgetSharers(),
-                               Runtime->Peers.isDiscovered(),
-                               Runtime->Peers.discovery().startedWithFleet());
+  if (isAlone)
+    return Fleet->view(1, true);
+  FleetView view =
+      Fleet->view(Runtime->Peers.budgetSharers(), Runtime->Peers.isDiscovered(),
+                  Runtime->Peers.discovery().startedWithFleet());
+  view.SeedPart = Fleet->seedPart(seeds, Runtime->Values.PeerAddress, now);
+  return view;
 }
 
 void MemberLinks::stop() {
@@ -581,13 +595,6 @@
       sendFrame(Socket, encode(lease));
       return;
     }
-    if (request->WantedLease) {
-      MemberFrame lease;
-      lease.Sender = Runtime->ownMember();
-      lease.Lease = Runtime->Quotas.decide(*request->WantedLease);
-      sendFrame(Socket, encode(lease));
-      return;
-    }
     for (const StreamOrigin &it : request->Origins)
       Runtime->Origins.add(it);
     if (request->WantedOrigin || !request->Origins.empty()) {
