--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -128,7 +128,7 @@
   CHECK(parse(Good + "[pace]\nmax-ratio = 0\n").Keys == Keys{"pace.max-ratio"});
   outcome = parse(Good + "[pace]\nknee = false\nmin-knee = 4\n");
   REQUIRE(outcome.Values.has_value());
-  CHECK(outcome.Values->Pace == PaceSettings{true, 1.3, 10, false, 4});
+  CHECK(outcome.Values->Pace == PaceSettings{true, 1.3, 10, true, false, 4});
   CHECK(parse(Good + "[pace]\nknee = 8\n").Keys == Keys{"pace.knee"});
   for (const char *it : {"0.5", "nan", "10001", "\"2\""})
     CHECK(parse(Good + "[pace]\nmin-knee = " + it + "\n").Keys ==
