--- a/src/gateway/decisions/accounts/quota_bucket.cc
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -134,7 +134,9 @@
                                  TimePoint Now) const {
   double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
   double demand = RecentDemand.perSecond(Now);
-  if (Level >= depth * LowLevelPart || demand <= 0)
+  // The bucket of a new home is low, and after a restart callers return at once.
+  if (Level >= depth * LowLevelPart || demand <= 0 ||
+      Now - HomeSince < Rules.Window)
     return 1;
   std::chrono::duration<double> span = Rules.Window + Rules.leaseTime();
   double usable = maxGranted(Quota, Rules, RateFraction) / span.count();
