--- a/src/gateway/decisions/placement/knee_table.cc
+++ b/src/gateway/decisions/placement/knee_table.cc
@@ -43,7 +43,7 @@
 // Part of it that keeps a difference which was seen.
 constexpr double StillDifferent = 0.75;
 constexpr size_t MinCompared = 5;
-constexpr double ComparedPart = 0.15; // left out at both ends
+constexpr double ComparedPart = 0.25; // left out at both ends
 
 // The lowest bands that together have enough samples.
 struct LowLoad {
