Keep using knees while slowdowns differ by 0.4 of the bound

Cause: the shares of servers changed by more than 0.3 of their mean as knees were used and not used in turn.

--- a/src/gateway/decisions/placement/knee_table.cc
+++ b/src/gateway/decisions/placement/knee_table.cc
@@ -41,7 +41,7 @@
 constexpr double DifferentErrors = 3;
 constexpr size_t MinDifferentBands = 2;
 // Part of it that keeps a difference which was seen.
-constexpr double StillDifferent = 0.75;
+constexpr double StillDifferent = 0.4;
 constexpr size_t MinCompared = 5;
 constexpr double ComparedPart = 0.25; // left out at both ends
 
