--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -166,7 +166,7 @@
   // chooseByPace().
   std::optional<ServerChoice> choose(const ServerQuery &Query, TimePoint Now);
   // Returns all usable servers, best first; those above their knee after the
-  // others of their class if paces or knees differ.
+  // others of their class if knees differ.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
   // The servers of a query that look full. Failing ones neither count as full
