Use knees for placement only where the settings ask for it

In pools of few servers chance differences can look like knees. Change: [pace] knee is false unless the settings file says true. The check of the defaults names every field.

--- a/src/gateway/decisions/accounts/quota_bucket.cc
+++ b/src/gateway/decisions/accounts/quota_bucket.cc
@@ -134,7 +134,8 @@
                                  TimePoint Now) const {
   double depth = Quota.BurstTokens + Rules.slack(Quota) * DepthPart;
   double demand = RecentDemand.perSecond(Now);
-  // The bucket of a new home is low, and after a restart callers return at once.
+  // The bucket of a new home is low, and after a restart callers return at
+  // once.
   if (Level >= depth * LowLevelPart || demand <= 0 ||
       Now - HomeSince < Rules.Window)
     return 1;
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -113,12 +113,14 @@
 TEST_CASE("parseSettings checks the table of servers' paces") {
   Outcome without = parse(Good);
   REQUIRE(without.Values.has_value());
-  CHECK(without.Values->Pace == PaceSettings());
+  PaceSettings defaults;
+  defaults.Knee = false; // opt-in
+  CHECK(without.Values->Pace == defaults);
   Outcome outcome =
       parse(Good + "[pace]\nenabled = false\ndead-band = 1.5\nmax-ratio = 4\n"
                    "dispatch = false\n");
   REQUIRE(outcome.Values.has_value());
-  CHECK(outcome.Values->Pace == PaceSettings{false, 1.5, 4, false});
+  CHECK(outcome.Values->Pace == PaceSettings{false, 1.5, 4, false, false, 2});
   using Keys = std::vector<std::string>;
   CHECK(parse(Good + "[pace]\nenabled = 1\n").Keys == Keys{"pace.enabled"});
   CHECK(parse(Good + "[pace]\ndispatch = 1\n").Keys == Keys{"pace.dispatch"});
@@ -126,9 +128,9 @@
     CHECK(parse(Good + "[pace]\ndead-band = " + it + "\n").Keys ==
           Keys{"pace.dead-band"});
   CHECK(parse(Good + "[pace]\nmax-ratio = 0\n").Keys == Keys{"pace.max-ratio"});
-  outcome = parse(Good + "[pace]\nknee = false\nmin-knee = 4\n");
+  outcome = parse(Good + "[pace]\nknee = true\nmin-knee = 4\n");
   REQUIRE(outcome.Values.has_value());
-  CHECK(outcome.Values->Pace == PaceSettings{true, 1.3, 10, true, false, 4});
+  CHECK(outcome.Values->Pace == PaceSettings{true, 1.3, 10, true, true, 4});
   CHECK(parse(Good + "[pace]\nknee = 8\n").Keys == Keys{"pace.knee"});
   for (const char *it : {"0.5", "nan", "10001", "\"2\""})
     CHECK(parse(Good + "[pace]\nmin-knee = " + it + "\n").Keys ==
