Review: streams hold events of two versions after an upgrade in place

Cause: a stream keeps the version that its server's entry stated when the server was chosen; that the process there was a newer one by then changes nothing.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -252,7 +252,7 @@
 class Server(Listener):
     """A server that answers each request as `answer` says, once it has checked whom it is meant for."""
 
-    def __init__(self, record, store, name, service, slots, phase=None, version="1.0"):
+    def __init__(self, record, store, name, service, slots, phase=None, version="1.0", address=None, register=True):
         self.record = record
         self.name = name
         self.service = service
@@ -261,12 +261,17 @@
         self.lock = threading.Lock()
         self.runs = {}  # id of a request: how often it began to run
         self.rejected = {}  # id of a request: how often it was rejected
-        super().__init__()
-        entry = {"service": service, "address": self.address, "zone": "hall-a", "version": version,
-                 "slots": slots, "state": "ready", "cold-left-ms": 0, "sequence": 1, "born": self.born}
+        super().__init__(address)
+        self.entry = {"service": service, "address": self.address, "zone": "hall-a", "version": version,
+                      "slots": slots, "state": "ready", "cold-left-ms": 0, "sequence": 1, "born": self.born}
         if phase:
-            entry.update({"phase": phase, "models": [{"name": "m", "version": 1, "adapters": []}]})
-        store.put("servers/" + name, entry)
+            self.entry.update({"phase": phase, "models": [{"name": "m", "version": 1, "adapters": []}]})
+        if register:
+            self.register(store)
+
+    def register(self, store):
+        """Writes the server's entry."""
+        store.put("servers/" + self.name, self.entry)
 
     def begin(self, call):
         with self.lock:
