Review: requests to slow-reading servers exceed a machine's memory

Cause: an instance buffers each body twice while a server reads it, and nothing bounds the sum over all open requests.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -167,6 +167,7 @@
             while True:
                 line, fields = reader.head()
                 method, target, _ = line.split(" ", 2)
+                self.on_head(fields)
                 body = bytearray()
                 if fields.get("transfer-encoding", "").lower() == "chunked":
                     reader.chunked(body)
@@ -180,6 +181,9 @@
         finally:
             conn.close()
 
+    def on_head(self, fields):
+        """Called before the body of a request is read."""
+
     def handle(self, conn, call):
         raise NotImplementedError
 
@@ -326,7 +330,7 @@
 [limits]
 cpu-quota = 0.25
 cpu-cores = 1
-memory-mb = 110
+memory-mb = {memory}
 max-fds = 4100
 link-mbps = 1000.0
 disk-mb = 0
@@ -386,7 +390,7 @@
         with open(path, "w") as file:
             file.write(SETTINGS.format(
                 name=self.name, zone=self.zone, frontend=self.frontend, ready=self.ready, control=self.control,
-                store=self.fleet.store.address, seeds=",".join('"%s"' % it.control for it in self.fleet.gateways)))
+                store=self.fleet.store.address, memory=self.fleet.memory_mb, seeds=",".join('"%s"' % it.control for it in self.fleet.gateways)))
         command = deploy_command()
         # The port is free here, as all instances share one address.
         command[command.index("--metrics-port") + 1] = self.metrics.rsplit(":", 1)[1]
@@ -420,8 +424,9 @@
 class Fleet:
     """Gateways, their store, and the folder of their settings and logs."""
 
-    def __init__(self, record, count=3):
+    def __init__(self, record, count=3, memory_mb=110):
         self.record = record
+        self.memory_mb = memory_mb
         self.scratch = tempfile.TemporaryDirectory(prefix="crocusspur-review-")
         self.folder = self.scratch.name
         self.store = Store()
