--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -375,6 +375,17 @@
         return re.search(r'^run = "(.*)"$', file.read(), re.M).group(1).split(" ")
 
 
+# Gateway processes that were started.
+_PROCESSES = []
+
+
+def end_processes():
+    for it in _PROCESSES:
+        if it.poll() is None:
+            it.kill()
+            it.wait()
+
+
 class Gateway:
     """One gateway process."""
 
@@ -399,6 +410,7 @@
         self.log = open(os.path.join(self.fleet.folder, self.name + ".log"), "a")
         self.process = subprocess.Popen(command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=subprocess.STDOUT)
+        _PROCESSES.append(self.process)
         self.fleet.record("%s started" % self.name)
 
     def is_ready(self):
@@ -449,10 +461,7 @@
         time.sleep(3)  # contact-ms
 
     def stop(self):
-        for it in self.gateways:
-            if it.process and it.process.poll() is None:
-                it.process.kill()
-                it.process.wait()
+        end_processes()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             subprocess.run(["cp", "-r", self.folder, keep], check=False)
@@ -519,6 +528,7 @@
 
     def expire():
         record("the case took too long")
+        end_processes()
         os._exit(2)
 
     timer = threading.Timer(110, expire)
@@ -527,6 +537,7 @@
     try:
         broken = case(record)
     except Exception as error:  # the case could not run
+        end_processes()
         record("could not run: %r" % error)
         print("could not run: %r" % error)
         sys.stdout.flush()
