Take requests late in a shutdown only if they end before the exit

Cause: the lifecycle took plain requests until 0.6 s before its exit, whatever their timeout, and exited 1.44 s before SIGKILL.

Evidence: the instance logs "exiting with open requests" and the servers have run them. "A request taken late in a shutdown is answered before the exit" fails on the code before.

Change: ShutdownSchedule decides what is taken.

--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -10,6 +10,7 @@
 #include "log.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -41,9 +42,6 @@
 constexpr uint32_t MaxHeaderFields = 128;
 // A caller that reads nothing for this long is considered disconnected.
 constexpr Milliseconds WriteTimeout{10000};
-// Streams last several seconds. One that arrives with less time than this
-// before the exit is refused, so that the caller retries at another instance.
-constexpr Milliseconds MinTimeForStream{4500};
 // Callers that retry immediately reach another instance.
 constexpr Milliseconds OtherInstanceRetryAfter{100};
 // Until this instance has received the configuration.
@@ -322,10 +320,12 @@
                 unconfirmed ? NotReadyRetryAfter : Milliseconds(0));
     return;
   }
-  bool tooLate = Runtime->Closing.load() || (route->Kind == RouteKind::Stream &&
-                                             Clock::now() + MinTimeForStream >
-                                                 Runtime->ExitDeadline.load());
-  if (Runtime->Stopping.load() && tooLate) {
+  TimePoint deadline =
+      Arrived +
+      std::min(route->Timeout, request.TimeLeft.value_or(route->Timeout));
+  if (Runtime->Stopping.load() &&
+      (Runtime->Closing.load() ||
+       !Runtime->Shutdown.accepts(deadline, Clock::now()))) {
     sendProblem(Sink, request.Id, ErrorKind::ShuttingDown,
                 "the request would outlast this instance",
                 OtherInstanceRetryAfter);
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -7,6 +7,7 @@
 #include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/decisions/shutdown_schedule.h"
 #include "gateway/frame_traffic.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership.h"
@@ -80,8 +81,7 @@
 
   // Set by the first SIGTERM; the instance finishes its open requests.
   std::atomic<bool> Stopping{false};
-  std::atomic<TimePoint> ExitDeadline{
-      TimePoint::max()}; // when the process exits
+  ShutdownSchedule Shutdown; // set before Stopping is, and not changed later
   // Set shortly before the exit: no more requests are sent to servers, and idle
   // connections are closed.
   std::atomic<bool> Closing{false};
--- a/src/gateway/lifecycle.cc
+++ b/src/gateway/lifecycle.cc
@@ -16,16 +16,7 @@
 using internal::log;
 using internal::LogLevel;
 
-// Fraction of the time from SIGTERM to SIGKILL after which the process exits.
-// Work that runs into the last sixth is cut off in any case.
-constexpr double UsableGraceFraction = 0.82;
-// The load balancer removes an instance after two failed probes, a second
-// apart. Until then new connections arrive and are served.
-constexpr Milliseconds LoadBalancerRemovalTime{2600};
 constexpr Milliseconds ShutdownCheckPeriod{100};
-// From the last request sent to a server to the exit. Calls to plain services
-// take less, so none is cut off.
-constexpr Milliseconds ClosingTime{600};
 // The settings file may change without a signal, so it is polled.
 constexpr Milliseconds SettingsPeriod{1000};
 
@@ -47,7 +38,7 @@
   Kernel *Owner = nullptr;
   GatewayRuntime *Runtime = nullptr;
   std::thread Thread;
-  TimePoint ShutdownStartedAt;
+  TimePoint ClosedAt; // when Closing was set
   uint64_t ShutdownTimer = 0;
   uint64_t SettingsTimer = 0;
   bool ExitRequested = false;
@@ -106,11 +97,11 @@
 }
 
 void Lifecycle::beginShutdown() {
-  ShutdownStartedAt = Clock::now();
-  auto limit = std::chrono::duration_cast<Milliseconds>(
-      Runtime->Values.ShutdownLimit * UsableGraceFraction);
-  Runtime->ExitDeadline.store(ShutdownStartedAt + limit);
+  ShutdownSchedule schedule{Clock::now(), Runtime->Values.ShutdownLimit};
+  Runtime->Shutdown = schedule;
   Runtime->Stopping.store(true);
+  auto limit = std::chrono::duration_cast<Milliseconds>(schedule.exitsAt() -
+                                                        schedule.StartedAt);
   log(LogLevel::Info, "lifecycle", "shutting down",
       {{"open_requests", std::to_string(Runtime->OpenRequests.load())},
        {"limit_ms", std::to_string(limit.count())}});
@@ -120,16 +111,16 @@
 
 void Lifecycle::checkShutdown() {
   TimePoint now = Clock::now();
+  const ShutdownSchedule &schedule = Runtime->Shutdown;
   bool idle = Runtime->OpenRequests.load() == 0;
   if (!Runtime->Closing.load()) {
-    if (now < Runtime->ExitDeadline.load() - ClosingTime &&
-        !(idle && now - ShutdownStartedAt > LoadBalancerRemovalTime))
+    if (now < schedule.closesAt() && !(idle && schedule.mayCloseIdle(now)))
       return;
-    Runtime->ExitDeadline.store(now + ClosingTime);
+    ClosedAt = now;
     Runtime->Closing.store(true);
     return;
   }
-  if (now < Runtime->ExitDeadline.load() || ExitRequested)
+  if (!schedule.mayExit(!idle, ClosedAt, now) || ExitRequested)
     return;
   ExitRequested = true;
   if (!idle)
