Treat a stream that ends inside an event as broken in every framing

Cause: the end inside an event counted only where the body ends with its connection. A length or a last chunk only says that the body is complete.

The same held where another instance handles the stream, and for event streams of services in serve.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -230,15 +230,14 @@
   return type && type->starts_with("text/event-stream");
 }
 
-// An event stream without a length or chunks ends with its connection. It has
-// broken off if it ends inside an event.
+// An event stream that ends inside an event has broken off, however the end of
+// its body is marked.
 BackendCallResult relayServiceResponse(HttpExchange &Exchange,
                                        ServiceHandler &Handler,
                                        Milliseconds Timeout) {
   if (!Handler.onHead(Exchange.head()))
     return {StageOutcome::Failed, true};
-  bool checkEvents = Exchange.bodyForm() == BodyForm::UntilClose &&
-                     isEventStream(Exchange.head());
+  bool checkEvents = isEventStream(Exchange.head());
   EventSplitter events;
   std::string event;
   std::string data;
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -122,7 +122,7 @@
     returnProblem(first.Failure->Item);
     return AttemptResult::Done;
   }
-  return relayForwarded(call, std::move(first), timeout);
+  return relayForwarded(call, Peer.Name, std::move(first), timeout);
 }
 
 void RequestHandler::returnProblem(internal::Problem Item) {
@@ -141,7 +141,8 @@
 }
 
 RequestHandler::AttemptResult
-RequestHandler::relayForwarded(ForwardCall &Call, ForwardResponse First,
+RequestHandler::relayForwarded(ForwardCall &Call, const std::string &PeerName,
+                               ForwardResponse First,
                                Milliseconds SilenceTime) {
   if (!First.ResponseHead)
     return AttemptResult::Unknown;
@@ -180,6 +181,11 @@
   }
   if (!frame.End.value_or(false))
     return AttemptResult::Unknown;
+  // Instances of older builds pass on such streams as complete.
+  if (isStream && events.insideEvent()) {
+    logEndInsideEvent(PeerName);
+    return AttemptResult::Unknown;
+  }
   if (isStream) {
     if (!events.rest().empty())
       Sink.write(events.rest());
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -153,6 +153,8 @@
                             const std::optional<PromptKvCache> &Cache);
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run);
+  // `Source`: the server or the instance that sent the stream.
+  void logEndInsideEvent(const std::string &Source) const;
   // `Version`: of the server's software; 0 if it isn't known.
   bool forwardEvents(internal::EventSplitter &Events, VersionKey Version);
 
@@ -162,8 +164,8 @@
   // Passes the request on. Returns NotExecuted if no instance took it.
   AttemptResult forward();
   AttemptResult forwardTo(const Member &Peer);
-  AttemptResult relayForwarded(ForwardCall &Call, ForwardResponse First,
-                               Milliseconds SilenceTime);
+  AttemptResult relayForwarded(ForwardCall &Call, const std::string &PeerName,
+                               ForwardResponse First, Milliseconds SilenceTime);
   // Answers with the problem that another instance had with the request.
   void returnProblem(internal::Problem Item);
   void countHungConnect(const ServerCall &Call);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -672,9 +672,9 @@
 }
 
 // Forwards whole events. Returns Unknown if the stream broke off and the caller
-// is still connected. The end of a stream without a length or chunks is that of
-// its connection, so an end inside an event, or with the server's process,
-// shows that the server broke off.
+// is still connected. A stream that ends inside an event has broken off, even
+// if its body is complete: a web server ends the body when the program behind
+// it fails.
 RequestHandler::AttemptResult
 RequestHandler::relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run) {
@@ -738,9 +738,10 @@
     finish("caller_left", "the caller closed its connection");
     return AttemptResult::Done;
   }
-  bool cut = Call.bodyForm() == internal::BodyForm::UntilClose &&
-             (events.insideEvent() || (end && mayBeCut(Call, Server)));
-  if (end && status == CallStatus::Responded && !cut) {
+  bool complete = end && status == CallStatus::Responded;
+  if (complete && events.insideEvent())
+    logEndInsideEvent(Server.Id);
+  if (complete && !events.insideEvent() && !mayBeCut(Call, Server)) {
     Call.finish();
     if (!events.rest().empty())
       Sink.write(events.rest());
@@ -756,6 +757,14 @@
   return AttemptResult::Unknown;
 }
 
+void RequestHandler::logEndInsideEvent(const std::string &Source) const {
+  internal::LogFields all = fields();
+  all.emplace_back("from", Source);
+  all.emplace_back("events", std::to_string(EventsForwarded));
+  all.emplace_back("last_event_id", LastEventId);
+  log(LogLevel::Warn, "request", "the stream ended inside an event", all);
+}
+
 bool RequestHandler::forwardEvents(internal::EventSplitter &Events,
                                    VersionKey Version) {
   std::string all;
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -316,6 +316,40 @@
   CHECK(outcomeOf("data: a\n\ndata: b\n") == StageOutcome::Failed);
 }
 
+// A web server ends the body when the program behind it fails, so a length or
+// a last chunk doesn't show that the last event is whole.
+TEST_CASE("A service's event stream inside an event fails in every framing") {
+  std::string response;
+  ScriptServer server([&](int Fd, int) {
+    readRequest(Fd);
+    sendText(Fd, response);
+  });
+  const std::string head =
+      "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n";
+  auto outcomeOf = [&](const std::string &Sent) {
+    response = Sent;
+    BackendClient client;
+    ServiceRequest input;
+    input.Method = "GET";
+    input.Path = "/";
+    const std::string none;
+    input.Body = &none;
+    ServiceCollector collected;
+    PollWaiter waiter;
+    return client.service(callTo(server.address()), input, waiter, collected)
+        .Outcome;
+  };
+  CHECK(outcomeOf(head + "Content-Length: 15\r\n\r\ndata: a\n\ndata: ") ==
+        StageOutcome::Failed);
+  CHECK(outcomeOf(head + "Content-Length: 18\r\n\r\ndata: a\n\ndata: b\n\n") ==
+        StageOutcome::Ok);
+  CHECK(outcomeOf(head + "Transfer-Encoding: chunked\r\n\r\n"
+                         "f\r\ndata: a\n\ndata: \r\n0\r\n\r\n") ==
+        StageOutcome::Failed);
+  CHECK(outcomeOf(head + "Transfer-Encoding: chunked\r\n\r\n"
+                         "9\r\ndata: a\n\n\r\n0\r\n\r\n") == StageOutcome::Ok);
+}
+
 TEST_CASE("A control call is retried once if a reused connection has broken") {
   // Guards against lost cancels after a server closed an idle connection.
   ScriptServer server([](int Fd, int Number) {
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -242,6 +242,28 @@
             .starts_with("HTTP/1.1 200"));
 }
 
+// Instances of older builds end a stream as complete that their server ended
+// inside an event.
+TEST_CASE("A stream that another instance ends inside an event goes on") {
+  FakePeer older("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(1) + "id: 2\nda", true));
+    sendFrameText(Fd, endFrame(true));
+  });
+  FakePeer other("g3", [](int Fd, const ForwardedRequest &Request) {
+    CHECK(Request.Request.LastEventId == "1");
+    sendFrameText(Fd, headFrame(event(2), true));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&older, &other});
+  int selections = 0;
+  setup.Hooks.Select = [&](const std::string &) {
+    return std::vector{selections++ == 0 ? older.member() : other.member()};
+  };
+  std::string response = setup.run(resumable(setup));
+  CHECK(contains(response, event(2)));
+  CHECK(response.ends_with("\r\n0\r\n\r\n"));
+}
+
 // The other instance is killed in the middle of the stream.
 TEST_CASE("A stream goes on at another instance after the last whole event") {
   FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
