Leave a silent server only once another one takes the request

Cause: a run without an event for 1.2 s, or five pauses, was closed before it was known whether another server could take the stream. The same before the first event, and for plain requests that may be repeated.

Change: the run stays open while a reservation elsewhere is sought, and is left only with the reservation and a retry in hand.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -630,7 +630,8 @@
       break;
     bool last = !repeatable || Used.size() + 1 >= Route.MaxServers;
     Tried.insert(server->Id);
-    if (!mayUse(server->Id) || (!first && !tryConsumeRetry())) {
+    bool charged = std::exchange(RetryCharged, false);
+    if (!mayUse(server->Id) || (!first && !charged && !tryConsumeRetry())) {
       Context.Limits.release(server->Id, 1);
       break;
     }
@@ -678,6 +679,16 @@
                        AttemptTimeoutFactor});
 }
 
+bool RequestHandler::mayRetryPlainElsewhere() {
+  if (shouldForward())
+    return !Context.Forwarding->Select(Service).empty();
+  ServerQuery query = plainQuery();
+  std::optional<ServerChoice> other = Context.Directory.choose(query);
+  if (!other || !mayUse(other->Id) || Context.Directory.fullness(query).All)
+    return false;
+  return RetryCharged = tryConsumeRetry();
+}
+
 RequestHandler::AttemptResult
 RequestHandler::tryPlain(const ServerChoice &Server, bool LastTry) {
   TimePoint started = Clock::now();
@@ -696,6 +707,10 @@
   CallStatus status = call.start(
       Server, Context.Codec.FormatRequest(Request, optionsFor(Server)),
       Request.Method, Request.Id, timeout, /*Permitted=*/true);
+  // A silent server may be sound, so it is given up only for another one.
+  while (status == CallStatus::TimedOut && !LastTry &&
+         !mayRetryPlainElsewhere())
+    status = call.awaitHead(std::min(timeLeft(), attemptTimeout(Server)));
   TimePoint answeredAt = Clock::now();
   std::string body;
   if (status == CallStatus::Responded)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -89,6 +89,9 @@
   // The same once it has to wait.
   bool waitForRoom();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
+  // Whether another server or instance can get the request, which is then
+  // charged as a retry.
+  bool mayRetryPlainElsewhere();
   // Of an attempt that may be repeated, from what is expected at the server.
   Milliseconds attemptTimeout(const ServerChoice &Server) const;
 
@@ -125,6 +128,8 @@
   bool resolveStreamVersion();
   // Whether a server is known that the stream may run at.
   bool hasOutputServer() const;
+  // Whether the request may be sent to one of them.
+  bool mayUseAnotherOutputServer() const;
   // The only software version at which the stream may run, if there is one.
   std::optional<VersionKey> requiredVersion() const {
     return StreamVersion ? StreamVersion : RecordedVersion;
@@ -140,7 +145,11 @@
   // server reads the prompt itself.
   AttemptResult tryStream(bool ReadAtDecode);
   void abortStream(const std::string &Why);
-  std::optional<DecodeReservation> reserveDecode();
+  // Waits for the given time, or until the wait has no purpose any more, and
+  // returns whether to wait on.
+  using WaitHook = std::function<bool(Milliseconds)>;
+  // `Wait`: called between the attempts.
+  std::optional<DecodeReservation> reserveDecode(const WaitHook &Wait);
   // Decides on arrival whether the request waits for a reservation.
   bool isAdmitted(const QueueEntry &Entry);
   std::optional<DecodeReservation> tryReserveDecode(uint64_t Tokens);
@@ -151,8 +160,35 @@
   Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
+  // A run whose stream is relayed.
+  struct RelayedRun {
+    RunTracker::Id Id;
+    internal::EventSplitter Events;
+    bool End = false; // of the body
+    CallStatus Status = CallStatus::Responded;
+    std::optional<TimePoint> BegunAt; // the first event
+    // Start of the latest sample of the server's pace, and the events before.
+    std::optional<TimePoint> SampledAt;
+    uint64_t EventsBefore = 0;
+  };
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run);
+  // Reads until events were forwarded or the run has ended. Sets the status to
+  // TimedOut if neither happens before `Until`.
+  void readEvents(ServerCall &Call, const ServerChoice &Server, RelayedRun &Run,
+                  TimePoint Until);
+  void onEventsForwarded(const ServerChoice &Server, RelayedRun &Run);
+  // How long a run may be silent before another server is sought.
+  Milliseconds stallTimeout() const;
+  // Waits for a silent run and seeks another server for its stream. `Wait`
+  // waits for the run and returns whether it's still silent. Returns true if
+  // the run is to be given up for another one: its server may be sound, and the
+  // stream is lost if no other takes it.
+  bool shouldLeaveSilentRun(const ServerChoice &Server, const WaitHook &Wait);
+  // One attempt to reserve memory at another server; keeps the reservation in
+  // `Takeover`. Returns whether there is one and the run is still silent.
+  bool reserveElsewhere(const ServerChoice &Server, const WaitHook &Wait);
+  void dropTakeover();
   // `Source`: the server or the instance that sent the stream.
   void logEndInsideEvent(const std::string &Source) const;
   // `Version`: of the server's software; 0 if it isn't known.
@@ -257,6 +293,7 @@
   bool PrefillSent = false;       // the last prefill call may have arrived
   bool PrefillAccepted = false;   // by a server, in any round
   bool RetryBudgetExhausted = false; // no further retry is allowed
+  bool RetryCharged = false;         // the next plain attempt is paid for
   // Set once the request is refused since it crashes servers: for how long, and
   // what of it.
   std::optional<Milliseconds> CrashRefusedFor;
@@ -277,6 +314,9 @@
   bool Rejected = false;      // on arrival; see isAdmitted()
   bool MayHaveExecuted = false; // a server may have executed the request
   bool HeadSent = false;        // a response head was sent to the caller
+  // A reservation for the next run of the stream, charged as a retry.
+  std::optional<DecodeReservation> Takeover;
+  bool LeavesSilentRun = false; // while a reservation for that is sought
   std::optional<TimePoint> FirstOutput;
   std::optional<TimePoint> LastOutput; // of a stream
   Milliseconds LongestPause{0};        // between two writes of a stream
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -170,16 +170,16 @@
   return CallEvidence::None;
 }
 
-bool ServerCall::connect(const std::string &Address,
-                         const std::string &RequestId, CallStatus &Status) {
-  PooledConnection kept = Pool.take(Address, RequestId);
+bool ServerCall::connect(const std::string &RequestId, CallStatus &Status) {
+  PooledConnection kept = Pool.take(Server.Address, RequestId);
   RequestIds = std::move(kept.RequestIds);
   if (kept.Socket) {
     Http.adopt(std::move(kept.Socket));
     return true;
   }
   Pool.countOpened();
-  Status = fromExchange(Http.connect(Address, Clock::now() + ConnectTimeout));
+  Status =
+      fromExchange(Http.connect(Server.Address, Clock::now() + ConnectTimeout));
   return Status == CallStatus::Responded;
 }
 
@@ -188,10 +188,14 @@
                              const std::string &Method,
                              const std::string &RequestId,
                              Milliseconds ResponseTimeout, bool Permitted) {
-  TimePoint startedAt = Clock::now();
-  CallStatus status =
-      sendAndReadHead(Server, Bytes, Method, RequestId, ResponseTimeout);
-  Pool.reachability().onCall(Server, evidenceOf(status), startedAt);
+  this->Server = Server;
+  this->Method = Method;
+  this->RequestId = RequestId;
+  StartedAt = Clock::now();
+  CallStatus status = connectAndSend(Bytes, RequestId);
+  if (status == CallStatus::Responded)
+    status = readOwnHead(ResponseTimeout);
+  Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
   if (Permitted && !maySent())
     Limits.release(Server.Id, 1);
   else if (!Permitted && maySent())
@@ -199,36 +203,48 @@
   return status;
 }
 
-CallStatus ServerCall::sendAndReadHead(const ServerChoice &Server,
-                                       const std::string &Bytes,
-                                       const std::string &Method,
-                                       const std::string &RequestId,
-                                       Milliseconds ResponseTimeout) {
-  Address = Server.Address;
-  CallStatus status = CallStatus::NotSent;
-  if (!connect(Address, RequestId, status))
-    return status;
-  TimePoint sentAt = Clock::now();
+CallStatus ServerCall::awaitHead(Milliseconds ResponseTimeout) {
+  // After a part of a request no response can come.
+  CallStatus status =
+      RequestSent ? readOwnHead(ResponseTimeout) : CallStatus::ConnectionBroken;
+  if (status != CallStatus::TimedOut)
+    Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
+  return status;
+}
+
+CallStatus ServerCall::connectAndSend(const std::string &Bytes,
+                                      const std::string &RequestId) {
+  CallStatus failure = CallStatus::NotSent;
+  if (!connect(RequestId, failure))
+    return failure;
+  SentAt = Clock::now();
   if (!RequestId.empty()) {
     RequestIds.push_back(RequestId);
     if (RequestIds.size() > MaxRememberedRequests)
       RequestIds.erase(RequestIds.begin());
   }
-  status = fromExchange(Http.send(Bytes, TimePoint::max(), TransferTimeout));
-  if (status != CallStatus::Responded)
-    return status;
-  for (int i = 0; i <= MaxStrayResponses; ++i) {
-    status = fromExchange(Http.readHead(Method, ResponseTimeout));
+  CallStatus status =
+      fromExchange(Http.send(Bytes, TimePoint::max(), TransferTimeout));
+  RequestSent = status == CallStatus::Responded;
+  return status;
+}
+
+CallStatus ServerCall::readOwnHead(Milliseconds ResponseTimeout) {
+  while (StrayResponses <= MaxStrayResponses) {
+    CallStatus status = fromExchange(Http.readHead(Method, ResponseTimeout));
     if (status != CallStatus::Responded)
       return status;
     Info = Codec.ParseResponseHead(Http.head());
     if (Info.RequestId.empty() || Info.RequestId == RequestId) {
-      Limits.onResponse(Server.Id, Info.Limit, sentAt);
+      Limits.onResponse(Server.Id, Info.Limit, SentAt);
       Pool.onResponse(Server, Info);
       return status;
     }
+    ++StrayResponses;
     std::string stray;
     status = readWhole(stray, MaxStrayBytes, TransferTimeout);
+    if (status == CallStatus::TimedOut) // no head can follow
+      return CallStatus::ConnectionBroken;
     if (status != CallStatus::Responded)
       return status;
   }
@@ -249,7 +265,7 @@
 
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
-    Pool.give(Address, {std::move(kept), std::move(RequestIds)},
+    Pool.give(Server.Address, {std::move(kept), std::move(RequestIds)},
               Info.KeepAliveTimeout);
 }
 
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -112,6 +112,9 @@
   CallStatus start(const ServerChoice &Server, const std::string &Bytes,
                    const std::string &Method, const std::string &RequestId,
                    Milliseconds ResponseTimeout, bool Permitted);
+  // Waits on for the head, after start() or awaitHead() has returned TimedOut:
+  // the server may only be slow. Returns as start() does.
+  CallStatus awaitHead(Milliseconds ResponseTimeout);
   // `MaxTime` bounds the time that it takes; without it, only the request's
   // deadline and the time without progress do.
   CallStatus readWhole(std::string &Body, size_t MaxBytes,
@@ -132,23 +135,27 @@
   const ResponseInfo &info() const { return Info; }
 
 private:
-  CallStatus sendAndReadHead(const ServerChoice &Server,
-                             const std::string &Bytes,
-                             const std::string &Method,
-                             const std::string &RequestId,
-                             Milliseconds ResponseTimeout);
+  CallStatus connectAndSend(const std::string &Bytes,
+                            const std::string &RequestId);
+  // Skips late responses to earlier requests.
+  CallStatus readOwnHead(Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
   // What a call that ended with this status shows of the way to the server.
   CallEvidence evidenceOf(CallStatus Status) const;
-  bool connect(const std::string &Address, const std::string &RequestId,
-               CallStatus &Status);
+  bool connect(const std::string &RequestId, CallStatus &Status);
 
   ConnectionPool &Pool;
   const HttpCodec &Codec;
   ServerLimits &Limits;
   CallerWaiter &Waiter;
   internal::HttpExchange Http;
-  std::string Address;
+  ServerChoice Server;
+  std::string Method;
+  std::string RequestId;
+  TimePoint StartedAt;
+  TimePoint SentAt;
+  bool RequestSent = false;            // as a whole
+  int StrayResponses = 0;              // skipped so far
   std::vector<std::string> RequestIds; // sent on the connection
   ResponseInfo Info;
 };
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -91,6 +91,7 @@
   for (int round = 0;
        round < MaxRounds && !shouldStop() && !RetryBudgetExhausted; ++round) {
     if (shouldForward()) {
+      dropTakeover();
       result = forward();
       if (result == AttemptResult::Done)
         return;
@@ -99,7 +100,7 @@
         break;
       continue;
     }
-    if (round > 0 && !tryConsumeRetry()) {
+    if (round > 0 && !Takeover && !tryConsumeRetry()) {
       RetryBudgetExhausted = true;
       break;
     }
@@ -114,6 +115,7 @@
         (!Route.Resumable || mayEndNextServer()))
       break;
   }
+  dropTakeover();
   if (HeadSent) {
     abortStream(CrashRefusedFor        ? CrashRefusalReason
                 : AccessRefused        ? reasonOf(*AccessRefused)
@@ -142,8 +144,13 @@
   finish(Waiter.callerLeft() ? "caller_left" : "broken", Why);
 }
 
+void RequestHandler::dropTakeover() {
+  if (Takeover)
+    release(*std::exchange(Takeover, std::nullopt));
+}
+
 RequestHandler::AttemptResult RequestHandler::tryStream(bool ReadAtDecode) {
-  if (requiredVersion() && !hasOutputServer()) {
+  if (!Takeover && requiredVersion() && !hasOutputServer()) {
     const char *why = "no server of the stream's software version is left";
     if (HeadSent)
       abortStream(why);
@@ -155,7 +162,13 @@
       refuse(ErrorKind::BackendRefused, why, NoServerRetryAfter);
     return AttemptResult::Done;
   }
-  std::optional<DecodeReservation> reservation = reserveDecode();
+  std::optional<DecodeReservation> reservation =
+      std::exchange(Takeover, std::nullopt);
+  if (!reservation)
+    reservation = reserveDecode([this](Milliseconds Time) {
+      Waiter.pause(Time);
+      return true;
+    });
   if (!reservation && shouldForward())
     return AttemptResult::NotExecuted;
   if (!reservation) {
@@ -243,7 +256,7 @@
 // Waits in the queue until a decode server reserves memory for the request or
 // the queue entry expires.
 std::optional<RequestHandler::DecodeReservation>
-RequestHandler::reserveDecode() {
+RequestHandler::reserveDecode(const WaitHook &Wait) {
   if (!Engine || Engine->MaxReservation == Milliseconds(0) ||
       !Request.Generation)
     return selectUnreservedDecode();
@@ -257,7 +270,8 @@
   QueueEntry entry;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
-  if (HeadSent || Returning || StreamVersion)
+  bool isNew = !HeadSent && !Returning && !StreamVersion && !LeavesSilentRun;
+  if (!isNew)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   entry.Rank = position();
   entry.Priority = entry.Rank.Above;
@@ -271,14 +285,14 @@
   if (Context.Queues.wouldTimeOut(Service, entry))
     return std::nullopt;
   Context.Directory.onMemoryRequested(Service, tokens);
-  if (entry.Rank.differs() && !HeadSent && !Returning && !StreamVersion &&
-      !isAdmitted(entry))
+  if (entry.Rank.differs() && isNew && !isAdmitted(entry))
     return std::nullopt;
   bool contended = Context.Queues.isContended(Service); // on arrival
   uint64_t ticket = Context.Queues.join(Service, entry);
   std::optional<DecodeReservation> reservation;
   uint32_t tries = 0;
-  while (!reservation && knowsOutputServer() && !shouldStop() &&
+  bool waits = true;
+  while (!reservation && waits && knowsOutputServer() && !shouldStop() &&
          !shouldForward() &&
          std::max(Clock::now(), LimitedUntil.value_or(TimePoint())) <
              entry.ExpiresAt) {
@@ -288,7 +302,7 @@
       ++tries;
     }
     if (!reservation)
-      Waiter.pause(QueuePollPeriod);
+      waits = Wait(QueuePollPeriod);
   }
   if (reservation)
     Context.Queues.onGranted(Service, ticket);
@@ -580,22 +594,22 @@
   if (Cache)
     order.KvSource =
         Context.Codec.FormatKvSource(Cache->Server.Address, Cache->Handle);
-  Milliseconds timeout = timeLeft();
-  if (Route.Resumable)
-    timeout =
-        std::min(timeout, std::max(MinStallTimeout, Route.InterTokenTarget *
-                                                        StallTimeoutInGaps));
   ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(server.Id, 1);
   RunTracker::Id run = trackRun(server, /*Answers=*/true);
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status =
       call.start(server, Context.Codec.FormatRequest(Request, order),
-                 Request.Method, Request.Id, timeout, Target.Permitted);
-  TimePoint answeredAt = Clock::now();
+                 Request.Method, Request.Id, stallTimeout(), Target.Permitted);
   unused.Permitted = false;
   if (call.maySent())
     Used.insert(server.Id);
+  if (status == CallStatus::TimedOut && Route.Resumable)
+    shouldLeaveSilentRun(server, [&](Milliseconds Time) {
+      status = call.awaitHead(Time);
+      return status == CallStatus::TimedOut;
+    });
+  TimePoint answeredAt = Clock::now();
   auto end = [&](CallResult Result, const std::string &Outcome,
                  AttemptResult After) {
     Context.Directory.callEnded(server.Id, 1, Result);
@@ -685,66 +699,29 @@
     Sink.begin(responseHead(Call, Server));
     HeadSent = true;
   }
-  internal::EventSplitter events;
-  bool end = false;
-  CallStatus status = CallStatus::Responded;
-  Milliseconds stallTimeout = timeLeft();
-  if (Route.Resumable)
-    stallTimeout =
-        std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps);
-  std::optional<TimePoint> begunAt; // the first event of this run
-  // Start of the latest sample of the server's pace, and the events before.
-  std::optional<TimePoint> timedAt;
-  uint64_t timedEvents = 0;
-  // Only whole events are progress.
-  TimePoint stalledAt = Clock::now() + stallTimeout;
-  while (!end && status == CallStatus::Responded && !CallerWriteFailed) {
-    std::string bytes;
-    uint64_t forwarded = EventsForwarded;
-    TimePoint now = Clock::now();
-    status = Call.readSome(
-        bytes, end,
-        std::chrono::ceil<Milliseconds>(std::max(stalledAt, now) - now));
-    events.add(bytes);
-    forwardEvents(events, versionKeyOf(Server.Version));
-    if (EventsForwarded > forwarded) {
-      TimePoint eventAt = Clock::now();
-      stalledAt = eventAt + stallTimeout;
-      if (!timedAt)
-        timedAt = eventAt;
-      else if (eventAt - *timedAt >= DecodeSampleTime) {
-        Context.Directory.onCallTimed(
-            Server, static_cast<double>(EventsForwarded - timedEvents),
-            std::chrono::duration_cast<Milliseconds>(eventAt - *timedAt));
-        timedAt = eventAt;
-      }
-      if (timedAt == eventAt)
-        timedEvents = EventsForwarded;
-      if (!begunAt)
-        begunAt = eventAt;
-      else if (eventAt >= *begunAt + AnswerSurvivalTime)
-        onAnswerSurvived(Run, *begunAt);
-    } else if (!end && Clock::now() >= stalledAt)
-      status = CallStatus::TimedOut;
-    if (events.rest().size() > MaxEventBytes) {
-      log(LogLevel::Warn, "request", "event exceeds the size limit",
-          {{"request", Request.Id},
-           {"server", Server.Id},
-           {"limit_bytes", std::to_string(MaxEventBytes)}});
-      status = CallStatus::ConnectionBroken;
-    }
+  RelayedRun run;
+  run.Id = Run;
+  while (!run.End && run.Status == CallStatus::Responded &&
+         !CallerWriteFailed) {
+    readEvents(Call, Server, run, Clock::now() + stallTimeout());
+    if (run.Status == CallStatus::TimedOut && Route.Resumable)
+      shouldLeaveSilentRun(Server, [&](Milliseconds Time) {
+        readEvents(Call, Server, run, Clock::now() + Time);
+        return run.Status == CallStatus::TimedOut;
+      });
   }
-  if (CallerWriteFailed || status == CallStatus::CallerLeft) {
+  if (CallerWriteFailed || run.Status == CallStatus::CallerLeft) {
     finish("caller_left", "the caller closed its connection");
     return AttemptResult::Done;
   }
-  bool complete = end && status == CallStatus::Responded;
-  if (complete && events.insideEvent())
+  bool complete = run.End && run.Status == CallStatus::Responded;
+  bool inside = run.Events.insideEvent();
+  if (complete && inside)
     logEndInsideEvent(Server.Id);
-  if (complete && !events.insideEvent() && !mayBeCut(Call, Server)) {
+  if (complete && !inside && !mayBeCut(Call, Server)) {
     Call.finish();
-    if (!events.rest().empty())
-      Sink.write(events.rest());
+    if (!run.Events.rest().empty())
+      Sink.write(run.Events.rest());
     Sink.end(true);
     if (Engine && Request.Generation)
       Context.Directory.onOutputFinished(Service, *Request.Generation,
@@ -757,6 +734,108 @@
   return AttemptResult::Unknown;
 }
 
+Milliseconds RequestHandler::stallTimeout() const {
+  if (!Route.Resumable)
+    return timeLeft();
+  return std::min(
+      timeLeft(),
+      std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps));
+}
+
+void RequestHandler::readEvents(ServerCall &Call, const ServerChoice &Server,
+                                RelayedRun &Run, TimePoint Until) {
+  uint64_t forwarded = EventsForwarded;
+  Run.Status = CallStatus::Responded;
+  // Only whole events are progress.
+  while (!Run.End && Run.Status == CallStatus::Responded &&
+         EventsForwarded == forwarded && !CallerWriteFailed) {
+    std::string bytes;
+    TimePoint now = Clock::now();
+    Run.Status = Call.readSome(
+        bytes, Run.End,
+        std::chrono::ceil<Milliseconds>(std::max(Until, now) - now));
+    Run.Events.add(bytes);
+    forwardEvents(Run.Events, versionKeyOf(Server.Version));
+    if (EventsForwarded > forwarded)
+      onEventsForwarded(Server, Run);
+    else if (!Run.End && Run.Status == CallStatus::Responded &&
+             Clock::now() >= Until)
+      Run.Status = CallStatus::TimedOut;
+    if (Run.Events.rest().size() > MaxEventBytes) {
+      log(LogLevel::Warn, "request", "event exceeds the size limit",
+          {{"request", Request.Id},
+           {"server", Server.Id},
+           {"limit_bytes", std::to_string(MaxEventBytes)}});
+      Run.Status = CallStatus::ConnectionBroken;
+    }
+  }
+}
+
+void RequestHandler::onEventsForwarded(const ServerChoice &Server,
+                                       RelayedRun &Run) {
+  TimePoint now = Clock::now();
+  if (!Run.SampledAt) {
+    Run.SampledAt = now;
+    Run.EventsBefore = EventsForwarded;
+  } else if (now - *Run.SampledAt >= DecodeSampleTime) {
+    Context.Directory.onCallTimed(
+        Server, static_cast<double>(EventsForwarded - Run.EventsBefore),
+        std::chrono::duration_cast<Milliseconds>(now - *Run.SampledAt));
+    Run.SampledAt = now;
+    Run.EventsBefore = EventsForwarded;
+  }
+  if (!Run.BegunAt)
+    Run.BegunAt = now;
+  else if (now >= *Run.BegunAt + AnswerSurvivalTime)
+    onAnswerSurvived(Run.Id, *Run.BegunAt);
+}
+
+bool RequestHandler::shouldLeaveSilentRun(const ServerChoice &Server,
+                                          const WaitHook &Wait) {
+  TimePoint started = Clock::now();
+  bool leaves = false;
+  bool silent = true;
+  auto wait = [&](Milliseconds Time) { return silent = Wait(Time); };
+  while (silent && !leaves && !shouldStop()) {
+    if (shouldForward())
+      leaves = !Context.Forwarding->Select(Service).empty();
+    else
+      leaves = reserveElsewhere(Server, wait);
+    if (silent && !leaves)
+      wait(stallTimeout());
+  }
+  internal::LogFields all = fields();
+  all.emplace_back("server", Server.Id);
+  all.emplace_back(
+      "silent_ms",
+      std::to_string((stallTimeout() + std::chrono::duration_cast<Milliseconds>(
+                                           Clock::now() - started))
+                         .count()));
+  all.emplace_back("outcome", leaves    ? "given_up"
+                              : !silent ? "went_on"
+                                        : "ended");
+  log(LogLevel::Info, "request", "waited for a silent server", all);
+  return leaves;
+}
+
+bool RequestHandler::reserveElsewhere(const ServerChoice &Server,
+                                      const WaitHook &Wait) {
+  bool wasTried = !Tried.insert(Server.Id).second;
+  bool silent = true;
+  LeavesSilentRun = true;
+  if (mayUseAnotherOutputServer())
+    Takeover =
+        reserveDecode([&](Milliseconds Time) { return silent = Wait(Time); });
+  LeavesSilentRun = false;
+  silent = silent && (!Takeover || Wait(Milliseconds(0)));
+  if (Takeover && silent && tryConsumeRetry())
+    return true;
+  dropTakeover();
+  if (!wasTried)
+    Tried.erase(Server.Id);
+  return false;
+}
+
 void RequestHandler::logEndInsideEvent(const std::string &Source) const {
   internal::LogFields all = fields();
   all.emplace_back("from", Source);
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -59,6 +59,14 @@
          !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
 }
 
+bool RequestHandler::mayUseAnotherOutputServer() const {
+  for (ServerStage stage : {ServerStage::Decode, ServerStage::Whole})
+    for (const ServerChoice &it : Context.Directory.rank(outputQuery(stage)))
+      if (mayUse(it.Id))
+        return true;
+  return false;
+}
+
 bool RequestHandler::knowsOutputServer() const {
   return Context.Directory.hasServer(Service, ServerStage::Decode) ||
          Context.Directory.hasServer(Service, ServerStage::Whole);
