Give up a run of a stream whose event ids go back

Cause: the id of the last event served to continue the stream and was never compared with that of the next one.

Evidence: "A run whose ids go back isn't joined to a stream", "Ids that go back within a run end it after the last one in order" and "A stream that is taken up doesn't begin again" fail on the code before.

A run with an event that isn't beyond the last one is given up, since its later events needn't fit those that the caller has.

--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -168,12 +168,13 @@
     HeadSent = true;
   }
   std::string body;
+  bool ordered = true;
   internal::EventSplitter events;
   ForwardResponse frame = std::move(First);
   while (true) {
     if (isStream) {
       events.add(frame.Data);
-      forwardEvents(events, head.OutputVersion);
+      ordered = forwardEvents(events, head.OutputVersion, PeerName);
     } else {
       body += frame.Data;
     }
@@ -181,6 +182,8 @@
       finish("caller_left", "the caller closed its connection");
       return AttemptResult::Done;
     }
+    if (!ordered)
+      return AttemptResult::Unknown;
     if (frame.End || body.size() > MaxResponseBytes)
       break;
     frame = ForwardResponse();
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -85,6 +85,7 @@
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
   LastEventId = this->Request.LastEventId;
+  Order.accept(LastEventId);
   Returning = Context.Directory.isReturning(
       Route.Name, this->Request.TimeLeft.value_or(Route.Timeout));
   if (!Origin)
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -5,6 +5,7 @@
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
 #include "event_splitter.h"
+#include "gateway/decisions/event_order.h"
 #include "gateway/forward_codec.h"
 #include "gateway/gateway_context.h"
 #include "log.h"
@@ -191,8 +192,11 @@
   void dropTakeover();
   // `Source`: the server or the instance that sent the stream.
   void logEndInsideEvent(const std::string &Source) const;
-  // `Version`: of the server's software; 0 if it isn't known.
-  bool forwardEvents(internal::EventSplitter &Events, VersionKey Version);
+  // `Version`: of the server's software; 0 if it isn't known. Returns false at
+  // an event whose id isn't beyond the last one: the run doesn't go on with the
+  // stream, and nothing more of it is passed on.
+  bool forwardEvents(internal::EventSplitter &Events, VersionKey Version,
+                     const std::string &Source);
   // Whether the response is a stream of events like the one that the caller
   // gets. Anything else with status 200 is no run of the stream.
   bool continuesStream(const std::string *ContentType);
@@ -330,6 +334,7 @@
   uint64_t QuotaTokens = 0;
   bool CallerWriteFailed = false; // the caller disconnected or stalled
   std::string LastEventId;        // of the last event forwarded
+  EventOrder Order;               // of the events forwarded
   // Media type of the first response with events; empty if it states none.
   std::optional<std::string> StreamType;
   // Software version of the server that sent the stream's first event.
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -759,7 +759,8 @@
         bytes, Run.End,
         std::chrono::ceil<Milliseconds>(std::max(Until, now) - now));
     Run.Events.add(bytes);
-    forwardEvents(Run.Events, versionKeyOf(Server.Version));
+    if (!forwardEvents(Run.Events, versionKeyOf(Server.Version), Server.Id))
+      Run.Status = CallStatus::ConnectionBroken;
     if (EventsForwarded > forwarded)
       onEventsForwarded(Server, Run);
     else if (!Run.End && Run.Status == CallStatus::Responded &&
@@ -870,18 +871,29 @@
 }
 
 bool RequestHandler::forwardEvents(internal::EventSplitter &Events,
-                                   VersionKey Version) {
+                                   VersionKey Version,
+                                   const std::string &Source) {
   std::string all;
   std::string event;
-  while (Events.next(event)) {
+  bool ordered = true;
+  while (ordered && Events.next(event)) {
     std::string id = Context.Codec.EventId(event);
+    ordered = Order.accept(id);
+    if (!ordered) {
+      internal::LogFields logged = fields();
+      logged.emplace_back("from", Source);
+      logged.emplace_back("id", id);
+      logged.emplace_back("last_event_id", LastEventId);
+      log(LogLevel::Warn, "request", "an event's id went back", logged);
+      break;
+    }
     if (!id.empty())
       LastEventId = id;
     ++EventsForwarded;
     all += event;
   }
   if (all.empty())
-    return true;
+    return ordered;
   if (!StreamVersion && Version != 0)
     StreamVersion = Version;
   TimePoint now = Clock::now();
@@ -897,7 +909,7 @@
         std::chrono::duration<double>(*FirstOutput - Arrived).count());
   }
   CallerWriteFailed = !Sink.write(all);
-  return !CallerWriteFailed;
+  return ordered;
 }
 
 } // namespace crocusspur::gateway
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -278,7 +278,7 @@
     sendFrameText(Fd, frame);
     sendFrameText(Fd, endFrame(true));
   });
-  for (bool isTyped : {true}) {
+  for (bool isTyped : {false, true}) {
     CAPTURE(isTyped);
     typed = isTyped;
     CutOffFixture setup({});
--- a/test/gateway_stream_join_test.cc
+++ b/test/gateway_stream_join_test.cc
@@ -1,4 +1,5 @@
-// What is joined to a stream that broke off: only a stream of events.
+// What is joined to a stream that broke off: only a stream of events, with ids
+// beyond those that the caller has.
 #include "gateway/decisions/content_fingerprint.h"
 #include "gateway_fixture.h"
 
@@ -154,6 +155,53 @@
   }
 }
 
+// A server that ignores the last event's id begins again at the first: callers
+// got events twice, in one complete answer.
+TEST_CASE("A run whose ids go back isn't joined to a stream") {
+  BrokenStream alone([](int) { return stream(1, EventCount); }, 2);
+  std::string response = alone.run();
+  checkEvents(response, 4);
+  CHECK_FALSE(looksComplete(response));
+
+  BrokenStream third(
+      [](int Run) { return stream(Run == 2 ? 4 : 5, EventCount); }, 3);
+  response = third.run();
+  checkEvents(response, EventCount);
+  CHECK(looksComplete(response));
+}
+
+TEST_CASE("Ids that go back within a run end it after the last one in order") {
+  BrokenStream setup(
+      [](int Run) {
+        std::string first = stream(1, 6, false) + chunk(event(3)) +
+                            chunk(event(7)) + "0\r\n\r\n";
+        return Run == 1 ? first : stream(7, EventCount);
+      },
+      2);
+  setup.BreaksOff = false;
+  std::string response = setup.run();
+  checkEvents(response, EventCount);
+  CHECK(looksComplete(response));
+}
+
+// The caller takes the stream up at another instance.
+TEST_CASE("A stream that is taken up doesn't begin again") {
+  BrokenStream setup(
+      [](int Run) { return stream(Run == 1 ? 1 : 5, EventCount); }, 2);
+  setup.BreaksOff = false;
+  CallerRequest request = setup.Gateway.request();
+  request.LastEventId = "4";
+  request.ResumedRequestId = "a0";
+  setup.Gateway.Origins.record(
+      streamKeyOf(request.Host, request.Target, request.ResumedRequestId),
+      versionKeyOf("v1"), Milliseconds(20000));
+  std::string response = setup.run(request);
+  CHECK(count(response, event(4)) == 0);
+  CHECK(count(response, event(5)) == 1);
+  CHECK(looksComplete(response));
+  CHECK(setup.Runs == 2);
+}
+
 TEST_CASE("Events without a number as id are passed on") {
   BrokenStream setup(
       [](int) {
