Keep connections with unnamed responses apart from requests

Cause: a response without an id counts as the one that is due, and calls without an id shared the connections of requests.

Change: requests get connections on which each response named its request, or new ones; calls without an id use the others. Scripted servers of tests end reads when they are destroyed, since a client may now keep a connection longer than such a server lives.

--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -51,7 +51,9 @@
     const std::vector<std::string> &ids = it->Connection.RequestIds;
     bool usable =
         it->UsableUntil > now && it->Connection.Socket->isIdleAndOpen();
-    if (usable && std::ranges::find(ids, RequestId) != ids.end())
+    bool fits = it->Connection.Traceable == !RequestId.empty() &&
+                std::ranges::find(ids, RequestId) == ids.end();
+    if (usable && !fits)
       continue;
     PooledConnection connection = std::move(it->Connection);
     idle.erase(it);
@@ -173,6 +175,7 @@
 bool ServerCall::connect(const std::string &RequestId, CallStatus &Status) {
   PooledConnection kept = Pool.take(Server.Address, RequestId);
   RequestIds = std::move(kept.RequestIds);
+  Traceable = kept.Traceable;
   if (kept.Socket) {
     Http.adopt(std::move(kept.Socket));
     return true;
@@ -236,6 +239,7 @@
       return status;
     Info = Codec.ParseResponseHead(Http.head());
     if (Info.RequestId.empty() || Info.RequestId == RequestId) {
+      Traceable = Traceable && !Info.RequestId.empty();
       Limits.onResponse(Server.Id, Info.Limit, SentAt);
       Pool.onResponse(Server, Info);
       return status;
@@ -265,7 +269,8 @@
 
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
-    Pool.give(Server.Address, {std::move(kept), std::move(RequestIds)},
+    Pool.give(Server.Address,
+              {std::move(kept), std::move(RequestIds), Traceable},
               Info.KeepAliveTimeout);
 }
 
@@ -276,7 +281,7 @@
   if (http.connect(Address, Clock::now() + RefusalTimeout) ==
       ExchangeStatus::Ok) {
     if (BackendSocketPtr opened = http.releaseUnused())
-      Pool.give(Address, {std::move(opened), {}}, std::nullopt);
+      Pool.give(Address, {std::move(opened), {}, true}, std::nullopt);
     return ConnectResult::Opened;
   }
   return http.connectionRefused() ? ConnectResult::Refused
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -21,6 +21,9 @@
 struct PooledConnection {
   internal::BackendSocketPtr Socket;
   std::vector<std::string> RequestIds; // latest last
+  // Whether each response named its request. After one that didn't, a late
+  // duplicate of it couldn't be told from the response to another request.
+  bool Traceable = true;
 };
 
 // Idle connections by address. Thread-safe.
@@ -29,6 +32,8 @@
   // Returns an idle connection that is still open, or null. A server may send a
   // response twice, and the id tells which request it belongs to; so a request
   // that is sent again never gets a connection that it was sent on before.
+  // Requests with an id get traceable connections, calls without one the
+  // others.
   PooledConnection take(const std::string &Address,
                         const std::string &RequestId);
   // `KeepAliveTimeout`: how long the server keeps the connection, if it has
@@ -157,6 +162,7 @@
   bool RequestSent = false;            // as a whole
   int StrayResponses = 0;              // skipped so far
   std::vector<std::string> RequestIds; // sent on the connection
+  bool Traceable = true;               // see PooledConnection
   ResponseInfo Info;
 };
 
--- a/test/test_socket.cc
+++ b/test/test_socket.cc
@@ -70,6 +70,12 @@
 ScriptServer::~ScriptServer() {
   stopListening();
   Acceptor.join();
+  {
+    // Scripts may wait for requests on connections that a client keeps.
+    std::lock_guard lock(Mutex);
+    for (int it : Open)
+      ::shutdown(it, SHUT_RD);
+  }
   for (std::thread &it : Threads)
     it.join();
   ::close(Listener);
@@ -79,8 +85,14 @@
   int fd;
   while ((fd = ::accept(Listener, nullptr, nullptr)) >= 0) {
     int number = Count++;
+    {
+      std::lock_guard lock(Mutex);
+      Open.insert(fd);
+    }
     Threads.emplace_back([this, fd, number] {
       Run(fd, number);
+      std::lock_guard lock(Mutex);
+      Open.erase(fd);
       ::close(fd);
     });
   }
--- a/test/test_socket.h
+++ b/test/test_socket.h
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -29,7 +31,8 @@
 };
 
 // Runs the script for each connection; `Number` counts connections from 0. The
-// socket is closed when the script returns.
+// socket is closed when the script returns. The destructor ends reads of
+// scripts and waits for them.
 class ScriptServer {
 public:
   using Script = std::function<void(int Fd, int Number)>;
@@ -53,6 +56,8 @@
   int Listener = -1;
   uint16_t Port = 0;
   std::atomic<int> Count{0};
+  std::mutex Mutex;
+  std::set<int> Open; // connections
   std::vector<std::thread> Threads;
   std::thread Acceptor;
 };
