Keep streams of a server upgraded in place at its new version

Cause: the version of a stream was the one that the entry stated when the server was chosen; a restart that became known later changed neither it nor the records for other instances.

Change: what arrives once the restart is known is of the new process, so the stream and its record take its version. A run that breaks off before that leaves its version uncertain, and nobody continues it.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -79,6 +79,20 @@
     Unknown      // a server may have executed or failed it
   };
 
+  // A run whose stream is relayed.
+  struct RelayedRun {
+    RunTracker::Id Id;
+    // Events that the caller had before the run.
+    uint64_t EventsBefore = 0;
+    internal::EventSplitter Events;
+    bool End = false; // of the body
+    CallStatus Status = CallStatus::Responded;
+    std::optional<TimePoint> BegunAt; // the first event
+    // Start of the latest sample of the server's pace, and the events before.
+    std::optional<TimePoint> SampledAt;
+    uint64_t EventsBeforeSample = 0;
+  };
+
   void runPlain();
   // Waits until a server may have room, while the response can still be on
   // time. Returns false if the request is to be refused.
@@ -139,6 +153,17 @@
   // it may get no requests at the moment.
   bool knowsOutputServer() const;
   void refuseResumption(const std::string &Why);
+  // A server may start again with another software version under its id, and
+  // serve before its entry says so. Called before events of a run are passed
+  // on: corrects the version of the stream, and returns false if the run
+  // doesn't fit the events that the caller has.
+  bool confirmRunVersion(const ServerChoice &Server, const RelayedRun &Run);
+  // Called when a run has broken off: notes whether events of it may be of
+  // another version than the stream's.
+  void checkBrokenRun(const ServerChoice &Server, const RelayedRun &Run);
+  void recordVersion(VersionKey Version);
+  void logOtherVersion(const ServerChoice &Server, VersionKey Version,
+                       const char *Outcome) const;
   // Records for other instances that the run at the server may begin the
   // stream, or goes on with it.
   void recordOrigin(const ServerChoice &Server);
@@ -161,17 +186,6 @@
   Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
-  // A run whose stream is relayed.
-  struct RelayedRun {
-    RunTracker::Id Id;
-    internal::EventSplitter Events;
-    bool End = false; // of the body
-    CallStatus Status = CallStatus::Responded;
-    std::optional<TimePoint> BegunAt; // the first event
-    // Start of the latest sample of the server's pace, and the events before.
-    std::optional<TimePoint> SampledAt;
-    uint64_t EventsBefore = 0;
-  };
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run);
   // Reads until events were forwarded or the run has ended. Sets the status to
@@ -339,6 +353,8 @@
   std::optional<std::string> StreamType;
   // Software version of the server that sent the stream's first event.
   std::optional<VersionKey> StreamVersion;
+  // Events of a broken run may be of another version; nothing fits them.
+  bool VersionUncertain = false;
   // The version that other instances were told the stream may begin at. Some
   // of them may miss a second one, so runs without an event don't change it.
   std::optional<VersionKey> RecordedVersion;
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -392,6 +392,13 @@
   return Registry.usable(Server, Clock::now());
 }
 
+VersionKey ServiceDirectory::currentVersion(const ServerChoice &Server) const {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Registry.find(Server.Id);
+  bool restarted = entry && entry->StartedAt != Server.StartedAt;
+  return versionKeyOf(restarted ? entry->Version : Server.Version);
+}
+
 std::optional<VersionKey>
 ServiceDirectory::soleVersion(const std::string &Service,
                               Milliseconds MaxAge) const {
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -114,13 +114,14 @@
       return;
     MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
     if (result == AttemptResult::Unknown &&
-        (!Route.Resumable || mayEndNextServer()))
+        (!Route.Resumable || mayEndNextServer() || VersionUncertain))
       break;
   }
   dropTakeover();
   if (HeadSent) {
     abortStream(CrashRefusedFor        ? CrashRefusalReason
                 : AccessRefused        ? reasonOf(*AccessRefused)
+                : VersionUncertain     ? "its server's version is uncertain"
                 : mayEndNextServer()   ? "its server ended with it"
                 : RetryBudgetExhausted ? "the retry allowance is used up"
                                        : "no server could continue the stream");
@@ -705,6 +706,7 @@
   }
   RelayedRun run;
   run.Id = Run;
+  run.EventsBefore = EventsForwarded;
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
     readEvents(Call, Server, run, Clock::now() + stallTimeout());
@@ -735,6 +737,7 @@
     return AttemptResult::Done;
   }
   Tried.insert(Server.Id);
+  checkBrokenRun(Server, run);
   return AttemptResult::Unknown;
 }
 
@@ -759,7 +762,10 @@
         bytes, Run.End,
         std::chrono::ceil<Milliseconds>(std::max(Until, now) - now));
     Run.Events.add(bytes);
-    if (!forwardEvents(Run.Events, versionKeyOf(Server.Version), Server.Id))
+    if (!bytes.empty() &&
+        (!confirmRunVersion(Server, Run) ||
+         !forwardEvents(Run.Events, Context.Directory.currentVersion(Server),
+                        Server.Id)))
       Run.Status = CallStatus::ConnectionBroken;
     if (EventsForwarded > forwarded)
       onEventsForwarded(Server, Run);
@@ -781,13 +787,13 @@
   TimePoint now = Clock::now();
   if (!Run.SampledAt) {
     Run.SampledAt = now;
-    Run.EventsBefore = EventsForwarded;
+    Run.EventsBeforeSample = EventsForwarded;
   } else if (now - *Run.SampledAt >= DecodeSampleTime) {
     Context.Directory.onCallTimed(
-        Server, static_cast<double>(EventsForwarded - Run.EventsBefore),
+        Server, static_cast<double>(EventsForwarded - Run.EventsBeforeSample),
         std::chrono::duration_cast<Milliseconds>(now - *Run.SampledAt));
     Run.SampledAt = now;
-    Run.EventsBefore = EventsForwarded;
+    Run.EventsBeforeSample = EventsForwarded;
   }
   if (!Run.BegunAt)
     Run.BegunAt = now;
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -16,6 +16,9 @@
 // Retry-After for callers whose stream no server may continue. Coming back
 // early can't help them.
 constexpr Milliseconds NotResumableRetryAfter{5000};
+// Recorded for a stream that may hold events of two versions: nobody continues
+// it, as after contradictory records.
+constexpr VersionKey UncertainVersion = 0;
 
 } // namespace
 
@@ -79,11 +82,63 @@
 void RequestHandler::recordOrigin(const ServerChoice &Server) {
   if (!Route.Resumable)
     return;
+  RecordedVersion = versionKeyOf(Server.Version);
+  recordVersion(*RecordedVersion);
+}
+
+void RequestHandler::recordVersion(VersionKey Version) {
   const std::string &first =
       Request.ResumedRequestId.empty() ? Request.Id : Request.ResumedRequestId;
-  RecordedVersion = versionKeyOf(Server.Version);
   Context.Origins.record(streamKeyOf(Request.Host, Request.Target, first),
-                         *RecordedVersion, timeLeft());
+                         Version, timeLeft());
+}
+
+// A restart ends the connections of the process before. So what still arrives
+// once the restart is known is of the new process.
+bool RequestHandler::confirmRunVersion(const ServerChoice &Server,
+                                       const RelayedRun &Run) {
+  if (!Route.Resumable)
+    return true;
+  VersionKey version = Context.Directory.currentVersion(Server);
+  VersionKey assumed = StreamVersion.value_or(versionKeyOf(Server.Version));
+  if (version == assumed)
+    return true;
+  bool begun = Run.EventsBefore == 0 && Request.LastEventId.empty();
+  logOtherVersion(Server, version, begun ? "corrected" : "given up");
+  if (begun) {
+    RecordedVersion = version;
+    if (StreamVersion)
+      StreamVersion = version;
+    recordVersion(version);
+  } else if (EventsForwarded > Run.EventsBefore) {
+    VersionUncertain = true;
+    recordVersion(UncertainVersion);
+  }
+  return begun;
+}
+
+void RequestHandler::checkBrokenRun(const ServerChoice &Server,
+                                    const RelayedRun &Run) {
+  if (!Route.Resumable || EventsForwarded == Run.EventsBefore)
+    return;
+  VersionKey version = Context.Directory.currentVersion(Server);
+  if (VersionUncertain || version == StreamVersion)
+    return;
+  logOtherVersion(Server, version, "uncertain");
+  VersionUncertain = true;
+  recordVersion(UncertainVersion);
+}
+
+void RequestHandler::logOtherVersion(const ServerChoice &Server,
+                                     VersionKey Version,
+                                     const char *Outcome) const {
+  internal::LogFields all = fields();
+  all.emplace_back("server", Server.Id);
+  all.emplace_back("chosen_version", Server.Version);
+  all.emplace_back("version", fingerprintText(Version));
+  all.emplace_back("events", std::to_string(EventsForwarded));
+  all.emplace_back("outcome", Outcome);
+  log(LogLevel::Warn, "request", "the server has another version by now", all);
 }
 
 ServerQuery RequestHandler::outputQuery(ServerStage Stage) const {
--- /dev/null
+++ b/test/gateway_version_restart_test.cc
@@ -0,0 +1,143 @@
+// A server that starts again with another software version under its id, and
+// serves before its entry says so.
+#include "gateway/decisions/content_fingerprint.h"
+#include "gateway_fixture.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+
+namespace {
+
+constexpr int EventCount = 6;
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
+         "\n\n";
+}
+
+std::string chunks(int From, int To) {
+  std::string all;
+  for (int i = From; i <= To; ++i) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", event(i).size());
+    all += size + event(i) + "\r\n";
+  }
+  return all;
+}
+
+const std::string StreamHead =
+    "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
+    "a1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n";
+
+// Server d1 is chosen as one of version v1. Its entry says v2 once its first
+// run has begun; the run breaks off after event 4. Others go on with a stream.
+struct UpgradedServer {
+  explicit UpgradedServer(int EventsBeforeEntry)
+      : EventsBeforeEntry(EventsBeforeEntry) {
+    addEntry("d1", First.address(), "v1", 1000);
+    Gateway.WhileRunning = [this](SocketPair &Sockets) {
+      if (this->EventsBeforeEntry > 0)
+        readUntil(Sockets.far(), event(this->EventsBeforeEntry) + "\r\n");
+      Received = true;
+    };
+  }
+  void addOther(const std::string &Id, FakeServer &Server,
+                const std::string &Version) {
+    addEntry(Id, Server.address(), Version, 1000);
+  }
+  void addEntry(const std::string &Id, const std::string &Address,
+                const std::string &Version, int64_t StartedAt) {
+    crocusspur::gateway::ServerEntry entry;
+    entry.Id = Id;
+    entry.Service = "summaries";
+    entry.Address = Address;
+    entry.Slots = 4;
+    entry.Stage = ServerStage::Decode;
+    entry.Version = Version;
+    entry.StartedAt = StartedAt;
+    Gateway.Directory.applyServer({Id, {0, ++Gateway.Revision}, entry},
+                                  UpdateOrigin::Store);
+  }
+  // Grants reservations only once the first run has begun.
+  FakeServer::Responder continuing() {
+    return [this](const std::string &Request, int) {
+      if (Request.starts_with("POST /api/hold-take"))
+        return Begun ? httpResponse(200, R"({"retention":"r2"})") : refusal();
+      if (!Request.starts_with("POST /x/y"))
+        return httpResponse(200, "{}");
+      CHECK(headerField(Request, "Last-Event-Id") == "4");
+      return StreamHead + chunks(5, EventCount) + "0\r\n\r\n";
+    };
+  }
+  void run() {
+    PathRoute route = Gateway.route(RouteKind::Stream);
+    route.Resumable = true;
+    Gateway.run(route);
+  }
+  std::optional<VersionKey> recorded() {
+    CallerRequest request = Gateway.request();
+    return Gateway.Origins.find(
+        streamKeyOf(request.Host, request.Target, request.Id));
+  }
+
+  int EventsBeforeEntry;
+  std::atomic<bool> Begun{false};
+  std::atomic<bool> Received{false};
+  ScriptServer First{[this](int Fd, int) {
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty())
+        return;
+      if (request.starts_with("POST /x/y"))
+        break;
+      sendText(Fd, httpResponse(200, R"({"retention":"r1"})"));
+    }
+    Begun = true;
+    sendText(Fd, StreamHead + chunks(1, EventsBeforeEntry));
+    eventually([&] { return Received.load(); });
+    addEntry("d1", First.address(), "v2", 2000);
+    sendText(Fd, chunks(EventsBeforeEntry + 1, 4));
+  }};
+  GatewayFixture Gateway;
+};
+
+size_t runsAt(const FakeServer &Server) { return Server.count("POST /x/y"); }
+
+} // namespace
+
+// The stream was taken for one of the version that the entry stated when the
+// server was chosen, and went on at servers of that version: callers got events
+// of two versions in one answer.
+TEST_CASE("A stream of a server upgraded in place stays at its new version") {
+  for (int before : {0, 2}) {
+    CAPTURE(before);
+    UpgradedServer setup(before);
+    FakeServer sameVersion(setup.continuing());
+    FakeServer formerVersion(setup.continuing());
+    setup.addOther("d2", formerVersion, "v1");
+    SUBCASE("with another server of it") {
+      setup.addOther("d3", sameVersion, "v2");
+      setup.run();
+      CHECK(runsAt(sameVersion) == 1);
+    }
+    SUBCASE("alone") { setup.run(); }
+    CHECK(runsAt(formerVersion) == 0);
+    CHECK(setup.recorded() == versionKeyOf("v2"));
+  }
+}
+
+// What arrived before may be of either version.
+TEST_CASE("A stream of an uncertain version isn't continued by anyone") {
+  UpgradedServer setup(4);
+  FakeServer formerVersion(setup.continuing());
+  FakeServer newVersion(setup.continuing());
+  setup.addOther("d2", formerVersion, "v1");
+  setup.addOther("d3", newVersion, "v2");
+  setup.run();
+  CHECK(runsAt(formerVersion) + runsAt(newVersion) == 0);
+  CHECK(setup.recorded() == VersionKey(0));
+}
