--- a/test/instance_list_test.cc
+++ b/test/instance_list_test.cc
@@ -69,6 +69,27 @@
   CHECK(keys == expected);
 }
 
+// An exception or an exhausted stack ended the processes that read the list, in
+// other systems.
+TEST_CASE("InstanceList reports odd entries instead of failing on them") {
+  for (size_t depth : {100UL, 1000UL, 400000UL})
+    for (const std::string &nested :
+         {std::string(depth, '['),
+          std::string(depth, '[') + std::string(depth, ']')}) {
+      CAPTURE(depth);
+      CHECK_FALSE(diagnosticsOf(nested).empty());
+      CHECK_FALSE(diagnosticsOf(R"({"sequence":1,"instances":[],"servers":[)" +
+                                nested + "]}")
+                      .empty());
+    }
+  for (const char *it : {"99999999999999999999999", "1e400", "-1", "1.5"}) {
+    CAPTURE(it);
+    CHECK_FALSE(diagnosticsOf("{\"sequence\":" + std::string(it) +
+                              ",\"instances\":[],\"servers\":[]}")
+                    .empty());
+  }
+}
+
 // Guards against keys that move although the instance they map to remains.
 TEST_CASE("RankByRendezvous moves only the keys of a removed name") {
   std::vector<std::string> names = {"e1", "e2", "e3", "e4"};
--- a/test/platform_entries_test.cc
+++ b/test/platform_entries_test.cc
@@ -75,6 +75,47 @@
   CHECK_FALSE(parseServerEntry("i-1", "[]").has_value());
 }
 
+// Entries of other writers. An exception or an exhausted stack ended the
+// processes that read the list, in other systems.
+TEST_CASE("parseServerEntry survives odd entries") {
+  for (size_t depth : {100UL, 1000UL, 400000UL}) {
+    std::string arrays(depth, '[');
+    std::string objects;
+    for (size_t i = 0; i < depth; ++i)
+      objects += "{\"a\":";
+    for (const std::string &nested :
+         {arrays, arrays + std::string(depth, ']'), objects,
+          objects + "1" + std::string(depth, '}')}) {
+      CAPTURE(depth);
+      CHECK_FALSE(parseServerEntry("i-1", nested).has_value());
+      // Also as an unknown field, which a server may have if it can be read.
+      parseServerEntry("i-1",
+                       replaced(GoodServer, "{", "{\"x\":" + nested + ","));
+    }
+  }
+  const std::pair<std::string, std::string> odd[] = {
+      {"\"slots\":64", "\"slots\":4294967296"},
+      {"\"slots\":64", "\"slots\":18446744073709551615"},
+      {"\"slots\":64", "\"slots\":99999999999999999999999"},
+      {"\"slots\":64", "\"slots\":1e400"},
+      {"\"slots\":64", "\"slots\":64.5"},
+      {"\"born\":1764000000123", "\"born\":9223372036854775808"},
+      {"\"born\":1764000000123", "\"born\":-1"},
+      {"\"born\":1764000000123", "\"born\":1e400"},
+      {"10.128.0.9:8080", "10.128.0.9:65536"},
+      {"10.128.0.9:8080", "10.128.0.9:0"},
+      {"10.128.0.9:8080", "10.128.0.9:-1"},
+      {"10.128.0.9:8080", "10.128.0.9:99999999999999999999"},
+      {"10.128.0.9:8080", "10.128.0.256:8080"},
+      {"10.128.0.9:8080", ":8080"},
+      {"10.128.0.9:8080", "10.128.0.9"}};
+  for (const auto &[from, to] : odd) {
+    CAPTURE(to);
+    CHECK_FALSE(
+        parseServerEntry("i-1", replaced(GoodServer, from, to)).has_value());
+  }
+}
+
 TEST_CASE("parseServerEntry accepts any text as a software version") {
   for (const std::string &version : {"", "v1.2-rc 3"}) {
     auto entry = parseServerEntry(
