Let a test of entries compile with clang

Cause: the lint failed since doctest's CAPTURE is a lambda, which can't hold a structured binding in C++20 as clang 14 reads it; g++ accepts it. Change: the pair is named.

--- a/test/platform_entries_test.cc
+++ b/test/platform_entries_test.cc
@@ -109,10 +109,11 @@
       {"10.128.0.9:8080", "10.128.0.256:8080"},
       {"10.128.0.9:8080", ":8080"},
       {"10.128.0.9:8080", "10.128.0.9"}};
-  for (const auto &[from, to] : odd) {
-    CAPTURE(to);
+  for (const auto &it : odd) {
+    CAPTURE(it.second);
     CHECK_FALSE(
-        parseServerEntry("i-1", replaced(GoodServer, from, to)).has_value());
+        parseServerEntry("i-1", replaced(GoodServer, it.first, it.second))
+            .has_value());
   }
 }
 
