Bound the wait for a silent server by the patience of callers

Cause: since a silent server is left only for another one, a stream whose server sends bytes that never make up an event had no end but its deadline (20 s) if no other server was there. Change: the wait ends once no caller of a stream waits any longer, 4.1 s at a latency target of 900 ms and pauses of 300 ms.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -195,10 +195,13 @@
   void onEventsForwarded(const ServerChoice &Server, RelayedRun &Run);
   // How long a run may be silent before another server is sought.
   Milliseconds stallTimeout() const;
+  // The longest gap after which a caller of a stream still waits.
+  Milliseconds callerPatience() const;
   // Waits for a silent run and seeks another server for its stream. `Wait`
   // waits for the run and returns whether it's still silent. Returns true if
   // the run is to be given up for another one: its server may be sound, and the
-  // stream is lost if no other takes it.
+  // stream is lost if no other takes it. Returns false with the run still
+  // silent once no caller waits any longer.
   bool shouldLeaveSilentRun(const ServerChoice &Server, const WaitHook &Wait);
   // One attempt to reserve memory at another server; keeps the reservation in
   // `Takeover`. Returns whether there is one and the run is still silent.
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -47,6 +47,13 @@
 // many times its longest allowed pause.
 constexpr int StallTimeoutInGaps = 5;
 constexpr Milliseconds MinStallTimeout{1200};
+// Callers abandon a stream after a gap of two seconds, four times its latency
+// target or eight times its longest allowed pause, whichever is longest. No
+// run is waited for after that and the time on the way.
+constexpr Milliseconds MinCallerPatience{2000};
+constexpr int CallerPatienceInTargets = 4;
+constexpr int CallerPatienceInGaps = 8;
+constexpr Milliseconds CallerPatienceMargin{500};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
 // Status of a server that isn't in the stage, or isn't the one, that was meant.
@@ -749,6 +756,13 @@
       std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps));
 }
 
+Milliseconds RequestHandler::callerPatience() const {
+  return std::max({MinCallerPatience,
+                   Route.LatencyTarget * CallerPatienceInTargets,
+                   Route.InterTokenTarget * CallerPatienceInGaps}) +
+         CallerPatienceMargin;
+}
+
 void RequestHandler::readEvents(ServerCall &Call, const ServerChoice &Server,
                                 RelayedRun &Run, TimePoint Until) {
   uint64_t forwarded = EventsForwarded;
@@ -807,13 +821,16 @@
   bool leaves = false;
   bool silent = true;
   auto wait = [&](Milliseconds Time) { return silent = Wait(Time); };
-  while (silent && !leaves && !shouldStop()) {
+  TimePoint until = started + callerPatience() - stallTimeout();
+  while (silent && !leaves && !shouldStop() && Clock::now() < until) {
     if (shouldForward())
       leaves = !Context.Forwarding->Select(Service).empty();
     else
       leaves = reserveElsewhere(Server, wait);
     if (silent && !leaves)
-      wait(stallTimeout());
+      wait(std::min(stallTimeout(),
+                    std::chrono::ceil<Milliseconds>(
+                        std::max(until, Clock::now()) - Clock::now())));
   }
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
