--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -197,12 +197,12 @@
   Milliseconds stallTimeout() const;
   // The longest gap after which a caller of a stream still waits.
   Milliseconds callerPatience() const;
-  // Waits for a silent run and seeks another server for its stream. `Wait`
-  // waits for the run and returns whether it's still silent. Returns true if
-  // the run is to be given up for another one: its server may be sound, and the
-  // stream is lost if no other takes it. Returns false with the run still
-  // silent once no caller waits any longer.
-  bool shouldLeaveSilentRun(const ServerChoice &Server, const WaitHook &Wait);
+  // Waits for a silent run, whose server may be sound, and seeks another server
+  // for its stream. `Wait` waits for the run and returns whether it's still
+  // silent. Returns once it isn't, or is to be given up: there is a reservation
+  // at another server, an instance that may take the request, or no caller that
+  // waits any longer.
+  void awaitSilentRun(const ServerChoice &Server, const WaitHook &Wait);
   // One attempt to reserve memory at another server; keeps the reservation in
   // `Takeover`. Returns whether there is one and the run is still silent.
   bool reserveElsewhere(const ServerChoice &Server, const WaitHook &Wait);
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -172,7 +172,7 @@
   return CallEvidence::None;
 }
 
-bool ServerCall::connect(const std::string &RequestId, CallStatus &Status) {
+bool ServerCall::connect(CallStatus &Status) {
   PooledConnection kept = Pool.take(Server.Address, RequestId);
   RequestIds = std::move(kept.RequestIds);
   Traceable = kept.Traceable;
@@ -195,7 +195,7 @@
   this->Method = Method;
   this->RequestId = RequestId;
   StartedAt = Clock::now();
-  CallStatus status = connectAndSend(Bytes, RequestId);
+  CallStatus status = connectAndSend(Bytes);
   if (status == CallStatus::Responded)
     status = readOwnHead(ResponseTimeout);
   Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
@@ -215,10 +215,9 @@
   return status;
 }
 
-CallStatus ServerCall::connectAndSend(const std::string &Bytes,
-                                      const std::string &RequestId) {
+CallStatus ServerCall::connectAndSend(const std::string &Bytes) {
   CallStatus failure = CallStatus::NotSent;
-  if (!connect(RequestId, failure))
+  if (!connect(failure))
     return failure;
   SentAt = Clock::now();
   if (!RequestId.empty()) {
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -140,14 +140,13 @@
   const ResponseInfo &info() const { return Info; }
 
 private:
-  CallStatus connectAndSend(const std::string &Bytes,
-                            const std::string &RequestId);
+  CallStatus connectAndSend(const std::string &Bytes);
   // Skips late responses to earlier requests.
   CallStatus readOwnHead(Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
   // What a call that ended with this status shows of the way to the server.
   CallEvidence evidenceOf(CallStatus Status) const;
-  bool connect(const std::string &RequestId, CallStatus &Status);
+  bool connect(CallStatus &Status);
 
   ConnectionPool &Pool;
   const HttpCodec &Codec;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -615,7 +615,7 @@
   if (call.maySent())
     Used.insert(server.Id);
   if (status == CallStatus::TimedOut && Route.Resumable)
-    shouldLeaveSilentRun(server, [&](Milliseconds Time) {
+    awaitSilentRun(server, [&](Milliseconds Time) {
       status = call.awaitHead(Time);
       return status == CallStatus::TimedOut;
     });
@@ -718,7 +718,7 @@
          !CallerWriteFailed) {
     readEvents(Call, Server, run, Clock::now() + stallTimeout());
     if (run.Status == CallStatus::TimedOut && Route.Resumable)
-      shouldLeaveSilentRun(Server, [&](Milliseconds Time) {
+      awaitSilentRun(Server, [&](Milliseconds Time) {
         readEvents(Call, Server, run, Clock::now() + Time);
         return run.Status == CallStatus::TimedOut;
       });
@@ -815,35 +815,33 @@
     onAnswerSurvived(Run.Id, *Run.BegunAt);
 }
 
-bool RequestHandler::shouldLeaveSilentRun(const ServerChoice &Server,
-                                          const WaitHook &Wait) {
+void RequestHandler::awaitSilentRun(const ServerChoice &Server,
+                                    const WaitHook &Wait) {
+  Milliseconds before = stallTimeout(); // of silence
   TimePoint started = Clock::now();
+  TimePoint until = started + callerPatience() - before;
   bool leaves = false;
   bool silent = true;
   auto wait = [&](Milliseconds Time) { return silent = Wait(Time); };
-  TimePoint until = started + callerPatience() - stallTimeout();
   while (silent && !leaves && !shouldStop() && Clock::now() < until) {
     if (shouldForward())
       leaves = !Context.Forwarding->Select(Service).empty();
     else
       leaves = reserveElsewhere(Server, wait);
+    TimePoint now = Clock::now();
     if (silent && !leaves)
-      wait(std::min(stallTimeout(),
-                    std::chrono::ceil<Milliseconds>(
-                        std::max(until, Clock::now()) - Clock::now())));
+      wait(std::min(stallTimeout(), std::chrono::ceil<Milliseconds>(
+                                        std::max(until, now) - now)));
   }
+  auto waited =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
-  all.emplace_back(
-      "silent_ms",
-      std::to_string((stallTimeout() + std::chrono::duration_cast<Milliseconds>(
-                                           Clock::now() - started))
-                         .count()));
+  all.emplace_back("silent_ms", std::to_string((before + waited).count()));
   all.emplace_back("outcome", leaves    ? "given_up"
                               : !silent ? "went_on"
                                         : "ended");
   log(LogLevel::Info, "request", "waited for a silent server", all);
-  return leaves;
 }
 
 bool RequestHandler::reserveElsewhere(const ServerChoice &Server,
--- a/test/gateway_silent_server_test.cc
+++ b/test/gateway_silent_server_test.cc
@@ -1,6 +1,7 @@
 // Sound servers that are silent for longer than a run usually waits, before
 // their response or in the middle of it.
 #include "gateway_fixture.h"
+#include "stream_samples.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
@@ -8,6 +9,7 @@
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using namespace crocusspur::test;
 
 namespace {
 
@@ -19,26 +21,6 @@
   return Text.find(Part) != std::string::npos;
 }
 
-std::string event(int Id) {
-  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
-         "\n\n";
-}
-
-std::string events(int From, int To) {
-  std::string all;
-  for (int i = From; i <= To; ++i) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", event(i).size());
-    all += size + event(i) + "\r\n";
-  }
-  return all;
-}
-
-const std::string StreamHead =
-    "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
-    "a1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
-    "chunked\r\n\r\n";
-
 bool isReserve(const std::string &Request) {
   return Request.starts_with("POST /api/hold-take");
 }
@@ -75,11 +57,12 @@
       }
       ++Runs;
       if (Place == SilentAt::SecondEvent)
-        sendText(Fd, StreamHead + events(1, 1));
+        sendText(Fd, StreamHead + eventChunks(1, 1));
       Resume();
-      sendText(Fd, Place == SilentAt::Head ? StreamHead + events(1, EventCount)
-                                           : events(2, EventCount));
-      sendText(Fd, "0\r\n\r\n");
+      sendText(Fd, Place == SilentAt::Head
+                       ? StreamHead + eventChunks(1, EventCount)
+                       : eventChunks(2, EventCount));
+      sendText(Fd, LastChunk);
       WentOn = true;
     }
   }
@@ -172,7 +155,7 @@
         return httpResponse(200, "{}");
       std::string after = headerField(Request, "Last-Event-Id");
       CHECK(after == (place == SilentAt::Head ? "" : "1"));
-      return StreamHead + events(after.empty() ? 1 : 2, EventCount) +
+      return StreamHead + eventChunks(after.empty() ? 1 : 2, EventCount) +
              "0\r\n\r\n";
     });
     GatewayFixture gateway;
--- a/test/gateway_stream_join_test.cc
+++ b/test/gateway_stream_join_test.cc
@@ -2,37 +2,23 @@
 // beyond those that the caller has.
 #include "gateway/decisions/content_fingerprint.h"
 #include "gateway_fixture.h"
+#include "stream_samples.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using namespace crocusspur::test;
 
 namespace {
 
 constexpr int EventCount = 8;
 
-std::string event(int Id) {
-  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
-         "\n\n";
-}
-
-std::string chunk(const std::string &Data) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
-  return size + Data + "\r\n";
-}
-
 const std::string ServerFields = "Server-Signature: sig\r\nAttempt-Id: a1\r\n";
 
 std::string stream(int From, int To, bool Whole = true) {
-  std::string out = "HTTP/1.1 200 X\r\n" + ServerFields +
-                    "Content-Type: text/event-stream\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n";
-  for (int i = From; i <= To; ++i)
-    out += chunk(event(i));
-  return Whole ? out + "0\r\n\r\n" : out;
+  return StreamHead + eventChunks(From, To) + (Whole ? LastChunk : "");
 }
 
 // Text with the form of an event, as a body with a length.
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -2,37 +2,19 @@
 // serves before its entry says so.
 #include "gateway/decisions/content_fingerprint.h"
 #include "gateway_fixture.h"
+#include "stream_samples.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
+using namespace crocusspur::test;
 
 namespace {
 
 constexpr int EventCount = 6;
 
-std::string event(int Id) {
-  return "id: " + std::to_string(Id) + "\ndata: e" + std::to_string(Id) +
-         "\n\n";
-}
-
-std::string chunks(int From, int To) {
-  std::string all;
-  for (int i = From; i <= To; ++i) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", event(i).size());
-    all += size + event(i) + "\r\n";
-  }
-  return all;
-}
-
-const std::string StreamHead =
-    "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: "
-    "a1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
-    "chunked\r\n\r\n";
-
 // Server d1 is chosen as one of version v1. Its entry says v2 once its first
 // run has begun; the run breaks off after event 4. Others go on with a stream.
 struct UpgradedServer {
@@ -70,7 +52,7 @@
       if (!Request.starts_with("POST /x/y"))
         return httpResponse(200, "{}");
       CHECK(headerField(Request, "Last-Event-Id") == "4");
-      return StreamHead + chunks(5, EventCount) + "0\r\n\r\n";
+      return StreamHead + eventChunks(5, EventCount) + "0\r\n\r\n";
     };
   }
   void run() {
@@ -97,10 +79,10 @@
       sendText(Fd, httpResponse(200, R"({"retention":"r1"})"));
     }
     Begun = true;
-    sendText(Fd, StreamHead + chunks(1, EventsBeforeEntry));
+    sendText(Fd, StreamHead + eventChunks(1, EventsBeforeEntry));
     eventually([&] { return Received.load(); });
     addEntry("d1", First.address(), "v2", 2000);
-    sendText(Fd, chunks(EventsBeforeEntry + 1, 4));
+    sendText(Fd, eventChunks(EventsBeforeEntry + 1, 4));
   }};
   GatewayFixture Gateway;
 };
