--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -118,6 +118,28 @@
   Rejected[Instance] = Rejecting;
 }
 
+void FakeStore::setSilent(const std::string &Instance, bool IsSilent) {
+  std::lock_guard lock(Mutex);
+  if (Mirror)
+    Mirror->setSilent(Instance, IsSilent);
+  Silent[Instance] = IsSilent;
+}
+
+void FakeStore::awaitVoice(const std::string &Request) {
+  while (true) {
+    {
+      std::lock_guard lock(Mutex);
+      bool silent = false;
+      for (const auto &[name, isSilent] : Silent)
+        silent = silent || (isSilent && Request.find(": " + name + "\r\n") !=
+                                            std::string::npos);
+      if (!silent || Stopping)
+        return;
+    }
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+}
+
 void FakeStore::serve(int Fd) {
   {
     std::lock_guard lock(Mutex);
@@ -128,6 +150,7 @@
     if (request.empty())
       break;
     std::string response = respond(request);
+    awaitVoice(request);
     if (response.empty())
       break;
     sendText(Fd, response);
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -47,6 +47,8 @@
   // Replaces the statement of the era in responses; empty: none is made.
   void setEraField(std::optional<std::string> Text);
   void setRejecting(const std::string &Instance, bool Rejecting);
+  // Calls of the instance get no response, those that wait neither.
+  void setSilent(const std::string &Instance, bool IsSilent);
   // From now on `Other` gets all changes too, with values that `Translate`
   // returns, so that it serves other addresses at the same revisions.
   void mirrorTo(FakeStore &Other,
@@ -67,6 +69,8 @@
 
   void serve(int Fd);
   bool isRejected(const std::string &Request);
+  // Returns once the store isn't silent towards the sender.
+  void awaitVoice(const std::string &Request);
   std::string list(const std::string &Prefix, uint64_t After, bool &Any);
   // Called with the lock.
   std::string withEra(std::string Response) const;
@@ -84,6 +88,7 @@
   bool Stopping = false;
   std::atomic<uint64_t> Calls{0};
   std::map<std::string, bool> Rejected;
+  std::map<std::string, bool> Silent;
   FakeStore *Mirror = nullptr;
   std::function<std::string(std::string)> TranslateValue;
   std::set<int> Open;
--- a/test/gateway_store_readers_process_test.cc
+++ b/test/gateway_store_readers_process_test.cc
@@ -17,6 +17,8 @@
 constexpr size_t Readers = 4;
 // The platform's bound for fleets of hundreds of instances.
 constexpr Milliseconds ApplyTime{4000};
+// The least bound of the deployments of this size.
+constexpr Milliseconds ConfigApplyTime{3000};
 // Members find each other, and readers settle.
 constexpr Milliseconds SettlingTime{30000};
 constexpr Milliseconds MeasuredTime{3000};
@@ -109,3 +111,19 @@
   fleet.Store.put("op/config", configOf(2, "/y/"));
   CHECK(fleet.waitForState("\"config_version\":2", 2 * ApplyTime));
 }
+
+// Guards against a change that no instance reads in time, since the store is
+// silent towards those that read and serves others.
+TEST_CASE("A large fleet applies a change while the store is silent for most") {
+  SelectiveFleet setup;
+  GatewayFleet &fleet = setup.Fleet;
+  // The readers first.
+  std::stable_partition(fleet.Instances.begin(), fleet.Instances.end(),
+                        readsStore);
+  for (size_t i = 0; i < FleetSize * 9 / 10; ++i)
+    fleet.Store.setSilent(fleet.Instances[i].Name, true);
+  // Shorter than the wait of a call, so that no reader has noticed.
+  std::this_thread::sleep_for(Milliseconds(380));
+  fleet.Store.put("op/config", configOf(2, "/y/"));
+  CHECK(fleet.waitForState("\"config_version\":2", ConfigApplyTime));
+}
