Log how a configuration came, why an instance reads, and how old knowledge is

Change: 'configuration in force' has the peer, the time since an instance read it and its age at most (new fields of frames, absent in those of earlier builds); store_readers has the reason, directory_reader the wait and duration of a failed call; ends of requests and rejections have how old the instance's knowledge of the store was. Metrics config_age_seconds, store_reads_begun_total, store_confirmed_ago_seconds; /state has the same. No decision changes.

--- a/src/gateway/decisions/reader_election.cc
+++ b/src/gateway/decisions/reader_election.cc
@@ -95,7 +95,7 @@
 // The first of those to which the store responds read. The first of all keep
 // trying, so that they notice when it responds again; the others try at certain
 // times only, so that not all do while it is down.
-bool ReaderElection::isRanked(const ReaderView &View, TimePoint Now) const {
+ReadReason ReaderElection::byRank(const ReaderView &View, TimePoint Now) const {
   std::vector<std::string> names{OwnName};
   size_t failing = 0;
   for (const ReaderCandidate &it : View.Others) {
@@ -107,16 +107,17 @@
   size_t place = static_cast<size_t>(own - ranked.begin());
   size_t readers = readersPerDomain(View);
   if (place < readers)
-    return true;
+    return ReadReason::Rank;
   if (failing == 0 || isStoreFailing(Now))
-    return false;
+    return ReadReason::None;
   size_t before = 0; // of those to which the store responds
   for (auto it = ranked.begin(); it != own; ++it)
     before += std::ranges::none_of(View.Others, [&](const ReaderCandidate &C) {
       return C.StoreFailing && C.Name == *it;
     });
-  return before < readers &&
-         (place < readers + Substitutes || isProbeTime(Now));
+  bool substitutes =
+      before < readers && (place < readers + Substitutes || isProbeTime(Now));
+  return substitutes ? ReadReason::Substitute : ReadReason::None;
 }
 
 bool ReaderElection::isProbeTime(TimePoint Now) const {
@@ -126,30 +127,41 @@
 bool ReaderElection::shouldRead(const ReaderView &View, TimePoint Now) {
   if (Now < ReadUntil)
     return true;
-  // One that knows nobody may be one of hundreds whose seeds are down.
-  if (!View.Complete)
-    return IsSeed || (Now >= startReadAt(View) && Now >= PausedUntil);
+  Reason = decide(View, Now);
+  if (Reason == ReadReason::Isolated || Reason == ReadReason::Stale)
+    ReadUntil = Now + MinReadTime;
+  return Reason != ReadReason::None;
+}
+
+ReadReason ReaderElection::decide(const ReaderView &View, TimePoint Now) {
+  if (!View.Complete) {
+    if (IsSeed)
+      return ReadReason::Seed;
+    // One that knows nobody may be one of hundreds whose seeds are down.
+    bool reads = Now >= startReadAt(View) && Now >= PausedUntil;
+    return reads ? ReadReason::Start : ReadReason::None;
+  }
   if (!isSelective(View, Now))
-    return true;
+    return ReadReason::SmallFleet;
   // The others of the domain aren't known yet, so ranks say nothing.
   bool discovering = Now - StartedAt < DiscoveryTime;
-  if (discovering ? IsSeed : isRanked(View, Now))
-    return true;
+  if (discovering && IsSeed)
+    return ReadReason::Seed;
+  ReadReason byRank = discovering ? ReadReason::None : this->byRank(View, Now);
+  if (byRank != ReadReason::None)
+    return byRank;
   if (Now < PausedUntil)
-    return false;
+    return ReadReason::None;
   bool isolated = !PeerHeardAt || Now - *PeerHeardAt > IsolationTime;
-  if (isolated) {
-    ReadUntil = Now + MinReadTime;
-    return true;
-  }
+  if (isolated)
+    return ReadReason::Isolated;
   // If the store doesn't respond to readers, others take their place by rank.
   bool explained =
       std::ranges::any_of(View.Others, &ReaderCandidate::StoreFailing);
   std::optional<TimePoint> confirmed = confirmedAt();
   if (confirmed && Now - *confirmed <= (explained ? OutageDelay : StaleDelay))
-    return false;
-  ReadUntil = Now + MinReadTime;
-  return true;
+    return ReadReason::None;
+  return ReadReason::Stale;
 }
 
 std::vector<std::string> ReaderElection::readers(const ReaderView &View) const {
--- a/src/gateway/decisions/reader_election.h
+++ b/src/gateway/decisions/reader_election.h
@@ -24,6 +24,22 @@
 // Kinds of published documents. Each is read by its own calls.
 enum class PublishedKind : uint8_t { Servers, Routes };
 
+// Why an instance reads the store, or that it doesn't.
+enum class ReadReason : uint8_t {
+  None,
+  Start,      // it lacks documents, and peers haven't sent them
+  Seed,       // others contact it first
+  SmallFleet, // all read
+  Rank,       // it is first in its failure domain
+  Substitute, // the store fails for those before it in rank
+  Isolated,   // it hears no peer
+  Stale,      // what it knows is old
+};
+
+inline constexpr std::array<const char *, 8> ReadReasonNames{
+    "none", "start",      "seed",     "small_fleet",
+    "rank", "substitute", "isolated", "stale"}; // in logs and metrics
+
 // Another instance of the same failure domain that may read the store.
 struct ReaderCandidate {
   std::string Name;
@@ -46,6 +62,8 @@
                  uint64_t Seed, TimePoint Now);
 
   bool shouldRead(const ReaderView &View, TimePoint Now);
+  // Why, as last decided.
+  ReadReason reason() const { return Reason; }
   // Names of the instances that are likely to read, without this one.
   std::vector<std::string> readers(const ReaderView &View) const;
   // Whether the fleet is large enough that only some instances read, so that
@@ -61,6 +79,11 @@
   // A frame of a peer was received.
   void onPeerHeard(TimePoint Now);
 
+  // Since when this instance's knowledge of a kind is confirmed; nothing:
+  // never.
+  std::optional<TimePoint> confirmedAt(PublishedKind Kind) const {
+    return Confirmed[static_cast<size_t>(Kind)];
+  }
   // Since when this instance's knowledge of both kinds is confirmed; nothing:
   // never.
   std::optional<TimePoint> confirmedAt() const;
@@ -69,12 +92,15 @@
   bool isCurrent(TimePoint Now) const;
 
 private:
-  bool isRanked(const ReaderView &View, TimePoint Now) const;
+  ReadReason decide(const ReaderView &View, TimePoint Now);
+  // Rank, Substitute or None.
+  ReadReason byRank(const ReaderView &View, TimePoint Now) const;
   // When an instance that has just started reads if peers haven't told it
   // enough.
   TimePoint startReadAt(const ReaderView &View) const;
   bool isProbeTime(TimePoint Now) const;
 
+  ReadReason Reason = ReadReason::None;
   std::string OwnName;
   std::string Key; // of the rendezvous order
   bool IsSeed;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
 #include "gateway/service_directory.h"
+#include "gateway/store_readers.h"
 #include "gateway/stream_origins.h"
 #include "runtime.h"
 
@@ -44,6 +45,7 @@
   const ForwardingHooks *Forwarding = nullptr; // null: none is passed on
   AccessControl *Access = nullptr;             // null: no key is checked
   PrefillDispatch *Dispatch = nullptr;         // null: prefills are placed here
+  const StoreReaders *Readers = nullptr; // null: documents have no known age
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -97,7 +97,8 @@
   Context.emplace(GatewayContext{
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
-      *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch});
+      *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch,
+      &Runtime->Readers});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
@@ -191,12 +192,14 @@
 void GatewayListener::sendProblem(HttpSink &Sink, const std::string &Request,
                                   ErrorKind Kind, const std::string &Why,
                                   Milliseconds RetryAfter) {
+  std::optional<Milliseconds> confirmed = Runtime->Readers.confirmedAgo();
   log(LogLevel::Info, "gateway_front", "request rejected",
       {{"request", Request},
        {"kind", errorResponse(Kind).Name},
        {"why", Why},
-       {"config_version",
-        std::to_string(Runtime->Directory.routes()->Version)}});
+       {"config_version", std::to_string(Runtime->Directory.routes()->Version)},
+       {"confirmed_ago_ms",
+        confirmed ? std::to_string(confirmed->count()) : ""}});
   internal::Problem item = internal::makeProblem(Kind, Why, RequestId());
   item.RetryAfter = RetryAfter;
   writeProblem(Sink, item);
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -28,6 +28,17 @@
 using internal::log;
 using internal::LogLevel;
 
+void GatewayRuntime::applyRoutes(RouteDocumentPtr Document,
+                                 StoreRevision Revision,
+                                 const ConfigSource &Source) {
+  bool isNew = Directory.applyRoutes(std::move(Document), Revision, Source);
+  internal::MetricsSink *metrics = Metrics.load();
+  if (isNew && metrics && Source.Age.AtMost)
+    metrics->observe("config_age_seconds",
+                     Source.Origin == UpdateOrigin::Store ? "store" : "peer",
+                     std::chrono::duration<double>(*Source.Age.AtMost).count());
+}
+
 void GatewayRuntime::applySettings(const GatewaySettings &NewValues,
                                    const char *Why) {
   std::lock_guard lock(Mutex);
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -91,9 +91,15 @@
   Membership Peers;
   StoreReaders Readers;
   AccessControl Access;
+  std::atomic<internal::MetricsSink *> Metrics{nullptr}; // set at the start
   // Filled by member_links before callers are served; empty without peers.
   ForwardingHooks Forwarding;
 
+  // Passes a document to the directory, and notes how long it took from the
+  // store to here if it comes into force.
+  void applyRoutes(RouteDocumentPtr Document, StoreRevision Revision,
+                   const ConfigSource &Source);
+
   // Applies the settings that can change at run time: seeds, the retry budget,
   // the use of servers' paces, and when callers are refused since keys can't be
   // confirmed. Others need a restart.
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -12,11 +12,21 @@
 namespace crocusspur::gateway {
 namespace {
 
-// The default of Frame.discovered_ago_ms.
+// The default of ages of which nothing is known.
 constexpr Milliseconds LongAgo{0xffffffff};
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
+uint32_t ageField(std::optional<Milliseconds> Age) {
+  return static_cast<uint32_t>(
+      std::min(Age.value_or(LongAgo), LongAgo).count());
+}
+
+std::optional<Milliseconds> ageOf(uint32_t Field) {
+  Milliseconds age(Field);
+  return age == LongAgo ? std::nullopt : std::optional(age);
+}
+
 // Bounds on what a peer may ask for at once; the gateway asks for two calls.
 constexpr uint32_t MaxCallsPerPermit = 16;
 constexpr int32_t MaxCharged = 64;
@@ -459,8 +469,8 @@
       Frame.ChangesSince.has_value(), since.Number, since.Era, wantedLease,
       lease, paceList, Frame.MembersDigest, heard, Frame.Discovered,
       Frame.MembersOmitted ? static_cast<int32_t>(*Frame.MembersOmitted) : -1,
-      static_cast<uint32_t>(Frame.DiscoveredAgo.value_or(LongAgo).count()),
-      wantedPrefill, prefill));
+      ageField(Frame.DiscoveredAgo), wantedPrefill, prefill,
+      ageField(Frame.ConfigTimes.ReadAgo), ageField(Frame.ConfigTimes.AtMost)));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -481,6 +491,8 @@
   frame.ConfigVersion = in.config_version();
   frame.StoreEra = in.store_era();
   frame.ConfigRevision = {in.config_era(), in.config_revision()};
+  frame.ConfigTimes = {ageOf(in.config_read_ago_ms()),
+                       ageOf(in.config_age_ms())};
   frame.ServersRevision = {in.servers_era(), in.servers_revision()};
   frame.RoutesText = textOf(in.routes_text());
   frame.HasServers = in.has_servers();
@@ -495,8 +507,7 @@
     frame.Heard =
         unpackHeard({in.members_heard()->data(), in.members_heard()->size()});
   frame.Discovered = in.discovered();
-  if (Milliseconds ago(in.discovered_ago_ms()); ago != LongAgo)
-    frame.DiscoveredAgo = ago;
+  frame.DiscoveredAgo = ageOf(in.discovered_ago_ms());
   if (in.members_omitted() >= 0)
     frame.MembersOmitted = static_cast<uint32_t>(in.members_omitted());
   frame.AcceptsChanges = in.accepts_changes();
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -4,6 +4,7 @@
 
 #include "gateway/decisions/accounts/quota_bucket.h"
 #include "gateway/decisions/crash_history.h"
+#include "gateway/decisions/fleet/config_age.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/placement/pace_table.h"
 #include "gateway/decisions/placement/prefill_dispatcher.h"
@@ -57,6 +58,7 @@
   bool WantsServers = false; // if the receiver has newer changes
   uint64_t ConfigVersion = 0;
   StoreRevision ConfigRevision; // of the change that wrote it
+  ConfigAge ConfigTimes;        // of that configuration
   StoreRevision ServersRevision;
   uint64_t StoreEra = 0;  // the highest that the sender knows
   std::string RoutesText; // empty: not in this frame
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -148,7 +148,7 @@
   void noteConfirmation(const MemberFrame &Frame);
   // `Revision`: of the change that wrote them, if it is known.
   void applyRoutes(const std::string &Text, StoreRevision Revision,
-                   const std::string &From);
+                   const std::string &From, const ConfigAge &Age);
   void logMembershipChanges();
 
   GatewayRuntime *Runtime = nullptr;
@@ -199,11 +199,12 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(GatewayContext{
-      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
-      *metrics,
-      /*Forwarding=*/nullptr, &Runtime->Access, &Runtime->Dispatch});
+  Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
+                                 Runtime->Limits, Runtime->Connections,
+                                 Runtime->Queues, Runtime->Crashes,
+                                 Runtime->Origins, Runtime->Quotas, *metrics,
+                                 /*Forwarding=*/nullptr, &Runtime->Access,
+                                 &Runtime->Dispatch, &Runtime->Readers});
   Forwarded.emplace(*Runtime, *Context);
   internal::ConnectionServerOptions options;
   options.Name = "members";
@@ -259,7 +260,7 @@
       [this](const Member &Peer, const std::string &Service) {
         Runtime->Peers.onForwardRefused(Peer.Name, Service);
       },
-      [this](const std::string &Text) { applyRoutes(Text, {}, "a peer"); },
+      [this](const std::string &Text) { applyRoutes(Text, {}, "a peer", {}); },
       [this] { return Runtime->ownMember(); }};
   Thread = std::thread([this] { runRounds(); });
   return true;
@@ -339,6 +340,7 @@
   MemberFrame frame;
   frame.ConfigVersion = Runtime->Directory.routes()->Version;
   frame.ConfigRevision = Runtime->Directory.routesRevision();
+  frame.ConfigTimes = Runtime->Directory.configAge();
   frame.ServersRevision = Runtime->Directory.serversRevision();
   frame.CrashDigest = Runtime->Crashes.digest();
   frame.StoreEra = Runtime->Directory.storeEra();
@@ -481,11 +483,11 @@
 }
 
 void MemberLinks::applyRoutes(const std::string &Text, StoreRevision Revision,
-                              const std::string &From) {
+                              const std::string &From, const ConfigAge &Age) {
   RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Text);
   if (routes)
-    Runtime->Directory.applyRoutes(std::move(routes), Revision,
-                                   UpdateOrigin::Peer);
+    Runtime->applyRoutes(std::move(routes), Revision,
+                         {UpdateOrigin::Peer, From, Age});
   else
     log(LogLevel::Warn, "member_links", "ignored invalid routes from a peer",
         {{"peer", From}});
@@ -518,7 +520,8 @@
   Runtime->Directory.setInstances(Runtime->Peers.budgetSharers());
   Runtime->PeersKnown.store(Runtime->Peers.alive().size());
   if (!Frame.RoutesText.empty())
-    applyRoutes(Frame.RoutesText, Frame.ConfigRevision, Frame.Sender.Name);
+    applyRoutes(Frame.RoutesText, Frame.ConfigRevision, Frame.Sender.Name,
+                Frame.ConfigTimes);
   if (!Frame.HasServers && !Frame.ChangesSince) {
     noteConfirmation(Frame);
     return;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -80,7 +80,9 @@
                std::min(Route.Timeout,
                         this->Request.TimeLeft.value_or(Route.Timeout))),
       Waiter(Sink.watchedSocket(), Deadline),
-      Service(serviceFor(Route, Origin, Context.Directory)) {
+      Service(serviceFor(Route, Origin, Context.Directory)),
+      ConfirmedAgo(Context.Readers ? Context.Readers->confirmedAgo()
+                                   : std::nullopt) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
@@ -180,6 +182,8 @@
   all.emplace_back("content", fingerprintText(Content));
   addPromptParts(all);
   all.emplace_back("sends", std::to_string(Sends));
+  if (ConfirmedAgo)
+    all.emplace_back("confirmed_ago_ms", std::to_string(ConfirmedAgo->count()));
   if (!Request.ResumedRequestId.empty())
     all.emplace_back("resumes", Request.ResumedRequestId);
   if (!Request.LastEventId.empty())
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -304,6 +304,8 @@
   TimePoint Deadline; // the caller's deadline or the route's timeout
   CallerWaiter Waiter;
   std::string Service;
+  // How long before the arrival the store had what this instance knew then.
+  std::optional<Milliseconds> ConfirmedAgo;
   const EngineTraits *Engine = nullptr;
   std::set<std::string> Tried;    // servers that retries avoid
   std::set<std::string> Used;     // servers sent the request, except prefills
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -36,6 +36,10 @@
   return Origin == UpdateOrigin::Store ? "store" : "peer";
 }
 
+std::string ageText(std::optional<Milliseconds> Age) {
+  return Age ? std::to_string(Age->count()) : "";
+}
+
 std::string paceText(const PaceEstimate &Item) {
   std::string out =
       "{\"value\":" + std::to_string(Item.Pace) +
@@ -69,20 +73,34 @@
   OnServerEnd = std::move(Listener);
 }
 
-void ServiceDirectory::applyRoutes(RouteDocumentPtr NewDocument,
+bool ServiceDirectory::applyRoutes(RouteDocumentPtr NewDocument,
                                    StoreRevision Revision,
-                                   UpdateOrigin Origin) {
+                                   const ConfigSource &Source) {
+  RoutesUpdate update = RoutesUpdate::Ignored;
   {
     std::lock_guard lock(Mutex);
-    if (!applyRoutesLocked(std::move(NewDocument), Revision, Origin))
-      return;
+    update = applyRoutesLocked(std::move(NewDocument), Revision, Source);
   }
-  notify();
+  if (update != RoutesUpdate::Ignored)
+    notify();
+  return update == RoutesUpdate::InForce;
+}
+
+ConfigAge ServiceDirectory::configAge() const {
+  std::lock_guard lock(Mutex);
+  TimePoint now = Clock::now();
+  auto since = [now](std::optional<TimePoint> At) {
+    return At ? std::optional(
+                    std::chrono::duration_cast<Milliseconds>(now - *At))
+              : std::nullopt;
+  };
+  return {since(ConfigReadAt), since(ConfigAbsentAt)};
 }
 
-bool ServiceDirectory::applyRoutesLocked(RouteDocumentPtr NewDocument,
-                                         StoreRevision Revision,
-                                         UpdateOrigin Origin) {
+ServiceDirectory::RoutesUpdate
+ServiceDirectory::applyRoutesLocked(RouteDocumentPtr NewDocument,
+                                    StoreRevision Revision,
+                                    const ConfigSource &Source) {
   if (std::pair(NewDocument->Version, Revision) <=
       std::pair(Document->Version, RoutesRevision)) {
     if (NewDocument->Version < Document->Version &&
@@ -92,14 +110,20 @@
           {{"version", std::to_string(NewDocument->Version)},
            {"active_version", std::to_string(Document->Version)},
            {"era", std::to_string(Revision.Era)},
-           {"origin", toString(Origin)}});
-    return false;
+           {"origin", toString(Source.Origin)}});
+    return RoutesUpdate::Ignored;
   }
   RoutesRevision = Revision;
   // The same text is written again after the store has lost it.
   if (NewDocument->Version == Document->Version &&
       NewDocument->Text == Document->Text)
-    return true;
+    return RoutesUpdate::SameText;
+  TimePoint now = Clock::now();
+  auto before = [now](std::optional<Milliseconds> Age) {
+    return Age ? std::optional(now - *Age) : std::nullopt;
+  };
+  ConfigReadAt = before(Source.Age.ReadAgo);
+  ConfigAbsentAt = before(Source.Age.AtMost);
   log(LogLevel::Info, "directory", "configuration in force",
       {{"version", std::to_string(NewDocument->Version)},
        {"former_version", std::to_string(Document->Version)},
@@ -108,9 +132,12 @@
        {"keys", std::to_string(NewDocument->Accounts.keyCount())},
        {"revision", std::to_string(Revision.Number)},
        {"era", std::to_string(Revision.Era)},
-       {"origin", toString(Origin)}});
+       {"origin", toString(Source.Origin)},
+       {"peer", Source.Peer},
+       {"read_ago_ms", ageText(Source.Age.ReadAgo)},
+       {"age_ms", ageText(Source.Age.AtMost)}});
   Document = std::move(NewDocument);
-  return true;
+  return RoutesUpdate::InForce;
 }
 
 RouteDocumentPtr ServiceDirectory::routes() const {
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -4,6 +4,7 @@
 #define CROCUSSPUR_GATEWAY_SERVICE_DIRECTORY_H
 
 #include "gateway/decisions/demand_meter.h"
+#include "gateway/decisions/fleet/config_age.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/output_estimator.h"
 #include "gateway/decisions/prefill_rate_estimator.h"
@@ -35,16 +36,25 @@
 enum class UpdateOrigin : uint8_t { Store, Peer };
 enum class LeavingOrigin : uint8_t { Response, Peer };
 
+// How a configuration reached this instance.
+struct ConfigSource {
+  UpdateOrigin Origin = UpdateOrigin::Store;
+  std::string Peer; // that sent it; empty: the store did
+  ConfigAge Age;
+};
+
 class ServiceDirectory {
 public:
   ServiceDirectory(const GatewaySettings &Values, uint64_t Seed);
 
   // Applies a document unless the active version is newer, or the same and not
   // written before it. A version in force is never replaced by a lower one.
-  // `Revision`: of the change that wrote it.
-  void applyRoutes(RouteDocumentPtr Document, StoreRevision Revision,
-                   UpdateOrigin Origin);
+  // `Revision`: of the change that wrote it. Returns whether another
+  // configuration is in force now.
+  bool applyRoutes(RouteDocumentPtr Document, StoreRevision Revision,
+                   const ConfigSource &Source = {});
   RouteDocumentPtr routes() const;
+  ConfigAge configAge() const; // of the configuration in force
   StoreRevision routesRevision() const;
 
   // A response of the store states its era, or a peer knows a higher one.
@@ -238,9 +248,10 @@
   bool logPaceChanges(const char *Reason, TimePoint Now);
   void logKneeChanges(const char *Source, TimePoint Now);
   void logServer(const ServerChange &Change, UpdateOrigin Origin) const;
-  // Returns false if the document was not applied.
-  bool applyRoutesLocked(RouteDocumentPtr Document, StoreRevision Revision,
-                         UpdateOrigin Origin);
+  enum class RoutesUpdate : uint8_t { Ignored, SameText, InForce };
+  RoutesUpdate applyRoutesLocked(RouteDocumentPtr Document,
+                                 StoreRevision Revision,
+                                 const ConfigSource &Source);
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
                    TimePoint Now);
   // Removes all servers at the entry's address but the one registered last. A
@@ -260,6 +271,8 @@
   StoreRevision ListRevision;
   bool ListReceived = false;
   StoreRevision RoutesRevision;
+  std::optional<TimePoint> ConfigReadAt; // see ConfigAge
+  std::optional<TimePoint> ConfigAbsentAt;
   uint64_t OwnEra = 0; // of this instance's responses of the store
   std::atomic<uint64_t> HighestEra{0};
   std::optional<TimePoint> EraChangedAt; // of the list
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -16,6 +16,7 @@
 namespace crocusspur::gateway {
 namespace {
 
+using Clock = std::chrono::steady_clock;
 using internal::log;
 using internal::LogLevel;
 
@@ -50,6 +51,7 @@
     Runtime = Owner.find<GatewayRuntime>();
     if (!Runtime)
       return false;
+    Runtime->Metrics.store(Owner.find<internal::MetricsSink>());
     for (PublishedKind kind : {PublishedKind::Servers, PublishedKind::Routes})
       Threads.emplace_back([this, kind] { read(kind); });
     return true;
@@ -65,7 +67,9 @@
 
 private:
   void read(PublishedKind Kind);
-  void apply(const PublishedUpdate &Update, PublishedKind Kind, bool Whole);
+  // `ConfirmedAgo`: since the call before showed what the store had.
+  void apply(const PublishedUpdate &Update, PublishedKind Kind, bool Whole,
+             std::optional<Milliseconds> ConfirmedAgo);
   // Waits until this instance is to read, or stops. Returns the revision up to
   // which it knows the documents, from which a watch can go on.
   StoreRevision waitForTurn(PublishedKind Kind);
@@ -101,10 +105,12 @@
 }
 
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
-                                   PublishedKind Kind, bool Whole) {
+                                   PublishedKind Kind, bool Whole,
+                                   std::optional<Milliseconds> ConfirmedAgo) {
   if (Update.Routes)
-    Runtime->Directory.applyRoutes(Update.Routes, Update.RoutesRevision,
-                                   UpdateOrigin::Store);
+    Runtime->applyRoutes(
+        Update.Routes, Update.RoutesRevision,
+        {UpdateOrigin::Store, "", {Milliseconds(0), ConfirmedAgo}});
   if (Kind != PublishedKind::Servers)
     return;
   if (Whole)
@@ -163,12 +169,11 @@
     if (whole)
       readEra = directory.storeEra();
     PublishedUpdate update;
+    Milliseconds wait = failures > 0 ? RecoveryWatchWait : watchWait(random);
+    TimePoint calledAt = Clock::now();
     try {
       update = whole ? reader.ReadAll(isCancelled)
-                     : reader.Watch(revision.Number,
-                                    failures > 0 ? RecoveryWatchWait
-                                                 : watchWait(random),
-                                    isWatchCancelled);
+                     : reader.Watch(revision.Number, wait, isWatchCancelled);
     } catch (const std::exception &error) {
       // Invalid data from the store must not end the process.
       update.Error = error.what();
@@ -197,9 +202,11 @@
     }
     if (update.Status == ReadStatus::Ok) {
       failures = 0;
+      std::optional<Milliseconds> confirmedAgo =
+          Runtime->Readers.confirmedAgo(Kind);
       Runtime->Readers.onReadSucceeded(Kind);
       directory.setStoreReachable(Kind, true);
-      apply(update, Kind, whole);
+      apply(update, Kind, whole, confirmedAgo);
       revision = update.Revision;
       if (!whole && (update.Routes || !update.Servers.empty()))
         pause(Runtime->batchDelay());
@@ -219,7 +226,12 @@
     }
     if (++failures == 1)
       log(LogLevel::Warn, "directory_reader", "reading from the store failed",
-          {{"documents", name}, {"why", update.Error}});
+          {{"documents", name},
+           {"why", update.Error},
+           {"wait_ms", whole ? "" : std::to_string(wait.count())},
+           {"taken_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                           Clock::now() - calledAt)
+                                           .count())}});
     directory.setStoreReachable(Kind, false);
     Runtime->Readers.onReadFailed();
     Milliseconds most =
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -158,6 +158,13 @@
   Metrics->setGauge("store_reachable", "",
                     Runtime->Directory.isStoreReachable() ? 1 : 0);
   Metrics->setGauge("store_reader", "", Runtime->Readers.isReading() ? 1 : 0);
+  for (size_t i = 0; i < ReadReasonNames.size(); ++i)
+    if (uint64_t begun = Runtime->Readers.readsBegun()[i]; begun > 0)
+      Metrics->setGauge("store_reads_begun_total", ReadReasonNames[i],
+                        static_cast<double>(begun));
+  if (std::optional<Milliseconds> ago = Runtime->Readers.confirmedAgo())
+    Metrics->setGauge("store_confirmed_ago_seconds", "",
+                      std::chrono::duration<double>(*ago).count());
   Metrics->setGauge("store_era", "",
                     static_cast<double>(Runtime->Directory.storeEra()));
   RouteDocumentPtr document = Runtime->Directory.routes();
@@ -293,6 +300,15 @@
   out.pop_back(); // the closing brace
   out += ",\"reads_store\":";
   out += Runtime->Readers.isReading() ? "true" : "false";
+  out += std::string(",\"read_reason\":\"") +
+         ReadReasonNames[static_cast<size_t>(Runtime->Readers.reason())] + "\"";
+  ConfigAge age = Runtime->Directory.configAge();
+  for (auto [name, value] :
+       {std::pair{"store_confirmed_ago_ms", Runtime->Readers.confirmedAgo()},
+        {"config_read_ago_ms", age.ReadAgo},
+        {"config_age_ms", age.AtMost}})
+    out += std::string(",\"") + name +
+           "\":" + (value ? std::to_string(value->count()) : "null");
   out += ",\"access\":" +
          Runtime->Access.dump(Runtime->Directory.routes()->Accounts);
   out += ",\"limits\":" + Runtime->Limits.dump();
--- a/src/gateway/store_readers.cc
+++ b/src/gateway/store_readers.cc
@@ -40,11 +40,17 @@
   if (reading == Reading)
     return reading;
   Reading = reading;
+  auto reason = static_cast<size_t>(Election.reason());
+  if (reading)
+    ++Begun[reason];
   std::optional<TimePoint> confirmed = Election.confirmedAt();
   log(LogLevel::Info, "store_readers",
       reading ? "reading from the store" : "learning from peers",
-      {{"fleet", std::to_string(now.FleetSize)},
+      {{"reason", ReadReasonNames[reason]},
+       {"fleet", std::to_string(now.FleetSize)},
        {"candidates", std::to_string(now.Others.size() + 1)},
+       {"store_failing_for", std::to_string(std::ranges::count_if(
+                                 now.Others, &ReaderCandidate::StoreFailing))},
        {"complete", now.Complete ? "true" : "false"},
        {"confirmed_ago_ms",
         confirmed ? std::to_string(std::chrono::duration_cast<Milliseconds>(
@@ -54,6 +60,16 @@
   return reading;
 }
 
+ReadReason StoreReaders::reason() const {
+  std::lock_guard lock(Mutex);
+  return Reading ? Election.reason() : ReadReason::None;
+}
+
+std::array<uint64_t, ReadReasonNames.size()> StoreReaders::readsBegun() const {
+  std::lock_guard lock(Mutex);
+  return Begun;
+}
+
 bool StoreReaders::isReading() const {
   std::lock_guard lock(Mutex);
   return Reading;
@@ -102,6 +118,15 @@
   return std::chrono::duration_cast<Milliseconds>(Clock::now() - *confirmed);
 }
 
+std::optional<Milliseconds>
+StoreReaders::confirmedAgo(PublishedKind Kind) const {
+  std::lock_guard lock(Mutex);
+  std::optional<TimePoint> confirmed = Election.confirmedAt(Kind);
+  if (!confirmed)
+    return std::nullopt;
+  return std::chrono::duration_cast<Milliseconds>(Clock::now() - *confirmed);
+}
+
 bool StoreReaders::isStoreFailing() const {
   std::lock_guard lock(Mutex);
   return Election.isStoreFailing(Clock::now());
--- a/src/gateway/store_readers.h
+++ b/src/gateway/store_readers.h
@@ -6,6 +6,7 @@
 #include "gateway/membership.h"
 #include "gateway/service_directory.h"
 
+#include <array>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
   // Decides anew. Logs when the decision changes.
   bool shouldRead();
   bool isReading() const; // as last decided
+  ReadReason reason() const;
   // Whether only some instances of the fleet read.
   bool isSelective() const;
   // Addresses of the instances that are likely to read.
@@ -34,6 +36,10 @@
 
   // How long ago the store had what this instance knows; nothing: not known.
   std::optional<Milliseconds> confirmedAgo() const;
+  // The same for what it knows of a kind.
+  std::optional<Milliseconds> confirmedAgo(PublishedKind Kind) const;
+  // How often this instance has begun to read, by reason.
+  std::array<uint64_t, ReadReasonNames.size()> readsBegun() const;
   bool isStoreFailing() const;
   // Whether what peers tell is recent, so that the store can be taken for
   // reachable.
@@ -48,6 +54,7 @@
   mutable std::mutex Mutex; // guards the members below
   ReaderElection Election;
   bool Reading = false;
+  std::array<uint64_t, ReadReasonNames.size()> Begun{};
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -2570,7 +2570,9 @@
     VT_MEMBERS_OMITTED = 82,
     VT_DISCOVERED_AGO_MS = 84,
     VT_PREFILL_REQUEST = 86,
-    VT_PREFILL_ASSIGNMENT = 88
+    VT_PREFILL_ASSIGNMENT = 88,
+    VT_CONFIG_READ_AGO_MS = 90,
+    VT_CONFIG_AGE_MS = 92
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -2701,6 +2703,12 @@
   const crocusspur::gateway::wire::PrefillAssignment *prefill_assignment() const {
     return GetPointer<const crocusspur::gateway::wire::PrefillAssignment *>(VT_PREFILL_ASSIGNMENT);
   }
+  uint32_t config_read_ago_ms() const {
+    return GetField<uint32_t>(VT_CONFIG_READ_AGO_MS, 4294967295);
+  }
+  uint32_t config_age_ms() const {
+    return GetField<uint32_t>(VT_CONFIG_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -2774,6 +2782,8 @@
            verifier.VerifyTable(prefill_request()) &&
            VerifyOffset(verifier, VT_PREFILL_ASSIGNMENT) &&
            verifier.VerifyTable(prefill_assignment()) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIG_READ_AGO_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CONFIG_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -2911,6 +2921,12 @@
   void add_prefill_assignment(flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment) {
     fbb_.AddOffset(Frame::VT_PREFILL_ASSIGNMENT, prefill_assignment);
   }
+  void add_config_read_ago_ms(uint32_t config_read_ago_ms) {
+    fbb_.AddElement<uint32_t>(Frame::VT_CONFIG_READ_AGO_MS, config_read_ago_ms, 4294967295);
+  }
+  void add_config_age_ms(uint32_t config_age_ms) {
+    fbb_.AddElement<uint32_t>(Frame::VT_CONFIG_AGE_MS, config_age_ms, 4294967295);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2966,7 +2982,9 @@
     int32_t members_omitted = -1,
     uint32_t discovered_ago_ms = 4294967295,
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0,
+    uint32_t config_read_ago_ms = 4294967295,
+    uint32_t config_age_ms = 4294967295) {
   FrameBuilder builder_(_fbb);
   builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
@@ -2979,6 +2997,8 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_config_age_ms(config_age_ms);
+  builder_.add_config_read_ago_ms(config_read_ago_ms);
   builder_.add_prefill_assignment(prefill_assignment);
   builder_.add_prefill_request(prefill_request);
   builder_.add_discovered_ago_ms(discovered_ago_ms);
@@ -3058,7 +3078,9 @@
     int32_t members_omitted = -1,
     uint32_t discovered_ago_ms = 4294967295,
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0,
+    uint32_t config_read_ago_ms = 4294967295,
+    uint32_t config_age_ms = 4294967295) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -3113,7 +3135,9 @@
       members_omitted,
       discovered_ago_ms,
       prefill_request,
-      prefill_assignment);
+      prefill_assignment,
+      config_read_ago_ms,
+      config_age_ms);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -31,9 +31,10 @@
   uint64_t Count = 0;
 };
 
-constexpr std::array<std::string_view, 6> HistogramNames = {
+constexpr std::array<std::string_view, 7> HistogramNames = {
     "first_output_seconds", "output_gap_seconds",       "prefill_wait_seconds",
-    "core_event_seconds",   "reservation_wait_seconds", "request_seconds"};
+    "core_event_seconds",   "reservation_wait_seconds", "request_seconds",
+    "config_age_seconds"};
 
 // By group. std::less<> allows lookup without constructing a string, since the
 // core observes every event.
--- a/test/gateway_access_test.cc
+++ b/test/gateway_access_test.cc
@@ -31,7 +31,7 @@
     auto next = std::make_shared<RouteDocument>(*Document);
     next->Version = Version;
     next->Accounts = std::move(Accounts);
-    Directory.applyRoutes(next, {0, Version}, UpdateOrigin::Store);
+    Directory.applyRoutes(next, {0, Version});
   }
   void removeKey() {
     apply(2, AccountTable({test::accountOf("stores", {"k-2"})}));
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -374,7 +374,7 @@
                         [] { return std::optional(Milliseconds(0)); });
   setup.Access = &control;
   setup.Document->Accounts = AccountTable({test::accountOf("stores", {"k-1"})});
-  setup.Directory.applyRoutes(setup.Document, {0, 1}, UpdateOrigin::Store);
+  setup.Directory.applyRoutes(setup.Document, {0, 1});
   CallerRequest request = setup.request();
   request.Forwarded.emplace_back("Authorization", "Bearer k-1");
   request.Forwarded.emplace_back("Tenant", "forged");
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -33,6 +33,7 @@
   frame.Discovered = false;
   frame.MembersOmitted = 31;
   frame.DiscoveredAgo = Milliseconds(1300);
+  frame.ConfigTimes = {Milliseconds(210), Milliseconds(1950)};
   frame.CrashDigest = 99;
   frame.Crashes.Crashes = {
       {71, "i-2", "n3", Milliseconds(250)},
@@ -84,6 +85,8 @@
   CHECK_FALSE(back->Discovered);
   CHECK(back->MembersOmitted == 31);
   CHECK(back->DiscoveredAgo == Milliseconds(1300));
+  CHECK(back->ConfigTimes.ReadAgo == Milliseconds(210));
+  CHECK(back->ConfigTimes.AtMost == Milliseconds(1950));
   CHECK(back->HasServers);
   CHECK(back->AcceptsChanges);
   CHECK(back->ChangesSince == StoreRevision{3, 401});
@@ -172,6 +175,8 @@
   CHECK(back->Discovered);
   CHECK_FALSE(back->MembersOmitted.has_value());
   CHECK_FALSE(back->DiscoveredAgo.has_value());
+  CHECK_FALSE(back->ConfigTimes.ReadAgo.has_value());
+  CHECK_FALSE(back->ConfigTimes.AtMost.has_value());
 }
 
 TEST_CASE("decodeMemberFrame drops limits that aren't a rate") {
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -130,8 +130,7 @@
   EraFixture setup;
   auto apply = [&](uint64_t Version, const std::string &Text,
                    StoreRevision Revision) {
-    setup.Directory.applyRoutes(documentOf(Version, Text), Revision,
-                                UpdateOrigin::Store);
+    setup.Directory.applyRoutes(documentOf(Version, Text), Revision);
     return setup.Directory.routes()->Text;
   };
   CHECK(apply(4, "a", {1, 100}) == "a");
