--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -63,10 +63,15 @@
   if (!isSame)
     state.SkipUntil = TimePoint();
   state.LastSeenAt = std::max(state.LastSeenAt, at);
-  if (isSame && Item.StateVersion < state.Item.StateVersion)
-    return; // from a peer that lacks the latest state
+  if (isSame && Item.StateVersion < state.Item.StateVersion) {
+    // From a peer that lacks the latest state, or its own frame without it.
+    if (Item.StateVersion == 0)
+      state.Item.StoreFailing = Item.StoreFailing;
+    return;
+  }
   state.Item = Item;
   state.Key = memberKey(Item.Name, Item.Incarnation);
+  state.Domain = domainNumber(Item.FailureDomain);
   state.StateAt = at;
   state.ConfirmedAt = at;
 }
@@ -222,21 +227,51 @@
 ReaderView MemberTable::readerView(const std::string &FailureDomain,
                                    TimePoint Now) const {
   ReaderView view;
-  std::set<std::string> domains{FailureDomain};
+  auto found = std::ranges::find(Domains, FailureDomain);
+  size_t own = static_cast<size_t>(found - Domains.begin());
+  std::vector<bool> seen(Domains.size());
   for (const auto &[name, state] : Members) {
     if (Now - state.LastSeenAt >= MemberRetention)
       continue;
     ++view.FleetSize;
-    if (!state.Item.FailureDomain.empty())
-      domains.insert(state.Item.FailureDomain);
-    if (!FailureDomain.empty() && state.Item.FailureDomain == FailureDomain &&
-        !state.Item.Leaving && state.SkipUntil <= Now)
+    if (state.Domain == 0)
+      continue;
+    seen[state.Domain] = true;
+    if (state.Domain == own && !state.Item.Leaving && state.SkipUntil <= Now)
       view.Others.push_back({name, state.Item.StoreFailing});
   }
-  view.Domains = domains.size();
+  view.Domains = static_cast<size_t>(std::ranges::count(seen, true));
+  if (own == Domains.size() || !seen[own])
+    ++view.Domains; // this instance is the only one of its own
   return view;
 }
 
+size_t MemberTable::domainNumber(const std::string &Name) {
+  auto it = std::ranges::find(Domains, Name);
+  if (it == Domains.end())
+    it = Domains.insert(it, Name);
+  return static_cast<size_t>(it - Domains.begin());
+}
+
+std::vector<std::string>
+MemberTable::otherReaders(const std::string &FailureDomain,
+                          TimePoint Now) const {
+  std::vector<std::vector<ReaderCandidate>> byDomain(Domains.size());
+  for (const auto &[name, state] : Members)
+    if (Now - state.LastSeenAt < MemberRetention && state.SkipUntil <= Now &&
+        !state.Item.Leaving)
+      byDomain[state.Domain].push_back({name, state.Item.StoreFailing});
+  auto domains = static_cast<size_t>(std::ranges::count_if(
+      byDomain, [](const auto &It) { return !It.empty(); }));
+  std::vector<std::string> addresses;
+  for (size_t i = 1; i < Domains.size(); ++i)
+    if (Domains[i] != FailureDomain)
+      for (const std::string &it :
+           firstReaders(Domains[i], byDomain[i], readersPerDomain(domains)))
+        addresses.push_back(addressOf(it));
+  return addresses;
+}
+
 std::string MemberTable::addressOf(const std::string &Name) const {
   auto it = Members.find(Name);
   return it == Members.end() ? "" : it->second.Item.Address;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -126,6 +126,10 @@
 
   // Returns the other instances of the failure domain that may read the store.
   ReaderView readerView(const std::string &FailureDomain, TimePoint Now) const;
+  // Addresses of instances of other failure domains that are likely to read the
+  // store.
+  std::vector<std::string> otherReaders(const std::string &FailureDomain,
+                                        TimePoint Now) const;
   // Address of a known instance; empty if it isn't known.
   std::string addressOf(const std::string &Name) const;
 
@@ -155,10 +159,13 @@
 private:
   // The maximum of members seen at once in the last minute.
   uint32_t fleetSize(TimePoint Now);
+  // Returns a number for the failure domain; 0 for none.
+  size_t domainNumber(const std::string &Name);
 
   struct State {
     Member Item;
     uint32_t Key = 0;
+    size_t Domain = 0; // see domainNumber()
     TimePoint LastSeenAt;
     TimePoint StateAt;     // of which the item's ages are
     TimePoint ConfirmedAt; // when it was last known to have this state
@@ -172,6 +179,7 @@
   std::mt19937_64 Random;
   std::vector<std::string> Seeds;
   std::map<std::string, State> Members; // by name
+  std::vector<std::string> Domains{""}; // by number
   uint32_t Round = 0;
   size_t SeedPhase;
   uint32_t MaxSeen = 0; // members at once, including this instance
--- a/src/gateway/decisions/reader_election.cc
+++ b/src/gateway/decisions/reader_election.cc
@@ -3,6 +3,7 @@
 #include "crocusspur/instance_list.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocusspur::gateway {
 namespace {
@@ -27,52 +28,48 @@
 constexpr Milliseconds StartSpreadPerMember{50};
 constexpr Milliseconds MinStartSpread{1500};
 constexpr Milliseconds MaxStartSpread{4500};
-// Bounds of the pause of an instance that the store has rejected and that reads
-// in place of others. It is short while documents are missing.
-constexpr Milliseconds MinRejectedPause{400};
-constexpr Milliseconds MaxRejectedPause{8000};
+// Bounds of the pause of an instance without documents that the store has
+// rejected. It doubles with each rejection.
+constexpr Milliseconds MinStartPause{400};
 constexpr Milliseconds MaxStartPause{2000};
-// Readers confirm their knowledge every 2 s at different times, and an instance
-// asks peers every second. Changes must be in force some seconds after the
-// store has them, so knowledge that is older is worth a call.
-constexpr Milliseconds StaleAge{3000};
-constexpr Milliseconds StaleSpread{600};
-// The same age, spread within bounds, if the store is known not to respond to
-// readers.
-constexpr Milliseconds MinOutageDelay{8000};
-constexpr Milliseconds MaxOutageDelay{30000};
-// An instance that hears no peer for so long doesn't wait for its knowledge to
-// become stale.
-constexpr Milliseconds IsolationTime{1600};
-// An instance that reads for itself does so for at least this long.
-constexpr Milliseconds MinReadTime{3000};
 // A failed call says this much about the time after it.
 constexpr Milliseconds FailureLifetime{3000};
-// Instances of a domain that take the place of readers at once if the store
-// doesn't respond to those. The others try at times that differ.
-constexpr size_t Substitutes = 2;
-constexpr Milliseconds ProbePeriod{6000};
-constexpr Milliseconds ProbeTime{700};
-
-size_t readersPerDomain(const ReaderView &View) {
-  return (MinReaders + View.Domains - 1) / View.Domains;
-}
 
 Milliseconds draw(std::mt19937_64 &Random, Milliseconds From, Milliseconds To) {
   return Milliseconds(
       std::uniform_int_distribution<int64_t>(From.count(), To.count())(Random));
 }
 
+std::string rankKey(const std::string &FailureDomain) {
+  return "store-reader:" + FailureDomain;
+}
+
 } // namespace
 
+size_t readersPerDomain(size_t Domains) {
+  return (MinReaders + Domains - 1) / std::max<size_t>(Domains, 1);
+}
+
+std::vector<std::string>
+firstReaders(const std::string &FailureDomain,
+             const std::vector<ReaderCandidate> &Candidates, size_t Count) {
+  std::vector<std::string> names;
+  for (const ReaderCandidate &it : Candidates)
+    if (!it.StoreFailing)
+      names.push_back(it.Name);
+  std::vector<std::string> ranked =
+      rankByRendezvous(rankKey(FailureDomain), std::move(names));
+  ranked.resize(std::min(ranked.size(), Count));
+  return ranked;
+}
+
 ReaderElection::ReaderElection(std::string OwnName, std::string FailureDomain,
-                               bool IsSeed, uint64_t Seed, TimePoint Now)
-    : OwnName(std::move(OwnName)), Key("store-reader:" + FailureDomain),
-      IsSeed(IsSeed), Random(Seed), StartedAt(Now),
-      StartFraction(std::uniform_real_distribution<double>(0, 1)(Random)),
-      StaleDelay(StaleAge + draw(Random, Milliseconds(0), StaleSpread)),
-      OutageDelay(draw(Random, MinOutageDelay, MaxOutageDelay)),
-      ProbePhase(draw(Random, Milliseconds(0), ProbePeriod)) {}
+                               bool IsSeed, uint64_t Seed,
+                               const PropagationBounds &Bounds, TimePoint Now)
+    : OwnName(std::move(OwnName)), FailureDomain(std::move(FailureDomain)),
+      WeightOf(rankKey(this->FailureDomain)), IsSeed(IsSeed), Bounds(Bounds),
+      Random(Seed), StartedAt(Now),
+      StartFraction(std::uniform_real_distribution<double>(0, 1)(Random)) {}
 
 bool ReaderElection::isSelective(const ReaderView &View, TimePoint Now) const {
   if (View.FleetSize > MaxUnselectiveFleet)
@@ -83,6 +80,11 @@
   return Now - StartedAt < DiscoveryTime;
 }
 
+PropagationBudget ReaderElection::budget(const ReaderView &View,
+                                         TimePoint Now) const {
+  return propagationBudget(Bounds, View.FleetSize, isSelective(View, Now));
+}
+
 TimePoint ReaderElection::startReadAt(const ReaderView &View) const {
   Milliseconds spread =
       std::clamp(StartSpreadPerMember * static_cast<int64_t>(View.FleetSize),
@@ -92,48 +94,37 @@
              StartFraction * static_cast<double>(spread.count())));
 }
 
-// The first of those to which the store responds read. The first of all keep
-// trying, so that they notice when it responds again; the others try at certain
-// times only, so that not all do while it is down.
-ReadReason ReaderElection::byRank(const ReaderView &View, TimePoint Now) const {
-  std::vector<std::string> names{OwnName};
-  size_t failing = 0;
+ReaderElection::Place ReaderElection::place(const ReaderView &View) const {
+  Place place;
+  place.Count = View.Others.size() + 1;
+  uint64_t own = WeightOf(OwnName);
   for (const ReaderCandidate &it : View.Others) {
-    names.push_back(it.Name);
-    failing += it.StoreFailing;
+    uint64_t weight = WeightOf(it.Name);
+    bool isBefore = weight > own || (weight == own && it.Name > OwnName);
+    place.Own += isBefore;
+    place.FailingBefore += isBefore && it.StoreFailing;
   }
-  std::vector<std::string> ranked = rankByRendezvous(Key, std::move(names));
-  auto own = std::ranges::find(ranked, OwnName);
-  size_t place = static_cast<size_t>(own - ranked.begin());
-  size_t readers = readersPerDomain(View);
-  if (place < readers)
-    return ReadReason::Rank;
-  if (failing == 0 || isStoreFailing(Now))
-    return ReadReason::None;
-  size_t before = 0; // of those to which the store responds
-  for (auto it = ranked.begin(); it != own; ++it)
-    before += std::ranges::none_of(View.Others, [&](const ReaderCandidate &C) {
-      return C.StoreFailing && C.Name == *it;
-    });
-  bool substitutes =
-      before < readers && (place < readers + Substitutes || isProbeTime(Now));
-  return substitutes ? ReadReason::Substitute : ReadReason::None;
-}
-
-bool ReaderElection::isProbeTime(TimePoint Now) const {
-  return (Now - StartedAt + ProbePhase) % ProbePeriod < ProbeTime;
-}
-
-bool ReaderElection::shouldRead(const ReaderView &View, TimePoint Now) {
-  if (Now < ReadUntil)
-    return true;
-  Reason = decide(View, Now);
-  if (Reason == ReadReason::Isolated || Reason == ReadReason::Stale)
-    ReadUntil = Now + MinReadTime;
-  return Reason != ReadReason::None;
-}
-
-ReadReason ReaderElection::decide(const ReaderView &View, TimePoint Now) {
+  return place;
+}
+
+Milliseconds ReaderElection::takeOverAge(const ReaderView &View,
+                                         TimePoint Now) const {
+  PropagationBudget budget = this->budget(View, Now);
+  size_t readers = readersPerDomain(View.Domains);
+  Place own = place(View);
+  if (own.Own < readers || own.Count <= readers)
+    return budget.TakeOverAge;
+  // The square root keeps the first few apart, so that the later ones hear of a
+  // success before they are due.
+  double order = std::sqrt(static_cast<double>(own.Own - readers) /
+                           static_cast<double>(own.Count - readers));
+  return budget.TakeOverAge +
+         Milliseconds(std::llround(
+             order * static_cast<double>(budget.TakeOverSpread.count())));
+}
+
+ReadReason ReaderElection::reason(const ReaderView &View, PublishedKind Kind,
+                                  TimePoint Now) const {
   if (!View.Complete) {
     if (IsSeed)
       return ReadReason::Seed;
@@ -147,58 +138,64 @@
   bool discovering = Now - StartedAt < DiscoveryTime;
   if (discovering && IsSeed)
     return ReadReason::Seed;
-  ReadReason byRank = discovering ? ReadReason::None : this->byRank(View, Now);
-  if (byRank != ReadReason::None)
-    return byRank;
-  if (Now < PausedUntil)
-    return ReadReason::None;
-  bool isolated = !PeerHeardAt || Now - *PeerHeardAt > IsolationTime;
-  if (isolated)
-    return ReadReason::Isolated;
-  // If the store doesn't respond to readers, others take their place by rank.
-  bool explained =
-      std::ranges::any_of(View.Others, &ReaderCandidate::StoreFailing);
-  std::optional<TimePoint> confirmed = confirmedAt();
-  if (confirmed && Now - *confirmed <= (explained ? OutageDelay : StaleDelay))
-    return ReadReason::None;
-  return ReadReason::Stale;
+  if (!discovering) {
+    size_t readers = readersPerDomain(View.Domains);
+    Place own = place(View);
+    // These keep trying, so that they notice when the store serves them again.
+    if (own.Own < readers)
+      return ReadReason::Rank;
+    if (own.Own - own.FailingBefore < readers && Now >= PausedUntil)
+      return ReadReason::Substitute;
+  }
+  std::optional<TimePoint> confirmed = confirmedAt(Kind);
+  bool stale = !confirmed || Now - *confirmed > takeOverAge(View, Now);
+  return stale && Now >= PausedUntil ? ReadReason::Stale : ReadReason::None;
+}
+
+bool ReaderElection::shouldRead(const ReaderView &View, PublishedKind Kind,
+                                TimePoint Now) {
+  ReadReason reason = this->reason(View, Kind, Now);
+  if (reason != ReadReason::Stale || Kind == PublishedKind::Routes)
+    return reason != ReadReason::None;
+  // One call shows whether the store serves this instance.
+  bool first =
+      this->reason(View, PublishedKind::Routes, Now) != ReadReason::Stale;
+  return first || (OwnReadAt && Now - *OwnReadAt < budget(View, Now).AskAge);
 }
 
 std::vector<std::string> ReaderElection::readers(const ReaderView &View) const {
-  std::vector<std::string> names;
-  for (const ReaderCandidate &it : View.Others)
-    if (!it.StoreFailing)
-      names.push_back(it.Name);
-  std::vector<std::string> ranked = rankByRendezvous(Key, std::move(names));
-  ranked.resize(std::min(ranked.size(), readersPerDomain(View)));
-  return ranked;
+  return firstReaders(FailureDomain, View.Others,
+                      readersPerDomain(View.Domains));
 }
 
-void ReaderElection::onReadSucceeded(PublishedKind Kind, TimePoint Now) {
-  Confirmed[static_cast<size_t>(Kind)] = Now;
-  ReadFailedAt.reset();
-  Rejections = 0;
+void ReaderElection::onReadSucceeded(PublishedKind Kind, TimePoint At) {
+  std::optional<TimePoint> &confirmed = Confirmed[static_cast<size_t>(Kind)];
+  confirmed = std::max(confirmed.value_or(At), At);
+  OwnReadAt = std::max(OwnReadAt.value_or(At), At);
+  FailingUntil = TimePoint();
+  PausedUntil = TimePoint();
+  StartFailures = 0;
 }
 
-void ReaderElection::onPeerConfirmed(TimePoint At) {
-  for (std::optional<TimePoint> &it : Confirmed)
-    it = std::max(it.value_or(At), At);
+void ReaderElection::onPeerConfirmed(PublishedKind Kind, TimePoint At) {
+  std::optional<TimePoint> &confirmed = Confirmed[static_cast<size_t>(Kind)];
+  confirmed = std::max(confirmed.value_or(At), At);
 }
 
-void ReaderElection::onReadFailed(TimePoint Now) {
-  ReadFailedAt = Now;
-  ReadUntil = TimePoint();
-  if (Now < PausedUntil) // the reads of both kinds fail together
-    return;
-  Milliseconds most = confirmedAt() ? MaxRejectedPause : MaxStartPause;
-  Milliseconds pause =
-      std::min(most, MinRejectedPause * (1U << std::min(Rejections, 8U)));
-  ++Rejections;
-  PausedUntil = Now + draw(Random, pause / 2, pause);
+void ReaderElection::onReadFailed(size_t FleetSize, TimePoint Now) {
+  OwnReadAt.reset();
+  if (Now >= PausedUntil) { // the reads of both kinds fail together
+    Milliseconds most =
+        confirmedAt()
+            ? propagationBudget(Bounds, FleetSize, true).RetryPause
+            : std::min(MaxStartPause,
+                       MinStartPause * (1U << std::min(StartFailures++, 8U)));
+    PausedUntil = Now + draw(Random, most / 2, most);
+  }
+  FailingUntil = std::max(Now + FailureLifetime, PausedUntil);
 }
 
 void ReaderElection::onPeerHeard(TimePoint Now) {
-  PeerHeardAt = Now;
   if (!FirstPeerHeardAt)
     FirstPeerHeardAt = Now;
 }
@@ -210,12 +207,13 @@
 }
 
 bool ReaderElection::isStoreFailing(TimePoint Now) const {
-  return ReadFailedAt && Now - *ReadFailedAt < FailureLifetime;
+  return Now < FailingUntil;
 }
 
-bool ReaderElection::isCurrent(TimePoint Now) const {
-  std::optional<TimePoint> confirmed = confirmedAt();
-  return confirmed && Now - *confirmed <= StaleDelay;
+bool ReaderElection::isCurrent(const ReaderView &View, PublishedKind Kind,
+                               TimePoint Now) const {
+  std::optional<TimePoint> confirmed = confirmedAt(Kind);
+  return confirmed && Now - *confirmed <= budget(View, Now).KnowledgeLifetime;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/reader_election.h
+++ b/src/gateway/decisions/reader_election.h
@@ -5,12 +5,18 @@
 //
 // No election is held: each instance ranks those of its domain by rendezvous
 // hashing and takes part if it is among the first. Views may differ for some
-// seconds; then more instances read, which costs calls and nothing else. An
-// instance that hears nothing recent of the store reads for itself.
+// seconds; then more instances read, which costs calls and nothing else.
+//
+// Whatever happens to those that read, an instance whose knowledge gets too old
+// for the operators' bound reads for itself. The instances do so one after
+// another, in the order of rank, and the first that the store serves tells the
+// rest.
 #ifndef CROCUSSPUR_GATEWAY_READER_ELECTION_H
 #define CROCUSSPUR_GATEWAY_READER_ELECTION_H
 
 #include "crocusspur/types.h"
+#include "gateway/decisions/fleet/propagation_budget.h"
+#include "rendezvous.h"
 
 #include <array>
 #include <cstdint>
@@ -32,13 +38,12 @@
   SmallFleet, // all read
   Rank,       // it is first in its failure domain
   Substitute, // the store fails for those before it in rank
-  Isolated,   // it hears no peer
-  Stale,      // what it knows is old
+  Stale,      // what it knows is old; it reads once
 };
 
-inline constexpr std::array<const char *, 8> ReadReasonNames{
-    "none", "start",      "seed",     "small_fleet",
-    "rank", "substitute", "isolated", "stale"}; // in logs and metrics
+inline constexpr std::array<const char *, 7> ReadReasonNames{
+    "none", "start",      "seed", "small_fleet",
+    "rank", "substitute", "stale"}; // in logs and metrics
 
 // Another instance of the same failure domain that may read the store.
 struct ReaderCandidate {
@@ -54,28 +59,41 @@
   bool Complete = false; // routes and servers are known
 };
 
+// Names of the first of the candidates of a failure domain in rank, at most
+// `Count`, without those that the store fails.
+std::vector<std::string>
+firstReaders(const std::string &FailureDomain,
+             const std::vector<ReaderCandidate> &Candidates, size_t Count);
+// Readers in each of so many failure domains.
+size_t readersPerDomain(size_t Domains);
+
 class ReaderElection {
 public:
   // `IsSeed`: others contact this instance first, so it reads at once after the
   // start. `Seed` is that of the random numbers by which waits are spread.
   ReaderElection(std::string OwnName, std::string FailureDomain, bool IsSeed,
-                 uint64_t Seed, TimePoint Now);
-
-  bool shouldRead(const ReaderView &View, TimePoint Now);
-  // Why, as last decided.
-  ReadReason reason() const { return Reason; }
-  // Names of the instances that are likely to read, without this one.
+                 uint64_t Seed, const PropagationBounds &Bounds, TimePoint Now);
+
+  // Decides whether this instance makes a call for the kind now.
+  bool shouldRead(const ReaderView &View, PublishedKind Kind, TimePoint Now);
+  // Why it would, without deciding; a stale kind may be due a little later.
+  ReadReason reason(const ReaderView &View, PublishedKind Kind,
+                    TimePoint Now) const;
+  // Names of the instances of the failure domain that are likely to read,
+  // without this one.
   std::vector<std::string> readers(const ReaderView &View) const;
   // Whether the fleet is large enough that only some instances read, so that
   // changes must be sent on.
   bool isSelective(const ReaderView &View, TimePoint Now) const;
+  PropagationBudget budget(const ReaderView &View, TimePoint Now) const;
 
-  // A call of this instance to the store succeeded.
-  void onReadSucceeded(PublishedKind Kind, TimePoint Now);
+  // A call of this instance to the store succeeded, and showed what the store
+  // had at `At`.
+  void onReadSucceeded(PublishedKind Kind, TimePoint At);
   // A peer has told what the store had at `At`, and this instance knows it too.
-  void onPeerConfirmed(TimePoint At);
-  // A call of this instance to the store failed.
-  void onReadFailed(TimePoint Now);
+  void onPeerConfirmed(PublishedKind Kind, TimePoint At);
+  // A call of this instance to the store failed. `FleetSize`: see ReaderView.
+  void onReadFailed(size_t FleetSize, TimePoint Now);
   // A frame of a peer was received.
   void onPeerHeard(TimePoint Now);
 
@@ -84,40 +102,40 @@
   std::optional<TimePoint> confirmedAt(PublishedKind Kind) const {
     return Confirmed[static_cast<size_t>(Kind)];
   }
-  // Since when this instance's knowledge of both kinds is confirmed; nothing:
-  // never.
+  // The same of both kinds.
   std::optional<TimePoint> confirmedAt() const;
   bool isStoreFailing(TimePoint Now) const;
-  // Whether the knowledge is recent enough to take the store for reachable.
-  bool isCurrent(TimePoint Now) const;
+  // Whether the knowledge of the kind is recent enough to take the store for
+  // reachable.
+  bool isCurrent(const ReaderView &View, PublishedKind Kind,
+                 TimePoint Now) const;
 
 private:
-  ReadReason decide(const ReaderView &View, TimePoint Now);
-  // Rank, Substitute or None.
-  ReadReason byRank(const ReaderView &View, TimePoint Now) const;
+  struct Place {
+    size_t Own = 0; // in rank, from 0
+    size_t Count = 1;
+    size_t FailingBefore = 0; // of those before it, that the store fails
+  };
+  Place place(const ReaderView &View) const;
   // When an instance that has just started reads if peers haven't told it
   // enough.
   TimePoint startReadAt(const ReaderView &View) const;
-  bool isProbeTime(TimePoint Now) const;
-
-  ReadReason Reason = ReadReason::None;
+  // The age of knowledge beyond which this instance reads for itself.
+  Milliseconds takeOverAge(const ReaderView &View, TimePoint Now) const;
   std::string OwnName;
-  std::string Key; // of the rendezvous order
+  std::string FailureDomain;
+  internal::RendezvousWeight WeightOf;
   bool IsSeed;
+  PropagationBounds Bounds;
   std::mt19937_64 Random;
   TimePoint StartedAt;
-  double StartFraction;     // of the spread of the first reads
-  Milliseconds StaleDelay;  // until it reads if it hears nothing of the store
-  Milliseconds OutageDelay; // the same while the store fails for readers
-  Milliseconds ProbePhase;
-  TimePoint ReadUntil; // it reads at least until then
+  double StartFraction; // of the spread of the first reads
   std::array<std::optional<TimePoint>, 2> Confirmed; // by kind
-  std::optional<TimePoint> ReadFailedAt;
-  // Until then it doesn't read in place of readers, as the store has rejected
-  // it; the pause doubles with each rejection.
+  std::optional<TimePoint> OwnReadAt;                // of either kind
+  TimePoint FailingUntil;
+  // Until then it doesn't read in place of others, as the store has failed it.
   TimePoint PausedUntil;
-  uint32_t Rejections = 0;
-  std::optional<TimePoint> PeerHeardAt;
+  uint32_t StartFailures = 0; // while documents are missing
   std::optional<TimePoint> FirstPeerHeardAt;
 };
 
--- a/src/gateway/frame_traffic.h
+++ b/src/gateway/frame_traffic.h
@@ -13,12 +13,14 @@
   Round,        // of the regular exchanges
   List,         // with the list of all servers
   Notification, // of a change that peers are to learn at once
+  Question,     // for changes that this instance may have missed
   Permit,       // for calls to a server with a request limit
   Dispatch      // of a prefill to a server of a shard
 };
 
-inline constexpr std::array<const char *, 5> FrameKindNames{
-    "round", "list", "notification", "permit", "dispatch"}; // in metrics
+inline constexpr std::array<const char *, 6> FrameKindNames{
+    "round",    "list",   "notification",
+    "question", "permit", "dispatch"}; // in metrics
 
 class FrameTraffic {
 public:
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -5,25 +5,6 @@
 #include <algorithm>
 
 namespace crocusspur::gateway {
-namespace {
-
-constexpr Milliseconds MinBatchDelay{400};
-constexpr Milliseconds BatchDelayPerMember{10};
-constexpr Milliseconds MaxBatchDelay{1000};
-
-} // namespace
-
-Milliseconds batchDelayFor(uint64_t Members, Milliseconds MaxDrainTime) {
-  // The other half of the limit is for the call itself and one retry of it.
-  Milliseconds most = std::min(MaxBatchDelay, MaxDrainTime / 2);
-  Milliseconds least = std::min(MinBatchDelay, most);
-  return std::clamp(BatchDelayPerMember * static_cast<int64_t>(Members), least,
-                    most);
-}
-
-Milliseconds GatewayRuntime::batchDelay() const {
-  return batchDelayFor(PeersKnown.load(), Values.MaxDrainTime);
-}
 
 using internal::log;
 using internal::LogLevel;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -25,12 +25,6 @@
 
 namespace crocusspur::gateway {
 
-// Returns the delay during which changes in the store are batched into one
-// call. It grows with the fleet, so that the number of calls grows more slowly
-// than the fleet, up to half of the time within which a leaving server must get
-// no more requests.
-Milliseconds batchDelayFor(uint64_t Members, Milliseconds MaxDrainTime);
-
 struct GatewayRuntime {
   GatewayRuntime(const Adapter &ActiveAdapter, GatewaySettings Values,
                  std::string File, uint64_t Incarnation)
@@ -107,7 +101,6 @@
   // Keeps the active settings. Logs each set of diagnostics once.
   void logInvalidSettings(const DiagnosticList &Diagnostics, const char *Why);
   std::vector<std::string> seedAddresses() const;
-  Milliseconds batchDelay() const; // see batchDelayFor
 
   // The part of a frame to a peer that names this instance.
   Member ownMember() const;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "crocusspur/types.h"
 #include "gateway/decisions/accounts/access_check.h"
 #include "gateway/decisions/accounts/quota_bucket.h"
+#include "gateway/decisions/fleet/propagation_budget.h"
 #include "gateway/decisions/placement/pace_table.h"
 #include "gateway/decisions/shared_retry_budget.h"
 
--- a/src/gateway/lifecycle.cc
+++ b/src/gateway/lifecycle.cc
@@ -20,10 +20,6 @@
 // The settings file may change without a signal, so it is polled.
 constexpr Milliseconds SettingsPeriod{1000};
 
-// An instance that learns from peers reads for itself once its knowledge of the
-// store is 3.6 s old, and a slow store takes some hundred milliseconds.
-constexpr Milliseconds UsualKnowledgeAge{4500};
-
 class Lifecycle final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
@@ -61,13 +57,18 @@
        {"revoke_fail_closed",
         Runtime->Values.Access.FailClosed ? "true" : "false"},
        {"revoke_ms", std::to_string(Runtime->Values.Access.MaxAge.count())}});
+  // The age is greatest in a small fleet.
+  Milliseconds usualAge = propagationBudget({Runtime->Values.ConfigApplyTime,
+                                             Runtime->Values.MaxDrainTime},
+                                            /*FleetSize=*/1, /*Selective=*/true)
+                              .KnowledgeLifetime;
   if (Runtime->Values.Access.FailClosed &&
-      Runtime->Values.Access.MaxAge < UsualKnowledgeAge)
+      Runtime->Values.Access.MaxAge < usualAge)
     log(LogLevel::Warn, "lifecycle",
         "callers may be refused while the store responds: knowledge of it is "
         "usually older",
         {{"revoke_ms", std::to_string(Runtime->Values.Access.MaxAge.count())},
-         {"usual_ms", std::to_string(UsualKnowledgeAge.count())}});
+         {"usual_ms", std::to_string(usualAge.count())}});
   return true;
 }
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -455,7 +455,10 @@
   auto crashList = out.CreateVector(crashes);
   auto clearedList = out.CreateVector(cleared);
   StoreRevision since = Frame.ChangesSince.value_or(StoreRevision());
-  auto confirmedAgo = Frame.StoreConfirmedAgo.value_or(Milliseconds(0));
+  const auto &[serversAgo, routesAgo] = Frame.ConfirmedAgo;
+  bool isConfirmed = serversAgo && routesAgo;
+  uint32_t confirmedAgo =
+      isConfirmed ? std::max(ageField(serversAgo), ageField(routesAgo)) : 0;
   out.Finish(wire::CreateFrame(
       out, MemberProtocol, sender, memberList, Frame.WantsRoutes,
       Frame.WantsServers, Frame.ConfigVersion, Frame.ServersRevision.Number,
@@ -464,13 +467,13 @@
       originList, wantedOrigin, origin, forwarded, leavingList,
       Frame.LeavingDigest, Frame.ServersRevision.Era,
       Frame.ConfigRevision.Number, Frame.ConfigRevision.Era, Frame.StoreEra,
-      Frame.StoreConfirmedAgo.has_value(),
-      static_cast<uint32_t>(confirmedAgo.count()), Frame.AcceptsChanges,
+      isConfirmed, confirmedAgo, Frame.AcceptsChanges,
       Frame.ChangesSince.has_value(), since.Number, since.Era, wantedLease,
       lease, paceList, Frame.MembersDigest, heard, Frame.Discovered,
       Frame.MembersOmitted ? static_cast<int32_t>(*Frame.MembersOmitted) : -1,
       ageField(Frame.DiscoveredAgo), wantedPrefill, prefill,
-      ageField(Frame.ConfigTimes.ReadAgo), ageField(Frame.ConfigTimes.AtMost)));
+      ageField(Frame.ConfigTimes.ReadAgo), ageField(Frame.ConfigTimes.AtMost),
+      ageField(serversAgo), ageField(routesAgo)));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -513,8 +516,11 @@
   frame.AcceptsChanges = in.accepts_changes();
   if (in.has_changes())
     frame.ChangesSince = {in.changes_since_era(), in.changes_since_revision()};
-  if (in.store_confirmed())
-    frame.StoreConfirmedAgo = Milliseconds(in.store_confirmed_ago_ms());
+  frame.ConfirmedAgo = {ageOf(in.servers_confirmed_ago_ms()),
+                        ageOf(in.routes_confirmed_ago_ms())};
+  if (in.store_confirmed()) // in frames of earlier builds
+    for (std::optional<Milliseconds> &it : frame.ConfirmedAgo)
+      it = it.value_or(Milliseconds(in.store_confirmed_ago_ms()));
   frame.CrashDigest = in.crash_digest();
   if (in.crashes())
     for (const wire::Crash *it : *in.crashes())
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -13,6 +13,7 @@
 #include "gateway/server_limits.h"
 #include "gateway/stream_origins.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -69,13 +70,15 @@
   bool AcceptsChanges = false;
   // `Servers` are all changes after this revision up to ServersRevision.
   std::optional<StoreRevision> ChangesSince;
-  // How long ago the store had what the sender knows; nothing: not known.
-  std::optional<Milliseconds> StoreConfirmedAgo;
+  // How long ago the store had what the sender knows, by PublishedKind;
+  // nothing: not known.
+  std::array<std::optional<Milliseconds>, 2> ConfirmedAgo;
   uint64_t CrashDigest = 0; // see CrashHistory::digest()
   CrashHistory::Update Crashes;
   // A request that notifies a peer at once of crashes, limits, leaving servers,
-  // changed paces, an era or published changes: neither it nor its response
-  // lists the members.
+  // changed paces, an era or published changes, or one that asks for published
+  // changes only: neither it nor its response lists the members. If their
+  // sender has no state version, they say nothing of its state.
   bool IsNotification = false;
   std::vector<ServerLimit> Limits; // that the sender knows
   // Servers that leave, and LeavingServers::digest() of all that the sender
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -1,17 +1,15 @@
 // Plug-in: exchanges frames with other instances. Each exchange uses one
 // connection with one frame each way, so that an unresponsive connection costs
 // one round at most. Membership spreads in every round; routes and servers are
-// sent only to instances that can't read the store or have just started. What
-// an instance learns about crashes of servers, their request limits, servers
-// that leave, changed paces of servers, the store's era and, in a large fleet,
-// what the store has published, it sends on at once, and its rounds fetch what
-// it has missed. Permits for calls to servers with limits are exchanged by the
-// threads of the requests, leases of accounts' tokens by these or in advance.
-// Requests that another instance passes on are handled on the threads of their
-// connections.
+// sent only to instances that lack them. What is to spread at once has a thread
+// of its own; see ChangeExchange. Permits for calls to servers with limits are
+// exchanged by the threads of the requests, leases of accounts' tokens by these
+// or in advance. Requests that another instance passes on are handled on the
+// threads of their connections.
 #include "connection_server.h"
 #include "crocusspur/instance_list.h"
 #include "crocusspur/kernel.h"
+#include "gateway/change_exchange.h"
 #include "gateway/decisions/fleet/document_sources.h"
 #include "gateway/decisions/fleet/member_deltas.h"
 #include "gateway/forward_service.h"
@@ -46,16 +44,6 @@
 // An instance that reads from the start asks peers for documents after this
 // time at the earliest, so that it doesn't get them twice.
 constexpr Milliseconds FirstReadTime{1000};
-// Contacts that are told of a crash or a limit at once. Each instance that
-// learns of it tells as many, the next one by name among them, so it spreads in
-// few steps.
-constexpr size_t NotificationContacts = 3;
-// Crashes of one server are seen within milliseconds by all its callers.
-constexpr Milliseconds NotificationBatchDelay{20};
-// What peers learn of a leaving server later than this they fetch in a round.
-constexpr Milliseconds NotifiedLeavingAge{3000};
-// Shorter than for rounds, so that silent peers don't delay the others.
-constexpr Milliseconds NotificationTimeout{150};
 // A request waits for its permit or its lease. The other instance responds from
 // memory.
 constexpr Milliseconds PermitTimeout{60};
@@ -63,31 +51,14 @@
 constexpr Milliseconds DispatchTimeout{15};
 // Peers respond from memory, which takes a few milliseconds within a region.
 constexpr Milliseconds ExchangeTimeout{400};
-
-// If peers stay ahead for longer than the batch delay of this instance's reader
-// plus this margin for its call, the reader's connection to the store is
-// considered dead.
-constexpr Milliseconds LateCallMargin{300};
-
-// In a fleet in which few instances read, notifications bring changes to the
-// others within this time.
-constexpr Milliseconds NotificationTime{300};
-// Forwarded changes are batched, since several instances read and forward them.
-constexpr Milliseconds ChangeBatchDelay{80};
-// More changes are left to the rounds.
-constexpr size_t MaxChangesPerNotification = 64;
 // Rounds carry what has become known of paces since the round before, with a
 // margin for late ones.
 constexpr Milliseconds PaceRoundAge{1500};
-// Notifications carry a few changes only; the rounds carry the rest.
-constexpr Milliseconds PaceNotificationAge{600};
-constexpr size_t MaxPacesPerNotification = 8;
-
-// What orders configurations: the version, then the change that wrote it.
-using ConfigKey = std::pair<uint64_t, StoreRevision>;
 
-ConfigKey configOf(const MemberFrame &Frame) {
-  return {Frame.ConfigVersion, Frame.ConfigRevision};
+FrameKind kindOf(const MemberFrame &Request) {
+  if (!Request.IsNotification)
+    return FrameKind::Round;
+  return Request.WantsServers ? FrameKind::Question : FrameKind::Notification;
 }
 
 class MemberLinks final : public Plugin {
@@ -98,12 +69,9 @@
 
 private:
   void runRounds();
-  // Sends on what becomes known of crashes, limits, leaving servers and the
-  // store's era until the time of the next round.
   // Returns false if this instance stops.
   bool waitForRound(TimePoint Until);
-  void runRound(bool CatchUp);
-  void sendNotifications();
+  void runRound();
   std::optional<PaceDecision> askForPermit(const std::string &Address,
                                            const PermitRequest &Request);
   std::optional<QuotaGrant> askForLease(const std::string &Address,
@@ -117,10 +85,13 @@
                 Milliseconds Timeout);
   // Asks for missing documents until they are here or the contacts are used up.
   void runCatchUpRound();
-  // Whether updates from the store don't reach this instance, or arrive late.
-  bool needsUpdates();
+  // Whether this instance asks peers for the documents that it lacks.
+  bool lacksDocuments() const;
   // The part that all frames have.
   MemberFrame basicFrame();
+  // The same for a frame without the state of its sender.
+  MemberFrame lightFrame();
+  void addKnowledge(MemberFrame &Frame) const;
   MemberFrame requestFrame(const std::string &Address);
   // Returns whether the response holds a whole list, whose end is to be
   // reported to Serving.
@@ -136,16 +107,9 @@
   // Notes whether the sender has the documents.
   void noteHolder(const MemberFrame &Frame);
   void addPaces(MemberFrame &Frame);
-  static void addServers(const std::vector<ServerChange> &Changes,
-                         MemberFrame &Frame);
-  // Adds what has changed since the last notification, in a fleet in which not
-  // all instances read the store. Returns whether there is something.
-  bool addChanges(MemberFrame &Frame);
-  std::vector<std::string> contactsOfRound(bool CatchUp);
-  void applyFrame(const MemberFrame &Frame, bool IsResponse);
-  // Notes how recent the knowledge is that this instance has in common with the
-  // sender.
-  void noteConfirmation(const MemberFrame &Frame);
+  std::vector<std::string> contactsOfRound();
+  // `At`: at the latest when the sender composed the frame.
+  void applyFrame(const MemberFrame &Frame, bool IsResponse, TimePoint At);
   // `Revision`: of the change that wrote them, if it is known.
   void applyRoutes(const std::string &Text, StoreRevision Revision,
                    const std::string &From, const ConfigAge &Age);
@@ -155,14 +119,10 @@
   internal::ConnectionServer Server;
   std::optional<GatewayContext> Context; // of requests of other instances
   std::optional<ForwardService> Forwarded;
-  std::mutex Mutex; // guards Stopping and HasChanges
+  std::optional<ChangeExchange> Changes;
+  std::mutex Mutex; // guards Stopping
   std::condition_variable Wake;
   bool Stopping = false;
-  bool HasChanges = false; // that contacts haven't been told of
-  // The newest that any peer has reported.
-  std::mutex NewestMutex;
-  ConfigKey NewestConfig;
-  StoreRevision NewestServers;
   std::mutex SourcesMutex; // guards the objects below
   StateVersion OwnState;
   std::mt19937_64 Random;
@@ -170,11 +130,6 @@
   std::optional<DocumentServing> Serving;
   StateAllowance States;
   TimePoint StartedAt;
-  std::optional<TimePoint> BehindSince; // used by the rounds' thread only
-  uint64_t SentCrashChange = 0;         // used by the rounds' thread only
-  uint64_t SentEra = 0;                 // used by the rounds' thread only
-  ConfigKey SentConfig;                 // used by the rounds' thread only
-  StoreRevision SentServers;            // used by the rounds' thread only
   std::set<std::string> LoggedMembers;
   bool IsDiscoveryLogged = false;   // used by the rounds' thread only
   std::optional<FleetMemory> Fleet; // guarded by the lock of AccountQuotas
@@ -206,6 +161,14 @@
                                  /*Forwarding=*/nullptr, &Runtime->Access,
                                  &Runtime->Dispatch, &Runtime->Readers});
   Forwarded.emplace(*Runtime, *Context);
+  Changes.emplace(*Runtime,
+                  ChangeExchangeHooks{
+                      [this] { return basicFrame(); },
+                      [this] { return lightFrame(); },
+                      [this](const std::string &Address,
+                             const MemberFrame &Request, Milliseconds Timeout) {
+                        return exchange(Address, Request, Timeout);
+                      }});
   internal::ConnectionServerOptions options;
   options.Name = "members";
   options.Address = values.PeerAddress;
@@ -220,13 +183,7 @@
   }
   log(LogLevel::Warn, "member_links",
       "peer exchanges aren't authenticated: no key in the settings", {});
-  auto onChange = [this] {
-    {
-      std::lock_guard lock(Mutex);
-      HasChanges = true;
-    }
-    Wake.notify_all();
-  };
+  auto onChange = [this] { Changes->onChange(); };
   Runtime->Crashes.setChangeListener(onChange);
   Runtime->Limits.setChangeListener(onChange);
   Runtime->Directory.setChangeListener(onChange);
@@ -262,6 +219,7 @@
       },
       [this](const std::string &Text) { applyRoutes(Text, {}, "a peer", {}); },
       [this] { return Runtime->ownMember(); }};
+  Changes->start();
   Thread = std::thread([this] { runRounds(); });
   return true;
 }
@@ -328,6 +286,8 @@
     Stopping = true;
   }
   Wake.notify_all();
+  if (Changes)
+    Changes->stop();
   if (Thread.joinable())
     Thread.join();
   Server.stopAccepting();
@@ -336,24 +296,39 @@
   Server.join();
 }
 
+void MemberLinks::addKnowledge(MemberFrame &Frame) const {
+  // First, since knowledge that is confirmed may become newer meanwhile.
+  for (PublishedKind it : {PublishedKind::Servers, PublishedKind::Routes})
+    Frame.ConfirmedAgo[static_cast<size_t>(it)] =
+        Runtime->Readers.confirmedAgo(it);
+  Frame.ConfigVersion = Runtime->Directory.routes()->Version;
+  Frame.ConfigRevision = Runtime->Directory.routesRevision();
+  Frame.ConfigTimes = Runtime->Directory.configAge();
+  Frame.ServersRevision = Runtime->Directory.serversRevision();
+  Frame.StoreEra = Runtime->Directory.storeEra();
+  FleetDiscovery discovery = Runtime->Peers.discovery();
+  Frame.Discovered = discovery.isDone(Clock::now());
+  Frame.DiscoveredAgo = discovery.knownAgo(Clock::now());
+}
+
+MemberFrame MemberLinks::lightFrame() {
+  MemberFrame frame;
+  addKnowledge(frame);
+  frame.Sender = Runtime->ownMember();
+  frame.IsNotification = true;
+  return frame;
+}
+
 MemberFrame MemberLinks::basicFrame() {
   MemberFrame frame;
-  frame.ConfigVersion = Runtime->Directory.routes()->Version;
-  frame.ConfigRevision = Runtime->Directory.routesRevision();
-  frame.ConfigTimes = Runtime->Directory.configAge();
-  frame.ServersRevision = Runtime->Directory.serversRevision();
+  addKnowledge(frame);
   frame.CrashDigest = Runtime->Crashes.digest();
-  frame.StoreEra = Runtime->Directory.storeEra();
   frame.LeavingDigest = Runtime->Directory.leavingDigest();
   frame.Limits = Runtime->Limits.known();
   frame.Sender = Runtime->ownMember();
   frame.Sender.Stats = Runtime->Directory.serviceStats();
   frame.Sender.Orders = Runtime->Peers.ownOrders();
   frame.Sender.Reached = Runtime->Connections.reachability().reached();
-  frame.StoreConfirmedAgo = Runtime->Readers.confirmedAgo();
-  FleetDiscovery discovery = Runtime->Peers.discovery();
-  frame.Discovered = discovery.isDone(Clock::now());
-  frame.DiscoveredAgo = discovery.knownAgo(Clock::now());
   std::lock_guard lock(SourcesMutex);
   frame.Sender.StateVersion = OwnState.versionOf(
       frame.Sender, Runtime->PeersKnown.load(), Clock::now());
@@ -377,7 +352,7 @@
   MemberFrame frame = basicFrame();
   addPaces(frame);
   addKnownMembers(Address, frame);
-  frame.WantsRoutes = needsUpdates();
+  frame.WantsRoutes = Runtime->Directory.isComplete() || lacksDocuments();
   frame.WantsServers = frame.WantsRoutes;
   frame.AcceptsChanges = true;
   return frame;
@@ -388,27 +363,10 @@
       Clock::now() - PaceRoundAge, MaxPacesPerFrame);
 }
 
-bool MemberLinks::needsUpdates() {
-  if (!Runtime->Directory.isComplete())
-    return !Runtime->Readers.isReading() || Runtime->Readers.isStoreFailing() ||
-           Clock::now() - StartedAt >= FirstReadTime;
-  if (!Runtime->Directory.isStoreReachable())
-    return true;
-  bool behind = false;
-  {
-    std::lock_guard lock(NewestMutex);
-    behind = NewestConfig > ConfigKey(Runtime->Directory.routes()->Version,
-                                      Runtime->Directory.routesRevision()) ||
-             NewestServers > Runtime->Directory.serversRevision();
-  }
-  if (!behind)
-    BehindSince.reset();
-  else if (!BehindSince)
-    BehindSince = Clock::now();
-  Milliseconds patience = Runtime->Readers.isSelective()
-                              ? NotificationTime
-                              : Runtime->batchDelay() + LateCallMargin;
-  return BehindSince && Clock::now() - *BehindSince > patience;
+bool MemberLinks::lacksDocuments() const {
+  return !Runtime->Directory.isComplete() &&
+         (!Runtime->Readers.isReading() || Runtime->Readers.isStoreFailing() ||
+          Clock::now() - StartedAt >= FirstReadTime);
 }
 
 // Adds the updates that the peer requested, if this instance has newer ones.
@@ -475,13 +433,6 @@
                            Domain != Runtime->Values.FailureDomain);
 }
 
-void MemberLinks::addServers(const std::vector<ServerChange> &Changes,
-                             MemberFrame &Frame) {
-  for (const ServerChange &it : Changes)
-    Frame.Servers.push_back(
-        {it.Id, it.Revision, !it.Entry, it.Entry ? it.Entry->Text : ""});
-}
-
 void MemberLinks::applyRoutes(const std::string &Text, StoreRevision Revision,
                               const std::string &From, const ConfigAge &Age) {
   RouteDocumentPtr routes = Runtime->Source.ParseRoutes(Text);
@@ -493,12 +444,8 @@
         {{"peer", From}});
 }
 
-void MemberLinks::applyFrame(const MemberFrame &Frame, bool IsResponse) {
-  {
-    std::lock_guard lock(NewestMutex);
-    NewestConfig = std::max(NewestConfig, configOf(Frame));
-    NewestServers = std::max(NewestServers, Frame.ServersRevision);
-  }
+void MemberLinks::applyFrame(const MemberFrame &Frame, bool IsResponse,
+                             TimePoint At) {
   Runtime->Directory.onStoreEra(Frame.StoreEra, UpdateOrigin::Peer);
   Runtime->Crashes.merge(Frame.Crashes, Frame.Sender.Name);
   Runtime->Limits.merge(Frame.Limits, Frame.Sender.Name);
@@ -522,8 +469,9 @@
   if (!Frame.RoutesText.empty())
     applyRoutes(Frame.RoutesText, Frame.ConfigRevision, Frame.Sender.Name,
                 Frame.ConfigTimes);
+  bool isNotification = Frame.IsNotification && !Frame.WantsServers;
   if (!Frame.HasServers && !Frame.ChangesSince) {
-    noteConfirmation(Frame);
+    Changes->onFrame(Frame, At, isNotification);
     return;
   }
   std::vector<ServerChange> changes;
@@ -539,7 +487,7 @@
     Runtime->Directory.applyServerChanges(changes, *Frame.ChangesSince,
                                           Frame.ServersRevision,
                                           UpdateOrigin::Peer);
-  noteConfirmation(Frame);
+  Changes->onFrame(Frame, At, isNotification);
 }
 
 void MemberLinks::noteHolder(const MemberFrame &Frame) {
@@ -550,14 +498,6 @@
   Sources->onHolder(Frame.Sender.Address, Clock::now());
 }
 
-void MemberLinks::noteConfirmation(const MemberFrame &Frame) {
-  bool isCurrent =
-      Runtime->Directory.isComplete() &&
-      Runtime->Directory.routes()->Version >= Frame.ConfigVersion &&
-      Runtime->Directory.serversRevision() >= Frame.ServersRevision;
-  Runtime->Readers.onPeerHeard(Frame.StoreConfirmedAgo, isCurrent);
-}
-
 void MemberLinks::serve(StreamSocket &Socket) {
   try {
     setTimeouts(Socket, ExchangeTimeout);
@@ -608,16 +548,22 @@
       sendFrame(Socket, encode(origin));
       return;
     }
+    TimePoint receivedAt = Clock::now();
     respond(Socket, *request);
-    applyFrame(*request, /*IsResponse=*/false);
+    applyFrame(*request, /*IsResponse=*/false, receivedAt);
   } catch (const Poco::Exception &) {
     // The peer disconnected or is too slow; it asks again in its next round.
   }
 }
 
 void MemberLinks::respond(StreamSocket &Socket, const MemberFrame &Request) {
-  MemberFrame response = basicFrame();
+  // A request without its sender's state is answered in kind.
+  bool isLight = Request.IsNotification && Request.Sender.StateVersion == 0;
+  MemberFrame response = isLight ? lightFrame() : basicFrame();
+  response.IsNotification = false;
   bool isServing = false;
+  if (isLight)
+    isServing = addRequestedUpdates(Request, response);
   if (!Request.IsNotification) {
     addPaces(response);
     addMembers(Request, response);
@@ -633,10 +579,8 @@
   };
   std::vector<uint8_t> bytes = encode(response);
   response = {}; // a list isn't kept twice while it is sent
-  count(isServing                ? FrameKind::List
-        : Request.IsNotification ? FrameKind::Notification
-                                 : FrameKind::Round,
-        bytes.size(), Request.Sender.FailureDomain);
+  count(isServing ? FrameKind::List : kindOf(Request), bytes.size(),
+        Request.Sender.FailureDomain);
   try {
     sendFrame(Socket, bytes);
   } catch (const Poco::Exception &) {
@@ -649,13 +593,14 @@
 bool MemberLinks::exchange(const std::string &Address,
                            const MemberFrame &Request, Milliseconds Timeout) {
   std::vector<uint8_t> bytes = encode(Request);
+  TimePoint sentAt = Clock::now();
   std::optional<MemberFrame> response =
       callMemberEncoded(Address, bytes, Timeout);
-  count(Request.IsNotification ? FrameKind::Notification : FrameKind::Round,
-        bytes.size(), response ? response->Sender.FailureDomain : "");
+  count(kindOf(Request), bytes.size(),
+        response ? response->Sender.FailureDomain : "");
   if (response)
-    applyFrame(*response, /*IsResponse=*/true);
-  if (Request.WantsServers && !Request.IsNotification) {
+    applyFrame(*response, /*IsResponse=*/true, sentAt);
+  if (Request.WantsServers && Request.ServersRevision.Number == 0) {
     TimePoint now = Clock::now();
     std::lock_guard lock(SourcesMutex);
     bool isGiven = response && (response->HasServers || response->ChangesSince);
@@ -771,9 +716,9 @@
   Sources->onRound(hasResponse);
 }
 
-void MemberLinks::runRound(bool CatchUp) {
+void MemberLinks::runRound() {
   Runtime->Peers.setSeeds(Runtime->seedAddresses());
-  if (CatchUp && !Runtime->Directory.isComplete()) {
+  if (lacksDocuments()) {
     runCatchUpRound();
     logMembershipChanges();
     return;
@@ -781,7 +726,7 @@
   // Exchanges with unresponsive peers take most of a second each; they must
   // not delay the end of a shutdown.
   bool hasResponse = false;
-  for (const std::string &it : contactsOfRound(CatchUp)) {
+  for (const std::string &it : contactsOfRound()) {
     if (Runtime->Closing.load())
       return;
     if (exchange(it, requestFrame(it), ExchangeTimeout))
@@ -796,13 +741,13 @@
   logMembershipChanges();
 }
 
-std::vector<std::string> MemberLinks::contactsOfRound(bool CatchUp) {
-  std::vector<std::string> all = Runtime->Peers.selectContacts(
-      CatchUp ? CatchUpContacts : ContactsPerRound);
-  if (!Runtime->Readers.isSelective() || Runtime->Readers.shouldRead())
+std::vector<std::string> MemberLinks::contactsOfRound() {
+  std::vector<std::string> all =
+      Runtime->Peers.selectContacts(ContactsPerRound);
+  if (!Runtime->Readers.isSelective() || Runtime->Readers.isRegularReader())
     return all;
   // One that reads the store, in place of the last.
-  std::vector<std::string> readers = Runtime->Readers.readerAddresses();
+  std::vector<std::string> readers = Runtime->Readers.domainReaders();
   if (readers.empty())
     return all;
   const std::string &reader =
@@ -815,86 +760,21 @@
   return all;
 }
 
-bool MemberLinks::addChanges(MemberFrame &Frame) {
-  StoreRevision servers = std::exchange(SentServers, Frame.ServersRevision);
-  ConfigKey config = std::exchange(SentConfig, configOf(Frame));
-  if (!Runtime->Readers.isSelective())
-    return false;
-  bool found = false;
-  if (configOf(Frame) > config && config.first > 0) {
-    Frame.RoutesText = Runtime->Directory.routes()->Text;
-    found = true;
-  }
-  if (Frame.ServersRevision <= servers || servers.Number == 0 ||
-      servers.Era != Frame.ServersRevision.Era)
-    return found;
-  std::vector<ServerChange> changes =
-      Runtime->Directory.serversChangedAfter(servers);
-  if (changes.size() > MaxChangesPerNotification)
-    return found;
-  addServers(changes, Frame);
-  Frame.ChangesSince = servers;
-  return true;
-}
-
-void MemberLinks::sendNotifications() {
-  MemberFrame frame = basicFrame();
-  frame.IsNotification = true;
-  uint64_t change = Runtime->Crashes.lastChange();
-  frame.Crashes = Runtime->Crashes.changesAfter(SentCrashChange);
-  SentCrashChange = change;
-  frame.Leaving = Runtime->Directory.leavingServers(NotifiedLeavingAge);
-  frame.Paces = Runtime->Directory.pacesChangedSince(
-      Clock::now() - PaceNotificationAge, MaxPacesPerNotification);
-  std::erase_if(frame.Paces,
-                [](const PaceSummary &It) { return !It.IsChange; });
-  bool isNewEra = std::exchange(SentEra, frame.StoreEra) != frame.StoreEra;
-  bool hasChanges = addChanges(frame);
-  if (frame.Crashes.empty() && frame.Limits.empty() && frame.Leaving.empty() &&
-      frame.Paces.empty() && !isNewEra && !hasChanges)
-    return;
-  for (const std::string &it :
-       Runtime->Peers.selectContacts(NotificationContacts)) {
-    if (Runtime->Closing.load())
-      return;
-    if (!exchange(it, frame, NotificationTimeout))
-      log(LogLevel::Info, "member_links",
-          "peer was not told of a crash, a limit, a leaving server, a pace, an "
-          "era or a published change",
-          {{"peer", it}, {"why", "no response; its next round fetches it"}});
-  }
-}
-
 bool MemberLinks::waitForRound(TimePoint Until) {
-  do {
-    {
-      std::unique_lock lock(Mutex);
-      Wake.wait_until(lock, Until, [this] { return Stopping || HasChanges; });
-      if (Stopping)
-        return false;
-      if (!std::exchange(HasChanges, false))
-        return true;
-    }
-    std::this_thread::sleep_for(Runtime->Readers.isSelective()
-                                    ? ChangeBatchDelay
-                                    : NotificationBatchDelay);
-    sendNotifications();
-  } while (Clock::now() < Until);
-  return true;
+  std::unique_lock lock(Mutex);
+  return !Wake.wait_until(lock, Until, [this] { return Stopping; });
 }
 
 void MemberLinks::runRounds() {
   while (true) {
-    bool catchUp = needsUpdates();
     Milliseconds period = RoundPeriod;
-    if (catchUp || !Runtime->Directory.isComplete() ||
-        !Runtime->Peers.isDiscovered()) {
+    if (!Runtime->Directory.isComplete() || !Runtime->Peers.isDiscovered()) {
       std::lock_guard lock(SourcesMutex);
       period = Sources->nextRound();
     }
     if (!waitForRound(Clock::now() + period))
       return;
-    runRound(catchUp);
+    runRound();
   }
 }
 
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -83,6 +83,12 @@
   return Table.readerView(FailureDomain, Clock::now());
 }
 
+std::vector<std::string>
+Membership::otherReaders(const std::string &FailureDomain) const {
+  std::lock_guard lock(Mutex);
+  return Table.otherReaders(FailureDomain, Clock::now());
+}
+
 std::string Membership::addressOf(const std::string &Name) const {
   std::lock_guard lock(Mutex);
   return Table.addressOf(Name);
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -31,6 +31,7 @@
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
   std::vector<std::string> keepersOf(const std::string &Key) const;
   ReaderView readerView(const std::string &FailureDomain) const;
+  std::vector<std::string> otherReaders(const std::string &FailureDomain) const;
   std::string addressOf(const std::string &Name) const;
   std::vector<Member> reaching(const std::string &Service);
   void onForwardRefused(const std::string &Name, const std::string &Service);
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <random>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace crocusspur::gateway {
@@ -30,13 +31,13 @@
 constexpr Milliseconds MinWatchWait{2500};
 constexpr Milliseconds WatchWaitPerMember{160};
 constexpr Milliseconds MaxWatchWait{10000};
-// After a failure, when the store may have come back from an older copy, which
-// shows in its response. A watch from a revision beyond would wait in vain.
-constexpr Milliseconds RecoveryWatchWait{1};
-// In a large fleet few instances read, and the others rely on the end of each
-// wait, which confirms what they know.
-constexpr Milliseconds MinSelectiveWatchWait{1000};
-constexpr Milliseconds MaxSelectiveWatchWait{2500};
+// Of a call that is made to learn what the store has: the first one, and after
+// a failure, when the store may have come back from an older copy, which shows
+// in its response. A watch from a revision beyond would wait in vain.
+constexpr Milliseconds QuickWatchWait{1};
+// A response that comes later after the end of its wait has been held up on the
+// way, and shows what the store had before.
+constexpr Milliseconds MaxResponseDelay{300};
 // Where callers are refused once the knowledge of the store is too old, a wait
 // takes at most this part of that age, since each end of a wait confirms it.
 constexpr int WaitsPerAccessAge = 3;
@@ -91,8 +92,9 @@
 Milliseconds ServiceDirectoryReader::watchWait(std::mt19937_64 &Random) const {
   auto members = static_cast<int64_t>(Runtime->PeersKnown.load());
   bool selective = Runtime->Readers.isSelective();
-  Milliseconds least = selective ? MinSelectiveWatchWait : LeastWatchWait;
-  Milliseconds most = selective ? MaxSelectiveWatchWait
+  PropagationBudget budget = Runtime->Readers.budget();
+  Milliseconds least = selective ? budget.MinWatchWait : LeastWatchWait;
+  Milliseconds most = selective ? budget.MaxWatchWait
                                 : std::clamp(WatchWaitPerMember * members,
                                              MinWatchWait, MaxWatchWait);
   AccessPolicy access = Runtime->Access.policy();
@@ -130,8 +132,8 @@
 
 StoreRevision ServiceDirectoryReader::waitForTurn(PublishedKind Kind) {
   ServiceDirectory &directory = Runtime->Directory;
-  while (!Runtime->Readers.shouldRead() && !Stopping.load()) {
-    directory.setStoreReachable(Kind, Runtime->Readers.isCurrent() ||
+  while (!Runtime->Readers.shouldRead(Kind) && !Stopping.load()) {
+    directory.setStoreReachable(Kind, Runtime->Readers.isCurrent(Kind) ||
                                           !directory.isComplete());
     pause(DecisionPeriod);
   }
@@ -157,11 +159,13 @@
     return Stopping.load() || directory.storeEra() > readEra;
   };
   uint32_t failures = 0;
+  bool isFirst = true; // since this instance began to read
   while (!Stopping.load()) {
-    if (!Runtime->Readers.shouldRead()) {
+    if (!Runtime->Readers.shouldRead(Kind)) {
       revision = waitForTurn(Kind);
       readEra = revision.Era;
       failures = 0;
+      isFirst = true;
       if (Stopping.load())
         break;
     }
@@ -169,7 +173,9 @@
     if (whole)
       readEra = directory.storeEra();
     PublishedUpdate update;
-    Milliseconds wait = failures > 0 ? RecoveryWatchWait : watchWait(random);
+    bool isQuick = std::exchange(isFirst, false) || failures > 0 ||
+                   Runtime->Readers.readsOnce(Kind);
+    Milliseconds wait = isQuick ? QuickWatchWait : watchWait(random);
     TimePoint calledAt = Clock::now();
     try {
       update = whole ? reader.ReadAll(isCancelled)
@@ -204,12 +210,18 @@
       failures = 0;
       std::optional<Milliseconds> confirmedAgo =
           Runtime->Readers.confirmedAgo(Kind);
-      Runtime->Readers.onReadSucceeded(Kind);
+      // The pages of a list aren't a snapshot.
+      TimePoint confirmedAt =
+          whole ? calledAt
+                : std::min(Clock::now(), calledAt + wait + MaxResponseDelay);
       directory.setStoreReachable(Kind, true);
       apply(update, Kind, whole, confirmedAgo);
+      // Afterwards, since peers take what this instance knows for what the
+      // store had then.
+      Runtime->Readers.onReadSucceeded(Kind, confirmedAt);
       revision = update.Revision;
       if (!whole && (update.Routes || !update.Servers.empty()))
-        pause(Runtime->batchDelay());
+        pause(Runtime->Readers.budget().BatchDelay);
       continue;
     }
     if (update.Status == ReadStatus::HistoryCompacted ||
@@ -232,10 +244,12 @@
            {"taken_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
                                            Clock::now() - calledAt)
                                            .count())}});
-    directory.setStoreReachable(Kind, false);
     Runtime->Readers.onReadFailed();
+    // It may have responded to others meanwhile.
+    std::optional<TimePoint> confirmed = Runtime->Readers.confirmedAt(Kind);
+    directory.setStoreReachable(Kind, confirmed && *confirmed > calledAt);
     Milliseconds most =
-        std::min(Runtime->batchDelay(),
+        std::min(Runtime->Readers.budget().BatchDelay,
                  MinRetryPause * (1U << std::min(failures - 1, 8U)));
     pause(most / 2 + Milliseconds(static_cast<int64_t>(
                          random() % static_cast<uint64_t>(most.count()))));
--- a/src/gateway/store_readers.cc
+++ b/src/gateway/store_readers.cc
@@ -18,6 +18,12 @@
              Values.SeedAddresses.end();
 }
 
+std::optional<Milliseconds> since(std::optional<TimePoint> At) {
+  if (!At)
+    return std::nullopt;
+  return std::chrono::duration_cast<Milliseconds>(Clock::now() - *At);
+}
+
 } // namespace
 
 StoreReaders::StoreReaders(const GatewaySettings &Values, uint64_t Seed,
@@ -25,106 +31,156 @@
                            const ServiceDirectory &Directory)
     : Values(Values), Peers(Peers), Directory(Directory),
       Election(Values.Instance, Values.FailureDomain, isSeed(Values), Seed,
-               Clock::now()) {}
+               {Values.ConfigApplyTime, Values.MaxDrainTime}, Clock::now()) {}
 
-ReaderView StoreReaders::view() const {
-  ReaderView view = Peers.readerView(Values.FailureDomain);
-  view.Complete = Directory.isComplete();
-  return view;
+const ReaderView &StoreReaders::view() const {
+  TimePoint now = Clock::now();
+  if (now - ViewAt >= ViewLifetime || !View.Complete) {
+    View = Peers.readerView(Values.FailureDomain);
+    View.Complete = Directory.isComplete();
+    ViewAt = now;
+  }
+  return View;
 }
 
-bool StoreReaders::shouldRead() {
-  ReaderView now = view();
+bool StoreReaders::shouldRead(PublishedKind Kind) {
   std::lock_guard lock(Mutex);
-  bool reading = Election.shouldRead(now, Clock::now());
-  if (reading == Reading)
-    return reading;
-  Reading = reading;
-  auto reason = static_cast<size_t>(Election.reason());
-  if (reading)
+  TimePoint now = Clock::now();
+  ReadReason &last = Reasons[static_cast<size_t>(Kind)];
+  ReadReason former = last;
+  last = Election.shouldRead(view(), Kind, now)
+             ? Election.reason(view(), Kind, now)
+             : ReadReason::None;
+  if (last == former)
+    return last != ReadReason::None;
+  auto reason = static_cast<size_t>(last);
+  if (last != ReadReason::None)
     ++Begun[reason];
-  std::optional<TimePoint> confirmed = Election.confirmedAt();
+  // One that reads once does so for both kinds.
+  if (Kind == PublishedKind::Servers)
+    return last != ReadReason::None;
+  std::optional<Milliseconds> confirmed = since(Election.confirmedAt());
   log(LogLevel::Info, "store_readers",
-      reading ? "reading from the store" : "learning from peers",
+      last != ReadReason::None ? "reading from the store"
+                               : "learning from peers",
       {{"reason", ReadReasonNames[reason]},
-       {"fleet", std::to_string(now.FleetSize)},
-       {"candidates", std::to_string(now.Others.size() + 1)},
+       {"fleet", std::to_string(View.FleetSize)},
+       {"candidates", std::to_string(View.Others.size() + 1)},
        {"store_failing_for", std::to_string(std::ranges::count_if(
-                                 now.Others, &ReaderCandidate::StoreFailing))},
-       {"complete", now.Complete ? "true" : "false"},
+                                 View.Others, &ReaderCandidate::StoreFailing))},
+       {"complete", View.Complete ? "true" : "false"},
        {"confirmed_ago_ms",
-        confirmed ? std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                       Clock::now() - *confirmed)
-                                       .count())
-                  : ""}});
-  return reading;
+        confirmed ? std::to_string(confirmed->count()) : ""}});
+  return last != ReadReason::None;
 }
 
-ReadReason StoreReaders::reason() const {
+bool StoreReaders::readsOnce(PublishedKind Kind) const {
   std::lock_guard lock(Mutex);
-  return Reading ? Election.reason() : ReadReason::None;
+  return Reasons[static_cast<size_t>(Kind)] == ReadReason::Stale;
 }
 
-std::array<uint64_t, ReadReasonNames.size()> StoreReaders::readsBegun() const {
-  std::lock_guard lock(Mutex);
-  return Begun;
+bool StoreReaders::isReading() const { return reason() != ReadReason::None; }
+
+bool StoreReaders::isRegularReader() const {
+  ReadReason now = reason();
+  return now != ReadReason::None && now != ReadReason::Stale;
 }
 
-bool StoreReaders::isReading() const {
+ReadReason StoreReaders::reason() const {
   std::lock_guard lock(Mutex);
-  return Reading;
+  return Reasons[static_cast<size_t>(PublishedKind::Routes)];
 }
 
 bool StoreReaders::isSelective() const {
-  ReaderView now = view();
   std::lock_guard lock(Mutex);
-  return Election.isSelective(now, Clock::now());
+  return Election.isSelective(view(), Clock::now());
 }
 
-std::vector<std::string> StoreReaders::readerAddresses() const {
-  ReaderView now = view();
+PropagationBudget StoreReaders::budget() const {
+  std::lock_guard lock(Mutex);
+  return Election.budget(view(), Clock::now());
+}
+
+std::vector<std::string> StoreReaders::domainReaders() const {
   std::lock_guard lock(Mutex);
   std::vector<std::string> all;
-  for (const std::string &it : Election.readers(now))
+  for (const std::string &it : Election.readers(view()))
     all.push_back(Peers.addressOf(it));
   return all;
 }
 
-void StoreReaders::onReadSucceeded(PublishedKind Kind) {
-  std::lock_guard lock(Mutex);
-  Election.onReadSucceeded(Kind, Clock::now());
+std::vector<std::string> StoreReaders::otherReaders() const {
+  return Peers.otherReaders(Values.FailureDomain);
+}
+
+std::vector<std::string> StoreReaders::allReaders() const {
+  std::vector<std::string> all = otherReaders();
+  for (std::string &it : domainReaders())
+    all.push_back(std::move(it));
+  return all;
+}
+
+void StoreReaders::setConfirmationListener(ConfirmationListener Listener) {
+  std::lock_guard lock(ListenerMutex);
+  OnConfirmation = std::move(Listener);
+}
+
+void StoreReaders::onReadSucceeded(PublishedKind Kind, TimePoint At) {
+  bool wasOld = false;
+  {
+    std::lock_guard lock(Mutex);
+    wasOld = isOldLocked();
+    Election.onReadSucceeded(Kind, At);
+    wasOld = wasOld && !isOldLocked();
+  }
+  std::lock_guard lock(ListenerMutex);
+  if (OnConfirmation)
+    OnConfirmation(wasOld);
 }
 
 void StoreReaders::onReadFailed() {
   std::lock_guard lock(Mutex);
-  Election.onReadFailed(Clock::now());
+  Election.onReadFailed(view().FleetSize, Clock::now());
 }
 
-void StoreReaders::onPeerHeard(std::optional<Milliseconds> ConfirmedAgo,
-                               bool IsCurrent) {
+void StoreReaders::onPeerHeard() {
   std::lock_guard lock(Mutex);
-  TimePoint now = Clock::now();
-  Election.onPeerHeard(now);
-  // What the sender confirms is no use to an instance that lacks it.
-  if (ConfirmedAgo && IsCurrent)
-    Election.onPeerConfirmed(now - *ConfirmedAgo);
+  Election.onPeerHeard(Clock::now());
 }
 
-std::optional<Milliseconds> StoreReaders::confirmedAgo() const {
+void StoreReaders::onPeerConfirmed(PublishedKind Kind, TimePoint At) {
   std::lock_guard lock(Mutex);
-  std::optional<TimePoint> confirmed = Election.confirmedAt();
-  if (!confirmed)
-    return std::nullopt;
-  return std::chrono::duration_cast<Milliseconds>(Clock::now() - *confirmed);
+  Election.onPeerConfirmed(Kind, At);
+}
+
+std::optional<TimePoint> StoreReaders::confirmedAt() const {
+  std::lock_guard lock(Mutex);
+  return Election.confirmedAt();
+}
+
+std::optional<TimePoint> StoreReaders::confirmedAt(PublishedKind Kind) const {
+  std::lock_guard lock(Mutex);
+  return Election.confirmedAt(Kind);
+}
+
+std::optional<Milliseconds> StoreReaders::confirmedAgo() const {
+  return since(confirmedAt());
 }
 
 std::optional<Milliseconds>
 StoreReaders::confirmedAgo(PublishedKind Kind) const {
+  return since(confirmedAt(Kind));
+}
+
+bool StoreReaders::isOldLocked() const {
+  PropagationBudget budget = Election.budget(view(), Clock::now());
+  std::optional<Milliseconds> ago = since(Election.confirmedAt());
+  return !ago || *ago > (budget.AskAge + budget.TakeOverAge) / 2;
+}
+
+bool StoreReaders::isOld() const {
   std::lock_guard lock(Mutex);
-  std::optional<TimePoint> confirmed = Election.confirmedAt(Kind);
-  if (!confirmed)
-    return std::nullopt;
-  return std::chrono::duration_cast<Milliseconds>(Clock::now() - *confirmed);
+  return isOldLocked();
 }
 
 bool StoreReaders::isStoreFailing() const {
@@ -132,9 +188,14 @@
   return Election.isStoreFailing(Clock::now());
 }
 
-bool StoreReaders::isCurrent() const {
+bool StoreReaders::isCurrent(PublishedKind Kind) const {
   std::lock_guard lock(Mutex);
-  return Election.isCurrent(Clock::now());
+  return Election.isCurrent(view(), Kind, Clock::now());
+}
+
+std::array<uint64_t, ReadReasonNames.size()> StoreReaders::readsBegun() const {
+  std::lock_guard lock(Mutex);
+  return Begun;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/store_readers.h
+++ b/src/gateway/store_readers.h
@@ -1,15 +1,19 @@
-// Whether this instance reads the store; see ReaderElection. Thread-safe.
+// Whether this instance reads the store, and how recent its knowledge of it is;
+// see ReaderElection. Thread-safe.
 #ifndef CROCUSSPUR_GATEWAY_STORE_READERS_H
 #define CROCUSSPUR_GATEWAY_STORE_READERS_H
 
+#include "gateway/decisions/fleet/propagation_budget.h"
 #include "gateway/decisions/reader_election.h"
 #include "gateway/membership.h"
 #include "gateway/service_directory.h"
 
 #include <array>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusspur::gateway {
 
@@ -19,41 +23,76 @@
   StoreReaders(const GatewaySettings &Values, uint64_t Seed,
                const Membership &Peers, const ServiceDirectory &Directory);
 
-  // Decides anew. Logs when the decision changes.
-  bool shouldRead();
-  bool isReading() const; // as last decided
+  // Decides anew for a kind. Logs when the decision changes.
+  bool shouldRead(PublishedKind Kind);
+  // Whether the next call for the kind is to return at once, since it is made
+  // to learn what the store has and not to wait for changes.
+  bool readsOnce(PublishedKind Kind) const;
+  // As last decided: whether it reads, for any reason, and whether others can
+  // expect it to go on.
+  bool isReading() const;
+  bool isRegularReader() const;
   ReadReason reason() const;
   // Whether only some instances of the fleet read.
   bool isSelective() const;
-  // Addresses of the instances that are likely to read.
-  std::vector<std::string> readerAddresses() const;
+  PropagationBudget budget() const;
+  // Addresses of the instances that are likely to read: of this failure domain,
+  // of the others, and of all.
+  std::vector<std::string> domainReaders() const;
+  std::vector<std::string> otherReaders() const;
+  std::vector<std::string> allReaders() const;
 
-  void onReadSucceeded(PublishedKind Kind);
+  // Called after a call of this instance has succeeded. `WasOld`: whether the
+  // knowledge was old before it, so that peers' may be as well. It must not
+  // call back.
+  using ConfirmationListener = std::function<void(bool WasOld)>;
+  void setConfirmationListener(ConfirmationListener Listener);
+
+  // A call succeeded and its response was applied. It showed what the store had
+  // at `At`.
+  void onReadSucceeded(PublishedKind Kind, TimePoint At);
   void onReadFailed();
-  // A peer's frame was received. `ConfirmedAgo`: how long ago the store had
-  // what the peer knows; `IsCurrent`: this instance knows all of that.
-  void onPeerHeard(std::optional<Milliseconds> ConfirmedAgo, bool IsCurrent);
+  // A peer's frame was received.
+  void onPeerHeard();
+  // The store had at `At` what a peer knows of the kind, and this instance
+  // knows all of that.
+  void onPeerConfirmed(PublishedKind Kind, TimePoint At);
 
-  // How long ago the store had what this instance knows; nothing: not known.
+  // Since when the store had what this instance knows; nothing: not known.
+  std::optional<TimePoint> confirmedAt() const;
+  std::optional<TimePoint> confirmedAt(PublishedKind Kind) const;
+  // How long ago that was.
   std::optional<Milliseconds> confirmedAgo() const;
-  // The same for what it knows of a kind.
   std::optional<Milliseconds> confirmedAgo(PublishedKind Kind) const;
+  // Whether the knowledge is so old that some instances read in place of
+  // readers soon.
+  bool isOld() const;
+  bool isStoreFailing() const;
+  // Whether the knowledge of the kind is recent, so that the store can be taken
+  // for reachable.
+  bool isCurrent(PublishedKind Kind) const;
+
   // How often this instance has begun to read, by reason.
   std::array<uint64_t, ReadReasonNames.size()> readsBegun() const;
-  bool isStoreFailing() const;
-  // Whether what peers tell is recent, so that the store can be taken for
-  // reachable.
-  bool isCurrent() const;
 
 private:
-  ReaderView view() const;
+  // What the members are is computed anew at most this often.
+  static constexpr Milliseconds ViewLifetime{50};
+
+  // Called with the lock.
+  const ReaderView &view() const;
+  bool isOldLocked() const;
 
   const GatewaySettings &Values;
   const Membership &Peers;
   const ServiceDirectory &Directory;
+  std::mutex ListenerMutex; // guards OnConfirmation
+  ConfirmationListener OnConfirmation;
   mutable std::mutex Mutex; // guards the members below
   ReaderElection Election;
-  bool Reading = false;
+  mutable ReaderView View;
+  mutable TimePoint ViewAt;
+  std::array<ReadReason, 2> Reasons{}; // by kind, as last decided
   std::array<uint64_t, ReadReasonNames.size()> Begun{};
 };
 
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -2572,7 +2572,9 @@
     VT_PREFILL_REQUEST = 86,
     VT_PREFILL_ASSIGNMENT = 88,
     VT_CONFIG_READ_AGO_MS = 90,
-    VT_CONFIG_AGE_MS = 92
+    VT_CONFIG_AGE_MS = 92,
+    VT_SERVERS_CONFIRMED_AGO_MS = 94,
+    VT_ROUTES_CONFIRMED_AGO_MS = 96
   };
   uint16_t protocol() const {
     return GetField<uint16_t>(VT_PROTOCOL, 0);
@@ -2709,6 +2711,12 @@
   uint32_t config_age_ms() const {
     return GetField<uint32_t>(VT_CONFIG_AGE_MS, 4294967295);
   }
+  uint32_t servers_confirmed_ago_ms() const {
+    return GetField<uint32_t>(VT_SERVERS_CONFIRMED_AGO_MS, 4294967295);
+  }
+  uint32_t routes_confirmed_ago_ms() const {
+    return GetField<uint32_t>(VT_ROUTES_CONFIRMED_AGO_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint16_t>(verifier, VT_PROTOCOL, 2) &&
@@ -2784,6 +2792,8 @@
            verifier.VerifyTable(prefill_assignment()) &&
            VerifyField<uint32_t>(verifier, VT_CONFIG_READ_AGO_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_CONFIG_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SERVERS_CONFIRMED_AGO_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROUTES_CONFIRMED_AGO_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -2927,6 +2937,12 @@
   void add_config_age_ms(uint32_t config_age_ms) {
     fbb_.AddElement<uint32_t>(Frame::VT_CONFIG_AGE_MS, config_age_ms, 4294967295);
   }
+  void add_servers_confirmed_ago_ms(uint32_t servers_confirmed_ago_ms) {
+    fbb_.AddElement<uint32_t>(Frame::VT_SERVERS_CONFIRMED_AGO_MS, servers_confirmed_ago_ms, 4294967295);
+  }
+  void add_routes_confirmed_ago_ms(uint32_t routes_confirmed_ago_ms) {
+    fbb_.AddElement<uint32_t>(Frame::VT_ROUTES_CONFIRMED_AGO_MS, routes_confirmed_ago_ms, 4294967295);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2984,7 +3000,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0,
     uint32_t config_read_ago_ms = 4294967295,
-    uint32_t config_age_ms = 4294967295) {
+    uint32_t config_age_ms = 4294967295,
+    uint32_t servers_confirmed_ago_ms = 4294967295,
+    uint32_t routes_confirmed_ago_ms = 4294967295) {
   FrameBuilder builder_(_fbb);
   builder_.add_members_digest(members_digest);
   builder_.add_changes_since_era(changes_since_era);
@@ -2997,6 +3015,8 @@
   builder_.add_crash_digest(crash_digest);
   builder_.add_servers_revision(servers_revision);
   builder_.add_config_version(config_version);
+  builder_.add_routes_confirmed_ago_ms(routes_confirmed_ago_ms);
+  builder_.add_servers_confirmed_ago_ms(servers_confirmed_ago_ms);
   builder_.add_config_age_ms(config_age_ms);
   builder_.add_config_read_ago_ms(config_read_ago_ms);
   builder_.add_prefill_assignment(prefill_assignment);
@@ -3080,7 +3100,9 @@
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillRequest> prefill_request = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::PrefillAssignment> prefill_assignment = 0,
     uint32_t config_read_ago_ms = 4294967295,
-    uint32_t config_age_ms = 4294967295) {
+    uint32_t config_age_ms = 4294967295,
+    uint32_t servers_confirmed_ago_ms = 4294967295,
+    uint32_t routes_confirmed_ago_ms = 4294967295) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::Member>>(*members) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::PublishedServer>>(*servers) : 0;
@@ -3137,7 +3159,9 @@
       prefill_request,
       prefill_assignment,
       config_read_ago_ms,
-      config_age_ms);
+      config_age_ms,
+      servers_confirmed_ago_ms,
+      routes_confirmed_ago_ms);
 }
 
 struct ForwardHead FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/instance_list.cc
+++ b/src/instance_list.cc
@@ -3,6 +3,7 @@
 #include "crocusspur/errors.h"
 #include "json_reader.h"
 #include "name_index.h"
+#include "rendezvous.h"
 
 #include <algorithm>
 #include <utility>
@@ -86,9 +87,9 @@
                                           std::vector<std::string> Names) {
   std::vector<std::pair<uint64_t, std::string>> weighted;
   weighted.reserve(Names.size());
-  uint64_t seed = XXH64(Key.data(), Key.size(), 0);
+  internal::RendezvousWeight weightOf(Key);
   for (std::string &it : Names) {
-    uint64_t weight = XXH64(it.data(), it.size(), seed);
+    uint64_t weight = weightOf(it);
     weighted.emplace_back(weight, std::move(it));
   }
   std::sort(weighted.begin(), weighted.end(), std::greater<>());
--- a/test/gateway_fleet_start_test.cc
+++ b/test/gateway_fleet_start_test.cc
@@ -184,7 +184,8 @@
 
   void start(Node &Of) {
     Of.IsUp = true;
-    Of.Election.emplace(Of.Name, Of.Domain, Of.Number < Seeds, Random(), Now);
+    Of.Election.emplace(Of.Name, Of.Domain, Of.Number < Seeds, Random(),
+                        PropagationBounds(), Now);
     std::vector<std::string> seeds;
     for (int i = 0; i < Seeds; ++i)
       seeds.push_back(nameOf(i) + ":1");
@@ -226,10 +227,10 @@
     };
     ReaderView view = Of.Members.readerView(Of.Domain, Now);
     view.Complete = Of.isComplete();
-    if (!Of.Election->shouldRead(view, Now))
+    if (!Of.Election->shouldRead(view, Kind, Now))
       return again(Milliseconds(100));
     if (!admit()) {
-      Of.Election->onReadFailed(Now);
+      Of.Election->onReadFailed(view.FleetSize, Now);
       Milliseconds pause(std::min(400U, 100U << std::min(Of.Failures++, 8U)));
       return again(pause / 2 + Milliseconds(Of.Random() % pause.count()));
     }
@@ -337,9 +338,11 @@
         Receiver.Election->onPeerHeard(Now);
         if (Complete && !Receiver.isComplete())
           Receiver.Sources.onHolder(Sender.Address, Now);
-        if (std::optional<TimePoint> confirmed = Sender.Election->confirmedAt();
-            confirmed && Receiver.isComplete())
-          Receiver.Election->onPeerConfirmed(*confirmed);
+        std::optional<TimePoint> confirmed = Sender.Election->confirmedAt();
+        if (confirmed && Receiver.isComplete())
+          for (PublishedKind kind :
+               {PublishedKind::Servers, PublishedKind::Routes})
+            Receiver.Election->onPeerConfirmed(kind, *confirmed);
       };
       if (given)
         Of.HasRoutes = Of.HasServers = true;
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -24,7 +24,7 @@
   frame.HasServers = true;
   frame.AcceptsChanges = true;
   frame.ChangesSince = StoreRevision{3, 401};
-  frame.StoreConfirmedAgo = Milliseconds(740);
+  frame.ConfirmedAgo = {Milliseconds(740), Milliseconds(310)};
   frame.Sender.FailureDomain = "hall-a";
   frame.Sender.StoreFailing = true;
   frame.Sender.StateVersion = 300;
@@ -90,7 +90,8 @@
   CHECK(back->HasServers);
   CHECK(back->AcceptsChanges);
   CHECK(back->ChangesSince == StoreRevision{3, 401});
-  CHECK(back->StoreConfirmedAgo == Milliseconds(740));
+  CHECK(back->ConfirmedAgo[0] == Milliseconds(740));
+  CHECK(back->ConfirmedAgo[1] == Milliseconds(310));
   CHECK(back->Sender.FailureDomain == "hall-a");
   CHECK(back->Sender.StoreFailing);
   CHECK(back->Sender.StateVersion == 300);
--- a/test/gateway_reader_election_test.cc
+++ b/test/gateway_reader_election_test.cc
@@ -15,6 +15,8 @@
 
 TimePoint at(int Ms) { return TimePoint() + Milliseconds(1000000 + Ms); }
 
+constexpr PublishedKind Routes = PublishedKind::Routes;
+
 std::string nameOf(int Domain, int Instance) {
   return "d" + std::to_string(Domain) + "-" + std::to_string(Instance);
 }
@@ -25,15 +27,19 @@
 public:
   static constexpr Milliseconds Step{100};
   static constexpr Milliseconds GossipDelay{400};
-  static constexpr Milliseconds ReadPeriod{2000};
 
   Fleet(int Domains, int PerDomain) : Domains(Domains) {
     for (int domain = 0; domain < Domains; ++domain)
       for (int i = 0; i < PerDomain; ++i)
-        All.push_back({nameOf(domain, i), domain,
-                       std::make_unique<ReaderElection>(
-                           nameOf(domain, i), "d" + std::to_string(domain),
-                           /*IsSeed=*/false, All.size() + 1, Now)});
+        All.push_back(
+            {nameOf(domain, i), domain,
+             std::make_unique<ReaderElection>(
+                 nameOf(domain, i), "d" + std::to_string(domain),
+                 /*IsSeed=*/false, All.size() + 1, PropagationBounds(), Now)});
+  }
+
+  PropagationBudget budget() const {
+    return propagationBudget(PropagationBounds(), All.size(), true);
   }
 
   struct Instance {
@@ -44,7 +50,7 @@
     bool ReachesStore = true;
     bool ReachesPeers = true;
     bool Reading = false;
-    TimePoint ReadAt;
+    TimePoint ReadsAt;
     TimePoint AnsweredAt; // by the store, latest
   };
 
@@ -89,20 +95,24 @@
       if (it.ReachesPeers) {
         it.Election->onPeerHeard(Now);
         if (newest)
-          it.Election->onPeerConfirmed(*newest - GossipDelay);
+          for (PublishedKind kind : {PublishedKind::Servers, Routes})
+            it.Election->onPeerConfirmed(kind, *newest - GossipDelay);
       }
-      it.Reading = it.Election->shouldRead(viewOf(it), Now);
-      if (!it.Reading || Now - it.ReadAt < ReadPeriod)
+      it.Reading = it.Election->shouldRead(viewOf(it), Routes, Now);
+      if (!it.Reading || Now < it.ReadsAt)
         continue;
-      it.ReadAt = Now;
+      it.ReadsAt =
+          Now + budget().MinWatchWait +
+          Milliseconds(Random() %
+                       (budget().MaxWatchWait - budget().MinWatchWait).count());
       ++Calls;
       if (!it.ReachesStore) {
-        it.Election->onReadFailed(Now);
+        it.Election->onReadFailed(All.size(), Now);
         continue;
       }
       it.AnsweredAt = Now;
       it.Election->onReadSucceeded(PublishedKind::Servers, Now);
-      it.Election->onReadSucceeded(PublishedKind::Routes, Now);
+      it.Election->onReadSucceeded(Routes, Now);
     }
   }
 
@@ -122,6 +132,7 @@
   }
 
   int Domains;
+  std::mt19937_64 Random{1};
 };
 
 } // namespace
@@ -138,7 +149,9 @@
     CHECK(domains.size() == 5);
     fleet.Calls = 0;
     fleet.run(Milliseconds(10000));
-    CHECK(fleet.Calls <= 30); // five readers, each every 2 s
+    // Five readers, each of which waits at least this long.
+    CHECK(fleet.Calls <=
+          5 * (Milliseconds(10000) / fleet.budget().MinWatchWait + 1));
     CHECK(fleet.oldest() < Milliseconds(3000));
   }
 }
@@ -162,8 +175,11 @@
   fleet.run(Milliseconds(8000));
   for (auto *it : fleet.readers())
     it->Alive = false;
+  TimePoint ended = fleet.Now;
   fleet.run(Milliseconds(4500));
-  CHECK_FALSE(fleet.readers().empty());
+  CHECK(std::ranges::any_of(fleet.All, [&](const Fleet::Instance &It) {
+    return It.AnsweredAt > ended;
+  }));
   CHECK(fleet.oldest() < Milliseconds(2500));
 }
 
@@ -173,8 +189,9 @@
   fleet.run(Milliseconds(8000));
   auto it = std::ranges::find(fleet.All, false, &Fleet::Instance::Reading);
   it->ReachesPeers = false;
+  TimePoint lost = fleet.Now;
   fleet.run(Milliseconds(2000));
-  CHECK(it->Reading);
+  CHECK(it->AnsweredAt > lost);
 }
 
 // A store may reject some instances and serve the others.
@@ -214,15 +231,16 @@
 // Guards against a storm of calls after all instances were killed at once.
 TEST_CASE("Instances that start together wait for peers before they read") {
   ReaderView alone;
-  ReaderElection seed("d0-0", "d0", /*IsSeed=*/true, 1, at(0));
-  CHECK(seed.shouldRead(alone, at(0)));
+  ReaderElection seed("d0-0", "d0", /*IsSeed=*/true, 1, PropagationBounds(),
+                      at(0));
+  CHECK(seed.shouldRead(alone, Routes, at(0)));
   int early = 0;
   for (uint64_t i = 1; i <= 100; ++i) {
     ReaderElection other(nameOf(0, static_cast<int>(i)), "d0",
-                         /*IsSeed=*/false, i, at(0));
-    CHECK_FALSE(other.shouldRead(alone, at(400)));
-    early += other.shouldRead(alone, at(1000));
-    CHECK(other.shouldRead(alone, at(2000)));
+                         /*IsSeed=*/false, i, PropagationBounds(), at(0));
+    CHECK_FALSE(other.shouldRead(alone, Routes, at(400)));
+    early += other.shouldRead(alone, Routes, at(1000));
+    CHECK(other.shouldRead(alone, Routes, at(2000)));
   }
   CHECK(early < 50);
 }
@@ -230,34 +248,38 @@
 // Guards against instances of a small fleet that learn of a change late, since
 // all depend on the seed for the first 5 s and the seed has lost the store.
 TEST_CASE("Instances of a small fleet read the store soon after the start") {
-  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, at(0));
+  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, PropagationBounds(),
+                       at(0));
   ReaderView view;
   view.FleetSize = 4;
   view.Others = {{"d0-0"}, {"d0-2"}, {"d0-3"}};
   other.onPeerHeard(at(300));
   view.Complete = true;
-  other.onPeerConfirmed(at(300));
-  CHECK_FALSE(other.shouldRead(view, at(1000)));
+  for (PublishedKind it : {PublishedKind::Servers, Routes})
+    other.onPeerConfirmed(it, at(300));
+  CHECK_FALSE(other.shouldRead(view, Routes, at(1000)));
   other.onPeerHeard(at(1800));
-  CHECK(other.shouldRead(view, at(1800)));
+  CHECK(other.shouldRead(view, Routes, at(1800)));
   view.FleetSize = 17;
-  other.onPeerConfirmed(at(1800));
-  CHECK_FALSE(other.shouldRead(view, at(1800)));
+  for (PublishedKind it : {PublishedKind::Servers, Routes})
+    other.onPeerConfirmed(it, at(1800));
+  CHECK_FALSE(other.shouldRead(view, Routes, at(1800)));
 }
 
 // Guards against a fleet all of whose instances read from a store that rejects
 // them, again and again, so that it serves nobody.
 TEST_CASE("An instance that the store has rejected waits longer each time") {
-  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, at(0));
+  ReaderElection other("d0-1", "d0", /*IsSeed=*/false, 1, PropagationBounds(),
+                       at(0));
   ReaderView alone;
   int now = 2500;
   std::vector<int> pauses;
   for (int i = 0; i < 6; ++i) {
-    REQUIRE(other.shouldRead(alone, at(now)));
-    other.onReadFailed(at(now));
-    other.onReadFailed(at(now)); // of the other kind
+    REQUIRE(other.shouldRead(alone, Routes, at(now)));
+    other.onReadFailed(1, at(now));
+    other.onReadFailed(1, at(now)); // of the other kind
     int begin = now;
-    while (!other.shouldRead(alone, at(now)))
+    while (!other.shouldRead(alone, Routes, at(now)))
       now += 10;
     pauses.push_back(now - begin);
   }
--- a/test/platform_settings_test.cc
+++ b/test/platform_settings_test.cc
@@ -109,6 +109,18 @@
   CHECK(parse("node-name = ").Keys == std::vector<std::string>{"file"});
 }
 
+// Guards against a bound that no fleet can hold, and is broken by each change.
+TEST_CASE("parseSettings refuses bounds within which nothing can spread") {
+  for (std::string it : {"config-apply-ms = 2500", "drain-ms = 2000"}) {
+    std::string key = it.substr(0, it.find(' '));
+    std::string text = Good;
+    text.replace(text.find(it), it.size(), key + " = 999");
+    CHECK(parse(text).Keys == std::vector<std::string>{"bounds." + key});
+    text.replace(text.find(key + " = 999"), key.size() + 6, key + " = 1000");
+    CHECK(parse(text).Keys.empty());
+  }
+}
+
 // A misspelt bound would switch placement by pace off, or unbind it.
 TEST_CASE("parseSettings checks the table of servers' paces") {
   Outcome without = parse(Good);
--- a/test/propagation_fleet.cc
+++ b/test/propagation_fleet.cc
@@ -1,6 +1,6 @@
 #include "propagation_fleet.h"
 
-#include "gateway/decisions/fleet/document_sources.h"
+#include "gateway/decisions/fleet/knowledge_queries.h"
 #include "gateway/decisions/fleet/member_deltas.h"
 #include "virtual_time.h"
 
@@ -20,6 +20,7 @@
 constexpr Micros FrameCost{1700};
 constexpr double BytesPerLinkMs = 1250;
 constexpr double FrameBytes = 700;
+constexpr double QuestionBytes = 250;
 constexpr double BytesPerHeard = 6;
 constexpr int SlowFactor = 5;
 constexpr Milliseconds StoreLatency{4};
@@ -33,16 +34,16 @@
 // As in service_directory_reader.cc, store_source.cc and member_links.cc.
 constexpr Milliseconds CallTimeout{700};
 constexpr Milliseconds DecisionPeriod{100};
-constexpr Milliseconds MinWatchWait{1000};
-constexpr Milliseconds MaxWatchWait{2500};
+constexpr Milliseconds QuickWait{1};
+// In a fleet whose instances all read.
+constexpr Milliseconds LeastWatchWait{600};
+constexpr Milliseconds MostWatchWait{2500};
+constexpr Milliseconds ResponseTime{300};
 constexpr Milliseconds RoundPeriod{1000};
 constexpr Milliseconds ExchangeTimeout{400};
-constexpr Milliseconds NotificationTimeout{150};
-constexpr Milliseconds ChangeBatchDelay{80};
-constexpr Milliseconds NotificationTime{300};
 constexpr size_t ContactsPerRound = 2;
-constexpr size_t CatchUpContacts = 3;
 constexpr size_t NotificationContacts = 3;
+constexpr size_t NotificationTries = 5;
 
 constexpr std::array<PublishedKind, 2> Kinds{PublishedKind::Servers,
                                              PublishedKind::Routes};
@@ -103,7 +104,7 @@
   Node(int Number, int Domains, uint64_t Seed)
       : Number(Number), Name(nameOfInstance(Number)), Address(Name + ":1"),
         Domain("d" + std::to_string(Number % Domains)),
-        Members(Name, Address, Seed), Sources(Seed), Random(Seed) {}
+        Members(Name, Address, Seed), Queries(Seed), Random(Seed) {}
 
   bool runs() const { return Alive && !Frozen; }
 
@@ -113,7 +114,7 @@
   std::string Domain;
   MemberTable Members;
   std::optional<ReaderElection> Election;
-  DocumentSources Sources;
+  KnowledgeQueries Queries;
   StateVersion Version;
   StateAllowance Allowance;
   std::mt19937_64 Random;
@@ -134,15 +135,14 @@
   std::array<uint64_t, 2> Newest{1, 1}; // that peers have named
   std::array<uint64_t, 2> Sent{1, 1};
   std::array<std::map<uint64_t, TimePoint>, 2> InForce; // by revision
-  std::array<bool, 2> StoreReachable{true, true};
   std::array<uint32_t, 2> Failures{0, 0};
   std::array<bool, 2> Reading{false, false};
-  std::optional<TimePoint> BehindSince;
 
-  // The thread of the rounds.
+  // The thread that sends and asks for changes.
   bool Busy = false;
   bool HasChanges = false;
-  TimePoint RoundAt;
+  bool HasConfirmation = false;
+  TimePoint AskAt;
 };
 
 struct PropagationFleet::PendingWatch {
@@ -150,6 +150,7 @@
   uint64_t Life = 0;
   PublishedKind Kind = PublishedKind::Servers;
   uint64_t After = 0;
+  TimePoint Ends;
   bool Done = false; // answered, lost or given up
   bool Lost = false; // the response doesn't arrive
 };
@@ -218,7 +219,8 @@
 
 void PropagationFleet::start(Node &Of) {
   Of.Alive = true;
-  Of.Election.emplace(Of.Name, Of.Domain, Of.Number < 3, Random(), Now);
+  Of.Election.emplace(Of.Name, Of.Domain, Of.Number < 3, Random(),
+                      PropagationBounds{Options.Bound, Options.Bound}, Now);
   Of.Members.setFailureDomain(Of.Domain);
   std::vector<std::string> seeds;
   for (int i = 0; i < 3; ++i)
@@ -242,7 +244,12 @@
     onNode(Of, Now + Milliseconds(Of.Random() % 100),
            [this, &Of, it] { read(Of, it); });
   onNode(Of, Now + Milliseconds(Of.Random() % 1000),
-         [this, &Of] { scheduleRound(Of); });
+         [this, &Of] { runRound(Of); });
+  onNode(Of, Now, [this, &Of] { awaitUpdates(Of); });
+}
+
+PropagationBudget PropagationFleet::budgetOf(Node &Of) {
+  return Of.Election->budget(viewOf(Of), Now);
 }
 
 void PropagationFleet::kill(Node &Of) {
@@ -254,41 +261,44 @@
 // The reader's thread of one kind.
 void PropagationFleet::read(Node &Of, PublishedKind Kind) {
   size_t k = index(Kind);
-  if (!Of.Election->shouldRead(viewOf(Of), Now)) {
+  ReaderView view = viewOf(Of);
+  if (!Of.Election->shouldRead(view, Kind, Now)) {
     Of.Reading[k] = false;
     Of.Failures[k] = 0;
-    Of.StoreReachable[k] = Of.Election->isCurrent(Now);
     onNode(Of, Now + DecisionPeriod, [this, &Of, Kind] { read(Of, Kind); });
     return;
   }
-  Of.Reading[k] = true;
   call(Of, Kind);
 }
 
 void PropagationFleet::call(Node &Of, PublishedKind Kind) {
   size_t k = index(Kind);
   ++Calls;
+  PropagationBudget budget = budgetOf(Of);
+  bool quick = Of.Failures[k] > 0 || !std::exchange(Of.Reading[k], true) ||
+               Of.Election->reason(viewOf(Of), Kind, Now) == ReadReason::Stale;
   bool selective = Of.Election->isSelective(viewOf(Of), Now);
-  Milliseconds least = selective ? MinWatchWait : Milliseconds(600);
-  Milliseconds most = selective ? MaxWatchWait : Milliseconds(2500);
-  Milliseconds wait =
-      Of.Failures[k] > 0
-          ? Milliseconds(1)
-          : least + Milliseconds(Of.Random() %
-                                 (most - least + Milliseconds(1)).count());
+  Milliseconds least = selective ? budget.MinWatchWait : LeastWatchWait;
+  Milliseconds most = selective ? budget.MaxWatchWait : MostWatchWait;
+  Milliseconds wait = QuickWait;
+  if (!quick)
+    wait = least +
+           Milliseconds(Of.Random() % (most - least + Milliseconds(1)).count());
   if (Of.Store == FleetFault::StoreBusy)
-    return onNode(Of, Now + StoreLatency,
-                  [this, &Of, Kind] { onCallEnded(Of, Kind, false, 0); });
+    return onNode(Of, Now + StoreLatency, [this, &Of, Kind] {
+      onCallEnded(Of, Kind, std::nullopt, 0);
+    });
   auto watch = std::make_shared<PendingWatch>();
   watch->Of = &Of;
   watch->Life = Of.Life;
   watch->Kind = Kind;
   watch->After = Of.Revisions[k];
+  watch->Ends = Now + wait;
   watch->Lost = Of.Store == FleetFault::StoreSilent || Of.CutOff;
   onNode(Of, Now + wait + CallTimeout, [this, &Of, Kind, watch] {
     if (std::exchange(watch->Done, true))
       return;
-    onCallEnded(Of, Kind, false, 0);
+    onCallEnded(Of, Kind, std::nullopt, 0);
   });
   if (watch->Lost)
     return;
@@ -311,28 +321,35 @@
   uint64_t revision = StoreRevisions[index(Watch->Kind)];
   onNode(*Watch->Of, Now + StoreLatency / 2, [this, Watch, revision] {
     if (!std::exchange(Watch->Done, true))
-      onCallEnded(*Watch->Of, Watch->Kind, true, revision);
+      onCallEnded(*Watch->Of, Watch->Kind,
+                  std::min(Now, Watch->Ends + ResponseTime), revision);
   });
 }
 
-void PropagationFleet::onCallEnded(Node &Of, PublishedKind Kind, bool Ok,
+void PropagationFleet::onCallEnded(Node &Of, PublishedKind Kind,
+                                   std::optional<TimePoint> ConfirmedAt,
                                    uint64_t Revision) {
   size_t k = index(Kind);
-  Milliseconds batch = std::clamp(
-      Milliseconds(10) * static_cast<int64_t>(Of.Members.alive(Now).size()),
-      Milliseconds(400), std::min(Milliseconds(1000), Options.Bound / 2));
+  PropagationBudget budget = budgetOf(Of);
   Milliseconds pause{0};
-  Of.StoreReachable[k] = Ok;
-  if (Ok) {
+  if (ConfirmedAt) {
     Of.Failures[k] = 0;
-    Of.Election->onReadSucceeded(Kind, Now);
+    bool wasOld = isOld(Of);
+    Of.Election->onReadSucceeded(Kind, *ConfirmedAt);
+    if (wasOld && !isOld(Of)) {
+      Of.HasConfirmation = true;
+      wake(Of);
+    } else if (Of.Election->isSelective(viewOf(Of), Now)) {
+      tellReaders(Of);
+    }
     if (Revision > Of.Revisions[k])
-      pause = batch;
+      pause = budget.BatchDelay;
     learn(Of, Kind, Revision);
   } else {
-    Of.Election->onReadFailed(Now);
-    Milliseconds most = std::min(
-        batch, Milliseconds(100) * (1U << std::min(Of.Failures[k]++, 8U)));
+    Of.Election->onReadFailed(All.size(), Now);
+    Milliseconds most =
+        std::min(budget.BatchDelay,
+                 Milliseconds(100) * (1U << std::min(Of.Failures[k]++, 8U)));
     pause = most / 2 + Milliseconds(Of.Random() % most.count());
   }
   onNode(Of, Now + pause, [this, &Of, Kind] { read(Of, Kind); });
@@ -358,31 +375,35 @@
   wake(Of);
 }
 
-bool PropagationFleet::needsUpdates(Node &Of) {
-  if (!Of.StoreReachable[0] || !Of.StoreReachable[1])
-    return true;
-  bool behind =
-      Of.Newest[0] > Of.Revisions[0] || Of.Newest[1] > Of.Revisions[1];
-  if (!behind)
-    Of.BehindSince.reset();
-  else if (!Of.BehindSince)
-    Of.BehindSince = Now;
-  Milliseconds patience = Of.Election->isSelective(viewOf(Of), Now)
-                              ? NotificationTime
-                              : Milliseconds(700);
-  return Of.BehindSince && Now - *Of.BehindSince > patience;
-}
-
-// The thread of the rounds: waits, sends changes on, and runs a round.
-void PropagationFleet::scheduleRound(Node &Of) {
-  Milliseconds period = needsUpdates(Of) ? Of.Sources.nextRound() : RoundPeriod;
-  Of.RoundAt = Now + period;
+// Whether its knowledge is about to be too old, so that others may be as well.
+bool PropagationFleet::isOld(Node &Of) {
+  PropagationBudget budget = budgetOf(Of);
+  return Now - Of.Election->confirmedAt().value_or(Start) >
+         (budget.AskAge + budget.TakeOverAge) / 2;
+}
+
+// Readers tell each other that nothing has changed.
+void PropagationFleet::tellReaders(Node &Of) {
+  std::vector<std::string> peers = Of.Members.otherReaders(Of.Domain, Now);
+  for (const std::string &it : Of.Election->readers(viewOf(Of)))
+    peers.push_back(Of.Members.addressOf(it));
+  size_t count = peers.size();
+  contactNext(Of, std::move(peers), count, FrameUse::Question, [] {});
+}
+
+// The thread that sends and asks for changes.
+void PropagationFleet::awaitUpdates(Node &Of) {
   Of.Busy = false;
   if (Of.HasChanges)
     return wake(Of);
-  onNode(Of, Of.RoundAt, [this, &Of, due = Of.RoundAt] {
-    if (!Of.Busy && Of.RoundAt == due)
-      runRound(Of);
+  TimePoint due = Of.Queries.dueAt(budgetOf(Of), Of.Election->confirmedAt());
+  Of.AskAt = std::max(due, Now + Milliseconds(1));
+  onNode(Of, Of.AskAt, [this, &Of, at = Of.AskAt] {
+    if (Of.Busy || Of.AskAt != at)
+      return;
+    if (Of.Queries.dueAt(budgetOf(Of), Of.Election->confirmedAt()) > Now)
+      return awaitUpdates(Of);
+    ask(Of);
   });
 }
 
@@ -392,68 +413,78 @@
     return;
   Of.Busy = true;
   Of.HasChanges = false;
-  bool selective = Of.Election->isSelective(viewOf(Of), Now);
-  onNode(Of, Now + (selective ? ChangeBatchDelay : Milliseconds(20)),
-         [this, &Of] { notify(Of); });
+  onNode(Of, Now + budgetOf(Of).NotificationDelay, [this, &Of] { notify(Of); });
 }
 
 void PropagationFleet::notify(Node &Of) {
-  auto done = [this, &Of] {
-    if (Now >= Of.RoundAt)
-      return runRound(Of);
-    Of.Busy = false;
-    if (Of.HasChanges)
-      return wake(Of);
-    onNode(Of, Of.RoundAt, [this, &Of, due = Of.RoundAt] {
-      if (!Of.Busy && Of.RoundAt == due)
-        runRound(Of);
-    });
-  };
   bool hasNews = Of.Revisions != Of.Sent;
   Of.Sent = Of.Revisions;
-  if (!hasNews || !Of.Election->isSelective(viewOf(Of), Now))
-    return done();
-  contactNext(Of, Of.Members.selectContacts(NotificationContacts, Now), true,
-              done);
+  if (!std::exchange(Of.HasConfirmation, false) && !hasNews)
+    return awaitUpdates(Of);
+  contactNext(Of, Of.Members.selectContacts(NotificationTries, Now),
+              NotificationContacts, FrameUse::Notification,
+              [this, &Of] { awaitUpdates(Of); });
 }
 
-void PropagationFleet::runRound(Node &Of) {
+void PropagationFleet::ask(Node &Of) {
   Of.Busy = true;
-  bool catchUp = needsUpdates(Of);
-  std::vector<std::string> contacts = Of.Members.selectContacts(
-      catchUp ? CatchUpContacts : ContactsPerRound, Now);
+  bool reading = Of.Reading[0] || Of.Reading[1];
+  QueryTargets targets;
+  targets.DomainReaders = [this, &Of] {
+    std::vector<std::string> found;
+    for (const std::string &it : Of.Election->readers(viewOf(Of)))
+      found.push_back(Of.Members.addressOf(it));
+    return found;
+  };
+  targets.OtherReaders = [this, &Of] {
+    return Of.Members.otherReaders(Of.Domain, Now);
+  };
+  targets.Members = [this, &Of] { return Of.Members.selectContacts(1, Now); };
+  std::string address = Of.Queries.ask(targets, reading, Now);
+  if (address.empty())
+    return awaitUpdates(Of);
+  exchange(Of, nodeAt(address), budgetOf(Of).AskTimeout, FrameUse::Question,
+           [=, this, &Of](bool Responded) {
+             if (!Responded)
+               Of.Members.onContactFailed(address, Now);
+             if (Now - Of.Election->confirmedAt().value_or(Start) <
+                 budgetOf(Of).AskAge)
+               Of.Queries.onFresh();
+             awaitUpdates(Of);
+           });
+}
+
+// The thread of the rounds.
+void PropagationFleet::runRound(Node &Of) {
+  std::vector<std::string> contacts =
+      Of.Members.selectContacts(ContactsPerRound, Now);
   ReaderView view = viewOf(Of);
-  if (Of.Election->isSelective(view, Now) &&
-      !Of.Election->shouldRead(view, Now)) {
+  if (Of.Election->isSelective(view, Now) && !Of.Reading[0]) {
     std::vector<std::string> readers = Of.Election->readers(view);
-    if (!readers.empty()) {
-      std::string reader =
+    if (!readers.empty() && !contacts.empty())
+      contacts.back() =
           Of.Members.addressOf(readers[Of.Random() % readers.size()]);
-      if (std::ranges::find(contacts, reader) == contacts.end()) {
-        if (!contacts.empty())
-          contacts.pop_back();
-        contacts.push_back(reader);
-      }
-    }
   }
-  contactNext(Of, std::move(contacts), false, [this, &Of] {
-    Of.Sources.onRound(true);
-    scheduleRound(Of);
-  });
+  contactNext(Of, std::move(contacts), ContactsPerRound, FrameUse::Round,
+              [this, &Of] {
+                onNode(Of, Now + RoundPeriod, [this, &Of] { runRound(Of); });
+              });
 }
 
 void PropagationFleet::contactNext(Node &Of, std::vector<std::string> Rest,
-                                   bool Notify, std::function<void()> Done) {
-  if (Rest.empty())
+                                   size_t Count, FrameUse Use,
+                                   std::function<void()> Done) {
+  if (Rest.empty() || Count == 0)
     return Done();
   std::string address = Rest.front();
   Rest.erase(Rest.begin());
-  exchange(Of, nodeAt(address), Notify ? NotificationTimeout : ExchangeTimeout,
-           Notify, [=, this, &Of](bool Responded) {
-             if (!Responded && !Notify)
-               Of.Members.onContactFailed(address, Now);
-             contactNext(Of, Rest, Notify, Done);
-           });
+  Milliseconds timeout =
+      Use == FrameUse::Round ? ExchangeTimeout : budgetOf(Of).AskTimeout;
+  exchange(Of, nodeAt(address), timeout, Use, [=, this, &Of](bool Responded) {
+    if (!Responded && Use == FrameUse::Round)
+      Of.Members.onContactFailed(address, Now);
+    contactNext(Of, Rest, Count - Responded, Use, Done);
+  });
 }
 
 bool PropagationFleet::reaches(const Node &From, const Node &To) const {
@@ -471,7 +502,7 @@
 }
 
 void PropagationFleet::exchange(Node &From, Node &To, Milliseconds Timeout,
-                                bool Notify, std::function<void(bool)> Done) {
+                                FrameUse Use, std::function<void(bool)> Done) {
   ++Exchanges;
   auto ended = std::make_shared<bool>(false);
   auto finish = [ended, done = std::move(Done)](bool Responded) {
@@ -489,8 +520,7 @@
     MemberNews News;
     std::array<uint64_t, 2> Revisions{};
     std::array<uint64_t, 2> Documents{0, 0}; // revisions of those in the frame
-    std::optional<TimePoint> ConfirmedAt;
-    bool Wants = false;
+    std::array<std::optional<TimePoint>, 2> ConfirmedAt;
   };
   auto basic = [this](Node &Of) {
     Content content;
@@ -498,27 +528,41 @@
     content.Sender.StateVersion =
         Of.Version.versionOf(content.Sender, All.size() - 1, Now);
     content.Revisions = Of.Revisions;
-    content.ConfirmedAt = Of.Election->confirmedAt();
+    for (size_t k = 0; k < 2; ++k)
+      content.ConfirmedAt[k] = Of.Election->confirmedAt(Kinds[k]);
     return content;
   };
-  auto apply = [this](Node &By, const Content &Frame) {
+  auto apply = [this, Use](Node &By, const Content &Frame) {
     By.Members.onMemberSeen(Frame.Sender, Now);
     for (const Member &it : Frame.News.Members)
       By.Members.onMemberSeen(it, Now);
     By.Members.onMembersHeard(Frame.News.Heard, Now);
+    By.Election->onPeerHeard(Now);
+    bool wasOld = isOld(By);
+    bool behind = false;
     for (size_t k = 0; k < 2; ++k) {
-      By.Newest[k] = std::max(By.Newest[k], Frame.Revisions[k]);
       if (Frame.Documents[k] > 0)
         learn(By, Kinds[k], Frame.Documents[k]);
+      bool current = By.Revisions[k] >= Frame.Revisions[k];
+      if (current && Frame.ConfirmedAt[k])
+        By.Election->onPeerConfirmed(Kinds[k], *Frame.ConfirmedAt[k]);
+      By.Newest[k] = std::max(By.Newest[k], Frame.Revisions[k]);
+      behind = behind || !current;
+    }
+    if (behind) {
+      By.Queries.onBehind(Frame.Sender.Address, Now);
+      if (!By.Busy)
+        awaitUpdates(By);
+    }
+    if (By.Revisions[0] >= By.Newest[0] && By.Revisions[1] >= By.Newest[1])
+      By.Queries.onCaughtUp();
+    if (wasOld && !isOld(By) && Use == FrameUse::Notification) {
+      By.HasConfirmation = true;
+      wake(By);
     }
-    bool current = By.Revisions[0] >= Frame.Revisions[0] &&
-                   By.Revisions[1] >= Frame.Revisions[1];
-    By.Election->onPeerHeard(Now);
-    if (Frame.ConfirmedAt && current)
-      By.Election->onPeerConfirmed(*Frame.ConfirmedAt);
   };
-  auto bytesOf = [this](const Content &Frame) {
-    return FrameBytes +
+  auto bytesOf = [this, Use](const Content &Frame) {
+    return (Use == FrameUse::Question ? QuestionBytes : FrameBytes) +
            BytesPerHeard * static_cast<double>(Frame.News.Heard.size()) +
            (Frame.Documents[0] + Frame.Documents[1] > 0 ? Options.DocumentBytes
                                                         : 0);
@@ -536,10 +580,11 @@
   };
 
   auto request = std::make_shared<Content>(basic(From));
-  if (Notify) {
+  if (Use == FrameUse::Notification &&
+      From.Election->isSelective(viewOf(From), Now)) {
     request->Documents = From.Revisions;
-  } else {
-    request->Wants = needsUpdates(From);
+  }
+  if (Use == FrameUse::Round) {
     request->News = newsForRequest(From.Members.alive(Now), request->Sender,
                                    /*IsEarlierBuild=*/false);
   }
@@ -547,11 +592,11 @@
   onNode(To, arrives, [=, this, &From, &To] {
     onNode(To, process(To), [=, this, &From, &To] {
       auto response = std::make_shared<Content>(basic(To));
-      if (!Notify) {
-        if (request->Wants)
-          for (size_t k = 0; k < 2; ++k)
-            if (To.Revisions[k] > request->Revisions[k])
-              response->Documents[k] = To.Revisions[k];
+      if (Use != FrameUse::Notification)
+        for (size_t k = 0; k < 2; ++k)
+          if (To.Revisions[k] > request->Revisions[k])
+            response->Documents[k] = To.Revisions[k];
+      if (Use == FrameUse::Round) {
         response->News = newsForResponse(
             To.Members.alive(Now), response->Sender, request->News,
             request->Sender, To.Allowance, To.Random, Now);
--- a/test/propagation_fleet.h
+++ b/test/propagation_fleet.h
@@ -57,7 +57,7 @@
   int Domains = 4;
   Milliseconds Bound{3000};
   uint64_t Seed = 1;
-  double DocumentBytes = 10000;
+  double DocumentBytes = 15000;
 };
 
 // When the last change of a schedule was in force.
@@ -86,6 +86,7 @@
   Milliseconds oldestKnowledge() const;
 
 private:
+  enum class FrameUse : uint8_t { Round, Notification, Question };
   struct Node;
   struct PendingWatch;
 
@@ -102,19 +103,24 @@
   void read(Node &Of, gateway::PublishedKind Kind);
   void call(Node &Of, gateway::PublishedKind Kind);
   void respondToWatch(const std::shared_ptr<PendingWatch> &Watch);
-  void onCallEnded(Node &Of, gateway::PublishedKind Kind, bool Ok,
-                   uint64_t Revision);
+  // `ConfirmedAt`: nothing if the call has failed.
+  void onCallEnded(Node &Of, gateway::PublishedKind Kind,
+                   std::optional<TimePoint> ConfirmedAt, uint64_t Revision);
   void publish(gateway::PublishedKind Kind);
   void learn(Node &Of, gateway::PublishedKind Kind, uint64_t Revision);
 
-  bool needsUpdates(Node &Of);
-  void scheduleRound(Node &Of);
+  gateway::PropagationBudget budgetOf(Node &Of);
+  bool isOld(Node &Of);
+  void awaitUpdates(Node &Of);
   void wake(Node &Of);
-  void runRound(Node &Of);
   void notify(Node &Of);
-  void contactNext(Node &Of, std::vector<std::string> Rest, bool Notify,
-                   std::function<void()> Done);
-  void exchange(Node &From, Node &To, Milliseconds Timeout, bool Notify,
+  void tellReaders(Node &Of);
+  void ask(Node &Of);
+  void runRound(Node &Of);
+  // Contacts one after the other until `Count` have responded.
+  void contactNext(Node &Of, std::vector<std::string> Rest, size_t Count,
+                   FrameUse Use, std::function<void()> Done);
+  void exchange(Node &From, Node &To, Milliseconds Timeout, FrameUse Use,
                 std::function<void(bool)> Done);
   bool reaches(const Node &From, const Node &To) const;
   Milliseconds latency(const Node &From, const Node &To);
