Take requests of any length only right after SIGTERM, whatever the limit

What callers saw: nothing yet; found while a report of another operator was looked into (requests that came late in the grace of a planned stop were cut). Cause: requests that may outlast the instance were taken while 3.9 s were left before its close. At the grace of 8 s that is until 2.06 s after the signal, at 30 s until 20.1 s, when callers long reach other instances. Change: it ends when the load balancer has removed the instance, 2.6 s after the signal. At 8 s nothing changes.

--- a/src/gateway/decisions/shutdown_schedule.cc
+++ b/src/gateway/decisions/shutdown_schedule.cc
@@ -17,9 +17,9 @@
 // The load balancer removes an instance after two failed probes, a second
 // apart.
 constexpr Milliseconds LoadBalancerRemovalTime{2600};
-// Usual time of the longest requests, streams, with a margin. With less time
-// than this before the close, a request is taken only if its deadline is
-// earlier than the exit.
+// Usual time of the longest requests, streams, with a margin. While more time
+// than this is left before the close, the load balancer's new connections are
+// served whatever the request's deadline.
 constexpr Milliseconds UsualRequestTime{3900};
 
 } // namespace
@@ -35,7 +35,9 @@
 }
 
 bool ShutdownSchedule::accepts(TimePoint RequestDeadline, TimePoint Now) const {
-  return RequestDeadline <= exitsAt() || Now + UsualRequestTime <= closesAt();
+  bool mayLast = Now <= StartedAt + LoadBalancerRemovalTime &&
+                 Now + UsualRequestTime <= closesAt();
+  return RequestDeadline <= exitsAt() || mayLast;
 }
 
 bool ShutdownSchedule::mayCloseIdle(TimePoint Now) const {
--- a/test/gateway_shutdown_schedule_test.cc
+++ b/test/gateway_shutdown_schedule_test.cc
@@ -28,6 +28,18 @@
   CHECK(Schedule.accepts(after(Milliseconds(7000)), after(Milliseconds(5500))));
 }
 
+// The same fault where the limit is longer: requests of any length were taken
+// until 20 s after SIGTERM.
+TEST_CASE("A long limit leaves late requests no longer time") {
+  ShutdownSchedule schedule{TimePoint(), Milliseconds(30000)};
+  for (Milliseconds now{3000}; now < Milliseconds(24000);
+       now += Milliseconds(500)) {
+    TimePoint at = TimePoint() + now;
+    CHECK_FALSE(schedule.accepts(schedule.exitsAt() + Milliseconds(1), at));
+    CHECK(schedule.accepts(schedule.exitsAt(), at));
+  }
+}
+
 // The load balancer still sends new connections then.
 TEST_CASE("Requests of any length are taken right after SIGTERM") {
   CHECK(
