Answer requests that are open at the exit instead of closing their connections

Cause: the listener ends open requests by shutting down the reading side of their connections, which the handlers take for a caller that left, and callers that left get no answer. Change: the handlers know that the process exits. A request that may have run gets 502 with run unknown, one that was sent to nobody 503. Streams that have begun still end visibly incomplete. Evidence: 'A request that lasts until the exit gets an answer' failed before (an empty response), and passes now with 'A request taken late in a shutdown'.

--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -188,7 +188,7 @@
       break;
     frame = ForwardResponse();
     CallStatus status = Call.read(frame, SilenceTime);
-    if (status == CallStatus::CallerLeft) {
+    if (status == CallStatus::CallerLeft && hasNoCaller()) {
       finish("caller_left", "the caller closed its connection");
       return AttemptResult::Done;
     }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "gateway/stream_origins.h"
 #include "runtime.h"
 
+#include <atomic>
 #include <functional>
 #include <string>
 #include <vector>
@@ -46,6 +47,9 @@
   AccessControl *Access = nullptr;             // null: no key is checked
   PrefillDispatch *Dispatch = nullptr;         // null: prefills are placed here
   const StoreReaders *Readers = nullptr; // null: documents have no known age
+  // Whether the process exits: callers are still there, but get their last
+  // response now. Null: it never does.
+  const std::atomic<bool> *Exiting = nullptr;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -98,7 +98,7 @@
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
       *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch,
-      &Runtime->Readers});
+      &Runtime->Readers, &Runtime->Exiting});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
@@ -127,8 +127,9 @@
     std::unique_lock lock(Mutex);
     Idle.wait_for(lock, FinalResponseTimeout,
                   [this] { return Runtime->OpenRequests.load() == 0; });
-    // Only the reading side: the handlers stop, and their sinks decide how open
-    // responses end.
+    Runtime->Exiting.store(true);
+    // Only the reading side: the handlers stop, answer what has no answer yet,
+    // and their sinks decide how open responses end.
     for (int it : Sockets)
       ::shutdown(it, SHUT_RD);
   }
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -79,6 +79,8 @@
   // Set shortly before the exit: no more requests are sent to servers, and idle
   // connections are closed.
   std::atomic<bool> Closing{false};
+  // Set before open requests are ended by the exit.
+  std::atomic<bool> Exiting{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
   FrameTraffic Traffic; // to other instances
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -154,12 +154,12 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(GatewayContext{Runtime->Codec, Runtime->Directory,
-                                 Runtime->Limits, Runtime->Connections,
-                                 Runtime->Queues, Runtime->Crashes,
-                                 Runtime->Origins, Runtime->Quotas, *metrics,
-                                 /*Forwarding=*/nullptr, &Runtime->Access,
-                                 &Runtime->Dispatch, &Runtime->Readers});
+  Context.emplace(
+      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
+                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
+                     Runtime->Origins, Runtime->Quotas, *metrics,
+                     /*Forwarding=*/nullptr, &Runtime->Access,
+                     &Runtime->Dispatch, &Runtime->Readers, &Runtime->Exiting});
   Forwarded.emplace(*Runtime, *Context);
   Changes.emplace(*Runtime,
                   ChangeExchangeHooks{
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -223,6 +223,10 @@
          Waiter.pastDeadline();
 }
 
+bool RequestHandler::hasNoCaller() {
+  return Waiter.callerLeft() && !(Context.Exiting && Context.Exiting->load());
+}
+
 bool RequestHandler::hasAccess() {
   if (AccessRefused)
     return false;
@@ -647,7 +651,7 @@
     if (result == AttemptResult::Unknown && (!repeatable || mayEndNextServer()))
       break;
   }
-  if (Waiter.callerLeft())
+  if (hasNoCaller())
     finish("caller_left", "the caller closed its connection");
   else if (Failure) {
     Status = Failure->Head.Status;
@@ -744,7 +748,9 @@
     Context.Directory.onCallTimed(Server, 1, timeout); // at least this long
     return end(CallResult::TimedOut, "silent", AttemptResult::Unknown);
   case CallStatus::CallerLeft:
-    return end(CallResult::Abandoned, "caller_left", AttemptResult::Unknown);
+    return end(CallResult::Abandoned, "caller_left",
+               call.maySent() ? AttemptResult::Unknown
+                              : AttemptResult::NotExecuted);
   case CallStatus::DeadlineExceeded:
     return end(CallResult::TimedOut, "out_of_time",
                call.maySent() ? AttemptResult::Unknown
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -257,6 +257,9 @@
   Milliseconds timeLeft() const;
   // Whether nothing may be sent to servers any more.
   bool shouldStop();
+  // Whether there is nobody left to answer. A caller whose request is ended by
+  // this instance's exit is there.
+  bool hasNoCaller();
   // Whether the last run, which ended with its server, is likely its cause, so
   // that it isn't sent to another server.
   bool mayEndNextServer();
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -134,7 +134,7 @@
                                        : "no server could continue the stream");
     return;
   }
-  if (Waiter.callerLeft())
+  if (hasNoCaller())
     finish("caller_left", "the caller closed its connection");
   else if (MayHaveExecuted)
     fail(Waiter.pastDeadline() ? ErrorKind::BackendTimeout
@@ -182,7 +182,7 @@
   if (!reservation && shouldForward())
     return AttemptResult::NotExecuted;
   if (!reservation) {
-    if (Waiter.callerLeft()) {
+    if (hasNoCaller()) {
       finish("caller_left", "the caller left while waiting for a reservation");
       return AttemptResult::Done;
     }
--- a/test/gateway_late_request_process_test.cc
+++ b/test/gateway_late_request_process_test.cc
@@ -8,12 +8,14 @@
 #include <unistd.h>
 
 using namespace crocusspur;
+using crocusspur::test::configOf;
 using crocusspur::test::GatewayFleet;
 using crocusspur::test::WaitTimeout;
 
 namespace {
 
 constexpr Milliseconds WorkTime{1300};
+constexpr Milliseconds GraceTime{8000};
 // Before an instance without requests closes.
 constexpr Milliseconds FirstSend{1000};
 constexpr Milliseconds SendPeriod{130}; // keeps the two servers' slots free
@@ -83,3 +85,30 @@
   CHECK(served > 0);
   CHECK(gateway.Process->waitForExit(WaitTimeout) == 0);
 }
+
+// Callers of requests that lasted until the exit found their connections closed
+// without an answer.
+TEST_CASE("A request that lasts until the exit gets an answer") {
+  FakeServer server([](const std::string &Request, int) {
+    std::string id = headerField(Request, "Attempt-Id");
+    if (id.starts_with("long"))
+      std::this_thread::sleep_for(GraceTime);
+    return signedResponse(200, "bay 7", id);
+  });
+  GatewayFleet fleet(1);
+  fleet.Store.put("op/config", configOf(2, "/x/"));
+  fleet.addServer("s1", server);
+  fleet.startAll();
+  test::GatewayInstance &gateway = fleet.Instances[0];
+  gateway.Process->signal(SIGTERM);
+  int fd = test::connectTo(gateway.Callers);
+  REQUIRE(fd >= 0);
+  sendText(fd, "GET /x/long HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: long\r\n"
+               "Deadline-Ms: 20000\r\n\r\n");
+  std::string response = readAll(fd);
+  ::close(fd);
+  CHECK(server.count("GET /x/long ") == 1);
+  CHECK(response.starts_with("HTTP/1.1 502"));
+  CHECK(response.find("\"run\":\"unknown\"") != std::string::npos);
+  CHECK(gateway.Process->waitForExit(WaitTimeout) == 0);
+}
