Log for each run of a stream its connection's process, and its event ids

Change: a pooled connection knows the process that was known when it was opened; the end of a call has whether its connection was kept and, if that process isn't the chosen one, its version and start. 'run of a stream ended' has the events and ids of each run, at servers and through another instance. No decision changes.

--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -170,6 +170,13 @@
   std::string body;
   bool ordered = true;
   internal::EventSplitter events;
+  uint64_t eventsBefore = EventsForwarded;
+  const std::string lastBefore = LastEventId;
+  auto unknown = [&] {
+    if (isStream)
+      logRunEnded(PeerName, eventsBefore, lastBefore);
+    return AttemptResult::Unknown;
+  };
   ForwardResponse frame = std::move(First);
   while (true) {
     if (isStream) {
@@ -183,7 +190,7 @@
       return AttemptResult::Done;
     }
     if (!ordered)
-      return AttemptResult::Unknown;
+      return unknown();
     if (frame.End || body.size() > MaxResponseBytes)
       break;
     frame = ForwardResponse();
@@ -193,16 +200,17 @@
       return AttemptResult::Done;
     }
     if (status != CallStatus::Responded)
-      return AttemptResult::Unknown;
+      return unknown();
   }
   if (!frame.End.value_or(false))
-    return AttemptResult::Unknown;
+    return unknown();
   // Instances of older builds pass on such streams as complete.
   if (isStream && events.insideEvent()) {
     logEndInsideEvent(PeerName);
-    return AttemptResult::Unknown;
+    return unknown();
   }
   if (isStream) {
+    logRunEnded(PeerName, eventsBefore, lastBefore);
     if (!events.rest().empty())
       Sink.write(events.rest());
     Sink.end(true);
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -138,6 +138,12 @@
   all.emplace_back("server", Server.Id);
   all.emplace_back("server_version", Server.Version);
   all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
+  all.emplace_back("connection", Call.usedKeptConnection() ? "kept" : "new");
+  if (Call.maySent() && Call.process() != processOf(Server)) {
+    all.emplace_back("opened_to_version", Call.process().Version);
+    all.emplace_back("opened_to_started_at",
+                     std::to_string(Call.process().StartedAt));
+  }
   all.emplace_back("content", fingerprintText(Content));
   addPromptParts(all);
   all.emplace_back("send", std::to_string(Sends));
@@ -284,7 +290,7 @@
   // The end of a server that announced its leaving isn't a crash.
   if (Status == CallStatus::ConnectionBroken &&
       !Context.Directory.isLeaving(Server.Id) &&
-      refusesConnections(Context.Connections, Waiter, Server.Address)) {
+      refusesConnections(Context.Connections, Waiter, Server)) {
     End = reachesAnotherServer(Server) ? RunEnd::ServerEnded : RunEnd::Refused;
     // Raises a suspicion, so that probes show soon whether others respond.
     Context.Connections.reachability().onCall(Server, CallEvidence::Failed,
@@ -304,7 +310,7 @@
     others.resize(MaxServersToConnect);
   return others.empty() ||
          std::ranges::any_of(others, [this](const ServerChoice &It) {
-           return tryConnect(Context.Connections, Waiter, It.Address) ==
+           return tryConnect(Context.Connections, Waiter, It) ==
                   ConnectResult::Opened;
          });
 }
@@ -318,7 +324,7 @@
                               const ServerChoice &Server) {
   return Call.bodyForm() == internal::BodyForm::UntilClose &&
          !Context.Directory.isLeaving(Server.Id) &&
-         refusesConnections(Context.Connections, Waiter, Server.Address);
+         refusesConnections(Context.Connections, Waiter, Server);
 }
 
 bool RequestHandler::mayUse(const std::string &ServerId) const {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -208,6 +208,8 @@
   bool reserveElsewhere(const ServerChoice &Server, const WaitHook &Wait);
   void dropTakeover();
   // `Source`: the server or the instance that sent the stream.
+  void logRunEnded(const std::string &Source, uint64_t EventsBefore,
+                   const std::string &LastIdBefore) const;
   void logEndInsideEvent(const std::string &Source) const;
   // `Version`: of the server's software; 0 if it isn't known. Returns false at
   // an event whose id isn't beyond the last one: the run doesn't go on with the
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -38,10 +38,10 @@
 
 } // namespace
 
-PooledConnection ConnectionPool::take(const std::string &Address,
+PooledConnection ConnectionPool::take(const ServerProcess &Process,
                                       const std::string &RequestId) {
   std::lock_guard lock(Mutex);
-  auto found = Connections.find(Address);
+  auto found = Connections.find(Process.Address);
   if (found == Connections.end())
     return {};
   auto &idle = found->second;
@@ -63,8 +63,7 @@
   return {};
 }
 
-void ConnectionPool::give(const std::string &Address,
-                          PooledConnection Connection,
+void ConnectionPool::give(PooledConnection Connection,
                           std::optional<Milliseconds> KeepAliveTimeout) {
   Milliseconds keep =
       KeepAliveTimeout ? *KeepAliveTimeout - CloseMargin : DefaultIdleTimeout;
@@ -72,7 +71,7 @@
     return;
   TimePoint now = Clock::now();
   std::lock_guard lock(Mutex);
-  auto &idle = Connections[Address];
+  auto &idle = Connections[Connection.Process.Address];
   idle.push_back({std::move(Connection), now + keep});
   if (idle.size() > MaxIdlePerServer)
     idle.pop_front();
@@ -173,9 +172,11 @@
 }
 
 bool ServerCall::connect(CallStatus &Status) {
-  PooledConnection kept = Pool.take(Server.Address, RequestId);
+  PooledConnection kept = Pool.take(processOf(Server), RequestId);
   RequestIds = std::move(kept.RequestIds);
   Traceable = kept.Traceable;
+  Kept = kept.Socket != nullptr;
+  Process = Kept ? std::move(kept.Process) : processOf(Server);
   if (kept.Socket) {
     Http.adopt(std::move(kept.Socket));
     return true;
@@ -268,19 +269,19 @@
 
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
-    Pool.give(Server.Address,
-              {std::move(kept), std::move(RequestIds), Traceable},
-              Info.KeepAliveTimeout);
+    Pool.give(
+        {std::move(kept), processOf(Server), std::move(RequestIds), Traceable},
+        Info.KeepAliveTimeout);
 }
 
 ConnectResult tryConnect(ConnectionPool &Pool, CallerWaiter &Waiter,
-                         const std::string &Address) {
+                         const ServerChoice &Server) {
   internal::HttpExchange http(Waiter);
   Pool.countOpened();
-  if (http.connect(Address, Clock::now() + RefusalTimeout) ==
+  if (http.connect(Server.Address, Clock::now() + RefusalTimeout) ==
       ExchangeStatus::Ok) {
     if (BackendSocketPtr opened = http.releaseUnused())
-      Pool.give(Address, {std::move(opened), {}, true}, std::nullopt);
+      Pool.give({std::move(opened), processOf(Server), {}, true}, std::nullopt);
     return ConnectResult::Opened;
   }
   return http.connectionRefused() ? ConnectResult::Refused
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -20,6 +20,8 @@
 // A connection to a server and the ids of the requests last sent on it.
 struct PooledConnection {
   internal::BackendSocketPtr Socket;
+  // The process that was known at the address when the connection was opened.
+  ServerProcess Process;
   std::vector<std::string> RequestIds; // latest last
   // Whether each response named its request. After one that didn't, a late
   // duplicate of it couldn't be told from the response to another request.
@@ -29,16 +31,17 @@
 // Idle connections by address. Thread-safe.
 class ConnectionPool {
 public:
-  // Returns an idle connection that is still open, or null. A server may send a
+  // Returns an idle connection to the process's address that is still open, or
+  // null. A server may send a
   // response twice, and the id tells which request it belongs to; so a request
   // that is sent again never gets a connection that it was sent on before.
   // Requests with an id get traceable connections, calls without one the
   // others.
-  PooledConnection take(const std::string &Address,
+  PooledConnection take(const ServerProcess &Process,
                         const std::string &RequestId);
   // `KeepAliveTimeout`: how long the server keeps the connection, if it has
   // stated it.
-  void give(const std::string &Address, PooledConnection Connection,
+  void give(PooledConnection Connection,
             std::optional<Milliseconds> KeepAliveTimeout);
   void drop(const std::string &Address);
   size_t idleCount();
@@ -138,6 +141,10 @@
   // How the end of the response's body is marked; see HttpExchange::bodyForm().
   internal::BodyForm bodyForm() const { return Http.bodyForm(); }
   const ResponseInfo &info() const { return Info; }
+  // Whether the connection was opened for an earlier call.
+  bool usedKeptConnection() const { return Kept; }
+  // The process that was known when the connection was opened.
+  const ServerProcess &process() const { return Process; }
 
 private:
   CallStatus connectAndSend(const std::string &Bytes);
@@ -162,6 +169,8 @@
   int StrayResponses = 0;              // skipped so far
   std::vector<std::string> RequestIds; // sent on the connection
   bool Traceable = true;               // see PooledConnection
+  bool Kept = false;
+  ServerProcess Process;
   ResponseInfo Info;
 };
 
@@ -172,11 +181,11 @@
   Unknown
 };
 ConnectResult tryConnect(ConnectionPool &Pool, CallerWaiter &Waiter,
-                         const std::string &Address);
+                         const ServerChoice &Server);
 
 inline bool refusesConnections(ConnectionPool &Pool, CallerWaiter &Waiter,
-                               const std::string &Address) {
-  return tryConnect(Pool, Waiter, Address) == ConnectResult::Refused;
+                               const ServerChoice &Server) {
+  return tryConnect(Pool, Waiter, Server) == ConnectResult::Refused;
 }
 
 // Makes a call on behalf of no caller. Returns the status and fills `Body`, or
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -714,6 +714,7 @@
   RelayedRun run;
   run.Id = Run;
   run.EventsBefore = EventsForwarded;
+  const std::string lastBefore = LastEventId;
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
     readEvents(Call, Server, run, Clock::now() + stallTimeout());
@@ -723,6 +724,7 @@
         return run.Status == CallStatus::TimedOut;
       });
   }
+  logRunEnded(Server.Id, run.EventsBefore, lastBefore);
   if (CallerWriteFailed || run.Status == CallStatus::CallerLeft) {
     finish("caller_left", "the caller closed its connection");
     return AttemptResult::Done;
@@ -862,6 +864,18 @@
   return false;
 }
 
+void RequestHandler::logRunEnded(const std::string &Source,
+                                 uint64_t EventsBefore,
+                                 const std::string &LastIdBefore) const {
+  internal::LogFields all = fields();
+  all.emplace_back("from", Source);
+  all.emplace_back("events_before", std::to_string(EventsBefore));
+  all.emplace_back("events", std::to_string(EventsForwarded - EventsBefore));
+  all.emplace_back("last_id_before", LastIdBefore);
+  all.emplace_back("last_id", LastEventId);
+  log(LogLevel::Info, "request", "run of a stream ended", all);
+}
+
 void RequestHandler::logEndInsideEvent(const std::string &Source) const {
   internal::LogFields all = fields();
   all.emplace_back("from", Source);
--- a/test/gateway_request_handler_test.cc
+++ b/test/gateway_request_handler_test.cc
@@ -188,9 +188,14 @@
   auto owned = [](int Fd) {
     return std::make_unique<internal::BackendSocket>(::dup(Fd));
   };
-  pool.give("10.0.0.1:1", {owned(first.near()), {}}, Milliseconds(1010));
+  auto processAt = [](const char *Address) {
+    return ServerProcess{"s1", 1000, Address, "v1"};
+  };
+  pool.give({owned(first.near()), processAt("10.0.0.1:1"), {}},
+            Milliseconds(1010));
   CHECK(pool.idleCount() == 1);
   std::this_thread::sleep_for(Milliseconds(20)); // it is usable for 10 ms
-  pool.give("10.0.0.2:1", {owned(second.near()), {}}, Milliseconds(9000));
+  pool.give({owned(second.near()), processAt("10.0.0.2:1"), {}},
+            Milliseconds(9000));
   CHECK(pool.idleCount() == 1);
 }
