Send no call on a connection to the former process of a server

Cause: connections are pooled by address. Where a server is replaced by a process of another version under its id and address and connections to the former process live on, a run on a kept connection was taken for one of the successor's version; when it broke off, its stream went on at servers of that version. Change: a pooled connection belongs to the process that was known when it was opened. One that is idle is closed, and one that is in use is not reused, once the entry names another process. The same pool serves reservations, prefills, orders and reports.

--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -49,8 +49,8 @@
   for (size_t i = idle.size(); i-- > 0;) {
     auto it = idle.begin() + static_cast<std::ptrdiff_t>(i);
     const std::vector<std::string> &ids = it->Connection.RequestIds;
-    bool usable =
-        it->UsableUntil > now && it->Connection.Socket->isIdleAndOpen();
+    bool usable = it->UsableUntil > now && it->Connection.Process == Process &&
+                  it->Connection.Socket->isIdleAndOpen();
     bool fits = it->Connection.Traceable == !RequestId.empty() &&
                 std::ranges::find(ids, RequestId) == ids.end();
     if (usable && !fits)
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -20,7 +20,9 @@
 // A connection to a server and the ids of the requests last sent on it.
 struct PooledConnection {
   internal::BackendSocketPtr Socket;
-  // The process that was known at the address when the connection was opened.
+  // The process that was known at the address when the connection was opened. A
+  // successor has connections of its own, and the former process may serve its
+  // own to their end.
   ServerProcess Process;
   std::vector<std::string> RequestIds; // latest last
   // Whether each response named its request. After one that didn't, a late
@@ -31,8 +33,8 @@
 // Idle connections by address. Thread-safe.
 class ConnectionPool {
 public:
-  // Returns an idle connection to the process's address that is still open, or
-  // null. A server may send a
+  // Returns an idle connection to the process that is still open, or null, and
+  // closes idle ones to others at its address. A server may send a
   // response twice, and the id tells which request it belongs to; so a request
   // that is sent again never gets a connection that it was sent on before.
   // Requests with an id get traceable connections, calls without one the
