--- a/src/gateway/decisions/event_order.h
+++ b/src/gateway/decisions/event_order.h
@@ -6,6 +6,7 @@
 #ifndef CROCUSSPUR_GATEWAY_EVENT_ORDER_H
 #define CROCUSSPUR_GATEWAY_EVENT_ORDER_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,9 +19,14 @@
   // beyond that of every event before. Ids that are empty or no decimal numbers
   // have no order and are accepted.
   bool accept(std::string_view Id);
+  // Whether events are missing between the last one and one with this id: the
+  // ids so far ran by one, and this isn't the next. False if that isn't known.
+  bool leavesOut(std::string_view Id) const;
 
 private:
   std::string Last; // the largest number, without leading zeros
+  uint64_t Numbers = 0;
+  bool ByOne = true; // each number but the first is one more than the last
 };
 
 } // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/streams/stream_progress.cc
@@ -0,0 +1,127 @@
+#include "gateway/decisions/streams/stream_progress.h"
+
+#include <strings.h>
+#include <utility>
+
+namespace crocusspur::gateway {
+namespace {
+
+constexpr std::string_view EventStreamType = "text/event-stream";
+
+} // namespace
+
+const char *nameOf(RunFault Fault) {
+  switch (Fault) {
+  case RunFault::None:
+    return "none";
+  case RunFault::Left:
+    return "left";
+  case RunFault::IdNotBeyond:
+    return "id_not_beyond";
+  case RunFault::IdsMissing:
+    return "ids_missing";
+  case RunFault::OtherVersion:
+    return "other_version";
+  case RunFault::EventTooLong:
+    return "event_too_long";
+  }
+  return "unknown";
+}
+
+StreamProgress::StreamProgress(EventIdHook EventId, std::string LastEventId)
+    : EventId(std::move(EventId)), LastEventId(std::move(LastEventId)),
+      HadEventsBefore(!this->LastEventId.empty()) {
+  Order.accept(this->LastEventId);
+}
+
+RunNumber StreamProgress::begin(std::optional<VersionKey> RunVersion) {
+  Speaks = true;
+  LeftFor = RunFault::Left;
+  this->RunVersion = RunVersion;
+  RunUncertain = false;
+  PassedBeforeRun = Passed;
+  Events = internal::EventSplitter();
+  return ++Current;
+}
+
+void StreamProgress::giveUp(RunFault Fault) {
+  Speaks = false;
+  LeftFor = Fault;
+}
+
+bool StreamProgress::acceptType(const std::string *ContentType) {
+  std::string type =
+      ContentType ? ContentType->substr(0, ContentType->find_first_of("; \t"))
+                  : std::string();
+  bool fits = type.empty() || (type.size() == EventStreamType.size() &&
+                               strncasecmp(type.data(), EventStreamType.data(),
+                                           type.size()) == 0);
+  if (Type)
+    return fits && type.empty() == Type->empty();
+  if (fits)
+    Type = type;
+  return fits;
+}
+
+bool StreamProgress::onServerReplaced(RunNumber Run, VersionKey NewVersion) {
+  if (!speaks(Run))
+    return false;
+  if (NewVersion == RunVersion)
+    return true;
+  RunUncertain = true;
+  Uncertain = Uncertain || Passed > PassedBeforeRun;
+  if (continues())
+    giveUp(RunFault::OtherVersion);
+  return Speaks;
+}
+
+PassedEvents StreamProgress::add(RunNumber Run, std::string_view Bytes,
+                                 size_t MaxEventBytes) {
+  PassedEvents result;
+  if (!speaks(Run)) {
+    result.Fault = Run == Current ? LeftFor : RunFault::Left;
+    return result;
+  }
+  Events.add(Bytes);
+  std::string event;
+  while (Speaks && Events.next(event)) {
+    std::string id = EventId(event);
+    bool first = Passed == PassedBeforeRun;
+    if (first && continues() && Order.leavesOut(id))
+      giveUp(RunFault::IdsMissing);
+    else if (!Order.accept(id))
+      giveUp(RunFault::IdNotBeyond);
+    if (!Speaks) {
+      result.FaultyId = id;
+      break;
+    }
+    if (!id.empty())
+      LastEventId = id;
+    if (first && !Version)
+      Version = RunVersion;
+    // Nothing fits the events of a version that isn't known.
+    if (first && (RunUncertain || !RunVersion))
+      Uncertain = true;
+    ++Passed;
+    ++result.Count;
+    result.Bytes += event;
+  }
+  if (Speaks && Events.rest().size() > MaxEventBytes)
+    giveUp(RunFault::EventTooLong);
+  result.Fault = Speaks ? RunFault::None : LeftFor;
+  return result;
+}
+
+StreamEnd StreamProgress::end(RunNumber Run, RunOutcome Outcome) {
+  // A web server ends the body when the program behind it fails, so a part of
+  // an event isn't the end, whatever the framing says.
+  bool complete =
+      speaks(Run) && Outcome == RunOutcome::Complete && !Events.insideEvent();
+  if (speaks(Run))
+    giveUp(RunFault::Left);
+  if (complete)
+    return StreamEnd::Complete;
+  return Uncertain ? StreamEnd::Incomplete : StreamEnd::MayContinue;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/decisions/streams/stream_progress.h
@@ -0,0 +1,139 @@
+// Decides what may follow the events of a stream that its caller has: which run
+// may speak, which of its events are passed on, and whether the stream is
+// complete, may go on elsewhere or must end when a run does. The same for runs
+// at servers and for runs that another instance passes on. Does no I/O.
+//
+// docs/design/streams.md has a table of the ways in which a run ends.
+#ifndef CROCUSSPUR_GATEWAY_STREAM_PROGRESS_H
+#define CROCUSSPUR_GATEWAY_STREAM_PROGRESS_H
+
+#include "event_splitter.h"
+#include "gateway/decisions/event_order.h"
+#include "gateway/decisions/server_registry.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace crocusspur::gateway {
+
+// Why a run doesn't go on with the stream.
+enum class RunFault : uint8_t {
+  None,
+  Left,         // another run has begun, or this one was given up
+  IdNotBeyond,  // an event's id isn't beyond the last one
+  IdsMissing,   // events between the last one and its first one are missing
+  OtherVersion, // its server may be of another version than the events so far
+  EventTooLong,
+};
+
+constexpr size_t RunFaultCount = 6;
+
+const char *nameOf(RunFault Fault); // name in logs and metrics
+
+// Events of a run that the caller gets now.
+struct PassedEvents {
+  std::string Bytes;
+  uint64_t Count = 0;
+  // The run was given up, after these events.
+  RunFault Fault = RunFault::None;
+  std::string FaultyId; // of the event that shows it, if one does
+};
+
+enum class StreamEnd : uint8_t {
+  Complete,
+  MayContinue, // a run at a server of requiredVersion() may go on
+  Incomplete   // nothing may follow the events so far
+};
+
+// Names a run of one stream.
+using RunNumber = uint32_t;
+
+// How a run has ended.
+enum class RunOutcome : uint8_t {
+  Complete, // by the framing of its response
+  BrokenOff
+};
+
+// Not thread-safe.
+class StreamProgress {
+public:
+  // Returns the id of an event; empty if it has none.
+  using EventIdHook = std::function<std::string(const std::string &Event)>;
+
+  // `LastEventId`: of the last event that the caller has from before; empty if
+  // it has none.
+  StreamProgress(EventIdHook EventId, std::string LastEventId);
+
+  // The events that the caller has are of this version.
+  void requireVersion(std::optional<VersionKey> Value) { Version = Value; }
+
+  // Begins a run and leaves the one before it: nothing that it still sends is
+  // passed on. `Version`: of the process at the other end of its connection,
+  // as known when that was opened; nothing if it isn't known.
+  RunNumber begin(std::optional<VersionKey> RunVersion);
+
+  // Whether a response of this media type may be a run of the stream. Servers
+  // of one service state the type alike; an error's text may come with the
+  // status of a stream. `ContentType`: null if the response states none.
+  bool acceptType(const std::string *ContentType);
+
+  // What is known of the run's server now differs from what was known when its
+  // connection was opened: a process of this version has registered in its
+  // place. Which of the two sends the events can't be told, so nothing may
+  // follow them if the versions differ. Returns false if the run was given up.
+  bool onServerReplaced(RunNumber Run, VersionKey NewVersion);
+  // Another instance says that nothing may follow the events that it passes on.
+  void requireNothingFollows() { Uncertain = true; }
+
+  // Adds bytes of the run's response. Only whole events are passed on.
+  // `MaxEventBytes` bounds what is kept of one.
+  PassedEvents add(RunNumber Run, std::string_view Bytes, size_t MaxEventBytes);
+
+  // The run has ended. It is left unless the stream is complete.
+  StreamEnd end(RunNumber Run, RunOutcome Outcome);
+  // Bytes after the last whole event of the run.
+  const std::string &rest() const { return Events.rest(); }
+  // Whether they are a part of an event.
+  bool insideEvent() const { return Events.insideEvent(); }
+
+  const std::string &lastEventId() const { return LastEventId; }
+  // Events that the caller got, and those that it got before this run.
+  uint64_t passed() const { return Passed; }
+  uint64_t passedBeforeRun() const { return PassedBeforeRun; }
+  // Whether the run goes on after events of other runs.
+  bool continues() const { return PassedBeforeRun > 0 || HadEventsBefore; }
+  // The version of the events so far; nothing if there are none.
+  std::optional<VersionKey> version() const { return Version; }
+  // Whether the events so far may be of another version than that.
+  bool versionUncertain() const { return Uncertain; }
+
+private:
+  bool speaks(RunNumber Run) const { return Speaks && Run == Current; }
+  void giveUp(RunFault Fault);
+
+  EventIdHook EventId;
+  std::string LastEventId;
+  bool HadEventsBefore = false; // in an earlier request of the caller
+  EventOrder Order;
+  // Media type of the first response with events; empty if it states none.
+  std::optional<std::string> Type;
+  std::optional<VersionKey> Version;
+  bool Uncertain = false;
+  uint64_t Passed = 0;
+
+  // Of the latest run, the only one that may speak.
+  RunNumber Current = 0;
+  bool Speaks = false;
+  RunFault LeftFor = RunFault::Left;
+  std::optional<VersionKey> RunVersion;
+  bool RunUncertain = false;
+  uint64_t PassedBeforeRun = 0;
+  internal::EventSplitter Events;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/forward_call.cc
+++ b/src/gateway/forward_call.cc
@@ -107,6 +107,7 @@
   Frame.ResponseHead = std::exchange(PendingHead, std::nullopt);
   Frame.ConfigVersion = ConfigVersion;
   Frame.RoutesText = std::exchange(RoutesText, "");
+  Frame.VersionUncertain = VersionUncertain;
   std::vector<uint8_t> bytes = framed(encode(Frame));
   size_t done = 0;
   while (done < bytes.size() && !Failed) {
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -50,6 +50,7 @@
   // What the first frame says besides.
   void setRoutes(uint64_t ConfigVersion, std::string RoutesText);
   void setOutputVersion(VersionKey Version) { OutputVersion = Version; }
+  void setVersionUncertain() { VersionUncertain = true; }
   void setLeavingServer(ServerProcess Server) { Leaving = std::move(Server); }
 
 private:
@@ -58,6 +59,7 @@
   int Fd;
   bool Failed = false;
   VersionKey OutputVersion = 0;
+  bool VersionUncertain = false;
   std::optional<ServerProcess> Leaving;
   // Sent with the first data.
   std::optional<ForwardResponse::Head> PendingHead;
--- a/src/gateway/forward_codec.cc
+++ b/src/gateway/forward_codec.cc
@@ -38,7 +38,8 @@
   if (!Frame.RoutesText.empty())
     routes = out.CreateString(Frame.RoutesText);
   out.Finish(wire::CreateForwardResponse(out, head, data, end, problem,
-                                         Frame.ConfigVersion, routes));
+                                         Frame.ConfigVersion, routes,
+                                         Frame.VersionUncertain));
   return {out.GetBufferPointer(), out.GetBufferPointer() + out.GetSize()};
 }
 
@@ -79,6 +80,7 @@
   }
   frame.ConfigVersion = in.config_version();
   frame.RoutesText = textOf(in.routes_text());
+  frame.VersionUncertain = in.version_uncertain();
   return frame;
 }
 
--- a/src/gateway/forward_codec.h
+++ b/src/gateway/forward_codec.h
@@ -44,6 +44,8 @@
   };
   std::optional<Head> ResponseHead;
   std::string Data;
+  // Nothing may follow this and earlier data of a stream; see StreamProgress.
+  bool VersionUncertain = false;
   std::optional<bool> End; // whether the response is complete
   std::optional<Problem> Failure;
   // Routes of the instance, if they are newer than those of the first one.
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -76,7 +76,7 @@
   frame.ConfigVersion = Document->Version;
   ForwardedRequest forwarded;
   forwarded.Request = Request;
-  forwarded.Request.LastEventId = LastEventId;
+  forwarded.Request.LastEventId = Progress.lastEventId();
   forwarded.Service = Service;
   forwarded.Elapsed =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - Arrived);
@@ -167,56 +167,21 @@
     Sink.begin(head.Response);
     HeadSent = true;
   }
-  std::string body;
-  bool ordered = true;
-  internal::EventSplitter events;
-  uint64_t eventsBefore = EventsForwarded;
-  const std::string lastBefore = LastEventId;
-  auto unknown = [&] {
-    if (isStream)
-      logRunEnded(PeerName, eventsBefore, lastBefore);
-    return AttemptResult::Unknown;
-  };
+  if (isStream)
+    return relayForwardedStream(Call, PeerName, head.OutputVersion,
+                                std::move(First), SilenceTime);
+  std::string body = std::move(First.Data);
   ForwardResponse frame = std::move(First);
-  while (true) {
-    if (isStream) {
-      events.add(frame.Data);
-      ordered = forwardEvents(events, head.OutputVersion, PeerName);
-    } else {
-      body += frame.Data;
-    }
-    if (CallerWriteFailed) {
-      finish("caller_left", "the caller closed its connection");
-      return AttemptResult::Done;
-    }
-    if (!ordered)
-      return unknown();
-    if (frame.End || body.size() > MaxResponseBytes)
-      break;
-    frame = ForwardResponse();
-    CallStatus status = Call.read(frame, SilenceTime);
-    if (status == CallStatus::CallerLeft && hasNoCaller()) {
-      finish("caller_left", "the caller closed its connection");
+  while (!frame.End && body.size() <= MaxResponseBytes) {
+    CallStatus status = readForwarded(Call, frame, SilenceTime);
+    if (status == CallStatus::CallerLeft)
       return AttemptResult::Done;
-    }
     if (status != CallStatus::Responded)
-      return unknown();
+      return AttemptResult::Unknown;
+    body += frame.Data;
   }
   if (!frame.End.value_or(false))
-    return unknown();
-  // Instances of older builds pass on such streams as complete.
-  if (isStream && events.insideEvent()) {
-    logEndInsideEvent(PeerName);
-    return unknown();
-  }
-  if (isStream) {
-    logRunEnded(PeerName, eventsBefore, lastBefore);
-    if (!events.rest().empty())
-      Sink.write(events.rest());
-    Sink.end(true);
-    finish("streamed", "by another instance");
-    return AttemptResult::Done;
-  }
+    return AttemptResult::Unknown;
   if (HeadSent) {
     abortStream("another server failed to continue the stream");
     return AttemptResult::Done;
@@ -228,4 +193,58 @@
   return AttemptResult::Done;
 }
 
+CallStatus RequestHandler::readForwarded(ForwardCall &Call,
+                                         ForwardResponse &Frame,
+                                         Milliseconds SilenceTime) {
+  Frame = ForwardResponse();
+  CallStatus status = Call.read(Frame, SilenceTime);
+  if (status != CallStatus::CallerLeft)
+    return status;
+  // The wait also ends when this instance exits, with the caller still there.
+  if (!hasNoCaller())
+    return CallStatus::ConnectionBroken;
+  finish("caller_left", "the caller closed its connection");
+  return status;
+}
+
+RequestHandler::AttemptResult RequestHandler::relayForwardedStream(
+    ForwardCall &Call, const std::string &PeerName, VersionKey OutputVersion,
+    ForwardResponse First, Milliseconds SilenceTime) {
+  const std::string lastIdBefore = Progress.lastEventId();
+  RunNumber run = Progress.begin(
+      OutputVersion != 0 ? std::optional(OutputVersion) : std::nullopt);
+  ForwardResponse frame = std::move(First);
+  CallStatus status = CallStatus::Responded;
+  bool speaks = true;
+  while (true) {
+    if (frame.VersionUncertain)
+      Progress.requireNothingFollows();
+    speaks = forwardEvents(run, frame.Data, PeerName);
+    recordUncertainty();
+    if (CallerWriteFailed)
+      finish("caller_left", "the caller closed its connection");
+    if (!speaks || CallerWriteFailed || frame.End)
+      break;
+    status = readForwarded(Call, frame, SilenceTime);
+    if (status != CallStatus::Responded)
+      break;
+  }
+  logRunEnded(PeerName, lastIdBefore);
+  if (CallerWriteFailed || status == CallStatus::CallerLeft)
+    return AttemptResult::Done;
+  bool complete = status == CallStatus::Responded && frame.End.value_or(false);
+  // Instances of older builds pass on such streams as complete.
+  if (complete && Progress.insideEvent())
+    logEndInsideEvent(PeerName);
+  if (Progress.end(run,
+                   complete ? RunOutcome::Complete : RunOutcome::BrokenOff) !=
+      StreamEnd::Complete)
+    return AttemptResult::Unknown;
+  if (!Progress.rest().empty())
+    Sink.write(Progress.rest());
+  Sink.end(true);
+  finish("streamed", "by another instance");
+  return AttemptResult::Done;
+}
+
 } // namespace crocusspur::gateway
--- a/src/gateway/forward_service.cc
+++ b/src/gateway/forward_service.cc
@@ -97,7 +97,7 @@
   TimePoint arrived = Clock::now() - Request.Elapsed;
   CallerRequest callerRequest = std::move(Request.Request);
   std::string service = Request.Service;
-  ForwardedOrigin origin{std::move(Request), {}, {}, {}};
+  ForwardedOrigin origin{std::move(Request), {}, {}, {}, {}};
   origin.OnProblem = [&](const internal::Problem &Item) {
     bool elsewhere = Item.Run == ExecutionState::No &&
                      Runtime.Connections.reachability().isCutOff(service);
@@ -106,6 +106,7 @@
   origin.OnOutputVersion = [&](VersionKey Version) {
     Sink.setOutputVersion(Version);
   };
+  origin.OnVersionUncertain = [&] { Sink.setVersionUncertain(); };
   origin.OnServerLeaving = [&](const ServerProcess &Server) {
     Sink.setLeavingServer(Server);
   };
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "gateway/service_directory.h"
 #include "gateway/store_readers.h"
 #include "gateway/stream_origins.h"
+#include "gateway/stream_run_counts.h"
 #include "runtime.h"
 
 #include <atomic>
@@ -50,6 +51,7 @@
   // Whether the process exits: callers are still there, but get their last
   // response now. Null: it never does.
   const std::atomic<bool> *Exiting = nullptr;
+  StreamRunCounts *Runs = nullptr; // null: runs of streams aren't counted
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -70,6 +70,7 @@
   ReservationQueues Queues;
   CrashMonitor Crashes;
   StreamOrigins Origins;
+  StreamRunCounts StreamRuns;
   AccountQuotas Quotas;
   PrefillDispatch Dispatch;
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -155,12 +155,12 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(
-      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
-                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
-                     Runtime->Origins, Runtime->Quotas, *metrics,
-                     /*Forwarding=*/nullptr, &Runtime->Access,
-                     &Runtime->Dispatch, &Runtime->Readers, &Runtime->Exiting});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
+      *metrics,
+      /*Forwarding=*/nullptr, &Runtime->Access, &Runtime->Dispatch,
+      &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns});
   Forwarded.emplace(*Runtime, *Context);
   Changes.emplace(*Runtime,
                   ChangeExchangeHooks{
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -82,12 +82,11 @@
       Waiter(Sink.watchedSocket(), Deadline),
       Service(serviceFor(Route, Origin, Context.Directory)),
       ConfirmedAgo(Context.Readers ? Context.Readers->confirmedAgo()
-                                   : std::nullopt) {
+                                   : std::nullopt),
+      Progress(Context.Codec.EventId, this->Request.LastEventId) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
-  LastEventId = this->Request.LastEventId;
-  Order.accept(LastEventId);
   Returning = Context.Directory.isReturning(
       Route.Name, this->Request.TimeLeft.value_or(Route.Timeout));
   if (!Origin)
@@ -95,7 +94,7 @@
   Used = Origin->Request.UsedServers;
   Tried = Used;
   MayHaveExecuted = Origin->Request.MayHaveExecuted;
-  StreamVersion = Origin->Request.StreamVersion;
+  Progress.requireVersion(Origin->Request.StreamVersion);
 }
 
 void RequestHandler::run() {
@@ -203,8 +202,8 @@
                      std::to_string(std::chrono::duration_cast<Milliseconds>(
                                         *FirstOutput - Arrived)
                                         .count()));
-  if (EventsForwarded > 0) {
-    all.emplace_back("events", std::to_string(EventsForwarded));
+  if (Progress.passed() > 0) {
+    all.emplace_back("events", std::to_string(Progress.passed()));
     all.emplace_back("longest_pause_ms", std::to_string(LongestPause.count()));
   }
   log(LogLevel::Info, "request", "request finished", all);
@@ -347,7 +346,7 @@
   ForwardOptions order;
   order.ServerId = Server.Id;
   order.TimeLeft = timeLeft();
-  order.ContinueAfter = LastEventId;
+  order.ContinueAfter = Progress.lastEventId();
   if (RankPosition rank = position(); rank.differs())
     order.Priority = std::min(rank.Above, LowestServerPriority);
   return order;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -4,8 +4,7 @@
 #ifndef CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
-#include "event_splitter.h"
-#include "gateway/decisions/event_order.h"
+#include "gateway/decisions/streams/stream_progress.h"
 #include "gateway/forward_codec.h"
 #include "gateway/gateway_context.h"
 #include "log.h"
@@ -29,6 +28,9 @@
   std::function<void(const internal::Problem &)> OnProblem;
   // Software version of the server of a stream; called before the head.
   std::function<void(VersionKey)> OnOutputVersion;
+  // Nobody may go on with the stream after the events that were passed on;
+  // called before the first data for which that holds.
+  std::function<void()> OnVersionUncertain;
   // The server of the response has said that it leaves; called before the head.
   std::function<void(const ServerProcess &)> OnServerLeaving;
 };
@@ -82,10 +84,10 @@
   // A run whose stream is relayed.
   struct RelayedRun {
     RunTracker::Id Id;
-    // Events that the caller had before the run.
-    uint64_t EventsBefore = 0;
-    internal::EventSplitter Events;
+    RunNumber Number = 0;
     bool End = false; // of the body
+    // A process of another version is known in place of the run's.
+    bool Replaced = false;
     CallStatus Status = CallStatus::Responded;
     std::optional<TimePoint> BegunAt; // the first event
     // Start of the latest sample of the server's pace, and the events before.
@@ -147,23 +149,19 @@
   bool mayUseAnotherOutputServer() const;
   // The only software version at which the stream may run, if there is one.
   std::optional<VersionKey> requiredVersion() const {
-    return StreamVersion ? StreamVersion : RecordedVersion;
+    return Progress.version() ? Progress.version() : RecordedVersion;
   }
   // Whether the service has a server for the output that doesn't leave, though
   // it may get no requests at the moment.
   bool knowsOutputServer() const;
   void refuseResumption(const std::string &Why);
-  // A server may start again with another software version under its id, and
-  // serve before its entry says so. Called before events of a run are passed
-  // on: corrects the version of the stream, and returns false if the run
-  // doesn't fit the events that the caller has.
-  bool confirmRunVersion(const ServerChoice &Server, const RelayedRun &Run);
-  // Called when a run has broken off: notes whether events of it may be of
-  // another version than the stream's.
-  void checkBrokenRun(const ServerChoice &Server, const RelayedRun &Run);
+  // Called before events of a run are passed on, and when it has broken off:
+  // notes whether another process is known by now in place of the one that the
+  // run was sent to. Returns false if the run was given up for it.
+  bool confirmRunVersion(const ServerChoice &Server, RelayedRun &Run);
+  // Tells other instances, once, that nobody may go on with the stream.
+  void recordUncertainty();
   void recordVersion(VersionKey Version);
-  void logOtherVersion(const ServerChoice &Server, VersionKey Version,
-                       const char *Outcome) const;
   // Records for other instances that the run at the server may begin the
   // stream, or goes on with it.
   void recordOrigin(const ServerChoice &Server);
@@ -208,13 +206,14 @@
   bool reserveElsewhere(const ServerChoice &Server, const WaitHook &Wait);
   void dropTakeover();
   // `Source`: the server or the instance that sent the stream.
-  void logRunEnded(const std::string &Source, uint64_t EventsBefore,
+  void logRunEnded(const std::string &Source,
                    const std::string &LastIdBefore) const;
+  void countGivenUp(RunFault Fault) const;
   void logEndInsideEvent(const std::string &Source) const;
-  // `Version`: of the server's software; 0 if it isn't known. Returns false at
-  // an event whose id isn't beyond the last one: the run doesn't go on with the
-  // stream, and nothing more of it is passed on.
-  bool forwardEvents(internal::EventSplitter &Events, VersionKey Version,
+  // Passes the whole events among the bytes of the run on. `Source`: the server
+  // or the instance that sent them. Returns false if the run was given up:
+  // nothing more of it is passed on.
+  bool forwardEvents(RunNumber Run, std::string_view Bytes,
                      const std::string &Source);
   // Whether the response is a stream of events like the one that the caller
   // gets. Anything else with status 200 is no run of the stream.
@@ -228,6 +227,15 @@
   AttemptResult forwardTo(const Member &Peer);
   AttemptResult relayForwarded(ForwardCall &Call, const std::string &PeerName,
                                ForwardResponse First, Milliseconds SilenceTime);
+  AttemptResult relayForwardedStream(ForwardCall &Call,
+                                     const std::string &PeerName,
+                                     VersionKey OutputVersion,
+                                     ForwardResponse First,
+                                     Milliseconds SilenceTime);
+  // Reads the next frame. Finishes the request and returns CallerLeft if its
+  // caller has left.
+  CallStatus readForwarded(ForwardCall &Call, ForwardResponse &Frame,
+                           Milliseconds SilenceTime);
   // Answers with the problem that another instance had with the request.
   void returnProblem(internal::Problem Item);
   void countHungConnect(const ServerCall &Call);
@@ -357,18 +365,11 @@
   QuotaDecision Quota;
   uint64_t QuotaTokens = 0;
   bool CallerWriteFailed = false; // the caller disconnected or stalled
-  std::string LastEventId;        // of the last event forwarded
-  EventOrder Order;               // of the events forwarded
-  // Media type of the first response with events; empty if it states none.
-  std::optional<std::string> StreamType;
-  // Software version of the server that sent the stream's first event.
-  std::optional<VersionKey> StreamVersion;
-  // Events of a broken run may be of another version; nothing fits them.
-  bool VersionUncertain = false;
+  StreamProgress Progress;
   // The version that other instances were told the stream may begin at. Some
   // of them may miss a second one, so runs without an event don't change it.
   std::optional<VersionKey> RecordedVersion;
-  uint64_t EventsForwarded = 0;
+  bool UncertaintyRecorded = false;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -419,11 +419,13 @@
   return Registry.usable(Server, Clock::now());
 }
 
-VersionKey ServiceDirectory::currentVersion(const ServerChoice &Server) const {
+std::optional<std::string>
+ServiceDirectory::successorVersion(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
   const ServerEntry *entry = Registry.find(Server.Id);
-  bool restarted = entry && entry->StartedAt != Server.StartedAt;
-  return versionKeyOf(restarted ? entry->Version : Server.Version);
+  if (!entry || processOf(*entry) == processOf(Server))
+    return std::nullopt;
+  return entry->Version;
 }
 
 std::optional<VersionKey>
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -134,9 +134,9 @@
   std::vector<ServerChoice> rankSlowestFirst(const ServerQuery &Query);
   ServerRegistry::Fullness fullness(const ServerQuery &Query) const;
   bool usable(const ServerChoice &Server) const;
-  // The software version that the server has by its present entry: that of the
-  // choice, unless a restart under its id has become known since.
-  VersionKey currentVersion(const ServerChoice &Server) const;
+  // The software version of the process that the server's entry names, if it is
+  // another one than the chosen.
+  std::optional<std::string> successorVersion(const ServerChoice &Server) const;
   bool isLeaving(const std::string &ServerId) const;
   // The other servers of the server's service, best first by stage.
   std::vector<ServerChoice> others(const ServerChoice &Server);
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -190,6 +190,17 @@
   Metrics->setGauge(
       "access_unconfirmed_total", "",
       static_cast<double>(Runtime->Access.refused(AccessVerdict::Unconfirmed)));
+  const StreamRunCounts &runs = Runtime->StreamRuns;
+  Metrics->setGauge("stream_runs_total", "continued",
+                    static_cast<double>(runs.Continued.load()));
+  for (size_t i = 0; i < RunFaultCount; ++i)
+    if (uint64_t n = runs.GivenUp[i].load())
+      Metrics->setGauge("stream_runs_total",
+                        std::string("given_up/") +
+                            nameOf(static_cast<RunFault>(i)),
+                        static_cast<double>(n));
+  Metrics->setGauge("streams_incomplete_total", "",
+                    static_cast<double>(runs.Incomplete.load()));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
   Metrics->setGauge("content_crashes_total", "seen",
                     static_cast<double>(crashes.CrashesSeen));
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -1,9 +1,8 @@
 // Streaming part of RequestHandler: reserves memory at a decode server, runs
-// the prompt at a prefill server, then relays the stream.
+// the prompt at a prefill server and starts the stream there.
 #include "gateway/request_handler.h"
 
 #include <algorithm>
-#include <strings.h>
 #include <utility>
 
 namespace crocusspur::gateway {
@@ -43,28 +42,12 @@
 // Prompt tokens for which a prefill call counts as one unit of load; the size
 // of a typical prompt.
 constexpr double TokensPerLoadUnit = 5000;
-// A resumable stream continues at another server if no event arrives for this
-// many times its longest allowed pause.
-constexpr int StallTimeoutInGaps = 5;
-constexpr Milliseconds MinStallTimeout{1200};
-// Callers abandon a stream after a gap of two seconds, four times its latency
-// target or eight times its longest allowed pause, whichever is longest. No
-// run is waited for after that and the time on the way.
-constexpr Milliseconds MinCallerPatience{2000};
-constexpr int CallerPatienceInTargets = 4;
-constexpr int CallerPatienceInGaps = 8;
-constexpr Milliseconds CallerPatienceMargin{500};
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
 // Status of a server that isn't in the stage, or isn't the one, that was meant.
 constexpr uint32_t MisdirectedStatus = 421;
-// Streams last many seconds, and a server may become slow within one of them.
-constexpr Milliseconds DecodeSampleTime{500};
 constexpr size_t MaxPrefillResponseBytes = 65536;
 constexpr size_t MaxResponseBytes = 16777216;
-constexpr std::string_view EventStreamType = "text/event-stream";
-// Events hold some tokens each. The stream counts as broken beyond it.
-constexpr size_t MaxEventBytes = 1048576;
 
 struct FailedCall {
   CallResult Result;
@@ -92,7 +75,7 @@
 } // namespace
 
 void RequestHandler::runStream() {
-  if (takesUpStream() && !StreamVersion && !resolveStreamVersion()) {
+  if (takesUpStream() && !Progress.version() && !resolveStreamVersion()) {
     refuseResumption("the stream's software version isn't known");
     return;
   }
@@ -121,14 +104,15 @@
       return;
     MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
     if (result == AttemptResult::Unknown &&
-        (!Route.Resumable || mayEndNextServer() || VersionUncertain))
+        (!Route.Resumable || mayEndNextServer() || Progress.versionUncertain()))
       break;
   }
   dropTakeover();
   if (HeadSent) {
-    abortStream(CrashRefusedFor        ? CrashRefusalReason
-                : AccessRefused        ? reasonOf(*AccessRefused)
-                : VersionUncertain     ? "its server's version is uncertain"
+    abortStream(CrashRefusedFor ? CrashRefusalReason
+                : AccessRefused ? reasonOf(*AccessRefused)
+                : Progress.versionUncertain()
+                    ? "its server's version is uncertain"
                 : mayEndNextServer()   ? "its server ended with it"
                 : RetryBudgetExhausted ? "the retry allowance is used up"
                                        : "no server could continue the stream");
@@ -151,6 +135,8 @@
 
 void RequestHandler::abortStream(const std::string &Why) {
   Sink.end(false);
+  if (Context.Runs && !Waiter.callerLeft())
+    ++Context.Runs->Incomplete;
   finish(Waiter.callerLeft() ? "caller_left" : "broken", Why);
 }
 
@@ -166,7 +152,7 @@
       abortStream(why);
     else if (MayHaveExecuted)
       fail(ErrorKind::BackendFailed, why);
-    else if (StreamVersion)
+    else if (Progress.version())
       refuseResumption(why);
     else // a new attempt of the caller is a stream of its own
       refuse(ErrorKind::BackendRefused, why, NoServerRetryAfter);
@@ -280,7 +266,8 @@
   QueueEntry entry;
   entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
   entry.ExpiresAt = entry.OnTimeDeadline;
-  bool isNew = !HeadSent && !Returning && !StreamVersion && !LeavesSilentRun;
+  bool isNew =
+      !HeadSent && !Returning && !Progress.version() && !LeavesSilentRun;
   if (!isNew)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
   entry.Rank = position();
@@ -697,254 +684,4 @@
   return AttemptResult::Done;
 }
 
-// Forwards whole events. Returns Unknown if the stream broke off and the caller
-// is still connected. A stream that ends inside an event has broken off, even
-// if its body is complete: a web server ends the body when the program behind
-// it fails.
-RequestHandler::AttemptResult
-RequestHandler::relayStream(ServerCall &Call, const ServerChoice &Server,
-                            RunTracker::Id Run) {
-  if (!HeadSent) {
-    Status = 200;
-    if (Origin)
-      Origin->OnOutputVersion(versionKeyOf(Server.Version));
-    Sink.begin(responseHead(Call, Server));
-    HeadSent = true;
-  }
-  RelayedRun run;
-  run.Id = Run;
-  run.EventsBefore = EventsForwarded;
-  const std::string lastBefore = LastEventId;
-  while (!run.End && run.Status == CallStatus::Responded &&
-         !CallerWriteFailed) {
-    readEvents(Call, Server, run, Clock::now() + stallTimeout());
-    if (run.Status == CallStatus::TimedOut && Route.Resumable)
-      awaitSilentRun(Server, [&](Milliseconds Time) {
-        readEvents(Call, Server, run, Clock::now() + Time);
-        return run.Status == CallStatus::TimedOut;
-      });
-  }
-  logRunEnded(Server.Id, run.EventsBefore, lastBefore);
-  if (CallerWriteFailed || run.Status == CallStatus::CallerLeft) {
-    finish("caller_left", "the caller closed its connection");
-    return AttemptResult::Done;
-  }
-  bool complete = run.End && run.Status == CallStatus::Responded;
-  bool inside = run.Events.insideEvent();
-  if (complete && inside)
-    logEndInsideEvent(Server.Id);
-  if (complete && !inside && !mayBeCut(Call, Server)) {
-    Call.finish();
-    if (!run.Events.rest().empty())
-      Sink.write(run.Events.rest());
-    Sink.end(true);
-    if (Engine && Request.Generation)
-      Context.Directory.onOutputFinished(Service, *Request.Generation,
-                                         EventsForwarded *
-                                             Engine->TokensPerEvent);
-    finish("streamed", "");
-    return AttemptResult::Done;
-  }
-  Tried.insert(Server.Id);
-  checkBrokenRun(Server, run);
-  return AttemptResult::Unknown;
-}
-
-Milliseconds RequestHandler::stallTimeout() const {
-  if (!Route.Resumable)
-    return timeLeft();
-  return std::min(
-      timeLeft(),
-      std::max(MinStallTimeout, Route.InterTokenTarget * StallTimeoutInGaps));
-}
-
-Milliseconds RequestHandler::callerPatience() const {
-  return std::max({MinCallerPatience,
-                   Route.LatencyTarget * CallerPatienceInTargets,
-                   Route.InterTokenTarget * CallerPatienceInGaps}) +
-         CallerPatienceMargin;
-}
-
-void RequestHandler::readEvents(ServerCall &Call, const ServerChoice &Server,
-                                RelayedRun &Run, TimePoint Until) {
-  uint64_t forwarded = EventsForwarded;
-  Run.Status = CallStatus::Responded;
-  // Only whole events are progress.
-  while (!Run.End && Run.Status == CallStatus::Responded &&
-         EventsForwarded == forwarded && !CallerWriteFailed) {
-    std::string bytes;
-    TimePoint now = Clock::now();
-    Run.Status = Call.readSome(
-        bytes, Run.End,
-        std::chrono::ceil<Milliseconds>(std::max(Until, now) - now));
-    Run.Events.add(bytes);
-    if (!bytes.empty() &&
-        (!confirmRunVersion(Server, Run) ||
-         !forwardEvents(Run.Events, Context.Directory.currentVersion(Server),
-                        Server.Id)))
-      Run.Status = CallStatus::ConnectionBroken;
-    if (EventsForwarded > forwarded)
-      onEventsForwarded(Server, Run);
-    else if (!Run.End && Run.Status == CallStatus::Responded &&
-             Clock::now() >= Until)
-      Run.Status = CallStatus::TimedOut;
-    if (Run.Events.rest().size() > MaxEventBytes) {
-      log(LogLevel::Warn, "request", "event exceeds the size limit",
-          {{"request", Request.Id},
-           {"server", Server.Id},
-           {"limit_bytes", std::to_string(MaxEventBytes)}});
-      Run.Status = CallStatus::ConnectionBroken;
-    }
-  }
-}
-
-void RequestHandler::onEventsForwarded(const ServerChoice &Server,
-                                       RelayedRun &Run) {
-  TimePoint now = Clock::now();
-  if (!Run.SampledAt) {
-    Run.SampledAt = now;
-    Run.EventsBeforeSample = EventsForwarded;
-  } else if (now - *Run.SampledAt >= DecodeSampleTime) {
-    Context.Directory.onCallTimed(
-        Server, static_cast<double>(EventsForwarded - Run.EventsBeforeSample),
-        std::chrono::duration_cast<Milliseconds>(now - *Run.SampledAt));
-    Run.SampledAt = now;
-    Run.EventsBeforeSample = EventsForwarded;
-  }
-  if (!Run.BegunAt)
-    Run.BegunAt = now;
-  else if (now >= *Run.BegunAt + AnswerSurvivalTime)
-    onAnswerSurvived(Run.Id, *Run.BegunAt);
-}
-
-void RequestHandler::awaitSilentRun(const ServerChoice &Server,
-                                    const WaitHook &Wait) {
-  Milliseconds before = stallTimeout(); // of silence
-  TimePoint started = Clock::now();
-  TimePoint until = started + callerPatience() - before;
-  bool leaves = false;
-  bool silent = true;
-  auto wait = [&](Milliseconds Time) { return silent = Wait(Time); };
-  while (silent && !leaves && !shouldStop() && Clock::now() < until) {
-    if (shouldForward())
-      leaves = !Context.Forwarding->Select(Service).empty();
-    else
-      leaves = reserveElsewhere(Server, wait);
-    TimePoint now = Clock::now();
-    if (silent && !leaves)
-      wait(std::min(stallTimeout(), std::chrono::ceil<Milliseconds>(
-                                        std::max(until, now) - now)));
-  }
-  auto waited =
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
-  internal::LogFields all = fields();
-  all.emplace_back("server", Server.Id);
-  all.emplace_back("silent_ms", std::to_string((before + waited).count()));
-  all.emplace_back("outcome", leaves    ? "given_up"
-                              : !silent ? "went_on"
-                                        : "ended");
-  log(LogLevel::Info, "request", "waited for a silent server", all);
-}
-
-bool RequestHandler::reserveElsewhere(const ServerChoice &Server,
-                                      const WaitHook &Wait) {
-  bool wasTried = !Tried.insert(Server.Id).second;
-  bool silent = true;
-  LeavesSilentRun = true;
-  if (mayUseAnotherOutputServer())
-    Takeover =
-        reserveDecode([&](Milliseconds Time) { return silent = Wait(Time); });
-  LeavesSilentRun = false;
-  silent = silent && (!Takeover || Wait(Milliseconds(0)));
-  if (Takeover && silent && tryConsumeRetry())
-    return true;
-  dropTakeover();
-  if (!wasTried)
-    Tried.erase(Server.Id);
-  return false;
-}
-
-void RequestHandler::logRunEnded(const std::string &Source,
-                                 uint64_t EventsBefore,
-                                 const std::string &LastIdBefore) const {
-  internal::LogFields all = fields();
-  all.emplace_back("from", Source);
-  all.emplace_back("events_before", std::to_string(EventsBefore));
-  all.emplace_back("events", std::to_string(EventsForwarded - EventsBefore));
-  all.emplace_back("last_id_before", LastIdBefore);
-  all.emplace_back("last_id", LastEventId);
-  log(LogLevel::Info, "request", "run of a stream ended", all);
-}
-
-void RequestHandler::logEndInsideEvent(const std::string &Source) const {
-  internal::LogFields all = fields();
-  all.emplace_back("from", Source);
-  all.emplace_back("events", std::to_string(EventsForwarded));
-  all.emplace_back("last_event_id", LastEventId);
-  log(LogLevel::Warn, "request", "the stream ended inside an event", all);
-}
-
-bool RequestHandler::continuesStream(const std::string *ContentType) {
-  std::string type =
-      ContentType ? ContentType->substr(0, ContentType->find_first_of("; \t"))
-                  : std::string();
-  bool fits = type.empty() || (type.size() == EventStreamType.size() &&
-                               strncasecmp(type.data(), EventStreamType.data(),
-                                           type.size()) == 0);
-  // Servers of one service state the type alike.
-  if (StreamType)
-    fits = fits && type.empty() == StreamType->empty();
-  else if (fits)
-    StreamType = type;
-  if (!fits) {
-    internal::LogFields all = fields();
-    all.emplace_back("content_type", type);
-    all.emplace_back("events", std::to_string(EventsForwarded));
-    log(LogLevel::Warn, "request", "the response isn't the stream", all);
-  }
-  return fits;
-}
-
-bool RequestHandler::forwardEvents(internal::EventSplitter &Events,
-                                   VersionKey Version,
-                                   const std::string &Source) {
-  std::string all;
-  std::string event;
-  bool ordered = true;
-  while (ordered && Events.next(event)) {
-    std::string id = Context.Codec.EventId(event);
-    ordered = Order.accept(id);
-    if (!ordered) {
-      internal::LogFields logged = fields();
-      logged.emplace_back("from", Source);
-      logged.emplace_back("id", id);
-      logged.emplace_back("last_event_id", LastEventId);
-      log(LogLevel::Warn, "request", "an event's id went back", logged);
-      break;
-    }
-    if (!id.empty())
-      LastEventId = id;
-    ++EventsForwarded;
-    all += event;
-  }
-  if (all.empty())
-    return ordered;
-  if (!StreamVersion && Version != 0)
-    StreamVersion = Version;
-  TimePoint now = Clock::now();
-  if (LastOutput)
-    LongestPause =
-        std::max(LongestPause,
-                 std::chrono::duration_cast<Milliseconds>(now - *LastOutput));
-  LastOutput = now;
-  if (!FirstOutput) {
-    FirstOutput = now;
-    Context.Metrics.observe(
-        "first_output_seconds", Service,
-        std::chrono::duration<double>(*FirstOutput - Arrived).count());
-  }
-  CallerWriteFailed = !Sink.write(all);
-  return ordered;
-}
-
 } // namespace crocusspur::gateway
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -44,17 +44,17 @@
     current = Context.Directory.soleVersion(Service, Milliseconds(0));
     decision = decideResumption(ownKnowledge(), peers, current);
   }
-  StreamVersion = decision.Version;
+  Progress.requireVersion(decision.Version);
   internal::LogFields all = fields();
   all.emplace_back("resumes", Request.ResumedRequestId);
   all.emplace_back("last_event_id", Request.LastEventId);
   all.emplace_back("basis", decision.Basis);
   all.emplace_back("version",
-                   StreamVersion ? fingerprintText(*StreamVersion) : "");
+                   decision.Version ? fingerprintText(*decision.Version) : "");
   all.emplace_back("peers", std::to_string(peers.size()));
   all.emplace_back("max_age_ms", std::to_string(maxAge.count()));
   log(LogLevel::Info, "request", "stream taken up", all);
-  return StreamVersion.has_value();
+  return decision.Version.has_value();
 }
 
 bool RequestHandler::hasOutputServer() const {
@@ -93,52 +93,37 @@
                          Version, timeLeft());
 }
 
-// A restart ends the connections of the process before. So what still arrives
-// once the restart is known is of the new process.
-bool RequestHandler::confirmRunVersion(const ServerChoice &Server,
-                                       const RelayedRun &Run) {
-  if (!Route.Resumable)
-    return true;
-  VersionKey version = Context.Directory.currentVersion(Server);
-  VersionKey assumed = StreamVersion.value_or(versionKeyOf(Server.Version));
-  if (version == assumed)
-    return true;
-  bool begun = Run.EventsBefore == 0 && Request.LastEventId.empty();
-  logOtherVersion(Server, version, begun ? "corrected" : "given up");
-  if (begun) {
-    RecordedVersion = version;
-    if (StreamVersion)
-      StreamVersion = version;
-    recordVersion(version);
-  } else if (EventsForwarded > Run.EventsBefore) {
-    VersionUncertain = true;
-    recordVersion(UncertainVersion);
-  }
-  return begun;
-}
-
-void RequestHandler::checkBrokenRun(const ServerChoice &Server,
-                                    const RelayedRun &Run) {
-  if (!Route.Resumable || EventsForwarded == Run.EventsBefore)
-    return;
-  VersionKey version = Context.Directory.currentVersion(Server);
-  if (VersionUncertain || version == StreamVersion)
+void RequestHandler::recordUncertainty() {
+  if (!Route.Resumable || UncertaintyRecorded || !Progress.versionUncertain())
     return;
-  logOtherVersion(Server, version, "uncertain");
-  VersionUncertain = true;
+  UncertaintyRecorded = true;
   recordVersion(UncertainVersion);
+  if (Origin)
+    Origin->OnVersionUncertain();
 }
 
-void RequestHandler::logOtherVersion(const ServerChoice &Server,
-                                     VersionKey Version,
-                                     const char *Outcome) const {
+bool RequestHandler::confirmRunVersion(const ServerChoice &Server,
+                                       RelayedRun &Run) {
+  if (!Route.Resumable || Run.Replaced)
+    return true;
+  std::optional<std::string> successor =
+      Context.Directory.successorVersion(Server);
+  if (!successor || *successor == Server.Version)
+    return true;
+  Run.Replaced = true;
+  bool kept = Progress.onServerReplaced(Run.Number, versionKeyOf(*successor));
+  if (!kept)
+    countGivenUp(RunFault::OtherVersion);
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
-  all.emplace_back("chosen_version", Server.Version);
-  all.emplace_back("version", fingerprintText(Version));
-  all.emplace_back("events", std::to_string(EventsForwarded));
-  all.emplace_back("outcome", Outcome);
-  log(LogLevel::Warn, "request", "the server has another version by now", all);
+  all.emplace_back("version", Server.Version);
+  all.emplace_back("successor_version", *successor);
+  all.emplace_back("events_before", std::to_string(Progress.passedBeforeRun()));
+  all.emplace_back("events", std::to_string(Progress.passed()));
+  all.emplace_back("outcome", kept ? "kept" : "given_up");
+  log(LogLevel::Warn, "request", "the server was replaced during a run", all);
+  recordUncertainty();
+  return kept;
 }
 
 ServerQuery RequestHandler::outputQuery(ServerStage Stage) const {
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -3439,7 +3439,8 @@
     VT_END = 8,
     VT_PROBLEM = 10,
     VT_CONFIG_VERSION = 12,
-    VT_ROUTES_TEXT = 14
+    VT_ROUTES_TEXT = 14,
+    VT_VERSION_UNCERTAIN = 16
   };
   const crocusspur::gateway::wire::ForwardHead *head() const {
     return GetPointer<const crocusspur::gateway::wire::ForwardHead *>(VT_HEAD);
@@ -3459,6 +3460,9 @@
   const flatbuffers::String *routes_text() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTES_TEXT);
   }
+  bool version_uncertain() const {
+    return GetField<uint8_t>(VT_VERSION_UNCERTAIN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEAD) &&
@@ -3472,6 +3476,7 @@
            VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_ROUTES_TEXT) &&
            verifier.VerifyString(routes_text()) &&
+           VerifyField<uint8_t>(verifier, VT_VERSION_UNCERTAIN, 1) &&
            verifier.EndTable();
   }
 };
@@ -3498,6 +3503,9 @@
   void add_routes_text(flatbuffers::Offset<flatbuffers::String> routes_text) {
     fbb_.AddOffset(ForwardResponse::VT_ROUTES_TEXT, routes_text);
   }
+  void add_version_uncertain(bool version_uncertain) {
+    fbb_.AddElement<uint8_t>(ForwardResponse::VT_VERSION_UNCERTAIN, static_cast<uint8_t>(version_uncertain), 0);
+  }
   explicit ForwardResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3516,7 +3524,8 @@
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardEnd> end = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardProblem> problem = 0,
     uint64_t config_version = 0,
-    flatbuffers::Offset<flatbuffers::String> routes_text = 0) {
+    flatbuffers::Offset<flatbuffers::String> routes_text = 0,
+    bool version_uncertain = false) {
   ForwardResponseBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_routes_text(routes_text);
@@ -3524,6 +3533,7 @@
   builder_.add_end(end);
   builder_.add_data(data);
   builder_.add_head(head);
+  builder_.add_version_uncertain(version_uncertain);
   return builder_.Finish();
 }
 
@@ -3534,7 +3544,8 @@
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardEnd> end = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ForwardProblem> problem = 0,
     uint64_t config_version = 0,
-    const char *routes_text = nullptr) {
+    const char *routes_text = nullptr,
+    bool version_uncertain = false) {
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
   auto routes_text__ = routes_text ? _fbb.CreateString(routes_text) : 0;
   return crocusspur::gateway::wire::CreateForwardResponse(
@@ -3544,7 +3555,8 @@
       end,
       problem,
       config_version,
-      routes_text__);
+      routes_text__,
+      version_uncertain);
 }
 
 inline const crocusspur::gateway::wire::Frame *GetFrame(const void *buf) {
--- /dev/null
+++ b/test/gateway_stream_progress_test.cc
@@ -0,0 +1,234 @@
+// Each row of the table of ends in docs/design/streams.md.
+#include "gateway/decisions/streams/stream_progress.h"
+#include "stream_samples.h"
+
+#include <doctest/doctest.h>
+
+using namespace crocusspur;
+using namespace crocusspur::gateway;
+using namespace crocusspur::test;
+
+namespace {
+
+constexpr size_t MaxEventBytes = 1000;
+constexpr VersionKey V1 = 101;
+constexpr VersionKey V2 = 102;
+
+std::string idOf(const std::string &Event) {
+  size_t at = Event.find("id: ");
+  return at == Event.npos ? ""
+                          : Event.substr(at + 4, Event.find('\n', at) - at - 4);
+}
+
+std::string events(int From, int To) {
+  std::string all;
+  for (int i = From; i <= To; ++i)
+    all += event(i);
+  return all;
+}
+
+struct Stream {
+  explicit Stream(std::string LastEventId = "")
+      : Progress(idOf, std::move(LastEventId)) {}
+  // The first run, which has passed events 1 to 4 on.
+  RunNumber begun(VersionKey Version = V1) {
+    RunNumber run = Progress.begin(Version);
+    add(run, events(1, 4));
+    return run;
+  }
+  RunFault add(RunNumber Run, const std::string &Bytes) {
+    PassedEvents passed = Progress.add(Run, Bytes, MaxEventBytes);
+    Caller += passed.Bytes;
+    return passed.Fault;
+  }
+
+  StreamProgress Progress;
+  std::string Caller; // what the caller has
+};
+
+} // namespace
+
+TEST_CASE("A run that ends after a whole event completes its stream") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  CHECK(stream.Progress.end(run, RunOutcome::Complete) == StreamEnd::Complete);
+  CHECK(stream.Caller == events(1, 4));
+}
+
+// A web server ends the body when the program behind it fails.
+TEST_CASE("A run that ends inside an event doesn't complete its stream") {
+  std::string next = event(5);
+  for (size_t n = 1; n < next.size(); ++n) {
+    CAPTURE(n);
+    Stream stream;
+    RunNumber run = stream.begun();
+    stream.add(run, next.substr(0, n));
+    CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+          StreamEnd::MayContinue);
+    CHECK(stream.Caller == events(1, 4));
+    CHECK(stream.Progress.version() == V1);
+    CHECK(stream.Progress.lastEventId() == "4");
+  }
+}
+
+TEST_CASE("A run that breaks off after a whole event may be continued") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::MayContinue);
+  RunNumber next = stream.Progress.begin(V1);
+  CHECK(stream.add(next, events(5, 6)) == RunFault::None);
+  CHECK(stream.Progress.end(next, RunOutcome::Complete) == StreamEnd::Complete);
+  CHECK(stream.Caller == events(1, 6));
+}
+
+// Late events of the run before came between those of its successor.
+TEST_CASE("A run that was left passes nothing on") {
+  Stream stream;
+  RunNumber left = stream.begun();
+  RunNumber next = stream.Progress.begin(V1);
+  CHECK(stream.add(left, event(5)) == RunFault::Left);
+  CHECK(stream.Progress.end(left, RunOutcome::Complete) ==
+        StreamEnd::MayContinue);
+  CHECK(stream.add(next, event(5)) == RunFault::None);
+  CHECK(stream.add(left, event(6)) == RunFault::Left);
+  CHECK_FALSE(stream.Progress.onServerReplaced(left, V2));
+  CHECK_FALSE(stream.Progress.versionUncertain());
+  CHECK(stream.Caller == events(1, 5));
+}
+
+// Callers got events 1 to 4 and 1 to 10 in one complete answer.
+TEST_CASE("A run that begins again is given up") {
+  Stream stream;
+  stream.begun();
+  RunNumber run = stream.Progress.begin(V1);
+  CHECK(stream.add(run, events(1, 6)) == RunFault::IdNotBeyond);
+  CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+        StreamEnd::MayContinue);
+  CHECK(stream.Caller == events(1, 4));
+}
+
+TEST_CASE("A run that leaves events out is given up if ids ran by one") {
+  Stream stream;
+  stream.begun();
+  RunNumber run = stream.Progress.begin(V1);
+  CHECK(stream.add(run, events(6, 7)) == RunFault::IdsMissing);
+  CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+        StreamEnd::MayContinue);
+  CHECK(stream.Caller == events(1, 4));
+}
+
+TEST_CASE("A jump of ids is passed on where ids don't run by one") {
+  SUBCASE("in the run before") {
+    Stream stream;
+    RunNumber run = stream.Progress.begin(V1);
+    stream.add(run, event(10) + event(21));
+    run = stream.Progress.begin(V1);
+    CHECK(stream.add(run, event(32)) == RunFault::None);
+  }
+  SUBCASE("or it isn't known") { // the caller has the events before
+    Stream stream("4");
+    RunNumber run = stream.Progress.begin(V1);
+    CHECK(stream.add(run, event(6)) == RunFault::None);
+  }
+  SUBCASE("or events have no ids") {
+    Stream stream;
+    stream.begun();
+    RunNumber run = stream.Progress.begin(V1);
+    CHECK(stream.add(run, "data: x\n\n") == RunFault::None);
+  }
+  SUBCASE("or within a run") { // no other run is known to have more
+    Stream stream;
+    RunNumber run = stream.begun();
+    CHECK(stream.add(run, event(9)) == RunFault::None);
+  }
+}
+
+TEST_CASE("A response of another type is no run of the stream") {
+  const std::string stream = "text/event-stream; charset=utf-8";
+  const std::string problem = "application/json";
+  StreamProgress progress(idOf, "");
+  CHECK_FALSE(progress.acceptType(&problem));
+  CHECK(progress.acceptType(&stream));
+  CHECK_FALSE(progress.acceptType(&problem));
+  CHECK_FALSE(progress.acceptType(nullptr));
+  CHECK(progress.acceptType(&stream));
+}
+
+// Which process sends the events can't be told.
+TEST_CASE("Nothing follows a run whose server was replaced") {
+  for (int before : {0, 2}) {
+    CAPTURE(before);
+    Stream stream;
+    RunNumber run = stream.Progress.begin(V1);
+    stream.add(run, events(1, before));
+    CHECK(stream.Progress.onServerReplaced(run, V2));
+    CHECK(stream.add(run, events(before + 1, 4)) == RunFault::None);
+    CHECK(stream.Progress.versionUncertain());
+    CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+          StreamEnd::Incomplete);
+  }
+}
+
+TEST_CASE("A replaced server of the same version changes nothing") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  CHECK(stream.Progress.onServerReplaced(run, V1));
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::MayContinue);
+}
+
+TEST_CASE("A replaced server's run isn't joined to events of another run") {
+  SUBCASE("before its first event, and another may follow") {
+    Stream stream;
+    stream.begun();
+    RunNumber run = stream.Progress.begin(V1);
+    CHECK_FALSE(stream.Progress.onServerReplaced(run, V2));
+    CHECK(stream.add(run, event(5)) == RunFault::OtherVersion);
+    CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+          StreamEnd::MayContinue);
+  }
+  SUBCASE("before its first event, when the caller takes the stream up") {
+    Stream stream("4");
+    stream.Progress.requireVersion(V1);
+    RunNumber run = stream.Progress.begin(V1);
+    CHECK_FALSE(stream.Progress.onServerReplaced(run, V2));
+  }
+  SUBCASE("after an event, and nothing may follow") {
+    Stream stream;
+    stream.begun();
+    RunNumber run = stream.Progress.begin(V1);
+    stream.add(run, event(5));
+    CHECK_FALSE(stream.Progress.onServerReplaced(run, V2));
+    CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+          StreamEnd::Incomplete);
+  }
+}
+
+TEST_CASE("Nothing follows events of a version that isn't known") {
+  Stream stream;
+  RunNumber run = stream.Progress.begin(std::nullopt);
+  stream.add(run, event(1));
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::Incomplete);
+}
+
+TEST_CASE("Nothing follows what another instance says to be uncertain") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  stream.Progress.requireNothingFollows();
+  CHECK(stream.add(run, event(5)) == RunFault::None);
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::Incomplete);
+}
+
+TEST_CASE("A run with an event beyond the size limit is given up") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  CHECK(stream.add(run, "data: " + std::string(MaxEventBytes, 'x')) ==
+        RunFault::EventTooLong);
+  CHECK(stream.add(run, "\n\n") == RunFault::EventTooLong);
+  CHECK(stream.Caller == events(1, 4));
+  CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+        StreamEnd::MayContinue);
+}
