Keep a stream's record that nobody may go on, whatever comes later

What callers could see: a stream whose version is uncertain taken up at another instance, with events of two versions. Cause: a second record of another writer, or a later one of the same, replaced the record that nobody may go on. Change: once a record says that, or records differ, it stays.

--- a/src/gateway/decisions/stream_origin_table.cc
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -36,7 +36,9 @@
       state.Writer == Record.Writer && Record.Sequence <= state.Sequence;
   if (!isNew && isOlder)
     return;
-  if (isNew || state.Writer == Record.Writer)
+  // Once nobody may go on, no later record changes that.
+  bool replaces = state.Writer == Record.Writer && state.Version != 0;
+  if (isNew || replaces)
     state.Version = Record.Version;
   else if (state.Version != Record.Version)
     state.Version = 0;
--- a/src/gateway/decisions/stream_origin_table.h
+++ b/src/gateway/decisions/stream_origin_table.h
@@ -22,7 +22,8 @@
                       std::string_view RequestId);
 
 // One instance's record of a stream. A later record of the same writer replaces
-// an earlier one, as a request without an event may run again elsewhere.
+// an earlier one, as a request without an event may run again elsewhere, unless
+// that said that nobody may go on.
 struct StreamOrigin {
   StreamKey Stream = 0;
   VersionKey Version = 0;
