Don't take the end of a replaced process for the end of its response

What callers could see: a stream or a plain response without a length or chunks that looks complete, though the process that sent it had ended in the middle. Cause: such an end counts as a cut if nothing listens at the server's address any more; where a successor listens there, it counted as the end. The same class of fault: an address outlives the process. Change: if the server's entry names another process by then, the end may be a cut. A successor at another address no longer makes a run's version uncertain. Tests: 'A stream whose server was replaced doesn't end with its connection' gets events 1 and 2 as a complete answer without the change.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -321,9 +321,12 @@
 
 bool RequestHandler::mayBeCut(const ServerCall &Call,
                               const ServerChoice &Server) {
-  return Call.bodyForm() == internal::BodyForm::UntilClose &&
-         !Context.Directory.isLeaving(Server.Id) &&
-         refusesConnections(Context.Connections, Waiter, Server);
+  if (Call.bodyForm() != internal::BodyForm::UntilClose)
+    return false;
+  // A successor accepts connections at the address of the process that ended.
+  return Context.Directory.isReplaced(Server) ||
+         (!Context.Directory.isLeaving(Server.Id) &&
+          refusesConnections(Context.Connections, Waiter, Server));
 }
 
 bool RequestHandler::mayUse(const std::string &ServerId) const {
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -419,13 +419,28 @@
   return Registry.usable(Server, Clock::now());
 }
 
+bool ServiceDirectory::isReplaced(const ServerChoice &Server) const {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Registry.find(Server.Id);
+  return entry && processOf(*entry) != processOf(Server);
+}
+
 std::optional<std::string>
 ServiceDirectory::successorVersion(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
   const ServerEntry *entry = Registry.find(Server.Id);
-  if (!entry || processOf(*entry) == processOf(Server))
+  if (entry && processOf(*entry) == processOf(Server))
     return std::nullopt;
-  return entry->Version;
+  if (entry && entry->Address == Server.Address)
+    return entry->Version;
+  // A process at another address has no part in connections to this one.
+  ServerEntry former;
+  former.Id = Server.Id;
+  former.Address = Server.Address;
+  for (const ServerEntry &it : Registry.sharingAddress(former))
+    if (it.Version != Server.Version)
+      return it.Version;
+  return std::nullopt;
 }
 
 std::optional<VersionKey>
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -134,9 +134,11 @@
   std::vector<ServerChoice> rankSlowestFirst(const ServerQuery &Query);
   ServerRegistry::Fullness fullness(const ServerQuery &Query) const;
   bool usable(const ServerChoice &Server) const;
-  // The software version of the process that the server's entry names, if it is
-  // another one than the chosen.
+  // The software version of the process that is registered at the chosen one's
+  // address, if it is another one.
   std::optional<std::string> successorVersion(const ServerChoice &Server) const;
+  // Whether the server's entry names another process than the chosen one.
+  bool isReplaced(const ServerChoice &Server) const;
   bool isLeaving(const std::string &ServerId) const;
   // The other servers of the server's service, best first by stage.
   std::vector<ServerChoice> others(const ServerChoice &Server);
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -129,7 +129,8 @@
 };
 
 void add(GatewayFixture &Gateway, const std::string &Id,
-         const std::string &Address, ServerStage Stage, bool Leaving = false) {
+         const std::string &Address, ServerStage Stage, bool Leaving = false,
+         int64_t StartedAt = 0) {
   crocusspur::gateway::ServerEntry entry;
   entry.Id = Id;
   entry.Service = Stage == ServerStage::Whole ? "bays" : "summaries";
@@ -137,6 +138,7 @@
   entry.Slots = 4;
   entry.Stage = Stage;
   entry.Leaving = Leaving;
+  entry.StartedAt = StartedAt;
   Gateway.Directory.applyServer({Id, {0, ++Gateway.Revision}, entry},
                                 UpdateOrigin::Store);
 }
@@ -222,6 +224,27 @@
   }
 }
 
+// Its successor accepts connections at the address, so that the end of the
+// process looked like the end of the stream.
+TEST_CASE(
+    "A stream whose server was replaced doesn't end with its connection") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::ClosedBetween, false};
+  EndingServer first(ending);
+  EndingServer second(ending);
+  add(gateway, "d1", first.address(), ServerStage::Decode, false, 1000);
+  ending.BeforeEnd = [&] {
+    add(gateway, "d1", first.address(), ServerStage::Decode, false, 2000);
+    add(gateway, "d2", second.address(), ServerStage::Decode);
+  };
+  PathRoute route = gateway.route(RouteKind::Stream);
+  route.Resumable = true;
+  std::string response = gateway.run(route);
+  CHECK(looksComplete(response));
+  CHECK(bodyOf(response) == events(1, 3));
+  CHECK(ending.Runs == 2);
+}
+
 // Only a length or chunks can show that events are missing.
 TEST_CASE("A stream that is cut between events is broken unless its end is the "
           "connection's") {
