Confirm a server's process before a stream goes on there

Cause: a successor serves before its entry is known. Change: before a run goes on with a stream, the server's report is asked for over a connection of its own. One that states another start than the entry gets no such run; one that states the same is certain, also if its entry changes later. The report is asked for too when a first run breaks off. An entry that changes between a break and the next run is noticed, and one that changes before the caller leaves. From the review: a relaying instance that is told that a version is uncertain goes on nowhere (it asked the next instance, and completed the stream); a run of another version than required passes nothing on; comments have no place in the order of events; ids count as running by one after four.

--- a/src/gateway/decisions/event_order.cc
+++ b/src/gateway/decisions/event_order.cc
@@ -5,6 +5,9 @@
 namespace crocusspur::gateway {
 namespace {
 
+// Fewer may run by one by chance, where ids count tokens.
+constexpr uint64_t MinNumbersByOne = 4;
+
 bool isNumber(std::string_view Id) {
   return !Id.empty() && Id.find_first_not_of("0123456789") == Id.npos;
 }
@@ -44,7 +47,7 @@
 }
 
 bool EventOrder::leavesOut(std::string_view Id) const {
-  if (!isNumber(Id) || Numbers < 2 || !ByOne)
+  if (!isNumber(Id) || Numbers < MinNumbersByOne || !ByOne)
     return false;
   Id = withoutLeadingZeros(Id);
   std::string next = successor(Last);
--- a/src/gateway/decisions/streams/stream_progress.cc
+++ b/src/gateway/decisions/streams/stream_progress.cc
@@ -8,6 +8,18 @@
 
 constexpr std::string_view EventStreamType = "text/event-stream";
 
+// Whether a block of lines has a field, and isn't only comments.
+bool isEvent(std::string_view Block) {
+  bool lineBegins = true;
+  for (char it : Block) {
+    bool ends = it == '\r' || it == '\n';
+    if (lineBegins && !ends && it != ':')
+      return true;
+    lineBegins = ends;
+  }
+  return false;
+}
+
 } // namespace
 
 const char *nameOf(RunFault Fault) {
@@ -30,17 +42,21 @@
 
 StreamProgress::StreamProgress(EventIdHook EventId, std::string LastEventId)
     : EventId(std::move(EventId)), LastEventId(std::move(LastEventId)),
-      HadEventsBefore(!this->LastEventId.empty()) {
+      HasEvents(!this->LastEventId.empty()) {
   Order.accept(this->LastEventId);
 }
 
-RunNumber StreamProgress::begin(std::optional<VersionKey> RunVersion) {
-  Speaks = true;
-  LeftFor = RunFault::Left;
+RunNumber StreamProgress::begin(std::optional<VersionKey> RunVersion,
+                                bool Confirmed) {
   this->RunVersion = RunVersion;
+  this->Confirmed = Confirmed;
   RunUncertain = false;
+  ContinuesEvents = HasEvents;
+  RunHasEvents = false;
   PassedBeforeRun = Passed;
   Events = internal::EventSplitter();
+  Speaks = !Uncertain;
+  LeftFor = Uncertain ? RunFault::OtherVersion : RunFault::Left;
   return ++Current;
 }
 
@@ -66,15 +82,37 @@
 bool StreamProgress::onServerReplaced(RunNumber Run, VersionKey NewVersion) {
   if (!speaks(Run))
     return false;
-  if (NewVersion == RunVersion)
+  if (Confirmed || NewVersion == RunVersion)
     return true;
   RunUncertain = true;
-  Uncertain = Uncertain || Passed > PassedBeforeRun;
+  Uncertain = Uncertain || RunHasEvents;
   if (continues())
     giveUp(RunFault::OtherVersion);
   return Speaks;
 }
 
+RunFault StreamProgress::judge(const std::string &Event) {
+  // Comments have no place in the order and no version.
+  if (!isEvent(Event))
+    return RunFault::None;
+  std::string id = EventId(Event);
+  if (!RunHasEvents && Version && RunVersion != Version)
+    return RunFault::OtherVersion;
+  if (!RunHasEvents && continues() && Order.leavesOut(id))
+    return RunFault::IdsMissing;
+  if (!Order.accept(id))
+    return RunFault::IdNotBeyond;
+  if (!id.empty())
+    LastEventId = id;
+  if (!Version)
+    Version = RunVersion;
+  // Nothing fits the events of a version that isn't known.
+  if (RunUncertain || !RunVersion)
+    Uncertain = true;
+  RunHasEvents = HasEvents = true;
+  return RunFault::None;
+}
+
 PassedEvents StreamProgress::add(RunNumber Run, std::string_view Bytes,
                                  size_t MaxEventBytes) {
   PassedEvents result;
@@ -85,23 +123,11 @@
   Events.add(Bytes);
   std::string event;
   while (Speaks && Events.next(event)) {
-    std::string id = EventId(event);
-    bool first = Passed == PassedBeforeRun;
-    if (first && continues() && Order.leavesOut(id))
-      giveUp(RunFault::IdsMissing);
-    else if (!Order.accept(id))
-      giveUp(RunFault::IdNotBeyond);
-    if (!Speaks) {
-      result.FaultyId = id;
+    if (RunFault fault = judge(event); fault != RunFault::None) {
+      giveUp(fault);
+      result.FaultyId = EventId(event);
       break;
     }
-    if (!id.empty())
-      LastEventId = id;
-    if (first && !Version)
-      Version = RunVersion;
-    // Nothing fits the events of a version that isn't known.
-    if (first && (RunUncertain || !RunVersion))
-      Uncertain = true;
     ++Passed;
     ++result.Count;
     result.Bytes += event;
--- a/src/gateway/decisions/streams/stream_progress.h
+++ b/src/gateway/decisions/streams/stream_progress.h
@@ -25,7 +25,8 @@
   Left,         // another run has begun, or this one was given up
   IdNotBeyond,  // an event's id isn't beyond the last one
   IdsMissing,   // events between the last one and its first one are missing
-  OtherVersion, // its server may be of another version than the events so far
+  OtherVersion, // its server is, or may be, of another version than the events
+                // so far
   EventTooLong,
 };
 
@@ -71,21 +72,22 @@
   void requireVersion(std::optional<VersionKey> Value) { Version = Value; }
 
   // Begins a run and leaves the one before it: nothing that it still sends is
-  // passed on. `Version`: of the process at the other end of its connection,
-  // as known when that was opened; nothing if it isn't known.
-  RunNumber begin(std::optional<VersionKey> RunVersion);
+  // passed on. `RunVersion`: of the process at the other end of its connection,
+  // as known when that was opened; nothing if it isn't known. `Confirmed`: that
+  // process had said which one it is by then.
+  RunNumber begin(std::optional<VersionKey> RunVersion, bool Confirmed = false);
 
   // Whether a response of this media type may be a run of the stream. Servers
   // of one service state the type alike; an error's text may come with the
   // status of a stream. `ContentType`: null if the response states none.
   bool acceptType(const std::string *ContentType);
 
-  // What is known of the run's server now differs from what was known when its
-  // connection was opened: a process of this version has registered in its
-  // place. Which of the two sends the events can't be told, so nothing may
-  // follow them if the versions differ. Returns false if the run was given up.
+  // A process of this version is known by now in place of the one that was
+  // known when the run's connection was opened. Which of the two sends the
+  // events can't be told unless the run is confirmed, so nothing may follow
+  // them if the versions differ. Returns false if the run was given up.
   bool onServerReplaced(RunNumber Run, VersionKey NewVersion);
-  // Another instance says that nothing may follow the events that it passes on.
+  // Nothing may follow the events so far: their version can't be told.
   void requireNothingFollows() { Uncertain = true; }
 
   // Adds bytes of the run's response. Only whole events are passed on.
@@ -100,11 +102,14 @@
   bool insideEvent() const { return Events.insideEvent(); }
 
   const std::string &lastEventId() const { return LastEventId; }
-  // Events that the caller got, and those that it got before this run.
+  // Events and comments that the caller got, and those before this run.
   uint64_t passed() const { return Passed; }
   uint64_t passedBeforeRun() const { return PassedBeforeRun; }
   // Whether the run goes on after events of other runs.
-  bool continues() const { return PassedBeforeRun > 0 || HadEventsBefore; }
+  bool continues() const { return ContinuesEvents; }
+  // Whether the caller has an event, from this run or before.
+  bool begun() const { return HasEvents; }
+  bool runConfirmed() const { return Confirmed; }
   // The version of the events so far; nothing if there are none.
   std::optional<VersionKey> version() const { return Version; }
   // Whether the events so far may be of another version than that.
@@ -113,10 +118,12 @@
 private:
   bool speaks(RunNumber Run) const { return Speaks && Run == Current; }
   void giveUp(RunFault Fault);
+  // Decides on an event of the run; returns why it gives the run up, or None.
+  RunFault judge(const std::string &Event);
 
   EventIdHook EventId;
   std::string LastEventId;
-  bool HadEventsBefore = false; // in an earlier request of the caller
+  bool HasEvents = false; // the caller does, also from an earlier request
   EventOrder Order;
   // Media type of the first response with events; empty if it states none.
   std::optional<std::string> Type;
@@ -129,7 +136,10 @@
   bool Speaks = false;
   RunFault LeftFor = RunFault::Left;
   std::optional<VersionKey> RunVersion;
+  bool Confirmed = false;
   bool RunUncertain = false;
+  bool ContinuesEvents = false;
+  bool RunHasEvents = false;
   uint64_t PassedBeforeRun = 0;
   internal::EventSplitter Events;
 };
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -84,6 +84,7 @@
   bool OrderRunning = false;
   uint64_t TokensInUse = 0; // KV cache that can't be evicted
   uint64_t TokensTotal = 0;
+  int64_t StartedAt = 0; // Unix milliseconds of the process's start; 0: unknown
 };
 
 struct StageOrder {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -159,6 +159,14 @@
   // notes whether another process is known by now in place of the one that the
   // run was sent to. Returns false if the run was given up for it.
   bool confirmRunVersion(const ServerChoice &Server, RelayedRun &Run);
+  // Asks the process that accepts connections at the server's address whether
+  // it is the chosen one: a successor serves before its entry is known, and its
+  // software version isn't known either.
+  enum class ProcessCheck : uint8_t { Same, Replaced, Unknown };
+  ProcessCheck checkProcess(const ServerChoice &Server);
+  // The server of the stream's first run may be known to be replaced only after
+  // the run has ended; then nothing follows.
+  void confirmFirstRun();
   // Tells other instances, once, that nobody may go on with the stream.
   void recordUncertainty();
   void recordVersion(VersionKey Version);
@@ -184,8 +192,9 @@
   Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
+  // `Confirmed`: the server's process has said that it is the chosen one.
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
-                            RunTracker::Id Run);
+                            RunTracker::Id Run, bool Confirmed);
   // Reads until events were forwarded or the run has ended. Sets the status to
   // TimedOut if neither happens before `Until`.
   void readEvents(ServerCall &Call, const ServerChoice &Server, RelayedRun &Run,
@@ -370,6 +379,8 @@
   // of them may miss a second one, so runs without an event don't change it.
   std::optional<VersionKey> RecordedVersion;
   bool UncertaintyRecorded = false;
+  // The server of a first run that has broken off, unless it was confirmed.
+  std::optional<ServerChoice> FirstRunServer;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -172,7 +172,9 @@
 }
 
 bool ServerCall::connect(CallStatus &Status) {
-  PooledConnection kept = Pool.take(processOf(Server), RequestId);
+  PooledConnection kept;
+  if (!NewConnection)
+    kept = Pool.take(processOf(Server), RequestId);
   RequestIds = std::move(kept.RequestIds);
   Traceable = kept.Traceable;
   Kept = kept.Socket != nullptr;
@@ -292,9 +294,11 @@
                     ServerLimits &Limits, const ServerChoice &Server,
                     const std::string &Bytes, const std::string &Method,
                     Milliseconds Time, size_t MaxBytes, std::string &Body,
-                    bool Permitted) {
+                    bool Permitted, bool NewConnection) {
   CallerWaiter noCaller(-1, Clock::now() + Time);
   ServerCall call(Pool, Codec, Limits, noCaller);
+  if (NewConnection)
+    call.requireNewConnection();
   CallStatus status = call.start(Server, Bytes, Method, "", Time, Permitted);
   if (status == CallStatus::Responded)
     status = call.readWhole(Body, MaxBytes);
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -114,6 +114,9 @@
       : Pool(Pool), Codec(Codec), Limits(Limits), Waiter(Waiter), Http(Waiter) {
   }
 
+  // The call opens a connection of its own, which leads to the process that
+  // accepts connections now. Called before start().
+  void requireNewConnection() { NewConnection = true; }
   // `RequestId`: responses with another id are late responses to earlier
   // requests and are skipped. `ResponseTimeout` bounds the wait for the head.
   // `Permitted`: the caller has acquired a permit for the call, which is
@@ -171,6 +174,7 @@
   int StrayResponses = 0;              // skipped so far
   std::vector<std::string> RequestIds; // sent on the connection
   bool Traceable = true;               // see PooledConnection
+  bool NewConnection = false;
   bool Kept = false;
   ServerProcess Process;
   ResponseInfo Info;
@@ -191,12 +195,13 @@
 }
 
 // Makes a call on behalf of no caller. Returns the status and fills `Body`, or
-// returns 0 if there is no complete response within `Time`.
+// returns 0 if there is no complete response within `Time`. `NewConnection`:
+// see ServerCall::requireNewConnection().
 uint32_t callServer(ConnectionPool &Pool, const HttpCodec &Codec,
                     ServerLimits &Limits, const ServerChoice &Server,
                     const std::string &Bytes, const std::string &Method,
                     Milliseconds Time, size_t MaxBytes, std::string &Body,
-                    bool Permitted = false);
+                    bool Permitted = false, bool NewConnection = false);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -80,8 +80,9 @@
     return;
   }
   AttemptResult result = AttemptResult::NotExecuted;
-  for (int round = 0;
-       round < MaxRounds && !shouldStop() && !RetryBudgetExhausted; ++round) {
+  for (int round = 0; round < MaxRounds && !shouldStop() &&
+                      !RetryBudgetExhausted && !Progress.versionUncertain();
+       ++round) {
     if (shouldForward()) {
       dropTakeover();
       result = forward();
@@ -104,7 +105,7 @@
       return;
     MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
     if (result == AttemptResult::Unknown &&
-        (!Route.Resumable || mayEndNextServer() || Progress.versionUncertain()))
+        (!Route.Resumable || mayEndNextServer()))
       break;
   }
   dropTakeover();
@@ -586,6 +587,16 @@
     releaseAll();
     return AttemptResult::NotExecuted;
   }
+  ProcessCheck check = ProcessCheck::Unknown;
+  if (Progress.begun()) {
+    check = checkProcess(server);
+    confirmFirstRun();
+    if (check == ProcessCheck::Replaced || Progress.versionUncertain()) {
+      releaseAll();
+      Tried.insert(server.Id);
+      return AttemptResult::NotExecuted;
+    }
+  }
   ForwardOptions order = optionsFor(server);
   order.Reservation = Target.Reservation;
   if (Cache)
@@ -644,7 +655,8 @@
   std::string code = std::to_string(call.head().Status);
   if (call.head().Status == 200 && info.Signed && !info.Encoded &&
       continuesStream(call.head().find("Content-Type"))) {
-    AttemptResult result = relayStream(call, server, run);
+    AttemptResult result =
+        relayStream(call, server, run, check == ProcessCheck::Same);
     if (result != AttemptResult::Done)
       status = CallStatus::ConnectionBroken;
     else if (!CallerWriteFailed && !Waiter.callerLeft())
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -36,7 +36,7 @@
 // it fails.
 RequestHandler::AttemptResult
 RequestHandler::relayStream(ServerCall &Call, const ServerChoice &Server,
-                            RunTracker::Id Run) {
+                            RunTracker::Id Run, bool Confirmed) {
   if (!HeadSent) {
     Status = 200;
     if (Origin)
@@ -47,7 +47,7 @@
   RelayedRun run;
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
-  run.Number = Progress.begin(versionKeyOf(Server.Version));
+  run.Number = Progress.begin(versionKeyOf(Server.Version), Confirmed);
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
     readEvents(Call, Server, run, Clock::now() + stallTimeout());
@@ -59,6 +59,8 @@
   }
   logRunEnded(Server.Id, lastIdBefore);
   if (CallerWriteFailed || run.Status == CallStatus::CallerLeft) {
+    // The caller may take the stream up elsewhere.
+    confirmRunVersion(Server, run);
     finish("caller_left", "the caller closed its connection");
     return AttemptResult::Done;
   }
@@ -67,8 +69,16 @@
   if (ended && inside)
     logEndInsideEvent(Server.Id);
   bool complete = ended && !inside && !mayBeCut(Call, Server);
-  if (!complete)
-    confirmRunVersion(Server, run);
+  if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
+      Progress.begun()) {
+    ProcessCheck check = checkProcess(Server);
+    if (check == ProcessCheck::Replaced) {
+      Progress.requireNothingFollows();
+      recordUncertainty();
+    } else if (check == ProcessCheck::Unknown) {
+      FirstRunServer = Server;
+    }
+  }
   if (Progress.end(run.Number,
                    complete ? RunOutcome::Complete : RunOutcome::BrokenOff) ==
       StreamEnd::Complete) {
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -16,6 +16,9 @@
 // Retry-After for callers whose stream no server may continue. Coming back
 // early can't help them.
 constexpr Milliseconds NotResumableRetryAfter{5000};
+// Servers report from memory; one that takes longer says nothing in time.
+constexpr Milliseconds ReportTimeout{150};
+constexpr size_t MaxReportBytes = 65536;
 // Recorded for a stream that may hold events of two versions: nobody continues
 // it, as after contradictory records.
 constexpr VersionKey UncertainVersion = 0;
@@ -93,6 +96,45 @@
                          Version, timeLeft());
 }
 
+RequestHandler::ProcessCheck
+RequestHandler::checkProcess(const ServerChoice &Server) {
+  if (!Route.Resumable || Server.StartedAt == 0 ||
+      !Context.Directory.usable(Server) || !tryAcquire(Server.Id, 1))
+    return ProcessCheck::Unknown;
+  std::string body;
+  uint32_t status =
+      callServer(Context.Connections, Context.Codec, Context.Limits, Server,
+                 Context.Codec.FormatReport(Server), "GET",
+                 std::min(ReportTimeout, timeLeft()), MaxReportBytes, body,
+                 /*Permitted=*/true, /*NewConnection=*/true);
+  std::optional<ServerReport> report;
+  if (status == 200)
+    report = Context.Codec.ParseReport(body);
+  if (!report || report->StartedAt == 0)
+    return ProcessCheck::Unknown;
+  if (report->StartedAt == Server.StartedAt)
+    return ProcessCheck::Same;
+  internal::LogFields all = fields();
+  all.emplace_back("server", Server.Id);
+  all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
+  all.emplace_back("reported_started_at", std::to_string(report->StartedAt));
+  all.emplace_back("events", std::to_string(Progress.passed()));
+  log(LogLevel::Warn, "request",
+      "the server was replaced and its entry doesn't say so yet", all);
+  return ProcessCheck::Replaced;
+}
+
+void RequestHandler::confirmFirstRun() {
+  if (!Route.Resumable || !FirstRunServer || Progress.versionUncertain())
+    return;
+  std::optional<std::string> successor =
+      Context.Directory.successorVersion(*FirstRunServer);
+  if (!successor || *successor == FirstRunServer->Version)
+    return;
+  Progress.requireNothingFollows();
+  recordUncertainty();
+}
+
 void RequestHandler::recordUncertainty() {
   if (!Route.Resumable || UncertaintyRecorded || !Progress.versionUncertain())
     return;
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -319,6 +319,50 @@
   CHECK(other.seen()[0].MayHaveExecuted);
 }
 
+// Its server was replaced meanwhile, and the relaying instance went on with the
+// version that the first head had stated.
+TEST_CASE("A stream of an uncertain version isn't continued by its relay") {
+  bool ownServers = false;
+  FakePeer uncertain("g2", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(1), true));
+    ForwardResponse frame;
+    frame.Data = event(2);
+    frame.VersionUncertain = true;
+    sendFrameText(Fd, frame);
+    sendFrameText(Fd, endFrame(false));
+  });
+  FakePeer other("g3", [](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(event(3), true));
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({&uncertain, &other});
+  FakeServer own([](const std::string &Request, int) {
+    return modelServerResponse(Request);
+  });
+  SUBCASE("at another instance") {}
+  SUBCASE("at a server") { ownServers = true; }
+  int selections = 0;
+  setup.Hooks.Select = [&](const std::string &) {
+    std::vector<Member> all;
+    if (selections++ == 0)
+      all.push_back(uncertain.member());
+    else if (!ownServers)
+      all.push_back(other.member());
+    return all;
+  };
+  if (ownServers)
+    setup.addServer("d1", own, ServerStage::Decode);
+  std::string response = setup.run(resumable(setup));
+  CHECK(contains(response, "id: 2\n"));
+  CHECK_FALSE(contains(response, "id: 3\n"));
+  CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+  CHECK(other.seen().empty());
+  CHECK(own.count("POST /x/y") == 0);
+  CallerRequest request = setup.request();
+  CHECK(setup.Origins.find(streamKeyOf(request.Host, request.Target,
+                                       request.Id)) == VersionKey(0));
+}
+
 TEST_CASE("A stream that isn't resumable ends incomplete with its instance") {
   FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
     sendFrameText(Fd, headFrame(event(1), true));
--- a/test/gateway_stream_progress_test.cc
+++ b/test/gateway_stream_progress_test.cc
@@ -232,3 +232,59 @@
   CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
         StreamEnd::MayContinue);
 }
+
+// A peer that passed such a stream on was asked again, and its events joined.
+TEST_CASE("A run that begins once nothing may follow passes nothing on") {
+  Stream stream;
+  RunNumber run = stream.begun();
+  stream.Progress.onServerReplaced(run, V2);
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::Incomplete);
+  RunNumber next = stream.Progress.begin(V1);
+  CHECK(stream.add(next, event(5)) == RunFault::OtherVersion);
+  CHECK(stream.Progress.end(next, RunOutcome::Complete) ==
+        StreamEnd::Incomplete);
+  CHECK(stream.Caller == events(1, 4));
+}
+
+TEST_CASE("A run of another version isn't joined to events of one") {
+  for (std::optional<VersionKey> version :
+       {std::optional(V2), std::optional<VersionKey>()}) {
+    Stream stream;
+    stream.begun();
+    RunNumber run = stream.Progress.begin(version);
+    CHECK(stream.add(run, event(5)) == RunFault::OtherVersion);
+    CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+          StreamEnd::MayContinue);
+    CHECK(stream.Caller == events(1, 4));
+  }
+}
+
+// Its connection leads to the process that has said which one it is.
+TEST_CASE("A confirmed run stays certain when its server is replaced") {
+  Stream stream;
+  stream.begun();
+  RunNumber run = stream.Progress.begin(V1, /*Confirmed=*/true);
+  CHECK(stream.Progress.onServerReplaced(run, V2));
+  CHECK(stream.add(run, event(5)) == RunFault::None);
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::MayContinue);
+}
+
+// A comment before the first event of a run hid that events were missing.
+TEST_CASE("Comments are passed on and have no place in the order") {
+  Stream stream;
+  stream.begun();
+  RunNumber run = stream.Progress.begin(V1);
+  CHECK(stream.add(run, ": ping\n\n") == RunFault::None);
+  CHECK(stream.add(run, event(6)) == RunFault::IdsMissing);
+  CHECK(stream.Caller == events(1, 4) + ": ping\n\n");
+  SUBCASE("nor a version") {
+    Stream other;
+    run = other.Progress.begin(V1);
+    other.add(run, ": ping\n\n");
+    other.Progress.onServerReplaced(run, V2);
+    CHECK(other.Progress.end(run, RunOutcome::BrokenOff) ==
+          StreamEnd::MayContinue);
+  }
+}
