Accept each configuration that the store accepts, and refuse entries one by one

Cause: one entry that this build doesn't understand (a route of a later type, an account with another unit or a name that no header field can hold) kept a whole version from coming into force, with its removed keys and routes, for ever and without an alarm; whole numbers in another notation did too, and numbers beyond 32 bits were cut (2^32 header bytes became a limit of 0). Change: such entries are known and not supported: requests to them get 503, and no shorter prefix or other account serves them. They are logged with each version, counted (config_unsupported_entries) and named by check. config_invalid shows that the latest version read can't be used, and the one before stays in force.

--- a/src/gateway/decisions/accounts/access_check.cc
+++ b/src/gateway/decisions/accounts/access_check.cc
@@ -17,6 +17,7 @@
     {"unknown", "no account holds the key"},
     {"removed", "the key was removed while the request waited"},
     {"unconfirmed", "this instance can't confirm that keys are still valid"},
+    {"unsupported", "this instance doesn't support the account's settings"},
 }};
 
 } // namespace
@@ -29,6 +30,11 @@
   return Texts[static_cast<size_t>(Verdict)].Reason;
 }
 
+bool mayBeGrantedLater(AccessVerdict Verdict) {
+  return Verdict == AccessVerdict::Unconfirmed ||
+         Verdict == AccessVerdict::AccountUnsupported;
+}
+
 AccessDecision decideAccess(const AccountTable &Accounts,
                             const AccessQuery &Query,
                             const AccessPolicy &Policy) {
@@ -42,6 +48,8 @@
   // Before the key is looked at: it may be one that was added or removed since.
   if (Policy.FailClosed && (!Query.Age || *Query.Age > Policy.MaxAge))
     return {AccessVerdict::Unconfirmed, nullptr};
+  if (decision.Account && !decision.Account->Supported)
+    return {AccessVerdict::AccountUnsupported, nullptr};
   if (decision.Account)
     return decision;
   if (Query.Presence == KeyPresence::Missing)
--- a/src/gateway/decisions/accounts/access_check.h
+++ b/src/gateway/decisions/accounts/access_check.h
@@ -44,11 +44,15 @@
   KeyMissing,
   KeyMalformed,
   KeyUnknown,
-  KeyRemoved, // known to an earlier check of the request
-  Unconfirmed // the knowledge is too old to tell
+  KeyRemoved,  // known to an earlier check of the request
+  Unconfirmed, // the knowledge is too old to tell
+  AccountUnsupported
 };
 inline constexpr size_t AccessVerdictCount =
-    static_cast<size_t>(AccessVerdict::Unconfirmed) + 1;
+    static_cast<size_t>(AccessVerdict::AccountUnsupported) + 1;
+// Whether the request may be granted elsewhere or later, so that its caller is
+// to come back.
+bool mayBeGrantedLater(AccessVerdict Verdict);
 
 const char *nameOf(AccessVerdict Verdict); // name in logs and metrics
 // Why the request is refused, for its caller. Says nothing of the key itself.
--- a/src/gateway/decisions/accounts/account_table.cc
+++ b/src/gateway/decisions/accounts/account_table.cc
@@ -5,13 +5,12 @@
 #include <utility>
 
 namespace crocusspur::gateway {
-namespace {
 
 using internal::Sha256Digest;
 
 // The name is sent in a header field, where a control character would end the
 // field or make it invalid, and surrounding spaces are lost.
-bool isValidName(std::string_view Name) {
+bool isAccountNameSendable(std::string_view Name) {
   return !Name.empty() && Name.front() != ' ' && Name.back() != ' ' &&
          std::ranges::none_of(Name, [](char It) {
            auto c = static_cast<unsigned char>(It);
@@ -19,8 +18,6 @@
          });
 }
 
-} // namespace
-
 std::vector<FaultyAccount>
 findAccountFaults(const std::vector<AccountEntry> &Entries) {
   std::vector<FaultyAccount> faults;
@@ -28,7 +25,7 @@
   std::set<Sha256Digest> keys;
   for (size_t i = 0; i < Entries.size(); ++i) {
     const AccountEntry &entry = Entries[i];
-    if (!isValidName(entry.Account.Name))
+    if (entry.Account.Name.empty())
       faults.push_back({i, AccountFault::InvalidName, 0});
     else if (!names.insert(entry.Account.Name).second)
       faults.push_back({i, AccountFault::DuplicateName, 0});
--- a/src/gateway/decisions/accounts/account_table.h
+++ b/src/gateway/decisions/accounts/account_table.h
@@ -26,7 +26,7 @@
 };
 
 enum class AccountFault : uint8_t {
-  InvalidName,   // empty, or not fit for a header field
+  InvalidName,   // empty
   DuplicateName, // an earlier account has it
   DuplicateKey   // this account or an earlier one has it
 };
@@ -37,6 +37,9 @@
   size_t Key = 0; // index of the key, for DuplicateKey
 };
 
+// Whether a request to a server can name the account.
+bool isAccountNameSendable(std::string_view Name);
+
 // Returns all faults for which an AccountTable can't be made, in the entries'
 // order.
 std::vector<FaultyAccount>
--- a/src/gateway/decisions/accounts/client_account.h
+++ b/src/gateway/decisions/accounts/client_account.h
@@ -26,6 +26,9 @@
   // Goes before the rank of the route; 0 is the highest.
   std::optional<uint32_t> Priority;
   AccountQuota Quota;
+  // Whether this build can name it to servers and enforce its quota. Requests
+  // of other accounts are refused.
+  bool Supported = true;
 };
 
 // Returns what a request counts towards the quota: the tokens of its prompt and
--- a/src/gateway/decisions/route_table.h
+++ b/src/gateway/decisions/route_table.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_ROUTE_TABLE_H
 #define CROCUSSPUR_GATEWAY_ROUTE_TABLE_H
 
+#include "crocusspur/errors.h"
 #include "crocusspur/types.h"
 #include "gateway/decisions/accounts/account_table.h"
 #include "gateway/decisions/attempt_interval.h"
@@ -37,7 +38,10 @@
   uint32_t MaxServers = 1;          // maximum servers tried for one request
   bool Resumable = false;           // a stream may continue on another server
   bool Public = false;              // callers need no key
-  std::vector<WeightedService> Services; // at least one
+  // Whether this build knows its type. Requests to other routes are refused; a
+  // shorter prefix doesn't get them.
+  bool Supported = true;
+  std::vector<WeightedService> Services; // at least one if it is supported
 };
 
 // Properties of the servers of a service that runs a model.
@@ -67,6 +71,8 @@
   std::map<std::string, ServiceConfig> Services;
   RequestLimits Limits;
   AccountTable Accounts; // empty: callers need no keys
+  // Entries that this build doesn't support, by their place in the document.
+  std::vector<Diagnostic> Unsupported;
   // As published, for peers that can't read it themselves. It holds the keys of
   // accounts, so nothing else may show it.
   std::string Text;
--- a/src/gateway/forward_service.cc
+++ b/src/gateway/forward_service.cc
@@ -72,22 +72,28 @@
         /*Elsewhere=*/false);
     return;
   }
+  if (!route->Supported) {
+    Sink.sendProblem(internal::makeProblem(ErrorKind::NotReady,
+                                           "the route's type isn't supported",
+                                           {}),
+                     /*Elsewhere=*/true);
+    return;
+  }
   // The first instance has checked the key, but its configuration may be older,
   // or that of a build without accounts.
   AccessVerdict verdict =
       Runtime.Access.check(Request.Request, *document, *route);
   if (verdict != AccessVerdict::Granted) {
-    bool unconfirmed = verdict == AccessVerdict::Unconfirmed;
+    bool later = mayBeGrantedLater(verdict);
     log(LogLevel::Info, "forward_service", "refused a request of a peer",
         {{"request", Request.Request.Id},
          {"from", From},
          {"why", reasonOf(verdict)},
          {"config_version", std::to_string(document->Version)}});
-    Sink.sendProblem(internal::makeProblem(unconfirmed
-                                               ? ErrorKind::NotReady
-                                               : ErrorKind::Unauthorized,
+    Sink.sendProblem(internal::makeProblem(later ? ErrorKind::NotReady
+                                                 : ErrorKind::Unauthorized,
                                            reasonOf(verdict), {}),
-                     /*Elsewhere=*/unconfirmed);
+                     /*Elsewhere=*/later);
     return;
   }
   log(LogLevel::Info, "forward_service", "handling a request of a peer",
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -315,13 +315,18 @@
                 Milliseconds(0));
     return;
   }
+  if (!route->Supported) {
+    sendProblem(Sink, request.Id, ErrorKind::NotReady,
+                "this instance doesn't support the route's type",
+                NotReadyRetryAfter);
+    return;
+  }
   AccessVerdict verdict = Runtime->Access.check(request, *document, *route);
   if (verdict != AccessVerdict::Granted) {
-    bool unconfirmed = verdict == AccessVerdict::Unconfirmed;
-    sendProblem(Sink, request.Id,
-                unconfirmed ? ErrorKind::NotReady : ErrorKind::Unauthorized,
-                reasonOf(verdict),
-                unconfirmed ? NotReadyRetryAfter : Milliseconds(0));
+    bool later = mayBeGrantedLater(verdict);
+    sendProblem(
+        Sink, request.Id, later ? ErrorKind::NotReady : ErrorKind::Unauthorized,
+        reasonOf(verdict), later ? NotReadyRetryAfter : Milliseconds(0));
     return;
   }
   TimePoint deadline =
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -30,6 +30,8 @@
   std::vector<ServerChange> Servers;
   RouteDocumentPtr Routes; // null: not in the response
   StoreRevision RoutesRevision;
+  // The response holds a configuration that can't be used.
+  bool IsRoutesInvalid = false;
 };
 
 // Polled while a call waits; returns true to cancel it.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -396,7 +396,7 @@
 }
 
 void RequestHandler::refuseAccess() {
-  if (*AccessRefused == AccessVerdict::Unconfirmed)
+  if (mayBeGrantedLater(*AccessRefused))
     refuse(ErrorKind::NotReady, reasonOf(*AccessRefused),
            UnconfirmedRetryAfter);
   else
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -40,6 +40,22 @@
   return Age ? std::to_string(Age->count()) : "";
 }
 
+// The first of the entries, which bounds the length of the line.
+void logUnsupported(const RouteDocument &Document) {
+  constexpr size_t MaxLogged = 5;
+  if (Document.Unsupported.empty())
+    return;
+  std::string entries;
+  for (size_t i = 0; i < std::min(MaxLogged, Document.Unsupported.size()); ++i)
+    entries += (i > 0 ? "; " : "") + Document.Unsupported[i].str();
+  log(LogLevel::Error, "directory",
+      "requests to some entries of the configuration are refused, since this "
+      "build doesn't support them",
+      {{"version", std::to_string(Document.Version)},
+       {"count", std::to_string(Document.Unsupported.size())},
+       {"entries", entries}});
+}
+
 std::string paceText(const PaceEstimate &Item) {
   std::string out =
       "{\"value\":" + std::to_string(Item.Pace) +
@@ -136,6 +152,7 @@
        {"peer", Source.Peer},
        {"read_ago_ms", ageText(Source.Age.ReadAgo)},
        {"age_ms", ageText(Source.Age.AtMost)}});
+  logUnsupported(*NewDocument);
   Document = std::move(NewDocument);
   return RoutesUpdate::InForce;
 }
@@ -857,6 +874,9 @@
   std::string out =
       "{\"config_version\":" + std::to_string(Document->Version) +
       ",\"routes\":" + std::to_string(Document->Routes.size()) +
+      ",\"unsupported_entries\":" +
+      std::to_string(Document->Unsupported.size()) +
+      ",\"config_invalid\":" + (ConfigInvalid.load() ? "true" : "false") +
       ",\"servers_revision\":" + std::to_string(ListRevision.Number) +
       ",\"servers_era\":" + std::to_string(ListRevision.Era) +
       ",\"store_reachable\":" + (isStoreReachable() ? "true" : "false") +
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -55,6 +55,10 @@
                    const ConfigSource &Source = {});
   RouteDocumentPtr routes() const;
   ConfigAge configAge() const; // of the configuration in force
+  // Whether the latest configuration that this instance has read from the store
+  // can't be used.
+  void setConfigInvalid(bool IsInvalid) { ConfigInvalid.store(IsInvalid); }
+  bool isConfigInvalid() const { return ConfigInvalid.load(); }
   StoreRevision routesRevision() const;
 
   // A response of the store states its era, or a peer knows a higher one.
@@ -277,6 +281,7 @@
   std::optional<TimePoint> ConfigAbsentAt;
   uint64_t OwnEra = 0; // of this instance's responses of the store
   std::atomic<uint64_t> HighestEra{0};
+  std::atomic<bool> ConfigInvalid{false};
   std::optional<TimePoint> EraChangedAt; // of the list
   // Processes whose entries were removed lately, by server, and when.
   std::map<std::string, std::pair<ServerProcess, TimePoint>> RemovedProcesses;
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -112,6 +112,8 @@
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
                                    PublishedKind Kind, bool Whole,
                                    std::optional<Milliseconds> ConfirmedAgo) {
+  if (Update.Routes || Update.IsRoutesInvalid)
+    Runtime->Directory.setConfigInvalid(Update.IsRoutesInvalid);
   if (Update.Routes)
     Runtime->applyRoutes(
         Update.Routes, Update.RoutesRevision,
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -182,6 +182,10 @@
                     static_cast<double>(document->Accounts.size()));
   Metrics->setGauge("account_keys", "",
                     static_cast<double>(document->Accounts.keyCount()));
+  Metrics->setGauge("config_unsupported_entries", "",
+                    static_cast<double>(document->Unsupported.size()));
+  Metrics->setGauge("config_invalid", "",
+                    Runtime->Directory.isConfigInvalid() ? 1 : 0);
   for (AccessVerdict it :
        {AccessVerdict::KeyMissing, AccessVerdict::KeyMalformed,
         AccessVerdict::KeyUnknown, AccessVerdict::KeyRemoved})
