Pass long responses of plain services on as they come

What operators saw: an instance kept all bytes of a server that sent a body without end, and ran out of memory. Cause: each call kept up to 16 MiB of a plain response, in a string that doubles, before the first byte went to the caller, and no check bounds all calls together. Change: 256 KiB are kept while a retry may follow. A longer response is passed on from there with the caller's pace; if it breaks off, by its framing or with its server's process, the caller sees it incomplete. It ends at the deadline, also if the server always has more or the caller takes nothing. Failures that a retry may replace are never passed on: longer than 256 KiB they count as broken. Bodies that nobody needs (refusals, unsigned, stray) are read and not kept. The same for responses that another instance passes on. Responses of streams' routes that are no stream are kept up to 256 KiB.

--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -28,7 +28,6 @@
 // An instance that sends nothing for this long may be frozen. A request that
 // may be repeated goes elsewhere then; others wait for their deadline.
 constexpr Milliseconds SilenceTimeout{3000};
-constexpr size_t MaxResponseBytes = 16777216;
 
 // Returns null if the response states none.
 const std::string *contentTypeOf(const internal::ResponseHead &Head) {
@@ -172,7 +171,14 @@
                                 std::move(First), SilenceTime);
   std::string body = std::move(First.Data);
   ForwardResponse frame = std::move(First);
-  while (!frame.End && body.size() <= MaxResponseBytes) {
+  while (!frame.End) {
+    // A failure to go on with a stream isn't the caller's answer.
+    if (HeadSent)
+      body.clear();
+    if (HeadSent && Waiter.pastDeadline())
+      return AttemptResult::Unknown;
+    if (body.size() > MaxKeptBytes)
+      return passOnForwarded(Call, head.Response, std::move(body), SilenceTime);
     CallStatus status = readForwarded(Call, frame, SilenceTime);
     if (status == CallStatus::CallerLeft)
       return AttemptResult::Done;
@@ -193,6 +199,37 @@
   return AttemptResult::Done;
 }
 
+RequestHandler::AttemptResult
+RequestHandler::passOnForwarded(ForwardCall &Call,
+                                const internal::ResponseHead &Head,
+                                std::string Part, Milliseconds SilenceTime) {
+  FirstOutput = Clock::now();
+  Status = Head.Status;
+  HeadSent = true;
+  CallerWriteFailed = !Sink.begin(Head);
+  ForwardResponse frame;
+  CallStatus status = CallStatus::Responded;
+  while (true) {
+    bool written = writePart(Part);
+    if (!written || (!frame.End && Waiter.pastDeadline()))
+      status = CallStatus::DeadlineExceeded;
+    if (frame.End || status != CallStatus::Responded)
+      break;
+    status = readForwarded(Call, frame, SilenceTime);
+    if (status == CallStatus::CallerLeft) // the request is finished
+      return AttemptResult::Done;
+    if (status != CallStatus::Responded)
+      break;
+    Part = std::move(frame.Data);
+  }
+  if (status == CallStatus::Responded && frame.End.value_or(false)) {
+    bool passed = Sink.end(true);
+    finish(passed ? "answered" : "caller_left", "by another instance");
+  } else
+    cutResponse(status);
+  return AttemptResult::Done;
+}
+
 CallStatus RequestHandler::readForwarded(ForwardCall &Call,
                                          ForwardResponse &Frame,
                                          Milliseconds SilenceTime) {
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -13,8 +13,6 @@
 using internal::log;
 using internal::LogLevel;
 
-// Responses of plain services are buffered whole before they are forwarded.
-constexpr size_t MaxResponseBytes = 16777216;
 // Timeout of an attempt that can be retried elsewhere, in multiples of the
 // route's latency target. Most services finish 99 of 100 requests in half of
 // that.
@@ -727,9 +725,10 @@
     status = call.awaitHead(std::min(timeLeft(), attemptTimeout(Server)));
   TimePoint answeredAt = Clock::now();
   std::string body;
+  bool whole = false;
   if (status == CallStatus::Responded)
-    status = call.readWhole(body, MaxResponseBytes);
-  if (status == CallStatus::Responded && mayBeCut(call, Server))
+    status = readKept(call, LastTry, body, whole);
+  if (status == CallStatus::Responded && whole && mayBeCut(call, Server))
     status = CallStatus::ConnectionBroken;
   if (call.maySent())
     Used.insert(Server.Id);
@@ -766,7 +765,8 @@
   const ResponseInfo &info = call.info();
   if (info.Load)
     Context.Directory.onLoadReport(Server.Id, *info.Load);
-  call.finish();
+  if (whole)
+    call.finish();
   std::string code = std::to_string(call.head().Status);
   if (info.NotExecuted) {
     // Once room shows, the same server may be asked again. A route that allows
@@ -787,18 +787,44 @@
   });
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
-  runEnd = endOfResponse(call.head().Status);
   bool failure = isServerError(call.head().Status);
+  Milliseconds callerTime{0};
+  bool passedOn = !whole;
+  if (passedOn)
+    status = passOn(call, Server, run, std::move(body), callerTime);
+  if (status == CallStatus::TimedOut)
+    Context.Directory.onCallTimed(Server, 1, timeout);
+  if (status != CallStatus::Responded) {
+    bool left = status == CallStatus::CallerLeft;
+    bool broken = status == CallStatus::ConnectionBroken;
+    end(left     ? CallResult::Abandoned
+        : broken ? CallResult::Failed
+                 : CallResult::TimedOut,
+        left                             ? "caller_left"
+        : broken                         ? "broken_in_answer"
+        : status == CallStatus::TimedOut ? "silent_in_answer"
+                                         : "out_of_time",
+        AttemptResult::Done);
+    cutResponse(status);
+    return AttemptResult::Done;
+  }
+  runEnd = endOfResponse(call.head().Status);
   if (!failure)
     Context.Directory.onCallTimed(
         Server, 1,
-        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started) -
+            callerTime);
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call, Server), std::move(body)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
   }
   end(failure ? CallResult::Failed : CallResult::Succeeded, "answered_" + code,
       AttemptResult::Done);
+  if (passedOn) {
+    call.finish();
+    finish("answered", "");
+    return AttemptResult::Done;
+  }
   FirstOutput = Clock::now();
   Status = call.head().Status;
   bool passed = internal::writeResponse(Sink, responseHead(call, Server), body);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -20,6 +20,12 @@
 
 class ForwardCall;
 
+// So much of a response is kept while a retry may follow, or if it is only
+// useful as a whole.
+inline constexpr size_t MaxKeptBytes = 262144;
+// Of a body that nobody needs, so that its connection can be used again.
+inline constexpr size_t MaxDiscardedBytes = 16777216;
+
 // A request that another instance has passed on, with hooks for what the
 // response to that instance says besides.
 struct ForwardedOrigin {
@@ -106,6 +112,21 @@
   // The same once it has to wait.
   bool waitForRoom();
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
+  // Reads the body while a retry may follow: to its end, or so much that the
+  // rest is passed on as it comes. A body that isn't needed is discarded.
+  CallStatus readKept(ServerCall &Call, bool LastTry, std::string &Body,
+                      bool &End);
+  // Passes the response on as it comes. `Part`: what was read of its body.
+  // `CallerTime`: for how long the caller was waited for. Returns Responded if
+  // the response is complete, otherwise how it ended.
+  CallStatus passOn(ServerCall &Call, const ServerChoice &Server,
+                    RunTracker::Id Run, std::string Part,
+                    Milliseconds &CallerTime);
+  // Sends the part to the caller. Returns false if it disconnected or the
+  // deadline passed before.
+  bool writePart(std::string_view Part);
+  // Ends a response that was passed on in part, visibly incomplete.
+  void cutResponse(CallStatus Status);
   // Whether another server or instance can get the request, which is then
   // charged as a retry.
   bool mayRetryPlainElsewhere();
@@ -232,6 +253,11 @@
                                      VersionKey OutputVersion,
                                      ForwardResponse First,
                                      Milliseconds SilenceTime);
+  // Passes a response that another instance passes on to the caller as it
+  // comes. `Part`: what was read of its body.
+  AttemptResult passOnForwarded(ForwardCall &Call,
+                                const internal::ResponseHead &Head,
+                                std::string Part, Milliseconds SilenceTime);
   // Reads the next frame. Finishes the request and returns CallerLeft if its
   // caller has left.
   CallStatus readForwarded(ForwardCall &Call, ForwardResponse &Frame,
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -28,7 +28,6 @@
 // A refusal arrives within one round trip. Requests wait for it before they are
 // sent elsewhere.
 constexpr Milliseconds RefusalTimeout{50};
-constexpr Milliseconds TransferTimeout{2000};
 // The remaining time is passed on in whole milliseconds, rounded down, so a
 // wait for it can end this much before the deadline.
 constexpr Milliseconds DeadlineTolerance{2};
@@ -245,8 +244,7 @@
       return status;
     }
     ++StrayResponses;
-    std::string stray;
-    status = readWhole(stray, MaxStrayBytes, TransferTimeout);
+    status = discardBody(MaxStrayBytes, TransferTimeout);
     if (status == CallStatus::TimedOut) // no head can follow
       return CallStatus::ConnectionBroken;
     if (status != CallStatus::Responded)
@@ -262,6 +260,16 @@
       Http.readWholeBody(Body, MaxBytes, TransferTimeout, until));
 }
 
+CallStatus ServerCall::readUpTo(std::string &Body, bool &End, size_t MaxBytes) {
+  return fromExchange(Http.readBodyUpTo(Body, End, MaxBytes, TransferTimeout));
+}
+
+CallStatus ServerCall::discardBody(size_t MaxBytes,
+                                   std::optional<Milliseconds> MaxTime) {
+  TimePoint until = MaxTime ? Clock::now() + *MaxTime : TimePoint::max();
+  return fromExchange(Http.discardBody(MaxBytes, TransferTimeout, until));
+}
+
 CallStatus ServerCall::readSome(std::string &Out, bool &End,
                                 Milliseconds Pause) {
   return fromExchange(Http.readBody(Out, End, Pause));
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -77,6 +77,9 @@
   ResponseListener OnResponse;
 };
 
+// A server that sends nothing of a body for this long has failed.
+inline constexpr Milliseconds TransferTimeout{2000};
+
 // Watches the caller's connection while a call waits for a server.
 class CallerWaiter final : public internal::SocketWaiter {
 public:
@@ -129,6 +132,13 @@
   // deadline and the time without progress do.
   CallStatus readWhole(std::string &Body, size_t MaxBytes,
                        std::optional<Milliseconds> MaxTime = std::nullopt);
+  // Reads until the end of the body, or until `Body` has `MaxBytes` or a little
+  // more.
+  CallStatus readUpTo(std::string &Body, bool &End, size_t MaxBytes);
+  // Reads the rest of the body and keeps nothing of it. Otherwise like
+  // readWhole().
+  CallStatus discardBody(size_t MaxBytes,
+                         std::optional<Milliseconds> MaxTime = std::nullopt);
   // Reads the available part of a stream; see HttpExchange::readBody.
   CallStatus readSome(std::string &Out, bool &End, Milliseconds Pause);
   // Returns the connection to the pool if the response was read to its end.
@@ -142,6 +152,7 @@
   const internal::HttpHead &head() const { return Http.head(); }
   // How the end of the response's body is marked; see HttpExchange::bodyForm().
   internal::BodyForm bodyForm() const { return Http.bodyForm(); }
+  uint64_t bodyLength() const { return Http.bodyLength(); }
   const ResponseInfo &info() const { return Info; }
   // Whether the connection was opened for an earlier call.
   bool usedKeptConnection() const { return Kept; }
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -47,7 +47,6 @@
 // Status of a server that isn't in the stage, or isn't the one, that was meant.
 constexpr uint32_t MisdirectedStatus = 421;
 constexpr size_t MaxPrefillResponseBytes = 65536;
-constexpr size_t MaxResponseBytes = 16777216;
 
 struct FailedCall {
   CallResult Result;
@@ -655,7 +654,8 @@
                result);
   }
   std::string body;
-  status = call.readWhole(body, MaxResponseBytes);
+  status = info.NotExecuted ? call.discardBody(MaxDiscardedBytes)
+                            : call.readWhole(body, MaxKeptBytes);
   if (status == CallStatus::Responded)
     call.finish();
   if (info.NotExecuted) {
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -18,6 +18,9 @@
 
 // Interim responses to one request. Servers send one or two.
 constexpr uint32_t MaxInterimResponses = 8;
+constexpr size_t ReadBytes = 16384; // at most received at once
+// Most bodies are shorter, and their buffer isn't enlarged beforehand.
+constexpr size_t FirstReserveBytes = 65536;
 
 ExchangeStatus toStatus(WaitResult Result, ExchangeStatus OnTimeout) {
   return Result == WaitResult::TimedOut ? OnTimeout
@@ -140,7 +143,7 @@
     WaitResult result = Waiter.wait(Socket->fd(), POLLIN, Until);
     if (result != WaitResult::Ready)
       return toStatus(result, ExchangeStatus::TimedOut);
-    char buf[16384];
+    char buf[ReadBytes];
     ssize_t n = ::recv(Socket->fd(), buf, sizeof buf, MSG_DONTWAIT);
     if (n > 0) {
       ByteReceived = true;
@@ -184,6 +187,7 @@
   if (!responseFraming(Head, Method, framing))
     return ExchangeStatus::Failed;
   Form = framing.Form;
+  Length = framing.Length;
   Decoder.reset(framing);
   return ExchangeStatus::Ok;
 }
@@ -232,6 +236,41 @@
   return ExchangeStatus::Ok;
 }
 
+ExchangeStatus HttpExchange::readBodyUpTo(std::string &Out, bool &End,
+                                          size_t MaxBytes,
+                                          Milliseconds Timeout) {
+  while (!End && Out.size() < MaxBytes) {
+    // In one step, since a string that grows by itself takes up to twice its
+    // size.
+    if (Out.size() > FirstReserveBytes && Out.capacity() < MaxBytes)
+      Out.reserve(MaxBytes + ReadBytes);
+    ExchangeStatus status = readBodyUntil(Out, End, Clock::now() + Timeout);
+    if (status != ExchangeStatus::Ok)
+      return status;
+  }
+  return ExchangeStatus::Ok;
+}
+
+ExchangeStatus HttpExchange::discardBody(size_t MaxBytes, Milliseconds Timeout,
+                                         TimePoint Until) {
+  std::string part;
+  size_t read = 0;
+  bool end = false;
+  while (!end) {
+    part.clear();
+    ExchangeStatus status =
+        readBodyUntil(part, end, std::min(Clock::now() + Timeout, Until));
+    if (status != ExchangeStatus::Ok)
+      return status;
+    read += part.size();
+    if (read > MaxBytes)
+      return ExchangeStatus::Failed;
+    if (!end && Clock::now() >= Until)
+      return ExchangeStatus::TimedOut;
+  }
+  return ExchangeStatus::Ok;
+}
+
 BackendSocketPtr HttpExchange::release() {
   bool reusable = Socket && Decoder.complete() &&
                   Form != BodyForm::UntilClose && !EndOfInput &&
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -69,6 +69,8 @@
   // How the end of the body is marked. A body of the form UntilClose ends with
   // the connection, so its end can't be told from a cut.
   BodyForm bodyForm() const { return Form; }
+  // Of the body, if its form is Length.
+  uint64_t bodyLength() const { return Length; }
 
   // Appends the part of the body that is available; waits for at least one byte
   // or the end, at most for `Timeout`.
@@ -79,6 +81,15 @@
                                Milliseconds Timeout,
                                TimePoint Until = TimePoint::max());
 
+  // Reads until the end of the body, or until `Out` has `MaxBytes` or a little
+  // more.
+  ExchangeStatus readBodyUpTo(std::string &Out, bool &End, size_t MaxBytes,
+                              Milliseconds Timeout);
+  // Reads the rest of the body and keeps nothing of it. Otherwise like
+  // readWholeBody().
+  ExchangeStatus discardBody(size_t MaxBytes, Milliseconds Timeout,
+                             TimePoint Until = TimePoint::max());
+
   // Whether connect() failed because nothing listens at the address.
   bool connectionRefused() const { return Failure == ConnectFailure::Refused; }
   // Why connect() failed, or None.
@@ -106,6 +117,7 @@
   bool ByteReceived = false;
   bool EndOfInput = false;
   BodyForm Form = BodyForm::None;
+  uint64_t Length = 0;
 };
 
 } // namespace crocusspur::internal
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -161,6 +161,35 @@
   CHECK(peer.seen()[0].Service == "bays");
 }
 
+// The first instance kept up to 16 MiB of each.
+TEST_CASE("A long response of another instance is passed on as it comes") {
+  const std::string part(65536, 'x');
+  constexpr size_t Parts = 8;
+  for (bool complete : {true, false}) {
+    CAPTURE(complete);
+    FakePeer peer("g2", [&](int Fd, const ForwardedRequest &) {
+      ForwardResponse first = headFrame(part, /*IsStream=*/false);
+      first.ResponseHead->Response.Length = Parts * part.size();
+      sendFrameText(Fd, first);
+      for (size_t i = 1; i < (complete ? Parts : Parts - 1); ++i) {
+        ForwardResponse frame;
+        frame.Data = part;
+        sendFrameText(Fd, frame);
+      }
+      sendFrameText(Fd, endFrame(complete));
+    });
+    CutOffFixture gateway({&peer});
+    std::string got = gateway.run(gateway.route(RouteKind::NonIdempotent));
+    size_t body = got.size() - got.find("\r\n\r\n") - 4;
+    CHECK(got.starts_with("HTTP/1.1 200"));
+    CHECK(headerField(got, "Content-Length") ==
+          std::to_string(Parts * part.size()));
+    CHECK(body == (complete ? Parts : Parts - 1) * part.size());
+    CHECK(contains(gateway.Counters.render(),
+                   complete ? "\"answered\"" : "\"broken\""));
+  }
+}
+
 // The other instance may have sent it to a server.
 TEST_CASE("A non-idempotent request isn't passed on twice") {
   FakePeer broken("g2", [](int Fd, const ForwardedRequest &) {
