Count bytes that are kept for others against one budget

Cause: each call, event and frame had a bound of its own, and nobody added them up. A frame of a peer took the size that its prefix stated, before a byte had arrived. Kept parts of responses, parts of events, kept forwarded responses and frames hold it, in steps, beyond 16 to 128 KiB that each call may use. A refusal on a server's response passes it on sooner, or counts as its failure. Frames of peers grow as they arrive. Log line 'memory refused' at most once a second for each use, metrics memory_held_bytes and memory_refused_total.

--- a/src/gateway/forward_call.cc
+++ b/src/gateway/forward_call.cc
@@ -24,6 +24,10 @@
 // nothing for this long counts as disconnected.
 constexpr Milliseconds WriteTimeout{10000};
 constexpr size_t MaxDataPerFrame = 65536;
+// More than a frame of data with its fields, and within what each call may use.
+constexpr size_t UnheldFrameBytes = 131072;
+// A frame is kept in a buffer of up to twice its size, and decoded.
+constexpr size_t FrameMemoryFactor = 3;
 
 } // namespace
 
@@ -79,11 +83,20 @@
                FramePrefixBytes,
            *size});
       Received.erase(0, FramePrefixBytes + *size);
+      if (Received.capacity() > UnheldFrameBytes) {
+        Received.shrink_to_fit();
+        Hold.reset();
+      }
       if (!frame)
         return CallStatus::ConnectionBroken;
       Frame = std::move(*frame);
       return CallStatus::Responded;
     }
+    // Asked for as the bytes arrive: a size that is only stated takes nothing.
+    size_t kept = Received.size() * FrameMemoryFactor;
+    if (Received.size() > UnheldFrameBytes && kept > Hold.size() &&
+        !Hold.growTo(2 * kept))
+      return CallStatus::ConnectionBroken;
     WaitResult result = Waiter.wait(Socket->fd(), POLLIN, until);
     if (result != WaitResult::Ready)
       return fromWait(result);
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_FORWARD_CALL_H
 #define CROCUSSPUR_GATEWAY_FORWARD_CALL_H
 
+#include "gateway/decisions/memory_budget.h"
 #include "gateway/member_codec.h"
 #include "gateway/server_call.h"
 #include "response_sink.h"
@@ -17,7 +18,8 @@
 // ends the request's run.
 class ForwardCall {
 public:
-  explicit ForwardCall(CallerWaiter &Waiter) : Waiter(Waiter) {}
+  explicit ForwardCall(CallerWaiter &Waiter, MemoryBudget *Memory = nullptr)
+      : Waiter(Waiter), Hold(Memory, MemoryUse::PeerFrame) {}
 
   // Connects to the instance and sends the frame. Returns NotSent if it can't
   // have got the whole frame, without which it does nothing.
@@ -31,6 +33,7 @@
   CallerWaiter &Waiter;
   internal::BackendSocketPtr Socket;
   std::string Received; // not yet decoded
+  MemoryHold Hold;      // for it
 };
 
 // The side of the instance that handles the request: sends its response as
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -87,7 +87,7 @@
   Milliseconds timeout =
       repeatable ? std::min(SilenceTimeout, timeLeft()) : timeLeft();
   TimePoint started = Clock::now();
-  ForwardCall call(Waiter);
+  ForwardCall call(Waiter, Context.Memory);
   CallStatus status = call.start(Peer.Address, frame);
   bool sent = status == CallStatus::Responded;
   ForwardResponse first;
@@ -171,14 +171,18 @@
                                 std::move(First), SilenceTime);
   std::string body = std::move(First.Data);
   ForwardResponse frame = std::move(First);
+  MemoryHold hold = makeHold(MemoryUse::Response);
   while (!frame.End) {
     // A failure to go on with a stream isn't the caller's answer.
     if (HeadSent)
       body.clear();
     if (HeadSent && Waiter.pastDeadline())
       return AttemptResult::Unknown;
-    if (body.size() > MaxKeptBytes)
-      return passOnForwarded(Call, head.Response, std::move(body), SilenceTime);
+    // What is passed on sooner, since memory is short, can't be retried.
+    if (!body.empty() &&
+        (body.size() > MaxKeptBytes || !hold.growTo(2 * body.size())))
+      return passOnForwarded(Call, head.Response, std::move(body),
+                             std::move(hold), SilenceTime);
     CallStatus status = readForwarded(Call, frame, SilenceTime);
     if (status == CallStatus::CallerLeft)
       return AttemptResult::Done;
@@ -199,10 +203,9 @@
   return AttemptResult::Done;
 }
 
-RequestHandler::AttemptResult
-RequestHandler::passOnForwarded(ForwardCall &Call,
-                                const internal::ResponseHead &Head,
-                                std::string Part, Milliseconds SilenceTime) {
+RequestHandler::AttemptResult RequestHandler::passOnForwarded(
+    ForwardCall &Call, const internal::ResponseHead &Head, std::string Part,
+    MemoryHold Hold, Milliseconds SilenceTime) {
   FirstOutput = Clock::now();
   Status = Head.Status;
   HeadSent = true;
@@ -221,6 +224,7 @@
     if (status != CallStatus::Responded)
       break;
     Part = std::move(frame.Data);
+    Hold.reset();
   }
   if (status == CallStatus::Responded && frame.End.value_or(false)) {
     bool passed = Sink.end(true);
@@ -250,6 +254,7 @@
   const std::string lastIdBefore = Progress.lastEventId();
   RunNumber run = Progress.begin(
       OutputVersion != 0 ? std::optional(OutputVersion) : std::nullopt);
+  EventHold.reset();
   ForwardResponse frame = std::move(First);
   CallStatus status = CallStatus::Responded;
   bool speaks = true;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "gateway/accounts/account_quotas.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/decisions/member_table.h"
+#include "gateway/decisions/memory_budget.h"
 #include "gateway/http_codec.h"
 #include "gateway/prefill_dispatch.h"
 #include "gateway/reservation_queues.h"
@@ -52,6 +53,7 @@
   // response now. Null: it never does.
   const std::atomic<bool> *Exiting = nullptr;
   StreamRunCounts *Runs = nullptr; // null: runs of streams aren't counted
+  MemoryBudget *Memory = nullptr;  // null: memory isn't limited
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -96,7 +96,8 @@
       Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
       *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch,
-      &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns});
+      &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns,
+      &Runtime->Memory});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -11,6 +11,7 @@
 #include "gateway/frame_traffic.h"
 #include "gateway/gateway_context.h"
 #include "gateway/membership.h"
+#include "gateway/memory_log.h"
 #include "gateway/reservation_queues.h"
 #include "gateway/server_call.h"
 #include "gateway/server_responses.h"
@@ -41,6 +42,8 @@
                [this] { return Readers.confirmedAgo(); }),
         Seeds(this->Values.SeedAddresses), Retries(this->Values.Retries),
         Pace(this->Values.Pace) {
+    Memory.setLimit(
+        memoryBudgetLimit(this->Values.MemoryBytes, residentBytes()));
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
           if (StartedAt)
@@ -71,6 +74,7 @@
   CrashMonitor Crashes;
   StreamOrigins Origins;
   StreamRunCounts StreamRuns;
+  MemoryBudget Memory; // for bytes of others
   AccountQuotas Quotas;
   PrefillDispatch Dispatch;
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
   std::string MetricsAddress;             // empty: disabled
   std::vector<std::string> SeedAddresses; // peers to contact first
   std::string StoreAddress;               // of the published documents
+  size_t MemoryBytes = 0;           // that the process may use; 0: not stated
   Milliseconds ShutdownLimit{8000}; // from SIGTERM to the end of the process
   RetryAllowance Retries;
   PaceSettings Pace; // of servers
--- a/src/gateway/member_exchange.cc
+++ b/src/gateway/member_exchange.cc
@@ -1,5 +1,7 @@
 #include "gateway/member_exchange.h"
 
+#include "gateway/memory_log.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
@@ -16,6 +18,11 @@
 // than this isn't worth the wait.
 constexpr uint32_t MinBytesPerMs = 200;
 constexpr Milliseconds MaxTransferTime{1500};
+// Within what each exchange may use; most frames are smaller.
+constexpr size_t UnheldFrameBytes = 65536;
+// The bytes of a frame are kept, in the buffer before too while it grows, and
+// decoded.
+constexpr size_t FrameMemoryFactor = 2;
 
 Poco::Timespan timespan(Milliseconds Time) {
   return Poco::Timespan(std::chrono::microseconds(Time).count());
@@ -68,8 +75,8 @@
         out.data() + done, static_cast<int>(out.size() - done)));
 }
 
-std::optional<MemberFrame> receiveFrame(StreamSocket &Socket,
-                                        Milliseconds Timeout) {
+std::optional<MemberFrame>
+receiveFrame(StreamSocket &Socket, Milliseconds Timeout, MemoryBudget *Memory) {
   TimePoint until = Clock::now() + Timeout;
   std::array<uint8_t, FramePrefixBytes> prefix{};
   if (!receiveAll(Socket, prefix.data(), prefix.size(), until))
@@ -78,22 +85,36 @@
       {reinterpret_cast<const char *>(prefix.data()), prefix.size()});
   if (size > MaxFrameBytes)
     return std::nullopt;
-  std::vector<uint8_t> bytes(size);
   until += std::min(MaxTransferTime, Milliseconds(size / MinBytesPerMs));
-  if (!receiveAll(Socket, bytes.data(), bytes.size(), until))
-    return std::nullopt;
+  // Grows as the bytes arrive: a size that is only stated takes nothing.
+  MemoryHold hold(Memory, MemoryUse::PeerFrame);
+  std::vector<uint8_t> bytes;
+  while (bytes.size() < size) {
+    size_t before = bytes.size();
+    size_t now = std::min(size, std::max(UnheldFrameBytes, 2 * before));
+    if (now > UnheldFrameBytes && !hold.growTo(now * FrameMemoryFactor)) {
+      logMemoryRefused(Memory, MemoryUse::PeerFrame,
+                       Socket.peerAddress().toString());
+      return std::nullopt;
+    }
+    bytes.resize(now);
+    if (!receiveAll(Socket, bytes.data() + before, now - before, until))
+      return std::nullopt;
+  }
   return decodeMemberFrame(bytes);
 }
 
 std::optional<MemberFrame> callMember(const std::string &Address,
                                       const MemberFrame &Request,
-                                      Milliseconds Timeout) {
-  return callMemberEncoded(Address, encode(Request), Timeout);
+                                      Milliseconds Timeout,
+                                      MemoryBudget *Memory) {
+  return callMemberEncoded(Address, encode(Request), Timeout, Memory);
 }
 
 std::optional<MemberFrame> callMemberWithin(const std::string &Address,
                                             const std::vector<uint8_t> &Request,
-                                            Milliseconds Limit) {
+                                            Milliseconds Limit,
+                                            MemoryBudget *Memory) {
   TimePoint until = Clock::now() + Limit;
   // A time-out of 0 would be none.
   auto left = [&] {
@@ -106,7 +127,7 @@
     setTimeouts(socket, left());
     sendFrame(socket, Request);
     setTimeouts(socket, left());
-    return receiveFrame(socket, left());
+    return receiveFrame(socket, left(), Memory);
   } catch (const Poco::Exception &) {
     return std::nullopt;
   }
@@ -114,13 +135,14 @@
 
 std::optional<MemberFrame>
 callMemberEncoded(const std::string &Address,
-                  const std::vector<uint8_t> &Request, Milliseconds Timeout) {
+                  const std::vector<uint8_t> &Request, Milliseconds Timeout,
+                  MemoryBudget *Memory) {
   try {
     StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(Address), timespan(Timeout));
     setTimeouts(socket, Timeout);
     sendFrame(socket, Request);
-    return receiveFrame(socket, Timeout);
+    return receiveFrame(socket, Timeout, Memory);
   } catch (const Poco::Exception &) {
     return std::nullopt; // the caller records the failed contact
   }
--- a/src/gateway/member_exchange.h
+++ b/src/gateway/member_exchange.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_MEMBER_EXCHANGE_H
 #define CROCUSSPUR_GATEWAY_MEMBER_EXCHANGE_H
 
+#include "gateway/decisions/memory_budget.h"
 #include "gateway/member_codec.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -26,24 +27,29 @@
 void setTimeouts(Poco::Net::StreamSocket &Socket, Milliseconds Timeout);
 void sendFrame(Poco::Net::StreamSocket &Socket,
                const std::vector<uint8_t> &Bytes);
-// Returns nothing if no valid frame arrives in time.
+// Returns nothing if no valid frame arrives in time, or `Memory` has no room
+// for it. `Memory`: null if it isn't limited.
 std::optional<MemberFrame> receiveFrame(Poco::Net::StreamSocket &Socket,
-                                        Milliseconds Timeout);
+                                        Milliseconds Timeout,
+                                        MemoryBudget *Memory);
 
 // Sends a request to the instance at the address. Returns its response, or
 // nothing if there is none in time.
 std::optional<MemberFrame> callMember(const std::string &Address,
                                       const MemberFrame &Request,
-                                      Milliseconds Timeout);
+                                      Milliseconds Timeout,
+                                      MemoryBudget *Memory);
 // The same with an encoded request.
 std::optional<MemberFrame>
 callMemberEncoded(const std::string &Address,
-                  const std::vector<uint8_t> &Request, Milliseconds Timeout);
+                  const std::vector<uint8_t> &Request, Milliseconds Timeout,
+                  MemoryBudget *Memory);
 // The same with a limit on the time from the connection to the response.
 // Callers above limit each of its steps.
 std::optional<MemberFrame> callMemberWithin(const std::string &Address,
                                             const std::vector<uint8_t> &Request,
-                                            Milliseconds Limit);
+                                            Milliseconds Limit,
+                                            MemoryBudget *Memory);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -155,12 +155,13 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(GatewayContext{
-      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
-      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
-      *metrics,
-      /*Forwarding=*/nullptr, &Runtime->Access, &Runtime->Dispatch,
-      &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns});
+  Context.emplace(
+      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
+                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
+                     Runtime->Origins, Runtime->Quotas, *metrics,
+                     /*Forwarding=*/nullptr, &Runtime->Access,
+                     &Runtime->Dispatch, &Runtime->Readers, &Runtime->Exiting,
+                     &Runtime->StreamRuns, &Runtime->Memory});
   Forwarded.emplace(*Runtime, *Context);
   Changes.emplace(*Runtime,
                   ChangeExchangeHooks{
@@ -511,7 +512,8 @@
 void MemberLinks::serve(StreamSocket &Socket) {
   try {
     setTimeouts(Socket, ExchangeTimeout);
-    std::optional<MemberFrame> request = receiveFrame(Socket, ExchangeTimeout);
+    std::optional<MemberFrame> request =
+        receiveFrame(Socket, ExchangeTimeout, &Runtime->Memory);
     if (!request) {
       log(LogLevel::Warn, "member_links",
           "closed a connection after an invalid frame",
@@ -605,7 +607,7 @@
   std::vector<uint8_t> bytes = encode(Request);
   TimePoint sentAt = Clock::now();
   std::optional<MemberFrame> response =
-      callMemberEncoded(Address, bytes, Timeout);
+      callMemberEncoded(Address, bytes, Timeout, &Runtime->Memory);
   count(kindOf(Request), bytes.size(),
         response ? response->Sender.FailureDomain : "");
   if (response)
@@ -638,7 +640,7 @@
   frame.WantedPermit = Request;
   std::vector<uint8_t> bytes = encode(frame);
   std::optional<MemberFrame> response =
-      callMemberEncoded(Address, bytes, PermitTimeout);
+      callMemberEncoded(Address, bytes, PermitTimeout, &Runtime->Memory);
   count(FrameKind::Permit, bytes.size(),
         response ? response->Sender.FailureDomain : "");
   return response ? response->Permit : std::nullopt;
@@ -651,7 +653,7 @@
   frame.Sender = Runtime->ownMember();
   frame.WantedLease = Ask;
   std::optional<MemberFrame> response =
-      callMember(Address, frame, PermitTimeout);
+      callMember(Address, frame, PermitTimeout, &Runtime->Memory);
   if (!response)
     return std::nullopt;
   QuotaGrant unknown;
@@ -667,7 +669,7 @@
   frame.WantedPrefill = Ask;
   std::vector<uint8_t> bytes = encode(frame);
   std::optional<MemberFrame> response =
-      callMemberWithin(Address, bytes, DispatchTimeout);
+      callMemberWithin(Address, bytes, DispatchTimeout, &Runtime->Memory);
   count(FrameKind::Dispatch, bytes.size(),
         response ? response->Sender.FailureDomain : "");
   return response ? response->Prefill : std::nullopt;
--- a/src/gateway/plain_relay_handler.cc
+++ b/src/gateway/plain_relay_handler.cc
@@ -1,8 +1,10 @@
 // Passing-on part of RequestHandler: long responses of plain services go to the
 // caller as they come.
+#include "gateway/memory_log.h"
 #include "gateway/request_handler.h"
 
 #include <algorithm>
+#include <array>
 #include <poll.h>
 #include <utility>
 
@@ -11,6 +13,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+// So much is read of a response before more memory is asked for. The first is
+// within what each call may use.
+constexpr std::array<size_t, 3> KeptSteps{16384, 65536, MaxKeptBytes};
 // A caller that accepts no data for this long counts as disconnected.
 constexpr Milliseconds CallerStallTimeout{10000};
 // Written at once, so that the deadline is noticed with a slow caller too.
@@ -18,14 +23,31 @@
 
 } // namespace
 
+CallStatus RequestHandler::readHeld(ServerCall &Call, std::string &Body,
+                                    bool &End, MemoryHold &Hold) {
+  CallStatus status = CallStatus::Responded;
+  for (size_t step : KeptSteps) {
+    if (status != CallStatus::Responded || End)
+      break;
+    // A string that grows holds its bytes twice for a moment.
+    if (step > KeptSteps[0] && !Hold.growTo(2 * step)) {
+      logMemoryRefused(Context.Memory, MemoryUse::Response, Service);
+      break;
+    }
+    status = Call.readUpTo(Body, End, step);
+  }
+  return status;
+}
+
 CallStatus RequestHandler::readKept(ServerCall &Call, bool LastTry,
-                                    std::string &Body, bool &End) {
+                                    std::string &Body, bool &End,
+                                    MemoryHold &Hold) {
   const ResponseInfo &info = Call.info();
   if (info.NotExecuted || !info.Signed || info.Encoded) {
     End = true;
     return Call.discardBody(MaxDiscardedBytes);
   }
-  CallStatus status = Call.readUpTo(Body, End, MaxKeptBytes);
+  CallStatus status = readHeld(Call, Body, End, Hold);
   // A failure that a retry may replace isn't passed on before it is decided.
   if (status == CallStatus::Responded && !End && !LastTry &&
       isServerError(Call.head().Status))
@@ -54,7 +76,7 @@
 
 CallStatus RequestHandler::passOn(ServerCall &Call, const ServerChoice &Server,
                                   RunTracker::Id Run, std::string Part,
-                                  Milliseconds &CallerTime) {
+                                  MemoryHold &Hold, Milliseconds &CallerTime) {
   internal::ResponseHead head = responseHead(Call, Server);
   head.HasLength = Call.bodyForm() == internal::BodyForm::Length;
   head.Length = Call.bodyLength();
@@ -81,8 +103,9 @@
     if (now >= begun + AnswerSurvivalTime)
       onAnswerSurvived(Run, begun);
     // Frees the buffer of what was kept.
-    if (Part.capacity() > MaxKeptBytes)
+    if (Part.capacity() > 2 * WriteBytes)
       Part = std::string();
+    Hold.reset();
     Part.clear();
     status = Call.readSome(Part, end, TransferTimeout);
     if (status != CallStatus::Responded)
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -81,7 +81,8 @@
       Service(serviceFor(Route, Origin, Context.Directory)),
       ConfirmedAgo(Context.Readers ? Context.Readers->confirmedAgo()
                                    : std::nullopt),
-      Progress(Context.Codec.EventId, this->Request.LastEventId) {
+      Progress(Context.Codec.EventId, this->Request.LastEventId),
+      EventHold(makeHold(MemoryUse::Event)) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
@@ -726,8 +727,9 @@
   TimePoint answeredAt = Clock::now();
   std::string body;
   bool whole = false;
+  MemoryHold hold = makeHold(MemoryUse::Response);
   if (status == CallStatus::Responded)
-    status = readKept(call, LastTry, body, whole);
+    status = readKept(call, LastTry, body, whole, hold);
   if (status == CallStatus::Responded && whole && mayBeCut(call, Server))
     status = CallStatus::ConnectionBroken;
   if (call.maySent())
@@ -791,7 +793,7 @@
   Milliseconds callerTime{0};
   bool passedOn = !whole;
   if (passedOn)
-    status = passOn(call, Server, run, std::move(body), callerTime);
+    status = passOn(call, Server, run, std::move(body), hold, callerTime);
   if (status == CallStatus::TimedOut)
     Context.Directory.onCallTimed(Server, 1, timeout);
   if (status != CallStatus::Responded) {
@@ -815,7 +817,8 @@
         std::chrono::duration_cast<Milliseconds>(Clock::now() - started) -
             callerTime);
   if (failure && !LastTry) {
-    Failure = ServerFailure{responseHead(call, Server), std::move(body)};
+    Failure = ServerFailure{responseHead(call, Server), std::move(body),
+                            std::move(hold)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
   }
   end(failure ? CallResult::Failed : CallResult::Succeeded, "answered_" + code,
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -79,6 +79,7 @@
   struct ServerFailure {
     internal::ResponseHead Head;
     std::string Body;
+    MemoryHold Hold; // for the body
   };
   // Result of one attempt to get a response from a server.
   enum class AttemptResult : uint8_t {
@@ -114,13 +115,19 @@
   AttemptResult tryPlain(const ServerChoice &Server, bool LastTry);
   // Reads the body while a retry may follow: to its end, or so much that the
   // rest is passed on as it comes. A body that isn't needed is discarded.
+  // Keeps less if memory is short; `Hold` holds it.
   CallStatus readKept(ServerCall &Call, bool LastTry, std::string &Body,
-                      bool &End);
+                      bool &End, MemoryHold &Hold);
+  // Reads the body to its end, at most MaxKeptBytes and what `Hold` may grow
+  // to.
+  CallStatus readHeld(ServerCall &Call, std::string &Body, bool &End,
+                      MemoryHold &Hold);
+  MemoryHold makeHold(MemoryUse Use) const { return {Context.Memory, Use}; }
   // Passes the response on as it comes. `Part`: what was read of its body.
   // `CallerTime`: for how long the caller was waited for. Returns Responded if
   // the response is complete, otherwise how it ended.
   CallStatus passOn(ServerCall &Call, const ServerChoice &Server,
-                    RunTracker::Id Run, std::string Part,
+                    RunTracker::Id Run, std::string Part, MemoryHold &Hold,
                     Milliseconds &CallerTime);
   // Sends the part to the caller. Returns false if it disconnected or the
   // deadline passed before.
@@ -257,7 +264,8 @@
   // comes. `Part`: what was read of its body.
   AttemptResult passOnForwarded(ForwardCall &Call,
                                 const internal::ResponseHead &Head,
-                                std::string Part, Milliseconds SilenceTime);
+                                std::string Part, MemoryHold Hold,
+                                Milliseconds SilenceTime);
   // Reads the next frame. Finishes the request and returns CallerLeft if its
   // caller has left.
   CallStatus readForwarded(ForwardCall &Call, ForwardResponse &Frame,
@@ -392,6 +400,7 @@
   uint64_t QuotaTokens = 0;
   bool CallerWriteFailed = false; // the caller disconnected or stalled
   StreamProgress Progress;
+  MemoryHold EventHold; // for the part of an event that has arrived
   // The version that other instances were told the stream may begin at. Some
   // of them may miss a second one, so runs without an event don't change it.
   std::optional<VersionKey> RecordedVersion;
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -190,6 +190,12 @@
   Metrics->setGauge(
       "access_unconfirmed_total", "",
       static_cast<double>(Runtime->Access.refused(AccessVerdict::Unconfirmed)));
+  Metrics->setGauge("memory_held_bytes", "",
+                    static_cast<double>(Runtime->Memory.held()));
+  for (size_t i = 0; i < MemoryUseCount; ++i)
+    Metrics->setGauge("memory_refused_total", nameOf(static_cast<MemoryUse>(i)),
+                      static_cast<double>(
+                          Runtime->Memory.refused(static_cast<MemoryUse>(i))));
   const StreamRunCounts &runs = Runtime->StreamRuns;
   Metrics->setGauge("stream_runs_total", "continued",
                     static_cast<double>(runs.Continued.load()));
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -654,8 +654,12 @@
                result);
   }
   std::string body;
-  status = info.NotExecuted ? call.discardBody(MaxDiscardedBytes)
-                            : call.readWhole(body, MaxKeptBytes);
+  MemoryHold hold = makeHold(MemoryUse::Response);
+  bool whole = info.NotExecuted;
+  status = whole ? call.discardBody(MaxDiscardedBytes)
+                 : readHeld(call, body, whole, hold);
+  if (status == CallStatus::Responded && !whole)
+    status = CallStatus::ConnectionBroken;
   if (status == CallStatus::Responded)
     call.finish();
   if (info.NotExecuted) {
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -91,7 +91,7 @@
       MemberFrame frame;
       frame.Sender = Runtime->ownMember();
       frame.Origins = std::move(origins);
-      if (callMember(address, frame, RecordTimeout))
+      if (callMember(address, frame, RecordTimeout, &Runtime->Memory))
         continue;
       Runtime->Peers.onContactFailed(address);
       log(LogLevel::Info, "stream_origins",
@@ -116,7 +116,8 @@
   for (const std::string &it : keepers) {
     if (Clock::now() >= until)
       break;
-    std::optional<MemberFrame> response = callMember(it, frame, QueryTimeout);
+    std::optional<MemberFrame> response =
+        callMember(it, frame, QueryTimeout, &Runtime->Memory);
     if (!response)
       Runtime->Peers.onContactFailed(it);
     if (!response || !response->Origin)
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -1,5 +1,6 @@
 // Relaying part of RequestHandler: passes the events of a run on, waits for
 // silent runs, and ends or leaves a run.
+#include "gateway/memory_log.h"
 #include "gateway/request_handler.h"
 
 #include <algorithm>
@@ -27,6 +28,11 @@
 constexpr Milliseconds DecodeSampleTime{500};
 // Events hold some tokens each. The stream counts as broken beyond it.
 constexpr size_t MaxEventBytes = 1048576;
+// Within what each call may use.
+constexpr size_t UnheldEventBytes = 32768;
+// The part of an event that has arrived is kept in a buffer of up to twice its
+// size, and in the one before while that grows.
+constexpr size_t EventMemoryFactor = 3;
 
 } // namespace
 
@@ -48,6 +54,7 @@
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
   run.Number = Progress.begin(versionKeyOf(Server.Version));
+  EventHold.reset();
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
     readEvents(Call, Server, run, Clock::now() + stallTimeout());
@@ -228,7 +235,15 @@
 
 bool RequestHandler::forwardEvents(RunNumber Run, std::string_view Bytes,
                                    const std::string &Source) {
-  PassedEvents passed = Progress.add(Run, Bytes, MaxEventBytes);
+  size_t kept = Progress.rest().size() + Bytes.size();
+  size_t most = MaxEventBytes;
+  // Asked for in doubling steps, so that the budget is rarely used.
+  if (kept > UnheldEventBytes && kept * EventMemoryFactor > EventHold.size() &&
+      !EventHold.growTo(kept * 2 * EventMemoryFactor)) {
+    logMemoryRefused(Context.Memory, MemoryUse::Event, Source);
+    most = UnheldEventBytes;
+  }
+  PassedEvents passed = Progress.add(Run, Bytes, most);
   bool speaks = passed.Fault == RunFault::None;
   if (!speaks) {
     countGivenUp(passed.Fault);
