--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -28,7 +28,6 @@
 // An instance that sends nothing for this long may be frozen. A request that
 // may be repeated goes elsewhere then; others wait for their deadline.
 constexpr Milliseconds SilenceTimeout{3000};
-constexpr size_t MaxResponseBytes = 16777216;
 
 // Returns null if the response states none.
 const std::string *contentTypeOf(const internal::ResponseHead &Head) {
@@ -88,7 +87,7 @@
   Milliseconds timeout =
       repeatable ? std::min(SilenceTimeout, timeLeft()) : timeLeft();
   TimePoint started = Clock::now();
-  ForwardCall call(Waiter);
+  ForwardCall call(Waiter, Context.Memory);
   CallStatus status = call.start(Peer.Address, frame);
   bool sent = status == CallStatus::Responded;
   ForwardResponse first;
@@ -172,7 +171,18 @@
                                 std::move(First), SilenceTime);
   std::string body = std::move(First.Data);
   ForwardResponse frame = std::move(First);
-  while (!frame.End && body.size() <= MaxResponseBytes) {
+  MemoryHold hold = makeHold(MemoryUse::Response);
+  while (!frame.End) {
+    // A failure to go on with a stream isn't the caller's answer.
+    if (HeadSent)
+      body.clear();
+    if (HeadSent && Waiter.pastDeadline())
+      return AttemptResult::Unknown;
+    // What is passed on sooner, since memory is short, can't be retried.
+    if (!body.empty() &&
+        (body.size() > MaxKeptBytes || !hold.growTo(2 * body.size())))
+      return passOnForwarded(Call, head.Response, std::move(body),
+                             std::move(hold), SilenceTime);
     CallStatus status = readForwarded(Call, frame, SilenceTime);
     if (status == CallStatus::CallerLeft)
       return AttemptResult::Done;
@@ -193,6 +203,37 @@
   return AttemptResult::Done;
 }
 
+RequestHandler::AttemptResult RequestHandler::passOnForwarded(
+    ForwardCall &Call, const internal::ResponseHead &Head, std::string Part,
+    MemoryHold Hold, Milliseconds SilenceTime) {
+  FirstOutput = Clock::now();
+  Status = Head.Status;
+  HeadSent = true;
+  CallerWriteFailed = !Sink.begin(Head);
+  ForwardResponse frame;
+  CallStatus status = CallStatus::Responded;
+  while (true) {
+    bool written = writePart(Part);
+    if (!written || (!frame.End && Waiter.pastDeadline()))
+      status = CallStatus::DeadlineExceeded;
+    if (frame.End || status != CallStatus::Responded)
+      break;
+    status = readForwarded(Call, frame, SilenceTime);
+    if (status == CallStatus::CallerLeft) // the request is finished
+      return AttemptResult::Done;
+    if (status != CallStatus::Responded)
+      break;
+    Part = std::move(frame.Data);
+    Hold.reset();
+  }
+  if (status == CallStatus::Responded && frame.End.value_or(false)) {
+    bool passed = Sink.end(true);
+    finish(passed ? "answered" : "caller_left", "by another instance");
+  } else
+    cutResponse(status);
+  return AttemptResult::Done;
+}
+
 CallStatus RequestHandler::readForwarded(ForwardCall &Call,
                                          ForwardResponse &Frame,
                                          Milliseconds SilenceTime) {
@@ -213,6 +254,7 @@
   const std::string lastIdBefore = Progress.lastEventId();
   RunNumber run = Progress.begin(
       OutputVersion != 0 ? std::optional(OutputVersion) : std::nullopt);
+  EventHold.reset();
   ForwardResponse frame = std::move(First);
   CallStatus status = CallStatus::Responded;
   bool speaks = true;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -13,8 +13,6 @@
 using internal::log;
 using internal::LogLevel;
 
-// Responses of plain services are buffered whole before they are forwarded.
-constexpr size_t MaxResponseBytes = 16777216;
 // Timeout of an attempt that can be retried elsewhere, in multiples of the
 // route's latency target. Most services finish 99 of 100 requests in half of
 // that.
@@ -83,7 +81,8 @@
       Service(serviceFor(Route, Origin, Context.Directory)),
       ConfirmedAgo(Context.Readers ? Context.Readers->confirmedAgo()
                                    : std::nullopt),
-      Progress(Context.Codec.EventId, this->Request.LastEventId) {
+      Progress(Context.Codec.EventId, this->Request.LastEventId),
+      EventHold(makeHold(MemoryUse::Event)) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
     Engine = &*rule->second.Engine;
@@ -730,9 +729,11 @@
     status = call.awaitHead(std::min(timeLeft(), attemptTimeout(Server)));
   TimePoint answeredAt = Clock::now();
   std::string body;
+  bool whole = false;
+  MemoryHold hold = makeHold(MemoryUse::Response);
   if (status == CallStatus::Responded)
-    status = call.readWhole(body, MaxResponseBytes);
-  if (status == CallStatus::Responded && mayBeCut(call, Server))
+    status = readKept(call, LastTry, body, whole, hold);
+  if (status == CallStatus::Responded && whole && mayBeCut(call, Server))
     status = CallStatus::ConnectionBroken;
   if (call.maySent())
     Used.insert(Server.Id);
@@ -769,7 +770,8 @@
   const ResponseInfo &info = call.info();
   if (info.Load)
     Context.Directory.onLoadReport(Server.Id, *info.Load);
-  call.finish();
+  if (whole)
+    call.finish();
   std::string code = std::to_string(call.head().Status);
   if (info.NotExecuted) {
     // Once room shows, the same server may be asked again. A route that allows
@@ -790,18 +792,45 @@
   });
   if (!info.Signed || info.Encoded)
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
-  runEnd = endOfResponse(call.head().Status);
   bool failure = isServerError(call.head().Status);
+  Milliseconds callerTime{0};
+  bool passedOn = !whole;
+  if (passedOn)
+    status = passOn(call, Server, run, std::move(body), hold, callerTime);
+  if (status == CallStatus::TimedOut)
+    Context.Directory.onCallTimed(Server, 1, timeout);
+  if (status != CallStatus::Responded) {
+    bool left = status == CallStatus::CallerLeft;
+    bool broken = status == CallStatus::ConnectionBroken;
+    end(left     ? CallResult::Abandoned
+        : broken ? CallResult::Failed
+                 : CallResult::TimedOut,
+        left                             ? "caller_left"
+        : broken                         ? "broken_in_answer"
+        : status == CallStatus::TimedOut ? "silent_in_answer"
+                                         : "out_of_time",
+        AttemptResult::Done);
+    cutResponse(status);
+    return AttemptResult::Done;
+  }
+  runEnd = endOfResponse(call.head().Status);
   if (!failure)
     Context.Directory.onCallTimed(
         Server, 1,
-        std::chrono::duration_cast<Milliseconds>(Clock::now() - started));
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started) -
+            callerTime);
   if (failure && !LastTry) {
-    Failure = ServerFailure{responseHead(call, Server), std::move(body)};
+    Failure = ServerFailure{responseHead(call, Server), std::move(body),
+                            std::move(hold)};
     return end(CallResult::Failed, "failure_" + code, AttemptResult::Unknown);
   }
   end(failure ? CallResult::Failed : CallResult::Succeeded, "answered_" + code,
       AttemptResult::Done);
+  if (passedOn) {
+    call.finish();
+    finish("answered", "");
+    return AttemptResult::Done;
+  }
   FirstOutput = Clock::now();
   Status = call.head().Status;
   bool passed = internal::writeResponse(Sink, responseHead(call, Server), body);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -47,7 +47,6 @@
 // Status of a server that isn't in the stage, or isn't the one, that was meant.
 constexpr uint32_t MisdirectedStatus = 421;
 constexpr size_t MaxPrefillResponseBytes = 65536;
-constexpr size_t MaxResponseBytes = 16777216;
 
 struct FailedCall {
   CallResult Result;
@@ -667,7 +666,12 @@
                result);
   }
   std::string body;
-  status = call.readWhole(body, MaxResponseBytes);
+  MemoryHold hold = makeHold(MemoryUse::Response);
+  bool whole = info.NotExecuted;
+  status = whole ? call.discardBody(MaxDiscardedBytes)
+                 : readHeld(call, body, whole, hold);
+  if (status == CallStatus::Responded && !whole)
+    status = CallStatus::ConnectionBroken;
   if (status == CallStatus::Responded)
     call.finish();
   if (info.NotExecuted) {
