End a passed-on stream whose version is uncertain

What callers saw: a stream that another instance passes on could get events of two software versions. Its server is replaced by a process of another version during the run, the other instance says so (version_uncertain in its frames), and the run breaks off. Cause: runStream() ends a stream of uncertain version after a run at a server of its own only. After a run that was passed on it went on at the next instance. Change: it ends the stream after both. The records for take-ups were right. New, passed before too: a link that is cut at any byte, by an end or a reset; a slow link; a frozen instance whose late events come after its run was left.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -88,7 +88,8 @@
       if (result == AttemptResult::Done)
         return;
       MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
-      if (result == AttemptResult::Unknown && !Route.Resumable)
+      if (result == AttemptResult::Unknown &&
+          (!Route.Resumable || Progress.versionUncertain()))
         break;
       continue;
     }
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -8,6 +8,8 @@
 
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <thread>
+#include <utility>
 
 using namespace crocusspur;
 using namespace crocusspur::gateway;
@@ -134,6 +136,64 @@
   return "id: " + std::to_string(Id) + "\ndata: x\n\n";
 }
 
+std::string events(int From, int To) {
+  std::string text;
+  for (int i = From; i <= To; ++i)
+    text += event(i);
+  return text;
+}
+
+// The body of a response in chunks, without their framing.
+std::string unchunked(const std::string &Response) {
+  std::string body;
+  size_t at = Response.find("\r\n\r\n");
+  for (at += 4; at < Response.size();) {
+    size_t end = Response.find("\r\n", at);
+    if (end == std::string::npos)
+      break;
+    size_t size = std::strtoul(Response.c_str() + at, nullptr, 16);
+    body += Response.substr(end + 2, size);
+    at = end + 2 + size + 2;
+  }
+  return body;
+}
+
+// What an instance sends that passes on events 1 to 3, in several frames.
+std::string threeEventFrames() {
+  std::string text;
+  std::string all = event(2) + event(3);
+  ForwardResponse rest;
+  for (const ForwardResponse &it :
+       {headFrame(event(1), true),
+        [&] {
+          rest.Data = all.substr(0, all.size() - 9); // inside event 3
+          return rest;
+        }(),
+        [&] {
+          rest.Data = all.substr(all.size() - 9);
+          return rest;
+        }(),
+        endFrame(true)}) {
+    std::vector<uint8_t> bytes = framed(encode(it));
+    text.append(bytes.begin(), bytes.end());
+  }
+  return text;
+}
+
+// Goes on with the stream up to event 4.
+void goOnToFour(int Fd, const ForwardedRequest &Request) {
+  int last = std::atoi(Request.Request.LastEventId.c_str());
+  sendFrameText(Fd, headFrame(events(last + 1, 4), true));
+  sendFrameText(Fd, endFrame(true));
+}
+
+// Selects the first peer for the first run, and the second one from then on.
+auto selectInTurn(const FakePeer &First, const FakePeer &Second) {
+  return [&First, &Second, n = 0](const std::string &) mutable {
+    return std::vector{n++ == 0 ? First.member() : Second.member()};
+  };
+}
+
 PathRoute resumable(const GatewayFixture &Setup) {
   PathRoute route = Setup.route(RouteKind::Stream);
   route.Resumable = true;
@@ -423,3 +483,104 @@
     decodeForwardResponse({response.data(), n});
   }
 }
+
+// The other instance is killed, or the link to it is cut, at any byte: inside a
+// frame, inside an event, or between them.
+TEST_CASE("Another instance's stream that is cut at any byte is joined once") {
+  const std::string frames = threeEventFrames();
+  std::atomic<size_t> cut{0};
+  std::atomic<bool> reset{false};
+  FakePeer broken("g2", [&](int Fd, const ForwardedRequest &) {
+    sendText(Fd, frames.substr(0, cut));
+    if (reset)
+      resetOnClose(Fd);
+  });
+  FakePeer other("g3", goOnToFour);
+  CutOffFixture setup({});
+  for (size_t n = 0; n < frames.size(); ++n) {
+    CAPTURE(n);
+    cut = n;
+    reset = n % 2 == 1;
+    setup.Hooks.Select = selectInTurn(broken, other);
+    std::string response = setup.run(resumable(setup));
+    CHECK(unchunked(response) == events(1, 4));
+    CHECK(response.ends_with("\r\n0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("Another instance's stream over a slow link is passed on whole") {
+  FakePeer slow("g2", [](int Fd, const ForwardedRequest &) {
+    for (char it : threeEventFrames()) {
+      sendText(Fd, {&it, 1});
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  });
+  CutOffFixture setup({&slow});
+  std::string response = setup.run(resumable(setup));
+  CHECK(unchunked(response) == events(1, 3));
+  CHECK(response.ends_with("\r\n0\r\n\r\n"));
+  CHECK(slow.seen().size() == 1);
+}
+
+// The other instance is frozen in the middle of a stream and goes on after its
+// run was left.
+TEST_CASE("Another instance's late events of a left run are dropped") {
+  std::atomic<bool> sentLate{false};
+  FakePeer frozen("g2", [&](int Fd, const ForwardedRequest &) {
+    sendFrameText(Fd, headFrame(events(1, 2), true));
+    std::this_thread::sleep_for(Milliseconds(3300)); // beyond 3 s of silence
+    ForwardResponse late;
+    late.Data = events(3, 4);
+    sendFrameText(Fd, late);
+    sendFrameText(Fd, endFrame(true));
+    sentLate = true;
+  });
+  FakePeer other("g3", [&](int Fd, const ForwardedRequest &Request) {
+    CHECK(Request.Request.LastEventId == "2");
+    sendFrameText(Fd, headFrame(event(3), true));
+    CHECK(eventually([&] { return sentLate.load(); }));
+    ForwardResponse rest;
+    rest.Data = event(4);
+    sendFrameText(Fd, rest);
+    sendFrameText(Fd, endFrame(true));
+  });
+  CutOffFixture setup({});
+  setup.Hooks.Select = selectInTurn(frozen, other);
+  std::string response = setup.run(resumable(setup));
+  CHECK(unchunked(response) == events(1, 4));
+  CHECK(response.ends_with("\r\n0\r\n\r\n"));
+}
+
+// The server of the other instance's run is replaced by a process of another
+// version meanwhile: what a third instance sent could be of another version
+// than the events so far.
+TEST_CASE("Nothing follows another instance's stream of uncertain version") {
+  size_t uncertainFrom = 0; // number of the first frame that says so
+  bool ends = false;        // with an end frame, or with the connection
+  for (size_t n = 0; n < 5; ++n) {
+    CAPTURE(n);
+    uncertainFrom = n % 3;
+    ends = n < 3;
+    FakePeer first("g2", [&](int Fd, const ForwardedRequest &) {
+      ForwardResponse frames[] = {
+          headFrame(event(1), true), {}, endFrame(false)};
+      frames[1].Data = event(2) + "id: 3\nda";
+      for (size_t i = 0; i < (ends ? 3 : 2); ++i) {
+        frames[i].VersionUncertain = i >= uncertainFrom;
+        sendFrameText(Fd, frames[i]);
+      }
+    });
+    FakePeer other("g3", goOnToFour);
+    CutOffFixture setup({});
+    setup.Hooks.Select = selectInTurn(first, other);
+    CallerRequest request = setup.request();
+    std::string response = setup.run(resumable(setup), request);
+    CHECK(unchunked(response) == events(1, 2));
+    CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+    // Neither does anything when its caller takes the stream up.
+    request.ResumedRequestId = std::exchange(request.Id, "a-late");
+    request.LastEventId = "2";
+    CHECK(setup.run(resumable(setup), request).starts_with("HTTP/1.1 503"));
+    CHECK(other.seen().empty());
+  }
+}
