--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -13,6 +13,8 @@
 constexpr Milliseconds ForwardDelay{30};
 constexpr int PollIntervalMs = 50; // interval at which the mode is checked
 
+} // namespace
+
 // Disconnecting a TCP socket resets its connection. A shutdown() would end it
 // as the peer itself does, whatever SO_LINGER says.
 void resetConnection(int Fd) {
@@ -21,8 +23,6 @@
   ::connect(Fd, &none, sizeof none);
 }
 
-} // namespace
-
 FaultProxy::FaultProxy(std::string Target)
     : Target(std::move(Target)), Server([this](int Fd, int) { serve(Fd); }) {}
 
@@ -33,6 +33,16 @@
     ::shutdown(it, SHUT_RDWR);
 }
 
+void FaultProxy::setTarget(std::string Address) {
+  std::lock_guard lock(Mutex);
+  Target = std::move(Address);
+}
+
+int FaultProxy::connectToTarget() {
+  std::lock_guard lock(Mutex); // after setTarget() none leads to the former one
+  return test::connectTo(Target);
+}
+
 void FaultProxy::resetAll() {
   std::lock_guard lock(Mutex);
   for (int it : OpenSockets)
@@ -40,8 +50,7 @@
 }
 
 void FaultProxy::serve(int Fd) {
-  int upstream =
-      Mode.load() == ProxyFault::Reject ? -1 : test::connectTo(Target);
+  int upstream = Mode.load() == ProxyFault::Reject ? -1 : connectToTarget();
   if (upstream < 0)
     return;
   {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -20,6 +20,9 @@
   Reject,        // new connections are closed immediately
 };
 
+// Resets the connection of a socket that stays open.
+void resetConnection(int Fd);
+
 class FaultProxy {
 public:
   explicit FaultProxy(std::string Target);
@@ -28,15 +31,19 @@
 
   std::string address() const { return Server.address(); }
   void setFault(ProxyFault Fault) { Mode.store(Fault); }
+  // Leads connections that are accepted from now on to another server.
+  void setTarget(std::string Address);
   // Resets all open connections.
   void resetAll();
 
 private:
   void serve(int Fd);
 
-  std::string Target;
+  int connectToTarget();
+
   std::atomic<ProxyFault> Mode{ProxyFault::None};
-  std::mutex Mutex;
+  std::mutex Mutex; // guards what follows
+  std::string Target;
   std::set<int> OpenSockets;
   bool Stopping = false;
   ScriptServer Server;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -1,11 +1,12 @@
 // Randomized soak test of gateway processes under injected faults. Checks, from
 // what callers and servers observe, that no non-idempotent request runs twice,
 // that requests reported as not run didn't run, that responses are complete and
-// belong to their request, that streams contain each event exactly once and
-// only of one software version, also if their callers take them up again, that
-// configuration versions never decrease, that a content which crashes servers
-// is refused in time and no other is, that servers get at most the requests
-// that they state, that a part of prompts which crashes servers is refused in
+// belong to their request, that streams contain each event exactly once, in
+// order and only of one software version (but for AllowedMixedStreams), also if
+// their callers take them up again or servers are replaced, that configuration
+// versions never decrease, that a content which crashes servers is refused in
+// time and no other is, that servers get at most the requests that they state,
+// that a part of prompts which crashes servers is refused in
 // time and sound prompts with the same first part aren't, also while an
 // instance is cut off from servers and passes requests on, that servers which
 // say that they leave get no request in time, that the latest configuration is
@@ -19,12 +20,14 @@
 #include "gateway_fleet.h"
 #include "http_exchange.h"
 #include "limited_server.h"
+#include "received_stream.h"
 #include "soak_servers.h"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 #include <thread>
 #include <utility>
@@ -42,6 +45,14 @@
 constexpr int DecodeServerCount = 4; // two of each software version
 constexpr int FragileServerCount = 3;
 constexpr int CallerCount = 8;
+constexpr int StreamCallerCount = 2; // of streams that they take up again
+// In a run of the soak. A process that serves before its entry is known can't
+// always be told from its predecessor (docs/design/streams.md).
+constexpr size_t AllowedMixedStreams = 2;
+// For a moment at which most instances learn of a new entry.
+constexpr Milliseconds MaxContactWait{800};
+constexpr int64_t FirstStart = 1764000000123; // of servers, Unix milliseconds
+
 constexpr double StatedLimits[] = {2.1, 8}; // of one server each, per second
 constexpr int LimitedCallerCount = 4;
 constexpr int MaxResumptions = 3;             // of one stream by its caller
@@ -88,12 +99,27 @@
   std::atomic<uint64_t> Resumed{0}, Resumptions{0};
 };
 
-// What a caller has of one stream, over all its attempts.
-struct ReceivedStream {
-  std::string Version;
-  int Events = 0;
-  bool Whole = false;
-};
+// In UTC, as the instances' logs have it where that is the local time.
+std::string timeOfDay() {
+  auto ms = std::chrono::duration_cast<Milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+  char text[16];
+  std::snprintf(text, sizeof text, "%02d:%02d:%02d,%03d",
+                static_cast<int>(ms / 3600000 % 24),
+                static_cast<int>(ms / 60000 % 60),
+                static_cast<int>(ms / 1000 % 60), static_cast<int>(ms % 1000));
+  return text;
+}
+
+// Entry of a plain or decode server.
+std::string entryOf(const SoakServer &Server, const std::string &Address,
+                    bool Decode) {
+  return test::serverEntry(Decode ? "llm" : "bays", Address,
+                           Decode ? "\"state\":\"ready\",\"phase\":\"decode\""
+                                  : "",
+                           Server.startedAt(), Server.version());
+}
 
 std::string makeRoute(const char *Prefix, const char *Type, const char *Service,
                       bool Resumable) {
@@ -136,10 +162,19 @@
   void checkResponse(RequestKind Kind, const std::string &Id,
                      HttpExchange &Http, bool &KeepAlive,
                      ReceivedStream &Stream);
-  // Checks the events that a caller got, after those it had. `Id`: of the
-  // request that began the stream.
-  void checkEvents(const std::string &Id, const std::string &Body,
-                   bool WholeBody, ReceivedStream &Stream);
+  // Checks the events that a caller got, after those it had.
+  void checkEvents(const std::string &Body, bool WholeBody,
+                   ReceivedStream &Stream);
+  // Whether instances may have taken the run's process for its predecessor: the
+  // run has begun before the process's entry is known in the fleet.
+  bool mayBeUnknown(uint64_t Run);
+  std::string describeRun(uint64_t Run); // in one line
+  // Waits until the store is there and, for some time, until no instance is
+  // paused, as few would learn of a new entry. Returns false if the soak ends.
+  bool awaitContact();
+  // Replaces decode servers by processes of the other software version, whose
+  // entries may be written late.
+  void replaceServers(test::GatewayFleet &Fleet, uint64_t Seed);
   // Takes a cut stream up again at other instances, until it is whole.
   void takeUpStream(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
                     const std::string &Id, ReceivedStream &Stream);
@@ -188,6 +223,10 @@
   RunCounter Executions;
   ViolationList Violations;
   RequestTotals Totals;
+  // Streams of two versions that a late entry explains.
+  ViolationList MixedStreams;
+  std::vector<std::unique_ptr<SoakServer>> FormerServers; // still running
+  std::map<int64_t, TimePoint> EntryTimes; // of successors, by their start
   std::vector<std::unique_ptr<SoakServer>> Servers;
   std::vector<std::unique_ptr<FaultProxy>> Proxies;
   test::CrashLog Crashes;
@@ -199,7 +238,7 @@
   std::vector<std::unique_ptr<test::CrashingServer>> PartServers;
   std::atomic<int> SoundPromptsRefused{0};
   std::mutex FleetMutex;   // guards the instances' Process pointers
-  std::string EndedOutput; // of processes that have been replaced
+  std::string EndedOutput; // of instances that have ended; replaced servers
   std::map<int, TimePoint> TerminatedAt; // time of SIGTERM by process id
   std::set<int> PausedPids;              // ids of processes that got SIGSTOP
   std::set<std::string> RejectingFor;    // instances that the store rejects
@@ -210,6 +249,7 @@
   std::set<std::string> RejectedIds; // ids of requests reported as not run
   std::mutex RejectedMutex;
   uint64_t Version = 1;
+  std::atomic<bool> StoreAway{false};
   std::atomic<bool> StopRequested{false};
   std::atomic<bool> FaultsDone{false};
 };
@@ -218,18 +258,15 @@
   for (int i = 0; i < PlainServerCount + DecodeServerCount; ++i) {
     bool decode = i >= PlainServerCount;
     std::string version = decode && i % 2 == 0 ? "v1.1" : "v1";
-    Servers.push_back(
-        std::make_unique<SoakServer>(Executions, Random(), version));
+    Servers.push_back(std::make_unique<SoakServer>(
+        Executions, Random(), "i-" + std::to_string(i), version, FirstStart));
     Proxies.push_back(std::make_unique<FaultProxy>(Servers.back()->address()));
     CutProxies.push_back(
         std::make_unique<test::CutProxy>(Proxies.back()->address()));
     CutAddresses[Proxies.back()->address()] = CutProxies.back()->address();
     Fleet.Store.put(
-        "servers/i-" + std::to_string(i),
-        test::serverEntry(decode ? "llm" : "bays", Proxies.back()->address(),
-                          decode ? "\"state\":\"ready\",\"phase\":\"decode\""
-                                 : "",
-                          1764000000123, version));
+        "servers/" + Servers.back()->id(),
+        entryOf(*Servers.back(), Proxies.back()->address(), decode));
   }
   for (int i = 0; i < FragileServerCount; ++i)
     FragileServers.push_back(std::make_unique<test::CrashingServer>(
@@ -386,6 +423,7 @@
     pause(300, 700);
     Fleet.Store.copy();
     pause(200, 1200);
+    StoreAway.store(true);
     Fleet.Store.setAway(true);
     pause(100, 500);
     {
@@ -394,6 +432,7 @@
       Fleet.Store.writeLostAgain();
     }
     Fleet.Store.setAway(false);
+    StoreAway.store(false);
   }
 }
 
@@ -443,38 +482,103 @@
                    " times late after it ended " + std::to_string(Allowed));
 }
 
-void Soak::checkEvents(const std::string &Id, const std::string &Body,
-                       bool WholeBody, ReceivedStream &Stream) {
-  size_t at = Body.find(Id + " ");
-  if (Stream.Version.empty() && at != std::string::npos) {
-    at += Id.size() + 1;
-    Stream.Version = Body.substr(at, Body.find('\n', at) - at);
-  }
-  std::string expected;
-  int n = Stream.Events;
-  while (n < StreamEvents && expected.size() < Body.size())
-    expected += expectedEvent(++n, Id, Stream.Version);
-  if (Body != expected)
-    Violations.add("events of " + Id + " after event " +
-                   std::to_string(Stream.Events) + " of version " +
-                   Stream.Version + " differ: " + Body);
-  else if (WholeBody && n < StreamEvents)
-    Violations.add("stream of " + Id + " looks complete after event " +
-                   std::to_string(n));
-  Stream.Events = n;
-  Stream.Whole = WholeBody;
+void Soak::checkEvents(const std::string &Body, bool WholeBody,
+                       ReceivedStream &Stream) {
+  bool wasMixed = !Stream.versionChange().empty();
+  if (std::string fault = Stream.add(Body, WholeBody); !fault.empty())
+    Violations.add(fault);
+  if (wasMixed || Stream.versionChange().empty())
+    return;
+  std::string text =
+      timeOfDay() + " two software versions in " + Stream.versionChange();
+  auto [before, after] = Stream.changedRuns();
+  if (mayBeUnknown(before) || mayBeUnknown(after))
+    MixedStreams.add(text + describeRun(before) + describeRun(after));
+  else
+    Violations.add(text + ", whose processes' entries were known" +
+                   describeRun(before) + describeRun(after));
+}
+
+std::string Soak::describeRun(uint64_t Run) {
+  RunRecord run = Executions.record(Run);
+  auto ago =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - run.BegunAt);
+  std::string text = "; run " + std::to_string(Run) + " of " + run.RequestId +
+                     " began " + std::to_string(ago.count()) +
+                     " ms ago at a process of start " +
+                     std::to_string(run.ProcessStartedAt);
+  std::lock_guard lock(FleetMutex);
+  auto it = EntryTimes.find(run.ProcessStartedAt);
+  if (it != EntryTimes.end())
+    text += ", " +
+            std::to_string(std::chrono::duration_cast<Milliseconds>(
+                               run.BegunAt - it->second)
+                               .count()) +
+            " ms after its entry was written";
+  return text;
+}
+
+bool Soak::mayBeUnknown(uint64_t Run) {
+  RunRecord run = Executions.record(Run);
+  if (run.ProcessStartedAt == FirstStart)
+    return false;
+  std::lock_guard lock(FleetMutex);
+  auto it = EntryTimes.find(run.ProcessStartedAt);
+  return it == EntryTimes.end() || run.BegunAt < it->second + ContactTime;
+}
+
+bool Soak::awaitContact() {
+  TimePoint end = Clock::now() + MaxContactWait;
+  while (!StopRequested.load()) {
+    {
+      std::lock_guard lock(FleetMutex);
+      if (!StoreAway.load() && (PausedPids.empty() || Clock::now() > end))
+        return true;
+    }
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  return false;
+}
+
+void Soak::replaceServers(test::GatewayFleet &Fleet, uint64_t Seed) {
+  std::mt19937_64 random(Seed);
+  for (int64_t n = 1; !StopRequested.load(); ++n) {
+    std::this_thread::sleep_for(Milliseconds(400 + random() % 1200));
+    if (!awaitContact())
+      return;
+    size_t i = PlainServerCount + random() % DecodeServerCount;
+    std::string other = Servers[i]->version() == "v1" ? "v1.1" : "v1";
+    auto successor = std::make_unique<SoakServer>(
+        Executions, random(), Servers[i]->id(), other, FirstStart + n);
+    std::string line = timeOfDay() + " " + successor->id() +
+                       " replaced by start " + std::to_string(FirstStart + n) +
+                       " of version " + other;
+    Proxies[i]->setTarget(successor->address());
+    if (random() % 3 == 0) {
+      Servers[i]->endConnections();
+      line += ", connections ended";
+    }
+    FormerServers.push_back(std::exchange(Servers[i], std::move(successor)));
+    if (random() % 4 == 0)
+      std::this_thread::sleep_for(Milliseconds(random() % 1200));
+    std::lock_guard lock(FleetMutex); // the store may lose writes meanwhile
+    EntryTimes[FirstStart + n] = Clock::now();
+    EndedOutput += line + ", entry written at " + timeOfDay() + "\n";
+    Fleet.Store.put("servers/" + Servers[i]->id(),
+                    entryOf(*Servers[i], Proxies[i]->address(), true));
+  }
 }
 
 void Soak::takeUpStream(test::GatewayFleet &Fleet, std::mt19937_64 &Random,
                         const std::string &Id, ReceivedStream &Stream) {
-  for (int i = 1; i <= MaxResumptions && !Stream.Whole; ++i) {
+  for (int i = 1; i <= MaxResumptions && !Stream.isOver(); ++i) {
     std::string id = Id + "-r" + std::to_string(i);
     internal::PollWaiter waiter;
     HttpExchange http(waiter);
     std::string text =
         "POST /t/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + id +
         "\r\nResumes: " + Id +
-        "\r\nLast-Event-Id: " + std::to_string(Stream.Events) +
+        "\r\nLast-Event-Id: " + std::to_string(Stream.events()) +
         "\r\nToken-Usage: 500,100\r\nDeadline-Ms: 4000\r\n"
         "Content-Length: 4\r\n\r\nbody";
     ++Totals.Resumptions;
@@ -487,7 +591,7 @@
     bool keepAlive = false;
     checkResponse(RequestKind::Resumable, id, http, keepAlive, Stream);
   }
-  if (Stream.Whole)
+  if (Stream.isOver())
     ++Totals.Resumed;
 }
 
@@ -517,7 +621,7 @@
   if (!Http.head().find("Server-Signature"))
     Violations.add("unsigned success for " + Id);
   if (Kind == RequestKind::Stream || Kind == RequestKind::Resumable) {
-    checkEvents(Id.substr(0, Id.find("-r")), body, wholeBody, Stream);
+    checkEvents(body, wholeBody, Stream);
     ++(wholeBody ? Totals.Served : Totals.Cut);
     return;
   }
@@ -534,7 +638,8 @@
   std::string address;
   static const char *Paths[] = {"/n/x", "/i/x", "/s/x", "/t/x"};
   for (int i = 0; !StopRequested.load(); ++i) {
-    auto kind = static_cast<RequestKind>(random() % 4);
+    auto kind = Number < CallerCount ? static_cast<RequestKind>(random() % 4)
+                                     : RequestKind::Resumable;
     std::string id = "c" + std::to_string(Number) + "-" + std::to_string(i);
     HttpExchange http(waiter);
     if (connection && connection->isIdleAndOpen())
@@ -554,7 +659,7 @@
                        "\r\nToken-Usage: 500,100\r\nDeadline-Ms: 4000\r\n"
                        "Content-Length: 4\r\n\r\nbody";
     bool keepAlive = false;
-    ReceivedStream stream;
+    ReceivedStream stream(id);
     if (http.send(text, TimePoint::max(), CallerTimeout) ==
             ExchangeStatus::Ok &&
         http.readHead("POST", CallerTimeout) == ExchangeStatus::Ok)
@@ -563,7 +668,8 @@
       ++Totals.Cut;
     if (keepAlive)
       connection = http.release();
-    if (kind == RequestKind::Resumable && stream.Events > 0 && !stream.Whole)
+    if (kind == RequestKind::Resumable && stream.events() > 0 &&
+        !stream.isOver())
       takeUpStream(Fleet, random, id, stream);
     if (kind == RequestKind::NonIdempotent || kind == RequestKind::Stream)
       if (int runs = Executions.count(id); runs > 1)
@@ -756,6 +862,7 @@
   std::mt19937_64 leavingSeeds(cutSeeds());
   threads.emplace_back([&, seed = leavingSeeds()] { announceLeaving(seed); });
   threads.emplace_back([&, seed = leavingSeeds()] { loseWrites(fleet, seed); });
+  std::mt19937_64 streamSeeds(leavingSeeds);
   std::vector<std::thread> untilRecovered;
   untilRecovered.emplace_back(
       [&, seed = leavingSeeds()] { runLeavingCaller(fleet, seed); });
@@ -766,6 +873,13 @@
         [&, i, seed = seeds()] { runLimitedCaller(fleet, i, seed); });
   untilRecovered.emplace_back(
       [&, seed = seeds()] { runPromptCaller(fleet, seed); });
+  streamSeeds.discard(1000); // other draws than the threads above have
+  threads.emplace_back(
+      [&, seed = streamSeeds()] { replaceServers(fleet, seed); });
+  for (int i = 0; i < StreamCallerCount; ++i)
+    threads.emplace_back([&, i, seed = streamSeeds()] {
+      runCaller(fleet, CallerCount + i, seed);
+    });
   injectFaults(fleet);
   {
     std::lock_guard lock(FleetMutex);
@@ -791,16 +905,23 @@
   for (const std::string &it : RejectedIds)
     if (Executions.count(it) > 0)
       Violations.add(it + " was said not to have run, and ran");
+  size_t mixed = MixedStreams.Texts.size();
+  if (mixed > AllowedMixedStreams)
+    for (const std::string &it : MixedStreams.Texts)
+      Violations.add(it);
   std::cout << "sent " << Totals.Sent << ", served " << Totals.Served
             << ", refused " << Totals.Refused << ", failed " << Totals.Failed
             << ", cut " << Totals.Cut << ", resumed " << Totals.Resumed
-            << " in " << Totals.Resumptions << " attempts, crashes "
-            << Crashes.crashes() << " and " << PartCrashes.crashes()
-            << " by a prompt part, violations " << Violations.Texts.size()
-            << "\n";
+            << " in " << Totals.Resumptions << " attempts, servers replaced "
+            << FormerServers.size() << ", mixed streams " << mixed
+            << ", crashes " << Crashes.crashes() << " and "
+            << PartCrashes.crashes() << " by a prompt part, violations "
+            << Violations.Texts.size() << "\n";
   for (size_t i = 0; i < std::min<size_t>(Violations.Texts.size(), 10); ++i)
-    std::cout << "  " << Violations.Texts[i].substr(0, 300) << "\n";
+    std::cout << "  " << Violations.Texts[i].substr(0, 500) << "\n";
   if (!Violations.Texts.empty() || KeepLogs) {
+    for (const std::string &it : MixedStreams.Texts)
+      std::cerr << it << "\n";
     std::cerr << EndedOutput;
     for (GatewayInstance &it : fleet.Instances)
       std::cerr << it.Process->output() << "\n";
--- a/soak/soak_servers.cc
+++ b/soak/soak_servers.cc
@@ -1,7 +1,9 @@
 #include "soak_servers.h"
 
-#include "crocusspur/types.h"
+#include "fault_proxy.h"
+#include "received_stream.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <sys/socket.h>
 #include <thread>
@@ -10,6 +12,9 @@
 namespace crocusspur::soak {
 namespace {
 
+constexpr uint64_t MaxSilenceMs = 3000;
+constexpr uint64_t MaxPauseMs = 60;
+
 std::string chunk(const std::string &Data) {
   char size[16];
   std::snprintf(size, sizeof size, "%zx\r\n", Data.size());
@@ -32,9 +37,16 @@
 
 } // namespace
 
-void RunCounter::add(const std::string &Id) {
+uint64_t RunCounter::add(const std::string &Id, int64_t ProcessStartedAt) {
   std::lock_guard lock(Mutex);
   ++Runs[Id];
+  Records.push_back({Id, ProcessStartedAt, std::chrono::steady_clock::now()});
+  return Records.size() - 1;
+}
+
+RunRecord RunCounter::record(uint64_t Run) const {
+  std::lock_guard lock(Mutex);
+  return Records.at(Run);
 }
 
 int RunCounter::count(const std::string &Id) const {
@@ -47,16 +59,11 @@
   return "answer to " + Id + std::string(200, '.');
 }
 
-std::string expectedEvent(int Number, const std::string &Id,
-                          const std::string &Version) {
-  return "id: " + std::to_string(Number) + "\ndata: " + Id + " " + Version +
-         "\n\n";
-}
-
-SoakServer::SoakServer(RunCounter &Executions, uint64_t Seed,
-                       std::string Version)
-    : Executions(Executions), Version(std::move(Version)), Random(Seed),
-      FramingRandom(~Seed), Server([this](int Fd, int) { serve(Fd); }) {}
+SoakServer::SoakServer(RunCounter &Executions, uint64_t Seed, std::string Id,
+                       std::string Version, int64_t StartedAt)
+    : Executions(Executions), Id(std::move(Id)), Version(std::move(Version)),
+      StartedAt(StartedAt), Random(Seed), FramingRandom(~Seed),
+      StreamRandom(Seed + 1), Server([this](int Fd, int) { serve(Fd); }) {}
 
 SoakServer::~SoakServer() {
   std::lock_guard lock(Mutex);
@@ -65,9 +72,13 @@
     ::shutdown(it, SHUT_RDWR);
 }
 
-size_t SoakServer::openConnections() {
+void SoakServer::endConnections() {
   std::lock_guard lock(Mutex);
-  return OpenSockets.size();
+  for (int it : OpenSockets)
+    if (UnframedSockets.contains(it))
+      resetConnection(it);
+    else
+      ::shutdown(it, SHUT_RDWR);
 }
 
 unsigned SoakServer::randomBelow(unsigned Below) {
@@ -80,6 +91,33 @@
   return FramingRandom() % 3 == 0;
 }
 
+RunPlan SoakServer::drawPlan(int From, bool GoesOn) {
+  std::lock_guard lock(Mutex);
+  static constexpr StreamFault Faults[] = {StreamFault::End,
+                                           StreamFault::Reset,
+                                           StreamFault::EndInsideEvent,
+                                           StreamFault::BeginAgain,
+                                           StreamFault::OtherText,
+                                           StreamFault::Silence};
+  RunPlan plan;
+  // One run in six is faulty, and one in 36 falls silent.
+  if (uint64_t n = StreamRandom() % 36; n < std::size(Faults))
+    plan.Fault = Faults[n];
+  bool onlyIfGoingOn = plan.Fault == StreamFault::BeginAgain ||
+                       plan.Fault == StreamFault::OtherText;
+  if (onlyIfGoingOn && !GoesOn)
+    plan.Fault = StreamFault::None;
+  int left = std::max(1, StreamEvents - From + 1);
+  plan.FaultyEvent =
+      From + static_cast<int>(StreamRandom() % static_cast<uint64_t>(left));
+  plan.FaultyByte = StreamRandom();
+  plan.Silence = Milliseconds(StreamRandom() % MaxSilenceMs);
+  // Long streams are more often under way when their server is replaced.
+  uint64_t pause = StreamRandom() % MaxPauseMs;
+  plan.Pause = Milliseconds(StreamRandom() % 3 == 0 ? 5 + pause : 5);
+  return plan;
+}
+
 void SoakServer::serve(int Fd) {
   {
     std::lock_guard lock(Mutex);
@@ -94,6 +132,7 @@
   }
   std::lock_guard lock(Mutex);
   OpenSockets.erase(Fd);
+  UnframedSockets.erase(Fd);
 }
 
 // Returns whether the connection stays open.
@@ -119,10 +158,10 @@
                  "0\r\n\r\n");
     return true;
   }
-  Executions.add(id);
+  uint64_t run = Executions.add(id, StartedAt);
   if (Request.find(" /s/") != std::string::npos ||
       Request.find(" /t/") != std::string::npos)
-    return respondStream(Fd, Request, id);
+    return respondStream(Fd, Request, id, run);
   return respondPlain(Fd, id);
 }
 
@@ -161,23 +200,63 @@
 }
 
 bool SoakServer::respondStream(int Fd, const std::string &Request,
-                               const std::string &Id) {
+                               const std::string &RequestId, uint64_t Run) {
   std::string last = headerField(Request, "Last-Event-Id");
   std::string first = headerField(Request, "Resumes");
   if (first.empty())
-    first = Id;
+    first = RequestId;
   int from = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
   int to = randomBelow(5) == 0
                ? from + static_cast<int>(randomBelow(StreamEvents)) - 1
                : StreamEvents;
   bool unframed = drawUnframed();
-  sendText(Fd, responseHead(200, Id,
-                            unframed ? "Cache-Control: no-store"
-                                     : "Transfer-Encoding: chunked"));
+  RunPlan plan = drawPlan(from, !last.empty());
+  if (plan.Fault == StreamFault::OtherText) {
+    std::string text = "{\"error\":\"the output can't go on\"}";
+    sendText(Fd, responseHead(200, RequestId,
+                              "Content-Type: application/json\r\n"
+                              "Content-Length: " +
+                                  std::to_string(text.size())) +
+                     text);
+    return true;
+  }
+  if (plan.Fault == StreamFault::BeginAgain)
+    from = 1;
+  if (unframed) {
+    std::lock_guard lock(Mutex);
+    UnframedSockets.insert(Fd);
+  }
+  sendText(Fd, responseHead(200, RequestId,
+                            std::string("Content-Type: text/event-stream\r\n") +
+                                (unframed ? "Cache-Control: no-store"
+                                          : "Transfer-Encoding: chunked")));
   for (int i = from; i <= std::min(to, StreamEvents); ++i) {
-    std::string event = expectedEvent(i, first, Version);
-    sendText(Fd, unframed ? event : chunk(event));
-    std::this_thread::sleep_for(Milliseconds(5));
+    std::string event = textOf({i, first, Id, Version, Run});
+    std::string bytes = unframed ? event : chunk(event);
+    StreamFault fault = i == plan.FaultyEvent ? plan.Fault : StreamFault::None;
+    // Bytes of the event before the fault: a part of it, if its end may be
+    // taken for that of the response.
+    size_t part = 1 + plan.FaultyByte % (event.size() - 1);
+    if (fault == StreamFault::EndInsideEvent && !unframed) {
+      sendText(Fd, chunk(event.substr(0, part)) + "0\r\n\r\n");
+      return true;
+    }
+    if (!unframed)
+      part = plan.FaultyByte % (bytes.size() + 1);
+    if (fault == StreamFault::End || fault == StreamFault::EndInsideEvent ||
+        fault == StreamFault::Reset) {
+      sendText(Fd, bytes.substr(0, part));
+      if (fault == StreamFault::Reset)
+        resetOnClose(Fd);
+      return false;
+    }
+    if (fault == StreamFault::Silence) {
+      sendText(Fd, bytes.substr(0, part));
+      std::this_thread::sleep_for(plan.Silence);
+      bytes.erase(0, part);
+    }
+    sendText(Fd, bytes);
+    std::this_thread::sleep_for(plan.Pause);
   }
   if (to < StreamEvents) { // in the middle of an event
     sendText(Fd, unframed ? "id: 9" : "9\r\nid: 9");
