--- a/soak/soak_servers.cc
+++ b/soak/soak_servers.cc
@@ -137,6 +137,13 @@
 
 // Returns whether the connection stays open.
 bool SoakServer::respond(int Fd, const std::string &Request) {
+  if (Request.starts_with("GET /api/report")) {
+    std::string body = R"({"phase":"decode","sequence":0,"born":)" +
+                       std::to_string(StartedAt) + "}";
+    sendText(Fd, "HTTP/1.1 200 X\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    return true;
+  }
   if (Request.starts_with("POST /api/hold-take")) {
     bool full = randomBelow(4) == 0;
     sendText(Fd, full ? "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -88,8 +88,7 @@
       if (result == AttemptResult::Done)
         return;
       MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
-      if (result == AttemptResult::Unknown &&
-          (!Route.Resumable || Progress.versionUncertain()))
+      if (result == AttemptResult::Unknown && !Route.Resumable)
         break;
       continue;
     }
