Give large buffers back to the system when they are freed

Cause: the allocator raises the size from which it maps buffers with each mapped one that is freed, up to 32 MiB; later buffers stay in the arenas of their threads. Change: the gateway fixes that size and the one for trimming at 128 KiB.

--- a/src/gateway/command_gateway.cc
+++ b/src/gateway/command_gateway.cc
@@ -8,6 +8,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <malloc.h>
 #include <memory>
 #include <optional>
 
@@ -21,7 +22,14 @@
   uint16_t MetricsPort = 0; // 0: metrics are served with readiness only
 };
 
+// Buffers of at least this size go back to the system when they are freed. By
+// default the allocator raises this size with each one that is freed, up to
+// 32 MiB, and each thread's arena keeps what it once had.
+constexpr int LargeBufferBytes = 131072;
+
 int run(GatewayOptions Options) {
+  ::mallopt(M_MMAP_THRESHOLD, LargeBufferBytes);
+  ::mallopt(M_TRIM_THRESHOLD, LargeBufferBytes);
   const Adapter *adapter = findAdapter(Options.AdapterName);
   if (!adapter)
     return internal::InvalidSettingsExitCode;
