Keep the budget of memory free of locks, and move no body twice

Cause: decisions take no locks (check-platform-names), and the linter refuses a body that may have been moved before. Change: the state of the budget's log lines is atomic; a part that is passed on is taken by reference. Result: format, names and lint of request_handler.cc are clean.

--- a/src/gateway/decisions/memory_budget.cc
+++ b/src/gateway/decisions/memory_budget.cc
@@ -54,13 +54,17 @@
 
 std::optional<uint64_t> MemoryBudget::takeRefusalsToLog(MemoryUse Use,
                                                         TimePoint Now) {
-  std::lock_guard lock(Mutex);
   Logged &last = LastLogged[static_cast<size_t>(Use)];
   uint64_t all = refused(Use);
-  if (all == last.Count || (last.At && Now - *last.At < LogPeriod))
+  TimePoint::rep loggedAt = last.At.load();
+  bool isRecent = loggedAt != NeverLogged &&
+                  Now - TimePoint(TimePoint::duration(loggedAt)) < LogPeriod;
+  // Of several threads, one logs.
+  if (all == last.Count.load() || isRecent ||
+      !last.At.compare_exchange_strong(loggedAt,
+                                       Now.time_since_epoch().count()))
     return std::nullopt;
-  last.At = Now;
-  return all - std::exchange(last.Count, all);
+  return all - last.Count.exchange(all);
 }
 
 MemoryHold &MemoryHold::operator=(MemoryHold &&Other) noexcept {
--- a/src/gateway/decisions/memory_budget.h
+++ b/src/gateway/decisions/memory_budget.h
@@ -9,7 +9,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <mutex>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -55,14 +55,15 @@
 
 private:
   struct Logged {
-    std::optional<TimePoint> At;
-    uint64_t Count = 0;
+    std::atomic<TimePoint::rep> At{NeverLogged}; // of the clock
+    std::atomic<uint64_t> Count{0};
   };
+  static constexpr TimePoint::rep NeverLogged =
+      std::numeric_limits<TimePoint::rep>::min();
 
   size_t Limit;
   std::atomic<size_t> Held{0};
   std::array<std::atomic<uint64_t>, MemoryUseCount> Refused{};
-  std::mutex Mutex; // of the log's state
   std::array<Logged, MemoryUseCount> LastLogged;
 };
 
--- a/src/gateway/plain_relay_handler.cc
+++ b/src/gateway/plain_relay_handler.cc
@@ -75,7 +75,7 @@
 }
 
 CallStatus RequestHandler::passOn(ServerCall &Call, const ServerChoice &Server,
-                                  RunTracker::Id Run, std::string Part,
+                                  RunTracker::Id Run, std::string &Part,
                                   MemoryHold &Hold, Milliseconds &CallerTime) {
   internal::ResponseHead head = responseHead(Call, Server);
   head.HasLength = Call.bodyForm() == internal::BodyForm::Length;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -796,7 +796,7 @@
   Milliseconds callerTime{0};
   bool passedOn = !whole;
   if (passedOn)
-    status = passOn(call, Server, run, std::move(body), hold, callerTime);
+    status = passOn(call, Server, run, body, hold, callerTime);
   if (status == CallStatus::TimedOut)
     Context.Directory.onCallTimed(Server, 1, timeout);
   if (status != CallStatus::Responded) {
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -127,7 +127,7 @@
   // `CallerTime`: for how long the caller was waited for. Returns Responded if
   // the response is complete, otherwise how it ended.
   CallStatus passOn(ServerCall &Call, const ServerChoice &Server,
-                    RunTracker::Id Run, std::string Part, MemoryHold &Hold,
+                    RunTracker::Id Run, std::string &Part, MemoryHold &Hold,
                     Milliseconds &CallerTime);
   // Sends the part to the caller. Returns false if it disconnected or the
   // deadline passed before.
