Refuse bodies of callers that there is no memory for, and bound the store's answers

Cause: up to 768 connections may each send a body of max-body-bytes, which is kept and copied into the request to a server. An answer of the store had no total time, and one that states its length was read up to the limit first. Change: a body above 64 KiB holds the budget before it is read, and before the caller is told to go on; without room the caller gets 503, not run.

--- a/src/caller_listener.cc
+++ b/src/caller_listener.cc
@@ -364,6 +364,7 @@
                         "the chunks of the body are malformed"};
   case RequestReadStatus::Closed:
   case RequestReadStatus::TimedOut:
+  case RequestReadStatus::NoRoom: // nothing is asked for room
     break;
   }
   return RequestError{ErrorKind::CallerTimeout,
--- a/src/caller_reader.cc
+++ b/src/caller_reader.cc
@@ -67,9 +67,16 @@
 }
 
 RequestReadStatus CallerReader::readBody(const BodyFraming &Framing,
-                                         std::string &Body) {
+                                         std::string &Body,
+                                         const RoomHook &HasRoom) {
   if (Framing.Form == BodyForm::Length && Framing.Length > Limits.MaxBodyBytes)
     return RequestReadStatus::TooLarge;
+  // For a length that is stated, before any of the body is read.
+  size_t room = Framing.Form == BodyForm::Length
+                    ? static_cast<size_t>(Framing.Length)
+                    : 0;
+  if (HasRoom && room > 0 && !HasRoom(room))
+    return RequestReadStatus::NoRoom;
   TimePoint until = Clock::now() + Limits.IdleTimeout;
   BodyDecoder decoder;
   decoder.reset(Framing);
@@ -80,6 +87,11 @@
     Pending.erase(0, Pending.size() - input.size());
     if (Body.size() > Limits.MaxBodyBytes)
       return RequestReadStatus::TooLarge;
+    if (HasRoom && Body.size() > room) {
+      room = 2 * Body.size();
+      if (!HasRoom(room))
+        return RequestReadStatus::NoRoom;
+    }
     if (decoder.complete())
       return RequestReadStatus::Ok;
     RequestReadStatus status = fill(until);
--- a/src/caller_reader.h
+++ b/src/caller_reader.h
@@ -5,6 +5,7 @@
 #include "crocusspur/types.h"
 #include "http_header.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -27,6 +28,7 @@
   TimedOut,  // the caller sent a part too slowly
   Malformed, // not HTTP/1.x
   TooLarge,  // over a limit
+  NoRoom,    // the memory for a body was refused
 };
 
 class CallerReader {
@@ -34,7 +36,11 @@
   CallerReader(int Fd, const ReadLimits &Limits) : Fd(Fd), Limits(Limits) {}
 
   RequestReadStatus readHead(HttpHead &Head);
-  RequestReadStatus readBody(const BodyFraming &Framing, std::string &Body);
+  // Asked before a body of so many bytes is kept; returns whether it may be.
+  using RoomHook = std::function<bool(size_t Bytes)>;
+  // `HasRoom`: null if nothing but the limits bounds the body.
+  RequestReadStatus readBody(const BodyFraming &Framing, std::string &Body,
+                             const RoomHook &HasRoom = nullptr);
 
   // Closes the sending side and discards what the caller still sends, for a
   // bounded time. Closing with unread bytes would reset the connection, which
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -5,6 +5,7 @@
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/start_wait.h"
 #include "gateway/gateway_runtime.h"
+#include "gateway/memory_log.h"
 #include "gateway/request_handler.h"
 #include "http_sink.h"
 #include "log.h"
@@ -39,6 +40,11 @@
 constexpr int MaxConnections = 768; // each uses a thread
 constexpr int Backlog = 1024;
 constexpr uint32_t MaxHeaderFields = 128;
+// Within what each connection may use.
+constexpr size_t UnheldBodyBytes = 65536;
+// A body is kept, in the buffer before too while it grows, and copied into the
+// request to the server.
+constexpr size_t BodyMemoryFactor = 3;
 // A caller that reads nothing for this long is considered disconnected.
 constexpr Milliseconds WriteTimeout{10000};
 // Callers that retry immediately reach another instance.
@@ -67,8 +73,9 @@
   void endConnections();
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
               HttpSink &Sink);
+  // `Hold` holds the memory for the body.
   bool readBody(const HttpHead &Head, CallerReader &Reader, HttpSink &Sink,
-                CallerRequest &Request);
+                CallerRequest &Request, MemoryHold &Hold);
   // Waits for routes and servers shortly after the start. Returns whether they
   // are known.
   bool awaitDocuments(const CallerRequest &Request, int Fd);
@@ -244,7 +251,8 @@
 
 // Returns false, after sending an error response, if the body can't be read.
 bool GatewayListener::readBody(const HttpHead &Head, CallerReader &Reader,
-                               HttpSink &Sink, CallerRequest &Request) {
+                               HttpSink &Sink, CallerRequest &Request,
+                               MemoryHold &Hold) {
   internal::BodyFraming framing;
   if (!requestFraming(Head, framing)) {
     Sink.closeAfterResponse();
@@ -252,14 +260,32 @@
                 "the body's length is unclear", Milliseconds(0));
     return false;
   }
+  auto hasRoom = [&](size_t Bytes) {
+    if (Bytes <= UnheldBodyBytes || Hold.growTo(Bytes * BodyMemoryFactor))
+      return true;
+    logMemoryRefused(&Runtime->Memory, MemoryUse::RequestBody, "a caller");
+    return false;
+  };
+  auto refuse = [&] {
+    Sink.closeAfterResponse();
+    sendProblem(Sink, Request.Id, ErrorKind::Overloaded,
+                "no memory for the body", OtherInstanceRetryAfter);
+    return false;
+  };
+  // Before the caller is told to go on.
+  if (framing.Form == internal::BodyForm::Length &&
+      framing.Length <= limits().MaxBodyBytes && !hasRoom(framing.Length))
+    return refuse();
   const std::string *expect = Head.find("Expect");
   if (expect && framing.Form != internal::BodyForm::None) {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     ::send(Sink.watchedSocket(), interim.data(), interim.size(), MSG_NOSIGNAL);
   }
-  RequestReadStatus verdict = Reader.readBody(framing, Request.Body);
+  RequestReadStatus verdict = Reader.readBody(framing, Request.Body, hasRoom);
   if (verdict == RequestReadStatus::Ok)
     return true;
+  if (verdict == RequestReadStatus::NoRoom)
+    return refuse();
   Sink.closeAfterResponse();
   if (verdict != RequestReadStatus::Closed)
     sendProblem(Sink, Request.Id,
@@ -301,7 +327,8 @@
 void GatewayListener::handle(const HttpHead &Head, TimePoint Arrived,
                              CallerReader &Reader, HttpSink &Sink) {
   CallerRequest request = Runtime->Codec.ParseRequestHead(Head);
-  if (!readBody(Head, Reader, Sink, request))
+  MemoryHold hold(&Runtime->Memory, MemoryUse::RequestBody);
+  if (!readBody(Head, Reader, Sink, request, hold))
     return;
   if (!Runtime->Directory.isComplete() &&
       !awaitDocuments(request, Sink.watchedSocket())) {
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -18,6 +18,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr Milliseconds CancelPollPeriod{50};
+// Of one response. A page takes about a second on a link of 10 Mbit/s.
+constexpr Milliseconds MaxBodyTime{10000};
 
 Poco::Timespan timespan(Milliseconds Time) {
   return Poco::Timespan(std::chrono::microseconds(Time).count());
@@ -33,16 +35,19 @@
   Socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
-// Returns false if the body exceeds `MaxBodyBytes`.
-bool readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
+// Returns why the body wasn't read to its end; empty if it was.
+std::string readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
+  TimePoint until = Clock::now() + MaxBodyTime;
   std::array<char, 16384> buf;
   while (In.good()) {
     In.read(buf.data(), buf.size());
     Body.append(buf.data(), static_cast<size_t>(In.gcount()));
     if (Body.size() > MaxBodyBytes)
-      return false;
+      return "response of more than " + std::to_string(MaxBodyBytes) + " bytes";
+    if (Clock::now() > until)
+      return "response that took too long";
   }
-  return true;
+  return "";
 }
 
 } // namespace
@@ -128,15 +133,19 @@
   std::istream &in = Session->receiveResponse(response);
   Response.Status = static_cast<int>(response.getStatus());
   Response.Fields.assign(response.begin(), response.end());
-  if (!readBody(in, Response.Body, MaxBodyBytes))
+  if (response.hasContentLength() &&
+      response.getContentLength64() > static_cast<int64_t>(MaxBodyBytes)) {
     Response.Error =
         "response of more than " + std::to_string(MaxBodyBytes) + " bytes";
+    return;
+  }
+  Response.Error = readBody(in, Response.Body, MaxBodyBytes);
   // A body cut off by a broken connection must not be taken for a complete
   // document.
-  else if (response.hasContentLength() &&
-           Response.Body.size() !=
-               static_cast<size_t>(response.getContentLength64()) &&
-           Response.Status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
+  if (Response.Error.empty() && response.hasContentLength() &&
+      Response.Body.size() !=
+          static_cast<size_t>(response.getContentLength64()) &&
+      Response.Status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
     Response.Error = "response body is shorter than its Content-Length";
 }
 
--- a/test/gateway_memory_process_test.cc
+++ b/test/gateway_memory_process_test.cc
@@ -21,9 +21,10 @@
 constexpr int CallerCount = 24;
 constexpr Milliseconds FloodTime{4000};
 constexpr Milliseconds SoundPause{10};
-constexpr size_t UnitBytes = 65536; // of one write of a server
-constexpr size_t MemoryMb = 110;    // as in the settings of the fleet
-constexpr double MaxPart = 0.8;     // of it
+constexpr Milliseconds SoundTime{2000}; // of a request of the sound service
+constexpr size_t UnitBytes = 65536;     // of one write of a server
+constexpr size_t MemoryMb = 110;        // as in the settings of the fleet
+constexpr double MaxPart = 0.8;         // of it
 constexpr double MinServed = 0.99;
 
 constexpr const char *Config =
@@ -150,10 +151,10 @@
   int served = 0;
   while (Clock::now() < until) {
     ++sent;
-    served += sendAndDiscard(gateway, "/s/1", "s" + std::to_string(sent),
-                             Clock::now() + Milliseconds(5000)) == 200
-                  ? 1
-                  : 0;
+    TimePoint sentAt = Clock::now();
+    int status = sendAndDiscard(gateway, "/s/1", "s" + std::to_string(sent),
+                                sentAt + SoundTime);
+    served += status == 200 && Clock::now() - sentAt < SoundTime ? 1 : 0;
     std::this_thread::sleep_for(SoundPause);
   }
   size_t peak = peakKb(gateway.Process->pid());
@@ -212,3 +213,76 @@
   checkFlood({"stray", "HTTP/1.1 200 X\r\nAttempt-Id: other\r\n\r\n", Filler,
               "/x/1", /*Raw=*/true});
 }
+
+// Answers of the store were kept several times over.
+TEST_CASE("Answers of the store without end don't take an instance's memory") {
+  for (const std::string &head :
+       {std::string("HTTP/1.1 200 X\r\nContent-Length: 9000000000\r\n\r\n"),
+        std::string("HTTP/1.1 200 X\r\n\r\n"),
+        std::string("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "100000000\r\n")}) {
+    FloodServer store({"store", head, Filler, "", /*Raw=*/true});
+    GatewayFleet fleet(1, store.address());
+    GatewayInstance &gateway = fleet.Instances[0];
+    fleet.start(gateway);
+    std::this_thread::sleep_for(FloodTime);
+    size_t peak = peakKb(gateway.Process->pid());
+    MESSAGE("store: peak " << peak / 1024 << " MB");
+    CHECK(peak > 0);
+    CHECK(static_cast<double>(peak) <= MaxPart * MemoryMb * 1024);
+    CHECK_FALSE(gateway.Process->waitForExit(Milliseconds(0)).has_value());
+  }
+}
+
+// Bodies of callers were kept without regard to their number.
+TEST_CASE("Bodies of callers don't take an instance's memory") {
+  FakeServer sound([](const std::string &Request, int) {
+    return signedResponse(200, "bay 7", headerField(Request, "Attempt-Id"));
+  });
+  GatewayFleet fleet(1);
+  fleet.Store.put("op/config", Config);
+  fleet.Store.put("servers/s1", entryOf("sound", sound.address()));
+  fleet.startAll();
+  GatewayInstance &gateway = fleet.Instances[0];
+  TimePoint until = Clock::now() + FloodTime;
+  const std::string body(4194304 - 16, 'x'); // the largest by default
+  std::atomic<int> refused{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 4 * CallerCount; ++i)
+    callers.emplace_back([&] {
+      while (Clock::now() < until) {
+        int fd = test::connectTo(gateway.Callers);
+        if (fd < 0)
+          continue;
+        timeval wait{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+        ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &wait, sizeof wait);
+        sendText(fd, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: "
+                     "c1\r\nContent-Length: " +
+                         std::to_string(body.size() + 1) + "\r\n\r\n");
+        sendText(fd, body); // all but the last byte
+        refused += readUntil(fd, "\r\n").starts_with("HTTP/1.1 503") ? 1 : 0;
+        ::close(fd);
+      }
+    });
+  int sent = 0;
+  int served = 0;
+  while (Clock::now() < until) {
+    ++sent;
+    TimePoint sentAt = Clock::now();
+    int status = sendAndDiscard(gateway, "/s/1", "s" + std::to_string(sent),
+                                sentAt + SoundTime);
+    served += status == 200 && Clock::now() - sentAt < SoundTime ? 1 : 0;
+    std::this_thread::sleep_for(SoundPause);
+  }
+  size_t peak = peakKb(gateway.Process->pid());
+  for (std::thread &it : callers)
+    it.join();
+  MESSAGE("request bodies: peak " << peak / 1024 << " MB, served " << served
+                                  << " of " << sent << ", refused "
+                                  << refused.load());
+  CHECK(static_cast<double>(peak) <= MaxPart * MemoryMb * 1024);
+  CHECK(served >= MinServed * sent);
+  CHECK(refused.load() > 0);
+  CHECK_FALSE(gateway.Process->waitForExit(Milliseconds(0)).has_value());
+}
--- a/test/gateway_passed_on_response_test.cc
+++ b/test/gateway_passed_on_response_test.cc
@@ -191,6 +191,7 @@
       add(gateway, "s2", second.address());
       std::string got =
           runReading(gateway, gateway.route(RouteKind::Idempotent));
+      CAPTURE(got);
       CHECK(got.starts_with("HTTP/1.1 200"));
       CHECK(bodyIn(got) == "bay 7");
     }
