Let a test's wait for a process's exit include its output

A thread reads the process's output from a pipe, and the exit can be seen before the last lines are. Change: waitForExit() also waits for the end of the output.

--- a/test/child_process.cc
+++ b/test/child_process.cc
@@ -106,6 +106,10 @@
 
 std::optional<int> ChildProcess::waitForExit(Milliseconds Limit) {
   eventually([this] { return reap(); }, Limit);
+  // The last lines may still be in the pipe.
+  std::unique_lock lock(Mutex);
+  if (ExitCode)
+    Changed.wait_for(lock, Limit, [this] { return OutputEnded; });
   return ExitCode;
 }
 
--- a/test/child_process.h
+++ b/test/child_process.h
@@ -36,7 +36,7 @@
   // No effect after the process has ended.
   void signal(int Number);
   // Returns the exit code (128 + N if killed by signal N), or nothing if the
-  // process is still running after the limit.
+  // process is still running after the limit. output() is whole then.
   std::optional<int> waitForExit(Milliseconds Limit);
 
 private:
