Include <csignal> where a test names a signal

Cause: gateway_access_process_test.cc uses SIGTERM and got it through another header, which doesn't bring it on x86-64, so that the tests didn't build there.

Change: the include.

--- a/test/gateway_access_process_test.cc
+++ b/test/gateway_access_process_test.cc
@@ -5,6 +5,7 @@
 #include "gateway/member_exchange.h"
 #include "gateway_fleet.h"
 
+#include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <unistd.h>
