Read published entries without keeping what nobody reads

The same list in a field that nobody reads of a live server's own entry does the same, and the text is kept and passed on to peers whole.

Cause: JsonFields built POCO's tree of the whole text, some 900 bytes for each empty object, before it was known what the entry is for.

Of an entry of more than 2 KiB only the fields that are read are kept for peers. An entry beyond the bounds names no server, is logged, five of a response one by one, and counted in server_entries_invalid_total.

Why it works: what is skipped costs no memory, whatever its form, and what is kept has a bound that doesn't depend on the text.

--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -88,6 +88,8 @@
   std::atomic<bool> Exiting{false};
   std::atomic<uint32_t> OpenRequests{0};
   std::atomic<uint64_t> PeersKnown{0};
+  // Received from the store, each as often as it was read.
+  std::atomic<uint64_t> InvalidServerEntries{0};
   FrameTraffic Traffic; // to other instances
   Membership Peers;
   StoreReaders Readers;
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -16,7 +16,7 @@
 enum class ReadStatus : uint8_t {
   Ok,
   HistoryCompacted, // changes after the revision were discarded; read all
-  EraChanged,  // the store came back from an older copy meanwhile; read all
+  EraChanged, // the store came back from an older copy meanwhile; read all
   Unavailable, // no response, or an error status
 };
 
@@ -32,6 +32,7 @@
   StoreRevision RoutesRevision;
   // The response holds a configuration that can't be used.
   bool IsRoutesInvalid = false;
+  uint32_t InvalidServers = 0; // entries that name no usable server
 };
 
 // Polled while a call waits; returns true to cancel it.
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -177,6 +177,8 @@
   if (std::optional<Milliseconds> ago = Runtime->Readers.confirmedAgo())
     Metrics->setGauge("store_confirmed_ago_seconds", "",
                       std::chrono::duration<double>(*ago).count());
+  Metrics->setGauge("server_entries_invalid_total", "",
+                    static_cast<double>(Runtime->InvalidServerEntries.load()));
   Metrics->setGauge("store_era", "",
                     static_cast<double>(Runtime->Directory.storeEra()));
   RouteDocumentPtr document = Runtime->Directory.routes();
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -1,5 +1,6 @@
 #include "gateway_fleet.h"
 
+#include <Poco/URI.h>
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
@@ -14,6 +15,10 @@
 namespace crocusspur::test {
 namespace {
 
+// Of a page of a list.
+constexpr size_t MaxPageItems = 500;
+constexpr size_t MaxPageBytes = 1000000;
+
 std::string base64(const std::string &Text) {
   static const char *Digits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -168,21 +173,32 @@
 }
 
 std::string FakeStore::list(const std::string &Prefix, uint64_t After,
+                            const std::optional<std::string> &AfterKey,
                             bool &Any) {
   std::lock_guard lock(Mutex);
   std::string all;
+  size_t count = 0;
+  size_t bytes = 0;
+  bool hasMore = false;
   for (const auto &[key, item] : Current.Items) {
     // A list of all items has no removed ones.
     if (!key.starts_with(Prefix) || item.Revision <= After ||
-        (!item.Value && After == 0))
+        (!item.Value && AfterKey) || (AfterKey && key <= *AfterKey))
       continue;
+    bytes += item.Value ? item.Value->size() : 0;
+    hasMore = AfterKey && count > 0 &&
+              (count == MaxPageItems || bytes > MaxPageBytes);
+    if (hasMore)
+      break;
+    ++count;
     all += (all.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\"" +
            (item.Value ? ",\"value\":\"" + base64(*item.Value) + "\""
                        : ",\"deleted\":true") +
            ",\"revision\":" + std::to_string(item.Revision) + "}";
   }
   Any = !all.empty();
-  return "[" + all + "],\"at\":" + std::to_string(Current.Revision);
+  return "[" + all + "],\"has-more\":" + (hasMore ? "true" : "false") +
+         ",\"at\":" + std::to_string(Current.Revision);
 }
 
 std::string FakeStore::withEra(std::string Response) const {
@@ -199,11 +215,16 @@
       Request.find("servers/") != std::string::npos ? "servers/" : "op/";
   if (!rejected && Request.find("/api/kv-watch") != std::string::npos)
     return respondToWatch(Request, prefix);
+  size_t at = Request.find("&after=");
+  std::string afterKey;
+  if (at != std::string::npos)
+    Poco::URI::decode(Request.substr(at + 7, Request.find(' ', at) - at - 7),
+                      afterKey);
   bool any = false;
   std::string response =
       rejected ? httpResponse(503, "")
-               : httpResponse(200, "{\"has-more\":false,\"items\":" +
-                                       list(prefix, 0, any) + "}");
+               : httpResponse(
+                     200, "{\"items\":" + list(prefix, 0, afterKey, any) + "}");
   std::lock_guard lock(Mutex);
   return Away ? "" : withEra(response);
 }
@@ -222,7 +243,7 @@
       std::chrono::steady_clock::now() +
       Milliseconds(std::stoll(Request.substr(Request.find("wait-ms=") + 8)));
   do {
-    events = list(Prefix, after, any);
+    events = list(Prefix, after, std::nullopt, any);
     if (any || isRejected(Request))
       break;
     std::this_thread::sleep_for(Milliseconds(5));
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -71,7 +71,10 @@
   bool isRejected(const std::string &Request);
   // Returns once the store isn't silent towards the sender.
   void awaitVoice(const std::string &Request);
-  std::string list(const std::string &Prefix, uint64_t After, bool &Any);
+  // The changes after the revision, or with `AfterKey` a page of the items
+  // behind that key.
+  std::string list(const std::string &Prefix, uint64_t After,
+                   const std::optional<std::string> &AfterKey, bool &Any);
   // Called with the lock.
   std::string withEra(std::string Response) const;
   std::string respond(const std::string &Request);
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -226,3 +226,15 @@
   for (const ServerChange &it : since)
     CHECK(it.Entry.has_value() == (it.Id == "s3"));
 }
+
+// Of a response that turns out to be broken behind some changes.
+TEST_CASE("A broken list of changes changes nothing") {
+  for (const char *text :
+       {R"({"events":[{"key":"servers/s1","revision":5,"value":""},)",
+        R"({"events":[{"key":"servers/s1","revision":5,"value":""},1],"at":5})",
+        R"({"events":[{"key":"servers/s1","revision":5,"value":""}]})"}) {
+    PublishedUpdate update = readFrom({httpResponse(200, text)}, true);
+    CHECK(update.Status == ReadStatus::Unavailable);
+    CHECK(update.Servers.empty());
+  }
+}
--- a/test/platform_entries_test.cc
+++ b/test/platform_entries_test.cc
@@ -1,5 +1,7 @@
 #include "platform/published_entries.h"
 
+#include "heap_meter.h"
+
 #include <doctest/doctest.h>
 
 using namespace crocusspur;
@@ -203,3 +205,41 @@
   CHECK(document->Routes[0].Timeout > std::chrono::hours(24));
   CHECK(document->Routes[0].Timeout < std::chrono::hours(1000000));
 }
+
+// The entry of a live server with one more field took 300 MB, and was kept and
+// passed on to peers whole.
+TEST_CASE("A field of an entry that isn't read costs no memory") {
+  std::string list = "[{}";
+  while (list.size() < 1000000)
+    list += ",{}";
+  std::string text = replaced(GoodServer, "{", "{\"inventory\":" + list + "],");
+  crocusspur::test::HeapMeter meter;
+  auto entry = parseServerEntry("i-1", text);
+  CHECK(meter.peak() < 65536);
+  REQUIRE(entry.has_value());
+  CHECK(entry->Text.size() < 300);
+  auto passedOn = parseServerEntry("i-1", entry->Text);
+  REQUIRE(passedOn.has_value());
+  CHECK(passedOn->Address == "10.128.0.9:8080");
+  CHECK(passedOn->Stage == ServerStage::Decode);
+  CHECK(passedOn->StartedAt == 1764000000123);
+  CHECK(passedOn->Slots == 64);
+}
+
+TEST_CASE("An entry or a configuration of too many values names nothing") {
+  std::string list = "[{}";
+  while (list.size() < 1000000)
+    list += ",{}";
+  list += "]";
+  std::string server = replaced(GoodServer, "\"bays\"", list);
+  std::string config =
+      "{\"version\":1,\"services\":[],\"routes\":" + list + "}";
+  crocusspur::test::HeapMeter meter;
+  CHECK_FALSE(parseServerEntry("i-1", server).has_value());
+  CHECK(meter.peak() < 131072);
+  std::vector<Diagnostic> faults;
+  CHECK_FALSE(readRouteDocument(config, faults));
+  REQUIRE(faults.size() == 1);
+  CHECK(faults[0].Expected == "values of at most 24 MiB in memory");
+  CHECK(meter.peak() < 33554432);
+}
