Read a store's entries in pages where a watch returns too much

What callers saw: behind 30 entries of 1 MB that another writer puts at once, a server that registers is used by no instance. The answer of the watch exceeds 8 MiB, counts as a failure of the store, and is asked for again in vain.

Cause: a page of a list is bounded, an answer of a watch isn't, and both had the same bound with the same outcome.

Change: such an answer is told from a store that doesn't respond, and followed by a list in pages at once. The bound is 4 MiB: a page holds at most 1 MB of items and one more item.

PlatformClient also gives up a response that takes too long however the sender divides its bytes. A body was read in pieces of 16 KiB without a look at the time, and a head or a chunk's size byte by byte. A socket of its own checks the deadline at each receive. A chunked body that broke off counted as complete; now it is an error.

--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -17,6 +17,8 @@
   Ok,
   HistoryCompacted, // changes after the revision were discarded; read all
   EraChanged, // the store came back from an older copy meanwhile; read all
+  // More changes than a response may hold; read all, which comes in parts.
+  ResponseTooLong,
   Unavailable, // no response, or an error status
 };
 
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -46,6 +46,25 @@
 // Pause after a failed call, doubled up to the batch delay and randomized.
 constexpr Milliseconds MinRetryPause{100};
 
+// Returns why all documents are to be read anew at once, or null. `WasWhole`:
+// the response is that to such a read, which isn't repeated for its length.
+const char *whyReadAll(ReadStatus Status, bool WasWhole) {
+  switch (Status) {
+  case ReadStatus::HistoryCompacted:
+    return "store discarded the history; reading all entries";
+  case ReadStatus::EraChanged:
+    return "era changed within a list; reading all entries";
+  case ReadStatus::ResponseTooLong:
+    return WasWhole ? nullptr
+                    : "changes exceed the size of a response; reading all "
+                      "entries in pages";
+  case ReadStatus::Ok:
+  case ReadStatus::Unavailable:
+    break;
+  }
+  return nullptr;
+}
+
 class ServiceDirectoryReader final : public Plugin {
 public:
   bool start(Kernel &Owner) override {
@@ -230,12 +249,8 @@
         pause(Runtime->Readers.budget().BatchDelay);
       continue;
     }
-    if (update.Status == ReadStatus::HistoryCompacted ||
-        update.Status == ReadStatus::EraChanged) {
-      log(LogLevel::Info, "directory_reader",
-          update.Status == ReadStatus::EraChanged
-              ? "era changed within a list; reading all entries"
-              : "store discarded the history; reading all entries",
+    if (const char *why = whyReadAll(update.Status, whole)) {
+      log(LogLevel::Info, "directory_reader", why,
           {{"documents", name},
            {"revision", std::to_string(revision.Number)},
            {"era", std::to_string(revision.Era)}});
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -5,11 +5,13 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <algorithm>
 #include <array>
 #include <istream>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <utility>
 
 namespace crocusspur::internal {
@@ -18,8 +20,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr Milliseconds CancelPollPeriod{50};
-// Of one response. A page takes about a second on a link of 10 Mbit/s.
-constexpr Milliseconds MaxBodyTime{10000};
 
 Poco::Timespan timespan(Milliseconds Time) {
   return Poco::Timespan(std::chrono::microseconds(Time).count());
@@ -35,19 +35,39 @@
   Socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
-// Returns why the body wasn't read to its end; empty if it was.
-std::string readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
-  TimePoint until = Clock::now() + MaxBodyTime;
+// Receives nothing after a time that is set, however the sender divides its
+// bytes. Heads and the sizes of chunks are read byte by byte elsewhere, so that
+// a check between two reads of a body would be too late.
+class DeadlineSocketImpl final : public Poco::Net::StreamSocketImpl {
+public:
+  std::optional<TimePoint> Until;
+
+  using Poco::Net::StreamSocketImpl::receiveBytes;
+  int receiveBytes(void *Data, int Size, int Flags) override {
+    if (Until && Clock::now() > *Until)
+      throw Poco::TimeoutException("response that took too long");
+    return Poco::Net::StreamSocketImpl::receiveBytes(Data, Size, Flags);
+  }
+};
+
+class DeadlineSocket final : public Poco::Net::StreamSocket {
+public:
+  // Takes ownership.
+  explicit DeadlineSocket(DeadlineSocketImpl *Impl) : StreamSocket(Impl) {}
+};
+
+// Returns false if the body is longer than allowed. Throws if it breaks off.
+bool readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
   std::array<char, 16384> buf;
   while (In.good()) {
     In.read(buf.data(), buf.size());
     Body.append(buf.data(), static_cast<size_t>(In.gcount()));
     if (Body.size() > MaxBodyBytes)
-      return "response of more than " + std::to_string(MaxBodyBytes) + " bytes";
-    if (Clock::now() > until)
-      return "response that took too long";
+      return false;
   }
-  return "";
+  if (In.bad()) // an exception of the socket, which the stream has caught
+    throw Poco::TimeoutException("response broke off or took too long");
+  return true;
 }
 
 } // namespace
@@ -57,7 +77,9 @@
   Milliseconds Timeout;
   std::string Instance;
   size_t MaxBodyBytes;
+  Milliseconds ResponseTime;
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
+  DeadlineSocketImpl *Socket = nullptr; // of the session, which owns it
 
   Poco::Net::HTTPClientSession &session();
   bool waitForResponse(Milliseconds Wait,
@@ -67,9 +89,10 @@
 };
 
 PlatformClient::PlatformClient(std::string Address, Milliseconds Timeout,
-                               std::string Instance, size_t MaxBodyBytes)
+                               std::string Instance, size_t MaxBodyBytes,
+                               Milliseconds ResponseTime)
     : Impl(new State{std::move(Address), Timeout, std::move(Instance),
-                     MaxBodyBytes, nullptr}) {}
+                     MaxBodyBytes, ResponseTime, nullptr}) {}
 
 PlatformClient::~PlatformClient() = default;
 
@@ -79,6 +102,7 @@
   try {
     Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, Path,
                                    Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(Impl->Address);
     request.set("Accept", "application/json");
     request.set("Crocusspur-Instance", Impl->Instance);
     ++Calls;
@@ -101,8 +125,12 @@
 
 Poco::Net::HTTPClientSession &PlatformClient::State::session() {
   if (!Session) {
-    Session = std::make_unique<Poco::Net::HTTPClientSession>(
-        Poco::Net::SocketAddress(Address));
+    Poco::Net::SocketAddress address(Address);
+    Socket = new DeadlineSocketImpl;
+    Session =
+        std::make_unique<Poco::Net::HTTPClientSession>(DeadlineSocket(Socket));
+    Session->setHost(address.host().toString());
+    Session->setPort(address.port());
     Session->setKeepAlive(true);
     Session->setTimeout(timespan(Timeout), timespan(Timeout),
                         timespan(Timeout));
@@ -129,20 +157,28 @@
 }
 
 void PlatformClient::State::readResponse(PlatformResponse &Response) {
+  Socket->Until = Clock::now() + ResponseTime;
   Poco::Net::HTTPResponse response;
   std::istream &in = Session->receiveResponse(response);
   Response.Status = static_cast<int>(response.getStatus());
   Response.Fields.assign(response.begin(), response.end());
-  if (response.hasContentLength() &&
-      response.getContentLength64() > static_cast<int64_t>(MaxBodyBytes)) {
+  if (response.hasContentLength()) {
+    auto length = static_cast<uint64_t>(response.getContentLength64());
+    Response.IsTooLong = length > MaxBodyBytes;
+    if (!Response.IsTooLong)
+      Response.Body.reserve(length);
+  }
+  if (Response.IsTooLong || !readBody(in, Response.Body, MaxBodyBytes)) {
+    Response.IsTooLong = true;
+    Response.Body = {};
     Response.Error =
         "response of more than " + std::to_string(MaxBodyBytes) + " bytes";
     return;
   }
-  Response.Error = readBody(in, Response.Body, MaxBodyBytes);
+  Socket->Until.reset();
   // A body cut off by a broken connection must not be taken for a complete
   // document.
-  if (Response.Error.empty() && response.hasContentLength() &&
+  if (response.hasContentLength() &&
       Response.Body.size() !=
           static_cast<size_t>(response.getContentLength64()) &&
       Response.Status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED)
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -20,15 +20,22 @@
   std::vector<std::pair<std::string, std::string>> Fields; // of the header
   std::string Error;      // why there is no response
   bool Cancelled = false; // the caller cancelled the wait
+  bool IsTooLong = false; // the body exceeds the bound; there is no status
 };
 
 class PlatformClient {
 public:
-  // `Address` is "IP:port". `Timeout` bounds connecting, sending, reading and
-  // the time that a response takes beyond the requested wait.
-  // `Instance` is this instance's name, which the service uses to count calls.
+  // Of a response from its first byte to its last. A page of 1 MB takes about a
+  // second on a link of 10 Mbit/s.
+  static constexpr Milliseconds MaxResponseTime{10000};
+
+  // `Address` is "IP:port". `Timeout` bounds connecting, sending, each pause
+  // while reading, and the time that a response takes beyond the requested
+  // wait. `Instance` is this instance's name, which the service uses to count
+  // calls.
   PlatformClient(std::string Address, Milliseconds Timeout,
-                 std::string Instance, size_t MaxBodyBytes = 1048576);
+                 std::string Instance, size_t MaxBodyBytes = 1048576,
+                 Milliseconds ResponseTime = MaxResponseTime);
   ~PlatformClient();
 
   // Sends GET for the path. Calls `IsCancelled` every 50 ms while waiting for
--- a/test/gateway_foreign_entries_process_test.cc
+++ b/test/gateway_foreign_entries_process_test.cc
@@ -111,6 +111,25 @@
   });
 }
 
+// The answer of a watch with all of them is longer than a response may be, so
+// that nothing of it was read.
+TEST_CASE("Changes behind many long entries are applied") {
+  Rig rig;
+  const std::string value = inventory();
+  for (int i = 0; i < 30; ++i)
+    rig.Fleet.Store.put("servers/inventory-" + std::to_string(i), value);
+  FakeServer late([](const std::string &Request, int) {
+    return signedResponse(200, "bay 8", headerField(Request, "Attempt-Id"));
+  });
+  rig.Fleet.Store.put("servers/s2", wideEntry("bays", late.address()));
+  for (const GatewayInstance &it : rig.Fleet.Instances)
+    CHECK(eventually([&] {
+      return GatewayFleet::sendRequest(it, "/x/1").find("bay 8") !=
+             std::string::npos;
+    }));
+  rig.check("thirty entries");
+}
+
 TEST_CASE("Many short entries don't take the instances' memory") {
   Rig rig;
   for (int i = 0; i < 20000; ++i)
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -227,6 +227,18 @@
     CHECK(it.Entry.has_value() == (it.Id == "s3"));
 }
 
+// Nothing of such a response was read, and the store taken for lost.
+TEST_CASE("Changes that exceed a response are told from a store that is away") {
+  std::string events = "[{\"key\":\"servers/s1\",\"revision\":5,\"value\":\"" +
+                       std::string(5000000, 'A') + "\"}]";
+  PublishedUpdate update = readFrom(
+      {withEra(httpResponse(200, "{\"events\":" + events + ",\"at\":5}"), "2")},
+      true);
+  CHECK(update.Status == ReadStatus::ResponseTooLong);
+  CHECK(update.Era == 2);
+  CHECK(update.Servers.empty());
+}
+
 // Of a response that turns out to be broken behind some changes.
 TEST_CASE("A broken list of changes changes nothing") {
   for (const char *text :
--- a/test/platform_reader_test.cc
+++ b/test/platform_reader_test.cc
@@ -328,6 +328,35 @@
 
 // Guards against a process that can't stop while a watch waits, and against
 // taking a failed connection for a response.
+// A body was read in pieces of 16 KiB without a look at the time in between,
+// and a head or a chunk's size byte by byte.
+TEST_CASE("PlatformClient gives up on a response that comes byte by byte") {
+  for (const char *start :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 16000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA-Field: "}) {
+    ScriptServer platform([&](int Fd, int) {
+      readRequest(Fd);
+      sendText(Fd, start);
+      for (int i = 0; i < 1000; ++i) {
+        if (::send(Fd, " ", 1, MSG_NOSIGNAL) != 1)
+          return;
+        std::this_thread::sleep_for(Milliseconds(20));
+      }
+    });
+    PlatformClient client(platform.address(), Milliseconds(1000), "e1", 1048576,
+                          Milliseconds(200));
+    TimePoint begun = std::chrono::steady_clock::now();
+    PlatformResponse response =
+        client.get("/v1/x", Milliseconds(0), [] { return false; });
+    CAPTURE(start);
+    CHECK(response.Status == 0);
+    CHECK_FALSE(response.Error.empty());
+    // The whole response would take 20 s.
+    CHECK(std::chrono::steady_clock::now() - begun < Milliseconds(10000));
+  }
+}
+
 TEST_CASE("PlatformClient cancels a wait and reports an unreachable service") {
   FakePlatform platform;
   PlatformClient client(platform.address(), Milliseconds(10000), "e1");
