Bound the memory of JSON bodies and documents in serve

What callers would see: a caller's body of 1 MB, a list of empty objects under any name, takes a router to 280 MB for a moment, a published document as much and more; several at once end the process.

Cause: a tree of all values, some 900 bytes for each empty object.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -1,13 +1,14 @@
 #include "backend_client.h"
 
 #include "event_splitter.h"
+#include "json_document.h"
 
 #include <Poco/Dynamic/Var.h>
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <algorithm>
 #include <cstdio>
+#include <string_view>
 #include <strings.h>
 #include <utility>
 
@@ -56,13 +57,8 @@
 }
 
 Poco::JSON::Object::Ptr parseObject(const std::string &Text) {
-  try {
-    Poco::JSON::Parser parser;
-    parser.setDepth(8);
-    return parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
-  } catch (const Poco::Exception &) {
-    return nullptr;
-  }
+  static constexpr std::string_view Names[] = {"refused", "kv_bytes"};
+  return parseJson(Text, {.Kept = Names, .MaxDepth = 8}).Root;
 }
 
 std::string formatRequestHead(const std::string &Method,
--- a/src/caller_request.cc
+++ b/src/caller_request.cc
@@ -1,13 +1,14 @@
 #include "caller_request.h"
 
+#include "json_document.h"
 #include "json_text.h"
 
 #include <Poco/Dynamic/Var.h>
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <algorithm>
+#include <string_view>
 #include <utility>
 #include <xxhash.h>
 
@@ -26,17 +27,23 @@
 // Requests need five levels; the destructor of a deeply nested document would
 // exhaust the small stack of a connection's thread.
 constexpr size_t MaxJsonDepth = 16;
+// Members that are read, at any depth; others are skipped.
+constexpr std::string_view RequestNames[] = {
+    "model",    "stream", "max_tokens", "prompt", "prompt_tokens",
+    "messages", "role",   "content",    "type",   "text"};
+// Of the values of a request's body as they take memory. A message takes 2 KiB
+// and its text.
+constexpr size_t MaxJsonBytes = 8388608;
 
 boost::leaf::result<Object::Ptr> parseBody(const std::string &Body) {
-  try {
-    Poco::JSON::Parser parser;
-    parser.setDepth(MaxJsonDepth);
-    Var value = parser.parse(Body);
-    if (value.type() == typeid(Object::Ptr))
-      return value.extract<Object::Ptr>();
-  } catch (const Poco::Exception &) {
-    // Reported below; the parser's message could quote the prompt.
-  }
+  JsonDocument document = parseJson(Body, {.Kept = RequestNames,
+                                           .MaxBytes = MaxJsonBytes,
+                                           .MaxDepth = MaxJsonDepth});
+  if (document.Root)
+    return document.Root;
+  if (document.Fault == JsonFault::TooLarge)
+    return boost::leaf::new_error(
+        RequestError{ErrorKind::BadRequest, "the body holds too many values"});
   return boost::leaf::new_error(
       RequestError{ErrorKind::BadRequest, "the body must be a JSON object"});
 }
--- a/src/config_patch.cc
+++ b/src/config_patch.cc
@@ -1,12 +1,12 @@
 #include "config_state.h"
 
+#include "json_document.h"
 #include "json_reader.h"
 
 #include <Poco/Dynamic/Var.h>
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <sstream>
@@ -19,6 +19,8 @@
 using ArrayPtr = Poco::JSON::Array::Ptr;
 
 const char *const InputName = "patch";
+// Of the values of a document or a patch as they take memory.
+constexpr size_t MaxDocumentBytes = 33554432;
 
 ObjectPtr asObject(const Var &Value) {
   return Value.type() == typeid(ObjectPtr) ? Value.extract<ObjectPtr>()
@@ -31,12 +33,7 @@
 }
 
 ObjectPtr parseObject(const std::string &Text) {
-  try {
-    Poco::JSON::Parser parser;
-    return asObject(parser.parse(Text));
-  } catch (const Poco::Exception &) {
-    return {};
-  }
+  return parseJson(Text, {.MaxBytes = MaxDocumentBytes}).Root;
 }
 
 // Returns the name of an array element, or an empty string.
--- a/src/json_reader.cc
+++ b/src/json_reader.cc
@@ -1,13 +1,21 @@
 #include "json_reader.h"
 
+#include "json_document.h"
+
 #include <Poco/Dynamic/Var.h>
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
 #include <utility>
 
 namespace crocusspur::internal {
+namespace {
+
+// Of the values of a document as they take memory. The text of published ones
+// has at most 1 MiB.
+constexpr size_t MaxDocumentBytes = 33554432;
+
+} // namespace
 
 struct JsonReader::State {
   std::string File;
@@ -19,15 +27,13 @@
 JsonReader::JsonReader(const std::string &Text, std::string File,
                        DiagnosticList &Diagnostics)
     : Impl(new State{std::move(File), "", Diagnostics, nullptr}) {
-  try {
-    Poco::JSON::Parser parser;
-    Impl->Object = parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
-  } catch (const Poco::Exception &) {
-    Impl->Object = nullptr;
-  }
+  JsonDocument document = parseJson(Text, {.MaxBytes = MaxDocumentBytes});
+  Impl->Object = document.Root;
   if (!Impl->Object) {
     Impl->Object = new Poco::JSON::Object;
-    addDiagnostic("(document)", "a JSON object");
+    addDiagnostic("(document)", document.Fault == JsonFault::TooLarge
+                                    ? "values of at most 32 MiB in memory"
+                                    : "a JSON object");
   }
 }
 
--- a/test/caller_request_test.cc
+++ b/test/caller_request_test.cc
@@ -1,5 +1,7 @@
 #include "caller_request.h"
 
+#include "heap_meter.h"
+
 #include <boost/leaf.hpp>
 #include <doctest/doctest.h>
 #include <optional>
@@ -199,3 +201,26 @@
   CHECK(estimateTokens("") == 1);
   CHECK(estimateTokens("abcdefgh") == 2);
 }
+
+// A tree of all values took 300 times the body's size, for each caller.
+TEST_CASE("A body of many small values doesn't take the router's memory") {
+  std::string list = "[{}";
+  while (list.size() < 1000000)
+    list += ",{}";
+  list += "]";
+  std::string unread = R"({"model":"m","prompt":"p","x":)" + list + "}";
+  std::string read = R"({"model":"m","messages":)" + list + "}";
+  constexpr size_t MaxCopies = 4 * 1048576; // of the body
+  {
+    test::HeapMeter meter;
+    Outcome outcome = completion(unread);
+    CHECK(meter.peak() < MaxCopies);
+    REQUIRE(outcome.Request);
+    CHECK(outcome.Request->PromptJson == R"("p")");
+  }
+  test::HeapMeter meter;
+  Outcome outcome = chat(read);
+  CHECK(meter.peak() < MaxCopies + 8388608);
+  REQUIRE_FALSE(outcome.Request);
+  CHECK(outcome.Error.Kind == ErrorKind::BadRequest);
+}
--- a/test/config_document_test.cc
+++ b/test/config_document_test.cc
@@ -1,5 +1,7 @@
 #include "crocusspur/config_document.h"
 
+#include "heap_meter.h"
+
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
 #include <doctest/doctest.h>
@@ -175,3 +177,16 @@
     }
   }
 }
+
+TEST_CASE("A document of too many values is refused within its memory") {
+  std::string list = "{}";
+  while (list.size() < 1000000)
+    list += ",{}";
+  std::string text = documentText(list, "", "", "");
+  test::HeapMeter meter;
+  std::vector<std::string> keys;
+  CHECK_FALSE(parsed(text, &keys));
+  CHECK(meter.peak() < 64 * 1048576);
+  REQUIRE_FALSE(keys.empty());
+  CHECK(keys.front() == "(document)");
+}
