Keep a stream's record as long as its caller can come back

Cause: two guesses at how old a stream may be. The record of its version ended with the route's time, the moment it is needed first. Without a record, the service's only version of the last seconds was taken for the stream's; how many seconds followed from the deadlines that this instance had seen and from the time-out. An instance that had just started took what it had seen for all there was.

Change: a record lives until the caller's own deadline and 2 s more, whatever the route allows. Without a record, statements have to reach back 30 minutes (MaxStreamAge), at instances that were there so long; else the stream is refused, as not run. The store is asked only where that can help.

Why it works: a caller comes back before its deadline, so that the record is there unless all its keepers are lost, and what is known without it doesn't rest on a time that follows from other requests.

--- a/src/gateway/decisions/stream_origin_table.cc
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -1,5 +1,7 @@
 #include "gateway/decisions/stream_origin_table.h"
 
+#include "gateway/decisions/stream_resumption.h"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -7,7 +9,7 @@
 namespace {
 
 // Bounds of what a peer or a caller may ask to keep.
-constexpr std::chrono::minutes MaxLifetime{10};
+constexpr Milliseconds MaxLifetime = MaxStreamAge;
 constexpr size_t MaxStreams = 65536; // beyond it, the next to expire is dropped
 
 } // namespace
--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -5,9 +5,9 @@
 namespace crocusspur::gateway {
 namespace {
 
-// Callers state the time left in whole milliseconds as of when they sent, and
-// requests may be delayed on their way.
-constexpr Milliseconds AgeMargin{1000};
+// A request that its caller sends before its deadline may arrive that much
+// later.
+constexpr Milliseconds ArrivalMargin{2000};
 
 std::optional<VersionKey>
 recordedVersion(const OriginKnowledge &Own,
@@ -43,8 +43,20 @@
   return {std::nullopt, "no record"};
 }
 
-Milliseconds maxStreamAge(Milliseconds MaxTimeLeft, Milliseconds TimeLeft) {
-  return std::max(Milliseconds(0), MaxTimeLeft - TimeLeft) + AgeMargin;
+bool mayBeOnlyVersion(const OriginKnowledge &Own,
+                      const std::vector<OriginKnowledge> &Peers) {
+  return !recordedVersion(Own, Peers) &&
+         (Own.SoleVersion ||
+          std::ranges::any_of(Peers, [](const OriginKnowledge &It) {
+            return It.SoleVersion.has_value();
+          }));
+}
+
+Milliseconds originLifetime(std::optional<Milliseconds> TimeLeft) {
+  constexpr Milliseconds Longest(MaxStreamAge);
+  if (!TimeLeft)
+    return Longest;
+  return std::clamp(*TimeLeft, Milliseconds(0), Longest) + ArrivalMargin;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -16,8 +16,8 @@
 struct OriginKnowledge {
   // See StreamOriginTable::find().
   std::optional<VersionKey> Recorded;
-  // The service's only version since the stream can have begun, as of the
-  // instance's view; see VersionHistory::soleVersion().
+  // The service's only version for MaxStreamAge, as of the instance's view; see
+  // VersionHistory::soleVersion().
   std::optional<VersionKey> SoleVersion;
 };
 
@@ -34,9 +34,21 @@
                                     const std::vector<OriginKnowledge> &Peers,
                                     std::optional<VersionKey> CurrentVersion);
 
-// How long ago a stream can have begun whose caller has this much time left.
-// `MaxTimeLeft`: the most time that a caller of the route has had.
-Milliseconds maxStreamAge(Milliseconds MaxTimeLeft, Milliseconds TimeLeft);
+// Whether decideResumption() can find that there has been one version only,
+// once the store has confirmed that it is still the only one.
+bool mayBeOnlyVersion(const OriginKnowledge &Own,
+                      const std::vector<OriginKnowledge> &Peers);
+
+// How far back statements about a service's only version have to reach where a
+// stream has no record. The caller's time left, the route's time-out and other
+// callers' deadlines don't bound a stream's age: a stream that its route's
+// time-out has ended can be taken up until its caller gives up.
+inline constexpr std::chrono::minutes MaxStreamAge{30};
+
+// How long a record of a stream is needed: as long as its caller can come back
+// with it. `TimeLeft`: until the caller's own deadline, whatever the route
+// allows; nothing if the caller has stated none.
+Milliseconds originLifetime(std::optional<Milliseconds> TimeLeft);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -313,7 +313,10 @@
   // server's process has ended, unless it announced its leaving. The connection
   // that finds out is kept for later calls.
   bool mayBeCut(const ServerCall &Call, const ServerChoice &Server);
-  Milliseconds timeLeft() const;
+  Milliseconds timeLeft() const; // for this request, also by its route
+  // Until the deadline that the caller has stated, if any. The caller can come
+  // back until then, also when the route's time is over.
+  std::optional<Milliseconds> callerTimeLeft() const;
   // Whether nothing may be sent to servers any more.
   bool shouldStop();
   // Whether there is nobody left to answer. A caller whose request is ended by
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -467,12 +467,6 @@
   return Versions.soleVersion(Service, Clock::now() - MaxAge);
 }
 
-Milliseconds ServiceDirectory::maxTimeLeft(const std::string &RouteName) const {
-  std::lock_guard lock(Mutex);
-  auto it = MaxTimeLeft.find(RouteName);
-  return it == MaxTimeLeft.end() ? Milliseconds(0) : it->second;
-}
-
 bool ServiceDirectory::isLeaving(const std::string &ServerId) const {
   std::lock_guard lock(Mutex);
   return Registry.isLeaving(ServerId);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -129,8 +129,6 @@
   // `MaxAge`; see VersionHistory::soleVersion().
   std::optional<VersionKey> soleVersion(const std::string &Service,
                                         Milliseconds MaxAge) const;
-  // The most time that a caller of the route has had.
-  Milliseconds maxTimeLeft(const std::string &RouteName) const;
 
   // Server selection; see ServerRegistry.
   std::optional<ServerChoice> choose(const ServerQuery &Query);
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -26,7 +26,7 @@
 struct OriginQuery {
   StreamKey Stream = 0;
   std::string Service;
-  Milliseconds MaxAge{0}; // the stream can't have begun longer ago
+  Milliseconds MaxAge{0}; // how far back an only version is asked for
 };
 
 // How the sending of one record to its keepers goes. Thread-safe.
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -30,25 +30,23 @@
 bool RequestHandler::resolveStreamVersion() {
   StreamKey stream =
       streamKeyOf(Request.Host, Request.Target, Request.ResumedRequestId);
-  Milliseconds maxAge = maxStreamAge(
-      std::max(Route.Timeout, Context.Directory.maxTimeLeft(Route.Name)),
-      timeLeft());
   auto ownKnowledge = [&] {
-    return OriginKnowledge{Request.ResumedRequestId.empty()
-                               ? std::nullopt
-                               : Context.Origins.find(stream),
-                           Context.Directory.soleVersion(Service, maxAge)};
+    return OriginKnowledge{
+        Request.ResumedRequestId.empty() ? std::nullopt
+                                         : Context.Origins.find(stream),
+        Context.Directory.soleVersion(Service, MaxStreamAge)};
   };
   OriginKnowledge own = ownKnowledge();
   std::vector<OriginKnowledge> peers;
   std::optional<VersionKey> current;
   // An own record may be older than another instance's that nobody may go on.
   if (own.Recorded != UncertainVersion) {
-    peers = Context.Origins.askKeepers({stream, Service, maxAge});
+    peers = Context.Origins.askKeepers({stream, Service, MaxStreamAge});
     own = ownKnowledge();
   }
   ResumptionDecision decision = decideResumption(own, peers, current);
-  if (!decision.Version && Context.Origins.confirmServers()) {
+  if (!decision.Version && mayBeOnlyVersion(own, peers) &&
+      Context.Origins.confirmServers()) {
     current = Context.Directory.soleVersion(Service, Milliseconds(0));
     decision = decideResumption(ownKnowledge(), peers, current);
   }
@@ -60,7 +58,9 @@
   all.emplace_back("version",
                    decision.Version ? fingerprintText(*decision.Version) : "");
   all.emplace_back("peers", std::to_string(peers.size()));
-  all.emplace_back("max_age_ms", std::to_string(maxAge.count()));
+  all.emplace_back("caller_left_ms",
+                   callerTimeLeft() ? std::to_string(callerTimeLeft()->count())
+                                    : "");
   log(LogLevel::Info, "request", "stream taken up", all);
   return decision.Version.has_value();
 }
@@ -91,7 +91,15 @@
   if (!Route.Resumable)
     return;
   RecordedVersion = versionKeyOf(Server.Version);
-  Context.Origins.record(streamKey(), *RecordedVersion, timeLeft());
+  Context.Origins.record(streamKey(), *RecordedVersion,
+                         originLifetime(callerTimeLeft()));
+}
+
+std::optional<Milliseconds> RequestHandler::callerTimeLeft() const {
+  if (!Request.TimeLeft)
+    return std::nullopt;
+  return *Request.TimeLeft -
+         std::chrono::duration_cast<Milliseconds>(Clock::now() - Arrived);
 }
 
 StreamKey RequestHandler::streamKey() const {
@@ -143,8 +151,8 @@
   if (!Route.Resumable || UncertaintyRecorded || !Progress.versionUncertain())
     return;
   UncertaintyRecorded = true;
-  UncertaintyDelivery =
-      Context.Origins.recordUncertain(streamKey(), timeLeft());
+  UncertaintyDelivery = Context.Origins.recordUncertain(
+      streamKey(), originLifetime(callerTimeLeft()));
   if (Origin)
     Origin->OnVersionUncertain();
 }
