Take an unframed answer for whole only if its sender lives after it

Cause: the kernel ends the connections of a killed process in order, and for a moment still accepts new ones for it. Whether the process had ended was judged by whether its address refuses connections, within 50 ms, and for a server that leaves not at all.

Change: once such an answer has ended, the server is asked for its report on a new connection, leaving or not, under its limit on requests. judgeSender(), without I/O, takes the answer for whole only if the named server responds, with the start that its entry states where both are known, and the entry hasn't changed. A refusal is a response too: plain services respond 400. No response within a second, or another process, and the answer has broken off. One log line and unframed_answers_total say which.

Why it works: a process whose connections have been ended by the kernel runs no thread any more, so that nothing it does comes after the end. It errs towards broken off, which callers can repeat, take up, or at least see.

Now "A response of a leaving server is whole if its process lives on", both ways.

Result: "A connection that opens doesn't show that a server's process lives" and the ended half of the former failed before. A server that reports after 300 ms keeps its answers whole, that much later; after 2.5 s they are broken off.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -318,16 +318,6 @@
       Call.connectFailure() == internal::ConnectFailure::Hangs ? 1 : 0;
 }
 
-bool RequestHandler::mayBeCut(const ServerCall &Call,
-                              const ServerChoice &Server) {
-  if (Call.bodyForm() != internal::BodyForm::UntilClose)
-    return false;
-  // A successor accepts connections at the address of the process that ended.
-  return Context.Directory.isReplaced(Server) ||
-         (!Context.Directory.isLeaving(Server.Id) &&
-          refusesConnections(Context.Connections, Waiter, Server));
-}
-
 bool RequestHandler::mayUse(const std::string &ServerId) const {
   return Used.contains(ServerId) || Used.size() < Route.MaxServers;
 }
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -4,6 +4,7 @@
 #ifndef CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
+#include "gateway/decisions/streams/sender_state.h"
 #include "gateway/decisions/streams/stream_progress.h"
 #include "gateway/forward_codec.h"
 #include "gateway/gateway_context.h"
@@ -309,10 +310,10 @@
   // one.
   void endRun(RunTracker::Id Run, const ServerChoice &Server, CallStatus Status,
               RunEnd End);
-  // Whether a response that ended with its connection may be a part: the
-  // server's process has ended, unless it announced its leaving. The connection
-  // that finds out is kept for later calls.
+  // Whether a response that ended with its connection may be a part: nothing
+  // shows that its sender lives. Waits for that for a bounded time.
   bool mayBeCut(const ServerCall &Call, const ServerChoice &Server);
+  SenderEvidence askSender(const ServerChoice &Server);
   Milliseconds timeLeft() const; // for this request, also by its route
   // Until the deadline that the caller has stated, if any. The caller can come
   // back until then, also when the route's time is over.
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -213,6 +213,10 @@
                         std::string("given_up/") +
                             nameOf(static_cast<RunFault>(i)),
                         static_cast<double>(n));
+  for (size_t i = 0; i < SenderStateCount; ++i)
+    Metrics->setGauge("unframed_answers_total",
+                      nameOf(static_cast<SenderState>(i)),
+                      static_cast<double>(runs.Senders[i].load()));
   Metrics->setGauge("streams_incomplete_total", "",
                     static_cast<double>(runs.Incomplete.load()));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
--- a/src/gateway/stream_run_counts.h
+++ b/src/gateway/stream_run_counts.h
@@ -1,7 +1,9 @@
-// Counts of runs of streams, for the metrics. Thread-safe.
+// Counts of runs of streams and of ends of answers, for the metrics.
+// Thread-safe.
 #ifndef CROCUSSPUR_GATEWAY_STREAM_RUN_COUNTS_H
 #define CROCUSSPUR_GATEWAY_STREAM_RUN_COUNTS_H
 
+#include "gateway/decisions/streams/sender_state.h"
 #include "gateway/decisions/streams/stream_progress.h"
 
 #include <array>
@@ -15,6 +17,8 @@
   // Runs that were given up while they still sent, by reason.
   std::array<std::atomic<uint64_t>, RunFaultCount> GivenUp{};
   std::atomic<uint64_t> Incomplete{0}; // streams that ended visibly incomplete
+  // Senders of answers that ended with their connection, plain ones too.
+  std::array<std::atomic<uint64_t>, SenderStateCount> Senders{};
 };
 
 } // namespace crocusspur::gateway
--- a/test/gateway_passed_on_response_test.cc
+++ b/test/gateway_passed_on_response_test.cc
@@ -53,13 +53,19 @@
          (Sent == Body.size() ? "0\r\n\r\n" : "");
 }
 
-// Sends the bytes in response to each request and closes the connection.
+// Sends the bytes in response to each request, but for reports, and closes the
+// connection.
 class OneResponseServer {
 public:
   explicit OneResponseServer(std::string Bytes, bool Ends = false)
       : Server([this, Bytes, Ends](int Fd, int) {
-          if (readRequest(Fd).empty())
+          std::string request = readRequest(Fd);
+          if (request.empty())
             return;
+          if (request.starts_with("GET /api/report")) {
+            sendText(Fd, httpResponse(400, "no report"));
+            return;
+          }
           ++Runs;
           if (Ends)
             Server.stopListening();
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -68,7 +68,8 @@
 struct Ending {
   Framing Form = Framing::Length;
   End How = End::Whole;
-  bool ProcessEnds = false;        // connections are refused from then on
+  bool ProcessEnds = false; // connections are refused from then on
+  Milliseconds ReportDelay{0};
   std::function<void()> BeforeEnd; // called before the first response ends
   std::atomic<int> Runs{0};
 };
@@ -90,6 +91,8 @@
         continue;
       }
       if (!request.starts_with("POST /x/y")) {
+        if (request.starts_with("GET /api/report"))
+          std::this_thread::sleep_for(Shared.ReportDelay);
         sendText(Fd, httpResponse(200, "{}"));
         continue;
       }
@@ -315,18 +318,69 @@
   CHECK(bodyOf(response) == events(1, 3));
 }
 
-// A server that leaves refuses connections once it has finished its responses.
-TEST_CASE("The last response of a leaving server is complete") {
+// A server that leaves may end before its time, and its last response with it.
+TEST_CASE("A response of a leaving server is whole if its process lives on") {
   GatewayFixture gateway;
-  Ending ending{Framing::UntilClose, End::Whole, true};
+  Ending ending{Framing::UntilClose, End::Whole, false};
+  SUBCASE("lives on") {}
+  SUBCASE("ended") { ending.ProcessEnds = true; }
   EndingServer server(ending);
   add(gateway, "d1", server.address(), ServerStage::Decode);
   ending.BeforeEnd = [&] {
     add(gateway, "d1", server.address(), ServerStage::Decode, true);
   };
   std::string response = gateway.run(gateway.route(RouteKind::Stream));
-  CHECK(looksComplete(response));
+  CHECK(looksComplete(response) == !ending.ProcessEnds);
+  CHECK(bodyOf(response) == events(1, 3));
+}
+
+// A sound server's answer waits for a slow report, and is given up rather than
+// completed without one.
+TEST_CASE("The end of an answer waits a bounded time for the sender's report") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::Whole, false};
+  SUBCASE("slow") { ending.ReportDelay = Milliseconds(300); }
+  SUBCASE("too slow") { ending.ReportDelay = Milliseconds(2500); }
+  EndingServer server(ending);
+  add(gateway, "d1", server.address(), ServerStage::Decode);
+  auto started = std::chrono::steady_clock::now();
+  std::string response = gateway.run(gateway.route(RouteKind::Stream));
+  CHECK(looksComplete(response) == (ending.ReportDelay == Milliseconds(300)));
   CHECK(bodyOf(response) == events(1, 3));
+  CHECK(std::chrono::steady_clock::now() - started < Milliseconds(2500));
+}
+
+// A listener that is closed a moment later still accepts connections.
+TEST_CASE(
+    "A connection that opens doesn't show that a server's process lives") {
+  GatewayFixture gateway;
+  std::atomic<bool> ended{false};
+  ScriptServer server([&](int Fd, int) {
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty() || ended.load())
+        return; // as a connection that nobody has accepted
+      if (request.starts_with("POST /api/hold-take")) {
+        sendText(Fd, httpResponse(200, R"({"retention":"res1"})"));
+        continue;
+      }
+      ended.store(true);
+      respond(Fd, Framing::UntilClose, events(1, 3), events(1, 2).size());
+      return;
+    }
+  });
+  SUBCASE("stream") {
+    add(gateway, "d1", server.address(), ServerStage::Decode);
+    std::string response = gateway.run(gateway.route(RouteKind::Stream));
+    CHECK_FALSE(looksComplete(response));
+    CHECK(bodyOf(response) == events(1, 2));
+  }
+  SUBCASE("plain") {
+    add(gateway, "b1", server.address(), ServerStage::Whole);
+    std::string response = gateway.run(gateway.route(RouteKind::NonIdempotent));
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(response.find("\"run\":\"no\"") == std::string::npos);
+  }
 }
 
 // Operators of similar systems saw callers get a 200 with an empty or short
