Check in serve too that the sender of an unframed response lives

The end of the connection was taken for the end of a service's response.

Change: after such a response the service's server is asked for its load (GET /v1/load) on a new connection, for a second at most. Without a response the call has failed. Its epoch isn't compared, as calls don't know it.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -23,6 +23,8 @@
 // Shorter than the keep-alive timeout of common HTTP servers (5 s), so that a
 // reused connection is rarely one that the server is closing.
 constexpr Milliseconds MaxIdleTime{4000};
+// All that the end of a response without a length waits for.
+constexpr Milliseconds MaxSenderCheckTime{1000};
 constexpr size_t MaxControlResponseBytes = 4 * 1024 * 1024;
 constexpr size_t MaxJsonResponseBytes = 65536;
 constexpr size_t MaxEventBytes = 1024 * 1024;
@@ -358,7 +360,27 @@
   const std::string *refused = exchange.head().find("Crocusspur-Refused");
   if (exchange.head().Status == 503 && refused)
     return {refusalOutcome(*refused), false};
-  return relayServiceResponse(exchange, Handler, Call.Timeout);
+  BackendCallResult result =
+      relayServiceResponse(exchange, Handler, Call.Timeout);
+  if (result.Outcome == StageOutcome::Ok &&
+      exchange.bodyForm() == BodyForm::UntilClose && !responds(Call))
+    return {StageOutcome::Failed, false};
+  return result;
+}
+
+// The kernel ends the connections of a server that is killed as an orderly end
+// of a response does, and for a moment accepts new ones for it. Only a response
+// on a new connection shows that the server lives after the end.
+bool BackendClient::responds(const BackendCall &Call) {
+  BackendCall check = Call;
+  check.NotAfter = TimePoint::max();
+  check.Timeout = std::min(Call.Timeout, MaxSenderCheckTime);
+  bool retry = false;
+  uint32_t status = 0;
+  std::string body;
+  return tryControl(
+      check, formatJsonRequest("GET", "/v1/load", Call.Address, true, ""),
+      "GET", /*Reuse=*/false, retry, status, body);
 }
 
 bool BackendClient::tryControl(const BackendCall &Call,
--- a/src/backend_client.h
+++ b/src/backend_client.h
@@ -120,6 +120,8 @@
 
   BackendSocketPtr takeIdle(const std::string &Address);
   void keepIdle(const std::string &Address, BackendSocketPtr Socket);
+  // Whether the server responds on a new connection.
+  bool responds(const BackendCall &Call);
   bool tryControl(const BackendCall &Call, const std::string &Request,
                   const std::string &Method, bool Reuse, bool &Retry,
                   uint32_t &Status, std::string &Response);
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -350,6 +350,39 @@
                          "9\r\ndata: a\n\n\r\n0\r\n\r\n") == StageOutcome::Ok);
 }
 
+// A service's server that was killed in the middle of its response ends the
+// connection like one that has finished, and the response looked complete.
+TEST_CASE("A response without a length is whole if its server lives after it") {
+  enum class After : uint8_t { Responds, AcceptsOnly, Refuses };
+  auto outcomeOf = [](After How) {
+    std::function<void()> stopListening;
+    ScriptServer server([&](int Fd, int) {
+      if (readRequest(Fd).starts_with("GET /v1/load")) {
+        if (How == After::Responds)
+          sendText(Fd, httpResponse(200, "{}"));
+        return;
+      }
+      if (How == After::Refuses)
+        stopListening();
+      sendText(Fd, "HTTP/1.1 200 OK\r\n\r\na part");
+    });
+    stopListening = [&] { server.stopListening(); };
+    BackendClient client;
+    ServiceRequest input;
+    input.Method = "GET";
+    input.Path = "/";
+    const std::string none;
+    input.Body = &none;
+    ServiceCollector collected;
+    PollWaiter waiter;
+    return client.service(callTo(server.address()), input, waiter, collected)
+        .Outcome;
+  };
+  CHECK(outcomeOf(After::Responds) == StageOutcome::Ok);
+  CHECK(outcomeOf(After::AcceptsOnly) == StageOutcome::Failed);
+  CHECK(outcomeOf(After::Refuses) == StageOutcome::Failed);
+}
+
 TEST_CASE("A control call is retried once if a reused connection has broken") {
   // Guards against lost cancels after a server closed an idle connection.
   ScriptServer server([](int Fd, int Number) {
