Kill servers that are processes in the site shapes of the soak

Cause: the soak's servers were threads, whose end the soak imitated by closes and resets. What a kernel does to a killed process's connections wasn't played.

--- a/soak/site_soak.cc
+++ b/soak/site_soak.cc
@@ -3,12 +3,14 @@
 #include "fault_proxy.h"
 #include "gateway_fleet.h"
 #include "http_exchange.h"
-#include "site_servers.h"
+#include "site_server_process.h"
 
 #include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <utility>
@@ -52,7 +54,9 @@
 constexpr Milliseconds TricklePause{40};
 constexpr Milliseconds QuarterRunning{25}; // of each period
 constexpr Milliseconds QuarterPeriod{100};
-constexpr Milliseconds GraceTime{8000}; // from SIGTERM to SIGKILL
+constexpr Milliseconds GraceTime{8000};        // from SIGTERM to SIGKILL
+constexpr Milliseconds StoppedBeforeKill{300}; // some servers
+constexpr int ProcessRunBits = 20; // numbers of runs of one server's process
 // In a run of the soak. A process that serves before its entry is known can't
 // always be told from its predecessor (docs/design/streams.md).
 constexpr uint64_t AllowedMixedStreams = 2;
@@ -111,16 +115,26 @@
   bool run();
 
 private:
+  // In this process behind a proxy, or a process of its own.
   struct Server {
     std::unique_ptr<SoakServer> Process;
     std::unique_ptr<FaultProxy> Proxy;
     bool Prefill = false;
+    std::unique_ptr<SiteServerProcess> Own;
+    std::optional<TimePoint> ReturnsAt; // killed, and started again then
   };
 
   std::unique_ptr<SoakServer> startServer(const std::string &Id,
                                           const std::string &Version,
                                           int64_t StartedAt);
+  SiteServerOptions streamsOf(const std::string &Id,
+                              const std::string &Version);
+  std::unique_ptr<SiteServerProcess>
+  startProcess(const std::string &Id, int64_t StartedAt, uint16_t Port);
   void writeEntry(size_t Index);
+  void killServer();
+  // Starts killed servers again whose time has come.
+  void returnServers();
   void writeConfig();
   // Ends a disturbance that lasts, or begins a random one.
   void injectFaults();
@@ -164,6 +178,7 @@
   RunCounter Executions;
   std::vector<Server> Servers;
   std::vector<std::unique_ptr<SoakServer>> FormerServers; // still running
+  std::vector<std::unique_ptr<SiteServerProcess>> KilledServers;
   std::vector<std::string> EndedOutput;
   test::GatewayFleet Fleet;
   std::mutex FleetMutex; // guards the instances' Process pointers
@@ -194,6 +209,8 @@
   for (bool &it : Enabled)
     it = below(2) == 0;
   Throttled = below(5) == 0;
+  if (Options.KillsServers)
+    Enabled[static_cast<size_t>(SiteDisturbance::ReplaceServer)] = true;
   Routes[ResumableRoute] = {true, 2, RouteTimeout};
   if (Options.Wide)
     Routes[LateRoute].Timeout = LateRouteTimeout;
@@ -201,16 +218,26 @@
     Fleet.Program = Options.Program;
 }
 
-std::unique_ptr<SoakServer> SiteSoak::startServer(const std::string &Id,
-                                                  const std::string &Version,
-                                                  int64_t StartedAt) {
-  SiteServerOptions streams{Id, Version, &Form, BreakPercent};
+SiteServerOptions SiteSoak::streamsOf(const std::string &Id,
+                                      const std::string &Version) {
+  SiteServerOptions streams;
+  streams.Id = Id;
+  streams.Version = Version;
+  streams.Form = &Form;
+  streams.BreakPercent = BreakPercent;
   if (Options.Wide) {
     streams.CopyPercent = CopyPercent;
     streams.LateFirstPercent = LateFirstPercent;
     streams.LatePath = Paths[LateRoute];
     streams.LateFirst = LateRouteTimeout + Milliseconds(100);
   }
+  return streams;
+}
+
+std::unique_ptr<SoakServer> SiteSoak::startServer(const std::string &Id,
+                                                  const std::string &Version,
+                                                  int64_t StartedAt) {
+  SiteServerOptions streams = streamsOf(Id, Version);
   // In this order, so that the faults of each seed stay what they are.
   uint64_t serverSeed = Random();
   streams.Seed = Random();
@@ -219,8 +246,59 @@
                                       makeSiteStreams(std::move(streams)));
 }
 
+std::unique_ptr<SiteServerProcess> SiteSoak::startProcess(const std::string &Id,
+                                                          int64_t StartedAt,
+                                                          uint16_t Port) {
+  SiteServerTerms terms{streamsOf(Id, "v1"),
+                        Random(),
+                        Options.Seed + FormSeedOffset,
+                        StartedAt,
+                        Port,
+                        (KilledServers.size() + Servers.size() + 1)
+                            << ProcessRunBits};
+  terms.Streams.Seed = Random();
+  return std::make_unique<SiteServerProcess>(terms);
+}
+
+void SiteSoak::killServer() {
+  size_t i = below(DecodeCount);
+  Server &server = Servers[i];
+  if (server.ReturnsAt)
+    return;
+  static constexpr Milliseconds Pauses[] = {
+      Milliseconds(0), Milliseconds(0), Milliseconds(500), Milliseconds(2000)};
+  server.Own->kill(below(4) == 0 ? StoppedBeforeKill : Milliseconds(0));
+  server.ReturnsAt = Clock::now() + Pauses[below(std::size(Pauses))];
+  EndedOutput.push_back(server.Own->id() + " of start " +
+                        std::to_string(server.Own->startedAt()) + " killed");
+}
+
+void SiteSoak::returnServers() {
+  for (size_t i = 0; i < Servers.size(); ++i) {
+    Server &server = Servers[i];
+    if (!server.ReturnsAt || Clock::now() < *server.ReturnsAt)
+      continue;
+    server.ReturnsAt.reset();
+    auto start = FirstStart + 1 + static_cast<int64_t>(KilledServers.size());
+    std::string id = server.Own->id();
+    uint16_t port = server.Own->port();
+    KilledServers.push_back(std::move(server.Own));
+    server.Own = startProcess(id, start, port);
+    writeEntry(i);
+  }
+}
+
 void SiteSoak::writeEntry(size_t Index) {
   const Server &server = Servers[Index];
+  if (server.Own) {
+    Fleet.Store.put(
+        "servers/" + server.Own->id(),
+        test::serverEntry("llm", server.Own->address(),
+                          R"("state":"ready","phase":"decode")",
+                          server.Own->startedAt(), server.Own->version(),
+                          FailureDomains[Index % FailureDomains.size()]));
+    return;
+  }
   Fleet.Store.put(
       "servers/" + server.Process->id(),
       test::serverEntry("llm", server.Proxy->address(),
@@ -299,7 +377,9 @@
     break;
   case SiteDisturbance::ReplaceServer:
     // The entry of a server that nobody can read is a fault of its own.
-    if (!StoreIsAway)
+    if (Options.KillsServers)
+      killServer();
+    else if (!StoreIsAway)
       replaceServer();
     break;
   case SiteDisturbance::StoreAway:
@@ -310,7 +390,10 @@
     changeConfig();
     break;
   case SiteDisturbance::ResetConnections:
-    Servers[below(static_cast<unsigned>(Servers.size()))].Proxy->resetAll();
+    if (const Server &server =
+            Servers[below(static_cast<unsigned>(Servers.size()))];
+        server.Proxy)
+      server.Proxy->resetAll();
     break;
   }
 }
@@ -325,6 +408,7 @@
       if (Enabled[kind])
         injectFault(static_cast<SiteDisturbance>(kind));
     }
+    returnServers();
     restartExited();
   }
 }
@@ -336,7 +420,10 @@
   // Draws of their own, as another thread draws the other faults.
   std::mt19937_64 random(Options.Seed ^ LinkSeedMask);
   while (!StopRequested.load()) {
-    FaultProxy &link = *Servers[random() % Servers.size()].Proxy;
+    Server &server = Servers[random() % Servers.size()];
+    if (!server.Proxy)
+      continue;
+    FaultProxy &link = *server.Proxy;
     link.setFault(Faults[random() % std::size(Faults)]);
     std::this_thread::sleep_for(Milliseconds(random() % MaxLinkFaultMs));
     link.setFault(ProxyFault::None);
@@ -543,8 +630,15 @@
 }
 
 bool SiteSoak::printResult() {
+  std::map<std::string, int> ownRuns; // of servers that are processes
+  for (const Server &it : Servers)
+    if (it.Own)
+      it.Own->countRuns(ownRuns);
+  for (const auto &it : KilledServers)
+    it->countRuns(ownRuns);
   for (const auto &[id, route] : Attempts)
-    if (int runs = Executions.count(id); runs > 1 && !EverResumable[route])
+    if (int runs = Executions.count(id) + ownRuns[id];
+        runs > 1 && !EverResumable[route])
       report(SiteFault::RanTwice,
              "ran_twice " + id + ": " + std::to_string(runs) + " runs");
   uint64_t &mixed = Counts[static_cast<size_t>(SiteFault::MixedVersions)];
@@ -558,9 +652,9 @@
             << (Throttled ? ", throttled" : "") << ": streams " << Streams
             << ", complete " << Complete << ", broken off " << BrokenOff
             << ", taken up " << TakenUp << ", refused " << Refused
-            << ", servers replaced " << FormerServers.size()
-            << ", mixed streams " << mixedStreams << ", violations "
-            << Violations.size();
+            << ", servers replaced " << FormerServers.size() << ", killed "
+            << KilledServers.size() << ", mixed streams " << mixedStreams
+            << ", violations " << Violations.size();
   for (size_t i = 0; i < SiteFaultCount; ++i)
     std::cout << (i == 0 ? ": " : ", ") << nameOf(static_cast<SiteFault>(i))
               << " " << Counts[i];
@@ -582,7 +676,15 @@
   for (size_t i = 0; i < DecodeCount + PrefillCount; ++i) {
     bool prefill = i >= DecodeCount;
     std::string id = (prefill ? "p-" : "d-") + std::to_string(i);
-    Server server{startServer(id, "v1", FirstStart), nullptr, prefill};
+    if (Options.KillsServers && !prefill) {
+      Servers.emplace_back();
+      Servers[i].Own = startProcess(id, FirstStart, 0);
+      writeEntry(i);
+      continue;
+    }
+    Server server;
+    server.Process = startServer(id, "v1", FirstStart);
+    server.Prefill = prefill;
     server.Proxy = std::make_unique<FaultProxy>(server.Process->address());
     Servers.push_back(std::move(server));
     writeEntry(i);
--- a/soak/site_soak.h
+++ b/soak/site_soak.h
@@ -23,6 +23,8 @@
   std::string Program;   // that the instances run; empty: of this build
   unsigned BreakPercent = 0; // of runs; 0: drawn
   bool Wide = false;         // the wide form
+  // Decode servers are processes of their own, without proxies, and are killed.
+  bool KillsServers = false;
 };
 
 // Prints one line and the first violations. Returns whether there are none.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -21,6 +21,7 @@
 #include "http_exchange.h"
 #include "limited_server.h"
 #include "received_stream.h"
+#include "site_server_process.h"
 #include "site_soak.h"
 #include "soak_servers.h"
 
@@ -953,13 +954,22 @@
   unsigned breakPercent = 0;
   program.add_option("--break-percent", breakPercent,
                      "Runs that servers break off, in the shape of a site");
+  bool killsServers = false;
+  program.add_flag("--kill-servers", killsServers,
+                   "In the shape of a site, decode servers are processes of "
+                   "their own that are killed");
+  std::string served;
+  program.add_option("--serve", served,
+                     "Be such a server, on these terms; for the soak itself");
   CLI11_PARSE(program, Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
+  if (!served.empty())
+    return crocusspur::soak::serveSite(served);
   std::cout << "seed " << seed << ": " << std::flush;
   if (shape != "mixed")
     return crocusspur::soak::runSiteSoak({seed, std::chrono::seconds(seconds),
                                           logs, tested, breakPercent,
-                                          shape == "wide"})
+                                          shape == "wide", killsServers})
                ? 0
                : 1;
   crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs,
--- a/soak/soak_servers.cc
+++ b/soak/soak_servers.cc
@@ -61,11 +61,11 @@
 
 SoakServer::SoakServer(RunCounter &Executions, uint64_t Seed, std::string Id,
                        std::string Version, int64_t StartedAt,
-                       StreamHook Streams)
+                       StreamHook Streams, uint16_t Port)
     : Executions(Executions), Id(std::move(Id)), Version(std::move(Version)),
       StartedAt(StartedAt), Streams(std::move(Streams)), Random(Seed),
       FramingRandom(~Seed), StreamRandom(Seed + 1),
-      Server([this](int Fd, int) { serve(Fd); }) {}
+      Server([this](int Fd, int) { serve(Fd); }, Port) {}
 
 SoakServer::~SoakServer() {
   std::lock_guard lock(Mutex);
--- a/soak/soak_servers.h
+++ b/soak/soak_servers.h
@@ -83,9 +83,10 @@
 class SoakServer {
 public:
   // `StartedAt`: Unix milliseconds. `Streams` responds to all requests that
-  // run, if there is one.
+  // run, if there is one. `Port` 0: chosen by the kernel.
   SoakServer(RunCounter &Executions, uint64_t Seed, std::string Id,
-             std::string Version, int64_t StartedAt, StreamHook Streams = {});
+             std::string Version, int64_t StartedAt, StreamHook Streams = {},
+             uint16_t Port = 0);
   ~SoakServer();
   std::string address() const { return Server.address(); }
   const std::string &id() const { return Id; }
