Choose by knees only among servers that are healthy

Cause: whether knees differ was decided before it was known that there is a candidate, and the choice read the first of none.

Change: chooseByPace() returns nothing without candidates, and the choice falls back to the ranking, which knows avoided servers too. Each [0], front(), begin() and division in decisions/ was read for the same; no other place was found whose list may be empty.

--- a/src/gateway/decisions/placement/pace_choice.cc
+++ b/src/gateway/decisions/placement/pace_choice.cc
@@ -19,8 +19,10 @@
 
 } // namespace
 
-size_t chooseByPace(const std::vector<PaceCandidate> &Candidates,
-                    const std::function<double()> &Draw) {
+std::optional<size_t> chooseByPace(const std::vector<PaceCandidate> &Candidates,
+                                   const std::function<double()> &Draw) {
+  if (Candidates.empty())
+    return std::nullopt;
   double total = 0;
   for (const PaceCandidate &it : Candidates)
     total += weightOf(it);
--- a/src/gateway/decisions/placement/pace_choice.h
+++ b/src/gateway/decisions/placement/pace_choice.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace crocusspur::gateway {
@@ -19,13 +20,13 @@
   bool AboveKnee = false; // whether it has more load than it handles well
 };
 
-// Returns the index of the selected candidate; there must be at least one.
+// Returns the index of the selected candidate, or nothing if there is none.
 // Draws some, each with a probability that falls with the square of its pace,
 // and returns the one at which the load takes the least time; of several with
 // about the same, the first that was drawn. Prefers those below their knee.
 // `Draw` returns uniform numbers in [0, 1).
-size_t chooseByPace(const std::vector<PaceCandidate> &Candidates,
-                    const std::function<double()> &Draw);
+std::optional<size_t> chooseByPace(const std::vector<PaceCandidate> &Candidates,
+                                   const std::function<double()> &Draw);
 
 } // namespace crocusspur::gateway
 
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -433,8 +433,11 @@
   if (!differ)
     return std::nullopt;
   std::uniform_real_distribution<double> draw(0, 1);
-  size_t i = gateway::chooseByPace(candidates, [&] { return draw(Random); });
-  return choiceOf(found[i]->Entry);
+  std::optional<size_t> i =
+      gateway::chooseByPace(candidates, [&] { return draw(Random); });
+  if (!i)
+    return std::nullopt; // none is healthy
+  return choiceOf(found[*i]->Entry);
 }
 
 bool ServerRegistry::isHealthy(const Server &Item, TimePoint Now) const {
--- a/test/gateway_knee_placement_test.cc
+++ b/test/gateway_knee_placement_test.cc
@@ -233,6 +233,29 @@
   }
 }
 
+// Instances read the first of no candidates once knees were known, and ended.
+TEST_CASE("With knees a choice is made while no server or one is healthy") {
+  Fleet fleet(3, true, 8);
+  fleet.run(12000);
+  ServerRegistry &registry = fleet.Instances[0];
+  auto fail = [&](const std::string &Id) {
+    registry.callStarted(Id, 1);
+    registry.callEnded(Id, 1, CallResult::Unreachable, fleet.now());
+  };
+  for (size_t k = 1; k < ServerCount; ++k)
+    fail("s" + std::to_string(k));
+  std::optional<ServerChoice> one = registry.choose(Query, fleet.now());
+  REQUIRE(one);
+  CHECK(one->Id == "s0");
+  fail("s0");
+  // All are avoided, and one of them is still the best there is.
+  CHECK(registry.choose(Query, fleet.now()));
+  ServerQuery others = Query;
+  for (size_t k = 0; k < ServerCount; ++k)
+    others.ExcludedIds.insert("s" + std::to_string(k));
+  CHECK_FALSE(registry.choose(others, fleet.now()));
+}
+
 // Calls without a recent report would be counted at a wrong load, and another
 // process would inherit what isn't its own.
 TEST_CASE("The capacity of a server is its slots until its knee is known") {
