Confirm the process of a stream while entries may be old

Cause: the version of a run is that of the entry, and the process was asked only when the run was left. A silent process says nothing then, and the entry alone decided.

Change: while the store isn't reached by the reader of servers, and for 2 s after it is again, the process is asked for its report before a resumable stream begins at it. If it isn't the entry's, or says nothing, the stream is begun with a version that isn't known: callers get its events, and nothing follows them. A silent first run whose process can't be confirmed at that time is waited for and not left.

Why it works: a start within the outage shows before the first event, when the process does respond, and what can't be confirmed isn't followed.

Cost: one report call for each such stream, in an outage only.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -227,9 +227,17 @@
   Milliseconds prefillTimeout(const ServerChoice &Server) const;
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
-  // `Confirmed`: the server's process has said that it is the chosen one.
+  struct RunIdentity {
+    bool IsKnown = false;   // whether the entry's version is the process's
+    bool Confirmed = false; // the process has said that it is the chosen one
+  };
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
-                            RunTracker::Id Run, bool Confirmed);
+                            RunTracker::Id Run, RunIdentity Identity);
+  // Whether the process of a run can't be told from one that has started since,
+  // so that nothing may follow the run.
+  bool isRunUncertain(const ServerChoice &Server, ProcessCheck Check) const;
+  // The same for a silent run, whose server is asked if that matters.
+  bool mayNotBeFollowed(const ServerChoice &Server);
   // Reads until events were forwarded or the run has ended. Sets the status to
   // TimedOut if neither happens before `Until`.
   void readEvents(ServerCall &Call, const ServerChoice &Server, RelayedRun &Run,
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -442,6 +442,11 @@
   return entry && processOf(*entry) != processOf(Server);
 }
 
+bool ServiceDirectory::entriesMayBeOld() const {
+  std::lock_guard lock(Mutex);
+  return entriesRestoredAt(Clock::now()).has_value();
+}
+
 std::optional<std::string>
 ServiceDirectory::successorVersion(const ServerChoice &Server) const {
   std::lock_guard lock(Mutex);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -141,6 +141,9 @@
   std::optional<std::string> successorVersion(const ServerChoice &Server) const;
   // Whether the server's entry names another process than the chosen one.
   bool isReplaced(const ServerChoice &Server) const;
+  // Whether a server may have started again without its entry saying so, since
+  // the store isn't reached or has come back a moment ago.
+  bool entriesMayBeOld() const;
   bool isLeaving(const std::string &ServerId) const;
   // The other servers of the server's service, best first by stage.
   std::vector<ServerChoice> others(const ServerChoice &Server);
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -590,10 +590,15 @@
     return AttemptResult::NotExecuted;
   }
   ProcessCheck check = ProcessCheck::Unknown;
-  if (Progress.begun()) {
+  bool mayBeOld = Route.Resumable && Context.Directory.entriesMayBeOld();
+  if (Progress.begun() || mayBeOld)
     check = checkProcess(server);
+  // Old entries tell versions only of processes that are confirmed.
+  bool isKnown = !mayBeOld || check == ProcessCheck::Same;
+  if (Progress.begun()) {
     confirmFirstRun();
-    if (check == ProcessCheck::Replaced || Progress.versionUncertain()) {
+    if (check == ProcessCheck::Replaced || !isKnown ||
+        Progress.versionUncertain()) {
       releaseAll();
       Tried.insert(server.Id);
       return AttemptResult::NotExecuted;
@@ -658,7 +663,7 @@
   if (call.head().Status == 200 && info.Signed && !info.Encoded &&
       continuesStream(call.head().find("Content-Type"))) {
     AttemptResult result =
-        relayStream(call, server, run, check == ProcessCheck::Same);
+        relayStream(call, server, run, {isKnown, check == ProcessCheck::Same});
     if (result != AttemptResult::Done)
       status = CallStatus::ConnectionBroken;
     else if (!CallerWriteFailed && !Waiter.callerLeft())
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -47,18 +47,21 @@
 // it fails.
 RequestHandler::AttemptResult
 RequestHandler::relayStream(ServerCall &Call, const ServerChoice &Server,
-                            RunTracker::Id Run, bool Confirmed) {
+                            RunTracker::Id Run, RunIdentity Identity) {
+  std::optional<VersionKey> version;
+  if (Identity.IsKnown)
+    version = versionKeyOf(Server.Version);
   if (!HeadSent) {
     Status = 200;
-    if (Origin)
-      Origin->OnOutputVersion(versionKeyOf(Server.Version));
+    if (Origin && version)
+      Origin->OnOutputVersion(*version);
     Sink.begin(responseHead(Call, Server));
     HeadSent = true;
   }
   RelayedRun run;
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
-  run.Number = Progress.begin(versionKeyOf(Server.Version), Confirmed);
+  run.Number = Progress.begin(version, Identity.Confirmed);
   EventHold.reset();
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
@@ -84,7 +87,7 @@
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
       Progress.begun()) {
     ProcessCheck check = checkProcess(Server);
-    if (check == ProcessCheck::Replaced) {
+    if (isRunUncertain(Server, check)) {
       Progress.requireNothingFollows();
       recordUncertainty();
     } else if (check == ProcessCheck::Unknown) {
@@ -179,8 +182,8 @@
   bool silent = true;
   auto wait = [&](Milliseconds Time) { return silent = Wait(Time); };
   while (silent && !leaves && !shouldStop() && Clock::now() < until) {
-    // Nothing may follow its events, so it is only waited for.
-    if (Progress.versionUncertain())
+    // Where nothing may follow its events, it is only waited for.
+    if (Progress.versionUncertain() || mayNotBeFollowed(Server))
       leaves = false;
     else if (shouldForward())
       leaves = !Context.Forwarding->Select(Service).empty();
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -136,6 +136,20 @@
   return ProcessCheck::Replaced;
 }
 
+bool RequestHandler::isRunUncertain(const ServerChoice &Server,
+                                    ProcessCheck Check) const {
+  return Check == ProcessCheck::Replaced ||
+         (Check == ProcessCheck::Unknown && Route.Resumable &&
+          !Progress.runConfirmed() && Context.Directory.entriesMayBeOld());
+}
+
+bool RequestHandler::mayNotBeFollowed(const ServerChoice &Server) {
+  bool isFirstWithEvents = !Progress.continues() && Progress.passed() > 0;
+  return isFirstWithEvents && !Progress.runConfirmed() &&
+         Context.Directory.entriesMayBeOld() &&
+         isRunUncertain(Server, checkProcess(Server));
+}
+
 void RequestHandler::confirmFirstRun() {
   if (!Route.Resumable || !FirstRunServer || Progress.versionUncertain())
     return;
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -79,6 +79,7 @@
   int EventsBeforeEntry;
   std::string Successor;
   std::atomic<int64_t> ReportedStart{1000}; // by the process of d1
+  bool StatesNothingLater = false;          // once its run has begun
   // After the change of its entry the first run is silent for so long and goes
   // on to the end; 0: it breaks off.
   Milliseconds SilentFor{0};
@@ -91,9 +92,11 @@
         return;
       if (request.starts_with("POST /x/y"))
         break;
-      sendText(Fd, request.starts_with("GET /api/report")
-                       ? reportOf(ReportedStart)
-                       : httpResponse(200, R"({"retention":"r1"})"));
+      sendText(
+          Fd,
+          request.starts_with("GET /api/report")
+              ? reportOf(Begun && StatesNothingLater ? 0 : ReportedStart.load())
+              : httpResponse(200, R"({"retention":"r1"})"));
     }
     Begun = true;
     sendText(Fd, StreamHead + eventChunks(1, EventsBeforeEntry));
@@ -181,6 +184,26 @@
   CHECK(setup.recorded() == versionKeyOf("v1"));
 }
 
+// A server that had started again while the store was away began streams at its
+// new version. Once it fell silent they went on at the version of its entry.
+TEST_CASE("While entries may be old a stream goes on only if its server's "
+          "process is confirmed") {
+  UpgradedServer setup(4, "");
+  setup.StatesNothingLater = true;
+  bool isConfirmed = false;
+  SUBCASE("confirmed at its begin") { isConfirmed = true; }
+  SUBCASE("replaced") { setup.ReportedStart = 2000; }
+  SUBCASE("unknown") { setup.ReportedStart = 0; }
+  FakeServer formerVersion(setup.continuing());
+  setup.addOther("d2", formerVersion, "v1");
+  setup.Gateway.Directory.setStoreReachable(PublishedKind::Servers, true);
+  setup.Gateway.Directory.setStoreReachable(PublishedKind::Servers, false);
+  setup.run();
+  CHECK(runsAt(formerVersion) == (isConfirmed ? 1 : 0));
+  CHECK(setup.recorded() ==
+        (isConfirmed ? versionKeyOf("v1") : UncertainVersion));
+}
+
 // The entry was known 200 ms before the next server's first event.
 TEST_CASE("A stream isn't continued if its server's entry changes after the "
           "break") {
