Wait on a copy of a subscription's time in the timer service

Change: the time is copied before the wait.

Result: "TimerService survives the cancelling of what it waits for", built with the address sanitizer, reported a heap-use-after-free before and passes now. Other waits were read: none waits on a reference.

--- a/src/timer_service.cc
+++ b/src/timer_service.cc
@@ -60,7 +60,9 @@
     }
     TimePoint now = Clock::now();
     if (it->second.Due > now) {
-      Changed.wait_until(lock, it->second.Due);
+      // A copy: cancel() may erase the subscription meanwhile.
+      TimePoint due = it->second.Due;
+      Changed.wait_until(lock, due);
       continue;
     }
     Running = it->first;
