--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -233,9 +233,10 @@
   };
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run, RunIdentity Identity);
-  // Whether the process of a run can't be told from one that has started since,
-  // so that nothing may follow the run.
-  bool isRunUncertain(const ServerChoice &Server, ProcessCheck Check) const;
+  // Whether the process of the current run, as found by checkProcess(), can't
+  // be told from one that has started since, so that nothing may follow the
+  // run.
+  bool isRunUncertain(ProcessCheck Check) const;
   // The same for a silent run, whose server is asked if that matters.
   bool mayNotBeFollowed(const ServerChoice &Server);
   // Reads until events were forwarded or the run has ended. Sets the status to
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -87,7 +87,7 @@
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
       Progress.begun()) {
     ProcessCheck check = checkProcess(Server);
-    if (isRunUncertain(Server, check)) {
+    if (isRunUncertain(check)) {
       Progress.requireNothingFollows();
       recordUncertainty();
     } else if (check == ProcessCheck::Unknown) {
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -136,8 +136,7 @@
   return ProcessCheck::Replaced;
 }
 
-bool RequestHandler::isRunUncertain(const ServerChoice &Server,
-                                    ProcessCheck Check) const {
+bool RequestHandler::isRunUncertain(ProcessCheck Check) const {
   return Check == ProcessCheck::Replaced ||
          (Check == ProcessCheck::Unknown && Route.Resumable &&
           !Progress.runConfirmed() && Context.Directory.entriesMayBeOld());
@@ -147,7 +146,7 @@
   bool isFirstWithEvents = !Progress.continues() && Progress.passed() > 0;
   return isFirstWithEvents && !Progress.runConfirmed() &&
          Context.Directory.entriesMayBeOld() &&
-         isRunUncertain(Server, checkProcess(Server));
+         isRunUncertain(checkProcess(Server));
 }
 
 void RequestHandler::confirmFirstRun() {
