Share one call of a service among the backend client's tests

Cause: three tests of responses without a length had the same call written out.

Change: getFromService(). No check changes.

Result: the tests of the file pass.

--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -290,6 +290,22 @@
         StageOutcome::Failed);
 }
 
+namespace {
+
+StageOutcome getFromService(const std::string &Address) {
+  BackendClient client;
+  ServiceRequest input;
+  input.Method = "GET";
+  input.Path = "/";
+  const std::string none;
+  input.Body = &none;
+  ServiceCollector response;
+  PollWaiter waiter;
+  return client.service(callTo(Address), input, waiter, response).Outcome;
+}
+
+} // namespace
+
 // Without a length or chunks, the end of the connection was taken for the end.
 TEST_CASE("A service's event stream that ends inside an event has failed") {
   std::string body;
@@ -300,16 +316,7 @@
   });
   auto outcomeOf = [&](const std::string &Sent) {
     body = Sent;
-    BackendClient client;
-    ServiceRequest input;
-    input.Method = "GET";
-    input.Path = "/";
-    const std::string none;
-    input.Body = &none;
-    ServiceCollector response;
-    PollWaiter waiter;
-    return client.service(callTo(server.address()), input, waiter, response)
-        .Outcome;
+    return getFromService(server.address());
   };
   CHECK(outcomeOf("data: a\n\ndata: b\n\n") == StageOutcome::Ok);
   CHECK(outcomeOf("data: a\n\ndata: b") == StageOutcome::Failed);
@@ -328,16 +335,7 @@
       "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n";
   auto outcomeOf = [&](const std::string &Sent) {
     response = Sent;
-    BackendClient client;
-    ServiceRequest input;
-    input.Method = "GET";
-    input.Path = "/";
-    const std::string none;
-    input.Body = &none;
-    ServiceCollector collected;
-    PollWaiter waiter;
-    return client.service(callTo(server.address()), input, waiter, collected)
-        .Outcome;
+    return getFromService(server.address());
   };
   CHECK(outcomeOf(head + "Content-Length: 15\r\n\r\ndata: a\n\ndata: ") ==
         StageOutcome::Failed);
@@ -367,16 +365,7 @@
       sendText(Fd, "HTTP/1.1 200 OK\r\n\r\na part");
     });
     stopListening = [&] { server.stopListening(); };
-    BackendClient client;
-    ServiceRequest input;
-    input.Method = "GET";
-    input.Path = "/";
-    const std::string none;
-    input.Body = &none;
-    ServiceCollector collected;
-    PollWaiter waiter;
-    return client.service(callTo(server.address()), input, waiter, collected)
-        .Outcome;
+    return getFromService(server.address());
   };
   CHECK(outcomeOf(After::Responds) == StageOutcome::Ok);
   CHECK(outcomeOf(After::AcceptsOnly) == StageOutcome::Failed);
