Wait for the last link in a test of peers that both dial

Frames can pass on the first link before the second one replaces it, and the test compared the counts of links that came up and went down in the moment between the two. The loop closes the old link and opens the new one in one step of its thread.

Change: the test waits, for a bounded time, until exactly one link is up at each side. None, or two that stay, fail as before.

--- a/test/peer_loop_test.cc
+++ b/test/peer_loop_test.cc
@@ -1,6 +1,7 @@
 #include "peer_loop.h"
 
 #include "peer_generated.h"
+#include "test_socket.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -244,8 +245,11 @@
     };
     CHECK(reaches(a, b, "b", "a"));
     CHECK(reaches(b, a, "a", "b"));
-    CHECK(a.count("up ") - a.count("down ") == 1);
-    CHECK(b.count("up ") - b.count("down ") == 1);
+    // A later link replaces the first one, which is down for a moment before
+    // the other one is up.
+    for (Node *it : {&a, &b})
+      CHECK(eventually(
+          [&] { return it->count("up ") - it->count("down ") == 1; }));
   }
 }
 
