Count what is kept beside a list over all of its elements

Cause: parseJson() set the count of bytes kept to 0 after each element of a list that is handed over, so that the values beside such a list had the bound anew with each element.

Change: the count goes back to what it was before the element.

Result: "The bound on what is kept beside a list holds over its elements" failed before: 20 strings of 3,000 bytes passed a bound of 20,000.

--- a/src/json_document.cc
+++ b/src/json_document.cc
@@ -39,8 +39,10 @@
   void startObject() override {
     if (skipsContainer(IsListNext))
       return;
-    if (isElement())
+    if (isElement()) {
       Element = new ParseHandler;
+      BytesBesideElement = KeptBytes;
+    }
     ++Depth;
     charge(ContainerBytes);
     target().startObject();
@@ -149,7 +151,7 @@
       return;
     Poco::Dynamic::Var value = Element->asVar();
     Element = nullptr;
-    KeptBytes = 0;
+    KeptBytes = BytesBesideElement;
     if (value.type() == typeid(Object::Ptr))
       Elements.OnElement(value.extract<Object::Ptr>());
   }
@@ -159,8 +161,9 @@
   ParseHandler Root;
   Poco::SharedPtr<ParseHandler> Element; // of a list that is handed over
   size_t KeptBytes = 0;
-  size_t Depth = 0;        // of what isn't skipped
-  size_t SkippedDepth = 0; // of a container that is skipped; 0: none
+  size_t BytesBesideElement = 0; // of KeptBytes, those outside of the element
+  size_t Depth = 0;              // of what isn't skipped
+  size_t SkippedDepth = 0;       // of a container that is skipped; 0: none
   size_t ListDepth = 0;
   bool SkipsNext = false; // the value of the last name
   bool IsListNext = false;
--- a/src/json_document.h
+++ b/src/json_document.h
@@ -27,8 +27,8 @@
   // Names of the members that are kept, at any depth. Others are skipped with
   // all that they hold.
   JsonNames Kept{};
-  // Of the values kept, as they take memory; of each element if there are
-  // `Elements`.
+  // Of the values kept, as they take memory. An element counts until it has
+  // been handed over.
   size_t MaxBytes = 1048576;
   size_t MaxDepth = 128; // also of what is skipped
 };
--- a/test/json_document_test.cc
+++ b/test/json_document_test.cc
@@ -162,6 +162,21 @@
   CHECK(meter.peak() < 20000);
 }
 
+// The bound began anew after each element, so that a text could take it as
+// often as it has elements.
+TEST_CASE("The bound on what is kept beside a list holds over its elements") {
+  static constexpr std::string_view Names[] = {"items", "at"};
+  static constexpr std::string_view List = "items";
+  std::string text = "{\"items\":[]";
+  for (int i = 0; i < 20; ++i)
+    text += ",\"at\":\"" + std::string(3000, 'x') + "\",\"items\":[{}]";
+  JsonElements elements{{&List, 1}, [](const Object::Ptr &) {}};
+  JsonBounds bounds{.Kept = Names, .MaxBytes = 20000};
+  CHECK(parseJson(text + "}", bounds, elements).Fault == JsonFault::TooLarge);
+  bounds.MaxBytes = 100000;
+  CHECK(parseJson(text + "}", bounds, elements).Fault == JsonFault::None);
+}
+
 TEST_CASE("A list that isn't one of objects is reported") {
   static constexpr std::string_view Names[] = {"items", "at"};
   static constexpr std::string_view List = "items";
