Count what is read of the store's answers in the memory budget

Change: PlatformClient tells how many bytes a body takes before it keeps them. The hold isn't refused (MemoryHold::growAlwaysTo()): an instance that can't read the store serves nobody, and the readers have a bound of their own. Others find less room meanwhile.

--- a/src/gateway/decisions/memory_budget.cc
+++ b/src/gateway/decisions/memory_budget.cc
@@ -96,6 +96,14 @@
   return true;
 }
 
+void MemoryHold::growAlwaysTo(size_t Bytes) {
+  if (Bytes <= Size)
+    return;
+  if (Budget)
+    Budget->growAlways(Bytes - Size);
+  Size = Bytes;
+}
+
 void MemoryHold::reset() {
   if (Budget && Size > 0)
     Budget->release(Size);
--- a/src/gateway/decisions/memory_budget.h
+++ b/src/gateway/decisions/memory_budget.h
@@ -45,6 +45,11 @@
   // Grows a hold of `Size` bytes. Returns false and counts a refusal if there
   // is no room for it.
   bool tryGrow(MemoryUse Use, size_t Size, size_t More);
+  // Adds bytes that have a bound of their own and are needed whatever else is
+  // held. Others find less room meanwhile.
+  void growAlways(size_t More) {
+    Held.fetch_add(More, std::memory_order_relaxed);
+  }
   void release(size_t Bytes) {
     Held.fetch_sub(Bytes, std::memory_order_relaxed);
   }
@@ -80,6 +85,8 @@
   size_t size() const { return Size; }
   // Returns false if there is no room; the hold stays as it is.
   bool growTo(size_t Bytes);
+  // The same for bytes that aren't refused; see MemoryBudget::growAlways().
+  void growAlwaysTo(size_t Bytes);
   void reset();
 
 private:
--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -4,6 +4,7 @@
 #ifndef CROCUSSPUR_GATEWAY_PUBLISHED_SOURCE_H
 #define CROCUSSPUR_GATEWAY_PUBLISHED_SOURCE_H
 
+#include "gateway/decisions/memory_budget.h"
 #include "gateway/service_directory.h"
 
 #include <functional>
@@ -55,7 +56,8 @@
 bool acceptEra(ServiceDirectory &Directory, PublishedUpdate &Update);
 
 struct PublishedSource {
-  std::function<PublishedReader(PublishedKind)> MakeReader;
+  // What a reader keeps of a response counts in the budget.
+  std::function<PublishedReader(PublishedKind, MemoryBudget &)> MakeReader;
   // Decode documents that a peer forwards as published.
   std::function<std::optional<ServerEntry>(const std::string &Id,
                                            const std::string &Text)>
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -173,7 +173,7 @@
 void ServiceDirectoryReader::read(PublishedKind Kind) {
   const char *name = Kind == PublishedKind::Servers ? "servers" : "routes";
   ServiceDirectory &directory = Runtime->Directory;
-  PublishedReader reader = Runtime->Source.MakeReader(Kind);
+  PublishedReader reader = Runtime->Source.MakeReader(Kind, Runtime->Memory);
   std::mt19937_64 random(Runtime->Incarnation + static_cast<uint64_t>(Kind));
   StoreRevision revision; // 0: a full read is needed
   // The highest era known when the last full read began. Revisions of another
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -181,7 +181,7 @@
   Runtime = Owner.find<GatewayRuntime>();
   if (!Runtime)
     return false;
-  Reader = Runtime->Source.MakeReader(PublishedKind::Servers);
+  Reader = Runtime->Source.MakeReader(PublishedKind::Servers, Runtime->Memory);
   Runtime->Origins.setHooks(
       {[this](const OriginQuery &Query) { return askKeepers(Query); },
        [this] { return confirmServers(); },
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -26,8 +26,8 @@
 }
 
 // Detects a service that disappears without closing the connection while a
-// connection while a watch waits: probes start after 1 s without data, are sent
-// every 1 s, and the connection fails after 2 lost probes.
+// watch waits: probes start after 1 s without data, are sent every 1 s, and the
+// connection fails after 2 lost probes.
 void enableKeepAlive(Poco::Net::StreamSocket &Socket) {
   Socket.setKeepAlive(true);
   Socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, 1);
@@ -57,13 +57,16 @@
 };
 
 // Returns false if the body is longer than allowed. Throws if it breaks off.
-bool readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes) {
+bool readBody(std::istream &In, std::string &Body, size_t MaxBodyBytes,
+              const PlatformClient::BodySizeListener &OnSize) {
   std::array<char, 16384> buf;
   while (In.good()) {
     In.read(buf.data(), buf.size());
-    Body.append(buf.data(), static_cast<size_t>(In.gcount()));
-    if (Body.size() > MaxBodyBytes)
+    auto n = static_cast<size_t>(In.gcount());
+    if (Body.size() + n > MaxBodyBytes)
       return false;
+    OnSize(Body.size() + n);
+    Body.append(buf.data(), n);
   }
   if (In.bad()) // an exception of the socket, which the stream has caught
     throw Poco::TimeoutException("response broke off or took too long");
@@ -80,6 +83,7 @@
   Milliseconds ResponseTime;
   std::unique_ptr<Poco::Net::HTTPClientSession> Session;
   DeadlineSocketImpl *Socket = nullptr; // of the session, which owns it
+  BodySizeListener OnBodySize = [](size_t) {};
 
   Poco::Net::HTTPClientSession &session();
   bool waitForResponse(Milliseconds Wait,
@@ -96,6 +100,10 @@
 
 PlatformClient::~PlatformClient() = default;
 
+void PlatformClient::setBodySizeListener(BodySizeListener Listener) {
+  Impl->OnBodySize = std::move(Listener);
+}
+
 PlatformResponse PlatformClient::get(const std::string &Path, Milliseconds Wait,
                                      const std::function<bool()> &IsCancelled) {
   PlatformResponse response;
@@ -165,10 +173,13 @@
   if (response.hasContentLength()) {
     auto length = static_cast<uint64_t>(response.getContentLength64());
     Response.IsTooLong = length > MaxBodyBytes;
-    if (!Response.IsTooLong)
+    if (!Response.IsTooLong) {
+      OnBodySize(length);
       Response.Body.reserve(length);
+    }
   }
-  if (Response.IsTooLong || !readBody(in, Response.Body, MaxBodyBytes)) {
+  if (Response.IsTooLong ||
+      !readBody(in, Response.Body, MaxBodyBytes, OnBodySize)) {
     Response.IsTooLong = true;
     Response.Body = {};
     Response.Error =
--- a/src/platform_client.h
+++ b/src/platform_client.h
@@ -38,6 +38,11 @@
                  Milliseconds ResponseTime = MaxResponseTime);
   ~PlatformClient();
 
+  // Called with the bytes that a response's body takes so far, before they are
+  // kept. Set before the first call.
+  using BodySizeListener = std::function<void(size_t Bytes)>;
+  void setBodySizeListener(BodySizeListener Listener);
+
   // Sends GET for the path. Calls `IsCancelled` every 50 ms while waiting for
   // the response, and cancels the wait if it returns true. Throws nothing.
   PlatformResponse get(const std::string &Path, Milliseconds Wait,
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -4,6 +4,7 @@
 #include "gateway_fixture.h"
 #include "platform/store_source.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -62,8 +63,9 @@
   });
   GatewaySettings values;
   values.StoreAddress = store.address();
+  MemoryBudget budget;
   PublishedReader reader = crocusspur::platform::makeSource(values).MakeReader(
-      PublishedKind::Servers);
+      PublishedKind::Servers, budget);
   auto isCancelled = [] { return false; };
   return Watch ? reader.Watch(4, Milliseconds(100), isCancelled)
                : reader.ReadAll(isCancelled);
@@ -250,3 +252,36 @@
     CHECK(update.Servers.empty());
   }
 }
+
+// Answers of the store took memory that nobody counted.
+TEST_CASE("What is read of the store's responses counts in the memory budget") {
+  const std::string body = R"({"items":[],"has-more":false,"at":9,"other":")" +
+                           std::string(1000000, 'x') + "\"}";
+  const std::string lengths[] = {
+      "Content-Length: " + std::to_string(body.size()) + "\r\n",
+      "Connection: close\r\n"};
+  for (const std::string &length : lengths) {
+    std::atomic<bool> isSeen{false};
+    ScriptServer store([&](int Fd, int) {
+      readRequest(Fd);
+      sendText(Fd, "HTTP/1.1 200 OK\r\n" + length + "\r\n" +
+                       body.substr(0, body.size() / 2));
+      CHECK(eventually([&] { return isSeen.load(); }));
+      sendText(Fd, body.substr(body.size() / 2));
+    });
+    GatewaySettings values;
+    values.StoreAddress = store.address();
+    MemoryBudget budget;
+    PublishedReader reader =
+        crocusspur::platform::makeSource(values).MakeReader(
+            PublishedKind::Servers, budget);
+    std::thread watcher([&] {
+      CHECK(eventually([&] { return budget.held() >= body.size() / 2; }));
+      isSeen = true;
+    });
+    PublishedUpdate update = reader.ReadAll([] { return false; });
+    watcher.join();
+    CHECK(update.Status == ReadStatus::Ok);
+    CHECK(budget.held() == 0);
+  }
+}
