Bound callers' connections by memory and close none whose request comes

Cause: connections and bodies of up to 64 KiB counted for nothing in the memory budget, and which connection gives way was decided by the order of waiting alone, with 768 threads whatever the memory.

Change: a connection counts 96 KiB, a body from 4 KiB on counts. There are as many connections as take half of the budget. makeRoomFor(), without I/O, decides what gives way: a caller that has its last response and doesn't close, then one that waits after a response, then a new one whose request can't be under way any more; if all have requests, a new one is refused as not run. Connections that wait for a thread are looked after every 50 ms. An unused connection that is closed holds its thread no second longer.

--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -3,6 +3,7 @@
 #include "caller_reader.h"
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
+#include "gateway/decisions/connection_room.h"
 #include "gateway/decisions/start_wait.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/memory_log.h"
@@ -18,6 +19,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <set>
 #include <sys/socket.h>
 #include <utility>
 
@@ -38,14 +40,11 @@
 constexpr int StackBytes = 262144;
 // A new thread takes long to start on a busy machine.
 constexpr int MinThreads = 32;
-constexpr int MaxConnections = 768; // each uses a thread
-// From here on each new connection closes the one that has waited longest for a
-// request, so that idle ones don't keep new callers out.
-constexpr size_t MaxIdleConnections = MaxConnections * 3 / 4;
+constexpr int MaxQueued = 768; // connections that wait for a thread
 constexpr int Backlog = 1024;
 constexpr uint32_t MaxHeaderFields = 128;
-// Within what each connection may use.
-constexpr size_t UnheldBodyBytes = 65536;
+// Within what counts for each connection.
+constexpr size_t UnheldBodyBytes = 4096;
 // A body is kept, in the buffer before too while it grows, and copied into the
 // request to the server.
 constexpr size_t BodyMemoryFactor = 3;
@@ -55,7 +54,7 @@
 constexpr Milliseconds OtherInstanceRetryAfter{100};
 // Until this instance has received the configuration.
 constexpr Milliseconds NotReadyRetryAfter{500};
-constexpr Milliseconds ClosingPeriod{50}; // of the check for closing
+constexpr Milliseconds ClosingPeriod{50}; // of the checks of idle connections
 // Of the check for documents while requests wait for them.
 constexpr Milliseconds DocumentsPollPeriod{10};
 
@@ -64,6 +63,10 @@
 // all others.
 struct CallerConnection {
   int Fd = -1;
+  bool IsUsed = false;    // has sent a request
+  bool Lingers = false;   // has had its last response
+  bool IsRefused = false; // its request is refused, as there are too many
+  TimePoint IdleSince;
   boost::intrusive::list_member_hook<> OpenHook;
   boost::intrusive::list_member_hook<> IdleHook;
 };
@@ -83,6 +86,8 @@
   void serve(int Fd);
 
 private:
+  using IdleList = ConnectionList<&CallerConnection::IdleHook>;
+
   ReadLimits limits() const;
   // Returns whether to keep the connection. Sets `Cut` if the response isn't
   // complete and only a reset shows that; see HttpSink::needsReset().
@@ -90,8 +95,17 @@
   void add(CallerConnection &Connection);
   void remove(CallerConnection &Connection);
   void setIdle(CallerConnection &Connection, bool IsIdle);
+  IdleList &idleList(const CallerConnection &Connection) {
+    return Connection.Lingers  ? Lingering
+           : Connection.IsUsed ? IdleUsed
+                               : IdleUnused;
+  }
+  void setLingering(CallerConnection &Connection);
   void closeIdle();
-  void makeRoom();
+  // Called for each connection that was accepted, before its thread serves it.
+  void makeRoom(int NewFd);
+  RoomAction makeRoomLocked(size_t Connections);
+  void makeRoomForQueued();
   void endConnections();
   void handle(const HttpHead &Head, TimePoint Arrived, CallerReader &Reader,
               HttpSink &Sink);
@@ -110,8 +124,14 @@
   internal::ConnectionServer Server;
   std::mutex Mutex;
   ConnectionList<&CallerConnection::OpenHook> Open;
-  // Waiting for a request, the longest first.
-  ConnectionList<&CallerConnection::IdleHook> Idle;
+  // Waiting for a request, the longest first: after a response, and without
+  // one so far.
+  IdleList IdleUsed;
+  IdleList IdleUnused;
+  IdleList Lingering; // for the caller's close, the longest first
+  // Accepted connections that are refused once their threads serve them.
+  std::set<int> Refused;
+  size_t MostConnections = 0;
   std::optional<StartWait> Start;
   uint64_t ClosingTimer = 0;
 };
@@ -132,15 +152,16 @@
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
   options.MinThreads = MinThreads;
-  options.MaxThreads = MaxConnections;
-  options.MaxQueued = MaxConnections;
+  MostConnections = maxConnections(Runtime->Memory.limit());
+  options.MaxThreads = static_cast<int>(MostConnections);
+  options.MaxQueued = MaxQueued;
   options.Backlog = Backlog;
   options.StackBytes = StackBytes;
   Start.emplace(Clock::now());
   std::string fault = Server.start(
       options, [this](StreamSocket &Socket) { serve(Socket.impl()->sockfd()); },
-      [this](const StreamSocket &) {
-        makeRoom();
+      [this](const StreamSocket &Socket) {
+        makeRoom(Socket.impl()->sockfd());
         return true;
       });
   if (!fault.empty()) {
@@ -148,7 +169,10 @@
         {{"address", options.Address}, {"reason", fault}});
     return false;
   }
-  ClosingTimer = Owner.timers().every(ClosingPeriod, [this] { closeIdle(); });
+  ClosingTimer = Owner.timers().every(ClosingPeriod, [this] {
+    closeIdle();
+    makeRoomForQueued();
+  });
   return true;
 }
 
@@ -176,6 +200,8 @@
 void GatewayListener::serve(int Fd) {
   CallerConnection connection;
   connection.Fd = Fd;
+  MemoryHold hold(&Runtime->Memory, MemoryUse::RequestBody);
+  hold.growAlwaysTo(ConnectionBytes);
   add(connection);
   struct Remover {
     GatewayListener &Owner;
@@ -190,8 +216,11 @@
     bool cut = false;
     while (serveOne(reader, connection, cut))
       values = limits();
-    if (!cut)
+    // There is no response that a reset could destroy on an unused one.
+    if (!cut && connection.IsUsed) {
+      setLingering(connection);
       reader.lingeringClose();
+    }
   } catch (const std::exception &error) {
     log(LogLevel::Error, "gateway_front", "connection failed",
         {{"reason", error.what()}});
@@ -201,6 +230,7 @@
 void GatewayListener::add(CallerConnection &Connection) {
   std::lock_guard lock(Mutex);
   Open.push_back(Connection);
+  Connection.IsRefused = Refused.erase(Connection.Fd) > 0;
   if (Runtime->Exiting.load()) // after endConnections()
     ::shutdown(Connection.Fd, SHUT_RD);
 }
@@ -209,45 +239,95 @@
   std::lock_guard lock(Mutex);
   Open.erase(Open.iterator_to(Connection));
   if (Connection.IdleHook.is_linked())
-    Idle.erase(Idle.iterator_to(Connection));
+    idleList(Connection).erase(IdleList::s_iterator_to(Connection));
 }
 
 void GatewayListener::setIdle(CallerConnection &Connection, bool IsIdle) {
   std::lock_guard lock(Mutex);
   if (!IsIdle) {
     if (Connection.IdleHook.is_linked())
-      Idle.erase(Idle.iterator_to(Connection));
+      idleList(Connection).erase(IdleList::s_iterator_to(Connection));
   } else if (Runtime->Closing.load()) {
     ::shutdown(Connection.Fd, SHUT_RD);
   } else {
-    Idle.push_back(Connection);
+    Connection.IdleSince = Clock::now();
+    idleList(Connection).push_back(Connection);
   }
 }
 
+void GatewayListener::setLingering(CallerConnection &Connection) {
+  std::lock_guard lock(Mutex);
+  Connection.Lingers = true;
+  Connection.IdleSince = Clock::now();
+  Lingering.push_back(Connection);
+}
+
 // A request that has already arrived can still be read, and is refused.
 void GatewayListener::closeIdle() {
   if (!Runtime->Closing.load())
     return;
   std::lock_guard lock(Mutex);
-  for (const CallerConnection &it : Idle)
-    ::shutdown(it.Fd, SHUT_RD);
-  Idle.clear();
+  for (IdleList *list : {&IdleUsed, &IdleUnused}) {
+    for (const CallerConnection &it : *list)
+      ::shutdown(it.Fd, SHUT_RD);
+    list->clear();
+  }
 }
 
-void GatewayListener::makeRoom() {
+void GatewayListener::makeRoom(int NewFd) {
   // Also those whose threads haven't begun.
-  if (Server.connections() < MaxIdleConnections)
-    return;
+  size_t connections = Server.connections() + 1;
+  RoomAction action = RoomAction::None;
   {
     std::lock_guard lock(Mutex);
-    if (Idle.empty())
-      return;
-    // A request that has already arrived can still be read.
-    ::shutdown(Idle.front().Fd, SHUT_RD);
-    Idle.pop_front();
+    // Of a connection that was closed before a thread could serve it.
+    Refused.erase(NewFd);
+    action = makeRoomLocked(connections);
+    if (action == RoomAction::RefuseNew)
+      Refused.insert(NewFd);
   }
-  log(LogLevel::Debug, "gateway_front", "closed an idle connection",
-      {{"why", "too many connections"}});
+  if (action != RoomAction::None)
+    log(LogLevel::Debug, "gateway_front",
+        action == RoomAction::RefuseNew ? "refusing a new connection's request"
+                                        : "closed an idle connection",
+        {{"why", "too many connections"},
+         {"connections", std::to_string(connections)},
+         {"most", std::to_string(MostConnections)}});
+}
+
+RoomAction GatewayListener::makeRoomLocked(size_t Connections) {
+  TimePoint now = Clock::now();
+  auto longest = [now](const IdleList &List) -> std::optional<Milliseconds> {
+    if (List.empty())
+      return std::nullopt;
+    return std::chrono::duration_cast<Milliseconds>(now -
+                                                    List.front().IdleSince);
+  };
+  RoomAction action =
+      makeRoomFor({Connections, MostConnections, longest(Lingering),
+                   longest(IdleUsed), longest(IdleUnused)});
+  if (action == RoomAction::None || action == RoomAction::RefuseNew)
+    return action;
+  IdleList &list = action == RoomAction::EndLinger   ? Lingering
+                   : action == RoomAction::CloseUsed ? IdleUsed
+                                                     : IdleUnused;
+  // A request that has already arrived can still be read.
+  ::shutdown(list.front().Fd, SHUT_RD);
+  list.pop_front();
+  return action;
+}
+
+// Connections that wait for a thread would wait as long as idle ones keep all
+// of them.
+void GatewayListener::makeRoomForQueued() {
+  size_t connections = Server.connections();
+  if (connections <= MostConnections)
+    return;
+  std::lock_guard lock(Mutex);
+  RoomAction action = RoomAction::None;
+  do
+    action = makeRoomLocked(connections--);
+  while (action != RoomAction::None && action != RoomAction::RefuseNew);
 }
 
 ReadLimits GatewayListener::limits() const {
@@ -285,6 +365,7 @@
   setIdle(Connection, false);
   if (verdict == RequestReadStatus::Closed)
     return false;
+  Connection.IsUsed = true;
   internal::HttpSinkOptions options;
   options.KeepAlive = verdict == RequestReadStatus::Ok && head.wantsKeepAlive();
   options.MayChunk = head.MinorVersion >= 1;
@@ -301,6 +382,13 @@
         "the head could not be read", Milliseconds(0));
     return false;
   }
+  if (Connection.IsRefused) {
+    sink.closeAfterResponse();
+    sendProblem(sink, Runtime->Codec.ParseRequestHead(head).Id,
+                ErrorKind::Overloaded, "too many connections",
+                OtherInstanceRetryAfter);
+    return false;
+  }
   if (Runtime->Stopping.load())
     sink.closeAfterResponse();
   ++Runtime->OpenRequests;
