--- a/soak/site_soak.cc
+++ b/soak/site_soak.cc
@@ -216,6 +216,7 @@
     Routes[LateRoute].Timeout = LateRouteTimeout;
   if (!Options.Program.empty())
     Fleet.Program = Options.Program;
+  Fleet.OtherProgram = Options.OtherProgram;
 }
 
 SiteServerOptions SiteSoak::streamsOf(const std::string &Id,
--- a/soak/site_soak.h
+++ b/soak/site_soak.h
@@ -21,6 +21,7 @@
   std::chrono::seconds Length{6};
   bool KeepLogs = false; // writes the instances' logs even without violations
   std::string Program;   // that the instances run; empty: of this build
+  std::string OtherProgram;  // that each second start runs; empty: the same
   unsigned BreakPercent = 0; // of runs; 0: drawn
   bool Wide = false;         // the wide form
   // Decode servers are processes of their own, without proxies, and are killed.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -157,11 +157,12 @@
 
 class Soak {
 public:
-  // `Program`: that the instances run; empty: of this build.
+  // `Program`: that the instances run; empty: of this build. `OtherProgram`:
+  // that each second start runs; empty: the same.
   Soak(uint64_t Seed, std::chrono::seconds Length, bool KeepLogs,
-       std::string Program)
+       std::string Program, std::string OtherProgram)
       : Random(Seed), Length(Length), KeepLogs(KeepLogs),
-        Program(std::move(Program)) {}
+        Program(std::move(Program)), OtherProgram(std::move(OtherProgram)) {}
   bool run();
 
 private:
@@ -226,6 +227,7 @@
   std::chrono::seconds Length;
   bool KeepLogs; // writes the instances' logs even without violations
   const std::string Program;
+  const std::string OtherProgram;
   RunCounter Executions;
   ViolationList Violations;
   RequestTotals Totals;
@@ -847,6 +849,7 @@
   test::GatewayFleet fleet(GatewayCount);
   if (!Program.empty())
     fleet.Program = Program;
+  fleet.OtherProgram = OtherProgram;
   addCutProxies(fleet);
   startServers(fleet);
   fleet.startAll();
@@ -944,6 +947,10 @@
   std::string tested;
   program.add_option("--program", tested,
                      "The crocusspur program to test, if not this build's");
+  std::string beside;
+  program.add_option("--beside", beside,
+                     "Another crocusspur program, which each second start of "
+                     "an instance runs");
   std::string shape = "mixed";
   program
       .add_option("--shape", shape,
@@ -968,11 +975,11 @@
   std::cout << "seed " << seed << ": " << std::flush;
   if (shape != "mixed")
     return crocusspur::soak::runSiteSoak({seed, std::chrono::seconds(seconds),
-                                          logs, tested, breakPercent,
+                                          logs, tested, beside, breakPercent,
                                           shape == "wide", killsServers})
                ? 0
                : 1;
-  crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs,
-                              tested);
+  crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs, tested,
+                              beside);
   return soak.run() ? 0 : 1;
 }
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -345,8 +345,10 @@
 }
 
 void GatewayFleet::start(GatewayInstance &Item) {
-  Item.Process = std::make_unique<ChildProcess>(std::vector<std::string>{
-      Program, "gateway", "--settings", Item.File.string()});
+  bool isOther = !OtherProgram.empty() && Starts++ % 2 == 1;
+  Item.Process = std::make_unique<ChildProcess>(
+      std::vector<std::string>{isOther ? OtherProgram : Program, "gateway",
+                               "--settings", Item.File.string()});
 }
 
 void GatewayFleet::startAll() {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -159,6 +159,9 @@
   std::vector<GatewayInstance> Instances;
   // What the instances run; also another build.
   std::string Program = CROCUSSPUR_BUILD_DIR "/crocusspur";
+  // If set, another build, which each second start runs: both are side by side,
+  // and instances that start again go forth and back between them.
+  std::string OtherProgram;
 
 private:
   void writeSettings(const GatewayInstance &Item,
@@ -166,6 +169,7 @@
 
   std::filesystem::path Folder;
   bool AllAreSeeds = false;
+  uint64_t Starts = 0;
 };
 
 } // namespace crocusspur::test
