Let nothing follow events after a server's replacement by its version

What callers got: streams with events of two software versions.

Cause: a server is replaced by a process of another version, and that one by a process of the first version before its entry is seen. An instance whose run is at the process between took it for the version of the entries before and after, since the replacement by the same version changed nothing. Its events went on after the entry's change, and the stream at the wrong version.

Change: events that come once another process is known for the run's server, also one of the same version, are of no certain version, unless the run is confirmed; a run that goes on sends none of its own then. A run that has ended by then, as in a crash, stays certain, so that crashes cost nothing.

--- a/src/gateway/decisions/streams/stream_progress.cc
+++ b/src/gateway/decisions/streams/stream_progress.cc
@@ -41,7 +41,7 @@
                                 bool Confirmed) {
   this->RunVersion = RunVersion;
   this->Confirmed = Confirmed;
-  RunUncertain = false;
+  RunUncertain = IsReplacedBySame = false;
   ContinuesEvents = HasEvents;
   RunHasEvents = false;
   PassedBeforeRun = Passed;
@@ -75,8 +75,12 @@
 bool StreamProgress::onServerReplaced(RunNumber Run, VersionKey NewVersion) {
   if (!speaks(Run))
     return false;
-  if (Confirmed || NewVersion == RunVersion)
+  if (Confirmed)
     return true;
+  if (NewVersion == RunVersion) {
+    IsReplacedBySame = true;
+    return true;
+  }
   RunUncertain = true;
   Uncertain = Uncertain || RunHasEvents;
   if (continues())
@@ -90,6 +94,12 @@
   // Comments have no place in the order and no version.
   if (!internal::hasContent(Event))
     return RunFault::None;
+  if (IsReplacedBySame) {
+    RunUncertain = true;
+    Uncertain = Uncertain || RunHasEvents;
+    if (continues())
+      return RunFault::OtherVersion;
+  }
   std::string id = EventId(Event);
   if (!RunHasEvents && Version && RunVersion != Version)
     return RunFault::OtherVersion;
--- a/src/gateway/decisions/streams/stream_progress.h
+++ b/src/gateway/decisions/streams/stream_progress.h
@@ -86,7 +86,10 @@
   // A process of this version is known by now in place of the one that was
   // known when the run's connection was opened. Which of the two sends the
   // events can't be told unless the run is confirmed, so nothing may follow
-  // them if the versions differ. Returns false if the run was given up.
+  // them if the versions differ. If they are the same, nothing may follow
+  // events that come after this: between the two there may have been a process
+  // of another version that has left no trace. Returns false if the run was
+  // given up.
   bool onServerReplaced(RunNumber Run, VersionKey NewVersion);
   // Nothing may follow the events so far: their version can't be told.
   void requireNothingFollows() { Uncertain = true; }
@@ -148,6 +151,7 @@
   std::optional<VersionKey> RunVersion;
   bool Confirmed = false;
   bool RunUncertain = false;
+  bool IsReplacedBySame = false; // by a process of the run's version
   bool ContinuesEvents = false;
   bool RunHasEvents = false;
   uint64_t PassedBeforeRun = 0;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -96,7 +96,8 @@
     bool End = false; // of the body
     // A process of another version is known in place of the run's.
     bool Replaced = false;
-    TimePoint ProcessCheckedAt; // the latest call of confirmRunVersion()
+    bool ReplacedBySame = false; // a process of the same version
+    TimePoint ProcessCheckedAt;  // the latest call of confirmRunVersion()
     CallStatus Status = CallStatus::Responded;
     std::optional<TimePoint> BegunAt; // the first event
     // Start of the latest sample of the server's pace, and the events before.
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -6,6 +6,7 @@
 #include "gateway/decisions/content_fingerprint.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -200,10 +201,14 @@
   Run.ProcessCheckedAt = Clock::now();
   std::optional<std::string> successor =
       Context.Directory.successorVersion(Server);
-  if (!successor || *successor == Server.Version)
+  if (!successor)
     return true;
-  Run.Replaced = true;
+  bool isSame = *successor == Server.Version;
+  // Each change of the entry counts, also after one of the same version.
+  Run.Replaced = !isSame;
   bool kept = Progress.onServerReplaced(Run.Number, versionKeyOf(*successor));
+  if (isSame && std::exchange(Run.ReplacedBySame, true))
+    return kept;
   if (!kept)
     countGivenUp(RunFault::OtherVersion);
   internal::LogFields all = fields();
--- a/test/gateway_stream_model_test.cc
+++ b/test/gateway_stream_model_test.cc
@@ -124,16 +124,23 @@
     if (!whole && endsWhole(bytes.substr(0, length)))
       outcome = RunOutcome::BrokenOff;
     size_t known = replaced ? Random() % (length + 1) : length + 1;
+    // The entry of the process that serves may have been replaced by one of the
+    // version before unseen. Nothing tells that of events before it is known.
+    VersionKey successor = other;
+    if (replaced && chance(30)) {
+      successor = Version;
+      known = 0;
+    }
     for (size_t at = 0; at < length;) {
       size_t n = std::min<size_t>(1 + below(40), length - at);
-      if (at >= known && !Progress.onServerReplaced(Run, other))
+      if (at >= known && !Progress.onServerReplaced(Run, successor))
         break;
       if (!pass(Progress, Run, bytes.substr(at, n)))
         break;
       at += n;
     }
     if (replaced)
-      Progress.onServerReplaced(Run, other);
+      Progress.onServerReplaced(Run, successor);
     return Progress.end(Run, outcome);
   }
 
--- a/test/gateway_stream_progress_test.cc
+++ b/test/gateway_stream_progress_test.cc
@@ -228,6 +228,45 @@
         StreamEnd::MayContinue);
 }
 
+// A process of another version served between two of one version and left no
+// entry: streams went on at the other version.
+TEST_CASE("Nothing follows events that come after a server's replacement") {
+  SUBCASE("by a process of the same version") {
+    Stream stream;
+    RunNumber run = stream.begun();
+    CHECK(stream.Progress.onServerReplaced(run, V1));
+    CHECK_FALSE(stream.Progress.versionUncertain());
+    CHECK(stream.add(run, event(5)) == RunFault::None);
+    CHECK(stream.Progress.versionUncertain());
+    CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+          StreamEnd::Incomplete);
+  }
+  SUBCASE("and a run that goes on sends none of its own after it") {
+    Stream stream;
+    stream.begun();
+    RunNumber run = stream.Progress.begin(V1);
+    CHECK(stream.Progress.onServerReplaced(run, V1));
+    CHECK(stream.add(run, event(5)) == RunFault::OtherVersion);
+    CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+          StreamEnd::MayContinue);
+  }
+  SUBCASE("unless the run is confirmed") {
+    Stream stream;
+    RunNumber run = stream.Progress.begin(V1, /*Confirmed=*/true);
+    CHECK(stream.Progress.onServerReplaced(run, V1));
+    CHECK(stream.add(run, event(1)) == RunFault::None);
+    CHECK_FALSE(stream.Progress.versionUncertain());
+  }
+  SUBCASE("also if the stream is whole") {
+    Stream stream;
+    RunNumber run = stream.begun();
+    CHECK(stream.Progress.onServerReplaced(run, V1));
+    CHECK(stream.add(run, event(5)) == RunFault::None);
+    CHECK(stream.Progress.end(run, RunOutcome::Complete) ==
+          StreamEnd::Complete);
+  }
+}
+
 TEST_CASE("A replaced server's run isn't joined to events of another run") {
   SUBCASE("before its first event, and another may follow") {
     Stream stream;
