Take a stream up only if its server is the recorded process

What callers got: streams with events of two software versions.

Cause: the record names the version of the entry, and the first run's process is asked which one it is only when that run breaks off at its server, not when its caller leaves.

Change: the record names the process too (fields at the end of the frames, so that builds without them read the rest), until it has said itself which one it is. A server that is gone, silent or restarted at its version decides nothing, so that crashes cost nothing.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -94,7 +94,8 @@
       it != Servers.end() && processOf(it->second.Entry) != processOf(Entry);
   if (restarted)
     Servers.erase(it);
-  Server &server = Servers[Entry.Id];
+  Server &server =
+      Servers.try_emplace(Entry.Id, Server{.KnownSince = Now}).first->second;
   if (server.Entry.Stage != Entry.Stage) {
     server.Load.reset();
     server.ExcludedUntil = TimePoint();
@@ -163,6 +164,14 @@
   return it == Servers.end() ? nullptr : &it->second.Entry;
 }
 
+Milliseconds ServerRegistry::knownFor(const std::string &Id,
+                                      TimePoint Now) const {
+  auto it = Servers.find(Id);
+  return it == Servers.end() ? Milliseconds(0)
+                             : std::chrono::duration_cast<Milliseconds>(
+                                   Now - it->second.KnownSince);
+}
+
 std::vector<ServerEntry>
 ServerRegistry::sharingAddress(const ServerEntry &Entry) const {
   std::vector<ServerEntry> all;
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -147,6 +147,9 @@
                                         TimePoint Now) const;
 
   const ServerEntry *find(const std::string &Id) const;
+  // For how long the process of the server's entry has been known; 0 if there
+  // is no entry.
+  Milliseconds knownFor(const std::string &Id, TimePoint Now) const;
   // Other servers whose entries name this server's address.
   std::vector<ServerEntry> sharingAddress(const ServerEntry &Entry) const;
   std::vector<ServerEntry> entries() const;
@@ -239,6 +242,7 @@
 private:
   struct Server {
     ServerEntry Entry;
+    TimePoint KnownSince; // its process
     bool Leaving = false; // whether `LeavingServers` has its process
     std::optional<TimePoint> UsableUntil; // set when the entry is removed
     double OwnLoad = 0;
--- a/src/gateway/decisions/stream_origin_table.cc
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -46,6 +46,9 @@
     state.Version = 0;
   state.Writer = Record.Writer;
   state.Sequence = Record.Sequence;
+  state.Server = Record.Server;
+  if (isNew)
+    state.RecordedAt = Now;
   TimePoint expiresAt =
       Now + std::min<Milliseconds>(Record.Lifetime, MaxLifetime);
   if (!isNew)
@@ -57,10 +60,19 @@
 
 std::optional<VersionKey> StreamOriginTable::find(StreamKey Stream,
                                                   TimePoint Now) const {
+  std::optional<Record> found = findRecord(Stream, Now);
+  return found ? std::optional(found->Version) : std::nullopt;
+}
+
+std::optional<StreamOriginTable::Record>
+StreamOriginTable::findRecord(StreamKey Stream, TimePoint Now) const {
   auto it = Streams.find(Stream);
   if (it == Streams.end() || it->second.ExpiresAt < Now)
     return std::nullopt;
-  return it->second.Version;
+  const State &state = it->second;
+  return Record{
+      state.Version, state.Server,
+      std::chrono::duration_cast<Milliseconds>(Now - state.RecordedAt)};
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/stream_origin_table.h
+++ b/src/gateway/decisions/stream_origin_table.h
@@ -34,6 +34,9 @@
   uint64_t Writer = 0;      // incarnation of the instance
   uint64_t Sequence = 0;    // rises with the writer's records
   Milliseconds Lifetime{0}; // how much longer the stream can be taken up
+  // The process that began the stream, as its entry named it; without an id if
+  // that process has said itself which one it is.
+  ServerProcess Server{};
 };
 
 class StreamOriginTable {
@@ -42,6 +45,13 @@
   // Returns the version, UncertainVersion if two instances recorded different
   // ones, or nothing if there is no record.
   std::optional<VersionKey> find(StreamKey Stream, TimePoint Now) const;
+  // The same with what the latest record says besides.
+  struct Record {
+    VersionKey Version = UncertainVersion;
+    ServerProcess Server;
+    Milliseconds Age{0}; // since the stream's first record
+  };
+  std::optional<Record> findRecord(StreamKey Stream, TimePoint Now) const;
   size_t size() const { return Streams.size(); }
 
 private:
@@ -49,6 +59,8 @@
     VersionKey Version = 0; // 0: different ones
     uint64_t Writer = 0;
     uint64_t Sequence = 0;
+    ServerProcess Server;
+    TimePoint RecordedAt;
     TimePoint ExpiresAt;
     std::multimap<TimePoint, StreamKey>::iterator Expiry;
   };
--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -9,6 +9,10 @@
 // later.
 constexpr Milliseconds ArrivalMargin{2000};
 
+// For how long a process serves before its entry is known everywhere: about the
+// time between two heartbeats, and the way of the change.
+constexpr Milliseconds LatestEntry{1500};
+
 std::optional<VersionKey>
 recordedVersion(const OriginKnowledge &Own,
                 const std::vector<OriginKnowledge> &Peers) {
@@ -31,7 +35,15 @@
   if (std::optional<VersionKey> recorded = recordedVersion(Own, Peers)) {
     if (*recorded == 0)
       return {std::nullopt, "contradictory records"};
-    return {recorded, "recorded"};
+    ResumptionDecision decision{recorded, "recorded"};
+    const OriginKnowledge *latest = Own.Recorded ? &Own : nullptr;
+    // A process that isn't certain for one of them is in doubt.
+    for (const OriginKnowledge &it : Peers)
+      if (it.Recorded && (!latest || latest->Server.Id.empty()))
+        latest = &it;
+    decision.Server = latest->Server;
+    decision.RecordedAgo = latest->RecordedAgo;
+    return decision;
   }
   if (!CurrentVersion)
     return {std::nullopt, "no record"};
@@ -43,6 +55,18 @@
   return {std::nullopt, "no record"};
 }
 
+OriginDoubt doubtOrigin(const ServerProcess &Recorded, Milliseconds RecordedAgo,
+                        const ProcessNow &Now) {
+  if (Recorded.Id.empty() || !Now.Entry)
+    return OriginDoubt::None;
+  if (*Now.Entry == Recorded)
+    return OriginDoubt::AskServer;
+  bool hasServedBefore = RecordedAgo < Now.EntryKnownFor + LatestEntry;
+  return Now.Entry->Version != Recorded.Version && hasServedBefore
+             ? OriginDoubt::Wrong
+             : OriginDoubt::None;
+}
+
 bool mayBeOnlyVersion(const OriginKnowledge &Own,
                       const std::vector<OriginKnowledge> &Peers) {
   return !recordedVersion(Own, Peers) &&
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -19,11 +19,18 @@
   // The service's only version for MaxStreamAge, as of the instance's view; see
   // VersionHistory::soleVersion().
   std::optional<VersionKey> SoleVersion;
+  // Of the record: the process that began the stream, without an id if it is
+  // certain, and the time since.
+  ServerProcess Server{};
+  Milliseconds RecordedAgo{0};
 };
 
 struct ResumptionDecision {
   std::optional<VersionKey> Version; // nothing: the stream is refused
   const char *Basis = "";            // for the log
+  // Of the record, if that is the basis; see OriginKnowledge.
+  ServerProcess Server{};
+  Milliseconds RecordedAgo{0};
 };
 
 // `Own` is this instance's knowledge and `Peers` that of the peers that
@@ -39,6 +46,24 @@
 bool mayBeOnlyVersion(const OriginKnowledge &Own,
                       const std::vector<OriginKnowledge> &Peers);
 
+// What is known of the process that an entry named for a server, now.
+struct ProcessNow {
+  // The server's entry; nothing if there is none.
+  std::optional<ServerProcess> Entry;
+  Milliseconds EntryKnownFor{0};
+};
+
+enum class OriginDoubt : uint8_t {
+  None,
+  AskServer, // which process it is; another one shows that the version is wrong
+  Wrong // the stream may have begun at the process that the entry names now
+};
+
+// Whether a stream that is recorded for a process can have begun at its
+// successor: a process serves before its entry is written.
+OriginDoubt doubtOrigin(const ServerProcess &Recorded, Milliseconds RecordedAgo,
+                        const ProcessNow &Now);
+
 // How far back statements about a service's only version have to reach where a
 // stream has no record. The caller's time left, the route's time-out and other
 // callers' deadlines don't bound a stream's age: a stream that its route's
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -81,11 +81,11 @@
 }
 
 OriginKnowledge GatewayRuntime::knowledgeOf(const OriginQuery &Query) const {
-  return {
-      Origins.find(Query.Stream),
-      // Instances of older builds ask for less than a stream's age.
-      Directory.soleVersion(
-          Query.Service, std::max<Milliseconds>(Query.MaxAge, MaxStreamAge))};
+  OriginKnowledge known = Origins.knowledgeOf(Query.Stream);
+  // Instances of older builds ask for less than a stream's age.
+  known.SoleVersion = Directory.soleVersion(
+      Query.Service, std::max<Milliseconds>(Query.MaxAge, MaxStreamAge));
+  return known;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -334,11 +334,31 @@
   return static_cast<SuspectKind>(Value);
 }
 
+// Null if no server is named.
+flatbuffers::Offset<wire::ServerProcess> pack(Builder &Out,
+                                              const ServerProcess &Item) {
+  if (Item.Id.empty())
+    return {};
+  auto id = Out.CreateString(Item.Id);
+  auto address = Out.CreateString(Item.Address);
+  auto version = Out.CreateString(Item.Version);
+  return wire::CreateServerProcess(Out, id, Item.StartedAt, address, version);
+}
+
+ServerProcess unpack(const wire::ServerProcess *Item) {
+  if (!Item)
+    return {};
+  return {textOf(Item->id()), Item->started_at(), textOf(Item->address()),
+          textOf(Item->version())};
+}
+
 flatbuffers::Offset<wire::OriginAnswer> pack(Builder &Out,
                                              const OriginKnowledge &Item) {
+  auto server = pack(Out, Item.Server);
   return wire::CreateOriginAnswer(
       Out, Item.Recorded.has_value(), Item.Recorded.value_or(0),
-      Item.SoleVersion.has_value(), Item.SoleVersion.value_or(0));
+      Item.SoleVersion.has_value(), Item.SoleVersion.value_or(0), server,
+      static_cast<uint32_t>(Item.RecordedAgo.count()));
 }
 
 OriginKnowledge unpack(const wire::OriginAnswer &Item) {
@@ -347,6 +367,8 @@
     known.Recorded = Item.version();
   if (Item.has_sole_version())
     known.SoleVersion = Item.sole_version();
+  known.Server = unpack(Item.server());
+  known.RecordedAgo = Milliseconds(Item.recorded_ago_ms());
   return known;
 }
 
@@ -412,7 +434,7 @@
   for (const StreamOrigin &it : Frame.Origins)
     origins.push_back(wire::CreateStreamOrigin(
         out, it.Stream, it.Version, it.Writer, it.Sequence,
-        static_cast<uint32_t>(it.Lifetime.count())));
+        static_cast<uint32_t>(it.Lifetime.count()), pack(out, it.Server)));
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::StreamOrigin>>>
       originList;
@@ -580,8 +602,8 @@
   if (in.origins())
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
-                               it->sequence(),
-                               Milliseconds(it->lifetime_ms())});
+                               it->sequence(), Milliseconds(it->lifetime_ms()),
+                               unpack(it->server())});
   if (const wire::OriginQuery *it = in.origin_query())
     frame.WantedOrigin = OriginQuery{it->stream(), textOf(it->service()),
                                      Milliseconds(it->max_age_ms())};
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -174,6 +174,9 @@
   // Finds the software version at which the stream goes on that the caller
   // takes up. May ask peers and the store. Returns false if it isn't known.
   bool resolveStreamVersion();
+  // Whether the stream that is taken up may have begun at another process than
+  // the recorded one.
+  bool mayHaveBegunElsewhere(const ResumptionDecision &Decision);
   // Whether a server is known that the stream may run at.
   bool hasOutputServer() const;
   // Whether the request may be sent to one of them.
@@ -437,6 +440,9 @@
   RecordDeliveryPtr UncertaintyDelivery; // null: nothing is waited for
   // The server of a first run that has broken off, unless it was confirmed.
   std::optional<ServerChoice> FirstRunServer;
+  // The process that began the stream, as its entry named it; without an id if
+  // there is none or it is certain.
+  ServerProcess BegunAtServer;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -442,6 +442,14 @@
   return entry && processOf(*entry) != processOf(Server);
 }
 
+ProcessNow ServiceDirectory::processNow(const std::string &ServerId) const {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Registry.find(ServerId);
+  if (!entry)
+    return {};
+  return {processOf(*entry), Registry.knownFor(ServerId, Clock::now())};
+}
+
 bool ServiceDirectory::entriesMayBeOld() const {
   std::lock_guard lock(Mutex);
   return entriesRestoredAt(Clock::now()).has_value();
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -14,6 +14,7 @@
 #include "gateway/decisions/shared_retry_budget.h"
 #include "gateway/decisions/size_affinity.h"
 #include "gateway/decisions/store_revision.h"
+#include "gateway/decisions/stream_resumption.h"
 #include "gateway/decisions/version_history.h"
 #include "gateway/gateway_settings.h"
 
@@ -141,6 +142,8 @@
   std::optional<std::string> successorVersion(const ServerChoice &Server) const;
   // Whether the server's entry names another process than the chosen one.
   bool isReplaced(const ServerChoice &Server) const;
+  // The process that the server's entry names.
+  ProcessNow processNow(const std::string &ServerId) const;
   // Whether a server may have started again without its entry saying so, since
   // the store isn't reached or has come back a moment ago.
   bool entriesMayBeOld() const;
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -27,18 +27,20 @@
 }
 
 StreamOrigin StreamOrigins::addOwn(StreamKey Stream, VersionKey Version,
-                                   Milliseconds Lifetime) {
-  StreamOrigin record{Stream, Version, Incarnation, ++LastSequence, Lifetime};
+                                   Milliseconds Lifetime,
+                                   const ServerProcess &Server) {
+  StreamOrigin record{Stream,         Version,  Incarnation,
+                      ++LastSequence, Lifetime, Server};
   Table.add(record, Clock::now());
   ++Counts.Records;
   return record;
 }
 
 void StreamOrigins::record(StreamKey Stream, VersionKey Version,
-                           Milliseconds Lifetime) {
+                           Milliseconds Lifetime, const ServerProcess &Server) {
   {
     std::lock_guard lock(Mutex);
-    Unsent.push_back(addOwn(Stream, Version, Lifetime));
+    Unsent.push_back(addOwn(Stream, Version, Lifetime, Server));
     if (Unsent.size() > MaxUnsent) {
       Unsent.pop_front();
       ++Counts.Dropped;
@@ -52,7 +54,7 @@
   StreamOrigin record;
   {
     std::lock_guard lock(Mutex);
-    record = addOwn(Stream, UncertainVersion, Lifetime);
+    record = addOwn(Stream, UncertainVersion, Lifetime, {});
   }
   return Connected.SendUncertain ? Connected.SendUncertain(record) : nullptr;
 }
@@ -67,6 +69,17 @@
   return Table.find(Stream, Clock::now());
 }
 
+OriginKnowledge StreamOrigins::knowledgeOf(StreamKey Stream) const {
+  std::lock_guard lock(Mutex);
+  OriginKnowledge known;
+  if (auto record = Table.findRecord(Stream, Clock::now())) {
+    known.Recorded = record->Version;
+    known.Server = record->Server;
+    known.RecordedAgo = record->Age;
+  }
+  return known;
+}
+
 std::vector<OriginKnowledge>
 StreamOrigins::askKeepers(const OriginQuery &Query) const {
   return Connected.AskKeepers ? Connected.AskKeepers(Query)
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -73,13 +73,17 @@
 
   // Records the version at which a run of this instance begins a stream, or
   // goes on with it, and sends the record to its keepers soon.
-  void record(StreamKey Stream, VersionKey Version, Milliseconds Lifetime);
+  // `Server`: see StreamOrigin.
+  void record(StreamKey Stream, VersionKey Version, Milliseconds Lifetime,
+              const ServerProcess &Server = {});
   // Records that nobody may go on with the stream, and begins to send that to
   // its keepers at once. Returns null if there are no peers.
   RecordDeliveryPtr recordUncertain(StreamKey Stream, Milliseconds Lifetime);
   // Adds a record of another instance.
   void add(const StreamOrigin &Record);
   std::optional<VersionKey> find(StreamKey Stream) const;
+  // What this instance's records say of the stream.
+  OriginKnowledge knowledgeOf(StreamKey Stream) const;
 
   std::vector<OriginKnowledge> askKeepers(const OriginQuery &Query) const;
   bool confirmServers() const;
@@ -98,7 +102,7 @@
 private:
   // Called with the lock.
   StreamOrigin addOwn(StreamKey Stream, VersionKey Version,
-                      Milliseconds Lifetime);
+                      Milliseconds Lifetime, const ServerProcess &Server);
 
   const uint64_t Incarnation;
   Hooks Connected;
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -92,6 +92,8 @@
       recordUncertainty();
     } else if (check == ProcessCheck::Unknown) {
       FirstRunServer = Server;
+    } else {
+      BegunAtServer = {};
     }
   }
   if (Progress.end(run.Number,
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -32,10 +32,11 @@
   StreamKey stream =
       streamKeyOf(Request.Host, Request.Target, Request.ResumedRequestId);
   auto ownKnowledge = [&] {
-    return OriginKnowledge{
-        Request.ResumedRequestId.empty() ? std::nullopt
-                                         : Context.Origins.find(stream),
-        Context.Directory.soleVersion(Service, MaxStreamAge)};
+    OriginKnowledge known;
+    if (!Request.ResumedRequestId.empty())
+      known = Context.Origins.knowledgeOf(stream);
+    known.SoleVersion = Context.Directory.soleVersion(Service, MaxStreamAge);
+    return known;
   };
   OriginKnowledge own = ownKnowledge();
   std::vector<OriginKnowledge> peers;
@@ -51,6 +52,11 @@
     current = Context.Directory.soleVersion(Service, Milliseconds(0));
     decision = decideResumption(ownKnowledge(), peers, current);
   }
+  if (decision.Version && mayHaveBegunElsewhere(decision)) {
+    decision = {std::nullopt, "its server was replaced"};
+    Progress.requireNothingFollows();
+    recordUncertainty();
+  }
   Progress.requireVersion(decision.Version);
   internal::LogFields all = fields();
   all.emplace_back("resumes", Request.ResumedRequestId);
@@ -66,6 +72,30 @@
   return decision.Version.has_value();
 }
 
+bool RequestHandler::mayHaveBegunElsewhere(const ResumptionDecision &Decision) {
+  BegunAtServer = Decision.Server;
+  const ServerProcess &begunAt = Decision.Server;
+  switch (doubtOrigin(begunAt, Decision.RecordedAgo,
+                      Context.Directory.processNow(begunAt.Id))) {
+  case OriginDoubt::None:
+    return false;
+  case OriginDoubt::Wrong:
+    return true;
+  case OriginDoubt::AskServer:
+    break;
+  }
+  ServerChoice server;
+  server.Id = begunAt.Id;
+  server.Address = begunAt.Address;
+  server.Version = begunAt.Version;
+  server.StartedAt = begunAt.StartedAt;
+  server.Service = Service;
+  ProcessCheck check = checkProcess(server);
+  if (check == ProcessCheck::Same)
+    BegunAtServer = {};
+  return check == ProcessCheck::Replaced;
+}
+
 bool RequestHandler::hasOutputServer() const {
   return !Context.Directory.rank(outputQuery(ServerStage::Decode)).empty() ||
          !Context.Directory.rank(outputQuery(ServerStage::Whole)).empty();
@@ -92,8 +122,10 @@
   if (!Route.Resumable)
     return;
   RecordedVersion = versionKeyOf(Server.Version);
+  if (!Progress.begun())
+    BegunAtServer = processOf(Server);
   Context.Origins.record(streamKey(), *RecordedVersion,
-                         originLifetime(callerTimeLeft()));
+                         originLifetime(callerTimeLeft()), BegunAtServer);
 }
 
 std::optional<Milliseconds> RequestHandler::callerTimeLeft() const {
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -50,6 +50,9 @@
 struct Permit;
 struct PermitBuilder;
 
+struct ServerProcess;
+struct ServerProcessBuilder;
+
 struct StreamOrigin;
 struct StreamOriginBuilder;
 
@@ -1133,6 +1136,97 @@
   return builder_.Finish();
 }
 
+struct ServerProcess FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerProcessBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STARTED_AT = 6,
+    VT_ADDRESS = 8,
+    VT_VERSION = 10
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t started_at() const {
+    return GetField<int64_t>(VT_STARTED_AT, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerProcessBuilder {
+  typedef ServerProcess Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ServerProcess::VT_ID, id);
+  }
+  void add_started_at(int64_t started_at) {
+    fbb_.AddElement<int64_t>(ServerProcess::VT_STARTED_AT, started_at, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(ServerProcess::VT_ADDRESS, address);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(ServerProcess::VT_VERSION, version);
+  }
+  explicit ServerProcessBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerProcess> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerProcess>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerProcess> CreateServerProcess(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t started_at = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
+  ServerProcessBuilder builder_(_fbb);
+  builder_.add_started_at(started_at);
+  builder_.add_version(version);
+  builder_.add_address(address);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerProcess> CreateServerProcessDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t started_at = 0,
+    const char *address = nullptr,
+    const char *version = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return crocusspur::gateway::wire::CreateServerProcess(
+      _fbb,
+      id__,
+      started_at,
+      address__,
+      version__);
+}
+
 struct StreamOrigin FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StreamOriginBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1140,7 +1234,8 @@
     VT_VERSION = 6,
     VT_WRITER = 8,
     VT_SEQUENCE = 10,
-    VT_LIFETIME_MS = 12
+    VT_LIFETIME_MS = 12,
+    VT_SERVER = 14
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -1157,6 +1252,9 @@
   uint32_t lifetime_ms() const {
     return GetField<uint32_t>(VT_LIFETIME_MS, 0);
   }
+  const crocusspur::gateway::wire::ServerProcess *server() const {
+    return GetPointer<const crocusspur::gateway::wire::ServerProcess *>(VT_SERVER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -1164,6 +1262,8 @@
            VerifyField<uint64_t>(verifier, VT_WRITER, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyTable(server()) &&
            verifier.EndTable();
   }
 };
@@ -1187,6 +1287,9 @@
   void add_lifetime_ms(uint32_t lifetime_ms) {
     fbb_.AddElement<uint32_t>(StreamOrigin::VT_LIFETIME_MS, lifetime_ms, 0);
   }
+  void add_server(flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server) {
+    fbb_.AddOffset(StreamOrigin::VT_SERVER, server);
+  }
   explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1204,12 +1307,14 @@
     uint64_t version = 0,
     uint64_t writer = 0,
     uint64_t sequence = 0,
-    uint32_t lifetime_ms = 0) {
+    uint32_t lifetime_ms = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0) {
   StreamOriginBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_writer(writer);
   builder_.add_version(version);
   builder_.add_stream(stream);
+  builder_.add_server(server);
   builder_.add_lifetime_ms(lifetime_ms);
   return builder_.Finish();
 }
@@ -1295,7 +1400,9 @@
     VT_RECORDED = 4,
     VT_VERSION = 6,
     VT_HAS_SOLE_VERSION = 8,
-    VT_SOLE_VERSION = 10
+    VT_SOLE_VERSION = 10,
+    VT_SERVER = 12,
+    VT_RECORDED_AGO_MS = 14
   };
   bool recorded() const {
     return GetField<uint8_t>(VT_RECORDED, 0) != 0;
@@ -1309,12 +1416,21 @@
   uint64_t sole_version() const {
     return GetField<uint64_t>(VT_SOLE_VERSION, 0);
   }
+  const crocusspur::gateway::wire::ServerProcess *server() const {
+    return GetPointer<const crocusspur::gateway::wire::ServerProcess *>(VT_SERVER);
+  }
+  uint32_t recorded_ago_ms() const {
+    return GetField<uint32_t>(VT_RECORDED_AGO_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_HAS_SOLE_VERSION, 1) &&
            VerifyField<uint64_t>(verifier, VT_SOLE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyTable(server()) &&
+           VerifyField<uint32_t>(verifier, VT_RECORDED_AGO_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1335,6 +1451,12 @@
   void add_sole_version(uint64_t sole_version) {
     fbb_.AddElement<uint64_t>(OriginAnswer::VT_SOLE_VERSION, sole_version, 0);
   }
+  void add_server(flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server) {
+    fbb_.AddOffset(OriginAnswer::VT_SERVER, server);
+  }
+  void add_recorded_ago_ms(uint32_t recorded_ago_ms) {
+    fbb_.AddElement<uint32_t>(OriginAnswer::VT_RECORDED_AGO_MS, recorded_ago_ms, 0);
+  }
   explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1351,10 +1473,14 @@
     bool recorded = false,
     uint64_t version = 0,
     bool has_sole_version = false,
-    uint64_t sole_version = 0) {
+    uint64_t sole_version = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0,
+    uint32_t recorded_ago_ms = 0) {
   OriginAnswerBuilder builder_(_fbb);
   builder_.add_sole_version(sole_version);
   builder_.add_version(version);
+  builder_.add_recorded_ago_ms(recorded_ago_ms);
+  builder_.add_server(server);
   builder_.add_has_sole_version(has_sole_version);
   builder_.add_recorded(recorded);
   return builder_.Finish();
--- a/test/gateway_stream_resumption_test.cc
+++ b/test/gateway_stream_resumption_test.cc
@@ -157,3 +157,41 @@
   CHECK(streamKeyOf("a", "/x", "1") != streamKeyOf("b", "/x", "1"));
   CHECK(streamKeyOf("a", "/x1", "") != streamKeyOf("a", "/x", "1"));
 }
+
+// A stream began at a process whose entry wasn't known yet, its caller left at
+// once, and it went on at the version of the process before.
+TEST_CASE("A stream may have begun at the successor of its recorded process") {
+  const ServerProcess first{"d1", 1000, "10.0.0.1:80", "v1"};
+  const ServerProcess second{"d1", 2000, "10.0.0.1:80", "v2"};
+  const ServerProcess restarted{"d1", 2000, "10.0.0.1:80", "v1"};
+  Milliseconds ago(3000);
+  CHECK(doubtOrigin(first, ago, {first, Milliseconds(60000)}) ==
+        OriginDoubt::AskServer);
+  // The entry changed soon after the stream's begin, or before it.
+  CHECK(doubtOrigin(first, ago, {second, Milliseconds(1501)}) ==
+        OriginDoubt::Wrong);
+  CHECK(doubtOrigin(first, ago, {second, Milliseconds(5000)}) ==
+        OriginDoubt::Wrong);
+  CHECK(doubtOrigin(first, ago, {second, Milliseconds(1500)}) ==
+        OriginDoubt::None);
+  // A crash, or an entry that is gone.
+  CHECK(doubtOrigin(first, ago, {restarted, Milliseconds(2000)}) ==
+        OriginDoubt::None);
+  CHECK(doubtOrigin(first, ago, {}) == OriginDoubt::None);
+  CHECK(doubtOrigin({}, ago, {second, Milliseconds(2000)}) ==
+        OriginDoubt::None);
+}
+
+TEST_CASE("A record that names its server counts before one that doesn't") {
+  const ServerProcess server{"d1", 1000, "10.0.0.1:80", "v1"};
+  const OriginKnowledge certain{VersionKey(5), std::nullopt};
+  const OriginKnowledge named{VersionKey(5), std::nullopt, server,
+                              Milliseconds(70)};
+  for (const auto &[own, peer] :
+       {std::pair(certain, named), std::pair(named, certain)}) {
+    ResumptionDecision decision = decideResumption(own, {peer}, std::nullopt);
+    CHECK(decision.Version == VersionKey(5));
+    CHECK(decision.Server == server);
+    CHECK(decision.RecordedAgo == Milliseconds(70));
+  }
+}
