Let the limit of a head decide on long fields of requests

Cause: the parser of heads had a limit of its own of 8,192 bytes a line, whatever was configured.

Change: the reader's limit on the whole head bounds a request's line and fields, in serve too, whose heads may have 32 KiB. A field in a server's head keeps 8 KiB, under a name.

--- a/src/caller_listener.cc
+++ b/src/caller_listener.cc
@@ -220,8 +220,7 @@
   if (Status == RequestReadStatus::TooLarge) {
     kind = ErrorKind::HeaderTooLarge;
     detail = "at most " + std::to_string(Limits.MaxHeaderFields) +
-             " fields, 8192 bytes a line and " + std::to_string(MaxHeadBytes) +
-             " bytes in all";
+             " fields and " + std::to_string(MaxHeadBytes) + " bytes in all";
   } else if (Status == RequestReadStatus::TimedOut) {
     kind = ErrorKind::CallerTimeout;
     detail = "the head took too long";
--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -7,7 +7,7 @@
 namespace crocusspur::internal {
 namespace {
 
-constexpr size_t MaxLineBytes = 8192;
+constexpr size_t MaxLineBytes = 8192; // of a body's framing
 constexpr uint32_t MaxTrailerLines = 32;
 
 bool isTokenChar(char C) {
@@ -80,12 +80,12 @@
 }
 
 HeadParseStatus parseFields(std::string_view Text, size_t MaxFields,
-                            HttpHead &Head) {
+                            size_t MaxFieldBytes, HttpHead &Head) {
   std::string_view line;
   while (nextLine(Text, line)) {
     if (line.empty())
       return Text.empty() ? HeadParseStatus::Ok : HeadParseStatus::Malformed;
-    if (line.size() > MaxLineBytes || Head.Fields.size() >= MaxFields)
+    if (line.size() > MaxFieldBytes || Head.Fields.size() >= MaxFields)
       return HeadParseStatus::TooLarge;
     size_t colon = line.find(':');
     if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) ||
@@ -140,11 +140,9 @@
   std::string_view line;
   if (!nextLine(Text, line))
     return HeadParseStatus::Malformed;
-  if (line.size() > MaxLineBytes)
-    return HeadParseStatus::TooLarge;
   if (!parseRequestLine(line, Head))
     return HeadParseStatus::Malformed;
-  return parseFields(Text, MaxFields, Head);
+  return parseFields(Text, MaxFields, Text.size(), Head);
 }
 
 HeadParseStatus parseResponseHead(std::string_view Text, HttpHead &Head) {
@@ -154,7 +152,7 @@
       !parseVersion(line.substr(0, 8), Head.MinorVersion) ||
       !parseNumber(line.substr(9, 3), Head.Status))
     return HeadParseStatus::Malformed;
-  return parseFields(Text, ResponseFieldLimit, Head);
+  return parseFields(Text, ResponseFieldLimit, MaxResponseFieldBytes, Head);
 }
 
 const char *nameOf(BodyForm Form) {
--- a/src/http_header.h
+++ b/src/http_header.h
@@ -14,6 +14,8 @@
 
 // Maximum length of a head from a caller or a backend server.
 inline constexpr size_t MaxHeadBytes = 32768;
+// Of one field in the head of a backend server's response.
+inline constexpr size_t MaxResponseFieldBytes = 8192;
 
 struct HttpHead {
   std::string Method; // requests
@@ -31,7 +33,8 @@
 
 enum class HeadParseStatus : uint8_t { Ok, Malformed, TooLarge };
 
-// `Text` is the head up to and including the empty line.
+// `Text` is the head up to and including the empty line. Its length is the
+// reader's to bound: a request's line or field may be as long as its head.
 HeadParseStatus parseRequestHead(std::string_view Text, size_t MaxFields,
                                  HttpHead &Head);
 HeadParseStatus parseResponseHead(std::string_view Text, HttpHead &Head);
--- a/test/caller_reader_test.cc
+++ b/test/caller_reader_test.cc
@@ -67,6 +67,22 @@
   CHECK(reader.readHead(head) == RequestReadStatus::Closed);
 }
 
+TEST_CASE("The limit of a head decides, also for one long field") {
+  for (size_t length : {9000, 16300, 17000}) {
+    CAPTURE(length);
+    SocketPair sockets;
+    ReadLimits values = limits(10000);
+    values.MaxHeadBytes = 16384;
+    CallerReader reader(sockets.near(), values);
+    sendText(sockets.far(),
+             "GET / HTTP/1.1\r\nA: " + std::string(length, 'x') + "\r\n\r\n");
+    HttpHead head;
+    CHECK(reader.readHead(head) == (length < values.MaxHeadBytes
+                                        ? RequestReadStatus::Ok
+                                        : RequestReadStatus::TooLarge));
+  }
+}
+
 TEST_CASE("An endless head is rejected at the limit") {
   SocketPair sockets;
   ReadLimits values = limits(10000);
