Let no entry of another writer take a live server out of use

Cause: of the entries at one address the one written last counted and the others were forgotten, whatever it names.

Change: an entry of a service that the configuration doesn't name claims no address. Otherwise the others stay as a last resort, and a response 421 disproves the claim of the server that was called.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -135,6 +135,30 @@
     it->second.UsableUntil = UsableUntil;
 }
 
+bool ServerRegistry::onAddressClaimed(const std::string &Id,
+                                      const std::string &ClaimantId) {
+  auto it = Servers.find(Id);
+  if (it == Servers.end() || it->second.ClaimantId == ClaimantId ||
+      it->second.DisprovedClaimants.contains(ClaimantId))
+    return false;
+  it->second.ClaimantId = ClaimantId;
+  return true;
+}
+
+void ServerRegistry::onClaimDisproved(const ServerProcess &Process) {
+  auto disproved = Servers.find(Process.Id);
+  if (disproved == Servers.end() ||
+      processOf(disproved->second.Entry) != Process)
+    return;
+  for (auto &[id, server] : Servers) {
+    if (id == Process.Id || server.Entry.Address != Process.Address)
+      continue;
+    server.DisprovedClaimants.insert(Process.Id);
+    if (server.ClaimantId == Process.Id)
+      server.ClaimantId.clear();
+  }
+}
+
 void ServerRegistry::expire(TimePoint Now) {
   std::erase_if(Servers, [&](const auto &It) {
     return It.second.UsableUntil && *It.second.UsableUntil < Now;
@@ -175,8 +199,10 @@
 std::vector<ServerEntry>
 ServerRegistry::sharingAddress(const ServerEntry &Entry) const {
   std::vector<ServerEntry> all;
+  auto own = Servers.find(Entry.Id);
   for (const auto &[id, server] : Servers)
-    if (id != Entry.Id && server.Entry.Address == Entry.Address)
+    if (id != Entry.Id && server.Entry.Address == Entry.Address &&
+        (own == Servers.end() || !own->second.DisprovedClaimants.contains(id)))
       all.push_back(server.Entry);
   return all;
 }
@@ -194,8 +220,9 @@
   return static_cast<uint32_t>(
       std::count_if(Servers.begin(), Servers.end(), [&](const auto &It) {
         const ServerEntry &entry = It.second.Entry;
-        return !It.second.UsableUntil && entry.Service == Service &&
-               entry.Stage == Stage && !It.second.Leaving;
+        return !It.second.UsableUntil && It.second.ClaimantId.empty() &&
+               entry.Service == Service && entry.Stage == Stage &&
+               !It.second.Leaving;
       }));
 }
 
@@ -375,7 +402,8 @@
   for (const auto &[id, server] : Servers) {
     if (sendBar(server, Now) != SendBar::None || !matches(server, Query))
       continue;
-    int rankClass = server.UsableUntil ? 2 : server.AvoidUntil > Now ? 1 : 0;
+    bool isLastResort = server.UsableUntil || !server.ClaimantId.empty();
+    int rankClass = isLastResort ? 2 : server.AvoidUntil > Now ? 1 : 0;
     bool above = useKnees && drawAboveKnee(server, others, Now);
     found.push_back(
         {rankClass, above, score(server, Now) + draw(Random), &server});
@@ -451,7 +479,7 @@
 
 bool ServerRegistry::isHealthy(const Server &Item, TimePoint Now) const {
   return sendBar(Item, Now) == SendBar::None && !Item.UsableUntil &&
-         Item.AvoidUntil <= Now;
+         Item.ClaimantId.empty() && Item.AvoidUntil <= Now;
 }
 
 DispatchServers ServerRegistry::dispatchServers(const std::string &Service,
@@ -464,7 +492,7 @@
   for (const auto &[id, server] : Servers) {
     const ServerEntry &entry = server.Entry;
     if (entry.Service != Service || entry.Stage != ServerStage::Prefill ||
-        server.Leaving || server.UsableUntil)
+        server.Leaving || server.UsableUntil || !server.ClaimantId.empty())
       continue;
     found.Differ =
         found.Differ || paces.placementPace(id, ServerStage::Prefill, Now) != 1;
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -120,8 +120,13 @@
   // leaving stays usable as a last resort until `UsableUntil`, since entries
   // also expire while the store is unavailable.
   void remove(const std::string &Id, TimePoint UsableUntil);
-  // Forgets a server whose process has ended.
-  void erase(const std::string &Id) { Servers.erase(Id); }
+  // Another server's entry, written later, names this server's address. It
+  // stays usable as a last resort, until that claim is disproved: an entry of
+  // another writer may name any address. Returns whether the claim is new.
+  bool onAddressClaimed(const std::string &Id, const std::string &ClaimantId);
+  // The server at the process's address says that it isn't this one, so that
+  // what its entry claims of the address counts no more.
+  void onClaimDisproved(const ServerProcess &Process);
   // Removes servers whose `UsableUntil` has passed.
   void expire(TimePoint Now);
 
@@ -150,7 +155,8 @@
   // For how long the process of the server's entry has been known; 0 if there
   // is no entry.
   Milliseconds knownFor(const std::string &Id, TimePoint Now) const;
-  // Other servers whose entries name this server's address.
+  // Other servers whose entries name this server's address, but for those whose
+  // claim was disproved.
   std::vector<ServerEntry> sharingAddress(const ServerEntry &Entry) const;
   std::vector<ServerEntry> entries() const;
   // Number of registered servers of a service in a stage, without those that
@@ -245,6 +251,8 @@
     TimePoint KnownSince; // its process
     bool Leaving = false; // whether `LeavingServers` has its process
     std::optional<TimePoint> UsableUntil; // set when the entry is removed
+    std::string ClaimantId;               // of its address; empty: none
+    std::set<std::string> DisprovedClaimants;
     double OwnLoad = 0;
     uint32_t OwnCalls = 0;
     std::optional<ServerLoad> Load;
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -61,6 +61,7 @@
 // Contents of a server's response head, except status and length.
 struct ResponseInfo {
   bool NotExecuted = false; // stated by the server
+  bool Misdirected = false; // another server than the one that was meant
   bool Signed = false;      // the response carries a server's signature
   bool Encoded = false;     // the body has a content encoding
   std::string RequestId;
--- a/src/gateway/server_responses.cc
+++ b/src/gateway/server_responses.cc
@@ -13,6 +13,8 @@
       Directory.onReportedSlowdown(processOf(Server), *Info.Load->Slowdown);
     if (Info.RetryAfter)
       Directory.onServerResting(processOf(Server), *Info.RetryAfter);
+    if (Info.Misdirected)
+      Directory.onMisdirected(processOf(Server));
     if (Info.ServerLeaving &&
         Directory.onServerLeaving({processOf(Server)}, LeavingOrigin::Response))
       Connections.drop(Server.Address);
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -243,7 +243,7 @@
     Versions.onServer(*Change.Entry, Now);
     if (restarted && OnServerEnd)
       OnServerEnd(Change.Id, Change.Entry->StartedAt);
-    removeEndedAt(*Change.Entry);
+    onAddressNamed(*Change.Entry);
     return;
   }
   // The last quarter of the limit is left for requests in flight to the server.
@@ -283,8 +283,28 @@
     EraChangedAt = Now;
 }
 
-void ServiceDirectory::removeEndedAt(const ServerEntry &Entry) {
+bool ServiceDirectory::isServiceKnown(const std::string &Service) const {
+  if (Document->Version == 0 || Document->Services.contains(Service))
+    return true;
+  return std::ranges::any_of(Document->Routes, [&](const PathRoute &Route) {
+    return std::ranges::any_of(
+        Route.Services, [&](const auto &It) { return It.Service == Service; });
+  });
+}
+
+std::vector<ServerEntry>
+ServiceDirectory::claimsOnAddress(const ServerEntry &Entry) const {
   std::vector<ServerEntry> all = Registry.sharingAddress(Entry);
+  std::erase_if(all, [this](const ServerEntry &It) {
+    return !isServiceKnown(It.Service);
+  });
+  return all;
+}
+
+void ServiceDirectory::onAddressNamed(const ServerEntry &Entry) {
+  if (!isServiceKnown(Entry.Service))
+    return;
+  std::vector<ServerEntry> all = claimsOnAddress(Entry);
   if (all.empty())
     return;
   all.push_back(Entry);
@@ -293,7 +313,7 @@
   };
   auto latest = std::ranges::max_element(all, {}, revisionOf);
   for (const ServerEntry &it : all) {
-    if (it.Id == latest->Id)
+    if (it.Id == latest->Id || !Registry.onAddressClaimed(it.Id, latest->Id))
       continue;
     log(LogLevel::Info, "directory", "server replaced at its address",
         {{"server", it.Id},
@@ -302,11 +322,22 @@
          {"leaving", Registry.isLeaving(it.Id) ? "true" : "false"}});
     if (!Registry.isLeaving(it.Id) && OnServerEnd)
       OnServerEnd(it.Id, std::nullopt);
-    Registry.erase(it.Id);
-    Versions.onServerGone(it.Id, Clock::now());
   }
 }
 
+void ServiceDirectory::onMisdirected(const ServerProcess &Process) {
+  std::lock_guard lock(Mutex);
+  const ServerEntry *entry = Registry.find(Process.Id);
+  if (!entry || processOf(*entry) != Process ||
+      Registry.sharingAddress(*entry).empty())
+    return;
+  log(LogLevel::Info, "directory",
+      "another server responds at an address that several entries name",
+      {{"server", Process.Id}, {"address", Process.Address}});
+  Registry.onClaimDisproved(Process);
+  Registry.onStageRefused(Process.Id, /*Misdirected=*/true, Clock::now());
+}
+
 void ServiceDirectory::applyServer(const ServerChange &Change,
                                    UpdateOrigin Origin) {
   std::lock_guard lock(Mutex);
@@ -467,7 +498,7 @@
   ServerEntry former;
   former.Id = Server.Id;
   former.Address = Server.Address;
-  for (const ServerEntry &it : Registry.sharingAddress(former))
+  for (const ServerEntry &it : claimsOnAddress(former))
     if (it.Version != Server.Version)
       return it.Version;
   return std::nullopt;
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -142,6 +142,8 @@
   std::optional<std::string> successorVersion(const ServerChoice &Server) const;
   // Whether the server's entry names another process than the chosen one.
   bool isReplaced(const ServerChoice &Server) const;
+  // The server that was called at the process's address isn't this one.
+  void onMisdirected(const ServerProcess &Process);
   // The process that the server's entry names.
   ProcessNow processNow(const std::string &ServerId) const;
   // Whether a server may have started again without its entry saying so, since
@@ -268,10 +270,14 @@
   bool namesProcess(const ServerChoice &Server) const;
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
                    TimePoint Now);
-  // Removes all servers at the entry's address but the one registered last. A
-  // process that starts there has a new id, and the entry of the one that ended
-  // stays until it expires.
-  void removeEndedAt(const ServerEntry &Entry);
+  // Whether the configuration names the service, or none is known yet.
+  bool isServiceKnown(const std::string &Service) const;
+  // Other servers of known services whose entries name this server's address.
+  std::vector<ServerEntry> claimsOnAddress(const ServerEntry &Entry) const;
+  // Of all servers at the entry's address, the one that registered last counts
+  // as living there. A process that starts there may have a new id, and the
+  // entry of the one that ended stays until it expires.
+  void onAddressNamed(const ServerEntry &Entry);
 
   const GatewaySettings &Values;
   ServerEndListener OnServerEnd;
