--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -30,9 +30,6 @@
 // term, so that an isolated instance doesn't use budget that belongs to others.
 constexpr uint32_t DefaultSharers = 64;
 constexpr Milliseconds FleetSizeRetention{60000};
-// For how long instances that are gone without having left count for the half
-// that a leader has to see. Each side of a cut that lasts longer has a leader.
-constexpr Milliseconds LeaderFleetRetention{600000};
 // In a fleet that knows more members, contacts are mostly within the failure
 // domain: bytes between domains are dear. One contact in this many is chosen
 // from all, so that a domain of ten hears of a change within a round or two.
@@ -183,7 +180,8 @@
 
 bool MemberTable::isLeader(Milliseconds ForAtLeast, TimePoint Now) {
   std::vector<Member> others = alive(Now);
-  bool firstByName = Discovery.hasBegun() && seesHalfOfFleet(others, Now);
+  bool firstByName =
+      Discovery.hasBegun() && 2 * (others.size() + 1) > fleetSize(Now);
   for (const Member &it : others)
     firstByName = firstByName && (it.Leaving || OwnName < it.Name);
   if (!firstByName)
@@ -193,26 +191,6 @@
   return FirstByNameSince && Now - *FirstByNameSince >= ForAtLeast;
 }
 
-bool MemberTable::seesHalfOfFleet(const std::vector<Member> &Others,
-                                  TimePoint Now) {
-  uint32_t staying = 1;
-  for (const Member &it : Others) {
-    if (!it.Leaving)
-      ++staying;
-    else if (SeenLeaving.insert(it.Name).second && LeaderFleet > 1)
-      --LeaderFleet;
-  }
-  std::erase_if(SeenLeaving, [&](const std::string &Name) {
-    auto it = std::ranges::find(Others, Name, &Member::Name);
-    return it == Others.end() || !it->Leaving;
-  });
-  if (staying >= LeaderFleet || Now - LeaderFleetAt > LeaderFleetRetention) {
-    LeaderFleet = staying;
-    LeaderFleetAt = Now;
-  }
-  return 2 * staying > LeaderFleet;
-}
-
 KeyOwner MemberTable::ownerOf(const std::string &Key, bool OwnLeaving,
                               TimePoint Now) const {
   // A process that has just started knows nobody yet.
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -17,7 +17,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -109,10 +108,9 @@
 
   // Whether this instance is the leader, which issues stage change orders: for
   // at least `ForAtLeast` it has been the first by name among those that aren't
-  // leaving, and sees more than half of the largest fleet of the last ten
-  // minutes, without those that have left. Two instances may be leader for
-  // seconds at the begin of a partition, and in one that lasts longer than
-  // that; servers then order them by their fencing tokens.
+  // leaving, and has seen at least half of the fleet. During a partition two
+  // instances may briefly both be leader; servers then order them by their
+  // fencing tokens.
   bool isLeader(Milliseconds ForAtLeast, TimePoint Now);
 
   // Returns the first of the instances that aren't leaving, in the rendezvous
@@ -159,7 +157,6 @@
   uint32_t budgetSharers(TimePoint Now);
 
 private:
-  bool seesHalfOfFleet(const std::vector<Member> &Others, TimePoint Now);
   // The maximum of members seen at once in the last minute.
   uint32_t fleetSize(TimePoint Now);
   // Returns a number for the failure domain; 0 for none.
@@ -187,10 +184,6 @@
   size_t SeedPhase;
   uint32_t MaxSeen = 0; // members at once, including this instance
   TimePoint MaxSeenAt;
-  // The same of those that aren't leaving, for the half that a leader sees.
-  uint32_t LeaderFleet = 0;
-  TimePoint LeaderFleetAt;
-  std::set<std::string> SeenLeaving; // that no longer count in it
   FleetDiscovery Discovery;
   std::optional<TimePoint> FirstByNameSince;
 };
