Take no response to a part of a request for whole at its connection's end

Cause: send() meets the reset. The kernel reports it once, and further reads return what came before it and then an orderly end, which ends such a body. The check whether the sender lives finds that it does.

Change: an exchange knows whether its request was sent whole. If not, the connection's end ends no body, and nothing uses the connection again.

--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -130,6 +130,7 @@
       return toStatus(result, ByteSent ? ExchangeStatus::TimedOut
                                        : ExchangeStatus::NotSent);
   }
+  SentWhole = true;
   return ExchangeStatus::Ok;
 }
 
@@ -206,7 +207,8 @@
     if (!Decoder.feed(input, Out))
       return ExchangeStatus::Failed;
     Offset += available - input.size();
-    if (EndOfInput)
+    // A reset that send() has met shows as an orderly end here.
+    if (EndOfInput && SentWhole)
       Decoder.endOfInput();
     End = Decoder.complete();
     if (End || Out.size() > before)
@@ -272,7 +274,7 @@
 }
 
 BackendSocketPtr HttpExchange::release() {
-  bool reusable = Socket && Decoder.complete() &&
+  bool reusable = Socket && SentWhole && Decoder.complete() &&
                   Form != BodyForm::UntilClose && !EndOfInput &&
                   Offset == Pending.size() && ByteReceived &&
                   Head.wantsKeepAlive();
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -59,7 +59,8 @@
   // Sends the request. Checks the clock directly before the first byte and
   // returns NotSent if `NotAfter` has passed. Once a byte has been sent, a
   // broken connection is reported by readHead(), since the server may have
-  // responded early.
+  // responded early. A body of the form UntilClose that responds to a part of a
+  // request counts as broken off.
   ExchangeStatus send(const std::string &Request, TimePoint NotAfter,
                       Milliseconds Timeout);
   // Waits for the response head, at most for `Timeout`. Returns Failed after
@@ -114,6 +115,7 @@
   size_t Offset = 0;
   ConnectFailure Failure = ConnectFailure::None;
   bool ByteSent = false;
+  bool SentWhole = false;
   bool ByteReceived = false;
   bool EndOfInput = false;
   BodyForm Form = BodyForm::None;
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -292,18 +292,22 @@
 
 namespace {
 
-StageOutcome getFromService(const std::string &Address) {
+StageOutcome callService(const std::string &Address, const std::string &Method,
+                         const std::string &Body) {
   BackendClient client;
   ServiceRequest input;
-  input.Method = "GET";
+  input.Method = Method;
   input.Path = "/";
-  const std::string none;
-  input.Body = &none;
+  input.Body = &Body;
   ServiceCollector response;
   PollWaiter waiter;
   return client.service(callTo(Address), input, waiter, response).Outcome;
 }
 
+StageOutcome getFromService(const std::string &Address) {
+  return callService(Address, "GET", "");
+}
+
 } // namespace
 
 // Without a length or chunks, the end of the connection was taken for the end.
@@ -372,6 +376,24 @@
   CHECK(outcomeOf(After::Refuses) == StageOutcome::Failed);
 }
 
+// The reset showed while the request was sent, and the response then seemed to
+// end in order.
+TEST_CASE("A response without a length whose connection is reset during the "
+          "request has failed") {
+  ScriptServer server([&](int Fd, int) {
+    if (readUntil(Fd, "\r\n\r\n").starts_with("GET /v1/load")) {
+      sendText(Fd, httpResponse(200, "{}"));
+      return;
+    }
+    sendText(Fd, "HTTP/1.1 200 OK\r\n\r\na part");
+    // The client waits for the server by then.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    resetOnClose(Fd);
+  });
+  const std::string body(32 << 20, 'x'); // more than the sockets hold
+  CHECK(callService(server.address(), "POST", body) == StageOutcome::Failed);
+}
+
 TEST_CASE("A control call is retried once if a reused connection has broken") {
   // Guards against lost cancels after a server closed an idle connection.
   ScriptServer server([](int Fd, int Number) {
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -171,6 +171,9 @@
   return Response.ends_with("\r\n0\r\n\r\n");
 }
 
+// More than the buffers of a connection hold.
+constexpr size_t LongUpload = 32 << 20;
+
 constexpr std::array Framings = {Framing::Length, Framing::Chunks,
                                  Framing::UntilClose};
 
@@ -454,3 +457,34 @@
         }
       }
 }
+
+// The reset showed while the request was sent, and its response then seemed to
+// end in order.
+TEST_CASE("A response without a length whose connection is reset during the "
+          "upload isn't complete") {
+  for (RouteKind kind : {RouteKind::NonIdempotent, RouteKind::Idempotent}) {
+    CAPTURE(static_cast<int>(kind));
+    GatewayFixture gateway;
+    std::atomic<int> runs{0};
+    ScriptServer server([&](int Fd, int) {
+      std::string head = readUntil(Fd, "\r\n\r\n");
+      if (!head.starts_with("POST /x/y")) {
+        sendText(Fd, httpResponse(200, "{}"));
+        return;
+      }
+      ++runs;
+      sendText(Fd, headOf(Framing::UntilClose, 0) + "a part");
+      // The upload waits for the server by then.
+      std::this_thread::sleep_for(Milliseconds(100));
+      resetOnClose(Fd);
+    });
+    add(gateway, "b1", server.address(), ServerStage::Whole);
+    CallerRequest request = gateway.request();
+    request.Body = std::string(LongUpload, 'x');
+    std::string response = gateway.run(gateway.route(kind), request);
+    CHECK(runs > 0);
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(response.find("\"run\":\"no\"") == std::string::npos);
+    CHECK(response.find("a part") == std::string::npos);
+  }
+}
