Read the response of a server that reads no more of the request

An answer that is there is to be delivered.

Cause: send() only waits for room to write, and its time-out ended the call.

Change: if a response has begun to arrive by then, it is read. The request counts as sent in part, so that the response must have a length or chunks to be whole.

--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -60,6 +60,11 @@
   return -1;
 }
 
+bool isReadable(int Fd) {
+  pollfd item{Fd, POLLIN, 0};
+  return ::poll(&item, 1, 0) > 0;
+}
+
 } // namespace
 
 const char *nameOf(ConnectFailure Failure) {
@@ -126,6 +131,8 @@
       return ByteSent ? ExchangeStatus::Ok : ExchangeStatus::NotSent;
     WaitResult result =
         Waiter.wait(Socket->fd(), POLLOUT, Clock::now() + Timeout);
+    if (result == WaitResult::TimedOut && ByteSent && isReadable(Socket->fd()))
+      return ExchangeStatus::Ok;
     if (result != WaitResult::Ready)
       return toStatus(result, ByteSent ? ExchangeStatus::TimedOut
                                        : ExchangeStatus::NotSent);
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -59,7 +59,8 @@
   // Sends the request. Checks the clock directly before the first byte and
   // returns NotSent if `NotAfter` has passed. Once a byte has been sent, a
   // broken connection is reported by readHead(), since the server may have
-  // responded early. A body of the form UntilClose that responds to a part of a
+  // responded early; so is a server that responds and reads no more for
+  // `Timeout`. A body of the form UntilClose that responds to a part of a
   // request counts as broken off.
   ExchangeStatus send(const std::string &Request, TimePoint NotAfter,
                       Milliseconds Timeout);
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -488,3 +488,22 @@
     CHECK(response.find("a part") == std::string::npos);
   }
 }
+
+// The response to a server that reads no more of the request was given up with
+// the upload.
+TEST_CASE("A response to a part of an upload reaches the caller") {
+  GatewayFixture gateway;
+  ScriptServer server([&](int Fd, int) {
+    readUntil(Fd, "\r\n\r\n");
+    sendText(Fd, signedResponse(413, "too long"));
+    std::this_thread::sleep_for(TransferTimeout + Milliseconds(1000));
+  });
+  add(gateway, "b1", server.address(), ServerStage::Whole);
+  CallerRequest request = gateway.request();
+  request.Body = std::string(LongUpload, 'x');
+  std::string response =
+      gateway.run(gateway.route(RouteKind::NonIdempotent), request);
+  CHECK(response.starts_with("HTTP/1.1 413"));
+  CHECK(response.ends_with("too long"));
+  CHECK(gateway.Connections.idleCount() == 0);
+}
