Take only statuses of the protocol for a response

Cause: the status was any three digits, whatever followed them.

Change: 100 to 599 followed by a blank or the line's end. Not 101 either, after which bytes of another protocol follow that no request asks for.

Result: "A head without a status of the protocol is no response" failed before for 7 of its 12 lines.

--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -9,6 +9,10 @@
 
 constexpr size_t MaxLineBytes = 8192; // of a body's framing
 constexpr uint32_t MaxTrailerLines = 32;
+constexpr uint32_t MinStatus = 100;
+constexpr uint32_t MaxStatus = 599;
+// Bytes of another protocol follow it. No request asks for one.
+constexpr uint32_t SwitchingProtocols = 101;
 
 bool isTokenChar(char C) {
   return std::isalnum(static_cast<unsigned char>(C)) ||
@@ -149,8 +153,10 @@
   constexpr size_t ResponseFieldLimit = 256;
   std::string_view line;
   if (!nextLine(Text, line) || line.size() < 12 || line[8] != ' ' ||
+      (line.size() > 12 && line[12] != ' ') ||
       !parseVersion(line.substr(0, 8), Head.MinorVersion) ||
-      !parseNumber(line.substr(9, 3), Head.Status))
+      !parseNumber(line.substr(9, 3), Head.Status) || Head.Status < MinStatus ||
+      Head.Status > MaxStatus || Head.Status == SwitchingProtocols)
     return HeadParseStatus::Malformed;
   return parseFields(Text, ResponseFieldLimit, MaxResponseFieldBytes, Head);
 }
--- a/test/http_header_test.cc
+++ b/test/http_header_test.cc
@@ -76,6 +76,23 @@
   CHECK(statusOf(MaxResponseFieldBytes) == HeadParseStatus::TooLarge);
 }
 
+// A response of status 000 was taken for an interim one, and what followed it
+// for the response.
+TEST_CASE("A head without a status of the protocol is no response") {
+  auto statusOf = [](const std::string &Line) {
+    HttpHead head;
+    return parseResponseHead(Line + "\r\n\r\n", head);
+  };
+  for (const std::string it :
+       {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+        "HTTP/1.1 101 X", "HTTP/1.1 2000 X", "HTTP/1.1 200X", "HTTP/1.1 20 OK",
+        "HTTP/1.1 -20 X"})
+    CHECK_MESSAGE(statusOf(it) == HeadParseStatus::Malformed, it);
+  for (const std::string it :
+       {"HTTP/1.1 100 X", "HTTP/1.1 200", "HTTP/1.1 599 X"})
+    CHECK_MESSAGE(statusOf(it) == HeadParseStatus::Ok, it);
+}
+
 TEST_CASE("A request whose end is ambiguous is rejected") {
   // Guards against request smuggling through a load balancer.
   auto usable = [](const std::string &Fields) {
