Take an only version from a history without gaps, of the instance itself

What callers could get: streams with events of two software versions. A server of another version comes for some seconds while an instance is cut off from the others or stands still; its streams break off and are taken up at that instance, which has no record of them, has seen one version for 30 minutes and reads from the store that it is the only one now. That the other one came and went in between shows in none of these. The same with a peer's statement of an only version, which may be as old.

Change: only the instance's own history counts, once it has read all changes after the last one that it knows, as a watch from there, up to a list that it reads after the request has come. Requests share no read that began before they asked, as the clock doesn't count the time in which an instance is suspended. A change that a peer tells may hide others of the same server, so such a change begins the history anew unless it names the known process. Peers are asked for records only; the fields of the former statement stay in the frames, unset, so that earlier builds refuse where they would have guessed.

--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -31,7 +31,7 @@
 
 ResumptionDecision decideResumption(const OriginKnowledge &Own,
                                     const std::vector<OriginKnowledge> &Peers,
-                                    std::optional<VersionKey> CurrentVersion) {
+                                    std::optional<VersionKey> OnlyVersion) {
   if (std::optional<VersionKey> recorded = recordedVersion(Own, Peers)) {
     if (*recorded == 0)
       return {std::nullopt, "contradictory records"};
@@ -45,14 +45,12 @@
     decision.RecordedAgo = source->RecordedAgo;
     return decision;
   }
-  if (!CurrentVersion)
-    return {std::nullopt, "no record"};
-  auto confirms = [&](const OriginKnowledge &It) {
-    return It.SoleVersion == CurrentVersion;
-  };
-  if (confirms(Own) || std::ranges::any_of(Peers, confirms))
-    return {CurrentVersion, "only version"};
-  return {std::nullopt, "no record"};
+  return {OnlyVersion, OnlyVersion ? "only version" : "no record"};
+}
+
+bool isRecorded(const OriginKnowledge &Own,
+                const std::vector<OriginKnowledge> &Peers) {
+  return recordedVersion(Own, Peers).has_value();
 }
 
 OriginDoubt doubtOrigin(const ServerProcess &Recorded, Milliseconds RecordedAgo,
@@ -67,15 +65,6 @@
              : OriginDoubt::None;
 }
 
-bool mayBeOnlyVersion(const OriginKnowledge &Own,
-                      const std::vector<OriginKnowledge> &Peers) {
-  return !recordedVersion(Own, Peers) &&
-         (Own.SoleVersion ||
-          std::ranges::any_of(Peers, [](const OriginKnowledge &It) {
-            return It.SoleVersion.has_value();
-          }));
-}
-
 Milliseconds originLifetime(std::optional<Milliseconds> TimeLeft) {
   constexpr Milliseconds Longest(MaxStreamAge);
   if (!TimeLeft)
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -16,9 +16,6 @@
 struct OriginKnowledge {
   // See StreamOriginTable::find().
   std::optional<VersionKey> Recorded;
-  // The service's only version for MaxStreamAge, as of the instance's view; see
-  // VersionHistory::soleVersion().
-  std::optional<VersionKey> SoleVersion;
   // Of the record: the process that began the stream, without an id if it is
   // certain, and the time since.
   ServerProcess Server{};
@@ -34,17 +31,18 @@
 };
 
 // `Own` is this instance's knowledge and `Peers` that of the peers that
-// responded. `CurrentVersion` is the service's only version now, if the store
-// has confirmed this instance's view since the request arrived. Only then a
-// statement of the past says that there is no other version yet.
-ResumptionDecision decideResumption(const OriginKnowledge &Own,
-                                    const std::vector<OriginKnowledge> &Peers,
-                                    std::optional<VersionKey> CurrentVersion);
+// responded. `OnlyVersion`: of all servers that the service has had for
+// MaxStreamAge, as this instance has seen without a gap up to a moment after
+// the request arrived; see VersionHistory::soleVersion(). What peers have seen
+// doesn't count: they may have missed the last changes.
+ResumptionDecision
+decideResumption(const OriginKnowledge &Own,
+                 const std::vector<OriginKnowledge> &Peers,
+                 std::optional<VersionKey> OnlyVersion = std::nullopt);
 
-// Whether decideResumption() can find that there has been one version only,
-// once the store has confirmed that it is still the only one.
-bool mayBeOnlyVersion(const OriginKnowledge &Own,
-                      const std::vector<OriginKnowledge> &Peers);
+// Whether one of them has a record, so that the only version doesn't matter.
+bool isRecorded(const OriginKnowledge &Own,
+                const std::vector<OriginKnowledge> &Peers);
 
 // What is known of the process that an entry named for a server, now.
 struct ProcessNow {
@@ -67,8 +65,8 @@
 OriginDoubt doubtOrigin(const ServerProcess &Recorded, Milliseconds RecordedAgo,
                         const ProcessNow &Now);
 
-// How far back statements about a service's only version have to reach where a
-// stream has no record. The caller's time left, the route's time-out and other
+// How far back the history of a service's versions has to reach where a stream
+// has no record. The caller's time left, the route's time-out and other
 // callers' deadlines don't bound a stream's age: a stream that its route's
 // time-out has ended can be taken up until its caller gives up.
 inline constexpr std::chrono::minutes MaxStreamAge{30};
--- a/src/gateway/decisions/version_history.h
+++ b/src/gateway/decisions/version_history.h
@@ -18,6 +18,11 @@
   // The known servers are complete from now on; before, some may have come and
   // gone unnoticed.
   void onListRead(TimePoint Now) { CoveredSince = Now; }
+  // Servers may have come and gone unnoticed before, though the list was read.
+  void onGap(TimePoint Now) {
+    if (CoveredSince)
+      CoveredSince = Now;
+  }
   // A server is registered.
   void onServer(const ServerEntry &Entry, TimePoint Now);
   // A server's entry was removed. Requests may be sent to it until `LastUse`.
--- a/src/gateway/gateway_runtime.cc
+++ b/src/gateway/gateway_runtime.cc
@@ -80,12 +80,4 @@
   return member;
 }
 
-OriginKnowledge GatewayRuntime::knowledgeOf(const OriginQuery &Query) const {
-  OriginKnowledge known = Origins.knowledgeOf(Query.Stream);
-  // Instances of older builds ask for less than a stream's age.
-  known.SoleVersion = Directory.soleVersion(
-      Query.Service, std::max<Milliseconds>(Query.MaxAge, MaxStreamAge));
-  return known;
-}
-
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -113,8 +113,6 @@
 
   // The part of a frame to a peer that names this instance.
   Member ownMember() const;
-  // What this instance can tell a peer of a stream.
-  OriginKnowledge knowledgeOf(const OriginQuery &Query) const;
 
   bool ready() const { return !Stopping.load() && Directory.isComplete(); }
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -357,7 +357,7 @@
   auto server = pack(Out, Item.Server);
   return wire::CreateOriginAnswer(
       Out, Item.Recorded.has_value(), Item.Recorded.value_or(0),
-      Item.SoleVersion.has_value(), Item.SoleVersion.value_or(0), server,
+      /*has_sole_version=*/false, /*sole_version=*/0, server,
       static_cast<uint32_t>(Item.RecordedAgo.count()));
 }
 
@@ -365,8 +365,6 @@
   OriginKnowledge known;
   if (Item.recorded())
     known.Recorded = Item.version();
-  if (Item.has_sole_version())
-    known.SoleVersion = Item.sole_version();
   known.Server = unpack(Item.server());
   known.RecordedAgo = Milliseconds(Item.recorded_ago_ms());
   return known;
@@ -441,10 +439,8 @@
   if (!origins.empty())
     originList = out.CreateVector(origins);
   flatbuffers::Offset<wire::OriginQuery> wantedOrigin;
-  if (const auto &it = Frame.WantedOrigin)
-    wantedOrigin =
-        wire::CreateOriginQuery(out, it->Stream, out.CreateString(it->Service),
-                                static_cast<uint32_t>(it->MaxAge.count()));
+  if (Frame.WantedOrigin)
+    wantedOrigin = wire::CreateOriginQuery(out, *Frame.WantedOrigin);
   flatbuffers::Offset<wire::OriginAnswer> origin;
   if (Frame.Origin)
     origin = pack(out, *Frame.Origin);
@@ -605,8 +601,7 @@
                                it->sequence(), Milliseconds(it->lifetime_ms()),
                                unpack(it->server())});
   if (const wire::OriginQuery *it = in.origin_query())
-    frame.WantedOrigin = OriginQuery{it->stream(), textOf(it->service()),
-                                     Milliseconds(it->max_age_ms())};
+    frame.WantedOrigin = it->stream();
   if (in.origin_answer())
     frame.Origin = unpack(*in.origin_answer());
   if (in.forward()) {
--- a/src/gateway/member_codec.h
+++ b/src/gateway/member_codec.h
@@ -106,7 +106,7 @@
   // keeper and its response. Such frames hold nothing else but the sender's
   // name.
   std::vector<StreamOrigin> Origins;
-  std::optional<OriginQuery> WantedOrigin;
+  std::optional<StreamKey> WantedOrigin;
   std::optional<OriginKnowledge> Origin;
   // A request that is passed on. The response are frames of their own; see
   // ForwardResponse.
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -556,7 +556,7 @@
       MemberFrame origin;
       origin.Sender = Runtime->ownMember();
       if (request->WantedOrigin)
-        origin.Origin = Runtime->knowledgeOf(*request->WantedOrigin);
+        origin.Origin = Runtime->Origins.knowledgeOf(*request->WantedOrigin);
       sendFrame(Socket, encode(origin));
       return;
     }
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -230,6 +230,12 @@
   const ServerEntry *former = Registry.find(Change.Id);
   if (Change.Entry || former)
     logServer(Change, Origin);
+  // A peer tells the latest change of each server, behind which others may be
+  // hidden that brought another process.
+  if (Origin == UpdateOrigin::Peer &&
+      !(former && Change.Entry &&
+        processOf(*former) == processOf(*Change.Entry)))
+    Versions.onGap(Now);
   if (Change.Entry) {
     bool restarted = former && former->StartedAt != Change.Entry->StartedAt;
     Registry.apply(*Change.Entry, Now);
@@ -505,10 +511,9 @@
 }
 
 std::optional<VersionKey>
-ServiceDirectory::soleVersion(const std::string &Service,
-                              Milliseconds MaxAge) const {
+ServiceDirectory::soleVersion(const std::string &Service) const {
   std::lock_guard lock(Mutex);
-  return Versions.soleVersion(Service, Clock::now() - MaxAge);
+  return Versions.soleVersion(Service, Clock::now() - MaxStreamAge);
 }
 
 bool ServiceDirectory::isLeaving(const std::string &ServerId) const {
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -126,10 +126,9 @@
   // served.
   bool isComplete() const;
 
-  // The software version of all servers that the service has had in the last
-  // `MaxAge`; see VersionHistory::soleVersion().
-  std::optional<VersionKey> soleVersion(const std::string &Service,
-                                        Milliseconds MaxAge) const;
+  // The software version of all servers that the service has had for
+  // MaxStreamAge; see VersionHistory::soleVersion().
+  std::optional<VersionKey> soleVersion(const std::string &Service) const;
 
   // Server selection; see ServerRegistry.
   std::optional<ServerChoice> choose(const ServerQuery &Query);
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -30,10 +30,8 @@
 constexpr Milliseconds QueryTimeout{60};
 // Of all queries for one stream.
 constexpr Milliseconds TotalQueryTime{200};
-// Requests share a read of the store that began at most this long before they
-// ask. A server that registered since can't have begun a stream that was cut
-// and taken up already: its prompt alone takes longer.
-constexpr Milliseconds ReadSharingTime{100};
+// Of a watch that is to return what has changed so far.
+constexpr Milliseconds CatchUpWait{1};
 
 std::string nameOf(StreamKey Stream) {
   return "stream:" + std::to_string(Stream);
@@ -84,8 +82,9 @@
   // ones in rank. Returns false if there was none left to send to.
   bool sendOnce(std::vector<RecordToSend> &Records);
   RecordDeliveryPtr sendUncertain(const StreamOrigin &Record);
-  std::vector<OriginKnowledge> askKeepers(const OriginQuery &Query);
-  bool confirmServers();
+  std::vector<OriginKnowledge> askKeepers(StreamKey Stream);
+  bool catchUpServers();
+  bool readChanges();
 
   GatewayRuntime *Runtime = nullptr;
   std::thread Thread;
@@ -93,7 +92,7 @@
   std::array<UncertainRecordSender, MaxKeepersAsked> Senders;
   std::mutex ReadMutex; // guards the members below
   PublishedReader Reader;
-  std::optional<TimePoint> ReadStartedAt; // of the last successful read
+  TimePoint CaughtUpAt; // begin of the last read that succeeded
 };
 
 void UncertainRecordSender::start(GatewayRuntime &Owner, size_t KeeperRank) {
@@ -189,8 +188,8 @@
     return false;
   Reader = Runtime->Source.MakeReader(PublishedKind::Servers, Runtime->Memory);
   Runtime->Origins.setHooks(
-      {[this](const OriginQuery &Query) { return askKeepers(Query); },
-       [this] { return confirmServers(); },
+      {[this](StreamKey Stream) { return askKeepers(Stream); },
+       [this] { return catchUpServers(); },
        [this](const StreamOrigin &Record) { return sendUncertain(Record); }});
   for (size_t i = 0; i < Senders.size(); ++i)
     Senders[i].start(*Runtime, i);
@@ -262,16 +261,14 @@
 }
 
 // Runs on the thread of a request.
-std::vector<OriginKnowledge>
-StreamOriginLinks::askKeepers(const OriginQuery &Query) {
+std::vector<OriginKnowledge> StreamOriginLinks::askKeepers(StreamKey Stream) {
   std::vector<OriginKnowledge> known;
   TimePoint until = Clock::now() + TotalQueryTime;
-  std::vector<std::string> keepers =
-      Runtime->Peers.keepersOf(nameOf(Query.Stream));
+  std::vector<std::string> keepers = Runtime->Peers.keepersOf(nameOf(Stream));
   keepers.resize(std::min(keepers.size(), MaxKeepersAsked));
   MemberFrame frame;
   frame.Sender = Runtime->ownMember();
-  frame.WantedOrigin = Query;
+  frame.WantedOrigin = Stream;
   for (const std::string &it : keepers) {
     if (Clock::now() >= until)
       break;
@@ -288,24 +285,50 @@
   return known;
 }
 
-// Runs on the thread of a request.
-bool StreamOriginLinks::confirmServers() {
-  TimePoint wanted = Clock::now() - ReadSharingTime;
+// Runs on the thread of a request. Requests that wait meanwhile share the next
+// read, and none shares one that began before it asked: in between the instance
+// may have stood still.
+bool StreamOriginLinks::catchUpServers() {
+  TimePoint asked = Clock::now();
   std::lock_guard lock(ReadMutex);
-  if (ReadStartedAt && *ReadStartedAt >= wanted)
+  if (CaughtUpAt > asked)
     return true;
-  TimePoint started = Clock::now();
-  PublishedUpdate update =
-      Reader.ReadAll([this] { return Runtime->Closing.load(); });
-  if (!acceptEra(Runtime->Directory, update) ||
-      update.Status != ReadStatus::Ok) {
-    log(LogLevel::Info, "stream_origins", "servers could not be read",
-        {{"why", update.Error}});
+  TimePoint begun = Clock::now();
+  if (!readChanges())
+    return false;
+  CaughtUpAt = begun;
+  return true;
+}
+
+// A list alone doesn't show servers that have come and gone since this instance
+// learned its last change, so the changes themselves are read.
+bool StreamOriginLinks::readChanges() {
+  StoreRevision known = Runtime->Directory.serversRevision();
+  if (known.Number == 0)
+    return false;
+  CancelCheck isClosing = [this] { return Runtime->Closing.load(); };
+  PublishedUpdate list = Reader.ReadAll(isClosing);
+  PublishedUpdate changes;
+  if (acceptEra(Runtime->Directory, list) && list.Status == ReadStatus::Ok)
+    changes = Reader.Watch(known.Number, CatchUpWait, isClosing);
+  else
+    changes.Error = list.Error;
+  // A watch that is behind the list hasn't heard of all changes.
+  if (changes.Status != ReadStatus::Ok ||
+      !acceptEra(Runtime->Directory, changes) ||
+      changes.Revision.Era != known.Era || list.Revision.Era != known.Era ||
+      changes.Revision.Number < list.Revision.Number) {
+    log(LogLevel::Info, "stream_origins",
+        "changes of servers could not be read",
+        {{"why", changes.Error},
+         {"known_revision", std::to_string(known.Number)},
+         {"list_revision", std::to_string(list.Revision.Number)},
+         {"revision", std::to_string(changes.Revision.Number)}});
     return false;
   }
-  for (const ServerChange &it : update.Servers)
-    Runtime->Directory.applyServer(it, UpdateOrigin::Store);
-  ReadStartedAt = started;
+  for (const PublishedUpdate *update : {&changes, &list})
+    for (const ServerChange &it : update->Servers)
+      Runtime->Directory.applyServer(it, UpdateOrigin::Store);
   return true;
 }
 
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -80,14 +80,13 @@
   return known;
 }
 
-std::vector<OriginKnowledge>
-StreamOrigins::askKeepers(const OriginQuery &Query) const {
-  return Connected.AskKeepers ? Connected.AskKeepers(Query)
+std::vector<OriginKnowledge> StreamOrigins::askKeepers(StreamKey Stream) const {
+  return Connected.AskKeepers ? Connected.AskKeepers(Stream)
                               : std::vector<OriginKnowledge>();
 }
 
-bool StreamOrigins::confirmServers() const {
-  return Connected.ConfirmServers && Connected.ConfirmServers();
+bool StreamOrigins::catchUpServers() const {
+  return Connected.CatchUpServers && Connected.CatchUpServers();
 }
 
 std::vector<StreamOrigin> StreamOrigins::takeUnsent() {
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -22,13 +22,6 @@
 
 namespace crocusspur::gateway {
 
-// What an instance asks a keeper.
-struct OriginQuery {
-  StreamKey Stream = 0;
-  std::string Service;
-  Milliseconds MaxAge{0}; // how far back an only version is asked for
-};
-
 // How the sending of one record to its keepers goes. Thread-safe.
 class RecordDelivery {
 public:
@@ -59,10 +52,10 @@
   struct Hooks {
     // Asks the keepers until one has a record. Returns what those that
     // responded know.
-    std::function<std::vector<OriginKnowledge>(const OriginQuery &)> AskKeepers;
-    // Reads the servers from the store and applies them. Returns false if it
-    // doesn't respond.
-    std::function<bool()> ConfirmServers;
+    std::function<std::vector<OriginKnowledge>(StreamKey)> AskKeepers;
+    // Reads what has changed of the servers from the store and applies it.
+    // Returns whether all changes up to now are known then, without a gap.
+    std::function<bool()> CatchUpServers;
     // Begins to send the record to its keepers, each independently of the
     // others and of records from before. Doesn't wait.
     std::function<RecordDeliveryPtr(const StreamOrigin &)> SendUncertain;
@@ -85,8 +78,8 @@
   // What this instance's records say of the stream.
   OriginKnowledge knowledgeOf(StreamKey Stream) const;
 
-  std::vector<OriginKnowledge> askKeepers(const OriginQuery &Query) const;
-  bool confirmServers() const;
+  std::vector<OriginKnowledge> askKeepers(StreamKey Stream) const;
+  bool catchUpServers() const;
 
   // Waits for records that haven't been sent and returns them; returns none
   // after stop().
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -35,23 +35,20 @@
     OriginKnowledge known;
     if (!Request.ResumedRequestId.empty())
       known = Context.Origins.knowledgeOf(stream);
-    known.SoleVersion = Context.Directory.soleVersion(Service, MaxStreamAge);
     return known;
   };
   OriginKnowledge own = ownKnowledge();
   std::vector<OriginKnowledge> peers;
-  std::optional<VersionKey> current;
   // An own record may be older than another instance's that nobody may go on.
   if (own.Recorded != UncertainVersion) {
-    peers = Context.Origins.askKeepers({stream, Service, MaxStreamAge});
+    peers = Context.Origins.askKeepers(stream);
     own = ownKnowledge();
   }
-  ResumptionDecision decision = decideResumption(own, peers, current);
-  if (!decision.Version && mayBeOnlyVersion(own, peers) &&
-      Context.Origins.confirmServers()) {
-    current = Context.Directory.soleVersion(Service, Milliseconds(0));
-    decision = decideResumption(ownKnowledge(), peers, current);
-  }
+  ResumptionDecision decision = decideResumption(own, peers);
+  if (!isRecorded(own, peers) && Context.Directory.soleVersion(Service) &&
+      Context.Origins.catchUpServers())
+    decision = decideResumption(ownKnowledge(), peers,
+                                Context.Directory.soleVersion(Service));
   if (decision.Version && mayHaveBegunElsewhere(decision)) {
     decision = {std::nullopt, "its server was replaced"};
     Progress.requireNothingFollows();
