Release servers of new versions in the soak while an instance stands still

The soak's shapes replace servers under their id only.

An instance stands still from before the release until some of the new servers have joined, so that streams which began on these are taken up at it as soon as it goes on.

--- a/soak/site_soak.cc
+++ b/soak/site_soak.cc
@@ -35,6 +35,7 @@
 // Keep the draws of the form and of links apart from those of the faults.
 constexpr uint64_t FormSeedOffset = 1000000;
 constexpr uint64_t LinkSeedMask = 1000000;
+constexpr uint64_t ReleaseSeedMask = 2000000;
 constexpr Milliseconds StreamInterval{1000 / 24};
 constexpr Milliseconds RouteTimeout{14000};
 // Of the wide form.
@@ -44,6 +45,13 @@
 constexpr unsigned CopyPercent = 10;
 constexpr unsigned MaxLinkFaultMs = 900;
 constexpr unsigned MaxLinkPauseMs = 700;
+// Of a release: times from one replaced server to the next, from the start of a
+// new one to the end of the former one's entry and of that server, and from one
+// release to the next.
+constexpr unsigned MaxReleaseStepMs = 500;
+constexpr unsigned MaxDrainMs = 600;
+constexpr unsigned MaxServesOnMs = 2500;
+constexpr unsigned MaxReleasePauseMs = 1500;
 // Callers abandon a stream after a gap of four times the latency target.
 constexpr Milliseconds CallerPatience{3600};
 constexpr int MaxTakeUps = 4;               // of one stream by its caller
@@ -63,6 +71,7 @@
 constexpr size_t PrintedViolations = 10;
 constexpr size_t PrintedBytes = 500;          // of a violation
 constexpr int64_t FirstStart = 1764000000123; // of servers, Unix milliseconds
+constexpr int64_t ReleasedStart = 1000000;    // the same, in a release
 
 enum class SiteDisturbance : uint8_t {
   Stop,
@@ -118,13 +127,20 @@
   // In this process behind a proxy, or a process of its own.
   struct Server {
     std::unique_ptr<SoakServer> Process;
-    std::unique_ptr<FaultProxy> Proxy;
+    std::shared_ptr<FaultProxy> Proxy;
     bool Prefill = false;
     std::unique_ptr<SiteServerProcess> Own;
     std::optional<TimePoint> ReturnsAt; // killed, and started again then
   };
 
-  std::unique_ptr<SoakServer> startServer(const std::string &Id,
+  // A server without an entry that has served on; see release().
+  struct LeavingServer {
+    Server Item;
+    TimePoint EndsAt;
+  };
+
+  std::unique_ptr<SoakServer> startServer(std::mt19937_64 &Seeds,
+                                          const std::string &Id,
                                           const std::string &Version,
                                           int64_t StartedAt);
   SiteServerOptions streamsOf(const std::string &Id,
@@ -143,6 +159,11 @@
   void changeConfig();
   // Lets the links to servers fail, one after the other, for a while each.
   void disturbLinks();
+  // Replaces servers by ones of the next version, again and again.
+  void release();
+  void releaseServer(std::mt19937_64 &Draws, size_t Index,
+                     const std::string &Version);
+  void endLeavingServers();
   // Lets each instance run a quarter of the time.
   void throttleInstances();
   // Acts as the platform: starts instances again that have ended.
@@ -179,6 +200,9 @@
   std::vector<Server> Servers;
   std::vector<std::unique_ptr<SoakServer>> FormerServers; // still running
   std::vector<std::unique_ptr<SiteServerProcess>> KilledServers;
+  std::vector<LeavingServer> Leaving; // of the releasing thread
+  std::vector<Server> Ended;
+  int64_t Released = 0; // servers
   std::vector<std::string> EndedOutput;
   test::GatewayFleet Fleet;
   std::mutex FleetMutex; // guards the instances' Process pointers
@@ -235,13 +259,14 @@
   return streams;
 }
 
-std::unique_ptr<SoakServer> SiteSoak::startServer(const std::string &Id,
+std::unique_ptr<SoakServer> SiteSoak::startServer(std::mt19937_64 &Seeds,
+                                                  const std::string &Id,
                                                   const std::string &Version,
                                                   int64_t StartedAt) {
   SiteServerOptions streams = streamsOf(Id, Version);
   // In this order, so that the faults of each seed stay what they are.
-  uint64_t serverSeed = Random();
-  streams.Seed = Random();
+  uint64_t serverSeed = Seeds();
+  streams.Seed = Seeds();
   return std::make_unique<SoakServer>(Executions, serverSeed, Id, Version,
                                       StartedAt,
                                       makeSiteStreams(std::move(streams)));
@@ -350,7 +375,7 @@
   Server &server = Servers[i];
   std::string version = below(2) == 0 ? "v1" : "v1.1";
   auto start = FirstStart + 1 + static_cast<int64_t>(FormerServers.size());
-  auto successor = startServer(server.Process->id(), version, start);
+  auto successor = startServer(Random, server.Process->id(), version, start);
   server.Proxy->setTarget(successor->address());
   bool ended = below(2) == 0;
   if (ended)
@@ -421,17 +446,90 @@
   // Draws of their own, as another thread draws the other faults.
   std::mt19937_64 random(Options.Seed ^ LinkSeedMask);
   while (!StopRequested.load()) {
-    Server &server = Servers[random() % Servers.size()];
-    if (!server.Proxy)
+    std::shared_ptr<FaultProxy> link;
+    {
+      std::lock_guard lock(FleetMutex);
+      link = Servers[random() % Servers.size()].Proxy;
+    }
+    if (!link)
       continue;
-    FaultProxy &link = *server.Proxy;
-    link.setFault(Faults[random() % std::size(Faults)]);
+    link->setFault(Faults[random() % std::size(Faults)]);
     std::this_thread::sleep_for(Milliseconds(random() % MaxLinkFaultMs));
-    link.setFault(ProxyFault::None);
+    link->setFault(ProxyFault::None);
     std::this_thread::sleep_for(Milliseconds(random() % MaxLinkPauseMs));
   }
 }
 
+void SiteSoak::releaseServer(std::mt19937_64 &Draws, size_t Index,
+                             const std::string &Version) {
+  auto pause = [&](unsigned Most) {
+    std::this_thread::sleep_for(Milliseconds(Draws() % Most));
+  };
+  Server former;
+  {
+    std::lock_guard lock(FleetMutex);
+    if (StoreIsAway)
+      return;
+    Server &server = Servers[Index];
+    former = std::exchange(server, {});
+    std::string id = "n-" + std::to_string(++Released);
+    server.Process =
+        startServer(Draws, id, Version, FirstStart + ReleasedStart + Released);
+    server.Proxy = std::make_shared<FaultProxy>(server.Process->address());
+    writeEntry(Index);
+    EndedOutput.push_back(former.Process->id() + " gives way to " + id +
+                          " of version " + Version);
+  }
+  pause(MaxDrainMs);
+  std::string key = "servers/" + former.Process->id();
+  {
+    std::lock_guard lock(FleetMutex);
+    Fleet.Store.remove(key);
+  }
+  Leaving.push_back({std::move(former),
+                     Clock::now() + Milliseconds(Draws() % MaxServesOnMs)});
+  pause(MaxReleaseStepMs);
+}
+
+void SiteSoak::endLeavingServers() {
+  std::erase_if(Leaving, [&](LeavingServer &It) {
+    if (Clock::now() < It.EndsAt)
+      return false;
+    It.Item.Process->endConnections();
+    It.Item.Proxy->setFault(ProxyFault::Reject);
+    std::lock_guard lock(FleetMutex);
+    Ended.push_back(std::move(It.Item));
+    return true;
+  });
+}
+
+void SiteSoak::release() {
+  // Draws of their own, as another thread draws the other faults.
+  std::mt19937_64 draws(Options.Seed ^ ReleaseSeedMask);
+  for (int version = 2; !StopRequested.load(); ++version) {
+    std::string text = "v" + std::to_string(version);
+    // All servers or some of them; back to the version before at times.
+    if (draws() % 4 == 0)
+      text = "v" + std::to_string(version - 2);
+    size_t stopped = draws() % Fleet.Instances.size();
+    auto signal = [&](int Number) {
+      std::lock_guard lock(FleetMutex);
+      Fleet.Instances[stopped].Process->signal(Number);
+    };
+    if (draws() % 3 > 0)
+      signal(SIGSTOP);
+    size_t goesOnAfter = draws() % DecodeCount;
+    for (size_t i = 0; i < DecodeCount && !StopRequested.load(); ++i) {
+      if (draws() % 3 > 0)
+        releaseServer(draws, i, text);
+      if (i == goesOnAfter)
+        signal(SIGCONT);
+      endLeavingServers();
+    }
+    std::this_thread::sleep_for(Milliseconds(draws() % MaxReleasePauseMs));
+  }
+}
+
 void SiteSoak::throttleInstances() {
   while (!StopRequested.load()) {
     for (auto [number, time] :
@@ -653,9 +751,10 @@
             << (Throttled ? ", throttled" : "") << ": streams " << Streams
             << ", complete " << Complete << ", broken off " << BrokenOff
             << ", taken up " << TakenUp << ", refused " << Refused
-            << ", servers replaced " << FormerServers.size() << ", killed "
-            << KilledServers.size() << ", mixed streams " << mixedStreams
-            << ", violations " << Violations.size();
+            << ", servers replaced " << FormerServers.size() << ", released "
+            << Released << ", killed " << KilledServers.size()
+            << ", mixed streams " << mixedStreams << ", violations "
+            << Violations.size();
   for (size_t i = 0; i < SiteFaultCount; ++i)
     std::cout << (i == 0 ? ": " : ", ") << nameOf(static_cast<SiteFault>(i))
               << " " << Counts[i];
@@ -684,9 +783,9 @@
       continue;
     }
     Server server;
-    server.Process = startServer(id, "v1", FirstStart);
+    server.Process = startServer(Random, id, "v1", FirstStart);
     server.Prefill = prefill;
-    server.Proxy = std::make_unique<FaultProxy>(server.Process->address());
+    server.Proxy = std::make_shared<FaultProxy>(server.Process->address());
     Servers.push_back(std::move(server));
     writeEntry(i);
   }
@@ -701,6 +800,9 @@
   std::thread links;
   if (Options.Wide)
     links = std::thread([this] { disturbLinks(); });
+  std::thread releases;
+  if (Options.Releases)
+    releases = std::thread([this] { release(); });
   std::thread pacing([&] {
     TimePoint next = Clock::now();
     for (int i = 0; !StopRequested.load(); ++i) {
@@ -717,6 +819,8 @@
     throttle.join();
   if (links.joinable())
     links.join();
+  if (releases.joinable())
+    releases.join();
   endFaults();
   for (std::thread &it : callers)
     it.join();
--- a/soak/site_soak.h
+++ b/soak/site_soak.h
@@ -26,6 +26,9 @@
   bool Wide = false;         // the wide form
   // Decode servers are processes of their own, without proxies, and are killed.
   bool KillsServers = false;
+  // Servers are replaced by ones of new software versions under new ids, while
+  // an instance stands still.
+  bool Releases = false;
 };
 
 // Prints one line and the first violations. Returns whether there are none.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -962,6 +962,11 @@
   program.add_option("--break-percent", breakPercent,
                      "Runs that servers break off, in the shape of a site");
   bool killsServers = false;
+  bool releases = false;
+  program.add_flag(
+      "--release", releases,
+      "In the shape of a site, servers are replaced by ones of new "
+      "software versions while an instance stands still");
   program.add_flag("--kill-servers", killsServers,
                    "In the shape of a site, decode servers are processes of "
                    "their own that are killed");
@@ -974,9 +979,9 @@
     return crocusspur::soak::serveSite(served);
   std::cout << "seed " << seed << ": " << std::flush;
   if (shape != "mixed")
-    return crocusspur::soak::runSiteSoak({seed, std::chrono::seconds(seconds),
-                                          logs, tested, beside, breakPercent,
-                                          shape == "wide", killsServers})
+    return crocusspur::soak::runSiteSoak(
+               {seed, std::chrono::seconds(seconds), logs, tested, beside,
+                breakPercent, shape == "wide", killsServers, releases})
                ? 0
                : 1;
   crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs, tested,
