Keep a stream and its prompt to the model weights that they began with

Servers state their weights in heads and in the events at which they change, and refuse requests that expect others; nothing read or said either.

Change: StreamProgress keeps the weights of the last event. A run that goes on, and a prefill for it, name them, so that a server with others refuses before it runs; one that states others all the same is given up before its first event (other_weights), and a prompt that others have read is freed. A first run names the weights that have read its prompt; refused, the decode server reads it itself. A change in the middle of a run is passed on as sent, and what goes on expects the new ones. An instance that passes the request on tells the weights in a field at the end of the frame's table. Weights that aren't stated keep nothing from going on.

Left: a caller that takes a stream up doesn't say by which weights it was written, and the stream's record is sent before they are known. The records of software versions decide there, as before. It makes no stream certain that is refused now for its version: the weights of two versions of the software may be the same.

--- a/src/gateway/decisions/streams/stream_progress.cc
+++ b/src/gateway/decisions/streams/stream_progress.cc
@@ -27,19 +27,23 @@
     return "other_version";
   case RunFault::EventTooLong:
     return "event_too_long";
+  case RunFault::OtherWeights:
+    return "other_weights";
   }
   return "unknown";
 }
 
-StreamProgress::StreamProgress(EventIdHook EventId, std::string LastEventId)
-    : EventId(std::move(EventId)), LastEventId(std::move(LastEventId)),
+StreamProgress::StreamProgress(EventHooks Fields, std::string LastEventId)
+    : Fields(std::move(Fields)), LastEventId(std::move(LastEventId)),
       HasEvents(!this->LastEventId.empty()) {
   Order.accept(this->LastEventId);
 }
 
 RunNumber StreamProgress::begin(std::optional<VersionKey> RunVersion,
-                                bool Confirmed) {
+                                bool Confirmed,
+                                std::optional<WeightVersion> RunWeights) {
   this->RunVersion = RunVersion;
+  this->RunWeights = RunWeights;
   this->Confirmed = Confirmed;
   RunUncertain = IsReplacedBySame = false;
   ContinuesEvents = HasEvents;
@@ -100,9 +104,14 @@
     if (continues())
       return RunFault::OtherVersion;
   }
-  std::string id = EventId(Event);
+  if (std::optional<WeightVersion> changed = Fields.Weights(Event))
+    RunWeights = changed;
+  std::string id = Fields.Id(Event);
   if (!RunHasEvents && Version && RunVersion != Version)
     return RunFault::OtherVersion;
+  if (!RunHasEvents && continues() && Weights && RunWeights &&
+      RunWeights != Weights)
+    return RunFault::OtherWeights;
   if (!RunHasEvents && continues() && (id.empty() || Order.leavesOut(id)))
     return RunFault::IdsMissing;
   if (!Order.accept(id))
@@ -112,6 +121,7 @@
   LastHasNoId = id.empty();
   if (!Version)
     Version = RunVersion;
+  Weights = RunWeights;
   // Nothing fits the events of a version that isn't known.
   if (RunUncertain || !RunVersion)
     Uncertain = true;
@@ -131,7 +141,7 @@
   while (Speaks && Events.next(event)) {
     if (RunFault fault = judge(event); fault != RunFault::None) {
       giveUp(fault);
-      result.FaultyId = EventId(event);
+      result.FaultyId = Fields.Id(event);
       break;
     }
     ++Passed;
--- a/src/gateway/decisions/streams/stream_progress.h
+++ b/src/gateway/decisions/streams/stream_progress.h
@@ -29,9 +29,10 @@
   OtherVersion, // its server is, or may be, of another version than the events
                 // so far
   EventTooLong,
+  OtherWeights, // other model weights than those of the events so far write it
 };
 
-constexpr size_t RunFaultCount = 6;
+constexpr size_t RunFaultCount = 7;
 
 const char *nameOf(RunFault Fault); // name in logs and metrics
 
@@ -53,6 +54,10 @@
 // Names a run of one stream.
 using RunNumber = uint32_t;
 
+// Version of the model's weights at a server, as its responses state it. It is
+// not that of the server's software, and changes while the server runs.
+using WeightVersion = uint64_t;
+
 // How a run has ended.
 enum class RunOutcome : uint8_t {
   Complete, // by the framing of its response
@@ -62,21 +67,33 @@
 // Not thread-safe.
 class StreamProgress {
 public:
-  // Returns the id of an event; empty if it has none.
-  using EventIdHook = std::function<std::string(std::string_view Event)>;
+  // What an event states.
+  struct EventHooks {
+    // Its id; empty if it has none.
+    std::function<std::string(std::string_view Event)> Id;
+    // The weights that write it and what follows, if they change at it.
+    std::function<std::optional<WeightVersion>(std::string_view Event)>
+        Weights = [](std::string_view) { return std::nullopt; };
+  };
 
   // `LastEventId`: of the last event that the caller has from before; empty if
   // it has none.
-  StreamProgress(EventIdHook EventId, std::string LastEventId);
+  StreamProgress(EventHooks Fields, std::string LastEventId);
 
   // The events that the caller has are of this version.
   void requireVersion(std::optional<VersionKey> Value) { Version = Value; }
+  // The last event that the caller has was written by these weights.
+  void requireWeights(std::optional<WeightVersion> Value) { Weights = Value; }
 
   // Begins a run and leaves the one before it: nothing that it still sends is
   // passed on. `RunVersion`: of the process at the other end of its connection,
   // as known when that was opened; nothing if it isn't known. `Confirmed`: that
-  // process had said which one it is by then.
-  RunNumber begin(std::optional<VersionKey> RunVersion, bool Confirmed = false);
+  // process had said which one it is by then. `RunWeights`: as the head of its
+  // response states them. A run that goes on by other weights is given up; if
+  // they change within a run, its events are passed on as sent. What isn't
+  // stated can't be told.
+  RunNumber begin(std::optional<VersionKey> RunVersion, bool Confirmed = false,
+                  std::optional<WeightVersion> RunWeights = std::nullopt);
 
   // Whether a response of this media type may be a run of the stream. Servers
   // of one service state the type alike; an error's text may come with the
@@ -120,6 +137,8 @@
   bool runConfirmed() const { return Confirmed; }
   // The version of the events so far; nothing if there are none.
   std::optional<VersionKey> version() const { return Version; }
+  // The weights that wrote the last event, if they are known.
+  std::optional<WeightVersion> weights() const { return Weights; }
   // Whether the events so far may be of another version than that.
   bool versionUncertain() const { return Uncertain; }
   // Whether a run may go on with the stream: not after events of an uncertain
@@ -132,13 +151,14 @@
   // Decides on an event of the run; returns why it gives the run up, or None.
   RunFault judge(std::string_view Event);
 
-  EventIdHook EventId;
+  EventHooks Fields;
   std::string LastEventId;
   bool HasEvents = false; // the caller does, also from an earlier request
   EventOrder Order;
   // Media type of the first response with events; empty if it states none.
   std::optional<std::string> Type;
   std::optional<VersionKey> Version;
+  std::optional<WeightVersion> Weights;
   bool Uncertain = false;
   bool LastHasNoId = false; // the last event with content
   int EmptyRuns = 0;        // complete ones that went on without an event
@@ -149,6 +169,7 @@
   bool Speaks = false;
   RunFault LeftFor = RunFault::Left;
   std::optional<VersionKey> RunVersion;
+  std::optional<WeightVersion> RunWeights;
   bool Confirmed = false;
   bool RunUncertain = false;
   bool IsReplacedBySame = false; // by a process of the run's version
--- a/src/gateway/forward_codec.h
+++ b/src/gateway/forward_codec.h
@@ -26,6 +26,8 @@
   bool MayHaveExecuted = false;
   // Software version that its stream has to go on at.
   std::optional<VersionKey> StreamVersion;
+  // Model weights that wrote its last event; see StreamProgress.
+  std::optional<WeightVersion> StreamWeights;
 };
 
 // One frame of a response: a head, data and an end, or a problem instead of a
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -82,6 +82,7 @@
   forwarded.UsedServers = Used;
   forwarded.MayHaveExecuted = MayHaveExecuted || HeadSent;
   forwarded.StreamVersion = requiredVersion();
+  forwarded.StreamWeights = Progress.weights();
   frame.Forwarded = std::move(forwarded);
   bool repeatable = Route.Kind == RouteKind::Idempotent || Route.Resumable;
   Milliseconds timeout =
@@ -167,8 +168,8 @@
     HeadSent = true;
   }
   if (isStream)
-    return relayForwardedStream(Call, PeerName, head.OutputVersion,
-                                std::move(First), SilenceTime);
+    return relayForwardedStream(Call, PeerName, head, std::move(First),
+                                SilenceTime);
   std::string body = std::move(First.Data);
   ForwardResponse frame = std::move(First);
   MemoryHold hold = makeHold(MemoryUse::Response);
@@ -249,11 +250,18 @@
 }
 
 RequestHandler::AttemptResult RequestHandler::relayForwardedStream(
-    ForwardCall &Call, const std::string &PeerName, VersionKey OutputVersion,
-    ForwardResponse First, Milliseconds SilenceTime) {
+    ForwardCall &Call, const std::string &PeerName,
+    const ForwardResponse::Head &Head, ForwardResponse First,
+    Milliseconds SilenceTime) {
   const std::string lastIdBefore = Progress.lastEventId();
-  RunNumber run = Progress.begin(
-      OutputVersion != 0 ? std::optional(OutputVersion) : std::nullopt);
+  std::optional<VersionKey> version;
+  if (Head.OutputVersion != 0)
+    version = Head.OutputVersion;
+  internal::HttpHead fields;
+  fields.Fields = Head.Response.Fields;
+  RunNumber run =
+      Progress.begin(version, /*Confirmed=*/false,
+                     Context.Codec.ParseResponseHead(fields).Weights);
   EventHold.reset();
   ForwardResponse frame = std::move(First);
   CallStatus status = CallStatus::Responded;
--- a/src/gateway/http_codec.h
+++ b/src/gateway/http_codec.h
@@ -10,6 +10,7 @@
 #include "gateway/decisions/prompt_parts.h"
 #include "gateway/decisions/server_limit_table.h"
 #include "gateway/decisions/server_registry.h"
+#include "gateway/decisions/streams/stream_progress.h"
 #include "http_header.h"
 
 #include <functional>
@@ -53,6 +54,8 @@
   std::string KvSource;      // location of the prompt's KV cache; empty: none
   std::string Reservation;   // id of a reservation; empty: none
   std::string ContinueAfter; // id of the last event sent to the caller
+  // A server with other weights must refuse.
+  std::optional<WeightVersion> ExpectedWeights;
   // Rank among the requests of the service, 0 to 9; 0 is the most urgent. The
   // server admits those first, and preempts the others when memory runs out.
   std::optional<uint32_t> Priority;
@@ -66,6 +69,7 @@
   bool Encoded = false;     // the body has a content encoding
   std::string RequestId;
   std::optional<ServerLoad> Load;
+  std::optional<WeightVersion> Weights; // that write the response
   StatedLimit Limit;
   bool ServerLeaving = false; // the server shuts down soon
   // With a refusal: for how long the server wants no request of this instance.
@@ -77,6 +81,7 @@
 struct PrefillResult {
   std::string Handle; // of the prompt's KV cache at the prefill server
   uint64_t Tokens = 0;
+  std::optional<WeightVersion> Weights; // that read the prompt
 };
 
 struct ServerReport {
@@ -130,8 +135,8 @@
       ParseReport;
   std::function<std::string(const ServerChoice &Server, const StageOrder &)>
       FormatStageOrder;
-  // Returns the id of an event, or an empty string if it has none.
-  std::function<std::string(std::string_view Event)> EventId;
+  // What an event states; see StreamProgress.
+  StreamProgress::EventHooks Event;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -14,6 +14,8 @@
 
 // The default of ages of which nothing is known.
 constexpr Milliseconds LongAgo{0xffffffff};
+// The default of weights that aren't known.
+constexpr WeightVersion UnknownWeights = 0xffffffffffffffff;
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
@@ -275,6 +277,7 @@
   out.add_used_servers(usedList);
   out.add_may_have_executed(Item.MayHaveExecuted);
   out.add_stream_version(Item.StreamVersion.value_or(0));
+  out.add_stream_weights(Item.StreamWeights.value_or(UnknownWeights));
   if (!account.IsNull())
     out.add_account(account);
   if (!keyDigest.IsNull())
@@ -324,6 +327,8 @@
   forwarded.MayHaveExecuted = Item.may_have_executed();
   if (Item.stream_version() != 0)
     forwarded.StreamVersion = Item.stream_version();
+  if (Item.stream_weights() != UnknownWeights)
+    forwarded.StreamWeights = Item.stream_weights();
   return forwarded;
 }
 
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -81,7 +81,7 @@
       Service(serviceFor(Route, Origin, Context.Directory)),
       ConfirmedAgo(Context.Readers ? Context.Readers->confirmedAgo()
                                    : std::nullopt),
-      Progress(Context.Codec.EventId, this->Request.LastEventId),
+      Progress(Context.Codec.Event, this->Request.LastEventId),
       EventHold(makeHold(MemoryUse::Event)) {
   auto rule = this->Document->Services.find(Service);
   if (rule != this->Document->Services.end() && rule->second.Engine)
@@ -94,6 +94,7 @@
   Tried = Used;
   MayHaveExecuted = Origin->Request.MayHaveExecuted;
   Progress.requireVersion(Origin->Request.StreamVersion);
+  Progress.requireWeights(Origin->Request.StreamWeights);
 }
 
 void RequestHandler::run() {
@@ -339,6 +340,7 @@
   order.ServerId = Server.Id;
   order.TimeLeft = timeLeft();
   order.ContinueAfter = Progress.lastEventId();
+  order.ExpectedWeights = Progress.weights();
   if (RankPosition rank = position(); rank.differs())
     order.Priority = std::min(rank.Above, LowestServerPriority);
   return order;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -74,6 +74,7 @@
   struct PromptKvCache {
     ServerChoice Server;
     std::string Handle;
+    std::optional<WeightVersion> Weights;
   };
   // A server's error response, kept while the request is retried at another
   // server.
@@ -286,7 +287,7 @@
                                ForwardResponse First, Milliseconds SilenceTime);
   AttemptResult relayForwardedStream(ForwardCall &Call,
                                      const std::string &PeerName,
-                                     VersionKey OutputVersion,
+                                     const ForwardResponse::Head &Head,
                                      ForwardResponse First,
                                      Milliseconds SilenceTime);
   // Passes a response that another instance passes on to the caller as it
@@ -422,6 +423,8 @@
   // A reservation for the next run of the stream, charged as a retry.
   std::optional<DecodeReservation> Takeover;
   bool LeavesSilentRun = false; // while a reservation for that is sought
+  // The last run was refused by a server with other weights.
+  bool RefusedForWeights = false;
   std::optional<TimePoint> FirstOutput;
   std::optional<TimePoint> LastOutput; // of a stream
   Milliseconds LongestPause{0};        // between two writes of a stream
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -98,8 +98,9 @@
     }
     // After a refusal, the most likely cause is that the prompt's KV cache was
     // lost.
-    result = tryStream(/*ReadAtDecode=*/round > 0 &&
-                       result == AttemptResult::NotExecuted);
+    bool wasRefused = result == AttemptResult::NotExecuted &&
+                      !std::exchange(RefusedForWeights, false);
+    result = tryStream(/*ReadAtDecode=*/round > 0 && wasRefused);
     if (result == AttemptResult::Done)
       return;
     MayHaveExecuted = MayHaveExecuted || result == AttemptResult::Unknown;
@@ -524,9 +525,12 @@
   if (!done) {
     end(call.info().NotExecuted ? CallResult::Overloaded : CallResult::Failed,
         "refused_" + code);
-    if (call.info().NotExecuted)
+    // A server with other weights refuses in the same way as one that isn't in
+    // the stage.
+    bool misdirected = call.head().Status == MisdirectedStatus;
+    if (call.info().NotExecuted && !(misdirected && order.ExpectedWeights))
       Context.Directory.onStageRefused(Server, ServerStage::Prefill,
-                                       call.head().Status == MisdirectedStatus);
+                                       misdirected);
     return std::nullopt;
   }
   PrefillAccepted = true;
@@ -542,7 +546,13 @@
       Context.Dispatch->onPrefillEnded(Server, Request.Generation->PromptTokens,
                                        taken, load, Placement);
   }
-  return PromptKvCache{Server, done->Handle};
+  PromptKvCache cache{Server, done->Handle, done->Weights};
+  if (order.ExpectedWeights && cache.Weights &&
+      cache.Weights != order.ExpectedWeights) {
+    release(cache);
+    return std::nullopt;
+  }
+  return cache;
 }
 
 void RequestHandler::sendRelease(const ServerChoice &Server,
@@ -606,9 +616,13 @@
   }
   ForwardOptions order = optionsFor(server);
   order.Reservation = Target.Reservation;
-  if (Cache)
+  if (Cache) {
     order.KvSource =
         Context.Codec.FormatKvSource(Cache->Server.Address, Cache->Handle);
+    // What other weights have read is of no use to the server.
+    if (!order.ExpectedWeights)
+      order.ExpectedWeights = Cache->Weights;
+  }
   ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(server, 1);
   RunTracker::Id run = trackRun(server, /*Answers=*/true);
@@ -685,6 +699,11 @@
   if (info.NotExecuted) {
     if (Cache)
       release(*Cache);
+    // Its weights are others.
+    if (info.Misdirected && Progress.begun() && order.ExpectedWeights) {
+      Tried.insert(server.Id);
+      RefusedForWeights = true;
+    }
     // Without a KV cache as input, only the server itself can be the cause. It
     // hasn't executed the request, so it doesn't count as used.
     if (!Target.Reservation.empty() && !Cache) {
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -61,7 +61,7 @@
   RelayedRun run;
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
-  run.Number = Progress.begin(version, Identity.Confirmed);
+  run.Number = Progress.begin(version, Identity.Confirmed, Call.info().Weights);
   EventHold.reset();
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1575,7 +1575,8 @@
     VT_MAY_HAVE_EXECUTED = 40,
     VT_STREAM_VERSION = 42,
     VT_ACCOUNT = 44,
-    VT_KEY_DIGEST = 46
+    VT_KEY_DIGEST = 46,
+    VT_STREAM_WEIGHTS = 48
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1643,6 +1644,9 @@
   const flatbuffers::Vector<uint8_t> *key_digest() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KEY_DIGEST);
   }
+  uint64_t stream_weights() const {
+    return GetField<uint64_t>(VT_STREAM_WEIGHTS, 18446744073709551615ULL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1682,6 +1686,7 @@
            verifier.VerifyString(account()) &&
            VerifyOffset(verifier, VT_KEY_DIGEST) &&
            verifier.VerifyVector(key_digest()) &&
+           VerifyField<uint64_t>(verifier, VT_STREAM_WEIGHTS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1756,6 +1761,9 @@
   void add_key_digest(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest) {
     fbb_.AddOffset(ForwardRequest::VT_KEY_DIGEST, key_digest);
   }
+  void add_stream_weights(uint64_t stream_weights) {
+    fbb_.AddElement<uint64_t>(ForwardRequest::VT_STREAM_WEIGHTS, stream_weights, 18446744073709551615ULL);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1790,8 +1798,10 @@
     bool may_have_executed = false,
     uint64_t stream_version = 0,
     flatbuffers::Offset<flatbuffers::String> account = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest = 0,
+    uint64_t stream_weights = 18446744073709551615ULL) {
   ForwardRequestBuilder builder_(_fbb);
+  builder_.add_stream_weights(stream_weights);
   builder_.add_stream_version(stream_version);
   builder_.add_expected_output_tokens(expected_output_tokens);
   builder_.add_max_output_tokens(max_output_tokens);
@@ -1840,7 +1850,8 @@
     bool may_have_executed = false,
     uint64_t stream_version = 0,
     const char *account = nullptr,
-    const std::vector<uint8_t> *key_digest = nullptr) {
+    const std::vector<uint8_t> *key_digest = nullptr,
+    uint64_t stream_weights = 18446744073709551615ULL) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
@@ -1877,7 +1888,8 @@
       may_have_executed,
       stream_version,
       account__,
-      key_digest__);
+      key_digest__,
+      stream_weights);
 }
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_event_bytes_test.cc
+++ b/test/gateway_event_bytes_test.cc
@@ -168,7 +168,7 @@
 };
 
 Joined join(const Stream &Of, size_t Cut, size_t Piece, RunOutcome Outcome) {
-  StreamProgress progress(internal::eventId, "");
+  StreamProgress progress({internal::eventId}, "");
   Joined result;
   RunNumber run = progress.begin(Version);
   std::string first = Of.run(1).substr(0, Cut);
@@ -232,7 +232,7 @@
 // A raw CR in a line is a line end for some readers, so that the id that counts
 // may stand behind it.
 TEST_CASE("No event comes twice where a line holds a raw CR") {
-  StreamProgress progress(internal::eventId, "");
+  StreamProgress progress({internal::eventId}, "");
   RunNumber run = progress.begin(Version);
   progress.add(run, "data: x\nid: 1\n\ndata: y\rid: 2\n\n", MaxEventBytes);
   CHECK(progress.lastEventId() == "2");
@@ -245,7 +245,7 @@
     for (const std::string &end : {"\n", "\r\n", "\r"}) {
       CAPTURE(comment);
       CAPTURE(end);
-      StreamProgress progress(internal::eventId, "");
+      StreamProgress progress({internal::eventId}, "");
       RunNumber run = progress.begin(Version);
       std::string first = comment + "id: 1" + end + end;
       CHECK(progress.add(run, first, MaxEventBytes).Bytes == first);
--- a/test/gateway_stream_model_test.cc
+++ b/test/gateway_stream_model_test.cc
@@ -41,7 +41,7 @@
     std::optional<VersionKey> version;
     for (int i = 0; i <= MaxTakeUps && !Caller.Complete; ++i) {
       // An instance that takes the stream up knows the record only.
-      StreamProgress progress(internal::eventId, lastId);
+      StreamProgress progress({internal::eventId}, lastId);
       progress.requireVersion(version);
       answer(progress);
       if (progress.versionUncertain())
--- a/test/gateway_stream_progress_test.cc
+++ b/test/gateway_stream_progress_test.cc
@@ -21,9 +21,16 @@
   return all;
 }
 
+// Stated by a first line "w: N".
+std::optional<WeightVersion> weightsOf(std::string_view Event) {
+  if (!Event.starts_with("w: "))
+    return std::nullopt;
+  return Event[3] - '0';
+}
+
 struct Stream {
   explicit Stream(std::string LastEventId = "")
-      : Progress(internal::eventId, std::move(LastEventId)) {}
+      : Progress({internal::eventId, weightsOf}, std::move(LastEventId)) {}
   // The first run, which has passed events 1 to 4 on.
   RunNumber begun(VersionKey Version = V1) {
     RunNumber run = Progress.begin(Version);
@@ -197,7 +204,7 @@
 TEST_CASE("A response of another type is no run of the stream") {
   const std::string stream = "text/event-stream; charset=utf-8";
   const std::string problem = "application/json";
-  StreamProgress progress(internal::eventId, "");
+  StreamProgress progress({internal::eventId}, "");
   CHECK_FALSE(progress.acceptType(&problem));
   CHECK(progress.acceptType(&stream));
   CHECK_FALSE(progress.acceptType(&problem));
@@ -377,3 +384,53 @@
           StreamEnd::MayContinue);
   }
 }
+
+// A stream went on at a server to which other weights had been loaded.
+TEST_CASE("A run that goes on by other weights is given up") {
+  Stream stream;
+  RunNumber run = stream.Progress.begin(V1, false, 1);
+  stream.add(run, events(1, 4));
+  stream.Progress.end(run, RunOutcome::BrokenOff);
+  CHECK(stream.Progress.weights() == WeightVersion(1));
+  SUBCASE("as its head states") {
+    run = stream.Progress.begin(V1, false, 2);
+    CHECK(stream.add(run, event(5)) == RunFault::OtherWeights);
+  }
+  SUBCASE("as its first event states") {
+    run = stream.Progress.begin(V1, false, 1);
+    CHECK(stream.add(run, "w: 2\n" + event(5)) == RunFault::OtherWeights);
+  }
+  CHECK(stream.Caller == events(1, 4));
+  CHECK(stream.Progress.end(run, RunOutcome::BrokenOff) ==
+        StreamEnd::MayContinue);
+  CHECK(stream.Progress.weights() == WeightVersion(1));
+}
+
+TEST_CASE("A run goes on by the weights that wrote the last event") {
+  Stream stream;
+  RunNumber run = stream.Progress.begin(V1, false, 1);
+  std::string changed = "w: 2\n" + event(5);
+  stream.add(run, events(1, 4) + changed + event(6));
+  stream.Progress.end(run, RunOutcome::BrokenOff);
+  CHECK(stream.Caller == events(1, 4) + changed + event(6));
+  CHECK(stream.Progress.weights() == WeightVersion(2));
+  run = stream.Progress.begin(V1, false, 1);
+  CHECK(stream.add(run, event(7)) == RunFault::OtherWeights);
+  run = stream.Progress.begin(V1, false, 2);
+  CHECK(stream.add(run, event(7)) == RunFault::None);
+}
+
+TEST_CASE("Weights that aren't stated keep no run from going on") {
+  for (bool firstStates : {false, true}) {
+    CAPTURE(firstStates);
+    Stream stream;
+    auto stated = [](bool States) {
+      return States ? std::optional<WeightVersion>(1) : std::nullopt;
+    };
+    RunNumber run = stream.Progress.begin(V1, false, stated(firstStates));
+    stream.add(run, events(1, 4));
+    run = stream.Progress.begin(V1, false, stated(!firstStates));
+    CHECK(stream.add(run, event(5)) == RunFault::None);
+    CHECK(stream.Progress.weights() == stated(!firstStates));
+  }
+}
--- a/test/platform_http_codec_test.cc
+++ b/test/platform_http_codec_test.cc
@@ -326,10 +326,37 @@
 
 TEST_CASE("HttpCodec takes the id of an event from its id line") {
   HttpCodec codec = platform::makeHttpCodec();
-  CHECK(codec.EventId("id: 12\ndata: x\n\n") == "12");
-  CHECK(codec.EventId("data: id: 3\nid:4\r\n\r\n") == "4");
-  CHECK(codec.EventId("id: 5\rdata: x\r\r") == "5");
-  CHECK(codec.EventId("data: x\n\n").empty());
+  CHECK(codec.Event.Id("id: 12\ndata: x\n\n") == "12");
+  CHECK(codec.Event.Id("data: id: 3\nid:4\r\n\r\n") == "4");
+  CHECK(codec.Event.Id("id: 5\rdata: x\r\r") == "5");
+  CHECK(codec.Event.Id("data: x\n\n").empty());
+}
+
+TEST_CASE("HttpCodec reads which weights write a response and its events") {
+  HttpCodec codec = platform::makeHttpCodec();
+  HttpHead head;
+  head.Status = 200;
+  CHECK_FALSE(codec.ParseResponseHead(head).Weights);
+  head.Fields = {{"Weight-Versions", "12"}};
+  CHECK(codec.ParseResponseHead(head).Weights == WeightVersion(12));
+  head.Fields = {{"Weight-Versions", "1,2"}};
+  CHECK_FALSE(codec.ParseResponseHead(head).Weights);
+  CHECK(codec.Event.Weights("weight-versions: 3\nid: 5\n\n") ==
+        WeightVersion(3));
+  CHECK(codec.Event.Weights("weight-versions:4\r\nid: 5\r\n\r\n") ==
+        WeightVersion(4));
+  for (const char *it :
+       {"id: 5\nweight-versions: 3\n\n", "weight-versions\n\n",
+        "weight-versions: x\n\n", "weight-versions-of: 3\n\n", ""})
+    CHECK_FALSE_MESSAGE(codec.Event.Weights(it), it);
+  CHECK(codec.ParsePrefill(R"({"kv-handle":"h","token-count":9,"version":2})")
+            ->Weights == WeightVersion(2));
+  ForwardOptions order;
+  CHECK(codec.FormatRequest({}, order).find("Expected-Version") ==
+        std::string::npos);
+  order.ExpectedWeights = 7;
+  CHECK(codec.FormatRequest({}, order).find("\r\nExpected-Version: 7\r\n") !=
+        std::string::npos);
 }
 
 TEST_CASE("HttpCodec takes a server for leaving only if it says so") {
