Take no refusal of another server for one of a full server

What callers saw: 503 "all servers are full" from an instance whose servers are idle, after a request has reached another server at the address of an entry: one of a server that is gone, or of another writer.

Cause: 421 is a refusal before execution, and each of these counted as one for load: in the share of requests of the service that are admitted, so that the next ones are rejected on arrival at random, in the state of the server, and for streams in the shedding of reservations. The failed runs' logs show it: "request rejected on arrival" right after "refused_421".

Change: resultOfRefusal() tells them apart, for plain calls, reservations, prefills and runs.

--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -1,6 +1,7 @@
 #include "gateway/request_handler.h"
 
 #include "gateway/decisions/content_fingerprint.h"
+#include "gateway/server_responses.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -772,9 +773,13 @@
       FoundFull = RefusedByFull = true;
       Tried.erase(Server.Id);
     }
-    Context.Queues.withPlain(
-        Service, [](PlainQueue &It, TimePoint Now) { It.onRefused(Now); });
-    return end(CallResult::Overloaded, "refused_" + code,
+    if (info.Misdirected)
+      Context.Directory.onStageRefused(Server, ServerStage::Whole,
+                                       /*Misdirected=*/true);
+    else
+      Context.Queues.withPlain(
+          Service, [](PlainQueue &It, TimePoint Now) { It.onRefused(Now); });
+    return end(resultOfRefusal(info), "refused_" + code,
                AttemptResult::NotExecuted);
   }
   Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
--- a/src/gateway/server_responses.h
+++ b/src/gateway/server_responses.h
@@ -12,6 +12,13 @@
 // state. Both outlive all calls.
 void reportResponses(ConnectionPool &Connections, ServiceDirectory &Directory);
 
+// What a refusal before execution shows of the server that was meant. One by
+// another server at its address, or by a server in another stage or with other
+// weights, says nothing of load.
+inline CallResult resultOfRefusal(const ResponseInfo &Info) {
+  return Info.Misdirected ? CallResult::Abandoned : CallResult::Overloaded;
+}
+
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -2,6 +2,8 @@
 // the prompt at a prefill server and starts the stream there.
 #include "gateway/request_handler.h"
 
+#include "gateway/server_responses.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -44,8 +46,6 @@
 constexpr double TokensPerLoadUnit = 5000;
 // Retry-After for callers when no server is known.
 constexpr Milliseconds NoServerRetryAfter{1000};
-// Status of a server that isn't in the stage, or isn't the one, that was meant.
-constexpr uint32_t MisdirectedStatus = 421;
 constexpr size_t MaxPrefillResponseBytes = 65536;
 
 struct FailedCall {
@@ -391,11 +391,11 @@
     if (call.head().Status == 200)
       name = Context.Codec.ParseReservation(body);
     Context.Directory.callEnded(
-        server, 0, name ? CallResult::Succeeded : CallResult::Overloaded);
-    if (call.head().Status == MisdirectedStatus)
+        server, 0, name ? CallResult::Succeeded : resultOfRefusal(call.info()));
+    if (call.info().Misdirected)
       Context.Directory.onStageRefused(server, ServerStage::Decode,
                                        /*Misdirected=*/true);
-    full += name ? 0 : 1;
+    full += name || call.info().Misdirected ? 0 : 1;
     DecodeReservation granted{server, name.value_or(""),
                               Clock::now() + Engine->MaxReservation,
                               /*Permitted=*/true};
@@ -523,11 +523,12 @@
   if (call.head().Status == 200)
     done = Context.Codec.ParsePrefill(body);
   if (!done) {
-    end(call.info().NotExecuted ? CallResult::Overloaded : CallResult::Failed,
+    end(call.info().NotExecuted ? resultOfRefusal(call.info())
+                                : CallResult::Failed,
         "refused_" + code);
     // A server with other weights refuses in the same way as one that isn't in
     // the stage.
-    bool misdirected = call.head().Status == MisdirectedStatus;
+    bool misdirected = call.info().Misdirected;
     if (call.info().NotExecuted && !(misdirected && order.ExpectedWeights))
       Context.Directory.onStageRefused(Server, ServerStage::Prefill,
                                        misdirected);
@@ -710,7 +711,7 @@
       Context.Directory.onReservedRequestRefused(server);
       Used.erase(server.Id);
     }
-    return end(CallResult::Overloaded, "refused_" + code,
+    return end(resultOfRefusal(info), "refused_" + code,
                AttemptResult::NotExecuted);
   }
   if (status != CallStatus::Responded || !info.Signed || info.Encoded ||
--- a/test/gateway_address_claim_test.cc
+++ b/test/gateway_address_claim_test.cc
@@ -101,6 +101,28 @@
   CHECK(claims.chosen() == "s1");
 }
 
+// Refusals by another server at the address counted as refusals of a full one,
+// so that further requests were rejected on arrival.
+TEST_CASE("Servers that are misdirected to don't count as full") {
+  GatewayFixture gateway;
+  FakeServer server([](const std::string &Request, int) {
+    bool isMeant = headerField(Request, "Target-Instance") == "s1";
+    return isMeant ? signedResponse(200, "bay 7") : refusal(421);
+  });
+  gateway.addServer("s1", server);
+  // Servers that are gone, whose addresses are in use again.
+  for (const char *id : {"x1", "x2", "x3"})
+    gateway.addServer(id, server);
+  PathRoute route = gateway.route(RouteKind::NonIdempotent);
+  int served = 0;
+  for (int i = 0; i < 40; ++i)
+    served += gateway.run(route).starts_with("HTTP/1.1 200") ? 1 : 0;
+  CHECK(served >= 37); // each of the others may be asked once
+  CHECK(server.requests().size() <= 43);
+  CHECK_FALSE(
+      gateway.Directory.fullness({"bays", ServerStage::Whole, {}, {}}).All);
+}
+
 // The whole path, with a server that checks whom a request is for.
 TEST_CASE("Callers are served beside entries that claim a server's address") {
   FakeServer server([](const std::string &Request, int) {
