Add a command that tells where a request would be routed now, and why

Change: an instance answers GET /route on its address of metrics, and `crocusspur route` asks several and prints a table or JSON: the route, rank and quota; for each stage the servers in the order of choice with load, pace, knee, failures, score and why one is barred; the queue that the request would join, the share that is admitted, and whether it would be refused and for how long. explainRoute() works on copies of the registry of servers, the queues and the estimates of outputs, with the functions that decide on live requests; so it can't differ from them, and a live request's random draws stay what they are. With which terms a request waits is decided in one place (queue_terms) for both. Keys aren't asked for and not shown.

Left: whether its content is refused since it crashes servers; the owner of a shard isn't asked for a prefill server.

--- a/src/gateway/decisions/output_estimator.cc
+++ b/src/gateway/decisions/output_estimator.cc
@@ -8,6 +8,9 @@
 
 using internal::OutputLengths;
 
+// Size of a typical request, prompt and output, to which reservation coverage
+// is matched, so that longer ones aren't treated worse.
+constexpr uint64_t TypicalRequestTokens = 5600;
 constexpr uint32_t RatioScale = 1000; // ratios are stored in thousandths
 // Larger ratios of output to expected output are clamped to this one.
 constexpr uint32_t MaxRatioToExpected = 8 * RatioScale;
@@ -77,6 +80,13 @@
   return scaleTokens(Size.MaxOutputTokens, ratio);
 }
 
+uint64_t tokensToReserve(const OutputEstimator &Outputs,
+                         const GenerationSize &Size, uint64_t Capacity) {
+  double coverage = reservationCoverage(TypicalRequestTokens, Capacity);
+  return std::min(Capacity,
+                  Size.PromptTokens + Outputs.tokensToReserve(Size, coverage));
+}
+
 double reservationCoverage(uint64_t RequestTokens, uint64_t Capacity) {
   double requests = static_cast<double>(Capacity) /
                     static_cast<double>(std::max<uint64_t>(RequestTokens, 1));
--- a/src/gateway/decisions/output_estimator.h
+++ b/src/gateway/decisions/output_estimator.h
@@ -40,6 +40,11 @@
 // with memory for `Capacity` tokens and requests of `RequestTokens`.
 double reservationCoverage(uint64_t RequestTokens, uint64_t Capacity);
 
+// Returns the tokens to reserve for a request at a server with this capacity:
+// its prompt and enough output for most requests.
+uint64_t tokensToReserve(const OutputEstimator &Outputs,
+                         const GenerationSize &Size, uint64_t Capacity);
+
 } // namespace crocusspur::gateway
 
 #endif
--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -256,6 +256,22 @@
   return Item.ExcludedUntil > Now ? SendBar::Excluded : SendBar::None;
 }
 
+const char *ServerRegistry::nameOf(SendBar Bar) {
+  switch (Bar) {
+  case SendBar::None:
+    return "";
+  case SendBar::Leaving:
+    return "leaving";
+  case SendBar::Removed:
+    return "removed";
+  case SendBar::Resting:
+    return "resting";
+  case SendBar::Excluded:
+    return "excluded";
+  }
+  return "";
+}
+
 // A server that refuses requests while it changes its stage is asked
 // nevertheless by those that hold a reservation there.
 bool ServerRegistry::usable(const ServerChoice &Server, TimePoint Now) const {
@@ -431,6 +447,28 @@
   return choices;
 }
 
+std::vector<ServerCandidate>
+ServerRegistry::candidates(const ServerQuery &Query, TimePoint Now) const {
+  std::vector<ServerCandidate> all;
+  for (const auto &[id, server] : Servers) {
+    if (!matches(server, Query))
+      continue;
+    ServerCandidate found;
+    found.Choice = choiceOf(server.Entry);
+    found.Bar = nameOf(sendBar(server, Now));
+    found.LastResort = server.UsableUntil || !server.ClaimantId.empty();
+    found.Avoided = server.AvoidUntil > Now;
+    found.Full = server.Fullness.isFull(server.OwnCalls, Now);
+    found.Load = loadOf(server, Now);
+    found.FailureRate = server.FailureRate;
+    found.Pace = placementPace(server, Now);
+    found.Score = score(server, Now);
+    found.Capacity = capacity(id, Now);
+    all.push_back(std::move(found));
+  }
+  return all;
+}
+
 std::vector<ServerChoice>
 ServerRegistry::rankSlowestFirst(const ServerQuery &Query, TimePoint Now) {
   std::vector<ServerChoice> all = rank(Query, Now);
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -95,6 +95,22 @@
   std::optional<VersionKey> Version;
 };
 
+// A server of a query with what its choice rests on, for operators.
+struct ServerCandidate {
+  ServerChoice Choice;
+  // Why it gets no new request; empty: it may.
+  const char *Bar = "";
+  bool LastResort = false; // its entry was removed, or its address claimed
+  bool Avoided = false;    // after failures or refusals, for some time
+  bool Full = false;
+  double Load = 0; // requests, of all instances as far as known
+  double FailureRate = 0;
+  double Pace = 1;  // 1: that of most servers; more is slower
+  double Score = 0; // of rank(), without its draw; less is better
+  ServerCapacity Capacity;
+  std::optional<double> LimitPerSecond; // that it states
+};
+
 // Longest time for which a server can refuse requests in advance. One more
 // request then shows whether it still does.
 constexpr Milliseconds MaxRest{60000};
@@ -179,6 +195,11 @@
   // others of their class if knees differ.
   std::vector<ServerChoice> rank(const ServerQuery &Query, TimePoint Now);
 
+  // All servers of the query's service and stage, also those that get no new
+  // requests, in no order.
+  std::vector<ServerCandidate> candidates(const ServerQuery &Query,
+                                          TimePoint Now) const;
+
   // The prefill servers of a service for their division into shards: those
   // registered that don't leave. None if dispatch is switched off.
   DispatchServers dispatchServers(const std::string &Service,
@@ -274,6 +295,7 @@
   // Whether this instance may send to the server now. All choices and the last
   // check before a send rest on it.
   SendBar sendBar(const Server &Item, TimePoint Now) const;
+  static const char *nameOf(SendBar Bar); // empty for None
 
   // Weight of the server's latest load report, 0 if there is none; falls with
   // its age.
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -1,6 +1,7 @@
 #include "gateway/request_handler.h"
 
 #include "gateway/decisions/content_fingerprint.h"
+#include "gateway/decisions/routing/queue_terms.h"
 #include "gateway/server_responses.h"
 
 #include <algorithm>
@@ -567,15 +568,10 @@
 bool RequestHandler::waitForRoom() {
   TimePoint started = Clock::now();
   PlainEntry entry;
-  entry.Priority = position().Above;
-  entry.OnTimeDeadline = Arrived + Route.LatencyTarget;
-  entry.Account = Request.Account;
   std::optional<uint64_t> ticket =
       Context.Queues.withPlain(Service, [&](PlainQueue &It, TimePoint Now) {
-        // Where servers alone take longer than half of the target, waiting for
-        // half of it isn't what makes responses late.
-        entry.LatestSend = entry.OnTimeDeadline -
-                           std::min(It.answerTime(), Route.LatencyTarget / 2);
+        entry = plainTerms(Route, position(), Request.Account, It.answerTime(),
+                           Arrived);
         return It.join(entry, Now);
       });
   ServerQuery query = plainQuery();
--- a/src/gateway/reservation_queues.cc
+++ b/src/gateway/reservation_queues.cc
@@ -145,6 +145,15 @@
   return out + "]";
 }
 
+std::map<std::string, ServiceQueues> ReservationQueues::copies() {
+  std::lock_guard lock(Mutex);
+  std::map<std::string, ServiceQueues> all;
+  for (const auto &[service, state] : Services)
+    all.emplace(service,
+                ServiceQueues{state.Queue, state.Admission, state.Plain});
+  return all;
+}
+
 std::map<std::string, size_t> ReservationQueues::sizes() {
   std::lock_guard lock(Mutex);
   std::map<std::string, size_t> all;
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -6,6 +6,7 @@
 #include "gateway/decisions/admission_control.h"
 #include "gateway/decisions/plain_queue.h"
 #include "gateway/decisions/reservation_queue.h"
+#include "gateway/decisions/routing/route_explanation.h"
 
 #include <array>
 #include <functional>
@@ -54,6 +55,8 @@
 
   // Waiting requests, by service.
   std::map<std::string, size_t> sizes();
+  // Copies of the queues of all services that have some, for explanations.
+  std::map<std::string, ServiceQueues> copies();
 
 private:
   static constexpr size_t RankCount = 10;
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -14,9 +14,6 @@
 using internal::log;
 using internal::LogLevel;
 
-// Size of a typical request, prompt and output, to which reservation coverage
-// is matched, so that longer ones aren't treated worse.
-constexpr uint64_t TypicalRequestTokens = 5600;
 // A server that refuses a request despite its reservation is changing its
 // stage; peers report that within two rounds.
 constexpr Milliseconds ReservedRefusalExclusion{2000};
@@ -791,9 +788,12 @@
                                           const GenerationSize &Size,
                                           uint64_t Capacity) {
   std::lock_guard lock(Mutex);
-  return Size.PromptTokens +
-         Outputs[Service].tokensToReserve(
-             Size, reservationCoverage(TypicalRequestTokens, Capacity));
+  return tokensToReserve(Outputs[Service], Size, Capacity);
+}
+
+ServiceDirectory::ServersCopy ServiceDirectory::copyServers() const {
+  std::lock_guard lock(Mutex);
+  return {Registry, Outputs};
 }
 
 void ServiceDirectory::onOutputFinished(const std::string &Service,
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -223,8 +223,7 @@
   // A server refused a request for which it had reserved memory.
   void onReservedRequestRefused(const ServerChoice &Server);
 
-  // Returns the tokens to reserve for a request at a server with this capacity:
-  // its prompt and enough output for most requests of the service.
+  // See tokensToReserve().
   uint64_t reservedTokens(const std::string &Service,
                           const GenerationSize &Size, uint64_t Capacity);
   void onOutputFinished(const std::string &Service, const GenerationSize &Size,
@@ -241,6 +240,13 @@
                size_t Count) const;
   void onMemoryRequested(const std::string &Service, uint64_t Tokens);
 
+  // Copies of what servers are chosen by, for explanations.
+  struct ServersCopy {
+    ServerRegistry Registry;
+    std::map<std::string, OutputEstimator> Outputs; // by service
+  };
+  ServersCopy copyServers() const;
+
   double randomFraction(); // uniform in [0, 1)
   uint64_t randomNumber();
 
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -2,6 +2,7 @@
 // operators.
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
+#include "gateway/route_report.h"
 #include "log.h"
 #include "runtime.h"
 
@@ -47,7 +48,7 @@
   bool start(Kernel &Owner) override;
   void prepareStop() override;
   void stop() override;
-  StatusResponse respond(const std::string &Path);
+  StatusResponse respond(const std::string &Target);
 
 private:
   bool listen(const std::string &Address);
@@ -55,6 +56,7 @@
   void updateQuotaGauges();
   void updateDispatchGauges();
   std::string state() const; // as JSON
+  StatusResponse explain(const std::string &Target) const;
 
   GatewayRuntime *Runtime = nullptr;
   internal::MetricsSink *Metrics = nullptr;
@@ -79,8 +81,7 @@
   explicit Handler(StatusListener &Owner) : Owner(Owner) {}
   void handleRequest(HTTPServerRequest &Request,
                      HTTPServerResponse &Response) override {
-    const std::string &path = Request.getURI();
-    StatusResponse response = Owner.respond(path.substr(0, path.find('?')));
+    StatusResponse response = Owner.respond(Request.getURI());
     Response.setStatusAndReason(
         static_cast<HTTPResponse::HTTPStatus>(response.Status));
     Response.setContentType(response.ContentType);
@@ -356,18 +357,34 @@
   return out + ",\"quotas\":" + Runtime->Quotas.dump() + "}";
 }
 
-StatusResponse StatusListener::respond(const std::string &Path) {
-  if (Path == Runtime->ActiveAdapter.ReadyPath || Path == "/readyz")
+StatusResponse StatusListener::explain(const std::string &Target) const {
+  std::optional<RouteQuestion> question = parseRouteQuestion(Target);
+  if (!question)
+    return {400, "text/plain",
+            "expected host, path and at most account, prompt_tokens and "
+            "output_tokens\n"};
+  RouteExplanation found =
+      explainRoute(*question, copyRoutingState(*Runtime, question->Account),
+                   std::chrono::steady_clock::now());
+  return {200, "application/json",
+          formatExplanation(found, Runtime->Values.Instance)};
+}
+
+StatusResponse StatusListener::respond(const std::string &Target) {
+  const std::string path = Target.substr(0, Target.find('?'));
+  if (path == Runtime->ActiveAdapter.ReadyPath || path == "/readyz")
     return Runtime->ready() ? StatusResponse{200, "text/plain", "ready\n"}
                             : StatusResponse{503, "text/plain", "not ready\n"};
-  if (Path == "/healthz")
+  if (path == "/healthz")
     return {200, "text/plain", "ok\n"};
-  if (Path == "/metrics") {
+  if (path == "/metrics") {
     updateGauges();
     return {200, "text/plain; version=0.0.4", Metrics->render()};
   }
-  if (Path == "/state")
+  if (path == "/state")
     return {200, "application/json", state()};
+  if (path == "/route")
+    return explain(Target);
   return {404, "text/plain", "not found\n"};
 }
 
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -2,6 +2,7 @@
 // the prompt at a prefill server and starts the stream there.
 #include "gateway/request_handler.h"
 
+#include "gateway/decisions/routing/queue_terms.h"
 #include "gateway/server_responses.h"
 
 #include <algorithm>
@@ -18,10 +19,6 @@
 // first is a retry and draws on the retry budget.
 constexpr int MaxRounds = 4;
 constexpr int MaxPrefillAttempts = 2; // in one round
-// Time from a reservation to the first event: calls and queueing, plus the
-// prompt's tokens at about half of the rate of an idle prefill server.
-constexpr Milliseconds MinStartTime{100};
-constexpr uint64_t PromptTokensPerMs = 30;
 // A caller that was refused before is late anyway and waits for at most this
 // long.
 constexpr Milliseconds ReturningCallerMaxWait{2500};
@@ -261,22 +258,14 @@
       !Request.Generation)
     return selectUnreservedDecode();
   const GenerationSize &size = *Request.Generation;
-  uint64_t tokens = std::min(
-      Context.Directory.reservedTokens(Service, size, Engine->CapacityTokens),
-      Engine->CapacityTokens);
-  auto start =
-      MinStartTime +
-      Milliseconds(static_cast<int64_t>(size.PromptTokens / PromptTokensPerMs));
-  QueueEntry entry;
-  entry.OnTimeDeadline = Arrived + Route.LatencyTarget - start;
-  entry.ExpiresAt = entry.OnTimeDeadline;
+  uint64_t tokens =
+      Context.Directory.reservedTokens(Service, size, Engine->CapacityTokens);
+  QueueEntry entry =
+      streamTerms(Route, size, position(), Request.Account, Arrived);
   bool isNew =
       !HeadSent && !Returning && !Progress.version() && !LeavesSilentRun;
   if (!isNew)
     entry.ExpiresAt = std::min(Deadline, Clock::now() + ReturningCallerMaxWait);
-  entry.Rank = position();
-  entry.Priority = entry.Rank.Above;
-  entry.Account = Request.Account;
   if (HeadSent && entry.Rank.differs()) {
     entry.Priority = 0;
     entry.OnTimeDeadline = entry.ExpiresAt;
