--- a/soak/site_soak.cc
+++ b/soak/site_soak.cc
@@ -225,8 +225,10 @@
 SiteSoak::SiteSoak(const SiteSoakOptions &Options)
     : Options(Options), Random(Options.Seed),
       Form(drawForm(Options.Seed + FormSeedOffset)),
-      Fleet(Options.Wide ? WideInstanceCount : InstanceCount, "",
-            FailureDomains) {
+      Fleet(Options.Instances > 0 ? Options.Instances
+            : Options.Wide        ? WideInstanceCount
+                                  : InstanceCount,
+            "", FailureDomains) {
   BreakPercent = BreakPercents[below(std::size(BreakPercents))];
   if (Options.BreakPercent > 0)
     BreakPercent = Options.BreakPercent;
--- a/soak/site_soak.h
+++ b/soak/site_soak.h
@@ -29,6 +29,7 @@
   // Servers are replaced by ones of new software versions under new ids, while
   // an instance stands still.
   bool Releases = false;
+  int Instances = 0; // 0: as many as the form has
 };
 
 // Prints one line and the first violations. Returns whether there are none.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -970,6 +970,9 @@
   program.add_flag("--kill-servers", killsServers,
                    "In the shape of a site, decode servers are processes of "
                    "their own that are killed");
+  int instances = 0;
+  program.add_option("--instances", instances,
+                     "Instances in the shape of a site, if not its own number");
   std::string served;
   program.add_option("--serve", served,
                      "Be such a server, on these terms; for the soak itself");
@@ -979,9 +982,10 @@
     return crocusspur::soak::serveSite(served);
   std::cout << "seed " << seed << ": " << std::flush;
   if (shape != "mixed")
-    return crocusspur::soak::runSiteSoak(
-               {seed, std::chrono::seconds(seconds), logs, tested, beside,
-                breakPercent, shape == "wide", killsServers, releases})
+    return crocusspur::soak::runSiteSoak({seed, std::chrono::seconds(seconds),
+                                          logs, tested, beside, breakPercent,
+                                          shape == "wide", killsServers,
+                                          releases, instances})
                ? 0
                : 1;
   crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs, tested,
