Cut an instance off at all servers at once in the tests

Seen (KNOWN-RED): an instance that is cut off took s3 for ended, "connection_refused", in 1 of 2 runs of the whole suite, and in 1 of 12 beside 14 busy processes now.

Cause, in the test: its proxies refused new connections all together, but reset the open ones one after the other. The run at s3 breaks off, s3 refuses, and a model server behind a proxy that is still to come responds on a kept connection to a call that began after: that is how the end of a server looks, and rightly so.

Change: connections are silent at all servers before the first is reset, and what waits at a listener is accepted before it closes, since the kernel would reset it. The check is the same.

--- a/test/cut_proxy.cc
+++ b/test/cut_proxy.cc
@@ -111,6 +111,10 @@
 
 void CutProxy::setForm(CutForm NewForm) {
   std::lock_guard lock(Mutex);
+  // The kernel resets what waits at a listener that is closed, which is a form
+  // of its own.
+  while (acceptNext()) {
+  }
   stopListening();
   Form.store(NewForm);
   if (NewForm == CutForm::None || NewForm == CutForm::Hang ||
@@ -125,18 +129,22 @@
   while (!Stopping.load()) {
     std::this_thread::sleep_for(Milliseconds(1));
     std::lock_guard lock(Mutex);
-    pollfd item{Listener, POLLIN, 0};
-    if (Listener < 0 || Form.load() == CutForm::Hang ||
-        ::poll(&item, 1, 0) <= 0)
-      continue;
-    int fd = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd < 0)
-      continue;
-    Open.insert(fd);
-    Threads.emplace_back([this, fd] { forward(fd); });
+    acceptNext();
   }
 }
 
+bool CutProxy::acceptNext() {
+  pollfd item{Listener, POLLIN, 0};
+  if (Listener < 0 || Form.load() == CutForm::Hang || ::poll(&item, 1, 0) <= 0)
+    return false;
+  int fd = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+  if (fd < 0)
+    return false;
+  Open.insert(fd);
+  Threads.emplace_back([this, fd] { forward(fd); });
+  return true;
+}
+
 void CutProxy::forward(int Fd) {
   auto waitWhileSilent = [this] {
     while (isSilent() && !Stopping.load())
--- a/test/cut_proxy.h
+++ b/test/cut_proxy.h
@@ -39,6 +39,8 @@
   // Makes the kernel drop further connection requests.
   void fillBacklog();
   void accept();
+  // With the mutex held. Returns false if no connection waits.
+  bool acceptNext();
   void forward(int Fd);
   bool isSilent() const;
 
--- a/test/gateway_cut_off_process_test.cc
+++ b/test/gateway_cut_off_process_test.cc
@@ -102,14 +102,15 @@
 
   ~CutFleet() { finish(); }
 
-  // No connection breaks before all servers refuse new ones: an instance that
-  // is cut off loses all at the same instant. Otherwise the first server whose
-  // connections are reset looks like one that has ended, since the next one
-  // still accepts connections.
+  // No connection breaks before all servers refuse new ones and are silent: an
+  // instance that is cut off loses all at the same instant. Otherwise the first
+  // server whose connections are reset looks like one that has ended, since the
+  // next one still accepts connections, or responds on a kept one.
   void setForm(CutForm Form) {
     if (Form == CutForm::Reset)
-      for (auto &it : Proxies)
-        it->setForm(CutForm::RefusedNew);
+      for (CutForm before : {CutForm::RefusedNew, CutForm::RefusedSilent})
+        for (auto &it : Proxies)
+          it->setForm(before);
     for (auto &it : Proxies)
       it->setForm(Form);
   }
