Give a caller up that accepts only a few bytes now and then

Change: StallDetector, without I/O: a receiver has stalled that accepts less than 1 KB within the time-out (10 s in gateway, the idle time in serve) while data waits for it, over all writes of the response. A receiver that is slow but goes on isn't cut.

Result: "A caller that reads a little now and then is given up" fails if each byte counts as progress; a caller that reads 64 KiB every 5 ms gets its 16 MiB.

--- a/src/gateway/forward_call.cc
+++ b/src/gateway/forward_call.cc
@@ -20,8 +20,7 @@
 // connection in this time is frozen, and another one is asked.
 constexpr Milliseconds ConnectTimeout{100};
 constexpr Milliseconds SendTimeout{1000};
-// The first instance reads as fast as its caller does. A caller that reads
-// nothing for this long counts as disconnected.
+// The first instance reads as fast as its caller does; see StallDetector.
 constexpr Milliseconds WriteTimeout{10000};
 constexpr size_t MaxDataPerFrame = 65536;
 // More than a frame of data with its fields, and within what each call may use.
@@ -109,6 +108,9 @@
   }
 }
 
+ForwardSink::ForwardSink(int Fd)
+    : Fd(Fd), Stall(WriteTimeout, internal::MinAcceptedBytes) {}
+
 void ForwardSink::setRoutes(uint64_t Version, std::string Text) {
   ConfigVersion = Version;
   RoutesText = std::move(Text);
@@ -123,16 +125,21 @@
   Frame.VersionUncertain = VersionUncertain;
   std::vector<uint8_t> bytes = framed(encode(Frame));
   size_t done = 0;
+  bool waited = false;
   while (done < bytes.size() && !Failed) {
     ssize_t n = ::send(Fd, bytes.data() + done, bytes.size() - done,
                        MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (n > 0)
+    if (n > 0) {
       done += static_cast<size_t>(n);
-    else if (n < 0 && errno == EAGAIN)
-      Failed = !internal::waitUntilWritable(Fd, Clock::now() + WriteTimeout);
-    else
+      Stall.onAccepted(static_cast<size_t>(n), Clock::now());
+    } else if (n < 0 && errno == EAGAIN) {
+      waited = true;
+      Failed = !internal::waitUntilWritable(Fd, Stall.onBlocked(Clock::now()));
+    } else
       Failed = n == 0 || errno != EINTR;
   }
+  if (!waited)
+    Stall.onFree();
   return !Failed;
 }
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -7,6 +7,7 @@
 #include "gateway/member_codec.h"
 #include "gateway/server_call.h"
 #include "response_sink.h"
+#include "stall_detector.h"
 
 #include <optional>
 #include <string>
@@ -40,7 +41,7 @@
 // frames.
 class ForwardSink final : public internal::ResponseSink {
 public:
-  explicit ForwardSink(int Fd) : Fd(Fd) {}
+  explicit ForwardSink(int Fd);
 
   bool begin(const internal::ResponseHead &Head) override;
   bool write(std::string_view Data) override;
@@ -61,6 +62,7 @@
   bool send(ForwardResponse Frame);
 
   int Fd;
+  internal::StallDetector Stall;
   bool Failed = false;
   VersionKey OutputVersion = 0;
   bool VersionUncertain = false;
--- a/src/http_sink.cc
+++ b/src/http_sink.cc
@@ -12,6 +12,7 @@
 namespace crocusspur::internal {
 namespace {
 
+using Clock = std::chrono::steady_clock;
 using IoVectors = std::array<iovec, 4>;
 
 iovec toIoVector(std::string_view Text) {
@@ -35,7 +36,8 @@
   return n;
 }
 
-bool sendAll(int Fd, IoVectors &Items, Milliseconds WriteTimeout) {
+bool sendAll(int Fd, IoVectors &Items, StallDetector &Stall) {
+  bool waited = false;
   while (remainingBytes(Items) > 0) {
     msghdr message{};
     message.msg_iov = Items.data();
@@ -43,14 +45,18 @@
     ssize_t n = ::sendmsg(Fd, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (n >= 0) {
       consume(Items, static_cast<size_t>(n));
+      Stall.onAccepted(static_cast<size_t>(n), Clock::now());
       continue;
     }
     if (errno == EINTR)
       continue;
+    waited = true;
     if (errno != EAGAIN ||
-        !waitUntilWritable(Fd, std::chrono::steady_clock::now() + WriteTimeout))
+        !waitUntilWritable(Fd, Stall.onBlocked(Clock::now())))
       return false;
   }
+  if (!waited)
+    Stall.onFree();
   return true;
 }
 
@@ -107,7 +113,7 @@
   IoVectors items{toIoVector(PendingHead),
                   toIoVector(std::string_view(size, static_cast<size_t>(n))),
                   toIoVector(Data), toIoVector(Framed ? "\r\n" : "")};
-  Disconnected = !sendAll(Fd, items, Options.WriteTimeout);
+  Disconnected = !sendAll(Fd, items, Stall);
   PendingHead.clear();
   return !Disconnected;
 }
--- a/src/http_sink.h
+++ b/src/http_sink.h
@@ -3,6 +3,7 @@
 #define CROCUSSPUR_HTTP_SINK_H
 
 #include "response_sink.h"
+#include "stall_detector.h"
 
 namespace crocusspur::internal {
 
@@ -10,14 +11,18 @@
   bool KeepAlive = true; // the caller accepts a persistent connection
   bool MayChunk = true;  // HTTP/1.1
   bool HeadOnly = false; // response to HEAD
-  // A caller that accepts no data for this long counts as disconnected.
+  // A caller that accepts less than so many bytes for this long, while data
+  // waits for it, counts as disconnected.
   Milliseconds WriteTimeout{30000};
+  size_t MinWriteBytes = MinAcceptedBytes;
 };
 
 class HttpSink : public ResponseSink {
 public:
   HttpSink(int Fd, const HttpSinkOptions &Options)
-      : Fd(Fd), Options(Options), KeepAlive(Options.KeepAlive) {}
+      : Fd(Fd), Options(Options),
+        Stall(Options.WriteTimeout, Options.MinWriteBytes),
+        KeepAlive(Options.KeepAlive) {}
 
   bool begin(const ResponseHead &Head) override;
   bool write(std::string_view Data) override;
@@ -40,6 +45,7 @@
 
   int Fd;
   HttpSinkOptions Options;
+  StallDetector Stall;
   std::string PendingHead; // not yet sent
   bool KeepAlive;
   bool Started = false;
