Let chance decide less in the test of an account whose home is killed

Cause, in the test: while the home is gone, instances admit requests by random draws. An account above its rate gets 0.1 of it for 2 s and 0.25 after, of which the three instances that live have three quarters: 12.75 of 80 requests are expected (lease_account.cc). With 10 requests a second, 7 or fewer come in some 6 of 100 runs by chance (computed).

Change: ten times the rate. The required shares are the same, 0.8 before and 0.1 after.

--- a/test/gateway_quota_process_test.cc
+++ b/test/gateway_quota_process_test.cc
@@ -14,17 +14,24 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr double RequestsPerSecond = 10;
-constexpr double BurstRequests = 10;
+// While the home is gone requests are admitted by random draws, so that a low
+// rate gives few of them by chance.
+constexpr int RequestsPerSecond = 100;
+constexpr int BurstRequests = 100;
+constexpr int TokensPerRequest = 200;
 constexpr Milliseconds Window{8000};
 constexpr double Overage = 0.25;
 
 std::string configWithQuota() {
+  auto tokens = [](int Requests) {
+    return std::to_string(Requests * TokensPerRequest);
+  };
   std::string text = configOf(2, "/x/");
   text.insert(text.rfind('}'),
               R"(,"tenants":[{"name":"stores","api-keys":["k1"],)"
-              R"("unit":"token_stream","uncached-tokens":200,)"
-              R"("rate-per-s":2000,"burst":2000}])");
+              R"("unit":"token_stream","uncached-tokens":)" +
+                  tokens(1) + R"(,"rate-per-s":)" + tokens(RequestsPerSecond) +
+                  R"(,"burst":)" + tokens(BurstRequests) + "}]");
   return text;
 }
 
