--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -58,9 +58,8 @@
                     Milliseconds(9000),
                     {"d1", 1764000000123, "10.0.0.1:80", "v1"}}};
   frame.WantedOrigin = 77;
-  frame.Origin = OriginKnowledge{VersionKey(0),
-                                 {"d2", 3, "10.0.0.2:80", "v2"},
-                                 Milliseconds(450)};
+  frame.Origin = OriginKnowledge{
+      VersionKey(0), {"d2", 3, "10.0.0.2:80", "v2"}, Milliseconds(450)};
   frame.Servers = {{"i-1", {3, 400}, false, "{\"a\":1}"},
                    {"i-2", {2, 410}, true, ""}};
   return frame;
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -355,9 +355,7 @@
   std::vector<OriginKnowledge> known;
   size_t questions = 1;
   bool goesOn = false;
-  SUBCASE("that says that nobody may go on") {
-    known = {{UncertainVersion}};
-  }
+  SUBCASE("that says that nobody may go on") { known = {{UncertainVersion}}; }
   SUBCASE("that agrees") {
     known = {{own}};
     goesOn = true;
