Count the age of a server's entry from when all changes were known last

What callers could get: a stream with events of two software versions. A process of a new version begins it before its entry is written, and its record names the process before. An instance that is out of step meanwhile, cut off from the store or standing still, learns of the entry late, takes it for younger than the record, and so for one that had no part in the stream, and lets it go on at the former version.

Cause: the time since this instance learned of an entry stood for the entry's age. The class: knowledge that is older than the moment at which it is used.

Change: an entry counts as written at any time since this instance knew all changes of servers for the last time, as its readings of the store and its peers confirm; a time without bound where it never did.

--- a/src/gateway/decisions/server_registry.cc
+++ b/src/gateway/decisions/server_registry.cc
@@ -88,7 +88,8 @@
   return hash == 0 ? 1 : hash;
 }
 
-void ServerRegistry::apply(const ServerEntry &Entry, TimePoint Now) {
+void ServerRegistry::apply(const ServerEntry &Entry, TimePoint Now,
+                           std::optional<TimePoint> WrittenAfter) {
   auto it = Servers.find(Entry.Id);
   bool restarted =
       it != Servers.end() && processOf(it->second.Entry) != processOf(Entry);
@@ -97,7 +98,10 @@
   if (restarted)
     Servers.erase(it);
   Server &server =
-      Servers.try_emplace(Entry.Id, Server{.KnownSince = Now}).first->second;
+      Servers
+          .try_emplace(Entry.Id,
+                       Server{.WrittenAfter = WrittenAfter.value_or(Now)})
+          .first->second;
   if (server.Entry.Stage != Entry.Stage) {
     server.Load.reset();
     server.ExcludedUntil = TimePoint();
@@ -197,12 +201,12 @@
   return it == Servers.end() ? nullptr : &it->second.Entry;
 }
 
-Milliseconds ServerRegistry::knownFor(const std::string &Id,
-                                      TimePoint Now) const {
+Milliseconds ServerRegistry::maxEntryAge(const std::string &Id,
+                                         TimePoint Now) const {
   auto it = Servers.find(Id);
   return it == Servers.end() ? Milliseconds(0)
                              : std::chrono::duration_cast<Milliseconds>(
-                                   Now - it->second.KnownSince);
+                                   Now - it->second.WrittenAfter);
 }
 
 std::vector<ServerEntry>
--- a/src/gateway/decisions/server_registry.h
+++ b/src/gateway/decisions/server_registry.h
@@ -122,8 +122,10 @@
 
   // Adds or updates a server. A restart under the same id, which shows in its
   // start time, address or software version, makes it a new server, whose
-  // observations start empty.
-  void apply(const ServerEntry &Entry, TimePoint Now);
+  // observations start empty. `WrittenAfter`: the entry was written later;
+  // nothing: at `Now`.
+  void apply(const ServerEntry &Entry, TimePoint Now,
+             std::optional<TimePoint> WrittenAfter = std::nullopt);
   // Records that a process leaves, which it has said in a response or told a
   // peer. It gets no new request from now on, whatever its entry says. Returns
   // whether that is new.
@@ -168,9 +170,9 @@
                                         TimePoint Now) const;
 
   const ServerEntry *find(const std::string &Id) const;
-  // For how long the process of the server's entry has been known; 0 if there
-  // is no entry.
-  Milliseconds knownFor(const std::string &Id, TimePoint Now) const;
+  // How long ago at most the entry of the server's process was written; 0 if
+  // there is no entry.
+  Milliseconds maxEntryAge(const std::string &Id, TimePoint Now) const;
   // Other servers whose entries name this server's address, but for those whose
   // claim was disproved.
   std::vector<ServerEntry> sharingAddress(const ServerEntry &Entry) const;
@@ -272,8 +274,8 @@
 
   struct Server {
     ServerEntry Entry;
-    TimePoint KnownSince; // its process
-    bool Leaving = false; // whether `LeavingServers` has its process
+    TimePoint WrittenAfter; // the entry of its process
+    bool Leaving = false;   // whether `LeavingServers` has its process
     std::optional<TimePoint> UsableUntil; // set when the entry is removed
     std::string ClaimantId;               // of its address; empty: none
     std::set<std::string> DisprovedClaimants;
--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -59,7 +59,7 @@
     return OriginDoubt::None;
   if (*Now.Entry == Recorded)
     return OriginDoubt::AskServer;
-  bool hasServedBefore = RecordedAgo < Now.EntryKnownFor + LatestEntry;
+  bool hasServedBefore = RecordedAgo < Now.MaxEntryAge + LatestEntry;
   return Now.Entry->Version != Recorded.Version && hasServedBefore
              ? OriginDoubt::Wrong
              : OriginDoubt::None;
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -48,7 +48,7 @@
 struct ProcessNow {
   // The server's entry; nothing if there is none.
   std::optional<ServerProcess> Entry;
-  Milliseconds EntryKnownFor{0};
+  Milliseconds MaxEntryAge{0}; // the instance may have learned of it late
 };
 
 // Whether a stream that is recorded for a process can have begun at its
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -44,6 +44,8 @@
         Pace(this->Values.Pace) {
     Memory.setLimit(
         memoryBudgetLimit(this->Values.MemoryBytes, residentBytes()));
+    Directory.setServersConfirmedAgo(
+        [this] { return Readers.confirmedAgo(PublishedKind::Servers); });
     Directory.setServerEndListener(
         [this](const std::string &ServerId, std::optional<int64_t> StartedAt) {
           if (StartedAt)
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -82,6 +82,10 @@
   Registry.setPaceSettings(Values.Pace);
 }
 
+void ServiceDirectory::setServersConfirmedAgo(ConfirmedAgoHook Hook) {
+  ServersConfirmedAgo = std::move(Hook);
+}
+
 void ServiceDirectory::setServerEndListener(ServerEndListener Listener) {
   OnServerEnd = std::move(Listener);
 }
@@ -216,8 +220,16 @@
       Change.Entry ? "server entry changed" : "server entry removed", fields);
 }
 
+TimePoint ServiceDirectory::lastKnownAll(TimePoint Now) const {
+  if (!ServersConfirmedAgo)
+    return Now;
+  std::optional<Milliseconds> ago = ServersConfirmedAgo();
+  return ago ? Now - *ago : TimePoint();
+}
+
 void ServiceDirectory::applyLocked(const ServerChange &Change,
-                                   UpdateOrigin Origin, TimePoint Now) {
+                                   UpdateOrigin Origin, TimePoint Now,
+                                   TimePoint WrittenAfter) {
   StoreRevision &known = Revisions[Change.Id];
   if (Change.Revision <= known)
     return;
@@ -235,7 +247,7 @@
     Versions.onGap(Now);
   if (Change.Entry) {
     bool restarted = former && former->StartedAt != Change.Entry->StartedAt;
-    Registry.apply(*Change.Entry, Now);
+    Registry.apply(*Change.Entry, Now, WrittenAfter);
     // An older copy shows servers that have ended since. Their entries expire.
     auto removed = RemovedProcesses.find(Change.Id);
     if (removed != RemovedProcesses.end()) {
@@ -343,18 +355,21 @@
 
 void ServiceDirectory::applyServer(const ServerChange &Change,
                                    UpdateOrigin Origin) {
+  TimePoint now = Clock::now();
+  TimePoint knownAll = lastKnownAll(now);
   std::lock_guard lock(Mutex);
-  applyLocked(Change, Origin, Clock::now());
+  applyLocked(Change, Origin, now, knownAll);
 }
 
 void ServiceDirectory::applyServerChanges(
     const std::vector<ServerChange> &Changes, StoreRevision Since,
     StoreRevision Revision, UpdateOrigin Origin) {
+  TimePoint now = Clock::now();
+  TimePoint knownAll = lastKnownAll(now);
   {
     std::lock_guard lock(Mutex);
-    TimePoint now = Clock::now();
     for (const ServerChange &it : Changes)
-      applyLocked(it, Origin, now);
+      applyLocked(it, Origin, now, knownAll);
     if (!ListReceived || ListRevision < Since || Revision <= ListRevision)
       return;
     ListRevision = Revision;
@@ -365,18 +380,19 @@
 void ServiceDirectory::applyServerList(const std::vector<ServerChange> &Entries,
                                        StoreRevision Revision,
                                        UpdateOrigin Origin) {
+  TimePoint now = Clock::now();
+  TimePoint knownAll = lastKnownAll(now);
   {
     std::lock_guard lock(Mutex);
-    TimePoint now = Clock::now();
     onListEra(Revision.Era, now);
     std::set<std::string> listed;
     for (const ServerChange &it : Entries) {
       listed.insert(it.Id);
-      applyLocked(it, Origin, now);
+      applyLocked(it, Origin, now, knownAll);
     }
     for (const ServerEntry &it : Registry.entries())
       if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
-        applyLocked({it.Id, Revision, std::nullopt}, Origin, now);
+        applyLocked({it.Id, Revision, std::nullopt}, Origin, now, knownAll);
     ListRevision = std::max(ListRevision, Revision);
     ListReceived = true;
     Versions.onListRead(now);
@@ -481,7 +497,7 @@
   const ServerEntry *entry = Registry.find(ServerId);
   if (!entry)
     return {};
-  return {processOf(*entry), Registry.knownFor(ServerId, Clock::now())};
+  return {processOf(*entry), Registry.maxEntryAge(ServerId, Clock::now())};
 }
 
 bool ServiceDirectory::entriesMayBeOld() const {
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -109,6 +109,13 @@
   // Called after a change that peers should learn at once: a response or a peer
   // has told that a server leaves, the store's era has risen, routes or servers
   // have changed, or the pace of a server has. It must not call back.
+  // How long ago this instance has known all changes of servers for the last
+  // time; nothing: never. Changes that it learns now were written since.
+  // Without the hook they count as written now. Set before the directory is
+  // used by several threads. It must not call back.
+  using ConfirmedAgoHook = std::function<std::optional<Milliseconds>()>;
+  void setServersConfirmedAgo(ConfirmedAgoHook Hook);
+
   void setChangeListener(std::function<void()> Listener);
   // What is known of leaving servers, for peers: all, or what was learned
   // within `MaxAge`. See LeavingServers.
@@ -274,8 +281,11 @@
   // Whether the server's entry names the chosen process. Called with the lock.
   bool namesProcess(const ServerChoice &Server) const;
   void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
-                   TimePoint Now);
+                   TimePoint Now, TimePoint WrittenAfter);
   // Whether the configuration names the service, or none is known yet.
+  // When this instance has known all changes of servers for the last time.
+  // Called without the lock.
+  TimePoint lastKnownAll(TimePoint Now) const;
   bool isServiceKnown(const std::string &Service) const;
   // Other servers of known services whose entries name this server's address.
   std::vector<ServerEntry> claimsOnAddress(const ServerEntry &Entry) const;
@@ -289,6 +299,7 @@
   std::function<void()> OnChange;
   std::mutex ListenerMutex; // guards OnChange
   mutable std::mutex Mutex;
+  ConfirmedAgoHook ServersConfirmedAgo;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
   std::map<std::string, StoreRevision> Revisions; // last change, by server
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -424,3 +424,54 @@
   CHECK(setup.Origins.find(stream) ==
         (goesOn ? versionKeyOf("v1") : UncertainVersion));
 }
+
+// An instance that was out of step for longer than a process may serve without
+// an entry counted the age of the new entry from the moment when it heard of
+// it: a stream that had begun at the successor went on at the former version.
+TEST_CASE("A change that an instance learns late isn't taken for a late one") {
+  // Longer than a process serves before its entry is known.
+  constexpr Milliseconds OutOfStep{1800};
+  GatewayFixture setup;
+  FakeServer first(
+      [](const std::string &, int) { return httpResponse(404, ""); });
+  FakeServer other([](const std::string &Request, int) {
+    return Request.starts_with("GET /api/report")
+               ? UpgradedServer::reportOf(1000)
+               : modelServerResponse(Request);
+  });
+  auto publish = [&](const std::string &Id, const FakeServer &Server,
+                     const std::string &Version, int64_t StartedAt) {
+    crocusspur::gateway::ServerEntry entry;
+    entry.Id = Id;
+    entry.Service = "summaries";
+    entry.Address = Server.address();
+    entry.Slots = 4;
+    entry.Stage = ServerStage::Decode;
+    entry.Version = Version;
+    entry.StartedAt = StartedAt;
+    setup.Directory.applyServer({Id, {0, ++setup.Revision}, entry},
+                                UpdateOrigin::Store);
+    return entry;
+  };
+  publish("d2", other, "v1", 1000);
+  ServerProcess begunAt = processOf(publish("d1", first, "v1", 1000));
+  PathRoute route = setup.route(RouteKind::Stream);
+  route.Resumable = true;
+  CallerRequest request = setup.request();
+  request.LastEventId = "4";
+  request.ResumedRequestId = "a0";
+  StreamKey stream = streamKeyOf(request.Host, request.Target, "a0");
+  setup.Origins.record(stream, versionKeyOf("v1"), Milliseconds(10000),
+                       begunAt);
+  bool isOutOfStep = false;
+  SUBCASE("of one that was cut off from the store") { isOutOfStep = true; }
+  SUBCASE("of one that has heard all changes") {}
+  std::this_thread::sleep_for(OutOfStep);
+  setup.Directory.setServersConfirmedAgo(
+      [&] { return isOutOfStep ? OutOfStep : Milliseconds(0); });
+  publish("d1", first, "v2", 2000);
+  setup.run(route, request);
+  CHECK((other.count("POST /x/y") > 0) == !isOutOfStep);
+  CHECK(setup.Origins.find(stream) ==
+        (isOutOfStep ? UncertainVersion : versionKeyOf("v1")));
+}
