Tell peers a list where changes would leave removals out

What callers could get: requests to servers that are gone, and streams that go on at another software version. An instance that has learned the servers by a list, as after its start, knows nothing of what was removed before. Asked for the changes since an earlier revision it told those that it knows, and the other instance, which was out of step, took itself for complete: it kept removed servers, and its history of versions showed no gap.

Cause: that changes are known since a revision was never checked; the absence of a removal stood for no removal.

Change: an instance knows since which list it has all changes, and sends the list to who is behind that. Notifications leave such changes to the questions of peers.

--- a/src/gateway/change_exchange.cc
+++ b/src/gateway/change_exchange.cc
@@ -191,11 +191,12 @@
   if (Frame.ServersRevision <= servers || servers.Number == 0 ||
       servers.Era != Frame.ServersRevision.Era)
     return found;
-  std::vector<ServerChange> changes;
+  std::optional<std::vector<ServerChange>> changes;
   if (isSelective)
     changes = Runtime.Directory.serversChangedAfter(servers);
-  if (!changes.empty() && changes.size() <= MaxChangesPerNotification) {
-    addServers(changes, Frame);
+  if (changes && !changes->empty() &&
+      changes->size() <= MaxChangesPerNotification) {
+    addServers(*changes, Frame);
     Frame.ChangesSince = servers;
   }
   return true;
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -387,10 +387,12 @@
                    Request.ServersRevision < Response.ServersRevision;
   bool wantsRoutes =
       Request.WantsRoutes && configOf(Request) < configOf(Response);
-  bool acceptsChanges =
-      Request.AcceptsChanges && Request.ServersRevision.Number > 0 &&
-      Request.ServersRevision.Era == Response.ServersRevision.Era;
-  if (wantsList && !acceptsChanges) {
+  std::optional<std::vector<ServerChange>> changes;
+  if (wantsList && Request.AcceptsChanges &&
+      Request.ServersRevision.Number > 0 &&
+      Request.ServersRevision.Era == Response.ServersRevision.Era)
+    changes = Runtime->Directory.serversChangedAfter(Request.ServersRevision);
+  if (wantsList && !changes) {
     std::lock_guard lock(SourcesMutex);
     if (!Serving->tryBegin(Clock::now()))
       return false; // the response names instances that have the documents
@@ -399,9 +401,8 @@
     Response.RoutesText = Runtime->Directory.routes()->Text;
   if (!wantsList)
     return false;
-  if (acceptsChanges) {
-    addServers(Runtime->Directory.serversChangedAfter(Request.ServersRevision),
-               Response);
+  if (changes) {
+    addServers(*changes, Response);
     Response.ChangesSince = Request.ServersRevision;
     return false;
   }
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -393,7 +393,8 @@
     for (const ServerEntry &it : Registry.entries())
       if (!listed.contains(it.Id) && Revisions[it.Id] < Revision)
         applyLocked({it.Id, Revision, std::nullopt}, Origin, now, knownAll);
-    ListRevision = std::max(ListRevision, Revision);
+    if (ListRevision < Revision)
+      ChangesKnownSince = ListRevision = Revision;
     ListReceived = true;
     Versions.onListRead(now);
   }
@@ -411,12 +412,14 @@
   return all;
 }
 
-std::vector<ServerChange>
+std::optional<std::vector<ServerChange>>
 ServiceDirectory::serversChangedAfter(StoreRevision Since) const {
   std::vector<ServerChange> all = servers();
   std::erase_if(all,
                 [&](const ServerChange &It) { return It.Revision <= Since; });
   std::lock_guard lock(Mutex);
+  if (Since < ChangesKnownSince)
+    return std::nullopt;
   std::set<std::string> registered;
   for (const ServerEntry &it : Registry.entries())
     registered.insert(it.Id);
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -84,8 +84,11 @@
   void applyServerList(const std::vector<ServerChange> &Entries,
                        StoreRevision Revision, UpdateOrigin Origin);
   std::vector<ServerChange> servers() const;
-  // The latest change of each server that was changed after `Since`.
-  std::vector<ServerChange> serversChangedAfter(StoreRevision Since) const;
+  // The latest change of each server that was changed after `Since`. Nothing if
+  // a list was applied that is later: servers that this instance has never
+  // known may have been removed before it.
+  std::optional<std::vector<ServerChange>>
+  serversChangedAfter(StoreRevision Since) const;
   // Up to which change the servers are complete; 0: no list was received.
   StoreRevision serversRevision() const;
 
@@ -106,9 +109,6 @@
   // See ServerRegistry::restingUntil().
   std::optional<TimePoint> restingUntil(const ServerQuery &Query) const;
 
-  // Called after a change that peers should learn at once: a response or a peer
-  // has told that a server leaves, the store's era has risen, routes or servers
-  // have changed, or the pace of a server has. It must not call back.
   // How long ago this instance has known all changes of servers for the last
   // time; nothing: never. Changes that it learns now were written since.
   // Without the hook they count as written now. Set before the directory is
@@ -116,6 +116,9 @@
   using ConfirmedAgoHook = std::function<std::optional<Milliseconds>()>;
   void setServersConfirmedAgo(ConfirmedAgoHook Hook);
 
+  // Called after a change that peers should learn at once: a response or a peer
+  // has told that a server leaves, the store's era has risen, routes or servers
+  // have changed, or the pace of a server has. It must not call back.
   void setChangeListener(std::function<void()> Listener);
   // What is known of leaving servers, for peers: all, or what was learned
   // within `MaxAge`. See LeavingServers.
@@ -280,12 +283,12 @@
                                  const ConfigSource &Source);
   // Whether the server's entry names the chosen process. Called with the lock.
   bool namesProcess(const ServerChoice &Server) const;
-  void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
-                   TimePoint Now, TimePoint WrittenAfter);
-  // Whether the configuration names the service, or none is known yet.
   // When this instance has known all changes of servers for the last time.
   // Called without the lock.
   TimePoint lastKnownAll(TimePoint Now) const;
+  void applyLocked(const ServerChange &Change, UpdateOrigin Origin,
+                   TimePoint Now, TimePoint WrittenAfter);
+  // Whether the configuration names the service, or none is known yet.
   bool isServiceKnown(const std::string &Service) const;
   // Other servers of known services whose entries name this server's address.
   std::vector<ServerEntry> claimsOnAddress(const ServerEntry &Entry) const;
@@ -296,15 +299,16 @@
 
   const GatewaySettings &Values;
   ServerEndListener OnServerEnd;
+  ConfirmedAgoHook ServersConfirmedAgo;
   std::function<void()> OnChange;
   std::mutex ListenerMutex; // guards OnChange
   mutable std::mutex Mutex;
-  ConfirmedAgoHook ServersConfirmedAgo;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
   std::map<std::string, StoreRevision> Revisions; // last change, by server
   VersionHistory Versions;
   StoreRevision ListRevision;
+  StoreRevision ChangesKnownSince; // the last list that showed later changes
   bool ListReceived = false;
   StoreRevision RoutesRevision;
   std::optional<TimePoint> ConfigReadAt; // see ConfigAge
--- a/test/gateway_store_era_test.cc
+++ b/test/gateway_store_era_test.cc
@@ -4,6 +4,7 @@
 #include "gateway_fixture.h"
 #include "platform/store_source.h"
 
+#include <algorithm>
 #include <atomic>
 #include <doctest/doctest.h>
 #include <thread>
@@ -222,13 +223,39 @@
   setup.Directory.applyServerChanges(changes, {1, 10}, {1, 30},
                                      UpdateOrigin::Peer);
   CHECK(setup.Directory.serversRevision() == StoreRevision{1, 30});
-  std::vector<ServerChange> since =
+  std::optional<std::vector<ServerChange>> since =
       setup.Directory.serversChangedAfter({1, 15});
-  REQUIRE(since.size() == 2);
-  for (const ServerChange &it : since)
+  REQUIRE(since);
+  REQUIRE(since->size() == 2);
+  for (const ServerChange &it : *since)
     CHECK(it.Entry.has_value() == (it.Id == "s3"));
 }
 
+// A peer that has read a list knows nothing of what was removed before. Another
+// instance, which was out of step meanwhile, kept the removed servers.
+TEST_CASE("Changes from a peer that has read a list since hide no removal") {
+  EraFixture peer;
+  peer.list({change("s2", {1, 15})}, {1, 20});
+  EraFixture setup;
+  setup.list({change("s1", {1, 10})}, {1, 10});
+  // As members tell each other.
+  if (auto changes = peer.Directory.serversChangedAfter({1, 10}))
+    setup.Directory.applyServerChanges(*changes, {1, 10},
+                                       peer.Directory.serversRevision(),
+                                       UpdateOrigin::Peer);
+  else
+    setup.Directory.applyServerList(peer.Directory.servers(),
+                                    peer.Directory.serversRevision(),
+                                    UpdateOrigin::Peer);
+  CHECK(setup.isChosen("s2"));
+  bool isCurrent = setup.Directory.serversRevision() == StoreRevision{1, 20};
+  std::vector<ServerChange> known = setup.Directory.servers();
+  bool hasRemoved =
+      std::ranges::find(known, "s1", &ServerChange::Id) != known.end();
+  CHECK_FALSE((isCurrent && hasRemoved));
+  CHECK(peer.Directory.serversChangedAfter({1, 20}).has_value());
+}
+
 // Nothing of such a response was read, and the store taken for lost.
 TEST_CASE("Changes that exceed a response are told from a store that is away") {
   std::string events = "[{\"key\":\"servers/s1\",\"revision\":5,\"value\":\"" +
