Read the changes of servers before a stream goes on by an entry alone

What callers got: streams with events of two software versions. A store that falls silent is noticed when a watch ends, 0.6 to 2.5 s later in a small fleet. Until then entries counted as current: a run at a server that had been replaced meanwhile, and whose process said nothing after the break, went on at another server of the former version.

Cause: that nothing had been heard stood for that nothing had changed.

Change: where a server's report doesn't tell its process, the changes since the last one known are read from the store first, in one call that the requests waiting for it share, its failure too. Without a response nothing follows the run, and no run goes on at that server.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -597,7 +597,7 @@
   bool isKnown = !mayBeOld || check == ProcessCheck::Same;
   if (Progress.begun()) {
     confirmFirstRun();
-    if (check == ProcessCheck::Replaced || !isKnown ||
+    if (!isKnown || !isChosenProcess(check, server) ||
         Progress.versionUncertain()) {
       releaseAll();
       Tried.insert(server.Id);
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -37,6 +37,14 @@
   return "stream:" + std::to_string(Stream);
 }
 
+void logUnread(const std::string &Why, const PublishedUpdate &List,
+               const PublishedUpdate &Changes) {
+  log(LogLevel::Info, "stream_origins", "changes of servers could not be read",
+      {{"why", Why},
+       {"list_revision", std::to_string(List.Revision.Number)},
+       {"revision", std::to_string(Changes.Revision.Number)}});
+}
+
 // Sends records that nobody may go on with a stream to the keeper of one rank
 // of each. A thread for each rank: a silent keeper of one stream delays only
 // the records that have a keeper of its rank, and no stream's other keepers.
@@ -83,16 +91,32 @@
   bool sendOnce(std::vector<RecordToSend> &Records);
   RecordDeliveryPtr sendUncertain(const StreamOrigin &Record);
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream);
-  bool catchUpServers();
-  bool readChanges();
+  bool readListAndChanges();
+  // Applies what has changed since the known revision, and the list if there is
+  // one. Returns false if some of it may be missing.
+  bool readChanges(const PublishedUpdate *List);
 
   GatewayRuntime *Runtime = nullptr;
   std::thread Thread;
   // To each keeper that may have been sent the stream's version.
   std::array<UncertainRecordSender, MaxKeepersAsked> Senders;
-  std::mutex ReadMutex; // guards the members below
+  // Reads by requests, each shared by those that wait for it meanwhile.
+  class SharedRead {
+  public:
+    explicit SharedRead(std::function<bool()> Read) : Read(std::move(Read)) {}
+    // Returns the result of a read that began after the call.
+    bool await();
+
+  private:
+    const std::function<bool()> Read;
+    std::mutex Mutex;  // guards the members below
+    TimePoint BegunAt; // of the last read
+    bool Succeeded = false;
+  };
+  std::mutex ReaderMutex; // guards the reader
   PublishedReader Reader;
-  TimePoint CaughtUpAt; // begin of the last read that succeeded
+  SharedRead CatchUp{[this] { return readListAndChanges(); }};
+  SharedRead ChangesOnly{[this] { return readChanges(nullptr); }};
 };
 
 void UncertainRecordSender::start(GatewayRuntime &Owner, size_t KeeperRank) {
@@ -189,8 +213,9 @@
   Reader = Runtime->Source.MakeReader(PublishedKind::Servers, Runtime->Memory);
   Runtime->Origins.setHooks(
       {[this](StreamKey Stream) { return askKeepers(Stream); },
-       [this] { return catchUpServers(); },
-       [this](const StreamOrigin &Record) { return sendUncertain(Record); }});
+       [this] { return CatchUp.await(); },
+       [this](const StreamOrigin &Record) { return sendUncertain(Record); },
+       [this] { return ChangesOnly.await(); }});
   for (size_t i = 0; i < Senders.size(); ++i)
     Senders[i].start(*Runtime, i);
   Thread = std::thread([this] { sendRecords(); });
@@ -285,50 +310,61 @@
   return known;
 }
 
-// Runs on the thread of a request. Requests that wait meanwhile share the next
-// read, and none shares one that began before it asked: in between the instance
-// may have stood still.
-bool StreamOriginLinks::catchUpServers() {
+// Runs on the thread of a request. No request shares a read that began before
+// it asked: in between the instance may have stood still. Those that wait share
+// a failure as well, since a store that is silent takes long to show that.
+bool StreamOriginLinks::SharedRead::await() {
   TimePoint asked = Clock::now();
-  std::lock_guard lock(ReadMutex);
-  if (CaughtUpAt > asked)
-    return true;
-  TimePoint begun = Clock::now();
-  if (!readChanges())
-    return false;
-  CaughtUpAt = begun;
-  return true;
+  std::lock_guard lock(Mutex);
+  if (BegunAt <= asked) {
+    BegunAt = Clock::now();
+    Succeeded = Read();
+  }
+  return Succeeded;
 }
 
 // A list alone doesn't show servers that have come and gone since this instance
 // learned its last change, so the changes themselves are read.
-bool StreamOriginLinks::readChanges() {
+bool StreamOriginLinks::readListAndChanges() {
+  if (Runtime->Directory.serversRevision().Number == 0)
+    return false;
+  PublishedUpdate list;
+  {
+    std::lock_guard lock(ReaderMutex);
+    list = Reader.ReadAll([this] { return Runtime->Closing.load(); });
+  }
+  if (!acceptEra(Runtime->Directory, list) || list.Status != ReadStatus::Ok) {
+    logUnread(list.Error, list, {});
+    return false;
+  }
+  return readChanges(&list);
+}
+
+bool StreamOriginLinks::readChanges(const PublishedUpdate *List) {
   StoreRevision known = Runtime->Directory.serversRevision();
   if (known.Number == 0)
     return false;
-  CancelCheck isClosing = [this] { return Runtime->Closing.load(); };
-  PublishedUpdate list = Reader.ReadAll(isClosing);
   PublishedUpdate changes;
-  if (acceptEra(Runtime->Directory, list) && list.Status == ReadStatus::Ok)
-    changes = Reader.Watch(known.Number, CatchUpWait, isClosing);
-  else
-    changes.Error = list.Error;
+  {
+    std::lock_guard lock(ReaderMutex);
+    changes = Reader.Watch(known.Number, CatchUpWait,
+                           [this] { return Runtime->Closing.load(); });
+  }
   // A watch that is behind the list hasn't heard of all changes.
   if (changes.Status != ReadStatus::Ok ||
       !acceptEra(Runtime->Directory, changes) ||
-      changes.Revision.Era != known.Era || list.Revision.Era != known.Era ||
-      changes.Revision.Number < list.Revision.Number) {
-    log(LogLevel::Info, "stream_origins",
-        "changes of servers could not be read",
-        {{"why", changes.Error},
-         {"known_revision", std::to_string(known.Number)},
-         {"list_revision", std::to_string(list.Revision.Number)},
-         {"revision", std::to_string(changes.Revision.Number)}});
+      changes.Revision.Era != known.Era ||
+      changes.Revision.Number < known.Number ||
+      (List && (List->Revision.Era != known.Era ||
+                changes.Revision.Number < List->Revision.Number))) {
+    logUnread(changes.Error, List ? *List : PublishedUpdate(), changes);
     return false;
   }
-  for (const PublishedUpdate *update : {&changes, &list})
-    for (const ServerChange &it : update->Servers)
-      Runtime->Directory.applyServer(it, UpdateOrigin::Store);
+  const PublishedUpdate *const updates[] = {&changes, List};
+  for (const PublishedUpdate *update : updates)
+    if (update)
+      for (const ServerChange &it : update->Servers)
+        Runtime->Directory.applyServer(it, UpdateOrigin::Store);
   return true;
 }
 
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -89,6 +89,10 @@
   return Connected.CatchUpServers && Connected.CatchUpServers();
 }
 
+bool StreamOrigins::readServerChanges() const {
+  return !Connected.ReadServerChanges || Connected.ReadServerChanges();
+}
+
 std::vector<StreamOrigin> StreamOrigins::takeUnsent() {
   std::unique_lock lock(Mutex);
   Wake.wait(lock, [this] { return Stopped || !Unsent.empty(); });
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -59,6 +59,10 @@
     // Begins to send the record to its keepers, each independently of the
     // others and of records from before. Doesn't wait.
     std::function<RecordDeliveryPtr(const StreamOrigin &)> SendUncertain;
+    // Reads what has changed of the servers since the last change that is
+    // known, in one call, and applies it. Returns whether the store has
+    // responded.
+    std::function<bool()> ReadServerChanges = nullptr;
   };
   // Without hooks there are no peers and no store. Set before the object is
   // used by several threads.
@@ -80,6 +84,7 @@
 
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream) const;
   bool catchUpServers() const;
+  bool readServerChanges() const; // true without a hook
 
   // Waits for records that haven't been sent and returns them; returns none
   // after stop().
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -87,10 +87,12 @@
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
       Progress.begun()) {
     ProcessCheck check = checkProcess(Server);
-    if (isRunUncertain(check)) {
+    bool isCurrent = Progress.runConfirmed() || areEntriesCurrent(check);
+    if (isRunUncertain(check) || !isCurrent) {
       Progress.requireNothingFollows();
       recordUncertainty();
     } else if (check == ProcessCheck::Unknown) {
+      confirmRunVersion(Server, run);
       FirstRunServer = Server;
     } else {
       BegunAtServer = {};
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -166,6 +166,17 @@
   return ProcessCheck::Replaced;
 }
 
+bool RequestHandler::areEntriesCurrent(ProcessCheck Check) const {
+  return Check != ProcessCheck::Unknown || !Route.Resumable ||
+         Context.Origins.readServerChanges();
+}
+
+bool RequestHandler::isChosenProcess(ProcessCheck Check,
+                                     const ServerChoice &Server) const {
+  return Check != ProcessCheck::Replaced && areEntriesCurrent(Check) &&
+         !Context.Directory.isReplaced(Server);
+}
+
 bool RequestHandler::isRunUncertain(ProcessCheck Check) const {
   return Check == ProcessCheck::Replaced ||
          (Check == ProcessCheck::Unknown && Route.Resumable &&
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -431,3 +431,46 @@
     }
   }
 }
+
+// The store fell silent towards an instance while a server was replaced. Until
+// the instance noticed, it took the events of the new process for those of the
+// process that it knew, and let another server of that version go on with them.
+TEST_CASE("A stream keeps its version at an instance that has just lost its "
+          "store") {
+  constexpr int Streams = 8;
+  constexpr int64_t StartedAt = 1764000000123;
+  constexpr Milliseconds EntrySpread{200};
+  VersionedServer former("v1"); // outlive the fleet
+  VersionedServer successor("v2");
+  GatewayFleet fleet(2); // alone, an instance has hardly any retries
+  fleet.Store.put("op/config", StreamConfig);
+  fleet.Store.put("servers/s0", serverEntry("llm", former.address()));
+  // The successor serves at the address that the entry before its own names.
+  fleet.Store.put("servers/s1", serverEntry("llm", successor.address()));
+  fleet.startAll();
+  REQUIRE(fleet.waitForState("\"instances\":2,", WaitTimeout));
+  bool isSilent = false;
+  SUBCASE("which is silent") { isSilent = true; }
+  SUBCASE("and at one that hasn't") {}
+  for (const GatewayInstance &it : fleet.Instances)
+    fleet.Store.setSilent(it.Name, isSilent);
+  fleet.Store.put("servers/s1", serverEntry("llm", successor.address(), "",
+                                            StartedAt + 1, "v2"));
+  std::this_thread::sleep_for(EntrySpread);
+  successor.breakNext(1000);
+  std::vector<ReceivedStream> streams(Streams);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < Streams; ++i)
+    callers.emplace_back([&, i] {
+      std::string id = "l" + std::to_string(i);
+      int fd = openStream(fleet.Instances[0], id, "", "/t/" + id);
+      streams[static_cast<size_t>(i)].add(readAll(fd));
+      ::close(fd);
+    });
+  for (std::thread &it : callers)
+    it.join();
+  for (const ReceivedStream &it : streams) {
+    REQUIRE(!it.Events.empty());
+    CHECK(it.hasOneVersion());
+  }
+}
