Ask the process of a run again once its connection is open

What callers could get: a stream with events of two software versions. The server says which process it is; then the instance stands still, or the connect takes long, and the server is replaced. The connection of the run leads to the successor, whose events counted as those of the process before, also once its entry was known. A reservation protects from it; services without reservations had nothing.

Cause: a confirmation that is older than the connection for which it stands.

Change: where the connection was opened for this run, the process is asked again after the response's head and before the first event; one that answers on a later connection owns the earlier one. This costs a call more for a run that goes on, on a new connection.

--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -666,6 +666,19 @@
   std::string code = std::to_string(call.head().Status);
   if (call.head().Status == 200 && info.Signed && !info.Encoded &&
       continuesStream(call.head().find("Content-Type"))) {
+    // The connection may have been opened later than the process was asked, and
+    // lead to its successor.
+    if (check == ProcessCheck::Same && !call.usedKeptConnection()) {
+      ProcessCheck again = checkProcess(server);
+      if (Progress.begun() && !isChosenProcess(again, server)) {
+        Tried.insert(server.Id);
+        return end(CallResult::Failed, "replaced", AttemptResult::Unknown);
+      }
+      if (again == ProcessCheck::Replaced) {
+        check = again;
+        isKnown = false;
+      }
+    }
     AttemptResult result =
         relayStream(call, server, run, {isKnown, check == ProcessCheck::Same});
     if (result != AttemptResult::Done)
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -475,3 +475,57 @@
   CHECK(setup.Origins.find(stream) ==
         (isOutOfStep ? UncertainVersion : versionKeyOf("v1")));
 }
+
+// An instance stood still after a server had said which process it is, and
+// before it opened the connection for the run: that led to the successor, whose
+// events counted as those of the process before, also once its entry was known.
+TEST_CASE("A stream doesn't go on at the successor of the process asked") {
+  GatewayFixture setup;
+  crocusspur::gateway::ServerEntry entry;
+  auto publish = [&](const std::string &Version, int64_t StartedAt) {
+    entry.Version = Version;
+    entry.StartedAt = StartedAt;
+    setup.Directory.applyServer({"d1", {0, ++setup.Revision}, entry},
+                                UpdateOrigin::Store);
+  };
+  std::atomic<bool> replaced{false};
+  std::atomic<int> successorRuns{0};
+  // Connections lead to the process that ran when they were opened. The first
+  // one ends when it has said which one it is.
+  ScriptServer server([&](int Fd, int) {
+    bool isSuccessor = replaced;
+    while (true) {
+      std::string request = readRequest(Fd);
+      if (request.empty())
+        return;
+      if (request.starts_with("GET /api/report")) {
+        replaced = true;
+        sendText(Fd, UpgradedServer::reportOf(isSuccessor ? 2000 : 1000));
+        continue;
+      }
+      if (isSuccessor) {
+        ++successorRuns;
+        publish("v2", 2000);
+      }
+      sendText(Fd, StreamHead + eventChunks(5, EventCount) + LastChunk);
+    }
+  });
+  entry.Id = "d1";
+  entry.Service = "summaries";
+  entry.Address = server.address();
+  entry.Slots = 4;
+  entry.Stage = ServerStage::Decode;
+  publish("v1", 1000);
+  PathRoute route = setup.route(RouteKind::Stream);
+  route.Resumable = true;
+  CallerRequest request = setup.request();
+  request.LastEventId = "4";
+  request.ResumedRequestId = "a0";
+  request.Generation.reset(); // a reservation would be the former process's
+  setup.Origins.record(streamKeyOf(request.Host, request.Target, "a0"),
+                       versionKeyOf("v1"), Milliseconds(10000));
+  std::string answer = setup.run(route, request);
+  CHECK(replaced);
+  bool goesOn = answer.find(event(5)) != std::string::npos;
+  CHECK_FALSE((goesOn && successorRuns > 0));
+}
