Play the release with an instance out of step in the soak

Users saw streams with events of two software versions: during a release an instance was cut off or stood still while servers of a new version joined, and streams that broke were taken up there. Only the model and single trials had this shape; the soak's releases allow two mixed streams a run, and replace servers without a release that is taken back.

The shapes site-skewed and wide-skewed play it in rounds: an instance is stopped or loses the store, servers of a new version join, streams begin at them through the other instances, and the servers (drawn: instances as well) are killed while the old version returns. In every second round both versions serve, runs fail before their first event, and instances that reach no server pass requests on. No mixed stream is allowed.

--- a/soak/site_server_process.cc
+++ b/soak/site_server_process.cc
@@ -22,7 +22,8 @@
   out << streams.Id << ' ' << streams.Version << ' ' << streams.BreakPercent
       << ' ' << streams.Seed << ' ' << streams.CopyPercent << ' ' << Terms.Seed
       << ' ' << Terms.FormSeed << ' ' << Terms.StartedAt << ' ' << Terms.Port
-      << ' ' << Terms.FirstRun;
+      << ' ' << Terms.FirstRun << ' ' << streams.FailFirstPercent << ' '
+      << streams.LeastPause.count();
   return out.str();
 }
 
@@ -30,9 +31,11 @@
   SiteServerTerms terms;
   SiteServerOptions &streams = terms.Streams;
   std::istringstream in(Text);
+  Milliseconds::rep pause = 0;
   in >> streams.Id >> streams.Version >> streams.BreakPercent >> streams.Seed >>
       streams.CopyPercent >> terms.Seed >> terms.FormSeed >> terms.StartedAt >>
-      terms.Port >> terms.FirstRun;
+      terms.Port >> terms.FirstRun >> streams.FailFirstPercent >> pause;
+  streams.LeastPause = Milliseconds(pause);
   if (!in)
     throw std::invalid_argument("terms of a server: " + Text);
   return terms;
--- a/soak/site_servers.cc
+++ b/soak/site_servers.cc
@@ -15,6 +15,7 @@
 constexpr unsigned OtherTextPercent = 5;
 constexpr unsigned MaxCopyPauseMs = 60;    // between an answer and its copy
 constexpr unsigned LateFirstRangeMs = 400; // below the latest first event
+constexpr unsigned MaxFailFirstMs = 300;   // from a run's begin to its failure
 // Keeps the draws of the wide form apart from those of the faults.
 constexpr uint64_t WideSeedOffset = 2000000;
 
@@ -68,6 +69,9 @@
     std::lock_guard lock(Mutex);
     return static_cast<unsigned>(WideRandom() % Below);
   }
+  // Ends the run before its first event, with or without a head, by a close or
+  // a reset, if that is drawn. Returns whether it did.
+  bool failFirst(const StreamCall &Call);
   // Time until the first event of a run; mostly 0.
   Milliseconds drawLateness(const StreamCall &Call);
   // `FirstTo`: greatest number of the first event's last token.
@@ -89,11 +93,26 @@
                   Milliseconds(0));
 }
 
+bool SiteStreams::failFirst(const StreamCall &Call) {
+  // Nothing is drawn without the option, so that other draws stay.
+  if (Options.FailFirstPercent == 0 ||
+      wideBelow(100) >= Options.FailFirstPercent)
+    return false;
+  if (wideBelow(2) == 0)
+    sendText(Call.Fd, responseHead(200, Call.RequestId,
+                                   "Content-Type: text/event-stream\r\n"
+                                   "Transfer-Encoding: chunked"));
+  std::this_thread::sleep_for(Milliseconds(wideBelow(MaxFailFirstMs)));
+  if (wideBelow(2) == 0)
+    resetOnClose(Call.Fd);
+  return true;
+}
+
 RunScript SiteStreams::drawScript(const std::string &Stream, uint64_t Run,
                                   int From, int FirstTo) {
   RunScript script;
   script.Frame = static_cast<Framing>(below(3));
-  script.Pause = Milliseconds(5 + below(MaxPauseMs));
+  script.Pause = Options.LeastPause + Milliseconds(5 + below(MaxPauseMs));
   std::vector<size_t> sizes; // of the events alone, at the end of the pieces
   for (int from = From; from <= SiteTokens;) {
     int to = std::min(from == From ? FirstTo : SiteTokens,
@@ -147,6 +166,8 @@
 }
 
 bool SiteStreams::respond(SoakServer &Server, const StreamCall &Call) {
+  if (failFirst(Call))
+    return false;
   std::string last = headerField(Call.Request, "Last-Event-Id");
   std::string first = headerField(Call.Request, "Resumes");
   int from = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
--- a/soak/site_servers.h
+++ b/soak/site_servers.h
@@ -17,7 +17,9 @@
   unsigned CopyPercent = 0;      // of answers that are sent twice
   unsigned LateFirstPercent = 0; // of runs on the path `LatePath`
   std::string LatePath;
-  Milliseconds LateFirst{0}; // latest time of the first event of such a run
+  Milliseconds LateFirst{0};     // latest time of the first event of such a run
+  unsigned FailFirstPercent = 0; // of runs that end before their first event
+  Milliseconds LeastPause{0};    // between events, added to the drawn pause
 };
 
 // Writes the response of one run of a stream; for a SoakServer.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -23,6 +23,7 @@
 #include "received_stream.h"
 #include "site_server_process.h"
 #include "site_soak.h"
+#include "skewed_soak.h"
 #include "soak_servers.h"
 
 #include <CLI/CLI.hpp>
@@ -970,6 +971,10 @@
   program.add_flag("--kill-servers", killsServers,
                    "In the shape of a site, decode servers are processes of "
                    "their own that are killed");
+  bool skewed = false;
+  program.add_flag("--skewed", skewed,
+                   "In the shape of a site, instances are out of step while a "
+                   "new software version joins and leaves");
   int instances = 0;
   program.add_option("--instances", instances,
                      "Instances in the shape of a site, if not its own number");
@@ -981,13 +986,22 @@
   if (!served.empty())
     return crocusspur::soak::serveSite(served);
   std::cout << "seed " << seed << ": " << std::flush;
-  if (shape != "mixed")
-    return crocusspur::soak::runSiteSoak({seed, std::chrono::seconds(seconds),
-                                          logs, tested, beside, breakPercent,
-                                          shape == "wide", killsServers,
-                                          releases, instances})
+  if (shape != "mixed") {
+    crocusspur::soak::SiteSoakOptions options{seed,
+                                              std::chrono::seconds(seconds),
+                                              logs,
+                                              tested,
+                                              beside,
+                                              breakPercent,
+                                              shape == "wide",
+                                              killsServers,
+                                              releases,
+                                              instances};
+    return (skewed ? crocusspur::soak::runSkewedSoak(options)
+                   : crocusspur::soak::runSiteSoak(options))
                ? 0
                : 1;
+  }
   crocusspur::soak::Soak soak(seed, std::chrono::seconds(seconds), logs, tested,
                               beside);
   return soak.run() ? 0 : 1;
