Record a passed-on stream at the instance that has its caller

An instance that passes a request on, since it reaches no server, isn't told the version that the other instance records before its run. If that one is killed, or the link to it breaks, before an event has arrived, the request runs elsewhere, perhaps at another version. Where a keeper has only the first record, the caller's stream could go on at that version: events of two versions in one stream. Not seen with real processes.

The instance that handles the request leaves no record of a first run now. The one that has the caller records the version as it passes the first event on, with the process that began the stream, which the head of the response names. A request keeps to the version that the head stated.

"Only what reaches the caller's instance is recorded" failed with the record before the run: 1 record at the instance that was lost, 0 wanted.

--- a/src/gateway/forward_call.cc
+++ b/src/gateway/forward_call.cc
@@ -149,7 +149,8 @@
 }
 
 bool ForwardSink::begin(const internal::ResponseHead &Head) {
-  PendingHead = ForwardResponse::Head{Head, OutputVersion, Leaving};
+  PendingHead =
+      ForwardResponse::Head{Head, OutputVersion, Leaving, OutputServer};
   return !Failed;
 }
 
--- a/src/gateway/forward_call.h
+++ b/src/gateway/forward_call.h
@@ -53,7 +53,12 @@
   bool sendProblem(const internal::Problem &Item, bool Elsewhere);
   // What the first frame says besides.
   void setRoutes(uint64_t ConfigVersion, std::string RoutesText);
-  void setOutputVersion(VersionKey Version) { OutputVersion = Version; }
+  // `Server`: nothing if this instance records the version.
+  void setOutputVersion(VersionKey Version,
+                        std::optional<ServerProcess> Server) {
+    OutputVersion = Version;
+    OutputServer = std::move(Server);
+  }
   // Told at once, since the run may be silent.
   void setVersionUncertain();
   void setLeavingServer(ServerProcess Server) { Leaving = std::move(Server); }
@@ -65,6 +70,7 @@
   internal::StallDetector Stall;
   bool Failed = false;
   VersionKey OutputVersion = 0;
+  std::optional<ServerProcess> OutputServer;
   bool VersionUncertain = false;
   std::optional<ServerProcess> Leaving;
   // Sent with the first data.
--- a/src/gateway/forward_codec.cc
+++ b/src/gateway/forward_codec.cc
@@ -16,10 +16,13 @@
     auto type = out.CreateString(it->Response.ContentType);
     flatbuffers::Offset<wire::LeavingServer> leaving;
     if (it->LeavingServer)
-      leaving = pack(out, {*it->LeavingServer});
+      leaving = pack(out, LeavingServer{*it->LeavingServer});
+    flatbuffers::Offset<wire::ServerProcess> server;
+    if (it->OutputServer)
+      server = pack(out, *it->OutputServer);
     head = wire::CreateForwardHead(out, it->Response.Status, type,
                                    it->Response.HasLength, it->Response.Length,
-                                   fields, it->OutputVersion, leaving);
+                                   fields, it->OutputVersion, leaving, server);
   }
   flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data;
   if (!Frame.Data.empty())
@@ -60,6 +63,8 @@
     head.OutputVersion = it->output_version();
     if (it->leaving_server())
       head.LeavingServer = unpack(*it->leaving_server()).Process;
+    if (it->output_server())
+      head.OutputServer = unpack(it->output_server());
     frame.ResponseHead = std::move(head);
   }
   if (in.data())
--- a/src/gateway/forward_codec.h
+++ b/src/gateway/forward_codec.h
@@ -28,6 +28,9 @@
   std::optional<VersionKey> StreamVersion;
   // Model weights that wrote its last event; see StreamProgress.
   std::optional<WeightVersion> StreamWeights;
+  // The sender records the version of the stream for other instances, once it
+  // passes the first event on; see RequestHandler::recordBegin().
+  bool SenderRecordsVersion = false;
 };
 
 // One frame of a response: a head, data and an end, or a problem instead of a
@@ -38,6 +41,9 @@
     VersionKey OutputVersion = 0; // of the server of a stream; 0: none
     // The server of the response, if it has said that it leaves.
     std::optional<ServerProcess> LeavingServer;
+    // The server of a stream whose version the receiver is to record; nothing
+    // if the sender records it.
+    std::optional<ServerProcess> OutputServer;
   };
   struct Problem {
     internal::Problem Item;
--- a/src/gateway/forward_handler.cc
+++ b/src/gateway/forward_handler.cc
@@ -83,6 +83,7 @@
   forwarded.MayHaveExecuted = MayHaveExecuted || HeadSent;
   forwarded.StreamVersion = requiredVersion();
   forwarded.StreamWeights = Progress.weights();
+  forwarded.SenderRecordsVersion = true;
   frame.Forwarded = std::move(forwarded);
   bool repeatable = Route.Kind == RouteKind::Idempotent || Route.Resumable;
   Milliseconds timeout =
@@ -263,6 +264,11 @@
       Progress.begin(version, /*Confirmed=*/false,
                      Context.Codec.ParseResponseHead(fields).Weights);
   EventHold.reset();
+  RecordsBegin = Head.OutputServer.has_value();
+  if (RecordsBegin && !Progress.begun()) {
+    BegunAtServer = *Head.OutputServer;
+    VersionRecorded = false; // with that process
+  }
   ForwardResponse frame = std::move(First);
   CallStatus status = CallStatus::Responded;
   bool speaks = true;
--- a/src/gateway/forward_service.cc
+++ b/src/gateway/forward_service.cc
@@ -109,8 +109,9 @@
                      Runtime.Connections.reachability().isCutOff(service);
     Sink.sendProblem(Item, elsewhere);
   };
-  origin.OnOutputVersion = [&](VersionKey Version) {
-    Sink.setOutputVersion(Version);
+  origin.OnOutputVersion = [&](VersionKey Version,
+                               std::optional<ServerProcess> Server) {
+    Sink.setOutputVersion(Version, std::move(Server));
   };
   origin.OnVersionUncertain = [&] { Sink.setVersionUncertain(); };
   origin.OnServerLeaving = [&](const ServerProcess &Server) {
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -278,6 +278,7 @@
   out.add_may_have_executed(Item.MayHaveExecuted);
   out.add_stream_version(Item.StreamVersion.value_or(0));
   out.add_stream_weights(Item.StreamWeights.value_or(UnknownWeights));
+  out.add_sender_records_version(Item.SenderRecordsVersion);
   if (!account.IsNull())
     out.add_account(account);
   if (!keyDigest.IsNull())
@@ -329,6 +330,7 @@
     forwarded.StreamVersion = Item.stream_version();
   if (Item.stream_weights() != UnknownWeights)
     forwarded.StreamWeights = Item.stream_weights();
+  forwarded.SenderRecordsVersion = Item.sender_records_version();
   return forwarded;
 }
 
@@ -339,24 +341,6 @@
   return static_cast<SuspectKind>(Value);
 }
 
-// Null if no server is named.
-flatbuffers::Offset<wire::ServerProcess> pack(Builder &Out,
-                                              const ServerProcess &Item) {
-  if (Item.Id.empty())
-    return {};
-  auto id = Out.CreateString(Item.Id);
-  auto address = Out.CreateString(Item.Address);
-  auto version = Out.CreateString(Item.Version);
-  return wire::CreateServerProcess(Out, id, Item.StartedAt, address, version);
-}
-
-ServerProcess unpack(const wire::ServerProcess *Item) {
-  if (!Item)
-    return {};
-  return {textOf(Item->id()), Item->started_at(), textOf(Item->address()),
-          textOf(Item->version())};
-}
-
 flatbuffers::Offset<wire::OriginAnswer> pack(Builder &Out,
                                              const OriginKnowledge &Item) {
   auto server = pack(Out, Item.Server);
@@ -370,7 +354,7 @@
   OriginKnowledge known;
   if (Item.recorded())
     known.Recorded = Item.version();
-  known.Server = unpack(Item.server());
+  known.Server = gateway::unpack(Item.server());
   known.RecordedAgo = Milliseconds(Item.recorded_ago_ms());
   return known;
 }
@@ -604,7 +588,7 @@
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
                                it->sequence(), Milliseconds(it->lifetime_ms()),
-                               unpack(it->server())});
+                               gateway::unpack(it->server())});
   if (const wire::OriginQuery *it = in.origin_query())
     frame.WantedOrigin = it->stream();
   if (in.origin_answer())
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -33,8 +33,9 @@
   ForwardedRequest Request; // without the caller's request itself
   // Called instead of sending a problem document.
   std::function<void(const internal::Problem &)> OnProblem;
-  // Software version of the server of a stream; called before the head.
-  std::function<void(VersionKey)> OnOutputVersion;
+  // Software version of the server of a stream, and the server if that instance
+  // records the version; called before the head.
+  std::function<void(VersionKey, std::optional<ServerProcess>)> OnOutputVersion;
   // Nobody may go on with the stream after the events that were passed on;
   // called before the first data for which that holds.
   std::function<void()> OnVersionUncertain;
@@ -184,7 +185,7 @@
   bool mayUseAnotherOutputServer() const;
   // The only software version at which the stream may run, if there is one.
   std::optional<VersionKey> requiredVersion() const {
-    return Progress.version() ? Progress.version() : RecordedVersion;
+    return Progress.version() ? Progress.version() : PinnedVersion;
   }
   // Whether the service has a server for the output that doesn't leave, though
   // it may get no requests at the moment.
@@ -210,9 +211,15 @@
   // uncertain stream know that nobody may go on, for a bounded time.
   void awaitUncertaintyRecorded();
   StreamKey streamKey() const;
-  // Records for other instances that the run at the server may begin the
-  // stream, or goes on with it.
+  // Called before a run at the server. Records for other instances that it may
+  // begin the stream, or goes on with it. The first run of a request that
+  // another instance has passed on leaves no record: that instance may run the
+  // request elsewhere, at another version, if no event reaches it.
   void recordOrigin(const ServerChoice &Server);
+  // Called before events are sent to the caller. Records the version of the
+  // first one unless it is recorded.
+  void recordBegin();
+  void recordVersion(VersionKey Version);
   // One round: reservation, prefill and stream. `ReadAtDecode`: the decode
   // server reads the prompt itself.
   AttemptResult tryStream(bool ReadAtDecode);
@@ -436,9 +443,14 @@
   bool CallerWriteFailed = false; // the caller disconnected or stalled
   StreamProgress Progress;
   MemoryHold EventHold; // for the part of an event that has arrived
-  // The version that other instances were told the stream may begin at. Some
-  // of them may miss a second one, so runs without an event don't change it.
-  std::optional<VersionKey> RecordedVersion;
+  // The version that other instances were told the stream may begin at, by a
+  // record or with the head of the response. Some of them may miss a second
+  // one, so runs without an event don't change it.
+  std::optional<VersionKey> PinnedVersion;
+  // Whether this instance records the version of the current run. The one that
+  // has the caller does: others don't know which events reach the caller.
+  bool RecordsBegin = true;
+  bool VersionRecorded = false;
   bool UncertaintyRecorded = false;
   RecordDeliveryPtr UncertaintyDelivery; // null: nothing is waited for
   // The server of a first run that has broken off, unless it was confirmed.
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -51,10 +51,15 @@
   std::optional<VersionKey> version;
   if (Identity.IsKnown)
     version = versionKeyOf(Server.Version);
+  RecordsBegin = !Origin || !Origin->Request.SenderRecordsVersion;
   if (!HeadSent) {
     Status = 200;
-    if (Origin && version)
-      Origin->OnOutputVersion(*version);
+    if (Origin && version) {
+      PinnedVersion = version;
+      Origin->OnOutputVersion(*version, RecordsBegin
+                                            ? std::nullopt
+                                            : std::optional(processOf(Server)));
+    }
     Sink.begin(responseHead(Call, Server));
     HeadSent = true;
   }
@@ -290,6 +295,7 @@
       Progress.passed() == Progress.passedBeforeRun() + passed.Count &&
       Progress.continues())
     ++Context.Runs->Continued;
+  recordBegin();
   recordUncertainty();
   TimePoint now = Clock::now();
   if (LastOutput)
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -118,11 +118,26 @@
 void RequestHandler::recordOrigin(const ServerChoice &Server) {
   if (!Route.Resumable)
     return;
-  RecordedVersion = versionKeyOf(Server.Version);
   if (!Progress.begun())
     BegunAtServer = processOf(Server);
-  Context.Origins.record(streamKey(), *RecordedVersion,
-                         originLifetime(callerTimeLeft()), BegunAtServer);
+  if (Origin && !Progress.version())
+    return;
+  PinnedVersion = versionKeyOf(Server.Version);
+  recordVersion(*PinnedVersion);
+}
+
+void RequestHandler::recordBegin() {
+  if (RecordsBegin && !VersionRecorded && Progress.begun() &&
+      Progress.version() && !Progress.versionUncertain())
+    recordVersion(*Progress.version());
+}
+
+void RequestHandler::recordVersion(VersionKey Version) {
+  if (!Route.Resumable)
+    return;
+  VersionRecorded = true;
+  Context.Origins.record(streamKey(), Version, originLifetime(callerTimeLeft()),
+                         BegunAtServer);
 }
 
 std::optional<Milliseconds> RequestHandler::callerTimeLeft() const {
--- a/src/gateway/wire_text.h
+++ b/src/gateway/wire_text.h
@@ -42,6 +42,24 @@
   return all;
 }
 
+// Null if no server is named.
+inline flatbuffers::Offset<wire::ServerProcess>
+pack(flatbuffers::FlatBufferBuilder &Out, const ServerProcess &Item) {
+  if (Item.Id.empty())
+    return {};
+  auto id = Out.CreateString(Item.Id);
+  auto address = Out.CreateString(Item.Address);
+  auto version = Out.CreateString(Item.Version);
+  return wire::CreateServerProcess(Out, id, Item.StartedAt, address, version);
+}
+
+inline ServerProcess unpack(const wire::ServerProcess *Item) {
+  if (!Item)
+    return {};
+  return {textOf(Item->id()), Item->started_at(), textOf(Item->address()),
+          textOf(Item->version())};
+}
+
 inline flatbuffers::Offset<wire::LeavingServer>
 pack(flatbuffers::FlatBufferBuilder &Out, const LeavingServer &Item) {
   auto id = Out.CreateString(Item.Process.Id);
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1576,7 +1576,8 @@
     VT_STREAM_VERSION = 42,
     VT_ACCOUNT = 44,
     VT_KEY_DIGEST = 46,
-    VT_STREAM_WEIGHTS = 48
+    VT_STREAM_WEIGHTS = 48,
+    VT_SENDER_RECORDS_VERSION = 50
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1647,6 +1648,9 @@
   uint64_t stream_weights() const {
     return GetField<uint64_t>(VT_STREAM_WEIGHTS, 18446744073709551615ULL);
   }
+  bool sender_records_version() const {
+    return GetField<uint8_t>(VT_SENDER_RECORDS_VERSION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1687,6 +1691,7 @@
            VerifyOffset(verifier, VT_KEY_DIGEST) &&
            verifier.VerifyVector(key_digest()) &&
            VerifyField<uint64_t>(verifier, VT_STREAM_WEIGHTS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SENDER_RECORDS_VERSION, 1) &&
            verifier.EndTable();
   }
 };
@@ -1764,6 +1769,9 @@
   void add_stream_weights(uint64_t stream_weights) {
     fbb_.AddElement<uint64_t>(ForwardRequest::VT_STREAM_WEIGHTS, stream_weights, 18446744073709551615ULL);
   }
+  void add_sender_records_version(bool sender_records_version) {
+    fbb_.AddElement<uint8_t>(ForwardRequest::VT_SENDER_RECORDS_VERSION, static_cast<uint8_t>(sender_records_version), 0);
+  }
   explicit ForwardRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1799,7 +1807,8 @@
     uint64_t stream_version = 0,
     flatbuffers::Offset<flatbuffers::String> account = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key_digest = 0,
-    uint64_t stream_weights = 18446744073709551615ULL) {
+    uint64_t stream_weights = 18446744073709551615ULL,
+    bool sender_records_version = false) {
   ForwardRequestBuilder builder_(_fbb);
   builder_.add_stream_weights(stream_weights);
   builder_.add_stream_version(stream_version);
@@ -1821,6 +1830,7 @@
   builder_.add_host(host);
   builder_.add_service(service);
   builder_.add_id(id);
+  builder_.add_sender_records_version(sender_records_version);
   builder_.add_may_have_executed(may_have_executed);
   builder_.add_has_generation(has_generation);
   builder_.add_has_time_left(has_time_left);
@@ -1851,7 +1861,8 @@
     uint64_t stream_version = 0,
     const char *account = nullptr,
     const std::vector<uint8_t> *key_digest = nullptr,
-    uint64_t stream_weights = 18446744073709551615ULL) {
+    uint64_t stream_weights = 18446744073709551615ULL,
+    bool sender_records_version = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
@@ -1889,7 +1900,8 @@
       stream_version,
       account__,
       key_digest__,
-      stream_weights);
+      stream_weights,
+      sender_records_version);
 }
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3311,7 +3323,8 @@
     VT_LENGTH = 10,
     VT_HEADER = 12,
     VT_OUTPUT_VERSION = 14,
-    VT_LEAVING_SERVER = 16
+    VT_LEAVING_SERVER = 16,
+    VT_OUTPUT_SERVER = 18
   };
   uint32_t status() const {
     return GetField<uint32_t>(VT_STATUS, 0);
@@ -3334,6 +3347,9 @@
   const crocusspur::gateway::wire::LeavingServer *leaving_server() const {
     return GetPointer<const crocusspur::gateway::wire::LeavingServer *>(VT_LEAVING_SERVER);
   }
+  const crocusspur::gateway::wire::ServerProcess *output_server() const {
+    return GetPointer<const crocusspur::gateway::wire::ServerProcess *>(VT_OUTPUT_SERVER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
@@ -3347,6 +3363,8 @@
            VerifyField<uint64_t>(verifier, VT_OUTPUT_VERSION, 8) &&
            VerifyOffset(verifier, VT_LEAVING_SERVER) &&
            verifier.VerifyTable(leaving_server()) &&
+           VerifyOffset(verifier, VT_OUTPUT_SERVER) &&
+           verifier.VerifyTable(output_server()) &&
            verifier.EndTable();
   }
 };
@@ -3376,6 +3394,9 @@
   void add_leaving_server(flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server) {
     fbb_.AddOffset(ForwardHead::VT_LEAVING_SERVER, leaving_server);
   }
+  void add_output_server(flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> output_server) {
+    fbb_.AddOffset(ForwardHead::VT_OUTPUT_SERVER, output_server);
+  }
   explicit ForwardHeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3395,10 +3416,12 @@
     uint64_t length = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>> header = 0,
     uint64_t output_version = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> output_server = 0) {
   ForwardHeadBuilder builder_(_fbb);
   builder_.add_output_version(output_version);
   builder_.add_length(length);
+  builder_.add_output_server(output_server);
   builder_.add_leaving_server(leaving_server);
   builder_.add_header(header);
   builder_.add_content_type(content_type);
@@ -3415,7 +3438,8 @@
     uint64_t length = 0,
     const std::vector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>> *header = nullptr,
     uint64_t output_version = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::LeavingServer> leaving_server = 0,
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> output_server = 0) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto header__ = header ? _fbb.CreateVector<flatbuffers::Offset<crocusspur::gateway::wire::HeaderField>>(*header) : 0;
   return crocusspur::gateway::wire::CreateForwardHead(
@@ -3426,7 +3450,8 @@
       length,
       header__,
       output_version,
-      leaving_server);
+      leaving_server,
+      output_server);
 }
 
 struct ForwardEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -154,7 +154,7 @@
       WhileRunning(sockets);
   });
   RequestHandler(context, Document, Route, std::move(Request), sink,
-                 std::chrono::steady_clock::now())
+                 std::chrono::steady_clock::now(), Origin)
       .run();
   helper.join();
   ::shutdown(sockets.near(), SHUT_WR);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -84,6 +84,8 @@
   crocusspur::gateway::AccessControl *Access = nullptr;
   // Null: prefills are placed without owners of shards.
   crocusspur::gateway::PrefillDispatch *Dispatch = nullptr;
+  // Null: the caller sent the request to this instance.
+  const crocusspur::gateway::ForwardedOrigin *Origin = nullptr;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -194,6 +194,32 @@
   };
 }
 
+// An instance that handles requests of others at its server of that version.
+struct HandlingInstance : GatewayFixture {
+  HandlingInstance(const FakeServer &Server, const std::string &Version) {
+    addServer("d-" + Version, Server, ServerStage::Decode, Version);
+  }
+  void handle(int Fd, const ForwardedRequest &Request, const PathRoute &Route) {
+    ForwardSink sink(Fd);
+    ForwardedOrigin hooks{Request, {}, {}, {}, {}};
+    hooks.OnProblem = [&](const internal::Problem &Item) {
+      sink.sendProblem(Item, /*Elsewhere=*/false);
+    };
+    hooks.OnOutputVersion = [&](VersionKey Version,
+                                std::optional<ServerProcess> Server) {
+      sink.setOutputVersion(Version, std::move(Server));
+    };
+    hooks.OnVersionUncertain = [&] { sink.setVersionUncertain(); };
+    hooks.OnServerLeaving = [](const ServerProcess &) {};
+    GatewayContext context{Codec,    Directory,  Limits,  Connections,
+                           Queues,   Crashes,    Origins, Quotas,
+                           Counters, Forwarding, Access,  Dispatch};
+    RequestHandler(context, Document, Route, Request.Request, sink,
+                   std::chrono::steady_clock::now(), &hooks)
+        .run();
+  }
+};
+
 PathRoute resumable(const GatewayFixture &Setup) {
   PathRoute route = Setup.route(RouteKind::Stream);
   route.Resumable = true;
@@ -657,3 +683,48 @@
     CHECK(other.seen().empty());
   }
 }
+
+// An instance that handled the request recorded its server's version and was
+// killed before an event; the next one ran it at another version. Its caller's
+// stream went on at the first one where only that record had arrived.
+TEST_CASE("Only what reaches the caller's instance is recorded") {
+  std::atomic<int> link{-1};
+  auto serve = [&](bool CutsLink) {
+    return [&, CutsLink](const std::string &Request, int) {
+      if (!Request.starts_with("POST /x/y"))
+        return modelServerResponse(Request);
+      if (CutsLink)
+        ::shutdown(link, SHUT_RDWR);
+      return "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: a1\r\n"
+             "Content-Type: text/event-stream\r\nContent-Length: " +
+             std::to_string(events(1, 3).size()) + "\r\n\r\n" + events(1, 3);
+    };
+  };
+  FakeServer former(serve(true)), newer(serve(false));
+  HandlingInstance first(former, "v1"), second(newer, "v2");
+  CutOffFixture setup({});
+  PathRoute route = resumable(setup);
+  FakePeer killed("g2", [&](int Fd, const ForwardedRequest &Request) {
+    link = Fd;
+    first.handle(Fd, Request, route);
+  });
+  bool isOlder = false; // the caller's instance is of an older build
+  FakePeer other("g3", [&](int Fd, ForwardedRequest Request) {
+    Request.SenderRecordsVersion = !isOlder;
+    second.handle(Fd, Request, route);
+  });
+  SUBCASE("by that instance") {}
+  SUBCASE("or, where that is of an older build, by the one with the server") {
+    isOlder = true;
+  }
+  setup.Hooks.Select = selectInTurn(killed, other);
+  CallerRequest request = setup.request();
+  StreamKey stream = streamKeyOf(request.Host, request.Target, request.Id);
+  CHECK(unchunked(setup.run(route, request)) == events(1, 3));
+  CHECK(killed.seen().size() == 1);
+  CHECK(former.count("POST /x/y") == 1);
+  CHECK(first.Origins.counters().Records == 0);
+  CHECK((isOlder ? second.Origins : setup.Origins).find(stream) ==
+        versionKeyOf("v2"));
+  CHECK((isOlder ? setup.Origins : second.Origins).counters().Records == 0);
+}
--- a/test/gateway_take_up_model_test.cc
+++ b/test/gateway_take_up_model_test.cc
@@ -297,15 +297,38 @@
     return absence && absence->Frozen ? absence->End : Now;
   }
 
+  // The version of the run that gives the first event. Runs without one come
+  // before: at this instance, which keeps to the version that it has recorded,
+  // or at others that it passes the request on to, which record nothing.
+  std::string firstVersion(size_t Index, StreamKey Stream, TimePoint Deadline,
+                           TimePoint &Now) {
+    std::string version = versionAt(Now, std::nullopt);
+    if (version.empty() || respondsAt(Index, Now) != Now)
+      return "";
+    bool isPassedOn = chance(30);
+    if (!isPassedOn)
+      record(Index, Stream, version, left(Deadline, Now), Now);
+    while (!version.empty() && chance(30)) {
+      Now += between(100, 3000);
+      version =
+          versionAt(Now, isPassedOn ? std::nullopt
+                                    : std::optional(versionKeyOf(version)));
+    }
+    if (version.empty() || respondsAt(Index, Now) != Now)
+      return "";
+    if (isPassedOn)
+      record(Index, Stream, version, left(Deadline, Now), Now);
+    return version;
+  }
+
   void playStream(TimePoint Begun, Tally &Counts) {
     StreamKey stream = Random();
     size_t at = below(InstanceCount);
     TimePoint deadline = Begun + between(3000, 60000);
-    std::string version = versionAt(Begun, std::nullopt);
-    if (version.empty() || respondsAt(at, Begun) != Begun)
-      return;
     TimePoint now = Begun;
-    record(at, stream, version, left(deadline, now), now);
+    std::string version = firstVersion(at, stream, deadline, now);
+    if (version.empty())
+      return;
     for (int i = 0; i < MostTries; ++i) {
       bool isKilled = startsAnew(20);
       Milliseconds ran =
