Wait for the proof of an answer without a length as long as its caller does

An answer with neither a length nor chunks counts as whole if its sender responds after its end. The response had a second, so a sound server whose report takes longer, that is stopped for two seconds, whose request limit is used up, or that closes the connection for the report once lost each such answer: 502 for a call whose caller had seconds left.

A closed connection is no proof of the end any more, a refusal by the kernel is. Two connections are opened as the answer ends, which lead to the process that had the address then; a later one may lead to a successor, so a response on it counts only with the start that the entry states. The report still takes a permit of the server's limit, since servers count all requests, and waits for it. The wait is neither load of the server nor a sample of its pace.

A plain answer that waits counts in the memory budget with all its bytes, and the waiting answers of a service hold a quarter of the budget at most: one more is passed on without its end, which follows with the proof.

--- a/src/gateway/answer_end_handler.cc
+++ b/src/gateway/answer_end_handler.cc
@@ -1,8 +1,7 @@
 // Part of RequestHandler that tells whether an answer that ended with its
 // connection is whole.
 #include "gateway/request_handler.h"
-
-#include <algorithm>
+#include "gateway/sender_inquiry.h"
 
 namespace crocusspur::gateway {
 namespace {
@@ -11,71 +10,66 @@
 using internal::log;
 using internal::LogLevel;
 
-// Servers report from memory, within milliseconds. All that the answer's end
-// waits for is this.
-constexpr Milliseconds SenderCheckTime{1000};
-constexpr size_t MaxReportBytes = 65536;
-constexpr uint32_t StatusOk = 200;
-
 } // namespace
 
-bool RequestHandler::mayBeCut(const ServerCall &Call,
-                              const ServerChoice &Server) {
+CallStatus RequestHandler::confirmEnd(const ServerCall &Call,
+                                      const ServerChoice &Server,
+                                      bool MayRunElsewhere) {
+  ProofTime = Clock::duration(0);
   if (Call.bodyForm() != internal::BodyForm::UntilClose)
-    return false;
+    return CallStatus::Responded;
   TimePoint started = Clock::now();
-  SenderEvidence evidence = askSender(Server);
-  SenderState state = judgeSender(evidence);
+  // The server has no more to do for the request, so it isn't load meanwhile.
+  Context.Directory.callEnded(Server, 1, CallResult::Abandoned);
+  SenderInquiry inquiry(Context, Waiter, Server,
+                        started + proofTime(timeLeft(), MayRunElsewhere));
+  SenderState state = inquiry.run();
+  Context.Directory.callStarted(Server, 1);
+  ProofTime = Clock::now() - started;
+  const SenderEvidence &evidence = inquiry.evidence();
   if (Context.Runs)
     ++Context.Runs->Senders[static_cast<size_t>(state)];
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
   all.emplace_back("sender", nameOf(state));
   all.emplace_back("status", std::to_string(evidence.Status));
+  all.emplace_back("unanswered", std::to_string(evidence.Unanswered));
   all.emplace_back("reported_started_at",
                    std::to_string(evidence.ReportedStart));
   all.emplace_back("server_started_at", std::to_string(evidence.KnownStart));
-  all.emplace_back("taken_ms",
-                   std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                      Clock::now() - started)
-                                      .count()));
+  all.emplace_back(
+      "taken_ms",
+      std::to_string(
+          std::chrono::duration_cast<Milliseconds>(ProofTime).count()));
   bool isWhole = isWholeAfter(state);
   log(isWhole ? LogLevel::Info : LogLevel::Warn, "request",
       isWhole ? "the sender of an answer without a length lives"
               : "an answer without a length may have been cut",
       all);
-  return !isWhole;
+  if (isWhole)
+    return CallStatus::Responded;
+  return Waiter.callerLeft() ? CallStatus::CallerLeft
+                             : CallStatus::ConnectionBroken;
 }
 
-SenderEvidence RequestHandler::askSender(const ServerChoice &Server) {
-  SenderEvidence evidence;
-  evidence.KnownStart = Server.StartedAt;
-  evidence.EntryChanged = Context.Directory.isReplaced(Server);
-  if (evidence.EntryChanged)
-    return evidence;
-  TimePoint until = Clock::now() + std::min(SenderCheckTime, timeLeft());
-  auto left = [&] {
-    return std::max(Milliseconds(0),
-                    std::chrono::ceil<Milliseconds>(until - Clock::now()));
-  };
-  CallPermit permit = Context.Limits.acquire(Server.Id, 1, left());
-  if (permit.Granted) {
-    if (permit.Delay > Milliseconds(0))
-      Waiter.pause(permit.Delay);
-    std::string body;
-    evidence.Status = callServer(
-        Context.Connections, Context.Codec, Context.Limits, Server,
-        Context.Codec.FormatReport(Server), "GET", left(), MaxReportBytes, body,
-        /*Permitted=*/true, /*NewConnection=*/true);
-    std::optional<ServerReport> report;
-    if (evidence.Status == StatusOk)
-      report = Context.Codec.ParseReport(body);
-    if (report)
-      evidence.ReportedStart = report->StartedAt;
+CallStatus RequestHandler::confirmKept(const ServerCall &Call,
+                                       const ServerChoice &Server, bool LastTry,
+                                       const std::string &Body, bool &Whole,
+                                       MemoryHold &Hold) {
+  if (Call.bodyForm() != internal::BodyForm::UntilClose)
+    return CallStatus::Responded;
+  // Counted while it waits, also what each call may keep without.
+  Hold.growAlwaysTo(Body.capacity());
+  size_t bytes = Hold.size();
+  if (Context.Memory && !Context.Memory->tryAddWaiting(Service, bytes)) {
+    // A failure that a retry may replace isn't passed on.
+    Whole = isServerError(Call.head().Status) && !LastTry;
+    return Whole ? CallStatus::ConnectionBroken : CallStatus::Responded;
   }
-  evidence.TimedOut = !permit.Granted || Clock::now() >= until;
-  evidence.EntryChanged = Context.Directory.isReplaced(Server);
-  return evidence;
+  CallStatus status = confirmEnd(Call, Server, /*MayRunElsewhere=*/!LastTry);
+  if (Context.Memory)
+    Context.Memory->removeWaiting(Service, bytes);
+  return status;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/plain_relay_handler.cc
+++ b/src/gateway/plain_relay_handler.cc
@@ -112,8 +112,8 @@
       break;
   }
   CallerTime = std::chrono::duration_cast<Milliseconds>(waited);
-  if (status == CallStatus::Responded && mayBeCut(Call, Server))
-    status = CallStatus::ConnectionBroken;
+  if (status == CallStatus::Responded)
+    status = confirmEnd(Call, Server, /*MayRunElsewhere=*/false);
   if (status == CallStatus::Responded && !Sink.end(true)) {
     CallerWriteFailed = true;
     status = CallStatus::CallerLeft;
--- a/src/gateway/request_handler.cc
+++ b/src/gateway/request_handler.cc
@@ -722,8 +722,9 @@
   MemoryHold hold = makeHold(MemoryUse::Response);
   if (status == CallStatus::Responded)
     status = readKept(call, LastTry, body, whole, hold);
-  if (status == CallStatus::Responded && whole && mayBeCut(call, Server))
-    status = CallStatus::ConnectionBroken;
+  // A refusal says in its head that the request wasn't executed.
+  if (status == CallStatus::Responded && whole && !call.info().NotExecuted)
+    status = confirmKept(call, Server, LastTry, body, whole, hold);
   if (call.maySent())
     Used.insert(Server.Id);
   auto end = [&](CallResult Result, const std::string &Outcome,
@@ -808,10 +809,10 @@
   }
   runEnd = endOfResponse(call.head().Status);
   if (!failure)
-    Context.Directory.onCallTimed(
-        Server, 1,
-        std::chrono::duration_cast<Milliseconds>(Clock::now() - started) -
-            callerTime);
+    Context.Directory.onCallTimed(Server, 1,
+                                  std::chrono::duration_cast<Milliseconds>(
+                                      Clock::now() - started - ProofTime) -
+                                      callerTime);
   if (failure && !LastTry) {
     Failure = ServerFailure{responseHead(call, Server), std::move(body),
                             std::move(hold)};
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -4,7 +4,6 @@
 #ifndef CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 #define CROCUSSPUR_GATEWAY_REQUEST_HANDLER_H
 
-#include "gateway/decisions/streams/sender_state.h"
 #include "gateway/decisions/streams/stream_progress.h"
 #include "gateway/forward_codec.h"
 #include "gateway/gateway_context.h"
@@ -324,10 +323,18 @@
   // one.
   void endRun(RunTracker::Id Run, const ServerChoice &Server, CallStatus Status,
               RunEnd End);
-  // Whether a response that ended with its connection may be a part: nothing
-  // shows that its sender lives. Waits for that for a bounded time.
-  bool mayBeCut(const ServerCall &Call, const ServerChoice &Server);
-  SenderEvidence askSender(const ServerChoice &Server);
+  // Returns Responded if the response, which was read to its end, is whole. One
+  // that ended with its connection may be a part: the call waits until its
+  // sender is shown to live, for as long as the request has time.
+  // `MayRunElsewhere`: some of that time is left for another run.
+  CallStatus confirmEnd(const ServerCall &Call, const ServerChoice &Server,
+                        bool MayRunElsewhere);
+  // The same for a plain response that is kept whole. If too much is kept so
+  // for its service, sets `Whole` to false: it is then passed on before its end
+  // is confirmed.
+  CallStatus confirmKept(const ServerCall &Call, const ServerChoice &Server,
+                         bool LastTry, const std::string &Body, bool &Whole,
+                         MemoryHold &Hold);
   Milliseconds timeLeft() const; // for this request, also by its route
   // Until the deadline that the caller has stated, if any. The caller can come
   // back until then, also when the route's time is over.
@@ -428,6 +435,8 @@
   std::optional<TimePoint> FirstOutput;
   std::optional<TimePoint> LastOutput; // of a stream
   Milliseconds LongestPause{0};        // between two writes of a stream
+  // Of the last confirmEnd(), in which the server had answered already.
+  TimePoint::duration ProofTime{0};
   std::optional<ServerFailure> Failure;
   // How its account's quota admitted the request; Admitted is false if it took
   // no tokens, or gave them back.
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <poll.h>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -170,7 +171,25 @@
   return CallEvidence::None;
 }
 
+CallStatus ServerCall::open(const ServerChoice &Server) {
+  this->Server = Server;
+  NewConnection = true;
+  StartedAt = Clock::now();
+  CallStatus status = CallStatus::Responded;
+  Opened = connect(status);
+  if (!Opened)
+    Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
+  return status;
+}
+
+void ServerCall::keepUnused() {
+  if (BackendSocketPtr opened = Opened ? Http.releaseUnused() : nullptr)
+    Pool.give({std::move(opened), processOf(Server), {}, true}, std::nullopt);
+}
+
 bool ServerCall::connect(CallStatus &Status) {
+  if (std::exchange(Opened, false))
+    return true;
   PooledConnection kept;
   if (!NewConnection)
     kept = Pool.take(processOf(Server), RequestId);
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -128,6 +128,11 @@
   // The call opens a connection of its own, which leads to the process that
   // accepts connections now. Called before start().
   void requireNewConnection() { NewConnection = true; }
+  // Opens such a connection, on which start() then sends. Returns Responded if
+  // it is open.
+  CallStatus open(const ServerChoice &Server);
+  // Gives a connection to the pool that was opened and not sent on.
+  void keepUnused();
   // `RequestId`: responses with another id are late responses to earlier
   // requests and are skipped. `ResponseTimeout` bounds the wait for the head.
   // `Permitted`: the caller has acquired a permit for the call, which is
@@ -194,6 +199,7 @@
   std::vector<std::string> RequestIds; // sent on the connection
   bool Traceable = true;               // see PooledConnection
   bool NewConnection = false;
+  bool Opened = false; // by open(), for the next call
   bool Kept = false;
   ServerProcess Process;
   ResponseInfo Info;
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -83,7 +83,10 @@
   bool inside = Progress.insideEvent();
   if (ended && inside)
     logEndInsideEvent(Server.Id);
-  bool complete = ended && !inside && !mayBeCut(Call, Server);
+  bool complete =
+      ended && !inside &&
+      confirmEnd(Call, Server, /*MayRunElsewhere=*/Route.Resumable) ==
+          CallStatus::Responded;
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
       Progress.begun()) {
     ProcessCheck check = checkProcess(Server);
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -149,6 +149,7 @@
   GatewayContext context{Codec,    Directory,  Limits,  Connections,
                          Queues,   Crashes,    Origins, Quotas,
                          Counters, Forwarding, Access,  Dispatch};
+  context.Memory = Memory;
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -84,6 +84,8 @@
   crocusspur::gateway::AccessControl *Access = nullptr;
   // Null: prefills are placed without owners of shards.
   crocusspur::gateway::PrefillDispatch *Dispatch = nullptr;
+  // Null: memory isn't limited.
+  crocusspur::gateway::MemoryBudget *Memory = nullptr;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
