Ask a service twice whether it lives after a response without a length

serve gave a whole response of a service up if the call for its load took more than a second, or if the one connection for it was closed without a response. It now decides as the gateway does: two connections are opened as the response ends, the second is asked if the first closes, and both may take the time that a call may be without progress (5 s by default). serve knows no start of the process, so a later connection would prove nothing. The caller is watched meanwhile, which it wasn't.

--- a/src/backend_client.cc
+++ b/src/backend_client.cc
@@ -1,6 +1,7 @@
 #include "backend_client.h"
 
 #include "event_splitter.h"
+#include "gateway/decisions/streams/sender_state.h"
 #include "json_document.h"
 
 #include <Poco/Dynamic/Var.h>
@@ -8,6 +9,7 @@
 #include <Poco/JSON/Object.h>
 #include <algorithm>
 #include <cstdio>
+#include <memory>
 #include <string_view>
 #include <strings.h>
 #include <utility>
@@ -23,8 +25,9 @@
 // Shorter than the keep-alive timeout of common HTTP servers (5 s), so that a
 // reused connection is rarely one that the server is closing.
 constexpr Milliseconds MaxIdleTime{4000};
-// All that the end of a response without a length waits for.
-constexpr Milliseconds MaxSenderCheckTime{1000};
+// Opened as a response without a length ends. If the first closes without a
+// response, the other one still leads to the same process.
+constexpr size_t ConnectionsAtEnd = 2;
 constexpr size_t MaxControlResponseBytes = 4 * 1024 * 1024;
 constexpr size_t MaxJsonResponseBytes = 65536;
 constexpr size_t MaxEventBytes = 1024 * 1024;
@@ -363,24 +366,65 @@
   BackendCallResult result =
       relayServiceResponse(exchange, Handler, Call.Timeout);
   if (result.Outcome == StageOutcome::Ok &&
-      exchange.bodyForm() == BodyForm::UntilClose && !responds(Call))
-    return {StageOutcome::Failed, false};
+      exchange.bodyForm() == BodyForm::UntilClose)
+    return confirmEnd(Call, Waiter);
   return result;
 }
 
 // The kernel ends the connections of a server that is killed as an orderly end
 // of a response does, and for a moment accepts new ones for it. Only a response
-// on a new connection shows that the server lives after the end.
-bool BackendClient::responds(const BackendCall &Call) {
+// on a connection opened then shows that the server lives after the end.
+BackendCallResult BackendClient::confirmEnd(const BackendCall &Call,
+                                            SocketWaiter &Waiter) {
+  const BackendCallResult interrupted{StageOutcome::Failed, true};
+  TimePoint until = Clock::now() + Call.Timeout;
   BackendCall check = Call;
   check.NotAfter = TimePoint::max();
-  check.Timeout = std::min(Call.Timeout, MaxSenderCheckTime);
-  bool retry = false;
-  uint32_t status = 0;
-  std::string body;
-  return tryControl(
-      check, formatJsonRequest("GET", "/v1/load", Call.Address, true, ""),
-      "GET", /*Reuse=*/false, retry, status, body);
+  gateway::SenderEvidence evidence;
+  std::vector<std::unique_ptr<HttpExchange>> opened;
+  while (opened.size() < ConnectionsAtEnd && !evidence.Refused) {
+    auto exchange = std::make_unique<HttpExchange>(Waiter);
+    ExchangeStatus status = open(*exchange, check);
+    if (status == ExchangeStatus::Interrupted)
+      return interrupted;
+    evidence.Refused = exchange->connectionRefused();
+    if (status != ExchangeStatus::Ok)
+      break;
+    opened.push_back(std::move(exchange));
+  }
+  evidence.LeftAtEnd = static_cast<uint32_t>(opened.size());
+  gateway::SenderDecision decision = gateway::decideOnSender(evidence);
+  for (const auto &it : opened) {
+    if (decision.Step != gateway::SenderStep::Ask) {
+      keepIdle(Call.Address, it->releaseUnused());
+      continue;
+    }
+    if (Waiter.wait(-1, 0, Clock::now() + decision.Pause) ==
+        WaitResult::Interrupted)
+      return interrupted;
+    check.Timeout = std::max(
+        Milliseconds(0), std::chrono::ceil<Milliseconds>(until - Clock::now()));
+    ExchangeStatus status = sendAndReadHead(
+        *it, check,
+        formatJsonRequest("GET", "/v1/load", Call.Address, true, ""), "GET");
+    std::string body;
+    if (status == ExchangeStatus::Ok)
+      status = it->readWholeBody(body, MaxControlResponseBytes, check.Timeout,
+                                 until);
+    if (status == ExchangeStatus::Interrupted)
+      return interrupted;
+    if (status == ExchangeStatus::Ok) {
+      evidence.Status = it->head().Status;
+      keepIdle(Call.Address, it->release());
+    } else
+      ++evidence.Unanswered;
+    --evidence.LeftAtEnd;
+    evidence.TimedOut = Clock::now() >= until;
+    decision = gateway::decideOnSender(evidence);
+  }
+  if (decision.Step == gateway::SenderStep::Whole)
+    return {};
+  return {StageOutcome::Failed, false};
 }
 
 bool BackendClient::tryControl(const BackendCall &Call,
--- a/src/backend_client.h
+++ b/src/backend_client.h
@@ -120,8 +120,9 @@
 
   BackendSocketPtr takeIdle(const std::string &Address);
   void keepIdle(const std::string &Address, BackendSocketPtr Socket);
-  // Whether the server responds on a new connection.
-  bool responds(const BackendCall &Call);
+  // Waits until the server of a response that ended with its connection is
+  // shown to live, at most for the call's timeout.
+  BackendCallResult confirmEnd(const BackendCall &Call, SocketWaiter &Waiter);
   bool tryControl(const BackendCall &Call, const std::string &Request,
                   const std::string &Method, bool Reuse, bool &Retry,
                   uint32_t &Status, std::string &Response);
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -376,6 +376,31 @@
   CHECK(outcomeOf(After::Refuses) == StageOutcome::Failed);
 }
 
+// Responses of sound servers were given up a second after their end, or with
+// the first connection that a busy server closed.
+TEST_CASE("A service's whole response isn't lost to a slow or closed report") {
+  auto outcomeOf = [](std::chrono::milliseconds Delay, int Closed) {
+    std::atomic<int> loads{0};
+    ScriptServer server([&](int Fd, int) {
+      if (readRequest(Fd).starts_with("GET /v1/load")) {
+        if (loads++ < Closed)
+          return;
+        std::this_thread::sleep_for(Delay);
+        sendText(Fd, httpResponse(200, "{}"));
+        return;
+      }
+      sendText(Fd, "HTTP/1.1 200 OK\r\n\r\nall");
+    });
+    return getFromService(server.address());
+  };
+  using std::chrono::milliseconds;
+  CHECK(outcomeOf(milliseconds(1200), 0) == StageOutcome::Ok);
+  CHECK(outcomeOf(milliseconds(2000), 0) == StageOutcome::Ok);
+  CHECK(outcomeOf(milliseconds(1200), 1) == StageOutcome::Ok);
+  // A later connection may lead to a successor of a killed server.
+  CHECK(outcomeOf(milliseconds(0), 2) == StageOutcome::Failed);
+}
+
 // The reset showed while the request was sent, and the response then seemed to
 // end in order.
 TEST_CASE("A response without a length whose connection is reset during the "
