--- a/src/gateway/answer_end_handler.cc
+++ b/src/gateway/answer_end_handler.cc
@@ -61,14 +61,16 @@
   // Counted while it waits, also what each call may keep without.
   Hold.growAlwaysTo(Body.capacity());
   size_t bytes = Hold.size();
-  if (Context.Memory && !Context.Memory->tryAddWaiting(Service, bytes)) {
+  bool limited = Context.Memory && Context.Waiting;
+  if (limited &&
+      !Context.Waiting->tryAdd(Service, bytes, Context.Memory->limit())) {
     // A failure that a retry may replace isn't passed on.
     Whole = isServerError(Call.head().Status) && !LastTry;
     return Whole ? CallStatus::ConnectionBroken : CallStatus::Responded;
   }
   CallStatus status = confirmEnd(Call, Server, /*MayRunElsewhere=*/!LastTry);
-  if (Context.Memory)
-    Context.Memory->removeWaiting(Service, bytes);
+  if (limited)
+    Context.Waiting->remove(Service, bytes);
   return status;
 }
 
--- a/src/gateway/decisions/memory_budget.cc
+++ b/src/gateway/decisions/memory_budget.cc
@@ -62,28 +62,6 @@
   }
 }
 
-bool MemoryBudget::tryAddWaiting(const std::string &Service, size_t Bytes) {
-  std::lock_guard lock(WaitingMutex);
-  size_t most = Limit / WaitingDivisor;
-  auto it = Waiting.try_emplace(Service, 0).first;
-  bool fits = Bytes <= most && it->second <= most - Bytes;
-  if (fits)
-    it->second += Bytes;
-  if (it->second == 0)
-    Waiting.erase(it);
-  return fits;
-}
-
-void MemoryBudget::removeWaiting(const std::string &Service, size_t Bytes) {
-  std::lock_guard lock(WaitingMutex);
-  auto it = Waiting.find(Service);
-  if (it == Waiting.end())
-    return;
-  it->second -= std::min(it->second, Bytes);
-  if (it->second == 0)
-    Waiting.erase(it);
-}
-
 std::optional<uint64_t> MemoryBudget::takeRefusalsToLog(MemoryUse Use,
                                                         TimePoint Now) {
   Logged &last = LastLogged[static_cast<size_t>(Use)];
--- a/src/gateway/decisions/memory_budget.h
+++ b/src/gateway/decisions/memory_budget.h
@@ -10,10 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <map>
-#include <mutex>
 #include <optional>
-#include <string>
 #include <utility>
 
 namespace crocusspur::gateway {
@@ -34,8 +31,6 @@
   // largest ones are refused first, and there is room left for those that
   // begin.
   static constexpr size_t FreeDivisor = 2;
-  // A service's waiting answers may hold the limit divided by this.
-  static constexpr size_t WaitingDivisor = 4;
 
   explicit MemoryBudget(size_t Limit = SIZE_MAX) : Limit(Limit) {}
 
@@ -59,12 +54,6 @@
     Held.fetch_sub(Bytes, std::memory_order_relaxed);
   }
 
-  // Counts bytes, held already, of an answer of the service that waits for the
-  // proof that it is whole. Returns false if the service's waiting answers
-  // would hold more than a part of the limit; the room is for other services.
-  bool tryAddWaiting(const std::string &Service, size_t Bytes);
-  void removeWaiting(const std::string &Service, size_t Bytes);
-
   // Returns how many refusals of the kind there were since the last ones that
   // were logged, or nothing if that was less than a second ago.
   std::optional<uint64_t> takeRefusalsToLog(MemoryUse Use, TimePoint Now);
@@ -81,8 +70,6 @@
   std::atomic<size_t> Held{0};
   std::array<std::atomic<uint64_t>, MemoryUseCount> Refused{};
   std::array<Logged, MemoryUseCount> LastLogged;
-  std::mutex WaitingMutex;
-  std::map<std::string, size_t> Waiting; // bytes by service
 };
 
 // A part of the budget, given back by its destructor.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -15,6 +15,7 @@
 #include "gateway/store_readers.h"
 #include "gateway/stream_origins.h"
 #include "gateway/stream_run_counts.h"
+#include "gateway/waiting_answers.h"
 #include "runtime.h"
 
 #include <atomic>
@@ -54,6 +55,8 @@
   const std::atomic<bool> *Exiting = nullptr;
   StreamRunCounts *Runs = nullptr; // null: runs of streams aren't counted
   MemoryBudget *Memory = nullptr;  // null: memory isn't limited
+  // Null: they hold what the budget has.
+  WaitingAnswers *Waiting = nullptr;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -147,7 +147,7 @@
       Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
       *metrics, &Runtime->Forwarding, &Runtime->Access, &Runtime->Dispatch,
       &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns,
-      &Runtime->Memory});
+      &Runtime->Memory, &Runtime->Waiting});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
   options.Address = Runtime->Values.CallerAddress;
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -75,6 +75,7 @@
   StreamOrigins Origins;
   StreamRunCounts StreamRuns;
   MemoryBudget Memory; // for bytes of others
+  WaitingAnswers Waiting;
   AccountQuotas Quotas;
   PrefillDispatch Dispatch;
 
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -155,13 +155,13 @@
   Random.seed(Runtime->Incarnation);
   Sources.emplace(Runtime->Incarnation);
   Serving.emplace(Runtime->Incarnation);
-  Context.emplace(
-      GatewayContext{Runtime->Codec, Runtime->Directory, Runtime->Limits,
-                     Runtime->Connections, Runtime->Queues, Runtime->Crashes,
-                     Runtime->Origins, Runtime->Quotas, *metrics,
-                     /*Forwarding=*/nullptr, &Runtime->Access,
-                     &Runtime->Dispatch, &Runtime->Readers, &Runtime->Exiting,
-                     &Runtime->StreamRuns, &Runtime->Memory});
+  Context.emplace(GatewayContext{
+      Runtime->Codec, Runtime->Directory, Runtime->Limits, Runtime->Connections,
+      Runtime->Queues, Runtime->Crashes, Runtime->Origins, Runtime->Quotas,
+      *metrics,
+      /*Forwarding=*/nullptr, &Runtime->Access, &Runtime->Dispatch,
+      &Runtime->Readers, &Runtime->Exiting, &Runtime->StreamRuns,
+      &Runtime->Memory, &Runtime->Waiting});
   Forwarded.emplace(*Runtime, *Context);
   Changes.emplace(*Runtime,
                   ChangeExchangeHooks{
--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -150,6 +150,7 @@
                          Queues,   Crashes,    Origins, Quotas,
                          Counters, Forwarding, Access,  Dispatch};
   context.Memory = Memory;
+  context.Waiting = &Waiting;
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -86,6 +86,7 @@
   crocusspur::gateway::PrefillDispatch *Dispatch = nullptr;
   // Null: memory isn't limited.
   crocusspur::gateway::MemoryBudget *Memory = nullptr;
+  crocusspur::gateway::WaitingAnswers Waiting;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
--- a/test/gateway_response_end_test.cc
+++ b/test/gateway_response_end_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace crocusspur;
@@ -540,10 +541,10 @@
 TEST_CASE("Waiting answers of one service don't take the room of others") {
   constexpr size_t Limit = 1048576;
   MemoryBudget memory(Limit);
-  CHECK(memory.tryAddWaiting("bays", Limit / 4));
-  CHECK_FALSE(memory.tryAddWaiting("bays", 1));
-  CHECK(memory.tryAddWaiting("others", Limit / 4));
   GatewayFixture gateway;
+  CHECK(gateway.Waiting.tryAdd("bays", Limit / 4, Limit));
+  CHECK_FALSE(gateway.Waiting.tryAdd("bays", 1, Limit));
+  CHECK(gateway.Waiting.tryAdd("others", Limit / 4, Limit));
   gateway.Memory = &memory;
   Ending ending{Framing::UntilClose, End::Whole, false};
   ending.ReportDelay = Milliseconds(1000);
@@ -565,8 +566,8 @@
   CHECK(response.starts_with("HTTP/1.1 200"));
   CHECK(bodyOf(response) == events(1, 3));
   CHECK(looksComplete(response) == !ending.ProcessEnds);
-  memory.removeWaiting("bays", Limit / 4);
-  CHECK(memory.tryAddWaiting("bays", Limit / 4));
+  gateway.Waiting.remove("bays", Limit / 4);
+  CHECK(gateway.Waiting.tryAdd("bays", Limit / 4, Limit));
 }
 
 TEST_CASE("A caller that leaves ends the wait for the sender's report") {
@@ -585,6 +586,23 @@
   CHECK(std::chrono::steady_clock::now() - started < Milliseconds(3500));
 }
 
+// The exit of the instance ends the reading side of its callers' connections.
+TEST_CASE("An instance that exits ends the wait for the sender's report") {
+  GatewayFixture gateway;
+  Ending ending{Framing::UntilClose, End::Whole, false};
+  ending.ReportDelay = Milliseconds(5000);
+  EndingServer server(ending);
+  add(gateway, "b1", server.address(), ServerStage::Whole);
+  gateway.WhileRunning = [&](SocketPair &Sockets) {
+    CHECK(eventually([&] { return ending.Runs > 0; }));
+    std::this_thread::sleep_for(Milliseconds(300));
+    ::shutdown(Sockets.near(), SHUT_RD);
+  };
+  auto started = std::chrono::steady_clock::now();
+  gateway.run(gateway.route(RouteKind::NonIdempotent));
+  CHECK(std::chrono::steady_clock::now() - started < Milliseconds(3500));
+}
+
 // A listener that is closed a moment later still accepts connections.
 TEST_CASE(
     "A connection that opens doesn't show that a server's process lives") {
