--- a/test/gateway_fixture.cc
+++ b/test/gateway_fixture.cc
@@ -149,6 +149,8 @@
   GatewayContext context{Codec,    Directory,  Limits,  Connections,
                          Queues,   Crashes,    Origins, Quotas,
                          Counters, Forwarding, Access,  Dispatch};
+  context.Memory = Memory;
+  context.Waiting = &Waiting;
   std::thread helper([&] {
     if (WhileRunning)
       WhileRunning(sockets);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -86,6 +86,9 @@
   crocusspur::gateway::PrefillDispatch *Dispatch = nullptr;
   // Null: the caller sent the request to this instance.
   const crocusspur::gateway::ForwardedOrigin *Origin = nullptr;
+  // Null: memory isn't limited.
+  crocusspur::gateway::MemoryBudget *Memory = nullptr;
+  crocusspur::gateway::WaitingAnswers Waiting;
   uint64_t Revision = 0;
   std::function<void(SocketPair &)> WhileRunning; // on another thread
 };
