Accept request targets in absolute form

A request like "GET http://HOST/PATH HTTP/1.1" got 400, though a server must accept it (RFC 9112, 3.2.2). Clients that take the instance for a proxy send such requests.

The target is reduced to its path and query where the head is parsed, and its host replaces all Host fields, so that the routing, the fingerprint of the content and the server see one request. Other schemes, user information, and hosts with characters that parsers read differently still give 400.

--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -67,6 +67,60 @@
   return true;
 }
 
+bool isHostChar(char C) {
+  return std::isalnum(static_cast<unsigned char>(C)) ||
+         std::string_view("-._~").find(C) != std::string_view::npos;
+}
+
+bool isAddressChar(char C) {
+  return std::isxdigit(static_cast<unsigned char>(C)) || C == ':' || C == '.';
+}
+
+// Accepts a name or an address, with or without a port. Other forms, as user
+// information, might be read differently by another parser.
+bool isAuthority(std::string_view Text) {
+  bool bracketed = Text.starts_with('[');
+  size_t end = bracketed ? Text.find(']') : Text.find(':');
+  if (bracketed && end == std::string_view::npos)
+    return false;
+  std::string_view host = Text.substr(0, end);
+  Text.remove_prefix(host.size());
+  if (bracketed) {
+    host.remove_prefix(1);
+    Text.remove_prefix(1);
+  }
+  if (host.empty() || !std::all_of(host.begin(), host.end(),
+                                   bracketed ? isAddressChar : isHostChar))
+    return false;
+  uint16_t port = 0;
+  return Text.empty() ||
+         (Text.front() == ':' && parseNumber(Text.substr(1), port));
+}
+
+// Reduces a target in absolute form to its path and query, and returns its
+// authority. Other targets stay as they are, with an empty authority. Returns
+// false if the target has neither form.
+bool splitTarget(HttpHead &Head, std::string &Authority) {
+  constexpr std::string_view Scheme = "http://";
+  std::string_view target = Head.Target;
+  if (target.starts_with('/'))
+    return true;
+  if (!equalsIgnoreCase(target.substr(0, Scheme.size()), Scheme))
+    return false;
+  target.remove_prefix(Scheme.size());
+  Authority = target.substr(0, target.find_first_of("/?"));
+  target.remove_prefix(Authority.size());
+  std::string path(target);
+  if (!path.starts_with('/')) {
+    // Without a path, OPTIONS asks for the server as a whole, like "*".
+    if (Head.Method == "OPTIONS")
+      return false;
+    path.insert(0, "/");
+  }
+  Head.Target = std::move(path);
+  return isAuthority(Authority);
+}
+
 bool parseRequestLine(std::string_view Line, HttpHead &Head) {
   size_t first = Line.find(' ');
   size_t second = Line.rfind(' ');
@@ -75,8 +129,7 @@
   std::string_view target = Line.substr(first + 1, second - first - 1);
   bool printable = std::all_of(target.begin(), target.end(),
                                [](char It) { return It > 0x20 && It != 0x7f; });
-  if (!isToken(Line.substr(0, first)) || !printable || target.empty() ||
-      target.front() != '/')
+  if (!isToken(Line.substr(0, first)) || !printable)
     return false;
   Head.Method = Line.substr(0, first);
   Head.Target = target;
@@ -144,9 +197,17 @@
   std::string_view line;
   if (!nextLine(Text, line))
     return HeadParseStatus::Malformed;
-  if (!parseRequestLine(line, Head))
+  std::string authority;
+  if (!parseRequestLine(line, Head) || !splitTarget(Head, authority))
     return HeadParseStatus::Malformed;
-  return parseFields(Text, MaxFields, Text.size(), Head);
+  HeadParseStatus status = parseFields(Text, MaxFields, Text.size(), Head);
+  if (status == HeadParseStatus::Ok && !authority.empty()) {
+    std::erase_if(Head.Fields, [](const auto &It) {
+      return equalsIgnoreCase(It.first, "Host");
+    });
+    Head.Fields.emplace_back("Host", std::move(authority));
+  }
+  return status;
 }
 
 HeadParseStatus parseResponseHead(std::string_view Text, HttpHead &Head) {
--- a/test/http_header_test.cc
+++ b/test/http_header_test.cc
@@ -57,6 +57,47 @@
         HeadParseStatus::TooLarge);
 }
 
+// Such targets, which a server must accept, were refused.
+TEST_CASE("The host of a target in absolute form replaces the Host field") {
+  struct Sample {
+    std::string Target;
+    std::string Host;
+    std::string OriginForm;
+  };
+  for (const Sample &it :
+       {Sample{"http://a.example/t/x?y=/z", "a.example", "/t/x?y=/z"},
+        Sample{"HTTP://a.example:8080//t//", "a.example:8080", "//t//"},
+        Sample{"http://a.example", "a.example", "/"},
+        Sample{"http://a.example?q", "a.example", "/?q"},
+        Sample{"http://[::1]:80/", "[::1]:80", "/"}}) {
+    CAPTURE(it.Target);
+    HttpHead head;
+    REQUIRE(parseRequestHead("GET " + it.Target +
+                                 " HTTP/1.1\r\nA: b\r\nhost: other\r\n\r\n",
+                             4, head) == HeadParseStatus::Ok);
+    CHECK(head.Target == it.OriginForm);
+    REQUIRE(head.count("Host") == 1);
+    CHECK(*head.find("Host") == it.Host);
+    CHECK(head.count("A") == 1);
+  }
+}
+
+TEST_CASE("A target in absolute form without one plain host is rejected") {
+  // Guards against a host that another parser would read differently.
+  for (const std::string it :
+       {"http://",        "http:///x",    "http://?x",       "http:/x",
+        "http:x",         "ftp://h/",     "https://h/",      "http://user@h/",
+        "http://h:80@g/", "http://h#/x",  "http://h\\@g/x",  "http://h:/x",
+        "http://h:8x/",   "http://:80/",  "http://h:99999/", "http://h:80:81/",
+        "http://%68/",    "http://[::1/", "http://[]/",      "http://[::1]x/",
+        "http://h,g/",    "http://h g/"})
+    CHECK_MESSAGE(parseStatusOf("GET " + it + " HTTP/1.1\r\n\r\n") ==
+                      HeadParseStatus::Malformed,
+                  it);
+  CHECK(parseStatusOf("OPTIONS http://h HTTP/1.1\r\n\r\n") ==
+        HeadParseStatus::Malformed);
+}
+
 // A field of 9,000 bytes was refused though the configured limit of a head is
 // above it.
 TEST_CASE("Only the limit of a head bounds a request's line and fields") {
