Ignore empty lines before a request

A CRLF before a request line gave 400. Some clients end a body with one that its length doesn't count, and a server should ignore at least one (RFC 9112, 2.2).

Up to 8 are skipped for each request, more give 400. They don't begin a request: a connection on which nothing follows is closed as an idle one.

Before: "An empty line before a request is ignored" failed (Malformed for the first request).

--- a/src/caller_reader.cc
+++ b/src/caller_reader.cc
@@ -14,6 +14,7 @@
 constexpr size_t ReadBufferBytes = 16384;
 constexpr Milliseconds LingerTimeout{1000};
 constexpr size_t MaxLingerBytes = 4 * 1024 * 1024;
+constexpr uint32_t MaxEmptyLines = 8; // before a request
 
 } // namespace
 
@@ -35,11 +36,22 @@
 
 RequestReadStatus CallerReader::readHead(HttpHead &Head) {
   Milliseconds headTime = Limits.HeadTimeout.value_or(Limits.IdleTimeout);
-  TimePoint until =
-      Clock::now() + (Pending.empty() ? Limits.IdleTimeout : headTime);
-  bool started = !Pending.empty();
+  TimePoint until = Clock::now() + Limits.IdleTimeout;
+  bool started = false;
+  uint32_t emptyLines = 0;
   size_t end;
-  while ((end = Pending.find("\r\n\r\n")) == std::string::npos) {
+  while (true) {
+    // Some clients end a body with a CRLF that its length doesn't count.
+    for (; Pending.starts_with("\r\n"); Pending.erase(0, 2))
+      if (++emptyLines > MaxEmptyLines)
+        return RequestReadStatus::Malformed;
+    if (!started && !Pending.empty() && Pending != "\r") {
+      started = true;
+      until = Clock::now() + headTime;
+    }
+    end = Pending.find("\r\n\r\n");
+    if (end != std::string::npos)
+      break;
     if (Pending.size() > Limits.MaxHeadBytes)
       return RequestReadStatus::TooLarge;
     RequestReadStatus status = fill(until);
@@ -47,9 +59,6 @@
       return RequestReadStatus::Closed;
     if (status != RequestReadStatus::Ok)
       return status;
-    if (!started)
-      until = Clock::now() + headTime;
-    started = true;
   }
   if (end > Limits.MaxHeadBytes)
     return RequestReadStatus::TooLarge;
--- a/test/caller_reader_test.cc
+++ b/test/caller_reader_test.cc
@@ -67,6 +67,36 @@
   CHECK(reader.readHead(head) == RequestReadStatus::Closed);
 }
 
+// A client that ends a body with CRLF, or sends it before a request, got 400.
+TEST_CASE("An empty line before a request is ignored") {
+  SocketPair sockets;
+  ReadLimits values = limits(200);
+  CallerReader reader(sockets.near(), values);
+  sendText(sockets.far(), "\r\n\r\nPOST /a HTTP/1.1\r\nContent-Length: 2\r\n"
+                          "\r\nxy\r\nGET /b HTTP/1.1\r\n\r\n\r\n");
+  HttpHead head;
+  REQUIRE(reader.readHead(head) == RequestReadStatus::Ok);
+  CHECK(head.Target == "/a");
+  std::string body;
+  REQUIRE(reader.readBody({BodyForm::Length, 2}, body) ==
+          RequestReadStatus::Ok);
+  HttpHead next;
+  REQUIRE(reader.readHead(next) == RequestReadStatus::Ok);
+  CHECK(next.Target == "/b");
+  // No request has begun with the last line.
+  CHECK(reader.readHead(next) == RequestReadStatus::Closed);
+}
+
+TEST_CASE("Endless empty lines before a request are rejected") {
+  SocketPair sockets;
+  ReadLimits values = limits(2000);
+  CallerReader reader(sockets.near(), values);
+  for (int i = 0; i < 100; ++i)
+    sendText(sockets.far(), "\r\n");
+  HttpHead head;
+  CHECK(reader.readHead(head) == RequestReadStatus::Malformed);
+}
+
 TEST_CASE("The limit of a head decides, also for one long field") {
   for (size_t length : {9000, 16300, 17000}) {
     CAPTURE(length);
