Reject a head with a bare LF at once

A head whose lines end with LF alone was taken for one that isn't whole yet, and the caller got 408 when the time for a head was over (3 s at the gateway).

Each LF without a CR before it gives 400 as it arrives. To accept it would let another parser on the way read other lines.

Before: "A line of a head that ends with LF alone is rejected at once" failed with TimedOut for each of the four heads.

--- a/src/caller_reader.cc
+++ b/src/caller_reader.cc
@@ -16,6 +16,16 @@
 constexpr size_t MaxLingerBytes = 4 * 1024 * 1024;
 constexpr uint32_t MaxEmptyLines = 8; // before a request
 
+// `Checked`: so many bytes have been checked before.
+bool hasBareLineFeed(std::string_view Text, size_t &Checked) {
+  for (size_t n = Text.find('\n', Checked); n != std::string_view::npos;
+       n = Text.find('\n', n + 1))
+    if (n == 0 || Text[n - 1] != '\r')
+      return true;
+  Checked = Text.size();
+  return false;
+}
+
 } // namespace
 
 RequestReadStatus CallerReader::fill(TimePoint Until) {
@@ -39,10 +49,11 @@
   TimePoint until = Clock::now() + Limits.IdleTimeout;
   bool started = false;
   uint32_t emptyLines = 0;
+  size_t checked = 0;
   size_t end;
   while (true) {
     // Some clients end a body with a CRLF that its length doesn't count.
-    for (; Pending.starts_with("\r\n"); Pending.erase(0, 2))
+    for (; Pending.starts_with("\r\n"); Pending.erase(0, 2), checked = 0)
       if (++emptyLines > MaxEmptyLines)
         return RequestReadStatus::Malformed;
     if (!started && !Pending.empty() && Pending != "\r") {
@@ -50,6 +61,9 @@
       until = Clock::now() + headTime;
     }
     end = Pending.find("\r\n\r\n");
+    // Another parser might take it for the end of a line.
+    if (hasBareLineFeed(std::string_view(Pending).substr(0, end), checked))
+      return RequestReadStatus::Malformed;
     if (end != std::string::npos)
       break;
     if (Pending.size() > Limits.MaxHeadBytes)
--- a/test/caller_reader_test.cc
+++ b/test/caller_reader_test.cc
@@ -97,6 +97,30 @@
   CHECK(reader.readHead(head) == RequestReadStatus::Malformed);
 }
 
+// Such a head was taken for one that isn't whole yet, and timed out.
+TEST_CASE("A line of a head that ends with LF alone is rejected at once") {
+  for (const std::string it :
+       {"GET / HTTP/1.1\nHost: h\n\n", "GET / HTTP/1.1\r\nHost: h\n", "\n",
+        "GET / HTTP/1.1\r\nHost: h\r\n\n"}) {
+    CAPTURE(it);
+    for (size_t piece : {it.size(), size_t(1)}) {
+      SocketPair sockets;
+      ReadLimits values = limits(2000);
+      CallerReader reader(sockets.near(), values);
+      for (size_t i = 0; i < it.size(); i += piece)
+        sendText(sockets.far(), it.substr(i, piece));
+      HttpHead head;
+      CHECK(reader.readHead(head) == RequestReadStatus::Malformed);
+    }
+  }
+  SocketPair sockets;
+  ReadLimits values = limits(2000);
+  CallerReader reader(sockets.near(), values);
+  sendText(sockets.far(), "POST /a HTTP/1.1\r\n\r\n\n\n");
+  HttpHead head;
+  CHECK(reader.readHead(head) == RequestReadStatus::Ok);
+}
+
 TEST_CASE("The limit of a head decides, also for one long field") {
   for (size_t length : {9000, 16300, 17000}) {
     CAPTURE(length);
