Refuse a chunk over the limit as soon as its size is known

A chunk of 0xffffffffffffffff bytes got no answer: the body's size was compared with the limit only for the bytes that had arrived, so the caller waited for the time-out of the body.

The size that a chunk states counts as well, with what the limit leaves.

Before: "A chunk over the limit is rejected before it arrives" failed with TimedOut for a chunk of 0xffffffffffffffff bytes, one of a byte more than the limit, and a second one of a byte more than the limit leaves.

--- a/src/caller_reader.cc
+++ b/src/caller_reader.cc
@@ -108,7 +108,8 @@
     if (!decoder.feed(input, Body))
       return RequestReadStatus::Malformed;
     Pending.erase(0, Pending.size() - input.size());
-    if (Body.size() > Limits.MaxBodyBytes)
+    if (Body.size() > Limits.MaxBodyBytes ||
+        decoder.announcedBytes() > Limits.MaxBodyBytes - Body.size())
       return RequestReadStatus::TooLarge;
     if (HasRoom && Body.size() > room) {
       room = 2 * Body.size();
--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -288,6 +288,11 @@
     Current = State::Done;
 }
 
+uint64_t BodyDecoder::announcedBytes() const {
+  bool inData = Current == State::Data || Current == State::ChunkData;
+  return inData && !UntilClose ? Remaining : 0;
+}
+
 void BodyDecoder::readData(std::string_view &Input, std::string &Out) {
   size_t n = static_cast<size_t>(std::min<uint64_t>(Remaining, Input.size()));
   Out.append(Input.data(), n);
--- a/src/http_header.h
+++ b/src/http_header.h
@@ -66,6 +66,9 @@
   // delimited by it.
   void endOfInput();
   bool complete() const { return Current == State::Done; }
+  // Bytes of content that the current chunk or the length says are still to
+  // come.
+  uint64_t announcedBytes() const;
 
 private:
   enum class State : uint8_t { Data, Size, ChunkData, ChunkEnd, Trailer, Done };
--- a/test/caller_reader_test.cc
+++ b/test/caller_reader_test.cc
@@ -162,6 +162,29 @@
         RequestReadStatus::TooLarge);
 }
 
+// The size of a chunk beyond the limit was known, but the caller got no answer
+// while the chunk didn't come.
+TEST_CASE("A chunk over the limit is rejected before it arrives") {
+  const std::string first = "60\r\n" + std::string(96, 'a') + "\r\n";
+  for (const std::string &it : {std::string("ffffffffffffffff\r\n"),
+                                std::string("65\r\n"), first + "5\r\n"}) {
+    CAPTURE(it);
+    SocketPair sockets;
+    ReadLimits values = limits(2000);
+    CallerReader reader(sockets.near(), values);
+    sendText(sockets.far(), it);
+    std::string body;
+    CHECK(reader.readBody({BodyForm::Chunked, 0}, body) ==
+          RequestReadStatus::TooLarge);
+  }
+  SocketPair sockets;
+  ReadLimits values = limits(2000);
+  CallerReader reader(sockets.near(), values);
+  sendText(sockets.far(), first + "4\r\naaaa\r\n0\r\n\r\n");
+  std::string body;
+  CHECK(reader.readBody({BodyForm::Chunked, 0}, body) == RequestReadStatus::Ok);
+}
+
 TEST_CASE("A body that stalls times out, and one that is cut off is detected") {
   SocketPair sockets;
   ReadLimits values = limits(50);
