Don't share a listening address with another process

Poco's bind() with two arguments sets SO_REUSEPORT besides SO_REUSEADDR. A second process of the same user could listen at the address of an instance, and each got only some of the connections. One that stops listens until it ends but accepts no more, so its share stays unread. The listener for the peers of serve already goes without it.

The listeners for callers, for peers of the gateway, for status and for operators now refuse an address that is in use; the process logs "could not listen" and doesn't start.

Before: "An address that is in use can't be listened at a second time" failed, as the second listener started.

--- a/src/connection_server.cc
+++ b/src/connection_server.cc
@@ -233,7 +233,9 @@
   Impl->ShouldAccept = std::move(ShouldAccept);
   try {
     Impl->Socket.emplace();
-    Impl->Socket->bind(Poco::Net::SocketAddress(Options.Address), true);
+    // No SO_REUSEPORT: a second process could listen too, and either would get
+    // only some of the connections, unread ones while it stops.
+    Impl->Socket->bind(Poco::Net::SocketAddress(Options.Address), true, false);
     Impl->Socket->listen(Options.Backlog);
     for (int i = 0; i < Options.MinThreads; ++i) {
       Worker *added = nullptr;
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -109,7 +109,7 @@
     return true;
   try {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(Address), true);
+    socket.bind(Poco::Net::SocketAddress(Address), true, false);
     socket.listen();
     Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
     params->setMaxThreads(MaxThreads);
--- a/src/operator_listener.cc
+++ b/src/operator_listener.cc
@@ -104,7 +104,7 @@
   }
   try {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(Values->OperatorAddress), true);
+    socket.bind(Poco::Net::SocketAddress(Values->OperatorAddress), true, false);
     socket.listen();
     Pool = std::make_unique<Poco::ThreadPool>("operators", 1, MaxThreads,
                                               IdleSeconds, StackBytes);
--- a/test/connection_server_test.cc
+++ b/test/connection_server_test.cc
@@ -113,6 +113,16 @@
     ::close(it);
 }
 
+// Both listened, and each got only some of the connections.
+TEST_CASE("An address that is in use can't be listened at a second time") {
+  ConnectionServer server;
+  REQUIRE(server.start(options(1, 1), [](StreamSocket &) {}) == "");
+  ConnectionServerOptions same = options(1, 1);
+  same.Address = server.address();
+  ConnectionServer second;
+  CHECK(second.start(same, [](StreamSocket &) {}) != "");
+}
+
 TEST_CASE("A thread that is idle handles the next connection") {
   Gate gate;
   ConnectionServer server;
