Reject requests with more than one Host field

A request with two Host fields was routed by the first, and both went to the server, which might use the other: a caller could so pass a route's host that isn't the one that the server sees. RFC 9112, 3.2, asks for 400. Seen while the Host field of targets in absolute form was replaced.

Before: "A request with two Host fields is rejected" failed for both forms of the target.

--- a/src/http_header.cc
+++ b/src/http_header.cc
@@ -201,6 +201,8 @@
   if (!parseRequestLine(line, Head) || !splitTarget(Head, authority))
     return HeadParseStatus::Malformed;
   HeadParseStatus status = parseFields(Text, MaxFields, Text.size(), Head);
+  if (status == HeadParseStatus::Ok && Head.count("Host") > 1)
+    return HeadParseStatus::Malformed; // RFC 9112, 3.2
   if (status == HeadParseStatus::Ok && !authority.empty()) {
     std::erase_if(Head.Fields, [](const auto &It) {
       return equalsIgnoreCase(It.first, "Host");
--- a/test/http_header_test.cc
+++ b/test/http_header_test.cc
@@ -82,6 +82,16 @@
   }
 }
 
+// It was routed by the first one, while the server, which got both, might have
+// used the other.
+TEST_CASE("A request with two Host fields is rejected") {
+  for (const std::string it : {"/x", "http://h/x"})
+    CHECK_MESSAGE(parseStatusOf("GET " + it +
+                                " HTTP/1.1\r\nHost: h\r\nhost: g\r\n\r\n") ==
+                      HeadParseStatus::Malformed,
+                  it);
+}
+
 TEST_CASE("A target in absolute form without one plain host is rejected") {
   // Guards against a host that another parser would read differently.
   for (const std::string it :
