Ask all keepers of a stream whether somebody may go on

What callers could get: a stream with events of two software versions. A keeper that was out of step while the others learned that nobody may go on with a stream still has the version; it is back in rank some 2 s later, and where it was the first one asked, its record ended the questions. Found by the reviewer, by reading.

Cause: the first answer stood for all answers, though it may be the oldest.

The decision about it does no I/O.

Result: "A keeper's record of a version doesn't hide that nobody may go on" is new: with the questions as they were, the first keeper's version would be taken.

--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -1,6 +1,9 @@
 #include "gateway/decisions/stream_resumption.h"
 
+#include "gateway/decisions/stream_origin_table.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace crocusspur::gateway {
 namespace {
@@ -48,6 +51,20 @@
   return {OnlyVersion, OnlyVersion ? "only version" : "no record"};
 }
 
+std::vector<OriginKnowledge> collectKnowledge(size_t Keepers,
+                                              const AskKeeper &Ask) {
+  std::vector<OriginKnowledge> known;
+  for (size_t i = 0; i < Keepers; ++i) {
+    std::optional<OriginKnowledge> knowledge = Ask(i);
+    if (!knowledge)
+      continue;
+    known.push_back(std::move(*knowledge));
+    if (known.back().Recorded == UncertainVersion)
+      break;
+  }
+  return known;
+}
+
 bool isRecorded(const OriginKnowledge &Own,
                 const std::vector<OriginKnowledge> &Peers) {
   return recordedVersion(Own, Peers).has_value();
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -6,6 +6,7 @@
 
 #include "gateway/decisions/server_registry.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +41,14 @@
                  const std::vector<OriginKnowledge> &Peers,
                  std::optional<VersionKey> OnlyVersion = std::nullopt);
 
+// Asks keepers by their number, in turn, until one knows that nobody may go on:
+// one that was out of step may have missed that, so that another's record of a
+// version doesn't end the questions. `Ask` returns nothing for a keeper that
+// doesn't respond.
+using AskKeeper = std::function<std::optional<OriginKnowledge>(size_t Keeper)>;
+std::vector<OriginKnowledge> collectKnowledge(size_t Keepers,
+                                              const AskKeeper &Ask);
+
 // Whether one of them has a record, so that the only version doesn't matter.
 bool isRecorded(const OriginKnowledge &Own,
                 const std::vector<OriginKnowledge> &Peers);
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -287,27 +287,24 @@
 
 // Runs on the thread of a request.
 std::vector<OriginKnowledge> StreamOriginLinks::askKeepers(StreamKey Stream) {
-  std::vector<OriginKnowledge> known;
   TimePoint until = Clock::now() + TotalQueryTime;
   std::vector<std::string> keepers = Runtime->Peers.keepersOf(nameOf(Stream));
-  keepers.resize(std::min(keepers.size(), MaxKeepersAsked));
   MemberFrame frame;
   frame.Sender = Runtime->ownMember();
   frame.WantedOrigin = Stream;
-  for (const std::string &it : keepers) {
-    if (Clock::now() >= until)
-      break;
-    std::optional<MemberFrame> response =
-        callMember(it, frame, QueryTimeout, &Runtime->Memory);
-    if (!response)
-      Runtime->Peers.onContactFailed(it);
-    if (!response || !response->Origin)
-      continue;
-    known.push_back(*response->Origin);
-    if (known.back().Recorded)
-      break;
-  }
-  return known;
+  return collectKnowledge(std::min(keepers.size(), MaxKeepersAsked),
+                          [&](size_t Keeper) -> std::optional<OriginKnowledge> {
+                            if (Clock::now() >= until)
+                              return std::nullopt;
+                            const std::string &address = keepers[Keeper];
+                            std::optional<MemberFrame> response = callMember(
+                                address, frame, QueryTimeout, &Runtime->Memory);
+                            if (!response) {
+                              Runtime->Peers.onContactFailed(address);
+                              return std::nullopt;
+                            }
+                            return response->Origin;
+                          });
 }
 
 // Runs on the thread of a request. No request shares a read that began before
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -50,8 +50,8 @@
   explicit StreamOrigins(uint64_t Incarnation) : Incarnation(Incarnation) {}
 
   struct Hooks {
-    // Asks the keepers until one has a record. Returns what those that
-    // responded know.
+    // Asks the keepers, until one knows that nobody may go on. Returns what
+    // those that responded know.
     std::function<std::vector<OriginKnowledge>(StreamKey)> AskKeepers;
     // Reads what has changed of the servers from the store and applies it.
     // Returns whether all changes up to now are known then, without a gap.
--- a/test/gateway_stream_resumption_test.cc
+++ b/test/gateway_stream_resumption_test.cc
@@ -205,3 +205,19 @@
     CHECK(decision.RecordedAgo == Milliseconds(70));
   }
 }
+
+// A keeper that was out of step while the others learned that nobody may go on
+// let a stream go on, if it was the first one asked.
+TEST_CASE("A keeper's record of a version doesn't hide that nobody may go on") {
+  const std::vector<std::optional<OriginKnowledge>> keepers = {
+      OriginKnowledge{versionKeyOf("v1")}, std::nullopt, OriginKnowledge{},
+      OriginKnowledge{UncertainVersion}, OriginKnowledge{versionKeyOf("v1")}};
+  size_t asked = 0;
+  std::vector<OriginKnowledge> known =
+      collectKnowledge(keepers.size(), [&](size_t Keeper) {
+        ++asked;
+        return keepers[Keeper];
+      });
+  CHECK_FALSE(decideResumption({}, known).Version.has_value());
+  CHECK(asked == 4); // the last one can't change it
+}
--- a/test/gateway_take_up_model_test.cc
+++ b/test/gateway_take_up_model_test.cc
@@ -254,16 +254,14 @@
       readNews(Item, Now);
       return OriginKnowledge{Item.Origins.find(Stream, Now)};
     };
-    std::vector<OriginKnowledge> peers;
     std::vector<size_t> asked = keepers(Stream, Index, Now);
-    asked.resize(std::min(asked.size(), MaxKeepersAsked));
-    for (size_t it : asked) {
-      if (chance(10))
-        continue;
-      peers.push_back(knowledge(Instances[it]));
-      if (peers.back().Recorded)
-        break;
-    }
+    std::vector<OriginKnowledge> peers =
+        collectKnowledge(std::min(asked.size(), MaxKeepersAsked),
+                         [&](size_t Keeper) -> std::optional<OriginKnowledge> {
+                           if (chance(10))
+                             return std::nullopt;
+                           return knowledge(Instances[asked[Keeper]]);
+                         });
     OriginKnowledge own = knowledge(Instances[Index]);
     const VersionHistory &versions = Instances[Index].Versions;
     std::optional<VersionKey> only =
