--- a/src/http_header.h
+++ b/src/http_header.h
@@ -35,8 +35,8 @@
 
 // `Text` is the head up to and including the empty line. Its length is the
 // reader's to bound: a request's line or field may be as long as its head. A
-// target in absolute form ("http://HOST/PATH") is reduced to its path and query,
-// and its host replaces the Host fields (RFC 9112, 3.2.2).
+// target in absolute form ("http://HOST/PATH") is reduced to its path and
+// query, and its host replaces the Host fields (RFC 9112, 3.2.2).
 HeadParseStatus parseRequestHead(std::string_view Text, size_t MaxFields,
                                  HttpHead &Head);
 HeadParseStatus parseResponseHead(std::string_view Text, HttpHead &Head);
