--- a/test/gateway_caller_framing_process_test.cc
+++ b/test/gateway_caller_framing_process_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-std::string exchange(const std::string &Address, const std::string &Text) {
+std::string roundTrip(const std::string &Address, const std::string &Text) {
   int fd = test::connectTo(Address);
   sendText(fd, Text);
   std::string response = readAll(fd);
@@ -30,7 +30,7 @@
   const std::string &address = fleet.Instances[0].Callers;
   const std::string rest = "Attempt-Id: a1\r\nConnection: close\r\n"
                            "Content-Length: 2\r\n\r\nhi";
-  std::string response = exchange(
+  std::string response = roundTrip(
       address,
       "POST http://a.example/x/1?q=/y HTTP/1.1\r\nHost: b.example\r\n" + rest);
   CHECK(response.starts_with("HTTP/1.1 200"));
@@ -39,7 +39,7 @@
   CHECK(server.count("\r\nHost: a.example\r\n") == 1);
   CHECK(server.count("b.example") == 0);
   CHECK(server.count("\r\n\r\nhi") == 1);
-  response = exchange(
+  response = roundTrip(
       address,
       "GET http://b.example/x/2 HTTP/1.1\r\nHost: a.example\r\n" + rest);
   CHECK(response.starts_with("HTTP/1.1 404"));
