--- a/test/gateway_quota_process_test.cc
+++ b/test/gateway_quota_process_test.cc
@@ -87,6 +87,7 @@
             CHECK(response.find("Retry-After: ") != std::string::npos);
           }
         }
+    MESSAGE("served " << run.size() - before << ", refused " << refused);
     return run.size() - before;
   };
   sendFor(Milliseconds(10000), "");
