Show how a late request in a shutdown was answered when its test fails

A request lasts 1.3 s there and its route permits 1.5 s, so that a delay of 0.2 s would explain it; the output shows neither the response nor its time.

Change: both are printed with a failed check. No check changes.

--- a/test/gateway_late_request_process_test.cc
+++ b/test/gateway_late_request_process_test.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr Milliseconds WorkTime{1300};
 constexpr Milliseconds GraceTime{8000};
 // Before an instance without requests closes.
@@ -61,12 +63,16 @@
   }
   gateway.Process->signal(SIGTERM);
   std::vector<std::string> responses(kept.size());
+  std::vector<Milliseconds> taken(kept.size());
   std::vector<std::thread> callers;
   for (size_t i = 0; i < kept.size(); ++i) {
     callers.emplace_back([&, i] {
       std::this_thread::sleep_for(FirstSend + SendPeriod * static_cast<int>(i));
+      TimePoint sentAt = Clock::now();
       sendRequest(kept[i], "late" + std::to_string(i));
       responses[i] = readAll(kept[i]);
+      taken[i] =
+          std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt);
     });
   }
   for (std::thread &it : callers)
@@ -77,6 +83,8 @@
     std::string line = "GET /x/" + id + " ";
     size_t runs = first.count(line) + second.count(line);
     CAPTURE(id);
+    CAPTURE(taken[i].count());
+    CAPTURE(responses[i].substr(0, responses[i].find('\r')));
     // One that crosses the close of an idle connection isn't passed on.
     CHECK(runs == (responses[i].starts_with("HTTP/1.1 200") ? 1 : 0));
     served += runs;
