Show that streams of a server that is dark for a second are lost

Cause: as a silent run is left, its server's process is asked for its start. Another one than the entry states makes the run one of uncertain version, though its events came from the process before.

The stand-ins start no process any more once a case ends.

--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -98,6 +98,7 @@
     def __init__(self):
         self.server = None
         self.writers = set()
+        self.dark = []  # connections that the other side still takes for open
         self.tasks = set()
 
     async def listen(self, address):
@@ -115,15 +116,28 @@
         finally:
             self.writers.discard(writer)
             self.tasks.discard(task)
-            writer.close()
+            if writer not in self.dark:
+                writer.close()
+
+    async def go_dark(self):
+        """Loses power: nothing that is open says so, and nothing answers any more."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        self.dark.extend(self.writers)
+        for it in list(self.tasks):
+            it.cancel()
+        await asyncio.sleep(0)
+        self.writers.clear()
 
     async def cut(self):
         """Stops listening and resets all connections."""
         if self.server:
             self.server.close()
             self.server = None
-        for it in list(self.writers):
+        for it in [*self.writers, *self.dark]:
             it.transport.abort()
+        self.dark.clear()
         for it in list(self.tasks):
             it.cancel()
         await asyncio.sleep(0)
@@ -430,6 +444,8 @@
 '''
 
     async def start(self):
+        if self.fleet.stopping:
+            return
         log = open(os.path.join(self.fleet.folder, self.name + ".log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, "gateway", "--metrics-port", str(METRICS_PORT),
@@ -506,6 +522,7 @@
         self.store = Store(f"{NET}.2:8142")
         self.store.fleet_record = self.record.line
         self.servers = {}
+        self.stopping = False  # no process is started any more
         self.expiries = []  # of entries of servers that have crashed
         self.counts = []  # what the clients of a case count
         self.routers = [Router(self, i + 1, zones[i % len(zones)]) for i in range(routers)]
@@ -558,6 +575,7 @@
             await asyncio.sleep(1)
 
     async def stop(self):
+        self.stopping = True
         for it in self.expiries:
             it.cancel()
         for it in self.routers:
