Stop routers while they answer, and keep a dark server's connections open

Cause: the kind of rolling stop that the claim of case 12 names stops each machine while it answers a request, and the dark server of case 13 refused new connections, which a silent one doesn't.

Change: each router of case 12 gets a short stream before its SIGTERM, and the case has more streams. A server that is dark accepts connections and answers nothing.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -11,7 +11,7 @@
 from streams import StreamClient, judge_take_ups
 
 GAP_S = 1.0  # between two SIGTERMs
-OPEN = 42  # long streams that are open when the restarts begin
+OPEN = 60  # long streams that are open when the restarts begin
 FIRST_ROUTERS = 3  # that have them; those that are stopped first
 EVENT_S = 0.09
 LONG, SHORT = 135, 10  # events of a stream; 12 s and 0.9 s
@@ -40,12 +40,14 @@
 
         for i in range(OPEN):
             begin("long", fleet.routers[i % FIRST_ROUTERS])
-            await asyncio.sleep(1.2 / OPEN)
+            await asyncio.sleep(1.5 / OPEN)
         struck_at = stand_ins.now()
         if stand_ins.TROUBLE:
             for it in fleet.routers:
+                begin("short", it)  # each is stopped while it answers a request
+                await asyncio.sleep(0.4)
                 restarts.append(asyncio.create_task(it.restart_planned()))
-                await asyncio.sleep(GAP_S)
+                await asyncio.sleep(GAP_S - 0.4)
         else:
             await asyncio.sleep(GAP_S * len(fleet.routers))
         while stand_ins.now() - struck_at < 18:
--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -98,14 +98,21 @@
     def __init__(self):
         self.server = None
         self.writers = set()
+        self.is_dark = False
         self.dark = []  # connections that the other side still takes for open
         self.tasks = set()
 
     async def listen(self, address):
+        self.is_dark = False
+        if self.server:
+            return
         host, port = address.split(":")
         self.server = await asyncio.start_server(self._accept, host, int(port), limit=1 << 20)
 
     async def _accept(self, reader, writer):
+        if self.is_dark:
+            self.dark.append(writer)
+            return
         self.writers.add(writer)
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -120,10 +127,8 @@
                 writer.close()
 
     async def go_dark(self):
-        """Loses power: nothing that is open says so, and nothing answers any more."""
-        if self.server:
-            self.server.close()
-            self.server = None
+        """Turns silent: connections stay open, new ones too, and nothing answers any more."""
+        self.is_dark = True
         self.dark.extend(self.writers)
         for it in list(self.tasks):
             it.cancel()
