Say why nothing follows a broken run, and what is known at a take-up

A broken run that nothing may follow is logged with what the server said and whether the store was read, a failed read with the revision that it asked for, a take-up with its own record and those of peers, and a stop with the records that end with it. New metrics: stream_records and stream_records_dropped_total.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -210,6 +210,8 @@
   // The server of the stream's first run may be known to be replaced only after
   // the run has ended; then nothing follows.
   void confirmFirstRun();
+  void logNothingFollows(const ServerChoice &Server, ProcessCheck Check,
+                         bool EntriesRead) const;
   // Tells other instances, once, that nobody may go on with the stream.
   void recordUncertainty();
   // Called before an answer ends that isn't the whole stream, since its caller
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -220,6 +220,10 @@
                       static_cast<double>(runs.Senders[i].load()));
   Metrics->setGauge("streams_incomplete_total", "",
                     static_cast<double>(runs.Incomplete.load()));
+  StreamOrigins::Counters origins = Runtime->Origins.counters();
+  Metrics->setGauge("stream_records", "", static_cast<double>(origins.Held));
+  Metrics->setGauge("stream_records_dropped_total", "",
+                    static_cast<double>(origins.Dropped));
   CrashMonitor::Counters crashes = Runtime->Crashes.counters();
   Metrics->setGauge("content_crashes_total", "seen",
                     static_cast<double>(crashes.CrashesSeen));
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -37,10 +37,12 @@
   return "stream:" + std::to_string(Stream);
 }
 
-void logUnread(const std::string &Why, const PublishedUpdate &List,
-               const PublishedUpdate &Changes) {
+// `After`: the revision from which changes were asked for; 0: they weren't.
+void logUnread(const std::string &Why, StoreRevision After,
+               const PublishedUpdate &List, const PublishedUpdate &Changes) {
   log(LogLevel::Info, "stream_origins", "changes of servers could not be read",
       {{"why", Why},
+       {"after_revision", std::to_string(After.Number)},
        {"list_revision", std::to_string(List.Revision.Number)},
        {"revision", std::to_string(Changes.Revision.Number)}});
 }
@@ -233,6 +235,10 @@
     Thread.join();
   for (UncertainRecordSender &it : Senders)
     it.join();
+  StreamOrigins::Counters counts = Runtime->Origins.counters();
+  log(LogLevel::Info, "stream_origins", "records of streams end here",
+      {{"held", std::to_string(counts.Held)},
+       {"own", std::to_string(counts.Records)}});
 }
 
 RecordDeliveryPtr StreamOriginLinks::sendUncertain(const StreamOrigin &Record) {
@@ -331,7 +337,7 @@
     list = Reader.ReadAll([this] { return Runtime->Closing.load(); });
   }
   if (!acceptEra(Runtime->Directory, list) || list.Status != ReadStatus::Ok) {
-    logUnread(list.Error, list, {});
+    logUnread(list.Error, {}, list, {});
     return false;
   }
   return readChanges(&list);
@@ -354,7 +360,7 @@
       changes.Revision.Number < known.Number ||
       (List && (List->Revision.Era != known.Era ||
                 changes.Revision.Number < List->Revision.Number))) {
-    logUnread(changes.Error, List ? *List : PublishedUpdate(), changes);
+    logUnread(changes.Error, known, List ? *List : PublishedUpdate(), changes);
     return false;
   }
   const PublishedUpdate *const updates[] = {&changes, List};
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -113,7 +113,9 @@
 
 StreamOrigins::Counters StreamOrigins::counters() const {
   std::lock_guard lock(Mutex);
-  return Counts;
+  Counters counts = Counts;
+  counts.Held = Table.size();
+  return counts;
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -94,6 +94,7 @@
   struct Counters {
     uint64_t Records = 0;
     uint64_t Dropped = 0; // not sent, since too many were waiting
+    size_t Held = 0;      // of all instances, now
   };
   Counters counters() const;
 
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -97,6 +97,7 @@
     ProcessCheck check = checkProcess(Server);
     bool isCurrent = Progress.runConfirmed() || areEntriesCurrent(check);
     if (isRunUncertain(check) || !isCurrent) {
+      logNothingFollows(Server, check, isCurrent);
       Progress.requireNothingFollows();
       recordUncertainty();
     } else if (check == ProcessCheck::Unknown) {
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -26,6 +26,12 @@
 // is waited for, and what the others take.
 constexpr Milliseconds UncertaintyConfirmTimeout{200};
 
+const char *recordText(const OriginKnowledge &Known) {
+  if (!Known.Recorded)
+    return "none";
+  return *Known.Recorded == UncertainVersion ? "uncertain" : "version";
+}
+
 } // namespace
 
 bool RequestHandler::resolveStreamVersion() {
@@ -61,7 +67,13 @@
   all.emplace_back("basis", decision.Basis);
   all.emplace_back("version",
                    decision.Version ? fingerprintText(*decision.Version) : "");
+  all.emplace_back("own_record", recordText(own));
   all.emplace_back("peers", std::to_string(peers.size()));
+  all.emplace_back("peers_with_record",
+                   std::to_string(std::ranges::count_if(
+                       peers, [](const OriginKnowledge &It) {
+                         return It.Recorded.has_value();
+                       })));
   all.emplace_back("caller_left_ms",
                    callerTimeLeft() ? std::to_string(callerTimeLeft()->count())
                                     : "");
@@ -216,6 +228,21 @@
   recordUncertainty();
 }
 
+void RequestHandler::logNothingFollows(const ServerChoice &Server,
+                                       ProcessCheck Check,
+                                       bool EntriesRead) const {
+  const char *const answers[] = {"same", "replaced", "unknown"};
+  internal::LogFields all = fields();
+  all.emplace_back("server", Server.Id);
+  all.emplace_back("server_says", answers[static_cast<size_t>(Check)]);
+  all.emplace_back("entries_read", EntriesRead ? "yes" : "no");
+  all.emplace_back("entries_old",
+                   Context.Directory.entriesMayBeOld() ? "yes" : "no");
+  all.emplace_back("events", std::to_string(Progress.passed()));
+  log(LogLevel::Warn, "request",
+      "nothing may follow a broken run, whose process isn't certain", all);
+}
+
 void RequestHandler::recordUncertainty() {
   if (!Route.Resumable || UncertaintyRecorded || !Progress.versionUncertain())
     return;
