Read changes of servers from the last revision that was read

Changes were asked for from the revision of the last change of a server, which the store had discarded; its 410 counted as a failed read, and the stream was recorded for good as one that nobody may go on with.

The directory keeps the revision up to which no change of servers is missing, and changes are asked for from there. If the store has discarded more, its entries are read, and a run is confirmed only by the entry of its own process, which any process that has registered in between would have replaced.

Tests: streams went on in 0 of 8 cases before, with the history discarded up to the last read and beyond it, and in 8 of 8 now. A list with another process's entry, or without one, lets nobody go on.

--- a/src/gateway/published_source.h
+++ b/src/gateway/published_source.h
@@ -36,6 +36,8 @@
   // The response holds a configuration that can't be used.
   bool IsRoutesInvalid = false;
   uint32_t InvalidServers = 0; // entries that name no usable server
+  // A part of the list was read by an earlier call, which broke off.
+  bool IsResumed = false;
 };
 
 // Polled while a call waits; returns true to cancel it.
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -200,10 +200,10 @@
   // software version isn't known either.
   enum class ProcessCheck : uint8_t { Same, Replaced, Unknown };
   ProcessCheck checkProcess(const ServerChoice &Server);
-  // Whether the known entries are those that the store has now. The store is
-  // asked if nothing but the entry tells which process a server is (`Check` is
-  // Unknown): that it has fallen silent is noticed late.
-  bool areEntriesCurrent(ProcessCheck Check) const;
+  // Whether the entries that are known of the server are those that the store
+  // has now. The store is asked if nothing but the entry tells which process it
+  // is (`Check` is Unknown): that it has fallen silent is noticed late.
+  bool areEntriesCurrent(ProcessCheck Check, const ServerChoice &Server) const;
   // Whether a run that goes on with a stream may be at the server, as its
   // process was found to be.
   bool isChosenProcess(ProcessCheck Check, const ServerChoice &Server) const;
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -434,6 +434,19 @@
   return ListReceived ? ListRevision : StoreRevision();
 }
 
+StoreRevision ServiceDirectory::serversKnownUpTo() const {
+  std::lock_guard lock(Mutex);
+  if (!ListReceived)
+    return {};
+  return KnownUpTo.Era == ListRevision.Era ? std::max(KnownUpTo, ListRevision)
+                                           : ListRevision;
+}
+
+void ServiceDirectory::onServersKnownUpTo(StoreRevision Revision) {
+  std::lock_guard lock(Mutex);
+  KnownUpTo = std::max(KnownUpTo, Revision);
+}
+
 void ServiceDirectory::setStoreReachable(PublishedKind Kind, bool Reachable) {
   std::lock_guard lock(Mutex);
   if (StoreReachable[static_cast<size_t>(Kind)].exchange(Reachable) ==
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -91,6 +91,12 @@
   serversChangedAfter(StoreRevision Since) const;
   // Up to which change the servers are complete; 0: no list was received.
   StoreRevision serversRevision() const;
+  // Up to which revision of the store no change of servers is missing. Beyond
+  // serversRevision() other documents have changed: the store may discard that
+  // change, and those after it remain.
+  StoreRevision serversKnownUpTo() const;
+  // All changes up to the revision have been read and applied.
+  void onServersKnownUpTo(StoreRevision Revision);
 
   // Called when a server's process seems to have ended: it registered with a
   // new start time (`StartedAt`), or without an announced leaving (nothing) its
@@ -308,6 +314,7 @@
   std::map<std::string, StoreRevision> Revisions; // last change, by server
   VersionHistory Versions;
   StoreRevision ListRevision;
+  StoreRevision KnownUpTo; // see serversKnownUpTo(); may be of an earlier era
   StoreRevision ChangesKnownSince; // the last list that showed later changes
   bool ListReceived = false;
   StoreRevision RoutesRevision;
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -153,6 +153,7 @@
                                           Runtime->Directory.serversRevision(),
                                           last, UpdateOrigin::Store);
   }
+  Runtime->Directory.onServersKnownUpTo(Update.Revision);
 }
 
 StoreRevision ServiceDirectoryReader::waitForTurn(PublishedKind Kind) {
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -94,31 +94,35 @@
   RecordDeliveryPtr sendUncertain(const StreamOrigin &Record);
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream);
   bool readListAndChanges();
+  // The changes, or the entries if the store has discarded some of the changes.
+  ServersReading readChangesOrList();
   // Applies what has changed since the known revision, and the list if there is
-  // one. Returns false if some of it may be missing.
-  bool readChanges(const PublishedUpdate *List);
+  // one. Returns Ok if none of it is missing.
+  ReadStatus readChanges(const PublishedUpdate *List);
+  PublishedUpdate readList();
 
   GatewayRuntime *Runtime = nullptr;
   std::thread Thread;
   // To each keeper that may have been sent the stream's version.
   std::array<UncertainRecordSender, MaxKeepersAsked> Senders;
   // Reads by requests, each shared by those that wait for it meanwhile.
-  class SharedRead {
+  template <typename Result> class SharedRead {
   public:
-    explicit SharedRead(std::function<bool()> Read) : Read(std::move(Read)) {}
+    explicit SharedRead(std::function<Result()> Read) : Read(std::move(Read)) {}
     // Returns the result of a read that began after the call.
-    bool await();
+    Result await();
 
   private:
-    const std::function<bool()> Read;
+    const std::function<Result()> Read;
     std::mutex Mutex;  // guards the members below
     TimePoint BegunAt; // of the last read
-    bool Succeeded = false;
+    Result Last{};
   };
   std::mutex ReaderMutex; // guards the reader
   PublishedReader Reader;
-  SharedRead CatchUp{[this] { return readListAndChanges(); }};
-  SharedRead ChangesOnly{[this] { return readChanges(nullptr); }};
+  SharedRead<bool> CatchUp{[this] { return readListAndChanges(); }};
+  SharedRead<ServersReading> ChangesOnly{
+      [this] { return readChangesOrList(); }};
 };
 
 void UncertainRecordSender::start(GatewayRuntime &Owner, size_t KeeperRank) {
@@ -316,14 +320,15 @@
 // Runs on the thread of a request. No request shares a read that began before
 // it asked: in between the instance may have stood still. Those that wait share
 // a failure as well, since a store that is silent takes long to show that.
-bool StreamOriginLinks::SharedRead::await() {
+template <typename Result>
+Result StreamOriginLinks::SharedRead<Result>::await() {
   TimePoint asked = Clock::now();
   std::lock_guard lock(Mutex);
   if (BegunAt <= asked) {
     BegunAt = Clock::now();
-    Succeeded = Read();
+    Last = Read();
   }
-  return Succeeded;
+  return Last;
 }
 
 // A list alone doesn't show servers that have come and gone since this instance
@@ -331,22 +336,47 @@
 bool StreamOriginLinks::readListAndChanges() {
   if (Runtime->Directory.serversRevision().Number == 0)
     return false;
+  PublishedUpdate list = readList();
+  return list.Status == ReadStatus::Ok && readChanges(&list) == ReadStatus::Ok;
+}
+
+PublishedUpdate StreamOriginLinks::readList() {
   PublishedUpdate list;
   {
     std::lock_guard lock(ReaderMutex);
     list = Reader.ReadAll([this] { return Runtime->Closing.load(); });
   }
-  if (!acceptEra(Runtime->Directory, list) || list.Status != ReadStatus::Ok) {
+  if (!acceptEra(Runtime->Directory, list))
+    list.Status = ReadStatus::Unavailable;
+  if (list.Status != ReadStatus::Ok)
     logUnread(list.Error, {}, list, {});
-    return false;
-  }
-  return readChanges(&list);
+  return list;
 }
 
-bool StreamOriginLinks::readChanges(const PublishedUpdate *List) {
+ServersReading StreamOriginLinks::readChangesOrList() {
+  ReadStatus status = readChanges(nullptr);
+  if (status == ReadStatus::Ok)
+    return ServersReading::changes();
+  if (status != ReadStatus::HistoryCompacted)
+    return ServersReading::failed();
   StoreRevision known = Runtime->Directory.serversRevision();
+  PublishedUpdate list = readList();
+  if (list.Status != ReadStatus::Ok || list.IsResumed ||
+      list.Revision.Era != known.Era)
+    return ServersReading::failed();
+  ServersReading::Processes listed;
+  for (const ServerChange &it : list.Servers) {
+    Runtime->Directory.applyServer(it, UpdateOrigin::Store);
+    if (it.Entry)
+      listed[it.Id] = processOf(*it.Entry);
+  }
+  return ServersReading::list(std::move(listed));
+}
+
+ReadStatus StreamOriginLinks::readChanges(const PublishedUpdate *List) {
+  StoreRevision known = Runtime->Directory.serversKnownUpTo();
   if (known.Number == 0)
-    return false;
+    return ReadStatus::Unavailable;
   PublishedUpdate changes;
   {
     std::lock_guard lock(ReaderMutex);
@@ -361,14 +391,16 @@
       (List && (List->Revision.Era != known.Era ||
                 changes.Revision.Number < List->Revision.Number))) {
     logUnread(changes.Error, known, List ? *List : PublishedUpdate(), changes);
-    return false;
+    return changes.Status == ReadStatus::Ok ? ReadStatus::Unavailable
+                                            : changes.Status;
   }
   const PublishedUpdate *const updates[] = {&changes, List};
   for (const PublishedUpdate *update : updates)
     if (update)
       for (const ServerChange &it : update->Servers)
         Runtime->Directory.applyServer(it, UpdateOrigin::Store);
-  return true;
+  Runtime->Directory.onServersKnownUpTo(changes.Revision);
+  return ReadStatus::Ok;
 }
 
 const PluginRegistration Registration{
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -89,8 +89,9 @@
   return Connected.CatchUpServers && Connected.CatchUpServers();
 }
 
-bool StreamOrigins::readServerChanges() const {
-  return !Connected.ReadServerChanges || Connected.ReadServerChanges();
+ServersReading StreamOrigins::readServerChanges() const {
+  return Connected.ReadServerChanges ? Connected.ReadServerChanges()
+                                     : ServersReading::changes();
 }
 
 std::vector<StreamOrigin> StreamOrigins::takeUnsent() {
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -10,6 +10,7 @@
 
 #include "gateway/decisions/stream_origin_table.h"
 #include "gateway/decisions/stream_resumption.h"
+#include "gateway/decisions/streams/servers_reading.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -60,9 +61,8 @@
     // others and of records from before. Doesn't wait.
     std::function<RecordDeliveryPtr(const StreamOrigin &)> SendUncertain;
     // Reads what has changed of the servers since the last change that is
-    // known, in one call, and applies it. Returns whether the store has
-    // responded.
-    std::function<bool()> ReadServerChanges = nullptr;
+    // known, and applies it.
+    std::function<ServersReading()> ReadServerChanges = nullptr;
   };
   // Without hooks there are no peers and no store. Set before the object is
   // used by several threads.
@@ -84,7 +84,8 @@
 
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream) const;
   bool catchUpServers() const;
-  bool readServerChanges() const; // true without a hook
+  // Without a hook nothing has changed.
+  ServersReading readServerChanges() const;
 
   // Waits for records that haven't been sent and returns them; returns none
   // after stop().
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -95,7 +95,7 @@
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
       Progress.begun()) {
     ProcessCheck check = checkProcess(Server);
-    bool isCurrent = Progress.runConfirmed() || areEntriesCurrent(check);
+    bool isCurrent = Progress.runConfirmed() || areEntriesCurrent(check, Server);
     if (isRunUncertain(check) || !isCurrent) {
       logNothingFollows(Server, check, isCurrent);
       Progress.requireNothingFollows();
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -193,14 +193,15 @@
   return ProcessCheck::Replaced;
 }
 
-bool RequestHandler::areEntriesCurrent(ProcessCheck Check) const {
+bool RequestHandler::areEntriesCurrent(ProcessCheck Check,
+                                       const ServerChoice &Server) const {
   return Check != ProcessCheck::Unknown || !Route.Resumable ||
-         Context.Origins.readServerChanges();
+         Context.Origins.readServerChanges().isCurrentFor(processOf(Server));
 }
 
 bool RequestHandler::isChosenProcess(ProcessCheck Check,
                                      const ServerChoice &Server) const {
-  return Check != ProcessCheck::Replaced && areEntriesCurrent(Check) &&
+  return Check != ProcessCheck::Replaced && areEntriesCurrent(Check, Server) &&
          !Context.Directory.isReplaced(Server);
 }
 
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -101,6 +101,11 @@
       remove(key);
 }
 
+void FakeStore::discardHistory() {
+  std::lock_guard lock(Mutex);
+  Current.Discarded = Current.Revision;
+}
+
 void FakeStore::setRevision(uint64_t Value) {
   std::lock_guard lock(Mutex);
   Current.Revision = Value;
@@ -234,22 +239,26 @@
   uint64_t after = std::stoull(Request.substr(Request.find("after=") + 6));
   {
     std::lock_guard lock(Mutex);
-    if (after > Current.Revision)
+    if (after > Current.Revision || after < Current.Discarded)
       return Away ? "" : withEra(httpResponse(410, ""));
   }
   std::string events;
+  uint64_t reached = after; // no change before it is missing
   bool any = false;
   auto end =
       std::chrono::steady_clock::now() +
       Milliseconds(std::stoll(Request.substr(Request.find("wait-ms=") + 8)));
   do {
+    reached = revision();
     events = list(Prefix, after, std::nullopt, any);
     if (any || isRejected(Request))
       break;
     std::this_thread::sleep_for(Milliseconds(5));
   } while (std::chrono::steady_clock::now() < end);
   std::lock_guard lock(Mutex);
-  return Away ? "" : withEra(httpResponse(200, "{\"events\":" + events + "}"));
+  std::string body =
+      "{\"events\":" + events + ",\"at\":" + std::to_string(reached) + "}";
+  return Away ? "" : withEra(httpResponse(200, body));
 }
 
 // Ports of 127.0.0.1 are also used for outgoing connections, so a free one
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -40,6 +40,8 @@
   void restore();
   // Writes again what restore() took back, as the operator and the servers do.
   void writeLostAgain();
+  // Watches from a revision before the present one get 410.
+  void discardHistory();
   void setRevision(uint64_t Value); // as if others had written meanwhile
   uint64_t revision();
   // Calls served so far.
@@ -64,6 +66,7 @@
   };
   struct State {
     uint64_t Revision = 1;
+    uint64_t Discarded = 0; // up to this revision
     std::map<std::string, Item> Items;
   };
 
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -214,6 +214,40 @@
   }
 }
 
+// Before a stream goes on, the changes of servers are read from the store. They
+// were asked for from the last change of a server on, which the store of a calm
+// fleet has discarded: it refused, and nobody could go on with the stream.
+TEST_CASE("A stream that its server breaks goes on after a calm") {
+  constexpr Milliseconds MaxWatch{3000};
+  constexpr int Streams = 8;
+  TwoVersions setup(2);
+  setup.Fleet.Store.put("op/other", "{}");
+  std::this_thread::sleep_for(MaxWatch); // both instances have heard of that
+  setup.Fleet.Store.discardHistory();
+  SUBCASE("with the changes since the last read") {}
+  SUBCASE("with all changes discarded") {
+    setup.Fleet.Store.put("op/other", "{ }");
+    setup.Fleet.Store.discardHistory();
+  }
+  int whole = 0;
+  for (int i = 0; i < Streams; ++i) {
+    for (auto &it : setup.Servers)
+      it->breakNext(1);
+    std::string id = "c" + std::to_string(i);
+    int fd = openStream(setup.Fleet.Instances[static_cast<size_t>(i % 2)], id,
+                        "", "/t/" + id);
+    ReceivedStream stream;
+    stream.add(readAll(fd));
+    ::close(fd);
+    for (auto &it : setup.Servers)
+      it->breakNext(0);
+    CAPTURE(i);
+    CHECK(stream.hasOneVersion());
+    whole += stream.isWhole();
+  }
+  CHECK(whole == Streams);
+}
+
 // The instance that a caller returned to didn't know where the stream began.
 TEST_CASE("A stream that is taken up at another instance keeps its version") {
   TwoVersions setup(3);
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -188,6 +188,40 @@
   CHECK(setup.recorded() == versionKeyOf("v1"));
 }
 
+// Where the store has discarded the changes, its entries are read instead. They
+// don't show a process of another version that has come and gone.
+TEST_CASE("A list of entries confirms a run only by its own process's entry") {
+  UpgradedServer setup(4, "");
+  setup.ReportedStart = 0; // says nothing
+  ServerProcess listed{"d1", 1000, setup.First.address(), "v1"};
+  bool goesOn = false;
+  ServersReading reading = ServersReading::failed();
+  SUBCASE("which it holds") {
+    reading = ServersReading::list({{"d1", listed}});
+    goesOn = true;
+  }
+  SUBCASE("and not by that of a later one of its version") {
+    listed.StartedAt = 2000;
+    reading = ServersReading::list({{"d1", listed}});
+  }
+  SUBCASE("and not by that of a later one of another version") {
+    listed.StartedAt = 2000;
+    listed.Version = "v2";
+    reading = ServersReading::list({{"d1", listed}});
+  }
+  SUBCASE("and not without one") { reading = ServersReading::list({}); }
+  SUBCASE("nor does a read that fails") {}
+  FakeServer sameVersion(setup.continuing());
+  setup.addOther("d2", sameVersion, "v1");
+  if (goesOn) // the server that goes on is asked about as well
+    reading = ServersReading::list(
+        {{"d1", listed}, {"d2", {"d2", 1000, sameVersion.address(), "v1"}}});
+  setup.Gateway.Origins.setHooks({{}, {}, {}, [&] { return reading; }});
+  setup.run();
+  CHECK(runsAt(sameVersion) == (goesOn ? 1 : 0));
+  CHECK(setup.recorded() == (goesOn ? versionKeyOf("v1") : UncertainVersion));
+}
+
 // A server that had started again while the store was away began streams at its
 // new version. Once it fell silent they went on at the version of its entry.
 TEST_CASE("While entries may be old a stream goes on only if its server's "
