Hand records of streams over to instances that stay

The version that began a stream was known to the instance that ran it and to three keepers, in memory, and an instance that stopped passed nothing on.

At SIGTERM an instance sends all records that it keeps to the first instances in rank that don't leave, and at its exit, after the last request has ended, those that have come since, for 250 ms at most. Records received while they are known are handed over again, as their sender counts on the receiver. A record carries its age; that nobody may go on is accepted from a record that looks older. Urgent records are sent until all requests have ended.

--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -224,6 +224,18 @@
   return addresses;
 }
 
+std::vector<std::string> MemberTable::receiversOf(const std::string &Key,
+                                                  TimePoint Now) const {
+  std::set<std::string> leaving; // addresses
+  for (const auto &[name, state] : Members)
+    if (state.Item.Leaving)
+      leaving.insert(state.Item.Address);
+  std::vector<std::string> all = keepersOf(Key, Now);
+  std::ranges::stable_partition(
+      all, [&](const std::string &It) { return !leaving.contains(It); });
+  return all;
+}
+
 ReaderView MemberTable::readerView(const std::string &FailureDomain,
                                    TimePoint Now) const {
   ReaderView view;
--- a/src/gateway/decisions/member_table.h
+++ b/src/gateway/decisions/member_table.h
@@ -124,6 +124,11 @@
   std::vector<std::string> keepersOf(const std::string &Key,
                                      TimePoint Now) const;
 
+  // The same as receivers of what is to be kept: instances that leave are
+  // behind the others.
+  std::vector<std::string> receiversOf(const std::string &Key,
+                                       TimePoint Now) const;
+
   // Returns the other instances of the failure domain that may read the store.
   ReaderView readerView(const std::string &FailureDomain, TimePoint Now) const;
   // Addresses of instances of other failure domains that are likely to read the
--- a/src/gateway/decisions/stream_origin_table.cc
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -3,6 +3,7 @@
 #include "gateway/decisions/stream_resumption.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace crocusspur::gateway {
@@ -36,9 +37,12 @@
   State &state = it->second;
   bool isOlder =
       state.Writer == Record.Writer && Record.Sequence <= state.Sequence;
-  if (!isNew && isOlder)
+  // Also a record that is known: its sender counts on this instance for it.
+  state.HandedOver = false;
+  // Once nobody may go on, no other record changes that. An instance that has
+  // that from two contradictory records hands it over as the later one.
+  if (!isNew && isOlder && Record.Version != UncertainVersion)
     return;
-  // Once nobody may go on, no later record changes that.
   bool replaces = state.Writer == Record.Writer && state.Version != 0;
   if (isNew || replaces)
     state.Version = Record.Version;
@@ -48,7 +52,7 @@
   state.Sequence = Record.Sequence;
   state.Server = Record.Server;
   if (isNew)
-    state.RecordedAt = Now;
+    state.RecordedAt = Now - std::min<Milliseconds>(Record.Age, MaxLifetime);
   TimePoint expiresAt =
       Now + std::min<Milliseconds>(Record.Lifetime, MaxLifetime);
   if (!isNew)
@@ -58,6 +62,19 @@
   expire(Now);
 }
 
+std::vector<StreamOrigin> StreamOriginTable::takeForHandOver(TimePoint Now) {
+  auto since = [Now](TimePoint At) {
+    return std::chrono::duration_cast<Milliseconds>(Now - At);
+  };
+  std::vector<StreamOrigin> all;
+  for (auto &[stream, state] : Streams)
+    if (state.ExpiresAt >= Now && !std::exchange(state.HandedOver, true))
+      all.push_back({stream, state.Version, state.Writer, state.Sequence,
+                     -since(state.ExpiresAt), state.Server,
+                     since(state.RecordedAt)});
+  return all;
+}
+
 std::optional<VersionKey> StreamOriginTable::find(StreamKey Stream,
                                                   TimePoint Now) const {
   std::optional<Record> found = findRecord(Stream, Now);
--- a/src/gateway/decisions/stream_origin_table.h
+++ b/src/gateway/decisions/stream_origin_table.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace crocusspur::gateway {
 
@@ -37,6 +38,7 @@
   // The process that began the stream, as its entry named it; without an id if
   // that process has said itself which one it is.
   ServerProcess Server{};
+  Milliseconds Age{0}; // since the stream's first record
 };
 
 class StreamOriginTable {
@@ -53,6 +55,9 @@
   };
   std::optional<Record> findRecord(StreamKey Stream, TimePoint Now) const;
   size_t size() const { return Streams.size(); }
+  // Returns the records that were added or changed since the last call, to be
+  // kept by other instances.
+  std::vector<StreamOrigin> takeForHandOver(TimePoint Now);
 
 private:
   struct State {
@@ -63,6 +68,7 @@
     TimePoint RecordedAt;
     TimePoint ExpiresAt;
     std::multimap<TimePoint, StreamKey>::iterator Expiry;
+    bool HandedOver = false; // see takeForHandOver()
   };
 
   void expire(TimePoint Now);
--- a/src/gateway/decisions/streams/record_keepers.h
+++ b/src/gateway/decisions/streams/record_keepers.h
@@ -33,6 +33,7 @@
     return {begin, Tried};
   }
   void onConfirmed() { ++Confirmed; }
+  size_t confirmed() const { return Confirmed; }
 
 private:
   size_t Known;
--- a/src/gateway/lifecycle.cc
+++ b/src/gateway/lifecycle.cc
@@ -101,6 +101,7 @@
   ShutdownSchedule schedule{Clock::now(), Runtime->Values.ShutdownLimit};
   Runtime->Shutdown = schedule;
   Runtime->Stopping.store(true);
+  Runtime->Origins.handOver();
   auto limit = std::chrono::duration_cast<Milliseconds>(schedule.exitsAt() -
                                                         schedule.StartedAt);
   log(LogLevel::Info, "lifecycle", "shutting down",
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -421,7 +421,8 @@
   for (const StreamOrigin &it : Frame.Origins)
     origins.push_back(wire::CreateStreamOrigin(
         out, it.Stream, it.Version, it.Writer, it.Sequence,
-        static_cast<uint32_t>(it.Lifetime.count()), pack(out, it.Server)));
+        static_cast<uint32_t>(it.Lifetime.count()), pack(out, it.Server),
+        static_cast<uint32_t>(it.Age.count())));
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::StreamOrigin>>>
       originList;
@@ -588,7 +589,8 @@
     for (const wire::StreamOrigin *it : *in.origins())
       frame.Origins.push_back({it->stream(), it->version(), it->writer(),
                                it->sequence(), Milliseconds(it->lifetime_ms()),
-                               gateway::unpack(it->server())});
+                               gateway::unpack(it->server()),
+                               Milliseconds(it->age_ms())});
   if (const wire::OriginQuery *it = in.origin_query())
     frame.WantedOrigin = it->stream();
   if (in.origin_answer())
--- a/src/gateway/membership.cc
+++ b/src/gateway/membership.cc
@@ -78,6 +78,11 @@
   return Table.keepersOf(Key, Clock::now());
 }
 
+std::vector<std::string> Membership::receiversOf(const std::string &Key) const {
+  std::lock_guard lock(Mutex);
+  return Table.receiversOf(Key, Clock::now());
+}
+
 ReaderView Membership::readerView(const std::string &FailureDomain) const {
   std::lock_guard lock(Mutex);
   return Table.readerView(FailureDomain, Clock::now());
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -30,6 +30,7 @@
   bool isLeader(Milliseconds ForAtLeast);
   KeyOwner ownerOf(const std::string &Key, bool OwnLeaving) const;
   std::vector<std::string> keepersOf(const std::string &Key) const;
+  std::vector<std::string> receiversOf(const std::string &Key) const;
   ReaderView readerView(const std::string &FailureDomain) const;
   std::vector<std::string> otherReaders(const std::string &FailureDomain) const;
   std::string addressOf(const std::string &Name) const;
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -27,6 +27,11 @@
 constexpr size_t MaxUncertainUnsent = 1024;
 // Peers respond from memory, within milliseconds.
 constexpr Milliseconds RecordTimeout{150};
+// A frame of these takes a keeper about a millisecond.
+constexpr size_t MaxRecordsPerFrame = 1024;
+// Of the time that a process has from its exit to SIGKILL, which it also needs
+// to end the answers of its callers.
+constexpr Milliseconds LastHandOverTime{250};
 constexpr Milliseconds QueryTimeout{60};
 // Of all queries for one stream.
 constexpr Milliseconds TotalQueryTime{200};
@@ -77,7 +82,7 @@
 class StreamOriginLinks final : public Plugin {
 public:
   bool start(Kernel &Owner) override;
-  void prepareStop() override;
+  // Until then open requests are ended, which may record something.
   void stop() override;
 
 private:
@@ -89,8 +94,13 @@
 
   void sendRecords();
   // Sends each record to as many keepers as haven't confirmed it yet, the next
-  // ones in rank. Returns false if there was none left to send to.
-  bool sendOnce(std::vector<RecordToSend> &Records);
+  // ones in rank. Returns false if there was none left to send to, or at
+  // `Until`.
+  bool sendOnce(std::vector<RecordToSend> &Records, TimePoint Until);
+  // Returns the number of those that the instance has confirmed, which are the
+  // first ones.
+  size_t sendTo(const std::string &Address,
+                const std::vector<RecordToSend *> &Records, TimePoint Until);
   RecordDeliveryPtr sendUncertain(const StreamOrigin &Record);
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream);
   bool readListAndChanges();
@@ -228,13 +238,10 @@
   return true;
 }
 
-void StreamOriginLinks::prepareStop() {
+void StreamOriginLinks::stop() {
   Runtime->Origins.stop();
   for (UncertainRecordSender &it : Senders)
     it.stop();
-}
-
-void StreamOriginLinks::stop() {
   if (Thread.joinable())
     Thread.join();
   for (UncertainRecordSender &it : Senders)
@@ -253,23 +260,36 @@
 }
 
 void StreamOriginLinks::sendRecords() {
-  while (true) {
-    std::vector<StreamOrigin> records = Runtime->Origins.takeUnsent();
-    if (records.empty())
-      return;
+  while (std::optional<StreamOrigins::Unsent> unsent =
+             Runtime->Origins.takeUnsent()) {
+    TimePoint started = Clock::now();
+    TimePoint until =
+        unsent->IsLast ? started + LastHandOverTime : TimePoint::max();
     std::vector<RecordToSend> all;
-    for (const StreamOrigin &it : records) {
+    for (const StreamOrigin &it : unsent->Records) {
       std::vector<std::string> ranked =
-          Runtime->Peers.keepersOf(nameOf(it.Stream));
+          Runtime->Peers.receiversOf(nameOf(it.Stream));
       size_t known = ranked.size();
       all.push_back({it, std::move(ranked), RecordKeepers(known)});
     }
-    while (sendOnce(all)) {
+    while (sendOnce(all, until)) {
     }
+    if (!unsent->IsHandOver)
+      continue;
+    auto kept = std::ranges::count_if(
+        all, [](const RecordToSend &It) { return It.Keepers.confirmed() > 0; });
+    auto taken =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
+    log(LogLevel::Info, "stream_origins", "records of streams handed over",
+        {{"records", std::to_string(all.size())},
+         {"kept_by_others", std::to_string(kept)},
+         {"at", unsent->IsLast ? "exit" : "signal"},
+         {"taken_ms", std::to_string(taken.count())}});
   }
 }
 
-bool StreamOriginLinks::sendOnce(std::vector<RecordToSend> &Records) {
+bool StreamOriginLinks::sendOnce(std::vector<RecordToSend> &Records,
+                                 TimePoint Until) {
   std::map<std::string, std::vector<RecordToSend *>> byKeeper; // by address
   for (RecordToSend &it : Records) {
     RecordKeepers::Ranks ranks = it.Keepers.next();
@@ -277,22 +297,37 @@
       byKeeper[it.Ranked[i]].push_back(&it);
   }
   for (const auto &[address, items] : byKeeper) {
-    MemberFrame frame;
-    frame.Sender = Runtime->ownMember();
-    for (const RecordToSend *it : items)
-      frame.Origins.push_back(it->Record);
-    if (callMember(address, frame, RecordTimeout, &Runtime->Memory)) {
-      for (RecordToSend *it : items)
-        it->Keepers.onConfirmed();
+    size_t confirmed = sendTo(address, items, Until);
+    for (size_t i = 0; i < confirmed; ++i)
+      items[i]->Keepers.onConfirmed();
+    if (confirmed == items.size())
       continue;
-    }
-    Runtime->Peers.onContactFailed(address);
     log(LogLevel::Info, "stream_origins",
         "peer did not confirm records of streams; sending them to the next "
         "keepers",
-        {{"peer", address}, {"records", std::to_string(items.size())}});
+        {{"peer", address},
+         {"records", std::to_string(items.size() - confirmed)}});
+  }
+  return !byKeeper.empty() && Clock::now() < Until;
+}
+
+size_t StreamOriginLinks::sendTo(const std::string &Address,
+                                 const std::vector<RecordToSend *> &Records,
+                                 TimePoint Until) {
+  size_t confirmed = 0;
+  while (confirmed < Records.size() && Clock::now() < Until) {
+    size_t end = std::min(Records.size(), confirmed + MaxRecordsPerFrame);
+    MemberFrame frame;
+    frame.Sender = Runtime->ownMember();
+    for (size_t i = confirmed; i < end; ++i)
+      frame.Origins.push_back(Records[i]->Record);
+    if (!callMember(Address, frame, RecordTimeout, &Runtime->Memory)) {
+      Runtime->Peers.onContactFailed(Address);
+      break;
+    }
+    confirmed = end;
   }
-  return !byKeeper.empty();
+  return confirmed;
 }
 
 // Runs on the thread of a request.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -1,5 +1,7 @@
 #include "gateway/stream_origins.h"
 
+#include <utility>
+
 namespace crocusspur::gateway {
 namespace {
 
@@ -40,9 +42,9 @@
                            Milliseconds Lifetime, const ServerProcess &Server) {
   {
     std::lock_guard lock(Mutex);
-    Unsent.push_back(addOwn(Stream, Version, Lifetime, Server));
-    if (Unsent.size() > MaxUnsent) {
-      Unsent.pop_front();
+    Waiting.push_back(addOwn(Stream, Version, Lifetime, Server));
+    if (Waiting.size() > MaxUnsent) {
+      Waiting.pop_front();
       ++Counts.Dropped;
     }
   }
@@ -94,14 +96,29 @@
                                      : ServersReading::changes();
 }
 
-std::vector<StreamOrigin> StreamOrigins::takeUnsent() {
+void StreamOrigins::handOver() {
+  {
+    std::lock_guard lock(Mutex);
+    HandOverWanted = true;
+  }
+  Wake.notify_all();
+}
+
+std::optional<StreamOrigins::Unsent> StreamOrigins::takeUnsent() {
   std::unique_lock lock(Mutex);
-  Wake.wait(lock, [this] { return Stopped || !Unsent.empty(); });
-  std::vector<StreamOrigin> all;
-  if (!Stopped)
-    all.assign(Unsent.begin(), Unsent.end());
-  Unsent.clear();
-  return all;
+  Wake.wait(lock,
+            [this] { return Stopped || HandOverWanted || !Waiting.empty(); });
+  if (LastTaken)
+    return std::nullopt;
+  Unsent taken;
+  taken.IsLast = LastTaken = Stopped;
+  taken.IsHandOver = std::exchange(HandOverWanted, false) || Stopped;
+  if (taken.IsHandOver) // own records that wait are among them
+    taken.Records = Table.takeForHandOver(Clock::now());
+  else
+    taken.Records.assign(Waiting.begin(), Waiting.end());
+  Waiting.clear();
+  return taken;
 }
 
 void StreamOrigins::stop() {
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -87,9 +87,16 @@
   // Without a hook nothing has changed.
   ServersReading readServerChanges() const;
 
-  // Waits for records that haven't been sent and returns them; returns none
-  // after stop().
-  std::vector<StreamOrigin> takeUnsent();
+  // The instance stops: what it keeps is to be sent to instances that stay.
+  void handOver();
+  struct Unsent {
+    std::vector<StreamOrigin> Records;
+    bool IsHandOver = false; // records of all instances
+    bool IsLast = false;     // the instance is about to exit
+  };
+  // Waits for records that haven't been sent and returns them. After stop()
+  // returns what is to be handed over since the last time, then nothing.
+  std::optional<Unsent> takeUnsent();
   void stop();
 
   struct Counters {
@@ -109,10 +116,12 @@
   mutable std::mutex Mutex;
   std::condition_variable Wake;
   StreamOriginTable Table;
-  std::deque<StreamOrigin> Unsent;
+  std::deque<StreamOrigin> Waiting; // to be sent
   uint64_t LastSequence = 0;
   Counters Counts;
+  bool HandOverWanted = false;
   bool Stopped = false;
+  bool LastTaken = false; // by takeUnsent()
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1235,7 +1235,8 @@
     VT_WRITER = 8,
     VT_SEQUENCE = 10,
     VT_LIFETIME_MS = 12,
-    VT_SERVER = 14
+    VT_SERVER = 14,
+    VT_AGE_MS = 16
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -1255,6 +1256,9 @@
   const crocusspur::gateway::wire::ServerProcess *server() const {
     return GetPointer<const crocusspur::gateway::wire::ServerProcess *>(VT_SERVER);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -1264,6 +1268,7 @@
            VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyTable(server()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1290,6 +1295,9 @@
   void add_server(flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server) {
     fbb_.AddOffset(StreamOrigin::VT_SERVER, server);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(StreamOrigin::VT_AGE_MS, age_ms, 0);
+  }
   explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1308,12 +1316,14 @@
     uint64_t writer = 0,
     uint64_t sequence = 0,
     uint32_t lifetime_ms = 0,
-    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0) {
+    flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0,
+    uint32_t age_ms = 0) {
   StreamOriginBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_writer(writer);
   builder_.add_version(version);
   builder_.add_stream(stream);
+  builder_.add_age_ms(age_ms);
   builder_.add_server(server);
   builder_.add_lifetime_ms(lifetime_ms);
   return builder_.Finish();
--- a/test/gateway_member_table_test.cc
+++ b/test/gateway_member_table_test.cc
@@ -200,3 +200,25 @@
   table.onMemberSeen(memberOf(2), Start);
   CHECK(table.ownerOf("k", false, Start).Known);
 }
+
+// Records that were sent to instances that were about to exit ended with them.
+TEST_CASE("Instances that leave are the last to receive what is to be kept") {
+  MemberTable table("n1", "10.0.0.1:1", 7);
+  for (int i = 2; i <= 8; ++i)
+    table.onMemberSeen(memberOf(i), Start);
+  const std::vector<std::string> keepers = table.keepersOf("k", at(0));
+  REQUIRE(keepers.size() == 7);
+  CHECK(table.receiversOf("k", at(0)) == keepers);
+  for (int i = 2; i <= 8; ++i) {
+    Member member = memberOf(i);
+    member.Leaving =
+        member.Address == keepers[0] || member.Address == keepers[2];
+    member.StateVersion = 1;
+    table.onMemberSeen(member, at(1));
+  }
+  const std::vector<std::string> expected = {keepers[1], keepers[3], keepers[4],
+                                             keepers[5], keepers[6], keepers[0],
+                                             keepers[2]};
+  CHECK(table.receiversOf("k", at(1)) == expected);
+  CHECK(table.keepersOf("k", at(1)) == keepers); // they may be asked still
+}
--- a/test/gateway_stream_resumption_test.cc
+++ b/test/gateway_stream_resumption_test.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/decisions/stream_origin_table.h"
 #include "gateway/decisions/version_history.h"
+#include "gateway/stream_origins.h"
 
 #include <doctest/doctest.h>
 
@@ -153,6 +154,66 @@
   CHECK(table.find(7, at(1)) == VersionKey(0));
 }
 
+// An instance that stops hands its records over. A receiver that has one of two
+// contradictory records let the stream go on at that one's version.
+TEST_CASE("A record that is handed over says all that its keeper knew") {
+  StreamOriginTable former;
+  former.add(record(V1, 1, 1), at(0));
+  StreamOriginTable receiver;
+  std::vector<StreamOrigin> handedOver = former.takeForHandOver(at(3));
+  REQUIRE(handedOver.size() == 1);
+  CHECK(handedOver.front().Lifetime == Milliseconds(2000));
+  receiver.add(handedOver.front(), at(3));
+  REQUIRE(receiver.findRecord(7, at(4)));
+  CHECK(receiver.findRecord(7, at(4))->Version == V1);
+  CHECK(receiver.findRecord(7, at(4))->Age == Milliseconds(4000));
+  CHECK_FALSE(receiver.find(7, at(6)));
+  // Only what has changed since is handed over again.
+  CHECK(former.takeForHandOver(at(3)).empty());
+  // An instance that stops as well may have sent it here meanwhile.
+  former.add(record(V1, 1, 1), at(3));
+  CHECK(former.takeForHandOver(at(3)).size() == 1);
+  former.add(record(V2, 2, 1), at(3));
+  handedOver = former.takeForHandOver(at(4));
+  REQUIRE(handedOver.size() == 1);
+  SUBCASE("to one without a record") {}
+  SUBCASE("to one with the first of two") {
+    receiver.add(record(V1, 1, 1), at(4));
+  }
+  SUBCASE("to one with the second of two") {
+    receiver = StreamOriginTable();
+    receiver.add(record(V2, 2, 1), at(4));
+  }
+  receiver.add(handedOver.front(), at(4));
+  CHECK(receiver.find(7, at(5)) == UncertainVersion);
+  receiver.add(record(V2, 2, 2), at(5));
+  CHECK(receiver.find(7, at(5)) == UncertainVersion);
+}
+
+TEST_CASE("StreamOrigins hands records over once more at its stop") {
+  StreamOrigins origins(1);
+  origins.record(7, V1, Milliseconds(60000));
+  std::optional<StreamOrigins::Unsent> taken = origins.takeUnsent();
+  REQUIRE(taken);
+  CHECK(taken->Records.size() == 1);
+  CHECK_FALSE(taken->IsHandOver);
+  origins.add({8, V2, 2, 1, Milliseconds(60000)}); // of another instance
+  origins.handOver();
+  taken = origins.takeUnsent();
+  REQUIRE(taken);
+  CHECK(taken->IsHandOver);
+  CHECK(taken->Records.size() == 2);
+  origins.recordUncertain(7, Milliseconds(60000));
+  origins.stop();
+  taken = origins.takeUnsent();
+  REQUIRE(taken);
+  CHECK(taken->IsLast);
+  REQUIRE(taken->Records.size() == 1);
+  CHECK(taken->Records.front().Stream == 7);
+  CHECK(taken->Records.front().Version == UncertainVersion);
+  CHECK_FALSE(origins.takeUnsent());
+}
+
 TEST_CASE("StreamOriginTable is bounded") {
   StreamOriginTable table;
   for (uint64_t i = 0; i < 70000; ++i)
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -170,9 +170,10 @@
   }
 
   // Begins a stream and breaks it off on the caller's side after three events.
-  ReceivedStream begin(size_t Instance, const std::string &Id) {
+  ReceivedStream begin(size_t Instance, const std::string &Id,
+                       Milliseconds TimeLeft = Milliseconds(14000)) {
     ReceivedStream stream;
-    int fd = openStream(Fleet.Instances[Instance], Id, "");
+    int fd = openStream(Fleet.Instances[Instance], Id, "", "/t/x", TimeLeft);
     std::string text = readUntil(fd, "\n\n");
     text += readUntil(fd, "\n\n");
     text += readUntil(fd, "\n\n");
@@ -423,6 +424,84 @@
   }
 }
 
+// Only the instance that ran a stream and its keepers knew its version, and
+// took that with them: after a planned restart of all instances, one after the
+// other, no stream from before could be taken up.
+TEST_CASE("A stream keeps its version while all instances are restarted") {
+  constexpr Milliseconds Gap{1000};
+  constexpr Milliseconds MaxRestartTime{30000}; // of all
+  constexpr Milliseconds Poll{20};
+  constexpr Milliseconds CallerTime{60000};
+  constexpr size_t Instances = 5;
+  constexpr int Streams = 8;
+  TwoVersions setup(Instances);
+  auto replaceAll = [&](int64_t StartedAt) {
+    setup.replaceAll(StartedAt);
+    const std::string known = std::to_string(StartedAt);
+    for (const GatewayInstance &it : setup.Fleet.Instances)
+      REQUIRE(test::eventually(
+          [&] { return it.Process->output().find(known) != std::string::npos; },
+          WaitTimeout));
+  };
+  // Nobody may go on with this one, at any version.
+  const std::string uncertain = "pu";
+  for (auto &it : setup.Servers) {
+    it->breakNext(1);
+    it->setHeld(true);
+  }
+  int fd =
+      openStream(setup.Fleet.Instances[0], uncertain, "", "/t/pu", CallerTime);
+  std::string text = readUntil(fd, "\n\n");
+  text += readUntil(fd, "\n\n");
+  replaceAll(1764000000124);
+  for (auto &it : setup.Servers)
+    it->setHeld(false);
+  text += readAll(fd);
+  ::close(fd);
+  ReceivedStream mixed;
+  mixed.add(text);
+  REQUIRE(mixed.Events.size() == 4);
+  for (auto &it : setup.Servers)
+    it->breakNext(0);
+  replaceAll(1764000000125); // as they were
+  std::vector<ReceivedStream> streams;
+  for (int i = 0; i < Streams; ++i)
+    streams.push_back(setup.begin(static_cast<size_t>(i) % 2,
+                                  "p" + std::to_string(i), CallerTime));
+  // By this thread, with which its child processes end.
+  std::vector<GatewayInstance> &all = setup.Fleet.Instances;
+  auto begunAt = Clock::now();
+  size_t stopped = 0;
+  for (size_t started = 0; started < Instances;) {
+    REQUIRE(Clock::now() - begunAt < MaxRestartTime);
+    if (stopped < Instances && Clock::now() - begunAt >= stopped * Gap)
+      all[stopped++].Process->signal(SIGTERM);
+    if (started < stopped && all[started].Process->waitForExit(Poll))
+      setup.Fleet.start(all[started++]);
+  }
+  for (const GatewayInstance &it : setup.Fleet.Instances)
+    REQUIRE(GatewayFleet::waitForReady(it));
+  REQUIRE(setup.Fleet.waitForState(
+      "\"instances\":" + std::to_string(Instances) + ",", WaitTimeout));
+  for (int i = 0; i < Streams; ++i) {
+    CAPTURE(i);
+    std::string first = "p" + std::to_string(i);
+    ReceivedStream &stream = streams[static_cast<size_t>(i)];
+    setup.resume(stream, static_cast<size_t>(i) % Instances, first + "r",
+                 first);
+    CHECK(stream.Status == 200);
+    CHECK(stream.hasOneVersion());
+    CHECK(stream.isWhole());
+  }
+  size_t events = mixed.Events.size();
+  for (size_t n = 0; n < Instances; ++n) {
+    CAPTURE(n);
+    setup.resume(mixed, n, uncertain + std::to_string(n), uncertain, "/t/pu");
+    CHECK(mixed.Status == 503);
+    CHECK(mixed.Events.size() == events);
+  }
+}
+
 // Whoever was asked right after the answer's end went on at the former version.
 TEST_CASE("A stream of uncertain version is refused right after its end") {
   TwoVersions setup(3);
