--- a/src/gateway/decisions/stream_origin_table.cc
+++ b/src/gateway/decisions/stream_origin_table.cc
@@ -35,23 +35,21 @@
 void StreamOriginTable::add(const StreamOrigin &Record, TimePoint Now) {
   auto [it, isNew] = Streams.try_emplace(Record.Stream);
   State &state = it->second;
-  bool isOlder =
-      state.Writer == Record.Writer && Record.Sequence <= state.Sequence;
+  StreamOrigin &latest = state.Latest;
+  bool isOwn = latest.Writer == Record.Writer; // of the writer of the latest
+  bool isOlder = isOwn && Record.Sequence <= latest.Sequence;
   // Also a record that is known: its sender counts on this instance for it.
   state.HandedOver = false;
   // Once nobody may go on, no other record changes that. An instance that has
   // that from two contradictory records hands it over as the later one.
-  if (!isNew && isOlder && Record.Version != UncertainVersion)
+  if (!isNew && isOlder && !Record.isFinal())
     return;
-  bool replaces = state.Writer == Record.Writer && state.Version != 0;
-  if (isNew || replaces)
-    state.Version = Record.Version;
-  else if (state.Version != Record.Version)
-    state.Version = 0;
-  state.Writer = Record.Writer;
-  state.Sequence = Record.Sequence;
-  state.Server = Record.Server;
-  if (isNew)
+  bool contradicts = !isNew && (!isOwn || latest.isFinal()) &&
+                     latest.possibleVersion() != Record.possibleVersion();
+  latest = Record;
+  if (contradicts)
+    latest.Version = latest.UnprovenVersion = 0;
+  if (isNew || latest.UnprovenVersion != 0)
     state.RecordedAt = Now - std::min<Milliseconds>(Record.Age, MaxLifetime);
   TimePoint expiresAt =
       Now + std::min<Milliseconds>(Record.Lifetime, MaxLifetime);
@@ -68,10 +66,11 @@
   };
   std::vector<StreamOrigin> all;
   for (auto &[stream, state] : Streams)
-    if (state.ExpiresAt >= Now && !std::exchange(state.HandedOver, true))
-      all.push_back({stream, state.Version, state.Writer, state.Sequence,
-                     -since(state.ExpiresAt), state.Server,
-                     since(state.RecordedAt)});
+    if (state.ExpiresAt >= Now && !std::exchange(state.HandedOver, true)) {
+      all.push_back(state.Latest);
+      all.back().Lifetime = -since(state.ExpiresAt);
+      all.back().Age = since(state.RecordedAt);
+    }
   return all;
 }
 
@@ -88,8 +87,9 @@
     return std::nullopt;
   const State &state = it->second;
   return Record{
-      state.Version, state.Server,
-      std::chrono::duration_cast<Milliseconds>(Now - state.RecordedAt)};
+      state.Latest.Version, state.Latest.Server,
+      std::chrono::duration_cast<Milliseconds>(Now - state.RecordedAt),
+      state.Latest.UnprovenVersion};
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/stream_origin_table.h
+++ b/src/gateway/decisions/stream_origin_table.h
@@ -38,20 +38,33 @@
   // The process that began the stream, as its entry named it; without an id if
   // that process has said itself which one it is.
   ServerProcess Server{};
-  Milliseconds Age{0}; // since the stream's first record
+  // Since the stream's first record, or since its run was sent if it is
+  // unproven.
+  Milliseconds Age{0};
+  // With UncertainVersion: the version if the run that began the stream was at
+  // `Server`, which couldn't be shown when it broke off. Whoever takes the
+  // stream up has to show it. 0: nobody may go on.
+  VersionKey UnprovenVersion = 0;
+
+  // Whether nobody may go on, whatever becomes known.
+  bool isFinal() const { return Version == 0 && UnprovenVersion == 0; }
+  VersionKey possibleVersion() const {
+    return Version != 0 ? Version : UnprovenVersion;
+  }
 };
 
 class StreamOriginTable {
 public:
   void add(const StreamOrigin &Record, TimePoint Now);
   // Returns the version, UncertainVersion if two instances recorded different
-  // ones, or nothing if there is no record.
+  // ones or if it is unproven, or nothing if there is no record.
   std::optional<VersionKey> find(StreamKey Stream, TimePoint Now) const;
   // The same with what the latest record says besides.
   struct Record {
     VersionKey Version = UncertainVersion;
     ServerProcess Server;
-    Milliseconds Age{0}; // since the stream's first record
+    Milliseconds Age{0}; // see StreamOrigin
+    VersionKey UnprovenVersion = 0;
   };
   std::optional<Record> findRecord(StreamKey Stream, TimePoint Now) const;
   size_t size() const { return Streams.size(); }
@@ -61,10 +74,7 @@
 
 private:
   struct State {
-    VersionKey Version = 0; // 0: different ones
-    uint64_t Writer = 0;
-    uint64_t Sequence = 0;
-    ServerProcess Server;
+    StreamOrigin Latest; // its version is 0 after contradictory records
     TimePoint RecordedAt;
     TimePoint ExpiresAt;
     std::multimap<TimePoint, StreamKey>::iterator Expiry;
--- a/src/gateway/decisions/stream_resumption.cc
+++ b/src/gateway/decisions/stream_resumption.cc
@@ -16,16 +16,21 @@
 // time between two heartbeats, and the way of the change.
 constexpr Milliseconds LatestEntry{1500};
 
+std::optional<VersionKey> possibleVersion(const OriginKnowledge &Known) {
+  return Known.UnprovenVersion != 0 ? Known.UnprovenVersion : Known.Recorded;
+}
+
 std::optional<VersionKey>
 recordedVersion(const OriginKnowledge &Own,
                 const std::vector<OriginKnowledge> &Peers) {
-  std::optional<VersionKey> found = Own.Recorded;
+  std::optional<VersionKey> found = possibleVersion(Own);
   for (const OriginKnowledge &it : Peers) {
-    if (!it.Recorded)
+    std::optional<VersionKey> version = possibleVersion(it);
+    if (!version)
       continue;
-    if (found && *found != *it.Recorded)
+    if (found && *found != *version)
       return VersionKey(0);
-    found = it.Recorded;
+    found = version;
   }
   return found;
 }
@@ -40,12 +45,17 @@
       return {std::nullopt, "contradictory records"};
     ResumptionDecision decision{recorded, "recorded"};
     const OriginKnowledge *source = Own.Recorded ? &Own : nullptr;
-    // A process that isn't certain for one of them is in doubt.
-    for (const OriginKnowledge &it : Peers)
-      if (it.Recorded && (!source || source->Server.Id.empty()))
+    // A process that isn't certain for one of them is in doubt, and has to be
+    // shown if it isn't proven for one.
+    for (const OriginKnowledge &it : Peers) {
+      bool isProven = !source || source->UnprovenVersion == 0;
+      if (it.Recorded && (!source || source->Server.Id.empty() ||
+                          (isProven && it.UnprovenVersion != 0)))
         source = &it;
+    }
     decision.Server = source->Server;
     decision.RecordedAgo = source->RecordedAgo;
+    decision.IsUnproven = source->UnprovenVersion != 0;
     return decision;
   }
   return {OnlyVersion, OnlyVersion ? "only version" : "no record"};
@@ -59,7 +69,7 @@
     if (!knowledge)
       continue;
     known.push_back(std::move(*knowledge));
-    if (known.back().Recorded == UncertainVersion)
+    if (known.back().isFinal())
       break;
   }
   return known;
--- a/src/gateway/decisions/stream_resumption.h
+++ b/src/gateway/decisions/stream_resumption.h
@@ -21,6 +21,12 @@
   // certain, and the time since.
   ServerProcess Server{};
   Milliseconds RecordedAgo{0};
+  VersionKey UnprovenVersion = 0; // see StreamOrigin
+
+  // Whether it is known that nobody may go on.
+  bool isFinal() const {
+    return Recorded == VersionKey(0) && UnprovenVersion == 0;
+  }
 };
 
 struct ResumptionDecision {
@@ -29,6 +35,8 @@
   // Of the record, if that is the basis; see OriginKnowledge.
   ServerProcess Server{};
   Milliseconds RecordedAgo{0};
+  // The version holds only if the stream is shown to have begun at `Server`.
+  bool IsUnproven = false;
 };
 
 // `Own` is this instance's knowledge and `Peers` that of the peers that
--- a/src/gateway/decisions/streams/stream_progress.cc
+++ b/src/gateway/decisions/streams/stream_progress.cc
@@ -92,6 +92,10 @@
   return Speaks;
 }
 
+void StreamProgress::confirm(RunNumber Run) {
+  Confirmed = Confirmed || speaks(Run);
+}
+
 RunFault StreamProgress::judge(std::string_view Event) {
   if (Passed == 0 && Event.starts_with(internal::ByteOrderMarkBytes))
     Event.remove_prefix(internal::ByteOrderMarkBytes.size());
--- a/src/gateway/decisions/streams/stream_progress.h
+++ b/src/gateway/decisions/streams/stream_progress.h
@@ -108,6 +108,8 @@
   // of another version that has left no trace. Returns false if the run was
   // given up.
   bool onServerReplaced(RunNumber Run, VersionKey NewVersion);
+  // The process of the run has said which one it is.
+  void confirm(RunNumber Run);
   // Nothing may follow the events so far: their version can't be told.
   void requireNothingFollows() { Uncertain = true; }
 
--- a/src/gateway/member_codec.cc
+++ b/src/gateway/member_codec.cc
@@ -347,7 +347,7 @@
   return wire::CreateOriginAnswer(
       Out, Item.Recorded.has_value(), Item.Recorded.value_or(0),
       /*has_sole_version=*/false, /*sole_version=*/0, server,
-      static_cast<uint32_t>(Item.RecordedAgo.count()));
+      static_cast<uint32_t>(Item.RecordedAgo.count()), Item.UnprovenVersion);
 }
 
 OriginKnowledge unpack(const wire::OriginAnswer &Item) {
@@ -356,6 +356,7 @@
     known.Recorded = Item.version();
   known.Server = gateway::unpack(Item.server());
   known.RecordedAgo = Milliseconds(Item.recorded_ago_ms());
+  known.UnprovenVersion = Item.unproven_version();
   return known;
 }
 
@@ -422,7 +423,7 @@
     origins.push_back(wire::CreateStreamOrigin(
         out, it.Stream, it.Version, it.Writer, it.Sequence,
         static_cast<uint32_t>(it.Lifetime.count()), pack(out, it.Server),
-        static_cast<uint32_t>(it.Age.count())));
+        static_cast<uint32_t>(it.Age.count()), it.UnprovenVersion));
   flatbuffers::Offset<
       flatbuffers::Vector<flatbuffers::Offset<wire::StreamOrigin>>>
       originList;
@@ -587,10 +588,10 @@
                                       Milliseconds(it->duration_ms())};
   if (in.origins())
     for (const wire::StreamOrigin *it : *in.origins())
-      frame.Origins.push_back({it->stream(), it->version(), it->writer(),
-                               it->sequence(), Milliseconds(it->lifetime_ms()),
-                               gateway::unpack(it->server()),
-                               Milliseconds(it->age_ms())});
+      frame.Origins.push_back(
+          {it->stream(), it->version(), it->writer(), it->sequence(),
+           Milliseconds(it->lifetime_ms()), gateway::unpack(it->server()),
+           Milliseconds(it->age_ms()), it->unproven_version()});
   if (const wire::OriginQuery *it = in.origin_query())
     frame.WantedOrigin = it->stream();
   if (in.origin_answer())
--- /dev/null
+++ b/src/gateway/process_proofs.cc
@@ -0,0 +1,52 @@
+#include "gateway/process_proofs.h"
+
+#include <algorithm>
+
+namespace crocusspur::gateway {
+namespace {
+
+// Longer than a process takes to answer, or not to.
+constexpr Milliseconds QuestionPeriod{500};
+// Runs that began before the last question are proven by it as long as they
+// last.
+constexpr std::chrono::minutes Retention{30};
+constexpr size_t MaxProcesses = 4096; // beyond it, old ones are forgotten
+
+} // namespace
+
+ProcessProofs::State &ProcessProofs::stateOf(const ServerProcess &Process,
+                                             TimePoint Now) {
+  if (Processes.size() >= MaxProcesses)
+    std::erase_if(Processes, [Now](const auto &It) {
+      return Now - std::max(It.second.ConfirmedAt, It.second.AskedAt) >
+             Retention;
+    });
+  if (Processes.size() >= MaxProcesses && !Processes.contains(Process))
+    Processes.erase(Processes.begin());
+  return Processes[Process];
+}
+
+void ProcessProofs::onConfirmed(const ServerProcess &Process,
+                                TimePoint AskedAt) {
+  std::lock_guard lock(Mutex);
+  State &state = stateOf(Process, AskedAt);
+  state.ConfirmedAt = std::max(state.ConfirmedAt, AskedAt);
+}
+
+bool ProcessProofs::isConfirmedSince(const ServerProcess &Process,
+                                     TimePoint At) const {
+  std::lock_guard lock(Mutex);
+  auto it = Processes.find(Process);
+  return it != Processes.end() && it->second.ConfirmedAt >= At;
+}
+
+bool ProcessProofs::mayAsk(const ServerProcess &Process, TimePoint Now) {
+  std::lock_guard lock(Mutex);
+  State &state = stateOf(Process, Now);
+  if (Now - state.AskedAt < QuestionPeriod)
+    return false;
+  state.AskedAt = Now;
+  return true;
+}
+
+} // namespace crocusspur::gateway
--- /dev/null
+++ b/src/gateway/process_proofs.h
@@ -0,0 +1,40 @@
+// What servers' processes have said of themselves, shared by the requests of
+// an instance. Thread-safe.
+//
+// A process that says at some moment which one it is has run since its start,
+// so each connection to its server that was opened in between leads to it.
+#ifndef CROCUSSPUR_GATEWAY_PROCESS_PROOFS_H
+#define CROCUSSPUR_GATEWAY_PROCESS_PROOFS_H
+
+#include "gateway/decisions/leaving_servers.h"
+
+#include <map>
+#include <mutex>
+
+namespace crocusspur::gateway {
+
+class ProcessProofs {
+public:
+  // The process answered a question that was sent at `AskedAt`.
+  void onConfirmed(const ServerProcess &Process, TimePoint AskedAt);
+  // Whether the process is known to have run at `At` or later.
+  bool isConfirmedSince(const ServerProcess &Process, TimePoint At) const;
+  // Whether a request that needs to know is to ask the process now: another one
+  // may just have asked.
+  bool mayAsk(const ServerProcess &Process, TimePoint Now);
+
+private:
+  struct State {
+    TimePoint ConfirmedAt;
+    TimePoint AskedAt; // see mayAsk()
+  };
+  // Called with the lock.
+  State &stateOf(const ServerProcess &Process, TimePoint Now);
+
+  mutable std::mutex Mutex;
+  std::map<ServerProcess, State> Processes;
+};
+
+} // namespace crocusspur::gateway
+
+#endif
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -100,6 +100,9 @@
     bool ReplacedBySame = false; // a process of the same version
     TimePoint ProcessCheckedAt;  // the latest call of confirmRunVersion()
     CallStatus Status = CallStatus::Responded;
+    TimePoint SentAt;                 // when the request was sent
+    TimePoint HeadAt;                 // when its response's head was there
+    TimePoint ProofSoughtAt;          // the latest call of seekProof()
     std::optional<TimePoint> BegunAt; // the first event
     // Start of the latest sample of the server's pace, and the events before.
     std::optional<TimePoint> SampledAt;
@@ -178,6 +181,10 @@
   // Whether the stream that is taken up may have begun at another process than
   // the recorded one.
   bool mayHaveBegunElsewhere(const ResumptionDecision &Decision);
+  ServerChoice choiceOf(const ServerProcess &Process) const;
+  // Whether it is shown by now that the stream that is taken up began at the
+  // recorded process, which couldn't be when its run broke off.
+  bool isOriginProven(const ResumptionDecision &Decision);
   // Whether a server is known that the stream may run at.
   bool hasOutputServer() const;
   // Whether the request may be sent to one of them.
@@ -212,7 +219,15 @@
   void confirmFirstRun();
   void logNothingFollows(const ServerChoice &Server, ProcessCheck Check,
                          bool EntriesRead) const;
-  // Tells other instances, once, that nobody may go on with the stream.
+  // While entries may be old, asks the process of the stream's first run which
+  // one it is: once it has ended, nothing can show that any more.
+  void seekProof(const ServerChoice &Server, RelayedRun &Run);
+  // The run is at the process that the server's entry named.
+  void onRunProven(RunNumber Run);
+  // The first run has broken off: decides whether anything may follow.
+  void judgeFirstRun(const ServerChoice &Server, RelayedRun &Run);
+  // Tells other instances that nobody may go on with the stream, or only if its
+  // process is shown.
   void recordUncertainty();
   // Called before an answer ends that isn't the whole stream, since its caller
   // may take the stream up at any instance then. Waits until the keepers of an
@@ -248,8 +263,9 @@
   AttemptResult startStream(const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
   struct RunIdentity {
-    bool IsKnown = false;   // whether the entry's version is the process's
-    bool Confirmed = false; // the process has said that it is the chosen one
+    bool IsKnown = false; // whether the entry's version is the process's
+    ProcessCheck Check = ProcessCheck::Unknown; // what the process has said
+    TimePoint SentAt;                           // when the request was sent
   };
   AttemptResult relayStream(ServerCall &Call, const ServerChoice &Server,
                             RunTracker::Id Run, RunIdentity Identity);
@@ -469,7 +485,15 @@
   // has the caller does: others don't know which events reach the caller.
   bool RecordsBegin = true;
   bool VersionRecorded = false;
-  bool UncertaintyRecorded = false;
+  // What was recorded of a stream whose version isn't certain.
+  enum class Uncertainty : uint8_t { None, Unproven, Final };
+  Uncertainty UncertaintyRecorded = Uncertainty::None;
+  // The process of a first run that nothing has shown, or disproved.
+  struct UnprovenRun {
+    ServerProcess Process;
+    TimePoint SentAt;
+  };
+  std::optional<UnprovenRun> Unproven;
   RecordDeliveryPtr UncertaintyDelivery; // null: nothing is waited for
   // The server of a first run that has broken off, unless it was confirmed.
   std::optional<ServerChoice> FirstRunServer;
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -516,6 +516,28 @@
   return {processOf(*entry), Registry.maxEntryAge(ServerId, Clock::now())};
 }
 
+std::optional<TimePoint> ServiceDirectory::entriesWholeSince() const {
+  std::lock_guard lock(Mutex);
+  std::optional<TimePoint> covered = Versions.coveredSince();
+  if (!covered || entriesRestoredAt(Clock::now()))
+    return std::nullopt;
+  return std::max({*covered, StoreStateChangedAt, StoreHeldUpAt,
+                   EraChangedAt.value_or(TimePoint())});
+}
+
+void ServiceDirectory::onStoreHeldUp() {
+  std::lock_guard lock(Mutex);
+  StoreHeldUpAt = Clock::now();
+}
+
+bool ServiceDirectory::isLatestProcess(const ServerProcess &Process) const {
+  std::lock_guard lock(Mutex);
+  if (const ServerEntry *entry = Registry.find(Process.Id))
+    return processOf(*entry) == Process;
+  auto removed = RemovedProcesses.find(Process.Id);
+  return removed != RemovedProcesses.end() && removed->second.first == Process;
+}
+
 bool ServiceDirectory::entriesMayBeOld() const {
   std::lock_guard lock(Mutex);
   return entriesRestoredAt(Clock::now()).has_value();
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -161,6 +161,14 @@
   void onMisdirected(const ServerProcess &Process);
   // The process that the server's entry names.
   ProcessNow processNow(const std::string &ServerId) const;
+  // A response of the store came later than it was due: the store, or the way
+  // to it, has stood still.
+  void onStoreHeldUp();
+  // Since when this instance knows each process that servers' entries have
+  // named, at a store that was there; nothing: not at the moment.
+  std::optional<TimePoint> entriesWholeSince() const;
+  // Whether the process is the last one that its server's entry has named.
+  bool isLatestProcess(const ServerProcess &Process) const;
   // Whether a server may have started again without its entry saying so, since
   // the store isn't reached or has come back a moment ago.
   bool entriesMayBeOld() const;
@@ -348,6 +356,7 @@
   std::atomic<uint32_t> Instances{64}; // default until members are known
   std::array<std::atomic<bool>, 2> StoreReachable{true, true}; // by kind
   TimePoint StoreStateChangedAt; // last change of reachability
+  TimePoint StoreHeldUpAt;       // see onStoreHeldUp()
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -237,9 +237,10 @@
       std::optional<Milliseconds> confirmedAgo =
           Runtime->Readers.confirmedAgo(Kind);
       // The pages of a list aren't a snapshot.
-      TimePoint confirmedAt =
-          whole ? calledAt
-                : std::min(Clock::now(), calledAt + wait + MaxResponseDelay);
+      TimePoint dueAt = calledAt + wait + MaxResponseDelay;
+      TimePoint confirmedAt = whole ? calledAt : std::min(Clock::now(), dueAt);
+      if (!whole && Clock::now() > dueAt)
+        directory.onStoreHeldUp();
       directory.setStoreReachable(Kind, true);
       apply(update, Kind, whole, confirmedAgo);
       // Afterwards, since peers take what this instance knows for what the
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -679,8 +679,12 @@
         isKnown = false;
       }
     }
+    if (!Progress.begun())
+      Unproven = isKnown || check == ProcessCheck::Replaced
+                     ? std::nullopt
+                     : std::optional(UnprovenRun{processOf(server), started});
     AttemptResult result =
-        relayStream(call, server, run, {isKnown, check == ProcessCheck::Same});
+        relayStream(call, server, run, {isKnown, check, started});
     if (result != AttemptResult::Done)
       status = CallStatus::ConnectionBroken;
     else if (!CallerWriteFailed && !Waiter.callerLeft())
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <span>
 #include <thread>
 #include <utility>
 
@@ -24,7 +25,7 @@
 
 // Records for one of them that wait to be sent; some seconds of streams at an
 // instance.
-constexpr size_t MaxUncertainUnsent = 1024;
+constexpr size_t MaxUrgentUnsent = 1024;
 // Peers respond from memory, within milliseconds.
 constexpr Milliseconds RecordTimeout{150};
 // A frame of these takes a keeper about a millisecond.
@@ -52,10 +53,11 @@
        {"revision", std::to_string(Changes.Revision.Number)}});
 }
 
-// Sends records that nobody may go on with a stream to the keeper of one rank
-// of each. A thread for each rank: a silent keeper of one stream delays only
-// the records that have a keeper of its rank, and no stream's other keepers.
-class UncertainRecordSender {
+// Sends records that all who may be asked have to know at once, such as that
+// nobody may go on with a stream, to the keeper of one rank of each. A thread
+// for each rank: a silent keeper of one stream delays only the records that
+// have a keeper of its rank, and no stream's other keepers.
+class UrgentRecordSender {
 public:
   void start(GatewayRuntime &Owner, size_t KeeperRank);
   void add(const StreamOrigin &Record, const RecordDeliveryPtr &Delivery);
@@ -93,15 +95,13 @@
   };
 
   void sendRecords();
+  // Returns the number of those that another instance keeps.
+  size_t sendAll(std::span<const StreamOrigin> Records, TimePoint Until);
   // Sends each record to as many keepers as haven't confirmed it yet, the next
   // ones in rank. Returns false if there was none left to send to, or at
   // `Until`.
   bool sendOnce(std::vector<RecordToSend> &Records, TimePoint Until);
-  // Returns the number of those that the instance has confirmed, which are the
-  // first ones.
-  size_t sendTo(const std::string &Address,
-                const std::vector<RecordToSend *> &Records, TimePoint Until);
-  RecordDeliveryPtr sendUncertain(const StreamOrigin &Record);
+  RecordDeliveryPtr sendToAll(const StreamOrigin &Record);
   std::vector<OriginKnowledge> askKeepers(StreamKey Stream);
   bool readListAndChanges();
   // The changes, or the entries if the store has discarded some of the changes.
@@ -114,7 +114,7 @@
   GatewayRuntime *Runtime = nullptr;
   std::thread Thread;
   // To each keeper that may have been sent the stream's version.
-  std::array<UncertainRecordSender, MaxKeepersAsked> Senders;
+  std::array<UrgentRecordSender, MaxKeepersAsked> Senders;
   // Reads by requests, each shared by those that wait for it meanwhile.
   template <typename Result> class SharedRead {
   public:
@@ -135,14 +135,14 @@
       [this] { return readChangesOrList(); }};
 };
 
-void UncertainRecordSender::start(GatewayRuntime &Owner, size_t KeeperRank) {
+void UrgentRecordSender::start(GatewayRuntime &Owner, size_t KeeperRank) {
   Runtime = &Owner;
   this->KeeperRank = KeeperRank;
   Thread = std::thread([this] { run(); });
 }
 
-void UncertainRecordSender::add(const StreamOrigin &Record,
-                                const RecordDeliveryPtr &Delivery) {
+void UrgentRecordSender::add(const StreamOrigin &Record,
+                             const RecordDeliveryPtr &Delivery) {
   Item refused;
   {
     std::lock_guard lock(Mutex);
@@ -150,7 +150,7 @@
       refused = {Record, Delivery};
     } else {
       Unsent.push_back({Record, Delivery});
-      if (Unsent.size() > MaxUncertainUnsent) {
+      if (Unsent.size() > MaxUrgentUnsent) {
         refused = std::move(Unsent.front());
         Unsent.pop_front();
       }
@@ -162,7 +162,7 @@
     refused.Delivery->onKeeperEnded(false);
 }
 
-void UncertainRecordSender::stop() {
+void UrgentRecordSender::stop() {
   {
     std::lock_guard lock(Mutex);
     Stopped = true;
@@ -170,12 +170,12 @@
   Wake.notify_all();
 }
 
-void UncertainRecordSender::join() {
+void UrgentRecordSender::join() {
   if (Thread.joinable())
     Thread.join();
 }
 
-void UncertainRecordSender::run() {
+void UrgentRecordSender::run() {
   while (true) {
     std::vector<Item> items;
     bool stopped = false;
@@ -203,8 +203,8 @@
   }
 }
 
-void UncertainRecordSender::send(const std::string &Address,
-                                 const std::vector<Item> &Items) {
+void UrgentRecordSender::send(const std::string &Address,
+                              const std::vector<Item> &Items) {
   MemberFrame frame;
   frame.Sender = Runtime->ownMember();
   for (const Item &it : Items)
@@ -215,7 +215,7 @@
   if (!confirmed) {
     Runtime->Peers.onContactFailed(Address);
     log(LogLevel::Warn, "stream_origins",
-        "peer did not confirm that streams must not go on",
+        "peer did not confirm urgent records of streams",
         {{"peer", Address}, {"records", std::to_string(Items.size())}});
   }
   for (const Item &it : Items)
@@ -230,7 +230,7 @@
   Runtime->Origins.setHooks(
       {[this](StreamKey Stream) { return askKeepers(Stream); },
        [this] { return CatchUp.await(); },
-       [this](const StreamOrigin &Record) { return sendUncertain(Record); },
+       [this](const StreamOrigin &Record) { return sendToAll(Record); },
        [this] { return ChangesOnly.await(); }});
   for (size_t i = 0; i < Senders.size(); ++i)
     Senders[i].start(*Runtime, i);
@@ -240,11 +240,11 @@
 
 void StreamOriginLinks::stop() {
   Runtime->Origins.stop();
-  for (UncertainRecordSender &it : Senders)
+  for (UrgentRecordSender &it : Senders)
     it.stop();
   if (Thread.joinable())
     Thread.join();
-  for (UncertainRecordSender &it : Senders)
+  for (UrgentRecordSender &it : Senders)
     it.join();
   StreamOrigins::Counters counts = Runtime->Origins.counters();
   log(LogLevel::Info, "stream_origins", "records of streams end here",
@@ -252,9 +252,9 @@
        {"own", std::to_string(counts.Records)}});
 }
 
-RecordDeliveryPtr StreamOriginLinks::sendUncertain(const StreamOrigin &Record) {
+RecordDeliveryPtr StreamOriginLinks::sendToAll(const StreamOrigin &Record) {
   auto delivery = std::make_shared<RecordDelivery>(Senders.size());
-  for (UncertainRecordSender &it : Senders)
+  for (UrgentRecordSender &it : Senders)
     it.add(Record, delivery);
   return delivery;
 }
@@ -265,29 +265,41 @@
     TimePoint started = Clock::now();
     TimePoint until =
         unsent->IsLast ? started + LastHandOverTime : TimePoint::max();
-    std::vector<RecordToSend> all;
-    for (const StreamOrigin &it : unsent->Records) {
-      std::vector<std::string> ranked =
-          Runtime->Peers.receiversOf(nameOf(it.Stream));
-      size_t known = ranked.size();
-      all.push_back({it, std::move(ranked), RecordKeepers(known)});
-    }
-    while (sendOnce(all, until)) {
+    size_t kept = 0;
+    std::span<const StreamOrigin> left = unsent->Records;
+    while (!left.empty() && Clock::now() < until) {
+      size_t count = std::min(left.size(), MaxRecordsPerFrame);
+      kept += sendAll(left.first(count), until);
+      left = left.subspan(count);
     }
     if (!unsent->IsHandOver)
       continue;
-    auto kept = std::ranges::count_if(
-        all, [](const RecordToSend &It) { return It.Keepers.confirmed() > 0; });
     auto taken =
         std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
     log(LogLevel::Info, "stream_origins", "records of streams handed over",
-        {{"records", std::to_string(all.size())},
+        {{"records", std::to_string(unsent->Records.size())},
          {"kept_by_others", std::to_string(kept)},
          {"at", unsent->IsLast ? "exit" : "signal"},
          {"taken_ms", std::to_string(taken.count())}});
   }
 }
 
+size_t StreamOriginLinks::sendAll(std::span<const StreamOrigin> Records,
+                                  TimePoint Until) {
+  std::vector<RecordToSend> all;
+  for (const StreamOrigin &it : Records) {
+    std::vector<std::string> ranked =
+        Runtime->Peers.receiversOf(nameOf(it.Stream));
+    ranked.resize(std::min(ranked.size(), MaxKeepersAsked));
+    size_t known = ranked.size();
+    all.push_back({it, std::move(ranked), RecordKeepers(known)});
+  }
+  while (sendOnce(all, Until)) {
+  }
+  return static_cast<size_t>(std::ranges::count_if(
+      all, [](const RecordToSend &It) { return It.Keepers.confirmed() > 0; }));
+}
+
 bool StreamOriginLinks::sendOnce(std::vector<RecordToSend> &Records,
                                  TimePoint Until) {
   std::map<std::string, std::vector<RecordToSend *>> byKeeper; // by address
@@ -297,39 +309,26 @@
       byKeeper[it.Ranked[i]].push_back(&it);
   }
   for (const auto &[address, items] : byKeeper) {
-    size_t confirmed = sendTo(address, items, Until);
-    for (size_t i = 0; i < confirmed; ++i)
-      items[i]->Keepers.onConfirmed();
-    if (confirmed == items.size())
+    if (Clock::now() >= Until)
+      break;
+    MemberFrame frame;
+    frame.Sender = Runtime->ownMember();
+    for (const RecordToSend *it : items)
+      frame.Origins.push_back(it->Record);
+    if (callMember(address, frame, RecordTimeout, &Runtime->Memory)) {
+      for (RecordToSend *it : items)
+        it->Keepers.onConfirmed();
       continue;
+    }
+    Runtime->Peers.onContactFailed(address);
     log(LogLevel::Info, "stream_origins",
         "peer did not confirm records of streams; sending them to the next "
         "keepers",
-        {{"peer", address},
-         {"records", std::to_string(items.size() - confirmed)}});
+        {{"peer", address}, {"records", std::to_string(items.size())}});
   }
   return !byKeeper.empty() && Clock::now() < Until;
 }
 
-size_t StreamOriginLinks::sendTo(const std::string &Address,
-                                 const std::vector<RecordToSend *> &Records,
-                                 TimePoint Until) {
-  size_t confirmed = 0;
-  while (confirmed < Records.size() && Clock::now() < Until) {
-    size_t end = std::min(Records.size(), confirmed + MaxRecordsPerFrame);
-    MemberFrame frame;
-    frame.Sender = Runtime->ownMember();
-    for (size_t i = confirmed; i < end; ++i)
-      frame.Origins.push_back(Records[i]->Record);
-    if (!callMember(Address, frame, RecordTimeout, &Runtime->Memory)) {
-      Runtime->Peers.onContactFailed(Address);
-      break;
-    }
-    confirmed = end;
-  }
-  return confirmed;
-}
-
 // Runs on the thread of a request.
 std::vector<OriginKnowledge> StreamOriginLinks::askKeepers(StreamKey Stream) {
   TimePoint until = Clock::now() + TotalQueryTime;
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -28,21 +28,22 @@
   return Current;
 }
 
-StreamOrigin StreamOrigins::addOwn(StreamKey Stream, VersionKey Version,
-                                   Milliseconds Lifetime,
-                                   const ServerProcess &Server) {
-  StreamOrigin record{Stream,         Version,  Incarnation,
-                      ++LastSequence, Lifetime, Server};
-  Table.add(record, Clock::now());
+StreamOrigin StreamOrigins::addOwn(StreamOrigin Record) {
+  Record.Writer = Incarnation;
+  Record.Sequence = ++LastSequence;
+  Table.add(Record, Clock::now());
   ++Counts.Records;
-  return record;
+  return Record;
 }
 
 void StreamOrigins::record(StreamKey Stream, VersionKey Version,
                            Milliseconds Lifetime, const ServerProcess &Server) {
   {
     std::lock_guard lock(Mutex);
-    Waiting.push_back(addOwn(Stream, Version, Lifetime, Server));
+    Waiting.push_back(addOwn({.Stream = Stream,
+                              .Version = Version,
+                              .Lifetime = Lifetime,
+                              .Server = Server}));
     if (Waiting.size() > MaxUnsent) {
       Waiting.pop_front();
       ++Counts.Dropped;
@@ -51,14 +52,37 @@
   Wake.notify_one();
 }
 
-RecordDeliveryPtr StreamOrigins::recordUncertain(StreamKey Stream,
-                                                 Milliseconds Lifetime) {
-  StreamOrigin record;
+RecordDeliveryPtr StreamOrigins::sendToAll(const StreamOrigin &Record) {
+  StreamOrigin complete;
   {
     std::lock_guard lock(Mutex);
-    record = addOwn(Stream, UncertainVersion, Lifetime, {});
+    complete = addOwn(Record);
   }
-  return Connected.SendUncertain ? Connected.SendUncertain(record) : nullptr;
+  return Connected.SendToAll ? Connected.SendToAll(complete) : nullptr;
+}
+
+RecordDeliveryPtr StreamOrigins::recordUncertain(StreamKey Stream,
+                                                 Milliseconds Lifetime) {
+  return sendToAll(
+      {.Stream = Stream, .Version = UncertainVersion, .Lifetime = Lifetime});
+}
+
+RecordDeliveryPtr StreamOrigins::recordUnproven(StreamKey Stream,
+                                                VersionKey Version,
+                                                Milliseconds Lifetime,
+                                                const ServerProcess &Server,
+                                                Milliseconds RunAge) {
+  return sendToAll({.Stream = Stream,
+                    .Version = UncertainVersion,
+                    .Lifetime = Lifetime,
+                    .Server = Server,
+                    .Age = RunAge,
+                    .UnprovenVersion = Version});
+}
+
+void StreamOrigins::recordProven(StreamKey Stream, VersionKey Version,
+                                 Milliseconds Lifetime) {
+  sendToAll({.Stream = Stream, .Version = Version, .Lifetime = Lifetime});
 }
 
 void StreamOrigins::add(const StreamOrigin &Record) {
@@ -78,6 +102,7 @@
     known.Recorded = record->Version;
     known.Server = record->Server;
     known.RecordedAgo = record->Age;
+    known.UnprovenVersion = record->UnprovenVersion;
   }
   return known;
 }
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -11,6 +11,7 @@
 #include "gateway/decisions/stream_origin_table.h"
 #include "gateway/decisions/stream_resumption.h"
 #include "gateway/decisions/streams/servers_reading.h"
+#include "gateway/process_proofs.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -57,9 +58,9 @@
     // Reads what has changed of the servers from the store and applies it.
     // Returns whether all changes up to now are known then, without a gap.
     std::function<bool()> CatchUpServers;
-    // Begins to send the record to its keepers, each independently of the
-    // others and of records from before. Doesn't wait.
-    std::function<RecordDeliveryPtr(const StreamOrigin &)> SendUncertain;
+    // Begins to send the record to all that may be asked, each independently of
+    // the others and of records from before. Doesn't wait.
+    std::function<RecordDeliveryPtr(const StreamOrigin &)> SendToAll;
     // Reads what has changed of the servers since the last change that is
     // known, and applies it.
     std::function<ServersReading()> ReadServerChanges = nullptr;
@@ -76,6 +77,16 @@
   // Records that nobody may go on with the stream, and begins to send that to
   // its keepers at once. Returns null if there are no peers.
   RecordDeliveryPtr recordUncertain(StreamKey Stream, Milliseconds Lifetime);
+  // The same if the process that began the stream can't be shown at the moment;
+  // see StreamOrigin. `RunAge`: since the run was sent.
+  RecordDeliveryPtr recordUnproven(StreamKey Stream, VersionKey Version,
+                                   Milliseconds Lifetime,
+                                   const ServerProcess &Server,
+                                   Milliseconds RunAge);
+  // Records that such a stream is shown to be of the version, and begins to
+  // send that.
+  void recordProven(StreamKey Stream, VersionKey Version,
+                    Milliseconds Lifetime);
   // Adds a record of another instance.
   void add(const StreamOrigin &Record);
   std::optional<VersionKey> find(StreamKey Stream) const;
@@ -94,6 +105,9 @@
     bool IsHandOver = false; // records of all instances
     bool IsLast = false;     // the instance is about to exit
   };
+  // Of the processes at which streams run.
+  ProcessProofs &processes() { return Processes; }
+
   // Waits for records that haven't been sent and returns them. After stop()
   // returns what is to be handed over since the last time, then nothing.
   std::optional<Unsent> takeUnsent();
@@ -107,11 +121,12 @@
   Counters counters() const;
 
 private:
-  // Called with the lock.
-  StreamOrigin addOwn(StreamKey Stream, VersionKey Version,
-                      Milliseconds Lifetime, const ServerProcess &Server);
+  // Adds a record of this instance, completed. Called with the lock.
+  StreamOrigin addOwn(StreamOrigin Record);
+  RecordDeliveryPtr sendToAll(const StreamOrigin &Record);
 
   const uint64_t Incarnation;
+  ProcessProofs Processes;
   Hooks Connected;
   mutable std::mutex Mutex;
   std::condition_variable Wake;
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -66,7 +66,10 @@
   RelayedRun run;
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
-  run.Number = Progress.begin(version, Identity.Confirmed, Call.info().Weights);
+  run.SentAt = Identity.SentAt;
+  run.HeadAt = Clock::now();
+  run.Number = Progress.begin(version, Identity.Check == ProcessCheck::Same,
+                              Call.info().Weights);
   EventHold.reset();
   while (!run.End && run.Status == CallStatus::Responded &&
          !CallerWriteFailed) {
@@ -93,20 +96,8 @@
       confirmEnd(Call, Server, /*MayRunElsewhere=*/Route.Resumable) ==
           CallStatus::Responded;
   if (!complete && confirmRunVersion(Server, run) && !Progress.continues() &&
-      Progress.begun()) {
-    ProcessCheck check = checkProcess(Server);
-    bool isCurrent = Progress.runConfirmed() || areEntriesCurrent(check, Server);
-    if (isRunUncertain(check) || !isCurrent) {
-      logNothingFollows(Server, check, isCurrent);
-      Progress.requireNothingFollows();
-      recordUncertainty();
-    } else if (check == ProcessCheck::Unknown) {
-      confirmRunVersion(Server, run);
-      FirstRunServer = Server;
-    } else {
-      BegunAtServer = {};
-    }
-  }
+      Progress.begun())
+    judgeFirstRun(Server, run);
   if (Progress.end(run.Number,
                    complete ? RunOutcome::Complete : RunOutcome::BrokenOff) ==
       StreamEnd::Complete) {
@@ -160,6 +151,8 @@
     if ((checks && !confirmRunVersion(Server, Run)) ||
         (!bytes.empty() && !forwardEvents(Run.Number, bytes, Server.Id)))
       Run.Status = CallStatus::ConnectionBroken;
+    if (Run.Status == CallStatus::Responded && !Run.End)
+      seekProof(Server, Run);
     if (Progress.passed() > passed)
       onEventsForwarded(Server, Run);
     else if (!Run.End && Run.Status == CallStatus::Responded && now >= Until)
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -25,11 +25,16 @@
 // confirmed that nobody may go on with its stream: the time that a silent one
 // is waited for, and what the others take.
 constexpr Milliseconds UncertaintyConfirmTimeout{200};
+// Between two looks at whether the process of a run has to be asked. A store
+// that is lost is noticed no faster.
+constexpr Milliseconds ProofPeriod{100};
 
 const char *recordText(const OriginKnowledge &Known) {
   if (!Known.Recorded)
     return "none";
-  return *Known.Recorded == UncertainVersion ? "uncertain" : "version";
+  if (Known.UnprovenVersion != 0)
+    return "unproven";
+  return Known.isFinal() ? "uncertain" : "version";
 }
 
 } // namespace
@@ -46,7 +51,7 @@
   OriginKnowledge own = ownKnowledge();
   std::vector<OriginKnowledge> peers;
   // An own record may be older than another instance's that nobody may go on.
-  if (own.Recorded != UncertainVersion) {
+  if (!own.isFinal()) {
     peers = Context.Origins.askKeepers(stream);
     own = ownKnowledge();
   }
@@ -55,7 +60,12 @@
       Context.Origins.catchUpServers())
     decision = decideResumption(ownKnowledge(), peers,
                                 Context.Directory.soleVersion(Service));
-  if (decision.Version && mayHaveBegunElsewhere(decision)) {
+  if (decision.IsUnproven) {
+    if (isOriginProven(decision))
+      decision.Basis = "proven";
+    else
+      decision = {std::nullopt, "its process isn't shown"};
+  } else if (decision.Version && mayHaveBegunElsewhere(decision)) {
     decision = {std::nullopt, "its server was replaced"};
     Progress.requireNothingFollows();
     recordUncertainty();
@@ -81,6 +91,36 @@
   return decision.Version.has_value();
 }
 
+ServerChoice RequestHandler::choiceOf(const ServerProcess &Process) const {
+  ServerChoice server;
+  server.Id = Process.Id;
+  server.Address = Process.Address;
+  server.Version = Process.Version;
+  server.StartedAt = Process.StartedAt;
+  server.Service = Service;
+  return server;
+}
+
+bool RequestHandler::isOriginProven(const ResumptionDecision &Decision) {
+  const ServerProcess &process = Decision.Server;
+  // A process that lives has lived since then.
+  ProcessCheck check = checkProcess(choiceOf(process));
+  bool isProven = check == ProcessCheck::Same;
+  // Otherwise it is as certain as where the run was, had that instance known
+  // the entries: what another process has written since would be seen here.
+  bool readsStore = !Context.Readers || Context.Readers->isReading();
+  if (check == ProcessCheck::Unknown && readsStore &&
+      Context.Origins.readServerChanges().isCurrentFor(process)) {
+    std::optional<TimePoint> since = Context.Directory.entriesWholeSince();
+    isProven = since && *since <= Arrived - Decision.RecordedAgo &&
+               Context.Directory.isLatestProcess(process);
+  }
+  if (isProven)
+    Context.Origins.recordProven(streamKey(), *Decision.Version,
+                                 originLifetime(callerTimeLeft()));
+  return isProven;
+}
+
 bool RequestHandler::mayHaveBegunElsewhere(const ResumptionDecision &Decision) {
   BegunAtServer = Decision.Server;
   const ServerProcess &begunAt = Decision.Server;
@@ -93,13 +133,7 @@
   case OriginDoubt::AskServer:
     break;
   }
-  ServerChoice server;
-  server.Id = begunAt.Id;
-  server.Address = begunAt.Address;
-  server.Version = begunAt.Version;
-  server.StartedAt = begunAt.StartedAt;
-  server.Service = Service;
-  ProcessCheck check = checkProcess(server);
+  ProcessCheck check = checkProcess(choiceOf(begunAt));
   if (check == ProcessCheck::Same)
     BegunAtServer = {};
   return check == ProcessCheck::Replaced;
@@ -171,6 +205,7 @@
       !Context.Directory.usable(Server) || !tryAcquire(Server.Id, 1))
     return ProcessCheck::Unknown;
   std::string body;
+  TimePoint askedAt = Clock::now();
   uint32_t status =
       callServer(Context.Connections, Context.Codec, Context.Limits, Server,
                  Context.Codec.FormatReport(Server), "GET",
@@ -181,8 +216,10 @@
     report = Context.Codec.ParseReport(body);
   if (!report || report->StartedAt == 0)
     return ProcessCheck::Unknown;
-  if (report->StartedAt == Server.StartedAt)
+  if (report->StartedAt == Server.StartedAt) {
+    Context.Origins.processes().onConfirmed(processOf(Server), askedAt);
     return ProcessCheck::Same;
+  }
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
   all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
@@ -244,12 +281,86 @@
       "nothing may follow a broken run, whose process isn't certain", all);
 }
 
+void RequestHandler::seekProof(const ServerChoice &Server, RelayedRun &Run) {
+  TimePoint now = Clock::now();
+  if (!Route.Resumable || Progress.continues() || Progress.runConfirmed() ||
+      Progress.versionUncertain() || Unproven ||
+      now - Run.ProofSoughtAt < ProofPeriod)
+    return;
+  Run.ProofSoughtAt = now;
+  if (!Context.Directory.entriesMayBeOld())
+    return;
+  ServerProcess process = processOf(Server);
+  ProcessProofs &proofs = Context.Origins.processes();
+  ProcessCheck check = ProcessCheck::Unknown;
+  if (proofs.isConfirmedSince(process, Run.HeadAt))
+    check = ProcessCheck::Same;
+  else if (proofs.mayAsk(process, now))
+    check = checkProcess(Server);
+  if (check == ProcessCheck::Same) {
+    onRunProven(Run.Number);
+  } else if (check == ProcessCheck::Replaced) {
+    Progress.requireNothingFollows();
+    recordUncertainty();
+  }
+}
+
+void RequestHandler::onRunProven(RunNumber Run) {
+  Progress.confirm(Run);
+  BegunAtServer = {};
+  // Other instances compare the process that they have with later ones.
+  if (VersionRecorded && PinnedVersion)
+    recordVersion(*PinnedVersion);
+}
+
+void RequestHandler::judgeFirstRun(const ServerChoice &Server,
+                                   RelayedRun &Run) {
+  if (Progress.runConfirmed()) {
+    BegunAtServer = {};
+    return;
+  }
+  ServerProcess process = processOf(Server);
+  ProcessCheck check =
+      Context.Origins.processes().isConfirmedSince(process, Run.HeadAt)
+          ? ProcessCheck::Same
+          : checkProcess(Server);
+  bool isCurrent = areEntriesCurrent(check, Server);
+  if (isRunUncertain(check) || !isCurrent) {
+    if (check == ProcessCheck::Replaced)
+      Unproven.reset();
+    else if (!Unproven)
+      Unproven = UnprovenRun{process, Run.SentAt};
+    logNothingFollows(Server, check, isCurrent);
+    Progress.requireNothingFollows();
+    recordUncertainty();
+  } else if (check == ProcessCheck::Unknown) {
+    confirmRunVersion(Server, Run);
+    FirstRunServer = Server;
+  } else {
+    BegunAtServer = {};
+    if (Unproven) // by now it is
+      Context.Origins.recordProven(streamKey(), versionKeyOf(process.Version),
+                                   originLifetime(callerTimeLeft()));
+  }
+}
+
 void RequestHandler::recordUncertainty() {
-  if (!Route.Resumable || UncertaintyRecorded || !Progress.versionUncertain())
+  if (!Route.Resumable || !Progress.versionUncertain())
+    return;
+  Uncertainty kind = Unproven ? Uncertainty::Unproven : Uncertainty::Final;
+  if (UncertaintyRecorded >= kind)
     return;
-  UncertaintyRecorded = true;
-  UncertaintyDelivery = Context.Origins.recordUncertain(
-      streamKey(), originLifetime(callerTimeLeft()));
+  UncertaintyRecorded = kind;
+  Milliseconds lifetime = originLifetime(callerTimeLeft());
+  if (Unproven)
+    UncertaintyDelivery = Context.Origins.recordUnproven(
+        streamKey(), versionKeyOf(Unproven->Process.Version), lifetime,
+        Unproven->Process,
+        std::chrono::duration_cast<Milliseconds>(Clock::now() -
+                                                 Unproven->SentAt));
+  else
+    UncertaintyDelivery =
+        Context.Origins.recordUncertain(streamKey(), lifetime);
   if (Origin)
     Origin->OnVersionUncertain();
 }
@@ -272,8 +383,9 @@
                                       .count()));
   bool whole = state.Failed + state.Pending == 0;
   log(whole ? LogLevel::Info : LogLevel::Warn, "request",
-      whole ? "keepers know that the stream must not go on"
-            : "not all keepers confirmed that the stream must not go on",
+      whole
+          ? "keepers know that the stream's version isn't certain"
+          : "not all keepers confirmed that the stream's version isn't certain",
       all);
 }
 
@@ -289,6 +401,8 @@
   bool isSame = *successor == Server.Version;
   // Each change of the entry counts, also after one of the same version.
   Run.Replaced = !isSame;
+  if (!isSame)
+    Unproven.reset();
   bool kept = Progress.onServerReplaced(Run.Number, versionKeyOf(*successor));
   if (isSame && std::exchange(Run.ReplacedBySame, true))
     return kept;
--- a/src/gateway_peer_generated.h
+++ b/src/gateway_peer_generated.h
@@ -1236,7 +1236,8 @@
     VT_SEQUENCE = 10,
     VT_LIFETIME_MS = 12,
     VT_SERVER = 14,
-    VT_AGE_MS = 16
+    VT_AGE_MS = 16,
+    VT_UNPROVEN_VERSION = 18
   };
   uint64_t stream() const {
     return GetField<uint64_t>(VT_STREAM, 0);
@@ -1259,6 +1260,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t unproven_version() const {
+    return GetField<uint64_t>(VT_UNPROVEN_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STREAM, 8) &&
@@ -1269,6 +1273,7 @@
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyTable(server()) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_UNPROVEN_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1298,6 +1303,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(StreamOrigin::VT_AGE_MS, age_ms, 0);
   }
+  void add_unproven_version(uint64_t unproven_version) {
+    fbb_.AddElement<uint64_t>(StreamOrigin::VT_UNPROVEN_VERSION, unproven_version, 0);
+  }
   explicit StreamOriginBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1317,8 +1325,10 @@
     uint64_t sequence = 0,
     uint32_t lifetime_ms = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t unproven_version = 0) {
   StreamOriginBuilder builder_(_fbb);
+  builder_.add_unproven_version(unproven_version);
   builder_.add_sequence(sequence);
   builder_.add_writer(writer);
   builder_.add_version(version);
@@ -1412,7 +1422,8 @@
     VT_HAS_SOLE_VERSION = 8,
     VT_SOLE_VERSION = 10,
     VT_SERVER = 12,
-    VT_RECORDED_AGO_MS = 14
+    VT_RECORDED_AGO_MS = 14,
+    VT_UNPROVEN_VERSION = 16
   };
   bool recorded() const {
     return GetField<uint8_t>(VT_RECORDED, 0) != 0;
@@ -1432,6 +1443,9 @@
   uint32_t recorded_ago_ms() const {
     return GetField<uint32_t>(VT_RECORDED_AGO_MS, 0);
   }
+  uint64_t unproven_version() const {
+    return GetField<uint64_t>(VT_UNPROVEN_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
@@ -1441,6 +1455,7 @@
            VerifyOffset(verifier, VT_SERVER) &&
            verifier.VerifyTable(server()) &&
            VerifyField<uint32_t>(verifier, VT_RECORDED_AGO_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_UNPROVEN_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1467,6 +1482,9 @@
   void add_recorded_ago_ms(uint32_t recorded_ago_ms) {
     fbb_.AddElement<uint32_t>(OriginAnswer::VT_RECORDED_AGO_MS, recorded_ago_ms, 0);
   }
+  void add_unproven_version(uint64_t unproven_version) {
+    fbb_.AddElement<uint64_t>(OriginAnswer::VT_UNPROVEN_VERSION, unproven_version, 0);
+  }
   explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1485,8 +1503,10 @@
     bool has_sole_version = false,
     uint64_t sole_version = 0,
     flatbuffers::Offset<crocusspur::gateway::wire::ServerProcess> server = 0,
-    uint32_t recorded_ago_ms = 0) {
+    uint32_t recorded_ago_ms = 0,
+    uint64_t unproven_version = 0) {
   OriginAnswerBuilder builder_(_fbb);
+  builder_.add_unproven_version(unproven_version);
   builder_.add_sole_version(sole_version);
   builder_.add_version(version);
   builder_.add_recorded_ago_ms(recorded_ago_ms);
--- a/test/gateway_member_codec_test.cc
+++ b/test/gateway_member_codec_test.cc
@@ -56,10 +56,12 @@
                     6,
                     7,
                     Milliseconds(9000),
-                    {"d1", 1764000000123, "10.0.0.1:80", "v1"}}};
+                    {"d1", 1764000000123, "10.0.0.1:80", "v1"},
+                    Milliseconds(80),
+                    11}};
   frame.WantedOrigin = 77;
   frame.Origin = OriginKnowledge{
-      VersionKey(0), {"d2", 3, "10.0.0.2:80", "v2"}, Milliseconds(450)};
+      VersionKey(0), {"d2", 3, "10.0.0.2:80", "v2"}, Milliseconds(450), 12};
   frame.Servers = {{"i-1", {3, 400}, false, "{\"a\":1}"},
                    {"i-2", {2, 410}, true, ""}};
   return frame;
@@ -165,6 +167,8 @@
   CHECK(back->Origins[0].Writer == 6);
   CHECK(back->Origins[0].Sequence == 7);
   CHECK(back->Origins[0].Lifetime == Milliseconds(9000));
+  CHECK(back->Origins[0].Age == Milliseconds(80));
+  CHECK(back->Origins[0].UnprovenVersion == 11);
   CHECK(back->Origins[0].Server ==
         ServerProcess{"d1", 1764000000123, "10.0.0.1:80", "v1"});
   CHECK(back->WantedOrigin == StreamKey(77));
@@ -172,6 +176,7 @@
   CHECK(back->Origin->Recorded == VersionKey(0));
   CHECK(back->Origin->Server == ServerProcess{"d2", 3, "10.0.0.2:80", "v2"});
   CHECK(back->Origin->RecordedAgo == Milliseconds(450));
+  CHECK(back->Origin->UnprovenVersion == 12);
 }
 
 // Guards against instances of earlier builds that are never believed to know
--- a/test/gateway_stream_resumption_test.cc
+++ b/test/gateway_stream_resumption_test.cc
@@ -31,6 +31,16 @@
   return {7, Version, Writer, Sequence, Milliseconds(5000)};
 }
 
+const ServerProcess Began{"d1", 1000, "10.0.0.1:80", "v1"};
+
+StreamOrigin unproven(VersionKey Version, uint64_t Writer, uint64_t Sequence) {
+  StreamOrigin item = record(UncertainVersion, Writer, Sequence);
+  item.Server = Began;
+  item.Age = Milliseconds(2000);
+  item.UnprovenVersion = Version;
+  return item;
+}
+
 } // namespace
 
 TEST_CASE("A recorded version decides, whoever has the record") {
@@ -154,6 +164,67 @@
   CHECK(table.find(7, at(1)) == VersionKey(0));
 }
 
+// A run that broke off while the store was down was recorded for good as one
+// that nobody may go on with, though its process could be shown later.
+TEST_CASE("An unproven record keeps its process until it is shown") {
+  StreamOriginTable table;
+  table.add(record(V1, 1, 1), at(0));
+  table.add(unproven(V1, 1, 2), at(2));
+  CHECK(table.find(7, at(2)) == UncertainVersion);
+  auto found = table.findRecord(7, at(3));
+  REQUIRE(found);
+  CHECK(found->UnprovenVersion == V1);
+  CHECK(found->Server == Began);
+  CHECK(found->Age == Milliseconds(3000));
+  SUBCASE("an older record doesn't show it") {
+    table.add(record(V1, 1, 1), at(3));
+    CHECK(table.findRecord(7, at(3))->UnprovenVersion == V1);
+  }
+  SUBCASE("whoever has shown it records the version") {
+    table.add(record(V1, 2, 1), at(3));
+    CHECK(table.find(7, at(3)) == V1);
+  }
+  SUBCASE("another version is a contradiction") {
+    table.add(record(V2, 2, 1), at(3));
+    CHECK(table.findRecord(7, at(3))->UnprovenVersion == 0);
+    CHECK(table.find(7, at(3)) == UncertainVersion);
+  }
+  SUBCASE("that nobody may go on is final") {
+    table.add(record(UncertainVersion, 2, 1), at(3));
+    table.add(unproven(V1, 1, 3), at(3));
+    table.add(record(V1, 1, 4), at(3));
+    CHECK(table.findRecord(7, at(3))->UnprovenVersion == 0);
+    CHECK(table.find(7, at(3)) == UncertainVersion);
+  }
+  SUBCASE("it is handed over as such") {
+    StreamOriginTable receiver;
+    for (const StreamOrigin &it : table.takeForHandOver(at(3)))
+      receiver.add(it, at(3));
+    CHECK(receiver.findRecord(7, at(4))->UnprovenVersion == V1);
+    CHECK(receiver.findRecord(7, at(4))->Age == Milliseconds(4000));
+  }
+}
+
+TEST_CASE(
+    "A take-up has to show the process if one of the records demands it") {
+  const OriginKnowledge version{V1, Began, Milliseconds(90)};
+  const OriginKnowledge asked{UncertainVersion, Began, Milliseconds(70), V1};
+  for (const auto &[own, peer] :
+       {std::pair(version, asked), std::pair(asked, version),
+        std::pair(asked, OriginKnowledge{}),
+        std::pair(OriginKnowledge{V1}, asked)}) {
+    ResumptionDecision decision = decideResumption(own, {peer});
+    CHECK(decision.Version == V1);
+    CHECK(decision.IsUnproven);
+    CHECK(decision.Server == Began);
+    CHECK(decision.RecordedAgo == Milliseconds(70));
+  }
+  CHECK_FALSE(decideResumption(version, {version}).IsUnproven);
+  CHECK_FALSE(decideResumption(asked, {{V2}}).Version);
+  CHECK_FALSE(decideResumption(asked, {{UncertainVersion}}).Version);
+  CHECK(collectKnowledge(2, [&](size_t) { return asked; }).size() == 2);
+}
+
 // An instance that stops hands its records over. A receiver that has one of two
 // contradictory records let the stream go on at that one's version.
 TEST_CASE("A record that is handed over says all that its keeper knew") {
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -83,6 +83,11 @@
   // After the change of its entry the first run is silent for so long and goes
   // on to the end; 0: it breaks off.
   Milliseconds SilentFor{0};
+  // The first run breaks off so long after its first events. Its server then
+  // says nothing more, as one that has crashed.
+  Milliseconds EndsAfter{0};
+  bool StatesNothingAtEnd = false;
+  std::atomic<bool> HasEnded{false};
   std::atomic<bool> Begun{false};
   std::atomic<bool> Received{false};
   ScriptServer First{[this](int Fd, int) {
@@ -92,17 +97,20 @@
         return;
       if (request.starts_with("POST /x/y"))
         break;
-      sendText(
-          Fd,
-          request.starts_with("GET /api/report")
-              ? reportOf(Begun && StatesNothingLater ? 0 : ReportedStart.load())
-              : httpResponse(200, R"({"retention":"r1"})"));
+      sendText(Fd, request.starts_with("GET /api/report")
+                       ? reportOf((Begun && StatesNothingLater) ||
+                                          (HasEnded && StatesNothingAtEnd)
+                                      ? 0
+                                      : ReportedStart.load())
+                       : httpResponse(200, R"({"retention":"r1"})"));
     }
     Begun = true;
     sendText(Fd, StreamHead + eventChunks(1, EventsBeforeEntry));
     eventually([&] { return Received.load(); });
     if (!Successor.empty())
       addEntry("d1", First.address(), Successor, 2000);
+    std::this_thread::sleep_for(EndsAfter);
+    HasEnded = true;
     if (SilentFor > Milliseconds(0)) {
       std::this_thread::sleep_for(SilentFor);
       sendText(Fd, eventChunks(EventsBeforeEntry + 1, EventCount) + LastChunk);
@@ -563,3 +571,184 @@
   bool goesOn = answer.find(event(5)) != std::string::npos;
   CHECK_FALSE((goesOn && successorRuns > 0));
 }
+
+// A server crashed while the store was down. Its streams had begun before, so
+// their processes hadn't been asked, and nothing could be asked any more:
+// nobody went on with them, also once the store was back.
+TEST_CASE("While the store is down a run is proven before it breaks off") {
+  UpgradedServer setup(2, "");
+  setup.EndsAfter = Milliseconds(700);
+  setup.StatesNothingAtEnd = true;
+  bool goesOn = false;
+  VersionKey provable = 0;
+  SUBCASE("by its process") { goesOn = true; }
+  SUBCASE("and not by another one") { setup.ReportedStart = 2000; }
+  SUBCASE("and not by one that says nothing") {
+    setup.ReportedStart = 0;
+    provable = versionKeyOf("v1");
+  }
+  FakeServer sameVersion(setup.continuing());
+  setup.addOther("d2", sameVersion, "v1");
+  setup.Gateway.WhileRunning = [&](SocketPair &Sockets) {
+    readUntil(Sockets.far(), event(2) + "\r\n");
+    setup.Gateway.Directory.setStoreReachable(PublishedKind::Servers, false);
+    setup.Received = true;
+  };
+  setup.run();
+  CHECK(runsAt(sameVersion) == (goesOn ? 1 : 0));
+  CHECK(setup.recorded() == (goesOn ? versionKeyOf("v1") : UncertainVersion));
+  CallerRequest request = setup.Gateway.request();
+  OriginKnowledge known = setup.Gateway.Origins.knowledgeOf(
+      streamKeyOf(request.Host, request.Target, request.Id));
+  CHECK(known.UnprovenVersion == provable);
+}
+
+// One question at a time, whatever the number of streams at the server.
+TEST_CASE("Requests share what a process has said of itself") {
+  ProcessProofs proofs;
+  const ServerProcess process{"d1", 1000, "10.0.0.1:80", "v1"};
+  const ServerProcess successor{"d1", 2000, "10.0.0.1:80", "v1"};
+  TimePoint now{Milliseconds(100000)};
+  CHECK(proofs.mayAsk(process, now));
+  CHECK_FALSE(proofs.mayAsk(process, now + Milliseconds(100)));
+  CHECK(proofs.mayAsk(process, now + Milliseconds(600)));
+  proofs.onConfirmed(process, now);
+  proofs.onConfirmed(process, now - Milliseconds(50)); // a late answer
+  CHECK(proofs.isConfirmedSince(process, now));
+  CHECK_FALSE(proofs.isConfirmedSince(process, now + Milliseconds(1)));
+  CHECK_FALSE(proofs.isConfirmedSince(successor, now));
+}
+
+namespace {
+
+// A stream of d1 that is taken up here, where its version is recorded as
+// unproven.
+struct UnprovenStream {
+  explicit UnprovenStream(std::string Report) {
+    Server =
+        std::make_unique<FakeServer>([Report](const std::string &Request, int) {
+          return Request.starts_with("GET /api/report")
+                     ? Report
+                     : httpResponse(503, "{}");
+        });
+    Began = publish("d1", *Server, 1000);
+    publish("d2", Other, 1000);
+  }
+  ServerProcess publish(const std::string &Id, const FakeServer &At,
+                        int64_t StartedAt) {
+    crocusspur::gateway::ServerEntry entry;
+    entry.Id = Id;
+    entry.Service = "summaries";
+    entry.Address = At.address();
+    entry.Slots = 4;
+    entry.Stage = ServerStage::Decode;
+    entry.Version = "v1";
+    entry.StartedAt = StartedAt;
+    Setup.Directory.applyServer({Id, {0, ++Setup.Revision}, entry},
+                                UpdateOrigin::Store);
+    return processOf(entry);
+  }
+  // All that is known of servers is known without a gap from now on.
+  void readList() {
+    Setup.Directory.applyServerList(Setup.Directory.servers(),
+                                    {0, ++Setup.Revision}, UpdateOrigin::Store);
+  }
+  void recordUnproven(Milliseconds RunAge) {
+    Setup.Origins.recordUnproven(stream(), versionKeyOf("v1"),
+                                 Milliseconds(10000), Began, RunAge);
+  }
+  CallerRequest request() {
+    CallerRequest request = Setup.request();
+    request.LastEventId = "4";
+    request.ResumedRequestId = "a0";
+    return request;
+  }
+  StreamKey stream() {
+    CallerRequest taken = request();
+    return streamKeyOf(taken.Host, taken.Target, "a0");
+  }
+  bool goesOn() {
+    PathRoute route = Setup.route(RouteKind::Stream);
+    route.Resumable = true;
+    Setup.run(route, request());
+    bool runs = Other.count("POST /x/y") > 0;
+    CHECK(Setup.Origins.find(stream()) ==
+          (runs ? versionKeyOf("v1") : UncertainVersion));
+    return runs;
+  }
+
+  GatewayFixture Setup;
+  std::unique_ptr<FakeServer> Server;
+  FakeServer Other{[](const std::string &Request, int) {
+    return modelServerResponse(Request);
+  }};
+  ServerProcess Began;
+};
+
+} // namespace
+
+// What couldn't be shown when a run broke off may be shown later: the process
+// lives, or this instance knows all entries since.
+TEST_CASE("A stream of an unproven record goes on once its process is shown") {
+  SUBCASE("by itself") {
+    UnprovenStream setup(UpgradedServer::reportOf(1000));
+    setup.recordUnproven(Milliseconds(1000));
+    CHECK(setup.goesOn());
+  }
+  SUBCASE("by entries that are known since before the run") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    std::this_thread::sleep_for(Milliseconds(50));
+    setup.recordUnproven(Milliseconds(0));
+    CHECK(setup.goesOn());
+  }
+}
+
+// Such a stream may hold events of another version.
+TEST_CASE("A stream of an unproven record is refused without a proof") {
+  SUBCASE("by the process that runs now") {
+    UnprovenStream setup(UpgradedServer::reportOf(2000));
+    setup.readList();
+    setup.recordUnproven(Milliseconds(0));
+    CHECK_FALSE(setup.goesOn());
+  }
+  SUBCASE("with entries that are known since the run only") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    setup.recordUnproven(Milliseconds(1000));
+    CHECK_FALSE(setup.goesOn());
+  }
+  SUBCASE("with a later process of the same version") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    std::this_thread::sleep_for(Milliseconds(50));
+    setup.recordUnproven(Milliseconds(0));
+    setup.publish("d1", *setup.Server, 2000);
+    CHECK_FALSE(setup.goesOn());
+  }
+  SUBCASE("while the store is down") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    std::this_thread::sleep_for(Milliseconds(50));
+    setup.recordUnproven(Milliseconds(0));
+    setup.Setup.Directory.setStoreReachable(PublishedKind::Servers, false);
+    CHECK_FALSE(setup.goesOn());
+  }
+  SUBCASE("after the store has stood still") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    setup.recordUnproven(Milliseconds(0));
+    std::this_thread::sleep_for(Milliseconds(50));
+    setup.Setup.Directory.onStoreHeldUp();
+    CHECK_FALSE(setup.goesOn());
+  }
+  SUBCASE("where the store doesn't respond") {
+    UnprovenStream setup(httpResponse(404, ""));
+    setup.readList();
+    std::this_thread::sleep_for(Milliseconds(50));
+    setup.recordUnproven(Milliseconds(0));
+    setup.Setup.Origins.setHooks(
+        {{}, {}, {}, [] { return ServersReading::failed(); }});
+    CHECK_FALSE(setup.goesOn());
+  }
+}
