--- a/src/gateway/decisions/member_table.cc
+++ b/src/gateway/decisions/member_table.cc
@@ -231,8 +231,9 @@
     if (state.Item.Leaving)
       leaving.insert(state.Item.Address);
   std::vector<std::string> all = keepersOf(Key, Now);
-  std::ranges::stable_partition(
-      all, [&](const std::string &It) { return !leaving.contains(It); });
+  std::stable_partition(all.begin(), all.end(), [&](const std::string &It) {
+    return !leaving.contains(It);
+  });
   return all;
 }
 
