Take no two mutexes against one order, and call listeners without any

Two threads of an instance could wait for each other for good, and all requests behind them: the one that asks peers held its mutex while it took that of the store's readers, which took that of the directory; the directory told the crash history of an ended server under its own, which notifies the first.

The class is mended: what is told of an ended server is collected and told after the lock, listeners are called by a ListenerSlot, the view of the fleet and the target of a question are looked up before a lock, and a shared read holds none. Of what remains, server limits, quotas and the crash history look up members and routes under theirs: OuterMutex, under which a LeafMutex may be taken.

--- a/src/backend_client.h
+++ b/src/backend_client.h
@@ -4,6 +4,7 @@
 #ifndef CROCUSSPUR_BACKEND_CLIENT_H
 #define CROCUSSPUR_BACKEND_CLIENT_H
 
+#include "checked_mutex.h"
 #include "crocusspur/event.h"
 #include "http_exchange.h"
 #include "json_text.h"
@@ -127,7 +128,7 @@
                   const std::string &Method, bool Reuse, bool &Retry,
                   uint32_t &Status, std::string &Response);
 
-  std::mutex Mutex;
+  LeafMutex Mutex;
   std::map<std::string, std::vector<IdleSocket>> Idle; // by address
 };
 
--- a/src/backend_control.cc
+++ b/src/backend_control.cc
@@ -1,4 +1,5 @@
 #include "backend_client.h"
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 #include "json_reader.h"
 #include "log.h"
@@ -8,7 +9,6 @@
 #include <Poco/Runnable.h>
 #include <Poco/ThreadPool.h>
 #include <algorithm>
-#include <condition_variable>
 #include <cstdlib>
 #include <deque>
 #include <map>
@@ -104,8 +104,8 @@
   uint64_t Timer = 0;
   Milliseconds PollPeriod{250};
   Milliseconds ConnectTimeout{500};
-  std::mutex Mutex;
-  std::condition_variable Changed;
+  LeafMutex Mutex;
+  ConditionVariable Changed;
   bool Stopping = false;
   std::map<std::pair<std::string, std::string>, CallQueue> Queues;
   std::set<std::string> ServersToPoll;
--- a/src/caller_listener.cc
+++ b/src/caller_listener.cc
@@ -1,4 +1,5 @@
 #include "caller_reader.h"
+#include "checked_mutex.h"
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "digest.h"
@@ -10,7 +11,6 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <boost/leaf.hpp>
-#include <condition_variable>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -83,10 +83,10 @@
   ConnectionServer Server;
   std::atomic<uint32_t> OpenConnections{0};
   std::atomic<bool> Stopping{false};
-  std::mutex Mutex;
-  std::condition_variable Idle; // no request is active
-  std::set<int> Sockets;        // of open connections
-  uint32_t ActiveRequests = 0;  // requests between head and response
+  LeafMutex Mutex;
+  ConditionVariable Idle;      // no request is active
+  std::set<int> Sockets;       // of open connections
+  uint32_t ActiveRequests = 0; // requests between head and response
 };
 
 std::string overloadResponse() {
--- a/src/connection_server.cc
+++ b/src/connection_server.cc
@@ -1,5 +1,6 @@
 #include "connection_server.h"
 
+#include "checked_mutex.h"
 #include "log.h"
 
 #include <Poco/Event.h>
@@ -9,7 +10,6 @@
 #include <Poco/Thread.h>
 #include <atomic>
 #include <boost/intrusive/list.hpp>
-#include <condition_variable>
 #include <deque>
 #include <list>
 #include <mutex>
@@ -51,9 +51,9 @@
   std::optional<Poco::Thread> Acceptor;
   std::atomic<bool> AcceptorStops{false};
   std::atomic<size_t> Connections{0};
-  std::mutex Mutex;
+  LeafMutex Mutex;
   bool Stopped = false; // no thread waits for connections any more
-  std::condition_variable AllEnded;
+  ConditionVariable AllEnded;
   std::list<Worker> Workers;
   std::list<Worker> Ended;        // threads that are still to be joined
   IdleWorkers Idle;               // the last used first, so that others end
--- a/src/core_thread.cc
+++ b/src/core_thread.cc
@@ -1,3 +1,4 @@
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 #include "log.h"
 #include "ring.h"
@@ -118,7 +119,7 @@
   std::set<std::string> LinkedPeers; // core's thread only, like the next
   std::optional<TimePoint> PeerVersionSeenAt;
   bool Completed = false; // core's thread only; set by ShutdownComplete
-  mutable std::mutex Mutex;
+  mutable LeafMutex Mutex;
   ConfigPtr Config = std::make_shared<ConfigDocument>();
   InstanceListPtr List = std::make_shared<InstanceList>();
 };
--- a/src/document_reader.cc
+++ b/src/document_reader.cc
@@ -1,12 +1,12 @@
 #include "document_reader.h"
 
+#include "checked_mutex.h"
 #include "log.h"
 #include "platform_client.h"
 
 #include <Poco/Thread.h>
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <utility>
@@ -37,8 +37,8 @@
   Poco::Thread Thread;
   bool Running = false;
 
-  std::mutex Mutex; // guards the members up to Changed
-  std::condition_variable Changed;
+  LeafMutex Mutex; // guards the members up to Changed
+  ConditionVariable Changed;
   Mode Reading = Mode::ReadOnce;
   uint64_t After = 0;    // number of the last document read
   uint64_t Revision = 0; // increases when the current call is obsolete
--- a/src/gateway/accounts/account_quotas.cc
+++ b/src/gateway/accounts/account_quotas.cc
@@ -242,9 +242,9 @@
   return it != SilentHomes.end() && it->second.Until > Now;
 }
 
-std::optional<QuotaGrant> AccountQuotas::ask(std::unique_lock<std::mutex> &Lock,
-                                             const KeyOwner &Home,
-                                             const QuotaAsk &Ask) {
+std::optional<QuotaGrant>
+AccountQuotas::ask(std::unique_lock<internal::OuterMutex> &Lock,
+                   const KeyOwner &Home, const QuotaAsk &Ask) {
   std::string address = Home.Address;
   auto silent = SilentHomes.find(address);
   if (silent != SilentHomes.end())
@@ -278,7 +278,7 @@
 }
 
 std::optional<QuotaGrant>
-AccountQuotas::askInTurn(std::unique_lock<std::mutex> &Lock,
+AccountQuotas::askInTurn(std::unique_lock<internal::OuterMutex> &Lock,
                          const ClientAccount &Account, State &Item,
                          QuotaAsk Ask) {
   TimePoint first = Now();
--- a/src/gateway/accounts/account_quotas.h
+++ b/src/gateway/accounts/account_quotas.h
@@ -8,12 +8,12 @@
 #ifndef CROCUSSPUR_GATEWAY_ACCOUNT_QUOTAS_H
 #define CROCUSSPUR_GATEWAY_ACCOUNT_QUOTAS_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/accounts/fleet_memory.h"
 #include "gateway/decisions/accounts/lease_account.h"
 #include "gateway/decisions/accounts/quota_bucket.h"
 #include "gateway/decisions/member_table.h"
 
-#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
@@ -181,12 +181,12 @@
   static std::optional<Milliseconds> heardAgo(const State &Item, TimePoint Now);
   bool isSilent(const std::string &Address, TimePoint Now) const;
   // Called with the lock, which it gives up while it asks.
-  std::optional<QuotaGrant> ask(std::unique_lock<std::mutex> &Lock,
+  std::optional<QuotaGrant> ask(std::unique_lock<internal::OuterMutex> &Lock,
                                 const KeyOwner &Home, const QuotaAsk &Ask);
   // Asks the home and, while it is a seed that doesn't decide, the next one.
-  std::optional<QuotaGrant> askInTurn(std::unique_lock<std::mutex> &Lock,
-                                      const ClientAccount &Account, State &Item,
-                                      QuotaAsk Ask);
+  std::optional<QuotaGrant>
+  askInTurn(std::unique_lock<internal::OuterMutex> &Lock,
+            const ClientAccount &Account, State &Item, QuotaAsk Ask);
   void onHomeSilent(const std::string &Address, TimePoint Now);
   void decideByShare(State &Item, const AccountQuota &Quota,
                      QuotaDecision &Decision, TimePoint Now);
@@ -204,9 +204,9 @@
   const std::function<double()> Draw;
   const std::function<TimePoint()> Now;
   QuotaSharing Sharing;
-  mutable std::mutex Mutex;
-  std::condition_variable Wake;
-  std::condition_variable WakeWaiting; // requests that wait for a home
+  mutable internal::OuterMutex Mutex;
+  internal::ConditionVariable Wake;
+  internal::ConditionVariable WakeWaiting; // requests that wait for a home
   uint32_t Waiting = 0;
   TimePoint StartedAt;
   bool Stopping = false;
--- a/src/gateway/change_exchange.cc
+++ b/src/gateway/change_exchange.cc
@@ -255,12 +255,13 @@
   QueryTargets targets{[this] { return Runtime.Readers.domainReaders(); },
                        [this] { return Runtime.Readers.otherReaders(); },
                        [this] { return Runtime.Peers.selectContacts(1); }};
-  std::string address;
+  bool isReading = Runtime.Readers.isRegularReader();
+  KnowledgeQuery query;
   {
     std::lock_guard lock(Mutex);
-    address =
-        Queries.ask(targets, Runtime.Readers.isRegularReader(), Clock::now());
+    query = Queries.begin(isReading, Clock::now());
   }
+  std::string address = targetOf(query, targets);
   if (address.empty())
     return;
   MemberFrame frame = Hooks.LightFrame();
--- a/src/gateway/change_exchange.h
+++ b/src/gateway/change_exchange.h
@@ -4,11 +4,11 @@
 #ifndef CROCUSSPUR_GATEWAY_CHANGE_EXCHANGE_H
 #define CROCUSSPUR_GATEWAY_CHANGE_EXCHANGE_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/fleet/knowledge_queries.h"
 #include "gateway/gateway_runtime.h"
 #include "gateway/member_codec.h"
 
-#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -67,8 +67,8 @@
 
   GatewayRuntime &Runtime;
   const ChangeExchangeHooks Hooks;
-  std::mutex Mutex; // guards the members up to Newest
-  std::condition_variable Wake;
+  internal::LeafMutex Mutex; // guards the members up to Newest
+  internal::ConditionVariable Wake;
   bool Stopping = false;
   bool HasChanges = false;      // that contacts haven't been told of
   bool HasConfirmation = false; // knowledge became recent that peers may lack
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -30,20 +30,11 @@
 } // namespace
 
 void CrashMonitor::setChangeListener(std::function<void()> Listener) {
-  std::lock_guard lock(Mutex);
-  ChangeListener = std::move(Listener);
+  ChangeListener.set(std::move(Listener));
 }
 
 // Called without the lock, so that the listener may take its own.
-void CrashMonitor::notify() {
-  std::function<void()> listener;
-  {
-    std::lock_guard lock(Mutex);
-    listener = ChangeListener;
-  }
-  if (listener)
-    listener();
-}
+void CrashMonitor::notify() { ChangeListener.call(); }
 
 std::optional<Milliseconds> CrashMonitor::refusedFor(uint64_t Content) const {
   std::lock_guard lock(Mutex);
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -5,8 +5,10 @@
 #ifndef CROCUSSPUR_GATEWAY_CRASH_MONITOR_H
 #define CROCUSSPUR_GATEWAY_CRASH_MONITOR_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/crash_history.h"
 #include "gateway/decisions/run_tracker.h"
+#include "listener_slot.h"
 
 #include <functional>
 #include <map>
@@ -104,7 +106,7 @@
   void notify();
 
   const std::string Instance;
-  mutable std::mutex Mutex;
+  mutable internal::OuterMutex Mutex;
   RunTracker Runs;
   CrashHistory History;
   // The latest request that may run with a part on probation.
@@ -115,7 +117,7 @@
   std::map<PromptPartKey, Probe> Probes;
   std::function<bool(PromptPartKey)> IsProbationOwner;
   Counters Counts;
-  std::function<void()> ChangeListener;
+  internal::ListenerSlot<> ChangeListener;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/fleet/knowledge_queries.cc
+++ b/src/gateway/decisions/fleet/knowledge_queries.cc
@@ -35,30 +35,31 @@
   return due;
 }
 
-std::string KnowledgeQueries::ask(const QueryTargets &Targets, bool IsReading,
-                                  TimePoint Now) {
+KnowledgeQuery KnowledgeQueries::begin(bool IsReading, TimePoint Now) {
   AskedAt = Now;
   uint32_t turn = InRow++;
-  if (!Ahead.empty()) {
-    // It may have gone since; the others are asked by turns.
-    std::string peer = Ahead;
-    if (turn % 2 == 0)
-      return peer;
-  }
+  // A peer that is ahead may have gone since; the others are asked by turns.
+  if (!Ahead.empty() && turn % 2 == 0)
+    return {Ahead};
   // A reader asks those of other domains first, whose knowledge doesn't come
   // from its own.
-  const auto *order = &Targets.DomainReaders;
   uint32_t which = (turn + (IsReading ? 1 : 0)) % 3;
-  if (which == 1)
-    order = &Targets.OtherReaders;
-  else if (which == 2)
-    order = &Targets.Members;
-  std::vector<std::string> found = (*order)();
-  if (found.empty() && which != 2)
+  return {"", static_cast<QueryGroup>(which), Random()};
+}
+
+std::string targetOf(const KnowledgeQuery &Query, const QueryTargets &Targets) {
+  if (!Query.Peer.empty())
+    return Query.Peer;
+  std::vector<std::string> found;
+  if (Query.Group == QueryGroup::DomainReaders)
+    found = Targets.DomainReaders();
+  else if (Query.Group == QueryGroup::OtherReaders)
+    found = Targets.OtherReaders();
+  if (found.empty())
     found = Targets.Members();
   if (found.empty())
     return "";
-  return found[Random() % found.size()];
+  return found[Query.Random % found.size()];
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/decisions/fleet/knowledge_queries.h
+++ b/src/gateway/decisions/fleet/knowledge_queries.h
@@ -27,6 +27,18 @@
   std::function<std::vector<std::string>()> Members;
 };
 
+enum class QueryGroup : uint8_t { DomainReaders, OtherReaders, Members };
+
+// Whom to ask.
+struct KnowledgeQuery {
+  std::string Peer; // its address; empty: one of the group
+  QueryGroup Group = QueryGroup::Members;
+  uint64_t Random = 0; // which of them
+};
+
+// Returns the address to ask; empty: there is none.
+std::string targetOf(const KnowledgeQuery &Query, const QueryTargets &Targets);
+
 class KnowledgeQueries {
 public:
   explicit KnowledgeQueries(uint64_t Seed) : Random(Seed) {}
@@ -41,9 +53,9 @@
   // instance knows.
   TimePoint dueAt(const PropagationBudget &Budget,
                   std::optional<TimePoint> ConfirmedAt) const;
-  // Returns the address to ask, and notes that it is asked; empty: there is
-  // none. `IsReading`: whether this instance reads the store itself.
-  std::string ask(const QueryTargets &Targets, bool IsReading, TimePoint Now);
+  // Notes that a question is asked. `IsReading`: whether this instance reads
+  // the store itself.
+  KnowledgeQuery begin(bool IsReading, TimePoint Now);
   // The question has made the knowledge recent.
   void onFresh() { InRow = 0; }
 
--- a/src/gateway/forward_service.h
+++ b/src/gateway/forward_service.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_FORWARD_SERVICE_H
 #define CROCUSSPUR_GATEWAY_FORWARD_SERVICE_H
 
+#include "checked_mutex.h"
 #include "gateway/forward_call.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_runtime.h"
@@ -37,7 +38,7 @@
 
   GatewayRuntime &Runtime;
   const GatewayContext &Context;
-  std::mutex Mutex;
+  internal::LeafMutex Mutex;
   std::set<int> Open; // connections of requests
 };
 
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -1,6 +1,7 @@
 // Plug-in: serves callers' connections. Each has its own thread, which reads
 // requests, finds their routes and handles them.
 #include "caller_reader.h"
+#include "checked_mutex.h"
 #include "connection_server.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/connection_room.h"
@@ -122,7 +123,7 @@
   GatewayRuntime *Runtime = nullptr;
   std::optional<GatewayContext> Context;
   internal::ConnectionServer Server;
-  std::mutex Mutex;
+  internal::LeafMutex Mutex;
   ConnectionList<&CallerConnection::OpenHook> Open;
   // Waiting for a request, the longest first: after a response, and without
   // one so far.
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 #define CROCUSSPUR_GATEWAY_GATEWAY_RUNTIME_H
 
+#include "checked_mutex.h"
 #include "gateway/accounts/access_control.h"
 #include "gateway/accounts/account_quotas.h"
 #include "gateway/adapter.h"
@@ -120,7 +121,7 @@
   bool ready() const { return !Stopping.load() && Directory.isComplete(); }
 
 private:
-  mutable std::mutex Mutex;
+  mutable internal::LeafMutex Mutex;
   std::vector<std::string> Seeds;
   RetryAllowance Retries;
   PaceSettings Pace;
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -6,6 +6,7 @@
 // exchanged by the threads of the requests, leases of accounts' tokens by these
 // or in advance. Requests that another instance passes on are handled on the
 // threads of their connections.
+#include "checked_mutex.h"
 #include "connection_server.h"
 #include "crocusspur/instance_list.h"
 #include "crocusspur/kernel.h"
@@ -21,7 +22,6 @@
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <set>
@@ -121,10 +121,10 @@
   std::optional<GatewayContext> Context; // of requests of other instances
   std::optional<ForwardService> Forwarded;
   std::optional<ChangeExchange> Changes;
-  std::mutex Mutex; // guards Stopping
-  std::condition_variable Wake;
+  internal::LeafMutex Mutex; // guards Stopping
+  internal::ConditionVariable Wake;
   bool Stopping = false;
-  std::mutex SourcesMutex; // guards the objects below
+  internal::LeafMutex SourcesMutex; // guards the objects below
   StateVersion OwnState;
   std::mt19937_64 Random;
   std::optional<DocumentSources> Sources;
--- a/src/gateway/membership.h
+++ b/src/gateway/membership.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_MEMBERSHIP_H
 #define CROCUSSPUR_GATEWAY_MEMBERSHIP_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/member_table.h"
 
 #include <mutex>
@@ -51,7 +52,7 @@
   };
   std::vector<IssuedStageOrder> ownOrdersLocked() const;
 
-  mutable std::mutex Mutex;
+  mutable internal::LeafMutex Mutex;
   MemberTable Table;
   std::vector<OwnOrder> Orders; // those still sent to peers
 };
--- a/src/gateway/prefill_dispatch.h
+++ b/src/gateway/prefill_dispatch.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_PREFILL_DISPATCH_H
 #define CROCUSSPUR_GATEWAY_PREFILL_DISPATCH_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/placement/prefill_dispatcher.h"
 #include "gateway/service_directory.h"
@@ -109,7 +110,7 @@
 
   ServiceDirectory &Directory;
   DispatchSharing Sharing;
-  mutable std::mutex Mutex; // guards the objects below
+  mutable internal::LeafMutex Mutex; // guards the objects below
   std::map<std::string, PrefillDispatcher> Dispatchers; // by service
   std::map<std::string, std::vector<Completed>> Unsent; // by service
   std::map<std::string, QuietOwner> QuietOwners;        // by address
--- a/src/gateway/process_proofs.h
+++ b/src/gateway/process_proofs.h
@@ -6,6 +6,7 @@
 #ifndef CROCUSSPUR_GATEWAY_PROCESS_PROOFS_H
 #define CROCUSSPUR_GATEWAY_PROCESS_PROOFS_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/leaving_servers.h"
 
 #include <map>
@@ -31,7 +32,7 @@
   // Called with the lock.
   State &stateOf(const ServerProcess &Process, TimePoint Now);
 
-  mutable std::mutex Mutex;
+  mutable internal::LeafMutex Mutex;
   std::map<ServerProcess, State> Processes;
 };
 
--- a/src/gateway/reservation_queues.h
+++ b/src/gateway/reservation_queues.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 #define CROCUSSPUR_GATEWAY_RESERVATION_QUEUES_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/admission_control.h"
 #include "gateway/decisions/plain_queue.h"
 #include "gateway/decisions/reservation_queue.h"
@@ -70,7 +71,7 @@
   };
   State &state(const std::string &Service);
 
-  std::mutex Mutex;
+  internal::LeafMutex Mutex;
   std::map<std::string, State> Services;
 };
 
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -1,5 +1,6 @@
 // Plug-in: orders servers to change their stage when RoleController decides so
 // and this instance is the leader.
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/prefill_rate_estimator.h"
 #include "gateway/decisions/role_controller.h"
@@ -7,7 +8,6 @@
 #include "log.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -86,8 +86,8 @@
   GatewayRuntime *Runtime = nullptr;
   std::map<std::string, ServiceState> Services; // by name
   std::vector<AnnouncedOrder> Pending;
-  std::mutex Mutex; // guards Stopping
-  std::condition_variable Wake;
+  internal::LeafMutex Mutex; // guards Stopping
+  internal::ConditionVariable Wake;
   bool Stopping = false;
   std::thread Thread;
 };
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -2,6 +2,7 @@
 #ifndef CROCUSSPUR_GATEWAY_SERVER_CALL_H
 #define CROCUSSPUR_GATEWAY_SERVER_CALL_H
 
+#include "checked_mutex.h"
 #include "gateway/http_codec.h"
 #include "gateway/server_limits.h"
 #include "gateway/server_reachability.h"
@@ -77,7 +78,7 @@
     PooledConnection Connection;
     TimePoint UsableUntil;
   };
-  std::mutex Mutex;
+  internal::LeafMutex Mutex;
   std::map<std::string, std::deque<Idle>> Connections;
   std::atomic<uint64_t> Opened{0};
   ServerReachability Reach;
--- a/src/gateway/server_limits.cc
+++ b/src/gateway/server_limits.cc
@@ -41,20 +41,11 @@
 }
 
 void ServerLimits::setChangeListener(std::function<void()> Listener) {
-  std::lock_guard lock(Mutex);
-  ChangeListener = std::move(Listener);
+  ChangeListener.set(std::move(Listener));
 }
 
 // Called without the lock, so that the listener may take its own.
-void ServerLimits::notify() {
-  std::function<void()> listener;
-  {
-    std::lock_guard lock(Mutex);
-    listener = ChangeListener;
-  }
-  if (listener)
-    listener();
-}
+void ServerLimits::notify() { ChangeListener.call(); }
 
 void ServerLimits::expire(TimePoint Now) {
   Table.expire(Now);
@@ -159,7 +150,7 @@
   return state.SharePacer->request(rate, Calls, MaxDelay, Now);
 }
 
-CallPermit ServerLimits::askOwner(std::unique_lock<std::mutex> &Lock,
+CallPermit ServerLimits::askOwner(std::unique_lock<internal::OuterMutex> &Lock,
                                   const KeyOwner &Owner,
                                   PermitRequest Request) {
   const std::string &server = Request.Limit.ServerId;
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -8,9 +8,11 @@
 #ifndef CROCUSSPUR_GATEWAY_SERVER_LIMITS_H
 #define CROCUSSPUR_GATEWAY_SERVER_LIMITS_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/member_table.h"
 #include "gateway/decisions/request_pacer.h"
 #include "gateway/decisions/server_limit_table.h"
+#include "listener_slot.h"
 
 #include <atomic>
 #include <functional>
@@ -121,8 +123,8 @@
   PaceDecision decideByShare(const ServerLimit &Limit, uint32_t Calls,
                              Milliseconds MaxDelay, TimePoint Now);
   // Called with the lock, which it gives up while it asks.
-  CallPermit askOwner(std::unique_lock<std::mutex> &Lock, const KeyOwner &Owner,
-                      PermitRequest Request);
+  CallPermit askOwner(std::unique_lock<internal::OuterMutex> &Lock,
+                      const KeyOwner &Owner, PermitRequest Request);
   uint32_t sharers() const { return Sharing.Sharers ? Sharing.Sharers() : 1; }
   void charge(const std::string &ServerId, int32_t Calls);
   void logChange(const std::string &ServerId, std::optional<double> Former,
@@ -132,14 +134,14 @@
 
   const std::string Instance;
   LimitSharing Sharing;
-  mutable std::mutex Mutex;
+  mutable internal::OuterMutex Mutex;
   ServerLimitTable Table;
   std::map<std::string, ServerState> Servers;    // those with a known limit
   std::map<std::string, TimePoint> SilentOwners; // address, until when
   std::atomic<bool> Any{false};                  // whether any limit is known
   TimePoint MalformedLoggedAt;
   Counters Counts;
-  std::function<void()> ChangeListener;
+  internal::ListenerSlot<> ChangeListener;
 };
 
 } // namespace crocusspur::gateway
--- a/src/gateway/server_reachability.h
+++ b/src/gateway/server_reachability.h
@@ -3,10 +3,10 @@
 #ifndef CROCUSSPUR_GATEWAY_SERVER_REACHABILITY_H
 #define CROCUSSPUR_GATEWAY_SERVER_REACHABILITY_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/reachability_table.h"
 #include "gateway/decisions/server_registry.h"
 
-#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -54,11 +54,11 @@
   // Logs a change of the service's state.
   void logState(const std::string &Service, Reachability State);
 
-  mutable std::mutex Mutex;
+  mutable internal::LeafMutex Mutex;
   ReachabilityTable Table;
   std::map<std::string, Reachability> LoggedStates; // by service
   Hooks Observers;
-  std::condition_variable Suspicion;
+  internal::ConditionVariable Suspicion;
   bool HasSuspicion = false;
 };
 
--- a/src/gateway/service_directory.cc
+++ b/src/gateway/service_directory.cc
@@ -256,8 +256,8 @@
       RemovedProcesses.erase(removed);
     }
     Versions.onServer(*Change.Entry, Now);
-    if (restarted && OnServerEnd)
-      OnServerEnd(Change.Id, Change.Entry->StartedAt);
+    if (restarted)
+      Ended.push_back({Change.Id, Change.Entry->StartedAt});
     onAddressNamed(*Change.Entry);
     return;
   }
@@ -278,8 +278,8 @@
     return Now - It.second.second > RemovedEntryRetention;
   });
   RemovedProcesses[Entry.Id] = {processOf(Entry), Now};
-  if (!Registry.isLeaving(Entry.Id) && OnServerEnd)
-    OnServerEnd(Entry.Id, std::nullopt);
+  if (!Registry.isLeaving(Entry.Id))
+    Ended.push_back({Entry.Id, std::nullopt});
 }
 
 std::optional<TimePoint>
@@ -335,8 +335,8 @@
          {"address", it.Address},
          {"successor", latest->Id},
          {"leaving", Registry.isLeaving(it.Id) ? "true" : "false"}});
-    if (!Registry.isLeaving(it.Id) && OnServerEnd)
-      OnServerEnd(it.Id, std::nullopt);
+    if (!Registry.isLeaving(it.Id))
+      Ended.push_back({it.Id, std::nullopt});
   }
 }
 
@@ -357,8 +357,11 @@
                                    UpdateOrigin Origin) {
   TimePoint now = Clock::now();
   TimePoint knownAll = lastKnownAll(now);
-  std::lock_guard lock(Mutex);
-  applyLocked(Change, Origin, now, knownAll);
+  {
+    std::lock_guard lock(Mutex);
+    applyLocked(Change, Origin, now, knownAll);
+  }
+  reportEnded();
 }
 
 void ServiceDirectory::applyServerChanges(
@@ -366,15 +369,30 @@
     StoreRevision Revision, UpdateOrigin Origin) {
   TimePoint now = Clock::now();
   TimePoint knownAll = lastKnownAll(now);
+  bool isNew = false;
   {
     std::lock_guard lock(Mutex);
     for (const ServerChange &it : Changes)
       applyLocked(it, Origin, now, knownAll);
-    if (!ListReceived || ListRevision < Since || Revision <= ListRevision)
-      return;
-    ListRevision = Revision;
+    isNew = ListReceived && ListRevision >= Since && Revision > ListRevision;
+    if (isNew)
+      ListRevision = Revision;
   }
-  notify();
+  reportEnded();
+  if (isNew)
+    notify();
+}
+
+void ServiceDirectory::reportEnded() {
+  std::vector<EndedProcess> ended;
+  {
+    std::lock_guard lock(Mutex);
+    ended.swap(Ended);
+  }
+  if (!OnServerEnd)
+    return;
+  for (const EndedProcess &it : ended)
+    OnServerEnd(it.ServerId, it.StartedAt);
 }
 
 void ServiceDirectory::applyServerList(const std::vector<ServerChange> &Entries,
@@ -398,6 +416,7 @@
     ListReceived = true;
     Versions.onListRead(now);
   }
+  reportEnded();
   notify();
 }
 
@@ -592,11 +611,7 @@
   return true;
 }
 
-void ServiceDirectory::notify() {
-  std::lock_guard lock(ListenerMutex);
-  if (OnChange)
-    OnChange();
-}
+void ServiceDirectory::notify() { OnChange.call(); }
 
 void ServiceDirectory::onServerResting(const ServerProcess &Process,
                                        Milliseconds Time) {
@@ -615,8 +630,7 @@
 }
 
 void ServiceDirectory::setChangeListener(std::function<void()> Listener) {
-  std::lock_guard lock(ListenerMutex);
-  OnChange = std::move(Listener);
+  OnChange.set(std::move(Listener));
 }
 
 std::vector<LeavingServer>
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_GATEWAY_SERVICE_DIRECTORY_H
 #define CROCUSSPUR_GATEWAY_SERVICE_DIRECTORY_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/demand_meter.h"
 #include "gateway/decisions/fleet/config_age.h"
 #include "gateway/decisions/member_table.h"
@@ -17,6 +18,7 @@
 #include "gateway/decisions/stream_resumption.h"
 #include "gateway/decisions/version_history.h"
 #include "gateway/gateway_settings.h"
+#include "listener_slot.h"
 
 #include <array>
 #include <atomic>
@@ -98,10 +100,11 @@
   // All changes up to the revision have been read and applied.
   void onServersKnownUpTo(StoreRevision Revision);
 
-  // Called when a server's process seems to have ended: it registered with a
-  // new start time (`StartedAt`), or without an announced leaving (nothing) its
-  // entry expired or another server registered at its address. Set before the
-  // directory is used by several threads. It must not call back.
+  // Called without a lock when a server's process seems to have ended: it
+  // registered with a new start time (`StartedAt`), or without an announced
+  // leaving (nothing) its entry expired or another server registered at its
+  // address. Set before the directory is used by several threads. It must not
+  // call back.
   using ServerEndListener = std::function<void(
       const std::string &ServerId, std::optional<int64_t> StartedAt)>;
   void setServerEndListener(ServerEndListener Listener);
@@ -286,6 +289,8 @@
   // A removed entry shows that its server is gone.
   void onServerGone(const ServerEntry &Entry, TimePoint Now);
   void notify();
+  // Tells the listener of Ended.
+  void reportEnded();
   // Logs changes of servers' paces, at most a few in a second. Returns whether
   // peers should learn of them at once, which is limited in rate.
   bool logPaceChanges(const char *Reason, TimePoint Now);
@@ -312,11 +317,15 @@
   void onAddressNamed(const ServerEntry &Entry);
 
   const GatewaySettings &Values;
+  struct EndedProcess {
+    std::string ServerId;
+    std::optional<int64_t> StartedAt; // see ServerEndListener
+  };
+
   ServerEndListener OnServerEnd;
   ConfirmedAgoHook ServersConfirmedAgo;
-  std::function<void()> OnChange;
-  std::mutex ListenerMutex; // guards OnChange
-  mutable std::mutex Mutex;
+  internal::ListenerSlot<> OnChange;
+  mutable internal::LeafMutex Mutex;
   RouteDocumentPtr Document;
   ServerRegistry Registry;
   std::map<std::string, StoreRevision> Revisions; // last change, by server
@@ -332,6 +341,7 @@
   std::atomic<uint64_t> HighestEra{0};
   std::atomic<bool> ConfigInvalid{false};
   std::optional<TimePoint> EraChangedAt; // of the list
+  std::vector<EndedProcess> Ended;       // the listener hasn't been told
   // Processes whose entries were removed lately, by server, and when.
   std::map<std::string, std::pair<ServerProcess, TimePoint>> RemovedProcesses;
   SharedRetryBudget Retries;
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -1,13 +1,13 @@
 // Plug-in: updates the directory from the store, with one thread and one
 // connection each for servers and routes, while this instance is one of those
 // that read it.
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 #include "gateway/gateway_runtime.h"
 #include "log.h"
 
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <thread>
@@ -101,8 +101,8 @@
 
   GatewayRuntime *Runtime = nullptr;
   std::atomic<bool> Stopping{false};
-  std::mutex Mutex;
-  std::condition_variable Wake;
+  internal::LeafMutex Mutex;
+  internal::ConditionVariable Wake;
   std::vector<std::thread> Threads;
 };
 
--- a/src/gateway/store_readers.cc
+++ b/src/gateway/store_readers.cc
@@ -33,24 +33,30 @@
       Election(Values.Instance, Values.FailureDomain, isSeed(Values), Seed,
                {Values.ConfigApplyTime, Values.MaxDrainTime}, Clock::now()) {}
 
-const ReaderView &StoreReaders::view() const {
+std::unique_lock<internal::LeafMutex> StoreReaders::lockWithView() const {
+  {
+    std::unique_lock lock(Mutex);
+    if (Clock::now() - ViewAt < ViewLifetime && View.Complete)
+      return lock;
+  }
   TimePoint now = Clock::now();
-  if (now - ViewAt >= ViewLifetime || !View.Complete) {
-    View = Peers.readerView(Values.FailureDomain);
-    View.Complete = Directory.isComplete();
+  ReaderView view = Peers.readerView(Values.FailureDomain);
+  view.Complete = Directory.isComplete();
+  std::unique_lock lock(Mutex);
+  if (ViewAt <= now) {
+    View = std::move(view);
     ViewAt = now;
   }
-  return View;
+  return lock;
 }
 
 bool StoreReaders::shouldRead(PublishedKind Kind) {
-  std::lock_guard lock(Mutex);
+  std::unique_lock lock = lockWithView();
   TimePoint now = Clock::now();
   ReadReason &last = Reasons[static_cast<size_t>(Kind)];
   ReadReason former = last;
-  last = Election.shouldRead(view(), Kind, now)
-             ? Election.reason(view(), Kind, now)
-             : ReadReason::None;
+  last = Election.shouldRead(View, Kind, now) ? Election.reason(View, Kind, now)
+                                              : ReadReason::None;
   if (last == former)
     return last != ReadReason::None;
   auto reason = static_cast<size_t>(last);
@@ -92,19 +98,23 @@
 }
 
 bool StoreReaders::isSelective() const {
-  std::lock_guard lock(Mutex);
-  return Election.isSelective(view(), Clock::now());
+  std::unique_lock lock = lockWithView();
+  return Election.isSelective(View, Clock::now());
 }
 
 PropagationBudget StoreReaders::budget() const {
-  std::lock_guard lock(Mutex);
-  return Election.budget(view(), Clock::now());
+  std::unique_lock lock = lockWithView();
+  return Election.budget(View, Clock::now());
 }
 
 std::vector<std::string> StoreReaders::domainReaders() const {
-  std::lock_guard lock(Mutex);
+  std::vector<std::string> names;
+  {
+    std::unique_lock lock = lockWithView();
+    names = Election.readers(View);
+  }
   std::vector<std::string> all;
-  for (const std::string &it : Election.readers(view()))
+  for (const std::string &it : names)
     all.push_back(Peers.addressOf(it));
   return all;
 }
@@ -121,26 +131,23 @@
 }
 
 void StoreReaders::setConfirmationListener(ConfirmationListener Listener) {
-  std::lock_guard lock(ListenerMutex);
-  OnConfirmation = std::move(Listener);
+  OnConfirmation.set(std::move(Listener));
 }
 
 void StoreReaders::onReadSucceeded(PublishedKind Kind, TimePoint At) {
   bool wasOld = false;
   {
-    std::lock_guard lock(Mutex);
+    std::unique_lock lock = lockWithView();
     wasOld = isOldLocked();
     Election.onReadSucceeded(Kind, At);
     wasOld = wasOld && !isOldLocked();
   }
-  std::lock_guard lock(ListenerMutex);
-  if (OnConfirmation)
-    OnConfirmation(wasOld);
+  OnConfirmation.call(wasOld);
 }
 
 void StoreReaders::onReadFailed() {
-  std::lock_guard lock(Mutex);
-  Election.onReadFailed(view().FleetSize, Clock::now());
+  std::unique_lock lock = lockWithView();
+  Election.onReadFailed(View.FleetSize, Clock::now());
 }
 
 void StoreReaders::onPeerHeard() {
@@ -173,13 +180,13 @@
 }
 
 bool StoreReaders::isOldLocked() const {
-  PropagationBudget budget = Election.budget(view(), Clock::now());
+  PropagationBudget budget = Election.budget(View, Clock::now());
   std::optional<Milliseconds> ago = since(Election.confirmedAt());
   return !ago || *ago > (budget.AskAge + budget.TakeOverAge) / 2;
 }
 
 bool StoreReaders::isOld() const {
-  std::lock_guard lock(Mutex);
+  std::unique_lock lock = lockWithView();
   return isOldLocked();
 }
 
@@ -189,8 +196,8 @@
 }
 
 bool StoreReaders::isCurrent(PublishedKind Kind) const {
-  std::lock_guard lock(Mutex);
-  return Election.isCurrent(view(), Kind, Clock::now());
+  std::unique_lock lock = lockWithView();
+  return Election.isCurrent(View, Kind, Clock::now());
 }
 
 std::array<uint64_t, ReadReasonNames.size()> StoreReaders::readsBegun() const {
--- a/src/gateway/store_readers.h
+++ b/src/gateway/store_readers.h
@@ -3,10 +3,12 @@
 #ifndef CROCUSSPUR_GATEWAY_STORE_READERS_H
 #define CROCUSSPUR_GATEWAY_STORE_READERS_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/fleet/propagation_budget.h"
 #include "gateway/decisions/reader_election.h"
 #include "gateway/membership.h"
 #include "gateway/service_directory.h"
+#include "listener_slot.h"
 
 #include <array>
 #include <functional>
@@ -79,16 +81,15 @@
   // What the members are is computed anew at most this often.
   static constexpr Milliseconds ViewLifetime{50};
 
-  // Called with the lock.
-  const ReaderView &view() const;
-  bool isOldLocked() const;
+  // Takes the lock, with a view that isn't older than ViewLifetime.
+  std::unique_lock<internal::LeafMutex> lockWithView() const;
+  bool isOldLocked() const; // called with that
 
   const GatewaySettings &Values;
   const Membership &Peers;
   const ServiceDirectory &Directory;
-  std::mutex ListenerMutex; // guards OnConfirmation
-  ConfirmationListener OnConfirmation;
-  mutable std::mutex Mutex; // guards the members below
+  internal::ListenerSlot<bool> OnConfirmation;
+  mutable internal::LeafMutex Mutex; // guards the members below
   ReaderElection Election;
   mutable ReaderView View;
   mutable TimePoint ViewAt;
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -1,5 +1,6 @@
 // Plug-in: sends records of streams to their keepers, asks keepers, and reads
 // the servers again from the store when a decision needs the latest state.
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 #include "gateway/decisions/streams/record_keepers.h"
 #include "gateway/gateway_runtime.h"
@@ -8,8 +9,8 @@
 
 #include <algorithm>
 #include <array>
-#include <condition_variable>
 #include <deque>
+#include <exception>
 #include <map>
 #include <mutex>
 #include <span>
@@ -75,8 +76,8 @@
   GatewayRuntime *Runtime = nullptr;
   size_t KeeperRank = 0;
   std::thread Thread;
-  std::mutex Mutex; // guards the members below
-  std::condition_variable Wake;
+  internal::LeafMutex Mutex; // guards the members below
+  internal::ConditionVariable Wake;
   std::deque<Item> Unsent;
   bool Stopped = false;
 };
@@ -124,11 +125,13 @@
 
   private:
     const std::function<Result()> Read;
-    std::mutex Mutex;  // guards the members below
-    TimePoint BegunAt; // of the last read
+    internal::LeafMutex Mutex; // guards the members below
+    internal::ConditionVariable Ended;
+    uint64_t Begun = 0; // reads
+    uint64_t LastEnded = 0;
     Result Last{};
   };
-  std::mutex ReaderMutex; // guards the reader
+  internal::LeafMutex ReaderMutex; // guards the reader
   PublishedReader Reader;
   SharedRead<bool> CatchUp{[this] { return readListAndChanges(); }};
   SharedRead<ServersReading> ChangesOnly{
@@ -356,11 +359,28 @@
 // a failure as well, since a store that is silent takes long to show that.
 template <typename Result>
 Result StreamOriginLinks::SharedRead<Result>::await() {
-  TimePoint asked = Clock::now();
-  std::lock_guard lock(Mutex);
-  if (BegunAt <= asked) {
-    BegunAt = Clock::now();
-    Last = Read();
+  std::unique_lock lock(Mutex);
+  uint64_t wanted = Begun + 1;
+  while (LastEnded < wanted) {
+    if (LastEnded < Begun) {
+      Ended.wait(lock);
+      continue;
+    }
+    uint64_t number = ++Begun;
+    lock.unlock();
+    Result result{};
+    std::exception_ptr fault;
+    try {
+      result = Read();
+    } catch (...) {
+      fault = std::current_exception();
+    }
+    lock.lock();
+    Last = std::move(result);
+    LastEnded = number;
+    Ended.notify_all();
+    if (fault)
+      std::rethrow_exception(fault);
   }
   return Last;
 }
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -8,13 +8,13 @@
 #ifndef CROCUSSPUR_GATEWAY_STREAM_ORIGINS_H
 #define CROCUSSPUR_GATEWAY_STREAM_ORIGINS_H
 
+#include "checked_mutex.h"
 #include "gateway/decisions/stream_origin_table.h"
 #include "gateway/decisions/stream_resumption.h"
 #include "gateway/decisions/streams/servers_reading.h"
 #include "gateway/process_proofs.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -40,8 +40,8 @@
   State await(Milliseconds MaxTime);
 
 private:
-  std::mutex Mutex;
-  std::condition_variable Ended;
+  internal::LeafMutex Mutex;
+  internal::ConditionVariable Ended;
   State Current;
 };
 
@@ -128,8 +128,8 @@
   const uint64_t Incarnation;
   ProcessProofs Processes;
   Hooks Connected;
-  mutable std::mutex Mutex;
-  std::condition_variable Wake;
+  mutable internal::LeafMutex Mutex;
+  internal::ConditionVariable Wake;
   StreamOriginTable Table;
   std::deque<StreamOrigin> Waiting; // to be sent
   uint64_t LastSequence = 0;
--- a/src/gateway/waiting_answers.h
+++ b/src/gateway/waiting_answers.h
@@ -4,6 +4,8 @@
 #ifndef CROCUSSPUR_GATEWAY_WAITING_ANSWERS_H
 #define CROCUSSPUR_GATEWAY_WAITING_ANSWERS_H
 
+#include "checked_mutex.h"
+
 #include <cstddef>
 #include <map>
 #include <mutex>
@@ -22,7 +24,7 @@
   void remove(const std::string &Service, size_t Bytes);
 
 private:
-  std::mutex Mutex;
+  internal::LeafMutex Mutex;
   std::map<std::string, size_t> Held; // bytes by service
 };
 
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -1,9 +1,9 @@
 #include "crocusspur/kernel.h"
 
+#include "checked_mutex.h"
 #include "log.h"
 
 #include <algorithm>
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -34,8 +34,8 @@
   std::vector<Running> Started;
   std::map<std::string, void *> Interfaces;
   bool Stopping = false;
-  std::mutex Mutex; // guards all but Started
-  std::condition_variable Exit;
+  internal::LeafMutex Mutex; // guards all but Started
+  internal::ConditionVariable Exit;
   bool ExitRequested = false;
   int ExitCode = 0;
 };
--- a/src/mailbox.h
+++ b/src/mailbox.h
@@ -3,6 +3,7 @@
 #ifndef CROCUSSPUR_MAILBOX_H
 #define CROCUSSPUR_MAILBOX_H
 
+#include "checked_mutex.h"
 #include "crocusspur/action.h"
 #include "socket_io.h"
 
@@ -44,7 +45,7 @@
   int fd() const { return Signal.fd(); }
 
 private:
-  std::mutex Mutex;
+  LeafMutex Mutex;
   std::deque<MailboxItem> Items;
   std::string Peer;
   bool Disconnected = false;
@@ -65,7 +66,7 @@
 
 private:
   struct Partition {
-    std::mutex Mutex;
+    LeafMutex Mutex;
     std::unordered_map<RequestId, MailboxPtr> Items;
   };
   Partition &partitionOf(const RequestId &Id);
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include "checked_mutex.h"
 #include "crocusspur/kernel.h"
 
 #include <algorithm>
@@ -106,7 +107,7 @@
 } // namespace
 
 struct Metrics::State {
-  mutable std::mutex Mutex;
+  mutable LeafMutex Mutex;
   std::map<Labels, uint64_t> Decisions; // kind, group
   std::map<Labels, uint64_t> Refusals;  // reason, group
   // By name and label. A name without labels is rendered without a sample.
--- a/src/peer_loop.cc
+++ b/src/peer_loop.cc
@@ -1,6 +1,7 @@
 #include "peer_loop.h"
 
 #include "address.h"
+#include "checked_mutex.h"
 #include "poller.h"
 #include "ring.h"
 
@@ -93,7 +94,7 @@
   std::atomic<bool> Stopping{false};
   bool Running = false;
 
-  std::mutex Mutex; // guards the two members below
+  LeafMutex Mutex; // guards the two members below
   std::map<std::string, SendStatePtr> SendStates;
   std::optional<std::map<std::string, std::string>> NewPeers;
 
--- a/src/ring.h
+++ b/src/ring.h
@@ -4,11 +4,11 @@
 #ifndef CROCUSSPUR_RING_H
 #define CROCUSSPUR_RING_H
 
+#include "checked_mutex.h"
 #include "crocusspur/types.h"
 
 #include <atomic>
 #include <boost/lockfree/queue.hpp>
-#include <condition_variable>
 #include <memory>
 #include <mutex>
 
@@ -83,8 +83,8 @@
   }
 
   boost::lockfree::queue<T *> Items;
-  std::mutex Mutex;
-  std::condition_variable WakeUp;
+  LeafMutex Mutex;
+  ConditionVariable WakeUp;
   std::atomic<bool> Sleeping{false};
   std::atomic<bool> Closed{false};
 };
--- a/src/timer_service.cc
+++ b/src/timer_service.cc
@@ -1,6 +1,6 @@
 #include "crocusspur/timer_service.h"
+#include "checked_mutex.h"
 
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -20,8 +20,8 @@
 } // namespace
 
 struct TimerService::State {
-  std::mutex Mutex;
-  std::condition_variable Changed;
+  internal::LeafMutex Mutex;
+  internal::ConditionVariable Changed;
   std::map<uint64_t, Subscription> Subscriptions;
   uint64_t NextHandle = 1;
   uint64_t Running = 0; // handle of the subscription whose hook runs
--- a/test/propagation_fleet.cc
+++ b/test/propagation_fleet.cc
@@ -440,7 +440,7 @@
     return Of.Members.otherReaders(Of.Domain, Now);
   };
   targets.Members = [this, &Of] { return Of.Members.selectContacts(1, Now); };
-  std::string address = Of.Queries.ask(targets, reading, Now);
+  std::string address = targetOf(Of.Queries.begin(reading, Now), targets);
   if (address.empty())
     return awaitUpdates(Of);
   exchange(Of, nodeAt(address), budgetOf(Of).AskTimeout, FrameUse::Question,
