Log threads that don't get on with their work

Each unit of work of the gateway's threads of duty, and each accepted connection, is counted by ThreadWatch; a thread of its own logs what takes over 15 s (5 s for acceptors and timers) and its end, and threads_stuck counts them. It counts its own turns, so that a process that stood still reports nothing.

--- a/src/connection_server.cc
+++ b/src/connection_server.cc
@@ -60,6 +60,7 @@
   std::deque<StreamSocket> Queue; // connections that wait for a thread
 
   void acceptAll();
+  void acceptOne();
   void assign(const StreamSocket &Connection);
   Worker &addWorker();
   void startWorker(Worker &Item);
@@ -77,17 +78,24 @@
     try {
       if (!Socket->poll(period, Poco::Net::Socket::SELECT_READ))
         continue;
-      StreamSocket connection = Socket->acceptConnection();
-      if (ShouldAccept && !ShouldAccept(connection))
-        continue;
-      connection.setNoDelay(true);
-      assign(connection);
+      if (Options.AroundAccept)
+        Options.AroundAccept([this] { acceptOne(); });
+      else
+        acceptOne();
     } catch (...) { // also for lack of memory: an acceptor that ends is worse
       Poco::Thread::sleep(AcceptRetryDelay.count());
     }
   }
 }
 
+void ConnectionServer::State::acceptOne() {
+  StreamSocket connection = Socket->acceptConnection();
+  if (ShouldAccept && !ShouldAccept(connection))
+    return;
+  connection.setNoDelay(true);
+  assign(connection);
+}
+
 // No thread is started while the mutex is held, and none that gets a connection
 // needs the mutex: on a busy machine all would wait for each other.
 void ConnectionServer::State::assign(const StreamSocket &Connection) {
--- a/src/connection_server.h
+++ b/src/connection_server.h
@@ -24,6 +24,9 @@
   int MaxQueued = 64;  // accepted connections waiting for a thread
   int Backlog = 64;    // of the listening socket
   int StackBytes = 262144;
+  // Called on the acceptor's thread for each connection, to call the function
+  // that accepts it. Null: nothing is done around that.
+  std::function<void(const std::function<void()> &Accept)> AroundAccept;
 };
 
 class ConnectionServer {
--- a/src/gateway/change_exchange.cc
+++ b/src/gateway/change_exchange.cc
@@ -167,11 +167,15 @@
           return;
         isConfirmation = std::exchange(HasConfirmation, false);
       }
+      ThreadWatch::Work work(Runtime.Threads, "notifications");
       sendNotifications(isConfirmation);
-    } else if (isConfirmed)
+    } else if (isConfirmed) {
+      ThreadWatch::Work work(Runtime.Threads, "confirmations");
       tellReaders();
-    else if (nextQuestion() <= Clock::now())
+    } else if (nextQuestion() <= Clock::now()) {
+      ThreadWatch::Work work(Runtime.Threads, "questions");
       ask();
+    }
   }
 }
 
--- a/src/gateway/gateway_listener.cc
+++ b/src/gateway/gateway_listener.cc
@@ -151,6 +151,8 @@
       &Runtime->Memory, &Runtime->Waiting});
   internal::ConnectionServerOptions options;
   options.Name = "callers";
+  options.AroundAccept =
+      acceptWatch(Runtime->Threads, "connections of callers");
   options.Address = Runtime->Values.CallerAddress;
   options.MinThreads = MinThreads;
   MostConnections = maxConnections(Runtime->Memory.limit());
--- a/src/gateway/gateway_runtime.h
+++ b/src/gateway/gateway_runtime.h
@@ -19,6 +19,7 @@
 #include "gateway/service_directory.h"
 #include "gateway/store_readers.h"
 #include "gateway/stream_origins.h"
+#include "gateway/thread_watch.h"
 
 #include <atomic>
 #include <mutex>
@@ -70,6 +71,7 @@
   const uint64_t Incarnation; // random for each process
   const HttpCodec Codec;
   const PublishedSource Source;
+  ThreadWatch Threads;
   ServiceDirectory Directory;
   ServerLimits Limits;
   ConnectionPool Connections;
--- a/src/gateway/member_links.cc
+++ b/src/gateway/member_links.cc
@@ -173,6 +173,7 @@
                       }});
   internal::ConnectionServerOptions options;
   options.Name = "members";
+  options.AroundAccept = acceptWatch(Runtime->Threads, "connections of peers");
   options.Address = values.PeerAddress;
   options.MaxThreads =
       ExchangeThreads + static_cast<int>(ForwardService::MaxRequests);
@@ -526,6 +527,7 @@
                         std::move(*request->Forwarded), request->ConfigVersion);
       return;
     }
+    ThreadWatch::Work work(Runtime->Threads, "frames of peers");
     if (request->WantedPermit) {
       MemberFrame permit;
       permit.Sender = Runtime->ownMember();
@@ -787,6 +789,7 @@
     }
     if (!waitForRound(Clock::now() + period))
       return;
+    ThreadWatch::Work work(Runtime->Threads, "rounds");
     runRound();
   }
 }
--- a/src/gateway/role_orders.cc
+++ b/src/gateway/role_orders.cc
@@ -118,6 +118,7 @@
       if (Stopping)
         return;
     }
+    ThreadWatch::Work work(Runtime->Threads, "orders of stages");
     bool isLeader = Runtime->Peers.isLeader(MinLeadershipTime) &&
                     !Runtime->Stopping.load() &&
                     Runtime->Directory.isStoreReachable();
--- a/src/gateway/server_probes.cc
+++ b/src/gateway/server_probes.cc
@@ -70,8 +70,10 @@
       continue;
     }
     ++Round;
-    for (const std::string &it : services)
+    for (const std::string &it : services) {
+      ThreadWatch::Work work(Runtime->Threads, "probes of servers");
       probeService(it);
+    }
     if (!Stopping.load() && !reach.unreachedServices().empty())
       std::this_thread::sleep_for(ProbePeriod);
   }
--- a/src/gateway/service_directory_reader.cc
+++ b/src/gateway/service_directory_reader.cc
@@ -131,6 +131,7 @@
 void ServiceDirectoryReader::apply(const PublishedUpdate &Update,
                                    PublishedKind Kind, bool Whole,
                                    std::optional<Milliseconds> ConfirmedAgo) {
+  ThreadWatch::Work work(Runtime->Threads, "changes from the store");
   Runtime->InvalidServerEntries.fetch_add(Update.InvalidServers);
   if (Update.Routes || Update.IsRoutesInvalid)
     Runtime->Directory.setConfigInvalid(Update.IsRoutesInvalid);
--- a/src/gateway/status_listener.cc
+++ b/src/gateway/status_listener.cc
@@ -221,6 +221,8 @@
   Metrics->setGauge("streams_incomplete_total", "",
                     static_cast<double>(runs.Incomplete.load()));
   StreamOrigins::Counters origins = Runtime->Origins.counters();
+  Metrics->setGauge("threads_stuck", "",
+                    static_cast<double>(Runtime->Threads.stuck()));
   Metrics->setGauge("stream_records", "", static_cast<double>(origins.Held));
   Metrics->setGauge("stream_records_dropped_total", "",
                     static_cast<double>(origins.Dropped));
--- a/src/gateway/stream_origin_links.cc
+++ b/src/gateway/stream_origin_links.cc
@@ -189,6 +189,7 @@
       items.assign(Unsent.begin(), Unsent.end());
       Unsent.clear();
     }
+    ThreadWatch::Work work(Runtime->Threads, "urgent records of streams");
     std::map<std::string, std::vector<Item>> byKeeper; // by address
     for (Item &it : items) {
       std::vector<std::string> keepers =
@@ -265,6 +266,7 @@
 void StreamOriginLinks::sendRecords() {
   while (std::optional<StreamOrigins::Unsent> unsent =
              Runtime->Origins.takeUnsent()) {
+    ThreadWatch::Work work(Runtime->Threads, "records of streams");
     TimePoint started = Clock::now();
     TimePoint until =
         unsent->IsLast ? started + LastHandOverTime : TimePoint::max();
