--- a/test/gateway_forward_test.cc
+++ b/test/gateway_forward_test.cc
@@ -542,7 +542,7 @@
           AccessVerdict::Granted);
   CHECK(setup.run(route, request).starts_with("HTTP/1.1 200"));
   REQUIRE(peer.seen().size() == 1);
-  const CallerRequest &seen = peer.seen()[0].Request;
+  const CallerRequest seen = peer.seen()[0].Request;
   CHECK(seen.Account == "stores");
   CHECK(seen.Key.empty());
   CHECK(seen.KeyDigest == internal::sha256("k-1"));
