--- a/src/gateway/change_exchange.h
+++ b/src/gateway/change_exchange.h
@@ -45,8 +45,7 @@
   void prepareStop(); // see Plugin
   void stop();
 
-  // There is something that peers are to learn at once. May be called with
-  // locks of the caller.
+  // There is something that peers are to learn at once. Doesn't wait for them.
   void onChange();
   // A frame of a peer was applied. `At`: at the latest when the peer composed
   // it. `IsNotification`: it was sent unasked.
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -46,7 +46,7 @@
   explicit CrashMonitor(std::string Instance) : Instance(std::move(Instance)) {}
 
   // Called after a change that peers should learn soon, from any thread. It
-  // must not call back.
+  // must not set the listener.
   void setChangeListener(std::function<void()> Listener);
 
   // See CrashHistory::refusedFor().
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -66,7 +66,7 @@
   // is used by several threads.
   void setSharing(LimitSharing Value) { Sharing = std::move(Value); }
   // Called after a change that peers should learn soon, from any thread. It
-  // must not call back.
+  // must not set the listener.
   void setChangeListener(std::function<void()> Listener);
 
   // Records the head of a server's response to a call that was sent at
--- a/src/gateway/service_directory.h
+++ b/src/gateway/service_directory.h
@@ -103,8 +103,7 @@
   // Called without a lock when a server's process seems to have ended: it
   // registered with a new start time (`StartedAt`), or without an announced
   // leaving (nothing) its entry expired or another server registered at its
-  // address. Set before the directory is used by several threads. It must not
-  // call back.
+  // address. Set before the directory is used by several threads.
   using ServerEndListener = std::function<void(
       const std::string &ServerId, std::optional<int64_t> StartedAt)>;
   void setServerEndListener(ServerEndListener Listener);
@@ -127,7 +126,8 @@
 
   // Called after a change that peers should learn at once: a response or a peer
   // has told that a server leaves, the store's era has risen, routes or servers
-  // have changed, or the pace of a server has. It must not call back.
+  // have changed, or the pace of a server has. It must not set the
+  // listener.
   void setChangeListener(std::function<void()> Listener);
   // What is known of leaving servers, for peers: all, or what was learned
   // within `MaxAge`. See LeavingServers.
--- a/src/gateway/store_readers.h
+++ b/src/gateway/store_readers.h
@@ -46,7 +46,7 @@
 
   // Called after a call of this instance has succeeded. `WasOld`: whether the
   // knowledge was old before it, so that peers' may be as well. It must not
-  // call back.
+  // set the listener.
   using ConfirmationListener = std::function<void(bool WasOld)>;
   void setConfirmationListener(ConfirmationListener Listener);
 
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -105,7 +105,7 @@
     bool IsHandOver = false; // records of all instances
     bool IsLast = false;     // the instance is about to exit
   };
-  // Of the processes at which streams run.
+  // What the processes at which streams run have said of themselves.
   ProcessProofs &processes() { return Processes; }
 
   // Waits for records that haven't been sent and returns them. After stop()
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -182,6 +182,20 @@
     return stream;
   }
 
+  // Plays a stream that its first server breaks off after an event.
+  ReceivedStream playBroken(size_t Instance, const std::string &Id,
+                            const std::string &Path = "/t/x") {
+    for (auto &it : Servers)
+      it->breakNext(1);
+    int fd = openStream(Fleet.Instances[Instance], Id, "", Path);
+    ReceivedStream stream;
+    stream.add(readAll(fd));
+    ::close(fd);
+    for (auto &it : Servers)
+      it->breakNext(0);
+    return stream;
+  }
+
   void resume(ReceivedStream &Stream, size_t Instance, const std::string &Id,
               const std::string &First, const std::string &Path = "/t/x") {
     int fd = openStream(Fleet.Instances[Instance], Id,
@@ -202,16 +216,8 @@
 TEST_CASE("A stream that its server breaks goes on at the same version") {
   TwoVersions setup(2); // alone, an instance has hardly any retries
   for (int i = 0; i < 12; ++i) {
-    for (auto &it : setup.Servers)
-      it->breakNext(1);
-    int fd = openStream(setup.Fleet.Instances[0], "a" + std::to_string(i), "");
-    ReceivedStream stream;
-    stream.add(readAll(fd));
-    ::close(fd);
-    for (auto &it : setup.Servers)
-      it->breakNext(0);
     CAPTURE(i);
-    CHECK(stream.hasOneVersion());
+    CHECK(setup.playBroken(0, "a" + std::to_string(i)).hasOneVersion());
   }
 }
 
@@ -232,17 +238,10 @@
   }
   int whole = 0;
   for (int i = 0; i < Streams; ++i) {
-    for (auto &it : setup.Servers)
-      it->breakNext(1);
-    std::string id = "c" + std::to_string(i);
-    int fd = openStream(setup.Fleet.Instances[static_cast<size_t>(i % 2)], id,
-                        "", "/t/" + id);
-    ReceivedStream stream;
-    stream.add(readAll(fd));
-    ::close(fd);
-    for (auto &it : setup.Servers)
-      it->breakNext(0);
     CAPTURE(i);
+    std::string id = "c" + std::to_string(i);
+    ReceivedStream stream =
+        setup.playBroken(static_cast<size_t>(i % 2), id, "/t/" + id);
     CHECK(stream.hasOneVersion());
     whole += stream.isWhole();
   }
@@ -468,7 +467,7 @@
   for (int i = 0; i < Streams; ++i)
     streams.push_back(setup.begin(static_cast<size_t>(i) % 2,
                                   "p" + std::to_string(i), CallerTime));
-  // By this thread, with which its child processes end.
+  // By this thread: a child process ends with the thread that started it.
   std::vector<GatewayInstance> &all = setup.Fleet.Instances;
   auto begunAt = Clock::now();
   size_t stopped = 0;
