Log what shows the process of a run that nothing may follow

The log told what the server says at the break, but not whether anything had shown the run's process while it lived, so that three explanations looked alike.

Hypotheses: (1) the successor's answer is held against runs whose connections are older than the successor, and nothing was known of their process; (2) the entries or the store's answer are taken for old; (3) records of several instances contradict each other.

Change: "nothing may follow a broken run" names the run's connection (kept or new), how long ago it was opened, and whether the process has been confirmed since then. The pool keeps when a connection was opened. No logic changes.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -100,6 +100,8 @@
     bool ReplacedBySame = false; // a process of the same version
     TimePoint ProcessCheckedAt;  // the latest call of confirmRunVersion()
     CallStatus Status = CallStatus::Responded;
+    bool OnKeptConnection = false;    // that was opened for an earlier call
+    TimePoint OpenedAt;               // of its connection
     TimePoint SentAt;                 // when the request was sent
     TimePoint HeadAt;                 // when its response's head was there
     TimePoint ProofSoughtAt;          // the latest call of seekProof()
@@ -217,8 +219,8 @@
   // The server of the stream's first run may be known to be replaced only after
   // the run has ended; then nothing follows.
   void confirmFirstRun();
-  void logNothingFollows(const ServerChoice &Server, ProcessCheck Check,
-                         bool EntriesRead) const;
+  void logNothingFollows(const ServerChoice &Server, const RelayedRun &Run,
+                         ProcessCheck Check, bool EntriesRead) const;
   // While entries may be old, asks the process of the stream's first run which
   // one it is: once it has ended, nothing can show that any more.
   void seekProof(const ServerChoice &Server, RelayedRun &Run);
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -184,7 +184,8 @@
 
 void ServerCall::keepUnused() {
   if (BackendSocketPtr opened = Opened ? Http.releaseUnused() : nullptr)
-    Pool.give({std::move(opened), processOf(Server), {}, true}, std::nullopt);
+    Pool.give({std::move(opened), processOf(Server), OpenedAt, {}, true},
+              std::nullopt);
 }
 
 bool ServerCall::connect(CallStatus &Status) {
@@ -197,6 +198,7 @@
   Traceable = kept.Traceable;
   Kept = kept.Socket != nullptr;
   Process = Kept ? std::move(kept.Process) : processOf(Server);
+  OpenedAt = Kept ? kept.OpenedAt : Clock::now();
   if (kept.Socket) {
     Http.adopt(std::move(kept.Socket));
     return true;
@@ -300,19 +302,21 @@
 
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
-    Pool.give(
-        {std::move(kept), processOf(Server), std::move(RequestIds), Traceable},
-        Info.KeepAliveTimeout);
+    Pool.give({std::move(kept), processOf(Server), OpenedAt,
+               std::move(RequestIds), Traceable},
+              Info.KeepAliveTimeout);
 }
 
 ConnectResult tryConnect(ConnectionPool &Pool, CallerWaiter &Waiter,
                          const ServerChoice &Server) {
   internal::HttpExchange http(Waiter);
   Pool.countOpened();
-  if (http.connect(Server.Address, Clock::now() + RefusalTimeout) ==
+  TimePoint openedAt = Clock::now();
+  if (http.connect(Server.Address, openedAt + RefusalTimeout) ==
       ExchangeStatus::Ok) {
     if (BackendSocketPtr opened = http.releaseUnused())
-      Pool.give({std::move(opened), processOf(Server), {}, true}, std::nullopt);
+      Pool.give({std::move(opened), processOf(Server), openedAt, {}, true},
+                std::nullopt);
     return ConnectResult::Opened;
   }
   return http.connectionRefused() ? ConnectResult::Refused
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -25,6 +25,7 @@
   // successor has connections of its own, and the former process may serve its
   // own to their end.
   ServerProcess Process;
+  TimePoint OpenedAt;
   std::vector<std::string> RequestIds; // latest last
   // Whether each response named its request. After one that didn't, a late
   // duplicate of it couldn't be told from the response to another request.
@@ -175,6 +176,8 @@
   bool usedKeptConnection() const { return Kept; }
   // The process that was known when the connection was opened.
   const ServerProcess &process() const { return Process; }
+  // When that was.
+  TimePoint openedAt() const { return OpenedAt; }
 
 private:
   CallStatus connectAndSend(const std::string &Bytes);
@@ -203,6 +206,7 @@
   bool Opened = false; // by open(), for the next call
   bool Kept = false;
   ServerProcess Process;
+  TimePoint OpenedAt; // of the connection
   ResponseInfo Info;
 };
 
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -66,6 +66,8 @@
   RelayedRun run;
   run.Id = Run;
   const std::string lastIdBefore = Progress.lastEventId();
+  run.OnKeptConnection = Call.usedKeptConnection();
+  run.OpenedAt = Call.openedAt();
   run.SentAt = Identity.SentAt;
   run.HeadAt = Clock::now();
   run.Number = Progress.begin(version, Identity.Check == ProcessCheck::Same,
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -267,6 +267,7 @@
 }
 
 void RequestHandler::logNothingFollows(const ServerChoice &Server,
+                                       const RelayedRun &Run,
                                        ProcessCheck Check,
                                        bool EntriesRead) const {
   const char *const answers[] = {"same", "replaced", "unknown"};
@@ -277,6 +278,14 @@
   all.emplace_back("entries_old",
                    Context.Directory.entriesMayBeOld() ? "yes" : "no");
   all.emplace_back("events", std::to_string(Progress.passed()));
+  all.emplace_back("connection", Run.OnKeptConnection ? "kept" : "new");
+  all.emplace_back("opened_ago_ms",
+                   std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                      Clock::now() - Run.OpenedAt)
+                                      .count()));
+  bool confirmed = Context.Origins.processes().isConfirmedSince(
+      processOf(Server), Run.OpenedAt);
+  all.emplace_back("confirmed_since_opened", confirmed ? "yes" : "no");
   log(LogLevel::Warn, "request",
       "nothing may follow a broken run, whose process isn't certain", all);
 }
@@ -330,7 +339,7 @@
       Unproven.reset();
     else if (!Unproven)
       Unproven = UnprovenRun{process, Run.SentAt};
-    logNothingFollows(Server, check, isCurrent);
+    logNothingFollows(Server, Run, check, isCurrent);
     Progress.requireNothingFollows();
     recordUncertainty();
   } else if (check == ProcessCheck::Unknown) {
