Ask a run's process which one it is, on the run's own connection

Cause: the process of a run was asked for only once the run had broken off, on a connection of its own. That answer shows who accepts connections then. It shows nothing of the connection that the run has: nor that it led to the entry's process, where that one answers no more, nor that it didn't, where a successor does.

Change: ServerCall::identify() asks on the connection on which the run is then sent, and the pool keeps that with the connection. Such an answer holds as long as the connection, whoever serves at the address by then. So a first run is certain, or of a version that isn't known, from its begin, and its record needs no process to ask for later. The same question replaces the one before a run that goes on and the one after its response's head, each on a new connection. A late copy of the answer isn't taken for the run's response. A process is asked once on each connection; not before a first run if its server states a limit, nor for 2 s after it didn't answer: such runs are judged as before. A process's answer now proves the connections that were opened before it was asked, not only the runs whose head had come by then.

Seven tests are about runs whose process nothing shows; their servers answered truly when asked, which is now enough. They state nothing now (six in gateway_version_restart_test, one stand-in of gateway_stream_version_process_test), and check the same. That stand-in took a question for a stream and let it use up a break that was meant for one; now only streams that begin break off.

--- a/src/gateway/process_proofs.cc
+++ b/src/gateway/process_proofs.cc
@@ -7,6 +7,9 @@
 
 // Longer than a process takes to answer, or not to.
 constexpr Milliseconds QuestionPeriod{500};
+// How long a process that didn't answer is asked only if that is needed: a
+// question delays the request that asks.
+constexpr Milliseconds UnansweredPeriod{2000};
 // Runs that began before the last question are proven by it as long as they
 // last.
 constexpr std::chrono::minutes Retention{30};
@@ -18,7 +21,9 @@
                                              TimePoint Now) {
   if (Processes.size() >= MaxProcesses)
     std::erase_if(Processes, [Now](const auto &It) {
-      return Now - std::max(It.second.ConfirmedAt, It.second.AskedAt) >
+      const State &state = It.second;
+      return Now - std::max(
+                       {state.ConfirmedAt, state.AskedAt, state.UnansweredAt}) >
              Retention;
     });
   if (Processes.size() >= MaxProcesses && !Processes.contains(Process))
@@ -49,4 +54,17 @@
   return true;
 }
 
+void ProcessProofs::onUnanswered(const ServerProcess &Process, TimePoint Now) {
+  std::lock_guard lock(Mutex);
+  stateOf(Process, Now).UnansweredAt = Now;
+}
+
+bool ProcessProofs::isResponsive(const ServerProcess &Process,
+                                 TimePoint Now) const {
+  std::lock_guard lock(Mutex);
+  auto it = Processes.find(Process);
+  return it == Processes.end() ||
+         Now - it->second.UnansweredAt >= UnansweredPeriod;
+}
+
 } // namespace crocusspur::gateway
--- a/src/gateway/process_proofs.h
+++ b/src/gateway/process_proofs.h
@@ -23,11 +23,16 @@
   // Whether a request that needs to know is to ask the process now: another one
   // may just have asked.
   bool mayAsk(const ServerProcess &Process, TimePoint Now);
+  // The process didn't say which one it is.
+  void onUnanswered(const ServerProcess &Process, TimePoint Now);
+  // Whether it is likely to answer: it hasn't left a question open lately.
+  bool isResponsive(const ServerProcess &Process, TimePoint Now) const;
 
 private:
   struct State {
     TimePoint ConfirmedAt;
     TimePoint AskedAt; // see mayAsk()
+    TimePoint UnansweredAt;
   };
   // Called with the lock.
   State &stateOf(const ServerProcess &Process, TimePoint Now);
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -103,7 +103,6 @@
     bool OnKeptConnection = false;    // that was opened for an earlier call
     TimePoint OpenedAt;               // of its connection
     TimePoint SentAt;                 // when the request was sent
-    TimePoint HeadAt;                 // when its response's head was there
     TimePoint ProofSoughtAt;          // the latest call of seekProof()
     std::optional<TimePoint> BegunAt; // the first event
     // Start of the latest sample of the server's pace, and the events before.
@@ -204,10 +203,16 @@
   // known by now in place of the one that the run was sent to. Returns false if
   // the run was given up for it.
   bool confirmRunVersion(const ServerChoice &Server, RelayedRun &Run);
-  // Asks the process that accepts connections at the server's address whether
-  // it is the chosen one: a successor serves before its entry is known, and its
-  // software version isn't known either.
-  enum class ProcessCheck : uint8_t { Same, Replaced, Unknown };
+  // Asks the process at the other end of the connection that the call will use
+  // whether it is the chosen one: a successor serves before its entry is known,
+  // and its software version isn't known either. `IsRequired`: something
+  // depends on it, so that it is asked also if that takes a part of the
+  // server's limit or the process hasn't answered lately.
+  ProcessCheck identify(ServerCall &Call, const ServerChoice &Server,
+                        bool IsRequired);
+  // Whether a run that is to begin depends on it.
+  bool mustIdentify() const;
+  // The same for the process that accepts connections at the server's address.
   ProcessCheck checkProcess(const ServerChoice &Server);
   // Whether the entries that are known of the server are those that the store
   // has now. The store is asked if nothing but the entry tells which process it
@@ -240,7 +245,8 @@
   // begin the stream, or goes on with it. The first run of a request that
   // another instance has passed on leaves no record: that instance may run the
   // request elsewhere, at another version, if no event reaches it.
-  void recordOrigin(const ServerChoice &Server);
+  // `Check`: what its process has said.
+  void recordOrigin(const ServerChoice &Server, ProcessCheck Check);
   // Called before events are sent to the caller. Records the version of the
   // first one unless it is recorded.
   void recordBegin();
@@ -262,7 +268,10 @@
   std::optional<PromptKvCache> tryPrefill(const ServerChoice &Server);
   // From the duration that is expected at the server, at most the time left.
   Milliseconds prefillTimeout(const ServerChoice &Server) const;
-  AttemptResult startStream(const DecodeReservation &Target,
+  // `Call`: the run's. `Recorded`: what its process had said when the origin
+  // was recorded.
+  AttemptResult startStream(ServerCall &Call, ProcessCheck Recorded,
+                            const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache);
   struct RunIdentity {
     bool IsKnown = false; // whether the entry's version is the process's
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -35,6 +35,9 @@
 // Late responses to earlier requests that are skipped on one connection.
 constexpr int MaxStrayResponses = 3;
 constexpr size_t MaxStrayBytes = 1048576;
+// Connections on which one call asks the process which one it is.
+constexpr int MaxIdentifyTries = 2;
+constexpr size_t MaxReportBytes = 65536;
 
 } // namespace
 
@@ -46,21 +49,27 @@
     return {};
   auto &idle = found->second;
   TimePoint now = Clock::now();
-  for (size_t i = idle.size(); i-- > 0;) {
-    auto it = idle.begin() + static_cast<std::ptrdiff_t>(i);
-    const std::vector<std::string> &ids = it->Connection.RequestIds;
-    bool usable = it->UsableUntil > now && it->Connection.Process == Process &&
-                  it->Connection.Socket->isIdleAndOpen();
-    bool fits = it->Connection.Traceable == !RequestId.empty() &&
-                std::ranges::find(ids, RequestId) == ids.end();
-    if (usable && !fits)
-      continue;
-    PooledConnection connection = std::move(it->Connection);
-    idle.erase(it);
-    if (usable)
+  std::erase_if(idle, [&](const Idle &It) {
+    return It.UsableUntil <= now || It.Connection.Process != Process;
+  });
+  auto fits = [&](const Idle &It) {
+    const std::vector<std::string> &ids = It.Connection.RequestIds;
+    return It.Connection.Traceable == !RequestId.empty() &&
+           std::ranges::find(ids, RequestId) == ids.end();
+  };
+  while (true) {
+    auto best = idle.end();
+    for (auto it = idle.begin(); it != idle.end(); ++it)
+      if (fits(*it) && (best == idle.end() || it->Connection.Identified ||
+                        !best->Connection.Identified))
+        best = it;
+    if (best == idle.end())
+      return {};
+    PooledConnection connection = std::move(best->Connection);
+    idle.erase(best);
+    if (connection.Socket->isIdleAndOpen())
       return connection;
   }
-  return {};
 }
 
 void ConnectionPool::give(PooledConnection Connection,
@@ -184,8 +193,86 @@
 
 void ServerCall::keepUnused() {
   if (BackendSocketPtr opened = Opened ? Http.releaseUnused() : nullptr)
-    Pool.give({std::move(opened), processOf(Server), OpenedAt, {}, true},
-              std::nullopt);
+    Pool.give({std::move(opened), Process, OpenedAt, std::move(RequestIds),
+               Traceable, Identified},
+              Info.KeepAliveTimeout);
+  Opened = false;
+}
+
+ProcessCheck ServerCall::identify(const ServerChoice &Server,
+                                  const std::string &RequestId,
+                                  Milliseconds Time) {
+  this->Server = Server;
+  this->RequestId = RequestId;
+  TimePoint until = Clock::now() + Time;
+  // A kept connection may have been closed, and any may be after the answer.
+  for (int i = 0; i < MaxIdentifyTries && Clock::now() < until; ++i) {
+    StartedAt = Clock::now();
+    if (Opened && !Http.isIdleAndOpen())
+      drop();
+    CallStatus status = CallStatus::Responded;
+    Opened = Opened || connect(status);
+    if (!Opened) {
+      Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
+      return ProcessCheck::Unknown;
+    }
+    if (Identified)
+      return ProcessCheck::Same;
+    if (ReportedStart != 0)
+      return ProcessCheck::Replaced;
+    if (Server.StartedAt == 0 ||
+        !Limits.acquire(Server.Id, 1, Milliseconds(0)).Granted)
+      return ProcessCheck::Unknown;
+    ProcessCheck check = askProcess(until);
+    if (Opened || (check == ProcessCheck::Unknown && !Kept))
+      return check;
+  }
+  return ProcessCheck::Unknown;
+}
+
+ProcessCheck ServerCall::askProcess(TimePoint Until) {
+  std::string former = std::exchange(RequestId, "");
+  bool traceable = Traceable;
+  auto left = [Until] {
+    return std::max(std::chrono::ceil<Milliseconds>(Until - Clock::now()),
+                    Milliseconds(0));
+  };
+  Method = "GET";
+  SentAt = Clock::now();
+  CallStatus status = fromExchange(
+      Http.send(Codec.FormatReport(Server), TimePoint::max(), left()));
+  if (!maySent())
+    Limits.release(Server.Id, 1);
+  if (status == CallStatus::Responded)
+    status = readOwnHead(left());
+  Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
+  std::string body;
+  if (status == CallStatus::Responded)
+    status = readWhole(body, MaxReportBytes, left());
+  std::optional<ServerReport> report;
+  if (status == CallStatus::Responded && head().Status == 200)
+    report = Codec.ParseReport(body);
+  // A late copy of any other response couldn't be told from the next one.
+  BackendSocketPtr socket = report ? Http.release() : nullptr;
+  Opened = socket != nullptr;
+  Http.reset(std::move(socket));
+  RequestId = std::move(former);
+  Traceable = traceable;
+  StrayResponses = 0;
+  std::optional<Milliseconds> keepAlive = Info.KeepAliveTimeout;
+  Info = {};
+  Info.KeepAliveTimeout = keepAlive;
+  ReportedStart = report ? report->StartedAt : 0;
+  Identified = Opened && ReportedStart == Process.StartedAt;
+  if (ReportedStart == 0)
+    return ProcessCheck::Unknown;
+  return ReportedStart == Process.StartedAt ? ProcessCheck::Same
+                                            : ProcessCheck::Replaced;
+}
+
+void ServerCall::drop() {
+  Http.reset(nullptr);
+  Opened = Identified = false;
 }
 
 bool ServerCall::connect(CallStatus &Status) {
@@ -196,9 +283,11 @@
     kept = Pool.take(processOf(Server), RequestId);
   RequestIds = std::move(kept.RequestIds);
   Traceable = kept.Traceable;
+  Identified = kept.Identified;
+  ReportedStart = 0;
   Kept = kept.Socket != nullptr;
   Process = Kept ? std::move(kept.Process) : processOf(Server);
-  OpenedAt = Kept ? kept.OpenedAt : Clock::now();
+  OpenedAt = kept.OpenedAt;
   if (kept.Socket) {
     Http.adopt(std::move(kept.Socket));
     return true;
@@ -206,6 +295,7 @@
   Pool.countOpened();
   Status =
       fromExchange(Http.connect(Server.Address, Clock::now() + ConnectTimeout));
+  OpenedAt = Clock::now();
   return Status == CallStatus::Responded;
 }
 
@@ -260,7 +350,11 @@
     if (status != CallStatus::Responded)
       return status;
     Info = Codec.ParseResponseHead(Http.head());
-    if (Info.RequestId.empty() || Info.RequestId == RequestId) {
+    // What identify() asked for doesn't name its request, and may come twice.
+    bool isReport = Identified && !RequestId.empty() &&
+                    Info.RequestId.empty() && !Info.Signed &&
+                    Http.head().Status == 200;
+    if (!isReport && (Info.RequestId.empty() || Info.RequestId == RequestId)) {
       Traceable = Traceable && !Info.RequestId.empty();
       // Limits are kept by id. That of a former process isn't its successor's.
       if (!Pool.isReplaced(Server))
@@ -303,7 +397,7 @@
 void ServerCall::finish() {
   if (BackendSocketPtr kept = Http.release())
     Pool.give({std::move(kept), processOf(Server), OpenedAt,
-               std::move(RequestIds), Traceable},
+               std::move(RequestIds), Traceable, Identified},
               Info.KeepAliveTimeout);
 }
 
@@ -311,11 +405,10 @@
                          const ServerChoice &Server) {
   internal::HttpExchange http(Waiter);
   Pool.countOpened();
-  TimePoint openedAt = Clock::now();
-  if (http.connect(Server.Address, openedAt + RefusalTimeout) ==
+  if (http.connect(Server.Address, Clock::now() + RefusalTimeout) ==
       ExchangeStatus::Ok) {
     if (BackendSocketPtr opened = http.releaseUnused())
-      Pool.give({std::move(opened), processOf(Server), openedAt, {}, true},
+      Pool.give({std::move(opened), processOf(Server), Clock::now(), {}, true},
                 std::nullopt);
     return ConnectResult::Opened;
   }
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -25,11 +25,20 @@
   // successor has connections of its own, and the former process may serve its
   // own to their end.
   ServerProcess Process;
-  TimePoint OpenedAt;
+  TimePoint OpenedAt;                  // at the latest
   std::vector<std::string> RequestIds; // latest last
   // Whether each response named its request. After one that didn't, a late
   // duplicate of it couldn't be told from the response to another request.
   bool Traceable = true;
+  // Whether the process at the other end has said on it that it is `Process`.
+  bool Identified = false;
+};
+
+// What a server's process has said of itself, compared with its entry.
+enum class ProcessCheck : uint8_t {
+  Same,     // it is the one that the entry names
+  Replaced, // it is another one
+  Unknown   // it didn't answer, or doesn't state when it started
 };
 
 // Idle connections by address. Thread-safe.
@@ -39,8 +48,8 @@
   // closes idle ones to others at its address. A server may send a
   // response twice, and the id tells which request it belongs to; so a request
   // that is sent again never gets a connection that it was sent on before.
-  // Requests with an id get traceable connections, calls without one the
-  // others.
+  // Requests with an id get traceable connections, identified ones first, and
+  // calls without one the others.
   PooledConnection take(const ServerProcess &Process,
                         const std::string &RequestId);
   // `KeepAliveTimeout`: how long the server keeps the connection, if it has
@@ -133,7 +142,15 @@
   // Opens such a connection, on which start() then sends. Returns Responded if
   // it is open.
   CallStatus open(const ServerChoice &Server);
-  // Gives a connection to the pool that was opened and not sent on.
+  // Asks the process at the other end of the connection on which start() will
+  // send which one it is, unless that is known. The answer holds as long as the
+  // connection, whoever accepts connections at the server's address by then.
+  // `Time` bounds the whole; an unidentified connection is used then. Takes a
+  // permit, if the server's limit has one at once. `RequestId`: that start() is
+  // to send.
+  ProcessCheck identify(const ServerChoice &Server,
+                        const std::string &RequestId, Milliseconds Time);
+  // Gives a connection to the pool that start() hasn't sent on.
   void keepUnused();
   // `RequestId`: responses with another id are late responses to earlier
   // requests and are skipped. `ResponseTimeout` bounds the wait for the head.
@@ -174,6 +191,10 @@
   const ResponseInfo &info() const { return Info; }
   // Whether the connection was opened for an earlier call.
   bool usedKeptConnection() const { return Kept; }
+  // Whether the process at the other end has said that it is process().
+  bool isIdentified() const { return Identified; }
+  // The start that identify() was told, Unix milliseconds; 0: none.
+  int64_t reportedStart() const { return ReportedStart; }
   // The process that was known when the connection was opened.
   const ServerProcess &process() const { return Process; }
   // When that was.
@@ -181,6 +202,9 @@
 
 private:
   CallStatus connectAndSend(const std::string &Bytes);
+  // Asks on the connection; see identify().
+  ProcessCheck askProcess(TimePoint Until);
+  void drop(); // the connection
   // Skips late responses to earlier requests.
   CallStatus readOwnHead(Milliseconds ResponseTimeout);
   CallStatus fromExchange(internal::ExchangeStatus Status) const;
@@ -203,8 +227,10 @@
   std::vector<std::string> RequestIds; // sent on the connection
   bool Traceable = true;               // see PooledConnection
   bool NewConnection = false;
-  bool Opened = false; // by open(), for the next call
+  bool Opened = false; // there is a connection for the next call
   bool Kept = false;
+  bool Identified = false;   // see PooledConnection
+  int64_t ReportedStart = 0; // see reportedStart()
   ServerProcess Process;
   TimePoint OpenedAt; // of the connection
   ResponseInfo Info;
--- a/src/gateway/stream_handler.cc
+++ b/src/gateway/stream_handler.cc
@@ -206,18 +206,21 @@
                  : NoServerRetryAfter);
     return AttemptResult::Done;
   }
-  recordOrigin(reservation->Server);
+  ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
+  ProcessCheck check = identify(call, reservation->Server, mustIdentify());
+  recordOrigin(reservation->Server, check);
   std::optional<PromptKvCache> kvCache;
   // Without a retry for it, the decode server reads the prompt.
   if (!ReadAtDecode && (!PrefillAccepted || tryConsumeRetry()))
     kvCache = runPrefill();
   if (shouldStop() || RetryBudgetExhausted) {
+    call.keepUnused();
     release(*reservation);
     if (kvCache)
       release(*kvCache);
     return AttemptResult::NotExecuted;
   }
-  return startStream(*reservation, kvCache);
+  return startStream(call, check, *reservation, kvCache);
 }
 
 std::optional<RequestHandler::DecodeReservation>
@@ -574,7 +577,8 @@
 }
 
 RequestHandler::AttemptResult
-RequestHandler::startStream(const DecodeReservation &Target,
+RequestHandler::startStream(ServerCall &Call, ProcessCheck Recorded,
+                            const DecodeReservation &Target,
                             const std::optional<PromptKvCache> &Cache) {
   TimePoint started = Clock::now();
   const ServerChoice &server = Target.Server;
@@ -586,19 +590,23 @@
       release(*Cache);
   };
   if (!Context.Directory.usable(server)) {
+    Call.keepUnused();
     releaseAll();
     return AttemptResult::NotExecuted;
   }
-  ProcessCheck check = ProcessCheck::Unknown;
   bool mayBeOld = Route.Resumable && Context.Directory.entriesMayBeOld();
-  if (Progress.begun() || mayBeOld)
-    check = checkProcess(server);
+  // Its connection may have been closed since.
+  ProcessCheck check = identify(Call, server, mustIdentify());
+  if (check != Recorded)
+    recordOrigin(server, check);
   // Old entries tell versions only of processes that are confirmed.
-  bool isKnown = !mayBeOld || check == ProcessCheck::Same;
+  bool isKnown = check == ProcessCheck::Same ||
+                 (check == ProcessCheck::Unknown && !mayBeOld);
   if (Progress.begun()) {
     confirmFirstRun();
     if (!isKnown || !isChosenProcess(check, server) ||
         Progress.versionUncertain()) {
+      Call.keepUnused();
       releaseAll();
       Tried.insert(server.Id);
       return AttemptResult::NotExecuted;
@@ -613,26 +621,25 @@
     if (!order.ExpectedWeights)
       order.ExpectedWeights = Cache->Weights;
   }
-  ServerCall call(Context.Connections, Context.Codec, Context.Limits, Waiter);
   Context.Directory.callStarted(server, 1);
   RunTracker::Id run = trackRun(server, /*Answers=*/true);
   RunEnd runEnd = RunEnd::NoEvidence;
   CallStatus status =
-      call.start(server, Context.Codec.FormatRequest(Request, order),
+      Call.start(server, Context.Codec.FormatRequest(Request, order),
                  Request.Method, Request.Id, stallTimeout(), Target.Permitted);
   unused.Permitted = false;
-  if (call.maySent())
+  if (Call.maySent())
     Used.insert(server.Id);
   if (status == CallStatus::TimedOut && Route.Resumable)
     awaitSilentRun(server, [&](Milliseconds Time) {
-      status = call.awaitHead(Time);
+      status = Call.awaitHead(Time);
       return status == CallStatus::TimedOut;
     });
   TimePoint answeredAt = Clock::now();
   auto end = [&](CallResult Result, const std::string &Outcome,
                  AttemptResult After) {
     Context.Directory.callEnded(server, 1, Result);
-    logCall("run", server, call, Outcome, started);
+    logCall("run", server, Call, Outcome, started);
     if (runEnd == RunEnd::Completed)
       onAnswerSurvived(run, answeredAt);
     endRun(run, server, status, runEnd);
@@ -651,40 +658,27 @@
     return end(CallResult::TimedOut, "silent", AttemptResult::Unknown);
   case CallStatus::CallerLeft:
   case CallStatus::DeadlineExceeded:
-    if (Cache && !call.maySent())
+    if (Cache && !Call.maySent())
       releaseAll();
     return end(CallResult::Abandoned,
                status == CallStatus::CallerLeft ? "caller_left" : "out_of_time",
-               call.maySent() ? AttemptResult::Unknown
+               Call.maySent() ? AttemptResult::Unknown
                               : AttemptResult::NotExecuted);
   case CallStatus::Responded:
     break;
   }
-  const ResponseInfo &info = call.info();
+  const ResponseInfo &info = Call.info();
   if (info.Load)
     Context.Directory.onLoadReport(server, *info.Load);
-  std::string code = std::to_string(call.head().Status);
-  if (call.head().Status == 200 && info.Signed && !info.Encoded &&
-      continuesStream(call.head().find("Content-Type"))) {
-    // The connection may have been opened later than the process was asked, and
-    // lead to its successor.
-    if (check == ProcessCheck::Same && !call.usedKeptConnection()) {
-      ProcessCheck again = checkProcess(server);
-      if (Progress.begun() && !isChosenProcess(again, server)) {
-        Tried.insert(server.Id);
-        return end(CallResult::Failed, "replaced", AttemptResult::Unknown);
-      }
-      if (again == ProcessCheck::Replaced) {
-        check = again;
-        isKnown = false;
-      }
-    }
+  std::string code = std::to_string(Call.head().Status);
+  if (Call.head().Status == 200 && info.Signed && !info.Encoded &&
+      continuesStream(Call.head().find("Content-Type"))) {
     if (!Progress.begun())
       Unproven = isKnown || check == ProcessCheck::Replaced
                      ? std::nullopt
                      : std::optional(UnprovenRun{processOf(server), started});
     AttemptResult result =
-        relayStream(call, server, run, {isKnown, check, started});
+        relayStream(Call, server, run, {isKnown, check, started});
     if (result != AttemptResult::Done)
       status = CallStatus::ConnectionBroken;
     else if (!CallerWriteFailed && !Waiter.callerLeft())
@@ -697,12 +691,12 @@
   std::string body;
   MemoryHold hold = makeHold(MemoryUse::Response);
   bool whole = info.NotExecuted;
-  status = whole ? call.discardBody(MaxDiscardedBytes)
-                 : readHeld(call, body, whole, hold);
+  status = whole ? Call.discardBody(MaxDiscardedBytes)
+                 : readHeld(Call, body, whole, hold);
   if (status == CallStatus::Responded && !whole)
     status = CallStatus::ConnectionBroken;
   if (status == CallStatus::Responded)
-    call.finish();
+    Call.finish();
   if (info.NotExecuted) {
     if (Cache)
       release(*Cache);
@@ -721,15 +715,15 @@
                AttemptResult::NotExecuted);
   }
   if (status != CallStatus::Responded || !info.Signed || info.Encoded ||
-      HeadSent || call.head().Status == 200 ||
+      HeadSent || Call.head().Status == 200 ||
       (Route.Resumable && Used.size() < Route.MaxServers)) {
     Tried.insert(server.Id);
     return end(CallResult::Failed, "unusable_" + code, AttemptResult::Unknown);
   }
-  runEnd = endOfResponse(call.head().Status);
+  runEnd = endOfResponse(Call.head().Status);
   end(CallResult::Failed, "failure_" + code, AttemptResult::Done);
-  Status = call.head().Status;
-  internal::writeResponse(Sink, responseHead(call, server), body);
+  Status = Call.head().Status;
+  internal::writeResponse(Sink, responseHead(Call, server), body);
   finish("answered", "the server failed the request");
   return AttemptResult::Done;
 }
--- a/src/gateway/stream_relay_handler.cc
+++ b/src/gateway/stream_relay_handler.cc
@@ -56,9 +56,12 @@
     Status = 200;
     if (Origin && version) {
       PinnedVersion = version;
-      Origin->OnOutputVersion(*version, RecordsBegin
-                                            ? std::nullopt
-                                            : std::optional(processOf(Server)));
+      // Without an id if the process has said itself which one it is.
+      ServerProcess begunAt = Identity.Check == ProcessCheck::Same
+                                  ? ServerProcess()
+                                  : processOf(Server);
+      Origin->OnOutputVersion(*version, RecordsBegin ? std::nullopt
+                                                     : std::optional(begunAt));
     }
     Sink.begin(responseHead(Call, Server));
     HeadSent = true;
@@ -69,7 +72,6 @@
   run.OnKeptConnection = Call.usedKeptConnection();
   run.OpenedAt = Call.openedAt();
   run.SentAt = Identity.SentAt;
-  run.HeadAt = Clock::now();
   run.Number = Progress.begin(version, Identity.Check == ProcessCheck::Same,
                               Call.info().Weights);
   EventHold.reset();
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -20,7 +20,6 @@
 constexpr Milliseconds NotResumableRetryAfter{5000};
 // Servers report from memory; one that takes longer says nothing in time.
 constexpr Milliseconds ReportTimeout{150};
-constexpr size_t MaxReportBytes = 65536;
 // The end of an answer is held back for this long while keepers haven't
 // confirmed that nobody may go on with its stream: the time that a silent one
 // is waited for, and what the others take.
@@ -161,11 +160,13 @@
   refuse(ErrorKind::StreamNotResumable, Why, NotResumableRetryAfter);
 }
 
-void RequestHandler::recordOrigin(const ServerChoice &Server) {
+void RequestHandler::recordOrigin(const ServerChoice &Server,
+                                  ProcessCheck Check) {
   if (!Route.Resumable)
     return;
   if (!Progress.begun())
-    BegunAtServer = processOf(Server);
+    BegunAtServer =
+        Check == ProcessCheck::Same ? ServerProcess() : processOf(Server);
   if (Origin && !Progress.version())
     return;
   PinnedVersion = versionKeyOf(Server.Version);
@@ -199,35 +200,47 @@
   return streamKeyOf(Request.Host, Request.Target, first);
 }
 
-RequestHandler::ProcessCheck
-RequestHandler::checkProcess(const ServerChoice &Server) {
+ProcessCheck RequestHandler::identify(ServerCall &Call,
+                                      const ServerChoice &Server,
+                                      bool IsRequired) {
+  ProcessProofs &proofs = Context.Origins.processes();
+  ServerProcess process = processOf(Server);
   if (!Route.Resumable || Server.StartedAt == 0 ||
-      !Context.Directory.usable(Server) || !tryAcquire(Server.Id, 1))
+      !Context.Directory.usable(Server) ||
+      (!IsRequired && (Context.Limits.find(Server.Id) ||
+                       !proofs.isResponsive(process, Clock::now()))))
     return ProcessCheck::Unknown;
-  std::string body;
   TimePoint askedAt = Clock::now();
-  uint32_t status =
-      callServer(Context.Connections, Context.Codec, Context.Limits, Server,
-                 Context.Codec.FormatReport(Server), "GET",
-                 std::min(ReportTimeout, timeLeft()), MaxReportBytes, body,
-                 /*Permitted=*/true, /*NewConnection=*/true);
-  std::optional<ServerReport> report;
-  if (status == 200)
-    report = Context.Codec.ParseReport(body);
-  if (!report || report->StartedAt == 0)
-    return ProcessCheck::Unknown;
-  if (report->StartedAt == Server.StartedAt) {
-    Context.Origins.processes().onConfirmed(processOf(Server), askedAt);
-    return ProcessCheck::Same;
-  }
+  ProcessCheck check =
+      Call.identify(Server, Request.Id, std::min(ReportTimeout, timeLeft()));
+  if (check == ProcessCheck::Unknown)
+    proofs.onUnanswered(process, Clock::now());
+  // On a kept connection it may answer though its successor accepts others.
+  if (check == ProcessCheck::Same && !Call.usedKeptConnection())
+    proofs.onConfirmed(process, askedAt);
+  if (check != ProcessCheck::Replaced)
+    return check;
   internal::LogFields all = fields();
   all.emplace_back("server", Server.Id);
   all.emplace_back("server_started_at", std::to_string(Server.StartedAt));
-  all.emplace_back("reported_started_at", std::to_string(report->StartedAt));
+  all.emplace_back("reported_started_at", std::to_string(Call.reportedStart()));
   all.emplace_back("events", std::to_string(Progress.passed()));
   log(LogLevel::Warn, "request",
       "the server was replaced and its entry doesn't say so yet", all);
-  return ProcessCheck::Replaced;
+  return check;
+}
+
+bool RequestHandler::mustIdentify() const {
+  return Progress.begun() || Context.Directory.entriesMayBeOld();
+}
+
+ProcessCheck RequestHandler::checkProcess(const ServerChoice &Server) {
+  CallerWaiter noCaller(-1, Clock::now() + ReportTimeout);
+  ServerCall call(Context.Connections, Context.Codec, Context.Limits, noCaller);
+  call.requireNewConnection();
+  ProcessCheck check = identify(call, Server, /*IsRequired=*/true);
+  call.keepUnused();
+  return check;
 }
 
 bool RequestHandler::areEntriesCurrent(ProcessCheck Check,
@@ -302,7 +315,7 @@
   ServerProcess process = processOf(Server);
   ProcessProofs &proofs = Context.Origins.processes();
   ProcessCheck check = ProcessCheck::Unknown;
-  if (proofs.isConfirmedSince(process, Run.HeadAt))
+  if (proofs.isConfirmedSince(process, Run.OpenedAt))
     check = ProcessCheck::Same;
   else if (proofs.mayAsk(process, now))
     check = checkProcess(Server);
@@ -330,7 +343,7 @@
   }
   ServerProcess process = processOf(Server);
   ProcessCheck check =
-      Context.Origins.processes().isConfirmedSince(process, Run.HeadAt)
+      Context.Origins.processes().isConfirmedSince(process, Run.OpenedAt)
           ? ProcessCheck::Same
           : checkProcess(Server);
   bool isCurrent = areEntriesCurrent(check, Server);
--- a/src/http_exchange.cc
+++ b/src/http_exchange.cc
@@ -112,6 +112,18 @@
   Socket = std::move(Connected);
 }
 
+void HttpExchange::reset(BackendSocketPtr Connected) {
+  Socket = std::move(Connected);
+  Head = {};
+  Decoder = {};
+  Pending.clear();
+  Offset = 0;
+  Failure = ConnectFailure::None;
+  ByteSent = SentWhole = ByteReceived = EndOfInput = false;
+  Form = BodyForm::None;
+  Length = 0;
+}
+
 ExchangeStatus HttpExchange::send(const std::string &Request,
                                   TimePoint NotAfter, Milliseconds Timeout) {
   size_t done = 0;
--- a/src/http_exchange.h
+++ b/src/http_exchange.h
@@ -55,6 +55,12 @@
   ExchangeStatus connect(const std::string &Address, TimePoint Until);
   // Reuses a connection of an earlier exchange.
   void adopt(BackendSocketPtr Connected);
+  // Forgets this exchange, for another one on the connection; null: on one that
+  // is yet to be opened.
+  void reset(BackendSocketPtr Connected);
+  // Whether there is a connection on which nothing has arrived, not even its
+  // end.
+  bool isIdleAndOpen() const { return Socket && Socket->isIdleAndOpen(); }
 
   // Sends the request. Checks the clock directly before the first byte and
   // returns NotSent if `NotAfter` has passed. Once a byte has been sent, a
--- a/test/gateway_stream_version_process_test.cc
+++ b/test/gateway_stream_version_process_test.cc
@@ -40,7 +40,7 @@
 
   std::string address() const { return Server.address(); }
   std::string version() const { return Version; }
-  // Makes the next streams break off after some events.
+  // Makes the next streams that begin here break off after some events.
   void breakNext(int Streams) { Breaks.store(Streams); }
   // Lets streams wait after two events.
   void setHeld(bool Value) { Held.store(Value); }
@@ -51,10 +51,15 @@
     std::string request = readRequest(Fd);
     if (request.empty())
       return false;
+    // It doesn't state which process it is, so that entries decide.
+    if (request.starts_with("GET /api/report")) {
+      sendText(Fd, "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+      return true;
+    }
     ++Runs;
-    bool breaks = Breaks.fetch_sub(1) > 0;
     std::string id = headerField(request, "Attempt-Id");
     std::string last = headerField(request, "Last-Event-Id");
+    bool breaks = last.empty() && Breaks.fetch_sub(1) > 0;
     sendText(Fd, "HTTP/1.1 200 X\r\nServer-Signature: sig\r\nAttempt-Id: " +
                      id + "\r\nTransfer-Encoding: chunked\r\n\r\n");
     int from = last.empty() ? 1 : std::stoi(last) + 1;
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -75,6 +75,11 @@
     return Gateway.Origins.find(
         streamKeyOf(request.Host, request.Target, request.Id));
   }
+  OriginKnowledge knowledge() {
+    CallerRequest request = Gateway.request();
+    return Gateway.Origins.knowledgeOf(
+        streamKeyOf(request.Host, request.Target, request.Id));
+  }
 
   int EventsBeforeEntry;
   std::string Successor;
@@ -86,7 +91,7 @@
   // The first run breaks off so long after its first events. Its server then
   // says nothing more, as one that has crashed.
   Milliseconds EndsAfter{0};
-  bool StatesNothingAtEnd = false;
+  std::atomic<bool> StatesNothingAtEnd{false};
   std::atomic<bool> HasEnded{false};
   std::atomic<bool> Begun{false};
   std::atomic<bool> Received{false};
@@ -133,6 +138,7 @@
   for (int before : {0, 2, 4}) {
     CAPTURE(before);
     UpgradedServer setup(before, "v2");
+    setup.ReportedStart = 0; // its process says nothing
     FakeServer formerVersion(setup.continuing());
     FakeServer newVersion(setup.continuing());
     setup.addOther("d2", formerVersion, "v1");
@@ -150,6 +156,7 @@
   for (int before : {0, 2, 4}) {
     CAPTURE(before);
     UpgradedServer setup(before, "v1");
+    setup.ReportedStart = 0; // its process says nothing
     FakeServer sameVersion(setup.continuing());
     setup.addOther("d2", sameVersion, "v1");
     setup.run();
@@ -196,6 +203,58 @@
   CHECK(setup.recorded() == versionKeyOf("v1"));
 }
 
+// A server that lost power served again a second later, before its entry said
+// so. What its new process answered was held against the streams of the one
+// before, whose connections were older: none went on, at any instance.
+TEST_CASE("A stream goes on whose process had said which one it was") {
+  std::string successor;
+  SUBCASE("before its successor's entry") {}
+  SUBCASE("after the entry of one of its version") { successor = "v1"; }
+  SUBCASE("after the entry of one of another version") { successor = "v2"; }
+  UpgradedServer setup(4, successor);
+  FakeServer sameVersion(setup.continuing());
+  setup.addOther("d2", sameVersion, "v1");
+  setup.Gateway.WhileRunning = [&](SocketPair &Sockets) {
+    readUntil(Sockets.far(), event(4) + "\r\n");
+    setup.ReportedStart = 2000; // on new connections
+    setup.Received = true;
+  };
+  setup.run();
+  CHECK(runsAt(sameVersion) == 1);
+  CHECK(setup.recorded() == versionKeyOf("v1"));
+  CHECK(setup.knowledge().Server.Id.empty()); // to be asked about nowhere
+}
+
+// Callers got events of a process of another version and then of the version of
+// its server's entry: it had served and ended before it wrote an entry.
+TEST_CASE("A stream of a process that has left no entry isn't continued") {
+  UpgradedServer setup(4, "");
+  setup.ReportedStart = 2000;
+  setup.StatesNothingAtEnd = true;
+  FakeServer formerVersion(setup.continuing());
+  setup.addOther("d2", formerVersion, "v1");
+  SUBCASE("if nothing answers any more") {}
+  SUBCASE("if one of the former version serves there") {
+    setup.Gateway.WhileRunning = [&](SocketPair &Sockets) {
+      readUntil(Sockets.far(), event(4) + "\r\n");
+      setup.StatesNothingAtEnd = false;
+      setup.ReportedStart = 3000;
+      setup.Received = true;
+    };
+  }
+  SUBCASE("if the entry's process is back, as far as it says") {
+    setup.Gateway.WhileRunning = [&](SocketPair &Sockets) {
+      readUntil(Sockets.far(), event(4) + "\r\n");
+      setup.StatesNothingAtEnd = false;
+      setup.ReportedStart = 1000;
+      setup.Received = true;
+    };
+  }
+  setup.run();
+  CHECK(runsAt(formerVersion) == 0);
+  CHECK(setup.recorded() == UncertainVersion);
+}
+
 // Where the store has discarded the changes, its entries are read instead. They
 // don't show a process of another version that has come and gone.
 TEST_CASE("A list of entries confirms a run only by its own process's entry") {
@@ -271,6 +330,7 @@
 TEST_CASE("A stream whose caller leaves is recorded as uncertain if its server "
           "was replaced") {
   UpgradedServer setup(4, "");
+  setup.ReportedStart = 0; // its process says nothing
   setup.Gateway.WhileRunning = [&](SocketPair &Sockets) {
     readUntil(Sockets.far(), event(4) + "\r\n");
     setup.addEntry("d1", setup.First.address(), "v2", 2000);
@@ -302,6 +362,7 @@
 // version.
 TEST_CASE("An answer of uncertain version ends once its keepers know") {
   UpgradedServer setup(2, "v2");
+  setup.ReportedStart = 0; // its process says nothing
   std::atomic<bool> confirmed{false};
   std::thread keepers;
   setup.Gateway.Origins.setHooks(
@@ -325,6 +386,7 @@
 // Events must not wait for keepers, and the end only for a bounded time.
 TEST_CASE("Silent keepers hold up no event and the end only for a while") {
   UpgradedServer setup(2, "v2");
+  setup.ReportedStart = 0; // its process says nothing
   std::atomic<bool> recorded{false};
   std::atomic<bool> passed{false};
   RecordDeliveryPtr delivery = std::make_shared<RecordDelivery>(1);
@@ -355,6 +417,7 @@
 // for another one that was never begun, since nothing may follow its events.
 TEST_CASE("A silent run's change of version is recorded at once") {
   UpgradedServer setup(4, "v2");
+  setup.ReportedStart = 0;              // its process says nothing
   setup.SilentFor = Milliseconds(1800); // beyond the stall time-out
   FakeServer formerVersion(setup.continuing());
   setup.addOther("d2", formerVersion, "v1");
