Ask a server's next process though the one before left a question open

Cause: a process that doesn't answer isn't asked for 2 s, since a question delays a request.

Change: only a question that was sent counts, and a process that has answered before is asked again after 500 ms: it may have a successor.

--- a/src/gateway/process_proofs.cc
+++ b/src/gateway/process_proofs.cc
@@ -7,8 +7,9 @@
 
 // Longer than a process takes to answer, or not to.
 constexpr Milliseconds QuestionPeriod{500};
-// How long a process that didn't answer is asked only if that is needed: a
-// question delays the request that asks.
+// How long a process that has never answered, and didn't again, is asked only
+// if that is needed: a question delays the request that asks. One that has
+// answered before may have a successor by now, which has to be noticed.
 constexpr Milliseconds UnansweredPeriod{2000};
 // Runs that began before the last question are proven by it as long as they
 // last.
@@ -63,8 +64,11 @@
                                  TimePoint Now) const {
   std::lock_guard lock(Mutex);
   auto it = Processes.find(Process);
-  return it == Processes.end() ||
-         Now - it->second.UnansweredAt >= UnansweredPeriod;
+  if (it == Processes.end())
+    return true;
+  bool hasAnswered = it->second.ConfirmedAt != TimePoint();
+  return Now - it->second.UnansweredAt >=
+         (hasAnswered ? QuestionPeriod : UnansweredPeriod);
 }
 
 } // namespace crocusspur::gateway
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -204,6 +204,7 @@
                                   Milliseconds Time) {
   this->Server = Server;
   this->RequestId = RequestId;
+  Asked = false;
   TimePoint until = Clock::now() + Time;
   // A kept connection may have been closed, and any may be after the answer.
   for (int i = 0; i < MaxIdentifyTries && Clock::now() < until; ++i) {
@@ -241,7 +242,8 @@
   SentAt = Clock::now();
   CallStatus status = fromExchange(
       Http.send(Codec.FormatReport(Server), TimePoint::max(), left()));
-  if (!maySent())
+  Asked = maySent();
+  if (!Asked)
     Limits.release(Server.Id, 1);
   if (status == CallStatus::Responded)
     status = readOwnHead(left());
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -193,6 +193,8 @@
   bool usedKeptConnection() const { return Kept; }
   // Whether the process at the other end has said that it is process().
   bool isIdentified() const { return Identified; }
+  // Whether identify() has sent its question.
+  bool hasAsked() const { return Asked; }
   // The start that identify() was told, Unix milliseconds; 0: none.
   int64_t reportedStart() const { return ReportedStart; }
   // The process that was known when the connection was opened.
@@ -230,6 +232,7 @@
   bool Opened = false; // there is a connection for the next call
   bool Kept = false;
   bool Identified = false;   // see PooledConnection
+  bool Asked = false;        // see hasAsked()
   int64_t ReportedStart = 0; // see reportedStart()
   ServerProcess Process;
   TimePoint OpenedAt; // of the connection
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -213,7 +213,8 @@
   TimePoint askedAt = Clock::now();
   ProcessCheck check =
       Call.identify(Server, Request.Id, std::min(ReportTimeout, timeLeft()));
-  if (check == ProcessCheck::Unknown)
+  // A refused connection takes no time, and the next process may accept one.
+  if (check == ProcessCheck::Unknown && Call.hasAsked())
     proofs.onUnanswered(process, Clock::now());
   // On a kept connection it may answer though its successor accepts others.
   if (check == ProcessCheck::Same && !Call.usedKeptConnection())
--- a/test/gateway_version_restart_test.cc
+++ b/test/gateway_version_restart_test.cc
@@ -682,6 +682,24 @@
   CHECK_FALSE(proofs.isConfirmedSince(successor, now));
 }
 
+// A server's next process was sent streams unasked for two seconds, since the
+// one before had been silent.
+TEST_CASE("A process that has answered is soon asked again after a silence") {
+  ProcessProofs proofs;
+  const ServerProcess answering{"d1", 1000, "10.0.0.1:80", "v1"};
+  const ServerProcess mute{"d2", 1000, "10.0.0.2:80", "v1"};
+  TimePoint now{Milliseconds(100000)};
+  CHECK(proofs.isResponsive(answering, now));
+  proofs.onConfirmed(answering, now);
+  for (const ServerProcess *it : {&answering, &mute}) {
+    proofs.onUnanswered(*it, now);
+    CHECK_FALSE(proofs.isResponsive(*it, now + Milliseconds(100)));
+  }
+  CHECK(proofs.isResponsive(answering, now + Milliseconds(600)));
+  CHECK_FALSE(proofs.isResponsive(mute, now + Milliseconds(600)));
+  CHECK(proofs.isResponsive(mute, now + Milliseconds(2100)));
+}
+
 namespace {
 
 // A stream of d1 that is taken up here, where its version is recorded as
