Take a process's answer for a proof from its own moment only

Cause: a run's connection is identified before the prefill and looked at again after it. By reading the diff; no caller has seen it.

Change: an answer counts only if its connection was opened for the question. Besides, a late copy of an answer is skipped also where the process is another one than the entry's.

--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -353,7 +353,7 @@
       return status;
     Info = Codec.ParseResponseHead(Http.head());
     // What identify() asked for doesn't name its request, and may come twice.
-    bool isReport = Identified && !RequestId.empty() &&
+    bool isReport = (Identified || ReportedStart != 0) && !RequestId.empty() &&
                     Info.RequestId.empty() && !Info.Signed &&
                     Http.head().Status == 200;
     if (!isReport && (Info.RequestId.empty() || Info.RequestId == RequestId)) {
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -216,8 +216,8 @@
   // A refused connection takes no time, and the next process may accept one.
   if (check == ProcessCheck::Unknown && Call.hasAsked())
     proofs.onUnanswered(process, Clock::now());
-  // On a kept connection it may answer though its successor accepts others.
-  if (check == ProcessCheck::Same && !Call.usedKeptConnection())
+  // On an older connection it may answer though its successor accepts others.
+  if (check == ProcessCheck::Same && Call.openedAt() >= askedAt)
     proofs.onConfirmed(process, askedAt);
   if (check != ProcessCheck::Replaced)
     return check;
--- a/test/gateway_process_identity_test.cc
+++ b/test/gateway_process_identity_test.cc
@@ -129,6 +129,26 @@
   CHECK(setup.Runs == 1);
 }
 
+// A process that lives on beside its successor keeps its connections. That one
+// of them is used later shows nothing of those that are opened meanwhile.
+TEST_CASE("A process isn't confirmed by a connection that it was asked on") {
+  AskedServer setup;
+  TimePoint prefillAt;
+  FakeServer prefill([&](const std::string &, int) {
+    prefillAt = std::chrono::steady_clock::now();
+    return httpResponse(200,
+                        R"({"kv-handle":"h1","token-count":5000,"version":1})");
+  });
+  setup.Gateway.addServer("p1", prefill, ServerStage::Prefill);
+  TimePoint before = std::chrono::steady_clock::now();
+  CHECK(isWhole(setup.run("a1")));
+  const ServerProcess process{"d1", Start, setup.Server.address(), "v1"};
+  ProcessProofs &proofs = setup.Gateway.Origins.processes();
+  REQUIRE(prefill.count("POST /x/y") == 1);
+  CHECK(proofs.isConfirmedSince(process, before));
+  CHECK_FALSE(proofs.isConfirmedSince(process, prefillAt));
+}
+
 // What a process says on one connection shows nothing of the one behind the
 // next.
 TEST_CASE("A process that closes the connection it was asked on isn't known") {
