Keep what is known of a connection while its server isn't asked

Cause: a server that states a limit, or has left a question open, isn't asked before a first run. Whether the process was known already, since the connection had been asked on before, wasn't looked at then: such a run counted as one whose process nothing shows, and after a break with a successor at the address nobody would have gone on with its stream (LOST). Besides, a connection that had been found to lead to another process than the entry's was kept as one to the entry's, and one on which a process had answered without a start was held through the prefill without another look at whether it was still open.

Change: ServerCall::identify() is told whether it may ask. If not, it takes an identified connection if there is one, and opens none. It leaves the call with a connection only if the process behind is known; one to another process isn't kept.

Measured: "A connection stays identified while its server isn't asked" (both forms) and "A connection to another process than the entry's isn't kept" failed before; the 105 tests of the files on these parts pass.

--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -203,17 +203,17 @@
   // known by now in place of the one that the run was sent to. Returns false if
   // the run was given up for it.
   bool confirmRunVersion(const ServerChoice &Server, RelayedRun &Run);
-  // Asks the process at the other end of the connection that the call will use
-  // whether it is the chosen one: a successor serves before its entry is known,
-  // and its software version isn't known either. `IsRequired`: something
+  // Finds out whether the process at the other end of the connection that the
+  // call will use is the chosen one: a successor serves before its entry is
+  // known, and its software version isn't known either. `IsRequired`: something
   // depends on it, so that it is asked also if that takes a part of the
-  // server's limit or the process hasn't answered lately.
+  // server's limit or it hasn't answered lately.
   ProcessCheck identify(ServerCall &Call, const ServerChoice &Server,
                         bool IsRequired);
-  // Whether a run that is to begin depends on it.
-  bool mustIdentify() const;
-  // The same for the process that accepts connections at the server's address.
+  // Asks the process that accepts connections at the server's address.
   ProcessCheck checkProcess(const ServerChoice &Server);
+  // Whether a run that is to begin depends on what its process says.
+  bool mustIdentify() const;
   // Whether the entries that are known of the server are those that the store
   // has now. The store is asked if nothing but the entry tells which process it
   // is (`Check` is Unknown): that it has fallen silent is noticed late.
--- a/src/gateway/server_call.cc
+++ b/src/gateway/server_call.cc
@@ -42,7 +42,8 @@
 } // namespace
 
 PooledConnection ConnectionPool::take(const ServerProcess &Process,
-                                      const std::string &RequestId) {
+                                      const std::string &RequestId,
+                                      bool OnlyIdentified) {
   std::lock_guard lock(Mutex);
   auto found = Connections.find(Process.Address);
   if (found == Connections.end())
@@ -55,6 +56,7 @@
   auto fits = [&](const Idle &It) {
     const std::vector<std::string> &ids = It.Connection.RequestIds;
     return It.Connection.Traceable == !RequestId.empty() &&
+           (It.Connection.Identified || !OnlyIdentified) &&
            std::ranges::find(ids, RequestId) == ids.end();
   };
   while (true) {
@@ -192,7 +194,8 @@
 }
 
 void ServerCall::keepUnused() {
-  if (BackendSocketPtr opened = Opened ? Http.releaseUnused() : nullptr)
+  BackendSocketPtr opened = Opened ? Http.releaseUnused() : nullptr;
+  if (opened && !isForeign())
     Pool.give({std::move(opened), Process, OpenedAt, std::move(RequestIds),
                Traceable, Identified},
               Info.KeepAliveTimeout);
@@ -201,7 +204,7 @@
 
 ProcessCheck ServerCall::identify(const ServerChoice &Server,
                                   const std::string &RequestId,
-                                  Milliseconds Time) {
+                                  Milliseconds Time, bool MayAsk) {
   this->Server = Server;
   this->RequestId = RequestId;
   Asked = false;
@@ -212,18 +215,21 @@
     if (Opened && !Http.isIdleAndOpen())
       drop();
     CallStatus status = CallStatus::Responded;
-    Opened = Opened || connect(status);
+    if (!Opened)
+      Opened = MayAsk ? connect(status) : takeKept(/*OnlyIdentified=*/true);
     if (!Opened) {
-      Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
+      if (MayAsk)
+        Pool.reachability().onCall(Server, evidenceOf(status), StartedAt);
       return ProcessCheck::Unknown;
     }
     if (Identified)
       return ProcessCheck::Same;
-    if (ReportedStart != 0)
+    if (isForeign())
       return ProcessCheck::Replaced;
-    if (Server.StartedAt == 0 ||
-        !Limits.acquire(Server.Id, 1, Milliseconds(0)).Granted)
+    if (!Limits.acquire(Server.Id, 1, Milliseconds(0)).Granted) {
+      keepUnused();
       return ProcessCheck::Unknown;
+    }
     ProcessCheck check = askProcess(until);
     if (Opened || (check == ProcessCheck::Unknown && !Kept))
       return check;
@@ -232,7 +238,7 @@
 }
 
 ProcessCheck ServerCall::askProcess(TimePoint Until) {
-  std::string former = std::exchange(RequestId, "");
+  std::string id = std::exchange(RequestId, "");
   bool traceable = Traceable;
   auto left = [Until] {
     return std::max(std::chrono::ceil<Milliseconds>(Until - Clock::now()),
@@ -255,16 +261,16 @@
   if (status == CallStatus::Responded && head().Status == 200)
     report = Codec.ParseReport(body);
   // A late copy of any other response couldn't be told from the next one.
-  BackendSocketPtr socket = report ? Http.release() : nullptr;
+  ReportedStart = report ? report->StartedAt : 0;
+  BackendSocketPtr socket = ReportedStart != 0 ? Http.release() : nullptr;
   Opened = socket != nullptr;
   Http.reset(std::move(socket));
-  RequestId = std::move(former);
+  RequestId = std::move(id);
   Traceable = traceable;
   StrayResponses = 0;
   std::optional<Milliseconds> keepAlive = Info.KeepAliveTimeout;
   Info = {};
   Info.KeepAliveTimeout = keepAlive;
-  ReportedStart = report ? report->StartedAt : 0;
   Identified = Opened && ReportedStart == Process.StartedAt;
   if (ReportedStart == 0)
     return ProcessCheck::Unknown;
@@ -277,12 +283,10 @@
   Opened = Identified = false;
 }
 
-bool ServerCall::connect(CallStatus &Status) {
-  if (std::exchange(Opened, false))
-    return true;
+bool ServerCall::takeKept(bool OnlyIdentified) {
   PooledConnection kept;
   if (!NewConnection)
-    kept = Pool.take(processOf(Server), RequestId);
+    kept = Pool.take(processOf(Server), RequestId, OnlyIdentified);
   RequestIds = std::move(kept.RequestIds);
   Traceable = kept.Traceable;
   Identified = kept.Identified;
@@ -290,10 +294,14 @@
   Kept = kept.Socket != nullptr;
   Process = Kept ? std::move(kept.Process) : processOf(Server);
   OpenedAt = kept.OpenedAt;
-  if (kept.Socket) {
+  if (Kept)
     Http.adopt(std::move(kept.Socket));
+  return Kept;
+}
+
+bool ServerCall::connect(CallStatus &Status) {
+  if (std::exchange(Opened, false) || takeKept(/*OnlyIdentified=*/false))
     return true;
-  }
   Pool.countOpened();
   Status =
       fromExchange(Http.connect(Server.Address, Clock::now() + ConnectTimeout));
@@ -353,7 +361,7 @@
       return status;
     Info = Codec.ParseResponseHead(Http.head());
     // What identify() asked for doesn't name its request, and may come twice.
-    bool isReport = (Identified || ReportedStart != 0) && !RequestId.empty() &&
+    bool isReport = (Identified || isForeign()) && !RequestId.empty() &&
                     Info.RequestId.empty() && !Info.Signed &&
                     Http.head().Status == 200;
     if (!isReport && (Info.RequestId.empty() || Info.RequestId == RequestId)) {
@@ -397,7 +405,8 @@
 }
 
 void ServerCall::finish() {
-  if (BackendSocketPtr kept = Http.release())
+  BackendSocketPtr kept = Http.release();
+  if (kept && !isForeign())
     Pool.give({std::move(kept), processOf(Server), OpenedAt,
                std::move(RequestIds), Traceable, Identified},
               Info.KeepAliveTimeout);
--- a/src/gateway/server_call.h
+++ b/src/gateway/server_call.h
@@ -51,7 +51,8 @@
   // Requests with an id get traceable connections, identified ones first, and
   // calls without one the others.
   PooledConnection take(const ServerProcess &Process,
-                        const std::string &RequestId);
+                        const std::string &RequestId,
+                        bool OnlyIdentified = false);
   // `KeepAliveTimeout`: how long the server keeps the connection, if it has
   // stated it.
   void give(PooledConnection Connection,
@@ -142,14 +143,14 @@
   // Opens such a connection, on which start() then sends. Returns Responded if
   // it is open.
   CallStatus open(const ServerChoice &Server);
-  // Asks the process at the other end of the connection on which start() will
-  // send which one it is, unless that is known. The answer holds as long as the
-  // connection, whoever accepts connections at the server's address by then.
-  // `Time` bounds the whole; an unidentified connection is used then. Takes a
-  // permit, if the server's limit has one at once. `RequestId`: that start() is
-  // to send.
+  // Finds a connection for start() of which it is known which process is at its
+  // other end, and keeps it. If none is and `MayAsk`, asks the process on the
+  // connection that start() will use, which takes a permit and `Time` at most.
+  // The answer holds as long as the connection, whoever accepts connections at
+  // the server's address by then. `RequestId`: that start() is to send.
   ProcessCheck identify(const ServerChoice &Server,
-                        const std::string &RequestId, Milliseconds Time);
+                        const std::string &RequestId, Milliseconds Time,
+                        bool MayAsk);
   // Gives a connection to the pool that start() hasn't sent on.
   void keepUnused();
   // `RequestId`: responses with another id are late responses to earlier
@@ -191,8 +192,6 @@
   const ResponseInfo &info() const { return Info; }
   // Whether the connection was opened for an earlier call.
   bool usedKeptConnection() const { return Kept; }
-  // Whether the process at the other end has said that it is process().
-  bool isIdentified() const { return Identified; }
   // Whether identify() has sent its question.
   bool hasAsked() const { return Asked; }
   // The start that identify() was told, Unix milliseconds; 0: none.
@@ -213,6 +212,10 @@
   // What a call that ended with this status shows of the way to the server.
   CallEvidence evidenceOf(CallStatus Status) const;
   bool connect(CallStatus &Status);
+  bool takeKept(bool OnlyIdentified);
+  // Whether the process at the other end has said that it is another one than
+  // the server's entry names.
+  bool isForeign() const { return ReportedStart != 0 && !Identified; }
 
   ConnectionPool &Pool;
   const HttpCodec &Codec;
--- a/src/gateway/stream_version_handler.cc
+++ b/src/gateway/stream_version_handler.cc
@@ -206,13 +206,13 @@
   ProcessProofs &proofs = Context.Origins.processes();
   ServerProcess process = processOf(Server);
   if (!Route.Resumable || Server.StartedAt == 0 ||
-      !Context.Directory.usable(Server) ||
-      (!IsRequired && (Context.Limits.find(Server.Id) ||
-                       !proofs.isResponsive(process, Clock::now()))))
+      !Context.Directory.usable(Server))
     return ProcessCheck::Unknown;
   TimePoint askedAt = Clock::now();
-  ProcessCheck check =
-      Call.identify(Server, Request.Id, std::min(ReportTimeout, timeLeft()));
+  bool mayAsk = IsRequired || (!Context.Limits.find(Server.Id) &&
+                               proofs.isResponsive(process, askedAt));
+  ProcessCheck check = Call.identify(
+      Server, Request.Id, std::min(ReportTimeout, timeLeft()), mayAsk);
   // A refused connection takes no time, and the next process may accept one.
   if (check == ProcessCheck::Unknown && Call.hasAsked())
     proofs.onUnanswered(process, Clock::now());
--- a/test/gateway_process_identity_test.cc
+++ b/test/gateway_process_identity_test.cc
@@ -120,6 +120,24 @@
   CHECK(setup.Questions == 1);
 }
 
+// Such a stream was recorded as one whose process has to be shown, though it is
+// known who is at the other end.
+TEST_CASE("A connection stays identified while its server isn't asked") {
+  AskedServer setup;
+  CHECK(isWhole(setup.run("a1")));
+  REQUIRE(setup.Questions == 1);
+  SUBCASE("since it states a limit") { setup.StatesLimit = true; }
+  SUBCASE("since it left another question open") {
+    const ServerProcess process{"d1", Start, setup.Server.address(), "v1"};
+    setup.Gateway.Origins.processes().onUnanswered(
+        process, std::chrono::steady_clock::now());
+  }
+  CHECK(isWhole(setup.run("a2")));
+  CHECK(setup.Questions == 1);
+  CHECK(setup.Recorded.Recorded == versionKeyOf("v1"));
+  CHECK(setup.Recorded.Server.Id.empty());
+}
+
 // A copy of the answer that comes late stands where the run's response is
 // expected, and names no request.
 TEST_CASE("A late copy of a process's answer isn't the response to the run") {
@@ -179,6 +197,15 @@
   CHECK(setup.Recorded.Recorded == UncertainVersion);
 }
 
+// The connection would count as one to the entry's process.
+TEST_CASE("A connection to another process than the entry's isn't kept") {
+  AskedServer setup;
+  setup.Accepting = Start + 1000;
+  CHECK(isWhole(setup.run("a1")));
+  const ServerProcess process{"d1", Start, setup.Server.address(), "v1"};
+  CHECK(setup.Gateway.Connections.take(process, "a2").Socket == nullptr);
+}
+
 // Half of what a server in need takes would go into questions.
 TEST_CASE("A server that states a limit isn't asked before a first run") {
   AskedServer setup;
